--- /dev/null
+++ b/cmd/siskintray/main.go
@@ -0,0 +1,10 @@
+// Command siskintray is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"siskintray.example/siskin/internal/cmds"
+)
+
+func main() { os.Exit(cmds.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/error.go
@@ -0,0 +1,69 @@
+package siskin
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Error is an error with a kind and a remedy for its receiver.
+type Error struct {
+	Kind    ErrorKind
+	Message string
+	// Remedy says what the receiver can do, in one sentence.
+	Remedy string
+	// RetryAfter is the time to wait before a repetition; zero when unknown.
+	RetryAfter time.Duration
+
+	cause error
+}
+
+// NewError returns an error of the given kind. The format follows fmt.Sprintf.
+func NewError(kind ErrorKind, format string, args ...any) *Error {
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...)}
+}
+
+// WithRemedy sets the remedy and returns e.
+func (e *Error) WithRemedy(remedy string) *Error {
+	e.Remedy = remedy
+	return e
+}
+
+// WithRetryAfter sets the time to wait and returns e.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// WithCause sets the error that led to e and returns e. The cause keeps its
+// stack trace for logs.
+func (e *Error) WithCause(err error) *Error {
+	e.cause = merry.WrapSkipping(err, 1)
+	return e
+}
+
+// Error returns the message, the cause and the remedy on one line.
+func (e *Error) Error() string {
+	s := e.Message
+	if e.cause != nil {
+		s += ": " + e.cause.Error()
+	}
+	if e.Remedy != "" {
+		s += "; " + e.Remedy
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// KindOf returns the kind of the first Error in err's chain, else Internal.
+func KindOf(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
--- /dev/null
+++ b/limiter.go
@@ -0,0 +1,17 @@
+package siskin
+
+import "time"
+
+// Admission is the answer of a Limiter.
+type Admission struct {
+	Admitted bool
+	// RetryAfter is the time after which the request would be admitted at the
+	// present share. It is zero when Admitted.
+	RetryAfter time.Duration
+}
+
+// Limiter admits requests within the rate and burst of their customer.
+type Limiter interface {
+	// Admit takes n requests from the customer's bucket, all or none.
+	Admit(now time.Time, customer CustomerID, n Requests) Admission
+}
--- /dev/null
+++ b/object.go
@@ -0,0 +1,23 @@
+package siskin
+
+// ObjectName names one object of the platform's API, such as "Config/Head".
+type ObjectName string
+
+// Version is the platform's version of one object. Zero means that the object
+// does not exist.
+type Version uint64
+
+// OperationID identifies one conditional update, so that an update whose
+// answer was lost can be recognized by reading the object back.
+type OperationID string
+
+// Object is one object of the platform's API.
+type Object struct {
+	Name      ObjectName
+	Version   Version
+	Operation OperationID // operation that wrote this version
+	Value     []byte      // at most MaxObjectSize
+}
+
+// MaxObjectSize is the largest value that the platform holds.
+const MaxObjectSize Bytes = 1 << 20
--- /dev/null
+++ b/pkg/config/credentials.go
@@ -0,0 +1,16 @@
+package config
+
+// Credentials are the service's own account at its targets. Callers' keys are
+// never sent to a target.
+type Credentials struct {
+	User     string
+	Password string
+	// ReadUser and ReadPassword are an account without write privileges. Read
+	// routes use it, since a caller can override a read-only default.
+	ReadUser     string
+	ReadPassword string
+	Database     string
+}
+
+// String hides the password, so that it cannot reach a log.
+func (c Credentials) String() string { return c.User + "@" + c.Database }
--- /dev/null
+++ b/pkg/config/fixed.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"slices"
+
+	"siskintray.example/siskin"
+)
+
+// Fixed is a View that never changes.
+type Fixed struct {
+	services  map[siskin.ServiceName]*Service
+	customers map[siskin.CustomerID]*Customer
+	changed   chan struct{}
+}
+
+// NewFixed returns a view of the given documents.
+func NewFixed(services []*Service, customers []*Customer) *Fixed {
+	f := &Fixed{
+		services:  make(map[siskin.ServiceName]*Service, len(services)),
+		customers: make(map[siskin.CustomerID]*Customer, len(customers)),
+		changed:   make(chan struct{}),
+	}
+	for _, s := range services {
+		f.services[s.Name] = s
+	}
+	for _, c := range customers {
+		f.customers[c.ID] = c
+	}
+	return f
+}
+
+// Revision implements View.
+func (f *Fixed) Revision() siskin.Revision { return 1 }
+
+// Service implements View.
+func (f *Fixed) Service(name siskin.ServiceName) (*Service, bool) {
+	s, ok := f.services[name]
+	return s, ok
+}
+
+// Customer implements View.
+func (f *Fixed) Customer(id siskin.CustomerID) (*Customer, bool) {
+	c, ok := f.customers[id]
+	return c, ok
+}
+
+// Services implements View.
+func (f *Fixed) Services() []siskin.ServiceName { return sortedKeys(f.services) }
+
+// Customers implements View.
+func (f *Fixed) Customers() []siskin.CustomerID { return sortedKeys(f.customers) }
+
+// Changed implements View.
+func (f *Fixed) Changed() <-chan struct{} { return f.changed }
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	names := make([]K, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/pkg/invar/invar.go
@@ -0,0 +1,68 @@
+// Package invar checks invariants inside the running program. A violation is
+// counted and passed to a handler; in tests the handler ends the run.
+package invar
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+)
+
+// Invariant is one condition that must always hold.
+type Invariant struct {
+	name       string
+	violations atomic.Int64
+}
+
+var registry struct {
+	mu      sync.Mutex
+	all     []*Invariant
+	handler func(name, detail string)
+}
+
+// New registers an invariant under a Pascal-case name such as
+// "AckedByCurrentPrimary". Call it from a package variable.
+func New(name string) *Invariant {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	inv := &Invariant{name: name}
+	registry.all = append(registry.all, inv)
+	return inv
+}
+
+// Check records a violation when ok is false and returns ok. The detail is
+// formatted only on a violation.
+func (inv *Invariant) Check(ok bool, format string, args ...any) bool {
+	if ok {
+		return true
+	}
+	inv.violations.Add(1)
+	registry.mu.Lock()
+	handler := registry.handler
+	registry.mu.Unlock()
+	if handler != nil {
+		handler(inv.name, fmt.Sprintf(format, args...))
+	}
+	return false
+}
+
+// OnViolation sets the function that receives each violation, such as one that
+// logs it or one that panics in tests. It returns the previous function.
+func OnViolation(handler func(name, detail string)) func(name, detail string) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	previous := registry.handler
+	registry.handler = handler
+	return previous
+}
+
+// Violations returns the number of violations of each registered invariant.
+func Violations() map[string]int64 {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	counts := make(map[string]int64, len(registry.all))
+	for _, inv := range registry.all {
+		counts[inv.name] += inv.violations.Load()
+	}
+	return counts
+}
--- /dev/null
+++ b/revision.go
@@ -0,0 +1,4 @@
+package siskin
+
+// Revision numbers the accepted configurations. It only grows.
+type Revision uint64
--- /dev/null
+++ b/service.go
@@ -0,0 +1,7 @@
+package siskin
+
+// ServiceName names one service, which one group of targets serves.
+type ServiceName string
+
+// RouteName names one route of a service.
+type RouteName string
