siskin: let a planned change drain the primary

Cause: a claim fences the primary at once, so a planned change that only claims would abort transactions in progress at other homes.

Change: TargetStatus gets Draining and Running; Drainer is an optional interface of a Target that holds new writes back for a bounded time.

Conclusion: additive, existing implementations of Target still fit.

--- a/target.go
+++ b/target.go
@@ -41,6 +41,11 @@
 	Applied      LSN           // end of the log applied
 	HeardPrimary time.Duration // time since the last message of the primary's stream
 	Leaving      bool
+	// Draining says that a primary refuses new transactions that may write,
+	// because of a planned change or a claim of a later term.
+	Draining bool
+	// Running is the number of transactions in progress that may write.
+	Running int
 }
 
 // Target is the control interface of one target.
@@ -62,6 +67,14 @@
 	Close() error
 }
 
+// Drainer is implemented by a Target that can hold new writes back for a
+// planned change of primary.
+type Drainer interface {
+	// Drain makes a primary refuse new transactions that may write, as not run,
+	// for at most hold, and reports the state. Zero ends the pause.
+	Drain(ctx context.Context, hold time.Duration) (TargetStatus, error)
+}
+
 // TargetDialer opens the control interface of a target.
 type TargetDialer interface {
 	DialTarget(ctx context.Context, id TargetID, address string) (Target, error)
