pkg/group: add failover, confirmation, floors and admission of one group

Cause: nothing but the proxy orders promotions, so every VM that is a home needs detection, claims, promotion and commit confirmation.

Change: machine takes the decisions without input or output; tracker releases commits when k replicas report the term's stream at or past the position; Group runs both with bounded calls. A planned change drains the primary first, so that transactions of all homes end before the claim. A connection that is open while its target is demoted refuses writes and siskin_commit_position for good, since what it wrote may be discarded.

--- a/internal/stand/store/store.go
+++ b/internal/stand/store/store.go
@@ -9,6 +9,9 @@
 	"siskintray.example/siskin"
 )
 
+// maxHeard is reported as the silence of a primary that was never heard.
+const maxHeard = 24 * time.Hour
+
 // Leader is the primary that a replica follows.
 type Leader struct {
 	ID      siskin.TargetID
@@ -88,7 +91,7 @@
 		Running:  s.running,
 	}
 	if s.role == siskin.RoleReplica {
-		st.HeardPrimary = now.Sub(s.heard)
+		st.HeardPrimary = min(now.Sub(s.heard), maxHeard)
 	}
 	return st
 }
--- a/internal/stand/target/doc.go
+++ b/internal/stand/target/doc.go
@@ -36,8 +36,10 @@
 //	siskin_follow(target, address, term)
 //	    the status. Error 55000 when the target is claimed for a later term or
 //	    is itself the primary of that term. The replication address of a known
-//	    target is taken from Config.Peers, else address is used. A primary that
-//	    becomes a replica ends its connections that have a slot.
+//	    target is taken from Config.Peers, else address is used. Connections that
+//	    are open while a primary becomes a replica refuse writes and
+//	    siskin_commit_position with 25006 from then on, also when the target is
+//	    promoted again: what they wrote may have been discarded.
 //	siskin_drain(ms)
 //	    the status. For ms milliseconds a primary refuses new transactions of
 //	    the full account in slots with 25006, as not run; those in progress go
--- a/internal/stand/target/run.go
+++ b/internal/stand/target/run.go
@@ -53,6 +53,9 @@
 	if c.tx.readOnly {
 		return &sqlError{stateReadOnly, "cannot execute a write in a read-only transaction"}
 	}
+	if c.demoted.Load() {
+		return errDemoted
+	}
 	return c.srv.store.Writable()
 }
 
--- a/internal/stand/target/runctl.go
+++ b/internal/stand/target/runctl.go
@@ -107,15 +107,16 @@
 	}
 	if demoted {
 		c.srv.eachSession(func(other *session) {
-			if other != c && other.slot >= 0 {
-				other.close()
-			}
+			other.demoted.Store(true)
 		})
 	}
 	return runStatus(c, nil)
 }
 
 func runPosition(c *session, _ []string) (result, error) {
+	if c.demoted.Load() {
+		return result{}, errDemoted
+	}
 	pos, err := c.srv.store.Position()
 	if err != nil {
 		return result{}, err
--- a/internal/stand/target/session.go
+++ b/internal/stand/target/session.go
@@ -18,6 +18,10 @@
 	slot    int // -1 for a control connection
 	full    bool
 	silent  atomic.Bool
+	// demoted says that the target became a replica while the connection was
+	// open. What it wrote may have been discarded, so it takes no writes and
+	// reads no commit position for the rest of its life.
+	demoted atomic.Bool
 
 	ctx       context.Context // ends with the connection
 	cancel    context.CancelFunc
--- a/internal/stand/target/sqlerror.go
+++ b/internal/stand/target/sqlerror.go
@@ -28,6 +28,8 @@
 	stateCopyCanceled = "57014"
 )
 
+var errDemoted = &sqlError{stateReadOnly, "the target became a replica while the connection was open; open a new one"}
+
 // sqlError is an error response.
 type sqlError struct{ state, message string }
 
--- a/internal/stand/target/tx.go
+++ b/internal/stand/target/tx.go
@@ -77,6 +77,9 @@
 	if len(t.ops) == 0 || t.failed {
 		return nil
 	}
+	if c.demoted.Load() {
+		return errDemoted
+	}
 	_, err := c.srv.store.Commit(t.ops)
 	if err == nil && c.srv.fault.loseAnswer("COMMIT") {
 		c.lose = true
--- /dev/null
+++ b/pkg/group/claim.go
@@ -0,0 +1,133 @@
+package group
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// beginClaim claims the targets for a term above every claim seen.
+func (m *machine) beginClaim(now time.Time) {
+	a := m.attempt
+	a.phase = phaseClaim
+	a.term = max(m.maxClaim, m.term) + 1
+	m.maxClaim = a.term // a claim whose answer is lost may hold
+	a.deadline = now.Add(m.suspectAfter())
+	for _, t := range m.targets {
+		if t.ID != a.avoid {
+			m.claim(t)
+		}
+	}
+	m.claimAvoided(now)
+}
+
+func (m *machine) claim(t *targetState) {
+	m.attempt.asked[t.ID] = true
+	m.do(action{kind: actClaim, target: t.ID, attempt: m.attempt.number, term: m.attempt.term})
+}
+
+// claimAvoided claims the avoided target when the others cannot suffice.
+func (m *machine) claimAvoided(now time.Time) {
+	a := m.attempt
+	t := m.target(a.avoid)
+	if t == nil || a.asked[t.ID] {
+		return
+	}
+	possible := 0
+	for _, other := range m.targets {
+		if other != t && !a.failed[other.ID] && m.isReachable(now, other) {
+			possible++
+		}
+	}
+	if possible < m.quorum() && m.isReachable(now, t) {
+		m.claim(t)
+	}
+}
+
+// claimed handles the answer to a claim.
+func (m *machine) claimed(now time.Time, e event) {
+	a := m.attempt
+	if a == nil || a.number != e.attempt || a.phase != phaseClaim {
+		return
+	}
+	if !e.ok {
+		a.failed[e.target] = true
+		m.claimAvoided(now)
+		m.claimLost(now)
+		return
+	}
+	a.grants[e.target] = e.status
+	_, hasWanted := a.grants[a.wanted]
+	if len(a.grants) >= m.claimsNeeded() && (!a.planned || hasWanted) {
+		m.promoteBest(now)
+	}
+}
+
+// claimLost ends an attempt as soon as it can no longer gather enough claims.
+func (m *machine) claimLost(now time.Time) {
+	a := m.attempt
+	open := len(a.asked) - len(a.failed) - len(a.grants)
+	if len(a.grants)+open >= m.claimsNeeded() {
+		return
+	}
+	if !a.force {
+		m.fail(now, errTooFew(m.Service, a.phase, len(a.grants), m.quorum()))
+	} else if open == 0 {
+		m.expire(now)
+	}
+}
+
+func (m *machine) claimsNeeded() int {
+	if m.quorumOverride > 0 {
+		return m.quorumOverride
+	}
+	return m.quorum()
+}
+
+// promoteBest promotes the claimed target with the newest log, compared by last
+// record term first, then by position, and never by claimed term: a claim says
+// nothing about the log.
+func (m *machine) promoteBest(now time.Time) {
+	a := m.attempt
+	var best *targetState
+	for _, t := range m.targets {
+		if st, ok := a.grants[t.ID]; ok && (best == nil || m.better(st, a.grants[best.ID])) {
+			best = t
+		}
+	}
+	quorumHeld.Check(a.force || len(a.grants) >= m.claimsNeeded(), "group %s: promotion to term %d with %d claims", m.Service, a.term, len(a.grants))
+	for _, st := range a.grants {
+		newestLog.Check(m.compareLogs(logEnd(a.grants[best.ID]), logEnd(st)) >= 0, "group %s: %s has a newer log than %s", m.Service, st.ID, best.ID)
+	}
+	a.phase = phasePromote
+	a.deadline = now.Add(m.suspectAfter())
+	m.do(action{kind: actPromote, target: best.ID, attempt: a.number, term: a.term})
+}
+
+// better reports whether a is to be promoted rather than b. Among equal logs
+// the wanted target comes first, then one that is not leaving.
+func (m *machine) better(a, b siskin.TargetStatus) bool {
+	if c := m.compareLogs(logEnd(a), logEnd(b)); c != 0 {
+		return c > 0
+	}
+	if w := m.attempt.wanted; w != "" && (a.ID == w) != (b.ID == w) {
+		return a.ID == w
+	}
+	return !a.Leaving && b.Leaving
+}
+
+// promoted handles the answer to a promotion. A promotion whose answer was lost
+// may have happened; a probe shows it.
+func (m *machine) promoted(now time.Time, e event) {
+	a := m.attempt
+	if a == nil || a.number != e.attempt {
+		return // a success has been adopted from its status
+	}
+	m.do(action{kind: actProbe, target: e.target})
+	if e.conflict || a.phase != phasePromote {
+		m.fail(now, errRival(e.status.ClaimedTerm))
+		return
+	}
+	// Wait for the probe: a repeated claim would only cost time.
+	a.deadline = now.Add(m.Interval)
+}
--- /dev/null
+++ b/pkg/group/detect.go
@@ -0,0 +1,165 @@
+package group
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// cause is a reason to change the primary.
+type cause int
+
+const (
+	causeNone cause = iota
+	// causeDead: this VM does not reach the primary and no replica hears it.
+	causeDead
+	// causeUnreached: this VM does not reach the primary, but replicas hear it.
+	// It is acted on late and only while the log does not grow, since a growing
+	// log shows that other VMs reach the primary.
+	causeUnreached
+	// causeCutOff: the primary answers, but so many replicas have lost their
+	// stream that writes cannot be confirmed.
+	causeCutOff
+	// causeFenced: the primary is claimed for a later term that nobody uses.
+	causeFenced
+	// causeStuck: a replica is claimed for a later term that nobody uses, so it
+	// cannot follow the primary until a new term begins.
+	causeStuck
+	// causeLeaving: the primary is leaving and a replica can take over.
+	causeLeaving
+	causeCount
+)
+
+// planned reports whether the primary works, so that it is drained first.
+func (c cause) planned() bool { return c == causeStuck || c == causeLeaving }
+
+// detect returns the most urgent cause that has held for its time.
+func (m *machine) detect(now time.Time) cause {
+	p := m.target(m.primary)
+	holds := m.conditions(now, p)
+	for c, h := range holds {
+		switch {
+		case !h:
+			m.since[c] = time.Time{}
+		case m.since[c].IsZero():
+			m.since[c] = now
+		}
+	}
+	for c := causeDead; c < causeCount; c++ {
+		if holds[c] && now.Sub(m.since[c]) >= m.patience(c, now) {
+			return c
+		}
+	}
+	return causeNone
+}
+
+// conditions returns which causes hold at this moment.
+func (m *machine) conditions(now time.Time, p *targetState) (holds [causeCount]bool) {
+	if !m.isReachable(now, p) || p.status.Role != siskin.RolePrimary {
+		heard := m.heard(now, p)
+		m.askReplicas(now)
+		holds[causeDead] = !heard && m.reachableCount(now) >= m.quorum()
+		holds[causeUnreached] = heard
+		return holds
+	}
+	st := p.status
+	holds[causeFenced] = st.ClaimedTerm > st.StreamTerm
+	holds[causeCutOff] = m.stopped(now) >= m.quorum()
+	holds[causeStuck] = m.stuck(now) && !st.Draining
+	holds[causeLeaving] = st.Leaving && m.successor(now) != nil && !st.Draining
+	return holds
+}
+
+// patience returns how long a cause must hold before it is acted on.
+func (m *machine) patience(c cause, now time.Time) time.Duration {
+	switch c {
+	case causeDead:
+		if m.primary == "" {
+			return m.suspectAfter() // the primary may not have been asked yet
+		}
+		return 0
+	case causeCutOff:
+		if !m.pendingSince.IsZero() && now.Sub(m.pendingSince) >= m.Interval {
+			return 0
+		}
+		return m.cutOffAfter()
+	case causeFenced:
+		return m.suspectAfter()
+	case causeLeaving:
+		return 0
+	}
+	return m.cutOffAfter()
+}
+
+// heard reports whether a reachable replica still hears the primary. After a
+// refused connection less silence is asked for than after lost answers.
+func (m *machine) heard(now time.Time, p *targetState) bool {
+	limit := 2 * m.Interval
+	if p != nil && p.refused {
+		limit = m.Interval
+	}
+	heard := false
+	for _, t := range m.targets {
+		if t != p && m.isReachable(now, t) && t.hears(limit) {
+			heard = true
+		}
+		if m.isReachable(now, t) && m.compareLogs(t.log(), m.maxLog) > 0 {
+			m.maxLog = t.log()
+			m.since[causeUnreached] = now // the log grows, so some VM writes
+		}
+	}
+	return heard
+}
+
+// askReplicas orders probes while the primary is suspected, so that the
+// replicas' answers are recent.
+func (m *machine) askReplicas(now time.Time) {
+	if m.attempt != nil || now.Sub(m.probed) < m.Interval/4 {
+		return
+	}
+	m.probed = now
+	for _, t := range m.targets {
+		if t.ID != m.primary {
+			m.do(action{kind: actProbe, target: t.ID})
+		}
+	}
+}
+
+// stopped counts the reachable replicas that do not hear the primary.
+func (m *machine) stopped(now time.Time) int {
+	n := 0
+	for _, t := range m.targets {
+		if t.ID != m.primary && m.isReachable(now, t) && m.silent(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// silent reports whether the target's stream has been still for long enough.
+func (m *machine) silent(t *targetState) bool {
+	return t.status.HeardPrimary >= m.suspectAfter()
+}
+
+func (m *machine) stuck(now time.Time) bool {
+	for _, t := range m.targets {
+		if t.ID != m.primary && m.isReachable(now, t) && t.status.ClaimedTerm > m.term && m.silent(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// successor returns the best replica for a planned change: it follows the
+// primary, is not leaving and has the newest log.
+func (m *machine) successor(now time.Time) *targetState {
+	var best *targetState
+	for _, t := range m.targets {
+		ok := t.ID != m.primary && m.isReachable(now, t) && !t.status.Leaving &&
+			t.status.StreamTerm == m.term && t.hears(m.suspectAfter())
+		if ok && (best == nil || m.compareLogs(t.log(), best.log()) > 0) {
+			best = t
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/group/execute.go
@@ -0,0 +1,166 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// execute runs an action in the pool and posts its result.
+func (g *Group) execute(a action) {
+	if a.kind == actDone {
+		g.finish(a)
+		return
+	}
+	var p *peer
+	for _, candidate := range g.peers {
+		if candidate.member.ID == a.target {
+			p = candidate
+		}
+	}
+	if p == nil || (a.kind == actProbe && !p.probing.CompareAndSwap(false, true)) {
+		return
+	}
+	// A closed pool refuses the action, which is then of no use.
+	_ = g.pool.Go(func() { p.run(a) })
+}
+
+func (p *peer) run(a action) {
+	switch a.kind {
+	case actProbe:
+		p.probe()
+	case actClaim:
+		p.claim(a)
+	case actPromote:
+		p.promote(a)
+	case actFollow:
+		_ = p.queryL.call(p.g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) error {
+			return t.Follow(ctx, a.primary, a.address, a.term)
+		}) // repeated while the target's status asks for it
+	case actDrain:
+		p.drain(a)
+	case actReach:
+		p.reach(a)
+	}
+}
+
+// answer posts the result of an action.
+func (p *peer) answer(kind eventKind, a action, asked time.Time, st siskin.TargetStatus, err error) {
+	p.g.post(event{
+		kind: kind, target: p.member.ID, attempt: a.attempt, status: st, asked: asked, ok: err == nil,
+		// A refused claim comes with the status that tells the higher claim.
+		known:    err == nil || st.ClaimedTerm > 0,
+		conflict: siskin.KindOf(err) == siskin.Conflict && err != nil,
+	})
+}
+
+// claim claims the target on a new connection, which a promotion uses later. An
+// older one may be silent for good.
+func (p *peer) claim(a action) {
+	asked := p.g.clock.Now()
+	ctx, cancel := context.WithTimeout(p.g.ctx, p.g.settings.callTimeout())
+	defer cancel()
+	t, err := p.g.dialer.DialTarget(ctx, p.member.ID, p.member.Address)
+	var st siskin.TargetStatus
+	if err == nil {
+		p.setClaim(t)
+		st, err = t.Claim(ctx, a.term, p.g.settings.Self)
+	}
+	p.answer(evClaimed, a, asked, st, err)
+}
+
+func (p *peer) promote(a action) {
+	asked := p.g.clock.Now()
+	ctx, cancel := context.WithTimeout(p.g.ctx, p.g.settings.callTimeout())
+	defer cancel()
+	p.claimMu.Lock()
+	t := p.claimT
+	p.claimMu.Unlock()
+	if t == nil {
+		return // closed
+	}
+	st, err := t.Promote(ctx, a.term)
+	if err != nil {
+		st = siskin.TargetStatus{}
+	}
+	p.answer(evPromoted, a, asked, st, err)
+}
+
+// drain holds new writes at the primary. A target without that function is
+// only asked for its status, so that running transactions are not waited for.
+func (p *peer) drain(a action) {
+	asked := p.g.clock.Now()
+	var st siskin.TargetStatus
+	err := p.queryL.call(p.g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) (err error) {
+		if d, ok := t.(siskin.Drainer); ok {
+			st, err = d.Drain(ctx, a.hold)
+			return err
+		}
+		st, err = t.Status(ctx)
+		return err
+	})
+	p.answer(evDrained, a, asked, st, err)
+}
+
+// reach waits on a connection of its own, since the wait may be long.
+func (p *peer) reach(a action) {
+	asked := p.g.clock.Now()
+	limit := p.g.machine.drainLimit()
+	l := &link{g: p.g, member: p.member}
+	defer l.close()
+	var st siskin.TargetStatus
+	err := l.call(limit, func(ctx context.Context, t siskin.Target) (err error) {
+		st, err = t.Wait(ctx, a.pos, limit)
+		return err
+	})
+	p.answer(evReached, a, asked, st, err)
+}
+
+// Promote changes the primary to target. A planned change drains the present
+// primary first and fails without effect when that takes too long. A forced one
+// claims at once and accepts the loss of acknowledged writes when fewer targets
+// answer than a safe change needs.
+func (g *Group) Promote(ctx context.Context, target siskin.TargetID, force bool) error {
+	known := false
+	for _, m := range g.settings.Members {
+		known = known || m.ID == target
+	}
+	if !known {
+		return errUnknownTarget(g.settings.Service, target)
+	}
+	result := make(chan error, 1)
+	g.waitsMu.Lock()
+	g.requests++
+	id := g.requests
+	g.waits[id] = result
+	g.waitsMu.Unlock()
+	defer func() {
+		g.waitsMu.Lock()
+		defer g.waitsMu.Unlock()
+		delete(g.waits, id)
+	}()
+	g.post(event{kind: evChange, request: id, wanted: target, force: force})
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return errors.Join(errBusy(g.settings.Service), ctx.Err())
+	case <-g.ctx.Done():
+		return errClosed()
+	}
+}
+
+// finish answers the operator whose request has ended.
+func (g *Group) finish(a action) {
+	if a.err != nil {
+		g.log.Warn().Str("Service", string(g.settings.Service)).Err(a.err).Msg("change of primary ended")
+	}
+	g.waitsMu.Lock()
+	defer g.waitsMu.Unlock()
+	if result, ok := g.waits[a.request]; ok {
+		result <- a.err
+		delete(g.waits, a.request)
+	}
+}
--- /dev/null
+++ b/pkg/group/group.go
@@ -0,0 +1,200 @@
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+)
+
+// Group runs the decisions of one VM about one group. It implements
+// siskin.Group.
+type Group struct {
+	settings Settings
+	dialer   siskin.TargetDialer
+	clock    siskin.Clock
+	log      *log.Logger
+	rank     func() int
+	rng      *rand.Rand
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	startMu sync.Mutex // orders start and Close
+	pool   pond.Pool // runs actions and floor samples
+	events chan event
+	peers  []*peer
+
+	tracker *tracker
+	floor   floor
+	gate    atomic.Pointer[gate]
+	writes  atomic.Int64 // admitted transactions that have not ended
+	done    func()
+
+	mu        sync.RWMutex // guards what follows
+	machine   *machine
+	samples   samples
+	published siskin.GroupView
+	changed   chan struct{}
+	// refusedAt is when a caller reported that the primary refused a write as
+	// not run; zero when the primary has answered a probe since.
+	refusedAt time.Time
+	waitsMu   sync.Mutex
+	waits     map[int]chan error // operators' requests in progress
+	requests  int
+}
+
+var _ siskin.Group = (*Group)(nil)
+
+// New starts to watch a group. Close ends it.
+func New(s Settings, dialer siskin.TargetDialer, opts ...Option) (*Group, error) {
+	s, err := s.prepared()
+	if err != nil {
+		return nil, err
+	}
+	g := &Group{
+		settings: s, dialer: dialer, clock: clockwork.NewRealClock(), log: &log.Logger{Level: log.PanicLevel},
+		rank: func() int { return 0 }, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		events: make(chan event, 64), tracker: newTracker(&s), changed: make(chan struct{}),
+		waits: make(map[int]chan error),
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	g.done = func() { g.writes.Add(-1) }
+	g.machine = newMachine(s, g.rng)
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	// Each target has at most a probe, a claim, a drain or wait and a floor
+	// sample in progress.
+	g.pool = pond.NewPool(6 * len(s.Members))
+	g.publish(g.clock.Now())
+	for i, m := range s.Members {
+		p := newPeer(g, i, m)
+		g.peers = append(g.peers, p)
+		g.start(p.watch)
+		g.start(p.confirm)
+	}
+	g.start(g.run)
+	return g, nil
+}
+
+// start runs f until Close, which waits for it. It reports false after Close.
+func (g *Group) start(f func()) bool {
+	g.startMu.Lock()
+	defer g.startMu.Unlock()
+	if g.ctx.Err() != nil {
+		return false
+	}
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		f()
+	}()
+	return true
+}
+
+// Close ends all calls and waits for them.
+func (g *Group) Close() error {
+	g.startMu.Lock()
+	g.cancel()
+	g.startMu.Unlock()
+	g.wg.Wait()
+	g.pool.StopAndWait()
+	for _, p := range g.peers {
+		p.close()
+	}
+	return nil
+}
+
+// run feeds the machine until the group is closed.
+func (g *Group) run() {
+	for {
+		g.mu.RLock()
+		now := g.clock.Now()
+		wait := g.machine.wake(now).Sub(now)
+		g.mu.RUnlock()
+		select {
+		case e := <-g.events:
+			g.handle(e)
+		case <-g.clock.After(max(wait, time.Millisecond)):
+			g.handle(event{kind: evTick})
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+// post feeds an event to the machine.
+func (g *Group) post(e event) {
+	if e.known {
+		g.tracker.observe(e.status)
+	}
+	select {
+	case g.events <- e:
+	case <-g.ctx.Done():
+	}
+}
+
+// handle runs one step of the machine and its actions.
+func (g *Group) handle(e event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	m := g.machine
+	m.pendingSince = g.tracker.oldest()
+	m.rank = g.rank()
+	term := m.term
+	actions := m.step(now, e)
+	if e.known && e.target == m.primary {
+		if e.status.Role == siskin.RolePrimary && e.status.StreamTerm == m.term && e.kind == evStatus {
+			g.samples.add(siskin.Position{Term: m.term, LSN: e.status.Received}, e.asked)
+		}
+		if !e.asked.Before(g.refusedAt) {
+			g.refusedAt = time.Time{}
+		}
+	}
+	g.samples.confirm(g.tracker.confirmed())
+	if m.term != term {
+		g.refusedAt = time.Time{}
+		g.log.Info().Str("Service", string(g.settings.Service)).Str("Primary", string(m.primary)).
+			Uint64("Term", uint64(m.term)).Bool("Own", m.own).Msg("primary changed")
+	}
+	g.publish(now)
+	for _, a := range actions {
+		g.execute(a)
+	}
+}
+
+// publish updates what callers see. The caller holds mu, except in New.
+func (g *Group) publish(now time.Time) {
+	v := g.machine.view(now, &g.samples)
+	g.setGate(now, &v)
+	if sameView(&g.published, &v) {
+		return
+	}
+	g.published = v
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// View implements siskin.Group.
+func (g *Group) View() siskin.GroupView {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.machine.view(g.clock.Now(), &g.samples)
+}
+
+// Changed implements siskin.Group.
+func (g *Group) Changed() <-chan struct{} {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.changed
+}
--- /dev/null
+++ b/pkg/group/link.go
@@ -0,0 +1,74 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// link is a control connection that is opened when it is needed and replaced
+// after a failure. Calls on it are serialized.
+type link struct {
+	g      *Group
+	member Member
+	mu     sync.Mutex
+	target siskin.Target
+}
+
+// errRefused marks a failure to open a connection that did not time out: the
+// target's host answered that nothing listens.
+var errRefused = errors.New("connection refused")
+
+// call runs f on the connection within the time limit.
+func (l *link) call(limit time.Duration, f func(context.Context, siskin.Target) error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.callLocked(limit, f)
+}
+
+// tryCall is call, but fails when another call is in progress.
+func (l *link) tryCall(limit time.Duration, f func(context.Context, siskin.Target) error) error {
+	if !l.mu.TryLock() {
+		return errBusyLink
+	}
+	defer l.mu.Unlock()
+	return l.callLocked(limit, f)
+}
+
+var errBusyLink = errors.New("an earlier call has not been answered")
+
+func (l *link) callLocked(limit time.Duration, f func(context.Context, siskin.Target) error) error {
+	ctx, cancel := context.WithTimeout(l.g.ctx, limit)
+	defer cancel()
+	if l.target == nil {
+		t, err := l.g.dialer.DialTarget(ctx, l.member.ID, l.member.Address)
+		if err != nil {
+			if ctx.Err() == nil {
+				err = errors.Join(errRefused, err)
+			}
+			return err
+		}
+		l.target = t
+	}
+	err := f(ctx, l.target)
+	if err != nil && siskin.KindOf(err) == siskin.Unavailable {
+		l.dropLocked()
+	}
+	return err
+}
+
+func (l *link) dropLocked() {
+	if l.target != nil {
+		_ = l.target.Close() // of no further use
+		l.target = nil
+	}
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dropLocked()
+}
--- /dev/null
+++ b/pkg/group/machine.go
@@ -0,0 +1,174 @@
+package group
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/invar"
+)
+
+var (
+	termsGrow   = invar.New("GroupTermsOnlyGrow")
+	quorumHeld  = invar.New("GroupPromotionHoldsQuorum")
+	newestLog   = invar.New("GroupPromotesNewestLog")
+	ackedInTerm = invar.New("GroupAckNotFenced")
+)
+
+// machine takes the decisions of one VM about one group. It has no input or
+// output: step takes an event and returns actions.
+type machine struct {
+	Settings
+	rng     *rand.Rand
+	targets []*targetState
+	rank    int // place of this VM among the VMs that watch the group
+
+	term    siskin.Term     // term of the newest primary known
+	primary siskin.TargetID // empty while none is known
+	adopted time.Time       // when it became known
+	own     bool            // this VM promoted it
+
+	// pendingSince is the arrival of the oldest unconfirmed write, set by the
+	// caller of step; zero when there is none.
+	pendingSince time.Time
+
+	attempt  *attempt
+	attempts int // number of the last attempt
+	failures int // attempts that failed since the last success
+	// started is the time of the first step, from which targets that never
+	// answered are suspected.
+	started  time.Time
+	electAt  time.Time // when to act on electFor; zero when there is no cause
+	electFor cause
+	since    [causeCount]time.Time
+	probed   time.Time // last probes ordered during a suspicion
+	maxClaim siskin.Term
+	maxLog   siskin.Position
+
+	// quorumOverride replaces the number of claims needed, for tests of wrong
+	// rules; zero in use.
+	quorumOverride int
+	// compareLogs orders logs; tests of wrong rules replace it.
+	compareLogs func(a, b siskin.Position) int
+
+	actions []action
+}
+
+func newMachine(s Settings, rng *rand.Rand) *machine {
+	m := &machine{Settings: s, rng: rng, compareLogs: siskin.Position.Compare}
+	for _, member := range s.Members {
+		m.targets = append(m.targets, &targetState{Member: member})
+	}
+	return m
+}
+
+// step handles one event and returns the actions to run. The slice is valid
+// until the next call.
+func (m *machine) step(now time.Time, e event) []action {
+	if m.started.IsZero() {
+		m.started = now
+	}
+	m.actions = m.actions[:0]
+	m.record(now, e)
+	switch e.kind {
+	case evClaimed:
+		m.claimed(now, e)
+	case evPromoted:
+		m.promoted(now, e)
+	case evDrained:
+		m.drained(now, e)
+	case evReached:
+		m.reached(now, e)
+	case evChange:
+		m.change(now, e)
+	case evSuspect:
+		m.do(action{kind: actProbe, target: e.target})
+	}
+	m.evaluate(now)
+	m.rejoin(now)
+	return m.actions
+}
+
+func (m *machine) do(a action) { m.actions = append(m.actions, a) }
+
+func (m *machine) target(id siskin.TargetID) *targetState {
+	for _, t := range m.targets {
+		if t.ID == id {
+			return t
+		}
+	}
+	return nil
+}
+
+// record notes what the event says about its target.
+func (m *machine) record(now time.Time, e event) {
+	t := m.target(e.target)
+	if t == nil {
+		return
+	}
+	if e.known {
+		m.observe(now, t, e.status)
+		return
+	}
+	if e.kind == evRefused {
+		t.refused = true
+	}
+}
+
+func (m *machine) observe(now time.Time, t *targetState, st siskin.TargetStatus) {
+	t.known, t.answered, t.refused, t.lostAt = true, now, false, time.Time{}
+	// Answers of different connections may arrive out of order. Claims only
+	// grow, and streams with them, so an answer with a smaller one is older.
+	if st.ClaimedTerm < t.status.ClaimedTerm || (st.ClaimedTerm == t.status.ClaimedTerm && st.StreamTerm < t.status.StreamTerm) {
+		return
+	}
+	t.status = st
+	if st.ClaimedTerm > m.maxClaim {
+		m.maxClaim = st.ClaimedTerm
+		if m.attempt == nil && st.ClaimedTerm > m.term && st.ClaimedBy != m.Self && !m.electAt.IsZero() {
+			// Another VM is at work; it gets the time of one attempt.
+			m.electAt = now.Add(m.suspectAfter() + m.jitter(m.Interval))
+		}
+	}
+	if st.Role == siskin.RolePrimary && st.StreamTerm > m.term {
+		m.adopt(now, t.ID, st.StreamTerm)
+	}
+}
+
+// adopt takes target as the primary of term.
+func (m *machine) adopt(now time.Time, target siskin.TargetID, term siskin.Term) {
+	termsGrow.Check(term > m.term, "group %s: term %d after %d", m.Service, term, m.term)
+	m.own = m.attempt != nil && m.attempt.term == term
+	m.term, m.primary, m.adopted = term, target, now
+	m.electAt, m.failures = time.Time{}, 0
+	clear(m.since[:])
+	for _, t := range m.targets {
+		t.followed = time.Time{}
+	}
+	if a := m.attempt; a != nil {
+		if m.own {
+			m.finish(nil)
+		} else if a.term <= term {
+			m.fail(now, errRival(term))
+		}
+	}
+}
+
+func (m *machine) jitter(limit time.Duration) time.Duration {
+	return time.Duration(m.rng.Int64N(int64(limit) + 1))
+}
+
+// isReachable reports whether a target answered in time.
+func (m *machine) isReachable(now time.Time, t *targetState) bool {
+	return t != nil && t.reachable(now, m.suspectAfter())
+}
+
+func (m *machine) reachableCount(now time.Time) int {
+	n := 0
+	for _, t := range m.targets {
+		if m.isReachable(now, t) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/group/options.go
@@ -0,0 +1,28 @@
+package group
+
+import (
+	"math/rand/v2"
+
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+)
+
+// Option changes how a Group is made.
+type Option func(*Group)
+
+// WithClock sets the clock; the default is the real one.
+func WithClock(c siskin.Clock) Option { return func(g *Group) { g.clock = c } }
+
+// WithLogger sets the logger of changes of primary; the default logs nothing.
+func WithLogger(l *log.Logger) Option { return func(g *Group) { g.log = l } }
+
+// WithRank sets the function that returns this VM's place among the VMs that
+// watch the group, such as its place in place.Rank. The first acts first; the
+// default is 0.
+func WithRank(rank func() int) Option { return func(g *Group) { g.rank = rank } }
+
+// WithSeed sets the seed of the random delays.
+func WithSeed(seed uint64) Option {
+	return func(g *Group) { g.rng = rand.New(rand.NewPCG(seed, seed)) }
+}
--- /dev/null
+++ b/pkg/group/peer.go
@@ -0,0 +1,162 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// peer holds the connections to one target. Each purpose has its own, so that a
+// long poll delays no other call.
+type peer struct {
+	g      *Group
+	index  int
+	member Member
+	watchL *link // probes
+	waitL  *link // waits for confirmations
+	floorL *link // floor samples
+	queryL *link // immediate probes, drains and follow orders
+
+	probing atomic.Bool // an immediate probe is in progress
+
+	claimMu sync.Mutex
+	claimT  siskin.Target // connection of the last claim
+}
+
+func newPeer(g *Group, i int, m Member) *peer {
+	l := func() *link { return &link{g: g, member: m} }
+	return &peer{g: g, index: i, member: m, watchL: l(), waitL: l(), floorL: l(), queryL: l()}
+}
+
+func (p *peer) close() {
+	for _, l := range []*link{p.watchL, p.waitL, p.floorL, p.queryL} {
+		l.close()
+	}
+	p.setClaim(nil)
+}
+
+// setClaim replaces the connection of the last claim.
+func (p *peer) setClaim(t siskin.Target) {
+	p.claimMu.Lock()
+	defer p.claimMu.Unlock()
+	if p.claimT != nil {
+		_ = p.claimT.Close() // of no further use
+	}
+	p.claimT = t
+}
+
+// watch probes the target once per interval. A replica is asked to answer
+// early when it joins a later term, so that a new primary is known at once.
+func (p *peer) watch() {
+	for p.g.ctx.Err() == nil {
+		interval := p.g.settings.Interval
+		asked := p.g.clock.Now()
+		var st siskin.TargetStatus
+		next, isReplica := p.nextTerm()
+		err := p.watchL.call(2*interval, func(ctx context.Context, t siskin.Target) (err error) {
+			if isReplica {
+				st, err = t.Wait(ctx, siskin.Position{Term: next}, interval)
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, interval)
+			defer cancel()
+			st, err = t.Status(ctx)
+			return err
+		})
+		p.report(evStatus, asked, st, err)
+		// A replica that joined a later term answers at once; the pause bounds
+		// the calls until that term's primary is known.
+		pause := interval / 10
+		if !isReplica || errors.Is(err, errRefused) {
+			pause = interval - p.g.clock.Since(asked)
+		}
+		if errors.Is(err, errRefused) {
+			pause = interval / 4
+		}
+		p.sleep(pause)
+	}
+}
+
+// nextTerm returns the term after the newest one that the group knows and
+// whether the target was a replica at its last answer.
+func (p *peer) nextTerm() (siskin.Term, bool) {
+	p.g.mu.RLock()
+	defer p.g.mu.RUnlock()
+	t := p.g.machine.targets[p.index]
+	isReplica := t.known && !t.refused && t.status.Role == siskin.RoleReplica
+	return max(p.g.machine.term, t.status.StreamTerm) + 1, isReplica
+}
+
+// report posts the result of a probe.
+func (p *peer) report(kind eventKind, asked time.Time, st siskin.TargetStatus, err error) {
+	e := event{kind: kind, target: p.member.ID, status: st, asked: asked, known: err == nil}
+	switch {
+	case err == nil:
+	case errors.Is(err, errRefused):
+		e.kind = evRefused
+	default:
+		e.kind = evFailed
+	}
+	p.g.post(e)
+}
+
+func (p *peer) sleep(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-p.g.clock.After(d):
+	case <-p.g.ctx.Done():
+	}
+}
+
+// probe asks for the status at once.
+func (p *peer) probe() {
+	defer p.probing.Store(false)
+	asked := p.g.clock.Now()
+	var st siskin.TargetStatus
+	status := func(ctx context.Context, t siskin.Target) (err error) {
+		st, err = t.Status(ctx)
+		return err
+	}
+	err := p.queryL.call(p.g.settings.Interval, status)
+	if err != nil && !errors.Is(err, errRefused) {
+		// The connection may be broken or silent for good; a new one tells.
+		err = p.queryL.call(p.g.settings.Interval, status)
+	}
+	p.report(evStatus, asked, st, err)
+}
+
+// confirm waits for the positions that commits need from this target.
+func (p *peer) confirm() {
+	g := p.g
+	for g.ctx.Err() == nil {
+		pos, ok := g.tracker.want(p.index)
+		if !ok || p.isPrimary() {
+			select {
+			case <-g.tracker.wake[p.index]:
+			case <-g.ctx.Done():
+			}
+			continue
+		}
+		var st siskin.TargetStatus
+		asked := g.clock.Now()
+		err := p.waitL.call(2*g.settings.Interval, func(ctx context.Context, t siskin.Target) (err error) {
+			st, err = t.Wait(ctx, pos, g.settings.Interval)
+			return err
+		})
+		if err == nil {
+			g.tracker.observe(st)
+		}
+		if err != nil || st.StreamTerm != pos.Term || st.Received < pos.LSN {
+			p.report(evStatus, asked, st, err)
+			p.sleep(g.settings.Interval / 10)
+		}
+	}
+}
+
+func (p *peer) isPrimary() bool { return p.g.gate.Load().primary == p.member.ID }
--- /dev/null
+++ b/pkg/group/tracker.go
@@ -0,0 +1,180 @@
+package group
+
+import (
+	"container/heap"
+	"slices"
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// tracker records which replicas have received the log of the newest term and
+// releases waiting commits.
+//
+// A replica's report of a position in the stream of a term holds for the whole
+// term: the replica has the record, and once it is claimed it takes no more of
+// that term. So reports made at different times add up.
+type tracker struct {
+	mu       sync.Mutex
+	k        int // confirmations that a commit needs
+	quorum   int // claims that fence a term
+	ids      []siskin.TargetID
+	term     siskin.Term
+	received []siskin.LSN  // by target, in the stream of term as a replica
+	claims   []siskin.Term // by target, the highest claim reported
+	waiting  waitHeap
+	wake     []chan struct{} // by target, signaled when a commit waits for it
+	scratch  []siskin.LSN
+	terms    []siskin.Term
+}
+
+// waiter is one commit that waits for its confirmation.
+type waiter struct {
+	pos     siskin.Position
+	arrived time.Time
+	result  chan bool // receives whether the commit is confirmed
+	index   int       // place in the heap; -1 when it has left
+}
+
+func newTracker(s *Settings) *tracker {
+	n := len(s.Members)
+	t := &tracker{
+		k: s.AckReplicas, quorum: s.quorum(), received: make([]siskin.LSN, n), claims: make([]siskin.Term, n),
+	}
+	for _, m := range s.Members {
+		t.ids = append(t.ids, m.ID)
+		t.wake = append(t.wake, make(chan struct{}, 1))
+	}
+	return t
+}
+
+// observe notes a target's report.
+func (t *tracker) observe(st siskin.TargetStatus) {
+	i := slices.Index(t.ids, st.ID)
+	if i < 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.claims[i] = max(t.claims[i], st.ClaimedTerm)
+	t.beginLocked(st.StreamTerm)
+	if st.Role == siskin.RoleReplica && st.StreamTerm == t.term {
+		t.received[i] = max(t.received[i], st.Received)
+	}
+	t.releaseLocked()
+}
+
+// beginLocked moves on to a later term.
+func (t *tracker) beginLocked(term siskin.Term) {
+	if term > t.term {
+		t.term = term
+		clear(t.received)
+	}
+}
+
+// confirmedLocked returns the position that k replicas have received.
+func (t *tracker) confirmedLocked() siskin.Position {
+	t.scratch = append(t.scratch[:0], t.received...)
+	slices.Sort(t.scratch)
+	return siskin.Position{Term: t.term, LSN: t.scratch[len(t.scratch)-t.k]}
+}
+
+// fencedLocked returns the highest term claimed at a quorum of targets, by
+// their reports. No commit of an older term is acknowledged any more.
+func (t *tracker) fencedLocked() siskin.Term {
+	t.terms = append(t.terms[:0], t.claims...)
+	slices.Sort(t.terms)
+	return t.terms[len(t.terms)-t.quorum]
+}
+
+// releaseLocked answers the commits that are confirmed or can no longer be.
+func (t *tracker) releaseLocked() {
+	if len(t.waiting) == 0 {
+		return
+	}
+	confirmed, fenced := t.confirmedLocked(), t.fencedLocked()
+	for len(t.waiting) > 0 {
+		w := t.waiting[0]
+		switch {
+		case w.pos.Term < max(t.term, fenced):
+			heap.Pop(&t.waiting)
+			w.result <- false
+		case w.pos.Term == confirmed.Term && w.pos.LSN <= confirmed.LSN:
+			ackedInTerm.Check(w.pos.Term >= fenced, "ack in term %d, fenced by %d", w.pos.Term, fenced)
+			heap.Pop(&t.waiting)
+			w.result <- true
+		default:
+			return
+		}
+	}
+}
+
+// add registers a commit. The result is buffered.
+func (t *tracker) add(pos siskin.Position, now time.Time) *waiter {
+	w := &waiter{pos: pos, arrived: now, result: make(chan bool, 1)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.beginLocked(pos.Term)
+	heap.Push(&t.waiting, w)
+	t.releaseLocked()
+	if w.index >= 0 {
+		for _, ch := range t.wake {
+			signal(ch)
+		}
+	}
+	return w
+}
+
+// remove gives up a commit.
+func (t *tracker) remove(w *waiter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w.index >= 0 {
+		heap.Remove(&t.waiting, w.index)
+	}
+}
+
+// want returns the lowest position that waits for a report of target i.
+func (t *tracker) want(i int) (siskin.Position, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.waiting) > 0 && t.waiting[0].pos.Term == t.term && t.waiting[0].pos.LSN > t.received[i] {
+		return t.waiting[0].pos, true
+	}
+	var best *waiter
+	for _, w := range t.waiting {
+		if w.pos.Term == t.term && w.pos.LSN > t.received[i] && (best == nil || w.pos.LSN < best.pos.LSN) {
+			best = w
+		}
+	}
+	if best == nil {
+		return siskin.Position{}, false
+	}
+	return best.pos, true
+}
+
+// oldest returns the arrival of the commit with the lowest position; zero when
+// none waits.
+func (t *tracker) oldest() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.waiting) == 0 {
+		return time.Time{}
+	}
+	return t.waiting[0].arrived
+}
+
+// confirmed returns the position that k replicas have received.
+func (t *tracker) confirmed() siskin.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedLocked()
+}
+
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default: // a signal is waiting already
+	}
+}
