pkg/group: add randomised runs; a demoted primary confirms nothing

Cause: a demoted primary reported its old stream term as a replica until its new stream began, so its own position counted as a confirmation of writes that it had taken itself.

Change: siskin_follow sets the stream term of a demoted primary to 0. sim runs the machines and trackers of rival VMs against stores with partitions, pauses, restarts, and lost and late messages, and checks at every promotion and at the end that each acknowledged write is in the log of the primary, that a term has one primary and that writes succeed again after the faults.

The rule that a promotion writes a record was not caught at random; a test of the store covers it.

Conclusion: the design's rules hold in these runs with one addition: the stream term of a demoted primary must not be its old term.

--- a/internal/stand/store/claim.go
+++ b/internal/stand/store/claim.go
@@ -40,8 +40,11 @@
 	s.role, s.stream, s.drainUntil = siskin.RolePrimary, term, time.Time{}
 	s.leader = Leader{ID: s.id, Term: term}
 	s.endStreamLocked()
-	s.appendLocked(Record{Term: term, End: s.log.end() + recordOverhead})
+	if !s.rules.NoTermRecord {
+		s.appendLocked(Record{Term: term, End: s.log.end() + recordOverhead})
+	}
 	s.applyLocked(s.log.end())
+	s.notifyLocked()
 	return s.statusLocked(now), nil
 }
 
@@ -63,6 +66,11 @@
 		s.endStreamLocked()
 		s.heard = now
 	}
+	if isPrimary && !s.rules.KeepStreamTerm {
+		// With its old term a demoted primary would look like a replica that
+		// confirms the writes it took itself.
+		s.stream = 0
+	}
 	s.leader, s.role = leader, siskin.RoleReplica
 	s.notifyLocked()
 	return isPrimary, nil
--- a/internal/stand/store/store.go
+++ b/internal/stand/store/store.go
@@ -19,6 +19,17 @@
 	Term    siskin.Term
 }
 
+// Rules turn off rules of replication. Tests use them to show that a run
+// detects the absence of a rule; the zero value keeps all rules.
+type Rules struct {
+	// NoTermRecord leaves out the record that a promotion writes.
+	NoTermRecord bool
+	// RewindToStart makes a replica that joins a new term drop its whole log.
+	RewindToStart bool
+	// KeepStreamTerm lets a demoted primary report its old term.
+	KeepStreamTerm bool
+}
+
 // Store is the state of one target. It survives a restart of the stand-in.
 type Store struct {
 	mu      sync.Mutex
@@ -43,6 +54,7 @@
 	next    int // index of the first record that is not applied
 	table   map[string]string
 	changed chan struct{}
+	rules   Rules
 }
 
 // New returns a target of term 1: its primary when leader names id itself,
@@ -57,6 +69,13 @@
 	return s
 }
 
+// SetRules replaces the rules in force.
+func (s *Store) SetRules(r Rules) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rules = r
+}
+
 // Changed returns a channel that is closed at the next change of the state.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
--- a/internal/stand/store/stream.go
+++ b/internal/stand/store/stream.go
@@ -63,6 +63,9 @@
 	if s.generation != hello.Generation {
 		return errStream(hello.Leader.Term)
 	}
+	if s.rules.RewindToStart && s.stream != hello.Leader.Term {
+		from = 0
+	}
 	s.rewindLocked(from)
 	s.stream, s.heard = hello.Leader.Term, now
 	s.notifyLocked()
--- a/internal/stand/target/doc.go
+++ b/internal/stand/target/doc.go
@@ -36,7 +36,8 @@
 //	siskin_follow(target, address, term)
 //	    the status. Error 55000 when the target is claimed for a later term or
 //	    is itself the primary of that term. The replication address of a known
-//	    target is taken from Config.Peers, else address is used. Connections that
+//	    target is taken from Config.Peers, else address is used. A demoted primary reports
+//	    stream term 0 until its stream begins. Connections that
 //	    are open while a primary becomes a replica refuse writes and
 //	    siskin_commit_position with 25006 from then on, also when the target is
 //	    promoted again: what they wrote may have been discarded.
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -29,9 +29,9 @@
 	wg     sync.WaitGroup
 
 	startMu sync.Mutex // orders start and Close
-	pool   pond.Pool // runs actions and floor samples
-	events chan event
-	peers  []*peer
+	pool    pond.Pool  // runs actions and floor samples
+	events  chan event
+	peers   []*peer
 
 	tracker *tracker
 	floor   floor
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -18,6 +19,10 @@
 )
 
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "20") // each check simulates half a minute
+	}
 	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
 	goleak.VerifyTestMain(m)
 }
--- /dev/null
+++ b/pkg/group/random_test.go
@@ -0,0 +1,99 @@
+package group
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"siskintray.example/siskin/internal/stand/store"
+)
+
+var (
+	runs      = flag.Int("runs", 8, "simulated runs of each size")
+	firstSeed = flag.Uint64("seed", 0, "seed of the first simulated run")
+	wrongRuns = flag.Int("wrongruns", 0, "runs of each wrong rule; 0 stops at the first one caught")
+)
+
+// sizes are the groups and the number of rival VMs of the simulated runs.
+var sizes = []struct{ targets, vms int }{{3, 3}, {5, 3}}
+
+// TestRandomFaultsLoseNoWrite guards against an acknowledged write that a later
+// primary does not have, a term with two primaries, and a group that does not
+// recover when all faults have ended.
+func TestRandomFaultsLoseNoWrite(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(fmt.Sprintf("%d", size.targets), func(t *testing.T) {
+			t.Parallel()
+			n := *runs
+			if testing.Short() {
+				n = min(n, 3)
+			}
+			acked, changes := 0, 0
+			for seed := *firstSeed; seed < *firstSeed+uint64(n); seed++ {
+				s := newSim(seed, size.targets, size.vms, rules{})
+				if err := s.faults(40 * time.Second); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+				acked += len(s.acked)
+				changes += s.changes
+			}
+			t.Logf("seeds %d to %d: %d acknowledged writes, %d promotions, none lost", *firstSeed, *firstSeed+uint64(n)-1, acked, changes)
+		})
+	}
+}
+
+// TestWrongRulesAreCaught guards against a run that would not notice a lost
+// write: each rule that is broken must be detected by the same run.
+func TestWrongRulesAreCaught(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		rules   rules
+		targets int
+	}{
+		{"ComparePositionsAlone", rules{byPosition: true}, 3},
+		{"RewindBehindDivergence", rules{store: store.Rules{RewindToStart: true}}, 3},
+		{"OneClaimTooFew", rules{tooFew: true}, 3},
+		{"OneClaimTooFewOfFive", rules{tooFew: true}, 5},
+		{"ConfirmByOtherStreams", rules{anyStream: true}, 3},
+		{"DemotedPrimaryConfirms", rules{store: store.Rules{KeepStreamTerm: true}}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			caught, n := 0, max(*wrongRuns, 200)
+			var first error
+			for seed := range uint64(n) {
+				err := newSim(seed, c.targets, 3, c.rules).faults(40 * time.Second)
+				if err == nil {
+					continue
+				}
+				caught++
+				if first == nil {
+					first = fmt.Errorf("seed %d: %w", seed, err)
+				}
+				if *wrongRuns == 0 {
+					break
+				}
+			}
+			t.Logf("caught in %d runs; first: %v", caught, first)
+			if caught == 0 {
+				t.Errorf("got no failed run in %d, want at least one", n)
+			}
+		})
+	}
+}
+
+// TestRapidFaults lets rapid choose the size, the number of rival VMs and the
+// seed, so that a failing case is reduced.
+func TestRapidFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		targets := rapid.SampledFrom([]int{3, 4, 5, 7}).Draw(t, "targets")
+		vms := rapid.IntRange(1, 4).Draw(t, "vms")
+		seed := rapid.Uint64().Draw(t, "seed")
+		if err := newSim(seed, targets, vms, rules{}).faults(10 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/group/sim_test.go
@@ -0,0 +1,287 @@
+package group
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/stand/store"
+)
+
+var errLost = errors.New("no answer")
+
+// rules are the variants that a run may break on purpose.
+type rules struct {
+	store      store.Rules
+	tooFew     bool // one claim too few
+	byPosition bool // logs compared by position alone
+	anyStream  bool // positions of other streams confirm
+}
+
+// sim drives the machines and trackers of some VMs against stores, with its own
+// clock, through partitions, pauses, restarts and lost or late messages.
+type sim struct {
+	rng    *rand.Rand
+	now    time.Time
+	queue  taskQueue
+	stores []*store.Store
+	ids    []siskin.TargetID
+	k      int
+	rules  rules
+	vms    []*simVM
+	cut    map[[2]int]bool // pairs of places; VMs come after the targets
+	paused map[int]time.Time
+	loss   float64
+
+	session  uint64
+	acked    map[string]siskin.Position
+	promoted map[siskin.Term]int
+	failure  error
+	changes  int
+}
+
+type task struct {
+	at  time.Time
+	seq int
+	f   func()
+}
+
+type taskQueue []task
+
+func (q taskQueue) Len() int { return len(q) }
+
+func (q taskQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q taskQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *taskQueue) Push(x any)   { *q = append(*q, x.(task)) }
+func (q *taskQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newSim(seed uint64, n, vms int, r rules) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), k: (n - 1) / 2, rules: r,
+		cut: make(map[[2]int]bool), paused: make(map[int]time.Time),
+		acked: make(map[string]siskin.Position), promoted: make(map[siskin.Term]int),
+	}
+	for i := range n {
+		id := siskin.TargetID(fmt.Sprintf("t/%d", i))
+		st := store.New(id, store.Leader{ID: "t/0", Term: 1})
+		st.SetRules(r.store)
+		s.ids, s.stores = append(s.ids, id), append(s.stores, st)
+		s.every(i, 4*time.Millisecond, 20*time.Millisecond, func() { s.pull(i) })
+	}
+	for i := range vms {
+		v := &simVM{sim: s, place: n + i, id: siskin.VMID(fmt.Sprintf("vm-%d", i))}
+		s.vms = append(s.vms, v)
+		v.restart()
+		v.start()
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, f func()) {
+	s.session++ // also numbers the tasks
+	heap.Push(&s.queue, task{s.now.Add(d), int(s.session), f})
+}
+
+// at runs f at a place, after its pause.
+func (s *sim) at(place int, d time.Duration, f func()) {
+	s.after(d, func() {
+		if wait := s.paused[place].Sub(s.now); wait > 0 {
+			s.at(place, wait, f)
+			return
+		}
+		f()
+	})
+}
+
+func (s *sim) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.rng.Int64N(int64(high-low)))
+}
+
+func (s *sim) every(place int, low, high time.Duration, f func()) {
+	s.at(place, s.between(low, high), func() { f(); s.every(place, low, high, f) })
+}
+
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for s.failure == nil && s.queue[0].at.Before(end) {
+		t := heap.Pop(&s.queue).(task)
+		s.now = t.at
+		t.f()
+	}
+	s.now = end
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.failure == nil {
+		s.failure = fmt.Errorf(format, args...)
+	}
+}
+
+// delay is mostly short; some messages are late by more than a timeout.
+func (s *sim) delay() time.Duration {
+	if s.rng.Float64() < 0.02 {
+		return s.between(time.Millisecond, 2*time.Second)
+	}
+	return s.between(500*time.Microsecond, 4*time.Millisecond)
+}
+
+func (s *sim) lost(a, b int) bool {
+	return s.cut[[2]int{min(a, b), max(a, b)}] || s.rng.Float64() < s.loss
+}
+
+// call runs f at a target. The answer, or the call itself, may be lost or late.
+func (s *sim) call(v *simVM, target int, f func() (siskin.TargetStatus, error), done func(siskin.TargetStatus, error)) {
+	run, answered := v.run, false
+	answer := func(st siskin.TargetStatus, err error) {
+		if !answered && v.run == run {
+			answered = true
+			done(st, err)
+		}
+	}
+	s.at(v.place, 600*time.Millisecond, func() { answer(siskin.TargetStatus{}, errLost) })
+	if s.lost(v.place, target) {
+		return
+	}
+	s.at(target, s.delay(), func() {
+		st, err := f()
+		if !s.lost(v.place, target) {
+			s.at(v.place, s.delay(), func() { answer(st, err) })
+		}
+	})
+}
+
+// pull takes some records of the leader's log to a replica.
+func (s *sim) pull(i int) {
+	hello, ok := s.stores[i].Hello()
+	if !ok {
+		return
+	}
+	for j, id := range s.ids {
+		if id != hello.Leader.ID || s.lost(i, j) || s.paused[j].After(s.now) {
+			continue
+		}
+		from, err := s.stores[j].Serve(hello.Leader.Term, hello.Segments)
+		if err != nil || s.stores[i].Start(s.now, hello, from) != nil {
+			return
+		}
+		records, err := s.stores[j].Next(hello.Leader.Term, s.stores[i].Status(s.now).Received, 1+s.rng.IntN(8))
+		if err == nil {
+			_ = s.stores[i].Receive(s.now, hello, records) // refused when claimed
+		}
+	}
+}
+
+// checkPromotion asserts that a term has one primary and that its log holds
+// every acknowledged write.
+func (s *sim) checkPromotion(term siskin.Term, target int) {
+	if other, ok := s.promoted[term]; ok && other != target {
+		s.fail("term %d has primaries %d and %d", term, other, target)
+	}
+	s.promoted[term] = target
+	s.changes++
+	s.checkLog(target)
+}
+
+func (s *sim) checkLog(target int) {
+	has := make(map[string]bool)
+	for _, r := range s.stores[target].Records() {
+		for _, op := range r.Ops {
+			has[op.Key] = true
+		}
+	}
+	for key, pos := range s.acked {
+		if !has[key] {
+			s.fail("write %s at %v was acknowledged and is not at the primary t/%d", key, pos, target)
+		}
+	}
+}
+
+// disturb makes one random fault.
+func (s *sim) disturb() {
+	places := len(s.ids) + len(s.vms)
+	a, b := s.rng.IntN(places), s.rng.IntN(places)
+	switch s.rng.IntN(16) {
+	case 0, 1, 2:
+		s.cut[[2]int{min(a, b), max(a, b)}] = true
+	case 3: // cut one target or VM off from everything
+		for j := range places {
+			s.cut[[2]int{min(a, j), max(a, j)}] = true
+		}
+	case 4, 5:
+		s.paused[a] = s.now.Add(s.between(50*time.Millisecond, 5*time.Second))
+	case 6:
+		s.loss = s.rng.Float64() * 0.2
+	case 7:
+		s.vms[s.rng.IntN(len(s.vms))].restart()
+	case 8:
+		s.stores[s.rng.IntN(len(s.stores))].EndSessions()
+	case 9:
+		v := s.vms[s.rng.IntN(len(s.vms))]
+		v.step(event{kind: evChange, wanted: s.ids[s.rng.IntN(len(s.ids))]})
+	case 10:
+		s.stores[s.rng.IntN(len(s.stores))].SetLeaving(s.rng.IntN(2) == 0)
+	case 11, 12: // split everything into two sides
+		side := s.rng.Uint64()
+		for i := range places {
+			for j := range i {
+				if side>>i&1 != side>>j&1 {
+					s.cut[[2]int{j, i}] = true
+				}
+			}
+		}
+	case 13: // the newest primary stops while the others come back
+		s.heal()
+		s.paused[s.newest()] = s.now.Add(s.between(time.Second, 6*time.Second))
+	default:
+		s.heal()
+	}
+}
+
+// newest returns the primary of the highest term.
+func (s *sim) newest() int {
+	var term siskin.Term
+	for t := range s.promoted {
+		term = max(term, t)
+	}
+	return s.promoted[term]
+}
+
+func (s *sim) heal() {
+	clear(s.cut)
+	s.loss = 0
+}
+
+// faults runs the simulation with faults, then heals it and checks that every
+// acknowledged write is at the primary and that writes succeed again.
+func (s *sim) faults(d time.Duration) error {
+	s.run(2 * time.Second)
+	for end := s.now.Add(d); s.now.Before(end) && s.failure == nil; {
+		s.disturb()
+		s.run(s.between(20*time.Millisecond, 1500*time.Millisecond))
+	}
+	s.heal()
+	clear(s.paused)
+	for _, st := range s.stores {
+		st.SetLeaving(false)
+	}
+	s.run(15 * time.Second)
+	before := len(s.acked)
+	s.run(5 * time.Second)
+	if s.failure == nil && len(s.acked) == before {
+		s.fail("no write is acknowledged 15 s after the end of all faults")
+	}
+	s.checkLog(s.newest())
+	return s.failure
+}
--- a/pkg/group/tracker.go
+++ b/pkg/group/tracker.go
@@ -27,6 +27,8 @@
 	wake     []chan struct{} // by target, signaled when a commit waits for it
 	scratch  []siskin.LSN
 	terms    []siskin.Term
+	// anyTerm counts positions of every stream, for tests of wrong rules.
+	anyTerm bool
 }
 
 // waiter is one commit that waits for its confirmation.
@@ -59,7 +61,7 @@
 	defer t.mu.Unlock()
 	t.claims[i] = max(t.claims[i], st.ClaimedTerm)
 	t.beginLocked(st.StreamTerm)
-	if st.Role == siskin.RoleReplica && st.StreamTerm == t.term {
+	if st.Role == siskin.RoleReplica && (st.StreamTerm == t.term || t.anyTerm) {
 		t.received[i] = max(t.received[i], st.Received)
 	}
 	t.releaseLocked()
