--- a/internal/stand/target/stream.go
+++ b/internal/stand/target/stream.go
@@ -137,6 +137,10 @@
 		if dec.Decode(&batch) != nil {
 			return
 		}
+		// The primary is heard on arrival, also when the records lag.
+		if s.fault.waitWhile(ctx, paused) != nil || s.store.Receive(s.clock.Now(), hello, nil) != nil {
+			return
+		}
 		select {
 		case arrivals <- arrival{s.clock.Now(), batch}:
 		case <-ctx.Done():
--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -87,10 +87,26 @@
 		return m.suspectAfter()
 	case causeLeaving:
 		return 0
+	case causeUnreached:
+		return m.unreachedPatience(now)
 	}
 	return m.cutOffAfter()
 }
 
+// unreachedPatience returns how long the log must stand still before a primary
+// that replicates is replaced. A refused connection is a clearer sign than
+// silence, which may be this VM's own. Soon after a change the time is longer,
+// so that two VMs that reach different targets do not take turns.
+func (m *machine) unreachedPatience(now time.Time) time.Duration {
+	if m.term > 0 && !m.changed.IsZero() && now.Sub(m.changed) < 150*m.Interval {
+		return 20 * m.Interval
+	}
+	if p := m.target(m.primary); p != nil && p.refused {
+		return m.suspectAfter()
+	}
+	return 5 * m.Interval
+}
+
 // heard reports whether a reachable replica still hears the primary. After a
 // refused connection less silence is asked for than after lost answers.
 func (m *machine) heard(now time.Time, p *targetState) bool {
--- a/pkg/group/machine.go
+++ b/pkg/group/machine.go
@@ -27,6 +27,7 @@
 	primary siskin.TargetID // empty while none is known
 	adopted time.Time       // when it became known
 	own     bool            // this VM promoted it
+	changed time.Time       // when one primary last replaced another
 
 	// pendingSince is the arrival of the oldest unconfirmed write, set by the
 	// caller of step; zero when there is none.
@@ -139,6 +140,9 @@
 func (m *machine) adopt(now time.Time, target siskin.TargetID, term siskin.Term) {
 	termsGrow.Check(term > m.term, "group %s: term %d after %d", m.Service, term, m.term)
 	m.own = m.attempt != nil && m.attempt.term == term
+	if m.primary != "" && m.primary != target {
+		m.changed = now
+	}
 	m.term, m.primary, m.adopted = term, target, now
 	m.electAt, m.failures = time.Time{}, 0
 	clear(m.since[:])
