--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -152,6 +152,8 @@
 // gap returns the longest time between acknowledged writes that spans or
 // follows the fault.
 func (w *writers) gap(fault time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	times := slices.SortedFunc(func(yield func(time.Time) bool) {
 		for _, at := range w.acked {
 			if !yield(at) {
