--- a/pkg/group/planned.go
+++ b/pkg/group/planned.go
@@ -25,6 +25,10 @@
 		m.do(action{kind: actDone, request: e.request, err: errBusy(m.Service)})
 		return
 	}
+	if e.wanted == m.primary && !e.force && m.isReachable(now, m.target(m.primary)) {
+		m.do(action{kind: actDone, request: e.request})
+		return
+	}
 	a := m.newAttempt(now)
 	a.wanted, a.force, a.request = e.wanted, e.force, e.request
 	if e.force {
