--- a/pkg/invar/invar.go
+++ b/pkg/invar/invar.go
@@ -47,13 +47,14 @@
 }
 
 // OnViolation sets the function that receives each violation, such as one that
-// logs it or one that panics in tests. It returns the previous function.
-func OnViolation(handler func(name, detail string)) func(name, detail string) {
+// logs it or one that ends the test. The returned function sets the previous
+// one again.
+func OnViolation(handler func(name, detail string)) (restore func()) {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
 	previous := registry.handler
 	registry.handler = handler
-	return previous
+	return func() { OnViolation(previous) }
 }
 
 // Violations returns the number of violations of each registered invariant.
