pkg/plat: add the client of the platform

Cause: VMs need siskin.Platform over HTTP that survives lost answers, silent connections and outages without loading the platform.

Change: token buckets per process and per purpose, waiting watches counted, full jitter, and a breaker that lets one call at a time test whether the platform is back. An update whose answer was lost is repeated with the same version and operation id; the platform's list of recent operation ids of the object then tells whether it took effect, even when later writers replaced it. Idle timers find silent connections after 2.5 s; a waiting watch is kept alive by the server's signs of life.

--- /dev/null
+++ b/pkg/plat/client.go
@@ -0,0 +1,122 @@
+package plat
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"siskintray.example/siskin"
+)
+
+// Client calls the platform. It implements siskin.Platform under the budget of
+// the process; Purpose returns a siskin.Platform with a budget of its own.
+type Client struct {
+	*Purpose
+	cfg       Config
+	clock     siskin.Clock
+	random    func() float64
+	transport *http.Transport
+	breaker   *breaker
+	budget    *rate.Limiter
+	watches   chan struct{} // one entry for each waiting watch
+	address   atomic.Int64  // index of the address in use
+	counters  counters
+
+	ctx  context.Context // ends at Close
+	stop context.CancelFunc
+	mu   sync.Mutex // orders done.Add before done.Wait
+	done sync.WaitGroup
+}
+
+// Purpose is a siskin.Platform whose calls count against a budget of their own
+// and against that of the process.
+type Purpose struct {
+	c      *Client
+	budget *rate.Limiter
+}
+
+var _ siskin.Platform = (*Client)(nil)
+
+// New returns a client. It opens connections on demand.
+func New(cfg Config, opts ...Option) (*Client, error) {
+	if len(cfg.Addresses) == 0 {
+		return nil, siskin.NewError(siskin.BadInput, "no address of the platform is set").WithRemedy("set Addresses to at least one IP number and port")
+	}
+	cfg.setDefaults()
+	c := &Client{
+		cfg: cfg, clock: clockwork.NewRealClock(), random: rand.Float64,
+		transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: cfg.SilentAfter}).DialContext,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     60 * time.Second,
+			DisableCompression:  true,
+		},
+		budget:  rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst),
+		watches: make(chan struct{}, cfg.MaxWatches),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.Purpose = &Purpose{c: c, budget: rate.NewLimiter(rate.Inf, 1)}
+	c.breaker = &breaker{min: cfg.MinBackoff, max: cfg.MaxBackoff, random: c.random}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	return c, nil
+}
+
+// For returns a siskin.Platform for one purpose, with a budget in calls per
+// second and a burst.
+func (c *Client) For(perSecond float64, burst int) *Purpose {
+	return &Purpose{c: c, budget: rate.NewLimiter(rate.Limit(perSecond), burst)}
+}
+
+// Close ends all calls and waits for them.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	c.stop()
+	c.mu.Unlock()
+	c.done.Wait()
+	c.transport.CloseIdleConnections()
+	return nil
+}
+
+// begin bounds a call in time and ties it to the life of the client.
+func (c *Client) begin(ctx context.Context, bounded bool) (context.Context, func(), error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return nil, nil, siskin.NewError(siskin.Unavailable, "the platform client is closed").WithRemedy("retry at another VM")
+	}
+	c.done.Add(1)
+	cancel := context.CancelFunc(func() {})
+	if _, ok := ctx.Deadline(); !ok && bounded {
+		ctx, cancel = context.WithTimeout(ctx, c.cfg.CallTimeout)
+	}
+	ctx, cancelCause := context.WithCancel(ctx)
+	detach := context.AfterFunc(c.ctx, cancelCause)
+	return ctx, func() {
+		detach()
+		cancelCause()
+		cancel()
+		c.done.Done()
+	}, nil
+}
+
+// wait sleeps for d and reports false when the context ended first.
+func (c *Client) wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-c.clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/plat/config.go
@@ -0,0 +1,64 @@
+package plat
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// Config holds the settings of a Client.
+type Config struct {
+	// Addresses are the IP numbers and ports of the platform, preferred first.
+	Addresses []string
+	// CallsPerSecond and Burst are the budget of the whole process; zero means
+	// 2 calls a second with a burst of 20.
+	CallsPerSecond float64
+	Burst          int
+	// MaxWatches is the number of watches that may wait at once; zero means 8.
+	MaxWatches int
+	// CallTimeout bounds calls whose context has no deadline; zero means 10 s.
+	CallTimeout time.Duration
+	// SilentAfter is the time without a byte after which a connection counts
+	// as silent; zero means 2.5 s. Silent connections must be found within 3 s.
+	SilentAfter time.Duration
+	// WatchWait is how long one poll of a watch waits; zero means 20 s.
+	WatchWait time.Duration
+	// MinBackoff and MaxBackoff bound the delay before a repetition; zero means
+	// 50 ms and 10 s.
+	MinBackoff, MaxBackoff time.Duration
+}
+
+func (cfg *Config) setDefaults() {
+	setDefault(&cfg.CallsPerSecond, 2)
+	setDefault(&cfg.Burst, 20)
+	setDefault(&cfg.MaxWatches, 8)
+	setDefault(&cfg.CallTimeout, 10*time.Second)
+	setDefault(&cfg.SilentAfter, 2500*time.Millisecond)
+	setDefault(&cfg.WatchWait, 20*time.Second)
+	setDefault(&cfg.MinBackoff, 50*time.Millisecond)
+	setDefault(&cfg.MaxBackoff, 10*time.Second)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithClock sets the clock of budgets and delays.
+func WithClock(clock siskin.Clock) Option { return func(c *Client) { c.clock = clock } }
+
+// WithDialer replaces the function that opens connections, such as one that
+// shows faults.
+func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.transport.DialContext = dial }
+}
+
+// WithRandom sets the source of jitter, which returns numbers in [0, 1).
+func WithRandom(random func() float64) Option { return func(c *Client) { c.random = random } }
--- /dev/null
+++ b/pkg/plat/put.go
@@ -0,0 +1,111 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"siskintray.example/siskin"
+)
+
+// Put implements siskin.Platform. The package documentation lists its results.
+func (p *Purpose) Put(ctx context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
+	if siskin.Bytes(len(value)) > siskin.MaxObjectSize {
+		return 0, siskin.NewError(siskin.TooLarge, "object %s has %d bytes, above the platform's limit of %d", name, len(value), siskin.MaxObjectSize).WithRemedy("split the object")
+	}
+	body, err := json.Marshal(struct {
+		Value     []byte
+		IfVersion siskin.Version
+		Operation siskin.OperationID
+	}{value, ifVersion, op})
+	if err != nil {
+		return 0, siskin.NewError(siskin.Internal, "cannot encode object %s", name).WithCause(err)
+	}
+	ctx, end, err := p.c.begin(ctx, true)
+	if err != nil {
+		return 0, err
+	}
+	defer end()
+	return p.put(ctx, name, body, ifVersion, op)
+}
+
+// put repeats the update until it has a definite result or the context ends.
+func (p *Purpose) put(ctx context.Context, name siskin.ObjectName, body []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
+	const maxUnsentAttempts = 4
+	lost := false // an earlier request may have taken effect
+	for n := 1; ; n++ {
+		a, sent, err := p.request(ctx, http.MethodPut, objectPath(name), body)
+		if err == nil {
+			version, err := p.putResult(a, name, ifVersion, op, lost)
+			if err == nil && lost {
+				p.c.counters.resolved.Add(1)
+			}
+			return version, err
+		}
+		lost = lost || sent
+		giveUp := !lost && (n >= maxUnsentAttempts || p.c.breaker.open())
+		if giveUp || !p.c.wait(ctx, p.c.delay(err, n)) {
+			if !lost {
+				return 0, err
+			}
+			return 0, p.unknown(name, op).WithCause(err)
+		}
+		p.c.counters.repetitions.Add(1)
+	}
+}
+
+// putResult interprets the answer to an update.
+func (p *Purpose) putResult(a answer, name siskin.ObjectName, ifVersion siskin.Version, op siskin.OperationID, lost bool) (siskin.Version, error) {
+	var body struct {
+		Version siskin.Version
+		Recent  []recentUpdate
+	}
+	switch a.status {
+	case http.StatusOK:
+		err := decodeVersion(a, &body)
+		return body.Version, err
+	case http.StatusConflict:
+		a.status = http.StatusOK
+		if err := decode(a, &body); err != nil {
+			return 0, err
+		}
+	case http.StatusRequestEntityTooLarge:
+		return 0, siskin.NewError(siskin.TooLarge, "the platform refused object %s as too large", name).WithRemedy("split the object")
+	default:
+		return 0, siskin.NewError(siskin.BadInput, "the platform refused object %s with status %d: %.200s", name, a.status, a.body).WithRemedy("check the address and version of the platform")
+	}
+	version, took, known := resolve(body.Recent, ifVersion, op)
+	switch {
+	case took:
+		return version, nil
+	case lost && !known:
+		return 0, p.unknown(name, op)
+	default:
+		return 0, siskin.NewError(siskin.Conflict, "object %s has version %d, not %d", name, body.Version, ifVersion).WithRemedy("read the object again and repeat the change on top of it")
+	}
+}
+
+func (p *Purpose) unknown(name siskin.ObjectName, op siskin.OperationID) *siskin.Error {
+	p.c.counters.unknown.Add(1)
+	return siskin.NewError(siskin.OutcomeUnknown, "the answer to operation %s on object %s was lost", op, name).WithRemedy("read the object and look for the operation before repeating it")
+}
+
+type recentUpdate struct {
+	Operation siskin.OperationID
+	Version   siskin.Version
+}
+
+// resolve looks for op among the recent updates of an object. The update took
+// effect when it is listed. When it is not, its fate is known only if the list
+// reaches back to the version that the update would have made.
+func resolve(recent []recentUpdate, ifVersion siskin.Version, op siskin.OperationID) (version siskin.Version, took, known bool) {
+	for _, r := range recent {
+		if r.Operation == op {
+			return r.Version, true, true
+		}
+		if r.Version <= ifVersion+1 {
+			known = true
+		}
+	}
+	return 0, false, known
+}
--- /dev/null
+++ b/pkg/plat/read.go
@@ -0,0 +1,96 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"siskintray.example/siskin"
+)
+
+// Get implements siskin.Platform.
+func (p *Purpose) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
+	var o siskin.Object
+	err := p.readJSON(ctx, objectPath(name), &o)
+	return o, err
+}
+
+// List implements siskin.Platform.
+func (p *Purpose) List(ctx context.Context, prefix siskin.ObjectName) ([]siskin.Object, error) {
+	var all []siskin.Object
+	from := siskin.ObjectName("")
+	for {
+		var page struct {
+			Objects []siskin.Object
+			Next    siskin.ObjectName
+		}
+		q := url.Values{"Prefix": {string(prefix)}, "From": {string(from)}}
+		if err := p.readJSON(ctx, "/Objects?"+q.Encode(), &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Objects...)
+		if page.Next <= from { // the end, or an answer that would never end
+			return all, nil
+		}
+		from = page.Next
+	}
+}
+
+// VMs implements siskin.Platform.
+func (p *Purpose) VMs(ctx context.Context) ([]siskin.VM, error) {
+	var list struct {
+		VMs []struct {
+			ID          siskin.VMID
+			Incarnation siskin.Incarnation
+			DataCentre  siskin.DataCentreID
+			PeerAddress string
+			State       string
+		}
+	}
+	if err := p.readJSON(ctx, "/VMs", &list); err != nil {
+		return nil, err
+	}
+	vms := make([]siskin.VM, 0, len(list.VMs))
+	for _, vm := range list.VMs {
+		vms = append(vms, siskin.VM{ID: vm.ID, Incarnation: vm.Incarnation, DataCentre: vm.DataCentre, PeerAddress: vm.PeerAddress, State: parseState(vm.State)})
+	}
+	return vms, nil
+}
+
+// parseState maps an unknown state to VMUnknown, which is evidence of nothing.
+func parseState(s string) siskin.VMState {
+	for _, state := range []siskin.VMState{siskin.VMLive, siskin.VMLeaving, siskin.VMGone} {
+		if state.String() == s {
+			return state
+		}
+	}
+	return siskin.VMUnknown
+}
+
+func (p *Purpose) readJSON(ctx context.Context, path string, into any) error {
+	ctx, end, err := p.c.begin(ctx, true)
+	if err != nil {
+		return err
+	}
+	defer end()
+	a, err := p.read(ctx, path)
+	if err != nil {
+		return err
+	}
+	return decode(a, into)
+}
+
+func decode(a answer, into any) error {
+	if a.status != http.StatusOK {
+		return siskin.NewError(siskin.BadInput, "the platform answered with status %d: %.200s", a.status, a.body).WithRemedy("check the address and version of the platform")
+	}
+	if err := json.Unmarshal(a.body, into); err != nil {
+		return siskin.NewError(siskin.BadInput, "the platform's answer is malformed").WithCause(err).WithRemedy("check the address and version of the platform")
+	}
+	return nil
+}
+
+func objectPath(name siskin.ObjectName) string {
+	return (&url.URL{Path: "/Objects/" + string(name)}).EscapedPath()
+}
--- /dev/null
+++ b/pkg/plat/request.go
@@ -0,0 +1,96 @@
+package plat
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// request makes one request within the budgets and the breaker. An error is of
+// kind Unavailable or Overloaded; sent says whether the request may have
+// reached the platform.
+func (p *Purpose) request(ctx context.Context, method, path string, body []byte) (a answer, sent bool, err error) {
+	c := p.c
+	if wait, ok := c.breaker.allow(c.clock.Now()); !ok {
+		c.counters.heldBack.Add(1)
+		return answer{}, false, siskin.NewError(siskin.Unavailable, "the platform does not answer").WithRetryAfter(wait).WithRemedy("retry later; cached state stays in force")
+	}
+	if err := p.takeTokens(ctx); err != nil {
+		c.breaker.record(c.clock.Now(), abandoned)
+		return answer{}, false, err
+	}
+	a, sent, err = c.attempt(ctx, method, path, body)
+	c.breaker.record(c.clock.Now(), classify(ctx, err))
+	if err != nil {
+		return answer{}, sent, siskin.NewError(siskin.Unavailable, "the platform gave no answer").WithCause(err).WithRemedy("retry later; cached state stays in force")
+	}
+	if a.status == http.StatusTooManyRequests {
+		c.counters.overBudget.Add(1)
+		return answer{}, false, siskin.NewError(siskin.Overloaded, "the platform's call budget is used up").WithRetryAfter(a.retryAfter).WithRemedy("retry after the stated time")
+	}
+	return a, sent, nil
+}
+
+// classify says what an attempt tells about the platform. A caller that
+// cancels says nothing; a deadline that passes without an answer is a failure.
+func classify(ctx context.Context, err error) result {
+	switch {
+	case err == nil:
+		return succeeded
+	case errors.Is(ctx.Err(), context.Canceled):
+		return abandoned
+	default:
+		return failed
+	}
+}
+
+// takeTokens waits for a token of both budgets. It fails at once when the
+// token comes after the deadline.
+func (p *Purpose) takeTokens(ctx context.Context) error {
+	now := p.c.clock.Now()
+	own := p.budget.ReserveN(now, 1)
+	all := p.c.budget.ReserveN(now, 1)
+	wait := max(own.DelayFrom(now), all.DelayFrom(now))
+	if wait == 0 {
+		return nil
+	}
+	p.c.counters.throttled.Add(1)
+	deadline, ok := ctx.Deadline()
+	if (!ok || time.Until(deadline) > wait) && p.c.wait(ctx, wait) {
+		return nil
+	}
+	now = p.c.clock.Now()
+	own.CancelAt(now)
+	all.CancelAt(now)
+	return siskin.NewError(siskin.Overloaded, "the call budget is used up").WithRetryAfter(wait).WithRemedy("retry after the stated time or raise CallsPerSecond")
+}
+
+// read makes a request that changes nothing and repeats it on failure, at most
+// maxReadAttempts times.
+func (p *Purpose) read(ctx context.Context, path string) (answer, error) {
+	const maxReadAttempts = 4
+	for n := 1; ; n++ {
+		a, _, err := p.request(ctx, http.MethodGet, path, nil)
+		if err == nil || n == maxReadAttempts || p.c.breaker.open() {
+			return a, err
+		}
+		if !p.c.wait(ctx, p.c.delay(err, n)) {
+			return answer{}, err
+		}
+		p.c.counters.repetitions.Add(1)
+	}
+}
+
+// delay returns the time to wait after the n-th failure: the stated time, if
+// any, with jitter added.
+func (c *Client) delay(err error, n int) time.Duration {
+	d := jitter(c.random, c.cfg.MinBackoff, c.cfg.MaxBackoff, n)
+	var e *siskin.Error
+	if errors.As(err, &e) {
+		d += e.RetryAfter
+	}
+	return d
+}
