--- /dev/null
+++ b/internal/frame/batch.go
@@ -0,0 +1,43 @@
+package frame
+
+// Batch collects the messages of one caller batch in a pooled buffer, so that
+// nothing of it is sent before it is complete and it can be sent again.
+type Batch struct {
+	buf *[BufferSize]byte
+	n   int
+}
+
+// Bytes returns the collected messages.
+func (b *Batch) Bytes() []byte {
+	if b.buf == nil {
+		return nil
+	}
+	return b.buf[:b.n]
+}
+
+// Append adds the parts when they fit together and reports whether they did.
+func (b *Batch) Append(parts ...[]byte) bool {
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	if b.n+size > BufferSize {
+		return false
+	}
+	if b.buf == nil {
+		b.buf = getBuffer()
+	}
+	for _, p := range parts {
+		b.n += copy(b.buf[b.n:], p)
+	}
+	return true
+}
+
+// Reset drops the messages and returns the buffer to the pool.
+func (b *Batch) Reset() {
+	b.n = 0
+	if b.buf != nil {
+		putBuffer(b.buf)
+		b.buf = nil
+	}
+}
--- /dev/null
+++ b/internal/frame/buffer.go
@@ -0,0 +1,17 @@
+package frame
+
+import "sync"
+
+// BufferSize is the size of the pooled buffers. It bounds the bytes that a
+// relayed stream holds per direction.
+const BufferSize = 32 << 10
+
+// smallSize is the buffer that a connection keeps while it is idle. Most
+// statements fit into it.
+const smallSize = 512
+
+var buffers = sync.Pool{New: func() any { return new([BufferSize]byte) }}
+
+func getBuffer() *[BufferSize]byte { return buffers.Get().(*[BufferSize]byte) }
+
+func putBuffer(b *[BufferSize]byte) { buffers.Put(b) }
--- /dev/null
+++ b/internal/frame/reader.go
@@ -0,0 +1,179 @@
+package frame
+
+import (
+	"encoding/binary"
+	"io"
+
+	"siskintray.example/siskin"
+)
+
+// Reader reads messages from a stream. While idle it holds a small buffer; it
+// takes a pooled one when a message or a burst needs more.
+type Reader struct {
+	src   io.Reader
+	small [smallSize]byte
+	big   *[BufferSize]byte
+	r, w  int
+	left  int // unread body bytes of the current message
+}
+
+// NewReader returns a Reader of src.
+func NewReader(src io.Reader) *Reader { return &Reader{src: src} }
+
+func (r *Reader) buf() []byte {
+	if r.big != nil {
+		return r.big[:]
+	}
+	return r.small[:]
+}
+
+// Buffered returns the number of bytes read from the stream but not consumed.
+func (r *Reader) Buffered() int { return r.w - r.r }
+
+// Left returns the unread body bytes of the current message.
+func (r *Reader) Left() int { return r.left }
+
+// Release returns the pooled buffer when everything read was consumed.
+func (r *Reader) Release() {
+	if r.big == nil {
+		return
+	}
+	if n := r.Buffered(); n <= smallSize {
+		copy(r.small[:], r.big[r.r:r.w])
+		r.r, r.w = 0, n
+		putBuffer(r.big)
+		r.big = nil
+	}
+}
+
+// fill reads until at least n bytes are buffered; n is at most BufferSize.
+func (r *Reader) fill(n int) error {
+	for r.Buffered() < n {
+		if r.r == r.w {
+			r.r, r.w = 0, 0
+		}
+		buf := r.buf()
+		if r.r+n > len(buf) || r.w == len(buf) {
+			if r.big == nil && n > smallSize {
+				r.grow()
+				continue
+			}
+			r.w = copy(buf, buf[r.r:r.w])
+			r.r = 0
+		}
+		m, err := r.src.Read(buf[r.w:])
+		r.w += m
+		if m > 0 && r.big == nil && r.w == smallSize {
+			r.grow() // a full small buffer means that more is waiting
+		}
+		if err != nil && r.Buffered() < n {
+			if err == io.EOF && r.Buffered() > 0 {
+				return io.ErrUnexpectedEOF
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Reader) grow() {
+	big := getBuffer()
+	n := copy(big[:], r.small[r.r:r.w])
+	r.r, r.w, r.big = 0, n, big
+}
+
+// Peek returns the head of the next message without consuming it. It first
+// discards what is left of the current message. An interrupted Peek can be
+// repeated.
+func (r *Reader) Peek() (Head, error) {
+	if err := r.Skip(); err != nil {
+		return Head{}, err
+	}
+	if err := r.fill(HeadSize); err != nil {
+		return Head{}, err
+	}
+	b := r.buf()[r.r:]
+	n := binary.BigEndian.Uint32(b[1:])
+	if n < 4 || n > 1<<30 {
+		return Head{}, siskin.NewError(siskin.BadInput, "message %q has the invalid length %d", b[0], n).
+			WithRemedy("check that the client speaks the PostgreSQL protocol 3.0")
+	}
+	return Head{Type: b[0], Len: int(n) - 4}, nil
+}
+
+// Next consumes the head of the next message and returns it. The body is then
+// read with Body, CopyBody or Skip.
+func (r *Reader) Next() (Head, error) {
+	h, err := r.Peek()
+	if err != nil {
+		return Head{}, err
+	}
+	r.r += HeadSize
+	r.left = h.Len
+	return h, nil
+}
+
+// Body returns the rest of the current message's body. The slice is valid until
+// the next call. A body above BufferSize is read into a slice of its own, and
+// one above limit is an error of kind TooLarge, which leaves the body unread.
+func (r *Reader) Body(limit int) ([]byte, error) {
+	n := r.left
+	if n > limit {
+		return nil, siskin.NewError(siskin.TooLarge, "message of %d bytes is above the limit of %d", n, limit).
+			WithRemedy("send the data in smaller statements or with COPY")
+	}
+	if n > BufferSize {
+		body := make([]byte, n)
+		m := copy(body, r.buf()[r.r:r.w])
+		r.r += m
+		r.left -= m
+		k, err := io.ReadFull(r.src, body[m:])
+		r.left -= k
+		return body, err
+	}
+	if err := r.fill(n); err != nil {
+		return nil, err
+	}
+	body := r.buf()[r.r : r.r+n : r.r+n]
+	r.r += n
+	r.left = 0
+	return body, nil
+}
+
+// CopyBody copies the rest of the current message's body to w.
+func (r *Reader) CopyBody(w *Writer) error {
+	for r.left > 0 {
+		if r.Buffered() == 0 {
+			if r.left > smallSize && r.big == nil {
+				r.r, r.w = 0, 0
+				r.grow()
+			}
+			if err := r.fill(1); err != nil {
+				return err
+			}
+		}
+		n := min(r.left, r.Buffered())
+		err := w.Raw(r.buf()[r.r : r.r+n])
+		r.r += n
+		r.left -= n
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Skip discards the rest of the current message's body.
+func (r *Reader) Skip() error {
+	for r.left > 0 {
+		if r.Buffered() == 0 {
+			if err := r.fill(1); err != nil {
+				return err
+			}
+		}
+		n := min(r.left, r.Buffered())
+		r.r += n
+		r.left -= n
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/frame/writer.go
@@ -0,0 +1,112 @@
+package frame
+
+import (
+	"encoding/binary"
+	"io"
+)
+
+// Message is a protocol message that encodes itself, such as those of pgproto3.
+type Message interface {
+	Encode(dst []byte) ([]byte, error)
+}
+
+// Writer collects messages in a pooled buffer, which it holds only until the
+// next Flush. Its first error sticks.
+type Writer struct {
+	dst io.Writer
+	buf *[BufferSize]byte
+	n   int
+	err error
+}
+
+// NewWriter returns a Writer to dst.
+func NewWriter(dst io.Writer) *Writer { return &Writer{dst: dst} }
+
+// Buffered returns the number of bytes not yet flushed.
+func (w *Writer) Buffered() int { return w.n }
+
+// Err returns the first write error.
+func (w *Writer) Err() error { return w.err }
+
+// Raw appends b and flushes whenever the buffer is full.
+func (w *Writer) Raw(b []byte) error {
+	for len(b) > 0 && w.err == nil {
+		if w.buf == nil {
+			if len(b) >= BufferSize {
+				_, w.err = w.dst.Write(b)
+				return w.err
+			}
+			w.buf = getBuffer()
+		}
+		n := copy(w.buf[w.n:], b)
+		w.n += n
+		b = b[n:]
+		if w.n == BufferSize {
+			w.write()
+		}
+	}
+	return w.err
+}
+
+// Head appends the head of a message whose body follows with Raw.
+func (w *Writer) Head(h Head) error {
+	var b [HeadSize]byte
+	b[0] = h.Type
+	binary.BigEndian.PutUint32(b[1:], uint32(h.Len+4))
+	return w.Raw(b[:])
+}
+
+// Message appends the encoded form of m.
+func (w *Writer) Message(m Message) error {
+	if w.err != nil {
+		return w.err
+	}
+	if w.buf == nil {
+		w.buf = getBuffer()
+	}
+	b, err := m.Encode(w.buf[w.n:w.n:BufferSize])
+	if err != nil {
+		w.err = err
+		return err
+	}
+	if w.n+len(b) < BufferSize {
+		w.n += len(b) // Encode wrote into the buffer in place
+		return nil
+	}
+	return w.Raw(b)
+}
+
+// Copy appends the current message of r, whose head is h.
+func (w *Writer) Copy(h Head, r *Reader) error {
+	if err := w.Head(h); err != nil {
+		return err
+	}
+	return r.CopyBody(w)
+}
+
+func (w *Writer) write() {
+	if w.n > 0 && w.err == nil {
+		_, w.err = w.dst.Write(w.buf[:w.n])
+	}
+	w.n = 0
+}
+
+// Flush writes what is buffered and returns the buffer to the pool.
+func (w *Writer) Flush() error {
+	if w.buf == nil {
+		return w.err
+	}
+	w.write()
+	putBuffer(w.buf)
+	w.buf = nil
+	return w.err
+}
+
+// Discard drops what is buffered.
+func (w *Writer) Discard() {
+	w.n = 0
+	if w.buf != nil {
+		putBuffer(w.buf)
+		w.buf = nil
+	}
+}
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,83 @@
+package retry
+
+import (
+	"sync/atomic"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// Ratio is the number of first attempts that pay for one retry. It bounds the
+// added load to 10%.
+const Ratio = 10
+
+// burstRetries is the credit that a budget may save up. It covers the requests
+// in progress when one target fails without allowing a long storm later.
+const burstRetries = 50
+
+// Budget is the retry credit of one customer or one service. It starts empty,
+// so retries never exceed a tenth of the first attempts.
+type Budget struct {
+	credit atomic.Int64 // in first attempts
+}
+
+// Deposit counts one first attempt.
+func (b *Budget) Deposit() {
+	for {
+		c := b.credit.Load()
+		if c >= burstRetries*Ratio || b.credit.CompareAndSwap(c, c+1) {
+			return
+		}
+	}
+}
+
+// Withdraw takes the cost of one retry and reports whether the credit covered it.
+func (b *Budget) Withdraw() bool {
+	for {
+		c := b.credit.Load()
+		if c < Ratio {
+			return false
+		}
+		if b.credit.CompareAndSwap(c, c-Ratio) {
+			return true
+		}
+	}
+}
+
+// refund returns the cost of a retry that was not made.
+func (b *Budget) refund() { b.credit.Add(Ratio) }
+
+// Budgets holds the budgets of all customers and services.
+type Budgets struct {
+	customers *shard.Map[siskin.CustomerID, *Budget]
+	services  *shard.Map[siskin.ServiceName, *Budget]
+}
+
+// NewBudgets returns empty budgets.
+func NewBudgets() *Budgets {
+	return &Budgets{
+		customers: shard.New[siskin.CustomerID, *Budget](),
+		services:  shard.New[siskin.ServiceName, *Budget](),
+	}
+}
+
+func newBudget() *Budget { return new(Budget) }
+
+// Deposit counts one first attempt of a customer at a service.
+func (b *Budgets) Deposit(customer siskin.CustomerID, service siskin.ServiceName) {
+	b.customers.GetOrCreate(customer, newBudget).Deposit()
+	b.services.GetOrCreate(service, newBudget).Deposit()
+}
+
+// Withdraw takes one retry from both budgets, or from none.
+func (b *Budgets) Withdraw(customer siskin.CustomerID, service siskin.ServiceName) bool {
+	c := b.customers.GetOrCreate(customer, newBudget)
+	if !c.Withdraw() {
+		return false
+	}
+	if !b.services.GetOrCreate(service, newBudget).Withdraw() {
+		c.refund()
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/retry/decide.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"time"
+
+	"siskintray.example/siskin/pkg/config"
+)
+
+// Proof is what is known about a failed attempt.
+type Proof int
+
+// Proofs, from weak to strong.
+const (
+	// Unknown means that the attempt may have taken effect.
+	Unknown Proof = iota
+	// ReportedAbort means that the target reported the abort of the attempt.
+	ReportedAbort
+	// Unsent means that nothing of the attempt was sent to a target.
+	Unsent
+)
+
+// NotRun reports whether the proof shows that nothing took effect.
+func (p Proof) NotRun() bool { return p == Unsent || p == ReportedAbort }
+
+// Attempt describes one failed attempt.
+type Attempt struct {
+	Proof      Proof
+	Mode       config.RouteMode
+	Repeatable bool
+	// Answered says that at least one byte of a response went to the caller.
+	Answered bool
+	// Replayable says that the request is still held and can be sent again.
+	Replayable bool
+	Now        time.Time
+	Deadline   time.Time
+	// Delay is the wait before the next attempt.
+	Delay time.Duration
+}
+
+// Verdict is the result of Decide.
+type Verdict int
+
+// Verdicts.
+const (
+	// Retry sends the request again, if the budget allows it.
+	Retry Verdict = iota
+	// RefuseNotRun ends the request with a refusal that says "not run".
+	RefuseNotRun
+	// RefuseUnknown ends the request with "outcome unknown".
+	RefuseUnknown
+)
+
+// Decide returns what to do after a failed attempt. Only work that did not run,
+// or a repeatable request of a read route, is sent again, and only before the
+// first byte of a response went out.
+func Decide(a Attempt) Verdict {
+	mayRepeat := a.Proof.NotRun() || (a.Mode == config.ReadRoute && a.Repeatable)
+	inTime := a.Now.Add(a.Delay).Before(a.Deadline)
+	if mayRepeat && inTime && !a.Answered && a.Replayable {
+		return Retry
+	}
+	if a.Proof.NotRun() {
+		return RefuseNotRun
+	}
+	return RefuseUnknown
+}
