cfgini: read and check settings in INI

Cause: siskintrayd and the stand-ins need settings that are refused as a whole, with every fault named, before a VM starts.

Change: settings are Go types with tags for unit, default, bounds, reload and doc text. One pass reports unknown sections and keys with the nearest known name, wrong units, clashes and missing files, each with file, line and remedy. The INI library keeps no line numbers and expands or joins some values, so a scan records lines and refuses those forms.

Conclusion: a settings file is accepted or refused as a whole.

--- /dev/null
+++ b/internal/cfgini/load.go
@@ -0,0 +1,151 @@
+package cfgini
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+
+	"siskintray.example/siskin"
+)
+
+// checker is implemented by settings types with rules across keys.
+type checker interface {
+	check(c *check)
+}
+
+// Load reads the file at path into settings, a pointer to a settings type.
+// Relative file names in the settings are taken from the directory of path.
+func Load(path string, settings any) error {
+	info, err := os.Stat(path)
+	if err == nil && info.Size() > maxFile {
+		return Findings{{File: path, Message: "file is too large", Remedy: "name a settings file"}}.Err()
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return siskin.NewError(siskin.BadInput, "settings file cannot be read").WithCause(err).WithRemedy("check the path after --config")
+	}
+	return Parse(path, data, settings).Err()
+}
+
+// Parse reads INI text into settings and returns all findings.
+func Parse(name string, data []byte, settings any) Findings {
+	f, found := ParseFile(name, data)
+	if len(found) > 0 {
+		return found
+	}
+	c := &check{file: f, settings: Describe(settings), bad: map[string]bool{}}
+	c.unknown()
+	v := reflect.ValueOf(settings).Elem()
+	for _, s := range c.settings {
+		c.value(s, v.FieldByIndex(s.index))
+	}
+	if rules, ok := settings.(checker); ok {
+		rules.check(c)
+	}
+	return c.found
+}
+
+// check is the state of one check of a whole file.
+type check struct {
+	file     *File
+	settings []Setting
+	found    Findings
+	bad      map[string]bool // settings with a finding, so that rules skip them
+}
+
+func (c *check) unknown() {
+	var sections []string
+	keys := map[string][]string{}
+	for _, s := range c.settings {
+		if !slices.Contains(sections, s.Section) {
+			sections = append(sections, s.Section)
+		}
+		keys[s.Section] = append(keys[s.Section], s.Key)
+	}
+	for _, s := range c.file.Sections {
+		if !slices.Contains(sections, s.Name) {
+			c.found.add(c.file.Name, s.Line, suggest(s.Name, sections), "unknown section %s", s.Name)
+			continue
+		}
+		for _, e := range s.Entries {
+			if !slices.Contains(keys[s.Name], e.Key) {
+				c.found.add(c.file.Name, e.Line, suggest(e.Key, keys[s.Name]), "unknown key %s in section %s", e.Key, s.Name)
+			}
+		}
+	}
+}
+
+func suggest(name string, known []string) string {
+	if near := Nearest(name, known); near != "" {
+		return "did you mean " + near + "?"
+	}
+	return "remove it; docs/SETTINGS.md lists what is known"
+}
+
+func (c *check) value(s Setting, v reflect.Value) {
+	e, present := c.file.Section(s.Section).Entry(s.Key)
+	text := e.Value
+	if !present {
+		if s.Default == "" {
+			if !s.Optional {
+				c.fail(s.Name(), "add "+s.Key+" below ["+s.Section+"]: "+s.Doc, "%s is missing", s.Name())
+			}
+			return
+		}
+		text = s.Default
+	}
+	if text == "" {
+		if !s.Optional {
+			c.fail(s.Name(), "give it a value: "+s.Doc, "%s is empty", s.Name())
+		}
+		return
+	}
+	if p := s.parse(text, v); p != nil {
+		c.fail(s.Name(), p.remedy, "%s: %s", s.Name(), p.message)
+		return
+	}
+	if s.Unit == "file" {
+		c.readable(s, v)
+	}
+}
+
+func (c *check) readable(s Setting, v reflect.Value) {
+	path := v.String()
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(filepath.Dir(c.file.Name), path)
+	}
+	v.SetString(path)
+	file, err := os.Open(path)
+	if err != nil {
+		c.fail(s.Name(), "create the file or correct the path", "%s: file cannot be read: %v", s.Name(), err)
+		return
+	}
+	defer file.Close()
+	if info, err := file.Stat(); err != nil || !info.Mode().IsRegular() {
+		c.fail(s.Name(), "name a regular file", "%s: %s is not a regular file", s.Name(), path)
+	}
+}
+
+// fail records a finding at the line of the named setting.
+func (c *check) fail(name, remedy, format string, args ...any) {
+	c.bad[name] = true
+	line := 0
+	for _, s := range c.settings {
+		if s.Name() != name {
+			continue
+		}
+		section := c.file.Section(s.Section)
+		if e, ok := section.Entry(s.Key); ok {
+			line = e.Line
+		} else if section != nil {
+			line = section.Line
+		}
+	}
+	c.found.add(c.file.Name, line, remedy, format, args...)
+}
+
+// ok reports whether none of the named settings has a finding.
+func (c *check) ok(names ...string) bool {
+	return !slices.ContainsFunc(names, func(n string) bool { return c.bad[n] })
+}
--- /dev/null
+++ b/internal/cfgini/standin.go
@@ -0,0 +1,54 @@
+package cfgini
+
+import "time"
+
+// StandinPlatform holds the settings of the platform's stand-in.
+type StandinPlatform struct {
+	Platform StandinPlatformSection
+}
+
+// StandinPlatformSection is the section Platform of a stand-in.
+type StandinPlatformSection struct {
+	Address      string        `unit:"address" doc:"Address of the object API."`
+	AdminAddress string        `unit:"address" doc:"Address that accepts faults."`
+	Lag          time.Duration `default:"0s" max:"10m" doc:"Delay of the list of VMs behind reality."`
+}
+
+func (s *StandinPlatform) check(c *check) {
+	c.distinct(named{"Platform.Address", s.Platform.Address}, named{"Platform.AdminAddress", s.Platform.AdminAddress})
+}
+
+// StandinTarget holds the settings of a target's stand-in.
+type StandinTarget struct {
+	Target StandinTargetSection
+}
+
+// StandinTargetSection is the section Target of a stand-in.
+type StandinTargetSection struct {
+	ID                 string        `unit:"name" doc:"Name of the target, such as ledger-a/1."`
+	DataCentre         string        `unit:"name" doc:"Data centre that the target stands in."`
+	Address            string        `unit:"address" doc:"Address of the PostgreSQL listener."`
+	ReplicationAddress string        `unit:"address" doc:"Address that replicas stream the log from."`
+	AdminAddress       string        `unit:"address" doc:"Address that accepts faults."`
+	Slots              int           `min:"1" max:"1024" doc:"Number of slots."`
+	ConnectionsPerSlot int           `min:"1" max:"10000" doc:"Most connections in one slot; further ones are refused."`
+	OpenTime           time.Duration `default:"0s" max:"60s" doc:"Time that opening a connection takes."`
+	Follow             string        `unit:"address" optional:"yes" doc:"Replication address of the primary; empty makes the target the first primary."`
+	AckReplicas        int           `default:"1" min:"1" max:"100" doc:"Number of replicas that confirm a write."`
+	User               string        `unit:"text" doc:"Account with write privileges."`
+	Password           string        `unit:"text" doc:"Password of User."`
+	ReadUser           string        `unit:"text" doc:"Account without write privileges."`
+	ReadPassword       string        `unit:"text" doc:"Password of ReadUser."`
+	Database           string        `unit:"text" doc:"Name of the database."`
+}
+
+func (s *StandinTarget) check(c *check) {
+	t := s.Target
+	c.distinct(named{"Target.Address", t.Address}, named{"Target.ReplicationAddress", t.ReplicationAddress}, named{"Target.AdminAddress", t.AdminAddress})
+	if t.Follow != "" && t.Follow == t.ReplicationAddress {
+		c.fail("Target.Follow", "name the primary's replication address", "Target.Follow is the target's own ReplicationAddress")
+	}
+	if t.User != "" && t.User == t.ReadUser {
+		c.fail("Target.ReadUser", "use an account without write privileges", "Target.ReadUser is the same account as Target.User")
+	}
+}
