internal/peer: add calls between VMs

Cause: VMs exchange control messages over net/rpc under mutual TLS and must not wait on connections that went silent.

Change: a client with one connection per peer, opened on demand and closed when idle, and a server with a bounded pool of handlers. Frames carry JSON and their size is known before they are decoded. A Hello frame in both directions makes sure that the expected VM is at the address. Links is the fault hook for tests.

Checked by planting faults, each of which made its test fail: no end of silent connections and no ping (TestSilentConnection), no bound on the queue and no answer to pings (TestConcurrency), no check of the VM id (TestCalls), no idle close (TestIdle).

Conclusion: errors that a method returns arrive with kind Internal; a refusal that callers must tell apart belongs into the reply.

--- /dev/null
+++ b/internal/peer/clientcodec.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/rpc"
+
+	"siskintray.example/siskin"
+)
+
+// clientCodec implements rpc.ClientCodec over frames. The client serializes
+// reads and, separately, writes.
+type clientCodec struct {
+	cfg      *Config
+	counters *counters
+	to       siskin.VMID
+	r        *bufio.Reader
+	w        *writer
+	activity *activity
+	answer   frame
+}
+
+// WriteRequest implements rpc.ClientCodec.
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return siskin.NewError(siskin.BadInput, "cannot encode the arguments of %s", r.ServiceMethod).WithCause(err)
+	}
+	f := frame{requestFrame, r.Seq, r.ServiceMethod, b}.encode()
+	if siskin.Bytes(len(f)) > c.cfg.MaxMessage {
+		return siskin.NewError(siskin.TooLarge, "a message of %d bytes exceeds the limit of %d", len(f), c.cfg.MaxMessage).WithRemedy("split the message")
+	}
+	c.counters.sent(r.ServiceMethod, len(f))
+	if c.cfg.dropped(c.cfg.Self, c.to) {
+		c.activity.sent()
+		return nil
+	}
+	if err := c.w.send(f); err != nil {
+		return err
+	}
+	c.activity.sent()
+	return nil
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	f, size, err := readFrame(c.r, c.cfg.MaxMessage)
+	if err != nil {
+		return err
+	}
+	c.activity.received()
+	if f.kind != answerFrame && f.kind != errorFrame {
+		return errMalformed
+	}
+	c.counters.received(f.method, size)
+	c.answer = f
+	r.ServiceMethod, r.Seq = f.method, f.seq
+	if f.kind == errorFrame {
+		r.Error = string(f.body)
+	}
+	return nil
+}
+
+// ReadResponseBody implements rpc.ClientCodec. The body is decoded by the
+// caller, since a call may have been given up in the meantime.
+func (c *clientCodec) ReadResponseBody(body any) error {
+	if raw, ok := body.(*json.RawMessage); ok {
+		*raw = c.answer.body
+	}
+	return nil
+}
+
+// Close implements rpc.ClientCodec.
+func (c *clientCodec) Close() error {
+	c.w.close()
+	return nil
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// pingMethod is answered by every Server.
+const pingMethod = "Peer.Ping"
+
+// clientConn is one connection to a peer.
+type clientConn struct {
+	client   *rpc.Client
+	w        *writer
+	activity *activity
+	address  string
+	silent   atomic.Bool
+	closed   chan struct{}
+}
+
+// dialConn opens a connection and exchanges the Hello frames. The peer must be
+// the expected VM, so that an address that moved to another VM is not used.
+func (c *Client) dialConn(ctx context.Context, vm siskin.VMID, address string) (*clientConn, error) {
+	if err := c.cfg.checkAddress(address); err != nil {
+		return nil, err
+	}
+	if c.cfg.dropped(c.cfg.Self, vm) || c.cfg.dropped(vm, c.cfg.Self) {
+		<-ctx.Done() // a link that is cut loses the packets that open a connection
+		return nil, ctx.Err()
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if c.cfg.TLS != nil {
+		conn = tls.Client(conn, c.tlsFor(address))
+	}
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline)
+	r := bufio.NewReader(conn)
+	id, err := exchangeHello(conn, r, c.cfg.Self)
+	if err == nil && id != vm && !isAddressID(vm) {
+		err = siskin.NewError(siskin.Unavailable, "%s is the address of %s, not of %s", address, id, vm).WithRemedy("wait until the member list is up to date")
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return c.startConn(conn, r, id, address), nil
+}
+
+func (c *Client) startConn(conn net.Conn, r *bufio.Reader, id siskin.VMID, address string) *clientConn {
+	cc := &clientConn{
+		w:        newWriter(conn, c.cfg.SilentAfter),
+		activity: newActivity(&c.cfg, time.Now),
+		address:  address,
+		closed:   make(chan struct{}),
+	}
+	codec := &clientCodec{cfg: &c.cfg, counters: &c.counters, to: id, r: r, w: cc.w, activity: cc.activity}
+	cc.client = rpc.NewClientWithCodec(codec)
+	c.done.Go(cc.w.run)
+	c.done.Go(func() { c.watchConn(cc) })
+	return cc
+}
+
+// watchConn closes the connection when it is silent or idle.
+func (c *Client) watchConn(cc *clientConn) {
+	defer close(cc.closed)
+	defer cc.client.Close()
+	_, wait := cc.activity.check()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-cc.w.stop:
+			return
+		case <-c.ctx.Done():
+			return
+		case <-timer.C:
+		}
+		v, wait := cc.activity.check()
+		switch v {
+		case closeSilent:
+			cc.silent.Store(true)
+			c.silent.Add(1)
+			return
+		case closeIdle:
+			return
+		case ping:
+			cc.client.Go(pingMethod, struct{}{}, new(json.RawMessage), make(chan *rpc.Call, 1))
+		}
+		timer.Reset(wait)
+	}
+}
+
+func exchangeHello(conn net.Conn, r *bufio.Reader, self siskin.VMID) (siskin.VMID, error) {
+	if _, err := conn.Write(frame{kind: helloFrame, body: []byte(self)}.encode()); err != nil {
+		return "", err
+	}
+	f, _, err := readFrame(r, maxHello)
+	if err != nil {
+		return "", err
+	}
+	if f.kind != helloFrame {
+		return "", errMalformed
+	}
+	return siskin.VMID(f.body), nil
+}
+
+// maxHello bounds the first frame of a peer that is not known yet.
+const maxHello siskin.Bytes = 512
--- /dev/null
+++ b/internal/peer/counters.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// MethodStats are the counts of one method at one end.
+type MethodStats struct {
+	// Sent and Received count messages: requests and answers.
+	Sent, Received int64
+	// SentBytes and ReceivedBytes count frames without TLS and TCP.
+	SentBytes, ReceivedBytes int64
+}
+
+type methodCounters struct {
+	sent, received, sentBytes, receivedBytes atomic.Int64
+}
+
+// counters counts messages by method. Names come from the frames that this VM
+// sent or whose method is registered here, so their number is bounded.
+type counters struct {
+	byMethod sync.Map // string to *methodCounters
+}
+
+func (c *counters) of(method string) *methodCounters {
+	if m, ok := c.byMethod.Load(method); ok {
+		return m.(*methodCounters)
+	}
+	m, _ := c.byMethod.LoadOrStore(method, new(methodCounters))
+	return m.(*methodCounters)
+}
+
+func (c *counters) sent(method string, bytes int) {
+	m := c.of(method)
+	m.sent.Add(1)
+	m.sentBytes.Add(int64(bytes))
+}
+
+func (c *counters) received(method string, bytes int) {
+	m := c.of(method)
+	m.received.Add(1)
+	m.receivedBytes.Add(int64(bytes))
+}
+
+func (c *counters) snapshot() map[string]MethodStats {
+	all := make(map[string]MethodStats)
+	c.byMethod.Range(func(k, v any) bool {
+		m := v.(*methodCounters)
+		all[k.(string)] = MethodStats{m.sent.Load(), m.received.Load(), m.sentBytes.Load(), m.receivedBytes.Load()}
+		return true
+	})
+	return all
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+
+	"siskintray.example/siskin"
+)
+
+type frameKind byte
+
+const (
+	helloFrame frameKind = iota + 1
+	requestFrame
+	answerFrame
+	errorFrame
+)
+
+// frame is one message. The body of an errorFrame is its text.
+type frame struct {
+	kind   frameKind
+	seq    uint64
+	method string
+	body   []byte
+}
+
+var errMalformed = errors.New("malformed frame")
+
+// encode returns the frame with its length in front.
+func (f frame) encode() []byte {
+	b := make([]byte, 4, 4+1+2*binary.MaxVarintLen64+len(f.method)+len(f.body))
+	b = append(b, byte(f.kind))
+	b = binary.AppendUvarint(b, f.seq)
+	b = binary.AppendUvarint(b, uint64(len(f.method)))
+	b = append(b, f.method...)
+	b = append(b, f.body...)
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	return b
+}
+
+// parseFrame decodes a frame without its length. The body refers to b.
+func parseFrame(b []byte) (frame, error) {
+	if len(b) == 0 {
+		return frame{}, errMalformed
+	}
+	f := frame{kind: frameKind(b[0])}
+	if f.kind < helloFrame || f.kind > errorFrame {
+		return frame{}, errMalformed
+	}
+	b = b[1:]
+	seq, n := binary.Uvarint(b)
+	if n <= 0 {
+		return frame{}, errMalformed
+	}
+	size, m := binary.Uvarint(b[n:])
+	if m <= 0 || size > uint64(len(b)-n-m) {
+		return frame{}, errMalformed
+	}
+	b = b[n+m:]
+	f.seq, f.method, f.body = seq, string(b[:size]), b[size:]
+	return f, nil
+}
+
+// readFrame reads one frame of at most limit bytes and returns its size on the
+// connection.
+func readFrame(r io.Reader, limit siskin.Bytes) (frame, int, error) {
+	var length [4]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return frame{}, 0, err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if siskin.Bytes(size) > limit {
+		return frame{}, 0, siskin.NewError(siskin.TooLarge, "a message of %d bytes exceeds the limit of %d", size, limit).WithRemedy("raise MaxMessage or split the message")
+	}
+	b := make([]byte, size)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return frame{}, 0, err
+	}
+	f, err := parseFrame(b)
+	return f, len(b) + 4, err
+}
--- /dev/null
+++ b/internal/peer/links.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"sync"
+
+	"siskintray.example/siskin"
+)
+
+// Links is a fault hook for tests that share it among the VMs of one process:
+// it drops the frames of links that are cut. The zero value drops nothing.
+type Links struct {
+	mu    sync.RWMutex
+	group map[siskin.VMID]int
+	cut   map[link]bool
+}
+
+type link struct{ from, to siskin.VMID }
+
+// Cut drops frames in both directions between a and b.
+func (l *Links) Cut(a, b siskin.VMID) {
+	l.CutOneWay(a, b)
+	l.CutOneWay(b, a)
+}
+
+// CutOneWay drops frames from one VM to another.
+func (l *Links) CutOneWay(from, to siskin.VMID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut == nil {
+		l.cut = make(map[link]bool)
+	}
+	l.cut[link{from, to}] = true
+}
+
+// Isolate puts VMs into a partition of their own: frames between them and all
+// other VMs are dropped.
+func (l *Links) Isolate(vms ...siskin.VMID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.group == nil {
+		l.group = make(map[siskin.VMID]int)
+	}
+	group := len(l.group) + 1
+	for _, vm := range vms {
+		l.group[vm] = group
+	}
+}
+
+// Heal restores all links.
+func (l *Links) Heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.group, l.cut = nil, nil
+}
+
+// Drop implements the hook Config.Drop.
+func (l *Links) Drop(from, to siskin.VMID) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.group[from] != l.group[to] || l.cut[link{from, to}]
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,152 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"siskintray.example/siskin"
+)
+
+// Server serves the receivers of this VM to its peers.
+type Server struct {
+	cfg      Config
+	rpc      *rpc.Server
+	pool     pond.Pool
+	listener net.Listener
+	counters counters
+	refused  atomic.Int64
+	done     sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[*writer]struct{}
+}
+
+// Listen binds the address. Serving starts with Serve, after the receivers are
+// registered.
+func Listen(cfg Config, address string) (*Server, error) {
+	cfg.setDefaults()
+	if err := cfg.checkAddress(address); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, siskin.NewError(siskin.BadInput, "cannot listen on %s", address).WithCause(err).WithRemedy("set the peer address to a free address of this VM")
+	}
+	if cfg.TLS != nil {
+		l = tls.NewListener(l, cfg.TLS)
+	}
+	return &Server{
+		cfg: cfg, rpc: rpc.NewServer(), listener: l, conns: make(map[*writer]struct{}),
+		pool: pond.NewPool(cfg.MaxConcurrent, pond.WithQueueSize(cfg.MaxQueued), pond.WithNonBlocking(true)),
+	}, nil
+}
+
+// Address returns the address that peers call.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Register publishes the exported methods of receiver under the given name, as
+// net/rpc describes. Arguments and answers travel as JSON.
+func (s *Server) Register(name string, receiver any) error {
+	if err := s.rpc.RegisterName(name, receiver); err != nil {
+		return siskin.NewError(siskin.Internal, "cannot register %s", name).WithCause(err)
+	}
+	return nil
+}
+
+// Serve accepts connections in the background until Close.
+func (s *Server) Serve() {
+	s.done.Go(func() {
+		for {
+			conn, err := s.listener.Accept()
+			if err != nil {
+				if s.isClosed() {
+					return
+				}
+				time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
+				continue
+			}
+			s.done.Go(func() { s.serveConn(conn) })
+		}
+	})
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// track adds a connection unless the server is closed.
+func (s *Server) track(w *writer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.conns[w] = struct{}{}
+	}
+	return !s.closed
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	w := newWriter(conn, s.cfg.SilentAfter)
+	defer w.close()
+	if !s.track(w) {
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, w)
+		s.mu.Unlock()
+	}()
+	_ = conn.SetDeadline(time.Now().Add(s.cfg.DialTimeout))
+	r := bufio.NewReader(conn)
+	peer, err := exchangeHello(conn, r, s.cfg.Self)
+	if err != nil {
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	s.done.Go(w.run)
+	for {
+		// The client closes idle connections; a client that vanished does not.
+		_ = conn.SetReadDeadline(time.Now().Add(s.cfg.IdleAfter + 2*s.cfg.SilentAfter))
+		f, size, err := readFrame(r, s.cfg.MaxMessage)
+		if err != nil || f.kind != requestFrame {
+			return
+		}
+		s.serve(&serverCodec{s: s, w: w, peer: peer, request: f, size: size})
+	}
+}
+
+// serve runs one request in the pool. Pings are answered at once, so that a
+// busy VM does not look silent.
+func (s *Server) serve(codec *serverCodec) {
+	if codec.request.method == pingMethod {
+		codec.reply(answerFrame, []byte("{}"))
+		return
+	}
+	if err := s.pool.Go(func() { _ = s.rpc.ServeRequest(codec) }); err != nil {
+		s.refused.Add(1)
+		codec.reply(errorFrame, []byte("too many requests run at this VM; retry at another VM"))
+	}
+}
+
+// Close stops accepting, closes all connections and waits for handlers.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for w := range s.conns {
+		w.close()
+	}
+	s.mu.Unlock()
+	_ = s.listener.Close()
+	s.done.Wait()
+	s.pool.StopAndWait()
+	return nil
+}
--- /dev/null
+++ b/internal/peer/servercodec.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"encoding/json"
+	"net/rpc"
+
+	"siskintray.example/siskin"
+)
+
+// serverCodec implements rpc.ServerCodec for one request.
+type serverCodec struct {
+	s       *Server
+	w       *writer
+	peer    siskin.VMID
+	request frame
+	size    int
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	r.ServiceMethod, r.Seq = c.request.method, c.request.seq
+	return nil
+}
+
+// ReadRequestBody implements rpc.ServerCodec. A nil body means that the method
+// does not exist, so only known names reach the counters.
+func (c *serverCodec) ReadRequestBody(body any) error {
+	if body == nil {
+		return nil
+	}
+	c.s.counters.received(c.request.method, c.size)
+	return json.Unmarshal(c.request.body, body)
+}
+
+// WriteResponse implements rpc.ServerCodec.
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	if r.Error != "" {
+		c.reply(errorFrame, []byte(r.Error))
+		return nil
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		c.reply(errorFrame, []byte("cannot encode the answer: "+err.Error()))
+		return nil
+	}
+	c.reply(answerFrame, b)
+	return nil
+}
+
+// reply sends the answer. A connection that cannot take it is lost or silent,
+// which the peer finds out by itself.
+func (c *serverCodec) reply(kind frameKind, body []byte) {
+	b := frame{kind, c.request.seq, c.request.method, body}.encode()
+	if siskin.Bytes(len(b)) > c.s.cfg.MaxMessage {
+		b = frame{errorFrame, c.request.seq, c.request.method, []byte("the answer exceeds the message size limit")}.encode()
+	}
+	if kind == answerFrame {
+		c.s.counters.sent(c.request.method, len(b))
+	}
+	if !c.s.cfg.dropped(c.s.cfg.Self, c.peer) {
+		_ = c.w.send(b)
+	}
+}
+
+// Close implements rpc.ServerCodec. The connection outlives the request.
+func (c *serverCodec) Close() error { return nil }
