--- /dev/null
+++ b/pkg/config/encode.go
@@ -0,0 +1,124 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"siskintray.example/siskin"
+)
+
+// Bounds of the JSON text.
+const (
+	// MaxDocument is the largest document. A service takes about 2 KB; the
+	// snapshot objects hold about 90 documents within the platform's 1 MB.
+	MaxDocument siskin.Bytes = 64 << 10
+	// MaxChange is the largest change, since a change is one platform object.
+	MaxChange = siskin.MaxObjectSize
+)
+
+// EncodeChange returns the JSON text of a change.
+func EncodeChange(c *Change) ([]byte, error) {
+	return encode(c, MaxChange, "split it into several changes")
+}
+
+// EncodeService returns the JSON text of a service.
+func EncodeService(s *Service) ([]byte, error) {
+	return encode(s, MaxDocument, "remove targets or routes")
+}
+
+// EncodeCustomer returns the JSON text of a customer.
+func EncodeCustomer(c *Customer) ([]byte, error) {
+	return encode(c, MaxDocument, "name fewer services or keys")
+}
+
+func encode(v any, limit siskin.Bytes, remedy string) ([]byte, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, siskin.NewError(siskin.BadInput, "document cannot be written as JSON").WithCause(err).WithRemedy("use finite numbers")
+	}
+	if len(data) > int(limit) {
+		return nil, siskin.NewError(siskin.TooLarge, "JSON text has %d bytes, at most %d are allowed", len(data), limit).WithRemedy(remedy)
+	}
+	return data, nil
+}
+
+// DecodeChange reads a change. Unknown fields, text after the change and a
+// service without KeyGrace are refused.
+func DecodeChange(data []byte) (*Change, error) {
+	c := new(Change)
+	if err := decode(data, MaxChange, c); err != nil {
+		return nil, err
+	}
+	var grace struct {
+		Services []*struct{ KeyGrace *Duration }
+	}
+	if err := json.Unmarshal(data, &grace); err != nil {
+		return nil, malformed(err)
+	}
+	for i, s := range c.Services {
+		if s == nil || grace.Services[i] == nil {
+			return nil, siskin.NewError(siskin.BadInput, "service %d of the change is null", i+1).WithRemedy("remove it")
+		}
+		if grace.Services[i].KeyGrace == nil {
+			return nil, missingGrace(s.Name)
+		}
+	}
+	for i, d := range c.Customers {
+		if d == nil {
+			return nil, siskin.NewError(siskin.BadInput, "customer %d of the change is null", i+1).WithRemedy("remove it")
+		}
+	}
+	return c, nil
+}
+
+// DecodeService reads a service document.
+func DecodeService(data []byte) (*Service, error) {
+	s := new(Service)
+	if err := decode(data, MaxDocument, s); err != nil {
+		return nil, err
+	}
+	var grace struct{ KeyGrace *Duration }
+	if err := json.Unmarshal(data, &grace); err != nil {
+		return nil, malformed(err)
+	}
+	if grace.KeyGrace == nil {
+		return nil, missingGrace(s.Name)
+	}
+	return s, nil
+}
+
+// DecodeCustomer reads a customer document.
+func DecodeCustomer(data []byte) (*Customer, error) {
+	c := new(Customer)
+	if err := decode(data, MaxDocument, c); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func missingGrace(name siskin.ServiceName) error {
+	return siskin.NewError(siskin.BadInput, "service %s has no KeyGrace", text(name)).
+		WithRemedy("decide how long keys go on working in a data centre that is cut off, such as \"30s\"; there is no default")
+}
+
+func decode(data []byte, limit siskin.Bytes, v any) error {
+	if len(data) > int(limit) {
+		return siskin.NewError(siskin.TooLarge, "JSON text has %d bytes, at most %d are allowed", len(data), limit).WithRemedy("split it")
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return malformed(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return siskin.NewError(siskin.BadInput, "JSON text goes on after its end").WithRemedy("write one document")
+	}
+	return nil
+}
+
+func malformed(err error) error {
+	return siskin.NewError(siskin.BadInput, "JSON text is not a document").WithCause(err).
+		WithRemedy("write names in Pascal case as docs/design.md section 9 and pkg/config give them")
+}
--- /dev/null
+++ b/pkg/config/finding.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"siskintray.example/siskin"
+)
+
+// Finding is one fault of a change.
+type Finding struct {
+	// Place names the document and the field, such as
+	// "Service/ledger-a/Targets/0/Address".
+	Place   string
+	Message string
+	Remedy  string
+}
+
+// String returns the finding on one line.
+func (f Finding) String() string {
+	return f.Place + ": " + f.Message + "; " + f.Remedy
+}
+
+// Findings are all faults of a change.
+type Findings []Finding
+
+// Err returns nil without findings, else an error of kind BadInput that lists
+// them all, one a line.
+func (fs Findings) Err() error {
+	if len(fs) == 0 {
+		return nil
+	}
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.String()
+	}
+	return siskin.NewError(siskin.BadInput, "%s", strings.Join(lines, "\n"))
+}
+
+// report collects the findings of one document.
+type report struct {
+	document string
+	found    Findings
+}
+
+func (r *report) add(field, remedy, format string, args ...any) {
+	place := r.document
+	if field != "" {
+		place += "/" + field
+	}
+	r.found = append(r.found, Finding{Place: place, Message: fmt.Sprintf(format, args...), Remedy: remedy})
+}
+
+// text shortens hostile text for a message.
+func text[S ~string](s S) string {
+	if len(s) > 60 {
+		return fmt.Sprintf("%q", strings.ToValidUTF8(string(s[:60]), "")+"...")
+	}
+	return fmt.Sprintf("%q", string(s))
+}
