siskin: give forwarded transactions an address of their own

Cause: net/rpc frames and PostgreSQL start-up packets both begin with a length, so one listener cannot tell them apart reliably.

Change: VM has ForwardAddress beside PeerAddress.

--- a/vm.go
+++ b/vm.go
@@ -36,6 +36,10 @@
 	ID          VMID
 	Incarnation Incarnation
 	DataCentre  DataCentreID
+	// PeerAddress takes net/rpc calls of other VMs.
 	PeerAddress string
-	State       VMState
+	// ForwardAddress takes transactions that other VMs forward, in the
+	// PostgreSQL protocol.
+	ForwardAddress string
+	State          VMState
 }
