pgctl, pool, relay: let experiments replace the dial function

Cause: in-process experiments need delays and partitions on the links to targets and between VMs, and the packages opened connections themselves.

Change: siskin.DialFunc; the three dialers take one. Connections for forwarded transactions go to VM.ForwardAddress.

Conclusion: netem can stand between all ends.

--- a/internal/pool/dialer.go
+++ b/internal/pool/dialer.go
@@ -9,6 +9,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"siskintray.example/siskin"
 )
 
 // Opened is a new connection that is idle.
@@ -30,6 +32,8 @@
 type PGDialer struct {
 	// TLS is nil for connections without TLS.
 	TLS *tls.Config
+	// Open replaces net.Dialer.DialContext when it is set.
+	Open siskin.DialFunc
 
 	base *pgconn.Config
 }
@@ -57,6 +61,9 @@
 	}
 	c := d.base.Copy()
 	c.Host, c.Port, c.TLSConfig = host, uint16(port), d.TLS
+	if d.Open != nil {
+		c.DialFunc = pgconn.DialFunc(d.Open)
+	}
 	c.Database = cfg.Credentials.Database
 	c.User, c.Password = cfg.Credentials.User, cfg.Credentials.Password
 	c.RuntimeParams = map[string]string{
@@ -80,7 +87,11 @@
 
 // Cancel implements Dialer.
 func (d *PGDialer) Cancel(ctx context.Context, address string, processID uint32, secret []byte) error {
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	open := d.Open
+	if open == nil {
+		open = new(net.Dialer).DialContext
+	}
+	conn, err := open(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -29,9 +29,13 @@
 }
 
 // NewForwarder returns a Forwarder that uses the TLS settings for connections
-// to peers; nil means no TLS.
-func NewForwarder(clock siskin.Clock, cfg *tls.Config) *Forwarder {
-	return &Forwarder{clock: clock, pool: pool.New(clock, peerDialer{cfg})}
+// to peers; nil means no TLS. With open set, it replaces
+// net.Dialer.DialContext.
+func NewForwarder(clock siskin.Clock, cfg *tls.Config, open siskin.DialFunc) *Forwarder {
+	if open == nil {
+		open = new(net.Dialer).DialContext
+	}
+	return &Forwarder{clock: clock, pool: pool.New(clock, peerDialer{cfg, open})}
 }
 
 // Close waits until ctx ends for transactions in progress.
@@ -44,7 +48,7 @@
 // batch. Nothing of the transaction was sent when it fails.
 func (f *Forwarder) Begin(home siskin.VM, hdr *Header) (Leg, *Failure) {
 	key := pool.Key{Target: siskin.TargetID(home.ID)}
-	f.pool.Own(key, pool.SlotConfig{Address: home.PeerAddress, Limit: peerLimit, OpenTime: peerOpenTime, Stateless: true})
+	f.pool.Own(key, pool.SlotConfig{Address: home.ForwardAddress, Limit: peerLimit, OpenTime: peerOpenTime, Stateless: true})
 	deadline := f.clock.Now().Add(hdr.Remaining)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -69,14 +73,33 @@
 // Drop closes the connections to a VM that left.
 func (f *Forwarder) Drop(vm siskin.VMID) { f.pool.Drop(pool.Key{Target: siskin.TargetID(vm)}) }
 
-// peerDialer opens connections to the peer address of other VMs.
-type peerDialer struct{ tls *tls.Config }
+// peerDialer opens connections to the forward address of other VMs.
+type peerDialer struct {
+	tls *tls.Config
+	net siskin.DialFunc
+}
 
 func (d peerDialer) open(ctx context.Context, address string) (net.Conn, error) {
-	if d.tls == nil {
-		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	conn, err := d.net(ctx, "tcp", address)
+	if err != nil || d.tls == nil {
+		return conn, err
+	}
+	cfg := d.tls
+	if cfg.ServerName == "" && !cfg.InsecureSkipVerify {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			conn.Close()
+			return nil, err
+		}
+		cfg = cfg.Clone()
+		cfg.ServerName = host
+	}
+	secure := tls.Client(conn, cfg)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
 	}
-	return (&tls.Dialer{Config: d.tls}).DialContext(ctx, "tcp", address)
+	return secure, nil
 }
 
 // Dial implements pool.Dialer.
--- a/pkg/pgctl/dialer.go
+++ b/pkg/pgctl/dialer.go
@@ -15,14 +15,25 @@
 type Dialer struct {
 	credentials config.Credentials
 	timeout     time.Duration
+	open        siskin.DialFunc
 }
 
+// Option changes a Dialer.
+type Option func(*Dialer)
+
+// WithDial replaces the function that opens connections.
+func WithDial(open siskin.DialFunc) Option { return func(d *Dialer) { d.open = open } }
+
 var _ siskin.TargetDialer = (*Dialer)(nil)
 
 // NewDialer returns a dialer. A connection that does not open within timeout is
 // given up; zero leaves the time to the context.
-func NewDialer(credentials config.Credentials, timeout time.Duration) *Dialer {
-	return &Dialer{credentials: credentials, timeout: timeout}
+func NewDialer(credentials config.Credentials, timeout time.Duration, opts ...Option) *Dialer {
+	d := &Dialer{credentials: credentials, timeout: timeout}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // DialTarget implements siskin.TargetDialer.
@@ -59,5 +70,8 @@
 	cfg.User, cfg.Password, cfg.Database = d.credentials.User, d.credentials.Password, d.credentials.Database
 	cfg.RuntimeParams = map[string]string{"application_name": "siskintray-control"}
 	cfg.Fallbacks = nil
+	if d.open != nil {
+		cfg.DialFunc = pgconn.DialFunc(d.open)
+	}
 	return cfg, nil
 }
