fairq: add weighted deficit round robin with deadline admission

Cause: a customer above its usual load, or with slow statements, must not take places from the others, and a request that cannot be served in time must be refused at once.

A request is charged the mean service time of its customer when it starts and the difference when it ends. A wheel of rounds with bitmaps finds the next customer in constant time. Running requests cannot be interrupted, so a customer that holds more than half of the places leaves a quarter of them free while others are active.

--- /dev/null
+++ b/pkg/fairq/idle.go
@@ -0,0 +1,92 @@
+package fairq
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// idleTime is how long the account of a customer without requests is kept. It
+// bounds memory to the customers active within that time.
+const idleTime = 10 * time.Second
+
+// idleList orders flows without requests by the time they became idle.
+type idleList struct{ head, tail *flow }
+
+func (l *idleList) push(f *flow) {
+	f.prev, f.next = l.tail, nil
+	if l.tail == nil {
+		l.head = f
+	} else {
+		l.tail.next = f
+	}
+	l.tail = f
+	f.idle = true
+}
+
+func (l *idleList) remove(f *flow) {
+	if f.prev == nil {
+		l.head = f.next
+	} else {
+		f.prev.next = f.next
+	}
+	if f.next == nil {
+		l.tail = f.prev
+	} else {
+		f.next.prev = f.prev
+	}
+	f.prev, f.next = nil, nil
+	f.idle = false
+}
+
+// flow returns the account of a customer and creates it when it is missing.
+func (s *sched) flow(now time.Duration, id siskin.CustomerID, weight int) *flow {
+	weight = max(weight, 1)
+	f := s.flows[id]
+	if f == nil {
+		f = s.dropIdle(now)
+		*f = flow{id: id, weight: weight, asOf: s.wheel.round}
+		s.flows[id] = f
+	} else if f.idle {
+		s.idle.remove(f)
+	}
+	if f.weight != weight {
+		if f.waiting > 0 {
+			s.backlogWeight += weight - f.weight
+		}
+		f.weight = weight
+	}
+	return f
+}
+
+// dropIdle removes up to two accounts that were idle for too long, so that the
+// number of accounts shrinks again, and returns a flow to use.
+func (s *sched) dropIdle(now time.Duration) *flow {
+	var dropped *flow
+	for range 2 {
+		f := s.idle.head
+		if f == nil || now-f.idleSince < idleTime {
+			break
+		}
+		s.idle.remove(f)
+		delete(s.flows, f.id)
+		for i := range s.seen {
+			if s.seen[i].flow == f {
+				s.seen[i] = sighting{}
+			}
+		}
+		dropped = f
+	}
+	if dropped == nil {
+		return new(flow)
+	}
+	return dropped
+}
+
+// park puts a flow without requests on the idle list.
+func (s *sched) park(f *flow, now time.Duration) {
+	if f.running == 0 && f.waiting == 0 && !f.idle {
+		f.idleSince = now
+		s.idle.push(f)
+	}
+}
--- /dev/null
+++ b/pkg/fairq/sched.go
@@ -0,0 +1,137 @@
+package fairq
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/invar"
+)
+
+var (
+	invPlaces  = invar.New("FairqRunningWithinPlaces")
+	invWaiting = invar.New("FairqWaitingWithinBound")
+)
+
+// sched decides which request runs next. Times are durations since an origin
+// that the caller picks. It is not safe for concurrent use.
+type sched struct {
+	settings
+	places  int
+	running int
+	waiting int
+	// backlogWeight is the sum of the weights of flows with waiting requests.
+	backlogWeight int
+	flows         map[siskin.CustomerID]*flow
+	wheel         wheel
+	// held is the flow that waits because of the reserve. At most one flow can
+	// hold more than half of the places.
+	held  *flow
+	cost  ewma // over all requests
+	free  *ticket
+	idle  idleList
+	seen  [2]sighting // the two customers that sent the latest requests
+	fresh *ticket     // the ticket that enter is deciding on
+}
+
+// sighting is the latest request of one customer.
+type sighting struct {
+	flow *flow
+	at   time.Duration
+}
+
+func newSched(places int, s settings) *sched {
+	return &sched{
+		settings: s, places: places, flows: make(map[siskin.CustomerID]*flow),
+		wheel: wheel{round: 1}, // round 0 is the earned value of a new flow
+	}
+}
+
+// enter adds a request. The ticket is running or waiting; it is nil when the
+// request is refused.
+func (s *sched) enter(now time.Duration, id siskin.CustomerID, weight int, deadline time.Duration) (*ticket, refusal) {
+	f := s.flow(now, id, weight)
+	s.see(f, now)
+	if r := s.refuse(f, now, deadline); r.reason != "" {
+		s.park(f, now)
+		return nil, r
+	}
+	t := s.newTicket()
+	t.flow, t.state = f, ticketWaiting
+	t.lastStart = min(deadline, now+s.maxWait)
+	f.push(t)
+	s.waiting++
+	if f.waiting == 1 {
+		s.backlogWeight += f.weight
+		f.lastStart, f.pace = 0, ewma{}
+		f.repay(s.wheel.round)
+		s.file(f)
+	}
+	s.fresh = t
+	s.dispatch(now)
+	s.fresh = nil
+	if s.waiting > s.maxTotal { // the call allocates, so it is made on a violation only
+		invWaiting.Check(false, "%d waiting, bound %d", s.waiting, s.maxTotal)
+	}
+	return t, refusal{}
+}
+
+// leave ends a running request and charges its measured service time.
+func (s *sched) leave(now time.Duration, t *ticket) {
+	f, took := t.flow, now-t.started
+	f.running--
+	s.running--
+	f.cost.add(took)
+	s.cost.add(took)
+	f.deficit -= took - t.charged
+	s.recycle(t)
+	s.park(f, now)
+	s.dispatch(now)
+}
+
+// cancel removes a request that its caller gave up while it waited.
+func (s *sched) cancel(now time.Duration, t *ticket) {
+	f := t.flow
+	s.unqueue(f, t)
+	s.recycle(t)
+	s.park(f, now)
+}
+
+// unqueue takes a waiting ticket out of its flow.
+func (s *sched) unqueue(f *flow, t *ticket) {
+	f.remove(t)
+	s.waiting--
+	if f.waiting > 0 {
+		return
+	}
+	s.backlogWeight -= f.weight
+	f.asOf = s.wheel.round
+	if s.held == f {
+		s.held = nil
+	}
+	if f.filed {
+		s.wheel.remove(f)
+		f.unearn(s.wheel.round)
+	}
+}
+
+func (s *sched) see(f *flow, now time.Duration) {
+	if s.seen[0].flow != f {
+		s.seen[1] = s.seen[0]
+	}
+	s.seen[0] = sighting{f, now}
+}
+
+func (s *sched) newTicket() *ticket {
+	t := s.free
+	if t == nil {
+		return &ticket{ready: make(chan struct{}, 1)}
+	}
+	s.free, t.next = t.next, nil
+	return t
+}
+
+func (s *sched) recycle(t *ticket) {
+	t.gen++
+	t.state, t.flow = ticketFree, nil
+	t.next, s.free = s.free, t
+}
--- /dev/null
+++ b/pkg/fairq/sched_test.go
@@ -0,0 +1,127 @@
+package fairq
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/invar"
+)
+
+func init() {
+	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
+}
+
+// TestShortRequestsDoNotStarveOthers guards against a customer whose queue
+// empties after each short request and that gets a new quantum each time.
+func TestShortRequestsDoNotStarveOthers(t *testing.T) {
+	s := newSched(1, defaults(1))
+	now := time.Second
+	enter := func(id siskin.CustomerID) *ticket {
+		tk, _ := s.enter(now, id, 1, now+time.Minute)
+		return tk
+	}
+	a := enter("a")
+	now += 10 * time.Millisecond
+	s.leave(now, a)
+	short := enter("t")
+	a = enter("a")
+	// The debt of a is 9.75 ms; with 100 us a request, t may run about as long.
+	for n := 0; a.state == ticketWaiting; n++ {
+		if n == 200 {
+			t.Fatalf("got no start of a in %d starts of t, want one", n)
+		}
+		next := enter("t")
+		now += 100 * time.Microsecond
+		s.leave(now, short)
+		short = next
+	}
+}
+
+// TestRandomCalls guards against lost places, lost tickets and starved
+// requests in any order of calls.
+func TestRandomCalls(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		places := rapid.IntRange(1, 8).Draw(r, "places")
+		s := newSched(places, defaults(places))
+		now := time.Second
+		var live []*ticket
+		for range rapid.IntRange(1, 300).Draw(r, "steps") {
+			now += time.Duration(rapid.IntRange(0, 20_000_000).Draw(r, "gap"))
+			if pick := rapid.IntRange(0, len(live)).Draw(r, "pick"); pick < len(live) {
+				end(s, now, live[pick])
+				live = append(live[:pick], live[pick+1:]...)
+			} else {
+				id := siskin.CustomerID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(r, "id"))
+				deadline := now + time.Duration(rapid.IntRange(0, 2_000_000_000).Draw(r, "deadline"))
+				if tk, _ := s.enter(now, id, rapid.IntRange(1, 5).Draw(r, "weight"), deadline); tk != nil {
+					live = append(live, tk)
+				}
+			}
+			checkCounts(r, s, live)
+		}
+		for _, tk := range live {
+			end(s, now, tk)
+		}
+		if s.running != 0 || s.waiting != 0 || s.backlogWeight != 0 || s.wheel.summary != 0 {
+			r.Fatalf("got running %d, waiting %d, weight %d, wheel %b after the end, want zeros", s.running, s.waiting, s.backlogWeight, s.wheel.summary)
+		}
+	})
+}
+
+func end(s *sched, now time.Duration, t *ticket) {
+	select {
+	case <-t.ready:
+	default:
+	}
+	switch t.state {
+	case ticketRunning:
+		s.leave(now, t)
+	case ticketWaiting:
+		s.cancel(now, t)
+	default:
+		s.recycle(t)
+	}
+}
+
+// checkCounts compares the counters with the tickets, and requires that no
+// place is free while a request waits, except for the reserve.
+func checkCounts(r *rapid.T, s *sched, live []*ticket) {
+	running, waiting := 0, 0
+	for _, t := range live {
+		switch t.state {
+		case ticketRunning:
+			running++
+		case ticketWaiting:
+			waiting++
+		}
+	}
+	if s.running != running || s.waiting != waiting {
+		r.Fatalf("got running %d, waiting %d, want %d, %d", s.running, s.waiting, running, waiting)
+	}
+	held := 0
+	if s.held != nil {
+		held = s.held.waiting
+	}
+	if running < s.places && waiting > held {
+		r.Fatalf("got %d waiting and %d held with %d of %d places used, want none waiting", waiting, held, running, s.places)
+	}
+}
+
+// TestIdleAccountsAreDropped guards against memory that grows with every
+// customer ever seen.
+func TestIdleAccountsAreDropped(t *testing.T) {
+	s := newSched(4, defaults(4))
+	now := time.Second
+	for i := range 20_000 {
+		now += 10 * time.Millisecond
+		tk, _ := s.enter(now, siskin.CustomerID(fmt.Sprint(i)), 1, now+time.Second)
+		s.leave(now, tk)
+	}
+	if got, want := len(s.flows), int(idleTime/(10*time.Millisecond))+1; got > want {
+		t.Errorf("got %d accounts, want at most %d", got, want)
+	}
+}
