internal/pool: give up silent connections and test the pool

A request on a connection that went silent waited until its deadline, and requests for one account waited on while every opening failed and the other account still had a connection (found by TestFailedOpenings).

Connections in use are now given up when a sibling of their age left a probe unanswered and no other was heard, or when their target is reported unreachable. Waits end with the first failed opening of their account. A connection that was closed while idle is not handed out.

--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -54,28 +54,25 @@
 	if f.Proof == retry.Unsent {
 		// No target was sent anything, so waiting adds no load to them.
 		c.srv.counts.waits.Add(1)
-		c.waitForChange(delay)
+		c.waitForChange(t, delay)
 		return true
 	}
 	if !cfg.Budgets.Withdraw(t.customer, t.service.Name) {
 		return false
 	}
 	c.srv.counts.retries.Add(1)
-	c.waitForChange(delay)
+	c.waitForChange(t, delay)
 	return true
 }
 
-// waitForChange waits for a change of the group's view, at most for the delay.
-func (c *session) waitForChange(delay time.Duration) {
+// waitForChange waits until the view of the last attempt changes, at most for
+// the delay.
+func (c *session) waitForChange(t *transaction, delay time.Duration) {
 	if delay <= 0 {
 		return
 	}
-	_, changed, ok := c.srv.cfg.Topology.View(c.service)
-	if !ok {
-		changed = nil
-	}
 	select {
-	case <-changed:
+	case <-t.changed:
 	case <-c.srv.cfg.Clock.After(delay):
 	}
 }
@@ -83,7 +80,8 @@
 // begin picks a target and a slot and leases a connection at its home.
 func (c *session) begin(t *transaction) (relay.Leg, *relay.Failure) {
 	cfg := &c.srv.cfg
-	view, _, ok := cfg.Topology.View(c.service)
+	view, changed, ok := cfg.Topology.View(c.service)
+	t.changed = changed
 	if !ok {
 		return nil, noTarget(t)
 	}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -26,6 +26,7 @@
 	deadline time.Time
 	hdr      relay.Header
 	tried    []siskin.TargetID
+	changed  <-chan struct{} // closed when the view of the last attempt changes
 	attempts int
 	maybeRan bool // an attempt ended without proof that it did not run
 	streamed bool // the batch was sent without being kept
@@ -125,14 +126,17 @@
 	if f != nil {
 		return nil, relay.Result{}, f
 	}
-	ranOnce.Check(!t.maybeRan || (t.route.Mode == config.ReadRoute && t.route.Repeatable),
-		"request %d of route %s is sent again although it may have run", t.hdr.Request, t.route.Name)
+	if t.maybeRan && (t.route.Mode != config.ReadRoute || !t.route.Repeatable) {
+		ranOnce.Check(false, "request %d of route %s is sent again although it may have run", t.hdr.Request, t.route.Name)
+	}
 	if err := c.checkKey(); err != nil {
 		leg.Abort(nil)
 		return nil, relay.Result{}, &relay.Failure{Proof: retry.Unsent, Err: asError(err)}
 	}
 	c.setLeg(leg)
-	keyValid.Check(c.grant != (siskin.KeyGrant{}) || t.route.Open, "request %d on route %s has no key", t.hdr.Request, t.route.Name)
+	if c.grant == (siskin.KeyGrant{}) && !t.route.Open {
+		keyValid.Check(false, "request %d on route %s has no key", t.hdr.Request, t.route.Name)
+	}
 	c.stmts.repeat()
 	t.streamed = last == 0
 	res, f := relay.Exchange(c, leg, c, &c.batch, last)
@@ -179,7 +183,10 @@
 	if f.Err.Kind == siskin.KeyWithdrawn {
 		return f.Err
 	}
-	if last == 0 && !endsBatch(c.last) || c.r.Left() > 0 {
+	if err := c.r.Skip(); err != nil {
+		return err
+	}
+	if last == 0 && !endsBatch(c.last) {
 		if err := c.discardBatch(); err != nil {
 			return err
 		}
@@ -207,16 +214,15 @@
 func (c *session) discardBatch() error {
 	c.out = c.out[:0]
 	for {
+		h, err := c.r.Next()
+		if err != nil {
+			return err
+		}
 		if err := c.r.Skip(); err != nil {
 			return err
 		}
-		if endsBatch(c.last) {
+		if c.last = h.Type; c.last == 'S' {
 			return nil
 		}
-		h, err := c.r.Next()
-		if err != nil {
-			return err
-		}
-		c.last = h.Type
 	}
 }
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -27,11 +27,11 @@
 	// maxOpening bounds the connections of a slot that open at the same time,
 	// so that a target that comes back is not met by all openings at once.
 	maxOpening = 4
-	// probeAfter, probeTimeout, probeAgain and tick add up to less than the 3 s
-	// within which a silent connection must be found.
-	probeAfter   = time.Second
-	probeTimeout = time.Second
-	probeAgain   = 500 * time.Millisecond
+	// A silent connection must be found within 3 s. In the longest case, probeAfter,
+	// probeTimeout, probeAgain and three ticks pass.
+	probeAfter   = 800 * time.Millisecond
+	probeTimeout = 800 * time.Millisecond
+	probeAgain   = 400 * time.Millisecond
 	tick         = 200 * time.Millisecond
 	// resetTimeout bounds the wait for the answer to DISCARD ALL.
 	resetTimeout = time.Second
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -41,6 +42,8 @@
 	processID  uint32
 	secret     []byte
 	opened     time.Time
+	read       atomic.Int64 // time of the last read that returned bytes
+	silent     atomic.Bool
 
 	// Guarded by slot.mu.
 	state     connState
@@ -50,13 +53,31 @@
 }
 
 func newConn(s *slot, account Account, o Opened, now time.Time) *Conn {
-	return &Conn{
-		Conn: o.Conn, R: frame.NewReader(o.Conn), W: frame.NewWriter(o.Conn),
+	c := &Conn{
+		Conn: o.Conn, W: frame.NewWriter(o.Conn),
 		slot: s, account: account, processID: o.ProcessID, secret: o.Secret,
 		opened: now, lastHeard: now, idleSince: now,
 	}
+	c.R = frame.NewReader(c)
+	c.read.Store(now.UnixNano())
+	return c
 }
 
+// Read implements net.Conn and keeps the time of the last byte.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.read.Store(c.slot.pool.clock.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (c *Conn) lastRead() time.Time { return time.Unix(0, c.read.Load()) }
+
+// Silent reports whether the wait on the connection was ended because the
+// connection went silent.
+func (c *Conn) Silent() bool { return c.silent.Load() }
+
 // Target returns the target that the connection leads to.
 func (c *Conn) Target() siskin.TargetID { return c.slot.key.Target }
 
@@ -64,8 +85,11 @@
 func (c *Conn) CheckOwner(owner uint64) bool {
 	c.slot.mu.Lock()
 	defer c.slot.mu.Unlock()
-	return oneOwner.Check(c.owner == owner && c.state == connBusy,
-		"connection of request %d (state %d) used by request %d", c.owner, c.state, owner)
+	ok := c.owner == owner && c.state == connBusy
+	if !ok { // the arguments of a check allocate
+		oneOwner.Check(false, "connection of request %d (state %d) used by request %d", c.owner, c.state, owner)
+	}
+	return ok
 }
 
 // Recycle resets the session state and returns the connection to the pool. The
@@ -74,9 +98,8 @@
 func (c *Conn) Recycle(owner uint64) {
 	s := c.slot
 	s.mu.Lock()
-	ok := oneOwner.Check(c.owner == owner && c.state == connBusy,
-		"connection of request %d (state %d) returned by request %d", c.owner, c.state, owner)
-	if !ok {
+	if c.owner != owner || c.state != connBusy {
+		oneOwner.Check(c.state == connClosed, "connection of request %d (state %d) returned by request %d", c.owner, c.state, owner)
 		s.mu.Unlock()
 		return
 	}
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -113,8 +113,8 @@
 	b := retry.Backoff{Base: max(s.cfg.OpenTime, 10*time.Millisecond), Max: maxBackoff}
 	delay := b.Delay(s.failures, rand.Int64N)
 	s.nextOpen = s.pool.clock.Now().Add(delay)
-	if s.open() == 0 {
-		s.failWaiters(s.unreachable())
+	if s.has(account) == 0 {
+		s.failWaiters(account, s.unreachable())
 	}
 	s.checkDrained()
 	s.mu.Unlock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -16,7 +16,9 @@
 	clock     siskin.Clock
 	dialer    Dialer
 	onFailure func(siskin.TargetID, error)
+	reachable func(siskin.TargetID) bool
 	slots     *shard.Map[Key, *slot]
+	silences  *shard.Map[siskin.TargetID, *silence]
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -34,12 +36,18 @@
 	return func(p *Pool) { p.onFailure = f }
 }
 
+// WithReachable sets the function that tells whether a target answers its other
+// connections. Requests that wait on an unreachable and quiet target are ended.
+func WithReachable(f func(target siskin.TargetID) bool) Option {
+	return func(p *Pool) { p.reachable = f }
+}
+
 // workers bounds the openings and the probes that run at the same time.
 const workers = 256
 
 // New returns an empty Pool and starts its maintenance.
 func New(clock siskin.Clock, dialer Dialer, opts ...Option) *Pool {
-	p := &Pool{clock: clock, dialer: dialer, slots: shard.New[Key, *slot]()}
+	p := &Pool{clock: clock, dialer: dialer, slots: shard.New[Key, *slot](), silences: shard.New[siskin.TargetID, *silence]()}
 	for _, o := range opts {
 		o(p)
 	}
@@ -132,6 +140,10 @@
 		return nil, notOwned(key)
 	}
 	c, w, err := s.join(account, owner)
+	for c != nil && !isOpen(c.Conn) {
+		c.Close(nil)
+		c, w, err = s.join(account, owner)
+	}
 	if err != nil || c != nil {
 		return c, err
 	}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,288 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/stand/target"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/invar"
+)
+
+func TestMain(m *testing.M) {
+	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
+	goleak.VerifyTestMain(m)
+}
+
+var key = Key{Target: "badges/1", Slot: 0}
+
+// faultyDialer wraps connections so that tests can silence the older ones or
+// make openings fail.
+type faultyDialer struct {
+	*PGDialer
+	muteBefore atomic.Int64
+	fail       atomic.Bool
+	opens      atomic.Int64
+}
+
+func (d *faultyDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (Opened, error) {
+	n := d.opens.Add(1)
+	if d.fail.Load() {
+		return Opened{}, errors.New("refused")
+	}
+	o, err := d.PGDialer.Dial(ctx, key, cfg, account)
+	o.Conn = mutedConn{o.Conn, d, n}
+	return o, err
+}
+
+type mutedConn struct {
+	net.Conn
+	d *faultyDialer
+	n int64
+}
+
+func (c mutedConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n == 0 || c.n > c.d.muteBefore.Load() {
+			return n, err
+		}
+	}
+}
+
+type fixture struct {
+	*Pool
+	target *target.Server
+	dialer *faultyDialer
+	cfg    SlotConfig
+	silent atomic.Int64
+}
+
+func newFixture(t *testing.T, limit int) *fixture {
+	t.Helper()
+	servers, err := target.StartGroup("badges", 1, func(c *target.Config) { c.ConnectionsPerSlot = limit })
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := NewPGDialer(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{target: servers[0], dialer: &faultyDialer{PGDialer: d}}
+	f.cfg = SlotConfig{Address: servers[0].Address(), Limit: limit, Credentials: config.Credentials{
+		User: "siskin", Password: "full-secret", ReadUser: "siskin_read", ReadPassword: "read-secret", Database: "app",
+	}}
+	f.Pool = New(clockwork.NewRealClock(), f.dialer, WithFailure(func(siskin.TargetID, error) { f.silent.Add(1) }))
+	f.Own(key, f.cfg)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		f.Close(ctx)
+		_ = target.CloseAll(servers)
+	})
+	return f
+}
+
+func (f *fixture) get(t *testing.T, account Account, owner uint64) *Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	c, err := f.Get(ctx, key, account, owner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestLimitOverBothAccounts guards against a slot that opens more connections
+// than its number, and against a request that waits while it could be served.
+func TestLimitOverBothAccounts(t *testing.T) {
+	const limit = 5
+	f := newFixture(t, limit)
+	seed := uint64(7)
+	t.Logf("seed %d", seed)
+	var wg sync.WaitGroup
+	var owner atomic.Uint64
+	for w := range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rnd := rand.New(rand.NewPCG(seed, uint64(w)))
+			for range 60 {
+				id := owner.Add(1)
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				c, err := f.Get(ctx, key, Account(rnd.IntN(2)), id)
+				cancel()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				time.Sleep(time.Duration(rnd.IntN(500)) * time.Microsecond)
+				if rnd.IntN(10) == 0 {
+					c.Close(nil)
+				} else {
+					c.Recycle(id)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	// A connection that the pool closed may still be counted at the target when
+	// its successor arrives; the target then refuses, which the pool repeats.
+	if got := f.target.Stats().Slots[0].Max; got > limit {
+		t.Errorf("got %d connections at the target, want at most %d", got, limit)
+	}
+	if st := f.Stats()[key]; st.Open > limit || st.Busy != 0 || st.Waiting != 0 {
+		t.Errorf("got %+v, want at most %d open, none busy or waiting", st, limit)
+	}
+}
+
+// TestSilentConnectionsAreReplaced guards against requests that wait on old
+// connections which went silent while new ones work.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	f := newFixture(t, 6)
+	busy := f.get(t, Full, 1)
+	second := f.get(t, Full, 2)
+	second.Recycle(2)
+	start := time.Now()
+	f.dialer.muteBefore.Store(f.dialer.opens.Load())
+	_ = busy.W.Message(&pgproto3.Query{String: "select 1"})
+	if err := busy.W.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	_, err := busy.R.Next()
+	if got, want := time.Since(start), 3*time.Second; err == nil || !busy.Silent() || got > want {
+		t.Fatalf("connection in use: got %v (silent %v) after %v, want an end within %v", err, busy.Silent(), got, want)
+	}
+	busy.Close(err)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c, err := f.Get(ctx, key, Full, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !c.roundTrip("select 1", time.Second) {
+		t.Errorf("got a silent connection %v after the fault, want a new one", time.Since(start))
+	}
+	c.Recycle(3)
+}
+
+// TestSlowStatementIsNotSilent guards against a request that is cut because it
+// takes long while another connection fails.
+func TestSlowStatementIsNotSilent(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for the detection of silence")
+	}
+	f := newFixture(t, 6)
+	slow := f.get(t, Full, 1)
+	other := f.get(t, Full, 2)
+	third := f.get(t, Full, 3)
+	third.Recycle(3)
+	other.Recycle(2)
+	f.dialer.muteBefore.Store(1) // one connection only
+	if !slow.roundTrip("select pg_sleep(3.5)", 6*time.Second) && slow.Silent() {
+		t.Error("got a slow statement cut as silent, want its answer")
+	}
+	slow.Close(nil)
+}
+
+// TestDropCutsNoRequest guards against a change of ownership that ends a
+// request in progress, and against new work on a slot that was given up.
+func TestDropCutsNoRequest(t *testing.T) {
+	f := newFixture(t, 4)
+	c := f.get(t, Full, 1)
+	done := f.Drop(key)
+	if _, err := f.Get(context.Background(), key, Full, 2); siskin.KindOf(err) != siskin.NotRun {
+		t.Errorf("got %v, want kind NotRun", err)
+	}
+	select {
+	case <-done:
+		t.Fatal("drained while a request is in progress")
+	case <-time.After(50 * time.Millisecond):
+	}
+	if !c.roundTrip("select 1", time.Second) {
+		t.Error("the request in progress was cut")
+	}
+	c.Recycle(1)
+	<-done
+	f.Own(key, f.cfg)
+	f.get(t, Full, 3).Recycle(3)
+}
+
+// TestClosedIdleConnectionIsNotHandedOut guards against an unknown outcome of
+// a request that was sent to a connection which the target had closed.
+func TestClosedIdleConnectionIsNotHandedOut(t *testing.T) {
+	f := newFixture(t, 4)
+	for i := range 3 {
+		c := f.get(t, Full, uint64(i)+1)
+		defer c.Recycle(uint64(i) + 1)
+	}
+	c := f.get(t, Full, 9)
+	addr := c.LocalAddr()
+	_ = c.Conn.(mutedConn).Conn.(*net.TCPConn).CloseWrite() // the target answers with its own end
+	time.Sleep(50 * time.Millisecond)
+	if isOpen(c.Conn.(mutedConn).Conn) {
+		t.Errorf("%v: got open, want closed", addr)
+	}
+	c.Close(nil)
+}
+
+// TestFailedOpenings guards against waits without an end and against a storm
+// of openings while a target is down.
+func TestFailedOpenings(t *testing.T) {
+	f := newFixture(t, 4)
+	f.get(t, Full, 1).Close(nil)
+	f.dialer.fail.Store(true)
+	f.Drop(key)
+	f.Own(key, f.cfg)
+	before := f.dialer.opens.Load()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	start, failed := time.Now(), 0
+	for i := uint64(10); time.Since(start) < time.Second; i++ {
+		c, err := f.Get(ctx, key, Full, i)
+		if err == nil {
+			c.Close(nil) // a connection from before the fault
+			continue
+		}
+		if siskin.KindOf(err) != siskin.NotRun {
+			t.Fatalf("got %v, want kind NotRun", err)
+		}
+		failed++
+		time.Sleep(time.Millisecond)
+	}
+	if failed == 0 {
+		t.Error("got no failure, want some")
+	}
+	// Backoff with full jitter up to 0.5 s: about ten openings in a second.
+	if got := f.dialer.opens.Load() - before; got > 40 {
+		t.Errorf("got %d openings in a second, want at most 40", got)
+	}
+	f.dialer.fail.Store(false)
+	c := mustEventually(t, f)
+	c.Recycle(99)
+}
+
+func mustEventually(t *testing.T, f *fixture) *Conn {
+	t.Helper()
+	for range 200 {
+		if c, err := f.Get(context.Background(), key, Full, 99); err == nil {
+			return c
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(fmt.Sprintf("no connection within 2 s after the fault: %+v", f.Stats()[key]))
+	return nil
+}
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -22,6 +22,7 @@
 			}
 		}
 	}
+	s.giveUpSilent(now)
 	s.ensure()
 }
 
@@ -58,6 +59,7 @@
 	s.mu.Lock()
 	s.stats.silent++
 	s.mu.Unlock()
+	s.pool.silenceOf(s.key.Target).probeFailed(sent)
 	s.remove(c, nil)
 	err := siskin.NewError(siskin.Unavailable, "connection to target %s went silent", s.key.Target)
 	if s.pool.onFailure != nil && s.pool.ctx.Err() == nil {
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -38,6 +38,17 @@
 
 func (s *slot) open() int { return len(s.conns) + s.opening[Full] + s.opening[ReadOnly] }
 
+// has returns the number of connections of an account, including opening ones.
+func (s *slot) has(account Account) int {
+	n := s.opening[account]
+	for c := range s.conns {
+		if c.account == account {
+			n++
+		}
+	}
+	return n
+}
+
 func notOwned(key Key) error {
 	return siskin.NewError(siskin.NotRun, "slot %d of target %s is not owned by this VM", key.Slot, key.Target).
 		WithRemedy("repeat the request; it goes to the owner")
@@ -57,7 +68,7 @@
 		s.ensure()
 		return c, nil, nil
 	}
-	if s.open() == 0 && s.pool.clock.Now().Before(s.nextOpen) {
+	if s.has(account) == 0 && s.pool.clock.Now().Before(s.nextOpen) {
 		return nil, nil, s.unreachable()
 	}
 	w := &waiter{account: account, owner: owner, ready: make(chan result, 1)}
@@ -72,8 +83,9 @@
 }
 
 func (s *slot) lease(c *Conn, owner uint64) {
-	idleAndReset.Check(c.state == connIdle && c.owner == 0 && c.R.Buffered() == 0 && c.W.Buffered() == 0,
-		"connection to %s handed out in state %d of request %d", s.key.Target, c.state, c.owner)
+	if c.state != connIdle || c.owner != 0 || c.R.Buffered() > 0 || c.W.Buffered() > 0 {
+		idleAndReset.Check(false, "connection to %s handed out in state %d of request %d", s.key.Target, c.state, c.owner)
+	}
 	c.state, c.owner = connBusy, owner
 }
 
@@ -97,6 +109,8 @@
 		return
 	}
 	now := s.pool.clock.Now()
+	c.R.Release()
+	s.pool.silenceOf(s.key.Target).heard(c.opened, now)
 	c.state, c.lastHeard, c.idleSince = connIdle, now, now
 	i := slices.IndexFunc(s.waiters, func(w *waiter) bool { return w.account == c.account })
 	if i >= 0 {
@@ -142,12 +156,15 @@
 	}
 }
 
-// failWaiters ends every wait with err.
-func (s *slot) failWaiters(err error) {
-	for _, w := range s.waiters {
+// failWaiters ends the waits for an account with err.
+func (s *slot) failWaiters(account Account, err error) {
+	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
+		if w.account != account {
+			return false
+		}
 		w.ready <- result{err: err}
-	}
-	s.waiters = nil
+		return true
+	})
 }
 
 // drain stops new work, closes what is idle and returns a channel that is
@@ -156,7 +173,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
-	s.failWaiters(notOwned(s.key))
+	s.failWaiters(Full, notOwned(s.key))
+	s.failWaiters(ReadOnly, notOwned(s.key))
 	s.closeIdle()
 	done := make(chan struct{})
 	if s.open() == 0 {
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -153,7 +153,8 @@
 // fail ends the transaction after the target connection failed.
 func (l *local) fail(err error) *Failure {
 	conn := l.takeConn()
-	timeout := errors.Is(err, os.ErrDeadlineExceeded)
+	silent := conn != nil && conn.Silent()
+	timeout := errors.Is(err, os.ErrDeadlineExceeded) && !silent
 	if conn != nil {
 		if timeout {
 			go func() {
@@ -169,6 +170,8 @@
 	switch {
 	case !l.sent:
 		return unsent(err)
+	case silent:
+		return unknown(err, "connection to target %s went silent", l.hdr.Target)
 	case timeout:
 		return unknown(err, "target %s did not answer before the deadline", l.hdr.Target)
 	}
--- a/internal/relay/peerconn.go
+++ b/internal/relay/peerconn.go
@@ -26,6 +26,7 @@
 	r      *frame.Reader
 	w      *frame.Writer
 	batch  frame.Batch
+	last   byte // type of the last message consumed
 
 	mu       sync.Mutex
 	leg      Leg // in progress
@@ -89,6 +90,10 @@
 			if c.r.Skip() != nil || c.w.Message(&pgproto3.EmptyQueryResponse{}) != nil || c.ready('I') != nil {
 				return
 			}
+		case 'd', 'c', 'f':
+			if c.r.Skip() != nil { // copy data behind an error
+				return
+			}
 		default:
 			return
 		}
@@ -132,7 +137,7 @@
 			return f.Err
 		case f != nil:
 			f.Admitted = true
-			if last == 0 {
+			if last == 0 && !ends(c.last) {
 				return c.refuse(f)
 			}
 			return c.failed(f)
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -38,7 +38,7 @@
 }
 
 // Answer implements Leg.
-func (l *remote) Answer(sink Sink, stopAtCopy bool, _ func()) (Result, *Failure) {
+func (l *remote) Answer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
 	r := l.conn.R
 	for {
 		if r.Buffered() == 0 {
@@ -52,7 +52,7 @@
 		}
 		switch h.Type {
 		case failureType:
-			return Result{}, l.failed()
+			return Result{}, l.failed(quiesce == nil)
 		case 'Z':
 			return l.ready(sink)
 		}
@@ -85,8 +85,9 @@
 }
 
 // failed reads the home's failure. The home then discards the rest of the batch
-// and reports ready, after which the connection can be used again.
-func (l *remote) failed() *Failure {
+// and reports ready, after which the connection can be used again, unless the
+// batch is still being sent.
+func (l *remote) failed(sentWhole bool) *Failure {
 	f := &Failure{}
 	body, err := l.conn.R.Body(maxHeaderSize)
 	if err == nil {
@@ -99,6 +100,10 @@
 	if conn == nil {
 		return f
 	}
+	if !sentWhole {
+		conn.Close(nil)
+		return f
+	}
 	go func() {
 		h, err := conn.R.Next()
 		if err != nil || h.Type != 'Z' || conn.R.Skip() != nil {
@@ -155,7 +160,12 @@
 }
 
 func (l *remote) callerGone(err error) *Failure {
-	l.Abort(nil) // the home cancels the statement when the connection ends
+	if conn := l.take(); conn != nil {
+		go func() {
+			_ = conn.Cancel(cancelTimeout) // frees the target early
+			conn.Close(nil)
+		}()
+	}
 	f := unknown(err, "caller's connection failed")
 	f.CallerGone = true
 	return f
