--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -40,6 +40,7 @@
 	asked     bool // a position query follows the batch
 	copies    bool // a statement may start COPY
 	collected bool // the whole batch was sent before its answer is read
+	quiesce   func()
 
 	completed int    // CommandComplete messages of the transaction
 	batchTags int    // CommandComplete messages of the batch
@@ -152,7 +153,8 @@
 // fail ends the transaction after the target connection failed.
 func (l *local) fail(err error) *Failure {
 	conn := l.takeConn()
-	timeout := errors.Is(err, os.ErrDeadlineExceeded)
+	silent := conn != nil && conn.Silent()
+	timeout := errors.Is(err, os.ErrDeadlineExceeded) && !silent
 	if conn != nil {
 		if timeout {
 			go func() {
@@ -168,6 +170,8 @@
 	switch {
 	case !l.sent:
 		return unsent(err)
+	case silent:
+		return unknown(err, "connection to target %s went silent", l.hdr.Target)
 	case timeout:
 		return unknown(err, "target %s did not answer before the deadline", l.hdr.Target)
 	}
