--- a/pkg/config/generate.go
+++ b/pkg/config/generate.go
@@ -33,10 +33,7 @@
 			mergeCustomer(r, old, c, service.Name)
 		}
 	}
-	if len(r.found) > 0 {
-		return nil, r.found
-	}
-	if found := Validate(view, change); len(found) > 0 {
+	if found := append(r.found, Validate(view, change)...); len(found) > 0 {
 		return nil, found
 	}
 	return change, nil
