--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -132,9 +132,11 @@
 	complete := 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := NewSession()
-		for range 150 {
+		for range 600 {
 			if rapid.IntRange(0, 15).Draw(t, "back") == 0 {
-				s.Back()
+				for range rapid.IntRange(1, 20).Draw(t, "steps") {
+					s.Back()
+				}
 			}
 			// Drawn again until one fits, so that most walks reach the end.
 			for try := 0; try < 40 && s.Answer(rapid.SampledFrom(answers).Draw(t, "answer")) != nil; try++ {
