--- /dev/null
+++ b/internal/logs/repeats.go
@@ -0,0 +1,73 @@
+package logs
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// maxRepeatKeys bounds the memory of Repeats. Further keys share one entry.
+const maxRepeatKeys = 1024
+
+// otherKey is the entry of keys above the bound.
+const otherKey = "other"
+
+// Repeats limits lines that repeat: of the lines with one key, one an interval
+// is written, and it carries the number of those left out. A target that is
+// down would otherwise write a line for every failed statement.
+type Repeats struct {
+	clock    siskin.Clock
+	interval time.Duration
+	keys     *shard.Map[string, repeat]
+	count    atomic.Int64
+}
+
+type repeat struct {
+	written    time.Time
+	suppressed int64
+}
+
+// NewRepeats returns a limit of one line a key and interval.
+func NewRepeats(clock siskin.Clock, interval time.Duration) *Repeats {
+	return &Repeats{clock: clock, interval: interval, keys: shard.New[string, repeat]()}
+}
+
+// Allow reports whether a line with the given key is written now, and how many
+// were left out since the last one.
+func (r *Repeats) Allow(key string) (suppressed int64, ok bool) {
+	if _, known := r.keys.Get(key); !known && r.count.Add(1) > maxRepeatKeys {
+		r.count.Add(-1)
+		key = otherKey
+	}
+	now := r.clock.Now()
+	r.keys.Update(key, func(old repeat, seen bool) (repeat, bool) {
+		if seen && now.Sub(old.written) < r.interval {
+			old.suppressed++
+			return old, true
+		}
+		suppressed, ok = old.suppressed, true
+		return repeat{written: now}, true
+	})
+	return suppressed, ok
+}
+
+// Msg writes the entry unless a line with the same key was written within the
+// interval. The entry is used up in either case.
+func (r *Repeats) Msg(e *log.Entry, key, msg string) {
+	if e == nil { // level not enabled
+		return
+	}
+	suppressed, ok := r.Allow(key)
+	if !ok {
+		e.Discard()
+		return
+	}
+	if suppressed > 0 {
+		e = e.Int64("Suppressed", suppressed)
+	}
+	e.Msg(msg)
+}
