node: wire one VM and end work at a replaced primary

Cause: the packages of the request path had no program around them. Ruled out: detection and promotion, by the log of the group, and the queue, which was empty.

--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/token"
+)
+
+// Config holds what a Node is made of. Fields without a default must be set.
+type Config struct {
+	Self  siskin.VM
+	Clock siskin.Clock
+	Log   *log.Logger
+
+	// Config is the configuration in force at this VM.
+	Config  config.View
+	Members siskin.Members
+	Peers   siskin.Peers
+	Limiter siskin.Limiter
+	Keys    siskin.Keys
+	Tokens  *token.Codec
+
+	// Caller and Forward accept callers and transactions of other VMs.
+	Caller, Forward net.Listener
+	// CallerTLS, PeerTLS and TargetTLS are nil where connections are not
+	// encrypted, which is allowed on loopback only.
+	CallerTLS, PeerTLS, TargetTLS *tls.Config
+
+	// ProbeInterval is the time between two probes of a target; zero means the
+	// default of package group.
+	ProbeInterval time.Duration
+	// MaxConnections and StartTimeout bound callers; zero means the defaults of
+	// package front.
+	MaxConnections int
+	StartTimeout   time.Duration
+	// Open replaces net.Dialer.DialContext for connections to targets and
+	// forward addresses when it is set.
+	Open siskin.DialFunc
+}
--- /dev/null
+++ b/internal/node/groups.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/group"
+	"siskintray.example/siskin/pkg/pgctl"
+	"siskintray.example/siskin/pkg/place"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// groups holds the groups that this VM watches, as a home of one of their
+// slots.
+type groups struct {
+	self     siskin.VMID
+	clock    siskin.Clock
+	homes    *homes
+	interval time.Duration
+	open     siskin.DialFunc
+	log      *log.Logger
+	// demote ends the work at a target that was replaced as the primary.
+	demote  func(target siskin.TargetID)
+	running *shard.Map[siskin.ServiceName, *watchedGroup]
+}
+
+func newGroups(cfg Config, homes *homes, demote func(siskin.TargetID)) *groups {
+	return &groups{
+		self:     cfg.Self.ID,
+		clock:    cfg.Clock,
+		homes:    homes,
+		interval: cfg.ProbeInterval,
+		open:     cfg.Open,
+		log:      cfg.Log,
+		demote:   demote,
+		running:  shard.New[siskin.ServiceName, *watchedGroup](),
+	}
+}
+
+// Group implements siskin.Groups.
+func (g *groups) Group(service siskin.ServiceName) (siskin.Group, bool) {
+	w, ok := g.running.Get(service)
+	if !ok {
+		return nil, false
+	}
+	return w, true
+}
+
+// update starts and ends groups as the configuration and the homes demand. A
+// group whose targets or credentials changed is started anew.
+func (g *groups) update(view config.View) {
+	wanted := make(map[siskin.ServiceName]bool)
+	for _, name := range view.Services() {
+		service, ok := view.Service(name)
+		if !ok || !g.watches(service) {
+			continue
+		}
+		wanted[name] = true
+		if err := g.ensure(service); err != nil {
+			g.log.Error().Err(err).Str("Service", string(name)).Msg("cannot watch the group")
+		}
+	}
+	g.running.Range(func(name siskin.ServiceName, w *watchedGroup) bool {
+		if !wanted[name] {
+			g.running.Delete(name)
+			_ = w.Close() // ends calls and never fails
+		}
+		return true
+	})
+}
+
+func (g *groups) watches(service *config.Service) bool {
+	return slices.ContainsFunc(g.homes.ofService(service), func(vm siskin.VM) bool { return vm.ID == g.self })
+}
+
+func (g *groups) ensure(service *config.Service) error {
+	settings := g.settings(service)
+	old, ok := g.running.Get(service.Name)
+	if ok && old.credentials == service.Credentials && sameSettings(&old.settings, &settings) {
+		return nil
+	}
+	dialer := pgctl.NewDialer(service.Credentials, 0, pgctl.WithDial(g.open))
+	rank := func() int { return g.rank(service) }
+	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithRank(rank))
+	if err != nil {
+		return err
+	}
+	w := &watchedGroup{Group: started, settings: settings, credentials: service.Credentials, closed: make(chan struct{})}
+	w.wg.Go(func() { w.follow(g.demote) })
+	g.running.Put(service.Name, w)
+	if ok {
+		return old.Close()
+	}
+	return nil
+}
+
+func (g *groups) settings(service *config.Service) group.Settings {
+	s := group.Settings{
+		Service:        service.Name,
+		Self:           g.self,
+		AckReplicas:    service.AckReplicas,
+		Interval:       g.interval,
+		MaxUnconfirmed: service.MaxUnconfirmed.Std(),
+	}
+	for _, t := range service.Targets {
+		s.Members = append(s.Members, group.Member{ID: t.ID, DataCentre: t.DataCentre, Address: t.Address})
+	}
+	return s
+}
+
+func sameSettings(a, b *group.Settings) bool {
+	return a.AckReplicas == b.AckReplicas && a.MaxUnconfirmed == b.MaxUnconfirmed && slices.Equal(a.Members, b.Members)
+}
+
+// rank returns this VM's place among the VMs that watch the group.
+func (g *groups) rank(service *config.Service) int {
+	ranked := place.Rank("Group/"+string(service.Name), g.homes.ofService(service))
+	return max(0, slices.IndexFunc(ranked, func(vm siskin.VM) bool { return vm.ID == g.self }))
+}
+
+// of returns the group that a target belongs to.
+func (g *groups) of(target siskin.TargetID) (found *watchedGroup) {
+	g.running.Range(func(_ siskin.ServiceName, w *watchedGroup) bool {
+		if w.has(target) {
+			found = w
+		}
+		return found == nil
+	})
+	return found
+}
+
+// suspect tells the group of a target about a failed connection.
+func (g *groups) suspect(target siskin.TargetID, cause error) {
+	if w := g.of(target); w != nil {
+		w.Suspect(target, cause)
+	}
+}
+
+// reachable reports whether a target answers the probes of its group. A target
+// that no group watches counts as reachable, since nothing is known of it.
+func (g *groups) reachable(target siskin.TargetID) bool {
+	w := g.of(target)
+	if w == nil {
+		return true
+	}
+	view := w.View()
+	t, ok := view.Target(target)
+	return !ok || t.Reachable
+}
+
+// close ends all groups and waits for them.
+func (g *groups) close() {
+	g.running.Range(func(name siskin.ServiceName, w *watchedGroup) bool {
+		g.running.Delete(name)
+		_ = w.Close() // ends calls and never fails
+		return true
+	})
+}
--- /dev/null
+++ b/internal/node/homes.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"strconv"
+	"sync/atomic"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/pool"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/place"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// homes maps slots to the VMs that own them. Answers are kept until the view of
+// the fleet changes, since every transaction asks.
+type homes struct {
+	members siskin.Members
+	table   atomic.Pointer[homeTable]
+}
+
+type homeTable struct {
+	changed <-chan struct{}
+	live    []siskin.VM
+	known   *shard.Map[pool.Key, siskin.VM]
+}
+
+func newHomes(members siskin.Members) *homes {
+	h := &homes{members: members}
+	h.table.Store(h.read())
+	return h
+}
+
+// read takes the channel before the list, so that a change between the two is
+// seen at the next call.
+func (h *homes) read() *homeTable {
+	changed := h.members.Changed()
+	return &homeTable{changed: changed, live: h.members.Live(), known: shard.New[pool.Key, siskin.VM]()}
+}
+
+func (h *homes) current() *homeTable {
+	t := h.table.Load()
+	select {
+	case <-t.changed:
+		t = h.read()
+		h.table.Store(t)
+	default:
+	}
+	return t
+}
+
+// of returns the VM that owns a slot of a target.
+func (h *homes) of(target config.Target, slot siskin.Slot) (siskin.VM, bool) {
+	t := h.current()
+	key := pool.Key{Target: target.ID, Slot: slot}
+	if vm, ok := t.known.Get(key); ok {
+		return vm, true
+	}
+	vm, ok := place.Best(slotResource(key), place.In(target.DataCentre, t.live))
+	if ok {
+		t.known.Put(key, vm)
+	}
+	return vm, ok
+}
+
+// ofService returns the VMs that own a slot of any target of the service. They
+// watch its group.
+func (h *homes) ofService(s *config.Service) []siskin.VM {
+	var vms []siskin.VM
+	seen := make(map[siskin.VMID]bool)
+	for _, t := range s.Targets {
+		for slot := range s.Slots {
+			vm, ok := h.of(t, siskin.Slot(slot))
+			if ok && !seen[vm.ID] {
+				seen[vm.ID] = true
+				vms = append(vms, vm)
+			}
+		}
+	}
+	return vms
+}
+
+func slotResource(key pool.Key) string {
+	return "Slot/" + string(key.Target) + "/" + strconv.Itoa(int(key.Slot))
+}
--- /dev/null
+++ b/internal/node/queues.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/pool"
+	"siskintray.example/siskin/internal/relay"
+	"siskintray.example/siskin/pkg/fairq"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// queues holds one fair queue per owned slot, with a place per connection.
+type queues struct {
+	clock  siskin.Clock
+	queues *shard.Map[pool.Key, *slotQueue]
+}
+
+type slotQueue struct {
+	places int
+	queue  *fairq.Queue
+}
+
+func newQueues(clock siskin.Clock) *queues {
+	return &queues{clock: clock, queues: shard.New[pool.Key, *slotQueue]()}
+}
+
+// set starts or keeps the queue of a slot. A changed number of places starts a
+// new queue; requests in the old one finish there, and the pool bounds both.
+func (q *queues) set(key pool.Key, places int) {
+	q.queues.Update(key, func(old *slotQueue, ok bool) (*slotQueue, bool) {
+		if ok && old.places == places {
+			return old, true
+		}
+		return &slotQueue{places: places, queue: fairq.New(q.clock, places)}, true
+	})
+}
+
+func (q *queues) drop(key pool.Key) { q.queues.Delete(key) }
+
+// Queue implements relay.Queues.
+func (q *queues) Queue(target siskin.TargetID, slot siskin.Slot) relay.Queue {
+	s, ok := q.queues.Get(pool.Key{Target: target, Slot: slot})
+	if !ok {
+		return notOwned{target: target, slot: slot}
+	}
+	return s
+}
+
+// Acquire implements relay.Queue.
+func (s *slotQueue) Acquire(ctx context.Context, customer siskin.CustomerID, weight int, deadline time.Time) (func(), error) {
+	grant, err := s.queue.Acquire(ctx, customer, weight, deadline)
+	if err != nil {
+		return nil, err
+	}
+	return grant.Release, nil
+}
--- /dev/null
+++ b/internal/node/remote.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// Timing of the views that come from other VMs.
+const (
+	// viewInterval is the time between two questions about one group. It grows
+	// with the number of groups in use, so that the questions of one VM stay
+	// below viewsPerSecond.
+	viewInterval = 250 * time.Millisecond
+	// viewsPerSecond is about 3 KB/s at 600 bytes for question and answer, less
+	// than half of the 7 KB/s that a node has for control.
+	viewsPerSecond = 5
+	viewTimeout    = time.Second
+	// unsettledInterval replaces viewInterval while a group has no primary that
+	// answers, since each interval adds to the gap in writes of a failover.
+	unsettledInterval = 50 * time.Millisecond
+	// viewIdle is the time without use after which a group is no longer asked
+	// about.
+	viewIdle = 30 * time.Second
+)
+
+// remoteViews learns the views of groups that this VM does not watch from the
+// VMs that do, while they are in use.
+type remoteViews struct {
+	self   siskin.VMID
+	clock  siskin.Clock
+	peers  siskin.Peers
+	homes  *homes
+	config config.View
+	views  *shard.Map[siskin.ServiceName, *remoteView]
+	active atomic.Int64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func newRemoteViews(self siskin.VMID, clock siskin.Clock, peers siskin.Peers, homes *homes, view config.View) *remoteViews {
+	r := &remoteViews{
+		self:   self,
+		clock:  clock,
+		peers:  peers,
+		homes:  homes,
+		config: view,
+		views:  shard.New[siskin.ServiceName, *remoteView](),
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	return r
+}
+
+// get returns the latest view of a service's group.
+func (r *remoteViews) get(service siskin.ServiceName) (siskin.GroupView, <-chan struct{}) {
+	v := r.views.GetOrCreate(service, func() *remoteView { return newRemoteView() })
+	v.used.Store(r.clock.Now().UnixNano())
+	if v.running.CompareAndSwap(false, true) {
+		r.start(service, v)
+	}
+	return v.get()
+}
+
+func (r *remoteViews) start(service siskin.ServiceName, v *remoteView) {
+	if r.ctx.Err() != nil {
+		return
+	}
+	r.wg.Add(1)
+	r.active.Add(1)
+	go func() {
+		defer r.wg.Done()
+		defer r.active.Add(-1)
+		r.follow(service, v)
+	}()
+}
+
+// follow asks for the view until the service is out of use.
+func (r *remoteViews) follow(service siskin.ServiceName, v *remoteView) {
+	defer v.running.Store(false)
+	for r.ctx.Err() == nil {
+		r.ask(service, v)
+		if r.clock.Since(time.Unix(0, v.used.Load())) > viewIdle {
+			return
+		}
+		select {
+		case <-r.clock.After(r.interval(v)):
+		case <-r.ctx.Done():
+		}
+	}
+}
+
+func (r *remoteViews) interval(v *remoteView) time.Duration {
+	if !v.isSettled() {
+		return unsettledInterval
+	}
+	slowest := time.Duration(r.active.Load()) * time.Second / viewsPerSecond
+	return max(viewInterval, slowest)
+}
+
+// ask asks one of the VMs that watch the group, a random one each time, so that
+// a home with an outdated view is soon corrected.
+func (r *remoteViews) ask(service siskin.ServiceName, v *remoteView) {
+	s, ok := r.config.Service(service)
+	if !ok {
+		return
+	}
+	vms := r.homes.ofService(s)
+	for _, i := range rand.Perm(len(vms)) {
+		if vms[i].ID == r.self {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(r.ctx, viewTimeout)
+		var view siskin.GroupView
+		err := r.peers.Call(ctx, vms[i].ID, "Group.View", service, &view)
+		cancel()
+		if err == nil {
+			v.set(view)
+			return
+		}
+	}
+}
+
+func (r *remoteViews) close() {
+	r.cancel()
+	r.wg.Wait()
+}
--- /dev/null
+++ b/internal/node/remoteview.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"siskintray.example/siskin"
+)
+
+// remoteView is the latest view of one group that another VM gave.
+type remoteView struct {
+	used    atomic.Int64 // time of the last use in nanoseconds
+	running atomic.Bool
+
+	mu      sync.Mutex
+	view    siskin.GroupView
+	changed chan struct{}
+}
+
+func newRemoteView() *remoteView {
+	return &remoteView{changed: make(chan struct{})}
+}
+
+func (v *remoteView) get() (siskin.GroupView, <-chan struct{}) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.view, v.changed
+}
+
+// set keeps a view unless a later term is known. It announces each change of
+// term or primary.
+func (v *remoteView) set(view siskin.GroupView) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if view.Term < v.view.Term {
+		return
+	}
+	announce := view.Term != v.view.Term || view.Primary != v.view.Primary || reachable(&view) != reachable(&v.view)
+	v.view = view
+	if announce {
+		close(v.changed)
+		v.changed = make(chan struct{})
+	}
+}
+
+// isSettled reports whether the group has a primary that takes writes.
+func (v *remoteView) isSettled() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p, ok := v.view.Target(v.view.Primary)
+	return ok && p.Reachable && !p.Status.Draining
+}
+
+// reachable counts the targets that answer.
+func reachable(view *siskin.GroupView) int {
+	n := 0
+	for i := range view.Targets {
+		if view.Targets[i].Reachable {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -21,7 +21,8 @@
 	opening    [accounts]int
 	waiters    []*waiter
 	draining   bool
-	failures   int // failed openings in a row
+	demoted    time.Time // when the target was last replaced as the primary
+	failures   int       // failed openings in a row
 	nextOpen   time.Time
 	lastErr    error
 	drained    chan struct{} // closed when draining and empty
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -171,7 +171,7 @@
 	case !l.sent:
 		return unsent(err)
 	case silent:
-		return unknown(err, "connection to target %s went silent", l.hdr.Target)
+		return unknown(err, "connection to target %s went silent or its primary was replaced", l.hdr.Target)
 	case timeout:
 		return unknown(err, "target %s did not answer before the deadline", l.hdr.Target)
 	}
