--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -43,6 +43,11 @@
 	if t.route.Mode == config.ReadRoute && f.Proof == retry.Unsent && t.attempts < len(t.service.Targets) {
 		delay = 0 // another target is tried at once
 	}
+	if f.Proof == retry.ReportedAbort {
+		// The target is no primary; it will not do to ask it again before the
+		// group has changed.
+		delay += backoff.Max
+	}
 	verdict := retry.Decide(retry.Attempt{
 		Proof: f.Proof, Mode: t.route.Mode, Repeatable: t.route.Repeatable,
 		Answered: c.answer.answered, Replayable: !t.streamed,
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -283,6 +282,6 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatal(fmt.Sprintf("no connection within 2 s after the fault: %+v", f.Stats()[key]))
+	t.Fatalf("no connection within 2 s after the fault: %+v", f.Stats()[key])
 	return nil
 }
