limit: add conserved rights with a plain exchange policy

Cause: all VMs together must never admit more than rate x time + burst, whatever fails.

Change: a core without input or output holds units per customer in 256 hash buckets, each under its own lock, moves them by idempotent transfers, and returns the units of gone VMs by epochs. Limiter adds the calls to peers and the platform. A VM that cannot register as a holder (platform down) gets tokens instead of units, since units of an unknown holder would be granted twice by a reclaim. The policy is the plain one: ask after a refusal, always the first free holder, give half.

--- /dev/null
+++ b/pkg/limit/ask.go
@@ -0,0 +1,197 @@
+package limit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// link is the state of requests to one giver. At most one request is pending.
+// It is repeated until it is answered: giving it up would lose the units that
+// the giver may have deducted.
+type link struct {
+	seq      uint64
+	pending  *AskArgs
+	retryAt  time.Duration
+	attempts int
+}
+
+// outgoing is a message to send.
+type outgoing struct {
+	to   siskin.VMID
+	args *AskArgs
+}
+
+const (
+	// patience is how long a customer waits for one giver before it asks
+	// another. It is several round trips between data centres.
+	patience = 20 * time.Millisecond
+	// firstRetry and maxBackoff bound the delays of repeated requests.
+	firstRetry = 50 * time.Millisecond
+	maxBackoff = time.Second
+	// maxItems bounds the customers in one message.
+	maxItems = 64
+)
+
+// plan returns the messages to send now: repeated ones first, then new ones for
+// the wanted customers, batched by giver.
+func (c *core) plan(now time.Duration) []outgoing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []outgoing
+	for _, vm := range sorted(c.links) {
+		if l := c.links[vm]; l.pending != nil && now >= l.retryAt {
+			out = append(out, c.send(now, vm, l))
+		}
+	}
+	want := c.todo.takeCustomers()
+	if c.leaving.Load() {
+		return out
+	}
+	batches := make(map[siskin.VMID]*AskArgs)
+	for _, id := range want {
+		c.planOne(now, id, batches)
+	}
+	for _, vm := range sorted(batches) {
+		args, l := batches[vm], c.links[vm]
+		l.seq++
+		args.Seq = l.seq
+		l.pending, l.attempts = args, 0
+		out = append(out, c.send(now, vm, l))
+	}
+	return out
+}
+
+// sorted returns the keys in order, so that runs with a fixed seed repeat.
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+func (c *core) send(now time.Duration, vm siskin.VMID, l *link) outgoing {
+	l.retryAt = now + min(firstRetry<<min(l.attempts, 8), maxBackoff)
+	l.attempts++
+	return outgoing{vm, l.pending}
+}
+
+// planOne adds one customer to the batch of the holder to ask.
+func (c *core) planOne(now time.Duration, id siskin.CustomerID, batches map[siskin.VMID]*AskArgs) {
+	b := &c.buckets[bucketOf(id)]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.holdings[id]
+	if h == nil {
+		return
+	}
+	h.wanted = false
+	giver, ok := c.giver(b, h, batches)
+	if !ok {
+		h.failed(now)
+		return
+	}
+	h.askAfter = now + patience
+	args := batches[giver.VM]
+	if args == nil {
+		args = &AskArgs{From: c.self.VM, FromIncarnation: c.self.Incarnation, ToIncarnation: giver.Incarnation}
+		batches[giver.VM] = args
+	}
+	args.Items = append(args.Items, AskItem{
+		Customer: id, Epoch: b.epoch, Units: h.units,
+		Demand: siskin.RequestsPerSecond(h.demand.get(now)), Need: siskin.Requests(h.need),
+	})
+}
+
+// failed delays the next request for units after one that brought nothing.
+func (h *holding) failed(now time.Duration) {
+	h.askAfter = now + min(patience<<min(h.failures, 8), maxBackoff)
+	h.failures++
+}
+
+// giver picks the holder to ask among those without a pending request.
+func (c *core) giver(b *bucket, h *holding, batches map[siskin.VMID]*AskArgs) (holderID, bool) {
+	var best holderID
+	for _, o := range b.holders {
+		l := c.links[o.VM]
+		if l == nil {
+			l = new(link)
+			c.links[o.VM] = l
+		}
+		batch := batches[o.VM]
+		if o.VM == c.self.VM || l.pending != nil || (batch != nil && (len(batch.Items) >= maxItems || batch.ToIncarnation != o.Incarnation)) {
+			continue
+		}
+		if best.VM == "" || h.preferred(o.VM, best.VM) < 0 {
+			best = o
+		}
+	}
+	return best, best.VM != ""
+}
+
+// receive takes over a reply. Units of another epoch than the bucket's are
+// void: the reclaim of the newer epoch counts them as missing.
+func (c *core) receive(now time.Duration, from siskin.VMID, seq uint64, reply *AskReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[from]
+	if l == nil || l.pending == nil || l.pending.Seq != seq {
+		return // a repeated reply
+	}
+	l.pending = nil
+	for i := range reply.Items {
+		c.accept(now, from, &reply.Items[i])
+	}
+}
+
+func (c *core) accept(now time.Duration, from siskin.VMID, item *GiveItem) {
+	i := bucketOf(item.Customer)
+	b := &c.buckets[i]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.holdings[item.Customer]
+	if item.Epoch > b.epoch {
+		c.read(i, b)
+	}
+	if h == nil {
+		return
+	}
+	h.hints.set(from, item.Left)
+	if item.Richest != "" && item.Richest != c.self.VM {
+		h.hints.set(item.Richest, item.RichestUnits)
+	}
+	if item.Units > 0 && (item.Epoch != b.epoch || item.Epoch == 0) {
+		return
+	}
+	h.refill(now)
+	h.add(item.Units, float64(item.Tokens))
+	if item.Units == 0 && item.Tokens == 0 {
+		h.failed(now)
+		return
+	}
+	h.askAfter, h.failures = now, 0
+	h.wake()
+}
+
+// wake tells waiting requests that units arrived.
+func (h *holding) wake() {
+	if h.arrived != nil {
+		close(h.arrived)
+		h.arrived = nil
+	}
+}
+
+// forget gives up the requests to VMs that are gone, whose units return by a
+// reclaim.
+func (c *core) forget(gone func(siskin.VMID) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for vm := range c.links {
+		if gone(vm) {
+			delete(c.links, vm)
+		}
+	}
+	for vm := range c.given {
+		if gone(vm) {
+			delete(c.given, vm)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/limit/bucket.go
@@ -0,0 +1,122 @@
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// bucket is one VM's state of one hash bucket, under its own lock. The hash
+// buckets are the shards of the core.
+type bucket struct {
+	mu sync.Mutex
+	// epoch is zero while the VM is not a holder.
+	epoch   uint64
+	granted uint64 // epoch whose grant was applied
+	holders []holderID
+	// report is the state on entering epoch. It never changes afterwards, so
+	// that a repeated report gets the same answer.
+	report ReportReply
+	// rest is held for each customer without a holding.
+	rest     siskin.Units
+	restAt   time.Duration // since when rest earns tokens
+	restFull bool          // rest has earned a full burst
+	holdings map[siskin.CustomerID]*holding
+	reading  bool // the record is being read
+	serves   bool // requests came for customers of the bucket
+	// reporting says that the epoch's missing units are not granted yet.
+	reporting bool
+	_         [64]byte // keeps the locks of neighbors on different cache lines
+}
+
+// holding returns the state of a customer and creates it from the rest.
+func (b *bucket) holding(now time.Duration, id siskin.CustomerID, view config.View) *holding {
+	if h := b.holdings[id]; h != nil {
+		return h
+	}
+	c, ok := view.Customer(id)
+	if !ok {
+		return nil
+	}
+	h := &holding{id: id, units: b.rest, known: true, rate: float64(c.Rate), burst: float64(c.Burst), at: b.restAt}
+	if b.restFull {
+		h.at = now
+		h.tokens = h.burst * h.share()
+	}
+	b.holdings[id] = h
+	return h
+}
+
+// enter moves to an epoch and freezes the report.
+func (b *bucket) enter(epoch uint64) {
+	b.epoch = epoch
+	b.report = ReportReply{Rest: b.rest, Customers: make(map[siskin.CustomerID]siskin.Units, len(b.holdings))}
+	for id, h := range b.holdings {
+		b.report.Customers[id] = h.units
+	}
+}
+
+// apply takes over the platform's record as seen by self. An older record is
+// ignored.
+func (b *bucket) apply(now time.Duration, self holderID, r *record) {
+	if r.Epoch < b.epoch {
+		return
+	}
+	if !r.holds(self) && b.epoch == 0 {
+		b.holders = r.Holders
+		return
+	}
+	if !r.holds(self) {
+		// A holder leaves the record only as gone or superseded.
+		b.drop()
+		return
+	}
+	if r.Epoch > b.epoch {
+		b.enter(r.Epoch)
+	}
+	b.holders, b.reporting = r.Holders, r.Reporting
+	if r.Reporting || b.granted == r.Epoch {
+		return
+	}
+	b.granted = r.Epoch
+	for i := range r.Grants {
+		if r.Grants[i].To == self {
+			b.addGrant(now, &r.Grants[i])
+		}
+	}
+}
+
+func (b *bucket) addGrant(now time.Duration, g *grant) {
+	for id, h := range b.holdings {
+		units, ok := g.Customers[id]
+		if !ok {
+			units = g.Rest
+		}
+		h.refill(now)
+		tokens := 0.0
+		if g.Full {
+			tokens = h.burst * float64(units) / float64(siskin.TotalUnits)
+		}
+		h.add(units, tokens)
+		h.wake()
+	}
+	for id, units := range g.Customers {
+		if b.holdings[id] == nil {
+			// The customer may be unknown here; its rate follows with refresh.
+			b.holdings[id] = &holding{id: id, units: b.rest + units, at: now}
+		}
+	}
+	b.restFull = g.Full && b.rest == 0
+	b.rest += g.Rest
+	b.restAt = now
+}
+
+// drop gives up everything, after the VM found itself gone or superseded.
+func (b *bucket) drop() {
+	b.epoch, b.rest, b.holders = 0, 0, nil
+	for _, h := range b.holdings {
+		h.units, h.tokens = 0, 0
+	}
+}
--- /dev/null
+++ b/pkg/limit/fleet_test.go
@@ -0,0 +1,267 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/invar"
+)
+
+func init() {
+	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
+}
+
+const oneWay = 1500 * time.Microsecond
+
+// fleet is a set of limiters under one fake clock with fake peers and a fake
+// platform. Requests for units take time; other calls are immediate.
+type fleet struct {
+	at       time.Time
+	rng      *rand.Rand
+	vms      []*node
+	view     *view
+	objects  map[siskin.ObjectName]siskin.Object
+	down     bool // the platform does not answer
+	lose     float64
+	cut      func(a, b *node) bool
+	messages []message
+	sent     int
+	bytes    int
+}
+
+type message struct {
+	at  time.Time
+	to  *node
+	run func()
+}
+
+// node is one incarnation of a VM. It implements siskin.Members for itself.
+type node struct {
+	f      *fleet
+	vm     siskin.VM
+	l      *Limiter
+	dead   bool
+	paused time.Time // until when
+}
+
+// view is a configuration that tests change.
+type view struct {
+	*config.Fixed
+	changed chan struct{}
+}
+
+func (v *view) Changed() <-chan struct{} { return v.changed }
+
+func (v *view) set(customers ...*config.Customer) { v.Fixed = config.NewFixed(nil, customers) }
+
+func newFleet(seed uint64, customers ...*config.Customer) *fleet {
+	f := &fleet{
+		at: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), view: &view{},
+		objects: make(map[siskin.ObjectName]siskin.Object), cut: func(a, b *node) bool { return false },
+	}
+	f.view.set(customers...)
+	return f
+}
+
+// start runs a new incarnation of a VM.
+func (f *fleet) start(id string, incarnation int, dc string) *node {
+	n := &node{f: f, vm: siskin.VM{ID: siskin.VMID(id), Incarnation: siskin.Incarnation(incarnation), DataCentre: siskin.DataCentreID(dc), State: siskin.VMLive}}
+	f.vms = append(f.vms, n)
+	n.l = New(f, f.view, n, n, f)
+	return n
+}
+
+func (n *node) up() bool { return !n.dead && !n.f.at.Before(n.paused) }
+
+// step advances the clock by one millisecond and runs what is due.
+func (f *fleet) step() {
+	f.at = f.at.Add(time.Millisecond)
+	due := f.messages
+	f.messages = nil
+	for _, m := range due {
+		switch {
+		case m.at.After(f.at) || (!m.to.dead && !m.to.up()):
+			f.messages = append(f.messages, m)
+		case m.to.up():
+			m.run()
+		}
+	}
+	ms := f.at.UnixMilli()
+	for _, n := range f.vms {
+		if !n.up() {
+			continue
+		}
+		if ms%2 == 0 {
+			for _, m := range n.l.core.plan(n.l.now()) {
+				f.ask(n, m)
+			}
+		}
+		if ms%10 == 0 {
+			n.l.readRecords(context.Background())
+		}
+		if ms%1000 == 0 {
+			n.l.maintain(context.Background())
+		}
+	}
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.at.Add(d); f.at.Before(end); {
+		f.step()
+	}
+}
+
+// ask delivers a request for units and its reply, unless a fault prevents it.
+func (f *fleet) ask(from *node, m outgoing) {
+	f.sent++
+	f.bytes += size(m.args)
+	to := f.find(m.to, m.args.ToIncarnation)
+	if to == nil || f.cut(from, to) {
+		return
+	}
+	f.deliver(to, func() {
+		var reply AskReply
+		if err := to.l.Receiver().Ask(m.args, &reply); err != nil {
+			panic(err)
+		}
+		f.bytes += size(reply)
+		if f.cut(from, to) || f.rng.Float64() < f.lose {
+			return
+		}
+		f.deliver(from, func() { from.l.core.receive(from.l.now(), to.vm.ID, m.args.Seq, &reply) })
+	})
+}
+
+func (f *fleet) deliver(to *node, run func()) {
+	f.messages = append(f.messages, message{f.at.Add(oneWay), to, run})
+}
+
+func (f *fleet) find(id siskin.VMID, incarnation siskin.Incarnation) *node {
+	for _, n := range f.vms {
+		if n.vm.ID == id && (incarnation == 0 || n.vm.Incarnation == incarnation) {
+			return n
+		}
+	}
+	return nil
+}
+
+// Call implements siskin.Peers.
+func (n *node) Call(_ context.Context, vm siskin.VMID, method string, args, reply any) error {
+	to := n.f.find(vm, 0)
+	for _, o := range n.f.vms { // the latest incarnation answers
+		if o.vm.ID == vm && o.vm.Incarnation > to.vm.Incarnation {
+			to = o
+		}
+	}
+	if to == nil || !to.up() || n.f.cut(n, to) {
+		return siskin.NewError(siskin.Unavailable, "%s does not answer", vm)
+	}
+	var err error
+	if method == "Limit.Report" {
+		err = to.l.Receiver().Report(args.(*ReportArgs), reply.(*ReportReply))
+	} else {
+		err = to.l.Receiver().Ask(args.(*AskArgs), reply.(*AskReply))
+	}
+	if err == nil && n.f.rng.Float64() < n.f.lose {
+		return siskin.NewError(siskin.Unavailable, "answer of %s lost", vm)
+	}
+	return err
+}
+
+// Self implements siskin.Members.
+func (n *node) Self() siskin.VM { return n.vm }
+
+// Live implements siskin.Members.
+func (n *node) Live() []siskin.VM {
+	var live []siskin.VM
+	for _, o := range n.f.vms {
+		if !o.dead && o.vm.State == siskin.VMLive {
+			live = append(live, o.vm)
+		}
+	}
+	slices.SortFunc(live, func(a, b siskin.VM) int { return slices.Compare([]byte(a.ID), []byte(b.ID)) })
+	return live
+}
+
+// Lookup implements siskin.Members; the latest incarnation counts.
+func (n *node) Lookup(id siskin.VMID) (vm siskin.VM, ok bool) {
+	for _, o := range n.f.vms {
+		if o.vm.ID == id && o.vm.Incarnation >= vm.Incarnation {
+			vm, ok = o.vm, true
+		}
+	}
+	return vm, ok
+}
+
+// Changed implements siskin.Members.
+func (n *node) Changed() <-chan struct{} { return nil }
+
+// Get implements siskin.Platform.
+func (f *fleet) Get(_ context.Context, name siskin.ObjectName) (siskin.Object, error) {
+	if f.down {
+		return siskin.Object{}, siskin.NewError(siskin.Unavailable, "platform down")
+	}
+	return f.objects[name], nil
+}
+
+// Put implements siskin.Platform.
+func (f *fleet) Put(_ context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
+	if f.down {
+		return 0, siskin.NewError(siskin.Unavailable, "platform down")
+	}
+	if f.objects[name].Version != ifVersion {
+		return 0, siskin.NewError(siskin.Conflict, "version mismatch")
+	}
+	f.objects[name] = siskin.Object{Name: name, Version: ifVersion + 1, Operation: op, Value: value}
+	if f.rng.Float64() < f.lose {
+		return 0, siskin.NewError(siskin.Unavailable, "answer lost")
+	}
+	return ifVersion + 1, nil
+}
+
+// List, Watch and VMs implement siskin.Platform; the limiter does not use them.
+func (f *fleet) List(context.Context, siskin.ObjectName) ([]siskin.Object, error) { panic("unused") }
+
+// Watch is unused.
+func (f *fleet) Watch(context.Context, siskin.ObjectName, siskin.Version) (siskin.Object, error) {
+	panic("unused")
+}
+
+// VMs is unused.
+func (f *fleet) VMs(context.Context) ([]siskin.VM, error) { panic("unused") }
+
+// Now implements siskin.Clock.
+func (f *fleet) Now() time.Time { return f.at }
+
+// Since implements siskin.Clock.
+func (f *fleet) Since(t time.Time) time.Duration { return f.at.Sub(t) }
+
+// Sleep and After are unused: the fleet is stepped.
+func (f *fleet) Sleep(time.Duration) { panic("unused") }
+
+// After advances the fleet, so that Handover can run inside a test.
+func (f *fleet) After(d time.Duration) <-chan time.Time {
+	f.run(d)
+	c := make(chan time.Time, 1)
+	c <- f.at
+	return c
+}
+
+// sum returns the units of a customer at all VMs that may still run, and fails
+// when they exceed the whole right.
+func (f *fleet) sum(id siskin.CustomerID) (total siskin.Units) {
+	for _, n := range f.vms {
+		if !n.dead {
+			total += n.l.core.units(id)
+		}
+	}
+	if total > siskin.TotalUnits {
+		panic(fmt.Sprintf("customer %s: %d units in all, want at most %d", id, total, siskin.TotalUnits))
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/limit/give.go
@@ -0,0 +1,76 @@
+package limit
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// answered is the latest reply to one asker.
+type answered struct {
+	incarnation siskin.Incarnation
+	seq         uint64
+	reply       AskReply
+}
+
+// answer decides what to give. The units are deducted before the reply exists,
+// and a repeated message gets the reply of the first.
+func (c *core) answer(now time.Duration, args *AskArgs) AskReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.given[args.From]
+	switch {
+	case args.ToIncarnation != c.self.Incarnation:
+		return AskReply{Stale: true}
+	case last == nil || args.FromIncarnation > last.incarnation:
+		last = &answered{incarnation: args.FromIncarnation}
+		c.given[args.From] = last
+	case args.FromIncarnation < last.incarnation || args.Seq < last.seq:
+		return AskReply{Stale: true}
+	case args.Seq == last.seq:
+		return last.reply
+	}
+	last.seq = args.Seq
+	last.reply = AskReply{Items: make([]GiveItem, 0, len(args.Items))}
+	for i := range args.Items {
+		last.reply.Items = append(last.reply.Items, c.give(now, args, &args.Items[i]))
+	}
+	return last.reply
+}
+
+// give decides on one customer. The caller holds c.mu.
+func (c *core) give(now time.Duration, args *AskArgs, item *AskItem) GiveItem {
+	i := bucketOf(item.Customer)
+	b := &c.buckets[i]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := GiveItem{Customer: item.Customer, Epoch: b.epoch}
+	if b.epoch == 0 || item.Epoch > b.epoch {
+		c.read(i, b) // a grant or a newer epoch may be in the record
+	}
+	if b.epoch == 0 || (item.Epoch != 0 && item.Epoch != b.epoch) {
+		return out
+	}
+	h := b.holding(now, item.Customer, c.view)
+	if h == nil {
+		return out
+	}
+	h.refill(now)
+	switch {
+	case item.Epoch == 0:
+		// An asker that is not a holder would hold units that no reclaim knows
+		// of. Tokens are used once and need no reclaim.
+		out.Tokens = siskin.Requests(h.tokens / 2)
+		h.tokens -= float64(out.Tokens)
+	case args.All || c.leaving.Load():
+		out.Units = h.units
+	default:
+		out.Units = min(max(h.gift(now, item), 0), h.units)
+	}
+	out.Tokens += siskin.Requests(h.take(out.Units))
+	out.Left = h.units
+	best := h.hints.richest(args.From)
+	out.Richest, out.RichestUnits = best.vm, best.units
+	h.hints.set(args.From, item.Units+out.Units)
+	return out
+}
--- /dev/null
+++ b/pkg/limit/handover.go
@@ -0,0 +1,130 @@
+package limit
+
+import (
+	"context"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/place"
+)
+
+// handoverTick is the pause between two rounds of offers.
+const handoverTick = 20 * time.Millisecond
+
+// Handover gives all units of configured customers to other live holders and
+// stops asking for units. It returns when none is left or the context ends.
+// What is left then returns to the others by a reclaim.
+func (l *Limiter) Handover(ctx context.Context) error {
+	l.core.leaving.Store(true)
+	for {
+		offers := l.offers()
+		if len(offers) == 0 {
+			return nil
+		}
+		for vm, args := range offers {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			_ = l.peers.Call(callCtx, vm, "Limit.Ask", args, &AskReply{}) // repeated in the next round
+			cancel()
+		}
+		select {
+		case <-ctx.Done():
+			return siskin.NewError(siskin.Unavailable, "handover of rights ended early").
+				WithRemedy("nothing needs to be done; the rest is reclaimed after the VM is gone").WithCause(ctx.Err())
+		case <-l.clock.After(handoverTick):
+		}
+	}
+}
+
+// offers returns one offer per receiving VM for what this VM still holds.
+func (l *Limiter) offers() map[siskin.VMID]*AskArgs {
+	now := l.now()
+	offers := make(map[siskin.VMID]*AskArgs)
+	live := l.members.Live()
+	for _, id := range l.view.Customers() {
+		item, ok := l.core.offer(now, id)
+		if !ok {
+			continue
+		}
+		vm, ok := l.successor(bucketOf(id), live)
+		if !ok {
+			continue
+		}
+		if offers[vm] == nil {
+			offers[vm] = &AskArgs{From: l.core.self.VM, FromIncarnation: l.core.self.Incarnation, Offer: true}
+		}
+		if args := offers[vm]; len(args.Items) < maxItems {
+			args.Items = append(args.Items, item)
+		}
+	}
+	return offers
+}
+
+// successor returns the live holder that gets the units of a bucket, one of
+// the same data centre if there is any, so that its part stays there.
+func (l *Limiter) successor(i int, live []siskin.VM) (siskin.VMID, bool) {
+	var vms []siskin.VM
+	for _, vm := range live {
+		for _, h := range l.core.holdersOf(i) {
+			if h.VM == vm.ID && h.Incarnation == vm.Incarnation && vm.ID != l.core.self.VM {
+				vms = append(vms, vm)
+			}
+		}
+	}
+	best, ok := place.Best(string(objectName(i)), place.In(l.members.Self().DataCentre, vms))
+	return best.ID, ok
+}
+
+// takeOver asks the sender of an offer for everything that it offers.
+func (l *Limiter) takeOver(args *AskArgs) {
+	l.core.takeOver(l.now(), args)
+	l.core.todo.wake()
+}
+
+// offer returns what this VM holds for a customer; it creates the holding.
+func (c *core) offer(now time.Duration, id siskin.CustomerID) (AskItem, bool) {
+	b := &c.buckets[bucketOf(id)]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.epoch == 0 {
+		return AskItem{}, false
+	}
+	h := b.holding(now, id, c.view)
+	if h == nil || h.units == 0 {
+		return AskItem{}, false
+	}
+	return AskItem{Customer: id, Epoch: b.epoch, Units: h.units}, true
+}
+
+// takeOver queues one request for all units that another VM offers. While an
+// earlier request to that VM is pending, the offer is left to its next round.
+func (c *core) takeOver(now time.Duration, offer *AskArgs) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[offer.From]
+	if l == nil {
+		l = new(link)
+		c.links[offer.From] = l
+	}
+	if l.pending != nil || c.leaving.Load() {
+		return
+	}
+	args := &AskArgs{From: c.self.VM, FromIncarnation: c.self.Incarnation, ToIncarnation: offer.FromIncarnation, All: true}
+	for _, item := range offer.Items {
+		i := bucketOf(item.Customer)
+		b := &c.buckets[i]
+		b.mu.Lock()
+		if b.epoch < item.Epoch {
+			c.read(i, b)
+		}
+		if b.epoch == item.Epoch && b.holding(now, item.Customer, c.view) != nil {
+			args.Items = append(args.Items, AskItem{Customer: item.Customer, Epoch: b.epoch})
+		}
+		b.mu.Unlock()
+	}
+	if len(args.Items) == 0 {
+		return
+	}
+	l.seq++
+	args.Seq = l.seq
+	l.pending, l.attempts, l.retryAt = args, 0, now
+}
--- /dev/null
+++ b/pkg/limit/holding.go
@@ -0,0 +1,71 @@
+package limit
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/invar"
+)
+
+var invUnits = invar.New("LimitUnitsWithinTotal")
+
+// holding is one VM's right of one customer with its token bucket. Times are
+// durations since the core's origin.
+type holding struct {
+	id     siskin.CustomerID
+	units  siskin.Units
+	tokens float64
+	at     time.Duration // time of tokens
+
+	// rate and burst are those of the whole customer; known is false while the
+	// configuration has no such customer.
+	rate, burst float64
+	known       bool
+
+	demand meter
+	need   float64 // tokens that the latest refused request lacked
+
+	wanted   bool          // on the list of customers to ask for
+	askAfter time.Duration // earliest time of the next request for units
+	failures int           // requests in a row that brought nothing
+	hints    hints
+	waiters  int
+	arrived  chan struct{} // closed when units arrive; nil without waiters
+}
+
+func (h *holding) share() float64 { return float64(h.units) / float64(siskin.TotalUnits) }
+
+// refill adds the tokens since the last call. Time that goes back adds none.
+func (h *holding) refill(now time.Duration) {
+	share := h.share()
+	if now > h.at {
+		h.tokens += h.rate * share * (now - h.at).Seconds()
+		h.at = now
+	}
+	h.tokens = min(h.tokens, h.burst*share)
+}
+
+// take removes units with the tokens in them. The caller has refilled.
+func (h *holding) take(units siskin.Units) (tokens float64) {
+	if units == 0 {
+		return 0
+	}
+	tokens = h.tokens * float64(units) / float64(h.units)
+	h.tokens -= tokens
+	h.units -= units
+	h.check()
+	return tokens
+}
+
+// add merges units and tokens. The caller has refilled.
+func (h *holding) add(units siskin.Units, tokens float64) {
+	h.units += units
+	h.tokens += tokens
+	h.check()
+}
+
+func (h *holding) check() {
+	if h.units < 0 || h.units > siskin.TotalUnits {
+		invUnits.Check(false, "customer %s: %d units", h.id, h.units)
+	}
+}
--- /dev/null
+++ b/pkg/limit/limiter.go
@@ -0,0 +1,98 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// Limiter is one VM's part of the distributed limits. It implements
+// siskin.Limiter. Start begins the exchange with other VMs.
+type Limiter struct {
+	settings
+	clock    siskin.Clock
+	origin   time.Time
+	core     *core
+	view     config.View
+	members  siskin.Members
+	peers    siskin.Peers
+	platform siskin.Platform
+
+	operations atomic.Uint64
+	readAfter  [buckets]time.Time // earliest next read of a record that failed
+	readFails  [buckets]int
+	reclaimDue [buckets]time.Time
+	refreshed  int // bucket whose record was read last by refreshRecord
+	refreshAt  time.Time
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+var _ siskin.Limiter = (*Limiter)(nil)
+
+// New returns the limiter of this VM, which holds nothing yet.
+func New(clock siskin.Clock, view config.View, members siskin.Members, peers siskin.Peers, platform siskin.Platform, options ...Option) *Limiter {
+	self := members.Self()
+	l := &Limiter{
+		settings: defaults(),
+		clock:    clock, origin: clock.Now(), view: view,
+		members: members, peers: peers, platform: platform,
+		core:   newCore(holderID{self.ID, self.Incarnation}, view),
+		cancel: func() {},
+	}
+	for _, o := range options {
+		o(&l.settings)
+	}
+	return l
+}
+
+// Admit implements siskin.Limiter. It does not block.
+func (l *Limiter) Admit(now time.Time, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
+	return l.core.admit(now.Sub(l.origin), customer, float64(n), true)
+}
+
+// AdmitWait admits n requests, if need be after a short wait for units of other
+// VMs. It waits only while units can be expected, at most until the context
+// ends or the bound of WithWaitBound; a request that is given up is answered
+// at once.
+func (l *Limiter) AdmitWait(ctx context.Context, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
+	now := l.now()
+	a := l.core.admit(now, customer, float64(n), true)
+	until := now + l.waitBound
+	if deadline, ok := ctx.Deadline(); ok {
+		until = min(until, deadline.Sub(l.origin))
+	}
+	for !a.Admitted {
+		arrived, pause, ok := l.core.expect(now, customer, float64(n), until)
+		if !ok {
+			return a
+		}
+		select {
+		case <-arrived:
+		case <-l.clock.After(pause):
+		case <-ctx.Done():
+		}
+		l.core.unexpect(customer)
+		if ctx.Err() != nil {
+			return a
+		}
+		now = l.now()
+		a = l.core.admit(now, customer, float64(n), false)
+	}
+	return a
+}
+
+func (l *Limiter) now() time.Duration { return l.clock.Now().Sub(l.origin) }
+
+// Close stops the exchange and waits for calls in progress. Rights that were
+// not handed over return to the others after the platform lists the VM as gone.
+func (l *Limiter) Close() error {
+	l.cancel()
+	l.done.Wait()
+	return nil
+}
--- /dev/null
+++ b/pkg/limit/load_test.go
@@ -0,0 +1,191 @@
+package limit
+
+import (
+	"bytes"
+	"encoding/gob"
+	"math/rand/v2"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// size returns the encoded size of a message in a running net/rpc stream,
+// where types are sent once, with 24 bytes for the header.
+func size(message any) int {
+	var b bytes.Buffer
+	e := gob.NewEncoder(&b)
+	_ = e.Encode(message)
+	first := b.Len()
+	_ = e.Encode(message)
+	return b.Len() - first + 24
+}
+
+// tokenBucket is the reference for requests within the rate, and for the
+// baselines.
+type tokenBucket struct {
+	rate, burst, tokens float64
+	at                  time.Time
+}
+
+func (t *tokenBucket) admit(now time.Time) bool {
+	if !t.at.IsZero() {
+		t.tokens = min(t.burst, t.tokens+t.rate*now.Sub(t.at).Seconds())
+	} else {
+		t.tokens = t.burst
+	}
+	t.at = now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// windowChecker checks admitted <= rate x time + burst over every window. It
+// knows nothing of the limiter: the level is the largest excess of any window
+// that ends now.
+type windowChecker struct {
+	level, worst float64
+	at           time.Time
+}
+
+func (w *windowChecker) admitted(now time.Time, rate float64) {
+	w.level = max(0, w.level-rate*now.Sub(w.at).Seconds()) + 1
+	w.at = now
+	w.worst = max(w.worst, w.level)
+}
+
+// traffic offers requests of one customer to the VMs, with shares that move.
+type traffic struct {
+	f        *fleet
+	doc      *config.Customer
+	rng      *rand.Rand
+	load     float64 // part of the rate that is offered
+	shares   map[siskin.VMID]float64
+	waiting  []waiter
+	ideal    tokenBucket
+	checker  windowChecker
+	static   map[siskin.VMID]*tokenBucket
+	shared   tokenBucket // at the first VM; refuses when unreachable
+	offered  int
+	refused  int // of the requests that the ideal bucket admits
+	byStatic int
+	byShared int
+}
+
+type waiter struct {
+	n     *node
+	until time.Duration
+}
+
+func newTraffic(f *fleet, doc *config.Customer, load float64, seed uint64) *traffic {
+	rate, burst := float64(doc.Rate), float64(doc.Burst)
+	return &traffic{
+		f: f, doc: doc, load: load, rng: rand.New(rand.NewPCG(seed, 2)),
+		ideal: tokenBucket{rate: rate, burst: burst}, shared: tokenBucket{rate: rate, burst: burst},
+		static: make(map[siskin.VMID]*tokenBucket),
+	}
+}
+
+// move draws new shares; about half of the VMs get none.
+func (t *traffic) move() {
+	t.shares = make(map[siskin.VMID]float64)
+	sum := 0.0
+	for _, n := range t.f.vms {
+		share := max(0, t.rng.Float64()-0.5)
+		t.shares[n.vm.ID] += share
+		sum += share
+	}
+	for id := range t.shares {
+		t.shares[id] /= max(sum, 1e-9)
+	}
+}
+
+// step offers the requests of one millisecond.
+func (t *traffic) step() {
+	for _, n := range t.f.vms {
+		mean := t.load * float64(t.doc.Rate) * t.shares[n.vm.ID] / 1000
+		for mean > 0 && !n.dead {
+			if mean -= t.rng.ExpFloat64(); mean < 0 {
+				break
+			}
+			if n = t.route(n); n != nil {
+				t.request(n)
+			}
+			if n == nil {
+				break
+			}
+		}
+	}
+	t.retry()
+}
+
+// route sends the requests of a VM that has been paused for a second to
+// another VM, as the members do; before that they are lost.
+func (t *traffic) route(n *node) *node {
+	if n.up() {
+		return n
+	}
+	if n.paused.Sub(t.f.at) < time.Second {
+		return nil
+	}
+	for _, o := range t.f.vms {
+		if o.up() && o.vm.DataCentre == n.vm.DataCentre {
+			return o
+		}
+	}
+	return nil
+}
+
+func (t *traffic) request(n *node) {
+	t.offered++
+	ideal := t.ideal.admit(t.f.at)
+	if t.static[n.vm.ID] == nil {
+		parts := float64(len(t.f.vms))
+		t.static[n.vm.ID] = &tokenBucket{rate: float64(t.doc.Rate) / parts, burst: float64(t.doc.Burst) / parts}
+	}
+	static := t.static[n.vm.ID].admit(t.f.at)
+	counter := t.f.vms[0]
+	shared := counter.up() && !t.f.cut(n, counter) && t.shared.admit(t.f.at)
+	if ideal && !static {
+		t.byStatic++
+	}
+	if ideal && !shared {
+		t.byShared++
+	}
+	a := n.l.Admit(t.f.at, t.doc.ID, 1)
+	switch {
+	case a.Admitted:
+		t.checker.admitted(t.f.at, float64(t.doc.Rate))
+	case ideal:
+		t.refuse(n, n.l.now()+n.l.waitBound)
+	}
+}
+
+// refuse lets a refused request wait if the limiter expects units, as AdmitWait
+// does.
+func (t *traffic) refuse(n *node, until time.Duration) {
+	if _, _, ok := n.l.core.expect(n.l.now(), t.doc.ID, 1, until); ok {
+		t.waiting = append(t.waiting, waiter{n, until})
+		return
+	}
+	t.refused++
+}
+
+func (t *traffic) retry() {
+	list := t.waiting
+	t.waiting = nil
+	for _, w := range list {
+		if !w.n.up() {
+			t.waiting = append(t.waiting, w)
+			continue
+		}
+		w.n.l.core.unexpect(t.doc.ID)
+		if w.n.l.core.admit(w.n.l.now(), t.doc.ID, 1, false).Admitted {
+			t.checker.admitted(t.f.at, float64(t.doc.Rate))
+		} else {
+			t.refuse(w.n, w.until)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/limit/message.go
@@ -0,0 +1,64 @@
+package limit
+
+import "siskintray.example/siskin"
+
+// AskArgs asks another holder for units of several customers. A repeated
+// message with the same Seq gets the same reply.
+type AskArgs struct {
+	From            siskin.VMID
+	FromIncarnation siskin.Incarnation
+	ToIncarnation   siskin.Incarnation
+	Seq             uint64
+	Items           []AskItem
+	// Offer asks the receiver to take over everything that the sender holds, by
+	// asking back with All set.
+	Offer bool
+	// All asks for all units; the sender got an Offer.
+	All bool
+}
+
+// AskItem asks for units of one customer.
+type AskItem struct {
+	Customer siskin.CustomerID
+	// Epoch is the asker's epoch of the customer's bucket. With zero the asker
+	// is not yet a holder and can accept tokens only.
+	Epoch  uint64
+	Units  siskin.Units             // units that the asker has
+	Demand siskin.RequestsPerSecond // recent demand at the asker
+	Need   siskin.Requests          // tokens that the asker lacks
+}
+
+// AskReply answers AskArgs.
+type AskReply struct {
+	// Stale says that the message was for another incarnation or is older than
+	// one already answered.
+	Stale bool
+	Items []GiveItem
+}
+
+// GiveItem gives units of one customer together with the tokens in them.
+type GiveItem struct {
+	Customer siskin.CustomerID
+	Epoch    uint64
+	Units    siskin.Units
+	Tokens   siskin.Requests
+	// Left is what the giver keeps, a hint for the next request.
+	Left siskin.Units
+	// Richest is another holder that the giver believes to have RichestUnits.
+	Richest      siskin.VMID
+	RichestUnits siskin.Units
+}
+
+// ReportArgs asks a holder to enter an epoch and to report its units.
+type ReportArgs struct {
+	Bucket        int
+	Epoch         uint64
+	ToIncarnation siskin.Incarnation
+}
+
+// ReportReply is the state of one holder when it entered the epoch.
+type ReportReply struct {
+	// Rest is held for each customer that is not in Customers.
+	Rest      siskin.Units
+	Customers map[siskin.CustomerID]siskin.Units
+}
--- /dev/null
+++ b/pkg/limit/option.go
@@ -0,0 +1,25 @@
+package limit
+
+import "time"
+
+// Option changes a setting of a Limiter.
+type Option func(*settings)
+
+type settings struct {
+	waitBound time.Duration
+	logf      func(format string, args ...any)
+}
+
+func defaults() settings {
+	return settings{waitBound: 50 * time.Millisecond, logf: func(string, ...any) {}}
+}
+
+// WithWaitBound sets how long AdmitWait waits for units from other VMs. The
+// default of 50 ms covers several round trips between data centres.
+func WithWaitBound(d time.Duration) Option { return func(s *settings) { s.waitBound = d } }
+
+// WithLogf sets the function that receives messages about reclaims and failed
+// calls. The default discards them.
+func WithLogf(logf func(format string, args ...any)) Option {
+	return func(s *settings) { s.logf = logf }
+}
--- /dev/null
+++ b/pkg/limit/record.go
@@ -0,0 +1,88 @@
+package limit
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"siskintray.example/siskin"
+)
+
+// buckets is the number of hash buckets. It is part of the format: all VMs
+// must agree on the bucket of a customer. With 256, one dead VM costs at most
+// 512 conditional updates.
+const buckets = 256
+
+// holderID names one incarnation of one VM as a holder.
+type holderID struct {
+	VM          siskin.VMID
+	Incarnation siskin.Incarnation
+}
+
+// record is the platform object of one hash bucket.
+type record struct {
+	Epoch uint64
+	// Reporting says that the holders of the epoch have not all reported yet.
+	Reporting bool
+	// Holders lists every VM that may hold units of the bucket. A VM adds
+	// itself before it accepts units.
+	Holders []holderID
+	// Grants are the units granted in this epoch. They are void in the next.
+	Grants []grant
+}
+
+// grant gives units to one incarnation, which applies them once.
+type grant struct {
+	To holderID
+	// Rest is granted for each customer that is not in Customers.
+	Rest      siskin.Units
+	Customers map[siskin.CustomerID]siskin.Units `json:",omitempty"`
+	// Full says that the buckets start full. Only initial grants are, so that a
+	// burst is never counted twice.
+	Full bool
+}
+
+func objectName(bucket int) siskin.ObjectName {
+	return siskin.ObjectName(fmt.Sprintf("Limit/Bucket/%03d", bucket))
+}
+
+func (r *record) holds(id holderID) bool { return slices.Contains(r.Holders, id) }
+
+func (r *record) encode() ([]byte, error) { return json.Marshal(r) }
+
+// parseRecord decodes a record and checks that its grants are sound.
+func parseRecord(value []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return record{}, badRecord("is not valid JSON").WithCause(err)
+	}
+	if r.Epoch == 0 {
+		return record{}, badRecord("has no epoch")
+	}
+	var rest siskin.Units
+	sums := make(map[siskin.CustomerID]siskin.Units)
+	for _, g := range r.Grants {
+		if g.Rest < 0 || g.Rest > siskin.TotalUnits {
+			return record{}, badRecord("grants %d units", g.Rest)
+		}
+		rest += g.Rest
+		for id, u := range g.Customers {
+			if u < 0 || u > siskin.TotalUnits {
+				return record{}, badRecord("grants %d units", u)
+			}
+			sums[id] += u
+			if sums[id] > siskin.TotalUnits {
+				return record{}, badRecord("grants %d units to one customer", sums[id])
+			}
+		}
+	}
+	if rest > siskin.TotalUnits {
+		return record{}, badRecord("grants %d units", rest)
+	}
+	return r, nil
+}
+
+func badRecord(format string, args ...any) *siskin.Error {
+	return siskin.NewError(siskin.BadInput, "record of a limit bucket "+format, args...).
+		WithRemedy("restore the object Limit/Bucket from before the last change by hand")
+}
--- /dev/null
+++ b/pkg/limit/run.go
@@ -0,0 +1,86 @@
+package limit
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// callTimeout bounds every call to a peer or the platform.
+	callTimeout = 2 * time.Second
+	// exchangeTick is the pause between two rounds of messages; requests for
+	// units that arise within it share a message.
+	exchangeTick = 2 * time.Millisecond
+	// maintainTick is the pause between two checks for gone VMs.
+	maintainTick = time.Second
+)
+
+// Start begins the exchange with other VMs. It returns at once.
+func (l *Limiter) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.done.Go(func() { l.runExchange(ctx) })
+	l.done.Go(func() { l.runMaintain(ctx) })
+	l.done.Go(func() { l.runRefresh(ctx) })
+}
+
+// runExchange sends messages when there is something to ask for, and repeats
+// unanswered ones.
+func (l *Limiter) runExchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, m := range l.core.plan(l.now()) {
+			l.done.Go(func() { l.call(ctx, m) })
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.core.todo.kick:
+		case <-l.clock.After(firstRetry):
+		}
+		l.clock.Sleep(exchangeTick)
+	}
+}
+
+func (l *Limiter) call(ctx context.Context, m outgoing) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply AskReply
+	if err := l.peers.Call(ctx, m.to, "Limit.Ask", m.args, &reply); err != nil {
+		return // plan repeats the message
+	}
+	l.core.receive(l.now(), m.to, m.args.Seq, &reply)
+}
+
+// runMaintain reads records that are asked for, looks for gone holders and
+// reclaims their units.
+func (l *Limiter) runMaintain(ctx context.Context) {
+	next := l.clock.Now()
+	for ctx.Err() == nil {
+		l.readRecords(ctx)
+		if now := l.clock.Now(); !now.Before(next) {
+			next = now.Add(maintainTick)
+			l.maintain(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.clock.After(recordTick):
+		}
+	}
+}
+
+// recordTick is the pause between two rounds of reading records that are asked
+// for. It batches the start of a VM and delays a new customer little.
+const recordTick = 10 * time.Millisecond
+
+// runRefresh applies changed rates.
+func (l *Limiter) runRefresh(ctx context.Context) {
+	for {
+		changed := l.view.Changed()
+		l.core.refresh(l.now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/pkg/limit/todo.go
@@ -0,0 +1,52 @@
+package limit
+
+import (
+	"sync"
+
+	"siskintray.example/siskin"
+)
+
+// todo lists what the runtime has to do. Its lock is taken last.
+type todo struct {
+	mu        sync.Mutex
+	customers []siskin.CustomerID // to ask units for
+	buckets   []int               // whose record must be read
+	kick      chan struct{}
+}
+
+func (t *todo) addCustomer(id siskin.CustomerID) {
+	t.mu.Lock()
+	t.customers = append(t.customers, id)
+	t.mu.Unlock()
+	t.wake()
+}
+
+func (t *todo) addBucket(i int) {
+	t.mu.Lock()
+	t.buckets = append(t.buckets, i)
+	t.mu.Unlock()
+	t.wake()
+}
+
+func (t *todo) wake() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (t *todo) takeCustomers() []siskin.CustomerID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.customers
+	t.customers = nil
+	return list
+}
+
+func (t *todo) takeBuckets() []int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.buckets
+	t.buckets = nil
+	return list
+}
