relay: end writes at a replaced primary without a race

Cause: TestFleetSurvivesPrimary failed once under load with a gap of 5.9 s. pool.Demote set a read deadline on connections in use; a write that leased its connection at the same moment overwrote it with the route's deadline, or opened a new connection to the paused target afterwards.

Change: relay.Home records each write with the term it was admitted to. EndOlder sets the newest term first and then gives up older writes, and a write records itself before it checks the term, so one of the two always finds the other. pool.Demote is removed.

Conclusion: no write waits at a replaced primary until its deadline.

--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -23,12 +23,12 @@
 	interval time.Duration
 	open     siskin.DialFunc
 	log      *log.Logger
-	// demote ends the work at a target that was replaced as the primary.
-	demote  func(target siskin.TargetID)
-	running *shard.Map[siskin.ServiceName, *watchedGroup]
+	// endOlder ends the writes at primaries of terms before the given one.
+	endOlder func(service siskin.ServiceName, term siskin.Term)
+	running  *shard.Map[siskin.ServiceName, *watchedGroup]
 }
 
-func newGroups(cfg Config, homes *homes, demote func(siskin.TargetID)) *groups {
+func newGroups(cfg Config, homes *homes, endOlder func(siskin.ServiceName, siskin.Term)) *groups {
 	return &groups{
 		self:     cfg.Self.ID,
 		clock:    cfg.Clock,
@@ -36,7 +36,7 @@
 		interval: cfg.ProbeInterval,
 		open:     cfg.Open,
 		log:      cfg.Log,
-		demote:   demote,
+		endOlder: endOlder,
 		running:  shard.New[siskin.ServiceName, *watchedGroup](),
 	}
 }
@@ -90,7 +90,7 @@
 		return err
 	}
 	w := &watchedGroup{Group: started, settings: settings, credentials: service.Credentials, closed: make(chan struct{})}
-	w.wg.Go(func() { w.follow(g.demote) })
+	w.wg.Go(func() { w.follow(g.endOlder) })
 	g.running.Put(service.Name, w)
 	if ok {
 		return old.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	groups    *groups
 	remote    *remoteViews
 	pool      *pool.Pool
+	home      *relay.Home
 	forwarder *relay.Forwarder
 	server    *relay.Server
 	front     *front.Server
@@ -42,11 +43,11 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.homes = newHomes(cfg.Members)
 	n.queues = newQueues(cfg.Clock)
-	n.groups = newGroups(cfg, n.homes, func(target siskin.TargetID) { n.pool.Demote(target) })
+	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) })
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
 	n.slots = &slots{self: cfg.Self.ID, homes: n.homes, pool: n.pool, queues: n.queues}
-	home := (&relay.Home{
+	n.home = (&relay.Home{
 		Clock:   cfg.Clock,
 		Config:  cfg.Config,
 		Groups:  n.groups,
@@ -55,14 +56,14 @@
 		Pool:    n.pool,
 	}).Init()
 	n.forwarder = relay.NewForwarder(cfg.Clock, cfg.PeerTLS, cfg.Open)
-	n.server = relay.NewServer(home, cfg.Tokens, cfg.PeerTLS)
+	n.server = relay.NewServer(n.home, cfg.Tokens, cfg.PeerTLS)
 	n.update()
-	n.front = n.newFront(home)
+	n.front = n.newFront()
 	n.serve()
 	return n, nil
 }
 
-func (n *Node) newFront(home *relay.Home) *front.Server {
+func (n *Node) newFront() *front.Server {
 	cfg := n.cfg
 	return front.New(front.Config{
 		VM:             cfg.Self.ID,
@@ -70,7 +71,7 @@
 		Config:         cfg.Config,
 		Keys:           cfg.Keys,
 		Topology:       &topology{self: cfg.Self, homes: n.homes, groups: n.groups, remote: n.remote},
-		Home:           home,
+		Home:           n.home,
 		Forwarder:      n.forwarder,
 		Tokens:         cfg.Tokens,
 		Budgets:        retry.NewBudgets(),
--- a/internal/node/watchedgroup.go
+++ b/internal/node/watchedgroup.go
@@ -18,17 +18,14 @@
 	wg     sync.WaitGroup
 }
 
-// follow calls demote for each primary that is replaced.
-func (w *watchedGroup) follow(demote func(target siskin.TargetID)) {
-	var last siskin.TargetID
+// follow calls endOlder for each new term.
+func (w *watchedGroup) follow(endOlder func(siskin.ServiceName, siskin.Term)) {
+	var last siskin.Term
 	for {
 		changed := w.Changed()
-		view := w.View()
-		if view.Primary != "" && view.Primary != last {
-			if last != "" {
-				demote(last)
-			}
-			last = view.Primary
+		if term := w.View().Term; term > last {
+			last = term
+			endOlder(w.settings.Service, term)
 		}
 		select {
 		case <-changed:
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -54,8 +54,8 @@
 // reported as unreachable.
 const maxQuiet = 2 * time.Second
 
-// giveUpSilent ends the wait on connections in use that went silent or lead to
-// a replaced primary. The caller holds mu.
+// giveUpSilent ends the wait on connections in use that went silent. The caller
+// holds mu.
 func (s *slot) giveUpSilent(now time.Time) {
 	evidence := s.pool.silenceOf(s.key.Target)
 	unreachable := s.pool.reachable != nil && !s.pool.reachable(s.key.Target)
@@ -64,7 +64,7 @@
 			continue
 		}
 		heard := c.lastRead()
-		if s.isDemoted(c) || evidence.isSilent(c.opened, heard, now) || (unreachable && now.Sub(heard) > maxQuiet) {
+		if evidence.isSilent(c.opened, heard, now) || (unreachable && now.Sub(heard) > maxQuiet) {
 			s.stats.silent++
 			c.silent.Store(true)
 			_ = c.SetReadDeadline(longAgo) // fails only when closed already
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -21,7 +21,6 @@
 	opening    [accounts]int
 	waiters    []*waiter
 	draining   bool
-	demoted    time.Time // when the target was last replaced as the primary
 	failures   int       // failed openings in a row
 	nextOpen   time.Time
 	lastErr    error
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -23,6 +23,7 @@
 	ReplicaWait time.Duration
 
 	applied *shard.Map[siskin.TargetID, siskin.Position]
+	writes  writes
 }
 
 // DefaultReplicaWait is a little above the replication lag of 50 ms at which
@@ -35,6 +36,7 @@
 		h.ReplicaWait = DefaultReplicaWait
 	}
 	h.applied = shard.New[siskin.TargetID, siskin.Position]()
+	h.writes = newWrites()
 	return h
 }
 
@@ -44,6 +46,9 @@
 	l := &local{home: h, hdr: *hdr, status: 'I', taken: true, deadline: h.Clock.Now().Add(hdr.Remaining)}
 	l.ctx, l.cancel = context.WithDeadline(context.Background(), l.deadline)
 	if err := l.begin(); err != nil {
+		if l.replaced.Load() {
+			err = replacedBefore(hdr)
+		}
 		f := unsent(err)
 		f.Admitted = l.hdr.Admitted
 		l.end()
@@ -77,11 +82,11 @@
 	}
 	l.release = release
 	key := pool.Key{Target: hdr.Target, Slot: hdr.Slot}
-	if l.conn, err = h.Pool.Get(l.ctx, key, pool.AccountFor(l.route.Mode), hdr.Request); err != nil {
+	conn, err := h.Pool.Get(l.ctx, key, pool.AccountFor(l.route.Mode), hdr.Request)
+	if err != nil {
 		return err
 	}
-	l.taken = false
-	if err := l.conn.SetDeadline(l.deadline); err != nil {
+	if err := l.take(conn); err != nil {
 		return err
 	}
 	if l.route.Mode == config.ReadRoute && l.route.MaxAge == 0 {
@@ -119,11 +124,14 @@
 // admitMode checks that the target may serve the route at present.
 func (l *local) admitMode() error {
 	if l.route.Mode == config.WriteRoute {
-		primary, _, done, err := l.group.AdmitWrite(l.ctx)
+		primary, term, done, err := l.group.AdmitWrite(l.ctx)
 		if err != nil {
 			return err
 		}
 		l.done = done
+		if !l.home.writes.enter(l, term) {
+			return replacedBefore(&l.hdr)
+		}
 		if primary != l.hdr.Target {
 			return siskin.NewError(siskin.NotRun, "target %s is not the primary", l.hdr.Target).
 				WithRemedy("repeat the request; it goes to the primary")
@@ -169,6 +177,7 @@
 	release, done := l.release, l.done
 	l.release, l.done = nil, nil
 	l.mu.Unlock()
+	l.home.writes.leave(l)
 	if release != nil {
 		release()
 	}
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -28,6 +29,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	deadline time.Time
+	term     siskin.Term // term of the primary that a write was admitted to
+	replaced atomic.Bool // that primary was replaced
 
 	mu      sync.Mutex // orders Cancel before the return of the connection
 	taken   bool       // conn was returned or closed
@@ -99,6 +102,29 @@
 	l.endWork()
 }
 
+// take starts the use of a connection.
+func (l *local) take(conn *pool.Conn) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn, l.taken = conn, false
+	if l.replaced.Load() {
+		return replacedBefore(&l.hdr)
+	}
+	return conn.SetDeadline(l.deadline)
+}
+
+// giveUp ends a write whose primary was replaced: it cannot be confirmed
+// anymore, so that waiting until the deadline serves nobody.
+func (l *local) giveUp() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.replaced.Store(true)
+	l.cancel()
+	if l.conn != nil && !l.taken {
+		_ = l.conn.SetReadDeadline(longAgo) // fails only when closed already
+	}
+}
+
 // takeConn ends the use of the connection and returns it. It waits for a cancel
 // request in progress, which must not reach a later request.
 func (l *local) takeConn() *pool.Conn {
@@ -153,7 +179,7 @@
 // fail ends the transaction after the target connection failed.
 func (l *local) fail(err error) *Failure {
 	conn := l.takeConn()
-	silent := conn != nil && conn.Silent()
+	silent := l.replaced.Load() || (conn != nil && conn.Silent())
 	timeout := errors.Is(err, os.ErrDeadlineExceeded) && !silent
 	if conn != nil {
 		if timeout {
