internal/front: follow the forward address in tests

Connections for forwarded transactions go to VM.ForwardAddress now; the fleet of the tests still set the peer address.

go test ./internal/front passes.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -117,7 +117,7 @@
 	}).Init()
 	vm.relay = relay.NewServer(home, f.tokens, nil)
 	vm.peer = f.serve(vm.relay.Serve)
-	vm.fwd = relay.NewForwarder(clock, nil)
+	vm.fwd = relay.NewForwarder(clock, nil, nil)
 	vm.budgets = retry.NewBudgets()
 	vm.front = New(Config{
 		VM: vm.id, Clock: clock, Config: f.view, Keys: f.keys, Topology: vm, Home: home, Forwarder: vm.fwd,
@@ -196,7 +196,7 @@
 // Home implements Topology.
 func (vm *testVM) Home(t config.Target, slot siskin.Slot) (siskin.VM, bool, bool) {
 	owner := vm.fleet.vms[vm.fleet.owner(t, slot)]
-	return siskin.VM{ID: owner.id, PeerAddress: owner.peer}, owner == vm, true
+	return siskin.VM{ID: owner.id, ForwardAddress: owner.peer}, owner == vm, true
 }
 
 // DataCentre implements Topology.
