burn: measure objectives and burn rates

Cause: operators need to see, per service and per customer, how much of the error budget is left and whether a loss goes on.

Change: a recorder counts transactions in rings of 10 s and 5 min buckets, one pair a series under its own lock, with the number of series bounded. Records of several VMs merge; two records of one run of a VM are refused. A report gives burn rates over 5m/1h, 30m/6h and 6h/3d, budgets, alerts with their reason, write gaps, and the time that no VM covered, since a VM loses its counts with a restart. It is written as text, JSON and a page with SVG plots. Refusals that the caller caused do not count; a refusal by rate counts when the customer was within it.

Planted faults that the tests caught: a clock set back that loses counts, reused buckets, full coverage claimed after a restart, alerts on the short window alone, refusals by rate counted as bad, one run merged twice, no lock, no bound on series. The test first showed that a running VM was reported with 96.67% of 5 minutes covered; reading the record now counts as running.

Conclusion: a report is exact about what was counted and says what was not.

--- /dev/null
+++ b/pkg/burn/counts.go
@@ -0,0 +1,97 @@
+package burn
+
+import "siskintray.example/siskin"
+
+// kindCount is the number of error kinds.
+const kindCount = int(siskin.TargetRefused) + 1
+
+// Counts are the transactions of one window.
+type Counts struct {
+	Done       int64            // ended without an error
+	ByKind     map[string]int64 `json:",omitempty"` // ended with an error, by kind
+	WithinRate int64            // of those of kind RateExceeded: within the customer's rate
+	Slow       int64            // of Done: above the latency threshold
+	Reads      int64            // of Done: on read routes
+	ByReplica  int64            // of Reads: served by a replica
+}
+
+// Bad returns the transactions that count against availability.
+func (c *Counts) Bad() int64 {
+	n := c.WithinRate
+	for k := range kindCount {
+		if kind := siskin.ErrorKind(k); classOf(kind) == bad {
+			n += c.ByKind[kind.String()]
+		}
+	}
+	return n
+}
+
+// Total returns the transactions that availability counts.
+func (c *Counts) Total() int64 {
+	return c.Done + c.ByKind[siskin.TargetRefused.String()] + c.Bad()
+}
+
+// Add adds other to c.
+func (c *Counts) Add(other Counts) {
+	c.Done += other.Done
+	c.WithinRate += other.WithinRate
+	c.Slow += other.Slow
+	c.Reads += other.Reads
+	c.ByReplica += other.ByReplica
+	for kind, n := range other.ByKind {
+		if c.ByKind == nil {
+			c.ByKind = map[string]int64{}
+		}
+		c.ByKind[kind] += n
+	}
+}
+
+// bucket counts the transactions of one stretch of time.
+type bucket struct {
+	done, slow, reads, byReplica, withinRate uint32
+	kinds                                    [kindCount]uint32
+}
+
+func (b *bucket) record(res *Result, slow bool) {
+	if res.Failed {
+		b.kinds[knownKind(res.Kind)]++
+		if res.Kind == siskin.RateExceeded && res.WithinRate {
+			b.withinRate++
+		}
+		return
+	}
+	b.done++
+	if slow {
+		b.slow++
+	}
+	if res.Read {
+		b.reads++
+		if res.ByReplica {
+			b.byReplica++
+		}
+	}
+}
+
+func knownKind(k siskin.ErrorKind) siskin.ErrorKind {
+	if k < 0 || int(k) >= kindCount {
+		return siskin.Internal
+	}
+	return k
+}
+
+// addTo adds the bucket to c.
+func (b *bucket) addTo(c *Counts) {
+	c.Done += int64(b.done)
+	c.Slow += int64(b.slow)
+	c.Reads += int64(b.reads)
+	c.ByReplica += int64(b.byReplica)
+	c.WithinRate += int64(b.withinRate)
+	for k, n := range b.kinds {
+		if n > 0 {
+			if c.ByKind == nil {
+				c.ByKind = map[string]int64{}
+			}
+			c.ByKind[siskin.ErrorKind(k).String()] += int64(n)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/burn/html.go
@@ -0,0 +1,59 @@
+package burn
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+	"time"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"percent": percent, "window": name, "round": round,
+	"time": func(t time.Time) string { return t.Format("2006-01-02 15:04:05 MST") },
+}).Parse(pageText))
+
+// maxPlots bounds the services that get plots, so that a page stays readable
+// and below a few megabytes.
+const maxPlots = 24
+
+// plots are the plots of one series.
+type plots struct{ Hour, Days template.HTML }
+
+// WriteHTML writes the report as a page without scripts or outside resources.
+func (r *Report) WriteHTML(w io.Writer) error {
+	to := time.Time{}
+	for _, vm := range r.VMs {
+		if vm.Until.After(to) {
+			to = vm.Until
+		}
+	}
+	drawn := make(map[int]plots)
+	for i := range r.Series {
+		s := &r.Series[i]
+		if s.Dimension != ServiceDimension || len(drawn) == maxPlots {
+			continue
+		}
+		hour, err := shareSVG(s.Hour, r.VMs, to.Add(-fineLimit), to, time.Minute, "15:04")
+		if err != nil {
+			return err
+		}
+		days, err := shareSVG(s.Days, r.VMs, to.Add(-longest), to, time.Hour, "02 Jan 15h")
+		if err != nil {
+			return err
+		}
+		drawn[i] = plots{hour, days}
+	}
+	alerts := 0
+	for i := range r.Series {
+		alerts += len(r.Series[i].Alerts)
+	}
+	return page.Execute(w, struct {
+		*Report
+		Until  time.Time
+		Alerts int
+		Plots  map[int]plots
+	}{r, to, alerts, drawn})
+}
--- /dev/null
+++ b/pkg/burn/plot.go
@@ -0,0 +1,116 @@
+package burn
+
+import (
+	"bytes"
+	"html/template"
+	"image/color"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+var (
+	lineColor = color.RGBA{R: 0xb0, G: 0x2a, B: 0x1a, A: 0xff}
+	bandColor = color.RGBA{R: 0xdd, G: 0xdd, B: 0xdd, A: 0xff}
+)
+
+// shareSVG draws sharePlot as an SVG element.
+func shareSVG(points []Point, vms []VMRecord, from, to time.Time, step time.Duration, format string) (template.HTML, error) {
+	p, err := sharePlot(points, vms, from, to, step, format)
+	if err != nil {
+		return "", err
+	}
+	canvas := vgsvg.New(16*vg.Centimeter, 4.5*vg.Centimeter)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", err
+	}
+	// Without the XML header the element can stand inside HTML.
+	_, svg, _ := bytes.Cut(b.Bytes(), []byte("<svg"))
+	return template.HTML("<svg" + string(svg)), nil
+}
+
+// sharePlot plots the share of bad transactions by step. Grey bands mark time
+// in which no VM of the report ran, which is not the same as a share of zero.
+func sharePlot(points []Point, vms []VMRecord, from, to time.Time, step time.Duration, format string) (*plot.Plot, error) {
+	p := plot.New()
+	p.X.Min, p.X.Max = seconds(from), seconds(to)
+	p.X.Tick.Marker = plot.TimeTicks{Format: format}
+	p.Y.Label.Text = "bad, %"
+	lines, top := steps(points, step, to)
+	p.Y.Min, p.Y.Max = 0, top
+	for _, band := range uncovered(vms, from, to) {
+		x0, x1 := seconds(band.From), seconds(band.To)
+		poly, err := plotter.NewPolygon(plotter.XYs{{X: x0, Y: 0}, {X: x1, Y: 0}, {X: x1, Y: top}, {X: x0, Y: top}})
+		if err != nil {
+			return nil, err
+		}
+		poly.Color, poly.LineStyle.Width = bandColor, 0
+		p.Add(poly)
+	}
+	for _, xys := range lines {
+		line, err := plotter.NewLine(xys)
+		if err != nil {
+			return nil, err
+		}
+		line.Color, line.Width = lineColor, vg.Points(1.2)
+		p.Add(line)
+	}
+	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = seconds(from), seconds(to), 0, top
+	return p, nil
+}
+
+// steps returns one line for each run of points without a hole, and the top of
+// the axis.
+func steps(points []Point, step time.Duration, to time.Time) (lines []plotter.XYs, top float64) {
+	top = 1
+	for i, pt := range points {
+		if i == 0 || pt.At.Sub(points[i-1].At) > step {
+			lines = append(lines, nil)
+		}
+		share := 0.0
+		if pt.Total > 0 {
+			share = 100 * float64(pt.Bad) / float64(pt.Total)
+		}
+		top = max(top, share*1.05)
+		last := &lines[len(lines)-1]
+		*last = append(*last, plotter.XY{X: seconds(pt.At), Y: share}, plotter.XY{X: min(seconds(pt.At.Add(step)), seconds(to)), Y: share})
+	}
+	return lines, top
+}
+
+func seconds(t time.Time) float64 { return float64(t.Unix()) }
+
+// uncovered returns the stretches from from to to in which no VM ran.
+func uncovered(vms []VMRecord, from, to time.Time) []Stretch {
+	var up []Stretch
+	for _, vm := range vms {
+		start := vm.Since
+		for _, d := range vm.Down {
+			up = append(up, Stretch{start, d.From})
+			start = d.To
+		}
+		up = append(up, Stretch{start, vm.Until})
+	}
+	slices.SortFunc(up, func(a, b Stretch) int { return a.From.Compare(b.From) })
+	var down []Stretch
+	end := from
+	for _, s := range up {
+		if s.From.After(end) {
+			down = append(down, Stretch{end, s.From})
+		}
+		if s.To.After(end) {
+			end = s.To
+		}
+	}
+	if to.After(end) {
+		down = append(down, Stretch{end, to})
+	}
+	return down
+}
