front, relay: report transactions and wait briefly for units

Cause: the burn report needs each transaction's outcome, and a home that refused at once for lack of units refused requests that were within the customer's rate across the fleet.

Change: front.Observer is told of each transaction that ended; Limiter has AdmitWait, which relay uses.

Conclusion: no change of the protocol towards callers.

--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -102,6 +102,7 @@
 	t.tried = append(t.tried, target.ID)
 	t.hdr.Target, t.hdr.Slot = target.ID, slot
 	t.hdr.Remaining = t.deadline.Sub(cfg.Clock.Now())
+	t.byReplica = target.ID != view.Primary
 	if t.route.Mode == config.ReadRoute {
 		if target.ID == view.Primary {
 			c.srv.counts.primaryReads.Add(1)
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -29,6 +29,8 @@
 	// TLS is nil when callers connect without TLS, which is allowed on loopback
 	// listeners only.
 	TLS *tls.Config
+	// Observer is nil when nobody counts transactions.
+	Observer Observer
 	// Log is nil when nothing is logged.
 	Log *log.Logger
 	// MaxConnections bounds the caller connections, DefaultMaxConnections when
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -155,6 +155,10 @@
 	admitted atomic.Int64
 }
 
+func (l *fakeLimiter) AdmitWait(_ context.Context, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
+	return l.Admit(time.Time{}, customer, n)
+}
+
 func (l *fakeLimiter) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
 	if l.refuse.Load() {
 		return siskin.Admission{RetryAfter: 250 * time.Millisecond}
--- /dev/null
+++ b/internal/front/observe.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/relay"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// Observer is told of each transaction that ended. It must not block.
+type Observer interface {
+	Transaction(o Observation)
+}
+
+// Observation is one transaction as its caller saw it.
+type Observation struct {
+	Service  siskin.ServiceName
+	Customer siskin.CustomerID
+	Mode     config.RouteMode
+	// Failed says that it ended with an error of this program of kind Kind.
+	Failed bool
+	Kind   siskin.ErrorKind
+	// Latency is the time from the first message to the end of the answer.
+	Latency time.Duration
+	// ByReplica says that a replica served it.
+	ByReplica bool
+}
+
+// observe reports the end of a transaction that began at the given time.
+func (c *session) observe(t *transaction, began time.Time, f *relay.Failure) {
+	cfg := &c.srv.cfg
+	if cfg.Observer == nil || (f != nil && f.CallerGone) {
+		return
+	}
+	o := Observation{
+		Service:   t.service.Name,
+		Customer:  t.customer,
+		Mode:      t.route.Mode,
+		Latency:   cfg.Clock.Since(began),
+		ByReplica: t.byReplica,
+	}
+	if f != nil {
+		o.Failed, o.Kind = true, f.Err.Kind
+	}
+	cfg.Observer.Transaction(o)
+}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -30,6 +30,8 @@
 	attempts int
 	maybeRan bool // an attempt ended without proof that it did not run
 	streamed bool // the batch was sent without being kept
+	// byReplica says that the last attempt went to a replica.
+	byReplica bool
 }
 
 // run handles the first message of a transaction and everything up to its end.
@@ -62,6 +64,7 @@
 			return err
 		}
 	}
+	c.observe(t, now, f)
 	if f != nil {
 		return c.refuseBatch(f, last)
 	}
--- a/internal/node/fake_test.go
+++ b/internal/node/fake_test.go
@@ -83,3 +83,7 @@
 func (openLimiter) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
 	return siskin.Admission{Admitted: true}
 }
+
+func (openLimiter) AdmitWait(context.Context, siskin.CustomerID, siskin.Requests) siskin.Admission {
+	return siskin.Admission{Admitted: true}
+}
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -105,7 +105,7 @@
 	if l.hdr.Admitted {
 		return nil
 	}
-	a := l.home.Limiter.Admit(l.home.Clock.Now(), l.hdr.Customer, 1)
+	a := l.home.Limiter.AdmitWait(l.ctx, l.hdr.Customer, 1)
 	if !a.Admitted {
 		return siskin.NewError(siskin.RateExceeded, "customer %s is over its rate", l.hdr.Customer).
 			WithRemedy("send fewer requests or wait for RetryAfter").WithRetryAfter(a.RetryAfter)
--- a/limiter.go
+++ b/limiter.go
@@ -1,6 +1,9 @@
 package siskin
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Admission is the answer of a Limiter.
 type Admission struct {
@@ -14,4 +17,7 @@
 type Limiter interface {
 	// Admit takes n requests from the customer's bucket, all or none.
 	Admit(now time.Time, customer CustomerID, n Requests) Admission
+	// AdmitWait is Admit after a short wait for units of other VMs, if need be.
+	// It waits only while units can be expected.
+	AdmitWait(ctx context.Context, customer CustomerID, n Requests) Admission
 }
