limit: ask ahead, ask holders that can spare units, give by demand

Cause: the plain policy asked the first holder only and moved units to and fro between busy holders.

Change: a holder asks before it runs dry. Hints record what a holder can spare, with their age, so that two poor holders do not send an asker back and forth; a round tries every holder before it backs off. A giver gives what the asker's demand needs, at least half of what it can spare. Demand is measured over 1 s and 0.1 s; the asker states the larger, the giver assumes the smaller. Holders that joined after the record was read become known through requests and replies.

--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -32,6 +32,10 @@
 	// firstRetry and maxBackoff bound the delays of repeated requests.
 	firstRetry = 50 * time.Millisecond
 	maxBackoff = time.Second
+	// After rereadFailures requests in vain the record is read again, at most
+	// once in rereadEvery.
+	rereadFailures = 2
+	rereadEvery    = 5 * time.Second
 	// maxItems bounds the customers in one message.
 	maxItems = 64
 )
@@ -84,9 +88,9 @@
 		return
 	}
 	h.wanted = false
-	giver, ok := c.giver(b, h, batches)
+	giver, ok := c.giver(now, b, h, batches)
 	if !ok {
-		h.failed(now)
+		c.failed(now, b, h)
 		return
 	}
 	h.askAfter = now + patience
@@ -97,18 +101,30 @@
 	}
 	args.Items = append(args.Items, AskItem{
 		Customer: id, Epoch: b.epoch, Units: h.units,
-		Demand: siskin.RequestsPerSecond(h.demand.get(now)), Need: siskin.Requests(h.need),
+		Demand: siskin.RequestsPerSecond(h.demand.high(now)), Need: siskin.Requests(h.need),
+		Known: len(b.holders),
 	})
 }
 
-// failed delays the next request for units after one that brought nothing.
-func (h *holding) failed(now time.Duration) {
+// failed follows a request for units that brought nothing. Holders that were
+// not asked in this round come next, without a delay; then the rounds get
+// rarer, since the customer probably uses its whole rate.
+func (c *core) failed(now time.Duration, b *bucket, h *holding) {
+	for _, o := range b.holders {
+		if o.VM != c.self.VM && !h.hints.since(h.roundAt, o.VM) && !c.links[o.VM].busy() {
+			h.askAfter = now
+			return
+		}
+	}
 	h.askAfter = now + min(patience<<min(h.failures, 8), maxBackoff)
+	h.roundAt = now
 	h.failures++
 }
 
+func (l *link) busy() bool { return l != nil && l.pending != nil }
+
 // giver picks the holder to ask among those without a pending request.
-func (c *core) giver(b *bucket, h *holding, batches map[siskin.VMID]*AskArgs) (holderID, bool) {
+func (c *core) giver(now time.Duration, b *bucket, h *holding, batches map[siskin.VMID]*AskArgs) (holderID, bool) {
 	var best holderID
 	for _, o := range b.holders {
 		l := c.links[o.VM]
@@ -120,7 +136,7 @@
 		if o.VM == c.self.VM || l.pending != nil || (batch != nil && (len(batch.Items) >= maxItems || batch.ToIncarnation != o.Incarnation)) {
 			continue
 		}
-		if best.VM == "" || h.preferred(o.VM, best.VM) < 0 {
+		if best.VM == "" || h.preferred(now, o.VM, best.VM) < 0 {
 			best = o
 		}
 	}
@@ -154,17 +170,23 @@
 	if h == nil {
 		return
 	}
-	h.hints.set(from, item.Left)
+	h.hints.set(now, from, item.Spare)
 	if item.Richest != "" && item.Richest != c.self.VM {
-		h.hints.set(item.Richest, item.RichestUnits)
+		h.hints.set(now-item.RichestAge, item.Richest, item.RichestSpare)
 	}
 	if item.Units > 0 && (item.Epoch != b.epoch || item.Epoch == 0) {
 		return
 	}
+	if item.Epoch == b.epoch {
+		b.learn(item.Holders...)
+	}
 	h.refill(now)
 	h.add(item.Units, float64(item.Tokens))
 	if item.Units == 0 && item.Tokens == 0 {
-		h.failed(now)
+		c.failed(now, b, h)
+		if h.failures >= rereadFailures && now-b.readAt >= rereadEvery {
+			c.read(i, b) // a holder that joined later may be rich
+		}
 		return
 	}
 	h.askAfter, h.failures = now, 0
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	restFull bool          // rest has earned a full burst
 	holdings map[siskin.CustomerID]*holding
 	reading  bool // the record is being read
+	readAt   time.Duration
 	serves   bool // requests came for customers of the bucket
 	// reporting says that the epoch's missing units are not granted yet.
 	reporting bool
@@ -61,6 +63,7 @@
 // apply takes over the platform's record as seen by self. An older record is
 // ignored.
 func (b *bucket) apply(now time.Duration, self holderID, r *record) {
+	b.readAt = now
 	if r.Epoch < b.epoch {
 		return
 	}
@@ -120,3 +123,12 @@
 		h.units, h.tokens = 0, 0
 	}
 }
+
+// learn adds holders that joined after the record was read.
+func (b *bucket) learn(holders ...holderID) {
+	for _, h := range holders {
+		if !slices.Contains(b.holders, h) {
+			b.holders = append(slices.Clip(b.holders), h)
+		}
+	}
+}
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -68,9 +68,16 @@
 		out.Units = min(max(h.gift(now, item), 0), h.units)
 	}
 	out.Tokens += siskin.Requests(h.take(out.Units))
-	out.Left = h.units
-	best := h.hints.richest(args.From)
-	out.Richest, out.RichestUnits = best.vm, best.units
-	h.hints.set(args.From, item.Units+out.Units)
+	out.Spare = h.spare(now)
+	if best := h.hints.richest(now, args.From); best.vm != "" {
+		out.Richest, out.RichestSpare, out.RichestAge = best.vm, best.spare, now-best.at
+	}
+	h.hints.set(now, args.From, 0) // it asks because it has none to spare
+	if item.Epoch != 0 {
+		b.learn(holderID{args.From, args.FromIncarnation})
+	}
+	if len(b.holders) > item.Known {
+		out.Holders = b.holders[:min(len(b.holders), maxItems)]
+	}
 	return out
 }
--- a/pkg/limit/hints.go
+++ b/pkg/limit/hints.go
@@ -1,39 +1,86 @@
 package limit
 
-import "siskintray.example/siskin"
+import (
+	"time"
 
-// hints remembers what a few other holders of a customer had last.
-type hints [4]hint
+	"siskintray.example/siskin"
+)
+
+const (
+	// maxHints bounds the memory per customer. Homes, and with them holders, are
+	// few.
+	maxHints = 32
+	// unknownSpare is assumed of a holder without a hint: more than a holder
+	// that is known to have little, less than a rich one.
+	unknownSpare = siskin.TotalUnits / 16
+	// hintSpan is the age at which a hint says nothing anymore, since units
+	// follow demand. Without it a holder that was poor once is never asked again.
+	hintSpan = time.Second
+)
+
+// hints remembers what other holders of a customer could spare last. The spare
+// units count, not all: a holder with high demand is no giver.
+type hints []hint
 
 type hint struct {
 	vm    siskin.VMID
-	units siskin.Units
+	spare siskin.Units
+	at    time.Duration
 }
 
-// set records the units of a holder. A new holder replaces the poorest.
-func (h *hints) set(vm siskin.VMID, units siskin.Units) {
-	poorest := 0
-	for i := range h {
-		if h[i].vm == vm {
-			h[i].units = units
+// set records the spare units of a holder as of a time, unless a newer hint
+// exists. When full, the oldest hint goes.
+func (h *hints) set(at time.Duration, vm siskin.VMID, spare siskin.Units) {
+	oldest := 0
+	for i := range *h {
+		if (*h)[i].vm == vm {
+			if at >= (*h)[i].at {
+				(*h)[i] = hint{vm, spare, at}
+			}
 			return
 		}
-		if h[i].vm == "" || (h[poorest].vm != "" && h[i].units < h[poorest].units) {
-			poorest = i
+		if (*h)[i].at < (*h)[oldest].at {
+			oldest = i
 		}
 	}
-	if h[poorest].vm == "" || units > h[poorest].units {
-		h[poorest] = hint{vm, units}
+	if len(*h) < maxHints {
+		*h = append(*h, hint{vm, spare, at})
+		return
+	}
+	(*h)[oldest] = hint{vm, spare, at}
+}
+
+// get estimates the spare units of a holder from the last known ones and their age.
+func (h hints) get(now time.Duration, vm siskin.VMID) siskin.Units {
+	for i := range h {
+		if h[i].vm == vm {
+			return h[i].estimate(now)
+		}
 	}
+	return unknownSpare
+}
+
+func (h *hint) estimate(now time.Duration) siskin.Units {
+	age := min(max(now-h.at, 0), hintSpan)
+	return h.spare + siskin.Units(int64(unknownSpare-h.spare)*int64(age/time.Microsecond)/int64(hintSpan/time.Microsecond))
 }
 
-// richest returns the richest known holder other than the given one.
-func (h *hints) richest(other siskin.VMID) hint {
-	var best hint
+// richest returns the richest holder other than the given one.
+func (h hints) richest(now time.Duration, other siskin.VMID) (best hint) {
 	for i := range h {
-		if h[i].vm != "" && h[i].vm != other && h[i].units > best.units {
+		if h[i].vm != other && now-h[i].at < hintSpan && h[i].spare > best.spare {
 			best = h[i]
 		}
 	}
 	return best
 }
+
+// since reports whether the hint of a holder is newer than t.
+func (h hints) since(t time.Duration, vm siskin.VMID) bool {
+	for i := range h {
+		if h[i].vm == vm {
+			return h[i].at > t
+		}
+	}
+	return false
+}
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -27,7 +27,8 @@
 
 	wanted   bool          // on the list of customers to ask for
 	askAfter time.Duration // earliest time of the next request for units
-	failures int           // requests in a row that brought nothing
+	failures int           // rounds in a row that brought nothing
+	roundAt  time.Duration // start of the round over all holders
 	hints    hints
 	waiters  int
 	arrived  chan struct{} // closed when units arrive; nil without waiters
--- a/pkg/limit/message.go
+++ b/pkg/limit/message.go
@@ -1,6 +1,10 @@
 package limit
 
-import "siskintray.example/siskin"
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
 
 // AskArgs asks another holder for units of several customers. A repeated
 // message with the same Seq gets the same reply.
@@ -26,6 +30,8 @@
 	Units  siskin.Units             // units that the asker has
 	Demand siskin.RequestsPerSecond // recent demand at the asker
 	Need   siskin.Requests          // tokens that the asker lacks
+	// Known is the number of holders that the asker knows of.
+	Known int
 }
 
 // AskReply answers AskArgs.
@@ -42,11 +48,17 @@
 	Epoch    uint64
 	Units    siskin.Units
 	Tokens   siskin.Requests
-	// Left is what the giver keeps, a hint for the next request.
-	Left siskin.Units
-	// Richest is another holder that the giver believes to have RichestUnits.
+	// Spare is what the giver keeps without needing it, a hint for the next
+	// request.
+	Spare siskin.Units
+	// Richest is another holder that could spare RichestSpare units RichestAge
+	// ago. The age keeps two poor holders from sending an asker back and forth.
 	Richest      siskin.VMID
-	RichestUnits siskin.Units
+	RichestSpare siskin.Units
+	RichestAge   time.Duration
+	// Holders is set when the giver knows more holders than the asker. VMs join
+	// after the asker has read the record.
+	Holders []holderID
 }
 
 // ReportArgs asks a holder to enter an epoch and to report its units.
--- a/pkg/limit/meter.go
+++ b/pkg/limit/meter.go
@@ -5,25 +5,44 @@
 	"time"
 )
 
-// meterSpan is the time over which demand is averaged. It is short enough to
-// follow demand that moves to another VM within a second, and long enough that
-// a few requests do not move units.
-const meterSpan = time.Second
+const (
+	// slowSpan is long enough that a few requests do not move units.
+	slowSpan = time.Second
+	// fastSpan follows demand that moves to another VM.
+	fastSpan = 100 * time.Millisecond
+)
 
-// meter measures demand in requests per second, refused ones included.
+// meter measures demand in requests per second, refused ones included, over a
+// slow and a fast span.
 type meter struct {
-	value float64
-	at    time.Duration
+	slow, fast float64
+	at         time.Duration
 }
 
 func (m *meter) add(now time.Duration, n float64) {
-	m.value = m.get(now) + n/meterSpan.Seconds()
-	m.at = max(m.at, now)
+	m.decay(now)
+	m.slow += n / slowSpan.Seconds()
+	m.fast += n / fastSpan.Seconds()
 }
 
-func (m *meter) get(now time.Duration) float64 {
-	if now <= m.at || m.value == 0 {
-		return m.value
+func (m *meter) decay(now time.Duration) {
+	if now <= m.at {
+		return
 	}
-	return m.value * math.Exp(-float64(now-m.at)/float64(meterSpan))
+	d := float64(now - m.at)
+	m.slow *= math.Exp(-d / float64(slowSpan))
+	m.fast *= math.Exp(-d / float64(fastSpan))
+	m.at = now
+}
+
+// high returns the larger estimate: an asker's demand that has just begun.
+func (m *meter) high(now time.Duration) float64 {
+	m.decay(now)
+	return max(m.slow, m.fast)
+}
+
+// low returns the smaller estimate: a giver's demand that may just have ended.
+func (m *meter) low(now time.Duration) float64 {
+	m.decay(now)
+	return min(m.slow, m.fast)
 }
--- a/pkg/limit/policy.go
+++ b/pkg/limit/policy.go
@@ -1,16 +1,61 @@
 package limit
 
 import (
+	"cmp"
 	"time"
 
 	"siskintray.example/siskin"
 )
 
+// askAhead is the time before a bucket runs dry at the present demand from
+// which on its holder asks for units. It covers several round trips.
+const askAhead = 100 * time.Millisecond
+
 // short reports whether a holder should ask others for units.
-func (h *holding) short(_ time.Duration, _ float64, admitted bool) bool { return !admitted }
+func (h *holding) short(now time.Duration, n float64, admitted bool) bool {
+	if !admitted {
+		return true
+	}
+	drain := h.demand.high(now) - h.rate*h.share()
+	return drain > 0 && h.tokens < max(drain*askAhead.Seconds(), n)
+}
+
+// margin is the part above a holder's demand that it may keep or ask for. At
+// an offered load of 0.8 it covers the whole rate.
+const margin = 1.25
+
+// minGift is the smallest gift that is worth a message.
+const minGift = siskin.TotalUnits / 256
+
+// gift returns the units to give to an asker: what it needs, at least half, of
+// what the giver can spare. An asker whose part is far below its demand also
+// gets what brings both to parts proportional to their demand.
+func (h *holding) gift(now time.Duration, item *AskItem) siskin.Units {
+	own, asked := h.demand.low(now), float64(item.Demand)
+	spare := float64(h.spare(now))
+	units := min(spare, max(spare/2, h.needed(asked)-float64(item.Units)))
+	total := float64(h.units + item.Units)
+	if fair := total*asked/max(asked+own, 1e-9) - float64(item.Units); fair > total/8 {
+		units = max(units, fair)
+	}
+	if units < float64(minGift) && units < float64(h.units) {
+		return 0
+	}
+	return siskin.Units(units)
+}
+
+// spare returns the units that the holder does not need for its own demand.
+func (h *holding) spare(now time.Duration) siskin.Units {
+	return h.units - min(h.units, siskin.Units(h.needed(h.demand.low(now))))
+}
 
-// gift returns the units to give to an asker.
-func (h *holding) gift(_ time.Duration, _ *AskItem) siskin.Units { return (h.units + 1) / 2 }
+// needed returns the units that cover a demand with a margin.
+func (h *holding) needed(demand float64) float64 {
+	return margin * demand / max(h.rate, 1e-9) * float64(siskin.TotalUnits)
+}
 
-// preferred orders holders to ask: a negative result asks a before b.
-func (h *holding) preferred(_, _ siskin.VMID) int { return 0 }
+// preferred orders holders to ask: a negative result asks a before b. Richer
+// ones come first. A holder without a hint may have anything.
+func (h *holding) preferred(now time.Duration, a, b siskin.VMID) int {
+	return cmp.Compare(h.hints.get(now, b), h.hints.get(now, a))
+}
