cfgini: add the forward address; make TLS between VMs optional on loopback

Cause: forwarded transactions have an address of their own, and a try on one machine should not need certificates.

Change: Peer.ForwardAddress; Peer.CertFile, KeyFile and CAFile are needed together, and only where an address is not on loopback.

Conclusion: settings describe every listener of a VM.

--- a/internal/cfgini/daemon.go
+++ b/internal/cfgini/daemon.go
@@ -36,13 +36,14 @@
 	MaxMessage     siskin.Bytes  `default:"16MB" min:"32KB" max:"1GB" reload:"yes" doc:"Largest protocol message that a caller may send."`
 }
 
-// Peer sets the listener for other VMs.
+// Peer sets the listeners for other VMs.
 type Peer struct {
-	Address  string   `unit:"address" doc:"Address that other VMs connect to."`
-	CertFile string   `unit:"file" doc:"Certificate in PEM for mutual TLS between VMs."`
-	KeyFile  string   `unit:"file" doc:"Private key of CertFile in PEM."`
-	CAFile   string   `unit:"file" doc:"Certificates in PEM that sign the certificates of VMs."`
-	Seeds    []string `unit:"addresses" optional:"yes" doc:"Peer addresses of some other VMs, for a start while the platform is down."`
+	Address        string   `unit:"address" doc:"Address that takes calls of other VMs (net/rpc)."`
+	ForwardAddress string   `unit:"address" doc:"Address that takes transactions forwarded by other VMs (PostgreSQL protocol)."`
+	CertFile       string   `unit:"file" optional:"yes" doc:"Certificate in PEM for mutual TLS between VMs. Needed, with KeyFile and CAFile, unless both addresses are on loopback."`
+	KeyFile        string   `unit:"file" optional:"yes" doc:"Private key of CertFile in PEM."`
+	CAFile         string   `unit:"file" optional:"yes" doc:"Certificates in PEM that sign the certificates of VMs."`
+	Seeds          []string `unit:"addresses" optional:"yes" doc:"Peer addresses of some other VMs, for a start while the platform is down."`
 }
 
 // Admin sets the listener for operators.
@@ -85,13 +86,18 @@
 
 func (d *Daemon) check(c *check) {
 	c.pair("Caller.CertFile", d.Caller.CertFile, "Caller.KeyFile", d.Caller.KeyFile)
+	c.pair("Peer.CertFile", d.Peer.CertFile, "Peer.KeyFile", d.Peer.KeyFile)
+	c.pair("Peer.CertFile", d.Peer.CertFile, "Peer.CAFile", d.Peer.CAFile)
 	c.pair("Admin.CertFile", d.Admin.CertFile, "Admin.KeyFile", d.Admin.KeyFile)
 	c.pair("Admin.CertFile", d.Admin.CertFile, "Admin.CAFile", d.Admin.CAFile)
 	c.protected("Caller.Address", d.Caller.Address, "Caller.CertFile", d.Caller.CertFile)
+	c.protected("Peer.Address", d.Peer.Address, "Peer.CertFile", d.Peer.CertFile)
+	c.protected("Peer.ForwardAddress", d.Peer.ForwardAddress, "Peer.CertFile", d.Peer.CertFile)
 	c.protected("Admin.Address", d.Admin.Address, "Admin.CertFile", d.Admin.CertFile)
 	c.distinct(
 		named{"Caller.Address", d.Caller.Address},
 		named{"Peer.Address", d.Peer.Address},
+		named{"Peer.ForwardAddress", d.Peer.ForwardAddress},
 		named{"Admin.Address", d.Admin.Address},
 	)
 	if d.Token.PreviousKeyFile != "" && d.Token.KeyFile == d.Token.PreviousKeyFile {
