--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -84,6 +84,30 @@
 	})
 }
 
+// TestGenerateFirst guards against a first change that is based on a revision
+// which does not exist.
+func TestGenerateFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		change, found := Generate(nil, drawAnswers(t, "a"))
+		if len(found) > 0 || change.Base != 0 {
+			t.Fatalf("got %v, %v, want a change based on revision 0", change, found.Err())
+		}
+	})
+}
+
+// TestConflict guards against a lost race that looks like a malformed change.
+func TestConflict(t *testing.T) {
+	conflict := Finding{Place: "Change/Base"}
+	for _, c := range []struct {
+		found Findings
+		want  siskin.ErrorKind
+	}{{Findings{conflict, conflict}, siskin.Conflict}, {Findings{conflict, {Place: "Service/a"}}, siskin.BadInput}} {
+		if got := siskin.KindOf(c.found.Err()); got != c.want {
+			t.Errorf("got %v, want %v", got, c.want)
+		}
+	}
+}
+
 // TestDiffHidesSecrets guards against a password in the output of a command.
 func TestDiffHidesSecrets(t *testing.T) {
 	a := &Service{Name: "a", Credentials: Credentials{Password: "hunter2", ReadPassword: "hunter3"}}
--- a/pkg/config/finding.go
+++ b/pkg/config/finding.go
@@ -7,6 +7,9 @@
 	"siskintray.example/siskin"
 )
 
+// basePlace is the place of findings about the base of a change.
+const basePlace = "Change/Base"
+
 // Finding is one fault of a change.
 type Finding struct {
 	// Place names the document and the field, such as
@@ -24,8 +27,19 @@
 // Findings are all faults of a change.
 type Findings []Finding
 
-// Err returns nil without findings, else an error of kind BadInput that lists
-// them all, one a line.
+// IsConflict reports whether the only fault of the change is that documents
+// changed after its base, so that another operator won a race.
+func (fs Findings) IsConflict() bool {
+	for _, f := range fs {
+		if f.Place != basePlace {
+			return false
+		}
+	}
+	return len(fs) > 0
+}
+
+// Err returns nil without findings, else an error that lists them all, one a
+// line. It is of kind Conflict when IsConflict, else BadInput.
 func (fs Findings) Err() error {
 	if len(fs) == 0 {
 		return nil
@@ -34,7 +48,11 @@
 	for i, f := range fs {
 		lines[i] = f.String()
 	}
-	return siskin.NewError(siskin.BadInput, "%s", strings.Join(lines, "\n"))
+	kind := siskin.BadInput
+	if fs.IsConflict() {
+		kind = siskin.Conflict
+	}
+	return siskin.NewError(kind, "%s", strings.Join(lines, "\n"))
 }
 
 // report collects the findings of one document.
--- a/pkg/config/generate.go
+++ b/pkg/config/generate.go
@@ -12,7 +12,7 @@
 // there is no change. The view may be nil.
 func Generate(view View, answers ...Answers) (*Change, Findings) {
 	if view == nil {
-		view = NewFixed(nil, nil)
+		view = newEmpty()
 	}
 	r := &report{}
 	change := &Change{Base: view.Revision()}
