pool, relay, front: allocate less per statement

A statement at a local slot took 22 allocations and a long answer one for each row, which the design's aim of constant memory rules out: the head of a message escaped to the heap, every transaction started a timer, and the proxy's own statements were encoded anew each time.

The head lives in the writer, contexts start their timer on first use, and fixed statements are encoded once. Connections are counted instead of being searched.

--- a/internal/frame/writer.go
+++ b/internal/frame/writer.go
@@ -14,6 +14,9 @@
 	buf *[BufferSize]byte
 	n   int
 	err error
+	// head is part of the Writer, since a local array would be allocated for
+	// each message.
+	head [HeadSize]byte
 }
 
 // NewWriter returns a Writer to dst.
@@ -47,8 +50,8 @@
 
 // Head appends the head of a message whose body follows with Raw.
 func (w *Writer) Head(h Head) error {
-	b := h.Bytes()
-	return w.Raw(b[:])
+	w.head = h.Bytes()
+	return w.Raw(w.head[:])
 }
 
 // Message appends the encoded form of m.
--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,279 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"siskintray.example/siskin/internal/frame"
+	"siskintray.example/siskin/internal/pool"
+)
+
+// cannedTarget answers every query of a connection with prepared bytes and
+// without allocating, so that a benchmark shows the proxy alone.
+type cannedTarget struct {
+	rows int
+}
+
+// Dial implements pool.Dialer.
+func (d cannedTarget) Dial(context.Context, pool.Key, pool.SlotConfig, pool.Account) (pool.Opened, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return pool.Opened{}, err
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		return pool.Opened{}, err
+	}
+	server, err := l.Accept()
+	go d.serve(server)
+	return pool.Opened{Conn: client}, err
+}
+
+// Cancel implements pool.Dialer.
+func (cannedTarget) Cancel(context.Context, string, uint32, []byte) error { return nil }
+
+func encode(msgs ...frame.Message) []byte {
+	var b []byte
+	for _, m := range msgs {
+		b, _ = m.Encode(b)
+	}
+	return b
+}
+
+func (d cannedTarget) serve(conn net.Conn) {
+	defer conn.Close()
+	done := encode(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	row := encode(&pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte("x"), 100)}})
+	position := append(encode(&pgproto3.DataRow{Values: [][]byte{[]byte("1"), []byte("0/1")}}), done...)
+	r, w := frame.NewReader(conn), frame.NewWriter(conn)
+	for {
+		if r.Buffered() == 0 && w.Flush() != nil {
+			return
+		}
+		if _, err := r.Next(); err != nil {
+			return
+		}
+		body, err := r.Body(frame.BufferSize)
+		if err != nil {
+			return
+		}
+		switch {
+		case bytes.Contains(body, []byte("siskin_commit_position")):
+			_ = w.Raw(position)
+			continue
+		case bytes.HasPrefix(body, []byte("select")):
+			for range d.rows {
+				_ = w.Raw(row)
+			}
+		}
+		_ = w.Raw(done)
+	}
+}
+
+// query is the request of the benchmarks, and drain reads its answer without
+// allocating.
+var benchQuery = encode(&pgproto3.Query{String: "select v from kv where k = 'a'"})
+
+func drain(r *frame.Reader) error {
+	for {
+		h, err := r.Next()
+		if err != nil {
+			return err
+		}
+		if err := r.Skip(); err != nil || h.Type == 'Z' {
+			return err
+		}
+		if h.Type == 'E' {
+			return io.ErrUnexpectedEOF
+		}
+	}
+}
+
+// benchClient logs in and returns the plain connection.
+func (vm *testVM) benchClient(tb testing.TB, route string) (net.Conn, *frame.Reader) {
+	c := vm.raw(tb, "badges/"+route)
+	_ = c.conn.SetDeadline(time.Time{})
+	return c.conn, frame.NewReader(c.conn)
+}
+
+// statementRunner returns a function that runs one statement against a canned
+// target.
+func statementRunner(tb testing.TB, route string, forwarded bool, rows int) func() {
+	vms := 1
+	if forwarded {
+		vms = 2
+	}
+	f := startFleet(tb, vms, nil)
+	// With two VMs the second one owns nothing, so that it forwards all.
+	f.allAtFirst.Store(true)
+	f.dialCanned(rows)
+	conn, r := f.vms[vms-1].benchClient(tb, route)
+	run := func() {
+		if _, err := conn.Write(benchQuery); err != nil {
+			tb.Fatal(err)
+		}
+		if err := drain(r); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	for range 100 {
+		run()
+	}
+	return run
+}
+
+func benchmarkStatements(b *testing.B, route string, forwarded bool, rows int) {
+	run := statementRunner(b, route, forwarded, rows)
+	b.ReportAllocs()
+	for b.Loop() {
+		run()
+	}
+}
+
+func BenchmarkReadLocal(b *testing.B)      { benchmarkStatements(b, "aged", false, 1) }
+func BenchmarkReadForwarded(b *testing.B)  { benchmarkStatements(b, "aged", true, 1) }
+func BenchmarkWriteLocal(b *testing.B)     { benchmarkStatements(b, "write", false, 1) }
+func BenchmarkRead10kRows(b *testing.B)    { benchmarkStatements(b, "aged", false, 10_000) }
+func BenchmarkWriteForwarded(b *testing.B) { benchmarkStatements(b, "write", true, 1) }
+
+// TestAllocationsDoNotGrowWithAnswer guards against a buffer for each row.
+func TestAllocationsDoNotGrowWithAnswer(t *testing.T) {
+	one := testing.AllocsPerRun(50, statementRunner(t, "aged", false, 1))
+	many := testing.AllocsPerRun(50, statementRunner(t, "aged", false, 10_000))
+	t.Logf("%.0f allocations for 1 row, %.0f for 10,000", one, many)
+	if got, want := many, one+20; got > want {
+		t.Errorf("got %.0f allocations for 10,000 rows, want at most %.0f", got, want)
+	}
+}
+
+// TestIdleConnectionMemory guards against an idle caller that holds more than
+// 16 KB.
+func TestIdleConnectionMemory(t *testing.T) {
+	const n, want = 1000, 16 << 10
+	f := startFleet(t, 1, nil)
+	before := memory()
+	var conns []net.Conn
+	for range n {
+		conn, r := f.vms[0].benchClient(t, "write")
+		if _, err := conn.Write(benchQuery); err != nil {
+			t.Fatal(err)
+		}
+		if err := drain(r); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+	}
+	got := (memory() - before) / n
+	t.Logf("%d bytes of heap and stack per idle connection, the client's end included", got)
+	if got > want {
+		t.Errorf("got %d bytes per idle connection, want at most %d", got, want)
+	}
+	runtime.KeepAlive(conns)
+}
+
+func memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkLatency sends single statements at light load, in turn to a target
+// directly, through its home and through another VM, so that all three see the
+// same machine.
+func BenchmarkLatency(b *testing.B) {
+	f := startFleet(b, 2, nil)
+	f.allAtFirst.Store(true)
+	for _, vm := range f.vms {
+		vm.own()
+	}
+	direct := f.direct(b)
+	local, localR := f.vms[0].benchClient(b, "aged")
+	far, farR := f.vms[1].benchClient(b, "aged")
+	ends := []struct {
+		name string
+		conn net.Conn
+		r    *frame.Reader
+		took []time.Duration
+	}{{"direct", direct, frame.NewReader(direct), nil}, {"local", local, localR, nil}, {"forwarded", far, farR, nil}}
+	for b.Loop() {
+		for i := range ends {
+			e := &ends[i]
+			start := time.Now()
+			if _, err := e.conn.Write(benchQuery); err != nil {
+				b.Fatal(err)
+			}
+			if err := drain(e.r); err != nil {
+				b.Fatal(e.name, err)
+			}
+			e.took = append(e.took, time.Since(start))
+			time.Sleep(200 * time.Microsecond)
+		}
+	}
+	for _, e := range ends {
+		slices.Sort(e.took)
+		n := len(e.took)
+		b.ReportMetric(float64(e.took[n/2].Microseconds()), e.name+"-p50-us")
+		b.ReportMetric(float64(e.took[n*99/100].Microseconds()), e.name+"-p99-us")
+	}
+}
+
+// direct logs in at the first replica.
+func (f *fleet) direct(tb testing.TB) net.Conn {
+	d, err := pool.NewPGDialer(nil)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	o, err := d.Dial(context.Background(), pool.Key{Slot: 1}, pool.SlotConfig{
+		Address: f.targets[1].Address(), Credentials: f.service.Credentials,
+	}, pool.ReadOnly)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { o.Conn.Close() })
+	return o.Conn
+}
+
+// BenchmarkThroughput runs many sessions at a canned target. Statements per
+// second divided by the cores in use gives statements per second and core.
+func BenchmarkThroughput(b *testing.B) {
+	for _, forwarded := range []bool{false, true} {
+		b.Run(fmt.Sprintf("Forwarded=%v", forwarded), func(b *testing.B) {
+			f := startFleet(b, 2, nil)
+			f.allAtFirst.Store(true)
+			f.dialCanned(1)
+			vm := f.vms[0]
+			if forwarded {
+				vm = f.vms[1]
+			}
+			b.SetParallelism(4)
+			cpu := cpuTime()
+			b.RunParallel(func(pb *testing.PB) {
+				conn, r := vm.benchClient(b, "aged")
+				for pb.Next() {
+					if _, err := conn.Write(benchQuery); err != nil {
+						b.Error(err)
+						return
+					}
+					if err := drain(r); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			used := cpuTime() - cpu
+			b.ReportMetric(float64(b.N)/used.Seconds(), "statements/core-s")
+		})
+	}
+}
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	tokens  *token.Codec
 	view    config.View
 	vms     []*testVM
+	// allAtFirst makes the first VM the owner of all slots.
+	allAtFirst atomic.Bool
 }
 
 // testVM is one VM.
@@ -51,6 +54,7 @@
 	address string
 	peer    string
 	pool    *pool.Pool
+	dialer  *switchDialer
 	fwd     *relay.Forwarder
 	relay   *relay.Server
 	front   *Server
@@ -111,7 +115,8 @@
 	if err != nil {
 		f.tb.Fatal(err)
 	}
-	vm.pool = pool.New(clock, dialer, pool.WithFailure(f.group.Suspect))
+	vm.dialer = &switchDialer{PGDialer: dialer}
+	vm.pool = pool.New(clock, vm.dialer, pool.WithFailure(f.group.Suspect))
 	home := (&relay.Home{
 		Clock: clock, Config: f.view, Groups: f, Limiter: f.limiter, Queues: noQueue{}, Pool: vm.pool,
 	}).Init()
@@ -166,6 +171,9 @@
 
 // owner returns the index of the VM that owns a slot.
 func (f *fleet) owner(t config.Target, slot siskin.Slot) int {
+	if f.allAtFirst.Load() {
+		return 0
+	}
 	for i := range f.service.Targets {
 		if f.service.Targets[i].ID == t.ID {
 			return (i + int(slot)) % len(f.vms)
@@ -202,6 +210,31 @@
 // DataCentre implements Topology.
 func (vm *testVM) DataCentre() siskin.DataCentreID { return vm.dc }
 
+// switchDialer opens connections to the stand-ins or to canned targets.
+type switchDialer struct {
+	*pool.PGDialer
+	canned atomic.Pointer[cannedTarget]
+}
+
+// Dial implements pool.Dialer.
+func (d *switchDialer) Dial(ctx context.Context, key pool.Key, cfg pool.SlotConfig, account pool.Account) (pool.Opened, error) {
+	if c := d.canned.Load(); c != nil {
+		return c.Dial(ctx, key, cfg, account)
+	}
+	return d.PGDialer.Dial(ctx, key, cfg, account)
+}
+
+// dialCanned replaces all target connections by canned ones.
+func (f *fleet) dialCanned(rows int) {
+	for _, vm := range f.vms {
+		vm.dialer.canned.Store(&cannedTarget{rows: rows})
+		for _, key := range vm.pool.Owned() {
+			<-vm.pool.Drop(key)
+		}
+		vm.own()
+	}
+}
+
 // cancels passes cancel requests to the other VMs.
 type cancels struct{ vm *testVM }
 
--- a/internal/front/random_test.go
+++ b/internal/front/random_test.go
@@ -40,7 +40,12 @@
 		length = min(length, time.Second)
 	}
 	t.Logf("-random.seed=%d -random.time=%v", *randomSeed, length)
-	f := startFleet(t, 3, func(_ *target.Config, s *config.Service) { s.ConnectionsPerSlot = 4 })
+	f := startFleet(t, 3, func(_ *target.Config, s *config.Service) {
+		s.ConnectionsPerSlot = 4
+		for i := range s.Routes { // so that the run ends soon after its last fault
+			s.Routes[i].Deadline = min(s.Routes[i].Deadline, config.Duration(2*time.Second))
+		}
+	})
 	h := &history{acked: map[string]bool{}, notRun: map[string]bool{}, unknown: map[string]bool{}}
 	end := time.Now().Add(length)
 	var wg sync.WaitGroup
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -26,7 +26,8 @@
 	deadline time.Time
 	hdr      relay.Header
 	tried    []siskin.TargetID
-	changed  <-chan struct{} // closed when the view of the last attempt changes
+	space    [4]siskin.TargetID // first storage of tried
+	changed  <-chan struct{}    // closed when the view of the last attempt changes
 	attempts int
 	maybeRan bool // an attempt ended without proof that it did not run
 	streamed bool // the batch was sent without being kept
@@ -112,6 +113,7 @@
 		limit = MaxDeadline
 	}
 	t := &transaction{service: service, route: route, customer: customer, deadline: now.Add(limit)}
+	t.tried = t.space[:0]
 	t.hdr = relay.Header{
 		Service: c.service, Route: route.Name, Customer: customer, Floor: c.floor,
 		Sample:  route.Mode == config.ReadRoute && route.MaxAge == 0 && !c.sampled,
--- a/internal/pool/alive.go
+++ b/internal/pool/alive.go
@@ -5,25 +5,40 @@
 	"syscall"
 )
 
-// isOpen reports whether an idle connection is still open and has nothing to
-// read. It looks at the socket without waiting, so that a connection which the
-// target closed while it was idle is not given to a request, whose outcome
-// would then be unknown. Connections that are no plain sockets count as open.
-func isOpen(conn net.Conn) bool {
+// socket looks at the state of a connection without waiting.
+type socket struct {
+	raw  syscall.RawConn
+	peek func(fd uintptr) bool // kept, since a new closure would be allocated
+	open bool
+	b    [1]byte
+}
+
+// newSocket returns nil when conn is no plain socket.
+func newSocket(conn net.Conn) *socket {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return nil
+	}
+	s := &socket{raw: raw}
+	s.peek = func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), s.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		s.open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
 	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errno == syscall.EAGAIN || errno == syscall.EWOULDBLOCK
+	return s
+}
+
+// isOpen reports whether an idle connection is still open and has nothing to
+// read. A connection which the target closed while it was idle must not be
+// given to a request, whose outcome would then be unknown.
+func (s *socket) isOpen() bool {
+	if s == nil {
 		return true
-	})
-	return err == nil && open
+	}
+	s.open = false
+	return s.raw.Read(s.peek) == nil && s.open
 }
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -18,6 +18,20 @@
 	oneOwner     = invar.New("ConnHasOneOwner")
 )
 
+// resetQuery and probeQuery are the pool's own statements, encoded once.
+var (
+	resetQuery = encodeQuery("DISCARD ALL")
+	probeQuery = encodeQuery("")
+)
+
+func encodeQuery(sql string) []byte {
+	b, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		panic(err) // constant input
+	}
+	return b
+}
+
 // connState is what a connection is used for.
 type connState int
 
@@ -44,6 +58,7 @@
 	opened     time.Time
 	read       atomic.Int64 // time of the last read that returned bytes
 	silent     atomic.Bool
+	socket     *socket // nil when the connection is no plain socket
 
 	// Guarded by slot.mu.
 	state     connState
@@ -59,6 +74,7 @@
 		opened: now, lastHeard: now, idleSince: now,
 	}
 	c.R = frame.NewReader(c)
+	c.socket = newSocket(o.Conn)
 	c.read.Store(now.UnixNano())
 	return c
 }
@@ -103,11 +119,14 @@
 		s.mu.Unlock()
 		return
 	}
-	c.owner, c.state = 0, connResetting
+	s.unlease(c, connResetting)
 	drop := s.draining || c.generation != s.generation || c.R.Buffered() > 0 || c.R.Left() > 0 || c.W.Buffered() > 0
 	reset := !s.cfg.Stateless
+	if !reset {
+		drop = drop || c.SetDeadline(time.Time{}) != nil
+	}
 	s.mu.Unlock()
-	if drop || (reset && !c.roundTrip("DISCARD ALL", resetTimeout)) {
+	if drop || (reset && !c.roundTrip(resetQuery, resetTimeout)) {
 		s.remove(c, nil)
 		return
 	}
@@ -119,11 +138,11 @@
 
 // roundTrip runs a statement without rows and reports whether the target then
 // was idle outside a transaction.
-func (c *Conn) roundTrip(sql string, timeout time.Duration) bool {
+func (c *Conn) roundTrip(query []byte, timeout time.Duration) bool {
 	if c.SetDeadline(time.Now().Add(timeout)) != nil {
 		return false
 	}
-	_ = c.W.Message(&pgproto3.Query{String: sql}) // the error sticks to Flush
+	_ = c.W.Raw(query) // the error sticks to Flush
 	if c.W.Flush() != nil {
 		return false
 	}
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -22,12 +22,16 @@
 			if s.open() >= s.cfg.Limit && !s.evict(account) {
 				break
 			}
-			s.opening[account]++
-			s.pool.start(s.pool.openers, func() { s.openOne(account) })
+			s.startOpening(account)
 		}
 	}
 }
 
+func (s *slot) startOpening(account Account) {
+	s.opening[account]++
+	s.pool.start(s.pool.openers, func() { s.openOne(account) })
+}
+
 // openingLimit lets one opening test a target that failed before the others
 // follow.
 func (s *slot) openingLimit() int {
@@ -40,20 +44,12 @@
 // wanted returns the number of connections to open for an account: one for each
 // waiter, and spare ones ahead of demand, a quarter of those in use.
 func (s *slot) wanted(account Account) int {
-	waiting, open, busy := 0, 0, 0
+	waiting, open, busy := 0, s.count[account], s.busy[account]
 	for _, w := range s.waiters {
 		if w.account == account {
 			waiting++
 		}
 	}
-	for c := range s.conns {
-		if c.account == account {
-			open++
-			if c.state == connBusy {
-				busy++
-			}
-		}
-	}
 	spare := max(warmFloor-open, 0)
 	if busy > 0 {
 		spare = max(spare, 1+busy/4-(open-busy))
@@ -98,6 +94,7 @@
 	c := newConn(s, account, o, s.pool.clock.Now())
 	c.generation, c.state = generation, connResetting
 	s.conns[c] = struct{}{}
+	s.count[account]++
 	s.failures, s.lastErr, s.nextOpen = 0, nil, time.Time{}
 	s.stats.opened++
 	s.mu.Unlock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -140,7 +140,7 @@
 		return nil, notOwned(key)
 	}
 	c, w, err := s.join(account, owner)
-	for c != nil && !isOpen(c.Conn) {
+	for c != nil && !c.socket.isOpen() {
 		c.Close(nil)
 		c, w, err = s.join(account, owner)
 	}
@@ -155,7 +155,7 @@
 	if !s.leave(w) {
 		if r := <-w.ready; r.conn != nil {
 			s.mu.Lock()
-			r.conn.state, r.conn.owner = connResetting, 0 // unused, so still reset
+			s.unlease(r.conn, connResetting) // unused, so still reset
 			s.mu.Unlock()
 			s.put(r.conn)
 		}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !c.roundTrip("select 1", time.Second) {
+	if !c.roundTrip(encodeQuery("select 1"), time.Second) {
 		t.Errorf("got a silent connection %v after the fault, want a new one", time.Since(start))
 	}
 	c.Recycle(3)
@@ -191,7 +191,7 @@
 	third.Recycle(3)
 	other.Recycle(2)
 	f.dialer.muteBefore.Store(1) // one connection only
-	if !slow.roundTrip("select pg_sleep(3.5)", 6*time.Second) && slow.Silent() {
+	if !slow.roundTrip(encodeQuery("select pg_sleep(3.5)"), 6*time.Second) && slow.Silent() {
 		t.Error("got a slow statement cut as silent, want its answer")
 	}
 	slow.Close(nil)
@@ -211,7 +211,7 @@
 		t.Fatal("drained while a request is in progress")
 	case <-time.After(50 * time.Millisecond):
 	}
-	if !c.roundTrip("select 1", time.Second) {
+	if !c.roundTrip(encodeQuery("select 1"), time.Second) {
 		t.Error("the request in progress was cut")
 	}
 	c.Recycle(1)
@@ -232,7 +232,7 @@
 	addr := c.LocalAddr()
 	_ = c.Conn.(mutedConn).Conn.(*net.TCPConn).CloseWrite() // the target answers with its own end
 	time.Sleep(50 * time.Millisecond)
-	if isOpen(c.Conn.(mutedConn).Conn) {
+	if newSocket(c.Conn.(mutedConn).Conn).isOpen() {
 		t.Errorf("%v: got open, want closed", addr)
 	}
 	c.Close(nil)
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -40,7 +40,7 @@
 func (s *slot) probe(c *Conn, timeout time.Duration) {
 	sent := s.pool.clock.Now()
 	idleSince := c.idleSince
-	if !c.roundTrip("", timeout) {
+	if !c.roundTrip(probeQuery, timeout) {
 		s.silent(c, sent)
 		return
 	}
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -18,6 +18,8 @@
 	generation int // grows when the settings change; older connections are closed
 	idle       [accounts][]*Conn
 	conns      map[*Conn]struct{}
+	count      [accounts]int // connections, without opening ones
+	busy       [accounts]int // connections that belong to a request
 	opening    [accounts]int
 	waiters    []*waiter
 	draining   bool
@@ -39,15 +41,7 @@
 func (s *slot) open() int { return len(s.conns) + s.opening[Full] + s.opening[ReadOnly] }
 
 // has returns the number of connections of an account, including opening ones.
-func (s *slot) has(account Account) int {
-	n := s.opening[account]
-	for c := range s.conns {
-		if c.account == account {
-			n++
-		}
-	}
-	return n
-}
+func (s *slot) has(account Account) int { return s.opening[account] + s.count[account] }
 
 func notOwned(key Key) error {
 	return siskin.NewError(siskin.NotRun, "slot %d of target %s is not owned by this VM", key.Slot, key.Target).
@@ -87,6 +81,15 @@
 		idleAndReset.Check(false, "connection to %s handed out in state %d of request %d", s.key.Target, c.state, c.owner)
 	}
 	c.state, c.owner = connBusy, owner
+	s.busy[c.account]++
+}
+
+// unlease ends the use of a connection by a request.
+func (s *slot) unlease(c *Conn, state connState) {
+	if c.state == connBusy {
+		s.busy[c.account]--
+	}
+	c.state, c.owner = state, 0
 }
 
 // leave removes a waiter that gave up and reports whether it was still waiting.
@@ -140,9 +143,10 @@
 	if c.state == connClosed {
 		return
 	}
-	c.state, c.owner = connClosed, 0
+	s.unlease(c, connClosed)
 	_ = c.Conn.Close() // nothing is left to be sent
 	delete(s.conns, c)
+	s.count[c.account]--
 	if i := slices.Index(s.idle[c.account], c); i >= 0 {
 		s.idle[c.account] = slices.Delete(s.idle[c.account], i, i+1)
 	}
--- a/internal/pool/stats.go
+++ b/internal/pool/stats.go
@@ -24,11 +24,7 @@
 		Open: len(s.conns), Opening: s.opening[Full] + s.opening[ReadOnly],
 		Idle: len(s.idle[Full]) + len(s.idle[ReadOnly]), Waiting: len(s.waiters), Limit: s.cfg.Limit,
 		Opened: s.stats.opened, FailedOpens: s.stats.failed, Silent: s.stats.silent,
-	}
-	for c := range s.conns {
-		if c.state == connBusy {
-			st.Busy++
-		}
+		Busy: s.busy[Full] + s.busy[ReadOnly],
 	}
 	return st
 }
--- a/internal/relay/floor.go
+++ b/internal/relay/floor.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/frame"
 	"siskintray.example/siskin/pkg/token"
@@ -61,7 +59,7 @@
 
 func (l *local) queryStatus() (siskin.TargetStatus, error) {
 	var status siskin.TargetStatus
-	row, _, err := l.queryRow("SELECT * FROM siskin_status()")
+	row, _, err := l.queryRow(statusQuery)
 	if err != nil {
 		return status, err
 	}
@@ -84,8 +82,8 @@
 }
 
 // queryRow runs a query of the proxy's own between two batches of the caller.
-func (l *local) queryRow(sql string) (row [][]byte, status byte, err error) {
-	if err := l.conn.W.Message(&pgproto3.Query{String: sql}); err != nil {
+func (l *local) queryRow(query []byte) (row [][]byte, status byte, err error) {
+	if err := l.conn.W.Raw(query); err != nil {
 		return nil, 0, err
 	}
 	if err := l.conn.W.Flush(); err != nil {
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"time"
 
 	"siskintray.example/siskin"
@@ -42,7 +41,8 @@
 // transaction was sent when it fails.
 func (h *Home) Begin(hdr *Header) (Leg, *Failure) {
 	l := &local{home: h, hdr: *hdr, status: 'I', taken: true, deadline: h.Clock.Now().Add(hdr.Remaining)}
-	l.ctx, l.cancel = context.WithDeadline(context.Background(), l.deadline)
+	l.held, l.row = l.heldSpace[:0], l.rowSpace[:0]
+	l.ctx = lazyContext{clock: h.Clock, deadline: l.deadline}
 	if err := l.begin(); err != nil {
 		f := unsent(err)
 		f.Admitted = l.hdr.Admitted
@@ -71,13 +71,13 @@
 	if err := l.admitMode(); err != nil {
 		return err
 	}
-	release, err := h.Queues.Queue(hdr.Target, hdr.Slot).Acquire(l.ctx, hdr.Customer, l.weight(), l.deadline)
+	release, err := h.Queues.Queue(hdr.Target, hdr.Slot).Acquire(&l.ctx, hdr.Customer, l.weight(), l.deadline)
 	if err != nil {
 		return err
 	}
 	l.release = release
 	key := pool.Key{Target: hdr.Target, Slot: hdr.Slot}
-	if l.conn, err = h.Pool.Get(l.ctx, key, pool.AccountFor(l.route.Mode), hdr.Request); err != nil {
+	if l.conn, err = h.Pool.Get(&l.ctx, key, pool.AccountFor(l.route.Mode), hdr.Request); err != nil {
 		return err
 	}
 	l.taken = false
@@ -119,7 +119,7 @@
 // admitMode checks that the target may serve the route at present.
 func (l *local) admitMode() error {
 	if l.route.Mode == config.WriteRoute {
-		primary, _, done, err := l.group.AdmitWrite(l.ctx)
+		primary, _, done, err := l.group.AdmitWrite(&l.ctx)
 		if err != nil {
 			return err
 		}
@@ -145,7 +145,7 @@
 	if !l.hdr.Sample {
 		return nil
 	}
-	floor, err := l.group.Floor(l.ctx)
+	floor, err := l.group.Floor(&l.ctx)
 	if err != nil {
 		return err
 	}
@@ -175,5 +175,5 @@
 	if done != nil {
 		done()
 	}
-	l.cancel()
+	l.ctx.end()
 }
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"os"
 	"sync"
@@ -16,7 +15,19 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-const positionQuery = "SELECT * FROM siskin_commit_position()"
+// positionQuery and statusQuery are the proxy's own statements, encoded once.
+var (
+	positionQuery = encodeQuery("SELECT * FROM siskin_commit_position()")
+	statusQuery   = encodeQuery("SELECT * FROM siskin_status()")
+)
+
+func encodeQuery(sql string) []byte {
+	b, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		panic(err) // constant input
+	}
+	return b
+}
 
 // local runs a transaction at a target connection of this VM.
 type local struct {
@@ -25,8 +36,7 @@
 	route    *config.Route
 	group    siskin.Group
 	conn     *pool.Conn
-	ctx      context.Context
-	cancel   context.CancelFunc
+	ctx      lazyContext
 	deadline time.Time
 
 	mu      sync.Mutex // orders Cancel before the return of the connection
@@ -48,6 +58,9 @@
 	held      []byte // messages held back from the last CommandComplete on
 	dataRow   pgproto3.DataRow
 	row       []byte
+
+	heldSpace [96]byte // first storage of held
+	rowSpace  [32]byte // first storage of row
 }
 
 // Send implements Leg.
@@ -64,7 +77,7 @@
 		// A query behind a COPY FROM STDIN would end the copy with an error, so
 		// the position is asked for afterwards when the batch may contain one.
 		l.asked = true
-		if err := l.conn.W.Message(&pgproto3.Query{String: positionQuery}); err != nil {
+		if err := l.conn.W.Raw(positionQuery); err != nil {
 			return err
 		}
 	}
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -59,7 +59,7 @@
 	if err := l.releaseHeld(sink); err != nil {
 		return l.failEither(err)
 	}
-	if err := sink.Small('Z', []byte{l.status}); err != nil {
+	if err := sink.Small('Z', statusBody(l.status)); err != nil {
 		return l.callerGone(err)
 	}
 	if err := sink.Flush(); err != nil {
@@ -68,6 +68,18 @@
 	return nil
 }
 
+var statusBodies = [...][]byte{{'I'}, {'T'}, {'E'}}
+
+// statusBody returns the body of a ReadyForQuery.
+func statusBody(status byte) []byte {
+	for _, b := range statusBodies {
+		if b[0] == status {
+			return b
+		}
+	}
+	return []byte{status}
+}
+
 // mustConfirm says that something may have been committed: a statement of the
 // transaction completed, and the transaction did not just end in a rollback.
 func (l *local) mustConfirm(before byte) bool {
@@ -94,7 +106,7 @@
 	if l.collected {
 		l.recycle() // the connection is not needed while replicas confirm
 	}
-	if err := l.group.Confirm(l.ctx, pos); err != nil {
+	if err := l.group.Confirm(&l.ctx, pos); err != nil {
 		l.recycle()
 		l.endWork()
 		return unknown(err, "replicas did not confirm the write before the deadline")
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -52,7 +52,7 @@
 		}
 	}
 	l.status = status
-	if sink.Small('E', report) != nil || sink.Small('Z', []byte{status}) != nil || sink.Flush() != nil {
+	if sink.Small('E', report) != nil || sink.Small('Z', statusBody(status)) != nil || sink.Flush() != nil {
 		return Result{}, l.callerGone(sink.Err())
 	}
 	return Result{Status: status}, nil
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -78,7 +78,7 @@
 		return Result{}, l.fail(err)
 	}
 	status := body[0]
-	if sink.Small('Z', []byte{status}) != nil || sink.Flush() != nil {
+	if sink.Small('Z', statusBody(status)) != nil || sink.Flush() != nil {
 		return Result{}, l.callerGone(sink.Err())
 	}
 	return Result{Status: status}, nil
