node: answer operators about groups from any VM

Cause: an operator may ask a VM that does not watch the group, and net/rpc passes errors as text, which loses their kind.

Change: Node.View and Node.Promote ask the homes of the service; answers carry whether the VM watches the group and the kind of an error.

Conclusion: the operators' address can serve groups on every VM.

--- /dev/null
+++ b/internal/daemon/options.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+)
+
+// Option changes how a Daemon is started.
+type Option func(*options)
+
+type options struct {
+	clock siskin.Clock
+	log   *log.Logger
+	open  siskin.DialFunc
+	drop  func(from, to siskin.VMID) bool
+}
+
+// WithClock sets the clock; the default is the real one.
+func WithClock(clock siskin.Clock) Option { return func(o *options) { o.clock = clock } }
+
+// WithLog sets the logger; the default follows the settings.
+func WithLog(l *log.Logger) Option { return func(o *options) { o.log = l } }
+
+// WithOpen replaces the function that opens connections to targets, to the
+// platform and for forwarded transactions, such as one with delays and faults.
+func WithOpen(open siskin.DialFunc) Option { return func(o *options) { o.open = open } }
+
+// WithDrop sets the fault hook of calls between VMs.
+func WithDrop(drop func(from, to siskin.VMID) bool) Option {
+	return func(o *options) { o.drop = drop }
+}
--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -17,8 +17,8 @@
 	peers   siskin.Peers
 }
 
-// cancelArgs is the argument of Node.Cancel.
-type cancelArgs struct {
+// CancelArgs is the argument of Node.Cancel.
+type CancelArgs struct {
 	ProcessID uint32
 	Secret    []byte
 }
@@ -34,7 +34,7 @@
 		var found bool
 		// A cancel request gets no answer in the protocol, so a failed delivery
 		// cannot be reported either.
-		_ = c.peers.Call(ctx, vm.ID, "Node.Cancel", cancelArgs{ProcessID: processID, Secret: secret}, &found)
+		_ = c.peers.Call(ctx, vm.ID, "Node.Cancel", CancelArgs{ProcessID: processID, Secret: secret}, &found)
 		cancel()
 	}
 }
--- /dev/null
+++ b/internal/node/operate.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// View returns the group of a service, from a home if this VM is none.
+func (n *Node) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
+	if g, ok := n.groups.Group(service); ok {
+		return g.View(), nil
+	}
+	s, err := n.service(service)
+	if err != nil {
+		return siskin.GroupView{}, err
+	}
+	for _, vm := range n.homes.ofService(s) {
+		var reply ViewReply
+		if err := n.cfg.Peers.Call(ctx, vm.ID, "Group.View", service, &reply); err == nil && reply.Watched {
+			return reply.View, nil
+		}
+	}
+	return siskin.GroupView{}, notWatched(service)
+}
+
+// Promote makes the target the primary of its group. With force it does so with
+// too few reachable targets, which can lose acknowledged writes.
+func (n *Node) Promote(ctx context.Context, service siskin.ServiceName, target siskin.TargetID, force bool) error {
+	if g, ok := n.groups.running.Get(service); ok {
+		return g.Promote(ctx, target, force)
+	}
+	s, err := n.service(service)
+	if err != nil {
+		return err
+	}
+	args := PromoteArgs{Service: service, Target: target, Force: force}
+	for _, vm := range n.homes.ofService(s) {
+		var reply PromoteReply
+		err := n.cfg.Peers.Call(ctx, vm.ID, "Group.Promote", args, &reply)
+		if err != nil && ctx.Err() != nil {
+			// The change may be in progress, so no other VM is asked.
+			return siskin.NewError(siskin.OutcomeUnknown, "change of the primary of %s was not answered in time", service).
+				WithRemedy("look at siskintray group status before repeating it").WithCause(err)
+		}
+		if err == nil && reply.Watched {
+			return reply.err()
+		}
+	}
+	return notWatched(service)
+}
+
+func (n *Node) service(name siskin.ServiceName) (*config.Service, error) {
+	s, ok := n.cfg.Config.Service(name)
+	if !ok {
+		return nil, siskin.NewError(siskin.UnknownRoute, "service %s does not exist", name).
+			WithRemedy("list the services with siskintray group status")
+	}
+	return s, nil
+}
+
+func notWatched(service siskin.ServiceName) error {
+	return siskin.NewError(siskin.Unavailable, "no VM that answers watches service %s", service).
+		WithRemedy("check siskintray vm list")
+}
--- a/internal/node/remote.go
+++ b/internal/node/remote.go
@@ -118,11 +118,11 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(r.ctx, viewTimeout)
-		var view siskin.GroupView
-		err := r.peers.Call(ctx, vms[i].ID, "Group.View", service, &view)
+		var reply ViewReply
+		err := r.peers.Call(ctx, vms[i].ID, "Group.View", service, &reply)
 		cancel()
-		if err == nil {
-			v.set(view)
+		if err == nil && reply.Watched {
+			v.set(reply.View)
 			return
 		}
 	}
--- a/internal/node/rpcnode.go
+++ b/internal/node/rpcnode.go
@@ -5,7 +5,7 @@
 
 // Cancel cancels the statement of a session of this VM. Found says whether
 // process id and secret matched one.
-func (r *nodeReceiver) Cancel(args cancelArgs, found *bool) error {
+func (r *nodeReceiver) Cancel(args CancelArgs, found *bool) error {
 	*found = r.node.front.Cancel(args.ProcessID, args.Secret)
 	return nil
 }
