config: add views of an export

Cause: the command line checks and generates against an export of the configuration in force, whose revision matters for the base of a change.

It replaces the two views of this kind that pkg/config and the tests of the admin server had.

Conclusion: operators can work on a copy of the configuration.

--- a/internal/admin/admintest/backend.go
+++ b/internal/admin/admintest/backend.go
@@ -19,8 +19,7 @@
 // Fake holds a configuration and one group a service in memory.
 type Fake struct {
 	mu       sync.Mutex
-	view     *config.Fixed
-	revision siskin.Revision
+	view     *config.Snapshot
 	primary  map[siskin.ServiceName]siskin.TargetID
 	leaving  map[siskin.VMID]bool
 	recorder *burn.Recorder
@@ -32,7 +31,7 @@
 func New() *Fake {
 	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC))
 	f := &Fake{
-		view: config.NewFixed(nil, nil), primary: map[siskin.ServiceName]siskin.TargetID{}, leaving: map[siskin.VMID]bool{},
+		view: config.NewSnapshot(0, nil, nil), primary: map[siskin.ServiceName]siskin.TargetID{}, leaving: map[siskin.VMID]bool{},
 		recorder: burn.New(clock, siskin.VM{ID: "vm-1", Incarnation: 3, DataCentre: "turku-1"}),
 	}
 	for i := range 1000 {
@@ -46,19 +45,11 @@
 	return admin.Backend{Status: f, Config: f, Keys: f, Groups: groups{f}, Fleet: f, Burn: f}
 }
 
-// view with the fake's revision.
-type revised struct {
-	*config.Fixed
-	revision siskin.Revision
-}
-
-func (r revised) Revision() siskin.Revision { return r.revision }
-
 // View implements admin.Configurator.
 func (f *Fake) View() config.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return revised{f.view, f.revision}
+	return f.view
 }
 
 // Apply implements admin.Configurator.
@@ -72,8 +63,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision++
-	change.SetRevision(f.revision)
+	revision := f.view.Revision() + 1
+	change.SetRevision(revision)
 	next := config.NewOverlay(view, change)
 	var services []*config.Service
 	for _, name := range next.Services() {
@@ -88,8 +79,8 @@
 		c, _ := next.Customer(id)
 		customers = append(customers, c)
 	}
-	f.view = config.NewFixed(services, customers)
-	return f.revision, nil
+	f.view = config.NewSnapshot(revision, services, customers)
+	return revision, nil
 }
 
 // Revisions implements admin.Configurator.
--- a/pkg/config/encode.go
+++ b/pkg/config/encode.go
@@ -44,11 +44,26 @@
 	return data, nil
 }
 
+// maxExport bounds an export of all documents, which is 46 MB at 23,000 services.
+const maxExport siskin.Bytes = 128 << 20
+
 // DecodeChange reads a change. Unknown fields, text after the change and a
 // service without KeyGrace are refused.
-func DecodeChange(data []byte) (*Change, error) {
+func DecodeChange(data []byte) (*Change, error) { return decodeChange(data, MaxChange) }
+
+// DecodeExport reads an export of all documents, which has the form of a change
+// but may be larger, and returns it as a view.
+func DecodeExport(data []byte) (*Snapshot, error) {
+	c, err := decodeChange(data, maxExport)
+	if err != nil {
+		return nil, err
+	}
+	return NewSnapshot(c.Base, c.Services, c.Customers), nil
+}
+
+func decodeChange(data []byte, limit siskin.Bytes) (*Change, error) {
 	c := new(Change)
-	if err := decode(data, MaxChange, c); err != nil {
+	if err := decode(data, limit, c); err != nil {
 		return nil, err
 	}
 	var grace struct {
--- a/pkg/config/generate.go
+++ b/pkg/config/generate.go
@@ -12,7 +12,7 @@
 // there is no change. The view may be nil.
 func Generate(view View, answers ...Answers) (*Change, Findings) {
 	if view == nil {
-		view = newEmpty()
+		view = NewSnapshot(0, nil, nil)
 	}
 	r := &report{}
 	change := &Change{Base: view.Revision()}
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -19,7 +19,7 @@
 // finding.
 func Validate(view View, change *Change) Findings {
 	if view == nil {
-		view = newEmpty()
+		view = NewSnapshot(0, nil, nil)
 	}
 	r := &report{document: "Change"}
 	checkChange(r, view, change)
