relay: confirm a commit that more output follows

A simple query such as "begin; ...; commit; select ..." sent the CommandComplete of its COMMIT before replicas had confirmed it, since only the final CommandComplete was held.

The relay now confirms before it lets output pass a COMMIT, CALL or DO, with a position from another connection of the slot. Reads are counted by the target that served them, not by each attempt.

TestMissingConfirmation covers both orders and fails without the change.

--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -22,6 +22,9 @@
 		t.attempts++
 		c.answer.answered = false
 		leg, res, f := c.attempt(t, last)
+		if f == nil {
+			c.srv.counts.served(t)
+		}
 		if f == nil || f.CallerGone {
 			return leg, res, f
 		}
@@ -102,13 +105,7 @@
 	t.tried = append(t.tried, target.ID)
 	t.hdr.Target, t.hdr.Slot = target.ID, slot
 	t.hdr.Remaining = t.deadline.Sub(cfg.Clock.Now())
-	if t.route.Mode == config.ReadRoute {
-		if target.ID == view.Primary {
-			c.srv.counts.primaryReads.Add(1)
-		} else {
-			c.srv.counts.replicaReads.Add(1)
-		}
-	}
+	t.atPrimary = target.ID == view.Primary
 	if local {
 		return cfg.Home.Begin(&t.hdr)
 	}
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
 )
 
 type counts struct {
@@ -12,6 +13,17 @@
 	refused [siskin.TargetRefused + 1]atomic.Int64
 }
 
+// served counts a transaction whose first batch was answered.
+func (c *counts) served(t *transaction) {
+	switch {
+	case t.route.Mode != config.ReadRoute:
+	case t.atPrimary:
+		c.primaryReads.Add(1)
+	default:
+		c.replicaReads.Add(1)
+	}
+}
+
 // Stats counts the work of a Server.
 type Stats struct {
 	Sessions int
@@ -19,7 +31,9 @@
 	// that were sent again.
 	Transactions, Retries int64
 	// Waits counts the attempts that were put off before anything was sent.
-	Waits                      int64
+	Waits int64
+	// ReplicaReads and PrimaryReads count the transactions on read routes by
+	// the role of the target that served them.
 	ReplicaReads, PrimaryReads int64
 	// Refused counts failed transactions by error kind.
 	Refused map[siskin.ErrorKind]int64
--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -67,6 +67,19 @@
 		if got, want := time.Since(start), 2*time.Second; got > want {
 			t.Errorf("got the answer after %v, want at most %v", got, want)
 		}
+		for name, test := range map[string]struct {
+			a    rawAnswer
+			tags int
+		}{
+			"commit before rows": {c.query("begin; insert into kv values ('r" + string(vm.id) + "', 'x'); commit; select generate_series(1, 5000)"), 2},
+			"close after execute": {c.exchange(&pgproto3.Parse{Query: "insert into kv values ('c" + string(vm.id) + "', 'x')"}, &pgproto3.Bind{},
+				&pgproto3.Execute{}, &pgproto3.Close{ObjectType: 'P'}, &pgproto3.Sync{}), 0},
+		} {
+			a := test.a
+			if a.code() != "08007" || strings.Count(a.types, "C") != test.tags || len(a.values) > 0 || a.status != 'I' {
+				t.Errorf("%s: got %q %q %d rows, want 08007 before the commit is told", name, a.types, a.code(), len(a.values))
+			}
+		}
 		f.group.noAck.Store(false)
 		if a := c.query("insert into kv values ('" + string(vm.id) + "2', 'x')"); a.code() != "" {
 			t.Errorf("next statement: got %+v, want success", a)
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -29,8 +29,10 @@
 	space    [4]siskin.TargetID // first storage of tried
 	changed  <-chan struct{}    // closed when the view of the last attempt changes
 	attempts int
-	maybeRan bool // an attempt ended without proof that it did not run
-	streamed bool // the batch was sent without being kept
+	// atPrimary says that the last attempt went to the primary.
+	atPrimary bool
+	maybeRan  bool // an attempt ended without proof that it did not run
+	streamed  bool // the batch was sent without being kept
 }
 
 // run handles the first message of a transaction and everything up to its end.
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -98,6 +98,11 @@
 }
 
 func (l *local) releaseHeld(sink Sink) error {
+	if l.mayHaveCommitted() {
+		if err := l.confirmWithin(); err != nil {
+			return err
+		}
+	}
 	for b := l.held; len(b) > 0; {
 		n := int(b[1])<<8 | int(b[2])
 		if err := sink.Small(b[0], b[3:3+n]); err != nil {
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -55,6 +55,7 @@
 	completed int    // CommandComplete messages of the transaction
 	batchTags int    // CommandComplete messages of the batch
 	rollback  bool   // the last tag was ROLLBACK
+	confirmed bool   // what is held may be sent
 	held      []byte // messages held back from the last CommandComplete on
 	dataRow   pgproto3.DataRow
 	row       []byte
@@ -85,7 +86,7 @@
 }
 
 func (l *local) startBatch() {
-	l.asked, l.collected, l.batchTags = false, false, 0
+	l.asked, l.collected, l.confirmed, l.batchTags = false, false, false, 0
 	l.held = l.held[:0]
 }
 
@@ -166,6 +167,13 @@
 // fail ends the transaction after the target connection failed.
 func (l *local) fail(err error) *Failure {
 	conn := l.takeConn()
+	if errors.Is(err, errUnconfirmed) {
+		if conn != nil {
+			conn.Close(nil)
+		}
+		l.endWork()
+		return unknown(err, "replicas did not confirm the write before the deadline")
+	}
 	silent := conn != nil && conn.Silent()
 	timeout := errors.Is(err, os.ErrDeadlineExceeded) && !silent
 	if conn != nil {
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -56,6 +56,7 @@
 }
 
 func (l *local) sendReady(sink Sink) *Failure {
+	l.confirmed = true // or there was nothing to confirm
 	if err := l.releaseHeld(sink); err != nil {
 		return l.failEither(err)
 	}
--- /dev/null
+++ b/internal/relay/within.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+
+	"siskintray.example/siskin/internal/pool"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// errUnconfirmed says that a commit in the middle of a batch was not confirmed.
+var errUnconfirmed = errors.New("commit was not confirmed")
+
+// committingTags start the tags of statements that may commit before the batch
+// ends. The commit of any other statement comes with ReadyForQuery.
+var committingTags = [...][]byte{[]byte("COMMIT"), []byte("CALL"), []byte("DO")}
+
+// mayHaveCommitted reports whether the held CommandComplete, which more output
+// follows, tells of a commit that is not confirmed.
+func (l *local) mayHaveCommitted() bool {
+	if l.confirmed || len(l.held) == 0 || l.held[0] != 'C' || l.route.Mode != config.WriteRoute {
+		return false
+	}
+	for _, tag := range committingTags {
+		if bytes.HasPrefix(l.held[3:], tag) {
+			return true
+		}
+	}
+	return false
+}
+
+// confirmWithin waits for the confirmation of a commit in the middle of a
+// batch. The target connection is busy with the rest of the answer, so the
+// position, which is at or after the commit, comes from another one.
+func (l *local) confirmWithin() error {
+	key := pool.Key{Target: l.hdr.Target, Slot: l.hdr.Slot}
+	conn, err := l.home.Pool.Get(&l.ctx, key, pool.Full, l.hdr.Request)
+	if err != nil {
+		return errors.Join(errUnconfirmed, err)
+	}
+	other := local{conn: conn}
+	err = conn.SetDeadline(l.deadline)
+	if err == nil {
+		var row [][]byte
+		if row, _, err = other.queryRow(positionQuery); err == nil {
+			conn.Recycle(l.hdr.Request)
+			pos, ok := parsePosition(row)
+			if !ok {
+				return errUnconfirmed
+			}
+			if err := l.group.Confirm(&l.ctx, pos); err != nil {
+				return errors.Join(errUnconfirmed, err)
+			}
+			return nil
+		}
+	}
+	conn.Close(err)
+	return errors.Join(errUnconfirmed, err)
+}
