--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -38,7 +38,7 @@
 		Customer:  t.customer,
 		Mode:      t.route.Mode,
 		Latency:   cfg.Clock.Since(began),
-		ByReplica: t.byReplica,
+		ByReplica: !t.atPrimary,
 	}
 	if f != nil {
 		o.Failed, o.Kind = true, f.Err.Kind
