limit: try all holders before refusing, bound the exchange in bytes

Tokens given to a VM that is not in the record were cut at the next refill, so they never admitted anything, and keeping them would break the bound after a reclaim.

Change: a round counts only holders that this VM asked itself, requests wait for two rounds, a request is repeated after 20 ms. Parts of a customer above its rate follow the demand over 1 s. A budget of 3 KB/s covers a VM's requests with their replies. Only VMs in the record get anything; Prepare enters a VM before its first request, so that a home that moves during an outage of the platform can go on.

--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -29,8 +29,9 @@
 	// patience is how long a customer waits for one giver before it asks
 	// another. It is several round trips between data centres.
 	patience = 20 * time.Millisecond
-	// firstRetry and maxBackoff bound the delays of repeated requests.
-	firstRetry = 50 * time.Millisecond
+	// firstRetry and maxBackoff bound the delays of repeated requests. A lost
+	// answer keeps units out of use until the request is repeated.
+	firstRetry = patience
 	maxBackoff = time.Second
 	// After rereadFailures requests in vain the record is read again, at most
 	// once in rereadEvery.
@@ -47,7 +48,7 @@
 	defer c.mu.Unlock()
 	var out []outgoing
 	for _, vm := range sorted(c.links) {
-		if l := c.links[vm]; l.pending != nil && now >= l.retryAt {
+		if l := c.links[vm]; l.pending != nil && now >= l.retryAt && c.budget.left(now) > 0 {
 			out = append(out, c.send(now, vm, l))
 		}
 	}
@@ -75,6 +76,10 @@
 func (c *core) send(now time.Duration, vm siskin.VMID, l *link) outgoing {
 	l.retryAt = now + min(firstRetry<<min(l.attempts, 8), maxBackoff)
 	l.attempts++
+	c.budget.spent += messageBytes
+	if l.attempts > 1 {
+		c.budget.spent += float64(itemBytes * len(l.pending.Items))
+	}
 	return outgoing{vm, l.pending}
 }
 
@@ -88,6 +93,16 @@
 		return
 	}
 	h.wanted = false
+	if b.epoch == 0 {
+		// Units of a VM that is not in the record would be granted again by a
+		// reclaim.
+		h.askAfter = now + recordTick
+		return
+	}
+	if c.budget.left(now) <= 0 {
+		h.askAfter = now + 10*patience
+		return
+	}
 	giver, ok := c.giver(now, b, h, batches)
 	if !ok {
 		c.failed(now, b, h)
@@ -99,8 +114,9 @@
 		args = &AskArgs{From: c.self.VM, FromIncarnation: c.self.Incarnation, ToIncarnation: giver.Incarnation}
 		batches[giver.VM] = args
 	}
+	c.budget.spent += itemBytes
 	args.Items = append(args.Items, AskItem{
-		Customer: id, Epoch: b.epoch, Units: h.units,
+		Customer: id, Epoch: b.epoch, Units: h.units, Lasting: siskin.RequestsPerSecond(h.demand.slow),
 		Demand: siskin.RequestsPerSecond(h.demand.high(now)), Need: siskin.Requests(h.need),
 		Known: len(b.holders),
 	})
@@ -111,7 +127,7 @@
 // rarer, since the customer probably uses its whole rate.
 func (c *core) failed(now time.Duration, b *bucket, h *holding) {
 	for _, o := range b.holders {
-		if o.VM != c.self.VM && !h.hints.since(h.roundAt, o.VM) && !c.links[o.VM].busy() {
+		if o.VM != c.self.VM && !h.hints.askedSince(h.roundAt, o.VM) && !c.links[o.VM].busy() {
 			h.askAfter = now
 			return
 		}
@@ -171,18 +187,17 @@
 		return
 	}
 	h.hints.set(now, from, item.Spare)
+	h.hints.ask(now, from)
 	if item.Richest != "" && item.Richest != c.self.VM {
 		h.hints.set(now-item.RichestAge, item.Richest, item.RichestSpare)
 	}
-	if item.Units > 0 && (item.Epoch != b.epoch || item.Epoch == 0) {
+	if item.Epoch != b.epoch || b.epoch == 0 {
 		return
 	}
-	if item.Epoch == b.epoch {
-		b.learn(item.Holders...)
-	}
+	b.learn(item.Holders...)
 	h.refill(now)
 	h.add(item.Units, float64(item.Tokens))
-	if item.Units == 0 && item.Tokens == 0 {
+	if item.Units == 0 {
 		c.failed(now, b, h)
 		if h.failures >= rereadFailures && now-b.readAt >= rereadEvery {
 			c.read(i, b) // a holder that joined later may be rich
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	links   map[siskin.VMID]*link
 	given   map[siskin.VMID]*answered
+	budget  budget
 	leaving atomic.Bool // a planned stop is handing over; nothing is asked for
 
 	todo todo
@@ -94,6 +95,17 @@
 	return maxRetry
 }
 
+// prepare makes this VM a holder of a bucket.
+func (c *core) prepare(i int) {
+	b := &c.buckets[i]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.serves = true
+	if b.epoch == 0 {
+		c.read(i, b)
+	}
+}
+
 // read asks the runtime to read the platform's record of a bucket. The caller
 // holds the bucket's lock.
 func (c *core) read(i int, b *bucket) {
--- a/pkg/limit/expect.go
+++ b/pkg/limit/expect.go
@@ -21,7 +21,7 @@
 		return nil, 0, false
 	}
 	accrues := h.retryAfter(n) <= until-now && n <= h.burst*h.share()
-	if !accrues && (c.leaving.Load() || !h.expecting(now)) {
+	if !accrues && (c.leaving.Load() || !h.expecting(until)) {
 		return nil, 0, false
 	}
 	h.waiters++
@@ -35,10 +35,15 @@
 	return h.arrived, max(pause, time.Millisecond), true
 }
 
-// expecting reports whether a request for units is under way or about to go
-// out, and the latest one was not in vain.
-func (h *holding) expecting(now time.Duration) bool {
-	return h.failures == 0 && (h.wanted || now < h.askAfter)
+// hopefulRounds is the number of rounds in vain over all holders after which
+// requests do not wait for units anymore: the customer probably uses its whole
+// rate, and its requests are answered at once.
+const hopefulRounds = 2
+
+// expecting reports whether a request for units is under way or will go out
+// before the given time, with some hope of success.
+func (h *holding) expecting(until time.Duration) bool {
+	return h.failures <= hopefulRounds && (h.wanted || h.askAfter < until)
 }
 
 // unexpect ends a wait that expect began.
--- a/pkg/limit/fleet_test.go
+++ b/pkg/limit/fleet_test.go
@@ -73,6 +73,7 @@
 	n := &node{f: f, vm: siskin.VM{ID: siskin.VMID(id), Incarnation: siskin.Incarnation(incarnation), DataCentre: siskin.DataCentreID(dc), State: siskin.VMLive}}
 	f.vms = append(f.vms, n)
 	n.l = New(f, f.view, n, n, f)
+	n.l.Prepare(f.view.Customers()...)
 	return n
 }
 
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -48,7 +48,7 @@
 	if b.epoch == 0 || item.Epoch > b.epoch {
 		c.read(i, b) // a grant or a newer epoch may be in the record
 	}
-	if b.epoch == 0 || (item.Epoch != 0 && item.Epoch != b.epoch) {
+	if b.epoch == 0 || item.Epoch != b.epoch {
 		return out
 	}
 	h := b.holding(now, item.Customer, c.view)
@@ -56,26 +56,17 @@
 		return out
 	}
 	h.refill(now)
-	switch {
-	case item.Epoch == 0:
-		// An asker that is not a holder would hold units that no reclaim knows
-		// of. Tokens are used once and need no reclaim.
-		out.Tokens = siskin.Requests(h.tokens / 2)
-		h.tokens -= float64(out.Tokens)
-	case args.All || c.leaving.Load():
-		out.Units = h.units
-	default:
+	out.Units = h.units
+	if !args.All && !c.leaving.Load() {
 		out.Units = min(max(h.gift(now, item), 0), h.units)
 	}
-	out.Tokens += siskin.Requests(h.take(out.Units))
+	out.Tokens = siskin.Requests(h.take(out.Units))
 	out.Spare = h.spare(now)
 	if best := h.hints.richest(now, args.From); best.vm != "" {
 		out.Richest, out.RichestSpare, out.RichestAge = best.vm, best.spare, now-best.at
 	}
 	h.hints.set(now, args.From, 0) // it asks because it has none to spare
-	if item.Epoch != 0 {
-		b.learn(holderID{args.From, args.FromIncarnation})
-	}
+	b.learn(holderID{args.From, args.FromIncarnation})
 	if len(b.holders) > item.Known {
 		out.Holders = b.holders[:min(len(b.holders), maxItems)]
 	}
--- a/pkg/limit/hints.go
+++ b/pkg/limit/hints.go
@@ -26,6 +26,7 @@
 	vm    siskin.VMID
 	spare siskin.Units
 	at    time.Duration
+	asked time.Duration // when this VM asked it last
 }
 
 // set records the spare units of a holder as of a time, unless a newer hint
@@ -35,7 +36,7 @@
 	for i := range *h {
 		if (*h)[i].vm == vm {
 			if at >= (*h)[i].at {
-				(*h)[i] = hint{vm, spare, at}
+				(*h)[i].spare, (*h)[i].at = spare, at
 			}
 			return
 		}
@@ -44,10 +45,10 @@
 		}
 	}
 	if len(*h) < maxHints {
-		*h = append(*h, hint{vm, spare, at})
+		*h = append(*h, hint{vm: vm, spare: spare, at: at})
 		return
 	}
-	(*h)[oldest] = hint{vm, spare, at}
+	(*h)[oldest] = hint{vm: vm, spare: spare, at: at}
 }
 
 // get estimates the spare units of a holder from the last known ones and their age.
@@ -75,12 +76,22 @@
 	return best
 }
 
-// since reports whether the hint of a holder is newer than t.
-func (h hints) since(t time.Duration, vm siskin.VMID) bool {
+// askedSince reports whether a holder was asked after t. Hints that came from
+// others do not count.
+func (h hints) askedSince(t time.Duration, vm siskin.VMID) bool {
 	for i := range h {
 		if h[i].vm == vm {
-			return h[i].at > t
+			return h[i].asked > t
 		}
 	}
 	return false
 }
+
+// ask records that a holder with a hint was asked.
+func (h hints) ask(now time.Duration, vm siskin.VMID) {
+	for i := range h {
+		if h[i].vm == vm {
+			h[i].asked = now
+		}
+	}
+}
--- a/pkg/limit/message.go
+++ b/pkg/limit/message.go
@@ -24,11 +24,14 @@
 // AskItem asks for units of one customer.
 type AskItem struct {
 	Customer siskin.CustomerID
-	// Epoch is the asker's epoch of the customer's bucket. With zero the asker
-	// is not yet a holder and can accept tokens only.
+	// Epoch is the asker's epoch of the customer's bucket. Units move only
+	// within one epoch.
 	Epoch  uint64
 	Units  siskin.Units             // units that the asker has
 	Demand siskin.RequestsPerSecond // recent demand at the asker
+	// Lasting is the asker's demand averaged over the slow span. Parts of a
+	// customer above its rate follow it, so that noise moves no units.
+	Lasting siskin.RequestsPerSecond
 	Need   siskin.Requests          // tokens that the asker lacks
 	// Known is the number of holders that the asker knows of.
 	Known int
--- a/pkg/limit/meter.go
+++ b/pkg/limit/meter.go
@@ -41,8 +41,15 @@
 	return max(m.slow, m.fast)
 }
 
+// fastCount is the number of requests in the fast span below which it says
+// nothing about the end of a demand.
+const fastCount = 4
+
 // low returns the smaller estimate: a giver's demand that may just have ended.
 func (m *meter) low(now time.Duration) float64 {
 	m.decay(now)
+	if m.slow*fastSpan.Seconds() < fastCount {
+		return m.slow
+	}
 	return min(m.slow, m.fast)
 }
--- a/pkg/limit/policy.go
+++ b/pkg/limit/policy.go
@@ -31,11 +31,12 @@
 // what the giver can spare. An asker whose part is far below its demand also
 // gets what brings both to parts proportional to their demand.
 func (h *holding) gift(now time.Duration, item *AskItem) siskin.Units {
-	own, asked := h.demand.low(now), float64(item.Demand)
+	asked := float64(item.Demand)
 	spare := float64(h.spare(now))
 	units := min(spare, max(spare/2, h.needed(asked)-float64(item.Units)))
 	total := float64(h.units + item.Units)
-	if fair := total*asked/max(asked+own, 1e-9) - float64(item.Units); fair > total/8 {
+	lasting := float64(item.Lasting)
+	if fair := total*lasting/max(lasting+h.demand.slow, 1e-9) - float64(item.Units); fair > total/8 {
 		units = max(units, fair)
 	}
 	if units < float64(minGift) && units < float64(h.units) {
--- a/pkg/limit/recordio.go
+++ b/pkg/limit/recordio.go
@@ -10,7 +10,8 @@
 )
 
 // readRecords reads the records that the core asked for. A record that cannot
-// be read is tried again later; until then the VM can only get tokens.
+// be read is tried again later; until then the VM admits nothing of a bucket
+// that it is not a holder of.
 func (l *Limiter) readRecords(ctx context.Context) {
 	for _, i := range l.core.todo.takeBuckets() {
 		if l.clock.Now().Before(l.readAfter[i]) {
@@ -20,7 +21,6 @@
 		if err := l.readRecord(ctx, i); err != nil {
 			l.readAfter[i] = l.clock.Now().Add(min(firstRetry<<min(l.readFails[i], 8), maxBackoff))
 			l.readFails[i]++
-			l.core.guess(i, l.guess(i))
 			l.core.todo.addBucket(i)
 			continue
 		}
@@ -28,6 +28,15 @@
 	}
 }
 
+// Prepare makes this VM a holder for customers before their first request,
+// such as those of services whose slots it is next in line for. A VM cannot
+// become a holder while the platform is down.
+func (l *Limiter) Prepare(customers ...siskin.CustomerID) {
+	for _, id := range customers {
+		l.core.prepare(bucketOf(id))
+	}
+}
+
 // readRecord reads a bucket's record, creates it when there is none, and adds
 // this VM to the holders when it serves customers of the bucket.
 func (l *Limiter) readRecord(ctx context.Context, i int) error {
@@ -101,22 +110,6 @@
 	return r
 }
 
-// guess returns VMs that probably hold units of a bucket whose record cannot
-// be read.
-func (l *Limiter) guess(i int) []holderID {
-	var list []holderID
-	for _, vm := range place.Rank(string(objectName(i)), l.members.Live()) {
-		if vm.ID != l.core.self.VM && len(list) < maxGuess {
-			list = append(list, holderID{vm.ID, vm.Incarnation})
-		}
-	}
-	return list
-}
-
-// maxGuess bounds the VMs that are asked without knowing the holders. It covers
-// the initial grantees of several data centres.
-const maxGuess = 8
-
 // refreshRecord reads one record that this VM holds units of, so that it
 // learns of later holders. At 2,800 VMs this costs 93 reads a second.
 func (l *Limiter) refreshRecord(ctx context.Context) {
--- a/pkg/limit/state.go
+++ b/pkg/limit/state.go
@@ -29,16 +29,6 @@
 	return b.serves
 }
 
-// guess sets holders to ask while the record cannot be read.
-func (c *core) guess(i int, holders []holderID) {
-	b := &c.buckets[i]
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.epoch == 0 {
-		b.holders = holders
-	}
-}
-
 // units returns what this VM holds for a customer.
 func (c *core) units(id siskin.CustomerID) siskin.Units {
 	b := &c.buckets[bucketOf(id)]
