--- /dev/null
+++ b/internal/node/rpcgroup.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// promoteTimeout bounds a change of primary that another VM asked for. A change
+// has to be over within 7 s.
+const promoteTimeout = 7 * time.Second
+
+// ViewReply is the answer of Group.View.
+type ViewReply struct {
+	// Watched says that the VM watches the group, without which it knows
+	// nothing of it.
+	Watched bool
+	View    siskin.GroupView
+}
+
+// PromoteArgs is the argument of Group.Promote.
+type PromoteArgs struct {
+	Service siskin.ServiceName
+	Target  siskin.TargetID
+	Force   bool
+}
+
+// PromoteReply is the answer of Group.Promote. net/rpc passes errors as text
+// only, so the kind travels in the answer.
+type PromoteReply struct {
+	Watched bool
+	Failed  bool
+	Kind    siskin.ErrorKind
+	Message string
+	Remedy  string
+}
+
+// groupReceiver answers other VMs' questions about groups over net/rpc.
+type groupReceiver struct{ groups *groups }
+
+// View returns the present view of a group that this VM watches.
+func (r *groupReceiver) View(service siskin.ServiceName, reply *ViewReply) error {
+	g, ok := r.groups.Group(service)
+	if ok {
+		*reply = ViewReply{Watched: true, View: g.View()}
+	}
+	return nil
+}
+
+// Promote makes a target the primary of a group that this VM watches.
+func (r *groupReceiver) Promote(args PromoteArgs, reply *PromoteReply) error {
+	g, ok := r.groups.running.Get(args.Service)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), promoteTimeout)
+	defer cancel()
+	reply.Watched = true
+	reply.set(g.Promote(ctx, args.Target, args.Force))
+	return nil
+}
+
+func (r *PromoteReply) set(err error) {
+	if err == nil {
+		return
+	}
+	r.Failed, r.Kind, r.Message = true, siskin.KindOf(err), err.Error()
+	var e *siskin.Error
+	if errors.As(err, &e) {
+		r.Message, r.Remedy = e.Message, e.Remedy
+	}
+}
+
+func (r *PromoteReply) err() error {
+	if !r.Failed {
+		return nil
+	}
+	return siskin.NewError(r.Kind, "%s", r.Message).WithRemedy(r.Remedy)
+}
--- /dev/null
+++ b/internal/pool/alive.go
@@ -0,0 +1,44 @@
+package pool
+
+import (
+	"net"
+	"syscall"
+)
+
+// socket looks at the state of a connection without waiting.
+type socket struct {
+	raw  syscall.RawConn
+	peek func(fd uintptr) bool // kept, since a new closure would be allocated
+	open bool
+	b    [1]byte
+}
+
+// newSocket returns nil when conn is no plain socket.
+func newSocket(conn net.Conn) *socket {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	s := &socket{raw: raw}
+	s.peek = func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), s.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		s.open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	}
+	return s
+}
+
+// isOpen reports whether an idle connection is still open and has nothing to
+// read. A connection which the target closed while it was idle must not be
+// given to a request, whose outcome would then be unknown.
+func (s *socket) isOpen() bool {
+	if s == nil {
+		return true
+	}
+	s.open = false
+	return s.raw.Read(s.peek) == nil && s.open
+}
--- /dev/null
+++ b/pkg/config/finding.go
@@ -0,0 +1,78 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"siskintray.example/siskin"
+)
+
+// basePlace is the place of findings about the base of a change.
+const basePlace = "Change/Base"
+
+// Finding is one fault of a change.
+type Finding struct {
+	// Place names the document and the field, such as
+	// "Service/ledger-a/Targets/0/Address".
+	Place   string
+	Message string
+	Remedy  string
+}
+
+// String returns the finding on one line.
+func (f Finding) String() string {
+	return f.Place + ": " + f.Message + "; " + f.Remedy
+}
+
+// Findings are all faults of a change.
+type Findings []Finding
+
+// IsConflict reports whether the only fault of the change is that documents
+// changed after its base, so that another operator won a race.
+func (fs Findings) IsConflict() bool {
+	for _, f := range fs {
+		if f.Place != basePlace {
+			return false
+		}
+	}
+	return len(fs) > 0
+}
+
+// Err returns nil without findings, else an error that lists them all, one a
+// line. It is of kind Conflict when IsConflict, else BadInput.
+func (fs Findings) Err() error {
+	if len(fs) == 0 {
+		return nil
+	}
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.String()
+	}
+	kind := siskin.BadInput
+	if fs.IsConflict() {
+		kind = siskin.Conflict
+	}
+	return siskin.NewError(kind, "%s", strings.Join(lines, "\n"))
+}
+
+// report collects the findings of one document.
+type report struct {
+	document string
+	found    Findings
+}
+
+func (r *report) add(field, remedy, format string, args ...any) {
+	place := r.document
+	if field != "" {
+		place += "/" + field
+	}
+	r.found = append(r.found, Finding{Place: place, Message: fmt.Sprintf(format, args...), Remedy: remedy})
+}
+
+// text shortens hostile text for a message.
+func text[S ~string](s S) string {
+	if len(s) > 60 {
+		return fmt.Sprintf("%q", strings.ToValidUTF8(string(s[:60]), "")+"...")
+	}
+	return fmt.Sprintf("%q", string(s))
+}
