cfgini: name all targets of a group in a stand-in's settings

Cause: a stand-in target needs the replication address of every target of its group, since a change of primary names the target to follow.

Change: Target.Group and Target.Primary replace Target.Follow and Target.AckReplicas, which nothing used.

--- a/internal/cfgini/standin.go
+++ b/internal/cfgini/standin.go
@@ -1,6 +1,9 @@
 package cfgini
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // StandinPlatform holds the settings of the platform's stand-in.
 type StandinPlatform struct {
@@ -33,8 +36,8 @@
 	Slots              int           `min:"1" max:"1024" doc:"Number of slots."`
 	ConnectionsPerSlot int           `min:"1" max:"10000" doc:"Most connections in one slot; further ones are refused."`
 	OpenTime           time.Duration `default:"0s" max:"60s" doc:"Time that opening a connection takes."`
-	Follow             string        `unit:"address" optional:"yes" doc:"Replication address of the primary; empty makes the target the first primary."`
-	AckReplicas        int           `default:"1" min:"1" max:"100" doc:"Number of replicas that confirm a write."`
+	Group              []string      `unit:"addresses" doc:"Replication addresses of all targets of the group. Target number N of the list has the ID that ends in /N."`
+	Primary            int           `default:"1" min:"1" max:"100" doc:"Number of the target that is the first primary."`
 	User               string        `unit:"text" doc:"Account with write privileges."`
 	Password           string        `unit:"text" doc:"Password of User."`
 	ReadUser           string        `unit:"text" doc:"Account without write privileges."`
@@ -45,8 +48,11 @@
 func (s *StandinTarget) check(c *check) {
 	t := s.Target
 	c.distinct(named{"Target.Address", t.Address}, named{"Target.ReplicationAddress", t.ReplicationAddress}, named{"Target.AdminAddress", t.AdminAddress})
-	if t.Follow != "" && t.Follow == t.ReplicationAddress {
-		c.fail("Target.Follow", "name the primary's replication address", "Target.Follow is the target's own ReplicationAddress")
+	if len(t.Group) > 0 && t.Primary > len(t.Group) {
+		c.fail("Target.Primary", "use a number from 1 to the length of Target.Group", "Target.Primary is not in Target.Group")
+	}
+	if len(t.Group) > 0 && t.ReplicationAddress != "" && !slices.Contains(t.Group, t.ReplicationAddress) {
+		c.fail("Target.Group", "add the ReplicationAddress at the place of the target's number", "Target.Group lacks the target's own ReplicationAddress")
 	}
 	if t.User != "" && t.User == t.ReadUser {
 		c.fail("Target.ReadUser", "use an account without write privileges", "Target.ReadUser is the same account as Target.User")
