--- a/internal/cfgini/cfgini_test.go
+++ b/internal/cfgini/cfgini_test.go
@@ -122,7 +122,7 @@
 
 // TestDefaultsAreValid guards against a default that its own bounds refuse.
 func TestDefaultsAreValid(t *testing.T) {
-	if found := Parse("vm.ini", []byte("[Target]\nID = a/1\nDataCentre = x\nAddress = 127.0.0.1:1\nReplicationAddress = 127.0.0.1:2\nAdminAddress = 127.0.0.1:3\nSlots = 2\nConnectionsPerSlot = 16\nUser = u\nPassword = #p=\nReadUser = r\nReadPassword = p\nDatabase = d\n"), new(StandinTarget)); found.Err() != nil {
+	if found := Parse("vm.ini", []byte("[Target]\nID = a/1\nDataCentre = x\nAddress = 127.0.0.1:1\nReplicationAddress = 127.0.0.1:2\nAdminAddress = 127.0.0.1:3\nGroup = 127.0.0.1:2\nSlots = 2\nConnectionsPerSlot = 16\nUser = u\nPassword = #p=\nReadUser = r\nReadPassword = p\nDatabase = d\n"), new(StandinTarget)); found.Err() != nil {
 		t.Error(found.Err())
 	}
 	if found := Parse("vm.ini", []byte("[Platform]\nAddress = 127.0.0.1:1\nAdminAddress = 127.0.0.1:2\n"), new(StandinPlatform)); found.Err() != nil {
