pkg/group: clear abandoned claims that stop confirmations

Cause: three of five targets were claimed by VMs that gave up, an earlier primary among them. The homes tried a planned change, which needs k replicas at the end of the log, so no write was confirmed any more. Also, two VMs that saw each other's claims both stood back for 600 ms.

Change: targets that are claimed for a later term and follow nobody count as stopped, which leads to a claim without a drain; the first VM in rank does not stand back.

--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -141,11 +141,11 @@
 	}
 }
 
-// stopped counts the reachable replicas that do not hear the primary.
+// stopped counts the reachable targets that take no log of the primary.
 func (m *machine) stopped(now time.Time) int {
 	n := 0
 	for _, t := range m.targets {
-		if t.ID != m.primary && m.isReachable(now, t) && m.silent(t) {
+		if t.ID != m.primary && m.isReachable(now, t) && (m.silent(t) || m.fenced(t)) {
 			n++
 		}
 	}
@@ -157,9 +157,15 @@
 	return t.status.HeardPrimary >= m.suspectAfter()
 }
 
+// fenced reports whether the target is claimed for a later term and follows
+// nobody, an earlier primary included.
+func (m *machine) fenced(t *targetState) bool {
+	return t.status.ClaimedTerm > m.term && (m.silent(t) || t.status.Role == siskin.RolePrimary)
+}
+
 func (m *machine) stuck(now time.Time) bool {
 	for _, t := range m.targets {
-		if t.ID != m.primary && m.isReachable(now, t) && t.status.ClaimedTerm > m.term && m.silent(t) {
+		if t.ID != m.primary && m.isReachable(now, t) && m.fenced(t) {
 			return true
 		}
 	}
--- a/pkg/group/machine.go
+++ b/pkg/group/machine.go
@@ -126,8 +126,10 @@
 	t.status = st
 	if st.ClaimedTerm > m.maxClaim {
 		m.maxClaim = st.ClaimedTerm
-		if m.attempt == nil && st.ClaimedTerm > m.term && st.ClaimedBy != m.Self && !m.electAt.IsZero() {
-			// Another VM is at work; it gets the time of one attempt.
+		isRival := st.ClaimedTerm > m.term && st.ClaimedBy != m.Self
+		if m.attempt == nil && isRival && m.rank > 0 && !m.electAt.IsZero() {
+			// Another VM is at work; it gets the time of one attempt. The first
+			// in rank does not wait, so that two VMs do not both stand back.
 			m.electAt = now.Add(m.suspectAfter() + m.jitter(m.Interval))
 		}
 	}
