cmds: add the commands of both programs

Cause: operators need one command line from the questionnaire to the burn report, and siskintrayd needs its own.

Change: commands on go-flags in a registry of Spec values; packages with commands such as try, bench and standin pass theirs to Main.

The race detector found an unguarded field of the fake backend, which is fixed.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -70,7 +70,8 @@
 			var got strings.Builder
 			for line := range strings.Lines(string(a.Files[0].Data)) {
 				line = strings.TrimSpace(line)
-				if f.Down = f.Down || line == "down"; line == "down" {
+				if line == "down" {
+					f.Down.Store(true)
 					continue
 				}
 				w := request(server, line)
--- a/internal/admin/admintest/backend.go
+++ b/internal/admin/admintest/backend.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,7 +25,7 @@
 	leaving  map[siskin.VMID]bool
 	recorder *burn.Recorder
 	// Down makes every change fail with kind Unavailable.
-	Down bool
+	Down atomic.Bool
 }
 
 // New returns a fake with an empty configuration.
@@ -55,7 +56,7 @@
 // Apply implements admin.Configurator.
 func (f *Fake) Apply(_ context.Context, change *config.Change) (siskin.Revision, error) {
 	view := f.View()
-	if f.Down {
+	if f.Down.Load() {
 		return 0, siskin.NewError(siskin.Unavailable, "platform did not answer").WithRemedy("repeat it when the platform is back")
 	}
 	if found := config.Validate(view, change); len(found) > 0 {
@@ -124,7 +125,7 @@
 func (f *Fake) Status(context.Context) (admin.Status, error) {
 	return admin.Status{
 		VM: "vm-1", Incarnation: 3, DataCentre: "turku-1", State: "Live", Version: "devel", Revision: f.View().Revision(),
-		Started: time.Date(2026, 12, 4, 11, 0, 0, 0, time.UTC), Callers: 12, Running: 3, Homes: 6, PlatformReachable: !f.Down, LiveVMs: 2,
+		Started: time.Date(2026, 12, 4, 11, 0, 0, 0, time.UTC), Callers: 12, Running: 3, Homes: 6, PlatformReachable: !f.Down.Load(), LiveVMs: 2,
 	}, nil
 }
 
--- a/internal/admin/admintest/groups.go
+++ b/internal/admin/admintest/groups.go
@@ -32,7 +32,7 @@
 
 // Promote implements admin.GroupControl.
 func (g groups) Promote(_ context.Context, service siskin.ServiceName, target siskin.TargetID, force bool) error {
-	if g.f.Down && !force {
+	if g.f.Down.Load() && !force {
 		return siskin.NewError(siskin.NotRun, "too few targets of %s can be reached", service).WithRemedy("wait for targets, or force the promotion and accept loss")
 	}
 	g.f.mu.Lock()
--- /dev/null
+++ b/internal/cmds/group.go
@@ -0,0 +1,94 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/admin"
+)
+
+const promoteHelp = `Makes a target the primary without failing a request: new writes wait, running
+ones finish and the target catches up first. With --force and --accept-loss it
+promotes even when too few targets can be reached; acknowledged writes can then
+be lost.
+
+Examples:
+  siskintray group promote ledger-a ledger-a/2
+  siskintray group promote ledger-a ledger-a/2 --force --accept-loss`
+
+// groupShow shows groups.
+type groupShow struct {
+	Args struct {
+		Service siskin.ServiceName `positional-arg-name:"SERVICE"`
+	} `positional-args:"yes"`
+}
+
+// Run implements Runner.
+func (g *groupShow) Run(ctx context.Context, env *Env) (Output, error) {
+	var list []admin.GroupStatus
+	if g.Args.Service == "" {
+		if err := env.get(ctx, "/groups", &list); err != nil {
+			return Output{}, err
+		}
+	} else {
+		list = make([]admin.GroupStatus, 1)
+		if err := env.get(ctx, "/groups/"+url.PathEscape(string(g.Args.Service)), &list[0]); err != nil {
+			return Output{}, err
+		}
+	}
+	return Output{Value: list, Text: groupText(list)}, nil
+}
+
+func groupText(list []admin.GroupStatus) string {
+	rows := []string{"SERVICE\tTERM\tTARGET\tROLE\tSTATE\tRECEIVED\tAPPLIED\tAGE"}
+	for _, g := range list {
+		if g.Primary == "" {
+			rows = append(rows, fmt.Sprintf("%s\t%d\tNO PRIMARY\t\t\t\t\t", g.Service, g.Term))
+		}
+		for _, t := range g.Targets {
+			age := "unknown"
+			if t.Staleness != nil {
+				age = t.Staleness.String()
+			}
+			rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s", g.Service, g.Term, t.ID, t.Role, targetState(t), t.Received, t.Applied, age))
+		}
+	}
+	return table(rows...)
+}
+
+func targetState(t admin.TargetStatus) string {
+	switch {
+	case !t.Reachable:
+		return "unreachable"
+	case t.Leaving:
+		return "leaving"
+	default:
+		return "reachable"
+	}
+}
+
+// groupPromote changes a primary.
+type groupPromote struct {
+	Force      bool `long:"force" description:"promote although too few targets can be reached"`
+	AcceptLoss bool `long:"accept-loss" description:"accept that acknowledged writes can be lost"`
+	Args       struct {
+		Service siskin.ServiceName `positional-arg-name:"SERVICE" required:"yes"`
+		Target  siskin.TargetID    `positional-arg-name:"TARGET" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Run implements Runner.
+func (g *groupPromote) Run(ctx context.Context, env *Env) (Output, error) {
+	if g.Force != g.AcceptLoss {
+		return Output{}, usageError("--force and --accept-loss go together")
+	}
+	env.Progress("changing the primary of %s to %s", g.Args.Service, g.Args.Target)
+	var s admin.GroupStatus
+	req := admin.PromoteRequest{Target: g.Args.Target, Force: g.Force, AcceptLoss: g.AcceptLoss}
+	if err := env.post(ctx, "/groups/"+url.PathEscape(string(g.Args.Service))+"/promote", req, &s); err != nil {
+		return Output{}, err
+	}
+	return Output{Value: s, Text: groupText([]admin.GroupStatus{s})}, nil
+}
