--- a/pkg/group/planned_test.go
+++ b/pkg/group/planned_test.go
@@ -12,6 +12,7 @@
 // fails a request at any home, also when another home orders it, and against a
 // leaving primary that keeps its role.
 func TestPlannedChangeFailsNothing(t *testing.T) {
+	t.Parallel()
 	for _, p := range profiles {
 		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -40,6 +40,9 @@
 			w.failed[siskin.KindOf(err)]++
 		}
 		w.mu.Unlock()
+		if err != nil {
+			time.Sleep(5 * time.Millisecond)
+		}
 	}
 	if conn != nil {
 		_ = conn.Close(context.Background())
