pkg/group: keep failover within 7 s at an interval of 1 s

Cause: all waiting times grew with the interval; at 1 s a primary that no VM reaches would be replaced after 8 s and a planned change could hold writes for 15 s.

Change: the limits stop growing at values that suit the interval of 200 ms.

--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -67,7 +67,7 @@
 	// A delay set for a planned change must not hold up a failover.
 	if m.electAt.IsZero() || (m.electFor.planned() && !c.planned()) {
 		m.electFor = c
-		m.electAt = now.Add(time.Duration(m.rank)*m.Interval/2 + m.jitter(m.Interval/8))
+		m.electAt = now.Add(time.Duration(m.rank)*m.silence()/2 + m.jitter(m.silence()/8))
 	}
 	if now.Before(m.electAt) {
 		return
@@ -120,7 +120,7 @@
 	}
 	m.finish(err)
 	shift := min(m.failures, 4)
-	m.electAt = now.Add(m.jitter(m.Interval << shift / 2))
+	m.electAt = now.Add(m.jitter(m.silence() << shift / 2))
 	m.electFor = causeDead
 	if a.planned {
 		// Each try holds new writes back, so tries are far apart.
--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -107,26 +107,29 @@
 	return n >= m.quorum()
 }
 
+// recentChange is the time for which a change of primary counts as recent.
+const recentChange = 30 * time.Second
+
 // unreachedPatience returns how long the log must stand still before a primary
 // that replicates is replaced. A refused connection is a clearer sign than
 // silence, which may be this VM's own. Soon after a change the time is longer,
 // so that two VMs that reach different targets do not take turns.
 func (m *machine) unreachedPatience(now time.Time) time.Duration {
-	if m.term > 0 && !m.changed.IsZero() && now.Sub(m.changed) < 150*m.Interval {
-		return 20 * m.Interval
+	if m.term > 0 && !m.changed.IsZero() && now.Sub(m.changed) < recentChange {
+		return min(20*m.Interval, 3*time.Second)
 	}
 	if p := m.target(m.primary); p != nil && p.refused {
 		return m.suspectAfter()
 	}
-	return 5 * m.Interval
+	return min(5*m.Interval, 2*time.Second)
 }
 
 // heard reports whether a reachable replica still hears the primary. After a
 // refused connection less silence is asked for than after lost answers.
 func (m *machine) heard(now time.Time, p *targetState) bool {
-	limit := 2 * m.Interval
+	limit := 2 * m.silence()
 	if p != nil && p.refused {
-		limit = m.Interval
+		limit = m.silence()
 	}
 	heard := false
 	for _, t := range m.targets {
@@ -144,7 +147,7 @@
 // askReplicas orders probes while the primary is suspected, so that the
 // replicas' answers are recent.
 func (m *machine) askReplicas(now time.Time) {
-	if m.attempt != nil || now.Sub(m.probed) < m.Interval/4 {
+	if m.attempt != nil || now.Sub(m.probed) < m.silence()/4 {
 		return
 	}
 	m.probed = now
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -18,6 +18,8 @@
 	"siskintray.example/siskin/pkg/pgctl"
 )
 
+var interval = flag.Duration("interval", group.DefaultInterval, "time between probes of one target")
+
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
@@ -43,6 +45,7 @@
 	for _, srv := range servers {
 		s.Members = append(s.Members, group.Member{ID: srv.ID(), Address: srv.Address()})
 	}
+	s.Interval = *interval
 	dialer := pgctl.NewDialer(config.Credentials{User: "siskin", Password: "full-secret", Database: "app"}, time.Second)
 	g, err := group.New(s, dialer, opts...)
 	if err != nil {
--- a/pkg/group/planned.go
+++ b/pkg/group/planned.go
@@ -14,10 +14,10 @@
 	settleTime = 20 * time.Millisecond
 )
 
-func (m *machine) drainHold() time.Duration { return 5 * m.Interval }
+func (m *machine) drainHold() time.Duration { return min(5*m.Interval, time.Second) }
 
 // drainLimit bounds the time that new writes are held for a planned change.
-func (m *machine) drainLimit() time.Duration { return 15 * m.Interval }
+func (m *machine) drainLimit() time.Duration { return min(15*m.Interval, 3*time.Second) }
 
 // change begins the change of primary that an operator asked for.
 func (m *machine) change(now time.Time, e event) {
--- a/pkg/group/settings.go
+++ b/pkg/group/settings.go
@@ -79,8 +79,14 @@
 func (s *Settings) suspectAfter() time.Duration { return 3 * s.Interval }
 
 // cutOffAfter is the time after which a condition is acted on that may concern
-// this VM alone or that costs no confirmation yet.
-func (s *Settings) cutOffAfter() time.Duration { return 10 * s.Interval }
+// this VM alone or that costs no confirmation yet. Like the other limits below,
+// it stops growing with the interval, so that a change of primary stays within
+// 7 s at the longest interval, 1 s.
+func (s *Settings) cutOffAfter() time.Duration { return min(10*s.Interval, 3*time.Second) }
+
+// silence is the time without a message of the primary after which a replica
+// does not hear it. Targets send one at least every 50 ms.
+func (s *Settings) silence() time.Duration { return min(s.Interval, 200*time.Millisecond) }
 
 // callTimeout bounds each call of a target.
 func (s *Settings) callTimeout() time.Duration { return 3 * s.Interval }
--- a/pkg/group/view.go
+++ b/pkg/group/view.go
@@ -36,7 +36,7 @@
 
 // wake returns when the machine needs a tick.
 func (m *machine) wake(now time.Time) time.Time {
-	next := now.Add(m.Interval / 4)
+	next := now.Add(m.silence() / 4)
 	earliest := func(t time.Time) {
 		if !t.IsZero() && t.Before(next) {
 			next = t
