keys: add authentication by digest, withdrawal and the cut-off rule

Cause: callers show a key at start-up and before each message batch; a withdrawn key must stop within seconds and never come back, also in a data centre that is cut off.

Looking up per customer was the alternative; a caller does not state a customer, so the index by prefix was taken. Withdrawn digests and key IDs stay withdrawn, older documents are ignored, also for removed customers. Generated keys carry a checksum, so that a typing error is told apart from a wrong key.

--- /dev/null
+++ b/pkg/keys/account.go
@@ -0,0 +1,75 @@
+package keys
+
+import (
+	"slices"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// account is what is known of one customer. It is replaced, never changed.
+type account struct {
+	doc      *config.Customer
+	revision siskin.Revision
+	services []siskin.ServiceName // ordered
+	keys     map[siskin.KeyID]keyState
+	// removed says that the configuration has the customer no longer. The
+	// account stays, so that an older document does not bring it back.
+	removed bool
+}
+
+type keyState struct {
+	digest    digest
+	withdrawn bool
+}
+
+// newAccount reads a document. A key that is withdrawn in old stays withdrawn,
+// and so does every key with a withdrawn digest.
+func newAccount(doc *config.Customer, old *account, isWithdrawn func(digest) bool) *account {
+	a := &account{doc: doc, revision: doc.Revision, services: slices.Sorted(slices.Values(doc.Services)), keys: make(map[siskin.KeyID]keyState, len(doc.Keys))}
+	for _, k := range doc.Keys {
+		d, ok := parseDigest(k.Digest)
+		if !ok {
+			continue // validation refuses such a document; the key cannot match
+		}
+		a.keys[k.ID] = keyState{digest: d, withdrawn: k.Withdrawn || isWithdrawn(d)}
+	}
+	if old != nil {
+		for id, k := range old.keys {
+			if now, ok := a.keys[id]; ok && k.withdrawn {
+				now.withdrawn = true
+				a.keys[id] = now
+			} else if k.withdrawn {
+				a.keys[id] = k
+			}
+		}
+	}
+	return a
+}
+
+// outdates reports whether the account is newer than a document.
+func (a *account) outdates(doc *config.Customer) bool {
+	return doc.Revision < a.revision || (a.removed && doc.Revision <= a.revision)
+}
+
+// serves reports whether the customer may use a service.
+func (a *account) serves(service siskin.ServiceName) bool {
+	_, ok := slices.BinarySearch(a.services, service)
+	return ok
+}
+
+// narrows reports whether something that old allowed is allowed no longer.
+func (a *account) narrows(old *account) bool {
+	if old == nil || old.removed {
+		return false
+	}
+	if a.removed || slices.ContainsFunc(old.services, func(s siskin.ServiceName) bool { return !a.serves(s) }) {
+		return true
+	}
+	for id, k := range old.keys {
+		if now, ok := a.keys[id]; !k.withdrawn && (!ok || now.withdrawn || now.digest != k.digest) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/keys/evidence.go
@@ -0,0 +1,33 @@
+package keys
+
+import "time"
+
+// Evidence is what a VM knows about being current with withdrawals.
+type Evidence struct {
+	// Current is the last time that the VM had proof of knowing every accepted
+	// withdrawal: an answer of the platform, or of a peer in another data centre
+	// that has one.
+	Current time.Time
+	// DownForAll is the last time that peers in all other data centres said
+	// that the platform is down for them too. No withdrawal can be accepted
+	// then, so nothing can be missed.
+	DownForAll time.Time
+}
+
+func (e Evidence) last() time.Time {
+	if e.DownForAll.After(e.Current) {
+		return e.DownForAll
+	}
+	return e.Current
+}
+
+// Freshness is the age up to which evidence counts as present. It is within
+// the 3 s in which a withdrawal is to be in force.
+const Freshness = 2 * time.Second
+
+// Decide reports whether keys go on working. With fresh evidence they do; from
+// then on the grace of the service decides. A VM that never had evidence
+// accepts no key.
+func Decide(now time.Time, e Evidence, grace time.Duration) bool {
+	return now.Sub(e.last()) <= Freshness+grace
+}
--- /dev/null
+++ b/pkg/keys/keys.go
@@ -0,0 +1,143 @@
+package keys
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// Keys authenticates callers against the configuration in force. It implements
+// siskin.Keys and is safe for concurrent use.
+type Keys struct {
+	clock    siskin.Clock
+	view     config.View
+	evidence func() Evidence
+
+	accounts *shard.Map[siskin.CustomerID, *account]
+	owners   *shard.Map[uint64, []owner] // by prefix of the digest
+	// withdrawn holds the digests that were ever seen withdrawn.
+	withdrawn *shard.Map[digest, struct{}]
+	revision  atomic.Uint64 // revision that the accounts are at
+	narrowed  atomic.Pointer[chan struct{}]
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+var _ siskin.Keys = (*Keys)(nil)
+
+// owner names a key by its digest.
+type owner struct {
+	digest   digest
+	customer siskin.CustomerID
+	key      siskin.KeyID
+}
+
+// Option changes a setting of Keys.
+type Option func(*Keys)
+
+// WithEvidence sets the source of evidence that this VM knows all withdrawals.
+// It is called at every check and must be fast. Without it the VM always
+// counts as current.
+func WithEvidence(evidence func() Evidence) Option { return func(k *Keys) { k.evidence = evidence } }
+
+// New returns the keys of a configuration and follows its changes until Close.
+func New(clock siskin.Clock, view config.View, options ...Option) *Keys {
+	k := &Keys{
+		clock: clock, view: view,
+		accounts:  shard.New[siskin.CustomerID, *account](),
+		owners:    shard.New[uint64, []owner](),
+		withdrawn: shard.New[digest, struct{}](),
+	}
+	for _, o := range options {
+		o(k)
+	}
+	first := make(chan struct{})
+	k.narrowed.Store(&first)
+	ctx, cancel := context.WithCancel(context.Background())
+	k.cancel = cancel
+	changed := view.Changed()
+	k.refresh()
+	k.done.Go(func() { k.follow(ctx, changed) })
+	return k
+}
+
+// Close stops following the configuration.
+func (k *Keys) Close() error {
+	k.cancel()
+	k.done.Wait()
+	return nil
+}
+
+// Authenticate implements siskin.Keys.
+func (k *Keys) Authenticate(service siskin.ServiceName, key string) (siskin.KeyGrant, error) {
+	d := digestOf(key)
+	owners, _ := k.owners.Get(d.prefix())
+	refused := error(nil)
+	for i := range owners {
+		if !owners[i].digest.equal(&d) {
+			continue
+		}
+		grant := siskin.KeyGrant{Customer: owners[i].customer, Key: owners[i].key}
+		err := k.Check(service, grant)
+		if err == nil {
+			return grant, nil
+		}
+		if refused == nil || siskin.KindOf(err) == siskin.KeyWithdrawn {
+			refused = err
+		}
+	}
+	switch {
+	case refused != nil:
+		return siskin.KeyGrant{}, refused
+	case Mistyped(key):
+		return siskin.KeyGrant{}, siskin.NewError(siskin.KeyRefused, "the checksum of the key is wrong").
+			WithRemedy("copy the key again; some characters are missing or changed")
+	default:
+		return siskin.KeyGrant{}, notGranted(service)
+	}
+}
+
+// Check implements siskin.Keys.
+func (k *Keys) Check(service siskin.ServiceName, grant siskin.KeyGrant) error {
+	a, ok := k.accounts.Get(grant.Customer)
+	if !ok {
+		return notGranted(service)
+	}
+	state, ok := a.keys[grant.Key]
+	switch {
+	case ok && state.withdrawn, !ok, a.removed:
+		return siskin.NewError(siskin.KeyWithdrawn, "key %s of customer %s is withdrawn", grant.Key, grant.Customer).
+			WithRemedy("ask the operators for a new key")
+	case !a.serves(service):
+		return notGranted(service)
+	case k.evidence == nil:
+		return nil
+	default:
+		return k.checkEvidence(service)
+	}
+}
+
+// checkEvidence refuses keys when this VM may have missed a withdrawal for
+// longer than the service allows.
+func (k *Keys) checkEvidence(service siskin.ServiceName) error {
+	doc, ok := k.view.Service(service)
+	if !ok {
+		return notGranted(service)
+	}
+	now, evidence := k.clock.Now(), k.evidence()
+	if Decide(now, evidence, doc.KeyGrace.Std()) {
+		return nil
+	}
+	return siskin.NewError(siskin.KeyRefused, "keys of service %s cannot be checked: this data centre is cut off since %s", service, now.Sub(evidence.last()).Round(1e9)).
+		WithRemedy("connect to another data centre")
+}
+
+func notGranted(service siskin.ServiceName) error {
+	return siskin.NewError(siskin.KeyRefused, "the key is not valid for service %s", service).
+		WithRemedy("check the key and the service name, or ask the operators to grant the service")
+}
