siskin: add AddressID for calls to a VM by its address

Cause: a seed is known by its address before its id is known, and both the packages that name seeds and the implementation of Peers need the same form.

Change: AddressID moves from internal/peer to the root package.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -58,10 +58,7 @@
 	c.lookup = lookup
 }
 
-// AddressID returns an id under which the VM at the given address can be
-// called while its own id is not known, as with a seed.
-func AddressID(address string) siskin.VMID { return siskin.VMID("@" + address) }
-
+// isAddressID recognizes the ids that siskin.AddressID returns.
 func isAddressID(vm siskin.VMID) bool { return strings.HasPrefix(string(vm), "@") }
 
 // Call implements siskin.Peers. An error of kind Unavailable says that no
--- a/peers.go
+++ b/peers.go
@@ -2,6 +2,10 @@
 
 import "context"
 
+// AddressID returns an id under which Peers calls the VM at an address, such
+// as a seed whose own id is not known yet.
+func AddressID(address string) VMID { return VMID("@" + address) }
+
 // Peers calls methods of other VMs over net/rpc.
 type Peers interface {
 	// Call invokes method, such as "Limit.Ask", on the given VM. The context
