--- a/pkg/member/core.go
+++ b/pkg/member/core.go
@@ -48,7 +48,7 @@
 func newCore(cfg Config, now time.Time) *core {
 	c := &core{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.Incarnation))),
-		self:    Record{ID: cfg.Self.ID, Incarnation: cfg.Self.Incarnation, State: siskin.VMLive, DataCentre: cfg.Self.DataCentre, Address: cfg.Self.PeerAddress},
+		self:    Record{ID: cfg.Self.ID, Incarnation: cfg.Self.Incarnation, State: siskin.VMLive, DataCentre: cfg.Self.DataCentre, Address: cfg.Self.PeerAddress, Forward: cfg.Self.ForwardAddress},
 		members: make(map[siskin.VMID]*member), news: newNews(),
 	}
 	c.rings = newRings(c.self.ID)
--- a/pkg/member/exchange.go
+++ b/pkg/member/exchange.go
@@ -38,7 +38,7 @@
 // message builds the message to another VM.
 func (c *core) message(now time.Time, to siskin.VMID) Message {
 	from := c.self
-	from.DataCentre, from.Address = "", ""
+	from.DataCentre, from.Address, from.Forward = "", "", ""
 	msg := Message{From: from, Hash: c.hash, Updates: c.news.take(c.rings.size())}
 	m := c.members[to]
 	if m == nil {
@@ -46,7 +46,7 @@
 	}
 	if m.State != siskin.VMLive {
 		about := m.Record
-		about.DataCentre, about.Address = "", ""
+		about.DataCentre, about.Address, about.Forward = "", "", ""
 		msg.About = &about
 	}
 	if !m.differed.IsZero() && now.Sub(m.differed) >= hashGrace {
--- a/pkg/member/record.go
+++ b/pkg/member/record.go
@@ -18,6 +18,8 @@
 	Leaving    bool                `json:"L,omitempty"`
 	DataCentre siskin.DataCentreID `json:"DC,omitempty"`
 	Address    string              `json:"A,omitempty"`
+	// Forward takes forwarded transactions. It travels with Address.
+	Forward string `json:"F,omitempty"`
 }
 
 // order compares the points in a member's life that two records describe,
@@ -55,7 +57,7 @@
 // withPlace fills a missing data centre and address from o.
 func (r Record) withPlace(o Record) Record {
 	if r.Address == "" {
-		r.DataCentre, r.Address = o.DataCentre, o.Address
+		r.DataCentre, r.Address, r.Forward = o.DataCentre, o.Address, o.Forward
 	}
 	return r
 }
@@ -69,7 +71,14 @@
 	if r.Leaving && r.up() {
 		state = siskin.VMLeaving
 	}
-	return siskin.VM{ID: r.ID, Incarnation: r.Incarnation, DataCentre: r.DataCentre, PeerAddress: r.Address, State: state}
+	return siskin.VM{
+		ID:             r.ID,
+		Incarnation:    r.Incarnation,
+		DataCentre:     r.DataCentre,
+		PeerAddress:    r.Address,
+		ForwardAddress: r.Forward,
+		State:          state,
+	}
 }
 
 // valid refuses records of a peer that would harm the view.
--- a/pkg/member/suspicion.go
+++ b/pkg/member/suspicion.go
@@ -90,7 +90,7 @@
 // to run are returned, to be contacted.
 func (c *core) acceptList(now time.Time, vms []siskin.VM) (unknown []siskin.VM) {
 	for _, vm := range vms {
-		r := Record{ID: vm.ID, Incarnation: vm.Incarnation, DataCentre: vm.DataCentre, Address: vm.PeerAddress}
+		r := Record{ID: vm.ID, Incarnation: vm.Incarnation, DataCentre: vm.DataCentre, Address: vm.PeerAddress, Forward: vm.ForwardAddress}
 		m := c.members[vm.ID]
 		switch vm.State {
 		case siskin.VMGone:
