daemon: run one VM from its settings

Cause: membership, configuration, keys, limits and the request path had no program that joins them.

Transactions are counted for the burn report and metrics.

--- /dev/null
+++ b/internal/daemon/backend.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/admin"
+	"siskintray.example/siskin/internal/cmds"
+	"siskintray.example/siskin/pkg/burn"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// backend answers operators. It implements the interfaces of admin.Backend.
+type backend struct{ d *Daemon }
+
+func (d *Daemon) backend() admin.Backend {
+	b := &backend{d}
+	return admin.Backend{
+		Status: b,
+		Config: &configBackend{d},
+		Keys:   &keyBackend{d},
+		Groups: &groupBackend{d},
+		Fleet:  b,
+		Burn:   b,
+	}
+}
+
+// askTimeout bounds the question to one VM on behalf of an operator.
+const askTimeout = 2 * time.Second
+
+// Status implements admin.StatusSource.
+func (b *backend) Status(context.Context) (admin.Status, error) {
+	d, st := b.d, b.d.Status()
+	return admin.Status{
+		VM:                d.self.ID,
+		Incarnation:       d.self.Incarnation,
+		DataCentre:        d.self.DataCentre,
+		State:             st.VM.State.String(),
+		Version:           cmds.Version(),
+		Started:           time.UnixMilli(int64(d.self.Incarnation)),
+		Revision:          st.Revision,
+		Callers:           st.Front.Sessions,
+		Homes:             st.Slots,
+		PlatformReachable: !d.spread.PlatformDown(),
+		LiveVMs:           len(d.members.Live()),
+	}, nil
+}
+
+// VMs implements admin.Fleet.
+func (b *backend) VMs(context.Context) ([]siskin.VM, error) { return b.d.members.Live(), nil }
+
+// Leave implements admin.Fleet.
+func (b *backend) Leave(ctx context.Context, vm siskin.VMID) error {
+	if vm == b.d.self.ID {
+		b.d.requestLeave()
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var started bool
+	return b.d.client.Call(ctx, vm, "Daemon.Leave", struct{}{}, &started)
+}
+
+// Record implements admin.BurnSource.
+func (b *backend) Record(ctx context.Context, fleet bool) (burn.Record, error) {
+	own := b.d.recorder.Record()
+	if !fleet {
+		return own, nil
+	}
+	records := []burn.Record{own}
+	for _, vm := range b.d.members.Live() {
+		if vm.ID == b.d.self.ID {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		var record burn.Record
+		// A VM that does not answer is missing from the report's list of VMs.
+		if err := b.d.client.Call(ctx, vm.ID, "Daemon.Burn", struct{}{}, &record); err == nil {
+			records = append(records, record)
+		}
+		cancel()
+	}
+	return burn.Merge(records...)
+}
+
+// Objectives implements admin.BurnSource.
+func (b *backend) Objectives(siskin.ServiceName) burn.Objectives { return burn.DefaultObjectives }
+
+// groupBackend implements admin.GroupControl.
+type groupBackend struct{ d *Daemon }
+
+// View implements admin.GroupControl.
+func (b *groupBackend) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
+	return b.d.node.View(ctx, service)
+}
+
+// Promote implements admin.GroupControl.
+func (b *groupBackend) Promote(ctx context.Context, service siskin.ServiceName, target siskin.TargetID, force bool) error {
+	return b.d.node.Promote(ctx, service, target, force)
+}
+
+// configBackend implements admin.Configurator.
+type configBackend struct{ d *Daemon }
+
+// View implements admin.Configurator.
+func (b *configBackend) View() config.View { return b.d.spread.Snapshot() }
+
+// Apply implements admin.Configurator.
+func (b *configBackend) Apply(ctx context.Context, change *config.Change) (siskin.Revision, error) {
+	return b.d.spread.Apply(ctx, change)
+}
+
+// Revisions implements admin.Configurator.
+func (b *configBackend) Revisions(ctx context.Context) ([]admin.VMRevision, error) {
+	return b.d.revisions(ctx), nil
+}
+
+// Apply makes a change of the configuration current.
+func (d *Daemon) Apply(ctx context.Context, change *config.Change) (siskin.Revision, error) {
+	return d.spread.Apply(ctx, change)
+}
--- /dev/null
+++ b/internal/daemon/node.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/front"
+	"siskintray.example/siskin/internal/node"
+	"siskintray.example/siskin/internal/stats"
+	"siskintray.example/siskin/pkg/burn"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/keys"
+	"siskintray.example/siskin/pkg/limit"
+	"siskintray.example/siskin/pkg/spread"
+)
+
+// startNode builds the request path and registers the receivers.
+func (d *Daemon) startNode() (err error) {
+	clock := d.options.clock
+	proof := newEvidence(d.members)
+	d.spread = spread.New(d.platform, d.client, d.members, spread.WithClock(clock), spread.WithEvidence(proof), spread.WithLogf(d.debugf))
+	proof.setView(d.spread)
+	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proof.current))
+	d.limiter = limit.New(clock, d.spread, d.members, d.client, d.platform, limit.WithLogf(d.debugf))
+	d.recorder = burn.New(clock, d.self)
+	d.stats = stats.New()
+	d.node, err = node.Start(node.Config{
+		Self: d.self, Clock: clock, Log: d.log(),
+		Config: d.spread, Members: d.members, Peers: d.client, Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
+		Caller: d.listeners.caller, Forward: d.listeners.forward,
+		CallerTLS: serverTLS(d.listeners.callerCert), PeerTLS: d.listeners.peerTLS,
+		Observer:       &observer{recorder: d.recorder, stats: newTransactionStats(d.stats)},
+		ProbeInterval:  d.settings.Group.ProbeInterval,
+		MaxConnections: d.settings.Caller.MaxConnections,
+		StartTimeout:   d.settings.Caller.StartTimeout,
+		Open:           d.options.open,
+	})
+	if err != nil {
+		return err
+	}
+	d.wg.Go(d.followKeys)
+	return d.register()
+}
+
+func (d *Daemon) debugf(format string, args ...any) { d.log().Debug().Msgf(format, args...) }
+
+// register publishes the receivers to other VMs.
+func (d *Daemon) register() error {
+	receivers := d.node.Receivers()
+	receivers["Member"] = d.members.Receiver()
+	receivers["Spread"] = d.spread.Receiver()
+	receivers["Limit"] = d.limiter.Receiver()
+	receivers["Keys"] = d.keys.Receiver()
+	receivers["Daemon"] = &receiver{d}
+	for name, r := range receivers {
+		if err := d.server.Register(name, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// followKeys ends sessions as soon as their key is withdrawn.
+func (d *Daemon) followKeys() {
+	for {
+		withdrawn := d.keys.Withdrawn()
+		d.node.CheckKeys()
+		select {
+		case <-withdrawn:
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// observer passes transactions to the burn record and the metrics.
+type observer struct {
+	recorder *burn.Recorder
+	stats    *transactionStats
+}
+
+// Transaction implements front.Observer.
+func (o *observer) Transaction(t front.Observation) {
+	o.recorder.Transaction(t.Service, t.Customer, burn.Result{
+		Failed:    t.Failed,
+		Kind:      t.Kind,
+		Latency:   t.Latency,
+		Read:      t.Mode == config.ReadRoute,
+		ByReplica: t.ByReplica,
+	})
+	o.stats.count(t)
+}
+
+// Ready reports whether the VM sees the given number of live VMs and knows a
+// primary of every service that it watches.
+func (d *Daemon) Ready(vms int) bool {
+	if len(d.members.Live()) < vms || len(d.spread.Services()) == 0 {
+		return false
+	}
+	for _, name := range d.spread.Services() {
+		ctx, cancel := context.WithTimeout(d.ctx, time.Second)
+		view, err := d.node.View(ctx, name)
+		cancel()
+		primary, ok := view.Target(view.Primary)
+		if err != nil || !ok || !primary.Reachable {
+			return false
+		}
+	}
+	return true
+}
+
+// Status returns the state of the VM.
+func (d *Daemon) Status() node.Status { return d.node.Status() }
+
+// OwnsSlot reports whether this VM is the home of a slot of the target.
+func (d *Daemon) OwnsSlot(target siskin.TargetID) bool { return d.node.OwnsSlot(target) }
+
+// Service returns the document of a service in force at this VM.
+func (d *Daemon) Service(name siskin.ServiceName) (*config.Service, bool) {
+	return d.spread.Service(name)
+}
--- a/internal/daemon/tokens.go
+++ b/internal/daemon/tokens.go
@@ -11,17 +11,21 @@
 
 // loadTokens reads the keys that sign session tokens.
 func loadTokens(s cfgini.Token) (*token.Codec, error) {
-	current, err := readKey(s.KeyFile)
+	current, previous, err := readKeys(s)
 	if err != nil {
 		return nil, err
 	}
-	var previous []byte
+	return token.NewCodec(current, previous)
+}
+
+func readKeys(s cfgini.Token) (current, previous []byte, err error) {
+	if current, err = readKey(s.KeyFile); err != nil {
+		return nil, nil, err
+	}
 	if s.PreviousKeyFile != "" {
-		if previous, err = readKey(s.PreviousKeyFile); err != nil {
-			return nil, err
-		}
+		previous, err = readKey(s.PreviousKeyFile)
 	}
-	return token.NewCodec(current, previous)
+	return current, previous, err
 }
 
 func readKey(path string) ([]byte, error) {
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -30,6 +30,10 @@
 	acked  string // last key whose write was acknowledged
 }
 
+// maxBacklog is how long after the end of a run requests that were due in it
+// are still sent.
+const maxBacklog = 3 * time.Second
+
 // loop sends requests at their intended times until the run ends.
 func (c *caller) loop(ctx context.Context) {
 	defer c.disconnect()
@@ -40,6 +44,11 @@
 		if !sleepUntil(ctx, c.run.start.Add(due)) {
 			return
 		}
+		if c.run.elapsed() > c.run.duration+maxBacklog {
+			c.run.Recorder.Add(c.number, Event{Customer: c.group.Customer, Intended: due, Sent: due, Ended: c.run.elapsed(), Outcome: NotSent})
+			due += c.interval(perCaller)
+			continue
+		}
 		if c.group.RoamEvery > 0 && due >= nextMove {
 			c.move()
 			nextMove = c.nextMove(due)
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -18,6 +18,9 @@
 	ConnectionLost Outcome = "ConnectionLost"
 	// NotConnected means that no connection could be opened.
 	NotConnected Outcome = "NotConnected"
+	// NotSent means that the caller was still busy with earlier requests when
+	// the run was over.
+	NotSent Outcome = "NotSent"
 	// Stopped is the end of an idle session at a planned stop (57P01).
 	Stopped Outcome = "Stopped"
 )
@@ -44,7 +47,7 @@
 
 // IsNotRun reports whether the outcome promises that the request did not run.
 func (o Outcome) IsNotRun() bool {
-	if o == NotConnected || o == Stopped {
+	if o == NotConnected || o == NotSent || o == Stopped {
 		return true
 	}
 	for k := siskin.Internal; k <= siskin.TargetRefused; k++ {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/front"
 	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/token"
 )
@@ -39,6 +40,8 @@
 	// package front.
 	MaxConnections int
 	StartTimeout   time.Duration
+	// Observer is told of each transaction that ended; nil means nobody.
+	Observer front.Observer
 	// Open replaces net.Dialer.DialContext for connections to targets and
 	// forward addresses when it is set.
 	Open siskin.DialFunc
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 		Budgets:        retry.NewBudgets(),
 		Cancels:        &cancels{members: cfg.Members, peers: cfg.Peers},
 		TLS:            cfg.CallerTLS,
+		Observer:       cfg.Observer,
 		Log:            cfg.Log,
 		MaxConnections: cfg.MaxConnections,
 		StartupTimeout: cfg.StartTimeout,
@@ -143,3 +144,13 @@
 	n.pool.Close(ctx)
 	n.groups.close()
 }
+
+// OwnsSlot reports whether this VM is the home of a slot of the target.
+func (n *Node) OwnsSlot(target siskin.TargetID) bool {
+	for _, key := range n.pool.Owned() {
+		if key.Target == target {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -97,3 +97,7 @@
 		return false
 	}
 }
+
+// PlatformDown reports whether the platform did not answer this VM's last
+// question. A VM that is no watcher asks only at its start.
+func (s *Spread) PlatformDown() bool { return s.platformDown.Load() }
