--- a/cmd/siskintrayd/main.go
+++ b/cmd/siskintrayd/main.go
@@ -1,10 +1,11 @@
-// Command siskintrayd runs one VM.
+// Command siskintrayd runs one VM of the proxy.
 package main
 
 import (
 	"os"
 
 	"siskintray.example/siskin/internal/cmds"
+	"siskintray.example/siskin/internal/daemon"
 )
 
-func main() { os.Exit(cmds.DaemonMain(os.Args[1:], os.Stdout, os.Stderr, nil)) }
+func main() { os.Exit(cmds.DaemonMain(os.Args[1:], os.Stdout, os.Stderr, daemon.Run)) }
--- /dev/null
+++ b/internal/labcmd/bench.go
@@ -0,0 +1,96 @@
+package labcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	experiments "siskintray.example/siskin/internal/bench"
+	"siskintray.example/siskin/internal/cmds"
+	"siskintray.example/siskin/internal/load"
+)
+
+func benchHelp() string {
+	var b strings.Builder
+	b.WriteString("Runs an experiment with the sizes and delays of a profile. Exit code 7 says that\na promise was broken.\n\nExperiments:\n")
+	for _, x := range experiments.Experiments() {
+		fmt.Fprintf(&b, "  %-12s %s\n", x.Name, x.Summary)
+	}
+	b.WriteString("\nExamples:\n  siskintray bench failover --profile syntyma --seed 3\n  siskintray bench limits --profile hartwell --json-file limits.json --plot limits.svg")
+	return b.String()
+}
+
+// bench runs one experiment.
+type bench struct {
+	Profile  string        `long:"profile" default:"syntyma" choice:"syntyma" choice:"hartwell" description:"sizes and delays"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the callers"`
+	Duration time.Duration `long:"duration" description:"length of one phase of load, at most 5m; the experiment's own by default"`
+	JSONFile string        `long:"json-file" value-name:"FILE" description:"also write the result as JSON"`
+	Plot     string        `long:"plot" value-name:"FILE" description:"also write a plot as SVG"`
+	Args     struct {
+		Name string `positional-arg-name:"experiment"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run implements cmds.Runner.
+func (b *bench) Run(ctx context.Context, env *cmds.Env) (cmds.Output, error) {
+	x, err := experiments.Find(b.Args.Name)
+	if err != nil {
+		return cmds.Output{}, err
+	}
+	profile, err := load.ProfileByName(b.Profile)
+	if err != nil {
+		return cmds.Output{}, err
+	}
+	r, err := x.Run(ctx, experiments.Options{
+		Profile:  profile,
+		Seed:     b.Seed,
+		Duration: min(b.Duration, maxTrial),
+		Progress: func(text string) { env.Progress("%s", text) },
+	})
+	if err != nil {
+		return cmds.Output{}, err
+	}
+	if err := b.writeFiles(r); err != nil {
+		return cmds.Output{}, err
+	}
+	var text strings.Builder
+	if err := r.WriteText(&text); err != nil {
+		return cmds.Output{}, err
+	}
+	return cmds.Output{Value: r, Text: text.String(), Exit: exitOf(r.OK())}, nil
+}
+
+func (b *bench) writeFiles(r *experiments.Result) error {
+	if b.JSONFile != "" {
+		err := writeFile(b.JSONFile, func(w io.Writer) error {
+			e := json.NewEncoder(w)
+			e.SetIndent("", "  ")
+			return e.Encode(r)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	if b.Plot != "" {
+		return writeFile(b.Plot, r.WritePlot)
+	}
+	return nil
+}
+
+func writeFile(path string, write func(w io.Writer) error) (err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if closeErr := f.Close(); err == nil {
+			err = closeErr
+		}
+	}()
+	return write(f)
+}
