--- a/internal/cfgini/cfgini_test.go
+++ b/internal/cfgini/cfgini_test.go
@@ -120,6 +120,31 @@
 	}
 }
 
+// TestExamples guards against example settings that are refused.
+func TestExamples(t *testing.T) {
+	files, _ := filepath.Glob("../../examples/*/vms/*.ini")
+	if got, want := len(files), 2; got != want {
+		t.Fatalf("got %d examples, want %d", got, want)
+	}
+	for _, path := range files {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		dir := t.TempDir()
+		for line := range strings.Lines(string(data)) {
+			if key, name, ok := strings.Cut(strings.TrimSpace(line), "File = "); ok && !strings.HasPrefix(key, "#") {
+				if err := os.WriteFile(filepath.Join(dir, name), []byte("x"), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if err := Parse(filepath.Join(dir, "vm.ini"), data, new(Daemon)).Err(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // TestDefaultsAreValid guards against a default that its own bounds refuse.
 func TestDefaultsAreValid(t *testing.T) {
 	if found := Parse("vm.ini", []byte("[Target]\nID = a/1\nDataCentre = x\nAddress = 127.0.0.1:1\nReplicationAddress = 127.0.0.1:2\nAdminAddress = 127.0.0.1:3\nGroup = 127.0.0.1:2\nSlots = 2\nConnectionsPerSlot = 16\nUser = u\nPassword = #p=\nReadUser = r\nReadPassword = p\nDatabase = d\n"), new(StandinTarget)); found.Err() != nil {
