--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -82,8 +82,8 @@
 	g := watch(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	for i := range 100 {
-		pos, err := write(ctx, g, servers, fmt.Sprint(i))
+	check := func(key string) {
+		pos, err := write(ctx, g, servers, key)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -92,12 +92,19 @@
 			t.Fatalf("got floor %v, %v, want at least %v", floor, err, pos)
 		}
 	}
+	for i := range 100 {
+		check(fmt.Sprint(i))
+	}
 	time.Sleep(time.Second)
 	for _, tv := range g.View().Targets {
 		if tv.Staleness < 0 || tv.Staleness > 700*time.Millisecond {
 			t.Errorf("%s: got staleness %v, want less than 700ms", tv.Status.ID, tv.Staleness)
 		}
 	}
+	servers[2].SetLag(time.Minute, 0) // its answer alone must not make a floor
+	for i := range 50 {
+		check(fmt.Sprint("lag", i))
+	}
 }
 
 // TestFailoverKeepsWrites guards against a killed primary that is not replaced.
