--- a/pkg/group/tracker.go
+++ b/pkg/group/tracker.go
@@ -102,7 +102,8 @@
 		case w.pos.Term < max(t.term, fenced):
 			heap.Pop(&t.waiting)
 			w.result <- false
-		case w.pos.Term == confirmed.Term && w.pos.LSN <= confirmed.LSN:
+		case w.pos.Term == confirmed.Term && w.pos.LSN <= confirmed.LSN && confirmed.LSN > 0:
+			// Position 0 is no report, so it confirms nothing.
 			ackedInTerm.Check(w.pos.Term >= fenced, "ack in term %d, fenced by %d", w.pos.Term, fenced)
 			heap.Pop(&t.waiting)
 			w.result <- true
