pkg/group: repeat an immediate probe that was asked for during another

Cause: a probe that runs may show the state before a caller's report, so writes that were refused as not run stayed held until the next interval.

Change: such a report starts one more probe after the running one.

Conclusion: the hold ends with the first answer after the report.

--- a/pkg/group/execute.go
+++ b/pkg/group/execute.go
@@ -20,7 +20,7 @@
 			p = candidate
 		}
 	}
-	if p == nil || (a.kind == actProbe && !p.probing.CompareAndSwap(false, true)) {
+	if p == nil || (a.kind == actProbe && !p.beginProbe()) {
 		return
 	}
 	// A closed pool refuses the action, which is then of no use.
--- a/pkg/group/peer.go
+++ b/pkg/group/peer.go
@@ -21,7 +21,7 @@
 	floorL *link // floor samples
 	queryL *link // immediate probes, drains and follow orders
 
-	probing atomic.Bool // an immediate probe is in progress
+	probing atomic.Int32 // one of the probe states
 
 	claimMu sync.Mutex
 	claimT  siskin.Target // connection of the last claim
@@ -114,9 +114,40 @@
 	}
 }
 
+// States of the immediate probe. A probe that is asked for while one runs
+// starts after it, since the running one may show an earlier state.
+const (
+	probeIdle int32 = iota
+	probeRuns
+	probeRunsAgain
+)
+
+// beginProbe reports whether the caller must run probe.
+func (p *peer) beginProbe() bool {
+	for {
+		switch state := p.probing.Load(); {
+		case state == probeIdle && p.probing.CompareAndSwap(probeIdle, probeRuns):
+			return true
+		case state == probeRuns && p.probing.CompareAndSwap(probeRuns, probeRunsAgain):
+			return false
+		case state == probeRunsAgain:
+			return false
+		}
+	}
+}
+
 // probe asks for the status at once.
 func (p *peer) probe() {
-	defer p.probing.Store(false)
+	for {
+		p.probeOnce()
+		if p.probing.CompareAndSwap(probeRuns, probeIdle) || p.g.ctx.Err() != nil {
+			return
+		}
+		p.probing.Store(probeRuns)
+	}
+}
+
+func (p *peer) probeOnce() {
 	asked := p.g.clock.Now()
 	var st siskin.TargetStatus
 	status := func(ctx context.Context, t siskin.Target) (err error) {
