pkg/pgctl: send repeated probes as prepared statements

Cause: each probe repeated the statement's text and the names of twelve columns; monitoring has a budget of 7 KB/s per node.

Change: a statement is prepared at its second use on a connection and then run without a description.

--- a/pkg/pgctl/target.go
+++ b/pkg/pgctl/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,6 +17,11 @@
 	id   siskin.TargetID
 	mu   sync.Mutex // held during a call
 	conn *pgconn.PgConn
+	// prepared holds the statements that were used twice, and nil for those used
+	// once: a repeated probe then sends neither the statement's text nor the
+	// column names, which are most of its bytes.
+	prepared map[string]*pgconn.StatementDescription
+	names    int // names given so far
 
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
@@ -27,7 +33,7 @@
 )
 
 func newTarget(id siskin.TargetID, conn *pgconn.PgConn) *Target {
-	t := &Target{id: id, conn: conn}
+	t := &Target{id: id, conn: conn, prepared: make(map[string]*pgconn.StatementDescription)}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
 }
@@ -115,7 +121,7 @@
 	for i, a := range args {
 		values[i] = []byte(a)
 	}
-	res := t.conn.ExecParams(ctx, sql, values, nil, nil, nil).Read()
+	res := t.execute(ctx, sql, values)
 	if res.Err != nil {
 		if !isTargetError(res.Err) {
 			t.closeLocked()
@@ -132,3 +138,22 @@
 	}
 	return row, nil
 }
+
+// execute runs a statement, as a prepared one from its second use on.
+func (t *Target) execute(ctx context.Context, sql string, values [][]byte) *pgconn.Result {
+	statement, used := t.prepared[sql]
+	if !used {
+		t.prepared[sql] = nil
+		return t.conn.ExecParams(ctx, sql, values, nil, nil, nil).Read()
+	}
+	if statement == nil {
+		var err error
+		t.names++
+		name := "s" + strconv.Itoa(t.names)
+		if statement, err = t.conn.Prepare(ctx, name, sql, nil); err != nil {
+			return &pgconn.Result{Err: err}
+		}
+		t.prepared[sql] = statement
+	}
+	return t.conn.ExecStatement(ctx, statement, values, nil, nil).Read()
+}
