--- a/internal/frame/reader.go
+++ b/internal/frame/reader.go
@@ -123,13 +123,7 @@
 			WithRemedy("send the data in smaller statements or with COPY")
 	}
 	if n > BufferSize {
-		body := make([]byte, n)
-		m := copy(body, r.buf()[r.r:r.w])
-		r.r += m
-		r.left -= m
-		k, err := io.ReadFull(r.src, body[m:])
-		r.left -= k
-		return body, err
+		return r.longBody()
 	}
 	if err := r.fill(n); err != nil {
 		return nil, err
@@ -140,6 +134,24 @@
 	return body, nil
 }
 
+// longBody reads a body into a slice that grows with what arrives, so that a
+// head alone cannot make this program allocate.
+func (r *Reader) longBody() ([]byte, error) {
+	var body []byte
+	for r.left > 0 {
+		if r.Buffered() == 0 {
+			if err := r.fill(1); err != nil {
+				return nil, err
+			}
+		}
+		m := min(r.left, r.Buffered())
+		body = append(body, r.buf()[r.r:r.r+m]...)
+		r.r += m
+		r.left -= m
+	}
+	return body, nil
+}
+
 // CopyBody copies the rest of the current message's body to w.
 func (r *Reader) CopyBody(w *Writer) error {
 	for r.left > 0 {
--- /dev/null
+++ b/internal/front/callers_test.go
@@ -0,0 +1,121 @@
+package front
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/stand/target"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// TestSlowReader guards against a caller that reads nothing and thereby keeps a
+// target connection for longer than its deadline.
+func TestSlowReader(t *testing.T) {
+	f := startFleet(t, 2, func(_ *target.Config, s *config.Service) { s.Slots, s.ConnectionsPerSlot = 1, 2 })
+	for _, vm := range f.vms {
+		for range 4 {
+			c := vm.raw(t, "badges/short")
+			_ = c.conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+			c.fe.Send(&pgproto3.Query{String: "select generate_series(1, 2000000)"})
+			c.flush()
+		}
+	}
+	start := time.Now()
+	if a := f.vms[0].raw(t, "badges/write").query("select 1"); a.code() != "" {
+		t.Errorf("other caller: got %+v, want its answer", a.err)
+	}
+	// Eight callers hold two connections for 300 ms each, and 1 s of grace.
+	if got, want := time.Since(start), 5*time.Second; got > want {
+		t.Errorf("other caller waited %v, want at most its deadline of %v", got, want)
+	}
+}
+
+// TestMalformedInput guards against malformed input that costs other callers
+// anything or gets no clear error.
+func TestMalformedInput(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	vm := f.vms[0]
+	good := vm.raw(t, "badges/write")
+	for name, b := range map[string]string{
+		"length":  "\x7f\xff\xff\xff\x00\x03\x00\x00",
+		"version": "\x00\x00\x00\x08\x00\x02\x00\x00",
+		"no end":  "\x00\x00\x00\x0b\x00\x03\x00\x00use",
+	} {
+		c := vm.rawConn(t)
+		_, _ = c.conn.Write([]byte(b))
+		if a := c.read(); a.code() != "08P01" {
+			t.Errorf("%s: got %+v, want 08P01", name, a)
+		}
+	}
+	for name, test := range map[string]struct{ bytes, code string }{
+		"type":          {"!\x00\x00\x00\x04", "08P01"},
+		"short length":  {"Q\x00\x00\x00\x01", "08P01"},
+		"oversize":      {"Q\x3f\xff\xff\xff", "54000"},
+		"malformed":     {"B\x00\x00\x00\x05xS\x00\x00\x00\x04", "08P01"},
+		"oversize bind": {"B\x3f\xff\xff\xff", "54000"},
+	} {
+		c := vm.raw(t, "badges/write")
+		_, _ = c.conn.Write([]byte(test.bytes))
+		msg := c.receive()
+		if e, ok := msg.(*pgproto3.ErrorResponse); !ok || e.Code != test.code || e.Hint == "" {
+			t.Errorf("%s: got %+v, want %s with a hint", name, msg, test.code)
+		}
+	}
+	big := strings.Repeat("x", 100_000)
+	if a := good.query("select '" + big + "'"); len(a.values) != 1 || a.values[0] != big {
+		t.Errorf("a long statement: got %v %+v, want it back", len(a.values), a.err)
+	}
+}
+
+// TestConnectionCap guards against callers that take all memory by connecting.
+func TestConnectionCap(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	f.vms[0].front.cfg.MaxConnections = 2
+	f.vms[0].raw(t, "badges/write")
+	f.vms[0].raw(t, "badges/write")
+	if _, err := f.vms[0].tryConnect("write", testKey, ""); sqlState(err) != "53300" {
+		t.Errorf("got %v, want 53300", err)
+	}
+}
+
+// TestTLS guards against a start-up over TLS that fails, and against a key that
+// is asked for without TLS outside of loopback.
+func TestTLS(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	vm := f.vms[0]
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	vm.front.cfg.TLS = &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}
+	conn, err := vm.tryConnect("write", testKey, "sslmode=require")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got string
+	if err := conn.QueryRow(t.Context(), "select 'secure'").Scan(&got); err != nil || got != "secure" {
+		t.Errorf("got %q, %v, want secure", got, err)
+	}
+	_ = conn.Close(t.Context())
+	c := newSession(vm.front, nil)
+	c.service, c.route = "badges", "write"
+	if err := c.authenticate(false); siskin.KindOf(err) != siskin.KeyRefused {
+		t.Errorf("without TLS outside of loopback: got %v, want kind KeyRefused", err)
+	}
+}
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -260,7 +260,7 @@
 func (vm *testVM) tryConnect(route, key, options string) (*pgx.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	return pgx.Connect(ctx, fmt.Sprintf("postgres://any:%s@%s/badges/%s?sslmode=disable&%s", key, vm.address, route, options))
+	return pgx.Connect(ctx, fmt.Sprintf("postgres://any:%s@%s/badges/%s?%s", key, vm.address, route, options))
 }
 
 func sqlState(err error) string {
--- /dev/null
+++ b/internal/front/pick_test.go
@@ -0,0 +1,81 @@
+package front
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// TestPick guards against transactions that go to a target which may not or
+// should not serve them.
+func TestPick(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/pick.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes := map[string]*config.Route{
+		"write": {Mode: config.WriteRoute},
+		"read":  {Mode: config.ReadRoute},
+		"aged":  {Mode: config.ReadRoute, MaxAge: config.Duration(time.Minute)},
+	}
+	var service *config.Service
+	var view siskin.GroupView
+	for _, file := range archive.Files {
+		lines := strings.Split(strings.TrimSpace(string(file.Data)), "\n")
+		if file.Name == "targets" {
+			service, view = parseTargets(t, lines)
+			continue
+		}
+		for _, line := range lines {
+			f := strings.Fields(line)
+			n := need{route: routes[f[0]], dc: "dc-0"}
+			if _, err := fmt.Sscanf(f[1], "%d:%d", &n.floor.Term, &n.floor.LSN); err != nil {
+				t.Fatal(err)
+			}
+			if f[2] != "-" {
+				for _, id := range strings.Split(f[2], ",") {
+					n.tried = append(n.tried, siskin.TargetID(id))
+				}
+			}
+			got := "none"
+			if target, ok := pick(service, &view, n, func(int) int { return 1 }); ok {
+				got = string(target.ID)
+			}
+			if want := f[3]; got != want {
+				t.Errorf("%s: got %s, want %s", line, got, want)
+			}
+		}
+	}
+}
+
+func parseTargets(t *testing.T, lines []string) (*config.Service, siskin.GroupView) {
+	t.Helper()
+	service, view := &config.Service{}, siskin.GroupView{}
+	for _, line := range lines {
+		f := strings.Fields(line)
+		st := siskin.TargetView{Reachable: !strings.Contains(line, "unreachable")}
+		st.Status.ID, st.Status.Leaving = siskin.TargetID(f[0]), strings.Contains(line, "leaving")
+		if f[2] == "primary" {
+			st.Status.Role, view.Primary = siskin.RolePrimary, st.Status.ID
+		}
+		if _, err := fmt.Sscan(f[3], &st.Status.StreamTerm); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fmt.Sscan(f[4], &st.Status.Applied); err != nil {
+			t.Fatal(err)
+		}
+		var err error
+		if st.Staleness, err = time.ParseDuration(f[5]); err != nil {
+			t.Fatal(err)
+		}
+		service.Targets = append(service.Targets, config.Target{ID: st.Status.ID, DataCentre: siskin.DataCentreID(f[1])})
+		view.Targets = append(view.Targets, st)
+	}
+	return service, view
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -24,7 +24,7 @@
 	mu        sync.Mutex
 	stopping  bool
 	listeners []net.Listener
-	pending   map[net.Conn]struct{} // connections in start-up
+	pending   map[net.Conn]struct{} // all connections, those in start-up included
 	lastID    uint16
 }
 
@@ -77,7 +77,9 @@
 func (s *Server) enter(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping {
+	// An eighth more than the sessions may be in start-up, so that a full VM
+	// can still tell callers that it is full.
+	if s.stopping || len(s.pending) > s.cfg.MaxConnections+s.cfg.MaxConnections/8+16 {
 		return false
 	}
 	s.pending[conn] = struct{}{}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/retry"
+)
+
+// TestHeaderRoundTrip guards against a transaction that arrives at its home
+// with other values than it was sent with.
+func TestHeaderRoundTrip(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		want := Header{
+			Service:  siskin.ServiceName(rapid.String().Draw(rt, "service")),
+			Route:    siskin.RouteName(rapid.String().Draw(rt, "route")),
+			Customer: siskin.CustomerID(rapid.String().Draw(rt, "customer")),
+			Target:   siskin.TargetID(rapid.String().Draw(rt, "target")),
+			Slot:     siskin.Slot(rapid.IntRange(0, 0xffff).Draw(rt, "slot")),
+			Floor: siskin.Position{
+				Term: siskin.Term(rapid.Uint64().Draw(rt, "term")), LSN: siskin.LSN(rapid.Uint64().Draw(rt, "lsn")),
+			},
+			Sample: rapid.Bool().Draw(rt, "sample"), Admitted: rapid.Bool().Draw(rt, "admitted"),
+			Request:   rapid.Uint64().Draw(rt, "request"),
+			Remaining: time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(rt, "remaining")),
+		}
+		b, err := want.Encode(nil)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		var got Header
+		if err := got.Decode(b[5:]); err != nil || got != want {
+			rt.Fatalf("got %+v, %v, want %+v", got, err, want)
+		}
+	})
+}
+
+// TestFailureRoundTrip guards against a failure that changes its proof or kind
+// between VMs, such as an unknown outcome that becomes "not run".
+func TestFailureRoundTrip(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		want := Failure{
+			Proof: retry.Proof(rapid.IntRange(0, 2).Draw(rt, "proof")), Admitted: rapid.Bool().Draw(rt, "admitted"),
+			Err: siskin.NewError(siskin.ErrorKind(rapid.IntRange(0, 14).Draw(rt, "kind")), "%s", rapid.String().Draw(rt, "message")).
+				WithRemedy(rapid.String().Draw(rt, "remedy")).
+				WithRetryAfter(time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(rt, "after"))),
+		}
+		b, err := want.Encode(nil)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		var got Failure
+		if err := got.Decode(b[5:]); err != nil {
+			rt.Fatal(err)
+		}
+		if got.Proof != want.Proof || got.Admitted != want.Admitted || *got.Err != *want.Err {
+			rt.Fatalf("got %+v %+v, want %+v %+v", got, got.Err, want, want.Err)
+		}
+	})
+}
+
+// FuzzPeerMessages guards against a panic on messages between VMs.
+func FuzzPeerMessages(f *testing.F) {
+	h, _ := (&Header{Service: "badges", Route: "read", Slot: 1, Remaining: time.Second}).Encode(nil)
+	f.Add(h[5:])
+	u, _ := unsent(siskin.NewError(siskin.Overloaded, "full")).Encode(nil)
+	f.Add(u[5:])
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		var h Header
+		_ = h.Decode(body)
+		var u Failure
+		if u.Decode(body) == nil && u.Err.Kind.String() == "" {
+			panic("failure without a kind")
+		}
+	})
+}
+
+// TestUnsentKeepsRefusals guards against a refusal that loses its kind, and
+// against an error that says "outcome unknown" although nothing was sent.
+func TestUnsentKeepsRefusals(t *testing.T) {
+	for kind, want := range map[siskin.ErrorKind]siskin.ErrorKind{
+		siskin.RateExceeded: siskin.RateExceeded, siskin.Overloaded: siskin.Overloaded, siskin.UnknownRoute: siskin.UnknownRoute,
+		siskin.OutcomeUnknown: siskin.NotRun, siskin.Unavailable: siskin.NotRun, siskin.Internal: siskin.NotRun,
+	} {
+		if got := unsent(siskin.NewError(kind, "x")).Err.Kind; got != want {
+			t.Errorf("%v: got %v, want %v", kind, got, want)
+		}
+	}
+}
+
+// TestMayCopy guards against a position query that is sent behind a COPY FROM
+// STDIN and ends it.
+func TestMayCopy(t *testing.T) {
+	for sql, want := range map[string]bool{
+		"copy kv from stdin": true, "/* x */ CoPy kv from stdin": true, "select 1": false, "cop": false,
+	} {
+		if got := mayCopy([]byte(sql)); got != want {
+			t.Errorf("%q: got %v, want %v", sql, got, want)
+		}
+	}
+}
+
+// TestLazyContext guards against a wait that does not end at the deadline or
+// when the transaction ends.
+func TestLazyContext(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	c := &lazyContext{clock: clock, deadline: clock.Now().Add(20 * time.Millisecond)}
+	if c.Err() != nil {
+		t.Fatalf("before the deadline: got %v, want nil", c.Err())
+	}
+	<-c.Done()
+	if c.Err() == nil {
+		t.Error("after the deadline: got nil, want an error")
+	}
+	ended := &lazyContext{clock: clock, deadline: clock.Now().Add(time.Hour)}
+	ended.end()
+	<-ended.Done()
+	if ended.Err() == nil {
+		t.Error("after the end: got nil, want an error")
+	}
+}
