--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -65,6 +65,7 @@
 			return err
 		}
 	}
+	c.observe(t, now, f)
 	if f != nil {
 		return c.refuseBatch(f, last)
 	}
--- a/pkg/config/finding.go
+++ b/pkg/config/finding.go
@@ -7,6 +7,9 @@
 	"siskintray.example/siskin"
 )
 
+// basePlace is the place of findings about the base of a change.
+const basePlace = "Change/Base"
+
 // Finding is one fault of a change.
 type Finding struct {
 	// Place names the document and the field, such as
@@ -24,8 +27,19 @@
 // Findings are all faults of a change.
 type Findings []Finding
 
-// Err returns nil without findings, else an error of kind BadInput that lists
-// them all, one a line.
+// IsConflict reports whether the only fault of the change is that documents
+// changed after its base, so that another operator won a race.
+func (fs Findings) IsConflict() bool {
+	for _, f := range fs {
+		if f.Place != basePlace {
+			return false
+		}
+	}
+	return len(fs) > 0
+}
+
+// Err returns nil without findings, else an InvalidError that lists them all,
+// one a line. It is of kind Conflict when IsConflict, else BadInput.
 func (fs Findings) Err() error {
 	if len(fs) == 0 {
 		return nil
@@ -34,9 +48,25 @@
 	for i, f := range fs {
 		lines[i] = f.String()
 	}
-	return siskin.NewError(siskin.BadInput, "%s", strings.Join(lines, "\n"))
+	kind := siskin.BadInput
+	if fs.IsConflict() {
+		kind = siskin.Conflict
+	}
+	return &InvalidError{Findings: fs, err: siskin.NewError(kind, "%s", strings.Join(lines, "\n"))}
 }
 
+// InvalidError is the error of a change that has findings.
+type InvalidError struct {
+	Findings Findings
+	err      *siskin.Error
+}
+
+// Error returns the findings, one a line.
+func (e *InvalidError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error with its kind.
+func (e *InvalidError) Unwrap() error { return e.err }
+
 // report collects the findings of one document.
 type report struct {
 	document string
--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -82,21 +82,54 @@
 		if !m.pendingSince.IsZero() && now.Sub(m.pendingSince) >= m.Interval {
 			return 0
 		}
+		if m.claimedAway() {
+			return m.suspectAfter() // writes are held; the claimer gets its time
+		}
 		return m.cutOffAfter()
 	case causeFenced:
 		return m.suspectAfter()
 	case causeLeaving:
 		return 0
+	case causeUnreached:
+		return m.unreachedPatience(now)
 	}
 	return m.cutOffAfter()
 }
 
+// claimedAway reports whether a quorum is claimed for a later term.
+func (m *machine) claimedAway() bool {
+	n := 0
+	for _, t := range m.targets {
+		if t.status.ClaimedTerm > m.term {
+			n++
+		}
+	}
+	return n >= m.quorum()
+}
+
+// recentChange is the time for which a change of primary counts as recent.
+const recentChange = 30 * time.Second
+
+// unreachedPatience returns how long the log must stand still before a primary
+// that replicates is replaced. A refused connection is a clearer sign than
+// silence, which may be this VM's own. Soon after a change the time is longer,
+// so that two VMs that reach different targets do not take turns.
+func (m *machine) unreachedPatience(now time.Time) time.Duration {
+	if m.term > 0 && !m.changed.IsZero() && now.Sub(m.changed) < recentChange {
+		return min(20*m.Interval, 3*time.Second)
+	}
+	if p := m.target(m.primary); p != nil && p.refused {
+		return m.suspectAfter()
+	}
+	return min(5*m.Interval, 2*time.Second)
+}
+
 // heard reports whether a reachable replica still hears the primary. After a
 // refused connection less silence is asked for than after lost answers.
 func (m *machine) heard(now time.Time, p *targetState) bool {
-	limit := 2 * m.Interval
+	limit := 2 * m.silence()
 	if p != nil && p.refused {
-		limit = m.Interval
+		limit = m.silence()
 	}
 	heard := false
 	for _, t := range m.targets {
@@ -114,7 +147,7 @@
 // askReplicas orders probes while the primary is suspected, so that the
 // replicas' answers are recent.
 func (m *machine) askReplicas(now time.Time) {
-	if m.attempt != nil || now.Sub(m.probed) < m.Interval/4 {
+	if m.attempt != nil || now.Sub(m.probed) < m.silence()/4 {
 		return
 	}
 	m.probed = now
@@ -125,11 +158,11 @@
 	}
 }
 
-// stopped counts the reachable replicas that do not hear the primary.
+// stopped counts the reachable targets that take no log of the primary.
 func (m *machine) stopped(now time.Time) int {
 	n := 0
 	for _, t := range m.targets {
-		if t.ID != m.primary && m.isReachable(now, t) && m.silent(t) {
+		if t.ID != m.primary && m.isReachable(now, t) && (m.silent(t) || m.fenced(t)) {
 			n++
 		}
 	}
@@ -141,9 +174,15 @@
 	return t.status.HeardPrimary >= m.suspectAfter()
 }
 
+// fenced reports whether the target is claimed for a later term and follows
+// nobody, an earlier primary included.
+func (m *machine) fenced(t *targetState) bool {
+	return t.status.ClaimedTerm > m.term && (m.silent(t) || t.status.Role == siskin.RolePrimary)
+}
+
 func (m *machine) stuck(now time.Time) bool {
 	for _, t := range m.targets {
-		if t.ID != m.primary && m.isReachable(now, t) && t.status.ClaimedTerm > m.term && m.silent(t) {
+		if t.ID != m.primary && m.isReachable(now, t) && m.fenced(t) {
 			return true
 		}
 	}
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -17,7 +18,13 @@
 	"siskintray.example/siskin/pkg/pgctl"
 )
 
+var interval = flag.Duration("interval", group.DefaultInterval, "time between probes of one target")
+
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "20") // each check simulates half a minute
+	}
 	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
 	goleak.VerifyTestMain(m)
 }
@@ -38,6 +45,7 @@
 	for _, srv := range servers {
 		s.Members = append(s.Members, group.Member{ID: srv.ID(), Address: srv.Address()})
 	}
+	s.Interval = *interval
 	dialer := pgctl.NewDialer(config.Credentials{User: "siskin", Password: "full-secret", Database: "app"}, time.Second)
 	g, err := group.New(s, dialer, opts...)
 	if err != nil {
--- a/pkg/group/machine.go
+++ b/pkg/group/machine.go
@@ -27,6 +27,7 @@
 	primary siskin.TargetID // empty while none is known
 	adopted time.Time       // when it became known
 	own     bool            // this VM promoted it
+	changed time.Time       // when one primary last replaced another
 
 	// pendingSince is the arrival of the oldest unconfirmed write, set by the
 	// caller of step; zero when there is none.
@@ -118,15 +119,19 @@
 func (m *machine) observe(now time.Time, t *targetState, st siskin.TargetStatus) {
 	t.known, t.answered, t.refused, t.lostAt = true, now, false, time.Time{}
 	// Answers of different connections may arrive out of order. Claims only
-	// grow, and streams with them, so an answer with a smaller one is older.
-	if st.ClaimedTerm < t.status.ClaimedTerm || (st.ClaimedTerm == t.status.ClaimedTerm && st.StreamTerm < t.status.StreamTerm) {
+	// grow, and streams with them but for a demoted primary's, which is 0 until
+	// its stream begins. So an answer with a smaller one is older.
+	older := st.StreamTerm < t.status.StreamTerm && st.StreamTerm > 0
+	if st.ClaimedTerm < t.status.ClaimedTerm || (st.ClaimedTerm == t.status.ClaimedTerm && older) {
 		return
 	}
 	t.status = st
 	if st.ClaimedTerm > m.maxClaim {
 		m.maxClaim = st.ClaimedTerm
-		if m.attempt == nil && st.ClaimedTerm > m.term && st.ClaimedBy != m.Self && !m.electAt.IsZero() {
-			// Another VM is at work; it gets the time of one attempt.
+		isRival := st.ClaimedTerm > m.term && st.ClaimedBy != m.Self
+		if m.attempt == nil && isRival && m.rank > 0 && !m.electAt.IsZero() {
+			// Another VM is at work; it gets the time of one attempt. The first
+			// in rank does not wait, so that two VMs do not both stand back.
 			m.electAt = now.Add(m.suspectAfter() + m.jitter(m.Interval))
 		}
 	}
@@ -139,6 +144,9 @@
 func (m *machine) adopt(now time.Time, target siskin.TargetID, term siskin.Term) {
 	termsGrow.Check(term > m.term, "group %s: term %d after %d", m.Service, term, m.term)
 	m.own = m.attempt != nil && m.attempt.term == term
+	if m.primary != "" && m.primary != target {
+		m.changed = now
+	}
 	m.term, m.primary, m.adopted = term, target, now
 	m.electAt, m.failures = time.Time{}, 0
 	clear(m.since[:])
