relay: check the key again after a request waited at its home

The entry VM checks the key before it forwards a transaction, which may then wait in the home's queue for seconds; a key withdrawn meanwhile was still used.

The header carries the public id of the key, and Home.Keys is asked just before the batch is sent. A home that does not know the key trusts the entry VM, whose configuration may be newer.

TestKeyWithdrawnInQueue fails without the check at the home.

--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -248,6 +248,7 @@
 // BenchmarkThroughput runs many sessions at a canned target. Statements per
 // second divided by the cores in use gives statements per second and core.
 func BenchmarkThroughput(b *testing.B) {
+	b.Run("Direct", benchmarkDirect) // the share of the client and the target
 	for _, forwarded := range []bool{false, true} {
 		b.Run(fmt.Sprintf("Forwarded=%v", forwarded), func(b *testing.B) {
 			f := startFleet(b, 2, nil)
@@ -277,3 +278,28 @@
 		})
 	}
 }
+
+func benchmarkDirect(b *testing.B) {
+	b.SetParallelism(4)
+	cpu := cpuTime()
+	b.RunParallel(func(pb *testing.PB) {
+		o, err := cannedTarget{rows: 1}.Dial(context.Background(), pool.Key{}, pool.SlotConfig{}, pool.Full)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		defer o.Conn.Close()
+		r := frame.NewReader(o.Conn)
+		for pb.Next() {
+			if _, err := o.Conn.Write(benchQuery); err != nil {
+				b.Error(err)
+				return
+			}
+			if err := drain(r); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/(cpuTime()-cpu).Seconds(), "statements/core-s")
+}
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -51,6 +51,8 @@
 	// MaxDeadline is the longest deadline of a route.
 	MaxDeadline = 60 * time.Second
 
+	// maxSessions leaves free ids among those of 16 bits.
+	maxSessions = 60_000
 	// maxMessage bounds one message of a caller.
 	maxMessage = 64 << 20
 	// maxStatements and maxStatementBytes bound the prepared statements that a
@@ -69,6 +71,7 @@
 	if c.MaxConnections == 0 {
 		c.MaxConnections = DefaultMaxConnections
 	}
+	c.MaxConnections = min(c.MaxConnections, maxSessions)
 	if c.StartupTimeout == 0 {
 		c.StartupTimeout = DefaultStartupTimeout
 	}
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -167,11 +167,14 @@
 	return siskin.Admission{Admitted: true}
 }
 
-// noQueue gives every request a place at once.
-type noQueue struct{}
+// fakeQueue gives every request a place, at once unless hold is set.
+type fakeQueue struct{ hold atomic.Pointer[chan struct{}] }
 
-func (noQueue) Queue(siskin.TargetID, siskin.Slot) relay.Queue { return noQueue{} }
+func (q *fakeQueue) Queue(siskin.TargetID, siskin.Slot) relay.Queue { return q }
 
-func (noQueue) Acquire(context.Context, siskin.CustomerID, int, time.Time) (func(), error) {
+func (q *fakeQueue) Acquire(context.Context, siskin.CustomerID, int, time.Time) (func(), error) {
+	if hold := q.hold.Load(); hold != nil {
+		<-*hold
+	}
 	return func() {}, nil
 }
--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -52,6 +52,32 @@
 	}
 }
 
+// TestKeyWithdrawnInQueue guards against a request that waited at its home and
+// is sent to a target after its key was withdrawn.
+func TestKeyWithdrawnInQueue(t *testing.T) {
+	f := startFleet(t, 2, nil)
+	hold := make(chan struct{})
+	f.queue.hold.Store(&hold)
+	answers := make(chan rawAnswer, len(f.vms))
+	for _, vm := range f.vms { // one of them forwards
+		c := vm.raw(t, "badges/write")
+		go func() { answers <- c.query("insert into kv values ('" + string(vm.id) + "', 'x')") }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.keys.withdrawn.Store(true)
+	close(hold)
+	for range f.vms {
+		if a := <-answers; a.code() != "28000" {
+			t.Errorf("got %+v, want 28000", a.err)
+		}
+	}
+	for _, vm := range f.vms {
+		if got := f.get(string(vm.id)); got != "" {
+			t.Errorf("%s: a write of a withdrawn key ran", vm.id)
+		}
+	}
+}
+
 // TestMissingConfirmation guards against a write that is acknowledged although
 // no replica has it, and against a caller that is left waiting.
 func TestMissingConfirmation(t *testing.T) {
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -39,6 +39,7 @@
 	group   *fakeGroup
 	keys    *fakeKeys
 	limiter *fakeLimiter
+	queue   *fakeQueue
 	tokens  *token.Codec
 	view    config.View
 	vms     []*testVM
@@ -63,7 +64,7 @@
 
 func startFleet(tb testing.TB, vms int, edit func(*target.Config, *config.Service)) *fleet {
 	tb.Helper()
-	f := &fleet{tb: tb, keys: newFakeKeys(), limiter: &fakeLimiter{}}
+	f := &fleet{tb: tb, keys: newFakeKeys(), limiter: &fakeLimiter{}, queue: &fakeQueue{}}
 	f.service = &config.Service{
 		Name: "badges", Slots: 2, ConnectionsPerSlot: 8, AckReplicas: 1,
 		Credentials: config.Credentials{
@@ -118,7 +119,7 @@
 	vm.dialer = &switchDialer{PGDialer: dialer}
 	vm.pool = pool.New(clock, vm.dialer, pool.WithFailure(f.group.Suspect))
 	home := (&relay.Home{
-		Clock: clock, Config: f.view, Groups: f, Limiter: f.limiter, Queues: noQueue{}, Pool: vm.pool,
+		Clock: clock, Config: f.view, Groups: f, Limiter: f.limiter, Queues: f.queue, Pool: vm.pool, Keys: f.keys,
 	}).Init()
 	vm.relay = relay.NewServer(home, f.tokens, nil)
 	vm.peer = f.serve(vm.relay.Serve)
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -9,6 +9,9 @@
 	"siskintray.example/siskin/internal/relay"
 )
 
+// maxIdleOut is the most that an idle session keeps for rewritten messages.
+const maxIdleOut = 1 << 10
+
 var longAgo = time.Unix(1, 0)
 
 // loop runs the session until it ends.
@@ -90,6 +93,9 @@
 // end.
 func (c *session) setIdle() bool {
 	c.batch.Reset()
+	if cap(c.out) > maxIdleOut {
+		c.out = nil
+	}
 	c.stmts.endTransaction()
 	c.r.Release()
 	c.mu.Lock()
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -118,7 +118,7 @@
 	t := &transaction{service: service, route: route, customer: customer, deadline: now.Add(limit)}
 	t.tried = t.space[:0]
 	t.hdr = relay.Header{
-		Service: c.service, Route: route.Name, Customer: customer, Floor: c.floor,
+		Service: c.service, Route: route.Name, Customer: customer, Key: c.grant.Key, Floor: c.floor,
 		Sample:  route.Mode == config.ReadRoute && route.MaxAge == 0 && !c.sampled,
 		Request: c.srv.requests.Add(1),
 	}
@@ -178,6 +178,9 @@
 	if f.CallerGone || c.endReason() != nil && c.endReason() != errStopping {
 		return errors.Join(f.Err, os.ErrClosed)
 	}
+	if f.Err.Kind == siskin.KeyWithdrawn {
+		return f.Err
+	}
 	c.srv.counts.refused[f.Err.Kind].Add(1)
 	if c.srv.cfg.Log != nil {
 		c.srv.cfg.Log.Debug().Str("Service", string(c.service)).Str("Route", string(c.route)).Err(f.Err).Msg("request refused")
@@ -185,9 +188,6 @@
 	if err := c.sendFailure(f); err != nil {
 		return err
 	}
-	if f.Err.Kind == siskin.KeyWithdrawn {
-		return f.Err
-	}
 	if err := c.r.Skip(); err != nil {
 		return err
 	}
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -21,6 +21,7 @@
 	Service  siskin.ServiceName
 	Route    siskin.RouteName
 	Customer siskin.CustomerID
+	Key      siskin.KeyID // empty when the caller showed no key
 	Target   siskin.TargetID
 	Slot     siskin.Slot
 	// Floor is the position that a read must have reached; with Sample the home
@@ -41,7 +42,7 @@
 func (h *Header) Encode(dst []byte) ([]byte, error) {
 	dst = append(dst, headerType, 0, 0, 0, 0)
 	start := len(dst) - 4
-	for _, s := range [...]string{string(h.Service), string(h.Route), string(h.Customer), string(h.Target)} {
+	for _, s := range [...]string{string(h.Service), string(h.Route), string(h.Customer), string(h.Key), string(h.Target)} {
 		dst = appendString(dst, s)
 	}
 	dst = binary.AppendUvarint(dst, uint64(h.Slot))
@@ -60,6 +61,7 @@
 	h.Service = siskin.ServiceName(d.string())
 	h.Route = siskin.RouteName(d.string())
 	h.Customer = siskin.CustomerID(d.string())
+	h.Key = siskin.KeyID(d.string())
 	h.Target = siskin.TargetID(d.string())
 	h.Slot = siskin.Slot(d.uint() & 0xffff)
 	h.Floor = siskin.Position{Term: siskin.Term(d.uint()), LSN: siskin.LSN(d.uint())}
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -15,8 +15,11 @@
 	Config  config.View
 	Groups  siskin.Groups
 	Limiter siskin.Limiter
-	Queues  Queues
-	Pool    *pool.Pool
+	// Keys is asked again after a request waited here, so that nothing is sent
+	// for a key that was withdrawn meanwhile. Nil leaves that to the entry VM.
+	Keys   siskin.Keys
+	Queues Queues
+	Pool   *pool.Pool
 	// ReplicaWait is how long a read waits for a replica to reach its floor
 	// before it is sent elsewhere; zero means DefaultReplicaWait.
 	ReplicaWait time.Duration
@@ -90,7 +93,22 @@
 		return err
 	}
 	if l.route.Mode == config.ReadRoute && l.route.MaxAge == 0 {
-		return l.reachFloor()
+		if err := l.reachFloor(); err != nil {
+			return err
+		}
+	}
+	return l.checkKey()
+}
+
+// checkKey refuses a request whose key is known to be withdrawn. A key that
+// this VM does not know may be newer than its configuration.
+func (l *local) checkKey() error {
+	if l.home.Keys == nil || l.hdr.Key == "" {
+		return nil
+	}
+	err := l.home.Keys.Check(l.hdr.Service, siskin.KeyGrant{Customer: l.hdr.Customer, Key: l.hdr.Key})
+	if err != nil && siskin.KindOf(err) == siskin.KeyWithdrawn {
+		return err
 	}
 	return nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 			Service:  siskin.ServiceName(rapid.String().Draw(rt, "service")),
 			Route:    siskin.RouteName(rapid.String().Draw(rt, "route")),
 			Customer: siskin.CustomerID(rapid.String().Draw(rt, "customer")),
+			Key:      siskin.KeyID(rapid.String().Draw(rt, "key")),
 			Target:   siskin.TargetID(rapid.String().Draw(rt, "target")),
 			Slot:     siskin.Slot(rapid.IntRange(0, 0xffff).Draw(rt, "slot")),
 			Floor: siskin.Position{
