pkg/spread: add the spread of the configuration

Cause: an accepted configuration must be in force everywhere within 9 s and never revert, without a watch per VM and in platform outages.

Change: a change is an immutable object that one conditional update of Config/Head makes current. The VM that made it pushes it along a tree of width 8; two VMs per data centre watch the head and push what did not arrive; every VM compares revisions with a random VM each second, every eighth time in another data centre and every fourth time with the VM that collects the revisions of its data centre. The documents are in 256 parts that readers load without a lock. Paging continues behind the last document, so changes that arrive meanwhile do not disturb it.

Checked by planting faults, each of which made a test fail: revision set without comparison and older documents installed (invariants panic in TestStartFromPlatform and TestApply), no look for the operation id, no comparison of the base, change installed before the head is written (TestRandomFaults), no exchange (TestPlatformDown, TestDataCentreCutOff), a push with a gap taken as complete (TestPushGap, added because the random run alone did not find it), lost answers not resolved (TestLostAnswer). Tests pass without the push of the watchers, which only shortens the spread.

Conclusion: change objects are never removed, since the platform's API has no removal.

--- /dev/null
+++ b/pkg/spread/exchange.go
@@ -0,0 +1,143 @@
+package spread
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/place"
+)
+
+// SinceArgs are the arguments of Spread.Since.
+type SinceArgs struct {
+	From siskin.VMID
+	// Revision is the revision in force at the caller.
+	Revision siskin.Revision
+	// After is the last document of the page before, without its body.
+	After *Document `json:",omitempty"`
+}
+
+// SinceReply is the answer of Spread.Since.
+type SinceReply struct {
+	// Revision is the revision in force at the answering VM when it collected
+	// the documents.
+	Revision siskin.Revision
+	// Documents are those changed after the caller's revision.
+	Documents []Document `json:",omitempty"`
+	// More says that further pages follow.
+	More bool `json:",omitempty"`
+}
+
+// exchangeLoop compares revisions with a random VM at each interval.
+func (s *Spread) exchangeLoop() {
+	for n := 1; ; n++ {
+		if vm, ok := s.partner(n); ok {
+			_ = s.fetch(vm)
+		}
+		// Peers that have no configuration either leave only the platform,
+		// which is asked at growing intervals.
+		if s.Revision() == 0 && (n&(n-1) == 0 || n%30 == 0) {
+			s.submit(func() { _ = s.loadFromPlatform(s.ctx) })
+		}
+		s.writeStatus()
+		select {
+		case <-s.clock.After(s.cfg.ExchangeInterval):
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+// partner returns the VM for the n-th exchange.
+func (s *Spread) partner(n int) (siskin.VMID, bool) {
+	near, far := s.others()
+	switch {
+	case len(near)+len(far) == 0:
+		return "", false
+	case len(near) == 0 || len(far) > 0 && n%farEvery == 0:
+		return pick(far), true
+	case n%statusEvery == 0:
+		if vm, ok := s.collector(); ok && vm.ID != s.members.Self().ID {
+			return vm.ID, true
+		}
+	}
+	return pick(near), true
+}
+
+// collector returns the VM that collects the revisions of this data centre.
+func (s *Spread) collector() (siskin.VM, bool) {
+	return place.Best("Spread/Collector", place.In(s.members.Self().DataCentre, s.members.Live()))
+}
+
+// fetch gets the documents changed since this VM's revision from a peer, in
+// pages. The revision advances only when all of them arrived.
+func (s *Spread) fetch(vm siskin.VMID) error {
+	args := &SinceArgs{From: s.members.Self().ID, Revision: s.Revision()}
+	target := siskin.Revision(0)
+	for {
+		var reply SinceReply
+		if err := s.call(vm, "Spread.Since", args, &reply); err != nil {
+			return err
+		}
+		s.status.note(vm, reply.Revision, s.clock.Now())
+		entries, err := decodeAll(reply.Documents)
+		if err != nil {
+			return err
+		}
+		if args.After == nil {
+			target = reply.Revision
+		}
+		if !reply.More || len(entries) == 0 {
+			s.install(entries, target)
+			return nil
+		}
+		s.install(entries, 0)
+		last := reply.Documents[len(reply.Documents)-1]
+		args.After = &Document{Kind: last.Kind, Name: last.Name, Revision: last.Revision}
+	}
+}
+
+// fetchSoon fetches from a peer that has a later revision, once at a time.
+func (s *Spread) fetchSoon(vm siskin.VMID) {
+	s.fetchMu.Lock()
+	busy := s.busy[vm]
+	s.busy[vm] = true
+	s.fetchMu.Unlock()
+	if busy {
+		return
+	}
+	free := func() {
+		s.fetchMu.Lock()
+		defer s.fetchMu.Unlock()
+		delete(s.busy, vm)
+	}
+	if !s.submit(func() { defer free(); _ = s.fetch(vm) }) {
+		free()
+	}
+}
+
+// Receiver holds the methods that peers call. Register it as "Spread".
+type Receiver struct{ s *Spread }
+
+// Receiver returns the receiver of the methods Spread.Push and Spread.Since.
+func (s *Spread) Receiver() *Receiver { return &Receiver{s} }
+
+// Since answers with the documents changed after the caller's revision.
+func (r *Receiver) Since(args *SinceArgs, reply *SinceReply) error {
+	s := r.s
+	s.status.note(args.From, args.Revision, s.clock.Now())
+	reply.Revision = s.Revision()
+	switch {
+	case args.Revision < reply.Revision:
+		after := afterRevision(args.Revision)
+		if args.After != nil {
+			after = logged{args.After.Revision, args.After.key()}
+		}
+		reply.Documents, reply.More = s.since(after)
+	case args.Revision > reply.Revision:
+		s.fetchSoon(args.From)
+	}
+	return nil
+}
+
+// staleAfter is the age from which the revision of a VM is not known anymore.
+const staleAfter = 30 * time.Second
--- /dev/null
+++ b/pkg/spread/fleet_test.go
@@ -0,0 +1,251 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/stand/objapi"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/invar"
+	"siskintray.example/siskin/pkg/plat"
+)
+
+var seed = flag.Uint64("seed", 1, "seed of the randomized tests")
+
+// TestMain makes violations of invariants fatal.
+func TestMain(m *testing.M) {
+	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
+	goleak.VerifyTestMain(m)
+}
+
+// fabric is a fake of siskin.Members and siskin.Peers for VMs of one process.
+// Messages travel as JSON; those over cut links are lost.
+type fabric struct {
+	mu    sync.Mutex
+	cut   bool // the data centres are cut off from each other
+	vms   []siskin.VM
+	nodes map[siskin.VMID]*node
+}
+
+type node struct {
+	*Spread
+	f        *fabric
+	vm       siskin.VM
+	client   *plat.Client
+	cutOff   atomic.Bool // from the platform
+	stale    atomic.Bool // watches answer with the oldest head again
+	firstNow siskin.Object
+}
+
+// Self implements siskin.Members.
+func (n *node) Self() siskin.VM { return n.vm }
+
+// Live implements siskin.Members.
+func (n *node) Live() []siskin.VM {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	return n.f.vms
+}
+
+// Lookup implements siskin.Members.
+func (n *node) Lookup(id siskin.VMID) (siskin.VM, bool) {
+	for _, vm := range n.Live() {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return siskin.VM{}, false
+}
+
+// Changed implements siskin.Members.
+func (n *node) Changed() <-chan struct{} { return nil }
+
+// Call implements siskin.Peers.
+func (n *node) Call(ctx context.Context, id siskin.VMID, method string, args, reply any) error {
+	n.f.mu.Lock()
+	to := n.f.nodes[id]
+	lost := to == nil || n.f.cut && to.vm.DataCentre != n.vm.DataCentre
+	n.f.mu.Unlock()
+	if lost {
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+		return errors.New("no answer")
+	}
+	b, _ := json.Marshal(args)
+	if method == "Spread.Push" {
+		var a PushArgs
+		_ = json.Unmarshal(b, &a)
+		return to.Receiver().Push(&a, reply.(*PushReply))
+	}
+	var a SinceArgs
+	_ = json.Unmarshal(b, &a)
+	return to.Receiver().Since(&a, reply.(*SinceReply))
+}
+
+// gate is the platform as one VM reaches it.
+type gate struct {
+	*plat.Client
+	n *node
+}
+
+var errCutOff = siskin.NewError(siskin.Unavailable, "cut off from the platform")
+
+// Get implements siskin.Platform.
+func (g gate) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
+	if g.n.cutOff.Load() {
+		return siskin.Object{}, errCutOff
+	}
+	return g.Client.Get(ctx, name)
+}
+
+// Put implements siskin.Platform.
+func (g gate) Put(ctx context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
+	if g.n.cutOff.Load() {
+		return 0, errCutOff
+	}
+	return g.Client.Put(ctx, name, value, ifVersion, op)
+}
+
+// Watch implements siskin.Platform. It can answer late, with an old head.
+func (g gate) Watch(ctx context.Context, name siskin.ObjectName, after siskin.Version) (siskin.Object, error) {
+	if g.n.cutOff.Load() {
+		return siskin.Object{}, errCutOff
+	}
+	o, err := g.Client.Watch(ctx, name, after)
+	if err == nil && g.n.firstNow.Version == 0 {
+		g.n.firstNow = o
+	}
+	if err == nil && g.n.stale.Load() {
+		return g.n.firstNow, nil
+	}
+	return o, err
+}
+
+func newFabric() *fabric { return &fabric{nodes: make(map[siskin.VMID]*node)} }
+
+// start starts VM i, in data centre "a" or "b" in turn.
+func (f *fabric) start(t testing.TB, platform *objapi.Server, i int, cfg Config) *node {
+	t.Helper()
+	vm := siskin.VM{ID: siskin.VMID(fmt.Sprintf("vm-%d", i)), Incarnation: 1, DataCentre: siskin.DataCentreID([]string{"a", "b"}[i%2]), State: siskin.VMLive}
+	c, err := plat.New(plat.Config{Addresses: []string{platform.Address()}, CallsPerSecond: 1e4, Burst: 1000, MaxBackoff: 200 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{f: f, vm: vm, client: c}
+	n.Spread = New(cfg, n, n, gate{c, n})
+	f.mu.Lock()
+	if f.nodes[vm.ID] == nil {
+		f.vms = append(append([]siskin.VM{}, f.vms...), vm)
+	}
+	f.nodes[vm.ID] = n
+	f.mu.Unlock()
+	n.Start()
+	return n
+}
+
+func (f *fabric) all() (all []*node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, vm := range f.vms {
+		all = append(all, f.nodes[vm.ID])
+	}
+	return all
+}
+
+func (f *fabric) close() {
+	for _, n := range f.all() {
+		n.stop()
+	}
+	for _, n := range f.all() {
+		_ = n.Close()
+		_ = n.client.Close()
+	}
+}
+
+// fleet starts a platform and n VMs with fast exchanges.
+func fleet(t testing.TB, n int) (*objapi.Server, *fabric, []*node) {
+	t.Helper()
+	platform, err := objapi.Start(objapi.Config{Seed: *seed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFabric()
+	t.Cleanup(func() { f.close(); platform.Close() })
+	for i := range n {
+		f.start(t, platform, i, fastConfig())
+	}
+	return platform, f, f.all()
+}
+
+func fastConfig() Config {
+	return Config{ExchangeInterval: 100 * time.Millisecond, CallTimeout: time.Second, SnapshotEvery: 8, Validate: noBadService}
+}
+
+// noBadService refuses a configuration with a service named "bad".
+func noBadService(next config.View) error {
+	if _, ok := next.Service("bad"); ok {
+		return siskin.NewError(siskin.BadInput, "the service is bad")
+	}
+	return nil
+}
+
+// set returns a change that gives a service one target with the given address.
+func set(op, service, address string) Change {
+	return Change{Operation: siskin.OperationID(op), Services: []*config.Service{{Name: siskin.ServiceName(service), Targets: []config.Target{{ID: "t", Address: address}}}}}
+}
+
+func value(v config.View, service string) string {
+	s, ok := v.Service(siskin.ServiceName(service))
+	if !ok {
+		return ""
+	}
+	return s.Targets[0].Address
+}
+
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	time.AfterFunc(d, cancel)
+	return ctx
+}
+
+// inForce waits until a revision is in force at all VMs.
+func inForce(t testing.TB, all []*node, rev siskin.Revision, limit time.Duration) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	for _, n := range all {
+		for n.Revision() < rev {
+			if time.Since(begun) > limit {
+				t.Fatalf("seed %d: %s has revision %d after %v, want %d", *seed, n.vm.ID, n.Revision(), limit, rev)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(begun)
+}
+
+// must applies a change. It retries as an operator would, with the same
+// operation id, while the platform is not back from an outage.
+func must(t testing.TB, n *node, c Change) siskin.Revision {
+	t.Helper()
+	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		rev, err := n.Apply(within(5*time.Second), c)
+		if err == nil {
+			return rev
+		}
+		if siskin.KindOf(err) != siskin.Unavailable || time.Since(begun) > 5*time.Second {
+			t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/spread/push.go
@@ -0,0 +1,92 @@
+package spread
+
+import (
+	"siskintray.example/siskin"
+)
+
+// PushArgs are the arguments of Spread.Push.
+type PushArgs struct {
+	From siskin.VMID
+	// Base is the revision that the receiver needs to have in force, and
+	// Revision the one that the documents bring into force.
+	Base, Revision siskin.Revision
+	Documents      []Document
+	// Targets are the VMs that the receiver pushes the change to.
+	Targets []siskin.VMID `json:",omitempty"`
+}
+
+// PushReply is the answer of Spread.Push.
+type PushReply struct {
+	// Revision is the revision in force at the answering VM.
+	Revision siskin.Revision
+}
+
+// Push puts a change into force and passes it on.
+func (r *Receiver) Push(args *PushArgs, reply *PushReply) error {
+	s := r.s
+	known := args.Revision <= s.Revision()
+	if !known {
+		entries, err := decodeAll(args.Documents)
+		if err != nil {
+			return err
+		}
+		s.accept(args, entries)
+	}
+	s.status.note(args.From, args.Revision, s.clock.Now())
+	reply.Revision = s.Revision()
+	if !known {
+		s.push(*args, args.Targets)
+	}
+	return nil
+}
+
+// accept installs pushed documents. When earlier changes are missing, they are
+// fetched from the sender and only then the revision advances.
+func (s *Spread) accept(args *PushArgs, entries []*entry) {
+	if s.Revision() >= args.Base {
+		s.install(entries, args.Revision)
+		return
+	}
+	s.install(entries, 0)
+	s.fetchSoon(args.From)
+}
+
+// push sends a change to the targets along a tree of width fanOut.
+func (s *Spread) push(args PushArgs, targets []siskin.VMID) {
+	args.From = s.members.Self().ID
+	for i := range fanOut {
+		from, to := i*len(targets)/fanOut, (i+1)*len(targets)/fanOut
+		if from < to {
+			part := targets[from:to]
+			s.submit(func() { s.pushPart(args, part) })
+		}
+	}
+}
+
+// pushPart sends a change to the first VM of a part that answers, which passes
+// it on to the rest. VMs that do not answer catch up by their exchanges.
+func (s *Spread) pushPart(args PushArgs, part []siskin.VMID) {
+	const attempts = 3
+	for i := range min(attempts, len(part)) {
+		args.Targets = part[i+1:]
+		var reply PushReply
+		if s.call(part[i], "Spread.Push", &args, &reply) == nil {
+			s.status.note(part[i], reply.Revision, s.clock.Now())
+			return
+		}
+	}
+}
+
+// pushAll pushes the documents changed after base to other VMs.
+func (s *Spread) pushAll(base siskin.Revision, vms []siskin.VM) {
+	rev := s.Revision()
+	docs, more := s.since(afterRevision(base))
+	if more || len(vms) == 0 || rev <= base {
+		return // too much for a push; the VMs fetch it
+	}
+	targets := make([]siskin.VMID, 0, len(vms))
+	for _, vm := range vms {
+		targets = append(targets, vm.ID)
+	}
+	s.push(PushArgs{Base: base, Revision: rev, Documents: docs}, targets)
+}
--- /dev/null
+++ b/pkg/spread/snapshot.go
@@ -0,0 +1,133 @@
+package spread
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/place"
+)
+
+// snapshotTurn is the time between two looks at the age of the snapshot.
+const snapshotTurn = 5 * time.Second
+
+// snapshotLoop rewrites the snapshot while this VM is the one to do so.
+func (s *Spread) snapshotLoop() {
+	covered := siskin.Revision(0)
+	for {
+		select {
+		case <-s.clock.After(snapshotTurn):
+		case <-s.ctx.Done():
+			return
+		}
+		best, ok := place.Best("Spread/Snapshot", s.members.Live())
+		if !ok || best.ID != s.members.Self().ID || s.Revision() < covered+s.cfg.SnapshotEvery {
+			continue
+		}
+		if rev, err := s.writeSnapshot(s.ctx); err == nil {
+			covered = rev
+		}
+	}
+}
+
+// snapshotRevision returns the revision that the snapshot covers.
+func (s *Spread) snapshotRevision(ctx context.Context) (siskin.Revision, error) {
+	snapshot, _, err := s.readSnapshotObject(ctx)
+	return snapshot.Revision, err
+}
+
+func (s *Spread) readSnapshotObject(ctx context.Context) (snapshotObject, siskin.Version, error) {
+	var snapshot snapshotObject
+	o, err := s.platform.Get(ctx, snapshotName)
+	if err != nil || o.Version == 0 {
+		return snapshot, 0, err
+	}
+	if err := json.Unmarshal(o.Value, &snapshot); err != nil {
+		return snapshot, 0, siskin.NewError(siskin.BadInput, "object %s is malformed", o.Name).WithCause(err)
+	}
+	return snapshot, o.Version, nil
+}
+
+// writeSnapshot rewrites the shards with documents that the snapshot does not
+// cover, and then the revision it covers. Two VMs that do so at the same time
+// do no harm: shards are merged, and the revision never goes back.
+func (s *Spread) writeSnapshot(ctx context.Context) (siskin.Revision, error) {
+	rev := s.Revision()
+	snapshot, version, err := s.readSnapshotObject(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if rev < snapshot.Revision+s.cfg.SnapshotEvery {
+		return snapshot.Revision, nil
+	}
+	for i := range shardCount {
+		if !s.changedSince(i, snapshot.Revision) {
+			continue
+		}
+		if err := s.writeShard(ctx, i); err != nil {
+			return 0, err
+		}
+	}
+	value, err := json.Marshal(snapshotObject{rev})
+	if err != nil {
+		return 0, siskin.NewError(siskin.Internal, "cannot encode the snapshot").WithCause(err)
+	}
+	_, err = s.platform.Put(ctx, snapshotName, value, version, s.operation("Snapshot", rev))
+	return rev, err
+}
+
+func (s *Spread) changedSince(part int, rev siskin.Revision) bool {
+	for _, e := range s.all(part) {
+		if e.Revision > rev {
+			return true
+		}
+	}
+	return false
+}
+
+// writeShard merges the documents of one part into its object.
+func (s *Spread) writeShard(ctx context.Context, part int) error {
+	name := siskin.ObjectName(fmt.Sprintf("%s%02x", shardPrefix, part))
+	o, err := s.platform.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	var shard shardObject
+	if o.Version > 0 {
+		if err := json.Unmarshal(o.Value, &shard); err != nil {
+			return siskin.NewError(siskin.BadInput, "object %s is malformed", o.Name).WithCause(err)
+		}
+	}
+	merged := make(map[key]Document)
+	for _, d := range shard.Documents {
+		merged[d.key()] = d
+	}
+	for k, e := range s.all(part) {
+		if e.Revision >= merged[k].Revision {
+			merged[k] = e.Document
+		}
+	}
+	shard.Documents = shard.Documents[:0]
+	for _, d := range merged {
+		shard.Documents = append(shard.Documents, d)
+	}
+	slices.SortFunc(shard.Documents, func(a, b Document) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	value, err := json.Marshal(shard)
+	if err != nil {
+		return siskin.NewError(siskin.Internal, "cannot encode object %s", name).WithCause(err)
+	}
+	_, err = s.platform.Put(ctx, name, value, o.Version, s.operation("Shard", s.Revision()))
+	return err
+}
+
+// operation returns an id for an update that this VM makes by itself.
+func (s *Spread) operation(what string, rev siskin.Revision) siskin.OperationID {
+	self := s.members.Self()
+	return siskin.OperationID(fmt.Sprintf("%s/%s/%d/%d/%d", what, self.ID, self.Incarnation, rev, s.clock.Now().UnixNano()))
+}
--- /dev/null
+++ b/pkg/spread/spread_test.go
@@ -0,0 +1,211 @@
+package spread
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// limit is the time in which an accepted change is in force everywhere (P13).
+const limit = 9 * time.Second
+
+// TestApply guards against a refused change that is visible, a repeated
+// operation that makes a second revision, a deleted document that comes back,
+// and a change for an old revision that is accepted.
+func TestApply(t *testing.T) {
+	_, _, all := fleet(t, 4)
+	rev := must(t, all[0], set("op-1", "s", "one"))
+	inForce(t, all, rev, limit)
+	if again := must(t, all[1], set("op-1", "s", "one")); again != rev {
+		t.Errorf("repeated operation: got revision %d, want %d", again, rev)
+	}
+	bad := set("op-2", "s", "two")
+	bad.Services = append(bad.Services, &config.Service{Name: "bad"})
+	if _, err := all[1].Apply(within(limit), bad); siskin.KindOf(err) != siskin.BadInput {
+		t.Errorf("invalid change: got %v, want BadInput", err)
+	}
+	late := set("op-3", "s", "three")
+	late.Base = rev + 7
+	if _, err := all[1].Apply(within(limit), late); siskin.KindOf(err) != siskin.Conflict {
+		t.Errorf("change for another revision: got %v, want Conflict", err)
+	}
+	rev = must(t, all[2], Change{Operation: "op-4", Services: []*config.Service{{Name: "u", Targets: []config.Target{{}}}}, DeleteServices: []siskin.ServiceName{"s"}})
+	inForce(t, all, rev, limit)
+	for _, n := range all {
+		if got := n.Services(); len(got) != 1 || got[0] != "u" {
+			t.Errorf("%s: got services %v, want [u]", n.vm.ID, got)
+		}
+		// A document older than its tombstone must not come back.
+		old, err := set("op-1", "s", "one").documentsForTest()
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.install(old, 0)
+		if got := value(n, "s"); got != "" {
+			t.Errorf("%s: deleted service is back as %q", n.vm.ID, got)
+		}
+	}
+}
+
+func (c Change) documentsForTest() ([]*entry, error) {
+	docs, err := c.documents(1)
+	if err != nil {
+		return nil, err
+	}
+	return decodeAll(docs)
+}
+
+// TestRace guards against two racing operators who both win or both lose.
+func TestRace(t *testing.T) {
+	_, _, all := fleet(t, 4)
+	must(t, all[0], set("op-0", "s", "zero"))
+	for range 10 {
+		base := all[0].Revision()
+		inForce(t, all, base, limit)
+		var errs [2]error
+		var done sync.WaitGroup
+		for i := range 2 {
+			c := set("op-"+string(rune('a'+i))+time.Now().String(), "s", string(rune('a'+i)))
+			c.Base = base
+			done.Go(func() { _, errs[i] = all[i].Apply(within(limit), c) })
+		}
+		done.Wait()
+		won, lost := errs[0], errs[1]
+		want := "a"
+		if won != nil {
+			won, lost, want = lost, won, "b"
+		}
+		if won != nil || siskin.KindOf(lost) != siskin.Conflict {
+			t.Fatalf("got %v and %v, want one success and one Conflict", errs[0], errs[1])
+		}
+		inForce(t, all, base+1, limit)
+		if got := value(all[2], "s"); got != want {
+			t.Fatalf("in force: got %q, want %q", got, want)
+		}
+	}
+}
+
+// TestLostAnswer guards against an accepted change that is reported as refused
+// when the platform's answers are lost.
+func TestLostAnswer(t *testing.T) {
+	platform, _, all := fleet(t, 3)
+	for i, op := range []string{"op-1", "op-2", "op-3"} {
+		platform.LoseNext(i + 1)
+		rev, err := all[i].Apply(within(limit), set(op, "s", op))
+		if err != nil || rev != siskin.Revision(i+1) {
+			t.Fatalf("%s: got revision %d (%v), want %d", op, rev, err, i+1)
+		}
+		inForce(t, all, rev, limit)
+	}
+}
+
+// TestPlatformDown guards against a VM that loses its configuration in an
+// outage, one that cannot start in it, and a change that is accepted in it.
+func TestPlatformDown(t *testing.T) {
+	platform, f, all := fleet(t, 3)
+	for i := range 20 { // enough for a snapshot
+		must(t, all[0], set("op-"+string(rune('a'+i)), "s-"+string(rune('a'+i%7)), "v"+string(rune('a'+i))))
+	}
+	platform.Refuse(true)
+	started := f.start(t, platform, 3, fastConfig())
+	inForce(t, []*node{started}, 20, limit)
+	if _, err := started.Apply(within(2*time.Second), set("op-x", "s", "x")); siskin.KindOf(err) != siskin.Unavailable {
+		t.Errorf("change in an outage: got %v, want Unavailable", err)
+	}
+	if got := value(started, "s-a"); got != "vo" {
+		t.Errorf("loaded from peers: got %q, want vo", got)
+	}
+	platform.Refuse(false)
+	rev := must(t, started, set("op-y", "s", "y"))
+	inForce(t, f.all(), rev, limit)
+}
+
+// TestStartFromPlatform guards against a first VM that cannot load the
+// snapshot and the changes after it, and against old watch answers that
+// revert the configuration.
+func TestStartFromPlatform(t *testing.T) {
+	platform, f, all := fleet(t, 1)
+	for i := range 100 {
+		must(t, all[0], set("op-"+string(rune('0'+i)), "s-"+string(rune('a'+i%20)), "v"))
+		if i == 40 || i == 80 {
+			if _, err := all[0].writeSnapshot(within(limit)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	f.mu.Lock()
+	f.vms, f.nodes = nil, make(map[siskin.VMID]*node)
+	f.mu.Unlock()
+	defer func() { _ = all[0].Close(); _ = all[0].client.Close() }()
+	fresh := f.start(t, platform, 1, fastConfig())
+	inForce(t, []*node{fresh}, 100, limit)
+	if got := len(fresh.Services()); got != 20 {
+		t.Errorf("services from the platform: got %d, want 20", got)
+	}
+	fresh.stale.Store(true) // each watch answers with an old head from now on
+	rev := must(t, fresh, set("op-late", "s-a", "late"))
+	time.Sleep(300 * time.Millisecond)
+	if got := fresh.Revision(); got != rev || value(fresh, "s-a") != "late" {
+		t.Errorf("after late watch answers: got revision %d and %q, want %d and late", got, value(fresh, "s-a"), rev)
+	}
+}
+
+// TestDataCentreCutOff guards against a data centre that does not get changes
+// over the platform while it is cut off from the others, and against one that
+// does not catch up over peers while it is cut off from the platform.
+func TestDataCentreCutOff(t *testing.T) {
+	_, f, all := fleet(t, 7)
+	f.mu.Lock()
+	f.cut = true
+	f.mu.Unlock()
+	rev := must(t, all[0], set("op-1", "s", "one"))
+	inForce(t, all, rev, limit)
+	f.mu.Lock()
+	f.cut = false
+	f.mu.Unlock()
+	for _, n := range all {
+		n.cutOff.Store(n.vm.DataCentre == "b")
+	}
+	rev = must(t, all[0], set("op-2", "s", "two"))
+	inForce(t, all, rev, limit)
+	time.Sleep(time.Second) // some exchanges with the collector
+	collector, _ := all[0].collector()
+	for id, got := range f.nodes[collector.ID].Status() {
+		if got != rev {
+			t.Errorf("status of %s: got revision %d, want %d", id, got, rev)
+		}
+	}
+	if got := len(f.nodes[collector.ID].Status()); got < 4 {
+		t.Errorf("status: got %d VMs, want the 4 of the data centre", got)
+	}
+}
+
+// TestPushGap guards against a VM that takes a revision as in force although
+// an earlier change did not arrive, and that then never gets that change.
+func TestPushGap(t *testing.T) {
+	_, f, all := fleet(t, 2)
+	f.mu.Lock()
+	f.cut = true
+	f.mu.Unlock()
+	all[1].cutOff.Store(true)
+	must(t, all[0], set("op-1", "s", "one"))
+	must(t, all[0], set("op-2", "u", "two"))
+	docs, _ := all[0].since(afterRevision(1))
+	args := &PushArgs{From: all[0].vm.ID, Base: 1, Revision: 2, Documents: docs}
+	if err := all[1].Receiver().Push(args, new(PushReply)); err != nil {
+		t.Fatal(err)
+	}
+	if got := all[1].Revision(); got != 0 || value(all[1], "u") != "two" {
+		t.Errorf("after a push with a gap: got revision %d and %q, want 0 and two", got, value(all[1], "u"))
+	}
+	f.mu.Lock()
+	f.cut = false
+	f.mu.Unlock()
+	inForce(t, all, 2, limit)
+	if got := value(all[1], "s"); got != "one" {
+		t.Errorf("after the gap is closed: got %q, want one", got)
+	}
+}
