daemon: become a holder of rights before the first request

Cause: the first requests after a start waited for the platform longer than a request may wait for units, and were refused although they were within the rate; several VMs that registered at once used up their budget of calls.

Change: a VM prepares the customers of the services whose slots it owns when the configuration or the homes change; the budget's burst is 100. The spread experiment pauses between changes, since it measured the call budget of one VM instead of the spread.

--- a/internal/bench/spread.go
+++ b/internal/bench/spread.go
@@ -15,6 +15,7 @@
 const (
 	maxSpread   = 9 * time.Second
 	spreadCount = 20
+	changePause = 300 * time.Millisecond
 )
 
 // runSpread measures the time from an operator's call to a change in force at
@@ -46,6 +47,7 @@
 			return fmt.Errorf("change %d, %s: %w", i, name, err)
 		}
 		times = append(times, time.Since(began))
+		time.Sleep(changePause) // operators' changes, not a test of the VM's call budget
 	}
 	slices.Sort(times)
 	e.result.addDuration("in force everywhere, median, "+name, times[len(times)/2])
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -144,9 +144,9 @@
 	return nil
 }
 
-// platformBurst lets a VM read the configuration at its start without waiting
-// for its budget.
-const platformBurst = 50
+// platformBurst lets a VM read the configuration and become a holder of rights
+// at its start without waiting for its budget.
+const platformBurst = 100
 
 func (d *Daemon) seeds() []siskin.VMID {
 	var ids []siskin.VMID
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -40,6 +40,7 @@
 		return err
 	}
 	d.wg.Go(d.followKeys)
+	d.wg.Go(d.prepareLimits)
 	return d.register()
 }
 
--- /dev/null
+++ b/internal/daemon/prepare.go
@@ -0,0 +1,43 @@
+package daemon
+
+import "siskintray.example/siskin"
+
+// prepareLimits makes this VM a holder of rights for the customers of the
+// services that it is a home of, before their first request: a request that
+// had to wait for the platform was refused although it was within the rate.
+func (d *Daemon) prepareLimits() {
+	for {
+		changed, moved := d.spread.Changed(), d.members.Changed()
+		d.limiter.Prepare(d.homeCustomers()...)
+		select {
+		case <-changed:
+		case <-moved:
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// homeCustomers returns the customers of the services that this VM is a home of.
+func (d *Daemon) homeCustomers() []siskin.CustomerID {
+	mine := make(map[siskin.ServiceName]bool)
+	for _, name := range d.spread.Services() {
+		if d.node.Watches(name) {
+			mine[name] = true
+		}
+	}
+	var ids []siskin.CustomerID
+	for _, id := range d.spread.Customers() {
+		c, ok := d.spread.Customer(id)
+		if !ok {
+			continue
+		}
+		for _, name := range c.Services {
+			if mine[name] {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -51,6 +51,12 @@
 	return notWatched(service)
 }
 
+// Watches reports whether this VM is a home of a slot of the service.
+func (n *Node) Watches(service siskin.ServiceName) bool {
+	s, ok := n.cfg.Config.Service(service)
+	return ok && n.groups.watches(s)
+}
+
 func (n *Node) service(name siskin.ServiceName) (*config.Service, error) {
 	s, ok := n.cfg.Config.Service(name)
 	if !ok {
