limit: answer requests at once that units cannot save

Cause: under 8 times the rate most refused requests waited up to 50 ms first, new requests took the tokens of waiting ones, and a waiting request did not make its VM ask the next holder when one was silent.

Planted faults that fail a test: no wait for the next holder, waiting requests not counted, new requests before waiting ones. One plant passed: no wake-up at the end of hope, since the wait for the next attempt covers it within 20 ms.

--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -101,6 +101,7 @@
 	}
 	if c.budget.left(now) <= 0 {
 		h.askAfter = now + 10*patience
+		h.wake()
 		return
 	}
 	giver, ok := c.giver(now, b, h, batches)
@@ -135,6 +136,7 @@
 	h.askAfter = now + min(patience<<min(h.failures, 8), maxBackoff)
 	h.roundAt = now
 	h.failures++
+	h.wake() // requests that wait in vain are refused at once
 }
 
 func (l *link) busy() bool { return l != nil && l.pending != nil }
@@ -204,11 +206,17 @@
 		}
 		return
 	}
-	h.askAfter, h.failures = now, 0
+	h.askAfter = now
+	if item.Fair {
+		c.failed(now, b, h)
+	} else {
+		h.failures = 0
+	}
 	h.wake()
 }
 
-// wake tells waiting requests that units arrived.
+// wake tells waiting requests to look again, since units arrived or will not
+// arrive.
 func (h *holding) wake() {
 	if h.arrived != nil {
 		close(h.arrived)
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,10 +62,12 @@
 		c.read(i, b)
 	}
 	h.refill(now)
+	ahead := 0.0
 	if fresh {
 		h.demand.add(now, n)
+		ahead = h.queued
 	}
-	admitted := h.tokens >= n
+	admitted := h.tokens >= n+ahead
 	if admitted {
 		h.tokens -= n
 	} else {
@@ -88,11 +91,20 @@
 // long before the present share would admit the request.
 const maxRetry = time.Second
 
-func (h *holding) retryAfter(n float64) time.Duration {
-	if perSecond := h.rate * h.share(); perSecond > 0 && n <= h.burst*h.share() {
-		return min(time.Duration((n-h.tokens)/perSecond*float64(time.Second))+1, maxRetry)
+func (h *holding) retryAfter(n float64) time.Duration { return min(h.accrual(n), maxRetry) }
+
+// never is the time in which n requests accrue when the share is too small for
+// them at all.
+const never = time.Duration(math.MaxInt64)
+
+// accrual returns the time in which the present share earns n tokens.
+func (h *holding) accrual(n float64) time.Duration {
+	perSecond := h.rate * h.share()
+	seconds := (n - h.tokens) / perSecond
+	if perSecond <= 0 || n > h.burst*h.share() || seconds > never.Seconds()/2 {
+		return never
 	}
-	return maxRetry
+	return time.Duration(seconds*float64(time.Second)) + 1
 }
 
 // prepare makes this VM a holder of a bucket.
--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -1,8 +1,11 @@
 package limit
 
 import (
+	"bytes"
+	"encoding/gob"
 	"reflect"
 	"testing"
+	"time"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/pkg/config"
@@ -143,3 +146,53 @@
 		t.Errorf("got buckets %v to read, want [%d]", got, i)
 	}
 }
+
+// TestWaitingRequestsComeFirst guards against requests that wait although
+// their tokens cannot accrue in time, and against a new request that takes the
+// tokens that a waiting one needs.
+func TestWaitingRequestsComeFirst(t *testing.T) {
+	rich, _, _ := pair(t)
+	rich.leaving.Store(true) // no units of others
+	now := time.Millisecond
+	for rich.admit(now, "a", 1, true).Admitted {
+	}
+	waiting := 0
+	for range 20 {
+		if _, _, ok := rich.expect(now, "a", 1, now+50*time.Millisecond); ok {
+			waiting++
+		}
+	}
+	if got, want := waiting, 5; got > want || got < want-1 { // 100 a second for 50 ms
+		t.Errorf("got %d waiting requests, want %d", got, want)
+	}
+	now += 15 * time.Millisecond
+	if rich.admit(now, "a", 1, true).Admitted {
+		t.Error("got a new request admitted before the waiting ones, want it refused")
+	}
+	if rich.unexpect("a", 1); !rich.admit(now, "a", 1, false).Admitted {
+		t.Error("got the waiting request refused, want it admitted")
+	}
+}
+
+// TestMessagesSurviveEncoding guards against a message type that net/rpc
+// cannot carry.
+func TestMessagesSurviveEncoding(t *testing.T) {
+	holders := []holderID{{"v1", 3}}
+	for _, m := range []struct{ sent, received any }{
+		{&AskArgs{From: "v1", Seq: 2, Items: []AskItem{{Customer: "a", Epoch: 1, Units: 5, Demand: 2}}}, &AskArgs{}},
+		{&AskReply{Items: []GiveItem{{Customer: "a", Units: 7, Tokens: 1.5, Holders: holders, RichestAge: 3}}}, &AskReply{}},
+		{&ReportArgs{Bucket: 4, Epoch: 2, ToIncarnation: 3}, &ReportArgs{}},
+		{&ReportReply{Rest: 9, Customers: map[siskin.CustomerID]siskin.Units{"a": 1}}, &ReportReply{}},
+	} {
+		var b bytes.Buffer
+		if err := gob.NewEncoder(&b).Encode(m.sent); err != nil {
+			t.Fatal(err)
+		}
+		if err := gob.NewDecoder(&b).Decode(m.received); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(m.sent, m.received) {
+			t.Errorf("got %+v, want %+v", m.received, m.sent)
+		}
+	}
+}
--- a/pkg/limit/expect.go
+++ b/pkg/limit/expect.go
@@ -9,8 +9,12 @@
 // maxWaiters bounds the requests of one customer that wait at one VM.
 const maxWaiters = 256
 
+// minQueue lets a few requests of a customer with a low rate wait for units.
+const minQueue = 4
+
 // expect decides whether a refused request should wait: its tokens accrue in
-// time, or units may arrive. It returns a channel that is closed when units
+// time after those of the requests that wait already, or units may arrive. Any
+// other request is refused at once, not at the end of a wait. It returns a channel that is closed when units
 // arrive and the longest pause before the next attempt.
 func (c *core) expect(now time.Duration, id siskin.CustomerID, n float64, until time.Duration) (<-chan struct{}, time.Duration, bool) {
 	b := &c.buckets[bucketOf(id)]
@@ -20,25 +24,30 @@
 	if h == nil || !h.known || now >= until || h.waiters >= maxWaiters {
 		return nil, 0, false
 	}
-	accrues := h.retryAfter(n) <= until-now && n <= h.burst*h.share()
-	if !accrues && (c.leaving.Load() || !h.expecting(until)) {
+	pause := h.accrual(n + h.queued)
+	accrues := pause <= until-now
+	// Units of others cannot admit more than the whole rate does.
+	room := max(minQueue, h.rate*(until-now).Seconds())
+	if !accrues && (c.leaving.Load() || !h.expecting(until) || h.queued+n > room) {
 		return nil, 0, false
 	}
 	h.waiters++
+	h.queued += n
 	if h.arrived == nil {
 		h.arrived = make(chan struct{})
 	}
-	pause := until - now
-	if accrues {
-		pause = min(pause, h.retryAfter(n))
+	if again := h.askAfter - now; !accrues && again > 0 {
+		pause = again // the next attempt asks another holder
+	} else if !accrues {
+		pause = patience
 	}
-	return h.arrived, max(pause, time.Millisecond), true
+	return h.arrived, max(min(pause, until-now), time.Millisecond), true
 }
 
 // hopefulRounds is the number of rounds in vain over all holders after which
 // requests do not wait for units anymore: the customer probably uses its whole
 // rate, and its requests are answered at once.
-const hopefulRounds = 2
+const hopefulRounds = 1
 
 // expecting reports whether a request for units is under way or will go out
 // before the given time, with some hope of success.
@@ -47,11 +56,12 @@
 }
 
 // unexpect ends a wait that expect began.
-func (c *core) unexpect(id siskin.CustomerID) {
+func (c *core) unexpect(id siskin.CustomerID, n float64) {
 	b := &c.buckets[bucketOf(id)]
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h := b.holdings[id]; h != nil {
 		h.waiters--
+		h.queued -= n
 	}
 }
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -58,7 +58,8 @@
 	h.refill(now)
 	out.Units = h.units
 	if !args.All && !c.leaving.Load() {
-		out.Units = min(max(h.gift(now, item), 0), h.units)
+		out.Units, out.Fair = h.gift(now, item)
+		out.Units = min(max(out.Units, 0), h.units)
 	}
 	out.Tokens = siskin.Requests(h.take(out.Units))
 	out.Spare = h.spare(now)
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -31,7 +31,8 @@
 	roundAt  time.Duration // start of the round over all holders
 	hints    hints
 	waiters  int
-	arrived  chan struct{} // closed when units arrive; nil without waiters
+	queued   float64       // tokens that the waiting requests need
+	arrived  chan struct{} // closed when waiting requests must look again; nil without any
 }
 
 func (h *holding) share() float64 { return float64(h.units) / float64(siskin.TotalUnits) }
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -77,7 +77,7 @@
 		case <-l.clock.After(pause):
 		case <-ctx.Done():
 		}
-		l.core.unexpect(customer)
+		l.core.unexpect(customer, float64(n))
 		if ctx.Err() != nil {
 			return a
 		}
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -27,7 +27,7 @@
 // leaks goroutines, or lets AdmitWait refuse while another VM has units.
 func TestLimiterOverRealTime(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	f := newFleet(1, &config.Customer{ID: "a", Rate: 1000, Burst: 1000})
+	f := newFleet(1, &config.Customer{ID: "a", Rate: 1000, Burst: 1000}, &config.Customer{ID: "b", Rate: 0.01, Burst: 2})
 	peers := make(direct)
 	for _, id := range []string{"v1", "v2"} {
 		n := f.start(id, 1, "d1")
@@ -35,9 +35,9 @@
 		peers[n.vm.ID] = n.l
 	}
 	first, second := f.vms[0].l, f.vms[1].l
-	first.Prepare("a")
+	first.Prepare("a", "b")
 	first.readRecords(t.Context()) // in this order, since the fake platform has no lock
-	second.Prepare("a")
+	second.Prepare("a", "b")
 	second.readRecords(t.Context())
 	first.Start()
 	second.Start()
@@ -57,6 +57,12 @@
 		t.Errorf("got %v for all requests, want at most %v: units that arrive must wake the waiting", got, want)
 	}
 	start = time.Now()
+	for i, want := range []bool{true, true, false} {
+		if a := second.AdmitWait(t.Context(), "b", 1); a.Admitted != want || time.Since(start) > 5*time.Second {
+			t.Errorf("got %+v after %v for request %d of b, want admitted %v, a refusal without the whole wait", a, time.Since(start), i, want)
+		}
+	}
+	start = time.Now()
 	if a := second.AdmitWait(t.Context(), "unknown", 1); a.Admitted || time.Since(start) > time.Second {
 		t.Errorf("got %+v after %v for an unknown customer, want a refusal at once", a, time.Since(start))
 	}
--- a/pkg/limit/load_test.go
+++ b/pkg/limit/load_test.go
@@ -69,6 +69,7 @@
 	static   map[siskin.VMID]*tokenBucket
 	shared   tokenBucket // at the first VM; refuses when unreachable
 	offered  int
+	late     int // requests that were refused after more than 10 ms
 	waited   int // requests that were not answered at once
 	refused  int // of the requests that the ideal bucket admits
 	byStatic int
@@ -78,6 +79,8 @@
 type waiter struct {
 	n     *node
 	until time.Duration
+	ideal bool // the ideal bucket admits the request
+	again bool // it has waited already
 }
 
 func newTraffic(f *fleet, doc *config.Customer, load float64, seed uint64) *traffic {
@@ -159,20 +162,28 @@
 	switch {
 	case a.Admitted:
 		t.checker.admitted(t.f.at, float64(t.doc.Rate))
-	case ideal:
-		t.waited++
-		t.refuse(n, n.l.now()+n.l.waitBound)
+	default:
+		t.refuse(waiter{n: n, until: n.l.now() + n.l.waitBound, ideal: ideal})
 	}
 }
 
 // refuse lets a refused request wait if the limiter expects units, as AdmitWait
 // does.
-func (t *traffic) refuse(n *node, until time.Duration) {
-	if _, _, ok := n.l.core.expect(n.l.now(), t.doc.ID, 1, until); ok {
-		t.waiting = append(t.waiting, waiter{n, until})
+func (t *traffic) refuse(w waiter) {
+	if _, _, ok := w.n.l.core.expect(w.n.l.now(), t.doc.ID, 1, w.until); ok {
+		if !w.again {
+			t.waited++
+		}
+		w.again = true
+		t.waiting = append(t.waiting, w)
 		return
 	}
-	t.refused++
+	if w.ideal {
+		t.refused++
+	}
+	if w.n.l.waitBound-(w.until-w.n.l.now()) > 10*time.Millisecond {
+		t.late++
+	}
 }
 
 func (t *traffic) retry() {
@@ -183,11 +194,11 @@
 			t.waiting = append(t.waiting, w)
 			continue
 		}
-		w.n.l.core.unexpect(t.doc.ID)
+		w.n.l.core.unexpect(t.doc.ID, 1)
 		if w.n.l.core.admit(w.n.l.now(), t.doc.ID, 1, false).Admitted {
 			t.checker.admitted(t.f.at, float64(t.doc.Rate))
 		} else {
-			t.refuse(w.n, w.until)
+			t.refuse(w)
 		}
 	}
 }
--- a/pkg/limit/message.go
+++ b/pkg/limit/message.go
@@ -51,6 +51,9 @@
 	Epoch    uint64
 	Units    siskin.Units
 	Tokens   siskin.Requests
+	// Fair says that the units were taken from what the giver needs itself. They
+	// are no sign that others can spare more.
+	Fair bool
 	// Spare is what the giver keeps without needing it, a hint for the next
 	// request.
 	Spare siskin.Units
--- a/pkg/limit/policy.go
+++ b/pkg/limit/policy.go
@@ -30,19 +30,17 @@
 // gift returns the units to give to an asker: what it needs, at least half, of
 // what the giver can spare. An asker whose part is far below its demand also
 // gets what brings both to parts proportional to their demand.
-func (h *holding) gift(now time.Duration, item *AskItem) siskin.Units {
-	asked := float64(item.Demand)
-	spare := float64(h.spare(now))
-	units := min(spare, max(spare/2, h.needed(asked)-float64(item.Units)))
-	total := float64(h.units + item.Units)
-	lasting := float64(item.Lasting)
-	if fair := total*lasting/max(lasting+h.demand.slow, 1e-9) - float64(item.Units); fair > total/8 {
-		units = max(units, fair)
+func (h *holding) gift(now time.Duration, item *AskItem) (units siskin.Units, fair bool) {
+	asked, spare := float64(item.Demand), float64(h.spare(now))
+	gift := min(spare, max(spare/2, h.needed(asked)-float64(item.Units)))
+	total, lasting := float64(h.units+item.Units), float64(item.Lasting)
+	if more := total*lasting/max(lasting+h.demand.slow, 1e-9) - float64(item.Units); more > max(gift, total/8) {
+		gift, fair = more, true
 	}
-	if units < float64(minGift) && units < float64(h.units) {
-		return 0
+	if gift < float64(minGift) && gift < float64(h.units) {
+		return 0, false
 	}
-	return siskin.Units(units)
+	return siskin.Units(gift), fair
 }
 
 // spare returns the units that the holder does not need for its own demand.
