limit: grant to the platform's data centres, check the run of a tombstone

Cause: the first VM of a fleet that starts knows no other member and granted everything to itself, so the other data centres started with nothing. A tombstone of a VM's earlier run counted as evidence against its present run, whose units were then granted twice.

Change: initial grants cover the data centres of the platform's list of VMs beside the members. A tombstone counts only for its own incarnation and earlier ones.

--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -196,3 +196,16 @@
 		}
 	}
 }
+
+// TestTombstoneOfEarlierRun guards against a member list that lags: the
+// tombstone of a VM's earlier run is no evidence about its present one.
+func TestTombstoneOfEarlierRun(t *testing.T) {
+	f := newFleet(1)
+	n := f.start("v1", 2, "d1")
+	n.vm.State = siskin.VMGone
+	for incarnation, want := range map[siskin.Incarnation]bool{1: true, 2: true, 3: false} {
+		if got := n.l.gone(holderID{"v1", incarnation}); got != want {
+			t.Errorf("got gone %v for incarnation %d with a tombstone of 2, want %v", got, incarnation, want)
+		}
+	}
+}
--- a/pkg/limit/example_test.go
+++ b/pkg/limit/example_test.go
@@ -50,3 +50,5 @@
 	m.objects[name] = siskin.Object{Name: name, Version: v + 1, Operation: op, Value: value}
 	return v + 1, nil
 }
+
+func (m *memory) VMs(context.Context) ([]siskin.VM, error) { return []siskin.VM{oneVM{}.Self()}, nil }
--- a/pkg/limit/fleet_test.go
+++ b/pkg/limit/fleet_test.go
@@ -47,6 +47,7 @@
 	vm     siskin.VM
 	l      *Limiter
 	dead   bool
+	blind  bool      // its member list names no other VM
 	paused time.Time // until when
 }
 
@@ -183,7 +184,7 @@
 func (n *node) Live() []siskin.VM {
 	var live []siskin.VM
 	for _, o := range n.f.vms {
-		if !o.dead && o.vm.State == siskin.VMLive {
+		if !o.dead && o.vm.State == siskin.VMLive && (!n.blind || o == n) {
 			live = append(live, o.vm)
 		}
 	}
@@ -227,7 +228,7 @@
 	return ifVersion + 1, nil
 }
 
-// List, Watch and VMs implement siskin.Platform; the limiter does not use them.
+// List and Watch implement siskin.Platform; the limiter does not use them.
 func (f *fleet) List(context.Context, siskin.ObjectName) ([]siskin.Object, error) { panic("unused") }
 
 // Watch is unused.
@@ -235,8 +236,16 @@
 	panic("unused")
 }
 
-// VMs is unused.
-func (f *fleet) VMs(context.Context) ([]siskin.VM, error) { panic("unused") }
+// VMs implements siskin.Platform.
+func (f *fleet) VMs(context.Context) (list []siskin.VM, err error) {
+	if f.down {
+		return nil, siskin.NewError(siskin.Unavailable, "platform down")
+	}
+	for _, n := range f.vms {
+		list = append(list, n.vm)
+	}
+	return list, nil
+}
 
 // Now implements siskin.Clock.
 func (f *fleet) Now() time.Time { return f.at }
--- a/pkg/limit/reclaim.go
+++ b/pkg/limit/reclaim.go
@@ -61,10 +61,11 @@
 }
 
 // gone reports whether there is evidence that a holder cannot run anymore. An
-// absent or unreachable VM is none.
+// absent or unreachable VM is none, nor is the tombstone of an earlier run: a
+// VM may start again under its name.
 func (l *Limiter) gone(h holderID) bool {
 	vm, ok := l.members.Lookup(h.VM)
-	return ok && (vm.State == siskin.VMGone || vm.Incarnation > h.Incarnation)
+	return ok && (vm.Incarnation > h.Incarnation || (vm.Incarnation == h.Incarnation && vm.State == siskin.VMGone))
 }
 
 func (l *Limiter) needsReclaim(i int, holders []holderID) bool {
--- a/pkg/limit/recordio.go
+++ b/pkg/limit/recordio.go
@@ -49,7 +49,9 @@
 	serves := l.core.serves(i)
 	switch {
 	case version == 0 && serves:
-		r = l.initial(i)
+		if r, err = l.initial(ctx, i); err != nil {
+			return err
+		}
 	case version != 0 && serves && !r.holds(l.core.self):
 		r.Holders = append(r.Holders, l.core.self)
 	default:
@@ -84,22 +86,26 @@
 
 // initial grants the units of a new bucket in equal parts to one VM per data
 // centre, so that each data centre starts with a part that needs no contact
-// with the others.
-func (l *Limiter) initial(i int) record {
+// with the others. The platform's list counts beside the members, since a VM
+// that has just started knows no other member yet.
+func (l *Limiter) initial(ctx context.Context, i int) (record, error) {
+	listed, err := l.platform.VMs(ctx)
+	if err != nil {
+		return record{}, err
+	}
 	byDC := make(map[siskin.DataCentreID][]siskin.VM)
-	for _, vm := range l.members.Live() {
-		byDC[vm.DataCentre] = append(byDC[vm.DataCentre], vm)
+	for _, vm := range append(l.members.Live(), listed...) {
+		known, ok := l.members.Lookup(vm.ID)
+		if vm.State == siskin.VMLive && (!ok || known.Incarnation <= vm.Incarnation) {
+			byDC[vm.DataCentre] = append(byDC[vm.DataCentre], vm)
+		}
 	}
 	r := record{Epoch: 1}
-	left := siskin.TotalUnits
+	left, parts := siskin.TotalUnits, siskin.Units(len(byDC))
 	for _, dc := range sorted(byDC) {
-		vms := byDC[dc]
-		best, _ := place.Best(string(objectName(i)), vms)
-		units := siskin.TotalUnits / siskin.Units(len(byDC))
-		if len(r.Grants) == len(byDC)-1 {
-			units = left
-		}
-		left -= units
+		best, _ := place.Best(string(objectName(i)), byDC[dc])
+		units := left / parts
+		left, parts = left-units, parts-1
 		to := holderID{best.ID, best.Incarnation}
 		r.Grants = append(r.Grants, grant{To: to, Rest: units, Full: true})
 		r.Holders = append(r.Holders, to)
@@ -107,7 +113,7 @@
 	if !r.holds(l.core.self) {
 		r.Holders = append(r.Holders, l.core.self)
 	}
-	return r
+	return r, nil
 }
 
 // refreshRecord reads one record that this VM holds units of, so that it
--- a/pkg/limit/run.go
+++ b/pkg/limit/run.go
@@ -32,13 +32,13 @@
 		for _, m := range l.core.plan(l.now()) {
 			l.done.Go(func() { l.call(ctx, m) })
 		}
+		l.clock.Sleep(exchangeTick) // the first request went out at once; later ones share a message
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.core.todo.kick:
 		case <-l.clock.After(firstRetry):
 		}
-		l.clock.Sleep(exchangeTick)
 	}
 }
 
--- a/pkg/limit/script_test.go
+++ b/pkg/limit/script_test.go
@@ -95,6 +95,8 @@
 		f.down = args[1] == "down"
 	case "lose":
 		f.lose = number(1)
+	case "blind":
+		s.vm(args[1]).blind = true
 	case "unheard":
 		return fmt.Sprint(f.unheard)
 	case "handover":
