limit: keep request numbers across forgotten links, refuse bad reports

Cause: a VM that forgot its requests to a gone VM numbered new ones from 1 again, and a giver that was not gone after all took them for old ones. Reports of more than the whole right would have led to a negative grant.

Change: request numbers are per VM, requests are forgotten per incarnation, and a reclaim whose reports exceed the whole right stops with a violated invariant. WithPrepareAll prepares every configured customer, for fleets of a few VMs.

--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -13,7 +13,6 @@
 // It is repeated until it is answered: giving it up would lose the units that
 // the giver may have deducted.
 type link struct {
-	seq      uint64
 	pending  *AskArgs
 	retryAt  time.Duration
 	attempts int
@@ -62,8 +61,8 @@
 	}
 	for _, vm := range sorted(batches) {
 		args, l := batches[vm], c.links[vm]
-		l.seq++
-		args.Seq = l.seq
+		c.seq++
+		args.Seq = c.seq
 		l.pending, l.attempts = args, 0
 		out = append(out, c.send(now, vm, l))
 	}
@@ -224,18 +223,18 @@
 	}
 }
 
-// forget gives up the requests to VMs that are gone, whose units return by a
-// reclaim.
-func (c *core) forget(gone func(siskin.VMID) bool) {
+// forget gives up the requests to incarnations that are gone, whose units
+// return by a reclaim, and the replies to them.
+func (c *core) forget(gone func(holderID) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for vm := range c.links {
-		if gone(vm) {
+	for vm, l := range c.links {
+		if l.pending != nil && gone(holderID{vm, l.pending.ToIncarnation}) {
 			delete(c.links, vm)
 		}
 	}
-	for vm := range c.given {
-		if gone(vm) {
+	for vm, a := range c.given {
+		if gone(holderID{vm, a.incarnation}) {
 			delete(c.given, vm)
 		}
 	}
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	links   map[siskin.VMID]*link
 	given   map[siskin.VMID]*answered
+	seq     uint64 // of the latest request for units, to any holder
 	budget  budget
 	leaving atomic.Bool // a planned stop is handing over; nothing is asked for
 
--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -209,3 +209,17 @@
 		}
 	}
 }
+
+// TestForgottenLink guards against requests that a giver takes for old ones
+// after the asker forgot its earlier requests to it.
+func TestForgottenLink(t *testing.T) {
+	rich, poor, _ := pair(t)
+	first := ask(t, poor)
+	rich.answer(2e6, first)
+	poor.forget(func(h holderID) bool { return h.VM == rich.self.VM })
+	poor.admit(1e9, "a", 1, true)
+	next := poor.plan(1e9)
+	if len(next) != 1 || rich.answer(1e9, next[0].args).Stale {
+		t.Errorf("got %d messages or a stale answer after forgetting, want a new request and its answer", len(next))
+	}
+}
--- a/pkg/limit/handover.go
+++ b/pkg/limit/handover.go
@@ -124,7 +124,7 @@
 	if len(args.Items) == 0 {
 		return
 	}
-	l.seq++
-	args.Seq = l.seq
+	c.seq++
+	args.Seq = c.seq
 	l.pending, l.attempts, l.retryAt = args, 0, now
 }
--- a/pkg/limit/option.go
+++ b/pkg/limit/option.go
@@ -6,8 +6,9 @@
 type Option func(*settings)
 
 type settings struct {
-	waitBound time.Duration
-	logf      func(format string, args ...any)
+	waitBound  time.Duration
+	prepareAll bool
+	logf       func(format string, args ...any)
 }
 
 func defaults() settings {
@@ -23,3 +24,8 @@
 func WithLogf(logf func(format string, args ...any)) Option {
 	return func(s *settings) { s.logf = logf }
 }
+
+// WithPrepareAll makes the VM a holder for every configured customer at once,
+// as Prepare does. It suits fleets of a few VMs: every holder must report in
+// each reclaim.
+func WithPrepareAll() Option { return func(s *settings) { s.prepareAll = true } }
--- a/pkg/limit/reclaim.go
+++ b/pkg/limit/reclaim.go
@@ -21,10 +21,7 @@
 		l.core.drop()
 		return
 	}
-	l.core.forget(func(vm siskin.VMID) bool {
-		known, ok := l.members.Lookup(vm)
-		return ok && known.State == siskin.VMGone
-	})
+	l.core.forget(l.gone)
 	silent := make(map[siskin.VMID]bool)
 	for i := range buckets {
 		holders := l.core.holdersOf(i)
@@ -125,6 +122,9 @@
 		return err
 	}
 	g := missing(reports)
+	if err := g.check(); err != nil {
+		return err
+	}
 	g.To = l.core.self
 	r.Reporting = false
 	r.Grants = []grant{g}
@@ -196,3 +196,16 @@
 	}
 	return g
 }
+
+// check refuses a grant after reports of more than the whole right.
+func (g *grant) check() error {
+	lowest := g.Rest
+	for _, units := range g.Customers {
+		lowest = min(lowest, units)
+	}
+	if invUnits.Check(lowest >= 0, "reports of holders exceed the whole right by %d units", -lowest) {
+		return nil
+	}
+	return siskin.NewError(siskin.Internal, "reports of holders exceed the whole right by %d units", -lowest).
+		WithRemedy("report this fault with the log of all holders")
+}
--- a/pkg/limit/run.go
+++ b/pkg/limit/run.go
@@ -84,6 +84,9 @@
 	for {
 		changed := l.view.Changed()
 		l.core.refresh(l.now())
+		if l.prepareAll {
+			l.Prepare(l.view.Customers()...)
+		}
 		select {
 		case <-ctx.Done():
 			return
