--- a/pkg/limit/example_test.go
+++ b/pkg/limit/example_test.go
@@ -14,8 +14,7 @@
 func Example() {
 	clock := clockwork.NewRealClock()
 	view := config.NewFixed(nil, []*config.Customer{{ID: "school-a", Rate: 10, Burst: 20}})
-	l := limit.New(clock, view, oneVM{}, noPeers{}, &memory{})
-	l.Prepare("school-a")
+	l := limit.New(clock, view, oneVM{}, noPeers{}, &memory{}, limit.WithPrepareAll())
 	l.Start()
 	defer l.Close()
 	fmt.Println(l.AdmitWait(context.Background(), "school-a", 1).Admitted)
@@ -50,3 +49,5 @@
 	m.objects[name] = siskin.Object{Name: name, Version: v + 1, Operation: op, Value: value}
 	return v + 1, nil
 }
+
+func (m *memory) VMs(context.Context) ([]siskin.VM, error) { return []siskin.VM{oneVM{}.Self()}, nil }
