--- a/pkg/limit/fleet_test.go
+++ b/pkg/limit/fleet_test.go
@@ -205,65 +205,6 @@
 // Changed implements siskin.Members.
 func (n *node) Changed() <-chan struct{} { return nil }
 
-// Get implements siskin.Platform.
-func (f *fleet) Get(_ context.Context, name siskin.ObjectName) (siskin.Object, error) {
-	if f.down {
-		return siskin.Object{}, siskin.NewError(siskin.Unavailable, "platform down")
-	}
-	return f.objects[name], nil
-}
-
-// Put implements siskin.Platform.
-func (f *fleet) Put(_ context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
-	if f.down {
-		return 0, siskin.NewError(siskin.Unavailable, "platform down")
-	}
-	if f.objects[name].Version != ifVersion {
-		return 0, siskin.NewError(siskin.Conflict, "version mismatch")
-	}
-	f.objects[name] = siskin.Object{Name: name, Version: ifVersion + 1, Operation: op, Value: value}
-	if f.rng.Float64() < f.lose {
-		return 0, siskin.NewError(siskin.Unavailable, "answer lost")
-	}
-	return ifVersion + 1, nil
-}
-
-// List and Watch implement siskin.Platform; the limiter does not use them.
-func (f *fleet) List(context.Context, siskin.ObjectName) ([]siskin.Object, error) { panic("unused") }
-
-// Watch is unused.
-func (f *fleet) Watch(context.Context, siskin.ObjectName, siskin.Version) (siskin.Object, error) {
-	panic("unused")
-}
-
-// VMs implements siskin.Platform.
-func (f *fleet) VMs(context.Context) (list []siskin.VM, err error) {
-	if f.down {
-		return nil, siskin.NewError(siskin.Unavailable, "platform down")
-	}
-	for _, n := range f.vms {
-		list = append(list, n.vm)
-	}
-	return list, nil
-}
-
-// Now implements siskin.Clock.
-func (f *fleet) Now() time.Time { return f.at }
-
-// Since implements siskin.Clock.
-func (f *fleet) Since(t time.Time) time.Duration { return f.at.Sub(t) }
-
-// Sleep and After are unused: the fleet is stepped.
-func (f *fleet) Sleep(time.Duration) { panic("unused") }
-
-// After advances the fleet, so that Handover can run inside a test.
-func (f *fleet) After(d time.Duration) <-chan time.Time {
-	f.run(d)
-	c := make(chan time.Time, 1)
-	c <- f.at
-	return c
-}
-
 // sum returns the units of a customer at all VMs that may still run, and fails
 // when they exceed the whole right.
 func (f *fleet) sum(id siskin.CustomerID) (total siskin.Units) {
