internal/front: forward in the test of a key withdrawn in the queue

The second VM now owns no slot. With the check at the home taken out, the test reports that vm-1's write ran; with it in, it passes.

--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -56,10 +56,14 @@
 // is sent to a target after its key was withdrawn.
 func TestKeyWithdrawnInQueue(t *testing.T) {
 	f := startFleet(t, 2, nil)
+	f.allAtFirst.Store(true) // so that the second VM forwards
+	for _, vm := range f.vms {
+		vm.own()
+	}
 	hold := make(chan struct{})
 	f.queue.hold.Store(&hold)
 	answers := make(chan rawAnswer, len(f.vms))
-	for _, vm := range f.vms { // one of them forwards
+	for _, vm := range f.vms {
 		c := vm.raw(t, "badges/write")
 		go func() { answers <- c.query("insert into kv values ('" + string(vm.id) + "', 'x')") }()
 	}
