internal/pool: forget slots that were given up

Slots that were given up are now removed once they are empty.

TestDropCutsNoRequest checks that the slot is gone; go test -race ./internal/pool passes.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -70,8 +70,11 @@
 		case <-p.clock.After(tick):
 		}
 		now := p.clock.Now()
-		p.slots.Range(func(_ Key, s *slot) bool {
+		p.slots.Range(func(key Key, s *slot) bool {
 			s.maintain(now)
+			if s.isEmpty() {
+				p.forget(key)
+			}
 			return true
 		})
 	}
@@ -89,24 +92,27 @@
 // Own starts or updates the ownership of a slot. Connections opened with other
 // settings are closed when they are idle.
 func (p *Pool) Own(key Key, cfg SlotConfig) {
-	s := p.slots.GetOrCreate(key, func() *slot {
-		return &slot{pool: p, key: key, cfg: cfg, conns: make(map[*Conn]struct{})}
-	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = false
-	if s.cfg != cfg {
-		s.cfg = cfg
-		s.generation++
-		s.closeIdle()
-		s.nextOpen = time.Time{}
+	if s, ok := p.slots.Get(key); ok && s.keeps(cfg) {
+		return
 	}
-	s.ensure()
+	// Under the lock of the map, so that forget does not remove the slot.
+	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) {
+		if !ok {
+			s = &slot{pool: p, key: key, cfg: cfg, conns: make(map[*Conn]struct{})}
+		}
+		s.own(cfg)
+		return s, true
+	})
+}
+
+// forget removes a slot that was given up and has no connections anymore.
+func (p *Pool) forget(key Key) {
+	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) { return s, ok && !s.isEmpty() })
 }
 
 // Drop ends the ownership of a slot. New requests are refused, idle connections
 // are closed and requests in progress finish. The returned channel is closed
-// when the last connection is closed.
+// when the last connection is closed or the slot is owned again.
 func (p *Pool) Drop(key Key) <-chan struct{} {
 	s, ok := p.slots.Get(key)
 	if !ok {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -216,6 +216,15 @@
 	}
 	c.Recycle(1)
 	<-done
+	for range 100 {
+		if len(f.Stats()) == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := len(f.Stats()); got != 0 {
+		t.Errorf("got %d slots kept after they were given up, want 0", got)
+	}
 	f.Own(key, f.cfg)
 	f.get(t, Full, 3).Recycle(3)
 }
@@ -285,3 +294,25 @@
 	t.Fatalf("no connection within 2 s after the fault: %+v", f.Stats()[key])
 	return nil
 }
+
+// TestOpensAheadOfDemand guards against statements that wait for an opening
+// although there was time to open a connection before.
+func TestOpensAheadOfDemand(t *testing.T) {
+	f := newFixture(t, 16)
+	within := func(what string, ok func(Stats) bool) {
+		t.Helper()
+		for range 100 {
+			if ok(f.Stats()[key]) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Errorf("%s: got %+v after 1 s", what, f.Stats()[key])
+	}
+	within("the warm floor of both accounts", func(s Stats) bool { return s.Idle >= 2*warmFloor })
+	for i := range uint64(8) {
+		c := f.get(t, Full, i+1)
+		defer c.Recycle(i + 1)
+	}
+	within("a quarter of 8 in use is spare", func(s Stats) bool { return s.Busy == 8 && s.Idle >= 8/4 })
+}
