internal/front: run waiting tests in parallel

The tests took 15 s, and 11 s with -short, most of it spent waiting for deadlines. Those that wait run in parallel now; none was shortened.

--- a/internal/front/callers_test.go
+++ b/internal/front/callers_test.go
@@ -22,6 +22,7 @@
 // TestSlowReader guards against a caller that reads nothing and thereby keeps a
 // target connection for longer than its deadline.
 func TestSlowReader(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, func(_ *target.Config, s *config.Service) { s.Slots, s.ConnectionsPerSlot = 1, 2 })
 	for _, vm := range f.vms {
 		for range 4 {
--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -27,6 +27,7 @@
 // TestWithdrawnKey guards against a key that works on after its withdrawal, on
 // idle connections or inside a transaction.
 func TestWithdrawnKey(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	idle := f.vms[0].raw(t, "badges/write")
 	inTx := f.vms[1].raw(t, "badges/write")
@@ -85,6 +86,7 @@
 // TestMissingConfirmation guards against a write that is acknowledged although
 // no replica has it, and against a caller that is left waiting.
 func TestMissingConfirmation(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	f.group.noAck.Store(true)
 	for _, vm := range f.vms {
@@ -229,6 +231,7 @@
 // TestLateAnswerReachesNobody guards against a response that arrives after the
 // deadline and is taken for the answer of a later request.
 func TestLateAnswerReachesNobody(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, func(_ *target.Config, s *config.Service) { s.ConnectionsPerSlot = 2 })
 	for i, vm := range f.vms {
 		c := vm.raw(t, "badges/short")
@@ -247,6 +250,7 @@
 // TestCancelReachesOwnStatement guards against a cancel request that is lost on
 // the way to the home of the slot or that hits another caller.
 func TestCancelReachesOwnStatement(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, nil)
 	for i, vm := range f.vms {
 		c, other := vm.raw(t, "badges/write"), vm.raw(t, "badges/write")
@@ -275,6 +279,7 @@
 // TestGracefulStop guards against a planned stop that cuts a request or keeps
 // idle callers.
 func TestGracefulStop(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	idle, running, inTx := f.vms[0].raw(t, "badges/write"), f.vms[0].raw(t, "badges/write"), f.vms[0].raw(t, "badges/write")
 	running.fe.Send(&pgproto3.Query{String: "select pg_sleep(0.4)"})
@@ -329,6 +334,7 @@
 // TestHeldUntilPrimaryIsKnown guards against refused writes while the group
 // changes its primary, although the deadline leaves time.
 func TestHeldUntilPrimaryIsKnown(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	primary := f.group.View().Primary
 	f.group.setPrimary("")
@@ -375,6 +381,7 @@
 // TestLaggingReplica guards against a read that misses its session's write, or
 // that fails, while replicas are behind.
 func TestLaggingReplica(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	for _, lag := range []time.Duration{30 * time.Millisecond, 400 * time.Millisecond} {
 		for _, s := range f.targets[1:] {
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -23,6 +23,7 @@
 // TestBatchesOfAnySize guards against a batch that blocks because its answer
 // fills the buffers before the batch is sent.
 func TestBatchesOfAnySize(t *testing.T) {
+	t.Parallel()
 	eachPath(t, func(t *testing.T, _ *fleet, vm *testVM) {
 		c := vm.raw(t, "badges/write")
 		for _, n := range []int{1, 300, 4000} { // below and above one buffer
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -23,7 +23,7 @@
 	opening    [accounts]int
 	waiters    []*waiter
 	draining   bool
-	failures   int       // failed openings in a row
+	failures   int // failed openings in a row
 	nextOpen   time.Time
 	lastErr    error
 	drained    chan struct{} // closed when draining and empty
