internal/pool: wait when the target still counts a closed connection

Requests now wait for up to a second while the only reason is a full slot, and the opening is repeated after its backoff.

--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -95,7 +95,7 @@
 	c.generation, c.state = generation, connResetting
 	s.conns[c] = struct{}{}
 	s.count[account]++
-	s.failures, s.lastErr, s.nextOpen = 0, nil, time.Time{}
+	s.failures, s.lastErr, s.nextOpen, s.fullSince = 0, nil, time.Time{}, time.Time{}
 	s.stats.opened++
 	s.mu.Unlock()
 	s.put(c)
@@ -104,17 +104,24 @@
 func (s *slot) openFailed(account Account, err error) {
 	s.mu.Lock()
 	s.opening[account]--
-	s.failures++
 	s.stats.failed++
-	s.lastErr = err
+	full := s.noteFull(err)
+	if !full {
+		s.failures++
+		s.lastErr = err
+	}
 	b := retry.Backoff{Base: max(s.cfg.OpenTime, 10*time.Millisecond), Max: maxBackoff}
-	delay := b.Delay(s.failures, rand.Int64N)
+	delay := b.Delay(max(s.failures, 1), rand.Int64N)
 	s.nextOpen = s.pool.clock.Now().Add(delay)
-	if s.has(account) == 0 {
+	if s.has(account) == 0 && !full {
 		s.failWaiters(account, s.unreachable())
 	}
 	s.checkDrained()
 	s.mu.Unlock()
+	if full {
+		s.pool.start(s.pool.openers, func() { s.openLater(delay) })
+		return
+	}
 	if s.pool.onFailure != nil && s.pool.ctx.Err() == nil {
 		s.pool.onFailure(s.key.Target, err)
 	}
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -26,6 +26,7 @@
 	failures   int // failed openings in a row
 	nextOpen   time.Time
 	lastErr    error
+	fullSince  time.Time     // first of the openings that failed because the slot is full
 	drained    chan struct{} // closed when draining and empty
 	stats      counters
 }
@@ -62,7 +63,7 @@
 		s.ensure()
 		return c, nil, nil
 	}
-	if s.has(account) == 0 && s.pool.clock.Now().Before(s.nextOpen) {
+	if s.has(account) == 0 && s.failures > 0 && s.pool.clock.Now().Before(s.nextOpen) {
 		return nil, nil, s.unreachable()
 	}
 	w := &waiter{account: account, owner: owner, ready: make(chan result, 1)}
