internal/pool: test the handover of a slot

A new owner refused requests while the old one still held the slot's connections at the target. TestHandoverOfSlot covers this; it fails when the wait on a full slot is taken out.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -316,3 +316,25 @@
 	}
 	within("a quarter of 8 in use is spare", func(s Stats) bool { return s.Busy == 8 && s.Idle >= 8/4 })
 }
+
+// TestHandoverOfSlot guards against requests that are refused by the new owner
+// of a slot while the old one finishes its own.
+func TestHandoverOfSlot(t *testing.T) {
+	f := newFixture(t, 2)
+	first, second := f.get(t, Full, 1), f.get(t, Full, 2)
+	next := New(clockwork.NewRealClock(), f.dialer)
+	defer next.Close(context.Background())
+	next.Own(key, f.cfg)
+	time.AfterFunc(200*time.Millisecond, func() {
+		f.Drop(key)
+		first.Recycle(1)
+		second.Recycle(2)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	c, err := next.Get(ctx, key, Full, 3)
+	if err != nil {
+		t.Fatalf("got %v, want a connection when the old owner is done", err)
+	}
+	c.Recycle(3)
+}
