--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -27,6 +27,7 @@
 // TestWithdrawnKey guards against a key that works on after its withdrawal, on
 // idle connections or inside a transaction.
 func TestWithdrawnKey(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	idle := f.vms[0].raw(t, "badges/write")
 	inTx := f.vms[1].raw(t, "badges/write")
@@ -56,10 +57,14 @@
 // is sent to a target after its key was withdrawn.
 func TestKeyWithdrawnInQueue(t *testing.T) {
 	f := startFleet(t, 2, nil)
+	f.allAtFirst.Store(true) // so that the second VM forwards
+	for _, vm := range f.vms {
+		vm.own()
+	}
 	hold := make(chan struct{})
 	f.queue.hold.Store(&hold)
 	answers := make(chan rawAnswer, len(f.vms))
-	for _, vm := range f.vms { // one of them forwards
+	for _, vm := range f.vms {
 		c := vm.raw(t, "badges/write")
 		go func() { answers <- c.query("insert into kv values ('" + string(vm.id) + "', 'x')") }()
 	}
@@ -81,6 +86,7 @@
 // TestMissingConfirmation guards against a write that is acknowledged although
 // no replica has it, and against a caller that is left waiting.
 func TestMissingConfirmation(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	f.group.noAck.Store(true)
 	for _, vm := range f.vms {
@@ -225,6 +231,7 @@
 // TestLateAnswerReachesNobody guards against a response that arrives after the
 // deadline and is taken for the answer of a later request.
 func TestLateAnswerReachesNobody(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, func(_ *target.Config, s *config.Service) { s.ConnectionsPerSlot = 2 })
 	for i, vm := range f.vms {
 		c := vm.raw(t, "badges/short")
@@ -243,6 +250,7 @@
 // TestCancelReachesOwnStatement guards against a cancel request that is lost on
 // the way to the home of the slot or that hits another caller.
 func TestCancelReachesOwnStatement(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, nil)
 	for i, vm := range f.vms {
 		c, other := vm.raw(t, "badges/write"), vm.raw(t, "badges/write")
@@ -271,6 +279,7 @@
 // TestGracefulStop guards against a planned stop that cuts a request or keeps
 // idle callers.
 func TestGracefulStop(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	idle, running, inTx := f.vms[0].raw(t, "badges/write"), f.vms[0].raw(t, "badges/write"), f.vms[0].raw(t, "badges/write")
 	running.fe.Send(&pgproto3.Query{String: "select pg_sleep(0.4)"})
@@ -325,6 +334,7 @@
 // TestHeldUntilPrimaryIsKnown guards against refused writes while the group
 // changes its primary, although the deadline leaves time.
 func TestHeldUntilPrimaryIsKnown(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	primary := f.group.View().Primary
 	f.group.setPrimary("")
@@ -371,6 +381,7 @@
 // TestLaggingReplica guards against a read that misses its session's write, or
 // that fails, while replicas are behind.
 func TestLaggingReplica(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2, nil)
 	for _, lag := range []time.Duration{30 * time.Millisecond, 400 * time.Millisecond} {
 		for _, s := range f.targets[1:] {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -216,6 +216,15 @@
 	}
 	c.Recycle(1)
 	<-done
+	for range 100 {
+		if len(f.Stats()) == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := len(f.Stats()); got != 0 {
+		t.Errorf("got %d slots kept after they were given up, want 0", got)
+	}
 	f.Own(key, f.cfg)
 	f.get(t, Full, 3).Recycle(3)
 }
@@ -285,3 +294,47 @@
 	t.Fatalf("no connection within 2 s after the fault: %+v", f.Stats()[key])
 	return nil
 }
+
+// TestOpensAheadOfDemand guards against statements that wait for an opening
+// although there was time to open a connection before.
+func TestOpensAheadOfDemand(t *testing.T) {
+	f := newFixture(t, 16)
+	within := func(what string, ok func(Stats) bool) {
+		t.Helper()
+		for range 100 {
+			if ok(f.Stats()[key]) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Errorf("%s: got %+v after 1 s", what, f.Stats()[key])
+	}
+	within("the warm floor of both accounts", func(s Stats) bool { return s.Idle >= 2*warmFloor })
+	for i := range uint64(8) {
+		c := f.get(t, Full, i+1)
+		defer c.Recycle(i + 1)
+	}
+	within("a quarter of 8 in use is spare", func(s Stats) bool { return s.Busy == 8 && s.Idle >= 8/4 })
+}
+
+// TestHandoverOfSlot guards against requests that are refused by the new owner
+// of a slot while the old one finishes its own.
+func TestHandoverOfSlot(t *testing.T) {
+	f := newFixture(t, 2)
+	first, second := f.get(t, Full, 1), f.get(t, Full, 2)
+	next := New(clockwork.NewRealClock(), f.dialer)
+	defer next.Close(context.Background())
+	next.Own(key, f.cfg)
+	time.AfterFunc(200*time.Millisecond, func() {
+		f.Drop(key)
+		first.Recycle(1)
+		second.Recycle(2)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	c, err := next.Get(ctx, key, Full, 3)
+	if err != nil {
+		t.Fatalf("got %v, want a connection when the old owner is done", err)
+	}
+	c.Recycle(3)
+}
