limit: give tokens where no units can be spared; serve granted customers

The refusals hit the customers of 50 requests a second: their 50 tokens are split over 7 homes, chance empties one bucket, and a holder gave nothing because all units matched its own demand.

A holding learns its rate with the first use.

--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -199,6 +199,11 @@
 	h.refill(now)
 	h.add(item.Units, float64(item.Tokens))
 	if item.Units == 0 {
+		if item.Tokens > 0 {
+			// Tokens serve the requests that wait; the round for units goes on.
+			h.failures = 0
+			h.wake()
+		}
 		c.failed(now, b, h)
 		if h.failures >= rereadFailures && now-b.readAt >= rereadEvery {
 			c.read(i, b) // a holder that joined later may be rich
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -36,6 +36,9 @@
 // holding returns the state of a customer and creates it from the rest.
 func (b *bucket) holding(now time.Duration, id siskin.CustomerID, view config.View) *holding {
 	if h := b.holdings[id]; h != nil {
+		if !h.known {
+			h.learn(now, view)
+		}
 		return h
 	}
 	c, ok := view.Customer(id)
@@ -106,7 +109,8 @@
 	}
 	for id, units := range g.Customers {
 		if b.holdings[id] == nil {
-			// The customer may be unknown here; its rate follows with refresh.
+			// Its rate follows with the first use or, for a customer that is not
+			// yet known here, with the configuration.
 			b.holdings[id] = &holding{id: id, units: b.rest + units, at: now}
 		}
 	}
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -133,12 +133,8 @@
 	for i := range c.buckets {
 		b := &c.buckets[i]
 		b.mu.Lock()
-		for id, h := range b.holdings {
-			h.refill(now)
-			doc, ok := c.view.Customer(id)
-			if h.known = ok; ok {
-				h.rate, h.burst = float64(doc.Rate), float64(doc.Burst)
-			}
+		for _, h := range b.holdings {
+			h.learn(now, c.view)
 		}
 		b.mu.Unlock()
 	}
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -61,7 +61,9 @@
 		out.Units, out.Fair = h.gift(now, item)
 		out.Units = min(max(out.Units, 0), h.units)
 	}
-	out.Tokens = siskin.Requests(h.take(out.Units))
+	tokens := h.take(out.Units)
+	tokens += h.takeTokens(now, item, float64(item.Units+out.Units), float64(item.Need)-tokens)
+	out.Tokens = siskin.Requests(tokens)
 	out.Spare = h.spare(now)
 	if best := h.hints.richest(now, args.From); best.vm != "" {
 		out.Richest, out.RichestSpare, out.RichestAge = best.vm, best.spare, now-best.at
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/invar"
 )
 
@@ -37,6 +38,15 @@
 
 func (h *holding) share() float64 { return float64(h.units) / float64(siskin.TotalUnits) }
 
+// learn takes the customer's rate from the configuration, if it is there.
+func (h *holding) learn(now time.Duration, view config.View) {
+	doc, ok := view.Customer(h.id)
+	if h.known = ok; ok {
+		h.refill(now)
+		h.rate, h.burst = float64(doc.Rate), float64(doc.Burst)
+	}
+}
+
 // refill adds the tokens since the last call. Time that goes back adds none.
 func (h *holding) refill(now time.Duration) {
 	share := h.share()
--- a/pkg/limit/policy.go
+++ b/pkg/limit/policy.go
@@ -58,3 +58,19 @@
 func (h *holding) preferred(now time.Duration, a, b siskin.VMID) int {
 	return cmp.Compare(h.hints.get(now, b), h.hints.get(now, a))
 }
+
+// takeTokens removes tokens for an asker that lacks some, beyond those in the
+// units that it gets. Demand that is spread evenly leaves no units to spare,
+// and a small customer has few tokens at each holder, so chance alone empties
+// one bucket while others are full. The giver keeps what it will use before it
+// could ask itself; the asker cannot hold more than its part of the burst.
+func (h *holding) takeTokens(now time.Duration, item *AskItem, units, need float64) float64 {
+	spare := h.tokens - h.queued - 1 - h.demand.high(now)*askAhead.Seconds()
+	room := h.burst * units / float64(siskin.TotalUnits)
+	give := min(max(need, spare/2), spare, room)
+	if need <= 0 || item.Need <= 0 || give < min(need, 1) {
+		return 0
+	}
+	h.tokens -= give
+	return give
+}
