pkg/spread: pass on known changes, confirm revisions, measure

Cause: at 300 VMs some changes were in force everywhere only after 1.9 s, and a fleet without a configuration asked the platform 100 times a second. A VM that knew a change already, as from an exchange, did not pass its push on, so the VMs below it in the tree waited for their own exchange. Each VM without a configuration asked the platform at nearly every exchange.

Change: a push is passed on in any case; the watchers wait 150 ms and 500 ms for the push of the VM that made the change, so that usually one tree runs. VMs without a configuration ask the platform at doubling intervals.

--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -38,8 +38,12 @@
 		return 0, err
 	}
 	if err := s.write(ctx, h, version, change.Operation, docs); err != nil {
+		if siskin.KindOf(err) == siskin.Conflict { // others may be applied again
+			s.accepted.refuse(rev, change.Operation)
+		}
 		return 0, err
 	}
+	s.accepted.note(rev, change.Operation)
 	s.install(entries, rev)
 	near, far := s.others()
 	s.pushAll(h.Revision, append(near, far...))
--- a/pkg/spread/config.go
+++ b/pkg/spread/config.go
@@ -44,11 +44,12 @@
 	// statusEvery is how often an exchange is with the VM that collects the
 	// revisions of the data centre.
 	statusEvery = 4
-	// backupDelay is how long the second watcher waits for the push of the
-	// first one.
-	backupDelay = 500 * time.Millisecond
 )
 
+// backupDelay is how long the first and the second watcher wait for a push
+// before they push a change themselves.
+var backupDelay = [watcherCount]time.Duration{150 * time.Millisecond, 500 * time.Millisecond}
+
 func (cfg *Config) setDefaults() {
 	setDefault(&cfg.ExchangeInterval, time.Second)
 	setDefault(&cfg.CallTimeout, 2*time.Second)
--- a/pkg/spread/exchange.go
+++ b/pkg/spread/exchange.go
@@ -33,9 +33,10 @@
 		if vm, ok := s.partner(n); ok {
 			_ = s.fetch(vm)
 		}
-		// Peers that have no configuration either leave only the platform,
-		// which is asked at growing intervals.
-		if s.Revision() == 0 && (n&(n-1) == 0 || n%30 == 0) {
+		// Watchers hear from the platform anyway. Others ask it at doubling
+		// intervals while no peer has a configuration, so that a fleet without
+		// one does not load the platform.
+		if s.Revision() == 0 && n >= 4 && n&(n-1) == 0 {
 			s.submit(func() { _ = s.loadFromPlatform(s.ctx) })
 		}
 		s.writeStatus()
@@ -65,7 +66,11 @@
 
 // collector returns the VM that collects the revisions of this data centre.
 func (s *Spread) collector() (siskin.VM, bool) {
-	return place.Best("Spread/Collector", place.In(s.members.Self().DataCentre, s.members.Live()))
+	return collectorOf(s.members.Self().DataCentre, s.members.Live())
+}
+
+func collectorOf(dc siskin.DataCentreID, live []siskin.VM) (siskin.VM, bool) {
+	return place.Best("Spread/Collector", place.In(dc, live))
 }
 
 // fetch gets the documents changed since this VM's revision from a peer, in
--- a/pkg/spread/load.go
+++ b/pkg/spread/load.go
@@ -61,6 +61,7 @@
 		if err != nil {
 			return err
 		}
+		s.accepted.note(c.Revision, c.Operation)
 		s.install(entries, c.Revision)
 	}
 	return nil
--- a/pkg/spread/push.go
+++ b/pkg/spread/push.go
@@ -10,7 +10,9 @@
 	// Base is the revision that the receiver needs to have in force, and
 	// Revision the one that the documents bring into force.
 	Base, Revision siskin.Revision
-	Documents      []Document
+	// Operation is the operation that made the revision, if it is known.
+	Operation siskin.OperationID `json:",omitempty"`
+	Documents []Document
 	// Targets are the VMs that the receiver pushes the change to.
 	Targets []siskin.VMID `json:",omitempty"`
 }
@@ -34,15 +36,16 @@
 	}
 	s.status.note(args.From, args.Revision, s.clock.Now())
 	reply.Revision = s.Revision()
-	if !known {
-		s.push(*args, args.Targets)
-	}
+	// The targets depend on this VM even when it knows the change already, as
+	// from an exchange.
+	s.push(*args, args.Targets)
 	return nil
 }
 
 // accept installs pushed documents. When earlier changes are missing, they are
 // fetched from the sender and only then the revision advances.
 func (s *Spread) accept(args *PushArgs, entries []*entry) {
+	s.accepted.note(args.Revision, args.Operation)
 	if s.Revision() >= args.Base {
 		s.install(entries, args.Revision)
 		return
@@ -88,5 +91,5 @@
 	for _, vm := range vms {
 		targets = append(targets, vm.ID)
 	}
-	s.push(PushArgs{Base: base, Revision: rev, Documents: docs}, targets)
+	s.push(PushArgs{Base: base, Revision: rev, Operation: s.accepted.operation(rev), Documents: docs}, targets)
 }
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -22,6 +22,7 @@
 	peers    siskin.Peers
 	platform siskin.Platform
 	status   *status
+	accepted *accepted
 	pool     pond.Pool
 
 	loadMu  sync.Mutex // one catch-up with the platform at a time
@@ -49,7 +50,7 @@
 	s := &Spread{
 		store: newStore(), cfg: cfg, clock: clockwork.NewRealClock(),
 		members: members, peers: peers, platform: platform,
-		status: newStatus(), busy: make(map[siskin.VMID]bool),
+		status: newStatus(), accepted: newAccepted(), busy: make(map[siskin.VMID]bool),
 		pool: pond.NewPool(16, pond.WithQueueSize(256), pond.WithNonBlocking(true)),
 	}
 	for _, opt := range opts {
--- a/pkg/spread/watch.go
+++ b/pkg/spread/watch.go
@@ -59,10 +59,11 @@
 		s.pause(ctx)
 		return version
 	}
-	if rank > 0 && h.Revision > s.Revision() {
-		// The first watcher's push usually arrives in this time.
+	if h.Revision > s.Revision() {
+		// The push of the VM that made the change, or of the first watcher,
+		// usually arrives in this time and makes another one unnecessary.
 		select {
-		case <-s.clock.After(backupDelay):
+		case <-s.clock.After(backupDelay[rank]):
 		case <-s.ctx.Done():
 			return version
 		}
