--- a/pkg/spread/fleet_test.go
+++ b/pkg/spread/fleet_test.go
@@ -32,6 +32,7 @@
 type fabric struct {
 	mu    sync.Mutex
 	cut   bool // the data centres are cut off from each other
+	alone bool // VMs start cut off from the platform
 	vms   []siskin.VM
 	nodes map[siskin.VMID]*node
 }
@@ -146,6 +147,7 @@
 		t.Fatal(err)
 	}
 	n := &node{f: f, vm: vm, client: c}
+	n.cutOff.Store(f.alone)
 	n.Spread = New(cfg, n, n, gate{c, n})
 	f.mu.Lock()
 	if f.nodes[vm.ID] == nil {
