--- a/pkg/spread/snapshot.go
+++ b/pkg/spread/snapshot.go
@@ -15,7 +15,7 @@
 // snapshotTurn is the time between two looks at the age of the snapshot.
 const snapshotTurn = 5 * time.Second
 
-// snapshotLoop rewrites the snapshot while this VM is the one to do so.
+// snapshotLoop rewrites the snapshot in the background.
 func (s *Spread) snapshotLoop() {
 	covered := siskin.Revision(0)
 	for {
@@ -24,14 +24,38 @@
 		case <-s.ctx.Done():
 			return
 		}
-		best, ok := place.Best("Spread/Snapshot", s.members.Live())
-		if !ok || best.ID != s.members.Self().ID || s.Revision() < covered+s.cfg.SnapshotEvery {
-			continue
+		covered = s.snapshotOnce(covered)
+	}
+}
+
+// snapshotOnce rewrites the snapshot if it is time to and returns the revision
+// that it covers as far as this VM knows.
+func (s *Spread) snapshotOnce(covered siskin.Revision) siskin.Revision {
+	after, ok := s.snapshotAfter()
+	if !ok || s.Revision() < covered+after {
+		return covered
+	}
+	if rev, err := s.writeSnapshot(s.ctx); err == nil {
+		return rev
+	}
+	return covered
+}
+
+// snapshotAfter returns the number of changes after which this VM rewrites the
+// snapshot. The first in rank does so at once; the next two wait longer, in
+// case those before them do not reach the platform.
+func (s *Spread) snapshotAfter() (siskin.Revision, bool) {
+	const writers = 3
+	self := s.members.Self().ID
+	for i, vm := range place.Rank("Spread/Snapshot", s.members.Live()) {
+		if i >= writers {
+			break
 		}
-		if rev, err := s.writeSnapshot(s.ctx); err == nil {
-			covered = rev
+		if vm.ID == self {
+			return s.cfg.SnapshotEvery << (2 * i), true
 		}
 	}
+	return 0, false
 }
 
 // snapshotRevision returns the revision that the snapshot covers.
