--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -1,137 +1,18 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"runtime"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"siskintray.example/siskin/internal/frame"
 	"siskintray.example/siskin/internal/pool"
 )
 
-// cannedTarget answers every query of a connection with prepared bytes and
-// without allocating, so that a benchmark shows the proxy alone.
-type cannedTarget struct {
-	rows int
-}
-
-// Dial implements pool.Dialer.
-func (d cannedTarget) Dial(context.Context, pool.Key, pool.SlotConfig, pool.Account) (pool.Opened, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return pool.Opened{}, err
-	}
-	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		return pool.Opened{}, err
-	}
-	server, err := l.Accept()
-	go d.serve(server)
-	return pool.Opened{Conn: client}, err
-}
-
-// Cancel implements pool.Dialer.
-func (cannedTarget) Cancel(context.Context, string, uint32, []byte) error { return nil }
-
-func encode(msgs ...frame.Message) []byte {
-	var b []byte
-	for _, m := range msgs {
-		b, _ = m.Encode(b)
-	}
-	return b
-}
-
-func (d cannedTarget) serve(conn net.Conn) {
-	defer conn.Close()
-	done := encode(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
-	row := encode(&pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte("x"), 100)}})
-	position := append(encode(&pgproto3.DataRow{Values: [][]byte{[]byte("1"), []byte("0/1")}}), done...)
-	r, w := frame.NewReader(conn), frame.NewWriter(conn)
-	for {
-		if r.Buffered() == 0 && w.Flush() != nil {
-			return
-		}
-		if _, err := r.Next(); err != nil {
-			return
-		}
-		body, err := r.Body(frame.BufferSize)
-		if err != nil {
-			return
-		}
-		switch {
-		case bytes.Contains(body, []byte("siskin_commit_position")):
-			_ = w.Raw(position)
-			continue
-		case bytes.HasPrefix(body, []byte("select")):
-			for range d.rows {
-				_ = w.Raw(row)
-			}
-		}
-		_ = w.Raw(done)
-	}
-}
-
-// query is the request of the benchmarks, and drain reads its answer without
-// allocating.
-var benchQuery = encode(&pgproto3.Query{String: "select v from kv where k = 'a'"})
-
-func drain(r *frame.Reader) error {
-	for {
-		h, err := r.Next()
-		if err != nil {
-			return err
-		}
-		if err := r.Skip(); err != nil || h.Type == 'Z' {
-			return err
-		}
-		if h.Type == 'E' {
-			return io.ErrUnexpectedEOF
-		}
-	}
-}
-
-// benchClient logs in and returns the plain connection.
-func (vm *testVM) benchClient(tb testing.TB, route string) (net.Conn, *frame.Reader) {
-	c := vm.raw(tb, "badges/"+route)
-	_ = c.conn.SetDeadline(time.Time{})
-	return c.conn, frame.NewReader(c.conn)
-}
-
-// statementRunner returns a function that runs one statement against a canned
-// target.
-func statementRunner(tb testing.TB, route string, forwarded bool, rows int) func() {
-	vms := 1
-	if forwarded {
-		vms = 2
-	}
-	f := startFleet(tb, vms, nil)
-	// With two VMs the second one owns nothing, so that it forwards all.
-	f.allAtFirst.Store(true)
-	f.dialCanned(rows)
-	conn, r := f.vms[vms-1].benchClient(tb, route)
-	run := func() {
-		if _, err := conn.Write(benchQuery); err != nil {
-			tb.Fatal(err)
-		}
-		if err := drain(r); err != nil {
-			tb.Fatal(err)
-		}
-	}
-	for range 100 {
-		run()
-	}
-	return run
-}
-
 func benchmarkStatements(b *testing.B, route string, forwarded bool, rows int) {
 	run := statementRunner(b, route, forwarded, rows)
 	b.ReportAllocs()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -12,99 +11,10 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jonboulle/clockwork"
-	"go.uber.org/goleak"
 
 	"siskintray.example/siskin"
-	"siskintray.example/siskin/internal/stand/target"
-	"siskintray.example/siskin/pkg/config"
-	"siskintray.example/siskin/pkg/invar"
 )
 
-func TestMain(m *testing.M) {
-	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
-	goleak.VerifyTestMain(m)
-}
-
-var key = Key{Target: "badges/1", Slot: 0}
-
-// faultyDialer wraps connections so that tests can silence the older ones or
-// make openings fail.
-type faultyDialer struct {
-	*PGDialer
-	muteBefore atomic.Int64
-	fail       atomic.Bool
-	opens      atomic.Int64
-}
-
-func (d *faultyDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (Opened, error) {
-	n := d.opens.Add(1)
-	if d.fail.Load() {
-		return Opened{}, errors.New("refused")
-	}
-	o, err := d.PGDialer.Dial(ctx, key, cfg, account)
-	o.Conn = mutedConn{o.Conn, d, n}
-	return o, err
-}
-
-type mutedConn struct {
-	net.Conn
-	d *faultyDialer
-	n int64
-}
-
-func (c mutedConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if n == 0 || c.n > c.d.muteBefore.Load() {
-			return n, err
-		}
-	}
-}
-
-type fixture struct {
-	*Pool
-	target *target.Server
-	dialer *faultyDialer
-	cfg    SlotConfig
-	silent atomic.Int64
-}
-
-func newFixture(t *testing.T, limit int) *fixture {
-	t.Helper()
-	servers, err := target.StartGroup("badges", 1, func(c *target.Config) { c.ConnectionsPerSlot = limit })
-	if err != nil {
-		t.Fatal(err)
-	}
-	d, err := NewPGDialer(nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &fixture{target: servers[0], dialer: &faultyDialer{PGDialer: d}}
-	f.cfg = SlotConfig{Address: servers[0].Address(), Limit: limit, Credentials: config.Credentials{
-		User: "siskin", Password: "full-secret", ReadUser: "siskin_read", ReadPassword: "read-secret", Database: "app",
-	}}
-	f.Pool = New(clockwork.NewRealClock(), f.dialer, WithFailure(func(siskin.TargetID, error) { f.silent.Add(1) }))
-	f.Own(key, f.cfg)
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		f.Close(ctx)
-		_ = target.CloseAll(servers)
-	})
-	return f
-}
-
-func (f *fixture) get(t *testing.T, account Account, owner uint64) *Conn {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	c, err := f.Get(ctx, key, account, owner)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return c
-}
-
 // TestLimitOverBothAccounts guards against a slot that opens more connections
 // than its number, and against a request that waits while it could be served.
 func TestLimitOverBothAccounts(t *testing.T) {
@@ -283,18 +193,6 @@
 	c.Recycle(99)
 }
 
-func mustEventually(t *testing.T, f *fixture) *Conn {
-	t.Helper()
-	for range 200 {
-		if c, err := f.Get(context.Background(), key, Full, 99); err == nil {
-			return c
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatalf("no connection within 2 s after the fault: %+v", f.Stats()[key])
-	return nil
-}
-
 // TestOpensAheadOfDemand guards against statements that wait for an opening
 // although there was time to open a connection before.
 func TestOpensAheadOfDemand(t *testing.T) {
