peer, front: call a restarted VM; let a stopping VM's last message arrive

The log showed Limit.Report and Limit.Ask failing for seconds with "connection is shut down": net/rpc stops reading when the peer closes and keeps the codec open, so the dead connection stayed in use until it was idle for 30 s. The cut requests were sent just before the VM closed an idle session; the system then reset the connection and the caller lost the message with 57P01. Ruled out: the handover itself, which ended in 0.5 s while the peers could be called.

Change: the codec closes the connection when reading fails; a session that this VM ends waits up to 500 ms for the caller to close. netem silences connections except those of callers, which no VM can replace.

--- a/internal/bench/silence.go
+++ b/internal/bench/silence.go
@@ -28,9 +28,9 @@
 		at   time.Duration
 		do   func() int
 	}{
-		{"to a replica", at, func() int { return f.Net.Silence(string(f.Groups[service][1].ID())) }},
-		{"to the primary", 2 * at, func() int { return f.Net.Silence(string(f.Groups[service][0].ID())) }},
-		{"to a VM", 3 * at, func() int { return f.Net.Silence(string(f.VMs[0].ID())) }},
+		{"to a replica", at, func() int { return f.Net.Silence(string(f.Groups[service][1].ID()), load.ClientPlace) }},
+		{"to the primary", 2 * at, func() int { return f.Net.Silence(string(f.Groups[service][0].ID()), load.ClientPlace) }},
+		{"to a VM", 3 * at, func() int { return f.Net.Silence(string(f.VMs[0].ID()), load.ClientPlace) }},
 	}
 	for _, fault := range faults {
 		timer := time.AfterFunc(fault.at, func() {
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -33,6 +33,9 @@
 	}
 	defer s.sessions.Delete(c.id)
 	c.loop()
+	if c.endReason() != nil {
+		linger(c.conn)
+	}
 }
 
 // maxStartupMessages bounds the messages before the start-up message: one for
--- a/internal/netem/network.go
+++ b/internal/netem/network.go
@@ -72,14 +72,15 @@
 	n.changed = make(chan struct{})
 }
 
-// Silence makes the open connections to the given host go silent for good;
-// new connections work. It returns their number.
-func (n *Network) Silence(host string) int {
+// Silence makes the open connections to the given host go silent for good, but
+// not those from the data centre except; new connections work. It returns
+// their number.
+func (n *Network) Silence(host string, except siskin.DataCentreID) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := 0
 	for c := range n.conns {
-		if c.ends.toHost == host {
+		if c.ends.toHost == host && c.ends.fromDC != except {
 			c.silent.Store(true)
 			count++
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 		Clock:   cfg.Clock,
 		Config:  cfg.Config,
 		Groups:  n.groups,
+		Keys:    cfg.Keys,
 		Limiter: cfg.Limiter,
 		Queues:  n.queues,
 		Pool:    n.pool,
--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -45,13 +45,16 @@
 // ReadResponseHeader implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	f, size, err := readFrame(c.r, c.cfg.MaxMessage)
+	if err == nil && f.kind != answerFrame && f.kind != errorFrame {
+		err = errMalformed
+	}
 	if err != nil {
+		// net/rpc stops reading and keeps the codec open, so that every later
+		// call on the connection would fail.
+		c.w.close()
 		return err
 	}
 	c.activity.received()
-	if f.kind != answerFrame && f.kind != errorFrame {
-		return errMalformed
-	}
 	c.counters.received(f.method, size)
 	c.answer = f
 	r.ServiceMethod, r.Seq = f.method, f.seq
