pool, node: give up connections in use that went silent

The pool's evidence is an unanswered probe of an idle connection; under load all old connections were in use, so none was left to probe. A trial showed two more faults: connections that replaced silent ones were opened before the latest unanswered probe and, once heard, counted as proof that the old ones were alive; and so did connections opened between the fault and the first probe.

Change: control connections are compared as well: an old one that leaves a question unanswered while a new one answers is evidence for the pool. An incident has one beginning, and a connection in use is cleared only by one that is at least as old.

--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -25,7 +25,9 @@
 	log      *log.Logger
 	// endOlder ends the writes at primaries of terms before the given one.
 	endOlder func(service siskin.ServiceName, term siskin.Term)
-	running  *shard.Map[siskin.ServiceName, *watchedGroup]
+	// silent tells the pool that old connections to a target went silent.
+	silent  func(target siskin.TargetID, sent time.Time)
+	running *shard.Map[siskin.ServiceName, *watchedGroup]
 }
 
 func newGroups(cfg Config, homes *homes, endOlder func(siskin.ServiceName, siskin.Term)) *groups {
@@ -83,7 +85,12 @@
 	if ok && old.credentials == service.Credentials && sameSettings(&old.settings, &settings) {
 		return nil
 	}
-	dialer := pgctl.NewDialer(service.Credentials, 0, pgctl.WithDial(g.open))
+	dialer := &watchDialer{
+		inner:  pgctl.NewDialer(service.Credentials, 0, pgctl.WithDial(g.open)),
+		clock:  g.clock,
+		silent: g.silent,
+		failed: make(map[siskin.TargetID]time.Time),
+	}
 	rank := func() int { return g.rank(service) }
 	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithRank(rank))
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) })
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
+	n.groups.silent = n.pool.ProbeFailed
 	n.slots = &slots{self: cfg.Self.ID, homes: n.homes, pool: n.pool, queues: n.queues}
 	n.home = (&relay.Home{
 		Clock:   cfg.Clock,
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -11,18 +11,30 @@
 // while the target may still accept new ones.
 type silence struct {
 	mu sync.Mutex
-	// failed is when the latest unanswered probe was sent, and alive when a
-	// connection opened before that was last heard.
-	failed, alive time.Time
+	// first and failed are when the first and the latest unanswered probe of
+	// one incident were sent. Connections that replace silent ones are opened
+	// after first; they say nothing about the older ones.
+	first, failed time.Time
+	// alive is when the oldest connection that was heard since first was
+	// opened. Connections that are as old have proved that theirs is no fault
+	// of the path; a younger one may have been opened after it.
+	alive time.Time
 }
 
 // settle is how long the older siblings of a silent connection have to prove
 // that they are not.
 const settle = probeAgain + tick
 
+// incident is the time after the latest unanswered probe from which on another
+// one begins a new incident.
+const incident = 3 * time.Second
+
 func (s *silence) probeFailed(sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if sent.Sub(s.failed) > incident {
+		s.first, s.alive = sent, time.Time{}
+	}
 	if sent.After(s.failed) {
 		s.failed = sent
 	}
@@ -31,19 +43,20 @@
 func (s *silence) heard(opened, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if opened.Before(s.failed) {
-		s.alive = now
+	if now.After(s.first) && (s.alive.IsZero() || opened.Before(s.alive)) {
+		s.alive = opened
 	}
 }
 
 // isSilent reports whether a connection in use that was opened and last heard
 // at the given times is to be given up: a sibling of its age did not answer a
-// probe sent later, and no other of that age was heard since.
+// probe sent later, and no other that is as old was heard since.
 func (s *silence) isSilent(opened, heard, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return opened.Before(s.failed) && heard.Before(s.failed) && s.alive.Before(s.failed) &&
-		now.Sub(s.failed) >= probeTimeout+settle
+	exonerated := !s.alive.IsZero() && !s.alive.After(opened)
+	return opened.Before(s.first) && heard.Before(s.first) && !exonerated &&
+		now.Sub(s.first) >= probeTimeout+settle
 }
 
 func (p *Pool) silenceOf(target siskin.TargetID) *silence {
