--- a/pkg/member/fabric_test.go
+++ b/pkg/member/fabric_test.go
@@ -129,6 +129,20 @@
 	}
 }
 
+// random returns a random duration below d.
+func (f *fabric) random(d time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.rng.Int64N(int64(d)))
+}
+
+// lose sets the share of messages that are lost.
+func (f *fabric) lose(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loss = share
+}
+
 // kill cuts a VM off from all others.
 func (f *fabric) kill(id siskin.VMID, group int) {
 	f.mu.Lock()
--- /dev/null
+++ b/pkg/member/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package member
+
+// raceEnabled says that the race detector runs.
+const raceEnabled = false
