--- /dev/null
+++ b/pkg/limit/core_test.go
@@ -0,0 +1,272 @@
+package limit
+
+import (
+	"bytes"
+	"encoding/gob"
+	"reflect"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// pair starts two VMs of one data centre and returns the cores of the one that
+// holds everything and the other, and the bucket of the customer.
+func pair(t *testing.T) (rich, poor *core, bucket int) {
+	t.Helper()
+	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
+	one, two := f.start("v1", 1, "d1"), f.start("v2", 1, "d1")
+	for _, n := range []*node{one, two, one} { // the second reading knows both
+		n.l.readRecords(t.Context())
+		n.l.core.prepare(bucketOf("a"))
+		if err := n.l.readRecord(t.Context(), bucketOf("a")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rich, poor = one.l.core, two.l.core
+	if rich.units("a") == 0 {
+		rich, poor = poor, rich
+	}
+	return rich, poor, bucketOf("a")
+}
+
+// ask lets poor be refused and returns its request for units.
+func ask(t *testing.T, poor *core) *AskArgs {
+	t.Helper()
+	poor.admit(1e6, "a", 1, true)
+	out := poor.plan(1e6)
+	if len(out) != 1 {
+		t.Fatalf("got %d messages, want 1", len(out))
+	}
+	return out[0].args
+}
+
+// TestTransferInFlightIsVoidInNextEpoch guards against units that a reclaim
+// counts as missing and that arrive afterwards.
+func TestTransferInFlightIsVoidInNextEpoch(t *testing.T) {
+	rich, poor, i := pair(t)
+	args := ask(t, poor)
+	reply := rich.answer(2e6, args)
+	if reply.Items[0].Units == 0 {
+		t.Fatal("got no units, want some")
+	}
+	for _, c := range []*core{rich, poor} {
+		if _, err := c.report(i, 2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	poor.receive(3e6, rich.self.VM, args.Seq, &reply)
+	if got := poor.units("a"); got != 0 {
+		t.Errorf("got %d units of epoch 1 in epoch 2, want 0", got)
+	}
+}
+
+// TestGiverRefusesAskerOfOtherEpoch guards against units that are given after
+// the giver reported and before the asker does, and that count twice.
+func TestGiverRefusesAskerOfOtherEpoch(t *testing.T) {
+	rich, poor, i := pair(t)
+	args := ask(t, poor)
+	if _, err := rich.report(i, 2); err != nil {
+		t.Fatal(err)
+	}
+	if got := rich.answer(2e6, args).Items[0].Units; got != 0 {
+		t.Errorf("got %d units for an asker of epoch 1, want 0", got)
+	}
+}
+
+// TestReportIsFrozen guards against a reclaimer that takes over, gets another
+// report than the first one, and grants units twice.
+func TestReportIsFrozen(t *testing.T) {
+	rich, poor, i := pair(t)
+	first, err := rich.report(i, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := poor.report(i, 2); err != nil {
+		t.Fatal(err)
+	}
+	if rich.answer(2e6, ask(t, poor)).Items[0].Units == 0 {
+		t.Fatal("got no units, want some")
+	}
+	if second, _ := rich.report(i, 2); !reflect.DeepEqual(first, second) {
+		t.Errorf("got %+v the second time, want %+v", second, first)
+	}
+	if _, err := rich.report(i, 1); siskin.KindOf(err) != siskin.Conflict {
+		t.Errorf("got %v for a past epoch, want kind Conflict", err)
+	}
+}
+
+// TestStaleMessages guards against a message for another run of a VM, or one
+// that was delayed past its successor, that moves units again.
+func TestStaleMessages(t *testing.T) {
+	rich, poor, _ := pair(t)
+	args := ask(t, poor)
+	first := rich.answer(2e6, args)
+	if again := rich.answer(2e6, args); !reflect.DeepEqual(first, again) {
+		t.Errorf("got %+v for a repeated request, want %+v", again, first)
+	}
+	later := *args
+	later.Seq++
+	rich.answer(3e6, &later)
+	if !rich.answer(4e6, args).Stale {
+		t.Error("got an answer to a request before the latest one, want Stale")
+	}
+	other := later
+	other.Seq++
+	other.ToIncarnation++
+	if !rich.answer(5e6, &other).Stale {
+		t.Error("got an answer to a request for another incarnation, want Stale")
+	}
+}
+
+// TestOldGrantIsVoid guards against a slow read of the record that grants
+// units which a later epoch counted as missing.
+func TestOldGrantIsVoid(t *testing.T) {
+	_, poor, i := pair(t)
+	if _, err := poor.report(i, 3); err != nil {
+		t.Fatal(err)
+	}
+	old := record{Epoch: 2, Holders: []holderID{poor.self}, Grants: []grant{{To: poor.self, Rest: siskin.TotalUnits}}}
+	poor.apply(1e6, i, &old)
+	if got := poor.units("a"); got != 0 {
+		t.Errorf("got %d units from a grant of a past epoch, want 0", got)
+	}
+}
+
+// TestReportReadsRecord guards against a VM that entered an epoch by a report
+// and knows neither its holders nor the end of its reclaim.
+func TestReportReadsRecord(t *testing.T) {
+	_, poor, i := pair(t)
+	poor.todo.takeBuckets()
+	if _, err := poor.report(i, 2); err != nil {
+		t.Fatal(err)
+	}
+	if got := poor.todo.takeBuckets(); len(got) != 1 || got[0] != i {
+		t.Errorf("got buckets %v to read, want [%d]", got, i)
+	}
+}
+
+// TestWaitingRequestsComeFirst guards against requests that wait although
+// their tokens cannot accrue in time, and against a new request that takes the
+// tokens that a waiting one needs.
+func TestWaitingRequestsComeFirst(t *testing.T) {
+	rich, _, _ := pair(t)
+	rich.leaving.Store(true) // no units of others
+	now := time.Millisecond
+	for rich.admit(now, "a", 1, true).Admitted {
+	}
+	waiting := 0
+	for range 20 {
+		if _, _, ok := rich.expect(now, "a", 1, now+50*time.Millisecond); ok {
+			waiting++
+		}
+	}
+	if got, want := waiting, 5; got > want || got < want-1 { // 100 a second for 50 ms
+		t.Errorf("got %d waiting requests, want %d", got, want)
+	}
+	now += 15 * time.Millisecond
+	if rich.admit(now, "a", 1, true).Admitted {
+		t.Error("got a new request admitted before the waiting ones, want it refused")
+	}
+	if rich.unexpect("a", 1); !rich.admit(now, "a", 1, false).Admitted {
+		t.Error("got the waiting request refused, want it admitted")
+	}
+}
+
+// TestMessagesSurviveEncoding guards against a message type that net/rpc
+// cannot carry.
+func TestMessagesSurviveEncoding(t *testing.T) {
+	holders := []holderID{{"v1", 3}}
+	for _, m := range []struct{ sent, received any }{
+		{&AskArgs{From: "v1", Seq: 2, Items: []AskItem{{Customer: "a", Epoch: 1, Units: 5, Demand: 2}}}, &AskArgs{}},
+		{&AskReply{Items: []GiveItem{{Customer: "a", Units: 7, Tokens: 1.5, Holders: holders, RichestAge: 3}}}, &AskReply{}},
+		{&ReportArgs{Bucket: 4, Epoch: 2, ToIncarnation: 3}, &ReportArgs{}},
+		{&ReportReply{Rest: 9, Customers: map[siskin.CustomerID]siskin.Units{"a": 1}}, &ReportReply{}},
+	} {
+		var b bytes.Buffer
+		if err := gob.NewEncoder(&b).Encode(m.sent); err != nil {
+			t.Fatal(err)
+		}
+		if err := gob.NewDecoder(&b).Decode(m.received); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(m.sent, m.received) {
+			t.Errorf("got %+v, want %+v", m.received, m.sent)
+		}
+	}
+}
+
+// TestTombstoneOfEarlierRun guards against a member list that lags: the
+// tombstone of a VM's earlier run is no evidence about its present one.
+func TestTombstoneOfEarlierRun(t *testing.T) {
+	f := newFleet(1)
+	n := f.start("v1", 2, "d1")
+	n.vm.State = siskin.VMGone
+	for incarnation, want := range map[siskin.Incarnation]bool{1: true, 2: true, 3: false} {
+		if got := n.l.gone(holderID{"v1", incarnation}); got != want {
+			t.Errorf("got gone %v for incarnation %d with a tombstone of 2, want %v", got, incarnation, want)
+		}
+	}
+}
+
+// TestForgottenLink guards against requests that a giver takes for old ones
+// after the asker forgot its earlier requests to it.
+func TestForgottenLink(t *testing.T) {
+	rich, poor, _ := pair(t)
+	first := ask(t, poor)
+	rich.answer(2e6, first)
+	poor.forget(func(h holderID) bool { return h.VM == rich.self.VM })
+	poor.admit(1e9, "a", 1, true)
+	next := poor.plan(1e9)
+	if len(next) != 1 || rich.answer(1e9, next[0].args).Stale {
+		t.Errorf("got %d messages or a stale answer after forgetting, want a new request and its answer", len(next))
+	}
+}
+
+// TestGrantBeforeFirstRequest guards against a grant that names a customer
+// which this VM has not served yet: it was refused until the next change of the
+// configuration, although the VM held units.
+func TestGrantBeforeFirstRequest(t *testing.T) {
+	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
+	c := f.start("v1", 1, "d1").l.core
+	c.apply(0, bucketOf("a"), &record{
+		Epoch: 2, Holders: []holderID{c.self},
+		Grants: []grant{{To: c.self, Customers: map[siskin.CustomerID]siskin.Units{"a": siskin.TotalUnits}}},
+	})
+	c.admit(time.Second, "a", 1, true)
+	if got, want := c.admit(2*time.Second, "a", 1, true).Admitted, true; got != want {
+		t.Errorf("admitted: got %v, want %v a second after the first request", got, want)
+	}
+}
+
+// TestTokensWithoutUnits guards against a small customer that is refused at one
+// VM while others hold its tokens and no units to spare.
+func TestTokensWithoutUnits(t *testing.T) {
+	rich, poor, i := pair(t)
+	ask(t, poor) // creates the holding, as the next line does
+	rich.admit(0, "a", 1, true)
+	const now = time.Second
+	h, empty := rich.buckets[i].holdings["a"], poor.buckets[i].holdings["a"]
+	h.units, h.tokens, h.at = siskin.TotalUnits/2, 50, now
+	empty.units, empty.tokens, empty.at = siskin.TotalUnits/2, 0, now
+	h.demand = meter{slow: 80, fast: 80, at: now} // leaves no units to spare
+	poor.links[rich.self.VM].pending = nil
+	poor.admit(now, "a", 1, true)
+	before := h.tokens + empty.tokens
+	out := poor.plan(now)
+	if len(out) != 1 {
+		t.Fatalf("got %d messages, want 1", len(out))
+	}
+	reply := rich.answer(now, out[0].args)
+	if got := reply.Items[0]; got.Units != 0 || got.Tokens < 1 {
+		t.Fatalf("reply: got %d units and %v tokens, want 0 and at least 1", got.Units, got.Tokens)
+	}
+	poor.receive(now, rich.self.VM, out[0].args.Seq, &reply)
+	if got := h.tokens + empty.tokens; got > before {
+		t.Errorf("tokens at both: got %v, want at most %v", got, before)
+	}
+	if !poor.admit(now, "a", 1, false).Admitted {
+		t.Error("admitted: got false after tokens arrived, want true")
+	}
+}
--- /dev/null
+++ b/pkg/limit/run.go
@@ -0,0 +1,96 @@
+package limit
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// callTimeout bounds every call to a peer or the platform.
+	callTimeout = 2 * time.Second
+	// exchangeTick is the pause between two rounds of messages; requests for
+	// units that arise within it share a message.
+	exchangeTick = 2 * time.Millisecond
+	// maintainTick is the pause between two checks for gone VMs.
+	maintainTick = time.Second
+)
+
+// Start begins the exchange with other VMs. It returns at once.
+func (l *Limiter) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.done.Go(func() { l.runExchange(ctx) })
+	l.done.Go(func() { l.runRecords(ctx) })
+	l.done.Go(func() { l.runMaintain(ctx) })
+	l.done.Go(func() { l.runRefresh(ctx) })
+}
+
+// runExchange sends messages when there is something to ask for, and repeats
+// unanswered ones.
+func (l *Limiter) runExchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, m := range l.core.plan(l.now()) {
+			l.done.Go(func() { l.call(ctx, m) })
+		}
+		l.clock.Sleep(exchangeTick) // the first request went out at once; later ones share a message
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.core.todo.kick:
+		case <-l.clock.After(firstRetry):
+		}
+	}
+}
+
+func (l *Limiter) call(ctx context.Context, m outgoing) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply AskReply
+	if err := l.peers.Call(ctx, m.to, "Limit.Ask", m.args, &reply); err != nil {
+		return // plan repeats the message
+	}
+	l.core.receive(l.now(), m.to, m.args.Seq, &reply)
+}
+
+// runRecords reads the records that the core asks for.
+func (l *Limiter) runRecords(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.readRecords(ctx)
+		select {
+		case <-ctx.Done():
+		case <-l.clock.After(recordTick):
+		}
+	}
+}
+
+// runMaintain looks for gone holders and reclaims their units. It has its own
+// goroutine, since a reclaim may wait for a holder that cannot be reached.
+func (l *Limiter) runMaintain(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.maintain(ctx)
+		select {
+		case <-ctx.Done():
+		case <-l.clock.After(maintainTick):
+		}
+	}
+}
+
+// recordTick is the pause between two rounds of reading records that are asked
+// for. It batches the start of a VM and delays a new customer little.
+const recordTick = 10 * time.Millisecond
+
+// runRefresh applies changed rates.
+func (l *Limiter) runRefresh(ctx context.Context) {
+	for {
+		changed := l.view.Changed()
+		l.core.refresh(l.now())
+		if l.prepareAll {
+			l.Prepare(l.view.Customers()...)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -2,110 +2,112 @@
 
 import (
 	"context"
-	"encoding/json"
+	"crypto/rand"
+	"errors"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/invar"
 )
 
-// Apply makes an operator's change current and returns its revision. An error
-// of kind Conflict means that another change came first, OutcomeUnknown that
-// the platform's answer was lost until the deadline; applying the same change
-// with the same operation id then gives the result. Every other error means
-// that the change was refused and is visible nowhere.
-func (s *Spread) Apply(ctx context.Context, change Change) (siskin.Revision, error) {
+var refusedInvisible = invar.New("ConfigRefusedChangeIsInvisible")
+
+// maxRaces bounds how often a change is validated again because another one
+// was accepted meanwhile.
+const maxRaces = 8
+
+// Apply makes a change current: it is accepted or refused as a whole. The error
+// is of kind BadInput for findings, Conflict when another change of the same
+// documents won, OutcomeUnknown when the platform's answer was lost for good,
+// and Unavailable when the platform cannot be reached. The change must not be
+// modified afterwards.
+func (s *Spread) Apply(ctx context.Context, change *config.Change) (siskin.Revision, error) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
-	h, version, err := s.readHead(ctx)
+	for range maxRaces {
+		revision, err := s.applyOnce(ctx, change)
+		if err == nil || !errors.Is(err, errRaced) {
+			return revision, err
+		}
+	}
+	return 0, siskin.NewError(siskin.Conflict, "other changes were accepted %d times meanwhile", maxRaces).
+		WithRemedy("read the configuration again and repeat the change")
+}
+
+// errRaced says that another change became current first.
+var errRaced = errors.New("another change became current first")
+
+func (s *Spread) applyOnce(ctx context.Context, change *config.Change) (siskin.Revision, error) {
+	sent := s.clock.Now()
+	o, err := s.platform.Get(ctx, headName)
 	if err != nil {
 		return 0, err
 	}
-	if rev, ok := h.find(change.Operation); ok {
-		return rev, nil
-	}
-	if change.Base != 0 && change.Base != h.Revision {
-		return 0, conflict(h.Revision)
-	}
-	rev := h.Revision + 1
-	docs, err := change.documents(rev)
-	if err != nil {
+	if err := s.follow(o, sent); err != nil {
 		return 0, err
 	}
-	entries, err := decodeAll(docs)
+	h, err := decodeHead(o)
 	if err != nil {
 		return 0, err
 	}
-	if err := s.cfg.Validate(newOverlay(s.store, rev, entries)); err != nil {
+	view := s.store.state.Load()
+	if view.revision != h.Revision {
+		return 0, errRaced
+	}
+	if err := s.validate(view, change); err != nil {
 		return 0, err
 	}
-	if err := s.write(ctx, h, version, change.Operation, docs); err != nil {
-		if siskin.KindOf(err) == siskin.Conflict { // others may be applied again
-			s.accepted.refuse(rev, change.Operation)
-		}
+	n := Numbered{Revision: h.Revision + 1, Change: change}
+	change.SetRevision(n.Revision)
+	if err := s.accept(ctx, o.Version, h, n); err != nil {
 		return 0, err
 	}
-	s.accepted.note(rev, change.Operation)
-	s.install(entries, rev)
-	near, far := s.others()
-	s.pushAll(h.Revision, append(near, far...))
-	return rev, nil
+	s.push(s.store.apply([]Numbered{n}))
+	return n.Revision, nil
 }
 
-// write writes the change object and then makes it current.
-func (s *Spread) write(ctx context.Context, h head, version siskin.Version, op siskin.OperationID, docs []Document) error {
-	snapshot, err := s.snapshotRevision(ctx)
+// accept writes the change and then the head that makes it current.
+func (s *Spread) accept(ctx context.Context, version siskin.Version, h head, n Numbered) error {
+	value, err := config.EncodeChange(n.Change)
 	if err != nil {
 		return err
 	}
-	next := h.next(op, snapshot)
-	if len(next.Recent) > maxRecent {
-		return siskin.NewError(siskin.Overloaded, "%d changes wait for the snapshot", len(next.Recent)).WithRemedy("retry in a minute")
-	}
-	value, err := json.Marshal(changeObject{next.Revision, op, docs})
+	ref := changeRef{Revision: n.Revision, Name: changeName(n.Revision, s.members.Self())}
+	old, err := s.platform.Get(ctx, ref.Name)
 	if err != nil {
-		return siskin.NewError(siskin.Internal, "cannot encode the change").WithCause(err)
-	}
-	name := changeName(headChange{next.Revision, op})
-	// The object is not current yet, so a lost answer does no harm, and a
-	// conflict means that an earlier attempt of this operation wrote it.
-	if _, err := s.platform.Put(ctx, name, value, 0, op); err != nil && siskin.KindOf(err) != siskin.Conflict {
-		if siskin.KindOf(err) == siskin.OutcomeUnknown {
-			return siskin.NewError(siskin.Unavailable, "the change could not be stored").WithCause(err).WithRemedy("retry later")
-		}
 		return err
 	}
-	value, err = json.Marshal(next)
+	ref.Version, err = s.platform.Put(ctx, ref.Name, value, old.Version, s.operation())
 	if err != nil {
-		return siskin.NewError(siskin.Internal, "cannot encode the head").WithCause(err)
+		return notAccepted(err)
 	}
-	_, err = s.platform.Put(ctx, headName, value, version, op)
-	switch siskin.KindOf(err) {
-	case siskin.Conflict:
-		return s.resolve(ctx, op, err)
-	case siskin.OutcomeUnknown:
-		return s.resolve(ctx, op, err)
+	h.Revision, h.Recent = n.Revision, append(h.Recent, ref)
+	value, err = h.encode()
+	if err != nil {
+		return err
+	}
+	_, err = s.platform.Put(ctx, headName, value, version, s.operation())
+	if err != nil && siskin.KindOf(err) == siskin.Conflict {
+		refusedInvisible.Check(s.Revision() < n.Revision || s.hasOther(n), "change %d was refused and is in force", n.Revision)
+		return errRaced
 	}
 	return err
 }
 
-// resolve reads the head back to find out whether an operation took effect.
-func (s *Spread) resolve(ctx context.Context, op siskin.OperationID, cause error) error {
-	o, err := s.platform.Get(ctx, headName)
-	if err != nil {
-		return cause
-	}
-	h, err := parseHead(o)
-	if err != nil {
-		return cause
-	}
-	if _, ok := h.find(op); ok {
-		return nil
-	}
-	if siskin.KindOf(cause) == siskin.Conflict {
-		return conflict(h.Revision)
-	}
-	return cause
+// hasOther reports whether the change in force under the revision is another.
+func (s *Spread) hasOther(n Numbered) bool {
+	changes, ok := s.store.since(n.Revision - 1)
+	return !ok || len(changes) == 0 || changes[0].Change != n.Change
+}
+
+// notAccepted turns the error of a write before the head's: whatever happened
+// to it, the change did not become current.
+func notAccepted(err error) error {
+	return siskin.NewError(siskin.Unavailable, "change was not accepted").
+		WithRemedy("repeat it when the platform is up").WithCause(err)
 }
 
-func conflict(rev siskin.Revision) error {
-	return siskin.NewError(siskin.Conflict, "another change came first; revision %d is current", rev).WithRemedy("look at the current configuration, make the change for it and apply it with a new operation id")
+// operation returns a new id for a conditional update.
+func (s *Spread) operation() siskin.OperationID {
+	return siskin.OperationID(string(s.members.Self().ID) + "/" + rand.Text())
 }
--- a/pkg/spread/doc.go
+++ b/pkg/spread/doc.go
@@ -1,14 +1,12 @@
-// Package spread keeps the configuration in force at every VM.
+// Package spread keeps the configuration in force at a VM and brings accepted
+// changes to every VM.
 //
-// The platform holds one object Config/Head with the revision and the names of
-// the latest change objects, the immutable change objects themselves, 256
-// snapshot objects Config/Shard/00 to ff, which a VM rewrites in the
-// background, and Config/Snapshot with the revision that they cover. A change
-// becomes current by one conditional update of Config/Head.
+// A change is written as an object of its own and becomes current by one
+// conditional update of the head object. Two VMs per data centre watch the
+// head; they push new changes to the other VMs, which push them on. Each VM
+// also asks one random peer every second for what it lacks (anti-entropy), so
+// that a lost push or a platform that is down costs a second and no more.
 //
-// The VM that makes a change pushes it to all others along a tree. Two VMs per
-// data centre watch the head and push what did not arrive. Every VM compares
-// revisions with a random VM each second and fetches the documents changed
-// since its own. A document is never replaced by an older one, and a deleted
-// document leaves a tombstone with its revision.
+// Changes are applied in the order of their revisions and without gaps, so a
+// VM never goes back to an older revision and never shows a part of a change.
 package spread
