pkg/plat: end watches before their deadline

Cause: a watch whose context had a deadline broke its connection at that time, and the client took this for a failure of the platform. Four watches of 400 ms in a row, without a change, counted 4 failures and held back all calls. pkg/spread watches for 1 s at a time.

Change: the last poll of a watch asks the platform to answer 100 ms before the deadline.

--- a/pkg/plat/client_test.go
+++ b/pkg/plat/client_test.go
@@ -179,6 +179,23 @@
 	t.Error("after the outage: got no answer, want one")
 }
 
+// TestShortWatches guards against watches that end by their own deadline and
+// are taken for failures of the platform, and against a connection per watch.
+func TestShortWatches(t *testing.T) {
+	s, c := start(t, Config{})
+	for range 4 {
+		if _, err := c.Watch(within(t, 400*time.Millisecond), "A", 0); siskin.KindOf(err) != siskin.Unavailable {
+			t.Errorf("watch without a change: got %v, want Unavailable", err)
+		}
+	}
+	if got := c.Snapshot(); got.Failures != 0 || got.Down {
+		t.Errorf("got %d failures, down %v; want none", got.Failures, got.Down)
+	}
+	if got := s.Stats().Total(); got != 4 {
+		t.Errorf("calls of 4 watches: got %d, want 4", got)
+	}
+}
+
 // TestBudget guards against a process that exceeds its call budget, and
 // against watches that are not counted.
 func TestBudget(t *testing.T) {
--- a/pkg/plat/watch.go
+++ b/pkg/plat/watch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"siskintray.example/siskin"
 )
@@ -24,10 +25,13 @@
 	default:
 		return siskin.Object{}, siskin.NewError(siskin.Overloaded, "%d watches wait already", cap(p.c.watches)).WithRemedy("raise MaxWatches or watch fewer objects")
 	}
-	path := fmt.Sprintf("%s?After=%d&WaitMs=%d", objectPath(name), after, p.c.cfg.WatchWait.Milliseconds())
 	failures := 0
 	for {
-		o, err := p.poll(ctx, path)
+		wait, ok := p.c.pollWait(ctx)
+		if !ok {
+			return siskin.Object{}, watchEnded(name, context.DeadlineExceeded)
+		}
+		o, err := p.poll(ctx, fmt.Sprintf("%s?After=%d&WaitMs=%d", objectPath(name), after, wait.Milliseconds()))
 		if err == nil && o.Version > after {
 			return o, nil
 		}
@@ -37,11 +41,31 @@
 			failures++
 		}
 		if ctx.Err() != nil || (err != nil && !p.c.wait(ctx, p.c.delay(err, failures))) {
-			return siskin.Object{}, siskin.NewError(siskin.Unavailable, "the watch of object %s ended", name).WithCause(ctx.Err()).WithRemedy("start a new watch")
+			return siskin.Object{}, watchEnded(name, ctx.Err())
 		}
 	}
 }
 
+// pollMargin is the time before the deadline of a watch at which its last poll
+// ends, so that the platform answers before the deadline. Without it the end
+// of a watch would break its connection and look like a failure.
+const pollMargin = 100 * time.Millisecond
+
+// pollWait returns how long the next poll may wait, and false when the
+// deadline is too close for another one.
+func (c *Client) pollWait(ctx context.Context) (time.Duration, bool) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return c.cfg.WatchWait, true
+	}
+	wait := min(c.cfg.WatchWait, time.Until(deadline)-pollMargin)
+	return wait, wait > time.Millisecond
+}
+
+func watchEnded(name siskin.ObjectName, cause error) error {
+	return siskin.NewError(siskin.Unavailable, "the watch of object %s ended", name).WithCause(cause).WithRemedy("start a new watch")
+}
+
 // poll makes one long poll. An object with version 0 means that nothing
 // changed.
 func (p *Purpose) poll(ctx context.Context, path string) (siskin.Object, error) {
