pkg/spread: keep the change of an update that takes effect late

Cause: when the answer to an update of the head is lost for good, the update can still take effect. The VM's next change had the same object name and replaced the earlier change. When the update then took effect, the head named a version that no longer existed: no VM could read the configuration anymore, and no further change was accepted.

Change: the object name also counts this run's updates of the head whose outcome is unknown.

--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	ref := changeRef{Revision: n.Revision, Name: changeName(n.Revision, s.members.Self())}
+	ref := changeRef{Revision: n.Revision, Name: changeName(n.Revision, s.members.Self(), s.unknown)}
 	old, err := s.platform.Get(ctx, ref.Name)
 	if err != nil {
 		return err
@@ -91,6 +91,9 @@
 		refusedInvisible.Check(s.Revision() < n.Revision || s.hasOther(n), "change %d was refused and is in force", n.Revision)
 		return errRaced
 	}
+	if err != nil {
+		s.unknown++
+	}
 	return err
 }
 
--- a/pkg/spread/fake_test.go
+++ b/pkg/spread/fake_test.go
@@ -25,6 +25,9 @@
 	down    map[siskin.DataCentreID]bool // platform unreachable from there
 	cut     map[[2]siskin.DataCentreID]bool
 	vms     map[siskin.VMID]*vm
+	// lateHead holds the next update of the head back until the one after it.
+	lateHead bool
+	late     func()
 }
 
 type vm struct {
@@ -130,6 +133,9 @@
 		return 0, err
 	}
 	err = siskin.NewError(siskin.Conflict, "version %d, not %d", o.Version, ifVersion)
+	if name == headName && v.world.holdsBack(func() { _, _ = v.Put(context.Background(), name, value, ifVersion, op) }) {
+		return 0, siskin.NewError(siskin.OutcomeUnknown, "the answer was lost")
+	}
 	v.world.set(func() {
 		if v.world.objects[name].Version == ifVersion {
 			v.world.objects[name] = siskin.Object{Name: name, Version: ifVersion + 1, Operation: op, Value: value}
--- a/pkg/spread/head.go
+++ b/pkg/spread/head.go
@@ -32,9 +32,11 @@
 const changeSlots = 1024
 
 // changeName returns the object for a change. It names the run of the VM, so
-// that no other writer replaces a change between its write and its acceptance.
-func changeName(revision siskin.Revision, vm siskin.VM) siskin.ObjectName {
-	return siskin.ObjectName(fmt.Sprintf("Config/Change/%04d/%s-%d", revision%changeSlots, vm.ID, vm.Incarnation))
+// that no other writer replaces a change between its write and its acceptance,
+// and the number of updates of the head by this run whose outcome is unknown:
+// such an update can still take effect, so its change must not be replaced.
+func changeName(revision siskin.Revision, vm siskin.VM, unknown int) siskin.ObjectName {
+	return siskin.ObjectName(fmt.Sprintf("Config/Change/%04d/%s-%d-%d", revision%changeSlots, vm.ID, vm.Incarnation, unknown))
 }
 
 func decodeHead(o siskin.Object) (head, error) {
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -23,6 +23,7 @@
 	platformDown atomic.Bool // the last question to the platform failed
 
 	applyMu sync.Mutex // one change of this VM at a time
+	unknown int        // updates of the head without a known outcome; guarded by applyMu
 	pushes  pond.Pool
 	ctx     context.Context
 	cancel  context.CancelFunc
