internal/pool: wait on full slots by request, waiters first

Cause: a 53300 on opening counted from the first refusal of the slot, not from the arrival of the request. Openings ahead of demand that had failed for a second made a new request end at once as "cannot be reached", and the target was reported as failed, which can change the primary. With a full slot an opening ahead of demand for one account also took the room for which a request of the other account waited.

Change: each request waits a second from its arrival for a slot that the target calls full, and then ends as Overloaded. A target that answers 53300 is neither suspected nor called unreachable. Waiters of both accounts get their openings before spare connections do.

Conclusion: a full slot costs a bounded wait and no failover.

--- a/internal/pool/full.go
+++ b/internal/pool/full.go
@@ -2,33 +2,41 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+
+	"siskintray.example/siskin"
 )
 
 // stateTooMany is the SQLSTATE of a target whose slot is full.
 const stateTooMany = "53300"
 
-// maxFull is how long requests wait for a slot that the target calls full. A
+// maxFull is how long a request waits for a slot that the target calls full. A
 // target may count a connection for a moment after its end, and the previous
-// owner of the slot may still finish its requests.
+// owner of the slot may still finish its requests. The time counts from the
+// arrival of the request: openings ahead of demand may have failed before.
 const maxFull = time.Second
 
-// noteFull reports whether an opening failed only because the target counts
-// other connections in the slot, and has not done so for long. The caller holds
-// mu.
-func (s *slot) noteFull(err error) bool {
+func isFull(err error) bool {
 	var e *pgconn.PgError
-	if !errors.As(err, &e) || e.Code != stateTooMany {
-		s.fullSince = time.Time{}
-		return false
-	}
+	return errors.As(err, &e) && e.Code == stateTooMany
+}
+
+// openingFull handles an opening that the target refused because it counts
+// other connections in the slot. The target answers, so it is neither suspected
+// nor called unreachable. The caller holds mu.
+func (s *slot) openingFull(account Account) {
 	now := s.pool.clock.Now()
-	if s.fullSince.IsZero() {
-		s.fullSince = now
+	s.failures, s.lastErr = 0, nil
+	delay := s.backoff().Delay(1, rand.Int64N)
+	s.nextOpen = now.Add(delay)
+	if s.has(account) == 0 {
+		s.failWaiters(account, now.Add(-maxFull), siskin.NewError(siskin.Overloaded, "slot %d of target %s is full", s.key.Slot, s.key.Target).
+			WithRemedy("repeat the request later").WithRetryAfter(maxFull))
 	}
-	return now.Sub(s.fullSince) < maxFull
+	s.pool.start(s.pool.openers, func() { s.openLater(delay) })
 }
 
 // openLater opens missing connections after a delay.
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -17,13 +17,23 @@
 	if s.pool.clock.Now().Before(s.nextOpen) {
 		return
 	}
+	// Waiters of both accounts come first: an opening ahead of demand for one
+	// account must not take the room that a waiter of the other needs.
 	for account := range Account(accounts) {
-		for s.wanted(account) > 0 && s.opening[Full]+s.opening[ReadOnly] < s.openingLimit() {
-			if s.open() >= s.cfg.Limit && !s.evict(account) {
-				break
-			}
-			s.startOpening(account)
+		s.openWanted(account, s.waiting)
+	}
+	for account := range Account(accounts) {
+		s.openWanted(account, s.wanted)
+	}
+}
+
+// openWanted starts openings until as many as wanted are under way.
+func (s *slot) openWanted(account Account, wanted func(Account) int) {
+	for wanted(account) > s.opening[account] && s.opening[Full]+s.opening[ReadOnly] < s.openingLimit() {
+		if s.open() >= s.cfg.Limit && !s.evict(account) {
+			return
 		}
+		s.startOpening(account)
 	}
 }
 
@@ -41,22 +51,29 @@
 	return maxOpening
 }
 
-// wanted returns the number of connections to open for an account: one for each
-// waiter, and spare ones ahead of demand, a quarter of those in use.
-func (s *slot) wanted(account Account) int {
-	waiting, open, busy := 0, s.count[account], s.busy[account]
+// waiting returns the number of waiters of an account.
+func (s *slot) waiting(account Account) int {
+	n := 0
 	for _, w := range s.waiters {
 		if w.account == account {
-			waiting++
+			n++
 		}
 	}
+	return n
+}
+
+// wanted returns the number of openings that an account should have under way:
+// one for each waiter, and spare ones ahead of demand, a quarter of those in
+// use.
+func (s *slot) wanted(account Account) int {
+	open, busy := s.count[account], s.busy[account]
 	spare := max(warmFloor-open, 0)
 	if busy > 0 {
 		spare = max(spare, 1+busy/4-(open-busy))
 	}
-	need := waiting - s.opening[account]
+	need := s.waiting(account)
 	if s.open() < s.cfg.Limit {
-		need = max(need, waiting+spare-s.opening[account])
+		need += max(spare, 0)
 	}
 	return need
 }
@@ -68,14 +85,11 @@
 	if len(other) == 0 {
 		return false
 	}
-	waiting := false
-	for _, w := range s.waiters {
-		waiting = waiting || w.account == account
-	}
-	if waiting {
-		s.removeLocked(other[0])
+	if s.waiting(account) == 0 {
+		return false
 	}
-	return waiting
+	s.removeLocked(other[0])
+	return true
 }
 
 func (s *slot) openOne(account Account) {
@@ -95,7 +109,7 @@
 	c.generation, c.state = generation, connResetting
 	s.conns[c] = struct{}{}
 	s.count[account]++
-	s.failures, s.lastErr, s.nextOpen, s.fullSince = 0, nil, time.Time{}, time.Time{}
+	s.failures, s.lastErr, s.nextOpen = 0, nil, time.Time{}
 	s.stats.opened++
 	s.mu.Unlock()
 	s.put(c)
@@ -105,24 +119,31 @@
 	s.mu.Lock()
 	s.opening[account]--
 	s.stats.failed++
-	full := s.noteFull(err)
-	if !full {
-		s.failures++
-		s.lastErr = err
-	}
-	b := retry.Backoff{Base: max(s.cfg.OpenTime, 10*time.Millisecond), Max: maxBackoff}
-	delay := b.Delay(max(s.failures, 1), rand.Int64N)
-	s.nextOpen = s.pool.clock.Now().Add(delay)
-	if s.has(account) == 0 && !full {
-		s.failWaiters(account, s.unreachable())
+	full := isFull(err)
+	if full {
+		s.openingFull(account)
+	} else {
+		s.openingBroken(account, err)
 	}
 	s.checkDrained()
 	s.mu.Unlock()
-	if full {
-		s.pool.start(s.pool.openers, func() { s.openLater(delay) })
-		return
-	}
-	if s.pool.onFailure != nil && s.pool.ctx.Err() == nil {
+	if !full && s.pool.onFailure != nil && s.pool.ctx.Err() == nil {
 		s.pool.onFailure(s.key.Target, err)
 	}
 }
+
+// openingBroken handles an opening that the target did not answer as expected.
+// The caller holds mu.
+func (s *slot) openingBroken(account Account, err error) {
+	s.failures++
+	s.lastErr = err
+	now := s.pool.clock.Now()
+	s.nextOpen = now.Add(s.backoff().Delay(s.failures, rand.Int64N))
+	if s.has(account) == 0 {
+		s.failWaiters(account, now, s.unreachable())
+	}
+}
+
+func (s *slot) backoff() retry.Backoff {
+	return retry.Backoff{Base: max(s.cfg.OpenTime, 10*time.Millisecond), Max: maxBackoff}
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
@@ -33,11 +34,15 @@
 	*PGDialer
 	muteBefore atomic.Int64
 	fail       atomic.Bool
+	full       atomic.Bool
 	opens      atomic.Int64
 }
 
 func (d *faultyDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (Opened, error) {
 	n := d.opens.Add(1)
+	if d.full.Load() {
+		return Opened{}, &pgconn.PgError{Code: stateTooMany}
+	}
 	if d.fail.Load() {
 		return Opened{}, errors.New("refused")
 	}
@@ -338,3 +343,37 @@
 	}
 	c.Recycle(3)
 }
+
+// TestFullLong guards against a request that ends without a wait because the
+// slot was full before it arrived, and against a full target that is called
+// unreachable and suspected, which could change the primary.
+func TestFullLong(t *testing.T) {
+	f := newFixture(t, 2)
+	f.get(t, Full, 1)
+	for f.Stats()[key].Idle == 0 { // the spare connection of the other account
+		time.Sleep(time.Millisecond)
+	}
+	f.dialer.full.Store(true)
+	f.Drop(key) // closes the spare one, whose replacement is refused
+	f.Own(key, f.cfg)
+	time.Sleep(maxFull + maxBackoff)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	start := time.Now()
+	_, err := f.Get(ctx, key, ReadOnly, 2)
+	if got, want := siskin.KindOf(err), siskin.Overloaded; got != want {
+		t.Errorf("got %v, want kind %v", err, want)
+	}
+	if got := time.Since(start); got < maxFull || got > 4*maxFull {
+		t.Errorf("got an end after %v, want about %v", got, maxFull)
+	}
+	time.AfterFunc(maxFull/2, func() { f.dialer.full.Store(false) })
+	c, err := f.Get(ctx, key, ReadOnly, 3)
+	if err != nil {
+		t.Fatalf("got %v, want a connection of a slot that has room again", err)
+	}
+	c.Recycle(3)
+	if got := f.silent.Load(); got != 0 {
+		t.Errorf("got %d reports of failure, want 0", got)
+	}
+}
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -26,7 +26,6 @@
 	failures   int // failed openings in a row
 	nextOpen   time.Time
 	lastErr    error
-	fullSince  time.Time     // first of the openings that failed because the slot is full
 	drained    chan struct{} // closed when draining and empty
 	stats      counters
 }
@@ -66,7 +65,7 @@
 	if s.has(account) == 0 && s.failures > 0 && s.pool.clock.Now().Before(s.nextOpen) {
 		return nil, nil, s.unreachable()
 	}
-	w := &waiter{account: account, owner: owner, ready: make(chan result, 1)}
+	w := &waiter{account: account, owner: owner, arrived: s.pool.clock.Now(), ready: make(chan result, 1)}
 	s.waiters = append(s.waiters, w)
 	s.ensure()
 	return nil, w, nil
@@ -161,10 +160,10 @@
 	}
 }
 
-// failWaiters ends the waits for an account with err.
-func (s *slot) failWaiters(account Account, err error) {
+// failWaiters ends the waits for an account that began at arrived or earlier.
+func (s *slot) failWaiters(account Account, arrived time.Time, err error) {
 	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
-		if w.account != account {
+		if w.account != account || w.arrived.After(arrived) {
 			return false
 		}
 		w.ready <- result{err: err}
@@ -178,8 +177,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
-	s.failWaiters(Full, notOwned(s.key))
-	s.failWaiters(ReadOnly, notOwned(s.key))
+	now := s.pool.clock.Now()
+	s.failWaiters(Full, now, notOwned(s.key))
+	s.failWaiters(ReadOnly, now, notOwned(s.key))
 	s.closeIdle()
 	done := make(chan struct{})
 	if s.open() == 0 {
--- a/internal/pool/waiter.go
+++ b/internal/pool/waiter.go
@@ -1,9 +1,12 @@
 package pool
 
+import "time"
+
 // waiter is a request that waits for a connection of a slot.
 type waiter struct {
 	account Account
 	owner   uint64
+	arrived time.Time
 	ready   chan result // buffered, receives exactly one result
 }
 
