internal/front: take the lock in TestConnectionCap

Cause: the test lowered the maximum of connections while the server that reads it ran, which -race reports. A race detector that is always red hides new races.

Change: the test writes it under the server's lock. Its checks are the same.

Conclusion: a fault of the test only.

--- a/internal/front/callers_test.go
+++ b/internal/front/callers_test.go
@@ -82,7 +82,9 @@
 // TestConnectionCap guards against callers that take all memory by connecting.
 func TestConnectionCap(t *testing.T) {
 	f := startFleet(t, 1, nil)
+	f.vms[0].front.mu.Lock() // the server reads it when it accepts
 	f.vms[0].front.cfg.MaxConnections = 2
+	f.vms[0].front.mu.Unlock()
 	f.vms[0].raw(t, "badges/write")
 	f.vms[0].raw(t, "badges/write")
 	if _, err := f.vms[0].tryConnect("write", testKey, ""); sqlState(err) != "53300" {
