soak: repeat the randomised runs with growing seeds

Cause: long runs need one command for all packages. A flag that only some packages define fails go test ./... in the others.

Change: internal/soak reads SISKIN_SOAK (time per test) and SISKIN_SEED (first seed) from the environment, which every package ignores or understands. Tests named Soak in pkg/group, pkg/limit, pkg/member, pkg/fairq, pkg/retry, internal/pool and internal/front repeat the existing randomised runs; without the variables they run one seed. The existing flags stay.

Conclusion: SISKIN_SOAK=10m SISKIN_SEED=5 go test ./... -run Soak -timeout 0 runs all of them.

--- a/internal/front/random_test.go
+++ b/internal/front/random_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/internal/stand/target"
 	"siskintray.example/siskin/pkg/config"
 )
@@ -34,12 +35,18 @@
 // missing, "not run" writes that ran, and requests that run twice, while
 // connections break, go silent, lose answers, time out, are cancelled and move
 // between owners. The invariants in the program end the run when one is broken.
-func TestRandomFaults(t *testing.T) {
-	length := *randomTime
+func TestRandomFaults(t *testing.T) { randomFaults(t, *randomTime, *randomSeed) }
+
+// TestSoak repeats the run of TestRandomFaults with growing seeds.
+func TestSoak(t *testing.T) {
+	soak.Each(t, func(t *testing.T, seed uint64) { randomFaults(t, min(soak.Length(time.Second), 5*time.Second), seed) })
+}
+
+func randomFaults(t *testing.T, length time.Duration, seed uint64) {
 	if testing.Short() {
 		length = min(length, time.Second)
 	}
-	t.Logf("-random.seed=%d -random.time=%v", *randomSeed, length)
+	t.Logf("-random.seed=%d -random.time=%v", seed, length)
 	f := startFleet(t, 3, func(_ *target.Config, s *config.Service) {
 		s.ConnectionsPerSlot = 4
 		for i := range s.Routes { // so that the run ends soon after its last fault
@@ -53,7 +60,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			rnd := rand.New(rand.NewPCG(*randomSeed, uint64(w)))
+			rnd := rand.New(rand.NewPCG(seed, uint64(w)))
 			for n := 0; time.Now().Before(end); n++ {
 				f.randomSession(h, rnd, fmt.Sprintf("%d-%d", w, n), end)
 			}
@@ -62,7 +69,7 @@
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		f.randomFaults(rand.New(rand.NewPCG(*randomSeed, 1000)), end)
+		f.randomFaults(rand.New(rand.NewPCG(seed, 1000)), end)
 	}()
 	wg.Wait()
 	h.check(t, f)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/internal/stand/target"
 	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/invar"
@@ -107,10 +108,14 @@
 
 // TestLimitOverBothAccounts guards against a slot that opens more connections
 // than its number, and against a request that waits while it could be served.
-func TestLimitOverBothAccounts(t *testing.T) {
+func TestLimitOverBothAccounts(t *testing.T) { limitOverBothAccounts(t, 7) }
+
+// TestSoak repeats the run of TestLimitOverBothAccounts with growing seeds.
+func TestSoak(t *testing.T) { soak.Each(t, limitOverBothAccounts) }
+
+func limitOverBothAccounts(t *testing.T, seed uint64) {
 	const limit = 5
 	f := newFixture(t, limit)
-	seed := uint64(7)
 	t.Logf("seed %d", seed)
 	var wg sync.WaitGroup
 	var owner atomic.Uint64
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,78 @@
+// Package soak repeats the randomised run of a test with growing seeds. Two
+// environment variables set the length and the first seed, because a flag that
+// only some packages define fails go test ./... in the others:
+//
+//	SISKIN_SOAK=10m SISKIN_SEED=5 go test ./... -run Soak -timeout 0
+//
+// SISKIN_SOAK is the time per test, SISKIN_SEED the first seed.
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// Names of the environment variables.
+const (
+	lengthVariable = "SISKIN_SOAK"
+	seedVariable   = "SISKIN_SEED"
+)
+
+// Length returns the length of a soak run, or short when none is set.
+func Length(short time.Duration) time.Duration {
+	text, ok := os.LookupEnv(lengthVariable)
+	if !ok {
+		return short
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		panic(lengthVariable + " must be a positive duration such as 10m, not " + strconv.Quote(text))
+	}
+	return d
+}
+
+// Seed returns the first seed, or usual when none is set.
+func Seed(usual uint64) uint64 {
+	text, ok := os.LookupEnv(seedVariable)
+	if !ok {
+		return usual
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		panic(seedVariable + " must be a number of 64 bits, not " + strconv.Quote(text))
+	}
+	return seed
+}
+
+// Each calls run as a subtest for one seed after the other until the length is
+// over or a run fails. It calls run once when no length is set.
+func Each(t *testing.T, run func(t *testing.T, seed uint64)) {
+	t.Helper()
+	first, start := Seed(1), time.Now()
+	n := uint64(0)
+	for ok := true; ok && (n == 0 || time.Since(start) < Length(0)); n++ {
+		seed := first + n
+		ok = t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { run(t, seed) })
+	}
+	t.Logf("%d seeds from %d in %v", n, first, time.Since(start).Round(time.Millisecond))
+}
+
+// Rapid is Each for a test that uses rapid.Check: it sets rapid's seed before
+// each run and restores it at the end. The test must not run in parallel with
+// others. Seeds start at 1, since rapid draws its own seed for 0.
+func Rapid(t *testing.T, run func(t *testing.T)) {
+	t.Helper()
+	f := flag.Lookup("rapid.seed")
+	before := f.Value.String()
+	defer func() { _ = f.Value.Set(before) }()
+	Each(t, func(t *testing.T, seed uint64) {
+		if err := f.Value.Set(strconv.FormatUint(max(seed, 1), 10)); err != nil {
+			t.Fatal(err)
+		}
+		run(t)
+	})
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,37 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestEach guards against a soak run that ends early or repeats one seed.
+func TestEach(t *testing.T) {
+	t.Setenv(lengthVariable, "20ms")
+	t.Setenv(seedVariable, "7")
+	var seeds []uint64
+	start := time.Now()
+	Each(t, func(_ *testing.T, seed uint64) {
+		seeds = append(seeds, seed)
+		time.Sleep(8 * time.Millisecond)
+	})
+	if got, want := time.Since(start), 20*time.Millisecond; got < want {
+		t.Errorf("got a run of %v, want at least %v", got, want)
+	}
+	if len(seeds) < 2 || !slices.Equal(seeds[:2], []uint64{7, 8}) {
+		t.Errorf("got seeds %v, want 7, 8 and so on", seeds)
+	}
+}
+
+// TestVariables guards against a mistyped length that gives a short run which
+// looks like a long one.
+func TestVariables(t *testing.T) {
+	t.Setenv(lengthVariable, "10")
+	defer func() {
+		if recover() == nil {
+			t.Error("got no panic for a length without a unit, want one")
+		}
+	}()
+	Length(time.Second)
+}
--- a/pkg/fairq/sched_test.go
+++ b/pkg/fairq/sched_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/pkg/invar"
 )
 
@@ -45,7 +46,12 @@
 
 // TestRandomCalls guards against lost places, lost tickets and starved
 // requests in any order of calls.
-func TestRandomCalls(t *testing.T) {
+func TestRandomCalls(t *testing.T) { randomCalls(t) }
+
+// TestSoak repeats the run of TestRandomCalls with growing seeds.
+func TestSoak(t *testing.T) { soak.Rapid(t, randomCalls) }
+
+func randomCalls(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		places := rapid.IntRange(1, 8).Draw(r, "places")
 		s := newSched(places, defaults(places))
--- a/pkg/group/random_test.go
+++ b/pkg/group/random_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/internal/stand/store"
 )
 
@@ -56,6 +57,23 @@
 	}
 }
 
+// TestSoakSimulated repeats the simulated run of each size with growing seeds,
+// against the failures that TestRandomFaultsLoseNoWrite names.
+func TestSoakSimulated(t *testing.T) {
+	acked, changes := 0, 0
+	soak.Each(t, func(t *testing.T, seed uint64) {
+		for _, size := range sizes {
+			s := newSim(seed, size.targets, size.vms, rules{})
+			if err := s.faults(40 * time.Second); err != nil {
+				t.Fatalf("%d targets, seed %d: %v", size.targets, seed, err)
+			}
+			acked += len(s.acked)
+			changes += s.changes
+		}
+	})
+	t.Logf("%d acknowledged writes, %d promotions", acked, changes)
+}
+
 // TestWrongRulesAreCaught guards against a run that would not notice a lost
 // write: each rule that is broken must be detected by the same run.
 func TestWrongRulesAreCaught(t *testing.T) {
--- a/pkg/group/soak_test.go
+++ b/pkg/group/soak_test.go
@@ -7,13 +7,14 @@
 	"testing"
 	"time"
 
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/internal/stand/target"
 	"siskintray.example/siskin/pkg/config"
 )
 
 var (
-	soakTime = flag.Duration("soak", 4*time.Second, "duration of the run with random faults")
-	soakSeed = flag.Uint64("soakseed", 1, "seed of the faults of that run")
+	soakTime = flag.Duration("soak", soak.Length(4*time.Second), "duration of the run with random faults")
+	soakSeed = flag.Uint64("soakseed", soak.Seed(1), "seed of the faults of that run")
 )
 
 // TestSoak guards against faults of the calls and connections that the
--- a/pkg/limit/random_test.go
+++ b/pkg/limit/random_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/pkg/config"
 )
 
@@ -21,6 +22,18 @@
 	if testing.Short() {
 		_ = flag.Set("rapid.checks", "15")
 	}
+	randomFailures(t)
+}
+
+// TestSoak repeats the run of TestRandomFailures with growing seeds.
+func TestSoak(t *testing.T) {
+	checks := flag.Lookup("rapid.checks")
+	defer func(before string) { _ = checks.Value.Set(before) }(checks.Value.String())
+	_ = checks.Value.Set("15") // so that a run of one seed takes about a second
+	soak.Rapid(t, randomFailures)
+}
+
+func randomFailures(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		doc := &config.Customer{ID: "a", Rate: 100, Burst: 50}
 		f := newFleet(rapid.Uint64().Draw(r, "seed"), doc)
--- a/pkg/member/core_test.go
+++ b/pkg/member/core_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/soak"
 )
 
 func parseRecord(f []string) Record {
@@ -87,7 +88,12 @@
 
 // TestMerge guards against views that depend on the order in which records
 // arrive, and so never agree.
-func TestMerge(t *testing.T) {
+func TestMerge(t *testing.T) { mergeAnyOrder(t) }
+
+// TestSoakMerge repeats the run of TestMerge with growing seeds.
+func TestSoakMerge(t *testing.T) { soak.Rapid(t, mergeAnyOrder) }
+
+func mergeAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		gen := rapid.Custom(func(t *rapid.T) Record {
 			return Record{
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/pkg/invar"
 )
 
@@ -90,6 +91,30 @@
 	}
 }
 
+// TestSoak guards against a view that stays wrong under lost messages and
+// kills: a dead VM that is known late or a running VM that is missing.
+func TestSoak(t *testing.T) {
+	soak.Each(t, func(t *testing.T, seed uint64) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFabric(seed)
+			all := fleet(t, f, 7)
+			for range 5 {
+				f.loss = 0.01
+				time.Sleep(time.Duration(f.rng.Int64N(int64(5 * time.Second))))
+				f.loss = 0
+				victim := f.rng.IntN(len(all))
+				f.kill(all[victim].cfg.Self.ID, 1)
+				others := append(append([]*Members{}, all[:victim]...), all[victim+1:]...)
+				if got, want := settle(t, others, len(all)-1, 30*time.Second), 3*time.Second; got > want {
+					t.Errorf("got the death known after %v, want at most %v", got, want)
+				}
+				f.kill(all[victim].cfg.Self.ID, 0)
+				settle(t, all, len(all), time.Minute)
+			}
+		})
+	})
+}
+
 // TestPartition guards against views that stay apart after a partition, and
 // against VMs of the own part that are taken for dead when the parts merge.
 func TestPartition(t *testing.T) {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/pkg/config"
 )
 
@@ -16,7 +17,12 @@
 // TestAddedLoadAndSingleRun guards against retries that add more than 10% load
 // when every target of a service fails, and against a second run of a request
 // that may not be repeated.
-func TestAddedLoadAndSingleRun(t *testing.T) {
+func TestAddedLoadAndSingleRun(t *testing.T) { addedLoadAndSingleRun(t) }
+
+// TestSoak repeats the run of TestAddedLoadAndSingleRun with growing seeds.
+func TestSoak(t *testing.T) { soak.Rapid(t, addedLoadAndSingleRun) }
+
+func addedLoadAndSingleRun(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		rnd := rand.New(rand.NewPCG(seed, 1))
