relay: give a leaving target no new work after 2 s

Change: the home learns from each changed view which targets are leaving (Home.Observe, called by internal/node) and refuses a transaction as "not run" when its target has been leaving for 2 s, after all waits and before anything is sent. A silent target keeps its time. While no target is leaving this costs one atomic read.

Conclusion: writes are refused as "not run" at a leaving primary without a successor until it stays or is replaced.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -57,6 +57,7 @@
 	pool    *pool.Pool
 	dialer  *switchDialer
 	fwd     *relay.Forwarder
+	home    *relay.Home
 	relay   *relay.Server
 	front   *Server
 	budgets *retry.Budgets
@@ -121,6 +122,7 @@
 	home := (&relay.Home{
 		Clock: clock, Config: f.view, Groups: f, Limiter: f.limiter, Queues: f.queue, Pool: vm.pool, Keys: f.keys,
 	}).Init()
+	vm.home = home
 	vm.relay = relay.NewServer(home, f.tokens, nil)
 	vm.peer = f.serve(vm.relay.Serve)
 	vm.fwd = relay.NewForwarder(clock, nil, nil)
--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -25,10 +25,13 @@
 	log      *log.Logger
 	// endOlder ends the writes at primaries of terms before the given one.
 	endOlder func(service siskin.ServiceName, term siskin.Term)
-	running  *shard.Map[siskin.ServiceName, *watchedGroup]
+	// observe receives each view of a watched group, and an empty one when the
+	// group is watched no longer.
+	observe func(service siskin.ServiceName, view *siskin.GroupView)
+	running *shard.Map[siskin.ServiceName, *watchedGroup]
 }
 
-func newGroups(cfg Config, homes *homes, endOlder func(siskin.ServiceName, siskin.Term)) *groups {
+func newGroups(cfg Config, homes *homes, endOlder func(siskin.ServiceName, siskin.Term), observe func(siskin.ServiceName, *siskin.GroupView)) *groups {
 	return &groups{
 		self:     cfg.Self.ID,
 		clock:    cfg.Clock,
@@ -37,6 +40,7 @@
 		open:     cfg.Open,
 		log:      cfg.Log,
 		endOlder: endOlder,
+		observe:  observe,
 		running:  shard.New[siskin.ServiceName, *watchedGroup](),
 	}
 }
@@ -68,6 +72,7 @@
 		if !wanted[name] {
 			g.running.Delete(name)
 			_ = w.Close() // ends calls and never fails
+			g.observe(name, &siskin.GroupView{})
 		}
 		return true
 	})
@@ -90,7 +95,7 @@
 		return err
 	}
 	w := &watchedGroup{Group: started, settings: settings, credentials: service.Credentials, closed: make(chan struct{})}
-	w.wg.Go(func() { w.follow(g.endOlder) })
+	w.wg.Go(func() { w.follow(g.endOlder, g.observe) })
 	g.running.Put(service.Name, w)
 	if ok {
 		return old.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,7 +43,8 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.homes = newHomes(cfg.Members)
 	n.queues = newQueues(cfg.Clock)
-	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) })
+	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) },
+		func(s siskin.ServiceName, v *siskin.GroupView) { n.home.Observe(s, v) })
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
 	n.slots = &slots{self: cfg.Self.ID, homes: n.homes, pool: n.pool, queues: n.queues}
--- a/internal/node/watchedgroup.go
+++ b/internal/node/watchedgroup.go
@@ -18,12 +18,14 @@
 	wg     sync.WaitGroup
 }
 
-// follow calls endOlder for each new term.
-func (w *watchedGroup) follow(endOlder func(siskin.ServiceName, siskin.Term)) {
+// follow passes each view to observe and calls endOlder for each new term.
+func (w *watchedGroup) follow(endOlder func(siskin.ServiceName, siskin.Term), observe func(siskin.ServiceName, *siskin.GroupView)) {
 	var last siskin.Term
 	for {
 		changed := w.Changed()
-		if term := w.View().Term; term > last {
+		view := w.View()
+		observe(w.settings.Service, &view)
+		if term := view.Term; term > last {
 			last = term
 			endOlder(w.settings.Service, term)
 		}
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -26,6 +26,7 @@
 
 	applied *shard.Map[siskin.TargetID, siskin.Position]
 	writes  writes
+	leaving leaving
 }
 
 // DefaultReplicaWait is a little above the replication lag of 50 ms at which
@@ -39,6 +40,7 @@
 	}
 	h.applied = shard.New[siskin.TargetID, siskin.Position]()
 	h.writes = newWrites()
+	h.leaving.since = shard.New[siskin.ServiceName, map[siskin.TargetID]time.Time]()
 	return h
 }
 
@@ -57,6 +59,7 @@
 		l.end()
 		return nil, f
 	}
+	h.checkLeaving(hdr)
 	return l, nil
 }
 
@@ -97,6 +100,9 @@
 			return err
 		}
 	}
+	if err := l.refuseLeaving(); err != nil {
+		return err
+	}
 	return l.checkKey()
 }
 
--- /dev/null
+++ b/internal/relay/leaving_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"siskintray.example/siskin"
+)
+
+// TestObserve guards against a leaving target whose time starts anew when it is
+// silent for a while, and against entries that stay when nothing is leaving.
+func TestObserve(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := (&Home{Clock: clock}).Init()
+	see := func(leaving, reachable bool) {
+		h.Observe("s", &siskin.GroupView{Targets: []siskin.TargetView{
+			{Status: siskin.TargetStatus{ID: "s/1", Leaving: leaving}, Reachable: reachable}, {Status: siskin.TargetStatus{ID: "s/2"}, Reachable: true},
+		}})
+		clock.Advance(time.Second)
+	}
+	for i, step := range []struct {
+		leaving, reachable bool
+		want               time.Duration
+	}{
+		{false, true, 0},
+		{true, true, time.Second},
+		{false, false, 2 * time.Second},
+		{true, true, 3 * time.Second},
+		{false, true, 0},
+		{true, true, time.Second},
+	} {
+		see(step.leaving, step.reachable)
+		if got := h.leavingFor("s", "s/1"); got != step.want {
+			t.Errorf("step %d: got %v, want %v", i, got, step.want)
+		}
+		if got := h.leavingFor("s", "s/2"); got != 0 {
+			t.Errorf("step %d: got %v for a target that stays, want 0", i, got)
+		}
+	}
+	h.Observe("s", &siskin.GroupView{})
+	if got := h.leaving.services.Load() + int64(h.leaving.since.Len()); got != 0 {
+		t.Errorf("got %d entries when the service is watched no longer, want 0", got)
+	}
+}
