--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -16,6 +16,7 @@
 var (
 	ranOnce  = invar.New("NonRepeatableRunsAtMostOnce")
 	keyValid = invar.New("NothingSentForWithdrawnKey")
+	ownKey   = invar.New("RequestRunsForCustomerOfKey")
 )
 
 // transaction is the state of one transaction over its attempts.
@@ -142,6 +143,9 @@
 	if c.grant == (siskin.KeyGrant{}) && !t.route.Open {
 		keyValid.Check(false, "request %d on route %s has no key", t.hdr.Request, t.route.Name)
 	}
+	if !t.route.Open && t.hdr.Customer != c.grant.Customer {
+		ownKey.Check(false, "request %d of customer %s came with a key of customer %s", t.hdr.Request, t.hdr.Customer, c.grant.Customer)
+	}
 	c.stmts.repeat()
 	t.streamed = last == 0
 	res, f := relay.Exchange(c, leg, c, &c.batch, last)
