--- a/internal/front/pick_test.go
+++ b/internal/front/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -79,3 +80,36 @@
 	}
 	return service, view
 }
+
+// BenchmarkPick measures the choice of a target for a transaction, the look-up
+// of its service and route included.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100_000} {
+		b.Run(fmt.Sprint("services=", n), func(b *testing.B) {
+			services := make([]*config.Service, n)
+			for i := range services {
+				services[i] = &config.Service{Name: siskin.ServiceName(fmt.Sprint("s", i)), Routes: []config.Route{{Name: "read", Mode: config.ReadRoute}}}
+				for t := range 3 {
+					services[i].Targets = append(services[i].Targets, config.Target{ID: siskin.TargetID(fmt.Sprintf("s%d/%d", i, t)), DataCentre: "dc-0"})
+				}
+			}
+			configured := config.NewFixed(services, nil)
+			b.ReportAllocs()
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				view := siskin.GroupView{Primary: services[0].Targets[0].ID}
+				for i := range 3 {
+					view.Targets = append(view.Targets, siskin.TargetView{Status: siskin.TargetStatus{ID: services[0].Targets[i].ID}, Reachable: true})
+				}
+				for pb.Next() {
+					service, _ := configured.Service("s0")
+					route, _ := service.Route("read")
+					if _, ok := pick(service, &view, need{route: route, dc: "dc-0"}, rand.IntN); !ok {
+						b.Error("no target")
+						return
+					}
+				}
+			})
+		})
+	}
+}
