--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -29,6 +29,11 @@
 // one begins a new incident.
 const incident = 3 * time.Second
 
+// sameAge is the difference up to which connections count as equally old. It is
+// about the time between a fault and its first unanswered probe, so that a
+// connection opened after the fault seldom clears one from before it.
+const sameAge = 500 * time.Millisecond
+
 func (s *silence) probeFailed(sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -54,7 +59,7 @@
 func (s *silence) isSilent(opened, heard, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	exonerated := !s.alive.IsZero() && !s.alive.After(opened)
+	exonerated := !s.alive.IsZero() && s.alive.Sub(opened) <= sameAge
 	return opened.Before(s.first) && heard.Before(s.first) && !exonerated &&
 		now.Sub(s.first) >= probeTimeout+settle
 }
