--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -19,7 +19,7 @@
 func (d *Daemon) startNode() (err error) {
 	clock := d.options.clock
 	proof := newEvidence(d.members)
-	d.spread = spread.New(d.platform, d.client, d.members, spread.WithClock(clock), spread.WithEvidence(proof), spread.WithLogf(d.debugf))
+	d.spread = spread.New(spread.Config{}, d.members, d.client, d.platform, spread.WithClock(clock), spread.WithEvidence(proof), spread.WithLogf(d.debugf))
 	proof.setView(d.spread)
 	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proof.current))
 	d.limiter = limit.New(clock, d.spread, d.members, d.client, d.platform, limit.WithLogf(d.debugf))
--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -3,111 +3,138 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"errors"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/pkg/config"
-	"siskintray.example/siskin/pkg/invar"
 )
 
-var refusedInvisible = invar.New("ConfigRefusedChangeIsInvisible")
-
 // maxRaces bounds how often a change is validated again because another one
 // was accepted meanwhile.
 const maxRaces = 8
 
-// Apply makes a change current: it is accepted or refused as a whole. The error
-// is of kind BadInput for findings, Conflict when another change of the same
-// documents won, OutcomeUnknown when the platform's answer was lost for good,
-// and Unavailable when the platform cannot be reached. The change must not be
-// modified afterwards.
+// errRaced says that another change became current first.
+var errRaced = errors.New("another change became current first")
+
+// Apply makes an operator's change current and returns its revision. It is
+// accepted or refused as a whole, and validated again when another change was
+// accepted meanwhile. An error of kind BadInput lists findings, Conflict means
+// that another change of the same documents came first, and OutcomeUnknown that
+// the platform's answer was lost until the deadline. Every other error means
+// that the change was refused and is visible nowhere.
 func (s *Spread) Apply(ctx context.Context, change *config.Change) (siskin.Revision, error) {
-	s.applyMu.Lock()
-	defer s.applyMu.Unlock()
-	for range maxRaces {
-		revision, err := s.applyOnce(ctx, change)
-		if err == nil || !errors.Is(err, errRaced) {
-			return revision, err
+	for i := 1; ; i++ {
+		// A refused operation must not be found as accepted later, so that each
+		// attempt has its own id.
+		op := siskin.OperationID(string(s.members.Self().ID) + "-" + rand.Text())
+		rev, err := s.ApplyAs(ctx, op, change)
+		if !errors.Is(err, errRaced) || i == maxRaces {
+			return rev, err
 		}
 	}
-	return 0, siskin.NewError(siskin.Conflict, "other changes were accepted %d times meanwhile", maxRaces).
-		WithRemedy("read the configuration again and repeat the change")
 }
 
-// errRaced says that another change became current first.
-var errRaced = errors.New("another change became current first")
-
-func (s *Spread) applyOnce(ctx context.Context, change *config.Change) (siskin.Revision, error) {
-	sent := s.clock.Now()
-	o, err := s.platform.Get(ctx, headName)
+// ApplyAs makes a change current under an operation id and returns its
+// revision. Applying the same change again with the same id has no effect and
+// gives the result after an error of kind OutcomeUnknown. An error of kind
+// Conflict means that any other change came first.
+func (s *Spread) ApplyAs(ctx context.Context, op siskin.OperationID, change *config.Change) (siskin.Revision, error) {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	h, version, err := s.readHead(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if err := s.follow(o, sent); err != nil {
+	if rev, ok := h.find(op); ok {
+		return rev, nil
+	}
+	view := s.snapshot()
+	if view.revision != h.Revision { // the head is older than what was pushed meanwhile
+		return 0, conflict(view.revision)
+	}
+	if err := s.cfg.Validate(view, change).Err(); err != nil {
 		return 0, err
 	}
-	h, err := decodeHead(o)
+	rev := h.Revision + 1
+	docs, err := documents(op, change, rev)
 	if err != nil {
 		return 0, err
 	}
-	view := s.store.state.Load()
-	if view.revision != h.Revision {
-		return 0, errRaced
-	}
-	if err := s.validate(view, change); err != nil {
+	entries, err := decodeAll(docs)
+	if err != nil {
 		return 0, err
 	}
-	n := Numbered{Revision: h.Revision + 1, Change: change}
-	change.SetRevision(n.Revision)
-	if err := s.accept(ctx, o.Version, h, n); err != nil {
+	if err := s.write(ctx, h, version, op, docs); err != nil {
+		if siskin.KindOf(err) == siskin.Conflict { // others may be applied again
+			s.accepted.refuse(rev, op)
+		}
 		return 0, err
 	}
-	s.push(s.store.apply([]Numbered{n}))
-	return n.Revision, nil
+	s.accepted.note(rev, op)
+	s.install(entries, rev)
+	near, far := s.others()
+	s.pushAll(h.Revision, append(near, far...))
+	return rev, nil
 }
 
-// accept writes the change and then the head that makes it current.
-func (s *Spread) accept(ctx context.Context, version siskin.Version, h head, n Numbered) error {
-	value, err := config.EncodeChange(n.Change)
+// write writes the change object and then makes it current.
+func (s *Spread) write(ctx context.Context, h head, version siskin.Version, op siskin.OperationID, docs []Document) error {
+	snapshot, err := s.snapshotRevision(ctx)
 	if err != nil {
 		return err
 	}
-	ref := changeRef{Revision: n.Revision, Name: changeName(n.Revision, s.members.Self())}
-	old, err := s.platform.Get(ctx, ref.Name)
-	if err != nil {
-		return err
+	next := h.next(op, snapshot)
+	if len(next.Recent) > maxRecent {
+		return siskin.NewError(siskin.Overloaded, "%d changes wait for the snapshot", len(next.Recent)).WithRemedy("retry in a minute")
 	}
-	ref.Version, err = s.platform.Put(ctx, ref.Name, value, old.Version, s.operation())
+	value, err := json.Marshal(changeObject{next.Revision, op, docs})
 	if err != nil {
-		return notAccepted(err)
+		return siskin.NewError(siskin.Internal, "cannot encode the change").WithCause(err)
 	}
-	h.Revision, h.Recent = n.Revision, append(h.Recent, ref)
-	value, err = h.encode()
-	if err != nil {
+	name := changeName(headChange{next.Revision, op})
+	// The object is not current yet, so a lost answer does no harm, and a
+	// conflict means that an earlier attempt of this operation wrote it.
+	if _, err := s.platform.Put(ctx, name, value, 0, op); err != nil && siskin.KindOf(err) != siskin.Conflict {
+		if siskin.KindOf(err) == siskin.OutcomeUnknown {
+			return siskin.NewError(siskin.Unavailable, "the change could not be stored").WithCause(err).WithRemedy("retry later")
+		}
 		return err
 	}
-	_, err = s.platform.Put(ctx, headName, value, version, s.operation())
-	if err != nil && siskin.KindOf(err) == siskin.Conflict {
-		refusedInvisible.Check(s.Revision() < n.Revision || s.hasOther(n), "change %d was refused and is in force", n.Revision)
-		return errRaced
+	value, err = json.Marshal(next)
+	if err != nil {
+		return siskin.NewError(siskin.Internal, "cannot encode the head").WithCause(err)
+	}
+	_, err = s.platform.Put(ctx, headName, value, version, op)
+	switch siskin.KindOf(err) {
+	case siskin.Conflict:
+		return s.resolve(ctx, op, err)
+	case siskin.OutcomeUnknown:
+		return s.resolve(ctx, op, err)
 	}
 	return err
 }
 
-// hasOther reports whether the change in force under the revision is another.
-func (s *Spread) hasOther(n Numbered) bool {
-	changes, ok := s.store.since(n.Revision - 1)
-	return !ok || len(changes) == 0 || changes[0].Change != n.Change
-}
-
-// notAccepted turns the error of a write before the head's: whatever happened
-// to it, the change did not become current.
-func notAccepted(err error) error {
-	return siskin.NewError(siskin.Unavailable, "change was not accepted").
-		WithRemedy("repeat it when the platform is up").WithCause(err)
+// resolve reads the head back to find out whether an operation took effect.
+func (s *Spread) resolve(ctx context.Context, op siskin.OperationID, cause error) error {
+	o, err := s.platform.Get(ctx, headName)
+	if err != nil {
+		return cause
+	}
+	h, err := parseHead(o)
+	if err != nil {
+		return cause
+	}
+	if _, ok := h.find(op); ok {
+		return nil
+	}
+	if siskin.KindOf(cause) == siskin.Conflict {
+		return conflict(h.Revision)
+	}
+	return cause
 }
 
-// operation returns a new id for a conditional update.
-func (s *Spread) operation() siskin.OperationID {
-	return siskin.OperationID(string(s.members.Self().ID) + "/" + rand.Text())
+func conflict(rev siskin.Revision) error {
+	return siskin.NewError(siskin.Conflict, "another change came first; revision %d is current", rev).
+		WithRemedy("look at the current configuration, make the change for it and apply it again").WithCause(errRaced)
 }
--- /dev/null
+++ b/pkg/spread/config.go
@@ -0,0 +1,68 @@
+package spread
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// Config holds the settings of a Spread.
+type Config struct {
+	// ExchangeInterval is the time between two exchanges with a random VM;
+	// zero means 1 s.
+	ExchangeInterval time.Duration
+	// CallTimeout bounds one call of a peer; zero means 2 s.
+	CallTimeout time.Duration
+	// SnapshotEvery is the number of changes after which the snapshot is
+	// rewritten; zero means 32.
+	SnapshotEvery siskin.Revision
+	// StatusInterval is the shortest time between two writes of the revisions
+	// of a data centre to the platform; zero means 5 s.
+	StatusInterval time.Duration
+	// Validate accepts or refuses a change as a whole. The view shows the
+	// configuration before the change. Nil means config.Validate.
+	Validate func(view config.View, change *config.Change) config.Findings
+}
+
+const (
+	// fanOut is the number of VMs that one VM pushes a change to. A tree of
+	// that width reaches 2,800 VMs in 4 hops.
+	fanOut = 8
+	// watcherCount is the number of VMs per data centre that watch the head.
+	watcherCount = 2
+	// pageBytes bounds the documents in one answer, well below the limit of a
+	// message between VMs.
+	pageBytes = 512 << 10
+	// maxRecent bounds the changes that the head names, at about 120 bytes each.
+	maxRecent = 1000
+	// keepRecent is the number of changes that the head names even when the
+	// snapshot covers them, so that a lost answer can be resolved.
+	keepRecent = 64
+	// farEvery is how often an exchange is with another data centre.
+	farEvery = 8
+	// statusEvery is how often an exchange is with the VM that collects the
+	// revisions of the data centre.
+	statusEvery = 4
+)
+
+// backupDelay is how long the first and the second watcher wait for a push
+// before they push a change themselves.
+var backupDelay = [watcherCount]time.Duration{150 * time.Millisecond, 500 * time.Millisecond}
+
+func (cfg *Config) setDefaults() {
+	setDefault(&cfg.ExchangeInterval, time.Second)
+	setDefault(&cfg.CallTimeout, 2*time.Second)
+	setDefault(&cfg.SnapshotEvery, 32)
+	setDefault(&cfg.StatusInterval, 5*time.Second)
+	if cfg.Validate == nil {
+		cfg.Validate = config.Validate
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/pkg/spread/confirm.go
@@ -0,0 +1,75 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// confirmTurn is the time between two questions to the collectors.
+const confirmTurn = 250 * time.Millisecond
+
+// StatusArgs are the arguments of Spread.Status.
+type StatusArgs struct{ From siskin.VMID }
+
+// StatusReply is the answer of Spread.Status.
+type StatusReply struct {
+	// Revisions are the revisions in force that the answering VM heard of.
+	Revisions map[siskin.VMID]siskin.Revision
+}
+
+// Status answers with the revisions that this VM heard of.
+func (r *Receiver) Status(_ *StatusArgs, reply *StatusReply) error {
+	reply.Revisions = r.s.Status()
+	return nil
+}
+
+// Confirm waits until a revision is in force at all live VMs, at most until
+// the context ends, and returns the VMs where that is not confirmed. It asks
+// one VM per data centre, which hears of the others within some seconds.
+func (s *Spread) Confirm(ctx context.Context, rev siskin.Revision) []siskin.VM {
+	for {
+		missing := s.notConfirmed(rev)
+		if len(missing) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return missing
+		case <-s.ctx.Done():
+			return missing
+		case <-s.clock.After(confirmTurn):
+		}
+	}
+}
+
+// notConfirmed returns the live VMs that are not known to have a revision.
+func (s *Spread) notConfirmed(rev siskin.Revision) []siskin.VM {
+	live := s.members.Live()
+	confirmed := make(map[siskin.VMID]bool)
+	note := func(revisions map[siskin.VMID]siskin.Revision) {
+		for id, r := range revisions {
+			confirmed[id] = confirmed[id] || r >= rev
+		}
+	}
+	note(s.Status())
+	asked := make(map[siskin.VMID]bool)
+	var missing []siskin.VM
+	for _, vm := range live {
+		if confirmed[vm.ID] {
+			continue
+		}
+		if c, ok := collectorOf(vm.DataCentre, live); ok && !asked[c.ID] && c.ID != s.members.Self().ID {
+			asked[c.ID] = true
+			var reply StatusReply
+			if s.call(c.ID, "Spread.Status", &StatusArgs{From: s.members.Self().ID}, &reply) == nil {
+				note(reply.Revisions)
+			}
+		}
+		if !confirmed[vm.ID] {
+			missing = append(missing, vm)
+		}
+	}
+	return missing
+}
--- a/pkg/spread/exchange.go
+++ b/pkg/spread/exchange.go
@@ -1,166 +1,165 @@
 package spread
 
 import (
-	"context"
-	"math/rand/v2"
 	"time"
 
 	"siskintray.example/siskin"
-	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/place"
 )
 
-// maxBatch bounds the changes in one answer, so that it stays below the size of
-// a message between VMs.
-const maxBatch = 256
-
-// SinceArgs asks for the changes after a revision.
-type SinceArgs struct{ Revision siskin.Revision }
-
-// SinceReply answers SinceArgs.
-type SinceReply struct {
+// SinceArgs are the arguments of Spread.Since.
+type SinceArgs struct {
+	From siskin.VMID
+	// Revision is the revision in force at the caller.
 	Revision siskin.Revision
-	Changes  []Numbered `json:",omitempty"`
-	// Part is a part of the whole state, when the changes are no longer kept.
-	Part *Part `json:",omitempty"`
-	// Age is the age of the VM's proof that its revision is the newest, in
-	// nanoseconds, negative without one.
-	Age time.Duration
-	// Watcher says that the VM asks the platform itself, and PlatformDown that
-	// the platform did not answer it.
-	Watcher      bool
-	PlatformDown bool
-	DataCentre   siskin.DataCentreID
+	// After is the last document of the page before, without its body.
+	After *Document `json:",omitempty"`
 }
 
-// Part is a part of the state of one revision.
-type Part struct {
-	Revision siskin.Revision
-	Index    int
-	Count    int
-	Change   *config.Change
-}
-
-// PartArgs asks for one part of the whole state.
-type PartArgs struct {
+// SinceReply is the answer of Spread.Since.
+type SinceReply struct {
+	// Revision is the revision in force at the answering VM when it collected
+	// the documents.
 	Revision siskin.Revision
-	Index    int
+	// Documents are those changed after the caller's revision.
+	Documents []Document `json:",omitempty"`
+	// More says that further pages follow.
+	More bool `json:",omitempty"`
+	// Proof holds for Revision.
+	Proof Proof
 }
 
-// exchange asks one random peer per interval for what this VM lacks.
-func (s *Spread) exchange() {
-	for {
-		for more := true; more; {
-			vm, ok := s.pickPeer()
-			more = ok && s.ask(vm)
+// exchangeLoop compares revisions with a random VM at each interval.
+func (s *Spread) exchangeLoop() {
+	for n := 1; ; n++ {
+		if vm, ok := s.partner(n); ok {
+			_ = s.fetch(vm)
 		}
-		if s.platformDown.Load() && s.isWatcher() {
-			s.askWatchers()
+		if s.asksPlatform(n) {
+			s.submit(func() { _ = s.loadFromPlatform(s.ctx) })
 		}
-		jitter := time.Duration(rand.Int64N(int64(s.interval)/4 + 1))
-		if !s.sleep(s.interval*7/8 + jitter) {
+		s.writeStatus()
+		select {
+		case <-s.clock.After(s.cfg.ExchangeInterval):
+		case <-s.ctx.Done():
 			return
 		}
 	}
 }
 
-// farEvery is how often a peer of another data centre is asked instead of one
-// of the own.
-const farEvery = 3
-
-// ask asks one peer and reports whether more is to be had at once.
-func (s *Spread) ask(vm siskin.VMID) bool {
-	if s.ctx.Err() != nil {
+// asksPlatform reports whether the platform is asked after the n-th exchange, at
+// doubling intervals. Every VM asks from the start while no peer gave a proof,
+// since no key is accepted without one. Later only VMs that are no watchers ask,
+// while no peer has a configuration, so that a fleet without one does not load
+// the platform.
+func (s *Spread) asksPlatform(n int) bool {
+	if n&(n-1) != 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-	defer cancel()
-	sent, before := s.clock.Now(), s.Revision()
-	var reply SinceReply
-	if err := s.peers.Call(ctx, vm, "Spread.Since", SinceArgs{Revision: before}, &reply); err != nil {
-		return false
+	if !s.proved.Load() {
+		return true
 	}
-	if reply.Part != nil {
-		if err := s.takeParts(vm, reply.Part); err != nil {
-			s.logf("state from %s: %v", vm, err)
+	_, watcher := s.watcherRank()
+	return !watcher && s.Revision() == 0 && n >= 8
+}
+
+// partner returns the VM for the n-th exchange.
+func (s *Spread) partner(n int) (siskin.VMID, bool) {
+	near, far := s.others()
+	switch {
+	case len(near)+len(far) == 0:
+		return "", false
+	case len(near) == 0 || len(far) > 0 && n%farEvery == 0:
+		return pick(far), true
+	case n%statusEvery == 0:
+		if vm, ok := s.collector(); ok && vm.ID != s.members.Self().ID {
+			return vm.ID, true
 		}
-	} else {
-		s.push(s.store.apply(reply.Changes))
-	}
-	if reply.Watcher && reply.DataCentre != s.members.Self().DataCentre {
-		s.evidence.PeerPlatform(reply.DataCentre, sent, reply.PlatformDown)
-	}
-	if s.Revision() < reply.Revision {
-		return s.Revision() > before
 	}
-	if reply.Age >= 0 {
-		s.evidence.PeerProof(sent, reply.Age)
-	}
-	if reply.Revision > 0 {
-		s.markLoaded()
-	}
-	return false
+	return pick(near), true
 }
 
-// askWatchers asks one watcher of each other data centre whether the platform
-// is down there too. Only watchers do so, and only while they cannot reach the
-// platform: with 16 data centres that is 15 messages a second.
-func (s *Spread) askWatchers() {
-	self := s.members.Self()
-	byPlace := make(map[siskin.DataCentreID][]siskin.VM)
-	for _, vm := range s.members.Live() {
-		byPlace[vm.DataCentre] = append(byPlace[vm.DataCentre], vm)
-	}
-	for dc, vms := range byPlace {
-		if dc == self.DataCentre {
-			continue
+// collector returns the VM that collects the revisions of this data centre.
+func (s *Spread) collector() (siskin.VM, bool) {
+	return collectorOf(s.members.Self().DataCentre, s.members.Live())
+}
+
+func collectorOf(dc siskin.DataCentreID, live []siskin.VM) (siskin.VM, bool) {
+	return place.Best("Spread/Collector", place.In(dc, live))
+}
+
+// fetch gets the documents changed since this VM's revision from a peer, in
+// pages. The revision advances only when all of them arrived.
+func (s *Spread) fetch(vm siskin.VMID) error {
+	args := &SinceArgs{From: s.members.Self().ID, Revision: s.Revision()}
+	target, first, sent := siskin.Revision(0), Proof{}, s.clock.Now()
+	for {
+		var reply SinceReply
+		if err := s.call(vm, "Spread.Since", args, &reply); err != nil {
+			return err
+		}
+		s.status.note(vm, reply.Revision, s.clock.Now())
+		entries, err := decodeAll(reply.Documents)
+		if err != nil {
+			return err
+		}
+		if args.After == nil {
+			target, first = reply.Revision, reply.Proof
 		}
-		ranked := place.Rank(watchResource(dc), vms)
-		vm := ranked[rand.IntN(min(len(ranked), watchersPerDataCentre))].ID
-		// A question that finds no place is asked again in the next interval.
-		_ = s.pushes.Go(func() { s.ask(vm) })
+		if !reply.More || len(entries) == 0 {
+			s.install(entries, target)
+			s.noteProof(first, target, sent)
+			return nil
+		}
+		s.install(entries, 0)
+		last := reply.Documents[len(reply.Documents)-1]
+		args.After = &Document{Kind: last.Kind, Name: last.Name, Revision: last.Revision}
 	}
 }
 
-func (s *Spread) pickPeer() (siskin.VMID, bool) {
-	self := s.members.Self()
-	var near, far []siskin.VMID
-	for _, vm := range s.members.Live() {
-		switch {
-		case vm.ID == self.ID:
-		case vm.DataCentre == self.DataCentre:
-			near = append(near, vm.ID)
-		default:
-			far = append(far, vm.ID)
-		}
+// fetchSoon fetches from a peer in the background, once at a time.
+func (s *Spread) fetchSoon(vm siskin.VMID) {
+	s.fetchMu.Lock()
+	busy := s.busy[vm]
+	s.busy[vm] = true
+	s.fetchMu.Unlock()
+	if busy {
+		return
 	}
-	if len(far) > 0 && (len(near) == 0 || rand.IntN(farEvery) == 0) {
-		return far[rand.IntN(len(far))], true
+	free := func() {
+		s.fetchMu.Lock()
+		defer s.fetchMu.Unlock()
+		delete(s.busy, vm)
 	}
-	if len(near) > 0 {
-		return near[rand.IntN(len(near))], true
+	if !s.submit(func() { defer free(); _ = s.fetch(vm) }) {
+		free()
 	}
-	return "", false
 }
 
-// takeParts reads the whole state from a peer, part by part.
-func (s *Spread) takeParts(vm siskin.VMID, first *Part) error {
-	all := &config.Change{}
-	for p := first; ; {
-		all.Services = append(all.Services, p.Change.Services...)
-		all.Customers = append(all.Customers, p.Change.Customers...)
-		if p.Index+1 >= p.Count {
-			break
-		}
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		next := &Part{}
-		err := s.peers.Call(ctx, vm, "Spread.Part", PartArgs{Revision: first.Revision, Index: p.Index + 1}, next)
-		cancel()
-		if err != nil {
-			return err
+// Receiver holds the methods that peers call. Register it as "Spread".
+type Receiver struct{ s *Spread }
+
+// Receiver returns the receiver of the methods Spread.Push and Spread.Since.
+func (s *Spread) Receiver() *Receiver { return &Receiver{s} }
+
+// Since answers with the documents changed after the caller's revision.
+func (r *Receiver) Since(args *SinceArgs, reply *SinceReply) error {
+	s := r.s
+	s.status.note(args.From, args.Revision, s.clock.Now())
+	reply.Proof = s.proof()
+	reply.Revision = s.Revision()
+	switch {
+	case args.Revision < reply.Revision:
+		after := afterRevision(args.Revision)
+		if args.After != nil {
+			after = logged{args.After.Revision, args.After.key()}
 		}
-		p = next
+		reply.Documents, reply.More = s.since(after)
+	case args.Revision > reply.Revision:
+		s.fetchSoon(args.From)
 	}
-	s.store.replace(first.Revision, all)
 	return nil
 }
+
+// staleAfter is the age from which the revision of a VM is not known anymore.
+const staleAfter = 30 * time.Second
--- /dev/null
+++ b/pkg/spread/fleet_test.go
@@ -0,0 +1,214 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/stand/objapi"
+	"siskintray.example/siskin/pkg/invar"
+	"siskintray.example/siskin/pkg/plat"
+)
+
+var seed = flag.Uint64("seed", 1, "seed of the randomized tests")
+
+// TestMain makes violations of invariants fatal.
+func TestMain(m *testing.M) {
+	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
+	goleak.VerifyTestMain(m)
+}
+
+// fabric is a fake of siskin.Members and siskin.Peers for VMs of one process.
+// Messages travel as JSON; those over cut links are lost.
+type fabric struct {
+	mu    sync.Mutex
+	cut   bool // the data centres are cut off from each other
+	alone bool // VMs start cut off from the platform
+	vms   []siskin.VM
+	nodes map[siskin.VMID]*node
+
+	places  []siskin.DataCentreID       // VM i is in place i modulo their number
+	options func(vm siskin.VM) []Option // nil for none
+}
+
+type node struct {
+	*Spread
+	f        *fabric
+	vm       siskin.VM
+	client   *plat.Client
+	cutOff   atomic.Bool // from the platform
+	stale    atomic.Bool // watches answer with the oldest head again
+	firstNow siskin.Object
+	lateHead atomic.Bool // the next update of the head is held back until the one after it
+	late     func()
+}
+
+// Self implements siskin.Members.
+func (n *node) Self() siskin.VM { return n.vm }
+
+// Live implements siskin.Members.
+func (n *node) Live() []siskin.VM {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	return n.f.vms
+}
+
+// Lookup implements siskin.Members.
+func (n *node) Lookup(id siskin.VMID) (siskin.VM, bool) {
+	for _, vm := range n.Live() {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return siskin.VM{}, false
+}
+
+// Changed implements siskin.Members.
+func (n *node) Changed() <-chan struct{} { return nil }
+
+// Call implements siskin.Peers.
+func (n *node) Call(ctx context.Context, id siskin.VMID, method string, args, reply any) error {
+	n.f.mu.Lock()
+	to := n.f.nodes[id]
+	lost := to == nil || n.f.cut && to.vm.DataCentre != n.vm.DataCentre
+	n.f.mu.Unlock()
+	if lost {
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+		return errors.New("no answer")
+	}
+	if method == "Spread.Status" {
+		return to.Receiver().Status(nil, reply.(*StatusReply))
+	}
+	b, _ := json.Marshal(args)
+	if method == "Spread.Push" {
+		var a PushArgs
+		_ = json.Unmarshal(b, &a)
+		return to.Receiver().Push(&a, reply.(*PushReply))
+	}
+	var a SinceArgs
+	_ = json.Unmarshal(b, &a)
+	return to.Receiver().Since(&a, reply.(*SinceReply))
+}
+
+// gate is the platform as one VM reaches it.
+type gate struct {
+	*plat.Client
+	n *node
+}
+
+var errCutOff = siskin.NewError(siskin.Unavailable, "cut off from the platform")
+
+// Get implements siskin.Platform.
+func (g gate) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
+	if g.n.cutOff.Load() {
+		return siskin.Object{}, errCutOff
+	}
+	return g.Client.Get(ctx, name)
+}
+
+// Put implements siskin.Platform.
+func (g gate) Put(ctx context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
+	if g.n.cutOff.Load() {
+		return 0, errCutOff
+	}
+	if name == headName && g.n.holdsBack(func() { _, _ = g.Client.Put(context.Background(), name, value, ifVersion, op) }) {
+		return 0, siskin.NewError(siskin.OutcomeUnknown, "the answer was lost")
+	}
+	return g.Client.Put(ctx, name, value, ifVersion, op)
+}
+
+// Watch implements siskin.Platform. It can answer late, with an old head.
+func (g gate) Watch(ctx context.Context, name siskin.ObjectName, after siskin.Version) (siskin.Object, error) {
+	if g.n.cutOff.Load() {
+		return siskin.Object{}, errCutOff
+	}
+	o, err := g.Client.Watch(ctx, name, after)
+	if err == nil && g.n.firstNow.Version == 0 {
+		g.n.firstNow = o
+	}
+	if err == nil && g.n.stale.Load() {
+		return g.n.firstNow, nil
+	}
+	return o, err
+}
+
+func newFabric() *fabric {
+	return &fabric{nodes: make(map[siskin.VMID]*node), places: []siskin.DataCentreID{"a", "b"}}
+}
+
+// start starts VM i.
+func (f *fabric) start(t testing.TB, platform *objapi.Server, i int, cfg Config) *node {
+	t.Helper()
+	vm := siskin.VM{ID: siskin.VMID(fmt.Sprintf("vm-%d", i)), Incarnation: 1, DataCentre: f.places[i%len(f.places)], State: siskin.VMLive}
+	c, err := plat.New(plat.Config{Addresses: []string{platform.Address()}, CallsPerSecond: 1e4, Burst: 1000, MaxBackoff: 200 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{f: f, vm: vm, client: c}
+	n.cutOff.Store(f.alone)
+	var opts []Option
+	if f.options != nil {
+		opts = f.options(vm)
+	}
+	n.Spread = New(cfg, n, n, gate{c, n}, opts...)
+	f.mu.Lock()
+	if f.nodes[vm.ID] == nil {
+		f.vms = append(append([]siskin.VM{}, f.vms...), vm)
+	}
+	f.nodes[vm.ID] = n
+	f.mu.Unlock()
+	n.Start()
+	return n
+}
+
+func (f *fabric) all() (all []*node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, vm := range f.vms {
+		all = append(all, f.nodes[vm.ID])
+	}
+	return all
+}
+
+func (f *fabric) setCut(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+func (f *fabric) close() {
+	for _, n := range f.all() {
+		n.stop()
+	}
+	for _, n := range f.all() {
+		_ = n.Close()
+		_ = n.client.Close()
+	}
+}
+
+// fleet starts a platform and n VMs with fast exchanges.
+func fleet(t testing.TB, n int) (*objapi.Server, *fabric, []*node) {
+	t.Helper()
+	platform, err := objapi.Start(objapi.Config{Seed: *seed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFabric()
+	t.Cleanup(func() { f.close(); platform.Close() })
+	for i := range n {
+		f.start(t, platform, i, fastConfig())
+	}
+	return platform, f, f.all()
+}
--- a/pkg/spread/head.go
+++ b/pkg/spread/head.go
@@ -7,46 +7,68 @@
 	"siskintray.example/siskin"
 )
 
-// headName is the object whose conditional update makes a change current.
-const headName siskin.ObjectName = "Config/Head"
+// Names of the platform's objects.
+const (
+	headName     siskin.ObjectName = "Config/Head"
+	snapshotName siskin.ObjectName = "Config/Snapshot"
+	shardPrefix  siskin.ObjectName = "Config/Shard/"
+	statusPrefix siskin.ObjectName = "Config/Status/"
+)
 
-// head names the newest revision and the changes that are not yet folded into
-// the snapshot.
+// head is the value of Config/Head.
 type head struct {
 	Revision siskin.Revision
-	// Folded is the revision that every shard of the snapshot has reached.
-	Folded siskin.Revision
-	// Recent are the changes after Folded, in order.
-	Recent []changeRef
+	// Recent names the latest changes, oldest first. It covers every revision
+	// that the snapshot does not.
+	Recent []headChange
 }
 
-// changeRef names the object of a change and the version that was accepted.
-type changeRef struct {
-	Revision siskin.Revision
-	Name     siskin.ObjectName
-	Version  siskin.Version
+type headChange struct {
+	Revision  siskin.Revision
+	Operation siskin.OperationID
 }
 
-// changeSlots bounds the names of change objects per run of a VM. It is far
-// above the number of changes that are not folded.
-const changeSlots = 1024
+// changeName names the object of a change. The operation id keeps racing
+// operators from writing the same object.
+func changeName(c headChange) siskin.ObjectName {
+	return siskin.ObjectName(fmt.Sprintf("Config/Change/%012d/%s", c.Revision, c.Operation))
+}
 
-// changeName returns the object for a change. It names the run of the VM, so
-// that no other writer replaces a change between its write and its acceptance.
-func changeName(revision siskin.Revision, vm siskin.VM) siskin.ObjectName {
-	return siskin.ObjectName(fmt.Sprintf("Config/Change/%04d/%s-%d", revision%changeSlots, vm.ID, vm.Incarnation))
+// find returns the revision that an operation made.
+func (h *head) find(op siskin.OperationID) (siskin.Revision, bool) {
+	for _, c := range h.Recent {
+		if c.Operation == op {
+			return c.Revision, true
+		}
+	}
+	return 0, false
 }
 
-func decodeHead(o siskin.Object) (head, error) {
+// next returns the head after one more change, without the changes that the
+// snapshot covers.
+func (h *head) next(op siskin.OperationID, snapshot siskin.Revision) head {
+	n := head{Revision: h.Revision + 1}
+	for _, c := range h.Recent {
+		if c.Revision > snapshot || c.Revision+keepRecent > n.Revision {
+			n.Recent = append(n.Recent, c)
+		}
+	}
+	n.Recent = append(n.Recent, headChange{n.Revision, op})
+	return n
+}
+
+func parseHead(o siskin.Object) (head, error) {
 	var h head
 	if o.Version == 0 {
 		return h, nil
 	}
 	if err := json.Unmarshal(o.Value, &h); err != nil {
-		return h, siskin.NewError(siskin.Internal, "object %s is not a head", headName).
-			WithRemedy("restore the object from the platform's history").WithCause(err)
+		return h, siskin.NewError(siskin.BadInput, "object %s is malformed", o.Name).WithCause(err)
+	}
+	for i, c := range h.Recent {
+		if want := h.Revision - siskin.Revision(len(h.Recent)-1-i); c.Revision != want {
+			return h, siskin.NewError(siskin.BadInput, "object %s names revision %d in place of %d", o.Name, c.Revision, want)
+		}
 	}
 	return h, nil
 }
-
-func (h *head) encode() ([]byte, error) { return json.Marshal(h) }
--- /dev/null
+++ b/pkg/spread/proof_test.go
@@ -0,0 +1,116 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/keys"
+	"siskintray.example/siskin/pkg/place"
+)
+
+// tracked is the evidence of a VM in a fleet of three data centres.
+type tracked struct{ *keys.Tracker }
+
+func (e tracked) now() keys.Evidence {
+	return e.Evidence([]siskin.DataCentreID{"a", "b", "c"})
+}
+
+// Age implements Evidence.
+func (e tracked) Age(now time.Time) time.Duration {
+	if last := e.now().Last(); !last.IsZero() {
+		return now.Sub(last)
+	}
+	return -1
+}
+
+// eventually fails unless ok holds for all VMs within the limit.
+func eventually(t *testing.T, what string, all []*node, ok func(n *node) bool) {
+	t.Helper()
+	begun := time.Now()
+	for _, n := range all {
+		for !ok(n) {
+			if time.Since(begun) > limit {
+				t.Fatalf("%s: not so at %s after %v", what, n.vm.ID, limit)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// TestProofs guards against a VM without access to the platform that gets no
+// proof through peers, an outage for all data centres that a watcher does not
+// see as such, and one that it sees although a data centre has the platform.
+func TestProofs(t *testing.T) {
+	t.Parallel()
+	platform, f, _ := fleet(t, 0)
+	f.places = []siskin.DataCentreID{"a", "b", "c"}
+	evidence := make(map[siskin.VMID]tracked)
+	f.options = func(vm siskin.VM) []Option {
+		evidence[vm.ID] = tracked{keys.NewTracker(vm.DataCentre)}
+		return []Option{WithEvidence(evidence[vm.ID])}
+	}
+	for i := range 9 {
+		f.start(t, platform, i, fastConfig())
+	}
+	all := f.all()
+	inForce(t, all, must(t, all[0], set("op-1", "s", "one")), limit)
+	var watchers, others, cutWatchers []*node
+	for _, n := range all {
+		if _, ok := n.watcherRank(); !ok {
+			n.cutOff.Store(true)
+			others = append(others, n)
+			continue
+		}
+		watchers = append(watchers, n)
+		if n.vm.DataCentre != "c" {
+			cutWatchers = append(cutWatchers, n)
+		}
+	}
+	if got, want := len(others), 3; got != want {
+		t.Fatalf("VMs that are no watchers: got %d, want %d", got, want)
+	}
+	since := time.Now()
+	eventually(t, "proof through peers", others, func(n *node) bool { return evidence[n.vm.ID].now().Current.After(since) })
+	eventually(t, "platform up", watchers, func(n *node) bool { return !n.PlatformDown() })
+
+	for _, n := range watchers {
+		n.cutOff.Store(true)
+	}
+	since = time.Now()
+	eventually(t, "platform down for all", watchers, func(n *node) bool {
+		return n.PlatformDown() && evidence[n.vm.ID].now().DownForAll.After(since)
+	})
+
+	for _, n := range watchers {
+		n.cutOff.Store(n.vm.DataCentre != "c")
+	}
+	eventually(t, "platform up in one data centre", cutWatchers, func(n *node) bool { return evidence[n.vm.ID].now().DownForAll.IsZero() })
+	for end := time.Now().Add(10 * fastConfig().ExchangeInterval); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, n := range cutWatchers {
+			if got := evidence[n.vm.ID].now().DownForAll; !n.PlatformDown() || !got.IsZero() {
+				t.Fatalf("%s: got platform down %v and down for all at %v, want true and never", n.vm.ID, n.PlatformDown(), got)
+			}
+		}
+	}
+}
+
+// TestFirstProof guards against a VM that refuses all keys after its start,
+// because the peer of its first exchange has no proof yet.
+func TestFirstProof(t *testing.T) {
+	platform, f, _ := fleet(t, 0)
+	f.places = []siskin.DataCentreID{"a"}
+	tracker := tracked{keys.NewTracker("a")}
+	ranked := place.Rank(watcherResource, []siskin.VM{{ID: "vm-0"}, {ID: "vm-1"}, {ID: "vm-2"}})
+	for i, vm := range ranked {
+		if i == watcherCount { // the others are watchers without a proof to give
+			f.options = func(siskin.VM) []Option { return []Option{WithEvidence(tracker)} }
+		}
+		f.start(t, platform, int(vm.ID[3]-'0'), Config{ExchangeInterval: time.Hour})
+	}
+	last := f.all()[watcherCount:]
+	if _, ok := last[0].watcherRank(); ok {
+		t.Fatalf("%s is a watcher, want another VM", last[0].vm.ID)
+	}
+	eventually(t, "proof after the start", last, func(*node) bool { return !tracker.now().Current.IsZero() })
+}
--- a/pkg/spread/push.go
+++ b/pkg/spread/push.go
@@ -1,61 +1,96 @@
 package spread
 
 import (
-	"context"
-	"math/rand/v2"
-	"time"
-
 	"siskintray.example/siskin"
 )
 
-// callTimeout bounds a call of another VM.
-const callTimeout = 2 * time.Second
+// PushArgs are the arguments of Spread.Push.
+type PushArgs struct {
+	From siskin.VMID
+	// Base is the revision that the receiver needs to have in force, and
+	// Revision the one that the documents bring into force.
+	Base, Revision siskin.Revision
+	// Operation is the operation that made the revision, if it is known.
+	Operation siskin.OperationID `json:",omitempty"`
+	Documents []Document
+	// Targets are the VMs that the receiver pushes the change to.
+	Targets []siskin.VMID `json:",omitempty"`
+}
 
-// PushArgs carries new changes in order.
-type PushArgs struct{ Changes []Numbered }
+// PushReply is the answer of Spread.Push.
+type PushReply struct {
+	// Revision is the revision in force at the answering VM.
+	Revision siskin.Revision
+}
 
-// PushReply answers PushArgs.
-type PushReply struct{ Revision siskin.Revision }
+// Push puts a change into force and passes it on.
+func (r *Receiver) Push(args *PushArgs, reply *PushReply) error {
+	s := r.s
+	known := args.Revision <= s.Revision()
+	if !known {
+		entries, err := decodeAll(args.Documents)
+		if err != nil {
+			return err
+		}
+		s.accept(args, entries)
+	}
+	s.status.note(args.From, args.Revision, s.clock.Now())
+	reply.Revision = s.Revision()
+	// The targets depend on this VM even when it knows the change already, as
+	// from an exchange.
+	s.push(*args, args.Targets)
+	return nil
+}
 
-// push sends new changes to other VMs of the data centre, which push them on
-// when they were new to them as well.
-func (s *Spread) push(changes []Numbered) {
-	if len(changes) == 0 {
+// accept installs pushed documents. When earlier changes are missing, they are
+// fetched from the sender and only then the revision advances.
+func (s *Spread) accept(args *PushArgs, entries []*entry) {
+	s.accepted.note(args.Revision, args.Operation)
+	if s.Revision() >= args.Base {
+		s.install(entries, args.Revision)
 		return
 	}
-	for _, vm := range s.pushTargets() {
-		// A push that finds no place is made up for by anti-entropy.
-		_ = s.pushes.Go(func() { s.pushTo(vm, changes) })
-	}
+	s.install(entries, 0)
+	s.fetchSoon(args.From)
 }
 
-func (s *Spread) pushTo(vm siskin.VMID, changes []Numbered) {
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-	defer cancel()
-	var reply PushReply
-	if err := s.peers.Call(ctx, vm, "Spread.Push", PushArgs{Changes: changes}, &reply); err != nil {
-		s.logf("push to %s: %v", vm, err)
+// push sends a change to the targets along a tree of width fanOut.
+func (s *Spread) push(args PushArgs, targets []siskin.VMID) {
+	args.From = s.members.Self().ID
+	for i := range fanOut {
+		from, to := i*len(targets)/fanOut, (i+1)*len(targets)/fanOut
+		if from < to {
+			part := targets[from:to]
+			s.submit(func() { s.pushPart(args, part) })
+		}
 	}
 }
 
-// pushTargets returns random VMs of the own data centre, and one of another, so
-// that a data centre whose watchers are cut off from the platform hears too.
-func (s *Spread) pushTargets() []siskin.VMID {
-	self := s.members.Self()
-	var near, far []siskin.VMID
-	for _, vm := range s.members.Live() {
-		switch {
-		case vm.ID == self.ID:
-		case vm.DataCentre == self.DataCentre:
-			near = append(near, vm.ID)
-		default:
-			far = append(far, vm.ID)
+// pushPart sends a change to the first VM of a part that answers, which passes
+// it on to the rest. VMs that do not answer catch up by their exchanges.
+func (s *Spread) pushPart(args PushArgs, part []siskin.VMID) {
+	const attempts = 3
+	for i := range min(attempts, len(part)) {
+		args.Targets = part[i+1:]
+		var reply PushReply
+		if s.call(part[i], "Spread.Push", &args, &reply) == nil {
+			s.status.note(part[i], reply.Revision, s.clock.Now())
+			return
 		}
+		s.logf("push of revision %d to %s failed", args.Revision, part[i])
+	}
+}
+
+// pushAll pushes the documents changed after base to other VMs.
+func (s *Spread) pushAll(base siskin.Revision, vms []siskin.VM) {
+	rev := s.Revision()
+	docs, more := s.since(afterRevision(base))
+	if more || len(vms) == 0 || rev <= base {
+		return // too much for a push; the VMs fetch it
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	targets := near[:min(len(near), s.fanout)]
-	if len(far) > 0 {
-		targets = append(targets, far[rand.IntN(len(far))])
+	targets := make([]siskin.VMID, 0, len(vms))
+	for _, vm := range vms {
+		targets = append(targets, vm.ID)
 	}
-	return targets
+	s.push(PushArgs{Base: base, Revision: rev, Operation: s.accepted.operation(rev), Documents: docs}, targets)
 }
--- a/pkg/spread/snapshot.go
+++ b/pkg/spread/snapshot.go
@@ -1,168 +1,157 @@
 package spread
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
+	"time"
 
 	"siskintray.example/siskin"
-	"siskintray.example/siskin/pkg/config"
+	"siskintray.example/siskin/pkg/place"
 )
 
-const (
-	// shardCount splits the snapshot: 23,000 services of 2 KB make shards of
-	// 180 KB, below the platform's 1 MB.
-	shardCount                    = 256
-	shardPrefix siskin.ObjectName = "Config/Shard/"
-	// maxRecent is the number of changes in the head from which they are folded
-	// into the snapshot, and keepRecent the number that stays, so that watchers
-	// find the latest changes without reading shards.
-	maxRecent  = 64
-	keepRecent = 16
-)
+// snapshotTurn is the time between two looks at the age of the snapshot.
+const snapshotTurn = 5 * time.Second
 
-// snapshotShard is a part of the snapshot, up to a revision of its own.
-type snapshotShard struct {
-	Revision  siskin.Revision
-	Services  map[siskin.ServiceName]*config.Service
-	Customers map[siskin.CustomerID]*config.Customer
+// snapshotLoop rewrites the snapshot in the background.
+func (s *Spread) snapshotLoop() {
+	covered := siskin.Revision(0)
+	for {
+		select {
+		case <-s.clock.After(snapshotTurn):
+		case <-s.ctx.Done():
+			return
+		}
+		covered = s.snapshotOnce(covered)
+	}
 }
 
-func shardName(i int) siskin.ObjectName {
-	return siskin.ObjectName(fmt.Sprintf("%s%03d", shardPrefix, i))
+// snapshotOnce rewrites the snapshot if it is time to and returns the revision
+// that it covers as far as this VM knows.
+func (s *Spread) snapshotOnce(covered siskin.Revision) siskin.Revision {
+	after, ok := s.snapshotAfter()
+	if !ok || s.Revision() < covered+after {
+		return covered
+	}
+	if rev, err := s.writeSnapshot(s.ctx); err == nil {
+		return rev
+	}
+	return covered
 }
 
-func shardOf(kind, name string) int { return int(xxhash.Sum64String(kind+"/"+name) % shardCount) }
-
-func serviceShard(name siskin.ServiceName) int { return shardOf("Service", string(name)) }
+// snapshotAfter returns the number of changes after which this VM rewrites the
+// snapshot. The first in rank does so at once; the next two wait longer, in
+// case those before them do not reach the platform.
+func (s *Spread) snapshotAfter() (siskin.Revision, bool) {
+	const writers = 3
+	self := s.members.Self().ID
+	for i, vm := range place.Rank("Spread/Snapshot", s.members.Live()) {
+		if i >= writers {
+			break
+		}
+		if vm.ID == self {
+			return s.cfg.SnapshotEvery << (2 * i), true
+		}
+	}
+	return 0, false
+}
 
-func customerShard(id siskin.CustomerID) int { return shardOf("Customer", string(id)) }
+// snapshotRevision returns the revision that the snapshot covers.
+func (s *Spread) snapshotRevision(ctx context.Context) (siskin.Revision, error) {
+	snapshot, _, err := s.readSnapshotObject(ctx)
+	return snapshot.Revision, err
+}
 
-func decodeShard(o siskin.Object) (*snapshotShard, error) {
-	sh := &snapshotShard{
-		Services:  make(map[siskin.ServiceName]*config.Service),
-		Customers: make(map[siskin.CustomerID]*config.Customer),
-	}
-	if o.Version == 0 {
-		return sh, nil
+func (s *Spread) readSnapshotObject(ctx context.Context) (snapshotObject, siskin.Version, error) {
+	var snapshot snapshotObject
+	o, err := s.platform.Get(ctx, snapshotName)
+	if err != nil || o.Version == 0 {
+		return snapshot, 0, err
 	}
-	if err := json.Unmarshal(o.Value, sh); err != nil {
-		return nil, siskin.NewError(siskin.Internal, "object %s is not a part of a snapshot", o.Name).
-			WithRemedy("restore the object from the platform's history").WithCause(err)
+	if err := json.Unmarshal(o.Value, &snapshot); err != nil {
+		return snapshot, 0, siskin.NewError(siskin.BadInput, "object %s is malformed", o.Name).WithCause(err)
 	}
-	return sh, nil
+	return snapshot, o.Version, nil
 }
 
-// apply brings in the documents of a change that belong to shard i. A shard
-// that has the change already is left as it is.
-func (sh *snapshotShard) apply(i int, n Numbered) {
-	if n.Revision <= sh.Revision {
-		return
-	}
-	for _, name := range n.Change.DeleteServices {
-		if serviceShard(name) == i {
-			delete(sh.Services, name)
-		}
+// writeSnapshot rewrites the shards with documents that the snapshot does not
+// cover, and then the revision it covers. Two VMs that do so at the same time
+// do no harm: shards are merged, and the revision never goes back.
+func (s *Spread) writeSnapshot(ctx context.Context) (siskin.Revision, error) {
+	rev := s.Revision()
+	snapshot, version, err := s.readSnapshotObject(ctx)
+	if err != nil {
+		return 0, err
 	}
-	for _, id := range n.Change.DeleteCustomers {
-		if customerShard(id) == i {
-			delete(sh.Customers, id)
-		}
+	if rev < snapshot.Revision+s.cfg.SnapshotEvery {
+		return snapshot.Revision, nil
 	}
-	for _, doc := range n.Change.Services {
-		if serviceShard(doc.Name) == i {
-			sh.Services[doc.Name] = doc
+	for i := range shardCount {
+		if !s.changedSince(i, snapshot.Revision) {
+			continue
 		}
-	}
-	for _, doc := range n.Change.Customers {
-		if customerShard(doc.ID) == i {
-			sh.Customers[doc.ID] = doc
+		if err := s.writeShard(ctx, i); err != nil {
+			return 0, err
 		}
 	}
+	value, err := json.Marshal(snapshotObject{rev})
+	if err != nil {
+		return 0, siskin.NewError(siskin.Internal, "cannot encode the snapshot").WithCause(err)
+	}
+	_, err = s.platform.Put(ctx, snapshotName, value, version, s.operation("Snapshot", rev))
+	return rev, err
 }
 
-// shardsOf returns the shards that changes touch, in order.
-func shardsOf(changes []Numbered) []int {
-	touched := make(map[int]bool)
-	for _, n := range changes {
-		for _, name := range n.Change.DeleteServices {
-			touched[serviceShard(name)] = true
-		}
-		for _, id := range n.Change.DeleteCustomers {
-			touched[customerShard(id)] = true
-		}
-		for _, doc := range n.Change.Services {
-			touched[serviceShard(doc.Name)] = true
-		}
-		for _, doc := range n.Change.Customers {
-			touched[customerShard(doc.ID)] = true
+func (s *Spread) changedSince(part int, rev siskin.Revision) bool {
+	for _, e := range s.all(part) {
+		if e.Revision > rev {
+			return true
 		}
 	}
-	return slices.Sorted(maps.Keys(touched))
+	return false
 }
 
-// loadSnapshot reads all shards and the changes after them. A shard may be
-// ahead of the head's Folded, so changes are brought in shard by shard.
-func (s *Spread) loadSnapshot(h head) error {
-	ctx, cancel := context.WithTimeout(s.ctx, snapshotTimeout)
-	defer cancel()
-	objects, err := s.platform.List(ctx, shardPrefix)
+// writeShard merges the documents of one part into its object.
+func (s *Spread) writeShard(ctx context.Context, part int) error {
+	name := siskin.ObjectName(fmt.Sprintf("%s%02x", shardPrefix, part))
+	o, err := s.platform.Get(ctx, name)
 	if err != nil {
 		return err
 	}
-	shards := make([]*snapshotShard, shardCount)
-	for _, o := range objects {
-		var i int
-		if _, err := fmt.Sscanf(string(o.Name[len(shardPrefix):]), "%d", &i); err != nil || i < 0 || i >= shardCount {
-			continue
-		}
-		if shards[i], err = decodeShard(o); err != nil {
-			return err
+	var shard shardObject
+	if o.Version > 0 {
+		if err := json.Unmarshal(o.Value, &shard); err != nil {
+			return siskin.NewError(siskin.BadInput, "object %s is malformed", o.Name).WithCause(err)
 		}
 	}
-	var recent []Numbered
-	for _, ref := range h.Recent {
-		n, err := s.loadChange(ref)
-		if err != nil {
-			return err
-		}
-		recent = append(recent, n)
+	merged := make(map[key]Document)
+	for _, d := range shard.Documents {
+		merged[d.key()] = d
 	}
-	all := &config.Change{}
-	for i, sh := range shards {
-		if sh == nil {
-			sh, _ = decodeShard(siskin.Object{}) // an absent object is an empty shard
-		}
-		for _, n := range recent {
-			sh.apply(i, n)
+	for k, e := range s.all(part) {
+		if e.Revision >= merged[k].Revision {
+			merged[k] = e.Document
 		}
-		all.Services = slices.AppendSeq(all.Services, maps.Values(sh.Services))
-		all.Customers = slices.AppendSeq(all.Customers, maps.Values(sh.Customers))
-	}
-	s.store.replace(h.Revision, all)
-	return nil
-}
-
-// loadChange reads the object of a change.
-func (s *Spread) loadChange(ref changeRef) (Numbered, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, platformTimeout)
-	defer cancel()
-	o, err := s.platform.Get(ctx, ref.Name)
-	if err != nil {
-		return Numbered{}, err
 	}
-	if o.Version != ref.Version {
-		return Numbered{}, siskin.NewError(siskin.Conflict, "change %d has version %d, the head names %d", ref.Revision, o.Version, ref.Version).
-			WithRemedy("read the head again")
+	shard.Documents = shard.Documents[:0]
+	for _, d := range merged {
+		shard.Documents = append(shard.Documents, d)
 	}
-	change, err := config.DecodeChange(o.Value)
+	slices.SortFunc(shard.Documents, func(a, b Document) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	value, err := json.Marshal(shard)
 	if err != nil {
-		return Numbered{}, err
+		return siskin.NewError(siskin.Internal, "cannot encode object %s", name).WithCause(err)
 	}
-	change.SetRevision(ref.Revision)
-	return Numbered{Revision: ref.Revision, Change: change}, nil
+	_, err = s.platform.Put(ctx, name, value, o.Version, s.operation("Shard", s.Revision()))
+	return err
+}
+
+// operation returns an id for an update that this VM makes by itself.
+func (s *Spread) operation(what string, rev siskin.Revision) siskin.OperationID {
+	self := s.members.Self()
+	return siskin.OperationID(fmt.Sprintf("%s/%s/%d/%d/%d", what, self.ID, self.Incarnation, rev, s.clock.Now().UnixNano()))
 }
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -2,102 +2,133 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/jonboulle/clockwork"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
 )
 
-// Spread is one VM's part in the spread of the configuration. It implements
-// config.View.
+// Spread holds the configuration in force at this VM and spreads changes. It
+// implements config.View.
 type Spread struct {
-	settings
-	platform siskin.Platform
-	peers    siskin.Peers
+	*store
+	cfg      Config
+	clock    siskin.Clock
 	members  siskin.Members
-	store    *store
+	peers    siskin.Peers
+	platform siskin.Platform
+	status   *status
+	accepted *accepted
+	pool     pond.Pool
+	evidence Evidence
+	logf     func(format string, args ...any)
+
+	platformDown atomic.Bool // the last question as a watcher failed
+	proved       atomic.Bool // there was a proof of knowing the newest revision
+
+	loadMu  sync.Mutex // one catch-up with the platform at a time
+	applyMu sync.Mutex // one change by this VM at a time
+	fetchMu sync.Mutex // guards busy, and orders submit before Close
+	busy    map[siskin.VMID]bool
+
+	ctx  context.Context // ends at Close
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
 
-	platformDown atomic.Bool // the last question to the platform failed
+var _ config.View = (*Spread)(nil)
 
-	applyMu sync.Mutex // one change of this VM at a time
-	pushes  pond.Pool
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+// Option changes a Spread.
+type Option func(*Spread)
 
-	mu     sync.Mutex
-	loaded bool // the newest revision was learned from the platform or a peer
-	ready  chan struct{}
+// WithClock sets the clock.
+func WithClock(clock siskin.Clock) Option { return func(s *Spread) { s.clock = clock } }
+
+// WithLogf sets the function that receives messages about failed calls.
+func WithLogf(logf func(format string, args ...any)) Option {
+	return func(s *Spread) { s.logf = logf }
 }
 
-// New returns a Spread that knows no configuration. Receiver must be registered
-// as "Spread" at the peer server before Start.
-func New(platform siskin.Platform, peers siskin.Peers, members siskin.Members, opts ...Option) *Spread {
+// New returns a view without documents. Receiver must be registered as
+// "Spread" at the peer server before Start.
+func New(cfg Config, members siskin.Members, peers siskin.Peers, platform siskin.Platform, opts ...Option) *Spread {
+	cfg.setDefaults()
 	s := &Spread{
-		settings: defaults(),
-		platform: platform,
-		peers:    peers,
-		members:  members,
-		store:    newStore(),
-		ready:    make(chan struct{}),
-		pushes:   pond.NewPool(maxPushes, pond.WithQueueSize(8*maxPushes), pond.WithNonBlocking(true)),
+		store: newStore(), cfg: cfg, clock: clockwork.NewRealClock(),
+		members: members, peers: peers, platform: platform,
+		status: newStatus(), accepted: newAccepted(), busy: make(map[siskin.VMID]bool),
+		pool:     pond.NewPool(16, pond.WithQueueSize(256), pond.WithNonBlocking(true)),
+		evidence: noEvidence{}, logf: func(string, ...any) {},
 	}
 	for _, opt := range opts {
-		opt(&s.settings)
+		opt(s)
 	}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
 }
 
-// maxPushes bounds the pushes in progress. One that finds no place is dropped;
-// the next question to a peer makes up for it.
-const maxPushes = 16
-
-// Start loads the configuration and follows it. It returns at once.
+// Start loads the configuration, from peers or the platform, and begins to
+// exchange revisions.
 func (s *Spread) Start() {
-	s.wg.Go(s.exchange)
-	s.wg.Go(s.watch)
+	s.done.Go(s.exchangeLoop)
+	s.done.Go(s.watchLoop)
+	s.done.Go(s.probeLoop)
+	s.done.Go(s.snapshotLoop)
 }
 
-// Ready returns a channel that is closed when the configuration was loaded.
-func (s *Spread) Ready() <-chan struct{} { return s.ready }
-
-func (s *Spread) markLoaded() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.loaded {
-		s.loaded = true
-		close(s.ready)
-	}
+// Close ends all exchanges and waits for them.
+func (s *Spread) Close() error {
+	s.fetchMu.Lock()
+	s.stop()
+	s.fetchMu.Unlock()
+	s.done.Wait()
+	return nil
 }
 
-func (s *Spread) isLoaded() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.loaded
+// submit runs a task in the background. A full pool drops it: exchanges make
+// up for a push or fetch that was left out.
+func (s *Spread) submit(task func()) bool {
+	s.fetchMu.Lock()
+	defer s.fetchMu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.done.Add(1)
+	err := s.pool.Go(func() {
+		defer s.done.Done()
+		task()
+	})
+	if err != nil {
+		s.done.Done()
+	}
+	return err == nil
 }
 
-// Close ends all calls and waits for them.
-func (s *Spread) Close() error {
-	s.cancel()
-	s.wg.Wait()
-	s.pushes.StopAndWait()
-	return nil
+// call invokes a method of a peer with the usual deadline.
+func (s *Spread) call(vm siskin.VMID, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.CallTimeout)
+	defer cancel()
+	return s.peers.Call(ctx, vm, method, args, reply)
 }
 
-// sleep waits and reports whether the Spread still runs.
-func (s *Spread) sleep(d time.Duration) bool {
-	select {
-	case <-s.clock.After(d):
-		return true
-	case <-s.ctx.Done():
-		return false
+// others returns the live VMs without this one, split by data centre.
+func (s *Spread) others() (near, far []siskin.VM) {
+	self := s.members.Self()
+	for _, vm := range s.members.Live() {
+		switch {
+		case vm.ID == self.ID:
+		case vm.DataCentre == self.DataCentre:
+			near = append(near, vm)
+		default:
+			far = append(far, vm)
+		}
 	}
+	return near, far
 }
 
-// PlatformDown reports whether the platform did not answer this VM's last
-// question. A VM that is no watcher asks only at its start.
-func (s *Spread) PlatformDown() bool { return s.platformDown.Load() }
+func pick(vms []siskin.VM) siskin.VMID { return vms[rand.IntN(len(vms))].ID }
--- /dev/null
+++ b/pkg/spread/status.go
@@ -0,0 +1,109 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// status is what this VM knows of the revisions at others.
+type status struct {
+	mu      sync.Mutex
+	vms     map[siskin.VMID]seen
+	written time.Time
+	version siskin.Version
+}
+
+type seen struct {
+	revision siskin.Revision
+	at       time.Time
+}
+
+func newStatus() *status { return &status{vms: make(map[siskin.VMID]seen)} }
+
+func (t *status) note(vm siskin.VMID, rev siskin.Revision, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms[vm] = seen{max(rev, t.vms[vm].revision), now}
+}
+
+// Status returns the revision in force per live VM as far as this VM heard of
+// it in the last 30 s. VMs that are missing are not confirmed. The collector
+// of a data centre hears of all its VMs within some seconds.
+func (s *Spread) Status() map[siskin.VMID]siskin.Revision {
+	now := s.clock.Now()
+	self := s.members.Self().ID
+	revisions := map[siskin.VMID]siskin.Revision{self: s.Revision()}
+	s.status.mu.Lock()
+	defer s.status.mu.Unlock()
+	live := make(map[siskin.VMID]bool)
+	for _, vm := range s.members.Live() {
+		live[vm.ID] = true
+		if at, ok := s.status.vms[vm.ID]; ok && now.Sub(at.at) < staleAfter && vm.ID != self {
+			revisions[vm.ID] = at.revision
+		}
+	}
+	for id := range s.status.vms {
+		if !live[id] {
+			delete(s.status.vms, id)
+		}
+	}
+	return revisions
+}
+
+// StatusObject is the value of Config/Status/<data centre>.
+type StatusObject struct {
+	// Lowest is the lowest revision in force among the VMs that were heard of.
+	Lowest siskin.Revision
+	VMs    map[siskin.VMID]siskin.Revision
+}
+
+// writeStatus writes the revisions of the data centre to the platform when
+// this VM is their collector.
+func (s *Spread) writeStatus() {
+	vm, ok := s.collector()
+	if !ok || vm.ID != s.members.Self().ID || s.clock.Since(s.status.written) < s.cfg.StatusInterval {
+		return
+	}
+	s.status.written = s.clock.Now()
+	value := StatusObject{Lowest: s.Revision(), VMs: make(map[siskin.VMID]siskin.Revision)}
+	for id, rev := range s.Status() {
+		if other, ok := s.members.Lookup(id); ok && other.DataCentre == vm.DataCentre {
+			value.VMs[id] = rev
+			value.Lowest = min(value.Lowest, rev)
+		}
+	}
+	s.submit(func() { s.putStatus(siskin.ObjectName(vm.DataCentre), value) })
+}
+
+// putStatus replaces the status object. After a failure the version is read
+// again; a status that cannot be written is written again later.
+func (s *Spread) putStatus(dc siskin.ObjectName, value StatusObject) {
+	b, err := json.Marshal(value)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.StatusInterval)
+	defer cancel()
+	t := s.status
+	t.mu.Lock()
+	version := t.version
+	t.mu.Unlock()
+	if version == 0 {
+		o, err := s.platform.Get(ctx, statusPrefix+dc)
+		if err != nil {
+			return
+		}
+		version = o.Version
+	}
+	version, err = s.platform.Put(ctx, statusPrefix+dc, b, version, s.operation("Status", value.Lowest))
+	if err != nil {
+		version = 0
+	}
+	t.mu.Lock()
+	t.version = version
+	t.mu.Unlock()
+}
--- a/pkg/spread/view.go
+++ b/pkg/spread/view.go
@@ -1,33 +1,59 @@
 package spread
 
 import (
+	"sync"
+
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/pkg/config"
 )
 
-var _ config.View = (*Spread)(nil)
+// view is the configuration at one moment. It never changes.
+type view struct {
+	parts    [shardCount]map[key]*entry
+	revision siskin.Revision
+	changed  <-chan struct{}
+	names    func() *names
+}
+
+var _ config.View = (*view)(nil)
+
+// Snapshot returns the configuration in force as a view that never changes.
+func (s *store) Snapshot() config.View { return s.snapshot() }
+
+func (s *store) snapshot() *view {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := &view{revision: s.Revision(), changed: s.Changed()}
+	for i := range v.parts {
+		v.parts[i] = s.all(i)
+	}
+	v.names = sync.OnceValue(func() *names { return collectNames(&v.parts) })
+	if n := s.names.Load(); n != nil {
+		v.names = func() *names { return n }
+	}
+	return v
+}
+
+func (v *view) get(k key) *entry { return v.parts[partOf(k)][k] }
 
 // Revision implements config.View.
-func (s *Spread) Revision() siskin.Revision { return s.store.state.Load().revision }
+func (v *view) Revision() siskin.Revision { return v.revision }
 
 // Service implements config.View.
-func (s *Spread) Service(name siskin.ServiceName) (*config.Service, bool) {
-	return s.store.state.Load().Service(name)
+func (v *view) Service(name siskin.ServiceName) (*config.Service, bool) {
+	return v.get(key{ServiceKind, string(name)}).asService()
 }
 
 // Customer implements config.View.
-func (s *Spread) Customer(id siskin.CustomerID) (*config.Customer, bool) {
-	return s.store.state.Load().Customer(id)
+func (v *view) Customer(id siskin.CustomerID) (*config.Customer, bool) {
+	return v.get(key{CustomerKind, string(id)}).asCustomer()
 }
 
 // Services implements config.View.
-func (s *Spread) Services() []siskin.ServiceName { return s.store.state.Load().serviceNames }
+func (v *view) Services() []siskin.ServiceName { return v.names().services }
 
 // Customers implements config.View.
-func (s *Spread) Customers() []siskin.CustomerID { return s.store.state.Load().customerIDs }
+func (v *view) Customers() []siskin.CustomerID { return v.names().customers }
 
 // Changed implements config.View.
-func (s *Spread) Changed() <-chan struct{} { return s.store.state.Load().changed }
-
-// Snapshot returns the configuration in force as a view that never changes.
-func (s *Spread) Snapshot() config.View { return s.store.state.Load() }
+func (v *view) Changed() <-chan struct{} { return v.changed }
--- a/pkg/spread/watch.go
+++ b/pkg/spread/watch.go
@@ -9,117 +9,125 @@
 )
 
 const (
-	// watchersPerDataCentre is two, so that the death of one costs nothing; with
-	// 16 data centres that is 32 waiting calls of the platform's budget.
-	watchersPerDataCentre = 2
-	// platformTimeout bounds calls of the platform other than watches.
-	platformTimeout = 5 * time.Second
-	// watchWait bounds one wait for the next head. Its end without a change is
-	// proof that no change was missed, which has to be younger than a few
-	// seconds; 32 watchers make 64 calls a second of the platform's 2,000.
-	watchWait = time.Second
-	// watchPause is the time between two looks at whether this VM is a watcher,
-	// and after a failed call.
-	watchPause = time.Second
+	// watchTurn bounds one watch, after which the VM reads the head and checks
+	// whether it still is a watcher. The read proves that no change was missed,
+	// and the rule on keys needs such a proof every second. 32 watchers make 64
+	// calls a second of the platform's 2,000.
+	watchTurn = time.Second
+	// readTimeout bounds the read of the head after a watch.
+	readTimeout = 5 * time.Second
+	// catchUpTimeout bounds the reading of what the head names, with all shards
+	// of the snapshot 46 MB at 23,000 services.
+	catchUpTimeout = 15 * time.Second
+	// watcherResource ranks the VMs of a data centre as watchers.
+	watcherResource = "Spread/Watcher"
 )
 
-// watch follows the head while this VM is one of the watchers of its data
-// centre, and at the start until the configuration is loaded.
-func (s *Spread) watch() {
-	var seen siskin.Version
+// watchLoop watches the head while this VM is one of the watchers of its data
+// centre.
+func (s *Spread) watchLoop() {
+	version := siskin.Version(0)
 	for s.ctx.Err() == nil {
-		if s.isLoaded() && !s.isWatcher() {
-			if !s.sleep(watchPause) {
-				return
+		rank, ok := s.watcherRank()
+		if !ok {
+			s.platformDown.Store(false) // only watchers ask
+			select {
+			case <-s.members.Changed():
+			case <-s.clock.After(watchTurn):
+			case <-s.ctx.Done():
 			}
 			continue
 		}
-		sent := s.clock.Now()
-		o, err := s.readHead(seen)
-		if err == nil {
-			err = s.follow(o, sent)
-		}
-		s.platformDown.Store(err != nil)
-		if err != nil {
-			s.logf("head of the configuration: %v", err)
-			if !s.sleep(watchPause) {
-				return
-			}
-			continue
-		}
-		seen = o.Version
-		s.markLoaded()
-		if s.isWatcher() {
-			s.fold(o)
-		}
-	}
-}
-
-// readHead reads the head the first time and then waits for its next version.
-func (s *Spread) readHead(seen siskin.Version) (siskin.Object, error) {
-	if seen > 0 {
-		ctx, cancel := context.WithTimeout(s.ctx, watchWait)
-		defer cancel()
-		if o, err := s.platform.Watch(ctx, headName, seen); err == nil || s.ctx.Err() != nil {
-			return o, err
-		}
+		version = s.watchOnce(rank, version)
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, platformTimeout)
-	defer cancel()
-	return s.platform.Get(ctx, headName)
 }
 
-// isWatcher reports whether this VM is one of the first of its data centre.
-func (s *Spread) isWatcher() bool {
+// watcherRank returns this VM's place among the watchers of its data centre.
+func (s *Spread) watcherRank() (int, bool) {
 	self := s.members.Self()
-	ranked := place.Rank(watchResource(self.DataCentre), place.In(self.DataCentre, s.members.Live()))
-	for i, vm := range ranked {
-		if i == watchersPerDataCentre {
-			return false
+	for i, vm := range place.Rank(watcherResource, place.In(self.DataCentre, s.members.Live())) {
+		if i >= watcherCount {
+			break
 		}
 		if vm.ID == self.ID {
-			return true
+			return i, true
 		}
 	}
-	return len(ranked) == 0
+	return 0, false
 }
 
-func watchResource(dc siskin.DataCentreID) string { return "Config/Watch/" + string(dc) }
-
-// follow brings this VM to the revision of a head that was asked for at the
-// given time.
-func (s *Spread) follow(o siskin.Object, sent time.Time) error {
-	h, err := decodeHead(o)
+// watchOnce waits for a head after version, brings it into force and pushes it
+// to the data centre. It returns the version to wait for next.
+func (s *Spread) watchOnce(rank int, version siskin.Version) siskin.Version {
+	o, sent, err := s.nextHead(version)
+	if s.ctx.Err() != nil {
+		return version
+	}
+	// Only a read of the head that fails means that the platform is down: peers
+	// take it as proof that no change can be accepted.
+	s.platformDown.Store(err != nil)
+	if err == nil {
+		err = s.follow(rank, o)
+	}
 	if err != nil {
-		return err
+		s.logf("head of the configuration: %v", err)
+		s.pause()
+		return version
 	}
-	if err := s.catchUp(h); err != nil {
-		return err
+	s.platformAnswered(sent)
+	return o.Version
+}
+
+// nextHead waits for a head after version and reads the head when there was
+// none. It also returns the time at which the answer was asked for.
+func (s *Spread) nextHead(version siskin.Version) (siskin.Object, time.Time, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, watchTurn)
+	defer cancel()
+	sent := s.clock.Now()
+	o, err := s.platform.Watch(ctx, headName, version)
+	if err == nil && o.Version > version {
+		return o, sent, nil
 	}
-	s.evidence.PlatformAnswered(sent)
-	return nil
+	ctx, cancel = context.WithTimeout(s.ctx, readTimeout)
+	defer cancel()
+	sent = s.clock.Now()
+	o, err = s.platform.Get(ctx, headName)
+	return o, sent, err
 }
 
-// catchUp loads what is missing up to the head's revision.
-func (s *Spread) catchUp(h head) error {
-	if s.Revision() < h.Folded {
-		if err := s.loadSnapshot(h); err != nil {
-			return err
-		}
+// follow brings a head into force and pushes it unless others do.
+func (s *Spread) follow(rank int, o siskin.Object) error {
+	h, err := parseHead(o)
+	if err != nil {
+		return err
 	}
-	for _, ref := range h.Recent {
-		if ref.Revision <= s.Revision() {
-			continue
+	if h.Revision > s.Revision() {
+		// The push of the VM that made the change, or of the first watcher,
+		// usually arrives in this time and makes another one unnecessary.
+		select {
+		case <-s.clock.After(backupDelay[rank]):
+		case <-s.ctx.Done():
+			return s.ctx.Err()
 		}
-		n, err := s.loadChange(ref)
-		if err != nil {
-			return err
-		}
-		s.push(s.store.apply([]Numbered{n}))
 	}
-	if s.Revision() < h.Revision {
-		return siskin.NewError(siskin.Internal, "head names revision %d and leads to %d only", h.Revision, s.Revision()).
-			WithRemedy("the next read of the head repairs this unless the object was edited by hand")
+	base := s.Revision()
+	if base >= h.Revision {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, catchUpTimeout)
+	defer cancel()
+	if err := s.catchUp(ctx, h); err != nil {
+		return err
 	}
+	near, _ := s.others()
+	s.pushAll(base, near)
 	return nil
 }
+
+// pause waits a moment after a failure, so that it is not repeated at once.
+func (s *Spread) pause() {
+	select {
+	case <-s.clock.After(s.cfg.ExchangeInterval):
+	case <-s.ctx.Done():
+	}
+}
