pkg/group: ask for answers later than the pending write

Cause: a primary counts as cut off at once when a write waits for an interval and a quorum of replicas is silent. Replicas that had just started say that they never heard a primary; when the next answers were late, that first answer, from before the write, still stood and a healthy primary was replaced. TestSilentConnectionsAreReplaced then got term 2. A trace of three failures showed cause 3 with answers 204 to 255 ms old and a primary last heard 24 h ago, its value for never.

Change: the quorum must be silent by answers that are not older than the write.

Conclusion: a change of primary needs evidence about the write that waits.

--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -64,7 +64,7 @@
 	}
 	st := p.status
 	holds[causeFenced] = st.ClaimedTerm > st.StreamTerm
-	holds[causeCutOff] = m.stopped(now) >= m.quorum()
+	holds[causeCutOff] = m.stopped(now, time.Time{}) >= m.quorum()
 	holds[causeStuck] = m.stuck(now) && !st.Draining
 	holds[causeLeaving] = st.Leaving && m.successor(now) != nil && !st.Draining
 	return holds
@@ -79,7 +79,9 @@
 		}
 		return 0
 	case causeCutOff:
-		if !m.pendingSince.IsZero() && now.Sub(m.pendingSince) >= m.Interval {
+		// Answers from before the pending write say nothing about it: a stream
+		// that was still may have begun since.
+		if m.isPending(now) && m.stopped(now, m.pendingSince) >= m.quorum() {
 			return 0
 		}
 		if m.claimedAway() {
@@ -158,11 +160,17 @@
 	}
 }
 
-// stopped counts the reachable targets that take no log of the primary.
-func (m *machine) stopped(now time.Time) int {
+// isPending reports whether a write has waited long for its confirmation.
+func (m *machine) isPending(now time.Time) bool {
+	return !m.pendingSince.IsZero() && now.Sub(m.pendingSince) >= m.Interval
+}
+
+// stopped counts the reachable targets that take no log of the primary, by
+// answers that are not older than the given time.
+func (m *machine) stopped(now, since time.Time) int {
 	n := 0
 	for _, t := range m.targets {
-		if t.ID != m.primary && m.isReachable(now, t) && (m.silent(t) || m.fenced(t)) {
+		if t.ID != m.primary && !t.answered.Before(since) && m.isReachable(now, t) && (m.silent(t) || m.fenced(t)) {
 			n++
 		}
 	}
