--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 		func(s siskin.ServiceName, v *siskin.GroupView) { n.home.Observe(s, v) })
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
+	n.groups.silent = n.pool.ProbeFailed
 	n.slots = &slots{self: cfg.Self.ID, homes: n.homes, pool: n.pool, queues: n.queues}
 	n.home = (&relay.Home{
 		Clock:   cfg.Clock,
--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 
@@ -30,11 +31,15 @@
 	*PGDialer
 	muteBefore atomic.Int64
 	fail       atomic.Bool
+	full       atomic.Bool
 	opens      atomic.Int64
 }
 
 func (d *faultyDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (Opened, error) {
 	n := d.opens.Add(1)
+	if d.full.Load() {
+		return Opened{}, &pgconn.PgError{Code: stateTooMany}
+	}
 	if d.fail.Load() {
 		return Opened{}, errors.New("refused")
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -241,3 +241,37 @@
 	}
 	c.Recycle(3)
 }
+
+// TestFullLong guards against a request that ends without a wait because the
+// slot was full before it arrived, and against a full target that is called
+// unreachable and suspected, which could change the primary.
+func TestFullLong(t *testing.T) {
+	f := newFixture(t, 2)
+	f.get(t, Full, 1)
+	for f.Stats()[key].Idle == 0 { // the spare connection of the other account
+		time.Sleep(time.Millisecond)
+	}
+	f.dialer.full.Store(true)
+	f.Drop(key) // closes the spare one, whose replacement is refused
+	f.Own(key, f.cfg)
+	time.Sleep(maxFull + maxBackoff)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	start := time.Now()
+	_, err := f.Get(ctx, key, ReadOnly, 2)
+	if got, want := siskin.KindOf(err), siskin.Overloaded; got != want {
+		t.Errorf("got %v, want kind %v", err, want)
+	}
+	if got := time.Since(start); got < maxFull || got > 4*maxFull {
+		t.Errorf("got an end after %v, want about %v", got, maxFull)
+	}
+	time.AfterFunc(maxFull/2, func() { f.dialer.full.Store(false) })
+	c, err := f.Get(ctx, key, ReadOnly, 3)
+	if err != nil {
+		t.Fatalf("got %v, want a connection of a slot that has room again", err)
+	}
+	c.Recycle(3)
+	if got := f.silent.Load(); got != 0 {
+		t.Errorf("got %d reports of failure, want 0", got)
+	}
+}
