--- a/internal/labcmd/bench.go
+++ b/internal/labcmd/bench.go
@@ -26,7 +26,7 @@
 
 // bench runs one experiment.
 type bench struct {
-	Profile  string        `long:"profile" default:"syntyma" choice:"syntyma" choice:"hartwell" description:"sizes and delays"`
+	Profile  string        `long:"profile" default:"syntyma" description:"sizes and delays: syntyma or hartwell"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the callers"`
 	Duration time.Duration `long:"duration" description:"length of one phase of load, at most 5m; the experiment's own by default"`
 	JSONFile string        `long:"json-file" value-name:"FILE" description:"also write the result as JSON"`
