internal/peer: close a connection when reading from it fails

Cause: net/rpc's client stops after a read error and fails every call, but does not close its codec. The ended connection to a restarted VM stayed in use until it was idle for long; with heartbeats calling over it, other VMs held the new run as suspect and their operators' commands showed "not confirmed" for more than 20 s. Sockets in CLOSE-WAIT at every other VM showed it in a run of examples/local.

Change: a failed or malformed read closes the connection, so that the next call opens a new one.

Figures: TestRestartedPeer fails without the change ("connection is shut down") and passes with it, -race -count=3.

--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -42,14 +42,18 @@
 	return nil
 }
 
-// ReadResponseHeader implements rpc.ClientCodec.
+// ReadResponseHeader implements rpc.ClientCodec. After an error rpc.Client reads
+// no more and fails every call, but does not close the codec; closing the
+// connection here lets the next call open a new one.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	f, size, err := readFrame(c.r, c.cfg.MaxMessage)
 	if err != nil {
+		c.w.close()
 		return err
 	}
 	c.activity.received()
 	if f.kind != answerFrame && f.kind != errorFrame {
+		c.w.close()
 		return errMalformed
 	}
 	c.counters.received(f.method, size)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -115,6 +115,31 @@
 	}
 }
 
+// TestRestartedPeer guards against calls that go on failing over the ended
+// connection to a peer that was restarted at the same address.
+func TestRestartedPeer(t *testing.T) {
+	s, c := pair(t, Config{}, Config{}, &Echo{})
+	if _, err := call(c, "b", "Echo.Do", &Args{Text: "x"}, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	next, err := Listen(Config{Self: "b"}, s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	if err := next.Register("Echo", &Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	next.Serve()
+	time.Sleep(50 * time.Millisecond) // the end of the old connection arrives
+	if got, err := call(c, "b", "Echo.Do", &Args{Text: "y"}, time.Second); got != "y" {
+		t.Errorf("got %q, %v, want y from the restarted peer", got, err)
+	}
+}
+
 // TestIdle guards against connections that stay open for good.
 func TestIdle(t *testing.T) {
 	cfg := Config{SilentAfter: 80 * time.Millisecond, IdleAfter: 100 * time.Millisecond}
