--- a/internal/front/random_test.go
+++ b/internal/front/random_test.go
@@ -7,13 +7,13 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/internal/stand/target"
 	"siskintray.example/siskin/pkg/config"
 )
@@ -23,23 +23,22 @@
 	randomSeed = flag.Uint64("random.seed", 1, "seed of the randomised run")
 )
 
-// history is what callers were told of their writes.
-type history struct {
-	mu                       sync.Mutex
-	acked, notRun, unknown   map[string]bool
-	reads, wrong, unexpected []string
-}
-
 // TestRandomFaults guards against mixed answers, acknowledged writes that are
 // missing, "not run" writes that ran, and requests that run twice, while
 // connections break, go silent, lose answers, time out, are cancelled and move
 // between owners. The invariants in the program end the run when one is broken.
-func TestRandomFaults(t *testing.T) {
-	length := *randomTime
+func TestRandomFaults(t *testing.T) { randomFaults(t, *randomTime, *randomSeed) }
+
+// TestSoak repeats the run of TestRandomFaults with growing seeds.
+func TestSoak(t *testing.T) {
+	soak.Each(t, func(t *testing.T, seed uint64) { randomFaults(t, min(soak.Length(time.Second), 5*time.Second), seed) })
+}
+
+func randomFaults(t *testing.T, length time.Duration, seed uint64) {
 	if testing.Short() {
 		length = min(length, time.Second)
 	}
-	t.Logf("-random.seed=%d -random.time=%v", *randomSeed, length)
+	t.Logf("-random.seed=%d -random.time=%v", seed, length)
 	f := startFleet(t, 3, func(_ *target.Config, s *config.Service) {
 		s.ConnectionsPerSlot = 4
 		for i := range s.Routes { // so that the run ends soon after its last fault
@@ -53,7 +52,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			rnd := rand.New(rand.NewPCG(*randomSeed, uint64(w)))
+			rnd := rand.New(rand.NewPCG(seed, uint64(w)))
 			for n := 0; time.Now().Before(end); n++ {
 				f.randomSession(h, rnd, fmt.Sprintf("%d-%d", w, n), end)
 			}
@@ -62,7 +61,7 @@
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		f.randomFaults(rand.New(rand.NewPCG(*randomSeed, 1000)), end)
+		f.randomFaults(rand.New(rand.NewPCG(seed, 1000)), end)
 	}()
 	wg.Wait()
 	h.check(t, f)
@@ -213,67 +212,3 @@
 	}
 	return c.send(&pgproto3.Query{String: "commit"})
 }
-
-func (h *history) read(a rawAnswer, id string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if a.err == nil && a.status == 'I' && (len(a.values) != 1 || a.values[0] != id) {
-		h.wrong = append(h.wrong, fmt.Sprintf("%s: got %q", id, a.values))
-	}
-	h.reads = append(h.reads, a.code())
-}
-
-func (h *history) write(a rawAnswer, id string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	switch code := a.code(); {
-	case len(a.values) > 0:
-		h.wrong = append(h.wrong, fmt.Sprintf("%s: got rows %q for a write", id, a.values))
-	case code == "" && a.status == 'I' && strings.Contains(a.types, "C"):
-		h.acked[id] = true
-	case code == "57P03" || code == "53300" || code == "57014" || code == "25006":
-		h.notRun[id] = true
-	case code == "08007" || a.status == 0:
-		h.unknown[id] = true
-	default:
-		h.unexpected = append(h.unexpected, fmt.Sprintf("%s: %+v %+v", id, a, a.err))
-	}
-}
-
-// check compares what callers were told with the primary's log.
-func (h *history) check(t *testing.T, f *fleet) {
-	t.Helper()
-	time.Sleep(100 * time.Millisecond)
-	runs := make(map[string]int)
-	for _, r := range f.targets[0].Store().Records() {
-		for _, op := range r.Ops {
-			runs[op.Key]++
-		}
-	}
-	for id, n := range runs {
-		if n > 1 {
-			t.Errorf("%s: got %d runs, want at most 1", id, n)
-		}
-		if h.notRun[id] {
-			t.Errorf("%s: told not run, but it ran", id)
-		}
-	}
-	for id := range h.acked {
-		if runs[id] != 1 {
-			t.Errorf("%s: acknowledged, got %d runs, want 1", id, runs[id])
-		}
-	}
-	for _, w := range append(h.wrong, h.unexpected...) {
-		t.Error(w)
-	}
-	ok := 0
-	for _, code := range h.reads {
-		if code == "" {
-			ok++
-		}
-	}
-	t.Logf("writes: %d acknowledged, %d not run, %d unknown; reads: %d of %d answered", len(h.acked), len(h.notRun), len(h.unknown), ok, len(h.reads))
-	if len(h.acked) == 0 || ok == 0 {
-		t.Error("got no successful work, want some")
-	}
-}
--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -42,20 +42,19 @@
 	return nil
 }
 
-// ReadResponseHeader implements rpc.ClientCodec. After an error rpc.Client reads
-// no more and fails every call, but does not close the codec; closing the
-// connection here lets the next call open a new one.
+// ReadResponseHeader implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	f, size, err := readFrame(c.r, c.cfg.MaxMessage)
+	if err == nil && f.kind != answerFrame && f.kind != errorFrame {
+		err = errMalformed
+	}
 	if err != nil {
+		// net/rpc stops reading and keeps the codec open, so that every later
+		// call on the connection would fail.
 		c.w.close()
 		return err
 	}
 	c.activity.received()
-	if f.kind != answerFrame && f.kind != errorFrame {
-		c.w.close()
-		return errMalformed
-	}
 	c.counters.received(f.method, size)
 	c.answer = f
 	r.ServiceMethod, r.Seq = f.method, f.seq
