--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -20,7 +20,8 @@
 	self     siskin.VMID
 	clock    siskin.Clock
 	homes    *homes
-	interval time.Duration
+	shortest time.Duration // interval between probes of the settings
+	interval time.Duration // interval of groups that start now
 	open     siskin.DialFunc
 	log      *log.Logger
 	// endOlder ends the writes at primaries of terms before the given one.
@@ -38,7 +39,7 @@
 		self:     cfg.Self.ID,
 		clock:    cfg.Clock,
 		homes:    homes,
-		interval: cfg.ProbeInterval,
+		shortest: cfg.ProbeInterval,
 		open:     cfg.Open,
 		log:      cfg.Log,
 		endOlder: endOlder,
@@ -60,12 +61,22 @@
 // group whose targets or credentials changed is started anew.
 func (g *groups) update(view config.View) {
 	wanted := make(map[siskin.ServiceName]bool)
+	var services []*config.Service
+	targets := 0
 	for _, name := range view.Services() {
 		service, ok := view.Service(name)
 		if !ok || !g.watches(service) {
 			continue
 		}
 		wanted[name] = true
+		services = append(services, service)
+		targets += len(service.Targets)
+	}
+	// A group that runs keeps its interval until it is started anew, since a
+	// new start costs the knowledge of its targets.
+	g.interval = pace(g.shortest, targets)
+	for _, service := range services {
+		name := service.Name
 		if err := g.ensure(service); err != nil {
 			g.log.Error().Err(err).Str("Service", string(name)).Msg("cannot watch the group")
 		}
