internal/peer: never call a connection silent without a ping

Cause: when this VM was paused or short of CPU, the check came after the whole silent time and closed the connection without a ping, although the peer's handler was only slow. TestConcurrency, with a silent time of 100 ms, found that under load.

Change: a late check sends the ping first, which has half the silent time for its answer.

TestPausedVM fails without the change.

Conclusion: a pause of this VM does not cut its calls to others.

--- a/internal/peer/activity.go
+++ b/internal/peer/activity.go
@@ -17,7 +17,7 @@
 	waiting     int       // requests without an answer
 	since       time.Time // last answer, or the first request that waits
 	lastUse     time.Time
-	pinged      bool
+	pinged      time.Time // last ping since the last answer; zero when there was none
 }
 
 func newActivity(cfg *Config, now func() time.Time) *activity {
@@ -39,7 +39,7 @@
 	defer a.mu.Unlock()
 	a.waiting--
 	a.since = a.now()
-	a.pinged = false
+	a.pinged = time.Time{}
 }
 
 // verdict is what to do with a connection.
@@ -66,11 +66,11 @@
 	}
 	silent := now.Sub(a.since)
 	switch {
-	case silent >= a.silentAfter:
-		return closeSilent, 0
-	case silent >= a.silentAfter/2 && !a.pinged:
-		a.pinged = true
+	case silent >= a.silentAfter/2 && a.pinged.IsZero():
+		a.pinged = now
 		return ping, a.silentAfter / 8
+	case silent >= a.silentAfter && now.Sub(a.pinged) >= a.silentAfter/2:
+		return closeSilent, 0
 	default:
 		return keep, a.silentAfter / 8
 	}
--- /dev/null
+++ b/internal/peer/activity_test.go
@@ -0,0 +1,23 @@
+package peer
+
+import (
+	"testing"
+	"time"
+)
+
+// TestPausedVM guards against a connection that is taken as silent without a
+// ping because this VM was paused while a slow handler ran.
+func TestPausedVM(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := newActivity(&Config{SilentAfter: time.Second, IdleAfter: time.Minute}, func() time.Time { return now })
+	a.sent()
+	for _, step := range []struct {
+		after time.Duration
+		want  verdict
+	}{{3 * time.Second, ping}, {400 * time.Millisecond, keep}, {100 * time.Millisecond, closeSilent}} {
+		now = now.Add(step.after)
+		if got, _ := a.check(); got != step.want {
+			t.Errorf("%v later: got verdict %d, want %d", step.after, got, step.want)
+		}
+	}
+}
