limit, node: let the first requests wait for what the start still reads

A VM that has not read the record of a customer's bucket refused after 50 ms, and a VM that has no configuration yet accepted callers.

Change: while the record is being read and the platform answers, first requests wait for it up to 1 s; a platform that does not answer ends the wait at once.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,10 @@
 // serve accepts callers and forwarded transactions and follows changes of the
 // configuration and the fleet.
 func (n *Node) serve() {
-	n.wg.Go(func() { _ = n.front.Serve(n.cfg.Caller) })   // ends when the listener closes
+	n.wg.Go(func() {
+		n.awaitConfig()
+		_ = n.front.Serve(n.cfg.Caller) // ends when the listener closes
+	})
 	n.wg.Go(func() { _ = n.server.Serve(n.cfg.Forward) }) // ends when the listener closes
 	n.wg.Go(n.follow)
 }
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -26,6 +26,7 @@
 	restAt         time.Duration
 	holdings       map[siskin.CustomerID]*holding
 	reading        bool // the record is being read
+	unreadable     bool // the platform did not answer the last reading
 	readAt         time.Duration
 	serves         bool // requests came for customers of the bucket
 	// reporting says that the epoch's missing units are not granted yet.
--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -270,3 +270,19 @@
 		t.Error("admitted: got false after tokens arrived, want true")
 	}
 }
+
+// TestFirstRequestWaitsForRecord guards against first requests that are refused
+// although they are within the rate, because the VM has not read the record of
+// their bucket yet, and against a wait for a platform that is down.
+func TestFirstRequestWaitsForRecord(t *testing.T) {
+	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
+	c := f.start("v1", 1, "d1").l.core
+	c.admit(0, "a", 1, true)
+	if _, _, got := c.expect(0, "a", 1, joinBound); !got {
+		t.Error("wait before the record is read: got false, want true")
+	}
+	c.setUnreadable(bucketOf("a"), true)
+	if _, _, got := c.expect(0, "a", 1, joinBound); got {
+		t.Error("wait while the platform does not answer: got true, want false")
+	}
+}
--- a/pkg/limit/expect.go
+++ b/pkg/limit/expect.go
@@ -24,6 +24,12 @@
 	if h == nil || !h.known || now >= until || h.waiters >= maxWaiters {
 		return nil, 0, false
 	}
+	if b.epoch == 0 {
+		if b.unreadable {
+			return nil, 0, false
+		}
+		return h.wait(n), min(recordTick, until-now), true
+	}
 	pause := h.accrual(n + h.queued)
 	accrues := pause <= until-now
 	// Units of others cannot admit more than the whole rate does.
@@ -31,17 +37,41 @@
 	if !accrues && (c.leaving.Load() || !h.expecting(until) || h.queued+n > room) {
 		return nil, 0, false
 	}
-	h.waiters++
-	h.queued += n
-	if h.arrived == nil {
-		h.arrived = make(chan struct{})
-	}
+	arrived := h.wait(n)
 	if again := h.askAfter - now; !accrues && again > 0 {
 		pause = again // the next attempt asks another holder
 	} else if !accrues {
 		pause = patience
 	}
-	return h.arrived, max(min(pause, until-now), time.Millisecond), true
+	return arrived, max(min(pause, until-now), time.Millisecond), true
+}
+
+// wait counts a request that waits for n tokens and returns the channel that is
+// closed when it should look again.
+func (h *holding) wait(n float64) <-chan struct{} {
+	h.waiters++
+	h.queued += n
+	if h.arrived == nil {
+		h.arrived = make(chan struct{})
+	}
+	return h.arrived
+}
+
+// joining reports whether this VM is about to become a holder of the customer's
+// bucket.
+func (c *core) joining(id siskin.CustomerID) bool {
+	b := &c.buckets[bucketOf(id)]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.epoch == 0 && !b.unreadable
+}
+
+// setUnreadable records whether the platform answered the reading of a record.
+func (c *core) setUnreadable(i int, unreadable bool) {
+	b := &c.buckets[i]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unreadable = unreadable
 }
 
 // hopefulRounds is the number of rounds in vain over all holders after which
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -63,7 +63,11 @@
 func (l *Limiter) AdmitWait(ctx context.Context, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
 	now := l.now()
 	a := l.core.admit(now, customer, float64(n), true)
+	joining := !a.Admitted && l.core.joining(customer)
 	until := now + l.waitBound
+	if joining {
+		until = now + joinBound
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		until = min(until, deadline.Sub(l.origin))
 	}
@@ -82,11 +86,19 @@
 			return a
 		}
 		now = l.now()
+		if joining && !l.core.joining(customer) {
+			joining, until = false, min(until, now+l.waitBound)
+		}
 		a = l.core.admit(now, customer, float64(n), false)
 	}
 	return a
 }
 
+// joinBound is the longest wait of the first requests for the record of their
+// bucket, which takes a few round trips to the platform and, when several VMs
+// join at once, some repetitions.
+const joinBound = time.Second
+
 func (l *Limiter) now() time.Duration { return l.clock.Now().Sub(l.origin) }
 
 // Close stops the exchange and waits for calls in progress. Rights that were
--- a/pkg/limit/recordio.go
+++ b/pkg/limit/recordio.go
@@ -18,7 +18,9 @@
 			l.core.todo.addBucket(i)
 			continue
 		}
-		if err := l.readRecord(ctx, i); err != nil {
+		err := l.readRecord(ctx, i)
+		l.core.setUnreadable(i, err != nil && siskin.KindOf(err) != siskin.Conflict)
+		if err != nil {
 			l.readAfter[i] = l.clock.Now().Add(min(firstRetry<<min(l.readFails[i], 8), maxBackoff))
 			l.readFails[i]++
 			l.core.todo.addBucket(i)
