--- a/internal/bench/env.go
+++ b/internal/bench/env.go
@@ -41,22 +41,7 @@
 // loadConfig returns callers of every customer on a service, at a share of the
 // customer's rate.
 func (e *env) loadConfig(f *fleet.Fleet, service siskin.ServiceName, share, writes float64) load.Config {
-	cfg := load.Config{
-		VMs:        f.Addresses(),
-		Dial:       f.Net.Dialer("client", load.ClientPlace).DialContext,
-		ReadRoute:  fleet.ReadRoute,
-		WriteRoute: fleet.WriteRoute,
-		Timeout:    12 * time.Second,
-		Seed:       e.Seed,
-	}
-	for _, c := range f.Profile.Customers {
-		cfg.Groups = append(cfg.Groups, load.Group{
-			Customer: c.ID, Key: f.Keys[c.ID], Service: service,
-			Callers: 6, Rate: c.Rate * siskin.RequestsPerSecond(share), WriteShare: writes,
-			RoamEvery: 2 * time.Second,
-		})
-	}
-	return cfg
+	return f.Callers(e.Seed, service, share, writes)
 }
 
 // run drives the callers for the duration and adds the breaches they saw.
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -35,7 +35,8 @@
 	}
 	defer f.Close()
 
-	run := load.NewRun(callers(f, o), o.Duration)
+	// Each customer sends 40% of its rate, 30% of it writes.
+	run := load.NewRun(f.Callers(o.Seed, o.Profile.Services[0], 0.4, 0.3), o.Duration)
 	fault := o.Duration * 2 / 5
 	timer := time.AfterFunc(fault, func() {
 		progress("the primary fails")
@@ -47,31 +48,6 @@
 	return judge(f, run, o, fault, broken.List()), nil
 }
 
-// callers returns the callers of all customers of the profile, each customer
-// at 40% of its rate with 30% writes.
-func callers(f *fleet.Fleet, o Options) load.Config {
-	cfg := load.Config{
-		VMs:        f.Addresses(),
-		Dial:       f.Net.Dialer("client", load.ClientPlace).DialContext,
-		ReadRoute:  fleet.ReadRoute,
-		WriteRoute: fleet.WriteRoute,
-		Timeout:    12 * time.Second,
-		Seed:       o.Seed,
-	}
-	for _, c := range o.Profile.Customers {
-		cfg.Groups = append(cfg.Groups, load.Group{
-			Customer:   c.ID,
-			Key:        f.Keys[c.ID],
-			Service:    o.Profile.Services[0],
-			Callers:    6,
-			Rate:       c.Rate * 2 / 5,
-			WriteShare: 0.3,
-			RoamEvery:  2 * time.Second,
-		})
-	}
-	return cfg
-}
-
 func judge(f *fleet.Fleet, run *load.Run, o Options, fault time.Duration, broken []string) *Report {
 	service := o.Profile.Services[0]
 	events := run.Recorder.Events()
--- /dev/null
+++ b/pkg/limit/first_test.go
@@ -0,0 +1,72 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// TestGrantBeforeFirstRequest guards against a grant that names a customer
+// which this VM has not served yet: it was refused until the next change of the
+// configuration, although the VM held units.
+func TestGrantBeforeFirstRequest(t *testing.T) {
+	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
+	c := f.start("v1", 1, "d1").l.core
+	c.apply(0, bucketOf("a"), &record{
+		Epoch: 2, Holders: []holderID{c.self},
+		Grants: []grant{{To: c.self, Customers: map[siskin.CustomerID]siskin.Units{"a": siskin.TotalUnits}}},
+	})
+	c.admit(time.Second, "a", 1, true)
+	if got, want := c.admit(2*time.Second, "a", 1, true).Admitted, true; got != want {
+		t.Errorf("admitted: got %v, want %v a second after the first request", got, want)
+	}
+}
+
+// TestTokensWithoutUnits guards against a small customer that is refused at one
+// VM while others hold its tokens and no units to spare.
+func TestTokensWithoutUnits(t *testing.T) {
+	rich, poor, i := pair(t)
+	ask(t, poor) // creates the holding, as the next line does
+	rich.admit(0, "a", 1, true)
+	const now = time.Second
+	h, empty := rich.buckets[i].holdings["a"], poor.buckets[i].holdings["a"]
+	h.units, h.tokens, h.at = siskin.TotalUnits/2, 50, now
+	empty.units, empty.tokens, empty.at = siskin.TotalUnits/2, 0, now
+	h.demand = meter{slow: 80, fast: 80, at: now} // leaves no units to spare
+	poor.links[rich.self.VM].pending = nil
+	poor.admit(now, "a", 1, true)
+	before := h.tokens + empty.tokens
+	out := poor.plan(now)
+	if len(out) != 1 {
+		t.Fatalf("got %d messages, want 1", len(out))
+	}
+	reply := rich.answer(now, out[0].args)
+	if got := reply.Items[0]; got.Units != 0 || got.Tokens < 1 {
+		t.Fatalf("reply: got %d units and %v tokens, want 0 and at least 1", got.Units, got.Tokens)
+	}
+	poor.receive(now, rich.self.VM, out[0].args.Seq, &reply)
+	if got := h.tokens + empty.tokens; got > before {
+		t.Errorf("tokens at both: got %v, want at most %v", got, before)
+	}
+	if !poor.admit(now, "a", 1, false).Admitted {
+		t.Error("admitted: got false after tokens arrived, want true")
+	}
+}
+
+// TestFirstRequestWaitsForRecord guards against first requests that are refused
+// although they are within the rate, because the VM has not read the record of
+// their bucket yet, and against a wait for a platform that is down.
+func TestFirstRequestWaitsForRecord(t *testing.T) {
+	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
+	c := f.start("v1", 1, "d1").l.core
+	c.admit(0, "a", 1, true)
+	if _, _, got := c.expect(0, "a", 1, joinBound); !got {
+		t.Error("wait before the record is read: got false, want true")
+	}
+	c.setUnreadable(bucketOf("a"), true)
+	if _, _, got := c.expect(0, "a", 1, joinBound); got {
+		t.Error("wait while the platform does not answer: got true, want false")
+	}
+}
