member: name the fields of records in full

Cause: names in the project's own formats are Pascal case, as the fields are named; records used one-letter names on the wire.

Change: the JSON names of records are those of the fields.

--- a/pkg/member/record.go
+++ b/pkg/member/record.go
@@ -9,17 +9,17 @@
 // Record is what VMs tell each other of one member.
 type Record struct {
 	ID          siskin.VMID
-	Incarnation siskin.Incarnation `json:"Inc"`
+	Incarnation siskin.Incarnation
 	// Refutations grows each time the member refutes a suspicion.
-	Refutations uint64 `json:"N,omitempty"`
+	Refutations uint64 `json:",omitempty"`
 	// State is VMLive, VMSuspect, VMDead or VMGone.
-	State siskin.VMState `json:"S"`
+	State siskin.VMState
 	// Leaving stays set until the end of the incarnation.
-	Leaving    bool                `json:"L,omitempty"`
-	DataCentre siskin.DataCentreID `json:"DC,omitempty"`
-	Address    string              `json:"A,omitempty"`
+	Leaving    bool                `json:",omitempty"`
+	DataCentre siskin.DataCentreID `json:",omitempty"`
+	Address    string              `json:",omitempty"`
 	// Forward takes forwarded transactions. It travels with Address.
-	Forward string `json:"F,omitempty"`
+	Forward string `json:",omitempty"`
 }
 
 // order compares the points in a member's life that two records describe,
