--- a/internal/bench/fairness.go
+++ b/internal/bench/fairness.go
@@ -77,6 +77,7 @@
 		noisy := &cfg.Groups[0]
 		noisy.Rate = p.Customers[0].Rate * siskin.RequestsPerSecond(factor)
 		noisy.Callers = 64
+		noisy.Unprepared = true
 	}
 	run := e.run(ctx, f, service, cfg)
 	events := afterWarmUp(run.Recorder.Events())
@@ -87,6 +88,8 @@
 		result[c.ID] = served{share: float64(ok.Count) / float64(max(len(own), 1)), p99: ok.P99}
 	}
 	if factor > 1 {
+		own := result[p.Customers[0].ID]
+		e.result.add("noisy customer got, of its rate", 100*own.share*factor, "%")
 		e.outcomes("noisy customer:", eventsOf(events, p.Customers[0].ID))
 	}
 	return result, nil
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -126,6 +126,9 @@
 	}
 	cfg.Database = fmt.Sprintf("%s/%s", c.group.Service, route)
 	cfg.Password = c.group.Key
+	if c.group.Unprepared {
+		cfg.DefaultQueryExecMode = pgx.QueryExecModeExec
+	}
 	if c.token != "" {
 		cfg.RuntimeParams[tokenParameter] = c.token
 	}
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -37,6 +37,10 @@
 	RoamEvery time.Duration
 	// Statement replaces the read statement, such as one that runs long.
 	Statement string
+	// Unprepared sends each statement in one batch. By default the client
+	// prepares it in a batch of its own first, which counts as a request too,
+	// and does so again after each refusal.
+	Unprepared bool
 	// NoToken makes a caller that moves show no token. The promise then covers
 	// what was acknowledged before it connected.
 	NoToken bool
