pool: time the evidence of silent connections around the fault

A trace of one: its connection was last read 13 ms after the first unanswered question had been sent, so it counted as heard since. The answer to that question was what the fault cut off: the fault lies between the question and its answer.

Change: a connection heard within 400 ms after the first unanswered question is not cleared by that, one opened within 400 ms before it clears none, and an earlier question that is given up later moves the beginning back. TestSilenceEvidence lists the cases.

--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -29,6 +29,13 @@
 // one begins a new incident.
 const incident = 3 * time.Second
 
+// ambiguity is the time around the first unanswered probe in which the fault
+// lies: two intervals of the control connections. A connection that was opened
+// before the probe by less may be younger than the fault and clears none; one
+// that was heard after it by less may have been heard before the fault, since
+// the answer to the probe can be what the fault cut off.
+const ambiguity = 400 * time.Millisecond
+
 // sameAge is the difference up to which connections count as equally old. It is
 // about the time between a fault and its first unanswered probe, so that a
 // connection opened after the fault seldom clears one from before it.
@@ -37,8 +44,11 @@
 func (s *silence) probeFailed(sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if sent.Sub(s.failed) > incident {
+	switch {
+	case sent.Sub(s.failed) > incident:
 		s.first, s.alive = sent, time.Time{}
+	case sent.Before(s.first):
+		s.first = sent // an earlier question was given up later
 	}
 	if sent.After(s.failed) {
 		s.failed = sent
@@ -48,7 +58,7 @@
 func (s *silence) heard(opened, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.After(s.first) && (s.alive.IsZero() || opened.Before(s.alive)) {
+	if now.After(s.first.Add(ambiguity)) && (s.alive.IsZero() || opened.Before(s.alive)) {
 		s.alive = opened
 	}
 }
@@ -59,8 +69,8 @@
 func (s *silence) isSilent(opened, heard, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	exonerated := !s.alive.IsZero() && s.alive.Sub(opened) <= sameAge
-	return opened.Before(s.first) && heard.Before(s.first) && !exonerated &&
+	exonerated := !s.alive.IsZero() && s.alive.Before(s.first.Add(-ambiguity)) && s.alive.Sub(opened) <= sameAge
+	return opened.Before(s.first) && heard.Before(s.first.Add(ambiguity)) && !exonerated &&
 		now.Sub(s.first) >= probeTimeout+settle
 }
 
--- /dev/null
+++ b/internal/pool/silence_test.go
@@ -0,0 +1,44 @@
+package pool
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSilenceEvidence guards against requests that wait on a silent connection
+// until their deadline because other connections seem to clear it, and against
+// slow statements that are cut although their connection is as old as one that
+// answers. Times are milliseconds; the first unanswered probe is sent at 10,000
+// and the decision is taken at 13,000.
+func TestSilenceEvidence(t *testing.T) {
+	type heard struct{ opened, at int }
+	for _, tt := range []struct {
+		name          string
+		opened, heard int
+		others        []heard
+		probes        []int
+		want          bool
+	}{
+		{"in use since before the fault", 1000, 9900, nil, []int{10_000}, true},
+		{"replaced by a connection opened after the fault", 9000, 9900, []heard{{9700, 10_900}}, []int{10_000}, true},
+		{"a later probe does not move the beginning", 1000, 9900, []heard{{10_600, 11_000}}, []int{10_000, 11_500}, true},
+		{"an earlier question given up later counts", 1000, 9900, nil, []int{10_500, 10_000}, true},
+		{"heard while the lost answer was under way", 1000, 10_010, nil, []int{10_000}, true},
+		{"sibling of the same age answers", 1000, 9900, []heard{{1010, 11_000}}, []int{10_000}, false},
+		{"older connection answers", 1000, 9900, []heard{{500, 11_000}}, []int{10_000}, false},
+		{"heard itself", 1000, 11_000, nil, []int{10_000}, false},
+		{"opened after the fault", 10_100, 10_150, nil, []int{10_000}, false},
+	} {
+		at := func(ms int) time.Time { return time.Unix(1_800_000_000, 0).Add(time.Duration(ms) * time.Millisecond) }
+		var s silence
+		for _, sent := range tt.probes {
+			s.probeFailed(at(sent))
+		}
+		for _, o := range tt.others {
+			s.heard(at(o.opened), at(o.at))
+		}
+		if got := s.isSilent(at(tt.opened), at(tt.heard), at(13_000)); got != tt.want {
+			t.Errorf("%s: got silent %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
