limit, group: use the usual terms for transfers and waits

Cause: names such as gift, patience and hopeful rounds need explaining.

Change: transferUnits, minTransfer, askTimeout, maxFailedRounds and holdTime replace them; comments follow.

Conclusion: no change of behavior.

--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -46,7 +46,7 @@
 		}
 	}
 	for c := causeDead; c < causeCount; c++ {
-		if holds[c] && now.Sub(m.since[c]) >= m.patience(c, now) {
+		if holds[c] && now.Sub(m.since[c]) >= m.holdTime(c, now) {
 			return c
 		}
 	}
@@ -70,8 +70,8 @@
 	return holds
 }
 
-// patience returns how long a cause must hold before it is acted on.
-func (m *machine) patience(c cause, now time.Time) time.Duration {
+// holdTime returns how long a cause must hold before it is acted on.
+func (m *machine) holdTime(c cause, now time.Time) time.Duration {
 	switch c {
 	case causeDead:
 		if m.primary == "" {
--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -25,14 +25,14 @@
 }
 
 const (
-	// patience is how long a customer waits for one giver before it asks
+	// askTimeout is how long a customer waits for one giver before it asks
 	// another. It is several round trips between data centres.
-	patience = 20 * time.Millisecond
+	askTimeout = 20 * time.Millisecond
 	// firstRetry and maxBackoff bound the delays of repeated requests. A lost
 	// answer keeps units out of use until the request is repeated.
-	firstRetry = patience
+	firstRetry = askTimeout
 	maxBackoff = time.Second
-	// After rereadFailures requests in vain the record is read again, at most
+	// After rereadFailures requests without success the record is read again, at most
 	// once in rereadEvery.
 	rereadFailures = 2
 	rereadEvery    = 5 * time.Second
@@ -99,7 +99,7 @@
 		return
 	}
 	if c.budget.left(now) <= 0 {
-		h.askAfter = now + 10*patience
+		h.askAfter = now + 10*askTimeout
 		h.wake()
 		return
 	}
@@ -108,7 +108,7 @@
 		c.failed(now, b, h)
 		return
 	}
-	h.askAfter = now + patience
+	h.askAfter = now + askTimeout
 	args := batches[giver.VM]
 	if args == nil {
 		args = &AskArgs{From: c.self.VM, FromIncarnation: c.self.Incarnation, ToIncarnation: giver.Incarnation}
@@ -132,10 +132,10 @@
 			return
 		}
 	}
-	h.askAfter = now + min(patience<<min(h.failures, 8), maxBackoff)
+	h.askAfter = now + min(askTimeout<<min(h.failures, 8), maxBackoff)
 	h.roundAt = now
 	h.failures++
-	h.wake() // requests that wait in vain are refused at once
+	h.wake() // requests that nothing can serve are refused at once
 }
 
 func (l *link) busy() bool { return l != nil && l.pending != nil }
--- a/pkg/limit/expect.go
+++ b/pkg/limit/expect.go
@@ -41,7 +41,7 @@
 	if again := h.askAfter - now; !accrues && again > 0 {
 		pause = again // the next attempt asks another holder
 	} else if !accrues {
-		pause = patience
+		pause = askTimeout
 	}
 	return arrived, max(min(pause, until-now), time.Millisecond), true
 }
@@ -74,15 +74,15 @@
 	b.unreadable = unreadable
 }
 
-// hopefulRounds is the number of rounds in vain over all holders after which
+// maxFailedRounds is the number of rounds without success over all holders after which
 // requests do not wait for units anymore: the customer probably uses its whole
 // rate, and its requests are answered at once.
-const hopefulRounds = 1
+const maxFailedRounds = 1
 
 // expecting reports whether a request for units is under way or will go out
-// before the given time, with some hope of success.
+// before the given time, with a chance of success.
 func (h *holding) expecting(until time.Duration) bool {
-	return h.failures <= hopefulRounds && (h.wanted || h.askAfter < until)
+	return h.failures <= maxFailedRounds && (h.wanted || h.askAfter < until)
 }
 
 // unexpect ends a wait that expect began.
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -58,7 +58,7 @@
 	h.refill(now)
 	out.Units = h.units
 	if !args.All && !c.leaving.Load() {
-		out.Units, out.Fair = h.gift(now, item)
+		out.Units, out.Fair = h.transferUnits(now, item)
 		out.Units = min(max(out.Units, 0), h.units)
 	}
 	tokens := h.take(out.Units)
--- a/pkg/limit/policy.go
+++ b/pkg/limit/policy.go
@@ -24,23 +24,23 @@
 // an offered load of 0.8 it covers the whole rate.
 const margin = 1.25
 
-// minGift is the smallest gift that is worth a message.
-const minGift = siskin.TotalUnits / 256
+// minTransfer is the smallest transfer that is worth a message.
+const minTransfer = siskin.TotalUnits / 256
 
-// gift returns the units to give to an asker: what it needs, at least half, of
-// what the giver can spare. An asker whose part is far below its demand also
-// gets what brings both to parts proportional to their demand.
-func (h *holding) gift(now time.Duration, item *AskItem) (units siskin.Units, fair bool) {
+// transferUnits returns the units to give to an asker: what it needs, and at
+// least half, of what the giver can spare. An asker whose part is far below its
+// demand also gets what brings both to parts proportional to their demand.
+func (h *holding) transferUnits(now time.Duration, item *AskItem) (units siskin.Units, fair bool) {
 	asked, spare := float64(item.Demand), float64(h.spare(now))
-	gift := min(spare, max(spare/2, h.needed(asked)-float64(item.Units)))
+	give := min(spare, max(spare/2, h.needed(asked)-float64(item.Units)))
 	total, lasting := float64(h.units+item.Units), float64(item.Lasting)
-	if more := total*lasting/max(lasting+h.demand.slow, 1e-9) - float64(item.Units); more > max(gift, total/8) {
-		gift, fair = more, true
+	if more := total*lasting/max(lasting+h.demand.slow, 1e-9) - float64(item.Units); more > max(give, total/8) {
+		give, fair = more, true
 	}
-	if gift < float64(minGift) && gift < float64(h.units) {
+	if give < float64(minTransfer) && give < float64(h.units) {
 		return 0, false
 	}
-	return siskin.Units(gift), fair
+	return siskin.Units(give), fair
 }
 
 // spare returns the units that the holder does not need for its own demand.
