--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// refusalLog tells of each refused reload. It is read after its writer ended.
+type refusalLog struct {
+	bytes.Buffer
+	refused chan struct{}
+}
+
+func (l *refusalLog) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte("settings were not reloaded")) {
+		l.refused <- struct{}{}
+	}
+	return l.Buffer.Write(p)
+}
+
 // TestReload guards against a hang-up signal that applies faulty settings, or
 // none.
 func TestReload(t *testing.T) {
@@ -125,15 +138,20 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	hangups, reloads, done := make(chan os.Signal), make(chan *cfgini.Daemon), make(chan struct{})
-	var b bytes.Buffer
+	b := &refusalLog{refused: make(chan struct{}, 1)}
 	go func() {
 		defer close(done)
-		watchHangups(ctx, path, settings, logs.New("info", "json", &b), hangups, reloads)
+		watchHangups(ctx, path, settings, logs.New("info", "json", b), hangups, reloads)
 	}()
 	write("loud")
 	hangups <- syscall.SIGHUP
+	select { // the file must not change before it was read
+	case <-b.refused:
+	case <-time.After(5 * time.Second):
+		t.Fatal("no refusal after the signal")
+	}
 	write("debug")
-	hangups <- syscall.SIGHUP // taken when the first reload was refused
+	hangups <- syscall.SIGHUP
 	select {
 	case next := <-reloads:
 		if got, want := next.Log.Level, "debug"; got != want {
