pool: keep evidence from before an incident began

A trace showed that the siblings of a slow statement answered their probes in the millisecond before the unanswered probe was given up. The incident begins only then and started without evidence, and the siblings' next probe came after the decision, so the slow statement was cut as silent. Ruled out: the age of the connections (all opened within 23 ms) and the window around the first probe.

Change: while an incident is open, every decision first adds the last bytes read on all connections of the slot, those in use included. The new test TestEvidenceFromBeforeTheIncident brings the order about without chance.

Conclusion: the fault was in the decision, not in the test; bounds unchanged.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -112,6 +112,28 @@
 	slow.Close(nil)
 }
 
+// TestEvidenceFromBeforeTheIncident guards against a slow statement that is cut
+// because its sibling answered after the fault but before the unanswered probe
+// was given up, and is not probed again until the decision.
+func TestEvidenceFromBeforeTheIncident(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for the detection of silence")
+	}
+	f := newFixture(t, 2) // no other connection that is probed at other times
+	slow := f.get(t, Full, 1)
+	other := f.get(t, Full, 2)
+	start := time.Now()
+	done := make(chan bool, 1)
+	go func() { done <- slow.roundTrip(encodeQuery("select pg_sleep(3)"), 6*time.Second) }()
+	time.Sleep(1600 * time.Millisecond)
+	other.Recycle(2)
+	f.ProbeFailed(key.Target, start.Add(700*time.Millisecond))
+	if !<-done {
+		t.Errorf("got a slow statement cut (silent %v) after %v, want its answer", slow.Silent(), time.Since(start))
+	}
+	slow.Close(nil)
+}
+
 // TestDropCutsNoRequest guards against a change of ownership that ends a
 // request in progress, and against new work on a slot that was given up.
 func TestDropCutsNoRequest(t *testing.T) {
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// isOpen reports whether a probe of the current incident can still decide.
+func (s *silence) isOpen(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.failed) <= incident
+}
+
 // isSilent reports whether a connection in use that was opened and last heard
 // at the given times is to be given up: a sibling of its age did not answer a
 // probe sent later, and no other that is as old was heard since.
@@ -87,6 +94,14 @@
 func (s *slot) giveUpSilent(now time.Time) {
 	evidence := s.pool.silenceOf(s.key.Target)
 	unreachable := s.pool.reachable != nil && !s.pool.reachable(s.key.Target)
+	if evidence.isOpen(now) {
+		// A connection may have been heard after the fault but before the
+		// unanswered probe was given up, when there was no incident to add
+		// to. Its next probe can come after the decision.
+		for c := range s.conns {
+			evidence.heard(c.opened, c.lastRead())
+		}
+	}
 	for c := range s.conns {
 		if c.state != connBusy || c.silent.Load() {
 			continue
