pool: find silent connections between VMs

The fault can lie up to 1 s before the first unanswered probe; the rule assumed 0.4 s, which is true of control connections only. Three other faults were found on the way: evidence heard before an incident began counted or not by chance; the spare connection that found silence between VMs was the one of the read-only account, which no forwarded request uses; and a deadline set after a connection was given up extended the wait on it again.

Change: a failed probe tells until when its path worked, and only connections opened before that time clear others. When an incident begins, idle siblings are probed again, and only what is heard after that counts. A slot between VMs keeps one connection that no request gets, in place of the read-only spare. Deadlines no longer revive a connection that was given up.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -88,6 +88,38 @@
 	return n, err
 }
 
+// SetDeadline implements net.Conn. It does not extend the wait on a connection
+// that was given up as silent.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.Conn.SetDeadline(t); err != nil {
+		return err
+	}
+	return c.keepGivenUp()
+}
+
+// SetReadDeadline implements net.Conn like SetDeadline.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if err := c.Conn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.keepGivenUp()
+}
+
+// keepGivenUp runs after a deadline was set. giveUp sets silent first, so one of
+// the two ends the wait.
+func (c *Conn) keepGivenUp() error {
+	if c.silent.Load() {
+		return c.Conn.SetReadDeadline(longAgo)
+	}
+	return nil
+}
+
+// giveUp ends the wait for an answer.
+func (c *Conn) giveUp() {
+	c.silent.Store(true)
+	_ = c.Conn.SetReadDeadline(longAgo) // fails only when closed already
+}
+
 func (c *Conn) lastRead() time.Time { return time.Unix(0, c.read.Load()) }
 
 // Silent reports whether the wait on the connection was ended because the
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -67,9 +67,9 @@
 // use.
 func (s *slot) wanted(account Account) int {
 	open, busy := s.count[account], s.busy[account]
-	spare := max(warmFloor-open, 0)
+	spare := max(s.spareFloor(account)-open, 0)
 	if busy > 0 {
-		spare = max(spare, 1+busy/4-(open-busy))
+		spare = max(spare, 1+busy/4-(open-busy-s.reserved(account)))
 	}
 	need := s.waiting(account)
 	if s.open() < s.cfg.Limit {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -80,10 +80,10 @@
 	}
 }
 
-func (p *Pool) probeTarget(target siskin.TargetID, sent time.Time) {
+func (p *Pool) probeTarget(target siskin.TargetID, before time.Time) {
 	p.slots.Range(func(key Key, s *slot) bool {
 		if key.Target == target {
-			s.probeOlder(sent)
+			s.probeOlder(before)
 		}
 		return true
 	})
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -22,6 +22,7 @@
 			}
 		}
 	}
+	s.probeWatch(now)
 	s.giveUpSilent(now)
 	s.ensure()
 }
@@ -39,9 +40,9 @@
 
 func (s *slot) probe(c *Conn, timeout time.Duration) {
 	sent := s.pool.clock.Now()
-	idleSince := c.idleSince
+	heard, idleSince := c.lastRead(), c.idleSince
 	if !c.roundTrip(probeQuery, timeout) {
-		s.silent(c, sent)
+		s.silent(c, heard, sent)
 		return
 	}
 	s.put(c)
@@ -52,29 +53,30 @@
 	s.mu.Unlock()
 }
 
-// silent closes a connection that did not answer, and probes the idle ones to
-// the same target that were last heard before the unanswered probe, since a
-// fault on the path hits connections of the same age together.
-func (s *slot) silent(c *Conn, sent time.Time) {
+// silent closes a connection that was last heard at the given time and did not
+// answer a probe sent later. It probes the idle ones to the same target, since
+// a fault on the path hits connections of the same age together and their
+// answers decide about those in use.
+func (s *slot) silent(c *Conn, heard, sent time.Time) {
 	s.mu.Lock()
 	s.stats.silent++
 	s.mu.Unlock()
-	s.pool.silenceOf(s.key.Target).probeFailed(sent)
+	began := s.pool.silenceOf(s.key.Target).probeFailed(heard.Add(openTogether), sent, s.pool.clock.Now())
 	s.remove(c, nil)
 	err := siskin.NewError(siskin.Unavailable, "connection to target %s went silent", s.key.Target)
 	if s.pool.onFailure != nil && s.pool.ctx.Err() == nil {
 		s.pool.onFailure(s.key.Target, err)
 	}
-	s.pool.probeTarget(s.key.Target, sent)
+	s.pool.probeTarget(s.key.Target, began)
 }
 
 // probeOlder probes the idle connections last heard before the given time.
-func (s *slot) probeOlder(sent time.Time) {
+func (s *slot) probeOlder(before time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for account := range s.idle {
 		for _, c := range slices.Clone(s.idle[account]) {
-			if c.lastHeard.Before(sent) {
+			if !c.lastHeard.After(before) {
 				s.probeLocked(c, probeAgain)
 			}
 		}
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -15,50 +15,67 @@
 	// one incident were sent. Connections that replace silent ones are opened
 	// after first; they say nothing about the older ones.
 	first, failed time.Time
-	// alive is when the oldest connection that was heard since first was
+	// began is when the first probe of the incident was given up. What was
+	// heard earlier can be from before the fault: on a busy machine a probe may
+	// have waited for long when the fault cut off its answer.
+	began time.Time
+	// since is the latest time at which the path of a connection that went
+	// silent still worked. The fault lies after it, up to probeAfter and a tick
+	// before first.
+	since time.Time
+	// alive is when the oldest connection that was heard since began was
 	// opened. Connections that are as old have proved that theirs is no fault
 	// of the path; a younger one may have been opened after it.
 	alive time.Time
 }
 
 // settle is how long the older siblings of a silent connection have to prove
-// that they are not.
+// that they are not, from the beginning of the incident.
 const settle = probeAgain + tick
 
 // incident is the time after the latest unanswered probe from which on another
 // one begins a new incident.
 const incident = 3 * time.Second
 
-// ambiguity is the time around the first unanswered probe in which the fault
-// lies: two intervals of the control connections. A connection that was opened
-// before the probe by less may be younger than the fault and clears none; one
-// that was heard after it by less may have been heard before the fault, since
-// the answer to the probe can be what the fault cut off.
+// ambiguity is two intervals of the control connections. A control connection
+// that leaves a question unanswered was last heard at most that long before.
 const ambiguity = 400 * time.Millisecond
 
-// sameAge is the difference up to which connections count as equally old. It is
-// about the time between a fault and its first unanswered probe, so that a
-// connection opened after the fault seldom clears one from before it.
+// sameAge is the difference up to which connections count as equally old.
 const sameAge = 500 * time.Millisecond
 
-func (s *silence) probeFailed(sent time.Time) {
+// openTogether is the difference up to which connections count as opened at the
+// same time, as those are that a slot opens for one burst of requests. A
+// connection opened that soon after a silent one was last heard counts as older
+// than the fault.
+const openTogether = 100 * time.Millisecond
+
+// probeFailed adds a probe that was sent at the given time and not answered, on
+// a connection whose path worked at since. It returns when the incident began.
+func (s *silence) probeFailed(since, sent, now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case sent.Sub(s.failed) > incident:
-		s.first, s.alive = sent, time.Time{}
-	case sent.Before(s.first):
-		s.first = sent // an earlier question was given up later
+	if sent.Sub(s.failed) > incident {
+		s.first, s.since, s.began, s.alive = sent, since, now, time.Time{}
+	}
+	if sent.Before(s.first) { // an earlier question was given up later
+		s.first, s.since = sent, since
+	}
+	// A probe sent later can fail for another reason; it does not move the
+	// fault past the first one.
+	if since.After(s.since) && since.Before(s.first) {
+		s.since = since
 	}
 	if sent.After(s.failed) {
 		s.failed = sent
 	}
+	return s.began
 }
 
 func (s *silence) heard(opened, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.After(s.first.Add(ambiguity)) && (s.alive.IsZero() || opened.Before(s.alive)) {
+	if now.After(s.began) && (s.alive.IsZero() || opened.Before(s.alive)) {
 		s.alive = opened
 	}
 }
@@ -76,9 +93,9 @@
 func (s *silence) isSilent(opened, heard, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	exonerated := !s.alive.IsZero() && s.alive.Before(s.first.Add(-ambiguity)) && s.alive.Sub(opened) <= sameAge
-	return opened.Before(s.first) && heard.Before(s.first.Add(ambiguity)) && !exonerated &&
-		now.Sub(s.first) >= probeTimeout+settle
+	exonerated := !s.alive.IsZero() && s.alive.Before(s.since) && s.alive.Sub(opened) <= sameAge
+	return opened.Before(s.first) && !heard.After(s.began) && !exonerated &&
+		now.Sub(s.first) >= probeTimeout+settle && now.Sub(s.began) >= settle
 }
 
 func (p *Pool) silenceOf(target siskin.TargetID) *silence {
@@ -95,9 +112,7 @@
 	evidence := s.pool.silenceOf(s.key.Target)
 	unreachable := s.pool.reachable != nil && !s.pool.reachable(s.key.Target)
 	if evidence.isOpen(now) {
-		// A connection may have been heard after the fault but before the
-		// unanswered probe was given up, when there was no incident to add
-		// to. Its next probe can come after the decision.
+		// A connection in use that receives data is heard without a probe.
 		for c := range s.conns {
 			evidence.heard(c.opened, c.lastRead())
 		}
@@ -109,8 +124,7 @@
 		heard := c.lastRead()
 		if evidence.isSilent(c.opened, heard, now) || (unreachable && now.Sub(heard) > maxQuiet) {
 			s.stats.silent++
-			c.silent.Store(true)
-			_ = c.SetReadDeadline(longAgo) // fails only when closed already
+			c.giveUp()
 		}
 	}
 }
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -17,6 +17,7 @@
 	cfg        SlotConfig
 	generation int // grows when the settings change; older connections are closed
 	idle       [accounts][]*Conn
+	watch      *Conn // see watch.go
 	conns      map[*Conn]struct{}
 	count      [accounts]int // connections, without opening ones
 	busy       [accounts]int // connections that belong to a request
@@ -121,7 +122,7 @@
 		s.waiters = slices.Delete(s.waiters, i, i+1)
 		s.lease(c, w.owner)
 		w.ready <- result{conn: c}
-	} else {
+	} else if !s.reserve(c) {
 		s.idle[c.account] = append(s.idle[c.account], c)
 	}
 	s.ensure()
@@ -147,6 +148,9 @@
 	_ = c.Conn.Close() // nothing is left to be sent
 	delete(s.conns, c)
 	s.count[c.account]--
+	if s.watch == c {
+		s.watch = nil
+	}
 	if i := slices.Index(s.idle[c.account], c); i >= 0 {
 		s.idle[c.account] = slices.Delete(s.idle[c.account], i, i+1)
 	}
@@ -198,4 +202,7 @@
 			s.removeLocked(c)
 		}
 	}
+	if s.watch != nil && s.watch.state == connIdle {
+		s.removeLocked(s.watch)
+	}
 }
