--- a/internal/daemon/prepare.go
+++ b/internal/daemon/prepare.go
@@ -68,3 +68,6 @@
 	}
 	return homes
 }
+
+// Units returns the part of a customer's right that this VM holds.
+func (d *Daemon) Units(customer siskin.CustomerID) siskin.Units { return d.limiter.Units(customer) }
--- a/pkg/limit/collection.go
+++ b/pkg/limit/collection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"siskintray.example/siskin"
 )
@@ -28,7 +29,7 @@
 		if !ok {
 			var err error
 			if reply, err = l.askReport(ctx, i, r.Epoch, h, silent); err != nil {
-				blocked = siskin.NewError(siskin.Unavailable, "no report of holder %s for bucket %d", h.VM, i).
+				blocked = siskin.NewError(siskin.KindOf(err), "no report of holder %s for bucket %d", h.VM, i).
 					WithRemedy("the reclaim is repeated until all holders report").WithCause(err)
 				continue
 			}
@@ -39,6 +40,19 @@
 	return reports, blocked
 }
 
+// waits asks for the missing reports of an epoch that is known here and reports
+// whether some are still missing, so that a wait for a holder costs no calls to
+// the platform. A holder that is in another epoch is no reason to wait.
+func (l *Limiter) waits(ctx context.Context, i int, silent map[siskin.VMID]bool) bool {
+	holders := l.core.holdersOf(i)
+	epoch, reporting := l.core.reporting(i)
+	if !reporting || slices.ContainsFunc(holders, l.gone) {
+		return false
+	}
+	_, err := l.collect(ctx, i, &record{Epoch: epoch, Holders: holders}, silent)
+	return err != nil && siskin.KindOf(err) != siskin.Conflict
+}
+
 // askReport gets the report of one holder. One that did not answer is not
 // asked again in this round, and one that the members list as dead is not asked
 // at all, since each such call takes a timeout.
--- a/pkg/limit/reclaim.go
+++ b/pkg/limit/reclaim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"siskintray.example/siskin"
@@ -29,12 +30,12 @@
 	}
 	l.core.forget(l.gone)
 	due := make(map[int][]int) // buckets by object
+	silent := make(map[siskin.VMID]bool)
 	for i := range l.core.each() {
-		if l.due(i) {
+		if l.due(i) && !l.waits(ctx, i, silent) {
 			due[objectOf(i)] = append(due[objectOf(i)], i)
 		}
 	}
-	silent := make(map[siskin.VMID]bool)
 	for _, o := range sorted(due) {
 		if err := l.reclaim(ctx, o, due[o], silent); err != nil {
 			l.logf("limit: reclaim in object %s is blocked: %v", objectName(o), err)
@@ -67,15 +68,8 @@
 }
 
 func (l *Limiter) needsReclaim(i int, holders []holderID) bool {
-	if l.core.reporting(i) {
-		return true
-	}
-	for _, h := range holders {
-		if l.gone(h) {
-			return true
-		}
-	}
-	return false
+	_, reporting := l.core.reporting(i)
+	return reporting || slices.ContainsFunc(holders, l.gone)
 }
 
 // rank returns this VM's place among the live holders of a bucket.
--- a/pkg/limit/reclaim_test.go
+++ b/pkg/limit/reclaim_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -66,6 +67,43 @@
 	}
 }
 
+// counted counts the reads of the platform.
+type counted struct {
+	siskin.Platform
+	reads int
+}
+
+func (c *counted) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
+	c.reads++
+	return c.Platform.Get(ctx, name)
+}
+
+// TestWaitCostsNoPlatformCalls guards against reclaims that read the platform
+// every second while a holder cannot be reached. When a data centre is cut off,
+// that would be most of the fleet.
+func TestWaitCostsNoPlatformCalls(t *testing.T) {
+	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
+	platform := &counted{Platform: f}
+	for i := range 3 {
+		n := f.start(fmt.Sprint("v", i), 1, fmt.Sprint("d", i))
+		n.l = New(f, f.view, n, n, platform)
+		n.l.Prepare("a")
+	}
+	f.run(time.Second)
+	f.vms[1].paused = f.at.Add(time.Minute)
+	f.vms[0].dead, f.vms[0].vm.State = true, siskin.VMGone
+	f.run(10 * time.Second)
+	before := platform.reads
+	f.run(25 * time.Second)
+	if got := platform.reads - before; got > 1 {
+		t.Errorf("got %d reads of the platform in 25 s of waiting, want at most 1, the refresh", got)
+	}
+	f.run(30 * time.Second)
+	if got := f.sum("a"); got != siskin.TotalUnits {
+		t.Errorf("got %d units after the holder resumed, want %d", got, siskin.TotalUnits)
+	}
+}
+
 // TestOneUpdateForObject guards against a start that costs a call for each
 // customer.
 func TestOneUpdateForObject(t *testing.T) {
--- a/pkg/limit/state.go
+++ b/pkg/limit/state.go
@@ -13,12 +13,12 @@
 	return b.holders
 }
 
-// reporting reports whether the bucket's epoch still waits for reports.
-func (c *core) reporting(i int) bool {
+// reporting returns the bucket's epoch and whether it still waits for reports.
+func (c *core) reporting(i int) (epoch uint64, reporting bool) {
 	b := c.bucket(i)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.reporting
+	return b.epoch, b.reporting
 }
 
 // serves returns a customer of the bucket that this VM admits requests for, or
@@ -50,3 +50,6 @@
 	}
 	return list
 }
+
+// Units returns what this VM holds for a customer.
+func (l *Limiter) Units(customer siskin.CustomerID) siskin.Units { return l.core.units(customer) }
