spread: add a long randomised run

Cause: pkg/spread had no TestSoak. Its randomised test has four rounds of 1.5 s, shorter than the bound of 9 s, so that the bound was checked after the faults only.

Change: TestSoak runs 7 VMs in 3 data centres against partitions, restarts, late and lost messages between VMs, late heads, lost and delayed answers and outages of the platform, racing operators, and VMs that join, the last one while the platform is down. Even seeds have no outage and run for 12 s, so that the 9 s are also checked while the other faults go on. Messages of the test fabric return their answers as JSON, as between processes.

--- a/pkg/spread/fleet_test.go
+++ b/pkg/spread/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"sync"
@@ -36,6 +35,8 @@
 	vms   []siskin.VM
 	nodes map[siskin.VMID]*node
 
+	messages messages
+
 	places  []siskin.DataCentreID       // VM i is in place i modulo their number
 	options func(vm siskin.VM) []Option // nil for none
 }
@@ -86,20 +87,38 @@
 		case <-ctx.Done():
 		case <-time.After(20 * time.Millisecond):
 		}
-		return errors.New("no answer")
-	}
-	if method == "Spread.Status" {
-		return to.Receiver().Status(nil, reply.(*StatusReply))
+		return errNoAnswer
 	}
 	b, _ := json.Marshal(args)
-	if method == "Spread.Push" {
+	var answer []byte
+	err := n.f.messages.send(func() (err error) { answer, err = to.receive(method, b); return err })
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(answer, reply)
+}
+
+// receive calls a method of this VM and returns its answer as JSON.
+func (n *node) receive(method string, args []byte) ([]byte, error) {
+	answer := func(reply any, err error) ([]byte, error) {
+		b, _ := json.Marshal(reply)
+		return b, err
+	}
+	switch method {
+	case "Spread.Status":
+		var reply StatusReply
+		return answer(&reply, n.Receiver().Status(nil, &reply))
+	case "Spread.Push":
 		var a PushArgs
-		_ = json.Unmarshal(b, &a)
-		return to.Receiver().Push(&a, reply.(*PushReply))
+		var reply PushReply
+		_ = json.Unmarshal(args, &a)
+		return answer(&reply, n.Receiver().Push(&a, &reply))
+	default:
+		var a SinceArgs
+		var reply SinceReply
+		_ = json.Unmarshal(args, &a)
+		return answer(&reply, n.Receiver().Since(&a, &reply))
 	}
-	var a SinceArgs
-	_ = json.Unmarshal(b, &a)
-	return to.Receiver().Since(&a, reply.(*SinceReply))
 }
 
 // gate is the platform as one VM reaches it.
@@ -196,6 +215,7 @@
 		_ = n.Close()
 		_ = n.client.Close()
 	}
+	f.messages.wait()
 }
 
 // fleet starts a platform and n VMs with fast exchanges.
--- /dev/null
+++ b/pkg/spread/soak_test.go
@@ -0,0 +1,189 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/soak"
+	"siskintray.example/siskin/internal/stand/objapi"
+)
+
+const (
+	soakVMs      = 7
+	soakJoins    = 3 // VMs that join later
+	soakServices = 5
+)
+
+// TestSoak guards against a revision in force that goes back, an accepted
+// change that is not in force on a reachable VM within 9 s, and a refused one
+// that is in force anywhere, under partitions, restarts, late and lost answers
+// of VMs and of the platform, outages, racing operators, and VMs that join
+// while the platform is down. A VM counts as reachable while it runs and the
+// platform answers: each data centre has at least one watcher that the platform
+// can reach.
+func TestSoak(t *testing.T) {
+	var total soakCounts
+	soak.Each(t, func(t *testing.T, seed uint64) {
+		c := runSoak(t, seed)
+		total.add(c)
+		t.Logf("%v", c)
+	})
+	t.Logf("in all: %v", total)
+}
+
+// runSoak runs one seed. Every second seed has no outage of the platform and
+// runs longer than the bound, so that the bound is checked under faults too.
+func runSoak(t *testing.T, seed uint64) soakCounts {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	platform, err := objapi.Start(objapi.Config{Seed: seed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFabric()
+	f.places = []siskin.DataCentreID{"a", "b", "c"}
+	defer func() { f.close(); _ = platform.Close() }()
+	for i := range soakVMs {
+		f.start(t, platform, i, fastConfig())
+	}
+	o := newObserver(t, f, seed)
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() { o.observe(stop) })
+	for i := range 4 {
+		running.Go(func() { o.operate(rand.New(rand.NewPCG(seed, uint64(i+1))), i, stop) })
+	}
+
+	length, outages := 3*time.Second, seed%2 == 1
+	if !outages {
+		length = limit + 3*time.Second
+	}
+	next := soakVMs
+	for end := time.Now().Add(length); time.Now().Before(end) && !t.Failed(); {
+		o.disturb(t, rng, platform, outages)
+		if outages && next < soakVMs+soakJoins && rng.IntN(6) == 0 {
+			o.join(t, platform, next)
+			next++
+		}
+		time.Sleep(time.Duration(20+rng.IntN(150)) * time.Millisecond)
+	}
+	o.heal(platform)
+	o.joinWithoutPlatform(t, platform, next)
+	close(stop)
+	running.Wait()
+
+	rev := o.applyLast(t)
+	o.counts.slowest = max(o.counts.slowest, inForce(t, f.all(), rev, limit))
+	o.check(t)
+	return o.counts
+}
+
+// disturb changes one fault at random.
+func (o *observer) disturb(t *testing.T, rng *rand.Rand, platform *objapi.Server, outages bool) {
+	o.counts.faults++
+	f := o.f
+	all := f.all()
+	n := all[rng.IntN(len(all))]
+	switch rng.IntN(9) {
+	case 0:
+		o.setPlatform(platform, objapi.Faults{LoseShare: 0.3})
+	case 1:
+		o.setPlatform(platform, objapi.Faults{DelayMs: rng.IntN(150)})
+	case 2:
+		o.setPlatform(platform, objapi.Faults{Refuse: outages})
+	case 3:
+		f.setCut(rng.IntN(2) == 0)
+	case 4: // at most one VM at a time is cut off from the platform
+		for _, other := range all {
+			other.cutOff.Store(false)
+		}
+		n.cutOff.Store(true)
+	case 5:
+		f.messages.set(rand.New(rand.NewPCG(o.seed, rng.Uint64())), rng.Float64()/2, 2*time.Second)
+	case 6:
+		n.lateHead.Store(true)
+	case 7:
+		o.restart(t, platform, rng.IntN(soakVMs))
+	default:
+		o.setPlatform(platform, objapi.Faults{})
+		f.setCut(false)
+		f.messages.set(nil, 0, 0)
+	}
+}
+
+// heal ends all faults.
+func (o *observer) heal(platform *objapi.Server) {
+	o.setPlatform(platform, objapi.Faults{})
+	o.f.setCut(false)
+	o.f.messages.set(nil, 0, 0)
+	for _, n := range o.f.all() {
+		n.cutOff.Store(false)
+		n.lateHead.Store(false)
+	}
+}
+
+// joinWithoutPlatform starts a VM in an outage of the platform and checks that
+// it gets everything that the others have within the bound.
+func (o *observer) joinWithoutPlatform(t *testing.T, platform *objapi.Server, i int) {
+	all := o.f.all()
+	rev := all[0].Revision()
+	inForce(t, all, rev, limit)
+	o.setPlatform(platform, objapi.Faults{Refuse: true})
+	n := o.join(t, platform, i)
+	o.counts.slowest = max(o.counts.slowest, inForce(t, []*node{n}, rev, limit))
+	o.setPlatform(platform, objapi.Faults{})
+}
+
+// applyLast makes a change after all faults. It is repeated while the platform
+// is not back from an outage.
+func (o *observer) applyLast(t *testing.T) siskin.Revision {
+	c := set("", "last", "last")
+	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		rev, err := o.f.all()[0].Spread.Apply(within(limit), &c.Change)
+		if err == nil {
+			return rev
+		}
+		if time.Since(begun) > limit {
+			t.Fatalf("seed %d: last change: %v", o.seed, err)
+		}
+	}
+}
+
+// operate makes changes at random VMs until stop is closed: most are accepted
+// or lose a race, some are invalid, some have an old base. An unknown outcome
+// is resolved under the same operation id at another VM.
+func (o *observer) operate(rng *rand.Rand, i int, stop chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		op := fmt.Sprintf("op-%d-%d", i, n)
+		service := fmt.Sprintf("s-%d", rng.IntN(soakServices))
+		c := set(op, service, op)
+		all := o.f.all()
+		switch rng.IntN(8) {
+		case 0: // refused as a whole, with a valid part
+			c.Services = append(c.Services, set(op, "bad", op).Services...)
+		case 1:
+			c.Base = all[0].Revision()
+		}
+		apply := func() (siskin.Revision, error) {
+			return all[rng.IntN(len(all))].Apply(within(time.Duration(100+rng.IntN(700))*time.Millisecond), c)
+		}
+		rev, err := apply()
+		for tries := rng.IntN(3); tries > 0 && siskin.KindOf(err) == siskin.OutcomeUnknown; tries-- {
+			unknown := err
+			// Only these results of a repetition say what became of the first attempt.
+			if rev, err = apply(); err != nil && siskin.KindOf(err) != siskin.Conflict && siskin.KindOf(err) != siskin.BadInput {
+				err = unknown
+			}
+		}
+		o.note(op, service, rev, err)
+		time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
+	}
+}
