member: put an overdue suspicion to the suspect itself

The trace shows another fault: the death was known everywhere after 1.62 s, and one VM held a second, running VM to be dead. That VM had heard of a suspicion, lost the refutation (1% of the messages were lost before), and let the suspicion expire after 3.2 s, the time of a VM that did not find the suspect silent itself. The suspect did not hear of it, since only observers that found it silent sent it messages. The false death ended 1.8 s later by the exchange of pages.

Change: after twice the suspicion time, when the verdict of the observers or the refutation is overdue, a VM sends the suspect a message at each probe interval; the message names the suspicion, and the answer brings the refutation. At most one such message goes out per interval.

--- a/pkg/member/config.go
+++ b/pkg/member/config.go
@@ -51,6 +51,9 @@
 	// fallbackFactor times the suspicion time is how long a VM that did not
 	// itself find the suspect silent waits for the verdict of the observers.
 	fallbackFactor = 4
+	// overdueFactor times the suspicion time is when such a VM begins to ask the
+	// suspect itself: the observers' verdict or the refutation is overdue.
+	overdueFactor = 2
 	// retention is how long dead and gone members are remembered.
 	retention = 24 * time.Hour
 )
--- a/pkg/member/core_test.go
+++ b/pkg/member/core_test.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	for _, file := range ar.Files {
-		now := time.Unix(0, 0)
+		now, last := time.Unix(0, 0), plan{}
 		c := newCore(Config{Self: siskin.VM{ID: "self", Incarnation: 5}, SuspicionTime: time.Second, ProbeInterval: time.Second, DeadInterval: time.Hour}, now)
 		for line := range strings.Lines(string(file.Data)) {
 			f := strings.Fields(line)
@@ -72,7 +72,11 @@
 			case "wait":
 				d, _ := time.ParseDuration(f[1])
 				now = now.Add(d)
-				c.step(now)
+				last = c.step(now)
+			case "pushes":
+				if got, want := fmt.Sprint(last.pushes), fmt.Sprint(f[1:]); got != want {
+					t.Errorf("%s: pushes: got %s, want %s", file.Name, got, want)
+				}
 			case "want":
 				if got, want := format(c, siskin.VMID(f[1])), strings.Join(f[2:], " "); got != want {
 					t.Errorf("%s: %s: got %s, want %s", file.Name, f[1], got, want)
--- a/pkg/member/schedule.go
+++ b/pkg/member/schedule.go
@@ -19,7 +19,7 @@
 	verdict := c.expire(now)
 	if !now.Before(c.nextProbe) {
 		c.nextProbe = now.Add(c.cfg.ProbeInterval)
-		p.probes, p.pushes = c.probeTargets()
+		p.probes, p.pushes = c.probeTargets(now)
 	}
 	if !now.Before(c.nextDead) {
 		c.nextDead = now.Add(c.cfg.DeadInterval)
@@ -42,14 +42,19 @@
 	return p
 }
 
-// probeTargets returns the successor in the next ring, and one member that
-// this VM suspects or holds dead while others do not.
-func (c *core) probeTargets() (probes, pushes []siskin.VMID) {
+// probeTargets returns the successor in the next ring, and members that may
+// refute: a suspect that this VM found silent, or whose verdict by its observers
+// is overdue, and one that this VM holds dead while others do not. A refutation
+// that was lost on the way to this VM would else end in a false death.
+func (c *core) probeTargets(now time.Time) (probes, pushes []siskin.VMID) {
 	c.ring = (c.ring + 1) % ringCount
 	if id, ok := c.rings.successor(c.ring, c.suspected); ok {
 		probes = append(probes, id)
 	}
-	if id, ok := c.randomMember(func(m *member) bool { return m.State == siskin.VMSuspect && m.silent }); ok {
+	overdue := now.Add(-overdueFactor * c.cfg.SuspicionTime)
+	if id, ok := c.randomMember(func(m *member) bool {
+		return m.State == siskin.VMSuspect && (m.silent || m.since.Before(overdue))
+	}); ok {
 		pushes = append(pushes, id)
 	}
 	if len(c.contested) > 0 {
