plat: add a long run with late answers

Cause: pkg/plat had no TestSoak, and its randomised test gives each update 100 ms, so callers hardly ever give up while their request is on its way.

Change: TestSoak repeats the run of TestRandomWriters with growing seeds, with answers up to 10 ms late and callers that wait 15 ms. TestRandomWriters is unchanged; the recorded failure under testdata stays valid.

--- a/pkg/plat/random_test.go
+++ b/pkg/plat/random_test.go
@@ -12,13 +12,22 @@
 	"pgregory.net/rapid"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/soak"
 	"siskintray.example/siskin/internal/stand/objapi"
 )
 
 // TestRandomWriters guards against acknowledged updates that are lost, refused
 // updates that took effect and updates that took effect twice, with racing
 // writers and lost answers. Each update appends its id to the value.
-func TestRandomWriters(t *testing.T) {
+func TestRandomWriters(t *testing.T) { randomWriters(t, 0, 100*time.Millisecond) }
+
+// TestSoak repeats the run of TestRandomWriters with growing seeds and with
+// answers that are so late that some callers have given up.
+func TestSoak(t *testing.T) {
+	soak.Rapid(t, func(t *testing.T) { randomWriters(t, 10, 15*time.Millisecond) })
+}
+
+func randomWriters(t *testing.T, maxDelayMs int, patience time.Duration) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, err := objapi.Start(objapi.Config{Seed: rapid.Uint64().Draw(t, "seed")})
 		if err != nil {
@@ -27,11 +36,14 @@
 		defer s.Close()
 		s.SetFaults(objapi.Faults{LoseShare: rapid.Float64Range(0, 0.4).Draw(t, "lose")})
 		writers := rapid.IntRange(1, 4).Draw(t, "writers")
+		if maxDelayMs > 0 { // drawn last, so that recorded failures stay valid
+			s.Delay(time.Duration(rapid.IntRange(0, maxDelayMs).Draw(t, "delay")) * time.Millisecond)
+		}
 		results := make([]map[string]error, writers)
 		var done sync.WaitGroup
 		for w := range writers {
 			results[w] = make(map[string]error)
-			done.Go(func() { writeMany(s.Address(), w, results[w]) })
+			done.Go(func() { writeMany(s.Address(), w, patience, results[w]) })
 		}
 		done.Wait()
 		s.SetFaults(objapi.Faults{})
@@ -48,11 +60,11 @@
 	})
 }
 
-func writeMany(address string, w int, results map[string]error) {
+func writeMany(address string, w int, patience time.Duration, results map[string]error) {
 	c, _ := New(Config{Addresses: []string{address}, CallsPerSecond: 1e4, Burst: 100, MinBackoff: time.Millisecond, MaxBackoff: 5 * time.Millisecond})
 	defer c.Close()
 	for i := range 10 {
-		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		if o, err := c.Get(ctx, "A"); err == nil {
 			var ops []string
 			_ = json.Unmarshal(o.Value, &ops)
