bench: count the processor time of the VMs alone in footprint

Cause: the processor time per VM included the stand-ins, 72 targets with heartbeats every 50 ms at 24 services, and the emulated links, since all ran in one process.

Change: `siskintray standin fleet` runs the platform and all targets of a profile. `bench footprint` starts it as a process of its own, reads its counts over the admin addresses, and lets the VMs use plain connections; getrusage then counts the VMs alone. The bound is unchanged.

--- a/internal/bench/env.go
+++ b/internal/bench/env.go
@@ -32,10 +32,10 @@
 	}
 }
 
-func (e *env) start(ctx context.Context, p load.Profile) (*fleet.Fleet, error) {
+func (e *env) start(ctx context.Context, p load.Profile, opts ...fleet.Option) (*fleet.Fleet, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	return fleet.Start(ctx, p)
+	return fleet.Start(ctx, p, opts...)
 }
 
 // loadConfig returns callers of every customer on a service, at a share of the
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,8 +13,6 @@
 	"siskintray.example/siskin/internal/load"
 	"siskintray.example/siskin/internal/netem"
 	"siskintray.example/siskin/internal/peer"
-	"siskintray.example/siskin/internal/stand/objapi"
-	"siskintray.example/siskin/internal/stand/target"
 	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/keys"
 )
@@ -24,14 +22,15 @@
 	Profile  load.Profile
 	Net      *netem.Network
 	Links    *peer.Links // calls between VMs
-	Platform *objapi.Server
-	Groups   map[siskin.ServiceName][]*target.Server
+	Standins             // empty when they run in another process
 	VMs      []*VM
 	// Keys holds one key per customer.
 	Keys map[siskin.CustomerID]string
 
-	log *log.Logger
-	dir string
+	log       *log.Logger
+	dir       string
+	remote    *Remote
+	addresses *Addresses
 }
 
 // Option changes how a Fleet is started.
@@ -40,13 +39,17 @@
 // WithLog sets the logger of all VMs; the default logs nothing.
 func WithLog(l *log.Logger) Option { return func(f *Fleet) { f.log = l } }
 
+// WithRemote uses stand-ins that another process runs. The links of the VMs are
+// then plain connections without delays and faults, so that this process spends
+// nothing on them.
+func WithRemote(r *Remote) Option { return func(f *Fleet) { f.remote = r } }
+
 // Start runs a deployment and waits until its configuration is in force.
 func Start(ctx context.Context, p load.Profile, opts ...Option) (*Fleet, error) {
 	f := &Fleet{
 		Profile: p,
 		Net:     netem.New(p.Delay),
 		Links:   new(peer.Links),
-		Groups:  make(map[siskin.ServiceName][]*target.Server),
 		Keys:    make(map[siskin.CustomerID]string),
 		log:     &log.Logger{Level: log.PanicLevel},
 	}
@@ -67,11 +70,7 @@
 	if err := os.WriteFile(f.tokenKey(), []byte("token key of a fleet on loopback"), 0o600); err != nil {
 		return err
 	}
-	if f.Platform, err = objapi.Start(objapi.Config{}); err != nil {
-		return err
-	}
-	f.Net.Place(f.Platform.Address(), PlatformHost, platformPlace)
-	if err := f.startTargets(); err != nil {
+	if err := f.startStandins(); err != nil {
 		return err
 	}
 	for i := range f.Profile.VMs {
@@ -98,25 +97,20 @@
 
 func (f *Fleet) tokenKey() string { return filepath.Join(f.dir, "token.key") }
 
-func (f *Fleet) startTargets() error {
-	for _, service := range f.Profile.Services {
-		i := 0
-		group, err := target.StartGroup(string(service), f.Profile.TargetsPerService, func(c *target.Config) {
-			cred := credentials(service)
-			c.User, c.Password, c.ReadUser, c.ReadPassword = cred.User, cred.Password, cred.ReadUser, cred.ReadPassword
-			c.Database = cred.Database
-			c.Slots, c.ConnectionsPerSlot = f.Profile.Slots, f.Profile.ConnectionsPerSlot
-			c.OpenTime = config.Duration(f.Profile.OpenTime)
-			c.LinkDelay = config.Duration(f.Profile.OneWay)
-			c.RecordReceived = true
-			i++
-		})
-		if err != nil {
-			return err
-		}
-		f.Groups[service] = group
+func (f *Fleet) startStandins() error {
+	if f.remote != nil {
+		f.addresses = &f.remote.Addresses
+		return nil
+	}
+	s, err := StartStandins(f.Profile, false)
+	if err != nil {
+		return err
+	}
+	f.Standins, f.addresses = *s, s.Addresses()
+	f.Net.Place(f.addresses.Platform, PlatformHost, platformPlace)
+	for _, group := range f.addresses.Targets {
 		for n, t := range group {
-			f.Net.Place(t.Address(), string(t.ID()), f.Profile.DataCentre(n))
+			f.Net.Place(t.Address, string(t.ID), f.Profile.DataCentre(n))
 		}
 	}
 	return nil
@@ -174,8 +168,8 @@
 			{Name: AgedRoute, Mode: config.ReadRoute, Repeatable: true, MaxAge: config.Duration(5 * time.Second), Deadline: config.Duration(10 * time.Second)},
 		},
 	}
-	for n, t := range f.Groups[name] {
-		s.Targets = append(s.Targets, config.Target{ID: t.ID(), DataCentre: f.Profile.DataCentre(n), Address: t.Address()})
+	for n, t := range f.addresses.Targets[name] {
+		s.Targets = append(s.Targets, config.Target{ID: t.ID, DataCentre: f.Profile.DataCentre(n), Address: t.Address})
 	}
 	return s
 }
@@ -194,13 +188,8 @@
 	for _, vm := range f.VMs {
 		vm.Kill()
 	}
-	for _, group := range f.Groups {
-		for _, t := range group {
-			_ = t.Close()
-		}
-	}
 	if f.Platform != nil {
-		_ = f.Platform.Close()
+		_ = f.Standins.Close() // nothing uses them any more
 	}
 	_ = f.Net.Close()
 	if f.dir != "" {
--- a/internal/fleet/vm.go
+++ b/internal/fleet/vm.go
@@ -26,7 +26,7 @@
 		Caller:   cfgini.Caller{Address: loopback},
 		Peer:     cfgini.Peer{Address: loopback, ForwardAddress: loopback},
 		Admin:    cfgini.Admin{Address: loopback},
-		Platform: cfgini.Platform{Addresses: []string{f.Platform.Address()}, ReadsPerSecond: 20, WritesPerSecond: 5},
+		Platform: cfgini.Platform{Addresses: []string{f.addresses.Platform}, ReadsPerSecond: 20, WritesPerSecond: 5},
 		Token:    cfgini.Token{KeyFile: f.tokenKey()},
 		Stop:     cfgini.Stop{Deadline: 20 * time.Second},
 		Group:    cfgini.Group{ProbeInterval: 200 * time.Millisecond},
@@ -45,11 +45,11 @@
 func (vm *VM) Start() error {
 	f, s := vm.fleet, vm.settings
 	dc := siskin.DataCentreID(s.VM.DataCentre)
-	d, err := daemon.Start(s,
-		daemon.WithLog(f.log),
-		daemon.WithOpen(f.Net.Dialer(s.VM.ID, dc).DialContext),
-		daemon.WithDrop(f.Links.Drop),
-	)
+	opts := []daemon.Option{daemon.WithLog(f.log), daemon.WithDrop(f.Links.Drop)}
+	if f.remote == nil {
+		opts = append(opts, daemon.WithOpen(f.Net.Dialer(s.VM.ID, dc).DialContext))
+	}
+	d, err := daemon.Start(s, opts...)
 	if err != nil {
 		return err
 	}
@@ -58,7 +58,15 @@
 	s.Peer.ForwardAddress, s.Admin.Address = d.ForwardAddress(), d.AdminAddress()
 	f.Net.Place(s.Caller.Address, s.VM.ID, dc)
 	f.Net.Place(s.Peer.ForwardAddress, s.VM.ID, dc)
-	f.Platform.SetVM(d.VM())
+	return f.listVM(d.VM())
+}
+
+// listVM adds or changes a VM in the platform's list.
+func (f *Fleet) listVM(vm siskin.VM) error {
+	if f.remote != nil {
+		return f.remote.SetVM(vm)
+	}
+	f.Platform.SetVM(vm)
 	return nil
 }
 
--- a/internal/labcmd/bench.go
+++ b/internal/labcmd/bench.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -31,6 +33,7 @@
 	Duration time.Duration `long:"duration" description:"length of one phase of load, at most 5m; the experiment's own by default"`
 	JSONFile string        `long:"json-file" value-name:"FILE" description:"also write the result as JSON"`
 	Plot     string        `long:"plot" value-name:"FILE" description:"also write a plot as SVG"`
+	CPU      string        `long:"cpu-profile" value-name:"FILE" description:"also write a profile of this process's processor time, for go tool pprof"`
 	Args     struct {
 		Name string `positional-arg-name:"experiment"`
 	} `positional-args:"yes" required:"yes"`
@@ -46,6 +49,11 @@
 	if err != nil {
 		return cmds.Output{}, err
 	}
+	stop, err := b.startProfile()
+	if err != nil {
+		return cmds.Output{}, err
+	}
+	defer stop()
 	r, err := x.Run(ctx, experiments.Options{
 		Profile:  profile,
 		Seed:     b.Seed,
@@ -65,6 +73,24 @@
 	return cmds.Output{Value: r, Text: text.String(), Exit: exitOf(r.OK())}, nil
 }
 
+// startProfile begins the profile of the processor time, if one was asked for.
+func (b *bench) startProfile() (stop func(), err error) {
+	if b.CPU == "" {
+		return func() {}, nil
+	}
+	f, err := os.Create(b.CPU)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = f.Close() // pprof reports a profile that was cut off
+	}, nil
+}
+
 func (b *bench) writeFiles(r *experiments.Result) error {
 	if b.JSONFile != "" {
 		err := writeFile(b.JSONFile, func(w io.Writer) error {
--- a/internal/labcmd/doc.go
+++ b/internal/labcmd/doc.go
@@ -11,5 +11,6 @@
 		{Name: "bench", Short: "run an experiment", Long: benchHelp(), New: func() cmds.Runner { return new(bench) }},
 		{Name: "standin platform", Short: "run a stand-in of the platform", Long: standinPlatformHelp, New: func() cmds.Runner { return new(standinPlatform) }},
 		{Name: "standin target", Short: "run a stand-in of a target", Long: standinTargetHelp, New: func() cmds.Runner { return new(standinTarget) }},
+		{Name: "standin fleet", Short: "run all stand-ins of a profile", Long: standinFleetHelp, New: func() cmds.Runner { return new(standinFleet) }},
 	}
 }
