node, limit, pool: spend less processor time on idle control

Change: the rank is kept until the view of the fleet changes; the loop sleeps until a record is asked for; a slot without a connection in use asks nothing.

--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -10,7 +10,6 @@
 	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/group"
 	"siskintray.example/siskin/pkg/pgctl"
-	"siskintray.example/siskin/pkg/place"
 	"siskintray.example/siskin/pkg/shard"
 )
 
@@ -107,8 +106,8 @@
 		silent: g.silent,
 		failed: make(map[siskin.TargetID]time.Time),
 	}
-	rank := func() int { return g.rank(service) }
-	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithRank(rank))
+	r := &ranker{self: g.self, homes: g.homes, service: service}
+	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithRank(r.rank))
 	if err != nil {
 		return err
 	}
@@ -139,12 +138,6 @@
 	return a.AckReplicas == b.AckReplicas && a.MaxUnconfirmed == b.MaxUnconfirmed && slices.Equal(a.Members, b.Members)
 }
 
-// rank returns this VM's place among the VMs that watch the group.
-func (g *groups) rank(service *config.Service) int {
-	ranked := place.Rank("Group/"+string(service.Name), g.homes.ofService(service))
-	return max(0, slices.IndexFunc(ranked, func(vm siskin.VM) bool { return vm.ID == g.self }))
-}
-
 // of returns the group that a target belongs to.
 func (g *groups) of(target siskin.TargetID) (found *watchedGroup) {
 	g.running.Range(func(_ siskin.ServiceName, w *watchedGroup) bool {
--- /dev/null
+++ b/internal/node/ranker_test.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"testing"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// TestRankFollowsFleet guards against a kept rank that outlives a change of the
+// fleet: two VMs that both take themselves for the first race in elections.
+func TestRankFollowsFleet(t *testing.T) {
+	vm := func(id siskin.VMID) siskin.VM { return siskin.VM{ID: id, DataCentre: "a", State: siskin.VMLive} }
+	service := &config.Service{Name: "ledger", Slots: 16, Targets: []config.Target{{ID: "ledger/1", DataCentre: "a"}}}
+	members := &changingMembers{fakeMembers: fakeMembers{live: []siskin.VM{vm("vm-1"), vm("vm-2")}}, changed: make(chan struct{})}
+	homes := newHomes(members)
+	first, second := &ranker{self: "vm-1", homes: homes, service: service}, &ranker{self: "vm-2", homes: homes, service: service}
+	if got, want := first.rank()+second.rank(), 1; got != want {
+		t.Fatalf("sum of the ranks of two VMs: got %d, want %d", got, want)
+	}
+	later := first
+	if second.rank() == 1 {
+		later = second
+	}
+	members.live = []siskin.VM{vm(later.self)}
+	close(members.changed)
+	if got := later.rank(); got != 0 {
+		t.Errorf("rank of the only VM left: got %d, want 0", got)
+	}
+}
+
+// changingMembers is a fleet whose change the test announces.
+type changingMembers struct {
+	fakeMembers
+	changed chan struct{}
+}
+
+// Changed implements siskin.Members.
+func (m *changingMembers) Changed() <-chan struct{} { return m.changed }
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -85,6 +85,9 @@
 // giveUpSilent ends the wait on connections in use that went silent. The caller
 // holds mu.
 func (s *slot) giveUpSilent(now time.Time) {
+	if s.busy[Full]+s.busy[ReadOnly] == 0 {
+		return // most slots of an idle VM; the question for the target costs more than all else
+	}
 	evidence := s.pool.silenceOf(s.key.Target)
 	unreachable := s.pool.reachable != nil && !s.pool.reachable(s.key.Target)
 	for c := range s.conns {
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -37,7 +37,7 @@
 		self: self, view: view,
 		links: make(map[siskin.VMID]*link),
 		given: make(map[siskin.VMID]*answered),
-		todo:  todo{kick: make(chan struct{}, 1)},
+		todo:  todo{kick: make(chan struct{}, 1), records: make(chan struct{}, 1)},
 	}
 	for i := range c.buckets {
 		c.buckets[i].holdings = make(map[siskin.CustomerID]*holding)
--- a/pkg/limit/run.go
+++ b/pkg/limit/run.go
@@ -58,8 +58,13 @@
 		l.readRecords(ctx)
 		select {
 		case <-ctx.Done():
+			return
 		case <-l.clock.After(recordTick):
 		}
+		select { // nothing wakes an idle VM
+		case <-ctx.Done():
+		case <-l.core.todo.records:
+		}
 	}
 }
 
--- a/pkg/limit/todo.go
+++ b/pkg/limit/todo.go
@@ -12,6 +12,7 @@
 	customers []siskin.CustomerID // to ask units for
 	buckets   []int               // whose record must be read
 	kick      chan struct{}
+	records   chan struct{} // a bucket was added
 }
 
 func (t *todo) addCustomer(id siskin.CustomerID) {
@@ -26,6 +27,10 @@
 	t.buckets = append(t.buckets, i)
 	t.mu.Unlock()
 	t.wake()
+	select {
+	case t.records <- struct{}{}:
+	default:
+	}
 }
 
 func (t *todo) wake() {
