bench: measure running VMs from outside

Cause: every experiment started its own deployment in one process, so a fleet of processes could not be measured.

Keys come from files; rates, terms, counts of reads and violations of invariants from the admin addresses. overhead, replicas, limits, fairness and failover run so; the others refuse with exit code 3. Acknowledged writes are compared with the table after each phase. Keys of rows begin with a prefix of the run, since the table outlives it.

--- a/internal/bench/env.go
+++ b/internal/bench/env.go
@@ -25,9 +25,13 @@
 	if o.Progress == nil {
 		o.Progress = func(string) {}
 	}
+	profile := o.Profile.Name
+	if o.Live != nil {
+		profile = "none, running VMs"
+	}
 	return &env{
 		Options:    o,
-		result:     &Result{Experiment: name, Profile: o.Profile.Name, Seed: o.Seed, Duration: config.Duration(o.Duration)},
+		result:     &Result{Experiment: name, Profile: profile, Seed: o.Seed, Duration: config.Duration(o.Duration)},
 		violations: fleet.CollectViolations(),
 	}
 }
@@ -51,12 +55,7 @@
 	verdict := load.Judge(&run.Recorder, f.Table(service))
 	e.result.Breaches = append(e.result.Breaches, verdict.Breaches...)
 	e.result.Breaches = append(e.result.Breaches, f.KeyLeaks()...)
-	for _, c := range f.Profile.Customers {
-		own := eventsOf(run.Recorder.Events(), c.ID)
-		if over := load.Overshoot(own, c.Rate, c.Burst); over > 0 {
-			e.result.breach("customer %s got %.1f requests above its rate and burst", c.ID, over)
-		}
-	}
+	e.overshoot(run.Recorder.Events(), f.Profile.Customers)
 	return run
 }
 
--- a/internal/bench/fairness.go
+++ b/internal/bench/fairness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"siskintray.example/siskin"
@@ -40,19 +41,48 @@
 func runFairness(ctx context.Context, e *env) error {
 	p := e.Profile
 	p.Services = p.Services[:1]
-	e.Progress("all customers within their rate")
-	before, err := e.fairnessPhase(ctx, p, 1)
-	if err != nil {
-		return err
+	return e.compareFairness(p.Customers, func(factor float64) ([]load.Event, error) {
+		f, err := e.start(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		cfg := e.loadConfig(f, p.Services[0], fairShare, 0.2)
+		makeNoisy(&cfg, p.Customers[0], factor)
+		return e.run(ctx, f, p.Services[0], cfg).Recorder.Events(), nil
+	})
+}
+
+// fairShare is the load of each customer, in parts of its rate.
+const fairShare = 0.5
+
+// makeNoisy sets the first customer's load to the given multiple of its rate,
+// if that is above 1.
+func makeNoisy(cfg *load.Config, c load.Customer, factor float64) {
+	if factor <= 1 {
+		return
 	}
-	e.Progress("the first customer at 8 times its rate")
-	after, err := e.fairnessPhase(ctx, p, noisyFactor)
-	if err != nil {
-		return err
+	noisy := &cfg.Groups[0]
+	noisy.Rate = c.Rate * siskin.RequestsPerSecond(factor)
+	noisy.Callers = 64
+	noisy.Unprepared = true
+}
+
+// compareFairness runs a phase without and with a noisy first customer and
+// compares what the others got.
+func (e *env) compareFairness(customers []load.Customer, phase func(factor float64) ([]load.Event, error)) error {
+	var got [2]map[siskin.CustomerID]served
+	for i, factor := range []float64{1, noisyFactor} {
+		e.Progress(fmt.Sprintf("the first customer at %v times its rate at most", factor))
+		events, err := phase(factor)
+		if err != nil {
+			return err
+		}
+		got[i] = e.servedOf(customers, afterWarmUp(events), factor)
 	}
 	worstLoss, worstGrowth := 0.0, 0.0
-	for _, c := range p.Customers[1:] {
-		b, a := before[c.ID], after[c.ID]
+	for _, c := range customers[1:] {
+		b, a := got[0][c.ID], got[1][c.ID]
 		e.result.addDuration("p99 of "+string(c.ID)+", alone", b.p99)
 		e.result.addDuration("p99 of "+string(c.ID)+", beside the noisy one", a.p99)
 		worstLoss = max(worstLoss, 1-a.share/b.share)
@@ -63,34 +93,17 @@
 	return nil
 }
 
-// fairnessPhase runs all customers at half their rate, the first at the given
-// multiple of its rate.
-func (e *env) fairnessPhase(ctx context.Context, p load.Profile, factor float64) (map[siskin.CustomerID]served, error) {
-	f, err := e.start(ctx, p)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	service := p.Services[0]
-	cfg := e.loadConfig(f, service, 0.5, 0.2)
-	if factor > 1 {
-		noisy := &cfg.Groups[0]
-		noisy.Rate = p.Customers[0].Rate * siskin.RequestsPerSecond(factor)
-		noisy.Callers = 64
-		noisy.Unprepared = true
-	}
-	run := e.run(ctx, f, service, cfg)
-	events := afterWarmUp(run.Recorder.Events())
+func (e *env) servedOf(customers []load.Customer, events []load.Event, factor float64) map[siskin.CustomerID]served {
 	result := make(map[siskin.CustomerID]served)
-	for _, c := range p.Customers {
+	for _, c := range customers {
 		own := eventsOf(events, c.ID)
 		ok := load.LatenciesOf(own, func(ev *load.Event) bool { return ev.Outcome == load.Acknowledged })
 		result[c.ID] = served{share: float64(ok.Count) / float64(max(len(own), 1)), p99: ok.P99}
 	}
 	if factor > 1 {
-		own := result[p.Customers[0].ID]
-		e.result.add("noisy customer got, of its rate", 100*own.share*factor, "%")
-		e.outcomes("noisy customer:", eventsOf(events, p.Customers[0].ID))
+		first := customers[0].ID
+		e.result.add("noisy customer got, of its rate", 100*result[first].share*factor, "%")
+		e.outcomes("noisy customer:", eventsOf(events, first))
 	}
-	return result, nil
+	return result
 }
--- a/internal/cmds/connect.go
+++ b/internal/cmds/connect.go
@@ -9,10 +9,14 @@
 )
 
 // client returns a client of the VM that --admin names.
-func (e *Env) client() (*admin.Client, error) {
+func (e *Env) client() (*admin.Client, error) { return e.Client(e.Options.Admin) }
+
+// Client returns a client of the VM at an admin address, with the certificates
+// of the options.
+func (e *Env) Client(address string) (*admin.Client, error) {
 	o := e.Options
 	if o.CA == "" && o.Cert == "" && o.Key == "" {
-		return admin.NewClient(o.Admin, nil), nil
+		return admin.NewClient(address, nil), nil
 	}
 	if o.CA == "" || o.Cert == "" || o.Key == "" {
 		return nil, usageError("--ca, --cert and --key go together")
@@ -29,5 +33,5 @@
 	if err != nil {
 		return nil, siskin.NewError(siskin.BadInput, "certificate cannot be read").WithCause(err).WithRemedy("check --cert and --key")
 	}
-	return admin.NewClient(o.Admin, &tls.Config{RootCAs: roots, Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}), nil
+	return admin.NewClient(address, &tls.Config{RootCAs: roots, Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}), nil
 }
--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// callersPerCustomer keeps several requests of a customer in progress at
-	// once, and roamEvery moves each to another VM now and then.
-	callersPerCustomer = 6
-	roamEvery          = 2 * time.Second
-	// requestTimeout is above the deadline of the routes, so that callers see
+	// CallersPerCustomer keeps several requests of a customer in progress at
+	// once, and RoamEvery moves each to another VM now and then.
+	CallersPerCustomer = 6
+	RoamEvery          = 2 * time.Second
+	// RequestTimeout is above the deadline of the routes, so that callers see
 	// the VM's own answer.
-	requestTimeout = 12 * time.Second
+	RequestTimeout = 12 * time.Second
 )
 
 // Callers returns callers of every customer on a service, each customer at a
@@ -25,7 +25,7 @@
 		Dial:       f.Net.Dialer("client", load.ClientPlace).DialContext,
 		ReadRoute:  ReadRoute,
 		WriteRoute: WriteRoute,
-		Timeout:    requestTimeout,
+		Timeout:    RequestTimeout,
 		Seed:       seed,
 	}
 	for _, c := range f.Profile.Customers {
@@ -33,10 +33,10 @@
 			Customer:   c.ID,
 			Key:        f.Keys[c.ID],
 			Service:    service,
-			Callers:    callersPerCustomer,
+			Callers:    CallersPerCustomer,
 			Rate:       c.Rate * siskin.RequestsPerSecond(share),
 			WriteShare: writes,
-			RoamEvery:  roamEvery,
+			RoamEvery:  RoamEvery,
 		})
 	}
 	return cfg
--- a/internal/labcmd/bench.go
+++ b/internal/labcmd/bench.go
@@ -18,11 +18,11 @@
 
 func benchHelp() string {
 	var b strings.Builder
-	b.WriteString("Runs an experiment with the sizes and delays of a profile. Exit code 7 says that\na promise was broken.\n\nExperiments:\n")
+	b.WriteString("Runs an experiment with the sizes and delays of a profile. Exit code 7 says that\na promise was broken. With --caller it measures VMs that run already; docs/CLI.md\nlists what it needs.\n\nExperiments:\n")
 	for _, x := range experiments.Experiments() {
 		fmt.Fprintf(&b, "  %-12s %s\n", x.Name, x.Summary)
 	}
-	b.WriteString("\nExamples:\n  siskintray bench failover --profile syntyma --seed 3\n  siskintray bench limits --profile hartwell --json-file limits.json --plot limits.svg")
+	b.WriteString("\nExamples:\n  siskintray bench failover --profile syntyma --seed 3\n  siskintray bench limits --profile hartwell --json-file limits.json --plot limits.svg\n  siskintray bench limits --caller 10.0.0.1:6432 --caller 10.0.0.2:6432 --vm-admin 10.0.0.1:6480 \\\n    --service ledger-a --read-route status --write-route orders --key-file shop=shop.key")
 	return b.String()
 }
 
@@ -34,6 +34,7 @@
 	JSONFile string        `long:"json-file" value-name:"FILE" description:"also write the result as JSON"`
 	Plot     string        `long:"plot" value-name:"FILE" description:"also write a plot as SVG"`
 	CPU      string        `long:"cpu-profile" value-name:"FILE" description:"also write a profile of this process's processor time, for go tool pprof"`
+	Live     live          `group:"Running VMs"`
 	Args     struct {
 		Name string `positional-arg-name:"experiment"`
 	} `positional-args:"yes" required:"yes"`
@@ -49,6 +50,10 @@
 	if err != nil {
 		return cmds.Output{}, err
 	}
+	running, err := b.Live.options(env)
+	if err != nil {
+		return cmds.Output{}, err
+	}
 	stop, err := b.startProfile()
 	if err != nil {
 		return cmds.Output{}, err
@@ -56,6 +61,7 @@
 	defer stop()
 	r, err := x.Run(ctx, experiments.Options{
 		Profile:  profile,
+		Live:     running,
 		Seed:     b.Seed,
 		Duration: min(b.Duration, maxTrial),
 		Progress: func(text string) { env.Progress("%s", text) },
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	cfg.Database = fmt.Sprintf("%s/%s", c.group.Service, route)
-	cfg.Password = c.group.Key
+	cfg.Password, cfg.TLSConfig = c.group.Key, TLSFor(c.run.cfg.TLS, address)
 	if c.group.Unprepared {
 		cfg.DefaultQueryExecMode = pgx.QueryExecModeExec
 	}
@@ -155,7 +155,7 @@
 
 func (c *caller) write(ctx context.Context, e *Event) {
 	c.seq++
-	e.Key = fmt.Sprintf("c%d-%d", c.number, c.seq)
+	e.Key = fmt.Sprintf("%sc%d-%d", c.run.cfg.KeyPrefix, c.number, c.seq)
 	_, err := c.conn.Exec(ctx, "INSERT INTO kv (k, v) VALUES ($1, $2)", e.Key, strconv.Itoa(c.seq))
 	c.finish(e, err)
 	if e.Outcome == Acknowledged {
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
@@ -14,6 +15,11 @@
 	VMs []string
 	// Dial opens connections; nil means net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// TLS is used towards the VMs; nil means none.
+	TLS *tls.Config
+	// KeyPrefix begins the keys that callers insert, so that runs on the same
+	// table do not clash.
+	KeyPrefix string
 	// ReadRoute and WriteRoute are routes of every service.
 	ReadRoute, WriteRoute siskin.RouteName
 	// Timeout bounds one request as its caller sees it.
