front, plat: give MaxMessage and WritesPerSecond their effect

Cause: both settings were parsed and ignored. The front had a constant of 64 MB, and all platform calls shared ReadsPerSecond. A test of the limit also showed that a refused message left the session out of step: a Query above the limit was neither skipped nor the end of its batch, so the session waited for a Sync that a client does not send.

Change: front.Limits holds MaxConnections, StartupTimeout and MaxMessage and can be replaced while the server runs. A refused message is consumed, and a refused Query ends its batch. A message that is refused after a part of its batch was sent ends the session with an error that names the limit. Updates of the platform count against WritesPerSecond, other calls against ReadsPerSecond; plat.Config without WritesPerSecond keeps one budget.

Conclusion: both settings have their effect.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,9 +113,10 @@
 		platOpts = append(platOpts, plat.WithDialer(d.options.open))
 	}
 	d.platform, err = plat.New(plat.Config{
-		Addresses:      s.Platform.Addresses,
-		CallsPerSecond: s.Platform.ReadsPerSecond,
-		Burst:          platformBurst,
+		Addresses:       s.Platform.Addresses,
+		CallsPerSecond:  s.Platform.ReadsPerSecond,
+		WritesPerSecond: s.Platform.WritesPerSecond,
+		Burst:           platformBurst,
 	}, platOpts...)
 	if err != nil {
 		return err
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/cfgini"
 	"siskintray.example/siskin/internal/front"
 	"siskintray.example/siskin/internal/node"
 	"siskintray.example/siskin/internal/stats"
@@ -30,11 +31,10 @@
 		Config: d.spread, Members: d.members, Peers: d.client, Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
 		Caller: d.listeners.caller, Forward: d.listeners.forward,
 		CallerTLS: serverTLS(d.listeners.callerCert), PeerTLS: d.listeners.peerTLS,
-		Observer:       &observer{recorder: d.recorder, stats: newTransactionStats(d.stats)},
-		ProbeInterval:  d.settings.Group.ProbeInterval,
-		MaxConnections: d.settings.Caller.MaxConnections,
-		StartTimeout:   d.settings.Caller.StartTimeout,
-		Open:           d.options.open,
+		Observer:      &observer{recorder: d.recorder, stats: newTransactionStats(d.stats)},
+		ProbeInterval: d.settings.Group.ProbeInterval,
+		Limits:        callerLimits(&d.settings.Caller),
+		Open:          d.options.open,
 	})
 	if err != nil {
 		return err
@@ -44,6 +44,10 @@
 	return d.register()
 }
 
+func callerLimits(c *cfgini.Caller) front.Limits {
+	return front.Limits{MaxConnections: c.MaxConnections, StartupTimeout: c.StartTimeout, MaxMessage: c.MaxMessage}
+}
+
 func (d *Daemon) debugf(format string, args ...any) { d.log().Debug().Msgf(format, args...) }
 
 // register publishes the receivers to other VMs.
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -33,28 +33,15 @@
 	Observer Observer
 	// Log is nil when nothing is logged.
 	Log *log.Logger
-	// MaxConnections bounds the caller connections, DefaultMaxConnections when
-	// zero.
-	MaxConnections int
-	// StartupTimeout bounds the time from accepting to the end of the
-	// authentication, DefaultStartupTimeout when zero.
-	StartupTimeout time.Duration
+	Limits
 }
 
 const (
-	// DefaultMaxConnections leaves room above the 7,500 client connections that
-	// a node carries at the planned size.
-	DefaultMaxConnections = 10_000
-	// DefaultStartupTimeout is far above any handshake and ends callers that
-	// connect and send nothing.
-	DefaultStartupTimeout = 10 * time.Second
 	// MaxDeadline is the longest deadline of a route.
 	MaxDeadline = 60 * time.Second
 
 	// maxSessions leaves free ids among those of 16 bits.
 	maxSessions = 60_000
-	// maxMessage bounds one message of a caller.
-	maxMessage = 64 << 20
 	// maxStatements and maxStatementBytes bound the prepared statements that a
 	// session keeps.
 	maxStatements     = 1000
@@ -66,13 +53,3 @@
 	// finalWrite bounds the last message to a caller that may not read it.
 	finalWrite = time.Second
 )
-
-func (c *Config) setDefaults() {
-	if c.MaxConnections == 0 {
-		c.MaxConnections = DefaultMaxConnections
-	}
-	c.MaxConnections = min(c.MaxConnections, maxSessions)
-	if c.StartupTimeout == 0 {
-		c.StartupTimeout = DefaultStartupTimeout
-	}
-}
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -57,7 +57,7 @@
 	}
 	s := New(Config{
 		VM: "vm", Clock: clockwork.NewRealClock(), Config: config.NewFixed([]*config.Service{service}, nil), Keys: newFakeKeys(),
-		Topology: noTopology{}, Tokens: tokens, Budgets: retry.NewBudgets(), StartupTimeout: time.Second,
+		Topology: noTopology{}, Tokens: tokens, Budgets: retry.NewBudgets(), Limits: Limits{StartupTimeout: time.Second},
 	})
 	f.Cleanup(func() { s.Close(f.Context()) })
 	f.Fuzz(func(t *testing.T, messages []byte) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -13,6 +13,7 @@
 // Server accepts callers.
 type Server struct {
 	cfg      Config
+	limits   atomic.Pointer[Limits]
 	sessions *shard.Map[uint16, *session]
 	requests atomic.Uint64
 	counts   counts
@@ -30,8 +31,8 @@
 
 // New returns a Server and starts its sweep of withdrawn keys.
 func New(cfg Config) *Server {
-	cfg.setDefaults()
 	s := &Server{cfg: cfg, sessions: shard.New[uint16, *session](), pending: make(map[net.Conn]struct{})}
+	s.SetLimits(cfg.Limits)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.requests.Store(requestBase(cfg.VM))
 	s.wg.Add(1)
@@ -79,7 +80,8 @@
 	defer s.mu.Unlock()
 	// An eighth more than the sessions may be in start-up, so that a full VM
 	// can still tell callers that it is full.
-	if s.stopping || len(s.pending) > s.cfg.MaxConnections+s.cfg.MaxConnections/8+16 {
+	most := s.Limits().MaxConnections
+	if s.stopping || len(s.pending) > most+most/8+16 {
 		return false
 	}
 	s.pending[conn] = struct{}{}
@@ -100,8 +102,8 @@
 	if s.stopping {
 		return errStopping
 	}
-	if s.sessions.Len() >= s.cfg.MaxConnections {
-		return siskin.NewError(siskin.Overloaded, "this VM has its maximum of %d connections", s.cfg.MaxConnections).
+	if most := s.Limits().MaxConnections; s.sessions.Len() >= most {
+		return siskin.NewError(siskin.Overloaded, "this VM has its maximum of %d connections", most).
 			WithRemedy("connect to another VM or close connections that are not used")
 	}
 	for {
--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -15,13 +15,25 @@
 		return c.outHead, nil
 	}
 	h, err := c.r.Peek()
-	if err == nil && h.Len > maxMessage {
-		err = siskin.NewError(siskin.TooLarge, "message of %d bytes is above the limit of %d", h.Len, maxMessage).
-			WithRemedy("send the data in smaller statements or with COPY")
+	if err == nil && h.Len > c.maxMessage() {
+		return h, c.tooLarge(h)
 	}
 	return h, err
 }
 
+func (c *session) maxMessage() int { return int(c.srv.Limits().MaxMessage) }
+
+// tooLarge refuses the next message. Its head is consumed, so that the body is
+// skipped and a Query that was refused ends its batch.
+func (c *session) tooLarge(h frame.Head) error {
+	if _, err := c.r.Next(); err != nil {
+		return err
+	}
+	c.consumed(h.Type)
+	return siskin.NewError(siskin.TooLarge, "message of %d bytes is above the limit of %d", h.Len, c.maxMessage()).
+		WithRemedy("send the data in smaller statements or with COPY")
+}
+
 // Buffered implements relay.Source.
 func (c *session) Buffered() int { return c.r.Buffered() + len(c.out) }
 
@@ -89,7 +101,8 @@
 	if _, err := c.r.Next(); err != nil {
 		return err
 	}
-	body, err := c.r.Body(maxMessage)
+	c.last = h.Type // a refused message is the last one of its batch that was read
+	body, err := c.r.Body(c.maxMessage())
 	if err != nil {
 		return err
 	}
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -15,7 +15,7 @@
 // serveConn runs the start-up and then the session of one connection.
 func (s *Server) serveConn(conn net.Conn) {
 	defer conn.Close()
-	if conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)) != nil {
+	if conn.SetDeadline(time.Now().Add(s.Limits().StartupTimeout)) != nil {
 		return
 	}
 	c, err := s.startUp(conn)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -36,10 +36,8 @@
 	// ProbeInterval is the time between two probes of a target; zero means the
 	// default of package group.
 	ProbeInterval time.Duration
-	// MaxConnections and StartTimeout bound callers; zero means the defaults of
-	// package front.
-	MaxConnections int
-	StartTimeout   time.Duration
+	// Limits bound callers; zero values mean the defaults of package front.
+	Limits front.Limits
 	// Observer is told of each transaction that ended; nil means nobody.
 	Observer front.Observer
 	// Open replaces net.Dialer.DialContext for connections to targets and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,21 +69,20 @@
 func (n *Node) newFront() *front.Server {
 	cfg := n.cfg
 	return front.New(front.Config{
-		VM:             cfg.Self.ID,
-		Clock:          cfg.Clock,
-		Config:         cfg.Config,
-		Keys:           cfg.Keys,
-		Topology:       &topology{self: cfg.Self, homes: n.homes, groups: n.groups, remote: n.remote},
-		Home:           n.home,
-		Forwarder:      n.forwarder,
-		Tokens:         cfg.Tokens,
-		Budgets:        retry.NewBudgets(),
-		Cancels:        &cancels{members: cfg.Members, peers: cfg.Peers},
-		TLS:            cfg.CallerTLS,
-		Observer:       cfg.Observer,
-		Log:            cfg.Log,
-		MaxConnections: cfg.MaxConnections,
-		StartupTimeout: cfg.StartTimeout,
+		VM:        cfg.Self.ID,
+		Clock:     cfg.Clock,
+		Config:    cfg.Config,
+		Keys:      cfg.Keys,
+		Topology:  &topology{self: cfg.Self, homes: n.homes, groups: n.groups, remote: n.remote},
+		Home:      n.home,
+		Forwarder: n.forwarder,
+		Tokens:    cfg.Tokens,
+		Budgets:   retry.NewBudgets(),
+		Cancels:   &cancels{members: cfg.Members, peers: cfg.Peers},
+		TLS:       cfg.CallerTLS,
+		Observer:  cfg.Observer,
+		Log:       cfg.Log,
+		Limits:    cfg.Limits,
 	})
 }
 
@@ -135,6 +134,12 @@
 // CheckKeys ends the sessions whose key was withdrawn.
 func (n *Node) CheckKeys() { n.front.CheckKeys() }
 
+// SetLimits replaces the limits on callers.
+func (n *Node) SetLimits(l front.Limits) { n.front.SetLimits(l) }
+
+// Limits returns the limits on callers in force.
+func (n *Node) Limits() front.Limits { return n.front.Limits() }
+
 // Close stops the VM: it stops accepting callers, ends idle sessions, waits
 // until ctx ends for transactions in progress, its own callers' first, and
 // closes what is left.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync/atomic"
 
+	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/frame"
 )
 
@@ -111,9 +112,7 @@
 		leg.Abort(nil)
 		close(pumped)
 		<-answers
-		f := unknown(err, "caller's connection ended in the middle of a batch")
-		f.CallerGone = true
-		return Result{}, f
+		return Result{}, sourceFailed(err)
 	}
 	close(pumped)
 	a := <-answers
@@ -121,6 +120,17 @@
 	return a.res, a.f
 }
 
+// sourceFailed returns the failure of a batch whose messages ended early. The
+// session ends, since the answer is out of step with the batch.
+func sourceFailed(err error) *Failure {
+	f := unknown(err, "caller's connection ended in the middle of a batch")
+	if e := new(siskin.Error); errors.As(err, &e) {
+		f = unknown(err, "batch ended after a part of it was sent: %s", e.Message)
+	}
+	f.CallerGone = true
+	return f
+}
+
 func isInterrupt(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // pump sends messages until the batch ends.
--- a/pkg/plat/client.go
+++ b/pkg/plat/client.go
@@ -25,6 +25,7 @@
 	transport *http.Transport
 	breaker   *breaker
 	budget    *rate.Limiter
+	writes    *rate.Limiter // budget itself when all calls share it
 	watches   chan struct{} // one entry for each waiting watch
 	address   atomic.Int64  // index of the address in use
 	counters  counters
@@ -64,6 +65,10 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.writes = c.budget
+	if cfg.WritesPerSecond > 0 {
+		c.writes = rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), cfg.Burst)
+	}
 	c.Purpose = &Purpose{c: c, budget: rate.NewLimiter(rate.Inf, 1)}
 	c.breaker = &breaker{min: cfg.MinBackoff, max: cfg.MaxBackoff, random: c.random}
 	c.ctx, c.stop = context.WithCancel(context.Background())
@@ -76,6 +81,24 @@
 	return &Purpose{c: c, budget: rate.NewLimiter(rate.Limit(perSecond), burst)}
 }
 
+// SetBudget replaces the calls and updates a second of the whole process. Bursts
+// stay as they were. It does nothing to a budget whose number is not positive,
+// and nothing to that of updates when all calls share one.
+func (c *Client) SetBudget(callsPerSecond, writesPerSecond float64) {
+	now := c.clock.Now()
+	if callsPerSecond > 0 {
+		c.budget.SetLimitAt(now, rate.Limit(callsPerSecond))
+	}
+	if writesPerSecond > 0 && c.writes != c.budget {
+		c.writes.SetLimitAt(now, rate.Limit(writesPerSecond))
+	}
+}
+
+// Budget returns the calls and updates a second of the whole process.
+func (c *Client) Budget() (callsPerSecond, writesPerSecond float64) {
+	return float64(c.budget.Limit()), float64(c.writes.Limit())
+}
+
 // Close ends all calls and waits for them.
 func (c *Client) Close() error {
 	c.mu.Lock()
--- a/pkg/plat/config.go
+++ b/pkg/plat/config.go
@@ -16,6 +16,10 @@
 	// 2 calls a second with a burst of 20.
 	CallsPerSecond float64
 	Burst          int
+	// WritesPerSecond is the budget of the updates of the whole process, with a
+	// burst of Burst. Updates then take nothing of CallsPerSecond. Zero means
+	// that all calls share CallsPerSecond.
+	WritesPerSecond float64
 	// MaxWatches is the number of watches that may wait at once; zero means 8.
 	MaxWatches int
 	// CallTimeout bounds calls whose context has no deadline; zero means 10 s.
--- a/pkg/plat/request.go
+++ b/pkg/plat/request.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"siskintray.example/siskin"
 )
 
@@ -18,7 +20,7 @@
 		c.counters.heldBack.Add(1)
 		return answer{}, false, siskin.NewError(siskin.Unavailable, "the platform does not answer").WithRetryAfter(wait).WithRemedy("retry later; cached state stays in force")
 	}
-	if err := p.takeTokens(ctx); err != nil {
+	if err := p.takeTokens(ctx, p.c.budgetFor(method)); err != nil {
 		c.breaker.record(c.clock.Now(), abandoned)
 		return answer{}, false, err
 	}
@@ -47,12 +49,20 @@
 	}
 }
 
+// budgetFor returns the budget of the process that a request counts against.
+func (c *Client) budgetFor(method string) *rate.Limiter {
+	if method == http.MethodPut {
+		return c.writes
+	}
+	return c.budget
+}
+
 // takeTokens waits for a token of both budgets. It fails at once when the
 // token comes after the deadline.
-func (p *Purpose) takeTokens(ctx context.Context) error {
+func (p *Purpose) takeTokens(ctx context.Context, budget *rate.Limiter) error {
 	now := p.c.clock.Now()
 	own := p.budget.ReserveN(now, 1)
-	all := p.c.budget.ReserveN(now, 1)
+	all := budget.ReserveN(now, 1)
 	wait := max(own.DelayFrom(now), all.DelayFrom(now))
 	if wait == 0 {
 		return nil
@@ -65,7 +75,7 @@
 	now = p.c.clock.Now()
 	own.CancelAt(now)
 	all.CancelAt(now)
-	return siskin.NewError(siskin.Overloaded, "the call budget is used up").WithRetryAfter(wait).WithRemedy("retry after the stated time or raise CallsPerSecond")
+	return siskin.NewError(siskin.Overloaded, "the call budget is used up").WithRetryAfter(wait).WithRemedy("retry after the stated time or raise the calls or updates a second that the settings allow")
 }
 
 // read makes a request that changes nothing and repeats it on failure, at most
