daemon, cmds: put every reloadable setting in force, all or none

Cause: a reload took over the caller certificate (from its earlier path), the token keys, Stop.Deadline and Log.Level. Other settings marked as reloadable were accepted, logged as reloaded and had no effect. A certificate that could not be read was skipped while the rest changed, and the settings counted as in force.

Change: the VM answers each reload. Everything that can fail is read and checked first; then the certificate, token keys, caller limits, platform budgets, Stop.Deadline and Log.Level change together. A refused reload changes nothing, is logged as such, and its settings count as changed at the next one. Turning TLS towards callers on or off is refused. Group.ProbeInterval is marked as needing a restart: all groups of a VM would start anew at once and lose what they know of their targets.

The reload test of cmds checks one more refusal, that of the VM, and the number of refusals and changes in the log.

Conclusion: a setting marked as reloadable is in force after a reload.

--- a/internal/cfgini/daemon.go
+++ b/internal/cfgini/daemon.go
@@ -81,7 +81,7 @@
 
 // Group sets the monitoring of targets.
 type Group struct {
-	ProbeInterval time.Duration `default:"200ms" min:"20ms" max:"1s" reload:"yes" doc:"Time between two probes of a target. A target is suspected after 3 intervals without a response."`
+	ProbeInterval time.Duration `default:"200ms" min:"20ms" max:"1s" doc:"Time between two probes of a target. A target is suspected after 3 intervals without a response. A change needs a restart, VM by VM: all groups of a VM would start anew at once and lose what they know of their targets."`
 }
 
 func (d *Daemon) check(c *check) {
--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -120,7 +120,8 @@
 }
 
 // TestReload guards against a hang-up signal that applies faulty settings, or
-// none.
+// none, and against settings that count as in force although the VM refused
+// them.
 func TestReload(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	dir := t.TempDir()
@@ -137,7 +138,7 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
-	hangups, reloads, done := make(chan os.Signal), make(chan *cfgini.Daemon), make(chan struct{})
+	hangups, reloads, done := make(chan os.Signal), make(chan Reload), make(chan struct{})
 	b := &refusalLog{refused: make(chan struct{}, 1)}
 	go func() {
 		defer close(done)
@@ -151,18 +152,25 @@
 		t.Fatal("no refusal after the signal")
 	}
 	write("debug")
-	hangups <- syscall.SIGHUP
-	select {
-	case next := <-reloads:
-		if got, want := next.Log.Level, "debug"; got != want {
-			t.Errorf("got level %s, want %s", got, want)
+	// The VM refuses the first offer, so the change is still one at the next.
+	for _, answer := range []error{errors.New("certificate cannot be used"), nil} {
+		hangups <- syscall.SIGHUP
+		select {
+		case next := <-reloads:
+			if got, want := next.Settings.Log.Level, "debug"; got != want {
+				t.Errorf("got level %s, want %s", got, want)
+			}
+			next.Result <- answer
+		case <-time.After(5 * time.Second):
+			t.Fatal("no settings after the signal")
+		}
+		if answer != nil {
+			<-b.refused
 		}
-	case <-time.After(5 * time.Second):
-		t.Fatal("no settings after the signal")
 	}
 	cancel()
 	<-done
-	if !strings.Contains(b.String(), "settings were not reloaded") || !strings.Contains(b.String(), "Log.Level") {
-		t.Errorf("got log %s, want the refusal and the change", b.String())
+	if strings.Count(b.String(), "settings were not reloaded") != 2 || strings.Count(b.String(), "[Log.Level]") != 1 {
+		t.Errorf("got log %s, want two refusals and the change", b.String())
 	}
 }
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -10,12 +10,11 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/phuslu/log"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/cfgini"
 	"siskintray.example/siskin/internal/logs"
-
-	"github.com/phuslu/log"
 )
 
 // Daemon is what the command line of siskintrayd hands to the function that
@@ -25,7 +24,7 @@
 	Log      *log.Logger
 	// Reload receives settings that changed after a hang-up signal and passed
 	// all checks.
-	Reload <-chan *cfgini.Daemon
+	Reload <-chan Reload
 }
 
 // DaemonMain runs the command line of siskintrayd and returns the exit code. The
@@ -76,7 +75,7 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	l := logs.New(settings.Log.Level, settings.Log.Format, env.Stderr)
-	reloads := make(chan *cfgini.Daemon)
+	reloads := make(chan Reload)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -92,7 +91,7 @@
 }
 
 // watchHangups reloads the settings on each hang-up signal until ctx ends.
-func watchHangups(ctx context.Context, path string, inForce *cfgini.Daemon, l *log.Logger, hangups <-chan os.Signal, reloads chan<- *cfgini.Daemon) {
+func watchHangups(ctx context.Context, path string, inForce *cfgini.Daemon, l *log.Logger, hangups <-chan os.Signal, reloads chan<- Reload) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -100,17 +99,25 @@
 		case <-hangups:
 		}
 		next, changed, err := cfgini.Reload(path, inForce)
+		if err == nil {
+			err = offer(ctx, next, reloads)
+		}
 		if err != nil {
 			l.Error().Err(err).Msg("settings were not reloaded")
 			continue
 		}
-		logs.SetLevel(l, next.Log.Level)
-		select {
-		case reloads <- next:
-			inForce = next
-			l.Info().Str("Changed", fmt.Sprint(changed)).Msg("settings reloaded")
-		case <-ctx.Done():
-			return
-		}
+		inForce = next
+		l.Info().Str("Changed", fmt.Sprint(changed)).Msg("settings reloaded")
+	}
+}
+
+// offer passes settings to the VM and returns its answer.
+func offer(ctx context.Context, next *cfgini.Daemon, reloads chan<- Reload) error {
+	result := make(chan error, 1)
+	select {
+	case reloads <- Reload{next, result}:
+	case <-ctx.Done():
+		return ctx.Err()
 	}
+	return <-result
 }
--- /dev/null
+++ b/internal/daemon/reload.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"crypto/tls"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/cfgini"
+	"siskintray.example/siskin/internal/logs"
+)
+
+// reload puts the settings that can change while the VM runs in force, and
+// reads the certificate and token keys again. Every step that can fail comes
+// before the first one with an effect, so that an error leaves all as it was.
+func (d *Daemon) reload(next *cfgini.Daemon) error {
+	cert := d.listeners.callerCert
+	if (cert == nil) != (next.Caller.CertFile == "") {
+		return siskin.NewError(siskin.BadInput, "TLS towards callers cannot be turned on or off while the VM runs").
+			WithRemedy("restore Caller.CertFile or restart the VM with a planned stop")
+	}
+	var pair *tls.Certificate
+	if cert != nil {
+		var err error
+		if pair, err = loadPair(next.Caller.CertFile, next.Caller.KeyFile); err != nil {
+			return err
+		}
+	}
+	current, previous, err := readKeys(next.Token)
+	if err != nil {
+		return err
+	}
+	if err := d.tokens.SetKeys(current, previous); err != nil {
+		return err
+	}
+	if cert != nil {
+		cert.pair.Store(pair)
+	}
+	d.node.SetLimits(callerLimits(&next.Caller))
+	d.platform.SetBudget(next.Platform.ReadsPerSecond, next.Platform.WritesPerSecond)
+	d.stopDeadline.Store(int64(next.Stop.Deadline))
+	logs.SetLevel(d.log(), next.Log.Level)
+	return nil
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"siskintray.example/siskin/internal/cfgini"
 	"siskintray.example/siskin/internal/cmds"
 )
 
@@ -18,8 +17,8 @@
 	}
 	for {
 		select {
-		case next := <-c.Reload:
-			d.reload(next)
+		case r := <-c.Reload:
+			r.Result <- d.reload(r.Settings)
 			continue
 		case <-ctx.Done():
 		case <-d.Leave():
@@ -28,21 +27,3 @@
 		return nil
 	}
 }
-
-// reload takes over settings that can change while the VM runs, and reads the
-// certificate and token keys again.
-func (d *Daemon) reload(next *cfgini.Daemon) {
-	if c := d.listeners.callerCert; c != nil {
-		if err := c.reload(); err != nil {
-			d.log().Error().Err(err).Msg("certificate not reloaded; the earlier one stays in use")
-		}
-	}
-	current, previous, err := readKeys(next.Token)
-	if err == nil {
-		err = d.tokens.SetKeys(current, previous)
-	}
-	if err != nil {
-		d.log().Error().Err(err).Msg("token keys not reloaded; the earlier ones stay in use")
-	}
-	d.stopDeadline.Store(int64(next.Stop.Deadline))
-}
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -9,26 +9,26 @@
 	"siskintray.example/siskin"
 )
 
-// certificate is a key pair that can be read again without a restart.
-type certificate struct {
-	certFile, keyFile string
-	pair              atomic.Pointer[tls.Certificate]
-}
+// certificate is a key pair that can be replaced without a restart.
+type certificate struct{ pair atomic.Pointer[tls.Certificate] }
 
 func loadCertificate(certFile, keyFile string) (*certificate, error) {
-	c := &certificate{certFile: certFile, keyFile: keyFile}
-	return c, c.reload()
+	pair, err := loadPair(certFile, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	c := new(certificate)
+	c.pair.Store(pair)
+	return c, nil
 }
 
-// reload reads the files again. On an error the earlier pair stays in use.
-func (c *certificate) reload() error {
-	pair, err := tls.LoadX509KeyPair(c.certFile, c.keyFile)
+func loadPair(certFile, keyFile string) (*tls.Certificate, error) {
+	pair, err := tls.LoadX509KeyPair(certFile, keyFile)
 	if err != nil {
-		return siskin.NewError(siskin.BadInput, "certificate %s cannot be used", c.certFile).
+		return nil, siskin.NewError(siskin.BadInput, "certificate %s cannot be used", certFile).
 			WithRemedy("name a certificate and its private key in PEM").WithCause(err)
 	}
-	c.pair.Store(&pair)
-	return nil
+	return &pair, nil
 }
 
 func (c *certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.pair.Load(), nil }
