logs: change the level without a data race

The race detector found that a changed Log.Level races with every line: on amd64 phuslu/log reads Logger.Level without synchronization, and SetLevel stores it atomically. The reload of the level had this race before, too; no test logged while it changed.

Change: the level is a filter in front of the writer, read atomically. Loggers of one request follow it. Lines below the level are formatted and then dropped.

--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/cfgini"
+	"siskintray.example/siskin/internal/logs"
 	"siskintray.example/siskin/internal/stand/objapi"
 	"siskintray.example/siskin/pkg/token"
 )
@@ -61,11 +63,15 @@
 		func(_ *testing.T, d *Daemon, _ *cfgini.Daemon) bool { _, w := d.platform.Budget(); return w == 44 },
 	},
 	"Token.KeyFile": {
-		func(t *testing.T, s *cfgini.Daemon) { s.Token.KeyFile = newKey(t, "a token key that signs from now on") },
+		func(t *testing.T, s *cfgini.Daemon) {
+			s.Token.KeyFile = newKey(t, "a token key that signs from now on")
+		},
 		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool { return accepts(t, d, s.Token.KeyFile) },
 	},
 	"Token.PreviousKeyFile": {
-		func(t *testing.T, s *cfgini.Daemon) { s.Token.PreviousKeyFile = newKey(t, "a token key that signed before") },
+		func(t *testing.T, s *cfgini.Daemon) {
+			s.Token.PreviousKeyFile = newKey(t, "a token key that signed before")
+		},
 		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool { return accepts(t, d, s.Token.PreviousKeyFile) },
 	},
 	"Stop.Deadline": {
@@ -76,7 +82,7 @@
 	},
 	"Log.Level": {
 		func(_ *testing.T, s *cfgini.Daemon) { s.Log.Level = "error" },
-		func(_ *testing.T, d *Daemon, _ *cfgini.Daemon) bool { return d.log().Level == log.ErrorLevel },
+		func(_ *testing.T, d *Daemon, _ *cfgini.Daemon) bool { return logs.Level(d.log()) == log.ErrorLevel },
 	},
 }
 
@@ -142,7 +148,7 @@
 		Token:    cfgini.Token{KeyFile: key},
 		Stop:     cfgini.Stop{Deadline: 5 * time.Second},
 	}
-	d, err := Start(s, WithLog(&log.Logger{Level: log.PanicLevel}))
+	d, err := Start(s, WithLog(logs.New("info", "json", io.Discard)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -10,7 +10,9 @@
 )
 
 // certificate is a key pair that can be replaced without a restart.
-type certificate struct{ pair atomic.Pointer[tls.Certificate] }
+type certificate struct {
+	pair atomic.Pointer[tls.Certificate]
+}
 
 func loadCertificate(certFile, keyFile string) (*certificate, error) {
 	pair, err := loadPair(certFile, keyFile)
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -15,15 +15,30 @@
 // "warn", "error") to w, as JSON or, with format "text", for reading.
 func New(level, format string, w io.Writer) *log.Logger {
 	out := &lockedWriter{w: w}
-	l := &log.Logger{Level: log.ParseLevel(level), TimeField: "time", Writer: log.IOWriter{Writer: out}}
+	filter := &leveled{next: log.IOWriter{Writer: out}}
 	if format == "text" {
-		l.Writer = &log.ConsoleWriter{Writer: out, QuoteString: true, EndWithMessage: false}
+		filter.next = &log.ConsoleWriter{Writer: out, QuoteString: true, EndWithMessage: false}
 	}
+	l := &log.Logger{Level: log.DebugLevel, TimeField: "time", Writer: filter}
+	SetLevel(l, level)
 	return l
 }
 
-// SetLevel changes the level of a logger in use, such as at a reload.
-func SetLevel(l *log.Logger, level string) { l.SetLevel(log.ParseLevel(level)) }
+// SetLevel changes the level of a logger that New returned, which may be in use,
+// and of those that ForRequest made of it. It does nothing to other loggers.
+func SetLevel(l *log.Logger, level string) {
+	if w, ok := l.Writer.(*leveled); ok {
+		w.level.Store(uint32(log.ParseLevel(level)))
+	}
+}
+
+// Level returns the lowest level that the logger writes.
+func Level(l *log.Logger) log.Level {
+	if w, ok := l.Writer.(*leveled); ok {
+		return log.Level(w.level.Load())
+	}
+	return l.Level
+}
 
 // ForRequest returns a logger whose lines carry the request id.
 func ForRequest(l *log.Logger, id string) *log.Logger {
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
 )
 
 // TestRequestField guards against lines of a request that cannot be found by
@@ -40,6 +41,33 @@
 	}
 }
 
+// TestSetLevel guards against a level that changes for some loggers only, and,
+// under the race detector, against a change that races with lines.
+func TestSetLevel(t *testing.T) {
+	var b bytes.Buffer
+	l := New("info", "json", &b)
+	r := ForRequest(l, "r-3")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 100 {
+			r.Debug().Msg("other")
+		}
+	}()
+	SetLevel(l, "error")
+	<-done
+	l.Warn().Msg("below")
+	r.Warn().Msg("below")
+	if got := b.String(); got != "" {
+		t.Errorf("got %s, want no line below the level", got)
+	}
+	SetLevel(l, "debug")
+	r.Debug().Msg("above")
+	if got, want := Level(l), log.DebugLevel; got != want || !strings.Contains(b.String(), "above") {
+		t.Errorf("got level %v and %q, want debug and a line", got, b.String())
+	}
+}
+
 // TestRepeats guards against a log that one failing target fills, and against
 // a limit that hides how often a line was left out.
 func TestRepeats(t *testing.T) {
