limit, relay, front: tell refusals within the rate from others

Cause: the burn record has a mark for refusals that hit a customer within its rate, and nothing set it: the limiter did not say why it refused.

Change: siskin.Admission has WithinRate. A refusal counts as within the rate unless the requests at this VM alone exceed the whole rate and burst, or every other holder answers this VM, no reclaim is in progress and no request for units stays open. Each counted refusal takes its tokens from a bucket with the whole rate, so the count is bounded by what the rate would have admitted. The mark travels with the failure from the home to the entry VM (a free bit of the message) and to the observer.

The simulated traffic of package limit calls the core instead of Admit for requests that may wait, since Admit refuses for good; its checks are the same, and it logs the count beside the reference.

Conclusion: the observer of transactions knows refusals within the rate.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -88,11 +88,12 @@
 // Transaction implements front.Observer.
 func (o *observer) Transaction(t front.Observation) {
 	o.recorder.Transaction(t.Service, t.Customer, burn.Result{
-		Failed:    t.Failed,
-		Kind:      t.Kind,
-		Latency:   t.Latency,
-		Read:      t.Mode == config.ReadRoute,
-		ByReplica: t.ByReplica,
+		Failed:     t.Failed,
+		Kind:       t.Kind,
+		WithinRate: t.WithinRate,
+		Latency:    t.Latency,
+		Read:       t.Mode == config.ReadRoute,
+		ByReplica:  t.ByReplica,
 	})
 	o.stats.count(t)
 }
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -152,6 +152,7 @@
 // fakeLimiter admits everything unless it is set to refuse.
 type fakeLimiter struct {
 	refuse   atomic.Bool
+	within   atomic.Bool // refusals are within the rate
 	admitted atomic.Int64
 }
 
@@ -161,7 +162,7 @@
 
 func (l *fakeLimiter) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
 	if l.refuse.Load() {
-		return siskin.Admission{RetryAfter: 250 * time.Millisecond}
+		return siskin.Admission{RetryAfter: 250 * time.Millisecond, WithinRate: l.within.Load()}
 	}
 	l.admitted.Add(1)
 	return siskin.Admission{Admitted: true}
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -21,6 +21,9 @@
 	// Failed says that it ended with an error of this program of kind Kind.
 	Failed bool
 	Kind   siskin.ErrorKind
+	// WithinRate says of a failure of kind RateExceeded that the customer was
+	// within its rate.
+	WithinRate bool
 	// Latency is the time from the first message to the end of the answer.
 	Latency time.Duration
 	// ByReplica says that a replica served it.
@@ -41,7 +44,7 @@
 		ByReplica: !t.atPrimary,
 	}
 	if f != nil {
-		o.Failed, o.Kind = true, f.Err.Kind
+		o.Failed, o.Kind, o.WithinRate = true, f.Err.Kind, f.WithinRate
 	}
 	cfg.Observer.Transaction(o)
 }
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -20,6 +20,9 @@
 	Err   *siskin.Error
 	// Admitted says that the limiter had admitted the request.
 	Admitted bool
+	// WithinRate says of a refusal of kind RateExceeded that the customer was
+	// within its rate as far as the limiter knows.
+	WithinRate bool
 	// CallerGone says that the caller's connection failed, so that nobody is
 	// left to answer.
 	CallerGone bool
@@ -67,7 +70,7 @@
 	dst = appendString(dst, f.Err.Message)
 	dst = appendString(dst, f.Err.Remedy)
 	dst = appendString(dst, string(f.Report))
-	dst = appendBools(dst, f.Admitted, false)
+	dst = appendBools(dst, f.Admitted, f.WithinRate)
 	binary.BigEndian.PutUint32(dst[start:], uint32(len(dst)-start))
 	return dst, nil
 }
@@ -81,7 +84,7 @@
 	if report := d.string(); report != "" {
 		f.Report = []byte(report)
 	}
-	f.Admitted, _ = d.bools()
+	f.Admitted, f.WithinRate = d.bools()
 	if proof > uint64(retry.Unsent) {
 		d.bad = true
 	}
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -55,7 +55,7 @@
 			err = replacedBefore(hdr)
 		}
 		f := unsent(err)
-		f.Admitted = l.hdr.Admitted
+		f.Admitted, f.WithinRate = l.hdr.Admitted, l.withinRate
 		l.end()
 		return nil, f
 	}
@@ -131,6 +131,7 @@
 	}
 	a := l.home.Limiter.AdmitWait(&l.ctx, l.hdr.Customer, 1)
 	if !a.Admitted {
+		l.withinRate = a.WithinRate
 		return siskin.NewError(siskin.RateExceeded, "customer %s is over its rate", l.hdr.Customer).
 			WithRemedy("send fewer requests or wait for RetryAfter").WithRetryAfter(a.RetryAfter)
 	}
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -38,6 +38,9 @@
 	deadline time.Time
 	term     siskin.Term // term of the primary that a write was admitted to
 	replaced atomic.Bool // that primary was replaced
+	// withinRate says that the limiter refused and the customer was within its
+	// rate.
+	withinRate bool
 
 	mu      sync.Mutex // orders Cancel before the return of the connection
 	taken   bool       // conn was returned or closed
--- a/limiter.go
+++ b/limiter.go
@@ -11,6 +11,9 @@
 	// RetryAfter is the time after which the request would be admitted at the
 	// present share. It is zero when Admitted.
 	RetryAfter time.Duration
+	// WithinRate says of a refusal that nothing shows the customer to be over
+	// its rate: the limiter lacked units that it could not get.
+	WithinRate bool
 }
 
 // Limiter admits requests within the rate and burst of their customer.
--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -92,6 +92,7 @@
 		return
 	}
 	h.wanted = false
+	h.silent = c.anySilent(b.holders)
 	if b.epoch == 0 {
 		// Units of a VM that is not in the record would be granted again by a
 		// reclaim.
@@ -187,6 +188,7 @@
 	if h == nil {
 		return
 	}
+	h.silent = c.anySilent(b.holders)
 	h.hints.set(now, from, item.Spare)
 	h.hints.ask(now, from)
 	if item.Richest != "" && item.Richest != c.self.VM {
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -71,6 +71,8 @@
 	admitted := h.tokens >= n+ahead
 	if admitted {
 		h.tokens -= n
+		h.whole.refill(now, h.rate, h.burst)
+		h.whole.take(n)
 	} else {
 		h.need = n - h.tokens
 	}
--- a/pkg/limit/faults_test.go
+++ b/pkg/limit/faults_test.go
@@ -82,20 +82,20 @@
 }
 
 func (s *scenario) judge(t *testing.T, f *fleet, flows []*traffic) {
-	var offered, refused, waited, late, static, shared int
+	var offered, refused, waited, late, counted, static, shared int
 	for _, tr := range flows {
 		offered, refused = offered+tr.offered, refused+tr.refused
-		waited, late = waited+tr.waited, late+tr.late
+		waited, late, counted = waited+tr.waited, late+tr.late, counted+tr.counted
 		static, shared = static+tr.byStatic, shared+tr.byShared
 		if got, want := tr.checker.worst, float64(tr.doc.Burst)+1e-6; got > want {
 			t.Errorf("%s: got a window with %.3f above rate x time, want at most %.0f", tr.doc.ID, got, want)
 		}
-		t.Logf("%s: refused %.3f%% of %d", tr.doc.ID, 100*float64(tr.refused)/float64(tr.offered), tr.offered)
+		t.Logf("%s: refused %.3f%% of %d, counted as within rate %.3f%%", tr.doc.ID, 100*float64(tr.refused)/float64(tr.offered), tr.offered, 100*float64(tr.counted)/float64(tr.offered))
 	}
 	percent := func(n int) float64 { return 100 * float64(n) / float64(offered) }
 	perNode := func(n int) float64 { return float64(n) / s.length.Seconds() / float64(len(f.vms)) }
-	t.Logf("refused within rate: %.3f%%, waited for units %.3f%%, refused after more than 10 ms %.3f%%, static division %.2f%%, shared counter %.2f%%; exchange per VM %.1f messages/s, %.0f B/s",
-		percent(refused), percent(waited), percent(late), percent(static), percent(shared), perNode(f.sent), perNode(f.bytes))
+	t.Logf("refused within rate: %.3f%%, counted as such %.3f%%, waited for units %.3f%%, refused after more than 10 ms %.3f%%, static division %.2f%%, shared counter %.2f%%; exchange per VM %.1f messages/s, %.0f B/s",
+		percent(refused), percent(counted), percent(waited), percent(late), percent(static), percent(shared), perNode(f.sent), perNode(f.bytes))
 	if got := percent(refused); got > s.bound {
 		t.Errorf("got %.3f%% refused within rate, want at most %.1f%%", got, s.bound)
 	}
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -23,6 +23,8 @@
 	rate, burst float64
 	known       bool
 
+	whole  wholeBucket
+	silent bool // a holder did not answer when units were asked for last
 	demand meter
 	need   float64 // tokens that the latest refused request lacked
 
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -53,7 +53,10 @@
 
 // Admit implements siskin.Limiter. It does not block.
 func (l *Limiter) Admit(now time.Time, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
-	return l.core.admit(now.Sub(l.origin), customer, float64(n), true)
+	at := now.Sub(l.origin)
+	a := l.core.admit(at, customer, float64(n), true)
+	a.WithinRate = !a.Admitted && l.core.withinRate(at, customer, float64(n))
+	return a
 }
 
 // AdmitWait admits n requests, if need be after a short wait for units of other
@@ -61,6 +64,12 @@
 // ends or the bound of WithWaitBound; a request that is given up is answered
 // at once.
 func (l *Limiter) AdmitWait(ctx context.Context, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
+	a := l.admitWait(ctx, customer, n)
+	a.WithinRate = !a.Admitted && l.core.withinRate(l.now(), customer, float64(n))
+	return a
+}
+
+func (l *Limiter) admitWait(ctx context.Context, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
 	now := l.now()
 	a := l.core.admit(now, customer, float64(n), true)
 	joining := !a.Admitted && l.core.joining(customer)
--- a/pkg/limit/load_test.go
+++ b/pkg/limit/load_test.go
@@ -72,6 +72,7 @@
 	late     int // requests that were refused after more than 10 ms
 	waited   int // requests that were not answered at once
 	refused  int // of the requests that the ideal bucket admits
+	counted  int // refusals that the limiter itself counts as within the rate
 	byStatic int
 	byShared int
 }
@@ -158,7 +159,7 @@
 	if ideal && !shared {
 		t.byShared++
 	}
-	a := n.l.Admit(t.f.at, t.doc.ID, 1)
+	a := n.l.core.admit(n.l.now(), t.doc.ID, 1, true) // Admit would refuse for good
 	switch {
 	case a.Admitted:
 		t.checker.admitted(t.f.at, float64(t.doc.Rate))
@@ -181,6 +182,9 @@
 	if w.ideal {
 		t.refused++
 	}
+	if w.n.l.core.withinRate(w.n.l.now(), t.doc.ID, 1) {
+		t.counted++
+	}
 	if w.n.l.waitBound-(w.until-w.n.l.now()) > 10*time.Millisecond {
 		t.late++
 	}
--- /dev/null
+++ b/pkg/limit/within.go
@@ -0,0 +1,100 @@
+package limit
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+const (
+	// contactSpan is the age up to which the answer of a holder shows that this
+	// VM gets units from it. It is well above the pause between two rounds, so
+	// that a customer that is refused now and then counts as in contact.
+	contactSpan = 10 * time.Second
+	// silentAttempts is the number of times a request for units was sent without
+	// an answer, after which its holder counts as silent: 140 ms, many round
+	// trips between data centres.
+	silentAttempts = 4
+)
+
+// wholeBucket is a token bucket with the whole rate and burst of a customer. It
+// takes what this VM admitted, so it holds at least what a bucket of the whole
+// fleet would hold: a request that it refuses is above the customer's rate.
+type wholeBucket struct {
+	tokens  float64
+	at      time.Duration
+	started bool
+}
+
+// refill adds the tokens since the last call. A new bucket is full.
+func (w *wholeBucket) refill(now time.Duration, rate, burst float64) {
+	switch {
+	case !w.started:
+		w.tokens, w.at, w.started = burst, now, true
+	case now > w.at:
+		w.tokens += rate * (now - w.at).Seconds()
+		w.at = now
+	}
+	w.tokens = min(w.tokens, burst)
+}
+
+// take removes the tokens of a request that was admitted, or that would have
+// been.
+func (w *wholeBucket) take(n float64) { w.tokens = max(0, w.tokens-n) }
+
+// withinRate says of a request that is refused for good whether it counts as
+// within the customer's rate. It does so unless one of two things shows that the
+// customer used its rate up: the requests at this VM alone exceed it, or every
+// other holder answers this VM, so that units and tokens that are to spare
+// arrive here. Each request that counts takes its tokens, so that a customer far
+// above its rate does not have all its refusals counted.
+func (c *core) withinRate(now time.Duration, id siskin.CustomerID, n float64) bool {
+	b := &c.buckets[bucketOf(id)]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.holdings[id]
+	if h == nil || !h.known {
+		return true // the configuration with the customer has not arrived here
+	}
+	h.whole.refill(now, h.rate, h.burst)
+	if h.whole.tokens < n || (b.complete(c.self.VM, h) && h.inContact(now, c.self.VM, b.holders)) {
+		return false
+	}
+	h.whole.take(n)
+	return true
+}
+
+// complete reports whether no units are known to be out of use: a reclaim is
+// not in progress, and a VM without other holders has them all.
+func (b *bucket) complete(self siskin.VMID, h *holding) bool {
+	others := false
+	for _, o := range b.holders {
+		others = others || o.VM != self
+	}
+	return b.epoch != 0 && !b.reporting && (others || h.units == siskin.TotalUnits)
+}
+
+// inContact reports whether all other holders answered requests for units of
+// the customer lately.
+func (h *holding) inContact(now time.Duration, self siskin.VMID, holders []holderID) bool {
+	if h.silent {
+		return false
+	}
+	for _, o := range holders {
+		if o.VM != self && !h.hints.askedSince(now-contactSpan, o.VM) {
+			return false
+		}
+	}
+	return true
+}
+
+// anySilent reports whether a holder leaves a request of this VM unanswered.
+// The caller holds the lock of the exchange.
+func (c *core) anySilent(holders []holderID) bool {
+	for _, o := range holders {
+		if l := c.links[o.VM]; o.VM != c.self.VM && l != nil && l.pending != nil && l.attempts >= silentAttempts {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/limit/within_test.go
@@ -0,0 +1,91 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+// refuse sends requests that nothing can admit and returns how many of them
+// count as within the rate.
+func refuse(t *testing.T, c *core, now time.Duration, n int) (counted int) {
+	t.Helper()
+	for range n {
+		if c.admit(now, "a", 1, true).Admitted {
+			t.Fatal("got a request admitted, want none at a VM without units")
+		}
+		if c.withinRate(now, "a", 1) {
+			counted++
+		}
+	}
+	return counted
+}
+
+// TestRefusalsOfSilentHolderCount guards against refusals within the rate that
+// count as the customer's own while the VM with its units does not answer, and
+// against refusals above the rate that count against the service.
+func TestRefusalsOfSilentHolderCount(t *testing.T) {
+	rich, poor, i := pair(t)
+	now := time.Second
+	// The rate is 100 a second with a burst of 100.
+	for _, tt := range []struct {
+		pause    time.Duration
+		requests int
+		want     int
+	}{{0, 150, 100}, {500 * time.Millisecond, 80, 50}, {100 * time.Millisecond, 7, 7}, {10 * time.Second, 300, 100}} {
+		now += tt.pause
+		if got := refuse(t, poor, now, tt.requests); got != tt.want {
+			t.Errorf("%d requests after %v: got %d counted as within the rate, want %d", tt.requests, tt.pause, got, tt.want)
+		}
+		poor.plan(now) // the message is lost
+	}
+	// The holder answers again and has nothing to spare, so that the customer
+	// uses its rate up.
+	now += 10 * time.Second
+	exchange(poor, rich, now)
+	h := poor.buckets[i].holdings["a"]
+	h.take(h.units)
+	if got := refuse(t, poor, now, 20); got != 0 {
+		t.Errorf("all holders answer: got %d counted as within the rate, want 0", got)
+	}
+	// It goes silent while this VM asks again.
+	for range silentAttempts {
+		now += maxBackoff
+		poor.plan(now)
+		refuse(t, poor, now, 1)
+	}
+	now += time.Second
+	poor.plan(now)
+	refuse(t, poor, now, 150) // uses up the burst
+	now += 500 * time.Millisecond
+	if got := refuse(t, poor, now, 80); got != 50 {
+		t.Errorf("silent again: got %d counted as within the rate, want 50", got)
+	}
+}
+
+// exchange delivers the requests for units and their answers.
+func exchange(from, to *core, now time.Duration) {
+	for _, m := range from.plan(now) {
+		reply := to.answer(now, m.args)
+		from.receive(now, to.self.VM, m.args.Seq, &reply)
+	}
+}
+
+// TestOwnTrafficAboveRate guards against refusals that count against the service
+// although the requests at one VM alone exceed the rate.
+func TestOwnTrafficAboveRate(t *testing.T) {
+	rich, _, _ := pair(t)
+	now, admitted, counted := time.Second, 0, 0
+	for range 1000 {
+		if rich.admit(now, "a", 1, true).Admitted {
+			admitted++
+		} else if rich.withinRate(now, "a", 1) {
+			counted++
+		}
+	}
+	if admitted != 100 || counted != 0 {
+		t.Errorf("got %d admitted and %d counted as within the rate, want 100 and 0", admitted, counted)
+	}
+	if got, want := rich.withinRate(now, "unknown", 1), true; got != want {
+		t.Errorf("customer that is not known here yet: got %v, want %v", got, want)
+	}
+}
