daemon, front: record write gaps in the burn record

Cause: the write gap objective of the burn report showed no data, since nothing called Recorder.WriteGap outside tests.

Change: the front tells the observer the term in which a write was acknowledged. The daemon keeps, per service, the last acknowledged write, its term and the first failed write since then, and records a gap when a write is acknowledged in a later term or after a failed one. A gap of a service that nobody used for more than 1 s begins with the first write that met the interruption.

Figures: TestBurnCountsInjectedFailures injects 24 transactions and finds the 6 gaps and the 1 refusal within the rate with exact values.

Conclusion: the burn record has write gaps and refusals within the rate.

--- /dev/null
+++ b/internal/daemon/gaps_test.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/front"
+	"siskintray.example/siskin/internal/stats"
+	"siskintray.example/siskin/pkg/burn"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// injected is one transaction that ends after a pause.
+type injected struct {
+	pause   time.Duration
+	failed  siskin.ErrorKind // 0 (Internal) when it did not fail
+	term    siskin.Term
+	latency time.Duration
+	within  bool
+	gap     time.Duration // that it ends, zero for none
+}
+
+const ms = time.Millisecond
+
+var failures = []injected{
+	// Failures before the first acknowledged write end no gap.
+	{pause: 0, failed: siskin.NotRun, latency: ms},
+	{pause: 10 * ms, term: 1, latency: ms},
+	// A failover under load: writes fail or wait and go on in a later term.
+	{pause: 10 * ms, term: 1, latency: ms},
+	{pause: 300 * ms, failed: siskin.OutcomeUnknown, latency: 295 * ms},
+	{pause: 100 * ms, failed: siskin.NotRun, latency: 50 * ms},
+	{pause: 500 * ms, term: 2, latency: 800 * ms, gap: 900 * ms},
+	{pause: 10 * ms, term: 2, latency: 900 * ms},
+	// A write from before the failover fails at its deadline.
+	{pause: 4 * time.Second, failed: siskin.OutcomeUnknown, latency: 5 * time.Second},
+	{pause: 500 * ms, term: 2, latency: ms},
+	// A failover in which every write waited and none failed.
+	{pause: 700 * ms, term: 3, latency: 690 * ms, gap: 700 * ms},
+	// One write fails between two others: no interruption.
+	{pause: 50 * ms, failed: siskin.NotRun, latency: 10 * ms},
+	{pause: 50 * ms, term: 3, latency: ms},
+	// The same primary takes no writes for 2.5 s.
+	{pause: time.Second, failed: siskin.NotRun, latency: 100 * ms},
+	{pause: 1500 * ms, term: 3, latency: 20 * ms, gap: 2500 * ms},
+	// Nobody writes for an hour; the first write then fails once.
+	{pause: time.Hour, failed: siskin.Unavailable, latency: 30 * ms},
+	{pause: 400 * ms, term: 3, latency: ms, gap: 430 * ms},
+	// Nobody writes while the primary is changed as planned.
+	{pause: time.Hour, term: 4, latency: 5 * ms, gap: 5 * ms},
+	// Refusals for the customer's sake are no interruption.
+	{pause: time.Second, failed: siskin.RateExceeded, latency: ms},
+	{pause: time.Second, failed: siskin.RateExceeded, latency: ms, within: true},
+	{pause: time.Second, failed: siskin.Overloaded, latency: ms},
+	{pause: time.Second, term: 4, latency: ms},
+	// A transaction that acknowledged nothing ends no gap.
+	{pause: time.Second, failed: siskin.NotRun, latency: ms},
+	{pause: time.Second, latency: ms},
+	{pause: time.Second, term: 4, latency: ms, gap: 3 * time.Second},
+}
+
+// TestBurnCountsInjectedFailures guards against write gaps and refusals within
+// the rate that are missing from the burn record, or that a failure without an
+// interruption adds.
+func TestBurnCountsInjectedFailures(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	recorder := burn.New(clock, siskin.VM{ID: "vm-1"})
+	st := stats.New()
+	defer st.Close()
+	o := &observer{recorder: recorder, gaps: newWriteGaps(clock, recorder.WriteGap), stats: newTransactionStats(st)}
+	var want []time.Duration
+	bad, done := int64(0), int64(0)
+	for _, f := range failures {
+		clock.Advance(f.pause)
+		seen := front.Observation{
+			Service: "ledger", Customer: "shop", Mode: config.WriteRoute, Term: f.term, Latency: f.latency,
+			Failed: f.failed != 0, Kind: f.failed, WithinRate: f.within,
+		}
+		o.Transaction(seen)
+		// A read ends between any two writes and changes nothing.
+		o.Transaction(front.Observation{Service: "ledger", Customer: "shop", Mode: config.ReadRoute, Latency: ms})
+		done++
+		switch {
+		case f.failed == 0:
+			done++
+		case f.failed != siskin.RateExceeded || f.within:
+			bad++
+		}
+		if f.gap > 0 {
+			want = append(want, f.gap)
+		}
+	}
+	for _, s := range recorder.Record().Series {
+		counts := s.Windows[len(s.Windows)-1]
+		if counts.Bad() != bad || counts.Done != done || counts.WithinRate != 1 {
+			t.Errorf("%s %s: got %d bad, %d done, %d within rate, want %d, %d, 1", s.Dimension, s.Name, counts.Bad(), counts.Done, counts.WithinRate, bad, done)
+		}
+		var got []time.Duration
+		for _, g := range s.Gaps {
+			got = append(got, g.Duration)
+		}
+		if s.Dimension == burn.ServiceDimension && !slices.Equal(got, want) {
+			t.Errorf("got gaps %v, want %v", got, want)
+		}
+	}
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -31,7 +31,7 @@
 		Config: d.spread, Members: d.members, Peers: d.client, Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
 		Caller: d.listeners.caller, Forward: d.listeners.forward,
 		CallerTLS: serverTLS(d.listeners.callerCert), PeerTLS: d.listeners.peerTLS,
-		Observer:      &observer{recorder: d.recorder, stats: newTransactionStats(d.stats)},
+		Observer:      &observer{recorder: d.recorder, gaps: newWriteGaps(clock, d.recorder.WriteGap), stats: newTransactionStats(d.stats)},
 		ProbeInterval: d.settings.Group.ProbeInterval,
 		Limits:        callerLimits(&d.settings.Caller),
 		Open:          d.options.open,
@@ -82,6 +82,7 @@
 // observer passes transactions to the burn record and the metrics.
 type observer struct {
 	recorder *burn.Recorder
+	gaps     *writeGaps
 	stats    *transactionStats
 }
 
@@ -95,6 +96,7 @@
 		Read:       t.Mode == config.ReadRoute,
 		ByReplica:  t.ByReplica,
 	})
+	o.gaps.observe(&t)
 	o.stats.count(t)
 }
 
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -24,6 +24,9 @@
 	// WithinRate says of a failure of kind RateExceeded that the customer was
 	// within its rate.
 	WithinRate bool
+	// Term is the term of the primary that acknowledged a write, zero when
+	// nothing was acknowledged.
+	Term siskin.Term
 	// Latency is the time from the first message to the end of the answer.
 	Latency time.Duration
 	// ByReplica says that a replica served it.
@@ -43,6 +46,9 @@
 		Latency:   cfg.Clock.Since(began),
 		ByReplica: !t.atPrimary,
 	}
+	if o.Mode == config.WriteRoute && f == nil {
+		o.Term = c.answer.term
+	}
 	if f != nil {
 		o.Failed, o.Kind, o.WithinRate = true, f.Err.Kind, f.WithinRate
 	}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -58,6 +58,7 @@
 		return err
 	}
 	c.srv.counts.transactions.Add(1)
+	c.answer.term = 0
 	c.srv.cfg.Budgets.Deposit(t.customer, t.service.Name)
 	leg, res, f := c.attemptAll(t, last)
 	for f == nil && res.Status != 'I' {
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -13,6 +13,7 @@
 type answerState struct {
 	answered bool
 	status   pgproto3.ParameterStatus
+	term     siskin.Term // of the last token, zero without any
 }
 
 // Forward implements relay.Sink.
@@ -49,6 +50,7 @@
 // saw raises what the session has seen.
 func (c *session) saw(pos siskin.Position) {
 	c.floor, c.sampled = token.Max(c.floor, pos), true
+	c.answer.term = pos.Term
 }
 
 // Small implements relay.Sink.
