burn, config, cmds: measure services by their own objectives

Cause: the objectives of every service were the defaults. Reports of records from files could not do otherwise, since neither the configuration nor the records stated any.

Change: a service's document may state Objectives; a missing field keeps its default. The VM counts slow transactions and evaluates reports by them. The questionnaire does not ask for objectives, and a change generated again from its answers keeps those in force.

Conclusion: a merged report measures a service as its VMs do.

--- a/internal/admin/admintest/backend.go
+++ b/internal/admin/admintest/backend.go
@@ -157,4 +157,6 @@
 func (f *Fake) Record(context.Context, bool) (burn.Record, error) { return f.recorder.Record(), nil }
 
 // Objectives implements admin.BurnSource.
-func (f *Fake) Objectives(siskin.ServiceName) burn.Objectives { return burn.DefaultObjectives }
+func (f *Fake) Objectives(service siskin.ServiceName) burn.Objectives {
+	return burn.FromConfig(f.View())(service)
+}
--- a/internal/cmds/report.go
+++ b/internal/cmds/report.go
@@ -13,19 +13,22 @@
 
 const burnHelp = `Shows error budgets, burn rates and alerts. docs/BURN.md explains them. Counts do
 not survive a restart of a VM; save records to keep them and name the files to
-merge them.
+merge them. Records state the objectives of their services; --base takes those of
+an export instead.
 
 Examples:
   siskintray report burn
   siskintray report burn --fleet --html burn.html
   siskintray report burn --save vm-1.json
-  siskintray report burn vm-1.json vm-2.json`
+  siskintray report burn vm-1.json vm-2.json
+  siskintray report burn vm-1.json --base export.json`
 
 // reportBurn shows error budgets.
 type reportBurn struct {
 	Fleet bool   `long:"fleet" description:"ask all VMs that can be reached"`
 	HTML  string `long:"html" value-name:"FILE" description:"write a page with plots to this new file"`
 	Save  string `long:"save" value-name:"FILE" description:"write the record to this new file"`
+	Base  string `long:"base" value-name:"FILE" description:"take the objectives from this export"`
 	Args  struct {
 		Records []string `positional-arg-name:"RECORD"`
 	} `positional-args:"yes"`
@@ -41,14 +44,20 @@
 	if r.Fleet {
 		query = "?Fleet=yes"
 	}
+	objectives, err := r.objectives(ctx, env)
+	if err != nil {
+		return Output{}, err
+	}
 	var rep burn.Report
 	switch {
+	case r.Base != "" && len(r.Args.Records) == 0 && r.Save == "":
+		return Output{}, usageError("--base goes with records from files or with --save")
 	case len(r.Args.Records) > 0 && (r.Fleet || r.Save != ""):
 		return Output{}, usageError("records from files exclude --fleet and --save")
 	case len(r.Args.Records) > 0:
-		rep, err = mergeFiles(r.Args.Records)
+		rep, err = mergeFiles(r.Args.Records, objectives)
 	case r.Save != "":
-		if rep, err = r.save(ctx, client, query); err == nil {
+		if rep, err = r.save(ctx, client, query, objectives); err == nil {
 			break
 		}
 		return Output{}, err
@@ -72,8 +81,24 @@
 	return Output{Value: rep, Text: text.String()}, nil
 }
 
+// objectives are those of each service; nil means that the record states them.
+type objectives = func(siskin.ServiceName) burn.Objectives
+
+// objectives returns those of the export that --base names.
+func (r *reportBurn) objectives(ctx context.Context, env *Env) (objectives, error) {
+	if r.Base == "" {
+		return nil, nil
+	}
+	b := base{Base: r.Base}
+	view, err := b.view(ctx, env)
+	if err != nil {
+		return nil, err
+	}
+	return burn.FromConfig(view), nil
+}
+
 // save writes the record of the VM to a file and evaluates it.
-func (r *reportBurn) save(ctx context.Context, c *admin.Client, query string) (burn.Report, error) {
+func (r *reportBurn) save(ctx context.Context, c *admin.Client, query string, of objectives) (burn.Report, error) {
 	var data []byte
 	if err := c.Get(ctx, "/burn/record"+query, &data); err != nil {
 		return burn.Report{}, err
@@ -82,10 +107,10 @@
 	if err := json.Unmarshal(data, &rec); err != nil {
 		return burn.Report{}, malformedRecord("the VM's answer", err)
 	}
-	return burn.Evaluate(rec, nil), writeFile(r.Save, data)
+	return burn.Evaluate(rec, of), writeFile(r.Save, data)
 }
 
-func mergeFiles(paths []string) (burn.Report, error) {
+func mergeFiles(paths []string, of objectives) (burn.Report, error) {
 	var records []burn.Record
 	for _, path := range paths {
 		data, err := readFile(path)
@@ -102,7 +127,7 @@
 	if err != nil {
 		return burn.Report{}, err
 	}
-	return burn.Evaluate(merged, nil), nil
+	return burn.Evaluate(merged, of), nil
 }
 
 func malformedRecord(name string, err error) error {
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -85,7 +85,9 @@
 }
 
 // Objectives implements admin.BurnSource.
-func (b *backend) Objectives(siskin.ServiceName) burn.Objectives { return burn.DefaultObjectives }
+func (b *backend) Objectives(service siskin.ServiceName) burn.Objectives {
+	return burn.FromConfig(b.d.spread)(service)
+}
 
 // groupBackend implements admin.GroupControl.
 type groupBackend struct{ d *Daemon }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -24,7 +24,7 @@
 	proof.setView(d.spread)
 	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proof.current))
 	d.limiter = limit.New(clock, d.spread, d.members, d.client, d.platform, limit.WithLogf(d.debugf))
-	d.recorder = burn.New(clock, d.self)
+	d.recorder = burn.New(clock, d.self, burn.WithObjectives(burn.FromConfig(d.spread)))
 	d.stats = stats.New()
 	d.node, err = node.Start(node.Config{
 		Self: d.self, Clock: clock, Log: d.log(),
--- a/pkg/burn/record.go
+++ b/pkg/burn/record.go
@@ -44,10 +44,13 @@
 type SeriesRecord struct {
 	Dimension Dimension
 	Name      string
-	Windows   []Counts // one for each of Windows
-	Gaps      []Gap    `json:",omitempty"`
-	Hour      []Point  `json:",omitempty"` // the last hour by minute
-	Days      []Point  `json:",omitempty"` // the longest window by hour
+	// Objectives are those that the VM had for the service when the record was
+	// made; nil for a customer.
+	Objectives *Objectives `json:",omitempty"`
+	Windows    []Counts    // one for each of Windows
+	Gaps       []Gap       `json:",omitempty"`
+	Hour       []Point     `json:",omitempty"` // the last hour by minute
+	Days       []Point     `json:",omitempty"` // the longest window by hour
 }
 
 // Gap is the write gap of one failover, as one VM saw it.
@@ -63,7 +66,8 @@
 	Total, Bad, Slow int64
 }
 
-// Merge adds the records of several VMs. Two records of the same run of a VM
+// Merge adds the records of several VMs. The objectives of a service are those
+// of the latest record. Two records of the same run of a VM
 // are refused, since its transactions would count twice.
 func Merge(records ...Record) (Record, error) {
 	type run struct {
@@ -72,6 +76,7 @@
 	}
 	seen := map[run]bool{}
 	series := map[seriesKey]*SeriesRecord{}
+	stated := map[seriesKey]time.Time{} // times of the records with the objectives
 	var all Record
 	for _, rec := range records {
 		for _, vm := range rec.VMs {
@@ -95,6 +100,9 @@
 			if series[k] == nil {
 				series[k] = &SeriesRecord{Dimension: s.Dimension, Name: s.Name, Windows: make([]Counts, len(Windows))}
 			}
+			if at := rec.until(); s.Objectives != nil && !at.Before(stated[k]) {
+				series[k].Objectives, stated[k] = s.Objectives, at
+			}
 			series[k].add(s)
 		}
 	}
@@ -105,6 +113,16 @@
 	return all, nil
 }
 
+// until returns the time of the record.
+func (r *Record) until() (latest time.Time) {
+	for i := range r.VMs {
+		if r.VMs[i].Until.After(latest) {
+			latest = r.VMs[i].Until
+		}
+	}
+	return latest
+}
+
 func malformed(name string) error {
 	return siskin.NewError(siskin.BadInput, "record of %.64q has another number of windows", name).
 		WithRemedy("read the record from a VM of the same version")
--- a/pkg/burn/recorder.go
+++ b/pkg/burn/recorder.go
@@ -121,6 +121,10 @@
 	r.series.Range(func(key seriesKey, s *series) bool {
 		sr := s.snapshot(now)
 		sr.Dimension, sr.Name = key.dimension, key.name
+		if key.dimension == ServiceDimension {
+			o := r.objectives(siskin.ServiceName(key.name))
+			sr.Objectives = &o
+		}
 		rec.Series = append(rec.Series, sr)
 		return true
 	})
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -78,12 +78,10 @@
 	Rate *float64 `json:",omitempty"`
 }
 
-// Evaluate compares a record with the objectives of each service. Customers are
-// compared with DefaultObjectives.
+// Evaluate compares a record with the objectives of each service, or with those
+// that the record states when of is nil. Customers are compared with
+// DefaultObjectives.
 func Evaluate(rec Record, of func(siskin.ServiceName) Objectives) Report {
-	if of == nil {
-		of = func(siskin.ServiceName) Objectives { return DefaultObjectives }
-	}
 	rep := Report{VMs: rec.VMs}
 	var incomplete []string
 	for i, w := range Windows {
@@ -99,8 +97,11 @@
 	for i := range rec.Series {
 		s := &rec.Series[i]
 		o := DefaultObjectives
-		if s.Dimension == ServiceDimension {
+		switch {
+		case s.Dimension == ServiceDimension && of != nil:
 			o = of(siskin.ServiceName(s.Name))
+		case s.Objectives != nil:
+			o = *s.Objectives
 		}
 		rep.Series = append(rep.Series, rep.evaluate(s, o))
 	}
--- a/pkg/config/generate.go
+++ b/pkg/config/generate.go
@@ -19,7 +19,7 @@
 	merged := map[siskin.CustomerID]*Customer{}
 	for i := range answers {
 		a := &answers[i]
-		service := generateService(a)
+		service := generateService(view, a)
 		change.Services = append(change.Services, service)
 		for j := range a.Customers {
 			c := &a.Customers[j]
@@ -39,8 +39,13 @@
 	return change, nil
 }
 
-func generateService(a *Answers) *Service {
+// generateService returns the answered service. The questionnaire does not ask
+// for objectives, so those in force stay.
+func generateService(view View, a *Answers) *Service {
 	s := a.Service
+	if old, ok := view.Service(s.Name); ok && s.Objectives == nil {
+		s.Objectives = old.Objectives
+	}
 	s.Targets = slices.Clone(s.Targets)
 	for i := range s.Targets {
 		if s.Targets[i].ID == "" {
--- a/pkg/config/service.go
+++ b/pkg/config/service.go
@@ -25,6 +25,9 @@
 	// KeyGrace is how long keys go on working in a VM that has no evidence
 	// about withdrawals, such as in a data centre that is cut off.
 	KeyGrace Duration
+	// Objectives are what the burn report measures the service by; nil means
+	// the defaults.
+	Objectives *Objectives `json:",omitempty"`
 }
 
 // Route returns the route with the given name.
--- a/pkg/config/validate_service.go
+++ b/pkg/config/validate_service.go
@@ -25,6 +25,7 @@
 	checkRoutes(r, s)
 	checkCredentials(r, s.Credentials)
 	checkDuration(r, "KeyGrace", s.KeyGrace, 0, maxKeyGrace)
+	checkObjectives(r, s.Objectives)
 }
 
 func checkSize(r *report, s *Service) {
