cmds, quest: read passwords and keys without echo

Cause: siskintray ask showed the passwords of the service's accounts and the keys of customers while they were typed, as defaults on the way back, and with the result.

Change: questions have Secret. Input from a file or pipe is read as before, and so is the output to one.

Conclusion: a terminal shows no secret of the questionnaire.

--- a/internal/cmds/ask.go
+++ b/internal/cmds/ask.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return Output{}, err
 	}
-	form, change, err := a.answers(env, view)
+	form, change, err := a.answers(ctx, env, view)
 	if err != nil {
 		return Output{}, err
 	}
@@ -49,19 +49,23 @@
 		out.Text = "\n" + out.Text
 	}
 	if a.Answers == "" && a.Output == "" {
-		out.Text += "\n" + string(form.INI())
+		shown := form.INI()
+		if isTerminal(env.Stdout) {
+			shown = append(form.Shown(), "\n# Secrets are hidden on a terminal; keep all answers with --output FILE.\n"...)
+		}
+		out.Text += "\n" + string(shown)
 	}
 	return out, nil
 }
 
-func (a *ask) answers(env *Env, view config.View) (*quest.Form, *config.Change, error) {
+func (a *ask) answers(ctx context.Context, env *Env, view config.View) (*quest.Form, *config.Change, error) {
 	if a.Answers == "" {
 		// With --json the dialog must not mix with the result.
 		w := env.Stdout
 		if env.Options.JSON {
 			w = env.Stderr
 		}
-		return quest.Ask(env.Stdin, w, view)
+		return dialog(ctx, env.Stdin, w, view)
 	}
 	form, err := readAnswers(a.Answers)
 	if err != nil {
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -82,7 +82,8 @@
 	return code
 }
 
-func isTerminal(w io.Writer) bool {
-	f, ok := w.(*os.File)
+// isTerminal reports whether a reader or writer is a terminal.
+func isTerminal(stream any) bool {
+	f, ok := stream.(*os.File)
 	return ok && term.IsTerminal(int(f.Fd()))
 }
--- a/internal/quest/ask.go
+++ b/internal/quest/ask.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"errors"
 	"fmt"
 	"io"
 
@@ -9,16 +11,49 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
+// Option changes how Ask asks.
+type Option func(*dialog)
+
+// WithSecret sets the function that reads a line which is not shown while it is
+// typed, such as a password. Without it all lines come from the reader.
+func WithSecret(read func() (string, error)) Option {
+	return func(d *dialog) { d.secret = read }
+}
+
+// dialog is the input and output of Ask.
+type dialog struct {
+	lines  *bufio.Scanner
+	w      io.Writer
+	secret func() (string, error)
+}
+
+// read returns the next line.
+func (d *dialog) read(secret bool) (string, error) {
+	if secret && d.secret != nil {
+		line, err := d.secret()
+		fmt.Fprintln(d.w) // the end of the line was not shown either
+		return line, err
+	}
+	if !d.lines.Scan() {
+		fmt.Fprintln(d.w)
+		return "", cmp.Or(d.lines.Err(), io.EOF)
+	}
+	return d.lines.Text(), nil
+}
+
 // Ask asks all questions on a terminal and returns the form and the change. A
 // contradiction between answers reopens its question; earlier answers stand as
 // defaults. When the input ends early nothing is returned.
-func Ask(r io.Reader, w io.Writer, view config.View) (*Form, *config.Change, error) {
+func Ask(r io.Reader, w io.Writer, view config.View, opts ...Option) (*Form, *config.Change, error) {
 	fmt.Fprint(w, "Type ? for help, < to go back, and press Enter to keep the value in brackets.\n")
-	lines := bufio.NewScanner(r)
-	lines.Buffer(make([]byte, 0, maxAnswer), 4*maxAnswer)
+	d := &dialog{lines: bufio.NewScanner(r), w: w}
+	d.lines.Buffer(make([]byte, 0, maxAnswer), 4*maxAnswer)
+	for _, opt := range opts {
+		opt(d)
+	}
 	s := NewSession()
 	for {
-		if err := s.ask(lines, w); err != nil {
+		if err := s.ask(d); err != nil {
 			return nil, nil, err
 		}
 		form, _ := s.Form()
@@ -37,7 +72,8 @@
 }
 
 // ask asks until the session is done.
-func (s *Session) ask(lines *bufio.Scanner, w io.Writer) error {
+func (s *Session) ask(d *dialog) error {
+	w := d.w
 	for !s.done {
 		p := s.Prompt()
 		if p.Title != "" && !s.more {
@@ -45,16 +81,22 @@
 		}
 		at, total := s.Progress()
 		fmt.Fprintf(w, "[%d/%d] %s %s", at, total, p.Number, p.Text)
-		if p.Default != "" {
+		switch {
+		case p.Default != "" && p.Secret:
+			fmt.Fprint(w, " [hidden]")
+		case p.Default != "":
 			fmt.Fprintf(w, " [%s]", p.Default)
 		}
 		fmt.Fprint(w, " ")
-		if !lines.Scan() {
-			fmt.Fprintln(w)
-			return siskin.NewError(siskin.BadInput, "input ended at question %s", p.Number).WithCause(lines.Err()).
-				WithRemedy("start again; nothing was written")
+		line, err := d.read(p.Secret)
+		if err != nil {
+			ended := siskin.NewError(siskin.BadInput, "input ended at question %s", p.Number).WithRemedy("start again; nothing was written")
+			if !errors.Is(err, io.EOF) {
+				ended = ended.WithCause(err)
+			}
+			return ended
 		}
-		switch line := lines.Text(); line {
+		switch line {
 		case "?":
 			fmt.Fprintf(w, "  %s\n", p.Help)
 		case "<":
--- a/internal/quest/question.go
+++ b/internal/quest/question.go
@@ -11,6 +11,8 @@
 	// default must be answered unless Optional.
 	Default  string
 	Optional bool
+	// Secret says that the answer is not shown.
+	Secret bool
 	// When, if set, says whether the question applies, given the earlier
 	// answers of the same section.
 	When func(answers map[string]string) bool
--- a/internal/quest/questions.go
+++ b/internal/quest/questions.go
@@ -15,9 +15,9 @@
 	{Section: "Account", Title: "The service's accounts at its database servers", Min: 1, Max: 1, Questions: []Question{
 		{Key: "Database", kind: free, Text: "What is the database called?", Help: "The name on the servers, not the one that callers use."},
 		{Key: "User", kind: free, Text: "Which account may write?", Help: "The proxy uses it for write routes. Callers never see it."},
-		{Key: "Password", kind: free, Text: "What is the password of the account that may write?", Help: "Up to 256 characters on one line, not starting with a quotation mark."},
+		{Key: "Password", kind: free, Secret: true, Text: "What is the password of the account that may write?", Help: "Up to 256 characters on one line, not starting with a quotation mark."},
 		{Key: "ReadUser", kind: free, Text: "Which account may only read?", Help: "Read routes use it, so that a caller cannot write there. It must be another account."},
-		{Key: "ReadPassword", kind: free, Text: "What is the password of the account that may only read?", Help: "It must differ from the other password."},
+		{Key: "ReadPassword", kind: free, Secret: true, Text: "What is the password of the account that may only read?", Help: "It must differ from the other password."},
 	}},
 	{Section: "Target", Title: "The database servers", Min: 3, Max: 15, Questions: []Question{
 		{Key: "DataCentre", kind: name, Text: "In which data centre does the server stand?", Help: "Such as turku-1. Servers in several data centres survive the loss of one."},
@@ -37,7 +37,7 @@
 		{Key: "Rate", kind: amount, Text: "How many requests a second may the customer send?", Help: "Counted over all VMs and all services. A customer that exists already keeps its rate; give the same number."},
 		{Key: "Burst", kind: amount, Text: "How many requests may it send at once after a quiet time?", Help: "At least 1."},
 		{Key: "Weight", kind: count(1, 1000), Default: "1", Text: "Which share of a loaded queue does it get, relative to others?", Help: "1 for an equal share."},
-		{Key: "Keys", kind: keyList, Optional: true, Text: "Which keys does it have?", Help: "Pairs of a name and a SHA-256 digest, separated by commas, such as k1 2c26b4... . Never write the key itself. Leave it empty and grant keys later with: siskintray key grant."},
+		{Key: "Keys", kind: keyList, Optional: true, Secret: true, Text: "Which keys does it have?", Help: "Pairs of a name and a SHA-256 digest, separated by commas, such as k1 2c26b4... . Never write the key itself. Leave it empty and grant keys later with: siskintray key grant."},
 	}},
 }
 
--- a/internal/quest/session.go
+++ b/internal/quest/session.go
@@ -26,6 +26,7 @@
 	Help    string
 	Default string // present answer or default
 	Title   string // set at the first question of a group
+	Secret  bool   // the answer and the default are not shown
 }
 
 // Prompt returns the present question.
@@ -39,7 +40,7 @@
 		return p
 	}
 	q := &g.Questions[s.now.question]
-	p := Prompt{Number: s.now.number(), Text: q.Text, Help: q.Help, Default: s.form.get(s.now)}
+	p := Prompt{Number: s.now.number(), Text: q.Text, Help: q.Help, Default: s.form.get(s.now), Secret: q.Secret}
 	if p.Default == "" {
 		p.Default = q.Default
 	}
--- a/internal/quest/write.go
+++ b/internal/quest/write.go
@@ -7,7 +7,12 @@
 
 // INI returns the answers as an answers file. Each answer stands below the
 // number and text of its question.
-func (f *Form) INI() []byte {
+func (f *Form) INI() []byte { return f.ini(false) }
+
+// Shown returns the answers like INI, without those that are secret.
+func (f *Form) Shown() []byte { return f.ini(true) }
+
+func (f *Form) ini(hide bool) []byte {
 	var b strings.Builder
 	b.WriteString("# Answers to the questionnaire of siskintray. Read it with: siskintray ask --answers FILE\n")
 	for g := range groups {
@@ -22,7 +27,11 @@
 				if rep == 0 {
 					fmt.Fprintf(&b, "# %d.%d %s\n", g+1, q+1, question.Text)
 				}
-				fmt.Fprintf(&b, "%s = %s\n", question.Key, f.get(p))
+				answer := f.get(p)
+				if hide && question.Secret && answer != "" {
+					answer = "(hidden)"
+				}
+				fmt.Fprintf(&b, "%s = %s\n", question.Key, answer)
 			}
 		}
 	}
