front, relay, logs: follow a statement across VMs in the logs

Cause: the request id reached the home of the slot and no log line. Failures at a home were not logged at all, although their causes stay there, and the line of each refused start-up was not limited.

Change: logs.Requests writes the lines of requests with the id in RequestID: failures at the entry VM and at the home, one line a second for each message, kind, service and route with the number of those left out, and at the level debug each attempt and each arrival.

The fake fleet of package front gives a VM's forwarding server the same logger as its front. TestFailureRoundTrip compares WithinRate, too.

Conclusion: one search finds a statement on all VMs, and a fault does not fill the log.

--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -33,6 +33,7 @@
 		if !c.mayRetry(t, f) {
 			return nil, res, f
 		}
+		c.srv.log.Trace(c.logged(), f.Err, "attempt failed; the next one follows")
 	}
 }
 
@@ -106,12 +107,20 @@
 	t.hdr.Target, t.hdr.Slot = target.ID, slot
 	t.hdr.Remaining = t.deadline.Sub(cfg.Clock.Now())
 	t.atPrimary = target.ID == view.Primary
+	c.traceAttempt(t, home.ID)
 	if local {
 		return cfg.Home.Begin(&t.hdr)
 	}
 	return cfg.Forwarder.Begin(home, &t.hdr)
 }
 
+// traceAttempt logs where an attempt goes, so that it is found there.
+func (c *session) traceAttempt(t *transaction, home siskin.VMID) {
+	q := c.logged()
+	q.Customer, q.Target, q.Home = t.customer, t.hdr.Target, home
+	c.srv.log.Trace(q, nil, "attempt begins")
+}
+
 func noTarget(t *transaction) *relay.Failure {
 	what := "no target of service %s can serve the read at present"
 	if t.route.Mode == config.WriteRoute {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -40,6 +40,7 @@
 // An error ends the session.
 func (c *session) run(h frame.Head) error {
 	now := c.srv.cfg.Clock.Now()
+	c.request = 0
 	if err := c.setTransaction(now.Add(MaxDeadline)); err != nil {
 		return err
 	}
@@ -119,10 +120,11 @@
 	}
 	t := &transaction{service: service, route: route, customer: customer, deadline: now.Add(limit)}
 	t.tried = t.space[:0]
+	c.request = c.srv.requests.Add(1)
 	t.hdr = relay.Header{
 		Service: c.service, Route: route.Name, Customer: customer, Key: c.grant.Key, Floor: c.floor,
 		Sample:  route.Mode == config.ReadRoute && route.MaxAge == 0 && !c.sampled,
-		Request: c.srv.requests.Add(1),
+		Request: c.request,
 	}
 	return t, nil
 }
@@ -187,9 +189,7 @@
 		return f.Err
 	}
 	c.srv.counts.refused[f.Err.Kind].Add(1)
-	if c.srv.cfg.Log != nil {
-		c.srv.cfg.Log.Debug().Str("Service", string(c.service)).Str("Route", string(c.route)).Err(f.Err).Msg("request refused")
-	}
+	c.srv.log.Failed(c.logged(), f.Err, "request failed")
 	if err := c.sendFailure(f); err != nil {
 		return err
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/logs"
 	"siskintray.example/siskin/pkg/shard"
 )
 
@@ -14,6 +15,7 @@
 type Server struct {
 	cfg      Config
 	limits   atomic.Pointer[Limits]
+	log      *logs.Requests
 	sessions *shard.Map[uint16, *session]
 	requests atomic.Uint64
 	counts   counts
@@ -31,7 +33,7 @@
 
 // New returns a Server and starts its sweep of withdrawn keys.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, sessions: shard.New[uint16, *session](), pending: make(map[net.Conn]struct{})}
+	s := &Server{cfg: cfg, log: logs.NewRequests(cfg.Clock, cfg.Log), sessions: shard.New[uint16, *session](), pending: make(map[net.Conn]struct{})}
 	s.SetLimits(cfg.Limits)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.requests.Store(requestBase(cfg.VM))
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -9,6 +9,7 @@
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/frame"
+	"siskintray.example/siskin/internal/logs"
 	"siskintray.example/siskin/internal/relay"
 	"siskintray.example/siskin/pkg/config"
 )
@@ -33,6 +34,7 @@
 	outHead frame.Head
 	last    byte // type of the last message consumed
 	answer  answerState
+	request uint64 // id of the transaction, zero before it has one
 
 	mu       sync.Mutex
 	idle     bool
@@ -103,6 +105,11 @@
 	return nil
 }
 
+// logged names the session's transaction in the log.
+func (c *session) logged() logs.Request {
+	return logs.Request{ID: c.request, Service: c.service, Route: c.route, Customer: c.grant.Customer}
+}
+
 // greet ends the start-up.
 func (c *session) greet() error {
 	for _, p := range [...][2]string{
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/logs"
 	"siskintray.example/siskin/internal/relay"
 )
 
@@ -23,9 +24,7 @@
 		if e := new(siskin.Error); errors.As(err, &e) {
 			s.counts.refused[e.Kind].Add(1)
 		}
-		if s.cfg.Log != nil {
-			s.cfg.Log.Info().Err(err).Msg("caller refused at start-up")
-		}
+		s.log.Failed(logs.Request{}, asError(err), "caller refused at start-up")
 		return
 	}
 	if c == nil {
--- a/internal/front/vm_test.go
+++ b/internal/front/vm_test.go
@@ -47,8 +47,6 @@
 		Clock: clock, Config: f.view, Groups: f, Limiter: f.limiter, Queues: f.queue, Pool: vm.pool, Keys: f.keys,
 	}).Init()
 	vm.home = home
-	vm.relay = relay.NewServer(home, f.tokens, nil)
-	vm.peer = f.serve(vm.relay.Serve)
 	vm.fwd = relay.NewForwarder(clock, nil, nil)
 	vm.budgets = retry.NewBudgets()
 	cfg := Config{
@@ -56,6 +54,8 @@
 		Tokens: f.tokens, Budgets: vm.budgets, Cancels: cancels{vm},
 	}
 	f.editFront(&cfg)
+	vm.relay = relay.NewServer(home, f.tokens, nil, relay.WithLog(cfg.Log))
+	vm.peer = f.serve(vm.relay.Serve)
 	vm.front = New(cfg)
 	vm.address = f.serve(vm.front.Serve)
 	return vm
--- /dev/null
+++ b/internal/logs/requests.go
@@ -0,0 +1,110 @@
+package logs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+)
+
+// repeatInterval is the time in which one line is written of failures of the
+// same sort. An outage of a second fails thousands of requests.
+const repeatInterval = time.Second
+
+// Request says which request a line is about. Empty fields are left out.
+type Request struct {
+	// ID is the id that the entry VM gave to the request; it is the same on all
+	// VMs. Zero means that the request failed before it had one.
+	ID       uint64
+	Service  siskin.ServiceName
+	Route    siskin.RouteName
+	Customer siskin.CustomerID
+	Target   siskin.TargetID
+	Home     siskin.VMID
+}
+
+// RequestID returns the text of a request's id in the field RequestField.
+func RequestID(id uint64) string { return fmt.Sprintf("%016x", id) }
+
+// Requests writes the lines of requests. Its methods do nothing without a
+// logger.
+type Requests struct {
+	log     *log.Logger
+	repeats *Repeats
+}
+
+// NewRequests returns a writer of lines to l, which may be nil.
+func NewRequests(clock siskin.Clock, l *log.Logger) *Requests {
+	return &Requests{log: l, repeats: NewRepeats(clock, repeatInterval)}
+}
+
+// Failed writes that a request failed for good: one line a second for each
+// message, kind of error, service and route. A failure that the caller caused
+// has the level info, any other one the level warn.
+func (r *Requests) Failed(q Request, err *siskin.Error, msg string) {
+	level := log.WarnLevel
+	if callersOwn(err.Kind) {
+		level = log.InfoLevel
+	}
+	if !r.writes(level) {
+		return
+	}
+	suppressed, ok := r.repeats.Allow(msg + "/" + err.Kind.String() + "/" + string(q.Service) + "/" + string(q.Route))
+	if !ok {
+		return
+	}
+	e := r.entry(q, level).Str("Kind", err.Kind.String()).Err(err)
+	if suppressed > 0 {
+		e = e.Int64("Suppressed", suppressed)
+	}
+	e.Msg(msg)
+}
+
+// Trace writes a step of a request at the level debug. It is meant for finding a
+// fault and is not limited; err may be nil.
+func (r *Requests) Trace(q Request, err error, msg string) {
+	if !r.writes(log.DebugLevel) {
+		return
+	}
+	e := r.entry(q, log.DebugLevel)
+	if err != nil {
+		e = e.Err(err)
+	}
+	e.Msg(msg)
+}
+
+// writes reports whether lines of a level are written, so that no line is
+// formatted in vain.
+func (r *Requests) writes(level log.Level) bool { return r.log != nil && Level(r.log) <= level }
+
+func (r *Requests) entry(q Request, level log.Level) *log.Entry {
+	l := r.log
+	if q.ID != 0 {
+		l = ForRequest(l, RequestID(q.ID))
+	}
+	e := l.WithLevel(level)
+	for _, f := range [...][2]string{
+		{"Service", string(q.Service)},
+		{"Route", string(q.Route)},
+		{"Customer", string(q.Customer)},
+		{"Target", string(q.Target)},
+		{"Home", string(q.Home)},
+	} {
+		if f[1] != "" {
+			e = e.Str(f[0], f[1])
+		}
+	}
+	return e
+}
+
+// callersOwn reports whether the caller can cause errors of the kind at will.
+func callersOwn(kind siskin.ErrorKind) bool {
+	switch kind {
+	case siskin.RateExceeded, siskin.KeyRefused, siskin.KeyWithdrawn, siskin.UnknownRoute, siskin.BadToken,
+		siskin.BadInput, siskin.TooLarge, siskin.Unsupported, siskin.TargetRefused:
+		return true
+	}
+	return false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,7 +59,7 @@
 		Pool:    n.pool,
 	}).Init()
 	n.forwarder = relay.NewForwarder(cfg.Clock, cfg.PeerTLS, cfg.Open)
-	n.server = relay.NewServer(n.home, cfg.Tokens, cfg.PeerTLS)
+	n.server = relay.NewServer(n.home, cfg.Tokens, cfg.PeerTLS, relay.WithLog(cfg.Log))
 	n.update()
 	n.front = n.newFront()
 	n.serve()
--- a/internal/relay/peerconn.go
+++ b/internal/relay/peerconn.go
@@ -10,6 +10,7 @@
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/frame"
+	"siskintray.example/siskin/internal/logs"
 	"siskintray.example/siskin/pkg/token"
 )
 
@@ -117,6 +118,7 @@
 	if err := c.header.Decode(body); err != nil {
 		return err
 	}
+	c.srv.log.Trace(c.request(), nil, "forwarded transaction arrived")
 	deadline := c.srv.home.Clock.Now().Add(c.header.Remaining)
 	c.setTransaction(nil, deadline.Add(time.Second)) // time for the failure to be sent
 	leg, f := c.srv.home.Begin(&c.header)
@@ -148,8 +150,19 @@
 	}
 }
 
+// request names the transaction in the log.
+func (c *peerConn) request() logs.Request {
+	h := &c.header
+	return logs.Request{ID: h.Request, Service: h.Service, Route: h.Route, Customer: h.Customer, Target: h.Target}
+}
+
+// failedMessage is the log line of a transaction that fails at its home. The
+// entry VM may send it again.
+const failedMessage = "forwarded transaction failed"
+
 func (c *peerConn) failed(f *Failure) error {
 	f.Check()
+	c.srv.log.Failed(c.request(), f.Err, failedMessage)
 	if err := c.w.Message(f); err != nil {
 		return err
 	}
@@ -160,6 +173,7 @@
 // or Sync and reports ready.
 func (c *peerConn) refuse(f *Failure) error {
 	f.Check()
+	c.srv.log.Failed(c.request(), f.Err, failedMessage)
 	if err := c.w.Message(f); err != nil {
 		return err
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -46,6 +46,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		want := Failure{
 			Proof: retry.Proof(rapid.IntRange(0, 2).Draw(rt, "proof")), Admitted: rapid.Bool().Draw(rt, "admitted"),
+			WithinRate: rapid.Bool().Draw(rt, "within"),
 			Err: siskin.NewError(siskin.ErrorKind(rapid.IntRange(0, 14).Draw(rt, "kind")), "%s", rapid.String().Draw(rt, "message")).
 				WithRemedy(rapid.String().Draw(rt, "remedy")).
 				WithRetryAfter(time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(rt, "after"))),
@@ -58,7 +59,7 @@
 		if err := got.Decode(b[5:]); err != nil {
 			rt.Fatal(err)
 		}
-		if got.Proof != want.Proof || got.Admitted != want.Admitted || *got.Err != *want.Err {
+		if got.Proof != want.Proof || got.Admitted != want.Admitted || got.WithinRate != want.WithinRate || *got.Err != *want.Err {
 			rt.Fatalf("got %+v %+v, want %+v %+v", got, got.Err, want, want.Err)
 		}
 	})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/phuslu/log"
 
+	"siskintray.example/siskin/internal/logs"
 	"siskintray.example/siskin/pkg/shard"
 	"siskintray.example/siskin/pkg/token"
 )
@@ -23,6 +25,7 @@
 	home   *Home
 	tokens *token.Codec
 	tls    *tls.Config
+	log    *logs.Requests
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -32,10 +35,22 @@
 	closed bool
 }
 
+// ServerOption changes a Server.
+type ServerOption func(*Server)
+
+// WithLog sets the logger of requests that fail here, with the ids that they
+// have at the VMs that forward them.
+func WithLog(l *log.Logger) ServerOption {
+	return func(s *Server) { s.log = logs.NewRequests(s.home.Clock, l) }
+}
+
 // NewServer returns a Server that runs transactions at home. With TLS settings,
 // peers must present a certificate as these demand.
-func NewServer(home *Home, tokens *token.Codec, cfg *tls.Config) *Server {
-	s := &Server{home: home, tokens: tokens, tls: cfg, conns: shard.New[uint32, *peerConn]()}
+func NewServer(home *Home, tokens *token.Codec, cfg *tls.Config, opts ...ServerOption) *Server {
+	s := &Server{home: home, tokens: tokens, tls: cfg, log: logs.NewRequests(home.Clock, nil), conns: shard.New[uint32, *peerConn]()}
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
