--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/cfgini"
 	"siskintray.example/siskin/internal/front"
 	"siskintray.example/siskin/internal/node"
 	"siskintray.example/siskin/internal/stats"
@@ -24,18 +25,17 @@
 	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proof.current))
 	d.limiter = limit.New(clock, d.spread, d.members, d.client, d.platform,
 		limit.WithLogf(d.debugf), limit.WithHomes(d.customerHomes))
-	d.recorder = burn.New(clock, d.self)
+	d.recorder = burn.New(clock, d.self, burn.WithObjectives(burn.FromConfig(d.spread)))
 	d.stats = stats.New()
 	d.node, err = node.Start(node.Config{
 		Self: d.self, Clock: clock, Log: d.log(),
 		Config: d.spread, Members: d.members, Peers: d.client, Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
 		Caller: d.listeners.caller, Forward: d.listeners.forward,
 		CallerTLS: serverTLS(d.listeners.callerCert), PeerTLS: d.listeners.peerTLS,
-		Observer:       &observer{recorder: d.recorder, stats: newTransactionStats(d.stats)},
-		ProbeInterval:  d.settings.Group.ProbeInterval,
-		MaxConnections: d.settings.Caller.MaxConnections,
-		StartTimeout:   d.settings.Caller.StartTimeout,
-		Open:           d.options.open,
+		Observer:      &observer{recorder: d.recorder, gaps: newWriteGaps(clock, d.recorder.WriteGap), stats: newTransactionStats(d.stats)},
+		ProbeInterval: d.settings.Group.ProbeInterval,
+		Limits:        callerLimits(&d.settings.Caller),
+		Open:          d.options.open,
 	})
 	if err != nil {
 		return err
@@ -45,6 +45,10 @@
 	return d.register()
 }
 
+func callerLimits(c *cfgini.Caller) front.Limits {
+	return front.Limits{MaxConnections: c.MaxConnections, StartupTimeout: c.StartTimeout, MaxMessage: c.MaxMessage}
+}
+
 func (d *Daemon) debugf(format string, args ...any) { d.log().Debug().Msgf(format, args...) }
 
 // register publishes the receivers to other VMs.
@@ -79,18 +83,21 @@
 // observer passes transactions to the burn record and the metrics.
 type observer struct {
 	recorder *burn.Recorder
+	gaps     *writeGaps
 	stats    *transactionStats
 }
 
 // Transaction implements front.Observer.
 func (o *observer) Transaction(t front.Observation) {
 	o.recorder.Transaction(t.Service, t.Customer, burn.Result{
-		Failed:    t.Failed,
-		Kind:      t.Kind,
-		Latency:   t.Latency,
-		Read:      t.Mode == config.ReadRoute,
-		ByReplica: t.ByReplica,
+		Failed:     t.Failed,
+		Kind:       t.Kind,
+		WithinRate: t.WithinRate,
+		Latency:    t.Latency,
+		Read:       t.Mode == config.ReadRoute,
+		ByReplica:  t.ByReplica,
 	})
+	o.gaps.observe(&t)
 	o.stats.count(t)
 }
 
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -9,13 +9,14 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/logs"
 	"siskintray.example/siskin/internal/relay"
 )
 
 // serveConn runs the start-up and then the session of one connection.
 func (s *Server) serveConn(conn net.Conn) {
 	defer conn.Close()
-	if conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)) != nil {
+	if conn.SetDeadline(time.Now().Add(s.Limits().StartupTimeout)) != nil {
 		return
 	}
 	c, err := s.startUp(conn)
@@ -23,9 +24,7 @@
 		if e := new(siskin.Error); errors.As(err, &e) {
 			s.counts.refused[e.Kind].Add(1)
 		}
-		if s.cfg.Log != nil {
-			s.cfg.Log.Info().Err(err).Msg("caller refused at start-up")
-		}
+		s.log.Failed(logs.Request{}, asError(err), "caller refused at start-up")
 		return
 	}
 	if c == nil {
