node: record the primary at the platform after a change

Change: each VM that watches a group reads the record after a change of primary and when it starts to watch, and raises it by conditional update when its term is older. The first in rank acts after 1 to 2 s, each further rank 5 s later. Failures back off with full jitter (base 1 s, maximum 30 s), in a budget of 0.2 calls/s a VM. Nothing waits for it. The recorded term is in GroupView, in the admin API (RecordedTerm) and in group status (RECORDED).

--- a/group.go
+++ b/group.go
@@ -21,6 +21,9 @@
 	// Primary is empty while the group has none.
 	Primary TargetID
 	Targets []TargetView // ordered by id
+	// Recorded is the term of the platform's record of the primary, as far as
+	// the VM that gave the view knows; zero when unknown. It may lag behind Term.
+	Recorded Term
 }
 
 // Target returns the view of one target.
--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -11,8 +11,11 @@
 type GroupStatus struct {
 	Service siskin.ServiceName
 	Term    siskin.Term
-	Primary siskin.TargetID // empty while the group has none
-	Targets []TargetStatus
+	// RecordedTerm is the term of the platform's record of the primary; zero
+	// when the VM that answers does not know it.
+	RecordedTerm siskin.Term
+	Primary      siskin.TargetID // empty while the group has none
+	Targets      []TargetStatus
 }
 
 // TargetStatus is a target as operators see it.
@@ -33,7 +36,7 @@
 }
 
 func groupStatus(service siskin.ServiceName, v siskin.GroupView) GroupStatus {
-	g := GroupStatus{Service: service, Term: v.Term, Primary: v.Primary, Targets: []TargetStatus{}}
+	g := GroupStatus{Service: service, Term: v.Term, RecordedTerm: v.Recorded, Primary: v.Primary, Targets: []TargetStatus{}}
 	for _, t := range v.Targets {
 		s := TargetStatus{
 			ID: t.Status.ID, Role: t.Status.Role.String(), Reachable: t.Reachable, Leaving: t.Status.Leaving,
--- a/internal/cmds/group.go
+++ b/internal/cmds/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/url"
+	"strconv"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/admin"
@@ -42,22 +43,31 @@
 }
 
 func groupText(list []admin.GroupStatus) string {
-	rows := []string{"SERVICE\tTERM\tTARGET\tROLE\tSTATE\tRECEIVED\tAPPLIED\tAGE"}
+	rows := []string{"SERVICE\tTERM\tRECORDED\tTARGET\tROLE\tSTATE\tRECEIVED\tAPPLIED\tAGE"}
 	for _, g := range list {
 		if g.Primary == "" {
-			rows = append(rows, fmt.Sprintf("%s\t%d\tNO PRIMARY\t\t\t\t\t", g.Service, g.Term))
+			rows = append(rows, fmt.Sprintf("%s\t%d\t%s\tNO PRIMARY\t\t\t\t\t", g.Service, g.Term, recordedTerm(g)))
 		}
 		for _, t := range g.Targets {
 			age := "unknown"
 			if t.Staleness != nil {
 				age = t.Staleness.String()
 			}
-			rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s", g.Service, g.Term, t.ID, t.Role, targetState(t), t.Received, t.Applied, age))
+			rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s", g.Service, g.Term, recordedTerm(g), t.ID, t.Role, targetState(t), t.Received, t.Applied, age))
 		}
 	}
 	return table(rows...)
 }
 
+// recordedTerm is the term of the platform's record, which lags behind after a
+// change of primary.
+func recordedTerm(g admin.GroupStatus) string {
+	if g.RecordedTerm == 0 {
+		return "unknown"
+	}
+	return strconv.FormatUint(uint64(g.RecordedTerm), 10)
+}
+
 func targetState(t admin.TargetStatus) string {
 	switch {
 	case !t.Reachable:
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -27,7 +27,7 @@
 	d.stats = stats.New()
 	d.node, err = node.Start(node.Config{
 		Self: d.self, Clock: clock, Log: d.log(),
-		Config: d.spread, Members: d.members, Peers: d.client, Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
+		Config: d.spread, Members: d.members, Peers: d.client, Platform: d.platform.For(recordsPerSecond, recordsBurst), Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
 		Caller: d.listeners.caller, Forward: d.listeners.forward,
 		CallerTLS: serverTLS(d.listeners.callerCert), PeerTLS: d.listeners.peerTLS,
 		Observer:       &observer{recorder: d.recorder, stats: newTransactionStats(d.stats)},
@@ -45,6 +45,14 @@
 	return d.register()
 }
 
+// Budget of the records of primaries. When all 2,800 VMs of the planned size
+// have records to write, such as after an outage of the platform, they make 560
+// calls a second, half of them reads.
+const (
+	recordsPerSecond = 0.2
+	recordsBurst     = 4
+)
+
 func (d *Daemon) debugf(format string, args ...any) { d.log().Debug().Msgf(format, args...) }
 
 // register publishes the receivers to other VMs.
@@ -122,3 +130,11 @@
 func (d *Daemon) Service(name siskin.ServiceName) (*config.Service, bool) {
 	return d.spread.Service(name)
 }
+
+// Group returns the group of a service that this VM watches.
+func (d *Daemon) Group(service siskin.ServiceName) (siskin.Group, bool) { return d.node.Group(service) }
+
+// View returns the group of a service, from a home if this VM is none.
+func (d *Daemon) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
+	return d.node.View(ctx, service)
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -24,8 +24,10 @@
 	Members siskin.Members
 	Peers   siskin.Peers
 	Limiter siskin.Limiter
-	Keys    siskin.Keys
-	Tokens  *token.Codec
+	// Platform takes the records of primaries; nil means that none are written.
+	Platform siskin.Platform
+	Keys     siskin.Keys
+	Tokens   *token.Codec
 
 	// Caller and Forward accept callers and transactions of other VMs.
 	Caller, Forward net.Listener
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	queues    *queues
 	slots     *slots
 	groups    *groups
+	records   *records
 	remote    *remoteViews
 	pool      *pool.Pool
 	home      *relay.Home
@@ -45,7 +46,11 @@
 	n.homes = newHomes(cfg.Members)
 	n.queues = newQueues(cfg.Clock)
 	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) },
-		func(s siskin.ServiceName, v *siskin.GroupView) { n.home.Observe(s, v) })
+		func(s siskin.ServiceName, v *siskin.GroupView) {
+			n.home.Observe(s, v)
+			n.records.observe(s, v)
+		})
+	n.records = newRecords(cfg, n.rank)
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
 	n.groups.silent = n.pool.ProbeFailed
@@ -98,6 +103,7 @@
 	})
 	n.wg.Go(func() { _ = n.server.Serve(n.cfg.Forward) }) // ends when the listener closes
 	n.wg.Go(n.follow)
+	n.wg.Go(func() { n.records.run(n.ctx) })
 }
 
 func (n *Node) follow() {
@@ -138,11 +144,20 @@
 // Receivers returns the net/rpc receivers of the node by their names.
 func (n *Node) Receivers() map[string]any {
 	return map[string]any{
-		"Group": &groupReceiver{groups: n.groups},
+		"Group": &groupReceiver{groups: n.groups, records: n.records},
 		"Node":  &nodeReceiver{node: n},
 	}
 }
 
+// rank returns this VM's place among the VMs that watch a group.
+func (n *Node) rank(service siskin.ServiceName) int {
+	s, ok := n.cfg.Config.Service(service)
+	if !ok {
+		return 0
+	}
+	return n.groups.rank(s)
+}
+
 // Group returns the group of a service that this VM watches.
 func (n *Node) Group(service siskin.ServiceName) (siskin.Group, bool) { return n.groups.Group(service) }
 
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -10,7 +10,9 @@
 // View returns the group of a service, from a home if this VM is none.
 func (n *Node) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
 	if g, ok := n.groups.Group(service); ok {
-		return g.View(), nil
+		view := g.View()
+		view.Recorded = n.records.recorded(service)
+		return view, nil
 	}
 	s, err := n.service(service)
 	if err != nil {
--- /dev/null
+++ b/internal/node/records.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/retry"
+)
+
+// Timing of the platform's records of primaries.
+const (
+	// recordDelay keeps the record off the path of a failover and lets several
+	// changes in a row make one update.
+	recordDelay = time.Second
+	// recordTurn times the rank of a VM among those that watch the group is how
+	// much later it acts, so that one VM usually writes and the next one does
+	// when the first cannot.
+	recordTurn = 5 * time.Second
+	// recordTimeout bounds one attempt. It is above the wait for two calls of
+	// the budget in which the daemon makes them.
+	recordTimeout = 15 * time.Second
+)
+
+// recordBackoff spreads the attempts after a failure. Its maximum bounds how
+// long a record stays behind after an outage of the platform.
+var recordBackoff = retry.Backoff{Base: time.Second, Max: 30 * time.Second}
+
+// records brings the platform's record of each watched group's primary up to
+// date after a change. Nothing waits for it, and several VMs may race.
+type records struct {
+	self  siskin.VM
+	clock siskin.Clock
+	store *recordStore
+	log   *log.Logger
+	// rank returns this VM's place among the VMs that watch the group.
+	rank func(service siskin.ServiceName) int
+
+	mu     sync.Mutex
+	groups map[siskin.ServiceName]*recordState
+	wake   chan struct{}
+}
+
+// recordState is what a VM knows of one group and its record.
+type recordState struct {
+	term     siskin.Term // newest term that this VM knows
+	primary  siskin.TargetID
+	recorded siskin.Term // term of the record when it was last read or written
+	failures int
+	due      time.Time
+}
+
+func newRecords(cfg Config, rank func(siskin.ServiceName) int) *records {
+	return &records{
+		self: cfg.Self, clock: cfg.Clock, log: cfg.Log, rank: rank,
+		store:  &recordStore{platform: cfg.Platform, self: cfg.Self},
+		groups: make(map[siskin.ServiceName]*recordState), wake: make(chan struct{}, 1),
+	}
+}
+
+// observe notes a view of a watched group. An empty one says that the group is
+// watched no longer. It does not block.
+func (r *records) observe(service siskin.ServiceName, view *siskin.GroupView) {
+	if r.store.platform == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.groups[service]
+	switch {
+	case len(view.Targets) == 0:
+		delete(r.groups, service)
+		return
+	case view.Primary == "" || s != nil && view.Term <= s.term:
+		return
+	case s == nil:
+		s = new(recordState)
+		r.groups[service] = s
+	}
+	s.term, s.primary, s.failures = view.Term, view.Primary, 0
+	turn := time.Duration(r.rank(service)) * recordTurn
+	s.due = r.clock.Now().Add(recordDelay + turn + time.Duration(rand.Int64N(int64(recordDelay))))
+	select {
+	case r.wake <- struct{}{}:
+	default: // the loop looks again anyway
+	}
+}
+
+// recorded returns the term of a group's record, zero when it is not known.
+func (r *records) recorded(service siskin.ServiceName) siskin.Term {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.groups[service]; s != nil {
+		return s.recorded
+	}
+	return 0
+}
+
+// run updates one record after the other until the context ends.
+func (r *records) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		service, s, wait := r.next()
+		if wait > 0 {
+			select {
+			case <-r.clock.After(wait):
+			case <-r.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+		recorded, err := r.store.raise(ctx, service, s.term, s.primary)
+		cancel()
+		r.done(service, recorded, err)
+	}
+}
+
+// idleWait is the time between two looks when no record is behind.
+const idleWait = time.Minute
+
+// next returns the group whose record is due first and how long to wait for it.
+func (r *records) next() (first siskin.ServiceName, state recordState, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, s := range r.groups {
+		if s.recorded < s.term && (first == "" || s.due.Before(state.due)) {
+			first, state = service, *s
+		}
+	}
+	if first == "" {
+		return "", recordState{}, idleWait
+	}
+	return first, state, state.due.Sub(r.clock.Now())
+}
+
+// done notes the result of an attempt.
+func (r *records) done(service siskin.ServiceName, recorded siskin.Term, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.groups[service]
+	if s == nil {
+		return
+	}
+	if err != nil {
+		s.failures++
+		s.due = r.clock.Now().Add(recordBackoff.Base/2 + recordBackoff.Delay(s.failures, rand.Int64N))
+		if r.log != nil {
+			r.log.Debug().Err(err).Str("Service", string(service)).Msg("record of the primary not updated; it is tried again")
+		}
+		return
+	}
+	s.recorded, s.failures = max(s.recorded, recorded), 0
+}
--- a/internal/node/rpcgroup.go
+++ b/internal/node/rpcgroup.go
@@ -38,13 +38,17 @@
 }
 
 // groupReceiver answers other VMs' questions about groups over net/rpc.
-type groupReceiver struct{ groups *groups }
+type groupReceiver struct {
+	groups  *groups
+	records *records
+}
 
 // View returns the present view of a group that this VM watches.
 func (r *groupReceiver) View(service siskin.ServiceName, reply *ViewReply) error {
 	g, ok := r.groups.Group(service)
 	if ok {
 		*reply = ViewReply{Watched: true, View: g.View()}
+		reply.View.Recorded = r.records.recorded(service)
 	}
 	return nil
 }
