--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -20,7 +20,7 @@
 func (d *Daemon) startNode() (err error) {
 	clock := d.options.clock
 	proof := newEvidence(d.members)
-	d.spread = spread.New(spread.Config{}, d.members, d.client, d.platform, spread.WithClock(clock), spread.WithEvidence(proof), spread.WithLogf(d.debugf))
+	d.spread = spread.New(spread.Config{}, &awakeMembers{d.members}, d.client, d.platform, spread.WithClock(clock), spread.WithEvidence(proof), spread.WithLogf(d.debugf))
 	proof.setView(d.spread)
 	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proof.current))
 	d.limiter = limit.New(clock, d.spread, d.members, d.client, d.platform,
@@ -29,13 +29,14 @@
 	d.stats = stats.New()
 	d.node, err = node.Start(node.Config{
 		Self: d.self, Clock: clock, Log: d.log(),
-		Config: d.spread, Members: d.members, Peers: d.client, Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
+		Config: d.spread, Members: d.members, Peers: d.client, Platform: d.platform.For(recordsPerSecond, recordsBurst), Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
 		Caller: d.listeners.caller, Forward: d.listeners.forward,
 		CallerTLS: serverTLS(d.listeners.callerCert), PeerTLS: d.listeners.peerTLS,
 		Observer:      &observer{recorder: d.recorder, gaps: newWriteGaps(clock, d.recorder.WriteGap), stats: newTransactionStats(d.stats)},
 		ProbeInterval: d.settings.Group.ProbeInterval,
 		Limits:        callerLimits(&d.settings.Caller),
 		Open:          d.options.open,
+		Awake:         d.members.Awake,
 	})
 	if err != nil {
 		return err
@@ -49,6 +50,14 @@
 	return front.Limits{MaxConnections: c.MaxConnections, StartupTimeout: c.StartTimeout, MaxMessage: c.MaxMessage}
 }
 
+// Budget of the records of primaries. When all 2,800 VMs of the planned size
+// have records to write, such as after an outage of the platform, they make 560
+// calls a second, half of them reads.
+const (
+	recordsPerSecond = 0.2
+	recordsBurst     = 4
+)
+
 func (d *Daemon) debugf(format string, args ...any) { d.log().Debug().Msgf(format, args...) }
 
 // register publishes the receivers to other VMs.
@@ -56,7 +65,7 @@
 	receivers := d.node.Receivers()
 	receivers["Member"] = d.members.Receiver()
 	receivers["Spread"] = d.spread.Receiver()
-	receivers["Limit"] = d.limiter.Receiver()
+	receivers["Limit"] = &limitReceiver{d.limiter.Receiver(), d.members.Awake}
 	receivers["Keys"] = d.keys.Receiver()
 	receivers["Daemon"] = &receiver{d}
 	for name, r := range receivers {
@@ -129,3 +138,11 @@
 func (d *Daemon) Service(name siskin.ServiceName) (*config.Service, bool) {
 	return d.spread.Service(name)
 }
+
+// Group returns the group of a service that this VM watches.
+func (d *Daemon) Group(service siskin.ServiceName) (siskin.Group, bool) { return d.node.Group(service) }
+
+// View returns the group of a service, from a home if this VM is none.
+func (d *Daemon) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
+	return d.node.View(ctx, service)
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -24,8 +24,10 @@
 	Members siskin.Members
 	Peers   siskin.Peers
 	Limiter siskin.Limiter
-	Keys    siskin.Keys
-	Tokens  *token.Codec
+	// Platform takes the records of primaries; nil means that none are written.
+	Platform siskin.Platform
+	Keys     siskin.Keys
+	Tokens   *token.Codec
 
 	// Caller and Forward accept callers and transactions of other VMs.
 	Caller, Forward net.Listener
@@ -38,6 +40,10 @@
 	ProbeInterval time.Duration
 	// Limits bound callers; zero values mean the defaults of package front.
 	Limits front.Limits
+	// Awake reports whether this VM may use its roles. It is false after a pause
+	// until the VM has heard from its peers and Resume returned; nil means
+	// always.
+	Awake func() bool
 	// Observer is told of each transaction that ended; nil means nobody.
 	Observer front.Observer
 	// Open replaces net.Dialer.DialContext for connections to targets and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	queues    *queues
 	slots     *slots
 	groups    *groups
+	records   *records
 	remote    *remoteViews
 	pool      *pool.Pool
 	home      *relay.Home
@@ -27,9 +28,10 @@
 	front     *front.Server
 	started   time.Time
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	updating sync.Mutex // one update at a time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
 }
 
 // Start starts a VM. Close ends it.
@@ -44,7 +46,11 @@
 	n.homes = newHomes(cfg.Members)
 	n.queues = newQueues(cfg.Clock)
 	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) },
-		func(s siskin.ServiceName, v *siskin.GroupView) { n.home.Observe(s, v) })
+		func(s siskin.ServiceName, v *siskin.GroupView) {
+			n.home.Observe(s, v)
+			n.records.observe(s, v)
+		})
+	n.records = newRecords(cfg, n.rank)
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
 	n.groups.silent = n.pool.ProbeFailed
@@ -57,6 +63,7 @@
 		Limiter: cfg.Limiter,
 		Queues:  n.queues,
 		Pool:    n.pool,
+		Awake:   cfg.Awake,
 	}).Init()
 	n.forwarder = relay.NewForwarder(cfg.Clock, cfg.PeerTLS, cfg.Open)
 	n.server = relay.NewServer(n.home, cfg.Tokens, cfg.PeerTLS, relay.WithLog(cfg.Log))
@@ -95,6 +102,7 @@
 	})
 	n.wg.Go(func() { _ = n.server.Serve(n.cfg.Forward) }) // ends when the listener closes
 	n.wg.Go(n.follow)
+	n.wg.Go(func() { n.records.run(n.ctx) })
 }
 
 func (n *Node) follow() {
@@ -113,6 +121,8 @@
 // update starts the groups before the slots, so that a slot has its group when
 // the first transaction arrives.
 func (n *Node) update() {
+	n.updating.Lock()
+	defer n.updating.Unlock()
 	if n.ctx.Err() != nil {
 		return
 	}
@@ -120,14 +130,33 @@
 	n.slots.update(n.cfg.Config)
 }
 
+// Resume brings the slots and the groups up to date after a pause of this VM,
+// before its roles are used again.
+func (n *Node) Resume() {
+	n.update()
+	n.groups.running.Range(func(_ siskin.ServiceName, w *watchedGroup) bool {
+		w.Resume()
+		return true
+	})
+}
+
 // Receivers returns the net/rpc receivers of the node by their names.
 func (n *Node) Receivers() map[string]any {
 	return map[string]any{
-		"Group": &groupReceiver{groups: n.groups},
+		"Group": &groupReceiver{groups: n.groups, records: n.records},
 		"Node":  &nodeReceiver{node: n},
 	}
 }
 
+// rank returns this VM's place among the VMs that watch a group.
+func (n *Node) rank(service siskin.ServiceName) int {
+	s, ok := n.cfg.Config.Service(service)
+	if !ok {
+		return 0
+	}
+	return (&ranker{self: n.cfg.Self.ID, homes: n.homes, service: s}).rank()
+}
+
 // Group returns the group of a service that this VM watches.
 func (n *Node) Group(service siskin.ServiceName) (siskin.Group, bool) { return n.groups.Group(service) }
 
--- a/pkg/member/schedule.go
+++ b/pkg/member/schedule.go
@@ -51,6 +51,11 @@
 	if id, ok := c.rings.successor(c.ring, c.suspected); ok {
 		probes = append(probes, id)
 	}
+	for _, id := range c.takeDoubted(now) {
+		if c.members[id] != nil {
+			probes = append(probes, id)
+		}
+	}
 	overdue := now.Add(-overdueFactor * c.cfg.SuspicionTime)
 	if id, ok := c.randomMember(func(m *member) bool {
 		return m.State == siskin.VMSuspect && (m.silent || m.since.Before(overdue))
