node, relay, pool: planned changes back to an earlier primary fail no write

Cause: a connection that is open while its target is demoted refuses writes for good, also after the target is primary again. The pools kept such connections. Three further causes were found with the test: in the extended protocol the target's ParseComplete came first, so its refusal was passed to the caller as an error of the statement; a primary that is paused for a planned change was taken for one that works; and the retry budget of a customer with few requests did not cover the one refusal that each request in progress meets.

Change: when a target becomes primary again, the VM closes the connections from before. Small messages before the first result of a write are held, so that a refusal in the extended protocol is seen as well. After a refusal the relay looks at the pause, too, and at the connection. A refusal after which writes wait for the group (retry.Refused) needs no budget; the randomised tests of the budget and of failure messages draw the new proof, too.

--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -47,8 +47,8 @@
 	if t.route.Mode == config.ReadRoute && f.Proof == retry.Unsent && t.attempts < len(t.service.Targets) {
 		delay = 0 // another target is tried at once
 	}
-	if f.Proof == retry.ReportedAbort {
-		// The target is no primary; it will not do to ask it again before the
+	if f.Proof == retry.ReportedAbort || f.Proof == retry.Refused {
+		// The target refuses writes; it will not do to ask it again before the
 		// group has changed.
 		delay += backoff.Max
 	}
@@ -60,8 +60,9 @@
 	if verdict != retry.Retry || c.endReason() != nil {
 		return false
 	}
-	if f.Proof == retry.Unsent {
-		// No target was sent anything, so waiting adds no load to them.
+	if f.Proof.IsFree() {
+		// A paused primary refuses each request in progress once; a budget that
+		// is small for a customer with few requests would fail some of them.
 		c.srv.counts.waits.Add(1)
 		c.waitForChange(t, delay)
 		return true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,8 +45,12 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.homes = newHomes(cfg.Members)
 	n.queues = newQueues(cfg.Clock)
+	former := newFormerPrimaries()
 	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) },
 		func(s siskin.ServiceName, v *siskin.GroupView) {
+			if former.returned(v) {
+				n.pool.Retire(v.Primary)
+			}
 			n.home.Observe(s, v)
 			n.records.observe(s, v)
 		})
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -8,7 +8,8 @@
 	"siskintray.example/siskin/internal/frame"
 )
 
-// maxHeld bounds the messages held back behind a CommandComplete.
+// maxHeld bounds the messages held back behind a CommandComplete or before a
+// result.
 const maxHeld = 4 << 10
 
 // maxSmall is the largest message that is held back.
@@ -34,7 +35,7 @@
 		case 'Z':
 			return l.ready(sink)
 		case 'E':
-			if l.mayBeRefusal() {
+			if l.mayBeRefusal() && l.conn.R.Left() <= maxReport {
 				return l.refused(sink)
 			}
 		case 'C':
@@ -65,8 +66,11 @@
 }
 
 // pass forwards one message, or holds it when it is small and follows a held
-// CommandComplete.
+// CommandComplete or precedes the first result of a write.
 func (l *local) pass(sink Sink, h frame.Head) error {
+	if l.mayBeRefusal() && h.Len <= maxSmall && len(l.held) < maxHeld && strings.IndexByte("123ntT", h.Type) >= 0 {
+		return l.hold(h) // precedes the error when the target refuses the write
+	}
 	l.answered = true
 	if len(l.held) > 0 && h.Len <= maxSmall && len(l.held) < maxHeld && strings.IndexByte("123nNSA", h.Type) >= 0 {
 		return l.hold(h)
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -85,7 +85,7 @@
 		f.Report = []byte(report)
 	}
 	f.Admitted, f.WithinRate = d.bools()
-	if proof > uint64(retry.Unsent) {
+	if proof > uint64(retry.Refused) {
 		d.bad = true
 	}
 	f.Proof = retry.Proof(proof)
--- a/internal/relay/floor.go
+++ b/internal/relay/floor.go
@@ -54,7 +54,8 @@
 	columnClaimed    = 2
 	columnStreamTerm = 4
 	columnApplied    = 7
-	statusColumns    = 8 // at least
+	columnDraining   = 10
+	statusColumns    = 11 // at least
 )
 
 func (l *local) queryStatus() (siskin.TargetStatus, error) {
@@ -70,6 +71,7 @@
 	if string(row[columnRole]) == siskin.RolePrimary.String() {
 		status.Role = siskin.RolePrimary
 	}
+	status.Draining = string(row[columnDraining]) == "true"
 	claimed, ok1 := parseTerm(row[columnClaimed])
 	term, ok2 := parseTerm(row[columnStreamTerm])
 	lsn, err := siskin.ParseLSN(string(row[columnApplied]))
--- a/internal/relay/localend.go
+++ b/internal/relay/localend.go
@@ -67,5 +67,26 @@
 	l.endWork()
 	e := siskin.NewError(siskin.NotRun, "target %s refused the write and ran nothing", l.hdr.Target).
 		WithRemedy("repeat the request; it goes to the primary")
+	return &Failure{Proof: retry.Refused, Err: e, Report: report}
+}
+
+// outlived ends a write that was refused because the connection was open while
+// the target was demoted. Such a connection refuses writes for good.
+func (l *local) outlived(report []byte) *Failure {
+	cause := siskin.NewError(siskin.NotRun, "connection to target %s is older than its latest demotion", l.hdr.Target).
+		WithRemedy("repeat the request; it gets another connection")
+	l.Abort(nil)
+	return &Failure{Proof: retry.Refused, Err: cause, Report: report}
+}
+
+// passing ends a write that the target refused although it is the primary: a
+// pause for a planned change ended in between. The group is not told, since a
+// statement of the caller can raise the same error again and again, and writes
+// of others would be held each time.
+func (l *local) passing(report []byte) *Failure {
+	l.recycle()
+	l.endWork()
+	e := siskin.NewError(siskin.NotRun, "target %s refused the write for a moment and ran nothing", l.hdr.Target).
+		WithRemedy("repeat the request")
 	return &Failure{Proof: retry.ReportedAbort, Err: e, Report: report}
 }
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -100,8 +100,7 @@
 	}
 	pos, ok := parsePosition(row)
 	if !ok {
-		l.recycle()
-		l.endWork()
+		l.Abort(nil) // the connection may be older than a demotion of the target
 		return unknown(nil, "target %s did not report the position of the commit", l.hdr.Target)
 	}
 	if l.collected {
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -14,18 +14,17 @@
 const stateReadOnly = "25006"
 
 // mayBeRefusal says that an error could show that a write ran nothing: it is
-// the first answer of the transaction's first batch.
+// the first result of the transaction's first batch.
 func (l *local) mayBeRefusal() bool {
-	return !l.answered && l.status == 'I' && l.collected && l.route.Mode == config.WriteRoute &&
-		l.conn.R.Left() <= maxReport
+	return !l.answered && l.status == 'I' && l.collected && l.route.Mode == config.WriteRoute
 }
 
 // maxReport bounds an error that travels in a failure message.
 const maxReport = 4 << 10
 
 // refused reads the target's error to the end of the answer. When the target is
-// no primary anymore, the error proves that the write ran nothing. Otherwise it
-// is the caller's.
+// no primary anymore, or refused writes for a moment, the error proves that the
+// write ran nothing. Otherwise it is the caller's.
 func (l *local) refused(sink Sink) (Result, *Failure) {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil {
@@ -43,17 +42,36 @@
 	}
 	var e pgproto3.ErrorResponse
 	if status == 'I' && e.Decode(report) == nil && e.Code == stateReadOnly {
-		at, err := l.queryStatus()
-		if err != nil {
-			return Result{}, l.fail(err)
-		}
-		if at.Role != siskin.RolePrimary || at.ClaimedTerm > at.StreamTerm {
-			return Result{}, l.reported(report)
-		}
+		return Result{}, l.refusedWrite(report)
 	}
 	l.status = status
+	if err := l.releaseHeld(sink); err != nil {
+		return Result{}, l.failEither(err)
+	}
 	if sink.Small('E', report) != nil || sink.Small('Z', statusBody(status)) != nil || sink.Flush() != nil {
 		return Result{}, l.callerGone(sink.Err())
 	}
 	return Result{Status: status}, nil
 }
+
+// refusedWrite finds out why the target refuses the write. A caller's own
+// read-only transaction is refused after its BEGIN was answered, so whatever
+// the reason is, the write ran nothing and may be sent again.
+func (l *local) refusedWrite(report []byte) *Failure {
+	at, err := l.queryStatus()
+	if err != nil {
+		return l.fail(err)
+	}
+	if at.Role != siskin.RolePrimary || at.ClaimedTerm > at.StreamTerm || at.Draining {
+		return l.reported(report)
+	}
+	// The connection may be older than the target's latest demotion.
+	row, _, err := l.queryRow(positionQuery)
+	if err != nil {
+		return l.fail(err)
+	}
+	if _, ok := parsePosition(row); !ok {
+		return l.outlived(report)
+	}
+	return l.passing(report)
+}
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -9,7 +9,7 @@
 // Proof is what is known about a failed attempt.
 type Proof int
 
-// Proofs, from weak to strong.
+// Proofs.
 const (
 	// Unknown means that the attempt may have taken effect.
 	Unknown Proof = iota
@@ -17,10 +17,17 @@
 	ReportedAbort
 	// Unsent means that nothing of the attempt was sent to a target.
 	Unsent
+	// Refused means that the target refused the attempt before it ran anything,
+	// and that the writes that follow wait until the group has changed.
+	Refused
 )
 
 // NotRun reports whether the proof shows that nothing took effect.
-func (p Proof) NotRun() bool { return p == Unsent || p == ReportedAbort }
+func (p Proof) NotRun() bool { return p != Unknown }
+
+// IsFree reports whether another attempt waits rather than adds load, so that it
+// needs no budget.
+func (p Proof) IsFree() bool { return p == Unsent || p == Refused }
 
 // Attempt describes one failed attempt.
 type Attempt struct {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -43,7 +43,7 @@
 			first++
 			runs := 0
 			for n := 1; ; n++ {
-				a.Proof = Proof(rnd.IntN(3))
+				a.Proof = Proof(rnd.IntN(int(Refused) + 1))
 				a.Answered = rnd.IntN(4) == 0
 				if !a.Proof.NotRun() {
 					runs++ // the worst case of an unknown outcome is that it ran
