relay: close connections that refuse writes for good

Connections that are open while a primary becomes a replica refuse writes from then on, also when the target is promoted again. The home asked the target, found a primary, took the error for the caller's own, and returned the connection to the pool, where it was used again.

Change: the position query behind each write batch tells: such a connection refuses it too. The home then closes the connection and those idle ones of its slot that are not younger (Conn.CloseOlder). A first statement that it refused is reported as not run and sent again. The answer to BEGIN alone waits for the position behind it, which arrives with it, so that a transaction does not start on such a connection; it is sent again too. The group is told that the target refuses writes only when the target itself is no primary.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +137,22 @@
 // Close closes the connection; cause is nil when it is not the target's fault.
 func (c *Conn) Close(cause error) { c.slot.remove(c, cause) }
 
+// CloseOlder closes the connection and those idle ones of its account in its
+// slot that were not opened after it. It is for a fault of the target that lies
+// between the opening of the connection and now.
+func (c *Conn) CloseOlder() {
+	s := c.slot
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removeLocked(c)
+	for _, other := range slices.Clone(s.idle[c.account]) {
+		if !other.opened.After(c.opened) {
+			s.removeLocked(other)
+		}
+	}
+	s.ensure()
+}
+
 // roundTrip runs a statement without rows and reports whether the target then
 // was idle outside a transaction.
 func (c *Conn) roundTrip(query []byte, timeout time.Duration) bool {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -74,6 +74,7 @@
 	if err := l.releaseHeld(sink); err != nil {
 		return err
 	}
+	l.passed = true
 	return forward(sink, h, l.conn.R)
 }
 
@@ -103,6 +104,7 @@
 			return err
 		}
 	}
+	l.passed = l.passed || len(l.held) > 0
 	for b := l.held; len(b) > 0; {
 		n := int(b[1])<<8 | int(b[2])
 		if err := sink.Small(b[0], b[3:3+n]); err != nil {
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -47,8 +47,10 @@
 	status    byte // transaction status before the batch
 	sent      bool // something of the caller was sent
 	answered  bool // the target answered something
+	passed    bool // something of the answer was passed on
 	asked     bool // a position query follows the batch
 	copies    bool // a statement may start COPY
+	stale     bool // the connection refuses writes for good
 	collected bool // the whole batch was sent before its answer is read
 	quiesce   func()
 
@@ -159,6 +161,13 @@
 	release := l.release
 	l.release = nil
 	l.mu.Unlock()
+	if l.stale {
+		conn.CloseOlder()
+		if release != nil {
+			release()
+		}
+		return
+	}
 	go func() {
 		conn.Recycle(l.hdr.Request)
 		if release != nil {
--- a/internal/relay/localend.go
+++ b/internal/relay/localend.go
@@ -62,7 +62,6 @@
 // reported ends the transaction after the target reported that it refused it
 // without running anything.
 func (l *local) reported(report []byte) *Failure {
-	l.group.Suspect(l.hdr.Target, siskin.NewError(siskin.NotRun, "target %s refuses writes", l.hdr.Target))
 	l.recycle()
 	l.endWork()
 	e := siskin.NewError(siskin.NotRun, "target %s refused the write and ran nothing", l.hdr.Target).
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -22,10 +22,13 @@
 	case l.mustConfirm(before):
 		f = l.confirm(sink)
 	case l.asked:
-		_, _, err := l.readRow()
+		row, _, err := l.readRow()
 		if err != nil {
 			f = l.fail(err)
 		}
+		// A target that was a replica since the connection was opened refuses
+		// writes and the position on it for good, also as a primary again.
+		l.stale = row == nil
 	}
 	if f != nil {
 		return Result{}, f
@@ -42,7 +45,19 @@
 }
 
 // inTransaction ends a batch within a transaction. Nothing is acknowledged yet.
+// The answer to a first batch such as BEGIN waits for the position behind it:
+// without one the connection takes no writes, and nothing ran.
 func (l *local) inTransaction(sink Sink) (Result, *Failure) {
+	if l.asked && l.status == 'T' && !l.passed && l.completed == 1 {
+		l.asked = false
+		row, _, err := l.readRow()
+		if err != nil {
+			return Result{}, l.fail(err)
+		}
+		if l.stale = row == nil; l.stale {
+			return Result{}, l.reported(nil)
+		}
+	}
 	if f := l.sendReady(sink); f != nil {
 		return Result{}, f
 	}
@@ -100,6 +115,7 @@
 	}
 	pos, ok := parsePosition(row)
 	if !ok {
+		l.stale = true
 		l.recycle()
 		l.endWork()
 		return unknown(nil, "target %s did not report the position of the commit", l.hdr.Target)
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -24,8 +24,8 @@
 const maxReport = 4 << 10
 
 // refused reads the target's error to the end of the answer. When the target is
-// no primary anymore, the error proves that the write ran nothing. Otherwise it
-// is the caller's.
+// no primary anymore or takes no writes on this connection, the error proves
+// that the write ran nothing. Otherwise it is the caller's.
 func (l *local) refused(sink Sink) (Result, *Failure) {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil {
@@ -37,9 +37,11 @@
 		return Result{}, l.fail(err)
 	}
 	if l.asked {
-		if _, _, err := l.readRow(); err != nil {
+		row, _, err := l.readRow()
+		if err != nil {
 			return Result{}, l.fail(err)
 		}
+		l.stale = row == nil
 	}
 	var e pgproto3.ErrorResponse
 	if status == 'I' && e.Decode(report) == nil && e.Code == stateReadOnly {
@@ -48,6 +50,10 @@
 			return Result{}, l.fail(err)
 		}
 		if at.Role != siskin.RolePrimary || at.ClaimedTerm > at.StreamTerm {
+			l.group.Suspect(l.hdr.Target, siskin.NewError(siskin.NotRun, "target %s refuses writes", l.hdr.Target))
+			return Result{}, l.reported(report)
+		}
+		if l.stale {
 			return Result{}, l.reported(report)
 		}
 	}
