--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -84,7 +84,7 @@
 	}
 	e.Sent = c.run.elapsed()
 	if err := c.connect(ctx, e.Operation); err != nil {
-		e.Outcome = outcomeOf(err)
+		e.Outcome = OutcomeOf(err)
 		if e.Outcome == ConnectionLost {
 			e.Outcome = NotConnected
 		}
@@ -186,7 +186,7 @@
 
 // finish classifies the result, keeps the token and drops a broken connection.
 func (c *caller) finish(e *Event, err error) {
-	e.Outcome = outcomeOf(err)
+	e.Outcome = OutcomeOf(err)
 	if c.conn.IsClosed() {
 		c.disconnect()
 		c.vm = c.random.IntN(len(c.run.cfg.VMs))
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -25,8 +25,8 @@
 	Stopped Outcome = "Stopped"
 )
 
-// outcomeOf classifies the error of a request that was sent.
-func outcomeOf(err error) Outcome {
+// OutcomeOf classifies the error of a request that was sent.
+func OutcomeOf(err error) Outcome {
 	if err == nil {
 		return Acknowledged
 	}
--- a/internal/stand/target/table.go
+++ b/internal/stand/target/table.go
@@ -2,9 +2,8 @@
 
 import "siskintray.example/siskin"
 
-// PrimaryTable returns the table of the group's newest primary, for tests that
-// compare the data with what callers saw.
-func PrimaryTable(group []*Server) map[string]string {
+// Primary returns the group's newest primary, or nil.
+func Primary(group []*Server) *Server {
 	var newest *Server
 	var term siskin.Term
 	for _, s := range group {
@@ -13,8 +12,14 @@
 			newest, term = s, st.StreamTerm
 		}
 	}
-	if newest == nil {
-		return nil
+	return newest
+}
+
+// PrimaryTable returns the table of the group's newest primary, for tests that
+// compare the data with what callers saw.
+func PrimaryTable(group []*Server) map[string]string {
+	if s := Primary(group); s != nil {
+		return s.Store().Table()
 	}
-	return newest.Store().Table()
+	return nil
 }
