spread: find an earlier attempt that takes effect late

Cause: found while the soak was written, by reading. An operator repeats a change under the same operation id after a lost answer. The second attempt reads the head; then the first one takes effect and its push arrives. The VM then holds a later revision than the head it read, and ApplyAs returned Conflict, "another change came first", although that change is the operator's own and in force.

Change: in that case the head is read again and searched for the operation. The comment of ApplyAs says which errors of a repetition tell about the first attempt.

Tests: TestLateHeadOfRepetition places the first attempt between the read of the head and the comparison. The fakes got a hook after the read of the head.

Conclusion: a change that is in force is reported as accepted in this order of events.

--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -38,7 +38,9 @@
 // ApplyAs makes a change current under an operation id and returns its
 // revision. Applying the same change again with the same id has no effect and
 // gives the result after an error of kind OutcomeUnknown. An error of kind
-// Conflict means that any other change came first.
+// Conflict means that any other change came first. After an error of kind
+// OutcomeUnknown, one of another kind than Conflict or BadInput says nothing
+// about the earlier attempt.
 func (s *Spread) ApplyAs(ctx context.Context, op siskin.OperationID, change *config.Change) (siskin.Revision, error) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
@@ -51,7 +53,7 @@
 	}
 	view := s.snapshot()
 	if view.revision != h.Revision { // the head is older than what was pushed meanwhile
-		return 0, conflict(view.revision)
+		return s.olderHead(ctx, op)
 	}
 	if err := s.cfg.Validate(view, change).Err(); err != nil {
 		return 0, err
@@ -78,6 +80,19 @@
 	return rev, nil
 }
 
+// olderHead ends an attempt that read a head from before another change. That
+// change may be an earlier attempt of the same operation, whose answer was lost.
+func (s *Spread) olderHead(ctx context.Context, op siskin.OperationID) (siskin.Revision, error) {
+	h, _, err := s.readHead(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if rev, ok := h.find(op); ok {
+		return rev, nil
+	}
+	return 0, conflict(h.Revision)
+}
+
 // write writes the change object and then makes it current.
 func (s *Spread) write(ctx context.Context, h head, version siskin.Version, op siskin.OperationID, docs []Document) error {
 	snapshot, err := s.snapshotRevision(ctx)
--- a/pkg/spread/fleet_test.go
+++ b/pkg/spread/fleet_test.go
@@ -51,6 +51,7 @@
 	firstNow siskin.Object
 	lateHead atomic.Bool // the next update of the head is held back until the one after it
 	late     func()
+	headRead atomic.Pointer[func()] // called once after the next read of the head
 }
 
 // Self implements siskin.Members.
@@ -134,7 +135,11 @@
 	if g.n.cutOff.Load() {
 		return siskin.Object{}, errCutOff
 	}
-	return g.Client.Get(ctx, name)
+	o, err := g.Client.Get(ctx, name)
+	if f := g.n.headRead.Load(); f != nil && name == headName && g.n.headRead.CompareAndSwap(f, nil) {
+		(*f)()
+	}
+	return o, err
 }
 
 // Put implements siskin.Platform.
--- a/pkg/spread/late_test.go
+++ b/pkg/spread/late_test.go
@@ -48,3 +48,24 @@
 		}
 	}
 }
+
+// TestLateHeadOfRepetition guards against an operator who is told that a change
+// was refused although it is in force: its first attempt takes effect while the
+// second one has read the head from before.
+func TestLateHeadOfRepetition(t *testing.T) {
+	_, _, all := fleet(t, 3)
+	inForce(t, all, must(t, all[0], set("op-1", "s", "one")), limit)
+	all[0].lateHead.Store(true)
+	c := set("op-2", "s", "two")
+	if _, err := all[0].Apply(within(limit), c); siskin.KindOf(err) != siskin.OutcomeUnknown {
+		t.Fatalf("first attempt: got %v, want OutcomeUnknown", err)
+	}
+	takeEffect := func() {
+		all[0].late()
+		inForce(t, all, 2, limit)
+	}
+	all[1].headRead.Store(&takeEffect)
+	if rev, err := all[1].Apply(within(limit), c); err != nil || rev != 2 {
+		t.Errorf("second attempt: got revision %d (%v), want 2", rev, err)
+	}
+}
