fleet: add restarts of VMs, cut links and outages to the long run

Cause: the long run of a fleet broke targets only, so slots never moved between VMs and rights, keys and configuration were never without the platform.

Sessions keep the addresses that they were given, since a restart writes them.

--- a/internal/fleet/session_test.go
+++ b/internal/fleet/session_test.go
@@ -22,7 +22,8 @@
 	h      *history
 	rng    *rand.Rand
 	number int
-	all    int // number of sessions
+	all    int      // number of sessions
+	vms    []string // caller addresses
 	writer *pgx.Conn
 	token  string
 	acked  int
@@ -53,8 +54,7 @@
 
 // connect opens a connection to a random VM.
 func (s *session) connect(ctx context.Context, route siskin.RouteName, token string) (*pgx.Conn, error) {
-	vms := s.f.Addresses()
-	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://any@%s/x?sslmode=disable", vms[s.rng.IntN(len(vms))]))
+	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://any@%s/x?sslmode=disable", s.vms[s.rng.IntN(len(s.vms))]))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/soak_test.go
+++ b/internal/fleet/soak_test.go
@@ -51,17 +51,16 @@
 	defer stop()
 	var done sync.WaitGroup
 	for i := range sessions {
-		s := &session{f: f, h: h, rng: rand.New(rand.NewPCG(seed, uint64(i+1))), number: i, all: sessions}
+		s := &session{f: f, h: h, rng: rand.New(rand.NewPCG(seed, uint64(i+1))), number: i, all: sessions, vms: f.Addresses()}
 		done.Go(func() { s.run(running) })
 	}
 	group := f.Groups[p.Services[0]]
-	disturb(group, rand.New(rand.NewPCG(seed, 0)), length)
-	for _, s := range group {
-		heal(s, p)
+	if err := disturb(f, group, rand.New(rand.NewPCG(seed, 0)), length); err != nil {
+		t.Fatal(err)
 	}
 	stop()
 	done.Wait()
-	last := &session{f: f, h: h, rng: rand.New(rand.NewPCG(seed, 100)), number: sessions}
+	last := &session{f: f, h: h, rng: rand.New(rand.NewPCG(seed, 100)), number: sessions, vms: f.Addresses()}
 	defer last.leave()
 	for begun := time.Now(); last.acked == 0; {
 		if time.Since(begun) > 14*time.Second {
@@ -76,39 +75,71 @@
 	t.Logf("seed %d: %s, term %d", seed, h, primary.Store().Status(time.Now()).StreamTerm)
 }
 
-// disturb breaks and heals targets, mostly the primary.
-func disturb(group []*target.Server, rng *rand.Rand, length time.Duration) {
+// disturb breaks and heals targets, mostly the primary, their links to VMs, and
+// the platform, and restarts VMs.
+func disturb(f *Fleet, group []*target.Server, rng *rand.Rand, length time.Duration) error {
+	healLinks := func() {
+		f.Platform.Refuse(false)
+		for _, vm := range f.VMs {
+			for _, s := range group {
+				f.Net.Heal(string(vm.ID()), string(s.ID()))
+			}
+		}
+	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
-		s := group[rng.IntN(len(group))]
+		s, vm := group[rng.IntN(len(group))], f.VMs[rng.IntN(len(f.VMs))]
 		if primary := target.Primary(group); primary != nil && rng.IntN(3) > 0 {
 			s = primary
 		}
-		switch rng.IntN(7) {
+		switch rng.IntN(10) {
 		case 0:
-			s.SetPaused(true)
+			vm.Kill()
+			time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+			if err := vm.Start(); err != nil {
+				return err
+			}
 		case 1:
-			s.SetSilent(true)
+			f.Net.Cut(string(vm.ID()), string(s.ID()))
 		case 2:
-			s.CutReplication(true)
-		case 3:
-			s.SetRefuse(true)
-			s.CutClients()
-		case 4:
-			s.Restart()
-		case 5:
-			s.LoseAnswers([]string{"siskin_claim", "pg_promote", "COMMIT"}[rng.IntN(3)], 1+rng.IntN(2))
+			f.Platform.Refuse(true)
 		default:
-			s.SetLag(time.Duration(rng.IntN(500))*time.Millisecond, time.Duration(rng.IntN(500))*time.Millisecond)
+			breakTarget(s, rng)
 		}
 		time.Sleep(time.Duration(200+rng.IntN(1500)) * time.Millisecond)
 		if rng.IntN(3) > 0 {
-			heal(s, load.Syntyma())
+			heal(s, &f.Profile)
+			healLinks()
 		}
 	}
+	healLinks()
+	for _, s := range group {
+		heal(s, &f.Profile)
+	}
+	return nil
+}
+
+func breakTarget(s *target.Server, rng *rand.Rand) {
+	switch rng.IntN(7) {
+	case 0:
+		s.SetPaused(true)
+	case 1:
+		s.SetSilent(true)
+	case 2:
+		s.CutReplication(true)
+	case 3:
+		s.SetRefuse(true)
+		s.CutClients()
+	case 4:
+		s.Restart()
+	case 5:
+		s.LoseAnswers([]string{"siskin_claim", "pg_promote", "COMMIT"}[rng.IntN(3)], 1+rng.IntN(2))
+	default:
+		s.SetLag(time.Duration(rng.IntN(500))*time.Millisecond, time.Duration(rng.IntN(500))*time.Millisecond)
+	}
 }
 
 // heal ends the faults of a target.
-func heal(s *target.Server, p load.Profile) {
+func heal(s *target.Server, p *load.Profile) {
 	s.SetFaults(func(f *target.Faults) { *f = target.Faults{LinkDelay: config.Duration(p.OneWay)} })
 }
 
