--- a/internal/relay/localend.go
+++ b/internal/relay/localend.go
@@ -62,7 +62,6 @@
 // reported ends the transaction after the target reported that it refused it
 // without running anything.
 func (l *local) reported(report []byte) *Failure {
-	l.group.Suspect(l.hdr.Target, siskin.NewError(siskin.NotRun, "target %s refuses writes", l.hdr.Target))
 	l.recycle()
 	l.endWork()
 	e := siskin.NewError(siskin.NotRun, "target %s refused the write and ran nothing", l.hdr.Target).
@@ -70,15 +69,6 @@
 	return &Failure{Proof: retry.Refused, Err: e, Report: report}
 }
 
-// outlived ends a write that was refused because the connection was open while
-// the target was demoted. Such a connection refuses writes for good.
-func (l *local) outlived(report []byte) *Failure {
-	cause := siskin.NewError(siskin.NotRun, "connection to target %s is older than its latest demotion", l.hdr.Target).
-		WithRemedy("repeat the request; it gets another connection")
-	l.Abort(nil)
-	return &Failure{Proof: retry.Refused, Err: cause, Report: report}
-}
-
 // passing ends a write that the target refused although it is the primary: a
 // pause for a planned change ended in between. The group is not told, since a
 // statement of the caller can raise the same error again and again, and writes
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -23,8 +23,9 @@
 const maxReport = 4 << 10
 
 // refused reads the target's error to the end of the answer. When the target is
-// no primary anymore, or refused writes for a moment, the error proves that the
-// write ran nothing. Otherwise it is the caller's.
+// no primary anymore, takes no writes on this connection or paused them for a
+// moment, the error proves that the write ran nothing. Otherwise it is the
+// caller's.
 func (l *local) refused(sink Sink) (Result, *Failure) {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil {
@@ -36,9 +37,11 @@
 		return Result{}, l.fail(err)
 	}
 	if l.asked {
-		if _, _, err := l.readRow(); err != nil {
+		row, _, err := l.readRow()
+		if err != nil {
 			return Result{}, l.fail(err)
 		}
+		l.stale = row == nil
 	}
 	var e pgproto3.ErrorResponse
 	if status == 'I' && e.Decode(report) == nil && e.Code == stateReadOnly {
@@ -63,15 +66,18 @@
 		return l.fail(err)
 	}
 	if at.Role != siskin.RolePrimary || at.ClaimedTerm > at.StreamTerm || at.Draining {
+		l.group.Suspect(l.hdr.Target, siskin.NewError(siskin.NotRun, "target %s refuses writes", l.hdr.Target))
 		return l.reported(report)
 	}
-	// The connection may be older than the target's latest demotion.
-	row, _, err := l.queryRow(positionQuery)
-	if err != nil {
-		return l.fail(err)
+	if !l.asked {
+		row, _, err := l.queryRow(positionQuery)
+		if err != nil {
+			return l.fail(err)
+		}
+		l.stale = row == nil
 	}
-	if _, ok := parsePosition(row); !ok {
-		return l.outlived(report)
+	if l.stale {
+		return l.reported(report)
 	}
 	return l.passing(report)
 }
