admin, cmds: list groups in parts, at once and within a time limit

Cause: GET /groups asked for one service after another and failed as a whole with the first one that did not answer. With 23,000 services, most of them watched by other VMs, it could not end within the 20 s of a request. One silent home also held up the question about its service until the end.

The command has the options, prints what is missing and then exits with 8.

Conclusion: an operator gets a list at the planned size and sees its gaps.

--- a/internal/admin/admintest/groups.go
+++ b/internal/admin/admintest/groups.go
@@ -10,6 +10,11 @@
 // groups is the part of the fake whose View differs from the configuration's.
 type groups struct{ f *Fake }
 
+// Local implements admin.GroupControl. The fake watches no group.
+func (g groups) Local(siskin.ServiceName) (siskin.GroupView, bool) {
+	return siskin.GroupView{}, false
+}
+
 // View implements admin.GroupControl.
 func (g groups) View(_ context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
 	s, _ := g.f.View().Service(service)
--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -51,7 +51,10 @@
 
 // GroupControl shows groups and orders planned changes of a primary.
 type GroupControl interface {
-	// View returns the group of a service, asking a home if this VM is none.
+	// Local returns the group of a service if this VM watches it.
+	Local(service siskin.ServiceName) (siskin.GroupView, bool)
+	// View returns the group of a service, asking a home if this VM is none. It
+	// ends with the context.
 	View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error)
 	// Promote makes the target the primary. With force it does so with too few
 	// reachable targets, which can lose acknowledged writes.
--- a/internal/admin/groups.go
+++ b/internal/admin/groups.go
@@ -7,18 +7,6 @@
 	"siskintray.example/siskin"
 )
 
-func (s *Server) groups(r *http.Request) (any, error) {
-	list := []GroupStatus{}
-	for _, name := range s.backend.Config.View().Services() {
-		v, err := s.backend.Groups.View(r.Context(), name)
-		if err != nil {
-			return nil, err
-		}
-		list = append(list, groupStatus(name, v))
-	}
-	return list, nil
-}
-
 func (s *Server) group(r *http.Request) (any, error) {
 	name, err := s.findService(r)
 	if err != nil {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -26,6 +26,7 @@
 	backend Backend
 	mux     *http.ServeMux
 	running chan struct{}
+	lists   chan struct{} // lists of groups in progress
 	logger  *log.Logger
 }
 
@@ -50,7 +51,7 @@
 
 // New returns a server. It is an http.Handler; the caller listens.
 func New(b Backend, options ...Option) *Server {
-	s := &Server{backend: b, mux: http.NewServeMux(), running: make(chan struct{}, maxRequests)}
+	s := &Server{backend: b, mux: http.NewServeMux(), running: make(chan struct{}, maxRequests), lists: make(chan struct{}, maxLists)}
 	s.get("GET /status", s.status)
 	s.get("GET /invariants", s.invariants)
 	s.get("GET /config/export", s.exportConfig)
--- a/internal/cmds/exit.go
+++ b/internal/cmds/exit.go
@@ -16,7 +16,7 @@
 	ExitUnavailable = 5 // not run: a VM, target or the platform did not answer
 	ExitUnknown     = 6 // a change may have taken effect
 	ExitBroken      = 7 // a promise was broken (try, bench)
-	ExitPartial     = 8 // in force, but not confirmed by every data centre
+	ExitPartial     = 8 // in force, but not confirmed by every data centre, or a list with gaps
 )
 
 // errUsage marks errors of the command line itself.
--- a/internal/cmds/registry.go
+++ b/internal/cmds/registry.go
@@ -49,7 +49,7 @@
 		{"key list", "list keys", "Example:\n  siskintray key list shop", func() Runner { return new(keyList) }},
 		{"customer list", "list customers", "Example:\n  siskintray customer list", func() Runner { return new(customerList) }},
 		{"customer show", "show one customer", "Example:\n  siskintray customer show shop", func() Runner { return new(customerShow) }},
-		{"group status", "show groups and their targets", "Examples:\n  siskintray group status\n  siskintray group status ledger-a", func() Runner { return new(groupShow) }},
+		{"group status", "show groups and their targets", groupStatusHelp, func() Runner { return new(groupShow) }},
 		{"group promote", "change the primary of a group", promoteHelp, func() Runner { return new(groupPromote) }},
 		{"vm list", "list VMs", "Example:\n  siskintray vm list", func() Runner { return new(vmList) }},
 		{"vm leave", "stop a VM as planned", leaveHelp, func() Runner { return new(vmLeave) }},
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -92,6 +92,15 @@
 // groupBackend implements admin.GroupControl.
 type groupBackend struct{ d *Daemon }
 
+// Local implements admin.GroupControl.
+func (b *groupBackend) Local(service siskin.ServiceName) (siskin.GroupView, bool) {
+	g, ok := b.d.node.Group(service)
+	if !ok {
+		return siskin.GroupView{}, false
+	}
+	return g.View(), true
+}
+
 // View implements admin.GroupControl.
 func (b *groupBackend) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
 	return b.d.node.View(ctx, service)
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -17,14 +17,22 @@
 		return siskin.GroupView{}, err
 	}
 	for _, vm := range n.homes.ofService(s) {
-		var reply ViewReply
-		if err := n.cfg.Peers.Call(ctx, vm.ID, "Group.View", service, &reply); err == nil && reply.Watched {
-			return reply.View, nil
+		if view, ok := n.askView(ctx, vm.ID, service); ok {
+			return view, nil
 		}
 	}
 	return siskin.GroupView{}, notWatched(service)
 }
 
+// askView asks one home, which may be silent, so that the others are asked too.
+func (n *Node) askView(ctx context.Context, vm siskin.VMID, service siskin.ServiceName) (siskin.GroupView, bool) {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	var reply ViewReply
+	err := n.cfg.Peers.Call(ctx, vm, "Group.View", service, &reply)
+	return reply.View, err == nil && reply.Watched
+}
+
 // Promote makes the target the primary of its group. With force it does so with
 // too few reachable targets, which can lose acknowledged writes.
 func (n *Node) Promote(ctx context.Context, service siskin.ServiceName, target siskin.TargetID, force bool) error {
