node: let the test of a silent home fail without the limit

Change: the fake answers nothing after the end of its context.

Conclusion: the test guards the limit.

--- a/internal/node/operate_test.go
+++ b/internal/node/operate_test.go
@@ -20,6 +20,8 @@
 	}
 	if vm == p.silent {
 		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	*reply.(*ViewReply) = ViewReply{Watched: true, View: siskin.GroupView{Term: 3}}
