limit: bound the count within the rate over VMs that are cut off

Cause: each VM counts refusals as within the rate up to the whole rate of the customer.

Change: a reply to a request for units tells the giver's demand, as the request tells the asker's. When the known demand of the last minute is more than twice the rate, a VM counts up to its part of it only. For other customers nothing changes.

--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -71,7 +71,7 @@
 	admitted := h.tokens >= n+ahead
 	if admitted {
 		h.tokens -= n
-		h.whole.refill(now, h.rate, h.burst)
+		h.refillWhole(now)
 		h.whole.take(n)
 	} else {
 		h.need = n - h.tokens
--- a/pkg/limit/hints.go
+++ b/pkg/limit/hints.go
@@ -27,6 +27,8 @@
 	spare siskin.Units
 	at    time.Duration
 	asked time.Duration // when this VM asked it last
+	// demand is the demand at the holder when it was heard of last.
+	demand float64
 }
 
 // set records the spare units of a holder as of a time, unless a newer hint
@@ -51,6 +53,27 @@
 	(*h)[oldest] = hint{vm: vm, spare: spare, at: at}
 }
 
+// setDemand records the demand at a holder with a hint.
+func (h hints) setDemand(vm siskin.VMID, demand siskin.RequestsPerSecond) {
+	for i := range h {
+		if h[i].vm == vm {
+			h[i].demand = float64(demand)
+		}
+	}
+}
+
+// demandAt returns the demand at the given holders.
+func (h hints) demandAt(holders []holderID) (sum float64) {
+	for i := range h {
+		for _, o := range holders {
+			if o.VM == h[i].vm {
+				sum += h[i].demand
+			}
+		}
+	}
+	return sum
+}
+
 // get estimates the spare units of a holder from the last known ones and their age.
 func (h hints) get(now time.Duration, vm siskin.VMID) siskin.Units {
 	for i := range h {
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -24,7 +24,9 @@
 	known       bool
 
 	whole  wholeBucket
-	silent bool // a holder did not answer when units were asked for last
+	others float64       // demand at the other holders, as far as it is known
+	heard  time.Duration // time of the last exchange with one of them
+	silent bool          // a holder did not answer when units were asked for last
 	demand meter
 	need   float64 // tokens that the latest refused request lacked
 
--- a/pkg/limit/message.go
+++ b/pkg/limit/message.go
@@ -57,6 +57,8 @@
 	// Spare is what the giver keeps without needing it, a hint for the next
 	// request.
 	Spare siskin.Units
+	// Lasting is the giver's demand averaged over the slow span.
+	Lasting siskin.RequestsPerSecond
 	// Richest is another holder that could spare RichestSpare units RichestAge
 	// ago. The age keeps two poor holders from sending an asker back and forth.
 	Richest      siskin.VMID
--- a/pkg/limit/within.go
+++ b/pkg/limit/within.go
@@ -15,11 +15,17 @@
 	// an answer, after which its holder counts as silent: 140 ms, many round
 	// trips between data centres.
 	silentAttempts = 4
+	// demandSpan is the time after the last exchange in which the demand at
+	// other holders counts. Older figures say little of the present.
+	demandSpan = time.Minute
+	// overRate is the known demand, in parts of the rate, from which a customer
+	// counts as above it. Demand that moves between VMs is heard of twice.
+	overRate = 2
 )
 
-// wholeBucket is a token bucket with the whole rate and burst of a customer. It
-// takes what this VM admitted, so it holds at least what a bucket of the whole
-// fleet would hold: a request that it refuses is above the customer's rate.
+// wholeBucket is a token bucket with the whole rate and burst of a customer, or
+// with a part of them. It takes what this VM admitted. A request that it refuses
+// is above the customer's rate.
 type wholeBucket struct {
 	tokens  float64
 	at      time.Duration
@@ -42,9 +48,29 @@
 // been.
 func (w *wholeBucket) take(n float64) { w.tokens = max(0, w.tokens-n) }
 
+// refillWhole refills the bucket: with the whole rate, or with this VM's part of
+// it when the customer is known to be far above its rate. Otherwise VMs that are
+// cut off from each other would count up to the whole rate each.
+func (h *holding) refillWhole(now time.Duration) {
+	part := 1.0
+	if h.others > 0 && now-h.heard < demandSpan {
+		h.demand.decay(now)
+		if all := h.demand.slow + h.others; all > overRate*h.rate {
+			part = h.demand.slow / all
+		}
+	}
+	h.whole.refill(now, h.rate*part, h.burst*part)
+}
+
+// hearDemand records the demand at another holder.
+func (h *holding) hearDemand(now time.Duration, vm siskin.VMID, demand siskin.RequestsPerSecond, holders []holderID) {
+	h.hints.setDemand(vm, demand)
+	h.others, h.heard = h.hints.demandAt(holders), now
+}
+
 // withinRate says of a request that is refused for good whether it counts as
 // within the customer's rate. It does so unless one of two things shows that the
-// customer used its rate up: the requests at this VM alone exceed it, or every
+// customer used its rate up: the requests at this VM exceed its part of it, or every
 // other holder answers this VM, so that units and tokens that are to spare
 // arrive here. Each request that counts takes its tokens, so that a customer far
 // above its rate does not have all its refusals counted.
@@ -56,7 +82,7 @@
 	if h == nil || !h.known {
 		return true // the configuration with the customer has not arrived here
 	}
-	h.whole.refill(now, h.rate, h.burst)
+	h.refillWhole(now)
 	if h.whole.tokens < n || (b.complete(c.self.VM, h) && h.inContact(now, c.self.VM, b.holders)) {
 		return false
 	}
--- a/pkg/limit/within_test.go
+++ b/pkg/limit/within_test.go
@@ -89,3 +89,31 @@
 		t.Errorf("customer that is not known here yet: got %v, want %v", got, want)
 	}
 }
+
+// TestCustomerFarAboveRateAtSilentHolders guards against VMs that are cut off
+// from each other and each count up to the whole rate of a customer that sends
+// several times its rate.
+func TestCustomerFarAboveRateAtSilentHolders(t *testing.T) {
+	rich, poor, i := pair(t)
+	now := time.Second
+	for _, tt := range []struct {
+		others float64 // demand at the other holder before it goes silent
+		want   int     // of 2 s of rate and the burst of 100, for 200 requests a second here
+	}{{0, 300}, {100, 200}, {800, 60}} {
+		now += time.Hour
+		rich.buckets[i].holding(now, "a", rich.view).demand = meter{slow: tt.others, fast: tt.others, at: now}
+		refuse(t, poor, now, 1)
+		exchange(poor, rich, now)
+		h := poor.buckets[i].holdings["a"]
+		h.take(h.units)
+		h.whole = wholeBucket{}
+		counted := 0
+		for end := now + 2*time.Second; now < end; now += 5 * time.Millisecond {
+			h.silent, h.demand = true, meter{slow: 200, fast: 200, at: now}
+			counted += refuse(t, poor, now, 1)
+		}
+		if counted < tt.want-5 || counted > tt.want+5 {
+			t.Errorf("%v requests/s elsewhere: got %d counted as within the rate, want %d", tt.others, counted, tt.want)
+		}
+	}
+}
