daemon, admin, limit, logs, quest: one type a file; ask for records at once

Cause: some new files held several types. The fleet's burn record asked one VM after another, 2 s for each that does not answer, within the 20 s of a request.

Change: the types have files of their own, with no other change.

--- a/internal/admin/grouplist.go
+++ b/internal/admin/grouplist.go
@@ -4,10 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
-	"net/url"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -32,65 +29,6 @@
 	maxListTime     = 15 * time.Second // below requestTimeout
 )
 
-// GroupPage is a part of the list of groups, ordered by service.
-type GroupPage struct {
-	Groups []GroupStatus
-	// Missing are the services of this part whose group could not be read.
-	Missing []MissingGroup `json:",omitempty"`
-	// Total is the number of services that match, on all pages.
-	Total int
-	// Next is the service to give as From for the next part; empty at the end.
-	Next siskin.ServiceName `json:",omitempty"`
-}
-
-// MissingGroup says why a group is missing from a list.
-type MissingGroup struct {
-	Service siskin.ServiceName
-	Kind    string
-	Message string
-}
-
-// groupQuery is what a list of groups is asked for.
-type groupQuery struct {
-	match   string // part of the name of a service
-	from    siskin.ServiceName
-	limit   int
-	timeout time.Duration
-}
-
-func parseGroupQuery(v url.Values) (q groupQuery, err error) {
-	q = groupQuery{match: v.Get("Match"), from: siskin.ServiceName(v.Get("From")), limit: defaultGroups, timeout: defaultListTime}
-	if s := v.Get("Limit"); s != "" {
-		if q.limit, err = strconv.Atoi(s); err != nil || q.limit < 1 || q.limit > maxGroups {
-			return q, siskin.NewError(siskin.BadInput, "Limit %.20q is not from 1 to %d", s, maxGroups).WithRemedy("ask for the next part with From")
-		}
-	}
-	if s := v.Get("Timeout"); s != "" {
-		if q.timeout, err = time.ParseDuration(s); err != nil || q.timeout < minListTime || q.timeout > maxListTime {
-			return q, siskin.NewError(siskin.BadInput, "Timeout %.20q is not from %v to %v", s, minListTime, maxListTime).WithRemedy("give a duration such as 5s")
-		}
-	}
-	return q, nil
-}
-
-// page returns the services to list, the number of those that match and where
-// the next part begins.
-func (q *groupQuery) page(services []siskin.ServiceName) (names []siskin.ServiceName, total int, next siskin.ServiceName) {
-	for _, name := range services {
-		if strings.Contains(string(name), q.match) {
-			total++
-			if name >= q.from {
-				names = append(names, name)
-			}
-		}
-	}
-	slices.Sort(names)
-	if len(names) > q.limit {
-		names, next = names[:q.limit], names[q.limit]
-	}
-	return names, total, next
-}
-
 // groups lists groups. Services that this VM watches need no question and are
 // always in the answer; the others are asked for at once within the time limit.
 func (s *Server) groups(r *http.Request) (any, error) {
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/alitto/pond/v2"
+
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/admin"
 	"siskintray.example/siskin/internal/cmds"
@@ -68,20 +70,28 @@
 	if !fleet {
 		return own, nil
 	}
-	records := []burn.Record{own}
-	for _, vm := range b.d.members.Live() {
-		if vm.ID == b.d.self.ID {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(ctx, askTimeout)
-		var record burn.Record
-		// A VM that does not answer is missing from the report's list of VMs.
-		if err := b.d.client.Call(ctx, vm.ID, "Daemon.Burn", struct{}{}, &record); err == nil {
-			records = append(records, record)
+	// A VM that does not answer is missing from the report's list of VMs.
+	live := b.d.members.Live()
+	records := make([]burn.Record, len(live))
+	pool := pond.NewPool(maxAsking)
+	for i, vm := range live {
+		if vm.ID != b.d.self.ID {
+			pool.Submit(func() { records[i] = b.d.askRecord(ctx, vm.ID) })
 		}
-		cancel()
 	}
-	return burn.Merge(records...)
+	pool.StopAndWait()
+	return burn.Merge(append(records, own)...)
+}
+
+// askRecord returns the counts of another VM, none when it does not answer.
+func (d *Daemon) askRecord(ctx context.Context, vm siskin.VMID) burn.Record {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var record burn.Record
+	if err := d.client.Call(ctx, vm, "Daemon.Burn", struct{}{}, &record); err != nil {
+		return burn.Record{}
+	}
+	return record
 }
 
 // Objectives implements admin.BurnSource.
--- a/internal/quest/ask.go
+++ b/internal/quest/ask.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -11,36 +10,6 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// Option changes how Ask asks.
-type Option func(*dialog)
-
-// WithSecret sets the function that reads a line which is not shown while it is
-// typed, such as a password. Without it all lines come from the reader.
-func WithSecret(read func() (string, error)) Option {
-	return func(d *dialog) { d.secret = read }
-}
-
-// dialog is the input and output of Ask.
-type dialog struct {
-	lines  *bufio.Scanner
-	w      io.Writer
-	secret func() (string, error)
-}
-
-// read returns the next line.
-func (d *dialog) read(secret bool) (string, error) {
-	if secret && d.secret != nil {
-		line, err := d.secret()
-		fmt.Fprintln(d.w) // the end of the line was not shown either
-		return line, err
-	}
-	if !d.lines.Scan() {
-		fmt.Fprintln(d.w)
-		return "", cmp.Or(d.lines.Err(), io.EOF)
-	}
-	return d.lines.Text(), nil
-}
-
 // Ask asks all questions on a terminal and returns the form and the change. A
 // contradiction between answers reopens its question; earlier answers stand as
 // defaults. When the input ends early nothing is returned.
