--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/alitto/pond/v2"
+
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/admin"
 	"siskintray.example/siskin/internal/cmds"
@@ -68,20 +70,28 @@
 	if !fleet {
 		return own, nil
 	}
-	records := []burn.Record{own}
-	for _, vm := range b.d.members.Live() {
-		if vm.ID == b.d.self.ID {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(ctx, askTimeout)
-		var record burn.Record
-		// A VM that does not answer is missing from the report's list of VMs.
-		if err := b.d.client.Call(ctx, vm.ID, "Daemon.Burn", struct{}{}, &record); err == nil {
-			records = append(records, record)
+	// A VM that does not answer is missing from the report's list of VMs.
+	live := b.d.members.Live()
+	records := make([]burn.Record, len(live))
+	pool := pond.NewPool(maxAsking)
+	for i, vm := range live {
+		if vm.ID != b.d.self.ID {
+			pool.Submit(func() { records[i] = b.d.askRecord(ctx, vm.ID) })
 		}
-		cancel()
 	}
-	return burn.Merge(records...)
+	pool.StopAndWait()
+	return burn.Merge(append(records, own)...)
+}
+
+// askRecord returns the counts of another VM, none when it does not answer.
+func (d *Daemon) askRecord(ctx context.Context, vm siskin.VMID) burn.Record {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var record burn.Record
+	if err := d.client.Call(ctx, vm, "Daemon.Burn", struct{}{}, &record); err != nil {
+		return burn.Record{}
+	}
+	return record
 }
 
 // Objectives implements admin.BurnSource.
@@ -92,6 +102,15 @@
 // groupBackend implements admin.GroupControl.
 type groupBackend struct{ d *Daemon }
 
+// Local implements admin.GroupControl.
+func (b *groupBackend) Local(service siskin.ServiceName) (siskin.GroupView, bool) {
+	g, ok := b.d.node.Group(service)
+	if !ok {
+		return siskin.GroupView{}, false
+	}
+	return g.View(), true
+}
+
 // View implements admin.GroupControl.
 func (b *groupBackend) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
 	return b.d.node.View(ctx, service)
