--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -191,7 +191,7 @@
 	h.silent = c.anySilent(b.holders)
 	h.hints.set(now, from, item.Spare)
 	h.hints.ask(now, from)
-	h.hearDemand(now, from, item.Lasting, b.holders)
+	h.recordDemand(now, from, item.Lasting, b.holders)
 	if item.Richest != "" && item.Richest != c.self.VM {
 		h.hints.set(now-item.RichestAge, item.Richest, item.RichestSpare)
 	}
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -71,8 +71,8 @@
 	admitted := h.tokens >= n+ahead
 	if admitted {
 		h.tokens -= n
-		h.refillWhole(now)
-		h.whole.take(n)
+		h.refillReference(now)
+		h.reference.take(n)
 	} else {
 		h.need = n - h.tokens
 	}
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -71,7 +71,7 @@
 	h.demand.decay(now)
 	out.Lasting = siskin.RequestsPerSecond(h.demand.slow)
 	h.hints.set(now, args.From, 0) // it asks because it has none to spare
-	h.hearDemand(now, args.From, item.Lasting, b.holders)
+	h.recordDemand(now, args.From, item.Lasting, b.holders)
 	b.learn(holderID{args.From, args.FromIncarnation})
 	if len(b.holders) > item.Known {
 		out.Holders = b.holders[:min(len(b.holders), maxItems)]
--- a/pkg/limit/hints.go
+++ b/pkg/limit/hints.go
@@ -27,7 +27,7 @@
 	spare siskin.Units
 	at    time.Duration
 	asked time.Duration // when this VM asked it last
-	// demand is the demand at the holder when it was heard of last.
+	// demand is the demand at the holder in its last message.
 	demand float64
 }
 
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -23,12 +23,12 @@
 	rate, burst float64
 	known       bool
 
-	whole  wholeBucket
-	others float64       // demand at the other holders, as far as it is known
-	heard  time.Duration // time of the last exchange with one of them
-	silent bool          // a holder did not answer when units were asked for last
-	demand meter
-	need   float64 // tokens that the latest refused request lacked
+	reference referenceBucket
+	others    float64       // demand at the other holders, as far as it is known
+	othersAt  time.Duration // time of the last exchange with one of them
+	silent    bool          // a holder did not answer when units were asked for last
+	demand    meter
+	need      float64 // tokens that the latest refused request lacked
 
 	wanted   bool          // on the list of customers to ask for
 	askAfter time.Duration // earliest time of the next request for units
--- a/pkg/limit/wholebucket.go
+++ b/pkg/limit/referencebucket.go
@@ -2,17 +2,17 @@
 
 import "time"
 
-// wholeBucket is a token bucket with the whole rate and burst of a customer, or
+// referenceBucket is a token bucket with the whole rate and burst of a customer, or
 // with a part of them. It takes what this VM admitted. A request that it refuses
 // is above the customer's rate.
-type wholeBucket struct {
+type referenceBucket struct {
 	tokens  float64
 	at      time.Duration
 	started bool
 }
 
 // refill adds the tokens since the last call. A new bucket is full.
-func (w *wholeBucket) refill(now time.Duration, rate, burst float64) {
+func (w *referenceBucket) refill(now time.Duration, rate, burst float64) {
 	switch {
 	case !w.started:
 		w.tokens, w.at, w.started = burst, now, true
@@ -25,4 +25,4 @@
 
 // take removes the tokens of a request that was admitted, or that would have
 // been.
-func (w *wholeBucket) take(n float64) { w.tokens = max(0, w.tokens-n) }
+func (w *referenceBucket) take(n float64) { w.tokens = max(0, w.tokens-n) }
--- a/pkg/limit/within.go
+++ b/pkg/limit/within.go
@@ -19,28 +19,28 @@
 	// other holders counts. Older figures say little of the present.
 	demandSpan = time.Minute
 	// overRate is the known demand, in parts of the rate, from which a customer
-	// counts as above it. Demand that moves between VMs is heard of twice.
+	// counts as above it. Demand that moves between VMs is reported by two of them.
 	overRate = 2
 )
 
-// refillWhole refills the bucket: with the whole rate, or with this VM's part of
+// refillReference refills the bucket: with the whole rate, or with this VM's part of
 // it when the customer is known to be far above its rate. Otherwise VMs that are
 // cut off from each other would count up to the whole rate each.
-func (h *holding) refillWhole(now time.Duration) {
+func (h *holding) refillReference(now time.Duration) {
 	part := 1.0
-	if h.others > 0 && now-h.heard < demandSpan {
+	if h.others > 0 && now-h.othersAt < demandSpan {
 		h.demand.decay(now)
 		if all := h.demand.slow + h.others; all > overRate*h.rate {
 			part = h.demand.slow / all
 		}
 	}
-	h.whole.refill(now, h.rate*part, h.burst*part)
+	h.reference.refill(now, h.rate*part, h.burst*part)
 }
 
-// hearDemand records the demand at another holder.
-func (h *holding) hearDemand(now time.Duration, vm siskin.VMID, demand siskin.RequestsPerSecond, holders []holderID) {
+// recordDemand records the demand at another holder.
+func (h *holding) recordDemand(now time.Duration, vm siskin.VMID, demand siskin.RequestsPerSecond, holders []holderID) {
 	h.hints.setDemand(vm, demand)
-	h.others, h.heard = h.hints.demandAt(holders), now
+	h.others, h.othersAt = h.hints.demandAt(holders), now
 }
 
 // withinRate says of a request that is refused for good whether it counts as
@@ -57,11 +57,11 @@
 	if h == nil || !h.known {
 		return true // the configuration with the customer has not arrived here
 	}
-	h.refillWhole(now)
-	if h.whole.tokens < n || (b.complete(c.self.VM, h) && h.inContact(now, c.self.VM, b.holders)) {
+	h.refillReference(now)
+	if h.reference.tokens < n || (b.complete(c.self.VM, h) && h.inContact(now, c.self.VM, b.holders)) {
 		return false
 	}
-	h.whole.take(n)
+	h.reference.take(n)
 	return true
 }
 
--- a/pkg/limit/within_test.go
+++ b/pkg/limit/within_test.go
@@ -106,7 +106,7 @@
 		exchange(poor, rich, now)
 		h := poor.buckets[i].holdings["a"]
 		h.take(h.units)
-		h.whole = wholeBucket{}
+		h.reference = referenceBucket{}
 		counted := 0
 		for end := now + 2*time.Second; now < end; now += 5 * time.Millisecond {
 			h.silent, h.demand = true, meter{slow: 200, fast: 200, at: now}
