relay: send extended-protocol writes again after a refusal

Cause: a write that a replaced primary, or a connection from before, refuses with 25006 is sent again only when the error is the first message of the answer. With the extended protocol ParseComplete and BindComplete come first, so the error went to the caller as its own.

Change: on write routes the small messages before the end of the first statement are held while the whole batch was sent, so that ReadyForQuery ends the wait. A refusal before any statement completed then counts as not run. An error of the caller's own is sent behind what was held.

Conclusion: callers of both protocols are spared the errors of a change of primary where nothing ran.

--- a/internal/front/demoted_test.go
+++ b/internal/front/demoted_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rogpeppe/go-internal/txtar"
 )
 
@@ -21,9 +22,10 @@
 		t.Run(file.Name, func(t *testing.T) {
 			f := startFleet(t, 2, nil)
 			c := f.vms[0].raw(t, "badges/write")
-			for i := range 20 { // fill the retry budget
+			for i := range 100 { // fill the retry budget
 				c.query(fmt.Sprintf("insert into kv values ('fill%d', 'x')", i))
 			}
+			c.exchange(&pgproto3.Parse{Name: "p", Query: "insert into kv values ($1, $2)"}, &pgproto3.Sync{})
 			term := 0
 			for line := range strings.Lines(string(file.Data)) {
 				step, want, _ := strings.Cut(strings.TrimSpace(line), " => ")
@@ -35,6 +37,10 @@
 					f.promote(t, arg, term)
 				case "write":
 					got = c.query(insert).code()
+				case "extended":
+					got = c.exchange(&pgproto3.Parse{Query: insert}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}).code()
+				case "prepared":
+					got = c.exchange(&pgproto3.Bind{PreparedStatement: "p", Parameters: [][]byte{[]byte(arg), []byte("x")}}, &pgproto3.Execute{}, &pgproto3.Sync{}).code()
 				case "transaction":
 					for _, sql := range []string{"begin", insert, "commit"} {
 						if got = c.query(sql).code(); got != "" {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -65,10 +65,10 @@
 }
 
 // pass forwards one message, or holds it when it is small and follows a held
-// CommandComplete.
+// message or may precede a refusal.
 func (l *local) pass(sink Sink, h frame.Head) error {
-	l.answered = true
-	if len(l.held) > 0 && h.Len <= maxSmall && len(l.held) < maxHeld && strings.IndexByte("123nNSA", h.Type) >= 0 {
+	holds := len(l.held) > 0 || l.ranNothing()
+	if holds && h.Len <= maxSmall && len(l.held) < maxHeld && strings.IndexByte("123nNSA", h.Type) >= 0 {
 		return l.hold(h)
 	}
 	if err := l.releaseHeld(sink); err != nil {
@@ -122,7 +122,6 @@
 	if err := l.releaseHeld(sink); err != nil {
 		return err
 	}
-	l.answered = true
 	if err := l.hold(h); err != nil {
 		return err
 	}
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -46,7 +46,6 @@
 
 	status    byte // transaction status before the batch
 	sent      bool // something of the caller was sent
-	answered  bool // the target answered something
 	passed    bool // something of the answer was passed on
 	asked     bool // a position query follows the batch
 	copies    bool // a statement may start COPY
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -13,11 +13,14 @@
 // stateReadOnly is the SQLSTATE of a write at a target that is no primary.
 const stateReadOnly = "25006"
 
-// mayBeRefusal says that an error could show that a write ran nothing: it is
-// the first answer of the transaction's first batch.
-func (l *local) mayBeRefusal() bool {
-	return !l.answered && l.status == 'I' && l.collected && l.route.Mode == config.WriteRoute &&
-		l.conn.R.Left() <= maxReport
+// mayBeRefusal says that an error could show that a write ran nothing.
+func (l *local) mayBeRefusal() bool { return l.ranNothing() && l.conn.R.Left() <= maxReport }
+
+// ranNothing says that no statement of a write completed so far and that the
+// caller got nothing of the answer. The messages before the first statement's
+// end, such as ParseComplete, are held for that.
+func (l *local) ranNothing() bool {
+	return !l.passed && l.completed == 0 && l.status == 'I' && l.collected && l.route.Mode == config.WriteRoute
 }
 
 // maxReport bounds an error that travels in a failure message.
@@ -58,7 +61,7 @@
 		}
 	}
 	l.status = status
-	if sink.Small('E', report) != nil || sink.Small('Z', statusBody(status)) != nil || sink.Flush() != nil {
+	if l.releaseHeld(sink) != nil || sink.Small('E', report) != nil || sink.Small('Z', statusBody(status)) != nil || sink.Flush() != nil {
 		return Result{}, l.callerGone(sink.Err())
 	}
 	return Result{Status: status}, nil
