relay: a home without configuration refuses as not run

A VM that restarts takes forwarded transactions before it has loaded the configuration, and refuses them as UnknownRoute, which the entry VM does not try again.

Change: while the home has no configuration at all, the refusal is "not run", so that the entry VM tries again until the deadline.

Tests: TestForwardedBeforeConfiguration fails without the change (UnknownRoute).

Conclusion: a restart of a VM no longer makes a known route unknown.

--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -66,6 +66,10 @@
 func (l *local) begin() error {
 	h, hdr := l.home, &l.hdr
 	service, ok := h.Config.Service(hdr.Service)
+	if !ok && h.Config.Revision() == 0 {
+		return siskin.NewError(siskin.NotRun, "the home of target %s has no configuration yet", hdr.Target).
+			WithRemedy("repeat the request")
+	}
 	if !ok {
 		return unknownRoute(hdr)
 	}
--- /dev/null
+++ b/internal/relay/start_test.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/config"
+)
+
+// emptyView is the configuration of a VM that has just started.
+type emptyView struct{ config.View }
+
+// Revision implements config.View.
+func (emptyView) Revision() siskin.Revision { return 0 }
+
+// TestForwardedBeforeConfiguration guards against a caller who is told that its
+// route does not exist because the home has just started: the entry VM, which
+// knows the route, must be able to try again.
+func TestForwardedBeforeConfiguration(t *testing.T) {
+	none := config.NewFixed(nil, nil)
+	for _, tt := range []struct {
+		view config.View
+		want siskin.ErrorKind
+	}{{emptyView{none}, siskin.NotRun}, {none, siskin.UnknownRoute}} {
+		h := (&Home{Clock: clockwork.NewFakeClock(), Config: tt.view}).Init()
+		_, f := h.Begin(&Header{Service: "s", Route: "write", Target: "s/1"})
+		if f == nil || f.Err.Kind != tt.want {
+			t.Errorf("revision %d: got %+v, want %v", tt.view.Revision(), f, tt.want)
+		}
+	}
+}
