--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -35,7 +35,7 @@
 		case 'Z':
 			return l.ready(sink)
 		case 'E':
-			if l.mayBeRefusal() && l.conn.R.Left() <= maxReport {
+			if l.mayBeRefusal() {
 				return l.refused(sink)
 			}
 		case 'C':
@@ -66,13 +66,15 @@
 }
 
 // pass forwards one message, or holds it when it is small and follows a held
-// CommandComplete or precedes the first result of a write.
+// message or precedes the first result of a write. Notices of a statement that
+// runs are not held.
 func (l *local) pass(sink Sink, h frame.Head) error {
-	if l.mayBeRefusal() && h.Len <= maxSmall && len(l.held) < maxHeld && strings.IndexByte("123ntT", h.Type) >= 0 {
-		return l.hold(h) // precedes the error when the target refuses the write
+	small := "123nNSA"
+	if l.ranNothing() {
+		small = "123ntT"
 	}
-	l.answered = true
-	if len(l.held) > 0 && h.Len <= maxSmall && len(l.held) < maxHeld && strings.IndexByte("123nNSA", h.Type) >= 0 {
+	holds := len(l.held) > 0 || l.ranNothing()
+	if holds && h.Len <= maxSmall && len(l.held) < maxHeld && strings.IndexByte(small, h.Type) >= 0 {
 		return l.hold(h)
 	}
 	if err := l.releaseHeld(sink); err != nil {
@@ -126,7 +128,6 @@
 	if err := l.releaseHeld(sink); err != nil {
 		return err
 	}
-	l.answered = true
 	if err := l.hold(h); err != nil {
 		return err
 	}
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -72,6 +72,10 @@
 		return err
 	}
 	service, ok := h.Config.Service(hdr.Service)
+	if !ok && h.Config.Revision() == 0 {
+		return siskin.NewError(siskin.NotRun, "the home of target %s has no configuration yet", hdr.Target).
+			WithRemedy("repeat the request")
+	}
 	if !ok {
 		return unknownRoute(hdr)
 	}
