group, node: let two watchers of a group probe its targets

Cause: every home of a group probed its targets, 23 KB/s a node at the planned size against 7 KB/s for all control (docs/CAPACITY.md).

Change: the first home in rank and the first after it in another data centre probe all the time. They pass each change of their view to the other homes (Group.Learn) and repeat it until it is answered. A replica whose status came with the confirmation of a write is not probed in that interval. Staleness at homes that do not probe is the watcher's, with the time since it was asked. Views are asked of the watchers first. TestFleetSurvivesPrimary uses startFleet as before; its body moved to startNodes, which also returns the nodes.

--- a/internal/node/fake_test.go
+++ b/internal/node/fake_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"siskintray.example/siskin"
@@ -35,9 +36,13 @@
 type fakePeers struct {
 	mu        sync.Mutex
 	receivers map[siskin.VMID]map[string]any
+	lost      atomic.Bool // calls are not answered
 }
 
 func (p *fakePeers) Call(_ context.Context, vm siskin.VMID, method string, args, reply any) error {
+	if p.lost.Load() {
+		return siskin.NewError(siskin.Unavailable, "call to %s was lost", vm)
+	}
 	p.mu.Lock()
 	receiver, name, _ := strings.Cut(method, ".")
 	r := p.receivers[vm][receiver]
--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -1,16 +1,17 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/pool"
 	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/group"
 	"siskintray.example/siskin/pkg/pgctl"
-	"siskintray.example/siskin/pkg/place"
 	"siskintray.example/siskin/pkg/shard"
 )
 
@@ -25,6 +26,11 @@
 	open     siskin.DialFunc
 	log      *log.Logger
 	awake    func() bool
+	// heard reports on the statements of this VM at a slot of a target.
+	heard func(key pool.Key) (waiting bool, last time.Time)
+	// views are the views of the watchers, and tell passes this VM's view on.
+	views *remoteViews
+	tell  func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error
 	// endOlder ends the writes at primaries of terms before the given one.
 	endOlder func(service siskin.ServiceName, term siskin.Term)
 	// silent tells the pool that old connections to a target went silent.
@@ -76,7 +82,9 @@
 		}
 		wanted[name] = true
 		services = append(services, service)
-		targets += len(service.Targets)
+		if g.isWatcher(service) {
+			targets += len(service.Targets)
+		}
 	}
 	// A group that runs keeps its interval until it is started anew, since a
 	// new start costs the knowledge of its targets.
@@ -98,7 +106,7 @@
 }
 
 func (g *groups) watches(service *config.Service) bool {
-	return slices.ContainsFunc(g.homes.ofService(service), func(vm siskin.VM) bool { return vm.ID == g.self })
+	return slices.ContainsFunc(g.homes.ofService(service), g.isSelf)
 }
 
 func (g *groups) ensure(service *config.Service) error {
@@ -113,13 +121,20 @@
 		silent: g.silent,
 		failed: make(map[siskin.TargetID]time.Time),
 	}
-	rank := func() int { return g.rank(service) }
-	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithRank(rank), group.WithAwake(g.awake))
+	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithAwake(g.awake),
+		group.WithRank(func() int { return g.rank(service) }),
+		group.WithWatcher(func() bool { return g.isWatcher(service) }),
+		group.WithHeard(func(id siskin.TargetID) (bool, time.Time) { return g.heardFrom(service, id) }),
+	)
 	if err != nil {
 		return err
 	}
-	w := &watchedGroup{Group: started, settings: settings, credentials: service.Credentials, closed: make(chan struct{})}
+	w := &watchedGroup{
+		Group: started, settings: settings, credentials: service.Credentials, views: g.views, clock: g.clock,
+	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.wg.Go(func() { w.follow(g.endOlder, g.observe) })
+	w.wg.Go(func() { w.pass(g, service) })
 	g.running.Put(service.Name, w)
 	if ok {
 		return old.Close()
@@ -147,8 +162,27 @@
 
 // rank returns this VM's place among the VMs that watch the group.
 func (g *groups) rank(service *config.Service) int {
-	ranked := place.Rank("Group/"+string(service.Name), g.homes.ofService(service))
-	return max(0, slices.IndexFunc(ranked, func(vm siskin.VM) bool { return vm.ID == g.self }))
+	return max(0, slices.IndexFunc(g.homes.rankOf(service), g.isSelf))
+}
+
+func (g *groups) isSelf(vm siskin.VM) bool { return vm.ID == g.self }
+
+// isWatcher reports whether this VM probes the group's targets all the time.
+func (g *groups) isWatcher(service *config.Service) bool {
+	return slices.ContainsFunc(g.homes.watchersOf(service), g.isSelf)
+}
+
+// heardFrom reports whether a statement of this VM waits for a target and when
+// the target last answered one.
+func (g *groups) heardFrom(service *config.Service, target siskin.TargetID) (waiting bool, last time.Time) {
+	for slot := range service.Slots {
+		w, at := g.heard(pool.Key{Target: target, Slot: siskin.Slot(slot)})
+		waiting = waiting || w
+		if at.After(last) {
+			last = at
+		}
+	}
+	return waiting, last
 }
 
 // of returns the group that a target belongs to.
@@ -162,6 +196,19 @@
 	return found
 }
 
+// learn passes the view of a watcher to the group. Without one the watchers are
+// silent, and this VM probes itself.
+func (g *groups) learn(service siskin.ServiceName, view *siskin.GroupView, asked time.Time) {
+	w, ok := g.running.Get(service)
+	switch {
+	case !ok:
+	case view == nil:
+		w.Activate()
+	default:
+		w.Learn(view, asked)
+	}
+}
+
 // suspect tells the group of a target about a failed connection.
 func (g *groups) suspect(target siskin.TargetID, cause error) {
 	if w := g.of(target); w != nil {
@@ -176,7 +223,7 @@
 	if w == nil {
 		return true
 	}
-	view := w.View()
+	view := w.Group.View()
 	t, ok := view.Target(target)
 	return !ok || t.Reachable
 }
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -79,6 +79,32 @@
 	return vms
 }
 
+// watcherCount is the number of VMs that probe the targets of a group all the
+// time. When one fails, the other still sees a primary fail.
+const watcherCount = 2
+
+// rankOf returns the VMs that own a slot of the service in the order in which
+// they act on its group. The first two are its watchers, in two data centres
+// when the homes are in several.
+func (h *homes) rankOf(s *config.Service) []siskin.VM {
+	ranked := place.Rank("Group/"+string(s.Name), h.ofService(s))
+	for i := 1; i < len(ranked); i++ {
+		if ranked[i].DataCentre != ranked[0].DataCentre {
+			other := ranked[i]
+			copy(ranked[2:i+1], ranked[1:i])
+			ranked[1] = other
+			break
+		}
+	}
+	return ranked
+}
+
+// watchersOf returns the VMs that probe the targets of the service all the time.
+func (h *homes) watchersOf(s *config.Service) []siskin.VM {
+	ranked := h.rankOf(s)
+	return ranked[:min(len(ranked), watcherCount)]
+}
+
 func slotResource(key pool.Key) string {
 	return "Slot/" + string(key.Target) + "/" + strconv.Itoa(int(key.Slot))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,7 +53,11 @@
 	n.records = newRecords(cfg, n.rank)
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
-	n.groups.silent = n.pool.ProbeFailed
+	n.groups.silent, n.groups.heard = n.pool.ProbeFailed, n.pool.Heard
+	n.groups.views, n.remote.learn = n.remote, n.groups.learn
+	n.groups.tell = func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error {
+		return cfg.Peers.Call(ctx, vm, "Group.Learn", LearnArgs{Service: service, View: *view}, &struct{}{})
+	}
 	n.slots = &slots{self: cfg.Self.ID, homes: n.homes, pool: n.pool, queues: n.queues}
 	n.home = (&relay.Home{
 		Clock:   cfg.Clock,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,6 +24,13 @@
 
 // startFleet starts a group of three targets and three VMs in two data centres.
 func startFleet(t *testing.T, edits ...func(*Config)) (vms []string, targets []*target.Server) {
+	t.Helper()
+	vms, targets, _ = startNodes(t, edits...)
+	return vms, targets
+}
+
+// startNodes is startFleet and returns the nodes too.
+func startNodes(t *testing.T, edits ...func(*Config)) (vms []string, targets []*target.Server, nodes []*Node) {
 	t.Helper()
 	restore := invar.OnViolation(func(name, detail string) { t.Errorf("invariant %s: %s", name, detail) })
 	t.Cleanup(restore)
@@ -67,6 +74,7 @@
 		}
 		peers.mu.Lock()
 		peers.receivers[vm.ID] = n.Receivers()
+		nodes = append(nodes, n)
 		peers.mu.Unlock()
 		t.Cleanup(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -79,7 +87,7 @@
 			_ = s.Close()
 		}
 	})
-	return vms, targets
+	return vms, targets, nodes
 }
 
 func dataCentre(i int) siskin.DataCentreID { return siskin.DataCentreID(fmt.Sprintf("dc-%d", i%2)) }
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -9,8 +9,8 @@
 
 // View returns the group of a service, from a home if this VM is none.
 func (n *Node) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
-	if g, ok := n.groups.Group(service); ok {
-		view := g.View()
+	if g, ok := n.groups.running.Get(service); ok {
+		view := g.Group.View()
 		view.Recorded = n.records.recorded(service)
 		return view, nil
 	}
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -12,7 +12,8 @@
 	maxInterval = time.Second
 )
 
-// pace returns the interval between two probes of each of n targets.
+// pace returns the interval between two probes of each of n targets, those of
+// the groups that this VM is a watcher of.
 func pace(shortest time.Duration, n int) time.Duration {
 	if shortest <= 0 {
 		shortest = defaultInterval
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -64,8 +64,11 @@
 			r.observe("ledger", view(2))
 		}
 		time.Sleep(10 * time.Minute)
-		perMinute := float64(f.platform.calls) / 10
-		f.platform.set(func(p *fakePlatform) { p.down, p.lose = false, 1 })
+		perMinute := 0.0
+		f.platform.set(func(p *fakePlatform) {
+			perMinute = float64(p.calls) / 10
+			p.down, p.lose = false, 1
+		})
 		begun := time.Now()
 		for f.record(t).Term != 2 {
 			time.Sleep(100 * time.Millisecond)
@@ -84,9 +87,11 @@
 				t.Errorf("term of the record known to %s: got %d, want 2", r.self.ID, got)
 			}
 		}
-		if got := f.platform.writes; got != 1 {
-			t.Errorf("updates of the record: got %d, want 1", got)
-		}
+		f.platform.set(func(p *fakePlatform) {
+			if p.writes != 1 {
+				t.Errorf("updates of the record: got %d, want 1", p.writes)
+			}
+		})
 	})
 }
 
--- a/internal/node/remote.go
+++ b/internal/node/remote.go
@@ -39,6 +39,9 @@
 	homes  *homes
 	config config.View
 	views  *shard.Map[siskin.ServiceName, *remoteView]
+	// learn receives the view that a watcher gave of a group when it was asked
+	// at the given time, and nil when no watcher answered.
+	learn  func(service siskin.ServiceName, view *siskin.GroupView, asked time.Time)
 	active atomic.Int64
 
 	ctx    context.Context
@@ -54,13 +57,14 @@
 		homes:  homes,
 		config: view,
 		views:  shard.New[siskin.ServiceName, *remoteView](),
+		learn:  func(siskin.ServiceName, *siskin.GroupView, time.Time) {},
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
 
-// get returns the latest view of a service's group.
-func (r *remoteViews) get(service siskin.ServiceName) (siskin.GroupView, <-chan struct{}) {
+// get returns the latest view of a service's group and when it was asked for.
+func (r *remoteViews) get(service siskin.ServiceName) (siskin.GroupView, time.Time, <-chan struct{}) {
 	v := r.views.GetOrCreate(service, func() *remoteView { return newRemoteView() })
 	v.used.Store(r.clock.Now().UnixNano())
 	if v.running.CompareAndSwap(false, true) {
@@ -105,27 +109,42 @@
 	return max(viewInterval, slowest)
 }
 
-// ask asks one of the VMs that watch the group, a random one each time, so that
-// a home with an outdated view is soon corrected.
+// ask asks one of the watchers of the group, a random one each time, so that a
+// watcher with an outdated view is soon corrected. The other homes are asked
+// when no watcher answers.
 func (r *remoteViews) ask(service siskin.ServiceName, v *remoteView) {
 	s, ok := r.config.Service(service)
 	if !ok {
 		return
 	}
-	vms := r.homes.ofService(s)
-	for _, i := range rand.Perm(len(vms)) {
-		if vms[i].ID == r.self {
+	vms := r.homes.rankOf(s)
+	n := min(len(vms), watcherCount)
+	rand.Shuffle(n, func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	rand.Shuffle(len(vms)-n, func(i, j int) { vms[n+i], vms[n+j] = vms[n+j], vms[n+i] })
+	silent := func() { r.learn(service, nil, time.Time{}) }
+	for i, vm := range vms {
+		if i == n {
+			silent()
+		}
+		if vm.ID == r.self {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(r.ctx, viewTimeout)
 		var reply ViewReply
-		err := r.peers.Call(ctx, vms[i].ID, "Group.View", service, &reply)
+		asked := r.clock.Now()
+		err := r.peers.Call(ctx, vm.ID, "Group.View", service, &reply)
 		cancel()
 		if err == nil && reply.Watched {
-			v.set(reply.View)
+			v.set(reply.View, asked)
+			if i < n {
+				r.learn(service, &reply.View, asked)
+			}
 			return
 		}
 	}
+	if len(vms) == n {
+		silent()
+	}
 }
 
 func (r *remoteViews) close() {
--- a/internal/node/remoteview.go
+++ b/internal/node/remoteview.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"siskintray.example/siskin"
 )
@@ -14,6 +15,7 @@
 
 	mu      sync.Mutex
 	view    siskin.GroupView
+	asked   time.Time // when the view was asked for
 	changed chan struct{}
 }
 
@@ -21,22 +23,22 @@
 	return &remoteView{changed: make(chan struct{})}
 }
 
-func (v *remoteView) get() (siskin.GroupView, <-chan struct{}) {
+func (v *remoteView) get() (siskin.GroupView, time.Time, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.view, v.changed
+	return v.view, v.asked, v.changed
 }
 
 // set keeps a view unless a later term is known. It announces each change of
 // term or primary.
-func (v *remoteView) set(view siskin.GroupView) {
+func (v *remoteView) set(view siskin.GroupView, asked time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if view.Term < v.view.Term {
 		return
 	}
 	announce := view.Term != v.view.Term || view.Primary != v.view.Primary || reachable(&view) != reachable(&v.view)
-	v.view = view
+	v.view, v.asked = view, asked
 	if announce {
 		close(v.changed)
 		v.changed = make(chan struct{})
--- a/internal/node/rpcgroup.go
+++ b/internal/node/rpcgroup.go
@@ -45,14 +45,28 @@
 
 // View returns the present view of a group that this VM watches.
 func (r *groupReceiver) View(service siskin.ServiceName, reply *ViewReply) error {
-	g, ok := r.groups.Group(service)
+	g, ok := r.groups.running.Get(service)
 	if ok {
-		*reply = ViewReply{Watched: true, View: g.View()}
+		*reply = ViewReply{Watched: true, View: g.Group.View()}
 		reply.View.Recorded = r.records.recorded(service)
 	}
 	return nil
 }
 
+// LearnArgs is the argument of Group.Learn.
+type LearnArgs struct {
+	Service siskin.ServiceName
+	View    siskin.GroupView
+}
+
+// Learn takes over the view of a VM that probes the targets of a group.
+func (r *groupReceiver) Learn(args LearnArgs, _ *struct{}) error {
+	if g, ok := r.groups.running.Get(args.Service); ok {
+		g.Learn(&args.View, r.groups.clock.Now())
+	}
+	return nil
+}
+
 // Promote makes a target the primary of a group that this VM watches.
 func (r *groupReceiver) Promote(args PromoteArgs, reply *PromoteReply) error {
 	g, ok := r.groups.running.Get(args.Service)
--- a/internal/node/topology.go
+++ b/internal/node/topology.go
@@ -20,7 +20,7 @@
 		changed := g.Changed()
 		return g.View(), changed, true
 	}
-	view, changed := t.remote.get(service)
+	view, _, changed := t.remote.get(service)
 	return view, changed, len(view.Targets) > 0
 }
 
--- a/internal/node/watchedgroup.go
+++ b/internal/node/watchedgroup.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"sync"
 
 	"siskintray.example/siskin"
@@ -13,8 +14,11 @@
 	*group.Group
 	settings    group.Settings
 	credentials config.Credentials
+	views       *remoteViews
+	clock       siskin.Clock
 
-	closed chan struct{}
+	ctx    context.Context // ends at Close
+	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
@@ -23,7 +27,7 @@
 	var last siskin.Term
 	for {
 		changed := w.Changed()
-		view := w.View()
+		view := w.Group.View()
 		observe(w.settings.Service, &view)
 		if term := view.Term; term > last {
 			last = term
@@ -31,12 +35,34 @@
 		}
 		select {
 		case <-changed:
-		case <-w.closed:
+		case <-w.ctx.Done():
 			return
 		}
 	}
 }
 
+// View implements siskin.Group. A VM that does not probe the targets measures no
+// staleness; a watcher's, with the time since it was asked, stands in for it.
+func (w *watchedGroup) View() siskin.GroupView {
+	view := w.Group.View()
+	if !w.Passive() {
+		return view
+	}
+	told, asked, _ := w.views.get(w.settings.Service)
+	if told.Term != view.Term {
+		return view
+	}
+	age := w.clock.Since(asked)
+	for i := range view.Targets {
+		t := &view.Targets[i]
+		if at, ok := told.Target(t.Status.ID); ok && at.Staleness >= 0 {
+			t.Staleness = at.Staleness + age
+			t.Status.Applied = max(t.Status.Applied, at.Status.Applied)
+		}
+	}
+	return view
+}
+
 // has reports whether the target is one of the group's.
 func (w *watchedGroup) has(target siskin.TargetID) bool {
 	for i := range w.settings.Members {
@@ -49,7 +75,7 @@
 
 // Close ends the group and waits for it.
 func (w *watchedGroup) Close() error {
-	close(w.closed)
+	w.cancel()
 	w.wg.Wait()
 	return w.Group.Close()
 }
--- a/pkg/group/confirm.go
+++ b/pkg/group/confirm.go
@@ -19,6 +19,7 @@
 		return errOutcomeUnknown(pos, errRival(pos.Term+1))
 	case <-ctx.Done():
 		cause = ctx.Err()
+		g.Activate() // deadlines may be shorter than the time that shows a failure
 	case <-g.ctx.Done():
 		cause = errClosed()
 	}
--- a/pkg/group/event.go
+++ b/pkg/group/event.go
@@ -19,6 +19,9 @@
 	evDrained            // answer to a drain
 	evReached            // answer to a wait for the end of the primary's log
 	evChange             // an operator asks for a change of primary
+	evLearned            // another VM told the status of a target
+	evLook               // another VM told of a later primary
+	evLost               // another VM told that a target does not answer it
 )
 
 // event is one input of the machine.
--- a/pkg/group/gate.go
+++ b/pkg/group/gate.go
@@ -44,6 +44,9 @@
 	if m.started.IsZero() || now.Sub(m.started) < m.suspectAfter() {
 		return nil
 	}
+	if m.passive {
+		return nil // a write that must wait makes this VM probe
+	}
 	if !isUp {
 		if m.reachableCount(now) < m.quorum() {
 			return errHeld(m.Service, m.suspectAfter())
@@ -78,6 +81,7 @@
 		}
 		if timeout == nil {
 			timeout = g.clock.After(g.settings.MaxHold)
+			g.Activate()
 		}
 		select {
 		case <-now.changed:
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -23,6 +23,8 @@
 	log      *log.Logger
 	rank     func() int
 	awake    func() bool
+	watcher  func() bool
+	heard    func(siskin.TargetID) (waiting bool, last time.Time)
 	rng      *rand.Rand
 
 	ctx    context.Context
@@ -39,12 +41,17 @@
 	gate    atomic.Pointer[gate]
 	writes  atomic.Int64 // admitted transactions that have not ended
 	done    func()
+	passive atomic.Bool // machine.passive, for readers without mu
 
 	mu        sync.RWMutex // guards what follows
 	machine   *machine
 	samples   samples
 	published siskin.GroupView
 	changed   chan struct{}
+	// activeUntil is the end of the time for which a VM that is no watcher
+	// probes, and activated is closed when such a time begins.
+	activeUntil time.Time
+	activated   chan struct{}
 	// refusedAt is when a caller reported that the primary refused a write as
 	// not run; zero when the primary has answered a probe since.
 	refusedAt time.Time
@@ -63,7 +70,9 @@
 	}
 	g := &Group{
 		settings: s, dialer: dialer, clock: clockwork.NewRealClock(), log: &log.Logger{Level: log.PanicLevel},
-		rank: func() int { return 0 }, awake: func() bool { return true }, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rank: func() int { return 0 }, awake: func() bool { return true },
+		watcher: func() bool { return true }, heard: func(siskin.TargetID) (waiting bool, last time.Time) { return false, time.Time{} },
+		activated: make(chan struct{}), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		events: make(chan event, 64), tracker: newTracker(&s), changed: make(chan struct{}),
 		waits: make(map[int]chan error),
 	}
@@ -72,6 +81,7 @@
 	}
 	g.done = func() { g.writes.Add(-1) }
 	g.machine = newMachine(s, g.rng)
+	g.activeUntil = g.clock.Now().Add(s.suspectAfter())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	// Each target has at most a probe, a claim, a drain or wait and a floor
 	// sample in progress.
@@ -153,9 +163,10 @@
 	m.pendingSince = g.tracker.oldest()
 	m.rank = g.rank()
 	m.held = !g.awake()
+	g.setPassive(now, e)
 	term := m.term
 	actions := m.step(now, e)
-	if e.known && e.target == m.primary {
+	if e.known && e.kind != evLearned && e.target == m.primary {
 		if e.status.Role == siskin.RolePrimary && e.status.StreamTerm == m.term && e.kind == evStatus {
 			g.samples.add(siskin.Position{Term: m.term, LSN: e.status.Received}, e.asked)
 		}
--- a/pkg/group/machine.go
+++ b/pkg/group/machine.go
@@ -57,6 +57,11 @@
 	held    bool
 	resumed time.Time
 
+	// passive says that this VM does not probe all the time, so that it neither
+	// takes decisions nor holds a target for unreachable by the time since its
+	// last answer.
+	passive bool
+
 	actions []action
 }
 
@@ -96,11 +101,13 @@
 		m.reached(now, e)
 	case evChange:
 		m.change(now, e)
-	case evSuspect:
+	case evSuspect, evLook:
 		m.do(action{kind: actProbe, target: e.target})
 	}
-	m.evaluate(now)
-	m.rejoin(now)
+	if !m.passive {
+		m.evaluate(now)
+		m.rejoin(now)
+	}
 	return m.actions
 }
 
@@ -182,6 +189,9 @@
 
 // isReachable reports whether a target answered in time.
 func (m *machine) isReachable(now time.Time, t *targetState) bool {
+	if m.passive {
+		return t != nil && t.known && !t.refused
+	}
 	return t != nil && t.reachable(now, m.suspectAfter())
 }
 
--- a/pkg/group/options.go
+++ b/pkg/group/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -27,6 +28,18 @@
 // and redirects no target. Resume must be called before it returns true again.
 func WithAwake(awake func() bool) Option { return func(g *Group) { g.awake = awake } }
 
+// WithWatcher sets the function that reports whether this VM is one of the
+// watchers of the group, which probe its targets all the time. The others are
+// told by Learn and probe only while something is wrong. The default is true.
+func WithWatcher(watcher func() bool) Option { return func(g *Group) { g.watcher = watcher } }
+
+// WithHeard sets the function that reports whether a statement of this VM waits
+// for a target and when the target last answered one. The default knows of no
+// statements.
+func WithHeard(heard func(siskin.TargetID) (waiting bool, last time.Time)) Option {
+	return func(g *Group) { g.heard = heard }
+}
+
 // WithSeed sets the seed of the random delays.
 func WithSeed(seed uint64) Option {
 	return func(g *Group) { g.rng = rand.New(rand.NewPCG(seed, seed)) }
--- a/pkg/group/peer.go
+++ b/pkg/group/peer.go
@@ -22,6 +22,7 @@
 	queryL *link // immediate probes, drains and follow orders
 
 	probing atomic.Int32 // one of the probe states
+	told    atomic.Int64 // time of the last status that came with a confirmation
 
 	claimMu sync.Mutex
 	claimT  siskin.Target // connection of the last claim
@@ -54,6 +55,10 @@
 func (p *peer) watch() {
 	for p.g.ctx.Err() == nil {
 		interval := p.g.settings.Interval
+		if wait, activated := p.spared(); wait > 0 {
+			p.sleepUntil(wait, activated)
+			continue
+		}
 		asked := p.g.clock.Now()
 		var st siskin.TargetStatus
 		next, isReplica := p.nextTerm()
@@ -183,9 +188,13 @@
 		if err == nil {
 			g.tracker.observe(st)
 		}
-		if err != nil || st.StreamTerm != pos.Term || st.Received < pos.LSN {
+		switch {
+		case err != nil || st.StreamTerm != pos.Term || st.Received < pos.LSN:
 			p.report(evStatus, asked, st, err)
 			p.sleep(g.settings.Interval / 10)
+		case asked.Sub(p.toldAt()) >= g.settings.Interval/2:
+			p.told.Store(asked.UnixNano())
+			p.report(evStatus, asked, st, nil)
 		}
 	}
 }
--- a/pkg/group/resume.go
+++ b/pkg/group/resume.go
@@ -12,6 +12,8 @@
 	// Staleness is measured on the monotonic clock, which stands still while a
 	// VM is suspended, so that older samples would make data look fresh.
 	g.samples = samples{}
+	g.activeUntil = now.Add(activeFor)
+	g.setPassive(now, event{kind: evTick})
 	actions := g.machine.resume(now)
 	g.publish(now)
 	for _, a := range actions {
