group: take the time of silence from waiting statements

Cause: a home that does not probe gave a silent target 3 more intervals after its first failed probe, although its statements had waited longer.

Change: when a probe fails while statements wait for the target, the time of its last answer is that of the last statement answered.

--- a/pkg/group/event.go
+++ b/pkg/group/event.go
@@ -33,8 +33,10 @@
 	request int             // evChange: the operator's request
 	status  siskin.TargetStatus
 	asked   time.Time // when the status was asked for
-	ok      bool
-	known   bool // status holds an answer
+	// heard is when a target that failed last answered a statement, if one waits.
+	heard time.Time
+	ok    bool
+	known bool // status holds an answer
 	// conflict says that the target refused a promotion, so it did not happen.
 	conflict bool
 	force    bool // evChange: accept the loss of writes
--- a/pkg/group/passive.go
+++ b/pkg/group/passive.go
@@ -70,6 +70,9 @@
 	}
 	m.setPassive(now, passive)
 	g.passive.Store(passive)
+	if t := m.target(e.target); !passive && t != nil && !e.heard.IsZero() && e.heard.Before(now) {
+		t.answered = e.heard
+	}
 	if !passive {
 		close(g.activated)
 		g.activated = make(chan struct{})
--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -128,3 +128,36 @@
 		})
 	}
 }
+
+// TestPassiveSilentTarget guards against a silent target that a home which does
+// not probe finds later than one that does: statements that get no answer tell
+// since when the target is silent.
+func TestPassiveSilentTarget(t *testing.T) {
+	t.Parallel()
+	servers := startTargets(t, 3, nil)
+	var waiting atomic.Bool
+	var last atomic.Int64
+	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithHeard(func(id siskin.TargetID) (bool, time.Time) {
+		return waiting.Load() && id == servers[2].ID(), time.Unix(0, last.Load())
+	}))
+	awaitPassive(t, g)
+	servers[2].SetPaused(true)
+	begun := time.Now()
+	last.Store(begun.UnixNano())
+	waiting.Store(true)
+	for {
+		view := g.View()
+		if tv, _ := view.Target(servers[2].ID()); !tv.Reachable {
+			break
+		}
+		if time.Since(begun) > 15**interval {
+			t.Fatal("silent target: got it reachable after 15 intervals")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	took := time.Since(begun)
+	t.Logf("unreachable %v after the last answer", took)
+	if limit := 5 * *interval; took > limit {
+		t.Errorf("silent target: got it unreachable after %v, want at most %v", took, limit)
+	}
+}
--- a/pkg/group/peer.go
+++ b/pkg/group/peer.go
@@ -105,6 +105,9 @@
 		e.kind = evRefused
 	default:
 		e.kind = evFailed
+		if waiting, last := p.g.heard(p.member.ID); waiting {
+			e.heard = last
+		}
 	}
 	p.g.post(e)
 }
