node: take the watchers from the slots in force

Cause: a group keeps running when only the slots of its service change, and it kept the watchers of the earlier slots, some of which are no homes any more. Each event of a group also ranked its homes anew, twice.

Change: rank, watchers and waiting statements follow the document in force.

--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -21,6 +21,7 @@
 	self     siskin.VMID
 	clock    siskin.Clock
 	homes    *homes
+	config   config.View
 	shortest time.Duration // interval between probes of the settings
 	interval time.Duration // interval of groups that start now
 	open     siskin.DialFunc
@@ -51,6 +52,7 @@
 		self:     cfg.Self.ID,
 		clock:    cfg.Clock,
 		homes:    homes,
+		config:   cfg.Config,
 		shortest: cfg.ProbeInterval,
 		open:     cfg.Open,
 		log:      cfg.Log,
@@ -122,9 +124,9 @@
 		failed: make(map[siskin.TargetID]time.Time),
 	}
 	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithAwake(g.awake),
-		group.WithRank(func() int { return g.rank(service) }),
-		group.WithWatcher(func() bool { return g.isWatcher(service) }),
-		group.WithHeard(func(id siskin.TargetID) (bool, time.Time) { return g.heardFrom(service, id) }),
+		group.WithRank(func() int { return g.rank(g.current(service)) }),
+		group.WithWatcher(func() bool { return g.isWatcher(g.current(service)) }),
+		group.WithHeard(func(id siskin.TargetID) (bool, time.Time) { return g.heardFrom(g.current(service), id) }),
 	)
 	if err != nil {
 		return err
@@ -165,6 +167,15 @@
 	return max(0, slices.IndexFunc(g.homes.rankOf(service), g.isSelf))
 }
 
+// current returns the document in force of a service. A group goes on running
+// when only its slots change, and with them its homes.
+func (g *groups) current(s *config.Service) *config.Service {
+	if now, ok := g.config.Service(s.Name); ok {
+		return now
+	}
+	return s
+}
+
 func (g *groups) isSelf(vm siskin.VM) bool { return vm.ID == g.self }
 
 // isWatcher reports whether this VM probes the group's targets all the time.
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -22,6 +22,9 @@
 	changed <-chan struct{}
 	live    []siskin.VM
 	known   *shard.Map[pool.Key, siskin.VM]
+	// ranks holds the homes of services in order. A changed service has another
+	// document, and the outdated ones go with the table.
+	ranks *shard.Map[*config.Service, []siskin.VM]
 }
 
 func newHomes(members siskin.Members) *homes {
@@ -34,7 +37,10 @@
 // seen at the next call.
 func (h *homes) read() *homeTable {
 	changed := h.members.Changed()
-	return &homeTable{changed: changed, live: h.members.Live(), known: shard.New[pool.Key, siskin.VM]()}
+	return &homeTable{
+		changed: changed, live: h.members.Live(),
+		known: shard.New[pool.Key, siskin.VM](), ranks: shard.New[*config.Service, []siskin.VM](),
+	}
 }
 
 func (h *homes) current() *homeTable {
@@ -85,8 +91,13 @@
 
 // rankOf returns the VMs that own a slot of the service in the order in which
 // they act on its group. The first two are its watchers, in two data centres
-// when the homes are in several.
+// when the homes are in several. The caller must not modify the slice, which is
+// kept because each event of a group asks for it.
 func (h *homes) rankOf(s *config.Service) []siskin.VM {
+	t := h.current()
+	if ranked, ok := t.ranks.Get(s); ok {
+		return ranked
+	}
 	ranked := place.Rank("Group/"+string(s.Name), h.ofService(s))
 	for i := 1; i < len(ranked); i++ {
 		if ranked[i].DataCentre != ranked[0].DataCentre {
@@ -96,6 +107,9 @@
 			break
 		}
 	}
+	if h.current() == t { // else the homes may be those of a later view
+		t.ranks.Put(s, ranked)
+	}
 	return ranked
 }
 
--- a/internal/node/pass.go
+++ b/internal/node/pass.go
@@ -56,7 +56,7 @@
 	asked := 0
 	ctx, cancel := context.WithTimeout(w.ctx, passTimeout)
 	defer cancel()
-	for _, vm := range g.homes.ofService(service) {
+	for _, vm := range g.homes.rankOf(g.current(service)) {
 		if known, ok := told[vm.ID]; g.isSelf(vm) || ok && known == number {
 			continue
 		}
--- a/internal/node/remote.go
+++ b/internal/node/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,7 +118,7 @@
 	if !ok {
 		return
 	}
-	vms := r.homes.rankOf(s)
+	vms := slices.Clone(r.homes.rankOf(s))
 	n := min(len(vms), watcherCount)
 	rand.Shuffle(n, func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 	rand.Shuffle(len(vms)-n, func(i, j int) { vms[n+i], vms[n+j] = vms[n+j], vms[n+i] })
--- a/pkg/group/view.go
+++ b/pkg/group/view.go
@@ -37,6 +37,9 @@
 // wake returns when the machine needs a tick.
 func (m *machine) wake(now time.Time) time.Time {
 	next := now.Add(m.silence() / 4)
+	if m.passive {
+		next = now.Add(m.silence())
+	}
 	earliest := func(t time.Time) {
 		if !t.IsZero() && t.Before(next) {
 			next = t
