--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/pool"
 	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/group"
 	"siskintray.example/siskin/pkg/pgctl"
@@ -19,11 +21,17 @@
 	self     siskin.VMID
 	clock    siskin.Clock
 	homes    *homes
+	config   config.View
 	shortest time.Duration // interval between probes of the settings
 	interval time.Duration // interval of groups that start now
 	open     siskin.DialFunc
 	log      *log.Logger
 	awake    func() bool
+	// heard reports on the statements of this VM at a slot of a target.
+	heard func(key pool.Key) (waiting bool, last time.Time)
+	// views are the views of the watchers, and tell passes this VM's view on.
+	views *remoteViews
+	tell  func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error
 	// endOlder ends the writes at primaries of terms before the given one.
 	endOlder func(service siskin.ServiceName, term siskin.Term)
 	// silent tells the pool that old connections to a target went silent.
@@ -44,6 +52,7 @@
 		self:     cfg.Self.ID,
 		clock:    cfg.Clock,
 		homes:    homes,
+		config:   cfg.Config,
 		shortest: cfg.ProbeInterval,
 		open:     cfg.Open,
 		log:      cfg.Log,
@@ -75,7 +84,9 @@
 		}
 		wanted[name] = true
 		services = append(services, service)
-		targets += len(service.Targets)
+		if g.isWatcher(service) {
+			targets += len(service.Targets)
+		}
 	}
 	// A group that runs keeps its interval until it is started anew, since a
 	// new start costs the knowledge of its targets.
@@ -97,7 +108,7 @@
 }
 
 func (g *groups) watches(service *config.Service) bool {
-	return slices.ContainsFunc(g.homes.ofService(service), func(vm siskin.VM) bool { return vm.ID == g.self })
+	return slices.ContainsFunc(g.homes.ofService(service), g.isSelf)
 }
 
 func (g *groups) ensure(service *config.Service) error {
@@ -112,13 +123,20 @@
 		silent: g.silent,
 		failed: make(map[siskin.TargetID]time.Time),
 	}
-	r := &ranker{self: g.self, homes: g.homes, service: service}
-	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithRank(r.rank), group.WithAwake(g.awake))
+	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithAwake(g.awake),
+		group.WithRank(func() int { return g.rank(g.current(service)) }),
+		group.WithWatcher(func() bool { return g.isWatcher(g.current(service)) }),
+		group.WithHeard(func(id siskin.TargetID) (bool, time.Time) { return g.heardFrom(g.current(service), id) }),
+	)
 	if err != nil {
 		return err
 	}
-	w := &watchedGroup{Group: started, settings: settings, credentials: service.Credentials, closed: make(chan struct{})}
+	w := &watchedGroup{
+		Group: started, settings: settings, credentials: service.Credentials, views: g.views, clock: g.clock,
+	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.wg.Go(func() { w.follow(g.endOlder, g.observe) })
+	w.wg.Go(func() { w.pass(g, service) })
 	g.running.Put(service.Name, w)
 	if ok {
 		return old.Close()
@@ -144,6 +162,40 @@
 	return a.AckReplicas == b.AckReplicas && a.MaxUnconfirmed == b.MaxUnconfirmed && slices.Equal(a.Members, b.Members)
 }
 
+// rank returns this VM's place among the VMs that watch the group.
+func (g *groups) rank(service *config.Service) int {
+	return max(0, slices.IndexFunc(g.homes.rankOf(service), g.isSelf))
+}
+
+// current returns the document in force of a service. A group goes on running
+// when only its slots change, and with them its homes.
+func (g *groups) current(s *config.Service) *config.Service {
+	if now, ok := g.config.Service(s.Name); ok {
+		return now
+	}
+	return s
+}
+
+func (g *groups) isSelf(vm siskin.VM) bool { return vm.ID == g.self }
+
+// isWatcher reports whether this VM probes the group's targets all the time.
+func (g *groups) isWatcher(service *config.Service) bool {
+	return slices.ContainsFunc(g.homes.watchersOf(service), g.isSelf)
+}
+
+// heardFrom reports whether a statement of this VM waits for a target and when
+// the target last answered one.
+func (g *groups) heardFrom(service *config.Service, target siskin.TargetID) (waiting bool, last time.Time) {
+	for slot := range service.Slots {
+		w, at := g.heard(pool.Key{Target: target, Slot: siskin.Slot(slot)})
+		waiting = waiting || w
+		if at.After(last) {
+			last = at
+		}
+	}
+	return waiting, last
+}
+
 // of returns the group that a target belongs to.
 func (g *groups) of(target siskin.TargetID) (found *watchedGroup) {
 	g.running.Range(func(_ siskin.ServiceName, w *watchedGroup) bool {
@@ -155,6 +207,19 @@
 	return found
 }
 
+// learn passes the view of a watcher to the group. Without one the watchers are
+// silent, and this VM probes itself.
+func (g *groups) learn(service siskin.ServiceName, view *siskin.GroupView, asked time.Time) {
+	w, ok := g.running.Get(service)
+	switch {
+	case !ok:
+	case view == nil:
+		w.Activate()
+	default:
+		w.Learn(view, asked)
+	}
+}
+
 // suspect tells the group of a target about a failed connection.
 func (g *groups) suspect(target siskin.TargetID, cause error) {
 	if w := g.of(target); w != nil {
@@ -169,7 +234,7 @@
 	if w == nil {
 		return true
 	}
-	view := w.View()
+	view := w.Group.View()
 	t, ok := view.Target(target)
 	return !ok || t.Reachable
 }
--- a/internal/node/ranker_test.go
+++ b/internal/node/rank_test.go
@@ -14,17 +14,17 @@
 	service := &config.Service{Name: "ledger", Slots: 16, Targets: []config.Target{{ID: "ledger/1", DataCentre: "a"}}}
 	members := &changingMembers{fakeMembers: fakeMembers{live: []siskin.VM{vm("vm-1"), vm("vm-2")}}, changed: make(chan struct{})}
 	homes := newHomes(members)
-	first, second := &ranker{self: "vm-1", homes: homes, service: service}, &ranker{self: "vm-2", homes: homes, service: service}
-	if got, want := first.rank()+second.rank(), 1; got != want {
+	first, second := &groups{self: "vm-1", homes: homes}, &groups{self: "vm-2", homes: homes}
+	if got, want := first.rank(service)+second.rank(service), 1; got != want {
 		t.Fatalf("sum of the ranks of two VMs: got %d, want %d", got, want)
 	}
 	later := first
-	if second.rank() == 1 {
+	if second.rank(service) == 1 {
 		later = second
 	}
 	members.live = []siskin.VM{vm(later.self)}
 	close(members.changed)
-	if got := later.rank(); got != 0 {
+	if got := later.rank(service); got != 0 {
 		t.Errorf("rank of the only VM left: got %d, want 0", got)
 	}
 }
--- a/pkg/group/event.go
+++ b/pkg/group/event.go
@@ -19,6 +19,9 @@
 	evDrained            // answer to a drain
 	evReached            // answer to a wait for the end of the primary's log
 	evChange             // an operator asks for a change of primary
+	evLearned            // another VM told the status of a target
+	evLook               // another VM told of a later primary
+	evLost               // another VM told that a target does not answer it
 )
 
 // event is one input of the machine.
@@ -30,8 +33,10 @@
 	request int             // evChange: the operator's request
 	status  siskin.TargetStatus
 	asked   time.Time // when the status was asked for
-	ok      bool
-	known   bool // status holds an answer
+	// heard is when a target that failed last answered a statement, if one waits.
+	heard time.Time
+	ok    bool
+	known bool // status holds an answer
 	// conflict says that the target refused a promotion, so it did not happen.
 	conflict bool
 	force    bool // evChange: accept the loss of writes
