daemon, burn: list the recorded term, and leave room for the last label

Cause: on running VMs the column RECORDED of group status said unknown. The list takes the views of groups that the VM watches itself, and those lacked the term of the platform's record; two changes made at the same time met there. The page of error budgets, looked at in Chromium, cut off the last label of its plots.

Change: the list uses the same view as the question for one group. Plots keep 1 cm on the right.

Conclusion: operators see whether the platform's record is behind.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -104,11 +104,7 @@
 
 // Local implements admin.GroupControl.
 func (b *groupBackend) Local(service siskin.ServiceName) (siskin.GroupView, bool) {
-	g, ok := b.d.node.Group(service)
-	if !ok {
-		return siskin.GroupView{}, false
-	}
-	return g.View(), true
+	return b.d.node.Local(service)
 }
 
 // View implements admin.GroupControl.
--- a/internal/fleet/planned_test.go
+++ b/internal/fleet/planned_test.go
@@ -10,7 +10,8 @@
 )
 
 // TestChangeBackAndForth guards against writes that fail after a target became
-// the primary again, on connections that were open while it was demoted.
+// the primary again, on connections that were open while it was demoted, and
+// against a list of groups without the term that the platform has on record.
 func TestChangeBackAndForth(t *testing.T) {
 	const seed, length, every = 1, 7 * time.Second, 1500 * time.Millisecond
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -48,4 +49,12 @@
 			t.Errorf("got %d requests with %s, want none", n, outcome)
 		}
 	}
+	recorded := func() bool {
+		var list admin.GroupPage
+		err := admin.NewClient(f.VMs[0].AdminAddress(), nil).Get(ctx, "/groups", &list)
+		return err == nil && len(list.Groups) > 0 && list.Groups[0].RecordedTerm == list.Groups[0].Term
+	}
+	if err := f.wait(ctx, "the record of the primary", recorded); err != nil {
+		t.Error(err)
+	}
 }
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -9,9 +9,7 @@
 
 // View returns the group of a service, from a home if this VM is none.
 func (n *Node) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
-	if g, ok := n.groups.running.Get(service); ok {
-		view := g.Group.View()
-		view.Recorded = n.records.recorded(service)
+	if view, ok := n.Local(service); ok {
 		return view, nil
 	}
 	s, err := n.service(service)
@@ -26,6 +24,17 @@
 	return siskin.GroupView{}, notWatched(service)
 }
 
+// Local returns the group of a service that this VM is a home of.
+func (n *Node) Local(service siskin.ServiceName) (siskin.GroupView, bool) {
+	g, ok := n.groups.running.Get(service)
+	if !ok {
+		return siskin.GroupView{}, false
+	}
+	view := g.Group.View()
+	view.Recorded = n.records.recorded(service)
+	return view, true
+}
+
 // askView asks one home, which may be silent, so that the others are asked too.
 func (n *Node) askView(ctx context.Context, vm siskin.VMID, service siskin.ServiceName) (siskin.GroupView, bool) {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
--- a/pkg/burn/plot.go
+++ b/pkg/burn/plot.go
@@ -26,7 +26,8 @@
 		return "", err
 	}
 	canvas := vgsvg.New(16*vg.Centimeter, 4.5*vg.Centimeter)
-	p.Draw(draw.New(canvas))
+	// The label of a tick at the end of the axis needs room on the right.
+	p.Draw(draw.Crop(draw.New(canvas), 0, -vg.Centimeter, 0, 0))
 	var b bytes.Buffer
 	if _, err := canvas.WriteTo(&b); err != nil {
 		return "", err
