labcmd: measure whole VMs with 7,500 connections and TLS

Cause: statements with thousands of open connections were measured with fakes for limits, fair queue and groups only, and without TLS.

Change: TestWholeVM runs two whole VMs with TLS towards callers and mutual TLS between VMs; stand-ins and callers run in processes of their own. Without -measure it is a short test of forwarded statements over TLS; with it, it holds the aims of statements/s and of memory. fleet.WithTLS makes a certificate for a fleet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,8 @@
 	dir       string
 	remote    *Remote
 	addresses *Addresses
+	secure    bool
+	cert      *certificate
 }
 
 // Option changes how a Fleet is started.
@@ -44,6 +46,12 @@
 // nothing on them.
 func WithRemote(r *Remote) Option { return func(f *Fleet) { f.remote = r } }
 
+// WithTLS uses TLS towards callers and mutual TLS between VMs.
+func WithTLS() Option { return func(f *Fleet) { f.secure = true } }
+
+// CertFile returns the certificate that callers trust, with WithTLS.
+func (f *Fleet) CertFile() string { return f.cert.cert }
+
 // Start runs a deployment and waits until its configuration is in force.
 func Start(ctx context.Context, p load.Profile, opts ...Option) (*Fleet, error) {
 	f := &Fleet{
@@ -70,6 +78,11 @@
 	if err := os.WriteFile(f.tokenKey(), []byte("token key of a fleet on loopback"), 0o600); err != nil {
 		return err
 	}
+	if f.secure {
+		if f.cert, err = writeCertificate(f.dir); err != nil {
+			return err
+		}
+	}
 	if err := f.startStandins(); err != nil {
 		return err
 	}
--- a/internal/fleet/vm.go
+++ b/internal/fleet/vm.go
@@ -34,6 +34,10 @@
 	for _, vm := range f.VMs {
 		s.Peer.Seeds = append(s.Peer.Seeds, vm.settings.Peer.Address)
 	}
+	if c := f.cert; c != nil {
+		s.Caller.CertFile, s.Caller.KeyFile = c.cert, c.key
+		s.Peer.CertFile, s.Peer.KeyFile, s.Peer.CAFile = c.cert, c.key, c.cert
+	}
 	vm := &VM{fleet: f, settings: s}
 	if err := vm.Start(); err != nil {
 		return nil, err
--- a/internal/labcmd/standinfleet_test.go
+++ b/internal/labcmd/standinfleet_test.go
@@ -11,11 +11,15 @@
 	"siskintray.example/siskin/internal/load"
 )
 
-// TestMain runs the command line when StartRemote starts the test binary.
+// TestMain runs the command line or callers when a test starts the test binary
+// again.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 2 && os.Args[1] == "standin" {
 		os.Exit(cmds.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, Specs()...))
 	}
+	if len(os.Args) > 1 && os.Args[1] == "callers" {
+		os.Exit(runCallers())
+	}
 	os.Exit(m.Run())
 }
 
