front: halve the stack of idle sessions

Cause: a transaction grows the stack of its session to 8 KB, and a blocked read through TLS uses more than a quarter of it, so the runtime never shrinks it.

Change: after the start-up and after each transaction the session goes on in a new goroutine, whose stack is 4 KB while it waits. The end of a connection is reported by a function in place of the return of serveConn; FuzzSession-style use in fuzz_test.go waits for that function and is as strict as before.

--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -63,10 +63,7 @@
 	f.Fuzz(func(t *testing.T, messages []byte) {
 		client, server := net.Pipe()
 		done := make(chan struct{})
-		go func() {
-			s.serveConn(server)
-			close(done)
-		}()
+		go s.serveConn(server, func() { close(done) })
 		go func() { _, _ = io.Copy(io.Discard, client) }()
 		start, _ := (&pgproto3.StartupMessage{
 			ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "a", "database": "badges/open"},
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -14,38 +14,57 @@
 
 var longAgo = time.Unix(1, 0)
 
-// loop runs the session until it ends.
+// loop runs the session until it ends. Each transaction grows the stack to
+// 8 KB, and an idle read through TLS keeps it from shrinking. So the session
+// goes on in a new goroutine, whose stack is half of that while it waits.
 func (c *session) loop() {
-	for c.setIdle() {
-		h, err := c.r.Peek()
-		if err != nil {
-			c.readFailed(err)
+	for c.step() {
+		if c.r.Buffered() == 0 {
+			go c.loop()
 			return
 		}
-		switch h.Type {
-		case 'X':
-			return
-		case 'd', 'c', 'f', 'H':
-			// Copy data that follows an error, and a Flush, have no answer.
-			if _, err = c.r.Next(); err == nil {
-				err = c.r.Skip()
-			}
-		case 'S':
-			if _, err = c.r.Next(); err == nil {
-				err = errors.Join(c.r.Skip(), c.ready())
-			}
-		case 'Q', 'P', 'B', 'D', 'E', 'C', 'F':
-			err = c.run(h)
-		default:
-			err = siskin.NewError(siskin.BadInput, "message %q is not part of the protocol", h.Type).
-				WithRemedy("check that the client speaks the PostgreSQL protocol 3.0")
+	}
+	c.srv.sessions.Delete(c.id)
+	if c.endReason() != nil {
+		linger(c.conn)
+	}
+	c.finish()
+}
+
+// step handles the next message, or the transaction that it begins. It reports
+// false when the session has ended.
+func (c *session) step() bool {
+	if !c.setIdle() {
+		c.fatal(c.endReason())
+		return false
+	}
+	h, err := c.r.Peek()
+	if err != nil {
+		c.readFailed(err)
+		return false
+	}
+	switch h.Type {
+	case 'X':
+		return false
+	case 'd', 'c', 'f', 'H':
+		// Copy data that follows an error, and a Flush, have no answer.
+		if _, err = c.r.Next(); err == nil {
+			err = c.r.Skip()
 		}
-		if err != nil {
-			c.readFailed(err)
-			return
+	case 'S':
+		if _, err = c.r.Next(); err == nil {
+			err = errors.Join(c.r.Skip(), c.ready())
 		}
+	case 'Q', 'P', 'B', 'D', 'E', 'C', 'F':
+		err = c.run(h)
+	default:
+		err = siskin.NewError(siskin.BadInput, "message %q is not part of the protocol", h.Type).
+			WithRemedy("check that the client speaks the PostgreSQL protocol 3.0")
+	}
+	if err != nil {
+		c.readFailed(err)
 	}
-	c.fatal(c.endReason())
+	return err == nil
 }
 
 // readFailed ends the session after an error, of which the caller is told when
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -60,11 +60,7 @@
 			conn.Close()
 			continue
 		}
-		go func() {
-			defer s.wg.Done()
-			defer s.leave(conn)
-			s.serveConn(conn)
-		}()
+		go s.serveConn(conn, func() { s.leave(conn) })
 	}
 }
 
@@ -88,6 +84,7 @@
 }
 
 func (s *Server) leave(conn net.Conn) {
+	defer s.wg.Done()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.pending, conn)
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -17,6 +17,7 @@
 type session struct {
 	srv    *Server
 	conn   net.Conn
+	finish func() // closes the connection at the end
 	r      *frame.Reader
 	w      *frame.Writer
 	id     uint16
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -12,12 +12,28 @@
 	"siskintray.example/siskin/internal/relay"
 )
 
-// serveConn runs the start-up and then the session of one connection.
-func (s *Server) serveConn(conn net.Conn) {
-	defer conn.Close()
-	if conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)) != nil {
+// serveConn runs the start-up of one connection and starts its session. It
+// calls ended when the connection is closed.
+func (s *Server) serveConn(conn net.Conn, ended func()) {
+	finish := func() {
+		_ = conn.Close() // the connection ends in any case
+		ended()
+	}
+	c := s.newcomer(conn)
+	if c == nil {
+		finish()
 		return
 	}
+	c.finish = finish
+	go c.loop()
+}
+
+// newcomer runs the start-up. It returns no session when the caller was refused
+// or had sent a cancel request.
+func (s *Server) newcomer(conn net.Conn) *session {
+	if conn.SetDeadline(time.Now().Add(s.cfg.StartupTimeout)) != nil {
+		return nil
+	}
 	c, err := s.startUp(conn)
 	if err != nil {
 		if e := new(siskin.Error); errors.As(err, &e) {
@@ -26,16 +42,9 @@
 		if s.cfg.Log != nil {
 			s.cfg.Log.Info().Err(err).Msg("caller refused at start-up")
 		}
-		return
-	}
-	if c == nil {
-		return // a cancel request
-	}
-	defer s.sessions.Delete(c.id)
-	c.loop()
-	if c.endReason() != nil {
-		linger(c.conn)
+		return nil
 	}
+	return c
 }
 
 // maxStartupMessages bounds the messages before the start-up message: one for
