labcmd: measure the latency that whole VMs add

Cause: TestWholeVM gave the latency of one statement at a time without that of a direct connection on the same machine.

Change: callers with a direct connection to the primary take turns with those of the VM.

--- a/internal/labcmd/wholevm_test.go
+++ b/internal/labcmd/wholevm_test.go
@@ -45,11 +45,15 @@
 	}
 	f := startWhole(t)
 	heap, stacks := liveMemory()
-	c := startWholeCallers(t, f, connections)
+	c := startWholeCallers(t, wholePlan(f, connections))
 	memory := perConnection(t, "memory of an idle connection", heap, stacks, connections)
 	writeHeap(t)
-	light := c.run(t, callersRun{Duration: duration, Workers: 1, Pause: time.Millisecond})
-	t.Logf("one statement at a time: p50 %v, p99 %v", light.P50, light.P99)
+	direct := startWholeCallers(t, directPlan(f))
+	for range 2 { // in turns, so that both see the same machine
+		base := direct.run(t, callersRun{Duration: duration / 4, Workers: 1, Pause: time.Millisecond})
+		light := c.run(t, callersRun{Duration: duration / 4, Workers: 1, Pause: time.Millisecond})
+		t.Logf("one statement at a time: p50 %v, p99 %v; directly at the primary p50 %v, p99 %v", light.P50, light.P99, base.P50, base.P99)
+	}
 	c.run(t, callersRun{Duration: duration / 4, Workers: 40}) // pools open their connections
 	cpu, began := processorTime(), time.Now()
 	full := c.run(t, callersRun{Duration: duration, Workers: 40})
@@ -111,7 +115,32 @@
 	out *json.Decoder
 }
 
-func startWholeCallers(t *testing.T, f *fleet.Fleet, connections int) *wholeCallers {
+// wholePlan opens the connections to the first VM.
+func wholePlan(f *fleet.Fleet, connections int) callersPlan {
+	service := string(f.Profile.Services[0])
+	plan := callersPlan{
+		Address: f.Addresses()[0], Customer: "shop", Key: f.Keys[siskin.CustomerID("shop")],
+		Reads: service + "/" + string(fleet.AgedRoute), Writes: service + "/" + string(fleet.WriteRoute),
+		Connections: connections, WriteOne: *writeOne,
+	}
+	if !*plain {
+		plan.CA = f.CertFile()
+	}
+	return plan
+}
+
+// directPlan opens as many connections to the primary as a slot has, without a
+// VM and without waits for replicas.
+func directPlan(f *fleet.Fleet) callersPlan {
+	s := f.Service(f.Profile.Services[0])
+	return callersPlan{
+		Address: s.Targets[0].Address, Customer: s.Credentials.User, Key: s.Credentials.Password,
+		Reads: s.Credentials.Database, Writes: s.Credentials.Database,
+		Connections: s.ConnectionsPerSlot, WriteOne: *writeOne,
+	}
+}
+
+func startWholeCallers(t *testing.T, plan callersPlan) *wholeCallers {
 	t.Helper()
 	path, err := os.Executable()
 	if err != nil {
@@ -134,15 +163,6 @@
 		_ = cmd.Wait()
 	})
 	c := &wholeCallers{json.NewEncoder(stdin), json.NewDecoder(stdout)}
-	service := string(f.Profile.Services[0])
-	plan := callersPlan{
-		Address: f.Addresses()[0], Customer: "shop", Key: f.Keys[siskin.CustomerID("shop")],
-		Reads: service + "/" + string(fleet.AgedRoute), Writes: service + "/" + string(fleet.WriteRoute),
-		Connections: connections, WriteOne: *writeOne,
-	}
-	if !*plain {
-		plan.CA = f.CertFile()
-	}
 	c.exchange(t, plan)
 	return c
 }
