pool, node: close writers' connections when a primary is replaced

Cause: a target that was demoted refuses writes, on the connections that were open then, for good. The pools kept those connections, so writes failed with SQLSTATE 25006 or 08007 when the target became the primary again.

Change: at each new term a home closes the idle connections of the full account to the group's targets, and those in use when they are returned.

TestPrimaryChangedReplacesWriters failed with the closing left out.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"siskintray.example/siskin/internal/front"
 	"siskintray.example/siskin/internal/pool"
 	"siskintray.example/siskin/internal/relay"
+	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/retry"
 )
 
@@ -43,7 +45,7 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.homes = newHomes(cfg.Members)
 	n.queues = newQueues(cfg.Clock)
-	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) },
+	n.groups = newGroups(cfg, n.homes, n.primaryChanged,
 		func(s siskin.ServiceName, v *siskin.GroupView) { n.home.Observe(s, v) })
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
@@ -66,6 +68,17 @@
 	return n, nil
 }
 
+// primaryChanged ends what belongs to the primaries of a service before the
+// given term.
+func (n *Node) primaryChanged(name siskin.ServiceName, term siskin.Term) {
+	if service, ok := n.cfg.Config.Service(name); ok {
+		n.pool.PrimaryChanged(func(id siskin.TargetID) bool {
+			return slices.ContainsFunc(service.Targets, func(t config.Target) bool { return t.ID == id })
+		})
+	}
+	n.home.EndOlder(name, term)
+}
+
 func (n *Node) newFront() *front.Server {
 	cfg := n.cfg
 	return front.New(front.Config{
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -53,6 +53,7 @@
 	slot       *slot
 	account    Account
 	generation int
+	writers    int
 	processID  uint32
 	secret     []byte
 	opened     time.Time
@@ -120,7 +121,7 @@
 		return
 	}
 	s.unlease(c, connResetting)
-	drop := s.draining || c.generation != s.generation || c.R.Buffered() > 0 || c.R.Left() > 0 || c.W.Buffered() > 0
+	drop := s.draining || s.isStale(c) || c.R.Buffered() > 0 || c.R.Left() > 0 || c.W.Buffered() > 0
 	reset := !s.cfg.Stateless
 	if !reset {
 		drop = drop || c.SetDeadline(time.Time{}) != nil
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -94,7 +94,7 @@
 
 func (s *slot) openOne(account Account) {
 	s.mu.Lock()
-	cfg, generation := s.cfg, s.generation
+	cfg, generation, writers := s.cfg, s.generation, s.writers
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.pool.ctx, cfg.dialTimeout())
 	defer cancel()
@@ -106,7 +106,7 @@
 	s.mu.Lock()
 	s.opening[account]--
 	c := newConn(s, account, o, s.pool.clock.Now())
-	c.generation, c.state = generation, connResetting
+	c.generation, c.writers, c.state = generation, writers, connResetting
 	s.conns[c] = struct{}{}
 	s.count[account]++
 	s.failures, s.lastErr, s.nextOpen = 0, nil, time.Time{}
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -16,6 +16,7 @@
 	mu         sync.Mutex
 	cfg        SlotConfig
 	generation int // grows when the settings change; older connections are closed
+	writers    int // the same for the full account, when a primary is replaced
 	idle       [accounts][]*Conn
 	conns      map[*Conn]struct{}
 	count      [accounts]int // connections, without opening ones
@@ -106,7 +107,7 @@
 // put makes a connection idle and hands it to the first waiter of its account.
 func (s *slot) put(c *Conn) {
 	s.mu.Lock()
-	if s.draining || c.generation != s.generation || c.state == connClosed {
+	if s.draining || s.isStale(c) || c.state == connClosed {
 		s.mu.Unlock()
 		s.remove(c, nil)
 		return
