--- a/internal/pool/retire.go
+++ b/internal/pool/retire.go
@@ -2,21 +2,31 @@
 
 import "siskintray.example/siskin"
 
-// Retire closes the connections to a target that were opened before: idle ones
-// at once, those in use when they are returned.
+// Retire closes the connections of the full account to a target that were
+// opened before: idle ones at once, those in use when they are returned. A
+// target that was demoted refuses writes on the connections that were open
+// then, also after it has become the primary again.
 func (p *Pool) Retire(target siskin.TargetID) {
 	p.slots.Range(func(key Key, s *slot) bool {
 		if key.Target == target {
-			s.retire()
+			s.retireWriters()
 		}
 		return true
 	})
 }
 
-func (s *slot) retire() {
+func (s *slot) retireWriters() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.generation++ // openings in progress belong to the old one
-	s.closeIdle()
+	s.writers++ // openings in progress belong to the old ones
+	for len(s.idle[Full]) > 0 {
+		s.removeLocked(s.idle[Full][0])
+	}
 	s.ensure()
 }
+
+// isStale reports whether a connection is to be closed in place of another use.
+// The caller holds mu.
+func (s *slot) isStale(c *Conn) bool {
+	return c.generation != s.generation || (c.account == Full && c.writers != s.writers)
+}
