limit: reach a holding without a map

Change: the first holding is part of its bucket, others are found by their hash in a list, the fields of an admission come first, and a bucket is six whole cache lines.

Tests: first_test.go reaches the holding through a method.

--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -82,7 +82,7 @@
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.holdings[id]
+	h := b.holdings.get(id)
 	if h == nil {
 		return
 	}
@@ -174,7 +174,7 @@
 	b := c.bucket(i)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.holdings[item.Customer]
+	h := b.holdings.get(item.Customer)
 	if item.Epoch > b.epoch {
 		c.read(i, b)
 	}
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -12,9 +12,12 @@
 // bucket is one VM's state of one hash bucket, under its own lock. The hash
 // buckets are the shards of the core.
 type bucket struct {
+	// The fields that an admission reads share a cache line.
 	mu sync.Mutex
 	// epoch is zero while the VM is not a holder.
-	epoch   uint64
+	epoch    uint64
+	holdings holdings
+
 	granted uint64 // epoch whose grant was applied
 	holders []holderID
 	// report is the state on entering epoch. It never changes afterwards, so
@@ -24,7 +27,6 @@
 	// have their full burst, the others earn tokens since restAt.
 	rest, restFull siskin.Units
 	restAt         time.Duration
-	holdings       map[siskin.CustomerID]*holding
 	reading        bool // the record is being read
 	unreadable     bool // the platform did not answer the last reading
 	readAt         time.Duration
@@ -33,12 +35,17 @@
 	serves siskin.CustomerID
 	// reporting says that the epoch's missing units are not granted yet.
 	reporting bool
-	_         [64]byte // keeps the locks of neighbors on different cache lines
+	_         [56]byte // to 384 bytes, six cache lines: neighbors share none
 }
 
 // holding returns the state of a customer and creates it from the rest.
 func (b *bucket) holding(now time.Duration, id siskin.CustomerID, view config.View) *holding {
-	if h := b.holdings[id]; h != nil {
+	return b.holdingOf(now, hashOf(id), id, view)
+}
+
+// holdingOf is holding with the hash of the customer.
+func (b *bucket) holdingOf(now time.Duration, hash uint64, id siskin.CustomerID, view config.View) *holding {
+	if h := b.holdings.lookup(hash, id); h != nil {
 		if !h.known {
 			h.learn(now, view)
 		}
@@ -48,20 +55,20 @@
 	if !ok {
 		return nil
 	}
-	h := &holding{id: id, units: b.rest, known: true, rate: float64(c.Rate), burst: float64(c.Burst), at: now}
+	h := b.holdings.add(id)
+	h.units, h.known, h.rate, h.burst, h.at = b.rest, true, float64(c.Rate), float64(c.Burst), now
 	full := float64(b.restFull) / float64(siskin.TotalUnits)
 	earned := h.rate * (h.share() - full) * (now - b.restAt).Seconds()
 	h.tokens = h.burst*full + min(earned, h.burst*(h.share()-full))
-	b.holdings[id] = h
 	return h
 }
 
 // enter moves to an epoch and freezes the report.
 func (b *bucket) enter(epoch uint64) {
 	b.epoch = epoch
-	b.report = ReportReply{Rest: b.rest, Customers: make(map[siskin.CustomerID]siskin.Units, len(b.holdings))}
-	for id, h := range b.holdings {
-		b.report.Customers[id] = h.units
+	b.report = ReportReply{Rest: b.rest, Customers: make(map[siskin.CustomerID]siskin.Units)}
+	for h := range b.holdings.all() {
+		b.report.Customers[h.id] = h.units
 	}
 }
 
@@ -97,8 +104,8 @@
 }
 
 func (b *bucket) addGrant(now time.Duration, g *grant) {
-	for id, h := range b.holdings {
-		units, ok := g.Customers[id]
+	for h := range b.holdings.all() {
+		units, ok := g.Customers[h.id]
 		if !ok {
 			units = g.Rest
 		}
@@ -111,10 +118,11 @@
 		h.wake()
 	}
 	for id, units := range g.Customers {
-		if b.holdings[id] == nil {
+		if b.holdings.get(id) == nil {
 			// Its rate follows with the first use or, for a customer that is not
 			// yet known here, with the configuration.
-			b.holdings[id] = &holding{id: id, units: b.rest + units, at: now}
+			h := b.holdings.add(id)
+			h.units, h.at = b.rest+units, now
 		}
 	}
 	if g.Full {
@@ -127,7 +135,7 @@
 // drop gives up everything, after the VM found itself gone or superseded.
 func (b *bucket) drop() {
 	b.epoch, b.rest, b.restFull, b.holders = 0, 0, 0, nil
-	for _, h := range b.holdings {
+	for h := range b.holdings.all() {
 		h.units, h.tokens = 0, 0
 	}
 }
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -46,14 +46,16 @@
 	return c
 }
 
-func bucketOf(id siskin.CustomerID) int { return int(xxhash.Sum64String(string(id)) % buckets) }
+func hashOf(id siskin.CustomerID) uint64 { return xxhash.Sum64String(string(id)) }
+
+func bucketOf(id siskin.CustomerID) int { return int(hashOf(id) % buckets) }
 
 // bucket returns a bucket and creates it if need be.
 func (c *core) bucket(i int) *bucket {
 	if b := c.buckets[i].Load(); b != nil {
 		return b
 	}
-	c.buckets[i].CompareAndSwap(nil, &bucket{holdings: make(map[siskin.CustomerID]*holding)})
+	c.buckets[i].CompareAndSwap(nil, new(bucket))
 	return c.buckets[i].Load()
 }
 
@@ -71,11 +73,12 @@
 // admit takes n tokens from the customer's bucket, all or none. Fresh is false
 // for a request that was refused before and waited.
 func (c *core) admit(now time.Duration, id siskin.CustomerID, n float64, fresh bool) siskin.Admission {
-	i := bucketOf(id)
+	hash := hashOf(id)
+	i := int(hash % buckets)
 	b := c.bucket(i)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.holding(now, id, c.view)
+	h := b.holdingOf(now, hash, id, c.view)
 	if h == nil || !h.known {
 		return siskin.Admission{RetryAfter: unknownRetry}
 	}
@@ -159,7 +162,7 @@
 func (c *core) refresh(now time.Duration) {
 	for _, b := range c.each() {
 		b.mu.Lock()
-		for _, h := range b.holdings {
+		for h := range b.holdings.all() {
 			h.learn(now, c.view)
 		}
 		b.mu.Unlock()
--- a/pkg/limit/expect.go
+++ b/pkg/limit/expect.go
@@ -20,7 +20,7 @@
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.holdings[id]
+	h := b.holdings.get(id)
 	if h == nil || !h.known || now >= until || h.waiters >= maxWaiters {
 		return nil, 0, false
 	}
@@ -90,7 +90,7 @@
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h := b.holdings[id]; h != nil {
+	if h := b.holdings.get(id); h != nil {
 		h.waiters--
 		h.queued -= n
 	}
--- a/pkg/limit/first_test.go
+++ b/pkg/limit/first_test.go
@@ -31,7 +31,7 @@
 	ask(t, poor) // creates the holding, as the next line does
 	rich.admit(0, "a", 1, true)
 	const now = time.Second
-	h, empty := rich.bucket(i).holdings["a"], poor.bucket(i).holdings["a"]
+	h, empty := rich.bucket(i).holdings.get("a"), poor.bucket(i).holdings.get("a")
 	h.units, h.tokens, h.at = siskin.TotalUnits/2, 50, now
 	empty.units, empty.tokens, empty.at = siskin.TotalUnits/2, 0, now
 	h.demand = meter{slow: 80, fast: 80, at: now} // leaves no units to spare
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -13,26 +13,27 @@
 // holding is one VM's right of one customer with its token bucket. Times are
 // durations since the core's origin.
 type holding struct {
+	// The fields that an admission uses come first, on two cache lines.
+	hash   uint64 // of id
 	id     siskin.CustomerID
 	units  siskin.Units
 	tokens float64
 	at     time.Duration // time of tokens
-
 	// rate and burst are those of the whole customer; known is false while the
 	// configuration has no such customer.
 	rate, burst float64
 	known       bool
+	used        bool          // belongs to a customer
+	wanted      bool          // on the list of customers to ask for
+	askAfter    time.Duration // earliest time of the next request for units
+	demand      meter
+	queued      float64 // tokens that the waiting requests need
+	need        float64 // tokens that the latest refused request lacked
 
-	demand meter
-	need   float64 // tokens that the latest refused request lacked
-
-	wanted   bool          // on the list of customers to ask for
-	askAfter time.Duration // earliest time of the next request for units
 	failures int           // rounds in a row that brought nothing
 	roundAt  time.Duration // start of the round over all holders
 	hints    hints
 	waiters  int
-	queued   float64       // tokens that the waiting requests need
 	arrived  chan struct{} // closed when waiting requests must look again; nil without any
 }
 
--- /dev/null
+++ b/pkg/limit/holdings.go
@@ -0,0 +1,56 @@
+package limit
+
+import (
+	"iter"
+
+	"siskintray.example/siskin"
+)
+
+// holdings are the holdings of one bucket, in order of creation. Most buckets
+// have one or two. The first is part of the bucket, so that an admission among
+// many customers reaches it without another memory access.
+type holdings struct {
+	first holding
+	more  []*holding
+}
+
+// get returns the holding of a customer, or nil.
+func (s *holdings) get(id siskin.CustomerID) *holding { return s.lookup(hashOf(id), id) }
+
+// lookup is get with the hash of the customer. The hashes are compared first,
+// since the other ids are elsewhere in memory.
+func (s *holdings) lookup(hash uint64, id siskin.CustomerID) *holding {
+	if s.first.hash == hash && s.first.id == id {
+		return &s.first
+	}
+	for _, h := range s.more {
+		if h.hash == hash && h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// add returns a new holding for a customer that has none.
+func (s *holdings) add(id siskin.CustomerID) *holding {
+	h := &s.first
+	if h.used {
+		h = new(holding)
+		s.more = append(s.more, h)
+	}
+	h.id, h.hash, h.used = id, hashOf(id), true
+	return h
+}
+
+func (s *holdings) all() iter.Seq[*holding] {
+	return func(yield func(*holding) bool) {
+		if !s.first.used || !yield(&s.first) {
+			return
+		}
+		for _, h := range s.more {
+			if !yield(h) {
+				return
+			}
+		}
+	}
+}
--- a/pkg/limit/link.go
+++ b/pkg/limit/link.go
@@ -42,7 +42,7 @@
 	}
 	for _, b := range c.each() {
 		b.mu.Lock()
-		for _, h := range b.holdings {
+		for h := range b.holdings.all() {
 			if h.failures > 0 {
 				h.failures, h.askAfter = 0, now
 				h.wake()
--- a/pkg/limit/state.go
+++ b/pkg/limit/state.go
@@ -35,7 +35,7 @@
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h := b.holdings[id]; h != nil {
+	if h := b.holdings.get(id); h != nil {
 		return h.units
 	}
 	return b.rest
