--- a/pkg/limit/within.go
+++ b/pkg/limit/within.go
@@ -49,7 +49,7 @@
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.holdings[id]
+	h := b.holdings.get(id)
 	if h == nil || !h.known {
 		return true // the configuration with the customer has not arrived here
 	}
--- a/pkg/limit/within_test.go
+++ b/pkg/limit/within_test.go
@@ -42,7 +42,7 @@
 	// uses its rate up.
 	now += 10 * time.Second
 	exchange(poor, rich, now)
-	h := poor.bucket(i).holdings["a"]
+	h := poor.bucket(i).holdings.get("a")
 	h.take(h.units)
 	if got := refuse(t, poor, now, 20); got != 0 {
 		t.Errorf("all holders answer: got %d counted as within the rate, want 0", got)
@@ -104,7 +104,7 @@
 		rich.bucket(i).holding(now, "a", rich.view).demand = meter{slow: tt.others, fast: tt.others, at: now}
 		refuse(t, poor, now, 1)
 		exchange(poor, rich, now)
-		h := poor.bucket(i).holdings["a"]
+		h := poor.bucket(i).holdings.get("a")
 		h.take(h.units)
 		h.reference = referenceBucket{}
 		counted := 0
