group, pool: probe while a statement waits

Younger connections are heard after a fault that silences the old ones, and a late first probe makes the pool take them for older ones.

Change: a home that is no watcher probes a target while a statement waits for it, looked at once an interval. Pool.Heard tells since when the longest wait lasts, and the time of the last answer apart from it.

The saving on probes of busy targets depends on how busy their connections are.

--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -28,7 +28,7 @@
 	log      *log.Logger
 	awake    func() bool
 	// heard reports on the statements of this VM at a slot of a target.
-	heard func(key pool.Key) (waiting bool, last time.Time)
+	heard func(key pool.Key) (quiet, last time.Time)
 	// views are the views of the watchers, and tell passes this VM's view on.
 	views *remoteViews
 	tell  func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error
@@ -126,7 +126,7 @@
 	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithAwake(g.awake),
 		group.WithRank(func() int { return g.rank(g.current(service)) }),
 		group.WithWatcher(func() bool { return g.isWatcher(g.current(service)) }),
-		group.WithHeard(func(id siskin.TargetID) (bool, time.Time) { return g.heardFrom(g.current(service), id) }),
+		group.WithHeard(func(id siskin.TargetID) (quiet, last time.Time) { return g.heardFrom(g.current(service), id) }),
 	)
 	if err != nil {
 		return err
@@ -183,19 +183,6 @@
 	return slices.ContainsFunc(g.homes.watchersOf(service), g.isSelf)
 }
 
-// heardFrom reports whether a statement of this VM waits for a target and when
-// the target last answered one.
-func (g *groups) heardFrom(service *config.Service, target siskin.TargetID) (waiting bool, last time.Time) {
-	for slot := range service.Slots {
-		w, at := g.heard(pool.Key{Target: target, Slot: siskin.Slot(slot)})
-		waiting = waiting || w
-		if at.After(last) {
-			last = at
-		}
-	}
-	return waiting, last
-}
-
 // of returns the group that a target belongs to.
 func (g *groups) of(target siskin.TargetID) (found *watchedGroup) {
 	g.running.Range(func(_ siskin.ServiceName, w *watchedGroup) bool {
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -65,6 +65,7 @@
 	owner     uint64
 	lastHeard time.Time
 	idleSince time.Time
+	taken     time.Time // when the present request got the connection
 }
 
 func newConn(s *slot, account Account, o Opened, now time.Time) *Conn {
--- a/internal/pool/heard.go
+++ b/internal/pool/heard.go
@@ -2,23 +2,30 @@
 
 import "time"
 
-// Heard reports whether a connection of the slot is in use and when any of its
-// connections was opened or last heard. Without connections the time is zero.
-func (p *Pool) Heard(key Key) (waiting bool, last time.Time) {
+// Heard returns since when the connection of the slot that is in use and quiet
+// for longest is quiet, zero when none is in use, and when any connection was
+// opened or last heard. A fault may silence old connections only, so that what
+// was heard on others says nothing about the quiet one.
+func (p *Pool) Heard(key Key) (quiet, last time.Time) {
 	s, ok := p.slots.Get(key)
 	if !ok {
-		return false, time.Time{}
+		return time.Time{}, time.Time{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		waiting = waiting || c.state == connBusy
-		if heard := c.lastRead(); heard.After(last) {
-			last = heard
-		}
-		if c.opened.After(last) {
-			last = c.opened
+		heard := later(c.lastRead(), c.opened)
+		last = later(last, heard)
+		if since := later(heard, c.taken); c.state == connBusy && (quiet.IsZero() || since.Before(quiet)) {
+			quiet = since
 		}
 	}
-	return waiting, last
+	return quiet, last
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
--- a/internal/pool/heard_test.go
+++ b/internal/pool/heard_test.go
@@ -9,23 +9,29 @@
 // their target, and idle ones that do: the group's probes follow from both.
 func TestHeard(t *testing.T) {
 	f := newFixture(t, 2)
-	if waiting, _ := f.Heard(key); waiting {
-		t.Error("waiting without a request: got true, want false")
+	if quiet, _ := f.Heard(key); !quiet.IsZero() {
+		t.Errorf("without a request: got it quiet since %v, want no time", quiet)
 	}
 	begun := time.Now()
 	c := f.get(t, Full, 1)
-	waiting, last := f.Heard(key)
-	if !waiting || last.Before(begun.Add(-time.Second)) {
-		t.Errorf("with a request: got %v, %v, want true, a time after %v", waiting, last, begun)
+	quiet, last := f.Heard(key)
+	if quiet.Before(begun.Add(-time.Second)) || last.Before(begun.Add(-time.Second)) {
+		t.Errorf("with a request: got %v, %v, want times after %v", quiet, last, begun)
 	}
+	time.Sleep(20 * time.Millisecond)
+	other := f.get(t, Full, 2)
+	if again, later := f.Heard(key); !again.Equal(quiet) || !later.After(last) {
+		t.Errorf("with a younger connection: got %v, %v, want still quiet since %v and heard after %v", again, later, quiet, last)
+	}
+	other.Recycle(2)
 	c.Recycle(1)
-	for waiting := true; waiting; waiting, _ = f.Heard(key) {
+	for quiet := begun; !quiet.IsZero(); quiet, _ = f.Heard(key) {
 		if time.Since(begun) > 5*time.Second {
-			t.Fatal("waiting after the request: got true, want false")
+			t.Fatal("after the requests: got a connection in use, want none")
 		}
 		time.Sleep(time.Millisecond)
 	}
-	if waiting, last := f.Heard(Key{Target: "badges/9"}); waiting || !last.IsZero() {
-		t.Errorf("slot of another VM: got %v, %v, want false and no time", waiting, last)
+	if quiet, last := f.Heard(Key{Target: "badges/9"}); !quiet.IsZero() || !last.IsZero() {
+		t.Errorf("slot of another VM: got %v, %v, want no times", quiet, last)
 	}
 }
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -80,7 +80,7 @@
 	if c.state != connIdle || c.owner != 0 || c.R.Buffered() > 0 || c.W.Buffered() > 0 {
 		idleAndReset.Check(false, "connection to %s handed out in state %d of request %d", s.key.Target, c.state, c.owner)
 	}
-	c.state, c.owner = connBusy, owner
+	c.state, c.owner, c.taken = connBusy, owner, s.pool.clock.Now()
 	s.busy[c.account]++
 }
 
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -24,7 +24,7 @@
 	rank     func() int
 	awake    func() bool
 	watcher  func() bool
-	heard    func(siskin.TargetID) (waiting bool, last time.Time)
+	heard    func(siskin.TargetID) (quiet, last time.Time)
 	rng      *rand.Rand
 
 	ctx    context.Context
@@ -71,7 +71,7 @@
 	g := &Group{
 		settings: s, dialer: dialer, clock: clockwork.NewRealClock(), log: &log.Logger{Level: log.PanicLevel},
 		rank: func() int { return 0 }, awake: func() bool { return true },
-		watcher: func() bool { return true }, heard: func(siskin.TargetID) (waiting bool, last time.Time) { return false, time.Time{} },
+		watcher: func() bool { return true }, heard: func(siskin.TargetID) (quiet, last time.Time) { return time.Time{}, time.Time{} },
 		activated: make(chan struct{}), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		events: make(chan event, 64), tracker: newTracker(&s), changed: make(chan struct{}),
 		waits: make(map[int]chan error),
--- a/pkg/group/options.go
+++ b/pkg/group/options.go
@@ -33,10 +33,10 @@
 // told by Learn and probe only while something is wrong. The default is true.
 func WithWatcher(watcher func() bool) Option { return func(g *Group) { g.watcher = watcher } }
 
-// WithHeard sets the function that reports whether a statement of this VM waits
-// for a target and when the target last answered one. The default knows of no
-// statements.
-func WithHeard(heard func(siskin.TargetID) (waiting bool, last time.Time)) Option {
+// WithHeard sets the function that reports since when the longest wait of a
+// statement of this VM for a target lasts, zero when none waits, and when the
+// target last answered any. The default knows of no statements.
+func WithHeard(heard func(siskin.TargetID) (quiet, last time.Time)) Option {
 	return func(g *Group) { g.heard = heard }
 }
 
--- a/pkg/group/passive.go
+++ b/pkg/group/passive.go
@@ -111,11 +111,11 @@
 		}
 		return interval - g.clock.Since(p.toldAt()), now.changed
 	}
-	waiting, last := g.heard(p.member.ID)
-	if quiet := g.clock.Since(last); waiting && quiet >= interval {
+	// A statement in progress may wait on a connection that went silent. The
+	// pool needs the time of the first unanswered probe to within two intervals
+	// to tell connections from before the fault from later ones.
+	if quiet, _ := g.heard(p.member.ID); !quiet.IsZero() {
 		return 0, nil
-	} else if waiting {
-		return interval - quiet, activated
 	}
 	return interval, activated
 }
--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -40,8 +40,11 @@
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	begun := time.Now()
-	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithHeard(func(siskin.TargetID) (bool, time.Time) {
-		return waiting.Load(), begun
+	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithHeard(func(siskin.TargetID) (quiet, last time.Time) {
+		if waiting.Load() {
+			return begun, time.Now() // other connections are heard
+		}
+		return time.Time{}, time.Now()
 	}))
 	watcher := watch(t, servers, "vm-0")
 	awaitPassive(t, g)
@@ -137,8 +140,11 @@
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	var last atomic.Int64
-	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithHeard(func(id siskin.TargetID) (bool, time.Time) {
-		return waiting.Load() && id == servers[2].ID(), time.Unix(0, last.Load())
+	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithHeard(func(id siskin.TargetID) (quiet, heard time.Time) {
+		if waiting.Load() && id == servers[2].ID() {
+			return time.Unix(0, last.Load()), time.Unix(0, last.Load())
+		}
+		return time.Time{}, time.Time{}
 	}))
 	awaitPassive(t, g)
 	servers[2].SetPaused(true)
--- a/pkg/group/peer.go
+++ b/pkg/group/peer.go
@@ -105,7 +105,7 @@
 		e.kind = evRefused
 	default:
 		e.kind = evFailed
-		if waiting, last := p.g.heard(p.member.ID); waiting {
+		if quiet, last := p.g.heard(p.member.ID); !quiet.IsZero() {
 			e.heard = last
 		}
 	}
