--- /dev/null
+++ b/deployment.go
@@ -0,0 +1,64 @@
+package siskin
+
+import "time"
+
+// RouteKind says how fresh the reads of a route must be.
+type RouteKind int
+
+// Kinds of routes.
+const (
+	// PrimaryReads sees every commit acknowledged before the read began.
+	PrimaryReads RouteKind = iota
+	// BoundedStaleness sees every commit older than MaxStaleness.
+	BoundedStaleness
+	// ReadYourWrites is BoundedStaleness and sees the session's own commits.
+	ReadYourWrites
+)
+
+// RouteSpec is one route of a Deployment.
+type RouteSpec struct {
+	Name     RouteName
+	Database string // name that callers connect to
+	Service  ServiceName
+	Kind     RouteKind
+	// MaxStaleness is the oldest data that a read may see.
+	MaxStaleness time.Duration
+	// Timeout bounds one statement.
+	Timeout time.Duration
+	// Objective is the latency that a whole operation should keep.
+	Objective time.Duration
+	// Priority is 0 for the most urgent route.
+	Priority int
+	// Open says that no key is needed.
+	Open bool
+}
+
+// ServiceSpec is one service of a Deployment.
+type ServiceSpec struct {
+	Name ServiceName
+	// MaxConnections bounds the connections of all callers to one target.
+	MaxConnections int
+	// SyncReplicas is the number of replicas that receive a commit before it is
+	// acknowledged.
+	SyncReplicas int
+}
+
+// CustomerSpec is one customer of a Deployment.
+type CustomerSpec struct {
+	ID    CustomerID
+	Keys  []string
+	Rate  RequestsPerSecond
+	Burst Requests
+}
+
+// Deployment is one version of the operator's configuration.
+type Deployment struct {
+	Version   Revision
+	Routes    []RouteSpec
+	Services  []ServiceSpec
+	Customers []CustomerSpec
+	// TxIdle is the time after which an idle transaction may be ended.
+	TxIdle time.Duration
+	// SessionIdle is the time after which an idle session may be closed.
+	SessionIdle time.Duration
+}
--- /dev/null
+++ b/internal/cfgini/system.go
@@ -0,0 +1,66 @@
+package cfgini
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// System holds the settings of siskintrayd for the session protocol.
+type System struct {
+	VM       SystemVM
+	Caller   SystemCaller
+	Ready    SystemReady
+	Peer     SystemPeer
+	Store    SystemStore
+	Promoter SystemPromoter
+	Metrics  SystemMetrics
+	Stop     SystemStop
+	Log      Log
+}
+
+// SystemVM names the machine.
+type SystemVM struct {
+	ID         string       `unit:"name" doc:"Name of this VM, unique in the fleet. It survives a restart."`
+	DataCentre string       `unit:"name" doc:"Data centre that the VM stands in."`
+	Memory     siskin.Bytes `default:"256MB" min:"32MB" max:"64GB" doc:"Memory that the process may use. The garbage collector works harder from two thirds of it on."`
+}
+
+// SystemCaller sets the listener for callers.
+type SystemCaller struct {
+	Address     string `unit:"address" doc:"Address that callers connect to with the session protocol."`
+	MaxSessions int    `default:"3500" min:"1" max:"1000000" doc:"Most sessions open at once. Further connections are closed."`
+}
+
+// SystemReady sets the listener for the balancer.
+type SystemReady struct {
+	Address string `unit:"address" doc:"Address of the readiness probe."`
+}
+
+// SystemPeer sets the listener for other VMs.
+type SystemPeer struct {
+	Address string   `unit:"address" doc:"Address that takes calls of other VMs (net/rpc, without TLS: the network must belong to the deployment alone)."`
+	Seeds   []string `unit:"addresses" optional:"yes" doc:"Peer addresses of some other VMs, for a start while the store is down."`
+}
+
+// SystemStore sets the client of the metadata store.
+type SystemStore struct {
+	Address string        `unit:"address" doc:"Address of the metadata store."`
+	Timeout time.Duration `default:"2s" min:"100ms" max:"30s" doc:"Longest time for one call, in addition to the wait of a watch."`
+}
+
+// SystemPromoter sets the client of the promotion duty.
+type SystemPromoter struct {
+	Address string        `unit:"address" doc:"Address of the platform's promotion duty."`
+	Timeout time.Duration `default:"700ms" min:"100ms" max:"10s" doc:"Longest wait for the answer to a promotion."`
+}
+
+// SystemMetrics sets the listener for metrics.
+type SystemMetrics struct {
+	Address string `unit:"address" doc:"Address that serves metrics in the Prometheus text format at /metrics."`
+}
+
+// SystemStop sets the planned stop.
+type SystemStop struct {
+	Grace time.Duration `default:"6s" min:"1s" max:"10m" doc:"Time from the signal to stop until the process is killed."`
+}
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -29,13 +29,18 @@
 
 // DaemonMain runs the command line of siskintrayd and returns the exit code. The
 // function run runs the VM until ctx ends and then stops it as planned.
-func DaemonMain(args []string, stdout, stderr io.Writer, run func(ctx context.Context, d Daemon) error) int {
+func DaemonMain(args []string, stdout, stderr io.Writer, run func(ctx context.Context, d Daemon) error, options ...DaemonOption) int {
+	var modes daemonModes
+	for _, o := range options {
+		o(&modes)
+	}
 	env := &Env{Stdout: stdout, Stderr: stderr}
 	var o struct {
-		Config  string `long:"config" value-name:"FILE" description:"settings; docs/SETTINGS.md lists them"`
-		Check   bool   `long:"check" description:"check the settings and exit"`
-		Version bool   `long:"version" description:"show the version and exit"`
-		JSON    bool   `long:"json" description:"write JSON"`
+		Config   string `long:"config" value-name:"FILE" description:"settings; docs/SETTINGS.md lists them"`
+		Protocol string `long:"protocol" choice:"postgres" choice:"session" default:"postgres" description:"protocol of callers and targets"`
+		Check    bool   `long:"check" description:"check the settings and exit"`
+		Version  bool   `long:"version" description:"show the version and exit"`
+		JSON     bool   `long:"json" description:"write JSON"`
 	}
 	p := flags.NewNamedParser("siskintrayd", flags.HelpFlag)
 	if _, err := p.AddGroup("Options", "", &o); err != nil {
@@ -54,14 +59,21 @@
 	case o.Config == "":
 		return fail(env, usageError("no settings; name them with --config FILE"))
 	}
-	settings := new(cfgini.Daemon)
-	if err := cfgini.Load(o.Config, settings); err != nil {
+	settings, system := new(cfgini.Daemon), new(cfgini.System)
+	var load any = settings
+	if o.Protocol == "session" {
+		load = system
+	}
+	if err := cfgini.Load(o.Config, load); err != nil {
 		return fail(env, err)
 	}
 	if o.Check {
 		_ = Output{Value: struct{ Accepted bool }{true}, Text: o.Config + ": no findings\n"}.write(env)
 		return ExitOK
 	}
+	if o.Protocol == "session" && modes.session != nil {
+		return runSession(env, o.Config, system, modes.session)
+	}
 	if run == nil {
 		return fail(env, siskin.NewError(siskin.Unsupported, "this build runs no VM").WithRemedy("use --check, or build with the node"))
 	}
--- /dev/null
+++ b/internal/cmds/system.go
@@ -0,0 +1,76 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin/internal/cfgini"
+	"siskintray.example/siskin/internal/logs"
+)
+
+// System is what the command line of siskintrayd hands to the function that
+// runs a VM for the session protocol.
+type System struct {
+	Settings *cfgini.System
+	Log      *log.Logger
+}
+
+// DaemonOption adds to what siskintrayd can run.
+type DaemonOption func(*daemonModes)
+
+type daemonModes struct {
+	session func(ctx context.Context, s System) error
+}
+
+// WithSession sets the function that runs a VM for the session protocol.
+func WithSession(run func(ctx context.Context, s System) error) DaemonOption {
+	return func(m *daemonModes) { m.session = run }
+}
+
+// runSession runs a VM for the session protocol. Its log goes to standard
+// output.
+func runSession(env *Env, path string, settings *cfgini.System, run func(context.Context, System) error) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	l := logs.New(settings.Log.Level, settings.Log.Format, logs.NonBlocking(env.Stdout))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				reloadSession(path, l)
+			}
+		}
+	}()
+	err := run(ctx, System{settings, l})
+	stop()
+	<-done
+	if err != nil && !errors.Is(err, context.Canceled) {
+		l.Error().Err(err).Msg("the VM ended with an error")
+		return fail(env, err)
+	}
+	return ExitOK
+}
+
+// reloadSession takes over the log level of a changed settings file. All other
+// settings need a restart.
+func reloadSession(path string, l *log.Logger) {
+	next := new(cfgini.System)
+	if err := cfgini.Load(path, next); err != nil {
+		l.Error().Err(err).Msg("settings were not reloaded")
+		return
+	}
+	logs.SetLevel(l, next.Log.Level)
+	l.Info().Str("Level", next.Log.Level).Msg("settings reloaded")
+}
--- /dev/null
+++ b/internal/crew/member.go
@@ -0,0 +1,61 @@
+package crew
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+const (
+	// pingInterval is the time between two pings of one peer. A floor for reads
+	// is as old as this at most, which is well below the ages that routes allow.
+	pingInterval = 300 * time.Millisecond
+	// pingTimeout bounds one ping.
+	pingTimeout = 500 * time.Millisecond
+	// suspectAfter is the silence after which a peer is no longer used as a home.
+	suspectAfter = 900 * time.Millisecond
+	// deadInterval is the time between two pings of a peer that is silent for
+	// long, such as one that was removed.
+	deadInterval = 1500 * time.Millisecond
+	// deadAfter is the silence after which deadInterval applies.
+	deadAfter = 5 * time.Second
+)
+
+// member is a peer and what is known of its health.
+type member struct {
+	node    Node
+	leaving bool
+	// heard is the time before the question of the last answered ping.
+	heard time.Time
+	// suspect is set by a failed call and cleared by the next answer.
+	suspect bool
+	next    time.Time // of the next ping
+	pinging bool
+	state   State
+}
+
+func (m *member) alive(now time.Time) bool {
+	return !m.heard.IsZero() && !m.suspect && now.Sub(m.heard) < suspectAfter
+}
+
+func (m *member) interval(now time.Time) time.Duration {
+	if m.heard.IsZero() || now.Sub(m.heard) > deadAfter {
+		return deadInterval
+	}
+	return pingInterval
+}
+
+// Suspect notes that a call to a VM failed, so that it is not used until it
+// answers again.
+func (c *Crew) Suspect(id siskin.VMID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.members[id]
+	if m == nil || m.suspect {
+		return
+	}
+	m.suspect = true
+	m.next = time.Time{}
+	c.cfg.Log.Warn().Str("VM", string(id)).Dur("Silent", c.cfg.Clock.Since(m.heard)).Msg("lost contact to a VM")
+	c.publish()
+}
--- /dev/null
+++ b/internal/crew/message.go
@@ -0,0 +1,68 @@
+package crew
+
+import (
+	"encoding/json"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/quota"
+)
+
+// Node describes a VM to its peers and in the store.
+type Node struct {
+	ID         siskin.VMID
+	Run        siskin.Incarnation
+	DataCentre siskin.DataCentreID
+	Address    string
+}
+
+func (n *Node) vm() siskin.VM {
+	return siskin.VM{ID: n.ID, Incarnation: n.Run, DataCentre: n.DataCentre, PeerAddress: n.Address, State: siskin.VMLive}
+}
+
+// LeadNote passes a proof of lead on. Its age is counted by the receiver from
+// the moment before it asked.
+type LeadNote struct {
+	Service  siskin.ServiceName
+	Target   siskin.TargetID
+	Position siskin.Position
+	Age      time.Duration
+}
+
+// HoldNote says that a change of primary is in progress.
+type HoldNote struct {
+	Service siskin.ServiceName
+	For     time.Duration
+}
+
+// State is what a VM tells with every ping and its answer.
+type State struct {
+	From     Node
+	Leaving  bool                    `json:",omitempty"`
+	Revision siskin.Revision         `json:",omitempty"`
+	Leads    []LeadNote              `json:",omitempty"`
+	Waiting  map[siskin.TargetID]int `json:",omitempty"`
+	// Nodes are all VMs that the sender knows, when the receiver asked for them.
+	Nodes []Node `json:",omitempty"`
+	// WantNodes asks for Nodes.
+	WantNodes bool `json:",omitempty"`
+	// StoreAge is the time since the sender, or a peer of it, heard the store.
+	StoreAge time.Duration
+	// Stamp lets the receiver lend shares of rates to the sender, and Loans are
+	// those that the sender lends to the receiver.
+	Stamp quota.Stamp
+	Loans *quota.Loans `json:",omitempty"`
+}
+
+// FetchArgs asks for what is newer than the receiver's state.
+type FetchArgs struct {
+	Revision siskin.Revision
+	StoreAge time.Duration
+}
+
+// FetchReply holds the configuration and the targets if they are newer.
+type FetchReply struct {
+	Configuration json.RawMessage     `json:",omitempty"`
+	Targets       []siskin.TargetInfo `json:",omitempty"`
+	StoreAge      time.Duration
+}
--- /dev/null
+++ b/internal/elect/act.go
@@ -0,0 +1,104 @@
+package elect
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/path"
+)
+
+const (
+	// changeTimeout bounds one change of primary. A promotion takes up to a
+	// second at the platform.
+	changeTimeout = 4 * time.Second
+	// askTimeout bounds the question to other VMs whether they reach a primary.
+	askTimeout = 500 * time.Millisecond
+	// askedVMs is the number of VMs that are asked.
+	askedVMs = 3
+)
+
+// act carries out the decision about a primary.
+func (e *Elector) act(ctx context.Context, s siskin.ServiceSpec, primary siskin.TargetID, a action, ev evidence, w *watch) {
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		w.changing = false
+		w.next = e.cfg.Clock.Now().Add(pauseAfterChange/2 + rand.N(pauseAfterChange))
+	}()
+	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("Primary", string(primary)).Stringer("Action", a).
+		Dur("ProofAge", ev.proofAge).Bool("Silent", ev.silent).Bool("Refused", ev.refused).Bool("Denied", ev.denied).
+		Bool("Draining", ev.draining).Dur("Stalled", ev.stalled).Msg("decided about a primary")
+	if (a == askOthers || a == electNew) && e.otherLeads(ctx, s.Name, primary) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	start := e.cfg.Clock.Now()
+	c := &change{e: e, spec: s, old: primary, start: start, planned: a == handOver, stalled: a == replaceStalled}
+	err := c.run(ctx)
+	took := e.cfg.Clock.Since(start)
+	if err != nil {
+		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Msg("the primary was not changed")
+		return
+	}
+	e.cfg.Changed(took)
+	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("From", string(primary)).Str("To", string(c.chosen.target.ID)).
+		Uint64("Term", uint64(c.term)).Dur("Took", took).Msg("the primary was changed")
+}
+
+// otherLeads asks all targets, and other VMs about the old primary, whether one
+// of them leads.
+func (e *Elector) otherLeads(ctx context.Context, name siskin.ServiceName, primary siskin.TargetID) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	found := make(chan string, len(e.cfg.Roster.Service(name))+askedVMs)
+	var wg sync.WaitGroup
+	for _, t := range e.cfg.Roster.Service(name) {
+		wg.Go(func() {
+			if e.cfg.Homes.Ping(ctx, name, t.ID) == nil {
+				found <- string(t.ID)
+			}
+		})
+	}
+	for _, vm := range e.othersToAsk() {
+		if primary == "" {
+			break
+		}
+		wg.Go(func() {
+			var reply path.PingReply
+			args := &path.PingArgs{Service: name, Target: primary}
+			if err := e.cfg.Peers.Call(ctx, vm.ID, "Home.Ping", args, &reply); err == nil && reply.Leads {
+				found <- string(primary) + " by " + string(vm.ID)
+			}
+		})
+	}
+	wg.Wait()
+	close(found)
+	who, ok := <-found
+	if ok {
+		e.cfg.Log.Info().Str("Service", string(name)).Str("Leads", who).Msg("a primary answers after all")
+	}
+	return ok
+}
+
+// othersToAsk returns VMs of other data centres first, since they share no
+// path with this VM.
+func (e *Elector) othersToAsk() []siskin.VM {
+	self := e.cfg.Members.Self()
+	var far, near []siskin.VM
+	for _, vm := range e.cfg.Members.Live() {
+		switch {
+		case vm.ID == self.ID:
+		case vm.DataCentre != self.DataCentre:
+			far = append(far, vm)
+		default:
+			near = append(near, vm)
+		}
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	list := append(far, near...)
+	return list[:min(len(list), askedVMs)]
+}
--- /dev/null
+++ b/internal/elect/elector.go
@@ -0,0 +1,201 @@
+package elect
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/home"
+	"siskintray.example/siskin/internal/roster"
+	"siskintray.example/siskin/internal/table"
+	"siskintray.example/siskin/internal/views"
+	"siskintray.example/siskin/pkg/place"
+)
+
+// tick is the time between two looks at a service.
+const tick = 100 * time.Millisecond
+
+// Config holds what an Elector depends on.
+type Config struct {
+	Clock    siskin.Clock
+	Members  siskin.Members
+	Peers    siskin.Peers
+	Table    *table.Table
+	Roster   *roster.Roster
+	Views    *views.Views
+	Homes    *home.Homes
+	Store    siskin.Store
+	Promoter siskin.Promoter
+	Run      siskin.Incarnation
+	// Status decodes the answer to a control statement.
+	Status func(*siskin.Answer) (siskin.ControlStatus, error)
+	Log    *log.Logger
+	// Changed is called after each change of primary with its duration.
+	Changed func(took time.Duration)
+}
+
+// Elector watches the services whose primary this VM is the home of.
+type Elector struct {
+	cfg   Config
+	fence fence
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+
+	mu       sync.Mutex
+	services map[siskin.ServiceName]*watch
+}
+
+// watch is the state of one service that this VM watches.
+type watch struct {
+	since    time.Time // zero while another VM watches it
+	probing  bool
+	changing bool
+	next     time.Time // earliest next change
+	last     probe
+}
+
+// probe is the result of the last question to a primary.
+type probe struct {
+	target                  siskin.TargetID
+	silent, refused, denied bool
+}
+
+// Start begins to watch.
+func Start(cfg Config) *Elector {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Elector{cfg: cfg, stop: cancel, services: make(map[siskin.ServiceName]*watch)}
+	e.fence.e = e
+	e.done.Go(func() { e.loop(ctx) })
+	return e
+}
+
+// Close stops watching and waits.
+func (e *Elector) Close() error {
+	e.stop()
+	e.done.Wait()
+	return nil
+}
+
+func (e *Elector) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.cfg.Clock.After(tick):
+		}
+		for _, s := range e.cfg.Table.Snapshot().Services {
+			e.look(ctx, s)
+		}
+	}
+}
+
+// watches reports whether this VM watches a service: it is the home of the
+// primary, or ranks first for the service while no primary is known.
+func (e *Elector) watches(name siskin.ServiceName, primary siskin.TargetID) bool {
+	live := e.cfg.Members.Live()
+	key := "lead/" + string(name)
+	if t, ok := e.cfg.Roster.Target(primary); ok {
+		key, live = string(t.ID), place.In(t.DataCentre, live)
+	}
+	vm, ok := place.Best(key, live)
+	return ok && vm.ID == e.cfg.Members.Self().ID
+}
+
+// look examines one service and acts on what it finds.
+func (e *Elector) look(ctx context.Context, s siskin.ServiceSpec) {
+	targets := e.cfg.Roster.Service(s.Name)
+	if len(targets) == 0 {
+		return
+	}
+	lead := e.cfg.Views.Lead(s.Name)
+	primary := lead.Target
+	if primary == "" {
+		primary = e.cfg.Views.Primary(s.Name, targets)
+	}
+	now := e.cfg.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := e.services[s.Name]
+	if w == nil {
+		w = &watch{}
+		e.services[s.Name] = w
+	}
+	if !e.watches(s.Name, primary) {
+		w.since = time.Time{}
+		return
+	}
+	if w.since.IsZero() {
+		w.since, w.last = now, probe{}
+		e.done.Go(func() { e.fence.reserve(ctx) })
+	}
+	if w.last.target != primary {
+		w.last = probe{target: primary}
+	}
+	ev := e.evidence(s.Name, primary, targets, lead, w, now)
+	if primary != "" && !w.probing && ev.proofAge > probeAfter {
+		w.probing = true
+		e.done.Go(func() { e.probe(ctx, s.Name, primary, w) })
+	}
+	if w.changing || now.Before(w.next) {
+		return
+	}
+	if a := decide(ev); a != wait {
+		w.changing = true
+		e.done.Go(func() { e.act(ctx, s, primary, a, ev, w) })
+	}
+}
+
+func (e *Elector) evidence(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, lead views.Lead, w *watch, now time.Time) evidence {
+	ev := evidence{
+		known: primary != "", proofAge: now.Sub(lead.At), watched: now.Sub(w.since),
+		silent: w.last.silent, refused: w.last.refused, denied: w.last.denied,
+		stalled: e.cfg.Homes.Stalled(primary),
+	}
+	if lead.Target == "" {
+		ev.proofAge = ev.watched
+	}
+	found := false
+	for _, t := range targets {
+		if t.ID == primary {
+			ev.draining, found = t.Draining, true
+		} else if !t.Draining {
+			ev.successor = true
+		}
+	}
+	if !found && primary != "" {
+		ev.silent = true // its entry is gone
+	}
+	return ev
+}
+
+// probe asks the primary to prove its lead.
+func (e *Elector) probe(ctx context.Context, name siskin.ServiceName, id siskin.TargetID, w *watch) {
+	start := e.cfg.Clock.Now()
+	err := e.cfg.Homes.Ping(ctx, name, id)
+	took := e.cfg.Clock.Since(start)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.probing = false
+	if w.last.target != id {
+		return
+	}
+	w.last = probe{target: id}
+	switch {
+	case err == nil:
+	case siskin.KindOf(err) == siskin.Conflict:
+		w.last.denied = true
+	default:
+		// A refusal comes within a round trip, silence takes the time-out.
+		w.last.silent, w.last.refused = true, took < refusalTime
+	}
+}
+
+// refusalTime is the longest time in which a refused connection answers.
+const refusalTime = 100 * time.Millisecond
+
+// pauseAfterChange is the time to the next change of a service after a failed
+// one. It is random so that two VMs that race give way to each other.
+const pauseAfterChange = 300 * time.Millisecond
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// Entry holds the sessions of one VM. It is safe for concurrent use.
+type Entry struct {
+	cfg  Config
+	done sync.WaitGroup
+
+	inFlight *shard.Map[siskin.TargetID, *atomic.Int32]
+
+	mu       sync.Mutex
+	sessions map[*Session]struct{}
+	stopped  bool
+}
+
+// New returns an Entry without sessions.
+func New(cfg Config) *Entry {
+	return &Entry{cfg: cfg, inFlight: shard.New[siskin.TargetID, *atomic.Int32](), sessions: make(map[*Session]struct{})}
+}
+
+// Serve runs the session of a caller in the background.
+func (e *Entry) Serve(c siskin.CallerConn) {
+	s := &Session{e: e, c: c}
+	e.mu.Lock()
+	if e.stopped {
+		e.mu.Unlock()
+		_ = c.Close() // the VM is stopping; the caller connects to another one
+		return
+	}
+	e.sessions[s] = struct{}{}
+	e.mu.Unlock()
+	e.cfg.Metrics.Sessions.Inc(1)
+	e.done.Go(s.serve)
+}
+
+func (e *Entry) remove(s *Session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.sessions, s)
+}
+
+// Sessions returns the number of open sessions.
+func (e *Entry) Sessions() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sessions)
+}
+
+// CloseIdle closes up to n sessions that are in no transaction and wait for no
+// answer, and returns how many sessions stay open.
+func (e *Entry) CloseIdle(n int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.sessions {
+		if n == 0 {
+			break
+		}
+		if s.closeIfIdle() {
+			n--
+			delete(e.sessions, s)
+		}
+	}
+	return len(e.sessions)
+}
+
+// closeIfIdle closes the session unless a statement or transaction is in
+// progress.
+func (s *Session) closeIfIdle() bool {
+	if s.busy.Load() || s.inTx.Load() || s.c.Buffered() {
+		return false
+	}
+	_ = s.c.Close() // ends the read that waits for the next statement
+	return true
+}
+
+// Close closes all sessions and waits for them.
+func (e *Entry) Close() error {
+	e.mu.Lock()
+	e.stopped = true
+	for s := range e.sessions {
+		_ = s.c.Close()
+	}
+	e.mu.Unlock()
+	e.done.Wait()
+	return nil
+}
+
+func (e *Entry) counter(id siskin.TargetID) *atomic.Int32 {
+	return e.inFlight.GetOrCreate(id, func() *atomic.Int32 { return new(atomic.Int32) })
+}
+
+func (e *Entry) started(id siskin.TargetID) { e.counter(id).Add(1) }
+
+func (e *Entry) ended(id siskin.TargetID) { e.counter(id).Add(-1) }
+
+// running returns the number of statements that this VM has at a target.
+func (e *Entry) running(id siskin.TargetID) int { return int(e.counter(id).Load()) }
+
+func (e *Entry) closed(s *Session, err error) {
+	if !ended(err) && siskin.KindOf(err) == siskin.BadInput {
+		a := siskin.Answer{Code: siskin.Malformed, Message: err.Error()}
+		_ = s.c.Refuse(a.Code, a.Message) // the session ends in either case
+		e.refusedSession(s, &a)
+	}
+}
+
+// refusedSession logs a session that was not accepted or broke the protocol.
+func (e *Entry) refusedSession(s *Session, a *siskin.Answer) {
+	e.cfg.Metrics.refused(a.Code)
+	e.cfg.Log.Info().Str("Database", s.database).Stringer("Code", a.Code).
+		Uint64("Revision", uint64(e.cfg.Table.Snapshot().Version)).Msg("session refused")
+}
+
+// finished logs and counts the answer to an operation.
+func (e *Entry) finished(o *operation, a *siskin.Answer) {
+	took := e.cfg.Clock.Since(o.start)
+	e.cfg.Metrics.finished(o, a, took)
+	entry := e.cfg.Log.Info()
+	if a.Code != siskin.Succeeded {
+		entry = e.cfg.Log.Warn()
+	}
+	entry = entry.Str("RequestID", string(o.st.ID)).Stringer("Kind", o.st.Kind).Stringer("Code", a.Code).
+		Str("Database", o.s.database).Str("Customer", string(o.customer)).
+		Str("Target", string(o.target)).Int("Attempts", o.attempts).Str("Reason", o.reason).
+		Dur("Took", took).Dur("Waited", o.reply.Waited).Dur("Ran", o.reply.Ran).
+		Uint64("Revision", uint64(e.cfg.Table.Snapshot().Version))
+	if o.route != nil {
+		lead := e.cfg.Views.Lead(o.route.Service)
+		entry = entry.Str("Primary", string(lead.Target)).Dur("LeadAge", min(e.cfg.Clock.Since(lead.At), time.Hour))
+	}
+	entry.Msg("request finished")
+}
--- /dev/null
+++ b/internal/entry/operation.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/home"
+	"siskintray.example/siskin/internal/views"
+)
+
+const (
+	// maxAttempts bounds the attempts at one statement.
+	maxAttempts = 3
+	// patienceFactor is the number of latency objectives after which a read is
+	// given up. Callers of the known services wait five to six objectives.
+	patienceFactor = 3
+	// waitDivisor is the part of the latency objective that a statement waits
+	// for a primary to become known before it is refused.
+	waitDivisor = 5
+	// floorMargin is taken off the age that a floor may reach, for the time
+	// between the caller's first byte and the check at the home.
+	floorMargin = 100 * time.Millisecond
+	// minAttempt is the least time for one attempt of several.
+	minAttempt = 60 * time.Millisecond
+)
+
+// operation is the run of one statement that needs a target.
+type operation struct {
+	s        *Session
+	st       *siskin.Statement
+	route    *siskin.RouteSpec
+	customer siskin.CustomerID
+	start    time.Time
+	attempts int
+	excluded []siskin.TargetID
+	reply    home.Reply // of the last attempt
+	target   siskin.TargetID
+	reason   string // why the last attempt did not succeed
+}
+
+// operate runs a statement that needs a target.
+func (s *Session) operate(st *siskin.Statement) (*siskin.Answer, error) {
+	o := &operation{s: s, st: st, start: s.e.cfg.Clock.Now()}
+	var refusal *siskin.Answer
+	if o.route, o.customer, refusal = s.authorize(); refusal != nil {
+		if s.tx != nil {
+			s.rollback()
+		}
+		s.e.finished(o, refusal)
+		return refusal, errEnd
+	}
+	a := o.do()
+	s.e.finished(o, a)
+	return a, nil
+}
+
+func (o *operation) do() *siskin.Answer {
+	s := o.s
+	if s.tx != nil && s.tx.opened {
+		return o.continued()
+	}
+	// Rates count operations, so a transaction counts once, with its first
+	// statement.
+	if adm := s.e.cfg.Limiter.AdmitWait(context.Background(), o.customer, 1); !adm.Admitted {
+		o.reason = "RateExceeded"
+		return o.notRun(siskin.Busy, "the customer's rate is used up", adm.RetryAfter)
+	}
+	var a *siskin.Answer
+	if o.needsPrimary() {
+		a = o.atPrimary()
+	} else {
+		a = o.atReplica()
+	}
+	return a
+}
+
+// needsPrimary reports whether only the primary may run the operation.
+func (o *operation) needsPrimary() bool {
+	if o.route.Kind == siskin.PrimaryReads || o.st.Changes() {
+		return true
+	}
+	return o.s.tx != nil && !o.s.tx.readOnly
+}
+
+// notRun refuses the operation with the promise that nothing of it is kept.
+func (o *operation) notRun(code siskin.AnswerCode, why string, after time.Duration) *siskin.Answer {
+	message := why + "; not run"
+	if after > 0 {
+		message = fmt.Sprintf("%s; not run, retry after %d ms", why, after.Milliseconds())
+	}
+	if o.s.tx != nil && o.st.Kind == siskin.Commit {
+		o.s.tx = nil
+		return &siskin.Answer{Code: code, Message: message}
+	}
+	return o.s.fail(code, message)
+}
+
+// budget is the time after which the operation is given up.
+func (o *operation) budget() time.Duration {
+	return min(o.route.Timeout, patienceFactor*o.route.Objective)
+}
+
+func (o *operation) remaining() time.Duration {
+	return o.budget() - o.s.e.cfg.Clock.Since(o.start)
+}
+
+// request returns the part of a request that all attempts share.
+func (o *operation) request(patience time.Duration) *home.Request {
+	req := &home.Request{
+		Statement: *o.st, Service: o.route.Service, Customer: o.customer, Values: o.s.values,
+		Patience: patience, QueueFor: patience, TxIdle: o.s.e.cfg.Table.Snapshot().TxIdle + txIdleMargin,
+	}
+	if o.st.Kind == siskin.Execute {
+		req.Prepared = o.s.prepared[o.st.Name]
+	}
+	if o.s.tx != nil && !o.s.tx.opened {
+		req.Mode = home.Open
+	}
+	return req
+}
+
+// txIdleMargin is added to the idle time of transactions, so that a home does
+// not end one whose next statement is on its way.
+const txIdleMargin = 500 * time.Millisecond
+
+// run sends one request and takes over what its reply says.
+func (o *operation) run(req *home.Request) home.Reply {
+	o.attempts++
+	o.target = req.Target
+	ctx, cancel := context.WithTimeout(context.Background(), req.Patience+replyMargin)
+	defer cancel()
+	e := o.s.e
+	asked := e.cfg.Clock.Now()
+	e.started(req.Target)
+	o.reply = e.cfg.Homes.Run(ctx, req)
+	e.ended(req.Target)
+	o.observe(req, asked)
+	return o.reply
+}
+
+// observe takes over what a reply says of the target. The moment before the
+// request was sent is earlier than the home's own question, so ages count from
+// it.
+func (o *operation) observe(req *home.Request, asked time.Time) {
+	v, r := o.s.e.cfg.Views, &o.reply
+	if r.LeadProven {
+		v.Proven(req.Service, views.Lead{Target: req.Target, Position: r.Lead, At: asked})
+	}
+	if r.Answer.Code == siskin.ReadOnly {
+		v.Denied(req.Service, req.Target, asked)
+	}
+	if r.Outcome == home.Answered {
+		v.Seen(req.Target, r.Answer.Position, asked)
+	}
+	switch r.Cause {
+	case home.Unreachable, home.Silent:
+		v.Failed(req.Target, o.s.e.cfg.Clock.Now())
+	case home.NoCause:
+		v.Answered(req.Target)
+		v.Load(req.Target, r.Waiting)
+	}
+}
+
+// replyMargin is the time for a home's reply to come back after the patience of
+// its request is over.
+const replyMargin = 30 * time.Millisecond
+
+// opened takes over the transaction that a reply opened, and returns its answer.
+func (o *operation) opened(reply *home.Reply) *siskin.Answer {
+	a := reply.Answer
+	s := o.s
+	if s.tx == nil {
+		a.State = siskin.TxIdle
+		return &a
+	}
+	if o.st.Kind == siskin.Commit {
+		s.tx = nil
+		a.State = siskin.TxIdle
+		return &a
+	}
+	s.tx.opened, s.tx.target, s.tx.home, s.tx.id = true, o.target, reply.Home, reply.Tx
+	s.tx.wrote = o.st.Changes()
+	s.tx.failed = a.Code != siskin.Succeeded
+	a.State = s.state()
+	return &a
+}
+
+// raise sets the floor of the session's reads after a commit.
+func (s *Session) raise(p siskin.Position) {
+	if p.Compare(s.floor) > 0 {
+		s.floor = p
+	}
+}
--- /dev/null
+++ b/internal/entry/primary.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/home"
+)
+
+// retryUnderChange is the time to come back after a refusal for lack of a
+// primary. A promotion takes about a second.
+const retryUnderChange = 500 * time.Millisecond
+
+// atPrimary runs the operation at the primary of its service.
+func (o *operation) atPrimary() *siskin.Answer {
+	for o.attempts < maxAttempts {
+		target := o.primary()
+		if target == "" {
+			o.reason = "NoPrimary"
+			return o.notRun(siskin.Busy, "the service has no primary at the moment", retryUnderChange)
+		}
+		req := o.request(o.route.Timeout)
+		req.Target = target
+		// Time in the queue is bounded by what the caller can still use.
+		req.QueueFor = o.budget() * 3 / 4
+		if !o.st.Changes() || o.s.tx != nil {
+			req.Proof = home.LeadProof
+		}
+		reply := o.run(req)
+		switch reply.Outcome {
+		case home.Answered:
+			if a, again := o.settled(&reply); !again {
+				return a
+			}
+		case home.Lost:
+			if o.s.tx == nil && o.st.Changes() {
+				o.reason = reply.Cause.String()
+				return o.s.refuse(siskin.InDoubt, "the answer to the write is missing; check whether it took effect")
+			}
+			// Nothing of a transaction that was not committed is kept, and a
+			// read changes nothing.
+			o.reason = reply.Cause.String()
+		case home.NotSent:
+			if a := o.refused(&reply); a != nil {
+				return a
+			}
+		}
+		if o.remaining() < minAttempt {
+			break
+		}
+	}
+	return o.notRun(siskin.Busy, "the primary did not answer ("+o.reason+")", retryUnderChange)
+}
+
+// settled returns the answer of a target, or says to try again because the
+// target did not run the statement.
+func (o *operation) settled(reply *home.Reply) (a *siskin.Answer, again bool) {
+	switch reply.Answer.Code {
+	case siskin.ReadOnly, siskin.NoStatement:
+		if o.s.tx == nil && o.attempts < maxAttempts && o.remaining() > minAttempt {
+			o.reason = reply.Answer.Code.String()
+			return nil, true
+		}
+	case siskin.Succeeded:
+		if reply.LeadProven {
+			// The primary has every commit that counts, so a floor from a
+			// branch that a promotion rolled back ends here.
+			o.s.floor = reply.Lead
+		}
+		if o.st.Changes() && o.s.tx == nil {
+			o.s.raise(reply.Answer.Position)
+		}
+	}
+	return o.opened(reply), false
+}
+
+// refused handles a statement that was not sent. It returns nil when another
+// attempt makes sense.
+func (o *operation) refused(reply *home.Reply) *siskin.Answer {
+	o.reason = reply.Cause.String()
+	switch reply.Cause {
+	case home.Overload:
+		return o.notRun(siskin.Busy, "too many statements wait for the primary", max(reply.RetryAfter, 50*time.Millisecond))
+	case home.Refused:
+		o.reason = reply.Answer.Code.String()
+		switch reply.Answer.Code {
+		case siskin.ReadOnly, siskin.NoStatement:
+			return nil
+		}
+		return o.notRun(siskin.Busy, "the target refused the transaction ("+o.reason+")", 50*time.Millisecond)
+	}
+	return nil
+}
+
+// primary returns the primary, waiting a little when none is known.
+func (o *operation) primary() siskin.TargetID {
+	e := o.s.e
+	name := o.route.Service
+	deadline := o.route.Objective / waitDivisor
+	for {
+		leadChanged, rosterChanged := e.cfg.Views.Changed(name), e.cfg.Roster.Changed()
+		if !e.cfg.Views.Holding(name, e.cfg.Clock.Now()) {
+			if id := e.cfg.Views.Primary(name, e.cfg.Roster.Service(name)); id != "" {
+				return id
+			}
+		}
+		left := deadline - e.cfg.Clock.Since(o.start)
+		if left <= 0 {
+			return ""
+		}
+		select {
+		case <-leadChanged:
+		case <-rosterChanged:
+		case <-e.cfg.Clock.After(left):
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/session.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync/atomic"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/home"
+	"siskintray.example/siskin/internal/table"
+)
+
+// Session is the session of one caller.
+type Session struct {
+	e        *Entry
+	c        siskin.CallerConn
+	database string
+	digest   [sha256.Size]byte
+	values   []home.Value // ordered by name
+	prepared map[string]home.Prepared
+	// floor is the position of the session's newest acknowledged commit.
+	floor siskin.Position
+	tx    *transaction
+	// busy is set while a statement is in progress.
+	busy atomic.Bool
+	// inTx mirrors whether tx is set, for other goroutines.
+	inTx atomic.Bool
+}
+
+// errEnd ends a session after its last answer.
+var errEnd = errors.New("the session has ended")
+
+// serve runs the session until the caller or the VM ends it.
+func (s *Session) serve() {
+	defer s.end()
+	if err := s.start(); err != nil {
+		return
+	}
+	for {
+		st, err := s.c.Next()
+		if err != nil {
+			s.e.closed(s, err)
+			return
+		}
+		s.busy.Store(true)
+		a, err := s.answer(&st)
+		if a != nil {
+			if werr := s.c.Answer(a); werr != nil {
+				return
+			}
+		}
+		s.inTx.Store(s.tx != nil)
+		s.busy.Store(false)
+		if err != nil {
+			return
+		}
+	}
+}
+
+// start reads the opening message and accepts or refuses the session.
+func (s *Session) start() error {
+	database, key, err := s.c.Start()
+	if err != nil {
+		return err
+	}
+	s.database, s.digest = database, table.Digest(key)
+	_, _, refusal := s.authorize()
+	if refusal != nil {
+		s.e.refusedSession(s, refusal)
+		return errors.Join(s.c.Refuse(refusal.Code, refusal.Message), errEnd)
+	}
+	return s.c.Ready()
+}
+
+// authorize returns the route and the customer of the session under the
+// deployment in force, or the answer that refuses them.
+func (s *Session) authorize() (*siskin.RouteSpec, siskin.CustomerID, *siskin.Answer) {
+	snap := s.e.cfg.Table.Snapshot()
+	route, ok := snap.Route(s.database)
+	if !ok {
+		return nil, "", &siskin.Answer{Code: siskin.NoDatabase, Message: "no route has this name; check the name of the database"}
+	}
+	customer, ok := snap.Owner(s.digest)
+	if !ok && !route.Open {
+		return nil, "", &siskin.Answer{Code: siskin.NoAuth, Message: "the key is unknown or withdrawn; use a valid key"}
+	}
+	return route, customer, nil
+}
+
+// end rolls back what is open and closes the connection.
+func (s *Session) end() {
+	if s.tx != nil {
+		s.rollback()
+	}
+	_ = s.c.Close()
+	s.e.remove(s)
+}
+
+// state returns the transaction state that the caller sees.
+func (s *Session) state() siskin.TxState {
+	switch {
+	case s.tx == nil:
+		return siskin.TxIdle
+	case s.tx.failed:
+		return siskin.TxFailed
+	default:
+		return siskin.TxOpen
+	}
+}
+
+// own returns the answer to a statement that concerns the session alone.
+func (s *Session) own() *siskin.Answer { return &siskin.Answer{State: s.state()} }
+
+func (s *Session) refuse(code siskin.AnswerCode, message string) *siskin.Answer {
+	return &siskin.Answer{Code: code, Message: message, State: s.state()}
+}
+
+// answer carries out one statement. An error ends the session after the answer.
+func (s *Session) answer(st *siskin.Statement) (*siskin.Answer, error) {
+	if s.tx != nil && s.tx.failed && st.Kind != siskin.Commit && st.Kind != siskin.Rollback {
+		return s.refuse(siskin.Malformed, "the transaction has failed; end it first"), nil
+	}
+	switch st.Kind {
+	case siskin.SetValue:
+		s.set(st.Name, st.Text)
+		return s.own(), nil
+	case siskin.Prepare:
+		if s.prepared == nil {
+			s.prepared = make(map[string]home.Prepared)
+		}
+		s.prepared[st.Name] = home.Prepared{Shape: st.Text, Writes: st.Writes}
+		return s.own(), nil
+	case siskin.Deallocate:
+		if _, ok := s.prepared[st.Name]; !ok {
+			return s.fail(siskin.NoStatement, "no prepared statement has this name"), nil
+		}
+		delete(s.prepared, st.Name)
+		return s.own(), nil
+	case siskin.Begin, siskin.BeginRead:
+		if s.tx != nil {
+			return s.fail(siskin.Malformed, "a transaction is open already; end it first"), nil
+		}
+		s.tx = &transaction{readOnly: st.Kind == siskin.BeginRead}
+		return s.own(), nil
+	case siskin.Rollback:
+		if s.tx == nil {
+			return s.refuse(siskin.Malformed, "no transaction is open"), nil
+		}
+		s.rollback()
+		return s.own(), nil
+	case siskin.Commit:
+		if s.tx == nil {
+			return s.refuse(siskin.Malformed, "no transaction is open"), nil
+		}
+	case siskin.Execute:
+		p, ok := s.prepared[st.Name]
+		if !ok {
+			return s.fail(siskin.NoStatement, "no prepared statement has this name; prepare it first"), nil
+		}
+		st.Writes = p.Writes
+	case siskin.Read, siskin.Write:
+	default:
+		return s.fail(siskin.Malformed, "the statement is not understood"), nil
+	}
+	return s.operate(st)
+}
+
+// fail refuses a statement and marks an open transaction as failed.
+func (s *Session) fail(code siskin.AnswerCode, message string) *siskin.Answer {
+	if s.tx != nil {
+		s.tx.failed = true
+	}
+	return s.refuse(code, message)
+}
+
+func (s *Session) set(name, text string) {
+	i, found := slices.BinarySearchFunc(s.values, name, func(v home.Value, name string) int { return cmp.Compare(v.Name, name) })
+	if found {
+		s.values[i].Text = text
+		return
+	}
+	s.values = slices.Insert(s.values, i, home.Value{Name: name, Text: text})
+}
+
+// ended reports whether err is an ordinary end of a session.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed)
+}
--- /dev/null
+++ b/internal/entry/transaction.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/home"
+)
+
+// transaction is the open transaction of a session. It is begun at a target
+// with its first statement.
+type transaction struct {
+	readOnly bool
+	// opened says that a target has begun it.
+	opened bool
+	failed bool
+	wrote  bool
+	target siskin.TargetID
+	home   siskin.VMID
+	id     home.TxID
+}
+
+// rollbackTimeout bounds the end of a transaction that nobody waits for.
+const rollbackTimeout = 500 * time.Millisecond
+
+// rollback ends the transaction without a trace.
+func (s *Session) rollback() {
+	tx := s.tx
+	s.tx = nil
+	if !tx.opened {
+		return
+	}
+	req := &home.Request{
+		Statement: siskin.Statement{Kind: siskin.Rollback}, Target: tx.target, Home: tx.home, Mode: home.Continue, Tx: tx.id,
+		Patience: rollbackTimeout, QueueFor: rollbackTimeout,
+	}
+	// A rollback that gets lost is made up for by the home, which ends
+	// transactions that stay idle.
+	s.e.cfg.Homes.Run(context.Background(), req)
+}
+
+// continued runs a statement of a transaction that a target has begun.
+func (o *operation) continued() *siskin.Answer {
+	tx := o.s.tx
+	req := o.request(o.route.Timeout)
+	req.Target, req.Home, req.Mode, req.Tx = tx.target, tx.home, home.Continue, tx.id
+	reply := o.run(req)
+	commit := o.st.Kind == siskin.Commit
+	if commit {
+		o.s.tx = nil
+	}
+	switch {
+	case reply.Outcome == home.Answered:
+		a := reply.Answer
+		if commit {
+			a.State = siskin.TxIdle
+			if a.Code == siskin.Succeeded && tx.wrote {
+				o.s.raise(a.Position)
+			}
+			return &a
+		}
+		if a.Code != siskin.Succeeded {
+			tx.failed = true
+		} else if o.st.Changes() {
+			tx.wrote = true
+		}
+		a.State = o.s.state()
+		return &a
+	case commit && reply.Outcome == home.Lost && tx.wrote:
+		return o.s.refuse(siskin.InDoubt, "the answer to the commit is missing; check whether it took effect")
+	}
+	// No commit was sent, or it had nothing to commit.
+	if !commit {
+		tx.failed, tx.opened = true, false
+	}
+	return o.s.refuse(siskin.Aborted, "the transaction was rolled back ("+reply.Cause.String()+"); run it again")
+}
--- /dev/null
+++ b/internal/feed/holders.go
@@ -0,0 +1,61 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+const (
+	// rightsKind and rightsName name the record of the VMs that share the
+	// customers' rates.
+	rightsKind siskin.ObjectKind = "rights"
+	rightsName                   = "main"
+	// formAfter is the time after which a VM creates the record when there is
+	// none. All VMs of a new fleet start within 300 ms and register at once.
+	formAfter = 3 * time.Second
+	// holdersPause is the pause between two reads of a record that is missing.
+	holdersPause = 1500 * time.Millisecond
+)
+
+// holdersRecord is the value of the record. It is never changed: a holder that
+// is cut off may use its share at any time.
+type holdersRecord struct{ Holders []siskin.VMID }
+
+// holders reads the record, or creates it from the VMs known.
+func (f *Feed) holders(ctx context.Context) {
+	start := f.cfg.Clock.Now()
+	for ctx.Err() == nil {
+		l, err := f.cfg.Store.List(ctx, rightsKind)
+		if err != nil {
+			f.failed(rightsKind, err)
+		}
+		for _, o := range l.Objects {
+			var r holdersRecord
+			if o.Name != rightsName {
+				continue
+			}
+			if err := json.Unmarshal(o.Value, &r); err != nil {
+				f.cfg.Log.Error().Err(err).Msg("the record of shares cannot be read; this VM holds none")
+				return
+			}
+			f.cfg.Holders(r.Holders)
+			return
+		}
+		if err == nil && f.cfg.Clock.Since(start) > formAfter {
+			var r holdersRecord
+			for _, n := range f.cfg.Crew.Nodes() {
+				r.Holders = append(r.Holders, n.ID)
+			}
+			// Whether or not this VM created it, the next read tells.
+			if _, err := f.cfg.Store.Create(ctx, rightsKind, rightsName, r); err != nil {
+				f.cfg.Log.Info().Err(err).Msg("the record of shares was not created")
+			}
+			continue
+		}
+		sleep(ctx, holdersPause+rand.N(holdersPause/4))
+	}
+}
--- /dev/null
+++ b/internal/home/conn.go
@@ -0,0 +1,82 @@
+package home
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// conn is a connection to a target and the session state it holds there.
+type conn struct {
+	siskin.TargetConn
+	customer siskin.CustomerID
+	values   map[string]string
+	prepared map[string]Prepared
+	used     time.Time // end of the last use
+	fresh    bool      // no statement was sent yet
+}
+
+func newConn(tc siskin.TargetConn, customer siskin.CustomerID, now time.Time) *conn {
+	return &conn{
+		TargetConn: tc, customer: customer, used: now, fresh: true,
+		values: make(map[string]string), prepared: make(map[string]Prepared),
+	}
+}
+
+// preparedName returns the name of a prepared statement at a target. It depends
+// on the shape alone, so that sessions share prepared statements.
+func preparedName(p Prepared) string {
+	if p.Writes {
+		return "w_" + p.Shape
+	}
+	return "r_" + p.Shape
+}
+
+// adapt returns the statements that bring the connection to the session's state
+// and takes that state over. The connection must be closed when one fails.
+func (c *conn) adapt(req *Request) []siskin.Statement {
+	var list []siskin.Statement
+	if c.hasOther(req.Values) {
+		list = append(list, siskin.Statement{Kind: siskin.Discard})
+		clear(c.values)
+		clear(c.prepared)
+	}
+	if req.Statement.Kind == siskin.Execute {
+		name := preparedName(req.Prepared)
+		if _, ok := c.prepared[name]; !ok {
+			list = append(list, siskin.Statement{Kind: siskin.Prepare, Name: name, Text: req.Prepared.Shape, Writes: req.Prepared.Writes})
+			c.prepared[name] = req.Prepared
+		}
+	}
+	for _, v := range req.Values {
+		if have, ok := c.values[v.Name]; !ok || have != v.Text {
+			list = append(list, siskin.Statement{Kind: siskin.SetValue, Name: v.Name, Text: v.Text})
+			c.values[v.Name] = v.Text
+		}
+	}
+	return list
+}
+
+// hasOther reports whether the connection holds a value that the session lacks.
+func (c *conn) hasOther(values []Value) bool {
+	if len(c.values) > len(values) {
+		return true
+	}
+	found := 0
+	for _, v := range values {
+		if _, ok := c.values[v.Name]; ok {
+			found++
+		}
+	}
+	return found < len(c.values)
+}
+
+// named returns the caller's statement with the name it has at the target.
+func named(req *Request) siskin.Statement {
+	s := req.Statement
+	if s.Kind == siskin.Execute {
+		s.Name = preparedName(req.Prepared)
+		s.Writes = req.Prepared.Writes
+	}
+	return s
+}
--- /dev/null
+++ b/internal/home/control.go
@@ -0,0 +1,112 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/views"
+)
+
+// pingTimeout bounds a proof of lead. A proof waits for no slot, so it takes a
+// round trip.
+const pingTimeout = 400 * time.Millisecond
+
+// control is the connection of a lane for statements of the system's own. It
+// is apart from those of callers, so that a control statement never waits for
+// one of them.
+type control struct {
+	mu sync.Mutex // held during an exchange
+	c  siskin.TargetConn
+	// opened is the run of the target that the connection was opened to.
+	opened siskin.TargetInfo
+}
+
+// Control sends statements to a target on the control connection. A broken
+// connection is replaced once before anything counts as failed, so the
+// statements must be safe to repeat.
+func (h *Homes) Control(ctx context.Context, id siskin.TargetID, list ...siskin.Statement) ([]siskin.Answer, error) {
+	l, ok := h.lane(id)
+	if !ok {
+		return nil, siskin.NewError(siskin.Unavailable, "target %s is not known", id).WithRemedy("wait for service discovery")
+	}
+	l.control.mu.Lock()
+	defer l.control.mu.Unlock()
+	reused := l.control.c != nil
+	answers, err := l.controlOnce(ctx, list)
+	if err != nil && reused && ctx.Err() == nil {
+		answers, err = l.controlOnce(ctx, list)
+	}
+	if err != nil {
+		return nil, siskin.NewError(siskin.Unavailable, "target %s gave no answer", id).WithCause(err)
+	}
+	return answers, nil
+}
+
+func (l *lane) controlOnce(ctx context.Context, list []siskin.Statement) ([]siskin.Answer, error) {
+	l.mu.Lock()
+	info := l.info
+	l.mu.Unlock()
+	ctl := &l.control
+	if ctl.c != nil && (ctl.opened.Address != info.Address || !ctl.opened.Born.Equal(info.Born)) {
+		l.dropControl()
+	}
+	if ctl.c == nil {
+		c, err := l.connector.Connect(ctx, info, "")
+		if err != nil {
+			return nil, err
+		}
+		ctl.c, ctl.opened = c, info
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(pingTimeout)
+	}
+	answers, err := ctl.c.Exchange(deadline, list)
+	if err != nil {
+		l.dropControl()
+	}
+	return answers, err
+}
+
+func (l *lane) dropControl() {
+	_ = l.control.c.Close() // control statements leave nothing open
+	l.control.c = nil
+}
+
+// Ping asks a target to prove its lead. It occupies no slot there. The result
+// is nil when the target leads, an error of kind Conflict when it denies it,
+// and of kind Unavailable when it does not answer.
+func (h *Homes) Ping(ctx context.Context, service siskin.ServiceName, id siskin.TargetID) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	asked := h.cfg.Clock.Now()
+	answers, err := h.Control(ctx, id, siskin.Statement{Kind: siskin.Begin}, siskin.Statement{Kind: siskin.Rollback})
+	if err != nil {
+		h.cfg.Views.Failed(id, h.cfg.Clock.Now())
+		return err
+	}
+	switch a := &answers[0]; a.Code {
+	case siskin.Succeeded:
+		h.cfg.Views.Proven(service, views.Lead{Target: id, Position: a.Position, At: asked})
+		h.cfg.Views.Answered(id)
+		return nil
+	case siskin.ReadOnly:
+		h.cfg.Views.Denied(service, id, asked)
+		h.cfg.Views.Seen(id, a.Position, asked)
+		return siskin.NewError(siskin.Conflict, "target %s does not lead", id).WithRemedy("ask another target")
+	default:
+		return siskin.NewError(siskin.Unavailable, "target %s refused a transaction: %s", id, a.Code)
+	}
+}
+
+// Stalled returns the time for which writes at a target have gone without any
+// success, zero when the last one succeeded.
+func (h *Homes) Stalled(id siskin.TargetID) time.Duration {
+	l, ok := h.lanes.Get(id)
+	if !ok {
+		return 0
+	}
+	return l.writes.stalled(h.cfg.Clock.Now())
+}
--- /dev/null
+++ b/internal/home/homes.go
@@ -0,0 +1,134 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/views"
+	"siskintray.example/siskin/pkg/shard"
+)
+
+// Config holds what Homes depends on.
+type Config struct {
+	Clock     siskin.Clock
+	Connector siskin.TargetConnector
+	Views     *views.Views
+	// Target looks a target up in service discovery.
+	Target func(siskin.TargetID) (siskin.TargetInfo, bool)
+	// Limit returns the most connections that this VM may open to a target.
+	Limit func(siskin.TargetInfo) int
+}
+
+// Homes runs statements on targets. It is safe for concurrent use.
+type Homes struct {
+	cfg    Config
+	lanes  *shard.Map[siskin.TargetID, *lane]
+	txs    *shard.Map[TxID, *tx]
+	nextTx atomic.Uint64
+	stop   chan struct{}
+	done   sync.WaitGroup
+}
+
+// New returns Homes and starts the goroutine that ends idle transactions.
+func New(cfg Config) *Homes {
+	h := &Homes{
+		cfg: cfg, lanes: shard.New[siskin.TargetID, *lane](), txs: shard.New[TxID, *tx](),
+		stop: make(chan struct{}),
+	}
+	// A restarted VM must not meet the ids of its earlier run.
+	h.nextTx.Store(uint64(cfg.Clock.Now().UnixNano()))
+	h.done.Go(h.reap)
+	return h
+}
+
+// Close ends all transactions and connections and waits.
+func (h *Homes) Close() error {
+	close(h.stop)
+	h.done.Wait()
+	h.txs.Range(func(id TxID, t *tx) bool {
+		h.abandon(id, t)
+		return true
+	})
+	h.lanes.Range(func(_ siskin.TargetID, l *lane) bool {
+		l.close()
+		return true
+	})
+	return nil
+}
+
+// Update brings the lanes in use up to date with service discovery.
+func (h *Homes) Update() {
+	h.lanes.Range(func(id siskin.TargetID, l *lane) bool {
+		if info, ok := h.cfg.Target(id); ok {
+			l.update(info, h.cfg.Limit(info))
+			return true
+		}
+		h.lanes.Delete(id)
+		l.close()
+		return true
+	})
+}
+
+// Waiting returns the length of the queue of each target in use.
+func (h *Homes) Waiting() map[siskin.TargetID]int {
+	waiting := make(map[siskin.TargetID]int)
+	h.lanes.Range(func(id siskin.TargetID, l *lane) bool {
+		waiting[id] = l.queue.Stats().Waiting
+		return true
+	})
+	return waiting
+}
+
+// Counts are the present totals of a VM's homes.
+type Counts struct {
+	Open, Idle, Waiting, Transactions int
+	Opened                            int64
+}
+
+// Counts returns the present totals.
+func (h *Homes) Counts() Counts {
+	n := Counts{Transactions: h.txs.Len()}
+	h.lanes.Range(func(_ siskin.TargetID, l *lane) bool {
+		open, idle, opened := l.counts()
+		n.Open += open
+		n.Idle += idle
+		n.Opened += opened
+		n.Waiting += l.queue.Stats().Waiting
+		return true
+	})
+	return n
+}
+
+func (h *Homes) lane(id siskin.TargetID) (*lane, bool) {
+	if l, ok := h.lanes.Get(id); ok {
+		return l, true
+	}
+	info, ok := h.cfg.Target(id)
+	if !ok {
+		return nil, false
+	}
+	return h.lanes.GetOrCreate(id, func() *lane {
+		return newLane(h.cfg.Clock, h.cfg.Connector, info, h.cfg.Limit(info))
+	}), true
+}
+
+// Run runs one statement.
+func (h *Homes) Run(ctx context.Context, req *Request) Reply {
+	ctx, cancel := context.WithTimeout(ctx, req.Patience)
+	defer cancel()
+	if req.Mode == Continue {
+		return h.step(ctx, req)
+	}
+	l, ok := h.lane(req.Target)
+	if !ok {
+		return Reply{Cause: Unknown}
+	}
+	r := &run{h: h, l: l, req: req, start: h.cfg.Clock.Now()}
+	r.deadline = time.Now().Add(req.Patience)
+	reply := r.do(ctx)
+	reply.Waiting = l.queue.Stats().Waiting
+	return reply
+}
--- /dev/null
+++ b/internal/home/lane.go
@@ -0,0 +1,222 @@
+package home
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/fairq"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection. A target takes up to
+	// 30 ms; a lost opening packet is sent again after a second.
+	connectTimeout = 400 * time.Millisecond
+	// avoidFor is the time in which a target that could not be reached is not
+	// tried again, so that requests fail at once instead of waiting.
+	avoidFor = 300 * time.Millisecond
+	// spareRunning is the number of statements sent to a target beyond its
+	// slots. One keeps the slots busy during the round trip.
+	spareRunning = 1
+	// conflictFor is the time in which a target whose address answered for
+	// another one is not tried again.
+	conflictFor = time.Second
+)
+
+// lane is the queue and the connections of one target.
+type lane struct {
+	clock     siskin.Clock
+	connector siskin.TargetConnector
+	queue     *fairq.Queue
+	control   control
+	writes    writes
+
+	mu      sync.Mutex
+	info    siskin.TargetInfo
+	limit   int // most open connections
+	open    int // connections open or being opened
+	idle    []*conn
+	wake    chan struct{} // closed when a connection becomes free
+	avoid   time.Time
+	closing bool
+	opened  int64 // connections opened since the start
+}
+
+func newLane(clock siskin.Clock, connector siskin.TargetConnector, info siskin.TargetInfo, limit int) *lane {
+	return &lane{
+		clock: clock, connector: connector, info: info, limit: limit, wake: make(chan struct{}),
+		queue: fairq.New(clock, info.Slots+spareRunning, fairq.WithReserve(0)),
+	}
+}
+
+// update takes over what discovery says. The connections to an earlier run or
+// address of the target are dropped.
+func (l *lane) update(info siskin.TargetInfo, limit int) {
+	l.mu.Lock()
+	var stale []*conn
+	if info.Address != l.info.Address || !info.Born.Equal(l.info.Born) {
+		stale = l.takeIdle()
+	}
+	l.info, l.limit = info, limit
+	for len(l.idle) > 0 && l.open > l.limit {
+		stale = append(stale, l.idle[0])
+		l.idle = l.idle[1:]
+		l.open--
+	}
+	l.mu.Unlock()
+	closeAll(stale)
+}
+
+func (l *lane) takeIdle() []*conn {
+	taken := l.idle
+	l.idle = nil
+	l.open -= len(taken)
+	return taken
+}
+
+func closeAll(list []*conn) {
+	for _, c := range list {
+		_ = c.Close() // nothing runs on an idle connection
+	}
+}
+
+// conn returns a connection for the customer: an idle one, a new one, or one
+// in place of another customer's idle one.
+func (l *lane) conn(ctx context.Context, customer siskin.CustomerID) (*conn, error) {
+	for {
+		c, wait, err := l.reserve(customer)
+		switch {
+		case err != nil:
+			return nil, err
+		case c != nil:
+			return c, nil
+		case wait == nil:
+			return l.connect(ctx, customer)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, siskin.NewError(siskin.Overloaded, "no connection to target %s is free", l.info.ID).WithRemedy("retry later")
+		}
+	}
+}
+
+// reserve returns an idle connection, or a channel to wait for, or neither when
+// the caller may open a connection, which is counted already.
+func (l *lane) reserve(customer siskin.CustomerID) (*conn, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closing {
+		return nil, nil, siskin.NewError(siskin.NotRun, "this VM no longer serves target %s", l.info.ID).WithRemedy("use another home")
+	}
+	// The connection used last is taken, so that those in excess stay idle.
+	for i := len(l.idle) - 1; i >= 0; i-- {
+		if l.idle[i].customer == customer {
+			c := l.idle[i]
+			l.idle = slices.Delete(l.idle, i, i+1)
+			return c, nil, nil
+		}
+	}
+	if l.clock.Now().Before(l.avoid) {
+		return nil, nil, siskin.NewError(siskin.Unavailable, "target %s could not be reached a moment ago", l.info.ID).WithRemedy("use another target")
+	}
+	switch {
+	case l.open < l.limit:
+	case len(l.idle) > 0:
+		_ = l.idle[0].Close() // nothing runs on an idle connection
+		l.idle = l.idle[1:]
+		l.open--
+	default:
+		return nil, l.wake, nil
+	}
+	l.open++
+	return nil, nil, nil
+}
+
+// connect opens a connection that reserve has counted.
+func (l *lane) connect(ctx context.Context, customer siskin.CustomerID) (*conn, error) {
+	l.mu.Lock()
+	info := l.info
+	l.opened++
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	tc, err := l.connector.Connect(ctx, info, customer)
+	if err == nil {
+		return newConn(tc, customer, l.clock.Now()), nil
+	}
+	l.mu.Lock()
+	switch siskin.KindOf(err) {
+	case siskin.Overloaded:
+	case siskin.Conflict:
+		l.avoid = l.clock.Now().Add(conflictFor)
+	default:
+		l.avoid = l.clock.Now().Add(avoidFor)
+	}
+	l.mu.Unlock()
+	l.forget()
+	return nil, err
+}
+
+// forget uncounts a connection and lets a waiter open another one.
+func (l *lane) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	l.signal()
+}
+
+func (l *lane) signal() {
+	close(l.wake)
+	l.wake = make(chan struct{})
+}
+
+// put returns a connection whose last answer was read to its end.
+func (l *lane) put(c *conn) {
+	l.mu.Lock()
+	c.used = l.clock.Now()
+	if l.closing || l.open > l.limit {
+		l.mu.Unlock()
+		l.drop(c)
+		return
+	}
+	l.idle = append(l.idle, c)
+	l.signal()
+	l.mu.Unlock()
+}
+
+// drop closes a connection.
+func (l *lane) drop(c *conn) {
+	_ = c.Close() // the target rolls back what is open
+	l.forget()
+}
+
+// dropIdle closes the idle connections, which share the fate of one that
+// failed: they may be silent, or belong to an earlier run of the target.
+func (l *lane) dropIdle() {
+	l.mu.Lock()
+	stale := l.takeIdle()
+	l.signal()
+	l.mu.Unlock()
+	closeAll(stale)
+}
+
+func (l *lane) close() {
+	l.mu.Lock()
+	l.closing = true
+	l.mu.Unlock()
+	l.dropIdle()
+	l.control.mu.Lock()
+	defer l.control.mu.Unlock()
+	if l.control.c != nil {
+		l.dropControl()
+	}
+}
+
+func (l *lane) counts() (open, idle int, opened int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open, len(l.idle), l.opened
+}
--- /dev/null
+++ b/internal/home/run.go
@@ -0,0 +1,270 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/views"
+	"siskintray.example/siskin/pkg/fairq"
+)
+
+// idleProbe is the idle time after which a connection is probed before a write
+// is sent on it. A connection that the target has closed meanwhile would
+// leave the outcome of the write unknown.
+const idleProbe = 200 * time.Millisecond
+
+// run is the run of one statement outside of an open transaction.
+type run struct {
+	h        *Homes
+	l        *lane
+	req      *Request
+	start    time.Time // on the clock of h
+	deadline time.Time // for input and output
+	c        *conn
+	grant    fairq.Grant
+	reply    Reply
+	replaced bool // the connection was replaced once
+}
+
+// do queues the statement, takes a connection and runs it.
+func (r *run) do(ctx context.Context) Reply {
+	if !r.acquire(ctx) {
+		return r.reply
+	}
+	defer r.grant.Release()
+	for {
+		again := r.attempt()
+		if !again || r.replaced {
+			return r.reply
+		}
+		r.replaced = true
+		if !r.connect(ctx) {
+			return r.reply
+		}
+	}
+}
+
+// acquire waits for a place at the target and a connection.
+func (r *run) acquire(ctx context.Context) bool {
+	queueCtx, cancel := context.WithTimeout(ctx, r.req.QueueFor)
+	defer cancel()
+	var err error
+	r.grant, err = r.l.queue.Acquire(queueCtx, r.req.Customer, 1, r.start.Add(r.req.QueueFor))
+	r.reply.Waited = r.h.cfg.Clock.Since(r.start)
+	if err != nil {
+		r.refuse(err)
+		return false
+	}
+	if !r.connect(queueCtx) {
+		r.grant.Release()
+		return false
+	}
+	return true
+}
+
+func (r *run) refuse(err error) {
+	r.reply.Cause = Overload
+	var e *siskin.Error
+	if errors.As(err, &e) {
+		r.reply.RetryAfter = e.RetryAfter
+	}
+}
+
+func (r *run) connect(ctx context.Context) bool {
+	c, err := r.l.conn(ctx, r.req.Customer)
+	if err == nil {
+		r.c = c
+		return true
+	}
+	switch siskin.KindOf(err) {
+	case siskin.Overloaded:
+		r.refuse(err)
+	case siskin.NotRun:
+		r.reply.Cause = Unknown
+	default:
+		r.reply.Cause = Unreachable
+		r.h.cfg.Views.Failed(r.req.Target, r.h.cfg.Clock.Now())
+	}
+	return false
+}
+
+// attempt runs the statement on r.c. The result says whether to try again on
+// another connection because nothing was run on this one.
+func (r *run) attempt() (again bool) {
+	if r.expired() {
+		r.reply.Cause = Stale
+		r.l.put(r.c)
+		return false
+	}
+	setup := r.c.adapt(r.req)
+	reused := !r.c.fresh
+	idle := r.h.cfg.Clock.Since(r.c.used)
+	r.c.fresh = false
+	begin, needed := r.begin(reused && idle > idleProbe)
+	if needed {
+		if ok, gone := r.prove(setup, begin); !ok {
+			return gone && reused
+		}
+		setup = nil
+		if r.req.Mode == Open {
+			return r.first()
+		}
+		if r.req.Proof != LeadProof {
+			return r.send(nil, false)
+		}
+		return r.send(nil, true)
+	}
+	return r.send(setup, false) && reused
+}
+
+// expired reports whether the floor grew too old while the statement waited.
+func (r *run) expired() bool {
+	return r.req.FloorFor > 0 && r.h.cfg.Clock.Since(r.start) > r.req.FloorFor
+}
+
+// begin returns the statements that must succeed before the caller's statement
+// is sent. Without a transaction around it, a statement behind a failed one
+// would run all the same.
+func (r *run) begin(probe bool) ([]siskin.Statement, bool) {
+	switch {
+	case r.req.Mode == Open && r.req.Proof == FloorProof:
+		return []siskin.Statement{{Kind: siskin.BeginRead, Floor: r.req.Floor}}, true
+	case r.req.Mode == Open, r.req.Proof == LeadProof:
+		return []siskin.Statement{{Kind: siskin.Begin}}, true
+	case probe && r.req.Statement.Changes():
+		return []siskin.Statement{{Kind: siskin.Begin}, {Kind: siskin.Rollback}}, true
+	default:
+		return nil, false
+	}
+}
+
+// prove sends the session state and the opening statements. Nothing of the
+// caller has been sent when it fails; gone says that the connection broke.
+func (r *run) prove(setup, begin []siskin.Statement) (ok, gone bool) {
+	asked := r.h.cfg.Clock.Now()
+	answers, err := r.c.Exchange(r.proofDeadline(), append(setup, begin...))
+	if err != nil {
+		r.broken(err)
+		return false, !errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	for i := range answers {
+		if a := &answers[i]; a.Code != siskin.Succeeded {
+			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, *a
+			r.denied(a, asked)
+			r.l.drop(r.c)
+			return false, false
+		}
+	}
+	if begin[0].Kind == siskin.Begin {
+		r.proven(answers[len(setup)].Position, asked)
+	}
+	return true, false
+}
+
+// proofDeadline bounds a proof: it needs no slot, so silence means that the
+// target or the path is gone.
+func (r *run) proofDeadline() time.Time {
+	d := time.Now().Add(pingTimeout)
+	if r.deadline.Before(d) {
+		return r.deadline
+	}
+	return d
+}
+
+func (r *run) proven(p siskin.Position, asked time.Time) {
+	r.reply.LeadProven, r.reply.Lead = true, p
+	r.reply.LeadAge = r.h.cfg.Clock.Since(asked)
+	r.h.cfg.Views.Proven(r.req.Service, views.Lead{Target: r.req.Target, Position: p, At: asked})
+	r.h.cfg.Views.Answered(r.req.Target)
+}
+
+func (r *run) denied(a *siskin.Answer, asked time.Time) {
+	if a.Code == siskin.ReadOnly {
+		r.h.cfg.Views.Denied(r.req.Service, r.req.Target, asked)
+	}
+}
+
+// send sends the caller's statement, behind setup, and ends the transaction
+// that proved the lead.
+func (r *run) send(setup []siskin.Statement, inTx bool) (again bool) {
+	s := named(r.req)
+	if r.req.Proof == FloorProof {
+		s.Floor = r.req.Floor
+	}
+	list := append(setup, s)
+	if inTx {
+		list = append(list, siskin.Statement{Kind: siskin.Rollback})
+	}
+	asked := r.h.cfg.Clock.Now()
+	if s.Changes() {
+		r.l.writes.start(asked)
+	}
+	answers, err := r.c.Exchange(r.deadline, list)
+	if s.Changes() {
+		r.l.writes.end(len(answers) > len(setup))
+	}
+	r.reply.Ran = r.h.cfg.Clock.Since(asked)
+	if err != nil && len(answers) <= len(setup) {
+		if r.broken(err); !s.Changes() {
+			// Reads leave no trace, so a broken connection is replaced once.
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+		r.reply.Outcome = Lost
+		return false
+	}
+	a := answers[len(setup)]
+	r.reply.Outcome, r.reply.Cause, r.reply.Answer = Answered, NoCause, a
+	r.settle(&s, &a, asked)
+	for i := range answers {
+		if i != len(setup) && answers[i].Code != siskin.Succeeded {
+			err = errors.New("session state was not accepted")
+		}
+	}
+	if err != nil || answers[len(answers)-1].State != siskin.TxIdle || a.Code == siskin.NoStatement {
+		r.l.drop(r.c)
+		return false
+	}
+	r.l.put(r.c)
+	return false
+}
+
+// settle takes over what an answer says of the target.
+func (r *run) settle(s *siskin.Statement, a *siskin.Answer, asked time.Time) {
+	r.h.cfg.Views.Seen(r.req.Target, a.Position, asked)
+	switch {
+	case a.Code == siskin.ReadOnly:
+		r.denied(a, asked)
+	case a.Code == siskin.Succeeded && s.Changes():
+		r.proven(a.Position, asked)
+	case a.Code == siskin.Succeeded:
+		r.h.cfg.Views.Answered(r.req.Target)
+	}
+}
+
+// broken notes that the connection failed or fell silent.
+func (r *run) broken(err error) {
+	r.reply.Outcome, r.reply.Cause = NotSent, Unreachable
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		r.reply.Cause = Silent
+	}
+	r.h.cfg.Views.Failed(r.req.Target, r.h.cfg.Clock.Now())
+	r.l.drop(r.c)
+	r.l.dropIdle()
+}
+
+// first runs the first statement of a transaction that has just begun.
+func (r *run) first() (again bool) {
+	t := &tx{l: r.l, c: r.c, req: *r.req, used: r.h.cfg.Clock.Now()}
+	t.busy = true
+	id := TxID(r.h.nextTx.Add(1))
+	r.h.txs.Put(id, t)
+	lead, age, proven := r.reply.Lead, r.reply.LeadAge, r.reply.LeadProven
+	reply := r.h.exec(id, t, r.req, nil, r.deadline)
+	reply.Waited = r.reply.Waited
+	reply.Lead, reply.LeadAge, reply.LeadProven = lead, age, proven
+	r.reply = reply
+	return false
+}
--- /dev/null
+++ b/internal/home/tx.go
@@ -0,0 +1,152 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// reapInterval is the time between two searches for idle transactions.
+const reapInterval = 500 * time.Millisecond
+
+// tx is an open transaction. Its connection belongs to it alone.
+type tx struct {
+	l   *lane
+	c   *conn
+	req Request // that opened it
+
+	mu   sync.Mutex
+	busy bool
+	done bool
+	used time.Time
+}
+
+// take marks the transaction as busy unless it has ended or is busy already.
+func (t *tx) take() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy || t.done {
+		return false
+	}
+	t.busy = true
+	return true
+}
+
+func (t *tx) release(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy, t.used = false, now
+}
+
+// step runs a further statement of an open transaction.
+func (h *Homes) step(ctx context.Context, req *Request) Reply {
+	t, ok := h.txs.Get(req.Tx)
+	if !ok || !t.take() {
+		return Reply{Cause: Unknown}
+	}
+	start := h.cfg.Clock.Now()
+	if req.Statement.Kind != siskin.Rollback {
+		grant, err := t.l.queue.Acquire(ctx, req.Customer, 1, start.Add(req.QueueFor))
+		if err != nil {
+			h.abandon(req.Tx, t)
+			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start)}
+		}
+		defer grant.Release()
+	}
+	waited := h.cfg.Clock.Since(start)
+	var setup []siskin.Statement
+	if req.Statement.Kind != siskin.Commit && req.Statement.Kind != siskin.Rollback {
+		setup = t.c.adapt(req)
+	}
+	reply := h.exec(req.Tx, t, req, setup, time.Now().Add(req.Patience-waited))
+	reply.Waited = waited
+	return reply
+}
+
+// exec sends a statement in a busy transaction.
+func (h *Homes) exec(id TxID, t *tx, req *Request, setup []siskin.Statement, deadline time.Time) Reply {
+	s := named(req)
+	asked := h.cfg.Clock.Now()
+	if s.Kind == siskin.Commit {
+		t.l.writes.start(asked)
+	}
+	answers, err := t.c.Exchange(deadline, append(setup, s))
+	if s.Kind == siskin.Commit {
+		t.l.writes.end(err == nil)
+	}
+	ran := h.cfg.Clock.Since(asked)
+	if err != nil {
+		h.abandon(id, t)
+		reply := Reply{Outcome: Lost, Cause: Unreachable, Ran: ran}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			reply.Cause = Silent
+		}
+		h.cfg.Views.Failed(req.Target, h.cfg.Clock.Now())
+		t.l.dropIdle()
+		return reply
+	}
+	a := answers[len(setup)]
+	reply := Reply{Outcome: Answered, Answer: a, Ran: ran, Tx: id}
+	for i := range setup {
+		if answers[i].Code != siskin.Succeeded {
+			h.abandon(id, t)
+			return Reply{Outcome: Lost, Cause: Refused, Answer: answers[i], Ran: ran}
+		}
+	}
+	h.cfg.Views.Seen(req.Target, a.Position, asked)
+	if a.Code == siskin.ReadOnly {
+		h.cfg.Views.Denied(req.Service, req.Target, asked)
+	}
+	if s.Kind == siskin.Commit || s.Kind == siskin.Rollback {
+		h.end(id, t, a.State == siskin.TxIdle)
+		reply.Tx = 0
+		return reply
+	}
+	t.release(h.cfg.Clock.Now())
+	return reply
+}
+
+// end removes a transaction and gives its connection back.
+func (h *Homes) end(id TxID, t *tx, reusable bool) {
+	t.mu.Lock()
+	done := t.done
+	t.done = true
+	t.mu.Unlock()
+	h.txs.Delete(id)
+	switch {
+	case done:
+	case reusable:
+		t.l.put(t.c)
+	default:
+		t.l.drop(t.c)
+	}
+}
+
+// abandon rolls a transaction back by closing its connection.
+func (h *Homes) abandon(id TxID, t *tx) { h.end(id, t, false) }
+
+// reap ends transactions that were idle for too long, such as those of an
+// entry VM that died.
+func (h *Homes) reap() {
+	for {
+		select {
+		case <-h.stop:
+			return
+		case <-time.After(reapInterval):
+		}
+		now := h.cfg.Clock.Now()
+		h.txs.Range(func(id TxID, t *tx) bool {
+			t.mu.Lock()
+			idle := !t.busy && t.req.TxIdle > 0 && now.Sub(t.used) > t.req.TxIdle
+			t.mu.Unlock()
+			if idle {
+				h.abandon(id, t)
+			}
+			return true
+		})
+	}
+}
--- /dev/null
+++ b/internal/path/path.go
@@ -0,0 +1,144 @@
+// Package path finds the home of a target and runs statements there.
+package path
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/crew"
+	"siskintray.example/siskin/internal/home"
+	"siskintray.example/siskin/internal/peer"
+	"siskintray.example/siskin/internal/roster"
+	"siskintray.example/siskin/pkg/place"
+)
+
+const (
+	// maxHomes bounds the VMs that are tried for one statement.
+	maxHomes = 3
+	// handover is the least time left to try a further VM.
+	handover = 40 * time.Millisecond
+)
+
+// Config holds what a Path depends on.
+type Config struct {
+	Clock  siskin.Clock
+	Crew   *crew.Crew
+	Roster *roster.Roster
+	Homes  *home.Homes
+	Peers  siskin.Peers
+}
+
+// Path runs statements at the homes of their targets.
+type Path struct{ cfg Config }
+
+// New returns a Path.
+func New(cfg Config) *Path { return &Path{cfg} }
+
+// Ranked returns the VMs that may be the home of a target, best first: those of
+// its data centre, or all when it has none that lives.
+func Ranked(t siskin.TargetInfo, live []siskin.VM) []siskin.VM {
+	return place.Rank(string(t.ID), place.In(t.DataCentre, live))
+}
+
+// IsHome reports whether this VM is the home of a target, as far as it knows.
+func (p *Path) IsHome(t siskin.TargetInfo) bool {
+	vm, ok := place.Best(string(t.ID), place.In(t.DataCentre, p.cfg.Crew.Live()))
+	return ok && vm.ID == p.cfg.Crew.Self().ID
+}
+
+// Run implements entry.Homes.
+func (p *Path) Run(ctx context.Context, req *home.Request) home.Reply {
+	if req.Mode == home.Continue {
+		reply, _ := p.at(ctx, req.Home, req)
+		return reply
+	}
+	t, ok := p.cfg.Roster.Target(req.Target)
+	if !ok {
+		return home.Reply{Cause: home.Unknown}
+	}
+	start := p.cfg.Clock.Now()
+	patience := req.Patience
+	var reply home.Reply
+	for i, vm := range p.candidates(t) {
+		if i > 0 {
+			req.Patience = patience - p.cfg.Clock.Since(start)
+			if i >= maxHomes || req.Patience < handover {
+				break
+			}
+		}
+		var reached bool
+		reply, reached = p.at(ctx, vm.ID, req)
+		if reply.Outcome != home.NotSent || reached && reply.Cause != home.Unreachable && reply.Cause != home.Unknown {
+			return reply
+		}
+	}
+	return reply
+}
+
+// candidates returns the homes to try. A VM outside of the target's data centre
+// follows, for the time when all homes inside are out of reach.
+func (p *Path) candidates(t siskin.TargetInfo) []siskin.VM {
+	live := p.cfg.Crew.Live()
+	list := Ranked(t, live)
+	if len(list) < maxHomes {
+		for _, vm := range place.Rank(string(t.ID), live) {
+			if vm.DataCentre != t.DataCentre {
+				return append(list, vm)
+			}
+		}
+	}
+	return list
+}
+
+// at runs a request at one VM. The result reached is false when the VM cannot
+// have received it.
+func (p *Path) at(ctx context.Context, vm siskin.VMID, req *home.Request) (reply home.Reply, reached bool) {
+	if vm == p.cfg.Crew.Self().ID {
+		reply = p.cfg.Homes.Run(ctx, req)
+		reply.Home = vm
+		return reply, true
+	}
+	err := p.cfg.Peers.Call(ctx, vm, "Home.Run", req, &reply)
+	if err == nil {
+		reply.Home = vm
+		return reply, true
+	}
+	if ctx.Err() == nil || errors.Is(err, peer.ErrNotSent) {
+		p.cfg.Crew.Suspect(vm)
+	}
+	if errors.Is(err, peer.ErrNotSent) {
+		return home.Reply{Cause: home.Unreachable, Home: vm}, false
+	}
+	return home.Reply{Outcome: home.Lost, Cause: home.Silent, Home: vm}, true
+}
+
+// Receiver serves the calls of peers under the name Home.
+type Receiver struct{ homes *home.Homes }
+
+// Receiver returns the receiver to register.
+func (p *Path) Receiver() *Receiver { return &Receiver{p.cfg.Homes} }
+
+// Run runs a statement at this home.
+func (r *Receiver) Run(req *home.Request, reply *home.Reply) error {
+	*reply = r.homes.Run(context.Background(), req)
+	return nil
+}
+
+// PingArgs names the target that should prove its lead.
+type PingArgs struct {
+	Service siskin.ServiceName
+	Target  siskin.TargetID
+}
+
+// PingReply says whether it did.
+type PingReply struct{ Leads, Denies bool }
+
+// Ping asks a target to prove its lead, for a VM that cannot reach it.
+func (r *Receiver) Ping(args *PingArgs, reply *PingReply) error {
+	err := r.homes.Ping(context.Background(), args.Service, args.Target)
+	reply.Leads = err == nil
+	reply.Denies = siskin.KindOf(err) == siskin.Conflict
+	return nil
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"net/rpc"
 	"strings"
@@ -14,6 +15,10 @@
 	"siskintray.example/siskin"
 )
 
+// ErrNotSent is in the chain of an error of Call when the peer cannot have
+// received the call.
+var ErrNotSent = errors.New("the call was not sent")
+
 // Client implements siskin.Peers.
 type Client struct {
 	cfg      Config
@@ -70,7 +75,7 @@
 	}
 	cc, err := c.conn(ctx, vm)
 	if err != nil {
-		return c.unavailable(vm, method, err)
+		return c.unavailable(vm, method, fmt.Errorf("%w: %w", ErrNotSent, err))
 	}
 	raw := new(json.RawMessage)
 	call := cc.client.Go(method, args, raw, make(chan *rpc.Call, 1))
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -12,8 +12,12 @@
 type Config struct {
 	// Self is the id of this VM.
 	Self siskin.VMID
-	// TLS is used in both directions. It may be nil on loopback addresses only.
+	// TLS is used in both directions. It may be nil on loopback addresses, and
+	// with Plaintext.
 	TLS *tls.Config
+	// Plaintext allows connections without TLS outside of loopback. It is meant
+	// for a network that belongs to the deployment alone.
+	Plaintext bool
 	// MaxMessage bounds one frame; zero means 4 MB.
 	MaxMessage siskin.Bytes
 	// SilentAfter is the time without an answer, pings included, after which a
@@ -61,7 +65,7 @@
 	if err != nil || ip == nil {
 		return siskin.NewError(siskin.BadInput, "peer address %q is no IP number and port", address).WithRemedy("write it as in 10.0.0.1:7000")
 	}
-	if cfg.TLS == nil && !ip.IsLoopback() {
+	if cfg.TLS == nil && !cfg.Plaintext && !ip.IsLoopback() {
 		return siskin.NewError(siskin.BadInput, "peer address %s needs TLS", address).WithRemedy("set the certificates of the peer connection")
 	}
 	return nil
--- /dev/null
+++ b/internal/quota/doc.go
@@ -0,0 +1,16 @@
+// Package quota keeps customers within rate and burst across all VMs.
+//
+// Every VM that the store's record names holds an equal share of each
+// customer's rate and burst. It keeps half of its share for itself and lends
+// the other half to the VM that owns the customer's pool. A request takes a
+// token of the VM's own half, else one of the pool. The sum of all shares never
+// exceeds the limit:
+//
+//   - A loan cites a stamp that the owner issued, and the owner counts it for
+//     loanLife from that stamp, on its own clock. The lender got the stamp later
+//     and waits loanLife from then before it uses or lends the share again. A
+//     delayed message, a cut link or a suspended VM therefore never makes a
+//     share count twice.
+//   - Buckets start empty, so a restart spends nothing that was spent before.
+//   - Tokens taken from a pool expire after grantLife.
+package quota
--- /dev/null
+++ b/internal/quota/message.go
@@ -0,0 +1,33 @@
+package quota
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// Stamp is a moment on the clock of the VM that issued it.
+type Stamp struct {
+	Run siskin.Incarnation
+	At  int64 // nanoseconds
+}
+
+// Loans lends half of the sender's share of the customers to the receiver.
+type Loans struct {
+	From      siskin.VMID
+	Stamp     Stamp // last one received from the receiver
+	Share     float64
+	Customers []siskin.CustomerID
+}
+
+// TakeArgs asks the owner of a customer's pool for tokens.
+type TakeArgs struct {
+	Customer siskin.CustomerID
+	Tokens   int
+}
+
+// TakeReply holds the tokens granted.
+type TakeReply struct {
+	Tokens     int
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/internal/quota/pool.go
@@ -0,0 +1,59 @@
+package quota
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// pool holds the lent shares of one customer at their owner.
+type pool struct {
+	loans  map[siskin.VMID]loan
+	tokens float64
+	at     time.Time
+}
+
+// loan is one VM's share, which counts until its end.
+type loan struct {
+	share float64
+	until time.Time
+}
+
+// lend adds or extends a loan.
+func (p *pool) lend(now time.Time, rate, burst float64, vm siskin.VMID, l loan) {
+	p.fill(now, rate, burst)
+	if old, ok := p.loans[vm]; !ok || l.until.After(old.until) {
+		p.loans[vm] = l
+	}
+}
+
+// fill adds the tokens that each loan earned while it counted.
+func (p *pool) fill(now time.Time, rate, burst float64) {
+	if p.at.IsZero() {
+		p.at = now
+	}
+	total := 0.0
+	for vm, l := range p.loans {
+		end := now
+		if l.until.Before(end) {
+			end = l.until
+		}
+		if d := end.Sub(p.at); d > 0 {
+			p.tokens += rate * l.share * d.Seconds()
+		}
+		if now.Before(l.until) {
+			total += l.share
+		} else {
+			delete(p.loans, vm)
+		}
+	}
+	p.at = now
+	p.tokens = min(p.tokens, burst*total)
+}
+
+// take removes up to n whole tokens and returns how many.
+func (p *pool) take(n float64) float64 {
+	got := max(0, min(n, float64(int64(p.tokens))))
+	p.tokens -= got
+	return got
+}
--- /dev/null
+++ b/internal/views/views.go
@@ -0,0 +1,221 @@
+// Package views holds what a VM knows of the roles and positions of targets.
+//
+// A target's lead is proven by its own answer: only a primary accepts a plain
+// BEGIN. Of two proofs the one whose question was sent later holds. Everything
+// else that names a primary is a hint of where to ask.
+package views
+
+import (
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// Lead is a proof that a target led its service.
+type Lead struct {
+	Target siskin.TargetID
+	// Position is the end of the target's log, which covers every commit
+	// acknowledged before At.
+	Position siskin.Position
+	// At is the moment before the question was sent.
+	At time.Time
+}
+
+// Views holds the knowledge of one VM. It is safe for concurrent use.
+type Views struct {
+	mu       sync.RWMutex
+	services map[siskin.ServiceName]*service
+	targets  map[siskin.TargetID]*Target
+}
+
+type service struct {
+	lead    Lead
+	lost    map[siskin.TargetID]time.Time // when a target denied to lead
+	changed chan struct{}                 // closed when the leading target changes
+	holding time.Time                     // until when a change of primary is in progress
+}
+
+// Target is what is known of one target.
+type Target struct {
+	Position siskin.Position
+	At       time.Time
+	// Waiting is the number of statements in the queue of the target's home.
+	Waiting int
+	// FailedAt is the last failure of a connection or statement.
+	FailedAt time.Time
+	// Failures counts the failures since the last success.
+	Failures int
+}
+
+// New returns empty views.
+func New() *Views {
+	return &Views{services: make(map[siskin.ServiceName]*service), targets: make(map[siskin.TargetID]*Target)}
+}
+
+func (v *Views) service(name siskin.ServiceName) *service {
+	s := v.services[name]
+	if s == nil {
+		s = &service{lost: make(map[siskin.TargetID]time.Time), changed: make(chan struct{})}
+		v.services[name] = s
+	}
+	return s
+}
+
+func (v *Views) target(id siskin.TargetID) *Target {
+	t := v.targets[id]
+	if t == nil {
+		t = &Target{}
+		v.targets[id] = t
+	}
+	return t
+}
+
+// Proven takes over a proof of lead and reports whether the leading target
+// changed.
+func (v *Views) Proven(name siskin.ServiceName, l Lead) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(name)
+	// A proof of a target that has denied its lead since gives way to any other.
+	denied := l.Target != s.lead.Target && s.lost[s.lead.Target].After(s.lead.At)
+	if !l.At.After(s.lead.At) && !denied {
+		return false
+	}
+	if l.Target == s.lead.Target {
+		// An answer without a position proves the lead only.
+		if l.Position.IsZero() {
+			l.Position = s.lead.Position
+		}
+		s.lead = l
+		return false
+	}
+	s.lead = l
+	s.holding = time.Time{}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+// Denied notes that a target answered at the given time that it does not lead.
+func (v *Views) Denied(name siskin.ServiceName, id siskin.TargetID, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(name)
+	if at.After(s.lost[id]) {
+		s.lost[id] = at
+	}
+}
+
+// Hold notes that a change of primary is in progress until the given time.
+func (v *Views) Hold(name siskin.ServiceName, until time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.service(name).holding = until
+}
+
+// Lead returns the newest proof of a service.
+func (v *Views) Lead(name siskin.ServiceName) Lead {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if s := v.services[name]; s != nil {
+		return s.lead
+	}
+	return Lead{}
+}
+
+// Primary returns the target to send writes to. Without a proof that still
+// holds it is a target that sees itself as primary and has not denied it since;
+// the result is empty when there is none.
+func (v *Views) Primary(name siskin.ServiceName, targets []siskin.TargetInfo) siskin.TargetID {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	s := v.services[name]
+	if s != nil && s.lead.Target != "" && !s.lost[s.lead.Target].After(s.lead.At) && has(targets, s.lead.Target) {
+		return s.lead.Target
+	}
+	for _, t := range targets {
+		if !t.Primary {
+			continue
+		}
+		if s == nil || t.ID != s.lead.Target && s.lost[t.ID].IsZero() {
+			return t.ID
+		}
+	}
+	return ""
+}
+
+func has(targets []siskin.TargetInfo, id siskin.TargetID) bool {
+	for _, t := range targets {
+		if t.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Hint notes that discovery reports a target as primary since a change of its
+// entry, so that an earlier denial no longer counts.
+func (v *Views) Hint(name siskin.ServiceName, id siskin.TargetID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.service(name).lost, id)
+}
+
+// Holding reports whether a change of primary is in progress.
+func (v *Views) Holding(name siskin.ServiceName, now time.Time) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	s := v.services[name]
+	return s != nil && now.Before(s.holding)
+}
+
+// Changed returns a channel that is closed when another target leads.
+func (v *Views) Changed(name siskin.ServiceName) <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.service(name).changed
+}
+
+// Seen takes over a position that a target reported.
+func (v *Views) Seen(id siskin.TargetID, p siskin.Position, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t := v.target(id)
+	if at.After(t.At) && !p.IsZero() {
+		t.Position, t.At = p, at
+	}
+}
+
+// Load takes over the length of the queue at a target's home.
+func (v *Views) Load(id siskin.TargetID, waiting int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.target(id).Waiting = waiting
+}
+
+// Answered notes a success of a target.
+func (v *Views) Answered(id siskin.TargetID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.target(id).Failures = 0
+}
+
+// Failed notes a failure of a target.
+func (v *Views) Failed(id siskin.TargetID, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t := v.target(id)
+	t.FailedAt = at
+	t.Failures++
+}
+
+// Target returns what is known of one target.
+func (v *Views) Target(id siskin.TargetID) Target {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if t := v.targets[id]; t != nil {
+		return *t
+	}
+	return Target{}
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,42 @@
+package siskin
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+)
+
+// ObjectKind names a kind of objects in a Store.
+type ObjectKind string
+
+// StoreObject is one object of a Store.
+type StoreObject struct {
+	Name    string
+	Version Version
+	Value   json.RawMessage
+	// Removed says that the object is gone; only events have it.
+	Removed bool
+}
+
+// Listing is the content of one kind, or the changes since a version.
+type Listing struct {
+	Objects []StoreObject
+	// Version is the store's version that the listing is of.
+	Version Version
+}
+
+// Store is the platform's metadata store with objects by kind and name. One
+// version counter covers all objects, so the version of a conditional write is
+// larger than that of every earlier write.
+type Store interface {
+	// List returns all objects of a kind.
+	List(ctx context.Context, kind ObjectKind) (Listing, error)
+	// Watch waits up to wait for changes after the version. An error of kind
+	// Conflict says that the history is gone and List is needed.
+	Watch(ctx context.Context, kind ObjectKind, after Version, wait time.Duration) (Listing, error)
+	// Create adds an object. An error of kind Conflict says that it exists.
+	Create(ctx context.Context, kind ObjectKind, name string, value any) (Version, error)
+	// Update replaces an object of the given version. An error of kind Conflict
+	// says that it has another version.
+	Update(ctx context.Context, kind ObjectKind, name string, value any, ifVersion Version) (Version, error)
+}
--- /dev/null
+++ b/targetconn.go
@@ -0,0 +1,25 @@
+package siskin
+
+import (
+	"context"
+	"time"
+)
+
+// TargetConn is a connection to one target, opened for one customer.
+type TargetConn interface {
+	// Exchange sends the statements in one write and reads their answers. On an
+	// error it returns the answers read so far, and the connection must be
+	// closed: the statements without an answer may have run.
+	Exchange(deadline time.Time, statements []Statement) ([]Answer, error)
+	// Position returns the target's position when the connection was opened.
+	Position() Position
+	Close() error
+}
+
+// TargetConnector opens connections to targets.
+type TargetConnector interface {
+	// Connect opens a connection for a customer. The target refuses it with an
+	// error of kind Conflict when it is not the target with the given id, and
+	// of kind Overloaded when it has too many connections.
+	Connect(ctx context.Context, t TargetInfo, customer CustomerID) (TargetConn, error)
+}
--- /dev/null
+++ b/targetinfo.go
@@ -0,0 +1,20 @@
+package siskin
+
+import "time"
+
+// TargetInfo is what service discovery says of one target.
+type TargetInfo struct {
+	ID         TargetID
+	Service    ServiceName
+	Address    string
+	DataCentre DataCentreID
+	Slots      int
+	Draining   bool
+	// Primary is how the target sees itself.
+	Primary bool
+	// Warming is how much longer the target stays slow after its start.
+	Warming time.Duration
+	// Born is the start of the target's present run. A target that starts
+	// again forgets its log and its pauses.
+	Born time.Time
+}
