entry, path: give rollbacks a deadline; name the cause of a lost peer

Cause: the peer client refuses calls without a deadline, so each rollback at another VM failed and the path suspected a healthy peer. Homes moved, two VMs opened connections to one target, and 108 were over the target's cap. Ruled out: silent connections, the log of each suspicion shows the same error.

--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -47,7 +47,7 @@
 
 // Suspect notes that a call to a VM failed, so that it is not used until it
 // answers again.
-func (c *Crew) Suspect(id siskin.VMID) {
+func (c *Crew) Suspect(id siskin.VMID, cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.members[id]
@@ -56,6 +56,6 @@
 	}
 	m.suspect = true
 	m.next = time.Time{}
-	c.cfg.Log.Warn().Str("VM", string(id)).Dur("Silent", c.cfg.Clock.Since(m.heard)).Msg("lost contact to a VM")
+	c.cfg.Log.Warn().Err(cause).Str("VM", string(id)).Dur("Silent", c.cfg.Clock.Since(m.heard)).Msg("lost contact to a VM")
 	c.publish()
 }
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -35,9 +35,11 @@
 		Statement: siskin.Statement{Kind: siskin.Rollback}, Target: tx.target, Home: tx.home, Mode: home.Continue, Tx: tx.id,
 		Patience: rollbackTimeout, QueueFor: rollbackTimeout,
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
+	defer cancel()
 	// A rollback that gets lost is made up for by the home, which ends
 	// transactions that stay idle.
-	s.e.cfg.Homes.Run(context.Background(), req)
+	s.e.cfg.Homes.Run(ctx, req)
 }
 
 // continued runs a statement of a transaction that a target has begun.
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -106,7 +106,7 @@
 		return reply, true
 	}
 	if ctx.Err() == nil || errors.Is(err, peer.ErrNotSent) {
-		p.cfg.Crew.Suspect(vm)
+		p.cfg.Crew.Suspect(vm, err)
 	}
 	if errors.Is(err, peer.ErrNotSent) {
 		return home.Reply{Cause: home.Unreachable, Home: vm}, false
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -213,6 +213,11 @@
 	if n.table.Apply(d, encoded) {
 		n.log.Info().Uint64("Before", uint64(before)).Uint64("Revision", uint64(d.Version)).Str("Source", source).
 			Int("Routes", len(d.Routes)).Int("Customers", len(d.Customers)).Msg("configuration in force")
+		for i := range d.Customers {
+			c := &d.Customers[i]
+			n.log.Info().Str("Customer", string(c.ID)).Int("Keys", len(c.Keys)).Float64("Rate", float64(c.Rate)).
+				Float64("Burst", float64(c.Burst)).Msg("customer in force")
+		}
 	}
 }
 
