roster, elect, quota: serve again after a fleet lost all power

Cause: the roster dropped a restarted VM's first list, since the answer to another call had moved its time past that list's. Besides: a change of primary paused the one replica that it reached although it could never claim enough; it now looks first. Refused requests used up the rate of their customer; tokens that were not spent are given back.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -137,9 +137,9 @@
 	m := c.members[n.ID]
 	switch {
 	case m == nil:
-		c.members[n.ID] = &member{node: n}
+		c.members[n.ID] = &member{node: n, known: c.cfg.Clock.Now()}
 	case n.Run > m.node.Run:
-		c.members[n.ID] = &member{node: n}
+		c.members[n.ID] = &member{node: n, known: c.cfg.Clock.Now()}
 		c.publish()
 	}
 }
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -25,6 +25,8 @@
 type member struct {
 	node    Node
 	leaving bool
+	// known is when this VM learned of the run.
+	known time.Time
 	// heard is the time before the question of the last answered ping.
 	heard time.Time
 	// suspect is set by a failed call and cleared by the next answer.
@@ -39,7 +41,7 @@
 }
 
 func (m *member) interval(now time.Time) time.Duration {
-	if m.heard.IsZero() || now.Sub(m.heard) > deadAfter {
+	if now.Sub(m.known) > deadAfter && now.Sub(m.heard) > deadAfter {
 		return deadInterval
 	}
 	return pingInterval
--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -22,12 +22,8 @@
 
 // act carries out the decision about a primary.
 func (e *Elector) act(ctx context.Context, s siskin.ServiceSpec, primary siskin.TargetID, a action, ev evidence, w *watch) {
-	defer func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		w.changing = false
-		w.next = e.cfg.Clock.Now().Add(pauseAfterChange/2 + rand.N(pauseAfterChange))
-	}()
+	var err error
+	defer func() { e.ended(w, err) }()
 	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("Primary", string(primary)).Stringer("Action", a).
 		Dur("ProofAge", ev.proofAge).Bool("Silent", ev.silent).Bool("Refused", ev.refused).Bool("Denied", ev.denied).
 		Bool("Draining", ev.draining).Dur("Stalled", ev.stalled).Msg("decided about a primary")
@@ -38,7 +34,7 @@
 	defer cancel()
 	start := e.cfg.Clock.Now()
 	c := &change{e: e, spec: s, old: primary, start: start, planned: a == handOver, stalled: a == replaceStalled}
-	err := c.run(ctx)
+	err = c.run(ctx)
 	took := e.cfg.Clock.Since(start)
 	if err != nil {
 		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Msg("the primary was not changed")
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -38,10 +38,10 @@
 // run carries the change out. Replicas that were claimed receive again at its
 // end, whatever the result.
 func (c *change) run(ctx context.Context) error {
-	c.hold(ctx)
 	if err := c.inspect(ctx); err != nil {
 		return err
 	}
+	c.hold()
 	defer c.unpause()
 	var err error
 	if c.planned {
@@ -65,7 +65,6 @@
 	answered := 0
 	for i := range c.claims {
 		cl := &c.claims[i]
-		c.logClaim(cl, "state of a target before a change")
 		if cl.err != nil {
 			continue
 		}
@@ -76,8 +75,10 @@
 		}
 	}
 	c.term++
-	if answered == 0 {
-		return siskin.NewError(siskin.Unavailable, "no target of %s answers", c.spec.Name).WithRemedy("restore the targets or the network")
+	// A replica that is paused in vain acknowledges nothing for a primary that
+	// other VMs may still reach, so nothing is claimed without a prospect.
+	if !enough(c.claims, 0, c.spec.SyncReplicas) {
+		return siskin.NewError(siskin.Unavailable, "only %d of %d targets of %s answer", answered, len(targets), c.spec.Name).WithRemedy("restore the targets or the network")
 	}
 	return nil
 }
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -54,6 +55,7 @@
 	probing  bool
 	changing bool
 	next     time.Time // earliest next change
+	failures int       // changes that failed in a row
 	last     probe
 }
 
@@ -196,6 +198,25 @@
 // refusalTime is the longest time in which a refused connection answers.
 const refusalTime = 100 * time.Millisecond
 
-// pauseAfterChange is the time to the next change of a service after a failed
-// one. It is random so that two VMs that race give way to each other.
-const pauseAfterChange = 300 * time.Millisecond
+const (
+	// pauseAfterChange is the time to the next change of a service. It doubles
+	// with each failure and is random, so that two VMs that race give way to
+	// each other.
+	pauseAfterChange   = 200 * time.Millisecond
+	maxPauseDoublings  = 3
+	pauseJitterDivisor = 2
+)
+
+// ended notes the end of a change and sets the pause before the next one.
+func (e *Elector) ended(w *watch, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.changing = false
+	pause := pauseAfterChange << min(w.failures, maxPauseDoublings)
+	if err != nil {
+		w.failures++
+	} else {
+		w.failures = 0
+	}
+	w.next = e.cfg.Clock.Now().Add(pause + rand.N(pause/pauseJitterDivisor))
+}
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -63,7 +63,7 @@
 }
 
 // hold makes the VMs refuse writes of the service at once during the change.
-func (c *change) hold(context.Context) {
+func (c *change) hold() {
 	c.e.cfg.Views.Hold(c.spec.Name, c.e.cfg.Clock.Now().Add(holdFor))
 	c.announce(holdFor)
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -19,6 +19,12 @@
 	Run(ctx context.Context, req *home.Request) home.Reply
 }
 
+// Limiter admits operations, and takes back those that were not sent on.
+type Limiter interface {
+	siskin.Limiter
+	siskin.Refunder
+}
+
 // Config holds what sessions depend on.
 type Config struct {
 	Clock   siskin.Clock
@@ -27,7 +33,7 @@
 	Roster  *roster.Roster
 	Views   *views.Views
 	Homes   Homes
-	Limiter siskin.Limiter
+	Limiter Limiter
 	Log     *log.Logger
 	Metrics *Metrics
 }
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -34,6 +34,7 @@
 	customer siskin.CustomerID
 	start    time.Time
 	attempts int
+	sent     bool // a target may have run the statement
 	excluded []siskin.TargetID
 	reply    home.Reply // of the last attempt
 	target   siskin.TargetID
@@ -73,6 +74,9 @@
 	} else {
 		a = o.atReplica()
 	}
+	if !o.sent {
+		s.e.cfg.Limiter.Refund(o.customer, 1)
+	}
 	return a
 }
 
@@ -136,6 +140,7 @@
 	e.started(req.Target)
 	o.reply = e.cfg.Homes.Run(ctx, req)
 	e.ended(req.Target)
+	o.sent = o.sent || o.reply.Outcome != home.NotSent
 	o.observe(req, asked)
 	return o.reply
 }
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -79,7 +79,7 @@
 func (o *operation) refused(reply *home.Reply) *siskin.Answer {
 	o.reason = reply.Cause.String()
 	switch reply.Cause {
-	case home.Overload:
+	case home.Overload, home.NoConnection:
 		return o.notRun(siskin.Busy, "too many statements wait for the primary", max(reply.RetryAfter, 50*time.Millisecond))
 	case home.Refused:
 		o.reason = reply.Answer.Code.String()
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -92,6 +92,8 @@
 	NoCause Cause = iota
 	// Overload means that the queue cannot serve the statement in time.
 	Overload
+	// NoConnection means that all connections to the target are in use.
+	NoConnection
 	// Unreachable means that the target cannot be reached from this home.
 	Unreachable
 	// Unknown means that the home does not know the target or transaction.
@@ -104,7 +106,7 @@
 	Refused
 )
 
-var causes = [...]string{"None", "Overload", "Unreachable", "Unknown", "Stale", "Silent", "Refused"}
+var causes = [...]string{"None", "Overload", "NoConnection", "Unreachable", "Unknown", "Stale", "Silent", "Refused"}
 
 // String returns the cause's name as it appears in logs and metrics.
 func (c Cause) String() string {
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -82,6 +82,7 @@
 	switch siskin.KindOf(err) {
 	case siskin.Overloaded:
 		r.refuse(err)
+		r.reply.Cause = NoConnection
 	case siskin.NotRun:
 		r.reply.Cause = Unknown
 	default:
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -54,7 +54,10 @@
 	stamps  map[siskin.VMID]received
 }
 
-var _ siskin.Limiter = (*Limiter)(nil)
+var (
+	_ siskin.Limiter  = (*Limiter)(nil)
+	_ siskin.Refunder = (*Limiter)(nil)
+)
 
 // received is a stamp of another VM and when it came.
 type received struct {
@@ -153,6 +156,21 @@
 	return siskin.Admission{RetryAfter: retryAfter(rate), WithinRate: true}
 }
 
+// Refund implements siskin.Refunder. The tokens live as briefly as those of a
+// pool, so that they cannot pile up.
+func (l *Limiter) Refund(customer siskin.CustomerID, n siskin.Requests) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, now := l.part(customer), l.cfg.Clock.Now()
+	if now.After(p.expiry) {
+		p.granted = 0
+	}
+	if p.granted == 0 {
+		p.expiry = now.Add(grantLife)
+	}
+	p.granted += float64(n)
+}
+
 // count keeps the demand of the last interval.
 func (p *local) count(now time.Time, n float64) {
 	if now.Sub(p.since) > takeAhead {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,6 +26,7 @@
 	targets  map[siskin.TargetID]*entry
 	services map[siskin.ServiceName][]siskin.TargetInfo // derived, never modified
 	heard    time.Time                                  // last answer of the store, own or through a peer
+	listed   time.Time                                  // when the last complete list was asked for
 	returned time.Time                                  // last return of the store after an outage
 	changed  chan struct{}
 }
@@ -91,10 +92,13 @@
 func (r *Roster) Replace(list []siskin.TargetInfo, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.Before(r.heard) {
-		return
+	if at.Before(r.listed) {
+		return // a peer's list that is older than the one known
+	}
+	r.listed = at
+	if at.After(r.heard) {
+		r.heard = at
 	}
-	r.heard = at
 	listed := make(map[siskin.TargetID]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
--- a/limiter.go
+++ b/limiter.go
@@ -24,3 +24,9 @@
 	// It waits only while units can be expected.
 	AdmitWait(ctx context.Context, customer CustomerID, n Requests) Admission
 }
+
+// Refunder is implemented by a Limiter that takes back what was admitted and
+// never sent on.
+type Refunder interface {
+	Refund(customer CustomerID, n Requests)
+}
