feed, entry: share the reading of the store; never cut a statement that arrived

After its history was dropped the store's watches heard nothing for 5 s, and every VM depended on its own.

Change: VMs pass on how old their knowledge is, and one of them reads the configuration and the targets when that is over a second. Drains interrupt the wait for a statement instead of closing the connection.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -46,7 +46,6 @@
 	live    []siskin.VM
 	changed chan struct{}
 	seeded  time.Time
-	fetched time.Time
 }
 
 var _ siskin.Members = (*Crew)(nil)
@@ -216,10 +215,6 @@
 			}
 		}
 	}
-	if c.cfg.Clock.Since(c.cfg.Roster.Heard()) > fetchAfter && now.Sub(c.fetched) > fetchAfter {
-		c.fetched = now
-		c.fetchTargets(now)
-	}
 }
 
 // ping exchanges states with one peer.
@@ -249,7 +244,7 @@
 		if m.suspect || m.heard.IsZero() {
 			c.cfg.Log.Info().Str("VM", string(reply.From.ID)).Uint64("Run", uint64(reply.From.Run)).Msg("contact to a VM")
 		}
-		m.heard, m.suspect, m.leaving, m.state = asked, false, reply.Leaving, reply
+		m.heard, m.suspect, m.leaving = asked, false, reply.Leaving
 	}
 	c.publish()
 	c.mu.Unlock()
@@ -274,7 +269,5 @@
 	for id, n := range s.Waiting {
 		c.cfg.Views.Load(id, n)
 	}
-	if s.Revision > c.cfg.Table.Snapshot().Version && s.From.ID != "" {
-		c.done.Go(func() { c.fetch(s.From.ID) })
-	}
+	c.catchUp(s, asked)
 }
--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -8,46 +8,60 @@
 )
 
 const (
-	// fetchAfter is the silence of the store after which a VM asks its peers for
-	// the targets. A waiting watch of the targets ends within this time.
-	fetchAfter = 12 * time.Second
 	// fetchTimeout bounds the transfer of a configuration of up to 1 MB.
 	fetchTimeout = 2 * time.Second
 	// freshLead is the age up to which proofs of lead are passed on.
 	freshLead = 1500 * time.Millisecond
 )
 
+// fetchIfNewer fetches what a pinging peer has newer. How old its knowledge is
+// cannot be told, since a ping spends an unknown time on its way.
+func (c *Crew) fetchIfNewer(s *State) {
+	version, _ := c.cfg.Roster.Version()
+	if s.Revision <= c.cfg.Table.Snapshot().Version && s.Targets <= version {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m := c.members[s.From.ID]; m != nil && !m.fetching {
+		m.fetching = true
+		c.done.Go(func() { c.fetch(s.From.ID) })
+	}
+}
+
+// catchUp takes over how new a peer's state is, and fetches what is newer.
+func (c *Crew) catchUp(s *State, asked time.Time) {
+	revision := c.cfg.Table.Snapshot().Version
+	if s.Revision == revision && revision > 0 {
+		c.cfg.Table.Confirm(asked.Add(-s.RevisionAge))
+	}
+	c.cfg.Roster.Confirm(s.Targets, asked.Add(-s.TargetsAge))
+	c.fetchIfNewer(s)
+}
+
 // fetch asks a peer for a newer configuration or list of targets.
 func (c *Crew) fetch(id siskin.VMID) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	asked := c.cfg.Clock.Now()
-	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version, StoreAge: asked.Sub(c.cfg.Roster.Heard())}
+	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version}
+	args.Targets, _ = c.cfg.Roster.Version()
 	var reply FetchReply
-	if err := c.cfg.Peers.Call(ctx, id, "Crew.Fetch", args, &reply); err != nil {
+	err := c.cfg.Peers.Call(ctx, id, "Crew.Fetch", args, &reply)
+	c.mu.Lock()
+	if m := c.members[id]; m != nil {
+		m.fetching = false
+	}
+	c.mu.Unlock()
+	if err != nil {
 		c.cfg.Log.Warn().Err(err).Str("VM", string(id)).Msg("state was not fetched from a peer")
 		return
 	}
 	if len(reply.Configuration) > 0 {
 		c.cfg.Apply(reply.Configuration, string(id))
 	}
-	if len(reply.Targets) > 0 {
-		c.cfg.Roster.Replace(reply.Targets, asked.Add(-reply.StoreAge))
-	}
-}
-
-// fetchTargets asks the peer that heard the store last, if it did so later than
-// this VM. The caller holds mu.
-func (c *Crew) fetchTargets(now time.Time) {
-	var best siskin.VMID
-	age := now.Sub(c.cfg.Roster.Heard())
-	for id, m := range c.members {
-		if m.alive(now) && m.state.StoreAge+now.Sub(m.heard) < age {
-			best, age = id, m.state.StoreAge+now.Sub(m.heard)
-		}
-	}
-	if best != "" {
-		c.done.Go(func() { c.fetch(best) })
+	if reply.TargetVersion > 0 {
+		c.cfg.Roster.Replace(reply.Targets, reply.TargetVersion, asked.Add(-reply.TargetAge))
 	}
 }
 
@@ -56,9 +70,12 @@
 	now := c.cfg.Clock.Now()
 	s := State{
 		From: c.cfg.Self, Leaving: c.leaving.Load(), Revision: c.cfg.Table.Snapshot().Version,
-		Waiting: c.cfg.Homes.Waiting(), StoreAge: now.Sub(c.cfg.Roster.Heard()),
-		Stamp: c.rates.Stamp(),
+		RevisionAge: now.Sub(c.cfg.Table.Confirmed()),
+		Waiting:     c.cfg.Homes.Waiting(), Stamp: c.rates.Stamp(),
 	}
+	var listed time.Time
+	s.Targets, listed = c.cfg.Roster.Version()
+	s.TargetsAge = now.Sub(listed)
 	for _, spec := range c.cfg.Table.Snapshot().Services {
 		l := c.cfg.Views.Lead(spec.Name)
 		if age := now.Sub(l.At); l.Target != "" && age < freshLead {
@@ -79,9 +96,7 @@
 	// The proofs in a ping have aged on the way by an unknown time, so only
 	// those in answers are taken over.
 	r.c.Learn(args.From)
-	if args.Revision > r.c.cfg.Table.Snapshot().Version {
-		r.c.done.Go(func() { r.c.fetch(args.From.ID) })
-	}
+	r.c.fetchIfNewer(args)
 	r.c.noteLeaving(args)
 	if args.Loans != nil {
 		r.c.rates.Lent(args.Loans)
@@ -108,9 +123,8 @@
 	if snap := c.cfg.Table.Snapshot(); snap.Version > args.Revision {
 		reply.Configuration = snap.Encoded
 	}
-	reply.StoreAge = c.cfg.Clock.Since(c.cfg.Roster.Heard())
-	if reply.StoreAge < args.StoreAge {
-		reply.Targets = c.cfg.Roster.All()
+	if list, version, at := c.cfg.Roster.Listed(); version > args.Targets {
+		reply.Targets, reply.TargetVersion, reply.TargetAge = list, version, c.cfg.Clock.Since(at)
 	}
 	return nil
 }
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -30,10 +30,9 @@
 	// heard is the time before the question of the last answered ping.
 	heard time.Time
 	// suspect is set by a failed call and cleared by the next answer.
-	suspect bool
-	next    time.Time // of the next ping
-	pinging bool
-	state   State
+	suspect           bool
+	next              time.Time // of the next ping
+	pinging, fetching bool
 }
 
 func (m *member) alive(now time.Time) bool {
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -46,8 +46,12 @@
 	Nodes []Node `json:",omitempty"`
 	// WantNodes asks for Nodes.
 	WantNodes bool `json:",omitempty"`
-	// StoreAge is the time since the sender, or a peer of it, heard the store.
-	StoreAge time.Duration
+	// RevisionAge is the time since the revision was known to be the newest.
+	RevisionAge time.Duration
+	// Targets is the version of the sender's list of targets, and TargetsAge
+	// the time since it was asked for.
+	Targets    siskin.Version
+	TargetsAge time.Duration
 	// Stamp lets the receiver lend shares of rates to the sender, and Loans are
 	// those that the sender lends to the receiver.
 	Stamp quota.Stamp
@@ -57,12 +61,13 @@
 // FetchArgs asks for what is newer than the receiver's state.
 type FetchArgs struct {
 	Revision siskin.Revision
-	StoreAge time.Duration
+	Targets  siskin.Version
 }
 
 // FetchReply holds the configuration and the targets if they are newer.
 type FetchReply struct {
 	Configuration json.RawMessage     `json:",omitempty"`
 	Targets       []siskin.TargetInfo `json:",omitempty"`
-	StoreAge      time.Duration
+	TargetVersion siskin.Version      `json:",omitempty"`
+	TargetAge     time.Duration       `json:",omitempty"`
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,8 +54,8 @@
 	return len(e.sessions)
 }
 
-// CloseIdle closes up to n sessions that are in no transaction and wait for no
-// answer, and returns how many sessions stay open.
+// CloseIdle asks up to n sessions that are in no transaction and wait for no
+// answer to end, and returns how many sessions are open.
 func (e *Entry) CloseIdle(n int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -63,24 +63,14 @@
 		if n == 0 {
 			break
 		}
-		if s.closeIfIdle() {
+		if !s.busy.Load() && !s.inTx.Load() {
+			s.c.Interrupt()
 			n--
-			delete(e.sessions, s)
 		}
 	}
 	return len(e.sessions)
 }
 
-// closeIfIdle closes the session unless a statement or transaction is in
-// progress.
-func (s *Session) closeIfIdle() bool {
-	if s.busy.Load() || s.inTx.Load() || s.c.Buffered() {
-		return false
-	}
-	_ = s.c.Close() // ends the read that waits for the next statement
-	return true
-}
-
 // Close closes all sessions and waits for them.
 func (e *Entry) Close() error {
 	e.mu.Lock()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,10 +1,16 @@
-// Package feed keeps a VM up to date with the platform's store: the operator's
-// configuration, the targets and the VMs.
+// Package feed keeps the fleet up to date with the platform's store: the
+// operator's configuration, the targets and the VMs.
+//
+// The VMs share the reading. Each passes on with its pings what it knows and how
+// old that is, and reads the store itself only when its knowledge is older than
+// it should be. So the number of calls hardly grows with the fleet, and a watch
+// that is cut or hears nothing delays no change.
 package feed
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -14,17 +20,33 @@
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/crew"
 	"siskintray.example/siskin/internal/roster"
+	"siskintray.example/siskin/internal/table"
 )
 
 const (
-	// watchWait is the time that a watch waits for a change. Longer waits cost
-	// fewer calls; keep-alive probes find a silent connection before.
-	watchWait = 20 * time.Second
+	// configAge is the age at which a VM reads the configuration itself. With
+	// stagger, a slow store and a ping on top, a change is in force everywhere
+	// within the 3 s that the users ask for.
+	configAge = time.Second
+	// targetAge is the same for the list of targets. The users ask for 7 s.
+	targetAge = 1500 * time.Millisecond
+	// stagger spreads the reads of VMs whose knowledge is equally old, so that
+	// the first one's result reaches the others before they read. A ping takes
+	// up to 300 ms.
+	stagger = 700 * time.Millisecond
+	// pollTick is the time between two looks at an age.
+	pollTick = 100 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
+	// lonelyRead is the time between two reads of the VMs by one that has
+	// contact to none.
+	lonelyRead = 2 * time.Second
 )
 
+// VMKind is the kind of the objects by which VMs find each other.
+const VMKind siskin.ObjectKind = "vms"
+
 // Config holds what a Feed depends on.
 type Config struct {
 	Clock siskin.Clock
@@ -38,18 +60,14 @@
 	Target func(siskin.StoreObject) (siskin.TargetInfo, error)
 	// Apply puts an encoded configuration in force.
 	Apply  func(encoded []byte, source string)
+	Table  *table.Table
 	Roster *roster.Roster
 	Crew   *crew.Crew
 	// Holders is called once with the VMs that share the customers' rates.
 	Holders func([]siskin.VMID)
-	// Hint is called when discovery begins to report a target as primary.
-	Hint func(siskin.TargetInfo)
 }
 
-// VMKind is the kind of the objects by which VMs find each other.
-const VMKind siskin.ObjectKind = "vms"
-
-// Feed watches the store. Close ends it.
+// Feed reads the store. Close ends it.
 type Feed struct {
 	cfg  Config
 	stop context.CancelFunc
@@ -63,53 +81,46 @@
 	since time.Time // zero while the store answers
 }
 
-// Start begins to watch.
+// Start begins to read.
 func Start(cfg Config) *Feed {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Feed{cfg: cfg, stop: cancel}
-	f.done.Go(func() { f.follow(ctx, cfg.ConfigKind, f.config) })
-	f.done.Go(func() { f.follow(ctx, cfg.TargetKind, f.targets) })
-	f.done.Go(func() { f.follow(ctx, VMKind, f.vms) })
+	f.done.Go(func() { f.poll(ctx, "configuration", configAge, cfg.Table.Confirmed, f.config) })
+	f.done.Go(func() { f.poll(ctx, "targets", targetAge, f.listedAt, f.targets) })
 	f.done.Go(func() { f.register(ctx) })
 	f.done.Go(func() { f.holders(ctx) })
 	return f
 }
 
-// Close stops watching and waits.
+// Close stops reading and waits.
 func (f *Feed) Close() error {
 	f.stop()
 	f.done.Wait()
 	return nil
 }
 
-// apply takes over a complete list (full) or changes, asked for at a time.
-type apply func(l *siskin.Listing, full bool, asked time.Time)
+func (f *Feed) listedAt() time.Time {
+	_, at := f.cfg.Roster.Version()
+	return at
+}
 
-// follow lists a kind and then watches it until ctx ends.
-func (f *Feed) follow(ctx context.Context, kind siskin.ObjectKind, apply apply) {
-	var version siskin.Version
+// poll calls read whenever what is known is older than age.
+func (f *Feed) poll(ctx context.Context, what string, age time.Duration, known func() time.Time, read func(context.Context, time.Time) error) {
 	pause := firstPause
+	due := time.Duration(0) // the first read is due at once
 	for ctx.Err() == nil {
-		asked := f.cfg.Clock.Now()
-		full := version == 0
-		var l siskin.Listing
-		var err error
-		if full {
-			l, err = f.cfg.Store.List(ctx, kind)
-		} else {
-			l, err = f.cfg.Store.Watch(ctx, kind, version, watchWait)
+		if f.cfg.Clock.Since(known()) < due {
+			sleep(ctx, pollTick)
+			continue
 		}
-		switch {
-		case err == nil:
+		err := read(ctx, f.cfg.Clock.Now())
+		if err == nil {
 			f.answered()
-			pause = firstPause
-			version = l.Version
-			apply(&l, full, asked)
-		case siskin.KindOf(err) == siskin.Conflict:
-			f.cfg.Log.Info().Str("Kind", string(kind)).Uint64("Version", uint64(version)).Msg("the store's history is gone, listing again")
-			version = 0
-		case ctx.Err() == nil:
-			f.failed(kind, err)
+			pause, due = firstPause, age+rand.N(stagger)
+			continue
+		}
+		if ctx.Err() == nil {
+			f.failed(what, err)
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, longestPause)
 		}
@@ -123,106 +134,86 @@
 	}
 }
 
-func (f *Feed) failed(kind siskin.ObjectKind, err error) {
+func (f *Feed) failed(what string, err error) {
 	f.away.mu.Lock()
 	defer f.away.mu.Unlock()
 	if f.away.since.IsZero() {
 		f.away.since = f.cfg.Clock.Now()
-		f.cfg.Log.Warn().Err(err).Str("Kind", string(kind)).Msg("lost the store")
+		f.cfg.Log.Warn().Err(err).Str("Reading", what).Msg("lost the store")
 	}
 }
 
 func (f *Feed) answered() {
 	f.away.mu.Lock()
 	defer f.away.mu.Unlock()
-	now := f.cfg.Clock.Now()
-	back := !f.away.since.IsZero()
-	if back {
-		f.cfg.Log.Info().Dur("Away", now.Sub(f.away.since)).Msg("the store is back")
+	if !f.away.since.IsZero() {
+		f.cfg.Log.Info().Dur("Away", f.cfg.Clock.Since(f.away.since)).Msg("the store is back")
 		f.away.since = time.Time{}
 	}
-	f.cfg.Roster.Touch(now, back)
 }
 
-func (f *Feed) config(l *siskin.Listing, _ bool, _ time.Time) {
-	for _, o := range l.Objects {
-		if o.Name == f.cfg.ConfigName && !o.Removed {
-			f.cfg.Apply(o.Value, "store")
-		}
+func (f *Feed) config(ctx context.Context, asked time.Time) error {
+	o, err := f.cfg.Store.Get(ctx, f.cfg.ConfigKind, f.cfg.ConfigName)
+	if err != nil {
+		return err
 	}
+	f.cfg.Apply(o.Value, "store")
+	f.cfg.Table.Confirm(asked)
+	return nil
 }
 
-func (f *Feed) targets(l *siskin.Listing, full bool, asked time.Time) {
-	var list []siskin.TargetInfo
+func (f *Feed) targets(ctx context.Context, asked time.Time) error {
+	l, err := f.cfg.Store.List(ctx, f.cfg.TargetKind)
+	if err != nil {
+		return err
+	}
+	list := make([]siskin.TargetInfo, 0, len(l.Objects))
 	for _, o := range l.Objects {
-		if o.Removed {
-			f.cfg.Log.Info().Str("Target", o.Name).Msg("a target's entry was removed")
-			f.cfg.Roster.Remove(siskin.TargetID(o.Name))
-			continue
-		}
 		info, err := f.cfg.Target(o)
 		if err != nil {
 			f.cfg.Log.Warn().Err(err).Msg("an entry names no target")
 			continue
 		}
-		f.note(info)
-		if list = append(list, info); !full {
-			f.cfg.Roster.Put(info)
-		}
-	}
-	if full {
-		f.cfg.Roster.Replace(list, asked)
-	}
-}
-
-// note logs what changed at a target and passes a new primary on as a hint.
-func (f *Feed) note(info siskin.TargetInfo) {
-	old, known := f.cfg.Roster.Target(info.ID)
-	if known && old.Primary == info.Primary && old.Draining == info.Draining && old.Born.Equal(info.Born) && old.Address == info.Address {
-		return
-	}
-	f.cfg.Log.Info().Str("Target", string(info.ID)).Str("Service", string(info.Service)).Str("Address", info.Address).
-		Bool("Primary", info.Primary).Bool("Draining", info.Draining).Time("Born", info.Born).Msg("a target's entry changed")
-	if info.Primary && (!known || !old.Primary || !old.Born.Equal(info.Born)) {
-		f.cfg.Hint(info)
-	}
-}
-
-func (f *Feed) vms(l *siskin.Listing, _ bool, _ time.Time) {
-	for _, o := range l.Objects {
-		var n crew.Node
-		if err := json.Unmarshal(o.Value, &n); err != nil {
-			f.cfg.Log.Warn().Err(err).Str("Name", o.Name).Msg("an entry names no VM")
-			continue
-		}
-		if !o.Removed {
-			f.cfg.Crew.Learn(n)
-		}
+		list = append(list, info)
 	}
+	f.cfg.Roster.Replace(list, l.Version, asked)
+	return nil
 }
 
-// register publishes this VM until the store has it.
+// register publishes this VM until the store has it, and finds the others.
 func (f *Feed) register(ctx context.Context) {
 	self := f.cfg.Crew.Nodes()[0]
 	pause := firstPause
 	for ctx.Err() == nil {
-		_, err := f.cfg.Store.Create(ctx, VMKind, string(self.ID), self)
-		if siskin.KindOf(err) == siskin.Conflict {
-			err = f.replace(ctx, self)
-		}
+		err := f.publish(ctx, self)
 		if err == nil {
-			return
+			break
 		}
-		f.failed(VMKind, err)
+		f.failed("VMs", err)
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, longestPause)
 	}
+	// Further VMs make themselves known with their pings.
+	for ctx.Err() == nil {
+		sleep(ctx, lonelyRead)
+		if len(f.cfg.Crew.Live()) < 2 {
+			if _, err := f.vms(ctx); err != nil && ctx.Err() == nil {
+				f.failed("VMs", err)
+			}
+		}
+	}
 }
 
-// replace replaces the object of an earlier run of this VM.
-func (f *Feed) replace(ctx context.Context, self crew.Node) error {
-	l, err := f.cfg.Store.List(ctx, VMKind)
-	if err != nil {
+// publish writes this VM's object, over that of an earlier run if there is one,
+// and reads those of the others.
+func (f *Feed) publish(ctx context.Context, self crew.Node) error {
+	_, err := f.cfg.Store.Create(ctx, VMKind, string(self.ID), self)
+	exists := siskin.KindOf(err) == siskin.Conflict
+	if err != nil && !exists {
+		return err
+	}
+	l, err := f.vms(ctx)
+	if err != nil || !exists {
 		return err
 	}
 	for _, o := range l.Objects {
@@ -232,3 +223,21 @@
 	}
 	return err
 }
+
+// vms reads the objects of all VMs.
+func (f *Feed) vms(ctx context.Context) (siskin.Listing, error) {
+	l, err := f.cfg.Store.List(ctx, VMKind)
+	var bad error
+	for _, o := range l.Objects {
+		var n crew.Node
+		if err := json.Unmarshal(o.Value, &n); err != nil {
+			bad = errors.Join(bad, err)
+			continue
+		}
+		f.cfg.Crew.Learn(n)
+	}
+	if bad != nil {
+		f.cfg.Log.Warn().Err(bad).Msg("some entries name no VM")
+	}
+	return l, err
+}
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -31,7 +31,7 @@
 	for ctx.Err() == nil {
 		l, err := f.cfg.Store.List(ctx, rightsKind)
 		if err != nil {
-			f.failed(rightsKind, err)
+			f.failed(string(rightsKind), err)
 		}
 		for _, o := range l.Objects {
 			var r holdersRecord
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -28,6 +28,7 @@
 	lanes  *shard.Map[siskin.TargetID, *lane]
 	txs    *shard.Map[TxID, *tx]
 	nextTx atomic.Uint64
+	active atomic.Int32 // calls of Run in progress
 	stop   chan struct{}
 	done   sync.WaitGroup
 }
@@ -84,13 +85,13 @@
 
 // Counts are the present totals of a VM's homes.
 type Counts struct {
-	Open, Idle, Waiting, Transactions int
-	Opened                            int64
+	Open, Idle, Waiting, Transactions, Active int
+	Opened                                    int64
 }
 
 // Counts returns the present totals.
 func (h *Homes) Counts() Counts {
-	n := Counts{Transactions: h.txs.Len()}
+	n := Counts{Transactions: h.txs.Len(), Active: int(h.active.Load())}
 	h.lanes.Range(func(_ siskin.TargetID, l *lane) bool {
 		open, idle, opened := l.counts()
 		n.Open += open
@@ -117,6 +118,8 @@
 
 // Run runs one statement.
 func (h *Homes) Run(ctx context.Context, req *Request) Reply {
+	h.active.Add(1)
+	defer h.active.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, req.Patience)
 	defer cancel()
 	if req.Mode == Continue {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,8 +1,8 @@
 // Package roster holds what service discovery says of the targets.
 //
-// While the store is away all known targets are kept, since their entries may
-// lapse without the targets being gone. After the store's return an entry that
-// is missing counts as gone when it stays missing for the settle time.
+// Entries may lapse while the store is away, and be back within two seconds of
+// its return. A target therefore counts as gone when its entry is missing from
+// lists that lie further apart than that; until then it is kept.
 package roster
 
 import (
@@ -20,25 +20,22 @@
 
 // Roster holds the known targets. It is safe for concurrent use.
 type Roster struct {
-	clock siskin.Clock
-
 	mu       sync.RWMutex
 	targets  map[siskin.TargetID]*entry
 	services map[siskin.ServiceName][]siskin.TargetInfo // derived, never modified
-	heard    time.Time                                  // last answer of the store, own or through a peer
-	listed   time.Time                                  // when the last complete list was asked for
-	returned time.Time                                  // last return of the store after an outage
+	version  siskin.Version                             // of the last list
+	listed   time.Time                                  // when the last list was asked for
 	changed  chan struct{}
 }
 
 type entry struct {
 	info    siskin.TargetInfo
-	missing time.Time // since when the entry is missing; zero while it is there
+	missing time.Time // first list without the entry; zero while it is there
 }
 
 // New returns an empty roster.
-func New(clock siskin.Clock) *Roster {
-	return &Roster{clock: clock, targets: make(map[siskin.TargetID]*entry), changed: make(chan struct{})}
+func New() *Roster {
+	return &Roster{targets: make(map[siskin.TargetID]*entry), changed: make(chan struct{})}
 }
 
 // Service returns the targets of a service ordered by id. The caller must not
@@ -60,16 +57,19 @@
 	return e.info, true
 }
 
-// All returns all targets ordered by id.
-func (r *Roster) All() []siskin.TargetInfo {
+// Listed returns the targets of the last list, ordered by id, with its version
+// and time.
+func (r *Roster) Listed() ([]siskin.TargetInfo, siskin.Version, time.Time) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	all := make([]siskin.TargetInfo, 0, len(r.targets))
+	list := make([]siskin.TargetInfo, 0, len(r.targets))
 	for _, e := range r.targets {
-		all = append(all, e.info)
+		if e.missing.IsZero() {
+			list = append(list, e.info)
+		}
 	}
-	slices.SortFunc(all, byID)
-	return all
+	slices.SortFunc(list, byID)
+	return list, r.version, r.listed
 }
 
 func byID(a, b siskin.TargetInfo) int { return cmp.Compare(a.ID, b.ID) }
@@ -81,105 +81,65 @@
 	return r.changed
 }
 
-// Heard returns when the store was last known to answer.
-func (r *Roster) Heard() time.Time {
+// Version returns the version of the last list and when it was asked for.
+func (r *Roster) Version() (siskin.Version, time.Time) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.heard
+	return r.version, r.listed
 }
 
-// Replace applies a complete list that was read at the given time.
-func (r *Roster) Replace(list []siskin.TargetInfo, at time.Time) {
+// Replace applies a complete list that was asked for at a time. Older lists
+// than the last one change nothing.
+func (r *Roster) Replace(list []siskin.TargetInfo, version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.Before(r.listed) {
-		return // a peer's list that is older than the one known
-	}
-	r.listed = at
-	if at.After(r.heard) {
-		r.heard = at
+	if version < r.version || !at.After(r.listed) {
+		return
 	}
+	r.version, r.listed = version, at
+	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
-		r.targets[info.ID] = &entry{info: info}
+		if e := r.targets[info.ID]; e == nil || e.info != info || !e.missing.IsZero() {
+			r.targets[info.ID] = &entry{info: info}
+			any = true
+		}
 	}
 	for id, e := range r.targets {
 		if !listed[id] && e.missing.IsZero() {
-			e.missing = r.clock.Now()
+			e.missing = at
 		}
 	}
-	r.sweep()
-	r.publish()
-}
-
-// Put applies the entry of one target.
-func (r *Roster) Put(info siskin.TargetInfo) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.targets[info.ID] = &entry{info: info}
-	r.publish()
-}
-
-// Remove notes that the entry of a target was removed.
-func (r *Roster) Remove(id siskin.TargetID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e, ok := r.targets[id]
-	if !ok || !e.missing.IsZero() {
-		return
-	}
-	e.missing = r.clock.Now()
-	r.sweep()
-	r.publish()
-}
-
-// Touch notes that the store answered at the given time; back says that it
-// had been away.
-func (r *Roster) Touch(at time.Time, back bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if at.After(r.heard) {
-		r.heard = at
-	}
-	if back {
-		r.returned = at
+	if r.lapse(at) || any {
+		r.publish()
 	}
 }
 
-// Sweep removes the targets whose entries are missing for good.
-func (r *Roster) Sweep() {
+// Confirm notes that the last list was still current at a time.
+func (r *Roster) Confirm(version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.sweep() {
-		r.publish()
+	if version == r.version && at.After(r.listed) {
+		r.listed = at
+		if r.lapse(at) {
+			r.publish()
+		}
 	}
 }
 
-func (r *Roster) sweep() bool {
-	now, any := r.clock.Now(), false
+// lapse removes the targets whose entries stayed missing.
+func (r *Roster) lapse(at time.Time) bool {
+	any := false
 	for id, e := range r.targets {
-		if e.missing.IsZero() {
-			continue
+		if !e.missing.IsZero() && at.Sub(e.missing) > settle {
+			delete(r.targets, id)
+			any = true
 		}
-		recentOutage := !r.returned.IsZero() && now.Sub(r.returned) < settle
-		if recentOutage || r.away(now) {
-			continue
-		}
-		delete(r.targets, id)
-		any = true
 	}
 	return any
 }
 
-// away reports whether the store has not been heard for longer than a waiting
-// watch lasts, so that the absence of entries proves nothing.
-func (r *Roster) away(now time.Time) bool { return now.Sub(r.heard) > storeSilence }
-
-// storeSilence is longer than the longest wait of a watch (20 s) and its
-// timeout, in which a store that answers may say nothing.
-const storeSilence = 25 * time.Second
-
 func (r *Roster) publish() {
 	r.services = make(map[siskin.ServiceName][]siskin.TargetInfo)
 	for _, e := range r.targets {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -75,7 +75,7 @@
 func newNode(cfg *cfgini.System, l *log.Logger) (*node, error) {
 	n := &node{cfg: cfg, log: l, table: table.New(), views: views.New(), stats: stats.New()}
 	n.started = n.clock.Now()
-	n.roster = roster.New(n.clock)
+	n.roster = roster.New()
 	dialer := newDialer()
 	n.homes = home.New(home.Config{
 		Clock: n.clock, Views: n.views, Target: n.roster.Target, Limit: n.connLimit,
@@ -133,9 +133,8 @@
 		Promoter: &platform.Promoter{Base: "http://" + n.cfg.Promoter.Address, HTTP: client, Timeout: n.cfg.Promoter.Timeout},
 	})
 	n.feed = feed.Start(feed.Config{
-		Clock: n.clock, Store: store, Log: n.log, Roster: n.roster, Crew: n.crew, Apply: n.apply, Holders: n.rates.SetHolders,
+		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, Holders: n.rates.SetHolders,
 		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, Target: platform.DecodeTarget,
-		Hint: func(t siskin.TargetInfo) { n.views.Hint(t.Service, t.ID) },
 	})
 }
 
@@ -236,7 +235,8 @@
 // ready reports whether this VM can serve callers. A VM that is merely cut off
 // from the store stays ready.
 func (n *node) ready() bool {
-	return !n.stopping.Load() && n.table.Snapshot().Version > 0 && len(n.roster.All()) > 0
+	version, _ := n.roster.Version()
+	return !n.stopping.Load() && n.table.Snapshot().Version > 0 && version > 0
 }
 
 // maintainInterval is the time between two rounds of upkeep.
@@ -244,20 +244,47 @@
 
 // maintain brings homes up to date with the fleet and discovery.
 func (n *node) maintain() {
+	known := make(map[siskin.TargetID]siskin.TargetInfo)
 	for !n.stopped() {
 		members, targets, deployment := n.crew.Changed(), n.roster.Changed(), n.table.Changed()
 		n.homes.Update()
 		select {
 		case <-members:
 		case <-targets:
+			known = n.noteTargets(known)
 		case <-deployment:
 		case <-n.clock.After(maintainInterval):
-			n.roster.Sweep()
 		}
 		n.gauges()
 	}
 }
 
+// noteTargets logs what changed in discovery, and takes a target that begins to
+// see itself as primary as a hint.
+func (n *node) noteTargets(known map[siskin.TargetID]siskin.TargetInfo) map[siskin.TargetID]siskin.TargetInfo {
+	next := make(map[siskin.TargetID]siskin.TargetInfo, len(known))
+	for _, s := range n.table.Snapshot().Services {
+		for _, t := range n.roster.Service(s.Name) {
+			next[t.ID] = t
+			old, ok := known[t.ID]
+			if ok && old == t {
+				continue
+			}
+			n.log.Info().Str("Target", string(t.ID)).Str("Service", string(t.Service)).Str("Address", t.Address).
+				Bool("Primary", t.Primary).Bool("Draining", t.Draining).Time("Born", t.Born).Msg("a target's entry changed")
+			if t.Primary && (!ok || !old.Primary || !old.Born.Equal(t.Born)) {
+				n.views.Hint(t.Service, t.ID)
+			}
+		}
+	}
+	for id := range known {
+		if _, ok := next[id]; !ok {
+			n.log.Info().Str("Target", string(id)).Msg("a target is gone")
+		}
+	}
+	return next
+}
+
 func (n *node) gauges() {
 	c := n.homes.Counts()
 	scope := n.stats.Scope()
--- a/internal/sysd/stop.go
+++ b/internal/sysd/stop.go
@@ -28,7 +28,8 @@
 	sleepUntil(ctx, minTime(time.Now().Add(balancerDelay), deadline))
 	group := n.entry.Sessions()/closeParts + 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if n.entry.CloseIdle(group) == 0 && n.homes.Counts().Transactions == 0 {
+		c := n.homes.Counts()
+		if n.entry.CloseIdle(group) == 0 && c.Transactions == 0 && c.Active == 0 {
 			break
 		}
 		sleepUntil(ctx, minTime(time.Now().Add(closeStep), deadline))
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"siskintray.example/siskin"
 )
@@ -14,8 +15,9 @@
 type Table struct {
 	current atomic.Pointer[Snapshot]
 
-	mu      sync.Mutex
-	changed chan struct{}
+	mu        sync.Mutex
+	changed   chan struct{}
+	confirmed time.Time
 }
 
 // New returns an empty table.
@@ -35,6 +37,22 @@
 	return t.changed
 }
 
+// Confirm notes that the version in force was the newest one at a time.
+func (t *Table) Confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.confirmed) {
+		t.confirmed = at
+	}
+}
+
+// Confirmed returns when the version in force was last known to be the newest.
+func (t *Table) Confirmed() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmed
+}
+
 // Apply puts a deployment in force and reports whether it is newer than the one
 // before. The encoded form is kept for peers.
 func (t *Table) Apply(d *siskin.Deployment, encoded []byte) bool {
--- a/store.go
+++ b/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 )
 
 // ObjectKind names a kind of objects in a Store.
@@ -14,11 +13,9 @@
 	Name    string
 	Version Version
 	Value   json.RawMessage
-	// Removed says that the object is gone; only events have it.
-	Removed bool
 }
 
-// Listing is the content of one kind, or the changes since a version.
+// Listing is the content of one kind.
 type Listing struct {
 	Objects []StoreObject
 	// Version is the store's version that the listing is of.
@@ -29,11 +26,10 @@
 // version counter covers all objects, so the version of a conditional write is
 // larger than that of every earlier write.
 type Store interface {
+	// Get returns one object. An error of kind Conflict says that there is none.
+	Get(ctx context.Context, kind ObjectKind, name string) (StoreObject, error)
 	// List returns all objects of a kind.
 	List(ctx context.Context, kind ObjectKind) (Listing, error)
-	// Watch waits up to wait for changes after the version. An error of kind
-	// Conflict says that the history is gone and List is needed.
-	Watch(ctx context.Context, kind ObjectKind, after Version, wait time.Duration) (Listing, error)
 	// Create adds an object. An error of kind Conflict says that it exists.
 	Create(ctx context.Context, kind ObjectKind, name string, value any) (Version, error)
 	// Update replaces an object of the given version. An error of kind Conflict
