platform/stand, sysd: play the whole path against stand-ins; fix two findings

The stand-ins speak the platform's protocol (store, targets, promotion) and take faults; 16 tests run three to six VMs in one process against them.

Found by them, each failed before: - TestStalledPrimary: a primary cut off from its replicas was elected again, since it has the newest log. It is now passed over while all replicas are claimed: they hold every acknowledged commit. - TestTransactions: the first request of a customer at each VM was refused, since its bucket began with that request. It now earns tokens from the moment that the VM knows its share.

--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -124,7 +124,7 @@
 		return siskin.NewError(siskin.Unavailable, "too few targets of %s could be claimed for term %d", c.spec.Name, c.term).WithRemedy("restore a target; without it an acknowledged commit could be lost")
 	}
 	var ok bool
-	if c.chosen, ok = newest(c.claims, c.term); !ok {
+	if c.chosen, ok = newest(c.claims, c.term, c.spec.SyncReplicas); !ok {
 		return siskin.NewError(siskin.Unavailable, "no target of %s could be claimed", c.spec.Name)
 	}
 	return nil
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -37,14 +37,22 @@
 }
 
 // newest returns the claimed target to promote: the one with the newest log,
-// and among equals one that stays and that did not lead before.
-func newest(claims []claim, term siskin.Term) (claim, bool) {
-	var held []claim
+// and among equals one that stays. The old primary is chosen only when it could
+// have a commit that no claimed replica has: it may hold commits that nobody
+// was promised, and have no path to its replicas.
+func newest(claims []claim, term siskin.Term, sync int) (claim, bool) {
+	held := make([]claim, 0, len(claims))
+	replicasMissing := 0
 	for _, c := range claims {
 		if c.holds(term) {
 			held = append(held, c)
+		} else if !c.primary {
+			replicasMissing++
 		}
 	}
+	if replicasMissing < sync && len(held) > 1 {
+		held = slices.DeleteFunc(held, func(c claim) bool { return c.primary })
+	}
 	if len(held) == 0 {
 		return claim{}, false
 	}
@@ -52,7 +60,6 @@
 		return cmp.Or(
 			a.status.Received.Compare(b.status.Received),
 			-boolCompare(a.target.Draining, b.target.Draining),
-			-boolCompare(a.primary, b.primary),
 			cmp.Compare(b.target.ID, a.target.ID),
 		)
 	}), true
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -46,12 +46,12 @@
 type Limiter struct {
 	cfg Config
 
-	mu      sync.Mutex
-	share   float64 // of this VM; zero until the record names it
-	holders int
-	local   map[siskin.CustomerID]*local
-	pools   map[siskin.CustomerID]*pool
-	stamps  map[siskin.VMID]received
+	mu     sync.Mutex
+	share  float64   // of this VM; zero until the record names it
+	since  time.Time // when the share became known
+	local  map[siskin.CustomerID]*local
+	pools  map[siskin.CustomerID]*pool
+	stamps map[siskin.VMID]received
 }
 
 var (
@@ -95,7 +95,7 @@
 func (l *Limiter) SetHolders(holders []siskin.VMID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holders, l.share = len(holders), 0
+	l.share, l.since = 0, l.cfg.Clock.Now()
 	for _, id := range holders {
 		if id == l.cfg.Members.Self().ID {
 			l.share = 1 / float64(len(holders))
@@ -104,6 +104,13 @@
 	l.cfg.Log.Info().Int("Holders", len(holders)).Float64("Share", l.share).Msg("shares of rates are known")
 }
 
+// Share returns this VM's share of each customer's rate.
+func (l *Limiter) Share() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.share
+}
+
 // limits returns rate and burst of a customer.
 func (l *Limiter) limits(id siskin.CustomerID) (rate, burst float64, ok bool) {
 	c, ok := l.cfg.Table.Snapshot().Customer(id)
@@ -116,7 +123,9 @@
 func (l *Limiter) part(id siskin.CustomerID) *local {
 	p := l.local[id]
 	if p == nil {
-		p = &local{}
+		// The share has earned tokens since it is known, whether or not a
+		// request of the customer came.
+		p = &local{bucket: bucket{at: l.since}}
 		l.local[id] = p
 	}
 	return p
--- /dev/null
+++ b/internal/sysd/failover_test.go
@@ -0,0 +1,280 @@
+package sysd
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin/platform/stand"
+)
+
+// writer writes distinct values until told to stop and keeps what happened.
+type writer struct {
+	acked, unknown, refused []string
+	gap                     time.Duration // longest time between two successes
+}
+
+// write runs writers against all VMs until stop is closed.
+func (f *testFleet) write(stop <-chan struct{}) func() []*writer {
+	var wg sync.WaitGroup
+	var list []*writer
+	for vm := range len(f.nodes) {
+		w := &writer{}
+		list = append(list, w)
+		wg.Go(func() { w.run(f, vm, stop) })
+	}
+	return func() []*writer {
+		wg.Wait()
+		return list
+	}
+}
+
+func (w *writer) run(f *testFleet, vm int, stop <-chan struct{}) {
+	var c *caller
+	last := time.Now()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if c == nil {
+			var err error
+			if c, err = f.dial(vm, "orders", testKey); err != nil {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+		}
+		value := fmt.Sprintf("v%d-%d", vm, i)
+		res, err := c.query("WRITE item-" + value + " " + value)
+		switch {
+		case err != nil:
+			w.unknown = append(w.unknown, value)
+			c.conn.Close()
+			c = nil
+		case res.code == "":
+			w.gap = max(w.gap, time.Since(last))
+			last = time.Now()
+			w.acked = append(w.acked, value)
+		case res.code == "BUSY" || res.code == "ABORTED" || res.code == "READONLY" || res.code == "LAGGING":
+			w.refused = append(w.refused, value)
+			time.Sleep(10 * time.Millisecond)
+		default:
+			w.unknown = append(w.unknown, value)
+		}
+		time.Sleep(3 * time.Millisecond)
+	}
+}
+
+// check compares what the writers were told with the log of the primary.
+func (f *testFleet) check(writers []*writer) {
+	f.t.Helper()
+	p := f.platform.Primary("ledger")
+	if p == nil {
+		f.t.Fatal("got no primary at the end")
+	}
+	total := 0
+	for _, w := range writers {
+		total += len(w.acked)
+		for _, v := range w.acked {
+			if got := p.Count("item-"+v, v); got != 1 {
+				f.t.Errorf("acknowledged write %s: got %d in the log, want 1", v, got)
+			}
+		}
+		for _, v := range w.unknown {
+			if got := p.Count("item-"+v, v); got > 1 {
+				f.t.Errorf("write %s of unknown outcome: got %d in the log, want at most 1", v, got)
+			}
+		}
+		for _, v := range w.refused {
+			if got := p.Count("item-"+v, v); got != 0 {
+				f.t.Errorf("write %s was refused as not run: got %d in the log, want 0", v, got)
+			}
+		}
+	}
+	if total < 50 {
+		f.t.Errorf("acknowledged writes: got %d, want at least 50", total)
+	}
+}
+
+// play writes while faults run, and checks the result.
+func (f *testFleet) play(faults func()) []*writer {
+	f.t.Helper()
+	stop := make(chan struct{})
+	wait := f.write(stop)
+	time.Sleep(500 * time.Millisecond)
+	faults()
+	time.Sleep(500 * time.Millisecond)
+	close(stop)
+	writers := wait()
+	f.check(writers)
+	return writers
+}
+
+// newPrimary waits until another target than the given one leads and serves.
+func (f *testFleet) newPrimary(old string) {
+	f.t.Helper()
+	f.await("another target leads", 7*time.Second, func() bool {
+		p := f.platform.Primary("ledger")
+		return p != nil && string(p.ID()) != old
+	})
+}
+
+// TestPrimaryCrash guards against writes that are lost, doubled or wrongly
+// refused when a primary crashes, and against a long gap.
+func TestPrimaryCrash(t *testing.T) {
+	f := startFleet(t, 3)
+	writers := f.play(func() {
+		old := f.platform.Primary("ledger")
+		old.Crash()
+		f.newPrimary(string(old.ID()))
+		time.Sleep(time.Second)
+		if err := old.Restart(); err != nil {
+			t.Error(err)
+		}
+	})
+	for _, w := range writers {
+		if w.gap > 7*time.Second { // the time in which the users ask for a new primary
+			t.Errorf("gap in writes: got %v, want at most 7s", w.gap)
+		}
+	}
+}
+
+// TestPrimaryCrashStoreDown guards against a change of primary that needs the
+// store.
+func TestPrimaryCrashStoreDown(t *testing.T) {
+	f := startFleet(t, 3)
+	// A VM reserves its fence when it begins to watch the service.
+	time.Sleep(500 * time.Millisecond)
+	f.play(func() {
+		f.platform.SetStoreFaults(stand.StoreFaults{Down: true})
+		old := f.platform.Primary("ledger")
+		old.Crash()
+		f.newPrimary(string(old.ID()))
+	})
+}
+
+// TestLatePromotion guards against a promotion without an answer that takes
+// effect after a later one.
+func TestLatePromotion(t *testing.T) {
+	f := startFleet(t, 3)
+	f.play(func() {
+		f.platform.SetLatePromotions(1500 * time.Millisecond)
+		old := f.platform.Primary("ledger")
+		old.Crash()
+		time.Sleep(800 * time.Millisecond)
+		f.platform.SetLatePromotions(0)
+		f.newPrimary(string(old.ID()))
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestStalledPrimary guards against a primary that is cut off from its replicas
+// and keeps the lead, so that no write is ever acknowledged.
+func TestStalledPrimary(t *testing.T) {
+	f := startFleet(t, 3)
+	f.play(func() {
+		old := f.platform.Primary("ledger")
+		old.Isolate(true)
+		f.newPrimary(string(old.ID()))
+		time.Sleep(time.Second)
+		old.Isolate(false)
+	})
+}
+
+// TestLostAnswers guards against writes that are sent again after their answer
+// got lost.
+func TestLostAnswers(t *testing.T) {
+	f := startFleet(t, 3)
+	f.play(func() {
+		for range 10 {
+			f.platform.Primary("ledger").LoseAnswers(3)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// TestPlannedChange guards against writes that get lost when a primary that is
+// about to stop is replaced in good order.
+func TestPlannedChange(t *testing.T) {
+	f := startFleet(t, 3)
+	f.play(func() {
+		old := f.platform.Primary("ledger")
+		f.platform.SetDraining(old)
+		f.newPrimary(string(old.ID()))
+	})
+}
+
+// TestVMCrash guards against requests that hang when the home of the primary
+// dies, and against limits that refuse everything afterwards.
+func TestVMCrash(t *testing.T) {
+	f := startFleet(t, 4)
+	f.play(func() {
+		info, _ := f.node(0).roster.Target(f.platform.Primary("ledger").ID())
+		for i, n := range f.nodes {
+			if n.path.IsHome(info) {
+				f.set(i, nil)
+				if err := n.close(); err != nil {
+					t.Error(err)
+				}
+				f.set(i, f.start(i))
+				break
+			}
+		}
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestDrain guards against a planned stop that cuts statements or transactions
+// in progress.
+func TestDrain(t *testing.T) {
+	f := startFleet(t, 4)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	cut := 0
+	for range 8 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c, err := f.dial(3, "orders", testKey)
+				if err != nil {
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				// Statements follow each other without a pause, so each session
+				// has one in progress nearly all the time.
+				for answered := 0; ; answered++ {
+					if _, err := c.query("READ x"); err != nil {
+						if answered == 0 {
+							mu.Lock()
+							cut++
+							mu.Unlock()
+						}
+						c.conn.Close()
+						break
+					}
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	n := f.set(3, nil)
+	began := time.Now()
+	n.drain(context.Background())
+	took := time.Since(began)
+	close(stop)
+	if err := n.close(); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if limit := n.cfg.Stop.Grace; took > limit {
+		t.Errorf("planned stop: got %v, want at most %v", took, limit)
+	}
+}
--- /dev/null
+++ b/internal/sysd/fleet_test.go
@@ -0,0 +1,253 @@
+package sysd
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/cfgini"
+	"siskintray.example/siskin/internal/logs"
+	"siskintray.example/siskin/platform/stand"
+)
+
+const testKey = "key-of-acme"
+
+// testFleet is a platform stand-in with several VMs in this process.
+type testFleet struct {
+	t        *testing.T
+	platform *stand.Platform
+	revision siskin.Revision
+
+	mu    sync.Mutex
+	nodes []*node // nil while a VM is stopped
+}
+
+// node returns a VM, nil while it is stopped.
+func (f *testFleet) node(i int) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[i]
+}
+
+// set replaces a VM or adds one, and returns the one before.
+func (f *testFleet) set(i int, n *node) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i == len(f.nodes) {
+		f.nodes = append(f.nodes, nil)
+	}
+	old := f.nodes[i]
+	f.nodes[i] = n
+	return old
+}
+
+func testService() stand.ServiceOptions {
+	return stand.ServiceOptions{
+		Name: "ledger", Zones: []string{"dc-1", "dc-2", "dc-3"}, Slots: 2, MaxConnections: 16, SyncReplicas: 1,
+		Work: 2 * time.Millisecond, Lag: 20 * time.Millisecond, Promotion: 300 * time.Millisecond,
+	}
+}
+
+func testDeployment(revision siskin.Revision) *siskin.Deployment {
+	route := func(name string, kind siskin.RouteKind) siskin.RouteSpec {
+		return siskin.RouteSpec{
+			Name: siskin.RouteName(name), Database: name, Service: "ledger", Kind: kind, Timeout: 800 * time.Millisecond,
+			Objective: 200 * time.Millisecond, MaxStaleness: 1500 * time.Millisecond, Priority: 1,
+		}
+	}
+	return &siskin.Deployment{
+		Version: revision, TxIdle: 3 * time.Second, SessionIdle: time.Minute,
+		Routes: []siskin.RouteSpec{
+			route("orders", siskin.PrimaryReads), route("designs", siskin.BoundedStaleness), route("press", siskin.ReadYourWrites),
+		},
+		Services:  []siskin.ServiceSpec{{Name: "ledger", MaxConnections: 16, SyncReplicas: 1}},
+		Customers: []siskin.CustomerSpec{{ID: "acme", Keys: []string{testKey}, Rate: 5000, Burst: 5000}},
+	}
+}
+
+// startFleet starts a platform and VMs in three data centres, and waits until
+// they serve.
+func startFleet(t *testing.T, vms int) *testFleet {
+	t.Helper()
+	t.Parallel()
+	p, err := stand.Start(testService())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &testFleet{t: t, platform: p, revision: 1}
+	p.SetDeployment(testDeployment(f.revision))
+	for i := range vms {
+		f.set(i, f.start(i))
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			if n != nil {
+				if err := n.close(); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+		if err := p.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	f.await("the VMs are ready and know each other", 10*time.Second, func() bool {
+		for _, n := range f.nodes {
+			if !n.ready() || len(n.crew.Live()) != vms || n.views.Lead("ledger").Target == "" || n.rates.Share() == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// freeAddresses returns n free loopback addresses.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close() // after the last one is found, so that all differ
+		list = append(list, l.Addr().String())
+	}
+	return list
+}
+
+// start starts a VM. Another test may take an address between its choice and
+// its use, so the start is tried again with other ones.
+func (f *testFleet) start(i int) *node {
+	f.t.Helper()
+	var err error
+	for range 5 {
+		var n *node
+		if n, err = newNode(f.settings(i), logs.New("error", "json", io.Discard)); err == nil {
+			return n
+		}
+	}
+	f.t.Fatal(err)
+	return nil
+}
+
+func (f *testFleet) settings(i int) *cfgini.System {
+	free := freeAddresses(f.t, 4)
+	cfg := &cfgini.System{
+		VM:     cfgini.SystemVM{ID: fmt.Sprintf("vm-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3+1), Memory: 256 << 20},
+		Caller: cfgini.SystemCaller{Address: free[0], MaxSessions: 1000},
+		Ready:  cfgini.SystemReady{Address: free[1]}, Peer: cfgini.SystemPeer{Address: free[2]},
+		Store:    cfgini.SystemStore{Address: f.platform.Address(), Timeout: time.Second},
+		Promoter: cfgini.SystemPromoter{Address: f.platform.Address(), Timeout: 700 * time.Millisecond},
+		Metrics:  cfgini.SystemMetrics{Address: free[3]}, Stop: cfgini.SystemStop{Grace: 6 * time.Second},
+	}
+	if i > 0 {
+		cfg.Peer.Seeds = []string{f.node(0).cfg.Peer.Address}
+	}
+	return cfg
+}
+
+// await waits for a condition.
+func (f *testFleet) await(what string, limit time.Duration, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(limit); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// caller is a test client of the session protocol.
+type caller struct {
+	conn net.Conn
+	r    *bufio.Reader
+	id   int
+}
+
+// result is the answer to one statement.
+type result struct {
+	rows              []string
+	code, text        string // code is empty on success
+	signature, state  string
+	position, request string
+}
+
+func (f *testFleet) dial(vm int, database, key string) (*caller, error) {
+	n := f.node(vm)
+	if n == nil {
+		return nil, net.ErrClosed
+	}
+	conn, err := net.Dial("tcp", n.cfg.Caller.Address)
+	if err != nil {
+		return nil, err
+	}
+	c := &caller{conn: conn, r: bufio.NewReader(conn)}
+	if _, err := fmt.Fprintf(conn, "START %s %s\r\n", database, key); err != nil {
+		return nil, err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	line, err := c.r.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	if !strings.HasPrefix(line, "READY I") {
+		conn.Close()
+		return nil, fmt.Errorf("session refused: %s", strings.TrimSpace(line))
+	}
+	return c, nil
+}
+
+func (f *testFleet) mustDial(vm int, database string) *caller {
+	f.t.Helper()
+	c, err := f.dial(vm, database, testKey)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { c.conn.Close() })
+	return c
+}
+
+// query sends a statement and reads its answer.
+func (c *caller) query(text string) (result, error) {
+	c.id++
+	res := result{request: fmt.Sprintf("%x%04x", time.Now().UnixNano(), c.id)}
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", res.request, text); err != nil {
+		return res, err
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	for {
+		line, err := c.r.ReadString('\n')
+		if err != nil {
+			return res, err
+		}
+		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		switch word {
+		case "ROW":
+			res.rows = append(res.rows, rest)
+		case "DONE":
+			res.signature = rest
+		case "ERROR":
+			res.code, res.text, _ = strings.Cut(rest, " ")
+		case "READY":
+			res.state, res.position, _ = strings.Cut(rest, " ")
+			return res, nil
+		}
+	}
+}
+
+// must sends a statement that has to succeed.
+func (f *testFleet) must(c *caller, text string) result {
+	f.t.Helper()
+	res, err := c.query(text)
+	if err != nil || res.code != "" {
+		f.t.Fatalf("%s: got %s %s %v, want success", text, res.code, res.text, err)
+	}
+	return res
+}
--- /dev/null
+++ b/internal/sysd/serve_test.go
@@ -0,0 +1,193 @@
+package sysd
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/platform/stand"
+)
+
+// TestSessionState guards against values and prepared statements that do not
+// follow a session, or leak into another one on the same connection.
+func TestSessionState(t *testing.T) {
+	f := startFleet(t, 3)
+	a, b := f.mustDial(0, "press"), f.mustDial(1, "press")
+	f.must(a, "PREPARE put WRITE q1")
+	f.must(b, "PREPARE put READ q2")
+	f.must(a, "SET mode fast")
+	f.must(a, "EXEC put item-1 first")
+	if got := f.must(b, "EXEC put item-1").rows; len(got) != 1 || got[0] != "first" && got[0] != "-" {
+		t.Errorf("read through another session's statement: got %v", got)
+	}
+	if got := f.must(a, "READ item-1").rows; len(got) != 1 || got[0] != "first" {
+		t.Errorf("own write: got %v, want [first]", got)
+	}
+	if res, err := a.query("EXEC missing item-1"); err != nil || res.code != "NOSTMT" {
+		t.Errorf("unknown prepared statement: got %s %v, want NOSTMT", res.code, err)
+	}
+	if res, err := a.query("DEALLOC missing"); err != nil || res.code != "NOSTMT" {
+		t.Errorf("deallocation of an unknown statement: got %s %v, want NOSTMT", res.code, err)
+	}
+}
+
+// TestTransactions guards against transactions that lose a write, keep one that
+// was rolled back, or go on after a failure.
+func TestTransactions(t *testing.T) {
+	f := startFleet(t, 3)
+	c := f.mustDial(0, "orders")
+	f.must(c, "BEGIN")
+	f.must(c, "WRITE order-1 paid")
+	if got := f.must(c, "READ order-1").rows; len(got) != 1 || got[0] != "paid" {
+		t.Errorf("read inside the transaction: got %v, want [paid]", got)
+	}
+	if res := f.must(c, "COMMIT"); res.signature == "-" || res.state != "I" {
+		t.Errorf("commit: got signature %s and state %s, want a signature and I", res.signature, res.state)
+	}
+	f.must(c, "BEGIN")
+	f.must(c, "WRITE order-1 refunded")
+	f.must(c, "ROLLBACK")
+	if got := f.must(c, "READ order-1").rows; len(got) != 1 || got[0] != "paid" {
+		t.Errorf("read after the rollback: got %v, want [paid]", got)
+	}
+	f.must(c, "BEGIN")
+	if res, err := c.query("EXEC missing x"); err != nil || res.state != "E" {
+		t.Errorf("failure inside a transaction: got state %s %v, want E", res.state, err)
+	}
+	if res, err := c.query("READ order-1"); err != nil || res.code != "MALFORMED" {
+		t.Errorf("statement after a failure: got %s %v, want MALFORMED", res.code, err)
+	}
+	if res := f.must(c, "ROLLBACK"); res.state != "I" {
+		t.Errorf("rollback: got state %s, want I", res.state)
+	}
+	f.must(c, "BEGIN")
+	if res := f.must(c, "COMMIT"); res.signature == "-" {
+		t.Error("commit of an empty transaction: got no signature of a target")
+	}
+}
+
+// TestRefusedSessions guards against sessions without a route or a key.
+func TestRefusedSessions(t *testing.T) {
+	f := startFleet(t, 3)
+	for _, c := range []struct{ database, key, want string }{
+		{"nowhere", testKey, "session refused: ERROR NODB"},
+		{"orders", "wrong", "session refused: ERROR NOAUTH"},
+	} {
+		_, err := f.dial(0, c.database, c.key)
+		if err == nil || len(err.Error()) < len(c.want) || err.Error()[:len(c.want)] != c.want {
+			t.Errorf("%s with key %s: got %v, want %s", c.database, c.key, err, c.want)
+		}
+	}
+}
+
+// TestWithdrawnKey guards against a key that goes on working on an open
+// session, also at a VM that hears of the withdrawal from a peer only.
+func TestWithdrawnKey(t *testing.T) {
+	f := startFleet(t, 3)
+	c := f.mustDial(2, "orders")
+	f.must(c, "READ order-1")
+	d := testDeployment(2)
+	d.Customers[0].Keys = []string{"another"}
+	f.platform.SetDeployment(d)
+	f.await("the withdrawal is in force", 3*time.Second, func() bool {
+		res, err := c.query("READ order-1")
+		return err != nil || res.code == "NOAUTH"
+	})
+}
+
+// TestReadsFollowWrites guards against reads at replicas that miss the
+// session's own write.
+func TestReadsFollowWrites(t *testing.T) {
+	f := startFleet(t, 3)
+	c := f.mustDial(1, "press")
+	for i := range 60 {
+		want := fmt.Sprintf("v%d", i)
+		f.must(c, "WRITE job "+want)
+		if got := f.must(c, "READ job").rows; len(got) != 1 || got[0] != want {
+			t.Fatalf("read after write %d: got %v, want [%s]", i, got, want)
+		}
+	}
+}
+
+// TestStoreOutage guards against a fleet that stops serving, or a new VM that
+// does not start, while the store is down.
+func TestStoreOutage(t *testing.T) {
+	f := startFleet(t, 3)
+	f.platform.SetStoreFaults(stand.StoreFaults{Down: true})
+	n := f.start(3)
+	f.set(3, n)
+	f.await("a VM that starts during the outage is ready", 5*time.Second, n.ready)
+	c := f.mustDial(3, "orders")
+	f.await("it serves writes", 3*time.Second, func() bool {
+		res, err := c.query("WRITE order-2 paid")
+		return err == nil && res.code == ""
+	})
+	resp, err := http.Get("http://" + n.cfg.Ready.Address + "/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("readiness while the store is down: got %d, want 200", resp.StatusCode)
+	}
+}
+
+// TestFewStoreCalls guards against calls to the store that grow with the
+// number of VMs.
+func TestFewStoreCalls(t *testing.T) {
+	f := startFleet(t, 6)
+	time.Sleep(time.Second)
+	before := f.platform.StoreCalls()
+	const span = 4 * time.Second
+	time.Sleep(span)
+	// A configuration a second and a list each 1.5 s; the list has one page.
+	// Twice that leaves room for VMs that read at the same time.
+	if got, most := f.platform.StoreCalls()-before, int64(2*(4+3)); got > most {
+		t.Errorf("calls of 6 VMs in %v: got %d, want at most %d", span, got, most)
+	}
+}
+
+// TestRates guards against customers that get more than rate and burst through
+// several VMs.
+func TestRates(t *testing.T) {
+	f := startFleet(t, 3)
+	d := testDeployment(2)
+	d.Customers[0].Rate, d.Customers[0].Burst = 20, 20
+	f.platform.SetDeployment(d)
+	f.await("the rate is in force", 4*time.Second, func() bool {
+		for _, n := range f.nodes {
+			if n.table.Snapshot().Version != siskin.Revision(2) {
+				return false
+			}
+		}
+		return true
+	})
+	deadline := time.Now().Add(3 * time.Second)
+	counts := make(chan int)
+	for vm := range 3 {
+		go func() {
+			n := 0
+			defer func() { counts <- n }()
+			c, err := f.dial(vm, "designs", testKey)
+			if err != nil {
+				return
+			}
+			defer c.conn.Close()
+			for time.Now().Before(deadline) {
+				if res, err := c.query("READ x"); err == nil && res.code == "" {
+					n++
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	got := <-counts + <-counts + <-counts
+	if most := 20*3 + 20 + 1; got > most {
+		t.Errorf("requests admitted in 3 s: got %d, want at most %d", got, most)
+	}
+	if least := 40; got < least {
+		t.Errorf("requests admitted in 3 s: got %d, want at least %d", got, least)
+	}
+}
