crew, feed: fewer pings and reads in a large fleet

Cause: each VM pinged all others each 300 ms, which grows with the square of the fleet; and the reads of several VMs coincided (TestFewStoreCalls: 15 calls of 6 VMs in 4 s against a bound of 14). Change: beyond 16 VMs only the homes of primaries and the holders of pools are pinged in each interval, the others in turn; the last reader of the store goes on reading, and others take over when it is gone.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -31,6 +31,9 @@
 	// Apply puts an encoded configuration in force.
 	Apply func(encoded []byte, source string)
 	Log   *log.Logger
+	// Close returns the VMs that this one depends on, such as the homes of
+	// primaries. In a large fleet only they are pinged in each interval.
+	Close func() map[siskin.VMID]bool
 }
 
 // Crew is one VM's view of the fleet. It implements siskin.Members.
@@ -46,6 +49,8 @@
 	live    []siskin.VM
 	changed chan struct{}
 	seeded  time.Time
+	near    map[siskin.VMID]bool // VMs that this one depends on
+	chosen  time.Time            // last time that peers were sorted
 }
 
 var _ siskin.Members = (*Crew)(nil)
@@ -190,6 +195,10 @@
 		case <-c.cfg.Clock.After(tick):
 		}
 		c.rates.LendSelf()
+		near := c.cfg.Close()
+		c.mu.Lock()
+		c.near = near
+		c.mu.Unlock()
 		c.schedule()
 	}
 }
@@ -199,11 +208,18 @@
 	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now.Sub(c.chosen) >= pingInterval {
+		c.chosen = now
+		c.choose(now)
+	}
 	for id, m := range c.members {
 		if m.pinging || now.Before(m.next) {
 			continue
 		}
 		m.pinging, m.next = true, now.Add(m.interval(now))
+		if m.distant && !m.failed && !m.suspect {
+			m.next = now.Add(time.Hour) // until its turn
+		}
 		c.done.Go(func() { c.ping(id) })
 	}
 	c.publish()
@@ -217,6 +233,30 @@
 	}
 }
 
+// choose sorts the peers of a large fleet into close and distant ones, and picks
+// the distant ones whose turn it is. The caller holds mu.
+func (c *Crew) choose(now time.Time) {
+	var near map[siskin.VMID]bool
+	if len(c.members) >= fullMesh {
+		near = c.near
+	}
+	var distant []*member
+	for id, m := range c.members {
+		was := m.distant
+		m.distant = near != nil && !near[id] && !m.heard.IsZero()
+		if was && !m.distant {
+			m.next = now
+		}
+		if m.distant && !m.pinging {
+			distant = append(distant, m)
+		}
+	}
+	slices.SortFunc(distant, func(a, b *member) int { return a.heard.Compare(b.heard) })
+	for _, m := range distant[:min(len(distant), distantPings)] {
+		m.next = now
+	}
+}
+
 // ping exchanges states with one peer.
 func (c *Crew) ping(id siskin.VMID) {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
@@ -229,7 +269,7 @@
 	err := c.cfg.Peers.Call(ctx, id, "Crew.Ping", args, &reply)
 	c.mu.Lock()
 	if m := c.members[id]; m != nil {
-		m.pinging = false
+		m.pinging, m.failed = false, err != nil
 	}
 	if err != nil {
 		c.publish()
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -14,6 +14,12 @@
 	pingTimeout = 500 * time.Millisecond
 	// suspectAfter is the silence after which a peer is no longer used as a home.
 	suspectAfter = 900 * time.Millisecond
+	// fullMesh is the number of VMs up to which each pings all others.
+	fullMesh = 16
+	// distantPings is the number of peers that a VM of a larger fleet pings in
+	// each interval besides those it depends on, chosen in turn. News reach all
+	// VMs within the logarithm of their number of intervals.
+	distantPings = 2
 	// deadInterval is the time between two pings of a peer that is silent for
 	// long, such as one that was removed.
 	deadInterval = 1500 * time.Millisecond
@@ -30,22 +36,39 @@
 	// heard is the time before the question of the last answered ping.
 	heard time.Time
 	// suspect is set by a failed call and cleared by the next answer.
-	suspect           bool
-	next              time.Time // of the next ping
+	suspect bool
+	next    time.Time // of the next ping
+	// distant peers of a large fleet are pinged rarely. failed says that the
+	// last ping was not answered.
+	distant, failed   bool
 	pinging, fetching bool
 }
 
+// alive reports whether the peer may be used. One that is pinged rarely is held
+// to be alive until a call or ping fails.
 func (m *member) alive(now time.Time) bool {
-	return !m.heard.IsZero() && !m.suspect && now.Sub(m.heard) < suspectAfter
+	if m.heard.IsZero() || m.suspect {
+		return false
+	}
+	return now.Sub(m.heard) < suspectAfter || m.distant && !m.failed
 }
 
 func (m *member) interval(now time.Time) time.Duration {
-	if now.Sub(m.known) > deadAfter && now.Sub(m.heard) > deadAfter {
+	if now.Sub(m.known) > deadAfter && now.Sub(m.heard) > deadAfter && (m.failed || m.suspect) {
 		return deadInterval
 	}
 	return pingInterval
 }
 
+// Doubt asks for a ping at once, since a call to the VM got no answer.
+func (c *Crew) Doubt(id siskin.VMID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m := c.members[id]; m != nil {
+		m.next = time.Time{}
+	}
+}
+
 // Suspect notes that a call to a VM failed, so that it is not used until it
 // answers again.
 func (c *Crew) Suspect(id siskin.VMID, cause error) {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -30,9 +30,11 @@
 	configAge = time.Second
 	// targetAge is the same for the list of targets. The users ask for 7 s.
 	targetAge = 1500 * time.Millisecond
-	// stagger spreads the reads of VMs whose knowledge is equally old, so that
-	// the first one's result reaches the others before they read. A ping takes
-	// up to 300 ms.
+	// takeOver is added to the age for all VMs but the last reader, so that one
+	// VM goes on reading and its result reaches the others before they read. A
+	// ping takes up to 300 ms.
+	takeOver = 450 * time.Millisecond
+	// stagger spreads the reads of the others when the reader is gone.
 	stagger = 700 * time.Millisecond
 	// pollTick is the time between two looks at an age.
 	pollTick = 100 * time.Millisecond
@@ -107,16 +109,23 @@
 // poll calls read whenever what is known is older than age.
 func (f *Feed) poll(ctx context.Context, what string, age time.Duration, known func() time.Time, read func(context.Context, time.Time) error) {
 	pause := firstPause
-	due := time.Duration(0) // the first read is due at once
+	var last time.Time // of this VM's own last read
+	spread := rand.N(stagger)
 	for ctx.Err() == nil {
-		if f.cfg.Clock.Since(known()) < due {
+		at := known()
+		due := age
+		if !at.IsZero() && !at.Equal(last) {
+			due += takeOver + spread
+		}
+		if f.cfg.Clock.Since(at) < due {
 			sleep(ctx, pollTick)
 			continue
 		}
-		err := read(ctx, f.cfg.Clock.Now())
+		asked := f.cfg.Clock.Now()
+		err := read(ctx, asked)
 		if err == nil {
 			f.answered()
-			pause, due = firstPause, age+rand.N(stagger)
+			pause, last, spread = firstPause, asked, rand.N(stagger)
 			continue
 		}
 		if ctx.Err() == nil {
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -11,6 +11,7 @@
 	"siskintray.example/siskin/internal/home"
 	"siskintray.example/siskin/internal/peer"
 	"siskintray.example/siskin/internal/roster"
+	"siskintray.example/siskin/internal/views"
 	"siskintray.example/siskin/pkg/place"
 )
 
@@ -26,6 +27,7 @@
 	Clock  siskin.Clock
 	Crew   *crew.Crew
 	Roster *roster.Roster
+	Views  *views.Views
 	Homes  *home.Homes
 	Peers  siskin.Peers
 }
@@ -48,6 +50,20 @@
 	return ok && vm.ID == p.cfg.Crew.Self().ID
 }
 
+// PrimaryHomes returns the homes of the primaries, as far as this VM knows them.
+func (p *Path) PrimaryHomes(services []siskin.ServiceSpec) map[siskin.VMID]bool {
+	live := p.cfg.Crew.Live()
+	near := make(map[siskin.VMID]bool)
+	for _, s := range services {
+		if t, ok := p.cfg.Roster.Target(p.cfg.Views.Lead(s.Name).Target); ok {
+			if vm, ok := place.Best(string(t.ID), place.In(t.DataCentre, live)); ok {
+				near[vm.ID] = true
+			}
+		}
+	}
+	return near
+}
+
 // Run implements entry.Homes.
 func (p *Path) Run(ctx context.Context, req *home.Request) home.Reply {
 	if req.Mode == home.Continue {
@@ -105,6 +121,9 @@
 		reply.Home = vm
 		return reply, true
 	}
+	if ctx.Err() != nil && !errors.Is(err, peer.ErrNotSent) {
+		p.cfg.Crew.Doubt(vm)
+	}
 	if ctx.Err() == nil || errors.Is(err, peer.ErrNotSent) {
 		p.cfg.Crew.Suspect(vm, err)
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -264,10 +264,32 @@
 
 // owner returns the VM that holds the pool of a customer.
 func (l *Limiter) owner(customer siskin.CustomerID) (siskin.VMID, bool) {
-	vm, ok := place.Best("rate/"+string(customer), l.cfg.Members.Live())
+	vm, ok := place.Best("rate/"+string(customer), l.owners())
 	return vm.ID, ok
 }
 
+// maxOwners bounds the VMs that hold pools, since every VM exchanges loans with
+// each of them several times a second.
+const maxOwners = 8
+
+// owners returns the VMs that hold the pools of all customers.
+func (l *Limiter) owners() []siskin.VM {
+	live := l.cfg.Members.Live()
+	if len(live) <= maxOwners {
+		return live
+	}
+	return place.Rank("rates", live)[:maxOwners]
+}
+
+// Owners returns the ids of the VMs that hold pools.
+func (l *Limiter) Owners() []siskin.VMID {
+	var ids []siskin.VMID
+	for _, vm := range l.owners() {
+		ids = append(ids, vm.ID)
+	}
+	return ids
+}
+
 // Take grants tokens of a pool that this VM holds.
 func (l *Limiter) Take(args *TakeArgs) TakeReply {
 	rate, burst, ok := l.limits(args.Customer)
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -109,19 +109,29 @@
 	run := siskin.Incarnation(time.Now().UnixNano())
 	n.crew = crew.New(crew.Config{
 		Clock: n.clock, Seeds: n.cfg.Peer.Seeds, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views,
-		Homes: n.homes, Apply: n.apply, Log: n.log,
+		Homes: n.homes, Apply: n.apply, Log: n.log, Close: n.closePeers,
 		Self: crew.Node{
 			ID: siskin.VMID(n.cfg.VM.ID), Run: run, DataCentre: siskin.DataCentreID(n.cfg.VM.DataCentre), Address: n.cfg.Peer.Address,
 		},
 	})
 	n.peers.SetLookup(n.crew.Address)
-	n.path = path.New(path.Config{Clock: n.clock, Crew: n.crew, Roster: n.roster, Homes: n.homes, Peers: n.peers})
+	n.path = path.New(path.Config{Clock: n.clock, Crew: n.crew, Roster: n.roster, Views: n.views, Homes: n.homes, Peers: n.peers})
 	n.rates = quota.New(quota.Config{
 		Clock: n.clock, Run: run, Table: n.table, Members: n.crew, Peers: n.peers, Log: n.log,
 	})
 	return nil
 }
 
+// closePeers returns the VMs that this one depends on: the homes of primaries,
+// whose pings bring floors for reads, and the holders of pools of rates.
+func (n *node) closePeers() map[siskin.VMID]bool {
+	near := n.path.PrimaryHomes(n.table.Snapshot().Services)
+	for _, id := range n.rates.Owners() {
+		near[id] = true
+	}
+	return near
+}
+
 // useStore starts what depends on the platform's store and duties.
 func (n *node) useStore(dialer *net.Dialer) {
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4}}
