crew, feed, place: cheaper control traffic

Change: ranks are kept until the list of VMs changes; proofs travel with answers only, in a large fleet from the homes of primaries; the record of shares and the VMs come from peers.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -31,6 +31,8 @@
 	// Apply puts an encoded configuration in force.
 	Apply func(encoded []byte, source string)
 	Log   *log.Logger
+	// IsHome reports whether this VM is the home of a target.
+	IsHome func(siskin.TargetID) bool
 	// Close returns the VMs that this one depends on, such as the homes of
 	// primaries. In a large fleet only they are pinged in each interval.
 	Close func() map[siskin.VMID]bool
@@ -49,8 +51,11 @@
 	live    []siskin.VM
 	changed chan struct{}
 	seeded  time.Time
-	near    map[siskin.VMID]bool // VMs that this one depends on
-	chosen  time.Time            // last time that peers were sorted
+	// incomplete says that a peer knows more VMs than this one.
+	incomplete bool
+	near       map[siskin.VMID]bool // VMs that this one depends on
+	chosen     time.Time            // last time that peers were sorted
+	round      int                  // number of times
 }
 
 var _ siskin.Members = (*Crew)(nil)
@@ -223,7 +228,7 @@
 		c.done.Go(func() { c.ping(id) })
 	}
 	c.publish()
-	if len(c.live) < 2 && now.Sub(c.seeded) > deadInterval {
+	if len(c.live) < 2 && now.Sub(c.seeded) > pingInterval {
 		c.seeded = now
 		for _, address := range c.cfg.Seeds {
 			if address != c.cfg.Self.Address {
@@ -252,8 +257,14 @@
 		}
 	}
 	slices.SortFunc(distant, func(a, b *member) int { return a.heard.Compare(b.heard) })
-	for _, m := range distant[:min(len(distant), distantPings)] {
-		m.next = now
+	// Traffic between data centres is dear, so only some pings cross.
+	c.round++
+	for _, m := range distant {
+		local := m.node.DataCentre == c.cfg.Self.DataCentre
+		if local != (c.round%farEvery == 0) {
+			m.next = now
+			return
+		}
 	}
 }
 
@@ -262,7 +273,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	asked := c.cfg.Clock.Now()
-	args := c.state()
+	args := c.question()
 	args.WantNodes = c.wantsNodes(id)
 	args.Loans = c.rates.Loans(id)
 	var reply State
@@ -279,6 +290,7 @@
 	for _, n := range reply.Nodes {
 		c.learn(n)
 	}
+	c.incomplete = reply.Known > len(c.members)+1
 	c.learn(reply.From)
 	if m := c.members[reply.From.ID]; m != nil {
 		if m.suspect || m.heard.IsZero() {
@@ -293,12 +305,12 @@
 }
 
 // wantsNodes reports whether the peer should name the VMs that it knows: this
-// VM has just started, or asks a seed.
+// VM asks a seed, or a peer knows more than it does.
 func (c *Crew) wantsNodes(id siskin.VMID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.members[id]
-	return m == nil || m.heard.IsZero()
+	return m == nil || c.incomplete || len(c.members) < 2 && m.heard.IsZero()
 }
 
 // absorb takes over what a peer said; asked is the moment before the question.
--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -14,11 +14,11 @@
 	freshLead = 1500 * time.Millisecond
 )
 
-// fetchIfNewer fetches what a pinging peer has newer. How old its knowledge is
-// cannot be told, since a ping spends an unknown time on its way.
+// fetchIfNewer fetches what a peer has and this VM lacks.
 func (c *Crew) fetchIfNewer(s *State) {
 	version, _ := c.cfg.Roster.Version()
-	if s.Revision <= c.cfg.Table.Snapshot().Version && s.Targets <= version {
+	lacksHolders := s.HasHolders && c.rates.Holders() == nil
+	if s.Revision <= c.cfg.Table.Snapshot().Version && s.Targets <= version && !lacksHolders {
 		return
 	}
 	c.mu.Lock()
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	asked := c.cfg.Clock.Now()
-	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version}
+	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version, WantHolders: c.rates.Holders() == nil}
 	args.Targets, _ = c.cfg.Roster.Version()
 	var reply FetchReply
 	err := c.cfg.Peers.Call(ctx, id, "Crew.Fetch", args, &reply)
@@ -60,25 +60,41 @@
 	if len(reply.Configuration) > 0 {
 		c.cfg.Apply(reply.Configuration, string(id))
 	}
+	if args.WantHolders && len(reply.Holders) > 0 {
+		c.rates.SetHolders(reply.Holders)
+	}
 	if reply.TargetVersion > 0 {
 		c.cfg.Roster.Replace(reply.Targets, reply.TargetVersion, asked.Add(-reply.TargetAge))
 	}
 }
 
-// state returns what this VM tells its peers.
-func (c *Crew) state() State {
-	now := c.cfg.Clock.Now()
+// question returns what this VM tells with a ping. Proofs age on the way by an
+// unknown time, so they travel with answers only.
+func (c *Crew) question() State {
 	s := State{
 		From: c.cfg.Self, Leaving: c.leaving.Load(), Revision: c.cfg.Table.Snapshot().Version,
-		RevisionAge: now.Sub(c.cfg.Table.Confirmed()),
-		Waiting:     c.cfg.Homes.Waiting(), Stamp: c.rates.Stamp(),
+		HasHolders: c.rates.Holders() != nil,
 	}
-	var listed time.Time
-	s.Targets, listed = c.cfg.Roster.Version()
+	s.Targets, _ = c.cfg.Roster.Version()
+	return s
+}
+
+// state returns what this VM answers to a ping.
+func (c *Crew) state() State {
+	now := c.cfg.Clock.Now()
+	s := c.question()
+	s.RevisionAge = now.Sub(c.cfg.Table.Confirmed())
+	s.Waiting, s.Stamp = c.cfg.Homes.Waiting(), c.rates.Stamp()
+	_, listed := c.cfg.Roster.Version()
 	s.TargetsAge = now.Sub(listed)
+	c.mu.Lock()
+	s.Known = len(c.members) + 1
+	large := len(c.members) >= fullMesh
+	c.mu.Unlock()
 	for _, spec := range c.cfg.Table.Snapshot().Services {
 		l := c.cfg.Views.Lead(spec.Name)
-		if age := now.Sub(l.At); l.Target != "" && age < freshLead {
+		// In a large fleet each VM asks the homes of primaries themselves.
+		if age := now.Sub(l.At); l.Target != "" && age < freshLead && (!large || c.cfg.IsHome(l.Target)) {
 			s.Leads = append(s.Leads, LeadNote{spec.Name, l.Target, l.Position, age})
 		}
 	}
@@ -123,6 +139,9 @@
 	if snap := c.cfg.Table.Snapshot(); snap.Version > args.Revision {
 		reply.Configuration = snap.Encoded
 	}
+	if args.WantHolders {
+		reply.Holders = c.rates.Holders()
+	}
 	if list, version, at := c.cfg.Roster.Listed(); version > args.Targets {
 		reply.Targets, reply.TargetVersion, reply.TargetAge = list, version, c.cfg.Clock.Since(at)
 	}
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -16,10 +16,11 @@
 	suspectAfter = 900 * time.Millisecond
 	// fullMesh is the number of VMs up to which each pings all others.
 	fullMesh = 16
-	// distantPings is the number of peers that a VM of a larger fleet pings in
-	// each interval besides those it depends on, chosen in turn. News reach all
-	// VMs within the logarithm of their number of intervals.
-	distantPings = 2
+	// farEvery says that one in so many pings of distant peers goes to another
+	// data centre. A VM of a larger fleet pings one distant peer in each
+	// interval, in turn. News reach all VMs within the logarithm of their number
+	// of intervals.
+	farEvery = 3
 	// deadInterval is the time between two pings of a peer that is silent for
 	// long, such as one that was removed.
 	deadInterval = 1500 * time.Millisecond
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -46,6 +46,10 @@
 	Nodes []Node `json:",omitempty"`
 	// WantNodes asks for Nodes.
 	WantNodes bool `json:",omitempty"`
+	// Known is the number of VMs that the sender knows.
+	Known int `json:",omitempty"`
+	// HasHolders says that the sender knows the record of shares.
+	HasHolders bool `json:",omitempty"`
 	// RevisionAge is the time since the revision was known to be the newest.
 	RevisionAge time.Duration
 	// Targets is the version of the sender's list of targets, and TargetsAge
@@ -60,8 +64,9 @@
 
 // FetchArgs asks for what is newer than the receiver's state.
 type FetchArgs struct {
-	Revision siskin.Revision
-	Targets  siskin.Version
+	Revision    siskin.Revision
+	Targets     siskin.Version
+	WantHolders bool `json:",omitempty"`
 }
 
 // FetchReply holds the configuration and the targets if they are newer.
@@ -70,4 +75,5 @@
 	Targets       []siskin.TargetInfo `json:",omitempty"`
 	TargetVersion siskin.Version      `json:",omitempty"`
 	TargetAge     time.Duration       `json:",omitempty"`
+	Holders       []siskin.VMID       `json:",omitempty"`
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -43,7 +43,7 @@
 	longestPause = time.Second
 	// lonelyRead is the time between two reads of the VMs by one that has
 	// contact to none.
-	lonelyRead = 2 * time.Second
+	lonelyRead = time.Second
 )
 
 // VMKind is the kind of the objects by which VMs find each other.
@@ -67,6 +67,8 @@
 	Crew   *crew.Crew
 	// Holders is called once with the VMs that share the customers' rates.
 	Holders func([]siskin.VMID)
+	// Known returns them once they are known, also from a peer.
+	Known func() []siskin.VMID
 }
 
 // Feed reads the store. Close ends it.
@@ -213,18 +215,13 @@
 	}
 }
 
-// publish writes this VM's object, over that of an earlier run if there is one,
-// and reads those of the others.
+// publish writes this VM's object, over that of an earlier run if there is one.
 func (f *Feed) publish(ctx context.Context, self crew.Node) error {
 	_, err := f.cfg.Store.Create(ctx, VMKind, string(self.ID), self)
-	exists := siskin.KindOf(err) == siskin.Conflict
-	if err != nil && !exists {
+	if siskin.KindOf(err) != siskin.Conflict {
 		return err
 	}
 	l, err := f.vms(ctx)
-	if err != nil || !exists {
-		return err
-	}
 	for _, o := range l.Objects {
 		if o.Name == string(self.ID) {
 			_, err = f.cfg.Store.Update(ctx, VMKind, o.Name, self, o.Version)
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -17,8 +17,11 @@
 	// formAfter is the time after which a VM creates the record when there is
 	// none. All VMs of a new fleet start within 300 ms and register at once.
 	formAfter = 3 * time.Second
+	// askPeersFor is the time for which a VM expects the record from its peers.
+	// The VM with the smallest id reads the store meanwhile.
+	askPeersFor = 6 * time.Second
 	// holdersPause is the pause between two reads of a record that is missing.
-	holdersPause = 1500 * time.Millisecond
+	holdersPause = time.Second
 )
 
 // holdersRecord is the value of the record. It is never changed: a holder that
@@ -28,7 +31,12 @@
 // holders reads the record, or creates it from the VMs known.
 func (f *Feed) holders(ctx context.Context) {
 	start := f.cfg.Clock.Now()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && f.cfg.Known() == nil {
+		first := f.cfg.Crew.Live()
+		if (len(first) < 2 || first[0].ID != f.cfg.Crew.Self().ID) && f.cfg.Clock.Since(start) < askPeersFor {
+			sleep(ctx, pollTick)
+			continue
+		}
 		l, err := f.cfg.Store.List(ctx, rightsKind)
 		if err != nil {
 			f.failed(string(rightsKind), err)
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"siskintray.example/siskin"
@@ -33,31 +34,44 @@
 }
 
 // Path runs statements at the homes of their targets.
-type Path struct{ cfg Config }
+type Path struct {
+	cfg    Config
+	ranker place.Ranker
+}
 
 // New returns a Path.
-func New(cfg Config) *Path { return &Path{cfg} }
+func New(cfg Config) *Path { return &Path{cfg: cfg} }
 
-// Ranked returns the VMs that may be the home of a target, best first: those of
+// ranked returns the VMs that may be the home of a target, best first: those of
 // its data centre, or all when it has none that lives.
-func Ranked(t siskin.TargetInfo, live []siskin.VM) []siskin.VM {
-	return place.Rank(string(t.ID), place.In(t.DataCentre, live))
+func (p *Path) ranked(t siskin.TargetInfo) []siskin.VM {
+	return p.ranker.Rank(string(t.ID), p.cfg.Crew.Live(), func(live []siskin.VM) []siskin.VM {
+		return place.In(t.DataCentre, live)
+	})
+}
+
+// Home returns the home of a target, as far as this VM knows.
+func (p *Path) Home(t siskin.TargetInfo) (siskin.VMID, bool) {
+	list := p.ranked(t)
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[0].ID, true
 }
 
 // IsHome reports whether this VM is the home of a target, as far as it knows.
 func (p *Path) IsHome(t siskin.TargetInfo) bool {
-	vm, ok := place.Best(string(t.ID), place.In(t.DataCentre, p.cfg.Crew.Live()))
-	return ok && vm.ID == p.cfg.Crew.Self().ID
+	id, ok := p.Home(t)
+	return ok && id == p.cfg.Crew.Self().ID
 }
 
 // PrimaryHomes returns the homes of the primaries, as far as this VM knows them.
 func (p *Path) PrimaryHomes(services []siskin.ServiceSpec) map[siskin.VMID]bool {
-	live := p.cfg.Crew.Live()
 	near := make(map[siskin.VMID]bool)
 	for _, s := range services {
 		if t, ok := p.cfg.Roster.Target(p.cfg.Views.Lead(s.Name).Target); ok {
-			if vm, ok := place.Best(string(t.ID), place.In(t.DataCentre, live)); ok {
-				near[vm.ID] = true
+			if id, ok := p.Home(t); ok {
+				near[id] = true
 			}
 		}
 	}
@@ -96,13 +110,14 @@
 // candidates returns the homes to try. A VM outside of the target's data centre
 // follows, for the time when all homes inside are out of reach.
 func (p *Path) candidates(t siskin.TargetInfo) []siskin.VM {
-	live := p.cfg.Crew.Live()
-	list := Ranked(t, live)
-	if len(list) < maxHomes {
-		for _, vm := range place.Rank(string(t.ID), live) {
-			if vm.DataCentre != t.DataCentre {
-				return append(list, vm)
-			}
+	list := p.ranked(t)
+	if len(list) >= maxHomes {
+		return list[:maxHomes]
+	}
+	all := p.ranker.Rank("far/"+string(t.ID), p.cfg.Crew.Live(), nil)
+	for _, vm := range all {
+		if vm.DataCentre != t.DataCentre {
+			return append(slices.Clip(list), vm)
 		}
 	}
 	return list
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -44,14 +44,16 @@
 
 // Limiter admits requests. It implements siskin.Limiter.
 type Limiter struct {
-	cfg Config
-
-	mu     sync.Mutex
-	share  float64   // of this VM; zero until the record names it
-	since  time.Time // when the share became known
-	local  map[siskin.CustomerID]*local
-	pools  map[siskin.CustomerID]*pool
-	stamps map[siskin.VMID]received
+	cfg    Config
+	ranker place.Ranker
+
+	mu      sync.Mutex
+	holders []siskin.VMID
+	share   float64   // of this VM; zero until the record names it
+	since   time.Time // when the share became known
+	local   map[siskin.CustomerID]*local
+	pools   map[siskin.CustomerID]*pool
+	stamps  map[siskin.VMID]received
 }
 
 var (
@@ -95,7 +97,10 @@
 func (l *Limiter) SetHolders(holders []siskin.VMID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.share, l.since = 0, l.cfg.Clock.Now()
+	if l.holders != nil {
+		return // the record never changes
+	}
+	l.holders, l.since = holders, l.cfg.Clock.Now()
 	for _, id := range holders {
 		if id == l.cfg.Members.Self().ID {
 			l.share = 1 / float64(len(holders))
@@ -104,6 +109,13 @@
 	l.cfg.Log.Info().Int("Holders", len(holders)).Float64("Share", l.share).Msg("shares of rates are known")
 }
 
+// Holders returns the VMs that share the rates, nil when they are not known.
+func (l *Limiter) Holders() []siskin.VMID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holders
+}
+
 // Share returns this VM's share of each customer's rate.
 func (l *Limiter) Share() float64 {
 	l.mu.Lock()
@@ -264,17 +276,19 @@
 
 // owner returns the VM that holds the pool of a customer.
 func (l *Limiter) owner(customer siskin.CustomerID) (siskin.VMID, bool) {
-	vm, ok := place.Best("rate/"+string(customer), l.owners())
-	return vm.ID, ok
+	list := l.ranker.Rank("rate/"+string(customer), l.cfg.Members.Live(), l.chooseOwners)
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[0].ID, true
 }
 
 // maxOwners bounds the VMs that hold pools, since every VM exchanges loans with
 // each of them several times a second.
 const maxOwners = 8
 
-// owners returns the VMs that hold the pools of all customers.
-func (l *Limiter) owners() []siskin.VM {
-	live := l.cfg.Members.Live()
+// chooseOwners returns the VMs that hold the pools of all customers.
+func (l *Limiter) chooseOwners(live []siskin.VM) []siskin.VM {
 	if len(live) <= maxOwners {
 		return live
 	}
@@ -284,7 +298,7 @@
 // Owners returns the ids of the VMs that hold pools.
 func (l *Limiter) Owners() []siskin.VMID {
 	var ids []siskin.VMID
-	for _, vm := range l.owners() {
+	for _, vm := range l.ranker.Rank("rates", l.cfg.Members.Live(), l.chooseOwners) {
 		ids = append(ids, vm.ID)
 	}
 	return ids
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -109,7 +109,7 @@
 	run := siskin.Incarnation(time.Now().UnixNano())
 	n.crew = crew.New(crew.Config{
 		Clock: n.clock, Seeds: n.cfg.Peer.Seeds, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views,
-		Homes: n.homes, Apply: n.apply, Log: n.log, Close: n.closePeers,
+		Homes: n.homes, Apply: n.apply, Log: n.log, Close: n.closePeers, IsHome: n.isHome,
 		Self: crew.Node{
 			ID: siskin.VMID(n.cfg.VM.ID), Run: run, DataCentre: siskin.DataCentreID(n.cfg.VM.DataCentre), Address: n.cfg.Peer.Address,
 		},
@@ -122,6 +122,11 @@
 	return nil
 }
 
+func (n *node) isHome(id siskin.TargetID) bool {
+	t, ok := n.roster.Target(id)
+	return ok && n.path.IsHome(t)
+}
+
 // closePeers returns the VMs that this one depends on: the homes of primaries,
 // whose pings bring floors for reads, and the holders of pools of rates.
 func (n *node) closePeers() map[siskin.VMID]bool {
@@ -143,7 +148,7 @@
 		Promoter: &platform.Promoter{Base: "http://" + n.cfg.Promoter.Address, HTTP: client, Timeout: n.cfg.Promoter.Timeout},
 	})
 	n.feed = feed.Start(feed.Config{
-		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, Holders: n.rates.SetHolders,
+		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, Holders: n.rates.SetHolders, Known: n.rates.Holders,
 		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, Target: platform.DecodeTarget,
 	})
 }
--- /dev/null
+++ b/pkg/place/ranker.go
@@ -0,0 +1,38 @@
+package place
+
+import (
+	"sync"
+
+	"siskintray.example/siskin"
+)
+
+// Ranker keeps the ranks of resources until the list of VMs changes. It is safe
+// for concurrent use. The zero value is ready.
+type Ranker struct {
+	mu    sync.Mutex
+	vms   []siskin.VM
+	ranks map[string][]siskin.VM
+}
+
+// Rank returns the order of Rank over the VMs that choose picks of the list,
+// all when choose is nil. Lists are told apart by identity, so a caller must
+// not modify one. The result must not be modified either.
+func (r *Ranker) Rank(resource string, vms []siskin.VM, choose func([]siskin.VM) []siskin.VM) []siskin.VM {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.vms) != len(vms) || len(vms) > 0 && &r.vms[0] != &vms[0] {
+		r.vms, r.ranks = vms, make(map[string][]siskin.VM)
+	}
+	if ranked, ok := r.ranks[resource]; ok {
+		return ranked
+	}
+	chosen := vms
+	if choose != nil {
+		chosen = choose(vms)
+	}
+	ranked := Rank(resource, chosen)
+	if r.ranks != nil {
+		r.ranks[resource] = ranked
+	}
+	return ranked
+}
