--- /dev/null
+++ b/internal/elect/decide_test.go
@@ -0,0 +1,118 @@
+package elect
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"siskintray.example/siskin"
+)
+
+// TestScripts guards against changes of primary that come too early, too late
+// or with too few claims. Each line of testdata has words and a wanted result.
+func TestScripts(t *testing.T) {
+	runs := map[string]func([]string) string{"decide": runDecide, "claims": runClaims}
+	for name, run := range runs {
+		archive, err := txtar.ParseFile(filepath.Join("testdata", name+".txtar"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range archive.Files {
+			t.Run(name+"/"+file.Name, func(t *testing.T) {
+				for line := range strings.Lines(string(file.Data)) {
+					input, want, ok := strings.Cut(strings.TrimSpace(line), " => ")
+					if !ok {
+						continue
+					}
+					if got := run(strings.Fields(input)); got != want {
+						t.Errorf("%s: got %s, want %s", input, got, want)
+					}
+				}
+			})
+		}
+	}
+}
+
+// runDecide decides on words such as known, silent or proof=900ms.
+func runDecide(words []string) string {
+	e := evidence{watched: time.Hour}
+	for _, w := range words {
+		name, value, _ := strings.Cut(w, "=")
+		d, _ := time.ParseDuration(value) // zero for words without a value
+		switch name {
+		case "known":
+			e.known = true
+		case "silent":
+			e.silent = true
+		case "refused":
+			e.silent, e.refused = true, true
+		case "denied":
+			e.denied = true
+		case "draining":
+			e.draining = true
+		case "successor":
+			e.successor = true
+		case "proof":
+			e.proofAge = d
+		case "stalled":
+			e.stalled = d
+		case "watched":
+			e.watched = d
+		default:
+			return "unknown word " + name
+		}
+	}
+	return decide(e).String()
+}
+
+// runClaims reads claims such as a:primary:held:3.7 or b:silent, with sync=N,
+// for the term 4, and says which target is promoted.
+func runClaims(words []string) string {
+	const term = 4
+	sync := 1
+	var claims []claim
+	for _, w := range words {
+		if n, ok := strings.CutPrefix(w, "sync="); ok {
+			sync, _ = strconv.Atoi(n)
+			continue
+		}
+		var c claim
+		for i, part := range strings.Split(w, ":") {
+			var received siskin.Position
+			switch {
+			case i == 0:
+				c.target.ID = siskin.TargetID(part)
+			case part == "primary":
+				c.primary = true
+			case part == "held":
+				c.status.HeldTerm = term
+			case part == "older":
+				c.status.HeldTerm = term - 1
+			case part == "silent":
+				c.err = errors.New("no answer")
+			case part == "draining":
+				c.target.Draining = true
+			default:
+				if _, err := fmt.Sscanf(part, "%d.%d", &received.Term, &received.LSN); err != nil {
+					return "unknown word " + part
+				}
+				c.status.Received = received
+			}
+		}
+		claims = append(claims, c)
+	}
+	if !enough(claims, term, sync) {
+		return "too few"
+	}
+	best, ok := newest(claims, term, sync)
+	if !ok {
+		return "none"
+	}
+	return string(best.target.ID)
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,66 @@
+package roster
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"siskintray.example/siskin"
+)
+
+// TestScripts guards against targets that count as gone too early, or stay
+// after they are gone, and against lists that run backwards. A line has the
+// time, the version, and the ids listed, or "same" for a confirmation.
+func TestScripts(t *testing.T) {
+	archive, err := txtar.ParseFile(filepath.Join("testdata", "lists.txtar"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			r := New()
+			for line := range strings.Lines(string(file.Data)) {
+				input, want, ok := strings.Cut(strings.TrimSpace(line), " => ")
+				if !ok {
+					continue
+				}
+				play(t, r, strings.Fields(input))
+				if got := ids(r.Service("s")); got != want {
+					t.Errorf("%s: got %s, want %s", input, got, want)
+				}
+			}
+		})
+	}
+}
+
+func play(t *testing.T, r *Roster, words []string) {
+	t.Helper()
+	after, err := time.ParseDuration(words[0])
+	version, err2 := strconv.ParseUint(words[1], 10, 64)
+	if err != nil || err2 != nil {
+		t.Fatalf("got %v %v, want a time and a version", err, err2)
+	}
+	at := time.Unix(1000, 0).Add(after)
+	if len(words) > 2 && words[2] == "same" {
+		r.Confirm(siskin.Version(version), at)
+		return
+	}
+	var list []siskin.TargetInfo
+	for _, id := range words[2:] {
+		list = append(list, siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s"})
+	}
+	r.Replace(list, siskin.Version(version), at)
+}
+
+func ids(list []siskin.TargetInfo) string {
+	var b strings.Builder
+	for _, t := range list {
+		fmt.Fprintf(&b, "%s", t.ID)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/views/views_test.go
@@ -0,0 +1,81 @@
+package views
+
+import (
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+var origin = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
+
+func lead(id siskin.TargetID, number siskin.LSN, ms int) Lead {
+	return Lead{Target: id, Position: siskin.Position{Term: 1, LSN: number}, At: at(ms)}
+}
+
+// TestProofs guards against an old proof that hides a newer one, and against a
+// primary that denied its lead.
+func TestProofs(t *testing.T) {
+	targets := []siskin.TargetInfo{{ID: "a", Primary: true}, {ID: "b"}, {ID: "c"}}
+	v := New()
+	if got := v.Primary("s", targets); got != "a" {
+		t.Errorf("without a proof: got %q, want the hint a", got)
+	}
+	v.Denied("s", "a", at(0))
+	if got := v.Primary("s", targets); got != "" {
+		t.Errorf("after a denial of the hint: got %q, want none", got)
+	}
+	v.Hint("s", "a")
+	if got := v.Primary("s", targets); got != "a" {
+		t.Errorf("after discovery reports it again: got %q, want a", got)
+	}
+	v.Proven("s", lead("b", 7, 100))
+	v.Proven("s", lead("a", 5, 50))
+	if got := v.Primary("s", targets); got != "b" {
+		t.Errorf("after an older proof: got %q, want b", got)
+	}
+	v.Denied("s", "b", at(200))
+	if got := v.Primary("s", targets); got != "a" {
+		t.Errorf("after a denial: got %q, want the hint a", got)
+	}
+	// A proof that aged on its way is older than that of the target that denied.
+	v.Proven("s", lead("c", 9, 90))
+	if got := v.Primary("s", targets); got != "c" {
+		t.Errorf("after a proof behind a denial: got %q, want c", got)
+	}
+	if got := v.Primary("s", targets[:2]); got != "a" {
+		t.Errorf("after the primary is gone: got %q, want the hint a", got)
+	}
+}
+
+// TestFloors guards against floors that lose their position or get younger than
+// their question.
+func TestFloors(t *testing.T) {
+	v := New()
+	v.Proven("s", lead("a", 7, 100))
+	v.Proven("s", Lead{Target: "a", At: at(200)})
+	if got, want := v.Lead("s"), lead("a", 7, 200); got != want {
+		t.Errorf("proof without a position: got %+v, want %+v", got, want)
+	}
+	v.Proven("s", lead("a", 6, 150))
+	if got, want := v.Lead("s"), lead("a", 7, 200); got != want {
+		t.Errorf("older proof: got %+v, want %+v", got, want)
+	}
+}
+
+// TestHolding guards against requests that are refused after a change of
+// primary is over.
+func TestHolding(t *testing.T) {
+	v := New()
+	v.Proven("s", lead("a", 1, 0))
+	v.Hold("s", at(1000))
+	if !v.Holding("s", at(500)) || v.Holding("s", at(1000)) {
+		t.Error("got no hold for its time, want one")
+	}
+	v.Proven("s", lead("b", 2, 600))
+	if v.Holding("s", at(700)) {
+		t.Error("got a hold after another target led, want none")
+	}
+}
