entry: the commit of a failed transaction is an abort

Cause: a transaction that was lost at its target was opened again by its COMMIT, which then succeeded for a transaction without statements. Callers that commit without a look at the failed statement took it for kept. Found by testdata/outcomes (primary BEGIN WRITE READ COMMIT: begun lost): three commits at the target before, none and ABORTED now.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -156,6 +156,10 @@
 		if s.tx == nil {
 			return s.refuse(siskin.Malformed, "no transaction is open"), nil
 		}
+		if s.tx.failed {
+			s.rollback()
+			return s.refuse(siskin.Aborted, "the transaction had failed and was rolled back; run it again"), nil
+		}
 	case siskin.Execute:
 		p, ok := s.prepared[st.Name]
 		if !ok {
