--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,142 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/boot"
+	"siskintray.example/siskin/internal/crew"
+	"siskintray.example/siskin/internal/logs"
+	"siskintray.example/siskin/internal/roster"
+	"siskintray.example/siskin/internal/table"
+)
+
+// fakeStore holds one configuration and fails on demand.
+type fakeStore struct {
+	mu    sync.Mutex
+	err   error
+	reads int
+	value string
+}
+
+func (s *fakeStore) Get(context.Context, siskin.ObjectKind, string) (siskin.StoreObject, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return siskin.StoreObject{Name: "main", Version: 1, Value: json.RawMessage(s.value)}, s.err
+}
+
+func (s *fakeStore) List(context.Context, siskin.ObjectKind) (siskin.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return siskin.Listing{Version: 1}, s.err
+}
+
+func (s *fakeStore) Create(context.Context, siskin.ObjectKind, string, any) (siskin.Version, error) {
+	return 1, nil
+}
+
+func (s *fakeStore) Update(context.Context, siskin.ObjectKind, string, any, siskin.Version) (siskin.Version, error) {
+	return 1, nil
+}
+
+func (s *fakeStore) set(value string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value, s.err = value, err
+}
+
+func (s *fakeStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+type fixture struct {
+	store   *fakeStore
+	table   *table.Table
+	mu      sync.Mutex
+	applied []string
+}
+
+func startFeed(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{store: &fakeStore{value: "1"}, table: table.New()}
+	l := logs.New("error", "json", io.Discard)
+	targets := roster.New()
+	feed := Start(Config{
+		Clock: boot.Clock{}, Store: f.store, Log: l, Table: f.table, Roster: targets,
+		Crew:    crew.New(crew.Config{Clock: boot.Clock{}, Self: crew.Node{ID: "vm"}, Table: f.table, Roster: targets, Log: l}),
+		Holders: func([]siskin.VMID) {}, Known: func() []siskin.VMID { return []siskin.VMID{"vm"} },
+		Apply: func(encoded []byte, _ string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if n := len(f.applied); n == 0 || f.applied[n-1] != string(encoded) {
+				f.applied = append(f.applied, string(encoded))
+			}
+		},
+	})
+	t.Cleanup(func() {
+		if err := feed.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+func (f *fixture) newest() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.applied) == 0 {
+		return ""
+	}
+	return f.applied[len(f.applied)-1]
+}
+
+func (f *fixture) await(t *testing.T, want string, limit time.Duration) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); f.newest() != want; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("configuration after %v: got %q, want %q", limit, f.newest(), want)
+		}
+	}
+}
+
+// TestConfigurationInForce guards against changes that take longer than the 3 s
+// that the users allow, also right after an outage of the store.
+func TestConfigurationInForce(t *testing.T) {
+	t.Parallel()
+	f := startFeed(t)
+	f.await(t, "1", time.Second)
+	f.store.set("2", nil)
+	f.await(t, "2", 3*time.Second)
+	f.store.set("3", errors.New("down"))
+	time.Sleep(1500 * time.Millisecond)
+	f.store.set("3", nil)
+	f.await(t, "3", 3*time.Second)
+}
+
+// TestOthersRead guards against a VM that reads the store although a peer has
+// just done so, and against one that never does when its peers stop.
+func TestOthersRead(t *testing.T) {
+	t.Parallel()
+	f := startFeed(t)
+	f.await(t, "1", time.Second)
+	// A peer's read reaches this VM every 300 ms.
+	before := f.store.count()
+	for range 10 {
+		f.table.Confirm(boot.Clock{}.Now())
+		time.Sleep(300 * time.Millisecond)
+	}
+	if got := f.store.count() - before; got > 0 {
+		t.Errorf("reads while a peer reads: got %d, want 0", got)
+	}
+	f.store.set("2", nil)
+	f.await(t, "2", 3*time.Second)
+}
