elect, home, quota: keep claims while a promotion is pending

The replays also showed, by their logs: a failed change ended the pause that a later one had set; replicas received again while an order without an answer was pending; a target without a free connection was held to be dead; a VM cut off together with a primary made it step down. Change: only a target that led a moment before counts as stepped down, and only in its term; a pause is ended by the change that set it, and not while its order may still be carried out; TOOMANY is an answer; a primary that answers is given up only if its replicas answer too. Fences are kept in reserve at every VM of a small fleet. Control connections close when idle: up to one per VM counted against each target's limit. Homes retry TOOMANY within the time for the queue. A stopping VM gives its lenders their loans back.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -83,6 +83,7 @@
 // Leave tells the peers to give this VM no further work.
 func (c *Crew) Leave() {
 	c.leaving.Store(true)
+	c.rates.Release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range c.members {
@@ -300,7 +301,11 @@
 	}
 	c.publish()
 	c.mu.Unlock()
-	c.rates.Received(reply.From.ID, reply.Stamp)
+	if reply.Released {
+		c.rates.Returned(reply.From.ID)
+	} else {
+		c.rates.Received(reply.From.ID, reply.Stamp)
+	}
 	c.absorb(&reply, asked)
 }
 
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -59,7 +59,9 @@
 	// Stamp lets the receiver lend shares of rates to the sender, and Loans are
 	// those that the sender lends to the receiver.
 	Stamp quota.Stamp
-	Loans *quota.Loans `json:",omitempty"`
+	// Released says that the sender dropped the loans that it held.
+	Released bool         `json:",omitempty"`
+	Loans    *quota.Loans `json:",omitempty"`
 }
 
 // FetchArgs asks for what is newer than the receiver's state.
--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -54,7 +54,9 @@
 	var wg sync.WaitGroup
 	for _, t := range e.cfg.Roster.Service(name) {
 		wg.Go(func() {
-			if e.cfg.Homes.Ping(ctx, name, t.ID) == nil {
+			err := e.cfg.Homes.Ping(ctx, name, t.ID)
+			// A target without a free connection may lead; it is asked again.
+			if err == nil || siskin.KindOf(err) == siskin.Overloaded {
 				found <- string(t.ID)
 			}
 		})
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -33,6 +33,9 @@
 	term    siskin.Term
 	claims  []claim
 	chosen  claim
+	// pending says that an order may still be carried out, led that the chosen
+	// target leads.
+	pending, led bool
 }
 
 // run carries the change out. Replicas that were claimed receive again at its
@@ -75,6 +78,11 @@
 		}
 	}
 	c.term++
+	// A primary that answers here is given up only if its replicas can take over:
+	// this VM may share its cut, and other VMs see to the rest.
+	if (c.planned || c.stalled) && !replicasAnswer(c.claims, c.spec.SyncReplicas) {
+		return siskin.NewError(siskin.Unavailable, "the replicas of %s do not answer", c.spec.Name).WithRemedy("restore the network")
+	}
 	// A replica that is paused in vain acknowledges nothing for a primary that
 	// other VMs may still reach, so nothing is claimed without a prospect.
 	if !enough(c.claims, 0, c.spec.SyncReplicas) {
@@ -109,16 +117,27 @@
 // claimAll claims every target that answers.
 func (c *change) claimAll(ctx context.Context) error {
 	targets := c.e.cfg.Roster.Service(c.spec.Name)
+	led := make(map[siskin.TargetID]siskin.Term) // targets that led a moment ago
+	for _, cl := range c.claims {
+		if cl.err == nil && cl.status.Primary {
+			led[cl.target.ID] = cl.status.Term
+		}
+	}
 	c.claims = make([]claim, len(targets))
 	c.each(ctx, targets, func(ctx context.Context, t siskin.TargetInfo) (siskin.ControlStatus, error) {
 		kind := siskin.Pause
-		if t.ID == c.old {
+		if _, ok := led[t.ID]; ok {
 			kind = siskin.StepDown
 		}
 		return c.control(ctx, t.ID, siskin.Statement{Kind: kind, Term: c.term})
 	})
 	for i := range c.claims {
-		c.logClaim(&c.claims[i], "claimed a target")
+		cl := &c.claims[i]
+		// A replica accepts to step down as well, and proves nothing by it.
+		if term, ok := led[cl.target.ID]; ok && cl.err == nil {
+			cl.steppedDown, cl.end, cl.led = true, cl.status.Received, term
+		}
+		c.logClaim(cl, "claimed a target")
 	}
 	if !enough(c.claims, c.term, c.spec.SyncReplicas) {
 		return siskin.NewError(siskin.Unavailable, "too few targets of %s could be claimed for term %d", c.spec.Name, c.term).WithRemedy("restore a target; without it an acknowledged commit could be lost")
--- /dev/null
+++ b/internal/elect/change_test.go
@@ -0,0 +1,133 @@
+package elect
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/boot"
+	"siskintray.example/siskin/internal/home"
+	"siskintray.example/siskin/internal/logs"
+	"siskintray.example/siskin/internal/roster"
+	"siskintray.example/siskin/internal/views"
+	"siskintray.example/siskin/platform"
+	"siskintray.example/siskin/platform/stand"
+)
+
+// alone is a fleet of one VM.
+type alone struct{}
+
+func (alone) Self() siskin.VM                      { return siskin.VM{ID: "vm"} }
+func (alone) Live() []siskin.VM                    { return []siskin.VM{{ID: "vm"}} }
+func (alone) Lookup(siskin.VMID) (siskin.VM, bool) { return siskin.VM{}, false }
+func (alone) Changed() <-chan struct{}             { return nil }
+
+// newChange returns a change of the primary of a stand-in.
+func newChange(t *testing.T) (*change, *stand.Platform) {
+	t.Helper()
+	p, err := stand.Start(stand.ServiceOptions{Name: "ledger", Zones: []string{"a", "b", "c"}, Slots: 2, MaxConnections: 16, SyncReplicas: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	targets := roster.New()
+	var list []siskin.TargetInfo
+	for _, target := range p.Targets("ledger") {
+		list = append(list, siskin.TargetInfo{ID: target.ID(), Service: "ledger", Address: target.Address(), Slots: 2})
+	}
+	targets.Replace(list, 1, time.Unix(1, 0))
+	v := views.New()
+	homes := home.New(home.Config{
+		Clock: boot.Clock{}, Views: v, Connector: &platform.Connector{Dial: (&net.Dialer{}).DialContext}, Target: targets.Target,
+		Limit: func(siskin.TargetInfo) int { return 4 }, IsHome: func(siskin.TargetInfo) bool { return true },
+	})
+	e := &Elector{
+		cfg: Config{
+			Clock: boot.Clock{}, Members: alone{}, Roster: targets, Views: v, Homes: homes,
+			Status: platform.ParseStatus, Log: logs.New("error", "json", io.Discard),
+		},
+		ctx: context.Background(),
+	}
+	t.Cleanup(func() {
+		e.done.Wait()
+		if err := homes.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := p.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return &change{e: e, spec: siskin.ServiceSpec{Name: "ledger", SyncReplicas: 1}, old: list[0].ID}, p
+}
+
+func (c *change) held(t *testing.T, id siskin.TargetID) siskin.Term {
+	t.Helper()
+	s, err := c.control(context.Background(), id, siskin.Statement{Kind: siskin.Status})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.HeldTerm
+}
+
+func (c *change) claimed(t *testing.T) {
+	t.Helper()
+	ctx := context.Background()
+	if err := c.inspect(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.claimAll(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestUnpauseOfEarlierTerm guards against a change that failed and ends the
+// claims of a later one, whose promotion is on its way: a commit that such a
+// replica acknowledges is then lost.
+func TestUnpauseOfEarlierTerm(t *testing.T) {
+	c, _ := newChange(t)
+	c.claimed(t)
+	replica := c.claims[1].target.ID
+	if _, err := c.control(context.Background(), replica, siskin.Statement{Kind: siskin.Pause, Term: c.term + 1}); err != nil {
+		t.Fatal(err)
+	}
+	c.unpause()
+	c.e.done.Wait()
+	if got, want := c.held(t, replica), c.term+1; got != want {
+		t.Errorf("term held for a later change: got %d, want %d", got, want)
+	}
+	if got := c.held(t, c.claims[2].target.ID); got != 0 {
+		t.Errorf("term held by the failed change: got %d, want 0", got)
+	}
+}
+
+// TestPendingPromotion guards against replicas that acknowledge commits again
+// while a promotion without an answer may still be carried out.
+func TestPendingPromotion(t *testing.T) {
+	c, _ := newChange(t)
+	c.claimed(t)
+	c.pending = true
+	c.unpause()
+	c.e.done.Wait()
+	for _, cl := range c.claims[1:] {
+		if got := c.held(t, cl.target.ID); got != c.term {
+			t.Errorf("term held by %s: got %d, want %d", cl.target.ID, got, c.term)
+		}
+	}
+}
+
+// TestReplicaIsNoPrimary guards against a replica that accepts to step down and
+// counts as a primary with every commit.
+func TestReplicaIsNoPrimary(t *testing.T) {
+	c, p := newChange(t)
+	c.old = p.Targets("ledger")[1].ID() // a stale view
+	p.Targets("ledger")[0].Crash()
+	p.Targets("ledger")[2].Crash()
+	ctx := context.Background()
+	if err := c.inspect(ctx); err == nil {
+		if err = c.claimAll(ctx); err == nil {
+			t.Errorf("claims of one replica of three: got %s to promote, want a refusal", c.chosen.target.ID)
+		}
+	}
+}
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -13,10 +13,43 @@
 	status siskin.ControlStatus
 	// primary says that the target was held to lead before the change.
 	primary bool
-	err     error
+	// steppedDown says that the target led in the term led and was claimed by
+	// making it step down, with end as the end of its log.
+	steppedDown bool
+	end         siskin.Position
+	led         siskin.Term
+	err         error
 }
 
-func (c *claim) holds(term siskin.Term) bool { return c.err == nil && c.status.HeldTerm >= term }
+// holds reports whether the target is claimed for a term. A replica says so
+// with the term of its pause. A primary that stepped down keeps no such term: it
+// no longer leads, and its log has not shrunk by a new start.
+func (c *claim) holds(term siskin.Term) bool {
+	switch {
+	case c.err != nil:
+		return false
+	case c.steppedDown:
+		// Another term means that another target was promoted meanwhile.
+		return !c.status.Primary && c.status.Term == c.led && c.status.Received.Compare(c.end) >= 0
+	default:
+		return c.status.HeldTerm >= term
+	}
+}
+
+// replicasAnswer reports whether enough replicas answer to take over from a
+// primary that may have commits which some of them lack.
+func replicasAnswer(claims []claim, sync int) bool {
+	replicas, missing := 0, 0
+	for i := range claims {
+		if claims[i].primary {
+			continue
+		}
+		if replicas++; claims[i].err != nil {
+			missing++
+		}
+	}
+	return replicas > missing && missing < max(sync, 1)
+}
 
 // enough reports whether every set of targets that could have acknowledged a
 // commit contains a claimed one. A commit is acknowledged by the primary and
@@ -27,7 +60,7 @@
 	for i := range claims {
 		c := &claims[i]
 		switch {
-		case c.holds(term) && c.primary:
+		case c.holds(term) && c.steppedDown:
 			return true
 		case !c.holds(term):
 			missing++
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -90,6 +90,12 @@
 				c.target.ID = siskin.TargetID(part)
 			case part == "primary":
 				c.primary = true
+			case part == "down":
+				c.steppedDown = true
+			case part == "later":
+				c.status.Term = term + 1
+			case part == "leads":
+				c.status.Primary = true
 			case part == "held":
 				c.status.HeldTerm = term
 			case part == "older":
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -42,6 +42,7 @@
 type Elector struct {
 	cfg   Config
 	fence fence
+	ctx   context.Context // ends at Close
 	stop  context.CancelFunc
 	done  sync.WaitGroup
 
@@ -70,10 +71,34 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Elector{cfg: cfg, stop: cancel, services: make(map[siskin.ServiceName]*watch)}
 	e.fence.e = e
+	e.ctx = ctx
 	e.done.Go(func() { e.loop(ctx) })
+	e.done.Go(func() { e.refreshFence(0) })
 	return e
 }
 
+// smallFleet is the number of VMs up to which each keeps a fence in reserve.
+// In a larger one only the VMs that watch a service do.
+const smallFleet = 16
+
+// refreshDelay spreads the calls of VMs that renew their fences after a
+// promotion has made them too low.
+const refreshDelay = time.Second
+
+// refreshFence takes a fence that is higher than all that were used so far.
+func (e *Elector) refreshFence(delay time.Duration) {
+	if delay > 0 {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-e.cfg.Clock.After(rand.N(delay)):
+		}
+	}
+	if len(e.cfg.Members.Live()) <= smallFleet {
+		e.fence.refresh(e.ctx)
+	}
+}
+
 // Close stops watching and waits.
 func (e *Elector) Close() error {
 	e.stop()
@@ -189,6 +214,8 @@
 	case err == nil:
 	case siskin.KindOf(err) == siskin.Conflict:
 		w.last.denied = true
+	case siskin.KindOf(err) == siskin.Overloaded:
+		// It answers, so it is neither silent nor gone.
 	default:
 		// A refusal comes within a round trip, silence takes the time-out.
 		w.last.silent, w.last.refused = true, took < refusalTime
--- a/internal/elect/fence.go
+++ b/internal/elect/fence.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// refresh replaces the fence in reserve, since a higher one was used. The old
+// one is kept when the store does not answer: it may still do for a service
+// that saw no higher one.
+func (f *fence) refresh(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.renew(ctx); err != nil {
+		f.e.cfg.Log.Info().Err(err).Msg("the fence in reserve was not renewed")
+	}
+}
+
 // renew writes the object. After a lost answer the object is read, since its
 // version may have changed.
 func (f *fence) renew(ctx context.Context) error {
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -24,12 +24,16 @@
 			Uint64("Fence", uint64(fence)).AnErr("Error", err).Msg("ordered a promotion")
 		c.e.done.Go(func() { c.e.fence.reserve(context.WithoutCancel(ctx)) })
 		if err == nil {
+			c.pending = true
 			return c.awaitLead(ctx)
 		}
 		// An order without an answer may be carried out later; a higher fence
 		// keeps it from taking effect after the next one.
-		if siskin.KindOf(err) == siskin.OutcomeUnknown && c.leads(ctx) {
-			return nil
+		if siskin.KindOf(err) == siskin.OutcomeUnknown {
+			c.pending = true
+			if c.leads(ctx) {
+				return nil
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -57,6 +61,7 @@
 	if c.e.cfg.Homes.Ping(ctx, c.spec.Name, c.chosen.target.ID) != nil {
 		return false
 	}
+	c.pending, c.led = false, true
 	c.e.cfg.Views.Hold(c.spec.Name, time.Time{})
 	c.announce(0)
 	return true
@@ -97,16 +102,49 @@
 	}
 }
 
-// unpause lets claimed replicas receive again.
+const (
+	// unpauseAttempts and unpausePause bound the attempts to let a replica
+	// receive again that does not answer.
+	unpauseAttempts = 10
+	unpausePause    = time.Second
+)
+
+// unpause lets claimed replicas receive again. While an order may still be
+// carried out they stay paused: a commit that they acknowledged meanwhile would
+// be missing at the target that it promotes.
 func (c *change) unpause() {
+	if c.pending {
+		c.e.cfg.Log.Warn().Str("Service", string(c.spec.Name)).Uint64("Term", uint64(c.term)).
+			Msg("a promotion is pending; replicas stay paused until the next change")
+		return
+	}
 	for _, cl := range c.claims {
-		if cl.target.ID == c.chosen.target.ID || !cl.holds(c.term) {
+		if cl.target.ID == c.chosen.target.ID && c.led || cl.err == nil && cl.status.HeldTerm != c.term {
 			continue
 		}
-		c.e.done.Go(func() {
-			if _, err := c.control(context.Background(), cl.target.ID, siskin.Statement{Kind: siskin.Unpause}); err != nil {
-				c.e.cfg.Log.Warn().Err(err).Str("Target", string(cl.target.ID)).Msg("a replica may still be paused")
-			}
-		})
+		c.e.done.Go(func() { c.unpauseOne(cl.target.ID) })
+	}
+}
+
+// unpauseOne ends the pause of one replica unless another change has claimed it
+// for a later term.
+func (c *change) unpauseOne(id siskin.TargetID) {
+	for range unpauseAttempts {
+		status, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Status})
+		if err == nil && status.HeldTerm != c.term {
+			return
+		}
+		if err == nil {
+			_, err = c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Unpause})
+		}
+		if err == nil {
+			return
+		}
+		c.e.cfg.Log.Info().Err(err).Str("Target", string(id)).Msg("a replica may still be paused")
+		select {
+		case <-c.e.ctx.Done():
+			return
+		case <-c.e.cfg.Clock.After(unpausePause):
+		}
 	}
 }
--- a/internal/elect/receiver.go
+++ b/internal/elect/receiver.go
@@ -35,6 +35,7 @@
 		return nil
 	}
 	v.Hold(args.Hold.Service, time.Time{})
+	r.e.done.Go(func() { r.e.refreshFence(refreshDelay) })
 	if args.Old != args.Lead.Target {
 		v.Denied(args.Hold.Service, args.Old, now)
 	}
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -21,8 +21,13 @@
 	c  siskin.TargetConn
 	// opened is the run of the target that the connection was opened to.
 	opened siskin.TargetInfo
+	used   time.Time
 }
 
+// controlIdle is the time after which an unused control connection is closed.
+// Every VM may open one, and they count against the target's limit.
+const controlIdle = time.Second
+
 // Control sends statements to a target on the control connection. A broken
 // connection is replaced once before anything counts as failed, so the
 // statements must be safe to repeat.
@@ -39,8 +44,13 @@
 		answers, err = l.controlOnce(ctx, list)
 	}
 	if err != nil {
-		return nil, siskin.NewError(siskin.Unavailable, "target %s gave no answer", id).WithCause(err)
+		kind := siskin.Unavailable
+		if siskin.KindOf(err) == siskin.Overloaded {
+			kind = siskin.Overloaded // it answers, and has no connection left
+		}
+		return nil, siskin.NewError(kind, "target %s gave no answer", id).WithCause(err)
 	}
+	l.control.used = h.cfg.Clock.Now()
 	return answers, nil
 }
 
@@ -76,15 +86,18 @@
 }
 
 // Ping asks a target to prove its lead. It occupies no slot there. The result
-// is nil when the target leads, an error of kind Conflict when it denies it,
-// and of kind Unavailable when it does not answer.
+// is nil when the target leads, an error of kind Conflict when it denies it, of
+// kind Overloaded when it accepts no connection at the moment, and of kind
+// Unavailable when it does not answer.
 func (h *Homes) Ping(ctx context.Context, service siskin.ServiceName, id siskin.TargetID) error {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	asked := h.cfg.Clock.Now()
 	answers, err := h.Control(ctx, id, siskin.Statement{Kind: siskin.Begin}, siskin.Statement{Kind: siskin.Rollback})
 	if err != nil {
-		h.cfg.Views.Failed(id, h.cfg.Clock.Now())
+		if siskin.KindOf(err) != siskin.Overloaded {
+			h.cfg.Views.Failed(id, h.cfg.Clock.Now())
+		}
 		return err
 	}
 	switch a := &answers[0]; a.Code {
@@ -101,6 +114,29 @@
 	}
 }
 
+// trim closes connections that were idle for long: the control connection, and
+// those of callers when this VM is not the target's home.
+func (l *lane) trim(now time.Time, guest bool) {
+	if l.control.mu.TryLock() {
+		if l.control.c != nil && now.Sub(l.control.used) > controlIdle {
+			l.dropControl()
+		}
+		l.control.mu.Unlock()
+	}
+	if !guest {
+		return
+	}
+	l.mu.Lock()
+	var stale []*conn
+	for len(l.idle) > 0 && now.Sub(l.idle[0].used) > controlIdle {
+		stale = append(stale, l.idle[0])
+		l.idle = l.idle[1:]
+		l.open--
+	}
+	l.mu.Unlock()
+	closeAll(stale)
+}
+
 // Stalled returns the time for which writes at a target have gone without any
 // success, zero when the last one succeeded.
 func (h *Homes) Stalled(id siskin.TargetID) time.Duration {
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -39,7 +39,7 @@
 	f := &fixture{t: t, platform: p, views: views.New(), limit: 8}
 	f.homes = New(Config{
 		Clock: boot.Clock{}, Views: f.views, Connector: &platform.Connector{Dial: (&net.Dialer{}).DialContext},
-		Limit: func(siskin.TargetInfo) int { return f.limit },
+		Limit: func(siskin.TargetInfo) int { return f.limit }, IsHome: func(siskin.TargetInfo) bool { return true },
 		Target: func(id siskin.TargetID) (siskin.TargetInfo, bool) {
 			for _, target := range p.Targets("ledger") {
 				if target.ID() == id {
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -20,6 +20,8 @@
 	Target func(siskin.TargetID) (siskin.TargetInfo, bool)
 	// Limit returns the most connections that this VM may open to a target.
 	Limit func(siskin.TargetInfo) int
+	// IsHome reports whether this VM is the home of a target.
+	IsHome func(siskin.TargetInfo) bool
 }
 
 // Homes runs statements on targets. It is safe for concurrent use.
@@ -65,6 +67,7 @@
 	h.lanes.Range(func(id siskin.TargetID, l *lane) bool {
 		if info, ok := h.cfg.Target(id); ok {
 			l.update(info, h.cfg.Limit(info))
+			l.trim(h.cfg.Clock.Now(), !h.cfg.IsHome(info))
 			return true
 		}
 		h.lanes.Delete(id)
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -20,6 +20,9 @@
 	// spareRunning is the number of statements sent to a target beyond its
 	// slots. One keeps the slots busy during the round trip.
 	spareRunning = 1
+	// tooManyPause is the time to the next attempt after a target refused a
+	// connection as one too many, as while its home changes.
+	tooManyPause = 15 * time.Millisecond
 	// conflictFor is the time in which a target whose address answered for
 	// another one is not tried again.
 	conflictFor = time.Second
@@ -93,16 +96,28 @@
 		case c != nil:
 			return c, nil
 		case wait == nil:
-			return l.connect(ctx, customer)
+			c, err = l.connect(ctx, customer)
+			if siskin.KindOf(err) != siskin.Overloaded {
+				return c, err
+			}
+			wait = l.freed()
 		}
 		select {
 		case <-wait:
+		case <-l.clock.After(tooManyPause):
 		case <-ctx.Done():
 			return nil, siskin.NewError(siskin.Overloaded, "no connection to target %s is free", l.info.ID).WithRemedy("retry later")
 		}
 	}
 }
 
+// freed returns a channel that is closed when a connection becomes free.
+func (l *lane) freed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wake
+}
+
 // reserve returns an idle connection, or a channel to wait for, or neither when
 // the caller may open a connection, which is counted already.
 func (l *lane) reserve(customer siskin.CustomerID) (*conn, <-chan struct{}, error) {
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -1,9 +1,9 @@
 // Package quota keeps customers within rate and burst across all VMs.
 //
 // Every VM that the store's record names holds an equal share of each
-// customer's rate and burst. It keeps half of its share for itself and lends
-// the other half to the VM that owns the customer's pool. A request takes a
-// token of the VM's own half, else one of the pool. The sum of all shares never
+// customer's rate and burst. It keeps a part of its share for itself and lends
+// the rest to the VM that owns the customer's pool. A request takes a token of
+// the VM's own part, else one of the pool. The sum of all shares never
 // exceeds the limit:
 //
 //   - A loan cites a stamp that the owner issued, and the owner counts it for
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -12,7 +12,7 @@
 	At  int64 // nanoseconds
 }
 
-// Loans lends half of the sender's share of the customers to the receiver.
+// Loans lends a part of the sender's share of the customers to the receiver.
 type Loans struct {
 	From      siskin.VMID
 	Stamp     Stamp // last one received from the receiver
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -16,6 +16,10 @@
 	// loanLife is the time that a loan counts from the stamp that it cites. It
 	// spans several pings, so that one lost ping ends no loan.
 	loanLife = 1500 * time.Millisecond
+	// ownPart is the part of its share that a VM keeps while the rest is lent.
+	// It serves customers for loanLife when the owner of their pool dies. A
+	// larger part lies idle where a customer has no callers.
+	ownPart = 0.5
 	// grantLife is the time after which tokens taken from a pool are void. Up
 	// to this much of the rate can fall into a later window; the users' rule
 	// leaves a tenth of a window of five seconds.
@@ -49,11 +53,13 @@
 
 	mu      sync.Mutex
 	holders []siskin.VMID
-	share   float64   // of this VM; zero until the record names it
-	since   time.Time // when the share became known
-	local   map[siskin.CustomerID]*local
-	pools   map[siskin.CustomerID]*pool
-	stamps  map[siskin.VMID]received
+	// released says that this VM holds no pools anymore.
+	released bool
+	share    float64   // of this VM; zero until the record names it
+	since    time.Time // when the share became known
+	local    map[siskin.CustomerID]*local
+	pools    map[siskin.CustomerID]*pool
+	stamps   map[siskin.VMID]received
 }
 
 var (
@@ -143,15 +149,15 @@
 	return p
 }
 
-// earn adds the tokens that this VM's part of the share earned. While half of
-// the share is lent, only the other half earns.
+// earn adds the tokens that this VM's part of the share earned. What is lent
+// earns for the pool.
 func (l *Limiter) earn(p *local, now time.Time, rate, burst float64) {
 	if p.at.Before(p.lent) {
 		lentUntil := p.lent
 		if now.Before(lentUntil) {
 			lentUntil = now
 		}
-		p.fill(lentUntil, rate*l.share/2, burst*l.share/2)
+		p.fill(lentUntil, rate*l.share*ownPart, burst*l.share*ownPart)
 	}
 	if !now.Before(p.lent) {
 		p.fill(now, rate*l.share, burst*l.share)
@@ -318,6 +324,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.released {
+		return TakeReply{RetryAfter: retryAfter(rate)}
+	}
 	p := l.pools[args.Customer]
 	if p == nil {
 		return TakeReply{RetryAfter: retryAfter(rate)}
@@ -326,6 +335,39 @@
 	return TakeReply{Tokens: int(p.take(float64(args.Tokens))), RetryAfter: retryAfter(rate)}
 }
 
+// Release drops the pools of this VM for good, since it is about to stop, so
+// that its lenders can lend to others at once.
+func (l *Limiter) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.released = true
+	clear(l.pools)
+}
+
+// Released reports whether the pools of this VM were dropped.
+func (l *Limiter) Released() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.released
+}
+
+// Returned takes over that a VM has dropped its pools: what this VM lent to it
+// is its own again.
+func (l *Limiter) Returned(from siskin.VMID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.cfg.Clock.Now()
+	for id, p := range l.local {
+		if p.owner == from && now.Before(p.lent) {
+			if rate, burst, ok := l.limits(id); ok {
+				l.earn(p, now, rate, burst)
+			}
+			p.lent = now
+		}
+	}
+	delete(l.stamps, from)
+}
+
 // Stamp returns a stamp that loans to this VM may cite.
 func (l *Limiter) Stamp() Stamp { return Stamp{Run: l.cfg.Run, At: l.cfg.Clock.Now().UnixNano()} }
 
@@ -350,7 +392,7 @@
 	if !ok || l.share == 0 || now.Sub(r.at) > loanLife/2 {
 		return nil
 	}
-	loans := &Loans{From: l.cfg.Members.Self().ID, Stamp: r.stamp, Share: l.share / 2}
+	loans := &Loans{From: l.cfg.Members.Self().ID, Stamp: r.stamp, Share: l.share * (1 - ownPart)}
 	for i := range snap.Customers {
 		if l.lend(&snap.Customers[i], to, now, r.at.Add(loanLife)) {
 			loans.Customers = append(loans.Customers, snap.Customers[i].ID)
@@ -385,6 +427,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.released {
+		return
+	}
 	for _, id := range loans.Customers {
 		rate, burst, ok := l.limits(id)
 		if !ok {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -144,10 +144,14 @@
 		if loans != nil {
 			to.l.Lent(loans)
 		}
-		stamp := to.l.Stamp()
+		stamp, released := to.l.Stamp(), to.l.Released()
 		answer := func() {
-			if !from.down && !from.paused {
-				from.l.Received(to.id(), stamp)
+			if from.down || from.paused {
+				return
+			}
+			from.l.Received(to.id(), stamp)
+			if released {
+				from.l.Returned(to.id())
 			}
 		}
 		if s.rng.Intn(20) == 0 {
@@ -166,7 +170,9 @@
 // fault changes links and VMs.
 func (s *sim) fault() {
 	v := s.vms[s.rng.Intn(len(s.vms))]
-	switch s.rng.Intn(6) {
+	switch s.rng.Intn(7) {
+	case 6:
+		v.l.Release()
 	case 0:
 		v.down = true
 	case 1:
@@ -341,8 +347,8 @@
 	for v.l.Admit(s.clock.Now(), "acme", 1).Admitted {
 		got++
 	}
-	// Half of the share of a fifth while the loan counts, then all of it.
-	want := int(testRate / float64(simVMs) * (loanLife.Seconds()/2 + after.Seconds()))
+	// A part of the share of a fifth while the loan counts, then all of it.
+	want := int(testRate / float64(simVMs) * (loanLife.Seconds()*ownPart + after.Seconds()))
 	if got > want {
 		t.Errorf("tokens after a loan that lapsed: got %d, want at most %d", got, want)
 	}
--- a/internal/sysd/failover_test.go
+++ b/internal/sysd/failover_test.go
@@ -184,6 +184,35 @@
 	})
 }
 
+// TestReplicasGone guards against a primary that is made to step down although
+// no replica can take over, as by a VM that is cut off together with it.
+func TestReplicasGone(t *testing.T) {
+	f := startFleet(t, 3)
+	f.play(func() {
+		primary := f.platform.Primary("ledger")
+		for _, target := range f.platform.Targets("ledger") {
+			if target != primary {
+				target.Crash()
+			}
+		}
+		for range 25 {
+			time.Sleep(100 * time.Millisecond)
+			if !primary.Leads() {
+				t.Error("got a primary that stepped down without a successor")
+				break
+			}
+		}
+		for _, target := range f.platform.Targets("ledger") {
+			if target != primary {
+				if err := target.Restart(); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // TestLostAnswers guards against writes that are sent again after their answer
 // got lost.
 func TestLostAnswers(t *testing.T) {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -79,6 +79,7 @@
 	dialer := newDialer()
 	n.homes = home.New(home.Config{
 		Clock: n.clock, Views: n.views, Target: n.roster.Target, Limit: n.connLimit,
+		IsHome:    func(t siskin.TargetInfo) bool { return n.path != nil && n.path.IsHome(t) },
 		Connector: &platform.Connector{Dial: dialer.DialContext},
 	})
 	if err := n.joinFleet(); err != nil {
