--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -17,7 +17,8 @@
 	// given up. Callers of the known services wait five to six objectives.
 	patienceFactor = 3
 	// waitDivisor is the part of the latency objective that a statement waits
-	// for a primary to become known before it is refused.
+	// for a primary to become known, or for a connection, before it is refused.
+	// The users count a refusal after a quarter of the objective as late.
 	waitDivisor = 5
 	// floorMargin is taken off the age that a floor may reach, for the time
 	// between the caller's first byte and the check at the home.
@@ -114,7 +115,7 @@
 func (o *operation) request(patience time.Duration) *home.Request {
 	req := &home.Request{
 		Statement: *o.st, Service: o.route.Service, Customer: o.customer, Values: o.s.values,
-		Patience: patience, QueueFor: patience, TxIdle: o.s.e.cfg.Table.Snapshot().TxIdle + txIdleMargin,
+		Patience: patience, QueueFor: patience, ConnectFor: o.route.Objective / waitDivisor, TxIdle: o.s.e.cfg.Table.Snapshot().TxIdle + txIdleMargin,
 	}
 	if o.st.Kind == siskin.Execute {
 		req.Prepared = o.s.prepared[o.st.Name]
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -86,8 +86,10 @@
 }
 
 // conn returns a connection for the customer: an idle one, a new one, or one
-// in place of another customer's idle one.
-func (l *lane) conn(ctx context.Context, customer siskin.CustomerID) (*conn, error) {
+// in place of another customer's idle one. It waits for waitFor at most when all
+// are in use.
+func (l *lane) conn(ctx context.Context, customer siskin.CustomerID, waitFor time.Duration) (*conn, error) {
+	start := l.clock.Now()
 	for {
 		c, wait, err := l.reserve(customer)
 		switch {
@@ -106,6 +108,8 @@
 		case <-wait:
 		case <-l.clock.After(tooManyPause):
 		case <-ctx.Done():
+		}
+		if ctx.Err() != nil || l.clock.Since(start) > waitFor {
 			return nil, siskin.NewError(siskin.Overloaded, "no connection to target %s is free", l.info.ID).WithRemedy("retry later")
 		}
 	}
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -67,6 +67,8 @@
 	Patience time.Duration
 	// QueueFor bounds the wait for a place and a connection.
 	QueueFor time.Duration
+	// ConnectFor bounds the wait for a connection when all are in use.
+	ConnectFor time.Duration `json:",omitempty"`
 	// TxIdle is the time after which an idle transaction is rolled back.
 	TxIdle time.Duration `json:",omitempty"`
 }
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -74,7 +74,11 @@
 }
 
 func (r *run) connect(ctx context.Context) bool {
-	c, err := r.l.conn(ctx, r.req.Customer)
+	waitFor := r.req.ConnectFor
+	if waitFor == 0 {
+		waitFor = r.req.QueueFor
+	}
+	c, err := r.l.conn(ctx, r.req.Customer, waitFor)
 	if err == nil {
 		r.c = c
 		return true
