--- a/internal/cfgini/cfgini_test.go
+++ b/internal/cfgini/cfgini_test.go
@@ -104,6 +104,7 @@
 		"Relative file names are taken from the directory of the settings file. `siskintrayd --check` reports all findings, each with file, line and remedy. " +
 		"On SIGHUP a VM reads the file again; when a setting changed that is not marked `yes` under Reload, nothing is reloaded.\n\n" +
 		"## siskintrayd\n" + Reference(Daemon{}) +
+		"\n## siskintrayd --protocol session\n" + Reference(System{}) +
 		"\n## siskintray standin platform\n" + Reference(StandinPlatform{}) +
 		"\n## siskintray standin target\n" + Reference(StandinTarget{})
 	if *update {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	cfg  Config
 	done sync.WaitGroup
 
+	lines    *lines
 	inFlight *shard.Map[siskin.TargetID, *atomic.Int32]
 
 	mu       sync.Mutex
@@ -23,7 +24,7 @@
 
 // New returns an Entry without sessions.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg, inFlight: shard.New[siskin.TargetID, *atomic.Int32](), sessions: make(map[*Session]struct{})}
+	return &Entry{cfg: cfg, lines: newLines(), inFlight: shard.New[siskin.TargetID, *atomic.Int32](), sessions: make(map[*Session]struct{})}
 }
 
 // Serve runs the session of a caller in the background.
@@ -113,15 +114,18 @@
 func (e *Entry) finished(o *operation, a *siskin.Answer) {
 	took := e.cfg.Clock.Since(o.start)
 	e.cfg.Metrics.finished(o, a, took)
-	entry := e.cfg.Log.Info()
-	if a.Code != siskin.Succeeded {
-		entry = e.cfg.Log.Warn()
+	entry, suppressed, ok := e.lines.next(e.cfg.Log, a.Code == siskin.Succeeded)
+	if !ok {
+		return
 	}
 	entry = entry.Str("RequestID", string(o.st.ID)).Stringer("Kind", o.st.Kind).Stringer("Code", a.Code).
 		Str("Database", o.s.database).Str("Customer", string(o.customer)).
-		Str("Target", string(o.target)).Int("Attempts", o.attempts).Str("Reason", o.reason).
+		Str("Target", string(o.target)).Str("Home", string(o.reply.Home)).Int("Attempts", o.attempts).Str("Reason", o.reason).
 		Dur("Took", took).Dur("Waited", o.reply.Waited).Dur("Ran", o.reply.Ran).
 		Uint64("Revision", uint64(e.cfg.Table.Snapshot().Version))
+	if suppressed > 0 {
+		entry = entry.Int64("Suppressed", suppressed)
+	}
 	if o.route != nil {
 		lead := e.cfg.Views.Lead(o.route.Service)
 		entry = entry.Str("Primary", string(lead.Target)).Dur("LeadAge", min(e.cfg.Clock.Since(lead.At), time.Hour))
