sysd: a randomised soak against the stand-ins

Crashes, deaf replicas, isolated primaries, lost answers, late promotions, store faults and VM restarts come at random; writers and readers check the promises.

--- /dev/null
+++ b/internal/sysd/soak_test.go
@@ -0,0 +1,167 @@
+package sysd
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin/internal/soak"
+	"siskintray.example/siskin/platform/stand"
+)
+
+// soakLength is the length of the run in CI; SISKIN_SOAK gives another one.
+const soakLength = 12 * time.Second
+
+// soakRun plays random faults against a fleet.
+type soakRun struct {
+	f    *testFleet
+	rng  *rand.Rand
+	down map[*stand.Target]bool
+}
+
+// TestSoak guards against promises that break when faults of targets, the store,
+// promotions and VMs come together: writers check for lost, doubled and wrongly
+// refused writes, readers for sessions that miss their own writes. SISKIN_SEED
+// repeats a run.
+func TestSoak(t *testing.T) {
+	seed := soak.Seed(1)
+	t.Logf("seed %d", seed)
+	f := startFleet(t, 4)
+	s := &soakRun{f: f, rng: rand.New(rand.NewSource(int64(seed))), down: make(map[*stand.Target]bool)}
+	stop := make(chan struct{})
+	wait := f.write(stop)
+	var readers sync.WaitGroup
+	for vm := range 4 {
+		readers.Go(func() { f.readOwnWrites(vm, stop) })
+	}
+	for deadline := time.Now().Add(soak.Length(soakLength)); time.Now().Before(deadline); {
+		s.step()
+		time.Sleep(time.Duration(100+s.rng.Intn(900)) * time.Millisecond)
+	}
+	s.heal()
+	f.await("writes are served again", 10*time.Second, func() bool {
+		c, err := f.dial(0, "orders", testKey)
+		if err != nil {
+			return false
+		}
+		defer c.conn.Close()
+		res, err := c.query("WRITE after-soak 1")
+		return err == nil && res.code == ""
+	})
+	close(stop)
+	readers.Wait()
+	f.check(wait())
+}
+
+// step brings about or ends one fault.
+func (s *soakRun) step() {
+	targets := s.f.platform.Targets("ledger")
+	target := targets[s.rng.Intn(len(targets))]
+	switch s.rng.Intn(9) {
+	case 0, 1:
+		// One target at a time, so that the service can go on.
+		if len(s.down) == 0 {
+			target.Crash()
+			s.down[target] = true
+		}
+	case 2, 3:
+		s.restart()
+	case 4:
+		target.LoseAnswers(1 + s.rng.Intn(5))
+	case 5:
+		target.SetDeaf(s.rng.Intn(2) == 0)
+	case 6:
+		target.Isolate(s.rng.Intn(2) == 0)
+	case 7:
+		s.f.platform.SetStoreFaults(stand.StoreFaults{
+			Down: s.rng.Intn(3) == 0, LoseWrites: s.rng.Intn(3) == 0, Delay: time.Duration(s.rng.Intn(100)) * time.Millisecond,
+		})
+		late := time.Duration(0)
+		if s.rng.Intn(3) == 0 {
+			late = time.Duration(200+s.rng.Intn(2000)) * time.Millisecond
+		}
+		s.f.platform.SetLatePromotions(late)
+	case 8:
+		s.restartVM(1 + s.rng.Intn(3))
+	}
+}
+
+func (s *soakRun) restart() {
+	for target := range s.down {
+		if err := target.Restart(); err != nil {
+			s.f.t.Error(err)
+		}
+		delete(s.down, target)
+	}
+}
+
+// restartVM stops a VM, as planned or at once, and starts it again.
+func (s *soakRun) restartVM(i int) {
+	n := s.f.set(i, nil)
+	if s.rng.Intn(2) == 0 {
+		n.drain(context.Background())
+	}
+	if err := n.close(); err != nil {
+		s.f.t.Error(err)
+	}
+	s.f.set(i, s.f.start(i))
+}
+
+func (s *soakRun) heal() {
+	s.restart()
+	for _, target := range s.f.platform.Targets("ledger") {
+		target.SetDeaf(false)
+		target.Isolate(false)
+		target.LoseAnswers(0)
+	}
+	s.f.platform.SetStoreFaults(stand.StoreFaults{})
+	s.f.platform.SetLatePromotions(0)
+}
+
+// readOwnWrites writes and reads one item in a session until stop is closed. A
+// read that succeeds must see the session's last acknowledged write, or a later
+// one whose outcome it does not know.
+func (f *testFleet) readOwnWrites(vm int, stop <-chan struct{}) {
+	var c *caller
+	item := fmt.Sprintf("own-%d", vm)
+	allowed := map[string]bool{}
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		if c == nil {
+			var err error
+			if c, err = f.dial(vm, "press", testKey); err != nil {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			allowed = map[string]bool{} // a new session has written nothing
+		}
+		value := fmt.Sprintf("%d-%d", vm, i)
+		res, err := c.query("WRITE " + item + " " + value)
+		switch {
+		case err != nil:
+			c.conn.Close()
+			c = nil
+			continue
+		case res.code == "":
+			allowed = map[string]bool{value: true}
+		case res.code != "BUSY" && res.code != "READONLY" && res.code != "ABORTED" && len(allowed) > 0:
+			allowed[value] = true
+		}
+		res, err = c.query("READ " + item)
+		if err != nil {
+			c.conn.Close()
+			c = nil
+			continue
+		}
+		if res.code == "" && len(allowed) > 0 && !allowed[res.rows[0]] {
+			f.t.Errorf("read of %s: got %s, want one of %v", item, res.rows[0], allowed)
+		}
+	}
+}
