--- /dev/null
+++ b/internal/crew/members.go
@@ -0,0 +1,106 @@
+package crew
+
+import (
+	"cmp"
+	"slices"
+
+	"siskintray.example/siskin"
+)
+
+// Self implements siskin.Members.
+func (c *Crew) Self() siskin.VM { return c.cfg.Self.vm() }
+
+// Live implements siskin.Members.
+func (c *Crew) Live() []siskin.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.live
+}
+
+// Lookup implements siskin.Members.
+func (c *Crew) Lookup(id siskin.VMID) (siskin.VM, bool) {
+	if id == c.cfg.Self.ID {
+		return c.Self(), true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.members[id]
+	if !ok {
+		return siskin.VM{}, false
+	}
+	vm := m.node.vm()
+	if !m.alive(c.cfg.Clock.Now()) {
+		vm.State = siskin.VMSuspect
+	}
+	return vm, true
+}
+
+// Address returns the peer address of a VM.
+func (c *Crew) Address(id siskin.VMID) (string, bool) {
+	vm, ok := c.Lookup(id)
+	return vm.PeerAddress, ok
+}
+
+// Changed implements siskin.Members.
+func (c *Crew) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Learn takes over the description of a VM. The newest run of a VM holds.
+func (c *Crew) Learn(n Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learn(n)
+}
+
+func (c *Crew) learn(n Node) {
+	if n.ID == "" || n.ID == c.cfg.Self.ID || n.Address == "" {
+		return
+	}
+	m := c.members[n.ID]
+	switch {
+	case m == nil:
+		c.members[n.ID] = &member{node: n, known: c.cfg.Clock.Now()}
+	case n.Run > m.node.Run:
+		c.members[n.ID] = &member{node: n, known: c.cfg.Clock.Now()}
+		c.publish()
+	}
+}
+
+// Nodes returns all VMs known, this one included.
+func (c *Crew) Nodes() []Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes()
+}
+
+func (c *Crew) nodes() []Node {
+	nodes := []Node{c.cfg.Self}
+	for _, m := range c.members {
+		nodes = append(nodes, m.node)
+	}
+	return nodes
+}
+
+// publish derives the list of live VMs.
+func (c *Crew) publish() {
+	now := c.cfg.Clock.Now()
+	var live []siskin.VM
+	if !c.leaving.Load() {
+		live = append(live, c.cfg.Self.vm())
+	}
+	for _, m := range c.members {
+		if m.alive(now) && !m.leaving {
+			live = append(live, m.node.vm())
+		}
+	}
+	slices.SortFunc(live, func(a, b siskin.VM) int { return cmp.Compare(a.ID, b.ID) })
+	if slices.Equal(live, c.live) {
+		return
+	}
+	c.live = live
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/crew/ping.go
@@ -0,0 +1,69 @@
+package crew
+
+import (
+	"context"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/views"
+)
+
+// ping exchanges states with one peer.
+func (c *Crew) ping(id siskin.VMID) {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	asked := c.cfg.Clock.Now()
+	args := c.question()
+	args.WantNodes = c.wantsNodes(id)
+	args.Loans = c.rates.Loans(id)
+	var reply State
+	err := c.cfg.Peers.Call(ctx, id, "Crew.Ping", args, &reply)
+	c.mu.Lock()
+	if m := c.members[id]; m != nil {
+		m.pinging, m.failed = false, err != nil
+	}
+	if err != nil {
+		c.publish()
+		c.mu.Unlock()
+		return
+	}
+	for _, n := range reply.Nodes {
+		c.learn(n)
+	}
+	c.incomplete = reply.Known > len(c.members)+1
+	c.learn(reply.From)
+	if m := c.members[reply.From.ID]; m != nil {
+		if m.suspect || m.heard.IsZero() {
+			c.cfg.Log.Info().Str("VM", string(reply.From.ID)).Uint64("Run", uint64(reply.From.Run)).Msg("contact to a VM")
+		}
+		m.heard, m.suspect, m.leaving = asked, false, reply.Leaving
+	}
+	c.publish()
+	c.mu.Unlock()
+	if reply.Released {
+		c.rates.Returned(reply.From.ID)
+	} else {
+		c.rates.Received(reply.From.ID, reply.Stamp)
+	}
+	c.absorb(&reply, asked)
+}
+
+// wantsNodes reports whether the peer should name the VMs that it knows: this
+// VM asks a seed, or a peer knows more than it does.
+func (c *Crew) wantsNodes(id siskin.VMID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.members[id]
+	return m == nil || c.incomplete || len(c.members) < 2 && m.heard.IsZero()
+}
+
+// absorb takes over what a peer said; asked is the moment before the question.
+func (c *Crew) absorb(s *State, asked time.Time) {
+	for _, l := range s.Leads {
+		c.cfg.Views.Proven(l.Service, views.Lead{Target: l.Target, Position: l.Position, At: asked.Add(-l.Age)})
+	}
+	for id, n := range s.Waiting {
+		c.cfg.Views.Load(id, n)
+	}
+	c.catchUp(s, asked)
+}
--- /dev/null
+++ b/internal/crew/receiver.go
@@ -0,0 +1,48 @@
+package crew
+
+// Receiver serves the calls of peers under the name Crew.
+type Receiver struct{ c *Crew }
+
+// Receiver returns the receiver to register.
+func (c *Crew) Receiver() *Receiver { return &Receiver{c} }
+
+// Ping exchanges states.
+func (r *Receiver) Ping(args *State, reply *State) error {
+	// The proofs in a ping have aged on the way by an unknown time, so only
+	// those in answers are taken over.
+	r.c.Learn(args.From)
+	r.c.fetchIfNewer(args)
+	r.c.noteLeaving(args)
+	if args.Loans != nil {
+		r.c.rates.Lent(args.Loans)
+	}
+	*reply = r.c.state()
+	if args.WantNodes {
+		reply.Nodes = r.c.Nodes()
+	}
+	return nil
+}
+
+func (c *Crew) noteLeaving(s *State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m := c.members[s.From.ID]; m != nil && m.leaving != s.Leaving && s.From.Run == m.node.Run {
+		m.leaving = s.Leaving
+		c.publish()
+	}
+}
+
+// Fetch returns what is newer than the caller's state.
+func (r *Receiver) Fetch(args *FetchArgs, reply *FetchReply) error {
+	c := r.c
+	if snap := c.cfg.Table.Snapshot(); snap.Version > args.Revision {
+		reply.Configuration = snap.Encoded
+	}
+	if args.WantHolders {
+		reply.Holders = c.rates.Holders()
+	}
+	if list, version, at := c.cfg.Roster.Listed(); version > args.Targets {
+		reply.Targets, reply.TargetVersion, reply.TargetAge = list, version, c.cfg.Clock.Since(at)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/crew/state.go
@@ -0,0 +1,34 @@
+package crew
+
+// question returns what this VM tells with a ping. Proofs age on the way by an
+// unknown time, so they travel with answers only.
+func (c *Crew) question() State {
+	s := State{
+		From: c.cfg.Self, Leaving: c.leaving.Load(), Revision: c.cfg.Table.Snapshot().Version,
+		HasHolders: c.rates.Holders() != nil,
+	}
+	s.Targets, _ = c.cfg.Roster.Version()
+	return s
+}
+
+// state returns what this VM answers to a ping.
+func (c *Crew) state() State {
+	now := c.cfg.Clock.Now()
+	s := c.question()
+	s.RevisionAge = now.Sub(c.cfg.Table.Confirmed())
+	s.Waiting, s.Stamp, s.Released = c.cfg.Homes.Waiting(), c.rates.Stamp(), c.rates.Released()
+	_, listed := c.cfg.Roster.Version()
+	s.TargetsAge = now.Sub(listed)
+	c.mu.Lock()
+	s.Known = len(c.members) + 1
+	large := len(c.members) >= fullMesh
+	c.mu.Unlock()
+	for _, spec := range c.cfg.Table.Snapshot().Services {
+		l := c.cfg.Views.Lead(spec.Name)
+		// In a large fleet each VM asks the homes of primaries themselves.
+		if age := now.Sub(l.At); l.Target != "" && age < freshLead && (!large || c.cfg.IsHome(l.Target)) {
+			s.Leads = append(s.Leads, LeadNote{spec.Name, l.Target, l.Position, age})
+		}
+	}
+	return s
+}
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -9,11 +9,14 @@
 	"siskintray.example/siskin"
 )
 
+// rightsKind and rightsName name the record of the VMs that share the
+// customers' rates.
+const (
+	rightsKind = siskin.ObjectKind("rights")
+	rightsName = "main"
+)
+
 const (
-	// rightsKind and rightsName name the record of the VMs that share the
-	// customers' rates.
-	rightsKind siskin.ObjectKind = "rights"
-	rightsName                   = "main"
 	// formAfter is the time after which a VM creates the record when there is
 	// none. All VMs of a new fleet start within 300 ms and register at once.
 	formAfter = 3 * time.Second
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"siskintray.example/siskin"
-	"siskintray.example/siskin/internal/views"
 	"siskintray.example/siskin/pkg/fairq"
 )
 
@@ -125,73 +124,6 @@
 	return r.send(setup, false) && reused
 }
 
-// expired reports whether the floor grew too old while the statement waited.
-func (r *run) expired() bool {
-	return r.req.FloorFor > 0 && r.h.cfg.Clock.Since(r.start) > r.req.FloorFor
-}
-
-// begin returns the statements that must succeed before the caller's statement
-// is sent. Without a transaction around it, a statement behind a failed one
-// would run all the same.
-func (r *run) begin(probe bool) ([]siskin.Statement, bool) {
-	switch {
-	case r.req.Mode == Open && r.req.Proof == FloorProof:
-		return []siskin.Statement{{Kind: siskin.BeginRead, Floor: r.req.Floor}}, true
-	case r.req.Mode == Open, r.req.Proof == LeadProof:
-		return []siskin.Statement{{Kind: siskin.Begin}}, true
-	case probe && r.req.Statement.Changes():
-		return []siskin.Statement{{Kind: siskin.Begin}, {Kind: siskin.Rollback}}, true
-	default:
-		return nil, false
-	}
-}
-
-// prove sends the session state and the opening statements. Nothing of the
-// caller has been sent when it fails; gone says that the connection broke.
-func (r *run) prove(setup, begin []siskin.Statement) (ok, gone bool) {
-	asked := r.h.cfg.Clock.Now()
-	answers, err := r.c.Exchange(r.proofDeadline(), append(setup, begin...))
-	if err != nil {
-		r.broken(err)
-		return false, !errors.Is(err, os.ErrDeadlineExceeded)
-	}
-	for i := range answers {
-		if a := &answers[i]; a.Code != siskin.Succeeded {
-			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, *a
-			r.denied(a, asked)
-			r.l.drop(r.c)
-			return false, false
-		}
-	}
-	if begin[0].Kind == siskin.Begin {
-		r.proven(answers[len(setup)].Position, asked)
-	}
-	return true, false
-}
-
-// proofDeadline bounds a proof: it needs no slot, so silence means that the
-// target or the path is gone.
-func (r *run) proofDeadline() time.Time {
-	d := time.Now().Add(pingTimeout)
-	if r.deadline.Before(d) {
-		return r.deadline
-	}
-	return d
-}
-
-func (r *run) proven(p siskin.Position, asked time.Time) {
-	r.reply.LeadProven, r.reply.Lead = true, p
-	r.reply.LeadAge = r.h.cfg.Clock.Since(asked)
-	r.h.cfg.Views.Proven(r.req.Service, views.Lead{Target: r.req.Target, Position: p, At: asked})
-	r.h.cfg.Views.Answered(r.req.Target)
-}
-
-func (r *run) denied(a *siskin.Answer, asked time.Time) {
-	if a.Code == siskin.ReadOnly {
-		r.h.cfg.Views.Denied(r.req.Service, r.req.Target, asked)
-	}
-}
-
 // send sends the caller's statement, behind setup, and ends the transaction
 // that proved the lead.
 func (r *run) send(setup []siskin.Statement, inTx bool) (again bool) {
--- /dev/null
+++ b/internal/quota/local.go
@@ -0,0 +1,57 @@
+package quota
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// received is a stamp of another VM and when it came.
+type received struct {
+	stamp Stamp
+	at    time.Time
+}
+
+// local is this VM's part of one customer.
+type local struct {
+	bucket
+	// owner holds the loan, whose end this VM awaits until the time lent.
+	owner siskin.VMID
+	lent  time.Time
+	// granted are tokens of the pool that expire.
+	granted float64
+	expiry  time.Time
+	// refused is the time until which the pool is not asked again.
+	refused time.Time
+	// demand is the number of requests in the present interval of takeAhead,
+	// and last that in the one before.
+	demand, last float64
+	since        time.Time
+}
+
+// earn adds the tokens that this VM's part of the share earned. What is lent
+// earns for the pool.
+func (l *Limiter) earn(p *local, now time.Time, rate, burst float64) {
+	if p.at.Before(p.lent) {
+		lentUntil := p.lent
+		if now.Before(lentUntil) {
+			lentUntil = now
+		}
+		p.fill(lentUntil, rate*l.share*ownPart, burst*l.share*ownPart)
+	}
+	if !now.Before(p.lent) {
+		p.fill(now, rate*l.share, burst*l.share)
+	}
+}
+
+// count keeps the demand of the last interval.
+func (p *local) count(now time.Time, n float64) {
+	if now.Sub(p.since) > takeAhead {
+		p.last = p.demand
+		if now.Sub(p.since) > 2*takeAhead {
+			p.last = 0
+		}
+		p.demand, p.since = 0, now
+	}
+	p.demand += n
+}
--- /dev/null
+++ b/internal/quota/receiver.go
@@ -0,0 +1,7 @@
+package quota
+
+// Receiver serves the calls of peers under the name Quota.
+type Receiver struct{ l *Limiter }
+
+// Receiver returns the receiver to register.
+func (l *Limiter) Receiver() *Receiver { return &Receiver{l} }
--- /dev/null
+++ b/internal/sysd/listen.go
@@ -0,0 +1,81 @@
+package sysd
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/platform"
+)
+
+// listen opens the listeners and serves them.
+func (n *node) listen() error {
+	for name, receiver := range map[string]any{
+		"Crew": n.crew.Receiver(), "Home": n.path.Receiver(), "Quota": n.rates.Receiver(), "Elect": n.elect.Receiver(),
+	} {
+		if err := n.peerServer.Register(name, receiver); err != nil {
+			return err
+		}
+	}
+	n.peerServer.Serve()
+	n.crew.Start(n.rates)
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", n.stats)
+	if err := errors.Join(
+		n.serveHTTP(n.cfg.Ready.Address, platform.Readiness(n.ready)),
+		n.serveHTTP(n.cfg.Metrics.Address, metrics),
+	); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", n.cfg.Caller.Address)
+	if err != nil {
+		return siskin.NewError(siskin.BadInput, "cannot listen on %s", n.cfg.Caller.Address).WithCause(err).WithRemedy("set Caller.Address to a free address of this VM")
+	}
+	n.callers = l
+	n.done.Go(n.accept)
+	n.done.Go(n.maintain)
+	return nil
+}
+
+func (n *node) serveHTTP(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return siskin.NewError(siskin.BadInput, "cannot listen on %s", address).WithCause(err).WithRemedy("set the address to a free one of this VM")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: dialTimeout}
+	n.servers = append(n.servers, s)
+	n.done.Go(func() { _ = s.Serve(l) }) // ends with the server's Close
+	return nil
+}
+
+// accept takes callers until the listener is closed.
+func (n *node) accept() {
+	for {
+		conn, err := n.callers.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			n.log.Warn().Err(err).Msg("a caller was not accepted")
+			time.Sleep(acceptPause)
+			continue
+		case n.entry.Sessions() >= n.cfg.Caller.MaxSessions:
+			n.log.Warn().Int("Sessions", n.cfg.Caller.MaxSessions).Msg("a caller was turned away: too many sessions")
+			_ = conn.Close() // nothing was read from it
+			continue
+		}
+		n.entry.Serve(platform.NewCaller(conn))
+	}
+}
+
+// acceptPause keeps a VM without free descriptors from a busy loop.
+const acceptPause = 20 * time.Millisecond
+
+// ready reports whether this VM can serve callers. A VM that is merely cut off
+// from the store stays ready.
+func (n *node) ready() bool {
+	version, _ := n.roster.Version()
+	return !n.stopping.Load() && n.table.Snapshot().Version > 0 && version > 0
+}
--- /dev/null
+++ b/internal/sysd/upkeep.go
@@ -0,0 +1,85 @@
+package sysd
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/platform"
+)
+
+// apply puts an encoded configuration in force if it is newer.
+func (n *node) apply(encoded []byte, source string) {
+	d, err := platform.DecodeDeployment(encoded)
+	if err != nil {
+		n.log.Error().Err(err).Str("Source", source).Msg("a configuration was refused")
+		return
+	}
+	before := n.table.Snapshot().Version
+	if n.table.Apply(d, encoded) {
+		n.log.Info().Uint64("Before", uint64(before)).Uint64("Revision", uint64(d.Version)).Str("Source", source).
+			Int("Routes", len(d.Routes)).Int("Customers", len(d.Customers)).Msg("configuration in force")
+		for i := range d.Customers {
+			c := &d.Customers[i]
+			n.log.Info().Str("Customer", string(c.ID)).Int("Keys", len(c.Keys)).Float64("Rate", float64(c.Rate)).
+				Float64("Burst", float64(c.Burst)).Msg("customer in force")
+		}
+	}
+}
+
+// maintainInterval is the time between two rounds of upkeep.
+const maintainInterval = 500 * time.Millisecond
+
+// maintain brings homes up to date with the fleet and discovery.
+func (n *node) maintain() {
+	known := make(map[siskin.TargetID]siskin.TargetInfo)
+	for !n.stopped() {
+		members, targets, deployment := n.crew.Changed(), n.roster.Changed(), n.table.Changed()
+		n.homes.Update()
+		select {
+		case <-members:
+		case <-targets:
+			known = n.noteTargets(known)
+		case <-deployment:
+		case <-n.clock.After(maintainInterval):
+		}
+		n.gauges()
+	}
+}
+
+// noteTargets logs what changed in discovery, and takes a target that begins to
+// see itself as primary as a hint.
+func (n *node) noteTargets(known map[siskin.TargetID]siskin.TargetInfo) map[siskin.TargetID]siskin.TargetInfo {
+	next := make(map[siskin.TargetID]siskin.TargetInfo, len(known))
+	for _, s := range n.table.Snapshot().Services {
+		for _, t := range n.roster.Service(s.Name) {
+			next[t.ID] = t
+			old, ok := known[t.ID]
+			if ok && old == t {
+				continue
+			}
+			n.log.Info().Str("Target", string(t.ID)).Str("Service", string(t.Service)).Str("Address", t.Address).
+				Bool("Primary", t.Primary).Bool("Draining", t.Draining).Time("Born", t.Born).Msg("a target's entry changed")
+			if t.Primary && (!ok || !old.Primary || !old.Born.Equal(t.Born)) {
+				n.views.Hint(t.Service, t.ID)
+			}
+		}
+	}
+	for id := range known {
+		if _, ok := next[id]; !ok {
+			n.log.Info().Str("Target", string(id)).Msg("a target is gone")
+		}
+	}
+	return next
+}
+
+func (n *node) gauges() {
+	c := n.homes.Counts()
+	scope := n.stats.Scope()
+	scope.Gauge("target_connections").Update(float64(c.Open))
+	scope.Gauge("target_connections_opened").Update(float64(c.Opened))
+	scope.Gauge("statements_waiting").Update(float64(c.Waiting))
+	scope.Gauge("transactions_open").Update(float64(c.Transactions))
+	scope.Gauge("sessions").Update(float64(n.entry.Sessions()))
+	scope.Gauge("vms_live").Update(float64(len(n.crew.Live())))
+	scope.Gauge("revision").Update(float64(n.table.Snapshot().Version))
+}
