roster, entry: no new work for a primary that is about to end

Cause, by reading: with no successor a draining primary went on getting statements until it ended, past the 7 s that the users allow. It is refused as not run 4.5 s after the first list that says so.

--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -100,7 +100,7 @@
 	for {
 		leadChanged, rosterChanged := e.cfg.Views.Changed(name), e.cfg.Roster.Changed()
 		if !e.cfg.Views.Holding(name, e.cfg.Clock.Now()) {
-			if id := e.cfg.Views.Primary(name, e.cfg.Roster.Service(name)); id != "" {
+			if id := e.cfg.Views.Primary(name, e.cfg.Roster.Service(name)); id != "" && !e.cfg.Roster.Leaving(id, e.cfg.Clock.Now()) {
 				return id
 			}
 		}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,10 +29,15 @@
 }
 
 type entry struct {
-	info    siskin.TargetInfo
-	missing time.Time // first list without the entry; zero while it is there
+	info     siskin.TargetInfo
+	missing  time.Time // first list without the entry; zero while it is there
+	draining time.Time // first list that says so; zero while it does not
 }
 
+// lastCall is the time after which a draining target gets no new work. The
+// users allow 7 s from the store's answer, of which a list takes up to two.
+const lastCall = 4500 * time.Millisecond
+
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{targets: make(map[siskin.TargetID]*entry), changed: make(chan struct{})}
@@ -57,6 +62,16 @@
 	return e.info, true
 }
 
+// Leaving reports whether a target has been draining for so long that it must
+// get no new work. Leaving targets take it until then only as primaries, while
+// their successor is elected.
+func (r *Roster) Leaving(id siskin.TargetID, now time.Time) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	e, ok := r.targets[id]
+	return !ok || !e.draining.IsZero() && now.Sub(e.draining) > lastCall
+}
+
 // Listed returns the targets of the last list, ordered by id, with its version
 // and time.
 func (r *Roster) Listed() ([]siskin.TargetInfo, siskin.Version, time.Time) {
@@ -101,10 +116,18 @@
 	listed := make(map[siskin.TargetID]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
-		if e := r.targets[info.ID]; e == nil || e.info != info || !e.missing.IsZero() {
-			r.targets[info.ID] = &entry{info: info}
-			any = true
+		e := r.targets[info.ID]
+		if e != nil && e.info == info && e.missing.IsZero() {
+			continue
+		}
+		next := &entry{info: info}
+		if info.Draining {
+			if next.draining = at; e != nil && !e.draining.IsZero() {
+				next.draining = e.draining
+			}
 		}
+		r.targets[info.ID] = next
+		any = true
 	}
 	for id, e := range r.targets {
 		if !listed[id] && e.missing.IsZero() {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -64,3 +64,27 @@
 	}
 	return b.String()
 }
+
+// TestLeaving guards against new work for a target that is about to end, also
+// when its entry changes in another field while it drains.
+func TestLeaving(t *testing.T) {
+	r := New()
+	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	info := siskin.TargetInfo{ID: "a", Service: "s"}
+	r.Replace([]siskin.TargetInfo{info}, 1, at(0))
+	info.Draining = true
+	r.Replace([]siskin.TargetInfo{info}, 2, at(time.Second))
+	info.Warming = time.Second
+	r.Replace([]siskin.TargetInfo{info}, 3, at(4*time.Second))
+	for _, c := range []struct {
+		now  time.Duration
+		want bool
+	}{{time.Second, false}, {5 * time.Second, false}, {6 * time.Second, true}} {
+		if got := r.Leaving("a", at(c.now)); got != c.want {
+			t.Errorf("leaving at %v, draining since 1s: got %t, want %t", c.now, got, c.want)
+		}
+	}
+	if !r.Leaving("gone", at(0)) {
+		t.Error("leaving of an unknown target: got false, want true")
+	}
+}
