elect: notice a silent primary sooner

Cause: after a cut of a data centre the new watcher waited 0.8 s of its own, then up to 1.3 s for targets and VMs that could not answer.

--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -15,7 +15,7 @@
 	// second at the platform.
 	changeTimeout = 4 * time.Second
 	// askTimeout bounds the question to other VMs whether they reach a primary.
-	askTimeout = 500 * time.Millisecond
+	askTimeout = 350 * time.Millisecond
 	// askedVMs is the number of VMs that are asked.
 	askedVMs = 3
 )
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// controlTimeout bounds one control statement at a target.
-	controlTimeout = 400 * time.Millisecond
+	// controlTimeout bounds one control statement at a target. It takes a round
+	// trip, and the opening of a connection.
+	controlTimeout = 250 * time.Millisecond
 	// pollInterval is the time between two looks at a target during a change.
 	pollInterval = 30 * time.Millisecond
 	// catchUpTimeout bounds the wait for a replica to receive the end of the
--- a/internal/elect/decide.go
+++ b/internal/elect/decide.go
@@ -8,7 +8,10 @@
 	probeAfter = 200 * time.Millisecond
 	// suspectAfter is the age of the last proof at which a primary that does not
 	// answer is suspected. It spans two probes that time out.
-	suspectAfter = 800 * time.Millisecond
+	suspectAfter = 700 * time.Millisecond
+	// watchedFor is the least time that a VM has watched a service before it
+	// acts on a silent primary, so that it has asked itself.
+	watchedFor = 400 * time.Millisecond
 	// refusedAfter is the same for a primary whose address refuses connections,
 	// which shows that its process has ended.
 	refusedAfter = 300 * time.Millisecond
@@ -68,7 +71,7 @@
 		}
 	case e.refused && e.proofAge > refusedAfter && e.watched > refusedAfter,
 		e.denied && e.proofAge > deniedAfter && e.watched > deniedAfter,
-		e.silent && e.proofAge > suspectAfter && e.watched > suspectAfter:
+		e.silent && e.proofAge > suspectAfter && e.watched > watchedFor:
 		return askOthers
 	case e.draining && e.successor && e.proofAge < suspectAfter:
 		return handOver
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -11,7 +11,7 @@
 
 // pingTimeout bounds a proof of lead. A proof waits for no slot, so it takes a
 // round trip.
-const pingTimeout = 400 * time.Millisecond
+const pingTimeout = 300 * time.Millisecond
 
 // control is the connection of a lane for statements of the system's own. It
 // is apart from those of callers, so that a control statement never waits for
