crew, entry, feed: names for a newcomer

Read-through: named the times to come back and to the next turn, Near in place of a field Close, Node in place of the first of Nodes.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -30,9 +30,9 @@
 	Log   *log.Logger
 	// IsHome reports whether this VM is the home of a target.
 	IsHome func(siskin.TargetID) bool
-	// Close returns the VMs that this one depends on, such as the homes of
+	// Near returns the VMs that this one depends on, such as the homes of
 	// primaries. In a large fleet only they are pinged in each interval.
-	Close func() map[siskin.VMID]bool
+	Near func() map[siskin.VMID]bool
 }
 
 // Crew is one VM's view of the fleet. It implements siskin.Members.
--- a/internal/crew/loop.go
+++ b/internal/crew/loop.go
@@ -10,6 +10,9 @@
 // tick is the resolution of the ping schedule.
 const tick = 50 * time.Millisecond
 
+// untilTurn is longer than any time until choose picks a distant peer.
+const untilTurn = time.Hour
+
 func (c *Crew) loop() {
 	for {
 		select {
@@ -18,7 +21,7 @@
 		case <-c.cfg.Clock.After(tick):
 		}
 		c.rates.LendSelf()
-		near := c.cfg.Close()
+		near := c.cfg.Near()
 		c.mu.Lock()
 		c.near = near
 		c.mu.Unlock()
@@ -41,7 +44,7 @@
 		}
 		m.pinging, m.next = true, now.Add(m.interval(now))
 		if m.distant && !m.failed && !m.suspect {
-			m.next = now.Add(time.Hour) // until its turn
+			m.next = now.Add(untilTurn)
 		}
 		c.done.Go(func() { c.ping(id) })
 	}
--- a/internal/crew/members.go
+++ b/internal/crew/members.go
@@ -10,6 +10,9 @@
 // Self implements siskin.Members.
 func (c *Crew) Self() siskin.VM { return c.cfg.Self.vm() }
 
+// Node returns the description of this VM.
+func (c *Crew) Node() Node { return c.cfg.Self }
+
 // Live implements siskin.Members.
 func (c *Crew) Live() []siskin.VM {
 	c.mu.Lock()
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -11,6 +11,10 @@
 // primary. A promotion takes about a second.
 const retryUnderChange = 500 * time.Millisecond
 
+// retryOverload is the least time to come back after a refusal for lack of
+// capacity, a few statements' time at a target.
+const retryOverload = 50 * time.Millisecond
+
 // atPrimary runs the operation at the primary of its service.
 func (o *operation) atPrimary() *siskin.Answer {
 	for o.attempts < maxAttempts {
@@ -80,14 +84,14 @@
 	o.reason = reply.Cause.String()
 	switch reply.Cause {
 	case home.Overload, home.NoConnection:
-		return o.notRun(siskin.Busy, "too many statements wait for the primary", max(reply.RetryAfter, 50*time.Millisecond))
+		return o.notRun(siskin.Busy, "too many statements wait for the primary", max(reply.RetryAfter, retryOverload))
 	case home.Refused:
 		o.reason = reply.Answer.Code.String()
 		switch reply.Answer.Code {
 		case siskin.ReadOnly, siskin.NoStatement:
 			return nil
 		}
-		return o.notRun(siskin.Busy, "the target refused the transaction ("+o.reason+")", 50*time.Millisecond)
+		return o.notRun(siskin.Busy, "the target refused the transaction ("+o.reason+")", retryOverload)
 	}
 	return nil
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -193,7 +193,7 @@
 
 // register publishes this VM until the store has it, and finds the others.
 func (f *Feed) register(ctx context.Context) {
-	self := f.cfg.Crew.Nodes()[0]
+	self := f.cfg.Crew.Node()
 	pause := firstPause
 	for ctx.Err() == nil {
 		err := f.publish(ctx, self)
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -12,5 +12,6 @@
 //     delayed message, a cut link or a suspended VM therefore never makes a
 //     share count twice.
 //   - Buckets start empty, so a restart spends nothing that was spent before.
+//     What an earlier run had lent counts at its owner for up to loanLife more.
 //   - Tokens taken from a pool expire after grantLife.
 package quota
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -110,7 +110,7 @@
 	run := siskin.Incarnation(time.Now().UnixNano())
 	n.crew = crew.New(crew.Config{
 		Clock: n.clock, Seeds: n.cfg.Peer.Seeds, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views,
-		Homes: n.homes, Apply: n.apply, Log: n.log, Close: n.closePeers, IsHome: n.isHome,
+		Homes: n.homes, Apply: n.apply, Log: n.log, Near: n.nearPeers, IsHome: n.isHome,
 		Self: crew.Node{
 			ID: siskin.VMID(n.cfg.VM.ID), Run: run, DataCentre: siskin.DataCentreID(n.cfg.VM.DataCentre), Address: n.cfg.Peer.Address,
 		},
@@ -128,9 +128,9 @@
 	return ok && n.path.IsHome(t)
 }
 
-// closePeers returns the VMs that this one depends on: the homes of primaries,
+// nearPeers returns the VMs that this one depends on: the homes of primaries,
 // whose pings bring floors for reads, and the holders of pools of rates.
-func (n *node) closePeers() map[siskin.VMID]bool {
+func (n *node) nearPeers() map[siskin.VMID]bool {
 	near := n.path.PrimaryHomes(n.table.Snapshot().Services)
 	for _, id := range n.rates.Owners() {
 		near[id] = true
@@ -145,7 +145,7 @@
 	changed := n.stats.Scope().Timer("primary_change")
 	n.elect = elect.Start(elect.Config{
 		Clock: n.clock, Members: n.crew, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views, Homes: n.homes,
-		Store: store, Run: n.crew.Nodes()[0].Run, Status: platform.ParseStatus, Log: n.log, Changed: changed.Record,
+		Store: store, Run: n.crew.Node().Run, Status: platform.ParseStatus, Log: n.log, Changed: changed.Record,
 		Promoter: &platform.Promoter{Base: "http://" + n.cfg.Promoter.Address, HTTP: client, Timeout: n.cfg.Promoter.Timeout},
 	})
 	n.feed = feed.Start(feed.Config{
