--- /dev/null
+++ b/internal/cfgini/system_test.go
@@ -0,0 +1,56 @@
+package cfgini
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestDeployTemplate guards against a template of the users' platform that lacks
+// a setting or renders one that is refused.
+func TestDeployTemplate(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/siskintrayd.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := map[string]string{
+		"node": "front-a-1", "zone": "a", "limits.memory_mb": "284", "listen.front": "10.1.0.26:8465",
+		"listen.ready": "10.1.0.26:8460", "listen.control": "10.1.0.26:8462",
+		"seed_addrs": "10.1.0.26:8462,10.2.0.23:8462", "platform.addr": "10.200.1.7:8466", "cloud.addr": "10.200.0.2:8466",
+		"ip": "10.1.0.26", "port_range.0": "7560", "bounds.grace_s": "6",
+	}
+	text := regexp.MustCompile(`\{\{[^}]+\}\}`).ReplaceAllStringFunc(string(data), func(placeholder string) string {
+		value, ok := fields[strings.Trim(placeholder, "{}")]
+		if !ok {
+			t.Errorf("placeholder %s: got none of the platform's fields", placeholder)
+		}
+		return value
+	})
+	var s System
+	if found := Parse("siskintrayd.ini", []byte(text), &s); len(found) > 0 {
+		t.Fatalf("got %v, want no findings", found.Err())
+	}
+	if got, want := s.Stop.Grace, 6*time.Second; got != want {
+		t.Errorf("Stop.Grace: got %v, want %v", got, want)
+	}
+	if got, want := len(s.Peer.Seeds), 2; got != want {
+		t.Errorf("Peer.Seeds: got %d, want %d", got, want)
+	}
+	if got, want := s.Metrics.Address, "10.1.0.26:7560"; got != want {
+		t.Errorf("Metrics.Address: got %s, want %s", got, want)
+	}
+}
+
+// TestSystemFindings guards against a VM that starts with settings which are
+// wrong, unknown or missing.
+func TestSystemFindings(t *testing.T) {
+	found := Parse("vm.ini", []byte("[VM]\nID = vm-1\nMemory = lots\n[Caller]\nAdress = 127.0.0.1:1\n"), new(System))
+	text := found.Err().Error()
+	for _, want := range []string{"DataCentre", "Memory", "Adress", "Store", "Promoter"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("findings: got %s, want one about %s", text, want)
+		}
+	}
+}
