home: no statement runs without the values of its session

Cause, by reading: values and prepared names went ahead of the statement in one write, so it ran also when the target refused one of them, with the state of another session. Writes now await the answer when the state changes (a round trip inside the data centre); the answer of a read behind a refused value is not used. TestRefusedSettings failed before (a write ran, a read was answered).

--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -126,6 +126,32 @@
 	}
 }
 
+// TestRefusedSettings guards against statements that run without the values of
+// their session.
+func TestRefusedSettings(t *testing.T) {
+	f := start(t, stand.ServiceOptions{})
+	primary := f.target(0)
+	write := request(primary, siskin.Write, "x 1")
+	write.Values = []Value{{"mode", "strict"}}
+	primary.RefuseSettings(1)
+	if got := f.run(write); got.Outcome != NotSent || got.Cause != Refused {
+		t.Errorf("write: got %+v, want a refusal that ran nothing", got)
+	}
+	if got := primary.Count("x", "1"); got != 0 {
+		t.Errorf("write in the log: got %d, want 0", got)
+	}
+	read := request(primary, siskin.Read, "x")
+	read.Values = write.Values
+	primary.RefuseSettings(2)
+	if got := f.run(read); got.Outcome == Answered {
+		t.Errorf("read: got %+v, want none", got)
+	}
+	primary.RefuseSettings(0)
+	if got := f.run(write); got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
+		t.Errorf("write afterwards: got %+v, want success", got)
+	}
+}
+
 // TestStaleConnection guards against writes of unknown outcome on connections
 // that the target closed while they were idle.
 func TestStaleConnection(t *testing.T) {
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -47,7 +47,7 @@
 			return false, false
 		}
 	}
-	if begin[0].Kind == siskin.Begin {
+	if len(begin) > 0 && begin[0].Kind == siskin.Begin {
 		r.proven(answers[len(setup)].Position, asked)
 	}
 	return true, false
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -121,6 +121,13 @@
 		}
 		return r.send(nil, true)
 	}
+	if len(setup) > 0 && r.req.Statement.Changes() {
+		// A write behind a value that the target refuses would run without it.
+		if ok, gone := r.prove(setup, nil); !ok {
+			return gone && reused
+		}
+		setup = nil
+	}
 	return r.send(setup, false) && reused
 }
 
@@ -152,14 +159,17 @@
 		r.reply.Outcome = Lost
 		return false
 	}
+	for i := range setup {
+		if answers[i].Code != siskin.Succeeded {
+			// Only a read comes behind setup, and its answer is not used.
+			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, answers[i]
+			r.l.drop(r.c)
+			return true
+		}
+	}
 	a := answers[len(setup)]
 	r.reply.Outcome, r.reply.Cause, r.reply.Answer = Answered, NoCause, a
 	r.settle(&s, &a, asked)
-	for i := range answers {
-		if i != len(setup) && answers[i].Code != siskin.Succeeded {
-			err = errors.New("session state was not accepted")
-		}
-	}
 	if err != nil || answers[len(answers)-1].State != siskin.TxIdle || a.Code == siskin.NoStatement {
 		r.l.drop(r.c)
 		return false
