entry: a session that is busy when a VM stops ends after its answer

Change: EndSessions marks sessions; a busy one ends after its answer, one in a transaction after its end. Tests TestEndBusySession and TestEndSessionInTransaction.

--- /dev/null
+++ b/internal/entry/end_test.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/home"
+	"siskintray.example/siskin/platform"
+)
+
+// heldHomes answers each statement when it is released.
+type heldHomes struct{ arrived, release chan struct{} }
+
+func (h *heldHomes) Run(context.Context, *home.Request) home.Reply {
+	h.arrived <- struct{}{}
+	<-h.release
+	return home.Reply{Outcome: home.Answered, Answer: siskin.Answer{Signature: "1"}, Tx: 1, Home: "vm"}
+}
+
+// talk opens a session and returns a function that sends a statement, and one
+// that reads the lines of an answer and says whether the session was closed.
+func talk(t *testing.T, f *fixture) (send func(string), receive func() (answer string, closed bool)) {
+	t.Helper()
+	caller, server := net.Pipe()
+	t.Cleanup(func() { _ = caller.Close() })
+	f.e.Serve(platform.NewCaller(server))
+	r := bufio.NewReader(caller)
+	receive = func() (string, bool) {
+		_ = caller.SetReadDeadline(time.Now().Add(2 * time.Second))
+		var answer strings.Builder
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return answer.String(), true
+			}
+			answer.WriteString(line)
+			if strings.HasPrefix(line, "READY") {
+				return answer.String(), false
+			}
+		}
+	}
+	write := func(line string) {
+		if _, err := fmt.Fprintf(caller, "%s\r\n", line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("START primary key")
+	if answer, closed := receive(); closed {
+		t.Fatalf("opening: got %q and a close, want READY", answer)
+	}
+	return func(statement string) { write("QUERY 1 " + statement) }, receive
+}
+
+// TestEndBusySession guards against a planned stop that never asks a busy session
+// to end, so that the statement after it is cut with the process.
+func TestEndBusySession(t *testing.T) {
+	f := newFixture(t)
+	held := &heldHomes{make(chan struct{}, 1), make(chan struct{}, 1)}
+	f.e.cfg.Homes = held
+	send, receive := talk(t, f)
+	send("READ x")
+	<-held.arrived
+	if got := f.e.EndSessions(5); got != 1 {
+		t.Errorf("open sessions: got %d, want 1", got)
+	}
+	held.release <- struct{}{}
+	if answer, closed := receive(); closed || !strings.Contains(answer, "DONE") {
+		t.Errorf("statement in progress: got %q, closed %v, want its answer", answer, closed)
+	}
+	if answer, closed := receive(); !closed {
+		t.Errorf("after the answer: got %q, want a close", answer)
+	}
+}
+
+// TestEndSessionInTransaction guards against a planned stop that cuts an open
+// transaction, also one that began while the session was asked to end.
+func TestEndSessionInTransaction(t *testing.T) {
+	f := newFixture(t)
+	held := &heldHomes{make(chan struct{}, 4), make(chan struct{}, 4)}
+	f.e.cfg.Homes = held
+	send, receive := talk(t, f)
+	for range 3 {
+		held.release <- struct{}{}
+	}
+	for i, statement := range []string{"BEGIN", "READ x", "COMMIT"} {
+		send(statement)
+		if answer, closed := receive(); closed {
+			t.Fatalf("%s: got %q and a close, want an answer", statement, answer)
+		}
+		if i == 0 {
+			f.e.EndSessions(5)
+			f.e.mu.Lock()
+			for s := range f.e.sessions {
+				s.c.Interrupt() // as from a look before the transaction began
+			}
+			f.e.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	if answer, closed := receive(); !closed {
+		t.Errorf("after the transaction: got %q, want a close", answer)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,18 +56,23 @@
 	return len(e.sessions)
 }
 
-// CloseIdle asks up to n sessions that are in no transaction and wait for no
-// answer to end, and returns how many sessions are open.
-func (e *Entry) CloseIdle(n int) int {
+// EndSessions asks up to n further sessions to end, and returns how many are
+// open. An idle session ends at once, another one after the answer that it waits
+// for or the end of its transaction.
+func (e *Entry) EndSessions(n int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for s := range e.sessions {
 		if n == 0 {
 			break
 		}
+		if s.ending.Swap(true) {
+			continue
+		}
+		n--
+		// A session that begins a statement meanwhile sees the mark at its end.
 		if !s.busy.Load() && !s.inTx.Load() {
 			s.c.Interrupt()
-			n--
 		}
 	}
 	return len(e.sessions)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -30,6 +30,9 @@
 	busy atomic.Bool
 	// inTx mirrors whether tx is set, for other goroutines.
 	inTx atomic.Bool
+	// ending says that the session ends once no statement or transaction is in
+	// progress.
+	ending atomic.Bool
 }
 
 // errEnd ends a session after its last answer.
@@ -43,6 +46,9 @@
 	}
 	for {
 		st, err := s.c.Next()
+		if errors.Is(err, siskin.ErrInterrupted) && s.tx != nil {
+			continue // the transaction began while the session was asked to end
+		}
 		if err != nil {
 			s.e.closed(s, err)
 			return
@@ -59,6 +65,9 @@
 		if err != nil {
 			return
 		}
+		if s.ending.Load() && s.tx == nil {
+			s.c.Interrupt()
+		}
 	}
 }
 
--- a/internal/sysd/isolation.go
+++ b/internal/sysd/isolation.go
@@ -62,6 +62,6 @@
 			Int("VMs", len(n.crew.Live())).Msg("isolation from other data centres changed")
 	}
 	if n.isolation.closes(now) {
-		n.entry.CloseIdle(n.entry.Sessions()/isolatedCloseParts + 1)
+		n.entry.EndSessions(n.entry.Sessions()/isolatedCloseParts + 1)
 	}
 }
--- a/internal/sysd/stop.go
+++ b/internal/sysd/stop.go
@@ -29,7 +29,7 @@
 	group := n.entry.Sessions()/closeParts + 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		c := n.homes.Counts()
-		if n.entry.CloseIdle(group) == 0 && c.Transactions == 0 && c.Active == 0 {
+		if n.entry.EndSessions(group) == 0 && c.Transactions == 0 && c.Active == 0 {
 			break
 		}
 		sleepUntil(ctx, minTime(time.Now().Add(closeStep), deadline))
