crew, feed, sysd: a start without a mesh of contacts

Cause: in a fleet of 295 VMs each one pinged every other one to learn that it lives: 86,728 lines 'contact to a VM' and as many connections before second -12, 56,050 lines on customers, 55 MB resident a process.

Change: a VM that was never heard of counts as alive in a large fleet until a call or ping fails or a relay reports it; each VM pings the same few distant peers in turn; relays tell of VMs that fell silent; at most 48 VMs, spread over the data centres, hold shares of rates, and only they ping the owners of pools; the first configuration and the first list of targets take one line each.

Crew tests as before; TestSilentDataCentre found that a failed peer was not asked again.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -58,6 +58,7 @@
 	relay      bool      // this VM is a relay of its data centre
 	chosen     time.Time // last time that peers were sorted
 	round      int       // number of times
+	watchedOf  int       // number of members when the watched ones were chosen
 	// silent says until when data centres are held to be silent.
 	silent map[siskin.DataCentreID]time.Time
 }
--- a/internal/crew/loop.go
+++ b/internal/crew/loop.go
@@ -1,10 +1,12 @@
 package crew
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/pkg/place"
 )
 
 // tick is the resolution of the ping schedule.
@@ -61,6 +63,9 @@
 func (c *Crew) choose(now time.Time) {
 	large := len(c.members) >= fullMesh
 	c.relay = large && c.isRelay(c.cfg.Self.ID, c.cfg.Self.DataCentre)
+	if large {
+		c.chooseWatched()
+	}
 	var distant, relays []*member
 	for _, m := range c.members {
 		before := m.every
@@ -74,7 +79,7 @@
 		case m.every != 0 || m.pinging:
 		case !c.relay && c.local(m) && c.isRelay(m.node.ID, m.node.DataCentre):
 			relays = append(relays, m)
-		default:
+		case m.watched:
 			distant = append(distant, m)
 		}
 	}
@@ -95,6 +100,33 @@
 	}
 }
 
+// chooseWatched picks the distant peers that this VM pings in turn, by rendezvous
+// rank, so that each VM is watched by about as many others. The caller holds mu.
+func (c *Crew) chooseWatched() {
+	if c.watchedOf == len(c.members) {
+		return
+	}
+	c.watchedOf = len(c.members)
+	ranked := make(map[siskin.DataCentreID][]*member)
+	for _, m := range c.members {
+		m.watched = false
+		ranked[m.node.DataCentre] = append(ranked[m.node.DataCentre], m)
+	}
+	key := "watch/" + string(c.cfg.Self.ID)
+	for dc, list := range ranked {
+		n := watchedFar
+		if dc == c.cfg.Self.DataCentre {
+			n = watchedLocal
+		}
+		slices.SortFunc(list, func(a, b *member) int {
+			return cmp.Compare(place.Score(key, b.node.ID), place.Score(key, a.node.ID))
+		})
+		for _, m := range list[:min(n, len(list))] {
+			m.watched = true
+		}
+	}
+}
+
 func byHeard(a, b *member) int { return a.heard.Compare(b.heard) }
 
 func (c *Crew) local(m *member) bool { return m.node.DataCentre == c.cfg.Self.DataCentre }
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -29,6 +29,15 @@
 	deadInterval = 1500 * time.Millisecond
 	// deadAfter is the silence after which deadInterval applies.
 	deadAfter = 5 * time.Second
+	// goneInterval and goneAfter are the same for a peer that was removed, as far
+	// as its silence tells.
+	goneInterval = 15 * time.Second
+	goneAfter    = time.Minute
+	// watchedLocal and watchedFar are the numbers of distant peers of a large
+	// fleet, in this data centre and in each other one, that a VM pings in turn.
+	// The same ones each time: with all others in turn every VM would keep a
+	// connection to every other one.
+	watchedLocal, watchedFar = 3, 1
 )
 
 // member is a peer and what is known of its health.
@@ -42,22 +51,28 @@
 	// suspect is set by a failed call and cleared by the next answer.
 	suspect bool
 	next    time.Time // of the next ping
+	doubted time.Time // last ping for a report of a relay
 	// every is the time between two pings, zero for a distant peer of a large
 	// fleet, which is pinged when its turn comes.
 	every time.Duration
+	// watched says that a distant peer is pinged in turn.
+	watched bool
 	// failed says that the last ping was not answered.
 	failed            bool
 	pinging, fetching bool
 }
 
-// alive reports whether the peer may be used. One that is pinged rarely is held
-// to be alive until a call or ping fails, or its whole data centre is silent.
+// alive reports whether the peer may be used. One that is pinged rarely or never
+// is held to be alive until a call or ping fails, or its whole data centre is
+// silent.
 func (c *Crew) alive(m *member, now time.Time) bool {
-	if m.heard.IsZero() || m.suspect {
+	switch {
+	case m.suspect:
 		return false
-	}
-	if now.Sub(m.heard) < suspectAfter {
+	case !m.heard.IsZero() && now.Sub(m.heard) < suspectAfter:
 		return true
+	case m.heard.IsZero() && m.every != 0:
+		return false
 	}
 	return m.every != pingInterval && !m.failed && !now.Before(c.silent[m.node.DataCentre])
 }
@@ -66,9 +81,11 @@
 func (m *member) untilNext(now time.Time) time.Duration {
 	quiet := m.failed || m.suspect
 	switch {
+	case quiet && now.Sub(m.known) > goneAfter && now.Sub(m.heard) > goneAfter:
+		return goneInterval
 	case quiet && now.Sub(m.known) > deadAfter && now.Sub(m.heard) > deadAfter:
 		return deadInterval
-	case quiet || m.heard.IsZero():
+	case quiet || m.heard.IsZero() && m.every != 0:
 		return pingInterval
 	case m.every == 0:
 		return untilTurn
--- a/internal/crew/members.go
+++ b/internal/crew/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"siskintray.example/siskin"
 )
@@ -98,13 +99,26 @@
 	m := c.members[n.ID]
 	switch {
 	case m == nil:
-		c.members[n.ID] = &member{node: n, known: c.cfg.Clock.Now(), every: pingInterval}
+		c.members[n.ID] = c.newMember(n)
 	case n.Run > m.node.Run:
-		c.members[n.ID] = &member{node: n, known: c.cfg.Clock.Now(), every: pingInterval}
+		c.members[n.ID] = c.newMember(n)
 		c.publish()
 	}
 }
 
+// newMember returns a member that is pinged at once, or in a large fleet when
+// choose finds a reason to: with a ping of each VM to every other one a fleet of
+// 295 VMs opened 87,000 connections at its start.
+func (c *Crew) newMember(n Node) *member {
+	now := c.cfg.Clock.Now()
+	m := &member{node: n, known: now, every: pingInterval}
+	if len(c.members) >= fullMesh {
+		m.every, m.next = 0, now.Add(untilTurn)
+	}
+	c.chosen = time.Time{} // looks at the peers again
+	return m
+}
+
 // Nodes returns all VMs known, this one included.
 func (c *Crew) Nodes() []Node {
 	c.mu.Lock()
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -52,6 +52,8 @@
 	Loads map[siskin.TargetID]int `json:",omitempty"`
 	// Silent are the data centres of which no VM answers the sender, a relay.
 	Silent []siskin.DataCentreID `json:",omitempty"`
+	// Lost are VMs that do not answer the sender, a relay.
+	Lost []siskin.VMID `json:",omitempty"`
 	// Nodes are all VMs that the sender knows, when the receiver asked for them.
 	Nodes []Node `json:",omitempty"`
 	// WantNodes asks for Nodes.
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -27,6 +27,9 @@
 			c.doubtDataCentre(m.node.DataCentre)
 		}
 		m.pinging, m.failed = false, err != nil
+		if now := c.cfg.Clock.Now(); err != nil && m.every == 0 {
+			m.next = now.Add(m.untilNext(now)) // its turn may never come
+		}
 	}
 	if err != nil {
 		c.publish()
@@ -47,6 +50,7 @@
 			for _, dc := range reply.Silent {
 				c.noteSilent(dc, asked.Add(silentFor))
 			}
+			c.doubt(reply.Lost)
 		} else {
 			delete(c.silent, m.node.DataCentre)
 		}
--- a/internal/crew/receiver.go
+++ b/internal/crew/receiver.go
@@ -15,6 +15,7 @@
 	r.c.Learn(args.From)
 	r.c.fetchIfNewer(args)
 	r.c.noteLeaving(args)
+	r.c.noteAlive(args.From)
 	if args.Loans != nil {
 		r.c.rates.Lent(args.Loans)
 	}
@@ -31,6 +32,16 @@
 	return nil
 }
 
+// noteAlive pings a peer again at once that is held to be silent and has just
+// asked this VM.
+func (c *Crew) noteAlive(n Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m := c.members[n.ID]; m != nil && (m.suspect || m.failed) && n.Run >= m.node.Run {
+		m.next = time.Time{}
+	}
+}
+
 func (c *Crew) noteLeaving(s *State) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/crew/relay.go
+++ b/internal/crew/relay.go
@@ -47,8 +47,6 @@
 func (c *Crew) pingEvery(m *member) time.Duration {
 	id := m.node.ID
 	switch {
-	case m.heard.IsZero():
-		return pingInterval
 	case c.near.Followed[id], c.relay && c.near.Homes[id]:
 		return pingInterval
 	case c.near.Pools[id]:
@@ -105,6 +103,38 @@
 	}
 }
 
+const (
+	// lostFor is the time for which a relay tells of a VM that fell silent. Those
+	// that ask it do so each pingInterval.
+	lostFor = 2 * time.Second
+	// maxLost bounds the VMs that are told with one answer. A whole data centre is
+	// told of by its name.
+	maxLost = 32
+)
+
+// lost returns the VMs that have just fallen silent. The caller holds mu.
+func (c *Crew) lost(now time.Time) []siskin.VMID {
+	var list []siskin.VMID
+	for id, m := range c.members {
+		quiet := now.Sub(m.heard)
+		if (m.suspect || m.failed) && quiet < suspectAfter+lostFor && len(list) < maxLost {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// doubt pings VMs that a relay lost, unless this VM has done so lately. The caller
+// holds mu.
+func (c *Crew) doubt(ids []siskin.VMID) {
+	now := c.cfg.Clock.Now()
+	for _, id := range ids {
+		if m := c.members[id]; m != nil && c.alive(m, now) && now.Sub(m.heard) > suspectAfter && now.Sub(m.doubted) > lostFor {
+			m.doubted, m.next = now, time.Time{}
+		}
+	}
+}
+
 // silentDataCentres returns the data centres held to be silent. The caller holds
 // mu.
 func (c *Crew) silentDataCentres(now time.Time) []siskin.DataCentreID {
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -24,6 +24,7 @@
 	every := len(c.members) < fullMesh || c.relay
 	if c.relay {
 		s.Silent = c.silentDataCentres(now)
+		s.Lost = c.lost(now)
 	}
 	c.mu.Unlock()
 	for _, spec := range c.cfg.Table.Snapshot().Services {
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -1,12 +1,16 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/crew"
+	"siskintray.example/siskin/pkg/place"
 )
 
 // rightsKind and rightsName name the record of the VMs that share the
@@ -32,6 +36,28 @@
 // is cut off may use its share at any time.
 type holdersRecord struct{ Holders []siskin.VMID }
 
+// maxHolders bounds the VMs that hold shares. Each exchanges loans with the owners
+// of pools several times a second, and a part of a token admits nothing.
+const maxHolders = 48
+
+// chooseHolders returns the VMs that are to hold shares, spread evenly over the
+// data centres.
+func chooseHolders(nodes []crew.Node) []siskin.VMID {
+	slices.SortFunc(nodes, func(a, b crew.Node) int {
+		return cmp.Compare(place.Score("holders", b.ID), place.Score("holders", a.ID))
+	})
+	var ids []siskin.VMID
+	for round := 0; len(ids) < min(maxHolders, len(nodes)); round++ {
+		taken := make(map[siskin.DataCentreID]int)
+		for _, n := range nodes {
+			if taken[n.DataCentre]++; taken[n.DataCentre] == round+1 && len(ids) < maxHolders {
+				ids = append(ids, n.ID)
+			}
+		}
+	}
+	return ids
+}
+
 // holders reads the record, or creates it from the VMs known.
 func (f *Feed) holders(ctx context.Context) {
 	start := f.cfg.Clock.Now()
@@ -61,10 +87,7 @@
 		// A VM that has found no other yet must not keep all rates to itself.
 		alone := len(f.cfg.Crew.Live()) < 2 && f.cfg.Clock.Since(start) < askPeersFor
 		if err == nil && f.cfg.Clock.Since(start) > formAfter && !alone {
-			var r holdersRecord
-			for _, n := range f.cfg.Crew.Nodes() {
-				r.Holders = append(r.Holders, n.ID)
-			}
+			r := holdersRecord{chooseHolders(f.cfg.Crew.Nodes())}
 			// Whether or not this VM created it, the next read tells.
 			if _, err := f.cfg.Store.Create(ctx, rightsKind, rightsName, r); err != nil {
 				f.cfg.Log.Info().Err(err).Msg("the record of shares was not created")
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -161,8 +161,10 @@
 // nearPeers returns the VMs that this one depends on.
 func (n *node) nearPeers() crew.Near {
 	near := crew.Near{Pools: make(map[siskin.VMID]bool)}
-	for _, id := range n.rates.Owners() {
-		near.Pools[id] = true
+	if n.rates.Share() > 0 { // others have nothing to lend
+		for _, id := range n.rates.Owners() {
+			near.Pools[id] = true
+		}
 	}
 	near.Homes, near.Followed = n.path.PrimaryHomes(n.table.Snapshot().Services)
 	return near
--- a/internal/sysd/upkeep.go
+++ b/internal/sysd/upkeep.go
@@ -7,6 +7,10 @@
 	"siskintray.example/siskin/platform"
 )
 
+// maxCustomerLines bounds the lines on customers of one change of the
+// configuration. Each VM of the fleet writes them.
+const maxCustomerLines = 20
+
 // apply puts an encoded configuration in force if it is newer.
 func (n *node) apply(encoded []byte, source string) {
 	d, err := platform.DecodeDeployment(encoded)
@@ -19,11 +23,18 @@
 	if n.table.Apply(d, encoded) {
 		n.log.Info().Uint64("Before", uint64(before)).Uint64("Revision", uint64(d.Version)).Str("Source", source).
 			Int("Routes", len(d.Routes)).Int("Customers", len(d.Customers)).Msg("configuration in force")
+		if before == 0 {
+			return // all customers are new; their limits stand in the configuration
+		}
+		lines := 0
 		for i := range d.Customers {
 			c := &d.Customers[i]
 			if old, ok := earlier.Customer(c.ID); ok && old.Rate == c.Rate && old.Burst == c.Burst && len(old.Keys) == len(c.Keys) {
 				continue
 			}
+			if lines++; lines > maxCustomerLines {
+				break
+			}
 			n.log.Info().Str("Customer", string(c.ID)).Int("Keys", len(c.Keys)).Float64("Rate", float64(c.Rate)).
 				Float64("Burst", float64(c.Burst)).Msg("customer in force")
 		}
@@ -62,8 +73,12 @@
 			if ok && old == t {
 				continue
 			}
-			n.log.Info().Str("Target", string(t.ID)).Str("Service", string(t.Service)).Str("Address", t.Address).
-				Bool("Primary", t.Primary).Bool("Draining", t.Draining).Time("Born", t.Born).Msg("a target's entry changed")
+			if len(known) == 0 {
+				n.log.Debug().Str("Target", string(t.ID)).Msg("a target is known")
+			} else {
+				n.log.Info().Str("Target", string(t.ID)).Str("Service", string(t.Service)).Str("Address", t.Address).
+					Bool("Primary", t.Primary).Bool("Draining", t.Draining).Time("Born", t.Born).Msg("a target's entry changed")
+			}
 			if t.Primary && (!ok || !old.Primary || !old.Born.Equal(t.Born)) {
 				n.views.Hint(t.Service, t.ID)
 			}
@@ -74,6 +89,9 @@
 			n.log.Info().Str("Target", string(id)).Msg("a target is gone")
 		}
 	}
+	if len(known) == 0 && len(next) > 0 {
+		n.log.Info().Int("Targets", len(next)).Msg("targets are known")
+	}
 	return next
 }
 
