place, crew, quota: homes, relays and pools on the strong VMs of a mixed fleet

Cause: 18 of 295 VMs have 0.8 of a core, the others 0.192 and a tenth of the link; homes, relays and owners of pools were picked by rank alone.

Change: VMs tell their capacity (VM.ProcessorShare, VM.Processors), and ranks go by its order of magnitude first. 8 owners of pools up to 159 VMs, 16 from 160 on, 32 from 320 on; 36 holders of shares.

--- a/internal/cfgini/system.go
+++ b/internal/cfgini/system.go
@@ -1,6 +1,7 @@
 package cfgini
 
 import (
+	"math"
 	"time"
 
 	"siskintray.example/siskin"
@@ -21,9 +22,16 @@
 
 // SystemVM names the machine.
 type SystemVM struct {
-	ID         string       `unit:"name" doc:"Name of this VM, unique in the fleet. It survives a restart."`
-	DataCentre string       `unit:"name" doc:"Data centre that the VM stands in."`
-	Memory     siskin.Bytes `default:"256MB" min:"32MB" max:"64GB" doc:"Memory that the process may use. The garbage collector works harder from two thirds of it on."`
+	ID             string       `unit:"name" doc:"Name of this VM, unique in the fleet. It survives a restart."`
+	DataCentre     string       `unit:"name" doc:"Data centre that the VM stands in."`
+	ProcessorShare float64      `default:"1" min:"0.01" max:"1024" doc:"Part of the processor that the VM may use. VMs with more take the homes of targets, the relays and the pools of rates."`
+	Processors     float64      `default:"1" min:"0.1" max:"1024" doc:"Speed of the processor, as a multiple of one core."`
+	Memory         siskin.Bytes `default:"256MB" min:"32MB" max:"64GB" doc:"Memory that the process may use. The garbage collector works harder from two thirds of it on."`
+}
+
+// Capacity returns the VM's processor.
+func (v *SystemVM) Capacity() siskin.Millicores {
+	return siskin.Millicores(math.Round(v.ProcessorShare * v.Processors * 1000))
 }
 
 // SystemCaller sets the listener for callers.
--- a/internal/cfgini/system_test.go
+++ b/internal/cfgini/system_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	fields := map[string]string{
-		"node": "front-a-1", "zone": "a", "limits.memory_mb": "284", "listen.front": "10.1.0.26:8465",
+		"node": "front-a-1", "zone": "a", "limits.memory_mb": "284", "limits.cpu_share": "0.4", "limits.cpu_cores": "1", "listen.front": "10.1.0.26:8465",
 		"listen.ready": "10.1.0.26:8460", "listen.control": "10.1.0.26:8462",
 		"seed_addrs": "10.1.0.26:8462,10.2.0.23:8462", "platform.addr": "10.200.1.7:8466", "cloud.addr": "10.200.0.2:8466",
 		"ip": "10.1.0.26", "port_range.0": "7560", "bounds.grace_s": "6", "bounds.fencing": fencing,
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -13,13 +13,15 @@
 	Run        siskin.Incarnation
 	DataCentre siskin.DataCentreID `json:",omitempty"`
 	Address    string              `json:",omitempty"`
+	// Capacity is the VM's processor.
+	Capacity siskin.Millicores `json:",omitempty"`
 }
 
 // brief returns what identifies the run of a VM that the receiver knows.
 func (n *Node) brief() Node { return Node{ID: n.ID, Run: n.Run} }
 
 func (n *Node) vm() siskin.VM {
-	return siskin.VM{ID: n.ID, Incarnation: n.Run, DataCentre: n.DataCentre, PeerAddress: n.Address, State: siskin.VMLive}
+	return siskin.VM{ID: n.ID, Incarnation: n.Run, DataCentre: n.DataCentre, PeerAddress: n.Address, State: siskin.VMLive, Capacity: n.Capacity}
 }
 
 // LeadNote passes a proof of lead on. Its age is counted by the receiver from
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -38,13 +38,13 @@
 
 // maxHolders bounds the VMs that hold shares. Each exchanges loans with the owners
 // of pools several times a second, and a part of a token admits nothing.
-const maxHolders = 48
+const maxHolders = 36
 
 // chooseHolders returns the VMs that are to hold shares, spread evenly over the
 // data centres.
 func chooseHolders(nodes []crew.Node) []siskin.VMID {
 	slices.SortFunc(nodes, func(a, b crew.Node) int {
-		return cmp.Compare(place.Score("holders", b.ID), place.Score("holders", a.ID))
+		return cmp.Or(cmp.Compare(place.Tier(b.Capacity), place.Tier(a.Capacity)), cmp.Compare(place.Score("holders", b.ID), place.Score("holders", a.ID)))
 	})
 	var ids []siskin.VMID
 	for round := 0; len(ids) < min(maxHolders, len(nodes)); round++ {
--- a/internal/quota/owners.go
+++ b/internal/quota/owners.go
@@ -30,16 +30,27 @@
 	return []siskin.VMID{first.ID, second.ID}
 }
 
-// maxOwners bounds the VMs that hold pools, since every VM exchanges loans with
-// each of them several times a second.
-const maxOwners = 8
+const (
+	// minOwners is the number of VMs that hold pools in a small fleet. Every holder
+	// of shares exchanges loans with each of them several times a second.
+	minOwners = 8
+	// vmsPerOwner is the number of VMs for each owner in a larger one, whose
+	// requests ask it for tokens. Their number doubles, so that it does not change
+	// with each VM that comes or goes.
+	vmsPerOwner = 10
+	maxOwners   = 32
+)
 
 // chooseOwners returns the VMs that hold the pools of all customers.
 func (l *Limiter) chooseOwners(live []siskin.VM) []siskin.VM {
-	if len(live) <= maxOwners {
+	n := minOwners
+	for n < maxOwners && len(live) >= 2*n*vmsPerOwner {
+		n *= 2
+	}
+	if len(live) <= n {
 		return live
 	}
-	return place.Rank("rates", live)[:maxOwners]
+	return place.Rank("rates", live)[:n]
 }
 
 // Owners returns the ids of the VMs that hold pools.
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -142,7 +142,7 @@
 		Homes: n.homes, Apply: n.apply, Log: n.log, Near: n.nearPeers, IsHome: n.isHome,
 		Self: crew.Node{
 			ID: siskin.VMID(n.cfg.VM.ID), Run: run, DataCentre: siskin.DataCentreID(n.cfg.VM.DataCentre),
-			Address: cmp.Or(n.cfg.Peer.Advertised, n.cfg.Peer.Address),
+			Address: cmp.Or(n.cfg.Peer.Advertised, n.cfg.Peer.Address), Capacity: n.cfg.VM.Capacity(),
 		},
 	})
 	n.peers.SetLookup(n.crew.Address)
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,29 +27,35 @@
 // Best returns the first VM in the order of Rank.
 func Best(resource string, vms []siskin.VM) (siskin.VM, bool) {
 	var best siskin.VM
-	var top uint64
-	found := false
-	for _, vm := range vms {
-		score := Score(resource, vm.ID)
-		if !found || score > top || (score == top && vm.ID < best.ID) {
-			best, top, found = vm, score, true
+	for i, vm := range vms {
+		if i == 0 || compare(resource, vm, best) < 0 {
+			best = vm
 		}
 	}
-	return best, found
+	return best, len(vms) > 0
 }
 
 // Rank returns the VMs ordered by their weight for the resource, highest first.
+// VMs of a higher Tier come before all others: a resource on a VM with a quarter
+// of another one's processor made each request there wait for it.
 func Rank(resource string, vms []siskin.VM) []siskin.VM {
 	ranked := slices.Clone(vms)
-	slices.SortFunc(ranked, func(a, b siskin.VM) int {
-		if c := cmp.Compare(Score(resource, b.ID), Score(resource, a.ID)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID, b.ID)
-	})
+	slices.SortFunc(ranked, func(a, b siskin.VM) int { return compare(resource, a, b) })
 	return ranked
 }
 
+func compare(resource string, a, b siskin.VM) int {
+	return cmp.Or(
+		cmp.Compare(Tier(b.Capacity), Tier(a.Capacity)),
+		cmp.Compare(Score(resource, b.ID), Score(resource, a.ID)),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// Tier returns the order of magnitude of a capacity, in powers of two, so that
+// VMs of about the same size share resources evenly.
+func Tier(c siskin.Millicores) int { return bits.Len64(uint64(max(c, 0))) }
+
 // In returns the VMs in the given data centre, or all VMs when it has none.
 func In(dc siskin.DataCentreID, vms []siskin.VM) []siskin.VM {
 	var local []siskin.VM
--- a/units.go
+++ b/units.go
@@ -15,3 +15,6 @@
 
 // Bytes is a size in bytes.
 type Bytes int64
+
+// Millicores are thousandths of a processor core.
+type Millicores int
--- a/vm.go
+++ b/vm.go
@@ -42,4 +42,6 @@
 	// PostgreSQL protocol.
 	ForwardAddress string
 	State          VMState
+	// Capacity is the processor of the VM, zero when it is not known.
+	Capacity Millicores
 }
