path, crew: relays of a starting large fleet ask the primaries that targets name

Lists of live VMs were built and sorted at each tick and ping.

Change: without a proof the targets' entries name the home to ask; the list is rebuilt when a member changes.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -47,8 +47,10 @@
 	mu      sync.Mutex
 	members map[siskin.VMID]*member // without this VM
 	live    []siskin.VM
-	changed chan struct{}
-	seeded  time.Time
+	// listedSelf says that live holds this VM, and relist that it is out of date.
+	listedSelf, relist bool
+	changed            chan struct{}
+	seeded             time.Time
 	// incomplete says that a peer knows more VMs than this one.
 	incomplete bool
 	packed     packed
@@ -68,7 +70,7 @@
 // New returns a Crew that knows only this VM. Start begins to ping.
 func New(cfg Config) *Crew {
 	c := &Crew{cfg: cfg, stop: make(chan struct{}), members: make(map[siskin.VMID]*member), silent: make(map[siskin.DataCentreID]time.Time), changed: make(chan struct{})}
-	c.live = []siskin.VM{cfg.Self.vm()}
+	c.live, c.listedSelf = []siskin.VM{cfg.Self.vm()}, true
 	return c
 }
 
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -55,6 +55,8 @@
 	// every is the time between two pings, zero for a distant peer of a large
 	// fleet, which is pinged when its turn comes.
 	every time.Duration
+	// listed says that the list of live VMs holds this run of the peer.
+	listed bool
 	// watched says that a distant peer is pinged in turn.
 	watched bool
 	// failed says that the last ping was not answered.
--- a/internal/crew/members.go
+++ b/internal/crew/members.go
@@ -102,6 +102,7 @@
 		c.members[n.ID] = c.newMember(n)
 	case n.Run > m.node.Run:
 		c.members[n.ID] = c.newMember(n)
+		c.relist = true // the list may hold the earlier run
 		c.publish()
 	}
 }
@@ -134,23 +135,50 @@
 	return nodes
 }
 
+// Refresh derives the list of live VMs from what is known now.
+func (c *Crew) Refresh() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.publish()
+}
+
 // publish derives the list of live VMs.
 func (c *Crew) publish() {
 	now := c.cfg.Clock.Now()
+	if !c.liveChanged(now) {
+		return
+	}
 	var live []siskin.VM
 	if !c.leaving.Load() {
 		live = append(live, c.cfg.Self.vm())
 	}
 	for _, m := range c.members {
-		if c.alive(m, now) && !m.leaving {
+		if c.usable(m, now) {
 			live = append(live, m.node.vm())
 		}
 	}
 	slices.SortFunc(live, func(a, b siskin.VM) int { return cmp.Compare(a.ID, b.ID) })
-	if slices.Equal(live, c.live) {
-		return
-	}
 	c.live = live
+	for _, m := range c.members {
+		m.listed = c.usable(m, now)
+	}
+	c.listedSelf, c.relist = !c.leaving.Load(), false
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
+
+func (c *Crew) usable(m *member, now time.Time) bool { return !m.leaving && c.alive(m, now) }
+
+// liveChanged reports whether the list of live VMs is out of date. It is asked
+// many times a second, and a list of hundreds of VMs is dear to build.
+func (c *Crew) liveChanged(now time.Time) bool {
+	if c.relist || c.listedSelf == c.leaving.Load() {
+		return true
+	}
+	for _, m := range c.members {
+		if m.listed != c.usable(m, now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -73,7 +73,12 @@
 	homes, followed = make(map[siskin.VMID]bool), make(map[siskin.VMID]bool)
 	self := p.cfg.Crew.Self().ID
 	for _, s := range services {
-		t, ok := p.cfg.Roster.Target(p.cfg.Views.Lead(s.Name).Target)
+		// Before any proof the targets' own entries tell whom to ask for one.
+		id := p.cfg.Views.Lead(s.Name).Target
+		if id == "" {
+			id = p.cfg.Views.Primary(s.Name, p.cfg.Roster.Service(s.Name))
+		}
+		t, ok := p.cfg.Roster.Target(id)
 		if !ok {
 			continue
 		}
--- a/internal/peer/activity.go
+++ b/internal/peer/activity.go
@@ -61,8 +61,9 @@
 		if idle := now.Sub(a.lastUse); idle >= a.idleAfter {
 			return closeIdle, 0
 		}
-		// Also short enough to notice a request soon that starts to wait.
-		return keep, a.silentAfter / 8
+		// Also short enough to notice a request soon that starts to wait. A VM has
+		// dozens of idle connections, and each look wakes it up.
+		return keep, a.silentAfter / 4
 	}
 	silent := now.Sub(a.since)
 	switch {
