--- a/internal/crew/loop.go
+++ b/internal/crew/loop.go
@@ -16,17 +16,21 @@
 const untilTurn = time.Hour
 
 func (c *Crew) loop() {
+	var lookedAt time.Time // last time that this VM looked whom it depends on
 	for {
 		select {
 		case <-c.stop:
 			return
 		case <-c.cfg.Clock.After(tick):
 		}
-		c.rates.LendSelf()
-		near := c.cfg.Near()
-		c.mu.Lock()
-		c.near = near
-		c.mu.Unlock()
+		if now := c.cfg.Clock.Now(); now.Sub(lookedAt) >= pingInterval {
+			lookedAt = now
+			c.rates.LendSelf()
+			near := c.cfg.Near()
+			c.mu.Lock()
+			c.near = near
+			c.mu.Unlock()
+		}
 		c.schedule()
 	}
 }
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -47,9 +47,11 @@
 type Elector struct {
 	cfg   Config
 	fence fence
-	ctx   context.Context // ends at Close
-	stop  context.CancelFunc
-	done  sync.WaitGroup
+	// ranker keeps ranks, since each service is looked at several times a second.
+	ranker place.Ranker
+	ctx    context.Context // ends at Close
+	stop   context.CancelFunc
+	done   sync.WaitGroup
 
 	mu       sync.Mutex
 	services map[siskin.ServiceName]*watch
@@ -178,13 +180,12 @@
 // watches reports whether this VM watches a service: it is the home of the
 // primary, or ranks first for the service while no primary is known.
 func (e *Elector) watches(name siskin.ServiceName, primary siskin.TargetID) bool {
-	live := e.cfg.Members.Live()
-	key := "lead/" + string(name)
+	key, choose := "lead/"+string(name), func(live []siskin.VM) []siskin.VM { return live }
 	if t, ok := e.cfg.Roster.Target(primary); ok {
-		key, live = string(t.ID), place.In(t.DataCentre, live)
+		key, choose = string(t.ID), func(live []siskin.VM) []siskin.VM { return place.In(t.DataCentre, live) }
 	}
-	vm, ok := place.Best(key, live)
-	return ok && vm.ID == e.cfg.Members.Self().ID
+	ranked := e.ranker.Rank(key, e.cfg.Members.Live(), choose)
+	return len(ranked) > 0 && ranked[0].ID == e.cfg.Members.Self().ID
 }
 
 // look examines one service and acts on what it finds.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -43,6 +43,8 @@
 	// followerDelay is added to the age for these VMs. With configAge, takeOver
 	// and stagger it stays below the 3 s for a configuration.
 	followerDelay = 500 * time.Millisecond
+	// followerTick bounds the time between two looks of such a VM.
+	followerTick = 400 * time.Millisecond
 	// startFromPeers is the time for which a starting VM that is no seed expects its
 	// peers to pass on what they know.
 	startFromPeers = time.Second
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -29,8 +29,13 @@
 		if follows {
 			due, longest = due+followerDelay, followerPause
 		}
-		if f.cfg.Clock.Since(at) < due {
-			sleep(ctx, pollTick)
+		if left := due - f.cfg.Clock.Since(at); left > 0 {
+			// A follower hardly ever reads, and each look wakes it up.
+			tick := pollTick
+			if follows {
+				tick = max(tick, min(left, followerTick))
+			}
+			sleep(ctx, tick)
 			continue
 		}
 		asked := f.cfg.Clock.Now()
