peer, entry, path: a fault or a malformed message ends one request

Cause, by reading: a panic in a session's goroutine ended the process with all sessions; one in a handler of a peer's call was swallowed by the pool without a line, and its caller waited for its deadline. A reply with a code or state that this version does not know indexed a table of the caller's protocol out of range or a missing counter, as may come from a VM of another version during a rolling update.

Change: a session that fails this way ends alone, a handler answers with an error at once; both are logged with their stack and counted (session_faults). Requests and replies between VMs are checked at the boundary; a reply that is not understood counts as lost, since the statement may have run.

Tests: TestPanicInHandler, TestFaultEndsOneSession, TestMalformedReply, TestMalformedRequest; the second one ended the test process without the change.

--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -107,3 +107,29 @@
 		t.Errorf("after the transaction: got %q, want a close", answer)
 	}
 }
+
+// faultyHomes fails by a fault of the program.
+type faultyHomes struct{}
+
+func (faultyHomes) Run(context.Context, *home.Request) home.Reply { panic("a fault on purpose") }
+
+// TestFaultEndsOneSession guards against a fault in one statement that ends the
+// process with the sessions of all callers.
+func TestFaultEndsOneSession(t *testing.T) {
+	f := newFixture(t)
+	f.e.cfg.Homes = faultyHomes{}
+	send, receive := talk(t, f)
+	other, answer := talk(t, f)
+	send("READ x")
+	if got, closed := receive(); !closed {
+		t.Errorf("session with the fault: got %q, want a close", got)
+	}
+	f.e.cfg.Homes = f.homes
+	other("SET a b")
+	if got, closed := answer(); closed || !strings.Contains(got, "DONE") {
+		t.Errorf("other session: got %q, closed %v, want its answer", got, closed)
+	}
+	if got := f.e.Sessions(); got != 1 {
+		t.Errorf("open sessions: got %d, want 1", got)
+	}
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"crypto/sha256"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -41,6 +43,7 @@
 // serve runs the session until the caller or the VM ends it.
 func (s *Session) serve() {
 	defer s.end()
+	defer s.survive()
 	if err := s.start(); err != nil {
 		return
 	}
@@ -71,6 +74,19 @@
 	}
 }
 
+// survive ends this session alone after a fault of the program, so that one
+// statement does not end the sessions of all callers. Its caller gets no answer,
+// which promises nothing.
+func (s *Session) survive() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	s.e.cfg.Metrics.Faults.Inc(1)
+	s.e.cfg.Log.Error().Str("Database", s.database).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
+		Msg("a session ended by a fault of this program")
+}
+
 // start reads the opening message and accepts or refuses the session.
 func (s *Session) start() error {
 	database, key, err := s.c.Start()
--- /dev/null
+++ b/internal/home/check.go
@@ -0,0 +1,17 @@
+package home
+
+import "siskintray.example/siskin"
+
+// Valid reports whether a request of a peer can be carried out. A peer of another
+// version may send words that this one does not know.
+func (r *Request) Valid() bool {
+	return r.Statement.Kind > siskin.UnknownStatement && r.Statement.Kind <= siskin.Execute &&
+		r.Proof >= NoProof && r.Proof <= LeadProof && r.Mode >= Single && r.Mode <= Continue && r.Patience > 0
+}
+
+// Valid reports whether a reply of a peer can be passed on to a caller.
+func (r *Reply) Valid() bool {
+	return r.Outcome >= NotSent && r.Outcome <= Lost && r.Cause >= NoCause && int(r.Cause) < len(causes) &&
+		r.Answer.Code >= siskin.Succeeded && r.Answer.Code <= siskin.NoAuth &&
+		r.Answer.State >= siskin.TxIdle && r.Answer.State <= siskin.TxFailed
+}
--- /dev/null
+++ b/internal/path/malformed_test.go
@@ -0,0 +1,56 @@
+package path
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/home"
+	"siskintray.example/siskin/internal/logs"
+)
+
+// replies answers calls with one encoded reply.
+type replies string
+
+func (r replies) Call(_ context.Context, _ siskin.VMID, _ string, _, reply any) error {
+	return json.Unmarshal([]byte(r), reply)
+}
+
+// TestMalformedReply guards against a reply of a VM of another version that ends
+// the process of the entry VM, or is passed on as a success.
+func TestMalformedReply(t *testing.T) {
+	for _, reply := range []string{
+		`{"Outcome":1,"Answer":{"Code":99}}`, `{"Outcome":1,"Answer":{"State":7}}`, `{"Outcome":-1}`, `{"Cause":99}`,
+	} {
+		p, targets := newPath(t)
+		p.cfg.Log, p.cfg.Peers = logs.New("error", "json", io.Discard), replies(reply)
+		req := &home.Request{Target: targets[0].ID, Patience: time.Second}
+		if got := p.Run(context.Background(), req); got.Outcome != home.Lost || !got.Valid() {
+			t.Errorf("reply %s: got %+v, want an unknown outcome", reply, got)
+		}
+	}
+}
+
+// TestMalformedRequest guards against a request of a VM of another version that
+// runs as another statement.
+func TestMalformedRequest(t *testing.T) {
+	r := &Receiver{}
+	for _, text := range []string{
+		`{}`, `{"Statement":{"Kind":99},"Patience":1}`, `{"Statement":{"Kind":5},"Proof":9,"Patience":1}`,
+		`{"Statement":{"Kind":5},"Mode":-1,"Patience":1}`, `{"Statement":{"Kind":13},"Patience":1}`,
+	} {
+		var req home.Request
+		if err := json.Unmarshal([]byte(text), &req); err != nil {
+			t.Fatal(err)
+		}
+		var reply home.Reply
+		var e *siskin.Error
+		if err := r.Run(&req, &reply); !errors.As(err, &e) || e.Kind != siskin.BadInput {
+			t.Errorf("request %s: got %v, want an error of kind BadInput", text, err)
+		}
+	}
+}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/crew"
 	"siskintray.example/siskin/internal/home"
@@ -31,6 +33,7 @@
 	Views  *views.Views
 	Homes  *home.Homes
 	Peers  siskin.Peers
+	Log    *log.Logger
 	// Status decodes the answer to a control statement.
 	Status func(*siskin.Answer) (siskin.ControlStatus, error)
 }
@@ -147,10 +150,16 @@
 		return reply, true
 	}
 	err := p.cfg.Peers.Call(ctx, vm, "Home.Run", req, &reply)
-	if err == nil {
+	if err == nil && reply.Valid() {
 		reply.Home = vm
 		return reply, true
 	}
+	if err == nil {
+		// The statement may have run, and its answer cannot be passed on.
+		p.cfg.Log.Error().Str("VM", string(vm)).Int("Outcome", int(reply.Outcome)).Int("Code", int(reply.Answer.Code)).
+			Msg("the reply of a home is not understood")
+		return home.Reply{Outcome: home.Lost, Cause: home.Silent, Home: vm}, true
+	}
 	if ctx.Err() != nil && !errors.Is(err, peer.ErrNotSent) {
 		p.cfg.Crew.Doubt(vm)
 	}
@@ -194,6 +203,9 @@
 
 // Run runs a statement at this home.
 func (r *Receiver) Run(req *home.Request, reply *home.Reply) error {
+	if !req.Valid() {
+		return siskin.NewError(siskin.BadInput, "the request for a statement of kind %d is not understood", int(req.Statement.Kind)).WithRemedy("run the same version on all VMs")
+	}
 	*reply = r.homes.Run(context.Background(), req)
 	return nil
 }
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"siskintray.example/siskin"
 )
 
@@ -32,12 +34,17 @@
 	// MaxConcurrent bounds the handlers that run at once, and MaxQueued the
 	// requests that wait for one; zero means 64 and 1024.
 	MaxConcurrent, MaxQueued int
+	// Log takes faults of handlers; nil means log.DefaultLogger.
+	Log *log.Logger
 	// Drop is a fault hook for tests: a frame from one VM to another is
 	// dropped when it returns true. See Links.
 	Drop func(from, to siskin.VMID) bool
 }
 
 func (cfg *Config) setDefaults() {
+	if cfg.Log == nil {
+		cfg.Log = &log.DefaultLogger
+	}
 	setDefault(&cfg.MaxMessage, 4<<20)
 	setDefault(&cfg.SilentAfter, 2500*time.Millisecond)
 	setDefault(&cfg.IdleAfter, 30*time.Second)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"go.uber.org/goleak"
 
 	"siskintray.example/siskin"
@@ -34,6 +36,9 @@
 	return nil
 }
 
+// Panic fails by a fault of the program.
+func (e *Echo) Panic(*Args, *string) error { panic("a fault on purpose") }
+
 // Fail returns an error.
 func (e *Echo) Fail(*Args, *string) error { return errors.New("failed on purpose") }
 
@@ -207,3 +212,20 @@
 		}
 	}
 }
+
+// TestPanicInHandler guards against one message that ends the process, or whose
+// caller waits for its deadline without an answer.
+func TestPanicInHandler(t *testing.T) {
+	var lines bytes.Buffer
+	s, c := pair(t, Config{Log: &log.Logger{Writer: &log.IOWriter{Writer: &lines}}}, Config{}, &Echo{})
+	start := time.Now()
+	if _, err := call(c, "b", "Echo.Panic", &Args{}, 5*time.Second); err == nil || time.Since(start) > time.Second {
+		t.Errorf("call of a handler that panics: got %v after %v, want an error at once", err, time.Since(start))
+	}
+	if got, err := call(c, "b", "Echo.Do", &Args{Text: "next"}, time.Second); err != nil || got != "next" {
+		t.Errorf("next call: got %q, %v, want next", got, err)
+	}
+	if got := s.Panics(); got != 1 || !strings.Contains(lines.String(), "a fault on purpose") {
+		t.Errorf("panics: got %d counted and the log %.200q, want one with its cause", got, lines.String())
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,7 @@
 	listener net.Listener
 	counters counters
 	refused  atomic.Int64
+	panics   atomic.Int64
 	done     sync.WaitGroup
 
 	mu     sync.Mutex
@@ -131,12 +134,31 @@
 		codec.reply(answerFrame, []byte("{}"))
 		return
 	}
-	if err := s.pool.Go(func() { _ = s.rpc.ServeRequest(codec) }); err != nil {
+	if err := s.pool.Go(func() { s.handle(codec) }); err != nil {
 		s.refused.Add(1)
 		codec.reply(errorFrame, []byte("too many requests run at this VM; retry at another VM"))
 	}
 }
 
+// handle runs one request. A handler that panics fails its caller at once and
+// leaves the VM running: one message must not end the service of all.
+func (s *Server) handle(codec *serverCodec) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		s.panics.Add(1)
+		s.cfg.Log.Error().Str("Method", codec.request.method).Str("Peer", string(codec.peer)).
+			Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).Msg("a request of a peer failed by a fault of this program")
+		codec.reply(errorFrame, []byte("the request failed by a fault of the VM; retry at another VM"))
+	}()
+	_ = s.rpc.ServeRequest(codec) // its errors went to the caller
+}
+
+// Panics returns the number of requests that ended by a fault of the program.
+func (s *Server) Panics() int64 { return s.panics.Load() }
+
 // Close stops accepting, closes all connections and waits for handlers.
 func (s *Server) Close() error {
 	s.mu.Lock()
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -129,7 +129,7 @@
 func (n *node) joinFleet() error {
 	cfg := peer.Config{
 		Self: siskin.VMID(n.cfg.VM.ID), Plaintext: true, SilentAfter: peerSilentAfter, DialTimeout: peerDialTimeout,
-		MaxConcurrent: maxPeerCalls, MaxQueued: maxPeerCalls,
+		MaxConcurrent: maxPeerCalls, MaxQueued: maxPeerCalls, Log: n.log,
 	}
 	server, err := peer.Listen(cfg, n.cfg.Peer.Address)
 	if err != nil {
@@ -146,7 +146,7 @@
 		},
 	})
 	n.peers.SetLookup(n.crew.Address)
-	n.path = path.New(path.Config{Clock: n.clock, Crew: n.crew, Roster: n.roster, Views: n.views, Homes: n.homes, Peers: n.peers, Status: platform.ParseStatus})
+	n.path = path.New(path.Config{Clock: n.clock, Crew: n.crew, Roster: n.roster, Views: n.views, Homes: n.homes, Peers: n.peers, Log: n.log, Status: platform.ParseStatus})
 	n.rates = quota.New(quota.Config{
 		Clock: n.clock, Run: run, Table: n.table, Members: n.crew, Peers: n.peers, Log: n.log, Doubt: n.crew.Doubt,
 	})
