daemon: a write confirmed at the end of a failover does not hide its gap

A write of the former primary that waits for its confirmation is acknowledged at the end of the change, so that the first write of the next term came 21 ms after it and the time before was lost. Ruled out by reading: the clock and the order of observations (both are taken under the lock).

Change: the gap counts from the acknowledged write before a late confirmation. TestGapWithLateConfirmation gave 21ms before, 821ms after.

--- a/internal/daemon/gaps_test.go
+++ b/internal/daemon/gaps_test.go
@@ -108,3 +108,24 @@
 		}
 	}
 }
+
+// TestGapWithLateConfirmation guards against a failover that is recorded as a gap
+// of a few milliseconds, since a write of the former primary was confirmed at its
+// end and hid the time before.
+func TestGapWithLateConfirmation(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var s serviceWrites
+	s.acknowledged(at(0), at(-10), 1)
+	if gap, ok := s.acknowledged(at(800), at(5), 1); ok {
+		t.Errorf("late confirmation in the same term: got a gap of %v, want none yet", gap)
+	}
+	if gap, ok := s.acknowledged(at(821), at(300), 2); !ok || gap != 821*time.Millisecond {
+		t.Errorf("first write of the next term: got %v, %v, want a gap of 821ms", gap, ok)
+	}
+	s.acknowledged(at(900), at(890), 2)
+	s.acknowledged(at(1200), at(910), 2) // a slow write
+	s.acknowledged(at(1210), at(1200), 2)
+	if gap, ok := s.acknowledged(at(1300), at(1290), 3); !ok || gap != 90*time.Millisecond {
+		t.Errorf("next change after a slow write: got %v, %v, want a gap of 90ms", gap, ok)
+	}
+}
--- a/internal/daemon/servicewrites.go
+++ b/internal/daemon/servicewrites.go
@@ -25,6 +25,10 @@
 	term  siskin.Term // highest term of an acknowledged write
 	// first is the beginning of the first write since then that failed.
 	first time.Time
+	// waited is the end of the acknowledged write before the last one, when the
+	// last one waited for minGap or longer. A write of the former primary may be
+	// confirmed only at the end of a change of primary.
+	waited time.Time
 }
 
 // failed notes a write that an interruption may have ended. One that began
@@ -47,12 +51,19 @@
 			first = began
 		}
 		from := s.acked
+		if replaced && !s.waited.IsZero() && now.Sub(s.acked) < minGap {
+			from = s.waited
+		}
 		if first.Sub(from) > quietTime {
 			from = first
 		}
 		gap = now.Sub(from)
 		ok = replaced || gap >= minGap
 	}
+	s.waited = time.Time{}
+	if !s.acked.IsZero() && now.Sub(began) >= minGap && now.Sub(s.acked) >= minGap {
+		s.waited = s.acked
+	}
 	s.acked, s.first, s.term = now, time.Time{}, max(s.term, term)
 	return gap, ok
 }
