quota, crew: four pools for each large customer, compressed lists of VMs

Each customer had two pools, and one gone left half of the rate; VMs without a share took the part that holders keep for nothing, asked owners to whom no large customer's share is lent, and forgot the former owner when a pool moved; after a loss of all power each VM fetched lists of 32 KB from three seeds, several times.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -54,13 +54,17 @@
 	// incomplete says that a peer knows more VMs than this one.
 	incomplete bool
 	packed     packed
-	fetches    int  // in progress
-	near       Near // as Config.Near returned it
-	ranker     place.Ranker
-	relay      bool      // this VM is a relay of its data centre
-	chosen     time.Time // last time that peers were sorted
-	round      int       // number of times
-	watchedOf  int       // number of members when the watched ones were chosen
+	// packedNodes is guarded by its own mutex, wantedNodes is the last time that
+	// this VM asked for a list.
+	packedNodes packedNodes
+	wantedNodes time.Time
+	fetches     int  // in progress
+	near        Near // as Config.Near returned it
+	ranker      place.Ranker
+	relay       bool      // this VM is a relay of its data centre
+	chosen      time.Time // last time that peers were sorted
+	round       int       // number of times
+	watchedOf   int       // number of members when the watched ones were chosen
 	// silent says until when data centres are held to be silent.
 	silent map[siskin.DataCentreID]time.Time
 }
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -58,6 +58,8 @@
 	Lost []siskin.VMID `json:",omitempty"`
 	// Nodes are all VMs that the sender knows, when the receiver asked for them.
 	Nodes []Node `json:",omitempty"`
+	// PackedNodes are the same, compressed, in a large fleet.
+	PackedNodes []byte `json:",omitempty"`
 	// WantNodes asks for Nodes.
 	WantNodes bool `json:",omitempty"`
 	// Known is the number of VMs that the sender knows.
--- a/internal/crew/pack.go
+++ b/internal/crew/pack.go
@@ -29,30 +29,38 @@
 	if p.revision == revision && p.data != nil {
 		return p.data, nil
 	}
+	data, err := compress(encoded)
+	if err != nil {
+		return nil, err
+	}
+	p.revision, p.data = revision, data
+	return p.data, nil
+}
+
+func compress(data []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := w.Write(encoded); err != nil {
+	if _, err := w.Write(data); err != nil {
 		return nil, err
 	}
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	p.revision, p.data = revision, b.Bytes()
-	return p.data, nil
+	return b.Bytes(), nil
 }
 
-// unpack returns the configuration that pack was given.
+// unpack returns what pack or compress was given.
 func unpack(data []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return nil, siskin.NewError(siskin.BadInput, "the configuration of a peer is not compressed").WithCause(err)
+		return nil, siskin.NewError(siskin.BadInput, "the data of a peer is not compressed").WithCause(err)
 	}
 	encoded, err := io.ReadAll(io.LimitReader(r, maxConfiguration+1))
 	if err == nil && len(encoded) > maxConfiguration {
-		return nil, siskin.NewError(siskin.BadInput, "the configuration of a peer is larger than %d bytes", maxConfiguration)
+		return nil, siskin.NewError(siskin.BadInput, "the data of a peer is larger than %d bytes", maxConfiguration)
 	}
 	return encoded, err
 }
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -36,7 +36,8 @@
 		c.mu.Unlock()
 		return
 	}
-	for _, n := range reply.Nodes {
+	nodes, nodesErr := nodesOf(&reply)
+	for _, n := range nodes {
 		c.learn(n)
 	}
 	c.incomplete = reply.Known > len(c.members)+1
@@ -57,6 +58,9 @@
 	}
 	c.publish()
 	c.mu.Unlock()
+	if nodesErr != nil {
+		c.cfg.Log.Error().Err(nodesErr).Str("VM", string(id)).Msg("a list of VMs was not taken over from a peer")
+	}
 	if reply.Released {
 		c.rates.Returned(reply.From.ID, reply.Tokens)
 	} else if c.rates.Received(reply.From.ID, reply.Stamp) {
@@ -91,7 +95,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.members[id]
-	return m == nil || c.incomplete || len(c.members) < 2 && m.heard.IsZero()
+	wants := m == nil || c.incomplete || len(c.members) < 2 && m.heard.IsZero()
+	now := c.cfg.Clock.Now()
+	if !wants || len(c.members) >= packNodesFrom && now.Sub(c.wantedNodes) < wantNodesEvery {
+		return false
+	}
+	c.wantedNodes = now
+	return true
 }
 
 // absorb takes over what a peer said; asked is the moment before the question.
--- a/internal/crew/receiver.go
+++ b/internal/crew/receiver.go
@@ -27,7 +27,7 @@
 		reply.From = reply.From.brief()
 	}
 	if args.WantNodes {
-		reply.Nodes = r.c.Nodes()
+		return r.c.answerNodes(reply)
 	}
 	return nil
 }
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -127,7 +127,7 @@
 // lend notes a loan that ends at until, unless another VM's is still open or a
 // larger one that the owner may still count.
 func (l *Limiter) lend(c *siskin.CustomerSpec, kept float64, to siskin.VMID, now, until time.Time) bool {
-	if owners := l.owners(c.ID, kept); len(owners) == 0 || owners[0] != to {
+	if owners := l.owners(c.ID, float64(c.Burst), kept); len(owners) == 0 || owners[0] != to {
 		return false
 	}
 	p := l.part(c.ID)
--- a/internal/quota/local.go
+++ b/internal/quota/local.go
@@ -23,6 +23,8 @@
 	// while the loans of other lenders last.
 	former      siskin.VMID
 	formerUntil time.Time
+	// asked is the owner that this VM asked first the last time.
+	asked siskin.VMID
 	// kept is the part of the share that was not lent with that loan.
 	kept float64
 	// granted are tokens of the pool that expire.
@@ -36,9 +38,10 @@
 	since        time.Time
 }
 
-// kept returns the part of its share that this VM keeps while it lends the rest.
+// kept returns the part of its share that a holder keeps while it lends the rest.
+// VMs that hold none need it as well, to ask the owners that the holders lend to.
 func (l *Limiter) kept(burst float64) float64 {
-	if burst*l.share*ownPart < minOwnTokens {
+	if len(l.holders) == 0 || burst/float64(len(l.holders))*ownPart < minOwnTokens {
 		return 0
 	}
 	return ownPart
--- a/internal/quota/owners.go
+++ b/internal/quota/owners.go
@@ -1,15 +1,25 @@
 package quota
 
 import (
+	"slices"
+
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/pkg/place"
 )
 
+const (
+	// fewPools is the number of pools of a customer whose shares are all lent, and
+	// manyPools that of one whose burst is manyBurst or more: a pool that holds
+	// less than a token admits nothing.
+	fewPools, manyPools = 2, 4
+	manyBurst           = 16
+)
+
 // owners returns the VMs that hold the pools of a customer, this VM's own pool
-// first. A customer has one pool while each VM keeps a usable part of its share,
-// and two in different data centres when all shares are lent, so that the loss
-// of one owner leaves half of the rate.
-func (l *Limiter) owners(customer siskin.CustomerID, kept float64) []siskin.VMID {
+// first. A customer has one pool while each holder keeps a usable part of its
+// share, and several in different data centres when all shares are lent, so that
+// the loss of one owner leaves most of the rate.
+func (l *Limiter) owners(customer siskin.CustomerID, burst, kept float64) []siskin.VMID {
 	list := l.ranker.Rank("rate/"+string(customer), l.cfg.Members.Live(), l.chooseOwners)
 	if len(list) == 0 {
 		return nil
@@ -17,17 +27,33 @@
 	if kept > 0 || len(list) == 1 {
 		return []siskin.VMID{list[0].ID}
 	}
-	first, second := list[0], list[1]
-	for _, vm := range list[1:] {
-		if vm.DataCentre != first.DataCentre {
-			second = vm
-			break
+	n := fewPools
+	if burst >= manyBurst {
+		n = manyPools
+	}
+	ids := apart(list, n)
+	at := int(place.Score("pool/"+string(customer), l.cfg.Members.Self().ID) % uint64(len(ids)))
+	return append(ids[at:len(ids):len(ids)], ids[:at]...)
+}
+
+// apart returns the first n VMs of a list, those of further data centres before
+// those of the same ones.
+func apart(list []siskin.VM, n int) []siskin.VMID {
+	n = min(n, len(list))
+	ids := make([]siskin.VMID, 0, n)
+	seen := make(map[siskin.DataCentreID]bool)
+	for _, vm := range list {
+		if len(ids) < n && !seen[vm.DataCentre] {
+			seen[vm.DataCentre] = true
+			ids = append(ids, vm.ID)
 		}
 	}
-	if place.Score("pool/"+string(customer), l.cfg.Members.Self().ID)%2 == 1 {
-		first, second = second, first
+	for _, vm := range list {
+		if len(ids) < n && !slices.Contains(ids, vm.ID) {
+			ids = append(ids, vm.ID)
+		}
 	}
-	return []siskin.VMID{first.ID, second.ID}
+	return ids
 }
 
 const (
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -335,16 +336,34 @@
 	const rate = 40
 	s := newSimOf(t, 1, 68, rate, rate)
 	s.run(5*time.Second, 0.4*rate, false)
-	owner := s.find(s.vms[0].l.owners("acme", 0)[0])
+	owner := s.find(s.vms[0].l.owners("acme", rate, 0)[0])
 	owner.down = true
 	s.wanted, s.refused = 0, 0
 	s.run(2*time.Second, 0.4*rate, false)
-	// The other pool holds half of the rate, which covers the demand.
+	// The other pools hold three quarters of the rate, which covers the demand.
 	if got := float64(s.refused) / float64(s.wanted); got > 0.1 {
 		t.Errorf("refused after the loss of an owner: got %d of %d, want at most a tenth", s.refused, s.wanted)
 	}
 }
 
+// TestHoldersAndOthersAgree guards against VMs without a share that ask owners to
+// whom no holder lends.
+func TestHoldersAndOthersAgree(t *testing.T) {
+	s := newSimOf(t, 1, 24, 400, 400)
+	holder, other := s.vms[0].l, s.vms[1].l
+	other.mu.Lock()
+	other.share = 0
+	other.mu.Unlock()
+	for _, burst := range []float64{1, 20, 400, 4000} {
+		a, b := holder.owners("acme", burst, holder.kept(burst)), other.owners("acme", burst, other.kept(burst))
+		slices.Sort(a)
+		slices.Sort(b)
+		if !slices.Equal(a, b) {
+			t.Errorf("owners for a burst of %v: got %v at a holder and %v at another VM, want the same", burst, a, b)
+		}
+	}
+}
+
 // TestNeverAboveRateOfLargeFleet is TestNeverAboveRate with shares too small to
 // be kept, which are lent to two owners.
 func TestNeverAboveRateOfLargeFleet(t *testing.T) {
@@ -366,7 +385,7 @@
 	set := func(version siskin.Revision, burst siskin.Requests) {
 		v.l.cfg.Table.Apply(&siskin.Deployment{Version: version, Customers: []siskin.CustomerSpec{{ID: "acme", Rate: 10, Burst: burst}}}, nil)
 	}
-	owner := v.l.owners("acme", 0)[0]
+	owner := v.l.owners("acme", 0, 0)[0]
 	v.l.Received(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	if v.l.Loans(owner) == nil {
 		t.Fatal("got no loan, want one of the whole share")
@@ -378,7 +397,7 @@
 		t.Errorf("kept while the larger loan counts: got %v, want 0", got)
 	}
 	s.clock.Advance(loanLife)
-	owner = v.l.owners("acme", ownPart)[0]
+	owner = v.l.owners("acme", 0, ownPart)[0]
 	v.l.Received(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	if v.l.Loans(owner) == nil && owner != v.id() {
 		t.Fatal("got no loan after the first one lapsed, want one")
@@ -434,7 +453,7 @@
 	const rate = 60
 	s := newSimOf(t, 1, 68, rate, rate)
 	s.run(4*time.Second, 0, false)
-	for _, id := range s.vms[0].l.owners("acme", 0) {
+	for _, id := range s.vms[0].l.owners("acme", 0, 0) {
 		v := s.find(id)
 		v.l.Release()
 		v.leaving = true
@@ -453,10 +472,10 @@
 	s := newSimOf(t, 1, 20, rate, rate)
 	s.run(5*time.Second, 0.2*rate, false)
 	v := s.vms[0]
-	owners := v.l.owners("acme", 0)
+	owners := v.l.owners("acme", 0, 0)
 	if owners[0] == v.id() || owners[1] == v.id() {
 		v = s.vms[1]
-		owners = v.l.owners("acme", 0)
+		owners = v.l.owners("acme", 0, 0)
 	}
 	v.l.cfg.Peers = silentPeer{v, owners[0]}
 	ctx, cancel := context.WithTimeout(t.Context(), 40*time.Millisecond)
@@ -505,7 +524,7 @@
 func TestPoolMoves(t *testing.T) {
 	const rate = 60
 	s := newSimOf(t, 1, 24, rate, rate)
-	owners := s.vms[0].l.owners("acme", 0)
+	owners := s.vms[0].l.owners("acme", 0, 0)
 	for _, id := range owners {
 		s.find(id).leaving = true // not yet part of the fleet
 	}
@@ -529,7 +548,7 @@
 	s := newSimOf(t, 1, 20, rate, rate)
 	s.run(5*time.Second, 0.2*rate, false)
 	v := s.vms[0]
-	owners := v.l.owners("acme", 0)
+	owners := v.l.owners("acme", 0, 0)
 	for _, o := range owners {
 		s.find(o).down = true
 	}
@@ -563,7 +582,7 @@
 func TestLapsedLoan(t *testing.T) {
 	s := newSim(t, 1, simVMs)
 	v := s.vms[0]
-	owner := v.l.owners("acme", ownPart)[0]
+	owner := v.l.owners("acme", 0, ownPart)[0]
 	if owner == v.id() {
 		v = s.vms[1]
 	}
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -47,14 +47,14 @@
 	return adm
 }
 
-// takeAt asks one owner for tokens. The time left is shared with the owners that
-// come after it, since one that is cut off gives no answer.
+// takeAt asks one owner for tokens. It has half of the time left while others come
+// after it, since one that is cut off gives no answer.
 func (l *Limiter) takeAt(ctx context.Context, owner siskin.VMID, args *TakeArgs, owners int) (reply TakeReply, ok bool) {
 	if owner == l.cfg.Members.Self().ID {
 		return l.Take(args), true
 	}
 	deadline, _ := ctx.Deadline()
-	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/time.Duration(owners))
+	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/time.Duration(min(owners, 2)))
 	defer cancel()
 	if err := l.cfg.Peers.Call(ctx, owner, "Quota.Take", args, &reply); err != nil {
 		l.lost(owner, args.Customer, err)
@@ -82,7 +82,15 @@
 	if now.Before(p.refused) {
 		return nil, 0
 	}
-	owners := l.owners(customer, l.kept(burst))
+	owners := l.owners(customer, burst, l.kept(burst))
+	if l.share == 0 && len(owners) > 0 && owners[0] != p.asked {
+		// A VM without a share learns of the move by its own view only. What holders
+		// lent to the former owner counts there until it ends.
+		if p.asked != "" {
+			p.former, p.formerUntil = p.asked, now.Add(loanLife)
+		}
+		p.asked = owners[0]
+	}
 	if now.Before(p.lent) && !slices.Contains(owners, p.owner) {
 		// The pool has just moved. The loans to its former owner still count.
 		owners = append([]siskin.VMID{p.owner}, owners...)
