--- /dev/null
+++ b/internal/elect/release.go
@@ -0,0 +1,116 @@
+package elect
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+const (
+	// retireFor bounds the attempts to make a former primary step down, and
+	// retirePause is the time between two of them.
+	retireFor   = 30 * time.Second
+	retirePause = 500 * time.Millisecond
+)
+
+// retire makes the former primary step down, which may lead on until it meets the
+// new one. Leases keep reads off it; this ends what it refuses to its callers.
+func (c *change) retire() {
+	for deadline := c.e.cfg.Clock.Now().Add(retireFor); c.e.cfg.Clock.Now().Before(deadline); {
+		s, err := c.control(c.e.ctx, c.old, siskin.Statement{Kind: siskin.StepDown, Term: c.newTerm})
+		if err == nil && (!s.Primary || s.Term >= c.newTerm) {
+			c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(c.old)).
+				Uint64("Term", uint64(s.Term)).Bool("Primary", s.Primary).Msg("the former primary has stepped down")
+			c.retired.Store(true)
+			return
+		}
+		select {
+		case <-c.e.ctx.Done():
+			return
+		case <-c.e.cfg.Clock.After(retirePause):
+		}
+	}
+}
+
+const (
+	// followPoll is the time between two looks at a replica that receives again,
+	// and followLooks their number.
+	followPoll  = 30 * time.Millisecond
+	followLooks = 4
+)
+
+// awaitFollower pauses a replica again that does not follow the new primary while
+// the former one may go on: its commits would be acknowledged by that replica.
+func (c *change) awaitFollower(id siskin.TargetID) error {
+	if !c.unfenced || !c.led || c.retired.Load() {
+		return nil
+	}
+	for range followLooks {
+		s, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Status})
+		if err == nil && (s.Term >= c.newTerm || c.retired.Load()) {
+			return nil
+		}
+		c.e.cfg.Clock.Sleep(followPoll)
+	}
+	_, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Pause, Term: c.term})
+	return siskin.NewError(siskin.Unavailable, "target %s does not reach the new primary, and the former one may go on", id).WithCause(err)
+}
+
+const (
+	// unpauseAttempts and unpausePause bound the attempts to let a replica
+	// receive again that does not answer.
+	unpauseAttempts = 30
+	unpausePause    = time.Second
+)
+
+// unpause lets claimed replicas receive again. While an order may still be
+// carried out they stay paused: a commit that they acknowledged meanwhile would
+// be missing at the target that it promotes.
+func (c *change) unpause() {
+	if c.pending {
+		c.e.cfg.Log.Warn().Str("Service", string(c.spec.Name)).Uint64("Term", uint64(c.term)).
+			Msg("a promotion is pending; replicas stay paused until the next change")
+		return
+	}
+	if c.overtook && !c.led {
+		// With its replicas freed a former primary could go on while the other
+		// change's target leads already.
+		c.e.cfg.Log.Warn().Str("Service", string(c.spec.Name)).Uint64("Term", uint64(c.term)).
+			Msg("another change had claimed targets; replicas stay paused until the next change")
+		return
+	}
+	for _, cl := range c.claims {
+		if cl.target.ID == c.chosen.target.ID && c.led || cl.err == nil && cl.status.HeldTerm != c.term {
+			continue
+		}
+		c.e.done.Go(func() { c.unpauseOne(cl.target.ID) })
+	}
+}
+
+// unpauseOne ends the pause of one replica unless another change has claimed it
+// for a later term.
+func (c *change) unpauseOne(id siskin.TargetID) {
+	for range unpauseAttempts {
+		status, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Status})
+		c.e.cfg.Log.Info().Err(err).Str("Service", string(c.spec.Name)).Str("Target", string(id)).Uint64("ClaimedTerm", uint64(c.term)).
+			Uint64("HeldTerm", uint64(status.HeldTerm)).Uint64("Term", uint64(status.Term)).Msg("ending the claim of a target")
+		if err == nil && status.HeldTerm != c.term {
+			return
+		}
+		if err == nil {
+			_, err = c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Unpause})
+		}
+		if err == nil {
+			err = c.awaitFollower(id)
+		}
+		if err == nil {
+			return
+		}
+		c.e.cfg.Log.Info().Err(err).Str("Target", string(id)).Msg("a replica may still be paused")
+		select {
+		case <-c.e.ctx.Done():
+			return
+		case <-c.e.cfg.Clock.After(unpausePause):
+		}
+	}
+}
