--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -42,8 +42,9 @@
 			c.pending = true
 			return c.awaitLead(ctx)
 		}
-		// An order without an answer may be carried out later; a higher fence
-		// keeps it from taking effect after the next one.
+		// An order without an answer may be carried out later. Where fences are
+		// checked the next one keeps it from taking effect; elsewhere this change
+		// orders the same target only, and its replicas stay paused.
 		if siskin.KindOf(err) == siskin.OutcomeUnknown {
 			c.pending = true
 			if c.leads(ctx) {
