--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -131,3 +131,35 @@
 		}
 	}
 }
+
+// TestReplicaOutOfReach guards against a replica that is freed although it does not
+// follow the new primary: commits of the former one would be acknowledged by it.
+func TestReplicaOutOfReach(t *testing.T) {
+	c, p := newChange(t)
+	replica := p.Targets("ledger")[2].ID()
+	c.unfenced, c.led, c.term, c.newTerm = true, true, 100, 2
+	ctx, cancel := context.WithCancel(context.Background())
+	c.e.ctx = ctx
+	if _, err := c.control(ctx, replica, siskin.Statement{Kind: siskin.Pause, Term: c.term}); err != nil {
+		t.Fatal(err)
+	}
+	c.e.done.Go(func() { c.unpauseOne(replica) })
+	time.Sleep(4 * followLooks * followPoll)
+	if got := c.held(t, replica); got != c.term {
+		t.Errorf("term held by a replica of the former primary: got %d, want %d", got, c.term)
+	}
+	// The new primary leads and reaches it.
+	if err := p.Promote(p.Targets("ledger")[1]); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(3 * time.Second); c.held(t, replica) != 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("term held by a replica that can follow: got %d, want 0", c.held(t, replica))
+		}
+	}
+	time.Sleep(2 * followLooks * followPoll)
+	if got := c.held(t, replica); got != 0 {
+		t.Errorf("term held by a replica that follows the new primary: got %d, want 0", got)
+	}
+	cancel()
+}
