--- a/internal/sysd/newest_test.go
+++ b/internal/sysd/newest_test.go
@@ -107,3 +107,34 @@
 		f.newPrimary(string(old.ID()))
 	})
 }
+
+// TestUnfencedPlannedChange is TestPlannedChange where the platform checks no
+// fences: the primary steps down before its end, and no read is stale.
+func TestUnfencedPlannedChange(t *testing.T) {
+	f := startUnfencedFleet(t, 3)
+	stop := make(chan struct{})
+	var readers sync.WaitGroup
+	readers.Go(func() { f.readNewest(stop) })
+	f.play(func() {
+		old := f.platform.Primary("ledger")
+		f.platform.SetDraining(old)
+		f.newPrimary(string(old.ID()))
+	})
+	close(stop)
+	readers.Wait()
+}
+
+// TestUnfencedLatePromotion is TestLatePromotion where the platform checks no
+// fences, so that a late order is always carried out.
+func TestUnfencedLatePromotion(t *testing.T) {
+	f := startUnfencedFleet(t, 3)
+	f.play(func() {
+		f.platform.SetLatePromotions(1500 * time.Millisecond)
+		old := f.platform.Primary("ledger")
+		old.Crash()
+		time.Sleep(800 * time.Millisecond)
+		f.platform.SetLatePromotions(0)
+		f.newPrimary(string(old.ID()))
+		time.Sleep(2 * time.Second)
+	})
+}
