elect: failing test of claims when discovery has dropped targets

Seen by users: two acknowledged commits that the promoted target lacked. The test drops the primary from discovery, crashes one replica and asks for a change: got i-ledger-1 to promote on the claim of one target of three, want a refusal. No logic changed.

--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -163,3 +163,28 @@
 	}
 	cancel()
 }
+
+// TestLapsedTargets guards against a promotion on the claim of a single replica
+// once discovery has dropped the primary, which leads on, and another replica is
+// down: a replica that starts during the promotion acknowledges commits of the
+// former primary, and the promoted target lacks them.
+func TestLapsedTargets(t *testing.T) {
+	c, p := newChange(t)
+	targets := c.e.cfg.Roster.Service("ledger")
+	p.Targets("ledger")[2].Crash()
+	at := time.Unix(2, 0)
+	for range 5 { // lists without the primary, until it counts as gone
+		c.e.cfg.Roster.Replace(targets[1:], 2, at)
+		at = at.Add(time.Second)
+		c.e.cfg.Roster.Confirm(2, at)
+	}
+	if got, want := len(c.e.cfg.Roster.Service("ledger")), len(targets)-1; got != want {
+		t.Fatalf("targets known: got %d, want %d", got, want)
+	}
+	ctx := context.Background()
+	if err := c.inspect(ctx); err == nil {
+		if err = c.claimAll(ctx); err == nil {
+			t.Errorf("claims of one target of three: got %s to promote, want a refusal", c.chosen.target.ID)
+		}
+	}
+}
