elect: a target that joins after the claims ends the change

A replica that discovery lists only after the claims were taken was not claimed and not counted, although it can acknowledge commits of the former primary during the promotion. The check before the order now compares the list with the claims and fails, so that the next change claims it.

TestNewcomer failed with the check left out (got no error, want Conflict) and passes with it. What is left: a replica that starts between this check, or the last list, and the effect of the promotion.

--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -188,3 +188,18 @@
 		}
 	}
 }
+
+// TestNewcomer guards against a replica that starts after the claims and goes
+// unnoticed: it acknowledges commits of the former primary during the promotion.
+func TestNewcomer(t *testing.T) {
+	c, _ := newChange(t)
+	c.claimed(t)
+	if err := c.stillClaimed(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	targets := append([]siskin.TargetInfo{{ID: "new", Service: "ledger"}}, c.e.cfg.Roster.Service("ledger")...)
+	c.e.cfg.Roster.Replace(targets, 2, time.Unix(2, 0))
+	if got, want := siskin.KindOf(c.stillClaimed(context.Background())), siskin.Conflict; got != want {
+		t.Errorf("claims without a replica that joined: got %s, want %s", got, want)
+	}
+}
--- a/internal/elect/check.go
+++ b/internal/elect/check.go
@@ -17,6 +17,9 @@
 		}
 		return nil // the claim of the old primary is checked by the new lead
 	}
+	if id, ok := c.newcomer(); ok {
+		return siskin.NewError(siskin.Conflict, "target %s joined after the claims of term %d", id, c.term).WithRemedy("claim again")
+	}
 	var wg sync.WaitGroup
 	again := make([]claim, len(c.claims))
 	for i := range c.claims {
