roster, crew: a VM that starts learns of missing targets from its peers

With the primary gone from discovery and a replica silent, a VM that restarts would again change the primary on one claim.

TestSizesOfGroups fails without the exchange (size not learned within 2 s). Left: a whole fleet that starts while targets are missing.

--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -221,6 +221,20 @@
 	}
 }
 
+// TestSizesOfGroups guards against a VM that starts while a target is missing
+// from discovery and takes the others for the whole group.
+func TestSizesOfGroups(t *testing.T) {
+	f := newFabric(t)
+	a := f.add(0)
+	now := boot.Clock{}.Now()
+	targets := []siskin.TargetInfo{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}
+	a.roster.Replace(targets, 1, now.Add(-2*time.Second))
+	a.roster.Replace(targets[:2], 2, now.Add(-time.Second))
+	b := f.add(1)
+	b.roster.Replace(targets[:2], 2, now)
+	await(t, "the size of the group", 2*time.Second, func() bool { return b.roster.Size("s") == len(targets) })
+}
+
 // startLarge starts 40 VMs in three data centres that know each other. Tests with
 // large fleets do not run in parallel: four of them in one process under the race
 // detector make each other late.
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -72,6 +72,8 @@
 	// the time since it was asked for.
 	Targets    siskin.Version `json:",omitempty"`
 	TargetsAge time.Duration  `json:",omitempty"`
+	// Sizes are the numbers of targets of the groups that lack some.
+	Sizes map[siskin.ServiceName]int `json:",omitempty"`
 	// Stamp lets the receiver lend shares of rates to the sender, and Loans are
 	// those that the sender lends to the receiver.
 	Stamp quota.Stamp `json:",omitzero"`
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -113,4 +113,5 @@
 		c.cfg.Views.Loaded(id, n, asked)
 	}
 	c.catchUp(s, asked)
+	c.cfg.Roster.Expect(s.Sizes, asked)
 }
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -18,7 +18,7 @@
 	s.RevisionAge = now.Sub(c.cfg.Table.Confirmed())
 	s.Loads, s.Stamp, s.Released = c.cfg.Homes.Loads(), c.rates.Stamp(), c.rates.Released()
 	_, listed := c.cfg.Roster.Version()
-	s.TargetsAge = now.Sub(listed)
+	s.TargetsAge, s.Sizes = now.Sub(listed), c.cfg.Roster.Incomplete()
 	c.mu.Lock()
 	s.Known = len(c.members) + 1
 	every := len(c.members) < fullMesh || c.relay
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -15,7 +15,8 @@
 
 // TestScripts guards against targets that count as gone too early, or stay
 // after they are gone, and against lists that run backwards. A line has the
-// time, the version, and the ids listed, or "same" for a confirmation.
+// time, the version, and the ids listed, or "same" for a confirmation. Instead of
+// the version, "expect" takes over a size from another VM.
 func TestScripts(t *testing.T) {
 	playScripts(t, "lists.txtar", func(r *Roster) string { return ids(r.Service("s")) })
 }
@@ -52,6 +53,14 @@
 func play(t *testing.T, r *Roster, words []string) {
 	t.Helper()
 	after, err := time.ParseDuration(words[0])
+	if words[1] == "expect" {
+		n, err := strconv.Atoi(words[2])
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Expect(map[siskin.ServiceName]int{"s": n}, time.Unix(1000, 0).Add(after))
+		return
+	}
 	version, err2 := strconv.ParseUint(words[1], 10, 64)
 	if err != nil || err2 != nil {
 		t.Fatalf("got %v %v, want a time and a version", err, err2)
