elect: a claim of a target with an empty log does not count

A replica that starts again, or a successor, holds nothing of what its predecessor acknowledged until it reaches the primary. Claimed in this state it counted like one that has the log: with the primary silent, the other replica was promoted although it may lack commits that the primary and the predecessor had; with the primary stepped down, the primary was left out of the choice.

Such a claim now fails while another claimed target has a log.

--- a/internal/elect/claiming.go
+++ b/internal/elect/claiming.go
@@ -31,6 +31,7 @@
 		}
 	})
 	c.addUnlisted()
+	failEmpty(c.claims)
 	for i := range c.claims {
 		c.overtook = c.overtook || c.claims[i].overtook
 		c.logClaim(&c.claims[i], "claimed a target")
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -113,6 +113,7 @@
 		}
 		claims = append(claims, c)
 	}
+	failEmpty(claims)
 	if !enough(claims, term, sync) {
 		return "too few"
 	}
