elect: terms, fences and checks of changes that compete

Terms: a claim was for the newest term plus one, so that two VMs which began at once, or a change after a failed one of the same VM, had the same term; the end of one's claims then ended the other's while its order was on its way. Terms are now chosen at random from 65,536 (TestTermsOfChanges: got one term twice).

Fences: with fences checked by the platform, a change that took claims over used its reserve, which may be lower than the fence of the other change's order; that order could take effect seconds later. It now takes a new fence (TestFenceAboveForeignClaims). One that is not used goes back into reserve.

Check: the fence was taken after the last check of the claims, and the store may take its time.

--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -33,8 +33,9 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	start := e.cfg.Clock.Now()
-	c := &change{e: e, spec: s, old: primary, start: start, planned: a == handOver, stalled: a == replaceStalled, unfenced: e.cfg.Leases != nil}
+	c := &change{e: e, spec: s, old: primary, start: start, planned: a == handOver, stalled: a == replaceStalled, unfenced: e.cfg.Leases != nil, own: e.lastTerm(w)}
 	err = c.run(ctx)
+	e.setLastTerm(w, c.term)
 	took := e.cfg.Clock.Since(start)
 	if err != nil {
 		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Msg("the primary was not changed")
@@ -45,6 +46,18 @@
 		Uint64("Term", uint64(c.term)).Dur("Took", took).Msg("the primary was changed")
 }
 
+func (e *Elector) lastTerm(w *watch) siskin.Term {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return w.term
+}
+
+func (e *Elector) setLastTerm(w *watch, t siskin.Term) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.term = t
+}
+
 // otherLeads asks all targets, and other VMs about the old primary, whether one
 // of them leads.
 func (e *Elector) otherLeads(ctx context.Context, name siskin.ServiceName, primary siskin.TargetID) bool {
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,8 @@
 	unfenced bool
 	fence    siskin.Fence
 	term     siskin.Term
+	// own is the term of the last claims of this VM.
+	own siskin.Term
 	// leadTerm is the newest term of a primary that a target knows, and heldTerm
 	// that of a claim.
 	leadTerm, heldTerm siskin.Term
@@ -66,6 +69,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.returnFence()
 	if c.planned {
 		err = c.stepDownFirst(ctx)
 	} else {
@@ -80,14 +84,28 @@
 	return c.promote(ctx)
 }
 
-// choose replaces the term of the claims where the platform checks no fences. It
-// is the fence then: two changes share a claimed target, so that the one with the
-// lower fence finds the claim of the other and gives up.
+// claimSpread is the number of terms among which the claims of a change are
+// chosen at random. Changes of two VMs that begin at once, or one that follows a
+// failed one of the same VM, must not share a term: each would take the claims of
+// the other for its own, and end them.
+const claimSpread = 1 << 16
+
+// choose takes the fence and replaces the term of the claims. Where the platform
+// checks no fences the term is the fence: two changes share a claimed target, so
+// that the one with the lower fence finds the claim of the other and gives up.
 func (c *change) choose(ctx context.Context) error {
+	var err error
 	if !c.unfenced {
-		return nil
+		if c.heldTerm > c.leadTerm && c.heldTerm != c.own {
+			// An order of the change that claimed targets may be on its way; a fence in
+			// reserve may be lower than its own, and not keep it from taking effect.
+			c.fence, err = c.e.fence.takeNew(ctx)
+		} else {
+			c.fence, err = c.e.fence.take(ctx)
+		}
+		c.term += rand.N[siskin.Term](claimSpread)
+		return err
 	}
-	var err error
 	if c.fence, err = c.e.fence.takeAbove(ctx, c.spec.Name, c.leadTerm, siskin.Fence(max(c.leadTerm, c.heldTerm))); err != nil {
 		return err
 	}
@@ -95,6 +113,14 @@
 	return nil
 }
 
+// returnFence puts a fence back that was not used. As a term of claims a fence
+// was used already.
+func (c *change) returnFence() {
+	if !c.unfenced && c.fence != 0 {
+		c.e.fence.giveBack(c.fence)
+	}
+}
+
 // settle waits until no VM takes the former primary for the only one.
 func (c *change) settle(ctx context.Context) error {
 	if !c.unfenced || c.planned {
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -47,9 +48,11 @@
 		cfg: Config{
 			Clock: boot.Clock{}, Members: alone{}, Roster: targets, Views: v, Homes: homes,
 			Status: platform.ParseStatus, Log: logs.New("error", "json", io.Discard),
+			Store: &platform.Store{Base: "http://" + p.Address(), HTTP: &http.Client{}, Timeout: time.Second},
 		},
 		ctx: context.Background(),
 	}
+	e.fence.e = e
 	t.Cleanup(func() {
 		e.done.Wait()
 		if err := homes.Close(); err != nil {
@@ -203,3 +206,101 @@
 		t.Errorf("claims without a replica that joined: got %s, want %s", got, want)
 	}
 }
+
+// TestTermsOfChanges guards against two changes that begin at the same moment, or
+// one that follows a failed one, and claim targets for the same term: each takes
+// the claims of the other for its own, and ends them while an order is on its way.
+func TestTermsOfChanges(t *testing.T) {
+	c, _ := newChange(t)
+	other := &change{e: c.e, spec: c.spec, old: c.old}
+	ctx := context.Background()
+	for _, change := range []*change{c, other} {
+		if err := change.inspect(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if err := change.choose(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if change.term <= change.leadTerm {
+			t.Errorf("term of a claim: got %d, want more than %d", change.term, change.leadTerm)
+		}
+	}
+	if c.term == other.term {
+		t.Errorf("terms of two changes: got %d twice, want different ones", c.term)
+	}
+}
+
+// TestFenceAboveForeignClaims guards against a fence in reserve that is lower than
+// the one of another change whose order may still be carried out.
+func TestFenceAboveForeignClaims(t *testing.T) {
+	c, _ := newChange(t)
+	ctx := context.Background()
+	c.e.fence.reserve(ctx)
+	reserve := c.e.fence.next
+	later, err := c.e.cfg.Store.Create(ctx, FenceKind, "another", fenceValue{Serial: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.control(ctx, c.e.cfg.Roster.Service("ledger")[1].ID, siskin.Statement{Kind: siskin.Pause, Term: 9}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.inspect(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.choose(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if c.fence <= siskin.Fence(later) {
+		t.Errorf("fence after claims of another change: got %d, want more than %d (in reserve: %d)", c.fence, later, reserve)
+	}
+	c.returnFence()
+	own := &change{e: c.e, spec: c.spec, old: c.old, own: 9, leadTerm: c.leadTerm, heldTerm: c.heldTerm}
+	if err := own.choose(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if own.fence != c.fence {
+		t.Errorf("fence after own claims: got %d, want %d, which was not used", own.fence, c.fence)
+	}
+}
+
+// slowStore answers late.
+type slowStore struct{ siskin.Store }
+
+func (s slowStore) Create(ctx context.Context, kind siskin.ObjectKind, name string, v any) (siskin.Version, error) {
+	time.Sleep(2 * maxCheckAge)
+	return s.Store.Create(ctx, kind, name, v)
+}
+
+func (s slowStore) Update(ctx context.Context, kind siskin.ObjectKind, name string, v any, old siskin.Version) (siskin.Version, error) {
+	time.Sleep(2 * maxCheckAge)
+	return s.Store.Update(ctx, kind, name, v, old)
+}
+
+// promoterFunc is called for each order.
+type promoterFunc func() error
+
+func (f promoterFunc) Promote(context.Context, siskin.ServiceName, siskin.TargetID, siskin.VMID, siskin.Fence) error {
+	return f()
+}
+
+// TestCheckBeforeOrder guards against an order on claims that were checked before
+// a slow answer of the store, and are gone since.
+func TestCheckBeforeOrder(t *testing.T) {
+	c, _ := newChange(t)
+	c.e.cfg.Store = slowStore{c.e.cfg.Store}
+	orders := 0
+	c.e.cfg.Promoter = promoterFunc(func() error {
+		orders++
+		if got := c.e.cfg.Clock.Since(c.checked); got > maxCheckAge {
+			t.Errorf("age of the check at the order: got %v, want at most %v", got, maxCheckAge)
+		}
+		return siskin.NewError(siskin.Conflict, "refused")
+	})
+	c.claimed(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_ = c.promote(ctx)
+	if orders == 0 {
+		t.Error("orders: got 0, want some")
+	}
+}
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -62,8 +62,9 @@
 	since    time.Time // zero while another VM watches it
 	probing  bool
 	changing bool
-	next     time.Time // earliest next change
-	failures int       // changes that failed in a row
+	next     time.Time   // earliest next change
+	failures int         // changes that failed in a row
+	term     siskin.Term // of the last claims
 	last     probe
 	// unconfirmed is since when the primary answers and its replicas are claimed
 	// or follow another one, zero when they are not.
--- a/internal/elect/fence.go
+++ b/internal/elect/fence.go
@@ -60,6 +60,27 @@
 	return n, nil
 }
 
+// takeNew returns a fence that is higher than all that were taken so far.
+func (f *fence) takeNew(ctx context.Context) (siskin.Fence, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+	defer cancel()
+	if err := f.renew(ctx); err != nil {
+		return 0, err
+	}
+	n := f.next
+	f.next = 0
+	return n, nil
+}
+
+// giveBack puts a fence that was not used into reserve, unless there is one.
+func (f *fence) giveBack(n siskin.Fence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = max(f.next, n)
+}
+
 // takeAbove returns a fence that was never used and is higher than floor and
 // than all that were used for the service. The targets know the present primary
 // as that of the given term.
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -20,19 +20,24 @@
 func (c *change) promote(ctx context.Context) error {
 	var err error
 	for range maxPromotions {
+		// The store may take its time, so the fence comes before the check.
+		if c.fence == 0 {
+			if c.fence, err = c.e.fence.take(ctx); err != nil {
+				return err
+			}
+		}
 		if err = c.stillClaimed(ctx); err != nil {
 			return err
 		}
-		fence := c.fence
-		if !c.unfenced {
-			if fence, err = c.e.fence.take(ctx); err != nil {
-				return err
-			}
-		} else if c.e.cfg.Clock.Since(c.checked) > maxCheckAge {
+		if c.e.cfg.Clock.Since(c.checked) > maxCheckAge {
 			// This VM may have stood still, so that the claims are gone.
 			err = siskin.NewError(siskin.Unavailable, "the claims of term %d were checked too long ago", c.term)
 			continue
 		}
+		fence := c.fence
+		if !c.unfenced {
+			c.fence = 0 // each order has a fence of its own
+		}
 		c.e.fence.note(c.spec.Name, fence, 0)
 		err = c.e.cfg.Promoter.Promote(ctx, c.spec.Name, c.chosen.target.ID, c.e.cfg.Members.Self().ID, fence)
 		c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(c.chosen.target.ID)).
