trail, cmds: the story of a request and the causes of refusals from logs

On-call engineers had to search the logs of all VMs by hand for a request, its target and its service. siskintray logs request prints the lines of one request and those that may explain it; logs causes counts what was not served by answer and reason, and late successes by the part that took longest.

--- a/internal/cmds/registry.go
+++ b/internal/cmds/registry.go
@@ -30,6 +30,7 @@
 	"key":      "grant, withdraw and list keys",
 	"customer": "show customers",
 	"group":    "show groups and change primaries",
+	"logs":     "find causes in the logs of VMs",
 	"vm":       "show VMs and stop them as planned",
 	"report":   "show reports",
 	"standin":  "run a stand-in of the platform or of a target",
@@ -55,6 +56,8 @@
 		{"vm leave", "stop a VM as planned", leaveHelp, func() Runner { return new(vmLeave) }},
 		{"status", "show the VM that --admin names", "Example:\n  siskintray status --admin 10.0.0.1:6480", func() Runner { return new(status) }},
 		{"report burn", "show error budgets", burnHelp, func() Runner { return new(reportBurn) }},
+		{"logs request", "show what led to the result of a request", logsRequestHelp, func() Runner { return new(logsRequest) }},
+		{"logs causes", "count refusals and late answers by cause", logsCausesHelp, func() Runner { return new(logsCauses) }},
 		{"version", "show the version", "Example:\n  siskintray version --json", func() Runner { return new(version) }},
 		{"completion", "write a script for shell completion", completionHelp, func() Runner { return new(completion) }},
 	}
