home: writes are refused at once while a target acknowledges none

When the replicas of a primary receive nothing, each write waited for its caller's deadline and was in doubt; the running ones held all places of the queue at the home, so that reads of the primary were refused as Overload.

--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -285,3 +285,66 @@
 		}
 	}
 }
+
+// TestStalledWrites guards against callers that wait, and reads that find no
+// place, while a target acknowledges no write: ten callers write for 1.5 s to a
+// primary whose replicas receive nothing.
+func TestStalledWrites(t *testing.T) {
+	f := start(t, stand.ServiceOptions{})
+	primary := f.target(0)
+	f.target(1).SetDeaf(true)
+	f.target(2).SetDeaf(true)
+	const (
+		patience = 600 * time.Millisecond
+		atOnce   = 50 * time.Millisecond
+	)
+	begun := time.Now()
+	var mu sync.Mutex
+	var lost, late, refused int
+	var callers sync.WaitGroup
+	for range 10 {
+		callers.Go(func() {
+			for time.Since(begun) < 1500*time.Millisecond {
+				req := request(primary, siskin.Write, "x 1")
+				req.Patience, req.QueueFor = patience, patience*3/4
+				sent := time.Now()
+				reply := f.run(req)
+				mu.Lock()
+				switch {
+				case reply.Outcome == Lost:
+					lost++
+				case reply.Outcome == NotSent && sent.Sub(begun) > patience+atOnce && time.Since(sent) > atOnce:
+					late++
+				case reply.Outcome == NotSent:
+					refused++
+				}
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(patience + 2*atOnce)
+	for range 10 {
+		sent := time.Now()
+		if got := f.run(request(primary, siskin.Read, "x")); got.Outcome != Answered || time.Since(sent) > 2*atOnce {
+			t.Errorf("read while writes stall: got %v (%v) after %v, want an answer within %v", got.Outcome, got.Cause, time.Since(sent), 2*atOnce)
+		}
+	}
+	callers.Wait()
+	// Three run at first, and one at a time after these.
+	if want := 3 + 4; lost > want {
+		t.Errorf("writes in doubt: got %d, want at most %d", lost, want)
+	}
+	if late > 0 || refused == 0 {
+		t.Errorf("refused writes: got %d late and %d at once, want none late", late, refused)
+	}
+	f.target(1).SetDeaf(false)
+	for deadline := time.Now().Add(2 * patience); ; {
+		if got := f.run(request(primary, siskin.Write, "x 2")); got.Answer.Code == siskin.Succeeded && got.Outcome == Answered {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("writes after a replica is back: got none, want success")
+		}
+	}
+}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -33,6 +33,10 @@
 
 // do queues the statement, takes a connection and runs it.
 func (r *run) do(ctx context.Context) Reply {
+	if r.req.Mode == Single && r.req.Statement.Changes() && r.l.writes.refused(r.start) {
+		r.reply.Cause = Stalled
+		return r.reply
+	}
 	if !r.acquire(ctx) {
 		return r.reply
 	}
@@ -151,8 +155,10 @@
 		list = append(list, siskin.Statement{Kind: siskin.Rollback})
 	}
 	asked := r.h.cfg.Clock.Now()
-	if s.Changes() {
-		r.l.writes.start(asked)
+	if s.Changes() && !r.l.writes.start(asked) {
+		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
+		r.l.put(r.c)
+		return false
 	}
 	answers, err := r.c.Exchange(r.deadline, list)
 	if s.Changes() {
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -73,11 +73,13 @@
 func (h *Homes) exec(id TxID, t *tx, req *Request, setup []siskin.Statement, deadline time.Time) Reply {
 	s := named(req)
 	asked := h.cfg.Clock.Now()
-	if s.Kind == siskin.Commit {
-		t.l.writes.start(asked)
+	commits := s.Kind == siskin.Commit && t.wrote
+	if commits && !t.l.writes.start(asked) {
+		h.abandon(id, t)
+		return Reply{Cause: Stalled}
 	}
 	answers, err := t.c.Exchange(deadline, append(setup, s))
-	if s.Kind == siskin.Commit {
+	if commits {
 		t.l.writes.end(err == nil)
 	}
 	ran := h.cfg.Clock.Since(asked)
--- a/internal/home/writes.go
+++ b/internal/home/writes.go
@@ -9,6 +9,12 @@
 // counts as stalled.
 const minPending = 2
 
+// refuseAfter is the time without a success after which writes are refused but for
+// one, whose answer shows when the target acknowledges again. Each of them would
+// hold a place at the target until its caller gives up, and leave it in doubt. A
+// slow target answers some write in that time.
+const refuseAfter = 400 * time.Millisecond
+
 // writes tells a target that acknowledges no write from a slow one.
 type writes struct {
 	mu sync.Mutex
@@ -20,13 +26,30 @@
 	since time.Time
 }
 
-func (w *writes) start(now time.Time) {
+// start counts a write that is about to be sent. The result is false when it must
+// not be sent, since the target acknowledges none.
+func (w *writes) start(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.refuse(now) {
+		return false
+	}
 	w.pending++
 	if w.since.IsZero() {
 		w.since = now
 	}
+	return true
+}
+
+// refused reports whether a write that came now would be refused.
+func (w *writes) refused(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.refuse(now)
+}
+
+func (w *writes) refuse(now time.Time) bool {
+	return w.pending > 0 && w.stalledFor(now) > refuseAfter
 }
 
 func (w *writes) end(answered bool) {
@@ -43,6 +66,10 @@
 func (w *writes) stalled(now time.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.stalledFor(now)
+}
+
+func (w *writes) stalledFor(now time.Time) time.Duration {
 	if w.since.IsZero() || w.pending+w.lost < minPending {
 		return 0
 	}
