elect: announcements of a change carry no proof of lead

Cause: the VM that changes a primary sent the proof of the new lead to all VMs, and a receiver took the way of the message for 0.3 s. A cut holds a message back until it heals, since TCP repeats it. The proof, a position of term 1 from before the first commit of term 2, then counted as 0.3 s old, so it served as a floor that the former primary's log holds.

Change: an announcement says only that a change is over. The receiver asks its sender which target leads, and the age of the answer counts from that question, as with pings. An answer that does not come leaves the next ping to tell.

--- /dev/null
+++ b/internal/elect/announce_test.go
@@ -0,0 +1,180 @@
+package elect
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/logs"
+	"siskintray.example/siskin/internal/views"
+)
+
+// wires connects the electors of a test and holds announcements back until they
+// are delivered. All other calls are carried out at once.
+type wires struct {
+	mu       sync.Mutex
+	electors map[siskin.VMID]*Elector
+	cut      bool // calls that are no announcements fail
+	held     []func() error
+}
+
+func (w *wires) call(to siskin.VMID, method string, args, reply any) error {
+	data, err := json.Marshal(args)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.electors[to]
+	if method == "Elect.Announce" {
+		w.held = append(w.held, func() error { return serve(e, method, data, &struct{}{}) })
+		return nil
+	}
+	if w.cut {
+		return siskin.NewError(siskin.Unavailable, "%s gave no answer", to)
+	}
+	return serve(e, method, data, reply)
+}
+
+// serve carries a call out as the server of peers does.
+func serve(e *Elector, method string, data []byte, reply any) error {
+	name, ok := strings.CutPrefix(method, "Elect.")
+	m := reflect.ValueOf(e.Receiver()).MethodByName(name)
+	if !ok || !m.IsValid() {
+		return fmt.Errorf("unexpected call of %s", method)
+	}
+	in, out := reflect.New(m.Type().In(0).Elem()), reflect.New(m.Type().In(1).Elem())
+	if err := json.Unmarshal(data, in.Interface()); err != nil {
+		return err
+	}
+	if err, failed := m.Call([]reflect.Value{in, out})[0].Interface().(error); failed {
+		return err
+	}
+	answer, err := json.Marshal(out.Interface())
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(answer, reply)
+}
+
+// deliver hands the announcements over that were held back.
+func (w *wires) deliver(t *testing.T) {
+	t.Helper()
+	w.mu.Lock()
+	held := w.held
+	w.held = nil
+	w.mu.Unlock()
+	for _, f := range held {
+		if err := f(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (w *wires) waiting() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.held)
+}
+
+func (w *wires) setCut(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = on
+}
+
+// await waits until ok holds.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("got no %s within 5s", what)
+		}
+	}
+}
+
+// wiredPeers are the peers of one VM.
+type wiredPeers struct{ w *wires }
+
+// Call implements siskin.Peers.
+func (p wiredPeers) Call(_ context.Context, to siskin.VMID, method string, args, reply any) error {
+	return p.w.call(to, method, args, reply)
+}
+
+// pair is one VM of a fleet of two.
+type pair struct {
+	alone
+	self siskin.VMID
+}
+
+func (p pair) Self() siskin.VM { return siskin.VM{ID: p.self} }
+func (pair) Live() []siskin.VM { return []siskin.VM{{ID: "vm-1"}, {ID: "vm-2"}} }
+
+// newPair returns two electors that watch nothing, and what connects them.
+func newPair(t *testing.T, clock siskin.Clock) (a, b *Elector, w *wires) {
+	t.Helper()
+	w = &wires{electors: make(map[siskin.VMID]*Elector)}
+	for _, id := range []siskin.VMID{"vm-1", "vm-2"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		e := &Elector{
+			cfg: Config{
+				Clock: clock, Members: pair{self: id}, Peers: wiredPeers{w}, Views: views.New(),
+				Log: logs.New("error", "json", io.Discard),
+			},
+			ctx: ctx, stop: cancel,
+		}
+		e.fence.e = e
+		w.electors[id] = e
+		t.Cleanup(func() {
+			if err := e.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	return w.electors["vm-1"], w.electors["vm-2"], w
+}
+
+// TestLateAnnouncement guards against a proof that becomes young on its way: an
+// announcement that a cut held back for seconds set a floor that lacked all commits
+// acknowledged meanwhile, and a replica of the former term ran reads.
+func TestLateAnnouncement(t *testing.T) {
+	const lateness = 7 * time.Second
+	for _, c := range []struct {
+		name string
+		cut  bool // the sender cannot be asked when its announcement arrives
+	}{{"sender answers", false}, {"sender is out of reach", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			from, to, w := newPair(t, clock)
+			start := clock.Now()
+			first := views.Lead{Target: "new", Position: siskin.Position{Term: 1, LSN: 173}, At: start}
+			to.cfg.Views.Proven("ledger", views.Lead{Target: "old", Position: siskin.Position{Term: 1, LSN: 170}, At: start.Add(-time.Second)})
+			from.cfg.Views.Proven("ledger", first)
+			ch := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, old: "old"}
+			ch.announce(0)
+			await(t, "an announcement", func() bool { return w.waiting() == 1 })
+			clock.Advance(lateness)
+			later := views.Lead{Target: "new", Position: siskin.Position{Term: 2, LSN: 190}, At: clock.Now().Add(-100 * time.Millisecond)}
+			from.cfg.Views.Proven("ledger", later)
+			w.setCut(c.cut)
+			w.deliver(t)
+			if !c.cut {
+				await(t, "the target that leads", func() bool { return to.cfg.Views.Lead("ledger").Target == "new" })
+			}
+			time.Sleep(20 * time.Millisecond) // for an answer that must not count
+			got := to.cfg.Views.Lead("ledger")
+			if got.Position != later.Position && got.At.After(first.At) {
+				t.Errorf("floor after an announcement of %v ago: got %v of %v ago, want one as old as its proof", lateness, got.Position, clock.Since(got.At))
+			}
+		})
+	}
+}
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -124,17 +124,16 @@
 // announceTimeout bounds one announcement.
 const announceTimeout = 300 * time.Millisecond
 
-// announce tells all VMs of the proof of lead, or of a change in progress.
+// announce tells all VMs that a change is in progress or, with no time to hold,
+// that the chosen target leads.
 func (c *change) announce(hold time.Duration) {
-	asked := c.e.cfg.Clock.Now()
-	l := c.e.cfg.Views.Lead(c.spec.Name)
-	args := &Announcement{Hold: crew.HoldNote{Service: c.spec.Name, For: hold}}
+	self := c.e.cfg.Members.Self().ID
+	args := &Announcement{From: self, Old: c.old, Hold: crew.HoldNote{Service: c.spec.Name, For: hold}}
 	if hold == 0 {
-		args.Old, args.Fence = c.old, c.fence
-		args.Lead = crew.LeadNote{Service: c.spec.Name, Target: l.Target, Position: l.Position, Term: l.Term, Age: asked.Sub(l.At)}
+		args.Fence, args.Term = c.fence, c.newTerm
 	}
 	for _, vm := range c.e.cfg.Members.Live() {
-		if vm.ID == c.e.cfg.Members.Self().ID {
+		if vm.ID == self {
 			continue
 		}
 		c.e.done.Go(func() {
