views, elect: a hold names the target that led

Callers were refused as NoPrimary for up to 1.5 s after a cut had healed, for a change of primary that was over for seconds.

One that a cut held back made its receiver hold requests although it knew the new primary, and the late end of one change ended the hold of the next.

Change: a hold names the target that led. It counts only while that target is the last one known to lead, and ends only by an announcement of the same change's former primary.

Evidence: TestLateHold failed before on both (got requests held after a change that was over; got none held during the present one).

--- a/internal/elect/announce_test.go
+++ b/internal/elect/announce_test.go
@@ -178,3 +178,33 @@
 		})
 	}
 }
+
+// TestLateHold guards against requests that are refused for a change that is over,
+// and sent to the former primary during one that is not, since a cut held the
+// announcements of an earlier change back.
+func TestLateHold(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	from, to, w := newPair(t, clock)
+	lead := func(id siskin.TargetID, term siskin.Term) views.Lead {
+		return views.Lead{Target: id, Position: siskin.Position{Term: term, LSN: 7}, At: clock.Now()}
+	}
+	to.cfg.Views.Proven("ledger", lead("a", 1))
+	first := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, old: "a"}
+	first.announce(holdFor)
+	await(t, "an announcement", func() bool { return w.waiting() == 1 })
+	clock.Advance(7 * time.Second)
+	from.cfg.Views.Proven("ledger", lead("b", 2))
+	to.cfg.Views.Proven("ledger", lead("b", 2))
+	w.deliver(t)
+	if to.cfg.Views.Holding("ledger", clock.Now()) {
+		t.Error("after the hold of a change that is over: got requests held, want none")
+	}
+	first.announce(0)
+	await(t, "an announcement", func() bool { return w.waiting() == 1 })
+	to.cfg.Views.Hold("ledger", "b", clock.Now().Add(holdFor))
+	w.deliver(t)
+	time.Sleep(20 * time.Millisecond) // for an answer that must not count
+	if !to.cfg.Views.Holding("ledger", clock.Now()) {
+		t.Error("after the end of an earlier change: got no requests held during the present one, want them held")
+	}
+}
--- a/internal/elect/announcement.go
+++ b/internal/elect/announcement.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/crew"
@@ -35,7 +34,7 @@
 	name := a.Hold.Service
 	var l crew.LeadNote
 	err := e.cfg.Peers.Call(ctx, a.From, "Elect.Lead", &LeadArgs{Service: name}, &l)
-	e.cfg.Views.Hold(name, time.Time{})
+	e.cfg.Views.Release(name, a.Old)
 	if err != nil || l.Target == "" {
 		return
 	}
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -78,7 +78,7 @@
 		return false
 	}
 	c.pending, c.led = false, true
-	c.e.cfg.Views.Hold(c.spec.Name, time.Time{})
+	c.e.cfg.Views.Release(c.spec.Name, c.old)
 	c.announce(0)
 	return true
 }
@@ -113,7 +113,7 @@
 
 // hold makes the VMs refuse writes of the service at once during the change.
 func (c *change) hold() {
-	c.e.cfg.Views.Hold(c.spec.Name, c.e.cfg.Clock.Now().Add(holdFor))
+	c.e.cfg.Views.Hold(c.spec.Name, c.old, c.e.cfg.Clock.Now().Add(holdFor))
 	c.announce(holdFor)
 }
 
--- a/internal/elect/receiver.go
+++ b/internal/elect/receiver.go
@@ -11,7 +11,7 @@
 // Announce takes over a change of primary.
 func (r *Receiver) Announce(args *Announcement, _ *struct{}) error {
 	if args.Hold.For > 0 {
-		r.e.cfg.Views.Hold(args.Hold.Service, r.e.cfg.Clock.Now().Add(min(args.Hold.For, holdFor)))
+		r.e.cfg.Views.Hold(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, holdFor)))
 		return nil
 	}
 	if args.Fence != 0 {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -203,7 +203,7 @@
 // their deadline.
 func TestRefusalIsQuick(t *testing.T) {
 	f := newFixture(t)
-	f.e.cfg.Views.Hold("s", boot.Clock{}.Now().Add(time.Minute))
+	f.e.cfg.Views.Hold("s", f.e.cfg.Views.Lead("s").Target, boot.Clock{}.Now().Add(time.Minute))
 	st := statements["WRITE"]
 	began := time.Now()
 	a, _ := f.session("primary").answer(&st)
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -35,7 +35,13 @@
 	lead    Lead
 	lost    map[siskin.TargetID]time.Time // when a target denied to lead
 	changed chan struct{}                 // closed when the leading target changes
-	holding time.Time                     // until when a change of primary is in progress
+	holding hold
+}
+
+// hold is a change of primary in progress.
+type hold struct {
+	from  siskin.TargetID // the target that led before
+	until time.Time
 }
 
 // Target is what is known of one target.
@@ -99,7 +105,7 @@
 		return false
 	}
 	s.lead = l
-	s.holding = time.Time{}
+	s.holding = hold{}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return true
@@ -115,11 +121,23 @@
 	}
 }
 
-// Hold notes that a change of primary is in progress until the given time.
-func (v *Views) Hold(name siskin.ServiceName, until time.Time) {
+// Hold notes that the lead is being taken from a target, until the given time. A
+// VM that knows another target to lead has seen the end of that change.
+func (v *Views) Hold(name siskin.ServiceName, from siskin.TargetID, until time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s := v.service(name); s.lead.Target == "" || s.lead.Target == from {
+		s.holding = hold{from, until}
+	}
+}
+
+// Release ends the hold of a change that took the lead from a target.
+func (v *Views) Release(name siskin.ServiceName, from siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.service(name).holding = until
+	if s := v.service(name); s.holding.from == from {
+		s.holding = hold{}
+	}
 }
 
 // Lead returns the newest proof of a service.
@@ -175,7 +193,7 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	s := v.services[name]
-	return s != nil && now.Before(s.holding)
+	return s != nil && now.Before(s.holding.until)
 }
 
 // Changed returns a channel that is closed when another target leads.
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -66,11 +66,11 @@
 }
 
 // TestHolding guards against requests that are refused after a change of
-// primary is over.
+// primary is over, and sent to a primary that is being replaced.
 func TestHolding(t *testing.T) {
 	v := New()
 	v.Proven("s", lead("a", 1, 0))
-	v.Hold("s", at(1000))
+	v.Hold("s", "a", at(1000))
 	if !v.Holding("s", at(500)) || v.Holding("s", at(1000)) {
 		t.Error("got no hold for its time, want one")
 	}
@@ -78,4 +78,15 @@
 	if v.Holding("s", at(700)) {
 		t.Error("got a hold after another target led, want none")
 	}
+	v.Hold("s", "a", at(2000))
+	if v.Holding("s", at(800)) {
+		t.Error("got a hold of a change from a former primary, want none")
+	}
+	v.Hold("s", "b", at(2000))
+	if v.Release("s", "a"); !v.Holding("s", at(800)) {
+		t.Error("got no hold after the end of an earlier change, want one")
+	}
+	if v.Release("s", "b"); v.Holding("s", at(800)) {
+		t.Error("got a hold after the end of its change, want none")
+	}
 }
