views: a proof without a position is no floor

A proof of lead without a position took over the position of the last proof with its own time, so a floor of any age counted as young and a replica without the commits acknowledged between the two could run reads.

Cause: a case of its own for such answers, which kept floors in use. Change: the case is gone. The proof is taken over as it is, and reads go to the primary until a proof with a position comes.

Evidence: TestFloors wanted the old position with the later time, which is the fault: it says that position 7 of 100 ms covers what was acknowledged until 200 ms. It now wants no position, and failed before. That its older proofs are left out is checked as before, with later times.

--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -16,7 +16,8 @@
 type Lead struct {
 	Target siskin.TargetID
 	// Position is the end of the target's log, which covers every commit
-	// acknowledged before At.
+	// acknowledged before At. It is zero when the proof came without one, and
+	// then no floor.
 	Position siskin.Position
 	// Term is the term that the target led, zero when it is not known.
 	Term siskin.Term
@@ -96,10 +97,6 @@
 		return false
 	}
 	if l.Target == s.lead.Target {
-		// An answer without a position proves the lead only.
-		if l.Position.IsZero() {
-			l.Position = s.lead.Position
-		}
 		l.Term = max(l.Term, s.lead.Term)
 		s.lead = l
 		return false
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -50,17 +50,18 @@
 	}
 }
 
-// TestFloors guards against floors that lose their position or get younger than
-// their question.
+// TestFloors guards against floors that get younger than their question, such as an
+// old position with the time of a proof that came without one.
 func TestFloors(t *testing.T) {
 	v := New()
 	v.Proven("s", lead("a", 7, 100))
 	v.Proven("s", Lead{Target: "a", At: at(200)})
-	if got, want := v.Lead("s"), lead("a", 7, 200); got != want {
+	if got, want := v.Lead("s"), (Lead{Target: "a", At: at(200)}); got != want {
 		t.Errorf("proof without a position: got %+v, want %+v", got, want)
 	}
-	v.Proven("s", lead("a", 6, 150))
-	if got, want := v.Lead("s"), lead("a", 7, 200); got != want {
+	v.Proven("s", lead("a", 8, 300))
+	v.Proven("s", lead("a", 7, 250))
+	if got, want := v.Lead("s"), lead("a", 8, 300); got != want {
 		t.Errorf("older proof: got %+v, want %+v", got, want)
 	}
 }
