elect: a replica that has forgotten its claim does not go on with the former primary

Without fences the former primary leads on until it meets the new one. A replica that started again after the check of the claims forgot its pause, followed the former primary and was left alone by the end of the change; both could go on acknowledging commits that the new primary lacks.

TestReplicaWithoutClaim failed before (held term: got 0, want 100).

--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -168,6 +168,20 @@
 	}
 }
 
+// TestReplicaWithoutClaim guards against a replica that starts again after the
+// promotion, and follows the former primary because it has forgotten its claim.
+func TestReplicaWithoutClaim(t *testing.T) {
+	c, p := newChange(t)
+	replica := p.Targets("ledger")[2].ID()
+	c.unfenced, c.led, c.term, c.newTerm = true, true, 100, 2
+	if err := c.tryUnpause(replica); err == nil {
+		t.Error("end of the change for a replica of the former primary: got no error, want one")
+	}
+	if got := c.held(t, replica); got != c.term {
+		t.Errorf("term held by a replica of the former primary: got %d, want %d", got, c.term)
+	}
+}
+
 // TestLapsedTargets guards against a promotion on the claim of a single replica
 // once discovery has dropped the primary, which leads on, and another replica is
 // down: a replica that starts during the promotion acknowledges commits of the
--- a/internal/elect/release.go
+++ b/internal/elect/release.go
@@ -112,8 +112,11 @@
 	if err != nil {
 		return err
 	}
+	if status.Primary || status.HeldTerm > status.Term && status.HeldTerm != c.term {
+		return nil // retire sees to it, or another change has claimed it
+	}
 	if status.HeldTerm != c.term {
-		return nil
+		return c.awaitFollower(id) // it has started again without the claim
 	}
 	if _, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Unpause}); err != nil {
 		return err
