roster, feed, crew: evacuations of data centres

An operator of the users' platform can ask that nothing more be sent to the targets of a data centre until this is taken back.

The roster keeps the evacuated data centres as a list with the store's version and the time when it was current, beside the list of targets. A target of one is marked, so that each decision sees it. No target is named before a list is known. The list of targets tells with the store's version whether evacuations have to be read at all, so that they cost no call while nothing changes in the store. They travel with the answers to pings, as proofs of lead do.

--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -41,6 +41,9 @@
 		c.cfg.Table.Confirm(asked.Add(-s.RevisionAge))
 	}
 	c.cfg.Roster.Confirm(s.Targets, asked.Add(-s.TargetsAge))
+	if e := s.Evacuations; e != nil {
+		c.cfg.Roster.Evacuate(e.DataCentres, e.Version, asked.Add(-e.Age))
+	}
 	c.fetchIfNewer(s)
 }
 
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -40,6 +40,14 @@
 	For     time.Duration
 }
 
+// EvacuationNote lists the evacuated data centres.
+type EvacuationNote struct {
+	DataCentres []siskin.DataCentreID `json:",omitempty"`
+	// Version is that of the store's list, and Age the time since it was current.
+	Version siskin.Version
+	Age     time.Duration
+}
+
 // State is what a VM tells with every ping and its answer.
 type State struct {
 	// From describes the sender, in brief when the receiver knows it.
@@ -72,6 +80,8 @@
 	// the time since it was asked for.
 	Targets    siskin.Version `json:",omitempty"`
 	TargetsAge time.Duration  `json:",omitempty"`
+	// Evacuations are those that the sender knows, nil when it knows no list.
+	Evacuations *EvacuationNote `json:",omitempty"`
 	// Stamp lets the receiver lend shares of rates to the sender, and Loans are
 	// those that the sender lends to the receiver.
 	Stamp quota.Stamp `json:",omitzero"`
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -19,6 +19,9 @@
 	s.Loads, s.Stamp, s.Released = c.cfg.Homes.Loads(), c.rates.Stamp(), c.rates.Released()
 	_, listed := c.cfg.Roster.Version()
 	s.TargetsAge = now.Sub(listed)
+	if list, version, at := c.cfg.Roster.Evacuations(); !at.IsZero() {
+		s.Evacuations = &EvacuationNote{DataCentres: list, Version: version, Age: now.Sub(at)}
+	}
 	c.mu.Lock()
 	s.Known = len(c.members) + 1
 	every := len(c.members) < fullMesh || c.relay
--- /dev/null
+++ b/internal/feed/evacuations.go
@@ -0,0 +1,27 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+func (f *Feed) evacuatedAt() time.Time {
+	_, _, at := f.cfg.Roster.Evacuations()
+	return at
+}
+
+// evacuations reads the evacuated data centres, which the objects are named after.
+func (f *Feed) evacuations(ctx context.Context, asked time.Time) error {
+	l, err := f.cfg.Store.List(ctx, f.cfg.EvacuationKind)
+	if err != nil {
+		return err
+	}
+	list := make([]siskin.DataCentreID, 0, len(l.Objects))
+	for _, o := range l.Objects {
+		list = append(list, siskin.DataCentreID(o.Name))
+	}
+	f.cfg.Roster.Evacuate(list, l.Version, asked)
+	return nil
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -27,6 +27,11 @@
 	configAge = time.Second
 	// targetAge is the same for the list of targets. The users ask for 7 s.
 	targetAge = 1500 * time.Millisecond
+	// evacuationAge is the same for the list of evacuations, which is confirmed with
+	// the list of targets while the store's version stays. With takeOver, stagger,
+	// followerDelay and two pings it is in force everywhere within 4.5 s; the users
+	// ask for 5 s.
+	evacuationAge = 1800 * time.Millisecond
 	// takeOver is added to the age for all VMs but the last reader, so that one
 	// VM goes on reading and its result reaches the others before they read. A
 	// ping takes up to 300 ms.
@@ -65,6 +70,9 @@
 	ConfigKind siskin.ObjectKind
 	ConfigName string
 	TargetKind siskin.ObjectKind
+	// EvacuationKind names the objects that evacuate a data centre, empty where the
+	// platform has none.
+	EvacuationKind siskin.ObjectKind
 	// Target decodes the entry of a target.
 	Target func(siskin.StoreObject) (siskin.TargetInfo, error)
 	// Apply puts an encoded configuration in force.
@@ -95,6 +103,9 @@
 	f := &Feed{cfg: cfg, stop: cancel}
 	f.done.Go(func() { f.poll(ctx, "configuration", configAge, cfg.Table.Confirmed, f.config) })
 	f.done.Go(func() { f.poll(ctx, "targets", targetAge, f.listedAt, f.targets) })
+	if cfg.EvacuationKind != "" {
+		f.done.Go(func() { f.poll(ctx, "evacuations", evacuationAge, f.evacuatedAt, f.evacuations) })
+	}
 	f.done.Go(func() { f.register(ctx) })
 	f.done.Go(func() { f.holders(ctx) })
 	return f
@@ -156,5 +167,9 @@
 		list = append(list, info)
 	}
 	f.cfg.Roster.Replace(list, l.Version, asked)
-	return nil
+	if f.cfg.EvacuationKind == "" || f.cfg.Roster.ConfirmEvacuations(l.Version, asked) {
+		return nil
+	}
+	// Something has changed in the store since the list of evacuations was read.
+	return f.evacuations(ctx, f.cfg.Clock.Now())
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -26,6 +26,11 @@
 	value string
 	rev   siskin.Version
 	bytes int // of configurations that were sent
+	// evacuated are the objects of kind evacuations, listed is the number of reads
+	// of them, and unknown their error.
+	evacuated []string
+	listed    int
+	unknown   error
 }
 
 func (s *fakeStore) Get(context.Context, siskin.ObjectKind, string) (siskin.StoreObject, error) {
@@ -48,10 +53,18 @@
 	return l, s.err
 }
 
-func (s *fakeStore) List(context.Context, siskin.ObjectKind) (siskin.Listing, error) {
+func (s *fakeStore) List(_ context.Context, kind siskin.ObjectKind) (siskin.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return siskin.Listing{Version: 1}, s.err
+	l := siskin.Listing{Version: s.rev + 1}
+	if kind != "evacuations" {
+		return l, s.err
+	}
+	s.listed++
+	for _, name := range s.evacuated {
+		l.Objects = append(l.Objects, siskin.StoreObject{Name: name, Version: s.rev})
+	}
+	return l, errors.Join(s.err, s.unknown)
 }
 
 func (s *fakeStore) Create(context.Context, siskin.ObjectKind, string, any) (siskin.Version, error) {
@@ -80,17 +93,24 @@
 type fixture struct {
 	store   *fakeStore
 	table   *table.Table
+	roster  *roster.Roster
 	mu      sync.Mutex
 	applied []string
 }
 
-func startFeed(t *testing.T) *fixture {
+func startFeed(t *testing.T) *fixture { return startFeedWith(t, "") }
+
+func startFeedWith(t *testing.T, evacuations siskin.ObjectKind) *fixture {
 	t.Helper()
-	f := &fixture{store: &fakeStore{value: "1"}, table: table.New()}
-	l := logs.New("error", "json", io.Discard)
 	targets := roster.New()
+	f := &fixture{store: &fakeStore{value: "1"}, table: table.New(), roster: targets}
+	l := logs.New("error", "json", io.Discard)
+	if evacuations != "" {
+		targets.RequireEvacuations(5 * time.Second)
+	}
 	feed := Start(Config{
-		Clock: boot.Clock{}, Store: f.store, Log: l, Table: f.table, Roster: targets, ConfigName: "main",
+		EvacuationKind: evacuations,
+		Clock:          boot.Clock{}, Store: f.store, Log: l, Table: f.table, Roster: targets, ConfigName: "main",
 		Crew:    crew.New(crew.Config{Clock: boot.Clock{}, Self: crew.Node{ID: "vm"}, Table: f.table, Roster: targets, Log: l}),
 		Holders: func([]siskin.VMID) {}, Known: func() []siskin.VMID { return []siskin.VMID{"vm"} },
 		Apply: func(encoded []byte, _ string) {
--- /dev/null
+++ b/internal/roster/evacuations_test.go
@@ -0,0 +1,132 @@
+package roster
+
+import (
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"siskintray.example/siskin"
+)
+
+const testBound = 5 * time.Second
+
+// evacuable returns a roster with the targets a, b and c in dc-a, dc-b and dc-c.
+func evacuable() *Roster {
+	r := New()
+	r.RequireEvacuations(testBound)
+	var list []siskin.TargetInfo
+	for _, id := range []string{"a", "b", "c"} {
+		list = append(list, siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", DataCentre: siskin.DataCentreID("dc-" + id)})
+	}
+	r.Replace(list, 1, time.Unix(1000, 0))
+	return r
+}
+
+// TestEvacuations guards against statements to an evacuated data centre, and against
+// evacuations that run backwards or last after they are taken back. A line has the
+// time, the version and the evacuated data centres. The result marks targets that
+// get no new work (-) and none at all (x).
+func TestEvacuations(t *testing.T) {
+	archive, err := txtar.ParseFile(filepath.Join("testdata", "evacuations.txtar"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			r := evacuable()
+			var now time.Time
+			for line := range strings.Lines(string(file.Data)) {
+				input, want, ok := strings.Cut(strings.TrimSpace(line), " => ")
+				if !ok {
+					continue
+				}
+				words := strings.Fields(input)
+				after, err := time.ParseDuration(words[0])
+				version, err2 := strconv.ParseUint(words[1], 10, 64)
+				if err != nil || err2 != nil {
+					t.Fatalf("got %q, want a time and a version", input)
+				}
+				at := time.Unix(1000, 0).Add(after)
+				if at.After(now) {
+					now = at
+				}
+				var list []siskin.DataCentreID
+				for _, dc := range words[2:] {
+					list = append(list, siskin.DataCentreID(dc))
+				}
+				r.Evacuate(list, siskin.Version(version), at)
+				if got := marked(r, now); got != want {
+					t.Errorf("%s: got %s, want %s", input, got, want)
+				}
+			}
+		})
+	}
+}
+
+func marked(r *Roster, now time.Time) string {
+	var list []string
+	for _, t := range r.Service("s") {
+		mark := ""
+		switch closed := r.Closed(t.ID, now); {
+		case closed && t.Evacuated && r.Leaving(t.ID, now):
+			mark = "x"
+		case closed:
+			mark = "?" // it must be marked and leaving as well
+		case t.Evacuated:
+			mark = "-"
+		}
+		list = append(list, mark+string(t.ID))
+	}
+	return strings.Join(list, " ")
+}
+
+// TestUnknownEvacuations guards against a VM that starts and sends statements before
+// it knows which data centres are evacuated, and against one that waits for a list
+// where the platform has none.
+func TestUnknownEvacuations(t *testing.T) {
+	r := evacuable()
+	if _, ok := r.Target("a"); ok || len(r.Service("s")) > 0 || r.Known() {
+		t.Errorf("targets before a list of evacuations: got %v, known %t, want none", r.Service("s"), r.Known())
+	}
+	changed := r.Changed()
+	r.Evacuate([]siskin.DataCentreID{"dc-a"}, 3, time.Unix(1001, 0))
+	select {
+	case <-changed:
+	default:
+		t.Error("the first list of evacuations: got no change, want one")
+	}
+	if info, ok := r.Target("a"); !ok || !info.Evacuated || !r.Known() {
+		t.Errorf("target with a list of evacuations: got %+v %t, want it evacuated", info, ok)
+	}
+	without := New()
+	without.Replace([]siskin.TargetInfo{{ID: "a", Service: "s", Evacuated: true}}, 1, time.Unix(1000, 0))
+	without.Evacuate([]siskin.DataCentreID{""}, 3, time.Unix(1001, 0))
+	if info, ok := without.Target("a"); !ok || info.Evacuated || !without.Known() {
+		t.Errorf("target where the platform has no evacuations: got %+v %t, want it known and not evacuated", info, ok)
+	}
+}
+
+// TestConfirmEvacuations guards against a list that counts as current at another
+// version of the store, so that an evacuation would not be read.
+func TestConfirmEvacuations(t *testing.T) {
+	r := evacuable()
+	if r.ConfirmEvacuations(0, time.Unix(1000, 0)) {
+		t.Error("confirmed without a list: got true, want false")
+	}
+	r.Evacuate(nil, 4, time.Unix(1000, 0))
+	for _, c := range []struct {
+		version siskin.Version
+		want    bool
+	}{{3, false}, {5, false}, {4, true}} {
+		if got := r.ConfirmEvacuations(c.version, time.Unix(1002, 0)); got != c.want {
+			t.Errorf("version 4 confirmed by %d: got %t, want %t", c.version, got, c.want)
+		}
+	}
+	if _, _, at := r.Evacuations(); !at.Equal(time.Unix(1002, 0)) {
+		t.Errorf("time of the list: got %v, want that of its confirmation", at)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -28,6 +28,7 @@
 	unsettled map[siskin.ServiceName]int
 	version   siskin.Version // of the last list
 	listed    time.Time      // when the last list was asked for
+	evac      evacuations
 	changed   chan struct{}
 }
 
@@ -62,20 +63,20 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	if !ok {
+	if !ok || !r.evac.known() {
 		return siskin.TargetInfo{}, false
 	}
-	return e.info, true
+	return r.evac.mark(e.info), true
 }
 
-// Leaving reports whether a target has been draining for so long that it must
-// get no new work. Leaving targets take it until then only as primaries, while
-// their successor is elected.
+// Leaving reports whether a target has been draining or evacuated for so long
+// that it must get no new work. Leaving targets take it until then only as
+// primaries, while their successor is elected.
 func (r *Roster) Leaving(id siskin.TargetID, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	return !ok || !e.draining.IsZero() && now.Sub(e.draining) > lastCall
+	return !ok || !e.draining.IsZero() && now.Sub(e.draining) > lastCall || r.evac.closed(e.info.DataCentre, now)
 }
 
 // Listed returns the targets of the last list, ordered by id, with its version
@@ -121,6 +122,7 @@
 	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
 	for _, info := range list {
+		info.Evacuated = false // derived from what this VM knows
 		listed[info.ID] = true
 		e := r.targets[info.ID]
 		if e != nil && e.info == info && e.missing.IsZero() {
@@ -174,7 +176,9 @@
 func (r *Roster) publish() {
 	r.services = make(map[siskin.ServiceName][]siskin.TargetInfo)
 	for _, e := range r.targets {
-		r.services[e.info.Service] = append(r.services[e.info.Service], e.info)
+		if r.evac.known() {
+			r.services[e.info.Service] = append(r.services[e.info.Service], r.evac.mark(e.info))
+		}
 	}
 	for _, list := range r.services {
 		slices.SortFunc(list, byID)
--- a/targetinfo.go
+++ b/targetinfo.go
@@ -10,6 +10,9 @@
 	DataCentre DataCentreID
 	Slots      int
 	Draining   bool
+	// Evacuated says that the operator asked to send nothing more to the target's
+	// data centre. Each VM derives it from the evacuations that it knows.
+	Evacuated bool `json:"-"`
 	// Primary is how the target sees itself.
 	Primary bool
 	// Warming is how much longer the target stays slow after its start.
