entry, home, elect: an evacuated data centre gets no statements

Reads are sent elsewhere as soon as the evacuation is known. The primary is handed over like one that is draining; a change of primary takes a target there only when no other one has as new a log. Homes refuse each statement of callers right before they would send it once the time is over, also inside open transactions, which they roll back by closing the connection; callers get BUSY with a time to come back, or ABORTED. The new setting Operator.EvacuateWithin comes from the platform's bounds; with 0 the store is not asked and nothing changes.

The template test of cfgini now renders sections with placeholders and takes any value but false as present, as the platform does.

--- a/internal/cfgini/system.go
+++ b/internal/cfgini/system.go
@@ -15,6 +15,7 @@
 	Peer     SystemPeer
 	Store    SystemStore
 	Promoter SystemPromoter
+	Operator SystemOperator
 	Metrics  SystemMetrics
 	Stop     SystemStop
 	Log      Log
@@ -65,6 +66,11 @@
 	Fencing bool          `default:"no" doc:"Whether the platform refuses fences that are lower than one it has seen, and takes the lead from the former primary at a promotion. Without it, reads at a primary and changes of primary rest on the replicas, and a change takes 0.4 s longer."`
 }
 
+// SystemOperator sets what the operator may ask for.
+type SystemOperator struct {
+	EvacuateWithin time.Duration `default:"0s" min:"0s" max:"10m" doc:"Time from the store's acknowledgement of the evacuation of a data centre to the last statement sent to a target there, 1 s or more. The last 0.5 s are kept in reserve, and reading takes up to 4.5 s. 0s where the platform has no evacuations; the store is then not asked for them."`
+}
+
 // SystemMetrics sets the listener for metrics.
 type SystemMetrics struct {
 	Address string `unit:"address" doc:"Address that serves metrics in the Prometheus text format at /metrics."`
@@ -74,3 +80,13 @@
 type SystemStop struct {
 	Grace time.Duration `default:"6s" min:"1s" max:"10m" doc:"Time from the signal to stop until the process is killed."`
 }
+
+// minEvacuation leaves half a second for the last statements of an evacuated data
+// centre after the reserve.
+const minEvacuation = time.Second
+
+func (s *System) check(c *check) {
+	if d := s.Operator.EvacuateWithin; d > 0 && d < minEvacuation && c.ok("Operator.EvacuateWithin") {
+		c.fail("Operator.EvacuateWithin", "set it to 0s or to 1s or more", "Operator.EvacuateWithin is %v, which leaves no time for running statements", d)
+	}
+}
--- a/internal/cfgini/system_test.go
+++ b/internal/cfgini/system_test.go
@@ -14,13 +14,18 @@
 	// A platform that does not say whether it checks fences is taken as one that
 	// does not.
 	for fencing, want := range map[string]bool{"true": true, "false": false, "": false} {
-		if got := renderDeployTemplate(t, fencing).Promoter.Fencing; got != want {
+		if got := renderDeployTemplate(t, fencing, "").Promoter.Fencing; got != want {
 			t.Errorf("Promoter.Fencing of %q: got %v, want %v", fencing, got, want)
 		}
 	}
+	for bound, want := range map[string]time.Duration{"5000": 5 * time.Second, "": 0} {
+		if got := renderDeployTemplate(t, "true", bound).Operator.EvacuateWithin; got != want {
+			t.Errorf("Operator.EvacuateWithin of %q: got %v, want %v", bound, got, want)
+		}
+	}
 }
 
-func renderDeployTemplate(t *testing.T, fencing string) *System {
+func renderDeployTemplate(t *testing.T, fencing, evacuation string) *System {
 	t.Helper()
 	data, err := os.ReadFile("../../deploy/siskintrayd.ini")
 	if err != nil {
@@ -30,11 +35,11 @@
 		"node": "front-a-1", "zone": "a", "limits.memory_mb": "284", "limits.cpu_share": "0.4", "limits.cpu_cores": "1", "listen.front": "10.1.0.26:8465",
 		"listen.ready": "10.1.0.26:8460", "listen.control": "10.1.0.26:8462",
 		"seed_addrs": "10.1.0.26:8462,10.2.0.23:8462", "platform.addr": "10.200.1.7:8466", "cloud.addr": "10.200.0.2:8466",
-		"ip": "10.1.0.26", "port_range.0": "7560", "bounds.grace_s": "6", "bounds.fencing": fencing,
+		"ip": "10.1.0.26", "port_range.0": "7560", "bounds.grace_s": "6", "bounds.fencing": fencing, "bounds.evac_ms": evacuation,
 	}
-	text := regexp.MustCompile(`\{\{([#^])([^}]+)\}\}([^{]*)\{\{/[^}]+\}\}`).ReplaceAllStringFunc(string(data), func(section string) string {
-		parts := regexp.MustCompile(`\{\{([#^])([^}]+)\}\}([^{]*)`).FindStringSubmatch(section)
-		if (fields[parts[2]] == "true") == (parts[1] == "#") {
+	text := regexp.MustCompile(`\{\{([#^])([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`).ReplaceAllStringFunc(string(data), func(section string) string {
+		parts := regexp.MustCompile(`\{\{([#^])([^}]+)\}\}(.*?)\{\{/`).FindStringSubmatch(section)
+		if value := fields[parts[2]]; (value != "" && value != "false") == (parts[1] == "#") {
 			return parts[3]
 		}
 		return ""
@@ -62,6 +67,17 @@
 	return &s
 }
 
+// TestEvacuationBound guards against a bound that leaves no time for the statements
+// that run at a target.
+func TestEvacuationBound(t *testing.T) {
+	for value, want := range map[string]bool{"0s": true, "400ms": false, "1s": true, "5000ms": true} {
+		found := Parse("vm.ini", []byte("[Operator]\nEvacuateWithin = "+value+"\n"), new(System))
+		if got := !strings.Contains(found.Err().Error(), "EvacuateWithin"); got != want {
+			t.Errorf("EvacuateWithin = %s: got accepted %t, want %t", value, got, want)
+		}
+	}
+}
+
 // TestSystemFindings guards against a VM that starts with settings which are
 // wrong, unknown or missing.
 func TestSystemFindings(t *testing.T) {
--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -26,7 +26,7 @@
 	defer func() { e.ended(w, err) }()
 	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("Primary", string(primary)).Stringer("Action", a).
 		Dur("ProofAge", ev.proofAge).Bool("Silent", ev.silent).Bool("Refused", ev.refused).Bool("Denied", ev.denied).
-		Bool("Draining", ev.draining).Dur("Stalled", ev.stalled).Msg("decided about a primary")
+		Bool("Draining", ev.draining).Bool("Evacuated", ev.evacuated).Dur("Stalled", ev.stalled).Msg("decided about a primary")
 	if (a == askOthers || a == electNew) && e.otherLeads(ctx, s.Name, primary) {
 		return
 	}
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -29,7 +29,7 @@
 	spec    siskin.ServiceSpec
 	old     siskin.TargetID
 	start   time.Time
-	planned bool // the old primary is healthy and about to stop
+	planned bool // the old primary is healthy and about to stop, or evacuated
 	stalled bool // the old primary answers, but not to its replicas
 	// unfenced says that the platform checks no fences and leaves the old
 	// primary leading. The fence of such a change is the term of its claims.
@@ -203,7 +203,7 @@
 	})
 	var best claim
 	for _, cl := range c.claims {
-		if cl.err != nil || cl.primary || cl.target.Draining || cl.status.Received.Compare(end) < 0 {
+		if cl.err != nil || cl.primary || leaving(&cl.target) || cl.status.Received.Compare(end) < 0 {
 			continue
 		}
 		if best.target.ID == "" || cl.status.Lag < best.status.Lag {
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -136,12 +136,15 @@
 	return slices.MaxFunc(held, func(a, b claim) int {
 		return cmp.Or(
 			a.status.Received.Compare(b.status.Received),
-			-boolCompare(a.target.Draining, b.target.Draining),
+			-boolCompare(leaving(&a.target), leaving(&b.target)),
 			cmp.Compare(b.target.ID, a.target.ID),
 		)
 	}), true
 }
 
+// leaving reports whether a target is to lead only when no other one can.
+func leaving(t *siskin.TargetInfo) bool { return t.Draining || t.Evacuated }
+
 func boolCompare(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/elect/decide.go
+++ b/internal/elect/decide.go
@@ -34,6 +34,8 @@
 	silent, refused, denied bool
 	// draining says that the primary is about to stop.
 	draining bool
+	// evacuated says that nothing more is to be sent to the primary's data centre.
+	evacuated bool
 	// successor says that a replica that stays is there to take over.
 	successor bool
 	// stalled is the time since writes have gone unacknowledged.
@@ -49,7 +51,7 @@
 	wait action = iota
 	// askOthers asks other VMs whether they reach the primary.
 	askOthers
-	// handOver changes a primary that is about to stop.
+	// handOver changes a healthy primary that is about to stop, or evacuated.
 	handOver
 	// replaceStalled replaces a primary that is cut off from its replicas.
 	replaceStalled
@@ -73,7 +75,7 @@
 		e.denied && e.proofAge > deniedAfter && e.watched > deniedAfter,
 		e.silent && e.proofAge > suspectAfter && e.watched > watchedFor:
 		return askOthers
-	case e.draining && e.successor && e.proofAge < suspectAfter:
+	case (e.draining || e.evacuated) && e.successor && e.proofAge < suspectAfter:
 		return handOver
 	case e.stalled > stalledAfter && e.successor:
 		return replaceStalled
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -56,6 +56,8 @@
 			e.denied = true
 		case "draining":
 			e.draining = true
+		case "evacuated":
+			e.evacuated = true
 		case "successor":
 			e.successor = true
 		case "proof":
@@ -104,6 +106,8 @@
 				c.err = errors.New("no answer")
 			case part == "draining":
 				c.target.Draining = true
+			case part == "evacuated":
+				c.target.Evacuated = true
 			default:
 				if _, err := fmt.Sscanf(part, "%d.%d", &received.Term, &received.LSN); err != nil {
 					return "unknown word " + part
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -185,8 +185,8 @@
 	found := false
 	for _, t := range targets {
 		if t.ID == primary {
-			ev.draining, found = t.Draining, true
-		} else if !t.Draining {
+			ev.draining, ev.evacuated, found = t.Draining, t.Evacuated, true
+		} else if !leaving(&t) {
 			ev.successor = true
 		}
 	}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -83,7 +83,7 @@
 }
 
 func (c *choice) usable(t *siskin.TargetInfo) bool {
-	return !t.Draining && !slices.Contains(c.Excluded, t.ID)
+	return !t.Draining && !t.Evacuated && !slices.Contains(c.Excluded, t.ID)
 }
 
 // usual returns the replica that keeps the customer's connections when they are
--- a/internal/entry/choose_test.go
+++ b/internal/entry/choose_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -101,6 +102,30 @@
 	}
 }
 
+// TestEvacuatedTargets guards against reads at a target of an evacuated data centre,
+// also when it is the only one without a queue.
+func TestEvacuatedTargets(t *testing.T) {
+	for evacuated, want := range map[string]siskin.TargetID{"": "r1", "a": "r1", "b": "r2", "bc": "p", "ab": "r2", "abc": ""} {
+		c := choice{
+			Targets: []siskin.TargetInfo{{ID: "p", DataCentre: "a", Slots: 2}, {ID: "r1", DataCentre: "b", Slots: 2}, {ID: "r2", DataCentre: "c", Slots: 2}},
+			Primary: "p", Customer: "acme", ConnsScarce: true, Near: "b", Now: time.Unix(10, 0), Random: func() float64 { return 0 },
+			Seen: func(siskin.TargetID) views.Target { return views.Target{} },
+			Running: func(id siskin.TargetID) int {
+				if id == "r1" {
+					return 0
+				}
+				return 3
+			},
+		}
+		for i := range c.Targets {
+			c.Targets[i].Evacuated = strings.Contains(evacuated, string(c.Targets[i].DataCentre))
+		}
+		if got := c.target(); got != want {
+			t.Errorf("evacuated %q: got %q, want %q", evacuated, got, want)
+		}
+	}
+}
+
 // TestChoice guards against reads that wait at one target while another is idle.
 func TestChoice(t *testing.T) {
 	now := time.Unix(10, 0)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -122,6 +122,7 @@
 	"denied":      {Cause: home.Refused, Answer: siskin.Answer{Code: siskin.ReadOnly}},
 	"behind":      {Cause: home.Refused, Answer: siskin.Answer{Code: siskin.Lagging}},
 	"stale":       {Cause: home.Stale},
+	"evacuated":   {Cause: home.Evacuated},
 }
 
 var statements = map[string]siskin.Statement{
@@ -193,6 +194,10 @@
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.InDoubt || f.limiter.refunded != 1 {
 		t.Errorf("lost write: got %v and %d refunds, want InDoubt and 1", a.Code, f.limiter.refunded)
 	}
+	f.homes.replies = []home.Reply{replies["evacuated"]}
+	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || !strings.Contains(a.Message, "retry after 500 ms") || f.limiter.refunded != 2 {
+		t.Errorf("evacuated primary: got %v %q and %d refunds, want Busy with a time and 2", a.Code, a.Message, f.limiter.refunded)
+	}
 	f.limiter.closed = true
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || !strings.Contains(a.Message, "retry after 100 ms") {
 		t.Errorf("rate used up: got %v %q, want Busy with a time", a.Code, a.Message)
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -101,6 +101,8 @@
 	switch reply.Cause {
 	case home.Overload, home.NoConnection:
 		return o.notRun(siskin.Busy, "too many statements wait for the primary", max(reply.RetryAfter, retryOverload))
+	case home.Evacuated:
+		return o.notRun(siskin.Busy, "the data centre of the primary is evacuated", retryUnderChange)
 	case home.Refused:
 		o.reason = reply.Answer.Code.String()
 		switch reply.Answer.Code {
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -22,6 +22,9 @@
 	Limit func(siskin.TargetInfo) int
 	// IsHome reports whether this VM is the home of a target.
 	IsHome func(siskin.TargetInfo) bool
+	// Closed reports whether a target must get no statement of callers. It may be
+	// nil.
+	Closed func(siskin.TargetID) bool
 	// Leads is nil where a target that was replaced refuses plain transactions.
 	Leads *Leads
 }
@@ -141,6 +144,10 @@
 	}), true
 }
 
+// evacuated reports whether a target must get no statement of callers. It is asked
+// right before each one, since statements wait for a place and a connection.
+func (h *Homes) evacuated(id siskin.TargetID) bool { return h.cfg.Closed != nil && h.cfg.Closed(id) }
+
 // Run runs one statement.
 func (h *Homes) Run(ctx context.Context, req *Request) Reply {
 	h.active.Add(1)
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -108,9 +108,11 @@
 	Refused
 	// Unconfirmed means that the replicas did not confirm the lead of the target.
 	Unconfirmed
+	// Evacuated means that nothing may be sent to the target's data centre.
+	Evacuated
 )
 
-var causes = [...]string{"None", "Overload", "NoConnection", "Unreachable", "Unknown", "Stale", "Silent", "Refused", "Unconfirmed"}
+var causes = [...]string{"None", "Overload", "NoConnection", "Unreachable", "Unknown", "Stale", "Silent", "Refused", "Unconfirmed", "Evacuated"}
 
 // String returns the cause's name as it appears in logs and metrics.
 func (c Cause) String() string {
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -106,6 +106,11 @@
 		r.l.put(r.c)
 		return false
 	}
+	if r.h.evacuated(r.req.Target) {
+		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
+		r.l.put(r.c)
+		return false
+	}
 	reused := !r.c.fresh
 	idle := r.h.cfg.Clock.Since(r.c.used)
 	begin, needed := r.begin(reused && idle > idleProbe)
@@ -150,6 +155,12 @@
 	if inTx {
 		list = append(list, siskin.Statement{Kind: siskin.Rollback})
 	}
+	if r.h.evacuated(r.req.Target) {
+		// A transaction that proved the lead ends with its connection.
+		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
+		r.l.drop(r.c)
+		return false
+	}
 	asked := r.h.cfg.Clock.Now()
 	if s.Changes() {
 		r.l.writes.start(asked)
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -71,6 +71,10 @@
 
 // exec sends a statement in a busy transaction.
 func (h *Homes) exec(id TxID, t *tx, req *Request, setup []siskin.Statement, deadline time.Time) Reply {
+	if h.evacuated(t.l.target()) {
+		h.abandon(id, t)
+		return Reply{Outcome: NotSent, Cause: Evacuated}
+	}
 	s := named(req)
 	asked := h.cfg.Clock.Now()
 	if s.Kind == siskin.Commit {
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -22,6 +22,8 @@
 	platform *stand.Platform
 	revision siskin.Revision
 	unfenced bool
+	// cut are the VMs that do not reach the store.
+	cut map[int]bool
 
 	mu    sync.Mutex
 	nodes []*node // nil while a VM is stopped
@@ -95,7 +97,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &testFleet{t: t, platform: p, revision: 1, unfenced: service.Unfenced}
+	f := &testFleet{t: t, platform: p, revision: 1, unfenced: service.Unfenced, cut: make(map[int]bool)}
 	p.SetDeployment(testDeployment(f.revision))
 	for i := range vms {
 		f.set(i, f.start(i))
@@ -153,16 +155,23 @@
 	return nil
 }
 
+// testEvacuation is the time in which an evacuation is to be in force.
+const testEvacuation = 5 * time.Second
+
 func (f *testFleet) settings(i int) *cfgini.System {
-	free := freeAddresses(f.t, 4)
+	free := freeAddresses(f.t, 5)
 	cfg := &cfgini.System{
 		VM:     cfgini.SystemVM{ID: fmt.Sprintf("vm-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3+1), Memory: 256 << 20},
 		Caller: cfgini.SystemCaller{Address: free[0], MaxSessions: 1000},
 		Ready:  cfgini.SystemReady{Address: free[1]}, Peer: cfgini.SystemPeer{Address: free[2]},
 		Store:    cfgini.SystemStore{Address: f.platform.Address(), Timeout: time.Second},
 		Promoter: cfgini.SystemPromoter{Address: f.platform.Address(), Timeout: 700 * time.Millisecond, Fencing: !f.unfenced},
+		Operator: cfgini.SystemOperator{EvacuateWithin: testEvacuation},
 		Metrics:  cfgini.SystemMetrics{Address: free[3]}, Stop: cfgini.SystemStop{Grace: 6 * time.Second},
 	}
+	if f.cut[i] {
+		cfg.Store.Address = free[4]
+	}
 	if i > 0 {
 		cfg.Peer.Seeds = []string{f.node(0).cfg.Peer.Address}
 	}
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -85,9 +85,13 @@
 	n := &node{cfg: cfg, log: l, table: table.New(), views: views.New(), stats: stats.New()}
 	n.started = n.clock.Now()
 	n.roster = roster.New()
+	if bound := cfg.Operator.EvacuateWithin; bound > 0 {
+		n.roster.RequireEvacuations(bound)
+	}
 	dialer := newDialer()
 	n.homes = home.New(home.Config{
 		Clock: n.clock, Views: n.views, Target: n.roster.Target, Limit: n.connLimit,
+		Closed:    func(id siskin.TargetID) bool { return n.roster.Closed(id, n.clock.Now()) },
 		IsHome:    func(t siskin.TargetInfo) bool { return n.path != nil && n.path.IsHome(t) },
 		Connector: &platform.Connector{Dial: dialer.DialContext}, Leads: n.leads(),
 	})
@@ -187,9 +191,13 @@
 		Leases: n.leases, Store: store, Run: n.crew.Node().Run, Status: platform.ParseStatus, Log: n.log, Changed: changed.Record,
 		Promoter: &platform.Promoter{Base: "http://" + n.cfg.Promoter.Address, HTTP: client, Timeout: n.cfg.Promoter.Timeout},
 	})
+	var evacuations siskin.ObjectKind
+	if n.cfg.Operator.EvacuateWithin > 0 {
+		evacuations = platform.KindEvacuations
+	}
 	n.feed = feed.Start(feed.Config{
 		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, Holders: n.rates.SetHolders, Known: n.rates.Holders,
-		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, Target: platform.DecodeTarget,
+		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, Target: platform.DecodeTarget, EvacuationKind: evacuations,
 	})
 }
 
