home, roster, sysd: cold targets get a bounded number of statements

The platform bounds the statements that reach a cold target in one second, summed over all VMs, also those that are cut off. Each service whose targets start cold now has one more rate, shared and lent across the fleet like those of customers, and a home takes a token of it right before it sends a statement to a target that may be cold. A limit at the home alone would be spent twice when two VMs take themselves for the home.

A target counts as cold 2 s longer than its entry says, and from a broken connection, the start of the VM or a gap of 5 s between lists until a later list tells. An evacuation that is taken back stays in force until the list of targets is as new, since its targets may have become cold before. A cold target is promoted only when no warm one has as new a log. Connections that go back without a statement keep the time of their last use.

The script of TestEvacuations now brings a list of targets with each line, since an evacuation ends with one.

--- a/deployment.go
+++ b/deployment.go
@@ -41,6 +41,10 @@
 	// SyncReplicas is the number of replicas that receive a commit before it is
 	// acknowledged.
 	SyncReplicas int
+	// ColdRate is the rate of statements that a cold target bears, and ColdFor the
+	// time for which it stays cold after its start; zero when targets are never cold.
+	ColdRate RequestsPerSecond
+	ColdFor  time.Duration
 }
 
 // CustomerSpec is one customer of a Deployment.
--- a/internal/cfgini/system.go
+++ b/internal/cfgini/system.go
@@ -69,6 +69,9 @@
 // SystemOperator sets what the operator may ask for.
 type SystemOperator struct {
 	EvacuateWithin time.Duration `default:"0s" min:"0s" max:"10m" doc:"Time from the store's acknowledgement of the evacuation of a data centre to the last statement sent to a target there, 1 s or more. The last 0.5 s are kept in reserve, and reading takes up to 4.5 s. 0s where the platform has no evacuations; the store is then not asked for them."`
+	// ColdExcess and ColdSlack bound the statements to a cold target.
+	ColdExcess float64 `default:"0" min:"0" max:"1000" doc:"Multiple of a service's rate for cold targets that one may get, from all VMs together. 0 where the platform bounds no cold targets."`
+	ColdSlack  float64 `default:"0" min:"0" max:"1000000" doc:"Statements that a cold target may get in one second beyond that."`
 }
 
 // SystemMetrics sets the listener for metrics.
--- a/internal/cfgini/system_test.go
+++ b/internal/cfgini/system_test.go
@@ -35,7 +35,7 @@
 		"node": "front-a-1", "zone": "a", "limits.memory_mb": "284", "limits.cpu_share": "0.4", "limits.cpu_cores": "1", "listen.front": "10.1.0.26:8465",
 		"listen.ready": "10.1.0.26:8460", "listen.control": "10.1.0.26:8462",
 		"seed_addrs": "10.1.0.26:8462,10.2.0.23:8462", "platform.addr": "10.200.1.7:8466", "cloud.addr": "10.200.0.2:8466",
-		"ip": "10.1.0.26", "port_range.0": "7560", "bounds.grace_s": "6", "bounds.fencing": fencing, "bounds.evac_ms": evacuation,
+		"bounds.cold_slack": "", "ip": "10.1.0.26", "port_range.0": "7560", "bounds.grace_s": "6", "bounds.fencing": fencing, "bounds.evac_ms": evacuation, "bounds.cold_excess": "1.5",
 	}
 	text := regexp.MustCompile(`\{\{([#^])([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`).ReplaceAllStringFunc(string(data), func(section string) string {
 		parts := regexp.MustCompile(`\{\{([#^])([^}]+)\}\}(.*?)\{\{/`).FindStringSubmatch(section)
@@ -58,6 +58,9 @@
 	if got, want := s.Stop.Grace, 6*time.Second; got != want {
 		t.Errorf("Stop.Grace: got %v, want %v", got, want)
 	}
+	if got := s.Operator; got.ColdExcess != 1.5 || got.ColdSlack != 0 {
+		t.Errorf("cold targets: got %v and %v, want 1.5 and 0, which the platform does not state", got.ColdExcess, got.ColdSlack)
+	}
 	if got, want := len(s.Peer.Seeds), 2; got != want {
 		t.Errorf("Peer.Seeds: got %d, want %d", got, want)
 	}
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -137,6 +137,7 @@
 		return cmp.Or(
 			a.status.Received.Compare(b.status.Received),
 			-boolCompare(leaving(&a.target), leaving(&b.target)),
+			-boolCompare(a.target.Warming > 0, b.target.Warming > 0), // a cold one bears few statements
 			cmp.Compare(b.target.ID, a.target.ID),
 		)
 	}), true
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -106,6 +106,8 @@
 				c.err = errors.New("no answer")
 			case part == "draining":
 				c.target.Draining = true
+			case part == "cold":
+				c.target.Warming = time.Second
 			case part == "evacuated":
 				c.target.Evacuated = true
 			default:
--- a/internal/home/acquire.go
+++ b/internal/home/acquire.go
@@ -93,6 +93,9 @@
 		return newConn(tc, customer, l.clock.Now()), nil
 	}
 	l.mu.Lock()
+	if siskin.KindOf(err) != siskin.Overloaded {
+		l.failed = l.clock.Now()
+	}
 	switch siskin.KindOf(err) {
 	case siskin.Overloaded:
 		l.crowd.refused(l.clock.Now(), l.open-1)
--- /dev/null
+++ b/internal/home/cold.go
@@ -0,0 +1,51 @@
+package home
+
+import (
+	"context"
+	"time"
+)
+
+// coldPause is the least time between two questions for the rate of cold targets.
+const coldPause = 5 * time.Millisecond
+
+// admitted reports whether a statement may be sent to a target now. A cold target
+// gets few; the statement waits for its turn until the given time.
+func (h *Homes) admitted(l *lane, until time.Time) (ok bool, retryAfter time.Duration) {
+	if h.cfg.MayBeCold == nil {
+		return true, 0
+	}
+	l.mu.Lock()
+	info, failed := l.info, l.failed
+	l.mu.Unlock()
+	if !h.cfg.MayBeCold(info, l.created, failed) {
+		return true, 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, until.Sub(h.cfg.Clock.Now())))
+	defer cancel()
+	for {
+		adm := h.cfg.AdmitCold(ctx, info.Service)
+		if adm.Admitted {
+			return true, 0
+		}
+		pause := max(adm.RetryAfter, coldPause)
+		if h.cfg.Clock.Now().Add(pause).After(until) {
+			return false, pause
+		}
+		h.cfg.Clock.Sleep(pause)
+	}
+}
+
+// noteFailure notes that the target may have ended and start again, cold.
+func (l *lane) noteFailure() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed = l.clock.Now()
+}
+
+// waitFor is the longest time that a statement waits where it holds up others.
+func (r *Request) waitFor() time.Duration {
+	if r.ConnectFor > 0 {
+		return r.ConnectFor
+	}
+	return r.QueueFor
+}
--- /dev/null
+++ b/internal/home/cold_test.go
@@ -0,0 +1,105 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/platform/stand"
+)
+
+// coldRate admits the first statements to a cold target.
+type coldRate struct {
+	mu   sync.Mutex
+	left int
+	cold func(failed time.Time) bool
+}
+
+func (r *coldRate) mayBeCold(_ siskin.TargetInfo, _, failed time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cold(failed)
+}
+
+func (r *coldRate) admit(context.Context, siskin.ServiceName) siskin.Admission {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.left == 0 {
+		return siskin.Admission{RetryAfter: 30 * time.Millisecond}
+	}
+	r.left--
+	return siskin.Admission{Admitted: true}
+}
+
+// TestColdTarget guards against statements that flood a cold target, also inside
+// transactions, and against refused ones that wait for the whole of their time.
+func TestColdTarget(t *testing.T) {
+	f := start(t, stand.ServiceOptions{})
+	rate := &coldRate{left: 3, cold: func(time.Time) bool { return true }}
+	f.homes.cfg.MayBeCold, f.homes.cfg.AdmitCold = rate.mayBeCold, rate.admit
+	target := f.target(0)
+	open := request(target, siskin.Write, "x 1")
+	open.Mode, open.Proof = Open, LeadProof
+	first := f.run(open)
+	if first.Outcome != Answered {
+		t.Fatalf("first statement of a transaction: got %+v, want an answer", first)
+	}
+	for i, want := range []Outcome{Answered, Answered, NotSent} {
+		req := request(target, siskin.Read, "x")
+		req.ConnectFor = 50 * time.Millisecond
+		began := time.Now()
+		r := f.run(req)
+		if r.Outcome != want || want == NotSent && (r.Cause != Overload || r.RetryAfter == 0) {
+			t.Errorf("read %d: got %+v, want outcome %d", i, r, want)
+		}
+		if took := time.Since(began); took > 500*time.Millisecond {
+			t.Errorf("read %d: got an answer after %v, want less than 500ms", i, took)
+		}
+	}
+	commit := request(target, siskin.Commit, "")
+	commit.Mode, commit.Tx, commit.QueueFor = Continue, first.Tx, 50*time.Millisecond
+	if r := f.run(commit); r.Outcome != NotSent || r.Cause != Overload {
+		t.Errorf("commit beyond the rate: got %+v, want not sent", r)
+	}
+	if got := target.Statements(); got != 3 {
+		t.Errorf("statements at the cold target: got %d, want 3", got)
+	}
+	if got := f.homes.Counts().Transactions; got != 0 {
+		t.Errorf("open transactions: got %d, want none", got)
+	}
+}
+
+// TestColdAfterFailure guards against a flood at a target that has started again,
+// before its entry says so: the lane tells when it last failed.
+func TestColdAfterFailure(t *testing.T) {
+	f := start(t, stand.ServiceOptions{})
+	rate := &coldRate{cold: func(failed time.Time) bool { return !failed.IsZero() }}
+	f.homes.cfg.MayBeCold, f.homes.cfg.AdmitCold = rate.mayBeCold, rate.admit
+	target := f.target(0)
+	read := func() Reply {
+		req := request(target, siskin.Read, "x")
+		req.ConnectFor = 20 * time.Millisecond
+		return f.run(req)
+	}
+	if r := read(); r.Outcome != Answered {
+		t.Fatalf("read at a target that never failed: got %+v, want an answer", r)
+	}
+	target.Crash()
+	if err := target.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(2 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		r := read()
+		if r.Outcome == Answered {
+			t.Fatalf("read at a target that has started again: got %+v, want a refusal", r)
+		}
+		if r.Cause == Overload {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("read at a target that has started again: got %+v, want a refusal for its rate", r)
+		}
+	}
+}
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -25,6 +25,11 @@
 	// Closed reports whether a target must get no statement of callers. It may be
 	// nil.
 	Closed func(siskin.TargetID) bool
+	// MayBeCold reports whether a target may be cold that is used since the time opened
+	// and failed last at another one, which is zero when it did not. AdmitCold takes a statement from the rate that the
+	// cold targets of a service share. Both may be nil.
+	MayBeCold func(t siskin.TargetInfo, opened, failed time.Time) bool
+	AdmitCold func(context.Context, siskin.ServiceName) siskin.Admission
 	// Leads is nil where a target that was replaced refuses plain transactions.
 	Leads *Leads
 }
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -29,6 +29,7 @@
 // lane is the queue and the connections of one target.
 type lane struct {
 	clock     siskin.Clock
+	created   time.Time
 	connector siskin.TargetConnector
 	queue     *fairq.Queue
 	control   control
@@ -43,13 +44,14 @@
 	idle    []*conn
 	wake    chan struct{} // closed when a connection becomes free
 	avoid   time.Time
+	failed  time.Time // last time that a connection broke or could not be opened
 	closing bool
 	opened  int64 // connections opened since the start
 }
 
 func newLane(clock siskin.Clock, connector siskin.TargetConnector, info siskin.TargetInfo, limit int) *lane {
 	return &lane{
-		clock: clock, connector: connector, info: info, limit: limit, wake: make(chan struct{}),
+		clock: clock, created: clock.Now(), connector: connector, info: info, limit: limit, wake: make(chan struct{}),
 		queue: fairq.New(clock, info.Slots+spareRunning, fairq.WithReserve(0)),
 	}
 }
@@ -107,8 +109,13 @@
 
 // put returns a connection whose last answer was read to its end.
 func (l *lane) put(c *conn) {
-	l.mu.Lock()
 	c.used = l.clock.Now()
+	l.putUnused(c)
+}
+
+// putUnused returns a connection on which nothing was sent since it was taken.
+func (l *lane) putUnused(c *conn) {
+	l.mu.Lock()
 	if l.closing || l.open > l.limit {
 		l.mu.Unlock()
 		l.drop(c)
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -76,11 +76,7 @@
 }
 
 func (r *run) connect(ctx context.Context) bool {
-	waitFor := r.req.ConnectFor
-	if waitFor == 0 {
-		waitFor = r.req.QueueFor
-	}
-	c, err := r.l.conn(ctx, r.req.Customer, waitFor)
+	c, err := r.l.conn(ctx, r.req.Customer, r.req.waitFor())
 	if err == nil {
 		r.c = c
 		return true
@@ -108,7 +104,12 @@
 	}
 	if r.h.evacuated(r.req.Target) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
-		r.l.put(r.c)
+		r.l.putUnused(r.c)
+		return false
+	}
+	if ok, after := r.h.admitted(r.l, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
+		r.reply.Outcome, r.reply.Cause, r.reply.RetryAfter = NotSent, Overload, after
+		r.l.putUnused(r.c)
 		return false
 	}
 	reused := !r.c.fresh
@@ -219,6 +220,7 @@
 		r.reply.Cause = Silent
 	}
 	r.h.cfg.Views.Failed(r.req.Target, r.h.cfg.Clock.Now())
+	r.l.noteFailure()
 	r.l.drop(r.c)
 	r.l.dropIdle()
 }
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -58,6 +58,10 @@
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start)}
 		}
 		defer grant.Release()
+		if ok, after := h.admitted(t.l, start.Add(req.QueueFor)); !ok {
+			h.abandon(req.Tx, t)
+			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start), RetryAfter: after}
+		}
 	}
 	waited := h.cfg.Clock.Since(start)
 	var setup []siskin.Statement
@@ -92,6 +96,7 @@
 			reply.Cause = Silent
 		}
 		h.cfg.Views.Failed(req.Target, h.cfg.Clock.Now())
+		t.l.noteFailure()
 		t.l.dropIdle()
 		return reply
 	}
--- /dev/null
+++ b/internal/roster/cold.go
@@ -0,0 +1,47 @@
+package roster
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+const (
+	// coldMargin is the time for which a target may be cold beyond what its entry
+	// says: a call to the store takes up to this long, and the entry may have been
+	// written at its end.
+	coldMargin = 2 * time.Second
+	// coldUnknown is the time from the failure of a target to the list that tells
+	// whether it started again and is cold. A target writes its entry each 1.2 s.
+	coldUnknown = 2 * time.Second
+	// maxListAge is the age of the list up to which a target that is used for the
+	// first time cannot have started again unseen. Lists are up to 3.2 s old.
+	maxListAge = 5 * time.Second
+)
+
+// Cold reports whether a target may be cold, for a VM that has used it since the
+// time opened and saw it fail last at the time failed, which is zero when it did
+// not. The target's entry says so, or no list tells yet whether it started again.
+func (r *Roster) Cold(id siskin.TargetID, opened, failed, now time.Time) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	e, ok := r.targets[id]
+	switch {
+	case !ok, now.Before(e.cold):
+		return true
+	case !failed.IsZero() && r.listed.Before(failed.Add(coldUnknown)):
+		return true
+	case opened.After(r.listed.Add(maxListAge)):
+		return true
+	default:
+		return r.listed.Before(r.resumed.Add(coldUnknown)) && opened.After(r.paused.Add(maxListAge))
+	}
+}
+
+// noteGap notes the first list of this VM, or the first one after a time without
+// lists, which was asked for at a time. The caller holds mu.
+func (r *Roster) noteGap(at time.Time) {
+	if at.Sub(r.listed) > maxListAge {
+		r.paused, r.resumed = r.listed, at
+	}
+}
--- /dev/null
+++ b/internal/roster/cold_test.go
@@ -0,0 +1,69 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// TestCold guards against a cold target that counts as warm too early, and against
+// one that started again and is not listed as cold yet.
+func TestCold(t *testing.T) {
+	r, at := New(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	info := siskin.TargetInfo{ID: "a", Service: "s", Warming: 3 * time.Second}
+	r.Replace([]siskin.TargetInfo{info}, 1, at(0))
+	r.Replace([]siskin.TargetInfo{info}, 2, at(time.Second))
+	info.Warming = time.Second
+	r.Replace([]siskin.TargetInfo{info}, 3, at(2*time.Second))
+	for now, want := range map[time.Duration]bool{2 * time.Second: true, 3*time.Second + coldMargin - 1: true, 3*time.Second + coldMargin: false} {
+		if got := r.Cold("a", at(0), time.Time{}, at(now)); got != want {
+			t.Errorf("cold at %v, with 1s left at 2s: got %t, want %t", now, got, want)
+		}
+	}
+	info.Warming = 0
+	r.Replace([]siskin.TargetInfo{info}, 4, at(4*time.Second))
+	if r.Cold("a", at(0), time.Time{}, at(4*time.Second)) {
+		t.Error("cold once its entry says that it is not: got true, want false")
+	}
+	failed := at(10 * time.Second)
+	r.Confirm(4, failed.Add(coldUnknown-1))
+	if !r.Cold("a", at(0), failed, at(20*time.Second)) {
+		t.Error("cold after a failure without a later list: got false, want true")
+	}
+	r.Confirm(4, failed.Add(coldUnknown))
+	if r.Cold("a", at(0), failed, at(20*time.Second)) {
+		t.Error("cold after a failure and a later list: got true, want false")
+	}
+	if !r.Cold("unknown", at(0), time.Time{}, at(0)) {
+		t.Error("cold of an unknown target: got false, want true")
+	}
+}
+
+// TestColdUnseen guards against a target that started again, and is cold, while this
+// VM was down or had no lists.
+func TestColdUnseen(t *testing.T) {
+	r, at := New(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	info := siskin.TargetInfo{ID: "a", Service: "s"}
+	check := func(what string, opened, now time.Duration, want bool) {
+		t.Helper()
+		if got := r.Cold("a", at(opened), time.Time{}, at(now)); got != want {
+			t.Errorf("%s: got cold %t, want %t", what, got, want)
+		}
+	}
+	r.Replace([]siskin.TargetInfo{info}, 1, at(0))
+	check("just after the start of the VM", 0, 0, true)
+	r.Confirm(1, at(coldUnknown-1))
+	check("with a list that may be older than the target's entry", 0, coldUnknown, true)
+	r.Confirm(1, at(coldUnknown))
+	check("with a later list", 0, coldUnknown, false)
+	r.Confirm(1, at(4*time.Second))
+	check("used since before the store was away", 5*time.Second, 20*time.Second, false)
+	check("used since then, without a list", 10*time.Second, 20*time.Second, true)
+	r.Confirm(1, at(21*time.Second))
+	check("used since before, with the first list again", 5*time.Second, 21*time.Second, false)
+	check("used since then, with the first list again", 10*time.Second, 21*time.Second, true)
+	r.Confirm(1, at(24*time.Second))
+	check("used since then, with a later list", 10*time.Second, 24*time.Second, false)
+	check("used later", 25*time.Second, 25*time.Second, false)
+}
--- a/internal/roster/evacuations.go
+++ b/internal/roster/evacuations.go
@@ -24,6 +24,9 @@
 	// since holds for each evacuation in force a moment before its
 	// acknowledgement, zero when none is known.
 	since map[siskin.DataCentreID]time.Time
+	// held are those of since that were taken back, and stay in force until a list
+	// of targets of that version says which of them are cold.
+	held map[siskin.DataCentreID]bool
 }
 
 // known reports whether a target may be used. A VM that starts could otherwise
@@ -47,8 +50,8 @@
 }
 
 // replace takes over a list that was current at a time, and reports whether it
-// differs from the last one.
-func (e *evacuations) replace(list []siskin.DataCentreID, version siskin.Version, at time.Time) bool {
+// changes what is in force. The list of targets is of the version targets.
+func (e *evacuations) replace(list []siskin.DataCentreID, version, targets siskin.Version, at time.Time) bool {
 	if e.bound == 0 || version < e.version {
 		return false
 	}
@@ -68,11 +71,28 @@
 		}
 		next[dc] = since
 	}
+	e.held = make(map[siskin.DataCentreID]bool)
+	for dc, since := range e.since {
+		if _, ok := next[dc]; !ok && targets < version {
+			next[dc], e.held[dc] = since, true
+		}
+	}
 	differs := first || !maps.Equal(next, e.since)
 	e.since = next
 	return differs
 }
 
+// release ends the evacuations that were held back for a list of targets, once there
+// is one of the given version. It reports whether there were any.
+func (e *evacuations) release(targets siskin.Version) bool {
+	if len(e.held) == 0 || targets < e.version {
+		return false
+	}
+	maps.DeleteFunc(e.since, func(dc siskin.DataCentreID, _ time.Time) bool { return e.held[dc] })
+	e.held = nil
+	return true
+}
+
 // RequireEvacuations makes the roster name no target until a list of evacuations is
 // known, and sets the time from the acknowledgement of one to the last statement.
 // It is called before the first list.
@@ -87,7 +107,7 @@
 func (r *Roster) Evacuate(list []siskin.DataCentreID, version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.evac.replace(list, version, at) {
+	if r.evac.replace(list, version, r.version, at) {
 		r.publish()
 	}
 }
@@ -111,7 +131,9 @@
 func (r *Roster) Evacuations() ([]siskin.DataCentreID, siskin.Version, time.Time) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return slices.Sorted(maps.Keys(r.evac.since)), r.evac.version, r.evac.at
+	list := slices.Sorted(maps.Keys(r.evac.since))
+	list = slices.DeleteFunc(list, func(dc siskin.DataCentreID) bool { return r.evac.held[dc] })
+	return list, r.evac.version, r.evac.at
 }
 
 // Closed reports whether a target must get no statement at all, since its data
--- a/internal/roster/evacuations_test.go
+++ b/internal/roster/evacuations_test.go
@@ -18,12 +18,16 @@
 func evacuable() *Roster {
 	r := New()
 	r.RequireEvacuations(testBound)
+	r.Replace(targetsOfThree(), 1, time.Unix(1000, 0))
+	return r
+}
+
+func targetsOfThree() []siskin.TargetInfo {
 	var list []siskin.TargetInfo
 	for _, id := range []string{"a", "b", "c"} {
 		list = append(list, siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", DataCentre: siskin.DataCentreID("dc-" + id)})
 	}
-	r.Replace(list, 1, time.Unix(1000, 0))
-	return r
+	return list
 }
 
 // TestEvacuations guards against statements to an evacuated data centre, and against
@@ -59,6 +63,7 @@
 					list = append(list, siskin.DataCentreID(dc))
 				}
 				r.Evacuate(list, siskin.Version(version), at)
+				r.Replace(targetsOfThree(), siskin.Version(version), at.Add(time.Nanosecond))
 				if got := marked(r, now); got != want {
 					t.Errorf("%s: got %s, want %s", input, got, want)
 				}
@@ -130,3 +135,31 @@
 		t.Errorf("time of the list: got %v, want that of its confirmation", at)
 	}
 }
+
+// TestTakenBackBeforeTargets guards against a flood of statements to a target that
+// became cold during an evacuation: the end of it must not count before the list of
+// targets that says so.
+func TestTakenBackBeforeTargets(t *testing.T) {
+	r, at := evacuable(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	r.Evacuate([]siskin.DataCentreID{"dc-a", "dc-b"}, 2, at(0))
+	r.Evacuate([]siskin.DataCentreID{"dc-b", "dc-c"}, 5, at(time.Second))
+	if got, want := marked(r, at(time.Second)), "xa xb -c"; got != want {
+		t.Errorf("before a list of targets: got %s, want %s", got, want)
+	}
+	if list, _, _ := r.Evacuations(); len(list) != 2 || list[0] != "dc-b" {
+		t.Errorf("list for peers: got %v, want that of the store", list)
+	}
+	r.Replace(targetsOfThree(), 4, at(2*time.Second))
+	if got, want := marked(r, at(2*time.Second)), "xa xb -c"; got != want {
+		t.Errorf("with an older list of targets: got %s, want %s", got, want)
+	}
+	targets := targetsOfThree()
+	targets[0].Warming = 10 * time.Second
+	r.Replace(targets, 5, at(3*time.Second))
+	if got, want := marked(r, at(3*time.Second)), "a xb -c"; got != want {
+		t.Errorf("with a list of targets of that version: got %s, want %s", got, want)
+	}
+	if !r.Cold("a", at(0), time.Time{}, at(3*time.Second)) {
+		t.Error("cold target: got false, want true")
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -28,14 +28,17 @@
 	unsettled map[siskin.ServiceName]int
 	version   siskin.Version // of the last list
 	listed    time.Time      // when the last list was asked for
-	evac      evacuations
-	changed   chan struct{}
+	// paused and resumed are the ends of the last gap between two lists.
+	paused, resumed time.Time
+	evac            evacuations
+	changed         chan struct{}
 }
 
 type entry struct {
 	info     siskin.TargetInfo
 	missing  time.Time // first list without the entry; zero while it is there
 	draining time.Time // first list that says so; zero while it does not
+	cold     time.Time // until when it may be cold; zero when it is not
 }
 
 // lastCall is the time after which a draining target gets no new work. The
@@ -118,6 +121,7 @@
 	if version < r.version || !at.After(r.listed) {
 		return
 	}
+	r.noteGap(at)
 	r.version, r.listed = version, at
 	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
@@ -134,6 +138,9 @@
 				next.draining = e.draining
 			}
 		}
+		if info.Warming > 0 {
+			next.cold = at.Add(info.Warming + coldMargin)
+		}
 		r.targets[info.ID] = next
 		any = true
 	}
@@ -143,7 +150,8 @@
 		}
 	}
 	r.count(at)
-	if r.lapse(at) || any {
+	released := r.evac.release(version)
+	if r.lapse(at) || any || released {
 		r.publish()
 	}
 }
@@ -153,6 +161,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if version == r.version && at.After(r.listed) {
+		r.noteGap(at)
 		r.listed = at
 		r.settle(at)
 		if r.lapse(at) {
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -158,6 +158,13 @@
 // testEvacuation is the time in which an evacuation is to be in force.
 const testEvacuation = 5 * time.Second
 
+// A cold target may get testColdExcess times the rate of its service for cold
+// targets in one second, and testColdSlack more.
+const (
+	testColdExcess = 1.5
+	testColdSlack  = 5
+)
+
 func (f *testFleet) settings(i int) *cfgini.System {
 	free := freeAddresses(f.t, 5)
 	cfg := &cfgini.System{
@@ -166,7 +173,7 @@
 		Ready:  cfgini.SystemReady{Address: free[1]}, Peer: cfgini.SystemPeer{Address: free[2]},
 		Store:    cfgini.SystemStore{Address: f.platform.Address(), Timeout: time.Second},
 		Promoter: cfgini.SystemPromoter{Address: f.platform.Address(), Timeout: 700 * time.Millisecond, Fencing: !f.unfenced},
-		Operator: cfgini.SystemOperator{EvacuateWithin: testEvacuation},
+		Operator: cfgini.SystemOperator{EvacuateWithin: testEvacuation, ColdExcess: testColdExcess, ColdSlack: testColdSlack},
 		Metrics:  cfgini.SystemMetrics{Address: free[3]}, Stop: cfgini.SystemStop{Grace: 6 * time.Second},
 	}
 	if f.cut[i] {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -91,6 +91,7 @@
 	dialer := newDialer()
 	n.homes = home.New(home.Config{
 		Clock: n.clock, Views: n.views, Target: n.roster.Target, Limit: n.connLimit,
+		MayBeCold: n.mayBeCold, AdmitCold: n.admitCold,
 		Closed:    func(id siskin.TargetID) bool { return n.roster.Closed(id, n.clock.Now()) },
 		IsHome:    func(t siskin.TargetInfo) bool { return n.path != nil && n.path.IsHome(t) },
 		Connector: &platform.Connector{Dial: dialer.DialContext}, Leads: n.leads(),
--- a/internal/sysd/upkeep.go
+++ b/internal/sysd/upkeep.go
@@ -18,6 +18,7 @@
 		n.log.Error().Err(err).Str("Source", source).Msg("a configuration was refused")
 		return
 	}
+	limitCold(d, n.cfg.Operator.ColdExcess, n.cfg.Operator.ColdSlack)
 	earlier := n.table.Snapshot()
 	before := earlier.Version
 	if n.table.Apply(d, encoded) {
@@ -77,7 +78,7 @@
 				n.log.Debug().Str("Target", string(t.ID)).Msg("a target is known")
 			} else {
 				n.log.Info().Str("Target", string(t.ID)).Str("Service", string(t.Service)).Str("Address", t.Address).
-					Bool("Primary", t.Primary).Bool("Draining", t.Draining).Time("Born", t.Born).Msg("a target's entry changed")
+					Bool("Primary", t.Primary).Bool("Draining", t.Draining).Bool("Evacuated", t.Evacuated).Dur("Cold", t.Warming).Time("Born", t.Born).Msg("a target's entry changed")
 			}
 			if t.Primary && (!ok || !old.Primary || !old.Born.Equal(t.Born)) {
 				n.views.Hint(t.Service, t.ID)
