--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -110,9 +110,11 @@
 	Unconfirmed
 	// Stalled means that the target acknowledges no writes at the moment.
 	Stalled
+	// Evacuated means that nothing may be sent to the target's data centre.
+	Evacuated
 )
 
-var causes = [...]string{"None", "Overload", "NoConnection", "Unreachable", "Unknown", "Stale", "Silent", "Refused", "Unconfirmed", "Stalled"}
+var causes = [...]string{"None", "Overload", "NoConnection", "Unreachable", "Unknown", "Stale", "Silent", "Refused", "Unconfirmed", "Stalled", "Evacuated"}
 
 // String returns the cause's name as it appears in logs and metrics.
 func (c Cause) String() string {
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -80,11 +80,7 @@
 }
 
 func (r *run) connect(ctx context.Context) bool {
-	waitFor := r.req.ConnectFor
-	if waitFor == 0 {
-		waitFor = r.req.QueueFor
-	}
-	c, err := r.l.conn(ctx, r.req.Customer, waitFor)
+	c, err := r.l.conn(ctx, r.req.Customer, r.req.waitFor())
 	if err == nil {
 		r.c = c
 		return true
@@ -110,6 +106,16 @@
 		r.l.put(r.c)
 		return false
 	}
+	if r.h.evacuated(r.req.Target) {
+		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
+		r.l.putUnused(r.c)
+		return false
+	}
+	if ok, after := r.h.admitted(r.l, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
+		r.reply.Outcome, r.reply.Cause, r.reply.RetryAfter = NotSent, Overload, after
+		r.l.putUnused(r.c)
+		return false
+	}
 	reused := !r.c.fresh
 	idle := r.h.cfg.Clock.Since(r.c.used)
 	begin, needed := r.begin(reused && idle > idleProbe)
@@ -154,6 +160,12 @@
 	if inTx {
 		list = append(list, siskin.Statement{Kind: siskin.Rollback})
 	}
+	if r.h.evacuated(r.req.Target) {
+		// A transaction that proved the lead ends with its connection.
+		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
+		r.l.drop(r.c)
+		return false
+	}
 	asked := r.h.cfg.Clock.Now()
 	if s.Changes() && !r.l.writes.start(asked) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
@@ -214,6 +226,7 @@
 		r.reply.Cause = Silent
 	}
 	r.h.cfg.Views.Failed(r.req.Target, r.h.cfg.Clock.Now())
+	r.l.noteFailure()
 	r.l.drop(r.c)
 	r.l.dropIdle()
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -28,13 +28,17 @@
 	unsettled map[siskin.ServiceName]int
 	version   siskin.Version // of the last list
 	listed    time.Time      // when the last list was asked for
-	changed   chan struct{}
+	// paused and resumed are the ends of the last gap between two lists.
+	paused, resumed time.Time
+	evac            evacuations
+	changed         chan struct{}
 }
 
 type entry struct {
 	info     siskin.TargetInfo
 	missing  time.Time // first list without the entry; zero while it is there
 	draining time.Time // first list that says so; zero while it does not
+	cold     time.Time // until when it may be cold; zero when it is not
 }
 
 // lastCall is the time after which a draining target gets no new work. The
@@ -62,20 +66,20 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	if !ok {
+	if !ok || !r.evac.known() {
 		return siskin.TargetInfo{}, false
 	}
-	return e.info, true
+	return r.evac.mark(e.info), true
 }
 
-// Leaving reports whether a target has been draining for so long that it must
-// get no new work. Leaving targets take it until then only as primaries, while
-// their successor is elected.
+// Leaving reports whether a target has been draining or evacuated for so long
+// that it must get no new work. Leaving targets take it until then only as
+// primaries, while their successor is elected.
 func (r *Roster) Leaving(id siskin.TargetID, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	return !ok || !e.draining.IsZero() && now.Sub(e.draining) > lastCall
+	return !ok || !e.draining.IsZero() && now.Sub(e.draining) > lastCall || r.evac.closed(e.info.DataCentre, now)
 }
 
 // Listed returns the targets of the last list, ordered by id, with its version
@@ -117,10 +121,12 @@
 	if version < r.version || !at.After(r.listed) {
 		return
 	}
+	r.noteGap(at)
 	r.version, r.listed = version, at
 	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
 	for _, info := range list {
+		info.Evacuated = false // derived from what this VM knows
 		listed[info.ID] = true
 		e := r.targets[info.ID]
 		if e != nil && e.info == info && e.missing.IsZero() {
@@ -132,6 +138,9 @@
 				next.draining = e.draining
 			}
 		}
+		if info.Warming > 0 {
+			next.cold = at.Add(info.Warming + coldMargin)
+		}
 		r.targets[info.ID] = next
 		any = true
 	}
@@ -141,7 +150,8 @@
 		}
 	}
 	r.count(at)
-	if r.lapse(at) || any {
+	released := r.evac.release(version)
+	if r.lapse(at) || any || released {
 		r.publish()
 	}
 }
@@ -151,6 +161,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if version == r.version && at.After(r.listed) {
+		r.noteGap(at)
 		r.listed = at
 		r.settle(at)
 		if r.lapse(at) {
@@ -174,7 +185,9 @@
 func (r *Roster) publish() {
 	r.services = make(map[siskin.ServiceName][]siskin.TargetInfo)
 	for _, e := range r.targets {
-		r.services[e.info.Service] = append(r.services[e.info.Service], e.info)
+		if r.evac.known() {
+			r.services[e.info.Service] = append(r.services[e.info.Service], r.evac.mark(e.info))
+		}
 	}
 	for _, list := range r.services {
 		slices.SortFunc(list, byID)
