elect: changes of primary see other changes and targets without a log

TestModel now plays targets that discovery drops, that crash, start again empty or are replaced by empty successors, in the contracts with and without checked fences, with promotions that take effect up to a second after the order.

Causes, each seen in a run: a claimed replica that had started empty counted as if it had the log of the one before; without a claim that was lost meanwhile, another target than the chosen one was to be promoted; with fences, the age of the check was not bounded, two changes chose the same term, a primary that had stepped down counted for all targets and left no mark for other changes, the claimed term was not above that of a primary which the answering targets had missed, and a change that took claims over promoted while the other order was still to take effect.

Change: targets without a log count as unclaimed unless all are claimed; the check before the order compares logs and terms (compare); terms of claims are 1,000 to 2,000 above the newest known; targets that lead are paused too; a change that took claims over waits 1.6 s after its last claim and, with fences, takes a fresh one; with fences an order follows its check within 0.5 s. A claim costs no further round trip, a change without a takeover no further time.

--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -37,12 +37,12 @@
 	err = c.run(ctx)
 	took := e.cfg.Clock.Since(start)
 	if err != nil {
-		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Msg("the primary was not changed")
+		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Bool("Overtook", c.overtook).Msg("the primary was not changed")
 		return
 	}
 	e.cfg.Changed(took)
 	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("From", string(primary)).Str("To", string(c.chosen.target.ID)).
-		Uint64("Term", uint64(c.term)).Dur("Took", took).Msg("the primary was changed")
+		Uint64("Term", uint64(c.term)).Dur("Took", took).Bool("Overtook", c.overtook).Msg("the primary was changed")
 }
 
 // otherLeads asks all targets, and other VMs about the old primary, whether one
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -95,12 +96,12 @@
 	return nil
 }
 
-// settle waits until no VM takes the former primary for the only one.
+// settle waits until the promotion may be ordered.
 func (c *change) settle(ctx context.Context) error {
-	if !c.unfenced || c.planned {
+	if c.planned {
 		return nil
 	}
-	left := waitUntil(c.claims, c.term, c.overtook).Sub(c.e.cfg.Clock.Now())
+	left := waitUntil(c.claims, c.term, c.overtook, c.unfenced).Sub(c.e.cfg.Clock.Now())
 	if left <= 0 {
 		return nil
 	}
@@ -131,12 +132,13 @@
 			return siskin.NewError(siskin.Conflict, "target %s leads already", cl.target.ID)
 		}
 	}
-	c.term = max(c.leadTerm, c.heldTerm) + 1
+	c.term = claimTerm(max(c.leadTerm, c.heldTerm), rand.N(termSpread))
 	// A replica that is not listed has no part in a planned change, whose primary
 	// leads no more before another target is promoted.
 	if !c.planned {
 		c.addUnlisted()
 	}
+	markBlank(c.claims, c.e.cfg.Views.Lead(c.spec.Name).Position)
 	// A primary that answers here is given up only if its replicas can take over:
 	// this VM may share its cut, and other VMs see to the rest.
 	if (c.planned || c.stalled) && !replicasAnswer(c.claims, c.spec.SyncReplicas) {
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -203,3 +203,61 @@
 		t.Errorf("claims without a replica that joined: got %s, want %s", got, want)
 	}
 }
+
+// TestCompare guards against a promotion whose claims hold by their term alone: a
+// target that started again has lost its log, and one of a later term follows another
+// change's target.
+func TestCompare(t *testing.T) {
+	at := func(lsn siskin.LSN) siskin.ControlStatus {
+		return siskin.ControlStatus{Term: 1, HeldTerm: 9, Received: siskin.Position{Term: 1, LSN: lsn}}
+	}
+	later := at(7)
+	later.Term = 2
+	for _, c := range []struct {
+		name  string
+		again [3]siskin.ControlStatus
+		want  bool // the claims still suffice
+	}{
+		{"as before", [3]siskin.ControlStatus{at(9), at(7), at(7)}, true},
+		{"the chosen one has started again", [3]siskin.ControlStatus{at(9), at(3), at(7)}, false},
+		{"one more has started again", [3]siskin.ControlStatus{at(9), at(7), at(0)}, false},
+		{"another change has promoted", [3]siskin.ControlStatus{at(9), at(7), later}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ch := &change{term: 9, leadTerm: 1, spec: siskin.ServiceSpec{SyncReplicas: 1}}
+			var again []claim
+			for i, s := range []siskin.ControlStatus{at(9), at(7), at(7)} {
+				cl := claim{target: siskin.TargetInfo{ID: siskin.TargetID("abc"[i : i+1])}, status: s, primary: i == 0}
+				ch.claims = append(ch.claims, cl)
+				cl.status = c.again[i]
+				again = append(again, cl)
+			}
+			ch.chosen = ch.claims[1]
+			err := ch.compare(again)
+			if got := err == nil; got != c.want {
+				t.Errorf("claims suffice: got %v (%v), want %v", got, err, c.want)
+			}
+			if err != nil && siskin.KindOf(err) != siskin.Conflict {
+				t.Errorf("kind of the refusal: got %v, want %v", siskin.KindOf(err), siskin.Conflict)
+			}
+		})
+	}
+}
+
+// TestWaitForOtherOrders guards against a promotion before that of the change whose
+// claims were taken over: its target acknowledges commits that the chosen one lacks.
+func TestWaitForOtherOrders(t *testing.T) {
+	c, _ := newChange(t)
+	ctx := context.Background()
+	if _, err := c.control(ctx, c.e.cfg.Roster.Service("ledger")[1].ID, siskin.Statement{Kind: siskin.Pause, Term: 5}); err != nil {
+		t.Fatal(err)
+	}
+	c.claimed(t)
+	start := time.Now()
+	if err := c.settle(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := time.Since(start), takeOverWait-100*time.Millisecond; got < want {
+		t.Errorf("wait after claims were taken over: got %v, want at least %v", got, want)
+	}
+}
--- a/internal/elect/check.go
+++ b/internal/elect/check.go
@@ -17,7 +17,7 @@
 		}
 		return nil // the claim of the old primary is checked by the new lead
 	}
-	if id, ok := c.newcomer(); ok {
+	if id, ok := newcomer(c.claims, c.e.cfg.Roster.Service(c.spec.Name)); ok {
 		return siskin.NewError(siskin.Conflict, "target %s joined after the claims of term %d", id, c.term).WithRemedy("claim again")
 	}
 	var wg sync.WaitGroup
@@ -32,11 +32,32 @@
 		})
 	}
 	wg.Wait()
-	for _, cl := range again {
+	return c.compare(again)
+}
+
+// compare compares the claims with what the targets say later. It reports an error
+// when the chosen target may lack acknowledged commits.
+func (c *change) compare(again []claim) error {
+	for i := range again {
+		cl := &again[i]
+		switch {
+		case cl.err != nil:
+		case cl.status.Term > c.leadTerm:
+			// The other change's order was carried out. Where former primaries lead on,
+			// replicas stay paused all the same.
+			c.overtook = c.overtook && c.unfenced
+			return siskin.NewError(siskin.Conflict, "target %s follows term %d, and term %d was claimed over term %d", cl.target.ID, cl.status.Term, c.term, c.leadTerm)
+		case cl.status.Received.Compare(c.claims[i].status.Received) < 0:
+			cl.err = siskin.NewError(siskin.Unavailable, "target %s has started again", cl.target.ID)
+		}
 		if cl.target.ID == c.chosen.target.ID && !cl.holds(c.term) {
 			return siskin.NewError(siskin.Conflict, "target %s lost its claim", cl.target.ID)
 		}
 	}
+	// Without the claims that were lost, another target may be the one to promote.
+	if best, ok := newest(again, c.term, c.spec.SyncReplicas); ok && best.status.Received.Compare(c.chosen.status.Received) > 0 {
+		return siskin.NewError(siskin.Conflict, "target %s has commits that target %s lacks", best.target.ID, c.chosen.target.ID).WithRemedy("claim again")
+	}
 	if !enough(again, c.term, c.spec.SyncReplicas) {
 		return siskin.NewError(siskin.Conflict, "too few claims of term %d are left", c.term).WithRemedy("claim again")
 	}
--- a/internal/elect/claiming.go
+++ b/internal/elect/claiming.go
@@ -10,27 +10,16 @@
 // claimAll claims every target that answers.
 func (c *change) claimAll(ctx context.Context) error {
 	targets := c.e.cfg.Roster.Service(c.spec.Name)
-	led := make(map[siskin.TargetID]siskin.Term) // targets that led a moment ago
+	led := make(map[siskin.TargetID]bool) // targets that led a moment ago
 	for _, cl := range c.claims {
-		if cl.err == nil && cl.status.Primary {
-			led[cl.target.ID] = cl.status.Term
-		}
+		led[cl.target.ID] = cl.err == nil && cl.status.Primary
 	}
 	c.claims = make([]claim, len(targets))
 	c.each(ctx, targets, func(ctx context.Context, cl *claim) {
-		term, leads := led[cl.target.ID]
-		switch {
-		case c.unfenced:
-			c.claimUnfenced(ctx, cl, leads)
-		case leads:
-			cl.status, cl.err = c.control(ctx, cl.target.ID, siskin.Statement{Kind: siskin.StepDown, Term: c.term})
-			// A replica accepts to step down as well, and proves nothing by it.
-			cl.steppedDown, cl.end, cl.led = cl.err == nil, cl.status.Received, term
-		default:
-			cl.status, cl.err = c.control(ctx, cl.target.ID, siskin.Statement{Kind: siskin.Pause, Term: c.term})
-		}
+		c.claimOne(ctx, cl, led[cl.target.ID])
 	})
 	c.addUnlisted()
+	markBlank(c.claims, c.e.cfg.Views.Lead(c.spec.Name).Position)
 	for i := range c.claims {
 		c.overtook = c.overtook || c.claims[i].overtook
 		c.logClaim(&c.claims[i], "claimed a target")
@@ -45,10 +34,12 @@
 	return nil
 }
 
-// claimUnfenced claims one target where former primaries lead on. One that leads
-// steps down and is paused as well: it may not know of the present primary, so
-// that its log alone is not enough and it counts as a replica.
-func (c *change) claimUnfenced(ctx context.Context, cl *claim, leads bool) {
+// claimOne claims one target. One that leads steps down and is paused as well, so
+// that other changes see the claim. Where former primaries lead on, it may not know
+// of the present primary, so that its log alone is not enough and it counts as a
+// replica. The state before the claim tells of another change, which may have
+// chosen the same term.
+func (c *change) claimOne(ctx context.Context, cl *claim, leads bool) {
 	list := []siskin.Statement{{Kind: siskin.Status}}
 	if leads {
 		list = append(list, siskin.Statement{Kind: siskin.StepDown, Term: c.term})
@@ -67,8 +58,7 @@
 		return
 	}
 	cl.status, cl.err = c.e.cfg.Status(&answers[len(answers)-1])
-	cl.overtook = before.HeldTerm > before.Term
-	cl.demoted, cl.led = before.Primary && cl.err == nil, before.Term
+	cl.claimedBy(before, c.term, c.leadTerm, leads, c.unfenced)
 }
 
 // lateGrace is the time that a round waits for the old primary once all others
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -23,6 +23,9 @@
 	// demoted says that the target led in the term led and was claimed as a
 	// replica after it had stepped down.
 	demoted bool
+	// blank says that the target has started again, or for the first time, and has
+	// no log yet: it may have acknowledged commits before, or its predecessor.
+	blank bool
 	// overtook says that another change had claimed the target.
 	overtook bool
 	// at is the moment when the answer to the claim had come.
@@ -30,6 +33,41 @@
 	err error
 }
 
+const (
+	// termMargin lifts the term of claims above that of a primary which leads a later
+	// term than the targets that answer know of. A pause for its term or a lower one
+	// would not keep them from acknowledging its commits.
+	termMargin siskin.Term = 1000
+	// termSpread makes the terms of two changes that begin at once differ.
+	termSpread siskin.Term = 1000
+)
+
+// claimTerm returns the term for claims over targets that know of the given one.
+func claimTerm(newest, random siskin.Term) siskin.Term { return newest + termMargin + random }
+
+// errClaimed says that another change has claimed a target for the same term, made
+// it step down, or promoted another one.
+var errClaimed = siskin.NewError(siskin.Conflict, "another change has claimed the target")
+
+// claimedBy takes over the result of a claim for a term, from the target's state
+// before it. A target that led when it was asked first was told to step down; the
+// newest term known then is leadTerm.
+func (c *claim) claimedBy(before siskin.ControlStatus, term, leadTerm siskin.Term, leads, unfenced bool) {
+	c.overtook = before.HeldTerm > before.Term
+	switch {
+	case c.err != nil:
+	case before.Term > leadTerm:
+		c.err = errClaimed
+	case c.overtook && before.HeldTerm >= term, leads && !before.Primary && !unfenced:
+		// A replica accepts to step down as well, and proves nothing by it.
+		c.overtook, c.err = true, errClaimed
+	case unfenced:
+		c.demoted, c.led = before.Primary, before.Term
+	case leads:
+		c.steppedDown, c.end, c.led = true, c.status.Received, before.Term
+	}
+}
+
 // holds reports whether the target is claimed for a term. A replica says so
 // with the term of its pause; a later one means that another change has claimed
 // it since. A primary that stepped down keeps no such term: it no longer leads,
@@ -40,7 +78,8 @@
 		return false
 	case c.steppedDown:
 		// Another term means that another target was promoted meanwhile.
-		return !c.status.Primary && c.status.Term == c.led && c.status.Received.Compare(c.end) >= 0
+		return !c.status.Primary && c.status.Term == c.led && c.status.Received.Compare(c.end) >= 0 &&
+			c.status.HeldTerm <= max(term, c.led)
 	default:
 		return c.status.HeldTerm == term
 	}
@@ -57,10 +96,29 @@
 	return missing <= max(sync, 1) && missing < len(claims)
 }
 
-// waitUntil returns the moment from which on no VM takes a former primary for
-// the only one. With the newest primary made to step down that is at once,
-// unless another change had claimed targets, whose order may be on its way.
-func waitUntil(claims []claim, term siskin.Term, foreign bool) time.Time {
+// markBlank finds the targets without a log in a service that has commits. The end of
+// the log of the last known primary tells of commits that no target answers for.
+func markBlank(claims []claim, known siskin.Position) {
+	written := known.LSN != 0
+	for i := range claims {
+		written = written || claims[i].status.Received.LSN != 0
+	}
+	for i := range claims {
+		c := &claims[i]
+		c.blank = written && c.err == nil && c.status.Received.LSN == 0
+	}
+}
+
+// takeOverWait is the time from the last claim to the promotion in a change that took
+// claims over. The other change may have ordered a promotion up to maxFencedAge
+// after its claims were checked, and the platform carries it out within a second. Its
+// target could have acknowledged commits before this change's target leads.
+const takeOverWait = maxFencedAge + 1100*time.Millisecond
+
+// waitUntil returns the moment from which on a promotion may be ordered: no other
+// change's order is on its way, and where former primaries lead on, no VM takes one
+// for the only primary. With the newest primary made to step down none does at once.
+func waitUntil(claims []claim, term siskin.Term, overtook, unfenced bool) time.Time {
 	var last time.Time
 	var newest siskin.Term
 	for i := range claims {
@@ -72,8 +130,14 @@
 			newest = max(newest, c.status.Term)
 		}
 	}
+	if overtook {
+		return last.Add(takeOverWait)
+	}
+	if !unfenced {
+		return time.Time{}
+	}
 	for i := range claims {
-		if c := &claims[i]; c.demoted && c.holds(term) && c.led >= newest && !foreign {
+		if c := &claims[i]; c.demoted && c.holds(term) && c.led >= newest {
 			return time.Time{}
 		}
 	}
@@ -88,7 +152,7 @@
 		if claims[i].primary {
 			continue
 		}
-		if replicas++; claims[i].err != nil {
+		if replicas++; claims[i].err != nil || claims[i].blank {
 			missing++
 		}
 	}
@@ -97,19 +161,24 @@
 
 // enough reports whether every set of targets that could have acknowledged a
 // commit contains a claimed one. A commit is acknowledged by the primary and
-// sync replicas, so at most sync targets may be missing; a claimed primary has
-// every commit itself.
+// sync replicas, so at most sync targets may be missing. A primary that stepped down
+// has every commit itself, but its claim alone shares no target with those of another
+// change, which may have promoted since. Targets without a log count as missing,
+// except when all are claimed and none can have more.
 func enough(claims []claim, term siskin.Term, sync int) bool {
-	missing := 0
+	missing, blank := 0, 0
 	for i := range claims {
 		c := &claims[i]
 		switch {
-		case c.holds(term) && c.steppedDown:
-			return true
 		case !c.holds(term):
 			missing++
+		case c.blank:
+			blank++
 		}
 	}
+	if missing > 0 {
+		missing += blank
+	}
 	return missing <= max(sync, 1) && missing < len(claims)
 }
 
@@ -123,7 +192,8 @@
 	for _, c := range claims {
 		if c.holds(term) {
 			held = append(held, c)
-		} else if !c.primary {
+		}
+		if (!c.holds(term) || c.blank) && !c.primary {
 			replicasMissing++
 		}
 	}
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -71,17 +71,22 @@
 	return decide(e).String()
 }
 
-// runClaims reads claims such as a:primary:held:3.7 or b:silent, with sync=N,
-// for the term 4, and says which target is promoted.
+// runClaims reads claims such as a:primary:held:3.7 or b:silent, with sync=N and
+// the end known:3.9 of a log, for the term 4, and says which target is promoted.
 func runClaims(words []string) string {
 	const term = 4
 	sync := 1
 	var claims []claim
+	var known siskin.Position
 	for _, w := range words {
 		if n, ok := strings.CutPrefix(w, "sync="); ok {
 			sync, _ = strconv.Atoi(n)
 			continue
 		}
+		if p, ok := strings.CutPrefix(w, "known:"); ok {
+			_, _ = fmt.Sscanf(p, "%d.%d", &known.Term, &known.LSN)
+			continue
+		}
 		var c claim
 		for i, part := range strings.Split(w, ":") {
 			var received siskin.Position
@@ -113,6 +118,7 @@
 		}
 		claims = append(claims, c)
 	}
+	markBlank(claims, known)
 	if !enough(claims, term, sync) {
 		return "too few"
 	}
--- a/internal/elect/fence.go
+++ b/internal/elect/fence.go
@@ -46,20 +46,37 @@
 	Serial int
 }
 
-// take returns a fence that was never used and reserves none.
-func (f *fence) take(ctx context.Context) (siskin.Fence, error) {
+// take returns a fence that was never used and reserves none. With fresh set it is
+// higher than all given out before, unless the store does not answer: an order of
+// another change that is still on its way is then refused.
+func (f *fence) take(ctx context.Context, fresh bool) (siskin.Fence, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next == 0 {
 		if err := f.renew(ctx); err != nil {
 			return 0, err
 		}
+	} else if fresh {
+		ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+		defer cancel()
+		if err := f.renew(ctx); err != nil {
+			f.e.cfg.Log.Warn().Err(err).Msg("the fence in reserve may be lower than that of a pending order")
+		}
 	}
 	n := f.next
 	f.next = 0
 	return n, nil
 }
 
+// giveBack takes a fence that was not used into reserve.
+func (f *fence) giveBack(n siskin.Fence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next == 0 {
+		f.next = n
+	}
+}
+
 // takeAbove returns a fence that was never used and is higher than floor and
 // than all that were used for the service. The targets know the present primary
 // as that of the given term.
--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -1,26 +1,41 @@
 package elect
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/lease"
+	"siskintray.example/siskin/internal/roster"
 	"siskintray.example/siskin/internal/soak"
 )
 
-// The model plays changes of primary on a platform that checks no fences and
-// leaves former primaries leading. It uses the rules of this package and of
-// lease, on targets, VMs and links that exist in memory only.
+// The model plays changes of primary on a platform that checks fences and takes
+// the lead from former primaries, or does neither. It uses the rules of this
+// package, of lease and of roster, on targets, VMs and links that exist in memory
+// only.
 
 const (
 	modelTick  = 10 * time.Millisecond
-	modelTicks = 500
-	// modelRuns is the number of runs that a fault of the rules must show in.
-	modelRuns = 2000
+	modelTicks = 1000
+	// modelRuns is the number of runs that must show a fault when a rule is left out.
+	modelRuns = 1000
+	// modelStartRuns is the number of runs in which targets start at any time.
+	modelStartRuns = 10000
+
+	modelService siskin.ServiceName = "s"
+	// modelRosterRate is the rate of time in discovery, so that short runs have
+	// targets that are dropped and replaced. The times that follow are in ticks.
+	modelRosterRate  = 10
+	modelListTicks   = 15 // between two lists
+	modelExpireTicks = 15 // until the entry of a silent target is removed
+	modelEffectTicks = 100
+	modelMeetTicks   = 100
+	modelPingTicks   = 30
+	modelRetireTicks = 500
 )
 
 // modelRules leaves out one rule at a time, to show that the model needs it.
@@ -33,77 +48,76 @@
 	freeOvertaken bool // a change that fails frees replicas that another had claimed
 	noSecondLook  bool // claims are not read again before the order
 	staleLook     bool // an order follows its check however long ago that was
-}
-
-type modelTarget struct {
-	id         siskin.TargetID
-	term, held siskin.Term
-	leads      bool
-	log        []int // ids of commits
-}
-
-type modelChange struct {
-	fence    siskin.Fence
-	claims   []claim
-	until    time.Time // on the VM's clock
-	chosen   siskin.TargetID
-	overtook bool      // another change had claimed targets
-	checked  time.Time // on the VM's clock; zero before the claims were read again
-	target   int
+	listedOnly    bool // claims are counted over listed targets only
+	lowTerm       bool // the term of claims is the one after the newest known
+	countBlank    bool // targets without a log count like those with one
 }
 
 type modelVM struct {
 	rate    float64 // of its clock
 	frozen  int     // ticks
-	primary int     // the target that it takes for the primary
+	primary siskin.TargetID
+	pinged  int             // tick of the last ping
+	known   siskin.Position // end of the log of the last known primary
 	leases  *lease.Leases
+	roster  *roster.Roster
+	rev     int // of the last list
+	cut     bool
 	reserve siskin.Fence
 	change  *modelChange
 }
 
-type modelOrder struct {
-	tick   int
-	target int
-	vm     *modelVM
-	change *modelChange
-}
-
-// modelFreeing is the end of the claims of a change that has promoted a target.
-type modelFreeing struct {
-	order modelOrder
-	term  siskin.Term // of the new primary
-}
-
 type model struct {
-	rng     *rand.Rand
-	rules   modelRules
-	tick    int
-	targets [3]*modelTarget
-	vms     [3]*modelVM
-	cut     [3][3]bool // between targets
-	vmCut   [3][3]bool // between a VM and a target
-	acked   []int
-	nextID  int
-	fence   siskin.Fence // last one given out
-	used    siskin.Fence // highest one seen by the platform
-	orders  []modelOrder
-	freeing []modelFreeing
-	faults  []string
+	rng    *rand.Rand
+	rules  modelRules
+	fenced bool
+	// calm says that no target starts while an order is under way or a former primary
+	// leads, and voids that an order ends when its target starts again.
+	calm, voids bool
+	tick        int
+	targets     [3]*modelTarget // a successor takes the place of the target before
+	nextID      int             // of targets
+	vms         [3]*modelVM
+	cut         [3][3]bool // between targets
+	vmCut       [3][3]bool // between a VM and a target
+	lapsing     [3]bool    // a target that does not reach discovery
+	entries     []modelEntry
+	rev         int // of discovery
+	acked       [8]uint64
+	waiting     []modelCommit
+	commits     int
+	term        siskin.Term  // of the last promotion
+	fence       siskin.Fence // last one given out
+	used        siskin.Fence // highest one seen by the platform
+	orders      []modelOrder
+	freeing     []modelFreeing
+	faults      []string
 }
 
-func newModel(seed uint64, rules modelRules) *model {
-	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), rules: rules}
+func newModel(seed uint64, rules modelRules, fenced bool) *model {
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), rules: rules, fenced: fenced, calm: true, term: 1}
 	for i := range m.targets {
-		m.targets[i] = &modelTarget{id: siskin.TargetID(fmt.Sprint("t", i)), term: 1, leads: i == 0}
+		m.targets[i] = m.newTarget()
+		m.targets[i].term, m.targets[i].leads = 1, i == 0
 	}
+	m.discover()
 	for i := range m.vms {
 		m.fence++
-		m.vms[i] = &modelVM{rate: 0.97 + 0.06*m.rng.Float64(), leases: lease.New(), reserve: m.fence + 10}
+		m.vms[i] = &modelVM{
+			rate: 0.97 + 0.06*m.rng.Float64(), leases: lease.New(), reserve: m.fence + 10, roster: roster.New(),
+			primary: m.targets[0].id,
+		}
+		m.list(m.vms[i])
 	}
 	m.fence += 10
 	return m
 }
 
+func (m *model) newTarget() *modelTarget {
+	m.nextID++
+	return &modelTarget{id: siskin.TargetID(fmt.Sprint("t", m.nextID))}
+}
+
 func (m *model) now(vm *modelVM) time.Time {
 	return time.Unix(1000, 0).Add(time.Duration(float64(m.tick) * float64(modelTick) * vm.rate))
 }
@@ -112,261 +126,260 @@
 	m.faults = append(m.faults, fmt.Sprintf(format, args...))
 }
 
-// status returns what a target tells a VM.
-func (t *modelTarget) status() siskin.ControlStatus {
-	return siskin.ControlStatus{
-		Primary: t.leads, Term: t.term, HeldTerm: t.held, Received: siskin.Position{Term: t.term, LSN: siskin.LSN(len(t.log))},
+// lookup returns a target that runs, nil when it is down or gone.
+func (m *model) lookup(id siskin.TargetID) *modelTarget {
+	for _, t := range m.targets {
+		if t.id == id && t.down <= m.tick {
+			return t
+		}
 	}
+	return nil
 }
 
-// replicate hands the log of p to the replicas that receive it and returns their
-// number.
-func (m *model) replicate(p int) int {
-	n := 0
-	for i, t := range m.targets {
-		if from := m.targets[p]; i != p && !t.leads && !m.cut[p][i] && t.held <= from.term && t.term <= from.term {
-			t.log, t.term = append([]int(nil), from.log...), from.term
-			n++
+func (m *model) slot(t *modelTarget) int {
+	for i := range m.targets {
+		if m.targets[i] == t {
+			return i
 		}
 	}
-	return n
+	return -1
 }
 
-func (m *model) write(vm int) {
-	v := m.vms[vm]
-	t := m.targets[v.primary]
-	if m.vmCut[vm][v.primary] || !t.leads {
-		return
+// reach returns a target that a VM knows and reaches, nil when there is none.
+func (m *model) reach(vm int, id siskin.TargetID) *modelTarget {
+	t := m.lookup(id)
+	if t == nil || m.vmCut[vm][m.slot(t)] {
+		return nil
 	}
-	asked := m.now(v)
-	m.nextID++
-	t.log = append(t.log, m.nextID)
-	if m.replicate(v.primary) > 0 {
-		m.acked = append(m.acked, m.nextID)
-		v.leases.Renew(t.id, t.term, asked)
+	if _, ok := m.vms[vm].roster.Target(id); !ok {
+		return nil
 	}
+	return t
 }
 
-func (m *model) ask(vm int) {
-	v := m.vms[vm]
-	i := m.rng.IntN(3)
-	p, r := m.targets[v.primary], m.targets[i]
-	if i == v.primary || m.vmCut[vm][i] || m.vmCut[vm][v.primary] || !p.leads {
-		return
-	}
-	if lease.Unclaimed(r.status(), p.term) {
-		v.leases.Renew(p.id, p.term, m.now(v))
+// discover renews the entries of targets and drops those that are silent.
+func (m *model) discover() {
+	for i, t := range m.targets {
+		if t.down > m.tick || t.listed > m.tick || m.lapsing[i] {
+			continue
+		}
+		found := false
+		for j := range m.entries {
+			if m.entries[j].id == t.id {
+				m.entries[j].renewed, found = m.tick, true
+			}
+		}
+		if !found {
+			m.entries = append(m.entries, modelEntry{t.id, m.tick})
+			m.rev++
+		}
 	}
-}
-
-// read checks that a primary that a VM may use has all acknowledged commits.
-func (m *model) read(vm int) {
-	v := m.vms[vm]
-	t := m.targets[v.primary]
-	if m.vmCut[vm][v.primary] || !t.leads || !m.rules.trustTarget && !v.leases.Valid(t.id, m.now(v)) {
-		return
+	kept := m.entries[:0]
+	for _, e := range m.entries {
+		if m.tick-e.renewed < modelExpireTicks {
+			kept = append(kept, e)
+		}
 	}
-	if id, ok := missing(m.acked, t.log); ok {
-		m.fault("tick %d: a read at %s in term %d lacks commit %d", m.tick, t.id, t.term, id)
+	if len(kept) < len(m.entries) {
+		m.rev++
 	}
+	m.entries = kept
 }
 
-func missing(want, have []int) (int, bool) {
-	set := make(map[int]bool, len(have))
-	for _, id := range have {
-		set[id] = true
+// list hands a VM the list of targets.
+func (m *model) list(v *modelVM) {
+	at := time.Unix(1000, 0).Add(time.Duration(m.tick+1) * modelTick * modelRosterRate)
+	if v.rev == m.rev {
+		v.roster.Confirm(siskin.Version(m.rev), at)
+		return
 	}
-	for _, id := range want {
-		if !set[id] {
-			return id, true
-		}
+	v.rev = m.rev
+	list := make([]siskin.TargetInfo, len(m.entries))
+	for i, e := range m.entries {
+		list[i] = siskin.TargetInfo{ID: e.id, Service: modelService}
 	}
-	return 0, false
+	v.roster.Replace(list, siskin.Version(m.rev), at)
 }
 
-// claimTargets begins a change of primary at a VM.
-func (m *model) claimTargets(vm int) {
-	v := m.vms[vm]
-	var highest siskin.Term
-	foreign := false
+// replicate hands the log of a primary to the replicas that receive it, which
+// acknowledges its commits.
+func (m *model) replicate(p int) {
+	from := m.targets[p]
+	received := false
 	for i, t := range m.targets {
-		if !m.vmCut[vm][i] {
-			highest = max(highest, t.term, t.held)
-			foreign = foreign || t.held > 0
+		if i != p && !t.leads && t.down <= m.tick && !m.cut[p][i] && t.held <= from.term && t.term <= from.term {
+			t.log, t.term, received = from.log, from.term, true
 		}
 	}
-	c := &modelChange{fence: v.reserve, overtook: foreign}
-	if !m.rules.staleFence || c.fence <= siskin.Fence(highest) {
-		m.fence = max(m.fence, siskin.Fence(highest)) + 1
-		c.fence = m.fence
+	if !received {
+		return
 	}
-	m.fence++
-	v.reserve = m.fence
-	term := siskin.Term(c.fence)
-	for i, t := range m.targets {
-		cl := claim{target: siskin.TargetInfo{ID: t.id}, primary: i == v.primary, at: m.now(v)}
-		if m.vmCut[vm][i] {
-			cl.err = errors.New("no answer")
-		} else {
-			cl.demoted, cl.led = t.leads, t.term
-			t.leads = false
-			if term > t.term && term > t.held {
-				t.held = term
+	kept := m.waiting[:0]
+	for _, c := range m.waiting {
+		if c.target != from.id || c.term != from.term {
+			kept = append(kept, c)
+			continue
+		}
+		if v := m.vms[c.vm]; m.reach(c.vm, from.id) != nil {
+			m.acked[c.id/64] |= 1 << (c.id % 64)
+			v.known = from.log.last
+			if !m.fenced {
+				v.leases.Renew(from.id, from.term, m.at(v, c.sent))
 			}
-			cl.status = t.status()
-			cl.steppedDown, cl.end = cl.demoted && m.rules.soleStepDown, cl.status.Received
 		}
-		c.claims = append(c.claims, cl)
 	}
-	if !enough(c.claims, term, 1) {
-		m.release(c)
+	m.waiting = kept
+}
+
+func (m *model) at(v *modelVM, tick int) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(float64(tick) * float64(modelTick) * v.rate))
+}
+
+func (m *model) write(vm int) {
+	v := m.vms[vm]
+	t := m.reach(vm, v.primary)
+	if t == nil || !t.leads || m.commits == 8*64-1 {
 		return
 	}
-	best, ok := newest(c.claims, term, 1)
-	if !ok {
-		m.release(c)
+	m.commits++
+	t.log.add(m.commits)
+	t.log.last = siskin.Position{Term: t.term, LSN: t.log.last.LSN + 1}
+	m.waiting = append(m.waiting, modelCommit{vm, m.commits, t.id, t.term, m.tick})
+	m.replicate(m.slot(t))
+}
+
+func (m *model) ask(vm int) {
+	v := m.vms[vm]
+	p, r := m.reach(vm, v.primary), m.reach(vm, m.targets[m.rng.IntN(3)].id)
+	if r == nil || p == nil || r == p || !p.leads {
 		return
 	}
-	c.chosen = best.target.ID
-	if !m.rules.noWait {
-		c.until = waitUntil(c.claims, term, foreign)
+	if lease.Unclaimed(r.status(), p.term) {
+		v.leases.Renew(p.id, p.term, m.now(v))
 	}
-	v.change = c
 }
 
-// release ends the claims of a change that failed.
-func (m *model) release(c *modelChange) {
-	if c.overtook && !m.rules.freeOvertaken {
-		return // the other change's order may be on its way
-	}
-	for _, t := range m.targets {
-		if t.held == siskin.Term(c.fence) {
-			t.held = 0
+// ping tells a VM of the newest log that others know of.
+func (m *model) ping(v *modelVM) {
+	for _, other := range m.vms {
+		if other.known.Compare(v.known) > 0 {
+			v.known = other.known
 		}
 	}
 }
 
-// order checks the claims of a change whose wait is over, and in a later step,
-// before which the VM may stand still, sends the promotion.
-func (m *model) order(vm int) {
+// read checks that a primary that a VM may use has all acknowledged commits.
+func (m *model) read(vm int) {
 	v := m.vms[vm]
-	c := v.change
-	if c == nil || m.now(v).Before(c.until) {
+	t := m.reach(vm, v.primary)
+	if t == nil || !t.leads || !m.fenced && !m.rules.trustTarget && !v.leases.Valid(t.id, m.now(v)) {
 		return
 	}
-	if c.checked.IsZero() || m.now(v).Sub(c.checked) > maxCheckAge && !m.rules.staleLook {
-		m.check(vm)
-		if m.rng.IntN(4) == 0 {
-			v.frozen = m.rng.IntN(200)
-		}
-		return
-	}
-	v.change = nil
-	if c.fence < m.used {
-		m.fault("tick %d: fence %d after %d", m.tick, c.fence, m.used)
+	v.known = t.log.last
+	if id, ok := t.log.lacks(&m.acked); ok {
+		m.fault("tick %d: a read at %s in term %d lacks commit %d", m.tick, t.id, t.term, id)
 	}
-	m.used = max(m.used, c.fence)
-	m.orders = append(m.orders, modelOrder{m.tick + m.rng.IntN(10), c.target, v, c})
 }
 
-// check reads the claims of a change again and ends it when they are gone.
-func (m *model) check(vm int) {
-	v := m.vms[vm]
-	c := v.change
-	again := append([]claim(nil), c.claims...)
-	for i := range again {
-		switch cl := &again[i]; {
-		case m.vmCut[vm][i]:
-			cl.err = errors.New("no answer")
-		case cl.err == nil:
-			cl.status = m.targets[i].status()
-		}
-	}
-	target := -1
-	for i := range again {
-		if again[i].target.ID == c.chosen && (again[i].holds(siskin.Term(c.fence)) || m.rules.noSecondLook) {
-			target = i
+// sole reports whether a target has acknowledged commits that no other one has.
+func (m *model) sole(slot int) bool {
+	var others modelLog
+	for i, t := range m.targets {
+		if i != slot {
+			for w := range others.ids {
+				others.ids[w] |= t.log.ids[w]
+			}
 		}
 	}
-	if target < 0 || !enough(again, siskin.Term(c.fence), 1) && !m.rules.noSecondLook {
-		v.change = nil
-		m.release(c)
-		return
-	}
-	c.checked, c.target = m.now(v), target
+	_, ok := others.lacks(&m.acked)
+	return ok
 }
 
-// restart starts a target again, which forgets its pause and keeps its log. It is
-// not played while an order or a former primary is there: a replica that forgets
-// its pause then and reaches the former primary alone is not covered.
-func (m *model) restart(i int) {
-	leaders := 0
+// unsettled reports whether an order is under way or a former primary leads.
+func (m *model) unsettled() bool {
 	for _, t := range m.targets {
-		if t.leads {
-			leaders++
+		if t.leads && t.term < m.term {
+			return true
 		}
 	}
 	for _, v := range m.vms {
-		if v.change != nil && !v.change.checked.IsZero() {
-			return
+		if c := v.change; c != nil && (!c.checked.IsZero() || c.deadline != 0) {
+			return true
 		}
 	}
-	if len(m.orders) > 0 || leaders > 1 || m.targets[i].leads {
-		return
-	}
-	m.targets[i].held = 0
+	return len(m.orders) > 0
 }
 
-func (m *model) promote(o modelOrder) {
-	t := m.targets[o.target]
-	if id, ok := missing(m.acked, t.log); ok {
-		m.fault("tick %d: the promotion of %s loses commit %d", m.tick, t.id, id)
-	}
-	for _, other := range m.targets {
-		t.term = max(t.term, other.term)
-	}
-	t.term, t.held, t.leads = t.term+1, 0, true
-	o.vm.primary = o.target
-	m.freeing = append(m.freeing, modelFreeing{o, t.term})
-	m.free()
+// restart starts a target again. A replica has forgotten its claim and its log, and
+// under a new id it takes the place of the one before. A primary keeps its log, and
+// leads on unless another target was promoted.
+func (m *model) restart(slot int, replaced bool) {
+	t := m.targets[slot]
+	switch {
+	case m.calm && m.unsettled():
+		return
+	case t.leads || t.crashed:
+		if !replaced && t.leads {
+			t.crashed, t.leads, t.held, t.down = true, false, 0, m.tick+m.rng.IntN(100)
+		}
+		return
+	case m.sole(slot):
+		return // no rule keeps a commit that no target has
+	}
+	m.waiting = slices.DeleteFunc(m.waiting, func(c modelCommit) bool { return c.target == t.id })
+	next := &modelTarget{id: t.id}
+	if replaced {
+		next = m.newTarget()
+		next.listed = m.tick + m.rng.IntN(20)
+	}
+	next.down = m.tick + m.rng.IntN(20)
+	next.born = m.tick
+	next.listed = max(next.listed, next.down)
+	m.targets[slot] = next
 }
 
-// free ends claims of replicas that follow the new primary at once, and of all
-// once no former primary leads.
-func (m *model) free() {
-	for _, f := range m.freeing {
-		p, former := m.targets[f.order.target], false
-		for _, t := range m.targets {
-			former = former || t.leads && t.term < f.term
+// resume lets crashed primaries lead again, and makes former ones step down that
+// have met a newer one.
+func (m *model) resume() {
+	for i, t := range m.targets {
+		if t.crashed && t.down <= m.tick {
+			t.crashed, t.leads = false, true
 		}
-		for i, t := range m.targets {
-			follows := p.leads && p.term == f.term && !m.cut[f.order.target][i]
-			if t.held == siskin.Term(f.order.change.fence) && (follows || !former || m.rules.freeAtOnce) {
-				t.held = 0
-			}
+		meets := false
+		for j, other := range m.targets {
+			meets = meets || other.leads && other.term > t.term && !m.cut[i][j]
 		}
-		if p.leads {
-			m.replicate(f.order.target)
+		if t.met++; !t.leads || !meets {
+			t.met = 0
+		}
+		if t.met > modelMeetTicks {
+			t.leads = false
+		}
+		if t.leads && m.rng.IntN(4) == 0 {
+			m.replicate(i)
 		}
 	}
 }
 
 func (m *model) step() {
 	m.tick++
-	for i := 0; i < len(m.orders); i++ {
-		if o := m.orders[i]; o.tick <= m.tick {
-			m.orders = append(m.orders[:i], m.orders[i+1:]...)
-			m.promote(o)
-			i--
-		}
-	}
+	m.carryOut()
+	m.resume()
+	m.discover()
 	m.free()
 	for vm, v := range m.vms {
 		if v.frozen > 0 {
 			v.frozen--
 			continue
 		}
-		m.order(vm)
+		if (m.tick+vm*modelListTicks/3)%modelListTicks == 0 && !v.cut {
+			m.list(v)
+		}
+		if m.tick-v.pinged >= modelPingTicks {
+			v.pinged = m.tick
+			m.ping(v)
+		}
+		m.proceed(vm)
 		switch n := m.rng.IntN(200); {
 		case n < 60:
 			m.read(vm)
@@ -374,25 +387,52 @@
 			m.write(vm)
 		case n < 90:
 			m.ask(vm)
-		case n < 93 && v.change == nil:
-			m.claimTargets(vm)
+		case n < 92 && v.change == nil:
+			m.begin(vm)
 		case n < 94:
 			v.frozen = m.rng.IntN(150)
 		case n < 100:
-			v.primary = m.rng.IntN(3) // news of another VM, true or not
+			v.primary = m.targets[m.rng.IntN(3)].id // news of another VM, true or not
+		case n < 102:
+			m.fence++
+			v.reserve = m.fence
 		}
 	}
-	switch a, b := m.rng.IntN(3), m.rng.IntN(3); m.rng.IntN(60) {
+	switch a, b := m.rng.IntN(3), m.rng.IntN(3); m.rng.IntN(200) {
 	case 0:
 		m.cut[a][b], m.cut[b][a] = true, true
 	case 1:
 		m.vmCut[a][b] = true
-	case 2, 3:
+	case 2:
 		m.cut[a][b], m.cut[b][a] = false, false
-	case 4, 5:
+	case 4:
 		m.vmCut[a][b] = false
 	case 6:
-		m.restart(a)
+		m.restart(a, false)
+	case 7:
+		m.restart(a, true)
+	case 8:
+		m.lapsing[a] = true
+	case 9, 10:
+		m.lapsing[a] = false
+	case 11:
+		m.vms[a].cut = true
+	case 12, 13:
+		m.vms[a].cut = false
+	case 14, 15:
+		m.part(a, b)
+	case 16:
+		m.cut, m.vmCut, m.lapsing = [3][3]bool{}, [3][3]bool{}, [3]bool{}
+	}
+}
+
+// part cuts a target and a VM off from all others and from discovery.
+func (m *model) part(slot, vm int) {
+	m.lapsing[slot], m.vms[vm].cut = true, true
+	for i := range 3 {
+		m.cut[slot][i], m.cut[i][slot] = i != slot, i != slot
+		m.vmCut[i][slot] = i != vm
+		m.vmCut[vm][i] = i != slot
 	}
 }
 
@@ -414,35 +454,72 @@
 	for _, c := range []struct {
 		name   string
 		rules  modelRules
-		want   bool   // faults
-		offset uint64 // of the first seed, for faults that few runs show
+		fenced bool
+		want   bool   // a fault
+		from   uint64 // first seed
 	}{
-		{"all rules", modelRules{}, false, 0},
-		{"a former primary is trusted", modelRules{trustTarget: true}, true, 0},
-		{"no wait before a promotion", modelRules{noWait: true}, true, 0},
-		{"a fence in reserve is used blindly", modelRules{staleFence: true}, true, 0},
-		{"a former primary counts for all", modelRules{soleStepDown: true}, true, 0},
-		{"replicas are freed at once", modelRules{freeAtOnce: true}, true, 0},
-		{"claims are not read again", modelRules{noSecondLook: true}, true, 0},
-		{"an old check is trusted", modelRules{staleLook: true}, true, 0},
-		{"overtaken claims are freed", modelRules{freeOvertaken: true}, true, 20000},
+		{"all rules", modelRules{}, false, false, first},
+		{"all rules with fences", modelRules{}, true, false, first},
+		{"a former primary is trusted", modelRules{trustTarget: true}, false, true, 1},
+		{"no wait before a promotion", modelRules{noWait: true}, false, true, 1},
+		{"no wait when claims were taken over with fences", modelRules{noWait: true}, true, true, 140},
+		{"a fence in reserve is used blindly", modelRules{staleFence: true}, false, true, 1},
+		{"a fence in reserve is used blindly with fences", modelRules{staleFence: true}, true, true, 9200},
+		{"a former primary counts for all", modelRules{soleStepDown: true}, false, true, 360},
+		{"a former primary counts for all with fences", modelRules{soleStepDown: true}, true, true, 1060},
+		{"replicas are freed at once", modelRules{freeAtOnce: true}, false, true, 180},
+		{"claims are not read again", modelRules{noSecondLook: true}, false, true, 1},
+		{"claims are not read again with fences", modelRules{noSecondLook: true}, true, true, 1},
+		{"an old check is trusted", modelRules{staleLook: true}, false, true, 990},
+		{"an old check is trusted with fences", modelRules{staleLook: true}, true, true, 17600},
+		{"overtaken claims are freed", modelRules{freeOvertaken: true}, false, true, 110},
+		{"overtaken claims are freed with fences", modelRules{freeOvertaken: true}, true, true, 14120},
+		{"claims over listed targets", modelRules{listedOnly: true}, false, true, 1},
+		{"claims over listed targets with fences", modelRules{listedOnly: true}, true, true, 1},
+		{"targets without a log count", modelRules{countBlank: true}, false, true, 120},
+		{"targets without a log count with fences", modelRules{countBlank: true}, true, true, 1},
+		{"the next term is claimed", modelRules{lowTerm: true}, true, true, 3160},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			found, example := 0, ""
-			from := 1 + c.offset
-			if !c.want {
-				from = first
+			t.Parallel()
+			seed, fault := c.from, ""
+			for ; seed < c.from+modelRuns && fault == ""; seed++ {
+				fault = newModel(seed, c.rules, c.fenced).run()
 			}
-			for seed := from; seed < from+modelRuns; seed++ {
-				if fault := newModel(seed, c.rules).run(); fault != "" {
-					found++
-					example = fmt.Sprintf("seed %d, %s", seed, fault)
-				}
+			if got := fault != ""; got != c.want {
+				t.Errorf("a fault in runs %d to %d: got %v (%s), want %v", c.from, seed-1, got, fault, c.want)
 			}
-			if got := found > 0; got != c.want {
-				t.Errorf("faults: got %d of %d runs (%s), want some: %v", found, modelRuns, example, c.want)
-			}
-			t.Logf("%d of %d runs: %s", found, modelRuns, example)
+			t.Logf("run %d: %s", seed-1, fault)
 		})
 	}
 }
+
+// TestModelStarts counts the runs of the model in which acknowledged commits are lost
+// since a target starts again between the last check of the claims and the effect of
+// the order, or while a former primary leads. No rule of this package excludes it, so
+// the test runs with SISKIN_SOAK only; docs/platform.md, "Not covered", has its results.
+func TestModelStarts(t *testing.T) {
+	if soak.Length(0) == 0 {
+		t.Skip("needs SISKIN_SOAK: finds faults that no rule excludes")
+	}
+	first := uint64(soak.Seed(1))
+	for _, fenced := range []bool{false, true} {
+		for _, voids := range []bool{false, true} {
+			t.Run(fmt.Sprintf("fences=%v voids=%v", fenced, voids), func(t *testing.T) {
+				t.Parallel()
+				found, example := 0, ""
+				for seed := first; seed < first+modelStartRuns; seed++ {
+					m := newModel(seed, modelRules{}, fenced)
+					m.calm, m.voids = false, voids
+					if fault := m.run(); fault != "" {
+						found++
+						example = fmt.Sprintf("seed %d, %s", seed, fault)
+					}
+				}
+				if found > 0 {
+					t.Errorf("runs with faults: got %d of %d (%s), want 0", found, modelStartRuns, example)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/elect/modeltarget_test.go
@@ -0,0 +1,58 @@
+package elect
+
+import "siskintray.example/siskin"
+
+// modelLog is the log of a target: its end, and the set of its commits.
+type modelLog struct {
+	last siskin.Position
+	ids  [8]uint64
+}
+
+func (l *modelLog) add(id int) { l.ids[id/64] |= 1 << (id % 64) }
+
+// lacks returns a commit of a set that the log does not have.
+func (l *modelLog) lacks(set *[8]uint64) (int, bool) {
+	for i, word := range set {
+		for b := range 64 {
+			if word&^l.ids[i]&(1<<b) != 0 {
+				return 64*i + b, true
+			}
+		}
+	}
+	return 0, false
+}
+
+type modelTarget struct {
+	id         siskin.TargetID
+	term, held siskin.Term
+	leads      bool
+	log        modelLog
+	// down is the tick until which the target does not run, and listed that from
+	// which it has an entry in discovery.
+	down, listed int
+	born         int // tick of the last start
+	// crashed says that the target led when it crashed, before any further
+	// promotion.
+	crashed bool
+	// met counts the ticks for which a former primary has reached a newer one.
+	met int
+}
+
+// status returns what a target tells a VM.
+func (t *modelTarget) status() siskin.ControlStatus {
+	return siskin.ControlStatus{Primary: t.leads, Term: t.term, HeldTerm: t.held, Received: t.log.last}
+}
+
+// modelEntry is the entry of a target in discovery.
+type modelEntry struct {
+	id      siskin.TargetID
+	renewed int // tick
+}
+
+// modelCommit is a commit that a VM waits for.
+type modelCommit struct {
+	vm, id int
+	target siskin.TargetID
+	term   siskin.Term
+	sent   int // tick
+}
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -16,20 +16,31 @@
 // that takes claims over.
 const maxCheckAge = lease.Wait / 2
 
+// maxFencedAge is the same where fences are checked. A fence says nothing of claims:
+// that of a VM which stood still may be higher than that of the change which took
+// its claims over. The check may wait for a silent target.
+const maxFencedAge = 2 * controlTimeout
+
 // promote orders the promotion of the chosen target and waits until it leads.
 func (c *change) promote(ctx context.Context) error {
 	var err error
+	fence := c.fence
+	defer func() {
+		if !c.unfenced {
+			c.e.fence.giveBack(fence)
+		}
+	}()
 	for range maxPromotions {
+		// Taking a fence may wait for the store, so the claims are checked after it.
+		if !c.unfenced && fence == 0 {
+			if fence, err = c.e.fence.take(ctx, c.overtook); err != nil {
+				return err
+			}
+		}
 		if err = c.stillClaimed(ctx); err != nil {
 			return err
 		}
-		fence := c.fence
-		if !c.unfenced {
-			if fence, err = c.e.fence.take(ctx); err != nil {
-				return err
-			}
-		} else if c.e.cfg.Clock.Since(c.checked) > maxCheckAge {
-			// This VM may have stood still, so that the claims are gone.
+		if !c.fresh(c.e.cfg.Clock.Now()) {
 			err = siskin.NewError(siskin.Unavailable, "the claims of term %d were checked too long ago", c.term)
 			continue
 		}
@@ -37,6 +48,9 @@
 		err = c.e.cfg.Promoter.Promote(ctx, c.spec.Name, c.chosen.target.ID, c.e.cfg.Members.Self().ID, fence)
 		c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(c.chosen.target.ID)).
 			Uint64("Fence", uint64(fence)).AnErr("Error", err).Msg("ordered a promotion")
+		if !c.unfenced {
+			fence = 0
+		}
 		c.e.done.Go(func() { c.e.fence.reserve(context.WithoutCancel(ctx)) })
 		if err == nil {
 			c.pending = true
@@ -60,6 +74,16 @@
 	return err
 }
 
+// fresh reports whether the claims were checked a moment ago. A VM that stood still
+// may have lost them.
+func (c *change) fresh(now time.Time) bool {
+	age := now.Sub(c.checked)
+	if c.unfenced {
+		return age <= maxCheckAge
+	}
+	return age <= maxFencedAge
+}
+
 // awaitLead waits until the chosen target proves its lead.
 func (c *change) awaitLead(ctx context.Context) error {
 	deadline := c.e.cfg.Clock.Now().Add(leadTimeout)
--- a/internal/elect/unlisted.go
+++ b/internal/elect/unlisted.go
@@ -10,22 +10,29 @@
 var errUnlisted = siskin.NewError(siskin.Unavailable, "the target is not listed")
 
 // addUnlisted adds a failed claim for each target that discovery has dropped and
-// whose successor it does not list. Such a target may lead, or acknowledge commits
-// as a replica, as may a successor from its first moment on.
+// whose successor it does not list.
 func (c *change) addUnlisted() {
-	c.claims = slices.DeleteFunc(c.claims, func(cl claim) bool { return cl.target.ID == "" })
-	primaryListed := c.old == "" || slices.ContainsFunc(c.claims, func(cl claim) bool { return cl.primary })
-	for n := c.e.cfg.Roster.Size(c.spec.Name) - len(c.claims); n > 0; n-- {
-		c.claims = append(c.claims, claim{primary: !primaryListed, err: errUnlisted})
+	c.claims = withUnlisted(c.claims, c.old == "", c.e.cfg.Roster.Size(c.spec.Name))
+}
+
+// withUnlisted returns the claims of a group of the given size with a failed one for
+// each target that is missing among them. Such a target may lead, or acknowledge
+// commits as a replica, as may a successor from its first moment on. The old
+// primary is the first one missing unless it is listed or not known.
+func withUnlisted(claims []claim, oldUnknown bool, size int) []claim {
+	claims = slices.DeleteFunc(claims, func(cl claim) bool { return cl.target.ID == "" })
+	primaryListed := oldUnknown || slices.ContainsFunc(claims, func(cl claim) bool { return cl.primary })
+	for n := size - len(claims); n > 0; n-- {
+		claims = append(claims, claim{primary: !primaryListed, err: errUnlisted})
 		primaryListed = true
 	}
+	return claims
 }
 
-// newcomer returns a target that discovery lists and this change has not tried to
-// claim.
-func (c *change) newcomer() (siskin.TargetID, bool) {
-	for _, t := range c.e.cfg.Roster.Service(c.spec.Name) {
-		if !slices.ContainsFunc(c.claims, func(cl claim) bool { return cl.target.ID == t.ID }) {
+// newcomer returns a listed target that a change has not tried to claim.
+func newcomer(claims []claim, listed []siskin.TargetInfo) (siskin.TargetID, bool) {
+	for _, t := range listed {
+		if !slices.ContainsFunc(claims, func(cl claim) bool { return cl.target.ID == t.ID }) {
 			return t.ID, true
 		}
 	}
