--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -35,15 +35,15 @@
 	start := e.cfg.Clock.Now()
 	c := &change{e: e, spec: s, old: primary, start: start, planned: a == handOver, stalled: a == replaceStalled, unfenced: e.cfg.Leases != nil, own: e.lastTerm(w)}
 	err = c.run(ctx)
-	e.setLastTerm(w, c.term)
+	e.setLastTerm(w, c)
 	took := e.cfg.Clock.Since(start)
 	if err != nil {
-		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Msg("the primary was not changed")
+		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Bool("Overtook", c.overtook).Msg("the primary was not changed")
 		return
 	}
 	e.cfg.Changed(took)
 	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("From", string(primary)).Str("To", string(c.chosen.target.ID)).
-		Uint64("Term", uint64(c.term)).Dur("Took", took).Msg("the primary was changed")
+		Uint64("Term", uint64(c.term)).Dur("Took", took).Bool("Overtook", c.overtook).Msg("the primary was changed")
 }
 
 func (e *Elector) lastTerm(w *watch) siskin.Term {
@@ -52,10 +52,13 @@
 	return w.term
 }
 
-func (e *Elector) setLastTerm(w *watch, t siskin.Term) {
+func (e *Elector) setLastTerm(w *watch, c *change) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w.term = t
+	w.term = c.term
+	if c.pending || c.overtook {
+		w.term = 0
+	}
 }
 
 // otherLeads asks all targets, and other VMs about the old primary, whether one
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -37,7 +37,8 @@
 	unfenced bool
 	fence    siskin.Fence
 	term     siskin.Term
-	// own is the term of the last claims of this VM.
+	// own is the term of the last claims of this VM, zero when a promotion that was
+	// ordered with them, or before them by another change, may still take effect.
 	own siskin.Term
 	// leadTerm is the newest term of a primary that a target knows, and heldTerm
 	// that of a claim.
@@ -69,7 +70,6 @@
 	if err != nil {
 		return err
 	}
-	defer c.returnFence()
 	if c.planned {
 		err = c.stepDownFirst(ctx)
 	} else {
@@ -84,28 +84,14 @@
 	return c.promote(ctx)
 }
 
-// claimSpread is the number of terms among which the claims of a change are
-// chosen at random. Changes of two VMs that begin at once, or one that follows a
-// failed one of the same VM, must not share a term: each would take the claims of
-// the other for its own, and end them.
-const claimSpread = 1 << 16
-
-// choose takes the fence and replaces the term of the claims. Where the platform
-// checks no fences the term is the fence: two changes share a claimed target, so
-// that the one with the lower fence finds the claim of the other and gives up.
+// choose replaces the term of the claims where the platform checks no fences. It
+// is the fence then: two changes share a claimed target, so that the one with the
+// lower fence finds the claim of the other and gives up.
 func (c *change) choose(ctx context.Context) error {
-	var err error
 	if !c.unfenced {
-		if c.heldTerm > c.leadTerm && c.heldTerm != c.own {
-			// An order of the change that claimed targets may be on its way; a fence in
-			// reserve may be lower than its own, and not keep it from taking effect.
-			c.fence, err = c.e.fence.takeNew(ctx)
-		} else {
-			c.fence, err = c.e.fence.take(ctx)
-		}
-		c.term += rand.N[siskin.Term](claimSpread)
-		return err
+		return nil
 	}
+	var err error
 	if c.fence, err = c.e.fence.takeAbove(ctx, c.spec.Name, c.leadTerm, siskin.Fence(max(c.leadTerm, c.heldTerm))); err != nil {
 		return err
 	}
@@ -113,20 +99,12 @@
 	return nil
 }
 
-// returnFence puts a fence back that was not used. As a term of claims a fence
-// was used already.
-func (c *change) returnFence() {
-	if !c.unfenced && c.fence != 0 {
-		c.e.fence.giveBack(c.fence)
-	}
-}
-
-// settle waits until no VM takes the former primary for the only one.
+// settle waits until the promotion may be ordered.
 func (c *change) settle(ctx context.Context) error {
-	if !c.unfenced || c.planned {
+	if c.planned {
 		return nil
 	}
-	left := waitUntil(c.claims, c.term, c.overtook).Sub(c.e.cfg.Clock.Now())
+	left := waitUntil(c.claims, c.term, c.overtook, c.unfenced).Sub(c.e.cfg.Clock.Now())
 	if left <= 0 {
 		return nil
 	}
@@ -157,12 +135,13 @@
 			return siskin.NewError(siskin.Conflict, "target %s leads already", cl.target.ID)
 		}
 	}
-	c.term = max(c.leadTerm, c.heldTerm) + 1
+	c.term = claimTerm(max(c.leadTerm, c.heldTerm), rand.N(termSpread))
 	// A replica that is not listed has no part in a planned change, whose primary
 	// leads no more before another target is promoted.
 	if !c.planned {
 		c.addUnlisted()
 	}
+	markBlank(c.claims, c.e.cfg.Views.Lead(c.spec.Name).Position)
 	// A primary that answers here is given up only if its replicas can take over:
 	// this VM may share its cut, and other VMs see to the rest.
 	if (c.planned || c.stalled) && !replicasAnswer(c.claims, c.spec.SyncReplicas) {
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -246,35 +246,36 @@
 }
 
 // TestFenceAboveForeignClaims guards against a fence in reserve that is lower than
-// the one of another change whose order may still be carried out.
+// the one of another change whose order may still be carried out, and against the
+// wait for such an order where the claims are this VM's own.
 func TestFenceAboveForeignClaims(t *testing.T) {
-	c, _ := newChange(t)
-	ctx := context.Background()
-	c.e.fence.reserve(ctx)
-	reserve := c.e.fence.next
-	later, err := c.e.cfg.Store.Create(ctx, FenceKind, "another", fenceValue{Serial: 1})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := c.control(ctx, c.e.cfg.Roster.Service("ledger")[1].ID, siskin.Statement{Kind: siskin.Pause, Term: 9}); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.inspect(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.choose(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if c.fence <= siskin.Fence(later) {
-		t.Errorf("fence after claims of another change: got %d, want more than %d (in reserve: %d)", c.fence, later, reserve)
-	}
-	c.returnFence()
-	own := &change{e: c.e, spec: c.spec, old: c.old, own: 9, leadTerm: c.leadTerm, heldTerm: c.heldTerm}
-	if err := own.choose(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if own.fence != c.fence {
-		t.Errorf("fence after own claims: got %d, want %d, which was not used", own.fence, c.fence)
+	const held = 9
+	for _, own := range []siskin.Term{0, held} {
+		c, _ := newChange(t)
+		c.own = own
+		ctx := context.Background()
+		c.e.fence.reserve(ctx)
+		reserve := c.e.fence.next
+		later, err := c.e.cfg.Store.Create(ctx, FenceKind, "another", fenceValue{Serial: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.control(ctx, c.e.cfg.Roster.Service("ledger")[1].ID, siskin.Statement{Kind: siskin.Pause, Term: held}); err != nil {
+			t.Fatal(err)
+		}
+		c.claimed(t)
+		if got, want := c.overtook, own != held; got != want {
+			t.Errorf("claims of term %d taken over, own term %d: got %v, want %v", held, own, got, want)
+		}
+		var used siskin.Fence
+		c.e.cfg.Promoter = promoterFunc(func(f siskin.Fence) error {
+			used = max(used, f)
+			return siskin.NewError(siskin.Conflict, "refused")
+		})
+		_ = c.promote(ctx)
+		if own != held && used <= siskin.Fence(later) || used < reserve {
+			t.Errorf("fence after claims of another change: got %d, want more than %d (in reserve: %d)", used, later, reserve)
+		}
 	}
 }
 
@@ -282,20 +283,20 @@
 type slowStore struct{ siskin.Store }
 
 func (s slowStore) Create(ctx context.Context, kind siskin.ObjectKind, name string, v any) (siskin.Version, error) {
-	time.Sleep(2 * maxCheckAge)
+	time.Sleep(2 * maxFencedAge)
 	return s.Store.Create(ctx, kind, name, v)
 }
 
 func (s slowStore) Update(ctx context.Context, kind siskin.ObjectKind, name string, v any, old siskin.Version) (siskin.Version, error) {
-	time.Sleep(2 * maxCheckAge)
+	time.Sleep(2 * maxFencedAge)
 	return s.Store.Update(ctx, kind, name, v, old)
 }
 
 // promoterFunc is called for each order.
-type promoterFunc func() error
+type promoterFunc func(siskin.Fence) error
 
-func (f promoterFunc) Promote(context.Context, siskin.ServiceName, siskin.TargetID, siskin.VMID, siskin.Fence) error {
-	return f()
+func (f promoterFunc) Promote(_ context.Context, _ siskin.ServiceName, _ siskin.TargetID, _ siskin.VMID, fence siskin.Fence) error {
+	return f(fence)
 }
 
 // TestCheckBeforeOrder guards against an order on claims that were checked before
@@ -304,10 +305,10 @@
 	c, _ := newChange(t)
 	c.e.cfg.Store = slowStore{c.e.cfg.Store}
 	orders := 0
-	c.e.cfg.Promoter = promoterFunc(func() error {
+	c.e.cfg.Promoter = promoterFunc(func(siskin.Fence) error {
 		orders++
-		if got := c.e.cfg.Clock.Since(c.checked); got > maxCheckAge {
-			t.Errorf("age of the check at the order: got %v, want at most %v", got, maxCheckAge)
+		if got := c.e.cfg.Clock.Since(c.checked); got > maxFencedAge {
+			t.Errorf("age of the check at the order: got %v, want at most %v", got, maxFencedAge)
 		}
 		return siskin.NewError(siskin.Conflict, "refused")
 	})
@@ -319,3 +320,61 @@
 		t.Error("orders: got 0, want some")
 	}
 }
+
+// TestCompare guards against a promotion whose claims hold by their term alone: a
+// target that started again has lost its log, and one of a later term follows another
+// change's target.
+func TestCompare(t *testing.T) {
+	at := func(lsn siskin.LSN) siskin.ControlStatus {
+		return siskin.ControlStatus{Term: 1, HeldTerm: 9, Received: siskin.Position{Term: 1, LSN: lsn}}
+	}
+	later := at(7)
+	later.Term = 2
+	for _, c := range []struct {
+		name  string
+		again [3]siskin.ControlStatus
+		want  bool // the claims still suffice
+	}{
+		{"as before", [3]siskin.ControlStatus{at(9), at(7), at(7)}, true},
+		{"the chosen one has started again", [3]siskin.ControlStatus{at(9), at(3), at(7)}, false},
+		{"one more has started again", [3]siskin.ControlStatus{at(9), at(7), at(0)}, false},
+		{"another change has promoted", [3]siskin.ControlStatus{at(9), at(7), later}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ch := &change{term: 9, leadTerm: 1, spec: siskin.ServiceSpec{SyncReplicas: 1}}
+			var again []claim
+			for i, s := range []siskin.ControlStatus{at(9), at(7), at(7)} {
+				cl := claim{target: siskin.TargetInfo{ID: siskin.TargetID("abc"[i : i+1])}, status: s, primary: i == 0}
+				ch.claims = append(ch.claims, cl)
+				cl.status = c.again[i]
+				again = append(again, cl)
+			}
+			ch.chosen = ch.claims[1]
+			err := ch.compare(again)
+			if got := err == nil; got != c.want {
+				t.Errorf("claims suffice: got %v (%v), want %v", got, err, c.want)
+			}
+			if err != nil && siskin.KindOf(err) != siskin.Conflict {
+				t.Errorf("kind of the refusal: got %v, want %v", siskin.KindOf(err), siskin.Conflict)
+			}
+		})
+	}
+}
+
+// TestWaitForOtherOrders guards against a promotion before that of the change whose
+// claims were taken over: its target acknowledges commits that the chosen one lacks.
+func TestWaitForOtherOrders(t *testing.T) {
+	c, _ := newChange(t)
+	ctx := context.Background()
+	if _, err := c.control(ctx, c.e.cfg.Roster.Service("ledger")[1].ID, siskin.Statement{Kind: siskin.Pause, Term: 5}); err != nil {
+		t.Fatal(err)
+	}
+	c.claimed(t)
+	start := time.Now()
+	if err := c.settle(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := time.Since(start), takeOverWait-100*time.Millisecond; got < want {
+		t.Errorf("wait after claims were taken over: got %v, want at least %v", got, want)
+	}
+}
--- a/internal/elect/fence.go
+++ b/internal/elect/fence.go
@@ -46,11 +46,13 @@
 	Serial int
 }
 
-// take returns a fence that was never used and reserves none.
-func (f *fence) take(ctx context.Context) (siskin.Fence, error) {
+// take returns a fence that was never used and reserves none. With fresh set it is
+// higher than all given out before: an order of another change that is still on
+// its way is then refused.
+func (f *fence) take(ctx context.Context, fresh bool) (siskin.Fence, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next == 0 {
+	if f.next == 0 || fresh {
 		if err := f.renew(ctx); err != nil {
 			return 0, err
 		}
@@ -60,25 +62,13 @@
 	return n, nil
 }
 
-// takeNew returns a fence that is higher than all that were taken so far.
-func (f *fence) takeNew(ctx context.Context) (siskin.Fence, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
-	defer cancel()
-	if err := f.renew(ctx); err != nil {
-		return 0, err
-	}
-	n := f.next
-	f.next = 0
-	return n, nil
-}
-
-// giveBack puts a fence that was not used into reserve, unless there is one.
+// giveBack takes a fence that was not used into reserve.
 func (f *fence) giveBack(n siskin.Fence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next = max(f.next, n)
+	if f.next == 0 {
+		f.next = n
+	}
 }
 
 // takeAbove returns a fence that was never used and is higher than floor and
