front, relay: no message follows a row that was cut

Callers saw: when the connection to a target, or to the home of its slot, ended in the middle of a row, the error that followed was taken for the rest of that row. The caller got a row that no target sent; when the row was shorter than the error, through a home on another VM, the answer even ended as a success. With a long row the caller waited for bytes that never came, and took the answer to its next statement for them.

Cause: messages are copied as they arrive, so the head and a part of the body were with the caller when the copy failed. The failure was then reported as after a whole message.

Change: the writer knows that its last message is torn. A session then ends without a message, and a connection between VMs ends in place of its failure message, so that the entry VM finds its own answer torn as well. The caller sees the end of its connection, which promises nothing.

--- a/internal/frame/writer.go
+++ b/internal/frame/writer.go
@@ -14,6 +14,8 @@
 	buf *[BufferSize]byte
 	n   int
 	err error
+	// torn says that the body of the last message is not complete.
+	torn bool
 	// head is part of the Writer, since a local array would be allocated for
 	// each message.
 	head [HeadSize]byte
@@ -74,14 +76,22 @@
 	return w.Raw(b)
 }
 
-// Copy appends the current message of r, whose head is h.
+// Copy appends the current message of r, whose head is h. When r ends in the
+// middle of the body, nothing may follow; see Torn.
 func (w *Writer) Copy(h Head, r *Reader) error {
-	if err := w.Head(h); err != nil {
-		return err
+	w.torn = true
+	err := w.Head(h)
+	if err == nil {
+		err = r.CopyBody(w)
 	}
-	return r.CopyBody(w)
+	w.torn = err != nil
+	return err
 }
 
+// Torn reports whether the last Copy ended within its message. The reader would
+// take whatever follows for the rest of that message.
+func (w *Writer) Torn() bool { return w.torn }
+
 func (w *Writer) write() {
 	if w.n > 0 && w.err == nil {
 		_, w.err = w.dst.Write(w.buf[:w.n])
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -137,7 +137,7 @@
 		b.Run(fmt.Sprintf("Forwarded=%v", forwarded), func(b *testing.B) {
 			f := startFleet(b, 2, nil)
 			f.allAtFirst.Store(true)
-			f.dialCanned(1)
+			f.dialCanned(cannedTarget{rows: 1})
 			vm := f.vms[0]
 			if forwarded {
 				vm = f.vms[1]
--- a/internal/front/canned_test.go
+++ b/internal/front/canned_test.go
@@ -18,6 +18,7 @@
 // without allocating, so that a benchmark shows the proxy alone.
 type cannedTarget struct {
 	rows int
+	torn bool // the connection ends in the middle of the last row
 }
 
 // Dial implements pool.Dialer.
@@ -72,6 +73,10 @@
 			for range d.rows {
 				_ = w.Raw(row)
 			}
+			if d.torn {
+				_, _ = w.Raw(row[:len(row)/2]), w.Flush()
+				return
+			}
 		}
 		_ = w.Raw(done)
 	}
@@ -113,7 +118,7 @@
 	f := startFleet(tb, vms, nil)
 	// With two VMs the second one owns nothing, so that it forwards all.
 	f.allAtFirst.Store(true)
-	f.dialCanned(rows)
+	f.dialCanned(cannedTarget{rows: rows})
 	conn, r := f.vms[vms-1].benchClient(tb, route)
 	run := func() {
 		if _, err := conn.Write(benchQuery); err != nil {
--- a/internal/front/connections_test.go
+++ b/internal/front/connections_test.go
@@ -23,7 +23,7 @@
 		b.Run(fmt.Sprintf("Forwarded=%v", vms == 2), func(b *testing.B) {
 			f := startFleet(b, vms, nil)
 			f.allAtFirst.Store(true)
-			f.dialCanned(1)
+			f.dialCanned(cannedTarget{rows: 1})
 			callers := make([]benchCaller, 7500)
 			for i := range callers {
 				callers[i].conn, callers[i].r = f.vms[vms-1].benchClient(b, "aged")
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -160,9 +160,9 @@
 }
 
 // dialCanned replaces all target connections by canned ones.
-func (f *fleet) dialCanned(rows int) {
+func (f *fleet) dialCanned(c cannedTarget) {
 	for _, vm := range f.vms {
-		vm.dialer.canned.Store(&cannedTarget{rows: rows})
+		vm.dialer.canned.Store(&c)
 		for _, key := range vm.pool.Owned() {
 			<-vm.pool.Drop(key)
 		}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -124,6 +124,9 @@
 		return
 	}
 	c.srv.counts.refused[e.Kind].Add(1)
+	if c.w.Torn() {
+		return
+	}
 	msg := relay.ErrorResponse("FATAL", e)
 	if code, ok := sqlStates[e]; ok {
 		msg.Code = code
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -177,6 +177,10 @@
 	return res, f, nil
 }
 
+// errTorn ends a session without a message: its caller has a part of a message
+// and would take an error for the rest.
+var errTorn = errors.New("answer ended in the middle of a message")
+
 // refuseBatch tells the caller of a failure, discards the rest of the batch and
 // reports ready. An error ends the session.
 func (c *session) refuseBatch(f *relay.Failure, last byte) error {
@@ -190,6 +194,9 @@
 	}
 	c.srv.counts.refused[f.Err.Kind].Add(1)
 	c.srv.log.Failed(c.logged(), f.Err, "request failed")
+	if c.w.Torn() {
+		return errors.Join(c.w.Flush(), errTorn)
+	}
 	if err := c.sendFailure(f); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/front/torn_test.go
@@ -0,0 +1,28 @@
+package front
+
+import (
+	"testing"
+	"time"
+)
+
+// TestTargetEndsInMiddleOfRow guards against a caller that takes an error, or
+// the answer to a later statement, for the rest of a row whose target ended its
+// connection, and against one that waits for the rest.
+func TestTargetEndsInMiddleOfRow(t *testing.T) {
+	f := startFleet(t, 2, nil)
+	f.allAtFirst.Store(true) // so that the second VM forwards
+	for _, vm := range f.vms {
+		vm.own()
+	}
+	f.dialCanned(cannedTarget{rows: 3, torn: true})
+	for _, vm := range f.vms {
+		for _, route := range []string{"read", "write"} {
+			c := vm.raw(t, "badges/"+route)
+			start := time.Now()
+			a := c.query("select v from kv")
+			if got, want := time.Since(start), 3*time.Second; got > want || a.status != 0 || len(a.values) != 3 {
+				t.Errorf("%s, %s: got %d rows and status %q after %v, want 3 rows and the end of the connection within %v", vm.id, route, len(a.values), a.status, got, want)
+			}
+		}
+	}
+}
--- a/internal/relay/peerconn.go
+++ b/internal/relay/peerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/subtle"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -163,18 +164,27 @@
 func (c *peerConn) failed(f *Failure) error {
 	f.Check()
 	c.srv.log.Failed(c.request(), f.Err, failedMessage)
-	if err := c.w.Message(f); err != nil {
+	if err := c.sendFailure(f); err != nil {
 		return err
 	}
 	return c.ready('I')
 }
 
+// sendFailure sends a failure, unless the peer has a part of a message and would
+// take the failure for the rest; then the connection ends.
+func (c *peerConn) sendFailure(f *Failure) error {
+	if c.w.Torn() {
+		return errors.Join(c.w.Flush(), f.Err)
+	}
+	return c.w.Message(f)
+}
+
 // refuse sends a failure, discards the rest of the batch up to its first Query
 // or Sync and reports ready.
 func (c *peerConn) refuse(f *Failure) error {
 	f.Check()
 	c.srv.log.Failed(c.request(), f.Err, failedMessage)
-	if err := c.w.Message(f); err != nil {
+	if err := c.sendFailure(f); err != nil {
 		return err
 	}
 	if err := c.w.Flush(); err != nil {
