front, relay: a fault ends one session, not the process

Callers saw (by reading): a panic in the work for one session of the PostgreSQL interface ended the process, and so the sessions of all callers of its VM. A panic at the home of a slot did the same to the VM that owns the slot.

Cause: the goroutines of a session (start-up, loop, the reader of a streamed answer), of a connection between VMs and of the return of a connection had no handler.

Change: a fault ends its session with FATAL XX000, which says that a statement may have run, or with the end of the connection when a row is cut. At the home of a slot it ends the connection of the VM that forwards, which reports the outcome as unknown. The target connection in use is closed, and the place in the queue is given back, also when the fault strikes while a transaction begins. A reader of a streamed answer hands its fault to the session, and nothing uses the session after its end. Locks of the pool that a session takes are released by defer, since a fault must not keep them.

Evidence: TestFaultEndsOneSession provokes faults in an observer, during a confirmation (collected and streamed), in a transaction that begins and at start-up, on the VM of the slot and on one that forwards. Without each of the handlers in turn it failed: the process ended (session, connection between VMs, reader of an answer), or the target connection stayed in use (begin, abort). Tests of front, relay and pool pass with -race.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 	admin    *http.Server
 
 	stopDeadline atomic.Int64 // in nanoseconds
+	faults       int64        // session faults in the metrics so far; used by tick
 
 	stopping sync.Once
 	stopped  chan struct{}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -53,6 +53,8 @@
 	scope := d.stats.Scope()
 	st := d.Status()
 	scope.Gauge("caller_sessions").Update(float64(st.Front.Sessions))
+	scope.Counter("session_faults").Inc(st.Faults - d.faults)
+	d.faults = st.Faults
 	scope.Gauge("owned_slots").Update(float64(st.Slots))
 	scope.Gauge("live_vms").Update(float64(len(d.members.Live())))
 	scope.Gauge("config_revision").Update(float64(st.Revision))
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -8,7 +8,7 @@
 )
 
 type counts struct {
-	transactions, retries, waits, replicaReads, primaryReads atomic.Int64
+	transactions, retries, waits, replicaReads, primaryReads, faults atomic.Int64
 
 	refused [siskin.TargetRefused + 1]atomic.Int64
 }
@@ -35,6 +35,8 @@
 	// ReplicaReads and PrimaryReads count the transactions on read routes by
 	// the role of the target that served them.
 	ReplicaReads, PrimaryReads int64
+	// Faults counts the sessions that ended by a fault of the program.
+	Faults int64
 	// Refused counts failed transactions by error kind.
 	Refused map[siskin.ErrorKind]int64
 }
@@ -44,7 +46,8 @@
 	c := &s.counts
 	st := Stats{
 		Sessions: s.sessions.Len(), Transactions: c.transactions.Load(), Retries: c.retries.Load(), Waits: c.waits.Load(),
-		ReplicaReads: c.replicaReads.Load(), PrimaryReads: c.primaryReads.Load(), Refused: make(map[siskin.ErrorKind]int64),
+		ReplicaReads: c.replicaReads.Load(), PrimaryReads: c.primaryReads.Load(),
+		Faults: c.faults.Load(), Refused: make(map[siskin.ErrorKind]int64),
 	}
 	for kind := range c.refused {
 		if n := c.refused[kind].Load(); n > 0 {
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -22,6 +22,7 @@
 	changed chan struct{}
 	hold    chan struct{} // closed when writes are admitted
 	noAck   atomic.Bool   // no replica confirms
+	fault   atomic.Bool   // Confirm panics
 	running atomic.Int64
 }
 
@@ -83,6 +84,9 @@
 }
 
 func (g *fakeGroup) Confirm(ctx context.Context, pos siskin.Position) error {
+	if g.fault.Load() {
+		panic("a fault on purpose")
+	}
 	for {
 		acks := 0
 		for _, t := range g.targets {
@@ -130,11 +134,17 @@
 func (g *fakeGroup) Suspect(siskin.TargetID, error) {}
 
 // fakeKeys grants one key, which can be withdrawn.
-type fakeKeys struct{ withdrawn atomic.Bool }
+type fakeKeys struct {
+	withdrawn atomic.Bool
+	fault     atomic.Bool // Authenticate panics
+}
 
 func newFakeKeys() *fakeKeys { return &fakeKeys{} }
 
 func (k *fakeKeys) Authenticate(_ siskin.ServiceName, key string) (siskin.KeyGrant, error) {
+	if k.fault.Load() {
+		panic("a fault on purpose")
+	}
 	if key != testKey {
 		return siskin.KeyGrant{}, siskin.NewError(siskin.KeyRefused, "key is not known").WithRemedy("ask for a key")
 	}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -24,6 +24,7 @@
 // is idle goes on in a new goroutine, whose stack is half of that while it
 // waits.
 func (c *session) loop() {
+	defer c.survive()
 	wait := time.Duration(0) // the first wait of a goroutine has no limit
 	for {
 		settled, ok := c.step(wait)
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -138,11 +138,11 @@
 	if t.maybeRan && (t.route.Mode != config.ReadRoute || !t.route.Repeatable) {
 		ranOnce.Check(false, "request %d of route %s is sent again although it may have run", t.hdr.Request, t.route.Name)
 	}
+	c.setLeg(leg)
 	if err := c.checkKey(); err != nil {
 		leg.Abort(nil)
 		return nil, relay.Result{}, &relay.Failure{Proof: retry.Unsent, Err: asError(err)}
 	}
-	c.setLeg(leg)
 	if c.grant == (siskin.KeyGrant{}) && !t.route.Open {
 		keyValid.Check(false, "request %d on route %s has no key", t.hdr.Request, t.route.Name)
 	}
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -52,7 +52,13 @@
 
 // startUp reads messages up to the start-up message. It returns no session when
 // the message was a cancel request.
-func (s *Server) startUp(conn net.Conn) (*session, error) {
+func (s *Server) startUp(conn net.Conn) (c *session, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.fault(v, logs.Request{})
+			c, err = nil, refuse(conn, errFault)
+		}
+	}()
 	_, secure := conn.(*tls.Conn)
 	for range maxStartupMessages {
 		raw, err := readStartup(conn)
@@ -134,10 +140,16 @@
 	if err := s.register(c); err != nil {
 		return nil, refuse(conn, err)
 	}
+	greeted := false
+	defer func() {
+		if !greeted {
+			s.sessions.Delete(c.id)
+		}
+	}()
 	if err := c.greet(); err != nil {
-		s.sessions.Delete(c.id)
 		return nil, err
 	}
+	greeted = true
 	return c, nil
 }
 
--- a/internal/logs/requests.go
+++ b/internal/logs/requests.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/phuslu/log"
@@ -46,6 +47,15 @@
 	e.Msg(msg)
 }
 
+// Fault writes that a fault of the program ended the work for a request. It is
+// not limited, since each one is to be looked into.
+func (r *Requests) Fault(q Request, value any, stack []byte, msg string) {
+	if r.log == nil {
+		return
+	}
+	r.entry(q, log.ErrorLevel).Str("Panic", fmt.Sprint(value)).Bytes("Stack", stack).Msg(msg)
+}
+
 // Trace writes a step of a request at the level debug. It is meant for finding a
 // fault and is not limited; err may be nil.
 func (r *Requests) Trace(q Request, err error, msg string) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -14,6 +14,9 @@
 	Uptime   time.Duration
 	Revision siskin.Revision
 	Front    front.Stats
+	// Faults counts the sessions, and the connections of other VMs, that ended
+	// by a fault of the program.
+	Faults int64
 	// Slots is the number of slots that the VM owns.
 	Slots int
 	// Violations counts broken invariants by name.
@@ -22,11 +25,13 @@
 
 // Status returns the present state.
 func (n *Node) Status() Status {
+	st := n.front.Stats()
 	return Status{
 		VM:         n.cfg.Members.Self(),
 		Uptime:     n.cfg.Clock.Since(n.started),
 		Revision:   n.cfg.Config.Revision(),
-		Front:      n.front.Stats(),
+		Front:      st,
+		Faults:     st.Faults + n.server.Faults(),
 		Slots:      len(n.pool.Owned()),
 		Violations: invar.Violations(),
 	}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -161,19 +161,10 @@
 // connection that cannot be reset is closed.
 func (c *Conn) Recycle(owner uint64) {
 	s := c.slot
-	s.mu.Lock()
-	if c.owner != owner || c.state != connBusy {
-		oneOwner.Check(c.state == connClosed, "connection of request %d (state %d) returned by request %d", c.owner, c.state, owner)
-		s.mu.Unlock()
+	drop, reset, ok := c.endUse(owner)
+	if !ok {
 		return
 	}
-	s.unlease(c, connResetting)
-	drop := s.draining || s.isStale(c) || c.R.Buffered() > 0 || c.R.Left() > 0 || c.W.Buffered() > 0
-	reset := !s.cfg.Stateless
-	if !reset {
-		drop = drop || c.SetDeadline(time.Time{}) != nil
-	}
-	s.mu.Unlock()
 	if drop || (reset && !c.roundTrip(resetQuery, resetTimeout)) {
 		s.remove(c, nil)
 		return
@@ -181,6 +172,25 @@
 	s.put(c)
 }
 
+// endUse takes the connection from a request. It reports whether the connection
+// is to be closed, whether it needs a reset, and false for ok when the request
+// does not have it.
+func (c *Conn) endUse(owner uint64) (drop, reset, ok bool) {
+	s := c.slot
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.owner != owner || c.state != connBusy {
+		oneOwner.Check(c.state == connClosed, "connection of request %d (state %d) returned by request %d", c.owner, c.state, owner)
+		return false, false, false
+	}
+	s.unlease(c, connResetting)
+	drop = s.draining || s.isStale(c) || c.R.Buffered() > 0 || c.R.Left() > 0 || c.W.Buffered() > 0
+	if !s.cfg.Stateless {
+		return drop, true, true
+	}
+	return drop || c.SetDeadline(time.Time{}) != nil, false, true
+}
+
 // Close closes the connection; cause is nil when it is not the target's fault.
 func (c *Conn) Close(cause error) { c.slot.remove(c, cause) }
 
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -110,9 +110,10 @@
 // put makes a connection idle and hands it to the first waiter of its account.
 func (s *slot) put(c *Conn) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.draining || s.isStale(c) || c.state == connClosed {
-		s.mu.Unlock()
-		s.remove(c, nil)
+		s.removeLocked(c)
+		s.ensure()
 		return
 	}
 	now := s.pool.clock.Now()
@@ -129,18 +130,17 @@
 		s.idle[c.account] = append(s.idle[c.account], c)
 	}
 	s.ensure()
-	s.mu.Unlock()
 }
 
 // remove closes a connection and forgets it.
 func (s *slot) remove(c *Conn, cause error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.removeLocked(c)
 	if cause != nil && len(s.conns) == 0 {
 		s.lastErr = cause
 	}
 	s.ensure()
-	s.mu.Unlock()
 }
 
 func (s *slot) removeLocked(c *Conn) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -76,8 +76,9 @@
 }
 
 type answer struct {
-	res Result
-	f   *Failure
+	res   Result
+	f     *Failure
+	fault *Fault
 }
 
 // duplex relays the rest of a batch in both directions at once. With copySimple
@@ -92,12 +93,35 @@
 		src.Interrupt()
 	}
 	go func() {
-		res, f := leg.Answer(sink, false, func() {
+		var a answer
+		defer func() {
+			if v := recover(); v != nil {
+				a.fault = Recovered(v)
+			}
+			answers <- a
+			stop()
+		}()
+		a.res, a.f = leg.Answer(sink, false, func() {
 			stop()
 			<-pumped
 		})
-		answers <- answer{res, f}
-		stop()
+	}()
+	finished := false
+	finish := func() answer {
+		finished = true
+		close(pumped)
+		a := <-answers
+		if a.fault != nil {
+			panic(a.fault) // in the goroutine of the session, which handles it
+		}
+		return a
+	}
+	defer func() {
+		if !finished { // a fault: nothing may use the session after its end
+			leg.Abort(nil)
+			close(pumped)
+			<-answers
+		}
 	}()
 	err := pump(src, w, copySimple)
 	if isInterrupt(err) && ended.Load() {
@@ -110,12 +134,10 @@
 	}
 	if err != nil && w.Err() == nil {
 		leg.Abort(nil)
-		close(pumped)
-		<-answers
+		finish()
 		return Result{}, sourceFailed(err)
 	}
-	close(pumped)
-	a := <-answers
+	a := finish()
 	src.Resume()
 	return a.res, a.f
 }
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -46,7 +46,7 @@
 
 // Begin leases a connection to the home and sends the header with the first
 // batch. Nothing of the transaction was sent when it fails.
-func (f *Forwarder) Begin(home siskin.VM, hdr *Header) (Leg, *Failure) {
+func (f *Forwarder) Begin(home siskin.VM, hdr *Header) (leg Leg, failure *Failure) {
 	key := pool.Key{Target: siskin.TargetID(home.ID)}
 	f.pool.Own(key, pool.SlotConfig{Address: home.ForwardAddress, Limit: peerLimit, OpenTime: peerOpenTime, Stateless: true})
 	deadline := f.clock.Now().Add(hdr.Remaining)
@@ -56,6 +56,11 @@
 	if err != nil {
 		return nil, unsent(err)
 	}
+	defer func() {
+		if leg == nil && failure == nil { // a fault
+			conn.Close(nil)
+		}
+	}()
 	hdr.Remaining = deadline.Sub(f.clock.Now())
 	// The home ends the transaction at the deadline; its failure needs a little
 	// longer to arrive.
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -49,15 +49,20 @@
 
 // Begin admits one transaction and leases a connection for it. Nothing of the
 // transaction was sent when it fails.
-func (h *Home) Begin(hdr *Header) (Leg, *Failure) {
+func (h *Home) Begin(hdr *Header) (leg Leg, f *Failure) {
 	l := &local{home: h, hdr: *hdr, status: 'I', taken: true, deadline: h.Clock.Now().Add(hdr.Remaining)}
 	l.held, l.row = l.heldSpace[:0], l.rowSpace[:0]
 	l.ctx = lazyContext{clock: h.Clock, deadline: l.deadline}
+	defer func() {
+		if leg == nil && f == nil { // a fault: what begin took is given back
+			l.Abort(nil)
+		}
+	}()
 	if err := l.begin(); err != nil {
 		if l.replaced.Load() {
 			err = replacedBefore(hdr)
 		}
-		f := unsent(err)
+		f = unsent(err)
 		f.Admitted, f.WithinRate = l.hdr.Admitted, l.withinRate
 		l.end()
 		return nil, f
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -172,12 +172,12 @@
 		}
 		return
 	}
-	go func() {
-		conn.Recycle(l.hdr.Request)
+	go guarded(conn, func() {
 		if release != nil {
-			release()
+			defer release()
 		}
-	}()
+		conn.Recycle(l.hdr.Request)
+	})
 }
 
 // Abort implements Leg.
--- a/internal/relay/localend.go
+++ b/internal/relay/localend.go
@@ -22,10 +22,10 @@
 	timeout := errors.Is(err, os.ErrDeadlineExceeded) && !silent
 	if conn != nil {
 		if timeout {
-			go func() {
+			go guarded(conn, func() {
 				_ = conn.Cancel(cancelTimeout) // frees the target early
 				conn.Close(err)
-			}()
+			})
 		} else {
 			conn.Close(err)
 			l.group.Suspect(l.hdr.Target, err)
@@ -48,10 +48,10 @@
 func (l *local) callerGone(err error) *Failure {
 	conn := l.takeConn()
 	if conn != nil {
-		go func() {
+		go guarded(conn, func() {
 			_ = conn.Cancel(cancelTimeout) // frees the target early
 			conn.Close(nil)
-		}()
+		})
 	}
 	l.endWork()
 	f := unknown(err, "caller's connection failed")
--- a/internal/relay/peerconn.go
+++ b/internal/relay/peerconn.go
@@ -63,6 +63,16 @@
 	}
 }
 
+// abort ends the transaction in progress.
+func (c *peerConn) abort() {
+	c.mu.Lock()
+	leg := c.leg
+	c.mu.Unlock()
+	if leg != nil {
+		leg.Abort(nil)
+	}
+}
+
 // setTransaction marks the beginning (deadline set) or end of a transaction.
 func (c *peerConn) setTransaction(leg Leg, deadline time.Time) {
 	c.mu.Lock()
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -104,14 +104,14 @@
 		conn.Close(nil)
 		return f
 	}
-	go func() {
+	go guarded(conn, func() {
 		h, err := conn.R.Next()
 		if err != nil || h.Type != 'Z' || conn.R.Skip() != nil {
 			conn.Close(nil)
 			return
 		}
 		conn.Recycle(l.request)
-	}()
+	})
 	return f
 }
 
@@ -161,10 +161,10 @@
 
 func (l *remote) callerGone(err error) *Failure {
 	if conn := l.take(); conn != nil {
-		go func() {
+		go guarded(conn, func() {
 			_ = conn.Cancel(cancelTimeout) // frees the target early
 			conn.Close(nil)
-		}()
+		})
 	}
 	f := unknown(err, "caller's connection failed")
 	f.CallerGone = true
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -31,6 +32,7 @@
 	cancel context.CancelFunc
 	conns  *shard.Map[uint32, *peerConn]
 	wg     sync.WaitGroup
+	faults atomic.Int64
 	mu     sync.Mutex
 	closed bool
 }
@@ -124,8 +126,33 @@
 	<-done
 }
 
+// Faults returns the number of connections that ended by a fault of the program.
+func (s *Server) Faults() int64 { return s.faults.Load() }
+
+// survive ends one connection after a fault. The VM that forwards finds its end
+// and reports the outcome of its transaction as unknown. Without a peerConn, the
+// connection was not accepted yet.
+func (s *Server) survive(accepted **peerConn) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	s.faults.Add(1)
+	c := *accepted
+	var q logs.Request
+	if c != nil {
+		q = c.request()
+	}
+	Recovered(v).Report(s.log, q, "a connection of a VM ended by a fault of this program")
+	if c != nil {
+		c.abort()
+	}
+}
+
 func (s *Server) serveConn(conn net.Conn) {
 	defer conn.Close()
+	var c *peerConn
+	defer s.survive(&c)
 	if conn.SetDeadline(time.Now().Add(startupTimeout)) != nil {
 		return
 	}
@@ -143,7 +170,7 @@
 		if msg.Parameters["user"] != peerUser {
 			return
 		}
-		c := newPeerConn(s, conn)
+		c = newPeerConn(s, conn)
 		s.conns.Put(c.id, c)
 		defer s.conns.Delete(c.id)
 		be.Send(&pgproto3.AuthenticationOk{})
--- a/internal/relay/within.go
+++ b/internal/relay/within.go
@@ -38,12 +38,19 @@
 	if err != nil {
 		return errors.Join(errUnconfirmed, err)
 	}
+	settled := false
+	defer func() {
+		if !settled {
+			conn.Close(err)
+		}
+	}()
 	other := local{conn: conn}
 	err = conn.SetDeadline(l.deadline)
 	if err == nil {
 		var row [][]byte
 		if row, _, err = other.queryRow(positionQuery); err == nil {
 			conn.Recycle(l.hdr.Request)
+			settled = true
 			pos, ok := parsePosition(row)
 			if !ok {
 				return errUnconfirmed
@@ -54,6 +61,5 @@
 			return nil
 		}
 	}
-	conn.Close(err)
 	return errors.Join(errUnconfirmed, err)
 }
