relay: a failure of an unknown kind is malformed

Cause: the decoder took any kind up to 255, and the counters of refusals are indexed by kind (index out of range [15] with length 15 in refuseBatch). The condition of the fuzz target could not fail: an unknown kind has the name Internal.

Change: the decoder refuses a kind above the last one, as it does for proofs. The answer then counts as lost, since the statement may have run: outcome unknown.

FuzzPeerMessages now checks the kind.

--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -75,17 +75,18 @@
 	return dst, nil
 }
 
-// Decode sets the failure from the body of a message.
+// Decode sets the failure from the body of a message. One with a proof or a kind
+// that this version does not know is malformed: tables are indexed by kind.
 func (f *Failure) Decode(body []byte) error {
 	d := decoder{b: body}
-	proof, kind := d.uint(), siskin.ErrorKind(d.uint()&0xff)
+	proof, kind := d.uint(), d.uint()
 	after := d.duration()
-	f.Err = siskin.NewError(kind, "%s", d.string()).WithRemedy(d.string()).WithRetryAfter(after)
+	f.Err = siskin.NewError(siskin.ErrorKind(kind), "%s", d.string()).WithRemedy(d.string()).WithRetryAfter(after)
 	if report := d.string(); report != "" {
 		f.Report = []byte(report)
 	}
 	f.Admitted, f.WithinRate = d.bools()
-	if proof > uint64(retry.Refused) {
+	if proof > uint64(retry.Refused) || kind > uint64(siskin.TargetRefused) {
 		d.bad = true
 	}
 	f.Proof = retry.Proof(proof)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -65,6 +65,23 @@
 	})
 }
 
+// TestMalformedFailure guards against a failure of a VM of another version whose
+// kind this one does not know: its counter does not exist.
+func TestMalformedFailure(t *testing.T) {
+	for kind, ok := range map[siskin.ErrorKind]bool{
+		siskin.Internal: true, siskin.TargetRefused: true, siskin.TargetRefused + 1: false, 255: false, 256: false, 1 << 40: false,
+	} {
+		b, err := (&Failure{Err: siskin.NewError(kind, "x")}).Encode(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var f Failure
+		if err := f.Decode(b[5:]); (err == nil) != ok {
+			t.Errorf("kind %d: got %v, want it accepted: %v", int(kind), err, ok)
+		}
+	}
+}
+
 // FuzzPeerMessages guards against a panic on messages between VMs.
 func FuzzPeerMessages(f *testing.F) {
 	h, _ := (&Header{Service: "badges", Route: "read", Slot: 1, Remaining: time.Second}).Encode(nil)
@@ -75,8 +92,8 @@
 		var h Header
 		_ = h.Decode(body)
 		var u Failure
-		if u.Decode(body) == nil && u.Err.Kind.String() == "" {
-			panic("failure without a kind")
+		if u.Decode(body) == nil && (u.Err.Kind < 0 || u.Err.Kind > siskin.TargetRefused) {
+			panic("failure of an unknown kind")
 		}
 	})
 }
