--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"bytes"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/frame"
+	"siskintray.example/siskin/internal/relay"
 	"siskintray.example/siskin/pkg/config"
 	"siskintray.example/siskin/pkg/retry"
 	"siskintray.example/siskin/pkg/token"
@@ -48,18 +52,7 @@
 	}
 	f.Add([]byte{'B', 0, 0, 0, 4, 'S', 0, 0, 0, 4})
 	f.Add([]byte{'P', 0xff, 0xff, 0xff, 0xff})
-	service := &config.Service{Name: "badges", Routes: []config.Route{{
-		Name: "open", Mode: config.ReadRoute, Open: true, OpenCustomer: "walk-in", Deadline: config.Duration(time.Millisecond),
-	}}}
-	tokens, err := token.NewCodec([]byte("a token key of 24 bytes."), nil)
-	if err != nil {
-		f.Fatal(err)
-	}
-	s := New(Config{
-		VM: "vm", Clock: clockwork.NewRealClock(), Config: config.NewFixed([]*config.Service{service}, nil), Keys: newFakeKeys(),
-		Topology: noTopology{}, Tokens: tokens, Budgets: retry.NewBudgets(), Limits: Limits{StartupTimeout: time.Second},
-	})
-	f.Cleanup(func() { s.Close(f.Context()) })
+	s := newFuzzServer(f)
 	f.Fuzz(func(t *testing.T, messages []byte) {
 		client, server := net.Pipe()
 		done := make(chan struct{})
@@ -79,6 +72,82 @@
 	})
 }
 
+// newFuzzServer returns a server without targets and with one open route.
+func newFuzzServer(f *testing.F) *Server {
+	service := &config.Service{Name: "badges", Routes: []config.Route{{
+		Name: "open", Mode: config.ReadRoute, Open: true, OpenCustomer: "walk-in", Deadline: config.Duration(time.Millisecond),
+	}}}
+	tokens, err := token.NewCodec([]byte("a token key of 24 bytes."), nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	s := New(Config{
+		VM: "vm", Clock: clockwork.NewRealClock(), Config: config.NewFixed([]*config.Service{service}, nil), Keys: newFakeKeys(),
+		Topology: noTopology{}, Tokens: tokens, Budgets: retry.NewBudgets(), Limits: Limits{StartupTimeout: time.Second},
+	})
+	f.Cleanup(func() { s.Close(f.Context()) })
+	return s
+}
+
+// fuzzSession returns a session that reads the messages and has no caller.
+func fuzzSession(s *Server, messages []byte) *session {
+	c := newSession(s, nil)
+	c.r, c.w = frame.NewReader(bytes.NewReader(messages)), frame.NewWriter(io.Discard)
+	c.service = "badges"
+	return c
+}
+
+// FuzzKeyMessage guards against a panic on a malformed answer to the request for
+// the key, and against one that is taken for a key.
+func FuzzKeyMessage(f *testing.F) {
+	for _, key := range []string{testKey, "", strings.Repeat("x", maxKeySize)} {
+		b, _ := (&pgproto3.PasswordMessage{Password: key}).Encode(nil)
+		f.Add(b)
+	}
+	f.Add([]byte{'p', 0, 0, 0, 4})
+	f.Add([]byte{'Q', 0, 0, 0, 4})
+	s := newFuzzServer(f)
+	f.Fuzz(func(t *testing.T, message []byte) {
+		grant, err := fuzzSession(s, message).askKey()
+		if accepted := bytes.Contains(message, []byte(testKey)); err == nil && !accepted || err != nil && grant != (siskin.KeyGrant{}) {
+			t.Errorf("got the grant %+v and %v", grant, err)
+		}
+	})
+}
+
+// FuzzForward guards against a panic on messages of a target or of the home on
+// another VM, and against a position that the session takes over although its
+// token was not signed.
+func FuzzForward(f *testing.F) {
+	s := newFuzzServer(f)
+	signed := s.cfg.Tokens.Encode(token.Token{Service: "badges", Position: siskin.Position{Term: 2, LSN: 7}})
+	for _, m := range []pgproto3.BackendMessage{
+		&pgproto3.ParameterStatus{Name: relay.TokenParameter, Value: signed}, &pgproto3.ParameterStatus{Name: relay.TokenParameter, Value: "x"},
+		&pgproto3.ParameterStatus{Name: "TimeZone", Value: "UTC"}, &pgproto3.ParseComplete{}, &pgproto3.DataRow{Values: [][]byte{nil}},
+	} {
+		b, _ := m.Encode(nil)
+		f.Add(b)
+	}
+	f.Add([]byte{'S', 0, 0, 0, 4, 'D', 0, 0, 1, 0, 'x'})
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		c := fuzzSession(s, nil)
+		_ = c.stmts.parse("a", []byte("select 1\x00\x00\x00"))
+		r := frame.NewReader(bytes.NewReader(answer))
+		for {
+			h, err := r.Next()
+			if err == nil {
+				err = c.Forward(h, r)
+			}
+			if err != nil {
+				break
+			}
+		}
+		if c.floor != (siskin.Position{}) && !bytes.Contains(answer, []byte(signed)) {
+			t.Errorf("got the position %v without its token", c.floor)
+		}
+	})
+}
+
 // noTopology knows no group.
 type noTopology struct{}
 
