pool: a fault of a worker is reported and leaves the slot usable

Callers saw (by reading): after a panic in the opening of a connection the opening counted as in progress for good; after four of them a slot opened no connection anymore and its requests waited until their deadlines. After one in a probe its connection stayed in the slot without use. Nobody heard of either.

Cause: the worker pools recover a panic of a task, and the pool looked at no result.

--- a/internal/pool/ask.go
+++ b/internal/pool/ask.go
@@ -73,6 +73,7 @@
 
 // ask finds out which of the connections the target has no statement of.
 func (s *slot) ask(c *Conn, quiet []quietRead) {
+	defer s.closeAfterFault(c)
 	sent := s.pool.clock.Now()
 	heard, idleSince := c.lastRead(), c.idleSince
 	waiting, ok := c.waitingSessions(quiet)
--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -31,12 +31,16 @@
 	*PGDialer
 	muteBefore atomic.Int64
 	fail       atomic.Bool
+	fault      atomic.Bool // Dial and reads panic
 	full       atomic.Bool
 	opens      atomic.Int64
 }
 
 func (d *faultyDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (Opened, error) {
 	n := d.opens.Add(1)
+	if d.fault.Load() {
+		panic("a fault on purpose")
+	}
 	if d.full.Load() {
 		return Opened{}, &pgconn.PgError{Code: stateTooMany}
 	}
@@ -55,6 +59,9 @@
 }
 
 func (c mutedConn) Read(b []byte) (int, error) {
+	if c.d.fault.Load() {
+		panic("a fault on purpose")
+	}
 	for {
 		n, err := c.Conn.Read(b)
 		if n == 0 || c.n > c.d.muteBefore.Load() {
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -96,9 +95,7 @@
 	s.mu.Lock()
 	cfg, generation, writers := s.cfg, s.generation, s.writers
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.pool.ctx, cfg.dialTimeout())
-	defer cancel()
-	o, err := s.pool.dialer.Dial(ctx, s.key, cfg, account)
+	o, err := s.dial(cfg, account)
 	if err != nil {
 		s.openFailed(account, err)
 		return
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -41,6 +41,7 @@
 }
 
 func (s *slot) probe(c *Conn, timeout time.Duration) {
+	defer s.closeAfterFault(c)
 	sent := s.pool.clock.Now()
 	heard, idleSince := c.lastRead(), c.idleSince
 	if !c.roundTrip(probeQuery, timeout) {
