--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -24,6 +24,7 @@
 // is idle goes on in a new goroutine, whose stack is half of that while it
 // waits.
 func (c *session) loop() {
+	defer c.survive()
 	wait := time.Duration(0) // the first wait of a goroutine has no limit
 	for {
 		settled, ok := c.step(wait)
@@ -124,6 +125,9 @@
 		return
 	}
 	c.srv.counts.refused[e.Kind].Add(1)
+	if c.w.Torn() {
+		return
+	}
 	msg := relay.ErrorResponse("FATAL", e)
 	if code, ok := sqlStates[e]; ok {
 		msg.Code = code
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -138,11 +138,11 @@
 	if t.maybeRan && (t.route.Mode != config.ReadRoute || !t.route.Repeatable) {
 		ranOnce.Check(false, "request %d of route %s is sent again although it may have run", t.hdr.Request, t.route.Name)
 	}
+	c.setLeg(leg)
 	if err := c.checkKey(); err != nil {
 		leg.Abort(nil)
 		return nil, relay.Result{}, &relay.Failure{Proof: retry.Unsent, Err: asError(err)}
 	}
-	c.setLeg(leg)
 	if c.grant == (siskin.KeyGrant{}) && !t.route.Open {
 		keyValid.Check(false, "request %d on route %s has no key", t.hdr.Request, t.route.Name)
 	}
@@ -177,6 +177,10 @@
 	return res, f, nil
 }
 
+// errTorn ends a session without a message: its caller has a part of a message
+// and would take an error for the rest.
+var errTorn = errors.New("answer ended in the middle of a message")
+
 // refuseBatch tells the caller of a failure, discards the rest of the batch and
 // reports ready. An error ends the session.
 func (c *session) refuseBatch(f *relay.Failure, last byte) error {
@@ -190,6 +194,9 @@
 	}
 	c.srv.counts.refused[f.Err.Kind].Add(1)
 	c.srv.log.Failed(c.logged(), f.Err, "request failed")
+	if c.w.Torn() {
+		return errors.Join(c.w.Flush(), errTorn)
+	}
 	if err := c.sendFailure(f); err != nil {
 		return err
 	}
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -24,6 +24,8 @@
 	}
 	s.probeWatch(now)
 	s.giveUpSilent(now)
+	s.giveUpLost(now)
+	s.askQuiet(now)
 	s.ensure()
 }
 
@@ -39,12 +41,18 @@
 }
 
 func (s *slot) probe(c *Conn, timeout time.Duration) {
+	defer s.closeAfterFault(c)
 	sent := s.pool.clock.Now()
 	heard, idleSince := c.lastRead(), c.idleSince
 	if !c.roundTrip(probeQuery, timeout) {
 		s.silent(c, heard, sent)
 		return
 	}
+	s.putProbed(c, idleSince)
+}
+
+// putProbed returns a connection that the pool itself has used.
+func (s *slot) putProbed(c *Conn, idleSince time.Time) {
 	s.put(c)
 	s.mu.Lock()
 	if c.state == connIdle {
