--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -55,10 +55,15 @@
 func (e *Elector) setLastTerm(w *watch, c *change) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w.term = c.term
+	w.term = c.ownNext()
+}
+
+// ownNext returns what is own for the next change of this VM.
+func (c *change) ownNext() siskin.Term {
 	if c.pending || c.overtook {
-		w.term = 0
+		return 0
 	}
+	return c.term
 }
 
 // otherLeads asks all targets, and other VMs about the old primary, whether one
--- a/internal/elect/modelchange_test.go
+++ b/internal/elect/modelchange_test.go
@@ -86,6 +86,7 @@
 		v.reserve = m.fence
 		c.term = siskin.Term(c.fence)
 	}
+	c.own = v.claimed
 	v.change = c
 }
 
@@ -105,7 +106,7 @@
 	switch {
 	case c == nil:
 	case c.led:
-		v.change = nil
+		v.change, v.claimed = nil, c.ownNext()
 	case c.claimed < len(c.claims):
 		m.claimOne(vm, &c.claims[c.claimed])
 		if c.claimed++; c.claimed == len(c.claims) {
@@ -146,7 +147,7 @@
 		t.held = c.term
 	}
 	cl.status = t.status()
-	cl.claimedBy(before, c.term, c.leadTerm, 0, led, !m.fenced)
+	cl.claimedBy(before, c.term, c.leadTerm, c.own, led, !m.fenced)
 	c.overtook = c.overtook || cl.overtook
 }
 
@@ -235,7 +236,7 @@
 // end gives a change up. It lets the replicas go unless an order may be on its way.
 func (m *model) end(v *modelVM) {
 	c := v.change
-	v.change = nil
+	v.change, v.claimed = nil, c.ownNext()
 	if c.pending || c.overtook && !m.rules.freeOvertaken {
 		return
 	}
