--- /dev/null
+++ b/internal/views/hold.go
@@ -0,0 +1,40 @@
+package views
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// hold is a change of primary in progress.
+type hold struct {
+	from  siskin.TargetID // the target that led before
+	until time.Time
+}
+
+// Hold notes that the lead is being taken from a target, until the given time. A
+// VM that knows another target to lead has seen the end of that change.
+func (v *Views) Hold(name siskin.ServiceName, from siskin.TargetID, until time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s := v.service(name); s.lead.Target == "" || s.lead.Target == from {
+		s.holding = hold{from, until}
+	}
+}
+
+// Release ends the hold of a change that took the lead from a target.
+func (v *Views) Release(name siskin.ServiceName, from siskin.TargetID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s := v.service(name); s.holding.from == from {
+		s.holding = hold{}
+	}
+}
+
+// Holding reports whether a change of primary is in progress.
+func (v *Views) Holding(name siskin.ServiceName, now time.Time) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	s := v.services[name]
+	return s != nil && now.Before(s.holding.until)
+}
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -39,12 +39,6 @@
 	holding hold
 }
 
-// hold is a change of primary in progress.
-type hold struct {
-	from  siskin.TargetID // the target that led before
-	until time.Time
-}
-
 // Target is what is known of one target.
 type Target struct {
 	Position siskin.Position
@@ -118,25 +112,6 @@
 	}
 }
 
-// Hold notes that the lead is being taken from a target, until the given time. A
-// VM that knows another target to lead has seen the end of that change.
-func (v *Views) Hold(name siskin.ServiceName, from siskin.TargetID, until time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if s := v.service(name); s.lead.Target == "" || s.lead.Target == from {
-		s.holding = hold{from, until}
-	}
-}
-
-// Release ends the hold of a change that took the lead from a target.
-func (v *Views) Release(name siskin.ServiceName, from siskin.TargetID) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if s := v.service(name); s.holding.from == from {
-		s.holding = hold{}
-	}
-}
-
 // Lead returns the newest proof of a service.
 func (v *Views) Lead(name siskin.ServiceName) Lead {
 	v.mu.RLock()
@@ -185,14 +160,6 @@
 	delete(v.service(name).lost, id)
 }
 
-// Holding reports whether a change of primary is in progress.
-func (v *Views) Holding(name siskin.ServiceName, now time.Time) bool {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	s := v.services[name]
-	return s != nil && now.Before(s.holding.until)
-}
-
 // Changed returns a channel that is closed when another target leads.
 func (v *Views) Changed(name siskin.ServiceName) <-chan struct{} {
 	v.mu.Lock()
