home: the test of evacuated targets waits until statements are sent

It closed the target once a third statement waited in the queue, which can be before the two ahead of it have their connections; these are then refused, which is right. Shown by 60 processes at a time: 28 failed before, none after. It now waits until both have arrived at the target; what it demands is unchanged.

--- a/internal/home/evacuated_test.go
+++ b/internal/home/evacuated_test.go
@@ -28,9 +28,9 @@
 	for range running + 1 {
 		go func() { replies <- f.run(request(target, siskin.Read, "x")) }()
 	}
-	for deadline := time.Now().Add(time.Second); f.homes.Counts().Waiting == 0; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(time.Second); f.homes.Counts().Waiting == 0 || len(target.Arrivals("acme")) < running; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("no statement waits for a place")
+			t.Fatalf("no statement waits for a place behind %d that were sent", running)
 		}
 	}
 	closed.Store(true)
