elect: a promotion without an answer is cancelled while the old primary leads on

Cause: an order to the platform got no answer and was carried out seconds later. Its change had ended with the replicas paused, so that commits of the old primary, which led on, waited; a replica that started meanwhile acknowledged them, and the order promoted a target without them.

Change: where fences are checked, the VM orders a promotion of the old primary with a new fence while that one leads, its claims are still held and no change is announced. The platform changes nothing and refuses the lower fence later.

--- /dev/null
+++ b/internal/elect/cancel.go
@@ -0,0 +1,97 @@
+package elect
+
+import (
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+const (
+	// cancelAttempts and cancelPause bound the attempts to cancel orders.
+	cancelAttempts = 60
+	cancelPause    = 500 * time.Millisecond
+	// freshProof is the age of another VM's proof of lead up to which the primary
+	// counts as leading for a VM that does not reach it. A change that took the lead
+	// from it since needs longer until its target leads.
+	freshProof = 400 * time.Millisecond
+)
+
+// cancel keeps orders without an answer from taking effect while the old primary
+// leads on: its replicas are paused until then, and one that starts anew would
+// acknowledge commits that the ordered target lacks. An order for the present
+// primary changes nothing, and its fence makes the platform refuse lower ones. One
+// that was accepted before takes effect within takeOverWait.
+func (c *change) cancel() {
+	for range cancelAttempts {
+		select {
+		case <-c.e.ctx.Done():
+			return
+		case <-c.e.cfg.Clock.After(cancelPause):
+		}
+		leads, gone := c.oldLeads()
+		if gone {
+			return // the next change sees to it
+		}
+		if !leads || !c.stillHeld() || c.e.cfg.Views.Holding(c.spec.Name, c.e.cfg.Clock.Now()) {
+			continue
+		}
+		fence, err := c.e.fence.take(c.e.ctx, true)
+		if err != nil {
+			continue
+		}
+		err = c.e.cfg.Promoter.Promote(c.e.ctx, c.spec.Name, c.old, c.e.cfg.Members.Self().ID, fence)
+		c.e.cfg.Log.Info().Err(err).Str("Service", string(c.spec.Name)).Str("Target", string(c.old)).Uint64("Fence", uint64(fence)).
+			Msg("ordered the present primary, so that a pending promotion is refused")
+		if err != nil {
+			continue
+		}
+		select {
+		case <-c.e.ctx.Done():
+			return
+		case <-c.e.cfg.Clock.After(takeOverWait):
+		}
+		if leads, _ := c.oldLeads(); leads {
+			c.free()
+		}
+		return
+	}
+}
+
+// stillHeld reports whether replicas that this change has claimed answer, and none of
+// them was claimed by another one. A change of another VM then needs the old primary
+// itself, which would lead no more.
+func (c *change) stillHeld() bool {
+	held := 0
+	for i := range c.claims {
+		cl := &c.claims[i]
+		if cl.err != nil || cl.status.HeldTerm != c.term {
+			continue
+		}
+		s, err := c.control(c.e.ctx, cl.target.ID, siskin.Statement{Kind: siskin.Status})
+		switch {
+		case err != nil:
+		case s.HeldTerm != c.term:
+			return false
+		default:
+			held++
+		}
+	}
+	return held > 0
+}
+
+// oldLeads reports whether the old primary leads, as far as this VM or another one
+// has just seen, and whether it is known not to.
+func (c *change) oldLeads() (leads, gone bool) {
+	err := c.e.cfg.Homes.Ping(c.e.ctx, c.spec.Name, c.old)
+	switch {
+	case err == nil:
+		return true, false
+	case siskin.KindOf(err) == siskin.Conflict:
+		return false, true
+	}
+	l := c.e.cfg.Views.Lead(c.spec.Name)
+	if l.Target != c.old {
+		return false, l.Target != ""
+	}
+	return c.e.cfg.Clock.Since(l.At) < freshProof, false
+}
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -120,6 +120,48 @@
 	}
 }
 
+// TestPendingPromotionIsCancelled guards against an order without an answer that is
+// carried out seconds later, while the old primary leads on and a replica that has
+// started since acknowledges its commits.
+func TestPendingPromotionIsCancelled(t *testing.T) {
+	c, p := newChange(t)
+	targets := c.e.cfg.Roster.Service("ledger")
+	c.term, c.pending = 5000, true
+	for _, target := range targets[1:] {
+		if _, err := c.control(context.Background(), target.ID, siskin.Statement{Kind: siskin.Pause, Term: c.term}); err != nil {
+			t.Fatal(err)
+		}
+		c.claims = append(c.claims, claim{target: target, status: siskin.ControlStatus{HeldTerm: c.term}})
+	}
+	pending, err := c.e.fence.take(context.Background(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	orders := 0
+	c.e.cfg.Promoter = promoterFunc(func(f siskin.Fence) error {
+		if orders++; orders == 1 {
+			return siskin.NewError(siskin.OutcomeUnknown, "no answer")
+		}
+		if f <= pending {
+			t.Errorf("fence of the order that cancels: got %d, want more than %d", f, pending)
+		}
+		return nil
+	})
+	c.unpause()
+	c.e.done.Wait()
+	if want := 2; orders != want {
+		t.Errorf("orders for the present primary: got %d, want %d", orders, want)
+	}
+	for _, target := range targets[1:] {
+		if got := c.held(t, target.ID); got != 0 {
+			t.Errorf("term held by %s: got %d, want 0", target.ID, got)
+		}
+	}
+	if !p.Targets("ledger")[0].Leads() {
+		t.Error("the old primary: got none, want it to lead")
+	}
+}
+
 // TestReplicaIsNoPrimary guards against a replica that accepts to step down and
 // counts as a primary with every commit.
 func TestReplicaIsNoPrimary(t *testing.T) {
--- a/internal/elect/release.go
+++ b/internal/elect/release.go
@@ -69,7 +69,10 @@
 func (c *change) unpause() {
 	if c.pending {
 		c.e.cfg.Log.Warn().Str("Service", string(c.spec.Name)).Uint64("Term", uint64(c.term)).
-			Msg("a promotion is pending; replicas stay paused until the next change")
+			Msg("a promotion is pending; replicas stay paused until it is cancelled or the next change")
+		if !c.unfenced && c.old != "" {
+			c.e.done.Go(c.cancel)
+		}
 		return
 	}
 	if c.overtook && !c.led {
@@ -79,6 +82,11 @@
 			Msg("another change had claimed targets; replicas stay paused until the next change")
 		return
 	}
+	c.free()
+}
+
+// free ends the claims of the replicas.
+func (c *change) free() {
 	for _, cl := range c.claims {
 		if cl.target.ID == "" || cl.target.ID == c.chosen.target.ID && c.led || cl.err == nil && cl.status.HeldTerm != c.term {
 			continue
