--- a/internal/home/acquire.go
+++ b/internal/home/acquire.go
@@ -33,7 +33,7 @@
 		case <-ctx.Done():
 		}
 		if ctx.Err() != nil || l.clock.Since(start) > waitFor {
-			return nil, siskin.NewError(siskin.Overloaded, "no connection to target %s is free", l.info.ID).WithRemedy("retry later")
+			return nil, siskin.NewError(siskin.Overloaded, "no connection to target %s is free", l.target()).WithRemedy("retry later")
 		}
 	}
 }
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -348,3 +348,34 @@
 		}
 	}
 }
+
+// TestUpdateDuringWait guards against a request that waits for a connection and reads
+// what service discovery says of its target while that changes. It needs the race
+// detector.
+func TestUpdateDuringWait(t *testing.T) {
+	f := start(t, stand.ServiceOptions{Slots: 4})
+	f.limit = 1
+	target := f.target(0)
+	open := request(target, siskin.Write, "x 1")
+	open.Mode = Open
+	if got := f.run(open); got.Outcome != Answered {
+		t.Fatalf("transaction: got %+v, want an answer", got)
+	}
+	var callers sync.WaitGroup
+	for range 3 {
+		callers.Go(func() {
+			for range 20 {
+				req := request(target, siskin.Read, "x")
+				req.ConnectFor = time.Millisecond
+				if got := f.run(req); got.Cause != NoConnection {
+					t.Errorf("read without a free connection: got %v, want %v", got.Cause, NoConnection)
+				}
+			}
+		})
+	}
+	for range 50 {
+		f.homes.Update()
+		time.Sleep(5 * time.Millisecond)
+	}
+	callers.Wait()
+}
