sysd: the test fleet waits until each VM admits a statement

Shares of rates begin without a token (docs/platform.md, Rates), and startFleet returned as soon as the holders of the rates were known. A statement sent in the first milliseconds may be refused as documented.

Change: startFleet also waits, at most 10 s, until a statement of the customer is admitted at each VM, the way an entry asks for it. No check of a test is changed; other tests that send a statement right after the start had the same hazard.

--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -1,6 +1,7 @@
 package sysd
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -122,6 +123,19 @@
 		}
 		return true
 	})
+	// Shares of rates begin without a token, so that a first statement sent at once
+	// may be refused as documented.
+	f.await("each VM admits a statement", 10*time.Second, func() bool {
+		for _, n := range f.nodes {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			admitted := n.rates.AdmitWait(ctx, "acme", 1).Admitted
+			cancel()
+			if !admitted {
+				return false
+			}
+		}
+		return true
+	})
 	return f
 }
 
