home, lease, elect: commits are passed on under a lease of lead

Cause: an acknowledgement that rests on a replica which has forgotten its claim. A claimed replica that starts again, or its successor, receives from the former primary and gives its waiting commits the acknowledgement. Between the last look at the claims and the effect of the order (up to a second, longer for an order without an answer) nobody sees it, and the promoted target lacks the commits.

Change, with fencing and without: - A home sends a write or a commit only under a lease, and passes its success on only if a lease covers the moment of the answer, or the replicas confirm the lead then. Otherwise the write is refused as not run, or its outcome unknown. - Commits extend a lease that covers them and start none. - A replica is evidence only if it ran at the last evidence or for 5 s (which a connection, or service discovery without a failed connection since, shows), and no later term is known. Homes of targets keep a connection for it and answer for other VMs. - A promotion follows the last claim by lease.Wait (0.44 s) with fencing too, unless the newest primary stepped down. - A primary that stepped down is promoted again if no claimed replica followed it: they may have started again and followed a former one. - Writes that are refused since the replicas are claimed count as a stall, so that such a primary is still replaced.

--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	start := e.cfg.Clock.Now()
-	c := &change{e: e, spec: s, old: primary, start: start, planned: a == handOver, stalled: a == replaceStalled, unfenced: e.cfg.Leases != nil, own: e.lastTerm(w)}
+	c := &change{e: e, spec: s, old: primary, start: start, planned: a == handOver, stalled: a == replaceStalled, unfenced: !e.cfg.Fencing, own: e.lastTerm(w)}
 	err = c.run(ctx)
 	e.setLastTerm(w, c)
 	took := e.cfg.Clock.Since(start)
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -104,7 +104,7 @@
 	if c.planned {
 		return nil
 	}
-	left := waitUntil(c.claims, c.term, c.overtook, c.unfenced).Sub(c.e.cfg.Clock.Now())
+	left := waitUntil(c.claims, c.term, c.overtook).Sub(c.e.cfg.Clock.Now())
 	if left <= 0 {
 		return nil
 	}
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -117,9 +117,10 @@
 const takeOverWait = maxFencedAge + 1100*time.Millisecond
 
 // waitUntil returns the moment from which on a promotion may be ordered: no other
-// change's order is on its way, and where former primaries lead on, no VM takes one
-// for the only primary. With the newest primary made to step down none does at once.
-func waitUntil(claims []claim, term siskin.Term, overtook, unfenced bool) time.Time {
+// change's order is on its way, and no VM has a lease of a former primary, so that
+// none passes on commits or takes it for the only one. With the newest primary made
+// to step down none does at once.
+func waitUntil(claims []claim, term siskin.Term, overtook bool) time.Time {
 	var last time.Time
 	var newest siskin.Term
 	for i := range claims {
@@ -134,11 +135,8 @@
 	if overtook {
 		return last.Add(takeOverWait)
 	}
-	if !unfenced {
-		return time.Time{}
-	}
 	for i := range claims {
-		if c := &claims[i]; c.demoted && c.holds(term) && c.led >= newest {
+		if c := &claims[i]; (c.demoted || c.steppedDown) && c.holds(term) && c.led >= newest {
 			return time.Time{}
 		}
 	}
@@ -199,7 +197,7 @@
 		}
 	}
 	if replicasMissing < sync && len(held) > 1 {
-		held = slices.DeleteFunc(held, func(c claim) bool { return c.primary })
+		held = slices.DeleteFunc(held, func(c claim) bool { return c.primary && !missed(held, &c) })
 	}
 	if len(held) == 0 {
 		return claim{}, false
@@ -214,6 +212,12 @@
 	}), true
 }
 
+// missed reports whether no claimed replica followed a primary that stepped down. They
+// may have started again and followed a former one.
+func missed(held []claim, primary *claim) bool {
+	return !slices.ContainsFunc(held, func(c claim) bool { return !c.primary && c.status.Term >= primary.led })
+}
+
 // leaving reports whether a target is to lead only when no other one can.
 func leaving(t *siskin.TargetInfo) bool { return t.Draining || t.Evacuated }
 
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -32,10 +32,11 @@
 	Store    siskin.Store
 	Promoter siskin.Promoter
 	Run      siskin.Incarnation
-	// Leases is nil where the platform refuses a fence that is lower than one it
-	// has seen and a promotion takes the lead from the former primary. Otherwise
+	// Fencing says that the platform refuses a fence that is lower than one it has
+	// seen, and that a promotion takes the lead from the former primary. Otherwise
 	// the order of changes and the end of a former primary are kept here.
-	Leases *lease.Leases
+	Fencing bool
+	Leases  *lease.Leases
 	// Status decodes the answer to a control statement.
 	Status func(*siskin.Answer) (siskin.ControlStatus, error)
 	Log    *log.Logger
--- a/internal/elect/modeltarget_test.go
+++ b/internal/elect/modeltarget_test.go
@@ -27,8 +27,8 @@
 	term, held siskin.Term
 	leads      bool
 	log        modelLog
-	// down is the tick until which the target does not run, and listed that from
-	// which it has an entry in discovery.
+	// down is the tick until which the target does not run and at which its present
+	// run starts, and listed that from which it has an entry in discovery.
 	down, listed int
 	born         int // tick of the last start
 	// crashed says that the target led when it crashed, before any further
@@ -54,5 +54,6 @@
 	vm, id int
 	target siskin.TargetID
 	term   siskin.Term
-	sent   int // tick
+	sent   int             // tick
+	end    siskin.Position // of the log when it was acknowledged
 }
--- a/internal/elect/reserve.go
+++ b/internal/elect/reserve.go
@@ -31,7 +31,7 @@
 
 // leadTerms returns the terms of the present primaries as far as they are known.
 func (e *Elector) leadTerms() map[siskin.ServiceName]siskin.Term {
-	if e.cfg.Leases == nil {
+	if e.cfg.Fencing {
 		return nil
 	}
 	terms := make(map[siskin.ServiceName]siskin.Term)
@@ -51,7 +51,7 @@
 // so that it is known to be higher than those used before. Without the store the
 // next change may then use it. The caller holds mu.
 func (e *Elector) renewForTerm(name siskin.ServiceName, term siskin.Term, w *watch, now time.Time) {
-	if e.cfg.Leases == nil || term == 0 || now.Sub(w.renewed) < renewalPause || e.fence.coversTerm(name, term) {
+	if e.cfg.Fencing || term == 0 || now.Sub(w.renewed) < renewalPause || e.fence.coversTerm(name, term) {
 		return
 	}
 	w.renewed = now
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -18,18 +18,26 @@
 	// askReplica bounds the question to one replica, so that a silent one leaves
 	// time for the others.
 	askReplica = 90 * time.Millisecond
+	// askAgain is the time between two questions to replicas that accept no
+	// connection at the moment.
+	askAgain = 15 * time.Millisecond
 )
 
-// Leads holds what Homes needs where a target's own answer is no proof of lead,
-// since the platform leaves former primaries leading.
+// Leads holds what Homes needs to tell the only primary from a former one.
 type Leads struct {
 	Leases *lease.Leases
+	// Fencing says that a target's own answer is a proof of lead, since a promotion
+	// takes the lead from the former primary. Otherwise reads rest on leases, too.
+	Fencing bool
 	// Service looks a service up in the configuration in force.
 	Service func(siskin.ServiceName) (siskin.ServiceSpec, bool)
 	// Targets returns the targets of a service.
 	Targets func(siskin.ServiceName) []siskin.TargetInfo
-	// Status asks a target for its state, directly or through its home.
-	Status func(context.Context, siskin.TargetID) (siskin.ControlStatus, error)
+	// Listed returns when service discovery began to list the present run of a target,
+	// zero when it did before this VM asked.
+	Listed func(siskin.TargetID) (time.Time, bool)
+	// Status asks a target for its state, through its home or directly.
+	Status func(context.Context, siskin.TargetID) (Observed, error)
 	Log    *log.Logger
 }
 
@@ -51,14 +59,23 @@
 // only one that could acknowledge commits. The caller still has to see a plain
 // transaction begin there.
 func (h *Homes) confirm(ctx context.Context, service siskin.ServiceName, l *lane) (at time.Time, ok bool) {
-	at = h.cfg.Clock.Now()
-	if h.cfg.Leads == nil {
-		return at, true
+	if h.ownProof() {
+		return h.cfg.Clock.Now(), true
 	}
+	return h.covered(ctx, service, l)
+}
+
+// ownProof reports whether the word of a target is a proof of its lead.
+func (h *Homes) ownProof() bool { return h.cfg.Leads == nil || h.cfg.Leads.Fencing }
+
+// covered returns a moment after the call began, and whether a lease of the target's
+// lead covers it. It asks the replicas when none does, or when one ends soon.
+func (h *Homes) covered(ctx context.Context, service siskin.ServiceName, l *lane) (at time.Time, ok bool) {
+	at = h.cfg.Clock.Now()
 	id := l.target()
 	if age := h.cfg.Leads.Leases.Age(id, at); age < lease.Life {
 		if age > lease.RenewAfter {
-			h.renew(service, l)
+			h.renew(service, l, 0)
 		}
 		return at, true
 	}
@@ -66,7 +83,7 @@
 		return at, false
 	}
 	select {
-	case <-h.renew(service, l):
+	case <-h.renew(service, l, 0):
 	case <-ctx.Done():
 	}
 	at = h.cfg.Clock.Now()
@@ -80,8 +97,9 @@
 }
 
 // renew starts a renewal of a lease unless one is in progress, and returns a
-// channel that is closed at its end.
-func (h *Homes) renew(service siskin.ServiceName, l *lane) <-chan struct{} {
+// channel that is closed at its end. The target is known to have led the given term,
+// or a later one.
+func (h *Homes) renew(service siskin.ServiceName, l *lane, term siskin.Term) <-chan struct{} {
 	r := &l.renewal
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -91,7 +109,7 @@
 	done := make(chan struct{})
 	r.done = done
 	if !h.spawn(func() {
-		err := h.askReplicas(service, l)
+		err := h.askReplicas(service, l, term)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if err != nil {
@@ -114,21 +132,40 @@
 
 // askReplicas renews a lease with the answers of replicas. The error says why too
 // few of them were found unclaimed.
-func (h *Homes) askReplicas(service siskin.ServiceName, l *lane) error {
+func (h *Homes) askReplicas(service siskin.ServiceName, l *lane, term siskin.Term) error {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
+	for {
+		again, err := h.askOnce(ctx, service, l, term)
+		if !again {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-h.cfg.Clock.After(askAgain):
+		}
+	}
+}
+
+// askOnce asks each replica once. The result again says that one of them accepts no
+// connection at the moment and could confirm the lead.
+func (h *Homes) askOnce(ctx context.Context, service siskin.ServiceName, l *lane, term siskin.Term) (again bool, err error) {
 	leads, id := h.cfg.Leads, l.target()
 	spec, ok := leads.Service(service)
 	if !ok {
-		return siskin.NewError(siskin.Unavailable, "service %s is not configured", service)
+		return false, siskin.NewError(siskin.Unavailable, "service %s is not configured", service)
 	}
-	term := leads.Leases.Term(id)
-	if term == 0 {
-		var err error
+	known := h.knownTerm(service)
+	if term = max(term, leads.Leases.Term(id)); term < max(known, 1) {
 		if term, err = h.termOf(ctx, id); err != nil {
-			return err
+			return siskin.KindOf(err) == siskin.Overloaded, err
 		}
 	}
+	if term < known {
+		// A replica that has started again may follow a former primary.
+		return false, siskin.NewError(siskin.Conflict, "target %s leads term %d, and another one has led term %d", id, term, known)
+	}
 	var replicas []siskin.TargetInfo
 	for _, t := range leads.Targets(service) {
 		if t.ID != id {
@@ -140,40 +177,75 @@
 	var last error
 	for i := range replicas {
 		n := (l.renewal.asked + i) % len(replicas)
-		s, err := h.status(ctx, replicas[n].ID, askReplica)
+		o, err := h.status(ctx, replicas[n].ID, askReplica)
 		if err != nil {
+			again = again || siskin.KindOf(err) == siskin.Overloaded
 			if siskin.KindOf(last) != siskin.Conflict {
 				last = err
 			}
 			continue
 		}
+		s := &o.Status
 		if s.Term > term {
 			// Another target leads, or this one leads again in a later term.
 			if term, err = h.termOf(ctx, id); err != nil || term < s.Term {
 				h.cfg.Views.Denied(service, id, asked)
-				return siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, term)
+				return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, term)
 			}
 		}
-		if !lease.Unclaimed(s, term) {
+		if !lease.Unclaimed(*s, term) {
 			last = siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.HeldTerm)
 			continue
 		}
+		if !leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, &o.Run), asked) {
+			if siskin.KindOf(last) != siskin.Conflict {
+				last = siskin.NewError(siskin.Unavailable, "replica %s may have started again and forgotten a claim", replicas[n].ID)
+			}
+			continue
+		}
 		l.renewal.asked = n
 		if unclaimed++; unclaimed == lease.Needed(spec.SyncReplicas) {
 			leads.Leases.Renew(id, term, asked)
-			return nil
+			return false, nil
 		}
 	}
 	kind := siskin.Unavailable
 	if siskin.KindOf(last) == siskin.Conflict {
 		kind = siskin.Conflict
 	}
-	return siskin.NewError(kind, "%d of %d replicas of %s confirm the lead of %s", unclaimed, len(replicas), service, id).WithCause(last)
+	return again, siskin.NewError(kind, "%d of %d replicas of %s confirm the lead of %s", unclaimed, len(replicas), service, id).WithCause(last)
+}
+
+// knownTerm returns the newest term in which a target of a service is known to have
+// led.
+func (h *Homes) knownTerm(service siskin.ServiceName) siskin.Term {
+	l := h.cfg.Views.Lead(service)
+	return max(l.Term, l.Position.Term)
+}
+
+// started returns a moment from which on a target has run without a new start: the
+// opening of a connection that still answers, or the first list with its present run
+// unless a connection has failed since.
+func (h *Homes) started(id siskin.TargetID, r *Run) time.Time {
+	now := h.cfg.Clock.Now()
+	shown := now.Add(-r.Running)
+	listed, ok := h.cfg.Leads.Listed(id)
+	if !ok {
+		return shown
+	}
+	if failed := now.Add(-r.Failed); r.Failed > 0 && failed.After(listed) {
+		listed = failed
+	}
+	if listed.Before(shown) {
+		return listed
+	}
+	return shown
 }
 
-// leadTerm returns the term that a target is known to lead, zero when it is not.
+// leadTerm returns the term that a target is known to lead where proofs need it,
+// zero when it is not known.
 func (h *Homes) leadTerm(id siskin.TargetID) siskin.Term {
-	if h.cfg.Leads == nil {
+	if h.ownProof() {
 		return 0
 	}
 	return h.cfg.Leads.Leases.Term(id)
@@ -181,14 +253,14 @@
 
 // termOf asks a primary for its term.
 func (h *Homes) termOf(ctx context.Context, id siskin.TargetID) (siskin.Term, error) {
-	s, err := h.status(ctx, id, askReplica)
-	if err == nil && !s.Primary {
+	o, err := h.status(ctx, id, askReplica)
+	if err == nil && !o.Status.Primary {
 		err = siskin.NewError(siskin.Conflict, "target %s is a replica", id)
 	}
-	return s.Term, err
+	return o.Status.Term, err
 }
 
-func (h *Homes) status(ctx context.Context, id siskin.TargetID, limit time.Duration) (siskin.ControlStatus, error) {
+func (h *Homes) status(ctx context.Context, id siskin.TargetID, limit time.Duration) (Observed, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return h.cfg.Leads.Status(ctx, id)
@@ -205,19 +277,3 @@
 	defer l.renewal.mu.Unlock()
 	return l.renewal.claimed
 }
-
-// acknowledged takes over a commit that a target acknowledged, and reports
-// whether it proves the lead: replicas that had to receive it first did so after
-// asked, so they were unclaimed then.
-func (h *Homes) acknowledged(service siskin.ServiceName, id siskin.TargetID, p siskin.Position, asked time.Time) bool {
-	leads := h.cfg.Leads
-	if leads == nil {
-		return true
-	}
-	spec, ok := leads.Service(service)
-	if !ok || !lease.ByCommit(spec.SyncReplicas) || p.IsZero() {
-		return false
-	}
-	leads.Leases.Renew(id, p.Term, asked)
-	return true
-}
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -12,13 +12,14 @@
 	customer siskin.CustomerID
 	values   map[string]string
 	prepared map[string]Prepared
+	opened   time.Time // when it was open
 	used     time.Time // end of the last use
 	fresh    bool      // no statement was sent yet
 }
 
 func newConn(tc siskin.TargetConn, customer siskin.CustomerID, now time.Time) *conn {
 	return &conn{
-		TargetConn: tc, customer: customer, used: now, fresh: true,
+		TargetConn: tc, customer: customer, opened: now, used: now, fresh: true,
 		values: make(map[string]string), prepared: make(map[string]Prepared),
 	}
 }
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -21,11 +21,13 @@
 	c  siskin.TargetConn
 	// opened is the run of the target that the connection was opened to.
 	opened siskin.TargetInfo
+	since  time.Time // when it was open
 	used   time.Time
 }
 
-// controlIdle is the time after which an unused control connection is closed.
-// Every VM may open one, and they count against the target's limit.
+// controlIdle is the time after which an unused control connection is closed at a
+// VM that is not the target's home. Every VM may open one, and they count against
+// the target's limit.
 const controlIdle = time.Second
 
 // Control sends statements to a target on the control connection. A broken
@@ -40,8 +42,11 @@
 	defer l.control.mu.Unlock()
 	reused := l.control.c != nil
 	answers, err := l.controlOnce(ctx, list)
-	if err != nil && reused && ctx.Err() == nil {
-		answers, err = l.controlOnce(ctx, list)
+	if err != nil && reused {
+		l.noteBreak(err)
+		if ctx.Err() == nil {
+			answers, err = l.controlOnce(ctx, list)
+		}
 	}
 	if err != nil {
 		kind := siskin.Unavailable
@@ -70,13 +75,9 @@
 		if err != nil {
 			return nil, err
 		}
-		ctl.c, ctl.opened = c, info
-	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(pingTimeout)
+		ctl.c, ctl.opened, ctl.since = c, info, l.clock.Now()
 	}
-	answers, err := ctl.c.Exchange(deadline, list)
+	answers, err := ctl.c.Exchange(exchangeDeadline(ctx), list)
 	if err != nil {
 		l.dropControl()
 	}
@@ -95,11 +96,7 @@
 	c := l.idle[n-1]
 	l.idle = l.idle[:n-1]
 	l.mu.Unlock()
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(pingTimeout)
-	}
-	answers, err := c.Exchange(deadline, list)
+	answers, err := c.Exchange(exchangeDeadline(ctx), list)
 	if err != nil || answers[len(answers)-1].State != siskin.TxIdle {
 		l.drop(c)
 		return answers, err
@@ -108,6 +105,14 @@
 	return answers, nil
 }
 
+// exchangeDeadline returns the deadline of an exchange of control statements.
+func exchangeDeadline(ctx context.Context) time.Time {
+	if d, ok := ctx.Deadline(); ok {
+		return d
+	}
+	return time.Now().Add(pingTimeout)
+}
+
 func (l *lane) dropControl() {
 	_ = l.control.c.Close() // control statements leave nothing open
 	l.control.c = nil
@@ -162,18 +167,19 @@
 	}
 }
 
-// trim closes connections that were idle for long: the control connection, and
-// those of callers when this VM is not the target's home.
+// trim closes connections that were idle for long when this VM is not the target's
+// home. A home keeps them, also since an open connection shows that the target has
+// not started again.
 func (l *lane) trim(now time.Time, guest bool) {
+	if !guest {
+		return
+	}
 	if l.control.mu.TryLock() {
 		if l.control.c != nil && now.Sub(l.control.used) > controlIdle {
 			l.dropControl()
 		}
 		l.control.mu.Unlock()
 	}
-	if !guest {
-		return
-	}
 	l.mu.Lock()
 	var stale []*conn
 	for len(l.idle) > 0 && now.Sub(l.idle[0].used) > controlIdle {
@@ -186,11 +192,13 @@
 }
 
 // Stalled returns the time for which writes at a target have gone without any
-// success, zero when the last one succeeded.
+// success, or were refused since its replicas are claimed; zero when the last one
+// succeeded.
 func (h *Homes) Stalled(id siskin.TargetID) time.Duration {
 	l, ok := h.lanes.Get(id)
 	if !ok {
 		return 0
 	}
-	return l.writes.stalled(h.cfg.Clock.Now())
+	now := h.cfg.Clock.Now()
+	return max(l.writes.stalled(now), l.refusals.since(now))
 }
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	homes    *Homes
 	views    *views.Views
 	limit    int
+	listed   time.Time    // when service discovery began to list the targets
+	asked    atomic.Int64 // questions for the state of a target
 }
 
 func start(t *testing.T, o stand.ServiceOptions) *fixture {
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -34,6 +34,7 @@
 	queue     *fairq.Queue
 	control   control
 	writes    writes
+	refusals  refusals
 	renewal   renewal
 
 	mu      sync.Mutex
@@ -45,6 +46,7 @@
 	wake    chan struct{} // closed when a connection becomes free
 	avoid   time.Time
 	failed  time.Time // last time that a connection broke or could not be opened
+	silent  time.Time // last time that a connection was given up for its silence
 	closing bool
 	opened  int64 // connections opened since the start
 }
--- /dev/null
+++ b/internal/home/refusals.go
@@ -0,0 +1,45 @@
+package home
+
+import (
+	"sync"
+	"time"
+)
+
+// refusalGap is the time without a refusal after which earlier ones tell nothing of
+// a target. Callers come back within it.
+const refusalGap = 600 * time.Millisecond
+
+// refusals counts writes that were refused since the replicas of their target are
+// claimed. Such a target acknowledges no write, and none is sent to it.
+type refusals struct {
+	mu          sync.Mutex
+	first, last time.Time
+	n           int
+}
+
+func (r *refusals) add(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.last) > refusalGap {
+		r.first, r.n = now, 0
+	}
+	r.last = now
+	r.n++
+}
+
+// since returns the time for which writes have been refused, zero when they are not.
+func (r *refusals) since(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.n < minPending || now.Sub(r.last) > refusalGap {
+		return 0
+	}
+	return now.Sub(r.first)
+}
+
+// clear forgets the refusals, since a write was acknowledged.
+func (r *refusals) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.n, r.last = 0, time.Time{}
+}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -33,7 +33,7 @@
 
 // do queues the statement, takes a connection and runs it.
 func (r *run) do(ctx context.Context) Reply {
-	if r.req.Mode == Single && r.req.Statement.Changes() && r.l.writes.refused(r.start) {
+	if r.req.Mode == Single && r.req.Statement.Changes() && (r.l.writes.refused(r.start) || r.h.refusesCommits(r.req.Service, r.l)) {
 		r.reply.Cause = Stalled
 		return r.reply
 	}
@@ -166,6 +166,11 @@
 		r.l.drop(r.c)
 		return false
 	}
+	if s.Changes() && !r.h.mayCommitBy(r.deadline, r.req.Service, r.l) {
+		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
+		r.l.put(r.c)
+		return false
+	}
 	asked := r.h.cfg.Clock.Now()
 	if s.Changes() && !r.l.writes.start(asked) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
@@ -211,7 +216,10 @@
 	case a.Code == siskin.ReadOnly:
 		r.denied(a, asked)
 	case a.Code == siskin.Succeeded && s.Changes():
-		if r.h.acknowledged(r.req.Service, r.req.Target, a.Position, asked) {
+		switch got := r.h.acknowledged(r.req.Service, r.l, a.Position, asked); {
+		case !got.kept:
+			r.reply.Outcome, r.reply.Cause, r.reply.Answer = Lost, Unconfirmed, siskin.Answer{}
+		case got.proof:
 			r.proven(a.Position, asked)
 		}
 	case a.Code == siskin.Succeeded:
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -80,8 +80,12 @@
 		return Reply{Outcome: NotSent, Cause: Evacuated}
 	}
 	s := named(req)
-	asked := h.cfg.Clock.Now()
 	commits := s.Kind == siskin.Commit && t.wrote
+	if commits && !h.mayCommitBy(deadline, req.Service, t.l) {
+		h.abandon(id, t)
+		return Reply{Cause: Stalled}
+	}
+	asked := h.cfg.Clock.Now()
 	if commits && !t.l.writes.start(asked) {
 		h.abandon(id, t)
 		return Reply{Cause: Stalled}
@@ -118,8 +122,8 @@
 		switch {
 		case s.Changes():
 			t.wrote = true
-		case s.Kind == siskin.Commit && t.wrote:
-			h.acknowledged(req.Service, req.Target, a.Position, asked)
+		case commits && !h.acknowledged(req.Service, t.l, a.Position, asked).kept:
+			reply.Outcome, reply.Cause, reply.Answer = Lost, Unconfirmed, siskin.Answer{}
 		}
 	}
 	if s.Kind == siskin.Commit || s.Kind == siskin.Rollback {
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -10,6 +10,11 @@
 // primary until Life later. A primary that was made to step down refuses plain
 // transactions itself, so that such a change need not wait.
 //
+// Commits are passed on to callers under a lease only, also where the platform
+// checks fences. A replica that starts again has forgotten its claim, and may
+// acknowledge commits of a former primary which the target of an order that is on
+// its way lacks. So the state of such a replica is no evidence for a while.
+//
 // Times are those of a clock that counts suspensions, so that a VM which wakes
 // holds no lease.
 package lease
--- a/internal/lease/evidence.go
+++ b/internal/lease/evidence.go
@@ -13,6 +13,6 @@
 	return !s.Primary && s.Term == term && s.HeldTerm <= s.Term
 }
 
-// ByCommit reports whether an acknowledged commit shows that enough replicas
-// were unclaimed, which it does when they had to receive it first.
-func ByCommit(sync int) bool { return sync > 0 }
+// ByReplicas reports whether acknowledged commits rest on replicas, which had to
+// receive them first.
+func ByReplicas(sync int) bool { return sync > 0 }
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -16,6 +16,11 @@
 	// Wait is the time from the last claim of a change to its promotion. It is
 	// longer than Life, since the rates of two clocks may differ.
 	Wait = Life + Life/10
+	// WitnessAfter is the time for which a replica must have run before its state
+	// counts, unless it ran at the last evidence already. One that starts again has
+	// forgotten the claim of a change, which lasts up to 4 s and orders a promotion
+	// that takes effect within a second.
+	WitnessAfter = 5 * time.Second
 )
 
 // hold is a lease of the lead of one target.
@@ -53,6 +58,43 @@
 	l.holds[id] = h
 }
 
+// Extend takes over a commit of the given term that was asked for at one moment and
+// acknowledged before another, now, at which a lease covers it. A claimed replica
+// that started again may have acknowledged it, so a commit alone is no evidence:
+// the change that had claimed the replica finds that claim lost before its order,
+// which it sends no earlier than the end of the lease.
+func (l *Leases) Extend(id siskin.TargetID, term siskin.Term, asked, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h, ok := l.holds[id]
+	if !ok || !h.covers(term, now) {
+		return false
+	}
+	if asked.After(h.asked) {
+		h.asked = asked
+		l.holds[id] = h
+	}
+	return true
+}
+
+// covers reports whether no promotion over the given term was ordered before now.
+func (h hold) covers(term siskin.Term, now time.Time) bool {
+	return h.term == term && now.Sub(h.asked) < Life
+}
+
+// Witnesses reports whether a replica's state, asked for at a moment, may count as
+// evidence for a target that leads the given term: the replica has run since started
+// and has forgotten no claim that may still lead to a promotion.
+func (l *Leases) Witnesses(id siskin.TargetID, term siskin.Term, started, asked time.Time) bool {
+	if asked.Sub(started) >= WitnessAfter {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h, ok := l.holds[id]
+	return ok && h.term == term && !started.After(h.asked)
+}
+
 // Valid reports whether the target is the only primary at the given moment, which
 // must not lie in the future.
 func (l *Leases) Valid(id siskin.TargetID, now time.Time) bool {
--- a/internal/lease/leases_test.go
+++ b/internal/lease/leases_test.go
@@ -69,3 +69,55 @@
 		}
 	}
 }
+
+// TestExtend guards against a lease that commits keep up although none covered
+// them: a claimed replica that started again may have acknowledged them.
+func TestExtend(t *testing.T) {
+	life := int(Life / time.Millisecond)
+	for _, c := range []struct {
+		name       string
+		term       siskin.Term
+		asked, now int
+		want       bool
+	}{
+		{"acknowledged under the lease", 3, life / 2, life - 1, true},
+		{"acknowledged after its end", 3, life / 2, life, false},
+		{"acknowledged in another term", 4, life / 2, life - 1, false},
+	} {
+		l := New()
+		if l.Extend("a", 3, at(0), at(1)) {
+			t.Errorf("%s: without a lease: got an extension, want none", c.name)
+		}
+		l.Renew("a", 3, at(0))
+		if got := l.Extend("a", c.term, at(c.asked), at(c.now)); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+		if got := l.Valid("a", at(life+1)); got != c.want {
+			t.Errorf("%s: lease beyond its first end: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestWitnesses guards against replicas that confirm a lead although they have
+// started again and may have forgotten a claim.
+func TestWitnesses(t *testing.T) {
+	after := int(WitnessAfter / time.Millisecond)
+	for _, c := range []struct {
+		name           string
+		term           siskin.Term
+		started, asked int
+		want           bool
+	}{
+		{"ran at the last evidence", 3, -10, 900, true},
+		{"started after the last evidence", 3, 10, 900, false},
+		{"ran at evidence of another term", 4, -10, 900, false},
+		{"has run for long", 4, 10, after + 10, true},
+		{"has not run for long enough", 4, 10, after + 9, false},
+	} {
+		l := New()
+		l.Renew("a", 3, at(0))
+		if got := l.Witnesses("a", c.term, at(c.started), at(c.asked)); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -172,24 +172,33 @@
 	return home.Reply{Outcome: home.Lost, Cause: home.Silent, Home: vm}, true
 }
 
-// Status asks a target for its state on a connection of this VM. A target that
-// accepts no further connection is asked by its home, which has some.
-func (p *Path) Status(ctx context.Context, id siskin.TargetID) (siskin.ControlStatus, error) {
-	answers, err := p.cfg.Homes.Control(ctx, id, siskin.Statement{Kind: siskin.Status})
-	if err == nil {
-		return p.cfg.Status(&answers[0])
-	}
-	t, ok := p.cfg.Roster.Target(id)
-	if !ok || siskin.KindOf(err) != siskin.Overloaded {
-		return siskin.ControlStatus{}, err
+// askHome bounds the question to a target through its home, so that time is left to
+// ask it directly.
+const askHome = 45 * time.Millisecond
+
+// Observe asks a target for its state and what is known of its run: through its home,
+// which has connections of long standing, or else on a connection of this VM.
+func (p *Path) Observe(ctx context.Context, id siskin.TargetID) (home.Observed, error) {
+	if t, ok := p.cfg.Roster.Target(id); ok {
+		if vm, ok := p.Home(t); ok && vm != p.cfg.Crew.Self().ID {
+			var reply home.Observed
+			ctx, cancel := context.WithTimeout(ctx, askHome)
+			defer cancel()
+			if err := p.cfg.Peers.Call(ctx, vm, "Home.Observe", &ObserveArgs{Target: id}, &reply); err == nil {
+				return reply, nil
+			}
+		}
 	}
-	vm, ok := p.Home(t)
-	if !ok || vm == p.cfg.Crew.Self().ID {
-		return siskin.ControlStatus{}, err
+	return observe(ctx, p.cfg.Homes, p.cfg.Status, id)
+}
+
+func observe(ctx context.Context, homes *home.Homes, status func(*siskin.Answer) (siskin.ControlStatus, error), id siskin.TargetID) (o home.Observed, err error) {
+	var a siskin.Answer
+	if a, o.Run, err = homes.Observe(ctx, id); err != nil {
+		return o, err
 	}
-	var reply siskin.ControlStatus
-	err = p.cfg.Peers.Call(ctx, vm, "Home.Status", &StatusArgs{Target: id}, &reply)
-	return reply, err
+	o.Status, err = status(&a)
+	return o, err
 }
 
 // Receiver serves the calls of peers under the name Home.
@@ -210,21 +219,18 @@
 	return nil
 }
 
-// statusTimeout bounds the question to a target for another VM.
-const statusTimeout = 150 * time.Millisecond
+// observeTimeout bounds the question to a target for another VM.
+const observeTimeout = 150 * time.Millisecond
 
-// StatusArgs names the target whose state is asked for.
-type StatusArgs struct{ Target siskin.TargetID }
+// ObserveArgs names the target whose state is asked for.
+type ObserveArgs struct{ Target siskin.TargetID }
 
-// Status asks a target for its state, for a VM that it accepts no connection of.
-func (r *Receiver) Status(args *StatusArgs, reply *siskin.ControlStatus) error {
-	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+// Observe asks a target for its state and what is known of its run, for a VM that is
+// not its home.
+func (r *Receiver) Observe(args *ObserveArgs, reply *home.Observed) (err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), observeTimeout)
 	defer cancel()
-	answers, err := r.homes.Control(ctx, args.Target, siskin.Statement{Kind: siskin.Status})
-	if err != nil {
-		return err
-	}
-	*reply, err = r.status(&answers[0])
+	*reply, err = observe(ctx, r.homes, r.status, args.Target)
 	return err
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -36,6 +36,7 @@
 
 type entry struct {
 	info     siskin.TargetInfo
+	since    time.Time // first list with this run of the target; zero for the first list of all
 	missing  time.Time // first list without the entry; zero while it is there
 	draining time.Time // first list that says so; zero while it does not
 	cold     time.Time // until when it may be cold; zero when it is not
@@ -72,6 +73,18 @@
 	return r.evac.mark(e.info), true
 }
 
+// Since returns when the lists began to have the present run of a target, zero when
+// the first one had it. The result is false when the target is not listed.
+func (r *Roster) Since(id siskin.TargetID) (time.Time, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	e, ok := r.targets[id]
+	if !ok || !e.missing.IsZero() {
+		return time.Time{}, false
+	}
+	return e.since, true
+}
+
 // Leaving reports whether a target has been draining or evacuated for so long
 // that it must get no new work. Leaving targets take it until then only as
 // primaries, while their successor is elected.
@@ -122,6 +135,7 @@
 		return
 	}
 	r.noteGap(at)
+	first := r.listed.IsZero()
 	r.version, r.listed = version, at
 	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
@@ -133,6 +147,12 @@
 			continue
 		}
 		next := &entry{info: info}
+		switch {
+		case e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.Born.Equal(info.Born):
+			next.since = e.since
+		case !first:
+			next.since = at
+		}
 		if info.Draining {
 			if next.draining = at; e != nil && !e.draining.IsZero() {
 				next.draining = e.draining
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -108,3 +108,33 @@
 		t.Error("leaving of an unknown target: got false, want true")
 	}
 }
+
+// TestSince guards against a target that is taken to have run for long although its
+// lists show a new run, an entry of its successor or a gap.
+func TestSince(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
+	info := func(id string, born int, draining bool) siskin.TargetInfo {
+		return siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", Address: "a", Born: at(born), Draining: draining}
+	}
+	r := New()
+	if _, ok := r.Since("a"); ok {
+		t.Error("before the first list: got a time, want none")
+	}
+	r.Replace([]siskin.TargetInfo{info("a", 0, false), info("b", 0, false)}, 1, at(0))
+	r.Replace([]siskin.TargetInfo{info("a", 0, true), info("b", 0, false), info("c", 2, false)}, 2, at(2))
+	r.Replace([]siskin.TargetInfo{info("a", 0, true), info("b", 4, false), info("c", 2, false)}, 3, at(4))
+	r.Replace([]siskin.TargetInfo{info("a", 0, true), info("b", 4, false)}, 4, at(5))
+	for _, c := range []struct {
+		id   siskin.TargetID
+		want time.Time
+		ok   bool
+	}{{"a", time.Time{}, true}, {"b", at(4), true}, {"c", time.Time{}, false}} {
+		if got, ok := r.Since(c.id); !got.Equal(c.want) || ok != c.ok {
+			t.Errorf("%s: got %v and %v, want %v and %v", c.id, got, ok, c.want, c.ok)
+		}
+	}
+	r.Replace([]siskin.TargetInfo{info("a", 0, true), info("b", 4, false), info("c", 2, false)}, 5, at(6))
+	if got, ok := r.Since("c"); !ok || !got.Equal(at(6)) {
+		t.Errorf("a target that is listed again: got %v and %v, want %v", got, ok, at(6))
+	}
+}
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -64,7 +64,6 @@
 	elect  *elect.Elector
 	feed   *feed.Feed
 	stats  *stats.Stats
-	// leases is nil where the platform checks fences.
 	leases *lease.Leases
 
 	peers      *peer.Client
@@ -110,17 +109,13 @@
 	return n, nil
 }
 
-// leads returns what homes need to prove a lead, nil where the word of the target
-// is enough.
+// leads returns what homes need to tell the only primary from a former one.
 func (n *node) leads() *home.Leads {
-	if n.cfg.Promoter.Fencing {
-		return nil
-	}
 	n.leases = lease.New()
 	return &home.Leads{
-		Leases: n.leases, Targets: n.roster.Service, Log: n.log,
-		Status: func(ctx context.Context, id siskin.TargetID) (siskin.ControlStatus, error) {
-			return n.path.Status(ctx, id)
+		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, Listed: n.roster.Since, Log: n.log,
+		Status: func(ctx context.Context, id siskin.TargetID) (home.Observed, error) {
+			return n.path.Observe(ctx, id)
 		},
 		Service: func(name siskin.ServiceName) (siskin.ServiceSpec, bool) {
 			if s, ok := n.table.Snapshot().Service(name); ok {
@@ -189,7 +184,7 @@
 	changed := n.stats.Scope().Timer("primary_change")
 	n.elect = elect.Start(elect.Config{
 		Clock: n.clock, Members: n.crew, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views, Homes: n.homes,
-		Leases: n.leases, Store: store, Run: n.crew.Node().Run, Status: platform.ParseStatus, Log: n.log, Changed: changed.Record,
+		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Store: store, Run: n.crew.Node().Run, Status: platform.ParseStatus, Log: n.log, Changed: changed.Record,
 		Promoter: &platform.Promoter{Base: "http://" + n.cfg.Promoter.Address, HTTP: client, Timeout: n.cfg.Promoter.Timeout},
 	})
 	var evacuations siskin.ObjectKind
