home, lease: replicas are evidence by connections, or as a complete group

Lists of service discovery are seconds late, so an old list and no failure prove nothing. The other side: 5 s of refused writes after the restart of the only replica, of one of two that both acknowledge, or of all targets, although nothing was claimed; healthy connections closed by questions without time; reads behind writes that held places while they asked.

Change: - A connection shows the run of a target since it was opened, and nothing else but lists that were asked for 2 s after the opening. Homes open one to each of their targets in advance. - All replicas of a complete group together are evidence whatever their age: the target of an order keeps its claim until it is promoted. - With fencing a single replica counts after 14 s, since orders without an answer are carried out up to 12 s later there. - Writes ask before they take a place; a joined renewal that fails is repeated once; questions without time are not sent; full replicas are asked each 50 ms instead of 15; replicas counted in an earlier term do not count in a later one. - A primary that stepped down and that no replica followed is kept only where former primaries lead on: elsewhere it would be promoted again and again while it does not reach its replicas.

--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -212,10 +212,10 @@
 	}), true
 }
 
-// missed reports whether no claimed replica followed a primary that stepped down. They
-// may have started again and followed a former one.
+// missed reports whether no claimed replica followed a primary that stepped down. Where
+// former primaries lead on, they may have started again and followed one.
 func missed(held []claim, primary *claim) bool {
-	return !slices.ContainsFunc(held, func(c claim) bool { return !c.primary && c.status.Term >= primary.led })
+	return primary.demoted && !slices.ContainsFunc(held, func(c claim) bool { return !c.primary && c.status.Term >= primary.led })
 }
 
 // leaving reports whether a target is to lead only when no other one can.
--- a/internal/home/acknowledge.go
+++ b/internal/home/acknowledge.go
@@ -9,9 +9,10 @@
 )
 
 // mayCommitBy reports whether a write or a commit may be sent to a target, and asks
-// the replicas for a lease until the deadline when there is none. Without a lease its acknowledgement could not be passed on: it may come from a replica that
-// has forgotten the claim of a change of primary, and be missing at the target that
-// the change promotes.
+// the replicas for a lease until the deadline when there is none. Without a lease its
+// acknowledgement could not be passed on: it may come from a replica that has
+// forgotten the claim of a change of primary, and be missing at the target that the
+// change promotes.
 func (h *Homes) mayCommitBy(deadline time.Time, service siskin.ServiceName, l *lane) bool {
 	if !h.needsLease(service) {
 		return true
@@ -25,29 +26,14 @@
 	return ok
 }
 
-// refusesCommits reports whether a write that came now would be refused without
-// another question to the replicas.
-func (h *Homes) refusesCommits(service siskin.ServiceName, l *lane) bool {
-	if !h.needsLease(service) {
-		return false
-	}
-	now := h.cfg.Clock.Now()
-	if h.cfg.Leads.Leases.Valid(l.target(), now) || !l.renewal.refusedSince(now.Add(-refusedFor)) {
-		return false
-	}
-	if h.Claimed(l.target()) {
-		l.refusals.add(now)
-	}
-	return true
-}
-
-// needsLease reports whether commits at a service's targets rest on replicas.
+// needsLease reports whether commits at a service's targets rest on replicas. Those of
+// a service that this VM does not know yet may do so.
 func (h *Homes) needsLease(service siskin.ServiceName) bool {
 	if h.cfg.Leads == nil {
 		return false
 	}
 	spec, ok := h.cfg.Leads.Service(service)
-	return ok && lease.ByReplicas(spec.SyncReplicas)
+	return !ok || lease.ByReplicas(spec.SyncReplicas)
 }
 
 // ack is what the acknowledgement of a commit is worth.
@@ -60,21 +46,29 @@
 }
 
 // acknowledged takes over the position of a commit that was sent after the moment
-// asked, and that the target acknowledged. A commit that took longer than its lease is covered by another one,
-// for which the replicas are asked.
+// asked, and that the target acknowledged. A commit that took longer than its lease is
+// covered by another one, for which the replicas are asked.
 func (h *Homes) acknowledged(service siskin.ServiceName, l *lane, p siskin.Position, asked time.Time) ack {
-	if !h.needsLease(service) || p.IsZero() {
+	if !h.needsLease(service) {
 		return ack{kept: true, proof: h.ownProof()}
 	}
 	leases, id, now := h.cfg.Leads.Leases, l.target(), h.cfg.Clock.Now()
-	if !leases.Extend(id, p.Term, asked, now) {
-		<-h.renew(service, l, p.Term)
-		if !leases.Extend(id, p.Term, asked, now) {
-			h.cfg.Leads.Log.Warn().Str("Service", string(service)).Str("Target", string(id)).
-				Uint64("Term", uint64(p.Term)).Uint64("LSN", uint64(p.LSN)).
-				Msg("a commit was acknowledged and the replicas do not confirm the lead; its outcome is unknown")
-			return ack{}
-		}
+	term := p.Term
+	if p.IsZero() {
+		term = leases.Term(id)
+	}
+	kept := leases.Extend(id, term, asked, now)
+	// A renewal that is in progress may have begun before the acknowledgement and
+	// fail for a reason that is over.
+	for i := 0; i < 2 && !kept; i++ {
+		<-h.renew(service, l, term)
+		kept = leases.Extend(id, term, asked, now)
+	}
+	if !kept {
+		h.cfg.Leads.Log.Warn().Str("Service", string(service)).Str("Target", string(id)).
+			Uint64("Term", uint64(p.Term)).Uint64("LSN", uint64(p.LSN)).
+			Msg("a commit was acknowledged and the replicas do not confirm the lead; its outcome is unknown")
+		return ack{}
 	}
 	l.refusals.clear()
 	return ack{kept: true, proof: true}
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -20,7 +20,10 @@
 	askReplica = 90 * time.Millisecond
 	// askAgain is the time between two questions to replicas that accept no
 	// connection at the moment.
-	askAgain = 15 * time.Millisecond
+	askAgain = 50 * time.Millisecond
+	// entryDelay is the time from a new start of a target to the entry that tells of
+	// it. A target writes its entry each 1.2 s.
+	entryDelay = 2 * time.Second
 )
 
 // Leads holds what Homes needs to tell the only primary from a former one.
@@ -33,9 +36,11 @@
 	Service func(siskin.ServiceName) (siskin.ServiceSpec, bool)
 	// Targets returns the targets of a service.
 	Targets func(siskin.ServiceName) []siskin.TargetInfo
-	// Listed returns when service discovery began to list the present run of a target,
-	// zero when it did before this VM asked.
-	Listed func(siskin.TargetID) (time.Time, bool)
+	// Group returns the number of targets of a service when none is missing.
+	Group func(siskin.ServiceName) int
+	// Listed returns since when service discovery lists the present run of a target,
+	// and when its last list was asked for.
+	Listed func(siskin.TargetID) (since, listed time.Time, ok bool)
 	// Status asks a target for its state, through its home or directly.
 	Status func(context.Context, siskin.TargetID) (Observed, error)
 	Log    *log.Logger
@@ -173,7 +178,7 @@
 		}
 	}
 	asked := h.cfg.Clock.Now()
-	unclaimed := 0
+	unclaimed, witnesses := 0, 0
 	var last error
 	for i := range replicas {
 		n := (l.renewal.asked + i) % len(replicas)
@@ -188,27 +193,35 @@
 		s := &o.Status
 		if s.Term > term {
 			// Another target leads, or this one leads again in a later term.
-			if term, err = h.termOf(ctx, id); err != nil || term < s.Term {
+			later, err := h.termOf(ctx, id)
+			if err != nil || later < s.Term {
 				h.cfg.Views.Denied(service, id, asked)
-				return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, term)
+				return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, later)
 			}
+			return h.askOnce(ctx, service, l, later)
 		}
 		if !lease.Unclaimed(*s, term) {
 			last = siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.HeldTerm)
 			continue
 		}
-		if !leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, &o.Run), asked) {
+		unclaimed++
+		if !leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, o.Running), asked, h.witnessAfter()) {
 			if siskin.KindOf(last) != siskin.Conflict {
 				last = siskin.NewError(siskin.Unavailable, "replica %s may have started again and forgotten a claim", replicas[n].ID)
 			}
 			continue
 		}
 		l.renewal.asked = n
-		if unclaimed++; unclaimed == lease.Needed(spec.SyncReplicas) {
+		if witnesses++; witnesses == lease.Needed(spec.SyncReplicas) {
 			leads.Leases.Renew(id, term, asked)
 			return false, nil
 		}
 	}
+	// The target of an order keeps its claim until it is promoted.
+	if unclaimed == len(replicas) && unclaimed >= lease.Needed(spec.SyncReplicas) && unclaimed+1 >= leads.Group(service) {
+		leads.Leases.Renew(id, term, asked)
+		return false, nil
+	}
 	kind := siskin.Unavailable
 	if siskin.KindOf(last) == siskin.Conflict {
 		kind = siskin.Conflict
@@ -216,6 +229,15 @@
 	return again, siskin.NewError(kind, "%d of %d replicas of %s confirm the lead of %s", unclaimed, len(replicas), service, id).WithCause(last)
 }
 
+// witnessAfter returns the time after which a replica that has started may confirm a
+// lead.
+func (h *Homes) witnessAfter() time.Duration {
+	if h.cfg.Leads.Fencing {
+		return lease.WitnessAfterLate
+	}
+	return lease.WitnessAfter
+}
+
 // knownTerm returns the newest term in which a target of a service is known to have
 // led.
 func (h *Homes) knownTerm(service siskin.ServiceName) siskin.Term {
@@ -223,23 +245,16 @@
 	return max(l.Term, l.Position.Term)
 }
 
-// started returns a moment from which on a target has run without a new start: the
-// opening of a connection that still answers, or the first list with its present run
-// unless a connection has failed since.
-func (h *Homes) started(id siskin.TargetID, r *Run) time.Time {
-	now := h.cfg.Clock.Now()
-	shown := now.Add(-r.Running)
-	listed, ok := h.cfg.Leads.Listed(id)
-	if !ok {
-		return shown
-	}
-	if failed := now.Add(-r.Failed); r.Failed > 0 && failed.After(listed) {
-		listed = failed
-	}
-	if listed.Before(shown) {
-		return listed
+// started returns a moment from which on a target has run without a new start. Its
+// connection shows this since it was opened. Lists show it from before on if the last
+// one was asked for so late that it would tell of a start before the opening.
+func (h *Homes) started(id siskin.TargetID, running time.Duration) time.Time {
+	opened := h.cfg.Clock.Now().Add(-running)
+	since, listed, ok := h.cfg.Leads.Listed(id)
+	if ok && since.Before(opened) && listed.After(opened.Add(entryDelay)) {
+		return since
 	}
-	return shown
+	return opened
 }
 
 // leadTerm returns the term that a target is known to lead where proofs need it,
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"siskintray.example/siskin"
@@ -23,6 +24,8 @@
 	opened siskin.TargetInfo
 	since  time.Time // when it was open
 	used   time.Time
+
+	attended atomic.Int64 // last attempt of Attend, in Unix nanoseconds
 }
 
 // controlIdle is the time after which an unused control connection is closed at a
@@ -30,6 +33,32 @@
 // the target's limit.
 const controlIdle = time.Second
 
+// attendEvery is the least time between two attempts of Attend at one target.
+const attendEvery = time.Second
+
+// Attend opens the control connection of a target that this VM is the home of, unless
+// one is open. A replica can confirm a lead once its home has had a connection to it
+// for long enough, so the home does not wait for the first question.
+func (h *Homes) Attend(id siskin.TargetID) {
+	l, ok := h.lane(id)
+	now := h.cfg.Clock.Now()
+	if !ok || now.UnixNano()-l.control.attended.Load() < int64(attendEvery) || !l.control.mu.TryLock() {
+		return
+	}
+	open := l.control.c != nil
+	l.control.mu.Unlock()
+	if open {
+		return
+	}
+	l.control.attended.Store(now.UnixNano())
+	h.spawn(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+		defer cancel()
+		// A target that does not answer is attended again later.
+		_, _ = h.Control(ctx, id, siskin.Statement{Kind: siskin.Status})
+	})
+}
+
 // Control sends statements to a target on the control connection. A broken
 // connection is replaced once before anything counts as failed, so the
 // statements must be safe to repeat.
@@ -40,6 +69,9 @@
 	}
 	l.control.mu.Lock()
 	defer l.control.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, siskin.NewError(siskin.Unavailable, "no time is left to ask target %s", id).WithCause(ctx.Err())
+	}
 	reused := l.control.c != nil
 	answers, err := l.controlOnce(ctx, list)
 	if err != nil && reused {
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -46,7 +46,6 @@
 	wake    chan struct{} // closed when a connection becomes free
 	avoid   time.Time
 	failed  time.Time // last time that a connection broke or could not be opened
-	silent  time.Time // last time that a connection was given up for its silence
 	closing bool
 	opened  int64 // connections opened since the start
 }
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -9,29 +9,25 @@
 	"siskintray.example/siskin"
 )
 
-// Run is what a VM knows of the present run of a target, which forgets its log and
-// its pauses when it starts again.
-type Run struct {
-	// Running is the time for which a connection has shown the same run.
-	Running time.Duration
-	// Failed is the time since the target may have started again unnoticed: a
-	// connection to it failed, or this VM is not its home and holds no other one.
-	// It is zero when nothing says so.
-	Failed time.Duration
-}
-
-// Observed is the state of a target and what is known of its run.
+// Observed is the state of a target and what is known of its present run. A target
+// that starts again forgets its log and its pauses.
 type Observed struct {
 	Status siskin.ControlStatus
-	Run    Run
+	// Running is the time for which the connection that answered has been open, which
+	// shows that the target has not started again since.
+	Running time.Duration
 }
 
-// Observe asks a target for its state on the oldest connection that is free, since
-// that one tells most of the target's run.
-func (h *Homes) Observe(ctx context.Context, id siskin.TargetID) (siskin.Answer, Run, error) {
+// Observe asks a target for its state on the oldest connection that is free, and
+// returns for how long that one has been open.
+func (h *Homes) Observe(ctx context.Context, id siskin.TargetID) (a siskin.Answer, running time.Duration, err error) {
 	l, ok := h.lane(id)
 	if !ok {
-		return siskin.Answer{}, Run{}, siskin.NewError(siskin.Unavailable, "target %s is not known", id).WithRemedy("wait for service discovery")
+		return a, 0, siskin.NewError(siskin.Unavailable, "target %s is not known", id).WithRemedy("wait for service discovery")
+	}
+	if ctx.Err() != nil {
+		// An exchange would fail at once and close a healthy connection.
+		return a, 0, siskin.NewError(siskin.Unavailable, "no time is left to ask target %s", id).WithCause(ctx.Err())
 	}
 	status := siskin.Statement{Kind: siskin.Status}
 	if c := l.takeOldest(); c != nil {
@@ -40,51 +36,27 @@
 		case err != nil:
 			l.noteBreak(err)
 			l.drop(c)
-			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				l.dropIdle()
-			}
 		case answers[0].State != siskin.TxIdle:
 			l.drop(c)
 		default:
 			opened := c.opened
 			l.put(c)
-			return answers[0], h.run(l, opened), nil
+			return answers[0], h.cfg.Clock.Since(opened), nil
 		}
 		if ctx.Err() != nil {
-			return siskin.Answer{}, Run{}, siskin.NewError(siskin.Unavailable, "target %s gave no answer", id).WithCause(err)
+			return a, 0, siskin.NewError(siskin.Unavailable, "target %s gave no answer", id).WithCause(err)
 		}
 	}
 	answers, err := h.Control(ctx, id, status)
 	if err != nil {
-		return siskin.Answer{}, Run{}, err
+		return a, 0, err
 	}
 	l.control.mu.Lock()
-	opened := l.control.since
-	if l.control.c == nil { // it answered on another one
-		opened = h.cfg.Clock.Now()
+	defer l.control.mu.Unlock()
+	if l.control.c == nil {
+		return answers[0], 0, nil // it answered on another one
 	}
-	l.control.mu.Unlock()
-	return answers[0], h.run(l, opened), nil
-}
-
-// run returns what an answer on a connection that was open at a moment tells of a
-// target's run.
-func (h *Homes) run(l *lane, opened time.Time) Run {
-	now := h.cfg.Clock.Now()
-	r := Run{Running: now.Sub(opened)}
-	l.mu.Lock()
-	info, last := l.info, l.failed
-	if l.silent.After(last) {
-		last = l.silent
-	}
-	l.mu.Unlock()
-	if !h.cfg.IsHome(info) && opened.After(last) {
-		last = opened
-	}
-	if !last.IsZero() {
-		r.Failed = max(now.Sub(last), 1)
-	}
-	return r
+	return answers[0], h.cfg.Clock.Since(l.control.since), nil
 }
 
 // takeOldest takes the idle connection that was opened first, nil when there is none
@@ -113,13 +85,12 @@
 	return c
 }
 
-// noteBreak notes that a connection which had answered before does so no more.
+// noteBreak notes that a connection which had answered before is broken, so that the
+// target may have started again, cold. Silence alone does not say so.
 func (l *lane) noteBreak(err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		l.silent = l.clock.Now()
 		return
 	}
-	l.failed = l.clock.Now()
+	l.noteFailure()
+	l.dropIdle()
 }
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -33,7 +33,8 @@
 
 // do queues the statement, takes a connection and runs it.
 func (r *run) do(ctx context.Context) Reply {
-	if r.req.Mode == Single && r.req.Statement.Changes() && (r.l.writes.refused(r.start) || r.h.refusesCommits(r.req.Service, r.l)) {
+	if r.req.Mode == Single && r.req.Statement.Changes() && (r.l.writes.refused(r.start) || !r.h.mayCommitBy(r.deadline, r.req.Service, r.l)) {
+		// The replicas are asked before a write takes a place and a connection.
 		r.reply.Cause = Stalled
 		return r.reply
 	}
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -21,6 +21,10 @@
 	// forgotten the claim of a change, which lasts up to 4 s and orders a promotion
 	// that takes effect within a second.
 	WitnessAfter = 5 * time.Second
+	// WitnessAfterLate is the same where an order without an answer may be carried out
+	// up to 12 s later, which platforms that check fences state. Claims are looked at
+	// up to 0.5 s before the order, and it takes effect within 1.1 s.
+	WitnessAfterLate = 14 * time.Second
 )
 
 // hold is a lease of the lead of one target.
@@ -84,9 +88,10 @@
 
 // Witnesses reports whether a replica's state, asked for at a moment, may count as
 // evidence for a target that leads the given term: the replica has run since started
-// and has forgotten no claim that may still lead to a promotion.
-func (l *Leases) Witnesses(id siskin.TargetID, term siskin.Term, started, asked time.Time) bool {
-	if asked.Sub(started) >= WitnessAfter {
+// and has forgotten no claim that may still lead to a promotion. It has not when it
+// has run for the time after.
+func (l *Leases) Witnesses(id siskin.TargetID, term siskin.Term, started, asked time.Time, after time.Duration) bool {
+	if asked.Sub(started) >= after {
 		return true
 	}
 	l.mu.Lock()
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -194,7 +194,7 @@
 
 func observe(ctx context.Context, homes *home.Homes, status func(*siskin.Answer) (siskin.ControlStatus, error), id siskin.TargetID) (o home.Observed, err error) {
 	var a siskin.Answer
-	if a, o.Run, err = homes.Observe(ctx, id); err != nil {
+	if a, o.Running, err = homes.Observe(ctx, id); err != nil {
 		return o, err
 	}
 	o.Status, err = status(&a)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -36,7 +36,7 @@
 
 type entry struct {
 	info     siskin.TargetInfo
-	since    time.Time // first list with this run of the target; zero for the first list of all
+	since    time.Time // first list with this run of the target
 	missing  time.Time // first list without the entry; zero while it is there
 	draining time.Time // first list that says so; zero while it does not
 	cold     time.Time // until when it may be cold; zero when it is not
@@ -73,16 +73,16 @@
 	return r.evac.mark(e.info), true
 }
 
-// Since returns when the lists began to have the present run of a target, zero when
-// the first one had it. The result is false when the target is not listed.
-func (r *Roster) Since(id siskin.TargetID) (time.Time, bool) {
+// Since returns the time of the first list with the present run of a target and that
+// of the last list. The result ok is false when the last one lacks the target.
+func (r *Roster) Since(id siskin.TargetID) (since, listed time.Time, ok bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
 	if !ok || !e.missing.IsZero() {
-		return time.Time{}, false
+		return time.Time{}, time.Time{}, false
 	}
-	return e.since, true
+	return e.since, r.listed, true
 }
 
 // Leaving reports whether a target has been draining or evacuated for so long
@@ -135,7 +135,6 @@
 		return
 	}
 	r.noteGap(at)
-	first := r.listed.IsZero()
 	r.version, r.listed = version, at
 	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
@@ -147,11 +146,8 @@
 			continue
 		}
 		next := &entry{info: info}
-		switch {
-		case e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.Born.Equal(info.Born):
+		if next.since = at; e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.Born.Equal(info.Born) {
 			next.since = e.since
-		case !first:
-			next.since = at
 		}
 		if info.Draining {
 			if next.draining = at; e != nil && !e.draining.IsZero() {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -113,7 +113,7 @@
 func (n *node) leads() *home.Leads {
 	n.leases = lease.New()
 	return &home.Leads{
-		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, Listed: n.roster.Since, Log: n.log,
+		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, Group: n.roster.Size, Listed: n.listed, Log: n.log,
 		Status: func(ctx context.Context, id siskin.TargetID) (home.Observed, error) {
 			return n.path.Observe(ctx, id)
 		},
@@ -126,6 +126,19 @@
 	}
 }
 
+// listed returns since when a target has run as far as service discovery tells, and
+// when its last list was asked for. The target tells its start by its own clock; the
+// lists of this VM tell a later bound if that clock is ahead.
+func (n *node) listed(id siskin.TargetID) (since, listed time.Time, ok bool) {
+	since, listed, ok = n.roster.Since(id)
+	if t, known := n.roster.Target(id); ok && known {
+		if born := n.clock.Now().Add(-time.Since(t.Born)); born.Before(since) {
+			since = born
+		}
+	}
+	return since, listed, ok
+}
+
 // joinFleet starts what connects this VM to its peers.
 func (n *node) joinFleet() error {
 	cfg := peer.Config{
--- a/internal/sysd/upkeep.go
+++ b/internal/sysd/upkeep.go
@@ -51,6 +51,7 @@
 	for !n.stopped() {
 		members, targets, deployment := n.crew.Changed(), n.roster.Changed(), n.table.Changed()
 		n.homes.Update()
+		n.attend()
 		n.checkIsolation()
 		select {
 		case <-members:
@@ -63,6 +64,16 @@
 	}
 }
 
+// attend keeps a connection to each target that this VM is the home of.
+func (n *node) attend() {
+	targets, _, _ := n.roster.Listed()
+	for _, t := range targets {
+		if n.path.IsHome(t) {
+			n.homes.Attend(t.ID)
+		}
+	}
+}
+
 // noteTargets logs what changed in discovery, and takes a target that begins to
 // see itself as primary as a hint.
 func (n *node) noteTargets(known map[siskin.TargetID]siskin.TargetInfo) map[siskin.TargetID]siskin.TargetInfo {
