elect: a primary that was confirmed again is not replaced

Cause: a probe that found replicas claimed noted since when the lead was unconfirmed, and only the next probe cleared it. While commits prove the lead no probe is sent, so the time went on, and a healthy primary was replaced ("ReplaceStalled", proof of lead 2 ms old, stalled for 3.0 s) in a log of TestSoakUnfenced.

Change: a proof of lead that is newer clears it. TestConfirmedAgain fails on the code before (a stall of 3 s, want none).

--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -481,3 +481,22 @@
 		}
 	}
 }
+
+// TestConfirmedAgain guards against a healthy primary that is replaced since a probe
+// found its replicas claimed once: commits prove its lead since, so that no further
+// probe follows.
+func TestConfirmedAgain(t *testing.T) {
+	c, p := newChange(t)
+	now := c.e.cfg.Clock.Now()
+	primary := p.Targets("ledger")[0].ID()
+	targets := c.e.cfg.Roster.Service("ledger")
+	w := &watch{unconfirmed: now.Add(-3 * time.Second)}
+	before := views.Lead{Target: primary, At: now.Add(-4 * time.Second)}
+	if got := c.e.evidence("ledger", primary, targets, before, w, now).stalled; got != 3*time.Second {
+		t.Errorf("without a later proof: got a stall of %v, want 3 s", got)
+	}
+	later := views.Lead{Target: primary, At: now.Add(-time.Millisecond)}
+	if got := c.e.evidence("ledger", primary, targets, later, w, now).stalled; got != 0 {
+		t.Errorf("after a proof of lead: got a stall of %v, want none", got)
+	}
+}
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -178,6 +178,11 @@
 		silent: w.last.silent, refused: w.last.refused, denied: w.last.denied,
 		stalled: e.cfg.Homes.Stalled(primary),
 	}
+	if lead.Target == primary && lead.At.After(w.unconfirmed) {
+		// A commit or another VM has shown the lead; no probe followed, since the proof
+		// is young.
+		w.unconfirmed = time.Time{}
+	}
 	if !w.unconfirmed.IsZero() {
 		ev.stalled = max(ev.stalled, now.Sub(w.unconfirmed))
 	}
