home, lease: replicas are asked at once, on connections of callers

A replica that is behind counted as claimed, and questions one after the other used up the time for both.

Change: a question waits up to 30 ms for a connection of callers to become idle; a home opens one of its own in advance only when it has none, 4 s after its first use of the target, and closes it again beside others. With fencing the term of the lease is that of the replicas.

--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -285,19 +285,16 @@
 		return
 	}
 	listed := v.roster.Service(modelService)
-	unclaimed := 0
+	poll := lease.Poll{Term: p.term, Sync: 1, Replicas: len(listed) - 1, Group: v.roster.Size(modelService)}
+	if m.rules.partGroup {
+		poll.Group = 0
+	}
 	for _, info := range listed {
-		r := m.reach(vm, info.ID)
-		if r == nil || r == p || !lease.Unclaimed(r.status(), p.term) {
-			continue
-		}
-		unclaimed++
-		if v.leases.Witnesses(p.id, p.term, m.at(v, r.down), now, lease.WitnessAfter) {
-			v.leases.Renew(p.id, p.term, now)
-			return
+		if r := m.reach(vm, info.ID); r != nil && r != p {
+			poll.Add(r.status(), m.rules.youngWitness || v.leases.Witnesses(p.id, p.term, m.at(v, r.down), now, lease.WitnessAfter))
 		}
 	}
-	if unclaimed+1 >= len(listed) && (m.rules.partGroup || unclaimed+1 >= v.roster.Size(modelService)) {
+	if poll.Confirmed() {
 		v.leases.Renew(p.id, p.term, now)
 	}
 }
@@ -545,9 +542,9 @@
 		{"all rules and starts with fences", modelRules{}, true, false, first, true},
 		{"commits are passed on without a lease", modelRules{bareAcks: true}, false, true, 390, true},
 		{"commits are passed on without a lease with fences", modelRules{bareAcks: true}, true, true, 4300, true},
-		{"replicas that have just started confirm", modelRules{youngWitness: true}, false, true, 23800, true},
+		{"replicas that have just started confirm", modelRules{youngWitness: true}, false, true, 2000, true},
 		{"replicas that have just started confirm with fences", modelRules{youngWitness: true}, true, true, 4300, true},
-		{"part of a group confirms together", modelRules{partGroup: true}, false, true, 9500, true},
+		{"part of a group confirms together", modelRules{partGroup: true}, false, true, 25100, true},
 		{"replicas confirm an earlier term than the newest known", modelRules{olderTerm: true}, false, true, 32100, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -153,7 +154,7 @@
 	}
 }
 
-// askOnce asks each replica once. The result again says that one of them accepts no
+// askOnce asks the replicas once. The result again says that one of them accepts no
 // connection at the moment and could confirm the lead.
 func (h *Homes) askOnce(ctx context.Context, service siskin.ServiceName, l *lane, term siskin.Term) (again bool, err error) {
 	leads, id := h.cfg.Leads, l.target()
@@ -161,72 +162,119 @@
 	if !ok {
 		return false, siskin.NewError(siskin.Unavailable, "service %s is not configured", service)
 	}
-	known := h.knownTerm(service)
-	if term = max(term, leads.Leases.Term(id)); term < max(known, 1) {
-		if term, err = h.termOf(ctx, id); err != nil {
-			return siskin.KindOf(err) == siskin.Overloaded, err
-		}
-	}
-	if term < known {
-		// A replica that has started again may follow a former primary.
-		return false, siskin.NewError(siskin.Conflict, "target %s leads term %d, and another one has led term %d", id, term, known)
-	}
-	var replicas []siskin.TargetInfo
-	for _, t := range leads.Targets(service) {
-		if t.ID != id {
-			replicas = append(replicas, t)
-		}
+	if term, err = h.pollTerm(ctx, service, id, term); err != nil {
+		return siskin.KindOf(err) == siskin.Overloaded, err
 	}
+	replicas := slices.DeleteFunc(slices.Clone(leads.Targets(service)), func(t siskin.TargetInfo) bool { return t.ID == id })
 	asked := h.cfg.Clock.Now()
-	unclaimed, witnesses := 0, 0
+	poll := lease.Poll{Term: term, Sync: spec.SyncReplicas, Replicas: len(replicas), Group: leads.Group(service)}
 	var last error
-	for i := range replicas {
-		n := (l.renewal.asked + i) % len(replicas)
-		o, err := h.status(ctx, replicas[n].ID, askReplica)
-		if err != nil {
-			again = again || siskin.KindOf(err) == siskin.Overloaded
-			if siskin.KindOf(last) != siskin.Conflict {
-				last = err
+	for _, part := range l.renewal.order(len(replicas), lease.Needed(spec.SyncReplicas)) {
+		for n, a := range h.statuses(ctx, replicas, part) {
+			s := &a.o.Status
+			switch {
+			case a.err != nil:
+				again = again || siskin.KindOf(a.err) == siskin.Overloaded
+				last = moreTelling(last, a.err)
+				continue
+			case s.Term > term:
+				// This target leads again in a later term, or another one leads.
+				if !leads.Fencing {
+					if later, err := h.termOf(ctx, id); err != nil || later < s.Term {
+						h.cfg.Views.Denied(service, id, asked)
+						return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, later)
+					}
+				}
+				return h.askOnce(ctx, service, l, s.Term)
 			}
-			continue
-		}
-		s := &o.Status
-		if s.Term > term {
-			// Another target leads, or this one leads again in a later term.
-			later, err := h.termOf(ctx, id)
-			if err != nil || later < s.Term {
-				h.cfg.Views.Denied(service, id, asked)
-				return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, later)
+			witness := leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, a.o.Running), asked, h.witnessAfter())
+			poll.Add(*s, witness)
+			switch {
+			case !lease.Unclaimed(*s, term):
+				last = moreTelling(last, siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.HeldTerm))
+			case witness:
+				l.renewal.asked = n
+			default:
+				last = moreTelling(last, siskin.NewError(siskin.Unavailable, "replica %s may have started again and forgotten a claim", replicas[n].ID))
 			}
-			return h.askOnce(ctx, service, l, later)
 		}
-		if !lease.Unclaimed(*s, term) {
-			last = siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.HeldTerm)
-			continue
-		}
-		unclaimed++
-		if !leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, o.Running), asked, h.witnessAfter()) {
-			if siskin.KindOf(last) != siskin.Conflict {
-				last = siskin.NewError(siskin.Unavailable, "replica %s may have started again and forgotten a claim", replicas[n].ID)
-			}
-			continue
-		}
-		l.renewal.asked = n
-		if witnesses++; witnesses == lease.Needed(spec.SyncReplicas) {
+		if poll.Confirmed() {
 			leads.Leases.Renew(id, term, asked)
 			return false, nil
 		}
 	}
-	// The target of an order keeps its claim until it is promoted.
-	if unclaimed == len(replicas) && unclaimed >= lease.Needed(spec.SyncReplicas) && unclaimed+1 >= leads.Group(service) {
-		leads.Leases.Renew(id, term, asked)
-		return false, nil
-	}
 	kind := siskin.Unavailable
 	if siskin.KindOf(last) == siskin.Conflict {
 		kind = siskin.Conflict
 	}
-	return again, siskin.NewError(kind, "%d of %d replicas of %s confirm the lead of %s", unclaimed, len(replicas), service, id).WithCause(last)
+	return again, siskin.NewError(kind, "the %d replicas of %s do not confirm the lead of %s in term %d", len(replicas), service, id, term).WithCause(last)
+}
+
+// pollTerm returns the term for which replicas are asked, at least the given one. With
+// fencing a lease counts for commits of its very term only, so it may be the newest one
+// known: after a loss of all VMs the target may have no connection left to ask it on.
+func (h *Homes) pollTerm(ctx context.Context, service siskin.ServiceName, id siskin.TargetID, term siskin.Term) (siskin.Term, error) {
+	known := h.knownTerm(service)
+	if term = max(term, h.cfg.Leads.Leases.Term(id)); h.cfg.Leads.Fencing {
+		return max(term, known), nil
+	}
+	var err error
+	if term < max(known, 1) {
+		if term, err = h.termOf(ctx, id); err != nil {
+			return 0, err
+		}
+	}
+	if term < known {
+		// A replica that has started again may follow a former primary.
+		return 0, siskin.NewError(siskin.Conflict, "target %s leads term %d, and another one has led term %d", id, term, known)
+	}
+	return term, nil
+}
+
+// order returns the replicas to ask, as offsets: first the one that confirmed the lead
+// last, when one is enough, then all others at once.
+func (r *renewal) order(replicas, needed int) [][]int {
+	first := r.asked % max(replicas, 1)
+	var others []int
+	for n := range replicas {
+		if n != first || needed > 1 {
+			others = append(others, n)
+		}
+	}
+	if replicas == 0 || needed > 1 {
+		return [][]int{others}
+	}
+	return [][]int{{first}, others}
+}
+
+// observation is the answer of one replica.
+type observation struct {
+	o   Observed
+	err error
+}
+
+// statuses asks some of the replicas at once, and returns the answers by offset.
+func (h *Homes) statuses(ctx context.Context, replicas []siskin.TargetInfo, offsets []int) map[int]observation {
+	list := make([]observation, len(offsets))
+	var wg sync.WaitGroup
+	for i, n := range offsets {
+		wg.Go(func() { list[i].o, list[i].err = h.status(ctx, replicas[n].ID, askReplica) })
+	}
+	wg.Wait()
+	answers := make(map[int]observation, len(offsets))
+	for i, n := range offsets {
+		answers[n] = list[i]
+	}
+	return answers
+}
+
+// moreTelling returns the error that says more of a lead: that a replica is claimed
+// before all others.
+func moreTelling(a, b error) error {
+	if a != nil && siskin.KindOf(a) == siskin.Conflict {
+		return a
+	}
+	return b
 }
 
 // witnessAfter returns the time after which a replica that has started may confirm a
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -28,26 +28,31 @@
 	attended atomic.Int64 // last attempt of Attend, in Unix nanoseconds
 }
 
-// controlIdle is the time after which an unused control connection is closed at a
-// VM that is not the target's home. Every VM may open one, and they count against
-// the target's limit.
+// controlIdle is the time after which an unused control connection is closed. Every
+// VM may open one, and they count against the target's limit.
 const controlIdle = time.Second
 
-// attendEvery is the least time between two attempts of Attend at one target.
-const attendEvery = time.Second
+const (
+	// attendEvery is the least time between two attempts of Attend at one target.
+	attendEvery = time.Second
+	// attendAfter is the time from the first use of a target to the first attempt. The
+	// connections of an earlier home that vanished count for 3 s, and the few that are
+	// left are for callers.
+	attendAfter = 4 * time.Second
+)
 
 // Attend opens the control connection of a target that this VM is the home of, unless
-// one is open. A replica can confirm a lead once its home has had a connection to it
-// for long enough, so the home does not wait for the first question.
+// some connection is open. A replica can confirm a lead once its home has had one to
+// it for long enough, so the home does not wait for the first question.
 func (h *Homes) Attend(id siskin.TargetID) {
 	l, ok := h.lane(id)
 	now := h.cfg.Clock.Now()
-	if !ok || now.UnixNano()-l.control.attended.Load() < int64(attendEvery) || !l.control.mu.TryLock() {
+	if !ok || now.Sub(l.created) < attendAfter || now.UnixNano()-l.control.attended.Load() < int64(attendEvery) || !l.control.mu.TryLock() {
 		return
 	}
 	open := l.control.c != nil
 	l.control.mu.Unlock()
-	if open {
+	if open || l.inUse() {
 		return
 	}
 	l.control.attended.Store(now.UnixNano())
@@ -199,19 +204,19 @@
 	}
 }
 
-// trim closes connections that were idle for long when this VM is not the target's
-// home. A home keeps them, also since an open connection shows that the target has
-// not started again.
+// trim closes connections that were idle for long: the control connection when others
+// are open, and all when this VM is not the target's home. A home keeps one, since it
+// shows that the target has not started again.
 func (l *lane) trim(now time.Time, guest bool) {
-	if !guest {
-		return
-	}
-	if l.control.mu.TryLock() {
+	if (guest || l.inUse()) && l.control.mu.TryLock() {
 		if l.control.c != nil && now.Sub(l.control.used) > controlIdle {
 			l.dropControl()
 		}
 		l.control.mu.Unlock()
 	}
+	if !guest {
+		return
+	}
 	l.mu.Lock()
 	var stale []*conn
 	for len(l.idle) > 0 && now.Sub(l.idle[0].used) > controlIdle {
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -101,6 +101,13 @@
 	l.wake = make(chan struct{})
 }
 
+// inUse reports whether a connection for callers is open.
+func (l *lane) inUse() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open > 0
+}
+
 // target returns the id of the lane's target.
 func (l *lane) target() siskin.TargetID {
 	l.mu.Lock()
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -30,7 +30,7 @@
 		return a, 0, siskin.NewError(siskin.Unavailable, "no time is left to ask target %s", id).WithCause(ctx.Err())
 	}
 	status := siskin.Statement{Kind: siskin.Status}
-	if c := l.takeOldest(); c != nil {
+	if c := l.awaitOldest(ctx); c != nil {
 		answers, err := c.Exchange(exchangeDeadline(ctx), []siskin.Statement{status})
 		switch {
 		case err != nil:
@@ -59,6 +59,41 @@
 	return answers[0], h.cfg.Clock.Since(l.control.since), nil
 }
 
+// idleFor is the time for which a question waits for a connection of callers, all of
+// which are in use. One of its own would take the place of another of theirs.
+const idleFor = 30 * time.Millisecond
+
+// awaitOldest takes the idle connection that was opened first, and waits for one to
+// become idle unless there is a control connection. It returns nil when there is none.
+func (l *lane) awaitOldest(ctx context.Context) *conn {
+	limit := l.clock.After(idleFor)
+	for {
+		freed := l.freed()
+		if c := l.takeOldest(); c != nil {
+			return c
+		}
+		if !l.inUse() || l.hasControl() {
+			return nil
+		}
+		select {
+		case <-freed:
+		case <-limit:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// hasControl reports whether the control connection is open or in use.
+func (l *lane) hasControl() bool {
+	if !l.control.mu.TryLock() {
+		return true
+	}
+	defer l.control.mu.Unlock()
+	return l.control.c != nil
+}
+
 // takeOldest takes the idle connection that was opened first, nil when there is none
 // or the control connection is older.
 func (l *lane) takeOldest() *conn {
--- /dev/null
+++ b/internal/lease/poll.go
@@ -0,0 +1,40 @@
+package lease
+
+import "siskintray.example/siskin"
+
+// Poll counts what the replicas of a service tell of the lead of one term.
+type Poll struct {
+	// Term is the term that the primary leads.
+	Term siskin.Term
+	// Sync is the number of replicas that acknowledge a commit.
+	Sync int
+	// Replicas is the number of replicas that are known, and Group that of targets,
+	// the primary included, when none is missing.
+	Replicas, Group int
+
+	witnesses, unclaimed, free int
+}
+
+// Add takes over the state of one replica. A witness has forgotten no claim that may
+// still lead to a promotion.
+func (p *Poll) Add(s siskin.ControlStatus, witness bool) {
+	if !s.Primary && s.HeldTerm <= s.Term {
+		p.free++
+	}
+	if Unclaimed(s, p.Term) {
+		p.unclaimed++
+		if witness {
+			p.witnesses++
+		}
+	}
+}
+
+// Confirmed reports whether no claim was complete before the first question, or each
+// change with complete claims finds one of them lost before its order. Replicas that
+// may have forgotten a claim show this together: the target of an order keeps its own
+// claim until it is promoted, so that none is on its way when every target of the
+// group is free.
+func (p *Poll) Confirmed() bool {
+	needed := Needed(p.Sync)
+	return p.witnesses >= needed || p.unclaimed >= needed && p.free == p.Replicas && p.free+1 >= p.Group
+}
