home, path: a home is told that another one could not reach the target

Cause: a target crashes and starts again within a few milliseconds. Its home tries to connect in between, is refused, and does not try again for 300 ms (avoidFor). Until then path.Run sends the statements to another VM.

The home itself took a token for each statement it admitted after the failure. Idle connections that break unnoticed were not the cause: a statement on one fails, and is admitted anew on the next connection.

Change: when a home answers that it could not reach the target, the request says so to the next VM, which counts the target as cold as after a failure of its own. For a connection that was open before, the report counts from its opening, since a start of the target would have broken it. Otherwise a home that is cut off for long from a target that runs would keep it cold at the other VMs, as it reports its failure with each request.

Not covered: a target that starts again while its home's VM is out of reach.

--- a/internal/home/cold.go
+++ b/internal/home/cold.go
@@ -8,14 +8,15 @@
 // coldPause is the least time between two questions for the rate of cold targets.
 const coldPause = 5 * time.Millisecond
 
-// admitted reports whether a statement may be sent to a target now. A cold target
-// gets few; the statement waits for its turn until the given time.
-func (h *Homes) admitted(l *lane, until time.Time) (ok bool, retryAfter time.Duration) {
+// admitted reports whether a statement may be sent to a target now, on a connection
+// that was opened at a time. A cold target gets few; the statement waits for its turn
+// until the given time.
+func (h *Homes) admitted(l *lane, opened, until time.Time) (ok bool, retryAfter time.Duration) {
 	if h.cfg.MayBeCold == nil {
 		return true, 0
 	}
 	l.mu.Lock()
-	info, failed := l.info, l.failed
+	info, failed := l.info, l.lastFailure(opened)
 	l.mu.Unlock()
 	if !h.cfg.MayBeCold(info, l.created, failed) {
 		return true, 0
@@ -42,6 +43,29 @@
 	l.failed = l.clock.Now()
 }
 
+// noteReport notes that another home could not reach the target. A home without a
+// connection to it sees no failure when it starts again.
+func (l *lane) noteReport() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reported = l.clock.Now()
+}
+
+// lastFailure returns when the target failed last, as far as it may have started again
+// before a connection was opened. A report counts from the opening of the connection
+// at the latest: a later start would have broken it, and reports are repeated for as
+// long as the other home is cut off from a target that runs. The caller holds mu.
+func (l *lane) lastFailure(opened time.Time) time.Time {
+	reported := l.reported
+	if opened.Before(reported) {
+		reported = opened
+	}
+	if reported.After(l.failed) {
+		return reported
+	}
+	return l.failed
+}
+
 // waitFor is the longest time that a statement waits where it holds up others.
 func (r *Request) waitFor() time.Duration {
 	if r.ConnectFor > 0 {
--- a/internal/home/cold_test.go
+++ b/internal/home/cold_test.go
@@ -71,6 +71,51 @@
 	}
 }
 
+// TestColdAfterReport guards against a flood at a target that has started again, by a
+// home that had no connection to it and is told by a request that another home could
+// not reach it; and against a limit on connections that were open before, for as long
+// as the other home is cut off from a target that runs.
+func TestColdAfterReport(t *testing.T) {
+	f := start(t, stand.ServiceOptions{})
+	var warmUntil time.Time
+	rate := &coldRate{cold: func(failed time.Time) bool { return failed.After(warmUntil) }}
+	f.homes.cfg.MayBeCold, f.homes.cfg.AdmitCold = rate.mayBeCold, rate.admit
+	read := func(i int) Reply {
+		req := request(f.target(i), siskin.Read, "x")
+		req.ConnectFor, req.Unreachable = 20*time.Millisecond, true
+		return f.run(req)
+	}
+	if r := read(0); r.Outcome != NotSent || r.Cause != Overload {
+		t.Errorf("read at a target that another home could not reach: got %+v, want a refusal for its rate", r)
+	}
+	if got := f.target(0).Statements(); got != 0 {
+		t.Errorf("statements at a target that another home could not reach: got %d, want none", got)
+	}
+	unreported := request(f.target(0), siskin.Read, "x")
+	unreported.ConnectFor = 20 * time.Millisecond
+	if r := f.run(unreported); r.Cause != Overload {
+		t.Errorf("read after a report: got %+v, want a refusal for its rate", r)
+	}
+
+	open := request(f.target(1), siskin.Read, "x")
+	open.Mode, open.Proof = Open, FloorProof
+	first := f.run(open)
+	if first.Outcome != Answered {
+		t.Fatalf("first statement of a transaction at a target without a report: got %+v, want an answer", first)
+	}
+	rate.mu.Lock()
+	warmUntil = f.homes.cfg.Clock.Now()
+	rate.mu.Unlock()
+	if r := read(1); r.Cause != Overload {
+		t.Errorf("read on a connection opened after a report: got %+v, want a refusal for its rate", r)
+	}
+	next := request(f.target(1), siskin.Read, "x")
+	next.Mode, next.Tx = Continue, first.Tx
+	if r := f.run(next); r.Outcome != Answered {
+		t.Errorf("read on a connection opened before a report: got %+v, want an answer", r)
+	}
+}
+
 // TestColdAfterFailure guards against a flood at a target that has started again,
 // before its entry says so: the lane tells when it last failed.
 func TestColdAfterFailure(t *testing.T) {
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -166,6 +166,9 @@
 	if !ok {
 		return Reply{Cause: Unknown}
 	}
+	if req.Unreachable {
+		l.noteReport()
+	}
 	r := &run{h: h, l: l, req: req, start: h.cfg.Clock.Now()}
 	r.deadline = time.Now().Add(req.Patience)
 	reply := r.do(ctx)
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -48,6 +48,8 @@
 	failed  time.Time // last time that a connection broke or could not be opened
 	closing bool
 	opened  int64 // connections opened since the start
+	// reported is the last time that another home could not reach the target.
+	reported time.Time
 }
 
 func newLane(clock siskin.Clock, connector siskin.TargetConnector, info siskin.TargetInfo, limit int) *lane {
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -63,6 +63,9 @@
 	FloorFor time.Duration `json:",omitempty"`
 	Mode     TxMode        `json:",omitempty"`
 	Tx       TxID          `json:",omitempty"`
+	// Unreachable says that another home could not reach the target, which may have
+	// started again since.
+	Unreachable bool `json:",omitempty"`
 	// Patience bounds waiting and running together.
 	Patience time.Duration
 	// QueueFor bounds the wait for a place and a connection.
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -112,7 +112,7 @@
 		r.l.putUnused(r.c)
 		return false
 	}
-	if ok, after := r.h.admitted(r.l, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
+	if ok, after := r.h.admitted(r.l, r.c.opened, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
 		r.reply.Outcome, r.reply.Cause, r.reply.RetryAfter = NotSent, Overload, after
 		r.l.putUnused(r.c)
 		return false
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -58,7 +58,7 @@
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start)}
 		}
 		defer grant.Release()
-		if ok, after := h.admitted(t.l, start.Add(req.QueueFor)); !ok {
+		if ok, after := h.admitted(t.l, t.c.opened, start.Add(req.QueueFor)); !ok {
 			h.abandon(req.Tx, t)
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start), RetryAfter: after}
 		}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -108,6 +108,7 @@
 	}
 	start := p.cfg.Clock.Now()
 	patience := req.Patience
+	req.Unreachable = false // the caller may have sent it for another target
 	var reply home.Reply
 	for i, vm := range p.candidates(t) {
 		if i > 0 {
@@ -121,6 +122,8 @@
 		if reply.Outcome != home.NotSent || reached && reply.Cause != home.Unreachable && reply.Cause != home.Unknown {
 			return reply
 		}
+		// The next home may have had no connection that failed with this one's.
+		req.Unreachable = req.Unreachable || reached && reply.Cause == home.Unreachable
 	}
 	return reply
 }
