--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -119,3 +119,39 @@
 		t.Errorf("after a success: got %v, want 0", got)
 	}
 }
+
+// TestAttend guards against a replica that nobody reads at and whose home has no
+// connection to it, so that it could not confirm a lead when a primary is lost; and
+// against connections in place of those for callers.
+func TestAttend(t *testing.T) {
+	f := fenced(t)
+	id := f.target(1).ID()
+	l, _ := f.homes.lane(id)
+	opened := func() int64 {
+		time.Sleep(50 * time.Millisecond)
+		return f.target(1).Opened()
+	}
+	f.homes.Attend(id)
+	if got := opened(); got != 0 {
+		t.Errorf("connections to a target that is used for the first time: got %d, want none", got)
+	}
+	l.created = l.created.Add(-attendAfter)
+	for range 3 {
+		f.homes.Attend(id)
+	}
+	if got := opened(); got != 1 {
+		t.Errorf("connections to a target that nobody uses: got %d, want 1", got)
+	}
+	if got := f.run(request(f.target(1), siskin.Read, "x")); got.Outcome != Answered {
+		t.Fatalf("read: got %+v, want an answer", got)
+	}
+	l.trim(f.homes.cfg.Clock.Now().Add(2*controlIdle), false)
+	if l.control.c != nil {
+		t.Error("control connection beside one of callers: got one, want it closed")
+	}
+	l.control.attended.Store(0)
+	f.homes.Attend(id)
+	if got := opened(); got != 2 {
+		t.Errorf("connections beside one of callers: got %d, want no further one", got)
+	}
+}
