home, lease, roster: the age of a witness leaves room for late orders and clocks

By arithmetic: 14 s left no room for clocks that run fast and for an order's time on its way.

Change: one age of 16 s for both contracts. The start that an entry tells counts only for runs that the VM found when it started, with 10 s off, and lists only 4 s after a connection was opened. Acknowledgements without a position are in doubt. A closed lane opens no control connection. Time-outs of a question leave the home's part room (55 of 90 ms; 15 ms for an idle connection).

--- a/internal/home/acknowledge.go
+++ b/internal/home/acknowledge.go
@@ -53,16 +53,12 @@
 		return ack{kept: true, proof: h.ownProof()}
 	}
 	leases, id, now := h.cfg.Leads.Leases, l.target(), h.cfg.Clock.Now()
-	term := p.Term
-	if p.IsZero() {
-		term = leases.Term(id)
-	}
-	kept := leases.Extend(id, term, asked, now)
+	kept := leases.Extend(id, p.Term, asked, now)
 	// A renewal that is in progress may have begun before the acknowledgement and
 	// fail for a reason that is over.
 	for i := 0; i < 2 && !kept; i++ {
-		<-h.renew(service, l, term)
-		kept = leases.Extend(id, term, asked, now)
+		<-h.renew(service, l, p.Term)
+		kept = leases.Extend(id, p.Term, asked, now)
 	}
 	if !kept {
 		h.cfg.Leads.Log.Warn().Str("Service", string(service)).Str("Target", string(id)).
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -22,9 +22,10 @@
 	// askAgain is the time between two questions to replicas that accept no
 	// connection at the moment.
 	askAgain = 50 * time.Millisecond
-	// entryDelay is the time from a new start of a target to the entry that tells of
-	// it. A target writes its entry each 1.2 s.
-	entryDelay = 2 * time.Second
+	// entryDelay is the time from a new start of a target to a list without the entry
+	// of its earlier run. A target writes its entry each 1.2 s, and one that is not
+	// renewed runs out within 3 s.
+	entryDelay = 4 * time.Second
 )
 
 // Leads holds what Homes needs to tell the only primary from a former one.
@@ -187,7 +188,7 @@
 				}
 				return h.askOnce(ctx, service, l, s.Term)
 			}
-			witness := leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, a.o.Running), asked, h.witnessAfter())
+			witness := leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, a.o.Running), asked, lease.WitnessAfter)
 			poll.Add(*s, witness)
 			switch {
 			case !lease.Unclaimed(*s, term):
@@ -277,15 +278,6 @@
 	return b
 }
 
-// witnessAfter returns the time after which a replica that has started may confirm a
-// lead.
-func (h *Homes) witnessAfter() time.Duration {
-	if h.cfg.Leads.Fencing {
-		return lease.WitnessAfterLate
-	}
-	return lease.WitnessAfter
-}
-
 // knownTerm returns the newest term in which a target of a service is known to have
 // led.
 func (h *Homes) knownTerm(service siskin.ServiceName) siskin.Term {
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -98,8 +98,11 @@
 
 func (l *lane) controlOnce(ctx context.Context, list []siskin.Statement) ([]siskin.Answer, error) {
 	l.mu.Lock()
-	info := l.info
+	info, closing := l.info, l.closing
 	l.mu.Unlock()
+	if closing {
+		return nil, siskin.NewError(siskin.Unavailable, "this VM no longer serves target %s", info.ID)
+	}
 	ctl := &l.control
 	if ctl.c != nil && (ctl.opened.Address != info.Address || !ctl.opened.Born.Equal(info.Born)) {
 		l.dropControl()
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -61,7 +61,7 @@
 
 // idleFor is the time for which a question waits for a connection of callers, all of
 // which are in use. One of its own would take the place of another of theirs.
-const idleFor = 30 * time.Millisecond
+const idleFor = 15 * time.Millisecond
 
 // awaitOldest takes the idle connection that was opened first, and waits for one to
 // become idle unless there is a control connection. It returns nil when there is none.
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -18,13 +18,11 @@
 	Wait = Life + Life/10
 	// WitnessAfter is the time for which a replica must have run before its state
 	// counts, unless it ran at the last evidence already. One that starts again has
-	// forgotten the claim of a change, which lasts up to 4 s and orders a promotion
-	// that takes effect within a second.
-	WitnessAfter = 5 * time.Second
-	// WitnessAfterLate is the same where an order without an answer may be carried out
-	// up to 12 s later, which platforms that check fences state. Claims are looked at
-	// up to 0.5 s before the order, and it takes effect within 1.1 s.
-	WitnessAfterLate = 14 * time.Second
+	// forgotten a claim, and the promotion of that change may still take effect: claims
+	// are looked at up to 0.5 s before an order, platforms that check fences carry out
+	// one without an answer up to 12 s later and within 1.1 s, and the order may be on
+	// its way for a call's time-out of 0.7 s. The rest is for clocks that run fast.
+	WitnessAfter = 16 * time.Second
 )
 
 // hold is a lease of the lead of one target.
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -177,7 +177,7 @@
 
 // askHome bounds the question to a target through its home, so that time is left to
 // ask it directly.
-const askHome = 45 * time.Millisecond
+const askHome = 55 * time.Millisecond
 
 // Observe asks a target for its state and what is known of its run: through its home,
 // which has connections of long standing, or else on a connection of this VM.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -37,6 +37,7 @@
 type entry struct {
 	info     siskin.TargetInfo
 	since    time.Time // first list with this run of the target
+	first    bool      // the first list of all had it
 	missing  time.Time // first list without the entry; zero while it is there
 	draining time.Time // first list that says so; zero while it does not
 	cold     time.Time // until when it may be cold; zero when it is not
@@ -74,15 +75,16 @@
 }
 
 // Since returns the time of the first list with the present run of a target and that
-// of the last list. The result ok is false when the last one lacks the target.
-func (r *Roster) Since(id siskin.TargetID) (since, listed time.Time, ok bool) {
+// of the last list. With first the run is older than what this VM has seen. The result
+// ok is false when the last list lacks the target.
+func (r *Roster) Since(id siskin.TargetID) (since, listed time.Time, first, ok bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
 	if !ok || !e.missing.IsZero() {
-		return time.Time{}, time.Time{}, false
+		return time.Time{}, time.Time{}, false, false
 	}
-	return e.since, r.listed, true
+	return e.since, r.listed, e.first, true
 }
 
 // Leaving reports whether a target has been draining or evacuated for so long
@@ -135,6 +137,7 @@
 		return
 	}
 	r.noteGap(at)
+	first := r.listed.IsZero()
 	r.version, r.listed = version, at
 	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
@@ -146,8 +149,8 @@
 			continue
 		}
 		next := &entry{info: info}
-		if next.since = at; e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.Born.Equal(info.Born) {
-			next.since = e.since
+		if next.since, next.first = at, first; e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.Born.Equal(info.Born) {
+			next.since, next.first = e.since, e.first
 		}
 		if info.Draining {
 			if next.draining = at; e != nil && !e.draining.IsZero() {
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -23,6 +23,8 @@
 	platform *stand.Platform
 	revision siskin.Revision
 	unfenced bool
+	// startCalls is the number of calls of the store until the VMs were ready.
+	startCalls int64
 	// cut are the VMs that do not reach the store.
 	cut map[int]bool
 
@@ -123,6 +125,7 @@
 		}
 		return true
 	})
+	f.startCalls = p.StoreCalls()
 	// Shares of rates begin without a token, so that a first statement sent at once
 	// may be refused as documented.
 	f.await("each VM admits a statement", 10*time.Second, func() bool {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -126,13 +126,17 @@
 	}
 }
 
+// clockMargin is taken off the age of a run that a target's entry tells by its clock,
+// which may differ from that of this VM.
+const clockMargin = 10 * time.Second
+
 // listed returns since when a target has run as far as service discovery tells, and
-// when its last list was asked for. The target tells its start by its own clock; the
-// lists of this VM tell a later bound if that clock is ahead.
+// when its last list was asked for. The start that the entry tells counts only for
+// runs that this VM has found at its own start: later ones began when its lists say.
 func (n *node) listed(id siskin.TargetID) (since, listed time.Time, ok bool) {
-	since, listed, ok = n.roster.Since(id)
-	if t, known := n.roster.Target(id); ok && known {
-		if born := n.clock.Now().Add(-time.Since(t.Born)); born.Before(since) {
+	since, listed, first, ok := n.roster.Since(id)
+	if t, known := n.roster.Target(id); ok && first && known && t.Born.UnixMilli() > 0 {
+		if born := n.clock.Now().Add(clockMargin - time.Since(t.Born)); born.Before(since) {
 			since = born
 		}
 	}
