--- /dev/null
+++ b/internal/home/observation.go
@@ -0,0 +1,7 @@
+package home
+
+// observation is the answer of one replica.
+type observation struct {
+	o   Observed
+	err error
+}
--- /dev/null
+++ b/internal/home/renewal.go
@@ -0,0 +1,74 @@
+package home
+
+import (
+	"sync"
+	"time"
+
+	"siskintray.example/siskin"
+)
+
+// renewal is the renewal of a lease in progress, shared by all that wait for it.
+type renewal struct {
+	mu      sync.Mutex
+	done    chan struct{} // closed at its end; nil when none is in progress
+	asked   int           // replica that answered last, as an offset
+	refused time.Time     // end of the last renewal that failed
+	lost    bool          // the last renewal failed, and was logged
+	claimed bool          // it found a replica claimed, or following another primary
+}
+
+func (r *renewal) refusedSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused.After(t)
+}
+
+// renew starts a renewal of a lease unless one is in progress, and returns a
+// channel that is closed at its end. The target is known to have led the given term,
+// or a later one.
+func (h *Homes) renew(service siskin.ServiceName, l *lane, term siskin.Term) <-chan struct{} {
+	r := &l.renewal
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done != nil {
+		return r.done
+	}
+	done := make(chan struct{})
+	r.done = done
+	if !h.spawn(func() {
+		err := h.askReplicas(service, l, term)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if err != nil {
+			r.refused = h.cfg.Clock.Now()
+		}
+		r.claimed = siskin.KindOf(err) == siskin.Conflict
+		if lost := err != nil; lost != r.lost {
+			r.lost = lost
+			h.cfg.Leads.Log.Info().Err(err).Str("Service", string(service)).Str("Target", string(l.target())).
+				Bool("Confirmed", !lost).Msg("the replicas' confirmation of a lead changed")
+		}
+		r.done = nil
+		close(done)
+	}) {
+		r.done = nil
+		close(done)
+	}
+	return done
+}
+
+// order returns the replicas to ask, as offsets: first the one that confirmed the lead
+// last, when one is enough, then all others at once.
+func (r *renewal) order(replicas, needed int) [][]int {
+	first := r.asked % max(replicas, 1)
+	var others []int
+	for n := range replicas {
+		if n != first || needed > 1 {
+			others = append(others, n)
+		}
+	}
+	if replicas == 0 || needed > 1 {
+		return [][]int{others}
+	}
+	return [][]int{{first}, others}
+}
