home, lease: a target that does not run holds no claim

Not load alone: with the primary stopped the group is incomplete, connections of a young fleet are less than 16 s old, and without the store no list tells of older runs.

Change: a target that refuses connections does not run.

Two race runs of TestPrimaryCrash, TestPrimaryCrashStoreDown, TestUnfencedStoreDown and TestEvacuationDuringChange pass side by side.

--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -292,7 +292,9 @@
 		poll.Group = 0
 	}
 	for _, info := range listed {
-		if r := m.reach(vm, info.ID); r != nil && r != p {
+		if m.lookup(info.ID) == nil {
+			poll.AddDown()
+		} else if r := m.reach(vm, info.ID); r != nil && r != p {
 			poll.Add(r.status(), m.rules.youngWitness || v.leases.Witnesses(p.id, p.term, m.at(v, r.down), now, modelWitnessAfter))
 		}
 	}
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"siskintray.example/siskin"
@@ -63,6 +65,10 @@
 		for n, a := range h.statuses(ctx, replicas, part) {
 			s := &a.o.Status
 			switch {
+			case errors.Is(a.err, syscall.ECONNREFUSED):
+				poll.AddDown()
+				last = moreTelling(last, a.err)
+				continue
 			case a.err != nil:
 				again = again || siskin.KindOf(a.err) == siskin.Overloaded
 				last = moreTelling(last, a.err)
--- a/internal/home/witness_test.go
+++ b/internal/home/witness_test.go
@@ -161,6 +161,30 @@
 	}
 }
 
+// TestFailoverOfYoungFleet guards against writes that are refused for seconds after the
+// loss of a primary, since no connection to the replica that is left is old enough and
+// the store has no list: a target that does not run is no target of an order.
+func TestFailoverOfYoungFleet(t *testing.T) {
+	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t)
+			f.target(0).Crash()
+			if err := f.platform.Promote(f.target(1)); err != nil {
+				t.Fatal(err)
+			}
+			const limit = time.Second
+			for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+				if got := f.run(request(f.target(1), siskin.Write, "x 1")); got.Outcome == Answered && got.Answer.Code == siskin.Succeeded {
+					return
+				}
+				if time.Since(begun) > limit {
+					t.Fatalf("first success: got none within %v of the promotion, want one", limit)
+				}
+			}
+		})
+	}
+}
+
 // TestIncompleteGroup guards against replicas that confirm a lead together although one
 // more, which service discovery has dropped, may be the target of an order.
 func TestIncompleteGroup(t *testing.T) {
--- a/internal/lease/poll.go
+++ b/internal/lease/poll.go
@@ -29,6 +29,10 @@
 	}
 }
 
+// AddDown takes over that a replica does not run. An order for it fails, or finds it
+// without its log and its claim.
+func (p *Poll) AddDown() { p.free++ }
+
 // Confirmed reports whether no claim was complete before the first question, or each
 // change with complete claims finds one of them lost before its order. Replicas that
 // may have forgotten a claim show this together: the target of an order keeps its own
