--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -14,36 +14,47 @@
 // then lost by a promotion on its way: a claimed replica that starts again has
 // forgotten its claim and acknowledges what the promoted target lacks.
 func TestCommitThroughRestartedReplica(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		start func(*testing.T) *fixture
-	}{
-		{"without fencing", unfenced},
-		{"with fencing", fenced},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			f := c.start(t)
-			primary, chosen, restarted := f.target(0), f.target(1), f.target(2)
-			if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != Answered {
-				t.Fatalf("write before the claims: got %+v, want an answer", got)
-			}
-			f.claim(chosen, 100)
-			f.claim(restarted, 100)
-			waiting := make(chan Reply)
-			go func() {
-				req := request(primary, siskin.Write, "x 2")
-				req.Patience = 2 * time.Second
-				waiting <- f.run(req)
-			}()
-			time.Sleep(lease.Wait)
-			f.restart(restarted)
-			if got := <-waiting; got.Outcome != Lost {
-				t.Errorf("write that waited for the replica: got %+v, want it in doubt", got)
-			}
-			if got := f.run(request(primary, siskin.Write, "x 3")); got.Outcome != NotSent {
-				t.Errorf("write after the replica's start: got %+v, want it refused", got)
-			}
-		})
+	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
+		t.Run(name, func(t *testing.T) { start(t).writeThroughRestart() })
+	}
+}
+
+// writeThroughRestart claims both replicas, starts one again while a write waits, and
+// checks that neither this write nor the next one is reported as successful.
+func (f *fixture) writeThroughRestart() {
+	f.t.Helper()
+	primary, chosen, restarted := f.target(0), f.target(1), f.target(2)
+	if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != Answered {
+		f.t.Fatalf("write before the claims: got %+v, want an answer", got)
+	}
+	f.claim(chosen, 100)
+	f.claim(restarted, 100)
+	waiting := make(chan Reply)
+	go func() {
+		req := request(primary, siskin.Write, "x 2")
+		req.Patience = 2 * time.Second
+		waiting <- f.run(req)
+	}()
+	time.Sleep(lease.Wait)
+	f.restart(restarted)
+	if got := <-waiting; got.Outcome != Lost {
+		f.t.Errorf("write that waited for the replica: got %+v, want it in doubt", got)
+	}
+	if got := f.run(request(primary, siskin.Write, "x 3")); got.Outcome != NotSent {
+		f.t.Errorf("write after the replica's start: got %+v, want it refused", got)
+	}
+}
+
+// TestCommitWithoutPosition guards against a commit that is passed on although its
+// acknowledgement does not say in which term it was made.
+func TestCommitWithoutPosition(t *testing.T) {
+	f := fenced(t)
+	if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != Answered {
+		t.Fatalf("write: got %+v, want an answer", got)
+	}
+	l, _ := f.homes.lane(f.target(0).ID())
+	if got := f.homes.acknowledged("ledger", l, siskin.Position{}, f.homes.cfg.Clock.Now()); got.kept {
+		t.Errorf("acknowledgement without a position: got %+v, want it in doubt", got)
 	}
 }
 
--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -47,7 +47,10 @@
 func TestLateQuestion(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
-	if _, _, err := f.homes.Observe(context.Background(), id); err != nil {
+	if got := f.run(request(f.target(1), siskin.Read, "x")); got.Outcome != Answered {
+		t.Fatalf("read: got %+v, want an answer", got)
+	}
+	if _, err := f.homes.Control(context.Background(), id, siskin.Statement{Kind: siskin.Status}); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(50 * time.Millisecond)
@@ -59,8 +62,12 @@
 	if _, err := f.homes.Control(over, id, siskin.Statement{Kind: siskin.Status}); err == nil {
 		t.Error("control statement without time: got an answer, want an error")
 	}
-	if _, got, err := f.homes.Observe(context.Background(), id); err != nil || got < 50*time.Millisecond {
-		t.Errorf("next question: got %v and %v, want the same connection", got, err)
+	if got := f.target(1).Opened(); got != 2 {
+		t.Errorf("connections opened: got %d, want the 2 of before", got)
+	}
+	l, _ := f.homes.lane(id)
+	if open, idle, _ := l.counts(); open != 1 || idle != 1 || l.control.c == nil {
+		t.Errorf("connections afterwards: got %d open, %d idle, control connection %v, want 1, 1 and one", open, idle, l.control.c != nil)
 	}
 }
 
@@ -155,3 +162,18 @@
 		t.Errorf("connections beside one of callers: got %d, want no further one", got)
 	}
 }
+
+// TestControlAfterClose guards against a control connection that nobody closes, opened
+// for a question that comes after the target is gone or the VM has stopped serving.
+func TestControlAfterClose(t *testing.T) {
+	f := fenced(t)
+	id := f.target(1).ID()
+	l, _ := f.homes.lane(id)
+	l.close()
+	if _, err := f.homes.Control(context.Background(), id, siskin.Statement{Kind: siskin.Status}); err == nil {
+		t.Error("question on a closed lane: got an answer, want an error")
+	}
+	if got := f.target(1).Opened(); got != 0 {
+		t.Errorf("connections opened: got %d, want none", got)
+	}
+}
--- a/internal/home/witness_test.go
+++ b/internal/home/witness_test.go
@@ -11,6 +11,7 @@
 	"siskintray.example/siskin/internal/lease"
 	"siskintray.example/siskin/internal/views"
 	"siskintray.example/siskin/platform"
+	"siskintray.example/siskin/platform/stand"
 )
 
 // other returns the homes of another VM that is the home of a target, and answers
@@ -38,6 +39,20 @@
 	return h
 }
 
+// writesSoon checks that a write at a target succeeds within a second.
+func (f *fixture) writesSoon(target *stand.Target) {
+	f.t.Helper()
+	const limit = time.Second
+	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		if got := f.run(request(target, siskin.Write, "x 2")); got.Outcome == Answered && got.Answer.Code == siskin.Succeeded {
+			return
+		}
+		if time.Since(begun) > limit {
+			f.t.Fatalf("first success: got none within %v, want one", limit)
+		}
+	}
+}
+
 // TestHomeWithoutConnection guards against a restarted replica that confirms a lead
 // since its home had no connection to it that could break. Lists of service discovery
 // do not tell of the start yet.
@@ -47,27 +62,8 @@
 			f := start(t)
 			f.since = f.homes.cfg.Clock.Now().Add(-time.Hour)
 			f.listed = f.homes.cfg.Clock.Now().Add(entryDelay / 2)
-			primary, chosen, restarted := f.target(0), f.target(1), f.target(2)
-			f.other(restarted.ID())
-			if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != Answered {
-				t.Fatalf("write before the claims: got %+v, want an answer", got)
-			}
-			f.claim(chosen, 100)
-			f.claim(restarted, 100)
-			waiting := make(chan Reply)
-			go func() {
-				req := request(primary, siskin.Write, "x 2")
-				req.Patience = 2 * time.Second
-				waiting <- f.run(req)
-			}()
-			time.Sleep(lease.Wait)
-			f.restart(restarted)
-			if got := <-waiting; got.Outcome != Lost {
-				t.Errorf("write that waited for the replica: got %+v, want it in doubt", got)
-			}
-			if got := f.run(request(primary, siskin.Write, "x 3")); got.Outcome != NotSent {
-				t.Errorf("write after the replica's start: got %+v, want it refused", got)
-			}
+			f.other(f.target(2).ID())
+			f.writeThroughRestart()
 		})
 	}
 }
@@ -148,15 +144,7 @@
 					t.Fatal(err)
 				}
 			}
-			const limit = time.Second
-			for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
-				if got := f.run(request(f.target(0), siskin.Write, "x 2")); got.Outcome == Answered && got.Answer.Code == siskin.Succeeded {
-					return
-				}
-				if time.Since(begun) > limit {
-					t.Fatalf("first success: got none within %v of the start, want one", limit)
-				}
-			}
+			f.writesSoon(f.target(0))
 		})
 	}
 }
@@ -172,15 +160,7 @@
 			if err := f.platform.Promote(f.target(1)); err != nil {
 				t.Fatal(err)
 			}
-			const limit = time.Second
-			for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
-				if got := f.run(request(f.target(1), siskin.Write, "x 1")); got.Outcome == Answered && got.Answer.Code == siskin.Succeeded {
-					return
-				}
-				if time.Since(begun) > limit {
-					t.Fatalf("first success: got none within %v of the promotion, want one", limit)
-				}
-			}
+			f.writesSoon(f.target(1))
 		})
 	}
 }
@@ -234,7 +214,7 @@
 	set(true)
 	l, _ := f.homes.lane(primary.ID())
 	f.homes.renew("ledger", l, 0)
-	time.Sleep(renewTimeout / 4)
+	time.Sleep(askReplica * 4 / 3) // all replicas have been asked
 	set(false)
 	f.target(1).SetDeaf(false)
 	if got := <-waiting; got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
