--- a/answercode.go
+++ b/answercode.go
@@ -48,9 +48,9 @@
 	return answerCodes[c]
 }
 
-// NothingKept reports whether the code promises that the statement left no
+// HadNoEffect reports whether the code promises that the statement left no
 // trace, so that it is safe to send again.
-func (c AnswerCode) NothingKept() bool {
+func (c AnswerCode) HadNoEffect() bool {
 	switch c {
 	case Busy, Aborted, Lagging, ReadOnly, Misdirected, TooMany, NoStatement:
 		return true
--- a/controlstatus.go
+++ b/controlstatus.go
@@ -9,8 +9,8 @@
 	Term Term
 	// Received is the end of the log received.
 	Received Position
-	// HeldTerm is the highest term of a Pause or StepDown that is in force.
-	HeldTerm    Term
+	// PauseTerm is the highest term of a Pause or StepDown that is in force.
+	PauseTerm   Term `json:"HeldTerm"`
 	Lag         time.Duration
 	Running     int
 	Connections int
--- a/deployment.go
+++ b/deployment.go
@@ -25,12 +25,12 @@
 	MaxStaleness time.Duration
 	// Timeout bounds one statement.
 	Timeout time.Duration
-	// Objective is the latency that a whole operation should keep.
-	Objective time.Duration
+	// LatencyObjective is the latency that a whole operation should keep.
+	LatencyObjective time.Duration
 	// Priority is 0 for the most urgent route.
 	Priority int
-	// Open says that no key is needed.
-	Open bool
+	// AllowsAnonymous says that no key is needed.
+	AllowsAnonymous bool
 }
 
 // ServiceSpec is one service of a Deployment.
@@ -41,10 +41,11 @@
 	// SyncReplicas is the number of replicas that receive a commit before it is
 	// acknowledged.
 	SyncReplicas int
-	// ColdRate is the rate of statements that a cold target bears, and ColdFor the
+	// ColdRate is the rate of statements that a cold target bears, and
+	// ColdDuration the
 	// time for which it stays cold after its start; zero when targets are never cold.
-	ColdRate RequestsPerSecond
-	ColdFor  time.Duration
+	ColdRate     RequestsPerSecond
+	ColdDuration time.Duration
 }
 
 // CustomerSpec is one customer of a Deployment.
@@ -61,8 +62,8 @@
 	Routes    []RouteSpec
 	Services  []ServiceSpec
 	Customers []CustomerSpec
-	// TxIdle is the time after which an idle transaction may be ended.
-	TxIdle time.Duration
-	// SessionIdle is the time after which an idle session may be closed.
-	SessionIdle time.Duration
+	// TxIdleTimeout is the time after which an idle transaction may be ended.
+	TxIdleTimeout time.Duration
+	// SessionIdleTimeout is the time after which an idle session may be closed.
+	SessionIdleTimeout time.Duration
 }
--- a/group.go
+++ b/group.go
@@ -21,9 +21,9 @@
 	// Primary is empty while the group has none.
 	Primary TargetID
 	Targets []TargetView // ordered by id
-	// Recorded is the term of the platform's record of the primary, as far as
+	// RecordTerm is the term of the platform's record of the primary, as far as
 	// the VM that gave the view knows; zero when unknown. It may lag behind Term.
-	Recorded Term
+	RecordTerm Term `json:"Recorded"`
 }
 
 // Target returns the view of one target.
@@ -54,9 +54,9 @@
 	// returns the primary and its term. The caller must call done when the
 	// write's transaction has ended. An error is of a kind with IsNotRun.
 	AdmitWrite(ctx context.Context) (primary TargetID, term Term, done func(), err error)
-	// Suspect reports a failed or silent connection, so that the target is
+	// ReportFailure reports a failed or silent connection, so that the target is
 	// probed at once.
-	Suspect(target TargetID, cause error)
+	ReportFailure(target TargetID, cause error)
 }
 
 // Groups finds the Group of a service that this VM watches.
--- a/internal/admin/admintest/groups.go
+++ b/internal/admin/admintest/groups.go
@@ -20,7 +20,7 @@
 	s, _ := g.f.View().Service(service)
 	g.f.mu.Lock()
 	defer g.f.mu.Unlock()
-	v := siskin.GroupView{Term: 4, Recorded: 3, Primary: g.f.primary[service]}
+	v := siskin.GroupView{Term: 4, RecordTerm: 3, Primary: g.f.primary[service]}
 	for _, t := range s.Targets {
 		status := siskin.TargetStatus{ID: t.ID, ClaimedTerm: 4, ClaimedBy: "vm-1", StreamTerm: 4, LastTerm: 4, Received: 0x16b3748, Applied: 0x16b3700, HeardPrimary: 12 * time.Millisecond}
 		staleness := 12 * time.Millisecond
--- a/internal/admin/views.go
+++ b/internal/admin/views.go
@@ -36,7 +36,7 @@
 }
 
 func groupStatus(service siskin.ServiceName, v siskin.GroupView) GroupStatus {
-	g := GroupStatus{Service: service, Term: v.Term, RecordedTerm: v.Recorded, Primary: v.Primary, Targets: []TargetStatus{}}
+	g := GroupStatus{Service: service, Term: v.Term, RecordedTerm: v.RecordTerm, Primary: v.Primary, Targets: []TargetStatus{}}
 	for _, t := range v.Targets {
 		s := TargetStatus{
 			ID: t.Status.ID, Role: t.Status.Role.String(), Reachable: t.Reachable, Leaving: t.Status.Leaving,
--- a/internal/daemon/prepare.go
+++ b/internal/daemon/prepare.go
@@ -70,4 +70,6 @@
 }
 
 // Units returns the part of a customer's right that this VM holds.
-func (d *Daemon) Units(customer siskin.CustomerID) siskin.Units { return d.limiter.Units(customer) }
+func (d *Daemon) Units(customer siskin.CustomerID) siskin.QuotaUnits {
+	return d.limiter.Units(customer)
+}
--- a/internal/daemon/record_test.go
+++ b/internal/daemon/record_test.go
@@ -78,7 +78,7 @@
 	t.Logf("record %v after the outage", took)
 	await("record in the status of every VM that watches the group", 45*time.Second, func() bool {
 		for _, vm := range f.VMs {
-			if v, err := vm.View(ctx, service); err != nil || v.Recorded != v.Term {
+			if v, err := vm.View(ctx, service); err != nil || v.RecordTerm != v.Term {
 				return false
 			}
 		}
--- a/internal/elect/announcement.go
+++ b/internal/elect/announcement.go
@@ -18,8 +18,8 @@
 	Hold crew.HoldNote
 	// Fence and Term are those of the promotion, zero where the platform checks
 	// fences.
-	Fence siskin.Fence `json:",omitempty"`
-	Term  siskin.Term  `json:",omitempty"`
+	Fence siskin.FencingToken `json:",omitempty"`
+	Term  siskin.Term         `json:",omitempty"`
 }
 
 // LeadArgs asks for the newest proof of lead of a service.
--- a/internal/elect/cancel.go
+++ b/internal/elect/cancel.go
@@ -64,13 +64,13 @@
 	held := 0
 	for i := range c.claims {
 		cl := &c.claims[i]
-		if cl.err != nil || cl.status.HeldTerm != c.term {
+		if cl.err != nil || cl.status.PauseTerm != c.term {
 			continue
 		}
 		s, err := c.control(c.e.ctx, cl.target.ID, siskin.Statement{Kind: siskin.Status})
 		switch {
 		case err != nil:
-		case s.HeldTerm != c.term:
+		case s.PauseTerm != c.term:
 			return false
 		default:
 			held++
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -35,7 +35,7 @@
 	// unfenced says that the platform checks no fences and leaves the old
 	// primary leading. The fence of such a change is the term of its claims.
 	unfenced bool
-	fence    siskin.Fence
+	fence    siskin.FencingToken
 	term     siskin.Term
 	// own is the term of the last claims of this VM, zero when a promotion that was
 	// ordered with them, or before them by another change, may still take effect.
@@ -92,7 +92,7 @@
 		return nil
 	}
 	var err error
-	if c.fence, err = c.e.fence.takeAbove(ctx, c.spec.Name, c.leadTerm, siskin.Fence(max(c.leadTerm, c.heldTerm))); err != nil {
+	if c.fence, err = c.e.fence.takeAbove(ctx, c.spec.Name, c.leadTerm, siskin.FencingToken(max(c.leadTerm, c.heldTerm))); err != nil {
 		return err
 	}
 	c.term = siskin.Term(c.fence)
@@ -130,7 +130,7 @@
 			continue
 		}
 		answered++
-		c.leadTerm, c.heldTerm = max(c.leadTerm, cl.status.Term, cl.status.Received.Term), max(c.heldTerm, cl.status.HeldTerm)
+		c.leadTerm, c.heldTerm = max(c.leadTerm, cl.status.Term, cl.status.Received.Term), max(c.heldTerm, cl.status.PauseTerm)
 		if cl.status.Primary && cl.target.ID != c.old && c.e.cfg.Homes.Ping(ctx, c.spec.Name, cl.target.ID) == nil {
 			return siskin.NewError(siskin.Conflict, "target %s leads already", cl.target.ID)
 		}
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return s.HeldTerm
+	return s.PauseTerm
 }
 
 func (c *change) claimed(t *testing.T) {
@@ -132,14 +132,14 @@
 		if _, err := c.control(context.Background(), target.ID, siskin.Statement{Kind: siskin.Pause, Term: c.term}); err != nil {
 			t.Fatal(err)
 		}
-		c.claims = append(c.claims, claim{target: target, status: siskin.ControlStatus{HeldTerm: c.term}})
+		c.claims = append(c.claims, claim{target: target, status: siskin.ControlStatus{PauseTerm: c.term}})
 	}
 	pending, err := c.e.fence.take(context.Background(), false)
 	if err != nil {
 		t.Fatal(err)
 	}
 	orders := 0
-	c.e.cfg.Promoter = promoterFunc(func(f siskin.Fence) error {
+	c.e.cfg.Promoter = promoterFunc(func(f siskin.FencingToken) error {
 		if orders++; orders == 1 {
 			return siskin.NewError(siskin.OutcomeUnknown, "no answer")
 		}
@@ -206,8 +206,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.HeldTerm != 0 || s.Term < c.newTerm {
-		t.Errorf("replica that is free: got held term %d and term %d, want 0 and %d", s.HeldTerm, s.Term, c.newTerm)
+	if s.PauseTerm != 0 || s.Term < c.newTerm {
+		t.Errorf("replica that is free: got held term %d and term %d, want 0 and %d", s.PauseTerm, s.Term, c.newTerm)
 	}
 }
 
@@ -310,13 +310,13 @@
 		if got, want := c.overtook, own != held; got != want {
 			t.Errorf("claims of term %d taken over, own term %d: got %v, want %v", held, own, got, want)
 		}
-		var used siskin.Fence
-		c.e.cfg.Promoter = promoterFunc(func(f siskin.Fence) error {
+		var used siskin.FencingToken
+		c.e.cfg.Promoter = promoterFunc(func(f siskin.FencingToken) error {
 			used = max(used, f)
 			return siskin.NewError(siskin.Conflict, "refused")
 		})
 		_ = c.promote(ctx)
-		if own != held && used <= siskin.Fence(later) || used < reserve {
+		if own != held && used <= siskin.FencingToken(later) || used < reserve {
 			t.Errorf("fence after claims of another change: got %d, want more than %d (in reserve: %d)", used, later, reserve)
 		}
 	}
@@ -336,9 +336,9 @@
 }
 
 // promoterFunc is called for each order.
-type promoterFunc func(siskin.Fence) error
+type promoterFunc func(siskin.FencingToken) error
 
-func (f promoterFunc) Promote(_ context.Context, _ siskin.ServiceName, _ siskin.TargetID, _ siskin.VMID, fence siskin.Fence) error {
+func (f promoterFunc) Promote(_ context.Context, _ siskin.ServiceName, _ siskin.TargetID, _ siskin.VMID, fence siskin.FencingToken) error {
 	return f(fence)
 }
 
@@ -348,7 +348,7 @@
 	c, _ := newChange(t)
 	c.e.cfg.Store = slowStore{c.e.cfg.Store}
 	orders := 0
-	c.e.cfg.Promoter = promoterFunc(func(siskin.Fence) error {
+	c.e.cfg.Promoter = promoterFunc(func(siskin.FencingToken) error {
 		orders++
 		if got := c.e.cfg.Clock.Since(c.checked); got > maxFencedAge {
 			t.Errorf("age of the check at the order: got %v, want at most %v", got, maxFencedAge)
@@ -369,7 +369,7 @@
 // change's target.
 func TestCompare(t *testing.T) {
 	at := func(lsn siskin.LSN) siskin.ControlStatus {
-		return siskin.ControlStatus{Term: 1, HeldTerm: 9, Received: siskin.Position{Term: 1, LSN: lsn}}
+		return siskin.ControlStatus{Term: 1, PauseTerm: 9, Received: siskin.Position{Term: 1, LSN: lsn}}
 	}
 	later := at(7)
 	later.Term = 2
@@ -429,11 +429,11 @@
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	silent := claim{primary: true, err: errLate}
 	replica := func(ms int) claim {
-		return claim{status: siskin.ControlStatus{Term: 3, HeldTerm: 9}, at: at(ms)}
+		return claim{status: siskin.ControlStatus{Term: 3, PauseTerm: 9}, at: at(ms)}
 	}
 	former := func(led siskin.Term, unfenced bool) claim {
 		c := claim{primary: true, led: led, demoted: unfenced, steppedDown: !unfenced, at: at(0)}
-		c.status = siskin.ControlStatus{Term: led, HeldTerm: 9}
+		c.status = siskin.ControlStatus{Term: led, PauseTerm: 9}
 		return c
 	}
 	for _, c := range []struct {
@@ -460,11 +460,11 @@
 func TestReplicasOfFormerPrimary(t *testing.T) {
 	primary := func(unfenced bool) claim {
 		c := claim{target: siskin.TargetInfo{ID: "a"}, primary: true, steppedDown: !unfenced, demoted: unfenced, led: 5, end: siskin.Position{Term: 5, LSN: 9}}
-		c.status = siskin.ControlStatus{Term: 5, HeldTerm: 9, Received: c.end}
+		c.status = siskin.ControlStatus{Term: 5, PauseTerm: 9, Received: c.end}
 		return c
 	}
 	replica := func(id siskin.TargetID, follows siskin.Term) claim {
-		return claim{target: siskin.TargetInfo{ID: id}, status: siskin.ControlStatus{Term: follows, HeldTerm: 9, Received: siskin.Position{Term: 3, LSN: 12}}}
+		return claim{target: siskin.TargetInfo{ID: id}, status: siskin.ControlStatus{Term: follows, PauseTerm: 9, Received: siskin.Position{Term: 3, LSN: 12}}}
 	}
 	for _, c := range []struct {
 		name     string
--- a/internal/elect/check.go
+++ b/internal/elect/check.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	if s.HeldTerm > s.Term || s.Term > c.leadTerm {
+	if s.PauseTerm > s.Term || s.Term > c.leadTerm {
 		return siskin.NewError(siskin.Conflict, "another change has claimed target %s", c.chosen.target.ID).WithRemedy("wait for its result")
 	}
 	return nil
--- a/internal/elect/claiming.go
+++ b/internal/elect/claiming.go
@@ -114,7 +114,7 @@
 		entry = entry.Err(cl.err)
 	} else {
 		entry = entry.Bool("Primary", cl.status.Primary).Uint64("Term", uint64(cl.status.Term)).
-			Uint64("HeldTerm", uint64(cl.status.HeldTerm)).Uint64("ReceivedTerm", uint64(cl.status.Received.Term)).
+			Uint64("HeldTerm", uint64(cl.status.PauseTerm)).Uint64("ReceivedTerm", uint64(cl.status.Received.Term)).
 			Uint64("Received", uint64(cl.status.Received.LSN)).Dur("Lag", cl.status.Lag)
 	}
 	entry.Msg(msg)
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -54,12 +54,12 @@
 // newest term known then is leadTerm. A claim for the term own, of an earlier change
 // of this VM that ordered nothing, is no other change's.
 func (c *claim) claimedBy(before siskin.ControlStatus, term, leadTerm, own siskin.Term, leads, unfenced bool) {
-	c.overtook = before.HeldTerm > before.Term && before.HeldTerm != own
+	c.overtook = before.PauseTerm > before.Term && before.PauseTerm != own
 	switch {
 	case c.err != nil:
 	case before.Term > leadTerm:
 		c.err = errClaimed
-	case c.overtook && before.HeldTerm >= term, leads && !before.Primary && !unfenced:
+	case c.overtook && before.PauseTerm >= term, leads && !before.Primary && !unfenced:
 		// A replica accepts to step down as well, and proves nothing by it.
 		c.overtook, c.err = true, errClaimed
 	case unfenced:
@@ -80,9 +80,9 @@
 	case c.steppedDown:
 		// Another term means that another target was promoted meanwhile.
 		return !c.status.Primary && c.status.Term == c.led && c.status.Received.Compare(c.end) >= 0 &&
-			c.status.HeldTerm <= max(term, c.led)
+			c.status.PauseTerm <= max(term, c.led)
 	default:
-		return c.status.HeldTerm == term
+		return c.status.PauseTerm == term
 	}
 }
 
@@ -206,7 +206,7 @@
 		return cmp.Or(
 			a.status.Received.Compare(b.status.Received),
 			-boolCompare(leaving(&a.target), leaving(&b.target)),
-			-boolCompare(a.target.Warming > 0, b.target.Warming > 0), // a cold one bears few statements
+			-boolCompare(a.target.ColdRemaining > 0, b.target.ColdRemaining > 0), // a cold one bears few statements
 			cmp.Compare(b.target.ID, a.target.ID),
 		)
 	}), true
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -104,15 +104,15 @@
 			case part == "leads":
 				c.status.Primary = true
 			case part == "held":
-				c.status.HeldTerm = term
+				c.status.PauseTerm = term
 			case part == "older":
-				c.status.HeldTerm = term - 1
+				c.status.PauseTerm = term - 1
 			case part == "silent":
 				c.err = errors.New("no answer")
 			case part == "draining":
 				c.target.Draining = true
 			case part == "cold":
-				c.target.Warming = time.Second
+				c.target.ColdRemaining = time.Second
 			case part == "evacuated":
 				c.target.Evacuated = true
 			default:
--- a/internal/elect/fence.go
+++ b/internal/elect/fence.go
@@ -21,7 +21,7 @@
 	e *Elector
 
 	mu      sync.Mutex // held during calls to the store
-	next    siskin.Fence
+	next    siskin.FencingToken
 	version siskin.Version // of the object; zero when unknown
 	serial  int
 	// terms are the terms of the primaries that were known before next was asked
@@ -35,7 +35,7 @@
 // usedFence says that the promotions of a service up to a term used fences up to
 // the given one.
 type usedFence struct {
-	fence siskin.Fence
+	fence siskin.FencingToken
 	term  siskin.Term
 }
 
@@ -49,7 +49,7 @@
 // take returns a fence that was never used and reserves none. With fresh set it is
 // higher than all given out before: an order of another change that is still on
 // its way is then refused.
-func (f *fence) take(ctx context.Context, fresh bool) (siskin.Fence, error) {
+func (f *fence) take(ctx context.Context, fresh bool) (siskin.FencingToken, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next == 0 || fresh {
@@ -63,7 +63,7 @@
 }
 
 // giveBack takes a fence that was not used into reserve.
-func (f *fence) giveBack(n siskin.Fence) {
+func (f *fence) giveBack(n siskin.FencingToken) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next == 0 {
@@ -74,7 +74,7 @@
 // takeAbove returns a fence that was never used and is higher than floor and
 // than all that were used for the service. The targets know the present primary
 // as that of the given term.
-func (f *fence) takeAbove(ctx context.Context, service siskin.ServiceName, term siskin.Term, floor siskin.Fence) (siskin.Fence, error) {
+func (f *fence) takeAbove(ctx context.Context, service siskin.ServiceName, term siskin.Term, floor siskin.FencingToken) (siskin.FencingToken, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
@@ -94,7 +94,7 @@
 
 // fits reports whether the fence in reserve is higher than all that were used
 // for the service. A fresh one is, since the others were taken before it.
-func (f *fence) fits(service siskin.ServiceName, used usedFence, term siskin.Term, floor siskin.Fence, fresh bool) bool {
+func (f *fence) fits(service siskin.ServiceName, used usedFence, term siskin.Term, floor siskin.FencingToken, fresh bool) bool {
 	if f.next <= floor || f.next <= used.fence {
 		return false
 	}
@@ -103,7 +103,7 @@
 
 // note takes over that a fence was used for the promotion to a term, zero when
 // it is not known yet.
-func (f *fence) note(service siskin.ServiceName, fence siskin.Fence, term siskin.Term) {
+func (f *fence) note(service siskin.ServiceName, fence siskin.FencingToken, term siskin.Term) {
 	f.usedMu.Lock()
 	defer f.usedMu.Unlock()
 	if f.used == nil {
@@ -178,7 +178,7 @@
 			f.version = 0
 			return err
 		}
-		if f.next = siskin.Fence(f.version); f.next != 0 {
+		if f.next = siskin.FencingToken(f.version); f.next != 0 {
 			return nil
 		}
 	}
@@ -187,7 +187,7 @@
 		f.version = 0
 		return err
 	}
-	f.version, f.next = version, siskin.Fence(version)
+	f.version, f.next = version, siskin.FencingToken(version)
 	return nil
 }
 
--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -70,7 +70,7 @@
 	roster  *roster.Roster
 	rev     int // of the last list
 	cut     bool
-	reserve siskin.Fence
+	reserve siskin.FencingToken
 	claimed siskin.Term // of the claims of its last change
 	change  *modelChange
 }
@@ -95,9 +95,9 @@
 	acked       [8]uint64
 	waiting     []modelCommit
 	commits     int
-	term        siskin.Term  // of the last promotion
-	fence       siskin.Fence // last one given out
-	used        siskin.Fence // highest one seen by the platform
+	term        siskin.Term         // of the last promotion
+	fence       siskin.FencingToken // last one given out
+	used        siskin.FencingToken // highest one seen by the platform
 	orders      []modelOrder
 	freeing     []modelFreeing
 	faults      []string
--- a/internal/elect/modelchange_test.go
+++ b/internal/elect/modelchange_test.go
@@ -38,7 +38,7 @@
 	vm                   *modelVM
 	change               *modelChange
 	looked               int // tick of the last look at the claims before it
-	fence                siskin.Fence
+	fence                siskin.FencingToken
 }
 
 // modelFreeing is the end of the claims of a change that has promoted a target.
@@ -79,8 +79,8 @@
 		c.term = max(c.leadTerm, c.heldTerm) + 1
 	}
 	if !m.fenced {
-		if c.fence = v.reserve; !m.rules.staleFence || c.fence <= siskin.Fence(max(c.leadTerm, c.heldTerm)) {
-			m.fence = max(m.fence, siskin.Fence(max(c.leadTerm, c.heldTerm))) + 1
+		if c.fence = v.reserve; !m.rules.staleFence || c.fence <= siskin.FencingToken(max(c.leadTerm, c.heldTerm)) {
+			m.fence = max(m.fence, siskin.FencingToken(max(c.leadTerm, c.heldTerm))) + 1
 			c.fence = m.fence
 		}
 		m.fence++
--- a/internal/elect/modeltarget_test.go
+++ b/internal/elect/modeltarget_test.go
@@ -40,7 +40,7 @@
 
 // status returns what a target tells a VM.
 func (t *modelTarget) status() siskin.ControlStatus {
-	return siskin.ControlStatus{Primary: t.leads, Term: t.term, HeldTerm: t.held, Received: t.log.last}
+	return siskin.ControlStatus{Primary: t.leads, Term: t.term, PauseTerm: t.held, Received: t.log.last}
 }
 
 // modelEntry is the entry of a target in discovery.
--- a/internal/elect/release.go
+++ b/internal/elect/release.go
@@ -88,7 +88,7 @@
 // free ends the claims of the replicas.
 func (c *change) free() {
 	for _, cl := range c.claims {
-		if cl.target.ID == "" || cl.target.ID == c.chosen.target.ID && c.led || cl.err == nil && cl.status.HeldTerm != c.term {
+		if cl.target.ID == "" || cl.target.ID == c.chosen.target.ID && c.led || cl.err == nil && cl.status.PauseTerm != c.term {
 			continue
 		}
 		c.e.done.Go(func() { c.unpauseOne(cl.target.ID) })
@@ -116,14 +116,14 @@
 func (c *change) tryUnpause(id siskin.TargetID) error {
 	status, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Status})
 	c.e.cfg.Log.Info().Err(err).Str("Service", string(c.spec.Name)).Str("Target", string(id)).Uint64("ClaimedTerm", uint64(c.term)).
-		Uint64("HeldTerm", uint64(status.HeldTerm)).Uint64("Term", uint64(status.Term)).Msg("ending the claim of a target")
+		Uint64("HeldTerm", uint64(status.PauseTerm)).Uint64("Term", uint64(status.Term)).Msg("ending the claim of a target")
 	if err != nil {
 		return err
 	}
-	if status.Primary || status.HeldTerm > status.Term && status.HeldTerm != c.term {
+	if status.Primary || status.PauseTerm > status.Term && status.PauseTerm != c.term {
 		return nil // retire sees to it, or another change has claimed it
 	}
-	if status.HeldTerm != c.term {
+	if status.PauseTerm != c.term {
 		return c.awaitFollower(id) // it has started again without the claim
 	}
 	if _, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Unpause}); err != nil {
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -119,7 +119,7 @@
 	if t.DataCentre != c.Near {
 		cost += remoteBias
 	}
-	if t.Warming > 0 {
+	if t.ColdRemaining > 0 {
 		cost += warmingBias
 	}
 	if seen.Failures > 0 && c.Now.Sub(seen.FailedAt) < avoidFailed {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -88,7 +88,7 @@
 	d := &siskin.Deployment{Version: 1, Customers: []siskin.CustomerSpec{{ID: "acme", Keys: []string{"key"}}}}
 	for database, kind := range map[string]siskin.RouteKind{"primary": siskin.PrimaryReads, "bounded": siskin.BoundedStaleness, "own": siskin.ReadYourWrites} {
 		d.Routes = append(d.Routes, siskin.RouteSpec{
-			Database: database, Service: "s", Kind: kind, Timeout: 300 * time.Millisecond, Objective: 100 * time.Millisecond, MaxStaleness: time.Second,
+			Database: database, Service: "s", Kind: kind, Timeout: 300 * time.Millisecond, LatencyObjective: 100 * time.Millisecond, MaxStaleness: time.Second,
 		})
 	}
 	tab.Apply(d, nil)
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -60,18 +60,18 @@
 
 func (o *operation) do() *siskin.Answer {
 	s := o.s
-	if s.tx != nil && o.st.Changes() {
+	if s.tx != nil && o.st.MayWrite() {
 		s.e.writing.note(o.route.Name, s.e.cfg.Clock.Now())
 	}
 	if s.tx != nil && s.tx.opened {
-		if s.tx.atReplica && o.st.Changes() {
+		if s.tx.atReplica && o.st.MayWrite() {
 			return o.beganAtReplica()
 		}
 		return o.continued()
 	}
 	// Rates count operations, so a transaction counts once, with its first
 	// statement.
-	ctx, cancel := context.WithTimeout(context.Background(), o.route.Objective/waitDivisor)
+	ctx, cancel := context.WithTimeout(context.Background(), o.route.LatencyObjective/waitDivisor)
 	defer cancel()
 	if adm := s.e.cfg.Limiter.AdmitWait(ctx, o.customer, 1); !adm.Admitted {
 		o.reason = "RateExceeded"
@@ -91,7 +91,7 @@
 
 // needsPrimary reports whether only the primary may run the operation.
 func (o *operation) needsPrimary() bool {
-	if o.route.Kind == siskin.PrimaryReads || o.st.Changes() {
+	if o.route.Kind == siskin.PrimaryReads || o.st.MayWrite() {
 		return true
 	}
 	tx := o.s.tx
@@ -113,7 +113,7 @@
 
 // budget is the time after which the operation is given up.
 func (o *operation) budget() time.Duration {
-	return min(o.route.Timeout, patienceFactor*o.route.Objective)
+	return min(o.route.Timeout, patienceFactor*o.route.LatencyObjective)
 }
 
 func (o *operation) remaining() time.Duration {
@@ -124,7 +124,7 @@
 func (o *operation) request(patience time.Duration) *home.Request {
 	req := &home.Request{
 		Statement: *o.st, Service: o.route.Service, Customer: o.customer, Values: o.s.values,
-		Patience: patience, QueueFor: patience, ConnectFor: o.route.Objective / waitDivisor, TxIdle: o.s.e.cfg.Table.Snapshot().TxIdle + txIdleMargin,
+		Patience: patience, QueueFor: patience, ConnectFor: o.route.LatencyObjective / waitDivisor, TxIdle: o.s.e.cfg.Table.Snapshot().TxIdleTimeout + txIdleMargin,
 	}
 	if o.st.Kind == siskin.Execute {
 		req.Prepared = o.s.prepared[o.st.Name]
@@ -204,7 +204,7 @@
 		return &a
 	}
 	s.tx.opened, s.tx.target, s.tx.home, s.tx.id = true, o.target, reply.Home, reply.Tx
-	s.tx.wrote = o.st.Changes()
+	s.tx.wrote = o.st.MayWrite()
 	s.tx.atReplica = floored && !s.tx.readOnly
 	s.tx.failed = a.Code != siskin.Succeeded
 	a.State = s.state()
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -27,7 +27,7 @@
 		req.Target = target
 		// Time in the queue is bounded by what the caller can still use.
 		req.QueueFor = o.budget() * 3 / 4
-		if !o.st.Changes() || o.s.tx != nil {
+		if !o.st.MayWrite() || o.s.tx != nil {
 			req.Proof = home.LeadProof
 		}
 		reply := o.run(req)
@@ -37,7 +37,7 @@
 				return a
 			}
 		case home.Lost:
-			if o.s.tx == nil && o.st.Changes() {
+			if o.s.tx == nil && o.st.MayWrite() {
 				o.reason = reply.Cause.String()
 				return o.s.refuse(siskin.InDoubt, "the answer to the write is missing; check whether it took effect")
 			}
@@ -87,7 +87,7 @@
 			// branch that a promotion rolled back ends here.
 			o.s.floor = reply.Lead
 		}
-		if o.st.Changes() && o.s.tx == nil {
+		if o.st.MayWrite() && o.s.tx == nil {
 			o.s.raise(reply.Answer.Position)
 		}
 	}
@@ -120,7 +120,7 @@
 func (o *operation) primary() siskin.TargetID {
 	e := o.s.e
 	name := o.route.Service
-	deadline := o.route.Objective / waitDivisor
+	deadline := o.route.LatencyObjective / waitDivisor
 	for {
 		leadChanged, rosterChanged := e.cfg.Views.Changed(name), e.cfg.Roster.Changed()
 		if !e.cfg.Views.Holding(name, e.cfg.Clock.Now()) {
--- a/internal/entry/replica.go
+++ b/internal/entry/replica.go
@@ -23,7 +23,7 @@
 		reply := o.run(req)
 		if reply.Outcome == home.Answered {
 			a := &reply.Answer
-			if a.Code == siskin.Succeeded || o.s.tx != nil || !a.Code.NothingKept() && a.Code != siskin.Failed {
+			if a.Code == siskin.Succeeded || o.s.tx != nil || !a.Code.HadNoEffect() && a.Code != siskin.Failed {
 				return o.opened(&reply, true)
 			}
 			o.reason = a.Code.String()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -137,7 +137,7 @@
 		return nil, "", &siskin.Answer{Code: siskin.NoDatabase, Message: "no route has this name; check the name of the database"}
 	}
 	customer, ok := snap.Owner(s.digest)
-	if !ok && !route.Open {
+	if !ok && !route.AllowsAnonymous {
 		return nil, "", &siskin.Answer{Code: siskin.NoAuth, Message: "the key is unknown or withdrawn; use a valid key"}
 	}
 	return route, customer, nil
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -77,7 +77,7 @@
 		}
 		if a.Code != siskin.Succeeded {
 			tx.failed = true
-		} else if o.st.Changes() {
+		} else if o.st.MayWrite() {
 			tx.wrote = true
 		}
 		a.State = o.s.state()
--- a/internal/fleet/rights_test.go
+++ b/internal/fleet/rights_test.go
@@ -61,17 +61,17 @@
 		t.Fatal(err)
 	}
 	t.Logf("%d VMs: %.0f%% of the right of %s returned to use after %v",
-		len(f.VMs), 100*float64(held)/float64(siskin.TotalUnits), f.Profile.Customers[0].ID, time.Since(start).Round(10*time.Millisecond))
+		len(f.VMs), 100*float64(held)/float64(siskin.TotalQuotaUnits), f.Profile.Customers[0].ID, time.Since(start).Round(10*time.Millisecond))
 }
 
 // heldBy reports whether the VMs hold the whole right of every customer.
 func (f *Fleet) heldBy(vms []*VM) bool {
 	for _, c := range f.Profile.Customers {
-		var sum siskin.Units
+		var sum siskin.QuotaUnits
 		for _, vm := range vms {
 			sum += vm.Units(c.ID)
 		}
-		if sum != siskin.TotalUnits {
+		if sum != siskin.TotalQuotaUnits {
 			return false
 		}
 	}
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -18,7 +18,7 @@
 	VM        siskin.VMID
 	Clock     siskin.Clock
 	Config    config.View
-	Keys      siskin.Keys
+	Keys      siskin.Authenticator
 	Topology  Topology
 	Home      *relay.Home
 	Forwarder *relay.Forwarder
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -131,7 +131,7 @@
 	return view.Primary, view.Term, func() { g.running.Add(-1) }, nil
 }
 
-func (g *fakeGroup) Suspect(siskin.TargetID, error) {}
+func (g *fakeGroup) ReportFailure(siskin.TargetID, error) {}
 
 // fakeKeys grants one key, which can be withdrawn.
 type fakeKeys struct {
--- a/internal/front/vm_test.go
+++ b/internal/front/vm_test.go
@@ -42,7 +42,7 @@
 		f.tb.Fatal(err)
 	}
 	vm.dialer = &switchDialer{PGDialer: dialer}
-	vm.pool = pool.New(clock, vm.dialer, pool.WithFailure(f.group.Suspect))
+	vm.pool = pool.New(clock, vm.dialer, pool.WithFailure(f.group.ReportFailure))
 	home := (&relay.Home{
 		Clock: clock, Config: f.view, Groups: f, Limiter: f.limiter, Queues: f.queue, Pool: vm.pool, Keys: f.keys,
 	}).Init()
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -104,7 +104,7 @@
 		return nil, siskin.NewError(siskin.Unavailable, "this VM no longer serves target %s", info.ID)
 	}
 	ctl := &l.control
-	if ctl.c != nil && (ctl.opened.Address != info.Address || !ctl.opened.Born.Equal(info.Born)) {
+	if ctl.c != nil && (ctl.opened.Address != info.Address || !ctl.opened.StartedAt.Equal(info.StartedAt)) {
 		l.dropControl()
 	}
 	if ctl.c == nil {
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -64,7 +64,7 @@
 func (l *lane) update(info siskin.TargetInfo, limit int) {
 	l.mu.Lock()
 	var stale []*conn
-	if info.Address != l.info.Address || !info.Born.Equal(l.info.Born) {
+	if info.Address != l.info.Address || !info.StartedAt.Equal(l.info.StartedAt) {
 		stale = l.takeIdle()
 	}
 	l.info, l.limit = info, limit
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -87,7 +87,7 @@
 			poll.Add(*s, witness)
 			switch {
 			case !lease.Unclaimed(*s, term):
-				last = moreTelling(last, siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.HeldTerm))
+				last = moreTelling(last, siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.PauseTerm))
 			case witness:
 				l.renewal.asked = n
 			default:
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -24,7 +24,7 @@
 		return []siskin.Statement{{Kind: siskin.BeginRead, Floor: r.req.Floor}}, true
 	case r.req.Mode == Open, r.req.Proof == LeadProof:
 		return []siskin.Statement{{Kind: siskin.Begin}}, true
-	case probe && r.req.Statement.Changes():
+	case probe && r.req.Statement.MayWrite():
 		return []siskin.Statement{{Kind: siskin.Begin}, {Kind: siskin.Rollback}}, true
 	default:
 		return nil, false
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -33,7 +33,7 @@
 
 // do queues the statement, takes a connection and runs it.
 func (r *run) do(ctx context.Context) Reply {
-	if r.req.Mode == Single && r.req.Statement.Changes() && (r.l.writes.refused(r.start) || !r.h.mayCommitBy(r.deadline, r.req.Service, r.l)) {
+	if r.req.Mode == Single && r.req.Statement.MayWrite() && (r.l.writes.refused(r.start) || !r.h.mayCommitBy(r.deadline, r.req.Service, r.l)) {
 		// The replicas are asked before a write takes a place and a connection.
 		r.reply.Cause = Stalled
 		return r.reply
@@ -140,7 +140,7 @@
 		}
 		return r.send(nil, true)
 	}
-	if len(setup) > 0 && r.req.Statement.Changes() {
+	if len(setup) > 0 && r.req.Statement.MayWrite() {
 		// A write behind a value that the target refuses would run without it.
 		if ok, gone := r.prove(setup, nil); !ok {
 			return gone && reused
@@ -167,24 +167,24 @@
 		r.l.drop(r.c)
 		return false
 	}
-	if s.Changes() && !r.h.mayCommitBy(r.deadline, r.req.Service, r.l) {
+	if s.MayWrite() && !r.h.mayCommitBy(r.deadline, r.req.Service, r.l) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
 		r.l.put(r.c)
 		return false
 	}
 	asked := r.h.cfg.Clock.Now()
-	if s.Changes() && !r.l.writes.start(asked) {
+	if s.MayWrite() && !r.l.writes.start(asked) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
 		r.l.put(r.c)
 		return false
 	}
 	answers, err := r.c.Exchange(r.deadline, list)
-	if s.Changes() {
+	if s.MayWrite() {
 		r.l.writes.end(len(answers) > len(setup))
 	}
 	r.reply.Ran = r.h.cfg.Clock.Since(asked)
 	if err != nil && len(answers) <= len(setup) {
-		if r.broken(err); !s.Changes() {
+		if r.broken(err); !s.MayWrite() {
 			// Reads leave no trace, so a broken connection is replaced once.
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
@@ -216,7 +216,7 @@
 	switch {
 	case a.Code == siskin.ReadOnly:
 		r.denied(a, asked)
-	case a.Code == siskin.Succeeded && s.Changes():
+	case a.Code == siskin.Succeeded && s.MayWrite():
 		switch got := r.h.acknowledged(r.req.Service, r.l, a.Position, asked); {
 		case !got.kept:
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = Lost, Unconfirmed, siskin.Answer{}
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -120,7 +120,7 @@
 	}
 	if a.Code == siskin.Succeeded {
 		switch {
-		case s.Changes():
+		case s.MayWrite():
 			t.wrote = true
 		case commits && !h.acknowledged(req.Service, t.l, a.Position, asked).kept:
 			reply.Outcome, reply.Cause, reply.Answer = Lost, Unconfirmed, siskin.Answer{}
--- a/internal/home/witness_test.go
+++ b/internal/home/witness_test.go
@@ -80,7 +80,7 @@
 	target := other.cfg.Target
 	other.cfg.Target = func(id siskin.TargetID) (siskin.TargetInfo, bool) {
 		info, ok := target(id)
-		info.Born = born
+		info.StartedAt = born
 		return info, ok
 	}
 	if _, _, err := other.Observe(context.Background(), restarted.ID()); err != nil {
--- a/internal/lease/evidence.go
+++ b/internal/lease/evidence.go
@@ -10,7 +10,7 @@
 // Unclaimed reports whether a target is a replica of the given term that no
 // change has claimed.
 func Unclaimed(s siskin.ControlStatus, term siskin.Term) bool {
-	return !s.Primary && s.Term == term && s.HeldTerm <= s.Term
+	return !s.Primary && s.Term == term && s.PauseTerm <= s.Term
 }
 
 // ByReplicas reports whether acknowledged commits rest on replicas, which had to
--- a/internal/lease/leases_test.go
+++ b/internal/lease/leases_test.go
@@ -58,8 +58,8 @@
 		want   bool
 	}{
 		{"follows", siskin.ControlStatus{Term: 3}, true},
-		{"claimed for an earlier change", siskin.ControlStatus{Term: 3, HeldTerm: 2}, true},
-		{"claimed", siskin.ControlStatus{Term: 3, HeldTerm: 40}, false},
+		{"claimed for an earlier change", siskin.ControlStatus{Term: 3, PauseTerm: 2}, true},
+		{"claimed", siskin.ControlStatus{Term: 3, PauseTerm: 40}, false},
 		{"follows a later primary", siskin.ControlStatus{Term: 4}, false},
 		{"has not met the primary", siskin.ControlStatus{Term: 2}, false},
 		{"leads itself", siskin.ControlStatus{Term: 3, Primary: true}, false},
--- a/internal/lease/poll.go
+++ b/internal/lease/poll.go
@@ -18,7 +18,7 @@
 // Add takes over the state of one replica. A witness has forgotten no claim that may
 // still lead to a promotion.
 func (p *Poll) Add(s siskin.ControlStatus, witness bool) {
-	if !s.Primary && s.HeldTerm <= s.Term {
+	if !s.Primary && s.PauseTerm <= s.Term {
 		p.free++
 	}
 	if Unclaimed(s, p.Term) {
--- a/internal/lease/poll_test.go
+++ b/internal/lease/poll_test.go
@@ -13,7 +13,7 @@
 	var (
 		free    = siskin.ControlStatus{Term: 3}
 		behind  = siskin.ControlStatus{Term: 2}
-		claimed = siskin.ControlStatus{Term: 3, HeldTerm: 40}
+		claimed = siskin.ControlStatus{Term: 3, PauseTerm: 40}
 		former  = siskin.ControlStatus{Term: 2, Primary: true}
 	)
 	type replica struct {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,7 +26,7 @@
 	Limiter siskin.Limiter
 	// Platform takes the records of primaries; nil means that none are written.
 	Platform siskin.Platform
-	Keys     siskin.Keys
+	Keys     siskin.Authenticator
 	Tokens   *token.Codec
 
 	// Caller and Forward accept callers and transactions of other VMs.
--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -210,7 +210,7 @@
 // suspect tells the group of a target about a failed connection.
 func (g *groups) suspect(target siskin.TargetID, cause error) {
 	if w := g.of(target); w != nil {
-		w.Suspect(target, cause)
+		w.ReportFailure(target, cause)
 	}
 }
 
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -31,7 +31,7 @@
 		return siskin.GroupView{}, false
 	}
 	view := g.Group.View()
-	view.Recorded = n.records.recorded(service)
+	view.RecordTerm = n.records.recorded(service)
 	return view, true
 }
 
--- a/internal/node/rpcgroup.go
+++ b/internal/node/rpcgroup.go
@@ -48,7 +48,7 @@
 	g, ok := r.groups.running.Get(service)
 	if ok {
 		*reply = ViewReply{Watched: true, View: g.Group.View()}
-		reply.View.Recorded = r.records.recorded(service)
+		reply.View.RecordTerm = r.records.recorded(service)
 	}
 	return nil
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -31,7 +31,7 @@
 type Option func(*Pool)
 
 // WithFailure sets the function that hears of failed openings and silent
-// connections, such as one that calls Group.Suspect. It must not block.
+// connections, such as one that calls Group.ReportFailure. It must not block.
 func WithFailure(f func(target siskin.TargetID, cause error)) Option {
 	return func(p *Pool) { p.onFailure = f }
 }
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -114,11 +114,11 @@
 	route := func(name string, kind siskin.RouteKind) siskin.RouteSpec {
 		return siskin.RouteSpec{
 			Name: siskin.RouteName(name), Database: name, Service: service, Kind: kind, Timeout: 800 * time.Millisecond,
-			Objective: 200 * time.Millisecond, MaxStaleness: staleness, Priority: 1,
+			LatencyObjective: 200 * time.Millisecond, MaxStaleness: staleness, Priority: 1,
 		}
 	}
 	d := &siskin.Deployment{
-		Version: f.revision, TxIdle: 3 * time.Second, SessionIdle: time.Minute,
+		Version: f.revision, TxIdleTimeout: 3 * time.Second, SessionIdleTimeout: time.Minute,
 		Routes: []siskin.RouteSpec{
 			route("orders", siskin.PrimaryReads), route("designs", siskin.BoundedStaleness), route("press", siskin.ReadYourWrites),
 		},
--- a/internal/relay/floor.go
+++ b/internal/relay/floor.go
@@ -31,7 +31,7 @@
 	for {
 		status, err := l.queryStatus()
 		if err != nil {
-			l.group.Suspect(id, err)
+			l.group.ReportFailure(id, err)
 			l.takeConn().Close(err)
 			return err
 		}
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -46,7 +46,7 @@
 func (willing) Changed() <-chan struct{}                       { return nil }
 func (willing) Confirm(context.Context, siskin.Position) error { return nil }
 func (willing) Floor(context.Context) (siskin.Position, error) { return siskin.Position{}, nil }
-func (willing) Suspect(siskin.TargetID, error)                 {}
+func (willing) ReportFailure(siskin.TargetID, error)           {}
 func (willing) Queue(siskin.TargetID, siskin.Slot) Queue       { return willing{} }
 func (willing) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
 	return siskin.Admission{Admitted: true}
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -17,7 +17,7 @@
 	Limiter siskin.Limiter
 	// Keys is asked again after a request waited here, so that nothing is sent
 	// for a key that was withdrawn meanwhile. Nil leaves that to the entry VM.
-	Keys   siskin.Keys
+	Keys   siskin.Authenticator
 	Queues Queues
 	Pool   *pool.Pool
 	// Awake reports whether this VM may use its roles; it is false after a pause
--- a/internal/relay/localend.go
+++ b/internal/relay/localend.go
@@ -28,7 +28,7 @@
 			})
 		} else {
 			conn.Close(err)
-			l.group.Suspect(l.hdr.Target, err)
+			l.group.ReportFailure(l.hdr.Target, err)
 		}
 	}
 	l.endWork()
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -67,7 +67,7 @@
 		return l.fail(err)
 	}
 	if at.Role != siskin.RolePrimary || at.ClaimedTerm > at.StreamTerm || at.Draining {
-		l.group.Suspect(l.hdr.Target, siskin.NewError(siskin.NotRun, "target %s refuses writes", l.hdr.Target))
+		l.group.ReportFailure(l.hdr.Target, siskin.NewError(siskin.NotRun, "target %s refuses writes", l.hdr.Target))
 		return l.reported(report)
 	}
 	if !l.asked {
--- a/internal/roster/cold_test.go
+++ b/internal/roster/cold_test.go
@@ -11,17 +11,17 @@
 // one that started again and is not listed as cold yet.
 func TestCold(t *testing.T) {
 	r, at := New(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
-	info := siskin.TargetInfo{ID: "a", Service: "s", Warming: 3 * time.Second}
+	info := siskin.TargetInfo{ID: "a", Service: "s", ColdRemaining: 3 * time.Second}
 	r.Replace([]siskin.TargetInfo{info}, 1, at(0))
 	r.Replace([]siskin.TargetInfo{info}, 2, at(time.Second))
-	info.Warming = time.Second
+	info.ColdRemaining = time.Second
 	r.Replace([]siskin.TargetInfo{info}, 3, at(2*time.Second))
 	for now, want := range map[time.Duration]bool{2 * time.Second: true, 3*time.Second + coldMargin - 1: true, 3*time.Second + coldMargin: false} {
 		if got := r.Cold("a", at(0), time.Time{}, at(now)); got != want {
 			t.Errorf("cold at %v, with 1s left at 2s: got %t, want %t", now, got, want)
 		}
 	}
-	info.Warming = 0
+	info.ColdRemaining = 0
 	r.Replace([]siskin.TargetInfo{info}, 4, at(4*time.Second))
 	if r.Cold("a", at(0), time.Time{}, at(4*time.Second)) {
 		t.Error("cold once its entry says that it is not: got true, want false")
--- a/internal/roster/evacuations_test.go
+++ b/internal/roster/evacuations_test.go
@@ -154,7 +154,7 @@
 		t.Errorf("with an older list of targets: got %s, want %s", got, want)
 	}
 	targets := targetsOfThree()
-	targets[0].Warming = 10 * time.Second
+	targets[0].ColdRemaining = 10 * time.Second
 	r.Replace(targets, 5, at(3*time.Second))
 	if got, want := marked(r, at(3*time.Second)), "a xb -c"; got != want {
 		t.Errorf("with a list of targets of that version: got %s, want %s", got, want)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		next := &entry{info: info}
-		if next.since, next.first = at, first; e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.Born.Equal(info.Born) {
+		if next.since, next.first = at, first; e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.StartedAt.Equal(info.StartedAt) {
 			next.since, next.first = e.since, e.first
 		}
 		if info.Draining {
@@ -157,8 +157,8 @@
 				next.draining = e.draining
 			}
 		}
-		if info.Warming > 0 {
-			next.cold = at.Add(info.Warming + coldMargin)
+		if info.ColdRemaining > 0 {
+			next.cold = at.Add(info.ColdRemaining + coldMargin)
 		}
 		r.targets[info.ID] = next
 		any = true
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -94,7 +94,7 @@
 	r.Replace([]siskin.TargetInfo{info}, 1, at(0))
 	info.Draining = true
 	r.Replace([]siskin.TargetInfo{info}, 2, at(time.Second))
-	info.Warming = time.Second
+	info.ColdRemaining = time.Second
 	r.Replace([]siskin.TargetInfo{info}, 3, at(4*time.Second))
 	for _, c := range []struct {
 		now  time.Duration
@@ -114,7 +114,7 @@
 func TestSince(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
 	info := func(id string, born int, draining bool) siskin.TargetInfo {
-		return siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", Address: "a", Born: at(born), Draining: draining}
+		return siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", Address: "a", StartedAt: at(born), Draining: draining}
 	}
 	r := New()
 	if _, _, _, ok := r.Since("a"); ok {
--- a/internal/sysd/cold.go
+++ b/internal/sysd/cold.go
@@ -31,7 +31,7 @@
 		return
 	}
 	for _, s := range d.Services {
-		if s.ColdFor <= 0 {
+		if s.ColdDuration <= 0 {
 			continue
 		}
 		d.Customers = append(d.Customers, siskin.CustomerSpec{
@@ -45,7 +45,7 @@
 // start, zero when they are never cold.
 func (n *node) coldFor(name siskin.ServiceName) time.Duration {
 	if s, ok := n.table.Snapshot().Service(name); ok {
-		return s.ColdFor
+		return s.ColdDuration
 	}
 	return 0
 }
--- a/internal/sysd/cold_test.go
+++ b/internal/sysd/cold_test.go
@@ -20,7 +20,7 @@
 	f.t.Helper()
 	f.revision++
 	d := testDeployment(f.revision)
-	d.Services[0].ColdRate, d.Services[0].ColdFor = testColdRate, 10*time.Second
+	d.Services[0].ColdRate, d.Services[0].ColdDuration = testColdRate, 10*time.Second
 	f.platform.SetDeployment(d)
 	f.await("the configuration is in force", 5*time.Second, func() bool {
 		for i := range len(f.nodes) {
@@ -61,7 +61,7 @@
 	f.await("all VMs know the cold targets", 5*time.Second, func() bool {
 		for i := range len(f.nodes) {
 			for _, target := range targets {
-				if info, _ := f.node(i).roster.Target(target.ID()); info.Warming == 0 {
+				if info, _ := f.node(i).roster.Target(target.ID()); info.ColdRemaining == 0 {
 					return false
 				}
 			}
@@ -144,7 +144,7 @@
 	if got := len(d.Customers); got != 1 {
 		t.Errorf("rates where targets are never cold: got %d, want that of the customer only", got)
 	}
-	d.Services[0].ColdRate, d.Services[0].ColdFor = testColdRate, 10*time.Second
+	d.Services[0].ColdRate, d.Services[0].ColdDuration = testColdRate, 10*time.Second
 	limitCold(d, 0, 0)
 	if got := len(d.Customers); got != 1 {
 		t.Errorf("rates where the platform bounds no cold targets: got %d, want that of the customer only", got)
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -62,11 +62,11 @@
 	route := func(name string, kind siskin.RouteKind) siskin.RouteSpec {
 		return siskin.RouteSpec{
 			Name: siskin.RouteName(name), Database: name, Service: "ledger", Kind: kind, Timeout: 800 * time.Millisecond,
-			Objective: 200 * time.Millisecond, MaxStaleness: 1500 * time.Millisecond, Priority: 1,
+			LatencyObjective: 200 * time.Millisecond, MaxStaleness: 1500 * time.Millisecond, Priority: 1,
 		}
 	}
 	return &siskin.Deployment{
-		Version: revision, TxIdle: 3 * time.Second, SessionIdle: time.Minute,
+		Version: revision, TxIdleTimeout: 3 * time.Second, SessionIdleTimeout: time.Minute,
 		Routes: []siskin.RouteSpec{
 			route("orders", siskin.PrimaryReads), route("designs", siskin.BoundedStaleness), route("press", siskin.ReadYourWrites),
 		},
--- a/internal/sysd/listed_test.go
+++ b/internal/sysd/listed_test.go
@@ -15,7 +15,7 @@
 	n := &node{roster: roster.New()}
 	now := n.clock.Now()
 	info := func(id string, born time.Time) siskin.TargetInfo {
-		return siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", Born: born}
+		return siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", StartedAt: born}
 	}
 	hour, ahead, none := time.Now().Add(-time.Hour), time.Now().Add(time.Hour), time.UnixMilli(0)
 	first := now.Add(-5 * time.Second)
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -135,8 +135,8 @@
 // runs that this VM has found at its own start: later ones began when its lists say.
 func (n *node) listed(id siskin.TargetID) (since, listed time.Time, ok bool) {
 	since, listed, first, ok := n.roster.Since(id)
-	if t, known := n.roster.Target(id); ok && first && known && t.Born.UnixMilli() > 0 {
-		if born := n.clock.Now().Add(clockMargin - time.Since(t.Born)); born.Before(since) {
+	if t, known := n.roster.Target(id); ok && first && known && t.StartedAt.UnixMilli() > 0 {
+		if born := n.clock.Now().Add(clockMargin - time.Since(t.StartedAt)); born.Before(since) {
 			since = born
 		}
 	}
--- a/internal/sysd/upkeep.go
+++ b/internal/sysd/upkeep.go
@@ -89,9 +89,9 @@
 				n.log.Debug().Str("Target", string(t.ID)).Msg("a target is known")
 			} else {
 				n.log.Info().Str("Target", string(t.ID)).Str("Service", string(t.Service)).Str("Address", t.Address).
-					Bool("Primary", t.Primary).Bool("Draining", t.Draining).Bool("Evacuated", t.Evacuated).Dur("Cold", t.Warming).Time("Born", t.Born).Msg("a target's entry changed")
+					Bool("Primary", t.Primary).Bool("Draining", t.Draining).Bool("Evacuated", t.Evacuated).Dur("Cold", t.ColdRemaining).Time("Born", t.StartedAt).Msg("a target's entry changed")
 			}
-			if t.Primary && (!ok || !old.Primary || !old.Born.Equal(t.Born)) {
+			if t.Primary && (!ok || !old.Primary || !old.StartedAt.Equal(t.StartedAt)) {
 				n.views.Hint(t.Service, t.ID)
 			}
 		}
--- a/keys.go
+++ b/keys.go
@@ -7,8 +7,8 @@
 	Key      KeyID
 }
 
-// Keys authenticates callers.
-type Keys interface {
+// Authenticator authenticates callers.
+type Authenticator interface {
 	// Authenticate returns the grant of a key for a service. An error is of
 	// kind KeyRefused or KeyWithdrawn and never contains the key.
 	Authenticate(service ServiceName, key string) (KeyGrant, error)
--- a/pkg/group/gate.go
+++ b/pkg/group/gate.go
@@ -106,9 +106,9 @@
 // Writes returns the number of admitted transactions that have not ended.
 func (g *Group) Writes() int { return int(g.writes.Load()) }
 
-// Suspect implements siskin.Group. A cause of kind NotRun says that the primary
+// ReportFailure implements siskin.Group. A cause of kind NotRun says that the primary
 // refuses writes; they are held until it has answered a probe.
-func (g *Group) Suspect(target siskin.TargetID, cause error) {
+func (g *Group) ReportFailure(target siskin.TargetID, cause error) {
 	if cause != nil && siskin.KindOf(cause) == siskin.NotRun {
 		g.mu.Lock()
 		now := g.clock.Now()
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -66,7 +66,7 @@
 		if s.ID() == primary {
 			pos, err := s.Store().Commit([]store.Op{{Key: key, Value: "1"}})
 			if err != nil {
-				g.Suspect(primary, err)
+				g.ReportFailure(primary, err)
 				return pos, err
 			}
 			return pos, g.Confirm(ctx, pos)
--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -64,7 +64,7 @@
 		if !errors.As(err, &pg) || pg.Code != "25006" {
 			return err
 		}
-		g.Suspect(primary, siskin.NewError(siskin.NotRun, "refused").WithCause(err))
+		g.ReportFailure(primary, siskin.NewError(siskin.NotRun, "refused").WithCause(err))
 		_ = (*conn).Close(ctx)
 		*conn = nil
 	}
@@ -79,7 +79,7 @@
 		}
 		i := slices.IndexFunc(w.servers, func(s *target.Server) bool { return s.ID() == primary })
 		if *conn, err = pgconn.Connect(ctx, "postgres://"+"siskin:full-secret@"+w.servers[i].Address()+"/app?sslmode=disable&siskin.slot=0"); err != nil {
-			g.Suspect(primary, err)
+			g.ReportFailure(primary, err)
 			*conn = nil
 			return siskin.NewError(siskin.NotRun, "connect").WithCause(err)
 		}
@@ -97,7 +97,7 @@
 	if err != nil {
 		var pg *pgconn.PgError
 		if !errors.As(err, &pg) {
-			g.Suspect(primary, err)
+			g.ReportFailure(primary, err)
 			err = siskin.NewError(siskin.OutcomeUnknown, "connection").WithCause(err)
 		}
 		return err
--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -11,7 +11,7 @@
 )
 
 // Keys authenticates callers against the configuration in force. It implements
-// siskin.Keys and is safe for concurrent use.
+// siskin.Authenticator and is safe for concurrent use.
 type Keys struct {
 	clock    siskin.Clock
 	view     config.View
@@ -28,7 +28,7 @@
 	done   sync.WaitGroup
 }
 
-var _ siskin.Keys = (*Keys)(nil)
+var _ siskin.Authenticator = (*Keys)(nil)
 
 // owner names a key by its digest.
 type owner struct {
@@ -73,7 +73,7 @@
 	return nil
 }
 
-// Authenticate implements siskin.Keys.
+// Authenticate implements siskin.Authenticator.
 func (k *Keys) Authenticate(service siskin.ServiceName, key string) (siskin.KeyGrant, error) {
 	d := digestOf(key)
 	owners, _ := k.owners.Get(d.prefix())
@@ -102,7 +102,7 @@
 	}
 }
 
-// Check implements siskin.Keys.
+// Check implements siskin.Authenticator.
 func (k *Keys) Check(service siskin.ServiceName, grant siskin.KeyGrant) error {
 	a, ok := k.accounts.Get(grant.Customer)
 	if !ok {
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -25,7 +25,7 @@
 	report ReportReply
 	// rest is held for each customer without a holding. The units in restFull
 	// have their full burst, the others earn tokens since restAt.
-	rest, restFull siskin.Units
+	rest, restFull siskin.QuotaUnits
 	restAt         time.Duration
 	reading        bool // the record is being read
 	unreadable     bool // the platform did not answer the last reading
@@ -57,7 +57,7 @@
 	}
 	h := b.holdings.add(id)
 	h.units, h.known, h.rate, h.burst, h.at = b.rest, true, float64(c.Rate), float64(c.Burst), now
-	full := float64(b.restFull) / float64(siskin.TotalUnits)
+	full := float64(b.restFull) / float64(siskin.TotalQuotaUnits)
 	earned := h.rate * (h.share() - full) * (now - b.restAt).Seconds()
 	h.tokens = h.burst*full + min(earned, h.burst*(h.share()-full))
 	return h
@@ -66,7 +66,7 @@
 // enter moves to an epoch and freezes the report.
 func (b *bucket) enter(epoch uint64) {
 	b.epoch = epoch
-	b.report = ReportReply{Rest: b.rest, Customers: make(map[siskin.CustomerID]siskin.Units)}
+	b.report = ReportReply{Rest: b.rest, Customers: make(map[siskin.CustomerID]siskin.QuotaUnits)}
 	for h := range b.holdings.all() {
 		b.report.Customers[h.id] = h.units
 	}
@@ -112,7 +112,7 @@
 		h.refill(now)
 		tokens := 0.0
 		if g.Full {
-			tokens = h.burst * float64(units) / float64(siskin.TotalUnits)
+			tokens = h.burst * float64(units) / float64(siskin.TotalQuotaUnits)
 		}
 		h.add(units, tokens)
 		h.wake()
--- a/pkg/limit/capacity_test.go
+++ b/pkg/limit/capacity_test.go
@@ -85,7 +85,7 @@
 			r.Holders = append(r.Holders, holderID{vm, 1_800_000_000_000})
 		}
 		for _, h := range r.Holders[:min(3, len(r.Holders))] {
-			r.Grants = append(r.Grants, grant{To: h, Rest: siskin.TotalUnits / 3})
+			r.Grants = append(r.Grants, grant{To: h, Rest: siskin.TotalQuotaUnits / 3})
 		}
 		o := objectOf(bucket)
 		if values[o] == nil {
--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -127,7 +127,7 @@
 	if _, err := poor.report(i, 3); err != nil {
 		t.Fatal(err)
 	}
-	old := record{Epoch: 2, Holders: []holderID{poor.self}, Grants: []grant{{To: poor.self, Rest: siskin.TotalUnits}}}
+	old := record{Epoch: 2, Holders: []holderID{poor.self}, Grants: []grant{{To: poor.self, Rest: siskin.TotalQuotaUnits}}}
 	poor.apply(1e6, i, &old)
 	if got := poor.units("a"); got != 0 {
 		t.Errorf("got %d units from a grant of a past epoch, want 0", got)
@@ -182,7 +182,7 @@
 		{&AskArgs{From: "v1", Seq: 2, Items: []AskItem{{Customer: "a", Epoch: 1, Units: 5, Demand: 2}}}, &AskArgs{}},
 		{&AskReply{Items: []GiveItem{{Customer: "a", Units: 7, Tokens: 1.5, Holders: holders, RichestAge: 3}}}, &AskReply{}},
 		{&ReportArgs{Bucket: 4, Epoch: 2, ToIncarnation: 3}, &ReportArgs{}},
-		{&ReportReply{Rest: 9, Customers: map[siskin.CustomerID]siskin.Units{"a": 1}}, &ReportReply{}},
+		{&ReportReply{Rest: 9, Customers: map[siskin.CustomerID]siskin.QuotaUnits{"a": 1}}, &ReportReply{}},
 	} {
 		var b bytes.Buffer
 		if err := gob.NewEncoder(&b).Encode(m.sent); err != nil {
--- a/pkg/limit/doc.go
+++ b/pkg/limit/doc.go
@@ -2,7 +2,7 @@
 // across a fleet, without a shared counter.
 //
 // Rights are conserved. A right is a number of units out of
-// siskin.TotalUnits; its holder has a token bucket with that part of the
+// siskin.TotalQuotaUnits; its holder has a token bucket with that part of the
 // customer's rate and burst. Units move between VMs by transfers that are
 // permanent and idempotent, and are in no bucket while on the way. The units of
 // a VM that is gone return by a change of the epoch of their hash bucket, for
--- a/pkg/limit/first_test.go
+++ b/pkg/limit/first_test.go
@@ -16,7 +16,7 @@
 	c := f.start("v1", 1, "d1").l.core
 	c.apply(0, bucketOf("a"), &record{
 		Epoch: 2, Holders: []holderID{c.self},
-		Grants: []grant{{To: c.self, Customers: map[siskin.CustomerID]siskin.Units{"a": siskin.TotalUnits}}},
+		Grants: []grant{{To: c.self, Customers: map[siskin.CustomerID]siskin.QuotaUnits{"a": siskin.TotalQuotaUnits}}},
 	})
 	c.admit(time.Second, "a", 1, true)
 	if got, want := c.admit(2*time.Second, "a", 1, true).Admitted, true; got != want {
@@ -32,8 +32,8 @@
 	rich.admit(0, "a", 1, true)
 	const now = time.Second
 	h, empty := rich.bucket(i).holdings.get("a"), poor.bucket(i).holdings.get("a")
-	h.units, h.tokens, h.at = siskin.TotalUnits/2, 50, now
-	empty.units, empty.tokens, empty.at = siskin.TotalUnits/2, 0, now
+	h.units, h.tokens, h.at = siskin.TotalQuotaUnits/2, 50, now
+	empty.units, empty.tokens, empty.at = siskin.TotalQuotaUnits/2, 0, now
 	h.demand = meter{slow: 80, fast: 80, at: now} // leaves no units to spare
 	poor.links[rich.self.VM].pending = nil
 	poor.admit(now, "a", 1, true)
--- a/pkg/limit/fleet_test.go
+++ b/pkg/limit/fleet_test.go
@@ -207,14 +207,14 @@
 
 // sum returns the units of a customer at all VMs that may still run, and fails
 // when they exceed the whole right.
-func (f *fleet) sum(id siskin.CustomerID) (total siskin.Units) {
+func (f *fleet) sum(id siskin.CustomerID) (total siskin.QuotaUnits) {
 	for _, n := range f.vms {
 		if !n.dead {
 			total += n.l.core.units(id)
 		}
 	}
-	if total > siskin.TotalUnits {
-		panic(fmt.Sprintf("customer %s: %d units in all, want at most %d", id, total, siskin.TotalUnits))
+	if total > siskin.TotalQuotaUnits {
+		panic(fmt.Sprintf("customer %s: %d units in all, want at most %d", id, total, siskin.TotalQuotaUnits))
 	}
 	return total
 }
--- a/pkg/limit/hints.go
+++ b/pkg/limit/hints.go
@@ -12,7 +12,7 @@
 	maxHints = 32
 	// unknownSpare is assumed of a holder without a hint: more than a holder
 	// that is known to have little, less than a rich one.
-	unknownSpare = siskin.TotalUnits / 16
+	unknownSpare = siskin.TotalQuotaUnits / 16
 	// hintSpan is the age at which a hint says nothing anymore, since units
 	// follow demand. Without it a holder that was poor once is never asked again.
 	hintSpan = time.Second
@@ -24,7 +24,7 @@
 
 type hint struct {
 	vm    siskin.VMID
-	spare siskin.Units
+	spare siskin.QuotaUnits
 	at    time.Duration
 	asked time.Duration // when this VM asked it last
 	// demand is the demand at the holder in its last message.
@@ -33,7 +33,7 @@
 
 // set records the spare units of a holder as of a time, unless a newer hint
 // exists. When full, the oldest hint goes.
-func (h *hints) set(at time.Duration, vm siskin.VMID, spare siskin.Units) {
+func (h *hints) set(at time.Duration, vm siskin.VMID, spare siskin.QuotaUnits) {
 	oldest := 0
 	for i := range *h {
 		if (*h)[i].vm == vm {
@@ -75,7 +75,7 @@
 }
 
 // get estimates the spare units of a holder from the last known ones and their age.
-func (h hints) get(now time.Duration, vm siskin.VMID) siskin.Units {
+func (h hints) get(now time.Duration, vm siskin.VMID) siskin.QuotaUnits {
 	for i := range h {
 		if h[i].vm == vm {
 			return h[i].estimate(now)
@@ -84,9 +84,9 @@
 	return unknownSpare
 }
 
-func (h *hint) estimate(now time.Duration) siskin.Units {
+func (h *hint) estimate(now time.Duration) siskin.QuotaUnits {
 	age := min(max(now-h.at, 0), hintSpan)
-	return h.spare + siskin.Units(int64(unknownSpare-h.spare)*int64(age/time.Microsecond)/int64(hintSpan/time.Microsecond))
+	return h.spare + siskin.QuotaUnits(int64(unknownSpare-h.spare)*int64(age/time.Microsecond)/int64(hintSpan/time.Microsecond))
 }
 
 // richest returns the richest holder other than the given one.
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -16,7 +16,7 @@
 	// The fields that an admission uses come first, on two cache lines.
 	hash   uint64 // of id
 	id     siskin.CustomerID
-	units  siskin.Units
+	units  siskin.QuotaUnits
 	tokens float64
 	at     time.Duration // time of tokens
 	// rate and burst are those of the whole customer; known is false while the
@@ -42,7 +42,7 @@
 	arrived  chan struct{} // closed when waiting requests must look again; nil without any
 }
 
-func (h *holding) share() float64 { return float64(h.units) / float64(siskin.TotalUnits) }
+func (h *holding) share() float64 { return float64(h.units) / float64(siskin.TotalQuotaUnits) }
 
 // learn takes the customer's rate from the configuration, if it is there.
 func (h *holding) learn(now time.Duration, view config.View) {
@@ -64,7 +64,7 @@
 }
 
 // take removes units with the tokens in them. The caller has refilled.
-func (h *holding) take(units siskin.Units) (tokens float64) {
+func (h *holding) take(units siskin.QuotaUnits) (tokens float64) {
 	if units == 0 {
 		return 0
 	}
@@ -76,14 +76,14 @@
 }
 
 // add merges units and tokens. The caller has refilled.
-func (h *holding) add(units siskin.Units, tokens float64) {
+func (h *holding) add(units siskin.QuotaUnits, tokens float64) {
 	h.units += units
 	h.tokens += tokens
 	h.check()
 }
 
 func (h *holding) check() {
-	if h.units < 0 || h.units > siskin.TotalUnits {
+	if h.units < 0 || h.units > siskin.TotalQuotaUnits {
 		invUnits.Check(false, "customer %s: %d units", h.id, h.units)
 	}
 }
--- a/pkg/limit/holdings_test.go
+++ b/pkg/limit/holdings_test.go
@@ -15,9 +15,9 @@
 		if s.get(id) != nil {
 			t.Errorf("%s: got a holding before it was added", id)
 		}
-		s.add(id).units = siskin.Units(i + 1)
+		s.add(id).units = siskin.QuotaUnits(i + 1)
 	}
-	var all []siskin.Units
+	var all []siskin.QuotaUnits
 	for h := range s.all() {
 		all = append(all, h.units)
 	}
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -69,7 +69,7 @@
 	if err := first.Handover(t.Context()); err != nil {
 		t.Errorf("got %v from the handover, want nil", err)
 	}
-	if got, want := second.core.units("a"), siskin.TotalUnits; got != want {
+	if got, want := second.core.units("a"), siskin.TotalQuotaUnits; got != want {
 		t.Errorf("got %d units at the successor, want %d", got, want)
 	}
 }
--- a/pkg/limit/link_test.go
+++ b/pkg/limit/link_test.go
@@ -52,7 +52,7 @@
 		poor, near = near, poor
 	}
 	poor.l.Admit(f.at, "a", 1)
-	poor.l.core.bucket(bucketOf("a")).holdings.get("a").hints.set(poor.l.now(), "v2", siskin.TotalUnits/2)
+	poor.l.core.bucket(bucketOf("a")).holdings.get("a").hints.set(poor.l.now(), "v2", siskin.TotalQuotaUnits/2)
 	out := poor.l.core.plan(poor.l.now())
 	if len(out) != 1 || out[0].to != near.vm.ID {
 		t.Errorf("got %d messages, the first to %+v, want one to %s", len(out), out, near.vm.ID)
--- a/pkg/limit/message.go
+++ b/pkg/limit/message.go
@@ -27,7 +27,7 @@
 	// Epoch is the asker's epoch of the customer's bucket. Units move only
 	// within one epoch.
 	Epoch  uint64
-	Units  siskin.Units             // units that the asker has
+	Units  siskin.QuotaUnits        // units that the asker has
 	Demand siskin.RequestsPerSecond // recent demand at the asker
 	// Lasting is the asker's demand averaged over the slow span. Parts of a
 	// customer above its rate follow it, so that noise moves no units.
@@ -49,20 +49,20 @@
 type GiveItem struct {
 	Customer siskin.CustomerID
 	Epoch    uint64
-	Units    siskin.Units
+	Units    siskin.QuotaUnits
 	Tokens   siskin.Requests
 	// Fair says that the units were taken from what the giver needs itself. They
 	// are no sign that others can spare more.
 	Fair bool
 	// Spare is what the giver keeps without needing it, a hint for the next
 	// request.
-	Spare siskin.Units
+	Spare siskin.QuotaUnits
 	// Lasting is the giver's demand averaged over the slow span.
 	Lasting siskin.RequestsPerSecond
 	// Richest is another holder that could spare RichestSpare units RichestAge
 	// ago. The age keeps two poor holders from sending an asker back and forth.
 	Richest      siskin.VMID
-	RichestSpare siskin.Units
+	RichestSpare siskin.QuotaUnits
 	RichestAge   time.Duration
 	// Holders is set when the giver knows more holders than the asker. VMs join
 	// after the asker has read the record.
@@ -79,6 +79,6 @@
 // ReportReply is the state of one holder when it entered the epoch.
 type ReportReply struct {
 	// Rest is held for each customer that is not in Customers.
-	Rest      siskin.Units
-	Customers map[siskin.CustomerID]siskin.Units
+	Rest      siskin.QuotaUnits
+	Customers map[siskin.CustomerID]siskin.QuotaUnits
 }
--- a/pkg/limit/policy.go
+++ b/pkg/limit/policy.go
@@ -25,12 +25,12 @@
 const margin = 1.25
 
 // minTransfer is the smallest transfer that is worth a message.
-const minTransfer = siskin.TotalUnits / 256
+const minTransfer = siskin.TotalQuotaUnits / 256
 
 // transferUnits returns the units to give to an asker: what it needs, and at
 // least half, of what the giver can spare. An asker whose part is far below its
 // demand also gets what brings both to parts proportional to their demand.
-func (h *holding) transferUnits(now time.Duration, item *AskItem) (units siskin.Units, fair bool) {
+func (h *holding) transferUnits(now time.Duration, item *AskItem) (units siskin.QuotaUnits, fair bool) {
 	asked, spare := float64(item.Demand), float64(h.spare(now))
 	give := min(spare, max(spare/2, h.needed(asked)-float64(item.Units)))
 	total, lasting := float64(h.units+item.Units), float64(item.Lasting)
@@ -40,17 +40,17 @@
 	if give < float64(minTransfer) && give < float64(h.units) {
 		return 0, false
 	}
-	return siskin.Units(give), fair
+	return siskin.QuotaUnits(give), fair
 }
 
 // spare returns the units that the holder does not need for its own demand.
-func (h *holding) spare(now time.Duration) siskin.Units {
-	return h.units - min(h.units, siskin.Units(h.needed(h.demand.low(now))))
+func (h *holding) spare(now time.Duration) siskin.QuotaUnits {
+	return h.units - min(h.units, siskin.QuotaUnits(h.needed(h.demand.low(now))))
 }
 
 // needed returns the units that cover a demand with a margin.
 func (h *holding) needed(demand float64) float64 {
-	return margin * demand / max(h.rate, 1e-9) * float64(siskin.TotalUnits)
+	return margin * demand / max(h.rate, 1e-9) * float64(siskin.TotalQuotaUnits)
 }
 
 // preferred orders holders to ask: a negative result asks a before b. Holders
@@ -90,7 +90,7 @@
 // could ask itself; the asker cannot hold more than its part of the burst.
 func (h *holding) takeTokens(now time.Duration, item *AskItem, units, need float64) float64 {
 	spare := h.tokens - h.queued - 1 - h.demand.high(now)*askAhead.Seconds()
-	room := h.burst * units / float64(siskin.TotalUnits)
+	room := h.burst * units / float64(siskin.TotalQuotaUnits)
 	give := min(max(need, spare/2), spare, room)
 	if need <= 0 || item.Need <= 0 || give < min(need, 1) {
 		return 0
--- a/pkg/limit/random_test.go
+++ b/pkg/limit/random_test.go
@@ -105,7 +105,7 @@
 	}
 	f.start("last", 1, "dc-0")
 	run(40*time.Second, 0)
-	if got, want := f.sum("a"), siskin.TotalUnits; got != want {
+	if got, want := f.sum("a"), siskin.TotalQuotaUnits; got != want {
 		r.Fatalf("got %d units in use after all failures ended, want %d", got, want)
 	}
 }
--- a/pkg/limit/reclaim.go
+++ b/pkg/limit/reclaim.go
@@ -193,11 +193,11 @@
 
 // missing returns the units that no report accounts for, with empty buckets.
 func missing(reports []ReportReply) grant {
-	g := grant{Rest: siskin.TotalUnits, Customers: make(map[siskin.CustomerID]siskin.Units)}
+	g := grant{Rest: siskin.TotalQuotaUnits, Customers: make(map[siskin.CustomerID]siskin.QuotaUnits)}
 	for _, r := range reports {
 		g.Rest -= r.Rest
 		for id := range r.Customers {
-			g.Customers[id] = siskin.TotalUnits
+			g.Customers[id] = siskin.TotalQuotaUnits
 		}
 	}
 	for id := range g.Customers {
--- a/pkg/limit/reclaim_test.go
+++ b/pkg/limit/reclaim_test.go
@@ -45,7 +45,7 @@
 	f.vms[0].dead, f.vms[0].vm.State = true, siskin.VMGone
 	f.run(5 * time.Second)
 	for id, want := range map[siskin.CustomerID]bool{shared: false, other: true, "third": true} {
-		if got := f.sum(id) == siskin.TotalUnits; got != want {
+		if got := f.sum(id) == siskin.TotalQuotaUnits; got != want {
 			t.Errorf("%s: got the whole right in use %v, want %v", id, got, want)
 		}
 	}
@@ -62,8 +62,8 @@
 	f.lose = 0.5
 	f.vms[0].dead, f.vms[0].vm.State = true, siskin.VMGone
 	f.run(60 * time.Second)
-	if got := f.sum("a"); got != siskin.TotalUnits {
-		t.Errorf("got %d units after 60 s with half of the answers lost, want %d", got, siskin.TotalUnits)
+	if got := f.sum("a"); got != siskin.TotalQuotaUnits {
+		t.Errorf("got %d units after 60 s with half of the answers lost, want %d", got, siskin.TotalQuotaUnits)
 	}
 }
 
@@ -99,8 +99,8 @@
 		t.Errorf("got %d reads of the platform in 25 s of waiting, want at most 1, the refresh", got)
 	}
 	f.run(30 * time.Second)
-	if got := f.sum("a"); got != siskin.TotalUnits {
-		t.Errorf("got %d units after the holder resumed, want %d", got, siskin.TotalUnits)
+	if got := f.sum("a"); got != siskin.TotalQuotaUnits {
+		t.Errorf("got %d units after the holder resumed, want %d", got, siskin.TotalQuotaUnits)
 	}
 }
 
--- a/pkg/limit/reclaimtime_test.go
+++ b/pkg/limit/reclaimtime_test.go
@@ -105,7 +105,7 @@
 		n.l.Start()
 		defer n.l.Close()
 	}
-	sum := func(living bool) (total siskin.Units) {
+	sum := func(living bool) (total siskin.QuotaUnits) {
 		for _, n := range f.vms {
 			if !living || !n.dead {
 				total += n.l.core.units("a")
@@ -113,8 +113,8 @@
 		}
 		return total
 	}
-	if got := sum(false); got != siskin.TotalUnits {
-		t.Fatalf("got %d units granted at the start, want %d", got, siskin.TotalUnits)
+	if got := sum(false); got != siskin.TotalQuotaUnits {
+		t.Fatalf("got %d units granted at the start, want %d", got, siskin.TotalQuotaUnits)
 	}
 	var gone *node
 	for _, n := range f.vms {
@@ -127,9 +127,9 @@
 	gone.dead, gone.vm.State = true, siskin.VMGone
 	s.mu.Unlock()
 	start := time.Now()
-	for sum(true) != siskin.TotalUnits {
+	for sum(true) != siskin.TotalQuotaUnits {
 		if time.Since(start) > time.Minute {
-			t.Fatalf("got %d units in use after a minute, want %d", sum(true), siskin.TotalUnits)
+			t.Fatalf("got %d units in use after a minute, want %d", sum(true), siskin.TotalQuotaUnits)
 		}
 		time.Sleep(time.Millisecond)
 	}
--- a/pkg/limit/record.go
+++ b/pkg/limit/record.go
@@ -35,8 +35,8 @@
 type grant struct {
 	To holderID
 	// Rest is granted for each customer that is not in Customers.
-	Rest      siskin.Units
-	Customers map[siskin.CustomerID]siskin.Units `json:",omitempty"`
+	Rest      siskin.QuotaUnits
+	Customers map[siskin.CustomerID]siskin.QuotaUnits `json:",omitempty"`
 	// Full says that the buckets start full. Only initial grants are, so that a
 	// burst is never counted twice.
 	Full bool
@@ -55,24 +55,24 @@
 	if r.Epoch == 0 {
 		return record{}, badRecord("has no epoch")
 	}
-	var rest siskin.Units
-	sums := make(map[siskin.CustomerID]siskin.Units)
+	var rest siskin.QuotaUnits
+	sums := make(map[siskin.CustomerID]siskin.QuotaUnits)
 	for _, g := range r.Grants {
-		if g.Rest < 0 || g.Rest > siskin.TotalUnits {
+		if g.Rest < 0 || g.Rest > siskin.TotalQuotaUnits {
 			return record{}, badRecord("grants %d units", g.Rest)
 		}
 		rest += g.Rest
 		for id, u := range g.Customers {
-			if u < 0 || u > siskin.TotalUnits {
+			if u < 0 || u > siskin.TotalQuotaUnits {
 				return record{}, badRecord("grants %d units", u)
 			}
 			sums[id] += u
-			if sums[id] > siskin.TotalUnits {
+			if sums[id] > siskin.TotalQuotaUnits {
 				return record{}, badRecord("grants %d units to one customer", sums[id])
 			}
 		}
 	}
-	if rest > siskin.TotalUnits {
+	if rest > siskin.TotalQuotaUnits {
 		return record{}, badRecord("grants %d units", rest)
 	}
 	return r, nil
--- a/pkg/limit/recordio.go
+++ b/pkg/limit/recordio.go
@@ -130,7 +130,7 @@
 		byDC[vm.DataCentre] = append(byDC[vm.DataCentre], vm)
 	}
 	r := record{Epoch: 1}
-	left, parts := siskin.TotalUnits, siskin.Units(len(byDC))
+	left, parts := siskin.TotalQuotaUnits, siskin.QuotaUnits(len(byDC))
 	for _, dc := range sorted(byDC) {
 		best, _ := place.Best(string(objectName(o)), byDC[dc])
 		units := left / parts
--- a/pkg/limit/state.go
+++ b/pkg/limit/state.go
@@ -31,7 +31,7 @@
 }
 
 // units returns what this VM holds for a customer.
-func (c *core) units(id siskin.CustomerID) siskin.Units {
+func (c *core) units(id siskin.CustomerID) siskin.QuotaUnits {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -52,4 +52,4 @@
 }
 
 // Units returns what this VM holds for a customer.
-func (l *Limiter) Units(customer siskin.CustomerID) siskin.Units { return l.core.units(customer) }
+func (l *Limiter) Units(customer siskin.CustomerID) siskin.QuotaUnits { return l.core.units(customer) }
--- a/pkg/limit/within.go
+++ b/pkg/limit/within.go
@@ -68,7 +68,7 @@
 	for _, o := range b.holders {
 		others = others || o.VM != self
 	}
-	return b.epoch != 0 && !b.reporting && (others || h.units == siskin.TotalUnits)
+	return b.epoch != 0 && !b.reporting && (others || h.units == siskin.TotalQuotaUnits)
 }
 
 // inContact reports whether all other holders answered requests for units of
--- a/statement.go
+++ b/statement.go
@@ -58,7 +58,7 @@
 	Term Term `json:",omitempty"`
 }
 
-// Changes reports whether running the statement may change data.
-func (s *Statement) Changes() bool {
+// MayWrite reports whether running the statement may change data.
+func (s *Statement) MayWrite() bool {
 	return s.Kind == Write || s.Kind == Execute && s.Writes
 }
--- a/targetinfo.go
+++ b/targetinfo.go
@@ -15,9 +15,9 @@
 	Evacuated bool `json:"-"`
 	// Primary is how the target sees itself.
 	Primary bool
-	// Warming is how much longer the target stays slow after its start.
-	Warming time.Duration
-	// Born is the start of the target's present run. A target that starts
+	// ColdRemaining is how much longer the target stays slow after its start.
+	ColdRemaining time.Duration `json:"Warming"`
+	// StartedAt is the start of the target's present run. A target that starts
 	// again forgets its log and its pauses.
-	Born time.Time
+	StartedAt time.Time `json:"Born"`
 }
