--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -49,7 +49,7 @@
 		cfg: Config{
 			Clock: boot.Clock{}, Fencing: true, Members: alone{}, Roster: targets, Views: v, Homes: homes,
 			Status: platform.ParseStatus, Log: logs.New("error", "json", io.Discard),
-			Store: &platform.Store{Base: "http://" + p.Address(), HTTP: &http.Client{}, Timeout: time.Second},
+			Store: &platform.Store{BaseURL: "http://" + p.Address(), HTTP: &http.Client{}, Timeout: time.Second},
 		},
 		ctx: context.Background(),
 	}
@@ -158,7 +158,7 @@
 			t.Errorf("term held by %s: got %d, want 0", target.ID, got)
 		}
 	}
-	if !p.Targets("ledger")[0].Leads() {
+	if !p.Targets("ledger")[0].IsPrimary() {
 		t.Error("the old primary: got none, want it to lead")
 	}
 }
--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -109,8 +109,8 @@
 	if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != Answered {
 		t.Fatalf("write: got %+v, want an answer", got)
 	}
-	f.target(1).SetDeaf(true)
-	f.target(2).SetDeaf(true)
+	f.target(1).SetReceiveBlocked(true)
+	f.target(2).SetReceiveBlocked(true)
 	waiting := make(chan Reply)
 	go func() {
 		req := request(primary, siskin.Write, "x 2")
@@ -118,7 +118,7 @@
 		waiting <- f.run(req)
 	}()
 	time.Sleep(2 * lease.Life)
-	f.target(1).SetDeaf(false)
+	f.target(1).SetReceiveBlocked(false)
 	if got := <-waiting; got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
 		t.Errorf("write that took %v: got %+v, want success", 2*lease.Life, got)
 	}
--- a/internal/home/confirm_test.go
+++ b/internal/home/confirm_test.go
@@ -79,7 +79,7 @@
 	if got := f.run(leadRead(former)); got.Outcome != Answered || !got.LeadProven {
 		t.Fatalf("read at the primary: got %+v, want an answer and a proof of lead", got)
 	}
-	former.Isolate(true)
+	former.SetPartitioned(true)
 	f.claim(next, 100)
 	f.claim(f.target(2), 100)
 	time.Sleep(lease.Wait)
--- a/internal/home/evacuated_test.go
+++ b/internal/home/evacuated_test.go
@@ -21,7 +21,7 @@
 // TestEvacuated guards against statements that reach a target of an evacuated data
 // centre: new ones, and those that waited for a place there meanwhile.
 func TestEvacuated(t *testing.T) {
-	f, closed := evacuable(t, stand.ServiceOptions{Slots: 1, Work: 200 * time.Millisecond})
+	f, closed := evacuable(t, stand.ServiceOptions{Slots: 1, StatementTime: 200 * time.Millisecond})
 	target := f.target(0)
 	replies := make(chan Reply)
 	const running = 1 + spareRunning
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -219,7 +219,7 @@
 // TestConnectionLimit guards against more connections than a home may open, and
 // against requests that hang when all are in use.
 func TestConnectionLimit(t *testing.T) {
-	f := start(t, stand.ServiceOptions{Slots: 8, Work: 50 * time.Millisecond})
+	f := start(t, stand.ServiceOptions{Slots: 8, StatementTime: 50 * time.Millisecond})
 	f.limit = 3
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -296,8 +296,8 @@
 func TestStalledWrites(t *testing.T) {
 	f := start(t, stand.ServiceOptions{})
 	primary := f.target(0)
-	f.target(1).SetDeaf(true)
-	f.target(2).SetDeaf(true)
+	f.target(1).SetReceiveBlocked(true)
+	f.target(2).SetReceiveBlocked(true)
 	const (
 		patience = 600 * time.Millisecond
 		atOnce   = 50 * time.Millisecond
@@ -342,7 +342,7 @@
 	if late > 0 || refused == 0 {
 		t.Errorf("refused writes: got %d late and %d at once, want none late", late, refused)
 	}
-	f.target(1).SetDeaf(false)
+	f.target(1).SetReceiveBlocked(false)
 	for deadline := time.Now().Add(2 * patience); ; {
 		if got := f.run(request(primary, siskin.Write, "x 2")); got.Answer.Code == siskin.Succeeded && got.Outcome == Answered {
 			break
--- a/internal/home/witness_test.go
+++ b/internal/home/witness_test.go
@@ -184,8 +184,8 @@
 	if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != Answered {
 		t.Fatalf("write: got %+v, want an answer", got)
 	}
-	f.target(1).SetDeaf(true)
-	f.target(2).SetDeaf(true)
+	f.target(1).SetReceiveBlocked(true)
+	f.target(2).SetReceiveBlocked(true)
 	own := f.homes.cfg.Leads.Status
 	var mu sync.Mutex
 	cut := false
@@ -216,7 +216,7 @@
 	f.homes.renew("ledger", l, 0)
 	time.Sleep(askReplica * 4 / 3) // all replicas have been asked
 	set(false)
-	f.target(1).SetDeaf(false)
+	f.target(1).SetReceiveBlocked(false)
 	if got := <-waiting; got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
 		t.Errorf("commit acknowledged after the cut: got %+v, want success", got)
 	}
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -62,7 +62,7 @@
 	}
 	p, err := stand.Start(stand.ServiceOptions{
 		Name: service, Zones: []string{"dc-1", "dc-2", "dc-3"}, Slots: 3, MaxConnections: 24, SyncReplicas: 1,
-		Work: 2 * time.Millisecond, Lag: 20 * time.Millisecond, Promotion: 300 * time.Millisecond,
+		StatementTime: 2 * time.Millisecond, Lag: 20 * time.Millisecond, PromotionDelay: 300 * time.Millisecond,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/procs/soak_test.go
+++ b/internal/procs/soak_test.go
@@ -189,15 +189,15 @@
 		p.note("replication of %s", target.ID())
 		target.LoseAnswers(p.rng.Intn(4))
 		if p.rng.Intn(2) == 0 {
-			target.SetDeaf(true)
-			p.later(span, func() { target.SetDeaf(false) })
+			target.SetReceiveBlocked(true)
+			p.later(span, func() { target.SetReceiveBlocked(false) })
 		} else {
-			target.Isolate(true)
-			p.later(span, func() { target.Isolate(false) })
+			target.SetPartitioned(true)
+			p.later(span, func() { target.SetPartitioned(false) })
 		}
 	case 11:
 		faults := stand.StoreFaults{
-			Down: p.rng.Intn(2) == 0, LoseWrites: p.rng.Intn(2) == 0, Delay: time.Duration(p.rng.Intn(400)) * time.Millisecond,
+			Down: p.rng.Intn(2) == 0, LoseWriteAnswers: p.rng.Intn(2) == 0, Delay: time.Duration(p.rng.Intn(400)) * time.Millisecond,
 		}
 		late := time.Duration(p.rng.Intn(2)) * time.Duration(200+p.rng.Intn(2000)) * time.Millisecond
 		p.note("store %+v, promotions late by %v, for %v", faults, late, span)
@@ -236,8 +236,8 @@
 // heal ends all faults.
 func (p *player) heal() {
 	for _, target := range p.f.platform.Targets(service) {
-		target.SetDeaf(false)
-		target.Isolate(false)
+		target.SetReceiveBlocked(false)
+		target.SetPartitioned(false)
 		target.LoseAnswers(0)
 		p.f.targets[target].heal()
 	}
--- a/internal/procs/worker_test.go
+++ b/internal/procs/worker_test.go
@@ -217,7 +217,7 @@
 		w.note(&w.b.kept, value)
 		w.item.acked(w.last)
 		w.own = w.last
-	case ok && res.Promised():
+	case ok && res.NotApplied():
 		w.note(&w.b.promised, value)
 	default:
 		w.note(&w.b.unknown, value)
--- a/internal/sysd/failover_test.go
+++ b/internal/sysd/failover_test.go
@@ -177,10 +177,10 @@
 	f := startFleet(t, 3)
 	f.play(func() {
 		old := f.platform.Primary("ledger")
-		old.Isolate(true)
+		old.SetPartitioned(true)
 		f.newPrimary(string(old.ID()))
 		time.Sleep(time.Second)
-		old.Isolate(false)
+		old.SetPartitioned(false)
 	})
 }
 
@@ -197,7 +197,7 @@
 		}
 		for range 25 {
 			time.Sleep(100 * time.Millisecond)
-			if !primary.Leads() {
+			if !primary.IsPrimary() {
 				t.Error("got a primary that stepped down without a successor")
 				break
 			}
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -54,7 +54,7 @@
 func testService() stand.ServiceOptions {
 	return stand.ServiceOptions{
 		Name: "ledger", Zones: []string{"dc-1", "dc-2", "dc-3"}, Slots: 2, MaxConnections: 16, SyncReplicas: 1,
-		Work: 2 * time.Millisecond, Lag: 20 * time.Millisecond, Promotion: 300 * time.Millisecond,
+		StatementTime: 2 * time.Millisecond, Lag: 20 * time.Millisecond, PromotionDelay: 300 * time.Millisecond,
 	}
 }
 
--- a/internal/sysd/newest_test.go
+++ b/internal/sysd/newest_test.go
@@ -76,10 +76,10 @@
 	f.play(func() {
 		for range 2 {
 			old := f.platform.Primary("ledger")
-			old.Isolate(true)
+			old.SetPartitioned(true)
 			f.newPrimary(string(old.ID()))
 			time.Sleep(1500 * time.Millisecond)
-			old.Isolate(false)
+			old.SetPartitioned(false)
 			time.Sleep(500 * time.Millisecond)
 		}
 	})
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -197,12 +197,12 @@
 // useStore starts what depends on the platform's store and duties.
 func (n *node) useStore(dialer *net.Dialer) {
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4}}
-	store := &platform.Store{Base: "http://" + n.cfg.Store.Address, HTTP: client, Timeout: n.cfg.Store.Timeout}
+	store := &platform.Store{BaseURL: "http://" + n.cfg.Store.Address, HTTP: client, Timeout: n.cfg.Store.Timeout}
 	changed := n.stats.Scope().Timer("primary_change")
 	n.elect = elect.Start(elect.Config{
 		Clock: n.clock, Members: n.crew, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views, Homes: n.homes,
 		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Store: store, Run: n.crew.Node().Run, Status: platform.ParseStatus, Log: n.log, Changed: changed.Record,
-		Promoter: &platform.Promoter{Base: "http://" + n.cfg.Promoter.Address, HTTP: client, Timeout: n.cfg.Promoter.Timeout},
+		Promoter: &platform.Promoter{BaseURL: "http://" + n.cfg.Promoter.Address, HTTP: client, Timeout: n.cfg.Promoter.Timeout},
 	})
 	var evacuations siskin.ObjectKind
 	if n.cfg.Operator.EvacuateWithin > 0 {
--- a/internal/sysd/soak_test.go
+++ b/internal/sysd/soak_test.go
@@ -78,12 +78,12 @@
 	case 4:
 		target.LoseAnswers(1 + s.rng.Intn(5))
 	case 5:
-		target.SetDeaf(s.rng.Intn(2) == 0)
+		target.SetReceiveBlocked(s.rng.Intn(2) == 0)
 	case 6:
-		target.Isolate(s.rng.Intn(2) == 0)
+		target.SetPartitioned(s.rng.Intn(2) == 0)
 	case 7:
 		s.f.platform.SetStoreFaults(stand.StoreFaults{
-			Down: s.rng.Intn(3) == 0, LoseWrites: s.rng.Intn(3) == 0, Delay: time.Duration(s.rng.Intn(100)) * time.Millisecond,
+			Down: s.rng.Intn(3) == 0, LoseWriteAnswers: s.rng.Intn(3) == 0, Delay: time.Duration(s.rng.Intn(100)) * time.Millisecond,
 		})
 		late := time.Duration(0)
 		if s.rng.Intn(3) == 0 {
@@ -119,8 +119,8 @@
 func (s *soakRun) heal() {
 	s.restart()
 	for _, target := range s.f.platform.Targets("ledger") {
-		target.SetDeaf(false)
-		target.Isolate(false)
+		target.SetReceiveBlocked(false)
+		target.SetPartitioned(false)
 		target.LoseAnswers(0)
 	}
 	s.f.platform.SetStoreFaults(stand.StoreFaults{})
