--- a/error_test.go
+++ b/error_test.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// TestEveryKindHasAState guards against a kind that reaches callers without a
+// TestEveryKindHasSQLState guards against a kind that reaches callers without a
 // SQLSTATE of five characters.
-func TestEveryKindHasAState(t *testing.T) {
+func TestEveryKindHasSQLState(t *testing.T) {
 	for k := Internal; k <= TargetRefused; k++ {
 		if got, want := len(k.SQLState()), 5; got != want {
 			t.Errorf("%v: got a state of %d characters, want %d", k, got, want)
--- a/example_test.go
+++ b/example_test.go
@@ -8,7 +8,7 @@
 
 func ExamplePosition_Compare() {
 	replaced := siskin.Position{Term: 3, LSN: 0x2000}
-	present := siskin.Position{Term: 4, LSN: 0x1000}
-	fmt.Println(replaced.Compare(present))
+	current := siskin.Position{Term: 4, LSN: 0x1000}
+	fmt.Println(replaced.Compare(current))
 	// Output: -1
 }
