siskin: comments in the usual terms

Comments used figurative verbs where the field has terms. They are reworded and keep every reason; one error text and one test message change with them. The tests of siskin and platform pass; no declaration differs in structure.

--- a/answer.go
+++ b/answer.go
@@ -7,7 +7,7 @@
 const (
 	TxIdle TxState = iota
 	TxOpen
-	TxFailed // ending the transaction rolls back, every other statement fails
+	TxFailed // ending the transaction rolls it back; other statements fail
 )
 
 // String returns the state's name as it appears in logs.
@@ -22,13 +22,13 @@
 	}
 }
 
-// Answer is the complete answer to one statement.
+// Answer is the complete response to one statement.
 type Answer struct {
 	Rows []string `json:",omitempty"`
-	// Signature proves which target ran the statement. It is empty when the
-	// system answered by itself.
+	// Signature proves which target ran the statement. It is empty when
+	// siskintray answered without a target.
 	Signature string `json:",omitempty"`
-	// Code is Succeeded when the statement was carried out.
+	// Code is Succeeded if the statement ran successfully.
 	Code    AnswerCode `json:",omitempty"`
 	Message string     `json:",omitempty"`
 	State   TxState    `json:",omitempty"`
--- a/answercode.go
+++ b/answercode.go
@@ -1,6 +1,6 @@
 package siskin
 
-// AnswerCode is the result of a statement of the session protocol.
+// AnswerCode is the result code of a statement of the session protocol.
 type AnswerCode int
 
 // Result codes.
@@ -8,30 +8,30 @@
 	Succeeded AnswerCode = iota
 	// Busy means that the statement did not run for lack of capacity.
 	Busy
-	// Aborted means that the transaction was rolled back and left no trace.
+	// Aborted means that the transaction was rolled back and had no effect.
 	Aborted
-	// Lagging means that the target's log lacks the floor of the statement.
+	// Lagging means that the target's log has not reached the statement's Floor.
 	Lagging
-	// ReadOnly means that the target does not lead its service.
+	// ReadOnly means that the target is not the primary of its service.
 	ReadOnly
-	// Misdirected means that the address belongs to another target now.
+	// Misdirected means that the address now belongs to another target.
 	Misdirected
-	// TooMany means that the target accepts no further connection.
+	// TooMany means that the target has too many connections to accept another.
 	TooMany
-	// NoStatement means that the target does not know a prepared statement.
+	// NoStatement means that the target does not have the prepared statement.
 	NoStatement
-	// InDoubt means that a write or commit may have taken effect.
+	// InDoubt means that a write or commit may or may not have taken effect.
 	InDoubt
-	// TimedOut means that the statement ran longer than its route allows.
+	// TimedOut means that the statement exceeded the timeout of its route.
 	TimedOut
-	// Failed means that the target ran the statement without success.
+	// Failed means that the target ran the statement and it failed.
 	Failed
-	// Malformed means that the statement is not understood or not allowed in
-	// the present transaction state.
+	// Malformed means that the statement cannot be parsed or is not allowed in
+	// the current transaction state.
 	Malformed
-	// NoDatabase means that no route has the name of the database.
+	// NoDatabase means that no route is configured for the database name.
 	NoDatabase
-	// NoAuth means that the key is unknown or withdrawn.
+	// NoAuth means that the key is unknown or revoked.
 	NoAuth
 )
 
@@ -48,8 +48,8 @@
 	return answerCodes[c]
 }
 
-// HadNoEffect reports whether the code promises that the statement left no
-// trace, so that it is safe to send again.
+// HadNoEffect reports whether the code guarantees that the statement had no
+// effect, so that it is safe to retry.
 func (c AnswerCode) HadNoEffect() bool {
 	switch c {
 	case Busy, Aborted, Lagging, ReadOnly, Misdirected, TooMany, NoStatement:
--- a/clock.go
+++ b/clock.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// Clock tells the time and waits. It is the subset of clockwork.Clock that the
-// packages use, so that both a real and a fake clock of that library fit.
+// Clock provides the current time and timers. It is the subset of
+// clockwork.Clock that the packages use, so that both the real and the fake
+// clock of that library implement it.
 type Clock interface {
 	Now() time.Time
 	Since(t time.Time) time.Duration
--- a/customer.go
+++ b/customer.go
@@ -1,7 +1,9 @@
 package siskin
 
-// CustomerID names one customer, the unit of keys, rates and fair share.
+// CustomerID identifies one customer. Keys, rate limits and fair shares are
+// assigned per customer.
 type CustomerID string
 
-// KeyID names one key of a customer. It is public; the key itself is not.
+// KeyID identifies one key of a customer. It is public; the key itself is
+// secret.
 type KeyID string
--- a/datacentre.go
+++ b/datacentre.go
@@ -1,4 +1,4 @@
 package siskin
 
-// DataCentreID names one data centre, such as "turku-1".
+// DataCentreID identifies one data centre, such as "turku-1".
 type DataCentreID string
--- a/deployment.go
+++ b/deployment.go
@@ -2,16 +2,19 @@
 
 import "time"
 
-// RouteKind says how fresh the reads of a route must be.
+// RouteKind is the read consistency that a route requires.
 type RouteKind int
 
 // Kinds of routes.
 const (
-	// PrimaryReads sees every commit acknowledged before the read began.
+	// PrimaryReads requires that a read sees every commit acknowledged before
+	// the read began.
 	PrimaryReads RouteKind = iota
-	// BoundedStaleness sees every commit older than MaxStaleness.
+	// BoundedStaleness requires that a read sees every commit older than
+	// MaxStaleness.
 	BoundedStaleness
-	// ReadYourWrites is BoundedStaleness and sees the session's own commits.
+	// ReadYourWrites requires BoundedStaleness and that a read sees the
+	// session's own commits.
 	ReadYourWrites
 )
 
@@ -21,15 +24,15 @@
 	Database string // name that callers connect to
 	Service  ServiceName
 	Kind     RouteKind
-	// MaxStaleness is the oldest data that a read may see.
+	// MaxStaleness is the maximum age of the data that a read may see.
 	MaxStaleness time.Duration
 	// Timeout bounds one statement.
 	Timeout time.Duration
-	// LatencyObjective is the latency that a whole operation should keep.
+	// LatencyObjective is the latency that a whole operation should not exceed.
 	LatencyObjective time.Duration
 	// Priority is 0 for the most urgent route.
 	Priority int
-	// AllowsAnonymous says that no key is needed.
+	// AllowsAnonymous is true if callers need no key.
 	AllowsAnonymous bool
 }
 
@@ -41,9 +44,9 @@
 	// SyncReplicas is the number of replicas that receive a commit before it is
 	// acknowledged.
 	SyncReplicas int
-	// ColdRate is the rate of statements that a cold target bears, and
-	// ColdDuration the
-	// time for which it stays cold after its start; zero when targets are never cold.
+	// ColdRate is the rate of statements that a cold target can handle, and
+	// ColdDuration the time for which it stays cold after its start. Both are
+	// zero if targets are never cold.
 	ColdRate     RequestsPerSecond
 	ColdDuration time.Duration
 }
--- a/dial.go
+++ b/dial.go
@@ -5,6 +5,6 @@
 	"net"
 )
 
-// DialFunc opens a connection. It has the shape of net.Dialer.DialContext, so
-// that tests and experiments can put delays and faults between two ends.
+// DialFunc opens a connection. It has the signature of net.Dialer.DialContext,
+// so that tests and experiments can inject delays and faults into connections.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
--- a/error.go
+++ b/error.go
@@ -8,13 +8,13 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// Error is an error with a kind and a remedy for its receiver.
+// Error is an error with a kind and a remedy for the receiver.
 type Error struct {
 	Kind    ErrorKind
 	Message string
-	// Remedy says what the receiver can do, in one sentence.
+	// Remedy is one sentence that tells the receiver what to do.
 	Remedy string
-	// RetryAfter is the time to wait before a repetition; zero when unknown.
+	// RetryAfter is the time to wait before a retry; zero when unknown.
 	RetryAfter time.Duration
 
 	cause error
@@ -31,14 +31,14 @@
 	return e
 }
 
-// WithRetryAfter sets the time to wait and returns e.
+// WithRetryAfter sets the time to wait before a retry and returns e.
 func (e *Error) WithRetryAfter(d time.Duration) *Error {
 	e.RetryAfter = d
 	return e
 }
 
-// WithCause sets the error that led to e and returns e. The cause keeps its
-// stack trace for logs.
+// WithCause sets the underlying error and returns e. The cause keeps its stack
+// trace for logs.
 func (e *Error) WithCause(err error) *Error {
 	e.cause = merry.WrapSkipping(err, 1)
 	return e
@@ -59,7 +59,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-// KindOf returns the kind of the first Error in err's chain, else Internal.
+// KindOf returns the kind of the first Error in err's chain, or Internal if
+// there is none.
 func KindOf(err error) ErrorKind {
 	var e *Error
 	if errors.As(err, &e) {
--- a/error_test.go
+++ b/error_test.go
@@ -6,8 +6,9 @@
 	"testing"
 )
 
-// TestErrorKeepsKindThroughWrapping guards against a refusal that loses its
-// kind, and with it the promise "not run", when a caller adds context.
+// TestErrorKeepsKindThroughWrapping guards against an error that loses its
+// kind when a caller wraps it, and with the kind the guarantee that the request
+// did not run.
 func TestErrorKeepsKindThroughWrapping(t *testing.T) {
 	cause := errors.New("connection refused")
 	err := NewError(NotRun, "target %s is down", "a/1").WithRemedy("repeat the request").WithCause(cause)
@@ -23,12 +24,12 @@
 	}
 }
 
-// TestEveryKindHasSQLState guards against a kind that reaches callers without a
-// SQLSTATE of five characters.
+// TestEveryKindHasSQLState guards against an error kind that has no SQLSTATE
+// of five characters to return to callers.
 func TestEveryKindHasSQLState(t *testing.T) {
 	for k := Internal; k <= TargetRefused; k++ {
 		if got, want := len(k.SQLState()), 5; got != want {
-			t.Errorf("%v: got a state of %d characters, want %d", k, got, want)
+			t.Errorf("%v: got a SQLSTATE of %d characters, want %d", k, got, want)
 		}
 	}
 }
--- a/errorkind.go
+++ b/errorkind.go
@@ -5,23 +5,25 @@
 
 // Kinds of errors. The SQLSTATE of each is in SQLState.
 const (
-	// Internal is a fault of the program itself.
+	// Internal means that the program itself has a fault.
 	Internal ErrorKind = iota
-	// NotRun means that the request did not run, so it is safe to repeat.
+	// NotRun means that the request did not run, so it is safe to retry.
 	NotRun
 	// OutcomeUnknown means that the request may have run.
 	OutcomeUnknown
-	// RateExceeded means that the customer is over its rate and burst. Not run.
+	// RateExceeded means that the customer exceeded its rate and burst. The
+	// request did not run.
 	RateExceeded
-	// Overloaded means that a queue is full or the deadline cannot be met. Not run.
+	// Overloaded means that a queue is full or the deadline cannot be met. The
+	// request did not run.
 	Overloaded
-	// KeyRefused means that the key is wrong or not granted for the service.
+	// KeyRefused means that the key is wrong or not valid for the service.
 	KeyRefused
-	// KeyWithdrawn means that the key was valid and is withdrawn.
+	// KeyWithdrawn means that the key was valid and has been revoked.
 	KeyWithdrawn
 	// UnknownRoute means that the service or route does not exist.
 	UnknownRoute
-	// BadToken means that a session token is malformed or has a wrong signature.
+	// BadToken means that a session token is malformed or has an invalid signature.
 	BadToken
 	// BadInput means that a message, setting or answer is malformed.
 	BadInput
@@ -33,7 +35,7 @@
 	Conflict
 	// Unavailable means that a VM, target or the platform did not answer.
 	Unavailable
-	// TargetRefused is an error of the target that is passed through.
+	// TargetRefused is an error of the target that is passed on to the caller.
 	TargetRefused
 )
 
@@ -71,8 +73,8 @@
 	return errorKinds[k].sqlState
 }
 
-// IsNotRun reports whether an error of this kind says that the request did not
-// run, so that it is safe to repeat.
+// IsNotRun reports whether an error of this kind means that the request did not
+// run, so that it is safe to retry.
 func (k ErrorKind) IsNotRun() bool {
 	switch k {
 	case NotRun, RateExceeded, Overloaded, KeyRefused, KeyWithdrawn, UnknownRoute, BadToken:
--- a/keys.go
+++ b/keys.go
@@ -1,7 +1,7 @@
 package siskin
 
-// KeyGrant is the result of an authentication: a customer and the key that the
-// caller showed.
+// KeyGrant is the result of an authentication: the customer and the key that
+// the caller presented.
 type KeyGrant struct {
 	Customer CustomerID
 	Key      KeyID
--- a/lsn.go
+++ b/lsn.go
@@ -6,7 +6,8 @@
 	"strings"
 )
 
-// LSN is a position in a target's log, in bytes from its start.
+// LSN is a log sequence number: a position in a target's log, in bytes from its
+// start.
 type LSN uint64
 
 // String formats the position as PostgreSQL does, such as "0/16B3748".
--- a/lsn_test.go
+++ b/lsn_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// FuzzParseLSN guards against a parser that accepts a text which does not
-// format back to the same position.
+// FuzzParseLSN guards against a parsed position that changes when it is
+// formatted and parsed again, and against errors of another kind than BadInput.
 func FuzzParseLSN(f *testing.F) {
 	for _, seed := range []string{"0/0", "0/16B3748", "FFFFFFFF/FFFFFFFF", "1", "/", "g/1", "0/100000000"} {
 		f.Add(seed)
--- a/object.go
+++ b/object.go
@@ -1,6 +1,6 @@
 package siskin
 
-// ObjectName names one object of the platform's API, such as "Config/Head".
+// ObjectName identifies one object of the platform's API, such as "Config/Head".
 type ObjectName string
 
 // Version is the platform's version of one object. Zero means that the object
@@ -8,7 +8,7 @@
 type Version uint64
 
 // OperationID identifies one conditional update, so that an update whose
-// answer was lost can be recognized by reading the object back.
+// response was lost can be recognised by reading the object back.
 type OperationID string
 
 // Object is one object of the platform's API.
@@ -19,5 +19,5 @@
 	Value     []byte      // at most MaxObjectSize
 }
 
-// MaxObjectSize is the largest value that the platform holds.
+// MaxObjectSize is the size of the largest value that the platform stores.
 const MaxObjectSize Bytes = 1 << 20
--- a/peers.go
+++ b/peers.go
@@ -2,8 +2,8 @@
 
 import "context"
 
-// AddressID returns an id under which Peers calls the VM at an address, such
-// as a seed whose own id is not known yet.
+// AddressID returns an id with which Peers calls the VM at the given address,
+// such as a seed VM whose own id is not known yet.
 func AddressID(address string) VMID { return VMID("@" + address) }
 
 // Peers calls methods of other VMs over net/rpc.
--- a/position_test.go
+++ b/position_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // TestPositionComparesTermFirst guards against a comparison by log position
-// alone, which takes a longer log of a replaced primary for the newer one.
+// alone, which would treat the longer log of a replaced primary as the newer one.
 func TestPositionComparesTermFirst(t *testing.T) {
 	old := Position{Term: 3, LSN: 900}
 	new := Position{Term: 4, LSN: 100}
--- a/revision.go
+++ b/revision.go
@@ -1,4 +1,4 @@
 package siskin
 
-// Revision numbers the accepted configurations. It only grows.
+// Revision is the number of an accepted configuration. It never decreases.
 type Revision uint64
--- a/service.go
+++ b/service.go
@@ -1,7 +1,7 @@
 package siskin
 
-// ServiceName names one service, which one group of targets serves.
+// ServiceName identifies one service, which one group of targets provides.
 type ServiceName string
 
-// RouteName names one route of a service.
+// RouteName identifies one route of a service.
 type RouteName string
--- a/statement.go
+++ b/statement.go
@@ -1,12 +1,14 @@
 package siskin
 
-// RequestID identifies one statement of a caller. Targets see it unchanged.
+// RequestID identifies one statement of a caller. It is passed to targets
+// unchanged.
 type RequestID string
 
-// StatementKind is what a statement of the session protocol asks for.
+// StatementKind is the kind of a statement of the session protocol.
 type StatementKind int
 
-// Kinds of statements. The kinds from Discard on are sent by the system only.
+// Kinds of statements. Only siskintray itself sends Discard and the kinds after
+// it.
 const (
 	UnknownStatement StatementKind = iota
 	Begin
@@ -41,18 +43,19 @@
 
 // Statement is one statement of the session protocol.
 type Statement struct {
-	// ID is empty for statements that the system issues itself.
+	// ID is empty for statements that siskintray itself issues.
 	ID   RequestID `json:",omitempty"`
 	Kind StatementKind
 	// Name is the name of a value (SetValue) or of a prepared statement.
 	Name string `json:",omitempty"`
 	// Text is the rest of the statement as the caller wrote it: the item and
-	// data of a read or write, the value of SetValue, the shape of Prepare.
+	// data of a read or write, the value of SetValue, the statement template
+	// of Prepare.
 	Text string `json:",omitempty"`
-	// Writes says that a prepared statement writes.
+	// Writes is true if a prepared statement writes.
 	Writes bool `json:",omitempty"`
-	// Floor is the position that the target must have applied before it runs
-	// the statement; zero asks for none.
+	// Floor is the minimum position that the target must have applied before it
+	// runs the statement; zero means that there is no minimum.
 	Floor Position `json:",omitzero"`
 	// Term is the term of Pause and StepDown.
 	Term Term `json:",omitempty"`
--- a/target.go
+++ b/target.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// TargetID names one target of a group, such as "ledger-a/1".
+// TargetID identifies one target of a group, such as "ledger-a/1".
 type TargetID string
 
-// Slot numbers the slots of one target from 0. A slot is the unit in which
-// connections of a target are owned by one VM.
+// Slot is the index of a slot of one target, from 0. A slot is a share of the
+// target's connections that is owned by one VM as a unit.
 type Slot int
 
-// TargetRole is the part that a target plays in its group.
+// TargetRole is the replication role of a target in its group.
 type TargetRole int
 
 // Roles of a target.
@@ -29,7 +29,7 @@
 	return "Replica"
 }
 
-// TargetStatus is what a target reports of itself.
+// TargetStatus is the status that a target reports.
 type TargetStatus struct {
 	ID           TargetID
 	Role         TargetRole
@@ -41,8 +41,8 @@
 	Applied      LSN           // end of the log applied
 	HeardPrimary time.Duration // time since the last message of the primary's stream
 	Leaving      bool
-	// Draining says that a primary refuses new transactions that may write,
-	// because of a planned change or a claim of a later term.
+	// Draining is true while a primary rejects new transactions that may write,
+	// because of a planned change of primary or a claim of a later term.
 	Draining bool
 	// Running is the number of transactions in progress that may write.
 	Running int
@@ -50,13 +50,13 @@
 
 // Target is the control interface of one target.
 type Target interface {
-	// Status reports the target's present state.
+	// Status returns the target's current status.
 	Status(ctx context.Context) (TargetStatus, error)
-	// Wait reports the state as soon as the received position reaches pos in
+	// Wait returns the status as soon as the received position reaches pos in
 	// the stream of pos.Term, or after max.
 	Wait(ctx context.Context, pos Position, max time.Duration) (TargetStatus, error)
-	// Claim sets the claimed term if term is larger than the present one.
-	// The target then refuses the log of every older term.
+	// Claim sets the claimed term if term is larger than the current one.
+	// The target then rejects the log of every older term.
 	Claim(ctx context.Context, term Term, vm VMID) (TargetStatus, error)
 	// Promote makes the target the primary of the term it was claimed for. It
 	// fails unless this Target made the claim and the claim is still the highest.
@@ -67,11 +67,12 @@
 	Close() error
 }
 
-// Drainer is implemented by a Target that can hold new writes back for a
-// planned change of primary.
+// Drainer is implemented by a Target that can block new writes for a planned
+// change of primary.
 type Drainer interface {
-	// Drain makes a primary refuse new transactions that may write, as not run,
-	// for at most hold, and reports the state. Zero ends the pause.
+	// Drain makes a primary reject new transactions that may write, without
+	// running them, for at most hold, and returns the status. A hold of zero ends
+	// the drain.
 	Drain(ctx context.Context, hold time.Duration) (TargetStatus, error)
 }
 
--- a/targetconn.go
+++ b/targetconn.go
@@ -18,8 +18,8 @@
 
 // TargetConnector opens connections to targets.
 type TargetConnector interface {
-	// Connect opens a connection for a customer. The target refuses it with an
-	// error of kind Conflict when it is not the target with the given id, and
-	// of kind Overloaded when it has too many connections.
+	// Connect opens a connection for a customer. The target rejects it with an
+	// error of kind Conflict if it is not the target with the given id, and of
+	// kind Overloaded if it has too many connections.
 	Connect(ctx context.Context, t TargetInfo, customer CustomerID) (TargetConn, error)
 }
--- a/targetinfo.go
+++ b/targetinfo.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// TargetInfo is what service discovery says of one target.
+// TargetInfo is the service discovery entry of one target.
 type TargetInfo struct {
 	ID         TargetID
 	Service    ServiceName
@@ -10,14 +10,16 @@
 	DataCentre DataCentreID
 	Slots      int
 	Draining   bool
-	// Evacuated says that the operator asked to send nothing more to the target's
-	// data centre. Each VM derives it from the evacuations that it knows.
+	// Evacuated is true if the operator requested that no more traffic be sent to
+	// the target's data centre. Each VM derives it from the evacuations known to
+	// it.
 	Evacuated bool `json:"-"`
-	// Primary is how the target sees itself.
+	// Primary is true if the target reports itself as a primary.
 	Primary bool
-	// ColdRemaining is how much longer the target stays slow after its start.
+	// ColdRemaining is the time for which the target stays slow because it
+	// started recently; see ServiceSpec.ColdDuration.
 	ColdRemaining time.Duration `json:"Warming"`
-	// StartedAt is the start of the target's present run. A target that starts
-	// again forgets its log and its pauses.
+	// StartedAt is the time of the target's last start. A restart discards the
+	// target's log and its pauses.
 	StartedAt time.Time `json:"Born"`
 }
--- a/term.go
+++ b/term.go
@@ -1,4 +1,5 @@
 package siskin
 
-// Term numbers the primaries of a group. Every promotion uses a larger term.
+// Term is the number of a primary of a group. Every promotion uses a larger
+// term.
 type Term uint64
--- a/units.go
+++ b/units.go
@@ -3,14 +3,14 @@
 // RequestsPerSecond is a rate of requests.
 type RequestsPerSecond float64
 
-// Requests is an amount of requests, such as a burst.
+// Requests is a number of requests, such as a burst.
 type Requests float64
 
-// QuotaUnits is an amount of a customer's right, out of TotalQuotaUnits.
+// QuotaUnits is a share of a customer's rate quota, out of TotalQuotaUnits.
 type QuotaUnits int64
 
-// TotalQuotaUnits is the whole right of one customer. Rights are integers, so that
-// transfers conserve the sum exactly.
+// TotalQuotaUnits is the whole quota of one customer. Quotas are integers, so
+// that transfers conserve the sum exactly.
 const TotalQuotaUnits QuotaUnits = 1 << 20
 
 // Bytes is a size in bytes.
--- a/vm.go
+++ b/vm.go
@@ -1,13 +1,15 @@
 package siskin
 
-// VMID names one VM of the fleet, such as "vm-1". It survives a restart.
+// VMID identifies one VM of the fleet, such as "vm-1". It stays the same after
+// a restart.
 type VMID string
 
-// Incarnation numbers the runs of one VM. A restarted VM takes a larger one,
-// so that state addressed to an earlier run is never applied to a later one.
+// Incarnation is the number of a run of one VM. It increases with every
+// restart, so that state addressed to an earlier run is never applied to a
+// later one.
 type Incarnation uint64
 
-// VMState is the state of a VM as one observer sees it.
+// VMState is the state of a VM in the view of one observer.
 type VMState int
 
 // States of a VM.
@@ -17,8 +19,8 @@
 	VMSuspect
 	VMLeaving
 	VMDead
-	// VMGone means that the platform terminated the VM. Only this state is
-	// evidence that the VM cannot run anymore; VMDead is a guess.
+	// VMGone means that the platform terminated the VM. Only this state proves
+	// that the VM no longer runs; VMDead is an assumption.
 	VMGone
 )
 
@@ -36,12 +38,12 @@
 	ID          VMID
 	Incarnation Incarnation
 	DataCentre  DataCentreID
-	// PeerAddress takes net/rpc calls of other VMs.
+	// PeerAddress accepts net/rpc calls of other VMs.
 	PeerAddress string
-	// ForwardAddress takes transactions that other VMs forward, in the
+	// ForwardAddress accepts transactions that other VMs forward, in the
 	// PostgreSQL protocol.
 	ForwardAddress string
 	State          VMState
-	// Capacity is the processor of the VM, zero when it is not known.
+	// Capacity is the processor capacity of the VM; zero when unknown.
 	Capacity Millicores
 }
