lease: exported names in the terms of the field

Newcomers read Life, Wait, Witnesses and Needed as figures of speech; they are a lease's TTL, the delay before a promotion, the trust in a replica's answer and a quorum.

--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -299,7 +299,7 @@
 		ctx := context.Background()
 		c.e.fence.reserve(ctx)
 		reserve := c.e.fence.next
-		later, err := c.e.cfg.Store.Create(ctx, FenceKind, "another", fenceValue{Serial: 1})
+		later, err := c.e.cfg.Store.Create(ctx, FencingTokenKind, "another", fenceValue{Serial: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -441,11 +441,11 @@
 		claims []claim
 		want   time.Time
 	}{
-		{"silent primary", []claim{silent, replica(10), replica(20)}, at(20).Add(lease.Wait)},
+		{"silent primary", []claim{silent, replica(10), replica(20)}, at(20).Add(lease.PromotionDelay)},
 		{"primary that stepped down", []claim{former(3, false), replica(10), replica(20)}, time.Time{}},
 		{"primary that stepped down without fencing", []claim{former(3, true), replica(10), replica(20)}, time.Time{}},
-		{"earlier primary that stepped down", []claim{former(2, false), replica(10), replica(20)}, at(20).Add(lease.Wait)},
-		{"earlier primary that stepped down without fencing", []claim{former(2, true), replica(10), replica(20)}, at(20).Add(lease.Wait)},
+		{"earlier primary that stepped down", []claim{former(2, false), replica(10), replica(20)}, at(20).Add(lease.PromotionDelay)},
+		{"earlier primary that stepped down without fencing", []claim{former(2, true), replica(10), replica(20)}, at(20).Add(lease.PromotionDelay)},
 	} {
 		if got := waitUntil(c.claims, 9, false); !got.Equal(c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -140,7 +140,7 @@
 			return time.Time{}
 		}
 	}
-	return last.Add(lease.Wait)
+	return last.Add(lease.PromotionDelay)
 }
 
 // replicasAnswer reports whether enough replicas answer to take over from a
--- a/internal/elect/fence.go
+++ b/internal/elect/fence.go
@@ -8,8 +8,8 @@
 	"siskintray.example/siskin"
 )
 
-// FenceKind is the kind of the objects whose versions are fences.
-const FenceKind siskin.ObjectKind = "fences"
+// FencingTokenKind is the kind of the objects whose versions are fences.
+const FencingTokenKind siskin.ObjectKind = "fences"
 
 // fenceTimeout bounds the taking of a fence during a change, which waits for it.
 const fenceTimeout = 500 * time.Millisecond
@@ -170,7 +170,7 @@
 	value := fenceValue{f.e.cfg.Run, f.serial}
 	var err error
 	if f.version == 0 {
-		f.version, err = store.Create(ctx, FenceKind, name, value)
+		f.version, err = store.Create(ctx, FencingTokenKind, name, value)
 		if siskin.KindOf(err) == siskin.Conflict {
 			err = f.read(ctx, name)
 		}
@@ -182,7 +182,7 @@
 			return nil
 		}
 	}
-	version, err := store.Update(ctx, FenceKind, name, value, f.version)
+	version, err := store.Update(ctx, FencingTokenKind, name, value, f.version)
 	if err != nil {
 		f.version = 0
 		return err
@@ -193,13 +193,13 @@
 
 // read finds the version of the object of an earlier run and writes over it.
 func (f *fence) read(ctx context.Context, name string) error {
-	l, err := f.e.cfg.Store.List(ctx, FenceKind)
+	l, err := f.e.cfg.Store.List(ctx, FencingTokenKind)
 	if err != nil {
 		return err
 	}
 	for _, o := range l.Objects {
 		if o.Name == name {
-			f.version, err = f.e.cfg.Store.Update(ctx, FenceKind, name, fenceValue{f.e.cfg.Run, f.serial}, o.Version)
+			f.version, err = f.e.cfg.Store.Update(ctx, FencingTokenKind, name, fenceValue{f.e.cfg.Run, f.serial}, o.Version)
 			return err
 		}
 	}
--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -287,15 +287,15 @@
 		return
 	}
 	listed := v.roster.Service(modelService)
-	poll := lease.Poll{Term: p.term, Sync: 1, Replicas: len(listed) - 1, Group: v.roster.Size(modelService)}
+	poll := lease.Poll{Term: p.term, SyncReplicas: 1, Replicas: len(listed) - 1, GroupSize: v.roster.Size(modelService)}
 	if m.rules.partGroup {
-		poll.Group = 0
+		poll.GroupSize = 0
 	}
 	for _, info := range listed {
 		if m.lookup(info.ID) == nil {
 			poll.AddDown()
 		} else if r := m.reach(vm, info.ID); r != nil && r != p {
-			poll.Add(r.status(), m.rules.youngWitness || v.leases.Witnesses(p.id, p.term, m.at(v, r.down), now, modelWitnessAfter))
+			poll.Add(r.status(), m.rules.youngWitness || v.leases.Trusted(p.id, p.term, m.at(v, r.down), now, modelWitnessAfter))
 		}
 	}
 	if poll.Confirmed() {
@@ -313,7 +313,7 @@
 	if p.term < v.known.Term && !m.rules.olderTerm {
 		return
 	}
-	if m.rules.youngWitness || v.leases.Witnesses(p.id, p.term, m.at(v, r.down), now, modelWitnessAfter) {
+	if m.rules.youngWitness || v.leases.Trusted(p.id, p.term, m.at(v, r.down), now, modelWitnessAfter) {
 		v.leases.Renew(p.id, p.term, now)
 	}
 }
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -14,7 +14,7 @@
 // maxCheckAge is the age of the last check of the claims up to which a promotion
 // is ordered without another one. It is shorter than the wait of another change
 // that takes claims over.
-const maxCheckAge = lease.Wait / 2
+const maxCheckAge = lease.PromotionDelay / 2
 
 // maxFencedAge is the same where fences are checked. A fence says nothing of claims:
 // that of a VM which stood still may be higher than that of the change which took
--- a/internal/elect/reserve.go
+++ b/internal/elect/reserve.go
@@ -67,8 +67,8 @@
 	})
 }
 
-// HasFence reports whether a fence is in reserve that was asked for when the term
+// HasFencingToken reports whether a fence is in reserve that was asked for when the term
 // of a service was known.
-func (e *Elector) HasFence(name siskin.ServiceName, term siskin.Term) bool {
+func (e *Elector) HasFencingToken(name siskin.ServiceName, term siskin.Term) bool {
 	return e.fence.coversTerm(name, term)
 }
--- a/internal/home/acknowledge.go
+++ b/internal/home/acknowledge.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	spec, ok := h.cfg.Leads.Service(service)
-	return !ok || lease.ByReplicas(spec.SyncReplicas)
+	return !ok || lease.Synchronous(spec.SyncReplicas)
 }
 
 // ack is what the acknowledgement of a commit is worth.
--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -35,7 +35,7 @@
 		req.Patience = 2 * time.Second
 		waiting <- f.run(req)
 	}()
-	time.Sleep(lease.Wait)
+	time.Sleep(lease.PromotionDelay)
 	f.restart(restarted)
 	if got := <-waiting; got.Outcome != Lost {
 		f.t.Errorf("write that waited for the replica: got %+v, want it in doubt", got)
@@ -86,7 +86,7 @@
 			f.claim(restarted, 100)
 			waiting := make(chan Reply)
 			go func() { waiting <- commit(first.Tx) }()
-			time.Sleep(lease.Wait)
+			time.Sleep(lease.PromotionDelay)
 			f.restart(restarted)
 			if got := <-waiting; got.Outcome != Lost {
 				t.Errorf("commit that waited for the replica: got %+v, want it in doubt", got)
@@ -117,10 +117,10 @@
 		req.Patience = 2 * time.Second
 		waiting <- f.run(req)
 	}()
-	time.Sleep(2 * lease.Life)
+	time.Sleep(2 * lease.TTL)
 	f.target(1).SetReceiveBlocked(false)
 	if got := <-waiting; got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
-		t.Errorf("write that took %v: got %+v, want success", 2*lease.Life, got)
+		t.Errorf("write that took %v: got %+v, want success", 2*lease.TTL, got)
 	}
 }
 
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -52,7 +52,7 @@
 func (h *Homes) covered(ctx context.Context, service siskin.ServiceName, l *lane) (at time.Time, ok bool) {
 	at = h.cfg.Clock.Now()
 	id := l.target()
-	if age := h.cfg.Leads.Leases.Age(id, at); age < lease.Life {
+	if age := h.cfg.Leads.Leases.Age(id, at); age < lease.TTL {
 		if age > lease.RenewAfter {
 			h.renew(service, l, 0)
 		}
--- a/internal/home/confirm_test.go
+++ b/internal/home/confirm_test.go
@@ -82,7 +82,7 @@
 	former.SetPartitioned(true)
 	f.claim(next, 100)
 	f.claim(f.target(2), 100)
-	time.Sleep(lease.Wait)
+	time.Sleep(lease.PromotionDelay)
 	if err := f.platform.Promote(next); err != nil {
 		t.Fatal(err)
 	}
@@ -96,7 +96,7 @@
 	if err := f.homes.Ping(context.Background(), "ledger", former.ID()); siskin.KindOf(err) != siskin.NotRun {
 		t.Errorf("proof of lead of the former primary: got %v, want an error of kind NotRun", err)
 	}
-	if got := f.views.Lead("ledger"); got.Target == former.ID() && f.homes.cfg.Clock.Since(got.At) < lease.Wait {
+	if got := f.views.Lead("ledger"); got.Target == former.ID() && f.homes.cfg.Clock.Since(got.At) < lease.PromotionDelay {
 		t.Errorf("proof of lead: got one of %s after the promotion, want none", got.Target)
 	}
 }
@@ -111,9 +111,9 @@
 	}
 	f.claim(f.target(1), 100)
 	f.claim(f.target(2), 100)
-	time.Sleep(lease.Wait)
+	time.Sleep(lease.PromotionDelay)
 	if got := f.run(leadRead(primary)); got.Cause != Unconfirmed {
-		t.Errorf("read %v after the last claim: got %+v, want %v", lease.Wait, got, Unconfirmed)
+		t.Errorf("read %v after the last claim: got %+v, want %v", lease.PromotionDelay, got, Unconfirmed)
 	}
 	if !f.homes.Claimed(primary.ID()) {
 		t.Error("claimed replicas: got none, want them noticed")
@@ -143,7 +143,7 @@
 			}
 			asked := f.asked.Load()
 			f.homes.cfg.Leads.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
-			for begun := time.Now(); time.Since(begun) < 2*lease.Life; time.Sleep(lease.RenewAfter / 4) {
+			for begun := time.Now(); time.Since(begun) < 2*lease.TTL; time.Sleep(lease.RenewAfter / 4) {
 				if got := f.run(request(primary, siskin.Write, "x 1")); got.Answer.Code != siskin.Succeeded || !got.LeadProven {
 					t.Fatalf("write after %v: got %+v, want success", time.Since(begun), got)
 				}
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -59,9 +59,9 @@
 	}
 	replicas := slices.DeleteFunc(slices.Clone(leads.Targets(service)), func(t siskin.TargetInfo) bool { return t.ID == id })
 	asked := h.cfg.Clock.Now()
-	poll := lease.Poll{Term: term, Sync: spec.SyncReplicas, Replicas: len(replicas), Group: leads.Group(service)}
+	poll := lease.Poll{Term: term, SyncReplicas: spec.SyncReplicas, Replicas: len(replicas), GroupSize: leads.Group(service)}
 	var last error
-	for _, part := range l.renewal.order(len(replicas), lease.Needed(spec.SyncReplicas)) {
+	for _, part := range l.renewal.order(len(replicas), lease.Quorum(spec.SyncReplicas)) {
 		for n, a := range h.statuses(ctx, replicas, part) {
 			s := &a.o.Status
 			switch {
@@ -83,7 +83,7 @@
 				}
 				return h.askOnce(ctx, service, l, s.Term)
 			}
-			witness := leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, a.o.Running), asked, lease.WitnessAfter)
+			witness := leads.Leases.Trusted(id, term, h.started(replicas[n].ID, a.o.Running), asked, lease.MinTrustedUptime)
 			poll.Add(*s, witness)
 			switch {
 			case !lease.Unclaimed(*s, term):
--- a/internal/home/witness_test.go
+++ b/internal/home/witness_test.go
@@ -91,7 +91,7 @@
 	}
 	f.claim(chosen, 100)
 	f.claim(restarted, 100)
-	time.Sleep(lease.Wait)
+	time.Sleep(lease.PromotionDelay)
 	f.restart(restarted)
 	born = time.Unix(2, 0)
 	other.Update()
@@ -135,7 +135,7 @@
 			if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != Answered {
 				t.Fatalf("write before: got %+v, want an answer", got)
 			}
-			time.Sleep(lease.Life)
+			time.Sleep(lease.TTL)
 			for _, i := range c.restart {
 				f.target(i).Crash()
 			}
@@ -205,7 +205,7 @@
 		req.Patience = 2 * time.Second
 		waiting <- f.run(req)
 	}()
-	time.Sleep(lease.Life + 50*time.Millisecond)
+	time.Sleep(lease.TTL + 50*time.Millisecond)
 	set := func(on bool) {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -8,21 +8,21 @@
 )
 
 const (
-	// Life is the time for which evidence of unclaimed replicas counts, from the
+	// TTL is the time for which evidence of unclaimed replicas counts, from the
 	// moment before the question. Commits of ordinary traffic renew it.
-	Life = 400 * time.Millisecond
+	TTL = 400 * time.Millisecond
 	// RenewAfter is the age of the evidence at which a lease in use is renewed.
-	RenewAfter = Life / 2
-	// Wait is the time from the last claim of a change to its promotion. It is
+	RenewAfter = TTL / 2
+	// PromotionDelay is the time from the last claim of a change to its promotion. It is
 	// longer than Life, since the rates of two clocks may differ.
-	Wait = Life + Life/10
-	// WitnessAfter is the time for which a replica must have run before its state
+	PromotionDelay = TTL + TTL/10
+	// MinTrustedUptime is the time for which a replica must have run before its state
 	// counts, unless it ran at the last evidence already. One that starts again has
 	// forgotten a claim, and the promotion of that change may still take effect: claims
 	// are looked at up to 0.5 s before an order, platforms that check fences carry out
 	// one without an answer up to 12 s later and within 1.1 s, and the order may be on
 	// its way for a call's time-out of 0.7 s. The rest is for clocks that run fast.
-	WitnessAfter = 16 * time.Second
+	MinTrustedUptime = 16 * time.Second
 )
 
 // hold is a lease of the lead of one target.
@@ -81,14 +81,14 @@
 
 // covers reports whether no promotion over the given term was ordered before now.
 func (h hold) covers(term siskin.Term, now time.Time) bool {
-	return h.term == term && now.Sub(h.asked) < Life
+	return h.term == term && now.Sub(h.asked) < TTL
 }
 
-// Witnesses reports whether a replica's state, asked for at a moment, may count as
+// Trusted reports whether a replica's state, asked for at a moment, may count as
 // evidence for a target that leads the given term: the replica has run since started
 // and has forgotten no claim that may still lead to a promotion. It has not when it
 // has run for the time after.
-func (l *Leases) Witnesses(id siskin.TargetID, term siskin.Term, started, asked time.Time, after time.Duration) bool {
+func (l *Leases) Trusted(id siskin.TargetID, term siskin.Term, started, asked time.Time, after time.Duration) bool {
 	if asked.Sub(started) >= after {
 		return true
 	}
@@ -101,7 +101,7 @@
 // Valid reports whether the target is the only primary at the given moment, which
 // must not lie in the future.
 func (l *Leases) Valid(id siskin.TargetID, now time.Time) bool {
-	return l.Age(id, now) < Life
+	return l.Age(id, now) < TTL
 }
 
 // Age returns the age of the newest evidence, Life or more when there is none
@@ -111,7 +111,7 @@
 	defer l.mu.Unlock()
 	h, ok := l.holds[id]
 	if !ok {
-		return Life
+		return TTL
 	}
 	return now.Sub(h.asked)
 }
--- a/internal/lease/leases_test.go
+++ b/internal/lease/leases_test.go
@@ -18,7 +18,7 @@
 	}
 	l.Renew("a", 3, at(0))
 	l.Renew("a", 3, at(-50)) // an answer that came late
-	life := int(Life / time.Millisecond)
+	life := int(TTL / time.Millisecond)
 	for _, c := range []struct {
 		ms   int
 		want bool
@@ -44,7 +44,7 @@
 // TestWait guards against a change of primary that waits shorter than a lease
 // lives on a clock that runs slow by a twentieth.
 func TestWait(t *testing.T) {
-	if got, want := Wait, Life*21/20; got < want {
+	if got, want := PromotionDelay, TTL*21/20; got < want {
 		t.Errorf("wait: got %v, want at least %v", got, want)
 	}
 }
@@ -73,7 +73,7 @@
 // TestExtend guards against a lease that commits keep up although none covered
 // them: a claimed replica that started again may have acknowledged them.
 func TestExtend(t *testing.T) {
-	life := int(Life / time.Millisecond)
+	life := int(TTL / time.Millisecond)
 	for _, c := range []struct {
 		name       string
 		term       siskin.Term
@@ -101,7 +101,7 @@
 // TestWitnesses guards against replicas that confirm a lead although they have
 // started again and may have forgotten a claim.
 func TestWitnesses(t *testing.T) {
-	after := int(WitnessAfter / time.Millisecond)
+	after := int(MinTrustedUptime / time.Millisecond)
 	for _, c := range []struct {
 		name           string
 		term           siskin.Term
@@ -116,7 +116,7 @@
 	} {
 		l := New()
 		l.Renew("a", 3, at(0))
-		if got := l.Witnesses("a", c.term, at(c.started), at(c.asked), WitnessAfter); got != c.want {
+		if got := l.Trusted("a", c.term, at(c.started), at(c.asked), MinTrustedUptime); got != c.want {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/internal/lease/poll.go
+++ b/internal/lease/poll.go
@@ -6,11 +6,11 @@
 type Poll struct {
 	// Term is the term that the primary leads.
 	Term siskin.Term
-	// Sync is the number of replicas that acknowledge a commit.
-	Sync int
-	// Replicas is the number of replicas that are known, and Group that of targets,
+	// SyncReplicas is the number of replicas that acknowledge a commit.
+	SyncReplicas int
+	// Replicas is the number of replicas that are known, and GroupSize that of targets,
 	// the primary included, when none is missing.
-	Replicas, Group int
+	Replicas, GroupSize int
 
 	witnesses, unclaimed, free int
 }
@@ -39,6 +39,6 @@
 // claim until it is promoted, so that none is on its way when every target of the
 // group is free.
 func (p *Poll) Confirmed() bool {
-	needed := Needed(p.Sync)
-	return p.witnesses >= needed || p.unclaimed >= needed && p.free == p.Replicas && p.free+1 >= p.Group
+	needed := Quorum(p.SyncReplicas)
+	return p.witnesses >= needed || p.unclaimed >= needed && p.free == p.Replicas && p.free+1 >= p.GroupSize
 }
--- a/internal/lease/poll_test.go
+++ b/internal/lease/poll_test.go
@@ -47,7 +47,7 @@
 		{"both acknowledge, one has just started", 2, []replica{{free, true}, {free, false}}, 2, 3, true, 0},
 		{"both acknowledge, one is behind", 2, []replica{{free, true}, {behind, true}}, 2, 3, false, 0},
 	} {
-		p := Poll{Term: 3, Sync: c.sync, Replicas: c.replicas, Group: c.group}
+		p := Poll{Term: 3, SyncReplicas: c.sync, Replicas: c.replicas, GroupSize: c.group}
 		for _, r := range c.answers {
 			p.Add(r.status, r.witness)
 		}
