table, entry, feed: exported names say what they do

Owner also names the owner of a rate pool, and feed's callbacks Holders, Known and Target were nouns. They are CustomerByDigest, SetHolders, KnownHolders and DecodeTarget now; Metrics.Faults is Panics.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -11,8 +11,8 @@
 // Metrics are the counters and histograms of sessions.
 type Metrics struct {
 	Sessions tally.Counter
-	// Faults counts sessions that ended by a fault of the program.
-	Faults   tally.Counter
+	// Panics counts sessions that ended by a fault of the program.
+	Panics   tally.Counter
 	answers  map[siskin.AnswerCode]tally.Counter
 	refusals map[siskin.AnswerCode]tally.Counter
 	latency  map[siskin.RouteKind]tally.Histogram
@@ -31,7 +31,7 @@
 func NewMetrics(scope tally.Scope) *Metrics {
 	m := &Metrics{
 		Sessions: scope.Counter("sessions_opened"),
-		Faults:   scope.Counter("session_faults"),
+		Panics:   scope.Counter("session_faults"),
 		answers:  make(map[siskin.AnswerCode]tally.Counter),
 		refusals: make(map[siskin.AnswerCode]tally.Counter),
 		latency:  make(map[siskin.RouteKind]tally.Histogram),
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -82,7 +82,7 @@
 	if v == nil {
 		return
 	}
-	s.e.cfg.Metrics.Faults.Inc(1)
+	s.e.cfg.Metrics.Panics.Inc(1)
 	s.e.cfg.Log.Error().Str("Database", s.database).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
 		Msg("a session ended by a fault of this program")
 }
@@ -136,7 +136,7 @@
 	if !ok {
 		return nil, "", &siskin.Answer{Code: siskin.NoDatabase, Message: "no route has this name; check the name of the database"}
 	}
-	customer, ok := snap.Owner(s.digest)
+	customer, ok := snap.CustomerByDigest(s.digest)
 	if !ok && !route.AllowsAnonymous {
 		return nil, "", &siskin.Answer{Code: siskin.NoAuth, Message: "the key is unknown or withdrawn; use a valid key"}
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -73,17 +73,17 @@
 	// EvacuationKind names the objects that evacuate a data centre, empty where the
 	// platform has none.
 	EvacuationKind siskin.ObjectKind
-	// Target decodes the entry of a target.
-	Target func(siskin.StoreObject) (siskin.TargetInfo, error)
+	// DecodeTarget decodes the entry of a target.
+	DecodeTarget func(siskin.StoreObject) (siskin.TargetInfo, error)
 	// Apply puts an encoded configuration in force.
 	Apply  func(encoded []byte, source string)
 	Table  *table.Table
 	Roster *roster.Roster
 	Crew   *crew.Crew
-	// Holders is called once with the VMs that share the customers' rates.
-	Holders func([]siskin.VMID)
-	// Known returns them once they are known, also from a peer.
-	Known func() []siskin.VMID
+	// SetHolders is called once with the VMs that share the customers' rates.
+	SetHolders func([]siskin.VMID)
+	// KnownHolders returns them once they are known, also from a peer.
+	KnownHolders func() []siskin.VMID
 }
 
 // Feed reads the store. Close ends it.
@@ -159,7 +159,7 @@
 	}
 	list := make([]siskin.TargetInfo, 0, len(l.Objects))
 	for _, o := range l.Objects {
-		info, err := f.cfg.Target(o)
+		info, err := f.cfg.DecodeTarget(o)
 		if err != nil {
 			f.cfg.Log.Warn().Err(err).Msg("an entry names no target")
 			continue
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -111,8 +111,8 @@
 	feed := Start(Config{
 		EvacuationKind: evacuations,
 		Clock:          boot.Clock{}, Store: f.store, Log: l, Table: f.table, Roster: targets, ConfigName: "main",
-		Crew:    crew.New(crew.Config{Clock: boot.Clock{}, Self: crew.Node{ID: "vm"}, Table: f.table, Roster: targets, Log: l}),
-		Holders: func([]siskin.VMID) {}, Known: func() []siskin.VMID { return []siskin.VMID{"vm"} },
+		Crew:       crew.New(crew.Config{Clock: boot.Clock{}, Self: crew.Node{ID: "vm"}, Table: f.table, Roster: targets, Log: l}),
+		SetHolders: func([]siskin.VMID) {}, KnownHolders: func() []siskin.VMID { return []siskin.VMID{"vm"} },
 		Apply: func(encoded []byte, _ string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -61,7 +61,7 @@
 // holders reads the record, or creates it from the VMs known.
 func (f *Feed) holders(ctx context.Context) {
 	start := f.cfg.Clock.Now()
-	for ctx.Err() == nil && f.cfg.Known() == nil {
+	for ctx.Err() == nil && f.cfg.KnownHolders() == nil {
 		first := f.cfg.Crew.Live()
 		reads := f.cfg.Crew.IsSeed() || len(first) > 1 && first[0].ID == f.cfg.Crew.Self().ID
 		if !reads && f.cfg.Clock.Since(start) < askPeersFor {
@@ -81,7 +81,7 @@
 				f.cfg.Log.Error().Err(err).Msg("the record of shares cannot be read; this VM holds none")
 				return
 			}
-			f.cfg.Holders(r.Holders)
+			f.cfg.SetHolders(r.Holders)
 			return
 		}
 		// A VM that has found no other yet must not keep all rates to itself.
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -209,8 +209,8 @@
 		evacuations = platform.KindEvacuations
 	}
 	n.feed = feed.Start(feed.Config{
-		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, Holders: n.rates.SetHolders, Known: n.rates.Holders,
-		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, Target: platform.DecodeTarget, EvacuationKind: evacuations,
+		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, SetHolders: n.rates.SetHolders, KnownHolders: n.rates.Holders,
+		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, DecodeTarget: platform.DecodeTarget, EvacuationKind: evacuations,
 	})
 }
 
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -124,8 +124,8 @@
 	return c, ok
 }
 
-// Owner returns the customer that holds the key with the given digest.
-func (s *Snapshot) Owner(digest [sha256.Size]byte) (siskin.CustomerID, bool) {
+// CustomerByDigest returns the customer that holds the key with the given digest.
+func (s *Snapshot) CustomerByDigest(digest [sha256.Size]byte) (siskin.CustomerID, bool) {
 	c, ok := s.keys[digest]
 	return c, ok
 }
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -43,7 +43,7 @@
 	}, nil)
 	s := tab.Snapshot()
 	for key, want := range map[string]siskin.CustomerID{"k1": "a", "k2": "a", "k3": "b", "": "", "k": ""} {
-		if got, ok := s.Owner(Digest(key)); got != want || ok != (want != "") {
+		if got, ok := s.CustomerByDigest(Digest(key)); got != want || ok != (want != "") {
 			t.Errorf("owner of %q: got %q %t, want %q", key, got, ok, want)
 		}
 	}
