--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -207,13 +207,13 @@
 	read := boot.Clock{}.Now()
 	a.table.Confirm(read)
 	a.roster.Replace([]siskin.TargetInfo{{ID: "t", Service: "s"}}, 3, read)
-	proof := views.Lead{Target: "t", Position: siskin.Position{Term: 1, LSN: 9}, At: read}
-	a.views.Proven("s", proof)
+	proof := views.PrimaryProof{Target: "t", Position: siskin.Position{Term: 1, LSN: 9}, At: read}
+	a.views.RecordProof("s", proof)
 	await(t, "the news arrive", 2*time.Second, func() bool {
 		_, known := b.roster.Target("t")
-		return b.table.Snapshot().Version == 7 && known && b.views.Lead("s").Target == "t" && !b.table.Confirmed().IsZero()
+		return b.table.Snapshot().Version == 7 && known && b.views.LatestProof("s").Target == "t" && !b.table.Confirmed().IsZero()
 	})
-	if got := b.views.Lead("s"); got.Position != proof.Position || got.At.After(read) {
+	if got := b.views.LatestProof("s"); got.Position != proof.Position || got.At.After(read) {
 		t.Errorf("proof at the other VM: got %+v, want the position and no younger age than %+v", got, proof)
 	}
 	if got := b.table.Confirmed(); got.After(read) {
@@ -329,10 +329,10 @@
 	var oldest time.Duration
 	for i := range 20 {
 		// The home of the primary proves its lead again and again.
-		crews[0].views.Proven("s", views.Lead{Target: "t", Position: siskin.Position{Term: 1, LSN: siskin.LSN(i + 1)}, At: clock.Now()})
+		crews[0].views.RecordProof("s", views.PrimaryProof{Target: "t", Position: siskin.Position{Term: 1, LSN: siskin.LSN(i + 1)}, At: clock.Now()})
 		time.Sleep(100 * time.Millisecond)
 		for _, c := range crews {
-			if age := clock.Since(c.views.Lead("s").At); i >= 10 && age > oldest {
+			if age := clock.Since(c.views.LatestProof("s").At); i >= 10 && age > oldest {
 				oldest = age
 			}
 		}
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -107,10 +107,10 @@
 // absorb takes over what a peer said; asked is the moment before the question.
 func (c *Crew) absorb(s *State, asked time.Time) {
 	for _, l := range s.Leads {
-		c.cfg.Views.Proven(l.Service, views.Lead{Target: l.Target, Position: l.Position, Term: l.Term, At: asked.Add(-l.Age)})
+		c.cfg.Views.RecordProof(l.Service, views.PrimaryProof{Target: l.Target, Position: l.Position, Term: l.Term, At: asked.Add(-l.Age)})
 	}
 	for id, n := range s.Loads {
-		c.cfg.Views.Loaded(id, n, asked)
+		c.cfg.Views.RecordLoad(id, n, asked)
 	}
 	c.catchUp(s, asked)
 	c.cfg.Roster.Expect(s.Sizes, asked)
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -31,7 +31,7 @@
 	}
 	c.mu.Unlock()
 	for _, spec := range c.cfg.Table.Snapshot().Services {
-		l := c.cfg.Views.Lead(spec.Name)
+		l := c.cfg.Views.LatestProof(spec.Name)
 		// In a large fleet proofs come from the homes of primaries and from relays.
 		if age := now.Sub(l.At); l.Target != "" && age < freshLead && (every || c.cfg.IsHome(l.Target)) {
 			s.Leads = append(s.Leads, LeadNote{Service: spec.Name, Target: l.Target, Position: l.Position, Term: l.Term, Age: age})
--- a/internal/elect/announce_test.go
+++ b/internal/elect/announce_test.go
@@ -156,22 +156,22 @@
 			clock := clockwork.NewFakeClock()
 			from, to, w := newPair(t, clock)
 			start := clock.Now()
-			first := views.Lead{Target: "new", Position: siskin.Position{Term: 1, LSN: 173}, At: start}
-			to.cfg.Views.Proven("ledger", views.Lead{Target: "old", Position: siskin.Position{Term: 1, LSN: 170}, At: start.Add(-time.Second)})
-			from.cfg.Views.Proven("ledger", first)
+			first := views.PrimaryProof{Target: "new", Position: siskin.Position{Term: 1, LSN: 173}, At: start}
+			to.cfg.Views.RecordProof("ledger", views.PrimaryProof{Target: "old", Position: siskin.Position{Term: 1, LSN: 170}, At: start.Add(-time.Second)})
+			from.cfg.Views.RecordProof("ledger", first)
 			ch := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, old: "old"}
 			ch.announce(0)
 			await(t, "an announcement", func() bool { return w.waiting() == 1 })
 			clock.Advance(lateness)
-			later := views.Lead{Target: "new", Position: siskin.Position{Term: 2, LSN: 190}, At: clock.Now().Add(-100 * time.Millisecond)}
-			from.cfg.Views.Proven("ledger", later)
+			later := views.PrimaryProof{Target: "new", Position: siskin.Position{Term: 2, LSN: 190}, At: clock.Now().Add(-100 * time.Millisecond)}
+			from.cfg.Views.RecordProof("ledger", later)
 			w.setCut(c.cut)
 			w.deliver(t)
 			if !c.cut {
-				await(t, "the target that leads", func() bool { return to.cfg.Views.Lead("ledger").Target == "new" })
+				await(t, "the target that leads", func() bool { return to.cfg.Views.LatestProof("ledger").Target == "new" })
 			}
 			time.Sleep(20 * time.Millisecond) // for an answer that must not count
-			got := to.cfg.Views.Lead("ledger")
+			got := to.cfg.Views.LatestProof("ledger")
 			if got.Position != later.Position && got.At.After(first.At) {
 				t.Errorf("floor after an announcement of %v ago: got %v of %v ago, want one as old as its proof", lateness, got.Position, clock.Since(got.At))
 			}
@@ -185,26 +185,26 @@
 func TestLateHold(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	from, to, w := newPair(t, clock)
-	lead := func(id siskin.TargetID, term siskin.Term) views.Lead {
-		return views.Lead{Target: id, Position: siskin.Position{Term: term, LSN: 7}, At: clock.Now()}
+	lead := func(id siskin.TargetID, term siskin.Term) views.PrimaryProof {
+		return views.PrimaryProof{Target: id, Position: siskin.Position{Term: term, LSN: 7}, At: clock.Now()}
 	}
-	to.cfg.Views.Proven("ledger", lead("a", 1))
+	to.cfg.Views.RecordProof("ledger", lead("a", 1))
 	first := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, old: "a"}
 	first.announce(holdFor)
 	await(t, "an announcement", func() bool { return w.waiting() == 1 })
 	clock.Advance(7 * time.Second)
-	from.cfg.Views.Proven("ledger", lead("b", 2))
-	to.cfg.Views.Proven("ledger", lead("b", 2))
+	from.cfg.Views.RecordProof("ledger", lead("b", 2))
+	to.cfg.Views.RecordProof("ledger", lead("b", 2))
 	w.deliver(t)
-	if to.cfg.Views.Holding("ledger", clock.Now()) {
+	if to.cfg.Views.ChangeInProgress("ledger", clock.Now()) {
 		t.Error("after the hold of a change that is over: got requests held, want none")
 	}
 	first.announce(0)
 	await(t, "an announcement", func() bool { return w.waiting() == 1 })
-	to.cfg.Views.Hold("ledger", "b", clock.Now().Add(holdFor))
+	to.cfg.Views.BeginChange("ledger", "b", clock.Now().Add(holdFor))
 	w.deliver(t)
 	time.Sleep(20 * time.Millisecond) // for an answer that must not count
-	if !to.cfg.Views.Holding("ledger", clock.Now()) {
+	if !to.cfg.Views.ChangeInProgress("ledger", clock.Now()) {
 		t.Error("after the end of an earlier change: got no requests held during the present one, want them held")
 	}
 }
--- a/internal/elect/announcement.go
+++ b/internal/elect/announcement.go
@@ -34,13 +34,13 @@
 	name := a.Hold.Service
 	var l crew.LeadNote
 	err := e.cfg.Peers.Call(ctx, a.From, "Elect.Lead", &LeadArgs{Service: name}, &l)
-	e.cfg.Views.Release(name, a.Old)
+	e.cfg.Views.EndChange(name, a.Old)
 	if err != nil || l.Target == "" {
 		return
 	}
 	at := asked.Add(-l.Age)
 	if a.Old != l.Target {
-		e.cfg.Views.Denied(name, a.Old, at)
+		e.cfg.Views.RecordDenial(name, a.Old, at)
 	}
-	e.cfg.Views.Proven(name, views.Lead{Target: l.Target, Position: l.Position, Term: l.Term, At: at})
+	e.cfg.Views.RecordProof(name, views.PrimaryProof{Target: l.Target, Position: l.Position, Term: l.Term, At: at})
 }
--- a/internal/elect/cancel.go
+++ b/internal/elect/cancel.go
@@ -32,7 +32,7 @@
 		if gone {
 			return // the next change sees to it
 		}
-		if !leads || !c.stillHeld() || c.e.cfg.Views.Holding(c.spec.Name, c.e.cfg.Clock.Now()) {
+		if !leads || !c.stillHeld() || c.e.cfg.Views.ChangeInProgress(c.spec.Name, c.e.cfg.Clock.Now()) {
 			continue
 		}
 		fence, err := c.e.fence.take(c.e.ctx, true)
@@ -89,7 +89,7 @@
 	case siskin.KindOf(err) == siskin.Conflict:
 		return false, true
 	}
-	l := c.e.cfg.Views.Lead(c.spec.Name)
+	l := c.e.cfg.Views.LatestProof(c.spec.Name)
 	if l.Target != c.old {
 		return false, l.Target != ""
 	}
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -141,7 +141,7 @@
 	if !c.planned {
 		c.addUnlisted()
 	}
-	markBlank(c.claims, c.e.cfg.Views.Lead(c.spec.Name).Position)
+	markBlank(c.claims, c.e.cfg.Views.LatestProof(c.spec.Name).Position)
 	// A primary that answers here is given up only if its replicas can take over:
 	// this VM may share its cut, and other VMs see to the rest.
 	if (c.planned || c.stalled) && !replicasAnswer(c.claims, c.spec.SyncReplicas) {
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -491,11 +491,11 @@
 	primary := p.Targets("ledger")[0].ID()
 	targets := c.e.cfg.Roster.Service("ledger")
 	w := &watch{unconfirmed: now.Add(-3 * time.Second)}
-	before := views.Lead{Target: primary, At: now.Add(-4 * time.Second)}
+	before := views.PrimaryProof{Target: primary, At: now.Add(-4 * time.Second)}
 	if got := c.e.evidence("ledger", primary, targets, before, w, now).stalled; got != 3*time.Second {
 		t.Errorf("without a later proof: got a stall of %v, want 3 s", got)
 	}
-	later := views.Lead{Target: primary, At: now.Add(-time.Millisecond)}
+	later := views.PrimaryProof{Target: primary, At: now.Add(-time.Millisecond)}
 	if got := c.e.evidence("ledger", primary, targets, later, w, now).stalled; got != 0 {
 		t.Errorf("after a proof of lead: got a stall of %v, want none", got)
 	}
--- a/internal/elect/claiming.go
+++ b/internal/elect/claiming.go
@@ -19,7 +19,7 @@
 		c.claimOne(ctx, cl, led[cl.target.ID])
 	})
 	c.addUnlisted()
-	markBlank(c.claims, c.e.cfg.Views.Lead(c.spec.Name).Position)
+	markBlank(c.claims, c.e.cfg.Views.LatestProof(c.spec.Name).Position)
 	for i := range c.claims {
 		c.overtook = c.overtook || c.claims[i].overtook
 		c.logClaim(&c.claims[i], "claimed a target")
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -130,7 +130,7 @@
 	if len(targets) == 0 {
 		return
 	}
-	lead := e.cfg.Views.Lead(s.Name)
+	lead := e.cfg.Views.LatestProof(s.Name)
 	primary := lead.Target
 	if primary == "" {
 		primary = e.cfg.Views.Primary(s.Name, targets)
@@ -172,11 +172,11 @@
 	}
 }
 
-func (e *Elector) evidence(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, lead views.Lead, w *watch, now time.Time) evidence {
+func (e *Elector) evidence(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, lead views.PrimaryProof, w *watch, now time.Time) evidence {
 	ev := evidence{
 		known: primary != "", proofAge: now.Sub(lead.At), watched: now.Sub(w.since),
 		silent: w.last.silent, refused: w.last.refused, denied: w.last.denied,
-		stalled: e.cfg.Homes.Stalled(primary),
+		stalled: e.cfg.Homes.WriteStall(primary),
 	}
 	if lead.Target == primary && lead.At.After(w.unconfirmed) {
 		// A commit or another VM has shown the lead; no probe followed, since the proof
--- a/internal/elect/probe.go
+++ b/internal/elect/probe.go
@@ -35,7 +35,7 @@
 		// It answers, so it is neither silent nor gone.
 	case siskin.KindOf(err) == siskin.NotRun:
 		// Replicas that are out of reach say nothing about the primary.
-		if w.unconfirmed = unconfirmed; unconfirmed.IsZero() && e.cfg.Homes.Claimed(id) {
+		if w.unconfirmed = unconfirmed; unconfirmed.IsZero() && e.cfg.Homes.ReplicaClaimed(id) {
 			w.unconfirmed = start
 		}
 	default:
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	c.pending, c.led = false, true
-	c.e.cfg.Views.Release(c.spec.Name, c.old)
+	c.e.cfg.Views.EndChange(c.spec.Name, c.old)
 	c.announce(0)
 	return true
 }
@@ -116,7 +116,7 @@
 	if !c.unfenced {
 		return c.e.cfg.Homes.Ping(ctx, c.spec.Name, id) == nil
 	}
-	p, err := c.e.cfg.Homes.Begins(ctx, c.spec.Name, id)
+	p, err := c.e.cfg.Homes.ProbePrimary(ctx, c.spec.Name, id)
 	if err != nil {
 		return false
 	}
@@ -126,7 +126,7 @@
 	}
 	c.newTerm = s.Term
 	c.e.fence.note(c.spec.Name, c.fence, c.newTerm)
-	c.e.cfg.Views.Proven(c.spec.Name, views.Lead{Target: id, Position: p, Term: c.newTerm, At: c.checked})
+	c.e.cfg.Views.RecordProof(c.spec.Name, views.PrimaryProof{Target: id, Position: p, Term: c.newTerm, At: c.checked})
 	if c.old == "" || c.old == id || slices.ContainsFunc(c.claims, func(cl claim) bool { return cl.primary && cl.demoted }) {
 		c.retired.Store(true)
 	} else {
@@ -137,7 +137,7 @@
 
 // hold makes the VMs refuse writes of the service at once during the change.
 func (c *change) hold() {
-	c.e.cfg.Views.Hold(c.spec.Name, c.old, c.e.cfg.Clock.Now().Add(holdFor))
+	c.e.cfg.Views.BeginChange(c.spec.Name, c.old, c.e.cfg.Clock.Now().Add(holdFor))
 	c.announce(holdFor)
 }
 
--- a/internal/elect/receiver.go
+++ b/internal/elect/receiver.go
@@ -11,7 +11,7 @@
 // Announce takes over a change of primary.
 func (r *Receiver) Announce(args *Announcement, _ *struct{}) error {
 	if args.Hold.For > 0 {
-		r.e.cfg.Views.Hold(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, holdFor)))
+		r.e.cfg.Views.BeginChange(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, holdFor)))
 		return nil
 	}
 	if args.Fence != 0 {
@@ -26,7 +26,7 @@
 // when there is none.
 func (r *Receiver) Lead(args *LeadArgs, reply *crew.LeadNote) error {
 	now := r.e.cfg.Clock.Now()
-	if l := r.e.cfg.Views.Lead(args.Service); l.Target != "" {
+	if l := r.e.cfg.Views.LatestProof(args.Service); l.Target != "" {
 		*reply = crew.LeadNote{Service: args.Service, Target: l.Target, Position: l.Position, Term: l.Term, Age: now.Sub(l.At)}
 	}
 	return nil
--- a/internal/elect/reserve.go
+++ b/internal/elect/reserve.go
@@ -36,7 +36,7 @@
 	}
 	terms := make(map[siskin.ServiceName]siskin.Term)
 	for _, s := range e.cfg.Table.Snapshot().Services {
-		if t := e.cfg.Views.Lead(s.Name).Term; t != 0 {
+		if t := e.cfg.Views.LatestProof(s.Name).Term; t != 0 {
 			terms[s.Name] = t
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -133,7 +133,7 @@
 		entry = entry.Int64("Suppressed", suppressed)
 	}
 	if o.route != nil {
-		lead := e.cfg.Views.Lead(o.route.Service)
+		lead := e.cfg.Views.LatestProof(o.route.Service)
 		entry = entry.Str("Primary", string(lead.Target)).Dur("LeadAge", min(e.cfg.Clock.Since(lead.At), time.Hour))
 	}
 	entry.Msg("request finished")
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -97,7 +97,7 @@
 		{ID: "p", Service: "s", Slots: 2, DataCentre: "far", Primary: true}, {ID: "r", Service: "s", Slots: 2, DataCentre: "here"},
 	}, 1, time.Unix(1, 0))
 	v := views.New()
-	v.Proven("s", views.Lead{Target: "p", Position: siskin.Position{Term: 1, LSN: 5}, At: boot.Clock{}.Now()})
+	v.RecordProof("s", views.PrimaryProof{Target: "p", Position: siskin.Position{Term: 1, LSN: 5}, At: boot.Clock{}.Now()})
 	f.e = New(Config{
 		Clock: boot.Clock{}, Self: siskin.VM{ID: "vm", DataCentre: "here"}, Table: tab, Roster: targets, Views: v,
 		Homes: f.homes, Limiter: f.limiter, Log: logs.New("error", "json", io.Discard), Metrics: NewMetrics(s.Scope()),
@@ -116,7 +116,7 @@
 	"readonly":    {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.ReadOnly}},
 	"lagging":     {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Lagging}},
 	"failed":      {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Failed}},
-	"lost":        {Outcome: home.Lost, Cause: home.Silent},
+	"lost":        {Outcome: home.InDoubt, Cause: home.Silent},
 	"unreachable": {Cause: home.Unreachable},
 	"overload":    {Cause: home.Overload, RetryAfter: 70 * time.Millisecond},
 	"denied":      {Cause: home.Refused, Answer: siskin.Answer{Code: siskin.ReadOnly}},
@@ -208,7 +208,7 @@
 // their deadline.
 func TestRefusalIsQuick(t *testing.T) {
 	f := newFixture(t)
-	f.e.cfg.Views.Hold("s", f.e.cfg.Views.Lead("s").Target, boot.Clock{}.Now().Add(time.Minute))
+	f.e.cfg.Views.BeginChange("s", f.e.cfg.Views.LatestProof("s").Target, boot.Clock{}.Now().Add(time.Minute))
 	st := statements["WRITE"]
 	began := time.Now()
 	a, _ := f.session("primary").answer(&st)
@@ -256,9 +256,9 @@
 // all wait for their time-out.
 func TestSilentPrimary(t *testing.T) {
 	f := newFixture(t)
-	target := f.e.cfg.Views.Lead("s").Target
+	target := f.e.cfg.Views.LatestProof("s").Target
 	for range silentFailures {
-		f.e.cfg.Views.Failed(target, boot.Clock{}.Now())
+		f.e.cfg.Views.RecordFailure(target, boot.Clock{}.Now())
 	}
 	st := statements["WRITE"]
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || len(f.homes.seen) != 0 {
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -124,7 +124,7 @@
 func (o *operation) request(patience time.Duration) *home.Request {
 	req := &home.Request{
 		Statement: *o.st, Service: o.route.Service, Customer: o.customer, Values: o.s.values,
-		Patience: patience, QueueFor: patience, ConnectFor: o.route.LatencyObjective / waitDivisor, TxIdle: o.s.e.cfg.Table.Snapshot().TxIdleTimeout + txIdleMargin,
+		Timeout: patience, QueueTimeout: patience, AcquireTimeout: o.route.LatencyObjective / waitDivisor, TxIdleTimeout: o.s.e.cfg.Table.Snapshot().TxIdleTimeout + txIdleMargin,
 	}
 	if o.st.Kind == siskin.Execute {
 		req.Prepared = o.s.prepared[o.st.Name]
@@ -143,7 +143,7 @@
 func (o *operation) run(req *home.Request) home.Reply {
 	o.attempts++
 	o.target = req.Target
-	ctx, cancel := context.WithTimeout(context.Background(), req.Patience+replyMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), req.Timeout+replyMargin)
 	defer cancel()
 	e := o.s.e
 	asked := e.cfg.Clock.Now()
@@ -161,27 +161,27 @@
 func (o *operation) observe(req *home.Request, asked time.Time) {
 	v, r := o.s.e.cfg.Views, &o.reply
 	if r.LeadProven {
-		v.Proven(req.Service, views.Lead{Target: req.Target, Position: r.Lead, At: asked})
+		v.RecordProof(req.Service, views.PrimaryProof{Target: req.Target, Position: r.Lead, At: asked})
 	}
 	if r.Answer.Code == siskin.ReadOnly {
-		v.Denied(req.Service, req.Target, asked)
+		v.RecordDenial(req.Service, req.Target, asked)
 	}
 	if r.Outcome == home.Answered {
-		v.Seen(req.Target, r.Answer.Position, asked)
+		v.RecordPosition(req.Target, r.Answer.Position, asked)
 	}
 	switch {
 	case req.Proof != home.FloorProof:
 	case r.Answer.Code == siskin.Lagging:
-		v.Lagged(req.Target, o.s.e.cfg.Clock.Now())
+		v.RecordLag(req.Target, o.s.e.cfg.Clock.Now())
 	case r.Outcome == home.Answered && r.Answer.Code == siskin.Succeeded:
-		v.CaughtUp(req.Target)
+		v.ClearLag(req.Target)
 	}
 	switch r.Cause {
 	case home.Unreachable, home.Silent:
-		v.Failed(req.Target, o.s.e.cfg.Clock.Now())
+		v.RecordFailure(req.Target, o.s.e.cfg.Clock.Now())
 	case home.NoCause:
-		v.Answered(req.Target)
-		v.Loaded(req.Target, r.Load, o.s.e.cfg.Clock.Now())
+		v.RecordSuccess(req.Target)
+		v.RecordLoad(req.Target, r.Load, o.s.e.cfg.Clock.Now())
 	}
 }
 
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -26,7 +26,7 @@
 		req := o.request(o.route.Timeout)
 		req.Target = target
 		// Time in the queue is bounded by what the caller can still use.
-		req.QueueFor = o.budget() * 3 / 4
+		req.QueueTimeout = o.budget() * 3 / 4
 		if !o.st.MayWrite() || o.s.tx != nil {
 			req.Proof = home.LeadProof
 		}
@@ -36,7 +36,7 @@
 			if a, again := o.settled(&reply); !again {
 				return a
 			}
-		case home.Lost:
+		case home.InDoubt:
 			if o.s.tx == nil && o.st.MayWrite() {
 				o.reason = reply.Cause.String()
 				return o.s.refuse(siskin.InDoubt, "the answer to the write is missing; check whether it took effect")
@@ -122,8 +122,8 @@
 	name := o.route.Service
 	deadline := o.route.LatencyObjective / waitDivisor
 	for {
-		leadChanged, rosterChanged := e.cfg.Views.Changed(name), e.cfg.Roster.Changed()
-		if !e.cfg.Views.Holding(name, e.cfg.Clock.Now()) {
+		leadChanged, rosterChanged := e.cfg.Views.PrimaryChanged(name), e.cfg.Roster.Changed()
+		if !e.cfg.Views.ChangeInProgress(name, e.cfg.Clock.Now()) {
 			if id := e.cfg.Views.Primary(name, e.cfg.Roster.Service(name)); id != "" && !e.cfg.Roster.Leaving(id, e.cfg.Clock.Now()) {
 				return id
 			}
--- a/internal/entry/replica.go
+++ b/internal/entry/replica.go
@@ -19,7 +19,7 @@
 		}
 		patience := max(o.remaining()/2, minAttempt)
 		req := o.request(patience)
-		req.Target, req.Proof, req.Floor, req.FloorFor = target, home.FloorProof, floor, valid
+		req.Target, req.Proof, req.Floor, req.FloorTTL = target, home.FloorProof, floor, valid
 		reply := o.run(req)
 		if reply.Outcome == home.Answered {
 			a := &reply.Answer
@@ -44,7 +44,7 @@
 // floor returns the position that a read must see, and how much longer it is
 // young enough.
 func (o *operation) floor() (siskin.Position, time.Duration) {
-	lead := o.s.e.cfg.Views.Lead(o.route.Service)
+	lead := o.s.e.cfg.Views.LatestProof(o.route.Service)
 	if lead.Position.IsZero() {
 		return siskin.Position{}, 0
 	}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -35,7 +35,7 @@
 	}
 	req := &home.Request{
 		Statement: siskin.Statement{Kind: siskin.Rollback}, Target: tx.target, Home: tx.home, Mode: home.Continue, Tx: tx.id,
-		Patience: rollbackTimeout, QueueFor: rollbackTimeout,
+		Timeout: rollbackTimeout, QueueTimeout: rollbackTimeout,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 	defer cancel()
@@ -82,7 +82,7 @@
 		}
 		a.State = o.s.state()
 		return &a
-	case commit && reply.Outcome == home.Lost && tx.wrote:
+	case commit && reply.Outcome == home.InDoubt && tx.wrote:
 		return o.s.refuse(siskin.InDoubt, "the answer to the commit is missing; check whether it took effect")
 	}
 	// No commit was sent, or it had nothing to commit.
--- a/internal/home/acknowledge.go
+++ b/internal/home/acknowledge.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	now, ok := h.covered(ctx, service, l)
-	if !ok && h.Claimed(l.target()) {
+	if !ok && h.ReplicaClaimed(l.target()) {
 		l.refusals.add(now)
 	}
 	return ok
@@ -29,10 +29,10 @@
 // needsLease reports whether commits at a service's targets rest on replicas. Those of
 // a service that this VM does not know yet may do so.
 func (h *Homes) needsLease(service siskin.ServiceName) bool {
-	if h.cfg.Leads == nil {
+	if h.cfg.LeaseConfig == nil {
 		return false
 	}
-	spec, ok := h.cfg.Leads.Service(service)
+	spec, ok := h.cfg.LeaseConfig.Service(service)
 	return !ok || lease.ByReplicas(spec.SyncReplicas)
 }
 
@@ -52,7 +52,7 @@
 	if !h.needsLease(service) {
 		return ack{kept: true, proof: h.ownProof()}
 	}
-	leases, id, now := h.cfg.Leads.Leases, l.target(), h.cfg.Clock.Now()
+	leases, id, now := h.cfg.LeaseConfig.Leases, l.target(), h.cfg.Clock.Now()
 	kept := leases.Extend(id, p.Term, asked, now)
 	// A renewal that is in progress may have begun before the acknowledgement and
 	// fail for a reason that is over.
@@ -61,7 +61,7 @@
 		kept = leases.Extend(id, p.Term, asked, now)
 	}
 	if !kept {
-		h.cfg.Leads.Log.Warn().Str("Service", string(service)).Str("Target", string(id)).
+		h.cfg.LeaseConfig.Log.Warn().Str("Service", string(service)).Str("Target", string(id)).
 			Uint64("Term", uint64(p.Term)).Uint64("LSN", uint64(p.LSN)).
 			Msg("a commit was acknowledged and the replicas do not confirm the lead; its outcome is unknown")
 		return ack{}
--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -32,12 +32,12 @@
 	waiting := make(chan Reply)
 	go func() {
 		req := request(primary, siskin.Write, "x 2")
-		req.Patience = 2 * time.Second
+		req.Timeout = 2 * time.Second
 		waiting <- f.run(req)
 	}()
 	time.Sleep(lease.Wait)
 	f.restart(restarted)
-	if got := <-waiting; got.Outcome != Lost {
+	if got := <-waiting; got.Outcome != InDoubt {
 		f.t.Errorf("write that waited for the replica: got %+v, want it in doubt", got)
 	}
 	if got := f.run(request(primary, siskin.Write, "x 3")); got.Outcome != NotSent {
@@ -72,7 +72,7 @@
 			}
 			commit := func(tx TxID) Reply {
 				req := request(primary, siskin.Commit, "")
-				req.Mode, req.Tx, req.Patience = Continue, tx, 2*time.Second
+				req.Mode, req.Tx, req.Timeout = Continue, tx, 2*time.Second
 				return f.run(req)
 			}
 			if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != Answered {
@@ -88,7 +88,7 @@
 			go func() { waiting <- commit(first.Tx) }()
 			time.Sleep(lease.Wait)
 			f.restart(restarted)
-			if got := <-waiting; got.Outcome != Lost {
+			if got := <-waiting; got.Outcome != InDoubt {
 				t.Errorf("commit that waited for the replica: got %+v, want it in doubt", got)
 			}
 			if got := commit(second.Tx); got.Outcome != NotSent || got.Cause != Stalled {
@@ -114,7 +114,7 @@
 	waiting := make(chan Reply)
 	go func() {
 		req := request(primary, siskin.Write, "x 2")
-		req.Patience = 2 * time.Second
+		req.Timeout = 2 * time.Second
 		waiting <- f.run(req)
 	}()
 	time.Sleep(2 * lease.Life)
@@ -130,7 +130,7 @@
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) {
 			f := start(t)
-			f.views.Proven("ledger", views.Lead{Target: f.target(1).ID(), Position: siskin.Position{Term: 9, LSN: 1}, At: f.homes.cfg.Clock.Now()})
+			f.views.RecordProof("ledger", views.PrimaryProof{Target: f.target(1).ID(), Position: siskin.Position{Term: 9, LSN: 1}, At: f.homes.cfg.Clock.Now()})
 			if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != NotSent || got.Cause != Stalled {
 				t.Errorf("write: got %+v, want it refused", got)
 			}
--- a/internal/home/check.go
+++ b/internal/home/check.go
@@ -6,12 +6,12 @@
 // version may send words that this one does not know.
 func (r *Request) Valid() bool {
 	return r.Statement.Kind > siskin.UnknownStatement && r.Statement.Kind <= siskin.Execute &&
-		r.Proof >= NoProof && r.Proof <= LeadProof && r.Mode >= Single && r.Mode <= Continue && r.Patience > 0
+		r.Proof >= NoProof && r.Proof <= LeadProof && r.Mode >= Single && r.Mode <= Continue && r.Timeout > 0
 }
 
 // Valid reports whether a reply of a peer can be passed on to a caller.
 func (r *Reply) Valid() bool {
-	return r.Outcome >= NotSent && r.Outcome <= Lost && r.Cause >= NoCause && int(r.Cause) < len(causes) &&
+	return r.Outcome >= NotSent && r.Outcome <= InDoubt && r.Cause >= NoCause && int(r.Cause) < len(causes) &&
 		r.Answer.Code >= siskin.Succeeded && r.Answer.Code <= siskin.NoAuth &&
 		r.Answer.State >= siskin.TxIdle && r.Answer.State <= siskin.TxFailed
 }
--- a/internal/home/cold.go
+++ b/internal/home/cold.go
@@ -68,8 +68,8 @@
 
 // waitFor is the longest time that a statement waits where it holds up others.
 func (r *Request) waitFor() time.Duration {
-	if r.ConnectFor > 0 {
-		return r.ConnectFor
+	if r.AcquireTimeout > 0 {
+		return r.AcquireTimeout
 	}
-	return r.QueueFor
+	return r.QueueTimeout
 }
--- a/internal/home/cold_test.go
+++ b/internal/home/cold_test.go
@@ -48,7 +48,7 @@
 	}
 	for i, want := range []Outcome{Answered, Answered, NotSent} {
 		req := request(target, siskin.Read, "x")
-		req.ConnectFor = 50 * time.Millisecond
+		req.AcquireTimeout = 50 * time.Millisecond
 		began := time.Now()
 		r := f.run(req)
 		if r.Outcome != want || want == NotSent && (r.Cause != Overload || r.RetryAfter == 0) {
@@ -59,7 +59,7 @@
 		}
 	}
 	commit := request(target, siskin.Commit, "")
-	commit.Mode, commit.Tx, commit.QueueFor = Continue, first.Tx, 50*time.Millisecond
+	commit.Mode, commit.Tx, commit.QueueTimeout = Continue, first.Tx, 50*time.Millisecond
 	if r := f.run(commit); r.Outcome != NotSent || r.Cause != Overload {
 		t.Errorf("commit beyond the rate: got %+v, want not sent", r)
 	}
@@ -82,7 +82,7 @@
 	f.homes.cfg.MayBeCold, f.homes.cfg.AdmitCold = rate.mayBeCold, rate.admit
 	read := func(i int) Reply {
 		req := request(f.target(i), siskin.Read, "x")
-		req.ConnectFor, req.Unreachable = 20*time.Millisecond, true
+		req.AcquireTimeout, req.Unreachable = 20*time.Millisecond, true
 		return f.run(req)
 	}
 	if r := read(0); r.Outcome != NotSent || r.Cause != Overload {
@@ -92,7 +92,7 @@
 		t.Errorf("statements at a target that another home could not reach: got %d, want none", got)
 	}
 	unreported := request(f.target(0), siskin.Read, "x")
-	unreported.ConnectFor = 20 * time.Millisecond
+	unreported.AcquireTimeout = 20 * time.Millisecond
 	if r := f.run(unreported); r.Cause != Overload {
 		t.Errorf("read after a report: got %+v, want a refusal for its rate", r)
 	}
@@ -125,7 +125,7 @@
 	target := f.target(0)
 	read := func() Reply {
 		req := request(target, siskin.Read, "x")
-		req.ConnectFor = 20 * time.Millisecond
+		req.AcquireTimeout = 20 * time.Millisecond
 		return f.run(req)
 	}
 	if r := read(); r.Outcome != Answered {
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -10,8 +10,8 @@
 	"siskintray.example/siskin/internal/lease"
 )
 
-// Leads holds what Homes needs to tell the only primary from a former one.
-type Leads struct {
+// LeaseConfig holds what Homes needs to tell the only primary from a former one.
+type LeaseConfig struct {
 	Leases *lease.Leases
 	// Fencing says that a target's own answer is a proof of lead, since a promotion
 	// takes the lead from the former primary. Otherwise reads rest on leases, too.
@@ -26,7 +26,7 @@
 	// and when its last list was asked for.
 	Listed func(siskin.TargetID) (since, listed time.Time, ok bool)
 	// Status asks a target for its state, through its home or directly.
-	Status func(context.Context, siskin.TargetID) (Observed, error)
+	Status func(context.Context, siskin.TargetID) (Observation, error)
 	Log    *log.Logger
 }
 
@@ -45,14 +45,14 @@
 }
 
 // ownProof reports whether the word of a target is a proof of its lead.
-func (h *Homes) ownProof() bool { return h.cfg.Leads == nil || h.cfg.Leads.Fencing }
+func (h *Homes) ownProof() bool { return h.cfg.LeaseConfig == nil || h.cfg.LeaseConfig.Fencing }
 
 // covered returns a moment after the call began, and whether a lease of the target's
 // lead covers it. It asks the replicas when none does, or when one ends soon.
 func (h *Homes) covered(ctx context.Context, service siskin.ServiceName, l *lane) (at time.Time, ok bool) {
 	at = h.cfg.Clock.Now()
 	id := l.target()
-	if age := h.cfg.Leads.Leases.Age(id, at); age < lease.Life {
+	if age := h.cfg.LeaseConfig.Leases.Age(id, at); age < lease.Life {
 		if age > lease.RenewAfter {
 			h.renew(service, l, 0)
 		}
@@ -66,7 +66,7 @@
 	case <-ctx.Done():
 	}
 	at = h.cfg.Clock.Now()
-	return at, h.cfg.Leads.Leases.Valid(id, at)
+	return at, h.cfg.LeaseConfig.Leases.Valid(id, at)
 }
 
 // leadTerm returns the term that a target is known to lead where proofs need it,
@@ -75,7 +75,7 @@
 	if h.ownProof() {
 		return 0
 	}
-	return h.cfg.Leads.Leases.Term(id)
+	return h.cfg.LeaseConfig.Leases.Term(id)
 }
 
 // termOf asks a primary for its term.
@@ -87,15 +87,15 @@
 	return o.Status.Term, err
 }
 
-func (h *Homes) status(ctx context.Context, id siskin.TargetID, limit time.Duration) (Observed, error) {
+func (h *Homes) status(ctx context.Context, id siskin.TargetID, limit time.Duration) (Observation, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return h.cfg.Leads.Status(ctx, id)
+	return h.cfg.LeaseConfig.Status(ctx, id)
 }
 
-// Claimed reports whether the last question to the replicas of a target found one
+// ReplicaClaimed reports whether the last question to the replicas of a target found one
 // that a change of primary has claimed.
-func (h *Homes) Claimed(id siskin.TargetID) bool {
+func (h *Homes) ReplicaClaimed(id siskin.TargetID) bool {
 	l, ok := h.lanes.Get(id)
 	if !ok {
 		return false
--- a/internal/home/confirm_test.go
+++ b/internal/home/confirm_test.go
@@ -31,7 +31,7 @@
 
 // withLeases makes the homes pass on commits under leases only.
 func (f *fixture) withLeases(fencing bool) {
-	f.homes.cfg.Leads = &Leads{
+	f.homes.cfg.LeaseConfig = &LeaseConfig{
 		Leases: lease.New(), Fencing: fencing, Log: logs.New("error", "json", io.Discard),
 		Listed: func(siskin.TargetID) (since, listed time.Time, ok bool) { return f.since, f.listed, true },
 		Group:  func(name siskin.ServiceName) int { return len(f.platform.Targets(string(name))) },
@@ -46,10 +46,10 @@
 			}
 			return list
 		},
-		Status: func(ctx context.Context, id siskin.TargetID) (o Observed, err error) {
+		Status: func(ctx context.Context, id siskin.TargetID) (o Observation, err error) {
 			f.asked.Add(1)
 			var a siskin.Answer
-			if a, o.Running, err = f.homes.Observe(ctx, id); err == nil {
+			if a, o.ConnAge, err = f.homes.Observe(ctx, id); err == nil {
 				o.Status, err = platform.ParseStatus(&a)
 			}
 			return o, err
@@ -96,7 +96,7 @@
 	if err := f.homes.Ping(context.Background(), "ledger", former.ID()); siskin.KindOf(err) != siskin.NotRun {
 		t.Errorf("proof of lead of the former primary: got %v, want an error of kind NotRun", err)
 	}
-	if got := f.views.Lead("ledger"); got.Target == former.ID() && f.homes.cfg.Clock.Since(got.At) < lease.Wait {
+	if got := f.views.LatestProof("ledger"); got.Target == former.ID() && f.homes.cfg.Clock.Since(got.At) < lease.Wait {
 		t.Errorf("proof of lead: got one of %s after the promotion, want none", got.Target)
 	}
 }
@@ -115,7 +115,7 @@
 	if got := f.run(leadRead(primary)); got.Cause != Unconfirmed {
 		t.Errorf("read %v after the last claim: got %+v, want %v", lease.Wait, got, Unconfirmed)
 	}
-	if !f.homes.Claimed(primary.ID()) {
+	if !f.homes.ReplicaClaimed(primary.ID()) {
 		t.Error("claimed replicas: got none, want them noticed")
 	}
 }
@@ -128,21 +128,21 @@
 		t.Run(name, func(t *testing.T) {
 			f := start(t)
 			primary := f.target(0)
-			targets := f.homes.cfg.Leads.Targets
-			f.homes.cfg.Leads.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
-			if got := f.run(leadRead(primary)); !f.homes.cfg.Leads.Fencing && got.Cause != Unconfirmed {
+			targets := f.homes.cfg.LeaseConfig.Targets
+			f.homes.cfg.LeaseConfig.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
+			if got := f.run(leadRead(primary)); !f.homes.cfg.LeaseConfig.Fencing && got.Cause != Unconfirmed {
 				t.Errorf("read without evidence: got %+v, want %v", got, Unconfirmed)
 			}
 			if got := f.run(request(primary, siskin.Write, "x 0")); got.Outcome != NotSent || got.Cause != Stalled {
 				t.Errorf("write without evidence: got %+v, want it refused", got)
 			}
 			time.Sleep(refusedFor)
-			f.homes.cfg.Leads.Targets = targets
+			f.homes.cfg.LeaseConfig.Targets = targets
 			if got := f.run(request(primary, siskin.Write, "x 1")); got.Answer.Code != siskin.Succeeded || !got.LeadProven {
 				t.Fatalf("write: got %+v, want success", got)
 			}
 			asked := f.asked.Load()
-			f.homes.cfg.Leads.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
+			f.homes.cfg.LeaseConfig.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
 			for begun := time.Now(); time.Since(begun) < 2*lease.Life; time.Sleep(lease.RenewAfter / 4) {
 				if got := f.run(request(primary, siskin.Write, "x 1")); got.Answer.Code != siskin.Succeeded || !got.LeadProven {
 					t.Fatalf("write after %v: got %+v, want success", time.Since(begun), got)
@@ -163,7 +163,7 @@
 func TestUnconfirmedLeavesConnection(t *testing.T) {
 	f := unfenced(t)
 	primary := f.target(0)
-	f.homes.cfg.Leads.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
+	f.homes.cfg.LeaseConfig.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
 	read := leadRead(primary)
 	read.Values = []Value{{"mode", "strict"}}
 	if got := f.run(read); got.Cause != Unconfirmed {
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -41,10 +41,10 @@
 	attendAfter = 4 * time.Second
 )
 
-// Attend opens the control connection of a target that this VM is the home of, unless
+// EnsureControlConn opens the control connection of a target that this VM is the home of, unless
 // some connection is open. A replica can confirm a lead once its home has had one to
 // it for long enough, so the home does not wait for the first question.
-func (h *Homes) Attend(id siskin.TargetID) {
+func (h *Homes) EnsureControlConn(id siskin.TargetID) {
 	l, ok := h.lane(id)
 	now := h.cfg.Clock.Now()
 	if !ok || now.Sub(l.created) < attendAfter || now.UnixNano()-l.control.attended.Load() < int64(attendEvery) || !l.control.mu.TryLock() {
@@ -165,11 +165,11 @@
 // Unavailable when it does not answer.
 func (h *Homes) Ping(ctx context.Context, service siskin.ServiceName, id siskin.TargetID) error {
 	asked := h.cfg.Clock.Now()
-	p, err := h.Begins(ctx, service, id)
+	p, err := h.ProbePrimary(ctx, service, id)
 	if err != nil {
 		return err
 	}
-	h.cfg.Views.Answered(id)
+	h.cfg.Views.RecordSuccess(id)
 	if l, ok := h.lane(id); ok {
 		ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 		defer cancel()
@@ -177,21 +177,21 @@
 			return siskin.NewError(siskin.NotRun, "the replicas of %s do not confirm that %s leads", service, id).WithRemedy("ask again, or another target")
 		}
 	}
-	h.cfg.Views.Proven(service, views.Lead{Target: id, Position: p, Term: h.leadTerm(id), At: asked})
+	h.cfg.Views.RecordProof(service, views.PrimaryProof{Target: id, Position: p, Term: h.leadTerm(id), At: asked})
 	return nil
 }
 
-// Begins asks a target to begin a plain transaction, which only a target that
+// ProbePrimary asks a target to begin a plain transaction, which only a target that
 // takes itself for the primary does, and returns the end of its log. Errors are
 // those of Ping.
-func (h *Homes) Begins(ctx context.Context, service siskin.ServiceName, id siskin.TargetID) (siskin.Position, error) {
+func (h *Homes) ProbePrimary(ctx context.Context, service siskin.ServiceName, id siskin.TargetID) (siskin.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	asked := h.cfg.Clock.Now()
 	answers, err := h.Control(ctx, id, siskin.Statement{Kind: siskin.Begin}, siskin.Statement{Kind: siskin.Rollback})
 	if err != nil {
 		if siskin.KindOf(err) != siskin.Overloaded {
-			h.cfg.Views.Failed(id, h.cfg.Clock.Now())
+			h.cfg.Views.RecordFailure(id, h.cfg.Clock.Now())
 		}
 		return siskin.Position{}, err
 	}
@@ -199,8 +199,8 @@
 	case siskin.Succeeded:
 		return a.Position, nil
 	case siskin.ReadOnly:
-		h.cfg.Views.Denied(service, id, asked)
-		h.cfg.Views.Seen(id, a.Position, asked)
+		h.cfg.Views.RecordDenial(service, id, asked)
+		h.cfg.Views.RecordPosition(id, a.Position, asked)
 		return siskin.Position{}, siskin.NewError(siskin.Conflict, "target %s does not lead", id).WithRemedy("ask another target")
 	default:
 		return siskin.Position{}, siskin.NewError(siskin.Unavailable, "target %s refused a transaction: %s", id, a.Code)
@@ -231,10 +231,10 @@
 	closeAll(stale)
 }
 
-// Stalled returns the time for which writes at a target have gone without any
+// WriteStall returns the time for which writes at a target have gone without any
 // success, or were refused since its replicas are claimed; zero when the last one
 // succeeded.
-func (h *Homes) Stalled(id siskin.TargetID) time.Duration {
+func (h *Homes) WriteStall(id siskin.TargetID) time.Duration {
 	l, ok := h.lanes.Get(id)
 	if !ok {
 		return 0
--- a/internal/home/crowd_test.go
+++ b/internal/home/crowd_test.go
@@ -37,7 +37,7 @@
 		wg.Go(func() {
 			for end := time.Now().Add(span); time.Now().Before(end); {
 				req := request(target, siskin.Read, "x")
-				req.QueueFor = 100 * time.Millisecond
+				req.QueueTimeout = 100 * time.Millisecond
 				if got := f.run(req); got.Outcome != NotSent {
 					t.Errorf("read at a target without a free connection: got %+v, want it not sent", got)
 				}
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -69,7 +69,7 @@
 func request(target *stand.Target, kind siskin.StatementKind, text string) *Request {
 	return &Request{
 		Statement: siskin.Statement{ID: "1", Kind: kind, Text: text}, Service: "ledger", Target: target.ID(), Customer: "acme",
-		Patience: time.Second, QueueFor: time.Second, TxIdle: time.Minute,
+		Timeout: time.Second, QueueTimeout: time.Second, TxIdleTimeout: time.Minute,
 	}
 }
 
@@ -103,7 +103,7 @@
 		t.Errorf("read at the primary: got %+v, want the row 1 and a proof at %v", got, write.Answer.Position)
 	}
 	read = request(primary, siskin.Read, "x")
-	read.Proof, read.Floor, read.FloorFor = FloorProof, write.Answer.Position, time.Nanosecond
+	read.Proof, read.Floor, read.FloorTTL = FloorProof, write.Answer.Position, time.Nanosecond
 	if got := f.run(read); got.Cause != Stale {
 		t.Errorf("floor that grew too old in the queue: got %v, want %v", got.Cause, Stale)
 	}
@@ -115,7 +115,7 @@
 	f := start(t, stand.ServiceOptions{})
 	primary := f.target(0)
 	primary.LoseAnswers(1)
-	if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != Lost {
+	if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != InDoubt {
 		t.Errorf("write: got %+v, want an unknown outcome", got)
 	}
 	if got := primary.Count("x", "1"); got != 1 {
@@ -181,7 +181,7 @@
 	primary := f.target(0)
 	open := func(text string, idle time.Duration) Reply {
 		req := request(primary, siskin.Write, text)
-		req.Mode, req.Proof, req.TxIdle = Open, LeadProof, idle
+		req.Mode, req.Proof, req.TxIdleTimeout = Open, LeadProof, idle
 		return f.run(req)
 	}
 	step := func(tx TxID, kind siskin.StatementKind, text string) Reply {
@@ -228,7 +228,7 @@
 		wg.Go(func() {
 			req := request(f.target(0), siskin.Read, "x")
 			req.Customer = siskin.CustomerID([]string{"acme", "beta", "core"}[i%3])
-			req.QueueFor = 90 * time.Millisecond
+			req.QueueTimeout = 90 * time.Millisecond
 			began := time.Now()
 			got := f.run(req)
 			mu.Lock()
@@ -310,12 +310,12 @@
 		callers.Go(func() {
 			for time.Since(begun) < 1500*time.Millisecond {
 				req := request(primary, siskin.Write, "x 1")
-				req.Patience, req.QueueFor = patience, patience*3/4
+				req.Timeout, req.QueueTimeout = patience, patience*3/4
 				sent := time.Now()
 				reply := f.run(req)
 				mu.Lock()
 				switch {
-				case reply.Outcome == Lost:
+				case reply.Outcome == InDoubt:
 					lost++
 				case reply.Outcome == NotSent && sent.Sub(begun) > patience+atOnce && time.Since(sent) > atOnce:
 					late++
@@ -370,7 +370,7 @@
 		callers.Go(func() {
 			for range 20 {
 				req := request(target, siskin.Read, "x")
-				req.ConnectFor = time.Millisecond
+				req.AcquireTimeout = time.Millisecond
 				if got := f.run(req); got.Cause != NoConnection {
 					t.Errorf("read without a free connection: got %v, want %v", got.Cause, NoConnection)
 				}
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -30,8 +30,8 @@
 	// cold targets of a service share. Both may be nil.
 	MayBeCold func(t siskin.TargetInfo, opened, failed time.Time) bool
 	AdmitCold func(context.Context, siskin.ServiceName) siskin.Admission
-	// Leads is nil where a target that was replaced refuses plain transactions.
-	Leads *Leads
+	// LeaseConfig is nil where a target that was replaced refuses plain transactions.
+	LeaseConfig *LeaseConfig
 }
 
 // Homes runs statements on targets. It is safe for concurrent use.
@@ -98,8 +98,8 @@
 		}
 		h.lanes.Delete(id)
 		l.close()
-		if h.cfg.Leads != nil {
-			h.cfg.Leads.Leases.Forget(id)
+		if h.cfg.LeaseConfig != nil {
+			h.cfg.LeaseConfig.Leases.Forget(id)
 		}
 		return true
 	})
@@ -157,7 +157,7 @@
 func (h *Homes) Run(ctx context.Context, req *Request) Reply {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	ctx, cancel := context.WithTimeout(ctx, req.Patience)
+	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
 	if req.Mode == Continue {
 		return h.step(ctx, req)
@@ -170,7 +170,7 @@
 		l.noteReport()
 	}
 	r := &run{h: h, l: l, req: req, start: h.cfg.Clock.Now()}
-	r.deadline = time.Now().Add(req.Patience)
+	r.deadline = time.Now().Add(req.Timeout)
 	reply := r.do(ctx)
 	reply.Load = l.load()
 	return reply
--- a/internal/home/observation.go
+++ b/internal/home/observation.go
@@ -1,7 +1,7 @@
 package home
 
-// observation is the answer of one replica.
-type observation struct {
-	o   Observed
+// statusResult is the answer of one replica.
+type statusResult struct {
+	o   Observation
 	err error
 }
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -9,13 +9,13 @@
 	"siskintray.example/siskin"
 )
 
-// Observed is the state of a target and what is known of its present run. A target
+// Observation is the state of a target and what is known of its present run. A target
 // that starts again forgets its log and its pauses.
-type Observed struct {
+type Observation struct {
 	Status siskin.ControlStatus
-	// Running is the time for which the connection that answered has been open, which
+	// ConnAge is the time for which the connection that answered has been open, which
 	// shows that the target has not started again since.
-	Running time.Duration
+	ConnAge time.Duration `json:"Running"`
 }
 
 // Observe asks a target for its state on the oldest connection that is free, and
--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -92,7 +92,7 @@
 			t.Errorf("%s: got a start %v ago, want %v", c.name, got, c.want)
 		}
 	}
-	f.homes.cfg.Leads.Listed = func(siskin.TargetID) (since, listed time.Time, ok bool) { return since, f.homes.cfg.Clock.Now(), false }
+	f.homes.cfg.LeaseConfig.Listed = func(siskin.TargetID) (since, listed time.Time, ok bool) { return since, f.homes.cfg.Clock.Now(), false }
 	if got := f.homes.cfg.Clock.Since(f.homes.started("t", 10*time.Second)); got > 11*time.Second {
 		t.Errorf("not listed: got a start %v ago, want what the connection shows", got)
 	}
@@ -138,13 +138,13 @@
 		time.Sleep(50 * time.Millisecond)
 		return f.target(1).Opened()
 	}
-	f.homes.Attend(id)
+	f.homes.EnsureControlConn(id)
 	if got := opened(); got != 0 {
 		t.Errorf("connections to a target that is used for the first time: got %d, want none", got)
 	}
 	l.created = l.created.Add(-attendAfter)
 	for range 3 {
-		f.homes.Attend(id)
+		f.homes.EnsureControlConn(id)
 	}
 	if got := opened(); got != 1 {
 		t.Errorf("connections to a target that nobody uses: got %d, want 1", got)
@@ -157,7 +157,7 @@
 		t.Error("control connection beside one of callers: got one, want it closed")
 	}
 	l.control.attended.Store(0)
-	f.homes.Attend(id)
+	f.homes.EnsureControlConn(id)
 	if got := opened(); got != 2 {
 		t.Errorf("connections beside one of callers: got %d, want no further one", got)
 	}
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -49,7 +49,7 @@
 // askOnce asks the replicas once. The result again says that one of them accepts no
 // connection at the moment and could confirm the lead.
 func (h *Homes) askOnce(ctx context.Context, service siskin.ServiceName, l *lane, term siskin.Term) (again bool, err error) {
-	leads, id := h.cfg.Leads, l.target()
+	leads, id := h.cfg.LeaseConfig, l.target()
 	spec, ok := leads.Service(service)
 	if !ok {
 		return false, siskin.NewError(siskin.Unavailable, "service %s is not configured", service)
@@ -77,13 +77,13 @@
 				// This target leads again in a later term, or another one leads.
 				if !leads.Fencing {
 					if later, err := h.termOf(ctx, id); err != nil || later < s.Term {
-						h.cfg.Views.Denied(service, id, asked)
+						h.cfg.Views.RecordDenial(service, id, asked)
 						return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, later)
 					}
 				}
 				return h.askOnce(ctx, service, l, s.Term)
 			}
-			witness := leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, a.o.Running), asked, lease.WitnessAfter)
+			witness := leads.Leases.Witnesses(id, term, h.started(replicas[n].ID, a.o.ConnAge), asked, lease.WitnessAfter)
 			poll.Add(*s, witness)
 			switch {
 			case !lease.Unclaimed(*s, term):
@@ -111,7 +111,7 @@
 // known: after a loss of all VMs the target may have no connection left to ask it on.
 func (h *Homes) pollTerm(ctx context.Context, service siskin.ServiceName, id siskin.TargetID, term siskin.Term) (siskin.Term, error) {
 	known := h.knownTerm(service)
-	if term = max(term, h.cfg.Leads.Leases.Term(id)); h.cfg.Leads.Fencing {
+	if term = max(term, h.cfg.LeaseConfig.Leases.Term(id)); h.cfg.LeaseConfig.Fencing {
 		return max(term, known), nil
 	}
 	var err error
@@ -128,14 +128,14 @@
 }
 
 // statuses asks some of the replicas at once, and returns the answers by offset.
-func (h *Homes) statuses(ctx context.Context, replicas []siskin.TargetInfo, offsets []int) map[int]observation {
-	list := make([]observation, len(offsets))
+func (h *Homes) statuses(ctx context.Context, replicas []siskin.TargetInfo, offsets []int) map[int]statusResult {
+	list := make([]statusResult, len(offsets))
 	var wg sync.WaitGroup
 	for i, n := range offsets {
 		wg.Go(func() { list[i].o, list[i].err = h.status(ctx, replicas[n].ID, askReplica) })
 	}
 	wg.Wait()
-	answers := make(map[int]observation, len(offsets))
+	answers := make(map[int]statusResult, len(offsets))
 	for i, n := range offsets {
 		answers[n] = list[i]
 	}
@@ -154,7 +154,7 @@
 // knownTerm returns the newest term in which a target of a service is known to have
 // led.
 func (h *Homes) knownTerm(service siskin.ServiceName) siskin.Term {
-	l := h.cfg.Views.Lead(service)
+	l := h.cfg.Views.LatestProof(service)
 	return max(l.Term, l.Position.Term)
 }
 
@@ -163,7 +163,7 @@
 // one was asked for so late that it would tell of a start before the opening.
 func (h *Homes) started(id siskin.TargetID, running time.Duration) time.Time {
 	opened := h.cfg.Clock.Now().Add(-running)
-	since, listed, ok := h.cfg.Leads.Listed(id)
+	since, listed, ok := h.cfg.LeaseConfig.Listed(id)
 	if ok && since.Before(opened) && listed.After(opened.Add(entryDelay)) {
 		return since
 	}
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -12,7 +12,7 @@
 
 // expired reports whether the floor grew too old while the statement waited.
 func (r *run) expired() bool {
-	return r.req.FloorFor > 0 && r.h.cfg.Clock.Since(r.start) > r.req.FloorFor
+	return r.req.FloorTTL > 0 && r.h.cfg.Clock.Since(r.start) > r.req.FloorTTL
 }
 
 // begin returns the statements that must succeed before the caller's statement
@@ -62,10 +62,10 @@
 		return true
 	}
 	// A write needs no proof; the probe before it tells nothing of the lead.
-	if r.req.Mode != Open && r.req.Proof != LeadProof && r.h.cfg.Leads != nil {
+	if r.req.Mode != Open && r.req.Proof != LeadProof && r.h.cfg.LeaseConfig != nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), r.req.Patience)
+	ctx, cancel := context.WithTimeout(context.Background(), r.req.Timeout)
 	defer cancel()
 	at, ok := r.h.confirm(ctx, r.req.Service, r.l)
 	if !ok {
@@ -90,12 +90,12 @@
 func (r *run) proven(p siskin.Position, asked time.Time) {
 	r.reply.LeadProven, r.reply.Lead = true, p
 	r.reply.LeadAge = r.h.cfg.Clock.Since(asked)
-	r.h.cfg.Views.Proven(r.req.Service, views.Lead{Target: r.req.Target, Position: p, Term: r.h.leadTerm(r.req.Target), At: asked})
-	r.h.cfg.Views.Answered(r.req.Target)
+	r.h.cfg.Views.RecordProof(r.req.Service, views.PrimaryProof{Target: r.req.Target, Position: p, Term: r.h.leadTerm(r.req.Target), At: asked})
+	r.h.cfg.Views.RecordSuccess(r.req.Target)
 }
 
 func (r *run) denied(a *siskin.Answer, asked time.Time) {
 	if a.Code == siskin.ReadOnly {
-		r.h.cfg.Views.Denied(r.req.Service, r.req.Target, asked)
+		r.h.cfg.Views.RecordDenial(r.req.Service, r.req.Target, asked)
 	}
 }
--- a/internal/home/renewal.go
+++ b/internal/home/renewal.go
@@ -45,7 +45,7 @@
 		r.claimed = siskin.KindOf(err) == siskin.Conflict
 		if lost := err != nil; lost != r.lost {
 			r.lost = lost
-			h.cfg.Leads.Log.Info().Err(err).Str("Service", string(service)).Str("Target", string(l.target())).
+			h.cfg.LeaseConfig.Log.Info().Err(err).Str("Service", string(service)).Str("Target", string(l.target())).
 				Bool("Confirmed", !lost).Msg("the replicas' confirmation of a lead changed")
 		}
 		r.done = nil
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -58,22 +58,22 @@
 	Proof    Proof    `json:",omitempty"`
 	// Floor is the position that FloorProof asks for.
 	Floor siskin.Position `json:",omitzero"`
-	// FloorFor is how much longer the floor is young enough for the route.
+	// FloorTTL is how much longer the floor is young enough for the route.
 	// Zero means that it does not age.
-	FloorFor time.Duration `json:",omitempty"`
+	FloorTTL time.Duration `json:"FloorFor,omitempty"`
 	Mode     TxMode        `json:",omitempty"`
 	Tx       TxID          `json:",omitempty"`
 	// Unreachable says that another home could not reach the target, which may have
 	// started again since.
 	Unreachable bool `json:",omitempty"`
-	// Patience bounds waiting and running together.
-	Patience time.Duration
-	// QueueFor bounds the wait for a place and a connection.
-	QueueFor time.Duration
-	// ConnectFor bounds the wait for a connection when all are in use.
-	ConnectFor time.Duration `json:",omitempty"`
-	// TxIdle is the time after which an idle transaction is rolled back.
-	TxIdle time.Duration `json:",omitempty"`
+	// Timeout bounds waiting and running together.
+	Timeout time.Duration `json:"Patience"`
+	// QueueTimeout bounds the wait for a place and a connection.
+	QueueTimeout time.Duration `json:"QueueFor"`
+	// AcquireTimeout bounds the wait for a connection when all are in use.
+	AcquireTimeout time.Duration `json:"ConnectFor,omitempty"`
+	// TxIdleTimeout is the time after which an idle transaction is rolled back.
+	TxIdleTimeout time.Duration `json:"TxIdle,omitempty"`
 }
 
 // Outcome says what is known of a statement.
@@ -85,8 +85,8 @@
 	NotSent Outcome = iota
 	// Answered means that Reply.Answer is the target's complete answer.
 	Answered
-	// Lost means that the statement was sent and its answer is missing.
-	Lost
+	// InDoubt means that the statement was sent and its answer is missing.
+	InDoubt
 )
 
 // Cause says why a statement was not answered.
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -56,10 +56,10 @@
 
 // acquire waits for a place at the target and a connection.
 func (r *run) acquire(ctx context.Context) bool {
-	queueCtx, cancel := context.WithTimeout(ctx, r.req.QueueFor)
+	queueCtx, cancel := context.WithTimeout(ctx, r.req.QueueTimeout)
 	defer cancel()
 	var err error
-	r.grant, err = r.l.queue.Acquire(queueCtx, r.req.Customer, 1, r.start.Add(r.req.QueueFor))
+	r.grant, err = r.l.queue.Acquire(queueCtx, r.req.Customer, 1, r.start.Add(r.req.QueueTimeout))
 	r.reply.Waited = r.h.cfg.Clock.Since(r.start)
 	if err != nil {
 		r.refuse(err)
@@ -94,7 +94,7 @@
 		r.reply.Cause = Unknown
 	default:
 		r.reply.Cause = Unreachable
-		r.h.cfg.Views.Failed(r.req.Target, r.h.cfg.Clock.Now())
+		r.h.cfg.Views.RecordFailure(r.req.Target, r.h.cfg.Clock.Now())
 	}
 	return false
 }
@@ -188,7 +188,7 @@
 			// Reads leave no trace, so a broken connection is replaced once.
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
-		r.reply.Outcome = Lost
+		r.reply.Outcome = InDoubt
 		return false
 	}
 	for i := range setup {
@@ -212,19 +212,19 @@
 
 // settle takes over what an answer says of the target.
 func (r *run) settle(s *siskin.Statement, a *siskin.Answer, asked time.Time) {
-	r.h.cfg.Views.Seen(r.req.Target, a.Position, asked)
+	r.h.cfg.Views.RecordPosition(r.req.Target, a.Position, asked)
 	switch {
 	case a.Code == siskin.ReadOnly:
 		r.denied(a, asked)
 	case a.Code == siskin.Succeeded && s.MayWrite():
 		switch got := r.h.acknowledged(r.req.Service, r.l, a.Position, asked); {
 		case !got.kept:
-			r.reply.Outcome, r.reply.Cause, r.reply.Answer = Lost, Unconfirmed, siskin.Answer{}
+			r.reply.Outcome, r.reply.Cause, r.reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
 		case got.proof:
 			r.proven(a.Position, asked)
 		}
 	case a.Code == siskin.Succeeded:
-		r.h.cfg.Views.Answered(r.req.Target)
+		r.h.cfg.Views.RecordSuccess(r.req.Target)
 	}
 }
 
@@ -234,7 +234,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		r.reply.Cause = Silent
 	}
-	r.h.cfg.Views.Failed(r.req.Target, r.h.cfg.Clock.Now())
+	r.h.cfg.Views.RecordFailure(r.req.Target, r.h.cfg.Clock.Now())
 	r.l.noteFailure()
 	r.l.drop(r.c)
 	r.l.dropIdle()
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -52,13 +52,13 @@
 	}
 	start := h.cfg.Clock.Now()
 	if req.Statement.Kind != siskin.Rollback {
-		grant, err := t.l.queue.Acquire(ctx, req.Customer, 1, start.Add(req.QueueFor))
+		grant, err := t.l.queue.Acquire(ctx, req.Customer, 1, start.Add(req.QueueTimeout))
 		if err != nil {
 			h.abandon(req.Tx, t)
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start)}
 		}
 		defer grant.Release()
-		if ok, after := h.admitted(t.l, t.c.opened, start.Add(req.QueueFor)); !ok {
+		if ok, after := h.admitted(t.l, t.c.opened, start.Add(req.QueueTimeout)); !ok {
 			h.abandon(req.Tx, t)
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start), RetryAfter: after}
 		}
@@ -68,7 +68,7 @@
 	if req.Statement.Kind != siskin.Commit && req.Statement.Kind != siskin.Rollback {
 		setup = t.c.adapt(req)
 	}
-	reply := h.exec(req.Tx, t, req, setup, time.Now().Add(req.Patience-waited))
+	reply := h.exec(req.Tx, t, req, setup, time.Now().Add(req.Timeout-waited))
 	reply.Waited = waited
 	return reply
 }
@@ -97,11 +97,11 @@
 	ran := h.cfg.Clock.Since(asked)
 	if err != nil {
 		h.abandon(id, t)
-		reply := Reply{Outcome: Lost, Cause: Unreachable, Ran: ran}
+		reply := Reply{Outcome: InDoubt, Cause: Unreachable, Ran: ran}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			reply.Cause = Silent
 		}
-		h.cfg.Views.Failed(req.Target, h.cfg.Clock.Now())
+		h.cfg.Views.RecordFailure(req.Target, h.cfg.Clock.Now())
 		t.l.noteFailure()
 		t.l.dropIdle()
 		return reply
@@ -111,19 +111,19 @@
 	for i := range setup {
 		if answers[i].Code != siskin.Succeeded {
 			h.abandon(id, t)
-			return Reply{Outcome: Lost, Cause: Refused, Answer: answers[i], Ran: ran}
+			return Reply{Outcome: InDoubt, Cause: Refused, Answer: answers[i], Ran: ran}
 		}
 	}
-	h.cfg.Views.Seen(req.Target, a.Position, asked)
+	h.cfg.Views.RecordPosition(req.Target, a.Position, asked)
 	if a.Code == siskin.ReadOnly {
-		h.cfg.Views.Denied(req.Service, req.Target, asked)
+		h.cfg.Views.RecordDenial(req.Service, req.Target, asked)
 	}
 	if a.Code == siskin.Succeeded {
 		switch {
 		case s.MayWrite():
 			t.wrote = true
 		case commits && !h.acknowledged(req.Service, t.l, a.Position, asked).kept:
-			reply.Outcome, reply.Cause, reply.Answer = Lost, Unconfirmed, siskin.Answer{}
+			reply.Outcome, reply.Cause, reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
 		}
 	}
 	if s.Kind == siskin.Commit || s.Kind == siskin.Rollback {
@@ -166,7 +166,7 @@
 		now := h.cfg.Clock.Now()
 		h.txs.Range(func(id TxID, t *tx) bool {
 			t.mu.Lock()
-			idle := !t.busy && t.req.TxIdle > 0 && now.Sub(t.used) > t.req.TxIdle
+			idle := !t.busy && t.req.TxIdleTimeout > 0 && now.Sub(t.used) > t.req.TxIdleTimeout
 			t.mu.Unlock()
 			if idle {
 				h.abandon(id, t)
--- a/internal/home/witness_test.go
+++ b/internal/home/witness_test.go
@@ -18,20 +18,20 @@
 // questions for its state.
 func (f *fixture) other(id siskin.TargetID) *Homes {
 	cfg := f.homes.cfg
-	cfg.Views, cfg.Leads, cfg.Clock = views.New(), nil, boot.Clock{}
+	cfg.Views, cfg.LeaseConfig, cfg.Clock = views.New(), nil, boot.Clock{}
 	h := New(cfg)
 	f.t.Cleanup(func() {
 		if err := h.Close(); err != nil {
 			f.t.Error(err)
 		}
 	})
-	own := f.homes.cfg.Leads.Status
-	f.homes.cfg.Leads.Status = func(ctx context.Context, t siskin.TargetID) (o Observed, err error) {
+	own := f.homes.cfg.LeaseConfig.Status
+	f.homes.cfg.LeaseConfig.Status = func(ctx context.Context, t siskin.TargetID) (o Observation, err error) {
 		if t != id {
 			return own(ctx, t)
 		}
 		var a siskin.Answer
-		if a, o.Running, err = h.Observe(ctx, id); err == nil {
+		if a, o.ConnAge, err = h.Observe(ctx, id); err == nil {
 			o.Status, err = platform.ParseStatus(&a)
 		}
 		return o, err
@@ -104,7 +104,7 @@
 // the configuration yet.
 func TestUnknownService(t *testing.T) {
 	f := fenced(t)
-	f.homes.cfg.Leads.Service = func(siskin.ServiceName) (siskin.ServiceSpec, bool) { return siskin.ServiceSpec{}, false }
+	f.homes.cfg.LeaseConfig.Service = func(siskin.ServiceName) (siskin.ServiceSpec, bool) { return siskin.ServiceSpec{}, false }
 	if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != NotSent {
 		t.Errorf("write without a configuration: got %+v, want it refused", got)
 	}
@@ -125,7 +125,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := fenced(t)
-			leads := f.homes.cfg.Leads
+			leads := f.homes.cfg.LeaseConfig
 			targets := leads.Targets
 			leads.Targets = func(name siskin.ServiceName) []siskin.TargetInfo { return targets(name)[:c.targets] }
 			leads.Group = func(siskin.ServiceName) int { return c.targets }
@@ -169,8 +169,8 @@
 // more, which service discovery has dropped, may be the target of an order.
 func TestIncompleteGroup(t *testing.T) {
 	f := fenced(t)
-	targets := f.homes.cfg.Leads.Targets
-	f.homes.cfg.Leads.Targets = func(name siskin.ServiceName) []siskin.TargetInfo { return targets(name)[:2] }
+	targets := f.homes.cfg.LeaseConfig.Targets
+	f.homes.cfg.LeaseConfig.Targets = func(name siskin.ServiceName) []siskin.TargetInfo { return targets(name)[:2] }
 	if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != NotSent {
 		t.Errorf("write while a target is not listed: got %+v, want it refused", got)
 	}
@@ -186,23 +186,23 @@
 	}
 	f.target(1).SetReceiveBlocked(true)
 	f.target(2).SetReceiveBlocked(true)
-	own := f.homes.cfg.Leads.Status
+	own := f.homes.cfg.LeaseConfig.Status
 	var mu sync.Mutex
 	cut := false
-	f.homes.cfg.Leads.Status = func(ctx context.Context, id siskin.TargetID) (Observed, error) {
+	f.homes.cfg.LeaseConfig.Status = func(ctx context.Context, id siskin.TargetID) (Observation, error) {
 		mu.Lock()
 		silent := cut
 		mu.Unlock()
 		if silent {
 			<-ctx.Done()
-			return Observed{}, siskin.NewError(siskin.Unavailable, "silent")
+			return Observation{}, siskin.NewError(siskin.Unavailable, "silent")
 		}
 		return own(ctx, id)
 	}
 	waiting := make(chan Reply)
 	go func() {
 		req := request(primary, siskin.Write, "x 2")
-		req.Patience = 2 * time.Second
+		req.Timeout = 2 * time.Second
 		waiting <- f.run(req)
 	}()
 	time.Sleep(lease.Life + 50*time.Millisecond)
@@ -227,13 +227,13 @@
 func TestReadsBesideQuestions(t *testing.T) {
 	f := fenced(t)
 	primary := f.target(0)
-	own := f.homes.cfg.Leads.Status
-	f.homes.cfg.Leads.Status = func(ctx context.Context, id siskin.TargetID) (Observed, error) {
+	own := f.homes.cfg.LeaseConfig.Status
+	f.homes.cfg.LeaseConfig.Status = func(ctx context.Context, id siskin.TargetID) (Observation, error) {
 		if id == primary.ID() {
 			return own(ctx, id)
 		}
 		<-ctx.Done()
-		return Observed{}, siskin.NewError(siskin.Unavailable, "silent")
+		return Observation{}, siskin.NewError(siskin.Unavailable, "silent")
 	}
 	const (
 		length = 2 * time.Second
@@ -245,7 +245,7 @@
 		callers.Go(func() {
 			for time.Since(begun) < length {
 				req := request(primary, siskin.Write, "x 1")
-				req.Patience, req.QueueFor = 600*time.Millisecond, 450*time.Millisecond
+				req.Timeout, req.QueueTimeout = 600*time.Millisecond, 450*time.Millisecond
 				f.run(req)
 				time.Sleep(20 * time.Millisecond)
 			}
--- a/internal/path/cold_test.go
+++ b/internal/path/cold_test.go
@@ -64,7 +64,7 @@
 	p.cfg.Peers = &secondHome{first, &Receiver{homes: h}}
 	got := p.Run(context.Background(), &home.Request{
 		Statement: siskin.Statement{ID: "1", Kind: siskin.Read, Text: "x"}, Service: "ledger", Target: info.ID, Customer: "acme",
-		Patience: time.Second, QueueFor: time.Second, ConnectFor: 20 * time.Millisecond,
+		Timeout: time.Second, QueueTimeout: time.Second, AcquireTimeout: 20 * time.Millisecond,
 	})
 	if got.Home == first || got.Outcome != home.NotSent || got.Cause != home.Overload {
 		t.Errorf("read at a target that its home could not reach: got %+v, want a refusal by the second VM for the rate of cold targets", got)
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -77,7 +77,7 @@
 	self := p.cfg.Crew.Self().ID
 	for _, s := range services {
 		// Before any proof the targets' own entries tell whom to ask for one.
-		id := p.cfg.Views.Lead(s.Name).Target
+		id := p.cfg.Views.LatestProof(s.Name).Target
 		if id == "" {
 			id = p.cfg.Views.Primary(s.Name, p.cfg.Roster.Service(s.Name))
 		}
@@ -107,13 +107,13 @@
 		return home.Reply{Cause: home.Unknown}
 	}
 	start := p.cfg.Clock.Now()
-	patience := req.Patience
+	patience := req.Timeout
 	req.Unreachable = false // the caller may have sent it for another target
 	var reply home.Reply
 	for i, vm := range p.candidates(t) {
 		if i > 0 {
-			req.Patience = patience - p.cfg.Clock.Since(start)
-			if i >= maxHomes || req.Patience < handover {
+			req.Timeout = patience - p.cfg.Clock.Since(start)
+			if i >= maxHomes || req.Timeout < handover {
 				break
 			}
 		}
@@ -161,7 +161,7 @@
 		// The statement may have run, and its answer cannot be passed on.
 		p.cfg.Log.Error().Str("VM", string(vm)).Int("Outcome", int(reply.Outcome)).Int("Code", int(reply.Answer.Code)).
 			Msg("the reply of a home is not understood")
-		return home.Reply{Outcome: home.Lost, Cause: home.Silent, Home: vm}, true
+		return home.Reply{Outcome: home.InDoubt, Cause: home.Silent, Home: vm}, true
 	}
 	if ctx.Err() != nil && !errors.Is(err, peer.ErrNotSent) {
 		p.cfg.Crew.Doubt(vm)
@@ -172,7 +172,7 @@
 	if errors.Is(err, peer.ErrNotSent) {
 		return home.Reply{Cause: home.Unreachable, Home: vm}, false
 	}
-	return home.Reply{Outcome: home.Lost, Cause: home.Silent, Home: vm}, true
+	return home.Reply{Outcome: home.InDoubt, Cause: home.Silent, Home: vm}, true
 }
 
 // askHome bounds the question to a target through its home, so that time is left to
@@ -181,10 +181,10 @@
 
 // Observe asks a target for its state and what is known of its run: through its home,
 // which has connections of long standing, or else on a connection of this VM.
-func (p *Path) Observe(ctx context.Context, id siskin.TargetID) (home.Observed, error) {
+func (p *Path) Observe(ctx context.Context, id siskin.TargetID) (home.Observation, error) {
 	if t, ok := p.cfg.Roster.Target(id); ok {
 		if vm, ok := p.Home(t); ok && vm != p.cfg.Crew.Self().ID {
-			var reply home.Observed
+			var reply home.Observation
 			ctx, cancel := context.WithTimeout(ctx, askHome)
 			defer cancel()
 			if err := p.cfg.Peers.Call(ctx, vm, "Home.Observe", &ObserveArgs{Target: id}, &reply); err == nil {
@@ -195,9 +195,9 @@
 	return observe(ctx, p.cfg.Homes, p.cfg.Status, id)
 }
 
-func observe(ctx context.Context, homes *home.Homes, status func(*siskin.Answer) (siskin.ControlStatus, error), id siskin.TargetID) (o home.Observed, err error) {
+func observe(ctx context.Context, homes *home.Homes, status func(*siskin.Answer) (siskin.ControlStatus, error), id siskin.TargetID) (o home.Observation, err error) {
 	var a siskin.Answer
-	if a, o.Running, err = homes.Observe(ctx, id); err != nil {
+	if a, o.ConnAge, err = homes.Observe(ctx, id); err != nil {
 		return o, err
 	}
 	o.Status, err = status(&a)
@@ -230,7 +230,7 @@
 
 // Observe asks a target for its state and what is known of its run, for a VM that is
 // not its home.
-func (r *Receiver) Observe(args *ObserveArgs, reply *home.Observed) (err error) {
+func (r *Receiver) Observe(args *ObserveArgs, reply *home.Observation) (err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), observeTimeout)
 	defer cancel()
 	*reply, err = observe(ctx, r.homes, r.status, args.Target)
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -54,7 +54,7 @@
 	if !homes[want] || len(homes) != 1 {
 		t.Errorf("homes of primaries without a proof: got %v, want %s", homes, want)
 	}
-	p.cfg.Views.Proven("s", views.Lead{Target: "r", At: p.cfg.Clock.Now()})
+	p.cfg.Views.RecordProof("s", views.PrimaryProof{Target: "r", At: p.cfg.Clock.Now()})
 	want, _ = p.Home(targets[1])
 	if homes, _ = p.PrimaryHomes([]siskin.ServiceSpec{{Name: "s"}}); !homes[want] {
 		t.Errorf("homes of primaries with a proof: got %v, want %s", homes, want)
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -119,7 +119,7 @@
 	})
 	f.await("the VMs are ready and know each other", 10*time.Second, func() bool {
 		for _, n := range f.nodes {
-			if !n.ready() || len(n.crew.Live()) != vms || n.views.Lead("ledger").Target == "" || n.rates.Holders() == nil {
+			if !n.ready() || len(n.crew.Live()) != vms || n.views.LatestProof("ledger").Target == "" || n.rates.Holders() == nil {
 				return false
 			}
 		}
--- a/internal/sysd/isolation.go
+++ b/internal/sysd/isolation.go
@@ -44,7 +44,7 @@
 func (n *node) reached(services []siskin.ServiceSpec) int {
 	count := 0
 	for _, s := range services {
-		if n.clock.Since(n.views.Lead(s.Name).At) < freshLead {
+		if n.clock.Since(n.views.LatestProof(s.Name).At) < freshLead {
 			count++
 		}
 	}
--- a/internal/sysd/newest_test.go
+++ b/internal/sysd/newest_test.go
@@ -94,7 +94,7 @@
 	f.must(f.mustDial(0, "orders"), "WRITE x 1")
 	f.await("a VM has a fence from after the term was known", 5*time.Second, func() bool {
 		for _, n := range f.nodes {
-			if term := n.views.Lead("ledger").Term; term == 0 || !n.elect.HasFence("ledger", term) {
+			if term := n.views.LatestProof("ledger").Term; term == 0 || !n.elect.HasFence("ledger", term) {
 				return false
 			}
 		}
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -93,7 +93,7 @@
 		MayBeCold: n.mayBeCold, AdmitCold: n.admitCold,
 		Closed:    func(id siskin.TargetID) bool { return n.roster.Closed(id, n.clock.Now()) },
 		IsHome:    func(t siskin.TargetInfo) bool { return n.path != nil && n.path.IsHome(t) },
-		Connector: &platform.Connector{Dial: dialer.DialContext}, Leads: n.leads(),
+		Connector: &platform.Connector{Dial: dialer.DialContext}, LeaseConfig: n.leads(),
 	})
 	if err := n.joinFleet(); err != nil {
 		return nil, errors.Join(err, n.homes.Close(), n.stats.Close())
@@ -110,11 +110,11 @@
 }
 
 // leads returns what homes need to tell the only primary from a former one.
-func (n *node) leads() *home.Leads {
+func (n *node) leads() *home.LeaseConfig {
 	n.leases = lease.New()
-	return &home.Leads{
+	return &home.LeaseConfig{
 		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, Group: n.roster.Size, Listed: n.listed, Log: n.log,
-		Status: func(ctx context.Context, id siskin.TargetID) (home.Observed, error) {
+		Status: func(ctx context.Context, id siskin.TargetID) (home.Observation, error) {
 			return n.path.Observe(ctx, id)
 		},
 		Service: func(name siskin.ServiceName) (siskin.ServiceSpec, bool) {
--- a/internal/sysd/upkeep.go
+++ b/internal/sysd/upkeep.go
@@ -69,7 +69,7 @@
 	targets, _, _ := n.roster.Listed()
 	for _, t := range targets {
 		if n.path.IsHome(t) {
-			n.homes.Attend(t.ID)
+			n.homes.EnsureControlConn(t.ID)
 		}
 	}
 }
@@ -92,7 +92,7 @@
 					Bool("Primary", t.Primary).Bool("Draining", t.Draining).Bool("Evacuated", t.Evacuated).Dur("Cold", t.ColdRemaining).Time("Born", t.StartedAt).Msg("a target's entry changed")
 			}
 			if t.Primary && (!ok || !old.Primary || !old.StartedAt.Equal(t.StartedAt)) {
-				n.views.Hint(t.Service, t.ID)
+				n.views.ClearDenial(t.Service, t.ID)
 			}
 		}
 	}
--- a/internal/views/hold.go
+++ b/internal/views/hold.go
@@ -12,9 +12,9 @@
 	until time.Time
 }
 
-// Hold notes that the lead is being taken from a target, until the given time. A
+// BeginChange notes that the lead is being taken from a target, until the given time. A
 // VM that knows another target to lead has seen the end of that change.
-func (v *Views) Hold(name siskin.ServiceName, from siskin.TargetID, until time.Time) {
+func (v *Views) BeginChange(name siskin.ServiceName, from siskin.TargetID, until time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if s := v.service(name); s.lead.Target == "" || s.lead.Target == from {
@@ -22,8 +22,8 @@
 	}
 }
 
-// Release ends the hold of a change that took the lead from a target.
-func (v *Views) Release(name siskin.ServiceName, from siskin.TargetID) {
+// EndChange ends the hold of a change that took the lead from a target.
+func (v *Views) EndChange(name siskin.ServiceName, from siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if s := v.service(name); s.holding.from == from {
@@ -31,8 +31,8 @@
 	}
 }
 
-// Holding reports whether a change of primary is in progress.
-func (v *Views) Holding(name siskin.ServiceName, now time.Time) bool {
+// ChangeInProgress reports whether a change of primary is in progress.
+func (v *Views) ChangeInProgress(name siskin.ServiceName, now time.Time) bool {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	s := v.services[name]
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -12,8 +12,8 @@
 	"siskintray.example/siskin"
 )
 
-// Lead is a proof that a target led its service.
-type Lead struct {
+// PrimaryProof is a proof that a target led its service.
+type PrimaryProof struct {
 	Target siskin.TargetID
 	// Position is the end of the target's log, which covers every commit
 	// acknowledged before At. It is zero when the proof came without one, and
@@ -33,7 +33,7 @@
 }
 
 type service struct {
-	lead    Lead
+	lead    PrimaryProof
 	lost    map[siskin.TargetID]time.Time // when a target denied to lead
 	changed chan struct{}                 // closed when the leading target changes
 	holding hold
@@ -79,9 +79,9 @@
 	return t
 }
 
-// Proven takes over a proof of lead and reports whether the leading target
+// RecordProof takes over a proof of lead and reports whether the leading target
 // changed.
-func (v *Views) Proven(name siskin.ServiceName, l Lead) bool {
+func (v *Views) RecordProof(name siskin.ServiceName, l PrimaryProof) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(name)
@@ -102,8 +102,8 @@
 	return true
 }
 
-// Denied notes that a target answered at the given time that it does not lead.
-func (v *Views) Denied(name siskin.ServiceName, id siskin.TargetID, at time.Time) {
+// RecordDenial notes that a target answered at the given time that it does not lead.
+func (v *Views) RecordDenial(name siskin.ServiceName, id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(name)
@@ -112,14 +112,14 @@
 	}
 }
 
-// Lead returns the newest proof of a service.
-func (v *Views) Lead(name siskin.ServiceName) Lead {
+// LatestProof returns the newest proof of a service.
+func (v *Views) LatestProof(name siskin.ServiceName) PrimaryProof {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if s := v.services[name]; s != nil {
 		return s.lead
 	}
-	return Lead{}
+	return PrimaryProof{}
 }
 
 // Primary returns the target to send writes to. Without a proof that still
@@ -152,23 +152,23 @@
 	return false
 }
 
-// Hint notes that discovery reports a target as primary since a change of its
+// ClearDenial notes that discovery reports a target as primary since a change of its
 // entry, so that an earlier denial no longer counts.
-func (v *Views) Hint(name siskin.ServiceName, id siskin.TargetID) {
+func (v *Views) ClearDenial(name siskin.ServiceName, id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(v.service(name).lost, id)
 }
 
-// Changed returns a channel that is closed when another target leads.
-func (v *Views) Changed(name siskin.ServiceName) <-chan struct{} {
+// PrimaryChanged returns a channel that is closed when another target leads.
+func (v *Views) PrimaryChanged(name siskin.ServiceName) <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.service(name).changed
 }
 
-// Seen takes over a position that a target reported.
-func (v *Views) Seen(id siskin.TargetID, p siskin.Position, at time.Time) {
+// RecordPosition takes over a position that a target reported.
+func (v *Views) RecordPosition(id siskin.TargetID, p siskin.Position, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t := v.target(id)
@@ -177,8 +177,8 @@
 	}
 }
 
-// Loaded takes over the number of statements at a target's home.
-func (v *Views) Loaded(id siskin.TargetID, load int, at time.Time) {
+// RecordLoad takes over the number of statements at a target's home.
+func (v *Views) RecordLoad(id siskin.TargetID, load int, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if t := v.target(id); at.After(t.LoadAt) {
@@ -186,29 +186,29 @@
 	}
 }
 
-// Lagged notes that a target lacked the floor of a read.
-func (v *Views) Lagged(id siskin.TargetID, at time.Time) {
+// RecordLag notes that a target lacked the floor of a read.
+func (v *Views) RecordLag(id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).LaggedAt = at
 }
 
-// CaughtUp notes that a target had the floor of a read.
-func (v *Views) CaughtUp(id siskin.TargetID) {
+// ClearLag notes that a target had the floor of a read.
+func (v *Views) ClearLag(id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).LaggedAt = time.Time{}
 }
 
-// Answered notes a success of a target.
-func (v *Views) Answered(id siskin.TargetID) {
+// RecordSuccess notes a success of a target.
+func (v *Views) RecordSuccess(id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).Failures = 0
 }
 
-// Failed notes a failure of a target.
-func (v *Views) Failed(id siskin.TargetID, at time.Time) {
+// RecordFailure notes a failure of a target.
+func (v *Views) RecordFailure(id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t := v.target(id)
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -11,8 +11,8 @@
 
 func at(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
 
-func lead(id siskin.TargetID, number siskin.LSN, ms int) Lead {
-	return Lead{Target: id, Position: siskin.Position{Term: 1, LSN: number}, At: at(ms)}
+func lead(id siskin.TargetID, number siskin.LSN, ms int) PrimaryProof {
+	return PrimaryProof{Target: id, Position: siskin.Position{Term: 1, LSN: number}, At: at(ms)}
 }
 
 // TestProofs guards against an old proof that hides a newer one, and against a
@@ -23,25 +23,25 @@
 	if got := v.Primary("s", targets); got != "a" {
 		t.Errorf("without a proof: got %q, want the hint a", got)
 	}
-	v.Denied("s", "a", at(0))
+	v.RecordDenial("s", "a", at(0))
 	if got := v.Primary("s", targets); got != "" {
 		t.Errorf("after a denial of the hint: got %q, want none", got)
 	}
-	v.Hint("s", "a")
+	v.ClearDenial("s", "a")
 	if got := v.Primary("s", targets); got != "a" {
 		t.Errorf("after discovery reports it again: got %q, want a", got)
 	}
-	v.Proven("s", lead("b", 7, 100))
-	v.Proven("s", lead("a", 5, 50))
+	v.RecordProof("s", lead("b", 7, 100))
+	v.RecordProof("s", lead("a", 5, 50))
 	if got := v.Primary("s", targets); got != "b" {
 		t.Errorf("after an older proof: got %q, want b", got)
 	}
-	v.Denied("s", "b", at(200))
+	v.RecordDenial("s", "b", at(200))
 	if got := v.Primary("s", targets); got != "a" {
 		t.Errorf("after a denial: got %q, want the hint a", got)
 	}
 	// A proof that aged on its way is older than that of the target that denied.
-	v.Proven("s", lead("c", 9, 90))
+	v.RecordProof("s", lead("c", 9, 90))
 	if got := v.Primary("s", targets); got != "c" {
 		t.Errorf("after a proof behind a denial: got %q, want c", got)
 	}
@@ -54,14 +54,14 @@
 // old position with the time of a proof that came without one.
 func TestFloors(t *testing.T) {
 	v := New()
-	v.Proven("s", lead("a", 7, 100))
-	v.Proven("s", Lead{Target: "a", At: at(200)})
-	if got, want := v.Lead("s"), (Lead{Target: "a", At: at(200)}); got != want {
+	v.RecordProof("s", lead("a", 7, 100))
+	v.RecordProof("s", PrimaryProof{Target: "a", At: at(200)})
+	if got, want := v.LatestProof("s"), (PrimaryProof{Target: "a", At: at(200)}); got != want {
 		t.Errorf("proof without a position: got %+v, want %+v", got, want)
 	}
-	v.Proven("s", lead("a", 8, 300))
-	v.Proven("s", lead("a", 7, 250))
-	if got, want := v.Lead("s"), lead("a", 8, 300); got != want {
+	v.RecordProof("s", lead("a", 8, 300))
+	v.RecordProof("s", lead("a", 7, 250))
+	if got, want := v.LatestProof("s"), lead("a", 8, 300); got != want {
 		t.Errorf("older proof: got %+v, want %+v", got, want)
 	}
 }
@@ -70,24 +70,24 @@
 // primary is over, and sent to a primary that is being replaced.
 func TestHolding(t *testing.T) {
 	v := New()
-	v.Proven("s", lead("a", 1, 0))
-	v.Hold("s", "a", at(1000))
-	if !v.Holding("s", at(500)) || v.Holding("s", at(1000)) {
+	v.RecordProof("s", lead("a", 1, 0))
+	v.BeginChange("s", "a", at(1000))
+	if !v.ChangeInProgress("s", at(500)) || v.ChangeInProgress("s", at(1000)) {
 		t.Error("got no hold for its time, want one")
 	}
-	v.Proven("s", lead("b", 2, 600))
-	if v.Holding("s", at(700)) {
+	v.RecordProof("s", lead("b", 2, 600))
+	if v.ChangeInProgress("s", at(700)) {
 		t.Error("got a hold after another target led, want none")
 	}
-	v.Hold("s", "a", at(2000))
-	if v.Holding("s", at(800)) {
+	v.BeginChange("s", "a", at(2000))
+	if v.ChangeInProgress("s", at(800)) {
 		t.Error("got a hold of a change from a former primary, want none")
 	}
-	v.Hold("s", "b", at(2000))
-	if v.Release("s", "a"); !v.Holding("s", at(800)) {
+	v.BeginChange("s", "b", at(2000))
+	if v.EndChange("s", "a"); !v.ChangeInProgress("s", at(800)) {
 		t.Error("got no hold after the end of an earlier change, want one")
 	}
-	if v.Release("s", "b"); v.Holding("s", at(800)) {
+	if v.EndChange("s", "b"); v.ChangeInProgress("s", at(800)) {
 		t.Error("got a hold after the end of its change, want none")
 	}
 }
