quota, roster, crew: exported names in the terms of the field

Exported methods had figurative names such as Doubt, Lent or Follows, which only readers of their comments understood.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -31,9 +31,9 @@
 	Log   *log.Logger
 	// IsHome reports whether this VM is the home of a target.
 	IsHome func(siskin.TargetID) bool
-	// Near returns the VMs that are pinged more often than others in a large
+	// PriorityPeers returns the VMs that are pinged more often than others in a large
 	// fleet.
-	Near func() Near
+	PriorityPeers func() PriorityPeers
 }
 
 // Crew is one VM's view of the fleet. It implements siskin.Members.
@@ -58,8 +58,8 @@
 	// this VM asked for a list.
 	packedNodes packedNodes
 	wantedNodes time.Time
-	fetches     int  // in progress
-	near        Near // as Config.Near returned it
+	fetches     int           // in progress
+	near        PriorityPeers // as Config.PriorityPeers returned them
 	ranker      place.Ranker
 	relay       bool      // this VM is a relay of its data centre
 	chosen      time.Time // last time that peers were sorted
@@ -94,7 +94,7 @@
 // Leave tells the peers to give this VM no further work.
 func (c *Crew) Leave() {
 	c.leaving.Store(true)
-	c.rates.Release()
+	c.rates.ReleasePools()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, m := range c.members {
@@ -109,5 +109,5 @@
 // fleet most VMs get work of callers only; with a ping of each to all others a
 // rolling restart kept the owners of pools from answering. The caller holds mu.
 func (c *Crew) tellsOfLeaving(id siskin.VMID, m *member) bool {
-	return len(c.members) < fullMesh || c.relay || c.near.Needed || m.every != 0 || m.watched || c.isRelay(id, m.node.DataCentre)
+	return len(c.members) < fullMesh || c.relay || c.near.ServesOthers || m.every != 0 || m.watched || c.isRelay(id, m.node.DataCentre)
 }
--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -129,8 +129,8 @@
 		Clock: boot.Clock{}, Seeds: []string{"vm-00"}, Peers: c, Table: c.table, Roster: c.roster, Views: c.views, Homes: homes, Log: l,
 		Self:   Node{ID: id, Run: siskin.Incarnation(time.Now().UnixNano()), DataCentre: siskin.DataCentreID(fmt.Sprint("dc-", i%3)), Address: string(id)},
 		IsHome: func(siskin.TargetID) bool { return id == "vm-00" },
-		Near: func() Near {
-			return Near{Homes: map[siskin.VMID]bool{"vm-00": true}, Followed: map[siskin.VMID]bool{"vm-00": id == "vm-03" || id == "vm-06"}}
+		PriorityPeers: func() PriorityPeers {
+			return PriorityPeers{Homes: map[siskin.VMID]bool{"vm-00": true}, StandbyFor: map[siskin.VMID]bool{"vm-00": id == "vm-03" || id == "vm-06"}}
 		},
 		Apply: func(encoded []byte, _ string) {
 			d := testDeployment()
@@ -142,7 +142,7 @@
 	f.mu.Lock()
 	f.crews[id] = c
 	f.mu.Unlock()
-	c.Start(quota.New(quota.Config{Clock: boot.Clock{}, Run: 1, Table: c.table, Members: c, Peers: c, Log: l, Doubt: c.Doubt}))
+	c.Start(quota.New(quota.Config{Clock: boot.Clock{}, Run: 1, Table: c.table, Members: c, Peers: c, Log: l, PingNow: c.PingNow}))
 	f.t.Cleanup(func() {
 		if err := errors.Join(c.Close(), homes.Close()); err != nil {
 			f.t.Error(err)
@@ -423,7 +423,7 @@
 			id := siskin.VMID(fmt.Sprintf("vm-%03d", i))
 			c.Learn(Node{ID: id, Run: 1, Address: string(id), DataCentre: siskin.DataCentreID("abcdef"[i%6 : i%6+1])})
 		}
-		c.near.Needed = needed
+		c.near.ServesOthers = needed
 		c.mu.Lock()
 		c.publish()
 		c.choose(c.cfg.Clock.Now())
--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -42,7 +42,7 @@
 	}
 	c.cfg.Roster.Confirm(s.Targets, asked.Add(-s.TargetsAge))
 	if e := s.Evacuations; e != nil {
-		c.cfg.Roster.Evacuate(e.DataCentres, e.Version, asked.Add(-e.Age))
+		c.cfg.Roster.ReplaceEvacuations(e.DataCentres, e.Version, asked.Add(-e.Age))
 	}
 	c.fetchIfNewer(s)
 }
--- a/internal/crew/loop.go
+++ b/internal/crew/loop.go
@@ -25,8 +25,8 @@
 		}
 		if now := c.cfg.Clock.Now(); now.Sub(lookedAt) >= pingInterval {
 			lookedAt = now
-			c.rates.LendSelf()
-			near := c.cfg.Near()
+			c.rates.LendToSelf()
+			near := c.cfg.PriorityPeers()
 			c.mu.Lock()
 			c.near = near
 			c.mu.Unlock()
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// Doubt asks for a ping at once, since a call to the VM got no answer.
-func (c *Crew) Doubt(id siskin.VMID) {
+// PingNow asks for a ping at once, since a call to the VM got no answer.
+func (c *Crew) PingNow(id siskin.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if m := c.members[id]; m != nil {
--- a/internal/crew/members.go
+++ b/internal/crew/members.go
@@ -39,9 +39,9 @@
 	return vm, true
 }
 
-// Follows reports whether this VM of a large fleet leaves reading the store to
+// UsesRelays reports whether this VM of a large fleet leaves reading the store to
 // the relays.
-func (c *Crew) Follows() bool {
+func (c *Crew) UsesRelays() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.members) >= fullMesh && !c.relay
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -62,8 +62,8 @@
 		c.cfg.Log.Error().Err(nodesErr).Str("VM", string(id)).Msg("a list of VMs was not taken over from a peer")
 	}
 	if reply.Released {
-		c.rates.Returned(reply.From.ID, reply.Tokens)
-	} else if c.rates.Received(reply.From.ID, reply.Stamp) {
+		c.rates.HandleRelease(reply.From.ID, reply.Tokens)
+	} else if c.rates.HandleStamp(reply.From.ID, reply.Stamp) {
 		c.lendSoon(reply.From.ID)
 	}
 	c.absorb(&reply, asked)
@@ -74,7 +74,7 @@
 func (c *Crew) lendSoon(id siskin.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if m := c.members[id]; m != nil && (c.near.Pools[id] || len(c.members) < fullMesh) {
+	if m := c.members[id]; m != nil && (c.near.PoolOwners[id] || len(c.members) < fullMesh) {
 		m.next = time.Time{}
 	}
 }
@@ -113,5 +113,5 @@
 		c.cfg.Views.Loaded(id, n, asked)
 	}
 	c.catchUp(s, asked)
-	c.cfg.Roster.Expect(s.Sizes, asked)
+	c.cfg.Roster.LearnSizes(s.Sizes, asked)
 }
--- a/internal/crew/receiver.go
+++ b/internal/crew/receiver.go
@@ -17,11 +17,11 @@
 	r.c.noteLeaving(args)
 	r.c.noteAlive(args.From)
 	if args.Loans != nil {
-		r.c.rates.Lent(args.Loans)
+		r.c.rates.AcceptLoans(args.Loans)
 	}
 	*reply = r.c.state()
 	if reply.Released {
-		reply.Tokens = r.c.rates.Returning(args.From.ID)
+		reply.Tokens = r.c.rates.TakeReturnedTokens(args.From.ID)
 	}
 	if args.KnownRun == reply.From.Run {
 		reply.From = reply.From.brief()
--- a/internal/crew/relay.go
+++ b/internal/crew/relay.go
@@ -47,9 +47,9 @@
 func (c *Crew) pingEvery(m *member) time.Duration {
 	id := m.node.ID
 	switch {
-	case c.near.Followed[id], c.relay && c.near.Homes[id]:
+	case c.near.StandbyFor[id], c.relay && c.near.Homes[id]:
 		return pingInterval
-	case c.near.Pools[id]:
+	case c.near.PoolOwners[id]:
 		return poolInterval
 	case c.relay && !c.local(m) && c.isRelay(id, m.node.DataCentre):
 		return relayInterval
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -18,7 +18,7 @@
 	s.RevisionAge = now.Sub(c.cfg.Table.Confirmed())
 	s.Loads, s.Stamp, s.Released = c.cfg.Homes.Loads(), c.rates.Stamp(), c.rates.Released()
 	_, listed := c.cfg.Roster.Version()
-	s.TargetsAge, s.Sizes = now.Sub(listed), c.cfg.Roster.Incomplete()
+	s.TargetsAge, s.Sizes = now.Sub(listed), c.cfg.Roster.IncompleteSizes()
 	if list, version, at := c.cfg.Roster.Evacuations(); !at.IsZero() {
 		s.Evacuations = &EvacuationNote{DataCentres: list, Version: version, Age: now.Sub(at)}
 	}
--- a/internal/feed/evacuations.go
+++ b/internal/feed/evacuations.go
@@ -22,6 +22,6 @@
 	for _, o := range l.Objects {
 		list = append(list, siskin.DataCentreID(o.Name))
 	}
-	f.cfg.Roster.Evacuate(list, l.Version, asked)
+	f.cfg.Roster.ReplaceEvacuations(list, l.Version, asked)
 	return nil
 }
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -20,7 +20,7 @@
 	spread := rand.N(stagger)
 	f.awaitPeers(ctx, known)
 	for ctx.Err() == nil {
-		at, follows := known(), f.cfg.Crew.Follows()
+		at, follows := known(), f.cfg.Crew.UsesRelays()
 		due := age
 		if !at.IsZero() && (follows || !at.Equal(last)) {
 			due += takeOver + spread
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -164,7 +164,7 @@
 		return home.Reply{Outcome: home.Lost, Cause: home.Silent, Home: vm}, true
 	}
 	if ctx.Err() != nil && !errors.Is(err, peer.ErrNotSent) {
-		p.cfg.Crew.Doubt(vm)
+		p.cfg.Crew.PingNow(vm)
 	}
 	if ctx.Err() == nil || errors.Is(err, peer.ErrNotSent) {
 		p.cfg.Crew.Suspect(vm, err)
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -6,9 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// Release drops the pools of this VM for good, since it is about to stop, so
+// ReleasePools drops the pools of this VM for good, since it is about to stop, so
 // that its lenders can lend to others at once.
-func (l *Limiter) Release() {
+func (l *Limiter) ReleasePools() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.released = true
@@ -35,8 +35,8 @@
 	}
 }
 
-// Returning returns the tokens that a lender gets back, once.
-func (l *Limiter) Returning(to siskin.VMID) Tokens {
+// TakeReturnedTokens returns the tokens that a lender gets back, once.
+func (l *Limiter) TakeReturnedTokens(to siskin.VMID) Tokens {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tokens := l.returning[to]
@@ -51,9 +51,9 @@
 	return l.released
 }
 
-// Returned takes over that a VM has dropped its pools: what this VM lent to it
+// HandleRelease takes over that a VM has dropped its pools: what this VM lent to it
 // is its own again, and so are its part of the tokens.
-func (l *Limiter) Returned(from siskin.VMID, tokens Tokens) {
+func (l *Limiter) HandleRelease(from siskin.VMID, tokens Tokens) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Now()
@@ -72,9 +72,9 @@
 // Stamp returns a stamp that loans to this VM may cite.
 func (l *Limiter) Stamp() Stamp { return Stamp{Run: l.cfg.Run, At: l.cfg.Clock.Now().UnixNano()} }
 
-// Received takes over a stamp of another VM. The result says whether no recent
+// HandleStamp takes over a stamp of another VM. The result says whether no recent
 // one was known, so that a loan to that VM can begin at once.
-func (l *Limiter) Received(from siskin.VMID, s Stamp) (first bool) {
+func (l *Limiter) HandleStamp(from siskin.VMID, s Stamp) (first bool) {
 	if s.Run == 0 {
 		return false
 	}
@@ -142,8 +142,8 @@
 	return true
 }
 
-// Lent takes over loans of another VM, or of this one.
-func (l *Limiter) Lent(loans *Loans) {
+// AcceptLoans takes over loans of another VM, or of this one.
+func (l *Limiter) AcceptLoans(loans *Loans) {
 	issued := time.Unix(0, loans.Stamp.At)
 	now := l.cfg.Clock.Now()
 	if loans.Stamp.Run != l.cfg.Run || now.Sub(issued) > loanLife {
@@ -182,11 +182,11 @@
 	p.tokens = min(p.tokens, burst*p.share(now))
 }
 
-// LendSelf lends this VM's shares to the pools that it holds itself.
-func (l *Limiter) LendSelf() {
+// LendToSelf lends this VM's shares to the pools that it holds itself.
+func (l *Limiter) LendToSelf() {
 	self := l.cfg.Members.Self().ID
-	l.Received(self, l.Stamp())
+	l.HandleStamp(self, l.Stamp())
 	if loans := l.Loans(self); loans != nil {
-		l.Lent(loans)
+		l.AcceptLoans(loans)
 	}
 }
--- a/internal/quota/owners.go
+++ b/internal/quota/owners.go
@@ -88,8 +88,8 @@
 	return l.sets.Rank("rates", live, l.choose)
 }
 
-// Owners returns the ids of the VMs that hold pools.
-func (l *Limiter) Owners() []siskin.VMID {
+// PoolOwners returns the ids of the VMs that hold pools.
+func (l *Limiter) PoolOwners() []siskin.VMID {
 	var ids []siskin.VMID
 	for _, vm := range l.ownerSet(l.cfg.Members.Live()) {
 		ids = append(ids, vm.ID)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -52,8 +52,8 @@
 	Members siskin.Members
 	Peers   siskin.Peers
 	Log     *log.Logger
-	// Doubt asks for a ping of a VM that gave no answer.
-	Doubt func(siskin.VMID)
+	// PingNow asks for a ping of a VM that gave no answer.
+	PingNow func(siskin.VMID)
 }
 
 // Limiter admits requests. It implements siskin.Limiter.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -123,7 +123,7 @@
 	tab.Apply(&siskin.Deployment{Version: 1, Customers: []siskin.CustomerSpec{{ID: "acme", Rate: siskin.RequestsPerSecond(s.rate), Burst: siskin.Requests(s.burst)}}}, nil)
 	v.run++
 	v.down, v.paused = false, false
-	v.l = New(Config{Clock: s.clock, Run: v.run, Table: tab, Members: v, Peers: v, Log: logs.New("error", "json", io.Discard), Doubt: func(siskin.VMID) {}})
+	v.l = New(Config{Clock: s.clock, Run: v.run, Table: tab, Members: v, Peers: v, Log: logs.New("error", "json", io.Discard), PingNow: func(siskin.VMID) {}})
 	var holders []siskin.VMID
 	for _, o := range s.vms {
 		holders = append(holders, o.id())
@@ -160,17 +160,17 @@
 			return
 		}
 		if loans != nil {
-			to.l.Lent(loans)
+			to.l.AcceptLoans(loans)
 		}
 		stamp, released := to.l.Stamp(), to.l.Released()
-		tokens := to.l.Returning(from.id())
+		tokens := to.l.TakeReturnedTokens(from.id())
 		answer := func() {
 			if from.down || from.paused {
 				return
 			}
 			if released {
-				from.l.Returned(to.id(), tokens)
-			} else if from.l.Received(to.id(), stamp) {
+				from.l.HandleRelease(to.id(), tokens)
+			} else if from.l.HandleStamp(to.id(), stamp) {
 				s.ping(from, to) // the first stamp is used at once, as by crew
 			}
 		}
@@ -192,7 +192,7 @@
 	v := s.vms[s.rng.Intn(len(s.vms))]
 	switch s.rng.Intn(7) {
 	case 6:
-		v.l.Release()
+		v.l.ReleasePools()
 	case 0:
 		v.down = true
 	case 1:
@@ -259,7 +259,7 @@
 			if v.down || v.paused {
 				continue
 			}
-			v.l.LendSelf()
+			v.l.LendToSelf()
 			if (now/step+time.Duration(i))%30 == 0 {
 				for _, o := range s.vms {
 					if o != v {
@@ -386,19 +386,19 @@
 		v.l.cfg.Table.Apply(&siskin.Deployment{Version: version, Customers: []siskin.CustomerSpec{{ID: "acme", Rate: 10, Burst: burst}}}, nil)
 	}
 	owner := v.l.owners("acme", 0, 0)[0]
-	v.l.Received(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
+	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	if v.l.Loans(owner) == nil {
 		t.Fatal("got no loan, want one of the whole share")
 	}
 	set(2, 1000)
-	v.l.Received(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
+	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	v.l.Loans(owner)
 	if got := v.l.part("acme").kept; got != 0 {
 		t.Errorf("kept while the larger loan counts: got %v, want 0", got)
 	}
 	s.clock.Advance(loanLife)
 	owner = v.l.owners("acme", 0, ownPart)[0]
-	v.l.Received(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
+	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	if v.l.Loans(owner) == nil && owner != v.id() {
 		t.Fatal("got no loan after the first one lapsed, want one")
 	}
@@ -455,7 +455,7 @@
 	s.run(4*time.Second, 0, false)
 	for _, id := range s.vms[0].l.owners("acme", 0, 0) {
 		v := s.find(id)
-		v.l.Release()
+		v.l.ReleasePools()
 		v.leaving = true
 	}
 	s.lookAround(1)
@@ -553,7 +553,7 @@
 		s.find(o).down = true
 	}
 	doubted := 0
-	v.l.cfg.Doubt = func(siskin.VMID) { doubted++ }
+	v.l.cfg.PingNow = func(siskin.VMID) { doubted++ }
 	for range 50 {
 		v.l.AdmitWait(context.Background(), "acme", 1)
 		s.clock.Advance(time.Millisecond)
@@ -589,7 +589,7 @@
 	// The burst is large, so that it does not hide what was earned.
 	v.l.cfg.Table.Apply(&siskin.Deployment{Version: 2, Customers: []siskin.CustomerSpec{{ID: "acme", Rate: testRate, Burst: 1000}}}, nil)
 	v.l.Admit(s.clock.Now(), "acme", 1)
-	v.l.Received(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
+	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	if v.l.Loans(owner) == nil {
 		t.Fatal("got no loan, want one")
 	}
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -69,7 +69,7 @@
 	l.silent[owner] = l.cfg.Clock.Now().Add(silentFor)
 	l.mu.Unlock()
 	l.cfg.Log.Info().Err(err).Str("Customer", string(customer)).Str("Owner", string(owner)).Msg("the pool gave no answer")
-	l.cfg.Doubt(owner)
+	l.cfg.PingNow(owner)
 }
 
 // ask returns the owners of the customer's pools in the order to ask them, none
--- a/internal/roster/cold.go
+++ b/internal/roster/cold.go
@@ -19,10 +19,10 @@
 	maxListAge = 5 * time.Second
 )
 
-// Cold reports whether a target may be cold, for a VM that has used it since the
+// MayBeCold reports whether a target may be cold, for a VM that has used it since the
 // time opened and saw it fail last at the time failed, which is zero when it did
 // not. The target's entry says so, or no list tells yet whether it started again.
-func (r *Roster) Cold(id siskin.TargetID, opened, failed, now time.Time) bool {
+func (r *Roster) MayBeCold(id siskin.TargetID, opened, failed, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
--- a/internal/roster/cold_test.go
+++ b/internal/roster/cold_test.go
@@ -17,25 +17,25 @@
 	info.ColdRemaining = time.Second
 	r.Replace([]siskin.TargetInfo{info}, 3, at(2*time.Second))
 	for now, want := range map[time.Duration]bool{2 * time.Second: true, 3*time.Second + coldMargin - 1: true, 3*time.Second + coldMargin: false} {
-		if got := r.Cold("a", at(0), time.Time{}, at(now)); got != want {
+		if got := r.MayBeCold("a", at(0), time.Time{}, at(now)); got != want {
 			t.Errorf("cold at %v, with 1s left at 2s: got %t, want %t", now, got, want)
 		}
 	}
 	info.ColdRemaining = 0
 	r.Replace([]siskin.TargetInfo{info}, 4, at(4*time.Second))
-	if r.Cold("a", at(0), time.Time{}, at(4*time.Second)) {
+	if r.MayBeCold("a", at(0), time.Time{}, at(4*time.Second)) {
 		t.Error("cold once its entry says that it is not: got true, want false")
 	}
 	failed := at(10 * time.Second)
 	r.Confirm(4, failed.Add(coldUnknown-1))
-	if !r.Cold("a", at(0), failed, at(20*time.Second)) {
+	if !r.MayBeCold("a", at(0), failed, at(20*time.Second)) {
 		t.Error("cold after a failure without a later list: got false, want true")
 	}
 	r.Confirm(4, failed.Add(coldUnknown))
-	if r.Cold("a", at(0), failed, at(20*time.Second)) {
+	if r.MayBeCold("a", at(0), failed, at(20*time.Second)) {
 		t.Error("cold after a failure and a later list: got true, want false")
 	}
-	if !r.Cold("unknown", at(0), time.Time{}, at(0)) {
+	if !r.MayBeCold("unknown", at(0), time.Time{}, at(0)) {
 		t.Error("cold of an unknown target: got false, want true")
 	}
 }
@@ -47,7 +47,7 @@
 	info := siskin.TargetInfo{ID: "a", Service: "s"}
 	check := func(what string, opened, now time.Duration, want bool) {
 		t.Helper()
-		if got := r.Cold("a", at(opened), time.Time{}, at(now)); got != want {
+		if got := r.MayBeCold("a", at(opened), time.Time{}, at(now)); got != want {
 			t.Errorf("%s: got cold %t, want %t", what, got, want)
 		}
 	}
--- a/internal/roster/evacuations.go
+++ b/internal/roster/evacuations.go
@@ -102,9 +102,9 @@
 	r.evac.bound = bound
 }
 
-// Evacuate applies the list of evacuated data centres of a version of the store,
+// ReplaceEvacuations applies the list of evacuated data centres of a version of the store,
 // which was current at a time. Older lists change nothing.
-func (r *Roster) Evacuate(list []siskin.DataCentreID, version siskin.Version, at time.Time) {
+func (r *Roster) ReplaceEvacuations(list []siskin.DataCentreID, version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.evac.replace(list, version, r.version, at) {
@@ -136,17 +136,17 @@
 	return list, r.evac.version, r.evac.at
 }
 
-// Closed reports whether a target must get no statement at all, since its data
+// Blocked reports whether a target must get no statement at all, since its data
 // centre is evacuated.
-func (r *Roster) Closed(id siskin.TargetID, now time.Time) bool {
+func (r *Roster) Blocked(id siskin.TargetID, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
 	return ok && r.evac.closed(e.info.DataCentre, now)
 }
 
-// Known reports whether targets are listed and may be used.
-func (r *Roster) Known() bool {
+// Ready reports whether targets are listed and may be used.
+func (r *Roster) Ready() bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.version > 0 && r.evac.known()
--- a/internal/roster/evacuations_test.go
+++ b/internal/roster/evacuations_test.go
@@ -62,7 +62,7 @@
 				for _, dc := range words[2:] {
 					list = append(list, siskin.DataCentreID(dc))
 				}
-				r.Evacuate(list, siskin.Version(version), at)
+				r.ReplaceEvacuations(list, siskin.Version(version), at)
 				r.Replace(targetsOfThree(), siskin.Version(version), at.Add(time.Nanosecond))
 				if got := marked(r, now); got != want {
 					t.Errorf("%s: got %s, want %s", input, got, want)
@@ -76,7 +76,7 @@
 	var list []string
 	for _, t := range r.Service("s") {
 		mark := ""
-		switch closed := r.Closed(t.ID, now); {
+		switch closed := r.Blocked(t.ID, now); {
 		case closed && t.Evacuated && r.Leaving(t.ID, now):
 			mark = "x"
 		case closed:
@@ -94,23 +94,23 @@
 // where the platform has none.
 func TestUnknownEvacuations(t *testing.T) {
 	r := evacuable()
-	if _, ok := r.Target("a"); ok || len(r.Service("s")) > 0 || r.Known() {
-		t.Errorf("targets before a list of evacuations: got %v, known %t, want none", r.Service("s"), r.Known())
+	if _, ok := r.Target("a"); ok || len(r.Service("s")) > 0 || r.Ready() {
+		t.Errorf("targets before a list of evacuations: got %v, known %t, want none", r.Service("s"), r.Ready())
 	}
 	changed := r.Changed()
-	r.Evacuate([]siskin.DataCentreID{"dc-a"}, 3, time.Unix(1001, 0))
+	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-a"}, 3, time.Unix(1001, 0))
 	select {
 	case <-changed:
 	default:
 		t.Error("the first list of evacuations: got no change, want one")
 	}
-	if info, ok := r.Target("a"); !ok || !info.Evacuated || !r.Known() {
+	if info, ok := r.Target("a"); !ok || !info.Evacuated || !r.Ready() {
 		t.Errorf("target with a list of evacuations: got %+v %t, want it evacuated", info, ok)
 	}
 	without := New()
 	without.Replace([]siskin.TargetInfo{{ID: "a", Service: "s", Evacuated: true}}, 1, time.Unix(1000, 0))
-	without.Evacuate([]siskin.DataCentreID{""}, 3, time.Unix(1001, 0))
-	if info, ok := without.Target("a"); !ok || info.Evacuated || !without.Known() {
+	without.ReplaceEvacuations([]siskin.DataCentreID{""}, 3, time.Unix(1001, 0))
+	if info, ok := without.Target("a"); !ok || info.Evacuated || !without.Ready() {
 		t.Errorf("target where the platform has no evacuations: got %+v %t, want it known and not evacuated", info, ok)
 	}
 }
@@ -122,7 +122,7 @@
 	if r.ConfirmEvacuations(0, time.Unix(1000, 0)) {
 		t.Error("confirmed without a list: got true, want false")
 	}
-	r.Evacuate(nil, 4, time.Unix(1000, 0))
+	r.ReplaceEvacuations(nil, 4, time.Unix(1000, 0))
 	for _, c := range []struct {
 		version siskin.Version
 		want    bool
@@ -141,8 +141,8 @@
 // targets that says so.
 func TestTakenBackBeforeTargets(t *testing.T) {
 	r, at := evacuable(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
-	r.Evacuate([]siskin.DataCentreID{"dc-a", "dc-b"}, 2, at(0))
-	r.Evacuate([]siskin.DataCentreID{"dc-b", "dc-c"}, 5, at(time.Second))
+	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-a", "dc-b"}, 2, at(0))
+	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-b", "dc-c"}, 5, at(time.Second))
 	if got, want := marked(r, at(time.Second)), "xa xb -c"; got != want {
 		t.Errorf("before a list of targets: got %s, want %s", got, want)
 	}
@@ -159,7 +159,7 @@
 	if got, want := marked(r, at(3*time.Second)), "a xb -c"; got != want {
 		t.Errorf("with a list of targets of that version: got %s, want %s", got, want)
 	}
-	if !r.Cold("a", at(0), time.Time{}, at(3*time.Second)) {
+	if !r.MayBeCold("a", at(0), time.Time{}, at(3*time.Second)) {
 		t.Error("cold target: got false, want true")
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -74,10 +74,10 @@
 	return r.evac.mark(e.info), true
 }
 
-// Since returns the time of the first list with the present run of a target and that
+// ListedSince returns the time of the first list with the present run of a target and that
 // of the last list. With first the run is older than what this VM has seen. The result
 // ok is false when the last list lacks the target.
-func (r *Roster) Since(id siskin.TargetID) (since, listed time.Time, first, ok bool) {
+func (r *Roster) ListedSince(id siskin.TargetID) (since, listed time.Time, first, ok bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.Expect(map[siskin.ServiceName]int{"s": n}, time.Unix(1000, 0).Add(after))
+		r.LearnSizes(map[siskin.ServiceName]int{"s": n}, time.Unix(1000, 0).Add(after))
 		return
 	}
 	version, err2 := strconv.ParseUint(words[1], 10, 64)
@@ -117,7 +117,7 @@
 		return siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", Address: "a", StartedAt: at(born), Draining: draining}
 	}
 	r := New()
-	if _, _, _, ok := r.Since("a"); ok {
+	if _, _, _, ok := r.ListedSince("a"); ok {
 		t.Error("before the first list: got a time, want none")
 	}
 	r.Replace([]siskin.TargetInfo{info("a", 0, false), info("b", 0, false)}, 1, at(0))
@@ -129,12 +129,12 @@
 		want      time.Time
 		first, ok bool
 	}{{"a", at(0), true, true}, {"b", at(4), false, true}, {"c", time.Time{}, false, false}} {
-		if got, _, first, ok := r.Since(c.id); !got.Equal(c.want) || first != c.first || ok != c.ok {
+		if got, _, first, ok := r.ListedSince(c.id); !got.Equal(c.want) || first != c.first || ok != c.ok {
 			t.Errorf("%s: got %v, %v and %v, want %v, %v and %v", c.id, got, first, ok, c.want, c.first, c.ok)
 		}
 	}
 	r.Replace([]siskin.TargetInfo{info("a", 0, true), info("b", 4, false), info("c", 2, false)}, 5, at(6))
-	if since, listed, first, ok := r.Since("c"); !ok || first || !since.Equal(at(6)) || !listed.Equal(at(6)) {
+	if since, listed, first, ok := r.ListedSince("c"); !ok || first || !since.Equal(at(6)) || !listed.Equal(at(6)) {
 		t.Errorf("a target that is listed again: got %v, %v and %v, want %v twice", since, listed, ok, at(6))
 	}
 }
--- a/internal/roster/size.go
+++ b/internal/roster/size.go
@@ -63,8 +63,8 @@
 	return 0
 }
 
-// Incomplete returns the sizes of the groups that lack targets.
-func (r *Roster) Incomplete() map[siskin.ServiceName]int {
+// IncompleteSizes returns the sizes of the groups that lack targets.
+func (r *Roster) IncompleteSizes() map[siskin.ServiceName]int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var sizes map[siskin.ServiceName]int
@@ -79,10 +79,10 @@
 	return sizes
 }
 
-// Expect takes over the sizes of groups that lack targets from another VM. Only
+// LearnSizes takes over the sizes of groups that lack targets from another VM. Only
 // groups that this VM has known for a short time change: its first list may lack
 // the same targets.
-func (r *Roster) Expect(sizes map[siskin.ServiceName]int, at time.Time) {
+func (r *Roster) LearnSizes(sizes map[siskin.ServiceName]int, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, n := range sizes {
--- a/internal/sysd/cold.go
+++ b/internal/sysd/cold.go
@@ -53,7 +53,7 @@
 // mayBeCold reports whether a target may be cold that this VM uses since the time
 // opened and that failed last at another one.
 func (n *node) mayBeCold(t siskin.TargetInfo, opened, failed time.Time) bool {
-	return n.coldFor(t.Service) > 0 && n.roster.Cold(t.ID, opened, failed, n.clock.Now())
+	return n.coldFor(t.Service) > 0 && n.roster.MayBeCold(t.ID, opened, failed, n.clock.Now())
 }
 
 // admitCold takes a statement from the rate of the cold targets of a service.
--- a/internal/sysd/listen.go
+++ b/internal/sysd/listen.go
@@ -76,5 +76,5 @@
 // ready reports whether this VM can serve callers. A VM that is merely cut off
 // from the store stays ready, one that is isolated does not.
 func (n *node) ready() bool {
-	return !n.stopping.Load() && !n.isolated.Load() && n.table.Snapshot().Version > 0 && n.roster.Known()
+	return !n.stopping.Load() && !n.isolated.Load() && n.table.Snapshot().Version > 0 && n.roster.Ready()
 }
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -91,7 +91,7 @@
 	n.homes = home.New(home.Config{
 		Clock: n.clock, Views: n.views, Target: n.roster.Target, Limit: n.connLimit,
 		MayBeCold: n.mayBeCold, AdmitCold: n.admitCold,
-		Closed:    func(id siskin.TargetID) bool { return n.roster.Closed(id, n.clock.Now()) },
+		Closed:    func(id siskin.TargetID) bool { return n.roster.Blocked(id, n.clock.Now()) },
 		IsHome:    func(t siskin.TargetInfo) bool { return n.path != nil && n.path.IsHome(t) },
 		Connector: &platform.Connector{Dial: dialer.DialContext}, Leads: n.leads(),
 	})
@@ -134,7 +134,7 @@
 // when its last list was asked for. The start that the entry tells counts only for
 // runs that this VM has found at its own start: later ones began when its lists say.
 func (n *node) listed(id siskin.TargetID) (since, listed time.Time, ok bool) {
-	since, listed, first, ok := n.roster.Since(id)
+	since, listed, first, ok := n.roster.ListedSince(id)
 	if t, known := n.roster.Target(id); ok && first && known && t.StartedAt.UnixMilli() > 0 {
 		if born := n.clock.Now().Add(clockMargin - time.Since(t.StartedAt)); born.Before(since) {
 			since = born
@@ -157,7 +157,7 @@
 	run := siskin.Incarnation(time.Now().UnixNano())
 	n.crew = crew.New(crew.Config{
 		Clock: n.clock, Seeds: n.cfg.Peer.Seeds, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views,
-		Homes: n.homes, Apply: n.apply, Log: n.log, Near: n.nearPeers, IsHome: n.isHome,
+		Homes: n.homes, Apply: n.apply, Log: n.log, PriorityPeers: n.nearPeers, IsHome: n.isHome,
 		Self: crew.Node{
 			ID: siskin.VMID(n.cfg.VM.ID), Run: run, DataCentre: siskin.DataCentreID(n.cfg.VM.DataCentre),
 			Address: cmp.Or(n.cfg.Peer.Advertised, n.cfg.Peer.Address), Capacity: n.cfg.VM.Capacity(),
@@ -166,7 +166,7 @@
 	n.peers.SetLookup(n.crew.Address)
 	n.path = path.New(path.Config{Clock: n.clock, Crew: n.crew, Roster: n.roster, Views: n.views, Homes: n.homes, Peers: n.peers, Log: n.log, Status: platform.ParseStatus})
 	n.rates = quota.New(quota.Config{
-		Clock: n.clock, Run: run, Table: n.table, Members: n.crew, Peers: n.peers, Log: n.log, Doubt: n.crew.Doubt,
+		Clock: n.clock, Run: run, Table: n.table, Members: n.crew, Peers: n.peers, Log: n.log, PingNow: n.crew.PingNow,
 	})
 	return nil
 }
@@ -177,20 +177,20 @@
 }
 
 // nearPeers returns the VMs that this one depends on.
-func (n *node) nearPeers() crew.Near {
-	near := crew.Near{Pools: make(map[siskin.VMID]bool)}
+func (n *node) nearPeers() crew.PriorityPeers {
+	near := crew.PriorityPeers{PoolOwners: make(map[siskin.VMID]bool)}
 	if n.rates.Share() > 0 { // others have nothing to lend
-		for _, id := range n.rates.Owners() {
-			near.Pools[id] = true
+		for _, id := range n.rates.PoolOwners() {
+			near.PoolOwners[id] = true
 		}
 	}
 	self := n.crew.Self().ID
-	near.Needed = slices.Contains(n.rates.Owners(), self)
+	near.ServesOthers = slices.Contains(n.rates.PoolOwners(), self)
 	targets, _, _ := n.roster.Listed()
-	for i := 0; i < len(targets) && !near.Needed; i++ {
-		near.Needed = n.path.IsHome(targets[i])
+	for i := 0; i < len(targets) && !near.ServesOthers; i++ {
+		near.ServesOthers = n.path.IsHome(targets[i])
 	}
-	near.Homes, near.Followed = n.path.PrimaryHomes(n.table.Snapshot().Services)
+	near.Homes, near.StandbyFor = n.path.PrimaryHomes(n.table.Snapshot().Services)
 	return near
 }
 
