--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -16,54 +16,54 @@
 	// remoteBias is the same for targets in other data centres, whose answers
 	// cross a priced link.
 	remoteBias = 0.4
-	// behindBias is the same for a replica that lacked a floor within laggedFor.
+	// laggingBias is the same for a replica that lacked a floor within laggedFor.
 	// Its last known position does not tell: it is older than the floor, and the
 	// replica has received more since.
-	behindBias = 3.0
-	laggedFor  = 500 * time.Millisecond
-	// warmingBias is the same for a target that has just started.
-	warmingBias = 1.0
-	// newConnBias is the same for a replica that another replica precedes as
+	laggingBias   = 3.0
+	laggingWindow = 500 * time.Millisecond
+	// coldBias is the same for a target that has just started.
+	coldBias = 1.0
+	// newConnectionBias is the same for a replica that another replica precedes as
 	// the place of the customer's connections. A new connection takes as long
 	// as a statement or two.
-	newConnBias = 0.7
+	newConnectionBias = 0.7
 	// failedBias is the same for a target that failed within avoidFailed. It is
 	// used only when there is no other.
-	failedBias  = 100
-	avoidFailed = time.Second
-	// loadLife is the age at which a report of a target's load no longer counts.
+	failedBias   = 100
+	failedWindow = time.Second
+	// loadMaxAge is the age at which a report of a target's load no longer counts.
 	// A target that nobody asks is reported by nobody, so an old queue there
 	// would keep all away from it.
-	loadLife = 1500 * time.Millisecond
-	// spread is the largest part of a statement by which the choice varies, so
+	loadMaxAge = 1500 * time.Millisecond
+	// maxJitter is the largest part of a statement by which the choice varies, so
 	// that VMs which know the same do not all choose the same target.
-	spread = 0.2
+	maxJitter = 0.2
 )
 
-// choice is what decides at which target a read runs.
-type choice struct {
+// targetSelector is what decides at which target a read runs.
+type targetSelector struct {
 	Targets  []siskin.TargetInfo
 	Primary  siskin.TargetID
 	Customer siskin.CustomerID
-	// ConnsScarce says that the customers outnumber the connections of a
+	// ConnectionsScarce says that the customers outnumber the connections of a
 	// target, so that a statement at another target than those before often
 	// costs a new connection.
-	ConnsScarce bool
-	Near        siskin.DataCentreID
-	Excluded    []siskin.TargetID
-	Now         time.Time
-	// Seen returns what is known of a target, and Running the statements that
+	ConnectionsScarce bool
+	LocalDataCentre   siskin.DataCentreID
+	Excluded          []siskin.TargetID
+	Now               time.Time
+	// View returns what is known of a target, and Running the statements that
 	// this VM has there.
-	Seen    func(siskin.TargetID) views.Target
+	View    func(siskin.TargetID) views.Target
 	Running func(siskin.TargetID) int
 	// Random returns a number from 0 to 1.
 	Random func() float64
 }
 
-// target returns the least loaded target as far as known, empty when there is
+// leastLoaded returns the least loaded leastLoaded as far as known, empty when there is
 // none.
-func (c *choice) target() siskin.TargetID {
-	usual := c.usual()
+func (c *targetSelector) leastLoaded() siskin.TargetID {
+	preferred := c.preferred()
 	var best siskin.TargetID
 	var least float64
 	for i := range c.Targets {
@@ -72,8 +72,8 @@
 			continue
 		}
 		cost := c.cost(t)
-		if usual != "" && t.ID != usual && t.ID != c.Primary {
-			cost += newConnBias
+		if preferred != "" && t.ID != preferred && t.ID != c.Primary {
+			cost += newConnectionBias
 		}
 		if best == "" || cost < least {
 			best, least = t.ID, cost
@@ -82,47 +82,47 @@
 	return best
 }
 
-func (c *choice) usable(t *siskin.TargetInfo) bool {
+func (c *targetSelector) usable(t *siskin.TargetInfo) bool {
 	return !t.Draining && !t.Evacuated && !slices.Contains(c.Excluded, t.ID)
 }
 
-// usual returns the replica that keeps the customer's connections when they are
+// preferred returns the replica that keeps the customer's connections when they are
 // scarce.
-func (c *choice) usual() siskin.TargetID {
-	if !c.ConnsScarce {
+func (c *targetSelector) preferred() siskin.TargetID {
+	if !c.ConnectionsScarce {
 		return ""
 	}
-	var usual siskin.TargetID
-	var top uint64
+	var preferred siskin.TargetID
+	var topScore uint64
 	for i := range c.Targets {
 		t := &c.Targets[i]
 		if t.ID == c.Primary || !c.usable(t) {
 			continue
 		}
-		if score := place.Score(string(c.Customer), t.ID); usual == "" || score > top {
-			usual, top = t.ID, score
+		if score := place.Score(string(c.Customer), t.ID); preferred == "" || score > topScore {
+			preferred, topScore = t.ID, score
 		}
 	}
-	return usual
+	return preferred
 }
 
-func (c *choice) cost(t *siskin.TargetInfo) float64 {
-	seen := c.Seen(t.ID)
-	load := float64(seen.Load) * max(0, 1-float64(c.Now.Sub(seen.LoadAt))/float64(loadLife))
+func (c *targetSelector) cost(t *siskin.TargetInfo) float64 {
+	view := c.View(t.ID)
+	load := float64(view.Load) * max(0, 1-float64(c.Now.Sub(view.LoadAt))/float64(loadMaxAge))
 	load = max(load, float64(c.Running(t.ID)))
-	cost := load/float64(max(1, t.Slots)) + spread*c.Random()
+	cost := load/float64(max(1, t.Slots)) + maxJitter*c.Random()
 	if t.ID == c.Primary {
 		cost += primaryBias
-	} else if !seen.LaggedAt.IsZero() && c.Now.Sub(seen.LaggedAt) < laggedFor {
-		cost += behindBias
+	} else if !view.LaggedAt.IsZero() && c.Now.Sub(view.LaggedAt) < laggingWindow {
+		cost += laggingBias
 	}
-	if t.DataCentre != c.Near {
+	if t.DataCentre != c.LocalDataCentre {
 		cost += remoteBias
 	}
 	if t.ColdRemaining > 0 {
-		cost += warmingBias
+		cost += coldBias
 	}
-	if seen.Failures > 0 && c.Now.Sub(seen.FailedAt) < avoidFailed {
+	if view.Failures > 0 && c.Now.Sub(view.FailedAt) < failedWindow {
 		cost += failedBias
 	}
 	return cost
--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -14,18 +14,18 @@
 	"siskintray.example/siskin/platform"
 )
 
-// heldHomes answers each statement when it is released.
-type heldHomes struct{ arrived, release chan struct{} }
+// blockingHomes answers each statement when it is released.
+type blockingHomes struct{ arrived, release chan struct{} }
 
-func (h *heldHomes) Run(context.Context, *home.Request) home.Reply {
+func (h *blockingHomes) Run(context.Context, *home.Request) home.Reply {
 	h.arrived <- struct{}{}
 	<-h.release
 	return home.Reply{Outcome: home.Answered, Answer: siskin.Answer{Signature: "1"}, Tx: 1, Home: "vm"}
 }
 
-// talk opens a session and returns a function that sends a statement, and one
+// openSession opens a session and returns a function that sends a statement, and one
 // that reads the lines of an answer and says whether the session was closed.
-func talk(t *testing.T, f *fixture) (send func(string), receive func() (answer string, closed bool)) {
+func openSession(t *testing.T, f *fixture) (send func(string), receive func() (answer string, closed bool)) {
 	t.Helper()
 	caller, server := net.Pipe()
 	t.Cleanup(func() { _ = caller.Close() })
@@ -61,15 +61,15 @@
 // to end, so that the statement after it is cut with the process.
 func TestEndBusySession(t *testing.T) {
 	f := newFixture(t)
-	held := &heldHomes{make(chan struct{}, 1), make(chan struct{}, 1)}
-	f.e.cfg.Homes = held
-	send, receive := talk(t, f)
+	blocking := &blockingHomes{make(chan struct{}, 1), make(chan struct{}, 1)}
+	f.e.cfg.Homes = blocking
+	send, receive := openSession(t, f)
 	send("READ x")
-	<-held.arrived
+	<-blocking.arrived
 	if got := f.e.EndSessions(5); got != 1 {
 		t.Errorf("open sessions: got %d, want 1", got)
 	}
-	held.release <- struct{}{}
+	blocking.release <- struct{}{}
 	if answer, closed := receive(); closed || !strings.Contains(answer, "DONE") {
 		t.Errorf("statement in progress: got %q, closed %v, want its answer", answer, closed)
 	}
@@ -82,11 +82,11 @@
 // transaction, also one that began while the session was asked to end.
 func TestEndSessionInTransaction(t *testing.T) {
 	f := newFixture(t)
-	held := &heldHomes{make(chan struct{}, 4), make(chan struct{}, 4)}
-	f.e.cfg.Homes = held
-	send, receive := talk(t, f)
+	blocking := &blockingHomes{make(chan struct{}, 4), make(chan struct{}, 4)}
+	f.e.cfg.Homes = blocking
+	send, receive := openSession(t, f)
 	for range 3 {
-		held.release <- struct{}{}
+		blocking.release <- struct{}{}
 	}
 	for i, statement := range []string{"BEGIN", "READ x", "COMMIT"} {
 		send(statement)
@@ -108,18 +108,18 @@
 	}
 }
 
-// faultyHomes fails by a fault of the program.
-type faultyHomes struct{}
+// panickingHomes fails by a fault of the program.
+type panickingHomes struct{}
 
-func (faultyHomes) Run(context.Context, *home.Request) home.Reply { panic("a fault on purpose") }
+func (panickingHomes) Run(context.Context, *home.Request) home.Reply { panic("a fault on purpose") }
 
 // TestFaultEndsOneSession guards against a fault in one statement that ends the
 // process with the sessions of all callers.
 func TestFaultEndsOneSession(t *testing.T) {
 	f := newFixture(t)
-	f.e.cfg.Homes = faultyHomes{}
-	send, receive := talk(t, f)
-	other, answer := talk(t, f)
+	f.e.cfg.Homes = panickingHomes{}
+	send, receive := openSession(t, f)
+	other, answer := openSession(t, f)
 	send("READ x")
 	if got, closed := receive(); !closed {
 		t.Errorf("session with the fault: got %q, want a close", got)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,9 +14,9 @@
 	cfg  Config
 	done sync.WaitGroup
 
-	lines    *lines
-	writing  *writing
-	inFlight *shard.Map[siskin.TargetID, *atomic.Int32]
+	logLimiter *logLimiter
+	writeHints *writeHints
+	inFlight   *shard.Map[siskin.TargetID, *atomic.Int32]
 
 	mu       sync.Mutex
 	sessions map[*Session]struct{}
@@ -25,7 +25,7 @@
 
 // New returns an Entry without sessions.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg, lines: newLines(), writing: newWriting(), inFlight: shard.New[siskin.TargetID, *atomic.Int32](), sessions: make(map[*Session]struct{})}
+	return &Entry{cfg: cfg, logLimiter: newLogLimiter(), writeHints: newWriteHints(), inFlight: shard.New[siskin.TargetID, *atomic.Int32](), sessions: make(map[*Session]struct{})}
 }
 
 // Serve runs the session of a caller in the background.
@@ -66,7 +66,7 @@
 		if n == 0 {
 			break
 		}
-		if s.ending.Swap(true) {
+		if s.draining.Swap(true) {
 			continue
 		}
 		n--
@@ -90,37 +90,37 @@
 	return nil
 }
 
-func (e *Entry) counter(id siskin.TargetID) *atomic.Int32 {
+func (e *Entry) inFlightCounter(id siskin.TargetID) *atomic.Int32 {
 	return e.inFlight.GetOrCreate(id, func() *atomic.Int32 { return new(atomic.Int32) })
 }
 
-func (e *Entry) started(id siskin.TargetID) { e.counter(id).Add(1) }
+func (e *Entry) statementStarted(id siskin.TargetID) { e.inFlightCounter(id).Add(1) }
 
-func (e *Entry) ended(id siskin.TargetID) { e.counter(id).Add(-1) }
+func (e *Entry) statementEnded(id siskin.TargetID) { e.inFlightCounter(id).Add(-1) }
 
 // running returns the number of statements that this VM has at a target.
-func (e *Entry) running(id siskin.TargetID) int { return int(e.counter(id).Load()) }
+func (e *Entry) running(id siskin.TargetID) int { return int(e.inFlightCounter(id).Load()) }
 
-func (e *Entry) closed(s *Session, err error) {
-	if !ended(err) && siskin.KindOf(err) == siskin.BadInput {
+func (e *Entry) handleReadError(s *Session, err error) {
+	if !isNormalClose(err) && siskin.KindOf(err) == siskin.BadInput {
 		a := siskin.Answer{Code: siskin.Malformed, Message: err.Error()}
 		_ = s.c.Refuse(a.Code, a.Message) // the session ends in either case
-		e.refusedSession(s, &a)
+		e.recordRefusedSession(s, &a)
 	}
 }
 
-// refusedSession logs a session that was not accepted or broke the protocol.
-func (e *Entry) refusedSession(s *Session, a *siskin.Answer) {
-	e.cfg.Metrics.refused(a.Code)
+// recordRefusedSession logs a session that was not accepted or broke the protocol.
+func (e *Entry) recordRefusedSession(s *Session, a *siskin.Answer) {
+	e.cfg.Metrics.countRefusal(a.Code)
 	e.cfg.Log.Info().Str("Database", s.database).Stringer("Code", a.Code).
 		Uint64("Revision", uint64(e.cfg.Table.Snapshot().Version)).Msg("session refused")
 }
 
-// finished logs and counts the answer to an operation.
-func (e *Entry) finished(o *operation, a *siskin.Answer) {
+// recordOperation logs and counts the answer to an operation.
+func (e *Entry) recordOperation(o *operation, a *siskin.Answer) {
 	took := e.cfg.Clock.Since(o.start)
-	e.cfg.Metrics.finished(o, a, took)
-	entry, suppressed, ok := e.lines.next(e.cfg.Log, a.Code == siskin.Succeeded)
+	e.cfg.Metrics.recordOperation(o, a, took)
+	entry, suppressed, ok := e.logLimiter.next(e.cfg.Log, a.Code == siskin.Succeeded)
 	if !ok {
 		return
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -24,9 +24,9 @@
 
 // fakeHomes answers requests from a list of replies and records them.
 type fakeHomes struct {
-	mu      sync.Mutex
-	replies []home.Reply
-	seen    []string
+	mu       sync.Mutex
+	replies  []home.Reply
+	requests []string
 }
 
 func (f *fakeHomes) Run(_ context.Context, req *home.Request) home.Reply {
@@ -34,7 +34,7 @@
 	defer f.mu.Unlock()
 	proofs := map[home.Proof]string{home.NoProof: "none", home.FloorProof: "floor", home.LeadProof: "lead"}
 	modes := map[home.TxMode]string{home.Single: "", home.Open: "+open", home.Continue: "+tx"}
-	f.seen = append(f.seen, fmt.Sprintf("%s@%s/%s%s", req.Statement.Kind, req.Target, proofs[req.Proof], modes[req.Mode]))
+	f.requests = append(f.requests, fmt.Sprintf("%s@%s/%s%s", req.Statement.Kind, req.Target, proofs[req.Proof], modes[req.Mode]))
 	if len(f.replies) == 0 {
 		return home.Reply{Cause: home.Unreachable}
 	}
@@ -146,7 +146,7 @@
 				if !ok {
 					continue
 				}
-				if got := play(t, input); got != want {
+				if got := runScript(t, input); got != want {
 					t.Errorf("%s: got %s, want %s", input, got, want)
 				}
 			}
@@ -154,7 +154,7 @@
 	}
 }
 
-func play(t *testing.T, input string) string {
+func runScript(t *testing.T, input string) string {
 	t.Helper()
 	f := newFixture(t)
 	asked, answered, _ := strings.Cut(input, ":")
@@ -175,7 +175,7 @@
 			t.Fatal(err)
 		}
 	}
-	return fmt.Sprintf("%s %s [%s]", a.Code, a.State, strings.Join(f.homes.seen, " "))
+	return fmt.Sprintf("%s %s [%s]", a.Code, a.State, strings.Join(f.homes.requests, " "))
 }
 
 // TestRates guards against refusals that use up the customer's rate, and
@@ -251,20 +251,20 @@
 	}
 }
 
-// TestSilentPrimary guards against statements that are sent, one after the
+// TestUnresponsivePrimary guards against statements that are sent, one after the
 // other, to a primary that is known to give no answer: writes end in doubt and
 // all wait for their time-out.
-func TestSilentPrimary(t *testing.T) {
+func TestUnresponsivePrimary(t *testing.T) {
 	f := newFixture(t)
 	target := f.e.cfg.Views.LatestProof("s").Target
-	for range silentFailures {
+	for range unresponsiveFailures {
 		f.e.cfg.Views.RecordFailure(target, boot.Clock{}.Now())
 	}
 	st := statements["WRITE"]
-	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || len(f.homes.seen) != 0 {
-		t.Errorf("write: got %v after the requests %v, want Busy and no request", a.Code, f.homes.seen)
+	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || len(f.homes.requests) != 0 {
+		t.Errorf("write: got %v after the requests %v, want Busy and no request", a.Code, f.homes.requests)
 	}
-	time.Sleep(silentPause)
+	time.Sleep(unresponsivePause)
 	f.homes.replies = []home.Reply{replies["ok"]}
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Succeeded {
 		t.Errorf("write after the pause: got %v, want it tried again", a.Code)
--- a/internal/entry/lines.go
+++ b/internal/entry/lines.go
@@ -8,29 +8,29 @@
 )
 
 const (
-	// successLines and failureLines bound the lines of requests a second and
+	// successLinesPerSecond and failureLines bound the lines of requests a second and
 	// VM. A VM of today's size carries some 60 requests a second in all.
-	successLines = 150
-	failureLines = 150
+	successLinesPerSecond = 150
+	failureLinesPerSecond = 150
 	// lineBurst is the number of lines that may come at once.
 	lineBurst = 300
 )
 
-// lines bounds the lines of requests, apart for successes and failures, so that
+// logLimiter bounds the logLimiter of requests, apart for successes and failures, so that
 // a flood of one hides none of the other.
-type lines struct {
+type logLimiter struct {
 	success, failure *rate.Limiter
 	// suppressed counts the lines left out since the last one.
 	suppressed atomic.Int64
 }
 
-func newLines() *lines {
-	return &lines{success: rate.NewLimiter(successLines, lineBurst), failure: rate.NewLimiter(failureLines, lineBurst)}
+func newLogLimiter() *logLimiter {
+	return &logLimiter{success: rate.NewLimiter(successLinesPerSecond, lineBurst), failure: rate.NewLimiter(failureLinesPerSecond, lineBurst)}
 }
 
 // next returns an entry for a request's line and how many were left out before
 // it, or says to write none.
-func (l *lines) next(to *log.Logger, success bool) (e *log.Entry, suppressed int64, ok bool) {
+func (l *logLimiter) next(to *log.Logger, success bool) (e *log.Entry, suppressed int64, ok bool) {
 	limiter := l.failure
 	if success {
 		limiter = l.success
--- a/internal/entry/lines_test.go
+++ b/internal/entry/lines_test.go
@@ -12,7 +12,7 @@
 // hides the other kind.
 func TestLines(t *testing.T) {
 	var b bytes.Buffer
-	l, to := newLines(), logs.New("info", "json", &b)
+	l, to := newLogLimiter(), logs.New("info", "json", &b)
 	write := func(success bool) {
 		if e, suppressed, ok := l.next(to, success); ok {
 			e.Int64("Suppressed", suppressed).Msg("request")
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -50,9 +50,9 @@
 	return m
 }
 
-func (m *Metrics) refused(c siskin.AnswerCode) { m.refusals[c].Inc(1) }
+func (m *Metrics) countRefusal(c siskin.AnswerCode) { m.refusals[c].Inc(1) }
 
-func (m *Metrics) finished(o *operation, a *siskin.Answer, took time.Duration) {
+func (m *Metrics) recordOperation(o *operation, a *siskin.Answer, took time.Duration) {
 	m.answers[a.Code].Inc(1)
 	if o.route != nil {
 		m.latency[o.route.Kind].RecordDuration(took)
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -13,9 +13,9 @@
 const (
 	// maxAttempts bounds the attempts at one statement.
 	maxAttempts = 3
-	// patienceFactor is the number of latency objectives after which a read is
+	// budgetFactor is the number of latency objectives after which a read is
 	// given up. Callers of the known services wait five to six objectives.
-	patienceFactor = 3
+	budgetFactor = 3
 	// waitDivisor is the part of the latency objective that a statement waits
 	// for a primary to become known, or for a connection, before it is refused.
 	// The users count a refusal after a quarter of the objective as late.
@@ -23,8 +23,8 @@
 	// floorMargin is taken off the age that a floor may reach, for the time
 	// between the caller's first byte and the check at the home.
 	floorMargin = 100 * time.Millisecond
-	// minAttempt is the least time for one attempt of several.
-	minAttempt = 60 * time.Millisecond
+	// minAttemptTime is the least time for one attempt of several.
+	minAttemptTime = 60 * time.Millisecond
 )
 
 // operation is the run of one statement that needs a target.
@@ -42,32 +42,32 @@
 	reason   string // why the last attempt did not succeed
 }
 
-// operate runs a statement that needs a target.
-func (s *Session) operate(st *siskin.Statement) (*siskin.Answer, error) {
+// runOperation runs a statement that needs a target.
+func (s *Session) runOperation(st *siskin.Statement) (*siskin.Answer, error) {
 	o := &operation{s: s, st: st, start: s.e.cfg.Clock.Now()}
 	var refusal *siskin.Answer
 	if o.route, o.customer, refusal = s.authorize(); refusal != nil {
 		if s.tx != nil {
 			s.rollback()
 		}
-		s.e.finished(o, refusal)
-		return refusal, errEnd
+		s.e.recordOperation(o, refusal)
+		return refusal, errSessionEnded
 	}
-	a := o.do()
-	s.e.finished(o, a)
+	a := o.execute()
+	s.e.recordOperation(o, a)
 	return a, nil
 }
 
-func (o *operation) do() *siskin.Answer {
+func (o *operation) execute() *siskin.Answer {
 	s := o.s
 	if s.tx != nil && o.st.MayWrite() {
-		s.e.writing.note(o.route.Name, s.e.cfg.Clock.Now())
+		s.e.writeHints.record(o.route.Name, s.e.cfg.Clock.Now())
 	}
-	if s.tx != nil && s.tx.opened {
-		if s.tx.atReplica && o.st.MayWrite() {
-			return o.beganAtReplica()
+	if s.tx != nil && s.tx.begun {
+		if s.tx.begunReadOnly && o.st.MayWrite() {
+			return o.abortReadOnlyTransaction()
 		}
-		return o.continued()
+		return o.continueTransaction()
 	}
 	// Rates count operations, so a transaction counts once, with its first
 	// statement.
@@ -75,13 +75,13 @@
 	defer cancel()
 	if adm := s.e.cfg.Limiter.AdmitWait(ctx, o.customer, 1); !adm.Admitted {
 		o.reason = "RateExceeded"
-		return o.notRun(siskin.Busy, "the customer's rate is used up", adm.RetryAfter)
+		return o.refuseNotRun(siskin.Busy, "the customer's rate is used up", adm.RetryAfter)
 	}
 	var a *siskin.Answer
 	if o.needsPrimary() {
-		a = o.atPrimary()
+		a = o.runAtPrimary()
 	} else {
-		a = o.atReplica()
+		a = o.runAtReplica()
 	}
 	if !o.sent {
 		s.e.cfg.Limiter.Refund(o.customer, 1)
@@ -95,11 +95,11 @@
 		return true
 	}
 	tx := o.s.tx
-	return tx != nil && !tx.readOnly && o.s.e.writing.expects(o.route, o.s.e.cfg.Clock.Now())
+	return tx != nil && !tx.readOnly && o.s.e.writeHints.expectsWrite(o.route, o.s.e.cfg.Clock.Now())
 }
 
-// notRun refuses the operation with the promise that nothing of it is kept.
-func (o *operation) notRun(code siskin.AnswerCode, why string, after time.Duration) *siskin.Answer {
+// refuseNotRun refuses the operation with the promise that nothing of it is kept.
+func (o *operation) refuseNotRun(code siskin.AnswerCode, why string, after time.Duration) *siskin.Answer {
 	message := why + "; not run"
 	if after > 0 {
 		message = fmt.Sprintf("%s; not run, retry after %d ms", why, after.Milliseconds())
@@ -113,7 +113,7 @@
 
 // budget is the time after which the operation is given up.
 func (o *operation) budget() time.Duration {
-	return min(o.route.Timeout, patienceFactor*o.route.LatencyObjective)
+	return min(o.route.Timeout, budgetFactor*o.route.LatencyObjective)
 }
 
 func (o *operation) remaining() time.Duration {
@@ -129,7 +129,7 @@
 	if o.st.Kind == siskin.Execute {
 		req.Prepared = o.s.prepared[o.st.Name]
 	}
-	if o.s.tx != nil && !o.s.tx.opened {
+	if o.s.tx != nil && !o.s.tx.begun {
 		req.Mode = home.Open
 	}
 	return req
@@ -146,28 +146,28 @@
 	ctx, cancel := context.WithTimeout(context.Background(), req.Timeout+replyMargin)
 	defer cancel()
 	e := o.s.e
-	asked := e.cfg.Clock.Now()
-	e.started(req.Target)
+	sentAt := e.cfg.Clock.Now()
+	e.statementStarted(req.Target)
 	o.reply = e.cfg.Homes.Run(ctx, req)
-	e.ended(req.Target)
+	e.statementEnded(req.Target)
 	o.sent = o.sent || o.reply.Outcome != home.NotSent
-	o.observe(req, asked)
+	o.observe(req, sentAt)
 	return o.reply
 }
 
 // observe takes over what a reply says of the target. The moment before the
 // request was sent is earlier than the home's own question, so ages count from
 // it.
-func (o *operation) observe(req *home.Request, asked time.Time) {
+func (o *operation) observe(req *home.Request, sentAt time.Time) {
 	v, r := o.s.e.cfg.Views, &o.reply
 	if r.LeadProven {
-		v.RecordProof(req.Service, views.PrimaryProof{Target: req.Target, Position: r.Lead, At: asked})
+		v.RecordProof(req.Service, views.PrimaryProof{Target: req.Target, Position: r.Lead, At: sentAt})
 	}
 	if r.Answer.Code == siskin.ReadOnly {
-		v.RecordDenial(req.Service, req.Target, asked)
+		v.RecordDenial(req.Service, req.Target, sentAt)
 	}
 	if r.Outcome == home.Answered {
-		v.RecordPosition(req.Target, r.Answer.Position, asked)
+		v.RecordPosition(req.Target, r.Answer.Position, sentAt)
 	}
 	switch {
 	case req.Proof != home.FloorProof:
@@ -189,9 +189,9 @@
 // its request is over.
 const replyMargin = 30 * time.Millisecond
 
-// opened takes over the transaction that a reply opened, and returns its answer.
-// With floored it was opened read-only, under a floor.
-func (o *operation) opened(reply *home.Reply, floored bool) *siskin.Answer {
+// finishAttempt takes over the transaction that a reply finishAttempt, and returns its answer.
+// With floored it was finishAttempt read-only, under a floor.
+func (o *operation) finishAttempt(reply *home.Reply, withFloor bool) *siskin.Answer {
 	a := reply.Answer
 	s := o.s
 	if s.tx == nil {
@@ -203,16 +203,16 @@
 		a.State = siskin.TxIdle
 		return &a
 	}
-	s.tx.opened, s.tx.target, s.tx.home, s.tx.id = true, o.target, reply.Home, reply.Tx
+	s.tx.begun, s.tx.target, s.tx.home, s.tx.id = true, o.target, reply.Home, reply.Tx
 	s.tx.wrote = o.st.MayWrite()
-	s.tx.atReplica = floored && !s.tx.readOnly
+	s.tx.begunReadOnly = withFloor && !s.tx.readOnly
 	s.tx.failed = a.Code != siskin.Succeeded
 	a.State = s.state()
 	return &a
 }
 
-// raise sets the floor of the session's reads after a commit.
-func (s *Session) raise(p siskin.Position) {
+// raiseFloor sets the floor of the session's reads after a commit.
+func (s *Session) raiseFloor(p siskin.Position) {
 	if p.Compare(s.floor) > 0 {
 		s.floor = p
 	}
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -7,21 +7,21 @@
 	"siskintray.example/siskin/internal/home"
 )
 
-// retryUnderChange is the time to come back after a refusal for lack of a
+// noPrimaryRetryAfter is the time to come back after a refusal for lack of a
 // primary. A promotion takes about a second.
-const retryUnderChange = 500 * time.Millisecond
+const noPrimaryRetryAfter = 500 * time.Millisecond
 
-// retryOverload is the least time to come back after a refusal for lack of
+// minOverloadRetryAfter is the least time to come back after a refusal for lack of
 // capacity, a few statements' time at a target.
-const retryOverload = 50 * time.Millisecond
+const minOverloadRetryAfter = 50 * time.Millisecond
 
-// atPrimary runs the operation at the primary of its service.
-func (o *operation) atPrimary() *siskin.Answer {
+// runAtPrimary runs the operation at the primary of its service.
+func (o *operation) runAtPrimary() *siskin.Answer {
 	for o.attempts < maxAttempts {
-		target := o.primary()
-		if target == "" || o.silent(target) {
+		target := o.awaitPrimary()
+		if target == "" || o.unresponsive(target) {
 			o.reason = "NoPrimary"
-			return o.notRun(siskin.Busy, "the service has no primary at the moment", retryUnderChange)
+			return o.refuseNotRun(siskin.Busy, "the service has no primary at the moment", noPrimaryRetryAfter)
 		}
 		req := o.request(o.route.Timeout)
 		req.Target = target
@@ -33,7 +33,7 @@
 		reply := o.run(req)
 		switch reply.Outcome {
 		case home.Answered:
-			if a, again := o.settled(&reply); !again {
+			if a, retry := o.handleAnswer(&reply); !retry {
 				return a
 			}
 		case home.InDoubt:
@@ -45,39 +45,39 @@
 			// read changes nothing.
 			o.reason = reply.Cause.String()
 		case home.NotSent:
-			if a := o.refused(&reply); a != nil {
+			if a := o.handleNotSent(&reply); a != nil {
 				return a
 			}
 		}
-		if o.remaining() < minAttempt {
+		if o.remaining() < minAttemptTime {
 			break
 		}
 	}
-	return o.notRun(siskin.Busy, "the primary did not answer ("+o.reason+")", retryUnderChange)
+	return o.refuseNotRun(siskin.Busy, "the primary did not answer ("+o.reason+")", noPrimaryRetryAfter)
 }
 
 const (
-	// silentFailures is the number of failures in a row after which a primary is
+	// unresponsiveFailures is the number of failures in a row after which a primary is
 	// held to be out of reach, and silentPause the time after the last one in
 	// which nothing is sent to it. A statement that waits for it takes up to its
 	// time-out, and is refused all the same. The watch over the primary asks it
 	// each 200 ms.
-	silentFailures = 3
-	silentPause    = 200 * time.Millisecond
+	unresponsiveFailures = 3
+	unresponsivePause    = 200 * time.Millisecond
 )
 
-// silent reports whether a target has just failed again and again.
-func (o *operation) silent(id siskin.TargetID) bool {
+// unresponsive reports whether a target has just failed again and again.
+func (o *operation) unresponsive(id siskin.TargetID) bool {
 	t := o.s.e.cfg.Views.Target(id)
-	return o.attempts == 0 && t.Failures >= silentFailures && o.s.e.cfg.Clock.Since(t.FailedAt) < silentPause
+	return o.attempts == 0 && t.Failures >= unresponsiveFailures && o.s.e.cfg.Clock.Since(t.FailedAt) < unresponsivePause
 }
 
-// settled returns the answer of a target, or says to try again because the
+// handleAnswer returns the answer of a target, or says to try again because the
 // target did not run the statement.
-func (o *operation) settled(reply *home.Reply) (a *siskin.Answer, again bool) {
+func (o *operation) handleAnswer(reply *home.Reply) (a *siskin.Answer, retry bool) {
 	switch reply.Answer.Code {
 	case siskin.ReadOnly, siskin.NoStatement:
-		if o.s.tx == nil && o.attempts < maxAttempts && o.remaining() > minAttempt {
+		if o.s.tx == nil && o.attempts < maxAttempts && o.remaining() > minAttemptTime {
 			o.reason = reply.Answer.Code.String()
 			return nil, true
 		}
@@ -88,36 +88,36 @@
 			o.s.floor = reply.Lead
 		}
 		if o.st.MayWrite() && o.s.tx == nil {
-			o.s.raise(reply.Answer.Position)
+			o.s.raiseFloor(reply.Answer.Position)
 		}
 	}
-	return o.opened(reply, false), false
+	return o.finishAttempt(reply, false), false
 }
 
-// refused handles a statement that was not sent. It returns nil when another
+// handleNotSent handles a statement that was not sent. It returns nil when another
 // attempt makes sense.
-func (o *operation) refused(reply *home.Reply) *siskin.Answer {
+func (o *operation) handleNotSent(reply *home.Reply) *siskin.Answer {
 	o.reason = reply.Cause.String()
 	switch reply.Cause {
 	case home.Overload, home.NoConnection:
-		return o.notRun(siskin.Busy, "too many statements wait for the primary", max(reply.RetryAfter, retryOverload))
+		return o.refuseNotRun(siskin.Busy, "too many statements wait for the primary", max(reply.RetryAfter, minOverloadRetryAfter))
 	case home.Stalled:
-		return o.notRun(siskin.Busy, "the primary acknowledges no writes at the moment", retryUnderChange)
+		return o.refuseNotRun(siskin.Busy, "the primary acknowledges no writes at the moment", noPrimaryRetryAfter)
 	case home.Evacuated:
-		return o.notRun(siskin.Busy, "the data centre of the primary is evacuated", retryUnderChange)
+		return o.refuseNotRun(siskin.Busy, "the data centre of the primary is evacuated", noPrimaryRetryAfter)
 	case home.Refused:
 		o.reason = reply.Answer.Code.String()
 		switch reply.Answer.Code {
 		case siskin.ReadOnly, siskin.NoStatement:
 			return nil
 		}
-		return o.notRun(siskin.Busy, "the target refused the transaction ("+o.reason+")", retryOverload)
+		return o.refuseNotRun(siskin.Busy, "the target refused the transaction ("+o.reason+")", minOverloadRetryAfter)
 	}
 	return nil
 }
 
-// primary returns the primary, waiting a little when none is known.
-func (o *operation) primary() siskin.TargetID {
+// awaitPrimary returns the awaitPrimary, waiting a little when none is known.
+func (o *operation) awaitPrimary() siskin.TargetID {
 	e := o.s.e
 	name := o.route.Service
 	deadline := o.route.LatencyObjective / waitDivisor
--- a/internal/entry/replica.go
+++ b/internal/entry/replica.go
@@ -8,23 +8,23 @@
 	"siskintray.example/siskin/internal/home"
 )
 
-// atReplica runs a read, or a read-only transaction, at any target that has the
+// runAtReplica runs a read, or a read-only transaction, at any target that has the
 // data. When no floor of the allowed age is known the primary runs it.
-func (o *operation) atReplica() *siskin.Answer {
-	for o.attempts < maxAttempts-1 && o.remaining() > minAttempt {
+func (o *operation) runAtReplica() *siskin.Answer {
+	for o.attempts < maxAttempts-1 && o.remaining() > minAttemptTime {
 		floor, valid := o.floor()
-		target := o.pick()
+		target := o.selectTarget()
 		if valid <= 0 || target == "" {
 			break
 		}
-		patience := max(o.remaining()/2, minAttempt)
+		patience := max(o.remaining()/2, minAttemptTime)
 		req := o.request(patience)
 		req.Target, req.Proof, req.Floor, req.FloorTTL = target, home.FloorProof, floor, valid
 		reply := o.run(req)
 		if reply.Outcome == home.Answered {
 			a := &reply.Answer
 			if a.Code == siskin.Succeeded || o.s.tx != nil || !a.Code.HadNoEffect() && a.Code != siskin.Failed {
-				return o.opened(&reply, true)
+				return o.finishAttempt(&reply, true)
 			}
 			o.reason = a.Code.String()
 			if a.Code == siskin.Lagging {
@@ -38,7 +38,7 @@
 		}
 		o.excluded = append(o.excluded, target)
 	}
-	return o.atPrimary()
+	return o.runAtPrimary()
 }
 
 // floor returns the position that a read must see, and how much longer it is
@@ -56,17 +56,17 @@
 	return floor, valid
 }
 
-// pick returns the target for a read, the least loaded one as far as known.
-func (o *operation) pick() siskin.TargetID {
+// selectTarget returns the target for a read, the least loaded one as far as known.
+func (o *operation) selectTarget() siskin.TargetID {
 	e := o.s.e
 	targets := e.cfg.Roster.Service(o.route.Service)
 	snap := e.cfg.Table.Snapshot()
 	spec, ok := snap.Service(o.route.Service)
-	c := choice{
+	selector := targetSelector{
 		Targets: targets, Primary: e.cfg.Views.Primary(o.route.Service, targets), Customer: o.customer,
-		ConnsScarce: ok && spec.MaxConnections > 0 && len(snap.Customers) > spec.MaxConnections,
-		Near:        e.cfg.Self.DataCentre, Excluded: o.excluded, Now: e.cfg.Clock.Now(),
-		Seen: e.cfg.Views.Target, Running: e.running, Random: rand.Float64,
+		ConnectionsScarce: ok && spec.MaxConnections > 0 && len(snap.Customers) > spec.MaxConnections,
+		LocalDataCentre:   e.cfg.Self.DataCentre, Excluded: o.excluded, Now: e.cfg.Clock.Now(),
+		View: e.cfg.Views.Target, Running: e.running, Random: rand.Float64,
 	}
-	return c.target()
+	return selector.leastLoaded()
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -32,18 +32,18 @@
 	busy atomic.Bool
 	// inTx mirrors whether tx is set, for other goroutines.
 	inTx atomic.Bool
-	// ending says that the session ends once no statement or transaction is in
+	// draining says that the session ends once no statement or transaction is in
 	// progress.
-	ending atomic.Bool
+	draining atomic.Bool
 }
 
-// errEnd ends a session after its last answer.
-var errEnd = errors.New("the session has ended")
+// errSessionEnded ends a session after its last answer.
+var errSessionEnded = errors.New("the session has ended")
 
 // serve runs the session until the caller or the VM ends it.
 func (s *Session) serve() {
 	defer s.end()
-	defer s.survive()
+	defer s.recoverPanic()
 	if err := s.start(); err != nil {
 		return
 	}
@@ -53,7 +53,7 @@
 			continue // the transaction began while the session was asked to end
 		}
 		if err != nil {
-			s.e.closed(s, err)
+			s.e.handleReadError(s, err)
 			return
 		}
 		s.busy.Store(true)
@@ -68,16 +68,16 @@
 		if err != nil {
 			return
 		}
-		if s.ending.Load() && s.tx == nil {
+		if s.draining.Load() && s.tx == nil {
 			s.c.Interrupt()
 		}
 	}
 }
 
-// survive ends this session alone after a fault of the program, so that one
+// recoverPanic ends this session alone after a fault of the program, so that one
 // statement does not end the sessions of all callers. Its caller gets no answer,
 // which promises nothing.
-func (s *Session) survive() {
+func (s *Session) recoverPanic() {
 	v := recover()
 	if v == nil {
 		return
@@ -97,8 +97,8 @@
 	s.awaitConfiguration()
 	_, _, refusal := s.authorize()
 	if refusal != nil {
-		s.e.refusedSession(s, refusal)
-		return errors.Join(s.c.Refuse(refusal.Code, refusal.Message), errEnd)
+		s.e.recordRefusedSession(s, refusal)
+		return errors.Join(s.c.Refuse(refusal.Code, refusal.Message), errSessionEnded)
 	}
 	return s.c.Ready()
 }
@@ -164,8 +164,8 @@
 	}
 }
 
-// own returns the answer to a statement that concerns the session alone.
-func (s *Session) own() *siskin.Answer { return &siskin.Answer{State: s.state()} }
+// emptyAnswer returns the answer to a statement that concerns the session alone.
+func (s *Session) emptyAnswer() *siskin.Answer { return &siskin.Answer{State: s.state()} }
 
 func (s *Session) refuse(code siskin.AnswerCode, message string) *siskin.Answer {
 	return &siskin.Answer{Code: code, Message: message, State: s.state()}
@@ -178,32 +178,32 @@
 	}
 	switch st.Kind {
 	case siskin.SetValue:
-		s.set(st.Name, st.Text)
-		return s.own(), nil
+		s.setValue(st.Name, st.Text)
+		return s.emptyAnswer(), nil
 	case siskin.Prepare:
 		if s.prepared == nil {
 			s.prepared = make(map[string]home.Prepared)
 		}
 		s.prepared[st.Name] = home.Prepared{Shape: st.Text, Writes: st.Writes}
-		return s.own(), nil
+		return s.emptyAnswer(), nil
 	case siskin.Deallocate:
 		if _, ok := s.prepared[st.Name]; !ok {
 			return s.fail(siskin.NoStatement, "no prepared statement has this name"), nil
 		}
 		delete(s.prepared, st.Name)
-		return s.own(), nil
+		return s.emptyAnswer(), nil
 	case siskin.Begin, siskin.BeginRead:
 		if s.tx != nil {
 			return s.fail(siskin.Malformed, "a transaction is open already; end it first"), nil
 		}
 		s.tx = &transaction{readOnly: st.Kind == siskin.BeginRead}
-		return s.own(), nil
+		return s.emptyAnswer(), nil
 	case siskin.Rollback:
 		if s.tx == nil {
 			return s.refuse(siskin.Malformed, "no transaction is open"), nil
 		}
 		s.rollback()
-		return s.own(), nil
+		return s.emptyAnswer(), nil
 	case siskin.Commit:
 		if s.tx == nil {
 			return s.refuse(siskin.Malformed, "no transaction is open"), nil
@@ -222,7 +222,7 @@
 	default:
 		return s.fail(siskin.Malformed, "the statement is not understood"), nil
 	}
-	return s.operate(st)
+	return s.runOperation(st)
 }
 
 // fail refuses a statement and marks an open transaction as failed.
@@ -233,7 +233,7 @@
 	return s.refuse(code, message)
 }
 
-func (s *Session) set(name, text string) {
+func (s *Session) setValue(name, text string) {
 	i, found := slices.BinarySearchFunc(s.values, name, func(v home.Value, name string) int { return cmp.Compare(v.Name, name) })
 	if found {
 		s.values[i].Text = text
@@ -242,7 +242,7 @@
 	s.values = slices.Insert(s.values, i, home.Value{Name: name, Text: text})
 }
 
-// ended reports whether err is an ordinary end of a session.
-func ended(err error) bool {
+// isNormalClose reports whether err is an ordinary end of a session.
+func isNormalClose(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed)
 }
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -12,15 +12,15 @@
 // with its first statement.
 type transaction struct {
 	readOnly bool
-	// opened says that a target has begun it.
-	opened bool
+	// begun says that a target has begun it.
+	begun  bool
 	failed bool
 	wrote  bool
-	// atReplica says that a plain transaction was begun read-only.
-	atReplica bool
-	target    siskin.TargetID
-	home      siskin.VMID
-	id        home.TxID
+	// begunReadOnly says that a plain transaction was begun read-only.
+	begunReadOnly bool
+	target        siskin.TargetID
+	home          siskin.VMID
+	id            home.TxID
 }
 
 // rollbackTimeout bounds the end of a transaction that nobody waits for.
@@ -30,7 +30,7 @@
 func (s *Session) rollback() {
 	tx := s.tx
 	s.tx = nil
-	if !tx.opened {
+	if !tx.begun {
 		return
 	}
 	req := &home.Request{
@@ -44,19 +44,19 @@
 	s.e.cfg.Homes.Run(ctx, req)
 }
 
-// beganAtReplica ends a plain transaction that was begun read-only and is to
+// abortReadOnlyTransaction ends a plain transaction that was begun read-only and is to
 // write.
-func (o *operation) beganAtReplica() *siskin.Answer {
+func (o *operation) abortReadOnlyTransaction() *siskin.Answer {
 	o.reason = "BeganAtReplica"
 	tx := *o.s.tx
 	o.s.rollback()
-	tx.failed, tx.opened = true, false
+	tx.failed, tx.begun = true, false
 	o.s.tx = &tx
 	return o.s.refuse(siskin.Aborted, "the transaction was begun read-only at a replica and was rolled back; run it again")
 }
 
-// continued runs a statement of a transaction that a target has begun.
-func (o *operation) continued() *siskin.Answer {
+// continueTransaction runs a statement of a transaction that a target has begun.
+func (o *operation) continueTransaction() *siskin.Answer {
 	tx := o.s.tx
 	req := o.request(o.route.Timeout)
 	req.Target, req.Home, req.Mode, req.Tx = tx.target, tx.home, home.Continue, tx.id
@@ -71,7 +71,7 @@
 		if commit {
 			a.State = siskin.TxIdle
 			if a.Code == siskin.Succeeded && tx.wrote {
-				o.s.raise(a.Position)
+				o.s.raiseFloor(a.Position)
 			}
 			return &a
 		}
@@ -87,7 +87,7 @@
 	}
 	// No commit was sent, or it had nothing to commit.
 	if !commit {
-		tx.failed, tx.opened = true, false
+		tx.failed, tx.begun = true, false
 	}
 	return o.s.refuse(siskin.Aborted, "the transaction was rolled back ("+reply.Cause.String()+"); run it again")
 }
--- a/internal/entry/writing.go
+++ b/internal/entry/writing.go
@@ -7,29 +7,29 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// writingFor is the time for which a route counts as one whose transactions
+// writeHintPeriod is the time for which a route counts as one whose transactions
 // write, after one did.
-const writingFor = 5 * time.Minute
+const writeHintPeriod = 5 * time.Minute
 
-// writing remembers the routes whose plain transactions write.
+// writeHints remembers the routes whose plain transactions write.
 //
 // On a route that accepts old data a plain transaction is expected to read only,
 // so it begins read-only at a replica. With transactions of several statements,
 // such routes would else hold most slots of the primary, which alone can run
 // writes. A write in such a transaction ends it without a trace, and those that
 // follow on the route begin at the primary.
-type writing struct {
+type writeHints struct {
 	until *shard.Map[siskin.RouteName, time.Time]
 }
 
-func newWriting() *writing { return &writing{until: shard.New[siskin.RouteName, time.Time]()} }
+func newWriteHints() *writeHints { return &writeHints{until: shard.New[siskin.RouteName, time.Time]()} }
 
-func (w *writing) note(route siskin.RouteName, now time.Time) {
-	w.until.Put(route, now.Add(writingFor))
+func (w *writeHints) record(route siskin.RouteName, now time.Time) {
+	w.until.Put(route, now.Add(writeHintPeriod))
 }
 
-// expects reports whether plain transactions of a route are expected to write.
-func (w *writing) expects(route *siskin.RouteSpec, now time.Time) bool {
+// expectsWrite reports whether plain transactions of a route are expected to write.
+func (w *writeHints) expectsWrite(route *siskin.RouteSpec, now time.Time) bool {
 	if route.Kind != siskin.BoundedStaleness {
 		return true
 	}
--- a/internal/feed/evacuations.go
+++ b/internal/feed/evacuations.go
@@ -7,13 +7,13 @@
 	"siskintray.example/siskin"
 )
 
-func (f *Feed) evacuatedAt() time.Time {
+func (f *Feed) evacuationsConfirmedAt() time.Time {
 	_, _, at := f.cfg.Roster.Evacuations()
 	return at
 }
 
-// evacuations reads the evacuated data centres, which the objects are named after.
-func (f *Feed) evacuations(ctx context.Context, asked time.Time) error {
+// readEvacuations reads the evacuated data centres, which the objects are named after.
+func (f *Feed) readEvacuations(ctx context.Context, asked time.Time) error {
 	l, err := f.cfg.Store.List(ctx, f.cfg.EvacuationKind)
 	if err != nil {
 		return err
--- a/internal/feed/evacuations_test.go
+++ b/internal/feed/evacuations_test.go
@@ -18,10 +18,10 @@
 	s.evacuated = names
 }
 
-func (s *fakeStore) evacuationReads() int {
+func (s *fakeStore) evacuationListCalls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.listed
+	return s.evacuationLists
 }
 
 func (f *fixture) awaitEvacuated(t *testing.T, want []siskin.DataCentreID, limit time.Duration) {
@@ -53,7 +53,7 @@
 	f.store.set("1", nil)
 	f.awaitEvacuated(t, []siskin.DataCentreID{"dc-b"}, 2500*time.Millisecond)
 	f.store.mu.Lock()
-	f.store.unknown = errors.New("down")
+	f.store.evacuationsErr = errors.New("down")
 	f.store.mu.Unlock()
 	f.store.evacuate()
 	time.Sleep(2500 * time.Millisecond)
@@ -62,7 +62,7 @@
 		t.Errorf("age of the list of targets while evacuations cannot be read: got %v, want less than 2.5 s", age)
 	}
 	f.store.mu.Lock()
-	f.store.unknown = nil
+	f.store.evacuationsErr = nil
 	f.store.mu.Unlock()
 	f.awaitEvacuated(t, nil, 2500*time.Millisecond)
 }
@@ -77,12 +77,12 @@
 			f := startFeedWith(t, kind)
 			f.await(t, "1", time.Second)
 			time.Sleep(500 * time.Millisecond) // the first list is read
-			before := f.store.evacuationReads()
+			before := f.store.evacuationListCalls()
 			if kind == "" && before > 0 {
 				t.Errorf("reads of evacuations where there are none: got %d, want 0", before)
 			}
 			time.Sleep(5 * time.Second)
-			if got := f.store.evacuationReads() - before; got > 0 {
+			if got := f.store.evacuationListCalls() - before; got > 0 {
 				t.Errorf("reads of evacuations in 5 s without a change: got %d, want 0", got)
 			}
 		})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,41 +21,41 @@
 )
 
 const (
-	// configAge is the age at which a VM reads the configuration itself. With
+	// configMaxAge is the age at which a VM reads the configuration itself. With
 	// stagger, a slow store and a ping on top, a change is in force everywhere
 	// within the 3 s that the users ask for.
-	configAge = time.Second
-	// targetAge is the same for the list of targets. The users ask for 7 s.
-	targetAge = 1500 * time.Millisecond
-	// evacuationAge is the same for the list of evacuations, which is confirmed with
+	configMaxAge = time.Second
+	// targetMaxAge is the same for the list of targets. The users ask for 7 s.
+	targetMaxAge = 1500 * time.Millisecond
+	// evacuationMaxAge is the same for the list of evacuations, which is confirmed with
 	// the list of targets while the store's version stays. With takeOver, stagger,
 	// followerDelay and two pings it is in force everywhere within 4.5 s; the users
 	// ask for 5 s.
-	evacuationAge = 1800 * time.Millisecond
-	// takeOver is added to the age for all VMs but the last reader, so that one
+	evacuationMaxAge = 1800 * time.Millisecond
+	// nonReaderDelay is added to the age for all VMs but the last reader, so that one
 	// VM goes on reading and its result reaches the others before they read. A
 	// ping takes up to 300 ms.
-	takeOver = 450 * time.Millisecond
-	// stagger spreads the reads of the others when the reader is gone.
-	stagger = 700 * time.Millisecond
-	// pollTick is the time between two looks at an age.
-	pollTick = 100 * time.Millisecond
-	// firstPause and longestPause bound the pause after a failed call, and
+	nonReaderDelay = 450 * time.Millisecond
+	// maxJitter spreads the reads of the others when the reader is gone.
+	maxJitter = 700 * time.Millisecond
+	// pollInterval is the time between two looks at an age.
+	pollInterval = 100 * time.Millisecond
+	// minBackoff and longestPause bound the pause after a failed call, and
 	// followerPause that of VMs of a large fleet that leave reading to relays.
-	firstPause    = 100 * time.Millisecond
-	longestPause  = time.Second
-	followerPause = 4 * time.Second
+	minBackoff         = 100 * time.Millisecond
+	maxBackoff         = time.Second
+	followerMaxBackoff = 4 * time.Second
 	// followerDelay is added to the age for these VMs. With configAge, takeOver
 	// and stagger it stays below the 3 s for a configuration.
 	followerDelay = 500 * time.Millisecond
-	// followerTick bounds the time between two looks of such a VM.
-	followerTick = 400 * time.Millisecond
-	// startFromPeers is the time for which a starting VM that is no seed expects its
+	// maxFollowerPollInterval bounds the time between two looks of such a VM.
+	maxFollowerPollInterval = 400 * time.Millisecond
+	// peerWait is the time for which a starting VM that is no seed expects its
 	// peers to pass on what they know.
-	startFromPeers = time.Second
-	// lonelyRead is the time between two reads of the VMs by one that has
+	peerWait = time.Second
+	// aloneReadInterval is the time between two reads of the VMs by one that has
 	// contact to none.
-	lonelyRead = time.Second
+	aloneReadInterval = time.Second
 )
 
 // VMKind is the kind of the objects by which VMs find each other.
@@ -73,41 +73,41 @@
 	// EvacuationKind names the objects that evacuate a data centre, empty where the
 	// platform has none.
 	EvacuationKind siskin.ObjectKind
-	// DecodeTarget decodes the entry of a target.
-	DecodeTarget func(siskin.StoreObject) (siskin.TargetInfo, error)
+	// ParseTarget decodes the entry of a target.
+	ParseTarget func(siskin.StoreObject) (siskin.TargetInfo, error)
 	// Apply puts an encoded configuration in force.
 	Apply  func(encoded []byte, source string)
 	Table  *table.Table
 	Roster *roster.Roster
 	Crew   *crew.Crew
-	// SetHolders is called once with the VMs that share the customers' rates.
-	SetHolders func([]siskin.VMID)
+	// OnHolders is called once with the VMs that share the customers' rates.
+	OnHolders func([]siskin.VMID)
 	// KnownHolders returns them once they are known, also from a peer.
 	KnownHolders func() []siskin.VMID
 }
 
 // Feed reads the store. Close ends it.
 type Feed struct {
-	cfg  Config
-	stop context.CancelFunc
-	done sync.WaitGroup
-	away awayState
-	// read is the version of the store up to which this VM knows the
+	cfg    Config
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	outage outageState
+	// configVersion is the version of the store up to which this VM knows the
 	// configuration. It belongs to the goroutine that reads it.
-	read siskin.Version
+	configVersion siskin.Version
 }
 
 // Start begins to read.
 func Start(cfg Config) *Feed {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Feed{cfg: cfg, stop: cancel}
-	f.done.Go(func() { f.poll(ctx, "configuration", configAge, cfg.Table.Confirmed, f.config) })
-	f.done.Go(func() { f.poll(ctx, "targets", targetAge, f.listedAt, f.targets) })
+	f.done.Go(func() { f.poll(ctx, "configuration", configMaxAge, cfg.Table.Confirmed, f.readConfig) })
+	f.done.Go(func() { f.poll(ctx, "targets", targetMaxAge, f.targetsConfirmedAt, f.readTargets) })
 	if cfg.EvacuationKind != "" {
-		f.done.Go(func() { f.poll(ctx, "evacuations", evacuationAge, f.evacuatedAt, f.evacuations) })
+		f.done.Go(func() { f.poll(ctx, "evacuations", evacuationMaxAge, f.evacuationsConfirmedAt, f.readEvacuations) })
 	}
 	f.done.Go(func() { f.register(ctx) })
-	f.done.Go(func() { f.holders(ctx) })
+	f.done.Go(func() { f.loadHolders(ctx) })
 	return f
 }
 
@@ -118,23 +118,23 @@
 	return nil
 }
 
-func (f *Feed) listedAt() time.Time {
+func (f *Feed) targetsConfirmedAt() time.Time {
 	_, at := f.cfg.Roster.Version()
 	return at
 }
 
-// config asks for changes of the configuration, and reads all of it when it must:
+// readConfig asks for changes of the configuration, and reads all of it when it must:
 // with many routes it is large, and a read each second filled the link of a VM.
-func (f *Feed) config(ctx context.Context, asked time.Time) error {
-	if f.read > 0 {
-		l, err := f.cfg.Store.Changes(ctx, f.cfg.ConfigKind, f.read)
+func (f *Feed) readConfig(ctx context.Context, asked time.Time) error {
+	if f.configVersion > 0 {
+		l, err := f.cfg.Store.Changes(ctx, f.cfg.ConfigKind, f.configVersion)
 		if err == nil {
 			for _, o := range l.Objects {
 				if o.Name == f.cfg.ConfigName {
 					f.cfg.Apply(o.Value, "store")
 				}
 			}
-			f.read = l.Version
+			f.configVersion = l.Version
 			f.cfg.Table.Confirm(asked)
 			return nil
 		}
@@ -147,19 +147,19 @@
 		return err
 	}
 	f.cfg.Apply(o.Value, "store")
-	f.read = o.Version
+	f.configVersion = o.Version
 	f.cfg.Table.Confirm(asked)
 	return nil
 }
 
-func (f *Feed) targets(ctx context.Context, asked time.Time) error {
+func (f *Feed) readTargets(ctx context.Context, asked time.Time) error {
 	l, err := f.cfg.Store.List(ctx, f.cfg.TargetKind)
 	if err != nil {
 		return err
 	}
 	list := make([]siskin.TargetInfo, 0, len(l.Objects))
 	for _, o := range l.Objects {
-		info, err := f.cfg.DecodeTarget(o)
+		info, err := f.cfg.ParseTarget(o)
 		if err != nil {
 			f.cfg.Log.Warn().Err(err).Msg("an entry names no target")
 			continue
@@ -171,5 +171,5 @@
 		return nil
 	}
 	// Something has changed in the store since the list of evacuations was read.
-	return f.evacuations(ctx, f.cfg.Clock.Now())
+	return f.readEvacuations(ctx, f.cfg.Clock.Now())
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -28,9 +28,9 @@
 	bytes int // of configurations that were sent
 	// evacuated are the objects of kind evacuations, listed is the number of reads
 	// of them, and unknown their error.
-	evacuated []string
-	listed    int
-	unknown   error
+	evacuated       []string
+	evacuationLists int
+	evacuationsErr  error
 }
 
 func (s *fakeStore) Get(context.Context, siskin.ObjectKind, string) (siskin.StoreObject, error) {
@@ -60,11 +60,11 @@
 	if kind != "evacuations" {
 		return l, s.err
 	}
-	s.listed++
+	s.evacuationLists++
 	for _, name := range s.evacuated {
 		l.Objects = append(l.Objects, siskin.StoreObject{Name: name, Version: s.rev})
 	}
-	return l, errors.Join(s.err, s.unknown)
+	return l, errors.Join(s.err, s.evacuationsErr)
 }
 
 func (s *fakeStore) Create(context.Context, siskin.ObjectKind, string, any) (siskin.Version, error) {
@@ -84,7 +84,7 @@
 	s.value, s.err = value, err
 }
 
-func (s *fakeStore) count() int {
+func (s *fakeStore) readCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reads
@@ -111,8 +111,8 @@
 	feed := Start(Config{
 		EvacuationKind: evacuations,
 		Clock:          boot.Clock{}, Store: f.store, Log: l, Table: f.table, Roster: targets, ConfigName: "main",
-		Crew:       crew.New(crew.Config{Clock: boot.Clock{}, Self: crew.Node{ID: "vm"}, Table: f.table, Roster: targets, Log: l}),
-		SetHolders: func([]siskin.VMID) {}, KnownHolders: func() []siskin.VMID { return []siskin.VMID{"vm"} },
+		Crew:      crew.New(crew.Config{Clock: boot.Clock{}, Self: crew.Node{ID: "vm"}, Table: f.table, Roster: targets, Log: l}),
+		OnHolders: func([]siskin.VMID) {}, KnownHolders: func() []siskin.VMID { return []siskin.VMID{"vm"} },
 		Apply: func(encoded []byte, _ string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -186,12 +186,12 @@
 	f := startFeed(t)
 	f.await(t, "1", time.Second)
 	// A peer's read reaches this VM every 300 ms.
-	before := f.store.count()
+	before := f.store.readCount()
 	for range 10 {
 		f.table.Confirm(boot.Clock{}.Now())
 		time.Sleep(300 * time.Millisecond)
 	}
-	if got := f.store.count() - before; got > 0 {
+	if got := f.store.readCount() - before; got > 0 {
 		t.Errorf("reads while a peer reads: got %d, want 0", got)
 	}
 	f.store.set("2", nil)
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -13,23 +13,23 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// rightsKind and rightsName name the record of the VMs that share the
+// holdersKind and holdersName name the record of the VMs that share the
 // customers' rates.
 const (
-	rightsKind = siskin.ObjectKind("rights")
-	rightsName = "main"
+	holdersKind = siskin.ObjectKind("rights")
+	holdersName = "main"
 )
 
 const (
-	// formAfter is the time after which a VM creates the record when there is
+	// createDelay is the time after which a VM creates the record when there is
 	// none. All VMs of a new fleet start within 300 ms and register at once.
-	formAfter = 3 * time.Second
-	// askPeersFor is the time for which a VM expects the record from its peers.
+	createDelay = 3 * time.Second
+	// holdersPeerWait is the time for which a VM expects the record from its peers.
 	// Seeds, which all ask at their start, and the VM with the smallest id read
 	// the store meanwhile.
-	askPeersFor = 6 * time.Second
-	// holdersPause is the pause between two reads of a record that is missing.
-	holdersPause = time.Second
+	holdersPeerWait = 6 * time.Second
+	// holdersReadInterval is the pause between two reads of a record that is missing.
+	holdersReadInterval = time.Second
 )
 
 // holdersRecord is the value of the record. It is never changed: a holder that
@@ -58,42 +58,42 @@
 	return ids
 }
 
-// holders reads the record, or creates it from the VMs known.
-func (f *Feed) holders(ctx context.Context) {
+// loadHolders reads the record, or creates it from the VMs known.
+func (f *Feed) loadHolders(ctx context.Context) {
 	start := f.cfg.Clock.Now()
 	for ctx.Err() == nil && f.cfg.KnownHolders() == nil {
-		first := f.cfg.Crew.Live()
-		reads := f.cfg.Crew.IsSeed() || len(first) > 1 && first[0].ID == f.cfg.Crew.Self().ID
-		if !reads && f.cfg.Clock.Since(start) < askPeersFor {
-			sleep(ctx, pollTick)
+		live := f.cfg.Crew.Live()
+		reads := f.cfg.Crew.IsSeed() || len(live) > 1 && live[0].ID == f.cfg.Crew.Self().ID
+		if !reads && f.cfg.Clock.Since(start) < holdersPeerWait {
+			sleep(ctx, pollInterval)
 			continue
 		}
-		l, err := f.cfg.Store.List(ctx, rightsKind)
+		l, err := f.cfg.Store.List(ctx, holdersKind)
 		if err != nil {
-			f.failed(string(rightsKind), err)
+			f.recordFailure(string(holdersKind), err)
 		}
 		for _, o := range l.Objects {
 			var r holdersRecord
-			if o.Name != rightsName {
+			if o.Name != holdersName {
 				continue
 			}
 			if err := json.Unmarshal(o.Value, &r); err != nil {
 				f.cfg.Log.Error().Err(err).Msg("the record of shares cannot be read; this VM holds none")
 				return
 			}
-			f.cfg.SetHolders(r.Holders)
+			f.cfg.OnHolders(r.Holders)
 			return
 		}
 		// A VM that has found no other yet must not keep all rates to itself.
-		alone := len(f.cfg.Crew.Live()) < 2 && f.cfg.Clock.Since(start) < askPeersFor
-		if err == nil && f.cfg.Clock.Since(start) > formAfter && !alone {
+		alone := len(f.cfg.Crew.Live()) < 2 && f.cfg.Clock.Since(start) < holdersPeerWait
+		if err == nil && f.cfg.Clock.Since(start) > createDelay && !alone {
 			r := holdersRecord{chooseHolders(f.cfg.Crew.Nodes())}
 			// Whether or not this VM created it, the next read tells.
-			if _, err := f.cfg.Store.Create(ctx, rightsKind, rightsName, r); err != nil {
+			if _, err := f.cfg.Store.Create(ctx, holdersKind, holdersName, r); err != nil {
 				f.cfg.Log.Info().Err(err).Msg("the record of shares was not created")
 			}
 			continue
 		}
-		sleep(ctx, holdersPause+rand.N(holdersPause/4))
+		sleep(ctx, holdersReadInterval+rand.N(holdersReadInterval/4))
 	}
 }
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -7,48 +7,48 @@
 	"time"
 )
 
-// awayState tells one loss of the store from many failed calls.
-type awayState struct {
+// outageState tells one loss of the store from many failed calls.
+type outageState struct {
 	mu    sync.Mutex
 	since time.Time // zero while the store answers
 }
 
 // poll calls read whenever what is known is older than age.
 func (f *Feed) poll(ctx context.Context, what string, age time.Duration, known func() time.Time, read func(context.Context, time.Time) error) {
-	pause := firstPause
+	backoff := minBackoff
 	var last time.Time // of this VM's own last read
-	spread := rand.N(stagger)
+	jitter := rand.N(maxJitter)
 	f.awaitPeers(ctx, known)
 	for ctx.Err() == nil {
 		at, follows := known(), f.cfg.Crew.UsesRelays()
 		due := age
 		if !at.IsZero() && (follows || !at.Equal(last)) {
-			due += takeOver + spread
+			due += nonReaderDelay + jitter
 		}
-		longest := longestPause
+		backoffLimit := maxBackoff
 		if follows {
-			due, longest = due+followerDelay, followerPause
+			due, backoffLimit = due+followerDelay, followerMaxBackoff
 		}
 		if left := due - f.cfg.Clock.Since(at); left > 0 {
 			// A follower hardly ever reads, and each look wakes it up.
-			tick := pollTick
+			interval := pollInterval
 			if follows {
-				tick = max(tick, min(left, followerTick))
+				interval = max(interval, min(left, maxFollowerPollInterval))
 			}
-			sleep(ctx, tick)
+			sleep(ctx, interval)
 			continue
 		}
 		asked := f.cfg.Clock.Now()
 		err := read(ctx, asked)
 		if err == nil {
-			f.answered()
-			pause, last, spread = firstPause, asked, rand.N(stagger)
+			f.recordSuccess()
+			backoff, last, jitter = minBackoff, asked, rand.N(maxJitter)
 			continue
 		}
 		if ctx.Err() == nil {
-			f.failed(what, err)
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, longest)
+			f.recordFailure(what, err)
+			sleep(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, backoffLimit)
 		}
 	}
 }
@@ -60,8 +60,8 @@
 		return
 	}
 	start := f.cfg.Clock.Now()
-	for ctx.Err() == nil && known().IsZero() && f.cfg.Clock.Since(start) < startFromPeers {
-		sleep(ctx, pollTick)
+	for ctx.Err() == nil && known().IsZero() && f.cfg.Clock.Since(start) < peerWait {
+		sleep(ctx, pollInterval)
 	}
 }
 
@@ -72,20 +72,20 @@
 	}
 }
 
-func (f *Feed) failed(what string, err error) {
-	f.away.mu.Lock()
-	defer f.away.mu.Unlock()
-	if f.away.since.IsZero() {
-		f.away.since = f.cfg.Clock.Now()
+func (f *Feed) recordFailure(what string, err error) {
+	f.outage.mu.Lock()
+	defer f.outage.mu.Unlock()
+	if f.outage.since.IsZero() {
+		f.outage.since = f.cfg.Clock.Now()
 		f.cfg.Log.Warn().Err(err).Str("Reading", what).Msg("lost the store")
 	}
 }
 
-func (f *Feed) answered() {
-	f.away.mu.Lock()
-	defer f.away.mu.Unlock()
-	if !f.away.since.IsZero() {
-		f.cfg.Log.Info().Dur("Away", f.cfg.Clock.Since(f.away.since)).Msg("the store is back")
-		f.away.since = time.Time{}
+func (f *Feed) recordSuccess() {
+	f.outage.mu.Lock()
+	defer f.outage.mu.Unlock()
+	if !f.outage.since.IsZero() {
+		f.cfg.Log.Info().Dur("Away", f.cfg.Clock.Since(f.outage.since)).Msg("the store is back")
+		f.outage.since = time.Time{}
 	}
 }
--- a/internal/feed/vms.go
+++ b/internal/feed/vms.go
@@ -13,22 +13,22 @@
 // register publishes this VM until the store has it, and finds the others.
 func (f *Feed) register(ctx context.Context) {
 	self := f.cfg.Crew.Node()
-	pause := firstPause
+	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := f.publish(ctx, self)
 		if err == nil {
 			break
 		}
-		f.failed("VMs", err)
-		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, longestPause)
+		f.recordFailure("VMs", err)
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
 	}
 	// Further VMs make themselves known with their pings.
 	for ctx.Err() == nil {
-		sleep(ctx, lonelyRead)
+		sleep(ctx, aloneReadInterval)
 		if len(f.cfg.Crew.Live()) < 2 {
-			if _, err := f.vms(ctx); err != nil && ctx.Err() == nil {
-				f.failed("VMs", err)
+			if _, err := f.readVMs(ctx); err != nil && ctx.Err() == nil {
+				f.recordFailure("VMs", err)
 			}
 		}
 	}
@@ -48,8 +48,8 @@
 	return err
 }
 
-// vms reads the objects of all VMs.
-func (f *Feed) vms(ctx context.Context) (siskin.Listing, error) {
+// readVMs reads the objects of all VMs.
+func (f *Feed) readVMs(ctx context.Context) (siskin.Listing, error) {
 	l, err := f.cfg.Store.List(ctx, VMKind)
 	var bad error
 	for _, o := range l.Objects {
--- a/internal/sysd/cold_test.go
+++ b/internal/sysd/cold_test.go
@@ -70,7 +70,7 @@
 	})
 	from := time.Now()
 	stop := make(chan struct{})
-	traffic := f.traffic(stop)
+	traffic := f.startTraffic(stop)
 	time.Sleep(5 * time.Second)
 	close(stop)
 	traffic.Wait()
@@ -107,7 +107,7 @@
 	stop := make(chan struct{})
 	var traffic []*sync.WaitGroup
 	for range 4 {
-		traffic = append(traffic, f.traffic(stop))
+		traffic = append(traffic, f.startTraffic(stop))
 	}
 	defer func() {
 		close(stop)
@@ -140,17 +140,17 @@
 // and against rates to be shared where there are no cold targets.
 func TestColdRate(t *testing.T) {
 	d := testDeployment(1)
-	limitCold(d, testColdExcess, testColdSlack)
+	addColdRates(d, testColdExcess, testColdSlack)
 	if got := len(d.Customers); got != 1 {
 		t.Errorf("rates where targets are never cold: got %d, want that of the customer only", got)
 	}
 	d.Services[0].ColdRate, d.Services[0].ColdDuration = testColdRate, 10*time.Second
-	limitCold(d, 0, 0)
+	addColdRates(d, 0, 0)
 	if got := len(d.Customers); got != 1 {
 		t.Errorf("rates where the platform bounds no cold targets: got %d, want that of the customer only", got)
 	}
-	limitCold(d, testColdExcess, testColdSlack)
-	if got := d.Customers[len(d.Customers)-1]; got.ID != coldRate("ledger") || got.Rate != coldPart*testColdRate*testColdExcess || got.Burst != testColdSlack-coldReserve {
-		t.Errorf("rate of cold targets: got %+v, want %v a second and %d at once", got, coldPart*testColdRate*testColdExcess, testColdSlack-coldReserve)
+	addColdRates(d, testColdExcess, testColdSlack)
+	if got := d.Customers[len(d.Customers)-1]; got.ID != coldRateID("ledger") || got.Rate != coldRateShare*testColdRate*testColdExcess || got.Burst != testColdSlack-coldSlackReserve {
+		t.Errorf("rate of cold targets: got %+v, want %v a second and %d at once", got, coldRateShare*testColdRate*testColdExcess, testColdSlack-coldSlackReserve)
 	}
 }
--- a/internal/sysd/evacuation_test.go
+++ b/internal/sysd/evacuation_test.go
@@ -18,11 +18,11 @@
 	return time.Now()
 }
 
-func (f *testFleet) takeBack(dc string) { f.platform.Delete(string(platform.KindEvacuations), dc) }
+func (f *testFleet) reinstate(dc string) { f.platform.Delete(string(platform.KindEvacuations), dc) }
 
-// traffic reads and writes in short sessions at all VMs until stop is closed, with
+// startTraffic reads and writes in short sessions at all VMs until stop is closed, with
 // a transaction of several statements now and then, and returns how to wait for it.
-func (f *testFleet) traffic(stop <-chan struct{}) *sync.WaitGroup {
+func (f *testFleet) startTraffic(stop <-chan struct{}) *sync.WaitGroup {
 	var wg sync.WaitGroup
 	for vm := range len(f.nodes) {
 		for _, database := range []string{"orders", "designs", "press"} {
@@ -55,9 +55,9 @@
 	return &wg
 }
 
-// arrivedIn returns the number of statements of callers that reached targets of a
+// statementsAt returns the number of statements of callers that reached targets of a
 // data centre from one moment to another.
-func (f *testFleet) arrivedIn(dc siskin.DataCentreID, from, to time.Time) int {
+func (f *testFleet) statementsAt(dc siskin.DataCentreID, from, to time.Time) int {
 	n := 0
 	for _, target := range f.platform.Targets("ledger") {
 		if info, ok := f.node(0).roster.Target(target.ID()); ok && info.DataCentre == dc {
@@ -71,7 +71,7 @@
 	return n
 }
 
-func (f *testFleet) primaryIn() siskin.DataCentreID {
+func (f *testFleet) primaryDataCentre() siskin.DataCentreID {
 	p := f.platform.Primary("ledger")
 	if p == nil {
 		return ""
@@ -86,29 +86,29 @@
 // used again once the evacuation is taken back.
 func TestEvacuation(t *testing.T) {
 	f := startFleet(t, 3)
-	f.cut[3] = true
+	f.withoutStore[3] = true
 	f.set(3, f.start(3))
 	f.await("the VM without the store is ready", 5*time.Second, func() bool { return f.node(3).ready() })
 	stop := make(chan struct{})
-	traffic := f.traffic(stop)
+	traffic := f.startTraffic(stop)
 	defer func() {
 		close(stop)
 		traffic.Wait()
 	}()
-	from := f.primaryIn()
+	from := f.primaryDataCentre()
 	begun := time.Now()
 	acknowledged := f.evacuate(string(from))
-	f.await("the evacuation is in force in all VMs and the primary is elsewhere", testEvacuation, func() bool {
+	f.await("the evacuation is in force in all VMs and the primary is elsewhere", testEvacuateWithin, func() bool {
 		for i := range len(f.nodes) {
 			list, _, _ := f.node(i).roster.Evacuations()
 			if !slices.Equal(list, []siskin.DataCentreID{from}) {
 				return false
 			}
 		}
-		return f.primaryIn() != from
+		return f.primaryDataCentre() != from
 	})
 	t.Logf("in force with the primary elsewhere after %v", time.Since(begun).Round(10*time.Millisecond))
-	bound := acknowledged.Add(testEvacuation)
+	bound := acknowledged.Add(testEvacuateWithin)
 	time.Sleep(time.Until(bound.Add(time.Second)))
 	// A VM that starts now must not begin with statements to the evacuated data
 	// centre. Its shares of rates fill first.
@@ -126,12 +126,12 @@
 		res, err := writer.Query("WRITE b 1")
 		return err == nil && res.Code == ""
 	})
-	if got := f.arrivedIn(from, bound, time.Now()); got != 0 {
-		t.Errorf("statements at %s later than %v after the evacuation: got %d, want none", from, testEvacuation, got)
+	if got := f.statementsAt(from, bound, time.Now()); got != 0 {
+		t.Errorf("statements at %s later than %v after the evacuation: got %d, want none", from, testEvacuateWithin, got)
 	}
-	f.takeBack(string(from))
+	f.reinstate(string(from))
 	back := time.Now()
-	f.await("the data centre is used again", testEvacuation, func() bool { return f.arrivedIn(from, back, time.Now()) > 0 })
+	f.await("the data centre is used again", testEvacuateWithin, func() bool { return f.statementsAt(from, back, time.Now()) > 0 })
 }
 
 // TestEvacuationOfAll guards against statements to the last data centre of a service
@@ -139,7 +139,7 @@
 func TestEvacuationOfAll(t *testing.T) {
 	f := startFleet(t, 3)
 	stop := make(chan struct{})
-	traffic := f.traffic(stop)
+	traffic := f.startTraffic(stop)
 	defer func() {
 		close(stop)
 		traffic.Wait()
@@ -149,7 +149,7 @@
 		last = f.evacuate(dc)
 		time.Sleep(300 * time.Millisecond)
 	}
-	bound := last.Add(testEvacuation)
+	bound := last.Add(testEvacuateWithin)
 	time.Sleep(time.Until(bound))
 	c := f.mustDial(1, "orders")
 	for range 20 {
@@ -163,14 +163,14 @@
 		}
 	}
 	for _, dc := range []siskin.DataCentreID{"dc-1", "dc-2", "dc-3"} {
-		if got := f.arrivedIn(dc, bound, time.Now()); got != 0 {
+		if got := f.statementsAt(dc, bound, time.Now()); got != 0 {
 			t.Errorf("statements at %s: got %d, want none", dc, got)
 		}
 	}
 	for _, dc := range []string{"dc-1", "dc-2", "dc-3"} {
-		f.takeBack(dc)
+		f.reinstate(dc)
 	}
-	f.await("writes succeed again", testEvacuation, func() bool {
+	f.await("writes succeed again", testEvacuateWithin, func() bool {
 		res, err := c.Query("WRITE a 1")
 		return err == nil && res.Code == ""
 	})
@@ -182,7 +182,7 @@
 func TestEvacuationDuringChange(t *testing.T) {
 	f := startFleet(t, 3)
 	stop := make(chan struct{})
-	traffic := f.traffic(stop)
+	traffic := f.startTraffic(stop)
 	defer func() {
 		close(stop)
 		traffic.Wait()
@@ -197,16 +197,16 @@
 	acknowledged := f.evacuate(string(evacuated))
 	f.platform.SetStoreFaults(stand.StoreFaults{Delay: 300 * time.Millisecond})
 	primary.Crash()
-	f.await("another target leads outside of the evacuated data centre", testEvacuation, func() bool {
+	f.await("another target leads outside of the evacuated data centre", testEvacuateWithin, func() bool {
 		p := f.platform.Primary("ledger")
-		return p != nil && p != primary && f.primaryIn() != evacuated
+		return p != nil && p != primary && f.primaryDataCentre() != evacuated
 	})
-	bound := acknowledged.Add(testEvacuation)
+	bound := acknowledged.Add(testEvacuateWithin)
 	time.Sleep(time.Until(bound.Add(time.Second)))
-	if got := f.arrivedIn(evacuated, bound, time.Now()); got != 0 {
-		t.Errorf("statements at %s later than %v after the evacuation: got %d, want none", evacuated, testEvacuation, got)
+	if got := f.statementsAt(evacuated, bound, time.Now()); got != 0 {
+		t.Errorf("statements at %s later than %v after the evacuation: got %d, want none", evacuated, testEvacuateWithin, got)
 	}
-	if got := f.primaryIn(); got == evacuated {
+	if got := f.primaryDataCentre(); got == evacuated {
 		t.Errorf("data centre of the primary: got %s, want another one", got)
 	}
 	writer := f.mustDial(1, "orders")
@@ -221,16 +221,16 @@
 func TestEvacuationUnfenced(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
 	stop := make(chan struct{})
-	writers := f.write(stop)
-	from := f.primaryIn()
+	writers := f.startWriters(stop)
+	from := f.primaryDataCentre()
 	acknowledged := f.evacuate(string(from))
-	f.await("the primary is elsewhere", testEvacuation, func() bool { return f.primaryIn() != from })
-	bound := acknowledged.Add(testEvacuation)
+	f.await("the primary is elsewhere", testEvacuateWithin, func() bool { return f.primaryDataCentre() != from })
+	bound := acknowledged.Add(testEvacuateWithin)
 	time.Sleep(time.Until(bound.Add(time.Second)))
 	close(stop)
 	list := writers()
-	if got := f.arrivedIn(from, bound, time.Now()); got != 0 {
-		t.Errorf("statements at %s later than %v after the evacuation: got %d, want none", from, testEvacuation, got)
+	if got := f.statementsAt(from, bound, time.Now()); got != 0 {
+		t.Errorf("statements at %s later than %v after the evacuation: got %d, want none", from, testEvacuateWithin, got)
 	}
-	f.check(list)
+	f.checkWrites(list)
 }
--- a/internal/sysd/failover_test.go
+++ b/internal/sysd/failover_test.go
@@ -16,8 +16,8 @@
 	gap                     time.Duration // longest time between two successes
 }
 
-// write runs writers against all VMs until stop is closed.
-func (f *testFleet) write(stop <-chan struct{}) func() []*writer {
+// startWriters runs writers against all VMs until stop is closed.
+func (f *testFleet) startWriters(stop <-chan struct{}) func() []*writer {
 	var wg sync.WaitGroup
 	var list []*writer
 	for vm := range len(f.nodes) {
@@ -68,8 +68,8 @@
 	}
 }
 
-// check compares what the writers were told with the log of the primary.
-func (f *testFleet) check(writers []*writer) {
+// checkWrites compares what the writers were told with the log of the primary.
+func (f *testFleet) checkWrites(writers []*writer) {
 	f.t.Helper()
 	p := f.platform.Primary("ledger")
 	if p == nil {
@@ -99,22 +99,22 @@
 	}
 }
 
-// play writes while faults run, and checks the result.
-func (f *testFleet) play(faults func()) []*writer {
+// writeDuring writes while faults run, and checks the result.
+func (f *testFleet) writeDuring(injectFaults func()) []*writer {
 	f.t.Helper()
 	stop := make(chan struct{})
-	wait := f.write(stop)
+	wait := f.startWriters(stop)
 	time.Sleep(500 * time.Millisecond)
-	faults()
+	injectFaults()
 	time.Sleep(500 * time.Millisecond)
 	close(stop)
 	writers := wait()
-	f.check(writers)
+	f.checkWrites(writers)
 	return writers
 }
 
-// newPrimary waits until another target than the given one leads and serves.
-func (f *testFleet) newPrimary(old string) {
+// awaitNewPrimary waits until another target than the given one leads and serves.
+func (f *testFleet) awaitNewPrimary(old string) {
 	f.t.Helper()
 	f.await("another target leads", 7*time.Second, func() bool {
 		p := f.platform.Primary("ledger")
@@ -126,10 +126,10 @@
 // refused when a primary crashes, and against a long gap.
 func TestPrimaryCrash(t *testing.T) {
 	f := startFleet(t, 3)
-	writers := f.play(func() {
+	writers := f.writeDuring(func() {
 		old := f.platform.Primary("ledger")
 		old.Crash()
-		f.newPrimary(string(old.ID()))
+		f.awaitNewPrimary(string(old.ID()))
 		time.Sleep(time.Second)
 		if err := old.Restart(); err != nil {
 			t.Error(err)
@@ -148,11 +148,11 @@
 	f := startFleet(t, 3)
 	// A VM reserves its fence when it begins to watch the service.
 	time.Sleep(500 * time.Millisecond)
-	f.play(func() {
+	f.writeDuring(func() {
 		f.platform.SetStoreFaults(stand.StoreFaults{Down: true})
 		old := f.platform.Primary("ledger")
 		old.Crash()
-		f.newPrimary(string(old.ID()))
+		f.awaitNewPrimary(string(old.ID()))
 	})
 }
 
@@ -160,13 +160,13 @@
 // effect after a later one.
 func TestLatePromotion(t *testing.T) {
 	f := startFleet(t, 3)
-	f.play(func() {
+	f.writeDuring(func() {
 		f.platform.SetLatePromotions(1500 * time.Millisecond)
 		old := f.platform.Primary("ledger")
 		old.Crash()
 		time.Sleep(800 * time.Millisecond)
 		f.platform.SetLatePromotions(0)
-		f.newPrimary(string(old.ID()))
+		f.awaitNewPrimary(string(old.ID()))
 		time.Sleep(2 * time.Second)
 	})
 }
@@ -175,10 +175,10 @@
 // and keeps the lead, so that no write is ever acknowledged.
 func TestStalledPrimary(t *testing.T) {
 	f := startFleet(t, 3)
-	f.play(func() {
+	f.writeDuring(func() {
 		old := f.platform.Primary("ledger")
 		old.SetPartitioned(true)
-		f.newPrimary(string(old.ID()))
+		f.awaitNewPrimary(string(old.ID()))
 		time.Sleep(time.Second)
 		old.SetPartitioned(false)
 	})
@@ -188,7 +188,7 @@
 // no replica can take over, as by a VM that is cut off together with it.
 func TestReplicasGone(t *testing.T) {
 	f := startFleet(t, 3)
-	f.play(func() {
+	f.writeDuring(func() {
 		primary := f.platform.Primary("ledger")
 		for _, target := range f.platform.Targets("ledger") {
 			if target != primary {
@@ -217,7 +217,7 @@
 // got lost.
 func TestLostAnswers(t *testing.T) {
 	f := startFleet(t, 3)
-	f.play(func() {
+	f.writeDuring(func() {
 		for range 10 {
 			f.platform.Primary("ledger").LoseAnswers(3)
 			time.Sleep(100 * time.Millisecond)
@@ -229,10 +229,10 @@
 // about to stop is replaced in good order.
 func TestPlannedChange(t *testing.T) {
 	f := startFleet(t, 3)
-	f.play(func() {
+	f.writeDuring(func() {
 		old := f.platform.Primary("ledger")
 		f.platform.SetDraining(old)
-		f.newPrimary(string(old.ID()))
+		f.awaitNewPrimary(string(old.ID()))
 	})
 }
 
@@ -240,7 +240,7 @@
 // dies, and against limits that refuse everything afterwards.
 func TestVMCrash(t *testing.T) {
 	f := startFleet(t, 4)
-	f.play(func() {
+	f.writeDuring(func() {
 		info, _ := f.node(0).roster.Target(f.platform.Primary("ledger").ID())
 		for i, n := range f.nodes {
 			if n.path.IsHome(info) {
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -25,8 +25,8 @@
 	unfenced bool
 	// startCalls is the number of calls of the store until the VMs were ready.
 	startCalls int64
-	// cut are the VMs that do not reach the store.
-	cut map[int]bool
+	// withoutStore are the VMs that do not reach the store.
+	withoutStore map[int]bool
 
 	mu    sync.Mutex
 	nodes []*node // nil while a VM is stopped
@@ -100,7 +100,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &testFleet{t: t, platform: p, revision: 1, unfenced: service.Unfenced, cut: make(map[int]bool)}
+	f := &testFleet{t: t, platform: p, revision: 1, unfenced: service.Unfenced, withoutStore: make(map[int]bool)}
 	p.SetDeployment(testDeployment(f.revision))
 	for i := range vms {
 		f.set(i, f.start(i))
@@ -172,8 +172,8 @@
 	return nil
 }
 
-// testEvacuation is the time in which an evacuation is to be in force.
-const testEvacuation = 5 * time.Second
+// testEvacuateWithin is the time in which an evacuation is to be in force.
+const testEvacuateWithin = 5 * time.Second
 
 // A cold target may get testColdExcess times the rate of its service for cold
 // targets in one second, and testColdSlack more.
@@ -190,10 +190,10 @@
 		Ready:  cfgini.SystemReady{Address: free[1]}, Peer: cfgini.SystemPeer{Address: free[2]},
 		Store:    cfgini.SystemStore{Address: f.platform.Address(), Timeout: time.Second},
 		Promoter: cfgini.SystemPromoter{Address: f.platform.Address(), Timeout: 700 * time.Millisecond, Fencing: !f.unfenced},
-		Operator: cfgini.SystemOperator{EvacuateWithin: testEvacuation, ColdExcess: testColdExcess, ColdSlack: testColdSlack},
+		Operator: cfgini.SystemOperator{EvacuateWithin: testEvacuateWithin, ColdExcess: testColdExcess, ColdSlack: testColdSlack},
 		Metrics:  cfgini.SystemMetrics{Address: free[3]}, Stop: cfgini.SystemStop{Grace: 6 * time.Second},
 	}
-	if f.cut[i] {
+	if f.withoutStore[i] {
 		cfg.Store.Address = free[4]
 	}
 	if i > 0 {
@@ -230,8 +230,8 @@
 	return c
 }
 
-// must sends a statement that has to succeed.
-func (f *testFleet) must(c *stand.Client, text string) stand.Result {
+// mustQuery sends a statement that has to succeed.
+func (f *testFleet) mustQuery(c *stand.Client, text string) stand.Result {
 	f.t.Helper()
 	res, err := c.Query(text)
 	if err != nil || res.Code != "" {
--- a/internal/sysd/isolation.go
+++ b/internal/sysd/isolation.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// freshLead is the age up to which a primary counts as within reach.
-	freshLead = 1500 * time.Millisecond
-	// isolatedCloseParts is the number of steps in which an isolated VM closes
+	// maxLeadAge is the age up to which a primary counts as within reach.
+	maxLeadAge = 1500 * time.Millisecond
+	// isolatedCloseGroups is the number of steps in which an isolated VM closes
 	// its idle sessions.
-	isolatedCloseParts = 4
+	isolatedCloseGroups = 4
 )
 
 // isolation says since when this VM has been cut off from all other data
@@ -34,17 +34,17 @@
 	return true
 }
 
-// closes reports whether idle sessions are to be closed: the balancer had the
+// shouldCloseSessions reports whether idle sessions are to be closed: the balancer had the
 // time to take this VM out, so their callers do not come back to it.
-func (i *isolation) closes(now time.Time) bool {
+func (i *isolation) shouldCloseSessions(now time.Time) bool {
 	return !i.since.IsZero() && now.Sub(i.since) > balancerDelay
 }
 
-// reached counts the services whose primary proved its lead a moment ago.
-func (n *node) reached(services []siskin.ServiceSpec) int {
+// reachablePrimaries counts the services whose primary proved its lead a moment ago.
+func (n *node) reachablePrimaries(services []siskin.ServiceSpec) int {
 	count := 0
 	for _, s := range services {
-		if n.clock.Since(n.views.LatestProof(s.Name).At) < freshLead {
+		if n.clock.Since(n.views.LatestProof(s.Name).At) < maxLeadAge {
 			count++
 		}
 	}
@@ -54,14 +54,14 @@
 // checkIsolation updates the isolation of this VM and acts on it.
 func (n *node) checkIsolation() {
 	services := n.table.Snapshot().Services
-	reached, now := n.reached(services), n.clock.Now()
+	reached, now := n.reachablePrimaries(services), n.clock.Now()
 	if n.isolation.update(now, n.crew.Isolated(), reached, len(services)) {
 		isolated := !n.isolation.since.IsZero()
 		n.isolated.Store(isolated)
 		n.log.Warn().Bool("Isolated", isolated).Int("PrimariesReached", reached).Int("Services", len(services)).
 			Int("VMs", len(n.crew.Live())).Msg("isolation from other data centres changed")
 	}
-	if n.isolation.closes(now) {
-		n.entry.EndSessions(n.entry.Sessions()/isolatedCloseParts + 1)
+	if n.isolation.shouldCloseSessions(now) {
+		n.entry.EndSessions(n.entry.Sessions()/isolatedCloseGroups + 1)
 	}
 }
--- a/internal/sysd/isolation_test.go
+++ b/internal/sysd/isolation_test.go
@@ -30,14 +30,14 @@
 	}
 	var i isolation
 	i.update(now, true, 0, 3)
-	if i.closes(now.Add(balancerDelay)) {
+	if i.shouldCloseSessions(now.Add(balancerDelay)) {
 		t.Error("idle sessions are closed before the balancer has taken the VM out")
 	}
 	i.update(now.Add(time.Second), true, 0, 3)
-	if !i.closes(now.Add(balancerDelay + time.Millisecond)) {
+	if !i.shouldCloseSessions(now.Add(balancerDelay + time.Millisecond)) {
 		t.Error("idle sessions are kept after the balancer has taken the VM out")
 	}
-	if !i.update(now, false, 3, 3) || i.closes(now.Add(time.Hour)) {
+	if !i.update(now, false, 3, 3) || i.shouldCloseSessions(now.Add(time.Hour)) {
 		t.Error("the isolation does not end")
 	}
 }
--- a/internal/sysd/listed_test.go
+++ b/internal/sysd/listed_test.go
@@ -8,10 +8,10 @@
 	"siskintray.example/siskin/internal/roster"
 )
 
-// TestListed guards against the age of a run that rests on clocks which differ: a
+// TestRunStart guards against the age of a run that rests on clocks which differ: a
 // replica that has just started could confirm a lead. The entry's start counts for runs
 // that the VM found when it started, with a margin, and never for later ones.
-func TestListed(t *testing.T) {
+func TestRunStart(t *testing.T) {
 	n := &node{roster: roster.New()}
 	now := n.clock.Now()
 	info := func(id string, born time.Time) siskin.TargetInfo {
@@ -31,12 +31,12 @@
 		{"again", 0},
 		{"new", 0},
 	} {
-		since, listed, ok := n.listed(c.id)
+		since, listed, ok := n.runStart(c.id)
 		if got := now.Sub(since); !ok || got < c.want-time.Second || got > c.want+time.Second || !listed.Equal(now) {
 			t.Errorf("%s: got an age of %v, a list of %v and %v, want %v, %v and true", c.id, got, listed, ok, c.want, now)
 		}
 	}
-	if _, _, ok := n.listed("gone"); ok {
+	if _, _, ok := n.runStart("gone"); ok {
 		t.Error("a target that is not listed: got a time, want none")
 	}
 }
--- a/internal/sysd/listen.go
+++ b/internal/sysd/listen.go
@@ -59,7 +59,7 @@
 			return
 		case err != nil:
 			n.log.Warn().Err(err).Msg("a caller was not accepted")
-			time.Sleep(acceptPause)
+			time.Sleep(acceptBackoff)
 			continue
 		case n.entry.Sessions() >= n.cfg.Caller.MaxSessions:
 			n.log.Warn().Int("Sessions", n.cfg.Caller.MaxSessions).Msg("a caller was turned away: too many sessions")
@@ -70,8 +70,8 @@
 	}
 }
 
-// acceptPause keeps a VM without free descriptors from a busy loop.
-const acceptPause = 20 * time.Millisecond
+// acceptBackoff keeps a VM without free descriptors from a busy loop.
+const acceptBackoff = 20 * time.Millisecond
 
 // ready reports whether this VM can serve callers. A VM that is merely cut off
 // from the store stays ready, one that is isolated does not.
--- a/internal/sysd/newest_test.go
+++ b/internal/sysd/newest_test.go
@@ -73,11 +73,11 @@
 	stop := make(chan struct{})
 	var readers sync.WaitGroup
 	readers.Go(func() { f.readNewest(stop) })
-	f.play(func() {
+	f.writeDuring(func() {
 		for range 2 {
 			old := f.platform.Primary("ledger")
 			old.SetPartitioned(true)
-			f.newPrimary(string(old.ID()))
+			f.awaitNewPrimary(string(old.ID()))
 			time.Sleep(1500 * time.Millisecond)
 			old.SetPartitioned(false)
 			time.Sleep(500 * time.Millisecond)
@@ -91,7 +91,7 @@
 // same service, which only the store could replace.
 func TestUnfencedStoreDown(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
-	f.must(f.mustDial(0, "orders"), "WRITE x 1")
+	f.mustQuery(f.mustDial(0, "orders"), "WRITE x 1")
 	f.await("a VM has a fence from after the term was known", 5*time.Second, func() bool {
 		for _, n := range f.nodes {
 			if term := n.views.LatestProof("ledger").Term; term == 0 || !n.elect.HasFencingToken("ledger", term) {
@@ -100,11 +100,11 @@
 		}
 		return true
 	})
-	f.play(func() {
+	f.writeDuring(func() {
 		f.platform.SetStoreFaults(stand.StoreFaults{Down: true})
 		old := f.platform.Primary("ledger")
 		old.Crash()
-		f.newPrimary(string(old.ID()))
+		f.awaitNewPrimary(string(old.ID()))
 	})
 }
 
@@ -115,10 +115,10 @@
 	stop := make(chan struct{})
 	var readers sync.WaitGroup
 	readers.Go(func() { f.readNewest(stop) })
-	f.play(func() {
+	f.writeDuring(func() {
 		old := f.platform.Primary("ledger")
 		f.platform.SetDraining(old)
-		f.newPrimary(string(old.ID()))
+		f.awaitNewPrimary(string(old.ID()))
 	})
 	close(stop)
 	readers.Wait()
@@ -128,13 +128,13 @@
 // fences, so that a late order is always carried out.
 func TestUnfencedLatePromotion(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
-	f.play(func() {
+	f.writeDuring(func() {
 		f.platform.SetLatePromotions(1500 * time.Millisecond)
 		old := f.platform.Primary("ledger")
 		old.Crash()
 		time.Sleep(800 * time.Millisecond)
 		f.platform.SetLatePromotions(0)
-		f.newPrimary(string(old.ID()))
+		f.awaitNewPrimary(string(old.ID()))
 		time.Sleep(2 * time.Second)
 	})
 }
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -33,13 +33,13 @@
 )
 
 const (
-	// reserveConns is the number of a target's connections that its home leaves
+	// reservedConns is the number of a target's connections that its home leaves
 	// to a successor, to control statements and to VMs that cannot reach the
 	// home. The connections of a VM that vanished count for 3 s.
-	reserveConns = 4
-	// guestConns is the number of connections that a VM opens to a target whose
+	reservedConns = 4
+	// nonHomeConns is the number of connections that a VM opens to a target whose
 	// home it is not.
-	guestConns = 2
+	nonHomeConns = 2
 	// peerSilentAfter is the silence after which a connection to a peer is
 	// replaced.
 	peerSilentAfter = 900 * time.Millisecond
@@ -113,7 +113,7 @@
 func (n *node) leads() *home.LeaseConfig {
 	n.leases = lease.New()
 	return &home.LeaseConfig{
-		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, Group: n.roster.Size, Listed: n.listed, Log: n.log,
+		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, Group: n.roster.Size, Listed: n.runStart, Log: n.log,
 		Status: func(ctx context.Context, id siskin.TargetID) (home.Observation, error) {
 			return n.path.Observe(ctx, id)
 		},
@@ -130,10 +130,10 @@
 // which may differ from that of this VM.
 const clockMargin = 10 * time.Second
 
-// listed returns since when a target has run as far as service discovery tells, and
+// runStart returns since when a target has run as far as service discovery tells, and
 // when its last list was asked for. The start that the entry tells counts only for
 // runs that this VM has found at its own start: later ones began when its lists say.
-func (n *node) listed(id siskin.TargetID) (since, listed time.Time, ok bool) {
+func (n *node) runStart(id siskin.TargetID) (since, listed time.Time, ok bool) {
 	since, listed, first, ok := n.roster.ListedSince(id)
 	if t, known := n.roster.Target(id); ok && first && known && t.StartedAt.UnixMilli() > 0 {
 		if born := n.clock.Now().Add(clockMargin - time.Since(t.StartedAt)); born.Before(since) {
@@ -209,19 +209,19 @@
 		evacuations = platform.KindEvacuations
 	}
 	n.feed = feed.Start(feed.Config{
-		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, SetHolders: n.rates.SetHolders, KnownHolders: n.rates.Holders,
-		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, DecodeTarget: platform.DecodeTarget, EvacuationKind: evacuations,
+		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, OnHolders: n.rates.SetHolders, KnownHolders: n.rates.Holders,
+		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, ParseTarget: platform.DecodeTarget, EvacuationKind: evacuations,
 	})
 }
 
 // connLimit returns the most connections that this VM opens to a target.
 func (n *node) connLimit(t siskin.TargetInfo) int {
-	limit := guestConns + reserveConns + 1
+	limit := nonHomeConns + reservedConns + 1
 	if s, ok := n.table.Snapshot().Service(t.Service); ok && s.MaxConnections > 0 {
 		limit = s.MaxConnections
 	}
 	if n.path != nil && !n.path.IsHome(t) {
-		return guestConns
+		return nonHomeConns
 	}
-	return max(1, limit-reserveConns)
+	return max(1, limit-reservedConns)
 }
--- a/internal/sysd/run.go
+++ b/internal/sysd/run.go
@@ -7,14 +7,14 @@
 	"siskintray.example/siskin/internal/cmds"
 )
 
-// memoryPart is the part of the allowed memory, in percent, from which on the
+// memoryLimitPercent is the part of the allowed memory, in percent, from which on the
 // garbage collector works harder. The rest is for stacks and buffers of the
 // kernel.
-const memoryPart = 66
+const memoryLimitPercent = 66
 
 // Run runs a VM until ctx ends and then stops it as planned.
 func Run(ctx context.Context, d cmds.System) error {
-	debug.SetMemoryLimit(int64(d.Settings.VM.Memory) * memoryPart / 100)
+	debug.SetMemoryLimit(int64(d.Settings.VM.Memory) * memoryLimitPercent / 100)
 	n, err := newNode(d.Settings, d.Log)
 	if err != nil {
 		return err
--- a/internal/sysd/serve_test.go
+++ b/internal/sysd/serve_test.go
@@ -15,14 +15,14 @@
 func TestSessionState(t *testing.T) {
 	f := startFleet(t, 3)
 	a, b := f.mustDial(0, "press"), f.mustDial(1, "press")
-	f.must(a, "PREPARE put WRITE q1")
-	f.must(b, "PREPARE put READ q2")
-	f.must(a, "SET mode fast")
-	f.must(a, "EXEC put item-1 first")
-	if got := f.must(b, "EXEC put item-1").Rows; len(got) != 1 || got[0] != "first" && got[0] != "-" {
+	f.mustQuery(a, "PREPARE put WRITE q1")
+	f.mustQuery(b, "PREPARE put READ q2")
+	f.mustQuery(a, "SET mode fast")
+	f.mustQuery(a, "EXEC put item-1 first")
+	if got := f.mustQuery(b, "EXEC put item-1").Rows; len(got) != 1 || got[0] != "first" && got[0] != "-" {
 		t.Errorf("read through another session's statement: got %v", got)
 	}
-	if got := f.must(a, "READ item-1").Rows; len(got) != 1 || got[0] != "first" {
+	if got := f.mustQuery(a, "READ item-1").Rows; len(got) != 1 || got[0] != "first" {
 		t.Errorf("own write: got %v, want [first]", got)
 	}
 	if res, err := a.Query("EXEC missing item-1"); err != nil || res.Code != "NOSTMT" {
@@ -38,32 +38,32 @@
 func TestTransactions(t *testing.T) {
 	f := startFleet(t, 3)
 	c := f.mustDial(0, "orders")
-	f.must(c, "BEGIN")
-	f.must(c, "WRITE order-1 paid")
-	if got := f.must(c, "READ order-1").Rows; len(got) != 1 || got[0] != "paid" {
+	f.mustQuery(c, "BEGIN")
+	f.mustQuery(c, "WRITE order-1 paid")
+	if got := f.mustQuery(c, "READ order-1").Rows; len(got) != 1 || got[0] != "paid" {
 		t.Errorf("read inside the transaction: got %v, want [paid]", got)
 	}
-	if res := f.must(c, "COMMIT"); res.Signature == "-" || res.State != "I" {
+	if res := f.mustQuery(c, "COMMIT"); res.Signature == "-" || res.State != "I" {
 		t.Errorf("commit: got signature %s and state %s, want a signature and I", res.Signature, res.State)
 	}
-	f.must(c, "BEGIN")
-	f.must(c, "WRITE order-1 refunded")
-	f.must(c, "ROLLBACK")
-	if got := f.must(c, "READ order-1").Rows; len(got) != 1 || got[0] != "paid" {
+	f.mustQuery(c, "BEGIN")
+	f.mustQuery(c, "WRITE order-1 refunded")
+	f.mustQuery(c, "ROLLBACK")
+	if got := f.mustQuery(c, "READ order-1").Rows; len(got) != 1 || got[0] != "paid" {
 		t.Errorf("read after the rollback: got %v, want [paid]", got)
 	}
-	f.must(c, "BEGIN")
+	f.mustQuery(c, "BEGIN")
 	if res, err := c.Query("EXEC missing x"); err != nil || res.State != "E" {
 		t.Errorf("failure inside a transaction: got state %s %v, want E", res.State, err)
 	}
 	if res, err := c.Query("READ order-1"); err != nil || res.Code != "MALFORMED" {
 		t.Errorf("statement after a failure: got %s %v, want MALFORMED", res.Code, err)
 	}
-	if res := f.must(c, "ROLLBACK"); res.State != "I" {
+	if res := f.mustQuery(c, "ROLLBACK"); res.State != "I" {
 		t.Errorf("rollback: got state %s, want I", res.State)
 	}
-	f.must(c, "BEGIN")
-	if res := f.must(c, "COMMIT"); res.Signature == "-" {
+	f.mustQuery(c, "BEGIN")
+	if res := f.mustQuery(c, "COMMIT"); res.Signature == "-" {
 		t.Error("commit of an empty transaction: got no signature of a target")
 	}
 }
@@ -87,7 +87,7 @@
 func TestWithdrawnKey(t *testing.T) {
 	f := startFleet(t, 3)
 	c := f.mustDial(2, "orders")
-	f.must(c, "READ order-1")
+	f.mustQuery(c, "READ order-1")
 	d := testDeployment(2)
 	d.Customers[0].Keys = []string{"another"}
 	f.platform.SetDeployment(d)
@@ -104,8 +104,8 @@
 	c := f.mustDial(1, "press")
 	for i := range 60 {
 		want := fmt.Sprintf("v%d", i)
-		f.must(c, "WRITE job "+want)
-		if got := f.must(c, "READ job").Rows; len(got) != 1 || got[0] != want {
+		f.mustQuery(c, "WRITE job "+want)
+		if got := f.mustQuery(c, "READ job").Rows; len(got) != 1 || got[0] != want {
 			t.Fatalf("read after write %d: got %v, want [%s]", i, got, want)
 		}
 	}
--- a/internal/sysd/soak_test.go
+++ b/internal/sysd/soak_test.go
@@ -26,28 +26,28 @@
 // promotions and VMs come together: writers check for lost, doubled and wrongly
 // refused writes, readers for sessions that miss their own writes. SISKIN_SEED
 // repeats a run.
-func TestSoak(t *testing.T) { playSoak(t, startFleet(t, 4)) }
+func TestSoak(t *testing.T) { runSoak(t, startFleet(t, 4)) }
 
 // TestSoakUnfenced is the same on a platform that checks no fences and leaves
 // former primaries leading.
-func TestSoakUnfenced(t *testing.T) { playSoak(t, startUnfencedFleet(t, 4)) }
+func TestSoakUnfenced(t *testing.T) { runSoak(t, startUnfencedFleet(t, 4)) }
 
-func playSoak(t *testing.T, f *testFleet) {
+func runSoak(t *testing.T, f *testFleet) {
 	seed := soak.Seed(1)
 	t.Logf("seed %d", seed)
 	s := &soakRun{f: f, rng: rand.New(rand.NewSource(int64(seed))), down: make(map[*stand.Target]bool)}
 	stop := make(chan struct{})
-	wait := f.write(stop)
+	wait := f.startWriters(stop)
 	var readers sync.WaitGroup
 	for vm := range 4 {
 		readers.Go(func() { f.readOwnWrites(vm, stop) })
 	}
 	readers.Go(func() { f.readNewest(stop) })
 	for deadline := time.Now().Add(soak.Length(soakLength)); time.Now().Before(deadline); {
-		s.step()
+		s.changeFault()
 		time.Sleep(time.Duration(100+s.rng.Intn(900)) * time.Millisecond)
 	}
-	s.heal()
+	s.endFaults()
 	f.await("writes are served again", 10*time.Second, func() bool {
 		c, err := f.dial(0, "orders", testKey)
 		if err != nil {
@@ -59,11 +59,11 @@
 	})
 	close(stop)
 	readers.Wait()
-	f.check(wait())
+	f.checkWrites(wait())
 }
 
-// step brings about or ends one fault.
-func (s *soakRun) step() {
+// changeFault brings about or ends one fault.
+func (s *soakRun) changeFault() {
 	targets := s.f.platform.Targets("ledger")
 	target := targets[s.rng.Intn(len(targets))]
 	switch s.rng.Intn(9) {
@@ -116,7 +116,7 @@
 	s.f.set(i, s.f.start(i))
 }
 
-func (s *soakRun) heal() {
+func (s *soakRun) endFaults() {
 	s.restart()
 	for _, target := range s.f.platform.Targets("ledger") {
 		target.SetReceiveBlocked(false)
--- a/internal/sysd/stop.go
+++ b/internal/sysd/stop.go
@@ -9,11 +9,11 @@
 	// balancerDelay is the time in which the balancer takes a VM out: two probes
 	// a second apart.
 	balancerDelay = 2200 * time.Millisecond
-	// closeStep is the time between two groups of idle sessions that are closed,
+	// closeInterval is the time between two groups of idle sessions that are closed,
 	// so that their callers do not reconnect all at once.
-	closeStep = 50 * time.Millisecond
-	// closeParts is the number of groups.
-	closeParts = 16
+	closeInterval = 50 * time.Millisecond
+	// closeGroups is the number of groups.
+	closeGroups = 16
 	// exitMargin is the time kept for the end of the process.
 	exitMargin = 700 * time.Millisecond
 )
@@ -26,13 +26,13 @@
 	n.crew.Leave()
 	n.log.Info().Int("Sessions", n.entry.Sessions()).Dur("Grace", n.cfg.Stop.Grace).Msg("stopping as planned")
 	sleepUntil(ctx, minTime(time.Now().Add(balancerDelay), deadline))
-	group := n.entry.Sessions()/closeParts + 1
+	group := n.entry.Sessions()/closeGroups + 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		c := n.homes.Counts()
 		if n.entry.EndSessions(group) == 0 && c.Transactions == 0 && c.Active == 0 {
 			break
 		}
-		sleepUntil(ctx, minTime(time.Now().Add(closeStep), deadline))
+		sleepUntil(ctx, minTime(time.Now().Add(closeInterval), deadline))
 	}
 	n.log.Info().Int("Sessions", n.entry.Sessions()).Int("Transactions", n.homes.Counts().Transactions).Msg("stopped serving")
 }
--- a/internal/sysd/upkeep.go
+++ b/internal/sysd/upkeep.go
@@ -18,7 +18,7 @@
 		n.log.Error().Err(err).Str("Source", source).Msg("a configuration was refused")
 		return
 	}
-	limitCold(d, n.cfg.Operator.ColdExcess, n.cfg.Operator.ColdSlack)
+	addColdRates(d, n.cfg.Operator.ColdExcess, n.cfg.Operator.ColdSlack)
 	earlier := n.table.Snapshot()
 	before := earlier.Version
 	if n.table.Apply(d, encoded) {
@@ -51,21 +51,21 @@
 	for !n.stopped() {
 		members, targets, deployment := n.crew.Changed(), n.roster.Changed(), n.table.Changed()
 		n.homes.Update()
-		n.attend()
+		n.connectHomeTargets()
 		n.checkIsolation()
 		select {
 		case <-members:
 		case <-targets:
-			known = n.noteTargets(known)
+			known = n.handleTargetChanges(known)
 		case <-deployment:
 		case <-n.clock.After(maintainInterval):
 		}
-		n.gauges()
+		n.updateGauges()
 	}
 }
 
-// attend keeps a connection to each target that this VM is the home of.
-func (n *node) attend() {
+// connectHomeTargets keeps a connection to each target that this VM is the home of.
+func (n *node) connectHomeTargets() {
 	targets, _, _ := n.roster.Listed()
 	for _, t := range targets {
 		if n.path.IsHome(t) {
@@ -74,9 +74,9 @@
 	}
 }
 
-// noteTargets logs what changed in discovery, and takes a target that begins to
+// handleTargetChanges logs what changed in discovery, and takes a target that begins to
 // see itself as primary as a hint.
-func (n *node) noteTargets(known map[siskin.TargetID]siskin.TargetInfo) map[siskin.TargetID]siskin.TargetInfo {
+func (n *node) handleTargetChanges(known map[siskin.TargetID]siskin.TargetInfo) map[siskin.TargetID]siskin.TargetInfo {
 	next := make(map[siskin.TargetID]siskin.TargetInfo, len(known))
 	for _, s := range n.table.Snapshot().Services {
 		for _, t := range n.roster.Service(s.Name) {
@@ -107,7 +107,7 @@
 	return next
 }
 
-func (n *node) gauges() {
+func (n *node) updateGauges() {
 	c := n.homes.Counts()
 	scope := n.stats.Scope()
 	scope.Gauge("target_connections").Update(float64(c.Open))
