--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -52,8 +52,8 @@
 	if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != Answered {
 		t.Fatalf("write: got %+v, want an answer", got)
 	}
-	l, _ := f.homes.lane(f.target(0).ID())
-	if got := f.homes.acknowledged("ledger", l, siskin.Position{}, f.homes.cfg.Clock.Now()); got.kept {
+	l, _ := f.homes.pool(f.target(0).ID())
+	if got := f.homes.confirmCommit("ledger", l, siskin.Position{}, f.homes.cfg.Clock.Now()); got.durable {
 		t.Errorf("acknowledgement without a position: got %+v, want it in doubt", got)
 	}
 }
@@ -134,7 +134,7 @@
 			if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != NotSent || got.Cause != Stalled {
 				t.Errorf("write: got %+v, want it refused", got)
 			}
-			if got := f.run(leadRead(f.target(0))); !f.homes.ownProof() && got.Cause != Unconfirmed {
+			if got := f.run(leadRead(f.target(0))); !f.homes.answerProvesLead() && got.Cause != Unconfirmed {
 				t.Errorf("read: got %+v, want %v", got, Unconfirmed)
 			}
 		})
--- a/internal/home/acquire.go
+++ b/internal/home/acquire.go
@@ -11,7 +11,7 @@
 // conn returns a connection for the customer: an idle one, a new one, or one
 // in place of another customer's idle one. It waits for waitFor at most when all
 // are in use.
-func (l *lane) conn(ctx context.Context, customer siskin.CustomerID, waitFor time.Duration) (*conn, error) {
+func (l *pool) conn(ctx context.Context, customer siskin.CustomerID, waitFor time.Duration) (*conn, error) {
 	start := l.clock.Now()
 	for {
 		c, wait, err := l.reserve(customer)
@@ -29,7 +29,7 @@
 		}
 		select {
 		case <-wait:
-		case <-l.clock.After(connPoll):
+		case <-l.clock.After(connPollInterval):
 		case <-ctx.Done():
 		}
 		if ctx.Err() != nil || l.clock.Since(start) > waitFor {
@@ -39,7 +39,7 @@
 }
 
 // freed returns a channel that is closed when a connection becomes free.
-func (l *lane) freed() <-chan struct{} {
+func (l *pool) freed() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.wake
@@ -47,7 +47,7 @@
 
 // reserve returns an idle connection, or a channel to wait for, or neither when
 // the caller may open a connection, which is counted already.
-func (l *lane) reserve(customer siskin.CustomerID) (*conn, <-chan struct{}, error) {
+func (l *pool) reserve(customer siskin.CustomerID) (*conn, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closing {
@@ -61,11 +61,11 @@
 			return c, nil, nil
 		}
 	}
-	if l.clock.Now().Before(l.avoid) {
+	if l.clock.Now().Before(l.avoidUntil) {
 		return nil, nil, siskin.NewError(siskin.Unavailable, "target %s could not be reached a moment ago", l.info.ID).WithRemedy("use another target")
 	}
 	switch {
-	case l.open < l.crowd.limit(l.clock.Now(), l.limit):
+	case l.open < l.connLimiter.limit(l.clock.Now(), l.limit):
 	case len(l.idle) > 0:
 		_ = l.idle[0].Close() // nothing runs on an idle connection
 		l.idle = l.idle[1:]
@@ -78,7 +78,7 @@
 }
 
 // connect opens a connection that reserve has counted.
-func (l *lane) connect(ctx context.Context, customer siskin.CustomerID) (*conn, error) {
+func (l *pool) connect(ctx context.Context, customer siskin.CustomerID) (*conn, error) {
 	l.mu.Lock()
 	info := l.info
 	l.opened++
@@ -88,23 +88,23 @@
 	tc, err := l.connector.Connect(ctx, info, customer)
 	if err == nil {
 		l.mu.Lock()
-		l.crowd.accepted(l.open, l.limit)
+		l.connLimiter.accepted(l.open, l.limit)
 		l.mu.Unlock()
 		return newConn(tc, customer, l.clock.Now()), nil
 	}
 	l.mu.Lock()
 	if siskin.KindOf(err) != siskin.Overloaded {
-		l.failed = l.clock.Now()
+		l.failedAt = l.clock.Now()
 	}
 	switch siskin.KindOf(err) {
 	case siskin.Overloaded:
-		l.crowd.refused(l.clock.Now(), l.open-1)
+		l.connLimiter.refused(l.clock.Now(), l.open-1)
 	case siskin.Conflict:
-		l.avoid = l.clock.Now().Add(conflictFor)
+		l.avoidUntil = l.clock.Now().Add(conflictBackoff)
 	default:
-		l.avoid = l.clock.Now().Add(avoidFor)
+		l.avoidUntil = l.clock.Now().Add(unreachableBackoff)
 	}
 	l.mu.Unlock()
-	l.forget()
+	l.connClosed()
 	return nil, err
 }
--- a/internal/home/cold.go
+++ b/internal/home/cold.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// coldPause is the least time between two questions for the rate of cold targets.
-const coldPause = 5 * time.Millisecond
+// minColdWait is the least time between two questions for the rate of cold targets.
+const minColdWait = 5 * time.Millisecond
 
-// admitted reports whether a statement may be sent to a target now, on a connection
+// awaitAdmission reports whether a statement may be sent to a target now, on a connection
 // that was opened at a time. A cold target gets few; the statement waits for its turn
 // until the given time.
-func (h *Homes) admitted(l *lane, opened, until time.Time) (ok bool, retryAfter time.Duration) {
+func (h *Homes) awaitAdmission(l *pool, opened, until time.Time) (ok bool, retryAfter time.Duration) {
 	if h.cfg.MayBeCold == nil {
 		return true, 0
 	}
@@ -28,7 +28,7 @@
 		if adm.Admitted {
 			return true, 0
 		}
-		pause := max(adm.RetryAfter, coldPause)
+		pause := max(adm.RetryAfter, minColdWait)
 		if h.cfg.Clock.Now().Add(pause).After(until) {
 			return false, pause
 		}
@@ -36,34 +36,34 @@
 	}
 }
 
-// noteFailure notes that the target may have ended and start again, cold.
-func (l *lane) noteFailure() {
+// recordFailure notes that the target may have ended and start again, cold.
+func (l *pool) recordFailure() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.failed = l.clock.Now()
+	l.failedAt = l.clock.Now()
 }
 
-// noteReport notes that another home could not reach the target. A home without a
+// recordReport notes that another home could not reach the target. A home without a
 // connection to it sees no failure when it starts again.
-func (l *lane) noteReport() {
+func (l *pool) recordReport() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reported = l.clock.Now()
+	l.reportedAt = l.clock.Now()
 }
 
 // lastFailure returns when the target failed last, as far as it may have started again
 // before a connection was opened. A report counts from the opening of the connection
 // at the latest: a later start would have broken it, and reports are repeated for as
 // long as the other home is cut off from a target that runs. The caller holds mu.
-func (l *lane) lastFailure(opened time.Time) time.Time {
-	reported := l.reported
-	if opened.Before(reported) {
-		reported = opened
+func (l *pool) lastFailure(opened time.Time) time.Time {
+	reportedAt := l.reportedAt
+	if opened.Before(reportedAt) {
+		reportedAt = opened
 	}
-	if reported.After(l.failed) {
-		return reported
+	if reportedAt.After(l.failedAt) {
+		return reportedAt
 	}
-	return l.failed
+	return l.failedAt
 }
 
 // waitFor is the longest time that a statement waits where it holds up others.
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -20,8 +20,8 @@
 	Service func(siskin.ServiceName) (siskin.ServiceSpec, bool)
 	// Targets returns the targets of a service.
 	Targets func(siskin.ServiceName) []siskin.TargetInfo
-	// Group returns the number of targets of a service when none is missing.
-	Group func(siskin.ServiceName) int
+	// GroupSize returns the number of targets of a service when none is missing.
+	GroupSize func(siskin.ServiceName) int
 	// Listed returns since when service discovery lists the present run of a target,
 	// and when its last list was asked for.
 	Listed func(siskin.TargetID) (since, listed time.Time, ok bool)
@@ -30,26 +30,26 @@
 	Log    *log.Logger
 }
 
-// refusedFor is the time after a failed renewal in which requests are refused
+// renewalBackoff is the time after a failed renewal in which requests are refused
 // without another one, so that none waits in vain.
-const refusedFor = 100 * time.Millisecond
+const renewalBackoff = 100 * time.Millisecond
 
 // confirm returns a moment, after the call began, at which the target was the
 // only one that could acknowledge commits. The caller still has to see a plain
 // transaction begin there.
-func (h *Homes) confirm(ctx context.Context, service siskin.ServiceName, l *lane) (at time.Time, ok bool) {
-	if h.ownProof() {
+func (h *Homes) confirm(ctx context.Context, service siskin.ServiceName, l *pool) (at time.Time, ok bool) {
+	if h.answerProvesLead() {
 		return h.cfg.Clock.Now(), true
 	}
-	return h.covered(ctx, service, l)
+	return h.awaitLease(ctx, service, l)
 }
 
-// ownProof reports whether the word of a target is a proof of its lead.
-func (h *Homes) ownProof() bool { return h.cfg.LeaseConfig == nil || h.cfg.LeaseConfig.Fencing }
+// answerProvesLead reports whether the word of a target is a proof of its lead.
+func (h *Homes) answerProvesLead() bool { return h.cfg.LeaseConfig == nil || h.cfg.LeaseConfig.Fencing }
 
-// covered returns a moment after the call began, and whether a lease of the target's
+// awaitLease returns a moment after the call began, and whether a lease of the target's
 // lead covers it. It asks the replicas when none does, or when one ends soon.
-func (h *Homes) covered(ctx context.Context, service siskin.ServiceName, l *lane) (at time.Time, ok bool) {
+func (h *Homes) awaitLease(ctx context.Context, service siskin.ServiceName, l *pool) (at time.Time, ok bool) {
 	at = h.cfg.Clock.Now()
 	id := l.target()
 	if age := h.cfg.LeaseConfig.Leases.Age(id, at); age < lease.TTL {
@@ -58,7 +58,7 @@
 		}
 		return at, true
 	}
-	if l.renewal.refusedSince(at.Add(-refusedFor)) {
+	if l.renewal.failedSince(at.Add(-renewalBackoff)) {
 		return at, false
 	}
 	select {
@@ -72,15 +72,15 @@
 // leadTerm returns the term that a target is known to lead where proofs need it,
 // zero when it is not known.
 func (h *Homes) leadTerm(id siskin.TargetID) siskin.Term {
-	if h.ownProof() {
+	if h.answerProvesLead() {
 		return 0
 	}
 	return h.cfg.LeaseConfig.Leases.Term(id)
 }
 
-// termOf asks a primary for its term.
-func (h *Homes) termOf(ctx context.Context, id siskin.TargetID) (siskin.Term, error) {
-	o, err := h.status(ctx, id, askReplica)
+// askTerm asks a primary for its term.
+func (h *Homes) askTerm(ctx context.Context, id siskin.TargetID) (siskin.Term, error) {
+	o, err := h.status(ctx, id, replicaTimeout)
 	if err == nil && !o.Status.Primary {
 		err = siskin.NewError(siskin.Conflict, "target %s is a replica", id)
 	}
@@ -96,7 +96,7 @@
 // ReplicaClaimed reports whether the last question to the replicas of a target found one
 // that a change of primary has claimed.
 func (h *Homes) ReplicaClaimed(id siskin.TargetID) bool {
-	l, ok := h.lanes.Get(id)
+	l, ok := h.pools.Get(id)
 	if !ok {
 		return false
 	}
--- a/internal/home/confirm_test.go
+++ b/internal/home/confirm_test.go
@@ -34,7 +34,7 @@
 	f.homes.cfg.LeaseConfig = &LeaseConfig{
 		Leases: lease.New(), Fencing: fencing, Log: logs.New("error", "json", io.Discard),
 		Listed: func(siskin.TargetID) (since, listed time.Time, ok bool) { return f.since, f.listed, true },
-		Group:  func(name siskin.ServiceName) int { return len(f.platform.Targets(string(name))) },
+		GroupSize:  func(name siskin.ServiceName) int { return len(f.platform.Targets(string(name))) },
 		Service: func(name siskin.ServiceName) (siskin.ServiceSpec, bool) {
 			return siskin.ServiceSpec{Name: name, SyncReplicas: 1}, true
 		},
@@ -47,7 +47,7 @@
 			return list
 		},
 		Status: func(ctx context.Context, id siskin.TargetID) (o Observation, err error) {
-			f.asked.Add(1)
+			f.statusCalls.Add(1)
 			var a siskin.Answer
 			if a, o.ConnAge, err = f.homes.Observe(ctx, id); err == nil {
 				o.Status, err = platform.ParseStatus(&a)
@@ -120,10 +120,10 @@
 	}
 }
 
-// TestCommitsConfirm guards against questions to replicas although commits keep up
+// TestCommitsExtendLease guards against questions to replicas although commits keep up
 // the lease, and against commits that are taken for evidence by themselves: a claimed
 // replica that has started again may have acknowledged them.
-func TestCommitsConfirm(t *testing.T) {
+func TestCommitsExtendLease(t *testing.T) {
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) {
 			f := start(t)
@@ -136,12 +136,12 @@
 			if got := f.run(request(primary, siskin.Write, "x 0")); got.Outcome != NotSent || got.Cause != Stalled {
 				t.Errorf("write without evidence: got %+v, want it refused", got)
 			}
-			time.Sleep(refusedFor)
+			time.Sleep(renewalBackoff)
 			f.homes.cfg.LeaseConfig.Targets = targets
 			if got := f.run(request(primary, siskin.Write, "x 1")); got.Answer.Code != siskin.Succeeded || !got.LeadProven {
 				t.Fatalf("write: got %+v, want success", got)
 			}
-			asked := f.asked.Load()
+			statusCalls := f.statusCalls.Load()
 			f.homes.cfg.LeaseConfig.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
 			for begun := time.Now(); time.Since(begun) < 2*lease.TTL; time.Sleep(lease.RenewAfter / 4) {
 				if got := f.run(request(primary, siskin.Write, "x 1")); got.Answer.Code != siskin.Succeeded || !got.LeadProven {
@@ -151,8 +151,8 @@
 			if got := f.run(leadRead(primary)); got.Outcome != Answered {
 				t.Errorf("read after a commit: got %+v, want an answer", got)
 			}
-			if got := f.asked.Load(); got != asked {
-				t.Errorf("questions to targets while commits go on: got %d, want none", got-asked)
+			if got := f.statusCalls.Load(); got != statusCalls {
+				t.Errorf("questions to targets while commits go on: got %d, want none", got-statusCalls)
 			}
 		})
 	}
@@ -169,7 +169,7 @@
 	if got := f.run(read); got.Cause != Unconfirmed {
 		t.Fatalf("read: got %+v, want %v", got, Unconfirmed)
 	}
-	l, _ := f.homes.lane(primary.ID())
+	l, _ := f.homes.pool(primary.ID())
 	if got := len(l.idle); got != 1 {
 		t.Fatalf("idle connections: got %d, want 1", got)
 	}
@@ -185,7 +185,7 @@
 	replica := f.target(1)
 	f.limit = 10
 	var conns []*conn
-	l, _ := f.homes.lane(replica.ID())
+	l, _ := f.homes.pool(replica.ID())
 	for range 10 {
 		c, err := l.conn(context.Background(), "acme", time.Second)
 		if err != nil {
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -12,14 +12,14 @@
 	customer siskin.CustomerID
 	values   map[string]string
 	prepared map[string]Prepared
-	opened   time.Time // when it was open
-	used     time.Time // end of the last use
-	fresh    bool      // no statement was sent yet
+	openedAt time.Time // when it was open
+	usedAt   time.Time // end of the last use
+	unused   bool      // no statement was sent yet
 }
 
 func newConn(tc siskin.TargetConn, customer siskin.CustomerID, now time.Time) *conn {
 	return &conn{
-		TargetConn: tc, customer: customer, opened: now, used: now, fresh: true,
+		TargetConn: tc, customer: customer, openedAt: now, usedAt: now, unused: true,
 		values: make(map[string]string), prepared: make(map[string]Prepared),
 	}
 }
@@ -33,11 +33,11 @@
 	return "r_" + p.Shape
 }
 
-// adapt returns the statements that bring the connection to the session's state
+// syncSession returns the statements that bring the connection to the session's state
 // and takes that state over. The connection must be closed when one fails.
-func (c *conn) adapt(req *Request) []siskin.Statement {
+func (c *conn) syncSession(req *Request) []siskin.Statement {
 	var list []siskin.Statement
-	if c.hasOther(req.Values) {
+	if c.hasExtraValue(req.Values) {
 		list = append(list, siskin.Statement{Kind: siskin.Discard})
 		clear(c.values)
 		clear(c.prepared)
@@ -58,8 +58,8 @@
 	return list
 }
 
-// hasOther reports whether the connection holds a value that the session lacks.
-func (c *conn) hasOther(values []Value) bool {
+// hasExtraValue reports whether the connection holds a value that the session lacks.
+func (c *conn) hasExtraValue(values []Value) bool {
 	if len(c.values) > len(values) {
 		return true
 	}
@@ -72,8 +72,8 @@
 	return found < len(c.values)
 }
 
-// named returns the caller's statement with the name it has at the target.
-func named(req *Request) siskin.Statement {
+// targetStatement returns the caller's statement with the name it has at the target.
+func targetStatement(req *Request) siskin.Statement {
 	s := req.Statement
 	if s.Kind == siskin.Execute {
 		s.Name = preparedName(req.Prepared)
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -20,34 +20,34 @@
 type control struct {
 	mu sync.Mutex // held during an exchange
 	c  siskin.TargetConn
-	// opened is the run of the target that the connection was opened to.
-	opened siskin.TargetInfo
-	since  time.Time // when it was open
-	used   time.Time
+	// openedTo is the run of the target that the connection was openedTo to.
+	openedTo    siskin.TargetInfo
+	connectedAt time.Time // when it was open
+	usedAt      time.Time
 
-	attended atomic.Int64 // last attempt of Attend, in Unix nanoseconds
+	lastEnsure atomic.Int64 // last attempt of Attend, in Unix nanoseconds
 }
 
-// controlIdle is the time after which an unused control connection is closed. Every
+// controlIdleTimeout is the time after which an unused control connection is closed. Every
 // VM may open one, and they count against the target's limit.
-const controlIdle = time.Second
+const controlIdleTimeout = time.Second
 
 const (
-	// attendEvery is the least time between two attempts of Attend at one target.
-	attendEvery = time.Second
-	// attendAfter is the time from the first use of a target to the first attempt. The
+	// ensureInterval is the least time between two attempts of Attend at one target.
+	ensureInterval = time.Second
+	// ensureDelay is the time from the first use of a target to the first attempt. The
 	// connections of an earlier home that vanished count for 3 s, and the few that are
 	// left are for callers.
-	attendAfter = 4 * time.Second
+	ensureDelay = 4 * time.Second
 )
 
 // EnsureControlConn opens the control connection of a target that this VM is the home of, unless
 // some connection is open. A replica can confirm a lead once its home has had one to
 // it for long enough, so the home does not wait for the first question.
 func (h *Homes) EnsureControlConn(id siskin.TargetID) {
-	l, ok := h.lane(id)
+	l, ok := h.pool(id)
 	now := h.cfg.Clock.Now()
-	if !ok || now.Sub(l.created) < attendAfter || now.UnixNano()-l.control.attended.Load() < int64(attendEvery) || !l.control.mu.TryLock() {
+	if !ok || now.Sub(l.created) < ensureDelay || now.UnixNano()-l.control.lastEnsure.Load() < int64(ensureInterval) || !l.control.mu.TryLock() {
 		return
 	}
 	open := l.control.c != nil
@@ -55,7 +55,7 @@
 	if open || l.inUse() {
 		return
 	}
-	l.control.attended.Store(now.UnixNano())
+	l.control.lastEnsure.Store(now.UnixNano())
 	h.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		defer cancel()
@@ -68,7 +68,7 @@
 // connection is replaced once before anything counts as failed, so the
 // statements must be safe to repeat.
 func (h *Homes) Control(ctx context.Context, id siskin.TargetID, list ...siskin.Statement) ([]siskin.Answer, error) {
-	l, ok := h.lane(id)
+	l, ok := h.pool(id)
 	if !ok {
 		return nil, siskin.NewError(siskin.Unavailable, "target %s is not known", id).WithRemedy("wait for service discovery")
 	}
@@ -80,7 +80,7 @@
 	reused := l.control.c != nil
 	answers, err := l.controlOnce(ctx, list)
 	if err != nil && reused {
-		l.noteBreak(err)
+		l.handleBreak(err)
 		if ctx.Err() == nil {
 			answers, err = l.controlOnce(ctx, list)
 		}
@@ -92,11 +92,11 @@
 		}
 		return nil, siskin.NewError(kind, "target %s gave no answer", id).WithCause(err)
 	}
-	l.control.used = h.cfg.Clock.Now()
+	l.control.usedAt = h.cfg.Clock.Now()
 	return answers, nil
 }
 
-func (l *lane) controlOnce(ctx context.Context, list []siskin.Statement) ([]siskin.Answer, error) {
+func (l *pool) controlOnce(ctx context.Context, list []siskin.Statement) ([]siskin.Answer, error) {
 	l.mu.Lock()
 	info, closing := l.info, l.closing
 	l.mu.Unlock()
@@ -104,7 +104,7 @@
 		return nil, siskin.NewError(siskin.Unavailable, "this VM no longer serves target %s", info.ID)
 	}
 	ctl := &l.control
-	if ctl.c != nil && (ctl.opened.Address != info.Address || !ctl.opened.StartedAt.Equal(info.StartedAt)) {
+	if ctl.c != nil && (ctl.openedTo.Address != info.Address || !ctl.openedTo.StartedAt.Equal(info.StartedAt)) {
 		l.dropControl()
 	}
 	if ctl.c == nil {
@@ -115,7 +115,7 @@
 		if err != nil {
 			return nil, err
 		}
-		ctl.c, ctl.opened, ctl.since = c, info, l.clock.Now()
+		ctl.c, ctl.openedTo, ctl.connectedAt = c, info, l.clock.Now()
 	}
 	answers, err := ctl.c.Exchange(exchangeDeadline(ctx), list)
 	if err != nil {
@@ -126,7 +126,7 @@
 
 // controlOnIdle runs control statements on an idle connection of a customer, since
 // the target accepts no further connection. Without one the refusal stands.
-func (l *lane) controlOnIdle(ctx context.Context, list []siskin.Statement, refusal error) ([]siskin.Answer, error) {
+func (l *pool) controlOnIdle(ctx context.Context, list []siskin.Statement, refusal error) ([]siskin.Answer, error) {
 	l.mu.Lock()
 	n := len(l.idle)
 	if n == 0 {
@@ -153,7 +153,7 @@
 	return time.Now().Add(pingTimeout)
 }
 
-func (l *lane) dropControl() {
+func (l *pool) dropControl() {
 	_ = l.control.c.Close() // control statements leave nothing open
 	l.control.c = nil
 }
@@ -170,7 +170,7 @@
 		return err
 	}
 	h.cfg.Views.RecordSuccess(id)
-	if l, ok := h.lane(id); ok {
+	if l, ok := h.pool(id); ok {
 		ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 		defer cancel()
 		if _, ok := h.confirm(ctx, service, l); !ok {
@@ -210,19 +210,19 @@
 // trim closes connections that were idle for long: the control connection when others
 // are open, and all when this VM is not the target's home. A home keeps one, since it
 // shows that the target has not started again.
-func (l *lane) trim(now time.Time, guest bool) {
-	if (guest || l.inUse()) && l.control.mu.TryLock() {
-		if l.control.c != nil && now.Sub(l.control.used) > controlIdle {
+func (l *pool) trim(now time.Time, notHome bool) {
+	if (notHome || l.inUse()) && l.control.mu.TryLock() {
+		if l.control.c != nil && now.Sub(l.control.usedAt) > controlIdleTimeout {
 			l.dropControl()
 		}
 		l.control.mu.Unlock()
 	}
-	if !guest {
+	if !notHome {
 		return
 	}
 	l.mu.Lock()
 	var stale []*conn
-	for len(l.idle) > 0 && now.Sub(l.idle[0].used) > controlIdle {
+	for len(l.idle) > 0 && now.Sub(l.idle[0].usedAt) > controlIdleTimeout {
 		stale = append(stale, l.idle[0])
 		l.idle = l.idle[1:]
 		l.open--
@@ -235,10 +235,10 @@
 // success, or were refused since its replicas are claimed; zero when the last one
 // succeeded.
 func (h *Homes) WriteStall(id siskin.TargetID) time.Duration {
-	l, ok := h.lanes.Get(id)
+	l, ok := h.pools.Get(id)
 	if !ok {
 		return 0
 	}
 	now := h.cfg.Clock.Now()
-	return max(l.writes.stalled(now), l.refusals.since(now))
+	return max(l.writes.stallTime(now), l.refusals.since(now))
 }
--- a/internal/home/crowd_test.go
+++ b/internal/home/crowd_test.go
@@ -10,10 +10,10 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// TestCrowdedTarget guards against a home that opens connection after connection
+// TestTargetRefusesConnections guards against a home that opens connection after connection
 // at a target that refuses them, such as while another VM takes itself for the
 // home: 72,013 were refused in a minute while paths of a primary were cut.
-func TestCrowdedTarget(t *testing.T) {
+func TestTargetRefusesConnections(t *testing.T) {
 	const maxConns = 10
 	f := start(t, stand.ServiceOptions{MaxConnections: maxConns})
 	target := f.target(0)
@@ -52,16 +52,16 @@
 	for _, c := range others {
 		c.Close()
 	}
-	time.Sleep(maxCrowdPause)
+	time.Sleep(maxConnBackoff)
 	if got := f.run(request(target, siskin.Read, "x")); got.Outcome != Answered {
 		t.Errorf("read after the others closed: got %+v, want an answer", got)
 	}
 }
 
-// TestCrowd guards against a bound that never rises again, and against one that
+// TestConnLimiter guards against a bound that never rises again, and against one that
 // lets all waiting requests try at once.
-func TestCrowd(t *testing.T) {
-	var c crowd
+func TestConnLimiter(t *testing.T) {
+	var c connLimiter
 	now := time.Unix(100, 0)
 	if got := c.limit(now, 31); got != 31 {
 		t.Errorf("limit without a refusal: got %d, want 31", got)
@@ -71,14 +71,14 @@
 	if got := c.limit(now, 31); got != 4 {
 		t.Errorf("limit after refusals: got %d, want 4", got)
 	}
-	now = now.Add(maxCrowdPause)
+	now = now.Add(maxConnBackoff)
 	for open := 5; open <= 31; open++ {
 		if got := c.limit(now, 31); got != open {
 			t.Fatalf("limit after the pause: got %d, want %d", got, open)
 		}
 		c.accepted(open, 31)
 	}
-	if c.on {
+	if c.active {
 		t.Error("the bound holds after all connections were accepted")
 	}
 }
--- a/internal/home/evacuated_test.go
+++ b/internal/home/evacuated_test.go
@@ -9,8 +9,8 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// evacuable returns a fixture with a switch that closes all targets to statements.
-func evacuable(t *testing.T, o stand.ServiceOptions) (*fixture, *atomic.Bool) {
+// startEvacuable returns a fixture with a switch that closes all targets to statements.
+func startEvacuable(t *testing.T, o stand.ServiceOptions) (*fixture, *atomic.Bool) {
 	t.Helper()
 	f := start(t, o)
 	var closed atomic.Bool
@@ -21,7 +21,7 @@
 // TestEvacuated guards against statements that reach a target of an evacuated data
 // centre: new ones, and those that waited for a place there meanwhile.
 func TestEvacuated(t *testing.T) {
-	f, closed := evacuable(t, stand.ServiceOptions{Slots: 1, StatementTime: 200 * time.Millisecond})
+	f, closed := startEvacuable(t, stand.ServiceOptions{Slots: 1, StatementTime: 200 * time.Millisecond})
 	target := f.target(0)
 	replies := make(chan Reply)
 	const running = 1 + spareRunning
@@ -69,7 +69,7 @@
 // TestEvacuatedTransaction guards against a commit that reaches a target of an
 // evacuated data centre, and against a transaction that stays open there.
 func TestEvacuatedTransaction(t *testing.T) {
-	f, closed := evacuable(t, stand.ServiceOptions{})
+	f, closed := startEvacuable(t, stand.ServiceOptions{})
 	target := f.target(0)
 	open := request(target, siskin.Write, "x 1")
 	open.Mode, open.Proof = Open, LeadProof
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -16,14 +16,14 @@
 )
 
 type fixture struct {
-	t        *testing.T
-	platform *stand.Platform
-	homes    *Homes
-	views    *views.Views
-	limit    int
-	since    time.Time    // since when service discovery lists the targets
-	listed   time.Time    // of its last list
-	asked    atomic.Int64 // questions for the state of a target
+	t           *testing.T
+	platform    *stand.Platform
+	homes       *Homes
+	views       *views.Views
+	limit       int
+	since       time.Time    // since when service discovery lists the targets
+	listed      time.Time    // of its last list
+	statusCalls atomic.Int64 // questions for the state of a target
 }
 
 func start(t *testing.T, o stand.ServiceOptions) *fixture {
@@ -168,7 +168,7 @@
 	if err := primary.Restart(); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(idleProbe + 50*time.Millisecond)
+	time.Sleep(probeAfterIdle + 50*time.Millisecond)
 	if got := f.run(request(primary, siskin.Write, "x 2")); got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
 		t.Errorf("write after the target started again: got %+v, want success", got)
 	}
@@ -255,7 +255,7 @@
 func TestSessionState(t *testing.T) {
 	c := newConn(nil, "acme", time.Time{})
 	kinds := func(req *Request) (list []siskin.StatementKind) {
-		for _, s := range c.adapt(req) {
+		for _, s := range c.syncSession(req) {
 			list = append(list, s.Kind)
 		}
 		return list
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -37,7 +37,7 @@
 // Homes runs statements on targets. It is safe for concurrent use.
 type Homes struct {
 	cfg    Config
-	lanes  *shard.Map[siskin.TargetID, *lane]
+	pools  *shard.Map[siskin.TargetID, *pool]
 	txs    *shard.Map[TxID, *tx]
 	nextTx atomic.Uint64
 	active atomic.Int32 // calls of Run in progress
@@ -51,7 +51,7 @@
 // New returns Homes and starts the goroutine that ends idle transactions.
 func New(cfg Config) *Homes {
 	h := &Homes{
-		cfg: cfg, lanes: shard.New[siskin.TargetID, *lane](), txs: shard.New[TxID, *tx](),
+		cfg: cfg, pools: shard.New[siskin.TargetID, *pool](), txs: shard.New[TxID, *tx](),
 		stop: make(chan struct{}),
 	}
 	// A restarted VM must not meet the ids of its earlier run.
@@ -71,7 +71,7 @@
 		h.abandon(id, t)
 		return true
 	})
-	h.lanes.Range(func(_ siskin.TargetID, l *lane) bool {
+	h.pools.Range(func(_ siskin.TargetID, l *pool) bool {
 		l.close()
 		return true
 	})
@@ -90,13 +90,13 @@
 
 // Update brings the lanes in use up to date with service discovery.
 func (h *Homes) Update() {
-	h.lanes.Range(func(id siskin.TargetID, l *lane) bool {
+	h.pools.Range(func(id siskin.TargetID, l *pool) bool {
 		if info, ok := h.cfg.Target(id); ok {
 			l.update(info, h.cfg.Limit(info))
 			l.trim(h.cfg.Clock.Now(), !h.cfg.IsHome(info))
 			return true
 		}
-		h.lanes.Delete(id)
+		h.pools.Delete(id)
 		l.close()
 		if h.cfg.LeaseConfig != nil {
 			h.cfg.LeaseConfig.Leases.Forget(id)
@@ -109,7 +109,7 @@
 // use.
 func (h *Homes) Loads() map[siskin.TargetID]int {
 	loads := make(map[siskin.TargetID]int)
-	h.lanes.Range(func(id siskin.TargetID, l *lane) bool {
+	h.pools.Range(func(id siskin.TargetID, l *pool) bool {
 		loads[id] = l.load()
 		return true
 	})
@@ -125,7 +125,7 @@
 // Counts returns the present totals.
 func (h *Homes) Counts() Counts {
 	n := Counts{Transactions: h.txs.Len(), Active: int(h.active.Load())}
-	h.lanes.Range(func(_ siskin.TargetID, l *lane) bool {
+	h.pools.Range(func(_ siskin.TargetID, l *pool) bool {
 		open, idle, opened := l.counts()
 		n.Open += open
 		n.Idle += idle
@@ -136,16 +136,16 @@
 	return n
 }
 
-func (h *Homes) lane(id siskin.TargetID) (*lane, bool) {
-	if l, ok := h.lanes.Get(id); ok {
+func (h *Homes) pool(id siskin.TargetID) (*pool, bool) {
+	if l, ok := h.pools.Get(id); ok {
 		return l, true
 	}
 	info, ok := h.cfg.Target(id)
 	if !ok {
 		return nil, false
 	}
-	return h.lanes.GetOrCreate(id, func() *lane {
-		return newLane(h.cfg.Clock, h.cfg.Connector, info, h.cfg.Limit(info))
+	return h.pools.GetOrCreate(id, func() *pool {
+		return newPool(h.cfg.Clock, h.cfg.Connector, info, h.cfg.Limit(info))
 	}), true
 }
 
@@ -160,14 +160,14 @@
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
 	if req.Mode == Continue {
-		return h.step(ctx, req)
+		return h.continueTx(ctx, req)
 	}
-	l, ok := h.lane(req.Target)
+	l, ok := h.pool(req.Target)
 	if !ok {
 		return Reply{Cause: Unknown}
 	}
 	if req.Unreachable {
-		l.noteReport()
+		l.recordReport()
 	}
 	r := &run{h: h, l: l, req: req, start: h.cfg.Clock.Now()}
 	r.deadline = time.Now().Add(req.Timeout)
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -12,22 +12,22 @@
 	// connectTimeout bounds the opening of a connection. A target takes up to
 	// 30 ms; a lost opening packet is sent again after a second.
 	connectTimeout = 400 * time.Millisecond
-	// avoidFor is the time in which a target that could not be reached is not
+	// unreachableBackoff is the time in which a target that could not be reached is not
 	// tried again, so that requests fail at once instead of waiting.
-	avoidFor = 300 * time.Millisecond
+	unreachableBackoff = 300 * time.Millisecond
 	// spareRunning is the number of statements sent to a target beyond its
 	// slots. One keeps the slots busy during the round trip.
 	spareRunning = 1
-	// connPoll is the time between two looks for a connection while a target
+	// connPollInterval is the time between two looks for a connection while a target
 	// refuses further ones.
-	connPoll = 15 * time.Millisecond
-	// conflictFor is the time in which a target whose address answered for
+	connPollInterval = 15 * time.Millisecond
+	// conflictBackoff is the time in which a target whose address answered for
 	// another one is not tried again.
-	conflictFor = time.Second
+	conflictBackoff = time.Second
 )
 
-// lane is the queue and the connections of one target.
-type lane struct {
+// pool is the queue and the connections of one target.
+type pool struct {
 	clock     siskin.Clock
 	created   time.Time
 	connector siskin.TargetConnector
@@ -37,23 +37,23 @@
 	refusals  refusals
 	renewal   renewal
 
-	mu      sync.Mutex
-	info    siskin.TargetInfo
-	limit   int // most open connections
-	open    int // connections open or being opened
-	crowd   crowd
-	idle    []*conn
-	wake    chan struct{} // closed when a connection becomes free
-	avoid   time.Time
-	failed  time.Time // last time that a connection broke or could not be opened
-	closing bool
-	opened  int64 // connections opened since the start
-	// reported is the last time that another home could not reach the target.
-	reported time.Time
-}
-
-func newLane(clock siskin.Clock, connector siskin.TargetConnector, info siskin.TargetInfo, limit int) *lane {
-	return &lane{
+	mu          sync.Mutex
+	info        siskin.TargetInfo
+	limit       int // most open connections
+	open        int // connections open or being opened
+	connLimiter connLimiter
+	idle        []*conn
+	wake        chan struct{} // closed when a connection becomes free
+	avoidUntil  time.Time
+	failedAt    time.Time // last time that a connection broke or could not be opened
+	closing     bool
+	opened      int64 // connections opened since the start
+	// reportedAt is the last time that another home could not reach the target.
+	reportedAt time.Time
+}
+
+func newPool(clock siskin.Clock, connector siskin.TargetConnector, info siskin.TargetInfo, limit int) *pool {
+	return &pool{
 		clock: clock, created: clock.Now(), connector: connector, info: info, limit: limit, wake: make(chan struct{}),
 		queue: fairq.New(clock, info.Slots+spareRunning, fairq.WithReserve(0)),
 	}
@@ -61,7 +61,7 @@
 
 // update takes over what discovery says. The connections to an earlier run or
 // address of the target are dropped.
-func (l *lane) update(info siskin.TargetInfo, limit int) {
+func (l *pool) update(info siskin.TargetInfo, limit int) {
 	l.mu.Lock()
 	var stale []*conn
 	if info.Address != l.info.Address || !info.StartedAt.Equal(l.info.StartedAt) {
@@ -77,7 +77,7 @@
 	closeAll(stale)
 }
 
-func (l *lane) takeIdle() []*conn {
+func (l *pool) takeIdle() []*conn {
 	taken := l.idle
 	l.idle = nil
 	l.open -= len(taken)
@@ -90,41 +90,41 @@
 	}
 }
 
-// forget uncounts a connection and lets a waiter open another one.
-func (l *lane) forget() {
+// connClosed uncounts a connection and lets a waiter open another one.
+func (l *pool) connClosed() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open--
 	l.signal()
 }
 
-func (l *lane) signal() {
+func (l *pool) signal() {
 	close(l.wake)
 	l.wake = make(chan struct{})
 }
 
 // inUse reports whether a connection for callers is open.
-func (l *lane) inUse() bool {
+func (l *pool) inUse() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.open > 0
 }
 
 // target returns the id of the lane's target.
-func (l *lane) target() siskin.TargetID {
+func (l *pool) target() siskin.TargetID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.info.ID
 }
 
 // put returns a connection whose last answer was read to its end.
-func (l *lane) put(c *conn) {
-	c.used = l.clock.Now()
+func (l *pool) put(c *conn) {
+	c.usedAt = l.clock.Now()
 	l.putUnused(c)
 }
 
 // putUnused returns a connection on which nothing was sent since it was taken.
-func (l *lane) putUnused(c *conn) {
+func (l *pool) putUnused(c *conn) {
 	l.mu.Lock()
 	if l.closing || l.open > l.limit {
 		l.mu.Unlock()
@@ -137,14 +137,14 @@
 }
 
 // drop closes a connection.
-func (l *lane) drop(c *conn) {
+func (l *pool) drop(c *conn) {
 	_ = c.Close() // the target rolls back what is open
-	l.forget()
+	l.connClosed()
 }
 
 // dropIdle closes the idle connections, which share the fate of one that
 // failed: they may be silent, or belong to an earlier run of the target.
-func (l *lane) dropIdle() {
+func (l *pool) dropIdle() {
 	l.mu.Lock()
 	stale := l.takeIdle()
 	l.signal()
@@ -152,7 +152,7 @@
 	closeAll(stale)
 }
 
-func (l *lane) close() {
+func (l *pool) close() {
 	l.mu.Lock()
 	l.closing = true
 	l.mu.Unlock()
@@ -165,12 +165,12 @@
 }
 
 // load returns the number of statements that wait or run.
-func (l *lane) load() int {
+func (l *pool) load() int {
 	s := l.queue.Stats()
 	return s.Running + s.Waiting
 }
 
-func (l *lane) counts() (open, idle int, opened int64) {
+func (l *pool) counts() (open, idle int, opened int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.open, len(l.idle), l.opened
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -20,8 +20,8 @@
 
 // Observe asks a target for its state on the oldest connection that is free, and
 // returns for how long that one has been open.
-func (h *Homes) Observe(ctx context.Context, id siskin.TargetID) (a siskin.Answer, running time.Duration, err error) {
-	l, ok := h.lane(id)
+func (h *Homes) Observe(ctx context.Context, id siskin.TargetID) (a siskin.Answer, connAge time.Duration, err error) {
+	l, ok := h.pool(id)
 	if !ok {
 		return a, 0, siskin.NewError(siskin.Unavailable, "target %s is not known", id).WithRemedy("wait for service discovery")
 	}
@@ -34,14 +34,14 @@
 		answers, err := c.Exchange(exchangeDeadline(ctx), []siskin.Statement{status})
 		switch {
 		case err != nil:
-			l.noteBreak(err)
+			l.handleBreak(err)
 			l.drop(c)
 		case answers[0].State != siskin.TxIdle:
 			l.drop(c)
 		default:
-			opened := c.opened
+			openedAt := c.openedAt
 			l.put(c)
-			return answers[0], h.cfg.Clock.Since(opened), nil
+			return answers[0], h.cfg.Clock.Since(openedAt), nil
 		}
 		if ctx.Err() != nil {
 			return a, 0, siskin.NewError(siskin.Unavailable, "target %s gave no answer", id).WithCause(err)
@@ -56,17 +56,17 @@
 	if l.control.c == nil {
 		return answers[0], 0, nil // it answered on another one
 	}
-	return answers[0], h.cfg.Clock.Since(l.control.since), nil
+	return answers[0], h.cfg.Clock.Since(l.control.connectedAt), nil
 }
 
-// idleFor is the time for which a question waits for a connection of callers, all of
+// idleConnWait is the time for which a question waits for a connection of callers, all of
 // which are in use. One of its own would take the place of another of theirs.
-const idleFor = 15 * time.Millisecond
+const idleConnWait = 15 * time.Millisecond
 
 // awaitOldest takes the idle connection that was opened first, and waits for one to
 // become idle unless there is a control connection. It returns nil when there is none.
-func (l *lane) awaitOldest(ctx context.Context) *conn {
-	limit := l.clock.After(idleFor)
+func (l *pool) awaitOldest(ctx context.Context) *conn {
+	limit := l.clock.After(idleConnWait)
 	for {
 		freed := l.freed()
 		if c := l.takeOldest(); c != nil {
@@ -86,7 +86,7 @@
 }
 
 // hasControl reports whether the control connection is open or in use.
-func (l *lane) hasControl() bool {
+func (l *pool) hasControl() bool {
 	if !l.control.mu.TryLock() {
 		return true
 	}
@@ -96,11 +96,11 @@
 
 // takeOldest takes the idle connection that was opened first, nil when there is none
 // or the control connection is older.
-func (l *lane) takeOldest() *conn {
+func (l *pool) takeOldest() *conn {
 	var control time.Time
 	if l.control.mu.TryLock() {
 		if l.control.c != nil {
-			control = l.control.since
+			control = l.control.connectedAt
 		}
 		l.control.mu.Unlock()
 	}
@@ -108,11 +108,11 @@
 	defer l.mu.Unlock()
 	oldest := -1
 	for i, c := range l.idle {
-		if oldest < 0 || c.opened.Before(l.idle[oldest].opened) {
+		if oldest < 0 || c.openedAt.Before(l.idle[oldest].openedAt) {
 			oldest = i
 		}
 	}
-	if oldest < 0 || !control.IsZero() && control.Before(l.idle[oldest].opened) {
+	if oldest < 0 || !control.IsZero() && control.Before(l.idle[oldest].openedAt) {
 		return nil
 	}
 	c := l.idle[oldest]
@@ -120,12 +120,12 @@
 	return c
 }
 
-// noteBreak notes that a connection which had answered before is broken, so that the
+// handleBreak notes that a connection which had answered before is broken, so that the
 // target may have started again, cold. Silence alone does not say so.
-func (l *lane) noteBreak(err error) {
+func (l *pool) handleBreak(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	l.noteFailure()
+	l.recordFailure()
 	l.dropIdle()
 }
--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// TestLateQuestion guards against healthy connections that are closed by a question
+// TestExpiredContext guards against healthy connections that are closed by a question
 // whose time is over, such as that of a VM that stood still.
-func TestLateQuestion(t *testing.T) {
+func TestExpiredContext(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
 	if got := f.run(request(f.target(1), siskin.Read, "x")); got.Outcome != Answered {
@@ -65,7 +65,7 @@
 	if got := f.target(1).Opened(); got != 2 {
 		t.Errorf("connections opened: got %d, want the 2 of before", got)
 	}
-	l, _ := f.homes.lane(id)
+	l, _ := f.homes.pool(id)
 	if open, idle, _ := l.counts(); open != 1 || idle != 1 || l.control.c == nil {
 		t.Errorf("connections afterwards: got %d open, %d idle, control connection %v, want 1, 1 and one", open, idle, l.control.c != nil)
 	}
@@ -87,13 +87,13 @@
 	} {
 		now := f.homes.cfg.Clock.Now()
 		f.since, f.listed = now.Add(-c.since), now.Add(-c.listed)
-		got := now.Sub(f.homes.started("t", c.running))
+		got := now.Sub(f.homes.runningSince("t", c.running))
 		if got > c.want || got < c.want-100*time.Millisecond {
 			t.Errorf("%s: got a start %v ago, want %v", c.name, got, c.want)
 		}
 	}
 	f.homes.cfg.LeaseConfig.Listed = func(siskin.TargetID) (since, listed time.Time, ok bool) { return since, f.homes.cfg.Clock.Now(), false }
-	if got := f.homes.cfg.Clock.Since(f.homes.started("t", 10*time.Second)); got > 11*time.Second {
+	if got := f.homes.cfg.Clock.Since(f.homes.runningSince("t", 10*time.Second)); got > 11*time.Second {
 		t.Errorf("not listed: got a start %v ago, want what the connection shows", got)
 	}
 }
@@ -127,13 +127,13 @@
 	}
 }
 
-// TestAttend guards against a replica that nobody reads at and whose home has no
+// TestEnsureControlConn guards against a replica that nobody reads at and whose home has no
 // connection to it, so that it could not confirm a lead when a primary is lost; and
 // against connections in place of those for callers.
-func TestAttend(t *testing.T) {
+func TestEnsureControlConn(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
-	l, _ := f.homes.lane(id)
+	l, _ := f.homes.pool(id)
 	opened := func() int64 {
 		time.Sleep(50 * time.Millisecond)
 		return f.target(1).Opened()
@@ -142,7 +142,7 @@
 	if got := opened(); got != 0 {
 		t.Errorf("connections to a target that is used for the first time: got %d, want none", got)
 	}
-	l.created = l.created.Add(-attendAfter)
+	l.created = l.created.Add(-ensureDelay)
 	for range 3 {
 		f.homes.EnsureControlConn(id)
 	}
@@ -152,11 +152,11 @@
 	if got := f.run(request(f.target(1), siskin.Read, "x")); got.Outcome != Answered {
 		t.Fatalf("read: got %+v, want an answer", got)
 	}
-	l.trim(f.homes.cfg.Clock.Now().Add(2*controlIdle), false)
+	l.trim(f.homes.cfg.Clock.Now().Add(2*controlIdleTimeout), false)
 	if l.control.c != nil {
 		t.Error("control connection beside one of callers: got one, want it closed")
 	}
-	l.control.attended.Store(0)
+	l.control.lastEnsure.Store(0)
 	f.homes.EnsureControlConn(id)
 	if got := opened(); got != 2 {
 		t.Errorf("connections beside one of callers: got %d, want no further one", got)
@@ -168,7 +168,7 @@
 func TestControlAfterClose(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
-	l, _ := f.homes.lane(id)
+	l, _ := f.homes.pool(id)
 	l.close()
 	if _, err := f.homes.Control(context.Background(), id, siskin.Statement{Kind: siskin.Status}); err == nil {
 		t.Error("question on a closed lane: got an answer, want an error")
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -16,21 +16,21 @@
 	// renewTimeout bounds the questions to replicas for one renewal of a lease. A
 	// question takes a round trip, and the opening of a connection.
 	renewTimeout = 200 * time.Millisecond
-	// askReplica bounds the question to one replica, so that a silent one leaves
+	// replicaTimeout bounds the question to one replica, so that a silent one leaves
 	// time for the others.
-	askReplica = 90 * time.Millisecond
-	// askAgain is the time between two questions to replicas that accept no
+	replicaTimeout = 90 * time.Millisecond
+	// replicaRetryInterval is the time between two questions to replicas that accept no
 	// connection at the moment.
-	askAgain = 50 * time.Millisecond
-	// entryDelay is the time from a new start of a target to a list without the entry
+	replicaRetryInterval = 50 * time.Millisecond
+	// maxEntryLag is the time from a new start of a target to a list without the entry
 	// of its earlier run. A target writes its entry each 1.2 s, and one that is not
 	// renewed runs out within 3 s.
-	entryDelay = 4 * time.Second
+	maxEntryLag = 4 * time.Second
 )
 
 // askReplicas renews a lease with the answers of replicas. The error says why too
 // few of them were found unclaimed.
-func (h *Homes) askReplicas(service siskin.ServiceName, l *lane, term siskin.Term) error {
+func (h *Homes) askReplicas(service siskin.ServiceName, l *pool, term siskin.Term) error {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
 	for {
@@ -41,14 +41,14 @@
 		select {
 		case <-ctx.Done():
 			return err
-		case <-h.cfg.Clock.After(askAgain):
+		case <-h.cfg.Clock.After(replicaRetryInterval):
 		}
 	}
 }
 
 // askOnce asks the replicas once. The result again says that one of them accepts no
 // connection at the moment and could confirm the lead.
-func (h *Homes) askOnce(ctx context.Context, service siskin.ServiceName, l *lane, term siskin.Term) (again bool, err error) {
+func (h *Homes) askOnce(ctx context.Context, service siskin.ServiceName, l *pool, term siskin.Term) (again bool, err error) {
 	leads, id := h.cfg.LeaseConfig, l.target()
 	spec, ok := leads.Service(service)
 	if !ok {
@@ -59,7 +59,7 @@
 	}
 	replicas := slices.DeleteFunc(slices.Clone(leads.Targets(service)), func(t siskin.TargetInfo) bool { return t.ID == id })
 	asked := h.cfg.Clock.Now()
-	poll := lease.Poll{Term: term, SyncReplicas: spec.SyncReplicas, Replicas: len(replicas), GroupSize: leads.Group(service)}
+	poll := lease.Poll{Term: term, SyncReplicas: spec.SyncReplicas, Replicas: len(replicas), GroupSize: leads.GroupSize(service)}
 	var last error
 	for _, part := range l.renewal.order(len(replicas), lease.Quorum(spec.SyncReplicas)) {
 		for n, a := range h.statuses(ctx, replicas, part) {
@@ -67,31 +67,31 @@
 			switch {
 			case errors.Is(a.err, syscall.ECONNREFUSED):
 				poll.AddDown()
-				last = moreTelling(last, a.err)
+				last = preferConflict(last, a.err)
 				continue
 			case a.err != nil:
 				again = again || siskin.KindOf(a.err) == siskin.Overloaded
-				last = moreTelling(last, a.err)
+				last = preferConflict(last, a.err)
 				continue
 			case s.Term > term:
 				// This target leads again in a later term, or another one leads.
 				if !leads.Fencing {
-					if later, err := h.termOf(ctx, id); err != nil || later < s.Term {
+					if later, err := h.askTerm(ctx, id); err != nil || later < s.Term {
 						h.cfg.Views.RecordDenial(service, id, asked)
 						return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, later)
 					}
 				}
 				return h.askOnce(ctx, service, l, s.Term)
 			}
-			witness := leads.Leases.Trusted(id, term, h.started(replicas[n].ID, a.o.ConnAge), asked, lease.MinTrustedUptime)
+			witness := leads.Leases.Trusted(id, term, h.runningSince(replicas[n].ID, a.o.ConnAge), asked, lease.MinTrustedUptime)
 			poll.Add(*s, witness)
 			switch {
 			case !lease.Unclaimed(*s, term):
-				last = moreTelling(last, siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.PauseTerm))
+				last = preferConflict(last, siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.PauseTerm))
 			case witness:
 				l.renewal.asked = n
 			default:
-				last = moreTelling(last, siskin.NewError(siskin.Unavailable, "replica %s may have started again and forgotten a claim", replicas[n].ID))
+				last = preferConflict(last, siskin.NewError(siskin.Unavailable, "replica %s may have started again and forgotten a claim", replicas[n].ID))
 			}
 		}
 		if poll.Confirmed() {
@@ -116,7 +116,7 @@
 	}
 	var err error
 	if term < max(known, 1) {
-		if term, err = h.termOf(ctx, id); err != nil {
+		if term, err = h.askTerm(ctx, id); err != nil {
 			return 0, err
 		}
 	}
@@ -132,7 +132,7 @@
 	list := make([]statusResult, len(offsets))
 	var wg sync.WaitGroup
 	for i, n := range offsets {
-		wg.Go(func() { list[i].o, list[i].err = h.status(ctx, replicas[n].ID, askReplica) })
+		wg.Go(func() { list[i].o, list[i].err = h.status(ctx, replicas[n].ID, replicaTimeout) })
 	}
 	wg.Wait()
 	answers := make(map[int]statusResult, len(offsets))
@@ -142,9 +142,9 @@
 	return answers
 }
 
-// moreTelling returns the error that says more of a lead: that a replica is claimed
+// preferConflict returns the error that says more of a lead: that a replica is claimed
 // before all others.
-func moreTelling(a, b error) error {
+func preferConflict(a, b error) error {
 	if a != nil && siskin.KindOf(a) == siskin.Conflict {
 		return a
 	}
@@ -158,13 +158,13 @@
 	return max(l.Term, l.Position.Term)
 }
 
-// started returns a moment from which on a target has run without a new start. Its
+// runningSince returns a moment from which on a target has run without a new start. Its
 // connection shows this since it was opened. Lists show it from before on if the last
 // one was asked for so late that it would tell of a start before the opening.
-func (h *Homes) started(id siskin.TargetID, running time.Duration) time.Time {
-	opened := h.cfg.Clock.Now().Add(-running)
+func (h *Homes) runningSince(id siskin.TargetID, connAge time.Duration) time.Time {
+	opened := h.cfg.Clock.Now().Add(-connAge)
 	since, listed, ok := h.cfg.LeaseConfig.Listed(id)
-	if ok && since.Before(opened) && listed.After(opened.Add(entryDelay)) {
+	if ok && since.Before(opened) && listed.After(opened.Add(maxEntryLag)) {
 		return since
 	}
 	return opened
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -10,8 +10,8 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// expired reports whether the floor grew too old while the statement waited.
-func (r *run) expired() bool {
+// floorExpired reports whether the floor grew too old while the statement waited.
+func (r *run) floorExpired() bool {
 	return r.req.FloorTTL > 0 && r.h.cfg.Clock.Since(r.start) > r.req.FloorTTL
 }
 
@@ -37,19 +37,19 @@
 	asked := r.h.cfg.Clock.Now()
 	answers, err := r.c.Exchange(r.proofDeadline(), append(setup, begin...))
 	if err != nil {
-		r.broken(err)
+		r.connFailed(err)
 		return false, !errors.Is(err, os.ErrDeadlineExceeded)
 	}
 	for i := range answers {
 		if a := &answers[i]; a.Code != siskin.Succeeded {
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, *a
-			r.denied(a, asked)
+			r.recordDenial(a, asked)
 			r.l.drop(r.c)
 			return false, false
 		}
 	}
-	if len(begin) > 0 && begin[0].Kind == siskin.Begin && !r.confirmed.IsZero() {
-		r.proven(answers[len(setup)].Position, r.confirmed)
+	if len(begin) > 0 && begin[0].Kind == siskin.Begin && !r.confirmedAt.IsZero() {
+		r.recordProof(answers[len(setup)].Position, r.confirmedAt)
 	}
 	return true, false
 }
@@ -57,7 +57,7 @@
 // confirm asks the replicas to confirm the lead where a plain transaction needs
 // more than the word of its target. Nothing was sent when the result is false.
 func (r *run) confirm() bool {
-	r.confirmed = time.Time{}
+	r.confirmedAt = time.Time{}
 	if r.req.Proof == FloorProof {
 		return true
 	}
@@ -73,7 +73,7 @@
 		r.l.put(r.c)
 		return false
 	}
-	r.confirmed = at
+	r.confirmedAt = at
 	return true
 }
 
@@ -87,14 +87,14 @@
 	return d
 }
 
-func (r *run) proven(p siskin.Position, asked time.Time) {
+func (r *run) recordProof(p siskin.Position, asked time.Time) {
 	r.reply.LeadProven, r.reply.Lead = true, p
 	r.reply.LeadAge = r.h.cfg.Clock.Since(asked)
 	r.h.cfg.Views.RecordProof(r.req.Service, views.PrimaryProof{Target: r.req.Target, Position: p, Term: r.h.leadTerm(r.req.Target), At: asked})
 	r.h.cfg.Views.RecordSuccess(r.req.Target)
 }
 
-func (r *run) denied(a *siskin.Answer, asked time.Time) {
+func (r *run) recordDenial(a *siskin.Answer, asked time.Time) {
 	if a.Code == siskin.ReadOnly {
 		r.h.cfg.Views.RecordDenial(r.req.Service, r.req.Target, asked)
 	}
--- a/internal/home/refusals.go
+++ b/internal/home/refusals.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// refusalGap is the time without a refusal after which earlier ones tell nothing of
+// refusalWindow is the time without a refusal after which earlier ones tell nothing of
 // a target. Callers come back within it.
-const refusalGap = 600 * time.Millisecond
+const refusalWindow = 600 * time.Millisecond
 
 // refusals counts writes that were refused since the replicas of their target are
 // claimed. Such a target acknowledges no write, and none is sent to it.
@@ -20,7 +20,7 @@
 func (r *refusals) add(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.last) > refusalGap {
+	if now.Sub(r.last) > refusalWindow {
 		r.first, r.n = now, 0
 	}
 	r.last = now
@@ -31,7 +31,7 @@
 func (r *refusals) since(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.n < minPending || now.Sub(r.last) > refusalGap {
+	if r.n < minUnanswered || now.Sub(r.last) > refusalWindow {
 		return 0
 	}
 	return now.Sub(r.first)
--- a/internal/home/renewal.go
+++ b/internal/home/renewal.go
@@ -9,24 +9,24 @@
 
 // renewal is the renewal of a lease in progress, shared by all that wait for it.
 type renewal struct {
-	mu      sync.Mutex
-	done    chan struct{} // closed at its end; nil when none is in progress
-	asked   int           // replica that answered last, as an offset
-	refused time.Time     // end of the last renewal that failed
-	lost    bool          // the last renewal failed, and was logged
-	claimed bool          // it found a replica claimed, or following another primary
+	mu       sync.Mutex
+	done     chan struct{} // closed at its end; nil when none is in progress
+	asked    int           // replica that answered last, as an offset
+	failedAt time.Time     // end of the last renewal that failed
+	failed   bool          // the last renewal failed, and was logged
+	claimed  bool          // it found a replica claimed, or following another primary
 }
 
-func (r *renewal) refusedSince(t time.Time) bool {
+func (r *renewal) failedSince(t time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.refused.After(t)
+	return r.failedAt.After(t)
 }
 
 // renew starts a renewal of a lease unless one is in progress, and returns a
 // channel that is closed at its end. The target is known to have led the given term,
 // or a later one.
-func (h *Homes) renew(service siskin.ServiceName, l *lane, term siskin.Term) <-chan struct{} {
+func (h *Homes) renew(service siskin.ServiceName, l *pool, term siskin.Term) <-chan struct{} {
 	r := &l.renewal
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -40,13 +40,13 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if err != nil {
-			r.refused = h.cfg.Clock.Now()
+			r.failedAt = h.cfg.Clock.Now()
 		}
 		r.claimed = siskin.KindOf(err) == siskin.Conflict
-		if lost := err != nil; lost != r.lost {
-			r.lost = lost
+		if failed := err != nil; failed != r.failed {
+			r.failed = failed
 			h.cfg.LeaseConfig.Log.Info().Err(err).Str("Service", string(service)).Str("Target", string(l.target())).
-				Bool("Confirmed", !lost).Msg("the replicas' confirmation of a lead changed")
+				Bool("Confirmed", !failed).Msg("the replicas' confirmation of a lead changed")
 		}
 		r.done = nil
 		close(done)
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -10,15 +10,15 @@
 	"siskintray.example/siskin/pkg/fairq"
 )
 
-// idleProbe is the idle time after which a connection is probed before a write
+// probeAfterIdle is the idle time after which a connection is probed before a write
 // is sent on it. A connection that the target has closed meanwhile would
 // leave the outcome of the write unknown.
-const idleProbe = 200 * time.Millisecond
+const probeAfterIdle = 200 * time.Millisecond
 
 // run is the run of one statement outside of an open transaction.
 type run struct {
 	h        *Homes
-	l        *lane
+	l        *pool
 	req      *Request
 	start    time.Time // on the clock of h
 	deadline time.Time // for input and output
@@ -26,14 +26,14 @@
 	grant    fairq.Grant
 	reply    Reply
 	replaced bool // the connection was replaced once
-	// confirmed is when the replicas confirmed the lead, zero when they were not
+	// confirmedAt is when the replicas confirmedAt the lead, zero when they were not
 	// asked.
-	confirmed time.Time
+	confirmedAt time.Time
 }
 
 // do queues the statement, takes a connection and runs it.
 func (r *run) do(ctx context.Context) Reply {
-	if r.req.Mode == Single && r.req.Statement.MayWrite() && (r.l.writes.refused(r.start) || !r.h.mayCommitBy(r.deadline, r.req.Service, r.l)) {
+	if r.req.Mode == Single && r.req.Statement.MayWrite() && (r.l.writes.wouldRefuse(r.start) || !r.h.leaseForCommit(r.deadline, r.req.Service, r.l)) {
 		// The replicas are asked before a write takes a place and a connection.
 		r.reply.Cause = Stalled
 		return r.reply
@@ -62,7 +62,7 @@
 	r.grant, err = r.l.queue.Acquire(queueCtx, r.req.Customer, 1, r.start.Add(r.req.QueueTimeout))
 	r.reply.Waited = r.h.cfg.Clock.Since(r.start)
 	if err != nil {
-		r.refuse(err)
+		r.setOverload(err)
 		return false
 	}
 	if !r.connect(queueCtx) {
@@ -72,7 +72,7 @@
 	return true
 }
 
-func (r *run) refuse(err error) {
+func (r *run) setOverload(err error) {
 	r.reply.Cause = Overload
 	var e *siskin.Error
 	if errors.As(err, &e) {
@@ -88,7 +88,7 @@
 	}
 	switch siskin.KindOf(err) {
 	case siskin.Overloaded:
-		r.refuse(err)
+		r.setOverload(err)
 		r.reply.Cause = NoConnection
 	case siskin.NotRun:
 		r.reply.Cause = Unknown
@@ -102,7 +102,7 @@
 // attempt runs the statement on r.c. The result says whether to try again on
 // another connection because nothing was run on this one.
 func (r *run) attempt() (again bool) {
-	if r.expired() {
+	if r.floorExpired() {
 		r.reply.Cause = Stale
 		r.l.put(r.c)
 		return false
@@ -112,28 +112,28 @@
 		r.l.putUnused(r.c)
 		return false
 	}
-	if ok, after := r.h.admitted(r.l, r.c.opened, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
+	if ok, after := r.h.awaitAdmission(r.l, r.c.openedAt, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
 		r.reply.Outcome, r.reply.Cause, r.reply.RetryAfter = NotSent, Overload, after
 		r.l.putUnused(r.c)
 		return false
 	}
-	reused := !r.c.fresh
-	idle := r.h.cfg.Clock.Since(r.c.used)
-	begin, needed := r.begin(reused && idle > idleProbe)
+	reused := !r.c.unused
+	idle := r.h.cfg.Clock.Since(r.c.usedAt)
+	begin, needed := r.begin(reused && idle > probeAfterIdle)
 	// The connection is adapted afterwards, since it goes back unused when the
 	// lead is not confirmed.
 	if needed && !r.confirm() {
 		return false
 	}
-	setup := r.c.adapt(r.req)
-	r.c.fresh = false
+	setup := r.c.syncSession(r.req)
+	r.c.unused = false
 	if needed {
 		if ok, gone := r.prove(setup, begin); !ok {
 			return gone && reused
 		}
 		setup = nil
 		if r.req.Mode == Open {
-			return r.first()
+			return r.startTx()
 		}
 		if r.req.Proof != LeadProof {
 			return r.send(nil, false)
@@ -153,7 +153,7 @@
 // send sends the caller's statement, behind setup, and ends the transaction
 // that proved the lead.
 func (r *run) send(setup []siskin.Statement, inTx bool) (again bool) {
-	s := named(r.req)
+	s := targetStatement(r.req)
 	if r.req.Proof == FloorProof {
 		s.Floor = r.req.Floor
 	}
@@ -167,7 +167,7 @@
 		r.l.drop(r.c)
 		return false
 	}
-	if s.MayWrite() && !r.h.mayCommitBy(r.deadline, r.req.Service, r.l) {
+	if s.MayWrite() && !r.h.leaseForCommit(r.deadline, r.req.Service, r.l) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
 		r.l.put(r.c)
 		return false
@@ -184,7 +184,7 @@
 	}
 	r.reply.Ran = r.h.cfg.Clock.Since(asked)
 	if err != nil && len(answers) <= len(setup) {
-		if r.broken(err); !s.MayWrite() {
+		if r.connFailed(err); !s.MayWrite() {
 			// Reads leave no trace, so a broken connection is replaced once.
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
@@ -201,7 +201,7 @@
 	}
 	a := answers[len(setup)]
 	r.reply.Outcome, r.reply.Cause, r.reply.Answer = Answered, NoCause, a
-	r.settle(&s, &a, asked)
+	r.recordAnswer(&s, &a, asked)
 	if err != nil || answers[len(answers)-1].State != siskin.TxIdle || a.Code == siskin.NoStatement {
 		r.l.drop(r.c)
 		return false
@@ -210,39 +210,39 @@
 	return false
 }
 
-// settle takes over what an answer says of the target.
-func (r *run) settle(s *siskin.Statement, a *siskin.Answer, asked time.Time) {
+// recordAnswer takes over what an answer says of the target.
+func (r *run) recordAnswer(s *siskin.Statement, a *siskin.Answer, asked time.Time) {
 	r.h.cfg.Views.RecordPosition(r.req.Target, a.Position, asked)
 	switch {
 	case a.Code == siskin.ReadOnly:
-		r.denied(a, asked)
+		r.recordDenial(a, asked)
 	case a.Code == siskin.Succeeded && s.MayWrite():
-		switch got := r.h.acknowledged(r.req.Service, r.l, a.Position, asked); {
-		case !got.kept:
+		switch got := r.h.confirmCommit(r.req.Service, r.l, a.Position, asked); {
+		case !got.durable:
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
-		case got.proof:
-			r.proven(a.Position, asked)
+		case got.provesLead:
+			r.recordProof(a.Position, asked)
 		}
 	case a.Code == siskin.Succeeded:
 		r.h.cfg.Views.RecordSuccess(r.req.Target)
 	}
 }
 
-// broken notes that the connection failed or fell silent.
-func (r *run) broken(err error) {
+// connFailed notes that the connection failed or fell silent.
+func (r *run) connFailed(err error) {
 	r.reply.Outcome, r.reply.Cause = NotSent, Unreachable
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		r.reply.Cause = Silent
 	}
 	r.h.cfg.Views.RecordFailure(r.req.Target, r.h.cfg.Clock.Now())
-	r.l.noteFailure()
+	r.l.recordFailure()
 	r.l.drop(r.c)
 	r.l.dropIdle()
 }
 
-// first runs the first statement of a transaction that has just begun.
-func (r *run) first() (again bool) {
-	t := &tx{l: r.l, c: r.c, req: *r.req, used: r.h.cfg.Clock.Now()}
+// startTx runs the startTx statement of a transaction that has just begun.
+func (r *run) startTx() (again bool) {
+	t := &tx{l: r.l, c: r.c, req: *r.req, usedAt: r.h.cfg.Clock.Now()}
 	t.busy = true
 	id := TxID(r.h.nextTx.Add(1))
 	r.h.txs.Put(id, t)
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -15,20 +15,20 @@
 
 // tx is an open transaction. Its connection belongs to it alone.
 type tx struct {
-	l   *lane
+	l   *pool
 	c   *conn
 	req Request // that opened it
 
 	wrote bool // a statement of it succeeded in writing; belongs to who is busy
 
-	mu   sync.Mutex
-	busy bool
-	done bool
-	used time.Time
+	mu     sync.Mutex
+	busy   bool
+	done   bool
+	usedAt time.Time
 }
 
-// take marks the transaction as busy unless it has ended or is busy already.
-func (t *tx) take() bool {
+// acquire marks the transaction as busy unless it has ended or is busy already.
+func (t *tx) acquire() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.busy || t.done {
@@ -41,13 +41,13 @@
 func (t *tx) release(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.busy, t.used = false, now
+	t.busy, t.usedAt = false, now
 }
 
-// step runs a further statement of an open transaction.
-func (h *Homes) step(ctx context.Context, req *Request) Reply {
+// continueTx runs a further statement of an open transaction.
+func (h *Homes) continueTx(ctx context.Context, req *Request) Reply {
 	t, ok := h.txs.Get(req.Tx)
-	if !ok || !t.take() {
+	if !ok || !t.acquire() {
 		return Reply{Cause: Unknown}
 	}
 	start := h.cfg.Clock.Now()
@@ -58,7 +58,7 @@
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start)}
 		}
 		defer grant.Release()
-		if ok, after := h.admitted(t.l, t.c.opened, start.Add(req.QueueTimeout)); !ok {
+		if ok, after := h.awaitAdmission(t.l, t.c.openedAt, start.Add(req.QueueTimeout)); !ok {
 			h.abandon(req.Tx, t)
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start), RetryAfter: after}
 		}
@@ -66,7 +66,7 @@
 	waited := h.cfg.Clock.Since(start)
 	var setup []siskin.Statement
 	if req.Statement.Kind != siskin.Commit && req.Statement.Kind != siskin.Rollback {
-		setup = t.c.adapt(req)
+		setup = t.c.syncSession(req)
 	}
 	reply := h.exec(req.Tx, t, req, setup, time.Now().Add(req.Timeout-waited))
 	reply.Waited = waited
@@ -79,9 +79,9 @@
 		h.abandon(id, t)
 		return Reply{Outcome: NotSent, Cause: Evacuated}
 	}
-	s := named(req)
+	s := targetStatement(req)
 	commits := s.Kind == siskin.Commit && t.wrote
-	if commits && !h.mayCommitBy(deadline, req.Service, t.l) {
+	if commits && !h.leaseForCommit(deadline, req.Service, t.l) {
 		h.abandon(id, t)
 		return Reply{Cause: Stalled}
 	}
@@ -102,7 +102,7 @@
 			reply.Cause = Silent
 		}
 		h.cfg.Views.RecordFailure(req.Target, h.cfg.Clock.Now())
-		t.l.noteFailure()
+		t.l.recordFailure()
 		t.l.dropIdle()
 		return reply
 	}
@@ -122,7 +122,7 @@
 		switch {
 		case s.MayWrite():
 			t.wrote = true
-		case commits && !h.acknowledged(req.Service, t.l, a.Position, asked).kept:
+		case commits && !h.confirmCommit(req.Service, t.l, a.Position, asked).durable:
 			reply.Outcome, reply.Cause, reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
 		}
 	}
@@ -166,7 +166,7 @@
 		now := h.cfg.Clock.Now()
 		h.txs.Range(func(id TxID, t *tx) bool {
 			t.mu.Lock()
-			idle := !t.busy && t.req.TxIdleTimeout > 0 && now.Sub(t.used) > t.req.TxIdleTimeout
+			idle := !t.busy && t.req.TxIdleTimeout > 0 && now.Sub(t.usedAt) > t.req.TxIdleTimeout
 			t.mu.Unlock()
 			if idle {
 				h.abandon(id, t)
--- a/internal/home/witness_test.go
+++ b/internal/home/witness_test.go
@@ -14,9 +14,9 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// other returns the homes of another VM that is the home of a target, and answers
+// otherVM returns the homes of another VM that is the home of a target, and answers
 // questions for its state.
-func (f *fixture) other(id siskin.TargetID) *Homes {
+func (f *fixture) otherVM(id siskin.TargetID) *Homes {
 	cfg := f.homes.cfg
 	cfg.Views, cfg.LeaseConfig, cfg.Clock = views.New(), nil, boot.Clock{}
 	h := New(cfg)
@@ -39,8 +39,8 @@
 	return h
 }
 
-// writesSoon checks that a write at a target succeeds within a second.
-func (f *fixture) writesSoon(target *stand.Target) {
+// expectWriteSuccess checks that a write at a target succeeds within a second.
+func (f *fixture) expectWriteSuccess(target *stand.Target) {
 	f.t.Helper()
 	const limit = time.Second
 	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
@@ -61,8 +61,8 @@
 		t.Run(name, func(t *testing.T) {
 			f := start(t)
 			f.since = f.homes.cfg.Clock.Now().Add(-time.Hour)
-			f.listed = f.homes.cfg.Clock.Now().Add(entryDelay / 2)
-			f.other(f.target(2).ID())
+			f.listed = f.homes.cfg.Clock.Now().Add(maxEntryLag / 2)
+			f.otherVM(f.target(2).ID())
 			f.writeThroughRestart()
 		})
 	}
@@ -75,15 +75,15 @@
 	f.since = f.homes.cfg.Clock.Now().Add(-time.Hour)
 	f.listed = f.homes.cfg.Clock.Now()
 	primary, chosen, restarted := f.target(0), f.target(1), f.target(2)
-	other := f.other(restarted.ID())
-	born := time.Unix(1, 0)
-	target := other.cfg.Target
-	other.cfg.Target = func(id siskin.TargetID) (siskin.TargetInfo, bool) {
+	otherVM := f.otherVM(restarted.ID())
+	startedAt := time.Unix(1, 0)
+	target := otherVM.cfg.Target
+	otherVM.cfg.Target = func(id siskin.TargetID) (siskin.TargetInfo, bool) {
 		info, ok := target(id)
-		info.StartedAt = born
+		info.StartedAt = startedAt
 		return info, ok
 	}
-	if _, _, err := other.Observe(context.Background(), restarted.ID()); err != nil {
+	if _, _, err := otherVM.Observe(context.Background(), restarted.ID()); err != nil {
 		t.Fatal(err)
 	}
 	if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != Answered {
@@ -93,8 +93,8 @@
 	f.claim(restarted, 100)
 	time.Sleep(lease.PromotionDelay)
 	f.restart(restarted)
-	born = time.Unix(2, 0)
-	other.Update()
+	startedAt = time.Unix(2, 0)
+	otherVM.Update()
 	if got := f.run(request(primary, siskin.Write, "x 2")); got.Outcome != NotSent {
 		t.Errorf("write after the replica's start: got %+v, want it refused", got)
 	}
@@ -128,7 +128,7 @@
 			leads := f.homes.cfg.LeaseConfig
 			targets := leads.Targets
 			leads.Targets = func(name siskin.ServiceName) []siskin.TargetInfo { return targets(name)[:c.targets] }
-			leads.Group = func(siskin.ServiceName) int { return c.targets }
+			leads.GroupSize = func(siskin.ServiceName) int { return c.targets }
 			leads.Service = func(name siskin.ServiceName) (siskin.ServiceSpec, bool) {
 				return siskin.ServiceSpec{Name: name, SyncReplicas: c.sync}, true
 			}
@@ -144,7 +144,7 @@
 					t.Fatal(err)
 				}
 			}
-			f.writesSoon(f.target(0))
+			f.expectWriteSuccess(f.target(0))
 		})
 	}
 }
@@ -160,7 +160,7 @@
 			if err := f.platform.Promote(f.target(1)); err != nil {
 				t.Fatal(err)
 			}
-			f.writesSoon(f.target(1))
+			f.expectWriteSuccess(f.target(1))
 		})
 	}
 }
@@ -212,9 +212,9 @@
 		cut = on
 	}
 	set(true)
-	l, _ := f.homes.lane(primary.ID())
+	l, _ := f.homes.pool(primary.ID())
 	f.homes.renew("ledger", l, 0)
-	time.Sleep(askReplica * 4 / 3) // all replicas have been asked
+	time.Sleep(replicaTimeout * 4 / 3) // all replicas have been asked
 	set(false)
 	f.target(1).SetReceiveBlocked(false)
 	if got := <-waiting; got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
--- a/internal/home/writes.go
+++ b/internal/home/writes.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// minPending is the number of writes that must be unanswered before a target
+// minUnanswered is the number of writes that must be unanswered before a target
 // counts as stalled.
-const minPending = 2
+const minUnanswered = 2
 
-// refuseAfter is the time without a success after which writes are refused but for
+// refuseWritesAfter is the time without a success after which writes are refused but for
 // one, whose answer shows when the target acknowledges again. Each of them would
 // hold a place at the target until its caller gives up, and leave it in doubt. A
 // slow target answers some write in that time.
-const refuseAfter = 400 * time.Millisecond
+const refuseWritesAfter = 400 * time.Millisecond
 
 // writes tells a target that acknowledges no write from a slow one.
 type writes struct {
@@ -31,7 +31,7 @@
 func (w *writes) start(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.refuse(now) {
+	if w.mustRefuse(now) {
 		return false
 	}
 	w.pending++
@@ -41,15 +41,15 @@
 	return true
 }
 
-// refused reports whether a write that came now would be refused.
-func (w *writes) refused(now time.Time) bool {
+// wouldRefuse reports whether a write that came now would be wouldRefuse.
+func (w *writes) wouldRefuse(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.refuse(now)
+	return w.mustRefuse(now)
 }
 
-func (w *writes) refuse(now time.Time) bool {
-	return w.pending > 0 && w.stalledFor(now) > refuseAfter
+func (w *writes) mustRefuse(now time.Time) bool {
+	return w.pending > 0 && w.stallTimeLocked(now) > refuseWritesAfter
 }
 
 func (w *writes) end(answered bool) {
@@ -63,14 +63,14 @@
 	w.lost, w.since = 0, time.Time{}
 }
 
-func (w *writes) stalled(now time.Time) time.Duration {
+func (w *writes) stallTime(now time.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.stalledFor(now)
+	return w.stallTimeLocked(now)
 }
 
-func (w *writes) stalledFor(now time.Time) time.Duration {
-	if w.since.IsZero() || w.pending+w.lost < minPending {
+func (w *writes) stallTimeLocked(now time.Time) time.Duration {
+	if w.since.IsZero() || w.pending+w.lost < minUnanswered {
 		return 0
 	}
 	return now.Sub(w.since)
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -21,8 +21,8 @@
 const (
 	// maxHomes bounds the VMs that are tried for one statement.
 	maxHomes = 3
-	// handover is the least time left to try a further VM.
-	handover = 40 * time.Millisecond
+	// minRetryTime is the least time left to try a further VM.
+	minRetryTime = 40 * time.Millisecond
 )
 
 // Config holds what a Path depends on.
@@ -72,8 +72,8 @@
 
 // PrimaryHomes returns the homes of the primaries, as far as this VM knows them,
 // and those whose place it may have to take.
-func (p *Path) PrimaryHomes(services []siskin.ServiceSpec) (homes, followed map[siskin.VMID]bool) {
-	homes, followed = make(map[siskin.VMID]bool), make(map[siskin.VMID]bool)
+func (p *Path) PrimaryHomes(services []siskin.ServiceSpec) (homes, fallbackFor map[siskin.VMID]bool) {
+	homes, fallbackFor = make(map[siskin.VMID]bool), make(map[siskin.VMID]bool)
 	self := p.cfg.Crew.Self().ID
 	for _, s := range services {
 		// Before any proof the targets' own entries tell whom to ask for one.
@@ -89,17 +89,17 @@
 		for i, vm := range list[:min(maxHomes, len(list))] {
 			homes[list[0].ID] = true
 			if i > 0 && vm.ID == self {
-				followed[list[0].ID] = true
+				fallbackFor[list[0].ID] = true
 			}
 		}
 	}
-	return homes, followed
+	return homes, fallbackFor
 }
 
 // Run implements entry.Homes.
 func (p *Path) Run(ctx context.Context, req *home.Request) home.Reply {
 	if req.Mode == home.Continue {
-		reply, _ := p.at(ctx, req.Home, req)
+		reply, _ := p.runOn(ctx, req.Home, req)
 		return reply
 	}
 	t, ok := p.cfg.Roster.Target(req.Target)
@@ -113,12 +113,12 @@
 	for i, vm := range p.candidates(t) {
 		if i > 0 {
 			req.Timeout = patience - p.cfg.Clock.Since(start)
-			if i >= maxHomes || req.Timeout < handover {
+			if i >= maxHomes || req.Timeout < minRetryTime {
 				break
 			}
 		}
 		var reached bool
-		reply, reached = p.at(ctx, vm.ID, req)
+		reply, reached = p.runOn(ctx, vm.ID, req)
 		if reply.Outcome != home.NotSent || reached && reply.Cause != home.Unreachable && reply.Cause != home.Unknown {
 			return reply
 		}
@@ -144,9 +144,9 @@
 	return list
 }
 
-// at runs a request at one VM. The result reached is false when the VM cannot
+// runOn runs a request runOn one VM. The result reached is false when the VM cannot
 // have received it.
-func (p *Path) at(ctx context.Context, vm siskin.VMID, req *home.Request) (reply home.Reply, reached bool) {
+func (p *Path) runOn(ctx context.Context, vm siskin.VMID, req *home.Request) (reply home.Reply, reached bool) {
 	if vm == p.cfg.Crew.Self().ID {
 		reply = p.cfg.Homes.Run(ctx, req)
 		reply.Home = vm
@@ -175,9 +175,9 @@
 	return home.Reply{Outcome: home.InDoubt, Cause: home.Silent, Home: vm}, true
 }
 
-// askHome bounds the question to a target through its home, so that time is left to
+// homeObserveTimeout bounds the question to a target through its home, so that time is left to
 // ask it directly.
-const askHome = 55 * time.Millisecond
+const homeObserveTimeout = 55 * time.Millisecond
 
 // Observe asks a target for its state and what is known of its run: through its home,
 // which has connections of long standing, or else on a connection of this VM.
@@ -185,7 +185,7 @@
 	if t, ok := p.cfg.Roster.Target(id); ok {
 		if vm, ok := p.Home(t); ok && vm != p.cfg.Crew.Self().ID {
 			var reply home.Observation
-			ctx, cancel := context.WithTimeout(ctx, askHome)
+			ctx, cancel := context.WithTimeout(ctx, homeObserveTimeout)
 			defer cancel()
 			if err := p.cfg.Peers.Call(ctx, vm, "Home.Observe", &ObserveArgs{Target: id}, &reply); err == nil {
 				return reply, nil
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -113,7 +113,7 @@
 func (n *node) leads() *home.LeaseConfig {
 	n.leases = lease.New()
 	return &home.LeaseConfig{
-		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, Group: n.roster.Size, Listed: n.listed, Log: n.log,
+		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, GroupSize: n.roster.Size, Listed: n.listed, Log: n.log,
 		Status: func(ctx context.Context, id siskin.TargetID) (home.Observation, error) {
 			return n.path.Observe(ctx, id)
 		},
--- a/internal/views/hold.go
+++ b/internal/views/hold.go
@@ -6,8 +6,8 @@
 	"siskintray.example/siskin"
 )
 
-// hold is a change of primary in progress.
-type hold struct {
+// primaryChange is a change of primary in progress.
+type primaryChange struct {
 	from  siskin.TargetID // the target that led before
 	until time.Time
 }
@@ -17,8 +17,8 @@
 func (v *Views) BeginChange(name siskin.ServiceName, from siskin.TargetID, until time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if s := v.service(name); s.lead.Target == "" || s.lead.Target == from {
-		s.holding = hold{from, until}
+	if s := v.service(name); s.proof.Target == "" || s.proof.Target == from {
+		s.change = primaryChange{from, until}
 	}
 }
 
@@ -26,8 +26,8 @@
 func (v *Views) EndChange(name siskin.ServiceName, from siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if s := v.service(name); s.holding.from == from {
-		s.holding = hold{}
+	if s := v.service(name); s.change.from == from {
+		s.change = primaryChange{}
 	}
 }
 
@@ -36,5 +36,5 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	s := v.services[name]
-	return s != nil && now.Before(s.holding.until)
+	return s != nil && now.Before(s.change.until)
 }
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -33,10 +33,10 @@
 }
 
 type service struct {
-	lead    PrimaryProof
-	lost    map[siskin.TargetID]time.Time // when a target denied to lead
-	changed chan struct{}                 // closed when the leading target changes
-	holding hold
+	proof          PrimaryProof
+	deniedAt       map[siskin.TargetID]time.Time // when a target denied to lead
+	primaryChanged chan struct{}                 // closed when the leading target changes
+	change         primaryChange
 }
 
 // Target is what is known of one target.
@@ -64,7 +64,7 @@
 func (v *Views) service(name siskin.ServiceName) *service {
 	s := v.services[name]
 	if s == nil {
-		s = &service{lost: make(map[siskin.TargetID]time.Time), changed: make(chan struct{})}
+		s = &service{deniedAt: make(map[siskin.TargetID]time.Time), primaryChanged: make(chan struct{})}
 		v.services[name] = s
 	}
 	return s
@@ -86,19 +86,19 @@
 	defer v.mu.Unlock()
 	s := v.service(name)
 	// A proof of a target that has denied its lead since gives way to any other.
-	denied := l.Target != s.lead.Target && s.lost[s.lead.Target].After(s.lead.At)
-	if !l.At.After(s.lead.At) && !denied {
+	denied := l.Target != s.proof.Target && s.deniedAt[s.proof.Target].After(s.proof.At)
+	if !l.At.After(s.proof.At) && !denied {
 		return false
 	}
-	if l.Target == s.lead.Target {
-		l.Term = max(l.Term, s.lead.Term)
-		s.lead = l
+	if l.Target == s.proof.Target {
+		l.Term = max(l.Term, s.proof.Term)
+		s.proof = l
 		return false
 	}
-	s.lead = l
-	s.holding = hold{}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.proof = l
+	s.change = primaryChange{}
+	close(s.primaryChanged)
+	s.primaryChanged = make(chan struct{})
 	return true
 }
 
@@ -107,8 +107,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(name)
-	if at.After(s.lost[id]) {
-		s.lost[id] = at
+	if at.After(s.deniedAt[id]) {
+		s.deniedAt[id] = at
 	}
 }
 
@@ -117,7 +117,7 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if s := v.services[name]; s != nil {
-		return s.lead
+		return s.proof
 	}
 	return PrimaryProof{}
 }
@@ -129,21 +129,21 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	s := v.services[name]
-	if s != nil && s.lead.Target != "" && !s.lost[s.lead.Target].After(s.lead.At) && has(targets, s.lead.Target) {
-		return s.lead.Target
+	if s != nil && s.proof.Target != "" && !s.deniedAt[s.proof.Target].After(s.proof.At) && contains(targets, s.proof.Target) {
+		return s.proof.Target
 	}
 	for _, t := range targets {
 		if !t.Primary {
 			continue
 		}
-		if s == nil || t.ID != s.lead.Target && s.lost[t.ID].IsZero() {
+		if s == nil || t.ID != s.proof.Target && s.deniedAt[t.ID].IsZero() {
 			return t.ID
 		}
 	}
 	return ""
 }
 
-func has(targets []siskin.TargetInfo, id siskin.TargetID) bool {
+func contains(targets []siskin.TargetInfo, id siskin.TargetID) bool {
 	for _, t := range targets {
 		if t.ID == id {
 			return true
@@ -157,14 +157,14 @@
 func (v *Views) ClearDenial(name siskin.ServiceName, id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	delete(v.service(name).lost, id)
+	delete(v.service(name).deniedAt, id)
 }
 
 // PrimaryChanged returns a channel that is closed when another target leads.
 func (v *Views) PrimaryChanged(name siskin.ServiceName) <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.service(name).changed
+	return v.service(name).primaryChanged
 }
 
 // RecordPosition takes over a position that a target reported.
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -11,7 +11,7 @@
 
 func at(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
 
-func lead(id siskin.TargetID, number siskin.LSN, ms int) PrimaryProof {
+func proof(id siskin.TargetID, number siskin.LSN, ms int) PrimaryProof {
 	return PrimaryProof{Target: id, Position: siskin.Position{Term: 1, LSN: number}, At: at(ms)}
 }
 
@@ -31,8 +31,8 @@
 	if got := v.Primary("s", targets); got != "a" {
 		t.Errorf("after discovery reports it again: got %q, want a", got)
 	}
-	v.RecordProof("s", lead("b", 7, 100))
-	v.RecordProof("s", lead("a", 5, 50))
+	v.RecordProof("s", proof("b", 7, 100))
+	v.RecordProof("s", proof("a", 5, 50))
 	if got := v.Primary("s", targets); got != "b" {
 		t.Errorf("after an older proof: got %q, want b", got)
 	}
@@ -41,7 +41,7 @@
 		t.Errorf("after a denial: got %q, want the hint a", got)
 	}
 	// A proof that aged on its way is older than that of the target that denied.
-	v.RecordProof("s", lead("c", 9, 90))
+	v.RecordProof("s", proof("c", 9, 90))
 	if got := v.Primary("s", targets); got != "c" {
 		t.Errorf("after a proof behind a denial: got %q, want c", got)
 	}
@@ -54,28 +54,28 @@
 // old position with the time of a proof that came without one.
 func TestFloors(t *testing.T) {
 	v := New()
-	v.RecordProof("s", lead("a", 7, 100))
+	v.RecordProof("s", proof("a", 7, 100))
 	v.RecordProof("s", PrimaryProof{Target: "a", At: at(200)})
 	if got, want := v.LatestProof("s"), (PrimaryProof{Target: "a", At: at(200)}); got != want {
 		t.Errorf("proof without a position: got %+v, want %+v", got, want)
 	}
-	v.RecordProof("s", lead("a", 8, 300))
-	v.RecordProof("s", lead("a", 7, 250))
-	if got, want := v.LatestProof("s"), lead("a", 8, 300); got != want {
+	v.RecordProof("s", proof("a", 8, 300))
+	v.RecordProof("s", proof("a", 7, 250))
+	if got, want := v.LatestProof("s"), proof("a", 8, 300); got != want {
 		t.Errorf("older proof: got %+v, want %+v", got, want)
 	}
 }
 
-// TestHolding guards against requests that are refused after a change of
+// TestChangeInProgress guards against requests that are refused after a change of
 // primary is over, and sent to a primary that is being replaced.
-func TestHolding(t *testing.T) {
+func TestChangeInProgress(t *testing.T) {
 	v := New()
-	v.RecordProof("s", lead("a", 1, 0))
+	v.RecordProof("s", proof("a", 1, 0))
 	v.BeginChange("s", "a", at(1000))
 	if !v.ChangeInProgress("s", at(500)) || v.ChangeInProgress("s", at(1000)) {
 		t.Error("got no hold for its time, want one")
 	}
-	v.RecordProof("s", lead("b", 2, 600))
+	v.RecordProof("s", proof("b", 2, 600))
 	if v.ChangeInProgress("s", at(700)) {
 		t.Error("got a hold after another target led, want none")
 	}
