limit: WithMaxWait and TransferItem

WithWaitBound and GiveItem were not the usual words for a longest wait and for units that move in a reply.

--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -170,7 +170,7 @@
 	}
 }
 
-func (c *core) accept(now time.Duration, from siskin.VMID, item *GiveItem) {
+func (c *core) accept(now time.Duration, from siskin.VMID, item *TransferItem) {
 	i := bucketOf(item.Customer)
 	b := c.bucket(i)
 	b.mu.Lock()
--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -180,7 +180,7 @@
 	holders := []holderID{{"v1", 3}}
 	for _, m := range []struct{ sent, received any }{
 		{&AskArgs{From: "v1", Seq: 2, Items: []AskItem{{Customer: "a", Epoch: 1, Units: 5, Demand: 2}}}, &AskArgs{}},
-		{&AskReply{Items: []GiveItem{{Customer: "a", Units: 7, Tokens: 1.5, Holders: holders, RichestAge: 3}}}, &AskReply{}},
+		{&AskReply{Items: []TransferItem{{Customer: "a", Units: 7, Tokens: 1.5, Holders: holders, RichestAge: 3}}}, &AskReply{}},
 		{&ReportArgs{Bucket: 4, Epoch: 2, ToIncarnation: 3}, &ReportArgs{}},
 		{&ReportReply{Rest: 9, Customers: map[siskin.CustomerID]siskin.QuotaUnits{"a": 1}}, &ReportReply{}},
 	} {
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -32,7 +32,7 @@
 		return last.reply
 	}
 	last.seq = args.Seq
-	last.reply = AskReply{Items: make([]GiveItem, 0, len(args.Items))}
+	last.reply = AskReply{Items: make([]TransferItem, 0, len(args.Items))}
 	for i := range args.Items {
 		last.reply.Items = append(last.reply.Items, c.give(now, args, &args.Items[i]))
 	}
@@ -40,12 +40,12 @@
 }
 
 // give decides on one customer. The caller holds c.mu.
-func (c *core) give(now time.Duration, args *AskArgs, item *AskItem) GiveItem {
+func (c *core) give(now time.Duration, args *AskArgs, item *AskItem) TransferItem {
 	i := bucketOf(item.Customer)
 	b := c.bucket(i)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := GiveItem{Customer: item.Customer, Epoch: b.epoch}
+	out := TransferItem{Customer: item.Customer, Epoch: b.epoch}
 	if b.epoch == 0 || item.Epoch > b.epoch {
 		c.read(i, b) // a grant or a newer epoch may be in the record
 	}
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -76,7 +76,7 @@
 
 // AdmitWait admits n requests, if need be after a short wait for units of other
 // VMs. It waits only while units can be expected, at most until the context
-// ends or the bound of WithWaitBound; a request that is given up is answered
+// ends or the bound of WithMaxWait; a request that is given up is answered
 // at once.
 func (l *Limiter) AdmitWait(ctx context.Context, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
 	a := l.admitWait(ctx, customer, n)
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -31,7 +31,7 @@
 	peers := make(direct)
 	for _, id := range []string{"v1", "v2"} {
 		n := f.start(id, 1, "d1")
-		n.l = New(clockwork.NewRealClock(), f.view, n, peers, f, WithWaitBound(10*time.Second))
+		n.l = New(clockwork.NewRealClock(), f.view, n, peers, f, WithMaxWait(10*time.Second))
 		peers[n.vm.ID] = n.l
 	}
 	first, second := f.vms[0].l, f.vms[1].l
--- a/pkg/limit/message.go
+++ b/pkg/limit/message.go
@@ -42,11 +42,11 @@
 	// Stale says that the message was for another incarnation or is older than
 	// one already answered.
 	Stale bool
-	Items []GiveItem
+	Items []TransferItem
 }
 
-// GiveItem gives units of one customer together with the tokens in them.
-type GiveItem struct {
+// TransferItem gives units of one customer together with the tokens in them.
+type TransferItem struct {
 	Customer siskin.CustomerID
 	Epoch    uint64
 	Units    siskin.QuotaUnits
--- a/pkg/limit/option.go
+++ b/pkg/limit/option.go
@@ -20,9 +20,9 @@
 	return settings{waitBound: 50 * time.Millisecond, logf: func(string, ...any) {}}
 }
 
-// WithWaitBound sets how long AdmitWait waits for units from other VMs. The
+// WithMaxWait sets how long AdmitWait waits for units from other VMs. The
 // default of 50 ms covers several round trips between data centres.
-func WithWaitBound(d time.Duration) Option { return func(s *settings) { s.waitBound = d } }
+func WithMaxWait(d time.Duration) Option { return func(s *settings) { s.waitBound = d } }
 
 // WithHomes sets the function that returns those of the given live VMs that
 // admit requests of a customer. A new bucket is granted to them alone, so that
