--- a/internal/home/acknowledge.go
+++ b/internal/home/acknowledge.go
@@ -8,11 +8,11 @@
 	"siskintray.example/siskin/internal/lease"
 )
 
-// leaseForCommit reports whether a write or a commit may be sent to a target, and asks
-// the replicas for a lease until the deadline when there is none. Without a lease its
-// acknowledgement could not be passed on: it may come from a replica that has
-// forgotten the claim of a change of primary, and be missing at the target that the
-// change promotes.
+// leaseForCommit reports whether a write or a commit may be sent to a target.
+// It requests a lease from the replicas until the deadline when there is none.
+// Without a lease the acknowledgement could not be passed on: it may come from
+// a replica that has lost the claim of a change of primary, and the write would
+// be missing on the target that the change promotes.
 func (h *Homes) leaseForCommit(deadline time.Time, service siskin.ServiceName, l *pool) bool {
 	if !h.needsLease(service) {
 		return true
@@ -26,8 +26,8 @@
 	return ok
 }
 
-// needsLease reports whether commits at a service's targets rest on replicas. Those of
-// a service that this VM does not know yet may do so.
+// needsLease reports whether commits of a service depend on replicas. It is
+// true for a service that this VM does not know yet.
 func (h *Homes) needsLease(service siskin.ServiceName) bool {
 	if h.cfg.LeaseConfig == nil {
 		return false
@@ -36,26 +36,26 @@
 	return !ok || lease.Synchronous(spec.SyncReplicas)
 }
 
-// commitAck is what the acknowledgement of a commit is worth.
+// commitAck describes what the acknowledgement of a commit guarantees.
 type commitAck struct {
-	// durable says that no promotion can lose the commit. Its outcome is unknown to the
-	// caller otherwise.
+	// durable reports that no promotion can lose the commit. Otherwise its
+	// outcome is unknown to the caller.
 	durable bool
-	// provesLead says that it proves the lead of the target.
+	// provesLead reports that it proves that the target is the primary.
 	provesLead bool
 }
 
-// confirmCommit takes over the position of a commit that was sent after the moment
-// asked, and that the target confirmCommit. A commit that took longer than its lease is
-// covered by another one, for which the replicas are asked.
+// confirmCommit checks whether a lease covers a commit that was sent after the
+// time asked and acknowledged at position p. When the commit took longer than
+// its lease, it requests another lease from the replicas.
 func (h *Homes) confirmCommit(service siskin.ServiceName, l *pool, p siskin.Position, asked time.Time) commitAck {
 	if !h.needsLease(service) {
 		return commitAck{durable: true, provesLead: h.answerProvesLead()}
 	}
 	leases, id, now := h.cfg.LeaseConfig.Leases, l.target(), h.cfg.Clock.Now()
 	durable := leases.Extend(id, p.Term, asked, now)
-	// A renewal that is in progress may have begun before the acknowledgement and
-	// fail for a reason that is over.
+	// A renewal in progress may have started before the acknowledgement and
+	// fail for a reason that no longer exists.
 	for i := 0; i < 2 && !durable; i++ {
 		<-h.renew(service, l, p.Term)
 		durable = leases.Extend(id, p.Term, asked, now)
@@ -63,7 +63,7 @@
 	if !durable {
 		h.cfg.LeaseConfig.Log.Warn().Str("Service", string(service)).Str("Target", string(id)).
 			Uint64("Term", uint64(p.Term)).Uint64("LSN", uint64(p.LSN)).
-			Msg("a commit was acknowledged and the replicas do not confirm the lead; its outcome is unknown")
+			Msg("commit was acknowledged but the replicas did not confirm the primary; its outcome is unknown")
 		return commitAck{}
 	}
 	l.refusals.clear()
--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -10,17 +10,19 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// TestCommitThroughRestartedReplica guards against commits that are acknowledged and
-// then lost by a promotion on its way: a claimed replica that starts again has
-// forgotten its claim and acknowledges what the promoted target lacks.
+// TestCommitThroughRestartedReplica guards against commits that are
+// acknowledged and then lost by a promotion in progress: a claimed replica that
+// restarts has lost its claim and acknowledges writes that the promoted target
+// lacks.
 func TestCommitThroughRestartedReplica(t *testing.T) {
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) { start(t).writeThroughRestart() })
 	}
 }
 
-// writeThroughRestart claims both replicas, starts one again while a write waits, and
-// checks that neither this write nor the next one is reported as successful.
+// writeThroughRestart claims both replicas, restarts one while a write waits,
+// and checks that neither this write nor the next one is reported as
+// successful.
 func (f *fixture) writeThroughRestart() {
 	f.t.Helper()
 	primary, chosen, restarted := f.target(0), f.target(1), f.target(2)
@@ -41,12 +43,12 @@
 		f.t.Errorf("write that waited for the replica: got %+v, want it in doubt", got)
 	}
 	if got := f.run(request(primary, siskin.Write, "x 3")); got.Outcome != NotSent {
-		f.t.Errorf("write after the replica's start: got %+v, want it refused", got)
+		f.t.Errorf("write after the replica's restart: got %+v, want it refused", got)
 	}
 }
 
-// TestCommitWithoutPosition guards against a commit that is passed on although its
-// acknowledgement does not say in which term it was made.
+// TestCommitWithoutPosition guards against a commit that is reported as
+// successful although its acknowledgement does not contain a term.
 func TestCommitWithoutPosition(t *testing.T) {
 	f := fenced(t)
 	if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != Answered {
@@ -58,8 +60,8 @@
 	}
 }
 
-// TestTransactionThroughRestartedReplica guards against the same in a transaction: its
-// commit is refused before it is sent, or in doubt.
+// TestTransactionThroughRestartedReplica guards against the same loss in a
+// transaction: its commit must be refused before it is sent, or be in doubt.
 func TestTransactionThroughRestartedReplica(t *testing.T) {
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) {
@@ -92,7 +94,7 @@
 				t.Errorf("commit that waited for the replica: got %+v, want it in doubt", got)
 			}
 			if got := commit(second.Tx); got.Outcome != NotSent || got.Cause != Stalled {
-				t.Errorf("commit after the replica's start: got %+v, want it refused", got)
+				t.Errorf("commit after the replica's restart: got %+v, want it refused", got)
 			}
 			if got := primary.Count("z", "1"); got != 0 {
 				t.Errorf("refused commit in the log: got %d, want 0", got)
@@ -101,8 +103,8 @@
 	}
 }
 
-// TestSlowCommit guards against commits that are in doubt only because they took longer
-// than a lease: the replicas are asked again.
+// TestSlowCommit guards against commits that are in doubt only because they
+// took longer than a lease: the replicas must be asked again.
 func TestSlowCommit(t *testing.T) {
 	f := fenced(t)
 	primary := f.target(0)
@@ -124,8 +126,8 @@
 	}
 }
 
-// TestEarlierTerm guards against a former primary that is taken for the only one since
-// a replica that has started again follows it, although a later one is known.
+// TestEarlierTerm guards against a former primary that counts as the current
+// one because a restarted replica follows it, although a later term is known.
 func TestEarlierTerm(t *testing.T) {
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/home/acquire.go
+++ b/internal/home/acquire.go
@@ -8,9 +8,9 @@
 	"siskintray.example/siskin"
 )
 
-// conn returns a connection for the customer: an idle one, a new one, or one
-// in place of another customer's idle one. It waits for waitFor at most when all
-// are in use.
+// conn returns a connection for the customer: an idle one, a new one, or a new
+// one that replaces another customer's idle one. When all are in use, it waits
+// for at most waitFor.
 func (l *pool) conn(ctx context.Context, customer siskin.CustomerID, waitFor time.Duration) (*conn, error) {
 	start := l.clock.Now()
 	for {
@@ -45,15 +45,16 @@
 	return l.wake
 }
 
-// reserve returns an idle connection, or a channel to wait for, or neither when
-// the caller may open a connection, which is counted already.
+// reserve returns an idle connection, or a channel to wait on. When both are
+// nil, the caller may open a connection, which is already counted in open.
 func (l *pool) reserve(customer siskin.CustomerID) (*conn, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closing {
 		return nil, nil, siskin.NewError(siskin.NotRun, "this VM no longer serves target %s", l.info.ID).WithRemedy("use another home")
 	}
-	// The connection used last is taken, so that those in excess stay idle.
+	// The most recently used connection is taken, so that surplus ones stay
+	// idle.
 	for i := len(l.idle) - 1; i >= 0; i-- {
 		if l.idle[i].customer == customer {
 			c := l.idle[i]
@@ -62,7 +63,7 @@
 		}
 	}
 	if l.clock.Now().Before(l.avoidUntil) {
-		return nil, nil, siskin.NewError(siskin.Unavailable, "target %s could not be reached a moment ago", l.info.ID).WithRemedy("use another target")
+		return nil, nil, siskin.NewError(siskin.Unavailable, "target %s is in backoff after a failed connection", l.info.ID).WithRemedy("use another target")
 	}
 	switch {
 	case l.open < l.connLimiter.limit(l.clock.Now(), l.limit):
--- a/internal/home/check.go
+++ b/internal/home/check.go
@@ -2,14 +2,14 @@
 
 import "siskintray.example/siskin"
 
-// Valid reports whether a request of a peer can be carried out. A peer of another
-// version may send words that this one does not know.
+// Valid reports whether a request from a peer can be run. A peer of another
+// version may send enum values that this version does not have.
 func (r *Request) Valid() bool {
 	return r.Statement.Kind > siskin.UnknownStatement && r.Statement.Kind <= siskin.Execute &&
 		r.Proof >= NoProof && r.Proof <= LeadProof && r.Mode >= Single && r.Mode <= Continue && r.Timeout > 0
 }
 
-// Valid reports whether a reply of a peer can be passed on to a caller.
+// Valid reports whether a reply from a peer can be passed on to a caller.
 func (r *Reply) Valid() bool {
 	return r.Outcome >= NotSent && r.Outcome <= InDoubt && r.Cause >= NoCause && int(r.Cause) < len(causes) &&
 		r.Answer.Code >= siskin.Succeeded && r.Answer.Code <= siskin.NoAuth &&
--- a/internal/home/cold.go
+++ b/internal/home/cold.go
@@ -5,12 +5,14 @@
 	"time"
 )
 
-// minColdWait is the least time between two questions for the rate of cold targets.
+// minColdWait is the minimum time between two requests for admission to a cold
+// target.
 const minColdWait = 5 * time.Millisecond
 
-// awaitAdmission reports whether a statement may be sent to a target now, on a connection
-// that was opened at a time. A cold target gets few; the statement waits for its turn
-// until the given time.
+// awaitAdmission reports whether a statement may be sent to a target on a
+// connection that was opened at the given time. Statements to a cold target are
+// rate-limited; it waits for admission until the given time, and returns the
+// time after which to retry when it fails.
 func (h *Homes) awaitAdmission(l *pool, opened, until time.Time) (ok bool, retryAfter time.Duration) {
 	if h.cfg.MayBeCold == nil {
 		return true, 0
@@ -36,25 +38,26 @@
 	}
 }
 
-// recordFailure notes that the target may have ended and start again, cold.
+// recordFailure records that the target may have restarted and be cold.
 func (l *pool) recordFailure() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failedAt = l.clock.Now()
 }
 
-// recordReport notes that another home could not reach the target. A home without a
-// connection to it sees no failure when it starts again.
+// recordReport records that another home could not reach the target. A home
+// without a connection to the target does not see a failure when it restarts.
 func (l *pool) recordReport() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reportedAt = l.clock.Now()
 }
 
-// lastFailure returns when the target failed last, as far as it may have started again
-// before a connection was opened. A report counts from the opening of the connection
-// at the latest: a later start would have broken it, and reports are repeated for as
-// long as the other home is cut off from a target that runs. The caller holds mu.
+// lastFailure returns the last failure after which the target may have
+// restarted before the connection was opened. A report counts as made no later
+// than the opening of the connection: a later restart would have broken it, and
+// reports are repeated for as long as the other home cannot reach a target that
+// runs. The caller holds mu.
 func (l *pool) lastFailure(opened time.Time) time.Time {
 	reportedAt := l.reportedAt
 	if opened.Before(reportedAt) {
@@ -66,7 +69,8 @@
 	return l.failedAt
 }
 
-// waitFor is the longest time that a statement waits where it holds up others.
+// waitFor returns the maximum time for which a statement waits while it holds a
+// slot that others wait for.
 func (r *Request) waitFor() time.Duration {
 	if r.AcquireTimeout > 0 {
 		return r.AcquireTimeout
--- a/internal/home/cold_test.go
+++ b/internal/home/cold_test.go
@@ -10,7 +10,7 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// coldRate admits the first statements to a cold target.
+// coldRate admits a fixed number of statements to a cold target.
 type coldRate struct {
 	mu   sync.Mutex
 	left int
@@ -33,8 +33,9 @@
 	return siskin.Admission{Admitted: true}
 }
 
-// TestColdTarget guards against statements that flood a cold target, also inside
-// transactions, and against refused ones that wait for the whole of their time.
+// TestColdTarget guards against a flood of statements at a cold target, also
+// inside transactions, and against refused statements that wait for their whole
+// timeout.
 func TestColdTarget(t *testing.T) {
 	f := start(t, stand.ServiceOptions{})
 	rate := &coldRate{left: 3, cold: func(time.Time) bool { return true }}
@@ -71,10 +72,11 @@
 	}
 }
 
-// TestColdAfterReport guards against a flood at a target that has started again, by a
-// home that had no connection to it and is told by a request that another home could
-// not reach it; and against a limit on connections that were open before, for as long
-// as the other home is cut off from a target that runs.
+// TestColdAfterReport guards against a flood at a restarted target from a home
+// that had no connection to it, and learns only from a request that another
+// home could not reach it. It also guards against a rate limit on connections
+// that were opened before the report, which would last for as long as the other
+// home is cut off from a running target.
 func TestColdAfterReport(t *testing.T) {
 	f := start(t, stand.ServiceOptions{})
 	var warmUntil time.Time
@@ -116,8 +118,9 @@
 	}
 }
 
-// TestColdAfterFailure guards against a flood at a target that has started again,
-// before its entry says so: the lane tells when it last failed.
+// TestColdAfterFailure guards against a flood at a restarted target before
+// service discovery lists the restart. The pool then only has the time of the
+// last failure.
 func TestColdAfterFailure(t *testing.T) {
 	f := start(t, stand.ServiceOptions{})
 	rate := &coldRate{cold: func(failed time.Time) bool { return !failed.IsZero() }}
@@ -138,13 +141,13 @@
 	for deadline := time.Now().Add(2 * time.Second); ; time.Sleep(20 * time.Millisecond) {
 		r := read()
 		if r.Outcome == Answered {
-			t.Fatalf("read at a target that has started again: got %+v, want a refusal", r)
+			t.Fatalf("read at a restarted target: got %+v, want a refusal", r)
 		}
 		if r.Cause == Overload {
 			return
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("read at a target that has started again: got %+v, want a refusal for its rate", r)
+			t.Fatalf("read at a restarted target: got %+v, want a refusal for its rate", r)
 		}
 	}
 }
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -10,33 +10,38 @@
 	"siskintray.example/siskin/internal/lease"
 )
 
-// LeaseConfig holds what Homes needs to tell the only primary from a former one.
+// LeaseConfig holds the dependencies that Homes needs to distinguish the
+// current primary from a former one.
 type LeaseConfig struct {
 	Leases *lease.Leases
-	// Fencing says that a target's own answer is a proof of lead, since a promotion
-	// takes the lead from the former primary. Otherwise reads rest on leases, too.
+	// Fencing reports that a target's own answer proves that it is the primary,
+	// since a promotion demotes the former primary. Otherwise reads need a
+	// lease, too.
 	Fencing bool
-	// Service looks a service up in the configuration in force.
+	// Service returns the specification of a service in the configuration in
+	// force.
 	Service func(siskin.ServiceName) (siskin.ServiceSpec, bool)
 	// Targets returns the targets of a service.
 	Targets func(siskin.ServiceName) []siskin.TargetInfo
-	// GroupSize returns the number of targets of a service when none is missing.
+	// GroupSize returns the full number of targets of a service, including
+	// those that are not listed at the moment.
 	GroupSize func(siskin.ServiceName) int
-	// Listed returns since when service discovery lists the present run of a target,
-	// and when its last list was asked for.
+	// Listed returns the time since which service discovery has listed the
+	// present run of a target, and the time of the request for its latest list.
 	Listed func(siskin.TargetID) (since, listed time.Time, ok bool)
-	// Status asks a target for its state, through its home or directly.
+	// Status queries the state of a target, through its home or directly.
 	Status func(context.Context, siskin.TargetID) (Observation, error)
 	Log    *log.Logger
 }
 
-// renewalBackoff is the time after a failed renewal in which requests are refused
-// without another one, so that none waits in vain.
+// renewalBackoff is the time after a failed renewal in which requests are
+// refused without another renewal, so that they do not wait for one that is
+// likely to fail.
 const renewalBackoff = 100 * time.Millisecond
 
-// confirm returns a moment, after the call began, at which the target was the
-// only one that could acknowledge commits. The caller still has to see a plain
-// transaction begin there.
+// confirm returns a time after the start of the call at which only this target
+// could acknowledge commits. The caller must still check that the target
+// accepts a plain transaction.
 func (h *Homes) confirm(ctx context.Context, service siskin.ServiceName, l *pool) (at time.Time, ok bool) {
 	if h.answerProvesLead() {
 		return h.cfg.Clock.Now(), true
@@ -44,11 +49,13 @@
 	return h.awaitLease(ctx, service, l)
 }
 
-// answerProvesLead reports whether the word of a target is a proof of its lead.
+// answerProvesLead reports whether the answer of a target alone proves that it
+// is the primary.
 func (h *Homes) answerProvesLead() bool { return h.cfg.LeaseConfig == nil || h.cfg.LeaseConfig.Fencing }
 
-// awaitLease returns a moment after the call began, and whether a lease of the target's
-// lead covers it. It asks the replicas when none does, or when one ends soon.
+// awaitLease returns a time after the start of the call, and whether a lease of
+// the target covers that time. It renews the lease when it has expired, or in
+// the background when it expires soon.
 func (h *Homes) awaitLease(ctx context.Context, service siskin.ServiceName, l *pool) (at time.Time, ok bool) {
 	at = h.cfg.Clock.Now()
 	id := l.target()
@@ -69,8 +76,8 @@
 	return at, h.cfg.LeaseConfig.Leases.Valid(id, at)
 }
 
-// leadTerm returns the term that a target is known to lead where proofs need it,
-// zero when it is not known.
+// leadTerm returns the term in which a target is known to be the primary, if
+// proofs need a lease. It is zero otherwise, or when the term is not known.
 func (h *Homes) leadTerm(id siskin.TargetID) siskin.Term {
 	if h.answerProvesLead() {
 		return 0
@@ -78,7 +85,7 @@
 	return h.cfg.LeaseConfig.Leases.Term(id)
 }
 
-// askTerm asks a primary for its term.
+// askTerm queries a primary for its term.
 func (h *Homes) askTerm(ctx context.Context, id siskin.TargetID) (siskin.Term, error) {
 	o, err := h.status(ctx, id, replicaTimeout)
 	if err == nil && !o.Status.Primary {
@@ -93,8 +100,8 @@
 	return h.cfg.LeaseConfig.Status(ctx, id)
 }
 
-// ReplicaClaimed reports whether the last question to the replicas of a target found one
-// that a change of primary has claimed.
+// ReplicaClaimed reports whether the last renewal for a target found a replica
+// that is claimed by a change of primary.
 func (h *Homes) ReplicaClaimed(id siskin.TargetID) bool {
 	l, ok := h.pools.Get(id)
 	if !ok {
--- a/internal/home/confirm_test.go
+++ b/internal/home/confirm_test.go
@@ -13,7 +13,7 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// unfenced returns a fixture whose platform leaves former primaries leading.
+// unfenced returns a fixture whose platform does not demote former primaries.
 func unfenced(t *testing.T) *fixture {
 	t.Helper()
 	f := start(t, stand.ServiceOptions{Unfenced: true, MaxConnections: 10})
@@ -21,7 +21,7 @@
 	return f
 }
 
-// fenced returns a fixture whose platform takes the lead from former primaries.
+// fenced returns a fixture whose platform demotes former primaries.
 func fenced(t *testing.T) *fixture {
 	t.Helper()
 	f := start(t, stand.ServiceOptions{MaxConnections: 10})
@@ -29,12 +29,12 @@
 	return f
 }
 
-// withLeases makes the homes pass on commits under leases only.
+// withLeases makes the homes confirm commits only under leases.
 func (f *fixture) withLeases(fencing bool) {
 	f.homes.cfg.LeaseConfig = &LeaseConfig{
 		Leases: lease.New(), Fencing: fencing, Log: logs.New("error", "json", io.Discard),
-		Listed: func(siskin.TargetID) (since, listed time.Time, ok bool) { return f.since, f.listed, true },
-		GroupSize:  func(name siskin.ServiceName) int { return len(f.platform.Targets(string(name))) },
+		Listed:    func(siskin.TargetID) (since, listed time.Time, ok bool) { return f.since, f.listed, true },
+		GroupSize: func(name siskin.ServiceName) int { return len(f.platform.Targets(string(name))) },
 		Service: func(name siskin.ServiceName) (siskin.ServiceSpec, bool) {
 			return siskin.ServiceSpec{Name: name, SyncReplicas: 1}, true
 		},
@@ -57,7 +57,7 @@
 	}
 }
 
-// claim pauses a target as a change of primary does.
+// claim pauses a target, as a change of primary does.
 func (f *fixture) claim(target *stand.Target, term siskin.Term) {
 	f.t.Helper()
 	if _, err := f.homes.Control(context.Background(), target.ID(), siskin.Statement{Kind: siskin.Pause, Term: term}); err != nil {
@@ -71,13 +71,13 @@
 	return read
 }
 
-// TestFormerPrimary guards against reads at a former primary that goes on, since
-// it lacks the commits of the new one.
+// TestFormerPrimary guards against reads at a former primary that still runs,
+// since it lacks the commits of the new primary.
 func TestFormerPrimary(t *testing.T) {
 	f := unfenced(t)
 	former, next := f.target(0), f.target(1)
 	if got := f.run(leadRead(former)); got.Outcome != Answered || !got.LeadProven {
-		t.Fatalf("read at the primary: got %+v, want an answer and a proof of lead", got)
+		t.Fatalf("read at the primary: got %+v, want an answer and a proof of leadership", got)
 	}
 	former.SetPartitioned(true)
 	f.claim(next, 100)
@@ -94,15 +94,15 @@
 		t.Errorf("statements run at the former primary: got %d, want %d", got, before)
 	}
 	if err := f.homes.Ping(context.Background(), "ledger", former.ID()); siskin.KindOf(err) != siskin.NotRun {
-		t.Errorf("proof of lead of the former primary: got %v, want an error of kind NotRun", err)
+		t.Errorf("proof of leadership of the former primary: got %v, want an error of kind NotRun", err)
 	}
 	if got := f.views.LatestProof("ledger"); got.Target == former.ID() && f.homes.cfg.Clock.Since(got.At) < lease.PromotionDelay {
-		t.Errorf("proof of lead: got one of %s after the promotion, want none", got.Target)
+		t.Errorf("proof of leadership: got one of %s after the promotion, want none", got.Target)
 	}
 }
 
-// TestClaimedReplicas guards against a lease that goes on while a change of
-// primary waits for its end.
+// TestClaimedReplicas guards against a lease that is renewed while a change of
+// primary waits for its expiry.
 func TestClaimedReplicas(t *testing.T) {
 	f := unfenced(t)
 	primary := f.target(0)
@@ -116,13 +116,14 @@
 		t.Errorf("read %v after the last claim: got %+v, want %v", lease.PromotionDelay, got, Unconfirmed)
 	}
 	if !f.homes.ReplicaClaimed(primary.ID()) {
-		t.Error("claimed replicas: got none, want them noticed")
+		t.Error("claimed replicas: got false, want true")
 	}
 }
 
-// TestCommitsExtendLease guards against questions to replicas although commits keep up
-// the lease, and against commits that are taken for evidence by themselves: a claimed
-// replica that has started again may have acknowledged them.
+// TestCommitsExtendLease guards against requests to replicas although commits
+// extend the lease. It also guards against commits that count as evidence
+// without a lease: a claimed replica may have restarted, lost its claim and
+// acknowledged them.
 func TestCommitsExtendLease(t *testing.T) {
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) {
@@ -152,14 +153,14 @@
 				t.Errorf("read after a commit: got %+v, want an answer", got)
 			}
 			if got := f.statusCalls.Load(); got != statusCalls {
-				t.Errorf("questions to targets while commits go on: got %d, want none", got-statusCalls)
+				t.Errorf("status requests while commits succeed: got %d, want none", got-statusCalls)
 			}
 		})
 	}
 }
 
-// TestUnconfirmedLeavesConnection guards against a connection that is taken to
-// hold a session's values although none were sent on it.
+// TestUnconfirmedLeavesConnection guards against a connection that is recorded
+// as holding a session's values although they were not sent on it.
 func TestUnconfirmedLeavesConnection(t *testing.T) {
 	f := unfenced(t)
 	primary := f.target(0)
@@ -179,7 +180,7 @@
 }
 
 // TestStatusWithoutConnection guards against a lease that cannot be renewed
-// because the replica accepts no further connection.
+// because the replica accepts no more connections.
 func TestStatusWithoutConnection(t *testing.T) {
 	f := unfenced(t)
 	replica := f.target(1)
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -6,15 +6,15 @@
 	"siskintray.example/siskin"
 )
 
-// conn is a connection to a target and the session state it holds there.
+// conn is a connection to a target and its session state.
 type conn struct {
 	siskin.TargetConn
 	customer siskin.CustomerID
 	values   map[string]string
 	prepared map[string]Prepared
-	openedAt time.Time // when it was open
+	openedAt time.Time // when it was established
 	usedAt   time.Time // end of the last use
-	unused   bool      // no statement was sent yet
+	unused   bool      // no statement has been sent yet
 }
 
 func newConn(tc siskin.TargetConn, customer siskin.CustomerID, now time.Time) *conn {
@@ -25,7 +25,8 @@
 }
 
 // preparedName returns the name of a prepared statement at a target. It depends
-// on the shape alone, so that sessions share prepared statements.
+// only on the shape and on whether it writes, so that sessions share prepared
+// statements.
 func preparedName(p Prepared) string {
 	if p.Writes {
 		return "w_" + p.Shape
@@ -33,8 +34,9 @@
 	return "r_" + p.Shape
 }
 
-// syncSession returns the statements that bring the connection to the session's state
-// and takes that state over. The connection must be closed when one fails.
+// syncSession returns the statements that set up the session's state on the
+// connection, and records that state as set. The connection must be closed when
+// one of them fails.
 func (c *conn) syncSession(req *Request) []siskin.Statement {
 	var list []siskin.Statement
 	if c.hasExtraValue(req.Values) {
@@ -58,7 +60,8 @@
 	return list
 }
 
-// hasExtraValue reports whether the connection holds a value that the session lacks.
+// hasExtraValue reports whether the connection holds a value that the session
+// does not have.
 func (c *conn) hasExtraValue(values []Value) bool {
 	if len(c.values) > len(values) {
 		return true
@@ -72,7 +75,8 @@
 	return found < len(c.values)
 }
 
-// targetStatement returns the caller's statement with the name it has at the target.
+// targetStatement returns the caller's statement with the prepared name used at
+// the target.
 func targetStatement(req *Request) siskin.Statement {
 	s := req.Statement
 	if s.Kind == siskin.Execute {
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -10,40 +10,43 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// pingTimeout bounds a proof of lead. A proof waits for no slot, so it takes a
-// round trip.
+// pingTimeout limits a proof of leadership. A proof needs no slot, so it takes
+// one round trip.
 const pingTimeout = 300 * time.Millisecond
 
-// control is the connection of a lane for statements of the system's own. It
-// is apart from those of callers, so that a control statement never waits for
-// one of them.
+// control is the connection of a pool for the proxy's own statements. It is
+// separate from those of callers, so that control statements never wait for
+// callers' statements.
 type control struct {
 	mu sync.Mutex // held during an exchange
 	c  siskin.TargetConn
-	// openedTo is the run of the target that the connection was openedTo to.
+	// openedTo is the target as listed when the connection was opened.
 	openedTo    siskin.TargetInfo
-	connectedAt time.Time // when it was open
+	connectedAt time.Time // when it was established
 	usedAt      time.Time
 
 	lastEnsure atomic.Int64 // last attempt of Attend, in Unix nanoseconds
 }
 
-// controlIdleTimeout is the time after which an unused control connection is closed. Every
-// VM may open one, and they count against the target's limit.
+// controlIdleTimeout is the time after which an unused control connection is
+// closed. Every VM may open one, and they count against the limit of the
+// target.
 const controlIdleTimeout = time.Second
 
 const (
-	// ensureInterval is the least time between two attempts of Attend at one target.
+	// ensureInterval is the minimum time between two attempts of
+	// EnsureControlConn for one target.
 	ensureInterval = time.Second
-	// ensureDelay is the time from the first use of a target to the first attempt. The
-	// connections of an earlier home that vanished count for 3 s, and the few that are
-	// left are for callers.
+	// ensureDelay is the time from the first use of a target to the first
+	// attempt. The connections of an earlier home that crashed count against
+	// the limit for 3 s, and the few that remain are reserved for callers.
 	ensureDelay = 4 * time.Second
 )
 
-// EnsureControlConn opens the control connection of a target that this VM is the home of, unless
-// some connection is open. A replica can confirm a lead once its home has had one to
-// it for long enough, so the home does not wait for the first question.
+// EnsureControlConn opens the control connection of a target that this VM is
+// the home of, unless a connection is already open. A replica can confirm a
+// primary only when its home has had a connection to it for long enough, so it
+// must be open before the first status request.
 func (h *Homes) EnsureControlConn(id siskin.TargetID) {
 	l, ok := h.pool(id)
 	now := h.cfg.Clock.Now()
@@ -59,14 +62,14 @@
 	h.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		defer cancel()
-		// A target that does not answer is attended again later.
+		// After a failure the next call tries again.
 		_, _ = h.Control(ctx, id, siskin.Statement{Kind: siskin.Status})
 	})
 }
 
 // Control sends statements to a target on the control connection. A broken
-// connection is replaced once before anything counts as failed, so the
-// statements must be safe to repeat.
+// connection is replaced once before an error is returned, so the statements
+// must be idempotent.
 func (h *Homes) Control(ctx context.Context, id siskin.TargetID, list ...siskin.Statement) ([]siskin.Answer, error) {
 	l, ok := h.pool(id)
 	if !ok {
@@ -75,7 +78,7 @@
 	l.control.mu.Lock()
 	defer l.control.mu.Unlock()
 	if ctx.Err() != nil {
-		return nil, siskin.NewError(siskin.Unavailable, "no time is left to ask target %s", id).WithCause(ctx.Err())
+		return nil, siskin.NewError(siskin.Unavailable, "deadline passed before target %s was queried", id).WithCause(ctx.Err())
 	}
 	reused := l.control.c != nil
 	answers, err := l.controlOnce(ctx, list)
@@ -88,7 +91,7 @@
 	if err != nil {
 		kind := siskin.Unavailable
 		if siskin.KindOf(err) == siskin.Overloaded {
-			kind = siskin.Overloaded // it answers, and has no connection left
+			kind = siskin.Overloaded // the target answers, but accepts no more connections
 		}
 		return nil, siskin.NewError(kind, "target %s gave no answer", id).WithCause(err)
 	}
@@ -124,8 +127,9 @@
 	return answers, err
 }
 
-// controlOnIdle runs control statements on an idle connection of a customer, since
-// the target accepts no further connection. Without one the refusal stands.
+// controlOnIdle runs control statements on an idle connection of a customer,
+// since the target accepts no more connections. It returns refusal when none is
+// idle.
 func (l *pool) controlOnIdle(ctx context.Context, list []siskin.Statement, refusal error) ([]siskin.Answer, error) {
 	l.mu.Lock()
 	n := len(l.idle)
@@ -145,7 +149,8 @@
 	return answers, nil
 }
 
-// exchangeDeadline returns the deadline of an exchange of control statements.
+// exchangeDeadline returns the deadline of ctx, or pingTimeout from now when it
+// has none.
 func exchangeDeadline(ctx context.Context) time.Time {
 	if d, ok := ctx.Deadline(); ok {
 		return d
@@ -154,15 +159,15 @@
 }
 
 func (l *pool) dropControl() {
-	_ = l.control.c.Close() // control statements leave nothing open
+	_ = l.control.c.Close() // control statements leave no transaction open
 	l.control.c = nil
 }
 
-// Ping asks a target to prove its lead. It occupies no slot there. The result
-// is nil when the target leads, an error of kind Conflict when it denies it, of
-// kind NotRun when it says so and its replicas do not confirm it, of kind
-// Overloaded when it accepts no connection at the moment, and of kind
-// Unavailable when it does not answer.
+// Ping asks a target to prove that it is the primary. It uses no slot of the
+// target. The result is nil when the target is the primary, an error of kind
+// Conflict when it denies that, of kind NotRun when its replicas do not confirm
+// it, of kind Overloaded when the target accepts no more connections, and of
+// kind Unavailable when it does not answer.
 func (h *Homes) Ping(ctx context.Context, service siskin.ServiceName, id siskin.TargetID) error {
 	asked := h.cfg.Clock.Now()
 	p, err := h.ProbePrimary(ctx, service, id)
@@ -174,16 +179,16 @@
 		ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 		defer cancel()
 		if _, ok := h.confirm(ctx, service, l); !ok {
-			return siskin.NewError(siskin.NotRun, "the replicas of %s do not confirm that %s leads", service, id).WithRemedy("ask again, or another target")
+			return siskin.NewError(siskin.NotRun, "the replicas of %s did not confirm that %s is the primary", service, id).WithRemedy("ask again, or another target")
 		}
 	}
 	h.cfg.Views.RecordProof(service, views.PrimaryProof{Target: id, Position: p, Term: h.leadTerm(id), At: asked})
 	return nil
 }
 
-// ProbePrimary asks a target to begin a plain transaction, which only a target that
-// takes itself for the primary does, and returns the end of its log. Errors are
-// those of Ping.
+// ProbePrimary begins a plain transaction on a target, which only a target that
+// considers itself the primary accepts, and returns the end of its log. Errors
+// are those of Ping.
 func (h *Homes) ProbePrimary(ctx context.Context, service siskin.ServiceName, id siskin.TargetID) (siskin.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
@@ -201,15 +206,16 @@
 	case siskin.ReadOnly:
 		h.cfg.Views.RecordDenial(service, id, asked)
 		h.cfg.Views.RecordPosition(id, a.Position, asked)
-		return siskin.Position{}, siskin.NewError(siskin.Conflict, "target %s does not lead", id).WithRemedy("ask another target")
+		return siskin.Position{}, siskin.NewError(siskin.Conflict, "target %s is not the primary", id).WithRemedy("ask another target")
 	default:
 		return siskin.Position{}, siskin.NewError(siskin.Unavailable, "target %s refused a transaction: %s", id, a.Code)
 	}
 }
 
-// trim closes connections that were idle for long: the control connection when others
-// are open, and all when this VM is not the target's home. A home keeps one, since it
-// shows that the target has not started again.
+// trim closes connections that have been idle for controlIdleTimeout: the
+// control connection when others are open, and all of them when this VM is not
+// the home of the target. A home keeps one, since an unbroken connection shows
+// that the target has not restarted.
 func (l *pool) trim(now time.Time, notHome bool) {
 	if (notHome || l.inUse()) && l.control.mu.TryLock() {
 		if l.control.c != nil && now.Sub(l.control.usedAt) > controlIdleTimeout {
@@ -231,9 +237,9 @@
 	closeAll(stale)
 }
 
-// WriteStall returns the time for which writes at a target have gone without any
-// success, or were refused since its replicas are claimed; zero when the last one
-// succeeded.
+// WriteStall returns the time for which all writes at a target have failed, or
+// have been refused because its replicas are claimed. It is zero when the last
+// write succeeded.
 func (h *Homes) WriteStall(id siskin.TargetID) time.Duration {
 	l, ok := h.pools.Get(id)
 	if !ok {
--- a/internal/home/crowd.go
+++ b/internal/home/crowd.go
@@ -3,16 +3,18 @@
 import "time"
 
 const (
-	// minConnBackoff and maxCrowdPause bound the time to the next attempt after a
-	// target refused a connection as one too many. The connections of a VM that
-	// vanished count for 3 s, those of a home that gave a target up for one.
+	// minConnBackoff and maxConnBackoff limit the time to the next attempt
+	// after a target refused a connection because of its connection limit. The
+	// connections of a VM that crashed count for 3 s, those of a former home
+	// for 1 s.
 	minConnBackoff = 15 * time.Millisecond
 	maxConnBackoff = 500 * time.Millisecond
 )
 
-// connLimiter bounds the connections to a target that has refused one as one too
-// many, such as while another VM takes itself for the home as well. Only one
-// connection at a time is then tried beyond those that are open.
+// connLimiter limits the connections to a target that has refused one because
+// of its connection limit, for instance while another VM also considers itself
+// the home. Only one connection at a time is then attempted beyond those that
+// are open.
 type connLimiter struct {
 	active  bool
 	ceiling int
@@ -20,7 +22,7 @@
 	backoff time.Duration
 }
 
-// limit returns the most open connections.
+// limit returns the maximum number of open connections, at most the given one.
 func (c *connLimiter) limit(now time.Time, most int) int {
 	switch {
 	case !c.active:
@@ -32,7 +34,7 @@
 	}
 }
 
-// refused notes that a connection was refused while others were open.
+// refused records that a connection was refused while others were open.
 func (c *connLimiter) refused(now time.Time, others int) {
 	if !c.active || others < c.ceiling {
 		c.ceiling = others
@@ -42,7 +44,7 @@
 	c.retryAt = now.Add(c.backoff)
 }
 
-// accepted notes that a connection was opened, and how many are now.
+// accepted records that a connection was opened, and how many are open now.
 func (c *connLimiter) accepted(open, most int) {
 	c.backoff = 0
 	c.ceiling = max(c.ceiling, open)
--- a/internal/home/crowd_test.go
+++ b/internal/home/crowd_test.go
@@ -10,9 +10,10 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// TestTargetRefusesConnections guards against a home that opens connection after connection
-// at a target that refuses them, such as while another VM takes itself for the
-// home: 72,013 were refused in a minute while paths of a primary were cut.
+// TestTargetRefusesConnections guards against a home that keeps opening
+// connections at a target that refuses them, for instance while another VM
+// considers itself the home: 72,013 were refused in a minute while network
+// paths of a primary were cut.
 func TestTargetRefusesConnections(t *testing.T) {
 	const maxConns = 10
 	f := start(t, stand.ServiceOptions{MaxConnections: maxConns})
@@ -45,7 +46,7 @@
 		})
 	}
 	wg.Wait()
-	// One attempt after each pause; the pauses double up to half a second.
+	// One attempt follows each backoff, which doubles up to half a second.
 	if got := target.Opened() - before; got > 20 {
 		t.Errorf("connections tried in %v: got %d, want at most 20", span, got)
 	}
@@ -58,8 +59,8 @@
 	}
 }
 
-// TestConnLimiter guards against a bound that never rises again, and against one that
-// lets all waiting requests try at once.
+// TestConnLimiter guards against a limit that never rises again, and against
+// one that lets all waiting requests try at once.
 func TestConnLimiter(t *testing.T) {
 	var c connLimiter
 	now := time.Unix(100, 0)
@@ -74,11 +75,11 @@
 	now = now.Add(maxConnBackoff)
 	for open := 5; open <= 31; open++ {
 		if got := c.limit(now, 31); got != open {
-			t.Fatalf("limit after the pause: got %d, want %d", got, open)
+			t.Fatalf("limit after the backoff: got %d, want %d", got, open)
 		}
 		c.accepted(open, 31)
 	}
 	if c.active {
-		t.Error("the bound holds after all connections were accepted")
+		t.Error("the limit is still active after all connections were accepted")
 	}
 }
--- a/internal/home/evacuated_test.go
+++ b/internal/home/evacuated_test.go
@@ -9,7 +9,8 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// startEvacuable returns a fixture with a switch that closes all targets to statements.
+// startEvacuable returns a fixture, and a flag that closes all targets to
+// statements.
 func startEvacuable(t *testing.T, o stand.ServiceOptions) (*fixture, *atomic.Bool) {
 	t.Helper()
 	f := start(t, o)
@@ -18,8 +19,8 @@
 	return f, &closed
 }
 
-// TestEvacuated guards against statements that reach a target of an evacuated data
-// centre: new ones, and those that waited for a place there meanwhile.
+// TestEvacuated guards against statements that reach a target in an evacuated
+// data centre: new ones, and those that were queued when the evacuation began.
 func TestEvacuated(t *testing.T) {
 	f, closed := startEvacuable(t, stand.ServiceOptions{Slots: 1, StatementTime: 200 * time.Millisecond})
 	target := f.target(0)
@@ -30,7 +31,7 @@
 	}
 	for deadline := time.Now().Add(time.Second); f.homes.Counts().Waiting == 0 || len(target.Arrivals("acme")) < running; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("no statement waits for a place behind %d that were sent", running)
+			t.Fatalf("no statement is queued behind %d that were sent", running)
 		}
 	}
 	closed.Store(true)
@@ -66,7 +67,7 @@
 	}
 }
 
-// TestEvacuatedTransaction guards against a commit that reaches a target of an
+// TestEvacuatedTransaction guards against a commit that reaches a target in an
 // evacuated data centre, and against a transaction that stays open there.
 func TestEvacuatedTransaction(t *testing.T) {
 	f, closed := startEvacuable(t, stand.ServiceOptions{})
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -22,8 +22,8 @@
 	views       *views.Views
 	limit       int
 	since       time.Time    // since when service discovery lists the targets
-	listed      time.Time    // of its last list
-	statusCalls atomic.Int64 // questions for the state of a target
+	listed      time.Time    // time of the last list
+	statusCalls atomic.Int64 // status requests to targets
 }
 
 func start(t *testing.T, o stand.ServiceOptions) *fixture {
@@ -75,8 +75,8 @@
 
 func (f *fixture) run(req *Request) Reply { return f.homes.Run(context.Background(), req) }
 
-// TestProofs guards against statements that run at a target which is not fit
-// for them.
+// TestProofs guards against statements that run on a target without the
+// required proof.
 func TestProofs(t *testing.T) {
 	f := start(t, stand.ServiceOptions{Lag: 300 * time.Millisecond})
 	primary, replica := f.target(0), f.target(1)
@@ -91,7 +91,7 @@
 	}
 	read.Proof = LeadProof
 	if got := f.run(read); got.Outcome != NotSent || got.Cause != Refused || got.Answer.Code != siskin.ReadOnly {
-		t.Errorf("proof of lead at a replica: got %+v, want a refusal that ran nothing", got)
+		t.Errorf("proof of leadership at a replica: got %+v, want a refusal that ran nothing", got)
 	}
 	if got, want := replica.Statements(), int64(0); got != want {
 		t.Errorf("statements run at the replica: got %d, want %d", got, want)
@@ -105,12 +105,12 @@
 	read = request(primary, siskin.Read, "x")
 	read.Proof, read.Floor, read.FloorTTL = FloorProof, write.Answer.Position, time.Nanosecond
 	if got := f.run(read); got.Cause != Stale {
-		t.Errorf("floor that grew too old in the queue: got %v, want %v", got.Cause, Stale)
+		t.Errorf("floor that expired in the queue: got %v, want %v", got.Cause, Stale)
 	}
 }
 
 // TestLostAnswer guards against a write that is reported as not run, or sent
-// again, after its answer got lost.
+// again, after its answer was lost.
 func TestLostAnswer(t *testing.T) {
 	f := start(t, stand.ServiceOptions{})
 	primary := f.target(0)
@@ -170,12 +170,12 @@
 	}
 	time.Sleep(probeAfterIdle + 50*time.Millisecond)
 	if got := f.run(request(primary, siskin.Write, "x 2")); got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
-		t.Errorf("write after the target started again: got %+v, want success", got)
+		t.Errorf("write after the target restarted: got %+v, want success", got)
 	}
 }
 
-// TestTransactions guards against transactions that share a connection, stay
-// open for good or accept a statement after their end.
+// TestTransactions guards against transactions that share a connection, are
+// never closed, or accept a statement after their end.
 func TestTransactions(t *testing.T) {
 	f := start(t, stand.ServiceOptions{})
 	primary := f.target(0)
@@ -212,12 +212,12 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	if got := step(idle.Tx, siskin.Commit, ""); got.Outcome == Answered {
-		t.Errorf("commit of an abandoned transaction: got %+v, want none", got)
+		t.Errorf("commit of a transaction rolled back for idleness: got %+v, want none", got)
 	}
 }
 
-// TestConnectionLimit guards against more connections than a home may open, and
-// against requests that hang when all are in use.
+// TestConnectionLimit guards against more open connections than a home may
+// have, and against requests that hang when all are in use.
 func TestConnectionLimit(t *testing.T) {
 	f := start(t, stand.ServiceOptions{Slots: 8, StatementTime: 50 * time.Millisecond})
 	f.limit = 3
@@ -250,8 +250,8 @@
 	}
 }
 
-// TestSessionState guards against values of one session that reach another one,
-// and against connections that are prepared again for each statement.
+// TestSessionState guards against values of one session that leak into another,
+// and against preparing a statement again for each execution.
 func TestSessionState(t *testing.T) {
 	c := newConn(nil, "acme", time.Time{})
 	kinds := func(req *Request) (list []siskin.StatementKind) {
@@ -290,8 +290,8 @@
 	}
 }
 
-// TestStalledWrites guards against callers that wait, and reads that find no
-// place, while a target acknowledges no write: ten callers write for 1.5 s to a
+// TestStalledWrites guards against callers that wait, and reads that get no
+// slot, while a target acknowledges no writes: ten callers write for 1.5 s to a
 // primary whose replicas receive nothing.
 func TestStalledWrites(t *testing.T) {
 	f := start(t, stand.ServiceOptions{})
@@ -335,7 +335,7 @@
 		}
 	}
 	callers.Wait()
-	// Three run at first, and one at a time after these.
+	// Three writes run until refuseWritesAfter, and then one at a time.
 	if want := 3 + 4; lost > want {
 		t.Errorf("writes in doubt: got %d, want at most %d", lost, want)
 	}
@@ -348,14 +348,14 @@
 			break
 		}
 		if time.Now().After(deadline) {
-			t.Fatal("writes after a replica is back: got none, want success")
+			t.Fatal("writes after a replica recovered: got none, want success")
 		}
 	}
 }
 
-// TestUpdateDuringWait guards against a request that waits for a connection and reads
-// what service discovery says of its target while that changes. It needs the race
-// detector.
+// TestUpdateDuringWait guards against a data race between a request that waits
+// for a connection and an update of its target from service discovery. Only the
+// race detector finds it.
 func TestUpdateDuringWait(t *testing.T) {
 	f := start(t, stand.ServiceOptions{Slots: 4})
 	f.limit = 1
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -11,26 +11,29 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Config holds what Homes depends on.
+// Config holds the dependencies of Homes.
 type Config struct {
 	Clock     siskin.Clock
 	Connector siskin.TargetConnector
 	Views     *views.Views
-	// Target looks a target up in service discovery.
+	// Target returns the entry of a target in service discovery.
 	Target func(siskin.TargetID) (siskin.TargetInfo, bool)
-	// Limit returns the most connections that this VM may open to a target.
+	// Limit returns the maximum number of connections that this VM may open to
+	// a target.
 	Limit func(siskin.TargetInfo) int
 	// IsHome reports whether this VM is the home of a target.
 	IsHome func(siskin.TargetInfo) bool
-	// Closed reports whether a target must get no statement of callers. It may be
-	// nil.
+	// Closed reports whether statements of callers must not be sent to a
+	// target. It may be nil.
 	Closed func(siskin.TargetID) bool
-	// MayBeCold reports whether a target may be cold that is used since the time opened
-	// and failed last at another one, which is zero when it did not. AdmitCold takes a statement from the rate that the
-	// cold targets of a service share. Both may be nil.
+	// MayBeCold reports whether a target may be cold. The target has been in
+	// use since the time opened; failed is the time of its last failure, or
+	// zero. AdmitCold takes a statement from the rate limit that the cold
+	// targets of a service share. Both may be nil.
 	MayBeCold func(t siskin.TargetInfo, opened, failed time.Time) bool
 	AdmitCold func(context.Context, siskin.ServiceName) siskin.Admission
-	// LeaseConfig is nil where a target that was replaced refuses plain transactions.
+	// LeaseConfig is nil if a replaced target is known to refuse plain
+	// transactions.
 	LeaseConfig *LeaseConfig
 }
 
@@ -44,23 +47,24 @@
 	stop   chan struct{}
 	done   sync.WaitGroup
 
-	mu     sync.Mutex // guards closed, so that nothing starts behind Close
+	mu     sync.Mutex // guards closed, so that no goroutine starts after Close
 	closed bool
 }
 
-// New returns Homes and starts the goroutine that ends idle transactions.
+// New returns Homes and starts the goroutine that rolls back idle transactions.
 func New(cfg Config) *Homes {
 	h := &Homes{
 		cfg: cfg, pools: shard.New[siskin.TargetID, *pool](), txs: shard.New[TxID, *tx](),
 		stop: make(chan struct{}),
 	}
-	// A restarted VM must not meet the ids of its earlier run.
+	// A restarted VM must not reuse the ids of its earlier run.
 	h.nextTx.Store(uint64(cfg.Clock.Now().UnixNano()))
 	h.done.Go(h.reap)
 	return h
 }
 
-// Close ends all transactions and connections and waits.
+// Close ends all transactions, closes all connections and waits for background
+// goroutines.
 func (h *Homes) Close() error {
 	h.mu.Lock()
 	h.closed = true
@@ -78,7 +82,8 @@
 	return nil
 }
 
-// spawn runs f in the background, unless the homes are closed.
+// spawn runs f in the background unless Close was called, and reports whether
+// it did.
 func (h *Homes) spawn(f func()) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -88,7 +93,7 @@
 	return !h.closed
 }
 
-// Update brings the lanes in use up to date with service discovery.
+// Update applies the state of service discovery to all pools.
 func (h *Homes) Update() {
 	h.pools.Range(func(id siskin.TargetID, l *pool) bool {
 		if info, ok := h.cfg.Target(id); ok {
@@ -105,7 +110,7 @@
 	})
 }
 
-// Loads returns the number of statements that wait or run at each target in
+// Loads returns the number of queued and running statements at each target in
 // use.
 func (h *Homes) Loads() map[siskin.TargetID]int {
 	loads := make(map[siskin.TargetID]int)
@@ -116,13 +121,13 @@
 	return loads
 }
 
-// Counts are the present totals of a VM's homes.
+// Counts holds current totals over all targets in use on a VM.
 type Counts struct {
 	Open, Idle, Waiting, Transactions, Active int
 	Opened                                    int64
 }
 
-// Counts returns the present totals.
+// Counts returns the current totals.
 func (h *Homes) Counts() Counts {
 	n := Counts{Transactions: h.txs.Len(), Active: int(h.active.Load())}
 	h.pools.Range(func(_ siskin.TargetID, l *pool) bool {
@@ -149,8 +154,9 @@
 	}), true
 }
 
-// evacuated reports whether a target must get no statement of callers. It is asked
-// right before each one, since statements wait for a place and a connection.
+// evacuated reports whether statements of callers must not be sent to a target.
+// It is checked just before each one is sent, since statements wait for a slot
+// and a connection.
 func (h *Homes) evacuated(id siskin.TargetID) bool { return h.cfg.Closed != nil && h.cfg.Closed(id) }
 
 // Run runs one statement.
--- a/internal/home/lane.go
+++ b/internal/home/lane.go
@@ -9,24 +9,25 @@
 )
 
 const (
-	// connectTimeout bounds the opening of a connection. A target takes up to
-	// 30 ms; a lost opening packet is sent again after a second.
+	// connectTimeout limits the time to open a connection. A target takes up to
+	// 30 ms; a lost SYN packet is sent again after a second.
 	connectTimeout = 400 * time.Millisecond
-	// unreachableBackoff is the time in which a target that could not be reached is not
-	// tried again, so that requests fail at once instead of waiting.
+	// unreachableBackoff is the time in which a target that could not be
+	// reached is not tried again, so that requests fail at once instead of
+	// waiting.
 	unreachableBackoff = 300 * time.Millisecond
 	// spareRunning is the number of statements sent to a target beyond its
 	// slots. One keeps the slots busy during the round trip.
 	spareRunning = 1
-	// connPollInterval is the time between two looks for a connection while a target
-	// refuses further ones.
+	// connPollInterval is the time between two checks for a connection while a
+	// target refuses more of them.
 	connPollInterval = 15 * time.Millisecond
-	// conflictBackoff is the time in which a target whose address answered for
-	// another one is not tried again.
+	// conflictBackoff is the time in which a target is not tried again after
+	// another target answered at its address.
 	conflictBackoff = time.Second
 )
 
-// pool is the queue and the connections of one target.
+// pool holds the queue and the connections of one target.
 type pool struct {
 	clock     siskin.Clock
 	created   time.Time
@@ -39,16 +40,17 @@
 
 	mu          sync.Mutex
 	info        siskin.TargetInfo
-	limit       int // most open connections
-	open        int // connections open or being opened
+	limit       int // maximum number of open connections
+	open        int // number of connections open or being opened
 	connLimiter connLimiter
 	idle        []*conn
 	wake        chan struct{} // closed when a connection becomes free
 	avoidUntil  time.Time
 	failedAt    time.Time // last time that a connection broke or could not be opened
 	closing     bool
-	opened      int64 // connections opened since the start
-	// reportedAt is the last time that another home could not reach the target.
+	opened      int64 // number of connections opened since the pool was created
+	// reportedAt is the last report that another home could not reach the
+	// target.
 	reportedAt time.Time
 }
 
@@ -59,8 +61,8 @@
 	}
 }
 
-// update takes over what discovery says. The connections to an earlier run or
-// address of the target are dropped.
+// update applies an entry of service discovery. Connections to an earlier run
+// or address of the target are closed.
 func (l *pool) update(info siskin.TargetInfo, limit int) {
 	l.mu.Lock()
 	var stale []*conn
@@ -90,7 +92,8 @@
 	}
 }
 
-// connClosed uncounts a connection and lets a waiter open another one.
+// connClosed decrements the number of open connections and wakes the waiters,
+// one of which may open another.
 func (l *pool) connClosed() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -103,27 +106,29 @@
 	l.wake = make(chan struct{})
 }
 
-// inUse reports whether a connection for callers is open.
+// inUse reports whether any connection for callers is open.
 func (l *pool) inUse() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.open > 0
 }
 
-// target returns the id of the lane's target.
+// target returns the id of the pool's target.
 func (l *pool) target() siskin.TargetID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.info.ID
 }
 
-// put returns a connection whose last answer was read to its end.
+// put returns a connection to the pool after its last answer was read
+// completely.
 func (l *pool) put(c *conn) {
 	c.usedAt = l.clock.Now()
 	l.putUnused(c)
 }
 
-// putUnused returns a connection on which nothing was sent since it was taken.
+// putUnused returns a connection to the pool when nothing was sent on it since
+// it was taken.
 func (l *pool) putUnused(c *conn) {
 	l.mu.Lock()
 	if l.closing || l.open > l.limit {
@@ -138,12 +143,12 @@
 
 // drop closes a connection.
 func (l *pool) drop(c *conn) {
-	_ = c.Close() // the target rolls back what is open
+	_ = c.Close() // the target rolls back an open transaction
 	l.connClosed()
 }
 
-// dropIdle closes the idle connections, which share the fate of one that
-// failed: they may be silent, or belong to an earlier run of the target.
+// dropIdle closes the idle connections after another one failed: they may be
+// broken too, or belong to an earlier run of the target.
 func (l *pool) dropIdle() {
 	l.mu.Lock()
 	stale := l.takeIdle()
@@ -164,7 +169,7 @@
 	}
 }
 
-// load returns the number of statements that wait or run.
+// load returns the number of queued and running statements.
 func (l *pool) load() int {
 	s := l.queue.Stats()
 	return s.Running + s.Waiting
--- a/internal/home/observation.go
+++ b/internal/home/observation.go
@@ -1,6 +1,6 @@
 package home
 
-// statusResult is the answer of one replica.
+// statusResult is the result of a status request to one replica.
 type statusResult struct {
 	o   Observation
 	err error
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -9,17 +9,17 @@
 	"siskintray.example/siskin"
 )
 
-// Observation is the state of a target and what is known of its present run. A target
-// that starts again forgets its log and its pauses.
+// Observation is the state of a target and the age of the connection that
+// reported it. A target that restarts loses its log and its pauses.
 type Observation struct {
 	Status siskin.ControlStatus
-	// ConnAge is the time for which the connection that answered has been open, which
-	// shows that the target has not started again since.
+	// ConnAge is the time for which the connection that answered has been open.
+	// The target has not restarted in that time.
 	ConnAge time.Duration `json:"Running"`
 }
 
-// Observe asks a target for its state on the oldest connection that is free, and
-// returns for how long that one has been open.
+// Observe queries the state of a target on the oldest idle connection, and
+// returns for how long that connection has been open.
 func (h *Homes) Observe(ctx context.Context, id siskin.TargetID) (a siskin.Answer, connAge time.Duration, err error) {
 	l, ok := h.pool(id)
 	if !ok {
@@ -27,7 +27,7 @@
 	}
 	if ctx.Err() != nil {
 		// An exchange would fail at once and close a healthy connection.
-		return a, 0, siskin.NewError(siskin.Unavailable, "no time is left to ask target %s", id).WithCause(ctx.Err())
+		return a, 0, siskin.NewError(siskin.Unavailable, "deadline passed before target %s was queried", id).WithCause(ctx.Err())
 	}
 	status := siskin.Statement{Kind: siskin.Status}
 	if c := l.awaitOldest(ctx); c != nil {
@@ -54,17 +54,19 @@
 	l.control.mu.Lock()
 	defer l.control.mu.Unlock()
 	if l.control.c == nil {
-		return answers[0], 0, nil // it answered on another one
+		return answers[0], 0, nil // it answered on a connection of the pool
 	}
 	return answers[0], h.cfg.Clock.Since(l.control.connectedAt), nil
 }
 
-// idleConnWait is the time for which a question waits for a connection of callers, all of
-// which are in use. One of its own would take the place of another of theirs.
+// idleConnWait is the time for which a status request waits while all
+// connections of callers are in use. A connection of its own would count
+// against the limit and displace one of theirs.
 const idleConnWait = 15 * time.Millisecond
 
-// awaitOldest takes the idle connection that was opened first, and waits for one to
-// become idle unless there is a control connection. It returns nil when there is none.
+// awaitOldest takes the idle connection that was opened first, and waits for
+// one to become idle unless there is a control connection. It returns nil when
+// it gets none.
 func (l *pool) awaitOldest(ctx context.Context) *conn {
 	limit := l.clock.After(idleConnWait)
 	for {
@@ -94,8 +96,8 @@
 	return l.control.c != nil
 }
 
-// takeOldest takes the idle connection that was opened first, nil when there is none
-// or the control connection is older.
+// takeOldest takes the idle connection that was opened first. It returns nil
+// when none is idle or the control connection is older.
 func (l *pool) takeOldest() *conn {
 	var control time.Time
 	if l.control.mu.TryLock() {
@@ -120,8 +122,8 @@
 	return c
 }
 
-// handleBreak notes that a connection which had answered before is broken, so that the
-// target may have started again, cold. Silence alone does not say so.
+// handleBreak records that an established connection broke, so that the target
+// may have restarted and be cold. A timeout alone is no evidence of that.
 func (l *pool) handleBreak(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return
--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -8,9 +8,9 @@
 	"siskintray.example/siskin"
 )
 
-// TestObserve guards against a target that is taken to have run for as long as before
-// although it started again: a replica then confirms a lead without the claim that it
-// has forgotten.
+// TestObserve guards against a connection age that continues over a restart of
+// the target: a replica that has lost its claim in the restart would then
+// confirm a primary.
 func TestObserve(t *testing.T) {
 	f := fenced(t)
 	target := f.target(1)
@@ -23,14 +23,14 @@
 		}
 		return running
 	}
-	observe("first question")
+	observe("first request")
 	time.Sleep(pause)
-	if got := observe("second question"); got < pause {
+	if got := observe("second request"); got < pause {
 		t.Errorf("on the same connection: got %v, want at least %v", got, pause)
 	}
 	f.restart(target)
-	if got := observe("after a start"); got >= pause {
-		t.Errorf("after a start: got %v, want less than %v", got, pause)
+	if got := observe("after a restart"); got >= pause {
+		t.Errorf("after a restart: got %v, want less than %v", got, pause)
 	}
 	if got := f.run(request(target, siskin.Read, "x")); got.Outcome != Answered {
 		t.Fatalf("read: got %+v, want an answer", got)
@@ -42,8 +42,9 @@
 	}
 }
 
-// TestExpiredContext guards against healthy connections that are closed by a question
-// whose time is over, such as that of a VM that stood still.
+// TestExpiredContext guards against healthy connections that are closed by a
+// status request whose deadline has passed, such as one from a VM that was
+// suspended.
 func TestExpiredContext(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
@@ -57,13 +58,13 @@
 	over, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
 	defer cancel()
 	if _, _, err := f.homes.Observe(over, id); err == nil {
-		t.Error("question without time: got an answer, want an error")
+		t.Error("status request after its deadline: got an answer, want an error")
 	}
 	if _, err := f.homes.Control(over, id, siskin.Statement{Kind: siskin.Status}); err == nil {
-		t.Error("control statement without time: got an answer, want an error")
+		t.Error("control statement after its deadline: got an answer, want an error")
 	}
 	if got := f.target(1).Opened(); got != 2 {
-		t.Errorf("connections opened: got %d, want the 2 of before", got)
+		t.Errorf("connections opened: got %d, want the 2 opened before", got)
 	}
 	l, _ := f.homes.pool(id)
 	if open, idle, _ := l.counts(); open != 1 || idle != 1 || l.control.c == nil {
@@ -71,9 +72,9 @@
 	}
 }
 
-// TestStarted guards against a replica whose run is taken for longer than a connection
-// or the lists of service discovery show: a list that was asked for right after the
-// connection was opened may not tell of a start before.
+// TestStarted guards against a run of a replica that is assumed to be longer
+// than its connection or the lists of service discovery show: a list requested
+// just after the connection was opened may not include an earlier restart.
 func TestStarted(t *testing.T) {
 	f := fenced(t)
 	for _, c := range []struct {
@@ -98,8 +99,8 @@
 	}
 }
 
-// TestRefusals guards against a primary that is taken for a healthy one since writes
-// are refused before they are sent, or for a stalled one long after the last refusal.
+// TestRefusals guards against a primary that counts as healthy while writes are
+// refused before they are sent, or as stalled long after the last refusal.
 func TestRefusals(t *testing.T) {
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	var r refusals
@@ -110,8 +111,8 @@
 	}{
 		{"one refusal", 0, 100, 0},
 		{"two refusals", 300, 400, 400 * time.Millisecond},
-		{"they go on", 800, 1400, 1400 * time.Millisecond},
-		{"they have ended", 800, 1401, 0},
+		{"a further refusal", 800, 1400, 1400 * time.Millisecond},
+		{"after the last refusal expired", 800, 1401, 0},
 		{"another one after a pause", 2000, 2100, 0},
 	} {
 		r.add(at(c.add))
@@ -127,9 +128,10 @@
 	}
 }
 
-// TestEnsureControlConn guards against a replica that nobody reads at and whose home has no
-// connection to it, so that it could not confirm a lead when a primary is lost; and
-// against connections in place of those for callers.
+// TestEnsureControlConn guards against an unused replica whose home has no
+// connection to it, so that it could not confirm a primary after a failover. It
+// also guards against control connections that take the place of those for
+// callers.
 func TestEnsureControlConn(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
@@ -147,31 +149,32 @@
 		f.homes.EnsureControlConn(id)
 	}
 	if got := opened(); got != 1 {
-		t.Errorf("connections to a target that nobody uses: got %d, want 1", got)
+		t.Errorf("connections to an unused target: got %d, want 1", got)
 	}
 	if got := f.run(request(f.target(1), siskin.Read, "x")); got.Outcome != Answered {
 		t.Fatalf("read: got %+v, want an answer", got)
 	}
 	l.trim(f.homes.cfg.Clock.Now().Add(2*controlIdleTimeout), false)
 	if l.control.c != nil {
-		t.Error("control connection beside one of callers: got one, want it closed")
+		t.Error("control connection while one of callers is open: got one, want it closed")
 	}
 	l.control.lastEnsure.Store(0)
 	f.homes.EnsureControlConn(id)
 	if got := opened(); got != 2 {
-		t.Errorf("connections beside one of callers: got %d, want no further one", got)
+		t.Errorf("connections while one of callers is open: got %d, want no further one", got)
 	}
 }
 
-// TestControlAfterClose guards against a control connection that nobody closes, opened
-// for a question that comes after the target is gone or the VM has stopped serving.
+// TestControlAfterClose guards against a leaked control connection, opened for
+// a status request that arrives after the target was removed or the VM has
+// stopped serving.
 func TestControlAfterClose(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
 	l, _ := f.homes.pool(id)
 	l.close()
 	if _, err := f.homes.Control(context.Background(), id, siskin.Statement{Kind: siskin.Status}); err == nil {
-		t.Error("question on a closed lane: got an answer, want an error")
+		t.Error("status request on a closed pool: got an answer, want an error")
 	}
 	if got := f.target(1).Opened(); got != 0 {
 		t.Errorf("connections opened: got %d, want none", got)
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -13,23 +13,23 @@
 )
 
 const (
-	// renewTimeout bounds the questions to replicas for one renewal of a lease. A
-	// question takes a round trip, and the opening of a connection.
+	// renewTimeout limits the requests to replicas for one renewal of a lease.
+	// A request takes one round trip, and possibly the opening of a connection.
 	renewTimeout = 200 * time.Millisecond
-	// replicaTimeout bounds the question to one replica, so that a silent one leaves
-	// time for the others.
+	// replicaTimeout limits the request to one replica, so that an unresponsive
+	// one leaves time for the others.
 	replicaTimeout = 90 * time.Millisecond
-	// replicaRetryInterval is the time between two questions to replicas that accept no
-	// connection at the moment.
+	// replicaRetryInterval is the time between two requests to replicas that
+	// accept no more connections.
 	replicaRetryInterval = 50 * time.Millisecond
-	// maxEntryLag is the time from a new start of a target to a list without the entry
-	// of its earlier run. A target writes its entry each 1.2 s, and one that is not
-	// renewed runs out within 3 s.
+	// maxEntryLag is the maximum time from a restart of a target until service
+	// discovery no longer lists its earlier run. A target writes its entry
+	// every 1.2 s, and an entry that is not renewed expires within 3 s.
 	maxEntryLag = 4 * time.Second
 )
 
-// askReplicas renews a lease with the answers of replicas. The error says why too
-// few of them were found unclaimed.
+// askReplicas renews a lease with the answers of replicas. The error states why
+// too few of them are known to be unclaimed.
 func (h *Homes) askReplicas(service siskin.ServiceName, l *pool, term siskin.Term) error {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
@@ -46,8 +46,9 @@
 	}
 }
 
-// askOnce asks the replicas once. The result again says that one of them accepts no
-// connection at the moment and could confirm the lead.
+// askOnce queries the replicas once. The result again reports that a replica
+// which accepts no more connections at the moment could still confirm the
+// primary.
 func (h *Homes) askOnce(ctx context.Context, service siskin.ServiceName, l *pool, term siskin.Term) (again bool, err error) {
 	leads, id := h.cfg.LeaseConfig, l.target()
 	spec, ok := leads.Service(service)
@@ -74,11 +75,12 @@
 				last = preferConflict(last, a.err)
 				continue
 			case s.Term > term:
-				// This target leads again in a later term, or another one leads.
+				// Either this target is the primary again in a later term, or
+				// another target is.
 				if !leads.Fencing {
 					if later, err := h.askTerm(ctx, id); err != nil || later < s.Term {
 						h.cfg.Views.RecordDenial(service, id, asked)
-						return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, target %s leads term %d", replicas[n].ID, s.Term, id, later)
+						return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, but target %s is primary in term %d", replicas[n].ID, s.Term, id, later)
 					}
 				}
 				return h.askOnce(ctx, service, l, s.Term)
@@ -91,7 +93,7 @@
 			case witness:
 				l.renewal.asked = n
 			default:
-				last = preferConflict(last, siskin.NewError(siskin.Unavailable, "replica %s may have started again and forgotten a claim", replicas[n].ID))
+				last = preferConflict(last, siskin.NewError(siskin.Unavailable, "replica %s may have restarted and lost a claim", replicas[n].ID))
 			}
 		}
 		if poll.Confirmed() {
@@ -103,12 +105,13 @@
 	if siskin.KindOf(last) == siskin.Conflict {
 		kind = siskin.Conflict
 	}
-	return again, siskin.NewError(kind, "the %d replicas of %s do not confirm the lead of %s in term %d", len(replicas), service, id, term).WithCause(last)
+	return again, siskin.NewError(kind, "the %d replicas of %s did not confirm %s as primary in term %d", len(replicas), service, id, term).WithCause(last)
 }
 
-// pollTerm returns the term for which replicas are asked, at least the given one. With
-// fencing a lease counts for commits of its very term only, so it may be the newest one
-// known: after a loss of all VMs the target may have no connection left to ask it on.
+// pollTerm returns the term that the replicas must confirm, at least the given
+// one. With fencing a lease is valid only for commits of exactly its term, so
+// the newest known term is used without a request to the target: after all VMs
+// have crashed, it may accept no more connections.
 func (h *Homes) pollTerm(ctx context.Context, service siskin.ServiceName, id siskin.TargetID, term siskin.Term) (siskin.Term, error) {
 	known := h.knownTerm(service)
 	if term = max(term, h.cfg.LeaseConfig.Leases.Term(id)); h.cfg.LeaseConfig.Fencing {
@@ -121,13 +124,14 @@
 		}
 	}
 	if term < known {
-		// A replica that has started again may follow a former primary.
-		return 0, siskin.NewError(siskin.Conflict, "target %s leads term %d, and another one has led term %d", id, term, known)
+		// A restarted replica may follow a former primary.
+		return 0, siskin.NewError(siskin.Conflict, "target %s is primary in term %d, but another one was primary in term %d", id, term, known)
 	}
 	return term, nil
 }
 
-// statuses asks some of the replicas at once, and returns the answers by offset.
+// statuses queries the replicas at the given offsets in parallel, and returns
+// the answers by offset.
 func (h *Homes) statuses(ctx context.Context, replicas []siskin.TargetInfo, offsets []int) map[int]statusResult {
 	list := make([]statusResult, len(offsets))
 	var wg sync.WaitGroup
@@ -142,8 +146,8 @@
 	return answers
 }
 
-// preferConflict returns the error that says more of a lead: that a replica is claimed
-// before all others.
+// preferConflict returns the more informative of two errors: a claimed replica,
+// which is an error of kind Conflict, or else the later one.
 func preferConflict(a, b error) error {
 	if a != nil && siskin.KindOf(a) == siskin.Conflict {
 		return a
@@ -151,16 +155,17 @@
 	return b
 }
 
-// knownTerm returns the newest term in which a target of a service is known to have
-// led.
+// knownTerm returns the newest term in which a target of a service is known to
+// have been the primary.
 func (h *Homes) knownTerm(service siskin.ServiceName) siskin.Term {
 	l := h.cfg.Views.LatestProof(service)
 	return max(l.Term, l.Position.Term)
 }
 
-// runningSince returns a moment from which on a target has run without a new start. Its
-// connection shows this since it was opened. Lists show it from before on if the last
-// one was asked for so late that it would tell of a start before the opening.
+// runningSince returns a time since which a target has run without a restart.
+// An open connection proves this from its opening on. Service discovery proves
+// it for longer if its latest list was requested so late that it would include
+// any restart before the opening.
 func (h *Homes) runningSince(id siskin.TargetID, connAge time.Duration) time.Time {
 	opened := h.cfg.Clock.Now().Add(-connAge)
 	since, listed, ok := h.cfg.LeaseConfig.Listed(id)
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -10,14 +10,14 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// floorExpired reports whether the floor grew too old while the statement waited.
+// floorExpired reports whether the floor expired while the statement waited.
 func (r *run) floorExpired() bool {
 	return r.req.FloorTTL > 0 && r.h.cfg.Clock.Since(r.start) > r.req.FloorTTL
 }
 
 // begin returns the statements that must succeed before the caller's statement
-// is sent. Without a transaction around it, a statement behind a failed one
-// would run all the same.
+// is sent. Outside of a transaction, a statement pipelined after a failed one
+// would still run.
 func (r *run) begin(probe bool) ([]siskin.Statement, bool) {
 	switch {
 	case r.req.Mode == Open && r.req.Proof == FloorProof:
@@ -31,8 +31,9 @@
 	}
 }
 
-// prove sends the session state and the opening statements. Nothing of the
-// caller has been sent when it fails; gone says that the connection broke.
+// prove sends the session state and the opening statements. When it fails, the
+// statement of the caller has not been sent; gone reports that the connection
+// broke.
 func (r *run) prove(setup, begin []siskin.Statement) (ok, gone bool) {
 	asked := r.h.cfg.Clock.Now()
 	answers, err := r.c.Exchange(r.proofDeadline(), append(setup, begin...))
@@ -54,14 +55,15 @@
 	return true, false
 }
 
-// confirm asks the replicas to confirm the lead where a plain transaction needs
-// more than the word of its target. Nothing was sent when the result is false.
+// confirm asks the replicas to confirm the primary if a plain transaction alone
+// does not prove it. When the result is false, nothing was sent.
 func (r *run) confirm() bool {
 	r.confirmedAt = time.Time{}
 	if r.req.Proof == FloorProof {
 		return true
 	}
-	// A write needs no proof; the probe before it tells nothing of the lead.
+	// A write needs no proof, and the probe before it is no proof of
+	// leadership.
 	if r.req.Mode != Open && r.req.Proof != LeadProof && r.h.cfg.LeaseConfig != nil {
 		return true
 	}
@@ -77,8 +79,8 @@
 	return true
 }
 
-// proofDeadline bounds a proof: it needs no slot, so silence means that the
-// target or the path is gone.
+// proofDeadline returns the deadline of a proof. A proof needs no slot, so a
+// timeout means that the target or the network path has failed.
 func (r *run) proofDeadline() time.Time {
 	d := time.Now().Add(pingTimeout)
 	if r.deadline.Before(d) {
--- a/internal/home/refusals.go
+++ b/internal/home/refusals.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// refusalWindow is the time without a refusal after which earlier ones tell nothing of
-// a target. Callers come back within it.
+// refusalWindow is the time after the last refusal in which refusals count as
+// current. Callers retry within it.
 const refusalWindow = 600 * time.Millisecond
 
-// refusals counts writes that were refused since the replicas of their target are
-// claimed. Such a target acknowledges no write, and none is sent to it.
+// refusals counts writes that were refused because the replicas of their target
+// are claimed. Such a target acknowledges no writes, so none is sent to it.
 type refusals struct {
 	mu          sync.Mutex
 	first, last time.Time
@@ -27,7 +27,8 @@
 	r.n++
 }
 
-// since returns the time for which writes have been refused, zero when they are not.
+// since returns the time for which writes have been refused, or zero when they
+// are not.
 func (r *refusals) since(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -37,7 +38,7 @@
 	return now.Sub(r.first)
 }
 
-// clear forgets the refusals, since a write was acknowledged.
+// clear resets the refusals after a write was acknowledged.
 func (r *refusals) clear() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/home/renewal.go
+++ b/internal/home/renewal.go
@@ -7,14 +7,15 @@
 	"siskintray.example/siskin"
 )
 
-// renewal is the renewal of a lease in progress, shared by all that wait for it.
+// renewal is the state of lease renewals for a target. All callers that wait
+// share the renewal in progress.
 type renewal struct {
 	mu       sync.Mutex
-	done     chan struct{} // closed at its end; nil when none is in progress
-	asked    int           // replica that answered last, as an offset
+	done     chan struct{} // closed when the renewal ends; nil when none is in progress
+	asked    int           // offset of the replica that confirmed the primary last
 	failedAt time.Time     // end of the last renewal that failed
 	failed   bool          // the last renewal failed, and was logged
-	claimed  bool          // it found a replica claimed, or following another primary
+	claimed  bool          // it found a replica that is claimed or follows another primary
 }
 
 func (r *renewal) failedSince(t time.Time) bool {
@@ -24,8 +25,8 @@
 }
 
 // renew starts a renewal of a lease unless one is in progress, and returns a
-// channel that is closed at its end. The target is known to have led the given term,
-// or a later one.
+// channel that is closed when it ends. The target is known to have been the
+// primary in the given term or a later one.
 func (h *Homes) renew(service siskin.ServiceName, l *pool, term siskin.Term) <-chan struct{} {
 	r := &l.renewal
 	r.mu.Lock()
@@ -57,8 +58,9 @@
 	return done
 }
 
-// order returns the replicas to ask, as offsets: first the one that confirmed the lead
-// last, when one is enough, then all others at once.
+// order returns the offsets of the replicas to query, in groups: first the one
+// that confirmed the primary last, if one is enough, then all others in
+// parallel.
 func (r *renewal) order(replicas, needed int) [][]int {
 	first := r.asked % max(replicas, 1)
 	var others []int
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -6,23 +6,24 @@
 	"siskintray.example/siskin"
 )
 
-// Proof is what must hold at the target before a statement runs.
+// Proof is the condition that the target must meet before a statement runs.
 type Proof int
 
-// Proofs.
+// Values of Proof.
 const (
-	// NoProof is for writes, which a target that does not lead refuses itself.
+	// NoProof is for writes, which a target that is not the primary refuses.
 	NoProof Proof = iota
-	// FloorProof lets the target check that it has applied Request.Floor.
+	// FloorProof makes the target check that it has applied its log up to
+	// Request.Floor.
 	FloorProof
-	// LeadProof opens a transaction that only a primary accepts.
+	// LeadProof begins a transaction that only a primary accepts.
 	LeadProof
 )
 
-// TxMode says how a statement relates to transactions.
+// TxMode is the relation of a statement to transactions.
 type TxMode int
 
-// Transaction modes.
+// Values of TxMode.
 const (
 	Single TxMode = iota
 	// Open begins a transaction before the statement and keeps it open.
@@ -31,7 +32,7 @@
 	Continue
 )
 
-// TxID names an open transaction of a home.
+// TxID identifies an open transaction of a home.
 type TxID uint64
 
 // Prepared describes a prepared statement of a session.
@@ -48,54 +49,57 @@
 	Statement siskin.Statement
 	Service   siskin.ServiceName
 	Target    siskin.TargetID
-	// Home is the VM that holds the transaction of a Continue.
+	// Home is the VM that holds the transaction of a request with mode
+	// Continue.
 	Home     siskin.VMID `json:",omitempty"`
 	Customer siskin.CustomerID
 	// Values are the session's values, ordered by name.
 	Values []Value `json:",omitempty"`
-	// Prepared is the statement that an Execute names.
+	// Prepared is the prepared statement that an Execute runs.
 	Prepared Prepared `json:",omitzero"`
 	Proof    Proof    `json:",omitempty"`
-	// Floor is the position that FloorProof asks for.
+	// Floor is the log position that FloorProof requires.
 	Floor siskin.Position `json:",omitzero"`
-	// FloorTTL is how much longer the floor is young enough for the route.
-	// Zero means that it does not age.
+	// FloorTTL is the time for which the floor remains recent enough for the
+	// route. Zero means that it does not expire.
 	FloorTTL time.Duration `json:"FloorFor,omitempty"`
 	Mode     TxMode        `json:",omitempty"`
 	Tx       TxID          `json:",omitempty"`
-	// Unreachable says that another home could not reach the target, which may have
-	// started again since.
+	// Unreachable reports that another home could not reach the target, which
+	// may have restarted since.
 	Unreachable bool `json:",omitempty"`
-	// Timeout bounds waiting and running together.
+	// Timeout limits the total time of waiting and running.
 	Timeout time.Duration `json:"Patience"`
-	// QueueTimeout bounds the wait for a place and a connection.
+	// QueueTimeout limits the wait for a slot and a connection.
 	QueueTimeout time.Duration `json:"QueueFor"`
-	// AcquireTimeout bounds the wait for a connection when all are in use.
+	// AcquireTimeout limits the wait for a connection when all are in use. Zero
+	// means QueueTimeout.
 	AcquireTimeout time.Duration `json:"ConnectFor,omitempty"`
 	// TxIdleTimeout is the time after which an idle transaction is rolled back.
 	TxIdleTimeout time.Duration `json:"TxIdle,omitempty"`
 }
 
-// Outcome says what is known of a statement.
+// Outcome is what is known about the execution of a statement.
 type Outcome int
 
-// Outcomes.
+// Values of Outcome.
 const (
 	// NotSent means that the target did not receive the statement.
 	NotSent Outcome = iota
 	// Answered means that Reply.Answer is the target's complete answer.
 	Answered
-	// InDoubt means that the statement was sent and its answer is missing.
+	// InDoubt means that the statement was sent and no answer was received.
 	InDoubt
 )
 
-// Cause says why a statement was not answered.
+// Cause is the reason why a statement was not answered.
 type Cause int
 
-// Causes.
+// Values of Cause.
 const (
 	NoCause Cause = iota
-	// Overload means that the queue cannot serve the statement in time.
+	// Overload means that the queue, or the rate limit of cold targets, cannot
+	// serve the statement in time.
 	Overload
 	// NoConnection means that all connections to the target are in use.
 	NoConnection
@@ -103,17 +107,19 @@
 	Unreachable
 	// Unknown means that the home does not know the target or transaction.
 	Unknown
-	// Stale means that the floor grew too old in the queue.
+	// Stale means that the floor expired in the queue.
 	Stale
 	// Silent means that the target did not answer in time.
 	Silent
 	// Refused means that the target refused the proof, as Reply.Answer says.
 	Refused
-	// Unconfirmed means that the replicas did not confirm the lead of the target.
+	// Unconfirmed means that the replicas did not confirm that the target is
+	// the primary.
 	Unconfirmed
-	// Stalled means that the target acknowledges no writes at the moment.
+	// Stalled means that the target does not acknowledge writes at the moment.
 	Stalled
-	// Evacuated means that nothing may be sent to the target's data centre.
+	// Evacuated means that statements must not be sent to the target's data
+	// centre.
 	Evacuated
 )
 
@@ -135,15 +141,15 @@
 	Tx      TxID          `json:",omitempty"`
 	// Home is the VM that ran the statement.
 	Home siskin.VMID `json:",omitempty"`
-	// RetryAfter is the time after which a refused statement could be served.
+	// RetryAfter is the time after which a refused statement may be served.
 	RetryAfter time.Duration `json:",omitempty"`
-	// Lead is the target's position when it proved its lead, LeadAge the time
-	// since the question. They are set when LeadProven is.
+	// Lead is the target's position when it proved that it is the primary, and
+	// LeadAge the time since the request. They are set if LeadProven is true.
 	Lead       siskin.Position `json:",omitzero"`
 	LeadAge    time.Duration   `json:",omitempty"`
 	LeadProven bool            `json:",omitempty"`
-	// Waited is the time in the queue, Ran the time at the target.
+	// Waited is the time in the queue, and Ran the time at the target.
 	Waited, Ran time.Duration `json:",omitempty"`
-	// Load is the number of statements that wait or run at the target.
+	// Load is the number of queued and running statements at the target.
 	Load int `json:",omitempty"`
 }
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -10,31 +10,31 @@
 	"siskintray.example/siskin/pkg/fairq"
 )
 
-// probeAfterIdle is the idle time after which a connection is probed before a write
-// is sent on it. A connection that the target has closed meanwhile would
-// leave the outcome of the write unknown.
+// probeAfterIdle is the idle time after which a connection is probed before a
+// write is sent on it. On a connection that the target has closed meanwhile,
+// the outcome of the write would be unknown.
 const probeAfterIdle = 200 * time.Millisecond
 
-// run is the run of one statement outside of an open transaction.
+// run is the execution of one statement outside of an open transaction.
 type run struct {
 	h        *Homes
 	l        *pool
 	req      *Request
-	start    time.Time // on the clock of h
-	deadline time.Time // for input and output
+	start    time.Time // according to the clock of h
+	deadline time.Time // network deadline, in wall-clock time
 	c        *conn
 	grant    fairq.Grant
 	reply    Reply
-	replaced bool // the connection was replaced once
-	// confirmedAt is when the replicas confirmedAt the lead, zero when they were not
-	// asked.
+	replaced bool // the connection has been replaced once
+	// confirmedAt is the time of the confirmation that the target is the
+	// primary, or zero when none was needed.
 	confirmedAt time.Time
 }
 
-// do queues the statement, takes a connection and runs it.
+// do queues the statement, takes a connection and runs the statement.
 func (r *run) do(ctx context.Context) Reply {
 	if r.req.Mode == Single && r.req.Statement.MayWrite() && (r.l.writes.wouldRefuse(r.start) || !r.h.leaseForCommit(r.deadline, r.req.Service, r.l)) {
-		// The replicas are asked before a write takes a place and a connection.
+		// The lease is checked before a write occupies a slot and a connection.
 		r.reply.Cause = Stalled
 		return r.reply
 	}
@@ -54,7 +54,7 @@
 	}
 }
 
-// acquire waits for a place at the target and a connection.
+// acquire waits for a slot at the target and a connection.
 func (r *run) acquire(ctx context.Context) bool {
 	queueCtx, cancel := context.WithTimeout(ctx, r.req.QueueTimeout)
 	defer cancel()
@@ -99,8 +99,8 @@
 	return false
 }
 
-// attempt runs the statement on r.c. The result says whether to try again on
-// another connection because nothing was run on this one.
+// attempt runs the statement on r.c. The result reports whether to try again on
+// another connection because the statement was not run on this one.
 func (r *run) attempt() (again bool) {
 	if r.floorExpired() {
 		r.reply.Cause = Stale
@@ -120,8 +120,8 @@
 	reused := !r.c.unused
 	idle := r.h.cfg.Clock.Since(r.c.usedAt)
 	begin, needed := r.begin(reused && idle > probeAfterIdle)
-	// The connection is adapted afterwards, since it goes back unused when the
-	// lead is not confirmed.
+	// The session state is applied after this check, since the connection is
+	// returned without it when the primary is not confirmed.
 	if needed && !r.confirm() {
 		return false
 	}
@@ -141,7 +141,8 @@
 		return r.send(nil, true)
 	}
 	if len(setup) > 0 && r.req.Statement.MayWrite() {
-		// A write behind a value that the target refuses would run without it.
+		// A write pipelined after a value that the target refuses would run
+		// without it.
 		if ok, gone := r.prove(setup, nil); !ok {
 			return gone && reused
 		}
@@ -150,8 +151,8 @@
 	return r.send(setup, false) && reused
 }
 
-// send sends the caller's statement, behind setup, and ends the transaction
-// that proved the lead.
+// send sends the caller's statement after setup, and ends the transaction that
+// proved leadership.
 func (r *run) send(setup []siskin.Statement, inTx bool) (again bool) {
 	s := targetStatement(r.req)
 	if r.req.Proof == FloorProof {
@@ -162,7 +163,7 @@
 		list = append(list, siskin.Statement{Kind: siskin.Rollback})
 	}
 	if r.h.evacuated(r.req.Target) {
-		// A transaction that proved the lead ends with its connection.
+		// Closing the connection ends the transaction that proved leadership.
 		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
 		r.l.drop(r.c)
 		return false
@@ -185,7 +186,8 @@
 	r.reply.Ran = r.h.cfg.Clock.Since(asked)
 	if err != nil && len(answers) <= len(setup) {
 		if r.connFailed(err); !s.MayWrite() {
-			// Reads leave no trace, so a broken connection is replaced once.
+			// Reads have no side effects, so they are retried once on another
+			// connection.
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
 		r.reply.Outcome = InDoubt
@@ -193,7 +195,8 @@
 	}
 	for i := range setup {
 		if answers[i].Code != siskin.Succeeded {
-			// Only a read comes behind setup, and its answer is not used.
+			// Only reads are pipelined after setup, and the answer is
+			// discarded.
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, answers[i]
 			r.l.drop(r.c)
 			return true
@@ -210,7 +213,7 @@
 	return false
 }
 
-// recordAnswer takes over what an answer says of the target.
+// recordAnswer records what an answer reveals about the target.
 func (r *run) recordAnswer(s *siskin.Statement, a *siskin.Answer, asked time.Time) {
 	r.h.cfg.Views.RecordPosition(r.req.Target, a.Position, asked)
 	switch {
@@ -228,7 +231,7 @@
 	}
 }
 
-// connFailed notes that the connection failed or fell silent.
+// connFailed records that the connection broke or timed out.
 func (r *run) connFailed(err error) {
 	r.reply.Outcome, r.reply.Cause = NotSent, Unreachable
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -240,7 +243,7 @@
 	r.l.dropIdle()
 }
 
-// startTx runs the startTx statement of a transaction that has just begun.
+// startTx runs the first statement of a transaction that has just begun.
 func (r *run) startTx() (again bool) {
 	t := &tx{l: r.l, c: r.c, req: *r.req, usedAt: r.h.cfg.Clock.Now()}
 	t.busy = true
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -10,16 +10,16 @@
 	"siskintray.example/siskin"
 )
 
-// reapInterval is the time between two searches for idle transactions.
+// reapInterval is the time between two scans for idle transactions.
 const reapInterval = 500 * time.Millisecond
 
-// tx is an open transaction. Its connection belongs to it alone.
+// tx is an open transaction. It owns its connection exclusively.
 type tx struct {
 	l   *pool
 	c   *conn
-	req Request // that opened it
+	req Request // the request that opened it
 
-	wrote bool // a statement of it succeeded in writing; belongs to who is busy
+	wrote bool // a write of it succeeded; used only by the holder of busy
 
 	mu     sync.Mutex
 	busy   bool
@@ -27,7 +27,8 @@
 	usedAt time.Time
 }
 
-// acquire marks the transaction as busy unless it has ended or is busy already.
+// acquire marks the transaction as busy. The result is false when it has ended
+// or is busy already.
 func (t *tx) acquire() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -135,7 +136,8 @@
 	return reply
 }
 
-// end removes a transaction and gives its connection back.
+// end removes a transaction and returns its connection to the pool, or closes
+// it if it is not reusable.
 func (h *Homes) end(id TxID, t *tx, reusable bool) {
 	t.mu.Lock()
 	done := t.done
@@ -154,8 +156,8 @@
 // abandon rolls a transaction back by closing its connection.
 func (h *Homes) abandon(id TxID, t *tx) { h.end(id, t, false) }
 
-// reap ends transactions that were idle for too long, such as those of an
-// entry VM that died.
+// reap rolls back transactions that were idle for too long, such as those of an
+// entry VM that crashed.
 func (h *Homes) reap() {
 	for {
 		select {
--- a/internal/home/witness_test.go
+++ b/internal/home/witness_test.go
@@ -14,8 +14,8 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// otherVM returns the homes of another VM that is the home of a target, and answers
-// questions for its state.
+// otherVM returns the Homes of another VM that is the home of a target, and
+// sends status requests for that target to them.
 func (f *fixture) otherVM(id siskin.TargetID) *Homes {
 	cfg := f.homes.cfg
 	cfg.Views, cfg.LeaseConfig, cfg.Clock = views.New(), nil, boot.Clock{}
@@ -53,9 +53,9 @@
 	}
 }
 
-// TestHomeWithoutConnection guards against a restarted replica that confirms a lead
-// since its home had no connection to it that could break. Lists of service discovery
-// do not tell of the start yet.
+// TestHomeWithoutConnection guards against a restarted replica that confirms a
+// primary because its home had no connection to it that could break. Service
+// discovery does not list the restart yet.
 func TestHomeWithoutConnection(t *testing.T) {
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) {
@@ -68,8 +68,9 @@
 	}
 }
 
-// TestNewRunListed guards against the same where the home has closed its connections
-// since its list tells of the new run, and the asking VM has an older list.
+// TestNewRunListed guards against the same fault if the home has closed its
+// connections after service discovery listed the new run, while the requesting
+// VM has an older list.
 func TestNewRunListed(t *testing.T) {
 	f := fenced(t)
 	f.since = f.homes.cfg.Clock.Now().Add(-time.Hour)
@@ -96,12 +97,12 @@
 	startedAt = time.Unix(2, 0)
 	otherVM.Update()
 	if got := f.run(request(primary, siskin.Write, "x 2")); got.Outcome != NotSent {
-		t.Errorf("write after the replica's start: got %+v, want it refused", got)
+		t.Errorf("write after the replica's restart: got %+v, want it refused", got)
 	}
 }
 
-// TestUnknownService guards against commits without a lease at a VM that does not have
-// the configuration yet.
+// TestUnknownService guards against commits without a lease on a VM that does
+// not have the configuration yet.
 func TestUnknownService(t *testing.T) {
 	f := fenced(t)
 	f.homes.cfg.LeaseConfig.Service = func(siskin.ServiceName) (siskin.ServiceSpec, bool) { return siskin.ServiceSpec{}, false }
@@ -110,8 +111,8 @@
 	}
 }
 
-// TestRestartsWithoutClaims guards against writes that are refused for seconds since
-// replicas have started again, although nothing is claimed.
+// TestRestartsWithoutClaims guards against writes that are refused for seconds
+// because replicas have restarted, although none is claimed.
 func TestRestartsWithoutClaims(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -149,9 +150,10 @@
 	}
 }
 
-// TestFailoverOfYoungFleet guards against writes that are refused for seconds after the
-// loss of a primary, since no connection to the replica that is left is old enough and
-// the store has no list: a target that does not run is no target of an order.
+// TestFailoverOfYoungFleet guards against writes that are refused for seconds
+// after the loss of a primary, because no connection to the remaining replica
+// is old enough and the store has no list. A target that does not run cannot be
+// promoted.
 func TestFailoverOfYoungFleet(t *testing.T) {
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) {
@@ -165,8 +167,9 @@
 	}
 }
 
-// TestIncompleteGroup guards against replicas that confirm a lead together although one
-// more, which service discovery has dropped, may be the target of an order.
+// TestIncompleteGroup guards against replicas that confirm a primary although
+// another replica, which service discovery no longer lists, may be the target
+// of a promotion.
 func TestIncompleteGroup(t *testing.T) {
 	f := fenced(t)
 	targets := f.homes.cfg.LeaseConfig.Targets
@@ -176,8 +179,8 @@
 	}
 }
 
-// TestJoinedRenewal guards against a commit that is in doubt since the renewal which it
-// waited for had begun while the replicas were out of reach.
+// TestJoinedRenewal guards against a commit that is in doubt because the
+// renewal it waited for had started while the replicas were unreachable.
 func TestJoinedRenewal(t *testing.T) {
 	f := fenced(t)
 	primary := f.target(0)
@@ -195,7 +198,7 @@
 		mu.Unlock()
 		if silent {
 			<-ctx.Done()
-			return Observation{}, siskin.NewError(siskin.Unavailable, "silent")
+			return Observation{}, siskin.NewError(siskin.Unavailable, "no answer")
 		}
 		return own(ctx, id)
 	}
@@ -222,8 +225,8 @@
 	}
 }
 
-// TestReadsBesideQuestions guards against reads that find no place since writes hold
-// them while they ask silent replicas.
+// TestReadsBesideQuestions guards against reads that get no slot because writes
+// hold them while they query unresponsive replicas.
 func TestReadsBesideQuestions(t *testing.T) {
 	f := fenced(t)
 	primary := f.target(0)
@@ -233,7 +236,7 @@
 			return own(ctx, id)
 		}
 		<-ctx.Done()
-		return Observation{}, siskin.NewError(siskin.Unavailable, "silent")
+		return Observation{}, siskin.NewError(siskin.Unavailable, "no answer")
 	}
 	const (
 		length = 2 * time.Second
@@ -261,6 +264,6 @@
 	}
 	callers.Wait()
 	if late > 0 {
-		t.Errorf("reads beside writes that ask silent replicas: got %d later than %v, want none", late, bound)
+		t.Errorf("reads during writes that query unresponsive replicas: got %d later than %v, want none", late, bound)
 	}
 }
--- a/internal/home/writes.go
+++ b/internal/home/writes.go
@@ -5,29 +5,31 @@
 	"time"
 )
 
-// minUnanswered is the number of writes that must be unanswered before a target
-// counts as stalled.
+// minUnanswered is the minimum number of unanswered writes for a target to
+// count as stalled.
 const minUnanswered = 2
 
-// refuseWritesAfter is the time without a success after which writes are refused but for
-// one, whose answer shows when the target acknowledges again. Each of them would
-// hold a place at the target until its caller gives up, and leave it in doubt. A
-// slow target answers some write in that time.
+// refuseWritesAfter is the time without a success after which all writes but
+// one are refused. The answer to that one shows when the target acknowledges
+// writes again. Each other write would hold a slot until its caller times out,
+// and end in doubt. A slow target answers some write in that time.
 const refuseWritesAfter = 400 * time.Millisecond
 
-// writes tells a target that acknowledges no write from a slow one.
+// writes distinguishes a target that acknowledges no writes from a slow one.
 type writes struct {
 	mu sync.Mutex
-	// pending counts writes and commits without an answer.
+	// pending is the number of writes and commits without an answer.
 	pending int
-	// lost counts those that were given up since the last success.
+	// lost is the number of writes and commits that were given up since the
+	// last success.
 	lost int
-	// since is the start of the first write without a success after it.
+	// since is the start of the first write after the last success, or zero
+	// when there is none.
 	since time.Time
 }
 
-// start counts a write that is about to be sent. The result is false when it must
-// not be sent, since the target acknowledges none.
+// start counts a write that is about to be sent. When the result is false, the
+// write must not be sent, since the target does not acknowledge any.
 func (w *writes) start(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -41,7 +43,7 @@
 	return true
 }
 
-// wouldRefuse reports whether a write that came now would be wouldRefuse.
+// wouldRefuse reports whether a write that starts now would be refused.
 func (w *writes) wouldRefuse(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/path/cold_test.go
+++ b/internal/path/cold_test.go
@@ -14,8 +14,8 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// secondHome answers calls for the home of a target that could not reach it, and runs
-// those for other VMs.
+// secondHome simulates peers: calls to the VM home fail because it cannot reach
+// the target, and calls to other VMs are run by next.
 type secondHome struct {
 	home siskin.VMID
 	next *Receiver
@@ -29,9 +29,10 @@
 	return s.next.Run(args.(*home.Request), reply.(*home.Reply))
 }
 
-// TestColdAtSecondHome guards against a flood at a target that has started again: its
-// home could not reach it while it was down, and the VM that is asked next had no
-// connection to it, so that it saw no failure and took the target for warm.
+// TestColdAtSecondHome guards against a flood of statements at a restarted
+// target. Its home could not reach it while it was down. The VM that is tried
+// next had no connection to it, so it has seen no failure and would treat the
+// target as warm.
 func TestColdAtSecondHome(t *testing.T) {
 	s, err := stand.Start(stand.ServiceOptions{Name: "ledger", Zones: []string{"b"}, Slots: 2, MaxConnections: 16})
 	if err != nil {
--- a/internal/path/malformed_test.go
+++ b/internal/path/malformed_test.go
@@ -13,15 +13,15 @@
 	"siskintray.example/siskin/internal/logs"
 )
 
-// replies answers calls with one encoded reply.
+// replies answers each call with the same encoded reply.
 type replies string
 
 func (r replies) Call(_ context.Context, _ siskin.VMID, _ string, _, reply any) error {
 	return json.Unmarshal([]byte(r), reply)
 }
 
-// TestMalformedReply guards against a reply of a VM of another version that ends
-// the process of the entry VM, or is passed on as a success.
+// TestMalformedReply guards against a reply from a VM of another version that
+// crashes the entry VM or is passed on as a success.
 func TestMalformedReply(t *testing.T) {
 	for _, reply := range []string{
 		`{"Outcome":1,"Answer":{"Code":99}}`, `{"Outcome":1,"Answer":{"State":7}}`, `{"Outcome":-1}`, `{"Cause":99}`,
@@ -35,8 +35,8 @@
 	}
 }
 
-// TestMalformedRequest guards against a request of a VM of another version that
-// runs as another statement.
+// TestMalformedRequest guards against a request from a VM of another version
+// that is run as a different statement.
 func TestMalformedRequest(t *testing.T) {
 	r := &Receiver{}
 	for _, text := range []string{
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -19,13 +19,13 @@
 )
 
 const (
-	// maxHomes bounds the VMs that are tried for one statement.
+	// maxHomes is the maximum number of VMs that are tried for one statement.
 	maxHomes = 3
-	// minRetryTime is the least time left to try a further VM.
+	// minRetryTime is the minimum remaining time for an attempt at another VM.
 	minRetryTime = 40 * time.Millisecond
 )
 
-// Config holds what a Path depends on.
+// Config holds the dependencies of a Path.
 type Config struct {
 	Clock  siskin.Clock
 	Crew   *crew.Crew
@@ -47,15 +47,16 @@
 // New returns a Path.
 func New(cfg Config) *Path { return &Path{cfg: cfg} }
 
-// ranked returns the VMs that may be the home of a target, best first: those of
-// its data centre, or all when it has none that lives.
+// ranked returns the VMs that may be the home of a target, best first: the live
+// VMs of its data centre, or all live VMs when that has none.
 func (p *Path) ranked(t siskin.TargetInfo) []siskin.VM {
 	return p.ranker.Rank(string(t.ID), p.cfg.Crew.Live(), func(live []siskin.VM) []siskin.VM {
 		return place.In(t.DataCentre, live)
 	})
 }
 
-// Home returns the home of a target, as far as this VM knows.
+// Home returns the home of a target according to the live VMs that this VM
+// knows.
 func (p *Path) Home(t siskin.TargetInfo) (siskin.VMID, bool) {
 	list := p.ranked(t)
 	if len(list) == 0 {
@@ -64,19 +65,21 @@
 	return list[0].ID, true
 }
 
-// IsHome reports whether this VM is the home of a target, as far as it knows.
+// IsHome reports whether this VM is the home of a target according to the live
+// VMs that it knows.
 func (p *Path) IsHome(t siskin.TargetInfo) bool {
 	id, ok := p.Home(t)
 	return ok && id == p.cfg.Crew.Self().ID
 }
 
-// PrimaryHomes returns the homes of the primaries, as far as this VM knows them,
-// and those whose place it may have to take.
+// PrimaryHomes returns the homes of the known primaries, and those homes for
+// which this VM is a fallback.
 func (p *Path) PrimaryHomes(services []siskin.ServiceSpec) (homes, fallbackFor map[siskin.VMID]bool) {
 	homes, fallbackFor = make(map[siskin.VMID]bool), make(map[siskin.VMID]bool)
 	self := p.cfg.Crew.Self().ID
 	for _, s := range services {
-		// Before any proof the targets' own entries tell whom to ask for one.
+		// Without a proof, service discovery suggests which target to ask for
+		// one.
 		id := p.cfg.Views.LatestProof(s.Name).Target
 		if id == "" {
 			id = p.cfg.Views.Primary(s.Name, p.cfg.Roster.Service(s.Name))
@@ -107,12 +110,12 @@
 		return home.Reply{Cause: home.Unknown}
 	}
 	start := p.cfg.Clock.Now()
-	patience := req.Timeout
+	timeout := req.Timeout
 	req.Unreachable = false // the caller may have sent it for another target
 	var reply home.Reply
 	for i, vm := range p.candidates(t) {
 		if i > 0 {
-			req.Timeout = patience - p.cfg.Clock.Since(start)
+			req.Timeout = timeout - p.cfg.Clock.Since(start)
 			if i >= maxHomes || req.Timeout < minRetryTime {
 				break
 			}
@@ -122,14 +125,16 @@
 		if reply.Outcome != home.NotSent || reached && reply.Cause != home.Unreachable && reply.Cause != home.Unknown {
 			return reply
 		}
-		// The next home may have had no connection that failed with this one's.
+		// The next home may have had no connection to the target, and so has
+		// not seen the failure.
 		req.Unreachable = req.Unreachable || reached && reply.Cause == home.Unreachable
 	}
 	return reply
 }
 
-// candidates returns the homes to try. A VM outside of the target's data centre
-// follows, for the time when all homes inside are out of reach.
+// candidates returns the VMs to try, in order. When the data centre of the
+// target has fewer than maxHomes, one VM outside of it follows, for the case
+// that all homes inside are unreachable.
 func (p *Path) candidates(t siskin.TargetInfo) []siskin.VM {
 	list := p.ranked(t)
 	if len(list) >= maxHomes {
@@ -144,8 +149,8 @@
 	return list
 }
 
-// runOn runs a request runOn one VM. The result reached is false when the VM cannot
-// have received it.
+// runOn runs a request on one VM. The result reached is false when the VM
+// cannot have received it.
 func (p *Path) runOn(ctx context.Context, vm siskin.VMID, req *home.Request) (reply home.Reply, reached bool) {
 	if vm == p.cfg.Crew.Self().ID {
 		reply = p.cfg.Homes.Run(ctx, req)
@@ -158,9 +163,9 @@
 		return reply, true
 	}
 	if err == nil {
-		// The statement may have run, and its answer cannot be passed on.
+		// The statement may have run, but its answer cannot be passed on.
 		p.cfg.Log.Error().Str("VM", string(vm)).Int("Outcome", int(reply.Outcome)).Int("Code", int(reply.Answer.Code)).
-			Msg("the reply of a home is not understood")
+			Msg("a home returned an invalid reply")
 		return home.Reply{Outcome: home.InDoubt, Cause: home.Silent, Home: vm}, true
 	}
 	if ctx.Err() != nil && !errors.Is(err, peer.ErrNotSent) {
@@ -175,12 +180,13 @@
 	return home.Reply{Outcome: home.InDoubt, Cause: home.Silent, Home: vm}, true
 }
 
-// homeObserveTimeout bounds the question to a target through its home, so that time is left to
-// ask it directly.
+// homeObserveTimeout limits a status request through the home of a target, so
+// that time is left to query the target directly.
 const homeObserveTimeout = 55 * time.Millisecond
 
-// Observe asks a target for its state and what is known of its run: through its home,
-// which has connections of long standing, or else on a connection of this VM.
+// Observe queries the state of a target and the age of its connection: through
+// its home, which has long-lived connections, or else on a connection of this
+// VM.
 func (p *Path) Observe(ctx context.Context, id siskin.TargetID) (home.Observation, error) {
 	if t, ok := p.cfg.Roster.Target(id); ok {
 		if vm, ok := p.Home(t); ok && vm != p.cfg.Crew.Self().ID {
@@ -204,7 +210,7 @@
 	return o, err
 }
 
-// Receiver serves the calls of peers under the name Home.
+// Receiver handles calls of peers to the service Home.
 type Receiver struct {
 	homes  *home.Homes
 	status func(*siskin.Answer) (siskin.ControlStatus, error)
@@ -222,14 +228,14 @@
 	return nil
 }
 
-// observeTimeout bounds the question to a target for another VM.
+// observeTimeout limits a status request that is made for another VM.
 const observeTimeout = 150 * time.Millisecond
 
-// ObserveArgs names the target whose state is asked for.
+// ObserveArgs is the argument of Receiver.Observe.
 type ObserveArgs struct{ Target siskin.TargetID }
 
-// Observe asks a target for its state and what is known of its run, for a VM that is
-// not its home.
+// Observe queries the state of a target and the age of its connection for a VM
+// that is not the home of the target.
 func (r *Receiver) Observe(args *ObserveArgs, reply *home.Observation) (err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), observeTimeout)
 	defer cancel()
@@ -237,16 +243,18 @@
 	return err
 }
 
-// PingArgs names the target that should prove its lead.
+// PingArgs is the argument of Receiver.Ping.
 type PingArgs struct {
 	Service siskin.ServiceName
 	Target  siskin.TargetID
 }
 
-// PingReply says whether it did.
+// PingReply reports whether the target proved or denied that it is the primary.
+// Both are false when neither is known.
 type PingReply struct{ Leads, Denies bool }
 
-// Ping asks a target to prove its lead, for a VM that cannot reach it.
+// Ping asks a target to prove that it is the primary, for a VM that cannot
+// reach it.
 func (r *Receiver) Ping(args *PingArgs, reply *PingReply) error {
 	err := r.homes.Ping(context.Background(), args.Service, args.Target)
 	reply.Leads = err == nil
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -14,8 +14,9 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// newPath returns the path of the first of 30 VMs, of which three are strong,
-// in two data centres. One service has targets in the second one.
+// newPath returns the Path of the first of 30 VMs in two data centres. Three
+// VMs have a higher capacity. One service has targets in the second data
+// centre.
 func newPath(t *testing.T) (*Path, []siskin.TargetInfo) {
 	t.Helper()
 	node := func(i int) crew.Node {
@@ -41,9 +42,9 @@
 	return New(Config{Clock: boot.Clock{}, Crew: c, Roster: r, Views: views.New()}), targets
 }
 
-// TestHomesAtStart guards against relays that ask nobody for a proof of lead at
-// the start, since none has come yet: their data centres then had no floor, and
-// all reads went to primaries.
+// TestHomesAtStart guards against relays that ask no home for a proof after a
+// start, because there is no proof yet. Their data centres then had no floor,
+// and all reads went to primaries.
 func TestHomesAtStart(t *testing.T) {
 	p, targets := newPath(t)
 	want, ok := p.Home(targets[0])
@@ -61,14 +62,14 @@
 	}
 }
 
-// TestHomesOfMixedFleet guards against homes on weak VMs, or outside of the
-// target's data centre, while a strong one is there.
+// TestHomesOfMixedFleet guards against homes on VMs of low capacity, or outside
+// of the target's data centre, while a VM of high capacity is available.
 func TestHomesOfMixedFleet(t *testing.T) {
 	p, targets := newPath(t)
 	for _, target := range targets {
 		for i, vm := range p.ranked(target) {
 			if vm.DataCentre != "b" || (vm.Capacity == 800) != (i < 2) {
-				t.Errorf("rank %d for %s: got %s with capacity %d in %s, want the two strong VMs of b first", i, target.ID, vm.ID, vm.Capacity, vm.DataCentre)
+				t.Errorf("rank %d for %s: got %s with capacity %d in %s, want the two VMs of b with capacity 800 first", i, target.ID, vm.ID, vm.Capacity, vm.DataCentre)
 			}
 		}
 	}
--- a/internal/views/hold.go
+++ b/internal/views/hold.go
@@ -8,12 +8,13 @@
 
 // primaryChange is a change of primary in progress.
 type primaryChange struct {
-	from  siskin.TargetID // the target that led before
+	from  siskin.TargetID // the former primary
 	until time.Time
 }
 
-// BeginChange notes that the lead is being taken from a target, until the given time. A
-// VM that knows another target to lead has seen the end of that change.
+// BeginChange records that a service is being moved away from the primary from,
+// until the given time. It is ignored when another target is known as the
+// primary, since that change has ended.
 func (v *Views) BeginChange(name siskin.ServiceName, from siskin.TargetID, until time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -22,7 +23,7 @@
 	}
 }
 
-// EndChange ends the hold of a change that took the lead from a target.
+// EndChange records the end of a change away from the primary from.
 func (v *Views) EndChange(name siskin.ServiceName, from siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -1,8 +1,9 @@
-// Package views holds what a VM knows of the roles and positions of targets.
+// Package views holds what a VM knows about the roles and positions of targets.
 //
-// A target's lead is proven by its own answer: only a primary accepts a plain
-// BEGIN. Of two proofs the one whose question was sent later holds. Everything
-// else that names a primary is a hint of where to ask.
+// Only the target's own answer proves that it is the primary, since only a
+// primary accepts a plain BEGIN. Of two proofs, the one whose request was sent
+// later is valid. Every other source that names a primary only suggests which
+// target to ask.
 package views
 
 import (
@@ -12,20 +13,22 @@
 	"siskintray.example/siskin"
 )
 
-// PrimaryProof is a proof that a target led its service.
+// PrimaryProof is evidence that a target was the primary of its service.
 type PrimaryProof struct {
 	Target siskin.TargetID
-	// Position is the end of the target's log, which covers every commit
-	// acknowledged before At. It is zero when the proof came without one, and
-	// then no floor.
+	// Position is the end of the target's log, which includes every commit
+	// acknowledged before At. It is zero when the answer had no position; the
+	// proof then provides no floor for reads.
 	Position siskin.Position
-	// Term is the term that the target led, zero when it is not known.
+	// Term is the term in which the target was the primary, or zero when it is
+	// not known.
 	Term siskin.Term
-	// At is the moment before the question was sent.
+	// At is a time just before the request was sent.
 	At time.Time
 }
 
-// Views holds the knowledge of one VM. It is safe for concurrent use.
+// Views holds the state of targets as known to one VM. It is safe for
+// concurrent use.
 type Views struct {
 	mu       sync.RWMutex
 	services map[siskin.ServiceName]*service
@@ -34,29 +37,29 @@
 
 type service struct {
 	proof          PrimaryProof
-	deniedAt       map[siskin.TargetID]time.Time // when a target denied to lead
-	primaryChanged chan struct{}                 // closed when the leading target changes
+	deniedAt       map[siskin.TargetID]time.Time // when a target last answered that it is not the primary
+	primaryChanged chan struct{}                 // closed when the primary changes
 	change         primaryChange
 }
 
-// Target is what is known of one target.
+// Target is the last known state of one target.
 type Target struct {
 	Position siskin.Position
 	At       time.Time
-	// Load is the number of statements that waited or ran at the target's home,
-	// as last reported, at the time LoadAt.
+	// Load is the number of statements that were queued or running at the
+	// target's home, as reported at LoadAt.
 	Load   int
 	LoadAt time.Time
-	// LaggedAt is when the target last answered that it lacks a floor, zero since
-	// it served one.
+	// LaggedAt is when the target last answered that it had not reached a
+	// floor. It is zero once the target has served a read with a floor.
 	LaggedAt time.Time
-	// FailedAt is the last failure of a connection or statement.
+	// FailedAt is the time of the last failure of a connection or statement.
 	FailedAt time.Time
 	// Failures counts the failures since the last success.
 	Failures int
 }
 
-// New returns empty views.
+// New returns Views without any entries.
 func New() *Views {
 	return &Views{services: make(map[siskin.ServiceName]*service), targets: make(map[siskin.TargetID]*Target)}
 }
@@ -79,13 +82,14 @@
 	return t
 }
 
-// RecordProof takes over a proof of lead and reports whether the leading target
-// changed.
+// RecordProof stores a proof if it is newer than the present one, and reports
+// whether the primary changed.
 func (v *Views) RecordProof(name siskin.ServiceName, l PrimaryProof) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(name)
-	// A proof of a target that has denied its lead since gives way to any other.
+	// Any proof replaces that of a target which has denied being the primary
+	// since.
 	denied := l.Target != s.proof.Target && s.deniedAt[s.proof.Target].After(s.proof.At)
 	if !l.At.After(s.proof.At) && !denied {
 		return false
@@ -102,7 +106,8 @@
 	return true
 }
 
-// RecordDenial notes that a target answered at the given time that it does not lead.
+// RecordDenial records that a target answered at the given time that it is not
+// the primary.
 func (v *Views) RecordDenial(name siskin.ServiceName, id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -112,7 +117,7 @@
 	}
 }
 
-// LatestProof returns the newest proof of a service.
+// LatestProof returns the newest proof for a service, or the zero value.
 func (v *Views) LatestProof(name siskin.ServiceName) PrimaryProof {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -122,9 +127,9 @@
 	return PrimaryProof{}
 }
 
-// Primary returns the target to send writes to. Without a proof that still
-// holds it is a target that sees itself as primary and has not denied it since;
-// the result is empty when there is none.
+// Primary returns the target to send writes to. Without a valid proof, that is
+// a target which reports itself as the primary and has not denied it since. The
+// result is empty when there is none.
 func (v *Views) Primary(name siskin.ServiceName, targets []siskin.TargetInfo) siskin.TargetID {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -152,22 +157,23 @@
 	return false
 }
 
-// ClearDenial notes that discovery reports a target as primary since a change of its
-// entry, so that an earlier denial no longer counts.
+// ClearDenial forgets an earlier denial of a target, because service discovery
+// reports it as the primary since its entry changed.
 func (v *Views) ClearDenial(name siskin.ServiceName, id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(v.service(name).deniedAt, id)
 }
 
-// PrimaryChanged returns a channel that is closed when another target leads.
+// PrimaryChanged returns a channel that is closed when another target becomes
+// the primary.
 func (v *Views) PrimaryChanged(name siskin.ServiceName) <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.service(name).primaryChanged
 }
 
-// RecordPosition takes over a position that a target reported.
+// RecordPosition records a position that a target reported.
 func (v *Views) RecordPosition(id siskin.TargetID, p siskin.Position, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -177,7 +183,7 @@
 	}
 }
 
-// RecordLoad takes over the number of statements at a target's home.
+// RecordLoad records the number of statements at a target's home.
 func (v *Views) RecordLoad(id siskin.TargetID, load int, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -186,28 +192,28 @@
 	}
 }
 
-// RecordLag notes that a target lacked the floor of a read.
+// RecordLag records that a target had not reached the floor of a read.
 func (v *Views) RecordLag(id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).LaggedAt = at
 }
 
-// ClearLag notes that a target had the floor of a read.
+// ClearLag records that a target had reached the floor of a read.
 func (v *Views) ClearLag(id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).LaggedAt = time.Time{}
 }
 
-// RecordSuccess notes a success of a target.
+// RecordSuccess resets the count of consecutive failures of a target.
 func (v *Views) RecordSuccess(id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).Failures = 0
 }
 
-// RecordFailure notes a failure of a target.
+// RecordFailure records a failure of a target at the given time.
 func (v *Views) RecordFailure(id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -216,7 +222,7 @@
 	t.Failures++
 }
 
-// Target returns what is known of one target.
+// Target returns the last known state of a target, or the zero value.
 func (v *Views) Target(id siskin.TargetID) Target {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -15,17 +15,17 @@
 	return PrimaryProof{Target: id, Position: siskin.Position{Term: 1, LSN: number}, At: at(ms)}
 }
 
-// TestProofs guards against an old proof that hides a newer one, and against a
-// primary that denied its lead.
+// TestProofs guards against an older proof that replaces a newer one, and
+// against a target that stays the primary after it denied being one.
 func TestProofs(t *testing.T) {
 	targets := []siskin.TargetInfo{{ID: "a", Primary: true}, {ID: "b"}, {ID: "c"}}
 	v := New()
 	if got := v.Primary("s", targets); got != "a" {
-		t.Errorf("without a proof: got %q, want the hint a", got)
+		t.Errorf("without a proof: got %q, want a, as listed", got)
 	}
 	v.RecordDenial("s", "a", at(0))
 	if got := v.Primary("s", targets); got != "" {
-		t.Errorf("after a denial of the hint: got %q, want none", got)
+		t.Errorf("after a denial of a: got %q, want none", got)
 	}
 	v.ClearDenial("s", "a")
 	if got := v.Primary("s", targets); got != "a" {
@@ -38,20 +38,21 @@
 	}
 	v.RecordDenial("s", "b", at(200))
 	if got := v.Primary("s", targets); got != "a" {
-		t.Errorf("after a denial: got %q, want the hint a", got)
+		t.Errorf("after a denial: got %q, want a, as listed", got)
 	}
-	// A proof that aged on its way is older than that of the target that denied.
+	// This proof is older than that of b, but b has denied being the primary
+	// since.
 	v.RecordProof("s", proof("c", 9, 90))
 	if got := v.Primary("s", targets); got != "c" {
-		t.Errorf("after a proof behind a denial: got %q, want c", got)
+		t.Errorf("after a denial and an older proof of another target: got %q, want c", got)
 	}
 	if got := v.Primary("s", targets[:2]); got != "a" {
-		t.Errorf("after the primary is gone: got %q, want the hint a", got)
+		t.Errorf("after the primary is gone: got %q, want a, as listed", got)
 	}
 }
 
-// TestFloors guards against floors that get younger than their question, such as an
-// old position with the time of a proof that came without one.
+// TestFloors guards against a floor that counts as newer than its request, such
+// as the old position combined with the time of a proof that had no position.
 func TestFloors(t *testing.T) {
 	v := New()
 	v.RecordProof("s", proof("a", 7, 100))
@@ -66,28 +67,28 @@
 	}
 }
 
-// TestChangeInProgress guards against requests that are refused after a change of
-// primary is over, and sent to a primary that is being replaced.
+// TestChangeInProgress guards against requests that are refused after a change
+// of primary has ended, or sent to a primary that is being replaced.
 func TestChangeInProgress(t *testing.T) {
 	v := New()
 	v.RecordProof("s", proof("a", 1, 0))
 	v.BeginChange("s", "a", at(1000))
 	if !v.ChangeInProgress("s", at(500)) || v.ChangeInProgress("s", at(1000)) {
-		t.Error("got no hold for its time, want one")
+		t.Error("change in progress: got false before its end or true after it, want the opposite")
 	}
 	v.RecordProof("s", proof("b", 2, 600))
 	if v.ChangeInProgress("s", at(700)) {
-		t.Error("got a hold after another target led, want none")
+		t.Error("got a change in progress after another target became the primary, want none")
 	}
 	v.BeginChange("s", "a", at(2000))
 	if v.ChangeInProgress("s", at(800)) {
-		t.Error("got a hold of a change from a former primary, want none")
+		t.Error("got a change away from a former primary, want none")
 	}
 	v.BeginChange("s", "b", at(2000))
 	if v.EndChange("s", "a"); !v.ChangeInProgress("s", at(800)) {
-		t.Error("got no hold after the end of an earlier change, want one")
+		t.Error("got no change in progress after the end of an earlier one, want one")
 	}
 	if v.EndChange("s", "b"); v.ChangeInProgress("s", at(800)) {
-		t.Error("got a hold after the end of its change, want none")
+		t.Error("got a change in progress after its end, want none")
 	}
 }
