--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -14,64 +14,64 @@
 	// changeTimeout bounds one change of primary. A promotion takes up to a
 	// second at the platform.
 	changeTimeout = 4 * time.Second
-	// askTimeout bounds the question to other VMs whether they reach a primary.
-	askTimeout = 350 * time.Millisecond
-	// askedVMs is the number of VMs that are asked.
-	askedVMs = 3
+	// askPeersTimeout bounds the question to other VMs whether they reach a primary.
+	askPeersTimeout = 350 * time.Millisecond
+	// maxAskedPeers is the number of VMs that are asked.
+	maxAskedPeers = 3
 )
 
 // act carries out the decision about a primary.
-func (e *Elector) act(ctx context.Context, s siskin.ServiceSpec, primary siskin.TargetID, a action, ev evidence, w *watch) {
+func (e *Elector) act(ctx context.Context, s siskin.ServiceSpec, primary siskin.TargetID, a action, obs observation, w *watch) {
 	var err error
-	defer func() { e.ended(w, err) }()
+	defer func() { e.finishChange(w, err) }()
 	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("Primary", string(primary)).Stringer("Action", a).
-		Dur("ProofAge", ev.proofAge).Bool("Silent", ev.silent).Bool("Refused", ev.refused).Bool("Denied", ev.denied).
-		Bool("Draining", ev.draining).Bool("Evacuated", ev.evacuated).Dur("Stalled", ev.stalled).Msg("decided about a primary")
-	if (a == askOthers || a == electNew) && e.otherLeads(ctx, s.Name, primary) {
+		Dur("ProofAge", obs.proofAge).Bool("Silent", obs.silent).Bool("Refused", obs.refused).Bool("Denied", obs.denied).
+		Bool("Draining", obs.draining).Bool("Evacuated", obs.evacuated).Dur("Stalled", obs.stalled).Msg("decided about a primary")
+	if (a == askPeers || a == electNew) && e.primaryReachable(ctx, s.Name, primary) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	start := e.cfg.Clock.Now()
-	c := &change{e: e, spec: s, old: primary, start: start, planned: a == handOver, stalled: a == replaceStalled, unfenced: !e.cfg.Fencing, own: e.lastTerm(w)}
+	c := &change{e: e, spec: s, oldPrimary: primary, start: start, planned: a == handoff, stalled: a == replaceStalled, unfenced: !e.cfg.Fencing, ownTerm: e.lastOwnTerm(w)}
 	err = c.run(ctx)
-	e.setLastTerm(w, c)
+	e.setOwnTerm(w, c)
 	took := e.cfg.Clock.Since(start)
 	if err != nil {
-		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Bool("Overtook", c.overtook).Msg("the primary was not changed")
+		e.cfg.Log.Warn().Err(err).Str("Service", string(s.Name)).Dur("Took", took).Bool("Overtook", c.contested).Msg("the primary was not changed")
 		return
 	}
 	e.cfg.Changed(took)
-	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("From", string(primary)).Str("To", string(c.chosen.target.ID)).
-		Uint64("Term", uint64(c.term)).Dur("Took", took).Bool("Overtook", c.overtook).Msg("the primary was changed")
+	e.cfg.Log.Info().Str("Service", string(s.Name)).Str("From", string(primary)).Str("To", string(c.candidate.target.ID)).
+		Uint64("Term", uint64(c.term)).Dur("Took", took).Bool("Overtook", c.contested).Msg("the primary was changed")
 }
 
-func (e *Elector) lastTerm(w *watch) siskin.Term {
+func (e *Elector) lastOwnTerm(w *watch) siskin.Term {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return w.term
+	return w.ownTerm
 }
 
-func (e *Elector) setLastTerm(w *watch, c *change) {
+func (e *Elector) setOwnTerm(w *watch, c *change) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w.term = c.ownNext()
+	w.ownTerm = c.nextOwnTerm()
 }
 
-// ownNext returns what is own for the next change of this VM.
-func (c *change) ownNext() siskin.Term {
-	if c.pending || c.overtook {
+// nextOwnTerm returns what is own for the next change of this VM.
+func (c *change) nextOwnTerm() siskin.Term {
+	if c.pending || c.contested {
 		return 0
 	}
 	return c.term
 }
 
-// otherLeads asks all targets, and other VMs about the old primary, whether one
+// primaryReachable asks all targets, and other VMs about the old primary, whether one
 // of them leads.
-func (e *Elector) otherLeads(ctx context.Context, name siskin.ServiceName, primary siskin.TargetID) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+func (e *Elector) primaryReachable(ctx context.Context, name siskin.ServiceName, primary siskin.TargetID) bool {
+	ctx, cancel := context.WithTimeout(ctx, askPeersTimeout)
 	defer cancel()
-	found := make(chan string, len(e.cfg.Roster.Service(name))+askedVMs)
+	found := make(chan string, len(e.cfg.Roster.Service(name))+maxAskedPeers)
 	var wg sync.WaitGroup
 	for _, t := range e.cfg.Roster.Service(name) {
 		wg.Go(func() {
@@ -82,7 +82,7 @@
 			}
 		})
 	}
-	for _, vm := range e.othersToAsk() {
+	for _, vm := range e.peersToAsk() {
 		if primary == "" {
 			break
 		}
@@ -103,9 +103,9 @@
 	return ok
 }
 
-// othersToAsk returns VMs of other data centres first, since they share no
+// peersToAsk returns VMs of other data centres first, since they share no
 // path with this VM.
-func (e *Elector) othersToAsk() []siskin.VM {
+func (e *Elector) peersToAsk() []siskin.VM {
 	self := e.cfg.Members.Self()
 	var far, near []siskin.VM
 	for _, vm := range e.cfg.Members.Live() {
@@ -119,5 +119,5 @@
 	}
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	list := append(far, near...)
-	return list[:min(len(list), askedVMs)]
+	return list[:min(len(list), maxAskedPeers)]
 }
--- a/internal/elect/announce_test.go
+++ b/internal/elect/announce_test.go
@@ -18,16 +18,16 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// wires connects the electors of a test and holds announcements back until they
+// testNetwork connects the electors of a test and holds announcements back until they
 // are delivered. All other calls are carried out at once.
-type wires struct {
-	mu       sync.Mutex
-	electors map[siskin.VMID]*Elector
-	cut      bool // calls that are no announcements fail
-	held     []func() error
+type testNetwork struct {
+	mu          sync.Mutex
+	electors    map[siskin.VMID]*Elector
+	partitioned bool // calls that are no announcements fail
+	delayed     []func() error
 }
 
-func (w *wires) call(to siskin.VMID, method string, args, reply any) error {
+func (w *testNetwork) call(to siskin.VMID, method string, args, reply any) error {
 	data, err := json.Marshal(args)
 	if err != nil {
 		return err
@@ -36,10 +36,10 @@
 	defer w.mu.Unlock()
 	e := w.electors[to]
 	if method == "Elect.Announce" {
-		w.held = append(w.held, func() error { return serve(e, method, data, &struct{}{}) })
+		w.delayed = append(w.delayed, func() error { return serve(e, method, data, &struct{}{}) })
 		return nil
 	}
-	if w.cut {
+	if w.partitioned {
 		return siskin.NewError(siskin.Unavailable, "%s gave no answer", to)
 	}
 	return serve(e, method, data, reply)
@@ -67,33 +67,33 @@
 }
 
 // deliver hands the announcements over that were held back.
-func (w *wires) deliver(t *testing.T) {
+func (w *testNetwork) deliver(t *testing.T) {
 	t.Helper()
 	w.mu.Lock()
-	held := w.held
-	w.held = nil
+	calls := w.delayed
+	w.delayed = nil
 	w.mu.Unlock()
-	for _, f := range held {
+	for _, f := range calls {
 		if err := f(); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
-func (w *wires) waiting() int {
+func (w *testNetwork) delayedCalls() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.held)
+	return len(w.delayed)
 }
 
-func (w *wires) setCut(on bool) {
+func (w *testNetwork) setPartitioned(on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cut = on
+	w.partitioned = on
 }
 
-// await waits until ok holds.
-func await(t *testing.T, what string, ok func() bool) {
+// waitFor waits until ok holds.
+func waitFor(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
@@ -102,37 +102,37 @@
 	}
 }
 
-// wiredPeers are the peers of one VM.
-type wiredPeers struct{ w *wires }
+// networkPeers are the peers of one VM.
+type networkPeers struct{ w *testNetwork }
 
 // Call implements siskin.Peers.
-func (p wiredPeers) Call(_ context.Context, to siskin.VMID, method string, args, reply any) error {
+func (p networkPeers) Call(_ context.Context, to siskin.VMID, method string, args, reply any) error {
 	return p.w.call(to, method, args, reply)
 }
 
-// pair is one VM of a fleet of two.
-type pair struct {
-	alone
+// twoVMs is one VM of a fleet of two.
+type twoVMs struct {
+	oneVM
 	self siskin.VMID
 }
 
-func (p pair) Self() siskin.VM { return siskin.VM{ID: p.self} }
-func (pair) Live() []siskin.VM { return []siskin.VM{{ID: "vm-1"}, {ID: "vm-2"}} }
+func (p twoVMs) Self() siskin.VM { return siskin.VM{ID: p.self} }
+func (twoVMs) Live() []siskin.VM { return []siskin.VM{{ID: "vm-1"}, {ID: "vm-2"}} }
 
-// newPair returns two electors that watch nothing, and what connects them.
-func newPair(t *testing.T, clock siskin.Clock) (a, b *Elector, w *wires) {
+// newElectorPair returns two electors that watch nothing, and what connects them.
+func newElectorPair(t *testing.T, clock siskin.Clock) (a, b *Elector, w *testNetwork) {
 	t.Helper()
-	w = &wires{electors: make(map[siskin.VMID]*Elector)}
+	w = &testNetwork{electors: make(map[siskin.VMID]*Elector)}
 	for _, id := range []siskin.VMID{"vm-1", "vm-2"} {
 		ctx, cancel := context.WithCancel(context.Background())
 		e := &Elector{
 			cfg: Config{
-				Clock: clock, Members: pair{self: id}, Peers: wiredPeers{w}, Views: views.New(),
+				Clock: clock, Members: twoVMs{self: id}, Peers: networkPeers{w}, Views: views.New(),
 				Log: logs.New("error", "json", io.Discard),
 			},
 			ctx: ctx, stop: cancel,
 		}
-		e.fence.e = e
+		e.tokens.e = e
 		w.electors[id] = e
 		t.Cleanup(func() {
 			if err := e.Close(); err != nil {
@@ -154,21 +154,21 @@
 	}{{"sender answers", false}, {"sender is out of reach", true}} {
 		t.Run(c.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
-			from, to, w := newPair(t, clock)
+			from, to, w := newElectorPair(t, clock)
 			start := clock.Now()
 			first := views.Lead{Target: "new", Position: siskin.Position{Term: 1, LSN: 173}, At: start}
 			to.cfg.Views.Proven("ledger", views.Lead{Target: "old", Position: siskin.Position{Term: 1, LSN: 170}, At: start.Add(-time.Second)})
 			from.cfg.Views.Proven("ledger", first)
-			ch := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, old: "old"}
+			ch := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, oldPrimary: "old"}
 			ch.announce(0)
-			await(t, "an announcement", func() bool { return w.waiting() == 1 })
+			waitFor(t, "an announcement", func() bool { return w.delayedCalls() == 1 })
 			clock.Advance(lateness)
 			later := views.Lead{Target: "new", Position: siskin.Position{Term: 2, LSN: 190}, At: clock.Now().Add(-100 * time.Millisecond)}
 			from.cfg.Views.Proven("ledger", later)
-			w.setCut(c.cut)
+			w.setPartitioned(c.cut)
 			w.deliver(t)
 			if !c.cut {
-				await(t, "the target that leads", func() bool { return to.cfg.Views.Lead("ledger").Target == "new" })
+				waitFor(t, "the target that leads", func() bool { return to.cfg.Views.Lead("ledger").Target == "new" })
 			}
 			time.Sleep(20 * time.Millisecond) // for an answer that must not count
 			got := to.cfg.Views.Lead("ledger")
@@ -184,14 +184,14 @@
 // announcements of an earlier change back.
 func TestLateHold(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	from, to, w := newPair(t, clock)
+	from, to, w := newElectorPair(t, clock)
 	lead := func(id siskin.TargetID, term siskin.Term) views.Lead {
 		return views.Lead{Target: id, Position: siskin.Position{Term: term, LSN: 7}, At: clock.Now()}
 	}
 	to.cfg.Views.Proven("ledger", lead("a", 1))
-	first := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, old: "a"}
-	first.announce(holdFor)
-	await(t, "an announcement", func() bool { return w.waiting() == 1 })
+	first := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, oldPrimary: "a"}
+	first.announce(maxHold)
+	waitFor(t, "an announcement", func() bool { return w.delayedCalls() == 1 })
 	clock.Advance(7 * time.Second)
 	from.cfg.Views.Proven("ledger", lead("b", 2))
 	to.cfg.Views.Proven("ledger", lead("b", 2))
@@ -200,8 +200,8 @@
 		t.Error("after the hold of a change that is over: got requests held, want none")
 	}
 	first.announce(0)
-	await(t, "an announcement", func() bool { return w.waiting() == 1 })
-	to.cfg.Views.Hold("ledger", "b", clock.Now().Add(holdFor))
+	waitFor(t, "an announcement", func() bool { return w.delayedCalls() == 1 })
+	to.cfg.Views.Hold("ledger", "b", clock.Now().Add(maxHold))
 	w.deliver(t)
 	time.Sleep(20 * time.Millisecond) // for an answer that must not count
 	if !to.cfg.Views.Holding("ledger", clock.Now()) {
--- a/internal/elect/announcement.go
+++ b/internal/elect/announcement.go
@@ -25,9 +25,9 @@
 // LeadArgs asks for the newest proof of lead of a service.
 type LeadArgs struct{ Service siskin.ServiceName }
 
-// learn asks the sender of an announcement which target leads. Without an answer
+// fetchLead asks the sender of an announcement which target leads. Without an answer
 // this VM learns of the change with the next ping.
-func (e *Elector) learn(a *Announcement) {
+func (e *Elector) fetchLead(a *Announcement) {
 	ctx, cancel := context.WithTimeout(e.ctx, announceTimeout)
 	defer cancel()
 	asked := e.cfg.Clock.Now()
--- a/internal/elect/cancel.go
+++ b/internal/elect/cancel.go
@@ -9,38 +9,38 @@
 const (
 	// cancelAttempts and cancelPause bound the attempts to cancel orders.
 	cancelAttempts = 60
-	cancelPause    = 500 * time.Millisecond
-	// freshProof is the age of another VM's proof of lead up to which the primary
+	cancelInterval = 500 * time.Millisecond
+	// maxProofAge is the age of another VM's proof of lead up to which the primary
 	// counts as leading for a VM that does not reach it. A change that took the lead
 	// from it since needs longer until its target leads.
-	freshProof = 400 * time.Millisecond
+	maxProofAge = 400 * time.Millisecond
 )
 
-// cancel keeps orders without an answer from taking effect while the old primary
+// cancelPending keeps orders without an answer from taking effect while the old primary
 // leads on: its replicas are paused until then, and one that starts anew would
 // acknowledge commits that the ordered target lacks. An order for the present
 // primary changes nothing, and its fence makes the platform refuse lower ones. One
 // that was accepted before takes effect within takeOverWait.
-func (c *change) cancel() {
+func (c *change) cancelPending() {
 	for range cancelAttempts {
 		select {
 		case <-c.e.ctx.Done():
 			return
-		case <-c.e.cfg.Clock.After(cancelPause):
+		case <-c.e.cfg.Clock.After(cancelInterval):
 		}
-		leads, gone := c.oldLeads()
+		leads, gone := c.oldPrimaryState()
 		if gone {
 			return // the next change sees to it
 		}
-		if !leads || !c.stillHeld() || c.e.cfg.Views.Holding(c.spec.Name, c.e.cfg.Clock.Now()) {
+		if !leads || !c.claimsKept() || c.e.cfg.Views.Holding(c.spec.Name, c.e.cfg.Clock.Now()) {
 			continue
 		}
-		fence, err := c.e.fence.take(c.e.ctx, true)
+		token, err := c.e.tokens.take(c.e.ctx, true)
 		if err != nil {
 			continue
 		}
-		err = c.e.cfg.Promoter.Promote(c.e.ctx, c.spec.Name, c.old, c.e.cfg.Members.Self().ID, fence)
-		c.e.cfg.Log.Info().Err(err).Str("Service", string(c.spec.Name)).Str("Target", string(c.old)).Uint64("Fence", uint64(fence)).
+		err = c.e.cfg.Promoter.Promote(c.e.ctx, c.spec.Name, c.oldPrimary, c.e.cfg.Members.Self().ID, token)
+		c.e.cfg.Log.Info().Err(err).Str("Service", string(c.spec.Name)).Str("Target", string(c.oldPrimary)).Uint64("Fence", uint64(token)).
 			Msg("ordered the present primary, so that a pending promotion is refused")
 		if err != nil {
 			continue
@@ -48,19 +48,19 @@
 		select {
 		case <-c.e.ctx.Done():
 			return
-		case <-c.e.cfg.Clock.After(takeOverWait):
+		case <-c.e.cfg.Clock.After(contestedDelay):
 		}
-		if leads, _ := c.oldLeads(); leads {
-			c.free()
+		if leads, _ := c.oldPrimaryState(); leads {
+			c.unpauseAll()
 		}
 		return
 	}
 }
 
-// stillHeld reports whether replicas that this change has claimed answer, and none of
+// claimsKept reports whether replicas that this change has claimed answer, and none of
 // them was claimed by another one. A change of another VM then needs the old primary
 // itself, which would lead no more.
-func (c *change) stillHeld() bool {
+func (c *change) claimsKept() bool {
 	held := 0
 	for i := range c.claims {
 		cl := &c.claims[i]
@@ -79,10 +79,10 @@
 	return held > 0
 }
 
-// oldLeads reports whether the old primary leads, as far as this VM or another one
+// oldPrimaryState reports whether the old primary leads, as far as this VM or another one
 // has just seen, and whether it is known not to.
-func (c *change) oldLeads() (leads, gone bool) {
-	err := c.e.cfg.Homes.Ping(c.e.ctx, c.spec.Name, c.old)
+func (c *change) oldPrimaryState() (leads, gone bool) {
+	err := c.e.cfg.Homes.Ping(c.e.ctx, c.spec.Name, c.oldPrimary)
 	switch {
 	case err == nil:
 		return true, false
@@ -90,8 +90,8 @@
 		return false, true
 	}
 	l := c.e.cfg.Views.Lead(c.spec.Name)
-	if l.Target != c.old {
+	if l.Target != c.oldPrimary {
 		return false, l.Target != ""
 	}
-	return c.e.cfg.Clock.Since(l.At) < freshProof, false
+	return c.e.cfg.Clock.Since(l.At) < maxProofAge, false
 }
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -19,13 +19,13 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// alone is a fleet of one VM.
-type alone struct{}
+// oneVM is a fleet of one VM.
+type oneVM struct{}
 
-func (alone) Self() siskin.VM                      { return siskin.VM{ID: "vm"} }
-func (alone) Live() []siskin.VM                    { return []siskin.VM{{ID: "vm"}} }
-func (alone) Lookup(siskin.VMID) (siskin.VM, bool) { return siskin.VM{}, false }
-func (alone) Changed() <-chan struct{}             { return nil }
+func (oneVM) Self() siskin.VM                      { return siskin.VM{ID: "vm"} }
+func (oneVM) Live() []siskin.VM                    { return []siskin.VM{{ID: "vm"}} }
+func (oneVM) Lookup(siskin.VMID) (siskin.VM, bool) { return siskin.VM{}, false }
+func (oneVM) Changed() <-chan struct{}             { return nil }
 
 // newChange returns a change of the primary of a stand-in.
 func newChange(t *testing.T) (*change, *stand.Platform) {
@@ -47,15 +47,15 @@
 	})
 	e := &Elector{
 		cfg: Config{
-			Clock: boot.Clock{}, Fencing: true, Members: alone{}, Roster: targets, Views: v, Homes: homes,
+			Clock: boot.Clock{}, Fencing: true, Members: oneVM{}, Roster: targets, Views: v, Homes: homes,
 			Status: platform.ParseStatus, Log: logs.New("error", "json", io.Discard),
 			Store: &platform.Store{BaseURL: "http://" + p.Address(), HTTP: &http.Client{}, Timeout: time.Second},
 		},
 		ctx: context.Background(),
 	}
-	e.fence.e = e
+	e.tokens.e = e
 	t.Cleanup(func() {
-		e.done.Wait()
+		e.tasks.Wait()
 		if err := homes.Close(); err != nil {
 			t.Error(err)
 		}
@@ -63,10 +63,10 @@
 			t.Error(err)
 		}
 	})
-	return &change{e: e, spec: siskin.ServiceSpec{Name: "ledger", SyncReplicas: 1}, old: list[0].ID}, p
+	return &change{e: e, spec: siskin.ServiceSpec{Name: "ledger", SyncReplicas: 1}, oldPrimary: list[0].ID}, p
 }
 
-func (c *change) held(t *testing.T, id siskin.TargetID) siskin.Term {
+func (c *change) pauseTermAt(t *testing.T, id siskin.TargetID) siskin.Term {
 	t.Helper()
 	s, err := c.control(context.Background(), id, siskin.Statement{Kind: siskin.Status})
 	if err != nil {
@@ -75,7 +75,7 @@
 	return s.PauseTerm
 }
 
-func (c *change) claimed(t *testing.T) {
+func (c *change) claimTargets(t *testing.T) {
 	t.Helper()
 	ctx := context.Background()
 	if err := c.inspect(ctx); err != nil {
@@ -91,17 +91,17 @@
 // replica acknowledges is then lost.
 func TestUnpauseOfEarlierTerm(t *testing.T) {
 	c, _ := newChange(t)
-	c.claimed(t)
+	c.claimTargets(t)
 	replica := c.claims[1].target.ID
 	if _, err := c.control(context.Background(), replica, siskin.Statement{Kind: siskin.Pause, Term: c.term + 1}); err != nil {
 		t.Fatal(err)
 	}
 	c.unpause()
-	c.e.done.Wait()
-	if got, want := c.held(t, replica), c.term+1; got != want {
+	c.e.tasks.Wait()
+	if got, want := c.pauseTermAt(t, replica), c.term+1; got != want {
 		t.Errorf("term held for a later change: got %d, want %d", got, want)
 	}
-	if got := c.held(t, c.claims[2].target.ID); got != 0 {
+	if got := c.pauseTermAt(t, c.claims[2].target.ID); got != 0 {
 		t.Errorf("term held by the failed change: got %d, want 0", got)
 	}
 }
@@ -110,12 +110,12 @@
 // while a promotion without an answer may still be carried out.
 func TestPendingPromotion(t *testing.T) {
 	c, _ := newChange(t)
-	c.claimed(t)
+	c.claimTargets(t)
 	c.pending = true
 	c.unpause()
-	c.e.done.Wait()
+	c.e.tasks.Wait()
 	for _, cl := range c.claims[1:] {
-		if got := c.held(t, cl.target.ID); got != c.term {
+		if got := c.pauseTermAt(t, cl.target.ID); got != c.term {
 			t.Errorf("term held by %s: got %d, want %d", cl.target.ID, got, c.term)
 		}
 	}
@@ -134,7 +134,7 @@
 		}
 		c.claims = append(c.claims, claim{target: target, status: siskin.ControlStatus{PauseTerm: c.term}})
 	}
-	pending, err := c.e.fence.take(context.Background(), false)
+	pending, err := c.e.tokens.take(context.Background(), false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,12 +149,12 @@
 		return nil
 	})
 	c.unpause()
-	c.e.done.Wait()
+	c.e.tasks.Wait()
 	if want := 2; orders != want {
 		t.Errorf("orders for the present primary: got %d, want %d", orders, want)
 	}
 	for _, target := range targets[1:] {
-		if got := c.held(t, target.ID); got != 0 {
+		if got := c.pauseTermAt(t, target.ID); got != 0 {
 			t.Errorf("term held by %s: got %d, want 0", target.ID, got)
 		}
 	}
@@ -167,13 +167,13 @@
 // counts as a primary with every commit.
 func TestReplicaIsNoPrimary(t *testing.T) {
 	c, p := newChange(t)
-	c.old = p.Targets("ledger")[1].ID() // a stale view
+	c.oldPrimary = p.Targets("ledger")[1].ID() // a stale view
 	p.Targets("ledger")[0].Crash()
 	p.Targets("ledger")[2].Crash()
 	ctx := context.Background()
 	if err := c.inspect(ctx); err == nil {
 		if err = c.claimAll(ctx); err == nil {
-			t.Errorf("claims of one replica of three: got %s to promote, want a refusal", c.chosen.target.ID)
+			t.Errorf("claims of one replica of three: got %s to promote, want a refusal", c.candidate.target.ID)
 		}
 	}
 }
@@ -183,14 +183,14 @@
 func TestReplicaOutOfReach(t *testing.T) {
 	c, p := newChange(t)
 	replica := p.Targets("ledger")[2].ID()
-	c.unfenced, c.led, c.term, c.newTerm = true, true, 100, 2
+	c.unfenced, c.promoted, c.term, c.promotedTerm = true, true, 100, 2
 	if _, err := c.control(context.Background(), replica, siskin.Statement{Kind: siskin.Pause, Term: c.term}); err != nil {
 		t.Fatal(err)
 	}
 	if err := c.tryUnpause(replica); err == nil {
 		t.Error("end of the claim of a replica of the former primary: got no error, want one")
 	}
-	if got := c.held(t, replica); got != c.term {
+	if got := c.pauseTermAt(t, replica); got != c.term {
 		t.Errorf("term held by a replica of the former primary: got %d, want %d", got, c.term)
 	}
 	// The new primary leads and reaches it.
@@ -199,15 +199,15 @@
 	}
 	for deadline := time.Now().Add(3 * time.Second); c.tryUnpause(replica) != nil; {
 		if time.Now().After(deadline) {
-			t.Fatalf("term held by a replica that can follow: got %d, want 0", c.held(t, replica))
+			t.Fatalf("term held by a replica that can follow: got %d, want 0", c.pauseTermAt(t, replica))
 		}
 	}
 	s, err := c.control(context.Background(), replica, siskin.Statement{Kind: siskin.Status})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.PauseTerm != 0 || s.Term < c.newTerm {
-		t.Errorf("replica that is free: got held term %d and term %d, want 0 and %d", s.PauseTerm, s.Term, c.newTerm)
+	if s.PauseTerm != 0 || s.Term < c.promotedTerm {
+		t.Errorf("replica that is free: got held term %d and term %d, want 0 and %d", s.PauseTerm, s.Term, c.promotedTerm)
 	}
 }
 
@@ -216,11 +216,11 @@
 func TestReplicaWithoutClaim(t *testing.T) {
 	c, p := newChange(t)
 	replica := p.Targets("ledger")[2].ID()
-	c.unfenced, c.led, c.term, c.newTerm = true, true, 100, 2
+	c.unfenced, c.promoted, c.term, c.promotedTerm = true, true, 100, 2
 	if err := c.tryUnpause(replica); err == nil {
 		t.Error("end of the change for a replica of the former primary: got no error, want one")
 	}
-	if got := c.held(t, replica); got != c.term {
+	if got := c.pauseTermAt(t, replica); got != c.term {
 		t.Errorf("term held by a replica of the former primary: got %d, want %d", got, c.term)
 	}
 }
@@ -245,7 +245,7 @@
 	ctx := context.Background()
 	if err := c.inspect(ctx); err == nil {
 		if err = c.claimAll(ctx); err == nil {
-			t.Errorf("claims of one target of three: got %s to promote, want a refusal", c.chosen.target.ID)
+			t.Errorf("claims of one target of three: got %s to promote, want a refusal", c.candidate.target.ID)
 		}
 	}
 }
@@ -254,13 +254,13 @@
 // unnoticed: it acknowledges commits of the former primary during the promotion.
 func TestNewcomer(t *testing.T) {
 	c, _ := newChange(t)
-	c.claimed(t)
-	if err := c.stillClaimed(context.Background()); err != nil {
+	c.claimTargets(t)
+	if err := c.recheckClaims(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	targets := append([]siskin.TargetInfo{{ID: "new", Service: "ledger"}}, c.e.cfg.Roster.Service("ledger")...)
 	c.e.cfg.Roster.Replace(targets, 2, time.Unix(2, 0))
-	if got, want := siskin.KindOf(c.stillClaimed(context.Background())), siskin.Conflict; got != want {
+	if got, want := siskin.KindOf(c.recheckClaims(context.Background())), siskin.Conflict; got != want {
 		t.Errorf("claims without a replica that joined: got %s, want %s", got, want)
 	}
 }
@@ -270,17 +270,17 @@
 // the claims of the other for its own, and ends them while an order is on its way.
 func TestTermsOfChanges(t *testing.T) {
 	c, _ := newChange(t)
-	other := &change{e: c.e, spec: c.spec, old: c.old}
+	other := &change{e: c.e, spec: c.spec, oldPrimary: c.oldPrimary}
 	ctx := context.Background()
 	for _, change := range []*change{c, other} {
 		if err := change.inspect(ctx); err != nil {
 			t.Fatal(err)
 		}
-		if err := change.choose(ctx); err != nil {
+		if err := change.chooseTerm(ctx); err != nil {
 			t.Fatal(err)
 		}
-		if change.term <= change.leadTerm {
-			t.Errorf("term of a claim: got %d, want more than %d", change.term, change.leadTerm)
+		if change.term <= change.primaryTerm {
+			t.Errorf("term of a claim: got %d, want more than %d", change.term, change.primaryTerm)
 		}
 	}
 	if c.term == other.term {
@@ -295,19 +295,19 @@
 	const held = 9
 	for _, own := range []siskin.Term{0, held} {
 		c, _ := newChange(t)
-		c.own = own
+		c.ownTerm = own
 		ctx := context.Background()
-		c.e.fence.reserve(ctx)
-		reserve := c.e.fence.next
-		later, err := c.e.cfg.Store.Create(ctx, FencingTokenKind, "another", fenceValue{Serial: 1})
+		c.e.tokens.fill(ctx)
+		reserve := c.e.tokens.unused
+		later, err := c.e.cfg.Store.Create(ctx, FencingTokenKind, "another", tokenValue{Serial: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
 		if _, err := c.control(ctx, c.e.cfg.Roster.Service("ledger")[1].ID, siskin.Statement{Kind: siskin.Pause, Term: held}); err != nil {
 			t.Fatal(err)
 		}
-		c.claimed(t)
-		if got, want := c.overtook, own != held; got != want {
+		c.claimTargets(t)
+		if got, want := c.contested, own != held; got != want {
 			t.Errorf("claims of term %d taken over, own term %d: got %v, want %v", held, own, got, want)
 		}
 		var used siskin.FencingToken
@@ -326,12 +326,12 @@
 type slowStore struct{ siskin.Store }
 
 func (s slowStore) Create(ctx context.Context, kind siskin.ObjectKind, name string, v any) (siskin.Version, error) {
-	time.Sleep(2 * maxFencedAge)
+	time.Sleep(2 * maxFencedCheckAge)
 	return s.Store.Create(ctx, kind, name, v)
 }
 
 func (s slowStore) Update(ctx context.Context, kind siskin.ObjectKind, name string, v any, old siskin.Version) (siskin.Version, error) {
-	time.Sleep(2 * maxFencedAge)
+	time.Sleep(2 * maxFencedCheckAge)
 	return s.Store.Update(ctx, kind, name, v, old)
 }
 
@@ -350,12 +350,12 @@
 	orders := 0
 	c.e.cfg.Promoter = promoterFunc(func(siskin.FencingToken) error {
 		orders++
-		if got := c.e.cfg.Clock.Since(c.checked); got > maxFencedAge {
-			t.Errorf("age of the check at the order: got %v, want at most %v", got, maxFencedAge)
+		if got := c.e.cfg.Clock.Since(c.checkedAt); got > maxFencedCheckAge {
+			t.Errorf("age of the check at the order: got %v, want at most %v", got, maxFencedCheckAge)
 		}
 		return siskin.NewError(siskin.Conflict, "refused")
 	})
-	c.claimed(t)
+	c.claimTargets(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	_ = c.promote(ctx)
@@ -384,15 +384,15 @@
 		{"another change has promoted", [3]siskin.ControlStatus{at(9), at(7), later}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			ch := &change{term: 9, leadTerm: 1, spec: siskin.ServiceSpec{SyncReplicas: 1}}
+			ch := &change{term: 9, primaryTerm: 1, spec: siskin.ServiceSpec{SyncReplicas: 1}}
 			var again []claim
 			for i, s := range []siskin.ControlStatus{at(9), at(7), at(7)} {
-				cl := claim{target: siskin.TargetInfo{ID: siskin.TargetID("abc"[i : i+1])}, status: s, primary: i == 0}
+				cl := claim{target: siskin.TargetInfo{ID: siskin.TargetID("abc"[i : i+1])}, status: s, wasPrimary: i == 0}
 				ch.claims = append(ch.claims, cl)
 				cl.status = c.again[i]
 				again = append(again, cl)
 			}
-			ch.chosen = ch.claims[1]
+			ch.candidate = ch.claims[1]
 			err := ch.compare(again)
 			if got := err == nil; got != c.want {
 				t.Errorf("claims suffice: got %v (%v), want %v", got, err, c.want)
@@ -412,12 +412,12 @@
 	if _, err := c.control(ctx, c.e.cfg.Roster.Service("ledger")[1].ID, siskin.Statement{Kind: siskin.Pause, Term: 5}); err != nil {
 		t.Fatal(err)
 	}
-	c.claimed(t)
+	c.claimTargets(t)
 	start := time.Now()
-	if err := c.settle(ctx); err != nil {
+	if err := c.awaitPromotionDelay(ctx); err != nil {
 		t.Fatal(err)
 	}
-	if got, want := time.Since(start), takeOverWait-100*time.Millisecond; got < want {
+	if got, want := time.Since(start), contestedDelay-100*time.Millisecond; got < want {
 		t.Errorf("wait after claims were taken over: got %v, want at least %v", got, want)
 	}
 }
@@ -427,12 +427,12 @@
 // last claim, unless the newest primary stepped down.
 func TestWaitForLeases(t *testing.T) {
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
-	silent := claim{primary: true, err: errLate}
+	silent := claim{wasPrimary: true, err: errNoAnswer}
 	replica := func(ms int) claim {
-		return claim{status: siskin.ControlStatus{Term: 3, PauseTerm: 9}, at: at(ms)}
+		return claim{status: siskin.ControlStatus{Term: 3, PauseTerm: 9}, answeredAt: at(ms)}
 	}
 	former := func(led siskin.Term, unfenced bool) claim {
-		c := claim{primary: true, led: led, demoted: unfenced, steppedDown: !unfenced, at: at(0)}
+		c := claim{wasPrimary: true, ledTerm: led, demoted: unfenced, steppedDown: !unfenced, answeredAt: at(0)}
 		c.status = siskin.ControlStatus{Term: led, PauseTerm: 9}
 		return c
 	}
@@ -447,7 +447,7 @@
 		{"earlier primary that stepped down", []claim{former(2, false), replica(10), replica(20)}, at(20).Add(lease.PromotionDelay)},
 		{"earlier primary that stepped down without fencing", []claim{former(2, true), replica(10), replica(20)}, at(20).Add(lease.PromotionDelay)},
 	} {
-		if got := waitUntil(c.claims, 9, false); !got.Equal(c.want) {
+		if got := promotionTime(c.claims, 9, false); !got.Equal(c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 	}
@@ -459,8 +459,8 @@
 // never reached its replicas must not lead again.
 func TestReplicasOfFormerPrimary(t *testing.T) {
 	primary := func(unfenced bool) claim {
-		c := claim{target: siskin.TargetInfo{ID: "a"}, primary: true, steppedDown: !unfenced, demoted: unfenced, led: 5, end: siskin.Position{Term: 5, LSN: 9}}
-		c.status = siskin.ControlStatus{Term: 5, PauseTerm: 9, Received: c.end}
+		c := claim{target: siskin.TargetInfo{ID: "a"}, wasPrimary: true, steppedDown: !unfenced, demoted: unfenced, ledTerm: 5, logEnd: siskin.Position{Term: 5, LSN: 9}}
+		c.status = siskin.ControlStatus{Term: 5, PauseTerm: 9, Received: c.logEnd}
 		return c
 	}
 	replica := func(id siskin.TargetID, follows siskin.Term) claim {
@@ -476,7 +476,7 @@
 		{"none does", true, 3, 3, "a"},
 		{"none does, with fencing", false, 3, 3, "b"},
 	} {
-		if got, _ := newest([]claim{primary(c.unfenced), replica("b", c.b), replica("c", c.c)}, 9, 1); got.target.ID != c.want {
+		if got, _ := bestCandidate([]claim{primary(c.unfenced), replica("b", c.b), replica("c", c.c)}, 9, 1); got.target.ID != c.want {
 			t.Errorf("%s: got %s, want %s", c.name, got.target.ID, c.want)
 		}
 	}
@@ -490,13 +490,13 @@
 	now := c.e.cfg.Clock.Now()
 	primary := p.Targets("ledger")[0].ID()
 	targets := c.e.cfg.Roster.Service("ledger")
-	w := &watch{unconfirmed: now.Add(-3 * time.Second)}
+	w := &watch{unconfirmedSince: now.Add(-3 * time.Second)}
 	before := views.Lead{Target: primary, At: now.Add(-4 * time.Second)}
-	if got := c.e.evidence("ledger", primary, targets, before, w, now).stalled; got != 3*time.Second {
+	if got := c.e.observe("ledger", primary, targets, before, w, now).stalled; got != 3*time.Second {
 		t.Errorf("without a later proof: got a stall of %v, want 3 s", got)
 	}
 	later := views.Lead{Target: primary, At: now.Add(-time.Millisecond)}
-	if got := c.e.evidence("ledger", primary, targets, later, w, now).stalled; got != 0 {
+	if got := c.e.observe("ledger", primary, targets, later, w, now).stalled; got != 0 {
 		t.Errorf("after a proof of lead: got a stall of %v, want none", got)
 	}
 }
--- a/internal/elect/check.go
+++ b/internal/elect/check.go
@@ -7,17 +7,17 @@
 	"siskintray.example/siskin"
 )
 
-// stillClaimed asks the claimed targets again. One that has started again has
+// recheckClaims asks the claimed targets again. One that has started again has
 // forgotten its claim and its log.
-func (c *change) stillClaimed(ctx context.Context) error {
-	c.checked = c.e.cfg.Clock.Now()
+func (c *change) recheckClaims(ctx context.Context) error {
+	c.checkedAt = c.e.cfg.Clock.Now()
 	if c.planned {
 		if c.unfenced {
-			return c.unclaimed(ctx)
+			return c.checkUncontested(ctx)
 		}
 		return nil // the claim of the old primary is checked by the new lead
 	}
-	if id, ok := newcomer(c.claims, c.e.cfg.Roster.Service(c.spec.Name)); ok {
+	if id, ok := joinedTarget(c.claims, c.e.cfg.Roster.Service(c.spec.Name)); ok {
 		return siskin.NewError(siskin.Conflict, "target %s joined after the claims of term %d", id, c.term).WithRemedy("claim again")
 	}
 	c.addUnlisted() // discovery may have dropped targets since
@@ -43,37 +43,37 @@
 		cl := &again[i]
 		switch {
 		case cl.err != nil:
-		case cl.status.Term > c.leadTerm:
+		case cl.status.Term > c.primaryTerm:
 			// The other change's order was carried out. Where former primaries lead on,
 			// replicas stay paused all the same.
-			c.overtook = c.overtook && c.unfenced
-			return siskin.NewError(siskin.Conflict, "target %s follows term %d, and term %d was claimed over term %d", cl.target.ID, cl.status.Term, c.term, c.leadTerm)
+			c.contested = c.contested && c.unfenced
+			return siskin.NewError(siskin.Conflict, "target %s follows term %d, and term %d was claimed over term %d", cl.target.ID, cl.status.Term, c.term, c.primaryTerm)
 		case cl.status.Received.Compare(c.claims[i].status.Received) < 0:
 			cl.err = siskin.NewError(siskin.Unavailable, "target %s has started again", cl.target.ID)
 		}
-		if cl.target.ID == c.chosen.target.ID && !cl.holds(c.term) {
+		if cl.target.ID == c.candidate.target.ID && !cl.holds(c.term) {
 			return siskin.NewError(siskin.Conflict, "target %s lost its claim", cl.target.ID)
 		}
 	}
 	// Without the claims that were lost, another target may be the one to promote.
-	if best, ok := newest(again, c.term, c.spec.SyncReplicas); ok && best.status.Received.Compare(c.chosen.status.Received) > 0 {
-		return siskin.NewError(siskin.Conflict, "target %s has commits that target %s lacks", best.target.ID, c.chosen.target.ID).WithRemedy("claim again")
+	if best, ok := bestCandidate(again, c.term, c.spec.SyncReplicas); ok && best.status.Received.Compare(c.candidate.status.Received) > 0 {
+		return siskin.NewError(siskin.Conflict, "target %s has commits that target %s lacks", best.target.ID, c.candidate.target.ID).WithRemedy("claim again")
 	}
-	if !enough(again, c.term, c.spec.SyncReplicas) {
+	if !hasQuorum(again, c.term, c.spec.SyncReplicas) {
 		return siskin.NewError(siskin.Conflict, "too few claims of term %d are left", c.term).WithRemedy("claim again")
 	}
 	return nil
 }
 
-// unclaimed reports an error when another change has claimed the replica that is
+// checkUncontested reports an error when another change has claimed the replica that is
 // to be promoted, or another target was promoted.
-func (c *change) unclaimed(ctx context.Context) error {
-	s, err := c.control(ctx, c.chosen.target.ID, siskin.Statement{Kind: siskin.Status})
+func (c *change) checkUncontested(ctx context.Context) error {
+	s, err := c.control(ctx, c.candidate.target.ID, siskin.Statement{Kind: siskin.Status})
 	if err != nil {
 		return err
 	}
-	if s.PauseTerm > s.Term || s.Term > c.leadTerm {
-		return siskin.NewError(siskin.Conflict, "another change has claimed target %s", c.chosen.target.ID).WithRemedy("wait for its result")
+	if s.PauseTerm > s.Term || s.Term > c.primaryTerm {
+		return siskin.NewError(siskin.Conflict, "another change has claimed target %s", c.candidate.target.ID).WithRemedy("wait for its result")
 	}
 	return nil
 }
--- a/internal/elect/claiming.go
+++ b/internal/elect/claiming.go
@@ -15,20 +15,20 @@
 		led[cl.target.ID] = cl.err == nil && cl.status.Primary
 	}
 	c.claims = make([]claim, len(targets))
-	c.each(ctx, targets, func(ctx context.Context, cl *claim) {
+	c.askAll(ctx, targets, func(ctx context.Context, cl *claim) {
 		c.claimOne(ctx, cl, led[cl.target.ID])
 	})
 	c.addUnlisted()
-	markBlank(c.claims, c.e.cfg.Views.Lead(c.spec.Name).Position)
+	markEmptyLogs(c.claims, c.e.cfg.Views.Lead(c.spec.Name).Position)
 	for i := range c.claims {
-		c.overtook = c.overtook || c.claims[i].overtook
+		c.contested = c.contested || c.claims[i].contested
 		c.logClaim(&c.claims[i], "claimed a target")
 	}
-	if !enough(c.claims, c.term, c.spec.SyncReplicas) {
+	if !hasQuorum(c.claims, c.term, c.spec.SyncReplicas) {
 		return siskin.NewError(siskin.Unavailable, "too few targets of %s could be claimed for term %d", c.spec.Name, c.term).WithRemedy("restore a target; without it an acknowledged commit could be lost")
 	}
 	var ok bool
-	if c.chosen, ok = newest(c.claims, c.term, c.spec.SyncReplicas); !ok {
+	if c.candidate, ok = bestCandidate(c.claims, c.term, c.spec.SyncReplicas); !ok {
 		return siskin.NewError(siskin.Unavailable, "no target of %s could be claimed", c.spec.Name)
 	}
 	return nil
@@ -39,9 +39,9 @@
 // of the present primary, so that its log alone is not enough and it counts as a
 // replica. The state before the claim tells of another change, which may have
 // chosen the same term.
-func (c *change) claimOne(ctx context.Context, cl *claim, leads bool) {
+func (c *change) claimOne(ctx context.Context, cl *claim, ledBefore bool) {
 	list := []siskin.Statement{{Kind: siskin.Status}}
-	if leads {
+	if ledBefore {
 		list = append(list, siskin.Statement{Kind: siskin.StepDown, Term: c.term})
 	}
 	list = append(list, siskin.Statement{Kind: siskin.Pause, Term: c.term})
@@ -58,34 +58,34 @@
 		return
 	}
 	cl.status, cl.err = c.e.cfg.Status(&answers[len(answers)-1])
-	cl.claimedBy(before, c.term, c.leadTerm, c.own, leads, c.unfenced)
+	cl.recordResult(before, c.term, c.primaryTerm, c.ownTerm, ledBefore, c.unfenced)
 }
 
-// lateGrace is the time that a round waits for the old primary once all others
+// oldPrimaryGrace is the time that a round waits for the old primary once all others
 // have answered. A silent one takes controlTimeout otherwise.
-const lateGrace = 60 * time.Millisecond
+const oldPrimaryGrace = 60 * time.Millisecond
 
-// each fills the claims with what f makes of them, run for all targets at once. An
+// askAll fills the claims with what f makes of them, run for all targets at once. An
 // old primary that answers long after all others counts as silent.
-func (c *change) each(ctx context.Context, targets []siskin.TargetInfo, f func(context.Context, *claim)) {
+func (c *change) askAll(ctx context.Context, targets []siskin.TargetInfo, f func(context.Context, *claim)) {
 	type result struct {
 		i  int
 		cl claim
 	}
 	results := make(chan result, len(targets))
 	for i, t := range targets {
-		c.claims[i] = claim{target: t, primary: t.ID == c.old, err: errLate}
-		c.e.done.Go(func() {
-			cl := claim{target: t, primary: t.ID == c.old}
+		c.claims[i] = claim{target: t, wasPrimary: t.ID == c.oldPrimary, err: errNoAnswer}
+		c.e.tasks.Go(func() {
+			cl := claim{target: t, wasPrimary: t.ID == c.oldPrimary}
 			f(ctx, &cl)
-			cl.at = c.e.cfg.Clock.Now()
+			cl.answeredAt = c.e.cfg.Clock.Now()
 			results <- result{i, cl}
 		})
 	}
 	var grace <-chan time.Time
 	others := 0
 	for _, t := range targets {
-		if t.ID != c.old {
+		if t.ID != c.oldPrimary {
 			others++
 		}
 	}
@@ -93,20 +93,20 @@
 		select {
 		case r := <-results:
 			c.claims[r.i] = r.cl
-			if !r.cl.primary {
+			if !r.cl.wasPrimary {
 				others--
 			}
 		case <-grace:
 			return
 		}
 		if grace == nil && others == 0 {
-			grace = c.e.cfg.Clock.After(lateGrace)
+			grace = c.e.cfg.Clock.After(oldPrimaryGrace)
 		}
 	}
 }
 
-// errLate says that the old primary had not answered when all others had.
-var errLate = siskin.NewError(siskin.Unavailable, "the target had not answered when all others had")
+// errNoAnswer says that the old primary had not answered when all others had.
+var errNoAnswer = siskin.NewError(siskin.Unavailable, "the target had not answered when all others had")
 
 func (c *change) logClaim(cl *claim, msg string) {
 	entry := c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(cl.target.ID)).Uint64("NewTerm", uint64(c.term))
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -13,24 +13,24 @@
 type claim struct {
 	target siskin.TargetInfo
 	status siskin.ControlStatus
-	// primary says that the target was held to lead before the change.
-	primary bool
+	// wasPrimary says that the target was held to lead before the change.
+	wasPrimary bool
 	// steppedDown says that the target led in the term led and was claimed by
 	// making it step down, with end as the end of its log.
 	steppedDown bool
-	end         siskin.Position
-	led         siskin.Term
+	logEnd      siskin.Position
+	ledTerm     siskin.Term
 	// demoted says that the target led in the term led and was claimed as a
 	// replica after it had stepped down.
 	demoted bool
-	// blank says that the target has started again, or for the first time, and has
+	// logEmpty says that the target has started again, or for the first time, and has
 	// no log yet: it may have acknowledged commits before, or its predecessor.
-	blank bool
-	// overtook says that another change had claimed the target.
-	overtook bool
-	// at is the moment when the answer to the claim had come.
-	at  time.Time
-	err error
+	logEmpty bool
+	// contested says that another change had claimed the target.
+	contested bool
+	// answeredAt is the moment when the answer to the claim had come.
+	answeredAt time.Time
+	err        error
 }
 
 const (
@@ -38,8 +38,8 @@
 	// term than the targets that answer know of. A pause for its term or a lower one
 	// would not keep them from acknowledging its commits.
 	termMargin siskin.Term = 1000
-	// termSpread makes the terms of two changes that begin at once differ.
-	termSpread siskin.Term = 1 << 16
+	// termJitter makes the terms of two changes that begin at once differ.
+	termJitter siskin.Term = 1 << 16
 )
 
 // claimTerm returns the term for claims over targets that know of the given one.
@@ -49,23 +49,23 @@
 // it step down, or promoted another one.
 var errClaimed = siskin.NewError(siskin.Conflict, "another change has claimed the target")
 
-// claimedBy takes over the result of a claim for a term, from the target's state
+// recordResult takes over the result of a claim for a term, from the target's state
 // before it. A target that led when it was asked first was told to step down; the
 // newest term known then is leadTerm. A claim for the term own, of an earlier change
 // of this VM that ordered nothing, is no other change's.
-func (c *claim) claimedBy(before siskin.ControlStatus, term, leadTerm, own siskin.Term, leads, unfenced bool) {
-	c.overtook = before.PauseTerm > before.Term && before.PauseTerm != own
+func (c *claim) recordResult(before siskin.ControlStatus, term, primaryTerm, ownTerm siskin.Term, ledBefore, unfenced bool) {
+	c.contested = before.PauseTerm > before.Term && before.PauseTerm != ownTerm
 	switch {
 	case c.err != nil:
-	case before.Term > leadTerm:
+	case before.Term > primaryTerm:
 		c.err = errClaimed
-	case c.overtook && before.PauseTerm >= term, leads && !before.Primary && !unfenced:
+	case c.contested && before.PauseTerm >= term, ledBefore && !before.Primary && !unfenced:
 		// A replica accepts to step down as well, and proves nothing by it.
-		c.overtook, c.err = true, errClaimed
+		c.contested, c.err = true, errClaimed
 	case unfenced:
-		c.demoted, c.led = before.Primary, before.Term
-	case leads:
-		c.steppedDown, c.end, c.led = true, c.status.Received, before.Term
+		c.demoted, c.ledTerm = before.Primary, before.Term
+	case ledBefore:
+		c.steppedDown, c.logEnd, c.ledTerm = true, c.status.Received, before.Term
 	}
 }
 
@@ -79,15 +79,15 @@
 		return false
 	case c.steppedDown:
 		// Another term means that another target was promoted meanwhile.
-		return !c.status.Primary && c.status.Term == c.led && c.status.Received.Compare(c.end) >= 0 &&
-			c.status.PauseTerm <= max(term, c.led)
+		return !c.status.Primary && c.status.Term == c.ledTerm && c.status.Received.Compare(c.logEnd) >= 0 &&
+			c.status.PauseTerm <= max(term, c.ledTerm)
 	default:
 		return c.status.PauseTerm == term
 	}
 }
 
-// prospect reports whether enough targets answer for a claim of enough of them.
-func prospect(claims []claim, sync int) bool {
+// canSucceed reports whether enough targets answer for a claim of enough of them.
+func canSucceed(claims []claim, sync int) bool {
 	missing := 0
 	for i := range claims {
 		if claims[i].err != nil {
@@ -97,46 +97,46 @@
 	return missing <= max(sync, 1) && missing < len(claims)
 }
 
-// markBlank finds the targets without a log in a service that has commits. The end of
+// markEmptyLogs finds the targets without a log in a service that has commits. The end of
 // the log of the last known primary tells of commits that no target answers for.
-func markBlank(claims []claim, known siskin.Position) {
+func markEmptyLogs(claims []claim, known siskin.Position) {
 	written := known.LSN != 0
 	for i := range claims {
 		written = written || claims[i].status.Received.LSN != 0
 	}
 	for i := range claims {
 		c := &claims[i]
-		c.blank = written && c.err == nil && c.status.Received.LSN == 0
+		c.logEmpty = written && c.err == nil && c.status.Received.LSN == 0
 	}
 }
 
-// takeOverWait is the time from the last claim to the promotion in a change that took
+// contestedDelay is the time from the last claim to the promotion in a change that took
 // claims over. The other change may have ordered a promotion up to maxFencedAge
 // after its claims were checked, and the platform carries it out within a second. Its
 // target could have acknowledged commits before this change's target leads.
-const takeOverWait = maxFencedAge + 1100*time.Millisecond
+const contestedDelay = maxFencedCheckAge + 1100*time.Millisecond
 
-// waitUntil returns the moment from which on a promotion may be ordered: no other
+// promotionTime returns the moment from which on a promotion may be ordered: no other
 // change's order is on its way, and no VM has a lease of a former primary, so that
 // none passes on commits or takes it for the only one. With the newest primary made
 // to step down none does at once.
-func waitUntil(claims []claim, term siskin.Term, overtook bool) time.Time {
+func promotionTime(claims []claim, term siskin.Term, contested bool) time.Time {
 	var last time.Time
 	var newest siskin.Term
 	for i := range claims {
 		c := &claims[i]
-		if c.holds(term) && c.at.After(last) {
-			last = c.at
+		if c.holds(term) && c.answeredAt.After(last) {
+			last = c.answeredAt
 		}
 		if c.err == nil {
 			newest = max(newest, c.status.Term)
 		}
 	}
-	if overtook {
-		return last.Add(takeOverWait)
+	if contested {
+		return last.Add(contestedDelay)
 	}
 	for i := range claims {
-		if c := &claims[i]; (c.demoted || c.steppedDown) && c.holds(term) && c.led >= newest {
+		if c := &claims[i]; (c.demoted || c.steppedDown) && c.holds(term) && c.ledTerm >= newest {
 			return time.Time{}
 		}
 	}
@@ -148,78 +148,78 @@
 func replicasAnswer(claims []claim, sync int) bool {
 	replicas, missing := 0, 0
 	for i := range claims {
-		if claims[i].primary {
+		if claims[i].wasPrimary {
 			continue
 		}
-		if replicas++; claims[i].err != nil || claims[i].blank {
+		if replicas++; claims[i].err != nil || claims[i].logEmpty {
 			missing++
 		}
 	}
 	return replicas > missing && missing < max(sync, 1)
 }
 
-// enough reports whether every set of targets that could have acknowledged a
+// hasQuorum reports whether every set of targets that could have acknowledged a
 // commit contains a claimed one. A commit is acknowledged by the primary and
 // sync replicas, so at most sync targets may be missing. A primary that stepped down
 // has every commit itself, but its claim alone shares no target with those of another
 // change, which may have promoted since. Targets without a log count as missing,
 // except when all are claimed and none can have more.
-func enough(claims []claim, term siskin.Term, sync int) bool {
-	missing, blank := 0, 0
+func hasQuorum(claims []claim, term siskin.Term, sync int) bool {
+	missing, empty := 0, 0
 	for i := range claims {
 		c := &claims[i]
 		switch {
 		case !c.holds(term):
 			missing++
-		case c.blank:
-			blank++
+		case c.logEmpty:
+			empty++
 		}
 	}
 	if missing > 0 {
-		missing += blank
+		missing += empty
 	}
 	return missing <= max(sync, 1) && missing < len(claims)
 }
 
-// newest returns the claimed target to promote: the one with the newest log,
+// bestCandidate returns the claimed target to promote: the one with the bestCandidate log,
 // and among equals one that stays. The old primary is chosen only when it could
 // have a commit that no claimed replica has: it may hold commits that nobody
 // was promised, and have no path to its replicas.
-func newest(claims []claim, term siskin.Term, sync int) (claim, bool) {
-	held := make([]claim, 0, len(claims))
+func bestCandidate(claims []claim, term siskin.Term, sync int) (claim, bool) {
+	claimed := make([]claim, 0, len(claims))
 	replicasMissing := 0
 	for _, c := range claims {
 		if c.holds(term) {
-			held = append(held, c)
+			claimed = append(claimed, c)
 		}
-		if (!c.holds(term) || c.blank) && !c.primary {
+		if (!c.holds(term) || c.logEmpty) && !c.wasPrimary {
 			replicasMissing++
 		}
 	}
-	if replicasMissing < sync && len(held) > 1 {
-		held = slices.DeleteFunc(held, func(c claim) bool { return c.primary && !missed(held, &c) })
+	if replicasMissing < sync && len(claimed) > 1 {
+		claimed = slices.DeleteFunc(claimed, func(c claim) bool { return c.wasPrimary && !notFollowed(claimed, &c) })
 	}
-	if len(held) == 0 {
+	if len(claimed) == 0 {
 		return claim{}, false
 	}
-	return slices.MaxFunc(held, func(a, b claim) int {
+	return slices.MaxFunc(claimed, func(a, b claim) int {
 		return cmp.Or(
 			a.status.Received.Compare(b.status.Received),
-			-boolCompare(leaving(&a.target), leaving(&b.target)),
+			-boolCompare(avoidAsPrimary(&a.target), avoidAsPrimary(&b.target)),
 			-boolCompare(a.target.ColdRemaining > 0, b.target.ColdRemaining > 0), // a cold one bears few statements
 			cmp.Compare(b.target.ID, a.target.ID),
 		)
 	}), true
 }
 
-// missed reports whether no claimed replica followed a primary that stepped down. Where
+// notFollowed reports whether no claimed replica followed a primary that stepped down. Where
 // former primaries lead on, they may have started again and followed one.
-func missed(held []claim, primary *claim) bool {
-	return primary.demoted && !slices.ContainsFunc(held, func(c claim) bool { return !c.primary && c.status.Term >= primary.led })
+func notFollowed(claimed []claim, primary *claim) bool {
+	return primary.demoted && !slices.ContainsFunc(claimed, func(c claim) bool { return !c.wasPrimary && c.status.Term >= primary.ledTerm })
 }
 
-// leaving reports whether a target is to lead only when no other one can.
-func leaving(t *siskin.TargetInfo) bool { return t.Draining || t.Evacuated }
+// avoidAsPrimary reports whether a target is to lead only when no other one can.
+func avoidAsPrimary(t *siskin.TargetInfo) bool { return t.Draining || t.Evacuated }
 
 func boolCompare(a, b bool) int {
 	switch {
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -41,36 +41,36 @@
 
 // runDecide decides on words such as known, silent or proof=900ms.
 func runDecide(words []string) string {
-	e := evidence{watched: time.Hour}
+	o := observation{watched: time.Hour}
 	for _, w := range words {
 		name, value, _ := strings.Cut(w, "=")
 		d, _ := time.ParseDuration(value) // zero for words without a value
 		switch name {
 		case "known":
-			e.known = true
+			o.primaryKnown = true
 		case "silent":
-			e.silent = true
+			o.silent = true
 		case "refused":
-			e.silent, e.refused = true, true
+			o.silent, o.refused = true, true
 		case "denied":
-			e.denied = true
+			o.denied = true
 		case "draining":
-			e.draining = true
+			o.draining = true
 		case "evacuated":
-			e.evacuated = true
+			o.evacuated = true
 		case "successor":
-			e.successor = true
+			o.hasSuccessor = true
 		case "proof":
-			e.proofAge = d
+			o.proofAge = d
 		case "stalled":
-			e.stalled = d
+			o.stalled = d
 		case "watched":
-			e.watched = d
+			o.watched = d
 		default:
 			return "unknown word " + name
 		}
 	}
-	return decide(e).String()
+	return decide(o).String()
 }
 
 // runClaims reads claims such as a:primary:held:3.7 or b:silent, with sync=N and
@@ -96,7 +96,7 @@
 			case i == 0:
 				c.target.ID = siskin.TargetID(part)
 			case part == "primary":
-				c.primary = true
+				c.wasPrimary = true
 			case part == "down":
 				c.steppedDown = true
 			case part == "later":
@@ -124,11 +124,11 @@
 		}
 		claims = append(claims, c)
 	}
-	markBlank(claims, known)
-	if !enough(claims, term, sync) {
+	markEmptyLogs(claims, known)
+	if !hasQuorum(claims, term, sync) {
 		return "too few"
 	}
-	best, ok := newest(claims, term, sync)
+	best, ok := bestCandidate(claims, term, sync)
 	if !ok {
 		return "none"
 	}
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -17,8 +17,8 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// tick is the time between two looks at a service.
-const tick = 100 * time.Millisecond
+// checkInterval is the time between two looks at a service.
+const checkInterval = 100 * time.Millisecond
 
 // Config holds what an Elector depends on.
 type Config struct {
@@ -46,13 +46,13 @@
 
 // Elector watches the services whose primary this VM is the home of.
 type Elector struct {
-	cfg   Config
-	fence fence
+	cfg    Config
+	tokens tokenReserve
 	// ranker keeps ranks, since each service is looked at several times a second.
 	ranker place.Ranker
 	ctx    context.Context // ends at Close
 	stop   context.CancelFunc
-	done   sync.WaitGroup
+	tasks  sync.WaitGroup
 
 	mu       sync.Mutex
 	services map[siskin.ServiceName]*watch
@@ -60,43 +60,43 @@
 
 // watch is the state of one service that this VM watches.
 type watch struct {
-	since    time.Time // zero while another VM watches it
-	probing  bool
-	changing bool
-	next     time.Time   // earliest next change
-	failures int         // changes that failed in a row
-	term     siskin.Term // of the last claims
-	last     probe
-	// unconfirmed is since when the primary answers and its replicas are claimed
+	watchedSince time.Time // zero while another VM watches it
+	probing      bool
+	changing     bool
+	nextChange   time.Time   // earliest next change
+	failures     int         // changes that failed in a row
+	ownTerm      siskin.Term // of the last claims
+	lastProbe    probe
+	// unconfirmedSince is since when the primary answers and its replicas are claimed
 	// or follow another one, zero when they are not.
-	unconfirmed time.Time
-	renewed     time.Time // last renewal of the fence for a new term
+	unconfirmedSince time.Time
+	tokenRenewed     time.Time // last renewal of the fence for a new term
 }
 
 // Start begins to watch.
 func Start(cfg Config) *Elector {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Elector{cfg: cfg, stop: cancel, services: make(map[siskin.ServiceName]*watch)}
-	e.fence.e = e
+	e.tokens.e = e
 	e.ctx = ctx
-	e.done.Go(func() { e.loop(ctx) })
-	e.done.Go(func() {
+	e.tasks.Go(func() { e.loop(ctx) })
+	e.tasks.Go(func() {
 		select {
 		case <-e.ctx.Done():
-		case <-e.cfg.Clock.After(joinTime):
-			e.refreshFence(0)
+		case <-e.cfg.Clock.After(fleetDiscoveryTime):
+			e.refreshToken(0)
 		}
 	})
 	return e
 }
 
-// joinTime is the time in which a starting VM learns how large the fleet is.
-const joinTime = 1500 * time.Millisecond
+// fleetDiscoveryTime is the time in which a starting VM learns how large the fleet is.
+const fleetDiscoveryTime = 1500 * time.Millisecond
 
 // Close stops watching and waits.
 func (e *Elector) Close() error {
 	e.stop()
-	e.done.Wait()
+	e.tasks.Wait()
 	return nil
 }
 
@@ -105,10 +105,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-e.cfg.Clock.After(tick):
+		case <-e.cfg.Clock.After(checkInterval):
 		}
 		for _, s := range e.cfg.Table.Snapshot().Services {
-			e.look(ctx, s)
+			e.checkService(ctx, s)
 		}
 	}
 }
@@ -124,8 +124,8 @@
 	return len(ranked) > 0 && ranked[0].ID == e.cfg.Members.Self().ID
 }
 
-// look examines one service and acts on what it finds.
-func (e *Elector) look(ctx context.Context, s siskin.ServiceSpec) {
+// checkService examines one service and acts on what it finds.
+func (e *Elector) checkService(ctx context.Context, s siskin.ServiceSpec) {
 	targets := e.cfg.Roster.Service(s.Name)
 	if len(targets) == 0 {
 		return
@@ -144,84 +144,84 @@
 		e.services[s.Name] = w
 	}
 	watches := e.watches(s.Name, primary)
-	if watches || len(e.cfg.Members.Live()) <= smallFleet {
+	if watches || len(e.cfg.Members.Live()) <= maxReservingVMs {
 		e.renewForTerm(s.Name, lead.Term, w, now)
 	}
 	if !watches {
-		w.since = time.Time{}
+		w.watchedSince = time.Time{}
 		return
 	}
-	if w.since.IsZero() {
-		w.since, w.last = now, probe{}
-		e.done.Go(func() { e.fence.reserve(ctx) })
+	if w.watchedSince.IsZero() {
+		w.watchedSince, w.lastProbe = now, probe{}
+		e.tasks.Go(func() { e.tokens.fill(ctx) })
 	}
-	if w.last.target != primary {
-		w.last, w.unconfirmed = probe{target: primary}, time.Time{}
+	if w.lastProbe.target != primary {
+		w.lastProbe, w.unconfirmedSince = probe{target: primary}, time.Time{}
 	}
-	ev := e.evidence(s.Name, primary, targets, lead, w, now)
-	if primary != "" && !w.probing && ev.proofAge > probeAfter {
+	obs := e.observe(s.Name, primary, targets, lead, w, now)
+	if primary != "" && !w.probing && obs.proofAge > probeAfter {
 		w.probing = true
-		e.done.Go(func() { e.probe(ctx, s.Name, primary, w) })
+		e.tasks.Go(func() { e.probe(ctx, s.Name, primary, w) })
 	}
-	if w.changing || now.Before(w.next) {
+	if w.changing || now.Before(w.nextChange) {
 		return
 	}
-	if a := decide(ev); a != wait {
+	if a := decide(obs); a != wait {
 		w.changing = true
-		e.done.Go(func() { e.act(ctx, s, primary, a, ev, w) })
+		e.tasks.Go(func() { e.act(ctx, s, primary, a, obs, w) })
 	}
 }
 
-func (e *Elector) evidence(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, lead views.Lead, w *watch, now time.Time) evidence {
-	ev := evidence{
-		known: primary != "", proofAge: now.Sub(lead.At), watched: now.Sub(w.since),
-		silent: w.last.silent, refused: w.last.refused, denied: w.last.denied,
+func (e *Elector) observe(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, lead views.Lead, w *watch, now time.Time) observation {
+	obs := observation{
+		primaryKnown: primary != "", proofAge: now.Sub(lead.At), watched: now.Sub(w.watchedSince),
+		silent: w.lastProbe.silent, refused: w.lastProbe.refused, denied: w.lastProbe.denied,
 		stalled: e.cfg.Homes.Stalled(primary),
 	}
-	if lead.Target == primary && lead.At.After(w.unconfirmed) {
+	if lead.Target == primary && lead.At.After(w.unconfirmedSince) {
 		// A commit or another VM has shown the lead; no probe followed, since the proof
 		// is young.
-		w.unconfirmed = time.Time{}
+		w.unconfirmedSince = time.Time{}
 	}
-	if !w.unconfirmed.IsZero() {
-		ev.stalled = max(ev.stalled, now.Sub(w.unconfirmed))
+	if !w.unconfirmedSince.IsZero() {
+		obs.stalled = max(obs.stalled, now.Sub(w.unconfirmedSince))
 	}
 	if lead.Target == "" {
-		ev.proofAge = ev.watched
+		obs.proofAge = obs.watched
 	}
 	found := false
 	for _, t := range targets {
 		if t.ID == primary {
-			ev.draining, ev.evacuated, found = t.Draining, t.Evacuated, true
-		} else if !leaving(&t) {
-			ev.successor = true
+			obs.draining, obs.evacuated, found = t.Draining, t.Evacuated, true
+		} else if !avoidAsPrimary(&t) {
+			obs.hasSuccessor = true
 		}
 	}
 	if !found && primary != "" {
-		ev.silent = true // its entry is gone
+		obs.silent = true // its entry is gone
 	}
-	return ev
+	return obs
 }
 
 const (
-	// pauseAfterChange is the time to the next change of a service. It doubles
+	// changeBackoff is the time to the next change of a service. It doubles
 	// with each failure and is random, so that two VMs that race give way to
 	// each other.
-	pauseAfterChange   = 200 * time.Millisecond
-	maxPauseDoublings  = 3
-	pauseJitterDivisor = 2
+	changeBackoff        = 200 * time.Millisecond
+	maxBackoffDoublings  = 3
+	backoffJitterDivisor = 2
 )
 
-// ended notes the end of a change and sets the pause before the next one.
-func (e *Elector) ended(w *watch, err error) {
+// finishChange notes the end of a change and sets the pause before the next one.
+func (e *Elector) finishChange(w *watch, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.changing = false
-	pause := pauseAfterChange << min(w.failures, maxPauseDoublings)
+	backoff := changeBackoff << min(w.failures, maxBackoffDoublings)
 	if err != nil {
 		w.failures++
 	} else {
 		w.failures = 0
 	}
-	w.next = e.cfg.Clock.Now().Add(pause + rand.N(pause/pauseJitterDivisor))
+	w.nextChange = e.cfg.Clock.Now().Add(backoff + rand.N(backoff/backoffJitterDivisor))
 }
--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -29,96 +29,96 @@
 	modelService siskin.ServiceName = "s"
 	// modelRosterRate is the rate of time in discovery, so that short runs have
 	// targets that are dropped and replaced. The times that follow are in ticks.
-	modelRosterRate  = 10
-	modelListTicks   = 15 // between two lists
-	modelExpireTicks = 15 // until the entry of a silent target is removed
-	modelEffectTicks = 100
-	modelMeetTicks   = 100
-	modelPingTicks   = 30
-	modelRetireTicks = 500
-	// modelWitnessAfter is lease.WitnessAfter for orders that come up to 3 s late.
-	modelWitnessAfter = 5 * time.Second
+	modelRosterRate      = 10
+	modelListTicks       = 15 // between two lists
+	modelExpireTicks     = 15 // until the entry of a silent target is removed
+	modelMaxEffectTicks  = 100
+	modelStepDownTicks   = 100
+	modelPingTicks       = 30
+	modelMeanDemoteTicks = 500
+	// modelMinUptime is lease.WitnessAfter for orders that come up to 3 s late.
+	modelMinUptime = 5 * time.Second
 )
 
 // modelRules leaves out one rule at a time, to show that the model needs it.
 type modelRules struct {
-	trustTarget   bool // reads at a primary rest on its own answer
-	noWait        bool // promotions follow the last claim at once
-	staleFence    bool // a fence in reserve is used whatever was used since
-	soleStepDown  bool // a primary that stepped down counts as a claim of all
-	freeAtOnce    bool // replicas are freed whether or not they reach the new primary
-	freeOvertaken bool // a change that fails frees replicas that another had claimed
-	noSecondLook  bool // claims are not read again before the order
-	staleLook     bool // an order follows its check however long ago that was
-	listedOnly    bool // claims are counted over listed targets only
-	lowTerm       bool // the term of claims is the one after the newest known
-	countBlank    bool // targets without a log count like those with one
-	bareAcks      bool // commits are passed on without a lease
-	youngWitness  bool // a replica that has just started confirms a lead
-	partGroup     bool // the listed replicas together confirm a lead, whatever is missing
-	olderTerm     bool // replicas confirm the lead of a term before the newest known
+	trustTarget      bool // reads at a primary rest on its own answer
+	noWait           bool // promotions follow the last claim at once
+	staleToken       bool // a fence in reserve is used whatever was used since
+	soleStepDown     bool // a primary that stepped down counts as a claim of all
+	unpauseAtOnce    bool // replicas are freed whether or not they reach the new primary
+	unpauseContested bool // a change that fails frees replicas that another had claimed
+	noRecheck        bool // claims are not read again before the order
+	staleCheck       bool // an order follows its check however long ago that was
+	listedOnly       bool // claims are counted over listed targets only
+	lowTerm          bool // the term of claims is the one after the newest known
+	countEmptyLogs   bool // targets without a log count like those with one
+	ackWithoutLease  bool // commits are passed on without a lease
+	trustRestarted   bool // a replica that has just started confirms a lead
+	partialGroup     bool // the listed replicas together confirm a lead, whatever is missing
+	olderTerm        bool // replicas confirm the lead of a term before the newest known
 }
 
 type modelVM struct {
-	rate    float64 // of its clock
-	frozen  int     // ticks
-	primary siskin.TargetID
-	pinged  int             // tick of the last ping
-	known   siskin.Position // end of the log of the last known primary
-	leases  *lease.Leases
-	arrived []modelCommit // acknowledged by the target, not passed on yet
-	roster  *roster.Roster
-	rev     int // of the last list
-	cut     bool
-	reserve siskin.FencingToken
-	claimed siskin.Term // of the claims of its last change
-	change  *modelChange
+	rate          float64 // of its clock
+	suspended     int     // ticks
+	primary       siskin.TargetID
+	pinged        int             // tick of the last ping
+	known         siskin.Position // end of the log of the last known primary
+	leases        *lease.Leases
+	pendingAcks   []modelCommit // acknowledged by the target, not passed on yet
+	roster        *roster.Roster
+	rev           int // of the last list
+	cutOff        bool
+	reservedToken siskin.FencingToken
+	lastClaimTerm siskin.Term // of the claims of its last change
+	change        *modelChange
 }
 
 type model struct {
 	rng    *rand.Rand
 	rules  modelRules
 	fenced bool
-	// calm says that no target starts while an order is under way or a former primary
-	// leads, and voids that an order ends when its target starts again after the last
+	// settledStarts says that no target starts while an order is under way or a former primary
+	// leads, and restartEndsOrder that an order ends when its target starts again after the last
 	// look at its claim.
-	calm, voids bool
-	tick        int
-	targets     [3]*modelTarget // a successor takes the place of the target before
-	nextID      int             // of targets
-	vms         [3]*modelVM
-	cut         [3][3]bool // between targets
-	vmCut       [3][3]bool // between a VM and a target
-	lapsing     [3]bool    // a target that does not reach discovery
-	entries     []modelEntry
-	rev         int // of discovery
-	acked       [8]uint64
-	waiting     []modelCommit
-	commits     int
-	term        siskin.Term         // of the last promotion
-	fence       siskin.FencingToken // last one given out
-	used        siskin.FencingToken // highest one seen by the platform
-	orders      []modelOrder
-	freeing     []modelFreeing
-	faults      []string
+	settledStarts, restartEndsOrder bool
+	tick                            int
+	targets                         [3]*modelTarget // a successor takes the place of the target before
+	nextID                          int             // of targets
+	vms                             [3]*modelVM
+	cut                             [3][3]bool // between targets
+	vmCut                           [3][3]bool // between a VM and a target
+	undiscovered                    [3]bool    // a target that does not reach discovery
+	entries                         []modelEntry
+	rev                             int // of discovery
+	acked                           [8]uint64
+	unacked                         []modelCommit
+	commits                         int
+	term                            siskin.Term         // of the last promotion
+	lastToken                       siskin.FencingToken // last one given out
+	maxUsedToken                    siskin.FencingToken // highest one seen by the platform
+	orders                          []modelOrder
+	releases                        []modelRelease
+	faults                          []string
 }
 
 func newModel(seed uint64, rules modelRules, fenced bool) *model {
-	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), rules: rules, fenced: fenced, calm: true, term: 1}
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), rules: rules, fenced: fenced, settledStarts: true, term: 1}
 	for i := range m.targets {
 		m.targets[i] = m.newTarget()
-		m.targets[i].term, m.targets[i].leads, m.targets[i].down = 1, i == 0, -modelTicks
+		m.targets[i].term, m.targets[i].leads, m.targets[i].runsFrom = 1, i == 0, -modelTicks
 	}
 	m.discover()
 	for i := range m.vms {
-		m.fence++
+		m.lastToken++
 		m.vms[i] = &modelVM{
-			rate: 0.97 + 0.06*m.rng.Float64(), leases: lease.New(), reserve: m.fence + 10, roster: roster.New(),
+			rate: 0.97 + 0.06*m.rng.Float64(), leases: lease.New(), reservedToken: m.lastToken + 10, roster: roster.New(),
 			primary: m.targets[0].id,
 		}
-		m.list(m.vms[i])
+		m.updateRoster(m.vms[i])
 	}
-	m.fence += 10
+	m.lastToken += 10
 	return m
 }
 
@@ -138,14 +138,14 @@
 // lookup returns a target that runs, nil when it is down or gone.
 func (m *model) lookup(id siskin.TargetID) *modelTarget {
 	for _, t := range m.targets {
-		if t.id == id && t.down <= m.tick {
+		if t.id == id && t.runsFrom <= m.tick {
 			return t
 		}
 	}
 	return nil
 }
 
-func (m *model) slot(t *modelTarget) int {
+func (m *model) index(t *modelTarget) int {
 	for i := range m.targets {
 		if m.targets[i] == t {
 			return i
@@ -154,10 +154,10 @@
 	return -1
 }
 
-// reach returns a target that a VM knows and reaches, nil when there is none.
-func (m *model) reach(vm int, id siskin.TargetID) *modelTarget {
+// reachable returns a target that a VM knows and reaches, nil when there is none.
+func (m *model) reachable(vm int, id siskin.TargetID) *modelTarget {
 	t := m.lookup(id)
-	if t == nil || m.vmCut[vm][m.slot(t)] {
+	if t == nil || m.vmCut[vm][m.index(t)] {
 		return nil
 	}
 	if _, ok := m.vms[vm].roster.Target(id); !ok {
@@ -169,7 +169,7 @@
 // discover renews the entries of targets and drops those that are silent.
 func (m *model) discover() {
 	for i, t := range m.targets {
-		if t.down > m.tick || t.listed > m.tick || m.lapsing[i] {
+		if t.runsFrom > m.tick || t.listedFrom > m.tick || m.undiscovered[i] {
 			continue
 		}
 		found := false
@@ -195,8 +195,8 @@
 	m.entries = kept
 }
 
-// list hands a VM the list of targets.
-func (m *model) list(v *modelVM) {
+// updateRoster hands a VM the updateRoster of targets.
+func (m *model) updateRoster(v *modelVM) {
 	at := time.Unix(1000, 0).Add(time.Duration(m.tick+1) * modelTick * modelRosterRate)
 	if v.rev == m.rev {
 		v.roster.Confirm(siskin.Version(m.rev), at)
@@ -216,35 +216,35 @@
 	from := m.targets[p]
 	received := false
 	for i, t := range m.targets {
-		if i != p && !t.leads && t.down <= m.tick && !m.cut[p][i] && t.held <= from.term && t.term <= from.term {
+		if i != p && !t.leads && t.runsFrom <= m.tick && !m.cut[p][i] && t.pauseTerm <= from.term && t.term <= from.term {
 			t.log, t.term, received = from.log, from.term, true
 		}
 	}
 	if !received {
 		return
 	}
-	kept := m.waiting[:0]
-	for _, c := range m.waiting {
+	kept := m.unacked[:0]
+	for _, c := range m.unacked {
 		if c.target != from.id || c.term != from.term {
 			kept = append(kept, c)
 			continue
 		}
-		if v := m.vms[c.vm]; m.reach(c.vm, from.id) != nil {
+		if v := m.vms[c.vm]; m.reachable(c.vm, from.id) != nil {
 			c.end = from.log.last
-			v.arrived = append(v.arrived, c)
+			v.pendingAcks = append(v.pendingAcks, c)
 		}
 	}
-	m.waiting = kept
+	m.unacked = kept
 }
 
-// passOn passes acknowledged commits on to callers under a lease. Without one the
+// acknowledge passes acknowledged commits on to callers under a lease. Without one the
 // replicas are asked, and their outcome stays unknown when none confirms the lead.
-func (m *model) passOn(vm int) {
+func (m *model) acknowledge(vm int) {
 	v := m.vms[vm]
-	for _, c := range v.arrived {
+	for _, c := range v.pendingAcks {
 		sent := m.at(v, c.sent)
-		if !m.rules.bareAcks && !v.leases.Extend(c.target, c.term, sent, m.now(v)) {
-			m.askReplicas(vm, c.target)
+		if !m.rules.ackWithoutLease && !v.leases.Extend(c.target, c.term, sent, m.now(v)) {
+			m.pollReplicas(vm, c.target)
 			if !v.leases.Extend(c.target, c.term, sent, m.now(v)) {
 				continue
 			}
@@ -252,7 +252,7 @@
 		m.acked[c.id/64] |= 1 << (c.id % 64)
 		v.known = c.end
 	}
-	v.arrived = v.arrived[:0]
+	v.pendingAcks = v.pendingAcks[:0]
 }
 
 func (m *model) at(v *modelVM, tick int) time.Time {
@@ -261,12 +261,12 @@
 
 func (m *model) write(vm int) {
 	v := m.vms[vm]
-	t := m.reach(vm, v.primary)
+	t := m.reachable(vm, v.primary)
 	if t == nil || !t.leads || m.commits == 8*64-1 {
 		return
 	}
-	if !m.rules.bareAcks && !v.leases.Valid(t.id, m.now(v)) {
-		m.askReplicas(vm, t.id)
+	if !m.rules.ackWithoutLease && !v.leases.Valid(t.id, m.now(v)) {
+		m.pollReplicas(vm, t.id)
 		if !v.leases.Valid(t.id, m.now(v)) {
 			return // refused before it is sent
 		}
@@ -274,28 +274,28 @@
 	m.commits++
 	t.log.add(m.commits)
 	t.log.last = siskin.Position{Term: t.term, LSN: t.log.last.LSN + 1}
-	m.waiting = append(m.waiting, modelCommit{vm: vm, id: m.commits, target: t.id, term: t.term, sent: m.tick})
-	m.replicate(m.slot(t))
+	m.unacked = append(m.unacked, modelCommit{vm: vm, id: m.commits, target: t.id, term: t.term, sent: m.tick})
+	m.replicate(m.index(t))
 }
 
-// askReplicas asks all replicas to confirm the lead of a target. One that has run for
+// pollReplicas asks all replicas to confirm the lead of a target. One that has run for
 // long does; otherwise all of a complete group together.
-func (m *model) askReplicas(vm int, primary siskin.TargetID) {
+func (m *model) pollReplicas(vm int, primary siskin.TargetID) {
 	v, now := m.vms[vm], m.now(m.vms[vm])
-	p := m.reach(vm, primary)
+	p := m.reachable(vm, primary)
 	if p == nil || !p.leads || p.term < v.known.Term && !m.rules.olderTerm {
 		return
 	}
 	listed := v.roster.Service(modelService)
 	poll := lease.Poll{Term: p.term, SyncReplicas: 1, Replicas: len(listed) - 1, GroupSize: v.roster.Size(modelService)}
-	if m.rules.partGroup {
+	if m.rules.partialGroup {
 		poll.GroupSize = 0
 	}
 	for _, info := range listed {
 		if m.lookup(info.ID) == nil {
 			poll.AddDown()
-		} else if r := m.reach(vm, info.ID); r != nil && r != p {
-			poll.Add(r.status(), m.rules.youngWitness || v.leases.Trusted(p.id, p.term, m.at(v, r.down), now, modelWitnessAfter))
+		} else if r := m.reachable(vm, info.ID); r != nil && r != p {
+			poll.Add(r.status(), m.rules.trustRestarted || v.leases.Trusted(p.id, p.term, m.at(v, r.runsFrom), now, modelMinUptime))
 		}
 	}
 	if poll.Confirmed() {
@@ -303,17 +303,17 @@
 	}
 }
 
-// askReplica asks one replica to confirm the lead of a target.
-func (m *model) askReplica(vm int, primary siskin.TargetID, slot int) {
+// pollReplica asks one replica to confirm the lead of a target.
+func (m *model) pollReplica(vm int, primary siskin.TargetID, slot int) {
 	v, now := m.vms[vm], m.now(m.vms[vm])
-	p, r := m.reach(vm, primary), m.reach(vm, m.targets[slot].id)
+	p, r := m.reachable(vm, primary), m.reachable(vm, m.targets[slot].id)
 	if r == nil || p == nil || r == p || !p.leads || !lease.Unclaimed(r.status(), p.term) {
 		return
 	}
 	if p.term < v.known.Term && !m.rules.olderTerm {
 		return
 	}
-	if m.rules.youngWitness || v.leases.Trusted(p.id, p.term, m.at(v, r.down), now, modelWitnessAfter) {
+	if m.rules.trustRestarted || v.leases.Trusted(p.id, p.term, m.at(v, r.runsFrom), now, modelMinUptime) {
 		v.leases.Renew(p.id, p.term, now)
 	}
 }
@@ -330,7 +330,7 @@
 // read checks that a primary that a VM may use has all acknowledged commits.
 func (m *model) read(vm int) {
 	v := m.vms[vm]
-	t := m.reach(vm, v.primary)
+	t := m.reachable(vm, v.primary)
 	if t == nil || !t.leads || !m.fenced && !m.rules.trustTarget && !v.leases.Valid(t.id, m.now(v)) {
 		return
 	}
@@ -340,8 +340,8 @@
 	}
 }
 
-// sole reports whether a target has acknowledged commits that no other one has.
-func (m *model) sole(slot int) bool {
+// hasOnlyCopy reports whether a target has acknowledged commits that no other one has.
+func (m *model) hasOnlyCopy(slot int) bool {
 	var others modelLog
 	for i, t := range m.targets {
 		if i != slot {
@@ -362,7 +362,7 @@
 		}
 	}
 	for _, v := range m.vms {
-		if c := v.change; c != nil && (!c.checked.IsZero() || c.deadline != 0) {
+		if c := v.change; c != nil && (!c.checkedAt.IsZero() || c.deadline != 0) {
 			return true
 		}
 	}
@@ -375,25 +375,25 @@
 func (m *model) restart(slot int, replaced bool) {
 	t := m.targets[slot]
 	switch {
-	case m.calm && m.unsettled():
+	case m.settledStarts && m.unsettled():
 		return
 	case t.leads || t.crashed:
 		if !replaced && t.leads {
-			t.crashed, t.leads, t.held, t.down = true, false, 0, m.tick+m.rng.IntN(100)
+			t.crashed, t.leads, t.pauseTerm, t.runsFrom = true, false, 0, m.tick+m.rng.IntN(100)
 		}
 		return
-	case m.sole(slot):
+	case m.hasOnlyCopy(slot):
 		return // no rule keeps a commit that no target has
 	}
-	m.waiting = slices.DeleteFunc(m.waiting, func(c modelCommit) bool { return c.target == t.id })
+	m.unacked = slices.DeleteFunc(m.unacked, func(c modelCommit) bool { return c.target == t.id })
 	next := &modelTarget{id: t.id}
 	if replaced {
 		next = m.newTarget()
-		next.listed = m.tick + m.rng.IntN(20)
+		next.listedFrom = m.tick + m.rng.IntN(20)
 	}
-	next.down = m.tick + m.rng.IntN(20)
-	next.born = m.tick
-	next.listed = max(next.listed, next.down)
+	next.runsFrom = m.tick + m.rng.IntN(20)
+	next.restarted = m.tick
+	next.listedFrom = max(next.listedFrom, next.runsFrom)
 	m.targets[slot] = next
 }
 
@@ -401,17 +401,17 @@
 // have met a newer one.
 func (m *model) resume() {
 	for i, t := range m.targets {
-		if t.crashed && t.down <= m.tick {
+		if t.crashed && t.runsFrom <= m.tick {
 			t.crashed, t.leads = false, true
 		}
 		meets := false
 		for j, other := range m.targets {
 			meets = meets || other.leads && other.term > t.term && !m.cut[i][j]
 		}
-		if t.met++; !t.leads || !meets {
-			t.met = 0
+		if t.metTicks++; !t.leads || !meets {
+			t.metTicks = 0
 		}
-		if t.met > modelMeetTicks {
+		if t.metTicks > modelStepDownTicks {
 			t.leads = false
 		}
 		if t.leads && m.rng.IntN(4) == 0 {
@@ -422,40 +422,40 @@
 
 func (m *model) step() {
 	m.tick++
-	m.carryOut()
+	m.runOrders()
 	m.resume()
 	m.discover()
-	m.free()
+	m.unpauseReplicas()
 	for vm, v := range m.vms {
-		if v.frozen > 0 {
-			v.frozen--
+		if v.suspended > 0 {
+			v.suspended--
 			continue
 		}
-		if (m.tick+vm*modelListTicks/3)%modelListTicks == 0 && !v.cut {
-			m.list(v)
+		if (m.tick+vm*modelListTicks/3)%modelListTicks == 0 && !v.cutOff {
+			m.updateRoster(v)
 		}
 		if m.tick-v.pinged >= modelPingTicks {
 			v.pinged = m.tick
 			m.ping(v)
 		}
-		m.passOn(vm)
-		m.proceed(vm)
+		m.acknowledge(vm)
+		m.advance(vm)
 		switch n := m.rng.IntN(200); {
 		case n < 60:
 			m.read(vm)
 		case n < 80:
 			m.write(vm)
 		case n < 90:
-			m.askReplica(vm, v.primary, m.rng.IntN(3))
+			m.pollReplica(vm, v.primary, m.rng.IntN(3))
 		case n < 92 && v.change == nil:
-			m.begin(vm)
+			m.beginChange(vm)
 		case n < 94:
-			v.frozen = m.rng.IntN(150)
+			v.suspended = m.rng.IntN(150)
 		case n < 100:
 			v.primary = m.targets[m.rng.IntN(3)].id // news of another VM, true or not
 		case n < 102:
-			m.fence++
-			v.reserve = m.fence
+			m.lastToken++
+			v.reservedToken = m.lastToken
 		}
 	}
 	switch a, b := m.rng.IntN(3), m.rng.IntN(3); m.rng.IntN(200) {
@@ -472,23 +472,23 @@
 	case 7:
 		m.restart(a, true)
 	case 8:
-		m.lapsing[a] = true
+		m.undiscovered[a] = true
 	case 9, 10:
-		m.lapsing[a] = false
+		m.undiscovered[a] = false
 	case 11:
-		m.vms[a].cut = true
+		m.vms[a].cutOff = true
 	case 12, 13:
-		m.vms[a].cut = false
+		m.vms[a].cutOff = false
 	case 14, 15:
-		m.part(a, b)
+		m.isolate(a, b)
 	case 16:
-		m.cut, m.vmCut, m.lapsing = [3][3]bool{}, [3][3]bool{}, [3]bool{}
+		m.cut, m.vmCut, m.undiscovered = [3][3]bool{}, [3][3]bool{}, [3]bool{}
 	}
 }
 
-// part cuts a target and a VM off from all others and from discovery.
-func (m *model) part(slot, vm int) {
-	m.lapsing[slot], m.vms[vm].cut = true, true
+// isolate cuts a target and a VM off from all others and from discovery.
+func (m *model) isolate(slot, vm int) {
+	m.undiscovered[slot], m.vms[vm].cutOff = true, true
 	for i := range 3 {
 		m.cut[slot][i], m.cut[i][slot] = i != slot, i != slot
 		m.vmCut[i][slot] = i != vm
@@ -526,29 +526,29 @@
 		{"a former primary is trusted", modelRules{trustTarget: true}, false, true, 1, false},
 		{"no wait before a promotion", modelRules{noWait: true}, false, true, 1, false},
 		{"no wait when claims were taken over with fences", modelRules{noWait: true}, true, true, 140, false},
-		{"a fence in reserve is used blindly", modelRules{staleFence: true}, false, true, 1, false},
-		{"a fence in reserve is used blindly with fences", modelRules{staleFence: true}, true, true, 9200, false},
+		{"a fence in reserve is used blindly", modelRules{staleToken: true}, false, true, 1, false},
+		{"a fence in reserve is used blindly with fences", modelRules{staleToken: true}, true, true, 9200, false},
 		{"a former primary counts for all", modelRules{soleStepDown: true}, false, true, 360, false},
 		{"a former primary counts for all with fences", modelRules{soleStepDown: true}, true, true, 1060, false},
-		{"replicas are freed at once", modelRules{freeAtOnce: true}, false, true, 11600, false},
-		{"claims are not read again", modelRules{noSecondLook: true}, false, true, 1, false},
-		{"claims are not read again with fences", modelRules{noSecondLook: true}, true, true, 1, false},
-		{"an old check is trusted", modelRules{staleLook: true}, false, true, 990, false},
-		{"an old check is trusted with fences", modelRules{staleLook: true}, true, true, 17600, false},
-		{"overtaken claims are freed", modelRules{freeOvertaken: true, bareAcks: true}, false, true, 2600, false},
-		{"overtaken claims are freed with fences", modelRules{freeOvertaken: true}, true, true, 51700, false},
+		{"replicas are freed at once", modelRules{unpauseAtOnce: true}, false, true, 11600, false},
+		{"claims are not read again", modelRules{noRecheck: true}, false, true, 1, false},
+		{"claims are not read again with fences", modelRules{noRecheck: true}, true, true, 1, false},
+		{"an old check is trusted", modelRules{staleCheck: true}, false, true, 990, false},
+		{"an old check is trusted with fences", modelRules{staleCheck: true}, true, true, 17600, false},
+		{"overtaken claims are freed", modelRules{unpauseContested: true, ackWithoutLease: true}, false, true, 2600, false},
+		{"overtaken claims are freed with fences", modelRules{unpauseContested: true}, true, true, 51700, false},
 		{"claims over listed targets", modelRules{listedOnly: true}, false, true, 1, false},
 		{"claims over listed targets with fences", modelRules{listedOnly: true}, true, true, 1, false},
-		{"targets without a log count", modelRules{countBlank: true}, false, true, 120, false},
-		{"targets without a log count with fences", modelRules{countBlank: true}, true, true, 1, false},
+		{"targets without a log count", modelRules{countEmptyLogs: true}, false, true, 120, false},
+		{"targets without a log count with fences", modelRules{countEmptyLogs: true}, true, true, 1, false},
 		{"the next term is claimed", modelRules{lowTerm: true}, true, true, 11600, false},
 		{"all rules and starts", modelRules{}, false, false, first, true},
 		{"all rules and starts with fences", modelRules{}, true, false, first, true},
-		{"commits are passed on without a lease", modelRules{bareAcks: true}, false, true, 390, true},
-		{"commits are passed on without a lease with fences", modelRules{bareAcks: true}, true, true, 4300, true},
-		{"replicas that have just started confirm", modelRules{youngWitness: true}, false, true, 2000, true},
-		{"replicas that have just started confirm with fences", modelRules{youngWitness: true}, true, true, 4300, true},
-		{"part of a group confirms together", modelRules{partGroup: true}, false, true, 25100, true},
+		{"commits are passed on without a lease", modelRules{ackWithoutLease: true}, false, true, 390, true},
+		{"commits are passed on without a lease with fences", modelRules{ackWithoutLease: true}, true, true, 4300, true},
+		{"replicas that have just started confirm", modelRules{trustRestarted: true}, false, true, 2000, true},
+		{"replicas that have just started confirm with fences", modelRules{trustRestarted: true}, true, true, 4300, true},
+		{"part of a group confirms together", modelRules{partialGroup: true}, false, true, 25100, true},
 		{"replicas confirm an earlier term than the newest known", modelRules{olderTerm: true}, false, true, 32100, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -556,7 +556,7 @@
 			seed, fault := c.from, ""
 			for ; seed < c.from+modelRuns && fault == ""; seed++ {
 				m := newModel(seed, c.rules, c.fenced)
-				m.calm, m.voids = !c.starts, c.starts
+				m.settledStarts, m.restartEndsOrder = !c.starts, c.starts
 				fault = m.run()
 			}
 			if got := fault != ""; got != c.want {
@@ -583,7 +583,7 @@
 				found, example := 0, ""
 				for seed := first; seed < first+modelStartRuns; seed++ {
 					m := newModel(seed, modelRules{}, fenced)
-					m.calm, m.voids = false, voids
+					m.settledStarts, m.restartEndsOrder = false, voids
 					if fault := m.run(); fault != "" {
 						found++
 						example = fmt.Sprintf("seed %d, %s", seed, fault)
--- a/internal/elect/modelchange_test.go
+++ b/internal/elect/modelchange_test.go
@@ -13,20 +13,20 @@
 const (
 	// modelLeadTicks is the time for which a VM waits for a promoted target to lead.
 	modelLeadTicks = int(leadTimeout / modelTick)
-	// modelOrders bounds the orders of one change.
-	modelOrders = maxPromotions
+	// modelMaxOrders bounds the orders of one change.
+	modelMaxOrders = maxPromotions
 )
 
 // modelChange is a change of primary at one VM.
 type modelChange struct {
-	change                     // its times are on the VM's clock; checked is zero before the claims were read again
-	leading  []siskin.TargetID // targets that led when they were asked
-	claimed  int               // claims taken
-	until    time.Time         // on the VM's clock
-	orders   int
-	looked   int // tick of the last look at the claims
-	again    int // tick of the next order after one without an answer, zero for none
-	deadline int // tick at which the VM gives up to wait for the lead
+	change                      // its times are on the VM's clock; checked is zero before the claims were read again
+	leading   []siskin.TargetID // targets that led when they were asked
+	asked     int               // claims taken
+	notBefore time.Time         // on the VM's clock
+	orders    int
+	checkTick int // tick of the last look at the claims
+	retryTick int // tick of the next order after one without an answer, zero for none
+	deadline  int // tick at which the VM gives up to wait for the lead
 }
 
 // modelOrder is a promotion on its way: it reaches the platform, which takes time
@@ -37,57 +37,57 @@
 	target               siskin.TargetID
 	vm                   *modelVM
 	change               *modelChange
-	looked               int // tick of the last look at the claims before it
-	fence                siskin.FencingToken
+	checkTick            int // tick of the last look at the claims before it
+	token                siskin.FencingToken
 }
 
-// modelFreeing is the end of the claims of a change that has promoted a target.
-type modelFreeing struct {
+// modelRelease is the end of the claims of a change that has promoted a target.
+type modelRelease struct {
 	change *modelChange
 	vm     int
 	term   siskin.Term // of the new primary
 }
 
-// begin asks the targets and chooses the term of a change of primary at a VM.
-func (m *model) begin(vm int) {
+// beginChange asks the targets and chooses the term of a change of primary at a VM.
+func (m *model) beginChange(vm int) {
 	v := m.vms[vm]
-	c := &modelChange{change: change{old: v.primary, unfenced: !m.fenced, spec: siskin.ServiceSpec{SyncReplicas: 1}}}
+	c := &modelChange{change: change{oldPrimary: v.primary, unfenced: !m.fenced, spec: siskin.ServiceSpec{SyncReplicas: 1}}}
 	for _, info := range v.roster.Service(modelService) {
-		cl := claim{target: info, primary: info.ID == v.primary}
-		t := m.reach(vm, info.ID)
+		cl := claim{target: info, wasPrimary: info.ID == v.primary}
+		t := m.reachable(vm, info.ID)
 		if t == nil {
 			cl.err = errModelSilent
 		} else {
 			cl.status = t.status()
-			c.leadTerm, c.heldTerm = max(c.leadTerm, t.term, t.log.last.Term), max(c.heldTerm, t.held)
+			c.primaryTerm, c.maxPauseTerm = max(c.primaryTerm, t.term, t.log.last.Term), max(c.maxPauseTerm, t.pauseTerm)
 			if t.leads {
 				c.leading = append(c.leading, t.id)
 			}
 		}
 		c.claims = append(c.claims, cl)
 	}
-	if !prospect(m.unlisted(v, c), 1) {
+	if !canSucceed(m.unlisted(v, c), 1) {
 		return
 	}
 	c.claims = nil
 	for _, info := range v.roster.Service(modelService) {
-		c.claims = append(c.claims, claim{target: info, primary: info.ID == v.primary})
+		c.claims = append(c.claims, claim{target: info, wasPrimary: info.ID == v.primary})
 	}
 	m.rng.Shuffle(len(c.claims), func(i, j int) { c.claims[i], c.claims[j] = c.claims[j], c.claims[i] })
-	c.term = claimTerm(max(c.leadTerm, c.heldTerm), siskin.Term(m.rng.Int64N(int64(termSpread))))
+	c.term = claimTerm(max(c.primaryTerm, c.maxPauseTerm), siskin.Term(m.rng.Int64N(int64(termJitter))))
 	if m.rules.lowTerm {
-		c.term = max(c.leadTerm, c.heldTerm) + 1
+		c.term = max(c.primaryTerm, c.maxPauseTerm) + 1
 	}
 	if !m.fenced {
-		if c.fence = v.reserve; !m.rules.staleFence || c.fence <= siskin.FencingToken(max(c.leadTerm, c.heldTerm)) {
-			m.fence = max(m.fence, siskin.FencingToken(max(c.leadTerm, c.heldTerm))) + 1
-			c.fence = m.fence
+		if c.token = v.reservedToken; !m.rules.staleToken || c.token <= siskin.FencingToken(max(c.primaryTerm, c.maxPauseTerm)) {
+			m.lastToken = max(m.lastToken, siskin.FencingToken(max(c.primaryTerm, c.maxPauseTerm))) + 1
+			c.token = m.lastToken
 		}
-		m.fence++
-		v.reserve = m.fence
-		c.term = siskin.Term(c.fence)
+		m.lastToken++
+		v.reservedToken = m.lastToken
+		c.term = siskin.Term(c.token)
 	}
-	c.own = v.claimed
+	c.ownTerm = v.lastClaimTerm
 	v.change = c
 }
 
@@ -97,32 +97,32 @@
 	if m.rules.listedOnly {
 		return c.claims
 	}
-	return withUnlisted(c.claims, c.old == "", v.roster.Size(modelService))
+	return withUnlisted(c.claims, c.oldPrimary == "", v.roster.Size(modelService))
 }
 
-// proceed takes one step of the change of a VM.
-func (m *model) proceed(vm int) {
+// advance takes one step of the change of a VM.
+func (m *model) advance(vm int) {
 	v := m.vms[vm]
 	c := v.change
 	switch {
 	case c == nil:
-	case c.led:
-		v.change, v.claimed = nil, c.ownNext()
-	case c.claimed < len(c.claims):
-		m.claimOne(vm, &c.claims[c.claimed])
-		if c.claimed++; c.claimed == len(c.claims) {
-			m.choose(vm)
+	case c.promoted:
+		v.change, v.lastClaimTerm = nil, c.nextOwnTerm()
+	case c.asked < len(c.claims):
+		m.claimOne(vm, &c.claims[c.asked])
+		if c.asked++; c.asked == len(c.claims) {
+			m.chooseCandidate(vm)
 		}
-	case c.deadline != 0 && m.tick < c.deadline && (c.again == 0 || m.tick < c.again):
-	case c.deadline != 0 && (c.again == 0 || c.orders == modelOrders):
-		m.end(v)
-	case m.now(v).Before(c.until):
-	case c.checked.IsZero() || c.again != 0 || !c.fresh(m.now(v)) && !m.rules.staleLook:
-		c.again = 0
+	case c.deadline != 0 && m.tick < c.deadline && (c.retryTick == 0 || m.tick < c.retryTick):
+	case c.deadline != 0 && (c.retryTick == 0 || c.orders == modelMaxOrders):
+		m.endChange(v)
+	case m.now(v).Before(c.notBefore):
+	case c.checkedAt.IsZero() || c.retryTick != 0 || !c.checkedRecently(m.now(v)) && !m.rules.staleCheck:
+		c.retryTick = 0
 		m.check(vm)
 		// The VM may stand still, or wait for a fence.
 		if m.rng.IntN(4) == 0 {
-			v.frozen = m.rng.IntN(200)
+			v.suspended = m.rng.IntN(200)
 		}
 	default:
 		m.order(v)
@@ -133,8 +133,8 @@
 func (m *model) claimOne(vm int, cl *claim) {
 	v := m.vms[vm]
 	c := v.change
-	cl.at = m.now(v)
-	t := m.reach(vm, cl.target.ID)
+	cl.answeredAt = m.now(v)
+	t := m.reachable(vm, cl.target.ID)
 	if t == nil {
 		cl.err = errModelSilent
 		return
@@ -144,39 +144,39 @@
 	if led && t.leads && c.term > t.term {
 		t.leads = false
 	}
-	if !t.leads && c.term > t.term && c.term > t.held {
-		t.held = c.term
+	if !t.leads && c.term > t.term && c.term > t.pauseTerm {
+		t.pauseTerm = c.term
 	}
 	cl.status = t.status()
-	cl.claimedBy(before, c.term, c.leadTerm, c.own, led, !m.fenced)
-	c.overtook = c.overtook || cl.overtook
+	cl.recordResult(before, c.term, c.primaryTerm, c.ownTerm, led, !m.fenced)
+	c.contested = c.contested || cl.contested
 }
 
-// choose counts the claims and chooses the target to promote.
-func (m *model) choose(vm int) {
+// chooseCandidate counts the claims and chooses the target to promote.
+func (m *model) chooseCandidate(vm int) {
 	v := m.vms[vm]
 	c := v.change
 	c.claims = m.unlisted(v, c)
-	if !m.rules.countBlank {
-		markBlank(c.claims, v.known)
+	if !m.rules.countEmptyLogs {
+		markEmptyLogs(c.claims, v.known)
 	}
-	if !enough(c.claims, c.term, 1) && !m.alone(c, c.claims) {
-		m.end(v)
+	if !hasQuorum(c.claims, c.term, 1) && !m.stepDownSuffices(c, c.claims) {
+		m.endChange(v)
 		return
 	}
-	best, ok := newest(c.claims, c.term, 1)
+	best, ok := bestCandidate(c.claims, c.term, 1)
 	if !ok {
-		m.end(v)
+		m.endChange(v)
 		return
 	}
-	c.chosen = best
+	c.candidate = best
 	if !m.rules.noWait {
-		c.until = waitUntil(c.claims, c.term, c.overtook)
+		c.notBefore = promotionTime(c.claims, c.term, c.contested)
 	}
 }
 
-// alone reports whether a primary that stepped down counts as a claim of all.
-func (m *model) alone(c *modelChange, claims []claim) bool {
+// stepDownSuffices reports whether a primary that stepped down counts as a claim of all.
+func (m *model) stepDownSuffices(c *modelChange, claims []claim) bool {
 	return m.rules.soleStepDown && slices.ContainsFunc(claims, func(cl claim) bool {
 		return (cl.demoted || cl.steppedDown) && cl.holds(c.term)
 	})
@@ -186,8 +186,8 @@
 func (m *model) check(vm int) {
 	v := m.vms[vm]
 	c := v.change
-	if _, ok := newcomer(c.claims, v.roster.Service(modelService)); ok {
-		m.end(v)
+	if _, ok := joinedTarget(c.claims, v.roster.Service(modelService)); ok {
+		m.endChange(v)
 		return
 	}
 	again := append([]claim(nil), c.claims...)
@@ -196,59 +196,59 @@
 		if !cl.holds(c.term) {
 			continue
 		}
-		if t := m.reach(vm, cl.target.ID); t == nil {
+		if t := m.reachable(vm, cl.target.ID); t == nil {
 			cl.err = errModelSilent
 		} else {
 			cl.status = t.status()
 		}
 	}
-	if err := c.compare(again); err != nil && !m.rules.noSecondLook && !m.alone(c, again) {
-		m.end(v)
+	if err := c.compare(again); err != nil && !m.rules.noRecheck && !m.stepDownSuffices(c, again) {
+		m.endChange(v)
 		return
 	}
-	c.checked, c.looked = m.now(v), m.tick
+	c.checkedAt, c.checkTick = m.now(v), m.tick
 }
 
 // order sends the promotion of the chosen target.
 func (m *model) order(v *modelVM) {
 	c := v.change
 	if m.fenced {
-		if v.reserve == 0 || c.overtook && !m.rules.staleFence {
-			m.fence++
-			v.reserve = m.fence
+		if v.reservedToken == 0 || c.contested && !m.rules.staleToken {
+			m.lastToken++
+			v.reservedToken = m.lastToken
 		}
-		c.fence, v.reserve = v.reserve, 0
+		c.token, v.reservedToken = v.reservedToken, 0
 	}
-	o := modelOrder{arrives: m.tick, target: c.chosen.target.ID, vm: v, change: c, looked: c.looked, fence: c.fence}
+	o := modelOrder{arrives: m.tick, target: c.candidate.target.ID, vm: v, change: c, checkTick: c.checkTick, token: c.token}
 	c.orders++
-	c.pending, c.deadline, c.checked = true, m.tick+modelLeadTicks, time.Time{}
+	c.pending, c.deadline, c.checkedAt = true, m.tick+modelLeadTicks, time.Time{}
 	if m.fenced && m.rng.IntN(8) == 0 { // its answer is lost, and it may come late
 		o.arrives += m.rng.IntN(300)
-		c.again = m.tick + 5
+		c.retryTick = m.tick + 5
 	}
 	// A late order counts from the moment at which it is carried out.
 	if o.takesEffect = o.arrives; o.arrives == m.tick {
-		o.takesEffect += m.rng.IntN(modelEffectTicks >> (m.rng.IntN(2) * 3))
+		o.takesEffect += m.rng.IntN(modelMaxEffectTicks >> (m.rng.IntN(2) * 3))
 	}
 	m.orders = append(m.orders, o)
 }
 
-// end gives a change up. It lets the replicas go unless an order may be on its way.
-func (m *model) end(v *modelVM) {
+// endChange gives a change up. It lets the replicas go unless an order may be on its way.
+func (m *model) endChange(v *modelVM) {
 	c := v.change
-	v.change, v.claimed = nil, c.ownNext()
-	if c.pending || c.overtook && !m.rules.freeOvertaken {
+	v.change, v.lastClaimTerm = nil, c.nextOwnTerm()
+	if c.pending || c.contested && !m.rules.unpauseContested {
 		return
 	}
 	for _, t := range m.targets {
-		if t.held == c.term {
-			t.held = 0
+		if t.pauseTerm == c.term {
+			t.pauseTerm = 0
 		}
 	}
 }
 
-// carryOut plays the orders at the platform.
-func (m *model) carryOut() {
+// runOrders plays the orders at the platform.
+func (m *model) runOrders() {
 	kept := m.orders[:0]
 	for _, o := range m.orders {
 		if !o.accepted && o.arrives <= m.tick {
@@ -269,12 +269,12 @@
 // refused gives its change up.
 func (m *model) accept(o modelOrder) bool {
 	t := m.lookup(o.target)
-	refused := t == nil || m.fenced && o.fence < m.used
-	if !m.fenced && o.fence < m.used {
-		m.fault("tick %d: fence %d after %d", m.tick, o.fence, m.used)
+	refused := t == nil || m.fenced && o.token < m.maxUsedToken
+	if !m.fenced && o.token < m.maxUsedToken {
+		m.fault("tick %d: fence %d after %d", m.tick, o.token, m.maxUsedToken)
 	}
-	m.used = max(m.used, o.fence)
-	if refused && o.vm.change == o.change && o.change.again == 0 {
+	m.maxUsedToken = max(m.maxUsedToken, o.token)
+	if refused && o.vm.change == o.change && o.change.retryTick == 0 {
 		o.change.deadline = m.tick
 		o.change.pending = o.change.orders > 1
 	}
@@ -283,7 +283,7 @@
 
 func (m *model) promote(o modelOrder) {
 	t := m.lookup(o.target)
-	if t == nil || t.leads || m.voids && t.born >= o.looked {
+	if t == nil || t.leads || m.restartEndsOrder && t.restarted >= o.checkTick {
 		return // not there, or the primary already
 	}
 	if id, ok := t.log.lacks(&m.acked); ok {
@@ -296,44 +296,44 @@
 		}
 	}
 	m.term++
-	t.term, t.held, t.leads, t.met = m.term, 0, true, 0
+	t.term, t.pauseTerm, t.leads, t.metTicks = m.term, 0, true, 0
 	o.vm.primary = t.id
-	o.change.led, o.change.pending = true, false
+	o.change.promoted, o.change.pending = true, false
 	for i, v := range m.vms {
 		if v == o.vm {
-			m.freeing = append(m.freeing, modelFreeing{o.change, i, t.term})
+			m.releases = append(m.releases, modelRelease{o.change, i, t.term})
 		}
 	}
-	m.free()
+	m.unpauseReplicas()
 }
 
-// free ends claims of replicas that follow the new primary at once, and of all
+// unpauseReplicas ends claims of replicas that follow the new primary at once, and of all
 // once no former primary leads.
-func (m *model) free() {
-	freeing := m.freeing
+func (m *model) unpauseReplicas() {
+	releases := m.releases
 	if m.fenced {
-		m.freeing = nil // one step ends all
+		m.releases = nil // one step ends all
 	}
-	for _, f := range freeing {
-		p := m.lookup(f.change.chosen.target.ID)
+	for _, f := range releases {
+		p := m.lookup(f.change.candidate.target.ID)
 		former := false
 		for slot, t := range m.targets {
 			if t.leads && t.term < f.term {
 				// The VM makes it step down when it reaches it.
-				if v := m.vms[f.vm]; m.reach(f.vm, t.id) != nil && v.frozen == 0 && m.rng.IntN(modelRetireTicks) == 0 {
+				if v := m.vms[f.vm]; m.reachable(f.vm, t.id) != nil && v.suspended == 0 && m.rng.IntN(modelMeanDemoteTicks) == 0 {
 					t.leads = false
 				}
 				former = former || t.leads && m.targets[slot] == t
 			}
 		}
 		for slot, t := range m.targets {
-			follows := p != nil && p.leads && p.term == f.term && !m.cut[m.slot(p)][slot]
-			if t.held == f.change.term && (follows || !former || m.fenced || m.rules.freeAtOnce) {
-				t.held = 0
+			follows := p != nil && p.leads && p.term == f.term && !m.cut[m.index(p)][slot]
+			if t.pauseTerm == f.change.term && (follows || !former || m.fenced || m.rules.unpauseAtOnce) {
+				t.pauseTerm = 0
 			}
 		}
 		if p != nil && p.leads {
-			m.replicate(m.slot(p))
+			m.replicate(m.index(p))
 		}
 	}
 }
--- a/internal/elect/modeltarget_test.go
+++ b/internal/elect/modeltarget_test.go
@@ -23,24 +23,24 @@
 }
 
 type modelTarget struct {
-	id         siskin.TargetID
-	term, held siskin.Term
-	leads      bool
-	log        modelLog
-	// down is the tick until which the target does not run and at which its present
-	// run starts, and listed that from which it has an entry in discovery.
-	down, listed int
-	born         int // tick of the last start
+	id              siskin.TargetID
+	term, pauseTerm siskin.Term
+	leads           bool
+	log             modelLog
+	// runsFrom is the tick until which the target does not run and at which its present
+	// run starts, and listedFrom that from which it has an entry in discovery.
+	runsFrom, listedFrom int
+	restarted            int // tick of the last start
 	// crashed says that the target led when it crashed, before any further
 	// promotion.
 	crashed bool
-	// met counts the ticks for which a former primary has reached a newer one.
-	met int
+	// metTicks counts the ticks for which a former primary has reached a newer one.
+	metTicks int
 }
 
 // status returns what a target tells a VM.
 func (t *modelTarget) status() siskin.ControlStatus {
-	return siskin.ControlStatus{Primary: t.leads, Term: t.term, PauseTerm: t.held, Received: t.log.last}
+	return siskin.ControlStatus{Primary: t.leads, Term: t.term, PauseTerm: t.pauseTerm, Received: t.log.last}
 }
 
 // modelEntry is the entry of a target in discovery.
--- a/internal/elect/probe.go
+++ b/internal/elect/probe.go
@@ -21,28 +21,28 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.probing = false
-	if w.last.target != id {
+	if w.lastProbe.target != id {
 		return
 	}
-	w.last = probe{target: id}
-	unconfirmed := w.unconfirmed
-	w.unconfirmed = time.Time{}
+	w.lastProbe = probe{target: id}
+	unconfirmed := w.unconfirmedSince
+	w.unconfirmedSince = time.Time{}
 	switch {
 	case err == nil:
 	case siskin.KindOf(err) == siskin.Conflict:
-		w.last.denied = true
+		w.lastProbe.denied = true
 	case siskin.KindOf(err) == siskin.Overloaded:
 		// It answers, so it is neither silent nor gone.
 	case siskin.KindOf(err) == siskin.NotRun:
 		// Replicas that are out of reach say nothing about the primary.
-		if w.unconfirmed = unconfirmed; unconfirmed.IsZero() && e.cfg.Homes.Claimed(id) {
-			w.unconfirmed = start
+		if w.unconfirmedSince = unconfirmed; unconfirmed.IsZero() && e.cfg.Homes.Claimed(id) {
+			w.unconfirmedSince = start
 		}
 	default:
 		// A refusal comes within a round trip, silence takes the time-out.
-		w.last.silent, w.last.refused = true, took < refusalTime
+		w.lastProbe.silent, w.lastProbe.refused = true, took < maxRefusalTime
 	}
 }
 
-// refusalTime is the longest time in which a refused connection answers.
-const refusalTime = 100 * time.Millisecond
+// maxRefusalTime is the longest time in which a refused connection answers.
+const maxRefusalTime = 100 * time.Millisecond
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -16,42 +16,42 @@
 // that takes claims over.
 const maxCheckAge = lease.PromotionDelay / 2
 
-// maxFencedAge is the same where fences are checked. A fence says nothing of claims:
+// maxFencedCheckAge is the same where fences are checked. A fence says nothing of claims:
 // that of a VM which stood still may be higher than that of the change which took
 // its claims over. The check may wait for a silent target.
-const maxFencedAge = 2 * controlTimeout
+const maxFencedCheckAge = 2 * controlTimeout
 
 // promote orders the promotion of the chosen target and waits until it leads.
 func (c *change) promote(ctx context.Context) error {
 	var err error
-	fence := c.fence
+	token := c.token
 	defer func() {
 		if !c.unfenced {
-			c.e.fence.giveBack(fence)
+			c.e.tokens.putBack(token)
 		}
 	}()
 	for range maxPromotions {
 		// Taking a fence may wait for the store, so the claims are checked after it.
-		if !c.unfenced && fence == 0 {
-			if fence, err = c.e.fence.take(ctx, c.overtook); err != nil {
+		if !c.unfenced && token == 0 {
+			if token, err = c.e.tokens.take(ctx, c.contested); err != nil {
 				return err
 			}
 		}
-		if err = c.stillClaimed(ctx); err != nil {
+		if err = c.recheckClaims(ctx); err != nil {
 			return err
 		}
-		if !c.fresh(c.e.cfg.Clock.Now()) {
+		if !c.checkedRecently(c.e.cfg.Clock.Now()) {
 			err = siskin.NewError(siskin.Unavailable, "the claims of term %d were checked too long ago", c.term)
 			continue
 		}
-		c.e.fence.note(c.spec.Name, fence, 0)
-		err = c.e.cfg.Promoter.Promote(ctx, c.spec.Name, c.chosen.target.ID, c.e.cfg.Members.Self().ID, fence)
-		c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(c.chosen.target.ID)).
-			Uint64("Fence", uint64(fence)).AnErr("Error", err).Msg("ordered a promotion")
+		c.e.tokens.recordUse(c.spec.Name, token, 0)
+		err = c.e.cfg.Promoter.Promote(ctx, c.spec.Name, c.candidate.target.ID, c.e.cfg.Members.Self().ID, token)
+		c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(c.candidate.target.ID)).
+			Uint64("Fence", uint64(token)).AnErr("Error", err).Msg("ordered a promotion")
 		if !c.unfenced {
-			fence = 0
+			token = 0
 		}
-		c.e.done.Go(func() { c.e.fence.reserve(context.WithoutCancel(ctx)) })
+		c.e.tasks.Go(func() { c.e.tokens.fill(context.WithoutCancel(ctx)) })
 		if err == nil {
 			c.pending = true
 			return c.awaitLead(ctx)
@@ -61,7 +61,7 @@
 		// orders the same target only, and its replicas stay paused.
 		if siskin.KindOf(err) == siskin.OutcomeUnknown {
 			c.pending = true
-			if c.leads(ctx) {
+			if c.confirmPromotion(ctx) {
 				return nil
 			}
 		}
@@ -74,45 +74,45 @@
 	return err
 }
 
-// fresh reports whether the claims were checked a moment ago. A VM that stood still
+// checkedRecently reports whether the claims were checked a moment ago. A VM that stood still
 // may have lost them.
-func (c *change) fresh(now time.Time) bool {
-	age := now.Sub(c.checked)
+func (c *change) checkedRecently(now time.Time) bool {
+	age := now.Sub(c.checkedAt)
 	if c.unfenced {
 		return age <= maxCheckAge
 	}
-	return age <= maxFencedAge
+	return age <= maxFencedCheckAge
 }
 
 // awaitLead waits until the chosen target proves its lead.
 func (c *change) awaitLead(ctx context.Context) error {
 	deadline := c.e.cfg.Clock.Now().Add(leadTimeout)
 	for c.e.cfg.Clock.Now().Before(deadline) && ctx.Err() == nil {
-		if c.leads(ctx) {
+		if c.confirmPromotion(ctx) {
 			return nil
 		}
 		c.e.cfg.Clock.Sleep(pollInterval)
 	}
-	return siskin.NewError(siskin.Unavailable, "target %s was promoted and does not lead", c.chosen.target.ID)
+	return siskin.NewError(siskin.Unavailable, "target %s was promoted and does not lead", c.candidate.target.ID)
 }
 
-// leads asks the chosen target for a proof and tells the peers of it.
-func (c *change) leads(ctx context.Context) bool {
-	if !c.chosenLeads(ctx) {
+// confirmPromotion asks the chosen target for a proof and tells the peers of it.
+func (c *change) confirmPromotion(ctx context.Context) bool {
+	if !c.candidateLeads(ctx) {
 		return false
 	}
-	c.pending, c.led = false, true
-	c.e.cfg.Views.Release(c.spec.Name, c.old)
+	c.pending, c.promoted = false, true
+	c.e.cfg.Views.Release(c.spec.Name, c.oldPrimary)
 	c.announce(0)
 	return true
 }
 
-// chosenLeads asks the chosen target whether it leads. Where former primaries
+// candidateLeads asks the chosen target whether it leads. Where former primaries
 // lead on, its answer counts because nobody but this change could promote
 // another target since the claims were checked: its log has all commits that
 // were acknowledged before.
-func (c *change) chosenLeads(ctx context.Context) bool {
-	id := c.chosen.target.ID
+func (c *change) candidateLeads(ctx context.Context) bool {
+	id := c.candidate.target.ID
 	if !c.unfenced {
 		return c.e.cfg.Homes.Ping(ctx, c.spec.Name, id) == nil
 	}
@@ -124,26 +124,26 @@
 	if err != nil || !s.Primary {
 		return false
 	}
-	c.newTerm = s.Term
-	c.e.fence.note(c.spec.Name, c.fence, c.newTerm)
-	c.e.cfg.Views.Proven(c.spec.Name, views.Lead{Target: id, Position: p, Term: c.newTerm, At: c.checked})
-	if c.old == "" || c.old == id || slices.ContainsFunc(c.claims, func(cl claim) bool { return cl.primary && cl.demoted }) {
-		c.retired.Store(true)
+	c.promotedTerm = s.Term
+	c.e.tokens.recordUse(c.spec.Name, c.token, c.promotedTerm)
+	c.e.cfg.Views.Proven(c.spec.Name, views.Lead{Target: id, Position: p, Term: c.promotedTerm, At: c.checkedAt})
+	if c.oldPrimary == "" || c.oldPrimary == id || slices.ContainsFunc(c.claims, func(cl claim) bool { return cl.wasPrimary && cl.demoted }) {
+		c.oldSteppedDown.Store(true)
 	} else {
-		c.e.done.Go(c.retire)
+		c.e.tasks.Go(c.stepDownOld)
 	}
 	return true
 }
 
-// hold makes the VMs refuse writes of the service at once during the change.
-func (c *change) hold() {
-	c.e.cfg.Views.Hold(c.spec.Name, c.old, c.e.cfg.Clock.Now().Add(holdFor))
-	c.announce(holdFor)
+// holdRequests makes the VMs refuse writes of the service at once during the change.
+func (c *change) holdRequests() {
+	c.e.cfg.Views.Hold(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(maxHold))
+	c.announce(maxHold)
 }
 
-// holdFor bounds the time in which requests are refused during a change, in
+// maxHold bounds the time in which requests are refused during a change, in
 // case that its end is not announced.
-const holdFor = 1500 * time.Millisecond
+const maxHold = 1500 * time.Millisecond
 
 // announceTimeout bounds one announcement.
 const announceTimeout = 300 * time.Millisecond
@@ -152,15 +152,15 @@
 // that the chosen target leads.
 func (c *change) announce(hold time.Duration) {
 	self := c.e.cfg.Members.Self().ID
-	args := &Announcement{From: self, Old: c.old, Hold: crew.HoldNote{Service: c.spec.Name, For: hold}}
+	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.HoldNote{Service: c.spec.Name, For: hold}}
 	if hold == 0 {
-		args.Fence, args.Term = c.fence, c.newTerm
+		args.Fence, args.Term = c.token, c.promotedTerm
 	}
 	for _, vm := range c.e.cfg.Members.Live() {
 		if vm.ID == self {
 			continue
 		}
-		c.e.done.Go(func() {
+		c.e.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 			defer cancel()
 			// A VM that misses it learns of the change with the next ping.
--- a/internal/elect/receiver.go
+++ b/internal/elect/receiver.go
@@ -11,14 +11,14 @@
 // Announce takes over a change of primary.
 func (r *Receiver) Announce(args *Announcement, _ *struct{}) error {
 	if args.Hold.For > 0 {
-		r.e.cfg.Views.Hold(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, holdFor)))
+		r.e.cfg.Views.Hold(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, maxHold)))
 		return nil
 	}
 	if args.Fence != 0 {
-		r.e.fence.note(args.Hold.Service, args.Fence, args.Term)
+		r.e.tokens.recordUse(args.Hold.Service, args.Fence, args.Term)
 	}
-	r.e.done.Go(func() { r.e.learn(args) })
-	r.e.done.Go(func() { r.e.refreshFence(refreshDelay) })
+	r.e.tasks.Go(func() { r.e.fetchLead(args) })
+	r.e.tasks.Go(func() { r.e.refreshToken(maxRefreshDelay) })
 	return nil
 }
 
--- a/internal/elect/release.go
+++ b/internal/elect/release.go
@@ -7,50 +7,50 @@
 )
 
 const (
-	// retireFor bounds the attempts to make a former primary step down, and
+	// stepDownTimeout bounds the attempts to make a former primary step down, and
 	// retirePause is the time between two of them.
-	retireFor   = 30 * time.Second
-	retirePause = 500 * time.Millisecond
+	stepDownTimeout  = 30 * time.Second
+	stepDownInterval = 500 * time.Millisecond
 )
 
-// retire makes the former primary step down, which may lead on until it meets the
+// stepDownOld makes the former primary step down, which may lead on until it meets the
 // new one. Leases keep reads off it; this ends what it refuses to its callers.
-func (c *change) retire() {
-	for deadline := c.e.cfg.Clock.Now().Add(retireFor); c.e.cfg.Clock.Now().Before(deadline); {
-		s, err := c.control(c.e.ctx, c.old, siskin.Statement{Kind: siskin.StepDown, Term: c.newTerm})
-		if err == nil && (!s.Primary || s.Term >= c.newTerm) {
-			c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(c.old)).
+func (c *change) stepDownOld() {
+	for deadline := c.e.cfg.Clock.Now().Add(stepDownTimeout); c.e.cfg.Clock.Now().Before(deadline); {
+		s, err := c.control(c.e.ctx, c.oldPrimary, siskin.Statement{Kind: siskin.StepDown, Term: c.promotedTerm})
+		if err == nil && (!s.Primary || s.Term >= c.promotedTerm) {
+			c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(c.oldPrimary)).
 				Uint64("Term", uint64(s.Term)).Bool("Primary", s.Primary).Msg("the former primary has stepped down")
-			c.retired.Store(true)
+			c.oldSteppedDown.Store(true)
 			return
 		}
 		select {
 		case <-c.e.ctx.Done():
 			return
-		case <-c.e.cfg.Clock.After(retirePause):
+		case <-c.e.cfg.Clock.After(stepDownInterval):
 		}
 	}
 }
 
 const (
-	// followPoll is the time between two looks at a replica that receives again,
+	// followPollInterval is the time between two looks at a replica that receives again,
 	// and followLooks their number.
-	followPoll  = 30 * time.Millisecond
-	followLooks = 4
+	followPollInterval = 30 * time.Millisecond
+	followPolls        = 4
 )
 
 // awaitFollower pauses a replica again that does not follow the new primary while
 // the former one may go on: its commits would be acknowledged by that replica.
 func (c *change) awaitFollower(id siskin.TargetID) error {
-	if !c.unfenced || !c.led || c.retired.Load() {
+	if !c.unfenced || !c.promoted || c.oldSteppedDown.Load() {
 		return nil
 	}
-	for range followLooks {
+	for range followPolls {
 		s, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Status})
-		if err == nil && (s.Term >= c.newTerm || c.retired.Load()) {
+		if err == nil && (s.Term >= c.promotedTerm || c.oldSteppedDown.Load()) {
 			return nil
 		}
-		c.e.cfg.Clock.Sleep(followPoll)
+		c.e.cfg.Clock.Sleep(followPollInterval)
 	}
 	_, err := c.control(c.e.ctx, id, siskin.Statement{Kind: siskin.Pause, Term: c.term})
 	return siskin.NewError(siskin.Unavailable, "target %s does not reach the new primary, and the former one may go on", id).WithCause(err)
@@ -60,7 +60,7 @@
 	// unpauseAttempts and unpausePause bound the attempts to let a replica
 	// receive again that does not answer.
 	unpauseAttempts = 30
-	unpausePause    = time.Second
+	unpauseInterval = time.Second
 )
 
 // unpause lets claimed replicas receive again. While an order may still be
@@ -70,28 +70,28 @@
 	if c.pending {
 		c.e.cfg.Log.Warn().Str("Service", string(c.spec.Name)).Uint64("Term", uint64(c.term)).
 			Msg("a promotion is pending; replicas stay paused until it is cancelled or the next change")
-		if !c.unfenced && c.old != "" {
-			c.e.done.Go(c.cancel)
+		if !c.unfenced && c.oldPrimary != "" {
+			c.e.tasks.Go(c.cancelPending)
 		}
 		return
 	}
-	if c.overtook && !c.led {
+	if c.contested && !c.promoted {
 		// With its replicas freed a former primary could go on while the other
 		// change's target leads already.
 		c.e.cfg.Log.Warn().Str("Service", string(c.spec.Name)).Uint64("Term", uint64(c.term)).
 			Msg("another change had claimed targets; replicas stay paused until the next change")
 		return
 	}
-	c.free()
+	c.unpauseAll()
 }
 
-// free ends the claims of the replicas.
-func (c *change) free() {
+// unpauseAll ends the claims of the replicas.
+func (c *change) unpauseAll() {
 	for _, cl := range c.claims {
-		if cl.target.ID == "" || cl.target.ID == c.chosen.target.ID && c.led || cl.err == nil && cl.status.PauseTerm != c.term {
+		if cl.target.ID == "" || cl.target.ID == c.candidate.target.ID && c.promoted || cl.err == nil && cl.status.PauseTerm != c.term {
 			continue
 		}
-		c.e.done.Go(func() { c.unpauseOne(cl.target.ID) })
+		c.e.tasks.Go(func() { c.unpauseOne(cl.target.ID) })
 	}
 }
 
@@ -106,7 +106,7 @@
 		select {
 		case <-c.e.ctx.Done():
 			return
-		case <-c.e.cfg.Clock.After(unpausePause):
+		case <-c.e.cfg.Clock.After(unpauseInterval):
 		}
 	}
 }
--- a/internal/elect/unlisted.go
+++ b/internal/elect/unlisted.go
@@ -12,7 +12,7 @@
 // addUnlisted adds a failed claim for each target that discovery has dropped and
 // whose successor it does not list.
 func (c *change) addUnlisted() {
-	c.claims = withUnlisted(c.claims, c.old == "", c.e.cfg.Roster.Size(c.spec.Name))
+	c.claims = withUnlisted(c.claims, c.oldPrimary == "", c.e.cfg.Roster.Size(c.spec.Name))
 }
 
 // withUnlisted returns the claims of a group of the given size with a failed one for
@@ -21,16 +21,16 @@
 // primary is the first one missing unless it is listed or not known.
 func withUnlisted(claims []claim, oldUnknown bool, size int) []claim {
 	claims = slices.DeleteFunc(claims, func(cl claim) bool { return cl.target.ID == "" })
-	primaryListed := oldUnknown || slices.ContainsFunc(claims, func(cl claim) bool { return cl.primary })
+	primaryListed := oldUnknown || slices.ContainsFunc(claims, func(cl claim) bool { return cl.wasPrimary })
 	for n := size - len(claims); n > 0; n-- {
-		claims = append(claims, claim{primary: !primaryListed, err: errUnlisted})
+		claims = append(claims, claim{wasPrimary: !primaryListed, err: errUnlisted})
 		primaryListed = true
 	}
 	return claims
 }
 
-// newcomer returns a listed target that a change has not tried to claim.
-func newcomer(claims []claim, listed []siskin.TargetInfo) (siskin.TargetID, bool) {
+// joinedTarget returns a listed target that a change has not tried to claim.
+func joinedTarget(claims []claim, listed []siskin.TargetInfo) (siskin.TargetID, bool) {
 	for _, t := range listed {
 		if !slices.ContainsFunc(claims, func(cl claim) bool { return cl.target.ID == t.ID }) {
 			return t.ID, true
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -25,8 +25,8 @@
 	MinTrustedUptime = 16 * time.Second
 )
 
-// hold is a lease of the lead of one target.
-type hold struct {
+// entry is a lease of the lead of one target.
+type entry struct {
 	// term is the term that the target leads.
 	term siskin.Term
 	// asked is the moment before the question that showed unclaimed replicas.
@@ -35,12 +35,12 @@
 
 // Leases holds the leases of one VM. It is safe for concurrent use.
 type Leases struct {
-	mu    sync.Mutex
-	holds map[siskin.TargetID]hold
+	mu      sync.Mutex
+	entries map[siskin.TargetID]entry
 }
 
 // New returns Leases without any.
-func New() *Leases { return &Leases{holds: make(map[siskin.TargetID]hold)} }
+func New() *Leases { return &Leases{entries: make(map[siskin.TargetID]entry)} }
 
 // Renew takes over evidence that replicas of the target, the primary of the
 // given term, were unclaimed at a moment after asked. Evidence of an earlier term
@@ -48,16 +48,16 @@
 func (l *Leases) Renew(id siskin.TargetID, term siskin.Term, asked time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h := l.holds[id]
+	e := l.entries[id]
 	switch {
-	case term < h.term:
+	case term < e.term:
 		return
-	case term > h.term:
-		h = hold{term: term, asked: asked}
-	case asked.After(h.asked):
-		h.asked = asked
+	case term > e.term:
+		e = entry{term: term, asked: asked}
+	case asked.After(e.asked):
+		e.asked = asked
 	}
-	l.holds[id] = h
+	l.entries[id] = e
 }
 
 // Extend takes over a commit of the given term that was asked for at one moment and
@@ -68,34 +68,34 @@
 func (l *Leases) Extend(id siskin.TargetID, term siskin.Term, asked, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h, ok := l.holds[id]
-	if !ok || !h.covers(term, now) {
+	e, ok := l.entries[id]
+	if !ok || !e.covers(term, now) {
 		return false
 	}
-	if asked.After(h.asked) {
-		h.asked = asked
-		l.holds[id] = h
+	if asked.After(e.asked) {
+		e.asked = asked
+		l.entries[id] = e
 	}
 	return true
 }
 
 // covers reports whether no promotion over the given term was ordered before now.
-func (h hold) covers(term siskin.Term, now time.Time) bool {
-	return h.term == term && now.Sub(h.asked) < TTL
+func (e entry) covers(term siskin.Term, now time.Time) bool {
+	return e.term == term && now.Sub(e.asked) < TTL
 }
 
 // Trusted reports whether a replica's state, asked for at a moment, may count as
 // evidence for a target that leads the given term: the replica has run since started
 // and has forgotten no claim that may still lead to a promotion. It has not when it
 // has run for the time after.
-func (l *Leases) Trusted(id siskin.TargetID, term siskin.Term, started, asked time.Time, after time.Duration) bool {
-	if asked.Sub(started) >= after {
+func (l *Leases) Trusted(id siskin.TargetID, term siskin.Term, started, asked time.Time, minUptime time.Duration) bool {
+	if asked.Sub(started) >= minUptime {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h, ok := l.holds[id]
-	return ok && h.term == term && !started.After(h.asked)
+	e, ok := l.entries[id]
+	return ok && e.term == term && !started.After(e.asked)
 }
 
 // Valid reports whether the target is the only primary at the given moment, which
@@ -109,11 +109,11 @@
 func (l *Leases) Age(id siskin.TargetID, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h, ok := l.holds[id]
+	e, ok := l.entries[id]
 	if !ok {
 		return TTL
 	}
-	return now.Sub(h.asked)
+	return now.Sub(e.asked)
 }
 
 // Term returns the newest term in which the target is known to have led, zero
@@ -121,12 +121,12 @@
 func (l *Leases) Term(id siskin.TargetID) siskin.Term {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.holds[id].term
+	return l.entries[id].term
 }
 
 // Forget drops what is known of a target that is gone.
 func (l *Leases) Forget(id siskin.TargetID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.holds, id)
+	delete(l.entries, id)
 }
--- a/internal/lease/leases_test.go
+++ b/internal/lease/leases_test.go
@@ -18,32 +18,32 @@
 	}
 	l.Renew("a", 3, at(0))
 	l.Renew("a", 3, at(-50)) // an answer that came late
-	life := int(TTL / time.Millisecond)
+	ttl := int(TTL / time.Millisecond)
 	for _, c := range []struct {
 		ms   int
 		want bool
-	}{{0, true}, {life - 1, true}, {life, false}, {10 * life, false}} {
+	}{{0, true}, {ttl - 1, true}, {ttl, false}, {10 * ttl, false}} {
 		if got := l.Valid("a", at(c.ms)); got != c.want {
 			t.Errorf("lease after %d ms: got %v, want %v", c.ms, got, c.want)
 		}
 	}
-	l.Renew("a", 2, at(life))
-	if l.Valid("a", at(life)) {
+	l.Renew("a", 2, at(ttl))
+	if l.Valid("a", at(ttl)) {
 		t.Error("evidence of an earlier term: got a lease, want none")
 	}
-	l.Renew("a", 4, at(life))
-	if got, want := l.Term("a"), siskin.Term(4); got != want || !l.Valid("a", at(life)) {
-		t.Errorf("evidence of a later term: got term %d and %v, want %d and a lease", got, l.Valid("a", at(life)), want)
+	l.Renew("a", 4, at(ttl))
+	if got, want := l.Term("a"), siskin.Term(4); got != want || !l.Valid("a", at(ttl)) {
+		t.Errorf("evidence of a later term: got term %d and %v, want %d and a lease", got, l.Valid("a", at(ttl)), want)
 	}
 	l.Forget("a")
-	if l.Valid("a", at(life)) || l.Term("a") != 0 {
+	if l.Valid("a", at(ttl)) || l.Term("a") != 0 {
 		t.Error("a target that is gone: got a lease or a term, want none")
 	}
 }
 
-// TestWait guards against a change of primary that waits shorter than a lease
+// TestPromotionDelay guards against a change of primary that waits shorter than a lease
 // lives on a clock that runs slow by a twentieth.
-func TestWait(t *testing.T) {
+func TestPromotionDelay(t *testing.T) {
 	if got, want := PromotionDelay, TTL*21/20; got < want {
 		t.Errorf("wait: got %v, want at least %v", got, want)
 	}
@@ -73,16 +73,16 @@
 // TestExtend guards against a lease that commits keep up although none covered
 // them: a claimed replica that started again may have acknowledged them.
 func TestExtend(t *testing.T) {
-	life := int(TTL / time.Millisecond)
+	ttl := int(TTL / time.Millisecond)
 	for _, c := range []struct {
 		name       string
 		term       siskin.Term
 		asked, now int
 		want       bool
 	}{
-		{"acknowledged under the lease", 3, life / 2, life - 1, true},
-		{"acknowledged after its end", 3, life / 2, life, false},
-		{"acknowledged in another term", 4, life / 2, life - 1, false},
+		{"acknowledged under the lease", 3, ttl / 2, ttl - 1, true},
+		{"acknowledged after its end", 3, ttl / 2, ttl, false},
+		{"acknowledged in another term", 4, ttl / 2, ttl - 1, false},
 	} {
 		l := New()
 		if l.Extend("a", 3, at(0), at(1)) {
@@ -92,16 +92,16 @@
 		if got := l.Extend("a", c.term, at(c.asked), at(c.now)); got != c.want {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
-		if got := l.Valid("a", at(life+1)); got != c.want {
+		if got := l.Valid("a", at(ttl+1)); got != c.want {
 			t.Errorf("%s: lease beyond its first end: got %v, want %v", c.name, got, c.want)
 		}
 	}
 }
 
-// TestWitnesses guards against replicas that confirm a lead although they have
+// TestTrusted guards against replicas that confirm a lead although they have
 // started again and may have forgotten a claim.
-func TestWitnesses(t *testing.T) {
-	after := int(MinTrustedUptime / time.Millisecond)
+func TestTrusted(t *testing.T) {
+	minUptime := int(MinTrustedUptime / time.Millisecond)
 	for _, c := range []struct {
 		name           string
 		term           siskin.Term
@@ -111,8 +111,8 @@
 		{"ran at the last evidence", 3, -10, 900, true},
 		{"started after the last evidence", 3, 10, 900, false},
 		{"ran at evidence of another term", 4, -10, 900, false},
-		{"has run for long", 4, 10, after + 10, true},
-		{"has not run for long enough", 4, 10, after + 9, false},
+		{"has run for long", 4, 10, minUptime + 10, true},
+		{"has not run for long enough", 4, 10, minUptime + 9, false},
 	} {
 		l := New()
 		l.Renew("a", 3, at(0))
--- a/internal/lease/poll.go
+++ b/internal/lease/poll.go
@@ -12,26 +12,26 @@
 	// the primary included, when none is missing.
 	Replicas, GroupSize int
 
-	witnesses, unclaimed, free int
+	trustedUnclaimed, unclaimed, withoutClaim int
 }
 
 // Add takes over the state of one replica. A witness has forgotten no claim that may
 // still lead to a promotion.
-func (p *Poll) Add(s siskin.ControlStatus, witness bool) {
+func (p *Poll) Add(s siskin.ControlStatus, trusted bool) {
 	if !s.Primary && s.PauseTerm <= s.Term {
-		p.free++
+		p.withoutClaim++
 	}
 	if Unclaimed(s, p.Term) {
 		p.unclaimed++
-		if witness {
-			p.witnesses++
+		if trusted {
+			p.trustedUnclaimed++
 		}
 	}
 }
 
 // AddDown takes over that a replica does not run. An order for it fails, or finds it
 // without its log and its claim.
-func (p *Poll) AddDown() { p.free++ }
+func (p *Poll) AddDown() { p.withoutClaim++ }
 
 // Confirmed reports whether no claim was complete before the first question, or each
 // change with complete claims finds one of them lost before its order. Replicas that
@@ -40,5 +40,5 @@
 // group is free.
 func (p *Poll) Confirmed() bool {
 	needed := Quorum(p.SyncReplicas)
-	return p.witnesses >= needed || p.unclaimed >= needed && p.free == p.Replicas && p.free+1 >= p.GroupSize
+	return p.trustedUnclaimed >= needed || p.unclaimed >= needed && p.withoutClaim == p.Replicas && p.withoutClaim+1 >= p.GroupSize
 }
--- a/internal/lease/poll_test.go
+++ b/internal/lease/poll_test.go
@@ -18,7 +18,7 @@
 	)
 	type replica struct {
 		status  siskin.ControlStatus
-		witness bool
+		trusted bool
 	}
 	for _, c := range []struct {
 		name            string
@@ -49,7 +49,7 @@
 	} {
 		p := Poll{Term: 3, SyncReplicas: c.sync, Replicas: c.replicas, GroupSize: c.group}
 		for _, r := range c.answers {
-			p.Add(r.status, r.witness)
+			p.Add(r.status, r.trusted)
 		}
 		for range c.down {
 			p.AddDown()
