--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -129,8 +129,8 @@
 		Clock: boot.Clock{}, Seeds: []string{"vm-00"}, Peers: c, Table: c.table, Roster: c.roster, Views: c.views, Homes: homes, Log: l,
 		Self:   Node{ID: id, Run: siskin.Incarnation(time.Now().UnixNano()), DataCentre: siskin.DataCentreID(fmt.Sprint("dc-", i%3)), Address: string(id)},
 		IsHome: func(siskin.TargetID) bool { return id == "vm-00" },
-		Near: func() Near {
-			return Near{Homes: map[siskin.VMID]bool{"vm-00": true}, Followed: map[siskin.VMID]bool{"vm-00": id == "vm-03" || id == "vm-06"}}
+		PriorityPeers: func() PriorityPeers {
+			return PriorityPeers{Homes: map[siskin.VMID]bool{"vm-00": true}, StandbyFor: map[siskin.VMID]bool{"vm-00": id == "vm-03" || id == "vm-06"}}
 		},
 		Apply: func(encoded []byte, _ string) {
 			d := testDeployment()
@@ -142,7 +142,7 @@
 	f.mu.Lock()
 	f.crews[id] = c
 	f.mu.Unlock()
-	c.Start(quota.New(quota.Config{Clock: boot.Clock{}, Run: 1, Table: c.table, Members: c, Peers: c, Log: l, Doubt: c.Doubt}))
+	c.Start(quota.New(quota.Config{Clock: boot.Clock{}, Run: 1, Table: c.table, Members: c, Peers: c, Log: l, PingNow: c.PingNow}))
 	f.t.Cleanup(func() {
 		if err := errors.Join(c.Close(), homes.Close()); err != nil {
 			f.t.Error(err)
@@ -207,13 +207,13 @@
 	read := boot.Clock{}.Now()
 	a.table.Confirm(read)
 	a.roster.Replace([]siskin.TargetInfo{{ID: "t", Service: "s"}}, 3, read)
-	proof := views.Lead{Target: "t", Position: siskin.Position{Term: 1, LSN: 9}, At: read}
-	a.views.Proven("s", proof)
+	proof := views.PrimaryProof{Target: "t", Position: siskin.Position{Term: 1, LSN: 9}, At: read}
+	a.views.RecordProof("s", proof)
 	await(t, "the news arrive", 2*time.Second, func() bool {
 		_, known := b.roster.Target("t")
-		return b.table.Snapshot().Version == 7 && known && b.views.Lead("s").Target == "t" && !b.table.Confirmed().IsZero()
+		return b.table.Snapshot().Version == 7 && known && b.views.LatestProof("s").Target == "t" && !b.table.Confirmed().IsZero()
 	})
-	if got := b.views.Lead("s"); got.Position != proof.Position || got.At.After(read) {
+	if got := b.views.LatestProof("s"); got.Position != proof.Position || got.At.After(read) {
 		t.Errorf("proof at the other VM: got %+v, want the position and no younger age than %+v", got, proof)
 	}
 	if got := b.table.Confirmed(); got.After(read) {
@@ -329,10 +329,10 @@
 	var oldest time.Duration
 	for i := range 20 {
 		// The home of the primary proves its lead again and again.
-		crews[0].views.Proven("s", views.Lead{Target: "t", Position: siskin.Position{Term: 1, LSN: siskin.LSN(i + 1)}, At: clock.Now()})
+		crews[0].views.RecordProof("s", views.PrimaryProof{Target: "t", Position: siskin.Position{Term: 1, LSN: siskin.LSN(i + 1)}, At: clock.Now()})
 		time.Sleep(100 * time.Millisecond)
 		for _, c := range crews {
-			if age := clock.Since(c.views.Lead("s").At); i >= 10 && age > oldest {
+			if age := clock.Since(c.views.LatestProof("s").At); i >= 10 && age > oldest {
 				oldest = age
 			}
 		}
@@ -423,7 +423,7 @@
 			id := siskin.VMID(fmt.Sprintf("vm-%03d", i))
 			c.Learn(Node{ID: id, Run: 1, Address: string(id), DataCentre: siskin.DataCentreID("abcdef"[i%6 : i%6+1])})
 		}
-		c.near.Needed = needed
+		c.near.ServesOthers = needed
 		c.mu.Lock()
 		c.publish()
 		c.choose(c.cfg.Clock.Now())
--- a/internal/elect/cancel.go
+++ b/internal/elect/cancel.go
@@ -32,7 +32,7 @@
 		if gone {
 			return // the next change sees to it
 		}
-		if !leads || !c.claimsKept() || c.e.cfg.Views.Holding(c.spec.Name, c.e.cfg.Clock.Now()) {
+		if !leads || !c.claimsKept() || c.e.cfg.Views.ChangeInProgress(c.spec.Name, c.e.cfg.Clock.Now()) {
 			continue
 		}
 		token, err := c.e.tokens.take(c.e.ctx, true)
@@ -89,7 +89,7 @@
 	case siskin.KindOf(err) == siskin.Conflict:
 		return false, true
 	}
-	l := c.e.cfg.Views.Lead(c.spec.Name)
+	l := c.e.cfg.Views.LatestProof(c.spec.Name)
 	if l.Target != c.oldPrimary {
 		return false, l.Target != ""
 	}
--- a/internal/elect/claiming.go
+++ b/internal/elect/claiming.go
@@ -19,7 +19,7 @@
 		c.claimOne(ctx, cl, led[cl.target.ID])
 	})
 	c.addUnlisted()
-	markEmptyLogs(c.claims, c.e.cfg.Views.Lead(c.spec.Name).Position)
+	markEmptyLogs(c.claims, c.e.cfg.Views.LatestProof(c.spec.Name).Position)
 	for i := range c.claims {
 		c.contested = c.contested || c.claims[i].contested
 		c.logClaim(&c.claims[i], "claimed a target")
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -130,7 +130,7 @@
 	if len(targets) == 0 {
 		return
 	}
-	lead := e.cfg.Views.Lead(s.Name)
+	lead := e.cfg.Views.LatestProof(s.Name)
 	primary := lead.Target
 	if primary == "" {
 		primary = e.cfg.Views.Primary(s.Name, targets)
@@ -172,11 +172,11 @@
 	}
 }
 
-func (e *Elector) observe(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, lead views.Lead, w *watch, now time.Time) observation {
+func (e *Elector) observe(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, lead views.PrimaryProof, w *watch, now time.Time) observation {
 	obs := observation{
 		primaryKnown: primary != "", proofAge: now.Sub(lead.At), watched: now.Sub(w.watchedSince),
 		silent: w.lastProbe.silent, refused: w.lastProbe.refused, denied: w.lastProbe.denied,
-		stalled: e.cfg.Homes.Stalled(primary),
+		stalled: e.cfg.Homes.WriteStall(primary),
 	}
 	if lead.Target == primary && lead.At.After(w.unconfirmedSince) {
 		// A commit or another VM has shown the lead; no probe followed, since the proof
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	c.pending, c.promoted = false, true
-	c.e.cfg.Views.Release(c.spec.Name, c.oldPrimary)
+	c.e.cfg.Views.EndChange(c.spec.Name, c.oldPrimary)
 	c.announce(0)
 	return true
 }
@@ -116,7 +116,7 @@
 	if !c.unfenced {
 		return c.e.cfg.Homes.Ping(ctx, c.spec.Name, id) == nil
 	}
-	p, err := c.e.cfg.Homes.Begins(ctx, c.spec.Name, id)
+	p, err := c.e.cfg.Homes.ProbePrimary(ctx, c.spec.Name, id)
 	if err != nil {
 		return false
 	}
@@ -126,7 +126,7 @@
 	}
 	c.promotedTerm = s.Term
 	c.e.tokens.recordUse(c.spec.Name, c.token, c.promotedTerm)
-	c.e.cfg.Views.Proven(c.spec.Name, views.Lead{Target: id, Position: p, Term: c.promotedTerm, At: c.checkedAt})
+	c.e.cfg.Views.RecordProof(c.spec.Name, views.PrimaryProof{Target: id, Position: p, Term: c.promotedTerm, At: c.checkedAt})
 	if c.oldPrimary == "" || c.oldPrimary == id || slices.ContainsFunc(c.claims, func(cl claim) bool { return cl.wasPrimary && cl.demoted }) {
 		c.oldSteppedDown.Store(true)
 	} else {
@@ -137,7 +137,7 @@
 
 // holdRequests makes the VMs refuse writes of the service at once during the change.
 func (c *change) holdRequests() {
-	c.e.cfg.Views.Hold(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(maxHold))
+	c.e.cfg.Views.BeginChange(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(maxHold))
 	c.announce(maxHold)
 }
 
--- a/internal/home/confirm_test.go
+++ b/internal/home/confirm_test.go
@@ -31,10 +31,10 @@
 
 // withLeases makes the homes pass on commits under leases only.
 func (f *fixture) withLeases(fencing bool) {
-	f.homes.cfg.Leads = &Leads{
+	f.homes.cfg.LeaseConfig = &LeaseConfig{
 		Leases: lease.New(), Fencing: fencing, Log: logs.New("error", "json", io.Discard),
 		Listed: func(siskin.TargetID) (since, listed time.Time, ok bool) { return f.since, f.listed, true },
-		Group:  func(name siskin.ServiceName) int { return len(f.platform.Targets(string(name))) },
+		GroupSize:  func(name siskin.ServiceName) int { return len(f.platform.Targets(string(name))) },
 		Service: func(name siskin.ServiceName) (siskin.ServiceSpec, bool) {
 			return siskin.ServiceSpec{Name: name, SyncReplicas: 1}, true
 		},
@@ -46,10 +46,10 @@
 			}
 			return list
 		},
-		Status: func(ctx context.Context, id siskin.TargetID) (o Observed, err error) {
-			f.asked.Add(1)
+		Status: func(ctx context.Context, id siskin.TargetID) (o Observation, err error) {
+			f.statusCalls.Add(1)
 			var a siskin.Answer
-			if a, o.Running, err = f.homes.Observe(ctx, id); err == nil {
+			if a, o.ConnAge, err = f.homes.Observe(ctx, id); err == nil {
 				o.Status, err = platform.ParseStatus(&a)
 			}
 			return o, err
@@ -96,7 +96,7 @@
 	if err := f.homes.Ping(context.Background(), "ledger", former.ID()); siskin.KindOf(err) != siskin.NotRun {
 		t.Errorf("proof of lead of the former primary: got %v, want an error of kind NotRun", err)
 	}
-	if got := f.views.Lead("ledger"); got.Target == former.ID() && f.homes.cfg.Clock.Since(got.At) < lease.PromotionDelay {
+	if got := f.views.LatestProof("ledger"); got.Target == former.ID() && f.homes.cfg.Clock.Since(got.At) < lease.PromotionDelay {
 		t.Errorf("proof of lead: got one of %s after the promotion, want none", got.Target)
 	}
 }
@@ -115,34 +115,34 @@
 	if got := f.run(leadRead(primary)); got.Cause != Unconfirmed {
 		t.Errorf("read %v after the last claim: got %+v, want %v", lease.PromotionDelay, got, Unconfirmed)
 	}
-	if !f.homes.Claimed(primary.ID()) {
+	if !f.homes.ReplicaClaimed(primary.ID()) {
 		t.Error("claimed replicas: got none, want them noticed")
 	}
 }
 
-// TestCommitsConfirm guards against questions to replicas although commits keep up
+// TestCommitsExtendLease guards against questions to replicas although commits keep up
 // the lease, and against commits that are taken for evidence by themselves: a claimed
 // replica that has started again may have acknowledged them.
-func TestCommitsConfirm(t *testing.T) {
+func TestCommitsExtendLease(t *testing.T) {
 	for name, start := range map[string]func(*testing.T) *fixture{"without fencing": unfenced, "with fencing": fenced} {
 		t.Run(name, func(t *testing.T) {
 			f := start(t)
 			primary := f.target(0)
-			targets := f.homes.cfg.Leads.Targets
-			f.homes.cfg.Leads.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
-			if got := f.run(leadRead(primary)); !f.homes.cfg.Leads.Fencing && got.Cause != Unconfirmed {
+			targets := f.homes.cfg.LeaseConfig.Targets
+			f.homes.cfg.LeaseConfig.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
+			if got := f.run(leadRead(primary)); !f.homes.cfg.LeaseConfig.Fencing && got.Cause != Unconfirmed {
 				t.Errorf("read without evidence: got %+v, want %v", got, Unconfirmed)
 			}
 			if got := f.run(request(primary, siskin.Write, "x 0")); got.Outcome != NotSent || got.Cause != Stalled {
 				t.Errorf("write without evidence: got %+v, want it refused", got)
 			}
-			time.Sleep(refusedFor)
-			f.homes.cfg.Leads.Targets = targets
+			time.Sleep(renewalBackoff)
+			f.homes.cfg.LeaseConfig.Targets = targets
 			if got := f.run(request(primary, siskin.Write, "x 1")); got.Answer.Code != siskin.Succeeded || !got.LeadProven {
 				t.Fatalf("write: got %+v, want success", got)
 			}
-			asked := f.asked.Load()
-			f.homes.cfg.Leads.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
+			statusCalls := f.statusCalls.Load()
+			f.homes.cfg.LeaseConfig.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
 			for begun := time.Now(); time.Since(begun) < 2*lease.TTL; time.Sleep(lease.RenewAfter / 4) {
 				if got := f.run(request(primary, siskin.Write, "x 1")); got.Answer.Code != siskin.Succeeded || !got.LeadProven {
 					t.Fatalf("write after %v: got %+v, want success", time.Since(begun), got)
@@ -151,8 +151,8 @@
 			if got := f.run(leadRead(primary)); got.Outcome != Answered {
 				t.Errorf("read after a commit: got %+v, want an answer", got)
 			}
-			if got := f.asked.Load(); got != asked {
-				t.Errorf("questions to targets while commits go on: got %d, want none", got-asked)
+			if got := f.statusCalls.Load(); got != statusCalls {
+				t.Errorf("questions to targets while commits go on: got %d, want none", got-statusCalls)
 			}
 		})
 	}
@@ -163,13 +163,13 @@
 func TestUnconfirmedLeavesConnection(t *testing.T) {
 	f := unfenced(t)
 	primary := f.target(0)
-	f.homes.cfg.Leads.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
+	f.homes.cfg.LeaseConfig.Targets = func(siskin.ServiceName) []siskin.TargetInfo { return nil }
 	read := leadRead(primary)
 	read.Values = []Value{{"mode", "strict"}}
 	if got := f.run(read); got.Cause != Unconfirmed {
 		t.Fatalf("read: got %+v, want %v", got, Unconfirmed)
 	}
-	l, _ := f.homes.lane(primary.ID())
+	l, _ := f.homes.pool(primary.ID())
 	if got := len(l.idle); got != 1 {
 		t.Fatalf("idle connections: got %d, want 1", got)
 	}
@@ -185,7 +185,7 @@
 	replica := f.target(1)
 	f.limit = 10
 	var conns []*conn
-	l, _ := f.homes.lane(replica.ID())
+	l, _ := f.homes.pool(replica.ID())
 	for range 10 {
 		c, err := l.conn(context.Background(), "acme", time.Second)
 		if err != nil {
