--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -6,26 +6,27 @@
 	"siskintray.example/siskin"
 )
 
-// conn is a connection to a target and the session state it holds there.
+// conn is a connection to a target and its session state.
 type conn struct {
 	siskin.TargetConn
 	customer siskin.CustomerID
 	values   map[string]string
 	prepared map[string]Prepared
-	opened   time.Time // when it was open
-	used     time.Time // end of the last use
-	fresh    bool      // no statement was sent yet
+	openedAt time.Time // when it was established
+	usedAt   time.Time // end of the last use
+	unused   bool      // no statement has been sent yet
 }
 
 func newConn(tc siskin.TargetConn, customer siskin.CustomerID, now time.Time) *conn {
 	return &conn{
-		TargetConn: tc, customer: customer, opened: now, used: now, fresh: true,
+		TargetConn: tc, customer: customer, openedAt: now, usedAt: now, unused: true,
 		values: make(map[string]string), prepared: make(map[string]Prepared),
 	}
 }
 
 // preparedName returns the name of a prepared statement at a target. It depends
-// on the shape alone, so that sessions share prepared statements.
+// only on the shape and on whether it writes, so that sessions share prepared
+// statements.
 func preparedName(p Prepared) string {
 	if p.Writes {
 		return "w_" + p.Shape
@@ -33,11 +34,12 @@
 	return "r_" + p.Shape
 }
 
-// adapt returns the statements that bring the connection to the session's state
-// and takes that state over. The connection must be closed when one fails.
-func (c *conn) adapt(req *Request) []siskin.Statement {
+// syncSession returns the statements that set up the session's state on the
+// connection, and records that state as set. The connection must be closed when
+// one of them fails.
+func (c *conn) syncSession(req *Request) []siskin.Statement {
 	var list []siskin.Statement
-	if c.hasOther(req.Values) {
+	if c.hasExtraValue(req.Values) {
 		list = append(list, siskin.Statement{Kind: siskin.Discard})
 		clear(c.values)
 		clear(c.prepared)
@@ -58,8 +60,9 @@
 	return list
 }
 
-// hasOther reports whether the connection holds a value that the session lacks.
-func (c *conn) hasOther(values []Value) bool {
+// hasExtraValue reports whether the connection holds a value that the session
+// does not have.
+func (c *conn) hasExtraValue(values []Value) bool {
 	if len(c.values) > len(values) {
 		return true
 	}
@@ -72,8 +75,9 @@
 	return found < len(c.values)
 }
 
-// named returns the caller's statement with the name it has at the target.
-func named(req *Request) siskin.Statement {
+// targetStatement returns the caller's statement with the prepared name used at
+// the target.
+func targetStatement(req *Request) siskin.Statement {
 	s := req.Statement
 	if s.Kind == siskin.Execute {
 		s.Name = preparedName(req.Prepared)
--- a/internal/home/evacuated_test.go
+++ b/internal/home/evacuated_test.go
@@ -9,8 +9,9 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// evacuable returns a fixture with a switch that closes all targets to statements.
-func evacuable(t *testing.T, o stand.ServiceOptions) (*fixture, *atomic.Bool) {
+// startEvacuable returns a fixture, and a flag that closes all targets to
+// statements.
+func startEvacuable(t *testing.T, o stand.ServiceOptions) (*fixture, *atomic.Bool) {
 	t.Helper()
 	f := start(t, o)
 	var closed atomic.Bool
@@ -18,10 +19,10 @@
 	return f, &closed
 }
 
-// TestEvacuated guards against statements that reach a target of an evacuated data
-// centre: new ones, and those that waited for a place there meanwhile.
+// TestEvacuated guards against statements that reach a target in an evacuated
+// data centre: new ones, and those that were queued when the evacuation began.
 func TestEvacuated(t *testing.T) {
-	f, closed := evacuable(t, stand.ServiceOptions{Slots: 1, StatementTime: 200 * time.Millisecond})
+	f, closed := startEvacuable(t, stand.ServiceOptions{Slots: 1, StatementTime: 200 * time.Millisecond})
 	target := f.target(0)
 	replies := make(chan Reply)
 	const running = 1 + spareRunning
@@ -30,7 +31,7 @@
 	}
 	for deadline := time.Now().Add(time.Second); f.homes.Counts().Waiting == 0 || len(target.Arrivals("acme")) < running; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("no statement waits for a place behind %d that were sent", running)
+			t.Fatalf("no statement is queued behind %d that were sent", running)
 		}
 	}
 	closed.Store(true)
@@ -66,10 +67,10 @@
 	}
 }
 
-// TestEvacuatedTransaction guards against a commit that reaches a target of an
+// TestEvacuatedTransaction guards against a commit that reaches a target in an
 // evacuated data centre, and against a transaction that stays open there.
 func TestEvacuatedTransaction(t *testing.T) {
-	f, closed := evacuable(t, stand.ServiceOptions{})
+	f, closed := startEvacuable(t, stand.ServiceOptions{})
 	target := f.target(0)
 	open := request(target, siskin.Write, "x 1")
 	open.Mode, open.Proof = Open, LeadProof
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -9,39 +9,39 @@
 	"siskintray.example/siskin"
 )
 
-// Observation is the state of a target and what is known of its present run. A target
-// that starts again forgets its log and its pauses.
+// Observation is the state of a target and the age of the connection that
+// reported it. A target that restarts loses its log and its pauses.
 type Observation struct {
 	Status siskin.ControlStatus
-	// ConnAge is the time for which the connection that answered has been open, which
-	// shows that the target has not started again since.
+	// ConnAge is the time for which the connection that answered has been open.
+	// The target has not restarted in that time.
 	ConnAge time.Duration `json:"Running"`
 }
 
-// Observe asks a target for its state on the oldest connection that is free, and
-// returns for how long that one has been open.
-func (h *Homes) Observe(ctx context.Context, id siskin.TargetID) (a siskin.Answer, running time.Duration, err error) {
-	l, ok := h.lane(id)
+// Observe queries the state of a target on the oldest idle connection, and
+// returns for how long that connection has been open.
+func (h *Homes) Observe(ctx context.Context, id siskin.TargetID) (a siskin.Answer, connAge time.Duration, err error) {
+	l, ok := h.pool(id)
 	if !ok {
 		return a, 0, siskin.NewError(siskin.Unavailable, "target %s is not known", id).WithRemedy("wait for service discovery")
 	}
 	if ctx.Err() != nil {
 		// An exchange would fail at once and close a healthy connection.
-		return a, 0, siskin.NewError(siskin.Unavailable, "no time is left to ask target %s", id).WithCause(ctx.Err())
+		return a, 0, siskin.NewError(siskin.Unavailable, "deadline passed before target %s was queried", id).WithCause(ctx.Err())
 	}
 	status := siskin.Statement{Kind: siskin.Status}
 	if c := l.awaitOldest(ctx); c != nil {
 		answers, err := c.Exchange(exchangeDeadline(ctx), []siskin.Statement{status})
 		switch {
 		case err != nil:
-			l.noteBreak(err)
+			l.handleBreak(err)
 			l.drop(c)
 		case answers[0].State != siskin.TxIdle:
 			l.drop(c)
 		default:
-			opened := c.opened
+			openedAt := c.openedAt
 			l.put(c)
-			return answers[0], h.cfg.Clock.Since(opened), nil
+			return answers[0], h.cfg.Clock.Since(openedAt), nil
 		}
 		if ctx.Err() != nil {
 			return a, 0, siskin.NewError(siskin.Unavailable, "target %s gave no answer", id).WithCause(err)
@@ -54,19 +54,21 @@
 	l.control.mu.Lock()
 	defer l.control.mu.Unlock()
 	if l.control.c == nil {
-		return answers[0], 0, nil // it answered on another one
+		return answers[0], 0, nil // it answered on a connection of the pool
 	}
-	return answers[0], h.cfg.Clock.Since(l.control.since), nil
+	return answers[0], h.cfg.Clock.Since(l.control.connectedAt), nil
 }
 
-// idleFor is the time for which a question waits for a connection of callers, all of
-// which are in use. One of its own would take the place of another of theirs.
-const idleFor = 15 * time.Millisecond
+// idleConnWait is the time for which a status request waits while all
+// connections of callers are in use. A connection of its own would count
+// against the limit and displace one of theirs.
+const idleConnWait = 15 * time.Millisecond
 
-// awaitOldest takes the idle connection that was opened first, and waits for one to
-// become idle unless there is a control connection. It returns nil when there is none.
-func (l *lane) awaitOldest(ctx context.Context) *conn {
-	limit := l.clock.After(idleFor)
+// awaitOldest takes the idle connection that was opened first, and waits for
+// one to become idle unless there is a control connection. It returns nil when
+// it gets none.
+func (l *pool) awaitOldest(ctx context.Context) *conn {
+	limit := l.clock.After(idleConnWait)
 	for {
 		freed := l.freed()
 		if c := l.takeOldest(); c != nil {
@@ -86,7 +88,7 @@
 }
 
 // hasControl reports whether the control connection is open or in use.
-func (l *lane) hasControl() bool {
+func (l *pool) hasControl() bool {
 	if !l.control.mu.TryLock() {
 		return true
 	}
@@ -94,13 +96,13 @@
 	return l.control.c != nil
 }
 
-// takeOldest takes the idle connection that was opened first, nil when there is none
-// or the control connection is older.
-func (l *lane) takeOldest() *conn {
+// takeOldest takes the idle connection that was opened first. It returns nil
+// when none is idle or the control connection is older.
+func (l *pool) takeOldest() *conn {
 	var control time.Time
 	if l.control.mu.TryLock() {
 		if l.control.c != nil {
-			control = l.control.since
+			control = l.control.connectedAt
 		}
 		l.control.mu.Unlock()
 	}
@@ -108,11 +110,11 @@
 	defer l.mu.Unlock()
 	oldest := -1
 	for i, c := range l.idle {
-		if oldest < 0 || c.opened.Before(l.idle[oldest].opened) {
+		if oldest < 0 || c.openedAt.Before(l.idle[oldest].openedAt) {
 			oldest = i
 		}
 	}
-	if oldest < 0 || !control.IsZero() && control.Before(l.idle[oldest].opened) {
+	if oldest < 0 || !control.IsZero() && control.Before(l.idle[oldest].openedAt) {
 		return nil
 	}
 	c := l.idle[oldest]
@@ -120,12 +122,12 @@
 	return c
 }
 
-// noteBreak notes that a connection which had answered before is broken, so that the
-// target may have started again, cold. Silence alone does not say so.
-func (l *lane) noteBreak(err error) {
+// handleBreak records that an established connection broke, so that the target
+// may have restarted and be cold. A timeout alone is no evidence of that.
+func (l *pool) handleBreak(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	l.noteFailure()
+	l.recordFailure()
 	l.dropIdle()
 }
--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -8,9 +8,9 @@
 	"siskintray.example/siskin"
 )
 
-// TestObserve guards against a target that is taken to have run for as long as before
-// although it started again: a replica then confirms a lead without the claim that it
-// has forgotten.
+// TestObserve guards against a connection age that continues over a restart of
+// the target: a replica that has lost its claim in the restart would then
+// confirm a primary.
 func TestObserve(t *testing.T) {
 	f := fenced(t)
 	target := f.target(1)
@@ -23,14 +23,14 @@
 		}
 		return running
 	}
-	observe("first question")
+	observe("first request")
 	time.Sleep(pause)
-	if got := observe("second question"); got < pause {
+	if got := observe("second request"); got < pause {
 		t.Errorf("on the same connection: got %v, want at least %v", got, pause)
 	}
 	f.restart(target)
-	if got := observe("after a start"); got >= pause {
-		t.Errorf("after a start: got %v, want less than %v", got, pause)
+	if got := observe("after a restart"); got >= pause {
+		t.Errorf("after a restart: got %v, want less than %v", got, pause)
 	}
 	if got := f.run(request(target, siskin.Read, "x")); got.Outcome != Answered {
 		t.Fatalf("read: got %+v, want an answer", got)
@@ -42,9 +42,10 @@
 	}
 }
 
-// TestLateQuestion guards against healthy connections that are closed by a question
-// whose time is over, such as that of a VM that stood still.
-func TestLateQuestion(t *testing.T) {
+// TestExpiredContext guards against healthy connections that are closed by a
+// status request whose deadline has passed, such as one from a VM that was
+// suspended.
+func TestExpiredContext(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
 	if got := f.run(request(f.target(1), siskin.Read, "x")); got.Outcome != Answered {
@@ -57,23 +58,23 @@
 	over, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
 	defer cancel()
 	if _, _, err := f.homes.Observe(over, id); err == nil {
-		t.Error("question without time: got an answer, want an error")
+		t.Error("status request after its deadline: got an answer, want an error")
 	}
 	if _, err := f.homes.Control(over, id, siskin.Statement{Kind: siskin.Status}); err == nil {
-		t.Error("control statement without time: got an answer, want an error")
+		t.Error("control statement after its deadline: got an answer, want an error")
 	}
 	if got := f.target(1).Opened(); got != 2 {
-		t.Errorf("connections opened: got %d, want the 2 of before", got)
+		t.Errorf("connections opened: got %d, want the 2 opened before", got)
 	}
-	l, _ := f.homes.lane(id)
+	l, _ := f.homes.pool(id)
 	if open, idle, _ := l.counts(); open != 1 || idle != 1 || l.control.c == nil {
 		t.Errorf("connections afterwards: got %d open, %d idle, control connection %v, want 1, 1 and one", open, idle, l.control.c != nil)
 	}
 }
 
-// TestStarted guards against a replica whose run is taken for longer than a connection
-// or the lists of service discovery show: a list that was asked for right after the
-// connection was opened may not tell of a start before.
+// TestStarted guards against a run of a replica that is assumed to be longer
+// than its connection or the lists of service discovery show: a list requested
+// just after the connection was opened may not include an earlier restart.
 func TestStarted(t *testing.T) {
 	f := fenced(t)
 	for _, c := range []struct {
@@ -87,19 +88,19 @@
 	} {
 		now := f.homes.cfg.Clock.Now()
 		f.since, f.listed = now.Add(-c.since), now.Add(-c.listed)
-		got := now.Sub(f.homes.started("t", c.running))
+		got := now.Sub(f.homes.runningSince("t", c.running))
 		if got > c.want || got < c.want-100*time.Millisecond {
 			t.Errorf("%s: got a start %v ago, want %v", c.name, got, c.want)
 		}
 	}
 	f.homes.cfg.LeaseConfig.Listed = func(siskin.TargetID) (since, listed time.Time, ok bool) { return since, f.homes.cfg.Clock.Now(), false }
-	if got := f.homes.cfg.Clock.Since(f.homes.started("t", 10*time.Second)); got > 11*time.Second {
+	if got := f.homes.cfg.Clock.Since(f.homes.runningSince("t", 10*time.Second)); got > 11*time.Second {
 		t.Errorf("not listed: got a start %v ago, want what the connection shows", got)
 	}
 }
 
-// TestRefusals guards against a primary that is taken for a healthy one since writes
-// are refused before they are sent, or for a stalled one long after the last refusal.
+// TestRefusals guards against a primary that counts as healthy while writes are
+// refused before they are sent, or as stalled long after the last refusal.
 func TestRefusals(t *testing.T) {
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	var r refusals
@@ -110,8 +111,8 @@
 	}{
 		{"one refusal", 0, 100, 0},
 		{"two refusals", 300, 400, 400 * time.Millisecond},
-		{"they go on", 800, 1400, 1400 * time.Millisecond},
-		{"they have ended", 800, 1401, 0},
+		{"a further refusal", 800, 1400, 1400 * time.Millisecond},
+		{"after the last refusal expired", 800, 1401, 0},
 		{"another one after a pause", 2000, 2100, 0},
 	} {
 		r.add(at(c.add))
@@ -127,13 +128,14 @@
 	}
 }
 
-// TestAttend guards against a replica that nobody reads at and whose home has no
-// connection to it, so that it could not confirm a lead when a primary is lost; and
-// against connections in place of those for callers.
-func TestAttend(t *testing.T) {
+// TestEnsureControlConn guards against an unused replica whose home has no
+// connection to it, so that it could not confirm a primary after a failover. It
+// also guards against control connections that take the place of those for
+// callers.
+func TestEnsureControlConn(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
-	l, _ := f.homes.lane(id)
+	l, _ := f.homes.pool(id)
 	opened := func() int64 {
 		time.Sleep(50 * time.Millisecond)
 		return f.target(1).Opened()
@@ -142,36 +144,37 @@
 	if got := opened(); got != 0 {
 		t.Errorf("connections to a target that is used for the first time: got %d, want none", got)
 	}
-	l.created = l.created.Add(-attendAfter)
+	l.created = l.created.Add(-ensureDelay)
 	for range 3 {
 		f.homes.EnsureControlConn(id)
 	}
 	if got := opened(); got != 1 {
-		t.Errorf("connections to a target that nobody uses: got %d, want 1", got)
+		t.Errorf("connections to an unused target: got %d, want 1", got)
 	}
 	if got := f.run(request(f.target(1), siskin.Read, "x")); got.Outcome != Answered {
 		t.Fatalf("read: got %+v, want an answer", got)
 	}
-	l.trim(f.homes.cfg.Clock.Now().Add(2*controlIdle), false)
+	l.trim(f.homes.cfg.Clock.Now().Add(2*controlIdleTimeout), false)
 	if l.control.c != nil {
-		t.Error("control connection beside one of callers: got one, want it closed")
+		t.Error("control connection while one of callers is open: got one, want it closed")
 	}
-	l.control.attended.Store(0)
+	l.control.lastEnsure.Store(0)
 	f.homes.EnsureControlConn(id)
 	if got := opened(); got != 2 {
-		t.Errorf("connections beside one of callers: got %d, want no further one", got)
+		t.Errorf("connections while one of callers is open: got %d, want no further one", got)
 	}
 }
 
-// TestControlAfterClose guards against a control connection that nobody closes, opened
-// for a question that comes after the target is gone or the VM has stopped serving.
+// TestControlAfterClose guards against a leaked control connection, opened for
+// a status request that arrives after the target was removed or the VM has
+// stopped serving.
 func TestControlAfterClose(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
-	l, _ := f.homes.lane(id)
+	l, _ := f.homes.pool(id)
 	l.close()
 	if _, err := f.homes.Control(context.Background(), id, siskin.Statement{Kind: siskin.Status}); err == nil {
-		t.Error("question on a closed lane: got an answer, want an error")
+		t.Error("status request on a closed pool: got an answer, want an error")
 	}
 	if got := f.target(1).Opened(); got != 0 {
 		t.Errorf("connections opened: got %d, want none", got)
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -10,31 +10,31 @@
 	"siskintray.example/siskin/pkg/fairq"
 )
 
-// idleProbe is the idle time after which a connection is probed before a write
-// is sent on it. A connection that the target has closed meanwhile would
-// leave the outcome of the write unknown.
-const idleProbe = 200 * time.Millisecond
+// probeAfterIdle is the idle time after which a connection is probed before a
+// write is sent on it. On a connection that the target has closed meanwhile,
+// the outcome of the write would be unknown.
+const probeAfterIdle = 200 * time.Millisecond
 
-// run is the run of one statement outside of an open transaction.
+// run is the execution of one statement outside of an open transaction.
 type run struct {
 	h        *Homes
-	l        *lane
+	l        *pool
 	req      *Request
-	start    time.Time // on the clock of h
-	deadline time.Time // for input and output
+	start    time.Time // according to the clock of h
+	deadline time.Time // network deadline, in wall-clock time
 	c        *conn
 	grant    fairq.Grant
 	reply    Reply
-	replaced bool // the connection was replaced once
-	// confirmed is when the replicas confirmed the lead, zero when they were not
-	// asked.
-	confirmed time.Time
+	replaced bool // the connection has been replaced once
+	// confirmedAt is the time of the confirmation that the target is the
+	// primary, or zero when none was needed.
+	confirmedAt time.Time
 }
 
-// do queues the statement, takes a connection and runs it.
+// do queues the statement, takes a connection and runs the statement.
 func (r *run) do(ctx context.Context) Reply {
-	if r.req.Mode == Single && r.req.Statement.MayWrite() && (r.l.writes.refused(r.start) || !r.h.mayCommitBy(r.deadline, r.req.Service, r.l)) {
-		// The replicas are asked before a write takes a place and a connection.
+	if r.req.Mode == Single && r.req.Statement.MayWrite() && (r.l.writes.wouldRefuse(r.start) || !r.h.leaseForCommit(r.deadline, r.req.Service, r.l)) {
+		// The lease is checked before a write occupies a slot and a connection.
 		r.reply.Cause = Stalled
 		return r.reply
 	}
@@ -54,7 +54,7 @@
 	}
 }
 
-// acquire waits for a place at the target and a connection.
+// acquire waits for a slot at the target and a connection.
 func (r *run) acquire(ctx context.Context) bool {
 	queueCtx, cancel := context.WithTimeout(ctx, r.req.QueueTimeout)
 	defer cancel()
@@ -62,7 +62,7 @@
 	r.grant, err = r.l.queue.Acquire(queueCtx, r.req.Customer, 1, r.start.Add(r.req.QueueTimeout))
 	r.reply.Waited = r.h.cfg.Clock.Since(r.start)
 	if err != nil {
-		r.refuse(err)
+		r.setOverload(err)
 		return false
 	}
 	if !r.connect(queueCtx) {
@@ -72,7 +72,7 @@
 	return true
 }
 
-func (r *run) refuse(err error) {
+func (r *run) setOverload(err error) {
 	r.reply.Cause = Overload
 	var e *siskin.Error
 	if errors.As(err, &e) {
@@ -88,7 +88,7 @@
 	}
 	switch siskin.KindOf(err) {
 	case siskin.Overloaded:
-		r.refuse(err)
+		r.setOverload(err)
 		r.reply.Cause = NoConnection
 	case siskin.NotRun:
 		r.reply.Cause = Unknown
@@ -99,10 +99,10 @@
 	return false
 }
 
-// attempt runs the statement on r.c. The result says whether to try again on
-// another connection because nothing was run on this one.
+// attempt runs the statement on r.c. The result reports whether to try again on
+// another connection because the statement was not run on this one.
 func (r *run) attempt() (again bool) {
-	if r.expired() {
+	if r.floorExpired() {
 		r.reply.Cause = Stale
 		r.l.put(r.c)
 		return false
@@ -112,28 +112,28 @@
 		r.l.putUnused(r.c)
 		return false
 	}
-	if ok, after := r.h.admitted(r.l, r.c.opened, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
+	if ok, after := r.h.awaitAdmission(r.l, r.c.openedAt, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
 		r.reply.Outcome, r.reply.Cause, r.reply.RetryAfter = NotSent, Overload, after
 		r.l.putUnused(r.c)
 		return false
 	}
-	reused := !r.c.fresh
-	idle := r.h.cfg.Clock.Since(r.c.used)
-	begin, needed := r.begin(reused && idle > idleProbe)
-	// The connection is adapted afterwards, since it goes back unused when the
-	// lead is not confirmed.
+	reused := !r.c.unused
+	idle := r.h.cfg.Clock.Since(r.c.usedAt)
+	begin, needed := r.begin(reused && idle > probeAfterIdle)
+	// The session state is applied after this check, since the connection is
+	// returned without it when the primary is not confirmed.
 	if needed && !r.confirm() {
 		return false
 	}
-	setup := r.c.adapt(r.req)
-	r.c.fresh = false
+	setup := r.c.syncSession(r.req)
+	r.c.unused = false
 	if needed {
 		if ok, gone := r.prove(setup, begin); !ok {
 			return gone && reused
 		}
 		setup = nil
 		if r.req.Mode == Open {
-			return r.first()
+			return r.startTx()
 		}
 		if r.req.Proof != LeadProof {
 			return r.send(nil, false)
@@ -141,7 +141,8 @@
 		return r.send(nil, true)
 	}
 	if len(setup) > 0 && r.req.Statement.MayWrite() {
-		// A write behind a value that the target refuses would run without it.
+		// A write pipelined after a value that the target refuses would run
+		// without it.
 		if ok, gone := r.prove(setup, nil); !ok {
 			return gone && reused
 		}
@@ -150,10 +151,10 @@
 	return r.send(setup, false) && reused
 }
 
-// send sends the caller's statement, behind setup, and ends the transaction
-// that proved the lead.
+// send sends the caller's statement after setup, and ends the transaction that
+// proved leadership.
 func (r *run) send(setup []siskin.Statement, inTx bool) (again bool) {
-	s := named(r.req)
+	s := targetStatement(r.req)
 	if r.req.Proof == FloorProof {
 		s.Floor = r.req.Floor
 	}
@@ -162,12 +163,12 @@
 		list = append(list, siskin.Statement{Kind: siskin.Rollback})
 	}
 	if r.h.evacuated(r.req.Target) {
-		// A transaction that proved the lead ends with its connection.
+		// Closing the connection ends the transaction that proved leadership.
 		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
 		r.l.drop(r.c)
 		return false
 	}
-	if s.MayWrite() && !r.h.mayCommitBy(r.deadline, r.req.Service, r.l) {
+	if s.MayWrite() && !r.h.leaseForCommit(r.deadline, r.req.Service, r.l) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
 		r.l.put(r.c)
 		return false
@@ -184,8 +185,9 @@
 	}
 	r.reply.Ran = r.h.cfg.Clock.Since(asked)
 	if err != nil && len(answers) <= len(setup) {
-		if r.broken(err); !s.MayWrite() {
-			// Reads leave no trace, so a broken connection is replaced once.
+		if r.connFailed(err); !s.MayWrite() {
+			// Reads have no side effects, so they are retried once on another
+			// connection.
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
 		r.reply.Outcome = InDoubt
@@ -193,7 +195,8 @@
 	}
 	for i := range setup {
 		if answers[i].Code != siskin.Succeeded {
-			// Only a read comes behind setup, and its answer is not used.
+			// Only reads are pipelined after setup, and the answer is
+			// discarded.
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, answers[i]
 			r.l.drop(r.c)
 			return true
@@ -201,7 +204,7 @@
 	}
 	a := answers[len(setup)]
 	r.reply.Outcome, r.reply.Cause, r.reply.Answer = Answered, NoCause, a
-	r.settle(&s, &a, asked)
+	r.recordAnswer(&s, &a, asked)
 	if err != nil || answers[len(answers)-1].State != siskin.TxIdle || a.Code == siskin.NoStatement {
 		r.l.drop(r.c)
 		return false
@@ -210,39 +213,39 @@
 	return false
 }
 
-// settle takes over what an answer says of the target.
-func (r *run) settle(s *siskin.Statement, a *siskin.Answer, asked time.Time) {
+// recordAnswer records what an answer reveals about the target.
+func (r *run) recordAnswer(s *siskin.Statement, a *siskin.Answer, asked time.Time) {
 	r.h.cfg.Views.RecordPosition(r.req.Target, a.Position, asked)
 	switch {
 	case a.Code == siskin.ReadOnly:
-		r.denied(a, asked)
+		r.recordDenial(a, asked)
 	case a.Code == siskin.Succeeded && s.MayWrite():
-		switch got := r.h.acknowledged(r.req.Service, r.l, a.Position, asked); {
-		case !got.kept:
+		switch got := r.h.confirmCommit(r.req.Service, r.l, a.Position, asked); {
+		case !got.durable:
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
-		case got.proof:
-			r.proven(a.Position, asked)
+		case got.provesLead:
+			r.recordProof(a.Position, asked)
 		}
 	case a.Code == siskin.Succeeded:
 		r.h.cfg.Views.RecordSuccess(r.req.Target)
 	}
 }
 
-// broken notes that the connection failed or fell silent.
-func (r *run) broken(err error) {
+// connFailed records that the connection broke or timed out.
+func (r *run) connFailed(err error) {
 	r.reply.Outcome, r.reply.Cause = NotSent, Unreachable
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		r.reply.Cause = Silent
 	}
 	r.h.cfg.Views.RecordFailure(r.req.Target, r.h.cfg.Clock.Now())
-	r.l.noteFailure()
+	r.l.recordFailure()
 	r.l.drop(r.c)
 	r.l.dropIdle()
 }
 
-// first runs the first statement of a transaction that has just begun.
-func (r *run) first() (again bool) {
-	t := &tx{l: r.l, c: r.c, req: *r.req, used: r.h.cfg.Clock.Now()}
+// startTx runs the first statement of a transaction that has just begun.
+func (r *run) startTx() (again bool) {
+	t := &tx{l: r.l, c: r.c, req: *r.req, usedAt: r.h.cfg.Clock.Now()}
 	t.busy = true
 	id := TxID(r.h.nextTx.Add(1))
 	r.h.txs.Put(id, t)
--- a/internal/views/hold.go
+++ b/internal/views/hold.go
@@ -6,28 +6,29 @@
 	"siskintray.example/siskin"
 )
 
-// hold is a change of primary in progress.
-type hold struct {
-	from  siskin.TargetID // the target that led before
+// primaryChange is a change of primary in progress.
+type primaryChange struct {
+	from  siskin.TargetID // the former primary
 	until time.Time
 }
 
-// BeginChange notes that the lead is being taken from a target, until the given time. A
-// VM that knows another target to lead has seen the end of that change.
+// BeginChange records that a service is being moved away from the primary from,
+// until the given time. It is ignored when another target is known as the
+// primary, since that change has ended.
 func (v *Views) BeginChange(name siskin.ServiceName, from siskin.TargetID, until time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if s := v.service(name); s.lead.Target == "" || s.lead.Target == from {
-		s.holding = hold{from, until}
+	if s := v.service(name); s.proof.Target == "" || s.proof.Target == from {
+		s.change = primaryChange{from, until}
 	}
 }
 
-// EndChange ends the hold of a change that took the lead from a target.
+// EndChange records the end of a change away from the primary from.
 func (v *Views) EndChange(name siskin.ServiceName, from siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if s := v.service(name); s.holding.from == from {
-		s.holding = hold{}
+	if s := v.service(name); s.change.from == from {
+		s.change = primaryChange{}
 	}
 }
 
@@ -36,5 +37,5 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	s := v.services[name]
-	return s != nil && now.Before(s.holding.until)
+	return s != nil && now.Before(s.change.until)
 }
