--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -39,7 +39,7 @@
 // Crew is one VM's view of the fleet. It implements siskin.Members.
 type Crew struct {
 	cfg     Config
-	rates   *quota.Limiter
+	limiter *quota.Limiter
 	leaving atomic.Bool
 	stop    chan struct{}
 	done    sync.WaitGroup
@@ -47,40 +47,40 @@
 	mu      sync.Mutex
 	members map[siskin.VMID]*member // without this VM
 	live    []siskin.VM
-	// listedSelf says that live holds this VM, and relist that it is out of date.
-	listedSelf, relist bool
-	changed            chan struct{}
-	seeded             time.Time
+	// selfListed says that live holds this VM, and liveOutdated that it is out of date.
+	selfListed, liveOutdated bool
+	changed                  chan struct{}
+	seedsPingedAt            time.Time
 	// incomplete says that a peer knows more VMs than this one.
-	incomplete bool
-	packed     packed
+	incomplete   bool
+	packedConfig packedConfig
 	// packedNodes is guarded by its own mutex, wantedNodes is the last time that
 	// this VM asked for a list.
-	packedNodes packedNodes
-	wantedNodes time.Time
-	fetches     int           // in progress
-	near        PriorityPeers // as Config.PriorityPeers returned them
-	ranker      place.Ranker
-	relay       bool      // this VM is a relay of its data centre
-	chosen      time.Time // last time that peers were sorted
-	round       int       // number of times
-	watchedOf   int       // number of members when the watched ones were chosen
-	// silent says until when data centres are held to be silent.
-	silent map[siskin.DataCentreID]time.Time
+	packedNodes      packedNodes
+	nodesRequestedAt time.Time
+	fetches          int           // in progress
+	priority         PriorityPeers // as Config.PriorityPeers returned them
+	ranker           place.Ranker
+	relay            bool      // this VM is a relay of its data centre
+	chosenAt         time.Time // last time that peers were sorted
+	round            int       // number of times
+	watchedFleetSize int       // number of members when the watched ones were chosen
+	// silentUntil says until when data centres are held to be silentUntil.
+	silentUntil map[siskin.DataCentreID]time.Time
 }
 
 var _ siskin.Members = (*Crew)(nil)
 
 // New returns a Crew that knows only this VM. Start begins to ping.
 func New(cfg Config) *Crew {
-	c := &Crew{cfg: cfg, stop: make(chan struct{}), members: make(map[siskin.VMID]*member), silent: make(map[siskin.DataCentreID]time.Time), changed: make(chan struct{})}
-	c.live, c.listedSelf = []siskin.VM{cfg.Self.vm()}, true
+	c := &Crew{cfg: cfg, stop: make(chan struct{}), members: make(map[siskin.VMID]*member), silentUntil: make(map[siskin.DataCentreID]time.Time), changed: make(chan struct{})}
+	c.live, c.selfListed = []siskin.VM{cfg.Self.vm()}, true
 	return c
 }
 
 // Start begins to ping. The limiter takes part in the pings.
-func (c *Crew) Start(rates *quota.Limiter) {
-	c.rates = rates
+func (c *Crew) Start(limiter *quota.Limiter) {
+	c.limiter = limiter
 	c.done.Go(c.loop)
 }
 
@@ -94,20 +94,20 @@
 // Leave tells the peers to give this VM no further work.
 func (c *Crew) Leave() {
 	c.leaving.Store(true)
-	c.rates.ReleasePools()
+	c.limiter.ReleasePools()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, m := range c.members {
-		if c.tellsOfLeaving(id, m) {
-			m.next = time.Time{}
+		if c.needsLeaveNotice(id, m) {
+			m.nextPing = time.Time{}
 		}
 	}
-	c.publish()
+	c.updateLive()
 }
 
-// tellsOfLeaving reports whether a peer has to know that this VM leaves. In a large
+// needsLeaveNotice reports whether a peer has to know that this VM leaves. In a large
 // fleet most VMs get work of callers only; with a ping of each to all others a
 // rolling restart kept the owners of pools from answering. The caller holds mu.
-func (c *Crew) tellsOfLeaving(id siskin.VMID, m *member) bool {
-	return len(c.members) < fullMesh || c.relay || c.near.ServesOthers || m.every != 0 || m.watched || c.isRelay(id, m.node.DataCentre)
+func (c *Crew) needsLeaveNotice(id siskin.VMID, m *member) bool {
+	return len(c.members) < fullMesh || c.relay || c.priority.ServesOthers || m.interval != 0 || m.watched || c.isRelay(id, m.node.DataCentre)
 }
--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -24,13 +24,13 @@
 
 // fabric connects the crews of a test and loses what goes over cut links.
 type fabric struct {
-	t     *testing.T
-	mu    sync.Mutex
-	crews map[siskin.VMID]*testCrew
-	cut   map[siskin.VMID]bool // VMs that nobody reaches and that reach nobody
-	apart siskin.DataCentreID  // cut off from the others
-	bytes atomic.Int64         // of pings between data centres
-	pings atomic.Int64
+	t        *testing.T
+	mu       sync.Mutex
+	crews    map[siskin.VMID]*testCrew
+	cut      map[siskin.VMID]bool // VMs that nobody reaches and that reach nobody
+	isolated siskin.DataCentreID  // cut off from the others
+	bytes    atomic.Int64         // of pings between data centres
+	pings    atomic.Int64
 }
 
 type testCrew struct {
@@ -62,17 +62,17 @@
 	return nil
 }
 
-func (f *fabric) setApart(dc siskin.DataCentreID) {
+func (f *fabric) isolate(dc siskin.DataCentreID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apart = dc
+	f.isolated = dc
 }
 
 // separated reports whether the cut of a data centre lies between two VMs. The
 // caller holds mu.
 func (f *fabric) separated(a, b siskin.VMID) bool {
 	x, y := f.crews[a], f.crews[b]
-	return f.apart != "" && x != nil && y != nil && (x.cfg.Self.DataCentre == f.apart) != (y.cfg.Self.DataCentre == f.apart)
+	return f.isolated != "" && x != nil && y != nil && (x.cfg.Self.DataCentre == f.isolated) != (y.cfg.Self.DataCentre == f.isolated)
 }
 
 var errSilent = errors.New("no answer")
@@ -155,7 +155,7 @@
 	return &siskin.Deployment{Version: 1, Services: []siskin.ServiceSpec{{Name: "s"}}}
 }
 
-func await(t *testing.T, what string, limit time.Duration, ok func() bool) {
+func waitFor(t *testing.T, what string, limit time.Duration, ok func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
@@ -181,26 +181,26 @@
 		}
 		return true
 	}
-	await(t, "all VMs know each other", 5*time.Second, complete)
+	waitFor(t, "all VMs know each other", 5*time.Second, complete)
 	f.setCut("vm-03", true)
-	await(t, "the silent VM is not used", 3*time.Second, func() bool { return len(crews[0].Live()) == 4 && len(crews[3].Live()) == 1 })
+	waitFor(t, "the silent VM is not used", 3*time.Second, func() bool { return len(crews[0].Live()) == 4 && len(crews[3].Live()) == 1 })
 	f.setCut("vm-03", false)
-	await(t, "it is used again", 5*time.Second, complete)
+	waitFor(t, "it is used again", 5*time.Second, complete)
 	crews[1].Leave()
-	await(t, "a leaving VM gets no work", time.Second, func() bool { return len(crews[0].Live()) == 4 })
+	waitFor(t, "a leaving VM gets no work", time.Second, func() bool { return len(crews[0].Live()) == 4 })
 	crews[0].Suspect("vm-02", errSilent)
 	if got := len(crews[0].Live()); got != 3 {
 		t.Errorf("VMs in use after a failed call: got %d, want 3", got)
 	}
 }
 
-// TestNews guards against configurations, targets and proofs that do not reach a
+// TestStateReachesPeers guards against configurations, targets and proofs that do not reach a
 // VM without the store, or that look younger there than they are.
-func TestNews(t *testing.T) {
+func TestStateReachesPeers(t *testing.T) {
 	t.Parallel()
 	f := newFabric(t)
 	a, b := f.add(0), f.add(1)
-	await(t, "the VMs know each other", 5*time.Second, func() bool { return len(b.Live()) == 2 })
+	waitFor(t, "the VMs know each other", 5*time.Second, func() bool { return len(b.Live()) == 2 })
 	d := testDeployment()
 	d.Version = 7
 	a.table.Apply(d, []byte("7"))
@@ -209,7 +209,7 @@
 	a.roster.Replace([]siskin.TargetInfo{{ID: "t", Service: "s"}}, 3, read)
 	proof := views.Lead{Target: "t", Position: siskin.Position{Term: 1, LSN: 9}, At: read}
 	a.views.Proven("s", proof)
-	await(t, "the news arrive", 2*time.Second, func() bool {
+	waitFor(t, "the news arrive", 2*time.Second, func() bool {
 		_, known := b.roster.Target("t")
 		return b.table.Snapshot().Version == 7 && known && b.views.Lead("s").Target == "t" && !b.table.Confirmed().IsZero()
 	})
@@ -232,7 +232,7 @@
 	a.roster.Replace(targets[:2], 2, now.Add(-time.Second))
 	b := f.add(1)
 	b.roster.Replace(targets[:2], 2, now)
-	await(t, "the size of the group", 2*time.Second, func() bool { return b.roster.Size("s") == len(targets) })
+	waitFor(t, "the size of the group", 2*time.Second, func() bool { return b.roster.Size("s") == len(targets) })
 }
 
 // startLarge starts 40 VMs in three data centres that know each other. Tests with
@@ -244,7 +244,7 @@
 	for i := range 40 {
 		crews = append(crews, f.add(i))
 	}
-	await(t, "all VMs know each other", 20*time.Second, func() bool {
+	waitFor(t, "all VMs know each other", 20*time.Second, func() bool {
 		for _, c := range crews {
 			if len(c.Live()) != len(crews) {
 				return false
@@ -268,7 +268,7 @@
 	d.Version = 9
 	before := f.bytes.Load()
 	crews[4].table.Apply(d, encoded)
-	await(t, "the configuration reaches all VMs", 3*time.Second, func() bool {
+	waitFor(t, "the configuration reaches all VMs", 3*time.Second, func() bool {
 		for _, c := range crews {
 			if c.table.Snapshot().Version != 9 {
 				return false
@@ -290,7 +290,7 @@
 	d := testDeployment()
 	d.Version = 5
 	crews[7].table.Apply(d, []byte("5"))
-	await(t, "the configuration reaches all VMs", 5*time.Second, func() bool {
+	waitFor(t, "the configuration reaches all VMs", 5*time.Second, func() bool {
 		for _, c := range crews {
 			if c.table.Snapshot().Version != 5 {
 				return false
@@ -315,9 +315,9 @@
 	}
 }
 
-// TestFloorsOfLargeFleet guards against VMs of a large fleet that learn of
+// TestLeadAgeInLargeFleet guards against VMs of a large fleet that learn of
 // positions too late for reads of an age of 1.5 s, since relays pass them on.
-func TestFloorsOfLargeFleet(t *testing.T) {
+func TestLeadAgeInLargeFleet(t *testing.T) {
 	f := newFabric(t)
 	crews := startLarge(t, f)
 	d := testDeployment()
@@ -347,21 +347,21 @@
 func TestRemovedVMs(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(Config{Clock: boot.Clock{}, Self: Node{ID: "vm", DataCentre: "a"}, Log: logs.New("error", "json", io.Discard)})
-	add := func(id siskin.VMID, heard time.Duration, failed bool) {
-		c.members[id] = &member{node: Node{ID: id, DataCentre: "b"}, heard: now.Add(-heard), failed: failed}
+	add := func(id siskin.VMID, lastHeard time.Duration, pingFailed bool) {
+		c.members[id] = &member{node: Node{ID: id, DataCentre: "b"}, lastHeard: now.Add(-lastHeard), pingFailed: pingFailed}
 	}
 	add("removed-1", time.Minute, true)
 	add("removed-2", time.Hour, true)
 	add("relay-1", time.Second, false)
 	add("relay-2", time.Second, true)
-	c.findSilent(now)
-	if len(c.silent) > 0 {
-		t.Errorf("silent data centres with one VM that failed: got %v, want none", c.silent)
+	c.detectSilent(now)
+	if len(c.silentUntil) > 0 {
+		t.Errorf("silent data centres with one VM that failed: got %v, want none", c.silentUntil)
 	}
 	add("relay-1", time.Second, true)
-	c.findSilent(now)
-	if len(c.silent) != 1 {
-		t.Errorf("silent data centres when both relays failed: got %v, want b", c.silent)
+	c.detectSilent(now)
+	if len(c.silentUntil) != 1 {
+		t.Errorf("silent data centres when both relays failed: got %v, want b", c.silentUntil)
 	}
 }
 
@@ -371,7 +371,7 @@
 func TestSilentDataCentre(t *testing.T) {
 	f := newFabric(t)
 	crews := startLarge(t, f)
-	f.setApart("dc-2")
+	f.isolate("dc-2")
 	count := func(c *testCrew) (here, there int) {
 		for _, vm := range c.Live() {
 			if (vm.DataCentre == "dc-2") == (c.cfg.Self.DataCentre == "dc-2") {
@@ -382,7 +382,7 @@
 		}
 		return here, there
 	}
-	await(t, "no VM behind the cut is used", 3*time.Second, func() bool {
+	waitFor(t, "no VM behind the cut is used", 3*time.Second, func() bool {
 		for _, c := range crews {
 			if _, there := count(c); there > 0 {
 				return false
@@ -402,8 +402,8 @@
 			t.Errorf("%s takes itself for isolated: got %v, want %v", c.cfg.Self.ID, got, want == 13)
 		}
 	}
-	f.setApart("")
-	await(t, "all VMs are used again", 10*time.Second, func() bool {
+	f.isolate("")
+	waitFor(t, "all VMs are used again", 10*time.Second, func() bool {
 		for _, c := range crews {
 			if len(c.Live()) != len(crews) || c.Isolated() {
 				return false
@@ -413,29 +413,29 @@
 	})
 }
 
-// TestLeavingOfLargeFleet guards against VMs of a large fleet that all tell all
+// TestLeaveNoticesInLargeFleet guards against VMs of a large fleet that all tell all
 // others when they stop, which kept owners of pools busy during a rolling restart.
-func TestLeavingOfLargeFleet(t *testing.T) {
+func TestLeaveNoticesInLargeFleet(t *testing.T) {
 	told := func(needed bool) int {
 		c := New(Config{Clock: boot.Clock{}, Self: Node{ID: "vm-000", DataCentre: "a"}, Log: logs.New("error", "json", io.Discard)})
-		c.rates = quota.New(quota.Config{Clock: boot.Clock{}, Members: c, Log: c.cfg.Log, Table: table.New()})
+		c.limiter = quota.New(quota.Config{Clock: boot.Clock{}, Members: c, Log: c.cfg.Log, Table: table.New()})
 		for i := 1; i < 295; i++ {
 			id := siskin.VMID(fmt.Sprintf("vm-%03d", i))
 			c.Learn(Node{ID: id, Run: 1, Address: string(id), DataCentre: siskin.DataCentreID("abcdef"[i%6 : i%6+1])})
 		}
-		c.near.ServesOthers = needed
+		c.priority.ServesOthers = needed
 		c.mu.Lock()
-		c.publish()
-		c.choose(c.cfg.Clock.Now())
+		c.updateLive()
+		c.choosePeers(c.cfg.Clock.Now())
 		for _, m := range c.members {
-			m.every, m.next = 0, c.cfg.Clock.Now().Add(untilTurn)
+			m.interval, m.nextPing = 0, c.cfg.Clock.Now().Add(unscheduled)
 		}
 		c.relay = false
 		c.mu.Unlock()
 		c.Leave()
 		n := 0
 		for _, m := range c.members {
-			if m.next.IsZero() {
+			if m.nextPing.IsZero() {
 				n++
 			}
 		}
--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -14,14 +14,14 @@
 	// maxFetches bounds the fetches at a time. All bring the same; the second one
 	// is for a peer that falls silent.
 	maxFetches = 2
-	// freshLead is the age up to which proofs of lead are passed on.
-	freshLead = 1500 * time.Millisecond
+	// maxLeadAge is the age up to which proofs of lead are passed on.
+	maxLeadAge = 1500 * time.Millisecond
 )
 
 // fetchIfNewer fetches what a peer has and this VM lacks.
 func (c *Crew) fetchIfNewer(s *State) {
 	version, _ := c.cfg.Roster.Version()
-	lacksHolders := s.HasHolders && c.rates.Holders() == nil
+	lacksHolders := s.HasHolders && c.limiter.Holders() == nil
 	if s.Revision <= c.cfg.Table.Snapshot().Version && s.Targets <= version && !lacksHolders {
 		return
 	}
@@ -34,8 +34,8 @@
 	}
 }
 
-// catchUp takes over how new a peer's state is, and fetches what is newer.
-func (c *Crew) catchUp(s *State, asked time.Time) {
+// applyVersions takes over how new a peer's state is, and fetches what is newer.
+func (c *Crew) applyVersions(s *State, asked time.Time) {
 	revision := c.cfg.Table.Snapshot().Version
 	if s.Revision == revision && revision > 0 {
 		c.cfg.Table.Confirm(asked.Add(-s.RevisionAge))
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	asked := c.cfg.Clock.Now()
-	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version, WantHolders: c.rates.Holders() == nil}
+	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version, WantHolders: c.limiter.Holders() == nil}
 	args.Targets, _ = c.cfg.Roster.Version()
 	var reply FetchReply
 	err := c.cfg.Peers.Call(ctx, id, "Crew.Fetch", args, &reply)
@@ -77,7 +77,7 @@
 		c.cfg.Apply(encoded, string(id))
 	}
 	if args.WantHolders && len(reply.Holders) > 0 {
-		c.rates.SetHolders(reply.Holders)
+		c.limiter.SetHolders(reply.Holders)
 	}
 	if reply.TargetVersion > 0 {
 		c.cfg.Roster.Replace(reply.Targets, reply.TargetVersion, asked.Add(-reply.TargetAge))
--- a/internal/crew/loop.go
+++ b/internal/crew/loop.go
@@ -12,23 +12,23 @@
 // tick is the resolution of the ping schedule.
 const tick = 50 * time.Millisecond
 
-// untilTurn is longer than any time until choose picks a distant peer.
-const untilTurn = time.Hour
+// unscheduled is longer than any time until choose picks a distant peer.
+const unscheduled = time.Hour
 
 func (c *Crew) loop() {
-	var lookedAt time.Time // last time that this VM looked whom it depends on
+	var refreshedAt time.Time // last time that this VM looked whom it depends on
 	for {
 		select {
 		case <-c.stop:
 			return
 		case <-c.cfg.Clock.After(tick):
 		}
-		if now := c.cfg.Clock.Now(); now.Sub(lookedAt) >= pingInterval {
-			lookedAt = now
-			c.rates.LendToSelf()
-			near := c.cfg.PriorityPeers()
+		if now := c.cfg.Clock.Now(); now.Sub(refreshedAt) >= pingInterval {
+			refreshedAt = now
+			c.limiter.LendToSelf()
+			priority := c.cfg.PriorityPeers()
 			c.mu.Lock()
-			c.near = near
+			c.priority = priority
 			c.mu.Unlock()
 		}
 		c.schedule()
@@ -40,20 +40,20 @@
 	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.chosen) >= pingInterval {
-		c.chosen = now
-		c.choose(now)
+	if now.Sub(c.chosenAt) >= pingInterval {
+		c.chosenAt = now
+		c.choosePeers(now)
 	}
 	for id, m := range c.members {
-		if m.pinging || now.Before(m.next) {
+		if m.pinging || now.Before(m.nextPing) {
 			continue
 		}
-		m.pinging, m.next = true, now.Add(m.untilNext(now))
+		m.pinging, m.nextPing = true, now.Add(m.nextInterval(now))
 		c.done.Go(func() { c.ping(id) })
 	}
-	c.publish()
-	if len(c.live) < 2 && now.Sub(c.seeded) > pingInterval {
-		c.seeded = now
+	c.updateLive()
+	if len(c.live) < 2 && now.Sub(c.seedsPingedAt) > pingInterval {
+		c.seedsPingedAt = now
 		for _, address := range c.cfg.Seeds {
 			if address != c.cfg.Self.Address {
 				c.done.Go(func() { c.ping(siskin.AddressID(address)) })
@@ -62,9 +62,9 @@
 	}
 }
 
-// choose decides how often each peer is pinged, and picks the relay and the
+// choosePeers decides how often each peer is pinged, and picks the relay and the
 // distant peer of a large fleet whose turn it is. The caller holds mu.
-func (c *Crew) choose(now time.Time) {
+func (c *Crew) choosePeers(now time.Time) {
 	large := len(c.members) >= fullMesh
 	c.relay = large && c.isRelay(c.cfg.Self.ID, c.cfg.Self.DataCentre)
 	if large {
@@ -72,33 +72,33 @@
 	}
 	var distant, relays []*member
 	for _, m := range c.members {
-		before := m.every
-		if m.every = pingInterval; large {
-			m.every = c.pingEvery(m)
+		before := m.interval
+		if m.interval = pingInterval; large {
+			m.interval = c.largeFleetInterval(m)
 		}
-		if m.every != 0 && m.every != before {
-			m.next = now
+		if m.interval != 0 && m.interval != before {
+			m.nextPing = now
 		}
 		switch {
-		case m.every != 0 || m.pinging:
-		case !c.relay && c.local(m) && c.isRelay(m.node.ID, m.node.DataCentre):
+		case m.interval != 0 || m.pinging:
+		case !c.relay && c.isLocal(m) && c.isRelay(m.node.ID, m.node.DataCentre):
 			relays = append(relays, m)
 		case m.watched:
 			distant = append(distant, m)
 		}
 	}
 	if c.relay {
-		c.findSilent(now)
+		c.detectSilent(now)
 	}
 	if len(relays) > 0 {
-		slices.MinFunc(relays, byHeard).next = now
+		slices.MinFunc(relays, byHeard).nextPing = now
 	}
 	slices.SortFunc(distant, byHeard)
 	// Traffic between data centres is dear, so only some pings cross.
 	c.round++
 	for _, m := range distant {
-		if c.local(m) != (c.round%farEvery == 0) {
-			m.next = now
+		if c.isLocal(m) != (c.round%remoteEvery == 0) {
+			m.nextPing = now
 			return
 		}
 	}
@@ -107,10 +107,10 @@
 // chooseWatched picks the distant peers that this VM pings in turn, by rendezvous
 // rank, so that each VM is watched by about as many others. The caller holds mu.
 func (c *Crew) chooseWatched() {
-	if c.watchedOf == len(c.members) {
+	if c.watchedFleetSize == len(c.members) {
 		return
 	}
-	c.watchedOf = len(c.members)
+	c.watchedFleetSize = len(c.members)
 	ranked := make(map[siskin.DataCentreID][]*member)
 	for _, m := range c.members {
 		m.watched = false
@@ -118,7 +118,7 @@
 	}
 	key := "watch/" + string(c.cfg.Self.ID)
 	for dc, list := range ranked {
-		n := watchedFar
+		n := watchedRemote
 		if dc == c.cfg.Self.DataCentre {
 			n = watchedLocal
 		}
@@ -131,6 +131,6 @@
 	}
 }
 
-func byHeard(a, b *member) int { return a.heard.Compare(b.heard) }
+func byHeard(a, b *member) int { return a.lastHeard.Compare(b.lastHeard) }
 
-func (c *Crew) local(m *member) bool { return m.node.DataCentre == c.cfg.Self.DataCentre }
+func (c *Crew) isLocal(m *member) bool { return m.node.DataCentre == c.cfg.Self.DataCentre }
--- a/internal/crew/members.go
+++ b/internal/crew/members.go
@@ -55,7 +55,7 @@
 	others := make(map[siskin.DataCentreID]bool)
 	now := c.cfg.Clock.Now()
 	for _, m := range c.members {
-		if c.local(m) || m.heard.IsZero() {
+		if c.isLocal(m) || m.lastHeard.IsZero() {
 			continue
 		}
 		if c.alive(m, now) {
@@ -102,8 +102,8 @@
 		c.members[n.ID] = c.newMember(n)
 	case n.Run > m.node.Run:
 		c.members[n.ID] = c.newMember(n)
-		c.relist = true // the list may hold the earlier run
-		c.publish()
+		c.liveOutdated = true // the list may hold the earlier run
+		c.updateLive()
 	}
 }
 
@@ -112,11 +112,11 @@
 // 295 VMs opened 87,000 connections at its start.
 func (c *Crew) newMember(n Node) *member {
 	now := c.cfg.Clock.Now()
-	m := &member{node: n, known: now, every: pingInterval}
+	m := &member{node: n, knownSince: now, interval: pingInterval}
 	if len(c.members) >= fullMesh {
-		m.every, m.next = 0, now.Add(untilTurn)
+		m.interval, m.nextPing = 0, now.Add(unscheduled)
 	}
-	c.chosen = time.Time{} // looks at the peers again
+	c.chosenAt = time.Time{} // looks at the peers again
 	return m
 }
 
@@ -139,11 +139,11 @@
 func (c *Crew) Refresh() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.publish()
+	c.updateLive()
 }
 
-// publish derives the list of live VMs.
-func (c *Crew) publish() {
+// updateLive derives the list of live VMs.
+func (c *Crew) updateLive() {
 	now := c.cfg.Clock.Now()
 	if !c.liveChanged(now) {
 		return
@@ -162,7 +162,7 @@
 	for _, m := range c.members {
 		m.listed = c.usable(m, now)
 	}
-	c.listedSelf, c.relist = !c.leaving.Load(), false
+	c.selfListed, c.liveOutdated = !c.leaving.Load(), false
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -172,7 +172,7 @@
 // liveChanged reports whether the list of live VMs is out of date. It is asked
 // many times a second, and a list of hundreds of VMs is dear to build.
 func (c *Crew) liveChanged(now time.Time) bool {
-	if c.relist || c.listedSelf == c.leaving.Load() {
+	if c.liveOutdated || c.selfListed == c.leaving.Load() {
 		return true
 	}
 	for _, m := range c.members {
--- a/internal/crew/nodes.go
+++ b/internal/crew/nodes.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// packNodesFrom is the number of VMs from which on their list is compressed. A
+	// minPackedNodes is the number of VMs from which on their list is compressed. A
 	// list of 295 VMs takes 32 KB, and after a loss of all power each VM asks one
 	// of three seeds for it, over links of 20 Mbit/s.
-	packNodesFrom = 32
-	// nodesLife is the age up to which a compressed list is sent again.
-	nodesLife = 200 * time.Millisecond
-	// wantNodesEvery is the least time between two questions for the list, while
+	minPackedNodes = 32
+	// packedNodesTTL is the age up to which a compressed list is sent again.
+	packedNodesTTL = 200 * time.Millisecond
+	// nodesRequestInterval is the least time between two questions for the list, while
 	// peers know more VMs than this one.
-	wantNodesEvery = 400 * time.Millisecond
+	nodesRequestInterval = 400 * time.Millisecond
 )
 
 // packedNodes is the compressed list of VMs that was sent last.
@@ -25,18 +25,18 @@
 	data []byte
 }
 
-// answerNodes adds the VMs that this one knows to an answer.
-func (c *Crew) answerNodes(s *State) error {
+// addNodes adds the VMs that this one knows to an answer.
+func (c *Crew) addNodes(s *State) error {
 	now := c.cfg.Clock.Now()
 	p := &c.packedNodes
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.data != nil && now.Sub(p.at) < nodesLife {
+	if p.data != nil && now.Sub(p.at) < packedNodesTTL {
 		s.PackedNodes = p.data
 		return nil
 	}
 	nodes := c.Nodes()
-	if len(nodes) < packNodesFrom {
+	if len(nodes) < minPackedNodes {
 		s.Nodes = nodes
 		return nil
 	}
--- a/internal/crew/pack.go
+++ b/internal/crew/pack.go
@@ -13,17 +13,17 @@
 // values of up to 1 MB.
 const maxConfiguration = 4 << 20
 
-// packed is the compressed configuration of the last version that a peer asked
+// packedConfig is the compressed configuration of the last version that a peer asked
 // for. Configurations with many routes shrink to a tenth, which matters on links
 // of 10 Mbit/s when all VMs fetch a new version.
-type packed struct {
+type packedConfig struct {
 	mu       sync.Mutex
 	revision siskin.Revision
 	data     []byte
 }
 
 // pack returns the compressed form of a version.
-func (p *packed) pack(revision siskin.Revision, encoded []byte) ([]byte, error) {
+func (p *packedConfig) pack(revision siskin.Revision, encoded []byte) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.revision == revision && p.data != nil {
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -13,26 +13,26 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	asked := c.cfg.Clock.Now()
-	args := c.question()
+	args := c.pingState()
 	args.WantNodes = c.wantsNodes(id)
 	if args.KnownRun = c.knownRun(id); args.KnownRun != 0 {
 		args.From = args.From.brief()
 	}
-	args.Loans = c.rates.Loans(id)
+	args.Loans = c.limiter.Loans(id)
 	var reply State
 	err := c.cfg.Peers.Call(ctx, id, "Crew.Ping", args, &reply)
 	c.mu.Lock()
 	if m := c.members[id]; m != nil {
-		if err != nil && !m.failed && !c.local(m) {
-			c.doubtDataCentre(m.node.DataCentre)
+		if err != nil && !m.pingFailed && !c.isLocal(m) {
+			c.pingDataCentre(m.node.DataCentre)
 		}
-		m.pinging, m.failed = false, err != nil
-		if now := c.cfg.Clock.Now(); err != nil && m.every == 0 {
-			m.next = now.Add(m.untilNext(now)) // its turn may never come
+		m.pinging, m.pingFailed = false, err != nil
+		if now := c.cfg.Clock.Now(); err != nil && m.interval == 0 {
+			m.nextPing = now.Add(m.nextInterval(now)) // its turn may never come
 		}
 	}
 	if err != nil {
-		c.publish()
+		c.updateLive()
 		c.mu.Unlock()
 		return
 	}
@@ -43,39 +43,39 @@
 	c.incomplete = reply.Known > len(c.members)+1
 	c.learn(reply.From)
 	if m := c.members[reply.From.ID]; m != nil {
-		if m.suspect || m.heard.IsZero() {
+		if m.suspect || m.lastHeard.IsZero() {
 			c.cfg.Log.Info().Str("VM", string(reply.From.ID)).Uint64("Run", uint64(reply.From.Run)).Msg("contact to a VM")
 		}
-		m.heard, m.suspect, m.leaving = asked, false, reply.Leaving
-		if c.local(m) {
+		m.lastHeard, m.suspect, m.leaving = asked, false, reply.Leaving
+		if c.isLocal(m) {
 			for _, dc := range reply.Silent {
-				c.noteSilent(dc, asked.Add(silentFor))
+				c.markSilent(dc, asked.Add(silentReportTTL))
 			}
-			c.doubt(reply.Lost)
+			c.pingLost(reply.Lost)
 		} else {
-			delete(c.silent, m.node.DataCentre)
+			delete(c.silentUntil, m.node.DataCentre)
 		}
 	}
-	c.publish()
+	c.updateLive()
 	c.mu.Unlock()
 	if nodesErr != nil {
 		c.cfg.Log.Error().Err(nodesErr).Str("VM", string(id)).Msg("a list of VMs was not taken over from a peer")
 	}
 	if reply.Released {
-		c.rates.HandleRelease(reply.From.ID, reply.Tokens)
-	} else if c.rates.HandleStamp(reply.From.ID, reply.Stamp) {
-		c.lendSoon(reply.From.ID)
+		c.limiter.HandleRelease(reply.From.ID, reply.Tokens)
+	} else if c.limiter.HandleStamp(reply.From.ID, reply.Stamp) {
+		c.pingPoolOwner(reply.From.ID)
 	}
-	c.absorb(&reply, asked)
+	c.applyReply(&reply, asked)
 }
 
-// lendSoon pings a VM that holds pools again at once, since loans travel with
+// pingPoolOwner pings a VM that holds pools again at once, since loans travel with
 // pings and need a stamp of the VM.
-func (c *Crew) lendSoon(id siskin.VMID) {
+func (c *Crew) pingPoolOwner(id siskin.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if m := c.members[id]; m != nil && (c.near.PoolOwners[id] || len(c.members) < fullMesh) {
-		m.next = time.Time{}
+	if m := c.members[id]; m != nil && (c.priority.PoolOwners[id] || len(c.members) < fullMesh) {
+		m.nextPing = time.Time{}
 	}
 }
 
@@ -83,7 +83,7 @@
 func (c *Crew) knownRun(id siskin.VMID) siskin.Incarnation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if m := c.members[id]; m != nil && !m.heard.IsZero() {
+	if m := c.members[id]; m != nil && !m.lastHeard.IsZero() {
 		return m.node.Run
 	}
 	return 0
@@ -95,23 +95,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.members[id]
-	wants := m == nil || c.incomplete || len(c.members) < 2 && m.heard.IsZero()
+	wants := m == nil || c.incomplete || len(c.members) < 2 && m.lastHeard.IsZero()
 	now := c.cfg.Clock.Now()
-	if !wants || len(c.members) >= packNodesFrom && now.Sub(c.wantedNodes) < wantNodesEvery {
+	if !wants || len(c.members) >= minPackedNodes && now.Sub(c.nodesRequestedAt) < nodesRequestInterval {
 		return false
 	}
-	c.wantedNodes = now
+	c.nodesRequestedAt = now
 	return true
 }
 
-// absorb takes over what a peer said; asked is the moment before the question.
-func (c *Crew) absorb(s *State, asked time.Time) {
+// applyReply takes over what a peer said; asked is the moment before the question.
+func (c *Crew) applyReply(s *State, asked time.Time) {
 	for _, l := range s.Leads {
 		c.cfg.Views.Proven(l.Service, views.Lead{Target: l.Target, Position: l.Position, Term: l.Term, At: asked.Add(-l.Age)})
 	}
 	for id, n := range s.Loads {
 		c.cfg.Views.Loaded(id, n, asked)
 	}
-	c.catchUp(s, asked)
+	c.applyVersions(s, asked)
 	c.cfg.Roster.LearnSizes(s.Sizes, asked)
 }
--- a/internal/crew/receiver.go
+++ b/internal/crew/receiver.go
@@ -14,41 +14,41 @@
 	// those in answers are taken over.
 	r.c.Learn(args.From)
 	r.c.fetchIfNewer(args)
-	r.c.noteLeaving(args)
-	r.c.noteAlive(args.From)
+	r.c.recordLeaving(args)
+	r.c.pingRecovered(args.From)
 	if args.Loans != nil {
-		r.c.rates.AcceptLoans(args.Loans)
+		r.c.limiter.AcceptLoans(args.Loans)
 	}
-	*reply = r.c.state()
+	*reply = r.c.replyState()
 	if reply.Released {
-		reply.Tokens = r.c.rates.TakeReturnedTokens(args.From.ID)
+		reply.Tokens = r.c.limiter.TakeReturnedTokens(args.From.ID)
 	}
 	if args.KnownRun == reply.From.Run {
 		reply.From = reply.From.brief()
 	}
 	if args.WantNodes {
-		return r.c.answerNodes(reply)
+		return r.c.addNodes(reply)
 	}
 	return nil
 }
 
-// noteAlive pings a peer again at once that is held to be silent and has just
+// pingRecovered pings a peer again at once that is held to be silent and has just
 // asked this VM.
-func (c *Crew) noteAlive(n Node) {
+func (c *Crew) pingRecovered(n Node) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if m := c.members[n.ID]; m != nil && (m.suspect || m.failed) && n.Run >= m.node.Run {
-		m.next = time.Time{}
+	if m := c.members[n.ID]; m != nil && (m.suspect || m.pingFailed) && n.Run >= m.node.Run {
+		m.nextPing = time.Time{}
 	}
 }
 
-func (c *Crew) noteLeaving(s *State) {
+func (c *Crew) recordLeaving(s *State) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if m := c.members[s.From.ID]; m != nil && m.leaving != s.Leaving && s.From.Run == m.node.Run {
 		m.leaving = s.Leaving
-		m.next = time.Time{} // its answer gives back what was lent to it
-		c.publish()
+		m.nextPing = time.Time{} // its answer gives back what was lent to it
+		c.updateLive()
 	}
 }
 
@@ -57,12 +57,12 @@
 	c := r.c
 	if snap := c.cfg.Table.Snapshot(); snap.Version > args.Revision {
 		var err error
-		if reply.Configuration, err = c.packed.pack(snap.Version, snap.Encoded); err != nil {
+		if reply.Configuration, err = c.packedConfig.pack(snap.Version, snap.Encoded); err != nil {
 			return err
 		}
 	}
 	if args.WantHolders {
-		reply.Holders = c.rates.Holders()
+		reply.Holders = c.limiter.Holders()
 	}
 	if list, version, at := c.cfg.Roster.Listed(); version > args.Targets {
 		reply.Targets, reply.TargetVersion, reply.TargetAge = list, version, c.cfg.Clock.Since(at)
--- a/internal/crew/relay.go
+++ b/internal/crew/relay.go
@@ -15,9 +15,9 @@
 	// relayInterval is the time between two pings of a relay elsewhere. News of
 	// the configuration come with them, which has 3 s to be in force.
 	relayInterval = 600 * time.Millisecond
-	// silentFor is the time for which the report of a silent data centre counts.
+	// silentReportTTL is the time for which the report of a silent data centre counts.
 	// It spans three pings.
-	silentFor = 3*pingInterval + pingTimeout
+	silentReportTTL = 3*pingInterval + pingTimeout
 	// minFailed is the number of VMs that must have failed to answer before
 	// their data centre is held to be silent.
 	minFailed = 2
@@ -42,95 +42,95 @@
 	return false
 }
 
-// pingEvery returns the time between two pings of a peer of a large fleet, zero
+// largeFleetInterval returns the time between two pings of a peer of a large fleet, zero
 // for one that is pinged when its turn comes.
-func (c *Crew) pingEvery(m *member) time.Duration {
+func (c *Crew) largeFleetInterval(m *member) time.Duration {
 	id := m.node.ID
 	switch {
-	case c.near.StandbyFor[id], c.relay && c.near.Homes[id]:
+	case c.priority.StandbyFor[id], c.relay && c.priority.Homes[id]:
 		return pingInterval
-	case c.near.PoolOwners[id]:
-		return poolInterval
-	case c.relay && !c.local(m) && c.isRelay(id, m.node.DataCentre):
+	case c.priority.PoolOwners[id]:
+		return poolOwnerInterval
+	case c.relay && !c.isLocal(m) && c.isRelay(id, m.node.DataCentre):
 		return relayInterval
 	default:
 		return 0
 	}
 }
 
-// findSilent finds the data centres of which no VM answers. VMs there are not
+// detectSilent finds the data centres of which no VM answers. VMs there are not
 // used, so that the homes of their targets move at once and not VM by VM.
-func (c *Crew) findSilent(now time.Time) {
-	heard := make(map[siskin.DataCentreID]time.Time)
+func (c *Crew) detectSilent(now time.Time) {
+	lastHeard := make(map[siskin.DataCentreID]time.Time)
 	for _, m := range c.members {
-		if dc := m.node.DataCentre; !c.local(m) && m.heard.After(heard[dc]) {
-			heard[dc] = m.heard
+		if dc := m.node.DataCentre; !c.isLocal(m) && m.lastHeard.After(lastHeard[dc]) {
+			lastHeard[dc] = m.lastHeard
 		}
 	}
-	failed := make(map[siskin.DataCentreID]int)
+	pingFailed := make(map[siskin.DataCentreID]int)
 	for _, m := range c.members {
 		// VMs that were gone before the others fell silent tell nothing.
-		if last := heard[m.node.DataCentre]; (m.failed || m.suspect) && last.Sub(m.heard) < deadAfter {
-			failed[m.node.DataCentre]++
+		if last := lastHeard[m.node.DataCentre]; (m.pingFailed || m.suspect) && last.Sub(m.lastHeard) < deadAfter {
+			pingFailed[m.node.DataCentre]++
 		}
 	}
-	for dc, last := range heard {
-		if now.Sub(last) > suspectAfter && failed[dc] >= minFailed {
-			c.noteSilent(dc, now.Add(silentFor))
+	for dc, last := range lastHeard {
+		if now.Sub(last) > suspectAfter && pingFailed[dc] >= minFailed {
+			c.markSilent(dc, now.Add(silentReportTTL))
 		}
 	}
 }
 
-// doubtDataCentre asks the VMs of a data centre that this relay pings often,
+// pingDataCentre asks the VMs of a data centre that this relay pings often,
 // since one of them did not answer. The caller holds mu.
-func (c *Crew) doubtDataCentre(dc siskin.DataCentreID) {
+func (c *Crew) pingDataCentre(dc siskin.DataCentreID) {
 	for _, m := range c.members {
-		if c.relay && m.every != 0 && m.node.DataCentre == dc && !m.failed {
-			m.next = time.Time{}
+		if c.relay && m.interval != 0 && m.node.DataCentre == dc && !m.pingFailed {
+			m.nextPing = time.Time{}
 		}
 	}
 }
 
-// noteSilent holds a data centre to be silent until the given time. The caller
+// markSilent holds a data centre to be silent until the given time. The caller
 // holds mu.
-func (c *Crew) noteSilent(dc siskin.DataCentreID, until time.Time) {
+func (c *Crew) markSilent(dc siskin.DataCentreID, until time.Time) {
 	now := c.cfg.Clock.Now()
-	if !now.Before(c.silent[dc]) {
+	if !now.Before(c.silentUntil[dc]) {
 		c.cfg.Log.Warn().Str("DataCentre", string(dc)).Msg("lost contact to a data centre")
 	}
-	if until.After(c.silent[dc]) {
-		c.silent[dc] = until
+	if until.After(c.silentUntil[dc]) {
+		c.silentUntil[dc] = until
 	}
 }
 
 const (
-	// lostFor is the time for which a relay tells of a VM that fell silent. Those
+	// lostReportTime is the time for which a relay tells of a VM that fell silent. Those
 	// that ask it do so each pingInterval.
-	lostFor = 2 * time.Second
+	lostReportTime = 2 * time.Second
 	// maxLost bounds the VMs that are told with one answer. A whole data centre is
 	// told of by its name.
 	maxLost = 32
 )
 
-// lost returns the VMs that have just fallen silent. The caller holds mu.
-func (c *Crew) lost(now time.Time) []siskin.VMID {
+// lostMembers returns the VMs that have just fallen silent. The caller holds mu.
+func (c *Crew) lostMembers(now time.Time) []siskin.VMID {
 	var list []siskin.VMID
 	for id, m := range c.members {
-		quiet := now.Sub(m.heard)
-		if (m.suspect || m.failed) && quiet < suspectAfter+lostFor && len(list) < maxLost {
+		quiet := now.Sub(m.lastHeard)
+		if (m.suspect || m.pingFailed) && quiet < suspectAfter+lostReportTime && len(list) < maxLost {
 			list = append(list, id)
 		}
 	}
 	return list
 }
 
-// doubt pings VMs that a relay lost, unless this VM has done so lately. The caller
+// pingLost pings VMs that a relay lost, unless this VM has done so lately. The caller
 // holds mu.
-func (c *Crew) doubt(ids []siskin.VMID) {
+func (c *Crew) pingLost(ids []siskin.VMID) {
 	now := c.cfg.Clock.Now()
 	for _, id := range ids {
-		if m := c.members[id]; m != nil && c.alive(m, now) && now.Sub(m.heard) > suspectAfter && now.Sub(m.doubted) > lostFor {
-			m.doubted, m.next = now, time.Time{}
+		if m := c.members[id]; m != nil && c.alive(m, now) && now.Sub(m.lastHeard) > suspectAfter && now.Sub(m.lostPingedAt) > lostReportTime {
+			m.lostPingedAt, m.nextPing = now, time.Time{}
 		}
 	}
 }
@@ -139,7 +139,7 @@
 // mu.
 func (c *Crew) silentDataCentres(now time.Time) []siskin.DataCentreID {
 	var list []siskin.DataCentreID
-	for dc, until := range c.silent {
+	for dc, until := range c.silentUntil {
 		if now.Before(until) {
 			list = append(list, dc)
 		}
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -1,22 +1,22 @@
 package crew
 
-// question returns what this VM tells with a ping. Proofs age on the way by an
+// pingState returns what this VM tells with a ping. Proofs age on the way by an
 // unknown time, so they travel with answers only.
-func (c *Crew) question() State {
+func (c *Crew) pingState() State {
 	s := State{
 		From: c.cfg.Self, Leaving: c.leaving.Load(), Revision: c.cfg.Table.Snapshot().Version,
-		HasHolders: c.rates.Holders() != nil,
+		HasHolders: c.limiter.Holders() != nil,
 	}
 	s.Targets, _ = c.cfg.Roster.Version()
 	return s
 }
 
-// state returns what this VM answers to a ping.
-func (c *Crew) state() State {
+// replyState returns what this VM answers to a ping.
+func (c *Crew) replyState() State {
 	now := c.cfg.Clock.Now()
-	s := c.question()
+	s := c.pingState()
 	s.RevisionAge = now.Sub(c.cfg.Table.Confirmed())
-	s.Loads, s.Stamp, s.Released = c.cfg.Homes.Loads(), c.rates.Stamp(), c.rates.Released()
+	s.Loads, s.Stamp, s.Released = c.cfg.Homes.Loads(), c.limiter.Stamp(), c.limiter.Released()
 	_, listed := c.cfg.Roster.Version()
 	s.TargetsAge, s.Sizes = now.Sub(listed), c.cfg.Roster.IncompleteSizes()
 	if list, version, at := c.cfg.Roster.Evacuations(); !at.IsZero() {
@@ -27,13 +27,13 @@
 	every := len(c.members) < fullMesh || c.relay
 	if c.relay {
 		s.Silent = c.silentDataCentres(now)
-		s.Lost = c.lost(now)
+		s.Lost = c.lostMembers(now)
 	}
 	c.mu.Unlock()
 	for _, spec := range c.cfg.Table.Snapshot().Services {
 		l := c.cfg.Views.Lead(spec.Name)
 		// In a large fleet proofs come from the homes of primaries and from relays.
-		if age := now.Sub(l.At); l.Target != "" && age < freshLead && (every || c.cfg.IsHome(l.Target)) {
+		if age := now.Sub(l.At); l.Target != "" && age < maxLeadAge && (every || c.cfg.IsHome(l.Target)) {
 			s.Leads = append(s.Leads, LeadNote{Service: spec.Name, Target: l.Target, Position: l.Position, Term: l.Term, Age: age})
 		}
 	}
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -12,13 +12,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.released = true
-	l.giveBack(l.cfg.Clock.Now())
+	l.distributeTokens(l.cfg.Clock.Now())
 	clear(l.pools)
 }
 
-// giveBack shares the tokens of this VM's pools out among their lenders. The
+// distributeTokens shares the tokens of this VM's pools out among their lenders. The
 // caller holds mu.
-func (l *Limiter) giveBack(now time.Time) {
+func (l *Limiter) distributeTokens(now time.Time) {
 	for id, p := range l.pools {
 		rate, burst, ok := l.limits(id)
 		if !ok {
@@ -27,10 +27,10 @@
 		p.fill(now, rate, burst)
 		total := p.share(now)
 		for vm, ln := range p.loans {
-			if l.returning[vm] == nil {
-				l.returning[vm] = make(Tokens)
+			if l.toReturn[vm] == nil {
+				l.toReturn[vm] = make(Tokens)
 			}
-			l.returning[vm][id] = p.tokens * ln.share / total
+			l.toReturn[vm][id] = p.tokens * ln.share / total
 		}
 	}
 }
@@ -39,8 +39,8 @@
 func (l *Limiter) TakeReturnedTokens(to siskin.VMID) Tokens {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	tokens := l.returning[to]
-	delete(l.returning, to)
+	tokens := l.toReturn[to]
+	delete(l.toReturn, to)
 	return tokens
 }
 
@@ -57,12 +57,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Now()
-	for id, p := range l.local {
-		if p.owner == from && now.Before(p.lent) {
+	for id, p := range l.localBucket {
+		if p.owner == from && now.Before(p.loanEnd) {
 			if rate, burst, ok := l.limits(id); ok {
-				l.earn(p, now, rate, burst)
+				l.accrue(p, now, rate, burst)
 			}
-			p.lent = now
+			p.loanEnd = now
 			p.tokens += tokens[id] // the next fill cuts them to the share's burst
 		}
 	}
@@ -82,8 +82,8 @@
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Now()
 	old, ok := l.stamps[from]
-	l.stamps[from] = received{s, now}
-	return !ok || old.stamp.Run != s.Run || now.Sub(old.at) > loanLife/2
+	l.stamps[from] = receivedStamp{s, now}
+	return !ok || old.stamp.Run != s.Run || now.Sub(old.at) > loanDuration/2
 }
 
 // Loans returns the loans to send to a VM with the next ping, nil when it owns
@@ -94,23 +94,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, ok := l.stamps[to]
-	if !ok || l.share == 0 || now.Sub(r.at) > loanLife/2 {
+	if !ok || l.share == 0 || now.Sub(r.at) > loanDuration/2 {
 		return nil
 	}
 	lent := make(map[float64]*LoanPart) // by the part kept
 	for i := range snap.Customers {
 		c := &snap.Customers[i]
-		kept := l.kept(float64(c.Burst))
-		if !l.lend(c, kept, to, now, r.at.Add(loanLife)) {
+		keptFraction := l.keptFraction(float64(c.Burst))
+		if !l.recordLoan(c, keptFraction, to, now, r.at.Add(loanDuration)) {
 			continue
 		}
-		part := lent[kept]
+		part := lent[keptFraction]
 		if part == nil {
-			part = &LoanPart{Share: l.share * (1 - kept), Tokens: make(Tokens)}
-			lent[kept] = part
+			part = &LoanPart{Share: l.share * (1 - keptFraction), Tokens: make(Tokens)}
+			lent[keptFraction] = part
 		}
 		part.Customers = append(part.Customers, c.ID)
-		if tokens := l.part(c.ID).handOver(float64(c.Burst) * l.share * kept); tokens > 0 {
+		if tokens := l.part(c.ID).handOver(float64(c.Burst) * l.share * keptFraction); tokens > 0 {
 			part.Tokens[c.ID] = tokens
 		}
 	}
@@ -124,21 +124,21 @@
 	return loans
 }
 
-// lend notes a loan that ends at until, unless another VM's is still open or a
+// recordLoan notes a loan that ends at until, unless another VM's is still open or a
 // larger one that the owner may still count.
-func (l *Limiter) lend(c *siskin.CustomerSpec, kept float64, to siskin.VMID, now, until time.Time) bool {
-	if owners := l.owners(c.ID, float64(c.Burst), kept); len(owners) == 0 || owners[0] != to {
+func (l *Limiter) recordLoan(c *siskin.CustomerSpec, keptFraction float64, to siskin.VMID, now, until time.Time) bool {
+	if owners := l.owners(c.ID, float64(c.Burst), keptFraction); len(owners) == 0 || owners[0] != to {
 		return false
 	}
 	p := l.part(c.ID)
-	if now.Before(p.lent) && (p.owner != to || kept > p.kept) {
+	if now.Before(p.loanEnd) && (p.owner != to || keptFraction > p.keptFraction) {
 		return false
 	}
-	l.earn(p, now, float64(c.Rate), float64(c.Burst))
+	l.accrue(p, now, float64(c.Rate), float64(c.Burst))
 	if p.owner != to && p.owner != "" {
-		p.former, p.formerUntil = p.owner, now.Add(loanLife)
+		p.formerOwner, p.formerOwnerUntil = p.owner, now.Add(loanDuration)
 	}
-	p.owner, p.lent, p.kept = to, until, kept
+	p.owner, p.loanEnd, p.keptFraction = to, until, keptFraction
 	return true
 }
 
@@ -146,7 +146,7 @@
 func (l *Limiter) AcceptLoans(loans *Loans) {
 	issued := time.Unix(0, loans.Stamp.At)
 	now := l.cfg.Clock.Now()
-	if loans.Stamp.Run != l.cfg.Run || now.Sub(issued) > loanLife {
+	if loans.Stamp.Run != l.cfg.Run || now.Sub(issued) > loanDuration {
 		return // of an earlier run, or late
 	}
 	l.mu.Lock()
@@ -159,14 +159,14 @@
 			continue
 		}
 		for _, id := range part.Customers {
-			l.borrow(now, id, loans.From, loan{part.Share, issued.Add(loanLife)}, part.Tokens[id])
+			l.addToPool(now, id, loans.From, loan{part.Share, issued.Add(loanDuration)}, part.Tokens[id])
 		}
 	}
 }
 
-// borrow adds a loan and the tokens that come with it to the pool of a customer.
+// addToPool adds a loan and the tokens that come with it to the pool of a customer.
 // The caller holds mu.
-func (l *Limiter) borrow(now time.Time, id siskin.CustomerID, from siskin.VMID, ln loan, tokens float64) {
+func (l *Limiter) addToPool(now time.Time, id siskin.CustomerID, from siskin.VMID, ln loan, tokens float64) {
 	rate, burst, ok := l.limits(id)
 	if !ok {
 		return
@@ -176,7 +176,7 @@
 		p = &pool{loans: make(map[siskin.VMID]loan)}
 		l.pools[id] = p
 	}
-	p.lend(now, rate, burst, from, ln)
+	p.setLoan(now, rate, burst, from, ln)
 	// A share never holds more than its part of the burst.
 	p.tokens += max(0, min(tokens, burst*ln.share))
 	p.tokens = min(p.tokens, burst*p.share(now))
--- a/internal/quota/owners.go
+++ b/internal/quota/owners.go
@@ -8,38 +8,38 @@
 )
 
 const (
-	// fewPools is the number of pools of a customer whose shares are all lent, and
-	// manyPools that of one whose burst is manyBurst or more: a pool that holds
+	// defaultPools is the number of pools of a customer whose shares are all lent, and
+	// largeBurstPools that of one whose burst is manyBurst or more: a pool that holds
 	// less than a token admits nothing.
-	fewPools, manyPools = 2, 4
-	manyBurst           = 16
+	defaultPools, largeBurstPools = 2, 4
+	largeBurst                    = 16
 )
 
 // owners returns the VMs that hold the pools of a customer, this VM's own pool
 // first. A customer has one pool while each holder keeps a usable part of its
 // share, and several in different data centres when all shares are lent, so that
 // the loss of one owner leaves most of the rate.
-func (l *Limiter) owners(customer siskin.CustomerID, burst, kept float64) []siskin.VMID {
+func (l *Limiter) owners(customer siskin.CustomerID, burst, keptFraction float64) []siskin.VMID {
 	live := l.cfg.Members.Live()
 	list := l.ranker.Rank("rate/"+string(customer), live, func([]siskin.VM) []siskin.VM { return l.ownerSet(live) })
 	if len(list) == 0 {
 		return nil
 	}
-	if kept > 0 || len(list) == 1 {
+	if keptFraction > 0 || len(list) == 1 {
 		return []siskin.VMID{list[0].ID}
 	}
-	n := fewPools
-	if burst >= manyBurst {
-		n = manyPools
+	n := defaultPools
+	if burst >= largeBurst {
+		n = largeBurstPools
 	}
-	ids := apart(list, n)
+	ids := spreadOverDataCentres(list, n)
 	at := int(place.Score("pool/"+string(customer), l.cfg.Members.Self().ID) % uint64(len(ids)))
 	return append(ids[at:len(ids):len(ids)], ids[:at]...)
 }
 
-// apart returns the first n VMs of a list, those of further data centres before
+// spreadOverDataCentres returns the first n VMs of a list, those of further data centres before
 // those of the same ones.
-func apart(list []siskin.VM, n int) []siskin.VMID {
+func spreadOverDataCentres(list []siskin.VM, n int) []siskin.VMID {
 	n = min(n, len(list))
 	ids := make([]siskin.VMID, 0, n)
 	seen := make(map[siskin.DataCentreID]bool)
@@ -85,7 +85,7 @@
 // change of a fleet of 295 VMs, it took the owners' processors for so long that
 // they answered no question for tokens.
 func (l *Limiter) ownerSet(live []siskin.VM) []siskin.VM {
-	return l.sets.Rank("rates", live, l.choose)
+	return l.ownerRanker.Rank("rates", live, l.choose)
 }
 
 // PoolOwners returns the ids of the VMs that hold pools.
--- a/internal/quota/owners_test.go
+++ b/internal/quota/owners_test.go
@@ -8,17 +8,17 @@
 	"siskintray.example/siskin/internal/boot"
 )
 
-// changing is a fleet whose list changes when told.
-type changing struct{ live []siskin.VM }
+// changingFleet is a fleet whose list changes when told.
+type changingFleet struct{ live []siskin.VM }
 
-func (c *changing) Self() siskin.VM                      { return c.live[0] }
-func (c *changing) Live() []siskin.VM                    { return c.live }
-func (c *changing) Lookup(siskin.VMID) (siskin.VM, bool) { return siskin.VM{}, false }
-func (c *changing) Changed() <-chan struct{}             { return nil }
-func (c *changing) change()                              { c.live = append([]siskin.VM(nil), c.live...) }
+func (c *changingFleet) Self() siskin.VM                      { return c.live[0] }
+func (c *changingFleet) Live() []siskin.VM                    { return c.live }
+func (c *changingFleet) Lookup(siskin.VMID) (siskin.VM, bool) { return siskin.VM{}, false }
+func (c *changingFleet) Changed() <-chan struct{}             { return nil }
+func (c *changingFleet) change()                              { c.live = append([]siskin.VM(nil), c.live...) }
 
-func largeFleet() *changing {
-	c := &changing{}
+func largeFleet() *changingFleet {
+	c := &changingFleet{}
 	for i := range 295 {
 		vm := siskin.VM{ID: siskin.VMID(fmt.Sprintf("vm-%03d", i)), DataCentre: siskin.DataCentreID(fmt.Sprint("dc-", i%6)), Capacity: 192}
 		if i < 18 {
@@ -44,8 +44,8 @@
 	for range changes {
 		fleet.change()
 		for i := range customers {
-			if got := len(l.owners(siskin.CustomerID(fmt.Sprint("c-", i)), manyBurst, 0)); got != manyPools {
-				t.Fatalf("pools of a customer: got %d, want %d", got, manyPools)
+			if got := len(l.owners(siskin.CustomerID(fmt.Sprint("c-", i)), largeBurst, 0)); got != largeBurstPools {
+				t.Fatalf("pools of a customer: got %d, want %d", got, largeBurstPools)
 			}
 		}
 	}
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -19,8 +19,8 @@
 	until time.Time
 }
 
-// lend adds or extends a loan.
-func (p *pool) lend(now time.Time, rate, burst float64, vm siskin.VMID, l loan) {
+// setLoan adds or extends a loan.
+func (p *pool) setLoan(now time.Time, rate, burst float64, vm siskin.VMID, l loan) {
 	p.fill(now, rate, burst)
 	if old, ok := p.loans[vm]; !ok || l.until.After(old.until) {
 		p.loans[vm] = l
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,36 +12,36 @@
 )
 
 const (
-	// loanLife is the time that a loan counts from the stamp that it cites. It
+	// loanDuration is the time that a loan counts from the stamp that it cites. It
 	// spans several pings, so that one lost ping ends no loan. A longer life would
 	// keep shares from their lenders for longer when an owner is cut off.
-	loanLife = 1500 * time.Millisecond
-	// ownPart is the part of its share that a VM keeps while the rest is lent.
+	loanDuration = 1500 * time.Millisecond
+	// localFraction is the part of its share that a VM keeps while the rest is lent.
 	// It serves customers for loanLife when the owner of their pool dies. A
 	// larger part lies idle where a customer has no callers.
-	ownPart = 0.5
-	// minOwnTokens is the number of tokens that the kept part of a burst must
+	localFraction = 0.5
+	// minLocalTokens is the number of tokens that the kept part of a burst must
 	// hold; a smaller part is lent as well. A bucket below one token admits
 	// nothing, so in a fleet of 68 VMs half of each rate would be lost.
-	minOwnTokens = 2
-	// grantLife is the time after which tokens taken from a pool are void. Up
+	minLocalTokens = 2
+	// grantTTL is the time after which tokens taken from a pool are void. Up
 	// to this much of the rate can fall into a later window; the users' rule
 	// leaves a tenth of a window of five seconds.
-	grantLife = 250 * time.Millisecond
+	grantTTL = 250 * time.Millisecond
 	// takeTimeout bounds the questions to the owners of a pool, a few round trips
 	// between data centres.
 	takeTimeout = 60 * time.Millisecond
-	// takeAhead is the time for which tokens are taken ahead of demand.
-	takeAhead = 100 * time.Millisecond
+	// prefetchInterval is the time for which tokens are taken ahead of demand.
+	prefetchInterval = 100 * time.Millisecond
 	// maxTake bounds the tokens of one question.
 	maxTake = 16
-	// refusedFor bounds the time in which requests are refused without asking
+	// refusalBackoff bounds the time in which requests are refused without asking
 	// the owner again.
-	refusedFor = 100 * time.Millisecond
-	// silentFor is the time in which an owner that gave no answer is not asked
+	refusalBackoff = 100 * time.Millisecond
+	// silentBackoff is the time in which an owner that gave no answer is not asked
 	// again, so that requests do not wait for it one by one. A ping takes as
 	// long to find out whether it lives.
-	silentFor = 400 * time.Millisecond
+	silentBackoff = 400 * time.Millisecond
 )
 
 // Config holds what a Limiter depends on.
@@ -60,24 +60,24 @@
 type Limiter struct {
 	cfg    Config
 	ranker place.Ranker
-	// sets keeps the VMs that hold pools until the list of VMs changes.
-	sets place.Ranker
+	// ownerRanker keeps the VMs that hold pools until the list of VMs changes.
+	ownerRanker place.Ranker
 	// choose picks them.
 	choose func(live []siskin.VM) []siskin.VM
 
 	mu      sync.Mutex
 	holders []siskin.VMID
 	// released says that this VM holds no pools anymore.
-	released bool
-	share    float64   // of this VM; zero until the record names it
-	since    time.Time // when the share became known
-	local    map[siskin.CustomerID]*local
-	pools    map[siskin.CustomerID]*pool
-	stamps   map[siskin.VMID]received
-	// returning are tokens that lenders get back, after Release.
-	returning map[siskin.VMID]Tokens
-	// silent says until when owners that gave no answer are not asked.
-	silent map[siskin.VMID]time.Time
+	released    bool
+	share       float64   // of this VM; zero until the record names it
+	shareSince  time.Time // when the share became known
+	localBucket map[siskin.CustomerID]*localBucket
+	pools       map[siskin.CustomerID]*pool
+	stamps      map[siskin.VMID]receivedStamp
+	// toReturn are tokens that lenders get back, after Release.
+	toReturn map[siskin.VMID]Tokens
+	// silentUntil says until when owners that gave no answer are not asked.
+	silentUntil map[siskin.VMID]time.Time
 }
 
 var (
@@ -88,9 +88,9 @@
 // New returns a Limiter that holds no share yet.
 func New(cfg Config) *Limiter {
 	return &Limiter{
-		cfg: cfg, choose: chooseOwners, local: make(map[siskin.CustomerID]*local),
-		pools: make(map[siskin.CustomerID]*pool), stamps: make(map[siskin.VMID]received), silent: make(map[siskin.VMID]time.Time),
-		returning: make(map[siskin.VMID]Tokens),
+		cfg: cfg, choose: chooseOwners, localBucket: make(map[siskin.CustomerID]*localBucket),
+		pools: make(map[siskin.CustomerID]*pool), stamps: make(map[siskin.VMID]receivedStamp), silentUntil: make(map[siskin.VMID]time.Time),
+		toReturn: make(map[siskin.VMID]Tokens),
 	}
 }
 
@@ -102,7 +102,7 @@
 	if l.holders != nil {
 		return // the record never changes
 	}
-	l.holders, l.since = holders, l.cfg.Clock.Now()
+	l.holders, l.shareSince = holders, l.cfg.Clock.Now()
 	for _, id := range holders {
 		if id == l.cfg.Members.Self().ID {
 			l.share = 1 / float64(len(holders))
@@ -134,13 +134,13 @@
 	return float64(c.Rate), float64(c.Burst), true
 }
 
-func (l *Limiter) part(id siskin.CustomerID) *local {
-	p := l.local[id]
+func (l *Limiter) part(id siskin.CustomerID) *localBucket {
+	p := l.localBucket[id]
 	if p == nil {
 		// The share has earned tokens since it is known, whether or not a
 		// request of the customer came.
-		p = &local{bucket: bucket{at: l.since}}
-		l.local[id] = p
+		p = &localBucket{bucket: bucket{at: l.shareSince}}
+		l.localBucket[id] = p
 	}
 	return p
 }
@@ -154,7 +154,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.part(customer)
-	p.count(now, float64(n))
+	p.countDemand(now, float64(n))
 	if now.After(p.expiry) {
 		p.granted = 0
 	}
@@ -162,7 +162,7 @@
 		p.granted -= float64(n)
 		return siskin.Admission{Admitted: true}
 	}
-	l.earn(p, now, rate, burst)
+	l.accrue(p, now, rate, burst)
 	if p.tokens >= float64(n) {
 		p.tokens -= float64(n)
 		return siskin.Admission{Admitted: true}
@@ -180,7 +180,7 @@
 		p.granted = 0
 	}
 	if p.granted == 0 {
-		p.expiry = now.Add(grantLife)
+		p.expiry = now.Add(grantTTL)
 	}
 	p.granted += float64(n)
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -31,11 +31,11 @@
 	clock *clockwork.FakeClock
 	vms   []*simVM
 	cut   map[[2]int]bool
-	// late are messages that are still on their way.
-	late []func()
-	sent []time.Time // admitted requests
-	// wanted counts requests, refused those that were not admitted.
-	wanted, refused int
+	// delayed are messages that are still on their way.
+	delayed []func()
+	sent    []time.Time // admitted requests
+	// requested counts requests, refused those that were not admitted.
+	requested, refused int
 	// rate and burst are those of the only customer.
 	rate, burst float64
 }
@@ -113,7 +113,7 @@
 	for _, v := range s.vms {
 		s.start(v)
 	}
-	s.lookAround(1)
+	s.refreshViews(1)
 	return s
 }
 
@@ -133,8 +133,8 @@
 
 const simVMs = 5
 
-// lookAround renews the views of the VMs, each with the given probability.
-func (s *sim) lookAround(p float64) {
+// refreshViews renews the views of the VMs, each with the given probability.
+func (s *sim) refreshViews(p float64) {
 	for _, v := range s.vms {
 		if s.rng.Float64() >= p {
 			continue
@@ -175,20 +175,20 @@
 			}
 		}
 		if s.rng.Intn(20) == 0 {
-			s.late = append(s.late, answer)
+			s.delayed = append(s.delayed, answer)
 		} else {
 			answer()
 		}
 	}
 	if s.rng.Intn(20) == 0 {
-		s.late = append(s.late, deliver)
+		s.delayed = append(s.delayed, deliver)
 	} else {
 		deliver()
 	}
 }
 
-// fault changes links and VMs.
-func (s *sim) fault() {
+// injectFault changes links and VMs.
+func (s *sim) injectFault() {
 	v := s.vms[s.rng.Intn(len(s.vms))]
 	switch s.rng.Intn(7) {
 	case 6:
@@ -220,7 +220,7 @@
 	if v.down || v.paused {
 		return
 	}
-	s.wanted++
+	s.requested++
 	if v.l.AdmitWait(context.Background(), "acme", 1).Admitted {
 		s.sent = append(s.sent, s.clock.Now())
 	} else {
@@ -252,9 +252,9 @@
 	for now := time.Duration(0); now < length; now += step {
 		s.clock.Advance(step)
 		if faults && s.rng.Intn(30) == 0 {
-			s.fault()
+			s.injectFault()
 		}
-		s.lookAround(0.05)
+		s.refreshViews(0.05)
 		for i, v := range s.vms {
 			if v.down || v.paused {
 				continue
@@ -268,10 +268,10 @@
 				}
 			}
 		}
-		if len(s.late) > 0 && s.rng.Intn(50) == 0 {
-			k := s.rng.Intn(len(s.late))
-			s.late[k]()
-			s.late = append(s.late[:k], s.late[k+1:]...)
+		if len(s.delayed) > 0 && s.rng.Intn(50) == 0 {
+			k := s.rng.Intn(len(s.delayed))
+			s.delayed[k]()
+			s.delayed = append(s.delayed[:k], s.delayed[k+1:]...)
 		}
 		for n := demand * step.Seconds(); n > 0; n-- {
 			if s.rng.Float64() < n {
@@ -307,11 +307,11 @@
 func TestFewRefusalsWithinRate(t *testing.T) {
 	s := newSim(t, 1, simVMs)
 	s.run(2*time.Second, 1, false)
-	s.wanted, s.refused = 0, 0
+	s.requested, s.refused = 0, 0
 	s.run(60*time.Second, 0.62*testRate, false)
 	// The users ask for none on quiet days; the record counts to a thousandth.
-	if got := float64(s.refused) / float64(s.wanted); got > 0.001 {
-		t.Errorf("refused within the rate: got %d of %d, want at most 0.1%%", s.refused, s.wanted)
+	if got := float64(s.refused) / float64(s.requested); got > 0.001 {
+		t.Errorf("refused within the rate: got %d of %d, want at most 0.1%%", s.refused, s.requested)
 	}
 }
 
@@ -322,40 +322,40 @@
 	for _, rate := range []float64{8, 35, 160} {
 		s := newSimOf(t, 1, 68, rate, rate)
 		s.run(3*time.Second, 1, false)
-		s.wanted, s.refused = 0, 0
+		s.requested, s.refused = 0, 0
 		s.run(20*time.Second, 0.7*rate, false)
-		if got := float64(s.refused) / float64(s.wanted); got > 0.001 {
-			t.Errorf("refused at 70%% of a rate of %v: got %d of %d, want at most 0.1%%", rate, s.refused, s.wanted)
+		if got := float64(s.refused) / float64(s.requested); got > 0.001 {
+			t.Errorf("refused at 70%% of a rate of %v: got %d of %d, want at most 0.1%%", rate, s.refused, s.requested)
 		}
 	}
 }
 
-// TestLargeFleetLosesOwner guards against customers of a large fleet that are
+// TestOwnerLossInLargeFleet guards against customers of a large fleet that are
 // served nothing while the VM that holds the pool of their rate is gone.
-func TestLargeFleetLosesOwner(t *testing.T) {
+func TestOwnerLossInLargeFleet(t *testing.T) {
 	const rate = 40
 	s := newSimOf(t, 1, 68, rate, rate)
 	s.run(5*time.Second, 0.4*rate, false)
 	owner := s.find(s.vms[0].l.owners("acme", rate, 0)[0])
 	owner.down = true
-	s.wanted, s.refused = 0, 0
+	s.requested, s.refused = 0, 0
 	s.run(2*time.Second, 0.4*rate, false)
 	// The other pools hold three quarters of the rate, which covers the demand.
-	if got := float64(s.refused) / float64(s.wanted); got > 0.1 {
-		t.Errorf("refused after the loss of an owner: got %d of %d, want at most a tenth", s.refused, s.wanted)
+	if got := float64(s.refused) / float64(s.requested); got > 0.1 {
+		t.Errorf("refused after the loss of an owner: got %d of %d, want at most a tenth", s.refused, s.requested)
 	}
 }
 
-// TestHoldersAndOthersAgree guards against VMs without a share that ask owners to
+// TestOwnersAgreeWithoutShare guards against VMs without a share that ask owners to
 // whom no holder lends.
-func TestHoldersAndOthersAgree(t *testing.T) {
+func TestOwnersAgreeWithoutShare(t *testing.T) {
 	s := newSimOf(t, 1, 24, 400, 400)
 	holder, other := s.vms[0].l, s.vms[1].l
 	other.mu.Lock()
 	other.share = 0
 	other.mu.Unlock()
 	for _, burst := range []float64{1, 20, 400, 4000} {
-		a, b := holder.owners("acme", burst, holder.kept(burst)), other.owners("acme", burst, other.kept(burst))
+		a, b := holder.owners("acme", burst, holder.keptFraction(burst)), other.owners("acme", burst, other.keptFraction(burst))
 		slices.Sort(a)
 		slices.Sort(b)
 		if !slices.Equal(a, b) {
@@ -393,17 +393,17 @@
 	set(2, 1000)
 	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	v.l.Loans(owner)
-	if got := v.l.part("acme").kept; got != 0 {
+	if got := v.l.part("acme").keptFraction; got != 0 {
 		t.Errorf("kept while the larger loan counts: got %v, want 0", got)
 	}
-	s.clock.Advance(loanLife)
-	owner = v.l.owners("acme", 0, ownPart)[0]
+	s.clock.Advance(loanDuration)
+	owner = v.l.owners("acme", 0, localFraction)[0]
 	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	if v.l.Loans(owner) == nil && owner != v.id() {
 		t.Fatal("got no loan after the first one lapsed, want one")
 	}
-	if got := v.l.part("acme").kept; got != ownPart {
-		t.Errorf("kept after the larger loan has lapsed: got %v, want %v", got, ownPart)
+	if got := v.l.part("acme").keptFraction; got != localFraction {
+		t.Errorf("kept after the larger loan has lapsed: got %v, want %v", got, localFraction)
 	}
 }
 
@@ -416,15 +416,15 @@
 		s.start(v)
 	}
 	s.run(6*time.Second, 0.62*testRate, false)
-	s.wanted, s.refused = 0, 0
+	s.requested, s.refused = 0, 0
 	s.run(10*time.Second, 0.62*testRate, false)
-	if got := float64(s.refused) / float64(s.wanted); got > 0.02 {
-		t.Errorf("refused 6 s after the restart: got %d of %d, want at most 2%%", s.refused, s.wanted)
+	if got := float64(s.refused) / float64(s.requested); got > 0.02 {
+		t.Errorf("refused 6 s after the restart: got %d of %d, want at most 2%%", s.refused, s.requested)
 	}
 }
 
-// admitted returns how many requests are admitted at once, spread over all VMs.
-func (s *sim) admitted() int {
+// countAdmitted returns how many requests are countAdmitted at once, spread over all VMs.
+func (s *sim) countAdmitted() int {
 	n := 0
 	for _, v := range s.vms {
 		for !v.down && v.l.AdmitWait(context.Background(), "acme", 1).Admitted {
@@ -441,7 +441,7 @@
 	s := newSimOf(t, 1, 68, rate, rate)
 	s.run(1200*time.Millisecond, 0, false)
 	// Shares earn from the start; a fifth is for messages on their way.
-	if got, want := s.admitted(), rate*12/10*8/10; got < want {
+	if got, want := s.countAdmitted(), rate*12/10*8/10; got < want {
 		t.Errorf("requests admitted 1.2 s after the start: got %d, want at least %d", got, want)
 	}
 }
@@ -458,16 +458,16 @@
 		v.l.ReleasePools()
 		v.leaving = true
 	}
-	s.lookAround(1)
+	s.refreshViews(1)
 	s.run(700*time.Millisecond, 0, false)
-	if got, want := s.admitted(), rate*8/10; got < want {
+	if got, want := s.countAdmitted(), rate*8/10; got < want {
 		t.Errorf("requests admitted after the owners have stopped: got %d, want at least %d", got, want)
 	}
 }
 
-// TestSilentOwnerLeavesTime guards against a first owner that is cut off and uses
+// TestSilentOwnerTimeLimit guards against a first owner that is cut off and uses
 // up the time in which the second one could have answered.
-func TestSilentOwnerLeavesTime(t *testing.T) {
+func TestSilentOwnerTimeLimit(t *testing.T) {
 	const rate = 40
 	s := newSimOf(t, 1, 20, rate, rate)
 	s.run(5*time.Second, 0.2*rate, false)
@@ -485,9 +485,9 @@
 	}
 }
 
-// TestLateVMDoubtsNobody guards against owners that are not asked for a while
+// TestCancelledRequestKeepsOwners guards against owners that are not asked for a while
 // because this VM itself had no time left to ask them.
-func TestLateVMDoubtsNobody(t *testing.T) {
+func TestCancelledRequestKeepsOwners(t *testing.T) {
 	const rate = 40
 	s := newSimOf(t, 1, 20, rate, rate)
 	s.run(5*time.Second, 0.2*rate, false)
@@ -496,8 +496,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	v.l.AdmitWait(ctx, "acme", 1)
-	if len(v.l.silent) > 0 {
-		t.Errorf("owners held to be silent without a question: got %v, want none", v.l.silent)
+	if len(v.l.silentUntil) > 0 {
+		t.Errorf("owners held to be silent without a question: got %v, want none", v.l.silentUntil)
 	}
 }
 
@@ -528,16 +528,16 @@
 	for _, id := range owners {
 		s.find(id).leaving = true // not yet part of the fleet
 	}
-	s.lookAround(1)
+	s.refreshViews(1)
 	s.run(5*time.Second, 0.7*rate, false)
 	for _, id := range owners {
 		s.find(id).leaving = false
 	}
-	s.lookAround(1)
-	s.wanted, s.refused = 0, 0
+	s.refreshViews(1)
+	s.requested, s.refused = 0, 0
 	s.run(3*time.Second, 0.7*rate, false)
-	if got := float64(s.refused) / float64(s.wanted); got > 0.02 {
-		t.Errorf("refused at 70%% of the rate while the pools move: got %d of %d, want at most 2%%", s.refused, s.wanted)
+	if got := float64(s.refused) / float64(s.requested); got > 0.02 {
+		t.Errorf("refused at 70%% of the rate while the pools move: got %d of %d, want at most 2%%", s.refused, s.requested)
 	}
 }
 
@@ -582,7 +582,7 @@
 func TestLapsedLoan(t *testing.T) {
 	s := newSim(t, 1, simVMs)
 	v := s.vms[0]
-	owner := v.l.owners("acme", 0, ownPart)[0]
+	owner := v.l.owners("acme", 0, localFraction)[0]
 	if owner == v.id() {
 		v = s.vms[1]
 	}
@@ -594,13 +594,13 @@
 		t.Fatal("got no loan, want one")
 	}
 	const after = 300 * time.Millisecond
-	s.clock.Advance(loanLife + after)
+	s.clock.Advance(loanDuration + after)
 	got := 0
 	for v.l.Admit(s.clock.Now(), "acme", 1).Admitted {
 		got++
 	}
 	// A part of the share of a fifth while the loan counts, then all of it.
-	want := int(testRate / float64(simVMs) * (loanLife.Seconds()*ownPart + after.Seconds()))
+	want := int(testRate / float64(simVMs) * (loanDuration.Seconds()*localFraction + after.Seconds()))
 	if got > want {
 		t.Errorf("tokens after a loan that lapsed: got %d, want at most %d", got, want)
 	}
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -23,7 +23,7 @@
 	if adm.Admitted {
 		return adm
 	}
-	owners, tokens := l.ask(now, customer, float64(n))
+	owners, tokens := l.ownersToAsk(now, customer, float64(n))
 	empty := false
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
@@ -32,24 +32,24 @@
 			break // this VM was late; the owner was not asked
 		}
 		asked := l.cfg.Clock.Now()
-		reply, ok := l.takeAt(ctx, owner, &TakeArgs{Customer: customer, Tokens: tokens}, len(owners)-i)
+		reply, ok := l.takeFrom(ctx, owner, &TakeArgs{Customer: customer, Tokens: tokens}, len(owners)-i)
 		if !ok {
 			continue
 		}
-		if adm = l.settle(asked, customer, float64(n), &reply); adm.Admitted {
+		if adm = l.spendGrant(asked, customer, float64(n), &reply); adm.Admitted {
 			return adm
 		}
 		empty = true
 	}
 	if empty {
-		l.refuse(customer, adm.RetryAfter)
+		l.backOff(customer, adm.RetryAfter)
 	}
 	return adm
 }
 
-// takeAt asks one owner for tokens. It has half of the time left while others come
+// takeFrom asks one owner for tokens. It has half of the time left while others come
 // after it, since one that is cut off gives no answer.
-func (l *Limiter) takeAt(ctx context.Context, owner siskin.VMID, args *TakeArgs, owners int) (reply TakeReply, ok bool) {
+func (l *Limiter) takeFrom(ctx context.Context, owner siskin.VMID, args *TakeArgs, owners int) (reply TakeReply, ok bool) {
 	if owner == l.cfg.Members.Self().ID {
 		return l.Take(args), true
 	}
@@ -57,64 +57,64 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/time.Duration(min(owners, 2)))
 	defer cancel()
 	if err := l.cfg.Peers.Call(ctx, owner, "Quota.Take", args, &reply); err != nil {
-		l.lost(owner, args.Customer, err)
+		l.noteNoAnswer(owner, args.Customer, err)
 		return TakeReply{}, false
 	}
 	return reply, true
 }
 
-// lost notes that an owner gave no answer.
-func (l *Limiter) lost(owner siskin.VMID, customer siskin.CustomerID, err error) {
+// noteNoAnswer notes that an owner gave no answer.
+func (l *Limiter) noteNoAnswer(owner siskin.VMID, customer siskin.CustomerID, err error) {
 	l.mu.Lock()
-	l.silent[owner] = l.cfg.Clock.Now().Add(silentFor)
+	l.silentUntil[owner] = l.cfg.Clock.Now().Add(silentBackoff)
 	l.mu.Unlock()
 	l.cfg.Log.Info().Err(err).Str("Customer", string(customer)).Str("Owner", string(owner)).Msg("the pool gave no answer")
 	l.cfg.PingNow(owner)
 }
 
-// ask returns the owners of the customer's pools in the order to ask them, none
-// while they refuse or are silent, and the tokens to ask for.
-func (l *Limiter) ask(now time.Time, customer siskin.CustomerID, n float64) ([]siskin.VMID, int) {
+// ownersToAsk returns the owners of the customer's pools in the order to ownersToAsk them, none
+// while they refuse or are silent, and the tokens to ownersToAsk for.
+func (l *Limiter) ownersToAsk(now time.Time, customer siskin.CustomerID, n float64) ([]siskin.VMID, int) {
 	_, burst, _ := l.limits(customer)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.part(customer)
-	if now.Before(p.refused) {
+	if now.Before(p.refusedUntil) {
 		return nil, 0
 	}
-	owners := l.owners(customer, burst, l.kept(burst))
-	if l.share == 0 && len(owners) > 0 && owners[0] != p.asked {
+	owners := l.owners(customer, burst, l.keptFraction(burst))
+	if l.share == 0 && len(owners) > 0 && owners[0] != p.lastAsked {
 		// A VM without a share learns of the move by its own view only. What holders
 		// lent to the former owner counts there until it ends.
-		if p.asked != "" {
-			p.former, p.formerUntil = p.asked, now.Add(loanLife)
+		if p.lastAsked != "" {
+			p.formerOwner, p.formerOwnerUntil = p.lastAsked, now.Add(loanDuration)
 		}
-		p.asked = owners[0]
+		p.lastAsked = owners[0]
 	}
-	if now.Before(p.lent) && !slices.Contains(owners, p.owner) {
+	if now.Before(p.loanEnd) && !slices.Contains(owners, p.owner) {
 		// The pool has just moved. The loans to its former owner still count.
 		owners = append([]siskin.VMID{p.owner}, owners...)
 	}
 	// After that a former owner may have tokens while the loans of others last.
-	if now.Before(p.lent.Add(loanLife)) && !slices.Contains(owners, p.owner) {
+	if now.Before(p.loanEnd.Add(loanDuration)) && !slices.Contains(owners, p.owner) {
 		owners = append(owners, p.owner)
 	}
-	if now.Before(p.formerUntil) && !slices.Contains(owners, p.former) {
-		owners = append(owners, p.former)
+	if now.Before(p.formerOwnerUntil) && !slices.Contains(owners, p.formerOwner) {
+		owners = append(owners, p.formerOwner)
 	}
-	owners = slices.DeleteFunc(owners, func(id siskin.VMID) bool { return now.Before(l.silent[id]) })
-	return owners, int(min(maxTake, max(n, p.last)))
+	owners = slices.DeleteFunc(owners, func(id siskin.VMID) bool { return now.Before(l.silentUntil[id]) })
+	return owners, int(min(maxTake, max(n, p.lastDemand)))
 }
 
-// refuse keeps requests of a customer from asking again for a while.
-func (l *Limiter) refuse(customer siskin.CustomerID, wait time.Duration) {
+// backOff keeps requests of a customer from asking again for a while.
+func (l *Limiter) backOff(customer siskin.CustomerID, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.part(customer).refused = l.cfg.Clock.Now().Add(min(refusedFor, wait))
+	l.part(customer).refusedUntil = l.cfg.Clock.Now().Add(min(refusalBackoff, wait))
 }
 
-// settle takes over granted tokens and spends n of them.
-func (l *Limiter) settle(asked time.Time, customer siskin.CustomerID, n float64, reply *TakeReply) siskin.Admission {
+// spendGrant takes over granted tokens and spends n of them.
+func (l *Limiter) spendGrant(asked time.Time, customer siskin.CustomerID, n float64, reply *TakeReply) siskin.Admission {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.part(customer)
@@ -122,10 +122,10 @@
 	if now.After(p.expiry) {
 		p.granted = 0
 	}
-	if now.Before(asked.Add(grantLife)) {
+	if now.Before(asked.Add(grantTTL)) {
 		p.granted += float64(reply.Tokens)
 		// An earlier expiry of other tokens is kept, so none lives too long.
-		if e := asked.Add(grantLife); p.granted == float64(reply.Tokens) || e.Before(p.expiry) {
+		if e := asked.Add(grantTTL); p.granted == float64(reply.Tokens) || e.Before(p.expiry) {
 			p.expiry = e
 		}
 	}
--- a/internal/roster/cold.go
+++ b/internal/roster/cold.go
@@ -11,9 +11,9 @@
 	// says: a call to the store takes up to this long, and the entry may have been
 	// written at its end.
 	coldMargin = 2 * time.Second
-	// coldUnknown is the time from the failure of a target to the list that tells
+	// coldReportDelay is the time from the failure of a target to the list that tells
 	// whether it started again and is cold. A target writes its entry each 1.2 s.
-	coldUnknown = 2 * time.Second
+	coldReportDelay = 2 * time.Second
 	// maxListAge is the age of the list up to which a target that is used for the
 	// first time cannot have started again unseen. Lists are up to 3.2 s old.
 	maxListAge = 5 * time.Second
@@ -27,21 +27,21 @@
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
 	switch {
-	case !ok, now.Before(e.cold):
+	case !ok, now.Before(e.coldUntil):
 		return true
-	case !failed.IsZero() && r.listed.Before(failed.Add(coldUnknown)):
+	case !failed.IsZero() && r.listed.Before(failed.Add(coldReportDelay)):
 		return true
 	case opened.After(r.listed.Add(maxListAge)):
 		return true
 	default:
-		return r.listed.Before(r.resumed.Add(coldUnknown)) && opened.After(r.paused.Add(maxListAge))
+		return r.listed.Before(r.gapEnd.Add(coldReportDelay)) && opened.After(r.gapStart.Add(maxListAge))
 	}
 }
 
-// noteGap notes the first list of this VM, or the first one after a time without
+// recordGap notes the first list of this VM, or the first one after a time without
 // lists, which was asked for at a time. The caller holds mu.
-func (r *Roster) noteGap(at time.Time) {
+func (r *Roster) recordGap(at time.Time) {
 	if at.Sub(r.listed) > maxListAge {
-		r.paused, r.resumed = r.listed, at
+		r.gapStart, r.gapEnd = r.listed, at
 	}
 }
--- a/internal/roster/cold_test.go
+++ b/internal/roster/cold_test.go
@@ -27,11 +27,11 @@
 		t.Error("cold once its entry says that it is not: got true, want false")
 	}
 	failed := at(10 * time.Second)
-	r.Confirm(4, failed.Add(coldUnknown-1))
+	r.Confirm(4, failed.Add(coldReportDelay-1))
 	if !r.MayBeCold("a", at(0), failed, at(20*time.Second)) {
 		t.Error("cold after a failure without a later list: got false, want true")
 	}
-	r.Confirm(4, failed.Add(coldUnknown))
+	r.Confirm(4, failed.Add(coldReportDelay))
 	if r.MayBeCold("a", at(0), failed, at(20*time.Second)) {
 		t.Error("cold after a failure and a later list: got true, want false")
 	}
@@ -53,10 +53,10 @@
 	}
 	r.Replace([]siskin.TargetInfo{info}, 1, at(0))
 	check("just after the start of the VM", 0, 0, true)
-	r.Confirm(1, at(coldUnknown-1))
-	check("with a list that may be older than the target's entry", 0, coldUnknown, true)
-	r.Confirm(1, at(coldUnknown))
-	check("with a later list", 0, coldUnknown, false)
+	r.Confirm(1, at(coldReportDelay-1))
+	check("with a list that may be older than the target's entry", 0, coldReportDelay, true)
+	r.Confirm(1, at(coldReportDelay))
+	check("with a later list", 0, coldReportDelay, false)
 	r.Confirm(1, at(4*time.Second))
 	check("used since before the store was away", 5*time.Second, 20*time.Second, false)
 	check("used since then, without a list", 10*time.Second, 20*time.Second, true)
--- a/internal/roster/evacuations.go
+++ b/internal/roster/evacuations.go
@@ -14,9 +14,9 @@
 
 // evacuations are the data centres to whose targets nothing more is to be sent.
 type evacuations struct {
-	// bound is the time from the store's acknowledgement of an evacuation to the
+	// limit is the time from the store's acknowledgement of an evacuation to the
 	// last statement, zero where the platform has no evacuations.
-	bound time.Duration
+	limit time.Duration
 	// version is that of the store's list, which was current at the time at; at is
 	// zero until a list is known.
 	version siskin.Version
@@ -24,35 +24,35 @@
 	// since holds for each evacuation in force a moment before its
 	// acknowledgement, zero when none is known.
 	since map[siskin.DataCentreID]time.Time
-	// held are those of since that were taken back, and stay in force until a list
+	// endPending are those of since that were taken back, and stay in force until a list
 	// of targets of that version says which of them are cold.
-	held map[siskin.DataCentreID]bool
+	endPending map[siskin.DataCentreID]bool
 }
 
-// known reports whether a target may be used. A VM that starts could otherwise
+// ready reports whether a target may be used. A VM that starts could otherwise
 // send statements to a data centre that was evacuated long ago.
-func (e *evacuations) known() bool { return e.bound == 0 || !e.at.IsZero() }
+func (e *evacuations) ready() bool { return e.limit == 0 || !e.at.IsZero() }
 
-// mark returns what is known of a target with its evacuation.
-func (e *evacuations) mark(info siskin.TargetInfo) siskin.TargetInfo {
+// withEvacuated returns what is known of a target with its evacuation.
+func (e *evacuations) withEvacuated(info siskin.TargetInfo) siskin.TargetInfo {
 	_, info.Evacuated = e.since[info.DataCentre]
 	return info
 }
 
-// closed reports whether a data centre has been evacuated for so long that its
+// blocked reports whether a data centre has been evacuated for so long that its
 // targets must get no statement at all.
-func (e *evacuations) closed(dc siskin.DataCentreID, now time.Time) bool {
-	if !e.known() {
+func (e *evacuations) blocked(dc siskin.DataCentreID, now time.Time) bool {
+	if !e.ready() {
 		return true
 	}
 	since, ok := e.since[dc]
-	return ok && now.Sub(since) >= e.bound-evacuationMargin
+	return ok && now.Sub(since) >= e.limit-evacuationMargin
 }
 
 // replace takes over a list that was current at a time, and reports whether it
 // changes what is in force. The list of targets is of the version targets.
 func (e *evacuations) replace(list []siskin.DataCentreID, version, targets siskin.Version, at time.Time) bool {
-	if e.bound == 0 || version < e.version {
+	if e.limit == 0 || version < e.version {
 		return false
 	}
 	before, first := e.at, e.at.IsZero()
@@ -71,10 +71,10 @@
 		}
 		next[dc] = since
 	}
-	e.held = make(map[siskin.DataCentreID]bool)
+	e.endPending = make(map[siskin.DataCentreID]bool)
 	for dc, since := range e.since {
 		if _, ok := next[dc]; !ok && targets < version {
-			next[dc], e.held[dc] = since, true
+			next[dc], e.endPending[dc] = since, true
 		}
 	}
 	differs := first || !maps.Equal(next, e.since)
@@ -82,24 +82,24 @@
 	return differs
 }
 
-// release ends the evacuations that were held back for a list of targets, once there
+// finishPending ends the evacuations that were held back for a list of targets, once there
 // is one of the given version. It reports whether there were any.
-func (e *evacuations) release(targets siskin.Version) bool {
-	if len(e.held) == 0 || targets < e.version {
+func (e *evacuations) finishPending(targets siskin.Version) bool {
+	if len(e.endPending) == 0 || targets < e.version {
 		return false
 	}
-	maps.DeleteFunc(e.since, func(dc siskin.DataCentreID, _ time.Time) bool { return e.held[dc] })
-	e.held = nil
+	maps.DeleteFunc(e.since, func(dc siskin.DataCentreID, _ time.Time) bool { return e.endPending[dc] })
+	e.endPending = nil
 	return true
 }
 
 // RequireEvacuations makes the roster name no target until a list of evacuations is
 // known, and sets the time from the acknowledgement of one to the last statement.
 // It is called before the first list.
-func (r *Roster) RequireEvacuations(bound time.Duration) {
+func (r *Roster) RequireEvacuations(limit time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.evac.bound = bound
+	r.evac.limit = limit
 }
 
 // ReplaceEvacuations applies the list of evacuated data centres of a version of the store,
@@ -132,7 +132,7 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	list := slices.Sorted(maps.Keys(r.evac.since))
-	list = slices.DeleteFunc(list, func(dc siskin.DataCentreID) bool { return r.evac.held[dc] })
+	list = slices.DeleteFunc(list, func(dc siskin.DataCentreID) bool { return r.evac.endPending[dc] })
 	return list, r.evac.version, r.evac.at
 }
 
@@ -142,12 +142,12 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	return ok && r.evac.closed(e.info.DataCentre, now)
+	return ok && r.evac.blocked(e.info.DataCentre, now)
 }
 
 // Ready reports whether targets are listed and may be used.
 func (r *Roster) Ready() bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.version > 0 && r.evac.known()
+	return r.version > 0 && r.evac.ready()
 }
--- a/internal/roster/evacuations_test.go
+++ b/internal/roster/evacuations_test.go
@@ -14,15 +14,15 @@
 
 const testBound = 5 * time.Second
 
-// evacuable returns a roster with the targets a, b and c in dc-a, dc-b and dc-c.
-func evacuable() *Roster {
+// newEvacuationRoster returns a roster with the targets a, b and c in dc-a, dc-b and dc-c.
+func newEvacuationRoster() *Roster {
 	r := New()
 	r.RequireEvacuations(testBound)
-	r.Replace(targetsOfThree(), 1, time.Unix(1000, 0))
+	r.Replace(threeTargets(), 1, time.Unix(1000, 0))
 	return r
 }
 
-func targetsOfThree() []siskin.TargetInfo {
+func threeTargets() []siskin.TargetInfo {
 	var list []siskin.TargetInfo
 	for _, id := range []string{"a", "b", "c"} {
 		list = append(list, siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", DataCentre: siskin.DataCentreID("dc-" + id)})
@@ -41,7 +41,7 @@
 	}
 	for _, file := range archive.Files {
 		t.Run(file.Name, func(t *testing.T) {
-			r := evacuable()
+			r := newEvacuationRoster()
 			var now time.Time
 			for line := range strings.Lines(string(file.Data)) {
 				input, want, ok := strings.Cut(strings.TrimSpace(line), " => ")
@@ -63,7 +63,7 @@
 					list = append(list, siskin.DataCentreID(dc))
 				}
 				r.ReplaceEvacuations(list, siskin.Version(version), at)
-				r.Replace(targetsOfThree(), siskin.Version(version), at.Add(time.Nanosecond))
+				r.Replace(threeTargets(), siskin.Version(version), at.Add(time.Nanosecond))
 				if got := marked(r, now); got != want {
 					t.Errorf("%s: got %s, want %s", input, got, want)
 				}
@@ -93,7 +93,7 @@
 // it knows which data centres are evacuated, and against one that waits for a list
 // where the platform has none.
 func TestUnknownEvacuations(t *testing.T) {
-	r := evacuable()
+	r := newEvacuationRoster()
 	if _, ok := r.Target("a"); ok || len(r.Service("s")) > 0 || r.Ready() {
 		t.Errorf("targets before a list of evacuations: got %v, known %t, want none", r.Service("s"), r.Ready())
 	}
@@ -118,7 +118,7 @@
 // TestConfirmEvacuations guards against a list that counts as current at another
 // version of the store, so that an evacuation would not be read.
 func TestConfirmEvacuations(t *testing.T) {
-	r := evacuable()
+	r := newEvacuationRoster()
 	if r.ConfirmEvacuations(0, time.Unix(1000, 0)) {
 		t.Error("confirmed without a list: got true, want false")
 	}
@@ -140,7 +140,7 @@
 // became cold during an evacuation: the end of it must not count before the list of
 // targets that says so.
 func TestTakenBackBeforeTargets(t *testing.T) {
-	r, at := evacuable(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	r, at := newEvacuationRoster(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-a", "dc-b"}, 2, at(0))
 	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-b", "dc-c"}, 5, at(time.Second))
 	if got, want := marked(r, at(time.Second)), "xa xb -c"; got != want {
@@ -149,11 +149,11 @@
 	if list, _, _ := r.Evacuations(); len(list) != 2 || list[0] != "dc-b" {
 		t.Errorf("list for peers: got %v, want that of the store", list)
 	}
-	r.Replace(targetsOfThree(), 4, at(2*time.Second))
+	r.Replace(threeTargets(), 4, at(2*time.Second))
 	if got, want := marked(r, at(2*time.Second)), "xa xb -c"; got != want {
 		t.Errorf("with an older list of targets: got %s, want %s", got, want)
 	}
-	targets := targetsOfThree()
+	targets := threeTargets()
 	targets[0].ColdRemaining = 10 * time.Second
 	r.Replace(targets, 5, at(3*time.Second))
 	if got, want := marked(r, at(3*time.Second)), "a xb -c"; got != want {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,9 +14,9 @@
 	"siskintray.example/siskin"
 )
 
-// settleTime is the time that a target has to renew its entry after an outage of
+// renewalGrace is the time that a target has to renew its entry after an outage of
 // the store. The platform states about two seconds.
-const settleTime = 2500 * time.Millisecond
+const renewalGrace = 2500 * time.Millisecond
 
 // Roster holds the known targets. It is safe for concurrent use.
 type Roster struct {
@@ -24,34 +24,34 @@
 	targets  map[siskin.TargetID]*entry
 	services map[siskin.ServiceName][]siskin.TargetInfo // derived, never modified
 	sizes    map[siskin.ServiceName]*size
-	// unsettled are the present numbers of targets that differ from the sizes.
-	unsettled map[siskin.ServiceName]int
-	version   siskin.Version // of the last list
-	listed    time.Time      // when the last list was asked for
-	// paused and resumed are the ends of the last gap between two lists.
-	paused, resumed time.Time
-	evac            evacuations
-	changed         chan struct{}
+	// pendingCounts are the present numbers of targets that differ from the sizes.
+	pendingCounts map[siskin.ServiceName]int
+	version       siskin.Version // of the last list
+	listed        time.Time      // when the last list was asked for
+	// gapStart and gapEnd are the ends of the last gap between two lists.
+	gapStart, gapEnd time.Time
+	evac             evacuations
+	changed          chan struct{}
 }
 
 type entry struct {
-	info     siskin.TargetInfo
-	since    time.Time // first list with this run of the target
-	first    bool      // the first list of all had it
-	missing  time.Time // first list without the entry; zero while it is there
-	draining time.Time // first list that says so; zero while it does not
-	cold     time.Time // until when it may be cold; zero when it is not
+	info          siskin.TargetInfo
+	since         time.Time // first list with this run of the target
+	first         bool      // the first list of all had it
+	missingSince  time.Time // first list without the entry; zero while it is there
+	drainingSince time.Time // first list that says so; zero while it does not
+	coldUntil     time.Time // until when it may be cold; zero when it is not
 }
 
-// lastCall is the time after which a draining target gets no new work. The
+// drainGrace is the time after which a draining target gets no new work. The
 // users allow 7 s from the store's answer, of which a list takes up to two.
-const lastCall = 4500 * time.Millisecond
+const drainGrace = 4500 * time.Millisecond
 
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
 		targets: make(map[siskin.TargetID]*entry), sizes: make(map[siskin.ServiceName]*size),
-		unsettled: make(map[siskin.ServiceName]int), changed: make(chan struct{}),
+		pendingCounts: make(map[siskin.ServiceName]int), changed: make(chan struct{}),
 	}
 }
 
@@ -68,10 +68,10 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	if !ok || !r.evac.known() {
+	if !ok || !r.evac.ready() {
 		return siskin.TargetInfo{}, false
 	}
-	return r.evac.mark(e.info), true
+	return r.evac.withEvacuated(e.info), true
 }
 
 // ListedSince returns the time of the first list with the present run of a target and that
@@ -81,7 +81,7 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	if !ok || !e.missing.IsZero() {
+	if !ok || !e.missingSince.IsZero() {
 		return time.Time{}, time.Time{}, false, false
 	}
 	return e.since, r.listed, e.first, true
@@ -94,7 +94,7 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	return !ok || !e.draining.IsZero() && now.Sub(e.draining) > lastCall || r.evac.closed(e.info.DataCentre, now)
+	return !ok || !e.drainingSince.IsZero() && now.Sub(e.drainingSince) > drainGrace || r.evac.blocked(e.info.DataCentre, now)
 }
 
 // Listed returns the targets of the last list, ordered by id, with its version
@@ -104,7 +104,7 @@
 	defer r.mu.RUnlock()
 	list := make([]siskin.TargetInfo, 0, len(r.targets))
 	for _, e := range r.targets {
-		if e.missing.IsZero() {
+		if e.missingSince.IsZero() {
 			list = append(list, e.info)
 		}
 	}
@@ -136,7 +136,7 @@
 	if version < r.version || !at.After(r.listed) {
 		return
 	}
-	r.noteGap(at)
+	r.recordGap(at)
 	first := r.listed.IsZero()
 	r.version, r.listed = version, at
 	any := false
@@ -145,32 +145,32 @@
 		info.Evacuated = false // derived from what this VM knows
 		listed[info.ID] = true
 		e := r.targets[info.ID]
-		if e != nil && e.info == info && e.missing.IsZero() {
+		if e != nil && e.info == info && e.missingSince.IsZero() {
 			continue
 		}
 		next := &entry{info: info}
-		if next.since, next.first = at, first; e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.StartedAt.Equal(info.StartedAt) {
+		if next.since, next.first = at, first; e != nil && e.missingSince.IsZero() && e.info.Address == info.Address && e.info.StartedAt.Equal(info.StartedAt) {
 			next.since, next.first = e.since, e.first
 		}
 		if info.Draining {
-			if next.draining = at; e != nil && !e.draining.IsZero() {
-				next.draining = e.draining
+			if next.drainingSince = at; e != nil && !e.drainingSince.IsZero() {
+				next.drainingSince = e.drainingSince
 			}
 		}
 		if info.ColdRemaining > 0 {
-			next.cold = at.Add(info.ColdRemaining + coldMargin)
+			next.coldUntil = at.Add(info.ColdRemaining + coldMargin)
 		}
 		r.targets[info.ID] = next
 		any = true
 	}
 	for id, e := range r.targets {
-		if !listed[id] && e.missing.IsZero() {
-			e.missing = at
+		if !listed[id] && e.missingSince.IsZero() {
+			e.missingSince = at
 		}
 	}
-	r.count(at)
-	released := r.evac.release(version)
-	if r.lapse(at) || any || released {
+	r.countTargets(at)
+	released := r.evac.finishPending(version)
+	if r.removeMissing(at) || any || released {
 		r.publish()
 	}
 }
@@ -180,20 +180,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if version == r.version && at.After(r.listed) {
-		r.noteGap(at)
+		r.recordGap(at)
 		r.listed = at
-		r.settle(at)
-		if r.lapse(at) {
+		r.updateSizes(at)
+		if r.removeMissing(at) {
 			r.publish()
 		}
 	}
 }
 
-// lapse removes the targets whose entries stayed missing.
-func (r *Roster) lapse(at time.Time) bool {
+// removeMissing removes the targets whose entries stayed missing.
+func (r *Roster) removeMissing(at time.Time) bool {
 	any := false
 	for id, e := range r.targets {
-		if !e.missing.IsZero() && at.Sub(e.missing) > settleTime {
+		if !e.missingSince.IsZero() && at.Sub(e.missingSince) > renewalGrace {
 			delete(r.targets, id)
 			any = true
 		}
@@ -204,8 +204,8 @@
 func (r *Roster) publish() {
 	r.services = make(map[siskin.ServiceName][]siskin.TargetInfo)
 	for _, e := range r.targets {
-		if r.evac.known() {
-			r.services[e.info.Service] = append(r.services[e.info.Service], r.evac.mark(e.info))
+		if r.evac.ready() {
+			r.services[e.info.Service] = append(r.services[e.info.Service], r.evac.withEvacuated(e.info))
 		}
 	}
 	for _, list := range r.services {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -18,16 +18,16 @@
 // time, the version, and the ids listed, or "same" for a confirmation. Instead of
 // the version, "expect" takes over a size from another VM.
 func TestScripts(t *testing.T) {
-	playScripts(t, "lists.txtar", func(r *Roster) string { return ids(r.Service("s")) })
+	runScripts(t, "lists.txtar", func(r *Roster) string { return ids(r.Service("s")) })
 }
 
 // TestSizes guards against a group that counts as complete while a target is
 // missing from discovery: a change of primary would need too few claims.
 func TestSizes(t *testing.T) {
-	playScripts(t, "sizes.txtar", func(r *Roster) string { return strconv.Itoa(r.Size("s")) })
+	runScripts(t, "sizes.txtar", func(r *Roster) string { return strconv.Itoa(r.Size("s")) })
 }
 
-func playScripts(t *testing.T, name string, result func(*Roster) string) {
+func runScripts(t *testing.T, name string, result func(*Roster) string) {
 	t.Helper()
 	archive, err := txtar.ParseFile(filepath.Join("testdata", name))
 	if err != nil {
@@ -41,7 +41,7 @@
 				if !ok {
 					continue
 				}
-				play(t, r, strings.Fields(input))
+				runLine(t, r, strings.Fields(input))
 				if got := result(r); got != want {
 					t.Errorf("%s: got %s, want %s", input, got, want)
 				}
@@ -50,7 +50,7 @@
 	}
 }
 
-func play(t *testing.T, r *Roster, words []string) {
+func runLine(t *testing.T, r *Roster, words []string) {
 	t.Helper()
 	after, err := time.ParseDuration(words[0])
 	if words[1] == "expect" {
--- a/internal/roster/size.go
+++ b/internal/roster/size.go
@@ -7,47 +7,47 @@
 )
 
 const (
-	// growAfter is the time for which a group has to be larger before it counts as
+	// growDelay is the time for which a group has to be larger before it counts as
 	// such. The entry of a target that crashed stays for a few seconds beside that
 	// of its successor.
-	growAfter = 8 * time.Second
-	// growAtFirst is the same for a group that was first listed less than growAfter
+	growDelay = 8 * time.Second
+	// initialGrowDelay is the same for a group that was first listed less than growAfter
 	// ago: the first list may lack targets that are starting.
-	growAtFirst = 2 * time.Second
-	// shrinkAfter is the same for a smaller group. A target that discovery has
+	initialGrowDelay = 2 * time.Second
+	// shrinkDelay is the same for a smaller group. A target that discovery has
 	// dropped may go on leading, for VMs that do not reach the store either.
-	shrinkAfter = 2 * time.Minute
-	// expectFor is the time for which a VM learns sizes from others. Each of them
+	shrinkDelay = 2 * time.Minute
+	// sizeLearningTime is the time for which a VM learns sizes from others. Each of them
 	// answers it within a second.
-	expectFor = 30 * time.Second
+	sizeLearningTime = 30 * time.Second
 )
 
 // size is the number of targets of a service that are neither draining nor
 // listed for a moment only.
 type size struct {
-	n     int
-	first time.Time // first list of the group
-	// other is another number of targets, listed since the given time, which is
+	n           int
+	firstListed time.Time // first list of the group
+	// candidate is another number of targets, listed since the given time, which is
 	// zero while n are listed.
-	other int
-	since time.Time
+	candidate      int
+	candidateSince time.Time
 }
 
-// see takes over a number of targets from a list that was current at a time.
-func (s *size) see(n int, at time.Time) {
-	grow := growAfter
-	if at.Sub(s.first) < growAfter {
-		grow = growAtFirst
+// observe takes over a number of targets from a list that was current at a time.
+func (s *size) observe(n int, at time.Time) {
+	grow := growDelay
+	if at.Sub(s.firstListed) < growDelay {
+		grow = initialGrowDelay
 	}
 	switch {
 	case s.n == 0:
-		s.n, s.first = n, at
+		s.n, s.firstListed = n, at
 	case n == s.n:
-		s.since = time.Time{}
-	case s.since.IsZero() || n != s.other:
-		s.other, s.since = n, at
-	case n > s.n && at.Sub(s.since) >= grow, n < s.n && n > 0 && at.Sub(s.since) >= shrinkAfter:
-		s.n, s.since = n, time.Time{}
+		s.candidateSince = time.Time{}
+	case s.candidateSince.IsZero() || n != s.candidate:
+		s.candidate, s.candidateSince = n, at
+	case n > s.n && at.Sub(s.candidateSince) >= grow, n < s.n && n > 0 && at.Sub(s.candidateSince) >= shrinkDelay:
+		s.n, s.candidateSince = n, time.Time{}
 	}
 }
 
@@ -68,7 +68,7 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var sizes map[siskin.ServiceName]int
-	for name, n := range r.unsettled {
+	for name, n := range r.pendingCounts {
 		if s := r.sizes[name]; n < s.n {
 			if sizes == nil {
 				sizes = make(map[siskin.ServiceName]int)
@@ -86,31 +86,31 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, n := range sizes {
-		if s := r.sizes[name]; s != nil && n > s.n && at.Sub(s.first) < expectFor {
-			s.n, s.since = n, time.Time{}
-			r.unsettled[name] = r.listedOf(name)
+		if s := r.sizes[name]; s != nil && n > s.n && at.Sub(s.firstListed) < sizeLearningTime {
+			s.n, s.candidateSince = n, time.Time{}
+			r.pendingCounts[name] = r.countListed(name)
 		}
 	}
 }
 
-// listedOf returns the number of targets of a service that are listed and not
+// countListed returns the number of targets of a service that are listed and not
 // draining. The caller holds mu.
-func (r *Roster) listedOf(name siskin.ServiceName) int {
+func (r *Roster) countListed(name siskin.ServiceName) int {
 	n := 0
 	for _, e := range r.targets {
-		if e.info.Service == name && e.missing.IsZero() && !e.info.Draining {
+		if e.info.Service == name && e.missingSince.IsZero() && !e.info.Draining {
 			n++
 		}
 	}
 	return n
 }
 
-// count takes over the sizes of all groups from a list that was asked for at a
+// countTargets takes over the sizes of all groups from a list that was asked for at a
 // time. The caller holds mu.
-func (r *Roster) count(at time.Time) {
+func (r *Roster) countTargets(at time.Time) {
 	now := make(map[siskin.ServiceName]int)
 	for _, e := range r.targets {
-		if e.missing.IsZero() && !e.info.Draining {
+		if e.missingSince.IsZero() && !e.info.Draining {
 			now[e.info.Service]++
 		}
 	}
@@ -119,20 +119,20 @@
 			r.sizes[name] = &size{}
 		}
 	}
-	clear(r.unsettled)
+	clear(r.pendingCounts)
 	for name := range r.sizes {
-		r.unsettled[name] = now[name]
+		r.pendingCounts[name] = now[name]
 	}
-	r.settle(at)
+	r.updateSizes(at)
 }
 
-// settle takes over the sizes that have lasted until the given time. The caller
+// updateSizes takes over the sizes that have lasted until the given time. The caller
 // holds mu.
-func (r *Roster) settle(at time.Time) {
-	for name, n := range r.unsettled {
+func (r *Roster) updateSizes(at time.Time) {
+	for name, n := range r.pendingCounts {
 		s := r.sizes[name]
-		if s.see(n, at); s.n == n {
-			delete(r.unsettled, name)
+		if s.observe(n, at); s.n == n {
+			delete(r.pendingCounts, name)
 		}
 	}
 }
