--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -6,8 +6,8 @@
 	"siskintray.example/siskin"
 )
 
-// ReleasePools drops the pools of this VM for good, since it is about to stop, so
-// that its lenders can lend to others at once.
+// ReleasePools drops the pools of this VM permanently before it stops, so that
+// the lenders can lend to other owners at once.
 func (l *Limiter) ReleasePools() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -16,8 +16,8 @@
 	clear(l.pools)
 }
 
-// distributeTokens shares the tokens of this VM's pools out among their lenders. The
-// caller holds mu.
+// distributeTokens divides the tokens of this VM's pools among their lenders in
+// proportion to their shares. The caller holds mu.
 func (l *Limiter) distributeTokens(now time.Time) {
 	for id, p := range l.pools {
 		rate, burst, ok := l.limits(id)
@@ -35,7 +35,7 @@
 	}
 }
 
-// TakeReturnedTokens returns the tokens that a lender gets back, once.
+// TakeReturnedTokens removes and returns the tokens that go back to a lender.
 func (l *Limiter) TakeReturnedTokens(to siskin.VMID) Tokens {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -44,15 +44,16 @@
 	return tokens
 }
 
-// Released reports whether the pools of this VM were dropped.
+// Released reports whether ReleasePools was called.
 func (l *Limiter) Released() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.released
 }
 
-// HandleRelease takes over that a VM has dropped its pools: what this VM lent to it
-// is its own again, and so are its part of the tokens.
+// HandleRelease processes the release of another VM's pools: the shares that
+// this VM lent to it can be used again, and its part of the tokens is added to
+// its own buckets.
 func (l *Limiter) HandleRelease(from siskin.VMID, tokens Tokens) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -63,17 +64,17 @@
 				l.accrue(p, now, rate, burst)
 			}
 			p.loanEnd = now
-			p.tokens += tokens[id] // the next fill cuts them to the share's burst
+			p.tokens += tokens[id] // the next fill caps them at the share's burst
 		}
 	}
 	delete(l.stamps, from)
 }
 
-// Stamp returns a stamp that loans to this VM may cite.
+// Stamp returns a new stamp that loans to this VM refer to.
 func (l *Limiter) Stamp() Stamp { return Stamp{Run: l.cfg.Run, At: l.cfg.Clock.Now().UnixNano()} }
 
-// HandleStamp takes over a stamp of another VM. The result says whether no recent
-// one was known, so that a loan to that VM can begin at once.
+// HandleStamp stores a stamp of another VM. It reports whether no recent stamp
+// of that VM's present run was known, so that a loan to it can start at once.
 func (l *Limiter) HandleStamp(from siskin.VMID, s Stamp) (first bool) {
 	if s.Run == 0 {
 		return false
@@ -86,8 +87,8 @@
 	return !ok || old.stamp.Run != s.Run || now.Sub(old.at) > loanDuration/2
 }
 
-// Loans returns the loans to send to a VM with the next ping, nil when it owns
-// no pool. The shares count as lent from now on.
+// Loans returns the loans to send to a VM with the next ping, or nil when that
+// VM owns no pool. The returned shares count as lent from now on.
 func (l *Limiter) Loans(to siskin.VMID) *Loans {
 	snap := l.cfg.Table.Snapshot()
 	now := l.cfg.Clock.Now()
@@ -97,7 +98,7 @@
 	if !ok || l.share == 0 || now.Sub(r.at) > loanDuration/2 {
 		return nil
 	}
-	lent := make(map[float64]*LoanPart) // by the part kept
+	lent := make(map[float64]*LoanPart) // by the fraction kept
 	for i := range snap.Customers {
 		c := &snap.Customers[i]
 		keptFraction := l.keptFraction(float64(c.Burst))
@@ -124,8 +125,9 @@
 	return loans
 }
 
-// recordLoan notes a loan that ends at until, unless another VM's is still open or a
-// larger one that the owner may still count.
+// recordLoan records a loan that ends at until. It refuses when a loan to
+// another VM has not expired yet, or a larger one that the owner may still
+// count.
 func (l *Limiter) recordLoan(c *siskin.CustomerSpec, keptFraction float64, to siskin.VMID, now, until time.Time) bool {
 	if owners := l.owners(c.ID, float64(c.Burst), keptFraction); len(owners) == 0 || owners[0] != to {
 		return false
@@ -142,12 +144,12 @@
 	return true
 }
 
-// AcceptLoans takes over loans of another VM, or of this one.
+// AcceptLoans adds loans from another VM, or from this one, to the pools.
 func (l *Limiter) AcceptLoans(loans *Loans) {
 	issued := time.Unix(0, loans.Stamp.At)
 	now := l.cfg.Clock.Now()
 	if loans.Stamp.Run != l.cfg.Run || now.Sub(issued) > loanDuration {
-		return // of an earlier run, or late
+		return // for an earlier run of this VM, or expired
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -164,8 +166,8 @@
 	}
 }
 
-// addToPool adds a loan and the tokens that come with it to the pool of a customer.
-// The caller holds mu.
+// addToPool adds a loan and the tokens sent with it to a customer's pool. The
+// caller holds mu.
 func (l *Limiter) addToPool(now time.Time, id siskin.CustomerID, from siskin.VMID, ln loan, tokens float64) {
 	rate, burst, ok := l.limits(id)
 	if !ok {
@@ -177,12 +179,12 @@
 		l.pools[id] = p
 	}
 	p.setLoan(now, rate, burst, from, ln)
-	// A share never holds more than its part of the burst.
+	// A share holds at most its part of the burst.
 	p.tokens += max(0, min(tokens, burst*ln.share))
 	p.tokens = min(p.tokens, burst*p.share(now))
 }
 
-// LendToSelf lends this VM's shares to the pools that it holds itself.
+// LendToSelf lends this VM's shares to the pools that it owns itself.
 func (l *Limiter) LendToSelf() {
 	self := l.cfg.Members.Self().ID
 	l.HandleStamp(self, l.Stamp())
--- a/internal/quota/local.go
+++ b/internal/quota/local.go
@@ -7,39 +7,44 @@
 	"siskintray.example/siskin"
 )
 
-// receivedStamp is a stamp of another VM and when it came.
+// receivedStamp is a stamp of another VM and the time when it was received.
 type receivedStamp struct {
 	stamp Stamp
 	at    time.Time
 }
 
-// localBucket is this VM's part of one customer.
+// localBucket is this VM's own token bucket for one customer.
 type localBucket struct {
 	bucket
-	// owner holds the loan, whose end this VM awaits until the time lent.
+	// owner is the VM that this VM's share is lent to, until loanEnd.
 	owner   siskin.VMID
 	loanEnd time.Time
-	// formerOwner held the loan before owner, and may have tokens until formerUntil,
-	// while the loans of other lenders last.
+	// formerOwner had the loan before owner. It may have tokens until
+	// formerOwnerUntil, while the loans of other lenders are valid.
 	formerOwner      siskin.VMID
 	formerOwnerUntil time.Time
-	// lastAsked is the owner that this VM lastAsked first the last time.
+	// lastAsked is the owner that was first in the order of the last request to
+	// the pools.
 	lastAsked siskin.VMID
-	// keptFraction is the part of the share that was not lent with that loan.
+	// keptFraction is the fraction of the share that was not lent with the
+	// present loan.
 	keptFraction float64
-	// granted are tokens of the pool that expire.
+	// granted is the number of tokens taken from pools, which are void after
+	// expiry.
 	granted float64
 	expiry  time.Time
-	// refusedUntil is the time until which the pool is not asked again.
+	// refusedUntil is the time until which the pool is not asked again after a
+	// refusal.
 	refusedUntil time.Time
-	// demand is the number of requests in the present interval of takeAhead,
-	// and lastDemand that in the one before.
+	// demand is the number of requests in the present prefetchInterval, and
+	// lastDemand the number in the one before.
 	demand, lastDemand float64
 	demandSince        time.Time
 }
 
-// keptFraction returns the part of its share that a holder keeps while it lends the rest.
-// VMs that hold none need it as well, to ask the owners that the holders lend to.
+// keptFraction returns the fraction of its share that a holder keeps while it
+// lends the rest. VMs without a share compute it too, so that they ask the same
+// owners that the holders lend to.
 func (l *Limiter) keptFraction(burst float64) float64 {
 	if len(l.holders) == 0 || burst/float64(len(l.holders))*localFraction < minLocalTokens {
 		return 0
@@ -47,8 +52,8 @@
 	return localFraction
 }
 
-// accrue adds the tokens that this VM's part of the share earned. What is lent
-// earns for the pool.
+// accrue adds the tokens that this VM's share earned since the last call. The
+// lent fraction earns tokens for the pool instead.
 func (l *Limiter) accrue(p *localBucket, now time.Time, rate, burst float64) {
 	if p.at.Before(p.loanEnd) {
 		lentUntil := p.loanEnd
@@ -62,22 +67,24 @@
 	}
 }
 
-// minHandover is the part of a token below which none are handed over with a
-// loan.
+// minHandover is the fraction of a token below which no tokens are sent along
+// with a loan.
 const minHandover = 0.02
 
-// handOver takes out the tokens above what the kept part may hold.
+// handOver removes and returns the tokens above keep, which is the burst of the
+// fraction that stays with this VM.
 func (p *localBucket) handOver(keep float64) float64 {
 	tokens := p.tokens - keep
 	if tokens < minHandover {
 		return 0
 	}
-	tokens = math.Floor(tokens*100) / 100 // two digits are sent
+	tokens = math.Floor(tokens*100) / 100 // sent with two decimals
 	p.tokens -= tokens
 	return tokens
 }
 
-// countDemand keeps the demand of the last interval.
+// countDemand counts requests and starts a new interval when the present one is
+// over.
 func (p *localBucket) countDemand(now time.Time, n float64) {
 	if now.Sub(p.demandSince) > prefetchInterval {
 		p.lastDemand = p.demand
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -6,30 +6,32 @@
 	"siskintray.example/siskin"
 )
 
-// Stamp is a moment on the clock of the VM that issued it.
+// Stamp is a time on the clock of the VM that issued it, with the run of that
+// VM.
 type Stamp struct {
 	Run siskin.Incarnation
 	At  int64 // nanoseconds
 }
 
-// Loans lends a part of the sender's share of the customers to the receiver.
+// Loans lends parts of the sender's shares to the receiver.
 type Loans struct {
 	From  siskin.VMID
-	Stamp Stamp // last one received from the receiver
+	Stamp Stamp // the last one that the receiver issued to the sender
 	Parts []LoanPart
 }
 
-// LoanPart is a share of the rates of some customers.
+// LoanPart lends one share of the rates of some customers.
 type LoanPart struct {
 	Share     float64
 	Customers []siskin.CustomerID
-	// Tokens are those that the lender has earned of some customers and hands
-	// over with the share.
+	// Tokens are the tokens that the lender had accrued for some of the
+	// customers and transfers with the share.
 	Tokens Tokens `json:",omitempty"`
 }
 
-// Tokens are tokens of customers that change hands. Their giver has taken them
-// out before it sends them, so a lost message loses tokens and adds none.
+// Tokens are tokens that one VM transfers to another, by customer. The sender
+// removes them from its own buckets first, so that a lost message loses tokens
+// and never duplicates any.
 type Tokens map[siskin.CustomerID]float64
 
 // TakeArgs asks the owner of a customer's pool for tokens.
--- a/internal/quota/owners.go
+++ b/internal/quota/owners.go
@@ -8,17 +8,19 @@
 )
 
 const (
-	// defaultPools is the number of pools of a customer whose shares are all lent, and
-	// largeBurstPools that of one whose burst is manyBurst or more: a pool that holds
-	// less than a token admits nothing.
+	// defaultPools is the number of pools of a customer whose shares are lent
+	// whole, and largeBurstPools the number for a burst of largeBurst or more.
+	// A smaller burst has fewer pools because a pool with less than one token
+	// admits nothing.
 	defaultPools, largeBurstPools = 2, 4
 	largeBurst                    = 16
 )
 
-// owners returns the VMs that hold the pools of a customer, this VM's own pool
-// first. A customer has one pool while each holder keeps a usable part of its
-// share, and several in different data centres when all shares are lent, so that
-// the loss of one owner leaves most of the rate.
+// owners returns the VMs that own the pools of a customer, starting with the
+// pool that this VM uses. A customer has one pool while each holder keeps a
+// usable part of its share. When the shares are lent whole, it has several in
+// different data centres, so that the loss of one owner leaves most of the
+// rate.
 func (l *Limiter) owners(customer siskin.CustomerID, burst, keptFraction float64) []siskin.VMID {
 	live := l.cfg.Members.Live()
 	list := l.ranker.Rank("rate/"+string(customer), live, func([]siskin.VM) []siskin.VM { return l.ownerSet(live) })
@@ -37,8 +39,8 @@
 	return append(ids[at:len(ids):len(ids)], ids[:at]...)
 }
 
-// spreadOverDataCentres returns the first n VMs of a list, those of further data centres before
-// those of the same ones.
+// spreadOverDataCentres returns the ids of n VMs from a ranked list. It takes
+// the first VM of each data centre before it takes a second one of any.
 func spreadOverDataCentres(list []siskin.VM, n int) []siskin.VMID {
 	n = min(n, len(list))
 	ids := make([]siskin.VMID, 0, n)
@@ -58,17 +60,17 @@
 }
 
 const (
-	// minOwners is the number of VMs that hold pools in a small fleet. Every holder
-	// of shares exchanges loans with each of them several times a second.
+	// minOwners is the number of pool owners in a small fleet. Every holder of
+	// a share exchanges loans with each of them several times a second.
 	minOwners = 8
-	// vmsPerOwner is the number of VMs for each owner in a larger one, whose
-	// requests ask it for tokens. Their number doubles, so that it does not change
-	// with each VM that comes or goes.
+	// vmsPerOwner is the number of VMs that one owner serves with tokens in a
+	// larger fleet. The number of owners doubles each time, so that it doesn't
+	// change with every VM that joins or leaves.
 	vmsPerOwner = 10
 	maxOwners   = 32
 )
 
-// chooseOwners returns the VMs that hold the pools of all customers.
+// chooseOwners returns the VMs that own the pools of all customers.
 func chooseOwners(live []siskin.VM) []siskin.VM {
 	n := minOwners
 	for n < maxOwners && len(live) >= 2*n*vmsPerOwner {
@@ -80,15 +82,15 @@
 	return place.Rank("rates", live)[:n]
 }
 
-// ownerSet returns the VMs that hold the pools of all customers. It is kept apart
-// from the ranks of customers: chosen anew for each of 190 customers at each
-// change of a fleet of 295 VMs, it took the owners' processors for so long that
-// they answered no question for tokens.
+// ownerSet returns the VMs that own the pools of all customers. It is cached
+// separately from the ranks per customer: computing it for each of 190
+// customers at every change of a fleet of 295 VMs kept the owners' processors
+// so busy that they answered no requests for tokens.
 func (l *Limiter) ownerSet(live []siskin.VM) []siskin.VM {
 	return l.ownerRanker.Rank("rates", live, l.choose)
 }
 
-// PoolOwners returns the ids of the VMs that hold pools.
+// PoolOwners returns the ids of the VMs that own pools.
 func (l *Limiter) PoolOwners() []siskin.VMID {
 	var ids []siskin.VMID
 	for _, vm := range l.ownerSet(l.cfg.Members.Live()) {
--- a/internal/quota/owners_test.go
+++ b/internal/quota/owners_test.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin/internal/boot"
 )
 
-// changingFleet is a fleet whose list changes when told.
+// changingFleet is a fleet whose list of VMs is replaced by change.
 type changingFleet struct{ live []siskin.VM }
 
 func (c *changingFleet) Self() siskin.VM                      { return c.live[0] }
@@ -29,9 +29,9 @@
 	return c
 }
 
-// TestOwnersAfterChange guards against owners of pools that are chosen anew for
-// each customer when the list of VMs changes: a rolling restart changes it many
-// times a second, and the VMs that hold pools answered nobody meanwhile.
+// TestOwnersAfterChange guards against choosing the owners again for each
+// customer when the list of VMs changes. A rolling restart changes it many
+// times a second, and the owners had no time left to answer other VMs.
 func TestOwnersAfterChange(t *testing.T) {
 	fleet := largeFleet()
 	l := New(Config{Clock: boot.Clock{}, Members: fleet})
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -6,20 +6,21 @@
 	"siskintray.example/siskin"
 )
 
-// pool holds the lent shares of one customer at their owner.
+// pool is the token bucket of one customer at an owner, made up of the shares
+// that are lent to it.
 type pool struct {
 	loans  map[siskin.VMID]loan
 	tokens float64
 	at     time.Time
 }
 
-// loan is one VM's share, which counts until its end.
+// loan is the share that one VM lends, valid until its end.
 type loan struct {
 	share float64
 	until time.Time
 }
 
-// setLoan adds or extends a loan.
+// setLoan adds or extends the loan of a VM.
 func (p *pool) setLoan(now time.Time, rate, burst float64, vm siskin.VMID, l loan) {
 	p.fill(now, rate, burst)
 	if old, ok := p.loans[vm]; !ok || l.until.After(old.until) {
@@ -27,7 +28,8 @@
 	}
 }
 
-// fill adds the tokens that each loan earned while it counted.
+// fill adds the tokens that each loan earned while it was valid, and removes
+// expired loans.
 func (p *pool) fill(now time.Time, rate, burst float64) {
 	if p.at.IsZero() {
 		p.at = now
@@ -51,7 +53,7 @@
 	p.tokens = min(p.tokens, burst*total)
 }
 
-// share returns the sum of the loans that count.
+// share returns the sum of the valid loans.
 func (p *pool) share(now time.Time) float64 {
 	total := 0.0
 	for _, l := range p.loans {
@@ -62,7 +64,7 @@
 	return total
 }
 
-// take removes up to n whole tokens and returns how many.
+// take removes up to n whole tokens and returns how many it removed.
 func (p *pool) take(n float64) float64 {
 	got := max(0, min(n, float64(int64(p.tokens))))
 	p.tokens -= got
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,39 +12,42 @@
 )
 
 const (
-	// loanDuration is the time that a loan counts from the stamp that it cites. It
-	// spans several pings, so that one lost ping ends no loan. A longer life would
-	// keep shares from their lenders for longer when an owner is cut off.
+	// loanDuration is the time that a loan is valid, from the stamp that it
+	// refers to. It spans several pings, so that one lost ping ends no loan.
+	// With a longer duration, lenders would go without their shares for longer
+	// when an owner is cut off.
 	loanDuration = 1500 * time.Millisecond
-	// localFraction is the part of its share that a VM keeps while the rest is lent.
-	// It serves customers for loanLife when the owner of their pool dies. A
-	// larger part lies idle where a customer has no callers.
+	// localFraction is the fraction of its share that a VM keeps while the rest
+	// is lent. It serves customers for loanDuration when the owner of their
+	// pool crashes. A larger fraction would be unused on VMs where the customer
+	// sends no requests.
 	localFraction = 0.5
-	// minLocalTokens is the number of tokens that the kept part of a burst must
-	// hold; a smaller part is lent as well. A bucket below one token admits
-	// nothing, so in a fleet of 68 VMs half of each rate would be lost.
+	// minLocalTokens is the number of tokens that the kept fraction of a burst
+	// must hold; below it the whole share is lent. A bucket of less than one
+	// token admits nothing, so in a fleet of 68 VMs half of each rate would be
+	// lost.
 	minLocalTokens = 2
-	// grantTTL is the time after which tokens taken from a pool are void. Up
-	// to this much of the rate can fall into a later window; the users' rule
-	// leaves a tenth of a window of five seconds.
+	// grantTTL is the time after which tokens taken from a pool expire. The
+	// tokens of up to this much time can be spent in a later window; the
+	// requirement tolerates a tenth of a window of five seconds.
 	grantTTL = 250 * time.Millisecond
-	// takeTimeout bounds the questions to the owners of a pool, a few round trips
-	// between data centres.
+	// takeTimeout bounds all requests to the owners of a customer's pools for
+	// one admission. It allows a few round trips between data centres.
 	takeTimeout = 60 * time.Millisecond
 	// prefetchInterval is the time for which tokens are taken ahead of demand.
 	prefetchInterval = 100 * time.Millisecond
-	// maxTake bounds the tokens of one question.
+	// maxTake is the largest number of tokens in one request to an owner.
 	maxTake = 16
-	// refusalBackoff bounds the time in which requests are refused without asking
-	// the owner again.
+	// refusalBackoff bounds the time for which requests are refused without
+	// asking the owners again.
 	refusalBackoff = 100 * time.Millisecond
-	// silentBackoff is the time in which an owner that gave no answer is not asked
-	// again, so that requests do not wait for it one by one. A ping takes as
-	// long to find out whether it lives.
+	// silentBackoff is the time for which an owner that didn't answer is not
+	// asked again, so that requests don't wait for it one after another. A ping
+	// takes about as long to find out whether the VM is up.
 	silentBackoff = 400 * time.Millisecond
 )
 
-// Config holds what a Limiter depends on.
+// Config holds the dependencies of a Limiter.
 type Config struct {
 	Clock   siskin.Clock
 	Run     siskin.Incarnation
@@ -52,31 +55,33 @@
 	Members siskin.Members
 	Peers   siskin.Peers
 	Log     *log.Logger
-	// PingNow asks for a ping of a VM that gave no answer.
+	// PingNow triggers a ping of a VM that didn't answer.
 	PingNow func(siskin.VMID)
 }
 
-// Limiter admits requests. It implements siskin.Limiter.
+// Limiter admits requests within the rates of customers. It implements
+// siskin.Limiter.
 type Limiter struct {
 	cfg    Config
 	ranker place.Ranker
-	// ownerRanker keeps the VMs that hold pools until the list of VMs changes.
+	// ownerRanker caches the VMs that own pools until the list of VMs changes.
 	ownerRanker place.Ranker
-	// choose picks them.
+	// choose selects the VMs that own pools.
 	choose func(live []siskin.VM) []siskin.VM
 
 	mu      sync.Mutex
 	holders []siskin.VMID
-	// released says that this VM holds no pools anymore.
+	// released is set once this VM has dropped its pools.
 	released    bool
-	share       float64   // of this VM; zero until the record names it
+	share       float64   // of this VM; zero unless the stored record lists it
 	shareSince  time.Time // when the share became known
 	localBucket map[siskin.CustomerID]*localBucket
 	pools       map[siskin.CustomerID]*pool
 	stamps      map[siskin.VMID]receivedStamp
-	// toReturn are tokens that lenders get back, after Release.
+	// toReturn holds the tokens to send back to lenders after ReleasePools.
 	toReturn map[siskin.VMID]Tokens
-	// silentUntil says until when owners that gave no answer are not asked.
+	// silentUntil is the time until which an owner that didn't answer is not
+	// asked.
 	silentUntil map[siskin.VMID]time.Time
 }
 
@@ -85,7 +90,7 @@
 	_ siskin.Refunder = (*Limiter)(nil)
 )
 
-// New returns a Limiter that holds no share yet.
+// New returns a Limiter that has no share yet.
 func New(cfg Config) *Limiter {
 	return &Limiter{
 		cfg: cfg, choose: chooseOwners, localBucket: make(map[siskin.CustomerID]*localBucket),
@@ -94,8 +99,9 @@
 	}
 }
 
-// SetHolders sets the VMs that share the customers' rates. The record of the
-// store never changes while a holder could still run, so shares add up to one.
+// SetHolders sets the VMs that hold a share of the customers' rates. The record
+// in the store never changes while one of them could still run, so the shares
+// never add up to more than one.
 func (l *Limiter) SetHolders(holders []siskin.VMID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -111,7 +117,7 @@
 	l.cfg.Log.Info().Int("Holders", len(holders)).Float64("Share", l.share).Msg("shares of rates are known")
 }
 
-// Holders returns the VMs that share the rates, nil when they are not known.
+// Holders returns the VMs that hold a share, or nil while they are not known.
 func (l *Limiter) Holders() []siskin.VMID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,7 +131,7 @@
 	return l.share
 }
 
-// limits returns rate and burst of a customer.
+// limits returns the rate and burst of a customer.
 func (l *Limiter) limits(id siskin.CustomerID) (rate, burst float64, ok bool) {
 	c, ok := l.cfg.Table.Snapshot().Customer(id)
 	if !ok {
@@ -137,19 +143,19 @@
 func (l *Limiter) part(id siskin.CustomerID) *localBucket {
 	p := l.localBucket[id]
 	if p == nil {
-		// The share has earned tokens since it is known, whether or not a
-		// request of the customer came.
+		// The share earns tokens from the time when it became known, whether or
+		// not the customer has sent a request.
 		p = &localBucket{bucket: bucket{at: l.shareSince}}
 		l.localBucket[id] = p
 	}
 	return p
 }
 
-// Admit implements siskin.Limiter with this VM's own tokens.
+// Admit implements siskin.Limiter. It uses only the tokens that this VM has.
 func (l *Limiter) Admit(now time.Time, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
 	rate, burst, ok := l.limits(customer)
 	if !ok || customer == "" {
-		return siskin.Admission{Admitted: true} // an open route, or a key just withdrawn
+		return siskin.Admission{Admitted: true} // a route without a limit, or a key that was just withdrawn
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -170,8 +176,8 @@
 	return siskin.Admission{RetryAfter: retryAfter(rate), WithinRate: true}
 }
 
-// Refund implements siskin.Refunder. The tokens live as briefly as those of a
-// pool, so that they cannot pile up.
+// Refund implements siskin.Refunder. Refunded tokens expire like those taken
+// from a pool, so that they cannot accumulate.
 func (l *Limiter) Refund(customer siskin.CustomerID, n siskin.Requests) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -23,20 +23,20 @@
 	testBurst = 50
 )
 
-// sim is a fleet of limiters on one fake clock, whose links, VMs and views of
-// the fleet fail at random.
+// sim is a fleet of limiters on one fake clock. Links and VMs fail at random,
+// and views of the fleet may be wrong.
 type sim struct {
 	t     *testing.T
 	rng   *rand.Rand
 	clock *clockwork.FakeClock
 	vms   []*simVM
 	cut   map[[2]int]bool
-	// delayed are messages that are still on their way.
+	// delayed holds messages that are not delivered yet.
 	delayed []func()
 	sent    []time.Time // admitted requests
-	// requested counts requests, refused those that were not admitted.
+	// requested counts all requests, and refused those that were not admitted.
 	requested, refused int
-	// rate and burst are those of the only customer.
+	// rate and burst are the limits of the only customer.
 	rate, burst float64
 }
 
@@ -47,9 +47,9 @@
 	l      *Limiter
 	paused bool
 	down   bool
-	// leaving VMs are given no pools.
+	// leaving VMs own no pools.
 	leaving bool
-	// fails delays news of the fleet: the view of a VM may be wrong.
+	// view may be out of date, because refreshViews updates it at random.
 	view []siskin.VM
 }
 
@@ -78,7 +78,7 @@
 	}
 	*reply.(*TakeReply) = to.l.Take(args.(*TakeArgs))
 	if !v.s.reaches(to.i, v.i) {
-		return errCut // the answer is lost after the tokens are spent
+		return errCut // the reply is lost after the tokens were taken
 	}
 	return nil
 }
@@ -89,7 +89,7 @@
 			return v
 		}
 	}
-	s.t.Fatalf("got a call of %s, want a VM of the fleet", id)
+	s.t.Fatalf("got a call to %s, want a VM of the fleet", id)
 	return nil
 }
 
@@ -117,7 +117,7 @@
 	return s
 }
 
-// start begins a new run of a VM.
+// start starts a new run of a VM.
 func (s *sim) start(v *simVM) {
 	tab := table.New()
 	tab.Apply(&siskin.Deployment{Version: 1, Customers: []siskin.CustomerSpec{{ID: "acme", Rate: siskin.RequestsPerSecond(s.rate), Burst: siskin.Requests(s.burst)}}}, nil)
@@ -133,7 +133,7 @@
 
 const simVMs = 5
 
-// refreshViews renews the views of the VMs, each with the given probability.
+// refreshViews updates the view of each VM with the given probability.
 func (s *sim) refreshViews(p float64) {
 	for _, v := range s.vms {
 		if s.rng.Float64() >= p {
@@ -149,7 +149,8 @@
 	}
 }
 
-// ping exchanges loans as the pings of two VMs do. Either message may be late.
+// ping exchanges loans as the pings between two VMs do. Either message may be
+// delayed.
 func (s *sim) ping(from, to *simVM) {
 	if !s.reaches(from.i, to.i) {
 		return
@@ -171,7 +172,7 @@
 			if released {
 				from.l.HandleRelease(to.id(), tokens)
 			} else if from.l.HandleStamp(to.id(), stamp) {
-				s.ping(from, to) // the first stamp is used at once, as by crew
+				s.ping(from, to) // lend right after the first stamp, as package crew does
 			}
 		}
 		if s.rng.Intn(20) == 0 {
@@ -187,7 +188,7 @@
 	}
 }
 
-// injectFault changes links and VMs.
+// injectFault changes the state of a random link or VM.
 func (s *sim) injectFault() {
 	v := s.vms[s.rng.Intn(len(s.vms))]
 	switch s.rng.Intn(7) {
@@ -215,7 +216,7 @@
 	}
 }
 
-// request asks for one request at a VM.
+// request sends one request to a VM.
 func (s *sim) request(v *simVM) {
 	if v.down || v.paused {
 		return
@@ -228,11 +229,11 @@
 	}
 }
 
-// check compares every window with what the users allow.
+// check compares the admitted requests of every window with the requirement.
 func (s *sim) check() {
 	s.t.Helper()
 	const window = 5 * time.Second
-	// Rate and burst with the tolerance of a tenth and 20 requests.
+	// The requirement tolerates a tenth and 20 requests above rate and burst.
 	most := int((s.rate*window.Seconds()+s.burst)*1.1) + 20
 	start := 0
 	for i, at := range s.sent {
@@ -247,7 +248,7 @@
 
 const step = 10 * time.Millisecond
 
-// run plays the fleet with the given demand a second.
+// run advances the fleet by the given time, with demand in requests per second.
 func (s *sim) run(length time.Duration, demand float64, faults bool) {
 	for now := time.Duration(0); now < length; now += step {
 		s.clock.Advance(step)
@@ -275,7 +276,7 @@
 		}
 		for n := demand * step.Seconds(); n > 0; n-- {
 			if s.rng.Float64() < n {
-				// Demand is uneven: half of it comes to one VM.
+				// Demand is uneven: half of it goes to the first VM.
 				k := 0
 				if s.rng.Intn(2) == 0 {
 					k = s.rng.Intn(len(s.vms))
@@ -286,8 +287,8 @@
 	}
 }
 
-// TestNeverAboveRate guards against customers that get more than rate and burst
-// through cut links, late messages, pauses, restarts and wrong views.
+// TestNeverAboveRate guards against customers that exceed rate and burst
+// through cut links, delayed messages, pauses, restarts and wrong views.
 func TestNeverAboveRate(t *testing.T) {
 	runs := 40
 	if n, err := strconv.Atoi(os.Getenv("SISKIN_RUNS")); err == nil {
@@ -302,22 +303,23 @@
 	}
 }
 
-// TestFewRefusalsWithinRate guards against refusals of customers that stay
-// within their rate while nothing fails.
+// TestFewRefusalsWithinRate guards against refusing customers that stay within
+// their rate while there are no faults.
 func TestFewRefusalsWithinRate(t *testing.T) {
 	s := newSim(t, 1, simVMs)
 	s.run(2*time.Second, 1, false)
 	s.requested, s.refused = 0, 0
 	s.run(60*time.Second, 0.62*testRate, false)
-	// The users ask for none on quiet days; the record counts to a thousandth.
+	// The requirement is none on a day without faults; the measurement has a
+	// resolution of a thousandth.
 	if got := float64(s.refused) / float64(s.requested); got > 0.001 {
 		t.Errorf("refused within the rate: got %d of %d, want at most 0.1%%", s.refused, s.requested)
 	}
 }
 
-// TestLargeFleet guards against rates of which a large part cannot be used,
-// because each of many VMs holds less than one token of it: on a calm day of a
-// deployment with 68 VMs one request in seven was refused within the rate.
+// TestLargeFleet guards against rates that cannot be used up because each of
+// many VMs holds less than one token. In a deployment with 68 VMs and no
+// faults, one request in seven was refused within the rate.
 func TestLargeFleet(t *testing.T) {
 	for _, rate := range []float64{8, 35, 160} {
 		s := newSimOf(t, 1, 68, rate, rate)
@@ -330,8 +332,8 @@
 	}
 }
 
-// TestOwnerLossInLargeFleet guards against customers of a large fleet that are
-// served nothing while the VM that holds the pool of their rate is gone.
+// TestOwnerLossInLargeFleet guards against refusing all requests of a customer
+// of a large fleet while one owner of its pools is down.
 func TestOwnerLossInLargeFleet(t *testing.T) {
 	const rate = 40
 	s := newSimOf(t, 1, 68, rate, rate)
@@ -340,14 +342,15 @@
 	owner.down = true
 	s.requested, s.refused = 0, 0
 	s.run(2*time.Second, 0.4*rate, false)
-	// The other pools hold three quarters of the rate, which covers the demand.
+	// The remaining pools hold three quarters of the rate, which covers the
+	// demand.
 	if got := float64(s.refused) / float64(s.requested); got > 0.1 {
 		t.Errorf("refused after the loss of an owner: got %d of %d, want at most a tenth", s.refused, s.requested)
 	}
 }
 
-// TestOwnersAgreeWithoutShare guards against VMs without a share that ask owners to
-// whom no holder lends.
+// TestOwnersAgreeWithoutShare guards against VMs without a share that ask other
+// owners than the holders lend to.
 func TestOwnersAgreeWithoutShare(t *testing.T) {
 	s := newSimOf(t, 1, 24, 400, 400)
 	holder, other := s.vms[0].l, s.vms[1].l
@@ -364,8 +367,8 @@
 	}
 }
 
-// TestNeverAboveRateOfLargeFleet is TestNeverAboveRate with shares too small to
-// be kept, which are lent to two owners.
+// TestNeverAboveRateOfLargeFleet is TestNeverAboveRate with shares that are too
+// small to keep a fraction of and are lent whole to several owners.
 func TestNeverAboveRateOfLargeFleet(t *testing.T) {
 	for seed := range int64(4) {
 		t.Run(strconv.FormatInt(seed, 10), func(t *testing.T) {
@@ -377,8 +380,8 @@
 	}
 }
 
-// TestKeptPartGrows guards against tokens earned twice when a higher burst lets
-// a VM keep a part that its last loan still holds.
+// TestKeptPartGrows guards against earning tokens twice when a higher burst
+// lets a VM keep a fraction that its last loan still covers.
 func TestKeptPartGrows(t *testing.T) {
 	s := newSimOf(t, 1, 20, 10, 10)
 	v := s.vms[0]
@@ -394,21 +397,20 @@
 	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	v.l.Loans(owner)
 	if got := v.l.part("acme").keptFraction; got != 0 {
-		t.Errorf("kept while the larger loan counts: got %v, want 0", got)
+		t.Errorf("fraction kept while the larger loan is valid: got %v, want 0", got)
 	}
 	s.clock.Advance(loanDuration)
 	owner = v.l.owners("acme", 0, localFraction)[0]
 	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	if v.l.Loans(owner) == nil && owner != v.id() {
-		t.Fatal("got no loan after the first one lapsed, want one")
+		t.Fatal("got no loan after the first one expired, want one")
 	}
 	if got := v.l.part("acme").keptFraction; got != localFraction {
-		t.Errorf("kept after the larger loan has lapsed: got %v, want %v", got, localFraction)
+		t.Errorf("fraction kept after the larger loan expired: got %v, want %v", got, localFraction)
 	}
 }
 
-// TestRestartOfAll guards against a fleet that lost all power and refuses its
-// customers for long.
+// TestRestartOfAll guards against long refusals after all VMs restart at once.
 func TestRestartOfAll(t *testing.T) {
 	s := newSim(t, 1, simVMs)
 	s.run(5*time.Second, 0.62*testRate, false)
@@ -423,7 +425,7 @@
 	}
 }
 
-// countAdmitted returns how many requests are countAdmitted at once, spread over all VMs.
+// countAdmitted returns how many requests the running VMs admit at once.
 func (s *sim) countAdmitted() int {
 	n := 0
 	for _, v := range s.vms {
@@ -434,21 +436,23 @@
 	return n
 }
 
-// TestColdStart guards against the loss of what shares earn before they are lent
-// for the first time. Each holds less than a token in a large fleet.
+// TestColdStart guards against losing the tokens that shares earn before they
+// are lent for the first time. In a large fleet each share holds less than one
+// token.
 func TestColdStart(t *testing.T) {
 	const rate = 60
 	s := newSimOf(t, 1, 68, rate, rate)
 	s.run(1200*time.Millisecond, 0, false)
-	// Shares earn from the start; a fifth is for messages on their way.
+	// Shares earn from the start; a fifth is subtracted for messages in
+	// transit.
 	if got, want := s.countAdmitted(), rate*12/10*8/10; got < want {
 		t.Errorf("requests admitted 1.2 s after the start: got %d, want at least %d", got, want)
 	}
 }
 
-// TestPlannedStopKeepsTokens guards against customers that lose their burst each
-// time that a VM with a pool of theirs is restarted: while all VMs of a fleet
-// were restarted in turn, one request in six was refused within the rate.
+// TestPlannedStopKeepsTokens guards against customers that lose their burst
+// whenever an owner of their pools restarts. While all VMs of a fleet were
+// restarted in turn, one request in six was refused within the rate.
 func TestPlannedStopKeepsTokens(t *testing.T) {
 	const rate = 60
 	s := newSimOf(t, 1, 68, rate, rate)
@@ -465,8 +469,8 @@
 	}
 }
 
-// TestSilentOwnerTimeLimit guards against a first owner that is cut off and uses
-// up the time in which the second one could have answered.
+// TestSilentOwnerTimeLimit guards against a first owner that is cut off and
+// uses up the time in which the second one could answer.
 func TestSilentOwnerTimeLimit(t *testing.T) {
 	const rate = 40
 	s := newSimOf(t, 1, 20, rate, rate)
@@ -485,8 +489,8 @@
 	}
 }
 
-// TestCancelledRequestKeepsOwners guards against owners that are not asked for a while
-// because this VM itself had no time left to ask them.
+// TestCancelledRequestKeepsOwners guards against marking owners as silent when
+// this VM had no time left to ask them.
 func TestCancelledRequestKeepsOwners(t *testing.T) {
 	const rate = 40
 	s := newSimOf(t, 1, 20, rate, rate)
@@ -497,11 +501,11 @@
 	cancel()
 	v.l.AdmitWait(ctx, "acme", 1)
 	if len(v.l.silentUntil) > 0 {
-		t.Errorf("owners held to be silent without a question: got %v, want none", v.l.silentUntil)
+		t.Errorf("owners marked as silent without being asked: got %v, want none", v.l.silentUntil)
 	}
 }
 
-// silentPeer holds calls of one VM until their deadline.
+// silentPeer delays calls to one VM until their deadline.
 type silentPeer struct {
 	*simVM
 	silent siskin.VMID
@@ -519,14 +523,15 @@
 }
 
 // TestPoolMoves guards against refusals when another VM becomes the owner of a
-// pool, such as at the end of a cut: 645 in a second, since the loans to the
-// former owner had to lapse before the new one got any.
+// pool, for instance at the end of a network cut. There were 645 in a second
+// when the loans to the former owner had to expire before the new owner got
+// any.
 func TestPoolMoves(t *testing.T) {
 	const rate = 60
 	s := newSimOf(t, 1, 24, rate, rate)
 	owners := s.vms[0].l.owners("acme", 0, 0)
 	for _, id := range owners {
-		s.find(id).leaving = true // not yet part of the fleet
+		s.find(id).leaving = true // owns no pool yet
 	}
 	s.refreshViews(1)
 	s.run(5*time.Second, 0.7*rate, false)
@@ -541,8 +546,9 @@
 	}
 }
 
-// TestSilentOwner guards against requests that wait one by one for an owner of
-// a pool that gives no answer: in 4 s of a cut 2,613 did, up to 120 ms each.
+// TestSilentOwner guards against requests that wait one after another for an
+// owner that doesn't answer. In a network cut of 4 s, 2,613 requests waited up
+// to 120 ms each.
 func TestSilentOwner(t *testing.T) {
 	const rate = 40
 	s := newSimOf(t, 1, 20, rate, rate)
@@ -559,11 +565,12 @@
 		s.clock.Advance(time.Millisecond)
 	}
 	if doubted > len(owners) {
-		t.Errorf("questions to silent owners in 50 ms: got %d, want one to each of %d", doubted, len(owners))
+		t.Errorf("requests to silent owners in 50 ms: got %d, want one to each of %d", doubted, len(owners))
 	}
 }
 
-// TestRefund guards against refused operations that use up the rate.
+// TestRefund guards against operations that were refused after admission and
+// still use up the rate.
 func TestRefund(t *testing.T) {
 	s := newSim(t, 1, simVMs)
 	l := s.vms[0].l
@@ -577,8 +584,8 @@
 	}
 }
 
-// TestLapsedLoan guards against a share that earns tokens twice while it is
-// lent, when the loan ends between two requests.
+// TestLapsedLoan guards against a share that earns tokens twice for the time of
+// a loan that ends between two requests.
 func TestLapsedLoan(t *testing.T) {
 	s := newSim(t, 1, simVMs)
 	v := s.vms[0]
@@ -586,7 +593,7 @@
 	if owner == v.id() {
 		v = s.vms[1]
 	}
-	// The burst is large, so that it does not hide what was earned.
+	// The burst is large enough not to cap the tokens that were earned.
 	v.l.cfg.Table.Apply(&siskin.Deployment{Version: 2, Customers: []siskin.CustomerSpec{{ID: "acme", Rate: testRate, Burst: 1000}}}, nil)
 	v.l.Admit(s.clock.Now(), "acme", 1)
 	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
@@ -599,9 +606,10 @@
 	for v.l.Admit(s.clock.Now(), "acme", 1).Admitted {
 		got++
 	}
-	// A part of the share of a fifth while the loan counts, then all of it.
+	// One of five shares earns its kept fraction while the loan is valid, and
+	// then its whole rate.
 	want := int(testRate / float64(simVMs) * (loanDuration.Seconds()*localFraction + after.Seconds()))
 	if got > want {
-		t.Errorf("tokens after a loan that lapsed: got %d, want at most %d", got, want)
+		t.Errorf("tokens after an expired loan: got %d, want at most %d", got, want)
 	}
 }
--- a/internal/quota/receiver.go
+++ b/internal/quota/receiver.go
@@ -1,6 +1,6 @@
 package quota
 
-// Receiver serves the calls of peers under the name Quota.
+// Receiver serves the remote calls of peers under the service name Quota.
 type Receiver struct{ l *Limiter }
 
 // Receiver returns the receiver to register.
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -15,8 +15,8 @@
 	return max(20*time.Millisecond, time.Duration(float64(time.Second)/rate))
 }
 
-// AdmitWait implements siskin.Limiter. It asks the owner of the customer's
-// pool when this VM's own tokens are used up.
+// AdmitWait implements siskin.Limiter. It asks the owners of the customer's
+// pools when this VM's own tokens are used up.
 func (l *Limiter) AdmitWait(ctx context.Context, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
 	now := l.cfg.Clock.Now()
 	adm := l.Admit(now, customer, n)
@@ -29,7 +29,7 @@
 	defer cancel()
 	for i, owner := range owners {
 		if ctx.Err() != nil {
-			break // this VM was late; the owner was not asked
+			break // out of time on this VM; don't mark the owner as silent
 		}
 		asked := l.cfg.Clock.Now()
 		reply, ok := l.takeFrom(ctx, owner, &TakeArgs{Customer: customer, Tokens: tokens}, len(owners)-i)
@@ -47,8 +47,8 @@
 	return adm
 }
 
-// takeFrom asks one owner for tokens. It has half of the time left while others come
-// after it, since one that is cut off gives no answer.
+// takeFrom asks one owner for tokens. While further owners remain, it uses at
+// most half of the time left, since an owner that is cut off never answers.
 func (l *Limiter) takeFrom(ctx context.Context, owner siskin.VMID, args *TakeArgs, owners int) (reply TakeReply, ok bool) {
 	if owner == l.cfg.Members.Self().ID {
 		return l.Take(args), true
@@ -63,7 +63,7 @@
 	return reply, true
 }
 
-// noteNoAnswer notes that an owner gave no answer.
+// noteNoAnswer records that an owner didn't answer, and triggers a ping of it.
 func (l *Limiter) noteNoAnswer(owner siskin.VMID, customer siskin.CustomerID, err error) {
 	l.mu.Lock()
 	l.silentUntil[owner] = l.cfg.Clock.Now().Add(silentBackoff)
@@ -72,8 +72,9 @@
 	l.cfg.PingNow(owner)
 }
 
-// ownersToAsk returns the owners of the customer's pools in the order to ownersToAsk them, none
-// while they refuse or are silent, and the tokens to ownersToAsk for.
+// ownersToAsk returns the owners of the customer's pools in the order in which
+// to ask them, and the number of tokens to ask for. It leaves out silent
+// owners, and returns none for a while after a refusal.
 func (l *Limiter) ownersToAsk(now time.Time, customer siskin.CustomerID, n float64) ([]siskin.VMID, int) {
 	_, burst, _ := l.limits(customer)
 	l.mu.Lock()
@@ -84,18 +85,21 @@
 	}
 	owners := l.owners(customer, burst, l.keptFraction(burst))
 	if l.share == 0 && len(owners) > 0 && owners[0] != p.lastAsked {
-		// A VM without a share learns of the move by its own view only. What holders
-		// lent to the former owner counts there until it ends.
+		// A VM without a share learns of a new owner only from its own view of
+		// the fleet. Loans of the holders to the former owner are valid until
+		// they end.
 		if p.lastAsked != "" {
 			p.formerOwner, p.formerOwnerUntil = p.lastAsked, now.Add(loanDuration)
 		}
 		p.lastAsked = owners[0]
 	}
 	if now.Before(p.loanEnd) && !slices.Contains(owners, p.owner) {
-		// The pool has just moved. The loans to its former owner still count.
+		// The pool has just moved, and the loans to its former owner are still
+		// valid.
 		owners = append([]siskin.VMID{p.owner}, owners...)
 	}
-	// After that a former owner may have tokens while the loans of others last.
+	// Later the former owner may have tokens while the loans of other lenders
+	// are valid.
 	if now.Before(p.loanEnd.Add(loanDuration)) && !slices.Contains(owners, p.owner) {
 		owners = append(owners, p.owner)
 	}
@@ -106,14 +110,15 @@
 	return owners, int(min(maxTake, max(n, p.lastDemand)))
 }
 
-// backOff keeps requests of a customer from asking again for a while.
+// backOff keeps requests of a customer from asking the owners again for a
+// while.
 func (l *Limiter) backOff(customer siskin.CustomerID, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.part(customer).refusedUntil = l.cfg.Clock.Now().Add(min(refusalBackoff, wait))
 }
 
-// spendGrant takes over granted tokens and spends n of them.
+// spendGrant adds granted tokens and spends n of them if there are enough.
 func (l *Limiter) spendGrant(asked time.Time, customer siskin.CustomerID, n float64, reply *TakeReply) siskin.Admission {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -124,7 +129,8 @@
 	}
 	if now.Before(asked.Add(grantTTL)) {
 		p.granted += float64(reply.Tokens)
-		// An earlier expiry of other tokens is kept, so none lives too long.
+		// The earlier expiry applies to all granted tokens, so none is valid
+		// for too long.
 		if e := asked.Add(grantTTL); p.granted == float64(reply.Tokens) || e.Before(p.expiry) {
 			p.expiry = e
 		}
@@ -136,7 +142,7 @@
 	return siskin.Admission{RetryAfter: reply.RetryAfter}
 }
 
-// Take grants tokens of a pool that this VM holds.
+// Take grants tokens of a pool that this VM owns.
 func (l *Limiter) Take(args *TakeArgs) TakeReply {
 	rate, burst, ok := l.limits(args.Customer)
 	if !ok {
@@ -155,7 +161,7 @@
 	return TakeReply{Tokens: int(p.take(float64(args.Tokens))), RetryAfter: retryAfter(rate)}
 }
 
-// Take grants tokens of a pool.
+// Take serves a request of another VM for tokens.
 func (r *Receiver) Take(args *TakeArgs, reply *TakeReply) error {
 	*reply = r.l.Take(args)
 	return nil
--- a/internal/roster/cold.go
+++ b/internal/roster/cold.go
@@ -7,21 +7,24 @@
 )
 
 const (
-	// coldMargin is the time for which a target may be cold beyond what its entry
-	// says: a call to the store takes up to this long, and the entry may have been
-	// written at its end.
+	// coldMargin is added to the time for which a target's entry says that it
+	// is cold: a call to the store takes up to this long, and the entry may
+	// have been written at the end of it.
 	coldMargin = 2 * time.Second
-	// coldReportDelay is the time from the failure of a target to the list that tells
-	// whether it started again and is cold. A target writes its entry each 1.2 s.
+	// coldReportDelay is the time from the failure of a target to the list that
+	// shows whether it restarted and is cold. A target writes its entry every
+	// 1.2 s.
 	coldReportDelay = 2 * time.Second
-	// maxListAge is the age of the list up to which a target that is used for the
-	// first time cannot have started again unseen. Lists are up to 3.2 s old.
+	// maxListAge is the age of the list up to which a target that is used for
+	// the first time cannot have restarted unnoticed. Lists are up to 3.2 s
+	// old.
 	maxListAge = 5 * time.Second
 )
 
-// MayBeCold reports whether a target may be cold, for a VM that has used it since the
-// time opened and saw it fail last at the time failed, which is zero when it did
-// not. The target's entry says so, or no list tells yet whether it started again.
+// MayBeCold reports whether a target may be cold, for a VM that has used it
+// since the time opened. The time failed is that of its last failure, zero if
+// there was none. A target may be cold when its entry says so, or while no list
+// shows whether it restarted.
 func (r *Roster) MayBeCold(id siskin.TargetID, opened, failed, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -38,8 +41,8 @@
 	}
 }
 
-// recordGap notes the first list of this VM, or the first one after a time without
-// lists, which was asked for at a time. The caller holds mu.
+// recordGap records the first list of this VM, or the first list after a gap;
+// at is the time when it was requested. The caller holds mu.
 func (r *Roster) recordGap(at time.Time) {
 	if at.Sub(r.listed) > maxListAge {
 		r.gapStart, r.gapEnd = r.listed, at
--- a/internal/roster/cold_test.go
+++ b/internal/roster/cold_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestCold guards against a cold target that counts as warm too early, and against
-// one that started again and is not listed as cold yet.
+// TestCold guards against using a cold target as warm too early, and against
+// missing a restarted target that is not listed as cold yet.
 func TestCold(t *testing.T) {
 	r, at := New(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 	info := siskin.TargetInfo{ID: "a", Service: "s", ColdRemaining: 3 * time.Second}
@@ -24,7 +24,7 @@
 	info.ColdRemaining = 0
 	r.Replace([]siskin.TargetInfo{info}, 4, at(4*time.Second))
 	if r.MayBeCold("a", at(0), time.Time{}, at(4*time.Second)) {
-		t.Error("cold once its entry says that it is not: got true, want false")
+		t.Error("cold after its entry reported that it is warm: got true, want false")
 	}
 	failed := at(10 * time.Second)
 	r.Confirm(4, failed.Add(coldReportDelay-1))
@@ -40,8 +40,8 @@
 	}
 }
 
-// TestColdUnseen guards against a target that started again, and is cold, while this
-// VM was down or had no lists.
+// TestColdUnseen guards against using a target as warm that restarted, and is
+// cold, while this VM was down or got no lists.
 func TestColdUnseen(t *testing.T) {
 	r, at := New(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 	info := siskin.TargetInfo{ID: "a", Service: "s"}
@@ -58,12 +58,12 @@
 	r.Confirm(1, at(coldReportDelay))
 	check("with a later list", 0, coldReportDelay, false)
 	r.Confirm(1, at(4*time.Second))
-	check("used since before the store was away", 5*time.Second, 20*time.Second, false)
-	check("used since then, without a list", 10*time.Second, 20*time.Second, true)
+	check("opened before the store outage", 5*time.Second, 20*time.Second, false)
+	check("opened during the outage, without a list", 10*time.Second, 20*time.Second, true)
 	r.Confirm(1, at(21*time.Second))
-	check("used since before, with the first list again", 5*time.Second, 21*time.Second, false)
-	check("used since then, with the first list again", 10*time.Second, 21*time.Second, true)
+	check("opened before the outage, with the first list after it", 5*time.Second, 21*time.Second, false)
+	check("opened during the outage, with the first list after it", 10*time.Second, 21*time.Second, true)
 	r.Confirm(1, at(24*time.Second))
-	check("used since then, with a later list", 10*time.Second, 24*time.Second, false)
-	check("used later", 25*time.Second, 25*time.Second, false)
+	check("opened during the outage, with a later list", 10*time.Second, 24*time.Second, false)
+	check("opened after the outage", 25*time.Second, 25*time.Second, false)
 }
--- a/internal/roster/evacuations.go
+++ b/internal/roster/evacuations.go
@@ -8,39 +8,41 @@
 	"siskintray.example/siskin"
 )
 
-// evacuationMargin is taken off the time that the operator allows, for the way of
-// the last statement to its target and for clocks that run apart.
+// evacuationMargin is subtracted from the time that the operator allows. It
+// covers the transmission of the last statement to its target and clock skew.
 const evacuationMargin = 500 * time.Millisecond
 
-// evacuations are the data centres to whose targets nothing more is to be sent.
+// evacuations tracks the data centres whose targets must get no more
+// statements.
 type evacuations struct {
-	// limit is the time from the store's acknowledgement of an evacuation to the
-	// last statement, zero where the platform has no evacuations.
+	// limit is the time from the store's acknowledgement of an evacuation to
+	// the last statement. It is zero where the platform has no evacuations.
 	limit time.Duration
-	// version is that of the store's list, which was current at the time at; at is
-	// zero until a list is known.
+	// version is the version of the store's list, and at the time when that
+	// list was current. at is zero until a list is known.
 	version siskin.Version
 	at      time.Time
-	// since holds for each evacuation in force a moment before its
-	// acknowledgement, zero when none is known.
+	// since has a time just before the acknowledgement of each evacuation in
+	// force, or zero if none is known.
 	since map[siskin.DataCentreID]time.Time
-	// endPending are those of since that were taken back, and stay in force until a list
-	// of targets of that version says which of them are cold.
+	// endPending has the evacuations of since that were revoked. They stay in
+	// force until a list of targets of the same version shows which targets are
+	// cold.
 	endPending map[siskin.DataCentreID]bool
 }
 
-// ready reports whether a target may be used. A VM that starts could otherwise
-// send statements to a data centre that was evacuated long ago.
+// ready reports whether targets may be used. Without a list, a VM that starts
+// could send statements to a data centre that was evacuated long ago.
 func (e *evacuations) ready() bool { return e.limit == 0 || !e.at.IsZero() }
 
-// withEvacuated returns what is known of a target with its evacuation.
+// withEvacuated returns info with the Evacuated field set.
 func (e *evacuations) withEvacuated(info siskin.TargetInfo) siskin.TargetInfo {
 	_, info.Evacuated = e.since[info.DataCentre]
 	return info
 }
 
 // blocked reports whether a data centre has been evacuated for so long that its
-// targets must get no statement at all.
+// targets must get no statements at all.
 func (e *evacuations) blocked(dc siskin.DataCentreID, now time.Time) bool {
 	if !e.ready() {
 		return true
@@ -49,8 +51,9 @@
 	return ok && now.Sub(since) >= e.limit-evacuationMargin
 }
 
-// replace takes over a list that was current at a time, and reports whether it
-// changes what is in force. The list of targets is of the version targets.
+// replace applies a list that was current at the given time, and reports
+// whether it changes the evacuations in force. targets is the version of the
+// list of targets.
 func (e *evacuations) replace(list []siskin.DataCentreID, version, targets siskin.Version, at time.Time) bool {
 	if e.limit == 0 || version < e.version {
 		return false
@@ -82,8 +85,9 @@
 	return differs
 }
 
-// finishPending ends the evacuations that were held back for a list of targets, once there
-// is one of the given version. It reports whether there were any.
+// finishPending ends the revoked evacuations that waited for a list of targets,
+// if the given version of that list is recent enough. It reports whether there
+// were any.
 func (e *evacuations) finishPending(targets siskin.Version) bool {
 	if len(e.endPending) == 0 || targets < e.version {
 		return false
@@ -93,17 +97,17 @@
 	return true
 }
 
-// RequireEvacuations makes the roster name no target until a list of evacuations is
-// known, and sets the time from the acknowledgement of one to the last statement.
-// It is called before the first list.
+// RequireEvacuations makes the roster return no targets until a list of
+// evacuations is known. limit is the time from the acknowledgement of an
+// evacuation to the last statement. It must be called before the first list.
 func (r *Roster) RequireEvacuations(limit time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.evac.limit = limit
 }
 
-// ReplaceEvacuations applies the list of evacuated data centres of a version of the store,
-// which was current at a time. Older lists change nothing.
+// ReplaceEvacuations applies a version of the store's list of evacuated data
+// centres that was current at the given time. It ignores older versions.
 func (r *Roster) ReplaceEvacuations(list []siskin.DataCentreID, version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -112,8 +116,9 @@
 	}
 }
 
-// ConfirmEvacuations notes that the last list was still current at a time when the
-// store's version was the given one. It reports whether that was its version.
+// ConfirmEvacuations records that the last list was still current at the given
+// time, if the store's version is the one of that list. It reports whether it
+// is.
 func (r *Roster) ConfirmEvacuations(version siskin.Version, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -126,8 +131,8 @@
 	return true
 }
 
-// Evacuations returns the evacuated data centres, the version of their list, and
-// when it was last current; that is zero until a list is known.
+// Evacuations returns the evacuated data centres, the version of their list,
+// and the time when it was last current, which is zero until a list is known.
 func (r *Roster) Evacuations() ([]siskin.DataCentreID, siskin.Version, time.Time) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -136,8 +141,8 @@
 	return list, r.evac.version, r.evac.at
 }
 
-// Blocked reports whether a target must get no statement at all, since its data
-// centre is evacuated.
+// Blocked reports whether a target must get no statements at all because its
+// data centre is evacuated.
 func (r *Roster) Blocked(id siskin.TargetID, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/roster/evacuations_test.go
+++ b/internal/roster/evacuations_test.go
@@ -14,7 +14,8 @@
 
 const testBound = 5 * time.Second
 
-// newEvacuationRoster returns a roster with the targets a, b and c in dc-a, dc-b and dc-c.
+// newEvacuationRoster returns a roster that requires evacuations, with the
+// targets a, b and c in dc-a, dc-b and dc-c.
 func newEvacuationRoster() *Roster {
 	r := New()
 	r.RequireEvacuations(testBound)
@@ -30,10 +31,11 @@
 	return list
 }
 
-// TestEvacuations guards against statements to an evacuated data centre, and against
-// evacuations that run backwards or last after they are taken back. A line has the
-// time, the version and the evacuated data centres. The result marks targets that
-// get no new work (-) and none at all (x).
+// TestEvacuations guards against statements to an evacuated data centre,
+// against applying older lists, and against evacuations that stay in force
+// after they were revoked. Each line has a time, a version and the evacuated
+// data centres. In the result, "-" marks targets that get no new work and "x"
+// those that get no statements at all.
 func TestEvacuations(t *testing.T) {
 	archive, err := txtar.ParseFile(filepath.Join("testdata", "evacuations.txtar"))
 	if err != nil {
@@ -80,7 +82,7 @@
 		case closed && t.Evacuated && r.Leaving(t.ID, now):
 			mark = "x"
 		case closed:
-			mark = "?" // it must be marked and leaving as well
+			mark = "?" // a blocked target must also be evacuated and leaving
 		case t.Evacuated:
 			mark = "-"
 		}
@@ -89,9 +91,9 @@
 	return strings.Join(list, " ")
 }
 
-// TestUnknownEvacuations guards against a VM that starts and sends statements before
-// it knows which data centres are evacuated, and against one that waits for a list
-// where the platform has none.
+// TestUnknownEvacuations guards against a VM that sends statements after its
+// start before it knows which data centres are evacuated, and against one that
+// waits for a list where the platform has none.
 func TestUnknownEvacuations(t *testing.T) {
 	r := newEvacuationRoster()
 	if _, ok := r.Target("a"); ok || len(r.Service("s")) > 0 || r.Ready() {
@@ -115,8 +117,8 @@
 	}
 }
 
-// TestConfirmEvacuations guards against a list that counts as current at another
-// version of the store, so that an evacuation would not be read.
+// TestConfirmEvacuations guards against confirming a list at another version of
+// the store, so that an evacuation would not be read.
 func TestConfirmEvacuations(t *testing.T) {
 	r := newEvacuationRoster()
 	if r.ConfirmEvacuations(0, time.Unix(1000, 0)) {
@@ -132,13 +134,13 @@
 		}
 	}
 	if _, _, at := r.Evacuations(); !at.Equal(time.Unix(1002, 0)) {
-		t.Errorf("time of the list: got %v, want that of its confirmation", at)
+		t.Errorf("time of the list: got %v, want the time of its confirmation", at)
 	}
 }
 
-// TestTakenBackBeforeTargets guards against a flood of statements to a target that
-// became cold during an evacuation: the end of it must not count before the list of
-// targets that says so.
+// TestTakenBackBeforeTargets guards against flooding a target that became cold
+// during an evacuation. The end of the evacuation must not take effect before
+// the list of targets that shows that it is cold.
 func TestTakenBackBeforeTargets(t *testing.T) {
 	r, at := newEvacuationRoster(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-a", "dc-b"}, 2, at(0))
@@ -147,7 +149,7 @@
 		t.Errorf("before a list of targets: got %s, want %s", got, want)
 	}
 	if list, _, _ := r.Evacuations(); len(list) != 2 || list[0] != "dc-b" {
-		t.Errorf("list for peers: got %v, want that of the store", list)
+		t.Errorf("list for peers: got %v, want the list of the store", list)
 	}
 	r.Replace(threeTargets(), 4, at(2*time.Second))
 	if got, want := marked(r, at(2*time.Second)), "xa xb -c"; got != want {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,8 +1,8 @@
-// Package roster holds what service discovery says of the targets.
+// Package roster keeps the list of targets from service discovery.
 //
-// Entries may lapse while the store is away, and be back within two seconds of
-// its return. A target therefore counts as gone when its entry is missing from
-// lists that lie further apart than that; until then it is kept.
+// Entries may expire during an outage of the store, and targets write them
+// again within two seconds of its return. A target is therefore removed only
+// when its entry is missing from lists that span more than that time.
 package roster
 
 import (
@@ -14,8 +14,8 @@
 	"siskintray.example/siskin"
 )
 
-// renewalGrace is the time that a target has to renew its entry after an outage of
-// the store. The platform states about two seconds.
+// renewalGrace is the time that a target has to renew its entry after an outage
+// of the store. The platform specifies about two seconds.
 const renewalGrace = 2500 * time.Millisecond
 
 // Roster holds the known targets. It is safe for concurrent use.
@@ -24,11 +24,13 @@
 	targets  map[siskin.TargetID]*entry
 	services map[siskin.ServiceName][]siskin.TargetInfo // derived, never modified
 	sizes    map[siskin.ServiceName]*size
-	// pendingCounts are the present numbers of targets that differ from the sizes.
+	// pendingCounts has the present number of targets of each service where it
+	// differs from the size.
 	pendingCounts map[siskin.ServiceName]int
 	version       siskin.Version // of the last list
-	listed        time.Time      // when the last list was asked for
-	// gapStart and gapEnd are the ends of the last gap between two lists.
+	listed        time.Time      // when the last list was requested
+	// gapStart and gapEnd are the start and end of the last gap between two
+	// lists.
 	gapStart, gapEnd time.Time
 	evac             evacuations
 	changed          chan struct{}
@@ -37,14 +39,15 @@
 type entry struct {
 	info          siskin.TargetInfo
 	since         time.Time // first list with this run of the target
-	first         bool      // the first list of all had it
-	missingSince  time.Time // first list without the entry; zero while it is there
-	drainingSince time.Time // first list that says so; zero while it does not
-	coldUntil     time.Time // until when it may be cold; zero when it is not
+	first         bool      // the run was in the first list after the start of this VM
+	missingSince  time.Time // first list without the entry; zero while it is listed
+	drainingSince time.Time // first list in which it drains; zero while it doesn't
+	coldUntil     time.Time // time until which it may be cold; zero if it is warm
 }
 
 // drainGrace is the time after which a draining target gets no new work. The
-// users allow 7 s from the store's answer, of which a list takes up to two.
+// requirement allows 7 s from the store's answer, of which a list takes up to
+// two.
 const drainGrace = 4500 * time.Millisecond
 
 // New returns an empty roster.
@@ -74,9 +77,10 @@
 	return r.evac.withEvacuated(e.info), true
 }
 
-// ListedSince returns the time of the first list with the present run of a target and that
-// of the last list. With first the run is older than what this VM has seen. The result
-// ok is false when the last list lacks the target.
+// ListedSince returns the time of the first list with the present run of a
+// target and the time of the last list. first is set when the run was in the
+// first list of this VM, so that it may have started earlier. ok is false when
+// the target is missing from the last list.
 func (r *Roster) ListedSince(id siskin.TargetID) (since, listed time.Time, first, ok bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -88,8 +92,8 @@
 }
 
 // Leaving reports whether a target has been draining or evacuated for so long
-// that it must get no new work. Leaving targets take it until then only as
-// primaries, while their successor is elected.
+// that it must get no new work. Before that, a draining or evacuated target
+// gets new work only as a primary whose successor is being elected.
 func (r *Roster) Leaving(id siskin.TargetID, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -121,15 +125,16 @@
 	return r.changed
 }
 
-// Version returns the version of the last list and when it was asked for.
+// Version returns the version of the last list and the time when it was
+// requested.
 func (r *Roster) Version() (siskin.Version, time.Time) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.version, r.listed
 }
 
-// Replace applies a complete list that was asked for at a time. Older lists
-// than the last one change nothing.
+// Replace applies a complete list that was requested at the given time. It
+// ignores lists that are older than the last one.
 func (r *Roster) Replace(list []siskin.TargetInfo, version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -142,7 +147,7 @@
 	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
 	for _, info := range list {
-		info.Evacuated = false // derived from what this VM knows
+		info.Evacuated = false // set from the known evacuations instead
 		listed[info.ID] = true
 		e := r.targets[info.ID]
 		if e != nil && e.info == info && e.missingSince.IsZero() {
@@ -175,7 +180,7 @@
 	}
 }
 
-// Confirm notes that the last list was still current at a time.
+// Confirm records that the last list was still current at the given time.
 func (r *Roster) Confirm(version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -189,7 +194,8 @@
 	}
 }
 
-// removeMissing removes the targets whose entries stayed missing.
+// removeMissing removes the targets whose entries have been missing for longer
+// than renewalGrace, and reports whether there were any.
 func (r *Roster) removeMissing(at time.Time) bool {
 	any := false
 	for id, e := range r.targets {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -13,16 +13,16 @@
 	"siskintray.example/siskin"
 )
 
-// TestScripts guards against targets that count as gone too early, or stay
-// after they are gone, and against lists that run backwards. A line has the
-// time, the version, and the ids listed, or "same" for a confirmation. Instead of
-// the version, "expect" takes over a size from another VM.
+// TestScripts guards against removing targets too early or too late, and
+// against applying older lists. Each line has a time, a version and the listed
+// ids, or "same" for a confirmation. With "expect" instead of the version it
+// has a size from another VM.
 func TestScripts(t *testing.T) {
 	runScripts(t, "lists.txtar", func(r *Roster) string { return ids(r.Service("s")) })
 }
 
-// TestSizes guards against a group that counts as complete while a target is
-// missing from discovery: a change of primary would need too few claims.
+// TestSizes guards against a group that is taken as complete while a target is
+// missing from discovery: a change of primary would then need too few claims.
 func TestSizes(t *testing.T) {
 	runScripts(t, "sizes.txtar", func(r *Roster) string { return strconv.Itoa(r.Size("s")) })
 }
@@ -85,8 +85,8 @@
 	return b.String()
 }
 
-// TestLeaving guards against new work for a target that is about to end, also
-// when its entry changes in another field while it drains.
+// TestLeaving guards against new work for a target that is about to stop, also
+// when another field of its entry changes while it drains.
 func TestLeaving(t *testing.T) {
 	r := New()
 	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
@@ -109,8 +109,8 @@
 	}
 }
 
-// TestSince guards against a target that is taken to have run for long although its
-// lists show a new run, an entry of its successor or a gap.
+// TestSince guards against overestimating how long a target has run when its
+// lists show a new run, the entry of its successor or a gap.
 func TestSince(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
 	info := func(id string, born int, draining bool) siskin.TargetInfo {
--- a/internal/roster/size.go
+++ b/internal/roster/size.go
@@ -7,33 +7,35 @@
 )
 
 const (
-	// growDelay is the time for which a group has to be larger before it counts as
-	// such. The entry of a target that crashed stays for a few seconds beside that
-	// of its successor.
+	// growDelay is the time after which a larger number of targets becomes the
+	// size of a group. The entry of a crashed target remains for a few seconds
+	// beside the entry of its successor.
 	growDelay = 8 * time.Second
-	// initialGrowDelay is the same for a group that was first listed less than growAfter
-	// ago: the first list may lack targets that are starting.
+	// initialGrowDelay is the same for a group that was first listed less than
+	// growDelay ago: the first list may lack targets that are starting.
 	initialGrowDelay = 2 * time.Second
-	// shrinkDelay is the same for a smaller group. A target that discovery has
-	// dropped may go on leading, for VMs that do not reach the store either.
+	// shrinkDelay is the same for a smaller number. A target that discovery has
+	// dropped may still be the primary, for VMs that cannot reach the store
+	// either.
 	shrinkDelay = 2 * time.Minute
-	// sizeLearningTime is the time for which a VM learns sizes from others. Each of them
-	// answers it within a second.
+	// sizeLearningTime is the time for which a VM learns sizes from other VMs,
+	// each of which answers it within a second.
 	sizeLearningTime = 30 * time.Second
 )
 
-// size is the number of targets of a service that are neither draining nor
-// listed for a moment only.
+// size is the number of targets of a service, without those that drain or are
+// listed only briefly.
 type size struct {
 	n           int
 	firstListed time.Time // first list of the group
-	// candidate is another number of targets, listed since the given time, which is
-	// zero while n are listed.
+	// candidate is a different number of targets, listed since candidateSince,
+	// which is zero while n targets are listed.
 	candidate      int
 	candidateSince time.Time
 }
 
-// observe takes over a number of targets from a list that was current at a time.
+// observe processes the number of targets in a list that was current at the
+// given time.
 func (s *size) observe(n int, at time.Time) {
 	grow := growDelay
 	if at.Sub(s.firstListed) < growDelay {
@@ -52,8 +54,8 @@
 }
 
 // Size returns the number of targets that a service has when none is missing,
-// zero when the service was never listed. Targets that discovery has dropped,
-// and whose successors it does not list yet, count.
+// or zero when the service was never listed. It includes targets that discovery
+// has dropped and whose successors are not listed yet.
 func (r *Roster) Size(name siskin.ServiceName) int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -63,7 +65,7 @@
 	return 0
 }
 
-// IncompleteSizes returns the sizes of the groups that lack targets.
+// IncompleteSizes returns the sizes of the groups of which targets are missing.
 func (r *Roster) IncompleteSizes() map[siskin.ServiceName]int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -79,9 +81,9 @@
 	return sizes
 }
 
-// LearnSizes takes over the sizes of groups that lack targets from another VM. Only
-// groups that this VM has known for a short time change: its first list may lack
-// the same targets.
+// LearnSizes applies the sizes of incomplete groups from another VM. It changes
+// only groups that this VM has known for a short time, since its first list may
+// lack the same targets.
 func (r *Roster) LearnSizes(sizes map[siskin.ServiceName]int, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -93,8 +95,8 @@
 	}
 }
 
-// countListed returns the number of targets of a service that are listed and not
-// draining. The caller holds mu.
+// countListed returns the number of listed targets of a service that don't
+// drain. The caller holds mu.
 func (r *Roster) countListed(name siskin.ServiceName) int {
 	n := 0
 	for _, e := range r.targets {
@@ -105,8 +107,8 @@
 	return n
 }
 
-// countTargets takes over the sizes of all groups from a list that was asked for at a
-// time. The caller holds mu.
+// countTargets counts the targets of all groups in a list that was requested at
+// the given time. The caller holds mu.
 func (r *Roster) countTargets(at time.Time) {
 	now := make(map[siskin.ServiceName]int)
 	for _, e := range r.targets {
@@ -126,8 +128,8 @@
 	r.updateSizes(at)
 }
 
-// updateSizes takes over the sizes that have lasted until the given time. The caller
-// holds mu.
+// updateSizes applies the counts that have lasted long enough at the given
+// time. The caller holds mu.
 func (r *Roster) updateSizes(at time.Time) {
 	for name, n := range r.pendingCounts {
 		s := r.sizes[name]
