--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -12,8 +12,8 @@
 	"siskintray.example/siskin"
 )
 
-// Lead is a proof that a target led its service.
-type Lead struct {
+// PrimaryProof is a proof that a target led its service.
+type PrimaryProof struct {
 	Target siskin.TargetID
 	// Position is the end of the target's log, which covers every commit
 	// acknowledged before At. It is zero when the proof came without one, and
@@ -33,10 +33,10 @@
 }
 
 type service struct {
-	lead    Lead
-	lost    map[siskin.TargetID]time.Time // when a target denied to lead
-	changed chan struct{}                 // closed when the leading target changes
-	holding hold
+	proof          PrimaryProof
+	deniedAt       map[siskin.TargetID]time.Time // when a target denied to lead
+	primaryChanged chan struct{}                 // closed when the leading target changes
+	change         primaryChange
 }
 
 // Target is what is known of one target.
@@ -64,7 +64,7 @@
 func (v *Views) service(name siskin.ServiceName) *service {
 	s := v.services[name]
 	if s == nil {
-		s = &service{lost: make(map[siskin.TargetID]time.Time), changed: make(chan struct{})}
+		s = &service{deniedAt: make(map[siskin.TargetID]time.Time), primaryChanged: make(chan struct{})}
 		v.services[name] = s
 	}
 	return s
@@ -79,47 +79,47 @@
 	return t
 }
 
-// Proven takes over a proof of lead and reports whether the leading target
+// RecordProof takes over a proof of lead and reports whether the leading target
 // changed.
-func (v *Views) Proven(name siskin.ServiceName, l Lead) bool {
+func (v *Views) RecordProof(name siskin.ServiceName, l PrimaryProof) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(name)
 	// A proof of a target that has denied its lead since gives way to any other.
-	denied := l.Target != s.lead.Target && s.lost[s.lead.Target].After(s.lead.At)
-	if !l.At.After(s.lead.At) && !denied {
+	denied := l.Target != s.proof.Target && s.deniedAt[s.proof.Target].After(s.proof.At)
+	if !l.At.After(s.proof.At) && !denied {
 		return false
 	}
-	if l.Target == s.lead.Target {
-		l.Term = max(l.Term, s.lead.Term)
-		s.lead = l
+	if l.Target == s.proof.Target {
+		l.Term = max(l.Term, s.proof.Term)
+		s.proof = l
 		return false
 	}
-	s.lead = l
-	s.holding = hold{}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.proof = l
+	s.change = primaryChange{}
+	close(s.primaryChanged)
+	s.primaryChanged = make(chan struct{})
 	return true
 }
 
-// Denied notes that a target answered at the given time that it does not lead.
-func (v *Views) Denied(name siskin.ServiceName, id siskin.TargetID, at time.Time) {
+// RecordDenial notes that a target answered at the given time that it does not lead.
+func (v *Views) RecordDenial(name siskin.ServiceName, id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(name)
-	if at.After(s.lost[id]) {
-		s.lost[id] = at
+	if at.After(s.deniedAt[id]) {
+		s.deniedAt[id] = at
 	}
 }
 
-// Lead returns the newest proof of a service.
-func (v *Views) Lead(name siskin.ServiceName) Lead {
+// LatestProof returns the newest proof of a service.
+func (v *Views) LatestProof(name siskin.ServiceName) PrimaryProof {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if s := v.services[name]; s != nil {
-		return s.lead
+		return s.proof
 	}
-	return Lead{}
+	return PrimaryProof{}
 }
 
 // Primary returns the target to send writes to. Without a proof that still
@@ -129,21 +129,21 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	s := v.services[name]
-	if s != nil && s.lead.Target != "" && !s.lost[s.lead.Target].After(s.lead.At) && has(targets, s.lead.Target) {
-		return s.lead.Target
+	if s != nil && s.proof.Target != "" && !s.deniedAt[s.proof.Target].After(s.proof.At) && contains(targets, s.proof.Target) {
+		return s.proof.Target
 	}
 	for _, t := range targets {
 		if !t.Primary {
 			continue
 		}
-		if s == nil || t.ID != s.lead.Target && s.lost[t.ID].IsZero() {
+		if s == nil || t.ID != s.proof.Target && s.deniedAt[t.ID].IsZero() {
 			return t.ID
 		}
 	}
 	return ""
 }
 
-func has(targets []siskin.TargetInfo, id siskin.TargetID) bool {
+func contains(targets []siskin.TargetInfo, id siskin.TargetID) bool {
 	for _, t := range targets {
 		if t.ID == id {
 			return true
@@ -152,23 +152,23 @@
 	return false
 }
 
-// Hint notes that discovery reports a target as primary since a change of its
+// ClearDenial notes that discovery reports a target as primary since a change of its
 // entry, so that an earlier denial no longer counts.
-func (v *Views) Hint(name siskin.ServiceName, id siskin.TargetID) {
+func (v *Views) ClearDenial(name siskin.ServiceName, id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	delete(v.service(name).lost, id)
+	delete(v.service(name).deniedAt, id)
 }
 
-// Changed returns a channel that is closed when another target leads.
-func (v *Views) Changed(name siskin.ServiceName) <-chan struct{} {
+// PrimaryChanged returns a channel that is closed when another target leads.
+func (v *Views) PrimaryChanged(name siskin.ServiceName) <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.service(name).changed
+	return v.service(name).primaryChanged
 }
 
-// Seen takes over a position that a target reported.
-func (v *Views) Seen(id siskin.TargetID, p siskin.Position, at time.Time) {
+// RecordPosition takes over a position that a target reported.
+func (v *Views) RecordPosition(id siskin.TargetID, p siskin.Position, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t := v.target(id)
@@ -177,8 +177,8 @@
 	}
 }
 
-// Loaded takes over the number of statements at a target's home.
-func (v *Views) Loaded(id siskin.TargetID, load int, at time.Time) {
+// RecordLoad takes over the number of statements at a target's home.
+func (v *Views) RecordLoad(id siskin.TargetID, load int, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if t := v.target(id); at.After(t.LoadAt) {
@@ -186,29 +186,29 @@
 	}
 }
 
-// Lagged notes that a target lacked the floor of a read.
-func (v *Views) Lagged(id siskin.TargetID, at time.Time) {
+// RecordLag notes that a target lacked the floor of a read.
+func (v *Views) RecordLag(id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).LaggedAt = at
 }
 
-// CaughtUp notes that a target had the floor of a read.
-func (v *Views) CaughtUp(id siskin.TargetID) {
+// ClearLag notes that a target had the floor of a read.
+func (v *Views) ClearLag(id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).LaggedAt = time.Time{}
 }
 
-// Answered notes a success of a target.
-func (v *Views) Answered(id siskin.TargetID) {
+// RecordSuccess notes a success of a target.
+func (v *Views) RecordSuccess(id siskin.TargetID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target(id).Failures = 0
 }
 
-// Failed notes a failure of a target.
-func (v *Views) Failed(id siskin.TargetID, at time.Time) {
+// RecordFailure notes a failure of a target.
+func (v *Views) RecordFailure(id siskin.TargetID, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t := v.target(id)
