--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -23,14 +23,14 @@
 	// answer keeps units out of use until the request is repeated.
 	firstRetry = askTimeout
 	maxBackoff = time.Second
-	// maxSilence bounds the delay of requests to a silent giver. A holder in a
+	// maxUnresponsiveBackoff bounds the delay of requests to a silent giver. A holder in a
 	// data centre that is cut off has requests pending to all others; repeated
 	// every second, they took half of its budget from its neighbors there.
-	maxSilence = 4 * time.Second
-	// After rereadFailures requests without success the record is read again, at most
+	maxUnresponsiveBackoff = 4 * time.Second
+	// After minRereadFailures requests without success the record is read again, at most
 	// once in rereadEvery.
-	rereadFailures = 2
-	rereadEvery    = 5 * time.Second
+	minRereadFailures = 2
+	rereadInterval    = 5 * time.Second
 	// maxItems bounds the customers in one message.
 	maxItems = 64
 )
@@ -43,23 +43,23 @@
 	var out []outgoing
 	for _, vm := range sorted(c.links) {
 		if l := c.links[vm]; l.pending != nil && now >= l.retryAt && c.budget.left(now) > 0 {
-			out = append(out, c.send(now, vm, l))
+			out = append(out, c.prepareSend(now, vm, l))
 		}
 	}
-	want := c.todo.takeCustomers()
-	if c.leaving.Load() {
+	want := c.workQueue.takeCustomers()
+	if c.stopping.Load() {
 		return out
 	}
 	batches := make(map[siskin.VMID]*AskArgs)
 	for _, id := range want {
-		c.planOne(now, id, batches)
+		c.planRequest(now, id, batches)
 	}
 	for _, vm := range sorted(batches) {
 		args, l := batches[vm], c.links[vm]
 		c.seq++
 		args.Seq = c.seq
 		l.pending, l.attempts = args, 0
-		out = append(out, c.send(now, vm, l))
+		out = append(out, c.prepareSend(now, vm, l))
 	}
 	return out
 }
@@ -67,8 +67,8 @@
 // sorted returns the keys in order, so that runs with a fixed seed repeat.
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
-func (c *core) send(now time.Duration, vm siskin.VMID, l *link) outgoing {
-	l.retryAt = now + min(firstRetry<<min(l.attempts, 8), maxSilence)
+func (c *core) prepareSend(now time.Duration, vm siskin.VMID, l *link) outgoing {
+	l.retryAt = now + min(firstRetry<<min(l.attempts, 8), maxUnresponsiveBackoff)
 	l.attempts++
 	c.budget.spent += messageBytes
 	if l.attempts > 1 {
@@ -77,8 +77,8 @@
 	return outgoing{vm, l.pending}
 }
 
-// planOne adds one customer to the batch of the holder to ask.
-func (c *core) planOne(now time.Duration, id siskin.CustomerID, batches map[siskin.VMID]*AskArgs) {
+// planRequest adds one customer to the batch of the holder to ask.
+func (c *core) planRequest(now time.Duration, id siskin.CustomerID, batches map[siskin.VMID]*AskArgs) {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -86,12 +86,12 @@
 	if h == nil {
 		return
 	}
-	h.wanted = false
-	h.silent = c.anySilent(b.holders)
+	h.askQueued = false
+	h.holderUnresponsive = c.anyUnresponsive(b.holders)
 	if b.epoch == 0 {
 		// Units of a VM that is not in the record would be granted again by a
 		// reclaim.
-		h.askAfter = now + recordTick
+		h.askAfter = now + recordInterval
 		return
 	}
 	if c.budget.left(now) <= 0 {
@@ -99,43 +99,43 @@
 		h.wake()
 		return
 	}
-	giver, ok := c.giver(now, b, h, batches)
+	donor, ok := c.donor(now, b, h, batches)
 	if !ok {
-		c.failed(now, b, h)
+		c.askFailed(now, b, h)
 		return
 	}
 	h.askAfter = now + askTimeout
-	args := batches[giver.VM]
+	args := batches[donor.VM]
 	if args == nil {
-		args = &AskArgs{From: c.self.VM, FromIncarnation: c.self.Incarnation, ToIncarnation: giver.Incarnation}
-		batches[giver.VM] = args
+		args = &AskArgs{From: c.self.VM, FromIncarnation: c.self.Incarnation, ToIncarnation: donor.Incarnation}
+		batches[donor.VM] = args
 	}
 	c.budget.spent += itemBytes
 	args.Items = append(args.Items, AskItem{
 		Customer: id, Epoch: b.epoch, Units: h.units, Lasting: siskin.RequestsPerSecond(h.demand.slow),
-		Demand: siskin.RequestsPerSecond(h.demand.high(now)), Need: siskin.Requests(h.lack(now)),
+		Demand: siskin.RequestsPerSecond(h.demand.highEstimate(now)), Need: siskin.Requests(h.tokenDeficit(now)),
 		Known: len(b.holders),
 	})
 }
 
-// failed follows a request for units that brought nothing. Holders that were
+// askFailed follows a request for units that brought nothing. Holders that were
 // not asked in this round come next, without a delay; then the rounds get
 // rarer, since the customer probably uses its whole rate.
-func (c *core) failed(now time.Duration, b *bucket, h *holding) {
+func (c *core) askFailed(now time.Duration, b *bucket, h *holding) {
 	for _, o := range b.holders {
-		if o.VM != c.self.VM && !h.hints.askedSince(h.roundAt, o.VM) && !c.links[o.VM].busy() {
+		if o.VM != c.self.VM && !h.hints.answeredSince(h.roundStart, o.VM) && !c.links[o.VM].busy() {
 			h.askAfter = now
 			return
 		}
 	}
-	h.askAfter = now + min(askTimeout<<min(h.failures, 8), maxBackoff)
-	h.roundAt = now
-	h.failures++
+	h.askAfter = now + min(askTimeout<<min(h.failedRounds, 8), maxBackoff)
+	h.roundStart = now
+	h.failedRounds++
 	h.wake() // requests that nothing can serve are refused at once
 }
 
-// giver picks the holder to ask among those without a pending request.
-func (c *core) giver(now time.Duration, b *bucket, h *holding, batches map[siskin.VMID]*AskArgs) (holderID, bool) {
+// donor picks the holder to ask among those without a pending request.
+func (c *core) donor(now time.Duration, b *bucket, h *holding, batches map[siskin.VMID]*AskArgs) (holderID, bool) {
 	var best holderID
 	for _, o := range b.holders {
 		l := c.links[o.VM]
@@ -147,44 +147,44 @@
 		if o.VM == c.self.VM || l.pending != nil || (batch != nil && (len(batch.Items) >= maxItems || batch.ToIncarnation != o.Incarnation)) {
 			continue
 		}
-		if best.VM == "" || c.preferred(now, h, o.VM, best.VM) < 0 {
+		if best.VM == "" || c.compareDonors(now, h, o.VM, best.VM) < 0 {
 			best = o
 		}
 	}
 	return best, best.VM != ""
 }
 
-// receive takes over a reply. Units of another epoch than the bucket's are
+// handleReply takes over a reply. Units of another epoch than the bucket's are
 // void: the reclaim of the newer epoch counts them as missing.
-func (c *core) receive(now time.Duration, from siskin.VMID, seq uint64, reply *AskReply) {
+func (c *core) handleReply(now time.Duration, from siskin.VMID, seq uint64, reply *AskReply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.links[from]
 	if l == nil || l.pending == nil || l.pending.Seq != seq {
 		return // a repeated reply
 	}
-	c.heard(now, from)
+	c.peerResponded(now, from)
 	l.pending = nil
 	for i := range reply.Items {
-		c.accept(now, from, &reply.Items[i])
+		c.acceptTransfer(now, from, &reply.Items[i])
 	}
 }
 
-func (c *core) accept(now time.Duration, from siskin.VMID, item *TransferItem) {
+func (c *core) acceptTransfer(now time.Duration, from siskin.VMID, item *TransferItem) {
 	i := bucketOf(item.Customer)
 	b := c.bucket(i)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.holdings.get(item.Customer)
 	if item.Epoch > b.epoch {
-		c.read(i, b)
+		c.requestRead(i, b)
 	}
 	if h == nil {
 		return
 	}
-	h.silent = c.anySilent(b.holders)
+	h.holderUnresponsive = c.anyUnresponsive(b.holders)
 	h.hints.set(now, from, item.Spare)
-	h.hints.ask(now, from)
+	h.hints.markAnswered(now, from)
 	h.recordDemand(now, from, item.Lasting, b.holders)
 	if item.Richest != "" && item.Richest != c.self.VM {
 		h.hints.set(now-item.RichestAge, item.Richest, item.RichestSpare)
@@ -192,26 +192,26 @@
 	if item.Epoch != b.epoch || b.epoch == 0 {
 		return
 	}
-	b.learn(item.Holders...)
+	b.addHolders(item.Holders...)
 	h.refill(now)
 	h.add(item.Units, float64(item.Tokens))
 	if item.Units == 0 {
 		if item.Tokens > 0 {
 			// Tokens serve the requests that wait; the round for units goes on.
-			h.failures = 0
+			h.failedRounds = 0
 			h.wake()
 		}
-		c.failed(now, b, h)
-		if h.failures >= rereadFailures && now-b.readAt >= rereadEvery {
-			c.read(i, b) // a holder that joined later may be rich
+		c.askFailed(now, b, h)
+		if h.failedRounds >= minRereadFailures && now-b.readAt >= rereadInterval {
+			c.requestRead(i, b) // a holder that joined later may be rich
 		}
 		return
 	}
 	h.askAfter = now
 	if item.Fair {
-		c.failed(now, b, h)
+		c.askFailed(now, b, h)
 	} else {
-		h.failures = 0
+		h.failedRounds = 0
 	}
 	h.wake()
 }
@@ -219,15 +219,15 @@
 // wake tells waiting requests to look again, since units arrived or will not
 // arrive.
 func (h *holding) wake() {
-	if h.arrived != nil {
-		close(h.arrived)
-		h.arrived = nil
+	if h.wakeup != nil {
+		close(h.wakeup)
+		h.wakeup = nil
 	}
 }
 
-// forget gives up the requests to incarnations that are gone, whose units
+// forgetGone gives up the requests to incarnations that are gone, whose units
 // return by a reclaim, and the replies to them.
-func (c *core) forget(gone func(holderID) bool) {
+func (c *core) forgetGone(gone func(holderID) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for vm, l := range c.links {
@@ -235,9 +235,9 @@
 			delete(c.links, vm)
 		}
 	}
-	for vm, a := range c.given {
+	for vm, a := range c.replies {
 		if gone(holderID{vm, a.incarnation}) {
-			delete(c.given, vm)
+			delete(c.replies, vm)
 		}
 	}
 }
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -18,21 +18,21 @@
 	epoch    uint64
 	holdings holdings
 
-	granted uint64 // epoch whose grant was applied
-	holders []holderID
+	grantedEpoch uint64 // epoch whose grant was applied
+	holders      []holderID
 	// report is the state on entering epoch. It never changes afterwards, so
 	// that a repeated report gets the same answer.
 	report ReportReply
-	// rest is held for each customer without a holding. The units in restFull
+	// defaultUnits is held for each customer without a holding. The units in defaultUnitsFull
 	// have their full burst, the others earn tokens since restAt.
-	rest, restFull siskin.QuotaUnits
-	restAt         time.Duration
-	reading        bool // the record is being read
-	unreadable     bool // the platform did not answer the last reading
-	readAt         time.Duration
-	// serves is a customer for which this VM admits requests; empty while it
-	// serves none of the bucket.
-	serves siskin.CustomerID
+	defaultUnits, defaultUnitsFull siskin.QuotaUnits
+	defaultUnitsAt                 time.Duration
+	readPending                    bool // the record is being read
+	unreadable                     bool // the platform did not answer the last reading
+	readAt                         time.Duration
+	// servedCustomer is a customer for which this VM admits requests; empty while it
+	// servedCustomer none of the bucket.
+	servedCustomer siskin.CustomerID
 	// reporting says that the epoch's missing units are not granted yet.
 	reporting bool
 	_         [8]byte // to 384 bytes, six cache lines: neighbors share none
@@ -46,8 +46,8 @@
 // holdingOf is holding with the hash of the customer.
 func (b *bucket) holdingOf(now time.Duration, hash uint64, id siskin.CustomerID, view config.View) *holding {
 	if h := b.holdings.lookup(hash, id); h != nil {
-		if !h.known {
-			h.learn(now, view)
+		if !h.configured {
+			h.setLimits(now, view)
 		}
 		return h
 	}
@@ -56,17 +56,17 @@
 		return nil
 	}
 	h := b.holdings.add(id)
-	h.units, h.known, h.rate, h.burst, h.at = b.rest, true, float64(c.Rate), float64(c.Burst), now
-	full := float64(b.restFull) / float64(siskin.TotalQuotaUnits)
-	earned := h.rate * (h.share() - full) * (now - b.restAt).Seconds()
+	h.units, h.configured, h.rate, h.burst, h.updatedAt = b.defaultUnits, true, float64(c.Rate), float64(c.Burst), now
+	full := float64(b.defaultUnitsFull) / float64(siskin.TotalQuotaUnits)
+	earned := h.rate * (h.share() - full) * (now - b.defaultUnitsAt).Seconds()
 	h.tokens = h.burst*full + min(earned, h.burst*(h.share()-full))
 	return h
 }
 
-// enter moves to an epoch and freezes the report.
-func (b *bucket) enter(epoch uint64) {
+// enterEpoch moves to an epoch and freezes the report.
+func (b *bucket) enterEpoch(epoch uint64) {
 	b.epoch = epoch
-	b.report = ReportReply{Rest: b.rest, Customers: make(map[siskin.CustomerID]siskin.QuotaUnits)}
+	b.report = ReportReply{Rest: b.defaultUnits, Customers: make(map[siskin.CustomerID]siskin.QuotaUnits)}
 	for h := range b.holdings.all() {
 		b.report.Customers[h.id] = h.units
 	}
@@ -89,21 +89,21 @@
 		return
 	}
 	if r.Epoch > b.epoch {
-		b.enter(r.Epoch)
+		b.enterEpoch(r.Epoch)
 	}
 	b.holders, b.reporting = r.Holders, r.Reporting
-	if r.Reporting || b.granted == r.Epoch {
+	if r.Reporting || b.grantedEpoch == r.Epoch {
 		return
 	}
-	b.granted = r.Epoch
+	b.grantedEpoch = r.Epoch
 	for i := range r.Grants {
 		if r.Grants[i].To == self {
-			b.addGrant(now, &r.Grants[i])
+			b.applyGrant(now, &r.Grants[i])
 		}
 	}
 }
 
-func (b *bucket) addGrant(now time.Duration, g *grant) {
+func (b *bucket) applyGrant(now time.Duration, g *grant) {
 	for h := range b.holdings.all() {
 		units, ok := g.Customers[h.id]
 		if !ok {
@@ -122,26 +122,26 @@
 			// Its rate follows with the first use or, for a customer that is not
 			// yet known here, with the configuration.
 			h := b.holdings.add(id)
-			h.units, h.at = b.rest+units, now
+			h.units, h.updatedAt = b.defaultUnits+units, now
 		}
 	}
 	if g.Full {
-		b.restFull += g.Rest
+		b.defaultUnitsFull += g.Rest
 	}
-	b.rest += g.Rest
-	b.restAt = now
+	b.defaultUnits += g.Rest
+	b.defaultUnitsAt = now
 }
 
 // drop gives up everything, after the VM found itself gone or superseded.
 func (b *bucket) drop() {
-	b.epoch, b.rest, b.restFull, b.holders = 0, 0, 0, nil
+	b.epoch, b.defaultUnits, b.defaultUnitsFull, b.holders = 0, 0, 0, nil
 	for h := range b.holdings.all() {
 		h.units, h.tokens = 0, 0
 	}
 }
 
-// learn adds holders that joined after the record was read.
-func (b *bucket) learn(holders ...holderID) {
+// addHolders adds holders that joined after the record was read.
+func (b *bucket) addHolders(holders ...holderID) {
 	for _, h := range holders {
 		if !slices.Contains(b.holders, h) {
 			b.holders = append(slices.Clip(b.holders), h)
--- a/pkg/limit/budget.go
+++ b/pkg/limit/budget.go
@@ -17,13 +17,13 @@
 
 // budget is a token bucket of bytes.
 type budget struct {
-	spent float64
-	at    time.Duration
+	spent     float64
+	updatedAt time.Duration
 }
 
 // left returns the bytes that may be sent now.
 func (b *budget) left(now time.Duration) float64 {
-	b.spent = max(0, b.spent-exchangeRate*(now-b.at).Seconds())
-	b.at = now
+	b.spent = max(0, b.spent-exchangeRate*(now-b.updatedAt).Seconds())
+	b.updatedAt = now
 	return exchangeBurst - b.spent
 }
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -26,22 +26,22 @@
 
 	// mu guards the exchange with other holders. It is taken before the lock of
 	// a bucket.
-	mu      sync.Mutex
-	links   map[siskin.VMID]*link
-	given   map[siskin.VMID]*answered
-	seq     uint64 // of the latest request for units, to any holder
-	budget  budget
-	leaving atomic.Bool // a planned stop is handing over; nothing is asked for
-
-	todo todo
+	mu       sync.Mutex
+	links    map[siskin.VMID]*link
+	replies  map[siskin.VMID]*cachedReply
+	seq      uint64 // of the latest request for units, to any holder
+	budget   budget
+	stopping atomic.Bool // a planned stop is handing over; nothing is asked for
+
+	workQueue workQueue
 }
 
 func newCore(self holderID, view config.View, dataCentre func(siskin.VMID) siskin.DataCentreID) *core {
 	c := &core{
 		self: self, view: view, dataCentre: dataCentre,
-		links: make(map[siskin.VMID]*link),
-		given: make(map[siskin.VMID]*answered),
-		todo:  todo{kick: make(chan struct{}, 1), records: make(chan struct{}, 1)},
+		links:     make(map[siskin.VMID]*link),
+		replies:   make(map[siskin.VMID]*cachedReply),
+		workQueue: workQueue{wakeSignal: make(chan struct{}, 1), bucketAdded: make(chan struct{}, 1)},
 	}
 	return c
 }
@@ -79,7 +79,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.holdingOf(now, hash, id, c.view)
-	if h == nil || !h.known {
+	if h == nil || !h.configured {
 		return siskin.Admission{RetryAfter: unknownRetry}
 	}
 	if b.epoch == 0 {
@@ -89,7 +89,7 @@
 	ahead := 0.0
 	if fresh {
 		h.demand.add(now, n)
-		ahead = h.queued
+		ahead = h.waitingTokens
 	}
 	admitted := h.tokens >= n+ahead
 	if admitted {
@@ -97,11 +97,11 @@
 		h.refillReference(now)
 		h.reference.take(n)
 	} else {
-		h.need = n - h.tokens
+		h.lastDeficit = n - h.tokens
 	}
-	if !h.wanted && now >= h.askAfter && h.short(now, n, admitted) {
-		h.wanted = true
-		c.todo.addCustomer(id)
+	if !h.askQueued && now >= h.askAfter && h.needsUnits(now, n, admitted) {
+		h.askQueued = true
+		c.workQueue.addCustomer(id)
 	}
 	if admitted {
 		return siskin.Admission{Admitted: true}
@@ -117,14 +117,14 @@
 // long before the present share would admit the request.
 const maxRetry = time.Second
 
-func (h *holding) retryAfter(n float64) time.Duration { return min(h.accrual(n), maxRetry) }
+func (h *holding) retryAfter(n float64) time.Duration { return min(h.accrualTime(n), maxRetry) }
 
 // never is the time in which n requests accrue when the share is too small for
 // them at all.
 const never = time.Duration(math.MaxInt64)
 
-// accrual returns the time in which the present share earns n tokens.
-func (h *holding) accrual(n float64) time.Duration {
+// accrualTime returns the time in which the present share earns n tokens.
+func (h *holding) accrualTime(n float64) time.Duration {
 	perSecond := h.rate * h.share()
 	seconds := (n - h.tokens) / perSecond
 	if perSecond <= 0 || n > h.burst*h.share() || seconds > never.Seconds()/2 {
@@ -147,25 +147,25 @@
 // join asks the runtime to make this VM a holder of a bucket. The caller holds
 // the bucket's lock.
 func (c *core) join(i int, b *bucket, id siskin.CustomerID) {
-	b.serves = id
-	c.read(i, b)
+	b.servedCustomer = id
+	c.requestRead(i, b)
 }
 
-// read asks the runtime to read the platform's record of a bucket. The caller
+// requestRead asks the runtime to requestRead the platform's record of a bucket. The caller
 // holds the bucket's lock.
-func (c *core) read(i int, b *bucket) {
-	if !b.reading {
-		b.reading = true
-		c.todo.addBucket(i)
+func (c *core) requestRead(i int, b *bucket) {
+	if !b.readPending {
+		b.readPending = true
+		c.workQueue.addBucket(i)
 	}
 }
 
-// refresh applies the configuration's rates to all holdings.
-func (c *core) refresh(now time.Duration) {
+// refreshLimits applies the configuration's rates to all holdings.
+func (c *core) refreshLimits(now time.Duration) {
 	for _, b := range c.each() {
 		b.mu.Lock()
 		for h := range b.holdings.all() {
-			h.learn(now, c.view)
+			h.setLimits(now, c.view)
 		}
 		b.mu.Unlock()
 	}
@@ -176,7 +176,7 @@
 	b := c.bucket(i)
 	b.mu.Lock()
 	b.apply(now, c.self, r)
-	b.reading = false
+	b.readPending = false
 	b.mu.Unlock()
 }
 
@@ -190,8 +190,8 @@
 			WithRemedy("read the bucket's object again")
 	}
 	if epoch > b.epoch {
-		b.enter(epoch)
-		c.read(i, b) // for the holders of the epoch and the end of its reclaim
+		b.enterEpoch(epoch)
+		c.requestRead(i, b) // for the holders of the epoch and the end of its reclaim
 	}
 	return b.report, nil
 }
--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -13,7 +13,7 @@
 
 // pair starts two VMs of one data centre and returns the cores of the one that
 // holds everything and the other, and the bucket of the customer.
-func pair(t *testing.T) (rich, poor *core, bucket int) {
+func pair(t *testing.T) (donor, requester *core, bucket int) {
 	t.Helper()
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	one, two := f.start("v1", 1, "d1"), f.start("v2", 1, "d1")
@@ -24,18 +24,18 @@
 			t.Fatal(err)
 		}
 	}
-	rich, poor = one.l.core, two.l.core
-	if rich.units("a") == 0 {
-		rich, poor = poor, rich
+	donor, requester = one.l.core, two.l.core
+	if donor.units("a") == 0 {
+		donor, requester = requester, donor
 	}
-	return rich, poor, bucketOf("a")
+	return donor, requester, bucketOf("a")
 }
 
 // ask lets poor be refused and returns its request for units.
-func ask(t *testing.T, poor *core) *AskArgs {
+func ask(t *testing.T, requester *core) *AskArgs {
 	t.Helper()
-	poor.admit(1e6, "a", 1, true)
-	out := poor.plan(1e6)
+	requester.admit(1e6, "a", 1, true)
+	out := requester.plan(1e6)
 	if len(out) != 1 {
 		t.Fatalf("got %d messages, want 1", len(out))
 	}
@@ -45,32 +45,32 @@
 // TestTransferInFlightIsVoidInNextEpoch guards against units that a reclaim
 // counts as missing and that arrive afterwards.
 func TestTransferInFlightIsVoidInNextEpoch(t *testing.T) {
-	rich, poor, i := pair(t)
-	args := ask(t, poor)
-	reply := rich.answer(2e6, args)
+	donor, requester, i := pair(t)
+	args := ask(t, requester)
+	reply := donor.handleAsk(2e6, args)
 	if reply.Items[0].Units == 0 {
 		t.Fatal("got no units, want some")
 	}
-	for _, c := range []*core{rich, poor} {
+	for _, c := range []*core{donor, requester} {
 		if _, err := c.report(i, 2); err != nil {
 			t.Fatal(err)
 		}
 	}
-	poor.receive(3e6, rich.self.VM, args.Seq, &reply)
-	if got := poor.units("a"); got != 0 {
+	requester.handleReply(3e6, donor.self.VM, args.Seq, &reply)
+	if got := requester.units("a"); got != 0 {
 		t.Errorf("got %d units of epoch 1 in epoch 2, want 0", got)
 	}
 }
 
-// TestGiverRefusesAskerOfOtherEpoch guards against units that are given after
+// TestDonorRefusesRequesterOfOtherEpoch guards against units that are given after
 // the giver reported and before the asker does, and that count twice.
-func TestGiverRefusesAskerOfOtherEpoch(t *testing.T) {
-	rich, poor, i := pair(t)
-	args := ask(t, poor)
-	if _, err := rich.report(i, 2); err != nil {
+func TestDonorRefusesRequesterOfOtherEpoch(t *testing.T) {
+	donor, requester, i := pair(t)
+	args := ask(t, requester)
+	if _, err := donor.report(i, 2); err != nil {
 		t.Fatal(err)
 	}
-	if got := rich.answer(2e6, args).Items[0].Units; got != 0 {
+	if got := donor.handleAsk(2e6, args).Items[0].Units; got != 0 {
 		t.Errorf("got %d units for an asker of epoch 1, want 0", got)
 	}
 }
@@ -78,21 +78,21 @@
 // TestReportIsFrozen guards against a reclaimer that takes over, gets another
 // report than the first one, and grants units twice.
 func TestReportIsFrozen(t *testing.T) {
-	rich, poor, i := pair(t)
-	first, err := rich.report(i, 2)
+	donor, requester, i := pair(t)
+	first, err := donor.report(i, 2)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := poor.report(i, 2); err != nil {
+	if _, err := requester.report(i, 2); err != nil {
 		t.Fatal(err)
 	}
-	if rich.answer(2e6, ask(t, poor)).Items[0].Units == 0 {
+	if donor.handleAsk(2e6, ask(t, requester)).Items[0].Units == 0 {
 		t.Fatal("got no units, want some")
 	}
-	if second, _ := rich.report(i, 2); !reflect.DeepEqual(first, second) {
+	if second, _ := donor.report(i, 2); !reflect.DeepEqual(first, second) {
 		t.Errorf("got %+v the second time, want %+v", second, first)
 	}
-	if _, err := rich.report(i, 1); siskin.KindOf(err) != siskin.Conflict {
+	if _, err := donor.report(i, 1); siskin.KindOf(err) != siskin.Conflict {
 		t.Errorf("got %v for a past epoch, want kind Conflict", err)
 	}
 }
@@ -100,22 +100,22 @@
 // TestStaleMessages guards against a message for another run of a VM, or one
 // that was delayed past its successor, that moves units again.
 func TestStaleMessages(t *testing.T) {
-	rich, poor, _ := pair(t)
-	args := ask(t, poor)
-	first := rich.answer(2e6, args)
-	if again := rich.answer(2e6, args); !reflect.DeepEqual(first, again) {
+	donor, requester, _ := pair(t)
+	args := ask(t, requester)
+	first := donor.handleAsk(2e6, args)
+	if again := donor.handleAsk(2e6, args); !reflect.DeepEqual(first, again) {
 		t.Errorf("got %+v for a repeated request, want %+v", again, first)
 	}
 	later := *args
 	later.Seq++
-	rich.answer(3e6, &later)
-	if !rich.answer(4e6, args).Stale {
+	donor.handleAsk(3e6, &later)
+	if !donor.handleAsk(4e6, args).Stale {
 		t.Error("got an answer to a request before the latest one, want Stale")
 	}
 	other := later
 	other.Seq++
 	other.ToIncarnation++
-	if !rich.answer(5e6, &other).Stale {
+	if !donor.handleAsk(5e6, &other).Stale {
 		t.Error("got an answer to a request for another incarnation, want Stale")
 	}
 }
@@ -123,13 +123,13 @@
 // TestOldGrantIsVoid guards against a slow read of the record that grants
 // units which a later epoch counted as missing.
 func TestOldGrantIsVoid(t *testing.T) {
-	_, poor, i := pair(t)
-	if _, err := poor.report(i, 3); err != nil {
+	_, requester, i := pair(t)
+	if _, err := requester.report(i, 3); err != nil {
 		t.Fatal(err)
 	}
-	old := record{Epoch: 2, Holders: []holderID{poor.self}, Grants: []grant{{To: poor.self, Rest: siskin.TotalQuotaUnits}}}
-	poor.apply(1e6, i, &old)
-	if got := poor.units("a"); got != 0 {
+	old := record{Epoch: 2, Holders: []holderID{requester.self}, Grants: []grant{{To: requester.self, Rest: siskin.TotalQuotaUnits}}}
+	requester.apply(1e6, i, &old)
+	if got := requester.units("a"); got != 0 {
 		t.Errorf("got %d units from a grant of a past epoch, want 0", got)
 	}
 }
@@ -137,12 +137,12 @@
 // TestReportReadsRecord guards against a VM that entered an epoch by a report
 // and knows neither its holders nor the end of its reclaim.
 func TestReportReadsRecord(t *testing.T) {
-	_, poor, i := pair(t)
-	poor.todo.takeBuckets()
-	if _, err := poor.report(i, 2); err != nil {
+	_, requester, i := pair(t)
+	requester.workQueue.takeBuckets()
+	if _, err := requester.report(i, 2); err != nil {
 		t.Fatal(err)
 	}
-	if got := poor.todo.takeBuckets(); len(got) != 1 || got[0] != i {
+	if got := requester.workQueue.takeBuckets(); len(got) != 1 || got[0] != i {
 		t.Errorf("got buckets %v to read, want [%d]", got, i)
 	}
 }
@@ -151,14 +151,14 @@
 // their tokens cannot accrue in time, and against a new request that takes the
 // tokens that a waiting one needs.
 func TestWaitingRequestsComeFirst(t *testing.T) {
-	rich, _, _ := pair(t)
-	rich.leaving.Store(true) // no units of others
+	donor, _, _ := pair(t)
+	donor.stopping.Store(true) // no units of others
 	now := time.Millisecond
-	for rich.admit(now, "a", 1, true).Admitted {
+	for donor.admit(now, "a", 1, true).Admitted {
 	}
 	waiting := 0
 	for range 20 {
-		if _, _, ok := rich.expect(now, "a", 1, now+50*time.Millisecond); ok {
+		if _, _, ok := donor.startWait(now, "a", 1, now+50*time.Millisecond); ok {
 			waiting++
 		}
 	}
@@ -166,10 +166,10 @@
 		t.Errorf("got %d waiting requests, want %d", got, want)
 	}
 	now += 15 * time.Millisecond
-	if rich.admit(now, "a", 1, true).Admitted {
+	if donor.admit(now, "a", 1, true).Admitted {
 		t.Error("got a new request admitted before the waiting ones, want it refused")
 	}
-	if rich.unexpect("a", 1); !rich.admit(now, "a", 1, false).Admitted {
+	if donor.endWait("a", 1); !donor.admit(now, "a", 1, false).Admitted {
 		t.Error("got the waiting request refused, want it admitted")
 	}
 }
@@ -213,13 +213,13 @@
 // TestForgottenLink guards against requests that a giver takes for old ones
 // after the asker forgot its earlier requests to it.
 func TestForgottenLink(t *testing.T) {
-	rich, poor, _ := pair(t)
-	first := ask(t, poor)
-	rich.answer(2e6, first)
-	poor.forget(func(h holderID) bool { return h.VM == rich.self.VM })
-	poor.admit(1e9, "a", 1, true)
-	next := poor.plan(1e9)
-	if len(next) != 1 || rich.answer(1e9, next[0].args).Stale {
+	donor, requester, _ := pair(t)
+	first := ask(t, requester)
+	donor.handleAsk(2e6, first)
+	requester.forgetGone(func(h holderID) bool { return h.VM == donor.self.VM })
+	requester.admit(1e9, "a", 1, true)
+	next := requester.plan(1e9)
+	if len(next) != 1 || donor.handleAsk(1e9, next[0].args).Stale {
 		t.Errorf("got %d messages or a stale answer after forgetting, want a new request and its answer", len(next))
 	}
 }
--- a/pkg/limit/expect.go
+++ b/pkg/limit/expect.go
@@ -9,52 +9,52 @@
 // maxWaiters bounds the requests of one customer that wait at one VM.
 const maxWaiters = 256
 
-// minQueue lets a few requests of a customer with a low rate wait for units.
-const minQueue = 4
+// minWaitingTokens lets a few requests of a customer with a low rate wait for units.
+const minWaitingTokens = 4
 
-// expect decides whether a refused request should wait: its tokens accrue in
+// startWait decides whether a refused request should wait: its tokens accrue in
 // time after those of the requests that wait already, or units may arrive. Any
 // other request is refused at once, not at the end of a wait. It returns a channel that is closed when units
 // arrive and the longest pause before the next attempt.
-func (c *core) expect(now time.Duration, id siskin.CustomerID, n float64, until time.Duration) (<-chan struct{}, time.Duration, bool) {
+func (c *core) startWait(now time.Duration, id siskin.CustomerID, n float64, until time.Duration) (<-chan struct{}, time.Duration, bool) {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.holdings.get(id)
-	if h == nil || !h.known || now >= until || h.waiters >= maxWaiters {
+	if h == nil || !h.configured || now >= until || h.waiters >= maxWaiters {
 		return nil, 0, false
 	}
 	if b.epoch == 0 {
 		if b.unreadable {
 			return nil, 0, false
 		}
-		return h.wait(n), min(recordTick, until-now), true
+		return h.addWaiter(n), min(recordInterval, until-now), true
 	}
-	pause := h.accrual(n + h.queued)
+	pause := h.accrualTime(n + h.waitingTokens)
 	accrues := pause <= until-now
 	// Units of others cannot admit more than the whole rate does.
-	room := max(minQueue, h.rate*(until-now).Seconds())
-	if !accrues && (c.leaving.Load() || !h.expecting(until) || h.queued+n > room) {
+	room := max(minWaitingTokens, h.rate*(until-now).Seconds())
+	if !accrues && (c.stopping.Load() || !h.mayGetUnits(until) || h.waitingTokens+n > room) {
 		return nil, 0, false
 	}
-	arrived := h.wait(n)
+	wakeup := h.addWaiter(n)
 	if again := h.askAfter - now; !accrues && again > 0 {
 		pause = again // the next attempt asks another holder
 	} else if !accrues {
 		pause = askTimeout
 	}
-	return arrived, max(min(pause, until-now), time.Millisecond), true
+	return wakeup, max(min(pause, until-now), time.Millisecond), true
 }
 
-// wait counts a request that waits for n tokens and returns the channel that is
+// addWaiter counts a request that waits for n tokens and returns the channel that is
 // closed when it should look again.
-func (h *holding) wait(n float64) <-chan struct{} {
+func (h *holding) addWaiter(n float64) <-chan struct{} {
 	h.waiters++
-	h.queued += n
-	if h.arrived == nil {
-		h.arrived = make(chan struct{})
+	h.waitingTokens += n
+	if h.wakeup == nil {
+		h.wakeup = make(chan struct{})
 	}
-	return h.arrived
+	return h.wakeup
 }
 
 // joining reports whether this VM is about to become a holder of the customer's
@@ -79,19 +79,19 @@
 // rate, and its requests are answered at once.
 const maxFailedRounds = 1
 
-// expecting reports whether a request for units is under way or will go out
+// mayGetUnits reports whether a request for units is under way or will go out
 // before the given time, with a chance of success.
-func (h *holding) expecting(until time.Duration) bool {
-	return h.failures <= maxFailedRounds && (h.wanted || h.askAfter < until)
+func (h *holding) mayGetUnits(until time.Duration) bool {
+	return h.failedRounds <= maxFailedRounds && (h.askQueued || h.askAfter < until)
 }
 
-// unexpect ends a wait that expect began.
-func (c *core) unexpect(id siskin.CustomerID, n float64) {
+// endWait ends a wait that expect began.
+func (c *core) endWait(id siskin.CustomerID, n float64) {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h := b.holdings.get(id); h != nil {
 		h.waiters--
-		h.queued -= n
+		h.waitingTokens -= n
 	}
 }
--- a/pkg/limit/faults_test.go
+++ b/pkg/limit/faults_test.go
@@ -67,7 +67,7 @@
 		if ms%1000 == 0 {
 			s.inject(f, ms/1000)
 			for _, tr := range flows {
-				tr.move()
+				tr.shiftDemand()
 			}
 		}
 		f.step()
@@ -78,15 +78,15 @@
 			}
 		}
 	}
-	s.judge(t, f, flows)
+	s.checkResults(t, f, flows)
 }
 
-func (s *scenario) judge(t *testing.T, f *fleet, flows []*traffic) {
+func (s *scenario) checkResults(t *testing.T, f *fleet, flows []*traffic) {
 	var offered, refused, waited, late, counted, static, shared int
 	for _, tr := range flows {
 		offered, refused = offered+tr.offered, refused+tr.refused
 		waited, late, counted = waited+tr.waited, late+tr.late, counted+tr.counted
-		static, shared = static+tr.byStatic, shared+tr.byShared
+		static, shared = static+tr.refusedByStatic, shared+tr.refusedByShared
 		if got, want := tr.checker.worst, float64(tr.doc.Burst)+1e-6; got > want {
 			t.Errorf("%s: got a window with %.3f above rate x time, want at most %.0f", tr.doc.ID, got, want)
 		}
@@ -112,23 +112,23 @@
 	if kind == "all" {
 		kind = []string{"pause", "link", "datacentre", "lost", "death", "platform"}[second/6%6]
 		if second%6 == 0 {
-			f.lose, f.down, f.cut = 0, false, func(a, b *node) bool { return false }
+			f.lossRate, f.platformDown, f.partitioned = 0, false, func(a, b *node) bool { return false }
 		}
 	}
 	switch {
 	case kind == "pause" && second%3 == 1:
 		one.paused = f.at.Add(2 * time.Second)
 	case kind == "link" && second%2 == 1:
-		f.cut = func(a, b *node) bool { return (a == one && b == two) || (a == two && b == one) }
+		f.partitioned = func(a, b *node) bool { return (a == one && b == two) || (a == two && b == one) }
 	case kind == "datacentre" && second%6 == 1:
 		dc := one.vm.DataCentre
-		f.cut = func(a, b *node) bool { return (a.vm.DataCentre == dc) != (b.vm.DataCentre == dc) }
+		f.partitioned = func(a, b *node) bool { return (a.vm.DataCentre == dc) != (b.vm.DataCentre == dc) }
 	case kind == "datacentre" && second%6 == 4:
-		f.cut = func(a, b *node) bool { return false }
+		f.partitioned = func(a, b *node) bool { return false }
 	case kind == "lost":
-		f.lose = 0.2
+		f.lossRate = 0.2
 	case kind == "platform":
-		f.down = second > 1
+		f.platformDown = second > 1
 	case kind == "death" && second%10 == 2:
 		s.replace(f, one)
 	case kind == "death" && second%10 == 6:
--- a/pkg/limit/first_test.go
+++ b/pkg/limit/first_test.go
@@ -27,30 +27,30 @@
 // TestTokensWithoutUnits guards against a small customer that is refused at one
 // VM while others hold its tokens and no units to spare.
 func TestTokensWithoutUnits(t *testing.T) {
-	rich, poor, i := pair(t)
-	ask(t, poor) // creates the holding, as the next line does
-	rich.admit(0, "a", 1, true)
+	donor, requester, i := pair(t)
+	ask(t, requester) // creates the holding, as the next line does
+	donor.admit(0, "a", 1, true)
 	const now = time.Second
-	h, empty := rich.bucket(i).holdings.get("a"), poor.bucket(i).holdings.get("a")
-	h.units, h.tokens, h.at = siskin.TotalQuotaUnits/2, 50, now
-	empty.units, empty.tokens, empty.at = siskin.TotalQuotaUnits/2, 0, now
-	h.demand = meter{slow: 80, fast: 80, at: now} // leaves no units to spare
-	poor.links[rich.self.VM].pending = nil
-	poor.admit(now, "a", 1, true)
+	h, empty := donor.bucket(i).holdings.get("a"), requester.bucket(i).holdings.get("a")
+	h.units, h.tokens, h.updatedAt = siskin.TotalQuotaUnits/2, 50, now
+	empty.units, empty.tokens, empty.updatedAt = siskin.TotalQuotaUnits/2, 0, now
+	h.demand = meter{slow: 80, fast: 80, updatedAt: now} // leaves no units to spare
+	requester.links[donor.self.VM].pending = nil
+	requester.admit(now, "a", 1, true)
 	before := h.tokens + empty.tokens
-	out := poor.plan(now)
+	out := requester.plan(now)
 	if len(out) != 1 {
 		t.Fatalf("got %d messages, want 1", len(out))
 	}
-	reply := rich.answer(now, out[0].args)
+	reply := donor.handleAsk(now, out[0].args)
 	if got := reply.Items[0]; got.Units != 0 || got.Tokens < 1 {
 		t.Fatalf("reply: got %d units and %v tokens, want 0 and at least 1", got.Units, got.Tokens)
 	}
-	poor.receive(now, rich.self.VM, out[0].args.Seq, &reply)
+	requester.handleReply(now, donor.self.VM, out[0].args.Seq, &reply)
 	if got := h.tokens + empty.tokens; got > before {
 		t.Errorf("tokens at both: got %v, want at most %v", got, before)
 	}
-	if !poor.admit(now, "a", 1, false).Admitted {
+	if !requester.admit(now, "a", 1, false).Admitted {
 		t.Error("admitted: got false after tokens arrived, want true")
 	}
 }
@@ -62,11 +62,11 @@
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	c := f.start("v1", 1, "d1").l.core
 	c.admit(0, "a", 1, true)
-	if _, _, got := c.expect(0, "a", 1, joinBound); !got {
+	if _, _, got := c.startWait(0, "a", 1, maxJoinWait); !got {
 		t.Error("wait before the record is read: got false, want true")
 	}
 	c.setUnreadable(bucketOf("a"), true)
-	if _, _, got := c.expect(0, "a", 1, joinBound); got {
+	if _, _, got := c.startWait(0, "a", 1, maxJoinWait); got {
 		t.Error("wait while the platform does not answer: got true, want false")
 	}
 }
--- a/pkg/limit/fleet_test.go
+++ b/pkg/limit/fleet_test.go
@@ -16,23 +16,23 @@
 	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
 }
 
-const oneWay = 1500 * time.Microsecond
+const oneWayDelay = 1500 * time.Microsecond
 
 // fleet is a set of limiters under one fake clock with fake peers and a fake
 // platform. Requests for units take time; other calls are immediate.
 type fleet struct {
-	at       time.Time
-	rng      *rand.Rand
-	vms      []*node
-	view     *view
-	objects  map[siskin.ObjectName]siskin.Object
-	down     bool // the platform does not answer
-	lose     float64
-	cut      func(a, b *node) bool
-	messages []message
-	unheard  int // calls that found no one
-	sent     int
-	bytes    int
+	at              time.Time
+	rng             *rand.Rand
+	vms             []*node
+	view            *view
+	objects         map[siskin.ObjectName]siskin.Object
+	platformDown    bool // the platform does not answer
+	lossRate        float64
+	partitioned     func(a, b *node) bool
+	messages        []message
+	unansweredCalls int // calls that found no one
+	sent            int
+	bytes           int
 }
 
 type message struct {
@@ -43,12 +43,12 @@
 
 // node is one incarnation of a VM. It implements siskin.Members for itself.
 type node struct {
-	f      *fleet
-	vm     siskin.VM
-	l      *Limiter
-	dead   bool
-	blind  bool      // its member list names no other VM
-	paused time.Time // until when
+	f              *fleet
+	vm             siskin.VM
+	l              *Limiter
+	dead           bool
+	seesOnlyItself bool      // its member list names no other VM
+	paused         time.Time // until when
 }
 
 // view is a configuration that tests change.
@@ -64,7 +64,7 @@
 func newFleet(seed uint64, customers ...*config.Customer) *fleet {
 	f := &fleet{
 		at: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), view: &view{},
-		objects: make(map[siskin.ObjectName]siskin.Object), cut: func(a, b *node) bool { return false },
+		objects: make(map[siskin.ObjectName]siskin.Object), partitioned: func(a, b *node) bool { return false },
 	}
 	f.view.set(customers...)
 	return f
@@ -124,7 +124,7 @@
 	f.sent++
 	f.bytes += size(m.args)
 	to := f.find(m.to, m.args.ToIncarnation)
-	if to == nil || f.cut(from, to) {
+	if to == nil || f.partitioned(from, to) {
 		return
 	}
 	f.deliver(to, func() {
@@ -133,15 +133,15 @@
 			panic(err)
 		}
 		f.bytes += size(reply)
-		if f.cut(from, to) || f.rng.Float64() < f.lose {
+		if f.partitioned(from, to) || f.rng.Float64() < f.lossRate {
 			return
 		}
-		f.deliver(from, func() { from.l.core.receive(from.l.now(), to.vm.ID, m.args.Seq, &reply) })
+		f.deliver(from, func() { from.l.core.handleReply(from.l.now(), to.vm.ID, m.args.Seq, &reply) })
 	})
 }
 
 func (f *fleet) deliver(to *node, run func()) {
-	f.messages = append(f.messages, message{f.at.Add(oneWay), to, run})
+	f.messages = append(f.messages, message{f.at.Add(oneWayDelay), to, run})
 }
 
 func (f *fleet) find(id siskin.VMID, incarnation siskin.Incarnation) *node {
@@ -161,8 +161,8 @@
 			to = o
 		}
 	}
-	if to == nil || !to.up() || n.f.cut(n, to) {
-		n.f.unheard++
+	if to == nil || !to.up() || n.f.partitioned(n, to) {
+		n.f.unansweredCalls++
 		return siskin.NewError(siskin.Unavailable, "%s does not answer", vm)
 	}
 	var err error
@@ -171,7 +171,7 @@
 	} else {
 		err = to.l.Receiver().Ask(args.(*AskArgs), reply.(*AskReply))
 	}
-	if err == nil && n.f.rng.Float64() < n.f.lose {
+	if err == nil && n.f.rng.Float64() < n.f.lossRate {
 		return siskin.NewError(siskin.Unavailable, "answer of %s lost", vm)
 	}
 	return err
@@ -184,7 +184,7 @@
 func (n *node) Live() []siskin.VM {
 	var live []siskin.VM
 	for _, o := range n.f.vms {
-		if !o.dead && o.vm.State == siskin.VMLive && (!n.blind || o == n) {
+		if !o.dead && o.vm.State == siskin.VMLive && (!n.seesOnlyItself || o == n) {
 			live = append(live, o.vm)
 		}
 	}
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -6,26 +6,26 @@
 	"siskintray.example/siskin"
 )
 
-// answered is the latest reply to one asker.
-type answered struct {
+// cachedReply is the latest reply to one asker.
+type cachedReply struct {
 	incarnation siskin.Incarnation
 	seq         uint64
 	reply       AskReply
 }
 
-// answer decides what to give. The units are deducted before the reply exists,
+// handleAsk decides what to give. The units are deducted before the reply exists,
 // and a repeated message gets the reply of the first.
-func (c *core) answer(now time.Duration, args *AskArgs) AskReply {
+func (c *core) handleAsk(now time.Duration, args *AskArgs) AskReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard(now, args.From)
-	last := c.given[args.From]
+	c.peerResponded(now, args.From)
+	last := c.replies[args.From]
 	switch {
 	case args.ToIncarnation != c.self.Incarnation:
 		return AskReply{Stale: true}
 	case last == nil || args.FromIncarnation > last.incarnation:
-		last = &answered{incarnation: args.FromIncarnation}
-		c.given[args.From] = last
+		last = &cachedReply{incarnation: args.FromIncarnation}
+		c.replies[args.From] = last
 	case args.FromIncarnation < last.incarnation || args.Seq < last.seq:
 		return AskReply{Stale: true}
 	case args.Seq == last.seq:
@@ -34,20 +34,20 @@
 	last.seq = args.Seq
 	last.reply = AskReply{Items: make([]TransferItem, 0, len(args.Items))}
 	for i := range args.Items {
-		last.reply.Items = append(last.reply.Items, c.give(now, args, &args.Items[i]))
+		last.reply.Items = append(last.reply.Items, c.transfer(now, args, &args.Items[i]))
 	}
 	return last.reply
 }
 
-// give decides on one customer. The caller holds c.mu.
-func (c *core) give(now time.Duration, args *AskArgs, item *AskItem) TransferItem {
+// transfer decides on one customer. The caller holds c.mu.
+func (c *core) transfer(now time.Duration, args *AskArgs, item *AskItem) TransferItem {
 	i := bucketOf(item.Customer)
 	b := c.bucket(i)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := TransferItem{Customer: item.Customer, Epoch: b.epoch}
 	if b.epoch == 0 || item.Epoch > b.epoch {
-		c.read(i, b) // a grant or a newer epoch may be in the record
+		c.requestRead(i, b) // a grant or a newer epoch may be in the record
 	}
 	if b.epoch == 0 || item.Epoch != b.epoch {
 		return out
@@ -58,22 +58,22 @@
 	}
 	h.refill(now)
 	out.Units = h.units
-	if !args.All && !c.leaving.Load() {
+	if !args.All && !c.stopping.Load() {
 		out.Units, out.Fair = h.transferUnits(now, item)
 		out.Units = min(max(out.Units, 0), h.units)
 	}
 	tokens := h.take(out.Units)
-	tokens += h.takeTokens(now, item, float64(item.Units+out.Units), float64(item.Need)-tokens)
+	tokens += h.removeTokens(now, item, float64(item.Units+out.Units), float64(item.Need)-tokens)
 	out.Tokens = siskin.Requests(tokens)
 	out.Spare = h.spare(now)
 	if best := h.hints.richest(now, args.From); best.vm != "" {
-		out.Richest, out.RichestSpare, out.RichestAge = best.vm, best.spare, now-best.at
+		out.Richest, out.RichestSpare, out.RichestAge = best.vm, best.spare, now-best.updatedAt
 	}
 	h.demand.decay(now)
 	out.Lasting = siskin.RequestsPerSecond(h.demand.slow)
 	h.hints.set(now, args.From, 0) // it asks because it has none to spare
 	h.recordDemand(now, args.From, item.Lasting, b.holders)
-	b.learn(holderID{args.From, args.FromIncarnation})
+	b.addHolders(holderID{args.From, args.FromIncarnation})
 	if len(b.holders) > item.Known {
 		out.Holders = b.holders[:min(len(b.holders), maxItems)]
 	}
--- a/pkg/limit/handover.go
+++ b/pkg/limit/handover.go
@@ -8,14 +8,14 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// handoverTick is the pause between two rounds of offers.
-const handoverTick = 20 * time.Millisecond
+// handoverInterval is the pause between two rounds of offers.
+const handoverInterval = 20 * time.Millisecond
 
 // Handover gives all units of configured customers to other live holders and
 // stops asking for units. It returns when none is left or the context ends.
 // What is left then returns to the others by a reclaim.
 func (l *Limiter) Handover(ctx context.Context) error {
-	l.core.leaving.Store(true)
+	l.core.stopping.Store(true)
 	for {
 		offers := l.offers()
 		if len(offers) == 0 {
@@ -30,7 +30,7 @@
 		case <-ctx.Done():
 			return siskin.NewError(siskin.Unavailable, "handover of rights ended early").
 				WithRemedy("nothing needs to be done; the rest is reclaimed after the VM is gone").WithCause(ctx.Err())
-		case <-l.clock.After(handoverTick):
+		case <-l.clock.After(handoverInterval):
 		}
 	}
 }
@@ -74,10 +74,10 @@
 	return best.ID, ok
 }
 
-// takeOver asks the sender of an offer for everything that it offers.
-func (l *Limiter) takeOver(args *AskArgs) {
-	l.core.takeOver(l.now(), args)
-	l.core.todo.wake()
+// acceptOffer asks the sender of an offer for everything that it offers.
+func (l *Limiter) acceptOffer(args *AskArgs) {
+	l.core.acceptOffer(l.now(), args)
+	l.core.workQueue.wake()
 }
 
 // offer returns what this VM holds for a customer; it creates the holding.
@@ -95,9 +95,9 @@
 	return AskItem{Customer: id, Epoch: b.epoch, Units: h.units}, true
 }
 
-// takeOver queues one request for all units that another VM offers. While an
+// acceptOffer queues one request for all units that another VM offers. While an
 // earlier request to that VM is pending, the offer is left to its next round.
-func (c *core) takeOver(now time.Duration, offer *AskArgs) {
+func (c *core) acceptOffer(now time.Duration, offer *AskArgs) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.links[offer.From]
@@ -105,7 +105,7 @@
 		l = new(link)
 		c.links[offer.From] = l
 	}
-	if l.pending != nil || c.leaving.Load() {
+	if l.pending != nil || c.stopping.Load() {
 		return
 	}
 	args := &AskArgs{From: c.self.VM, FromIncarnation: c.self.Incarnation, ToIncarnation: offer.FromIncarnation, All: true}
@@ -114,7 +114,7 @@
 		b := c.bucket(i)
 		b.mu.Lock()
 		if b.epoch < item.Epoch {
-			c.read(i, b)
+			c.requestRead(i, b)
 		}
 		if b.epoch == item.Epoch && b.holding(now, item.Customer, c.view) != nil {
 			args.Items = append(args.Items, AskItem{Customer: item.Customer, Epoch: b.epoch})
--- a/pkg/limit/holdings.go
+++ b/pkg/limit/holdings.go
@@ -34,17 +34,17 @@
 // add returns a new holding for a customer that has none.
 func (s *holdings) add(id siskin.CustomerID) *holding {
 	h := &s.first
-	if h.used {
+	if h.assigned {
 		h = new(holding)
 		s.more = append(s.more, h)
 	}
-	h.id, h.hash, h.used = id, hashOf(id), true
+	h.id, h.hash, h.assigned = id, hashOf(id), true
 	return h
 }
 
 func (s *holdings) all() iter.Seq[*holding] {
 	return func(yield func(*holding) bool) {
-		if !s.first.used || !yield(&s.first) {
+		if !s.first.assigned || !yield(&s.first) {
 			return
 		}
 		for _, h := range s.more {
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -22,13 +22,13 @@
 	peers    siskin.Peers
 	platform siskin.Platform
 
-	operations atomic.Uint64
-	readAfter  [objects]time.Time // earliest next read of an object that failed
-	readFails  [objects]int
-	reclaimDue map[int]time.Time   // by bucket
-	collected  map[int]*collection // reports of buckets under reclaim
-	refreshed  int                 // object that was read last by refreshRecord
-	refreshAt  time.Time
+	operations      atomic.Uint64
+	retryReadAt     [objects]time.Time // earliest next read of an object that failed
+	readFailures    [objects]int
+	reclaimDue      map[int]time.Time  // by bucket
+	reportSets      map[int]*reportSet // reports of buckets under reclaim
+	refreshedObject int                // object that was read last by refreshRecord
+	refreshedAt     time.Time
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -40,12 +40,12 @@
 func New(clock siskin.Clock, view config.View, members siskin.Members, peers siskin.Peers, platform siskin.Platform, options ...Option) *Limiter {
 	self := members.Self()
 	l := &Limiter{
-		settings: defaults(),
+		settings: defaultSettings(),
 		clock:    clock, origin: clock.Now(), view: view,
 		members: members, peers: peers, platform: platform,
 		core:       newCore(holderID{self.ID, self.Incarnation}, view, dataCentres(members)),
 		reclaimDue: make(map[int]time.Time),
-		collected:  make(map[int]*collection),
+		reportSets: make(map[int]*reportSet),
 		cancel:     func() {},
 	}
 	for _, o := range options {
@@ -88,40 +88,40 @@
 	now := l.now()
 	a := l.core.admit(now, customer, float64(n), true)
 	joining := !a.Admitted && l.core.joining(customer)
-	until := now + l.waitBound
+	until := now + l.maxWait
 	if joining {
-		until = now + joinBound
+		until = now + maxJoinWait
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		until = min(until, deadline.Sub(l.origin))
 	}
 	for !a.Admitted {
-		arrived, pause, ok := l.core.expect(now, customer, float64(n), until)
+		wakeup, pause, ok := l.core.startWait(now, customer, float64(n), until)
 		if !ok {
 			return a
 		}
 		select {
-		case <-arrived:
+		case <-wakeup:
 		case <-l.clock.After(pause):
 		case <-ctx.Done():
 		}
-		l.core.unexpect(customer, float64(n))
+		l.core.endWait(customer, float64(n))
 		if ctx.Err() != nil {
 			return a
 		}
 		now = l.now()
 		if joining && !l.core.joining(customer) {
-			joining, until = false, min(until, now+l.waitBound)
+			joining, until = false, min(until, now+l.maxWait)
 		}
 		a = l.core.admit(now, customer, float64(n), false)
 	}
 	return a
 }
 
-// joinBound is the longest wait of the first requests for the record of their
+// maxJoinWait is the longest wait of the first requests for the record of their
 // bucket, which takes a few round trips to the platform and, when several VMs
 // join at once, some repetitions.
-const joinBound = time.Second
+const maxJoinWait = time.Second
 
 func (l *Limiter) now() time.Duration { return l.clock.Now().Sub(l.origin) }
 
--- a/pkg/limit/link.go
+++ b/pkg/limit/link.go
@@ -10,45 +10,45 @@
 // It is repeated until it is answered: giving it up would lose the units that
 // the giver may have deducted.
 type link struct {
-	pending  *AskArgs
-	retryAt  time.Duration
-	attempts int
-	heardAt  time.Duration // when the giver was last heard after a silence
+	pending     *AskArgs
+	retryAt     time.Duration
+	attempts    int
+	respondedAt time.Duration // when the giver was last heard after a silence
 }
 
-// silentAttempts is the number of unanswered attempts after which a giver
+// unresponsiveAttempts is the number of unanswered attempts after which a giver
 // counts as silent: 140 ms.
-const silentAttempts = 3
+const unresponsiveAttempts = 3
 
 func (l *link) busy() bool { return l != nil && l.pending != nil }
 
-func (l *link) silent() bool { return l.busy() && l.attempts > silentAttempts }
+func (l *link) unresponsive() bool { return l.busy() && l.attempts > unresponsiveAttempts }
 
-// heard follows a message from another VM. If it was silent, the network to its
+// peerResponded follows a message from another VM. If it was silent, the network to its
 // data centre is back: requests to the silent VMs there are repeated at once,
 // and customers whose requests brought nothing ask again. This happens at most
-// once in maxBackoff, since the other VM may be heard and not hear. The caller
+// once in maxBackoff, since the other VM may be peerResponded and not hear. The caller
 // holds c.mu.
-func (c *core) heard(now time.Duration, from siskin.VMID) {
+func (c *core) peerResponded(now time.Duration, from siskin.VMID) {
 	l := c.links[from]
-	if !l.silent() || (l.heardAt != 0 && now-l.heardAt < maxBackoff) {
+	if !l.unresponsive() || (l.respondedAt != 0 && now-l.respondedAt < maxBackoff) {
 		return
 	}
 	dc := c.dataCentre(from)
 	for vm, l := range c.links {
-		if l.silent() && c.dataCentre(vm) == dc {
-			l.attempts, l.retryAt, l.heardAt = 1, now, now
+		if l.unresponsive() && c.dataCentre(vm) == dc {
+			l.attempts, l.retryAt, l.respondedAt = 1, now, now
 		}
 	}
 	for _, b := range c.each() {
 		b.mu.Lock()
 		for h := range b.holdings.all() {
-			if h.failures > 0 {
-				h.failures, h.askAfter = 0, now
+			if h.failedRounds > 0 {
+				h.failedRounds, h.askAfter = 0, now
 				h.wake()
 			}
 		}
 		b.mu.Unlock()
 	}
-	c.todo.wake()
+	c.workQueue.wake()
 }
--- a/pkg/limit/link_test.go
+++ b/pkg/limit/link_test.go
@@ -8,10 +8,10 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestSilentGiverIsHeardAgain guards against customers that are refused for
+// TestUnresponsiveDonorIsAskedAgain guards against customers that are refused for
 // seconds after a partition ended, because the requests to the other side are
 // repeated rarely by then.
-func TestSilentGiverIsHeardAgain(t *testing.T) {
+func TestUnresponsiveDonorIsAskedAgain(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 1000, Burst: 1000})
 	one, two := f.start("v1", 1, "d1"), f.start("v2", 1, "d2")
 	f.run(time.Second)
@@ -23,17 +23,17 @@
 		}
 		return count
 	}
-	f.cut = func(a, b *node) bool { return true }
+	f.partitioned = func(a, b *node) bool { return true }
 	admitted(one, 4*time.Second)
 	l := one.l.core.links["v2"]
-	if !l.silent() || l.retryAt-one.l.now() < 500*time.Millisecond {
+	if !l.unresponsive() || l.retryAt-one.l.now() < 500*time.Millisecond {
 		t.Fatalf("got a repetition due in %v after the cut, want the giver silent and a long delay", l.retryAt-one.l.now())
 	}
-	f.cut = func(a, b *node) bool { return false }
+	f.partitioned = func(a, b *node) bool { return false }
 	admitted(two, 10*time.Millisecond) // uses its tokens
 	two.l.core.admit(two.l.now(), "a", 2000, true)
 	f.run(20 * time.Millisecond) // it asks for units and is heard
-	if got := one.l.core.links["v2"]; got.silent() {
+	if got := one.l.core.links["v2"]; got.unresponsive() {
 		t.Errorf("got the giver silent with a repetition due in %v, want it asked again", got.retryAt-one.l.now())
 	}
 }
@@ -47,13 +47,13 @@
 		f.start(vm.id, 1, vm.dc)
 	}
 	f.run(time.Second)
-	poor, near := f.vms[0], f.vms[2]
-	if poor.l.core.units("a") != 0 {
-		poor, near = near, poor
+	requester, near := f.vms[0], f.vms[2]
+	if requester.l.core.units("a") != 0 {
+		requester, near = near, requester
 	}
-	poor.l.Admit(f.at, "a", 1)
-	poor.l.core.bucket(bucketOf("a")).holdings.get("a").hints.set(poor.l.now(), "v2", siskin.TotalQuotaUnits/2)
-	out := poor.l.core.plan(poor.l.now())
+	requester.l.Admit(f.at, "a", 1)
+	requester.l.core.bucket(bucketOf("a")).holdings.get("a").hints.set(requester.l.now(), "v2", siskin.TotalQuotaUnits/2)
+	out := requester.l.core.plan(requester.l.now())
 	if len(out) != 1 || out[0].to != near.vm.ID {
 		t.Errorf("got %d messages, the first to %+v, want one to %s", len(out), out, near.vm.ID)
 	}
--- a/pkg/limit/load_test.go
+++ b/pkg/limit/load_test.go
@@ -58,30 +58,30 @@
 
 // traffic offers requests of one customer to the VMs, with shares that move.
 type traffic struct {
-	f        *fleet
-	doc      *config.Customer
-	rng      *rand.Rand
-	load     float64 // part of the rate that is offered
-	shares   map[siskin.VMID]float64
-	waiting  []waiter
-	ideal    tokenBucket
-	checker  windowChecker
-	static   map[siskin.VMID]*tokenBucket
-	shared   tokenBucket // at the first VM; refuses when unreachable
-	offered  int
-	late     int // requests that were refused after more than 10 ms
-	waited   int // requests that were not answered at once
-	refused  int // of the requests that the ideal bucket admits
-	counted  int // refusals that the limiter itself counts as within the rate
-	byStatic int
-	byShared int
+	f               *fleet
+	doc             *config.Customer
+	rng             *rand.Rand
+	load            float64 // part of the rate that is offered
+	shares          map[siskin.VMID]float64
+	waiting         []waiter
+	ideal           tokenBucket
+	checker         windowChecker
+	static          map[siskin.VMID]*tokenBucket
+	shared          tokenBucket // at the first VM; refuses when unreachable
+	offered         int
+	late            int // requests that were refused after more than 10 ms
+	waited          int // requests that were not answered at once
+	refused         int // of the requests that the ideal bucket admits
+	counted         int // refusals that the limiter itself counts as within the rate
+	refusedByStatic int
+	refusedByShared int
 }
 
 type waiter struct {
-	n     *node
-	until time.Duration
-	ideal bool // the ideal bucket admits the request
-	again bool // it has waited already
+	n         *node
+	until     time.Duration
+	ideal     bool // the ideal bucket admits the request
+	hasWaited bool // it has waited already
 }
 
 func newTraffic(f *fleet, doc *config.Customer, load float64, seed uint64) *traffic {
@@ -93,8 +93,8 @@
 	}
 }
 
-// move draws new shares; about half of the VMs get none.
-func (t *traffic) move() {
+// shiftDemand draws new shares; about half of the VMs get none.
+func (t *traffic) shiftDemand() {
 	t.shares = make(map[siskin.VMID]float64)
 	sum := 0.0
 	for _, n := range t.f.vms {
@@ -152,30 +152,30 @@
 	}
 	static := t.static[n.vm.ID].admit(t.f.at)
 	counter := t.f.vms[0]
-	shared := counter.up() && !t.f.cut(n, counter) && t.shared.admit(t.f.at)
+	shared := counter.up() && !t.f.partitioned(n, counter) && t.shared.admit(t.f.at)
 	if ideal && !static {
-		t.byStatic++
+		t.refusedByStatic++
 	}
 	if ideal && !shared {
-		t.byShared++
+		t.refusedByShared++
 	}
 	a := n.l.core.admit(n.l.now(), t.doc.ID, 1, true) // Admit would refuse for good
 	switch {
 	case a.Admitted:
 		t.checker.admitted(t.f.at, float64(t.doc.Rate))
 	default:
-		t.refuse(waiter{n: n, until: n.l.now() + n.l.waitBound, ideal: ideal})
+		t.refuse(waiter{n: n, until: n.l.now() + n.l.maxWait, ideal: ideal})
 	}
 }
 
 // refuse lets a refused request wait if the limiter expects units, as AdmitWait
 // does.
 func (t *traffic) refuse(w waiter) {
-	if _, _, ok := w.n.l.core.expect(w.n.l.now(), t.doc.ID, 1, w.until); ok {
-		if !w.again {
+	if _, _, ok := w.n.l.core.startWait(w.n.l.now(), t.doc.ID, 1, w.until); ok {
+		if !w.hasWaited {
 			t.waited++
 		}
-		w.again = true
+		w.hasWaited = true
 		t.waiting = append(t.waiting, w)
 		return
 	}
@@ -185,7 +185,7 @@
 	if w.n.l.core.withinRate(w.n.l.now(), t.doc.ID, 1) {
 		t.counted++
 	}
-	if w.n.l.waitBound-(w.until-w.n.l.now()) > 10*time.Millisecond {
+	if w.n.l.maxWait-(w.until-w.n.l.now()) > 10*time.Millisecond {
 		t.late++
 	}
 }
@@ -198,7 +198,7 @@
 			t.waiting = append(t.waiting, w)
 			continue
 		}
-		w.n.l.core.unexpect(t.doc.ID, 1)
+		w.n.l.core.endWait(t.doc.ID, 1)
 		if w.n.l.core.admit(w.n.l.now(), t.doc.ID, 1, false).Admitted {
 			t.checker.admitted(t.f.at, float64(t.doc.Rate))
 		} else {
--- a/pkg/limit/option.go
+++ b/pkg/limit/option.go
@@ -10,19 +10,19 @@
 type Option func(*settings)
 
 type settings struct {
-	waitBound  time.Duration
+	maxWait    time.Duration
 	prepareAll bool
 	homes      func(siskin.CustomerID, []siskin.VM) []siskin.VM
 	logf       func(format string, args ...any)
 }
 
-func defaults() settings {
-	return settings{waitBound: 50 * time.Millisecond, logf: func(string, ...any) {}}
+func defaultSettings() settings {
+	return settings{maxWait: 50 * time.Millisecond, logf: func(string, ...any) {}}
 }
 
 // WithMaxWait sets how long AdmitWait waits for units from other VMs. The
 // default of 50 ms covers several round trips between data centres.
-func WithMaxWait(d time.Duration) Option { return func(s *settings) { s.waitBound = d } }
+func WithMaxWait(d time.Duration) Option { return func(s *settings) { s.maxWait = d } }
 
 // WithHomes sets the function that returns those of the given live VMs that
 // admit requests of a customer. A new bucket is granted to them alone, so that
--- a/pkg/limit/platform_test.go
+++ b/pkg/limit/platform_test.go
@@ -9,7 +9,7 @@
 
 // Get implements siskin.Platform.
 func (f *fleet) Get(_ context.Context, name siskin.ObjectName) (siskin.Object, error) {
-	if f.down {
+	if f.platformDown {
 		return siskin.Object{}, siskin.NewError(siskin.Unavailable, "platform down")
 	}
 	return f.objects[name], nil
@@ -17,14 +17,14 @@
 
 // Put implements siskin.Platform.
 func (f *fleet) Put(_ context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
-	if f.down {
+	if f.platformDown {
 		return 0, siskin.NewError(siskin.Unavailable, "platform down")
 	}
 	if f.objects[name].Version != ifVersion {
 		return 0, siskin.NewError(siskin.Conflict, "version mismatch")
 	}
 	f.objects[name] = siskin.Object{Name: name, Version: ifVersion + 1, Operation: op, Value: value}
-	if f.rng.Float64() < f.lose {
+	if f.rng.Float64() < f.lossRate {
 		return 0, siskin.NewError(siskin.Unavailable, "answer lost")
 	}
 	return ifVersion + 1, nil
@@ -40,7 +40,7 @@
 
 // VMs implements siskin.Platform.
 func (f *fleet) VMs(context.Context) (list []siskin.VM, err error) {
-	if f.down {
+	if f.platformDown {
 		return nil, siskin.NewError(siskin.Unavailable, "platform down")
 	}
 	for _, n := range f.vms {
--- a/pkg/limit/random_test.go
+++ b/pkg/limit/random_test.go
@@ -52,18 +52,18 @@
 		}
 		for range rapid.IntRange(1, 25).Draw(r, "steps") {
 			one, two := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(r, "one")], f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(r, "two")]
-			disturb(f, rapid.IntRange(0, 9).Draw(r, "fault"), one, two)
+			injectFailure(f, rapid.IntRange(0, 9).Draw(r, "fault"), one, two)
 			run(time.Duration(rapid.IntRange(1, 3000).Draw(r, "ms"))*time.Millisecond, rapid.IntRange(0, 9).Draw(r, "busy"))
 		}
 		if got, want := checker.worst, float64(doc.Burst)+1e-6; got > want {
 			r.Fatalf("got a window with %.3f above rate x time, want at most %.0f", got, want)
 		}
-		heal(r, f, run)
+		endFailures(r, f, run)
 	})
 }
 
-// disturb begins or ends one failure.
-func disturb(f *fleet, fault int, one, two *node) {
+// injectFailure begins or ends one failure.
+func injectFailure(f *fleet, fault int, one, two *node) {
 	switch fault {
 	case 0:
 		one.dead, one.vm.State = true, siskin.VMDead
@@ -74,15 +74,15 @@
 	case 2:
 		one.paused = f.at.Add(5 * time.Second)
 	case 3:
-		f.cut = func(a, b *node) bool { return (a == one && b == two) || (a == two && b == one) }
+		f.partitioned = func(a, b *node) bool { return (a == one && b == two) || (a == two && b == one) }
 	case 4:
-		f.cut = func(a, b *node) bool { return false }
+		f.partitioned = func(a, b *node) bool { return false }
 	case 5:
-		f.down = !f.down
+		f.platformDown = !f.platformDown
 	case 6:
-		f.lose = 0.3
+		f.lossRate = 0.3
 	case 7:
-		f.lose = 0
+		f.lossRate = 0
 	case 8:
 		// A restart takes a larger incarnation, after the earlier run has ended.
 		latest, _ := one.Lookup(one.vm.ID)
@@ -94,10 +94,10 @@
 	}
 }
 
-// heal ends all failures and requires that no unit is lost for good.
-func heal(r *rapid.T, f *fleet, run func(time.Duration, int)) {
-	f.down, f.lose = false, 0
-	f.cut = func(a, b *node) bool { return false }
+// endFailures ends all failures and requires that no unit is lost for good.
+func endFailures(r *rapid.T, f *fleet, run func(time.Duration, int)) {
+	f.platformDown, f.lossRate = false, 0
+	f.partitioned = func(a, b *node) bool { return false }
 	for _, n := range f.vms {
 		if n.dead {
 			n.vm.State = siskin.VMGone
--- a/pkg/limit/receiver.go
+++ b/pkg/limit/receiver.go
@@ -16,10 +16,10 @@
 			WithRemedy("ask for fewer customers at once")
 	}
 	if args.Offer {
-		r.l.takeOver(args)
+		r.l.acceptOffer(args)
 		return nil
 	}
-	*reply = r.l.core.answer(r.l.now(), args)
+	*reply = r.l.core.handleAsk(r.l.now(), args)
 	return nil
 }
 
--- a/pkg/limit/reclaim.go
+++ b/pkg/limit/reclaim.go
@@ -10,9 +10,9 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// reclaimStep is the delay between the holders that may start a reclaim, by
+// reclaimRankDelay is the delay between the holders that may start a reclaim, by
 // rank. A race between two of them costs time only.
-const reclaimStep = 3 * time.Second
+const reclaimRankDelay = 3 * time.Second
 
 // reclaimTimeout bounds the reclaim in one object: a few calls to the platform
 // and to holders that do not answer. The next round goes on with the reports
@@ -24,24 +24,24 @@
 func (l *Limiter) maintain(ctx context.Context) {
 	if l.gone(l.core.self) {
 		l.logf("limit: this VM is gone or superseded; dropping all rights")
-		l.core.leaving.Store(true)
+		l.core.stopping.Store(true)
 		l.core.drop()
 		return
 	}
-	l.core.forget(l.gone)
+	l.core.forgetGone(l.gone)
 	due := make(map[int][]int) // buckets by object
-	silent := make(map[siskin.VMID]bool)
+	unresponsive := make(map[siskin.VMID]bool)
 	for i := range l.core.each() {
-		if l.due(i) && !l.waits(ctx, i, silent) {
+		if l.due(i) && !l.awaitsReports(ctx, i, unresponsive) {
 			due[objectOf(i)] = append(due[objectOf(i)], i)
 		}
 	}
 	for _, o := range sorted(due) {
-		if err := l.reclaim(ctx, o, due[o], silent); err != nil {
+		if err := l.reclaim(ctx, o, due[o], unresponsive); err != nil {
 			l.logf("limit: reclaim in object %s is blocked: %v", objectName(o), err)
 		}
 	}
-	l.refreshRecord(ctx)
+	l.refreshNextObject(ctx)
 }
 
 // due reports whether a bucket needs a reclaim and it is this VM's turn.
@@ -49,12 +49,12 @@
 	holders := l.core.holdersOf(i)
 	if len(holders) == 0 || !l.needsReclaim(i, holders) {
 		delete(l.reclaimDue, i)
-		delete(l.collected, i)
+		delete(l.reportSets, i)
 		return false
 	}
 	now := l.clock.Now()
 	if _, ok := l.reclaimDue[i]; !ok {
-		l.reclaimDue[i] = now.Add(time.Duration(l.rank(i, holders)) * reclaimStep)
+		l.reclaimDue[i] = now.Add(time.Duration(l.rank(i, holders)) * reclaimRankDelay)
 	}
 	return !now.Before(l.reclaimDue[i])
 }
@@ -94,14 +94,14 @@
 // holders, collects the reports of the others and grants the missing units to
 // this VM. It goes on where an earlier reclaimer stopped. A holder that does not
 // answer blocks its own buckets only.
-func (l *Limiter) reclaim(ctx context.Context, o int, due []int, silent map[siskin.VMID]bool) error {
+func (l *Limiter) reclaim(ctx context.Context, o int, due []int, unresponsive map[siskin.VMID]bool) error {
 	ctx, cancel := context.WithTimeout(ctx, reclaimTimeout)
 	defer cancel()
-	version, object, err := l.get(ctx, o)
+	version, object, err := l.getObject(ctx, o)
 	if err != nil || version == 0 {
 		return err
 	}
-	if version, err = l.moveEpochs(ctx, o, &object, due, version); err != nil {
+	if version, err = l.advanceEpochs(ctx, o, &object, due, version); err != nil {
 		return err
 	}
 	granted := make(map[int]*record)
@@ -112,12 +112,12 @@
 			blocked = errors.Join(blocked, err)
 			continue
 		}
-		reports, err := l.collect(ctx, i, &r, silent)
+		reports, err := l.collectReports(ctx, i, &r, unresponsive)
 		if err != nil {
 			blocked = err
 			continue
 		}
-		g := missing(reports)
+		g := missingUnits(reports)
 		if err := g.check(); err != nil {
 			return err
 		}
@@ -132,7 +132,7 @@
 	if len(granted) == 0 {
 		return blocked
 	}
-	if _, err := l.put(ctx, o, &object, version); err != nil {
+	if _, err := l.putObject(ctx, o, &object, version); err != nil {
 		return err
 	}
 	for i, r := range granted {
@@ -141,9 +141,9 @@
 	return blocked
 }
 
-// moveEpochs moves the buckets with gone holders to their next epoch by one
+// advanceEpochs moves the buckets with gone holders to their next epoch by one
 // update and applies the records.
-func (l *Limiter) moveEpochs(ctx context.Context, o int, object *object, due []int, version siskin.Version) (siskin.Version, error) {
+func (l *Limiter) advanceEpochs(ctx context.Context, o int, object *object, due []int, version siskin.Version) (siskin.Version, error) {
 	records := make(map[int]*record)
 	moved := 0
 	for _, i := range due {
@@ -162,7 +162,7 @@
 	}
 	if moved > 0 {
 		var err error
-		if version, err = l.put(ctx, o, object, version); err != nil {
+		if version, err = l.putObject(ctx, o, object, version); err != nil {
 			return version, err
 		}
 		l.logf("limit: %d buckets of object %s entered their next epoch", moved, objectName(o))
@@ -191,8 +191,8 @@
 	return next, true
 }
 
-// missing returns the units that no report accounts for, with empty buckets.
-func missing(reports []ReportReply) grant {
+// missingUnits returns the units that no report accounts for, with empty buckets.
+func missingUnits(reports []ReportReply) grant {
 	g := grant{Rest: siskin.TotalQuotaUnits, Customers: make(map[siskin.CustomerID]siskin.QuotaUnits)}
 	for _, r := range reports {
 		g.Rest -= r.Rest
--- a/pkg/limit/reclaim_test.go
+++ b/pkg/limit/reclaim_test.go
@@ -10,10 +10,10 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestSilentHolderBlocksItsBuckets guards against an unreachable VM that holds
+// TestUnresponsiveHolderBlocksOnlyItsBuckets guards against an unreachable VM that holds
 // up the reclaim of buckets which it holds nothing of, in the same object and
 // in others.
-func TestSilentHolderBlocksItsBuckets(t *testing.T) {
+func TestUnresponsiveHolderBlocksOnlyItsBuckets(t *testing.T) {
 	shared := siskin.CustomerID("shared")
 	other := siskin.CustomerID("")
 	for i := 0; other == ""; i++ { // a customer of another bucket of the same object
@@ -59,7 +59,7 @@
 		f.start(fmt.Sprint("v", i), 1, fmt.Sprint("d", i%4))
 	}
 	f.run(2 * time.Second)
-	f.lose = 0.5
+	f.lossRate = 0.5
 	f.vms[0].dead, f.vms[0].vm.State = true, siskin.VMGone
 	f.run(60 * time.Second)
 	if got := f.sum("a"); got != siskin.TotalQuotaUnits {
@@ -67,13 +67,13 @@
 	}
 }
 
-// counted counts the reads of the platform.
-type counted struct {
+// countingPlatform counts the reads of the platform.
+type countingPlatform struct {
 	siskin.Platform
 	reads int
 }
 
-func (c *counted) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
+func (c *countingPlatform) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
 	c.reads++
 	return c.Platform.Get(ctx, name)
 }
@@ -83,7 +83,7 @@
 // that would be most of the fleet.
 func TestWaitCostsNoPlatformCalls(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
-	platform := &counted{Platform: f}
+	platform := &countingPlatform{Platform: f}
 	for i := range 3 {
 		n := f.start(fmt.Sprint("v", i), 1, fmt.Sprint("d", i))
 		n.l = New(f, f.view, n, n, platform)
--- a/pkg/limit/reclaimtime_test.go
+++ b/pkg/limit/reclaimtime_test.go
@@ -16,10 +16,10 @@
 // slowFleet runs limiters in real time with delays of calls. The embedded fleet
 // keeps the list of VMs and the objects, under one lock.
 type slowFleet struct {
-	mu     sync.Mutex
-	f      *fleet
-	limits map[siskin.VMID]*Limiter
-	trip   time.Duration // of a call to a peer or the platform
+	mu        sync.Mutex
+	f         *fleet
+	limits    map[siskin.VMID]*Limiter
+	callDelay time.Duration // of a call to a peer or the platform
 }
 
 // slowNode is one VM of a slowFleet.
@@ -30,7 +30,7 @@
 }
 
 func (s *slowNode) Call(ctx context.Context, vm siskin.VMID, method string, args, reply any) error {
-	time.Sleep(s.trip)
+	time.Sleep(s.callDelay)
 	s.mu.Lock()
 	dead := s.f.find(vm, 0).dead
 	s.mu.Unlock()
@@ -41,14 +41,14 @@
 }
 
 func (s *slowNode) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
-	time.Sleep(s.trip)
+	time.Sleep(s.callDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.f.Get(ctx, name)
 }
 
 func (s *slowNode) Put(ctx context.Context, name siskin.ObjectName, value []byte, version siskin.Version, op siskin.OperationID) (siskin.Version, error) {
-	time.Sleep(s.trip)
+	time.Sleep(s.callDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.f.Put(ctx, name, value, version, op)
@@ -90,7 +90,7 @@
 
 func reclaimTime(t *testing.T, holders int) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 1000, Burst: 1000})
-	s := &slowFleet{f: f, limits: make(map[siskin.VMID]*Limiter), trip: 3 * time.Millisecond}
+	s := &slowFleet{f: f, limits: make(map[siskin.VMID]*Limiter), callDelay: 3 * time.Millisecond}
 	for i := range holders {
 		n := f.start(fmt.Sprint("v", i), 1, fmt.Sprint("d", i%4))
 		node := &slowNode{slowFleet: s, n: n}
@@ -133,5 +133,5 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	t.Logf("%d holders, %v a call: all units in use %v after the VM was known as gone", holders, s.trip, time.Since(start).Round(time.Millisecond))
+	t.Logf("%d holders, %v a call: all units in use %v after the VM was known as gone", holders, s.callDelay, time.Since(start).Round(time.Millisecond))
 }
--- a/pkg/limit/recordio.go
+++ b/pkg/limit/recordio.go
@@ -16,12 +16,12 @@
 // nothing of a bucket that it is not a holder of.
 func (l *Limiter) readRecords(ctx context.Context) {
 	wanted := make(map[int][]int)
-	for _, i := range l.core.todo.takeBuckets() {
+	for _, i := range l.core.workQueue.takeBuckets() {
 		wanted[objectOf(i)] = append(wanted[objectOf(i)], i)
 	}
 	for _, o := range sorted(wanted) {
-		if l.clock.Now().Before(l.readAfter[o]) {
-			l.core.todo.addBucket(wanted[o]...)
+		if l.clock.Now().Before(l.retryReadAt[o]) {
+			l.core.workQueue.addBucket(wanted[o]...)
 			continue
 		}
 		err := l.readObject(ctx, o)
@@ -29,12 +29,12 @@
 			l.core.setUnreadable(i, err != nil && siskin.KindOf(err) != siskin.Conflict)
 		}
 		if err != nil {
-			l.readAfter[o] = l.clock.Now().Add(min(firstRetry<<min(l.readFails[o], 8), maxBackoff))
-			l.readFails[o]++
-			l.core.todo.addBucket(wanted[o]...)
+			l.retryReadAt[o] = l.clock.Now().Add(min(firstRetry<<min(l.readFailures[o], 8), maxBackoff))
+			l.readFailures[o]++
+			l.core.workQueue.addBucket(wanted[o]...)
 			continue
 		}
-		l.readFails[o] = 0
+		l.readFailures[o] = 0
 	}
 }
 
@@ -56,7 +56,7 @@
 func (l *Limiter) readObject(ctx context.Context, o int) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	version, object, err := l.get(ctx, o)
+	version, object, err := l.getObject(ctx, o)
 	if err != nil {
 		return err
 	}
@@ -71,7 +71,7 @@
 			continue
 		}
 		records[i] = &r
-		customer := l.core.serves(i)
+		customer := l.core.servedCustomer(i)
 		if customer == "" || r.holds(l.core.self) {
 			continue
 		}
@@ -83,7 +83,7 @@
 					return err
 				}
 			}
-			r = l.initial(o, customer, listed)
+			r = l.initialRecord(o, customer, listed)
 		}
 		if err := object.set(i, &r); err != nil {
 			return err
@@ -91,7 +91,7 @@
 		changed = true
 	}
 	if changed {
-		if _, err := l.put(ctx, o, &object, version); err != nil {
+		if _, err := l.putObject(ctx, o, &object, version); err != nil {
 			return err
 		}
 	}
@@ -101,7 +101,7 @@
 	return damaged
 }
 
-func (l *Limiter) get(ctx context.Context, o int) (siskin.Version, object, error) {
+func (l *Limiter) getObject(ctx context.Context, o int) (siskin.Version, object, error) {
 	got, err := l.platform.Get(ctx, objectName(o))
 	if err != nil || got.Version == 0 {
 		return 0, object{}, err
@@ -110,7 +110,7 @@
 	return got.Version, parsed, err
 }
 
-func (l *Limiter) put(ctx context.Context, o int, value *object, version siskin.Version) (siskin.Version, error) {
+func (l *Limiter) putObject(ctx context.Context, o int, value *object, version siskin.Version) (siskin.Version, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return 0, err
@@ -120,11 +120,11 @@
 	return l.platform.Put(ctx, objectName(o), encoded, version, siskin.OperationID(op))
 }
 
-// initial grants the units of a new bucket in equal parts to one VM per data
+// initialRecord grants the units of a new bucket in equal parts to one VM per data
 // centre that has homes of the customer, so that each of them starts with a
 // part that needs no contact with the others. The platform's list counts beside
 // the members, since a VM that has just started knows no other member yet.
-func (l *Limiter) initial(o int, customer siskin.CustomerID, listed []siskin.VM) record {
+func (l *Limiter) initialRecord(o int, customer siskin.CustomerID, listed []siskin.VM) record {
 	byDC := make(map[siskin.DataCentreID][]siskin.VM)
 	for _, vm := range l.candidates(customer, listed) {
 		byDC[vm.DataCentre] = append(byDC[vm.DataCentre], vm)
@@ -162,20 +162,20 @@
 	return live
 }
 
-// refreshRecord reads one object with records that this VM is a holder of, so
+// refreshNextObject reads one object with records that this VM is a holder of, so
 // that it learns of later holders. The pause grows with the fleet, which keeps
 // the platform at 4 such reads a second.
-func (l *Limiter) refreshRecord(ctx context.Context) {
-	pause := max(refreshEvery, refreshPerVM*time.Duration(len(l.members.Live())))
-	if now := l.clock.Now(); now.Sub(l.refreshAt) < pause {
+func (l *Limiter) refreshNextObject(ctx context.Context) {
+	pause := max(minRefreshInterval, refreshIntervalPerVM*time.Duration(len(l.members.Live())))
+	if now := l.clock.Now(); now.Sub(l.refreshedAt) < pause {
 		return
 	}
-	l.refreshAt = l.clock.Now()
+	l.refreshedAt = l.clock.Now()
 	for range objects {
-		l.refreshed = (l.refreshed + 1) % objects
-		for _, i := range l.core.bucketsOf(l.refreshed) {
+		l.refreshedObject = (l.refreshedObject + 1) % objects
+		for _, i := range l.core.bucketsOf(l.refreshedObject) {
 			if len(l.core.holdersOf(i)) > 0 {
-				_ = l.readObject(ctx, l.refreshed) // the next round tries another one
+				_ = l.readObject(ctx, l.refreshedObject) // the next round tries another one
 				return
 			}
 		}
@@ -183,6 +183,6 @@
 }
 
 const (
-	refreshEvery = 30 * time.Second
-	refreshPerVM = 250 * time.Millisecond
+	minRefreshInterval   = 30 * time.Second
+	refreshIntervalPerVM = 250 * time.Millisecond
 )
--- a/pkg/limit/referencebucket.go
+++ b/pkg/limit/referencebucket.go
@@ -6,19 +6,19 @@
 // with a part of them. It takes what this VM admitted. A request that it refuses
 // is above the customer's rate.
 type referenceBucket struct {
-	tokens  float64
-	at      time.Duration
-	started bool
+	tokens    float64
+	updatedAt time.Duration
+	started   bool
 }
 
 // refill adds the tokens since the last call. A new bucket is full.
 func (w *referenceBucket) refill(now time.Duration, rate, burst float64) {
 	switch {
 	case !w.started:
-		w.tokens, w.at, w.started = burst, now, true
-	case now > w.at:
-		w.tokens += rate * (now - w.at).Seconds()
-		w.at = now
+		w.tokens, w.updatedAt, w.started = burst, now, true
+	case now > w.updatedAt:
+		w.tokens += rate * (now - w.updatedAt).Seconds()
+		w.updatedAt = now
 	}
 	w.tokens = min(w.tokens, burst)
 }
--- a/pkg/limit/run.go
+++ b/pkg/limit/run.go
@@ -8,11 +8,11 @@
 const (
 	// callTimeout bounds every call to a peer or the platform.
 	callTimeout = 2 * time.Second
-	// exchangeTick is the pause between two rounds of messages; requests for
+	// exchangeInterval is the pause between two rounds of messages; requests for
 	// units that arise within it share a message.
-	exchangeTick = 2 * time.Millisecond
-	// maintainTick is the pause between two checks for gone VMs.
-	maintainTick = time.Second
+	exchangeInterval = 2 * time.Millisecond
+	// maintainInterval is the pause between two checks for gone VMs.
+	maintainInterval = time.Second
 )
 
 // Start begins the exchange with other VMs. It returns at once.
@@ -32,11 +32,11 @@
 		for _, m := range l.core.plan(l.now()) {
 			l.done.Go(func() { l.call(ctx, m) })
 		}
-		l.clock.Sleep(exchangeTick) // the first request went out at once; later ones share a message
+		l.clock.Sleep(exchangeInterval) // the first request went out at once; later ones share a message
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.core.todo.kick:
+		case <-l.core.workQueue.wakeSignal:
 		case <-l.clock.After(firstRetry):
 		}
 	}
@@ -49,7 +49,7 @@
 	if err := l.peers.Call(ctx, m.to, "Limit.Ask", m.args, &reply); err != nil {
 		return // plan repeats the message
 	}
-	l.core.receive(l.now(), m.to, m.args.Seq, &reply)
+	l.core.handleReply(l.now(), m.to, m.args.Seq, &reply)
 }
 
 // runRecords reads the records that the core asks for.
@@ -59,11 +59,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.clock.After(recordTick):
+		case <-l.clock.After(recordInterval):
 		}
 		select { // nothing wakes an idle VM
 		case <-ctx.Done():
-		case <-l.core.todo.records:
+		case <-l.core.workQueue.bucketAdded:
 		}
 	}
 }
@@ -75,20 +75,20 @@
 		l.maintain(ctx)
 		select {
 		case <-ctx.Done():
-		case <-l.clock.After(maintainTick):
+		case <-l.clock.After(maintainInterval):
 		}
 	}
 }
 
-// recordTick is the pause between two rounds of reading records that are asked
+// recordInterval is the pause between two rounds of reading records that are asked
 // for. It batches the start of a VM and delays a new customer little.
-const recordTick = 10 * time.Millisecond
+const recordInterval = 10 * time.Millisecond
 
 // runRefresh applies changed rates.
 func (l *Limiter) runRefresh(ctx context.Context) {
 	for {
 		changed := l.view.Changed()
-		l.core.refresh(l.now())
+		l.core.refreshLimits(l.now())
 		if l.prepareAll {
 			l.Prepare(l.view.Customers()...)
 		}
--- a/pkg/limit/script_test.go
+++ b/pkg/limit/script_test.go
@@ -88,17 +88,17 @@
 		s.vm(args[1]).vm.State = siskin.VMGone
 	case "cut":
 		a, b := s.vm(args[1]), s.vm(args[2])
-		f.cut = func(x, y *node) bool { return (x == a && y == b) || (x == b && y == a) }
+		f.partitioned = func(x, y *node) bool { return (x == a && y == b) || (x == b && y == a) }
 	case "heal":
-		f.cut = func(a, b *node) bool { return false }
+		f.partitioned = func(a, b *node) bool { return false }
 	case "platform":
-		f.down = args[1] == "down"
+		f.platformDown = args[1] == "down"
 	case "lose":
-		f.lose = number(1)
+		f.lossRate = number(1)
 	case "blind":
-		s.vm(args[1]).blind = true
+		s.vm(args[1]).seesOnlyItself = true
 	case "unheard":
-		return fmt.Sprint(f.unheard)
+		return fmt.Sprint(f.unansweredCalls)
 	case "handover":
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
@@ -122,7 +122,7 @@
 	}
 	s.f.view.set(docs...)
 	for _, n := range s.f.vms {
-		n.l.core.refresh(n.l.now())
+		n.l.core.refreshLimits(n.l.now())
 	}
 }
 
--- a/pkg/limit/state.go
+++ b/pkg/limit/state.go
@@ -21,13 +21,13 @@
 	return b.epoch, b.reporting
 }
 
-// serves returns a customer of the bucket that this VM admits requests for, or
+// servedCustomer returns a customer of the bucket that this VM admits requests for, or
 // an empty id.
-func (c *core) serves(i int) siskin.CustomerID {
+func (c *core) servedCustomer(i int) siskin.CustomerID {
 	b := c.bucket(i)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.serves
+	return b.servedCustomer
 }
 
 // units returns what this VM holds for a customer.
@@ -38,7 +38,7 @@
 	if h := b.holdings.get(id); h != nil {
 		return h.units
 	}
-	return b.rest
+	return b.defaultUnits
 }
 
 // bucketsOf returns the buckets of an object that are in use here.
--- a/pkg/limit/todo.go
+++ b/pkg/limit/todo.go
@@ -6,41 +6,41 @@
 	"siskintray.example/siskin"
 )
 
-// todo lists what the runtime has to do. Its lock is taken last.
-type todo struct {
-	mu        sync.Mutex
-	customers []siskin.CustomerID // to ask units for
-	buckets   []int               // whose record must be read
-	kick      chan struct{}
-	records   chan struct{} // a bucket was added
+// workQueue lists what the runtime has to do. Its lock is taken last.
+type workQueue struct {
+	mu          sync.Mutex
+	customers   []siskin.CustomerID // to ask units for
+	buckets     []int               // whose record must be read
+	wakeSignal  chan struct{}
+	bucketAdded chan struct{} // a bucket was added
 }
 
-func (t *todo) addCustomer(id siskin.CustomerID) {
+func (t *workQueue) addCustomer(id siskin.CustomerID) {
 	t.mu.Lock()
 	t.customers = append(t.customers, id)
 	t.mu.Unlock()
 	t.wake()
 }
 
-func (t *todo) addBucket(list ...int) {
+func (t *workQueue) addBucket(list ...int) {
 	t.mu.Lock()
 	t.buckets = append(t.buckets, list...)
 	t.mu.Unlock()
 	t.wake()
 	select {
-	case t.records <- struct{}{}:
+	case t.bucketAdded <- struct{}{}:
 	default:
 	}
 }
 
-func (t *todo) wake() {
+func (t *workQueue) wake() {
 	select {
-	case t.kick <- struct{}{}:
+	case t.wakeSignal <- struct{}{}:
 	default:
 	}
 }
 
-func (t *todo) takeCustomers() []siskin.CustomerID {
+func (t *workQueue) takeCustomers() []siskin.CustomerID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.customers
@@ -48,7 +48,7 @@
 	return list
 }
 
-func (t *todo) takeBuckets() []int {
+func (t *workQueue) takeBuckets() []int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.buckets
--- a/pkg/limit/within.go
+++ b/pkg/limit/within.go
@@ -7,16 +7,16 @@
 )
 
 const (
-	// contactSpan is the age up to which the answer of a holder shows that this
+	// contactWindow is the age up to which the answer of a holder shows that this
 	// VM gets units from it. It is well above the pause between two rounds, so
 	// that a customer that is refused now and then counts as in contact.
-	contactSpan = 10 * time.Second
-	// demandSpan is the time after the last exchange in which the demand at
+	contactWindow = 10 * time.Second
+	// demandWindow is the time after the last exchange in which the demand at
 	// other holders counts. Older figures say little of the present.
-	demandSpan = time.Minute
-	// overRate is the known demand, in parts of the rate, from which a customer
+	demandWindow = time.Minute
+	// overRateFactor is the known demand, in parts of the rate, from which a customer
 	// counts as above it. Demand that moves between VMs is reported by two of them.
-	overRate = 2
+	overRateFactor = 2
 )
 
 // refillReference refills the bucket: with the whole rate, or with this VM's part of
@@ -24,9 +24,9 @@
 // cut off from each other would count up to the whole rate each.
 func (h *holding) refillReference(now time.Duration) {
 	part := 1.0
-	if h.others > 0 && now-h.othersAt < demandSpan {
+	if h.otherDemand > 0 && now-h.otherDemandAt < demandWindow {
 		h.demand.decay(now)
-		if all := h.demand.slow + h.others; all > overRate*h.rate {
+		if all := h.demand.slow + h.otherDemand; all > overRateFactor*h.rate {
 			part = h.demand.slow / all
 		}
 	}
@@ -36,7 +36,7 @@
 // recordDemand records the demand at another holder.
 func (h *holding) recordDemand(now time.Duration, vm siskin.VMID, demand siskin.RequestsPerSecond, holders []holderID) {
 	h.hints.setDemand(vm, demand)
-	h.others, h.othersAt = h.hints.demandAt(holders), now
+	h.otherDemand, h.otherDemandAt = h.hints.demandAt(holders), now
 }
 
 // withinRate says of a request that is refused for good whether it counts as
@@ -50,20 +50,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.holdings.get(id)
-	if h == nil || !h.known {
+	if h == nil || !h.configured {
 		return true // the configuration with the customer has not arrived here
 	}
 	h.refillReference(now)
-	if h.reference.tokens < n || (b.complete(c.self.VM, h) && h.inContact(now, c.self.VM, b.holders)) {
+	if h.reference.tokens < n || (b.allUnitsInUse(c.self.VM, h) && h.inContact(now, c.self.VM, b.holders)) {
 		return false
 	}
 	h.reference.take(n)
 	return true
 }
 
-// complete reports whether no units are known to be out of use: a reclaim is
+// allUnitsInUse reports whether no units are known to be out of use: a reclaim is
 // not in progress, and a VM without other holders has them all.
-func (b *bucket) complete(self siskin.VMID, h *holding) bool {
+func (b *bucket) allUnitsInUse(self siskin.VMID, h *holding) bool {
 	others := false
 	for _, o := range b.holders {
 		others = others || o.VM != self
@@ -74,22 +74,22 @@
 // inContact reports whether all other holders answered requests for units of
 // the customer lately.
 func (h *holding) inContact(now time.Duration, self siskin.VMID, holders []holderID) bool {
-	if h.silent {
+	if h.holderUnresponsive {
 		return false
 	}
 	for _, o := range holders {
-		if o.VM != self && !h.hints.askedSince(now-contactSpan, o.VM) {
+		if o.VM != self && !h.hints.answeredSince(now-contactWindow, o.VM) {
 			return false
 		}
 	}
 	return true
 }
 
-// anySilent reports whether a holder leaves a request of this VM unanswered.
+// anyUnresponsive reports whether a holder leaves a request of this VM unanswered.
 // The caller holds the lock of the exchange.
-func (c *core) anySilent(holders []holderID) bool {
+func (c *core) anyUnresponsive(holders []holderID) bool {
 	for _, o := range holders {
-		if o.VM != c.self.VM && c.links[o.VM].silent() {
+		if o.VM != c.self.VM && c.links[o.VM].unresponsive() {
 			return true
 		}
 	}
--- a/pkg/limit/within_test.go
+++ b/pkg/limit/within_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// refuse sends requests that nothing can admit and returns how many of them
+// countRefusals sends requests that nothing can admit and returns how many of them
 // count as within the rate.
-func refuse(t *testing.T, c *core, now time.Duration, n int) (counted int) {
+func countRefusals(t *testing.T, c *core, now time.Duration, n int) (counted int) {
 	t.Helper()
 	for range n {
 		if c.admit(now, "a", 1, true).Admitted {
@@ -20,11 +20,11 @@
 	return counted
 }
 
-// TestRefusalsOfSilentHolderCount guards against refusals within the rate that
+// TestRefusalsCountWhileHolderIsUnresponsive guards against refusals within the rate that
 // count as the customer's own while the VM with its units does not answer, and
 // against refusals above the rate that count against the service.
-func TestRefusalsOfSilentHolderCount(t *testing.T) {
-	rich, poor, i := pair(t)
+func TestRefusalsCountWhileHolderIsUnresponsive(t *testing.T) {
+	donor, requester, i := pair(t)
 	now := time.Second
 	// The rate is 100 a second with a burst of 100.
 	for _, tt := range []struct {
@@ -33,31 +33,31 @@
 		want     int
 	}{{0, 150, 100}, {500 * time.Millisecond, 80, 50}, {100 * time.Millisecond, 7, 7}, {10 * time.Second, 300, 100}} {
 		now += tt.pause
-		if got := refuse(t, poor, now, tt.requests); got != tt.want {
+		if got := countRefusals(t, requester, now, tt.requests); got != tt.want {
 			t.Errorf("%d requests after %v: got %d counted as within the rate, want %d", tt.requests, tt.pause, got, tt.want)
 		}
-		poor.plan(now) // the message is lost
+		requester.plan(now) // the message is lost
 	}
 	// The holder answers again and has nothing to spare, so that the customer
 	// uses its rate up.
 	now += 10 * time.Second
-	exchange(poor, rich, now)
-	h := poor.bucket(i).holdings.get("a")
+	exchange(requester, donor, now)
+	h := requester.bucket(i).holdings.get("a")
 	h.take(h.units)
-	if got := refuse(t, poor, now, 20); got != 0 {
+	if got := countRefusals(t, requester, now, 20); got != 0 {
 		t.Errorf("all holders answer: got %d counted as within the rate, want 0", got)
 	}
 	// It goes silent while this VM asks again.
-	for range silentAttempts + 1 {
+	for range unresponsiveAttempts + 1 {
 		now += maxBackoff
-		poor.plan(now)
-		refuse(t, poor, now, 1)
+		requester.plan(now)
+		countRefusals(t, requester, now, 1)
 	}
 	now += time.Second
-	poor.plan(now)
-	refuse(t, poor, now, 150) // uses up the burst
+	requester.plan(now)
+	countRefusals(t, requester, now, 150) // uses up the burst
 	now += 500 * time.Millisecond
-	if got := refuse(t, poor, now, 80); got != 50 {
+	if got := countRefusals(t, requester, now, 80); got != 50 {
 		t.Errorf("silent again: got %d counted as within the rate, want 50", got)
 	}
 }
@@ -65,52 +65,52 @@
 // exchange delivers the requests for units and their answers.
 func exchange(from, to *core, now time.Duration) {
 	for _, m := range from.plan(now) {
-		reply := to.answer(now, m.args)
-		from.receive(now, to.self.VM, m.args.Seq, &reply)
+		reply := to.handleAsk(now, m.args)
+		from.handleReply(now, to.self.VM, m.args.Seq, &reply)
 	}
 }
 
 // TestOwnTrafficAboveRate guards against refusals that count against the service
 // although the requests at one VM alone exceed the rate.
 func TestOwnTrafficAboveRate(t *testing.T) {
-	rich, _, _ := pair(t)
+	donor, _, _ := pair(t)
 	now, admitted, counted := time.Second, 0, 0
 	for range 1000 {
-		if rich.admit(now, "a", 1, true).Admitted {
+		if donor.admit(now, "a", 1, true).Admitted {
 			admitted++
-		} else if rich.withinRate(now, "a", 1) {
+		} else if donor.withinRate(now, "a", 1) {
 			counted++
 		}
 	}
 	if admitted != 100 || counted != 0 {
 		t.Errorf("got %d admitted and %d counted as within the rate, want 100 and 0", admitted, counted)
 	}
-	if got, want := rich.withinRate(now, "unknown", 1), true; got != want {
+	if got, want := donor.withinRate(now, "unknown", 1), true; got != want {
 		t.Errorf("customer that is not known here yet: got %v, want %v", got, want)
 	}
 }
 
-// TestCustomerFarAboveRateAtSilentHolders guards against VMs that are cut off
+// TestCustomerFarAboveRateAtUnresponsiveHolders guards against VMs that are cut off
 // from each other and each count up to the whole rate of a customer that sends
 // several times its rate.
-func TestCustomerFarAboveRateAtSilentHolders(t *testing.T) {
-	rich, poor, i := pair(t)
+func TestCustomerFarAboveRateAtUnresponsiveHolders(t *testing.T) {
+	donor, requester, i := pair(t)
 	now := time.Second
 	for _, tt := range []struct {
 		others float64 // demand at the other holder before it goes silent
 		want   int     // of 2 s of rate and the burst of 100, for 200 requests a second here
 	}{{0, 300}, {100, 200}, {800, 60}} {
 		now += time.Hour
-		rich.bucket(i).holding(now, "a", rich.view).demand = meter{slow: tt.others, fast: tt.others, at: now}
-		refuse(t, poor, now, 1)
-		exchange(poor, rich, now)
-		h := poor.bucket(i).holdings.get("a")
+		donor.bucket(i).holding(now, "a", donor.view).demand = meter{slow: tt.others, fast: tt.others, updatedAt: now}
+		countRefusals(t, requester, now, 1)
+		exchange(requester, donor, now)
+		h := requester.bucket(i).holdings.get("a")
 		h.take(h.units)
 		h.reference = referenceBucket{}
 		counted := 0
 		for end := now + 2*time.Second; now < end; now += 5 * time.Millisecond {
-			h.silent, h.demand = true, meter{slow: 200, fast: 200, at: now}
-			counted += refuse(t, poor, now, 1)
+			h.holderUnresponsive, h.demand = true, meter{slow: 200, fast: 200, updatedAt: now}
+			counted += countRefusals(t, requester, now, 1)
 		}
 		if counted < tt.want-5 || counted > tt.want+5 {
 			t.Errorf("%v requests/s elsewhere: got %d counted as within the rate, want %d", tt.others, counted, tt.want)
