--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -11,56 +11,60 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Config holds what Homes depends on.
+// Config holds the dependencies of Homes.
 type Config struct {
 	Clock     siskin.Clock
 	Connector siskin.TargetConnector
 	Views     *views.Views
-	// Target looks a target up in service discovery.
+	// Target returns the entry of a target in service discovery.
 	Target func(siskin.TargetID) (siskin.TargetInfo, bool)
-	// Limit returns the most connections that this VM may open to a target.
+	// Limit returns the maximum number of connections that this VM may open to
+	// a target.
 	Limit func(siskin.TargetInfo) int
 	// IsHome reports whether this VM is the home of a target.
 	IsHome func(siskin.TargetInfo) bool
-	// Closed reports whether a target must get no statement of callers. It may be
-	// nil.
+	// Closed reports whether statements of callers must not be sent to a
+	// target. It may be nil.
 	Closed func(siskin.TargetID) bool
-	// MayBeCold reports whether a target may be cold that is used since the time opened
-	// and failed last at another one, which is zero when it did not. AdmitCold takes a statement from the rate that the
-	// cold targets of a service share. Both may be nil.
+	// MayBeCold reports whether a target may be cold. The target has been in
+	// use since the time opened; failed is the time of its last failure, or
+	// zero. AdmitCold takes a statement from the rate limit that the cold
+	// targets of a service share. Both may be nil.
 	MayBeCold func(t siskin.TargetInfo, opened, failed time.Time) bool
 	AdmitCold func(context.Context, siskin.ServiceName) siskin.Admission
-	// LeaseConfig is nil where a target that was replaced refuses plain transactions.
+	// LeaseConfig is nil if a replaced target is known to refuse plain
+	// transactions.
 	LeaseConfig *LeaseConfig
 }
 
 // Homes runs statements on targets. It is safe for concurrent use.
 type Homes struct {
 	cfg    Config
-	lanes  *shard.Map[siskin.TargetID, *lane]
+	pools  *shard.Map[siskin.TargetID, *pool]
 	txs    *shard.Map[TxID, *tx]
 	nextTx atomic.Uint64
 	active atomic.Int32 // calls of Run in progress
 	stop   chan struct{}
 	done   sync.WaitGroup
 
-	mu     sync.Mutex // guards closed, so that nothing starts behind Close
+	mu     sync.Mutex // guards closed, so that no goroutine starts after Close
 	closed bool
 }
 
-// New returns Homes and starts the goroutine that ends idle transactions.
+// New returns Homes and starts the goroutine that rolls back idle transactions.
 func New(cfg Config) *Homes {
 	h := &Homes{
-		cfg: cfg, lanes: shard.New[siskin.TargetID, *lane](), txs: shard.New[TxID, *tx](),
+		cfg: cfg, pools: shard.New[siskin.TargetID, *pool](), txs: shard.New[TxID, *tx](),
 		stop: make(chan struct{}),
 	}
-	// A restarted VM must not meet the ids of its earlier run.
+	// A restarted VM must not reuse the ids of its earlier run.
 	h.nextTx.Store(uint64(cfg.Clock.Now().UnixNano()))
 	h.done.Go(h.reap)
 	return h
 }
 
-// Close ends all transactions and connections and waits.
+// Close ends all transactions, closes all connections and waits for background
+// goroutines.
 func (h *Homes) Close() error {
 	h.mu.Lock()
 	h.closed = true
@@ -71,14 +75,15 @@
 		h.abandon(id, t)
 		return true
 	})
-	h.lanes.Range(func(_ siskin.TargetID, l *lane) bool {
+	h.pools.Range(func(_ siskin.TargetID, l *pool) bool {
 		l.close()
 		return true
 	})
 	return nil
 }
 
-// spawn runs f in the background, unless the homes are closed.
+// spawn runs f in the background unless Close was called, and reports whether
+// it did.
 func (h *Homes) spawn(f func()) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -88,15 +93,15 @@
 	return !h.closed
 }
 
-// Update brings the lanes in use up to date with service discovery.
+// Update applies the state of service discovery to all pools.
 func (h *Homes) Update() {
-	h.lanes.Range(func(id siskin.TargetID, l *lane) bool {
+	h.pools.Range(func(id siskin.TargetID, l *pool) bool {
 		if info, ok := h.cfg.Target(id); ok {
 			l.update(info, h.cfg.Limit(info))
 			l.trim(h.cfg.Clock.Now(), !h.cfg.IsHome(info))
 			return true
 		}
-		h.lanes.Delete(id)
+		h.pools.Delete(id)
 		l.close()
 		if h.cfg.LeaseConfig != nil {
 			h.cfg.LeaseConfig.Leases.Forget(id)
@@ -105,27 +110,27 @@
 	})
 }
 
-// Loads returns the number of statements that wait or run at each target in
+// Loads returns the number of queued and running statements at each target in
 // use.
 func (h *Homes) Loads() map[siskin.TargetID]int {
 	loads := make(map[siskin.TargetID]int)
-	h.lanes.Range(func(id siskin.TargetID, l *lane) bool {
+	h.pools.Range(func(id siskin.TargetID, l *pool) bool {
 		loads[id] = l.load()
 		return true
 	})
 	return loads
 }
 
-// Counts are the present totals of a VM's homes.
+// Counts holds current totals over all targets in use on a VM.
 type Counts struct {
 	Open, Idle, Waiting, Transactions, Active int
 	Opened                                    int64
 }
 
-// Counts returns the present totals.
+// Counts returns the current totals.
 func (h *Homes) Counts() Counts {
 	n := Counts{Transactions: h.txs.Len(), Active: int(h.active.Load())}
-	h.lanes.Range(func(_ siskin.TargetID, l *lane) bool {
+	h.pools.Range(func(_ siskin.TargetID, l *pool) bool {
 		open, idle, opened := l.counts()
 		n.Open += open
 		n.Idle += idle
@@ -136,21 +141,22 @@
 	return n
 }
 
-func (h *Homes) lane(id siskin.TargetID) (*lane, bool) {
-	if l, ok := h.lanes.Get(id); ok {
+func (h *Homes) pool(id siskin.TargetID) (*pool, bool) {
+	if l, ok := h.pools.Get(id); ok {
 		return l, true
 	}
 	info, ok := h.cfg.Target(id)
 	if !ok {
 		return nil, false
 	}
-	return h.lanes.GetOrCreate(id, func() *lane {
-		return newLane(h.cfg.Clock, h.cfg.Connector, info, h.cfg.Limit(info))
+	return h.pools.GetOrCreate(id, func() *pool {
+		return newPool(h.cfg.Clock, h.cfg.Connector, info, h.cfg.Limit(info))
 	}), true
 }
 
-// evacuated reports whether a target must get no statement of callers. It is asked
-// right before each one, since statements wait for a place and a connection.
+// evacuated reports whether statements of callers must not be sent to a target.
+// It is checked just before each one is sent, since statements wait for a slot
+// and a connection.
 func (h *Homes) evacuated(id siskin.TargetID) bool { return h.cfg.Closed != nil && h.cfg.Closed(id) }
 
 // Run runs one statement.
@@ -160,14 +166,14 @@
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
 	if req.Mode == Continue {
-		return h.step(ctx, req)
+		return h.continueTx(ctx, req)
 	}
-	l, ok := h.lane(req.Target)
+	l, ok := h.pool(req.Target)
 	if !ok {
 		return Reply{Cause: Unknown}
 	}
 	if req.Unreachable {
-		l.noteReport()
+		l.recordReport()
 	}
 	r := &run{h: h, l: l, req: req, start: h.cfg.Clock.Now()}
 	r.deadline = time.Now().Add(req.Timeout)
