--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,8 +1,8 @@
-// Package roster holds what service discovery says of the targets.
+// Package roster keeps the list of targets from service discovery.
 //
-// Entries may lapse while the store is away, and be back within two seconds of
-// its return. A target therefore counts as gone when its entry is missing from
-// lists that lie further apart than that; until then it is kept.
+// Entries may expire during an outage of the store, and targets write them
+// again within two seconds of its return. A target is therefore removed only
+// when its entry is missing from lists that span more than that time.
 package roster
 
 import (
@@ -14,9 +14,9 @@
 	"siskintray.example/siskin"
 )
 
-// settleTime is the time that a target has to renew its entry after an outage of
-// the store. The platform states about two seconds.
-const settleTime = 2500 * time.Millisecond
+// renewalGrace is the time that a target has to renew its entry after an outage
+// of the store. The platform specifies about two seconds.
+const renewalGrace = 2500 * time.Millisecond
 
 // Roster holds the known targets. It is safe for concurrent use.
 type Roster struct {
@@ -24,34 +24,37 @@
 	targets  map[siskin.TargetID]*entry
 	services map[siskin.ServiceName][]siskin.TargetInfo // derived, never modified
 	sizes    map[siskin.ServiceName]*size
-	// unsettled are the present numbers of targets that differ from the sizes.
-	unsettled map[siskin.ServiceName]int
-	version   siskin.Version // of the last list
-	listed    time.Time      // when the last list was asked for
-	// paused and resumed are the ends of the last gap between two lists.
-	paused, resumed time.Time
-	evac            evacuations
-	changed         chan struct{}
+	// pendingCounts has the present number of targets of each service where it
+	// differs from the size.
+	pendingCounts map[siskin.ServiceName]int
+	version       siskin.Version // of the last list
+	listed        time.Time      // when the last list was requested
+	// gapStart and gapEnd are the start and end of the last gap between two
+	// lists.
+	gapStart, gapEnd time.Time
+	evac             evacuations
+	changed          chan struct{}
 }
 
 type entry struct {
-	info     siskin.TargetInfo
-	since    time.Time // first list with this run of the target
-	first    bool      // the first list of all had it
-	missing  time.Time // first list without the entry; zero while it is there
-	draining time.Time // first list that says so; zero while it does not
-	cold     time.Time // until when it may be cold; zero when it is not
+	info          siskin.TargetInfo
+	since         time.Time // first list with this run of the target
+	first         bool      // the run was in the first list after the start of this VM
+	missingSince  time.Time // first list without the entry; zero while it is listed
+	drainingSince time.Time // first list in which it drains; zero while it doesn't
+	coldUntil     time.Time // time until which it may be cold; zero if it is warm
 }
 
-// lastCall is the time after which a draining target gets no new work. The
-// users allow 7 s from the store's answer, of which a list takes up to two.
-const lastCall = 4500 * time.Millisecond
+// drainGrace is the time after which a draining target gets no new work. The
+// requirement allows 7 s from the store's answer, of which a list takes up to
+// two.
+const drainGrace = 4500 * time.Millisecond
 
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
 		targets: make(map[siskin.TargetID]*entry), sizes: make(map[siskin.ServiceName]*size),
-		unsettled: make(map[siskin.ServiceName]int), changed: make(chan struct{}),
+		pendingCounts: make(map[siskin.ServiceName]int), changed: make(chan struct{}),
 	}
 }
 
@@ -68,33 +71,34 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	if !ok || !r.evac.known() {
+	if !ok || !r.evac.ready() {
 		return siskin.TargetInfo{}, false
 	}
-	return r.evac.mark(e.info), true
+	return r.evac.withEvacuated(e.info), true
 }
 
-// ListedSince returns the time of the first list with the present run of a target and that
-// of the last list. With first the run is older than what this VM has seen. The result
-// ok is false when the last list lacks the target.
+// ListedSince returns the time of the first list with the present run of a
+// target and the time of the last list. first is set when the run was in the
+// first list of this VM, so that it may have started earlier. ok is false when
+// the target is missing from the last list.
 func (r *Roster) ListedSince(id siskin.TargetID) (since, listed time.Time, first, ok bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	if !ok || !e.missing.IsZero() {
+	if !ok || !e.missingSince.IsZero() {
 		return time.Time{}, time.Time{}, false, false
 	}
 	return e.since, r.listed, e.first, true
 }
 
 // Leaving reports whether a target has been draining or evacuated for so long
-// that it must get no new work. Leaving targets take it until then only as
-// primaries, while their successor is elected.
+// that it must get no new work. Before that, a draining or evacuated target
+// gets new work only as a primary whose successor is being elected.
 func (r *Roster) Leaving(id siskin.TargetID, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	e, ok := r.targets[id]
-	return !ok || !e.draining.IsZero() && now.Sub(e.draining) > lastCall || r.evac.closed(e.info.DataCentre, now)
+	return !ok || !e.drainingSince.IsZero() && now.Sub(e.drainingSince) > drainGrace || r.evac.blocked(e.info.DataCentre, now)
 }
 
 // Listed returns the targets of the last list, ordered by id, with its version
@@ -104,7 +108,7 @@
 	defer r.mu.RUnlock()
 	list := make([]siskin.TargetInfo, 0, len(r.targets))
 	for _, e := range r.targets {
-		if e.missing.IsZero() {
+		if e.missingSince.IsZero() {
 			list = append(list, e.info)
 		}
 	}
@@ -121,79 +125,81 @@
 	return r.changed
 }
 
-// Version returns the version of the last list and when it was asked for.
+// Version returns the version of the last list and the time when it was
+// requested.
 func (r *Roster) Version() (siskin.Version, time.Time) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.version, r.listed
 }
 
-// Replace applies a complete list that was asked for at a time. Older lists
-// than the last one change nothing.
+// Replace applies a complete list that was requested at the given time. It
+// ignores lists that are older than the last one.
 func (r *Roster) Replace(list []siskin.TargetInfo, version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if version < r.version || !at.After(r.listed) {
 		return
 	}
-	r.noteGap(at)
+	r.recordGap(at)
 	first := r.listed.IsZero()
 	r.version, r.listed = version, at
 	any := false
 	listed := make(map[siskin.TargetID]bool, len(list))
 	for _, info := range list {
-		info.Evacuated = false // derived from what this VM knows
+		info.Evacuated = false // set from the known evacuations instead
 		listed[info.ID] = true
 		e := r.targets[info.ID]
-		if e != nil && e.info == info && e.missing.IsZero() {
+		if e != nil && e.info == info && e.missingSince.IsZero() {
 			continue
 		}
 		next := &entry{info: info}
-		if next.since, next.first = at, first; e != nil && e.missing.IsZero() && e.info.Address == info.Address && e.info.StartedAt.Equal(info.StartedAt) {
+		if next.since, next.first = at, first; e != nil && e.missingSince.IsZero() && e.info.Address == info.Address && e.info.StartedAt.Equal(info.StartedAt) {
 			next.since, next.first = e.since, e.first
 		}
 		if info.Draining {
-			if next.draining = at; e != nil && !e.draining.IsZero() {
-				next.draining = e.draining
+			if next.drainingSince = at; e != nil && !e.drainingSince.IsZero() {
+				next.drainingSince = e.drainingSince
 			}
 		}
 		if info.ColdRemaining > 0 {
-			next.cold = at.Add(info.ColdRemaining + coldMargin)
+			next.coldUntil = at.Add(info.ColdRemaining + coldMargin)
 		}
 		r.targets[info.ID] = next
 		any = true
 	}
 	for id, e := range r.targets {
-		if !listed[id] && e.missing.IsZero() {
-			e.missing = at
+		if !listed[id] && e.missingSince.IsZero() {
+			e.missingSince = at
 		}
 	}
-	r.count(at)
-	released := r.evac.release(version)
-	if r.lapse(at) || any || released {
+	r.countTargets(at)
+	released := r.evac.finishPending(version)
+	if r.removeMissing(at) || any || released {
 		r.publish()
 	}
 }
 
-// Confirm notes that the last list was still current at a time.
+// Confirm records that the last list was still current at the given time.
 func (r *Roster) Confirm(version siskin.Version, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if version == r.version && at.After(r.listed) {
-		r.noteGap(at)
+		r.recordGap(at)
 		r.listed = at
-		r.settle(at)
-		if r.lapse(at) {
+		r.updateSizes(at)
+		if r.removeMissing(at) {
 			r.publish()
 		}
 	}
 }
 
-// lapse removes the targets whose entries stayed missing.
-func (r *Roster) lapse(at time.Time) bool {
+// removeMissing removes the targets whose entries have been missing for longer
+// than renewalGrace, and reports whether there were any.
+func (r *Roster) removeMissing(at time.Time) bool {
 	any := false
 	for id, e := range r.targets {
-		if !e.missing.IsZero() && at.Sub(e.missing) > settleTime {
+		if !e.missingSince.IsZero() && at.Sub(e.missingSince) > renewalGrace {
 			delete(r.targets, id)
 			any = true
 		}
@@ -204,8 +210,8 @@
 func (r *Roster) publish() {
 	r.services = make(map[siskin.ServiceName][]siskin.TargetInfo)
 	for _, e := range r.targets {
-		if r.evac.known() {
-			r.services[e.info.Service] = append(r.services[e.info.Service], r.evac.mark(e.info))
+		if r.evac.ready() {
+			r.services[e.info.Service] = append(r.services[e.info.Service], r.evac.withEvacuated(e.info))
 		}
 	}
 	for _, list := range r.services {
