--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -10,58 +10,60 @@
 )
 
 const (
-	// primaryBias is the number of statements by which the primary counts as
-	// more loaded than it is, since it alone can run writes.
+	// primaryBias is the number of statements added to the load of the
+	// primary, since it alone can run writes.
 	primaryBias = 1.0
-	// remoteBias is the same for targets in other data centres, whose answers
-	// cross a priced link.
+	// remoteBias is the same for targets in other data centres, since traffic
+	// between data centres is charged.
 	remoteBias = 0.4
-	// laggingBias is the same for a replica that lacked a floor within laggedFor.
-	// Its last known position does not tell: it is older than the floor, and the
-	// replica has received more since.
+	// laggingBias is the same for a replica that had not reached a required
+	// minimum position (floor) within laggingWindow. Its last known position
+	// cannot be used instead: it is older than the floor, and the replica has
+	// received more since.
 	laggingBias   = 3.0
 	laggingWindow = 500 * time.Millisecond
 	// coldBias is the same for a target that has just started.
 	coldBias = 1.0
-	// newConnectionBias is the same for a replica that another replica precedes as
-	// the place of the customer's connections. A new connection takes as long
+	// newConnectionBias is the same for a replica that is not the preferred
+	// one for the customer's connections. Opening a connection takes as long
 	// as a statement or two.
 	newConnectionBias = 0.7
-	// failedBias is the same for a target that failed within avoidFailed. It is
-	// used only when there is no other.
+	// failedBias is the same for a target that failed within failedWindow.
+	// Such a target is used only when there is no other.
 	failedBias   = 100
 	failedWindow = time.Second
-	// loadMaxAge is the age at which a report of a target's load no longer counts.
-	// A target that nobody asks is reported by nobody, so an old queue there
-	// would keep all away from it.
+	// loadMaxAge is the age from which a load report is ignored. Load is
+	// reported with replies, so without a limit one old report of a long queue
+	// would keep all reads away from a target for good.
 	loadMaxAge = 1500 * time.Millisecond
-	// maxJitter is the largest part of a statement by which the choice varies, so
-	// that VMs which know the same do not all choose the same target.
+	// maxJitter is the largest random amount added to a cost, as a part of one
+	// statement, so that VMs with the same data do not all choose the same
+	// target.
 	maxJitter = 0.2
 )
 
-// targetSelector is what decides at which target a read runs.
+// targetSelector holds the inputs for choosing the target of a read.
 type targetSelector struct {
 	Targets  []siskin.TargetInfo
 	Primary  siskin.TargetID
 	Customer siskin.CustomerID
-	// ConnectionsScarce says that the customers outnumber the connections of a
-	// target, so that a statement at another target than those before often
-	// costs a new connection.
+	// ConnectionsScarce is set when there are more customers than connections
+	// per target, so that a read at another target than before often opens a
+	// new connection.
 	ConnectionsScarce bool
 	LocalDataCentre   siskin.DataCentreID
 	Excluded          []siskin.TargetID
 	Now               time.Time
-	// View returns what is known of a target, and Running the statements that
-	// this VM has there.
+	// View returns the known state of a target, and Running the number of
+	// statements that this VM runs there.
 	View    func(siskin.TargetID) views.Target
 	Running func(siskin.TargetID) int
 	// Random returns a number from 0 to 1.
 	Random func() float64
 }
 
-// leastLoaded returns the least loaded leastLoaded as far as known, empty when there is
-// none.
+// leastLoaded returns the usable target with the lowest cost, or an empty ID
+// if there is none.
 func (c *targetSelector) leastLoaded() siskin.TargetID {
 	preferred := c.preferred()
 	var best siskin.TargetID
@@ -86,8 +88,9 @@
 	return !t.Draining && !t.Evacuated && !slices.Contains(c.Excluded, t.ID)
 }
 
-// preferred returns the replica that keeps the customer's connections when they are
-// scarce.
+// preferred returns the replica at which the customer keeps its connections
+// while connections are scarce, or an empty ID if they are not. It is chosen
+// by rendezvous hashing.
 func (c *targetSelector) preferred() siskin.TargetID {
 	if !c.ConnectionsScarce {
 		return ""
--- a/internal/entry/choose_test.go
+++ b/internal/entry/choose_test.go
@@ -12,11 +12,11 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// lruConnections is the connections of one target's home: the least recently used one
-// gives way to a customer without a connection.
+// lruConnections simulates the connections of one target's home. The least
+// recently used one is closed for a customer without a connection.
 type lruConnections struct {
 	limit  int
-	conns  []siskin.CustomerID // last used at the end
+	conns  []siskin.CustomerID // most recently used last
 	opened int
 }
 
@@ -32,8 +32,9 @@
 	l.conns = append(l.conns, c)
 }
 
-// simulateReads plays reads of many customers from four data centres and returns the
-// part of them that opened a connection, and the part at the busiest replica.
+// simulateReads runs reads of many customers from four data centres and
+// returns the fraction of them that opened a connection, and the fraction at
+// the busiest replica.
 func simulateReads(scarce bool) (opened, busiest float64) {
 	const customers, reads, limit = 76, 20000, 31
 	rng := rand.New(rand.NewSource(1))
@@ -51,7 +52,7 @@
 			Targets: targets, Primary: "t1", Customer: siskin.CustomerID(fmt.Sprint(zipf.Uint64())), ConnectionsScarce: scarce,
 			LocalDataCentre: siskin.DataCentreID("abcd"[rng.Intn(4)]), Now: time.Unix(1, 0),
 			View: func(siskin.TargetID) views.Target { return views.Target{} },
-			// Another statement of this VM is at a target now and then.
+			// Now and then another statement of this VM runs at a target.
 			Running: func(siskin.TargetID) int { return rng.Intn(8) / 7 },
 			Random:  rng.Float64,
 		}
@@ -66,23 +67,24 @@
 	return float64(total) / reads, float64(max(runs["t2"], runs["t3"])) / reads
 }
 
-// TestScarceConnections guards against reads that open a connection each, where
-// customers outnumber the connections of a target: on a calm day of a deployment
-// with 76 customers and 35 connections every third statement opened one.
+// TestScarceConnections guards against reads that often open a connection
+// where customers outnumber the connections of a target. In a deployment with
+// 76 customers and 35 connections every third statement opened one, without
+// high load.
 func TestScarceConnections(t *testing.T) {
 	before, _ := simulateReads(false)
 	got, busiest := simulateReads(true)
-	t.Logf("reads that open a connection: %.3f without a usual replica, %.3f with one; busiest replica %.2f", before, got, busiest)
+	t.Logf("reads that open a connection: %.3f without a preferred replica, %.3f with one; busiest replica %.2f", before, got, busiest)
 	if got > before/2 {
-		t.Errorf("reads that open a connection: got %.3f, want at most half of %.3f", got, before)
+		t.Errorf("fraction of reads that open a connection: got %.3f, want at most half of %.3f", got, before)
 	}
 	if busiest > 0.65 {
-		t.Errorf("part of the reads at the busiest replica: got %.2f, want at most 0.65", busiest)
+		t.Errorf("fraction of reads at the busiest replica: got %.2f, want at most 0.65", busiest)
 	}
 }
 
 // TestEvenReplicas guards against VMs in data centres without a target of a
-// service that all choose the same replica: in five data centres it got four
+// service that all choose the same replica. With five data centres it got four
 // fifths of the reads.
 func TestEvenReplicas(t *testing.T) {
 	rng := rand.New(rand.NewSource(1))
@@ -98,12 +100,12 @@
 		runs[c.leastLoaded()]++
 	}
 	if busiest := float64(max(runs["r1"], runs["r2"])) / reads; busiest > 0.55 {
-		t.Errorf("part of the reads at the busiest of two replicas: got %.2f, want at most 0.55", busiest)
+		t.Errorf("fraction of reads at the busiest of two replicas: got %.2f, want at most 0.55", busiest)
 	}
 }
 
-// TestEvacuatedTargets guards against reads at a target of an evacuated data centre,
-// also when it is the only one without a queue.
+// TestEvacuatedTargets guards against reads at a target of an evacuated data
+// centre, also if it is the only target without a queue.
 func TestEvacuatedTargets(t *testing.T) {
 	for evacuated, want := range map[string]siskin.TargetID{"": "r1", "a": "r1", "b": "r2", "bc": "p", "ab": "r2", "abc": ""} {
 		c := targetSelector{
@@ -126,7 +128,8 @@
 	}
 }
 
-// TestChoice guards against reads that wait at one target while another is idle.
+// TestChoice guards against reads that wait at one target while another is
+// idle.
 func TestChoice(t *testing.T) {
 	now := time.Unix(10, 0)
 	base := targetSelector{
@@ -146,15 +149,15 @@
 		want        siskin.TargetID
 	}{
 		{name: "idle", want: preferred},
-		{name: "usual one busy", running: map[siskin.TargetID]int{preferred: 3}, want: other},
-		{name: "queue at the usual one", targetViews: map[siskin.TargetID]views.Target{preferred: {Load: 4, LoadAt: now}}, want: other},
-		{name: "old queue at the usual one", targetViews: map[siskin.TargetID]views.Target{preferred: {Load: 9, LoadAt: now.Add(-loadMaxAge)}}, want: preferred},
-		{name: "usual one failed", targetViews: map[siskin.TargetID]views.Target{preferred: {Failures: 1, FailedAt: now}}, want: other},
-		{name: "usual one excluded", excluded: []siskin.TargetID{preferred}, want: other},
-		{name: "older position at the usual one", targetViews: map[siskin.TargetID]views.Target{preferred: {Position: siskin.Position{Term: 1, LSN: 3}, At: now.Add(-time.Second)}}, want: preferred},
-		{name: "usual one lagged", targetViews: map[siskin.TargetID]views.Target{preferred: {LaggedAt: now}}, want: other},
+		{name: "preferred replica busy", running: map[siskin.TargetID]int{preferred: 3}, want: other},
+		{name: "queue at the preferred replica", targetViews: map[siskin.TargetID]views.Target{preferred: {Load: 4, LoadAt: now}}, want: other},
+		{name: "old report of a queue at the preferred replica", targetViews: map[siskin.TargetID]views.Target{preferred: {Load: 9, LoadAt: now.Add(-loadMaxAge)}}, want: preferred},
+		{name: "preferred replica failed", targetViews: map[siskin.TargetID]views.Target{preferred: {Failures: 1, FailedAt: now}}, want: other},
+		{name: "preferred replica excluded", excluded: []siskin.TargetID{preferred}, want: other},
+		{name: "older position of the preferred replica", targetViews: map[siskin.TargetID]views.Target{preferred: {Position: siskin.Position{Term: 1, LSN: 3}, At: now.Add(-time.Second)}}, want: preferred},
+		{name: "preferred replica lagged", targetViews: map[siskin.TargetID]views.Target{preferred: {LaggedAt: now}}, want: other},
 		{name: "both lagged", targetViews: map[siskin.TargetID]views.Target{"r1": {LaggedAt: now}, "r2": {LaggedAt: now}}, want: "p"},
-		{name: "usual one lagged long ago", targetViews: map[siskin.TargetID]views.Target{preferred: {LaggedAt: now.Add(-laggingWindow)}}, want: preferred},
+		{name: "preferred replica lagged long ago", targetViews: map[siskin.TargetID]views.Target{preferred: {LaggedAt: now.Add(-laggingWindow)}}, want: preferred},
 		{name: "replicas busy", running: map[siskin.TargetID]int{"r1": 6, "r2": 6}, want: "p"},
 	}
 	for _, tt := range tests {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -12,20 +12,20 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// Homes runs a statement at the home of its target.
+// Homes runs statements at the homes of their targets.
 type Homes interface {
-	// Run tries the target's home and, while nothing was sent, the VMs that
-	// follow it in rank.
+	// Run tries the home of the target and, as long as the statement was not
+	// sent, the VMs next in rank.
 	Run(ctx context.Context, req *home.Request) home.Reply
 }
 
-// Limiter admits operations, and takes back those that were not sent on.
+// Limiter admits operations, and refunds those that were not sent to a target.
 type Limiter interface {
 	siskin.Limiter
 	siskin.Refunder
 }
 
-// Config holds what sessions depend on.
+// Config holds the dependencies of an Entry.
 type Config struct {
 	Clock   siskin.Clock
 	Self    siskin.VM
--- a/internal/entry/doc.go
+++ b/internal/entry/doc.go
@@ -1,7 +1,8 @@
-// Package entry serves the sessions of callers at their entry VM.
+// Package entry serves the sessions of callers at the VM that they connect to.
 //
-// It answers what concerns the session alone, decides for each operation which
-// target may run it and with which proof of freshness, sends it to the target's
-// home, and turns what is known of the outcome into an answer. An answer that
-// promises that nothing is kept is given only on proof.
+// It answers statements that only concern the session, chooses for each other
+// operation the target and the required proof of freshness, sends the
+// operation to the home of the target, and turns the known outcome into an
+// answer. An answer states that an operation had no effect only if that is
+// proven.
 package entry
--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -14,7 +14,7 @@
 	"siskintray.example/siskin/platform"
 )
 
-// blockingHomes answers each statement when it is released.
+// blockingHomes answers each statement when the test releases it.
 type blockingHomes struct{ arrived, release chan struct{} }
 
 func (h *blockingHomes) Run(context.Context, *home.Request) home.Reply {
@@ -23,8 +23,9 @@
 	return home.Reply{Outcome: home.Answered, Answer: siskin.Answer{Signature: "1"}, Tx: 1, Home: "vm"}
 }
 
-// openSession opens a session and returns a function that sends a statement, and one
-// that reads the lines of an answer and says whether the session was closed.
+// openSession opens a session. It returns a function that sends a statement,
+// and one that reads the lines of an answer and reports whether the session
+// was closed.
 func openSession(t *testing.T, f *fixture) (send func(string), receive func() (answer string, closed bool)) {
 	t.Helper()
 	caller, server := net.Pipe()
@@ -57,8 +58,9 @@
 	return func(statement string) { write("QUERY 1 " + statement) }, receive
 }
 
-// TestEndBusySession guards against a planned stop that never asks a busy session
-// to end, so that the statement after it is cut with the process.
+// TestEndBusySession guards against a planned stop that does not end a busy
+// session after its statement, so that the next one is cut when the process
+// exits.
 func TestEndBusySession(t *testing.T) {
 	f := newFixture(t)
 	blocking := &blockingHomes{make(chan struct{}, 1), make(chan struct{}, 1)}
@@ -97,7 +99,7 @@
 			f.e.EndSessions(5)
 			f.e.mu.Lock()
 			for s := range f.e.sessions {
-				s.c.Interrupt() // as from a look before the transaction began
+				s.c.Interrupt() // as if EndSessions had found the session idle
 			}
 			f.e.mu.Unlock()
 			time.Sleep(10 * time.Millisecond)
@@ -108,13 +110,13 @@
 	}
 }
 
-// panickingHomes fails by a fault of the program.
+// panickingHomes panics on each statement.
 type panickingHomes struct{}
 
-func (panickingHomes) Run(context.Context, *home.Request) home.Reply { panic("a fault on purpose") }
+func (panickingHomes) Run(context.Context, *home.Request) home.Reply { panic("panic of the test") }
 
-// TestFaultEndsOneSession guards against a fault in one statement that ends the
-// process with the sessions of all callers.
+// TestFaultEndsOneSession guards against a panic in one statement that ends
+// the process and so the sessions of all callers.
 func TestFaultEndsOneSession(t *testing.T) {
 	f := newFixture(t)
 	f.e.cfg.Homes = panickingHomes{}
@@ -122,7 +124,7 @@
 	other, answer := openSession(t, f)
 	send("READ x")
 	if got, closed := receive(); !closed {
-		t.Errorf("session with the fault: got %q, want a close", got)
+		t.Errorf("session with the panic: got %q, want a close", got)
 	}
 	f.e.cfg.Homes = f.homes
 	other("SET a b")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,7 +9,7 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Entry holds the sessions of one VM. It is safe for concurrent use.
+// Entry manages the sessions of one VM. It is safe for concurrent use.
 type Entry struct {
 	cfg  Config
 	done sync.WaitGroup
@@ -34,7 +34,7 @@
 	e.mu.Lock()
 	if e.stopped {
 		e.mu.Unlock()
-		_ = c.Close() // the VM is stopping; the caller connects to another one
+		_ = c.Close() // the VM is stopping; the caller reconnects to another one
 		return
 	}
 	e.sessions[s] = struct{}{}
@@ -56,9 +56,9 @@
 	return len(e.sessions)
 }
 
-// EndSessions asks up to n further sessions to end, and returns how many are
-// open. An idle session ends at once, another one after the answer that it waits
-// for or the end of its transaction.
+// EndSessions asks up to n more sessions to end and returns the number of open
+// sessions. An idle session ends at once, a busy one after its current
+// statement or transaction.
 func (e *Entry) EndSessions(n int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -70,7 +70,8 @@
 			continue
 		}
 		n--
-		// A session that begins a statement meanwhile sees the mark at its end.
+		// A session that begins a statement in the meantime checks draining
+		// when the statement is done.
 		if !s.busy.Load() && !s.inTx.Load() {
 			s.c.Interrupt()
 		}
@@ -98,7 +99,7 @@
 
 func (e *Entry) statementEnded(id siskin.TargetID) { e.inFlightCounter(id).Add(-1) }
 
-// running returns the number of statements that this VM has at a target.
+// running returns the number of statements of this VM in flight at a target.
 func (e *Entry) running(id siskin.TargetID) int { return int(e.inFlightCounter(id).Load()) }
 
 func (e *Entry) handleReadError(s *Session, err error) {
@@ -109,7 +110,8 @@
 	}
 }
 
-// recordRefusedSession logs a session that was not accepted or broke the protocol.
+// recordRefusedSession logs and counts a session that was refused or broke the
+// protocol.
 func (e *Entry) recordRefusedSession(s *Session, a *siskin.Answer) {
 	e.cfg.Metrics.countRefusal(a.Code)
 	e.cfg.Log.Info().Str("Database", s.database).Stringer("Code", a.Code).
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,7 +22,7 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// fakeHomes answers requests from a list of replies and records them.
+// fakeHomes answers requests from a list of replies and records the requests.
 type fakeHomes struct {
 	mu       sync.Mutex
 	replies  []home.Reply
@@ -43,7 +43,7 @@
 	return r
 }
 
-// fakeLimiter admits while open and counts refunds.
+// fakeLimiter admits unless closed and counts refunds.
 type fakeLimiter struct {
 	closed   bool
 	refunded int
@@ -109,7 +109,7 @@
 	return &Session{e: f.e, c: fakeConn{}, database: database, digest: table.Digest("key")}
 }
 
-// replies are the words of testdata for what a home can answer.
+// replies maps the words of testdata to replies of a home.
 var replies = map[string]home.Reply{
 	"ok":          {Outcome: home.Answered, Answer: siskin.Answer{Signature: "sig"}},
 	"begun":       {Outcome: home.Answered, Answer: siskin.Answer{Signature: "sig", State: siskin.TxOpen}, Tx: 7, Home: "vm-2"},
@@ -130,10 +130,11 @@
 	"WRITE": {ID: "2", Kind: siskin.Write, Text: "x 1"}, "COMMIT": {ID: "3", Kind: siskin.Commit}, "ROLLBACK": {Kind: siskin.Rollback},
 }
 
-// TestOutcomes guards against answers that promise more than is known: a write
-// of unknown outcome must be in doubt, and only proof allows a promise or a
-// second attempt. A line has the route, the statements, a colon and the replies
-// of the homes; the result has the last answer and the requests sent.
+// TestOutcomes guards against answers that claim more than is known. A write
+// of unknown outcome must be reported as in doubt, and a second attempt or a
+// claim of no effect needs proof. Each line has the route, the statements, a
+// colon and the replies of the homes, and after the arrow the last answer and
+// the requests sent.
 func TestOutcomes(t *testing.T) {
 	archive, err := txtar.ParseFile(filepath.Join("testdata", "outcomes.txtar"))
 	if err != nil {
@@ -161,7 +162,7 @@
 	for _, word := range strings.Fields(answered) {
 		r, ok := replies[word]
 		if !ok {
-			t.Fatalf("got the reply %q, want a known one", word)
+			t.Fatalf("unknown reply %q in testdata", word)
 		}
 		f.homes.replies = append(f.homes.replies, r)
 	}
@@ -178,14 +179,14 @@
 	return fmt.Sprintf("%s %s [%s]", a.Code, a.State, strings.Join(f.homes.requests, " "))
 }
 
-// TestRates guards against refusals that use up the customer's rate, and
-// against refusals that do not say when to come back.
+// TestRates guards against refused operations that use up the customer's rate,
+// and against refusals without a retry delay.
 func TestRates(t *testing.T) {
 	f := newFixture(t)
 	st := statements["WRITE"]
 	f.homes.replies = []home.Reply{replies["overload"]}
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || !strings.Contains(a.Message, "retry after 70 ms") {
-		t.Errorf("overload: got %v %q, want Busy with a time", a.Code, a.Message)
+		t.Errorf("overload: got %v %q, want Busy with a retry delay", a.Code, a.Message)
 	}
 	if f.limiter.refunded != 1 {
 		t.Errorf("refunds of an operation that was not sent: got %d, want 1", f.limiter.refunded)
@@ -196,29 +197,30 @@
 	}
 	f.homes.replies = []home.Reply{replies["evacuated"]}
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || !strings.Contains(a.Message, "retry after 500 ms") || f.limiter.refunded != 2 {
-		t.Errorf("evacuated primary: got %v %q and %d refunds, want Busy with a time and 2", a.Code, a.Message, f.limiter.refunded)
+		t.Errorf("evacuated primary: got %v %q and %d refunds, want Busy with a retry delay and 2", a.Code, a.Message, f.limiter.refunded)
 	}
 	f.limiter.closed = true
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || !strings.Contains(a.Message, "retry after 100 ms") {
-		t.Errorf("rate used up: got %v %q, want Busy with a time", a.Code, a.Message)
+		t.Errorf("rate used up: got %v %q, want Busy with a retry delay", a.Code, a.Message)
 	}
 }
 
 // TestRefusalIsQuick guards against requests that wait for a primary until
-// their deadline.
+// their timeout.
 func TestRefusalIsQuick(t *testing.T) {
 	f := newFixture(t)
 	f.e.cfg.Views.BeginChange("s", f.e.cfg.Views.LatestProof("s").Target, boot.Clock{}.Now().Add(time.Minute))
 	st := statements["WRITE"]
 	began := time.Now()
 	a, _ := f.session("primary").answer(&st)
-	// A quarter of the objective of 100 ms is what the users count as late.
+	// The users count an answer after a quarter of the objective of 100 ms as
+	// late.
 	if took := time.Since(began); a.Code != siskin.Busy || took > 25*time.Millisecond {
 		t.Errorf("during a change of primary: got %v after %v, want Busy within 25ms", a.Code, took)
 	}
 }
 
-// openingConn is a caller that opens a session, and keeps how it was answered.
+// openingConn is a caller that opens a session and records the refusal code.
 type openingConn struct {
 	fakeConn
 	refused *siskin.AnswerCode
@@ -231,9 +233,9 @@
 	return nil
 }
 
-// TestNoConfigurationYet guards against sessions that are told that their database
-// does not exist by a VM that has just started: after a loss of all power 1,600
-// were in one second.
+// TestNoConfigurationYet guards against a VM that has just started and reports
+// to sessions that their database does not exist. After a power failure of the
+// whole fleet 1,600 sessions got that answer in one second.
 func TestNoConfigurationYet(t *testing.T) {
 	f := newFixture(t)
 	d, encoded := f.e.cfg.Table.Snapshot().Deployment, f.e.cfg.Table.Snapshot().Encoded
@@ -251,9 +253,9 @@
 	}
 }
 
-// TestUnresponsivePrimary guards against statements that are sent, one after the
-// other, to a primary that is known to give no answer: writes end in doubt and
-// all wait for their time-out.
+// TestUnresponsivePrimary guards against statements that are sent, one after
+// the other, to a primary that is known not to answer. Such writes end in
+// doubt, and each waits for its timeout.
 func TestUnresponsivePrimary(t *testing.T) {
 	f := newFixture(t)
 	target := f.e.cfg.Views.LatestProof("s").Target
@@ -267,12 +269,12 @@
 	time.Sleep(unresponsivePause)
 	f.homes.replies = []home.Reply{replies["ok"]}
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Succeeded {
-		t.Errorf("write after the pause: got %v, want it tried again", a.Code)
+		t.Errorf("write after the pause: got %v, want success", a.Code)
 	}
 }
 
 // TestFloorOfSession guards against reads that miss the session's own commit,
-// and against floors of a branch that a promotion rolled back.
+// and against a minimum position on a branch that a promotion rolled back.
 func TestFloorOfSession(t *testing.T) {
 	f := newFixture(t)
 	s := f.session("own")
--- a/internal/entry/lines.go
+++ b/internal/entry/lines.go
@@ -8,19 +8,20 @@
 )
 
 const (
-	// successLinesPerSecond and failureLines bound the lines of requests a second and
-	// VM. A VM of today's size carries some 60 requests a second in all.
+	// successLinesPerSecond and failureLinesPerSecond limit the log lines for
+	// requests at one VM. A VM of today's size carries some 60 requests a
+	// second in all.
 	successLinesPerSecond = 150
 	failureLinesPerSecond = 150
-	// lineBurst is the number of lines that may come at once.
+	// lineBurst is the number of lines that may be written at once.
 	lineBurst = 300
 )
 
-// logLimiter bounds the logLimiter of requests, apart for successes and failures, so that
-// a flood of one hides none of the other.
+// logLimiter limits the log lines for requests, separately for successes and
+// failures, so that a flood of one does not suppress the other.
 type logLimiter struct {
 	success, failure *rate.Limiter
-	// suppressed counts the lines left out since the last one.
+	// suppressed counts the lines dropped since the last one was written.
 	suppressed atomic.Int64
 }
 
@@ -28,8 +29,8 @@
 	return &logLimiter{success: rate.NewLimiter(successLinesPerSecond, lineBurst), failure: rate.NewLimiter(failureLinesPerSecond, lineBurst)}
 }
 
-// next returns an entry for a request's line and how many were left out before
-// it, or says to write none.
+// next returns a log entry for a request and the number of lines dropped
+// before it. ok is false if this line is to be dropped too.
 func (l *logLimiter) next(to *log.Logger, success bool) (e *log.Entry, suppressed int64, ok bool) {
 	limiter := l.failure
 	if success {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -11,7 +11,7 @@
 // Metrics are the counters and histograms of sessions.
 type Metrics struct {
 	Sessions tally.Counter
-	// Panics counts sessions that ended by a fault of the program.
+	// Panics counts sessions that ended because of a panic.
 	Panics   tally.Counter
 	answers  map[siskin.AnswerCode]tally.Counter
 	refusals map[siskin.AnswerCode]tally.Counter
@@ -20,7 +20,7 @@
 	ran      tally.Histogram
 }
 
-// latencyBuckets cover statements from a millisecond to the longest time-outs.
+// latencyBuckets range from one millisecond to the longest timeouts.
 var latencyBuckets = tally.DurationBuckets{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
 	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -11,23 +11,24 @@
 )
 
 const (
-	// maxAttempts bounds the attempts at one statement.
+	// maxAttempts is the maximum number of attempts at one statement.
 	maxAttempts = 3
 	// budgetFactor is the number of latency objectives after which a read is
 	// given up. Callers of the known services wait five to six objectives.
 	budgetFactor = 3
-	// waitDivisor is the part of the latency objective that a statement waits
-	// for a primary to become known, or for a connection, before it is refused.
-	// The users count a refusal after a quarter of the objective as late.
+	// waitDivisor divides the latency objective to give the time that a
+	// statement waits for a primary to become known, or for a connection,
+	// before it is refused. The users count a refusal after a quarter of the
+	// objective as late.
 	waitDivisor = 5
-	// floorMargin is taken off the age that a floor may reach, for the time
-	// between the caller's first byte and the check at the home.
+	// floorMargin is subtracted from the maximum staleness, for the time
+	// between the first byte from the caller and the check at the home.
 	floorMargin = 100 * time.Millisecond
-	// minAttemptTime is the least time for one attempt of several.
+	// minAttemptTime is the least time left for which another attempt is made.
 	minAttemptTime = 60 * time.Millisecond
 )
 
-// operation is the run of one statement that needs a target.
+// operation is the execution of one statement that needs a target.
 type operation struct {
 	s        *Session
 	st       *siskin.Statement
@@ -42,7 +43,7 @@
 	reason   string // why the last attempt did not succeed
 }
 
-// runOperation runs a statement that needs a target.
+// runOperation executes a statement that needs a target.
 func (s *Session) runOperation(st *siskin.Statement) (*siskin.Answer, error) {
 	o := &operation{s: s, st: st, start: s.e.cfg.Clock.Now()}
 	var refusal *siskin.Answer
@@ -69,7 +70,7 @@
 		}
 		return o.continueTransaction()
 	}
-	// Rates count operations, so a transaction counts once, with its first
+	// Rates count operations: a transaction counts once, with its first
 	// statement.
 	ctx, cancel := context.WithTimeout(context.Background(), o.route.LatencyObjective/waitDivisor)
 	defer cancel()
@@ -98,7 +99,7 @@
 	return tx != nil && !tx.readOnly && o.s.e.writeHints.expectsWrite(o.route, o.s.e.cfg.Clock.Now())
 }
 
-// refuseNotRun refuses the operation with the promise that nothing of it is kept.
+// refuseNotRun refuses the operation and states that it had no effect.
 func (o *operation) refuseNotRun(code siskin.AnswerCode, why string, after time.Duration) *siskin.Answer {
 	message := why + "; not run"
 	if after > 0 {
@@ -111,7 +112,7 @@
 	return o.s.fail(code, message)
 }
 
-// budget is the time after which the operation is given up.
+// budget returns the total time allowed for the operation.
 func (o *operation) budget() time.Duration {
 	return min(o.route.Timeout, budgetFactor*o.route.LatencyObjective)
 }
@@ -120,7 +121,7 @@
 	return o.budget() - o.s.e.cfg.Clock.Since(o.start)
 }
 
-// request returns the part of a request that all attempts share.
+// request returns a request with the fields that all attempts have in common.
 func (o *operation) request(patience time.Duration) *home.Request {
 	req := &home.Request{
 		Statement: *o.st, Service: o.route.Service, Customer: o.customer, Values: o.s.values,
@@ -135,11 +136,11 @@
 	return req
 }
 
-// txIdleMargin is added to the idle time of transactions, so that a home does
-// not end one whose next statement is on its way.
+// txIdleMargin is added to the idle timeout of transactions, so that a home
+// does not end a transaction whose next statement is in transit.
 const txIdleMargin = 500 * time.Millisecond
 
-// run sends one request and takes over what its reply says.
+// run sends one request and records its reply.
 func (o *operation) run(req *home.Request) home.Reply {
 	o.attempts++
 	o.target = req.Target
@@ -155,9 +156,9 @@
 	return o.reply
 }
 
-// observe takes over what a reply says of the target. The moment before the
-// request was sent is earlier than the home's own question, so ages count from
-// it.
+// observe records in the views what a reply reports about the target. Ages
+// count from the time the request was sent, which precedes the home's own
+// query.
 func (o *operation) observe(req *home.Request, sentAt time.Time) {
 	v, r := o.s.e.cfg.Views, &o.reply
 	if r.LeadProven {
@@ -185,12 +186,13 @@
 	}
 }
 
-// replyMargin is the time for a home's reply to come back after the patience of
-// its request is over.
+// replyMargin is the time allowed for the reply of a home after the timeout of
+// the request.
 const replyMargin = 30 * time.Millisecond
 
-// finishAttempt takes over the transaction that a reply finishAttempt, and returns its answer.
-// With floored it was finishAttempt read-only, under a floor.
+// finishAttempt records the transaction that a reply has begun, and returns
+// the answer. withFloor is set if the request had a minimum position, so that
+// the transaction was begun read-only.
 func (o *operation) finishAttempt(reply *home.Reply, withFloor bool) *siskin.Answer {
 	a := reply.Answer
 	s := o.s
@@ -211,7 +213,8 @@
 	return &a
 }
 
-// raiseFloor sets the floor of the session's reads after a commit.
+// raiseFloor raises the minimum position of the session's reads after a
+// commit.
 func (s *Session) raiseFloor(p siskin.Position) {
 	if p.Compare(s.floor) > 0 {
 		s.floor = p
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -7,12 +7,12 @@
 	"siskintray.example/siskin/internal/home"
 )
 
-// noPrimaryRetryAfter is the time to come back after a refusal for lack of a
-// primary. A promotion takes about a second.
+// noPrimaryRetryAfter is the retry delay in a refusal for lack of a primary. A
+// promotion takes about a second.
 const noPrimaryRetryAfter = 500 * time.Millisecond
 
-// minOverloadRetryAfter is the least time to come back after a refusal for lack of
-// capacity, a few statements' time at a target.
+// minOverloadRetryAfter is the least retry delay in a refusal for lack of
+// capacity: the time of a few statements at a target.
 const minOverloadRetryAfter = 50 * time.Millisecond
 
 // runAtPrimary runs the operation at the primary of its service.
@@ -25,7 +25,8 @@
 		}
 		req := o.request(o.route.Timeout)
 		req.Target = target
-		// Time in the queue is bounded by what the caller can still use.
+		// The queue time is bounded by the time after which the answer is of
+		// no use to the caller.
 		req.QueueTimeout = o.budget() * 3 / 4
 		if !o.st.MayWrite() || o.s.tx != nil {
 			req.Proof = home.LeadProof
@@ -41,8 +42,8 @@
 				o.reason = reply.Cause.String()
 				return o.s.refuse(siskin.InDoubt, "the answer to the write is missing; check whether it took effect")
 			}
-			// Nothing of a transaction that was not committed is kept, and a
-			// read changes nothing.
+			// A transaction that was not committed leaves no effect, and
+			// neither does a read.
 			o.reason = reply.Cause.String()
 		case home.NotSent:
 			if a := o.handleNotSent(&reply); a != nil {
@@ -57,23 +58,24 @@
 }
 
 const (
-	// unresponsiveFailures is the number of failures in a row after which a primary is
-	// held to be out of reach, and silentPause the time after the last one in
-	// which nothing is sent to it. A statement that waits for it takes up to its
-	// time-out, and is refused all the same. The watch over the primary asks it
-	// each 200 ms.
+	// unresponsiveFailures is the number of consecutive failures after which a
+	// primary counts as unresponsive, and unresponsivePause the time after the
+	// last one in which nothing is sent to it. A statement sent to it would
+	// wait for its timeout and be refused anyway. The primary's watcher probes
+	// it every 200 ms.
 	unresponsiveFailures = 3
 	unresponsivePause    = 200 * time.Millisecond
 )
 
-// unresponsive reports whether a target has just failed again and again.
+// unresponsive reports whether the last attempts at a target have all failed
+// and the latest failure is recent.
 func (o *operation) unresponsive(id siskin.TargetID) bool {
 	t := o.s.e.cfg.Views.Target(id)
 	return o.attempts == 0 && t.Failures >= unresponsiveFailures && o.s.e.cfg.Clock.Since(t.FailedAt) < unresponsivePause
 }
 
-// handleAnswer returns the answer of a target, or says to try again because the
-// target did not run the statement.
+// handleAnswer returns the answer of a target, or sets retry if the target did
+// not run the statement.
 func (o *operation) handleAnswer(reply *home.Reply) (a *siskin.Answer, retry bool) {
 	switch reply.Answer.Code {
 	case siskin.ReadOnly, siskin.NoStatement:
@@ -83,8 +85,8 @@
 		}
 	case siskin.Succeeded:
 		if reply.LeadProven {
-			// The primary has every commit that counts, so a floor from a
-			// branch that a promotion rolled back ends here.
+			// The primary has every valid commit, so its position replaces a
+			// floor that belongs to a branch which a promotion rolled back.
 			o.s.floor = reply.Lead
 		}
 		if o.st.MayWrite() && o.s.tx == nil {
@@ -94,8 +96,8 @@
 	return o.finishAttempt(reply, false), false
 }
 
-// handleNotSent handles a statement that was not sent. It returns nil when another
-// attempt makes sense.
+// handleNotSent returns the answer to a statement that was not sent, or nil if
+// another attempt can succeed.
 func (o *operation) handleNotSent(reply *home.Reply) *siskin.Answer {
 	o.reason = reply.Cause.String()
 	switch reply.Cause {
@@ -116,7 +118,8 @@
 	return nil
 }
 
-// awaitPrimary returns the awaitPrimary, waiting a little when none is known.
+// awaitPrimary returns the primary of the service. If none is known, it waits
+// for one up to a part of the latency objective.
 func (o *operation) awaitPrimary() siskin.TargetID {
 	e := o.s.e
 	name := o.route.Service
--- a/internal/entry/replica.go
+++ b/internal/entry/replica.go
@@ -8,8 +8,9 @@
 	"siskintray.example/siskin/internal/home"
 )
 
-// runAtReplica runs a read, or a read-only transaction, at any target that has the
-// data. When no floor of the allowed age is known the primary runs it.
+// runAtReplica runs a read, or a read-only transaction, at any target that has
+// reached the required position. Without a known position of the allowed age
+// it runs at the primary.
 func (o *operation) runAtReplica() *siskin.Answer {
 	for o.attempts < maxAttempts-1 && o.remaining() > minAttemptTime {
 		floor, valid := o.floor()
@@ -28,7 +29,7 @@
 			}
 			o.reason = a.Code.String()
 			if a.Code == siskin.Lagging {
-				break // only the primary has the position for certain
+				break // only the primary is sure to have reached the position
 			}
 		} else {
 			o.reason = reply.Cause.String()
@@ -41,8 +42,8 @@
 	return o.runAtPrimary()
 }
 
-// floor returns the position that a read must see, and how much longer it is
-// young enough.
+// floor returns the minimum position that a read must see, and how much longer
+// that position meets the staleness bound of the route.
 func (o *operation) floor() (siskin.Position, time.Duration) {
 	lead := o.s.e.cfg.Views.LatestProof(o.route.Service)
 	if lead.Position.IsZero() {
@@ -56,7 +57,8 @@
 	return floor, valid
 }
 
-// selectTarget returns the target for a read, the least loaded one as far as known.
+// selectTarget returns the target for a read: the one with the lowest known
+// load.
 func (o *operation) selectTarget() siskin.TargetID {
 	e := o.s.e
 	targets := e.cfg.Roster.Service(o.route.Service)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -25,15 +25,15 @@
 	digest   [sha256.Size]byte
 	values   []home.Value // ordered by name
 	prepared map[string]home.Prepared
-	// floor is the position of the session's newest acknowledged commit.
+	// floor is the position of the newest acknowledged commit of the session.
 	floor siskin.Position
 	tx    *transaction
 	// busy is set while a statement is in progress.
 	busy atomic.Bool
-	// inTx mirrors whether tx is set, for other goroutines.
+	// inTx mirrors tx != nil for other goroutines.
 	inTx atomic.Bool
-	// draining says that the session ends once no statement or transaction is in
-	// progress.
+	// draining is set when the session is to end as soon as no statement or
+	// transaction is in progress.
 	draining atomic.Bool
 }
 
@@ -74,9 +74,9 @@
 	}
 }
 
-// recoverPanic ends this session alone after a fault of the program, so that one
-// statement does not end the sessions of all callers. Its caller gets no answer,
-// which promises nothing.
+// recoverPanic limits a panic to this session, so that one statement cannot
+// end the sessions of all callers. The caller gets no answer, so the outcome
+// of its statement is left open.
 func (s *Session) recoverPanic() {
 	v := recover()
 	if v == nil {
@@ -103,13 +103,14 @@
 	return s.c.Ready()
 }
 
-// configurationWait is the time for which a new session waits for the first
-// configuration of a VM that has just started. It comes from peers or the store
-// within half a second.
+// configurationWait is how long a new session waits for the first
+// configuration of a VM that has just started. The VM gets it from peers or
+// the store within half a second.
 const configurationWait = 700 * time.Millisecond
 
-// awaitConfiguration waits until this VM has a configuration. After a loss of all
-// power the balancer sends callers to VMs that are not ready yet.
+// awaitConfiguration waits until this VM has a configuration. After a power
+// failure of the whole fleet the balancer sends callers to VMs that are not
+// ready yet.
 func (s *Session) awaitConfiguration() {
 	t := s.e.cfg.Table
 	for limit := s.e.cfg.Clock.After(configurationWait); ; {
@@ -126,7 +127,7 @@
 }
 
 // authorize returns the route and the customer of the session under the
-// deployment in force, or the answer that refuses them.
+// current deployment, or the answer that refuses the session.
 func (s *Session) authorize() (*siskin.RouteSpec, siskin.CustomerID, *siskin.Answer) {
 	snap := s.e.cfg.Table.Snapshot()
 	if snap.Version == 0 {
@@ -143,7 +144,7 @@
 	return route, customer, nil
 }
 
-// end rolls back what is open and closes the connection.
+// end rolls back an open transaction and closes the connection.
 func (s *Session) end() {
 	if s.tx != nil {
 		s.rollback()
@@ -152,7 +153,7 @@
 	s.e.remove(s)
 }
 
-// state returns the transaction state that the caller sees.
+// state returns the transaction state as reported to the caller.
 func (s *Session) state() siskin.TxState {
 	switch {
 	case s.tx == nil:
@@ -164,14 +165,16 @@
 	}
 }
 
-// emptyAnswer returns the answer to a statement that concerns the session alone.
+// emptyAnswer returns a successful answer without rows, for statements that
+// only change the session.
 func (s *Session) emptyAnswer() *siskin.Answer { return &siskin.Answer{State: s.state()} }
 
 func (s *Session) refuse(code siskin.AnswerCode, message string) *siskin.Answer {
 	return &siskin.Answer{Code: code, Message: message, State: s.state()}
 }
 
-// answer carries out one statement. An error ends the session after the answer.
+// answer executes one statement. A non-nil error ends the session after the
+// answer.
 func (s *Session) answer(st *siskin.Statement) (*siskin.Answer, error) {
 	if s.tx != nil && s.tx.failed && st.Kind != siskin.Commit && st.Kind != siskin.Rollback {
 		return s.refuse(siskin.Malformed, "the transaction has failed; end it first"), nil
@@ -242,7 +245,8 @@
 	s.values = slices.Insert(s.values, i, home.Value{Name: name, Text: text})
 }
 
-// isNormalClose reports whether err is an ordinary end of a session.
+// isNormalClose reports whether err means that the caller or this VM closed
+// the connection.
 func isNormalClose(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed)
 }
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -8,25 +8,26 @@
 	"siskintray.example/siskin/internal/home"
 )
 
-// transaction is the open transaction of a session. It is begun at a target
-// with its first statement.
+// transaction is the open transaction of a session. The target begins it with
+// its first statement.
 type transaction struct {
 	readOnly bool
-	// begun says that a target has begun it.
+	// begun is set once a target has begun the transaction.
 	begun  bool
 	failed bool
 	wrote  bool
-	// begunReadOnly says that a plain transaction was begun read-only.
+	// begunReadOnly is set for a transaction that the caller did not declare
+	// read-only but that was begun read-only at a target.
 	begunReadOnly bool
 	target        siskin.TargetID
 	home          siskin.VMID
 	id            home.TxID
 }
 
-// rollbackTimeout bounds the end of a transaction that nobody waits for.
+// rollbackTimeout bounds a rollback whose answer no caller waits for.
 const rollbackTimeout = 500 * time.Millisecond
 
-// rollback ends the transaction without a trace.
+// rollback rolls back the transaction and ignores the result.
 func (s *Session) rollback() {
 	tx := s.tx
 	s.tx = nil
@@ -39,13 +40,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 	defer cancel()
-	// A rollback that gets lost is made up for by the home, which ends
-	// transactions that stay idle.
+	// If the rollback is lost, the home ends the transaction once it has been
+	// idle for too long.
 	s.e.cfg.Homes.Run(ctx, req)
 }
 
-// abortReadOnlyTransaction ends a plain transaction that was begun read-only and is to
-// write.
+// abortReadOnlyTransaction rolls back a transaction that was begun read-only
+// when its caller sends a write.
 func (o *operation) abortReadOnlyTransaction() *siskin.Answer {
 	o.reason = "BeganAtReplica"
 	tx := *o.s.tx
@@ -55,7 +56,8 @@
 	return o.s.refuse(siskin.Aborted, "the transaction was begun read-only at a replica and was rolled back; run it again")
 }
 
-// continueTransaction runs a statement of a transaction that a target has begun.
+// continueTransaction runs a statement of a transaction that a target has
+// begun.
 func (o *operation) continueTransaction() *siskin.Answer {
 	tx := o.s.tx
 	req := o.request(o.route.Timeout)
@@ -85,7 +87,7 @@
 	case commit && reply.Outcome == home.InDoubt && tx.wrote:
 		return o.s.refuse(siskin.InDoubt, "the answer to the commit is missing; check whether it took effect")
 	}
-	// No commit was sent, or it had nothing to commit.
+	// No commit was sent, or the transaction had no writes to commit.
 	if !commit {
 		tx.failed, tx.begun = true, false
 	}
--- a/internal/entry/writing.go
+++ b/internal/entry/writing.go
@@ -7,17 +7,18 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// writeHintPeriod is the time for which a route counts as one whose transactions
-// write, after one did.
+// writeHintPeriod is how long transactions of a route are expected to write
+// after one of them did.
 const writeHintPeriod = 5 * time.Minute
 
-// writeHints remembers the routes whose plain transactions write.
+// writeHints records the routes whose transactions write although they are not
+// declared as writing.
 //
-// On a route that accepts old data a plain transaction is expected to read only,
-// so it begins read-only at a replica. With transactions of several statements,
-// such routes would else hold most slots of the primary, which alone can run
-// writes. A write in such a transaction ends it without a trace, and those that
-// follow on the route begin at the primary.
+// On a route with bounded staleness a transaction is expected only to read, so
+// it is begun read-only at a replica. Otherwise transactions of several
+// statements on such routes would hold most slots of the primary, which alone
+// can run writes. A write in such a transaction aborts it without an effect,
+// and the following transactions on the route begin at the primary.
 type writeHints struct {
 	until *shard.Map[siskin.RouteName, time.Time]
 }
@@ -28,7 +29,8 @@
 	w.until.Put(route, now.Add(writeHintPeriod))
 }
 
-// expectsWrite reports whether plain transactions of a route are expected to write.
+// expectsWrite reports whether transactions of a route, other than declared
+// read-only ones, are expected to write.
 func (w *writeHints) expectsWrite(route *siskin.RouteSpec, now time.Time) bool {
 	if route.Kind != siskin.BoundedStaleness {
 		return true
--- a/internal/feed/evacuations.go
+++ b/internal/feed/evacuations.go
@@ -12,7 +12,8 @@
 	return at
 }
 
-// readEvacuations reads the evacuated data centres, which the objects are named after.
+// readEvacuations reads the evacuated data centres, whose IDs are the names of
+// the objects.
 func (f *Feed) readEvacuations(ctx context.Context, asked time.Time) error {
 	l, err := f.cfg.Store.List(ctx, f.cfg.EvacuationKind)
 	if err != nil {
--- a/internal/feed/evacuations_test.go
+++ b/internal/feed/evacuations_test.go
@@ -10,7 +10,7 @@
 	"siskintray.example/siskin/internal/boot"
 )
 
-// evacuate changes the evacuations as the operator does.
+// evacuate replaces the evacuations, as an operator does.
 func (s *fakeStore) evacuate(names ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -37,8 +37,9 @@
 	}
 }
 
-// TestEvacuationsInForce guards against an evacuation that is read too late, also
-// when the store was away or cannot list evacuations for a while.
+// TestEvacuationsInForce guards against an evacuation that is applied too
+// late, also after an outage of the store or while the store cannot list
+// evacuations.
 func TestEvacuationsInForce(t *testing.T) {
 	t.Parallel()
 	f := startFeedWith(t, "evacuations")
@@ -67,8 +68,8 @@
 	f.awaitEvacuated(t, nil, 2500*time.Millisecond)
 }
 
-// TestUnchangedEvacuationsAreNotRead guards against calls for evacuations while the
-// version of the store stays, and on platforms that have none.
+// TestUnchangedEvacuationsAreNotRead guards against reads of the evacuations
+// while the version of the store is unchanged, or on platforms that have none.
 func TestUnchangedEvacuationsAreNotRead(t *testing.T) {
 	t.Parallel()
 	for _, kind := range []siskin.ObjectKind{"evacuations", ""} {
@@ -76,7 +77,7 @@
 			t.Parallel()
 			f := startFeedWith(t, kind)
 			f.await(t, "1", time.Second)
-			time.Sleep(500 * time.Millisecond) // the first list is read
+			time.Sleep(500 * time.Millisecond) // the first list has been read by then
 			before := f.store.evacuationListCalls()
 			if kind == "" && before > 0 {
 				t.Errorf("reads of evacuations where there are none: got %d, want 0", before)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,10 +1,11 @@
 // Package feed keeps the fleet up to date with the platform's store: the
 // operator's configuration, the targets and the VMs.
 //
-// The VMs share the reading. Each passes on with its pings what it knows and how
-// old that is, and reads the store itself only when its knowledge is older than
-// it should be. So the number of calls hardly grows with the fleet, and a watch
-// that is cut or hears nothing delays no change.
+// The VMs share the reads. Each VM passes its data and its age on with its
+// pings, and reads the store itself only when its own data is older than
+// allowed. So the number of calls to the store hardly grows with the fleet.
+// Since the store is polled, a watch that is disconnected or delivers nothing
+// cannot delay a change.
 package feed
 
 import (
@@ -21,83 +22,87 @@
 )
 
 const (
-	// configMaxAge is the age at which a VM reads the configuration itself. With
-	// stagger, a slow store and a ping on top, a change is in force everywhere
-	// within the 3 s that the users ask for.
+	// configMaxAge is the age at which a VM reads the configuration itself.
+	// Together with maxJitter, a slow store and a ping, a change is applied
+	// everywhere within the 3 s that the users require.
 	configMaxAge = time.Second
-	// targetMaxAge is the same for the list of targets. The users ask for 7 s.
+	// targetMaxAge is the same for the list of targets. The users require 7 s.
 	targetMaxAge = 1500 * time.Millisecond
-	// evacuationMaxAge is the same for the list of evacuations, which is confirmed with
-	// the list of targets while the store's version stays. With takeOver, stagger,
-	// followerDelay and two pings it is in force everywhere within 4.5 s; the users
-	// ask for 5 s.
+	// evacuationMaxAge is the same for the list of evacuations, which is
+	// confirmed with the list of targets as long as the version of the store
+	// is unchanged. Together with nonReaderDelay, maxJitter, followerDelay and
+	// two pings, it is applied everywhere within 4.5 s; the users require 5 s.
 	evacuationMaxAge = 1800 * time.Millisecond
-	// nonReaderDelay is added to the age for all VMs but the last reader, so that one
-	// VM goes on reading and its result reaches the others before they read. A
-	// ping takes up to 300 ms.
+	// nonReaderDelay is added to the age for all VMs but the last reader, so
+	// that one VM remains the reader and its result reaches the others before
+	// they read. A ping takes up to 300 ms.
 	nonReaderDelay = 450 * time.Millisecond
-	// maxJitter spreads the reads of the others when the reader is gone.
+	// maxJitter spreads the reads of the other VMs when the reader has failed.
 	maxJitter = 700 * time.Millisecond
-	// pollInterval is the time between two looks at an age.
+	// pollInterval is the time between two checks of an age.
 	pollInterval = 100 * time.Millisecond
-	// minBackoff and longestPause bound the pause after a failed call, and
-	// followerPause that of VMs of a large fleet that leave reading to relays.
+	// minBackoff and maxBackoff bound the delay after a failed call, and
+	// followerMaxBackoff that of VMs of a large fleet that leave reading to
+	// relays.
 	minBackoff         = 100 * time.Millisecond
 	maxBackoff         = time.Second
 	followerMaxBackoff = 4 * time.Second
-	// followerDelay is added to the age for these VMs. With configAge, takeOver
-	// and stagger it stays below the 3 s for a configuration.
+	// followerDelay is added to the age for these VMs. Together with
+	// configMaxAge, nonReaderDelay and maxJitter it stays below the 3 s for a
+	// configuration.
 	followerDelay = 500 * time.Millisecond
-	// maxFollowerPollInterval bounds the time between two looks of such a VM.
+	// maxFollowerPollInterval bounds the time between two checks of such a VM.
 	maxFollowerPollInterval = 400 * time.Millisecond
-	// peerWait is the time for which a starting VM that is no seed expects its
-	// peers to pass on what they know.
+	// peerWait is how long a starting VM that is no seed waits for data from
+	// its peers before it reads the store.
 	peerWait = time.Second
-	// aloneReadInterval is the time between two reads of the VMs by one that has
-	// contact to none.
+	// aloneReadInterval is the time between two reads of the list of VMs by a
+	// VM that has no contact with any other.
 	aloneReadInterval = time.Second
 )
 
-// VMKind is the kind of the objects by which VMs find each other.
+// VMKind is the kind of the store objects by which VMs discover each other.
 const VMKind siskin.ObjectKind = "vms"
 
-// Config holds what a Feed depends on.
+// Config holds the dependencies of a Feed.
 type Config struct {
 	Clock siskin.Clock
 	Store siskin.Store
 	Log   *log.Logger
-	// ConfigKind, ConfigName and TargetKind name the platform's own objects.
+	// ConfigKind, ConfigName and TargetKind identify the objects of the
+	// platform.
 	ConfigKind siskin.ObjectKind
 	ConfigName string
 	TargetKind siskin.ObjectKind
-	// EvacuationKind names the objects that evacuate a data centre, empty where the
-	// platform has none.
+	// EvacuationKind is the kind of the objects that evacuate a data centre,
+	// empty if the platform has none.
 	EvacuationKind siskin.ObjectKind
-	// ParseTarget decodes the entry of a target.
+	// ParseTarget decodes the store object of a target.
 	ParseTarget func(siskin.StoreObject) (siskin.TargetInfo, error)
-	// Apply puts an encoded configuration in force.
+	// Apply applies an encoded configuration.
 	Apply  func(encoded []byte, source string)
 	Table  *table.Table
 	Roster *roster.Roster
 	Crew   *crew.Crew
 	// OnHolders is called once with the VMs that share the customers' rates.
 	OnHolders func([]siskin.VMID)
-	// KnownHolders returns them once they are known, also from a peer.
+	// KnownHolders returns these VMs, or nil until they are known from the
+	// store or a peer.
 	KnownHolders func() []siskin.VMID
 }
 
-// Feed reads the store. Close ends it.
+// Feed polls the store until Close is called.
 type Feed struct {
 	cfg    Config
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 	outage outageState
-	// configVersion is the version of the store up to which this VM knows the
-	// configuration. It belongs to the goroutine that reads it.
+	// configVersion is the store version up to which this VM has read the
+	// configuration. Only the goroutine that reads it uses this field.
 	configVersion siskin.Version
 }
 
-// Start begins to read.
+// Start begins to poll the store.
 func Start(cfg Config) *Feed {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Feed{cfg: cfg, stop: cancel}
@@ -111,7 +116,7 @@
 	return f
 }
 
-// Close stops reading and waits.
+// Close stops polling and waits for the goroutines to end.
 func (f *Feed) Close() error {
 	f.stop()
 	f.done.Wait()
@@ -123,8 +128,10 @@
 	return at
 }
 
-// readConfig asks for changes of the configuration, and reads all of it when it must:
-// with many routes it is large, and a read each second filled the link of a VM.
+// readConfig reads the changes of the configuration, or all of it if it has no
+// earlier version or the store no longer has the changes. With many routes the
+// configuration is large, and a full read every second filled the link of a
+// VM.
 func (f *Feed) readConfig(ctx context.Context, asked time.Time) error {
 	if f.configVersion > 0 {
 		l, err := f.cfg.Store.Changes(ctx, f.cfg.ConfigKind, f.configVersion)
@@ -161,7 +168,7 @@
 	for _, o := range l.Objects {
 		info, err := f.cfg.ParseTarget(o)
 		if err != nil {
-			f.cfg.Log.Warn().Err(err).Msg("an entry names no target")
+			f.cfg.Log.Warn().Err(err).Msg("skipping a store object that cannot be decoded as a target")
 			continue
 		}
 		list = append(list, info)
@@ -170,6 +177,6 @@
 	if f.cfg.EvacuationKind == "" || f.cfg.Roster.ConfirmEvacuations(l.Version, asked) {
 		return nil
 	}
-	// Something has changed in the store since the list of evacuations was read.
+	// The store has changed since the list of evacuations was read.
 	return f.readEvacuations(ctx, f.cfg.Clock.Now())
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -18,16 +18,17 @@
 	"siskintray.example/siskin/internal/table"
 )
 
-// fakeStore holds one configuration and fails on demand.
+// fakeStore holds one configuration and returns errors set by the test.
 type fakeStore struct {
 	mu    sync.Mutex
 	err   error
 	reads int
 	value string
 	rev   siskin.Version
-	bytes int // of configurations that were sent
-	// evacuated are the objects of kind evacuations, listed is the number of reads
-	// of them, and unknown their error.
+	bytes int // of configurations returned
+	// evacuated holds the names of the objects of kind evacuations,
+	// evacuationLists counts the reads of them, and evacuationsErr is the
+	// error of these reads.
 	evacuated       []string
 	evacuationLists int
 	evacuationsErr  error
@@ -147,8 +148,8 @@
 	}
 }
 
-// TestConfigurationInForce guards against changes that take longer than the 3 s
-// that the users allow, also right after an outage of the store.
+// TestConfigurationInForce guards against changes that take longer than the 3
+// s that the users allow, also right after an outage of the store.
 func TestConfigurationInForce(t *testing.T) {
 	t.Parallel()
 	f := startFeed(t)
@@ -161,8 +162,8 @@
 	f.await(t, "3", 3*time.Second)
 }
 
-// TestUnchangedIsNotRead guards against reads of a large configuration that did
-// not change: with 1 MB each second the links of small VMs were full.
+// TestUnchangedIsNotRead guards against reads of a large configuration that
+// has not changed. Reads of 1 MB every second filled the links of small VMs.
 func TestUnchangedIsNotRead(t *testing.T) {
 	t.Parallel()
 	f := startFeed(t)
@@ -180,7 +181,8 @@
 }
 
 // TestOthersRead guards against a VM that reads the store although a peer has
-// just done so, and against one that never does when its peers stop.
+// just done so, and against one that does not resume reading when its peers
+// stop.
 func TestOthersRead(t *testing.T) {
 	t.Parallel()
 	f := startFeed(t)
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -21,26 +21,28 @@
 )
 
 const (
-	// createDelay is the time after which a VM creates the record when there is
+	// createDelay is the time after which a VM creates the record if there is
 	// none. All VMs of a new fleet start within 300 ms and register at once.
 	createDelay = 3 * time.Second
-	// holdersPeerWait is the time for which a VM expects the record from its peers.
-	// Seeds, which all ask at their start, and the VM with the smallest id read
-	// the store meanwhile.
+	// holdersPeerWait is how long a VM waits for its peers to send the record.
+	// Meanwhile it is read from the store by the seeds, which all read when
+	// they start, and by the VM with the smallest ID.
 	holdersPeerWait = 6 * time.Second
-	// holdersReadInterval is the pause between two reads of a record that is missing.
+	// holdersReadInterval is the least time between two reads while the record
+	// is missing.
 	holdersReadInterval = time.Second
 )
 
-// holdersRecord is the value of the record. It is never changed: a holder that
-// is cut off may use its share at any time.
+// holdersRecord is the value of the record. It never changes, since a holder
+// that is cut off may use its share at any time.
 type holdersRecord struct{ Holders []siskin.VMID }
 
-// maxHolders bounds the VMs that hold shares. Each exchanges loans with the owners
-// of pools several times a second, and a part of a token admits nothing.
+// maxHolders limits the VMs that hold shares. Each exchanges loans with the
+// owners of the pools several times a second, and a fraction of a token admits
+// nothing.
 const maxHolders = 36
 
-// chooseHolders returns the VMs that are to hold shares, spread evenly over the
+// chooseHolders returns the VMs that will hold shares, spread evenly over the
 // data centres.
 func chooseHolders(nodes []crew.Node) []siskin.VMID {
 	slices.SortFunc(nodes, func(a, b crew.Node) int {
@@ -58,7 +60,7 @@
 	return ids
 }
 
-// loadHolders reads the record, or creates it from the VMs known.
+// loadHolders reads the record, or creates it from the known VMs.
 func (f *Feed) loadHolders(ctx context.Context) {
 	start := f.cfg.Clock.Now()
 	for ctx.Err() == nil && f.cfg.KnownHolders() == nil {
@@ -78,19 +80,21 @@
 				continue
 			}
 			if err := json.Unmarshal(o.Value, &r); err != nil {
-				f.cfg.Log.Error().Err(err).Msg("the record of shares cannot be read; this VM holds none")
+				f.cfg.Log.Error().Err(err).Msg("cannot decode the record of share holders; this VM holds no shares")
 				return
 			}
 			f.cfg.OnHolders(r.Holders)
 			return
 		}
-		// A VM that has found no other yet must not keep all rates to itself.
+		// A VM that has not found any other yet must not assign all rates to
+		// itself.
 		alone := len(f.cfg.Crew.Live()) < 2 && f.cfg.Clock.Since(start) < holdersPeerWait
 		if err == nil && f.cfg.Clock.Since(start) > createDelay && !alone {
 			r := holdersRecord{chooseHolders(f.cfg.Crew.Nodes())}
-			// Whether or not this VM created it, the next read tells.
+			// The next read shows the record, whether this VM or another
+			// created it.
 			if _, err := f.cfg.Store.Create(ctx, holdersKind, holdersName, r); err != nil {
-				f.cfg.Log.Info().Err(err).Msg("the record of shares was not created")
+				f.cfg.Log.Info().Err(err).Msg("did not create the record of share holders")
 			}
 			continue
 		}
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -7,16 +7,18 @@
 	"time"
 )
 
-// outageState tells one loss of the store from many failed calls.
+// outageState makes many failed calls during one outage of the store count as
+// one event.
 type outageState struct {
 	mu    sync.Mutex
 	since time.Time // zero while the store answers
 }
 
-// poll calls read whenever what is known is older than age.
+// poll calls read whenever the data is older than age. known returns when the
+// data was last confirmed.
 func (f *Feed) poll(ctx context.Context, what string, age time.Duration, known func() time.Time, read func(context.Context, time.Time) error) {
 	backoff := minBackoff
-	var last time.Time // of this VM's own last read
+	var last time.Time // start of this VM's last own read
 	jitter := rand.N(maxJitter)
 	f.awaitPeers(ctx, known)
 	for ctx.Err() == nil {
@@ -30,7 +32,8 @@
 			due, backoffLimit = due+followerDelay, followerMaxBackoff
 		}
 		if left := due - f.cfg.Clock.Since(at); left > 0 {
-			// A follower hardly ever reads, and each look wakes it up.
+			// A follower hardly ever reads, so it checks less often to avoid
+			// needless wake-ups.
 			interval := pollInterval
 			if follows {
 				interval = max(interval, min(left, maxFollowerPollInterval))
@@ -53,8 +56,8 @@
 	}
 }
 
-// awaitPeers waits until peers have told a starting VM what it reads. Seeds and
-// VMs without any read at once.
+// awaitPeers waits up to peerWait for the peers of a starting VM to send the
+// data that it polls. A seed does not wait.
 func (f *Feed) awaitPeers(ctx context.Context, known func() time.Time) {
 	if f.cfg.Crew.IsSeed() {
 		return
--- a/internal/feed/vms.go
+++ b/internal/feed/vms.go
@@ -10,7 +10,8 @@
 	"siskintray.example/siskin/internal/crew"
 )
 
-// register publishes this VM until the store has it, and finds the others.
+// register writes this VM's object to the store, retrying until it succeeds,
+// and then looks for other VMs while this one has no contact with any.
 func (f *Feed) register(ctx context.Context) {
 	self := f.cfg.Crew.Node()
 	backoff := minBackoff
@@ -23,7 +24,7 @@
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
-	// Further VMs make themselves known with their pings.
+	// Further VMs announce themselves with their pings.
 	for ctx.Err() == nil {
 		sleep(ctx, aloneReadInterval)
 		if len(f.cfg.Crew.Live()) < 2 {
@@ -34,7 +35,7 @@
 	}
 }
 
-// publish writes this VM's object, over that of an earlier run if there is one.
+// publish creates this VM's object, or overwrites the one of an earlier run.
 func (f *Feed) publish(ctx context.Context, self crew.Node) error {
 	_, err := f.cfg.Store.Create(ctx, VMKind, string(self.ID), self)
 	if siskin.KindOf(err) != siskin.Conflict {
@@ -61,7 +62,7 @@
 		f.cfg.Crew.Learn(n)
 	}
 	if bad != nil {
-		f.cfg.Log.Warn().Err(bad).Msg("some entries name no VM")
+		f.cfg.Log.Warn().Err(bad).Msg("skipping store objects that cannot be decoded as VMs")
 	}
 	return l, err
 }
--- a/internal/sysd/cold.go
+++ b/internal/sysd/cold.go
@@ -8,24 +8,27 @@
 )
 
 const (
-	// coldRateShare is the part of the allowed rate that cold targets get. Tokens taken
-	// ahead live for 0.25 s and a proof before the statement takes up to 0.3 s, so a
-	// second may see 1.55 times the rate.
+	// coldRateShare is the part of the allowed rate that is admitted to cold
+	// targets. Tokens taken in advance are valid for 0.25 s, and a proof
+	// before the statement takes up to 0.3 s, so 1.55 times the rate may
+	// arrive in one second.
 	coldRateShare = 0.6
-	// coldSlackReserve is the number of statements kept back of the slack, for two that
-	// arrive closer together than they were sent.
+	// coldSlackReserve is the number of statements subtracted from the slack,
+	// for two that arrive closer together than they were sent.
 	coldSlackReserve = 1
 )
 
-// coldRateID names the rate that the cold targets of a service share, among those of
-// customers. It holds a blank, which no customer's name can on the wire.
+// coldRateID returns the customer ID under which the rate of the cold targets
+// of a service is shared. It contains a blank, which no customer name on the
+// wire can.
 func coldRateID(name siskin.ServiceName) siskin.CustomerID {
 	return siskin.CustomerID("cold targets of " + name)
 }
 
-// addColdRates adds a rate for the cold targets of each service to a configuration.
-// It is shared across the fleet like those of customers: each VM that reaches a
-// target may take itself for its home, and all count together.
+// addColdRates adds a rate for the cold targets of each service to a
+// configuration. The rate is shared across the fleet like those of customers,
+// since several VMs can each consider themselves the home of a target, and the
+// statements of all of them count together.
 func addColdRates(d *siskin.Deployment, excess, slack float64) {
 	if excess == 0 && slack == 0 {
 		return
@@ -41,8 +44,8 @@
 	}
 }
 
-// coldDuration returns the time for which targets of a service stay cold after their
-// start, zero when they are never cold.
+// coldDuration returns how long targets of a service are cold after their
+// start, or zero if they are never cold.
 func (n *node) coldDuration(name siskin.ServiceName) time.Duration {
 	if s, ok := n.table.Snapshot().Service(name); ok {
 		return s.ColdDuration
@@ -50,13 +53,14 @@
 	return 0
 }
 
-// mayBeCold reports whether a target may be cold that this VM uses since the time
-// opened and that failed last at another one.
+// mayBeCold reports whether a target may be cold, given when this VM opened
+// its connection and when the target last failed at another VM.
 func (n *node) mayBeCold(t siskin.TargetInfo, opened, failed time.Time) bool {
 	return n.coldDuration(t.Service) > 0 && n.roster.MayBeCold(t.ID, opened, failed, n.clock.Now())
 }
 
-// admitCold takes a statement from the rate of the cold targets of a service.
+// admitCold admits a statement under the rate for the cold targets of a
+// service.
 func (n *node) admitCold(ctx context.Context, name siskin.ServiceName) siskin.Admission {
 	return n.rates.AdmitWait(ctx, coldRateID(name), 1)
 }
--- a/internal/sysd/cold_test.go
+++ b/internal/sysd/cold_test.go
@@ -9,20 +9,22 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// testColdRate is the rate that a cold target of the tests bears.
+// testColdRate is the rate that a cold target of the tests can handle, in
+// statements per second.
 const testColdRate = 20
 
-// coldBound is the most statements that a cold target may get in one second.
+// coldBound is the maximum number of statements that a cold target may get in
+// one second.
 const coldBound = testColdRate*testColdExcess + testColdSlack
 
-// setColdDeployment puts a configuration in force whose targets start cold.
+// setColdDeployment applies a configuration whose targets start cold.
 func (f *testFleet) setColdDeployment() {
 	f.t.Helper()
 	f.revision++
 	d := testDeployment(f.revision)
 	d.Services[0].ColdRate, d.Services[0].ColdDuration = testColdRate, 10*time.Second
 	f.platform.SetDeployment(d)
-	f.await("the configuration is in force", 5*time.Second, func() bool {
+	f.await("the configuration is applied", 5*time.Second, func() bool {
 		for i := range len(f.nodes) {
 			if f.node(i).table.Snapshot().Version != siskin.Revision(f.revision) {
 				return false
@@ -32,8 +34,9 @@
 	})
 }
 
-// busiestSecond returns the most statements of callers that reached a target in one
-// second after a moment, and their number.
+// busiestSecond returns the maximum number of statements of callers that
+// reached a target in any one second after the given time, and their total
+// number.
 func busiestSecond(target *stand.Target, from time.Time) (most, all int) {
 	list := target.Arrivals("acme")
 	for len(list) > 0 && list[0].Before(from) {
@@ -49,8 +52,9 @@
 	return most, len(list)
 }
 
-// TestColdTargetIsNotFlooded guards against more statements to a cold target than it
-// bears, from all VMs together, when all targets are cold and their callers press.
+// TestColdTargetIsNotFlooded guards against VMs that together send more
+// statements to a cold target than it can handle, when all targets are cold
+// and callers send more than that.
 func TestColdTargetIsNotFlooded(t *testing.T) {
 	f := startFleet(t, 3)
 	targets := f.platform.Targets("ledger")
@@ -99,8 +103,9 @@
 	})
 }
 
-// TestRestartedTargetIsNotFlooded guards against the statements that wait for a
-// target which starts again: it is cold, and the lists of the VMs do not say so yet.
+// TestRestartedTargetIsNotFlooded guards against a burst of statements that
+// waited for a restarting target. The target is cold, and the target lists of
+// the VMs do not show that yet.
 func TestRestartedTargetIsNotFlooded(t *testing.T) {
 	f := startFleet(t, 3)
 	f.setColdDeployment()
@@ -116,28 +121,29 @@
 		}
 	}()
 	time.Sleep(time.Second)
-	// The primary is back before another target leads, so all writes wait for it.
+	// The primary is back before another target is promoted, so all writes
+	// wait for it.
 	primary := f.platform.Primary("ledger")
 	primary.Crash()
 	from := time.Now()
 	if err := primary.Restart(); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(time.Second) // a target writes its entry each 1.2 s
+	time.Sleep(time.Second) // a target writes its entry every 1.2 s
 	f.platform.SetCold(primary, 4*time.Second)
 	time.Sleep(3 * time.Second)
 	if got := f.platform.Primary("ledger"); got != primary {
-		t.Errorf("primary: got another one, want %s, which has started again", primary.ID())
+		t.Errorf("primary: got another one, want %s, which has restarted", primary.ID())
 	}
 	most, all := busiestSecond(primary, from)
-	t.Logf("statements at a target in 4 s after its start: %d, %d in one second", all, most)
+	t.Logf("statements at a target in 4 s after its start: %d; most in one second: %d", all, most)
 	if most > coldBound {
 		t.Errorf("statements in one second at a target that started cold: got %d, want at most %v", most, coldBound)
 	}
 }
 
-// TestColdRate guards against a rate for cold targets above what the platform allows,
-// and against rates to be shared where there are no cold targets.
+// TestColdRate guards against a rate for cold targets above what the platform
+// allows, and against such a rate where no target is ever cold.
 func TestColdRate(t *testing.T) {
 	d := testDeployment(1)
 	addColdRates(d, testColdExcess, testColdSlack)
--- a/internal/sysd/dialer.go
+++ b/internal/sysd/dialer.go
@@ -9,17 +9,18 @@
 )
 
 const (
-	// userTimeout is the time after which a connection with unacknowledged bytes
-	// fails. A cut network drops packets without a reset.
+	// userTimeout is the time after which a connection with unacknowledged
+	// bytes fails. A network partition drops packets without a reset.
 	userTimeout = 1500 * time.Millisecond
-	// Keep-alive probes find a connection that went silent while it waits.
+	// Keep-alive probes detect a broken connection while it is idle.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
 	dialTimeout       = time.Second
 )
 
-// newDialer returns a dialer whose connections fail when their path is gone.
+// newDialer returns a dialer whose connections fail soon after their network
+// path breaks.
 func newDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout:         dialTimeout,
--- a/internal/sysd/doc.go
+++ b/internal/sysd/doc.go
@@ -1,2 +1,2 @@
-// Package sysd runs one VM for the session protocol on the users' platform.
+// Package sysd runs one VM with the session protocol on the users' platform.
 package sysd
--- a/internal/sysd/evacuation_test.go
+++ b/internal/sysd/evacuation_test.go
@@ -11,8 +11,8 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// evacuate asks for the evacuation of a data centre and returns when the store had
-// acknowledged it.
+// evacuate requests the evacuation of a data centre and returns the time at
+// which the store had acknowledged it.
 func (f *testFleet) evacuate(dc string) time.Time {
 	f.platform.Put(string(platform.KindEvacuations), dc, struct{}{})
 	return time.Now()
@@ -20,8 +20,9 @@
 
 func (f *testFleet) reinstate(dc string) { f.platform.Delete(string(platform.KindEvacuations), dc) }
 
-// startTraffic reads and writes in short sessions at all VMs until stop is closed, with
-// a transaction of several statements now and then, and returns how to wait for it.
+// startTraffic reads and writes in short sessions at all VMs until stop is
+// closed, with a transaction of several statements now and then. The returned
+// group waits for it.
 func (f *testFleet) startTraffic(stop <-chan struct{}) *sync.WaitGroup {
 	var wg sync.WaitGroup
 	for vm := range len(f.nodes) {
@@ -55,8 +56,8 @@
 	return &wg
 }
 
-// statementsAt returns the number of statements of callers that reached targets of a
-// data centre from one moment to another.
+// statementsAt returns the number of statements of callers that reached
+// targets of a data centre within a period.
 func (f *testFleet) statementsAt(dc siskin.DataCentreID, from, to time.Time) int {
 	n := 0
 	for _, target := range f.platform.Targets("ledger") {
@@ -80,10 +81,10 @@
 	return info.DataCentre
 }
 
-// TestEvacuation guards against statements that reach an evacuated data centre later
-// than the operator allows, from VMs that reach the store and from one that does
-// not, against a primary that stays there, and against a data centre that is not
-// used again once the evacuation is taken back.
+// TestEvacuation guards against statements that reach an evacuated data centre
+// later than the operator allows, from VMs with and without access to the
+// store, against a primary that stays there, and against a data centre that is
+// not used again after the evacuation ends.
 func TestEvacuation(t *testing.T) {
 	f := startFleet(t, 3)
 	f.withoutStore[3] = true
@@ -98,7 +99,7 @@
 	from := f.primaryDataCentre()
 	begun := time.Now()
 	acknowledged := f.evacuate(string(from))
-	f.await("the evacuation is in force in all VMs and the primary is elsewhere", testEvacuateWithin, func() bool {
+	f.await("all VMs apply the evacuation and the primary is elsewhere", testEvacuateWithin, func() bool {
 		for i := range len(f.nodes) {
 			list, _, _ := f.node(i).roster.Evacuations()
 			if !slices.Equal(list, []siskin.DataCentreID{from}) {
@@ -107,11 +108,12 @@
 		}
 		return f.primaryDataCentre() != from
 	})
-	t.Logf("in force with the primary elsewhere after %v", time.Since(begun).Round(10*time.Millisecond))
+	t.Logf("applied with the primary elsewhere after %v", time.Since(begun).Round(10*time.Millisecond))
 	bound := acknowledged.Add(testEvacuateWithin)
 	time.Sleep(time.Until(bound.Add(time.Second)))
-	// A VM that starts now must not begin with statements to the evacuated data
-	// centre. Its shares of rates fill first.
+	// A VM that starts now must not send statements to the evacuated data
+	// centre. It admits statements only once its shares of the rates have
+	// filled.
 	f.set(4, f.start(4))
 	f.await("the VM that starts is ready", 5*time.Second, func() bool { return f.node(4).ready() })
 	reader, served := f.mustDial(4, "designs"), 0
@@ -134,8 +136,9 @@
 	f.await("the data centre is used again", testEvacuateWithin, func() bool { return f.statementsAt(from, back, time.Now()) > 0 })
 }
 
-// TestEvacuationOfAll guards against statements to the last data centre of a service
-// when all are evacuated, and against callers that wait instead of being refused.
+// TestEvacuationOfAll guards against statements to the last data centre of a
+// service when all are evacuated, and against callers that wait instead of
+// being refused.
 func TestEvacuationOfAll(t *testing.T) {
 	f := startFleet(t, 3)
 	stop := make(chan struct{})
@@ -176,9 +179,9 @@
 	})
 }
 
-// TestEvacuationDuringChange guards against an evacuation that is forgotten when the
-// primary crashes meanwhile, and against a primary that is elected into the
-// evacuated data centre while another target can lead.
+// TestEvacuationDuringChange guards against an evacuation that is lost when
+// the primary crashes at the same time, and against a failover into the
+// evacuated data centre while another target can be promoted.
 func TestEvacuationDuringChange(t *testing.T) {
 	f := startFleet(t, 3)
 	stop := make(chan struct{})
@@ -197,7 +200,7 @@
 	acknowledged := f.evacuate(string(evacuated))
 	f.platform.SetStoreFaults(stand.StoreFaults{Delay: 300 * time.Millisecond})
 	primary.Crash()
-	f.await("another target leads outside of the evacuated data centre", testEvacuateWithin, func() bool {
+	f.await("another target outside of the evacuated data centre is the primary", testEvacuateWithin, func() bool {
 		p := f.platform.Primary("ledger")
 		return p != nil && p != primary && f.primaryDataCentre() != evacuated
 	})
@@ -216,8 +219,9 @@
 	})
 }
 
-// TestEvacuationUnfenced guards against a primary that stays in an evacuated data
-// centre, and against lost commits, where the platform checks no fences.
+// TestEvacuationUnfenced guards against a primary that stays in an evacuated
+// data centre, and against lost commits, on a platform that checks no fencing
+// tokens.
 func TestEvacuationUnfenced(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
 	stop := make(chan struct{})
--- a/internal/sysd/failover_test.go
+++ b/internal/sysd/failover_test.go
@@ -10,13 +10,15 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// writer writes distinct values until told to stop and keeps what happened.
+// writer writes distinct values until stopped, and records the outcome of
+// each.
 type writer struct {
 	acked, unknown, refused []string
-	gap                     time.Duration // longest time between two successes
+	gap                     time.Duration // longest time between two acknowledged writes
 }
 
-// startWriters runs writers against all VMs until stop is closed.
+// startWriters runs a writer at each VM until stop is closed. The returned
+// function waits for the writers.
 func (f *testFleet) startWriters(stop <-chan struct{}) func() []*writer {
 	var wg sync.WaitGroup
 	var list []*writer
@@ -68,7 +70,8 @@
 	}
 }
 
-// checkWrites compares what the writers were told with the log of the primary.
+// checkWrites compares the outcomes that the writers got with the log of the
+// primary.
 func (f *testFleet) checkWrites(writers []*writer) {
 	f.t.Helper()
 	p := f.platform.Primary("ledger")
@@ -99,7 +102,7 @@
 	}
 }
 
-// writeDuring writes while faults run, and checks the result.
+// writeDuring writes while injectFaults runs, and checks the result.
 func (f *testFleet) writeDuring(injectFaults func()) []*writer {
 	f.t.Helper()
 	stop := make(chan struct{})
@@ -113,17 +116,18 @@
 	return writers
 }
 
-// awaitNewPrimary waits until another target than the given one leads and serves.
+// awaitNewPrimary waits until a target other than the given one is primary and
+// serves.
 func (f *testFleet) awaitNewPrimary(old string) {
 	f.t.Helper()
-	f.await("another target leads", 7*time.Second, func() bool {
+	f.await("another target is the primary", 7*time.Second, func() bool {
 		p := f.platform.Primary("ledger")
 		return p != nil && string(p.ID()) != old
 	})
 }
 
-// TestPrimaryCrash guards against writes that are lost, doubled or wrongly
-// refused when a primary crashes, and against a long gap.
+// TestPrimaryCrash guards against writes that are lost, duplicated or wrongly
+// refused when a primary crashes, and against a long interruption.
 func TestPrimaryCrash(t *testing.T) {
 	f := startFleet(t, 3)
 	writers := f.writeDuring(func() {
@@ -136,17 +140,16 @@
 		}
 	})
 	for _, w := range writers {
-		if w.gap > 7*time.Second { // the time in which the users ask for a new primary
+		if w.gap > 7*time.Second { // the users require a new primary within this time
 			t.Errorf("gap in writes: got %v, want at most 7s", w.gap)
 		}
 	}
 }
 
-// TestPrimaryCrashStoreDown guards against a change of primary that needs the
-// store.
+// TestPrimaryCrashStoreDown guards against a failover that needs the store.
 func TestPrimaryCrashStoreDown(t *testing.T) {
 	f := startFleet(t, 3)
-	// A VM reserves its fence when it begins to watch the service.
+	// A VM reserves its fencing token when it begins to watch the service.
 	time.Sleep(500 * time.Millisecond)
 	f.writeDuring(func() {
 		f.platform.SetStoreFaults(stand.StoreFaults{Down: true})
@@ -156,8 +159,8 @@
 	})
 }
 
-// TestLatePromotion guards against a promotion without an answer that takes
-// effect after a later one.
+// TestLatePromotion guards against an unanswered promotion that takes effect
+// after a later one.
 func TestLatePromotion(t *testing.T) {
 	f := startFleet(t, 3)
 	f.writeDuring(func() {
@@ -171,8 +174,8 @@
 	})
 }
 
-// TestStalledPrimary guards against a primary that is cut off from its replicas
-// and keeps the lead, so that no write is ever acknowledged.
+// TestStalledPrimary guards against a primary that is cut off from its
+// replicas and stays primary, so that no write is ever acknowledged.
 func TestStalledPrimary(t *testing.T) {
 	f := startFleet(t, 3)
 	f.writeDuring(func() {
@@ -184,8 +187,9 @@
 	})
 }
 
-// TestReplicasGone guards against a primary that is made to step down although
-// no replica can take over, as by a VM that is cut off together with it.
+// TestReplicasGone guards against a primary that is demoted although no
+// replica can replace it, for instance by a VM that is cut off together with
+// it.
 func TestReplicasGone(t *testing.T) {
 	f := startFleet(t, 3)
 	f.writeDuring(func() {
@@ -198,7 +202,7 @@
 		for range 25 {
 			time.Sleep(100 * time.Millisecond)
 			if !primary.IsPrimary() {
-				t.Error("got a primary that stepped down without a successor")
+				t.Error("primary while no replica is running: got it demoted, want it unchanged")
 				break
 			}
 		}
@@ -214,7 +218,7 @@
 }
 
 // TestLostAnswers guards against writes that are sent again after their answer
-// got lost.
+// was lost.
 func TestLostAnswers(t *testing.T) {
 	f := startFleet(t, 3)
 	f.writeDuring(func() {
@@ -225,8 +229,8 @@
 	})
 }
 
-// TestPlannedChange guards against writes that get lost when a primary that is
-// about to stop is replaced in good order.
+// TestPlannedChange guards against writes that are lost in a planned
+// switchover, when the primary is about to stop.
 func TestPlannedChange(t *testing.T) {
 	f := startFleet(t, 3)
 	f.writeDuring(func() {
@@ -237,7 +241,7 @@
 }
 
 // TestVMCrash guards against requests that hang when the home of the primary
-// dies, and against limits that refuse everything afterwards.
+// crashes, and against rate limits that refuse everything afterwards.
 func TestVMCrash(t *testing.T) {
 	f := startFleet(t, 4)
 	f.writeDuring(func() {
@@ -277,8 +281,8 @@
 					time.Sleep(5 * time.Millisecond)
 					continue
 				}
-				// Statements follow each other without a pause, so each session
-				// has one in progress nearly all the time.
+				// Statements follow each other without a pause, so that each
+				// session has one in progress nearly all the time.
 				for answered := 0; ; answered++ {
 					if _, err := c.Query("READ x"); err != nil {
 						if answered == 0 {
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -17,15 +17,15 @@
 
 const testKey = "key-of-acme"
 
-// testFleet is a platform stand-in with several VMs in this process.
+// testFleet is a simulated platform with several VMs in this process.
 type testFleet struct {
 	t        *testing.T
 	platform *stand.Platform
 	revision siskin.Revision
 	unfenced bool
-	// startCalls is the number of calls of the store until the VMs were ready.
+	// startCalls is the number of store calls until the VMs were ready.
 	startCalls int64
-	// withoutStore are the VMs that do not reach the store.
+	// withoutStore holds the VMs that cannot reach the store.
 	withoutStore map[int]bool
 
 	mu    sync.Mutex
@@ -39,7 +39,7 @@
 	return f.nodes[i]
 }
 
-// set replaces a VM or adds one, and returns the one before.
+// set replaces or adds a VM, and returns the previous one.
 func (f *testFleet) set(i int, n *node) *node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,15 +79,15 @@
 // they serve.
 func startFleet(t *testing.T, vms int) *testFleet { return startFleetOn(t, vms, testService()) }
 
-// startUnfencedFleet starts a fleet on a platform that checks no fences and leaves
-// former primaries leading.
+// startUnfencedFleet starts a fleet on a platform that checks no fencing
+// tokens and does not demote former primaries.
 func startUnfencedFleet(t *testing.T, vms int) *testFleet {
 	service := testService()
 	service.Unfenced = true
 	f := startFleetOn(t, vms, service)
 	t.Cleanup(func() {
 		if got := f.platform.LowFences("ledger"); got != 0 {
-			t.Errorf("promotions with a lower fence than an earlier one: got %d, want 0", got)
+			t.Errorf("promotions with a lower fencing token than an earlier one: got %d, want 0", got)
 		}
 	})
 	return f
@@ -126,8 +126,8 @@
 		return true
 	})
 	f.startCalls = p.StoreCalls()
-	// Shares of rates begin without a token, so that a first statement sent at once
-	// may be refused as documented.
+	// Shares of rates begin without a token, so that a first statement sent at
+	// once may be refused as documented.
 	f.await("each VM admits a statement", 10*time.Second, func() bool {
 		for _, n := range f.nodes {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -151,14 +151,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer l.Close() // after the last one is found, so that all differ
+		defer l.Close() // only after the last one is found, so that all differ
 		list = append(list, l.Addr().String())
 	}
 	return list
 }
 
-// start starts a VM. Another test may take an address between its choice and
-// its use, so the start is tried again with other ones.
+// start starts a VM. It retries with other addresses, since another test may
+// bind an address after it was chosen.
 func (f *testFleet) start(i int) *node {
 	f.t.Helper()
 	var err error
@@ -172,11 +172,11 @@
 	return nil
 }
 
-// testEvacuateWithin is the time in which an evacuation is to be in force.
+// testEvacuateWithin is the time within which an evacuation must be applied.
 const testEvacuateWithin = 5 * time.Second
 
-// A cold target may get testColdExcess times the rate of its service for cold
-// targets in one second, and testColdSlack more.
+// A cold target may get up to testColdExcess times the rate for cold targets
+// of its service, plus testColdSlack, in one second.
 const (
 	testColdExcess = 1.5
 	testColdSlack  = 5
@@ -230,7 +230,7 @@
 	return c
 }
 
-// mustQuery sends a statement that has to succeed.
+// mustQuery sends a statement that must succeed.
 func (f *testFleet) mustQuery(c *stand.Client, text string) stand.Result {
 	f.t.Helper()
 	res, err := c.Query(text)
--- a/internal/sysd/isolation.go
+++ b/internal/sysd/isolation.go
@@ -7,21 +7,24 @@
 )
 
 const (
-	// maxLeadAge is the age up to which a primary counts as within reach.
+	// maxLeadAge is the age of its last proof up to which a primary counts as
+	// reachable.
 	maxLeadAge = 1500 * time.Millisecond
-	// isolatedCloseGroups is the number of steps in which an isolated VM closes
-	// its idle sessions.
+	// isolatedCloseGroups is the number of groups in which an isolated VM
+	// closes its idle sessions.
 	isolatedCloseGroups = 4
 )
 
-// isolation says since when this VM has been cut off from all other data
-// centres and from most primaries. The balancer then does better to send callers
-// to another data centre, and idle sessions do better to be opened again there.
+// isolation records since when this VM has been cut off from all other data
+// centres and from most primaries. Its callers are then better served by a VM
+// in another data centre, so the VM reports that it is not ready and closes
+// idle sessions.
 type isolation struct {
 	since time.Time // zero while the VM is not isolated
 }
 
-// update takes over what is known at a time, and reports whether it changed.
+// update recomputes the isolation from the current state, and reports whether
+// it changed.
 func (i *isolation) update(now time.Time, alone bool, reached, services int) bool {
 	isolated := alone && 2*reached < services
 	if isolated == !i.since.IsZero() {
@@ -34,13 +37,15 @@
 	return true
 }
 
-// shouldCloseSessions reports whether idle sessions are to be closed: the balancer had the
-// time to take this VM out, so their callers do not come back to it.
+// shouldCloseSessions reports whether idle sessions are to be closed. They are
+// closed only after the balancer had time to remove this VM, so that their
+// callers do not reconnect to it.
 func (i *isolation) shouldCloseSessions(now time.Time) bool {
 	return !i.since.IsZero() && now.Sub(i.since) > balancerDelay
 }
 
-// reachablePrimaries counts the services whose primary proved its lead a moment ago.
+// reachablePrimaries counts the services whose primary was proven within
+// maxLeadAge.
 func (n *node) reachablePrimaries(services []siskin.ServiceSpec) int {
 	count := 0
 	for _, s := range services {
@@ -51,7 +56,8 @@
 	return count
 }
 
-// checkIsolation updates the isolation of this VM and acts on it.
+// checkIsolation updates the isolation of this VM, logs changes, and closes
+// idle sessions if necessary.
 func (n *node) checkIsolation() {
 	services := n.table.Snapshot().Services
 	reached, now := n.reachablePrimaries(services), n.clock.Now()
--- a/internal/sysd/isolation_test.go
+++ b/internal/sysd/isolation_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// TestIsolation guards against a VM of a data centre that is cut off and goes on
-// drawing callers that others could serve, and against one that sends them away
-// while it reaches other data centres or most primaries.
+// TestIsolation guards against a VM that is cut off with its data centre and
+// keeps attracting callers that other VMs could serve, and against one that
+// sends callers away while it reaches other data centres or most primaries.
 func TestIsolation(t *testing.T) {
 	now := time.Unix(100, 0)
 	for _, tt := range []struct {
--- a/internal/sysd/large_test.go
+++ b/internal/sysd/large_test.go
@@ -9,8 +9,8 @@
 )
 
 // TestLargeFleetIsQuiet guards against control traffic between the VMs whose
-// processor time grows with the size of the fleet. It is run by hand, since it
-// needs the machine for itself: SISKIN_VMS=60 go test -run LargeFleet.
+// CPU time grows with the size of the fleet. It needs a machine without other
+// load, so it is run by hand: SISKIN_VMS=60 go test -run LargeFleet.
 func TestLargeFleetIsQuiet(t *testing.T) {
 	n, err := strconv.Atoi(os.Getenv("SISKIN_VMS"))
 	if err != nil {
@@ -22,10 +22,10 @@
 	const span = 10 * time.Second
 	time.Sleep(span)
 	got := (processorTime(t) - before).Seconds() / span.Seconds() / float64(len(f.nodes))
-	t.Logf("processor share of a VM without callers: %.4f", got)
+	t.Logf("CPU share of a VM without callers: %.4f", got)
 	// The users allow 4.7% of a core for control.
 	if got > 0.047 {
-		t.Errorf("processor share of a VM without callers: got %.4f, want at most 0.047", got)
+		t.Errorf("CPU share of a VM without callers: got %.4f, want at most 0.047", got)
 	}
 }
 
--- a/internal/sysd/listed_test.go
+++ b/internal/sysd/listed_test.go
@@ -8,9 +8,10 @@
 	"siskintray.example/siskin/internal/roster"
 )
 
-// TestRunStart guards against the age of a run that rests on clocks which differ: a
-// replica that has just started could confirm a lead. The entry's start counts for runs
-// that the VM found when it started, with a margin, and never for later ones.
+// TestRunStart guards against an age of a run that depends on the clocks of
+// two machines, with which a replica that has just started could confirm a
+// primary. The start time of the entry counts only for runs in the first list
+// of the VM, less a margin, and never for later ones.
 func TestRunStart(t *testing.T) {
 	n := &node{roster: roster.New()}
 	now := n.clock.Now()
--- a/internal/sysd/listen.go
+++ b/internal/sysd/listen.go
@@ -50,7 +50,7 @@
 	return nil
 }
 
-// accept takes callers until the listener is closed.
+// accept serves callers until the listener is closed.
 func (n *node) accept() {
 	for {
 		conn, err := n.callers.Accept()
@@ -58,11 +58,11 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
-			n.log.Warn().Err(err).Msg("a caller was not accepted")
+			n.log.Warn().Err(err).Msg("cannot accept a caller")
 			time.Sleep(acceptBackoff)
 			continue
 		case n.entry.Sessions() >= n.cfg.Caller.MaxSessions:
-			n.log.Warn().Int("Sessions", n.cfg.Caller.MaxSessions).Msg("a caller was turned away: too many sessions")
+			n.log.Warn().Int("Sessions", n.cfg.Caller.MaxSessions).Msg("refused a caller: too many sessions")
 			_ = conn.Close() // nothing was read from it
 			continue
 		}
@@ -70,11 +70,12 @@
 	}
 }
 
-// acceptBackoff keeps a VM without free descriptors from a busy loop.
+// acceptBackoff is the pause after a failed accept, which avoids a busy loop
+// while there are no free file descriptors.
 const acceptBackoff = 20 * time.Millisecond
 
-// ready reports whether this VM can serve callers. A VM that is merely cut off
-// from the store stays ready, one that is isolated does not.
+// ready reports whether this VM can serve callers. A VM stays ready while it
+// cannot reach the store, but not while it is isolated.
 func (n *node) ready() bool {
 	return !n.stopping.Load() && !n.isolated.Load() && n.table.Snapshot().Version > 0 && n.roster.Ready()
 }
--- a/internal/sysd/newest_test.go
+++ b/internal/sysd/newest_test.go
@@ -10,8 +10,9 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// readNewest checks that reads of a primary route see every commit acknowledged
-// before them: one session counts an item up, one of each other VM reads it.
+// readNewest checks that reads on a primary route see every commit
+// acknowledged before them: one session increments an item, and one session at
+// each other VM reads it.
 func (f *testFleet) readNewest(stop <-chan struct{}) {
 	var acked atomic.Int64
 	var wg sync.WaitGroup
@@ -34,7 +35,7 @@
 					return err
 				}
 				if got, err := strconv.ParseInt(res.Rows[0], 10, 64); err != nil || got < want {
-					f.t.Errorf("read of a primary route at VM %d: got %s, want %d or more", vm, res.Rows[0], want)
+					f.t.Errorf("read on a primary route at VM %d: got %s, want %d or more", vm, res.Rows[0], want)
 				}
 				return nil
 			})
@@ -43,8 +44,8 @@
 	wg.Wait()
 }
 
-// keepSession calls f with a session of a primary route until stop is closed, and
-// opens another one when it breaks.
+// keepSession calls use with a session on a primary route until stop is
+// closed, and opens another session when it breaks.
 func (f *testFleet) keepSession(vm int, stop <-chan struct{}, use func(*stand.Client) error) {
 	var c *stand.Client
 	for {
@@ -66,8 +67,9 @@
 	}
 }
 
-// TestFormerPrimaryGoesOn guards against reads of stale data, lost writes and
-// fences that fall where a promotion leaves the former primary leading.
+// TestFormerPrimaryGoesOn guards against stale reads, lost writes and
+// decreasing fencing tokens on a platform where a promotion does not demote
+// the former primary.
 func TestFormerPrimaryGoesOn(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
 	stop := make(chan struct{})
@@ -87,12 +89,13 @@
 	readers.Wait()
 }
 
-// TestUnfencedStoreDown guards against a fence from before another change of the
-// same service, which only the store could replace.
+// TestUnfencedStoreDown guards against a failover with a fencing token from
+// before another failover of the same service, which only the store could
+// replace.
 func TestUnfencedStoreDown(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
 	f.mustQuery(f.mustDial(0, "orders"), "WRITE x 1")
-	f.await("a VM has a fence from after the term was known", 5*time.Second, func() bool {
+	f.await("a VM has a fencing token from after the term was known", 5*time.Second, func() bool {
 		for _, n := range f.nodes {
 			if term := n.views.LatestProof("ledger").Term; term == 0 || !n.elect.HasFencingToken("ledger", term) {
 				return false
@@ -108,8 +111,9 @@
 	})
 }
 
-// TestUnfencedPlannedChange is TestPlannedChange where the platform checks no
-// fences: the primary steps down before its end, and no read is stale.
+// TestUnfencedPlannedChange is TestPlannedChange on a platform that checks no
+// fencing tokens: the primary is demoted before it stops, and no read is
+// stale.
 func TestUnfencedPlannedChange(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
 	stop := make(chan struct{})
@@ -124,8 +128,8 @@
 	readers.Wait()
 }
 
-// TestUnfencedLatePromotion is TestLatePromotion where the platform checks no
-// fences, so that a late order is always carried out.
+// TestUnfencedLatePromotion is TestLatePromotion on a platform that checks no
+// fencing tokens, so that a late promotion is always carried out.
 func TestUnfencedLatePromotion(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
 	f.writeDuring(func() {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -33,18 +33,19 @@
 )
 
 const (
-	// reservedConns is the number of a target's connections that its home leaves
-	// to a successor, to control statements and to VMs that cannot reach the
-	// home. The connections of a VM that vanished count for 3 s.
+	// reservedConns is the number of connections of a target that its home
+	// leaves to a new home, to control statements and to VMs that cannot reach
+	// the home. The connections of a VM that vanished count for 3 s.
 	reservedConns = 4
-	// nonHomeConns is the number of connections that a VM opens to a target whose
-	// home it is not.
+	// nonHomeConns is the number of connections that a VM opens to a target if
+	// another VM is its home.
 	nonHomeConns = 2
-	// peerSilentAfter is the silence after which a connection to a peer is
-	// replaced.
+	// peerSilentAfter is the time without received data after which a
+	// connection to a peer is replaced.
 	peerSilentAfter = 900 * time.Millisecond
 	peerDialTimeout = 400 * time.Millisecond
-	// maxPeerCalls bounds the statements of peers that wait or run at this VM.
+	// maxPeerCalls limits the calls of peers that run at this VM, and those
+	// that wait.
 	maxPeerCalls = 2048
 )
 
@@ -72,14 +73,15 @@
 	servers    []*http.Server
 
 	stopping atomic.Bool
-	// isolation belongs to maintain; isolated mirrors it for the probe.
+	// isolation is used only by maintain; isolated mirrors it for the
+	// readiness probe.
 	isolation isolation
 	isolated  atomic.Bool
 	started   time.Time
 	done      sync.WaitGroup
 }
 
-// newNode builds a VM and begins to serve.
+// newNode creates a VM and begins to serve.
 func newNode(cfg *cfgini.System, l *log.Logger) (*node, error) {
 	n := &node{cfg: cfg, log: l, table: table.New(), views: views.New(), stats: stats.New()}
 	n.started = n.clock.Now()
@@ -93,7 +95,7 @@
 		MayBeCold: n.mayBeCold, AdmitCold: n.admitCold,
 		Closed:    func(id siskin.TargetID) bool { return n.roster.Blocked(id, n.clock.Now()) },
 		IsHome:    func(t siskin.TargetInfo) bool { return n.path != nil && n.path.IsHome(t) },
-		Connector: &platform.Connector{Dial: dialer.DialContext}, LeaseConfig: n.leads(),
+		Connector: &platform.Connector{Dial: dialer.DialContext}, LeaseConfig: n.leaseConfig(),
 	})
 	if err := n.joinFleet(); err != nil {
 		return nil, errors.Join(err, n.homes.Close(), n.stats.Close())
@@ -109,8 +111,9 @@
 	return n, nil
 }
 
-// leads returns what homes need to tell the only primary from a former one.
-func (n *node) leads() *home.LeaseConfig {
+// leaseConfig returns the configuration with which homes tell the current
+// primary from a former one.
+func (n *node) leaseConfig() *home.LeaseConfig {
 	n.leases = lease.New()
 	return &home.LeaseConfig{
 		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, GroupSize: n.roster.Size, Listed: n.runStart, Log: n.log,
@@ -126,13 +129,15 @@
 	}
 }
 
-// clockMargin is taken off the age of a run that a target's entry tells by its clock,
-// which may differ from that of this VM.
+// clockMargin is subtracted from the age of a run if it is computed from the
+// start time in the target's entry, since the clock of the target may differ
+// from that of this VM.
 const clockMargin = 10 * time.Second
 
-// runStart returns since when a target has run as far as service discovery tells, and
-// when its last list was asked for. The start that the entry tells counts only for
-// runs that this VM has found at its own start: later ones began when its lists say.
+// runStart returns since when a target has been running according to service
+// discovery, and when the latest list was requested. The start time in the
+// target's entry is used only for runs that were in the first list of this VM.
+// Later runs began when they first appeared in a list.
 func (n *node) runStart(id siskin.TargetID) (since, listed time.Time, ok bool) {
 	since, listed, first, ok := n.roster.ListedSince(id)
 	if t, known := n.roster.Target(id); ok && first && known && t.StartedAt.UnixMilli() > 0 {
@@ -143,7 +148,7 @@
 	return since, listed, ok
 }
 
-// joinFleet starts what connects this VM to its peers.
+// joinFleet creates the components that connect this VM to its peers.
 func (n *node) joinFleet() error {
 	cfg := peer.Config{
 		Self: siskin.VMID(n.cfg.VM.ID), Plaintext: true, SilentAfter: peerSilentAfter, DialTimeout: peerDialTimeout,
@@ -157,7 +162,7 @@
 	run := siskin.Incarnation(time.Now().UnixNano())
 	n.crew = crew.New(crew.Config{
 		Clock: n.clock, Seeds: n.cfg.Peer.Seeds, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views,
-		Homes: n.homes, Apply: n.apply, Log: n.log, PriorityPeers: n.nearPeers, IsHome: n.isHome,
+		Homes: n.homes, Apply: n.apply, Log: n.log, PriorityPeers: n.priorityPeers, IsHome: n.isHome,
 		Self: crew.Node{
 			ID: siskin.VMID(n.cfg.VM.ID), Run: run, DataCentre: siskin.DataCentreID(n.cfg.VM.DataCentre),
 			Address: cmp.Or(n.cfg.Peer.Advertised, n.cfg.Peer.Address), Capacity: n.cfg.VM.Capacity(),
@@ -176,25 +181,25 @@
 	return ok && n.path.IsHome(t)
 }
 
-// nearPeers returns the VMs that this one depends on.
-func (n *node) nearPeers() crew.PriorityPeers {
-	near := crew.PriorityPeers{PoolOwners: make(map[siskin.VMID]bool)}
-	if n.rates.Share() > 0 { // others have nothing to lend
+// priorityPeers returns the VMs that this VM depends on.
+func (n *node) priorityPeers() crew.PriorityPeers {
+	peers := crew.PriorityPeers{PoolOwners: make(map[siskin.VMID]bool)}
+	if n.rates.Share() > 0 { // a VM without a share exchanges no loans
 		for _, id := range n.rates.PoolOwners() {
-			near.PoolOwners[id] = true
+			peers.PoolOwners[id] = true
 		}
 	}
 	self := n.crew.Self().ID
-	near.ServesOthers = slices.Contains(n.rates.PoolOwners(), self)
+	peers.ServesOthers = slices.Contains(n.rates.PoolOwners(), self)
 	targets, _, _ := n.roster.Listed()
-	for i := 0; i < len(targets) && !near.ServesOthers; i++ {
-		near.ServesOthers = n.path.IsHome(targets[i])
+	for i := 0; i < len(targets) && !peers.ServesOthers; i++ {
+		peers.ServesOthers = n.path.IsHome(targets[i])
 	}
-	near.Homes, near.StandbyFor = n.path.PrimaryHomes(n.table.Snapshot().Services)
-	return near
+	peers.Homes, peers.StandbyFor = n.path.PrimaryHomes(n.table.Snapshot().Services)
+	return peers
 }
 
-// useStore starts what depends on the platform's store and duties.
+// useStore starts the components that use the platform's store and promoter.
 func (n *node) useStore(dialer *net.Dialer) {
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4}}
 	store := &platform.Store{BaseURL: "http://" + n.cfg.Store.Address, HTTP: client, Timeout: n.cfg.Store.Timeout}
@@ -214,7 +219,8 @@
 	})
 }
 
-// connLimit returns the most connections that this VM opens to a target.
+// connLimit returns the maximum number of connections that this VM opens to a
+// target.
 func (n *node) connLimit(t siskin.TargetInfo) int {
 	limit := nonHomeConns + reservedConns + 1
 	if s, ok := n.table.Snapshot().Service(t.Service); ok && s.MaxConnections > 0 {
--- a/internal/sysd/run.go
+++ b/internal/sysd/run.go
@@ -7,12 +7,12 @@
 	"siskintray.example/siskin/internal/cmds"
 )
 
-// memoryLimitPercent is the part of the allowed memory, in percent, from which on the
-// garbage collector works harder. The rest is for stacks and buffers of the
-// kernel.
+// memoryLimitPercent is the part of the allowed memory, in percent, from which
+// the garbage collector works harder. The rest is for stacks and buffers of
+// the kernel.
 const memoryLimitPercent = 66
 
-// Run runs a VM until ctx ends and then stops it as planned.
+// Run runs a VM until ctx is done, and then carries out a planned stop.
 func Run(ctx context.Context, d cmds.System) error {
 	debug.SetMemoryLimit(int64(d.Settings.VM.Memory) * memoryLimitPercent / 100)
 	n, err := newNode(d.Settings, d.Log)
--- a/internal/sysd/serve_test.go
+++ b/internal/sysd/serve_test.go
@@ -10,8 +10,9 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// TestSessionState guards against values and prepared statements that do not
-// follow a session, or leak into another one on the same connection.
+// TestSessionState guards against values and prepared statements that are lost
+// between the statements of a session, or leak into another session on the
+// same connection.
 func TestSessionState(t *testing.T) {
 	f := startFleet(t, 3)
 	a, b := f.mustDial(0, "press"), f.mustDial(1, "press")
@@ -33,8 +34,8 @@
 	}
 }
 
-// TestTransactions guards against transactions that lose a write, keep one that
-// was rolled back, or go on after a failure.
+// TestTransactions guards against transactions that lose a write, keep one
+// that was rolled back, or continue after a failure.
 func TestTransactions(t *testing.T) {
 	f := startFleet(t, 3)
 	c := f.mustDial(0, "orders")
@@ -68,7 +69,8 @@
 	}
 }
 
-// TestRefusedSessions guards against sessions without a route or a key.
+// TestRefusedSessions guards against sessions that are accepted without a
+// route or a valid key.
 func TestRefusedSessions(t *testing.T) {
 	f := startFleet(t, 3)
 	for _, c := range []struct{ database, key, want string }{
@@ -82,8 +84,8 @@
 	}
 }
 
-// TestWithdrawnKey guards against a key that goes on working on an open
-// session, also at a VM that hears of the withdrawal from a peer only.
+// TestWithdrawnKey guards against a withdrawn key that stays valid in an open
+// session, also at a VM that gets the change from a peer only.
 func TestWithdrawnKey(t *testing.T) {
 	f := startFleet(t, 3)
 	c := f.mustDial(2, "orders")
@@ -91,7 +93,7 @@
 	d := testDeployment(2)
 	d.Customers[0].Keys = []string{"another"}
 	f.platform.SetDeployment(d)
-	f.await("the withdrawal is in force", 3*time.Second, func() bool {
+	f.await("the withdrawal is applied", 3*time.Second, func() bool {
 		res, err := c.Query("READ order-1")
 		return err != nil || res.Code == "NOAUTH"
 	})
@@ -120,7 +122,7 @@
 	f.set(3, n)
 	f.await("a VM that starts during the outage is ready", 5*time.Second, n.ready)
 	c := f.mustDial(3, "orders")
-	f.await("it serves writes", 3*time.Second, func() bool {
+	f.await("that VM serves writes", 3*time.Second, func() bool {
 		res, err := c.Query("WRITE order-2 paid")
 		return err == nil && res.Code == ""
 	})
@@ -134,7 +136,7 @@
 	}
 }
 
-// TestFewStoreCalls guards against calls to the store that grow with the
+// TestFewStoreCalls guards against store calls whose number grows with the
 // number of VMs.
 func TestFewStoreCalls(t *testing.T) {
 	f := startFleet(t, 6)
@@ -142,44 +144,45 @@
 	before := f.platform.StoreCalls()
 	const span = 4 * time.Second
 	time.Sleep(span)
-	// A configuration a second and a list each 1.5 s; the list has one page.
-	// Twice that leaves room for VMs that read at the same time.
+	// One read of the configuration every second and one list of a single page
+	// every 1.5 s. Twice that allows for VMs that read at the same time.
 	if got, most := f.platform.StoreCalls()-before, int64(2*(4+3)); got > most {
-		t.Errorf("calls of 6 VMs in %v: got %d, want at most %d", span, got, most)
+		t.Errorf("store calls by 6 VMs in %v: got %d, want at most %d", span, got, most)
 	}
 }
 
-// TestStoreCallsOfLargeFleet guards against calls of the store that grow with
-// the fleet, at its start and later: a start of 68 VMs took more than 500.
+// TestStoreCallsOfLargeFleet guards against store calls whose number grows
+// with the fleet, at its start and later. The start of 68 VMs took more than
+// 500 calls.
 func TestStoreCallsOfLargeFleet(t *testing.T) {
 	const vms = 20
 	f := startFleet(t, vms)
-	// Each VM publishes itself. Seeds and relays read what the others get from
-	// them, and one VM creates the record of rates.
-	t.Logf("calls until the VMs were ready: %d, until each admits a statement: %d", f.startCalls, f.platform.StoreCalls())
+	// Each VM registers itself. Seeds and relays read what the others get from
+	// them, and one VM creates the record of share holders.
+	t.Logf("store calls until the VMs were ready: %d, until each admitted a statement: %d", f.startCalls, f.platform.StoreCalls())
 	if got, most := f.startCalls, int64(3*vms); got > most {
-		t.Errorf("calls of the store at the start of %d VMs: got %d, want at most %d", vms, got, most)
+		t.Errorf("store calls at the start of %d VMs: got %d, want at most %d", vms, got, most)
 	}
 	time.Sleep(3 * time.Second)
 	before := f.platform.StoreCalls()
 	const span = 5 * time.Second
 	time.Sleep(span)
-	// The configuration is read each second and the targets each 1.5 s, half as
-	// often again while the reader changes.
+	// The configuration is read every second and the targets every 1.5 s, and
+	// half as many reads again are allowed for while the reader changes.
 	most := int64(1.5 * span.Seconds() * (1 + 1/1.5))
 	if got := f.platform.StoreCalls() - before; got > most {
-		t.Errorf("calls of the store by %d VMs in %v: got %d, want at most %d", vms, span, got, most)
+		t.Errorf("store calls by %d VMs in %v: got %d, want at most %d", vms, span, got, most)
 	}
 }
 
-// TestRates guards against customers that get more than rate and burst through
-// several VMs.
+// TestRates guards against customers that get more than their rate and burst
+// by sending through several VMs.
 func TestRates(t *testing.T) {
 	f := startFleet(t, 3)
 	d := testDeployment(2)
 	d.Customers[0].Rate, d.Customers[0].Burst = 20, 20
 	f.platform.SetDeployment(d)
-	f.await("the rate is in force", 4*time.Second, func() bool {
+	f.await("the rate is applied", 4*time.Second, func() bool {
 		for _, n := range f.nodes {
 			if n.table.Snapshot().Version != siskin.Revision(2) {
 				return false
--- a/internal/sysd/soak_test.go
+++ b/internal/sysd/soak_test.go
@@ -12,24 +12,24 @@
 	"siskintray.example/siskin/platform/stand"
 )
 
-// soakLength is the length of the run in CI; SISKIN_SOAK gives another one.
+// soakLength is the length of the run in CI; SISKIN_SOAK overrides it.
 const soakLength = 12 * time.Second
 
-// soakRun plays random faults against a fleet.
+// soakRun injects random faults into a fleet.
 type soakRun struct {
 	f    *testFleet
 	rng  *rand.Rand
 	down map[*stand.Target]bool
 }
 
-// TestSoak guards against promises that break when faults of targets, the store,
-// promotions and VMs come together: writers check for lost, doubled and wrongly
-// refused writes, readers for sessions that miss their own writes. SISKIN_SEED
-// repeats a run.
+// TestSoak guards against broken guarantees under combined faults of targets,
+// the store, promotions and VMs. Writers check for lost, duplicated and
+// wrongly refused writes, readers for sessions that miss their own writes.
+// SISKIN_SEED repeats a run.
 func TestSoak(t *testing.T) { runSoak(t, startFleet(t, 4)) }
 
-// TestSoakUnfenced is the same on a platform that checks no fences and leaves
-// former primaries leading.
+// TestSoakUnfenced is TestSoak on a platform that checks no fencing tokens and
+// does not demote former primaries.
 func TestSoakUnfenced(t *testing.T) { runSoak(t, startUnfencedFleet(t, 4)) }
 
 func runSoak(t *testing.T, f *testFleet) {
@@ -62,13 +62,13 @@
 	f.checkWrites(wait())
 }
 
-// changeFault brings about or ends one fault.
+// changeFault starts or ends one random fault.
 func (s *soakRun) changeFault() {
 	targets := s.f.platform.Targets("ledger")
 	target := targets[s.rng.Intn(len(targets))]
 	switch s.rng.Intn(9) {
 	case 0, 1:
-		// One target at a time, so that the service can go on.
+		// One target at a time, so that the service stays available.
 		if len(s.down) == 0 {
 			target.Crash()
 			s.down[target] = true
@@ -104,7 +104,7 @@
 	}
 }
 
-// restartVM stops a VM, as planned or at once, and starts it again.
+// restartVM stops a VM, with or without draining it, and starts it again.
 func (s *soakRun) restartVM(i int) {
 	n := s.f.set(i, nil)
 	if s.rng.Intn(2) == 0 {
@@ -128,8 +128,8 @@
 }
 
 // readOwnWrites writes and reads one item in a session until stop is closed. A
-// read that succeeds must see the session's last acknowledged write, or a later
-// one whose outcome it does not know.
+// successful read must return the session's last acknowledged write, or a
+// later one of unknown outcome.
 func (f *testFleet) readOwnWrites(vm int, stop <-chan struct{}) {
 	var c *stand.Client
 	item := fmt.Sprintf("own-%d", vm)
--- a/internal/sysd/stop.go
+++ b/internal/sysd/stop.go
@@ -6,20 +6,22 @@
 )
 
 const (
-	// balancerDelay is the time in which the balancer takes a VM out: two probes
-	// a second apart.
+	// balancerDelay is the time that the balancer needs to remove a VM: two
+	// probes one second apart.
 	balancerDelay = 2200 * time.Millisecond
-	// closeInterval is the time between two groups of idle sessions that are closed,
+	// closeInterval is the time between closing two groups of idle sessions,
 	// so that their callers do not reconnect all at once.
 	closeInterval = 50 * time.Millisecond
-	// closeGroups is the number of groups.
+	// closeGroups is the number of these groups.
 	closeGroups = 16
-	// exitMargin is the time kept for the end of the process.
+	// exitMargin is the part of the grace period reserved for the exit of the
+	// process.
 	exitMargin = 700 * time.Millisecond
 )
 
-// drain carries out a planned stop: the balancer and the peers send no new
-// work, idle sessions are closed in small steps, and running work ends.
+// drain carries out a planned stop: it makes the balancer and the peers stop
+// sending new work, closes idle sessions in small groups, and waits for
+// running work.
 func (n *node) drain(ctx context.Context) {
 	deadline := time.Now().Add(n.cfg.Stop.Grace - exitMargin)
 	n.stopping.Store(true)
@@ -53,7 +55,7 @@
 
 func (n *node) stopped() bool { return n.stopping.Load() }
 
-// close ends everything and waits.
+// close stops all components and waits for them.
 func (n *node) close() error {
 	n.stopping.Store(true)
 	if n.callers != nil {
@@ -61,7 +63,7 @@
 	}
 	_ = n.entry.Close()
 	for _, s := range n.servers {
-		_ = s.Close() // probes and metrics may break off
+		_ = s.Close() // open probes and metrics requests may fail
 	}
 	_ = n.feed.Close()
 	_ = n.elect.Close()
--- a/internal/sysd/upkeep.go
+++ b/internal/sysd/upkeep.go
@@ -7,15 +7,15 @@
 	"siskintray.example/siskin/platform"
 )
 
-// maxCustomerLines bounds the lines on customers of one change of the
-// configuration. Each VM of the fleet writes them.
+// maxCustomerLines limits the log lines about customers for one change of the
+// configuration, since each VM of the fleet writes them.
 const maxCustomerLines = 20
 
-// apply puts an encoded configuration in force if it is newer.
+// apply applies an encoded configuration if it is newer than the current one.
 func (n *node) apply(encoded []byte, source string) {
 	d, err := platform.DecodeDeployment(encoded)
 	if err != nil {
-		n.log.Error().Err(err).Str("Source", source).Msg("a configuration was refused")
+		n.log.Error().Err(err).Str("Source", source).Msg("refused a configuration that cannot be decoded")
 		return
 	}
 	addColdRates(d, n.cfg.Operator.ColdExcess, n.cfg.Operator.ColdSlack)
@@ -25,7 +25,7 @@
 		n.log.Info().Uint64("Before", uint64(before)).Uint64("Revision", uint64(d.Version)).Str("Source", source).
 			Int("Routes", len(d.Routes)).Int("Customers", len(d.Customers)).Msg("configuration in force")
 		if before == 0 {
-			return // all customers are new; their limits stand in the configuration
+			return // all customers are new; their limits are in the configuration
 		}
 		lines := 0
 		for i := range d.Customers {
@@ -42,10 +42,11 @@
 	}
 }
 
-// maintainInterval is the time between two rounds of upkeep.
+// maintainInterval is the longest time between two rounds of maintain.
 const maintainInterval = 500 * time.Millisecond
 
-// maintain brings homes up to date with the fleet and discovery.
+// maintain updates the homes after changes of the fleet, service discovery or
+// the configuration, and at least every maintainInterval.
 func (n *node) maintain() {
 	known := make(map[siskin.TargetID]siskin.TargetInfo)
 	for !n.stopped() {
@@ -64,7 +65,8 @@
 	}
 }
 
-// connectHomeTargets keeps a connection to each target that this VM is the home of.
+// connectHomeTargets keeps a connection open to each target that this VM is
+// the home of.
 func (n *node) connectHomeTargets() {
 	targets, _, _ := n.roster.Listed()
 	for _, t := range targets {
@@ -74,8 +76,8 @@
 	}
 }
 
-// handleTargetChanges logs what changed in discovery, and takes a target that begins to
-// see itself as primary as a hint.
+// handleTargetChanges logs what changed in service discovery. A target that
+// newly reports itself as primary is passed on as a hint.
 func (n *node) handleTargetChanges(known map[siskin.TargetID]siskin.TargetInfo) map[siskin.TargetID]siskin.TargetInfo {
 	next := make(map[siskin.TargetID]siskin.TargetInfo, len(known))
 	for _, s := range n.table.Snapshot().Services {
@@ -86,7 +88,7 @@
 				continue
 			}
 			if len(known) == 0 {
-				n.log.Debug().Str("Target", string(t.ID)).Msg("a target is known")
+				n.log.Debug().Str("Target", string(t.ID)).Msg("discovered a target")
 			} else {
 				n.log.Info().Str("Target", string(t.ID)).Str("Service", string(t.Service)).Str("Address", t.Address).
 					Bool("Primary", t.Primary).Bool("Draining", t.Draining).Bool("Evacuated", t.Evacuated).Dur("Cold", t.ColdRemaining).Time("Born", t.StartedAt).Msg("a target's entry changed")
@@ -102,7 +104,7 @@
 		}
 	}
 	if len(known) == 0 && len(next) > 0 {
-		n.log.Info().Int("Targets", len(next)).Msg("targets are known")
+		n.log.Info().Int("Targets", len(next)).Msg("discovered the first targets")
 	}
 	return next
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -1,5 +1,5 @@
-// Package table holds the deployment in force at a VM. It never goes back to an
-// earlier version.
+// Package table holds the current deployment of a VM. Its version only
+// increases.
 package table
 
 import (
@@ -11,7 +11,7 @@
 	"siskintray.example/siskin"
 )
 
-// Table holds the deployment in force.
+// Table holds the current deployment. It is safe for concurrent use.
 type Table struct {
 	current atomic.Pointer[Snapshot]
 
@@ -27,17 +27,18 @@
 	return t
 }
 
-// Snapshot returns the deployment in force.
+// Snapshot returns the current deployment.
 func (t *Table) Snapshot() *Snapshot { return t.current.Load() }
 
-// Changed returns a channel that is closed at the next change.
+// Changed returns a channel that is closed when the deployment changes next.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.changed
 }
 
-// Confirm notes that the version in force was the newest one at a time.
+// Confirm records that the current version was the newest one at the given
+// time.
 func (t *Table) Confirm(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -46,15 +47,15 @@
 	}
 }
 
-// Confirmed returns when the version in force was last known to be the newest.
+// Confirmed returns when the current version was last known to be the newest.
 func (t *Table) Confirmed() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.confirmed
 }
 
-// Apply puts a deployment in force and reports whether it is newer than the one
-// before. The encoded form is kept for peers.
+// Apply replaces the current deployment if d is newer, and reports whether it
+// was. The encoded form is kept for peers.
 func (t *Table) Apply(d *siskin.Deployment, encoded []byte) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -103,7 +104,7 @@
 	return s
 }
 
-// Digest returns the digest that sessions keep in place of a key.
+// Digest returns the digest that sessions keep instead of a key.
 func Digest(key string) [sha256.Size]byte { return sha256.Sum256([]byte(key)) }
 
 // Route returns the route of a database.
@@ -118,13 +119,13 @@
 	return v, ok
 }
 
-// Customer returns the customer with the given id.
+// Customer returns the customer with the given ID.
 func (s *Snapshot) Customer(id siskin.CustomerID) (*siskin.CustomerSpec, bool) {
 	c, ok := s.customers[id]
 	return c, ok
 }
 
-// CustomerByDigest returns the customer that holds the key with the given digest.
+// CustomerByDigest returns the customer whose key has the given digest.
 func (s *Snapshot) CustomerByDigest(digest [sha256.Size]byte) (siskin.CustomerID, bool) {
 	c, ok := s.keys[digest]
 	return c, ok
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -7,7 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestVersions guards against a configuration that goes back to an earlier one.
+// TestVersions guards against a deployment that is replaced by an earlier
+// version, and against a missing notification of a change.
 func TestVersions(t *testing.T) {
 	tab := New()
 	changed := tab.Changed()
@@ -19,13 +20,13 @@
 			t.Errorf("version %d: got applied %t, want %t", c.version, got, c.applied)
 		}
 		if got := tab.Snapshot().Version; got != c.want {
-			t.Errorf("in force after version %d: got %d, want %d", c.version, got, c.want)
+			t.Errorf("current version after version %d: got %d, want %d", c.version, got, c.want)
 		}
 	}
 	select {
 	case <-changed:
 	default:
-		t.Error("got no word of the change")
+		t.Error("channel of Changed: got open after a change, want closed")
 	}
 	tab.Confirm(time.Unix(7, 0))
 	tab.Confirm(time.Unix(5, 0))
@@ -34,7 +35,8 @@
 	}
 }
 
-// TestLookups guards against keys and routes of other customers and services.
+// TestLookups guards against lookups that return the customer, route or
+// service of another key or database.
 func TestLookups(t *testing.T) {
 	tab := New()
 	tab.Apply(&siskin.Deployment{
