crew: comments in the usual terms

Comments said that VMs tell, look at and are held to be things; they now name pings, replies, proofs and reports, and keep every reason and number.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -16,7 +16,7 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// Config holds what a Crew depends on.
+// Config holds the dependencies of a Crew.
 type Config struct {
 	Clock  siskin.Clock
 	Self   Node
@@ -26,17 +26,17 @@
 	Roster *roster.Roster
 	Views  *views.Views
 	Homes  *home.Homes
-	// Apply puts an encoded configuration in force.
+	// Apply puts an encoded configuration into effect.
 	Apply func(encoded []byte, source string)
 	Log   *log.Logger
 	// IsHome reports whether this VM is the home of a target.
 	IsHome func(siskin.TargetID) bool
-	// PriorityPeers returns the VMs that are pinged more often than others in a large
-	// fleet.
+	// PriorityPeers returns the VMs that are pinged more often than others in a
+	// large fleet.
 	PriorityPeers func() PriorityPeers
 }
 
-// Crew is one VM's view of the fleet. It implements siskin.Members.
+// Crew is this VM's view of the fleet. It implements siskin.Members.
 type Crew struct {
 	cfg     Config
 	limiter *quota.Limiter
@@ -47,51 +47,52 @@
 	mu      sync.Mutex
 	members map[siskin.VMID]*member // without this VM
 	live    []siskin.VM
-	// selfListed says that live holds this VM, and liveOutdated that it is out of date.
+	// selfListed is set while live contains this VM. liveOutdated is set when
+	// live must be computed again.
 	selfListed, liveOutdated bool
 	changed                  chan struct{}
 	seedsPingedAt            time.Time
-	// incomplete says that a peer knows more VMs than this one.
+	// incomplete is set while a peer knows more VMs than this one.
 	incomplete   bool
 	packedConfig packedConfig
-	// packedNodes is guarded by its own mutex, wantedNodes is the last time that
-	// this VM asked for a list.
+	// packedNodes has its own mutex. nodesRequestedAt is the last time that
+	// this VM asked for a list of VMs.
 	packedNodes      packedNodes
 	nodesRequestedAt time.Time
-	fetches          int           // in progress
-	priority         PriorityPeers // as Config.PriorityPeers returned them
+	fetches          int           // number in progress
+	priority         PriorityPeers // last result of Config.PriorityPeers
 	ranker           place.Ranker
 	relay            bool      // this VM is a relay of its data centre
-	chosenAt         time.Time // last time that peers were sorted
-	round            int       // number of times
-	watchedFleetSize int       // number of members when the watched ones were chosen
-	// silentUntil says until when data centres are held to be silentUntil.
+	chosenAt         time.Time // last run of choosePeers
+	round            int       // number of runs of choosePeers
+	watchedFleetSize int       // number of members at the last run of chooseWatched
+	// silentUntil is the time until which a data centre counts as silent.
 	silentUntil map[siskin.DataCentreID]time.Time
 }
 
 var _ siskin.Members = (*Crew)(nil)
 
-// New returns a Crew that knows only this VM. Start begins to ping.
+// New returns a Crew that knows only this VM. Start starts its pings.
 func New(cfg Config) *Crew {
 	c := &Crew{cfg: cfg, stop: make(chan struct{}), members: make(map[siskin.VMID]*member), silentUntil: make(map[siskin.DataCentreID]time.Time), changed: make(chan struct{})}
 	c.live, c.selfListed = []siskin.VM{cfg.Self.vm()}, true
 	return c
 }
 
-// Start begins to ping. The limiter takes part in the pings.
+// Start starts to ping. Pings carry the loans and stamps of the limiter.
 func (c *Crew) Start(limiter *quota.Limiter) {
 	c.limiter = limiter
 	c.done.Go(c.loop)
 }
 
-// Close stops pinging and waits.
+// Close stops the pings and waits until none is running.
 func (c *Crew) Close() error {
 	close(c.stop)
 	c.done.Wait()
 	return nil
 }
 
-// Leave tells the peers to give this VM no further work.
+// Leave tells the peers to send no more work to this VM.
 func (c *Crew) Leave() {
 	c.leaving.Store(true)
 	c.limiter.ReleasePools()
@@ -105,9 +106,10 @@
 	c.updateLive()
 }
 
-// needsLeaveNotice reports whether a peer has to know that this VM leaves. In a large
-// fleet most VMs get work of callers only; with a ping of each to all others a
-// rolling restart kept the owners of pools from answering. The caller holds mu.
+// needsLeaveNotice reports whether a peer must be told that this VM leaves. In
+// a large fleet most VMs get work from callers only, and pings from each VM to
+// all others during a rolling restart kept the owners of pools from answering.
+// The caller holds mu.
 func (c *Crew) needsLeaveNotice(id siskin.VMID, m *member) bool {
 	return len(c.members) < fullMesh || c.relay || c.priority.ServesOthers || m.interval != 0 || m.watched || c.isRelay(id, m.node.DataCentre)
 }
--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -22,13 +22,13 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// fabric connects the crews of a test and loses what goes over cut links.
+// fabric connects the crews of a test and drops calls over cut links.
 type fabric struct {
 	t        *testing.T
 	mu       sync.Mutex
 	crews    map[siskin.VMID]*testCrew
-	cut      map[siskin.VMID]bool // VMs that nobody reaches and that reach nobody
-	isolated siskin.DataCentreID  // cut off from the others
+	cut      map[siskin.VMID]bool // VMs that are cut off from all others
+	isolated siskin.DataCentreID  // data centre that is cut off from the others
 	bytes    atomic.Int64         // of pings between data centres
 	pings    atomic.Int64
 }
@@ -68,8 +68,8 @@
 	f.isolated = dc
 }
 
-// separated reports whether the cut of a data centre lies between two VMs. The
-// caller holds mu.
+// separated reports whether the isolated data centre has exactly one of two
+// VMs. The caller holds mu.
 func (f *fabric) separated(a, b siskin.VMID) bool {
 	x, y := f.crews[a], f.crews[b]
 	return f.isolated != "" && x != nil && y != nil && (x.cfg.Self.DataCentre == f.isolated) != (y.cfg.Self.DataCentre == f.isolated)
@@ -77,7 +77,8 @@
 
 var errSilent = errors.New("no answer")
 
-// Call implements siskin.Peers. Messages are encoded, as between VMs.
+// Call implements siskin.Peers. It encodes the messages as they are between
+// VMs.
 func (c *testCrew) Call(_ context.Context, to siskin.VMID, method string, args, reply any) error {
 	peer := c.f.find(c.cfg.Self.ID, to)
 	if peer == nil {
@@ -119,7 +120,7 @@
 	return json.Unmarshal(data, reply)
 }
 
-// add starts a VM that knows the first one as its seed. Its id is its address.
+// add starts a VM with vm-00 as its seed. The id of the VM is also its address.
 func (f *fabric) add(i int) *testCrew {
 	id := siskin.VMID(fmt.Sprintf("vm-%02d", i))
 	l := logs.New("error", "json", io.Discard)
@@ -165,7 +166,7 @@
 }
 
 // TestMembership guards against VMs that do not find each other through a seed,
-// and against ones that stay in use after they went silent.
+// and against VMs that stay in use after they stopped answering.
 func TestMembership(t *testing.T) {
 	t.Parallel()
 	f := newFabric(t)
@@ -183,9 +184,9 @@
 	}
 	waitFor(t, "all VMs know each other", 5*time.Second, complete)
 	f.setCut("vm-03", true)
-	waitFor(t, "the silent VM is not used", 3*time.Second, func() bool { return len(crews[0].Live()) == 4 && len(crews[3].Live()) == 1 })
+	waitFor(t, "the VM that is cut off is not used", 3*time.Second, func() bool { return len(crews[0].Live()) == 4 && len(crews[3].Live()) == 1 })
 	f.setCut("vm-03", false)
-	waitFor(t, "it is used again", 5*time.Second, complete)
+	waitFor(t, "the VM is used again", 5*time.Second, complete)
 	crews[1].Leave()
 	waitFor(t, "a leaving VM gets no work", time.Second, func() bool { return len(crews[0].Live()) == 4 })
 	crews[0].Suspect("vm-02", errSilent)
@@ -194,8 +195,9 @@
 	}
 }
 
-// TestStateReachesPeers guards against configurations, targets and proofs that do not reach a
-// VM without the store, or that look younger there than they are.
+// TestStateReachesPeers guards against configurations, targets and proofs that
+// do not reach a VM without the store, or that have a lower age there than they
+// should.
 func TestStateReachesPeers(t *testing.T) {
 	t.Parallel()
 	f := newFabric(t)
@@ -214,15 +216,15 @@
 		return b.table.Snapshot().Version == 7 && known && b.views.LatestProof("s").Target == "t" && !b.table.Confirmed().IsZero()
 	})
 	if got := b.views.LatestProof("s"); got.Position != proof.Position || got.At.After(read) {
-		t.Errorf("proof at the other VM: got %+v, want the position and no younger age than %+v", got, proof)
+		t.Errorf("proof at the other VM: got %+v, want the position and at least the age of %+v", got, proof)
 	}
 	if got := b.table.Confirmed(); got.After(read) {
-		t.Errorf("age of the configuration: got a read at %v, want none after %v", got, read)
+		t.Errorf("confirmation of the configuration: got a read at %v, want none after %v", got, read)
 	}
 }
 
 // TestSizesOfGroups guards against a VM that starts while a target is missing
-// from discovery and takes the others for the whole group.
+// from discovery and takes the remaining targets for the whole group.
 func TestSizesOfGroups(t *testing.T) {
 	f := newFabric(t)
 	a := f.add(0)
@@ -235,9 +237,9 @@
 	waitFor(t, "the size of the group", 2*time.Second, func() bool { return b.roster.Size("s") == len(targets) })
 }
 
-// startLarge starts 40 VMs in three data centres that know each other. Tests with
-// large fleets do not run in parallel: four of them in one process under the race
-// detector make each other late.
+// startLarge starts 40 VMs in three data centres that know each other. Tests
+// with large fleets do not run in parallel: four of them in one process under
+// the race detector delay each other.
 func startLarge(t *testing.T, f *fabric) []*testCrew {
 	t.Helper()
 	var crews []*testCrew
@@ -252,14 +254,15 @@
 		}
 		return true
 	})
-	// At first each VM pings every other one once, to learn that it lives.
+	// At the start each VM pings every other one once to find out whether it is
+	// up.
 	time.Sleep(2 * time.Second)
 	return crews
 }
 
-// TestLargeConfiguration guards against a large configuration that each VM
-// fetches from many peers, whole and at once: on links of 10 Mbit/s a change was in
-// force after more than 8 s.
+// TestLargeConfiguration guards against each VM fetching a large configuration
+// uncompressed from many peers at once: on links of 10 Mbit/s a change took
+// more than 8 s to be in effect.
 func TestLargeConfiguration(t *testing.T) {
 	f := newFabric(t)
 	crews := startLarge(t, f)
@@ -282,8 +285,8 @@
 	}
 }
 
-// TestLargeFleet guards against pings that grow with the square of the fleet,
-// and against news that do not reach all of it.
+// TestLargeFleet guards against a number of pings that grows with the square of
+// the fleet size, and against updates that do not reach all VMs.
 func TestLargeFleet(t *testing.T) {
 	f := newFabric(t)
 	crews := startLarge(t, f)
@@ -301,13 +304,13 @@
 	before, bytes := f.pings.Load(), f.bytes.Load()
 	const span = 3 * time.Second
 	time.Sleep(span)
-	// One near and one distant peer in each interval, and a half for pings of
-	// peers that answered late.
+	// One priority peer and one distant peer in each interval, and half a ping
+	// more for peers that answered late.
 	most := int64(2.5 * float64(len(crews)) * span.Seconds() / pingInterval.Seconds())
 	if got := f.pings.Load() - before; got > most {
 		t.Errorf("pings of %d VMs in %v: got %d, want at most %d", len(crews), span, got, most)
 	}
-	// The users allow 7 KB/s for all control traffic of a VM.
+	// The requirement is at most 7 KB/s for all control traffic of a VM.
 	got := float64(f.bytes.Load()-bytes) / span.Seconds() / float64(len(crews))
 	t.Logf("%.1f pings and %.0f bytes between data centres per VM and second", float64(f.pings.Load()-before)/span.Seconds()/float64(len(crews)), got)
 	if got > 7000 {
@@ -315,9 +318,9 @@
 	}
 }
 
-// TestLeadAgeInLargeFleet guards against VMs of a large fleet that learn of
-// positions too late for reads of an age of 1.5 s, since relays pass them on.
-func TestLeadAgeInLargeFleet(t *testing.T) {
+// TestProofAgeInLargeFleet guards against VMs of a large fleet that learn
+// positions from relays too late for reads with a staleness of 1.5 s.
+func TestProofAgeInLargeFleet(t *testing.T) {
 	f := newFabric(t)
 	crews := startLarge(t, f)
 	d := testDeployment()
@@ -328,7 +331,7 @@
 	clock := boot.Clock{}
 	var oldest time.Duration
 	for i := range 20 {
-		// The home of the primary proves its lead again and again.
+		// The home of the primary records new proofs periodically.
 		crews[0].views.RecordProof("s", views.PrimaryProof{Target: "t", Position: siskin.Position{Term: 1, LSN: siskin.LSN(i + 1)}, At: clock.Now()})
 		time.Sleep(100 * time.Millisecond)
 		for _, c := range crews {
@@ -338,12 +341,12 @@
 		}
 	}
 	if most := 900 * time.Millisecond; oldest > most {
-		t.Errorf("oldest floor: got %v, want at most %v", oldest, most)
+		t.Errorf("oldest proof: got %v, want at most %v", oldest, most)
 	}
 }
 
-// TestRemovedVMs guards against a data centre that is held to be silent because
-// its removed VMs do not answer and the others are late by a moment.
+// TestRemovedVMs guards against marking a data centre as silent because its
+// removed VMs do not answer and the other ones answer slightly late.
 func TestRemovedVMs(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(Config{Clock: boot.Clock{}, Self: Node{ID: "vm", DataCentre: "a"}, Log: logs.New("error", "json", io.Discard)})
@@ -365,9 +368,10 @@
 	}
 }
 
-// TestSilentDataCentre guards against VMs of a data centre that is cut off and
-// that stay in use one by one: the homes of the targets there, and the watch
-// over their primaries, went to further VMs behind the cut for its whole time.
+// TestSilentDataCentre guards against excluding the VMs of an isolated data
+// centre one by one. The homes of the targets there, and the watchers of their
+// primaries, then moved to further unreachable VMs for as long as the cut
+// lasted.
 func TestSilentDataCentre(t *testing.T) {
 	f := newFabric(t)
 	crews := startLarge(t, f)
@@ -382,7 +386,7 @@
 		}
 		return here, there
 	}
-	waitFor(t, "no VM behind the cut is used", 3*time.Second, func() bool {
+	waitFor(t, "no VM on the other side of the cut is used", 3*time.Second, func() bool {
 		for _, c := range crews {
 			if _, there := count(c); there > 0 {
 				return false
@@ -399,7 +403,7 @@
 			t.Errorf("%s uses %d VMs on its side of the cut, want %d", c.cfg.Self.ID, here, want)
 		}
 		if got := c.Isolated(); got != (want == 13) {
-			t.Errorf("%s takes itself for isolated: got %v, want %v", c.cfg.Self.ID, got, want == 13)
+			t.Errorf("%s reports that it is isolated: got %v, want %v", c.cfg.Self.ID, got, want == 13)
 		}
 	}
 	f.isolate("")
@@ -413,10 +417,11 @@
 	})
 }
 
-// TestLeaveNoticesInLargeFleet guards against VMs of a large fleet that all tell all
-// others when they stop, which kept owners of pools busy during a rolling restart.
+// TestLeaveNoticesInLargeFleet guards against VMs of a large fleet that notify
+// all others when they stop, which kept the owners of pools busy during a
+// rolling restart.
 func TestLeaveNoticesInLargeFleet(t *testing.T) {
-	told := func(needed bool) int {
+	countNotified := func(needed bool) int {
 		c := New(Config{Clock: boot.Clock{}, Self: Node{ID: "vm-000", DataCentre: "a"}, Log: logs.New("error", "json", io.Discard)})
 		c.limiter = quota.New(quota.Config{Clock: boot.Clock{}, Members: c, Log: c.cfg.Log, Table: table.New()})
 		for i := 1; i < 295; i++ {
@@ -441,12 +446,12 @@
 		}
 		return n
 	}
-	// Three of its data centre and one of each other one are watched, and two of
-	// each are relays.
-	if got, most := told(false), 3+5+6*relayCount; got == 0 || got > most {
-		t.Errorf("VMs told by one that nobody needs: got %d, want 1 to %d", got, most)
+	// It watches three VMs of its own data centre and one of each other one,
+	// and each data centre has two relays.
+	if got, most := countNotified(false), 3+5+6*relayCount; got == 0 || got > most {
+		t.Errorf("VMs notified by a VM that serves no others: got %d, want 1 to %d", got, most)
 	}
-	if got, want := told(true), 294; got != want {
-		t.Errorf("VMs told by a home: got %d, want %d", got, want)
+	if got, want := countNotified(true), 294; got != want {
+		t.Errorf("VMs notified by a home: got %d, want %d", got, want)
 	}
 }
--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -9,16 +9,17 @@
 
 const (
 	// fetchTimeout bounds the transfer of a configuration of up to 1 MB, which
-	// is some 100 KB when compressed.
+	// is about 100 KB when compressed.
 	fetchTimeout = 1200 * time.Millisecond
-	// maxFetches bounds the fetches at a time. All bring the same; the second one
-	// is for a peer that falls silent.
+	// maxFetches is the number of concurrent fetches. All of them fetch the
+	// same data; the second one is for the case that a peer stops answering.
 	maxFetches = 2
-	// maxLeadAge is the age up to which proofs of lead are passed on.
-	maxLeadAge = 1500 * time.Millisecond
+	// maxProofAge is the age up to which primary proofs are passed on.
+	maxProofAge = 1500 * time.Millisecond
 )
 
-// fetchIfNewer fetches what a peer has and this VM lacks.
+// fetchIfNewer starts a fetch if the peer has a newer configuration, newer
+// targets or the record of shares that this VM lacks.
 func (c *Crew) fetchIfNewer(s *State) {
 	version, _ := c.cfg.Roster.Version()
 	lacksHolders := s.HasHolders && c.limiter.Holders() == nil
@@ -34,7 +35,9 @@
 	}
 }
 
-// applyVersions takes over how new a peer's state is, and fetches what is newer.
+// applyVersions updates how recent the data of this VM is known to be from a
+// peer's state, and fetches what is newer. asked is the time when the ping was
+// sent.
 func (c *Crew) applyVersions(s *State, asked time.Time) {
 	revision := c.cfg.Table.Snapshot().Version
 	if s.Revision == revision && revision > 0 {
@@ -65,13 +68,13 @@
 		}
 	}()
 	if err != nil {
-		c.cfg.Log.Warn().Err(err).Str("VM", string(id)).Msg("state was not fetched from a peer")
+		c.cfg.Log.Warn().Err(err).Str("VM", string(id)).Msg("could not fetch state from a peer")
 		return
 	}
 	if len(reply.Configuration) > 0 {
 		encoded, err := unpack(reply.Configuration)
 		if err != nil {
-			c.cfg.Log.Error().Err(err).Str("VM", string(id)).Msg("a configuration was not taken over from a peer")
+			c.cfg.Log.Error().Err(err).Str("VM", string(id)).Msg("could not decompress a configuration from a peer")
 			return
 		}
 		c.cfg.Apply(encoded, string(id))
--- a/internal/crew/loop.go
+++ b/internal/crew/loop.go
@@ -12,11 +12,12 @@
 // tick is the resolution of the ping schedule.
 const tick = 50 * time.Millisecond
 
-// unscheduled is longer than any time until choose picks a distant peer.
+// unscheduled is the interval of a peer that is pinged only when choosePeers
+// selects it. It is longer than any time until then.
 const unscheduled = time.Hour
 
 func (c *Crew) loop() {
-	var refreshedAt time.Time // last time that this VM looked whom it depends on
+	var refreshedAt time.Time // last time that PriorityPeers was called
 	for {
 		select {
 		case <-c.stop:
@@ -62,8 +63,8 @@
 	}
 }
 
-// choosePeers decides how often each peer is pinged, and picks the relay and the
-// distant peer of a large fleet whose turn it is. The caller holds mu.
+// choosePeers sets the ping interval of each peer. In a large fleet it also
+// selects the relay and the distant peer to ping next. The caller holds mu.
 func (c *Crew) choosePeers(now time.Time) {
 	large := len(c.members) >= fullMesh
 	c.relay = large && c.isRelay(c.cfg.Self.ID, c.cfg.Self.DataCentre)
@@ -94,7 +95,8 @@
 		slices.MinFunc(relays, byHeard).nextPing = now
 	}
 	slices.SortFunc(distant, byHeard)
-	// Traffic between data centres is dear, so only some pings cross.
+	// Traffic between data centres is expensive, so only some pings go to
+	// another one.
 	c.round++
 	for _, m := range distant {
 		if c.isLocal(m) != (c.round%remoteEvery == 0) {
@@ -104,8 +106,9 @@
 	}
 }
 
-// chooseWatched picks the distant peers that this VM pings in turn, by rendezvous
-// rank, so that each VM is watched by about as many others. The caller holds mu.
+// chooseWatched selects the distant peers that this VM pings in turn.
+// Rendezvous hashing makes about the same number of VMs watch each VM. The
+// caller holds mu.
 func (c *Crew) chooseWatched() {
 	if c.watchedFleetSize == len(c.members) {
 		return
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -7,65 +7,67 @@
 )
 
 const (
-	// pingInterval is the time between two pings of one peer. A floor for reads
-	// is as old as this at most, which is well below the ages that routes allow.
+	// pingInterval is the time between two pings of a peer. The proven position
+	// that reads rely on is at most this old, which is well below the staleness
+	// that routes allow.
 	pingInterval = 300 * time.Millisecond
 	// pingTimeout bounds one ping.
 	pingTimeout = 500 * time.Millisecond
-	// suspectAfter is the silence after which a peer is no longer used as a home.
+	// suspectAfter is the time without an answer after which a peer is no
+	// longer used as a home.
 	suspectAfter = 900 * time.Millisecond
-	// poolOwnerInterval is the time between two pings of a VM of a larger fleet that
-	// holds pools of rates. Loans live for more than three of them.
+	// poolOwnerInterval is the time between two pings of a VM that owns pools
+	// of rates, in a larger fleet. A loan is valid for more than three of them.
 	poolOwnerInterval = 450 * time.Millisecond
-	// fullMesh is the number of VMs up to which each pings all others.
+	// fullMesh is the fleet size up to which each VM pings all others.
 	fullMesh = 16
-	// remoteEvery says that one in so many pings of distant peers goes to another
-	// data centre. A VM of a larger fleet pings one distant peer in each
-	// interval, in turn. News reach all VMs within the logarithm of their number
-	// of intervals.
+	// remoteEvery is the number of pings of distant peers of which one goes to
+	// another data centre. A VM of a larger fleet pings one distant peer per
+	// interval, in turn. An update reaches all VMs in a number of intervals
+	// that is logarithmic in the size of the fleet.
 	remoteEvery = 3
-	// deadInterval is the time between two pings of a peer that is silent for
-	// long, such as one that was removed.
+	// deadInterval is the time between two pings of a peer that has not
+	// answered for long, for instance because it was removed.
 	deadInterval = 1500 * time.Millisecond
-	// deadAfter is the silence after which deadInterval applies.
+	// deadAfter is the time without an answer after which deadInterval applies.
 	deadAfter = 5 * time.Second
-	// removedInterval and goneAfter are the same for a peer that was removed, as far
-	// as its silence tells.
+	// removedInterval and removedAfter are the same for a peer that was
+	// probably removed, because it has not answered for even longer.
 	removedInterval = 15 * time.Second
 	removedAfter    = time.Minute
-	// watchedLocal and watchedRemote are the numbers of distant peers of a large
-	// fleet, in this data centre and in each other one, that a VM pings in turn.
-	// The same ones each time: with all others in turn every VM would keep a
-	// connection to every other one.
+	// watchedLocal and watchedRemote are the numbers of distant peers of a
+	// large fleet that a VM pings in turn, in its own data centre and in each
+	// other one. They are the same peers each time: if all others took turns,
+	// every VM would keep a connection to every other one.
 	watchedLocal, watchedRemote = 3, 1
 )
 
-// member is a peer and what is known of its health.
+// member is a peer with its health.
 type member struct {
 	node    Node
 	leaving bool
-	// knownSince is when this VM learned of the run.
+	// knownSince is the time when this VM learned of the run.
 	knownSince time.Time
-	// lastHeard is the time before the question of the last answered ping.
+	// lastHeard is the time when the last answered ping was sent.
 	lastHeard time.Time
-	// suspect is set by a failed call and cleared by the next answer.
+	// suspect is set by a failed call and cleared by the next answered ping.
 	suspect      bool
-	nextPing     time.Time // of the next ping
-	lostPingedAt time.Time // last ping for a report of a relay
-	// interval is the time between two pings, zero for a distant peer of a large
-	// fleet, which is pinged when its turn comes.
+	nextPing     time.Time // when the next ping is due
+	lostPingedAt time.Time // last ping after a relay reported the peer as lost
+	// interval is the time between two pings. It is zero for a distant peer of
+	// a large fleet, which is pinged only when choosePeers selects it.
 	interval time.Duration
-	// listed says that the list of live VMs holds this run of the peer.
+	// listed is set while the list of live VMs contains this run of the peer.
 	listed bool
-	// watched says that a distant peer is pinged in turn.
+	// watched is set for a distant peer that is pinged in turn.
 	watched bool
-	// pingFailed says that the last ping was not answered.
+	// pingFailed is set when the last ping was not answered.
 	pingFailed        bool
 	pinging, fetching bool
 }
 
-// alive reports whether the peer may be used. One that is pinged rarely or never
-// is held to be alive until a call or ping fails, or its whole data centre is
+// alive reports whether the peer may be used. A peer that is pinged rarely or
+// never counts as alive until a call or ping fails, or its whole data centre is
 // silent.
 func (c *Crew) alive(m *member, now time.Time) bool {
 	switch {
@@ -79,7 +81,7 @@
 	return m.interval != pingInterval && !m.pingFailed && !now.Before(c.silentUntil[m.node.DataCentre])
 }
 
-// nextInterval returns the time to the next ping after one that starts now.
+// nextInterval returns the time from a ping that starts now to the next one.
 func (m *member) nextInterval(now time.Time) time.Duration {
 	quiet := m.pingFailed || m.suspect
 	switch {
@@ -96,7 +98,8 @@
 	}
 }
 
-// PingNow asks for a ping at once, since a call to the VM got no answer.
+// PingNow schedules a ping for the next tick because a call to the VM was not
+// answered.
 func (c *Crew) PingNow(id siskin.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -105,8 +108,8 @@
 	}
 }
 
-// Suspect notes that a call to a VM failed, so that it is not used until it
-// answers again.
+// Suspect records that a call to a VM failed. The VM is not used until it
+// answers a ping.
 func (c *Crew) Suspect(id siskin.VMID, cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/crew/members.go
+++ b/internal/crew/members.go
@@ -39,16 +39,17 @@
 	return vm, true
 }
 
-// UsesRelays reports whether this VM of a large fleet leaves reading the store to
-// the relays.
+// UsesRelays reports whether this VM is in a large fleet and leaves reading the
+// store to the relays.
 func (c *Crew) UsesRelays() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.members) >= fullMesh && !c.relay
 }
 
-// Isolated reports whether no VM of another data centre can be used although two
-// or more others exist. With one other it is not known which side is cut off.
+// Isolated reports whether no VM of another data centre can be used although
+// there are two or more others. With only one other, it is unknown which side
+// is cut off.
 func (c *Crew) Isolated() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,8 +67,8 @@
 	return len(others) > 1
 }
 
-// IsSeed reports whether other VMs ask this one at their start, or it knows no
-// VM to ask.
+// IsSeed reports whether other VMs use this one as a seed, or it has no seeds
+// itself.
 func (c *Crew) IsSeed() bool {
 	return len(c.cfg.Seeds) == 0 || slices.Contains(c.cfg.Seeds, c.cfg.Self.Address)
 }
@@ -85,7 +86,7 @@
 	return c.changed
 }
 
-// Learn takes over the description of a VM. The newest run of a VM holds.
+// Learn adds or updates a VM. Only the newest run of a VM is kept.
 func (c *Crew) Learn(n Node) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -102,13 +103,13 @@
 		c.members[n.ID] = c.newMember(n)
 	case n.Run > m.node.Run:
 		c.members[n.ID] = c.newMember(n)
-		c.liveOutdated = true // the list may hold the earlier run
+		c.liveOutdated = true // the list may contain the earlier run
 		c.updateLive()
 	}
 }
 
-// newMember returns a member that is pinged at once, or in a large fleet when
-// choose finds a reason to: with a ping of each VM to every other one a fleet of
+// newMember returns a member that is pinged at once, or in a large fleet only
+// when choosePeers selects it. When each VM pinged every other one, a fleet of
 // 295 VMs opened 87,000 connections at its start.
 func (c *Crew) newMember(n Node) *member {
 	now := c.cfg.Clock.Now()
@@ -116,11 +117,11 @@
 	if len(c.members) >= fullMesh {
 		m.interval, m.nextPing = 0, now.Add(unscheduled)
 	}
-	c.chosenAt = time.Time{} // looks at the peers again
+	c.chosenAt = time.Time{} // run choosePeers at the next tick
 	return m
 }
 
-// Nodes returns all VMs known, this one included.
+// Nodes returns all known VMs, including this one.
 func (c *Crew) Nodes() []Node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,14 +136,15 @@
 	return nodes
 }
 
-// Refresh derives the list of live VMs from what is known now.
+// Refresh updates the list of live VMs now.
 func (c *Crew) Refresh() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateLive()
 }
 
-// updateLive derives the list of live VMs.
+// updateLive computes the list of live VMs if it is out of date. The caller
+// holds mu.
 func (c *Crew) updateLive() {
 	now := c.cfg.Clock.Now()
 	if !c.liveChanged(now) {
@@ -169,8 +171,8 @@
 
 func (c *Crew) usable(m *member, now time.Time) bool { return !m.leaving && c.alive(m, now) }
 
-// liveChanged reports whether the list of live VMs is out of date. It is asked
-// many times a second, and a list of hundreds of VMs is dear to build.
+// liveChanged reports whether the list of live VMs is out of date. It is called
+// many times a second, and a list of hundreds of VMs is expensive to build.
 func (c *Crew) liveChanged(now time.Time) bool {
 	if c.liveOutdated || c.selfListed == c.leaving.Load() {
 		return true
--- a/internal/crew/near.go
+++ b/internal/crew/near.go
@@ -2,14 +2,16 @@
 
 import "siskintray.example/siskin"
 
-// PriorityPeers are the VMs that one of a large fleet depends on.
+// PriorityPeers are the VMs that a VM of a large fleet depends on.
 type PriorityPeers struct {
-	// Homes are the homes of primaries. Relays ask them for proofs of lead.
+	// Homes are the homes of primaries. Relays request primary proofs from
+	// them.
 	Homes map[siskin.VMID]bool
-	// StandbyFor are the homes whose place this VM may have to take.
+	// StandbyFor are the homes that this VM may have to replace.
 	StandbyFor map[siskin.VMID]bool
-	// ServesOthers says that others send work to this VM as a home or owner of pools.
+	// ServesOthers is set when others send work to this VM because it is a home
+	// or owns pools.
 	ServesOthers bool
-	// PoolOwners are the VMs that hold pools of rates.
+	// PoolOwners are the VMs that own pools of rates.
 	PoolOwners map[siskin.VMID]bool
 }
--- a/internal/crew/nodes.go
+++ b/internal/crew/nodes.go
@@ -7,14 +7,15 @@
 )
 
 const (
-	// minPackedNodes is the number of VMs from which on their list is compressed. A
-	// list of 295 VMs takes 32 KB, and after a loss of all power each VM asks one
-	// of three seeds for it, over links of 20 Mbit/s.
+	// minPackedNodes is the number of VMs from which on the list of VMs is
+	// compressed. A list of 295 VMs takes 32 KB, and after a power loss of the
+	// whole fleet each VM requests it from one of three seeds, over links of 20
+	// Mbit/s.
 	minPackedNodes = 32
-	// packedNodesTTL is the age up to which a compressed list is sent again.
+	// packedNodesTTL is the time for which a compressed list is reused.
 	packedNodesTTL = 200 * time.Millisecond
-	// nodesRequestInterval is the least time between two questions for the list, while
-	// peers know more VMs than this one.
+	// nodesRequestInterval is the minimum time between two requests for the
+	// list while peers know more VMs than this one.
 	nodesRequestInterval = 400 * time.Millisecond
 )
 
@@ -25,7 +26,7 @@
 	data []byte
 }
 
-// addNodes adds the VMs that this one knows to an answer.
+// addNodes adds the VMs that this one knows to a reply.
 func (c *Crew) addNodes(s *State) error {
 	now := c.cfg.Clock.Now()
 	p := &c.packedNodes
@@ -51,7 +52,7 @@
 	return nil
 }
 
-// nodesOf returns the VMs that an answer names.
+// nodesOf returns the VMs listed in a reply.
 func nodesOf(s *State) ([]Node, error) {
 	if len(s.PackedNodes) == 0 {
 		return s.Nodes, nil
--- a/internal/crew/pack.go
+++ b/internal/crew/pack.go
@@ -9,20 +9,20 @@
 	"siskintray.example/siskin"
 )
 
-// maxConfiguration bounds a configuration that a peer sends. The store holds
-// values of up to 1 MB.
+// maxConfiguration is the largest configuration in bytes that is accepted from
+// a peer. The store holds values of up to 1 MB.
 const maxConfiguration = 4 << 20
 
-// packedConfig is the compressed configuration of the last version that a peer asked
-// for. Configurations with many routes shrink to a tenth, which matters on links
-// of 10 Mbit/s when all VMs fetch a new version.
+// packedConfig caches the compressed configuration of the last version that a
+// peer requested. Configurations with many routes shrink to a tenth, which
+// matters on links of 10 Mbit/s when all VMs fetch a new version.
 type packedConfig struct {
 	mu       sync.Mutex
 	revision siskin.Revision
 	data     []byte
 }
 
-// pack returns the compressed form of a version.
+// pack returns the compressed configuration of a version.
 func (p *packedConfig) pack(revision siskin.Revision, encoded []byte) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -52,15 +52,15 @@
 	return b.Bytes(), nil
 }
 
-// unpack returns what pack or compress was given.
+// unpack decompresses data that compress returned.
 func unpack(data []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return nil, siskin.NewError(siskin.BadInput, "the data of a peer is not compressed").WithCause(err)
+		return nil, siskin.NewError(siskin.BadInput, "data from a peer is not in gzip format").WithCause(err)
 	}
 	encoded, err := io.ReadAll(io.LimitReader(r, maxConfiguration+1))
 	if err == nil && len(encoded) > maxConfiguration {
-		return nil, siskin.NewError(siskin.BadInput, "the data of a peer is larger than %d bytes", maxConfiguration)
+		return nil, siskin.NewError(siskin.BadInput, "data from a peer is larger than %d bytes", maxConfiguration)
 	}
 	return encoded, err
 }
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// ping exchanges states with one peer.
+// ping exchanges state with one peer.
 func (c *Crew) ping(id siskin.VMID) {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
@@ -28,7 +28,7 @@
 		}
 		m.pinging, m.pingFailed = false, err != nil
 		if now := c.cfg.Clock.Now(); err != nil && m.interval == 0 {
-			m.nextPing = now.Add(m.nextInterval(now)) // its turn may never come
+			m.nextPing = now.Add(m.nextInterval(now)) // choosePeers may never select it
 		}
 	}
 	if err != nil {
@@ -59,7 +59,7 @@
 	c.updateLive()
 	c.mu.Unlock()
 	if nodesErr != nil {
-		c.cfg.Log.Error().Err(nodesErr).Str("VM", string(id)).Msg("a list of VMs was not taken over from a peer")
+		c.cfg.Log.Error().Err(nodesErr).Str("VM", string(id)).Msg("could not decode a list of VMs from a peer")
 	}
 	if reply.Released {
 		c.limiter.HandleRelease(reply.From.ID, reply.Tokens)
@@ -69,8 +69,8 @@
 	c.applyReply(&reply, asked)
 }
 
-// pingPoolOwner pings a VM that holds pools again at once, since loans travel with
-// pings and need a stamp of the VM.
+// pingPoolOwner schedules another ping of an owner of pools at once, since
+// loans are sent with pings and need a stamp of the owner.
 func (c *Crew) pingPoolOwner(id siskin.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -79,7 +79,8 @@
 	}
 }
 
-// knownRun returns the run of a peer that has answered this VM, and so knows it.
+// knownRun returns the known run of a peer that has answered this VM, and
+// therefore knows this VM, or zero.
 func (c *Crew) knownRun(id siskin.VMID) siskin.Incarnation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -89,8 +90,8 @@
 	return 0
 }
 
-// wantsNodes reports whether the peer should name the VMs that it knows: this
-// VM asks a seed, or a peer knows more than it does.
+// wantsNodes reports whether to ask a peer for the VMs that it knows: the peer
+// is a seed, or some peer knows more VMs than this one.
 func (c *Crew) wantsNodes(id siskin.VMID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -104,7 +105,8 @@
 	return true
 }
 
-// applyReply takes over what a peer said; asked is the moment before the question.
+// applyReply applies the state in a peer's reply; asked is the time when the
+// ping was sent.
 func (c *Crew) applyReply(s *State, asked time.Time) {
 	for _, l := range s.Leads {
 		c.cfg.Views.RecordProof(l.Service, views.PrimaryProof{Target: l.Target, Position: l.Position, Term: l.Term, At: asked.Add(-l.Age)})
--- a/internal/crew/receiver.go
+++ b/internal/crew/receiver.go
@@ -2,16 +2,16 @@
 
 import "time"
 
-// Receiver serves the calls of peers under the name Crew.
+// Receiver serves the remote calls of peers under the service name Crew.
 type Receiver struct{ c *Crew }
 
 // Receiver returns the receiver to register.
 func (c *Crew) Receiver() *Receiver { return &Receiver{c} }
 
-// Ping exchanges states.
+// Ping processes the state of a peer and returns that of this VM.
 func (r *Receiver) Ping(args *State, reply *State) error {
-	// The proofs in a ping have aged on the way by an unknown time, so only
-	// those in answers are taken over.
+	// A ping has aged in transit for an unknown time, so proofs and versions
+	// are applied only from replies.
 	r.c.Learn(args.From)
 	r.c.fetchIfNewer(args)
 	r.c.recordLeaving(args)
@@ -32,8 +32,8 @@
 	return nil
 }
 
-// pingRecovered pings a peer again at once that is held to be silent and has just
-// asked this VM.
+// pingRecovered schedules a ping of a peer that was suspect or didn't answer
+// the last ping, because it has just sent one itself.
 func (c *Crew) pingRecovered(n Node) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -47,12 +47,12 @@
 	defer c.mu.Unlock()
 	if m := c.members[s.From.ID]; m != nil && m.leaving != s.Leaving && s.From.Run == m.node.Run {
 		m.leaving = s.Leaving
-		m.nextPing = time.Time{} // its answer gives back what was lent to it
+		m.nextPing = time.Time{} // the reply returns the tokens lent to it
 		c.updateLive()
 	}
 }
 
-// Fetch returns what is newer than the caller's state.
+// Fetch returns the data that is newer than the caller's.
 func (r *Receiver) Fetch(args *FetchArgs, reply *FetchReply) error {
 	c := r.c
 	if snap := c.cfg.Table.Snapshot(); snap.Version > args.Revision {
--- a/internal/crew/relay.go
+++ b/internal/crew/relay.go
@@ -7,23 +7,25 @@
 )
 
 const (
-	// relayCount is the number of VMs of each data centre of a large fleet that
-	// ask other data centres for proofs of lead. The others ask them, so the
-	// traffic between data centres does not grow with the number of VMs, and a
-	// proof is older by one ping at most.
+	// relayCount is the number of VMs in each data centre of a large fleet that
+	// request primary proofs from other data centres. The other VMs request
+	// them from the relays, so the traffic between data centres does not grow
+	// with the number of VMs, and a proof is older by at most one ping.
 	relayCount = 2
-	// relayInterval is the time between two pings of a relay elsewhere. News of
-	// the configuration come with them, which has 3 s to be in force.
+	// relayInterval is the time between two pings of a relay in another data
+	// centre. They carry the version of the configuration, which must be in
+	// effect within 3 s.
 	relayInterval = 600 * time.Millisecond
-	// silentReportTTL is the time for which the report of a silent data centre counts.
-	// It spans three pings.
+	// silentReportTTL is the time for which a report of a silent data centre is
+	// valid. It spans three pings.
 	silentReportTTL = 3*pingInterval + pingTimeout
 	// minFailed is the number of VMs that must have failed to answer before
-	// their data centre is held to be silent.
+	// their data centre counts as silent.
 	minFailed = 2
 )
 
-// isRelay reports whether a VM is a relay of its data centre, as far as known.
+// isRelay reports whether a VM is a relay of its data centre, in this VM's view
+// of the fleet.
 func (c *Crew) isRelay(id siskin.VMID, dc siskin.DataCentreID) bool {
 	ranked := c.ranker.Rank("relay/"+string(dc), c.live, func(live []siskin.VM) []siskin.VM {
 		var in []siskin.VM
@@ -42,8 +44,8 @@
 	return false
 }
 
-// largeFleetInterval returns the time between two pings of a peer of a large fleet, zero
-// for one that is pinged when its turn comes.
+// largeFleetInterval returns the time between two pings of a peer of a large
+// fleet. It is zero for a peer that is pinged only when choosePeers selects it.
 func (c *Crew) largeFleetInterval(m *member) time.Duration {
 	id := m.node.ID
 	switch {
@@ -58,8 +60,9 @@
 	}
 }
 
-// detectSilent finds the data centres of which no VM answers. VMs there are not
-// used, so that the homes of their targets move at once and not VM by VM.
+// detectSilent detects the data centres of which no VM answers. Their VMs are
+// not used, so that the homes of their targets move all at once rather than VM
+// by VM.
 func (c *Crew) detectSilent(now time.Time) {
 	lastHeard := make(map[siskin.DataCentreID]time.Time)
 	for _, m := range c.members {
@@ -69,7 +72,7 @@
 	}
 	pingFailed := make(map[siskin.DataCentreID]int)
 	for _, m := range c.members {
-		// VMs that were gone before the others fell silent tell nothing.
+		// VMs that stopped answering long before the others are not evidence.
 		if last := lastHeard[m.node.DataCentre]; (m.pingFailed || m.suspect) && last.Sub(m.lastHeard) < deadAfter {
 			pingFailed[m.node.DataCentre]++
 		}
@@ -81,8 +84,8 @@
 	}
 }
 
-// pingDataCentre asks the VMs of a data centre that this relay pings often,
-// since one of them did not answer. The caller holds mu.
+// pingDataCentre schedules pings of the VMs of a data centre that this relay
+// pings regularly, because one of them did not answer. The caller holds mu.
 func (c *Crew) pingDataCentre(dc siskin.DataCentreID) {
 	for _, m := range c.members {
 		if c.relay && m.interval != 0 && m.node.DataCentre == dc && !m.pingFailed {
@@ -91,7 +94,7 @@
 	}
 }
 
-// markSilent holds a data centre to be silent until the given time. The caller
+// markSilent marks a data centre as silent until the given time. The caller
 // holds mu.
 func (c *Crew) markSilent(dc siskin.DataCentreID, until time.Time) {
 	now := c.cfg.Clock.Now()
@@ -104,15 +107,16 @@
 }
 
 const (
-	// lostReportTime is the time for which a relay tells of a VM that fell silent. Those
-	// that ask it do so each pingInterval.
+	// lostReportTime is the time for which a relay reports a VM that stopped
+	// answering. Other VMs ping a relay every pingInterval.
 	lostReportTime = 2 * time.Second
-	// maxLost bounds the VMs that are told with one answer. A whole data centre is
-	// told of by its name.
+	// maxLost is the largest number of lost VMs in one reply. A whole data
+	// centre is reported by its id.
 	maxLost = 32
 )
 
-// lostMembers returns the VMs that have just fallen silent. The caller holds mu.
+// lostMembers returns the VMs that have recently stopped answering. The caller
+// holds mu.
 func (c *Crew) lostMembers(now time.Time) []siskin.VMID {
 	var list []siskin.VMID
 	for id, m := range c.members {
@@ -124,8 +128,8 @@
 	return list
 }
 
-// pingLost pings VMs that a relay lost, unless this VM has done so lately. The caller
-// holds mu.
+// pingLost schedules pings of VMs that a relay reported as lost, unless this VM
+// has done so recently. The caller holds mu.
 func (c *Crew) pingLost(ids []siskin.VMID) {
 	now := c.cfg.Clock.Now()
 	for _, id := range ids {
@@ -135,8 +139,8 @@
 	}
 }
 
-// silentDataCentres returns the data centres held to be silent. The caller holds
-// mu.
+// silentDataCentres returns the data centres that count as silent. The caller
+// holds mu.
 func (c *Crew) silentDataCentres(now time.Time) []siskin.DataCentreID {
 	var list []siskin.DataCentreID
 	for dc, until := range c.silentUntil {
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -1,7 +1,7 @@
 package crew
 
-// pingState returns what this VM tells with a ping. Proofs age on the way by an
-// unknown time, so they travel with answers only.
+// pingState returns the state that this VM sends with a ping. It has no proofs,
+// since they age in transit for an unknown time and are sent in replies only.
 func (c *Crew) pingState() State {
 	s := State{
 		From: c.cfg.Self, Leaving: c.leaving.Load(), Revision: c.cfg.Table.Snapshot().Version,
@@ -11,7 +11,7 @@
 	return s
 }
 
-// replyState returns what this VM answers to a ping.
+// replyState returns the state that this VM sends in reply to a ping.
 func (c *Crew) replyState() State {
 	now := c.cfg.Clock.Now()
 	s := c.pingState()
@@ -24,7 +24,7 @@
 	}
 	c.mu.Lock()
 	s.Known = len(c.members) + 1
-	every := len(c.members) < fullMesh || c.relay
+	passAll := len(c.members) < fullMesh || c.relay
 	if c.relay {
 		s.Silent = c.silentDataCentres(now)
 		s.Lost = c.lostMembers(now)
@@ -32,8 +32,9 @@
 	c.mu.Unlock()
 	for _, spec := range c.cfg.Table.Snapshot().Services {
 		l := c.cfg.Views.LatestProof(spec.Name)
-		// In a large fleet proofs come from the homes of primaries and from relays.
-		if age := now.Sub(l.At); l.Target != "" && age < maxLeadAge && (every || c.cfg.IsHome(l.Target)) {
+		// In a large fleet only the homes of primaries and relays pass on
+		// proofs.
+		if age := now.Sub(l.At); l.Target != "" && age < maxProofAge && (passAll || c.cfg.IsHome(l.Target)) {
 			s.Leads = append(s.Leads, LeadNote{Service: spec.Name, Target: l.Target, Position: l.Position, Term: l.Term, Age: age})
 		}
 	}
