--- a/internal/elect/announce_test.go
+++ b/internal/elect/announce_test.go
@@ -185,16 +185,16 @@
 func TestLateHold(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	from, to, w := newElectorPair(t, clock)
-	lead := func(id siskin.TargetID, term siskin.Term) views.PrimaryProof {
+	proofAt := func(id siskin.TargetID, term siskin.Term) views.PrimaryProof {
 		return views.PrimaryProof{Target: id, Position: siskin.Position{Term: term, LSN: 7}, At: clock.Now()}
 	}
-	to.cfg.Views.RecordProof("ledger", lead("a", 1))
+	to.cfg.Views.RecordProof("ledger", proofAt("a", 1))
 	first := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, oldPrimary: "a"}
 	first.announce(maxHold)
 	waitFor(t, "an announcement", func() bool { return w.delayedCalls() == 1 })
 	clock.Advance(7 * time.Second)
-	from.cfg.Views.RecordProof("ledger", lead("b", 2))
-	to.cfg.Views.RecordProof("ledger", lead("b", 2))
+	from.cfg.Views.RecordProof("ledger", proofAt("b", 2))
+	to.cfg.Views.RecordProof("ledger", proofAt("b", 2))
 	w.deliver(t)
 	if to.cfg.Views.ChangeInProgress("ledger", clock.Now()) {
 		t.Error("after the hold of a change that is over: got requests held, want none")
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -130,8 +130,8 @@
 	if len(targets) == 0 {
 		return
 	}
-	lead := e.cfg.Views.LatestProof(s.Name)
-	primary := lead.Target
+	proof := e.cfg.Views.LatestProof(s.Name)
+	primary := proof.Target
 	if primary == "" {
 		primary = e.cfg.Views.Primary(s.Name, targets)
 	}
@@ -145,7 +145,7 @@
 	}
 	watches := e.watches(s.Name, primary)
 	if watches || len(e.cfg.Members.Live()) <= maxReservingVMs {
-		e.renewForTerm(s.Name, lead.Term, w, now)
+		e.renewForTerm(s.Name, proof.Term, w, now)
 	}
 	if !watches {
 		w.watchedSince = time.Time{}
@@ -158,7 +158,7 @@
 	if w.lastProbe.target != primary {
 		w.lastProbe, w.unconfirmedSince = probe{target: primary}, time.Time{}
 	}
-	obs := e.observe(s.Name, primary, targets, lead, w, now)
+	obs := e.observe(s.Name, primary, targets, proof, w, now)
 	if primary != "" && !w.probing && obs.proofAge > probeAfter {
 		w.probing = true
 		e.tasks.Go(func() { e.probe(ctx, s.Name, primary, w) })
@@ -172,13 +172,13 @@
 	}
 }
 
-func (e *Elector) observe(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, lead views.PrimaryProof, w *watch, now time.Time) observation {
+func (e *Elector) observe(name siskin.ServiceName, primary siskin.TargetID, targets []siskin.TargetInfo, proof views.PrimaryProof, w *watch, now time.Time) observation {
 	obs := observation{
-		primaryKnown: primary != "", proofAge: now.Sub(lead.At), watched: now.Sub(w.watchedSince),
+		primaryKnown: primary != "", proofAge: now.Sub(proof.At), watched: now.Sub(w.watchedSince),
 		silent: w.lastProbe.silent, refused: w.lastProbe.refused, denied: w.lastProbe.denied,
 		stalled: e.cfg.Homes.WriteStall(primary),
 	}
-	if lead.Target == primary && lead.At.After(w.unconfirmedSince) {
+	if proof.Target == primary && proof.At.After(w.unconfirmedSince) {
 		// A commit or another VM has shown the lead; no probe followed, since the proof
 		// is young.
 		w.unconfirmedSince = time.Time{}
@@ -186,7 +186,7 @@
 	if !w.unconfirmedSince.IsZero() {
 		obs.stalled = max(obs.stalled, now.Sub(w.unconfirmedSince))
 	}
-	if lead.Target == "" {
+	if proof.Target == "" {
 		obs.proofAge = obs.watched
 	}
 	found := false
