--- a/internal/elect/act.go
+++ b/internal/elect/act.go
@@ -11,16 +11,17 @@
 )
 
 const (
-	// changeTimeout bounds one change of primary. A promotion takes up to a
-	// second at the platform.
+	// changeTimeout bounds one change of primary. The platform takes up to a
+	// second for a promotion.
 	changeTimeout = 4 * time.Second
-	// askPeersTimeout bounds the question to other VMs whether they reach a primary.
+	// askPeersTimeout bounds the query to targets and other VMs whether a
+	// primary is reachable.
 	askPeersTimeout = 350 * time.Millisecond
-	// maxAskedPeers is the number of VMs that are asked.
+	// maxAskedPeers is the number of other VMs that are asked.
 	maxAskedPeers = 3
 )
 
-// act carries out the decision about a primary.
+// act carries out an action for a primary.
 func (e *Elector) act(ctx context.Context, s siskin.ServiceSpec, primary siskin.TargetID, a action, obs observation, w *watch) {
 	var err error
 	defer func() { e.finishChange(w, err) }()
@@ -58,7 +59,7 @@
 	w.ownTerm = c.nextOwnTerm()
 }
 
-// nextOwnTerm returns what is own for the next change of this VM.
+// nextOwnTerm returns the ownTerm of this VM's next change.
 func (c *change) nextOwnTerm() siskin.Term {
 	if c.pending || c.contested {
 		return 0
@@ -66,8 +67,8 @@
 	return c.term
 }
 
-// primaryReachable asks all targets, and other VMs about the old primary, whether one
-// of them leads.
+// primaryReachable reports whether any target answers as primary, or another VM
+// reaches the old primary.
 func (e *Elector) primaryReachable(ctx context.Context, name siskin.ServiceName, primary siskin.TargetID) bool {
 	ctx, cancel := context.WithTimeout(ctx, askPeersTimeout)
 	defer cancel()
@@ -76,7 +77,8 @@
 	for _, t := range e.cfg.Roster.Service(name) {
 		wg.Go(func() {
 			err := e.cfg.Homes.Ping(ctx, name, t.ID)
-			// A target without a free connection may lead; it is asked again.
+			// A target without a free connection may be primary; it is asked
+			// again.
 			if err == nil || siskin.KindOf(err) == siskin.Overloaded {
 				found <- string(t.ID)
 			}
@@ -98,13 +100,13 @@
 	close(found)
 	who, ok := <-found
 	if ok {
-		e.cfg.Log.Info().Str("Service", string(name)).Str("Leads", who).Msg("a primary answers after all")
+		e.cfg.Log.Info().Str("Service", string(name)).Str("Leads", who).Msg("a target still answers as primary; no change needed")
 	}
 	return ok
 }
 
-// peersToAsk returns VMs of other data centres first, since they share no
-// path with this VM.
+// peersToAsk returns the VMs to ask. VMs of other data centres come first
+// because they share no network path with this VM.
 func (e *Elector) peersToAsk() []siskin.VM {
 	self := e.cfg.Members.Self()
 	var far, near []siskin.VM
--- a/internal/elect/announce_test.go
+++ b/internal/elect/announce_test.go
@@ -18,12 +18,12 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// testNetwork connects the electors of a test and holds announcements back until they
-// are delivered. All other calls are carried out at once.
+// testNetwork connects the electors of a test. It delays announcements until
+// deliver is called and executes all other calls at once.
 type testNetwork struct {
 	mu          sync.Mutex
 	electors    map[siskin.VMID]*Elector
-	partitioned bool // calls that are no announcements fail
+	partitioned bool // calls other than announcements fail
 	delayed     []func() error
 }
 
@@ -45,12 +45,12 @@
 	return serve(e, method, data, reply)
 }
 
-// serve carries a call out as the server of peers does.
+// serve executes a call as the RPC server of a VM does.
 func serve(e *Elector, method string, data []byte, reply any) error {
 	name, ok := strings.CutPrefix(method, "Elect.")
 	m := reflect.ValueOf(e.Receiver()).MethodByName(name)
 	if !ok || !m.IsValid() {
-		return fmt.Errorf("unexpected call of %s", method)
+		return fmt.Errorf("unexpected call to %s", method)
 	}
 	in, out := reflect.New(m.Type().In(0).Elem()), reflect.New(m.Type().In(1).Elem())
 	if err := json.Unmarshal(data, in.Interface()); err != nil {
@@ -66,7 +66,7 @@
 	return json.Unmarshal(answer, reply)
 }
 
-// deliver hands the announcements over that were held back.
+// deliver executes the delayed announcements.
 func (w *testNetwork) deliver(t *testing.T) {
 	t.Helper()
 	w.mu.Lock()
@@ -92,17 +92,17 @@
 	w.partitioned = on
 }
 
-// waitFor waits until ok holds.
+// waitFor waits until ok returns true.
 func waitFor(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("got no %s within 5s", what)
+			t.Fatalf("condition not met within 5s: %s", what)
 		}
 	}
 }
 
-// networkPeers are the peers of one VM.
+// networkPeers is the siskin.Peers of one VM.
 type networkPeers struct{ w *testNetwork }
 
 // Call implements siskin.Peers.
@@ -110,7 +110,7 @@
 	return p.w.call(to, method, args, reply)
 }
 
-// twoVMs is one VM of a fleet of two.
+// twoVMs is a fleet of two VMs as seen by one of them.
 type twoVMs struct {
 	oneVM
 	self siskin.VMID
@@ -119,7 +119,8 @@
 func (p twoVMs) Self() siskin.VM { return siskin.VM{ID: p.self} }
 func (twoVMs) Live() []siskin.VM { return []siskin.VM{{ID: "vm-1"}, {ID: "vm-2"}} }
 
-// newElectorPair returns two electors that watch nothing, and what connects them.
+// newElectorPair returns two electors that watch no services, and the network
+// between them.
 func newElectorPair(t *testing.T, clock siskin.Clock) (a, b *Elector, w *testNetwork) {
 	t.Helper()
 	w = &testNetwork{electors: make(map[siskin.VMID]*Elector)}
@@ -143,14 +144,15 @@
 	return w.electors["vm-1"], w.electors["vm-2"], w
 }
 
-// TestLateAnnouncement guards against a proof that becomes young on its way: an
-// announcement that a cut held back for seconds set a floor that lacked all commits
-// acknowledged meanwhile, and a replica of the former term ran reads.
+// TestLateAnnouncement guards against a proof whose age is counted from its
+// arrival: an announcement that a network partition delayed for seconds set a
+// floor that lacked all commits acknowledged in the meantime, and a replica of
+// the former term served reads.
 func TestLateAnnouncement(t *testing.T) {
 	const lateness = 7 * time.Second
 	for _, c := range []struct {
 		name string
-		cut  bool // the sender cannot be asked when its announcement arrives
+		cut  bool // the sender cannot be queried when its announcement arrives
 	}{{"sender answers", false}, {"sender is out of reach", true}} {
 		t.Run(c.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
@@ -161,27 +163,27 @@
 			from.cfg.Views.RecordProof("ledger", first)
 			ch := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, oldPrimary: "old"}
 			ch.announce(0)
-			waitFor(t, "an announcement", func() bool { return w.delayedCalls() == 1 })
+			waitFor(t, "an announcement in the network", func() bool { return w.delayedCalls() == 1 })
 			clock.Advance(lateness)
 			later := views.PrimaryProof{Target: "new", Position: siskin.Position{Term: 2, LSN: 190}, At: clock.Now().Add(-100 * time.Millisecond)}
 			from.cfg.Views.RecordProof("ledger", later)
 			w.setPartitioned(c.cut)
 			w.deliver(t)
 			if !c.cut {
-				waitFor(t, "the target that leads", func() bool { return to.cfg.Views.LatestProof("ledger").Target == "new" })
+				waitFor(t, "the new primary in the receiver's view", func() bool { return to.cfg.Views.LatestProof("ledger").Target == "new" })
 			}
 			time.Sleep(20 * time.Millisecond) // for an answer that must not count
 			got := to.cfg.Views.LatestProof("ledger")
 			if got.Position != later.Position && got.At.After(first.At) {
-				t.Errorf("floor after an announcement of %v ago: got %v of %v ago, want one as old as its proof", lateness, got.Position, clock.Since(got.At))
+				t.Errorf("floor after an announcement delayed by %v: got %v, aged %v, want one as old as its proof", lateness, got.Position, clock.Since(got.At))
 			}
 		})
 	}
 }
 
-// TestLateHold guards against requests that are refused for a change that is over,
-// and sent to the former primary during one that is not, since a cut held the
-// announcements of an earlier change back.
+// TestLateHold guards against delayed announcements of an earlier change. They
+// made a VM refuse requests for a change that had ended, or send them to the
+// former primary during the current change.
 func TestLateHold(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	from, to, w := newElectorPair(t, clock)
@@ -191,20 +193,20 @@
 	to.cfg.Views.RecordProof("ledger", proofAt("a", 1))
 	first := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, oldPrimary: "a"}
 	first.announce(maxHold)
-	waitFor(t, "an announcement", func() bool { return w.delayedCalls() == 1 })
+	waitFor(t, "an announcement in the network", func() bool { return w.delayedCalls() == 1 })
 	clock.Advance(7 * time.Second)
 	from.cfg.Views.RecordProof("ledger", proofAt("b", 2))
 	to.cfg.Views.RecordProof("ledger", proofAt("b", 2))
 	w.deliver(t)
 	if to.cfg.Views.ChangeInProgress("ledger", clock.Now()) {
-		t.Error("after the hold of a change that is over: got requests held, want none")
+		t.Error("delayed announcement of a finished change: got requests held, want none")
 	}
 	first.announce(0)
-	waitFor(t, "an announcement", func() bool { return w.delayedCalls() == 1 })
+	waitFor(t, "an announcement in the network", func() bool { return w.delayedCalls() == 1 })
 	to.cfg.Views.BeginChange("ledger", "b", clock.Now().Add(maxHold))
 	w.deliver(t)
 	time.Sleep(20 * time.Millisecond) // for an answer that must not count
 	if !to.cfg.Views.ChangeInProgress("ledger", clock.Now()) {
-		t.Error("after the end of an earlier change: got no requests held during the present one, want them held")
+		t.Error("delayed end of an earlier change: got no requests held during the current change, want them held")
 	}
 }
--- a/internal/elect/announcement.go
+++ b/internal/elect/announcement.go
@@ -8,25 +8,26 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// Announcement tells of a change of primary. A cut may hold it back for seconds,
-// and its receiver cannot tell for how long. It therefore carries no proof of
-// lead; the receiver asks the sender for one, whose age counts from that question.
+// Announcement notifies peers of a change of primary. A network partition may
+// delay it for seconds, and its receiver cannot tell for how long. It therefore
+// carries no proof that a target is primary; the receiver asks the sender for
+// one, whose age counts from that query.
 type Announcement struct {
-	// From is the VM that changes the primary, and Old the target that led before.
+	// From is the VM that changes the primary, and Old the previous primary.
 	From siskin.VMID
 	Old  siskin.TargetID
 	Hold crew.HoldNote
-	// Fence and Term are those of the promotion, zero where the platform checks
-	// fences.
+	// Fence is the fencing token and Term the term of the promotion. Both are
+	// zero if the platform checks fencing tokens.
 	Fence siskin.FencingToken `json:",omitempty"`
 	Term  siskin.Term         `json:",omitempty"`
 }
 
-// LeadArgs asks for the newest proof of lead of a service.
+// LeadArgs are the arguments of Receiver.Lead.
 type LeadArgs struct{ Service siskin.ServiceName }
 
-// fetchLead asks the sender of an announcement which target leads. Without an answer
-// this VM learns of the change with the next ping.
+// fetchLead asks the sender of an announcement which target is primary. If the
+// call fails, this VM learns of the change with the next ping.
 func (e *Elector) fetchLead(a *Announcement) {
 	ctx, cancel := context.WithTimeout(e.ctx, announceTimeout)
 	defer cancel()
--- a/internal/elect/cancel.go
+++ b/internal/elect/cancel.go
@@ -7,20 +7,22 @@
 )
 
 const (
-	// cancelAttempts and cancelPause bound the attempts to cancel orders.
+	// cancelAttempts is the number of attempts to cancel pending promotions,
+	// and cancelInterval the time between two attempts.
 	cancelAttempts = 60
 	cancelInterval = 500 * time.Millisecond
-	// maxProofAge is the age of another VM's proof of lead up to which the primary
-	// counts as leading for a VM that does not reach it. A change that took the lead
-	// from it since needs longer until its target leads.
+	// maxProofAge is the age up to which another VM's proof counts for a
+	// primary that this VM does not reach. A change that has demoted the
+	// primary since then takes longer until its target is primary.
 	maxProofAge = 400 * time.Millisecond
 )
 
-// cancelPending keeps orders without an answer from taking effect while the old primary
-// leads on: its replicas are paused until then, and one that starts anew would
-// acknowledge commits that the ordered target lacks. An order for the present
-// primary changes nothing, and its fence makes the platform refuse lower ones. One
-// that was accepted before takes effect within takeOverWait.
+// cancelPending prevents promotions without an answer from taking effect while
+// the old primary is still primary. Its replicas are paused until then, and a
+// replica that restarts would acknowledge commits that the target to be
+// promoted lacks. A promotion of the current primary changes nothing, but its
+// fencing token makes the platform refuse lower ones. One that was accepted
+// before takes effect within contestedDelay.
 func (c *change) cancelPending() {
 	for range cancelAttempts {
 		select {
@@ -30,7 +32,7 @@
 		}
 		leads, gone := c.oldPrimaryState()
 		if gone {
-			return // the next change sees to it
+			return // the next change releases the claims
 		}
 		if !leads || !c.claimsKept() || c.e.cfg.Views.ChangeInProgress(c.spec.Name, c.e.cfg.Clock.Now()) {
 			continue
@@ -41,7 +43,7 @@
 		}
 		err = c.e.cfg.Promoter.Promote(c.e.ctx, c.spec.Name, c.oldPrimary, c.e.cfg.Members.Self().ID, token)
 		c.e.cfg.Log.Info().Err(err).Str("Service", string(c.spec.Name)).Str("Target", string(c.oldPrimary)).Uint64("Fence", uint64(token)).
-			Msg("ordered the present primary, so that a pending promotion is refused")
+			Msg("promoted the current primary again so that the platform refuses a pending promotion")
 		if err != nil {
 			continue
 		}
@@ -57,9 +59,9 @@
 	}
 }
 
-// claimsKept reports whether replicas that this change has claimed answer, and none of
-// them was claimed by another one. A change of another VM then needs the old primary
-// itself, which would lead no more.
+// claimsKept reports whether any claimed replica still answers with the claim
+// of this change, and none was claimed by another change. A change of another
+// VM then needs the old primary itself, which would step down.
 func (c *change) claimsKept() bool {
 	held := 0
 	for i := range c.claims {
@@ -79,8 +81,9 @@
 	return held > 0
 }
 
-// oldPrimaryState reports whether the old primary leads, as far as this VM or another one
-// has just seen, and whether it is known not to.
+// oldPrimaryState reports whether the old primary is still primary according to
+// a recent proof from this VM or another one, and whether it is known not to
+// be.
 func (c *change) oldPrimaryState() (leads, gone bool) {
 	err := c.e.cfg.Homes.Ping(c.e.ctx, c.spec.Name, c.oldPrimary)
 	switch {
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -10,56 +10,58 @@
 )
 
 const (
-	// controlTimeout bounds one control statement at a target. It takes a round
-	// trip, and the opening of a connection.
+	// controlTimeout bounds one control statement at a target. It covers a
+	// round trip and opening a connection.
 	controlTimeout = 250 * time.Millisecond
-	// pollInterval is the time between two looks at a target during a change.
+	// pollInterval is the time between two polls of a target during a change.
 	pollInterval = 30 * time.Millisecond
 	// catchUpTimeout bounds the wait for a replica to receive the end of the
 	// log of a primary that stepped down.
 	catchUpTimeout = 700 * time.Millisecond
-	// leadTimeout bounds the wait for a promoted target to lead.
+	// leadTimeout bounds the wait for a promoted target to become primary.
 	leadTimeout = 2500 * time.Millisecond
-	// maxPromotions bounds the calls for one change.
+	// maxPromotions bounds the promotion calls of one change.
 	maxPromotions = 4
 )
 
-// change is one change of a primary.
+// change is one change of a service's primary.
 type change struct {
 	e          *Elector
 	spec       siskin.ServiceSpec
 	oldPrimary siskin.TargetID
 	start      time.Time
-	planned    bool // the old primary is healthy and about to stop, or evacuated
-	stalled    bool // the old primary answers, but not to its replicas
-	// unfenced says that the platform checks no fences and leaves the old
-	// primary leading. The fence of such a change is the term of its claims.
+	planned    bool // the old primary is healthy but draining or evacuated
+	stalled    bool // the old primary answers but is cut off from its replicas
+	// unfenced reports that the platform checks no fencing tokens and does not
+	// demote the old primary. The fencing token of such a change is the term of
+	// its claims.
 	unfenced bool
 	token    siskin.FencingToken
 	term     siskin.Term
-	// ownTerm is the term of the last claims of this VM, zero when a promotion that was
-	// ordered with them, or before them by another change, may still take effect.
+	// ownTerm is the term of the last claims of this VM. It is zero if a
+	// promotion that was ordered with these claims, or earlier by another
+	// change, may still take effect.
 	ownTerm siskin.Term
-	// primaryTerm is the newest term of a primary that a target knows, and maxPauseTerm
-	// that of a claim.
+	// primaryTerm is the newest term of a primary known to a target, and
+	// maxPauseTerm that of a claim.
 	primaryTerm, maxPauseTerm siskin.Term
-	promotedTerm              siskin.Term // of the chosen target once it leads
-	// contested says that another change had claimed targets, whose order may be on
-	// its way.
+	promotedTerm              siskin.Term // of the candidate once it is primary
+	// contested reports that another change had claimed targets. Its promotion
+	// may be in flight.
 	contested bool
-	// oldSteppedDown says that the old primary leads no more.
+	// oldSteppedDown reports that the old primary is no longer primary.
 	oldSteppedDown atomic.Bool
-	// checkedAt is the moment before the claims were last found to hold.
+	// checkedAt is the moment before the last successful check of the claims.
 	checkedAt time.Time
 	claims    []claim
 	candidate claim
-	// pending says that an order may still be carried out, promoted that the chosen
-	// target leads.
+	// pending reports that a promotion may still take effect, and promoted that
+	// the candidate is primary.
 	pending, promoted bool
 }
 
-// run carries the change out. Replicas that were claimed receive again at its
-// end, whatever the result.
+// run carries out the change. It resumes the claimed replicas at the end,
+// whether it succeeds or not.
 func (c *change) run(ctx context.Context) error {
 	if err := c.inspect(ctx); err != nil {
 		return err
@@ -84,9 +86,10 @@
 	return c.promote(ctx)
 }
 
-// chooseTerm replaces the term of the claims where the platform checks no fences. It
-// is the fence then: two changes share a claimed target, so that the one with the
-// lower fence finds the claim of the other and gives up.
+// chooseTerm replaces the term of the claims if the platform checks no fencing
+// tokens. The term is the fencing token then: two changes have a claimed target
+// in common, so the one with the lower token finds the claim of the other and
+// gives up.
 func (c *change) chooseTerm(ctx context.Context) error {
 	if !c.unfenced {
 		return nil
@@ -116,7 +119,7 @@
 	}
 }
 
-// inspect asks all targets for their state and chooses the new term.
+// inspect queries the state of all targets and chooses the new term.
 func (c *change) inspect(ctx context.Context) error {
 	targets := c.e.cfg.Roster.Service(c.spec.Name)
 	c.claims = make([]claim, len(targets))
@@ -132,23 +135,24 @@
 		answered++
 		c.primaryTerm, c.maxPauseTerm = max(c.primaryTerm, cl.status.Term, cl.status.Received.Term), max(c.maxPauseTerm, cl.status.PauseTerm)
 		if cl.status.Primary && cl.target.ID != c.oldPrimary && c.e.cfg.Homes.Ping(ctx, c.spec.Name, cl.target.ID) == nil {
-			return siskin.NewError(siskin.Conflict, "target %s leads already", cl.target.ID)
+			return siskin.NewError(siskin.Conflict, "target %s is already the primary", cl.target.ID)
 		}
 	}
 	c.term = claimTerm(max(c.primaryTerm, c.maxPauseTerm), rand.N(termJitter))
-	// A replica that is not listed has no part in a planned change, whose primary
-	// leads no more before another target is promoted.
+	// Targets that discovery does not list are irrelevant to a planned change:
+	// its primary steps down before another target is promoted.
 	if !c.planned {
 		c.addUnlisted()
 	}
 	markEmptyLogs(c.claims, c.e.cfg.Views.LatestProof(c.spec.Name).Position)
-	// A primary that answers here is given up only if its replicas can take over:
-	// this VM may share its cut, and other VMs see to the rest.
+	// A primary that answers this VM is replaced only if its replicas can take
+	// over. This VM may be in the same network partition as the primary; if so,
+	// other VMs replace it.
 	if (c.planned || c.stalled) && !replicasAnswer(c.claims, c.spec.SyncReplicas) {
 		return siskin.NewError(siskin.Unavailable, "the replicas of %s do not answer", c.spec.Name).WithRemedy("restore the network")
 	}
-	// A replica that is paused in vain acknowledges nothing for a primary that
-	// other VMs may still reach, so nothing is claimed without a prospect.
+	// A paused replica acknowledges nothing for a primary that other VMs may
+	// still reach, so nothing is claimed unless the change can succeed.
 	if !canSucceed(c.claims, c.spec.SyncReplicas) {
 		return siskin.NewError(siskin.Unavailable, "only %d of %d targets of %s answer", answered, len(targets), c.spec.Name).WithRemedy("restore the targets or the network")
 	}
@@ -167,11 +171,12 @@
 	return c.e.cfg.Status(&answers[len(answers)-1])
 }
 
-// stepDownAndCatchUp claims the primary alone and waits for a replica to receive
-// the end of its log. The replicas go on receiving.
+// stepDownAndCatchUp makes the primary step down and waits for a replica to
+// receive the end of its log. The replicas are not paused.
 func (c *change) stepDownAndCatchUp(ctx context.Context) error {
 	if c.unfenced {
-		// The old primary is the present one only if its replicas say so.
+		// Only the replicas can confirm that the old primary is the current
+		// one.
 		if err := c.e.cfg.Homes.Ping(ctx, c.spec.Name, c.oldPrimary); err != nil {
 			return err
 		}
@@ -181,7 +186,7 @@
 		return err
 	}
 	if c.unfenced && !c.e.cfg.Leases.Valid(c.oldPrimary, c.e.cfg.Clock.Now()) {
-		return siskin.NewError(siskin.Conflict, "the replicas of %s did not confirm that %s led when it stepped down", c.spec.Name, c.oldPrimary)
+		return siskin.NewError(siskin.Conflict, "the replicas of %s did not confirm that %s was the primary when it stepped down", c.spec.Name, c.oldPrimary)
 	}
 	end := status.Received
 	deadline := c.e.cfg.Clock.Now().Add(catchUpTimeout)
@@ -191,7 +196,8 @@
 			return nil
 		}
 		if c.e.cfg.Clock.Now().After(deadline) || ctx.Err() != nil {
-			// The old primary has everything, so it leads again if no replica does.
+			// The old primary has the whole log, so it is promoted again if no
+			// replica catches up.
 			c.candidate = claim{target: siskin.TargetInfo{ID: c.oldPrimary, Service: c.spec.Name}, status: status, wasPrimary: true}
 			return nil
 		}
@@ -199,7 +205,8 @@
 	}
 }
 
-// caughtUpReplica returns a replica that stays and has caughtUpReplica the log up to end.
+// caughtUpReplica returns a replica that is neither draining nor evacuated and
+// has received the log up to end.
 func (c *change) caughtUpReplica(ctx context.Context, end siskin.Position) (claim, bool) {
 	targets := c.e.cfg.Roster.Service(c.spec.Name)
 	c.claims = make([]claim, len(targets))
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -27,7 +27,7 @@
 func (oneVM) Lookup(siskin.VMID) (siskin.VM, bool) { return siskin.VM{}, false }
 func (oneVM) Changed() <-chan struct{}             { return nil }
 
-// newChange returns a change of the primary of a stand-in.
+// newChange returns a change of the primary of a simulated platform.
 func newChange(t *testing.T) (*change, *stand.Platform) {
 	t.Helper()
 	p, err := stand.Start(stand.ServiceOptions{Name: "ledger", Zones: []string{"a", "b", "c"}, Slots: 2, MaxConnections: 16, SyncReplicas: 1})
@@ -86,8 +86,8 @@
 	}
 }
 
-// TestUnpauseOfEarlierTerm guards against a change that failed and ends the
-// claims of a later one, whose promotion is on its way: a commit that such a
+// TestUnpauseOfEarlierTerm guards against a failed change that releases the
+// claims of a later one whose promotion is in flight: a commit that such a
 // replica acknowledges is then lost.
 func TestUnpauseOfEarlierTerm(t *testing.T) {
 	c, _ := newChange(t)
@@ -99,15 +99,15 @@
 	c.unpause()
 	c.e.tasks.Wait()
 	if got, want := c.pauseTermAt(t, replica), c.term+1; got != want {
-		t.Errorf("term held for a later change: got %d, want %d", got, want)
+		t.Errorf("pause term set by a later change: got %d, want %d", got, want)
 	}
 	if got := c.pauseTermAt(t, c.claims[2].target.ID); got != 0 {
-		t.Errorf("term held by the failed change: got %d, want 0", got)
+		t.Errorf("pause term set by the failed change: got %d, want 0", got)
 	}
 }
 
 // TestPendingPromotion guards against replicas that acknowledge commits again
-// while a promotion without an answer may still be carried out.
+// while a promotion without an answer may still take effect.
 func TestPendingPromotion(t *testing.T) {
 	c, _ := newChange(t)
 	c.claimTargets(t)
@@ -116,14 +116,14 @@
 	c.e.tasks.Wait()
 	for _, cl := range c.claims[1:] {
 		if got := c.pauseTermAt(t, cl.target.ID); got != c.term {
-			t.Errorf("term held by %s: got %d, want %d", cl.target.ID, got, c.term)
+			t.Errorf("pause term of %s: got %d, want %d", cl.target.ID, got, c.term)
 		}
 	}
 }
 
-// TestPendingPromotionIsCancelled guards against an order without an answer that is
-// carried out seconds later, while the old primary leads on and a replica that has
-// started since acknowledges its commits.
+// TestPendingPromotionIsCancelled guards against a promotion without an answer
+// that takes effect seconds later, while the old primary is still primary and a
+// replica that has restarted since acknowledges its commits.
 func TestPendingPromotionIsCancelled(t *testing.T) {
 	c, p := newChange(t)
 	targets := c.e.cfg.Roster.Service("ledger")
@@ -144,27 +144,27 @@
 			return siskin.NewError(siskin.OutcomeUnknown, "no answer")
 		}
 		if f <= pending {
-			t.Errorf("fence of the order that cancels: got %d, want more than %d", f, pending)
+			t.Errorf("fencing token of the cancelling promotion: got %d, want more than %d", f, pending)
 		}
 		return nil
 	})
 	c.unpause()
 	c.e.tasks.Wait()
 	if want := 2; orders != want {
-		t.Errorf("orders for the present primary: got %d, want %d", orders, want)
+		t.Errorf("promotions of the current primary: got %d, want %d", orders, want)
 	}
 	for _, target := range targets[1:] {
 		if got := c.pauseTermAt(t, target.ID); got != 0 {
-			t.Errorf("term held by %s: got %d, want 0", target.ID, got)
+			t.Errorf("pause term of %s: got %d, want 0", target.ID, got)
 		}
 	}
 	if !p.Targets("ledger")[0].IsPrimary() {
-		t.Error("the old primary: got none, want it to lead")
+		t.Error("old primary: got a replica, want it to be primary still")
 	}
 }
 
-// TestReplicaIsNoPrimary guards against a replica that accepts to step down and
-// counts as a primary with every commit.
+// TestReplicaIsNoPrimary guards against a replica that accepts StepDown and
+// then counts as a primary with every commit.
 func TestReplicaIsNoPrimary(t *testing.T) {
 	c, p := newChange(t)
 	c.oldPrimary = p.Targets("ledger")[1].ID() // a stale view
@@ -173,13 +173,14 @@
 	ctx := context.Background()
 	if err := c.inspect(ctx); err == nil {
 		if err = c.claimAll(ctx); err == nil {
-			t.Errorf("claims of one replica of three: got %s to promote, want a refusal", c.candidate.target.ID)
+			t.Errorf("claims of one replica of three: got candidate %s, want an error", c.candidate.target.ID)
 		}
 	}
 }
 
-// TestReplicaOutOfReach guards against a replica that is freed although it does not
-// follow the new primary: commits of the former one would be acknowledged by it.
+// TestReplicaOutOfReach guards against a replica that is resumed although it
+// does not follow the new primary: it would acknowledge commits of the former
+// one.
 func TestReplicaOutOfReach(t *testing.T) {
 	c, p := newChange(t)
 	replica := p.Targets("ledger")[2].ID()
@@ -188,18 +189,18 @@
 		t.Fatal(err)
 	}
 	if err := c.tryUnpause(replica); err == nil {
-		t.Error("end of the claim of a replica of the former primary: got no error, want one")
+		t.Error("release of a replica that follows the former primary: got no error, want one")
 	}
 	if got := c.pauseTermAt(t, replica); got != c.term {
-		t.Errorf("term held by a replica of the former primary: got %d, want %d", got, c.term)
+		t.Errorf("pause term of a replica of the former primary: got %d, want %d", got, c.term)
 	}
-	// The new primary leads and reaches it.
+	// The new primary is running and reaches the replica.
 	if err := p.Promote(p.Targets("ledger")[1]); err != nil {
 		t.Fatal(err)
 	}
 	for deadline := time.Now().Add(3 * time.Second); c.tryUnpause(replica) != nil; {
 		if time.Now().After(deadline) {
-			t.Fatalf("term held by a replica that can follow: got %d, want 0", c.pauseTermAt(t, replica))
+			t.Fatalf("pause term of a replica that reaches the new primary: got %d, want 0", c.pauseTermAt(t, replica))
 		}
 	}
 	s, err := c.control(context.Background(), replica, siskin.Statement{Kind: siskin.Status})
@@ -207,51 +208,51 @@
 		t.Fatal(err)
 	}
 	if s.PauseTerm != 0 || s.Term < c.promotedTerm {
-		t.Errorf("replica that is free: got held term %d and term %d, want 0 and %d", s.PauseTerm, s.Term, c.promotedTerm)
+		t.Errorf("resumed replica: got pause term %d and term %d, want 0 and %d", s.PauseTerm, s.Term, c.promotedTerm)
 	}
 }
 
-// TestReplicaWithoutClaim guards against a replica that starts again after the
-// promotion, and follows the former primary because it has forgotten its claim.
+// TestReplicaWithoutClaim guards against a replica that restarts after the
+// promotion and follows the former primary because it has lost its claim.
 func TestReplicaWithoutClaim(t *testing.T) {
 	c, p := newChange(t)
 	replica := p.Targets("ledger")[2].ID()
 	c.unfenced, c.promoted, c.term, c.promotedTerm = true, true, 100, 2
 	if err := c.tryUnpause(replica); err == nil {
-		t.Error("end of the change for a replica of the former primary: got no error, want one")
+		t.Error("release of a replica that restarted and follows the former primary: got no error, want one")
 	}
 	if got := c.pauseTermAt(t, replica); got != c.term {
-		t.Errorf("term held by a replica of the former primary: got %d, want %d", got, c.term)
+		t.Errorf("pause term of a replica of the former primary: got %d, want %d", got, c.term)
 	}
 }
 
 // TestLapsedTargets guards against a promotion on the claim of a single replica
-// once discovery has dropped the primary, which leads on, and another replica is
-// down: a replica that starts during the promotion acknowledges commits of the
-// former primary, and the promoted target lacks them.
+// when discovery has removed the primary, which is still running, and another
+// replica is down: a replica that starts during the promotion acknowledges
+// commits of the former primary, and the promoted target lacks them.
 func TestLapsedTargets(t *testing.T) {
 	c, p := newChange(t)
 	targets := c.e.cfg.Roster.Service("ledger")
 	p.Targets("ledger")[2].Crash()
 	at := time.Unix(2, 0)
-	for range 5 { // lists without the primary, until it counts as gone
+	for range 5 { // lists without the primary, until the roster removes it
 		c.e.cfg.Roster.Replace(targets[1:], 2, at)
 		at = at.Add(time.Second)
 		c.e.cfg.Roster.Confirm(2, at)
 	}
 	if got, want := len(c.e.cfg.Roster.Service("ledger")), len(targets)-1; got != want {
-		t.Fatalf("targets known: got %d, want %d", got, want)
+		t.Fatalf("targets in the roster: got %d, want %d", got, want)
 	}
 	ctx := context.Background()
 	if err := c.inspect(ctx); err == nil {
 		if err = c.claimAll(ctx); err == nil {
-			t.Errorf("claims of one target of three: got %s to promote, want a refusal", c.candidate.target.ID)
+			t.Errorf("claims of one target of three: got candidate %s, want an error", c.candidate.target.ID)
 		}
 	}
 }
 
-// TestNewcomer guards against a replica that starts after the claims and goes
-// unnoticed: it acknowledges commits of the former primary during the promotion.
+// TestNewcomer guards against an undetected replica that starts after the
+// claims: it acknowledges commits of the former primary during the promotion.
 func TestNewcomer(t *testing.T) {
 	c, _ := newChange(t)
 	c.claimTargets(t)
@@ -265,9 +266,10 @@
 	}
 }
 
-// TestTermsOfChanges guards against two changes that begin at the same moment, or
-// one that follows a failed one, and claim targets for the same term: each takes
-// the claims of the other for its own, and ends them while an order is on its way.
+// TestTermsOfChanges guards against claims for the same term by two changes
+// that start at the same moment, or by one that follows a failed one: each
+// treats the claims of the other as its own, and releases them while a
+// promotion is in flight.
 func TestTermsOfChanges(t *testing.T) {
 	c, _ := newChange(t)
 	other := &change{e: c.e, spec: c.spec, oldPrimary: c.oldPrimary}
@@ -288,9 +290,9 @@
 	}
 }
 
-// TestFenceAboveForeignClaims guards against a fence in reserve that is lower than
-// the one of another change whose order may still be carried out, and against the
-// wait for such an order where the claims are this VM's own.
+// TestFenceAboveForeignClaims guards against a reserved fencing token that is
+// lower than that of another change whose promotion may still take effect, and
+// against the wait for such a promotion if the claims are this VM's own.
 func TestFenceAboveForeignClaims(t *testing.T) {
 	const held = 9
 	for _, own := range []siskin.Term{0, held} {
@@ -308,7 +310,7 @@
 		}
 		c.claimTargets(t)
 		if got, want := c.contested, own != held; got != want {
-			t.Errorf("claims of term %d taken over, own term %d: got %v, want %v", held, own, got, want)
+			t.Errorf("contested by claims of term %d, own term %d: got %v, want %v", held, own, got, want)
 		}
 		var used siskin.FencingToken
 		c.e.cfg.Promoter = promoterFunc(func(f siskin.FencingToken) error {
@@ -317,12 +319,12 @@
 		})
 		_ = c.promote(ctx)
 		if own != held && used <= siskin.FencingToken(later) || used < reserve {
-			t.Errorf("fence after claims of another change: got %d, want more than %d (in reserve: %d)", used, later, reserve)
+			t.Errorf("fencing token after claims of another change: got %d, want more than %d (in reserve: %d)", used, later, reserve)
 		}
 	}
 }
 
-// slowStore answers late.
+// slowStore delays its writes.
 type slowStore struct{ siskin.Store }
 
 func (s slowStore) Create(ctx context.Context, kind siskin.ObjectKind, name string, v any) (siskin.Version, error) {
@@ -335,15 +337,15 @@
 	return s.Store.Update(ctx, kind, name, v, old)
 }
 
-// promoterFunc is called for each order.
+// promoterFunc is a siskin.Promoter that calls the function for each promotion.
 type promoterFunc func(siskin.FencingToken) error
 
 func (f promoterFunc) Promote(_ context.Context, _ siskin.ServiceName, _ siskin.TargetID, _ siskin.VMID, fence siskin.FencingToken) error {
 	return f(fence)
 }
 
-// TestCheckBeforeOrder guards against an order on claims that were checked before
-// a slow answer of the store, and are gone since.
+// TestCheckBeforeOrder guards against a promotion on claims that were checked
+// before a slow answer of the store and have been lost since.
 func TestCheckBeforeOrder(t *testing.T) {
 	c, _ := newChange(t)
 	c.e.cfg.Store = slowStore{c.e.cfg.Store}
@@ -351,7 +353,7 @@
 	c.e.cfg.Promoter = promoterFunc(func(siskin.FencingToken) error {
 		orders++
 		if got := c.e.cfg.Clock.Since(c.checkedAt); got > maxFencedCheckAge {
-			t.Errorf("age of the check at the order: got %v, want at most %v", got, maxFencedCheckAge)
+			t.Errorf("age of the check at the promotion: got %v, want at most %v", got, maxFencedCheckAge)
 		}
 		return siskin.NewError(siskin.Conflict, "refused")
 	})
@@ -360,13 +362,13 @@
 	defer cancel()
 	_ = c.promote(ctx)
 	if orders == 0 {
-		t.Error("orders: got 0, want some")
+		t.Error("promotions ordered: got 0, want at least 1")
 	}
 }
 
-// TestCompare guards against a promotion whose claims hold by their term alone: a
-// target that started again has lost its log, and one of a later term follows another
-// change's target.
+// TestCompare guards against claims that are accepted by their term alone: a
+// target that restarted has lost its log, and one of a later term follows the
+// target of another change.
 func TestCompare(t *testing.T) {
 	at := func(lsn siskin.LSN) siskin.ControlStatus {
 		return siskin.ControlStatus{Term: 1, PauseTerm: 9, Received: siskin.Position{Term: 1, LSN: lsn}}
@@ -395,17 +397,18 @@
 			ch.candidate = ch.claims[1]
 			err := ch.compare(again)
 			if got := err == nil; got != c.want {
-				t.Errorf("claims suffice: got %v (%v), want %v", got, err, c.want)
+				t.Errorf("claims are sufficient: got %v (%v), want %v", got, err, c.want)
 			}
 			if err != nil && siskin.KindOf(err) != siskin.Conflict {
-				t.Errorf("kind of the refusal: got %v, want %v", siskin.KindOf(err), siskin.Conflict)
+				t.Errorf("error kind: got %v, want %v", siskin.KindOf(err), siskin.Conflict)
 			}
 		})
 	}
 }
 
-// TestWaitForOtherOrders guards against a promotion before that of the change whose
-// claims were taken over: its target acknowledges commits that the chosen one lacks.
+// TestWaitForOtherOrders guards against a promotion before that of the change
+// whose claims were taken over: the target of that change acknowledges commits
+// that the candidate lacks.
 func TestWaitForOtherOrders(t *testing.T) {
 	c, _ := newChange(t)
 	ctx := context.Background()
@@ -422,9 +425,10 @@
 	}
 }
 
-// TestWaitForLeases guards against a promotion while a VM may still pass on commits
-// of the former primary, with fencing and without: it is ordered lease.Wait after the
-// last claim, unless the newest primary stepped down.
+// TestWaitForLeases guards against a promotion while a VM may still confirm
+// commits of the former primary, with fencing and without: it is ordered
+// lease.PromotionDelay after the last claim, unless the newest primary stepped
+// down.
 func TestWaitForLeases(t *testing.T) {
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	silent := claim{wasPrimary: true, err: errNoAnswer}
@@ -453,10 +457,10 @@
 	}
 }
 
-// TestReplicasOfFormerPrimary guards against a promotion that loses commits of a
-// primary which stepped down: where former primaries lead on, the claimed replicas may
-// have started again and followed one. With fencing they have not, and a primary that
-// never reached its replicas must not lead again.
+// TestReplicasOfFormerPrimary guards against a promotion that loses commits of
+// a primary which stepped down: without fencing, the claimed replicas may have
+// restarted and followed a former primary. With fencing they have not, and a
+// primary that never reached its replicas must not be promoted again.
 func TestReplicasOfFormerPrimary(t *testing.T) {
 	primary := func(unfenced bool) claim {
 		c := claim{target: siskin.TargetInfo{ID: "a"}, wasPrimary: true, steppedDown: !unfenced, demoted: unfenced, ledTerm: 5, logEnd: siskin.Position{Term: 5, LSN: 9}}
@@ -482,9 +486,9 @@
 	}
 }
 
-// TestConfirmedAgain guards against a healthy primary that is replaced since a probe
-// found its replicas claimed once: commits prove its lead since, so that no further
-// probe follows.
+// TestConfirmedAgain guards against the replacement of a healthy primary
+// because an earlier probe found its replicas claimed: commits have proved
+// since that it is primary, so no further probe follows.
 func TestConfirmedAgain(t *testing.T) {
 	c, p := newChange(t)
 	now := c.e.cfg.Clock.Now()
@@ -497,6 +501,6 @@
 	}
 	later := views.PrimaryProof{Target: primary, At: now.Add(-time.Millisecond)}
 	if got := c.e.observe("ledger", primary, targets, later, w, now).stalled; got != 0 {
-		t.Errorf("after a proof of lead: got a stall of %v, want none", got)
+		t.Errorf("after a proof that it is primary: got a stall of %v, want none", got)
 	}
 }
--- a/internal/elect/check.go
+++ b/internal/elect/check.go
@@ -7,20 +7,20 @@
 	"siskintray.example/siskin"
 )
 
-// recheckClaims asks the claimed targets again. One that has started again has
-// forgotten its claim and its log.
+// recheckClaims queries the claimed targets again. A target that has restarted
+// has lost its claim and its log.
 func (c *change) recheckClaims(ctx context.Context) error {
 	c.checkedAt = c.e.cfg.Clock.Now()
 	if c.planned {
 		if c.unfenced {
 			return c.checkUncontested(ctx)
 		}
-		return nil // the claim of the old primary is checked by the new lead
+		return nil // the new primary checks the claim of the old one
 	}
 	if id, ok := joinedTarget(c.claims, c.e.cfg.Roster.Service(c.spec.Name)); ok {
 		return siskin.NewError(siskin.Conflict, "target %s joined after the claims of term %d", id, c.term).WithRemedy("claim again")
 	}
-	c.addUnlisted() // discovery may have dropped targets since
+	c.addUnlisted() // discovery may have removed targets since the claims
 	var wg sync.WaitGroup
 	again := make([]claim, len(c.claims))
 	for i := range c.claims {
@@ -36,36 +36,36 @@
 	return c.compare(again)
 }
 
-// compare compares the claims with what the targets say later. It reports an error
-// when the chosen target may lack acknowledged commits.
+// compare compares the claims with the later state of the targets. It returns
+// an error if the candidate may lack acknowledged commits.
 func (c *change) compare(again []claim) error {
 	for i := range again {
 		cl := &again[i]
 		switch {
 		case cl.err != nil:
 		case cl.status.Term > c.primaryTerm:
-			// The other change's order was carried out. Where former primaries lead on,
-			// replicas stay paused all the same.
+			// The promotion of the other change took effect. Unfenced, a former
+			// primary may still run, so the replicas stay paused.
 			c.contested = c.contested && c.unfenced
-			return siskin.NewError(siskin.Conflict, "target %s follows term %d, and term %d was claimed over term %d", cl.target.ID, cl.status.Term, c.term, c.primaryTerm)
+			return siskin.NewError(siskin.Conflict, "target %s follows term %d, but the claims of term %d supersede only term %d", cl.target.ID, cl.status.Term, c.term, c.primaryTerm)
 		case cl.status.Received.Compare(c.claims[i].status.Received) < 0:
-			cl.err = siskin.NewError(siskin.Unavailable, "target %s has started again", cl.target.ID)
+			cl.err = siskin.NewError(siskin.Unavailable, "target %s has restarted", cl.target.ID)
 		}
 		if cl.target.ID == c.candidate.target.ID && !cl.holds(c.term) {
 			return siskin.NewError(siskin.Conflict, "target %s lost its claim", cl.target.ID)
 		}
 	}
-	// Without the claims that were lost, another target may be the one to promote.
+	// Without the lost claims, another target may be the best candidate.
 	if best, ok := bestCandidate(again, c.term, c.spec.SyncReplicas); ok && best.status.Received.Compare(c.candidate.status.Received) > 0 {
 		return siskin.NewError(siskin.Conflict, "target %s has commits that target %s lacks", best.target.ID, c.candidate.target.ID).WithRemedy("claim again")
 	}
 	if !hasQuorum(again, c.term, c.spec.SyncReplicas) {
-		return siskin.NewError(siskin.Conflict, "too few claims of term %d are left", c.term).WithRemedy("claim again")
+		return siskin.NewError(siskin.Conflict, "too few claims of term %d remain", c.term).WithRemedy("claim again")
 	}
 	return nil
 }
 
-// checkUncontested reports an error when another change has claimed the replica that is
+// checkUncontested returns an error if another change has claimed the replica
 // to be promoted, or another target was promoted.
 func (c *change) checkUncontested(ctx context.Context) error {
 	s, err := c.control(ctx, c.candidate.target.ID, siskin.Statement{Kind: siskin.Status})
--- a/internal/elect/claiming.go
+++ b/internal/elect/claiming.go
@@ -10,7 +10,7 @@
 // claimAll claims every target that answers.
 func (c *change) claimAll(ctx context.Context) error {
 	targets := c.e.cfg.Roster.Service(c.spec.Name)
-	led := make(map[siskin.TargetID]bool) // targets that led a moment ago
+	led := make(map[siskin.TargetID]bool) // targets that were primary in inspect
 	for _, cl := range c.claims {
 		led[cl.target.ID] = cl.err == nil && cl.status.Primary
 	}
@@ -34,11 +34,11 @@
 	return nil
 }
 
-// claimOne claims one target. One that leads steps down and is paused as well, so
-// that other changes see the claim. Where former primaries lead on, it may not know
-// of the present primary, so that its log alone is not enough and it counts as a
-// replica. The state before the claim tells of another change, which may have
-// chosen the same term.
+// claimOne claims one target. A primary is made to step down and is paused as
+// well, so that other changes see the claim. Unfenced, it may not know of the
+// current primary, so its log alone is not sufficient and it counts as a
+// replica. The state before the claim shows claims of another change, which may
+// have chosen the same term.
 func (c *change) claimOne(ctx context.Context, cl *claim, ledBefore bool) {
 	list := []siskin.Statement{{Kind: siskin.Status}}
 	if ledBefore {
@@ -61,12 +61,14 @@
 	cl.recordResult(before, c.term, c.primaryTerm, c.ownTerm, ledBefore, c.unfenced)
 }
 
-// oldPrimaryGrace is the time that a round waits for the old primary once all others
-// have answered. A silent one takes controlTimeout otherwise.
+// oldPrimaryGrace is the time to wait for the old primary once all other
+// targets have answered. Otherwise an unresponsive one would take
+// controlTimeout.
 const oldPrimaryGrace = 60 * time.Millisecond
 
-// askAll fills the claims with what f makes of them, run for all targets at once. An
-// old primary that answers long after all others counts as silent.
+// askAll runs f for all targets concurrently and stores the results in the
+// claims. An old primary that does not answer within oldPrimaryGrace after all
+// others counts as silent.
 func (c *change) askAll(ctx context.Context, targets []siskin.TargetInfo, f func(context.Context, *claim)) {
 	type result struct {
 		i  int
@@ -105,8 +107,8 @@
 	}
 }
 
-// errNoAnswer says that the old primary had not answered when all others had.
-var errNoAnswer = siskin.NewError(siskin.Unavailable, "the target had not answered when all others had")
+// errNoAnswer is the error of an old primary that exceeds oldPrimaryGrace.
+var errNoAnswer = siskin.NewError(siskin.Unavailable, "no answer within the grace period after all other targets answered")
 
 func (c *change) logClaim(cl *claim, msg string) {
 	entry := c.e.cfg.Log.Info().Str("Service", string(c.spec.Name)).Str("Target", string(cl.target.ID)).Uint64("NewTerm", uint64(c.term))
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -13,46 +13,51 @@
 type claim struct {
 	target siskin.TargetInfo
 	status siskin.ControlStatus
-	// wasPrimary says that the target was held to lead before the change.
+	// wasPrimary reports that the target was considered primary before the
+	// change.
 	wasPrimary bool
-	// steppedDown says that the target led in the term led and was claimed by
-	// making it step down, with end as the end of its log.
+	// steppedDown reports that the target was primary in ledTerm and was
+	// claimed by making it step down, with logEnd as the end of its log.
 	steppedDown bool
 	logEnd      siskin.Position
 	ledTerm     siskin.Term
-	// demoted says that the target led in the term led and was claimed as a
-	// replica after it had stepped down.
+	// demoted reports that the target was primary in ledTerm and was claimed as
+	// a replica after it had stepped down.
 	demoted bool
-	// logEmpty says that the target has started again, or for the first time, and has
-	// no log yet: it may have acknowledged commits before, or its predecessor.
+	// logEmpty reports that the target has started for the first time or
+	// restarted, and has no log yet. It, or the target that it replaces, may
+	// have acknowledged commits before.
 	logEmpty bool
-	// contested says that another change had claimed the target.
+	// contested reports that another change had claimed the target.
 	contested bool
-	// answeredAt is the moment when the answer to the claim had come.
+	// answeredAt is the moment when the answer to the claim was received.
 	answeredAt time.Time
 	err        error
 }
 
 const (
-	// termMargin lifts the term of claims above that of a primary which leads a later
-	// term than the targets that answer know of. A pause for its term or a lower one
-	// would not keep them from acknowledging its commits.
+	// termMargin raises the term of claims above that of a primary whose term
+	// is newer than the ones known to the targets that answer. A pause for its
+	// term or a lower one would not stop them from acknowledging its commits.
 	termMargin siskin.Term = 1000
-	// termJitter makes the terms of two changes that begin at once differ.
+	// termJitter bounds the random part of a term, which makes the terms of two
+	// simultaneous changes differ.
 	termJitter siskin.Term = 1 << 16
 )
 
-// claimTerm returns the term for claims over targets that know of the given one.
+// claimTerm returns the term for claims of targets whose newest known term is
+// given.
 func claimTerm(newest, random siskin.Term) siskin.Term { return newest + termMargin + random }
 
-// errClaimed says that another change has claimed a target for the same term, made
-// it step down, or promoted another one.
+// errClaimed reports that another change has claimed a target for the same
+// term, made it step down, or promoted another target.
 var errClaimed = siskin.NewError(siskin.Conflict, "another change has claimed the target")
 
-// recordResult takes over the result of a claim for a term, from the target's state
-// before it. A target that led when it was asked first was told to step down; the
-// newest term known then is leadTerm. A claim for the term own, of an earlier change
-// of this VM that ordered nothing, is no other change's.
+// recordResult records the result of a claim for a term, given the target's
+// state before it. A target that answered as primary in inspect (ledBefore) was
+// told to step down; primaryTerm is the newest term known then. A claim for
+// ownTerm belongs to an earlier change of this VM that ordered no promotion, so
+// it is not contested.
 func (c *claim) recordResult(before siskin.ControlStatus, term, primaryTerm, ownTerm siskin.Term, ledBefore, unfenced bool) {
 	c.contested = before.PauseTerm > before.Term && before.PauseTerm != ownTerm
 	switch {
@@ -60,7 +65,7 @@
 	case before.Term > primaryTerm:
 		c.err = errClaimed
 	case c.contested && before.PauseTerm >= term, ledBefore && !before.Primary && !unfenced:
-		// A replica accepts to step down as well, and proves nothing by it.
+		// A replica also accepts StepDown, which proves nothing.
 		c.contested, c.err = true, errClaimed
 	case unfenced:
 		c.demoted, c.ledTerm = before.Primary, before.Term
@@ -69,16 +74,16 @@
 	}
 }
 
-// holds reports whether the target is claimed for a term. A replica says so
-// with the term of its pause; a later one means that another change has claimed
-// it since. A primary that stepped down keeps no such term: it no longer leads,
-// and its log has not shrunk by a new start.
+// holds reports whether the target is claimed for a term. A replica shows this
+// by the term of its pause; a later one means that another change has claimed
+// it since. A primary that stepped down keeps no such term: it must still not
+// be primary, and its log must not have shrunk in a restart.
 func (c *claim) holds(term siskin.Term) bool {
 	switch {
 	case c.err != nil:
 		return false
 	case c.steppedDown:
-		// Another term means that another target was promoted meanwhile.
+		// Another term means that another target was promoted in the meantime.
 		return !c.status.Primary && c.status.Term == c.ledTerm && c.status.Received.Compare(c.logEnd) >= 0 &&
 			c.status.PauseTerm <= max(term, c.ledTerm)
 	default:
@@ -86,7 +91,7 @@
 	}
 }
 
-// canSucceed reports whether enough targets answer for a claim of enough of them.
+// canSucceed reports whether enough targets answer to reach a quorum of claims.
 func canSucceed(claims []claim, sync int) bool {
 	missing := 0
 	for i := range claims {
@@ -97,8 +102,9 @@
 	return missing <= max(sync, 1) && missing < len(claims)
 }
 
-// markEmptyLogs finds the targets without a log in a service that has commits. The end of
-// the log of the last known primary tells of commits that no target answers for.
+// markEmptyLogs marks the targets without a log in a service that has commits.
+// The log end of the last known primary shows that there are commits even if no
+// target that answers has any.
 func markEmptyLogs(claims []claim, known siskin.Position) {
 	written := known.LSN != 0
 	for i := range claims {
@@ -110,16 +116,18 @@
 	}
 }
 
-// contestedDelay is the time from the last claim to the promotion in a change that took
-// claims over. The other change may have ordered a promotion up to maxFencedAge
-// after its claims were checked, and the platform carries it out within a second. Its
-// target could have acknowledged commits before this change's target leads.
+// contestedDelay is the time from the last claim to the promotion in a
+// contested change. The other change may have ordered a promotion up to
+// maxFencedCheckAge after its claims were checked, and the platform carries it
+// out within a second. Its target could have acknowledged commits before the
+// candidate of this change is primary.
 const contestedDelay = maxFencedCheckAge + 1100*time.Millisecond
 
-// promotionTime returns the moment from which on a promotion may be ordered: no other
-// change's order is on its way, and no VM has a lease of a former primary, so that
-// none passes on commits or takes it for the only one. With the newest primary made
-// to step down none does at once.
+// promotionTime returns the earliest moment at which the promotion may be
+// ordered: no promotion of another change is in flight, and no VM holds a lease
+// on a former primary, so no VM confirms its commits or treats it as the only
+// primary. If the newest primary was made to step down, this is the case at
+// once.
 func promotionTime(claims []claim, term siskin.Term, contested bool) time.Time {
 	var last time.Time
 	var newest siskin.Term
@@ -143,8 +151,8 @@
 	return last.Add(lease.PromotionDelay)
 }
 
-// replicasAnswer reports whether enough replicas answer to take over from a
-// primary that may have commits which some of them lack.
+// replicasAnswer reports whether enough replicas answer to replace a primary
+// that may have commits which some of them lack.
 func replicasAnswer(claims []claim, sync int) bool {
 	replicas, missing := 0, 0
 	for i := range claims {
@@ -160,10 +168,11 @@
 
 // hasQuorum reports whether every set of targets that could have acknowledged a
 // commit contains a claimed one. A commit is acknowledged by the primary and
-// sync replicas, so at most sync targets may be missing. A primary that stepped down
-// has every commit itself, but its claim alone shares no target with those of another
-// change, which may have promoted since. Targets without a log count as missing,
-// except when all are claimed and none can have more.
+// sync replicas, so at most sync targets may be missing. A primary that stepped
+// down has every commit itself, but its claim alone has no target in common
+// with the claims of another change, which may have promoted since. Targets
+// without a log count as missing unless all targets are claimed, so that none
+// can have more.
 func hasQuorum(claims []claim, term siskin.Term, sync int) bool {
 	missing, empty := 0, 0
 	for i := range claims {
@@ -181,10 +190,10 @@
 	return missing <= max(sync, 1) && missing < len(claims)
 }
 
-// bestCandidate returns the claimed target to promote: the one with the bestCandidate log,
-// and among equals one that stays. The old primary is chosen only when it could
-// have a commit that no claimed replica has: it may hold commits that nobody
-// was promised, and have no path to its replicas.
+// bestCandidate returns the claimed target to promote: the one with the newest
+// log, and among equals one that is neither draining nor evacuated. The old
+// primary is chosen only if it could have a commit that no claimed replica has,
+// because it may hold unacknowledged commits and be cut off from its replicas.
 func bestCandidate(claims []claim, term siskin.Term, sync int) (claim, bool) {
 	claimed := make([]claim, 0, len(claims))
 	replicasMissing := 0
@@ -206,19 +215,21 @@
 		return cmp.Or(
 			a.status.Received.Compare(b.status.Received),
 			-boolCompare(avoidAsPrimary(&a.target), avoidAsPrimary(&b.target)),
-			-boolCompare(a.target.ColdRemaining > 0, b.target.ColdRemaining > 0), // a cold one bears few statements
+			-boolCompare(a.target.ColdRemaining > 0, b.target.ColdRemaining > 0), // a cold target is limited to few statements
 			cmp.Compare(b.target.ID, a.target.ID),
 		)
 	}), true
 }
 
-// notFollowed reports whether no claimed replica followed a primary that stepped down. Where
-// former primaries lead on, they may have started again and followed one.
+// notFollowed reports whether no claimed replica followed a primary that
+// stepped down. Unfenced, the replicas may have restarted and followed a former
+// primary.
 func notFollowed(claimed []claim, primary *claim) bool {
 	return primary.demoted && !slices.ContainsFunc(claimed, func(c claim) bool { return !c.wasPrimary && c.status.Term >= primary.ledTerm })
 }
 
-// avoidAsPrimary reports whether a target is to lead only when no other one can.
+// avoidAsPrimary reports whether a target should be promoted only if no other
+// one can.
 func avoidAsPrimary(t *siskin.TargetInfo) bool { return t.Draining || t.Evacuated }
 
 func boolCompare(a, b bool) int {
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -14,8 +14,9 @@
 	"siskintray.example/siskin"
 )
 
-// TestScripts guards against changes of primary that come too early, too late
-// or with too few claims. Each line of testdata has words and a wanted result.
+// TestScripts guards against changes of primary that are too early, too late or
+// based on too few claims. Each line of testdata has input words and the
+// expected result.
 func TestScripts(t *testing.T) {
 	runs := map[string]func([]string) string{"decide": runDecide, "claims": runClaims}
 	for name, run := range runs {
@@ -39,7 +40,7 @@
 	}
 }
 
-// runDecide decides on words such as known, silent or proof=900ms.
+// runDecide returns the action for words such as known, silent or proof=900ms.
 func runDecide(words []string) string {
 	o := observation{watched: time.Hour}
 	for _, w := range words {
@@ -73,8 +74,9 @@
 	return decide(o).String()
 }
 
-// runClaims reads claims such as a:primary:held:3.7 or b:silent, with sync=N and
-// the end known:3.9 of a log, for the term 4, and says which target is promoted.
+// runClaims parses claims for term 4 such as a:primary:held:3.7 or b:silent,
+// with sync=N and the log end known:3.9 of the last known primary, and returns
+// the target to promote.
 func runClaims(words []string) string {
 	const term = 4
 	sync := 1
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -17,7 +17,7 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// checkInterval is the time between two looks at a service.
+// checkInterval is the time between two checks of a service.
 const checkInterval = 100 * time.Millisecond
 
 // Config holds what an Elector depends on.
@@ -32,9 +32,9 @@
 	Store    siskin.Store
 	Promoter siskin.Promoter
 	Run      siskin.Incarnation
-	// Fencing says that the platform refuses a fence that is lower than one it has
-	// seen, and that a promotion takes the lead from the former primary. Otherwise
-	// the order of changes and the end of a former primary are kept here.
+	// Fencing reports that the platform refuses a fencing token lower than one
+	// it has seen, and that a promotion demotes the former primary. Otherwise
+	// this package orders the changes and makes the former primary step down.
 	Fencing bool
 	Leases  *lease.Leases
 	// Status decodes the answer to a control statement.
@@ -48,7 +48,8 @@
 type Elector struct {
 	cfg    Config
 	tokens tokenReserve
-	// ranker keeps ranks, since each service is looked at several times a second.
+	// ranker caches ranks because each service is checked several times a
+	// second.
 	ranker place.Ranker
 	ctx    context.Context // ends at Close
 	stop   context.CancelFunc
@@ -63,17 +64,17 @@
 	watchedSince time.Time // zero while another VM watches it
 	probing      bool
 	changing     bool
-	nextChange   time.Time   // earliest next change
-	failures     int         // changes that failed in a row
-	ownTerm      siskin.Term // of the last claims
+	nextChange   time.Time   // earliest start of the next change
+	failures     int         // consecutive failed changes
+	ownTerm      siskin.Term // of the last claims; see change.ownTerm
 	lastProbe    probe
-	// unconfirmedSince is since when the primary answers and its replicas are claimed
-	// or follow another one, zero when they are not.
+	// unconfirmedSince is the time since which the primary answers although its
+	// replicas are claimed or follow another target. It is zero if they do not.
 	unconfirmedSince time.Time
-	tokenRenewed     time.Time // last renewal of the fence for a new term
+	tokenRenewed     time.Time // last renewal of the fencing token for a new term
 }
 
-// Start begins to watch.
+// Start starts to watch the services.
 func Start(cfg Config) *Elector {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Elector{cfg: cfg, stop: cancel, services: make(map[siskin.ServiceName]*watch)}
@@ -90,10 +91,11 @@
 	return e
 }
 
-// fleetDiscoveryTime is the time in which a starting VM learns how large the fleet is.
+// fleetDiscoveryTime is the time in which a starting VM discovers the size of
+// the fleet.
 const fleetDiscoveryTime = 1500 * time.Millisecond
 
-// Close stops watching and waits.
+// Close stops watching and waits for all goroutines.
 func (e *Elector) Close() error {
 	e.stop()
 	e.tasks.Wait()
@@ -124,7 +126,7 @@
 	return len(ranked) > 0 && ranked[0].ID == e.cfg.Members.Self().ID
 }
 
-// checkService examines one service and acts on what it finds.
+// checkService examines one service and starts a probe or a change if needed.
 func (e *Elector) checkService(ctx context.Context, s siskin.ServiceSpec) {
 	targets := e.cfg.Roster.Service(s.Name)
 	if len(targets) == 0 {
@@ -179,8 +181,8 @@
 		stalled: e.cfg.Homes.WriteStall(primary),
 	}
 	if proof.Target == primary && proof.At.After(w.unconfirmedSince) {
-		// A commit or another VM has shown the lead; no probe followed, since the proof
-		// is young.
+		// A commit or another VM has proved that the target is primary. No
+		// probe follows while that proof is recent.
 		w.unconfirmedSince = time.Time{}
 	}
 	if !w.unconfirmedSince.IsZero() {
@@ -198,21 +200,22 @@
 		}
 	}
 	if !found && primary != "" {
-		obs.silent = true // its entry is gone
+		obs.silent = true // discovery has removed its entry
 	}
 	return obs
 }
 
 const (
-	// changeBackoff is the time to the next change of a service. It doubles
-	// with each failure and is random, so that two VMs that race give way to
-	// each other.
+	// changeBackoff is the delay before the next change of a service. It
+	// doubles with each failure and has random jitter, so that two VMs that
+	// compete do not block each other.
 	changeBackoff        = 200 * time.Millisecond
 	maxBackoffDoublings  = 3
 	backoffJitterDivisor = 2
 )
 
-// finishChange notes the end of a change and sets the pause before the next one.
+// finishChange records the result of a change and sets the backoff before the
+// next one.
 func (e *Elector) finishChange(w *watch, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/elect/fence.go
+++ b/internal/elect/fence.go
@@ -8,15 +8,17 @@
 	"siskintray.example/siskin"
 )
 
-// FencingTokenKind is the kind of the objects whose versions are fences.
+// FencingTokenKind is the kind of the objects whose versions are fencing
+// tokens.
 const FencingTokenKind siskin.ObjectKind = "fences"
 
-// tokenTimeout bounds the taking of a fence during a change, which waits for it.
+// tokenTimeout bounds the time to obtain a fencing token during a change.
 const tokenTimeout = 500 * time.Millisecond
 
-// tokenReserve keeps one unused tokenReserve in reserve, so that a promotion needs no answer
-// of the store. The version of a conditional write to this VM's own object is
-// larger than every earlier version and was given to no other VM.
+// tokenReserve keeps one unused fencing token, so that a promotion does not
+// depend on an answer of the store. A token is the version of a conditional
+// write to this VM's own object. It is larger than every earlier version and
+// was issued to no other VM.
 type tokenReserve struct {
 	e *Elector
 
@@ -24,31 +26,31 @@
 	unused  siskin.FencingToken
 	version siskin.Version // of the object; zero when unknown
 	serial  int
-	// terms are the terms of the primaries that were known before next was asked
-	// for. All promotions up to them used lower fences.
+	// terms are the terms of the primaries that were known before the unused
+	// token was requested. All promotions up to these terms used lower tokens.
 	terms map[siskin.ServiceName]siskin.Term
 
 	usedMu sync.Mutex
 	used   map[siskin.ServiceName]usedToken
 }
 
-// usedToken says that the promotions of a service up to a term used fences up to
-// the given one.
+// usedToken records that the promotions of a service up to a term used tokens
+// up to the given one.
 type usedToken struct {
 	token siskin.FencingToken
 	term  siskin.Term
 }
 
-// tokenValue makes each write differ, since an unchanged object keeps its
+// tokenValue makes each write differ, because an unchanged object keeps its
 // version.
 type tokenValue struct {
 	Run    siskin.Incarnation
 	Serial int
 }
 
-// take returns a fence that was never used and reserves none. With fresh set it is
-// higher than all given out before: an order of another change that is still on
-// its way is then refused.
+// take returns an unused token and leaves the reserve empty. If fresh is set,
+// the token is higher than all issued before, so that the platform refuses a
+// promotion of another change that is still in flight.
 func (f *tokenReserve) take(ctx context.Context, fresh bool) (siskin.FencingToken, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -62,7 +64,7 @@
 	return n, nil
 }
 
-// putBack takes a fence that was not used into reserve.
+// putBack returns an unused token to the reserve.
 func (f *tokenReserve) putBack(n siskin.FencingToken) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -71,9 +73,9 @@
 	}
 }
 
-// takeAbove returns a fence that was never used and is higher than floor and
-// than all that were used for the service. The targets know the present primary
-// as that of the given term.
+// takeAbove returns an unused token that is higher than floor and than all
+// tokens used for the service. The given term is that of the current primary
+// according to the targets.
 func (f *tokenReserve) takeAbove(ctx context.Context, service siskin.ServiceName, term siskin.Term, floor siskin.FencingToken) (siskin.FencingToken, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -83,7 +85,7 @@
 	fresh := false
 	for f.unused == 0 || !f.usable(service, used, term, floor, fresh) {
 		if err := f.renew(ctx); err != nil {
-			return 0, siskin.NewError(siskin.Unavailable, "no fence is known to be higher than those used for %s", service).WithCause(err).WithRemedy("restore the store, or let a VM with a newer fence change the primary")
+			return 0, siskin.NewError(siskin.Unavailable, "no fencing token is known to be higher than those used for %s", service).WithCause(err).WithRemedy("restore the store, or let a VM with a newer fencing token change the primary")
 		}
 		fresh = true
 	}
@@ -92,8 +94,8 @@
 	return n, nil
 }
 
-// usable reports whether the fence in reserve is higher than all that were used
-// for the service. A fresh one is, since the others were taken before it.
+// usable reports whether the reserved token is higher than all tokens used for
+// the service. A fresh one is, because all others were issued before it.
 func (f *tokenReserve) usable(service siskin.ServiceName, used usedToken, term siskin.Term, floor siskin.FencingToken, fresh bool) bool {
 	if f.unused <= floor || f.unused <= used.token {
 		return false
@@ -101,8 +103,8 @@
 	return fresh || term <= used.term || term <= f.terms[service]
 }
 
-// recordUse takes over that a fence was used for the promotion to a term, zero when
-// it is not known yet.
+// recordUse records that a token was used for the promotion to a term, which is
+// zero if not known yet.
 func (f *tokenReserve) recordUse(service siskin.ServiceName, token siskin.FencingToken, term siskin.Term) {
 	f.usedMu.Lock()
 	defer f.usedMu.Unlock()
@@ -119,17 +121,17 @@
 	return f.used[service]
 }
 
-// coversTerm reports whether the fence in reserve was asked for when the term was
-// known, or will be.
+// coversTerm reports whether the reserved token was requested when the term was
+// already known, or is being renewed.
 func (f *tokenReserve) coversTerm(service siskin.ServiceName, term siskin.Term) bool {
 	if !f.mu.TryLock() {
-		return true // it is being renewed; looked at again at the next tick
+		return true // it is being renewed; checked again at the next interval
 	}
 	defer f.mu.Unlock()
 	return term <= f.terms[service]
 }
 
-// fill takes a fence into fill when there is none.
+// fill obtains a token if none is in reserve.
 func (f *tokenReserve) fill(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -137,22 +139,22 @@
 		return
 	}
 	if err := f.renew(ctx); err != nil {
-		f.e.cfg.Log.Warn().Err(err).Msg("no fence could be reserved")
+		f.e.cfg.Log.Warn().Err(err).Msg("could not reserve a fencing token")
 	}
 }
 
-// refresh replaces the fence in reserve, since a higher one was used. The old
-// one is kept when the store does not answer: it may still do for a service
-// that saw no higher one.
+// refresh replaces the reserved token after a higher one was used. The old one
+// is kept if the store does not answer: it may still suffice for a service for
+// which no higher one was used.
 func (f *tokenReserve) refresh(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.renew(ctx); err != nil {
-		f.e.cfg.Log.Info().Err(err).Msg("the fence in reserve was not renewed")
+		f.e.cfg.Log.Info().Err(err).Msg("could not renew the reserved fencing token")
 	}
 }
 
-// renew replaces the fence in reserve.
+// renew replaces the reserved token and records the known terms.
 func (f *tokenReserve) renew(ctx context.Context) error {
 	terms := f.e.primaryTerms()
 	if err := f.write(ctx); err != nil {
@@ -162,8 +164,8 @@
 	return nil
 }
 
-// write writes the object. After a lost answer the object is read, since its
-// version may have changed.
+// write writes the object. If the answer is lost, the next write reads the
+// object first, because its version may have changed.
 func (f *tokenReserve) write(ctx context.Context) error {
 	store, name := f.e.cfg.Store, string(f.e.cfg.Members.Self().ID)
 	f.serial++
@@ -191,7 +193,7 @@
 	return nil
 }
 
-// overwrite finds the version of the object of an earlier run and writes over it.
+// overwrite updates the object left by an earlier run or an unanswered write.
 func (f *tokenReserve) overwrite(ctx context.Context, name string) error {
 	l, err := f.e.cfg.Store.List(ctx, FencingTokenKind)
 	if err != nil {
@@ -203,5 +205,5 @@
 			return err
 		}
 	}
-	return siskin.NewError(siskin.Unavailable, "the fence of this VM is not in the store").WithRemedy("retry")
+	return siskin.NewError(siskin.Unavailable, "the fencing token object of this VM is not in the store").WithRemedy("retry")
 }
--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -13,65 +13,69 @@
 	"siskintray.example/siskin/internal/soak"
 )
 
-// The model plays changes of primary on a platform that checks fences and takes
-// the lead from former primaries, or does neither. It uses the rules of this
-// package, of lease and of roster, on targets, VMs and links that exist in memory
-// only.
+// The model simulates changes of primary on a platform that either checks
+// fencing tokens and demotes former primaries, or does neither. It uses the
+// rules of this package, of lease and of roster on in-memory targets, VMs and
+// links.
 
 const (
 	modelTick  = 10 * time.Millisecond
 	modelTicks = 1000
-	// modelRuns is the number of runs that must show a fault when a rule is left out.
+	// modelRuns is the number of runs in which a fault must occur if a rule is
+	// disabled.
 	modelRuns = 1000
-	// modelStartRuns is the number of runs in which targets start at any time.
+	// modelStartRuns is the number of runs in which targets may restart at any
+	// time.
 	modelStartRuns = 10000
 
 	modelService siskin.ServiceName = "s"
-	// modelRosterRate is the rate of time in discovery, so that short runs have
-	// targets that are dropped and replaced. The times that follow are in ticks.
+	// modelRosterRate is the speed-up factor of discovery, so that targets
+	// are removed and replaced even in short runs. The times below are in
+	// ticks.
 	modelRosterRate      = 10
-	modelListTicks       = 15 // between two lists
-	modelExpireTicks     = 15 // until the entry of a silent target is removed
+	modelListTicks       = 15 // between two updates of the roster
+	modelExpireTicks     = 15 // until the entry of an unresponsive target expires
 	modelMaxEffectTicks  = 100
 	modelStepDownTicks   = 100
 	modelPingTicks       = 30
 	modelMeanDemoteTicks = 500
-	// modelMinUptime is lease.WitnessAfter for orders that come up to 3 s late.
+	// modelMinUptime is lease.MinTrustedUptime for promotions that arrive up to
+	// 3 s late.
 	modelMinUptime = 5 * time.Second
 )
 
-// modelRules leaves out one rule at a time, to show that the model needs it.
+// modelRules disables single rules, to show that the model needs each of them.
 type modelRules struct {
-	trustTarget      bool // reads at a primary rest on its own answer
-	noWait           bool // promotions follow the last claim at once
-	staleToken       bool // a fence in reserve is used whatever was used since
-	soleStepDown     bool // a primary that stepped down counts as a claim of all
-	unpauseAtOnce    bool // replicas are freed whether or not they reach the new primary
-	unpauseContested bool // a change that fails frees replicas that another had claimed
-	noRecheck        bool // claims are not read again before the order
-	staleCheck       bool // an order follows its check however long ago that was
-	listedOnly       bool // claims are counted over listed targets only
-	lowTerm          bool // the term of claims is the one after the newest known
-	countEmptyLogs   bool // targets without a log count like those with one
-	ackWithoutLease  bool // commits are passed on without a lease
-	trustRestarted   bool // a replica that has just started confirms a lead
-	partialGroup     bool // the listed replicas together confirm a lead, whatever is missing
-	olderTerm        bool // replicas confirm the lead of a term before the newest known
+	trustTarget      bool // reads at a primary are based on its own answer alone
+	noWait           bool // promotions are ordered without a delay after the last claim
+	staleToken       bool // a reserved token is used even if others were used since
+	soleStepDown     bool // a primary that stepped down suffices as quorum
+	unpauseAtOnce    bool // replicas are resumed even if they do not follow the new primary
+	unpauseContested bool // a failed change resumes replicas that another had claimed
+	noRecheck        bool // claims are not checked again before the promotion
+	staleCheck       bool // a promotion is ordered however old its check is
+	listedOnly       bool // the quorum covers listed targets only
+	lowTerm          bool // the term of claims is the successor of the newest known one
+	countEmptyLogs   bool // targets without a log count as claimed
+	ackWithoutLease  bool // commits are confirmed to callers without a lease
+	trustRestarted   bool // a recently restarted replica confirms a primary
+	partialGroup     bool // the listed replicas confirm a primary together even if some are missing
+	olderTerm        bool // replicas confirm a primary of an earlier term than the newest known
 }
 
 type modelVM struct {
-	rate          float64 // of its clock
+	rate          float64 // of its clock, 1 for an exact one
 	suspended     int     // ticks
 	primary       siskin.TargetID
 	pinged        int             // tick of the last ping
 	known         siskin.Position // end of the log of the last known primary
 	leases        *lease.Leases
-	pendingAcks   []modelCommit // acknowledged by the target, not passed on yet
+	pendingAcks   []modelCommit // acknowledged by the target, not yet confirmed to callers
 	roster        *roster.Roster
-	rev           int // of the last list
+	rev           int // of the last roster update
 	cutOff        bool
 	reservedToken siskin.FencingToken
-	lastClaimTerm siskin.Term // of the claims of its last change
+	lastClaimTerm siskin.Term // of the claims of its last change; see change.ownTerm
 	change        *modelChange
 }
 
@@ -79,25 +83,26 @@
 	rng    *rand.Rand
 	rules  modelRules
 	fenced bool
-	// settledStarts says that no target starts while an order is under way or a former primary
-	// leads, and restartEndsOrder that an order ends when its target starts again after the last
-	// look at its claim.
+	// settledStarts reports that no target starts while a promotion is in
+	// flight or a former primary is running. restartEndsOrder reports that a
+	// promotion is dropped if its target restarts after the last check of its
+	// claim.
 	settledStarts, restartEndsOrder bool
 	tick                            int
-	targets                         [3]*modelTarget // a successor takes the place of the target before
+	targets                         [3]*modelTarget // a replacement takes the slot of the previous target
 	nextID                          int             // of targets
 	vms                             [3]*modelVM
 	cut                             [3][3]bool // between targets
 	vmCut                           [3][3]bool // between a VM and a target
-	undiscovered                    [3]bool    // a target that does not reach discovery
+	undiscovered                    [3]bool    // targets that do not reach discovery
 	entries                         []modelEntry
 	rev                             int // of discovery
 	acked                           [8]uint64
 	unacked                         []modelCommit
 	commits                         int
 	term                            siskin.Term         // of the last promotion
-	lastToken                       siskin.FencingToken // last one given out
-	maxUsedToken                    siskin.FencingToken // highest one seen by the platform
+	lastToken                       siskin.FencingToken // last one issued
+	maxUsedToken                    siskin.FencingToken // highest one received by the platform
 	orders                          []modelOrder
 	releases                        []modelRelease
 	faults                          []string
@@ -135,7 +140,7 @@
 	m.faults = append(m.faults, fmt.Sprintf(format, args...))
 }
 
-// lookup returns a target that runs, nil when it is down or gone.
+// lookup returns a running target, or nil.
 func (m *model) lookup(id siskin.TargetID) *modelTarget {
 	for _, t := range m.targets {
 		if t.id == id && t.runsFrom <= m.tick {
@@ -154,7 +159,7 @@
 	return -1
 }
 
-// reachable returns a target that a VM knows and reaches, nil when there is none.
+// reachable returns a target that a VM knows and reaches, or nil.
 func (m *model) reachable(vm int, id siskin.TargetID) *modelTarget {
 	t := m.lookup(id)
 	if t == nil || m.vmCut[vm][m.index(t)] {
@@ -166,7 +171,7 @@
 	return t
 }
 
-// discover renews the entries of targets and drops those that are silent.
+// discover renews the entries of running targets and removes expired ones.
 func (m *model) discover() {
 	for i, t := range m.targets {
 		if t.runsFrom > m.tick || t.listedFrom > m.tick || m.undiscovered[i] {
@@ -195,7 +200,7 @@
 	m.entries = kept
 }
 
-// updateRoster hands a VM the updateRoster of targets.
+// updateRoster updates a VM's roster from discovery.
 func (m *model) updateRoster(v *modelVM) {
 	at := time.Unix(1000, 0).Add(time.Duration(m.tick+1) * modelTick * modelRosterRate)
 	if v.rev == m.rev {
@@ -210,8 +215,8 @@
 	v.roster.Replace(list, siskin.Version(m.rev), at)
 }
 
-// replicate hands the log of a primary to the replicas that receive it, which
-// acknowledges its commits.
+// replicate copies the log of a primary to the replicas that receive it, and
+// acknowledges its commits if there is one.
 func (m *model) replicate(p int) {
 	from := m.targets[p]
 	received := false
@@ -237,8 +242,9 @@
 	m.unacked = kept
 }
 
-// acknowledge passes acknowledged commits on to callers under a lease. Without one the
-// replicas are asked, and their outcome stays unknown when none confirms the lead.
+// acknowledge confirms pending commits to callers under a lease. Without a
+// lease it polls the replicas first; the outcome of the commits stays unknown
+// if they do not confirm the primary.
 func (m *model) acknowledge(vm int) {
 	v := m.vms[vm]
 	for _, c := range v.pendingAcks {
@@ -268,7 +274,7 @@
 	if !m.rules.ackWithoutLease && !v.leases.Valid(t.id, m.now(v)) {
 		m.pollReplicas(vm, t.id)
 		if !v.leases.Valid(t.id, m.now(v)) {
-			return // refused before it is sent
+			return // refused before it was sent
 		}
 	}
 	m.commits++
@@ -278,8 +284,8 @@
 	m.replicate(m.index(t))
 }
 
-// pollReplicas asks all replicas to confirm the lead of a target. One that has run for
-// long does; otherwise all of a complete group together.
+// pollReplicas asks all replicas to confirm a primary. One replica with
+// sufficient uptime can do so; otherwise only all of a complete group together.
 func (m *model) pollReplicas(vm int, primary siskin.TargetID) {
 	v, now := m.vms[vm], m.now(m.vms[vm])
 	p := m.reachable(vm, primary)
@@ -303,7 +309,7 @@
 	}
 }
 
-// pollReplica asks one replica to confirm the lead of a target.
+// pollReplica asks one replica to confirm a primary.
 func (m *model) pollReplica(vm int, primary siskin.TargetID, slot int) {
 	v, now := m.vms[vm], m.now(m.vms[vm])
 	p, r := m.reachable(vm, primary), m.reachable(vm, m.targets[slot].id)
@@ -318,7 +324,7 @@
 	}
 }
 
-// ping tells a VM of the newest log that others know of.
+// ping updates a VM with the newest log end that other VMs know.
 func (m *model) ping(v *modelVM) {
 	for _, other := range m.vms {
 		if other.known.Compare(v.known) > 0 {
@@ -336,11 +342,12 @@
 	}
 	v.known = t.log.last
 	if id, ok := t.log.lacks(&m.acked); ok {
-		m.fault("tick %d: a read at %s in term %d lacks commit %d", m.tick, t.id, t.term, id)
+		m.fault("tick %d: a read at %s in term %d misses commit %d", m.tick, t.id, t.term, id)
 	}
 }
 
-// hasOnlyCopy reports whether a target has acknowledged commits that no other one has.
+// hasOnlyCopy reports whether a target has acknowledged commits that no other
+// one has.
 func (m *model) hasOnlyCopy(slot int) bool {
 	var others modelLog
 	for i, t := range m.targets {
@@ -354,7 +361,8 @@
 	return ok
 }
 
-// unsettled reports whether an order is under way or a former primary leads.
+// unsettled reports whether a promotion is in flight or a former primary is
+// running.
 func (m *model) unsettled() bool {
 	for _, t := range m.targets {
 		if t.leads && t.term < m.term {
@@ -369,9 +377,9 @@
 	return len(m.orders) > 0
 }
 
-// restart starts a target again. A replica has forgotten its claim and its log, and
-// under a new id it takes the place of the one before. A primary keeps its log, and
-// leads on unless another target was promoted.
+// restart restarts a target. A replica loses its claim and its log; if it is
+// replaced, a target with a new ID takes its slot. A primary keeps its log and
+// is primary again unless another target was promoted.
 func (m *model) restart(slot int, replaced bool) {
 	t := m.targets[slot]
 	switch {
@@ -383,7 +391,7 @@
 		}
 		return
 	case m.hasOnlyCopy(slot):
-		return // no rule keeps a commit that no target has
+		return // no rule can preserve a commit that no target has
 	}
 	m.unacked = slices.DeleteFunc(m.unacked, func(c modelCommit) bool { return c.target == t.id })
 	next := &modelTarget{id: t.id}
@@ -397,8 +405,8 @@
 	m.targets[slot] = next
 }
 
-// resume lets crashed primaries lead again, and makes former ones step down that
-// have met a newer one.
+// resume restarts crashed primaries, and makes former ones step down that have
+// been connected to a newer one for long enough.
 func (m *model) resume() {
 	for i, t := range m.targets {
 		if t.crashed && t.runsFrom <= m.tick {
@@ -452,7 +460,7 @@
 		case n < 94:
 			v.suspended = m.rng.IntN(150)
 		case n < 100:
-			v.primary = m.targets[m.rng.IntN(3)].id // news of another VM, true or not
+			v.primary = m.targets[m.rng.IntN(3)].id // report of another VM, correct or not
 		case n < 102:
 			m.lastToken++
 			v.reservedToken = m.lastToken
@@ -486,7 +494,7 @@
 	}
 }
 
-// isolate cuts a target and a VM off from all others and from discovery.
+// isolate partitions a target and a VM from all others and from discovery.
 func (m *model) isolate(slot, vm int) {
 	m.undiscovered[slot], m.vms[vm].cutOff = true, true
 	for i := range 3 {
@@ -496,7 +504,7 @@
 	}
 }
 
-// run returns the first fault of a run, empty when there is none.
+// run returns the first fault of a run, or an empty string.
 func (m *model) run() string {
 	for range modelTicks {
 		if m.step(); len(m.faults) > 0 {
@@ -506,11 +514,11 @@
 	return ""
 }
 
-// TestModel guards against rules that let a former primary serve stale reads,
-// lose acknowledged commits or send falling fences. Each rule that it leaves out
-// shows in fixed runs. In runs with starts, targets start at any time, and an order
-// whose own target does so ends. SISKIN_SEED gives the first seed of the runs with
-// all rules.
+// TestModel guards against rules under which a former primary serves stale
+// reads, acknowledged commits are lost or fencing tokens decrease. Disabling a
+// rule must produce a fault in a fixed range of runs. In runs with starts,
+// targets restart at any time, and a promotion is dropped if its own target
+// does so. SISKIN_SEED sets the first seed of the runs with all rules.
 func TestModel(t *testing.T) {
 	first := uint64(soak.Seed(1))
 	for _, c := range []struct {
@@ -567,10 +575,11 @@
 	}
 }
 
-// TestModelStarts counts the runs of the model in which acknowledged commits are lost
-// since a target starts again between the last check of the claims and the effect of
-// the order, or while a former primary leads. No rule of this package excludes it, so
-// the test runs with SISKIN_SOAK only; docs/platform.md, "Not covered", has its results.
+// TestModelStarts counts the runs of the model in which acknowledged commits
+// are lost because a target restarts between the last check of the claims and
+// the effect of the promotion, or while a former primary is running. No rule of
+// this package prevents this, so the test runs with SISKIN_SOAK only;
+// docs/platform.md, "Not covered", has its results.
 func TestModelStarts(t *testing.T) {
 	if soak.Length(0) == 0 {
 		t.Skip("needs SISKIN_SOAK: finds faults that no rule excludes")
--- a/internal/elect/modelchange_test.go
+++ b/internal/elect/modelchange_test.go
@@ -11,44 +11,47 @@
 var errModelSilent = errors.New("no answer")
 
 const (
-	// modelLeadTicks is the time for which a VM waits for a promoted target to lead.
+	// modelLeadTicks is the time for which a VM waits for a promoted target to
+	// become primary.
 	modelLeadTicks = int(leadTimeout / modelTick)
-	// modelMaxOrders bounds the orders of one change.
+	// modelMaxOrders bounds the promotions ordered by one change.
 	modelMaxOrders = maxPromotions
 )
 
 // modelChange is a change of primary at one VM.
 type modelChange struct {
-	change                      // its times are on the VM's clock; checked is zero before the claims were read again
-	leading   []siskin.TargetID // targets that led when they were asked
-	asked     int               // claims taken
+	change                      // times are on the VM's clock; checkedAt is zero before the second check of the claims
+	leading   []siskin.TargetID // targets that were primary when queried
+	asked     int               // number of targets asked to accept a claim
 	notBefore time.Time         // on the VM's clock
 	orders    int
-	checkTick int // tick of the last look at the claims
-	retryTick int // tick of the next order after one without an answer, zero for none
-	deadline  int // tick at which the VM gives up to wait for the lead
+	checkTick int // tick of the last check of the claims
+	retryTick int // tick of the next order after one without an answer, or zero
+	deadline  int // tick until which the VM waits for the target to become primary
 }
 
-// modelOrder is a promotion on its way: it reaches the platform, which takes time
-// to carry it out.
+// modelOrder is a promotion in flight: it reaches the platform, which takes
+// time to carry it out.
 type modelOrder struct {
 	arrives, takesEffect int // ticks
 	accepted             bool
 	target               siskin.TargetID
 	vm                   *modelVM
 	change               *modelChange
-	checkTick            int // tick of the last look at the claims before it
+	checkTick            int // tick of the last check of the claims before it
 	token                siskin.FencingToken
 }
 
-// modelRelease is the end of the claims of a change that has promoted a target.
+// modelRelease is the pending release of the claims of a change that has
+// promoted a target.
 type modelRelease struct {
 	change *modelChange
 	vm     int
 	term   siskin.Term // of the new primary
 }
 
-// beginChange asks the targets and chooses the term of a change of primary at a VM.
+// beginChange queries the targets and chooses the term of a change of primary
+// at a VM.
 func (m *model) beginChange(vm int) {
 	v := m.vms[vm]
 	c := &modelChange{change: change{oldPrimary: v.primary, unfenced: !m.fenced, spec: siskin.ServiceSpec{SyncReplicas: 1}}}
@@ -91,8 +94,8 @@
 	v.change = c
 }
 
-// unlisted returns the claims of a change with those of targets that discovery has
-// dropped.
+// unlisted returns the claims of a change, with failed ones for targets that
+// discovery has removed.
 func (m *model) unlisted(v *modelVM, c *modelChange) []claim {
 	if m.rules.listedOnly {
 		return c.claims
@@ -100,7 +103,7 @@
 	return withUnlisted(c.claims, c.oldPrimary == "", v.roster.Size(modelService))
 }
 
-// advance takes one step of the change of a VM.
+// advance executes one step of a VM's change.
 func (m *model) advance(vm int) {
 	v := m.vms[vm]
 	c := v.change
@@ -120,7 +123,7 @@
 	case c.checkedAt.IsZero() || c.retryTick != 0 || !c.checkedRecently(m.now(v)) && !m.rules.staleCheck:
 		c.retryTick = 0
 		m.check(vm)
-		// The VM may stand still, or wait for a fence.
+		// The VM may be suspended, or wait for a fencing token.
 		if m.rng.IntN(4) == 0 {
 			v.suspended = m.rng.IntN(200)
 		}
@@ -152,7 +155,8 @@
 	c.contested = c.contested || cl.contested
 }
 
-// chooseCandidate counts the claims and chooses the target to promote.
+// chooseCandidate checks the quorum of claims and chooses the target to
+// promote.
 func (m *model) chooseCandidate(vm int) {
 	v := m.vms[vm]
 	c := v.change
@@ -175,14 +179,16 @@
 	}
 }
 
-// stepDownSuffices reports whether a primary that stepped down counts as a claim of all.
+// stepDownSuffices reports whether a primary that stepped down counts as a
+// quorum.
 func (m *model) stepDownSuffices(c *modelChange, claims []claim) bool {
 	return m.rules.soleStepDown && slices.ContainsFunc(claims, func(cl claim) bool {
 		return (cl.demoted || cl.steppedDown) && cl.holds(c.term)
 	})
 }
 
-// check reads the claims of a change again and ends it when they are gone.
+// check checks the claims of a change again and ends the change if they were
+// lost.
 func (m *model) check(vm int) {
 	v := m.vms[vm]
 	c := v.change
@@ -209,7 +215,7 @@
 	c.checkedAt, c.checkTick = m.now(v), m.tick
 }
 
-// order sends the promotion of the chosen target.
+// order orders the promotion of the candidate.
 func (m *model) order(v *modelVM) {
 	c := v.change
 	if m.fenced {
@@ -222,18 +228,19 @@
 	o := modelOrder{arrives: m.tick, target: c.candidate.target.ID, vm: v, change: c, checkTick: c.checkTick, token: c.token}
 	c.orders++
 	c.pending, c.deadline, c.checkedAt = true, m.tick+modelLeadTicks, time.Time{}
-	if m.fenced && m.rng.IntN(8) == 0 { // its answer is lost, and it may come late
+	if m.fenced && m.rng.IntN(8) == 0 { // its answer is lost, and it may arrive late
 		o.arrives += m.rng.IntN(300)
 		c.retryTick = m.tick + 5
 	}
-	// A late order counts from the moment at which it is carried out.
+	// A late order is accepted when it arrives and takes effect at once.
 	if o.takesEffect = o.arrives; o.arrives == m.tick {
 		o.takesEffect += m.rng.IntN(modelMaxEffectTicks >> (m.rng.IntN(2) * 3))
 	}
 	m.orders = append(m.orders, o)
 }
 
-// endChange gives a change up. It lets the replicas go unless an order may be on its way.
+// endChange gives up a change. It resumes the replicas unless a promotion may
+// be in flight.
 func (m *model) endChange(v *modelVM) {
 	c := v.change
 	v.change, v.lastClaimTerm = nil, c.nextOwnTerm()
@@ -247,7 +254,7 @@
 	}
 }
 
-// runOrders plays the orders at the platform.
+// runOrders executes the orders at the platform.
 func (m *model) runOrders() {
 	kept := m.orders[:0]
 	for _, o := range m.orders {
@@ -265,8 +272,8 @@
 	m.orders = kept
 }
 
-// accept reports whether the platform takes an order. The VM that sent one that is
-// refused gives its change up.
+// accept reports whether the platform accepts an order. The VM gives up its
+// change if the order is refused.
 func (m *model) accept(o modelOrder) bool {
 	t := m.lookup(o.target)
 	refused := t == nil || m.fenced && o.token < m.maxUsedToken
@@ -284,7 +291,7 @@
 func (m *model) promote(o modelOrder) {
 	t := m.lookup(o.target)
 	if t == nil || t.leads || m.restartEndsOrder && t.restarted >= o.checkTick {
-		return // not there, or the primary already
+		return // not running, or already the primary
 	}
 	if id, ok := t.log.lacks(&m.acked); ok {
 		m.fault("tick %d: the promotion of %s loses commit %d", m.tick, t.id, id)
@@ -307,19 +314,19 @@
 	m.unpauseReplicas()
 }
 
-// unpauseReplicas ends claims of replicas that follow the new primary at once, and of all
-// once no former primary leads.
+// unpauseReplicas releases the claims of replicas that follow the new primary,
+// and of all replicas once no former primary is running.
 func (m *model) unpauseReplicas() {
 	releases := m.releases
 	if m.fenced {
-		m.releases = nil // one step ends all
+		m.releases = nil // one step releases all claims
 	}
 	for _, f := range releases {
 		p := m.lookup(f.change.candidate.target.ID)
 		former := false
 		for slot, t := range m.targets {
 			if t.leads && t.term < f.term {
-				// The VM makes it step down when it reaches it.
+				// The VM makes the former primary step down when it reaches it.
 				if v := m.vms[f.vm]; m.reachable(f.vm, t.id) != nil && v.suspended == 0 && m.rng.IntN(modelMeanDemoteTicks) == 0 {
 					t.leads = false
 				}
--- a/internal/elect/modeltarget_test.go
+++ b/internal/elect/modeltarget_test.go
@@ -2,7 +2,7 @@
 
 import "siskintray.example/siskin"
 
-// modelLog is the log of a target: its end, and the set of its commits.
+// modelLog is the log of a target: its end and the set of its commits.
 type modelLog struct {
 	last siskin.Position
 	ids  [8]uint64
@@ -10,7 +10,7 @@
 
 func (l *modelLog) add(id int) { l.ids[id/64] |= 1 << (id % 64) }
 
-// lacks returns a commit of a set that the log does not have.
+// lacks returns a commit of a set that is missing in the log.
 func (l *modelLog) lacks(set *[8]uint64) (int, bool) {
 	for i, word := range set {
 		for b := range 64 {
@@ -27,18 +27,19 @@
 	term, pauseTerm siskin.Term
 	leads           bool
 	log             modelLog
-	// runsFrom is the tick until which the target does not run and at which its present
-	// run starts, and listedFrom that from which it has an entry in discovery.
+	// runsFrom is the tick from which the target is running, and listedFrom the
+	// tick from which it has an entry in discovery.
 	runsFrom, listedFrom int
-	restarted            int // tick of the last start
-	// crashed says that the target led when it crashed, before any further
-	// promotion.
+	restarted            int // tick of the last restart
+	// crashed reports that the target was primary when it crashed, and no
+	// target was promoted since.
 	crashed bool
-	// metTicks counts the ticks for which a former primary has reached a newer one.
+	// metTicks counts the ticks for which a former primary has been connected
+	// to a newer one.
 	metTicks int
 }
 
-// status returns what a target tells a VM.
+// status returns the state that a target reports to a VM.
 func (t *modelTarget) status() siskin.ControlStatus {
 	return siskin.ControlStatus{Primary: t.leads, Term: t.term, PauseTerm: t.pauseTerm, Received: t.log.last}
 }
@@ -49,11 +50,11 @@
 	renewed int // tick
 }
 
-// modelCommit is a commit that a VM waits for.
+// modelCommit is a commit whose acknowledgement a VM waits for.
 type modelCommit struct {
 	vm, id int
 	target siskin.TargetID
 	term   siskin.Term
 	sent   int             // tick
-	end    siskin.Position // of the log when it was acknowledged
+	end    siskin.Position // of the log at acknowledgement
 }
--- a/internal/elect/probe.go
+++ b/internal/elect/probe.go
@@ -7,13 +7,13 @@
 	"siskintray.example/siskin"
 )
 
-// probe is the result of the last question to a primary.
+// probe is the result of the last probe of a primary.
 type probe struct {
 	target                  siskin.TargetID
 	silent, refused, denied bool
 }
 
-// probe asks the primary to prove its lead.
+// probe asks the primary to prove that it is primary.
 func (e *Elector) probe(ctx context.Context, name siskin.ServiceName, id siskin.TargetID, w *watch) {
 	start := e.cfg.Clock.Now()
 	err := e.cfg.Homes.Ping(ctx, name, id)
@@ -32,17 +32,18 @@
 	case siskin.KindOf(err) == siskin.Conflict:
 		w.lastProbe.denied = true
 	case siskin.KindOf(err) == siskin.Overloaded:
-		// It answers, so it is neither silent nor gone.
+		// The primary answers, so it is neither silent nor terminated.
 	case siskin.KindOf(err) == siskin.NotRun:
-		// Replicas that are out of reach say nothing about the primary.
+		// Unreachable replicas prove nothing about the primary.
 		if w.unconfirmedSince = unconfirmed; unconfirmed.IsZero() && e.cfg.Homes.ReplicaClaimed(id) {
 			w.unconfirmedSince = start
 		}
 	default:
-		// A refusal comes within a round trip, silence takes the time-out.
+		// A refused connection fails within a round trip, an unresponsive
+		// target after the timeout.
 		w.lastProbe.silent, w.lastProbe.refused = true, took < maxRefusalTime
 	}
 }
 
-// maxRefusalTime is the longest time in which a refused connection answers.
+// maxRefusalTime is the longest time in which a refused connection fails.
 const maxRefusalTime = 100 * time.Millisecond
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -11,17 +11,18 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// maxCheckAge is the age of the last check of the claims up to which a promotion
-// is ordered without another one. It is shorter than the wait of another change
-// that takes claims over.
+// maxCheckAge is the age of the last check of the claims up to which a
+// promotion is ordered without another check. It is shorter than the delay of
+// another change that takes over the claims.
 const maxCheckAge = lease.PromotionDelay / 2
 
-// maxFencedCheckAge is the same where fences are checked. A fence says nothing of claims:
-// that of a VM which stood still may be higher than that of the change which took
-// its claims over. The check may wait for a silent target.
+// maxFencedCheckAge is the same if the platform checks fencing tokens. A token
+// proves nothing about claims: the token of a VM that was suspended may be
+// higher than that of the change which took over its claims. The check may have
+// to wait for a silent target.
 const maxFencedCheckAge = 2 * controlTimeout
 
-// promote orders the promotion of the chosen target and waits until it leads.
+// promote orders the promotion of the candidate and waits until it is primary.
 func (c *change) promote(ctx context.Context) error {
 	var err error
 	token := c.token
@@ -31,7 +32,8 @@
 		}
 	}()
 	for range maxPromotions {
-		// Taking a fence may wait for the store, so the claims are checked after it.
+		// Obtaining a token may wait for the store, so the claims are checked
+		// after it.
 		if !c.unfenced && token == 0 {
 			if token, err = c.e.tokens.take(ctx, c.contested); err != nil {
 				return err
@@ -41,7 +43,7 @@
 			return err
 		}
 		if !c.checkedRecently(c.e.cfg.Clock.Now()) {
-			err = siskin.NewError(siskin.Unavailable, "the claims of term %d were checked too long ago", c.term)
+			err = siskin.NewError(siskin.Unavailable, "the last check of the claims of term %d is too old", c.term)
 			continue
 		}
 		c.e.tokens.recordUse(c.spec.Name, token, 0)
@@ -56,9 +58,10 @@
 			c.pending = true
 			return c.awaitLead(ctx)
 		}
-		// An order without an answer may be carried out later. Where fences are
-		// checked the next one keeps it from taking effect; elsewhere this change
-		// orders the same target only, and its replicas stay paused.
+		// A promotion without an answer may take effect later. If the platform
+		// checks fencing tokens, the next promotion prevents this; otherwise
+		// this change promotes the same target only, and its replicas stay
+		// paused.
 		if siskin.KindOf(err) == siskin.OutcomeUnknown {
 			c.pending = true
 			if c.confirmPromotion(ctx) {
@@ -74,8 +77,8 @@
 	return err
 }
 
-// checkedRecently reports whether the claims were checked a moment ago. A VM that stood still
-// may have lost them.
+// checkedRecently reports whether the last check of the claims is recent
+// enough. A VM that was suspended may have lost them.
 func (c *change) checkedRecently(now time.Time) bool {
 	age := now.Sub(c.checkedAt)
 	if c.unfenced {
@@ -84,7 +87,7 @@
 	return age <= maxFencedCheckAge
 }
 
-// awaitLead waits until the chosen target proves its lead.
+// awaitLead waits until the candidate proves that it is primary.
 func (c *change) awaitLead(ctx context.Context) error {
 	deadline := c.e.cfg.Clock.Now().Add(leadTimeout)
 	for c.e.cfg.Clock.Now().Before(deadline) && ctx.Err() == nil {
@@ -93,10 +96,11 @@
 		}
 		c.e.cfg.Clock.Sleep(pollInterval)
 	}
-	return siskin.NewError(siskin.Unavailable, "target %s was promoted and does not lead", c.candidate.target.ID)
+	return siskin.NewError(siskin.Unavailable, "target %s was promoted but is not primary", c.candidate.target.ID)
 }
 
-// confirmPromotion asks the chosen target for a proof and tells the peers of it.
+// confirmPromotion asks the candidate to prove that it is primary and announces
+// the result to the peers.
 func (c *change) confirmPromotion(ctx context.Context) bool {
 	if !c.candidateLeads(ctx) {
 		return false
@@ -107,10 +111,9 @@
 	return true
 }
 
-// candidateLeads asks the chosen target whether it leads. Where former primaries
-// lead on, its answer counts because nobody but this change could promote
-// another target since the claims were checked: its log has all commits that
-// were acknowledged before.
+// candidateLeads asks the candidate whether it is primary. Unfenced, its answer
+// is sufficient because no other change could promote another target since the
+// claims were checked: its log has all commits that were acknowledged before.
 func (c *change) candidateLeads(ctx context.Context) bool {
 	id := c.candidate.target.ID
 	if !c.unfenced {
@@ -135,21 +138,22 @@
 	return true
 }
 
-// holdRequests makes the VMs refuse writes of the service at once during the change.
+// holdRequests makes the VMs refuse writes of the service for the duration of
+// the change.
 func (c *change) holdRequests() {
 	c.e.cfg.Views.BeginChange(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(maxHold))
 	c.announce(maxHold)
 }
 
 // maxHold bounds the time in which requests are refused during a change, in
-// case that its end is not announced.
+// case its end is not announced.
 const maxHold = 1500 * time.Millisecond
 
 // announceTimeout bounds one announcement.
 const announceTimeout = 300 * time.Millisecond
 
-// announce tells all VMs that a change is in progress or, with no time to hold,
-// that the chosen target leads.
+// announce tells all VMs that a change is in progress or, if hold is zero, that
+// the candidate is primary.
 func (c *change) announce(hold time.Duration) {
 	self := c.e.cfg.Members.Self().ID
 	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.HoldNote{Service: c.spec.Name, For: hold}}
@@ -163,7 +167,7 @@
 		c.e.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 			defer cancel()
-			// A VM that misses it learns of the change with the next ping.
+			// A VM that misses the announcement learns of the change with the next ping.
 			_ = c.e.cfg.Peers.Call(ctx, vm.ID, "Elect.Announce", args, &struct{}{})
 		})
 	}
--- a/internal/elect/receiver.go
+++ b/internal/elect/receiver.go
@@ -8,7 +8,7 @@
 // Receiver returns the receiver to register.
 func (e *Elector) Receiver() *Receiver { return &Receiver{e} }
 
-// Announce takes over a change of primary.
+// Announce handles the announcement of a change of primary.
 func (r *Receiver) Announce(args *Announcement, _ *struct{}) error {
 	if args.Hold.For > 0 {
 		r.e.cfg.Views.BeginChange(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, maxHold)))
@@ -22,8 +22,8 @@
 	return nil
 }
 
-// Lead returns the newest proof of lead that this VM knows. Its target is empty
-// when there is none.
+// Lead returns the newest proof of a service's primary that this VM knows. The
+// target is empty if there is none.
 func (r *Receiver) Lead(args *LeadArgs, reply *crew.LeadNote) error {
 	now := r.e.cfg.Clock.Now()
 	if l := r.e.cfg.Views.LatestProof(args.Service); l.Target != "" {
--- a/internal/elect/reserve.go
+++ b/internal/elect/reserve.go
@@ -7,15 +7,15 @@
 	"siskintray.example/siskin"
 )
 
-// maxReservingVMs is the number of VMs up to which each keeps a fence in reserve.
-// In a larger one only the VMs that watch a service do.
+// maxReservingVMs is the fleet size up to which each VM keeps a fencing token
+// in reserve. In a larger fleet only the VMs that watch a service do.
 const maxReservingVMs = 16
 
-// maxRefreshDelay spreads the calls of VMs that renew their fences after a
-// promotion has made them too low.
+// maxRefreshDelay spreads the store calls of VMs that renew their tokens after
+// a promotion with a higher one.
 const maxRefreshDelay = time.Second
 
-// refreshToken takes a fence that is higher than all that were used so far.
+// refreshToken obtains a token that is higher than all used so far.
 func (e *Elector) refreshToken(delay time.Duration) {
 	if delay > 0 {
 		select {
@@ -29,7 +29,7 @@
 	}
 }
 
-// primaryTerms returns the terms of the present primaries as far as they are known.
+// primaryTerms returns the known terms of the current primaries.
 func (e *Elector) primaryTerms() map[siskin.ServiceName]siskin.Term {
 	if e.cfg.Fencing {
 		return nil
@@ -43,13 +43,13 @@
 	return terms
 }
 
-// minRenewalInterval is the least time between two renewals of the fence in reserve for
-// new terms of one service.
+// minRenewalInterval is the minimum time between two renewals of the reserved
+// token for new terms of one service.
 const minRenewalInterval = 2 * time.Second
 
-// renewForTerm renews the fence in reserve once the term of a primary is known,
-// so that it is known to be higher than those used before. Without the store the
-// next change may then use it. The caller holds mu.
+// renewForTerm renews the reserved token once the term of a primary is known,
+// so that the token is known to exceed those used before. The next change may
+// then use it even if the store is unavailable. The caller holds mu.
 func (e *Elector) renewForTerm(name siskin.ServiceName, term siskin.Term, w *watch, now time.Time) {
 	if e.cfg.Fencing || term == 0 || now.Sub(w.tokenRenewed) < minRenewalInterval || e.tokens.coversTerm(name, term) {
 		return
@@ -67,8 +67,8 @@
 	})
 }
 
-// HasFencingToken reports whether a fence is in reserve that was asked for when the term
-// of a service was known.
+// HasFencingToken reports whether the reserved token was requested when the
+// term of a service was known.
 func (e *Elector) HasFencingToken(name siskin.ServiceName, term siskin.Term) bool {
 	return e.tokens.coversTerm(name, term)
 }
--- a/internal/elect/unlisted.go
+++ b/internal/elect/unlisted.go
@@ -6,19 +6,19 @@
 	"siskintray.example/siskin"
 )
 
-// errUnlisted says that a target of a group is missing from discovery.
-var errUnlisted = siskin.NewError(siskin.Unavailable, "the target is not listed")
+// errUnlisted is the error of a target that discovery does not list.
+var errUnlisted = siskin.NewError(siskin.Unavailable, "the target is missing from service discovery")
 
-// addUnlisted adds a failed claim for each target that discovery has dropped and
-// whose successor it does not list.
+// addUnlisted adds a failed claim for each target that discovery has removed
+// without listing its replacement.
 func (c *change) addUnlisted() {
 	c.claims = withUnlisted(c.claims, c.oldPrimary == "", c.e.cfg.Roster.Size(c.spec.Name))
 }
 
-// withUnlisted returns the claims of a group of the given size with a failed one for
-// each target that is missing among them. Such a target may lead, or acknowledge
-// commits as a replica, as may a successor from its first moment on. The old
-// primary is the first one missing unless it is listed or not known.
+// withUnlisted returns the claims of a group of the given size, with a failed
+// claim for each missing target. Such a target may be primary, or acknowledge
+// commits as a replica, as may its replacement as soon as it starts. The old
+// primary is the first missing target unless it is listed or unknown.
 func withUnlisted(claims []claim, oldUnknown bool, size int) []claim {
 	claims = slices.DeleteFunc(claims, func(cl claim) bool { return cl.target.ID == "" })
 	primaryListed := oldUnknown || slices.ContainsFunc(claims, func(cl claim) bool { return cl.wasPrimary })
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -1,20 +1,22 @@
-// Package lease bounds the time for which a VM may take a target for the only
+// Package lease bounds the time for which a VM may treat a target as the only
 // primary of its service.
 //
-// Where the platform checks no fences, a former primary goes on leading after
-// another target was promoted, until it is told to step down or meets the new
-// one. Its own answers prove nothing then. A lease rests on the replicas: a
-// change of primary claims so many of them that a former primary gets no commit
-// acknowledged, and waits for Wait between its last claim and the promotion. A
-// VM that knows of enough unclaimed replicas at a moment may therefore use the
-// primary until Life later. A primary that was made to step down refuses plain
-// transactions itself, so that such a change need not wait.
+// If the platform does not check fencing tokens, a former primary continues to
+// act as primary after another target was promoted, until it is told to step
+// down or contacts the new one. Its own answers prove nothing in that time. A
+// lease is therefore based on the replicas: a change of primary claims so many
+// of them that a former primary gets no commit acknowledged, and waits for
+// PromotionDelay between its last claim and the promotion. A VM that knows of
+// enough unclaimed replicas at some moment may use the primary for TTL after
+// that moment. A primary that was made to step down refuses plain transactions
+// itself, so such a change need not wait.
 //
-// Commits are passed on to callers under a lease only, also where the platform
-// checks fences. A replica that starts again has forgotten its claim, and may
-// acknowledge commits of a former primary which the target of an order that is on
-// its way lacks. So the state of such a replica is no evidence for a while.
+// Commits are confirmed to callers only under a lease, even if the platform
+// checks fencing tokens. A replica that restarts has lost its claim, and may
+// acknowledge commits of a former primary that are missing on the target of a
+// promotion in flight. The state of a recently restarted replica is therefore
+// no evidence.
 //
-// Times are those of a clock that counts suspensions, so that a VM which wakes
-// holds no lease.
+// Times come from a clock that includes suspensions, so a VM that resumes from
+// a suspension holds no lease.
 package lease
--- a/internal/lease/leases_test.go
+++ b/internal/lease/leases_test.go
@@ -9,15 +9,15 @@
 
 func at(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 
-// TestLease guards against a primary that is used after its evidence grew too
-// old, such as by a VM that was suspended, or on evidence of an earlier term.
+// TestLease guards against a primary that is used with expired evidence, for
+// instance by a VM that was suspended, or with evidence of an earlier term.
 func TestLease(t *testing.T) {
 	l := New()
 	if l.Valid("a", at(0)) {
 		t.Error("without evidence: got a lease, want none")
 	}
 	l.Renew("a", 3, at(0))
-	l.Renew("a", 3, at(-50)) // an answer that came late
+	l.Renew("a", 3, at(-50)) // a delayed answer
 	ttl := int(TTL / time.Millisecond)
 	for _, c := range []struct {
 		ms   int
@@ -41,16 +41,16 @@
 	}
 }
 
-// TestPromotionDelay guards against a change of primary that waits shorter than a lease
-// lives on a clock that runs slow by a twentieth.
+// TestPromotionDelay guards against a promotion delay that is shorter than a
+// lease on a clock that runs slow by a twentieth.
 func TestPromotionDelay(t *testing.T) {
 	if got, want := PromotionDelay, TTL*21/20; got < want {
 		t.Errorf("wait: got %v, want at least %v", got, want)
 	}
 }
 
-// TestUnclaimed guards against replicas that count as evidence although a change
-// has claimed them, or they follow another primary.
+// TestUnclaimed guards against replicas that count as evidence although a
+// change has claimed them or they follow another primary.
 func TestUnclaimed(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -70,8 +70,8 @@
 	}
 }
 
-// TestExtend guards against a lease that commits keep up although none covered
-// them: a claimed replica that started again may have acknowledged them.
+// TestExtend guards against a lease that is extended by commits which no lease
+// covered: a claimed replica that restarted may have acknowledged them.
 func TestExtend(t *testing.T) {
 	ttl := int(TTL / time.Millisecond)
 	for _, c := range []struct {
@@ -98,8 +98,8 @@
 	}
 }
 
-// TestTrusted guards against replicas that confirm a lead although they have
-// started again and may have forgotten a claim.
+// TestTrusted guards against replicas that confirm a primary although they have
+// restarted and may have lost a claim.
 func TestTrusted(t *testing.T) {
 	minUptime := int(MinTrustedUptime / time.Millisecond)
 	for _, c := range []struct {
--- a/internal/lease/poll.go
+++ b/internal/lease/poll.go
@@ -2,21 +2,22 @@
 
 import "siskintray.example/siskin"
 
-// Poll counts what the replicas of a service tell of the lead of one term.
+// Poll evaluates the answers of a service's replicas about the primary of one
+// term.
 type Poll struct {
-	// Term is the term that the primary leads.
+	// Term is the term of the primary.
 	Term siskin.Term
-	// SyncReplicas is the number of replicas that acknowledge a commit.
+	// SyncReplicas is the number of replicas that must receive a commit.
 	SyncReplicas int
-	// Replicas is the number of replicas that are known, and GroupSize that of targets,
-	// the primary included, when none is missing.
+	// Replicas is the number of known replicas. GroupSize is the number of
+	// targets, including the primary, in a complete group.
 	Replicas, GroupSize int
 
 	trustedUnclaimed, unclaimed, withoutClaim int
 }
 
-// Add takes over the state of one replica. A witness has forgotten no claim that may
-// still lead to a promotion.
+// Add counts the state of one replica. A trusted replica has lost no claim that
+// may still lead to a promotion.
 func (p *Poll) Add(s siskin.ControlStatus, trusted bool) {
 	if !s.Primary && s.PauseTerm <= s.Term {
 		p.withoutClaim++
@@ -29,15 +30,16 @@
 	}
 }
 
-// AddDown takes over that a replica does not run. An order for it fails, or finds it
-// without its log and its claim.
+// AddDown counts a replica that is not running. A promotion of it fails, or
+// finds it without its log and its claim.
 func (p *Poll) AddDown() { p.withoutClaim++ }
 
-// Confirmed reports whether no claim was complete before the first question, or each
-// change with complete claims finds one of them lost before its order. Replicas that
-// may have forgotten a claim show this together: the target of an order keeps its own
-// claim until it is promoted, so that none is on its way when every target of the
-// group is free.
+// Confirmed reports whether the replicas confirm the primary: either no change
+// had all its claims before the first query, or each such change will find one
+// of its claims lost before it orders the promotion. Untrusted replicas can
+// show the latter only together: the target of a promotion keeps its own claim
+// until it is promoted, so no promotion is in flight if no target of the group
+// is claimed.
 func (p *Poll) Confirmed() bool {
 	needed := Quorum(p.SyncReplicas)
 	return p.trustedUnclaimed >= needed || p.unclaimed >= needed && p.withoutClaim == p.Replicas && p.withoutClaim+1 >= p.GroupSize
--- a/internal/lease/poll_test.go
+++ b/internal/lease/poll_test.go
@@ -6,9 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// TestPoll guards against leases that rest on replicas which may have forgotten a
-// claim while another one may be the target of an order, and against healthy services
-// without a lease.
+// TestPoll guards against leases that are based on replicas which may have lost
+// a claim while another replica may be the target of a promotion, and against
+// healthy services without a lease.
 func TestPoll(t *testing.T) {
 	var (
 		free    = siskin.ControlStatus{Term: 3}
@@ -26,7 +26,7 @@
 		answers         []replica
 		replicas, group int
 		want            bool
-		down            int // replicas that do not run
+		down            int // replicas that are not running
 	}{
 		{"one witness", 1, []replica{{free, true}}, 2, 3, true, 0},
 		{"a witness beside a claimed replica", 1, []replica{{claimed, true}, {free, true}}, 2, 3, true, 0},
