--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -299,7 +299,7 @@
 	f.target(1).SetReceiveBlocked(true)
 	f.target(2).SetReceiveBlocked(true)
 	const (
-		patience = 600 * time.Millisecond
+		timeout = 600 * time.Millisecond
 		atOnce   = 50 * time.Millisecond
 	)
 	begun := time.Now()
@@ -310,14 +310,14 @@
 		callers.Go(func() {
 			for time.Since(begun) < 1500*time.Millisecond {
 				req := request(primary, siskin.Write, "x 1")
-				req.Timeout, req.QueueTimeout = patience, patience*3/4
+				req.Timeout, req.QueueTimeout = timeout, timeout*3/4
 				sent := time.Now()
 				reply := f.run(req)
 				mu.Lock()
 				switch {
 				case reply.Outcome == InDoubt:
 					lost++
-				case reply.Outcome == NotSent && sent.Sub(begun) > patience+atOnce && time.Since(sent) > atOnce:
+				case reply.Outcome == NotSent && sent.Sub(begun) > timeout+atOnce && time.Since(sent) > atOnce:
 					late++
 				case reply.Outcome == NotSent:
 					refused++
@@ -327,7 +327,7 @@
 			}
 		})
 	}
-	time.Sleep(patience + 2*atOnce)
+	time.Sleep(timeout + 2*atOnce)
 	for range 10 {
 		sent := time.Now()
 		if got := f.run(request(primary, siskin.Read, "x")); got.Outcome != Answered || time.Since(sent) > 2*atOnce {
@@ -343,7 +343,7 @@
 		t.Errorf("refused writes: got %d late and %d at once, want none late", late, refused)
 	}
 	f.target(1).SetReceiveBlocked(false)
-	for deadline := time.Now().Add(2 * patience); ; {
+	for deadline := time.Now().Add(2 * timeout); ; {
 		if got := f.run(request(primary, siskin.Write, "x 2")); got.Answer.Code == siskin.Succeeded && got.Outcome == Answered {
 			break
 		}
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -32,9 +32,9 @@
 }
 
 // prove sends the session state and the opening statements. When it fails, the
-// statement of the caller has not been sent; gone reports that the connection
+// statement of the caller has not been sent; broken reports that the connection
 // broke.
-func (r *run) prove(setup, begin []siskin.Statement) (ok, gone bool) {
+func (r *run) prove(setup, begin []siskin.Statement) (ok, broken bool) {
 	asked := r.h.cfg.Clock.Now()
 	answers, err := r.c.Exchange(r.proofDeadline(), append(setup, begin...))
 	if err != nil {
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -128,8 +128,8 @@
 	setup := r.c.syncSession(r.req)
 	r.c.unused = false
 	if needed {
-		if ok, gone := r.prove(setup, begin); !ok {
-			return gone && reused
+		if ok, broken := r.prove(setup, begin); !ok {
+			return broken && reused
 		}
 		setup = nil
 		if r.req.Mode == Open {
@@ -143,8 +143,8 @@
 	if len(setup) > 0 && r.req.Statement.MayWrite() {
 		// A write pipelined after a value that the target refuses would run
 		// without it.
-		if ok, gone := r.prove(setup, nil); !ok {
-			return gone && reused
+		if ok, broken := r.prove(setup, nil); !ok {
+			return broken && reused
 		}
 		setup = nil
 	}
