--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -340,8 +340,8 @@
 // promoterFunc is a siskin.Promoter that calls the function for each promotion.
 type promoterFunc func(siskin.FencingToken) error
 
-func (f promoterFunc) Promote(_ context.Context, _ siskin.ServiceName, _ siskin.TargetID, _ siskin.VMID, fence siskin.FencingToken) error {
-	return f(fence)
+func (f promoterFunc) Promote(_ context.Context, _ siskin.ServiceName, _ siskin.TargetID, _ siskin.VMID, token siskin.FencingToken) error {
+	return f(token)
 }
 
 // TestCheckBeforeOrder guards against a promotion on claims that were checked
