home: formatting and two comments after the renames

A trailing comment still had an old method name, and one test file was not formatted. No code changes; the tests of home, path and views pass.

--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -25,7 +25,7 @@
 	connectedAt time.Time // when it was established
 	usedAt      time.Time
 
-	lastEnsure atomic.Int64 // last attempt of Attend, in Unix nanoseconds
+	lastEnsure atomic.Int64 // last attempt of EnsureControlConn, in Unix nanoseconds
 }
 
 // controlIdleTimeout is the time after which an unused control connection is
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -300,7 +300,7 @@
 	f.target(2).SetReceiveBlocked(true)
 	const (
 		timeout = 600 * time.Millisecond
-		atOnce   = 50 * time.Millisecond
+		atOnce  = 50 * time.Millisecond
 	)
 	begun := time.Now()
 	var mu sync.Mutex
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -123,7 +123,8 @@
 }
 
 // handleBreak records that an established connection broke, so that the target
-// may have restarted and be cold. A timeout alone is no evidence of that.
+// may have restarted and be cold, and closes the idle connections. A timeout
+// alone is no evidence of a restart.
 func (l *pool) handleBreak(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return
