crew: message types named by what they carry

LeadNote, HoldNote and EvacuationNote did not say what they hold; they are now AgedProof, ChangeNotice and EvacuationList.

--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -25,9 +25,9 @@
 	return siskin.VM{ID: n.ID, Incarnation: n.Run, DataCentre: n.DataCentre, PeerAddress: n.Address, State: siskin.VMLive, Capacity: n.Capacity}
 }
 
-// LeadNote passes on a primary proof. The receiver counts its age from the time
-// when it sent the ping.
-type LeadNote struct {
+// AgedProof is a primary proof with its age. The receiver counts the age from
+// the time when it sent its request.
+type AgedProof struct {
 	Service  siskin.ServiceName
 	Target   siskin.TargetID
 	Position siskin.Position
@@ -35,14 +35,15 @@
 	Age      time.Duration
 }
 
-// HoldNote reports that a change of primary is in progress.
-type HoldNote struct {
+// ChangeNotice announces that a change of primary is in progress for the given
+// time.
+type ChangeNotice struct {
 	Service siskin.ServiceName
 	For     time.Duration
 }
 
-// EvacuationNote lists the evacuated data centres.
-type EvacuationNote struct {
+// EvacuationList lists the evacuated data centres.
+type EvacuationList struct {
 	DataCentres []siskin.DataCentreID `json:",omitempty"`
 	// Version is the version of the store's list, and Age the time since that
 	// list was current.
@@ -59,7 +60,7 @@
 	KnownRun siskin.Incarnation `json:",omitempty"`
 	Leaving  bool               `json:",omitempty"`
 	Revision siskin.Revision    `json:",omitempty"`
-	Leads    []LeadNote         `json:",omitempty"`
+	Leads    []AgedProof        `json:",omitempty"`
 	// Loads are the numbers of statements that wait or run at the targets whose
 	// home is the sender.
 	Loads map[siskin.TargetID]int `json:",omitempty"`
@@ -88,7 +89,7 @@
 	Sizes map[siskin.ServiceName]int `json:",omitempty"`
 	// Evacuations are the evacuations that the sender knows, or nil when it
 	// knows no list.
-	Evacuations *EvacuationNote `json:",omitempty"`
+	Evacuations *EvacuationList `json:",omitempty"`
 	// Stamp lets the receiver lend shares of rates to the sender. Loans are the
 	// shares that the sender lends to the receiver.
 	Stamp quota.Stamp `json:",omitzero"`
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -20,7 +20,7 @@
 	_, listed := c.cfg.Roster.Version()
 	s.TargetsAge, s.Sizes = now.Sub(listed), c.cfg.Roster.IncompleteSizes()
 	if list, version, at := c.cfg.Roster.Evacuations(); !at.IsZero() {
-		s.Evacuations = &EvacuationNote{DataCentres: list, Version: version, Age: now.Sub(at)}
+		s.Evacuations = &EvacuationList{DataCentres: list, Version: version, Age: now.Sub(at)}
 	}
 	c.mu.Lock()
 	s.Known = len(c.members) + 1
@@ -35,7 +35,7 @@
 		// In a large fleet only the homes of primaries and relays pass on
 		// proofs.
 		if age := now.Sub(l.At); l.Target != "" && age < maxProofAge && (passAll || c.cfg.IsHome(l.Target)) {
-			s.Leads = append(s.Leads, LeadNote{Service: spec.Name, Target: l.Target, Position: l.Position, Term: l.Term, Age: age})
+			s.Leads = append(s.Leads, AgedProof{Service: spec.Name, Target: l.Target, Position: l.Position, Term: l.Term, Age: age})
 		}
 	}
 	return s
--- a/internal/elect/announcement.go
+++ b/internal/elect/announcement.go
@@ -16,7 +16,7 @@
 	// From is the VM that changes the primary, and Old the previous primary.
 	From siskin.VMID
 	Old  siskin.TargetID
-	Hold crew.HoldNote
+	Hold crew.ChangeNotice
 	// Fence is the fencing token and Term the term of the promotion. Both are
 	// zero if the platform checks fencing tokens.
 	Fence siskin.FencingToken `json:",omitempty"`
@@ -33,7 +33,7 @@
 	defer cancel()
 	asked := e.cfg.Clock.Now()
 	name := a.Hold.Service
-	var l crew.LeadNote
+	var l crew.AgedProof
 	err := e.cfg.Peers.Call(ctx, a.From, "Elect.Lead", &LeadArgs{Service: name}, &l)
 	e.cfg.Views.EndChange(name, a.Old)
 	if err != nil || l.Target == "" {
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -156,7 +156,7 @@
 // the candidate is primary.
 func (c *change) announce(hold time.Duration) {
 	self := c.e.cfg.Members.Self().ID
-	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.HoldNote{Service: c.spec.Name, For: hold}}
+	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.ChangeNotice{Service: c.spec.Name, For: hold}}
 	if hold == 0 {
 		args.Fence, args.Term = c.token, c.promotedTerm
 	}
--- a/internal/elect/receiver.go
+++ b/internal/elect/receiver.go
@@ -24,10 +24,10 @@
 
 // Lead returns the newest proof of a service's primary that this VM knows. The
 // target is empty if there is none.
-func (r *Receiver) Lead(args *LeadArgs, reply *crew.LeadNote) error {
+func (r *Receiver) Lead(args *LeadArgs, reply *crew.AgedProof) error {
 	now := r.e.cfg.Clock.Now()
 	if l := r.e.cfg.Views.LatestProof(args.Service); l.Target != "" {
-		*reply = crew.LeadNote{Service: args.Service, Target: l.Target, Position: l.Position, Term: l.Term, Age: now.Sub(l.At)}
+		*reply = crew.AgedProof{Service: args.Service, Target: l.Target, Position: l.Position, Term: l.Term, Age: now.Sub(l.At)}
 	}
 	return nil
 }
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -125,9 +125,10 @@
 	return loans
 }
 
-// recordLoan records a loan that ends at until. It refuses when a loan to
-// another VM has not expired yet, or a larger one that the owner may still
-// count.
+// recordLoan records a loan that ends at until, and reports whether it did. It
+// records none when the receiver is not the owner that this VM uses, while a
+// loan to another VM is valid, or while the owner may still count a larger
+// loan.
 func (l *Limiter) recordLoan(c *siskin.CustomerSpec, keptFraction float64, to siskin.VMID, now, until time.Time) bool {
 	if owners := l.owners(c.ID, float64(c.Burst), keptFraction); len(owners) == 0 || owners[0] != to {
 		return false
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -140,6 +140,7 @@
 	return float64(c.Rate), float64(c.Burst), true
 }
 
+// part returns this VM's bucket for a customer. The caller holds mu.
 func (l *Limiter) part(id siskin.CustomerID) *localBucket {
 	p := l.localBucket[id]
 	if p == nil {
