--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -16,27 +16,30 @@
 }
 
 const (
-	// askTimeout is how long a customer waits for one giver before it asks
-	// another. It is several round trips between data centres.
+	// askTimeout is how long a customer waits for a reply from one donor
+	// before it asks another. It covers several round trips between data
+	// centres.
 	askTimeout = 20 * time.Millisecond
-	// firstRetry and maxBackoff bound the delays of repeated requests. A lost
-	// answer keeps units out of use until the request is repeated.
+	// firstRetry is the first delay before a failed request is repeated, and
+	// maxBackoff the longest. A lost reply keeps units out of use until the
+	// request is repeated.
 	firstRetry = askTimeout
 	maxBackoff = time.Second
-	// maxUnresponsiveBackoff bounds the delay of requests to a silent giver. A holder in a
-	// data centre that is cut off has requests pending to all others; repeated
-	// every second, they took half of its budget from its neighbors there.
+	// maxUnresponsiveBackoff bounds the delay of repeated requests to an
+	// unresponsive donor. A holder in an isolated data centre has requests
+	// pending to all others; repeating them every second took half of its
+	// budget from the other VMs in its data centre.
 	maxUnresponsiveBackoff = 4 * time.Second
-	// After minRereadFailures requests without success the record is read again, at most
-	// once in rereadEvery.
+	// After minRereadFailures failed rounds the record is read again, at most
+	// once per rereadInterval.
 	minRereadFailures = 2
 	rereadInterval    = 5 * time.Second
 	// maxItems bounds the customers in one message.
 	maxItems = 64
 )
 
-// plan returns the messages to send now: repeated ones first, then new ones for
-// the wanted customers, batched by giver.
+// plan returns the messages to send now: first the repeated ones, then new
+// ones for the queued customers, batched by donor.
 func (c *core) plan(now time.Duration) []outgoing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -64,9 +67,12 @@
 	return out
 }
 
-// sorted returns the keys in order, so that runs with a fixed seed repeat.
+// sorted returns the keys in order, so that runs with a fixed seed are
+// repeatable.
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
+// prepareSend returns the pending message of a link, schedules its next
+// repetition and charges the budget.
 func (c *core) prepareSend(now time.Duration, vm siskin.VMID, l *link) outgoing {
 	l.retryAt = now + min(firstRetry<<min(l.attempts, 8), maxUnresponsiveBackoff)
 	l.attempts++
@@ -89,8 +95,8 @@
 	h.askQueued = false
 	h.holderUnresponsive = c.anyUnresponsive(b.holders)
 	if b.epoch == 0 {
-		// Units of a VM that is not in the record would be granted again by a
-		// reclaim.
+		// A reclaim would grant units of a VM that is not in the record a second
+		// time.
 		h.askAfter = now + recordInterval
 		return
 	}
@@ -118,9 +124,10 @@
 	})
 }
 
-// askFailed follows a request for units that brought nothing. Holders that were
-// not asked in this round come next, without a delay; then the rounds get
-// rarer, since the customer probably uses its whole rate.
+// askFailed handles a request that obtained no units. Holders that were not
+// asked in this round are asked next, without a delay. After a complete round
+// the delay grows exponentially, since the customer probably uses its whole
+// rate.
 func (c *core) askFailed(now time.Duration, b *bucket, h *holding) {
 	for _, o := range b.holders {
 		if o.VM != c.self.VM && !h.hints.answeredSince(h.roundStart, o.VM) && !c.links[o.VM].busy() {
@@ -131,10 +138,10 @@
 	h.askAfter = now + min(askTimeout<<min(h.failedRounds, 8), maxBackoff)
 	h.roundStart = now
 	h.failedRounds++
-	h.wake() // requests that nothing can serve are refused at once
+	h.wake() // rejects requests that no holder can serve
 }
 
-// donor picks the holder to ask among those without a pending request.
+// donor returns the holder to ask among those without a pending request.
 func (c *core) donor(now time.Duration, b *bucket, h *holding, batches map[siskin.VMID]*AskArgs) (holderID, bool) {
 	var best holderID
 	for _, o := range b.holders {
@@ -154,14 +161,14 @@
 	return best, best.VM != ""
 }
 
-// handleReply takes over a reply. Units of another epoch than the bucket's are
-// void: the reclaim of the newer epoch counts them as missing.
+// handleReply applies a reply. Units of another epoch than that of the bucket
+// are void: the reclaim of the newer epoch counts them as missing.
 func (c *core) handleReply(now time.Duration, from siskin.VMID, seq uint64, reply *AskReply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.links[from]
 	if l == nil || l.pending == nil || l.pending.Seq != seq {
-		return // a repeated reply
+		return // a duplicate reply
 	}
 	c.peerResponded(now, from)
 	l.pending = nil
@@ -170,6 +177,7 @@
 	}
 }
 
+// acceptTransfer applies the reply for one customer. The caller holds c.mu.
 func (c *core) acceptTransfer(now time.Duration, from siskin.VMID, item *TransferItem) {
 	i := bucketOf(item.Customer)
 	b := c.bucket(i)
@@ -197,13 +205,13 @@
 	h.add(item.Units, float64(item.Tokens))
 	if item.Units == 0 {
 		if item.Tokens > 0 {
-			// Tokens serve the requests that wait; the round for units goes on.
+			// The tokens serve waiting requests; the round continues for units.
 			h.failedRounds = 0
 			h.wake()
 		}
 		c.askFailed(now, b, h)
 		if h.failedRounds >= minRereadFailures && now-b.readAt >= rereadInterval {
-			c.requestRead(i, b) // a holder that joined later may be rich
+			c.requestRead(i, b) // a holder that joined later may have spare units
 		}
 		return
 	}
@@ -216,8 +224,8 @@
 	h.wake()
 }
 
-// wake tells waiting requests to look again, since units arrived or will not
-// arrive.
+// wake makes waiting requests retry, since units arrived or are no longer
+// expected.
 func (h *holding) wake() {
 	if h.wakeup != nil {
 		close(h.wakeup)
@@ -225,8 +233,8 @@
 	}
 }
 
-// forgetGone gives up the requests to incarnations that are gone, whose units
-// return by a reclaim, and the replies to them.
+// forgetGone deletes the requests to incarnations that are gone, whose units
+// are reclaimed, and the cached replies to such incarnations.
 func (c *core) forgetGone(gone func(holderID) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/limit/bench_test.go
+++ b/pkg/limit/bench_test.go
@@ -10,7 +10,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// benchLimiter returns a limiter that holds the whole rights of n customers.
+// benchLimiter returns a limiter that holds all units of n customers.
 func benchLimiter(n int) (*fleet, *Limiter, []siskin.CustomerID) {
 	var docs []*config.Customer
 	for i := range n {
@@ -26,8 +26,8 @@
 	return f, l, ids
 }
 
-// BenchmarkAdmit measures admissions of customers in turn, and of one customer
-// from all goroutines.
+// BenchmarkAdmit measures admissions from all goroutines, of one customer and
+// of several in turn.
 func BenchmarkAdmit(b *testing.B) {
 	for _, n := range []int{1, 10, 1000, 100_000} {
 		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -9,8 +9,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// bucket is one VM's state of one hash bucket, under its own lock. The hash
-// buckets are the shards of the core.
+// bucket is the state of one hash bucket at this VM. Each bucket has its own
+// lock, which shards the core.
 type bucket struct {
 	// The fields that an admission reads share a cache line.
 	mu sync.Mutex
@@ -18,32 +18,35 @@
 	epoch    uint64
 	holdings holdings
 
-	grantedEpoch uint64 // epoch whose grant was applied
+	grantedEpoch uint64 // the last epoch whose grants were applied
 	holders      []holderID
-	// report is the state on entering epoch. It never changes afterwards, so
-	// that a repeated report gets the same answer.
+	// report is the state at the start of epoch. It never changes within the
+	// epoch, so that a repeated request for a report gets the same reply.
 	report ReportReply
-	// defaultUnits is held for each customer without a holding. The units in defaultUnitsFull
-	// have their full burst, the others earn tokens since restAt.
+	// defaultUnits are the units of each customer without a holding. Of
+	// these, defaultUnitsFull have their full burst; the others earn tokens
+	// since defaultUnitsAt.
 	defaultUnits, defaultUnitsFull siskin.QuotaUnits
 	defaultUnitsAt                 time.Duration
-	readPending                    bool // the record is being read
-	unreadable                     bool // the platform did not answer the last reading
+	readPending                    bool // a read of the record is queued or in progress
+	unreadable                     bool // the platform did not answer the last read
 	readAt                         time.Duration
-	// servedCustomer is a customer for which this VM admits requests; empty while it
-	// servedCustomer none of the bucket.
+	// servedCustomer is a customer in the bucket whose requests this VM
+	// admits. It is empty if there is none.
 	servedCustomer siskin.CustomerID
-	// reporting says that the epoch's missing units are not granted yet.
+	// reporting is true from the start of the epoch until the unaccounted
+	// units are granted.
 	reporting bool
-	_         [8]byte // to 384 bytes, six cache lines: neighbors share none
+	_         [8]byte // pads to 384 bytes, six cache lines, to avoid false sharing
 }
 
-// holding returns the state of a customer and creates it from the rest.
+// holding returns the holding of a customer. It creates a missing one from
+// defaultUnits, and returns nil if the customer is not configured.
 func (b *bucket) holding(now time.Duration, id siskin.CustomerID, view config.View) *holding {
 	return b.holdingOf(now, hashOf(id), id, view)
 }
 
-// holdingOf is holding with the hash of the customer.
+// holdingOf is like holding, but takes the hash of the customer.
 func (b *bucket) holdingOf(now time.Duration, hash uint64, id siskin.CustomerID, view config.View) *holding {
 	if h := b.holdings.lookup(hash, id); h != nil {
 		if !h.configured {
@@ -63,7 +66,7 @@
 	return h
 }
 
-// enterEpoch moves to an epoch and freezes the report.
+// enterEpoch starts an epoch and stores the report for it.
 func (b *bucket) enterEpoch(epoch uint64) {
 	b.epoch = epoch
 	b.report = ReportReply{Rest: b.defaultUnits, Customers: make(map[siskin.CustomerID]siskin.QuotaUnits)}
@@ -72,8 +75,8 @@
 	}
 }
 
-// apply takes over the platform's record as seen by self. An older record is
-// ignored.
+// apply applies the platform's record for the VM self. It ignores a record of
+// an earlier epoch.
 func (b *bucket) apply(now time.Duration, self holderID, r *record) {
 	b.readAt = now
 	if r.Epoch < b.epoch {
@@ -84,7 +87,7 @@
 		return
 	}
 	if !r.holds(self) {
-		// A holder leaves the record only as gone or superseded.
+		// Only a holder that is gone or superseded is removed from the record.
 		b.drop()
 		return
 	}
@@ -103,6 +106,7 @@
 	}
 }
 
+// applyGrant adds the granted units to all holdings and to defaultUnits.
 func (b *bucket) applyGrant(now time.Duration, g *grant) {
 	for h := range b.holdings.all() {
 		units, ok := g.Customers[h.id]
@@ -119,8 +123,8 @@
 	}
 	for id, units := range g.Customers {
 		if b.holdings.get(id) == nil {
-			// Its rate follows with the first use or, for a customer that is not
-			// yet known here, with the configuration.
+			// The rate and burst are set at the first use, or when the
+			// configuration with the customer arrives.
 			h := b.holdings.add(id)
 			h.units, h.updatedAt = b.defaultUnits+units, now
 		}
@@ -132,7 +136,7 @@
 	b.defaultUnitsAt = now
 }
 
-// drop gives up everything, after the VM found itself gone or superseded.
+// drop removes all units, after this VM was found gone or superseded.
 func (b *bucket) drop() {
 	b.epoch, b.defaultUnits, b.defaultUnitsFull, b.holders = 0, 0, 0, nil
 	for h := range b.holdings.all() {
--- a/pkg/limit/budget.go
+++ b/pkg/limit/budget.go
@@ -3,14 +3,15 @@
 import "time"
 
 const (
-	// exchangeRate and exchangeBurst bound the bytes that a VM's own requests
-	// for units cause, replies included. All control traffic of a VM together
-	// has 7 KB/s. Moving demand at eight VMs needs 0.5 KB/s; without the bound,
-	// customers at 8 times their rate caused 23 KB/s.
+	// exchangeRate and exchangeBurst limit the traffic caused by this VM's
+	// requests for units, including the replies, in bytes per second and
+	// bytes. All control traffic of a VM together has 7 KB/s. Demand that
+	// moves between eight VMs needs 0.5 KB/s; without the limit, customers at
+	// 8 times their rate caused 23 KB/s.
 	exchangeRate  = 3000
 	exchangeBurst = 12_000
-	// messageBytes and itemBytes are the encoded sizes of a request with its
-	// reply, without and per item, rounded up.
+	// messageBytes is the encoded size of a request and its reply without
+	// items, rounded up. itemBytes is the size that each item adds.
 	messageBytes = 120
 	itemBytes    = 140
 )
--- a/pkg/limit/capacity_test.go
+++ b/pkg/limit/capacity_test.go
@@ -11,9 +11,9 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// planned is the planned size: 2,800 VMs in 16 data centres before 23,000
-// services, each with 3 targets in different data centres and 2 slots a target,
-// and one customer a service.
+// planned is a fleet of the planned size: 2,800 VMs in 16 data centres for
+// 23,000 services, each with 3 targets in different data centres, 2 slots per
+// target and one customer per service.
 type planned struct {
 	vms     [16][]siskin.VM
 	holders map[int]map[siskin.VMID]bool // by bucket
@@ -59,8 +59,8 @@
 	p.holders[bucket][vm], p.holds[vm][bucket] = true, true
 }
 
-// restart moves the slots of a VM to the next in order while it is away. The
-// VMs that took them over stay holders.
+// restart moves the slots of a VM to the next VMs in rank order while it is
+// away. Those VMs stay holders.
 func (p *planned) restart(vm siskin.VM) {
 	for _, s := range p.slots[vm.ID] {
 		k := slices.IndexFunc(p.vms[s.dc], func(o siskin.VM) bool { return o.ID == vm.ID })
@@ -76,7 +76,8 @@
 	}
 }
 
-// largest returns the size of the largest object, with three grants a record.
+// largest returns the size of the largest object, with three grants per
+// record.
 func (p *planned) largest(t *testing.T) (most int) {
 	values := make(map[int]*object)
 	for bucket, holders := range p.holders {
@@ -111,8 +112,8 @@
 }
 
 // TestHoldersAtPlannedSize guards against buckets whose reclaim needs reports
-// of a large part of the fleet, and against a start that reads or writes more
-// than 256 objects.
+// from a large part of the fleet, and against a start that reads or writes
+// more than 256 objects.
 func TestHoldersAtPlannedSize(t *testing.T) {
 	p := newPlanned()
 	counts := p.counts()
--- a/pkg/limit/collection.go
+++ b/pkg/limit/collection.go
@@ -7,15 +7,15 @@
 	"siskintray.example/siskin"
 )
 
-// reportSet holds the reports of one bucket's epoch that have arrived.
+// reportSet is the reports received for one epoch of a bucket.
 type reportSet struct {
 	epoch   uint64
 	reports map[holderID]ReportReply
 }
 
-// collectReports gets the report of every holder; one that cannot be reached blocks
-// the reclaim, since it may still use its units. Reports of an epoch never
-// change, so they are kept until the last one arrives.
+// collectReports returns the reports of all holders. A holder that cannot be
+// reached blocks the reclaim, since it may still use its units. Reports of an
+// epoch never change, so they are kept until the last one arrives.
 func (l *Limiter) collectReports(ctx context.Context, i int, r *record, unresponsive map[siskin.VMID]bool) ([]ReportReply, error) {
 	c := l.reportSets[i]
 	if c == nil || c.epoch != r.Epoch {
@@ -29,8 +29,8 @@
 		if !ok {
 			var err error
 			if reply, err = l.requestReport(ctx, i, r.Epoch, h, unresponsive); err != nil {
-				blocked = siskin.NewError(siskin.KindOf(err), "no report of holder %s for bucket %d", h.VM, i).
-					WithRemedy("the reclaim is repeated until all holders report").WithCause(err)
+				blocked = siskin.NewError(siskin.KindOf(err), "no report from holder %s for bucket %d", h.VM, i).
+					WithRemedy("no action is needed; the reclaim is retried until all holders report").WithCause(err)
 				continue
 			}
 			c.reports[h] = reply
@@ -40,9 +40,10 @@
 	return reports, blocked
 }
 
-// awaitsReports asks for the missing reports of an epoch that is known here and reports
-// whether some are still missing, so that a wait for a holder costs no calls to
-// the platform. A holder that is in another epoch is no reason to wait.
+// awaitsReports requests the missing reports of an epoch that this VM has
+// entered and reports whether some are still missing. It spares a blocked
+// reclaim calls to the platform. A holder in another epoch is no reason to
+// wait.
 func (l *Limiter) awaitsReports(ctx context.Context, i int, unresponsive map[siskin.VMID]bool) bool {
 	holders := l.core.holdersOf(i)
 	epoch, reporting := l.core.reporting(i)
@@ -53,17 +54,17 @@
 	return err != nil && siskin.KindOf(err) != siskin.Conflict
 }
 
-// requestReport gets the report of one holder. One that did not answer is not
-// asked again in this round, and one that the members list as dead is not asked
-// at all, since each such call takes a timeout.
+// requestReport returns the report of one holder. A holder that did not answer
+// is not asked again in this round, and one that the members list as dead is
+// not asked at all, since each such call takes a full timeout.
 func (l *Limiter) requestReport(ctx context.Context, i int, epoch uint64, h holderID, unresponsive map[siskin.VMID]bool) (reply ReportReply, err error) {
 	if h == l.core.self {
 		return l.core.report(i, epoch)
 	}
 	vm, _ := l.members.Lookup(h.VM)
 	if unresponsive[h.VM] || vm.State == siskin.VMDead {
-		return reply, siskin.NewError(siskin.Unavailable, "holder %s cannot be reached", h.VM).
-			WithRemedy("nothing needs to be done; it is asked again in the next round")
+		return reply, siskin.NewError(siskin.Unavailable, "holder %s is unreachable", h.VM).
+			WithRemedy("no action is needed; the next round asks it again")
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -13,25 +13,26 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// core holds one VM's rights and decides on admissions, requests for units and
-// gifts. It does no input or output.
+// core holds the quota of one VM and decides on admissions, requests for units
+// and transfers. It does no I/O.
 type core struct {
 	self holderID
 	view config.View
-	// dataCentre returns the data centre of a VM, as far as it is known.
+	// dataCentre returns the data centre of a VM, or the empty id if it is
+	// unknown.
 	dataCentre func(siskin.VMID) siskin.DataCentreID
 
 	// buckets are created on first use and never removed.
 	buckets [buckets]atomic.Pointer[bucket]
 
-	// mu guards the exchange with other holders. It is taken before the lock of
-	// a bucket.
+	// mu guards the exchange with other holders. It is acquired before the
+	// lock of a bucket.
 	mu       sync.Mutex
 	links    map[siskin.VMID]*link
 	replies  map[siskin.VMID]*cachedReply
-	seq      uint64 // of the latest request for units, to any holder
+	seq      uint64 // of the latest request for units to any holder
 	budget   budget
-	stopping atomic.Bool // a planned stop is handing over; nothing is asked for
+	stopping atomic.Bool // the VM hands over its units or is gone; it requests none
 
 	workQueue workQueue
 }
@@ -50,7 +51,7 @@
 
 func bucketOf(id siskin.CustomerID) int { return int(hashOf(id) % buckets) }
 
-// bucket returns a bucket and creates it if need be.
+// bucket returns a bucket and creates it if necessary.
 func (c *core) bucket(i int) *bucket {
 	if b := c.buckets[i].Load(); b != nil {
 		return b
@@ -59,7 +60,7 @@
 	return c.buckets[i].Load()
 }
 
-// each returns the buckets in use, in order.
+// each returns the buckets in use, in ascending order.
 func (c *core) each() iter.Seq2[int, *bucket] {
 	return func(yield func(int, *bucket) bool) {
 		for i := range c.buckets {
@@ -70,8 +71,8 @@
 	}
 }
 
-// admit takes n tokens from the customer's bucket, all or none. Fresh is false
-// for a request that was refused before and waited.
+// admit takes n tokens from the customer's token bucket, all or none. Fresh is
+// false for a request that was rejected before and waited.
 func (c *core) admit(now time.Duration, id siskin.CustomerID, n float64, fresh bool) siskin.Admission {
 	hash := hashOf(id)
 	i := int(hash % buckets)
@@ -109,21 +110,23 @@
 	return siskin.Admission{RetryAfter: h.retryAfter(n)}
 }
 
-// unknownRetry is the time to wait while the customer is not in the
-// configuration in force here; a new customer is known everywhere within 9 s.
+// unknownRetry is the retry delay for a customer that is not in the
+// configuration in force at this VM. A new customer is known everywhere within
+// 9 s.
 const unknownRetry = time.Second
 
-// maxRetry bounds the time to wait that is told to a caller. Units may arrive
-// long before the present share would admit the request.
+// maxRetry bounds the retry delay in an Admission. Units may arrive long
+// before the current share of the rate would admit the request.
 const maxRetry = time.Second
 
 func (h *holding) retryAfter(n float64) time.Duration { return min(h.accrualTime(n), maxRetry) }
 
-// never is the time in which n requests accrue when the share is too small for
-// them at all.
+// never is the accrual time of tokens that the share of the holder can never
+// accrue.
 const never = time.Duration(math.MaxInt64)
 
-// accrualTime returns the time in which the present share earns n tokens.
+// accrualTime returns the time until the token bucket holds n tokens at the
+// current share.
 func (h *holding) accrualTime(n float64) time.Duration {
 	perSecond := h.rate * h.share()
 	seconds := (n - h.tokens) / perSecond
@@ -133,7 +136,7 @@
 	return time.Duration(seconds*float64(time.Second)) + 1
 }
 
-// prepare makes this VM a holder of the bucket of a customer.
+// prepare makes this VM a holder of the customer's bucket.
 func (c *core) prepare(id siskin.CustomerID) {
 	i := bucketOf(id)
 	b := c.bucket(i)
@@ -144,14 +147,14 @@
 	}
 }
 
-// join asks the runtime to make this VM a holder of a bucket. The caller holds
-// the bucket's lock.
+// join queues a read of the record that makes this VM a holder of a bucket.
+// The caller holds the bucket's lock.
 func (c *core) join(i int, b *bucket, id siskin.CustomerID) {
 	b.servedCustomer = id
 	c.requestRead(i, b)
 }
 
-// requestRead asks the runtime to requestRead the platform's record of a bucket. The caller
+// requestRead queues a read of the platform's record of a bucket. The caller
 // holds the bucket's lock.
 func (c *core) requestRead(i int, b *bucket) {
 	if !b.readPending {
@@ -160,7 +163,7 @@
 	}
 }
 
-// refreshLimits applies the configuration's rates to all holdings.
+// refreshLimits sets the configured rates and bursts in all holdings.
 func (c *core) refreshLimits(now time.Duration) {
 	for _, b := range c.each() {
 		b.mu.Lock()
@@ -171,7 +174,7 @@
 	}
 }
 
-// apply takes over the platform's record of a bucket.
+// apply applies the platform's record of a bucket.
 func (c *core) apply(now time.Duration, i int, r *record) {
 	b := c.bucket(i)
 	b.mu.Lock()
@@ -180,7 +183,8 @@
 	b.mu.Unlock()
 }
 
-// report enters an epoch, if it is newer, and returns the state on entering.
+// report starts an epoch if it is newer than the current one, and returns the
+// state at the start of the epoch.
 func (c *core) report(i int, epoch uint64) (ReportReply, error) {
 	b := c.bucket(i)
 	b.mu.Lock()
@@ -191,12 +195,12 @@
 	}
 	if epoch > b.epoch {
 		b.enterEpoch(epoch)
-		c.requestRead(i, b) // for the holders of the epoch and the end of its reclaim
+		c.requestRead(i, b) // to learn the holders of the epoch and the end of its reclaim
 	}
 	return b.report, nil
 }
 
-// drop gives up all rights.
+// drop drops all units.
 func (c *core) drop() {
 	for _, b := range c.each() {
 		b.mu.Lock()
--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -11,13 +11,13 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// pair starts two VMs of one data centre and returns the cores of the one that
-// holds everything and the other, and the bucket of the customer.
+// pair starts two VMs in one data centre. It returns the core that holds all
+// units, the other core and the bucket of the customer.
 func pair(t *testing.T) (donor, requester *core, bucket int) {
 	t.Helper()
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	one, two := f.start("v1", 1, "d1"), f.start("v2", 1, "d1")
-	for _, n := range []*node{one, two, one} { // the second reading knows both
+	for _, n := range []*node{one, two, one} { // at its second read, the first VM knows both holders
 		n.l.readRecords(t.Context())
 		n.l.core.prepare("a")
 		if err := n.l.readRecord(t.Context(), bucketOf("a")); err != nil {
@@ -31,7 +31,7 @@
 	return donor, requester, bucketOf("a")
 }
 
-// ask lets poor be refused and returns its request for units.
+// ask makes the requester reject a request and returns its request for units.
 func ask(t *testing.T, requester *core) *AskArgs {
 	t.Helper()
 	requester.admit(1e6, "a", 1, true)
@@ -42,8 +42,8 @@
 	return out[0].args
 }
 
-// TestTransferInFlightIsVoidInNextEpoch guards against units that a reclaim
-// counts as missing and that arrive afterwards.
+// TestTransferInFlightIsVoidInNextEpoch guards against units that arrive after
+// a reclaim counted them as missing.
 func TestTransferInFlightIsVoidInNextEpoch(t *testing.T) {
 	donor, requester, i := pair(t)
 	args := ask(t, requester)
@@ -62,8 +62,9 @@
 	}
 }
 
-// TestDonorRefusesRequesterOfOtherEpoch guards against units that are given after
-// the giver reported and before the asker does, and that count twice.
+// TestDonorRefusesRequesterOfOtherEpoch guards against units that are counted
+// twice, because they are given after the donor reported and before the
+// requester reports.
 func TestDonorRefusesRequesterOfOtherEpoch(t *testing.T) {
 	donor, requester, i := pair(t)
 	args := ask(t, requester)
@@ -71,12 +72,12 @@
 		t.Fatal(err)
 	}
 	if got := donor.handleAsk(2e6, args).Items[0].Units; got != 0 {
-		t.Errorf("got %d units for an asker of epoch 1, want 0", got)
+		t.Errorf("got %d units for a requester of epoch 1, want 0", got)
 	}
 }
 
-// TestReportIsFrozen guards against a reclaimer that takes over, gets another
-// report than the first one, and grants units twice.
+// TestReportIsFrozen guards against units that are granted twice, because a VM
+// that continues a reclaim gets another report than the VM that began it.
 func TestReportIsFrozen(t *testing.T) {
 	donor, requester, i := pair(t)
 	first, err := donor.report(i, 2)
@@ -97,8 +98,9 @@
 	}
 }
 
-// TestStaleMessages guards against a message for another run of a VM, or one
-// that was delayed past its successor, that moves units again.
+// TestStaleMessages guards against units that are transferred again by a
+// message for another incarnation of a VM, or by one that arrives after a
+// later message.
 func TestStaleMessages(t *testing.T) {
 	donor, requester, _ := pair(t)
 	args := ask(t, requester)
@@ -120,8 +122,8 @@
 	}
 }
 
-// TestOldGrantIsVoid guards against a slow read of the record that grants
-// units which a later epoch counted as missing.
+// TestOldGrantIsVoid guards against a slow read of the record that applies a
+// grant of units which a later epoch counted as missing.
 func TestOldGrantIsVoid(t *testing.T) {
 	_, requester, i := pair(t)
 	if _, err := requester.report(i, 3); err != nil {
@@ -134,8 +136,8 @@
 	}
 }
 
-// TestReportReadsRecord guards against a VM that entered an epoch by a report
-// and knows neither its holders nor the end of its reclaim.
+// TestReportReadsRecord guards against a VM that started an epoch for a report
+// but knows neither its holders nor the end of its reclaim.
 func TestReportReadsRecord(t *testing.T) {
 	_, requester, i := pair(t)
 	requester.workQueue.takeBuckets()
@@ -152,7 +154,7 @@
 // tokens that a waiting one needs.
 func TestWaitingRequestsComeFirst(t *testing.T) {
 	donor, _, _ := pair(t)
-	donor.stopping.Store(true) // no units of others
+	donor.stopping.Store(true) // excludes units from other VMs
 	now := time.Millisecond
 	for donor.admit(now, "a", 1, true).Admitted {
 	}
@@ -175,7 +177,7 @@
 }
 
 // TestMessagesSurviveEncoding guards against a message type that net/rpc
-// cannot carry.
+// cannot encode.
 func TestMessagesSurviveEncoding(t *testing.T) {
 	holders := []holderID{{"v1", 3}}
 	for _, m := range []struct{ sent, received any }{
@@ -197,8 +199,9 @@
 	}
 }
 
-// TestTombstoneOfEarlierRun guards against a member list that lags: the
-// tombstone of a VM's earlier run is no evidence about its present one.
+// TestTombstoneOfEarlierRun guards against a lagging member list: the
+// tombstone of an earlier incarnation of a VM is no evidence about its present
+// one.
 func TestTombstoneOfEarlierRun(t *testing.T) {
 	f := newFleet(1)
 	n := f.start("v1", 2, "d1")
@@ -210,8 +213,8 @@
 	}
 }
 
-// TestForgottenLink guards against requests that a giver takes for old ones
-// after the asker forgot its earlier requests to it.
+// TestForgottenLink guards against requests that a donor takes for stale ones
+// after the requester forgot its earlier requests to that donor.
 func TestForgottenLink(t *testing.T) {
 	donor, requester, _ := pair(t)
 	first := ask(t, requester)
--- a/pkg/limit/doc.go
+++ b/pkg/limit/doc.go
@@ -1,14 +1,14 @@
 // Package limit admits requests within the rate and burst of their customer
 // across a fleet, without a shared counter.
 //
-// Rights are conserved. A right is a number of units out of
-// siskin.TotalQuotaUnits; its holder has a token bucket with that part of the
-// customer's rate and burst. Units move between VMs by transfers that are
-// permanent and idempotent, and are in no bucket while on the way. The units of
-// a VM that is gone return by a change of the epoch of their hash bucket, for
-// which every remaining holder reports its units once. No clock and no lease
-// takes part in safety.
+// The quota of a customer is siskin.TotalQuotaUnits units. A VM that holds
+// some of them has a token bucket with the same part of the customer's rate
+// and burst. The sum of the units never grows: they move between VMs by
+// transfers that are permanent and idempotent, and count in no token bucket
+// while in transit. Units of a VM that is gone are reclaimed by advancing the
+// epoch of their hash bucket, for which every remaining holder reports its
+// units once. Safety depends on neither clocks nor leases.
 //
-// The decisions are in an unexported core that does no input or output.
-// Limiter adds the calls to peers and to the platform.
+// The decisions are made in an unexported core that does no I/O. Limiter adds
+// the calls to peers and to the platform.
 package limit
--- a/pkg/limit/example_test.go
+++ b/pkg/limit/example_test.go
@@ -32,7 +32,7 @@
 
 type noPeers struct{ siskin.Peers }
 
-// memory keeps objects in this process.
+// memory is a platform that stores objects in memory.
 type memory struct {
 	siskin.Platform
 	objects map[siskin.ObjectName]siskin.Object
--- a/pkg/limit/expect.go
+++ b/pkg/limit/expect.go
@@ -9,13 +9,15 @@
 // maxWaiters bounds the requests of one customer that wait at one VM.
 const maxWaiters = 256
 
-// minWaitingTokens lets a few requests of a customer with a low rate wait for units.
+// minWaitingTokens allows a few requests of a customer with a low rate to wait
+// for units.
 const minWaitingTokens = 4
 
-// startWait decides whether a refused request should wait: its tokens accrue in
-// time after those of the requests that wait already, or units may arrive. Any
-// other request is refused at once, not at the end of a wait. It returns a channel that is closed when units
-// arrive and the longest pause before the next attempt.
+// startWait decides whether a rejected request should wait: either its tokens
+// accrue in time, after those of the requests already waiting, or units may
+// arrive. Any other request is rejected at once instead of at the end of a
+// wait. startWait returns a channel that is closed when units arrive, or when
+// waiting is pointless, and the longest pause before the next attempt.
 func (c *core) startWait(now time.Duration, id siskin.CustomerID, n float64, until time.Duration) (<-chan struct{}, time.Duration, bool) {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
@@ -32,7 +34,7 @@
 	}
 	pause := h.accrualTime(n + h.waitingTokens)
 	accrues := pause <= until-now
-	// Units of others cannot admit more than the whole rate does.
+	// Units from other VMs cannot admit more than the whole rate.
 	room := max(minWaitingTokens, h.rate*(until-now).Seconds())
 	if !accrues && (c.stopping.Load() || !h.mayGetUnits(until) || h.waitingTokens+n > room) {
 		return nil, 0, false
@@ -46,8 +48,8 @@
 	return wakeup, max(min(pause, until-now), time.Millisecond), true
 }
 
-// addWaiter counts a request that waits for n tokens and returns the channel that is
-// closed when it should look again.
+// addWaiter counts a request that waits for n tokens and returns the channel
+// that is closed when it should retry.
 func (h *holding) addWaiter(n float64) <-chan struct{} {
 	h.waiters++
 	h.waitingTokens += n
@@ -57,7 +59,7 @@
 	return h.wakeup
 }
 
-// joining reports whether this VM is about to become a holder of the customer's
+// joining reports whether this VM is becoming a holder of the customer's
 // bucket.
 func (c *core) joining(id siskin.CustomerID) bool {
 	b := c.bucket(bucketOf(id))
@@ -66,7 +68,8 @@
 	return b.epoch == 0 && !b.unreadable
 }
 
-// setUnreadable records whether the platform answered the reading of a record.
+// setUnreadable records whether the platform failed to answer a read of the
+// record.
 func (c *core) setUnreadable(i int, unreadable bool) {
 	b := c.bucket(i)
 	b.mu.Lock()
@@ -74,18 +77,18 @@
 	b.unreadable = unreadable
 }
 
-// maxFailedRounds is the number of rounds without success over all holders after which
-// requests do not wait for units anymore: the customer probably uses its whole
-// rate, and its requests are answered at once.
+// maxFailedRounds is the number of rounds over all holders without units up to
+// which requests wait for units. After more, the customer probably uses its
+// whole rate, and its requests are rejected at once.
 const maxFailedRounds = 1
 
-// mayGetUnits reports whether a request for units is under way or will go out
-// before the given time, with a chance of success.
+// mayGetUnits reports whether a request for units with a chance of success is
+// queued or will be sent before the given time.
 func (h *holding) mayGetUnits(until time.Duration) bool {
 	return h.failedRounds <= maxFailedRounds && (h.askQueued || h.askAfter < until)
 }
 
-// endWait ends a wait that expect began.
+// endWait ends a wait that startWait began.
 func (c *core) endWait(id siskin.CustomerID, n float64) {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
--- a/pkg/limit/faults_test.go
+++ b/pkg/limit/faults_test.go
@@ -22,8 +22,9 @@
 }
 
 // TestFaults guards against admissions above rate x time + burst and against
-// units that appear from nowhere under each kind of fault, and measures the
-// refusals within rate beside a static division and a shared counter.
+// created units under each kind of fault. It measures the rejected requests
+// within the rate and compares them with a static division and a shared
+// counter.
 func TestFaults(t *testing.T) {
 	archive, err := txtar.ParseFile(filepath.Join("testdata", "faults.txtar"))
 	if err != nil {
@@ -151,7 +152,7 @@
 	}
 }
 
-// replace ends a VM and starts another one in its data centre.
+// replace ends a VM and starts a new one in its data centre.
 func (s *scenario) replace(f *fleet, n *node) {
 	if n.dead {
 		return
--- a/pkg/limit/first_test.go
+++ b/pkg/limit/first_test.go
@@ -8,9 +8,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestGrantBeforeFirstRequest guards against a grant that names a customer
-// which this VM has not served yet: it was refused until the next change of the
-// configuration, although the VM held units.
+// TestGrantBeforeFirstRequest guards against a grant for a customer that this
+// VM has not served yet: its requests were rejected until the next change of
+// the configuration, although the VM held units.
 func TestGrantBeforeFirstRequest(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	c := f.start("v1", 1, "d1").l.core
@@ -24,17 +24,17 @@
 	}
 }
 
-// TestTokensWithoutUnits guards against a small customer that is refused at one
-// VM while others hold its tokens and no units to spare.
+// TestTokensWithoutUnits guards against a small customer whose requests are
+// rejected at one VM while others have its tokens and no spare units.
 func TestTokensWithoutUnits(t *testing.T) {
 	donor, requester, i := pair(t)
-	ask(t, requester) // creates the holding, as the next line does
+	ask(t, requester) // creates the holding, like the next line
 	donor.admit(0, "a", 1, true)
 	const now = time.Second
 	h, empty := donor.bucket(i).holdings.get("a"), requester.bucket(i).holdings.get("a")
 	h.units, h.tokens, h.updatedAt = siskin.TotalQuotaUnits/2, 50, now
 	empty.units, empty.tokens, empty.updatedAt = siskin.TotalQuotaUnits/2, 0, now
-	h.demand = meter{slow: 80, fast: 80, updatedAt: now} // leaves no units to spare
+	h.demand = meter{slow: 80, fast: 80, updatedAt: now} // leaves no spare units
 	requester.links[donor.self.VM].pending = nil
 	requester.admit(now, "a", 1, true)
 	before := h.tokens + empty.tokens
@@ -55,9 +55,9 @@
 	}
 }
 
-// TestFirstRequestWaitsForRecord guards against first requests that are refused
-// although they are within the rate, because the VM has not read the record of
-// their bucket yet, and against a wait for a platform that is down.
+// TestFirstRequestWaitsForRecord guards against first requests within the rate
+// that are rejected because the VM has not read the record of their bucket
+// yet, and against a wait while the platform is down.
 func TestFirstRequestWaitsForRecord(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	c := f.start("v1", 1, "d1").l.core
--- a/pkg/limit/fleet_test.go
+++ b/pkg/limit/fleet_test.go
@@ -18,8 +18,8 @@
 
 const oneWayDelay = 1500 * time.Microsecond
 
-// fleet is a set of limiters under one fake clock with fake peers and a fake
-// platform. Requests for units take time; other calls are immediate.
+// fleet is a set of limiters with a shared fake clock, fake peers and a fake
+// platform. Requests for units are delayed; other calls complete at once.
 type fleet struct {
 	at              time.Time
 	rng             *rand.Rand
@@ -30,7 +30,7 @@
 	lossRate        float64
 	partitioned     func(a, b *node) bool
 	messages        []message
-	unansweredCalls int // calls that found no one
+	unansweredCalls int // calls to VMs that could not be reached
 	sent            int
 	bytes           int
 }
@@ -41,17 +41,17 @@
 	run func()
 }
 
-// node is one incarnation of a VM. It implements siskin.Members for itself.
+// node is one incarnation of a VM. It implements siskin.Members for that VM.
 type node struct {
 	f              *fleet
 	vm             siskin.VM
 	l              *Limiter
 	dead           bool
-	seesOnlyItself bool      // its member list names no other VM
-	paused         time.Time // until when
+	seesOnlyItself bool      // its member list contains no other VM
+	paused         time.Time // end of the pause
 }
 
-// view is a configuration that tests change.
+// view is a configuration that tests can change.
 type view struct {
 	*config.Fixed
 	changed chan struct{}
@@ -70,7 +70,7 @@
 	return f
 }
 
-// start runs a new incarnation of a VM.
+// start starts a new incarnation of a VM.
 func (f *fleet) start(id string, incarnation int, dc string) *node {
 	n := &node{f: f, vm: siskin.VM{ID: siskin.VMID(id), Incarnation: siskin.Incarnation(incarnation), DataCentre: siskin.DataCentreID(dc), State: siskin.VMLive}}
 	f.vms = append(f.vms, n)
@@ -81,7 +81,7 @@
 
 func (n *node) up() bool { return !n.dead && !n.f.at.Before(n.paused) }
 
-// step advances the clock by one millisecond and runs what is due.
+// step advances the clock by one millisecond and runs everything that is due.
 func (f *fleet) step() {
 	f.at = f.at.Add(time.Millisecond)
 	due := f.messages
@@ -172,7 +172,7 @@
 		err = to.l.Receiver().Ask(args.(*AskArgs), reply.(*AskReply))
 	}
 	if err == nil && n.f.rng.Float64() < n.f.lossRate {
-		return siskin.NewError(siskin.Unavailable, "answer of %s lost", vm)
+		return siskin.NewError(siskin.Unavailable, "reply from %s lost", vm)
 	}
 	return err
 }
@@ -205,8 +205,8 @@
 // Changed implements siskin.Members.
 func (n *node) Changed() <-chan struct{} { return nil }
 
-// sum returns the units of a customer at all VMs that may still run, and fails
-// when they exceed the whole right.
+// sum returns the units of a customer at all VMs that may still run. It panics
+// if they exceed the total.
 func (f *fleet) sum(id siskin.CustomerID) (total siskin.QuotaUnits) {
 	for _, n := range f.vms {
 		if !n.dead {
@@ -214,7 +214,7 @@
 		}
 	}
 	if total > siskin.TotalQuotaUnits {
-		panic(fmt.Sprintf("customer %s: %d units in all, want at most %d", id, total, siskin.TotalQuotaUnits))
+		panic(fmt.Sprintf("customer %s: got a sum of %d units, want at most %d", id, total, siskin.TotalQuotaUnits))
 	}
 	return total
 }
--- a/pkg/limit/give.go
+++ b/pkg/limit/give.go
@@ -6,15 +6,16 @@
 	"siskintray.example/siskin"
 )
 
-// cachedReply is the latest reply to one asker.
+// cachedReply is the latest reply to one requester.
 type cachedReply struct {
 	incarnation siskin.Incarnation
 	seq         uint64
 	reply       AskReply
 }
 
-// handleAsk decides what to give. The units are deducted before the reply exists,
-// and a repeated message gets the reply of the first.
+// handleAsk returns the reply to a request for units. The units are deducted
+// before the reply is returned, and a repeated request gets the first reply
+// again.
 func (c *core) handleAsk(now time.Duration, args *AskArgs) AskReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -39,7 +40,7 @@
 	return last.reply
 }
 
-// transfer decides on one customer. The caller holds c.mu.
+// transfer handles the request for one customer. The caller holds c.mu.
 func (c *core) transfer(now time.Duration, args *AskArgs, item *AskItem) TransferItem {
 	i := bucketOf(item.Customer)
 	b := c.bucket(i)
@@ -47,7 +48,7 @@
 	defer b.mu.Unlock()
 	out := TransferItem{Customer: item.Customer, Epoch: b.epoch}
 	if b.epoch == 0 || item.Epoch > b.epoch {
-		c.requestRead(i, b) // a grant or a newer epoch may be in the record
+		c.requestRead(i, b) // the record may contain a grant or a newer epoch
 	}
 	if b.epoch == 0 || item.Epoch != b.epoch {
 		return out
@@ -71,7 +72,7 @@
 	}
 	h.demand.decay(now)
 	out.Lasting = siskin.RequestsPerSecond(h.demand.slow)
-	h.hints.set(now, args.From, 0) // it asks because it has none to spare
+	h.hints.set(now, args.From, 0) // a requester has none to spare
 	h.recordDemand(now, args.From, item.Lasting, b.holders)
 	b.addHolders(holderID{args.From, args.FromIncarnation})
 	if len(b.holders) > item.Known {
--- a/pkg/limit/handover.go
+++ b/pkg/limit/handover.go
@@ -11,9 +11,10 @@
 // handoverInterval is the pause between two rounds of offers.
 const handoverInterval = 20 * time.Millisecond
 
-// Handover gives all units of configured customers to other live holders and
-// stops asking for units. It returns when none is left or the context ends.
-// What is left then returns to the others by a reclaim.
+// Handover transfers all units of configured customers to other live holders
+// and stops requesting units. It returns when no units are left that another
+// live holder can take, or when ctx is done. Units that are left are reclaimed
+// by the other holders after the VM is gone.
 func (l *Limiter) Handover(ctx context.Context) error {
 	l.core.stopping.Store(true)
 	for {
@@ -23,19 +24,19 @@
 		}
 		for vm, args := range offers {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			_ = l.peers.Call(callCtx, vm, "Limit.Ask", args, &AskReply{}) // repeated in the next round
+			_ = l.peers.Call(callCtx, vm, "Limit.Ask", args, &AskReply{}) // on failure the next round repeats the offer
 			cancel()
 		}
 		select {
 		case <-ctx.Done():
-			return siskin.NewError(siskin.Unavailable, "handover of rights ended early").
-				WithRemedy("nothing needs to be done; the rest is reclaimed after the VM is gone").WithCause(ctx.Err())
+			return siskin.NewError(siskin.Unavailable, "handover ended before all units were transferred").
+				WithRemedy("no action is needed; the remaining units are reclaimed after the VM is gone").WithCause(ctx.Err())
 		case <-l.clock.After(handoverInterval):
 		}
 	}
 }
 
-// offers returns one offer per receiving VM for what this VM still holds.
+// offers returns one offer of the remaining units for each receiving VM.
 func (l *Limiter) offers() map[siskin.VMID]*AskArgs {
 	now := l.now()
 	offers := make(map[siskin.VMID]*AskArgs)
@@ -59,8 +60,8 @@
 	return offers
 }
 
-// successor returns the live holder that gets the units of a bucket, one of
-// the same data centre if there is any, so that its part stays there.
+// successor returns the live holder that receives the units of a bucket. It
+// prefers one in the same data centre, so that the units stay there.
 func (l *Limiter) successor(i int, live []siskin.VM) (siskin.VMID, bool) {
 	var vms []siskin.VM
 	for _, vm := range live {
@@ -74,13 +75,14 @@
 	return best.ID, ok
 }
 
-// acceptOffer asks the sender of an offer for everything that it offers.
+// acceptOffer requests from the sender all units that it offers.
 func (l *Limiter) acceptOffer(args *AskArgs) {
 	l.core.acceptOffer(l.now(), args)
 	l.core.workQueue.wake()
 }
 
-// offer returns what this VM holds for a customer; it creates the holding.
+// offer returns the units that this VM holds for a customer, and false if it
+// holds none. It creates a missing holding.
 func (c *core) offer(now time.Duration, id siskin.CustomerID) (AskItem, bool) {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
@@ -95,8 +97,9 @@
 	return AskItem{Customer: id, Epoch: b.epoch, Units: h.units}, true
 }
 
-// acceptOffer queues one request for all units that another VM offers. While an
-// earlier request to that VM is pending, the offer is left to its next round.
+// acceptOffer queues one request for all units that another VM offers. It
+// ignores the offer while an earlier request to that VM is pending; the sender
+// repeats it in its next round.
 func (c *core) acceptOffer(now time.Duration, offer *AskArgs) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/limit/holding.go
+++ b/pkg/limit/holding.go
@@ -10,41 +10,42 @@
 
 var invUnits = invar.New("LimitUnitsWithinTotal")
 
-// holding is one VM's right of one customer with its token bucket. Times are
-// durations since the core's origin.
+// holding is this VM's part of the quota of one customer, with its token
+// bucket. Times are relative to the origin of the Limiter.
 type holding struct {
 	// The fields that an admission uses come first, on two cache lines.
 	hash      uint64 // of id
 	id        siskin.CustomerID
 	units     siskin.QuotaUnits
 	tokens    float64
-	updatedAt time.Duration // time of tokens
-	// rate and burst are those of the whole customer; known is false while the
-	// configuration has no such customer.
+	updatedAt time.Duration // when tokens was last updated
+	// rate and burst are those of the whole customer. They are valid if
+	// configured is true: the customer is in the configuration.
 	rate, burst   float64
 	configured    bool
-	assigned      bool          // belongs to a customer
-	askQueued     bool          // on the list of customers to ask for
+	assigned      bool          // false for an unused first slot of holdings
+	askQueued     bool          // the customer is in the work queue, to ask for units
 	askAfter      time.Duration // earliest time of the next request for units
 	demand        meter
-	waitingTokens float64 // tokens that the waiting requests need
-	lastDeficit   float64 // tokens that the latest refused request lacked
+	waitingTokens float64 // tokens needed by the waiting requests
+	lastDeficit   float64 // tokens that the latest rejected request lacked
 
 	reference          referenceBucket
-	otherDemand        float64       // demand at the other holders, as far as it is known
+	otherDemand        float64       // known demand at the other holders
 	otherDemandAt      time.Duration // time of the last exchange with one of them
-	holderUnresponsive bool          // a holder did not answer when units were asked for last
+	holderUnresponsive bool          // a holder was unresponsive at the last exchange for units
 
-	failedRounds int           // rounds in a row that brought nothing
-	roundStart   time.Duration // start of the round over all holders
+	failedRounds int           // consecutive rounds without units
+	roundStart   time.Duration // start of the current round over all holders
 	hints        hints
 	waiters      int
-	wakeup       chan struct{} // closed when waiting requests must look again; nil without any
+	wakeup       chan struct{} // closed when waiting requests must retry; nil if none waits
 }
 
 func (h *holding) share() float64 { return float64(h.units) / float64(siskin.TotalQuotaUnits) }
 
-// setLimits takes the customer's rate from the configuration, if it is there.
+// setLimits sets the customer's rate and burst from the configuration. It
+// clears configured if the customer is not in it.
 func (h *holding) setLimits(now time.Duration, view config.View) {
 	doc, ok := view.Customer(h.id)
 	if h.configured = ok; ok {
@@ -53,7 +54,8 @@
 	}
 }
 
-// refill adds the tokens since the last call. Time that goes back adds none.
+// refill adds the tokens earned since the last call, none if the clock went
+// back.
 func (h *holding) refill(now time.Duration) {
 	share := h.share()
 	if now > h.updatedAt {
@@ -63,7 +65,8 @@
 	h.tokens = min(h.tokens, h.burst*share)
 }
 
-// take removes units with the tokens in them. The caller has refilled.
+// take removes units and their part of the tokens. The caller has called
+// refill.
 func (h *holding) take(units siskin.QuotaUnits) (tokens float64) {
 	if units == 0 {
 		return 0
@@ -75,7 +78,7 @@
 	return tokens
 }
 
-// add merges units and tokens. The caller has refilled.
+// add adds units and tokens. The caller has called refill.
 func (h *holding) add(units siskin.QuotaUnits, tokens float64) {
 	h.units += units
 	h.tokens += tokens
--- a/pkg/limit/holdings.go
+++ b/pkg/limit/holdings.go
@@ -6,19 +6,19 @@
 	"siskintray.example/siskin"
 )
 
-// holdings are the holdings of one bucket, in order of creation. Most buckets
-// have one or two. The first is part of the bucket, so that an admission among
-// many customers reaches it without another memory access.
+// holdings are the holdings in one bucket, in order of creation. Most buckets
+// have one or two. The first is stored inline, so that an admission reaches it
+// without another memory access when there are many customers.
 type holdings struct {
 	first holding
 	more  []*holding
 }
 
-// get returns the holding of a customer, or nil.
+// get returns the holding of a customer, or nil if there is none.
 func (s *holdings) get(id siskin.CustomerID) *holding { return s.lookup(hashOf(id), id) }
 
-// lookup is get with the hash of the customer. The hashes are compared first,
-// since the other ids are elsewhere in memory.
+// lookup is like get, but takes the hash of the customer. It compares the
+// hashes first, since most ids are stored elsewhere in memory.
 func (s *holdings) lookup(hash uint64, id siskin.CustomerID) *holding {
 	if s.first.hash == hash && s.first.id == id {
 		return &s.first
@@ -31,7 +31,7 @@
 	return nil
 }
 
-// add returns a new holding for a customer that has none.
+// add adds a holding for a customer that has none and returns it.
 func (s *holdings) add(id siskin.CustomerID) *holding {
 	h := &s.first
 	if h.assigned {
--- a/pkg/limit/holdings_test.go
+++ b/pkg/limit/holdings_test.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin"
 )
 
-// TestHoldingsOfOneBucket guards against customers of the same bucket that
+// TestHoldingsOfOneBucket guards against customers in the same bucket that
 // share or lose a holding.
 func TestHoldingsOfOneBucket(t *testing.T) {
 	var s holdings
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -10,8 +10,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// Limiter is one VM's part of the distributed limits. It implements
-// siskin.Limiter. Start begins the exchange with other VMs.
+// Limiter is the part of the distributed rate limiter that runs at one VM. It
+// implements siskin.Limiter. Start begins the exchange of units with other
+// VMs.
 type Limiter struct {
 	settings
 	clock    siskin.Clock
@@ -23,11 +24,11 @@
 	platform siskin.Platform
 
 	operations      atomic.Uint64
-	retryReadAt     [objects]time.Time // earliest next read of an object that failed
+	retryReadAt     [objects]time.Time // earliest next read of an object that could not be read
 	readFailures    [objects]int
-	reclaimDue      map[int]time.Time  // by bucket
-	reportSets      map[int]*reportSet // reports of buckets under reclaim
-	refreshedObject int                // object that was read last by refreshRecord
+	reclaimDue      map[int]time.Time  // time from which this VM may reclaim, by bucket
+	reportSets      map[int]*reportSet // reports received so far, by bucket
+	refreshedObject int                // object read last by refreshNextObject
 	refreshedAt     time.Time
 
 	cancel context.CancelFunc
@@ -36,7 +37,7 @@
 
 var _ siskin.Limiter = (*Limiter)(nil)
 
-// New returns the limiter of this VM, which holds nothing yet.
+// New returns the limiter of this VM. It holds no units yet.
 func New(clock siskin.Clock, view config.View, members siskin.Members, peers siskin.Peers, platform siskin.Platform, options ...Option) *Limiter {
 	self := members.Self()
 	l := &Limiter{
@@ -54,7 +55,7 @@
 	return l
 }
 
-// dataCentres returns a function that looks up the data centre of a VM.
+// dataCentres returns a function that returns the data centre of a VM.
 func dataCentres(members siskin.Members) func(siskin.VMID) siskin.DataCentreID {
 	self := members.Self()
 	return func(id siskin.VMID) siskin.DataCentreID {
@@ -74,10 +75,11 @@
 	return a
 }
 
-// AdmitWait admits n requests, if need be after a short wait for units of other
-// VMs. It waits only while units can be expected, at most until the context
-// ends or the bound of WithMaxWait; a request that is given up is answered
-// at once.
+// AdmitWait admits n requests, after a short wait for units from other VMs if
+// necessary. It waits only while more units can be expected, at most until ctx
+// is done or for the time set by WithMaxWait. Otherwise it rejects the
+// requests at once. A wait for the record of the bucket may last up to
+// maxJoinWait.
 func (l *Limiter) AdmitWait(ctx context.Context, customer siskin.CustomerID, n siskin.Requests) siskin.Admission {
 	a := l.admitWait(ctx, customer, n)
 	a.WithinRate = !a.Admitted && l.core.withinRate(l.now(), customer, float64(n))
@@ -118,15 +120,16 @@
 	return a
 }
 
-// maxJoinWait is the longest wait of the first requests for the record of their
-// bucket, which takes a few round trips to the platform and, when several VMs
-// join at once, some repetitions.
+// maxJoinWait bounds the wait of the first requests for the record of their
+// bucket. Reading it takes a few round trips to the platform, and some retries
+// when several VMs join at once.
 const maxJoinWait = time.Second
 
 func (l *Limiter) now() time.Duration { return l.clock.Now().Sub(l.origin) }
 
-// Close stops the exchange and waits for calls in progress. Rights that were
-// not handed over return to the others after the platform lists the VM as gone.
+// Close stops the exchange and waits for calls in progress. Units that were
+// not handed over are reclaimed by other VMs after the platform lists this VM
+// as gone.
 func (l *Limiter) Close() error {
 	l.cancel()
 	l.done.Wait()
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -12,8 +12,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// direct passes calls to the limiters of one process, through a lock-free map
-// that is complete before the first call.
+// direct calls the limiters of one process. The map is not locked, since it is
+// complete before the first call.
 type direct map[siskin.VMID]*Limiter
 
 func (d direct) Call(_ context.Context, vm siskin.VMID, method string, args, reply any) error {
@@ -23,8 +23,9 @@
 	return d[vm].Receiver().Ask(args.(*AskArgs), reply.(*AskReply))
 }
 
-// TestLimiterOverRealTime guards against a running exchange that loses wake-ups,
-// leaks goroutines, or lets AdmitWait refuse while another VM has units.
+// TestLimiterOverRealTime guards against an exchange that misses wake-ups or
+// leaks goroutines, and against an AdmitWait that rejects requests while
+// another VM has units.
 func TestLimiterOverRealTime(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 1000, Burst: 1000}, &config.Customer{ID: "b", Rate: 0.01, Burst: 2})
@@ -54,12 +55,12 @@
 		}
 	}
 	if got, want := time.Since(start), 5*time.Second; got > want {
-		t.Errorf("got %v for all requests, want at most %v: units that arrive must wake the waiting", got, want)
+		t.Errorf("got %v for all requests, want at most %v: arriving units must wake waiting requests", got, want)
 	}
 	start = time.Now()
 	for i, want := range []bool{true, true, false} {
 		if a := second.AdmitWait(t.Context(), "b", 1); a.Admitted != want || time.Since(start) > 5*time.Second {
-			t.Errorf("got %+v after %v for request %d of b, want admitted %v, a refusal without the whole wait", a, time.Since(start), i, want)
+			t.Errorf("got %+v after %v for request %d of b, want admitted %v, a rejection before the maximum wait", a, time.Since(start), i, want)
 		}
 	}
 	start = time.Now()
--- a/pkg/limit/link.go
+++ b/pkg/limit/link.go
@@ -6,29 +6,29 @@
 	"siskintray.example/siskin"
 )
 
-// link is the state of requests to one giver. At most one request is pending.
-// It is repeated until it is answered: giving it up would lose the units that
-// the giver may have deducted.
+// link is the state of the requests to one donor. At most one request is
+// pending. It is repeated until it is answered: dropping it would lose the
+// units that the donor may have deducted.
 type link struct {
 	pending     *AskArgs
 	retryAt     time.Duration
 	attempts    int
-	respondedAt time.Duration // when the giver was last heard after a silence
+	respondedAt time.Duration // when the donor last responded after it was unresponsive
 }
 
-// unresponsiveAttempts is the number of unanswered attempts after which a giver
-// counts as silent: 140 ms.
+// unresponsiveAttempts is the number of unanswered attempts after which a
+// donor counts as unresponsive; with the retry delays this takes 140 ms.
 const unresponsiveAttempts = 3
 
 func (l *link) busy() bool { return l != nil && l.pending != nil }
 
 func (l *link) unresponsive() bool { return l.busy() && l.attempts > unresponsiveAttempts }
 
-// peerResponded follows a message from another VM. If it was silent, the network to its
-// data centre is back: requests to the silent VMs there are repeated at once,
-// and customers whose requests brought nothing ask again. This happens at most
-// once in maxBackoff, since the other VM may be peerResponded and not hear. The caller
-// holds c.mu.
+// peerResponded handles a message from another VM. If that VM was
+// unresponsive, the network to its data centre has recovered: pending requests
+// to the unresponsive VMs there are repeated at once, and customers that
+// obtained no units ask again. This happens at most once per maxBackoff, since
+// the network may work in one direction only. The caller holds c.mu.
 func (c *core) peerResponded(now time.Duration, from siskin.VMID) {
 	l := c.links[from]
 	if !l.unresponsive() || (l.respondedAt != 0 && now-l.respondedAt < maxBackoff) {
--- a/pkg/limit/link_test.go
+++ b/pkg/limit/link_test.go
@@ -8,9 +8,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestUnresponsiveDonorIsAskedAgain guards against customers that are refused for
-// seconds after a partition ended, because the requests to the other side are
-// repeated rarely by then.
+// TestUnresponsiveDonorIsAskedAgain guards against requests that are rejected
+// for seconds after the end of a partition, because by then the requests to
+// the other side are repeated rarely.
 func TestUnresponsiveDonorIsAskedAgain(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 1000, Burst: 1000})
 	one, two := f.start("v1", 1, "d1"), f.start("v2", 1, "d2")
@@ -27,20 +27,20 @@
 	admitted(one, 4*time.Second)
 	l := one.l.core.links["v2"]
 	if !l.unresponsive() || l.retryAt-one.l.now() < 500*time.Millisecond {
-		t.Fatalf("got a repetition due in %v after the cut, want the giver silent and a long delay", l.retryAt-one.l.now())
+		t.Fatalf("got the next retry in %v after the partition began, want the donor unresponsive and a long delay", l.retryAt-one.l.now())
 	}
 	f.partitioned = func(a, b *node) bool { return false }
 	admitted(two, 10*time.Millisecond) // uses its tokens
 	two.l.core.admit(two.l.now(), "a", 2000, true)
-	f.run(20 * time.Millisecond) // it asks for units and is heard
+	f.run(20 * time.Millisecond) // it asks for units, which shows that it responds
 	if got := one.l.core.links["v2"]; got.unresponsive() {
-		t.Errorf("got the giver silent with a repetition due in %v, want it asked again", got.retryAt-one.l.now())
+		t.Errorf("got the donor unresponsive with the next retry in %v, want it asked again", got.retryAt-one.l.now())
 	}
 }
 
-// TestOwnDataCentreIsAskedFirst guards against requests for units that empty
-// other data centres, which miss the units when they are cut off, while a
-// neighbor has units to spare.
+// TestOwnDataCentreIsAskedFirst guards against requests for units to other
+// data centres, which need their units when they are cut off, while a VM in
+// the same data centre has units to spare.
 func TestOwnDataCentreIsAskedFirst(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	for _, vm := range []struct{ id, dc string }{{"v1", "d1"}, {"v2", "d2"}, {"v3", "d1"}, {"v4", "d3"}} {
--- a/pkg/limit/load_test.go
+++ b/pkg/limit/load_test.go
@@ -10,8 +10,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// size returns the encoded size of a message in a running net/rpc stream,
-// where types are sent once, with 24 bytes for the header.
+// size returns the encoded size of a message in an established net/rpc stream,
+// in which type descriptions are sent once, plus 24 bytes for the header.
 func size(message any) int {
 	var b bytes.Buffer
 	e := gob.NewEncoder(&b)
@@ -21,8 +21,8 @@
 	return b.Len() - first + 24
 }
 
-// tokenBucket is the reference for requests within the rate, and for the
-// baselines.
+// tokenBucket decides which requests are within the rate. The baselines use it
+// too.
 type tokenBucket struct {
 	rate, burst, tokens float64
 	at                  time.Time
@@ -42,8 +42,8 @@
 	return true
 }
 
-// windowChecker checks admitted <= rate x time + burst over every window. It
-// knows nothing of the limiter: the level is the largest excess of any window
+// windowChecker checks admitted <= rate x time + burst over every window,
+// independently of the limiter. The level is the largest excess of any window
 // that ends now.
 type windowChecker struct {
 	level, worst float64
@@ -56,23 +56,24 @@
 	w.worst = max(w.worst, w.level)
 }
 
-// traffic offers requests of one customer to the VMs, with shares that move.
+// traffic sends requests of one customer to the VMs, in proportions that
+// change over time.
 type traffic struct {
 	f               *fleet
 	doc             *config.Customer
 	rng             *rand.Rand
-	load            float64 // part of the rate that is offered
+	load            float64 // offered load as a part of the rate
 	shares          map[siskin.VMID]float64
 	waiting         []waiter
 	ideal           tokenBucket
 	checker         windowChecker
 	static          map[siskin.VMID]*tokenBucket
-	shared          tokenBucket // at the first VM; refuses when unreachable
+	shared          tokenBucket // at the first VM; rejects requests while that VM is unreachable
 	offered         int
-	late            int // requests that were refused after more than 10 ms
+	late            int // requests that were rejected after more than 10 ms
 	waited          int // requests that were not answered at once
-	refused         int // of the requests that the ideal bucket admits
-	counted         int // refusals that the limiter itself counts as within the rate
+	refused         int // rejected requests that the ideal bucket admits
+	counted         int // rejected requests that the limiter counts as within the rate
 	refusedByStatic int
 	refusedByShared int
 }
@@ -107,7 +108,7 @@
 	}
 }
 
-// step offers the requests of one millisecond.
+// step sends the requests of one millisecond.
 func (t *traffic) step() {
 	for _, n := range t.f.vms {
 		mean := t.load * float64(t.doc.Rate) * t.shares[n.vm.ID] / 1000
@@ -126,8 +127,9 @@
 	t.retry()
 }
 
-// route sends the requests of a VM that has been paused for a second to
-// another VM, as the members do; before that they are lost.
+// route returns the VM that gets the requests to n: another one in its data
+// centre if n has been paused for a second, as the members would decide.
+// Before that the requests are lost, and route returns nil.
 func (t *traffic) route(n *node) *node {
 	if n.up() {
 		return n
@@ -159,7 +161,7 @@
 	if ideal && !shared {
 		t.refusedByShared++
 	}
-	a := n.l.core.admit(n.l.now(), t.doc.ID, 1, true) // Admit would refuse for good
+	a := n.l.core.admit(n.l.now(), t.doc.ID, 1, true) // Admit would reject finally
 	switch {
 	case a.Admitted:
 		t.checker.admitted(t.f.at, float64(t.doc.Rate))
@@ -168,8 +170,8 @@
 	}
 }
 
-// refuse lets a refused request wait if the limiter expects units, as AdmitWait
-// does.
+// refuse makes a rejected request wait if the limiter expects units, as
+// AdmitWait does.
 func (t *traffic) refuse(w waiter) {
 	if _, _, ok := w.n.l.core.startWait(w.n.l.now(), t.doc.ID, 1, w.until); ok {
 		if !w.hasWaited {
--- a/pkg/limit/meter.go
+++ b/pkg/limit/meter.go
@@ -8,12 +8,12 @@
 const (
 	// slowWindow is long enough that a few requests do not move units.
 	slowWindow = time.Second
-	// fastWindow follows demand that moves to another VM.
+	// fastWindow is short enough to follow demand that moves to another VM.
 	fastWindow = 100 * time.Millisecond
 )
 
-// meter measures demand in requests per second, refused ones included, over a
-// slow and a fast span.
+// meter measures demand, including rejected requests, in requests per second.
+// It keeps exponentially decaying averages over a slow and a fast window.
 type meter struct {
 	slow, fast float64
 	updatedAt  time.Duration
@@ -35,17 +35,19 @@
 	m.updatedAt = now
 }
 
-// highEstimate returns the larger estimate: an asker's demand that has just begun.
+// highEstimate returns the larger average. A requester uses it, since its
+// demand may have just begun.
 func (m *meter) highEstimate(now time.Duration) float64 {
 	m.decay(now)
 	return max(m.slow, m.fast)
 }
 
-// minFastCount is the number of requests in the fast span below which it says
-// nothing about the end of a demand.
+// minFastCount is the number of requests in the fast window below which the
+// fast average does not show that demand has ended.
 const minFastCount = 4
 
-// lowEstimate returns the smaller estimate: a giver's demand that may just have ended.
+// lowEstimate returns the smaller average. A donor uses it, since its demand
+// may have just ended.
 func (m *meter) lowEstimate(now time.Duration) float64 {
 	m.decay(now)
 	if m.slow*fastWindow.Seconds() < minFastCount {
--- a/pkg/limit/option.go
+++ b/pkg/limit/option.go
@@ -24,21 +24,21 @@
 // default of 50 ms covers several round trips between data centres.
 func WithMaxWait(d time.Duration) Option { return func(s *settings) { s.maxWait = d } }
 
-// WithHomes sets the function that returns those of the given live VMs that
-// admit requests of a customer. A new bucket is granted to them alone, so that
-// no other VM becomes a holder that a reclaim has to wait for. The default is
-// all VMs.
+// WithHomes sets the function that selects, from the given live VMs, those
+// that admit requests of a customer. The initial units of a new bucket are
+// granted only to them, so that no other VM becomes a holder that a reclaim
+// has to wait for. The default is all live VMs.
 func WithHomes(homes func(id siskin.CustomerID, live []siskin.VM) []siskin.VM) Option {
 	return func(s *settings) { s.homes = homes }
 }
 
-// WithLogf sets the function that receives messages about reclaims and failed
-// calls. The default discards them.
+// WithLogf sets the function that logs reclaims and failed calls. The default
+// discards these messages.
 func WithLogf(logf func(format string, args ...any)) Option {
 	return func(s *settings) { s.logf = logf }
 }
 
-// WithPrepareAll makes the VM a holder for every configured customer at once,
-// as Prepare does. It suits fleets of a few VMs: every holder must report in
-// each reclaim.
+// WithPrepareAll makes the VM a holder for every configured customer, as if
+// each were passed to Prepare. It is meant for fleets of a few VMs, since
+// every holder must report in each reclaim.
 func WithPrepareAll() Option { return func(s *settings) { s.prepareAll = true } }
--- a/pkg/limit/platform_test.go
+++ b/pkg/limit/platform_test.go
@@ -25,15 +25,15 @@
 	}
 	f.objects[name] = siskin.Object{Name: name, Version: ifVersion + 1, Operation: op, Value: value}
 	if f.rng.Float64() < f.lossRate {
-		return 0, siskin.NewError(siskin.Unavailable, "answer lost")
+		return 0, siskin.NewError(siskin.Unavailable, "reply lost")
 	}
 	return ifVersion + 1, nil
 }
 
-// List and Watch implement siskin.Platform; the limiter does not use them.
+// List implements siskin.Platform; the limiter does not use it.
 func (f *fleet) List(context.Context, siskin.ObjectName) ([]siskin.Object, error) { panic("unused") }
 
-// Watch is unused.
+// Watch implements siskin.Platform; the limiter does not use it.
 func (f *fleet) Watch(context.Context, siskin.ObjectName, siskin.Version) (siskin.Object, error) {
 	panic("unused")
 }
@@ -55,10 +55,11 @@
 // Since implements siskin.Clock.
 func (f *fleet) Since(t time.Time) time.Duration { return f.at.Sub(t) }
 
-// Sleep and After are unused: the fleet is stepped.
+// Sleep implements siskin.Clock. It is unused, since the tests step the fleet.
 func (f *fleet) Sleep(time.Duration) { panic("unused") }
 
-// After advances the fleet, so that Handover can run inside a test.
+// After implements siskin.Clock. It advances the fleet, so that tests can call
+// Handover.
 func (f *fleet) After(d time.Duration) <-chan time.Time {
 	f.run(d)
 	c := make(chan time.Time, 1)
--- a/pkg/limit/random_test.go
+++ b/pkg/limit/random_test.go
@@ -15,9 +15,9 @@
 
 func init() { _ = flag.Set("rapid.seed", "7") } // -rapid.seed overrides it
 
-// TestRandomFailures guards against orders of failures that no script names:
-// rights stay conserved, no window exceeds rate x time + burst, and after the
-// failures end the whole right is in use again.
+// TestRandomFailures guards against sequences of failures that no script
+// covers: units are conserved, no window exceeds rate x time + burst, and all
+// units are in use again after the failures end.
 func TestRandomFailures(t *testing.T) {
 	if testing.Short() {
 		_ = flag.Set("rapid.checks", "15")
@@ -25,7 +25,7 @@
 	randomFailures(t)
 }
 
-// TestSoak repeats the run of TestRandomFailures with growing seeds.
+// TestSoak repeats TestRandomFailures with increasing seeds.
 func TestSoak(t *testing.T) {
 	checks := flag.Lookup("rapid.checks")
 	defer func(before string) { _ = checks.Value.Set(before) }(checks.Value.String())
--- a/pkg/limit/receiver.go
+++ b/pkg/limit/receiver.go
@@ -2,8 +2,8 @@
 
 import "siskintray.example/siskin"
 
-// Receiver has the methods that other VMs call over net/rpc. Register it under
-// the name "Limit".
+// Receiver has the methods that other VMs call over net/rpc. It must be
+// registered under the name "Limit".
 type Receiver struct{ l *Limiter }
 
 // Receiver returns the receiver of this limiter.
@@ -23,11 +23,11 @@
 	return nil
 }
 
-// Report enters an epoch of a bucket and reports the units held on entering.
+// Report starts an epoch of a bucket and reports the units held at its start.
 func (r *Receiver) Report(args *ReportArgs, reply *ReportReply) error {
 	self := r.l.core.self
 	if args.Bucket < 0 || args.Bucket >= buckets || args.ToIncarnation != self.Incarnation {
-		return siskin.NewError(siskin.Conflict, "report of bucket %d of incarnation %d asked of %s incarnation %d",
+		return siskin.NewError(siskin.Conflict, "report for bucket %d of incarnation %d requested from %s incarnation %d",
 			args.Bucket, args.ToIncarnation, self.VM, self.Incarnation).
 			WithRemedy("read the bucket's object again")
 	}
--- a/pkg/limit/reclaim.go
+++ b/pkg/limit/reclaim.go
@@ -10,20 +10,20 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// reclaimRankDelay is the delay between the holders that may start a reclaim, by
-// rank. A race between two of them costs time only.
+// reclaimRankDelay is the time after which the holder of the next rank may
+// start a reclaim too. Two concurrent reclaims are safe, but slower.
 const reclaimRankDelay = 3 * time.Second
 
-// reclaimTimeout bounds the reclaim in one object: a few calls to the platform
-// and to holders that do not answer. The next round goes on with the reports
-// that arrived.
+// reclaimTimeout bounds the reclaims in one object. It covers a few calls to
+// the platform and to holders that do not answer. The next round continues
+// with the reports received so far.
 const reclaimTimeout = 5 * callTimeout
 
-// maintain drops the rights of a VM that finds itself gone or superseded, and
-// reclaims the units of gone holders.
+// maintain reclaims the units of gone holders. If this VM itself is gone or
+// superseded, it drops all its units instead.
 func (l *Limiter) maintain(ctx context.Context) {
 	if l.gone(l.core.self) {
-		l.logf("limit: this VM is gone or superseded; dropping all rights")
+		l.logf("limit: this VM is gone or superseded by a newer incarnation; dropping all units")
 		l.core.stopping.Store(true)
 		l.core.drop()
 		return
@@ -44,7 +44,7 @@
 	l.refreshNextObject(ctx)
 }
 
-// due reports whether a bucket needs a reclaim and it is this VM's turn.
+// due reports whether a bucket needs a reclaim and this VM may start it now.
 func (l *Limiter) due(i int) bool {
 	holders := l.core.holdersOf(i)
 	if len(holders) == 0 || !l.needsReclaim(i, holders) {
@@ -59,20 +59,22 @@
 	return !now.Before(l.reclaimDue[i])
 }
 
-// gone reports whether there is evidence that a holder cannot run anymore. An
-// absent or unreachable VM is none, nor is the tombstone of an earlier run: a
-// VM may start again under its name.
+// gone reports whether there is evidence that a holder has stopped for good.
+// An absent or unreachable VM is no evidence, and neither is the tombstone of
+// an earlier incarnation, since a VM may restart under its name.
 func (l *Limiter) gone(h holderID) bool {
 	vm, ok := l.members.Lookup(h.VM)
 	return ok && (vm.Incarnation > h.Incarnation || (vm.Incarnation == h.Incarnation && vm.State == siskin.VMGone))
 }
 
+// needsReclaim reports whether a reclaim of the bucket is in progress or one
+// of the holders is gone.
 func (l *Limiter) needsReclaim(i int, holders []holderID) bool {
 	_, reporting := l.core.reporting(i)
 	return reporting || slices.ContainsFunc(holders, l.gone)
 }
 
-// rank returns this VM's place among the live holders of a bucket.
+// rank returns this VM's rank among the live holders of a bucket.
 func (l *Limiter) rank(i int, holders []holderID) int {
 	var vms []siskin.VM
 	for _, vm := range l.members.Live() {
@@ -90,10 +92,10 @@
 	return len(vms)
 }
 
-// reclaim moves buckets of one object to the next epoch without their gone
-// holders, collects the reports of the others and grants the missing units to
-// this VM. It goes on where an earlier reclaimer stopped. A holder that does not
-// answer blocks its own buckets only.
+// reclaim advances buckets of one object to the next epoch without their gone
+// holders, collects the reports of the remaining ones and grants the
+// unaccounted units to this VM. It resumes a reclaim that another VM left
+// unfinished. A holder that does not answer blocks only its own buckets.
 func (l *Limiter) reclaim(ctx context.Context, o int, due []int, unresponsive map[siskin.VMID]bool) error {
 	ctx, cancel := context.WithTimeout(ctx, reclaimTimeout)
 	defer cancel()
@@ -141,8 +143,8 @@
 	return blocked
 }
 
-// advanceEpochs moves the buckets with gone holders to their next epoch by one
-// update and applies the records.
+// advanceEpochs advances the buckets with gone holders to their next epoch by
+// one update and applies the records.
 func (l *Limiter) advanceEpochs(ctx context.Context, o int, object *object, due []int, version siskin.Version) (siskin.Version, error) {
 	records := make(map[int]*record)
 	moved := 0
@@ -165,7 +167,7 @@
 		if version, err = l.putObject(ctx, o, object, version); err != nil {
 			return version, err
 		}
-		l.logf("limit: %d buckets of object %s entered their next epoch", moved, objectName(o))
+		l.logf("limit: %d buckets of object %s advanced to the next epoch", moved, objectName(o))
 	}
 	for i, r := range records {
 		l.core.apply(l.now(), i, r)
@@ -173,8 +175,9 @@
 	return version, nil
 }
 
-// nextEpoch returns the record after the removal of gone holders. This VM must
-// be a holder to be granted the missing units.
+// nextEpoch returns the record without gone holders, and false if there are
+// none. It adds this VM to the holders, since the unaccounted units are
+// granted to it.
 func (l *Limiter) nextEpoch(r *record) (record, bool) {
 	next := record{Epoch: r.Epoch + 1, Reporting: true}
 	for _, h := range r.Holders {
@@ -191,7 +194,8 @@
 	return next, true
 }
 
-// missingUnits returns the units that no report accounts for, with empty buckets.
+// missingUnits returns a grant of the units that no report accounts for. They
+// come without tokens.
 func missingUnits(reports []ReportReply) grant {
 	g := grant{Rest: siskin.TotalQuotaUnits, Customers: make(map[siskin.CustomerID]siskin.QuotaUnits)}
 	for _, r := range reports {
@@ -212,15 +216,15 @@
 	return g
 }
 
-// check refuses a grant after reports of more than the whole right.
+// check returns an error if the reports contained more than all units.
 func (g *grant) check() error {
 	lowest := g.Rest
 	for _, units := range g.Customers {
 		lowest = min(lowest, units)
 	}
-	if invUnits.Check(lowest >= 0, "reports of holders exceed the whole right by %d units", -lowest) {
+	if invUnits.Check(lowest >= 0, "reports of the holders exceed the total quota by %d units", -lowest) {
 		return nil
 	}
-	return siskin.NewError(siskin.Internal, "reports of holders exceed the whole right by %d units", -lowest).
-		WithRemedy("report this fault with the log of all holders")
+	return siskin.NewError(siskin.Internal, "reports of the holders exceed the total quota by %d units", -lowest).
+		WithRemedy("report this bug with the logs of all holders")
 }
--- a/pkg/limit/reclaim_test.go
+++ b/pkg/limit/reclaim_test.go
@@ -10,9 +10,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestUnresponsiveHolderBlocksOnlyItsBuckets guards against an unreachable VM that holds
-// up the reclaim of buckets which it holds nothing of, in the same object and
-// in others.
+// TestUnresponsiveHolderBlocksOnlyItsBuckets guards against an unreachable VM
+// that blocks the reclaim of buckets of which it is not a holder, in the same
+// object and in others.
 func TestUnresponsiveHolderBlocksOnlyItsBuckets(t *testing.T) {
 	shared := siskin.CustomerID("shared")
 	other := siskin.CustomerID("")
@@ -46,13 +46,13 @@
 	f.run(5 * time.Second)
 	for id, want := range map[siskin.CustomerID]bool{shared: false, other: true, "third": true} {
 		if got := f.sum(id) == siskin.TotalQuotaUnits; got != want {
-			t.Errorf("%s: got the whole right in use %v, want %v", id, got, want)
+			t.Errorf("%s: got all units in use %v, want %v", id, got, want)
 		}
 	}
 }
 
-// TestReportsAreKept guards against a reclaim that never ends because some
-// answer of many holders is lost in each round.
+// TestReportsAreKept guards against a reclaim that never ends because in each
+// round the reply of one of many holders is lost.
 func TestReportsAreKept(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	for i := range 30 {
@@ -63,7 +63,7 @@
 	f.vms[0].dead, f.vms[0].vm.State = true, siskin.VMGone
 	f.run(60 * time.Second)
 	if got := f.sum("a"); got != siskin.TotalQuotaUnits {
-		t.Errorf("got %d units after 60 s with half of the answers lost, want %d", got, siskin.TotalQuotaUnits)
+		t.Errorf("got %d units after 60 s with half of the replies lost, want %d", got, siskin.TotalQuotaUnits)
 	}
 }
 
@@ -79,8 +79,8 @@
 }
 
 // TestWaitCostsNoPlatformCalls guards against reclaims that read the platform
-// every second while a holder cannot be reached. When a data centre is cut off,
-// that would be most of the fleet.
+// every second while a holder cannot be reached. When a data centre is cut
+// off, most of the fleet would do that.
 func TestWaitCostsNoPlatformCalls(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	platform := &countingPlatform{Platform: f}
@@ -104,8 +104,8 @@
 	}
 }
 
-// TestOneUpdateForObject guards against a start that costs a call for each
-// customer.
+// TestOneUpdateForObject guards against a start that makes a platform call for
+// each customer.
 func TestOneUpdateForObject(t *testing.T) {
 	var docs []*config.Customer
 	for i := range 5000 {
@@ -125,8 +125,8 @@
 	}
 }
 
-// TestEarlierFormatIsRefused guards against a mixed fleet: a VM that took the
-// earlier format of the records for an empty one would grant all rights again.
+// TestEarlierFormatIsRefused guards against a mixed fleet: a VM that took a
+// record in the earlier format for an empty one would grant all units again.
 func TestEarlierFormatIsRefused(t *testing.T) {
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 100, Burst: 100})
 	name := objectName(objectOf(bucketOf("a")))
--- a/pkg/limit/reclaimtime_test.go
+++ b/pkg/limit/reclaimtime_test.go
@@ -13,8 +13,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// slowFleet runs limiters in real time with delays of calls. The embedded fleet
-// keeps the list of VMs and the objects, under one lock.
+// slowFleet runs limiters in real time with delayed calls. The embedded fleet
+// stores the list of VMs and the objects, under one lock.
 type slowFleet struct {
 	mu        sync.Mutex
 	f         *fleet
@@ -76,9 +76,9 @@
 
 func (s *slowNode) Changed() <-chan struct{} { return nil }
 
-// TestReclaimTime guards against a reclaim whose time grows with the number of
-// holders until it never ends, and measures the time from the news that a VM
-// is gone until the others hold all units.
+// TestReclaimTime guards against a reclaim whose duration grows with the
+// number of holders until it never ends. It measures the time from the report
+// that a VM is gone until the other VMs hold all units.
 func TestReclaimTime(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs in real time")
--- a/pkg/limit/record.go
+++ b/pkg/limit/record.go
@@ -7,22 +7,23 @@
 	"siskintray.example/siskin"
 )
 
-// buckets is the number of hash buckets. It is part of the format: all VMs
-// must agree on the bucket of a customer. With 23,000 customers a bucket in use
-// has 1.2 of them, so its holders are little more than the homes of one
-// customer, and a reclaim waits for no other VM.
+// buckets is the number of hash buckets. It is part of the storage format: all
+// VMs must agree on the bucket of a customer. With 23,000 customers, a bucket
+// in use has 1.2 customers on average, so that its holders are little more
+// than the VMs that admit requests of one customer, and a reclaim waits for
+// few others.
 const buckets = 1 << 16
 
-// holderID names one incarnation of one VM as a holder.
+// holderID identifies one incarnation of a VM as a holder.
 type holderID struct {
 	VM          siskin.VMID
 	Incarnation siskin.Incarnation
 }
 
-// record is the platform's state of one hash bucket.
+// record is the state of one hash bucket that the platform stores.
 type record struct {
 	Epoch uint64
-	// Reporting says that the holders of the epoch have not all reported yet.
+	// Reporting is true until all holders of the epoch have reported.
 	Reporting bool
 	// Holders lists every VM that may hold units of the bucket. A VM adds
 	// itself before it accepts units.
@@ -31,14 +32,14 @@
 	Grants []grant
 }
 
-// grant gives units to one incarnation, which applies them once.
+// grant assigns units to one incarnation, which applies them once.
 type grant struct {
 	To holderID
-	// Rest is granted for each customer that is not in Customers.
+	// Rest is the units granted for each customer that is not in Customers.
 	Rest      siskin.QuotaUnits
 	Customers map[siskin.CustomerID]siskin.QuotaUnits `json:",omitempty"`
-	// Full says that the buckets start full. Only initial grants are, so that a
-	// burst is never counted twice.
+	// Full is true if the token buckets start full. Only initial grants set
+	// it, so that a burst is never counted twice.
 	Full bool
 }
 
@@ -46,7 +47,7 @@
 
 func (r *record) encode() ([]byte, error) { return json.Marshal(r) }
 
-// parseRecord decodes a record and checks that its grants are sound.
+// parseRecord decodes a record and validates its grants.
 func parseRecord(value []byte) (record, error) {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
@@ -80,5 +81,5 @@
 
 func badRecord(format string, args ...any) *siskin.Error {
 	return siskin.NewError(siskin.BadInput, "record of a limit bucket "+format, args...).
-		WithRemedy("restore the object Limit/Bucket from before the last change by hand")
+		WithRemedy("manually restore the Limit/Bucket object from before the last change")
 }
--- a/pkg/limit/recordio.go
+++ b/pkg/limit/recordio.go
@@ -11,9 +11,9 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// readRecords reads the records that the core asked for, one object at a time.
-// An object that cannot be read is tried again later; until then the VM admits
-// nothing of a bucket that it is not a holder of.
+// readRecords reads the records that the core queued, one object at a time. An
+// object that cannot be read is retried later; until then the VM admits
+// nothing in buckets of which it is not a holder.
 func (l *Limiter) readRecords(ctx context.Context) {
 	wanted := make(map[int][]int)
 	for _, i := range l.core.workQueue.takeBuckets() {
@@ -38,21 +38,21 @@
 	}
 }
 
-// Prepare makes this VM a holder for customers before their first request,
-// such as those of services whose slots it is next in line for. A VM cannot
-// become a holder while the platform is down.
+// Prepare makes this VM a holder for customers before their first request, for
+// example for services whose slots it would own next. A VM cannot become a
+// holder while the platform is down.
 func (l *Limiter) Prepare(customers ...siskin.CustomerID) {
 	for _, id := range customers {
 		l.core.prepare(id)
 	}
 }
 
-// readRecord reads the object of a bucket.
+// readRecord reads the object that stores the record of a bucket.
 func (l *Limiter) readRecord(ctx context.Context, i int) error { return l.readObject(ctx, objectOf(i)) }
 
-// readObject reads the records of the buckets of an object that are in use
-// here. It creates missing ones and adds this VM to the holders of those that
-// it serves customers of, all by one conditional update.
+// readObject reads the records in an object whose buckets are in use at this
+// VM. If this VM serves a customer in a bucket, it creates a missing record or
+// adds this VM to the holders. All changes are made by one conditional update.
 func (l *Limiter) readObject(ctx context.Context, o int) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -67,7 +67,7 @@
 	for _, i := range l.core.bucketsOf(o) {
 		r, err := object.record(i)
 		if err != nil {
-			damaged = err // the other buckets go on
+			damaged = err // continue with the other buckets
 			continue
 		}
 		records[i] = &r
@@ -120,10 +120,11 @@
 	return l.platform.Put(ctx, objectName(o), encoded, version, siskin.OperationID(op))
 }
 
-// initialRecord grants the units of a new bucket in equal parts to one VM per data
-// centre that has homes of the customer, so that each of them starts with a
-// part that needs no contact with the others. The platform's list counts beside
-// the members, since a VM that has just started knows no other member yet.
+// initialRecord grants the units of a new bucket in equal parts to one VM in
+// each data centre with VMs that admit requests of the customer, so that each
+// of these data centres starts with units and needs no contact with the
+// others. It considers the VMs listed by the platform as well as the members,
+// since a VM that has just started knows no other member yet.
 func (l *Limiter) initialRecord(o int, customer siskin.CustomerID, listed []siskin.VM) record {
 	byDC := make(map[siskin.DataCentreID][]siskin.VM)
 	for _, vm := range l.candidates(customer, listed) {
@@ -145,7 +146,8 @@
 	return r
 }
 
-// candidates returns the VMs that a new bucket may be granted to.
+// candidates returns the VMs to which the units of a new bucket may be
+// granted.
 func (l *Limiter) candidates(customer siskin.CustomerID, listed []siskin.VM) []siskin.VM {
 	var live []siskin.VM
 	for _, vm := range append(slices.Clone(l.members.Live()), listed...) {
@@ -162,9 +164,9 @@
 	return live
 }
 
-// refreshNextObject reads one object with records that this VM is a holder of, so
-// that it learns of later holders. The pause grows with the fleet, which keeps
-// the platform at 4 such reads a second.
+// refreshNextObject reads one object with records of which this VM is a
+// holder, to learn of holders that joined later. The interval grows with the
+// fleet, which limits the platform to 4 such reads a second.
 func (l *Limiter) refreshNextObject(ctx context.Context) {
 	pause := max(minRefreshInterval, refreshIntervalPerVM*time.Duration(len(l.members.Live())))
 	if now := l.clock.Now(); now.Sub(l.refreshedAt) < pause {
@@ -175,7 +177,7 @@
 		l.refreshedObject = (l.refreshedObject + 1) % objects
 		for _, i := range l.core.bucketsOf(l.refreshedObject) {
 			if len(l.core.holdersOf(i)) > 0 {
-				_ = l.readObject(ctx, l.refreshedObject) // the next round tries another one
+				_ = l.readObject(ctx, l.refreshedObject) // on failure the next round continues with another object
 				return
 			}
 		}
--- a/pkg/limit/referencebucket.go
+++ b/pkg/limit/referencebucket.go
@@ -2,16 +2,16 @@
 
 import "time"
 
-// referenceBucket is a token bucket with the whole rate and burst of a customer, or
-// with a part of them. It takes what this VM admitted. A request that it refuses
-// is above the customer's rate.
+// referenceBucket is a token bucket with the whole rate and burst of a
+// customer, or with a part of them. It is charged for the requests that this
+// VM admits. A request for which it lacks tokens exceeds the customer's rate.
 type referenceBucket struct {
 	tokens    float64
 	updatedAt time.Duration
 	started   bool
 }
 
-// refill adds the tokens since the last call. A new bucket is full.
+// refill adds the tokens earned since the last call. A new bucket is full.
 func (w *referenceBucket) refill(now time.Duration, rate, burst float64) {
 	switch {
 	case !w.started:
@@ -23,6 +23,6 @@
 	w.tokens = min(w.tokens, burst)
 }
 
-// take removes the tokens of a request that was admitted, or that would have
-// been.
+// take removes the tokens of a request that was admitted or counts as within
+// the rate.
 func (w *referenceBucket) take(n float64) { w.tokens = max(0, w.tokens-n) }
--- a/pkg/limit/run.go
+++ b/pkg/limit/run.go
@@ -8,14 +8,14 @@
 const (
 	// callTimeout bounds every call to a peer or the platform.
 	callTimeout = 2 * time.Second
-	// exchangeInterval is the pause between two rounds of messages; requests for
-	// units that arise within it share a message.
+	// exchangeInterval is the pause between two rounds of messages. Requests
+	// for units that arise during it share a message.
 	exchangeInterval = 2 * time.Millisecond
 	// maintainInterval is the pause between two checks for gone VMs.
 	maintainInterval = time.Second
 )
 
-// Start begins the exchange with other VMs. It returns at once.
+// Start begins the exchange of units with other VMs. It returns at once.
 func (l *Limiter) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
@@ -25,14 +25,13 @@
 	l.done.Go(func() { l.runRefresh(ctx) })
 }
 
-// runExchange sends messages when there is something to ask for, and repeats
-// unanswered ones.
+// runExchange sends queued requests for units and repeats unanswered ones.
 func (l *Limiter) runExchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, m := range l.core.plan(l.now()) {
 			l.done.Go(func() { l.call(ctx, m) })
 		}
-		l.clock.Sleep(exchangeInterval) // the first request went out at once; later ones share a message
+		l.clock.Sleep(exchangeInterval) // the first request is sent at once; later ones share a message
 		select {
 		case <-ctx.Done():
 			return
@@ -52,7 +51,7 @@
 	l.core.handleReply(l.now(), m.to, m.args.Seq, &reply)
 }
 
-// runRecords reads the records that the core asks for.
+// runRecords reads the records that the core queued.
 func (l *Limiter) runRecords(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.readRecords(ctx)
@@ -61,15 +60,15 @@
 			return
 		case <-l.clock.After(recordInterval):
 		}
-		select { // nothing wakes an idle VM
+		select { // an idle VM does not wake up
 		case <-ctx.Done():
 		case <-l.core.workQueue.bucketAdded:
 		}
 	}
 }
 
-// runMaintain looks for gone holders and reclaims their units. It has its own
-// goroutine, since a reclaim may wait for a holder that cannot be reached.
+// runMaintain checks for gone holders and reclaims their units. It has its own
+// goroutine, since a reclaim may wait for an unreachable holder.
 func (l *Limiter) runMaintain(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.maintain(ctx)
@@ -80,11 +79,12 @@
 	}
 }
 
-// recordInterval is the pause between two rounds of reading records that are asked
-// for. It batches the start of a VM and delays a new customer little.
+// recordInterval is the pause between two rounds of reading queued records. It
+// batches the reads at the start of a VM and delays a new customer only
+// briefly.
 const recordInterval = 10 * time.Millisecond
 
-// runRefresh applies changed rates.
+// runRefresh applies each change of the configuration to the holdings.
 func (l *Limiter) runRefresh(ctx context.Context) {
 	for {
 		changed := l.view.Changed()
--- a/pkg/limit/script_test.go
+++ b/pkg/limit/script_test.go
@@ -14,8 +14,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestFailures guards against rights that appear, vanish for good or start
-// with tokens in each failure that the scripts describe.
+// TestFailures guards against units that are created, lost for good or granted
+// with tokens in the failures that the scripts in testdata describe.
 func TestFailures(t *testing.T) {
 	archive, err := txtar.ParseFile(filepath.Join("testdata", "failures.txtar"))
 	if err != nil {
--- a/pkg/limit/state.go
+++ b/pkg/limit/state.go
@@ -2,7 +2,8 @@
 
 import "siskintray.example/siskin"
 
-// holdersOf returns the known holders of a bucket that this VM is a holder of.
+// holdersOf returns the known holders of a bucket, or nil if this VM is not
+// one.
 func (c *core) holdersOf(i int) []holderID {
 	b := c.bucket(i)
 	b.mu.Lock()
@@ -13,7 +14,7 @@
 	return b.holders
 }
 
-// reporting returns the bucket's epoch and whether it still waits for reports.
+// reporting returns the bucket's epoch and whether reports for it are missing.
 func (c *core) reporting(i int) (epoch uint64, reporting bool) {
 	b := c.bucket(i)
 	b.mu.Lock()
@@ -21,8 +22,8 @@
 	return b.epoch, b.reporting
 }
 
-// servedCustomer returns a customer of the bucket that this VM admits requests for, or
-// an empty id.
+// servedCustomer returns a customer in the bucket whose requests this VM
+// admits, or the empty id if there is none.
 func (c *core) servedCustomer(i int) siskin.CustomerID {
 	b := c.bucket(i)
 	b.mu.Lock()
@@ -30,7 +31,7 @@
 	return b.servedCustomer
 }
 
-// units returns what this VM holds for a customer.
+// units returns the units that this VM holds for a customer.
 func (c *core) units(id siskin.CustomerID) siskin.QuotaUnits {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
@@ -41,7 +42,7 @@
 	return b.defaultUnits
 }
 
-// bucketsOf returns the buckets of an object that are in use here.
+// bucketsOf returns the buckets of an object that are in use at this VM.
 func (c *core) bucketsOf(o int) (list []int) {
 	for i := o; i < buckets; i += objects {
 		if c.buckets[i].Load() != nil {
@@ -51,5 +52,5 @@
 	return list
 }
 
-// Units returns what this VM holds for a customer.
+// Units returns the units that this VM holds for a customer.
 func (l *Limiter) Units(customer siskin.CustomerID) siskin.QuotaUnits { return l.core.units(customer) }
--- a/pkg/limit/todo.go
+++ b/pkg/limit/todo.go
@@ -6,13 +6,14 @@
 	"siskintray.example/siskin"
 )
 
-// workQueue lists what the runtime has to do. Its lock is taken last.
+// workQueue is the work that the core queues for the goroutines of the
+// Limiter. Its lock is acquired last.
 type workQueue struct {
 	mu          sync.Mutex
-	customers   []siskin.CustomerID // to ask units for
-	buckets     []int               // whose record must be read
+	customers   []siskin.CustomerID // for which to request units
+	buckets     []int               // whose records to read
 	wakeSignal  chan struct{}
-	bucketAdded chan struct{} // a bucket was added
+	bucketAdded chan struct{} // signals that a bucket was queued
 }
 
 func (t *workQueue) addCustomer(id siskin.CustomerID) {
--- a/pkg/limit/within.go
+++ b/pkg/limit/within.go
@@ -7,21 +7,24 @@
 )
 
 const (
-	// contactWindow is the age up to which the answer of a holder shows that this
-	// VM gets units from it. It is well above the pause between two rounds, so
-	// that a customer that is refused now and then counts as in contact.
+	// contactWindow is the maximum age of a holder's reply that shows that
+	// this VM can get units from it. It is well above the pause between two
+	// rounds, so that a customer with occasional rejections counts as in
+	// contact.
 	contactWindow = 10 * time.Second
-	// demandWindow is the time after the last exchange in which the demand at
-	// other holders counts. Older figures say little of the present.
+	// demandWindow is the time after the last exchange during which the known
+	// demand at other holders counts. Older figures say little about the
+	// current demand.
 	demandWindow = time.Minute
-	// overRateFactor is the known demand, in parts of the rate, from which a customer
-	// counts as above it. Demand that moves between VMs is reported by two of them.
+	// overRateFactor is the known demand, as a multiple of the rate, above
+	// which a customer counts as over its rate. It is 2 because demand that
+	// moves between VMs is reported by two of them.
 	overRateFactor = 2
 )
 
-// refillReference refills the bucket: with the whole rate, or with this VM's part of
-// it when the customer is known to be far above its rate. Otherwise VMs that are
-// cut off from each other would count up to the whole rate each.
+// refillReference refills the reference bucket at the whole rate, or at this
+// VM's part of the rate if the known demand is far above it. Otherwise each of
+// several partitioned VMs would count refusals up to the whole rate.
 func (h *holding) refillReference(now time.Duration) {
 	part := 1.0
 	if h.otherDemand > 0 && now-h.otherDemandAt < demandWindow {
@@ -39,12 +42,13 @@
 	h.otherDemand, h.otherDemandAt = h.hints.demandAt(holders), now
 }
 
-// withinRate says of a request that is refused for good whether it counts as
-// within the customer's rate. It does so unless one of two things shows that the
-// customer used its rate up: the requests at this VM exceed its part of it, or every
-// other holder answers this VM, so that units and tokens that are to spare
-// arrive here. Each request that counts takes its tokens, so that a customer far
-// above its rate does not have all its refusals counted.
+// withinRate reports whether a finally rejected request counts as within the
+// customer's rate. It counts unless there is evidence that the customer used
+// up its rate: either the requests at this VM exceed its part of the rate, or
+// every other holder answers this VM, so that spare units and tokens arrive
+// here. Each request that counts takes its tokens from the reference bucket,
+// so that a customer far above its rate does not have all its rejected
+// requests counted.
 func (c *core) withinRate(now time.Duration, id siskin.CustomerID, n float64) bool {
 	b := c.bucket(bucketOf(id))
 	b.mu.Lock()
@@ -61,8 +65,8 @@
 	return true
 }
 
-// allUnitsInUse reports whether no units are known to be out of use: a reclaim is
-// not in progress, and a VM without other holders has them all.
+// allUnitsInUse reports whether no units are known to be out of use: no
+// reclaim is in progress, and a VM without other holders has all units.
 func (b *bucket) allUnitsInUse(self siskin.VMID, h *holding) bool {
 	others := false
 	for _, o := range b.holders {
@@ -72,7 +76,7 @@
 }
 
 // inContact reports whether all other holders answered requests for units of
-// the customer lately.
+// the customer within contactWindow.
 func (h *holding) inContact(now time.Duration, self siskin.VMID, holders []holderID) bool {
 	if h.holderUnresponsive {
 		return false
@@ -85,8 +89,8 @@
 	return true
 }
 
-// anyUnresponsive reports whether a holder leaves a request of this VM unanswered.
-// The caller holds the lock of the exchange.
+// anyUnresponsive reports whether one of the holders leaves a request of this
+// VM unanswered. The caller holds c.mu.
 func (c *core) anyUnresponsive(holders []holderID) bool {
 	for _, o := range holders {
 		if o.VM != c.self.VM && c.links[o.VM].unresponsive() {
--- a/pkg/limit/within_test.go
+++ b/pkg/limit/within_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// countRefusals sends requests that nothing can admit and returns how many of them
-// count as within the rate.
+// countRefusals sends requests that cannot be admitted and returns how many of
+// them count as within the rate.
 func countRefusals(t *testing.T, c *core, now time.Duration, n int) (counted int) {
 	t.Helper()
 	for range n {
@@ -20,9 +20,9 @@
 	return counted
 }
 
-// TestRefusalsCountWhileHolderIsUnresponsive guards against refusals within the rate that
-// count as the customer's own while the VM with its units does not answer, and
-// against refusals above the rate that count against the service.
+// TestRefusalsCountWhileHolderIsUnresponsive guards against rejected requests
+// within the rate that do not count as such while the VM with the units does
+// not answer, and against ones above the rate that do.
 func TestRefusalsCountWhileHolderIsUnresponsive(t *testing.T) {
 	donor, requester, i := pair(t)
 	now := time.Second
@@ -38,8 +38,8 @@
 		}
 		requester.plan(now) // the message is lost
 	}
-	// The holder answers again and has nothing to spare, so that the customer
-	// uses its rate up.
+	// The holder answers again and has no spare units, so the customer uses its
+	// whole rate.
 	now += 10 * time.Second
 	exchange(requester, donor, now)
 	h := requester.bucket(i).holdings.get("a")
@@ -47,7 +47,7 @@
 	if got := countRefusals(t, requester, now, 20); got != 0 {
 		t.Errorf("all holders answer: got %d counted as within the rate, want 0", got)
 	}
-	// It goes silent while this VM asks again.
+	// The holder becomes unresponsive while this VM asks again.
 	for range unresponsiveAttempts + 1 {
 		now += maxBackoff
 		requester.plan(now)
@@ -62,7 +62,7 @@
 	}
 }
 
-// exchange delivers the requests for units and their answers.
+// exchange delivers the requests for units and their replies.
 func exchange(from, to *core, now time.Duration) {
 	for _, m := range from.plan(now) {
 		reply := to.handleAsk(now, m.args)
@@ -70,8 +70,8 @@
 	}
 }
 
-// TestOwnTrafficAboveRate guards against refusals that count against the service
-// although the requests at one VM alone exceed the rate.
+// TestOwnTrafficAboveRate guards against rejected requests that count as
+// within the rate although the requests at one VM alone exceed it.
 func TestOwnTrafficAboveRate(t *testing.T) {
 	donor, _, _ := pair(t)
 	now, admitted, counted := time.Second, 0, 0
@@ -90,14 +90,14 @@
 	}
 }
 
-// TestCustomerFarAboveRateAtUnresponsiveHolders guards against VMs that are cut off
-// from each other and each count up to the whole rate of a customer that sends
-// several times its rate.
+// TestCustomerFarAboveRateAtUnresponsiveHolders guards against partitioned VMs
+// that each count rejected requests up to the whole rate of a customer that
+// sends several times its rate.
 func TestCustomerFarAboveRateAtUnresponsiveHolders(t *testing.T) {
 	donor, requester, i := pair(t)
 	now := time.Second
 	for _, tt := range []struct {
-		others float64 // demand at the other holder before it goes silent
+		others float64 // demand at the other holder before it becomes unresponsive
 		want   int     // of 2 s of rate and the burst of 100, for 200 requests a second here
 	}{{0, 300}, {100, 200}, {800, 60}} {
 		now += time.Hour
