--- a/pkg/limit/expect.go
+++ b/pkg/limit/expect.go
@@ -40,8 +40,8 @@
 		return nil, 0, false
 	}
 	wakeup := h.addWaiter(n)
-	if again := h.askAfter - now; !accrues && again > 0 {
-		pause = again // the next attempt asks another holder
+	if untilNextAsk := h.askAfter - now; !accrues && untilNextAsk > 0 {
+		pause = untilNextAsk // the next attempt asks another holder
 	} else if !accrues {
 		pause = askTimeout
 	}
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -12,11 +12,11 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// direct calls the limiters of one process. The map is not locked, since it is
+// localPeers calls the limiters of one process. The map is not locked, since it is
 // complete before the first call.
-type direct map[siskin.VMID]*Limiter
+type localPeers map[siskin.VMID]*Limiter
 
-func (d direct) Call(_ context.Context, vm siskin.VMID, method string, args, reply any) error {
+func (d localPeers) Call(_ context.Context, vm siskin.VMID, method string, args, reply any) error {
 	if method == "Limit.Report" {
 		return d[vm].Receiver().Report(args.(*ReportArgs), reply.(*ReportReply))
 	}
@@ -29,7 +29,7 @@
 func TestLimiterOverRealTime(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	f := newFleet(1, &config.Customer{ID: "a", Rate: 1000, Burst: 1000}, &config.Customer{ID: "b", Rate: 0.01, Burst: 2})
-	peers := make(direct)
+	peers := make(localPeers)
 	for _, id := range []string{"v1", "v2"} {
 		n := f.start(id, 1, "d1")
 		n.l = New(clockwork.NewRealClock(), f.view, n, peers, f, WithMaxWait(10*time.Second))
--- a/pkg/limit/policy.go
+++ b/pkg/limit/policy.go
@@ -33,8 +33,8 @@
 // far below its demand gets as many as divide the units of both in proportion
 // to their demand; fair is then true.
 func (h *holding) transferUnits(now time.Duration, item *AskItem) (units siskin.QuotaUnits, fair bool) {
-	asked, spare := float64(item.Demand), float64(h.spare(now))
-	give := min(spare, max(spare/2, h.needed(asked)-float64(item.Units)))
+	requesterDemand, spare := float64(item.Demand), float64(h.spare(now))
+	give := min(spare, max(spare/2, h.needed(requesterDemand)-float64(item.Units)))
 	total, lasting := float64(h.units+item.Units), float64(item.Lasting)
 	if more := total*lasting/max(lasting+h.demand.slow, 1e-9) - float64(item.Units); more > max(give, total/8) {
 		give, fair = more, true
@@ -61,15 +61,15 @@
 // others are ordered by their spare units, most first. A holder without a hint
 // counts as having unknownSpare.
 func (c *core) compareDonors(now time.Duration, h *holding, a, b siskin.VMID) int {
-	if near := cmp.Compare(c.near(now, h, b), c.near(now, h, a)); near != 0 {
-		return near
+	if locality := cmp.Compare(c.locality(now, h, b), c.locality(now, h, a)); locality != 0 {
+		return locality
 	}
 	return cmp.Compare(h.hints.spareOf(now, b), h.hints.spareOf(now, a))
 }
 
-// near returns 1 for a VM in the same data centre that may have spare units,
+// locality returns 1 for a VM in the same data centre that may have spare units,
 // else 0.
-func (c *core) near(now time.Duration, h *holding, vm siskin.VMID) int {
+func (c *core) locality(now time.Duration, h *holding, vm siskin.VMID) int {
 	if c.dataCentre(vm) == c.dataCentre(c.self.VM) && h.hints.spareOf(now, vm) > minTransfer {
 		return 1
 	}
--- a/pkg/limit/reclaimtime_test.go
+++ b/pkg/limit/reclaimtime_test.go
@@ -37,7 +37,7 @@
 	if dead {
 		return siskin.NewError(siskin.Unavailable, "%s does not answer", vm)
 	}
-	return direct(s.limits).Call(ctx, vm, method, args, reply)
+	return localPeers(s.limits).Call(ctx, vm, method, args, reply)
 }
 
 func (s *slowNode) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
--- a/pkg/limit/recordio.go
+++ b/pkg/limit/recordio.go
@@ -61,13 +61,13 @@
 		return err
 	}
 	records := make(map[int]*record)
-	var listed []siskin.VM
-	var damaged error
+	var platformVMs []siskin.VM
+	var recordErr error
 	changed := false
 	for _, i := range l.core.bucketsOf(o) {
 		r, err := object.record(i)
 		if err != nil {
-			damaged = err // continue with the other buckets
+			recordErr = err // continue with the other buckets
 			continue
 		}
 		records[i] = &r
@@ -78,12 +78,12 @@
 		if r.Epoch != 0 {
 			r.Holders = append(r.Holders, l.core.self)
 		} else {
-			if listed == nil {
-				if listed, err = l.platform.VMs(ctx); err != nil {
+			if platformVMs == nil {
+				if platformVMs, err = l.platform.VMs(ctx); err != nil {
 					return err
 				}
 			}
-			r = l.initialRecord(o, customer, listed)
+			r = l.initialRecord(o, customer, platformVMs)
 		}
 		if err := object.set(i, &r); err != nil {
 			return err
@@ -98,7 +98,7 @@
 	for i, r := range records {
 		l.core.apply(l.now(), i, r)
 	}
-	return damaged
+	return recordErr
 }
 
 func (l *Limiter) getObject(ctx context.Context, o int) (siskin.Version, object, error) {
@@ -125,9 +125,9 @@
 // of these data centres starts with units and needs no contact with the
 // others. It considers the VMs listed by the platform as well as the members,
 // since a VM that has just started knows no other member yet.
-func (l *Limiter) initialRecord(o int, customer siskin.CustomerID, listed []siskin.VM) record {
+func (l *Limiter) initialRecord(o int, customer siskin.CustomerID, platformVMs []siskin.VM) record {
 	byDC := make(map[siskin.DataCentreID][]siskin.VM)
-	for _, vm := range l.candidates(customer, listed) {
+	for _, vm := range l.candidates(customer, platformVMs) {
 		byDC[vm.DataCentre] = append(byDC[vm.DataCentre], vm)
 	}
 	r := record{Epoch: 1}
@@ -148,9 +148,9 @@
 
 // candidates returns the VMs to which the units of a new bucket may be
 // granted.
-func (l *Limiter) candidates(customer siskin.CustomerID, listed []siskin.VM) []siskin.VM {
+func (l *Limiter) candidates(customer siskin.CustomerID, platformVMs []siskin.VM) []siskin.VM {
 	var live []siskin.VM
-	for _, vm := range append(slices.Clone(l.members.Live()), listed...) {
+	for _, vm := range append(slices.Clone(l.members.Live()), platformVMs...) {
 		known, ok := l.members.Lookup(vm.ID)
 		if vm.State == siskin.VMLive && (!ok || known.Incarnation <= vm.Incarnation) {
 			live = append(live, vm)
