--- a/pkg/limit/ask.go
+++ b/pkg/limit/ask.go
@@ -27,8 +27,8 @@
 	maxBackoff = time.Second
 	// maxUnresponsiveBackoff bounds the delay of repeated requests to an
 	// unresponsive donor. A holder in an isolated data centre has requests
-	// pending to all others; repeating them every second took half of its
-	// budget from the other VMs in its data centre.
+	// pending to all others; repeating them every second left only half of
+	// its budget for the VMs in its own data centre.
 	maxUnresponsiveBackoff = 4 * time.Second
 	// After minRereadFailures failed rounds the record is read again, at most
 	// once per rereadInterval.
--- a/pkg/limit/collection.go
+++ b/pkg/limit/collection.go
@@ -30,7 +30,7 @@
 			var err error
 			if reply, err = l.requestReport(ctx, i, r.Epoch, h, unresponsive); err != nil {
 				blocked = siskin.NewError(siskin.KindOf(err), "no report from holder %s for bucket %d", h.VM, i).
-					WithRemedy("no action is needed; the reclaim is retried until all holders report").WithCause(err)
+					WithRemedy("the reclaim is retried until all holders report").WithCause(err)
 				continue
 			}
 			c.reports[h] = reply
--- a/pkg/limit/core.go
+++ b/pkg/limit/core.go
@@ -121,8 +121,7 @@
 
 func (h *holding) retryAfter(n float64) time.Duration { return min(h.accrualTime(n), maxRetry) }
 
-// never is the accrual time of tokens that the share of the holder can never
-// accrue.
+// never is the accrual time of tokens that the current share can never earn.
 const never = time.Duration(math.MaxInt64)
 
 // accrualTime returns the time until the token bucket holds n tokens at the
--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -12,8 +12,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// localPeers calls the limiters of one process. The map is not locked, since it is
-// complete before the first call.
+// localPeers calls the limiters of one process. The map is not locked, since
+// it is complete before the first call.
 type localPeers map[siskin.VMID]*Limiter
 
 func (d localPeers) Call(_ context.Context, vm siskin.VMID, method string, args, reply any) error {
--- a/pkg/limit/load_test.go
+++ b/pkg/limit/load_test.go
@@ -161,7 +161,7 @@
 	if ideal && !shared {
 		t.refusedByShared++
 	}
-	a := n.l.core.admit(n.l.now(), t.doc.ID, 1, true) // Admit would reject finally
+	a := n.l.core.admit(n.l.now(), t.doc.ID, 1, true) // Admit would record a final rejection
 	switch {
 	case a.Admitted:
 		t.checker.admitted(t.f.at, float64(t.doc.Rate))
--- a/pkg/limit/reclaim.go
+++ b/pkg/limit/reclaim.go
@@ -216,7 +216,7 @@
 	return g
 }
 
-// check returns an error if the reports contained more than all units.
+// check returns an error if the reports exceeded the total quota.
 func (g *grant) check() error {
 	lowest := g.Rest
 	for _, units := range g.Customers {
--- a/pkg/limit/run.go
+++ b/pkg/limit/run.go
@@ -60,7 +60,7 @@
 			return
 		case <-l.clock.After(recordInterval):
 		}
-		select { // an idle VM does not wake up
+		select { // blocks while no read is queued
 		case <-ctx.Done():
 		case <-l.core.workQueue.bucketAdded:
 		}
--- a/pkg/limit/within.go
+++ b/pkg/limit/within.go
@@ -24,7 +24,7 @@
 
 // refillReference refills the reference bucket at the whole rate, or at this
 // VM's part of the rate if the known demand is far above it. Otherwise each of
-// several partitioned VMs would count refusals up to the whole rate.
+// several partitioned VMs would count rejected requests up to the whole rate.
 func (h *holding) refillReference(now time.Duration) {
 	part := 1.0
 	if h.otherDemand > 0 && now-h.otherDemandAt < demandWindow {
