--- a/internal/crew/nodes.go
+++ b/internal/crew/nodes.go
@@ -7,15 +7,16 @@
 )
 
 const (
-	// packNodesFrom is the number of VMs from which on their list is compressed. A
-	// list of 295 VMs takes 32 KB, and after a loss of all power each VM asks one
-	// of three seeds for it, over links of 20 Mbit/s.
-	packNodesFrom = 32
-	// nodesLife is the age up to which a compressed list is sent again.
-	nodesLife = 200 * time.Millisecond
-	// wantNodesEvery is the least time between two questions for the list, while
-	// peers know more VMs than this one.
-	wantNodesEvery = 400 * time.Millisecond
+	// minPackedNodes is the number of VMs from which on the list of VMs is
+	// compressed. A list of 295 VMs takes 32 KB, and after a power loss of the
+	// whole fleet each VM requests it from one of three seeds, over links of 20
+	// Mbit/s.
+	minPackedNodes = 32
+	// packedNodesTTL is the time for which a compressed list is reused.
+	packedNodesTTL = 200 * time.Millisecond
+	// nodesRequestInterval is the minimum time between two requests for the
+	// list while peers know more VMs than this one.
+	nodesRequestInterval = 400 * time.Millisecond
 )
 
 // packedNodes is the compressed list of VMs that was sent last.
@@ -25,18 +26,18 @@
 	data []byte
 }
 
-// answerNodes adds the VMs that this one knows to an answer.
-func (c *Crew) answerNodes(s *State) error {
+// addNodes adds the VMs that this one knows to a reply.
+func (c *Crew) addNodes(s *State) error {
 	now := c.cfg.Clock.Now()
 	p := &c.packedNodes
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.data != nil && now.Sub(p.at) < nodesLife {
+	if p.data != nil && now.Sub(p.at) < packedNodesTTL {
 		s.PackedNodes = p.data
 		return nil
 	}
 	nodes := c.Nodes()
-	if len(nodes) < packNodesFrom {
+	if len(nodes) < minPackedNodes {
 		s.Nodes = nodes
 		return nil
 	}
@@ -51,7 +52,7 @@
 	return nil
 }
 
-// nodesOf returns the VMs that an answer names.
+// nodesOf returns the VMs listed in a reply.
 func nodesOf(s *State) ([]Node, error) {
 	if len(s.PackedNodes) == 0 {
 		return s.Nodes, nil
