--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -33,18 +33,18 @@
 	e.view = view
 }
 
-// PlatformAnswered implements spread.Evidence.
+// PlatformAnswered implements spread.ProofTracker.
 func (e *evidence) PlatformAnswered(sent time.Time) { e.tracker.PlatformAnswered(sent) }
 
-// PeerProof implements spread.Evidence.
+// PeerProof implements spread.ProofTracker.
 func (e *evidence) PeerProof(sent time.Time, age time.Duration) { e.tracker.PeerProof(sent, age) }
 
-// PeerPlatform implements spread.Evidence.
+// PeerPlatform implements spread.ProofTracker.
 func (e *evidence) PeerPlatform(dc siskin.DataCentreID, sent time.Time, down bool) {
 	e.tracker.PeerPlatform(dc, sent, down)
 }
 
-// Age implements spread.Evidence.
+// Age implements spread.ProofTracker.
 func (e *evidence) Age(now time.Time) time.Duration {
 	last := e.current().Last()
 	if last.IsZero() {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -20,7 +20,7 @@
 func (d *Daemon) startNode() (err error) {
 	clock := d.options.clock
 	proof := newEvidence(d.members)
-	d.spread = spread.New(spread.Config{}, &awakeMembers{d.members}, d.client, d.platform, spread.WithClock(clock), spread.WithEvidence(proof), spread.WithLogf(d.debugf))
+	d.spread = spread.New(spread.Config{}, &awakeMembers{d.members}, d.client, d.platform, spread.WithClock(clock), spread.WithProofTracker(proof), spread.WithLogf(d.debugf))
 	proof.setView(d.spread)
 	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proof.current))
 	d.limiter = limit.New(clock, d.spread, d.members, d.client, d.platform,
--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -28,20 +28,20 @@
 		// A refused operation must not be found as accepted later, so that each
 		// attempt has its own id.
 		op := siskin.OperationID(string(s.members.Self().ID) + "-" + rand.Text())
-		rev, err := s.ApplyAs(ctx, op, change)
+		rev, err := s.ApplyWithID(ctx, op, change)
 		if !errors.Is(err, errRaced) || i == maxRaces {
 			return rev, err
 		}
 	}
 }
 
-// ApplyAs makes a change current under an operation id and returns its
+// ApplyWithID makes a change current under an operation id and returns its
 // revision. Applying the same change again with the same id has no effect and
 // gives the result after an error of kind OutcomeUnknown. An error of kind
 // Conflict means that any other change came first. After an error of kind
 // OutcomeUnknown, one of another kind than Conflict or BadInput says nothing
 // about the earlier attempt.
-func (s *Spread) ApplyAs(ctx context.Context, op siskin.OperationID, change *config.Change) (siskin.Revision, error) {
+func (s *Spread) ApplyWithID(ctx context.Context, op siskin.OperationID, change *config.Change) (siskin.Revision, error) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	h, version, err := s.readHead(ctx)
--- a/pkg/spread/doc.go
+++ b/pkg/spread/doc.go
@@ -14,5 +14,5 @@
 //
 // Watchers have proof every second that they know the newest revision. Each
 // answer to an exchange carries the age of the proof of the VM that gives it, so
-// that a VM knows how long it may go without an accepted change. See Evidence.
+// that a VM knows how long it may go without an accepted change. See ProofTracker.
 package spread
--- a/pkg/spread/evidence.go
+++ b/pkg/spread/evidence.go
@@ -6,9 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// Evidence is told what proves that this VM knows the newest configuration. It
+// ProofTracker is told what proves that this VM knows the newest configuration. It
 // is called often and must not block.
-type Evidence interface {
+type ProofTracker interface {
 	// PlatformAnswered says that the platform answered a question that was sent
 	// at the given time and that this VM has the revision which it named.
 	PlatformAnswered(sent time.Time)
@@ -22,15 +22,15 @@
 	Age(now time.Time) time.Duration
 }
 
-// WithEvidence sets the receiver of proofs.
-func WithEvidence(e Evidence) Option { return func(s *Spread) { s.evidence = e } }
+// WithProofTracker sets the receiver of proofs.
+func WithProofTracker(e ProofTracker) Option { return func(s *Spread) { s.proofTracker = e } }
 
-type noEvidence struct{}
+type noProofTracker struct{}
 
-func (noEvidence) PlatformAnswered(time.Time) {}
+func (noProofTracker) PlatformAnswered(time.Time) {}
 
-func (noEvidence) PeerProof(time.Time, time.Duration) {}
+func (noProofTracker) PeerProof(time.Time, time.Duration) {}
 
-func (noEvidence) PeerPlatform(siskin.DataCentreID, time.Time, bool) {}
+func (noProofTracker) PeerPlatform(siskin.DataCentreID, time.Time, bool) {}
 
-func (noEvidence) Age(time.Time) time.Duration { return -1 }
+func (noProofTracker) Age(time.Time) time.Duration { return -1 }
--- a/pkg/spread/helper_test.go
+++ b/pkg/spread/helper_test.go
@@ -38,7 +38,7 @@
 
 // Apply applies a change under its operation id.
 func (n *node) Apply(ctx context.Context, c change) (siskin.Revision, error) {
-	return n.ApplyAs(ctx, c.Operation, &c.Change)
+	return n.ApplyWithID(ctx, c.Operation, &c.Change)
 }
 
 // set returns a change that gives a service one target with the given address.
--- a/pkg/spread/proof.go
+++ b/pkg/spread/proof.go
@@ -25,7 +25,7 @@
 func (s *Spread) proof() Proof {
 	_, watcher := s.watcherRank()
 	return Proof{
-		Age:          s.evidence.Age(s.clock.Now()),
+		Age:          s.proofTracker.Age(s.clock.Now()),
 		Watcher:      watcher,
 		PlatformDown: s.platformDown.Load(),
 		DataCentre:   s.members.Self().DataCentre,
@@ -36,10 +36,10 @@
 // with a revision of the peer. It proves nothing to a VM that lacks the revision.
 func (s *Spread) noteProof(p Proof, rev siskin.Revision, sent time.Time) {
 	if p.Watcher && p.DataCentre != s.members.Self().DataCentre {
-		s.evidence.PeerPlatform(p.DataCentre, sent, p.PlatformDown)
+		s.proofTracker.PeerPlatform(p.DataCentre, sent, p.PlatformDown)
 	}
 	if p.Age >= 0 && s.Revision() >= rev {
-		s.evidence.PeerProof(sent, p.Age)
+		s.proofTracker.PeerProof(sent, p.Age)
 		s.proved.Store(true)
 	}
 }
@@ -47,7 +47,7 @@
 // platformAnswered notes an answer of the platform to a question that was sent
 // at the given time. The revision that it named must be in force.
 func (s *Spread) platformAnswered(sent time.Time) {
-	s.evidence.PlatformAnswered(sent)
+	s.proofTracker.PlatformAnswered(sent)
 	s.proved.Store(true)
 }
 
--- a/pkg/spread/proof_test.go
+++ b/pkg/spread/proof_test.go
@@ -16,7 +16,7 @@
 	return e.Evidence([]siskin.DataCentreID{"a", "b", "c"})
 }
 
-// Age implements Evidence.
+// Age implements ProofTracker.
 func (e tracked) Age(now time.Time) time.Duration {
 	if last := e.now().Last(); !last.IsZero() {
 		return now.Sub(last)
@@ -48,7 +48,7 @@
 	evidence := make(map[siskin.VMID]tracked)
 	f.options = func(vm siskin.VM) []Option {
 		evidence[vm.ID] = tracked{keys.NewTracker(vm.DataCentre)}
-		return []Option{WithEvidence(evidence[vm.ID])}
+		return []Option{WithProofTracker(evidence[vm.ID])}
 	}
 	for i := range 9 {
 		f.start(t, platform, i, fastConfig())
@@ -104,7 +104,7 @@
 	ranked := place.Rank(watcherResource, []siskin.VM{{ID: "vm-0"}, {ID: "vm-1"}, {ID: "vm-2"}})
 	for i, vm := range ranked {
 		if i == watcherCount { // the others are watchers without a proof to give
-			f.options = func(siskin.VM) []Option { return []Option{WithEvidence(tracker)} }
+			f.options = func(siskin.VM) []Option { return []Option{WithProofTracker(tracker)} }
 		}
 		f.start(t, platform, int(vm.ID[3]-'0'), Config{ExchangeInterval: time.Hour})
 	}
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -17,16 +17,16 @@
 // implements config.View.
 type Spread struct {
 	*store
-	cfg      Config
-	clock    siskin.Clock
-	members  siskin.Members
-	peers    siskin.Peers
-	platform siskin.Platform
-	status   *status
-	accepted *accepted
-	pool     pond.Pool
-	evidence Evidence
-	logf     func(format string, args ...any)
+	cfg          Config
+	clock        siskin.Clock
+	members      siskin.Members
+	peers        siskin.Peers
+	platform     siskin.Platform
+	status       *status
+	accepted     *accepted
+	pool         pond.Pool
+	proofTracker ProofTracker
+	logf         func(format string, args ...any)
 
 	platformDown atomic.Bool // the last question as a watcher failed
 	proved       atomic.Bool // there was a proof of knowing the newest revision
@@ -62,8 +62,8 @@
 		store: newStore(), cfg: cfg, clock: clockwork.NewRealClock(),
 		members: members, peers: peers, platform: platform,
 		status: newStatus(), accepted: newAccepted(), busy: make(map[siskin.VMID]bool),
-		pool:     pond.NewPool(16, pond.WithQueueSize(256), pond.WithNonBlocking(true)),
-		evidence: noEvidence{}, logf: func(string, ...any) {},
+		pool:         pond.NewPool(16, pond.WithQueueSize(256), pond.WithNonBlocking(true)),
+		proofTracker: noProofTracker{}, logf: func(string, ...any) {},
 	}
 	for _, opt := range opts {
 		opt(s)
