group: exported names say what they do

Learn, Writes, WithHeard and MaxHold did not tell a reader what is applied, counted, reported or limited. They are now ApplyView, WritesInProgress, WithStatementActivity and MaxAdmitWait.

--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -126,7 +126,7 @@
 	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithAwake(g.awake),
 		group.WithRank(func() int { return g.rank(g.current(service)) }),
 		group.WithWatcher(func() bool { return g.isWatcher(g.current(service)) }),
-		group.WithHeard(func(id siskin.TargetID) (quiet, last time.Time) { return g.heardFrom(g.current(service), id) }),
+		group.WithStatementActivity(func(id siskin.TargetID) (quiet, last time.Time) { return g.heardFrom(g.current(service), id) }),
 	)
 	if err != nil {
 		return err
@@ -203,7 +203,7 @@
 	case view == nil:
 		w.Activate()
 	default:
-		w.Learn(view, asked)
+		w.ApplyView(view, asked)
 	}
 }
 
--- a/internal/node/rpcgroup.go
+++ b/internal/node/rpcgroup.go
@@ -62,7 +62,7 @@
 // Learn takes over the view of a VM that probes the targets of a group.
 func (r *groupReceiver) Learn(args LearnArgs, _ *struct{}) error {
 	if g, ok := r.groups.running.Get(args.Service); ok {
-		g.Learn(&args.View, r.groups.clock.Now())
+		g.ApplyView(&args.View, r.groups.clock.Now())
 	}
 	return nil
 }
--- a/pkg/group/gate.go
+++ b/pkg/group/gate.go
@@ -80,7 +80,7 @@
 			return now.primary, now.term, g.done, nil
 		}
 		if timeout == nil {
-			timeout = g.clock.After(g.settings.MaxHold)
+			timeout = g.clock.After(g.settings.MaxAdmitWait)
 			g.Activate()
 		}
 		select {
@@ -103,8 +103,8 @@
 	return !oldest.IsZero() && g.clock.Since(oldest) > g.settings.MaxUnconfirmed
 }
 
-// Writes returns the number of admitted transactions that have not ended.
-func (g *Group) Writes() int { return int(g.writes.Load()) }
+// WritesInProgress returns the number of admitted transactions that have not ended.
+func (g *Group) WritesInProgress() int { return int(g.writes.Load()) }
 
 // ReportFailure implements siskin.Group. A cause of kind NotRun says that the primary
 // refuses writes; they are held until it has answered a probe.
--- a/pkg/group/options.go
+++ b/pkg/group/options.go
@@ -30,13 +30,13 @@
 
 // WithWatcher sets the function that reports whether this VM is one of the
 // watchers of the group, which probe its targets all the time. The others are
-// told by Learn and probe only while something is wrong. The default is true.
+// told by ApplyView and probe only while something is wrong. The default is true.
 func WithWatcher(watcher func() bool) Option { return func(g *Group) { g.watcher = watcher } }
 
-// WithHeard sets the function that reports since when the longest wait of a
+// WithStatementActivity sets the function that reports since when the longest wait of a
 // statement of this VM for a target lasts, zero when none waits, and when the
 // target last answered any. The default knows of no statements.
-func WithHeard(heard func(siskin.TargetID) (quiet, last time.Time)) Option {
+func WithStatementActivity(heard func(siskin.TargetID) (quiet, last time.Time)) Option {
 	return func(g *Group) { g.heard = heard }
 }
 
--- a/pkg/group/passive.go
+++ b/pkg/group/passive.go
@@ -22,10 +22,10 @@
 	}
 }
 
-// Learn takes over the view of a VM that probes, which was asked for at the
+// ApplyView takes over the view of a VM that probes, which was asked for at the
 // given time. A VM that probes itself trusts its own probes and only looks at
 // the primary of a later term.
-func (g *Group) Learn(v *siskin.GroupView, asked time.Time) {
+func (g *Group) ApplyView(v *siskin.GroupView, asked time.Time) {
 	g.mu.RLock()
 	term := g.machine.term
 	g.mu.RUnlock()
--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -40,7 +40,7 @@
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	begun := time.Now()
-	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithHeard(func(siskin.TargetID) (quiet, last time.Time) {
+	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(siskin.TargetID) (quiet, last time.Time) {
 		if waiting.Load() {
 			return begun, time.Now() // other connections are heard
 		}
@@ -76,14 +76,14 @@
 			st.Role = siskin.RolePrimary
 		}
 	}
-	g.Learn(&view, time.Now())
+	g.ApplyView(&view, time.Now())
 	for begun := time.Now(); g.View().Primary != view.Primary; time.Sleep(time.Millisecond) {
 		if time.Since(begun) > time.Second {
 			t.Fatalf("primary after the watcher's view: got %s, want %s", g.View().Primary, view.Primary)
 		}
 	}
 	view.Targets[0].Reachable = false
-	g.Learn(&view, time.Now())
+	g.ApplyView(&view, time.Now())
 	for begun := time.Now(); g.Passive(); time.Sleep(time.Millisecond) {
 		if time.Since(begun) > time.Second {
 			t.Fatal("passive after a watcher lost a target: got true, want false")
@@ -140,7 +140,7 @@
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	var last atomic.Int64
-	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithHeard(func(id siskin.TargetID) (quiet, heard time.Time) {
+	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(id siskin.TargetID) (quiet, heard time.Time) {
 		if waiting.Load() && id == servers[2].ID() {
 			return time.Unix(0, last.Load()), time.Unix(0, last.Load())
 		}
--- a/pkg/group/settings.go
+++ b/pkg/group/settings.go
@@ -29,16 +29,16 @@
 	// MaxUnconfirmed is the confirmation delay from which new writes are
 	// refused as not run; default 2 s.
 	MaxUnconfirmed time.Duration
-	// MaxHold is the longest time that AdmitWrite waits for a primary; default
+	// MaxAdmitWait is the longest time that AdmitWrite waits for a primary; default
 	// 5 s.
-	MaxHold time.Duration
+	MaxAdmitWait time.Duration
 }
 
 // Defaults of the settings.
 const (
 	DefaultInterval       = 200 * time.Millisecond
 	DefaultMaxUnconfirmed = 2 * time.Second
-	DefaultMaxHold        = 5 * time.Second
+	DefaultMaxAdmitWait        = 5 * time.Second
 )
 
 // prepared returns the settings with defaults and members ordered by id.
@@ -61,7 +61,7 @@
 	}
 	setDefault(&s.Interval, DefaultInterval)
 	setDefault(&s.MaxUnconfirmed, DefaultMaxUnconfirmed)
-	setDefault(&s.MaxHold, DefaultMaxHold)
+	setDefault(&s.MaxAdmitWait, DefaultMaxAdmitWait)
 	return s, nil
 }
 
