--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -110,12 +110,12 @@
 	if err != nil {
 		return err
 	}
-	asked := len(data)
+	requestSize := len(data)
 	if data, err = json.Marshal(answer); err != nil {
 		return err
 	}
 	if peer.cfg.Self.DataCentre != c.cfg.Self.DataCentre {
-		c.f.bytes.Add(int64(asked + len(data)))
+		c.f.bytes.Add(int64(requestSize + len(data)))
 	}
 	return json.Unmarshal(data, reply)
 }
--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -35,17 +35,17 @@
 	}
 }
 
-// applyVersions updates how recent the data of this VM is known to be from a
-// peer's state, and fetches what is newer. asked is the time when the ping was
-// sent.
-func (c *Crew) applyVersions(s *State, asked time.Time) {
+// applyVersions updates the times at which this VM's data was known to be
+// current from a peer's state, and fetches data that is newer. sentAt is the
+// time when the ping was sent.
+func (c *Crew) applyVersions(s *State, sentAt time.Time) {
 	revision := c.cfg.Table.Snapshot().Version
 	if s.Revision == revision && revision > 0 {
-		c.cfg.Table.Confirm(asked.Add(-s.RevisionAge))
+		c.cfg.Table.Confirm(sentAt.Add(-s.RevisionAge))
 	}
-	c.cfg.Roster.Confirm(s.Targets, asked.Add(-s.TargetsAge))
+	c.cfg.Roster.Confirm(s.Targets, sentAt.Add(-s.TargetsAge))
 	if e := s.Evacuations; e != nil {
-		c.cfg.Roster.ReplaceEvacuations(e.DataCentres, e.Version, asked.Add(-e.Age))
+		c.cfg.Roster.ReplaceEvacuations(e.DataCentres, e.Version, sentAt.Add(-e.Age))
 	}
 	c.fetchIfNewer(s)
 }
@@ -54,7 +54,7 @@
 func (c *Crew) fetch(id siskin.VMID) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	asked := c.cfg.Clock.Now()
+	sentAt := c.cfg.Clock.Now()
 	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version, WantHolders: c.limiter.Holders() == nil}
 	args.Targets, _ = c.cfg.Roster.Version()
 	var reply FetchReply
@@ -83,6 +83,6 @@
 		c.limiter.SetHolders(reply.Holders)
 	}
 	if reply.TargetVersion > 0 {
-		c.cfg.Roster.Replace(reply.Targets, reply.TargetVersion, asked.Add(-reply.TargetAge))
+		c.cfg.Roster.Replace(reply.Targets, reply.TargetVersion, sentAt.Add(-reply.TargetAge))
 	}
 }
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -12,7 +12,7 @@
 func (c *Crew) ping(id siskin.VMID) {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
-	asked := c.cfg.Clock.Now()
+	sentAt := c.cfg.Clock.Now()
 	args := c.pingState()
 	args.WantNodes = c.wantsNodes(id)
 	if args.KnownRun = c.knownRun(id); args.KnownRun != 0 {
@@ -46,10 +46,10 @@
 		if m.suspect || m.lastHeard.IsZero() {
 			c.cfg.Log.Info().Str("VM", string(reply.From.ID)).Uint64("Run", uint64(reply.From.Run)).Msg("contact to a VM")
 		}
-		m.lastHeard, m.suspect, m.leaving = asked, false, reply.Leaving
+		m.lastHeard, m.suspect, m.leaving = sentAt, false, reply.Leaving
 		if c.isLocal(m) {
 			for _, dc := range reply.Silent {
-				c.markSilent(dc, asked.Add(silentReportTTL))
+				c.markSilent(dc, sentAt.Add(silentReportTTL))
 			}
 			c.pingLost(reply.Lost)
 		} else {
@@ -66,7 +66,7 @@
 	} else if c.limiter.HandleStamp(reply.From.ID, reply.Stamp) {
 		c.pingPoolOwner(reply.From.ID)
 	}
-	c.applyReply(&reply, asked)
+	c.applyReply(&reply, sentAt)
 }
 
 // pingPoolOwner schedules another ping of an owner of pools at once, since
@@ -105,15 +105,15 @@
 	return true
 }
 
-// applyReply applies the state in a peer's reply; asked is the time when the
+// applyReply applies the state in a peer's reply; sentAt is the time when the
 // ping was sent.
-func (c *Crew) applyReply(s *State, asked time.Time) {
+func (c *Crew) applyReply(s *State, sentAt time.Time) {
 	for _, l := range s.Leads {
-		c.cfg.Views.RecordProof(l.Service, views.PrimaryProof{Target: l.Target, Position: l.Position, Term: l.Term, At: asked.Add(-l.Age)})
+		c.cfg.Views.RecordProof(l.Service, views.PrimaryProof{Target: l.Target, Position: l.Position, Term: l.Term, At: sentAt.Add(-l.Age)})
 	}
 	for id, n := range s.Loads {
-		c.cfg.Views.RecordLoad(id, n, asked)
+		c.cfg.Views.RecordLoad(id, n, sentAt)
 	}
-	c.applyVersions(s, asked)
-	c.cfg.Roster.LearnSizes(s.Sizes, asked)
+	c.applyVersions(s, sentAt)
+	c.cfg.Roster.LearnSizes(s.Sizes, sentAt)
 }
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -31,12 +31,12 @@
 		if ctx.Err() != nil {
 			break // out of time on this VM; don't mark the owner as silent
 		}
-		asked := l.cfg.Clock.Now()
+		sentAt := l.cfg.Clock.Now()
 		reply, ok := l.takeFrom(ctx, owner, &TakeArgs{Customer: customer, Tokens: tokens}, len(owners)-i)
 		if !ok {
 			continue
 		}
-		if adm = l.spendGrant(asked, customer, float64(n), &reply); adm.Admitted {
+		if adm = l.spendGrant(sentAt, customer, float64(n), &reply); adm.Admitted {
 			return adm
 		}
 		empty = true
@@ -119,7 +119,7 @@
 }
 
 // spendGrant adds granted tokens and spends n of them if there are enough.
-func (l *Limiter) spendGrant(asked time.Time, customer siskin.CustomerID, n float64, reply *TakeReply) siskin.Admission {
+func (l *Limiter) spendGrant(sentAt time.Time, customer siskin.CustomerID, n float64, reply *TakeReply) siskin.Admission {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.part(customer)
@@ -127,11 +127,11 @@
 	if now.After(p.expiry) {
 		p.granted = 0
 	}
-	if now.Before(asked.Add(grantTTL)) {
+	if now.Before(sentAt.Add(grantTTL)) {
 		p.granted += float64(reply.Tokens)
 		// The earlier expiry applies to all granted tokens, so none is valid
 		// for too long.
-		if e := asked.Add(grantTTL); p.granted == float64(reply.Tokens) || e.Before(p.expiry) {
+		if e := sentAt.Add(grantTTL); p.granted == float64(reply.Tokens) || e.Before(p.expiry) {
 			p.expiry = e
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -144,7 +144,7 @@
 	r.recordGap(at)
 	first := r.listed.IsZero()
 	r.version, r.listed = version, at
-	any := false
+	changed := false
 	listed := make(map[siskin.TargetID]bool, len(list))
 	for _, info := range list {
 		info.Evacuated = false // set from the known evacuations instead
@@ -166,7 +166,7 @@
 			next.coldUntil = at.Add(info.ColdRemaining + coldMargin)
 		}
 		r.targets[info.ID] = next
-		any = true
+		changed = true
 	}
 	for id, e := range r.targets {
 		if !listed[id] && e.missingSince.IsZero() {
@@ -175,7 +175,7 @@
 	}
 	r.countTargets(at)
 	released := r.evac.finishPending(version)
-	if r.removeMissing(at) || any || released {
+	if r.removeMissing(at) || changed || released {
 		r.publish()
 	}
 }
@@ -197,14 +197,14 @@
 // removeMissing removes the targets whose entries have been missing for longer
 // than renewalGrace, and reports whether there were any.
 func (r *Roster) removeMissing(at time.Time) bool {
-	any := false
+	removed := false
 	for id, e := range r.targets {
 		if !e.missingSince.IsZero() && at.Sub(e.missingSince) > renewalGrace {
 			delete(r.targets, id)
-			any = true
+			removed = true
 		}
 	}
-	return any
+	return removed
 }
 
 func (r *Roster) publish() {
