--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -10,12 +10,12 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// maxRaces bounds how often a change is validated again because another one
+// maxApplyAttempts bounds how often a change is validated again because another one
 // was accepted meanwhile.
-const maxRaces = 8
+const maxApplyAttempts = 8
 
-// errRaced says that another change became current first.
-var errRaced = errors.New("another change became current first")
+// errConcurrentChange says that another change became current first.
+var errConcurrentChange = errors.New("another change became current first")
 
 // Apply makes an operator's change current and returns its revision. It is
 // accepted or refused as a whole, and validated again when another change was
@@ -29,7 +29,7 @@
 		// attempt has its own id.
 		op := siskin.OperationID(string(s.members.Self().ID) + "-" + rand.Text())
 		rev, err := s.ApplyWithID(ctx, op, change)
-		if !errors.Is(err, errRaced) || i == maxRaces {
+		if !errors.Is(err, errConcurrentChange) || i == maxApplyAttempts {
 			return rev, err
 		}
 	}
@@ -53,7 +53,7 @@
 	}
 	view := s.snapshot()
 	if view.revision != h.Revision { // the head is older than what was pushed meanwhile
-		return s.olderHead(ctx, op)
+		return s.resolveStaleHead(ctx, op)
 	}
 	if err := s.cfg.Validate(view, change).Err(); err != nil {
 		return 0, err
@@ -67,22 +67,22 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := s.write(ctx, h, version, op, docs); err != nil {
+	if err := s.commitChange(ctx, h, version, op, docs); err != nil {
 		if siskin.KindOf(err) == siskin.Conflict { // others may be applied again
-			s.accepted.refuse(rev, op)
+			s.operationHistory.recordRefused(rev, op)
 		}
 		return 0, err
 	}
-	s.accepted.note(rev, op)
+	s.operationHistory.recordAccepted(rev, op)
 	s.install(entries, rev)
-	near, far := s.others()
-	s.pushAll(h.Revision, append(near, far...))
+	local, remote := s.others()
+	s.pushAll(h.Revision, append(local, remote...))
 	return rev, nil
 }
 
-// olderHead ends an attempt that read a head from before another change. That
+// resolveStaleHead ends an attempt that read a head from before another change. That
 // change may be an earlier attempt of the same operation, whose answer was lost.
-func (s *Spread) olderHead(ctx context.Context, op siskin.OperationID) (siskin.Revision, error) {
+func (s *Spread) resolveStaleHead(ctx context.Context, op siskin.OperationID) (siskin.Revision, error) {
 	h, _, err := s.readHead(ctx)
 	if err != nil {
 		return 0, err
@@ -90,11 +90,11 @@
 	if rev, ok := h.find(op); ok {
 		return rev, nil
 	}
-	return 0, conflict(h.Revision)
+	return 0, conflictError(h.Revision)
 }
 
-// write writes the change object and then makes it current.
-func (s *Spread) write(ctx context.Context, h head, version siskin.Version, op siskin.OperationID, docs []Document) error {
+// commitChange writes the change object and then makes it current.
+func (s *Spread) commitChange(ctx context.Context, h head, version siskin.Version, op siskin.OperationID, docs []Document) error {
 	snapshot, err := s.snapshotRevision(ctx)
 	if err != nil {
 		return err
@@ -123,15 +123,15 @@
 	_, err = s.platform.Put(ctx, headName, value, version, op)
 	switch siskin.KindOf(err) {
 	case siskin.Conflict:
-		return s.resolve(ctx, op, err)
+		return s.resolveOutcome(ctx, op, err)
 	case siskin.OutcomeUnknown:
-		return s.resolve(ctx, op, err)
+		return s.resolveOutcome(ctx, op, err)
 	}
 	return err
 }
 
-// resolve reads the head back to find out whether an operation took effect.
-func (s *Spread) resolve(ctx context.Context, op siskin.OperationID, cause error) error {
+// resolveOutcome reads the head back to find out whether an operation took effect.
+func (s *Spread) resolveOutcome(ctx context.Context, op siskin.OperationID, cause error) error {
 	o, err := s.platform.Get(ctx, headName)
 	if err != nil {
 		return cause
@@ -144,12 +144,12 @@
 		return nil
 	}
 	if siskin.KindOf(cause) == siskin.Conflict {
-		return conflict(h.Revision)
+		return conflictError(h.Revision)
 	}
 	return cause
 }
 
-func conflict(rev siskin.Revision) error {
+func conflictError(rev siskin.Revision) error {
 	return siskin.NewError(siskin.Conflict, "another change came first; revision %d is current", rev).
-		WithRemedy("look at the current configuration, make the change for it and apply it again").WithCause(errRaced)
+		WithRemedy("look at the current configuration, make the change for it and apply it again").WithCause(errConcurrentChange)
 }
--- a/pkg/spread/apply_test.go
+++ b/pkg/spread/apply_test.go
@@ -11,7 +11,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-func customers(base siskin.Revision, id string, rate float64) *config.Change {
+func customerChange(base siskin.Revision, id string, rate float64) *config.Change {
 	return &config.Change{Base: base, Customers: []*config.Customer{
 		{ID: siskin.CustomerID(id), Rate: siskin.RequestsPerSecond(rate), Burst: 10, Weight: 1},
 	}}
@@ -21,7 +21,7 @@
 // changed different documents, operators who overwrite each other's change,
 // findings that do not reach the operator and a snapshot that changes.
 func TestApplyRetries(t *testing.T) {
-	platform, f, _ := fleet(t, 0)
+	platform, f, _ := startFleet(t, 0)
 	for i := range 4 {
 		f.start(t, platform, i, Config{ExchangeInterval: 100 * time.Millisecond})
 	}
@@ -30,7 +30,7 @@
 		var done sync.WaitGroup
 		for i := range errs {
 			done.Go(func() {
-				_, errs[i] = all[i].Spread.Apply(within(limit), customers(base, ids[i], float64(base)+1))
+				_, errs[i] = all[i].Spread.Apply(withTimeout(maxSpreadTime), customerChange(base, ids[i], float64(base)+1))
 			})
 		}
 		done.Wait()
@@ -42,7 +42,7 @@
 		if errs := race(base, [2]string{fmt.Sprintf("a-%d", i), fmt.Sprintf("b-%d", i)}); errors.Join(errs[:]...) != nil {
 			t.Fatalf("changes of different documents: got %v, want two successes", errs)
 		}
-		inForce(t, all, base+2, limit)
+		waitForRevision(t, all, base+2, maxSpreadTime)
 		if got := before.Customers(); before.Revision() != base || len(got) != 2*i {
 			t.Fatalf("snapshot of revision %d: got revision %d and customers %v, want %d", base, before.Revision(), got, 2*i)
 		}
@@ -53,7 +53,7 @@
 		t.Errorf("changes of one document: got %v, want one success and one Conflict", errs)
 	}
 	var invalid *config.InvalidError
-	if _, err := all[2].Spread.Apply(within(limit), customers(base+1, "c", -1)); !errors.As(err, &invalid) || len(invalid.Findings) != 1 {
+	if _, err := all[2].Spread.Apply(withTimeout(maxSpreadTime), customerChange(base+1, "c", -1)); !errors.As(err, &invalid) || len(invalid.Findings) != 1 {
 		t.Errorf("negative rate: got %v, want one finding", err)
 	}
 }
--- a/pkg/spread/catchup.go
+++ b/pkg/spread/catchup.go
@@ -15,10 +15,10 @@
 // CatchUp fetches what changed since this VM's revision from several VMs, such
 // as after a pause. It reports whether any answered before the context ended.
 func (s *Spread) CatchUp(ctx context.Context) bool {
-	near, far := s.others()
+	local, remote := s.others()
 	answers := make(chan bool, 2*catchUpPeers)
 	asked := 0
-	for _, vms := range [][]siskin.VM{near, far} {
+	for _, vms := range [][]siskin.VM{local, remote} {
 		for _, i := range rand.Perm(len(vms))[:min(len(vms), catchUpPeers)] {
 			if s.submit(func() { answers <- s.fetch(vms[i].ID) == nil }) {
 				asked++
--- a/pkg/spread/config.go
+++ b/pkg/spread/config.go
@@ -31,24 +31,24 @@
 	fanOut = 8
 	// watcherCount is the number of VMs per data centre that watch the head.
 	watcherCount = 2
-	// pageBytes bounds the documents in one answer, well below the limit of a
+	// maxPageBytes bounds the documents in one answer, well below the limit of a
 	// message between VMs.
-	pageBytes = 512 << 10
+	maxPageBytes = 512 << 10
 	// maxRecent bounds the changes that the head names, at about 120 bytes each.
 	maxRecent = 1000
-	// keepRecent is the number of changes that the head names even when the
+	// minRecent is the number of changes that the head names even when the
 	// snapshot covers them, so that a lost answer can be resolved.
-	keepRecent = 64
-	// farEvery is how often an exchange is with another data centre.
-	farEvery = 8
-	// statusEvery is how often an exchange is with the VM that collects the
+	minRecent = 64
+	// remoteExchangeEvery is how often an exchange is with another data centre.
+	remoteExchangeEvery = 8
+	// collectorExchangeEvery is how often an exchange is with the VM that collects the
 	// revisions of the data centre.
-	statusEvery = 4
+	collectorExchangeEvery = 4
 )
 
-// backupDelay is how long the first and the second watcher wait for a push
+// watcherPushDelay is how long the first and the second watcher wait for a push
 // before they push a change themselves.
-var backupDelay = [watcherCount]time.Duration{150 * time.Millisecond, 500 * time.Millisecond}
+var watcherPushDelay = [watcherCount]time.Duration{150 * time.Millisecond, 500 * time.Millisecond}
 
 func (cfg *Config) setDefaults() {
 	setDefault(&cfg.ExchangeInterval, time.Second)
--- a/pkg/spread/confirm.go
+++ b/pkg/spread/confirm.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// confirmTurn is the time between two questions to the collectors.
-const confirmTurn = 250 * time.Millisecond
+// confirmInterval is the time between two questions to the collectors.
+const confirmInterval = 250 * time.Millisecond
 
 // StatusArgs are the arguments of Spread.Status.
 type StatusArgs struct{ From siskin.VMID }
@@ -30,7 +30,7 @@
 // one VM per data centre, which hears of the others within some seconds.
 func (s *Spread) Confirm(ctx context.Context, rev siskin.Revision) []siskin.VM {
 	for {
-		missing := s.notConfirmed(rev)
+		missing := s.unconfirmed(rev)
 		if len(missing) == 0 {
 			return nil
 		}
@@ -39,21 +39,21 @@
 			return missing
 		case <-s.ctx.Done():
 			return missing
-		case <-s.clock.After(confirmTurn):
+		case <-s.clock.After(confirmInterval):
 		}
 	}
 }
 
-// notConfirmed returns the live VMs that are not known to have a revision.
-func (s *Spread) notConfirmed(rev siskin.Revision) []siskin.VM {
+// unconfirmed returns the live VMs that are not known to have a revision.
+func (s *Spread) unconfirmed(rev siskin.Revision) []siskin.VM {
 	live := s.members.Live()
 	confirmed := make(map[siskin.VMID]bool)
-	note := func(revisions map[siskin.VMID]siskin.Revision) {
+	record := func(revisions map[siskin.VMID]siskin.Revision) {
 		for id, r := range revisions {
 			confirmed[id] = confirmed[id] || r >= rev
 		}
 	}
-	note(s.Status())
+	record(s.Status())
 	asked := make(map[siskin.VMID]bool)
 	var missing []siskin.VM
 	for _, vm := range live {
@@ -64,7 +64,7 @@
 			asked[c.ID] = true
 			var reply StatusReply
 			if s.call(c.ID, "Spread.Status", &StatusArgs{From: s.members.Self().ID}, &reply) == nil {
-				note(reply.Revisions)
+				record(reply.Revisions)
 			}
 		}
 		if !confirmed[vm.ID] {
--- a/pkg/spread/counts_test.go
+++ b/pkg/spread/counts_test.go
@@ -11,8 +11,8 @@
 type soakCounts struct {
 	accepted, refused, unknown int // changes
 	faults, restarts           int
-	due                        siskin.Revision // latest revision that was checked against the bound under faults
-	slowest                    time.Duration   // until a change was in force everywhere after the faults
+	checkedRevision            siskin.Revision // latest revision that was checked against the bound under faults
+	slowestSpread              time.Duration   // until a change was in force everywhere after the faults
 }
 
 func (c *soakCounts) add(o soakCounts) {
@@ -21,12 +21,12 @@
 	c.unknown += o.unknown
 	c.faults += o.faults
 	c.restarts += o.restarts
-	c.due += o.due
-	c.slowest = max(c.slowest, o.slowest)
+	c.checkedRevision += o.checkedRevision
+	c.slowestSpread = max(c.slowestSpread, o.slowestSpread)
 }
 
 // String returns the counts as text.
 func (c soakCounts) String() string {
 	return fmt.Sprintf("%d changes accepted, %d refused, %d unknown; %d faults, %d restarts; %d revisions checked against the bound under faults; slowest spread after them %v",
-		c.accepted, c.refused, c.unknown, c.faults, c.restarts, c.due, c.slowest.Round(time.Millisecond))
+		c.accepted, c.refused, c.unknown, c.faults, c.restarts, c.checkedRevision, c.slowestSpread.Round(time.Millisecond))
 }
--- a/pkg/spread/evidence.go
+++ b/pkg/spread/evidence.go
@@ -23,7 +23,7 @@
 }
 
 // WithProofTracker sets the receiver of proofs.
-func WithProofTracker(e ProofTracker) Option { return func(s *Spread) { s.proofTracker = e } }
+func WithProofTracker(t ProofTracker) Option { return func(s *Spread) { s.proofTracker = t } }
 
 type noProofTracker struct{}
 
--- a/pkg/spread/exchange.go
+++ b/pkg/spread/exchange.go
@@ -32,10 +32,10 @@
 // exchangeLoop compares revisions with a random VM at each interval.
 func (s *Spread) exchangeLoop() {
 	for n := 1; ; n++ {
-		if vm, ok := s.partner(n); ok {
+		if vm, ok := s.exchangePeer(n); ok {
 			_ = s.fetch(vm)
 		}
-		if s.asksPlatform(n) {
+		if s.shouldLoadFromPlatform(n) {
 			s.submit(func() { _ = s.loadFromPlatform(s.ctx) })
 		}
 		s.writeStatus()
@@ -47,36 +47,36 @@
 	}
 }
 
-// asksPlatform reports whether the platform is asked after the n-th exchange, at
+// shouldLoadFromPlatform reports whether the platform is asked after the n-th exchange, at
 // doubling intervals. Every VM asks from the start while no peer gave a proof,
 // since no key is accepted without one. Later only VMs that are no watchers ask,
 // while no peer has a configuration, so that a fleet without one does not load
 // the platform.
-func (s *Spread) asksPlatform(n int) bool {
+func (s *Spread) shouldLoadFromPlatform(n int) bool {
 	if n&(n-1) != 0 {
 		return false
 	}
-	if !s.proved.Load() {
+	if !s.hadProof.Load() {
 		return true
 	}
 	_, watcher := s.watcherRank()
 	return !watcher && s.Revision() == 0 && n >= 8
 }
 
-// partner returns the VM for the n-th exchange.
-func (s *Spread) partner(n int) (siskin.VMID, bool) {
-	near, far := s.others()
+// exchangePeer returns the VM for the n-th exchange.
+func (s *Spread) exchangePeer(n int) (siskin.VMID, bool) {
+	local, remote := s.others()
 	switch {
-	case len(near)+len(far) == 0:
+	case len(local)+len(remote) == 0:
 		return "", false
-	case len(near) == 0 || len(far) > 0 && n%farEvery == 0:
-		return pick(far), true
-	case n%statusEvery == 0:
+	case len(local) == 0 || len(remote) > 0 && n%remoteExchangeEvery == 0:
+		return randomVM(remote), true
+	case n%collectorExchangeEvery == 0:
 		if vm, ok := s.collector(); ok && vm.ID != s.members.Self().ID {
 			return vm.ID, true
 		}
 	}
-	return pick(near), true
+	return randomVM(local), true
 }
 
 // collector returns the VM that collects the revisions of this data centre.
@@ -92,23 +92,23 @@
 // pages. The revision advances only when all of them arrived.
 func (s *Spread) fetch(vm siskin.VMID) error {
 	args := &SinceArgs{From: s.members.Self().ID, Revision: s.Revision()}
-	target, first, sent := siskin.Revision(0), Proof{}, s.clock.Now()
+	rev, proof, sent := siskin.Revision(0), Proof{}, s.clock.Now()
 	for {
 		var reply SinceReply
 		if err := s.call(vm, "Spread.Since", args, &reply); err != nil {
 			return err
 		}
-		s.status.note(vm, reply.Revision, s.clock.Now())
+		s.peerRevisions.record(vm, reply.Revision, s.clock.Now())
 		entries, err := decodeAll(reply.Documents)
 		if err != nil {
 			return err
 		}
 		if args.After == nil {
-			target, first = reply.Revision, reply.Proof
+			rev, proof = reply.Revision, reply.Proof
 		}
 		if !reply.More || len(entries) == 0 {
-			s.install(entries, target)
-			s.noteProof(first, target, sent)
+			s.install(entries, rev)
+			s.recordProof(proof, rev, sent)
 			return nil
 		}
 		s.install(entries, 0)
@@ -117,22 +117,22 @@
 	}
 }
 
-// fetchSoon fetches from a peer in the background, once at a time.
-func (s *Spread) fetchSoon(vm siskin.VMID) {
+// fetchInBackground fetches from a peer in the background, once at a time.
+func (s *Spread) fetchInBackground(vm siskin.VMID) {
 	s.fetchMu.Lock()
-	busy := s.busy[vm]
-	s.busy[vm] = true
+	fetching := s.fetching[vm]
+	s.fetching[vm] = true
 	s.fetchMu.Unlock()
-	if busy {
+	if fetching {
 		return
 	}
-	free := func() {
+	release := func() {
 		s.fetchMu.Lock()
 		defer s.fetchMu.Unlock()
-		delete(s.busy, vm)
+		delete(s.fetching, vm)
 	}
-	if !s.submit(func() { defer free(); _ = s.fetch(vm) }) {
-		free()
+	if !s.submit(func() { defer release(); _ = s.fetch(vm) }) {
+		release()
 	}
 }
 
@@ -145,18 +145,18 @@
 // Since answers with the documents changed after the caller's revision.
 func (r *Receiver) Since(args *SinceArgs, reply *SinceReply) error {
 	s := r.s
-	s.status.note(args.From, args.Revision, s.clock.Now())
+	s.peerRevisions.record(args.From, args.Revision, s.clock.Now())
 	reply.Proof = s.proof()
 	reply.Revision = s.Revision()
 	switch {
 	case args.Revision < reply.Revision:
 		after := afterRevision(args.Revision)
 		if args.After != nil {
-			after = logged{args.After.Revision, args.After.key()}
+			after = logEntry{args.After.Revision, args.After.key()}
 		}
 		reply.Documents, reply.More = s.since(after)
 	case args.Revision > reply.Revision:
-		s.fetchSoon(args.From)
+		s.fetchInBackground(args.From)
 	}
 	return nil
 }
--- a/pkg/spread/fleet_test.go
+++ b/pkg/spread/fleet_test.go
@@ -26,32 +26,32 @@
 	goleak.VerifyTestMain(m)
 }
 
-// fabric is a fake of siskin.Members and siskin.Peers for VMs of one process.
+// fakeFleet is a fake of siskin.Members and siskin.Peers for VMs of one process.
 // Messages travel as JSON; those over cut links are lost.
-type fabric struct {
-	mu    sync.Mutex
-	cut   bool // the data centres are cut off from each other
-	alone bool // VMs start cut off from the platform
-	vms   []siskin.VM
-	nodes map[siskin.VMID]*node
+type fakeFleet struct {
+	mu          sync.Mutex
+	partitioned bool // the data centres are cut off from each other
+	startCutOff bool // VMs start cut off from the platform
+	vms         []siskin.VM
+	nodes       map[siskin.VMID]*node
 
-	messages messages
+	messageFaults messageFaults
 
-	places  []siskin.DataCentreID       // VM i is in place i modulo their number
-	options func(vm siskin.VM) []Option // nil for none
+	dataCentres []siskin.DataCentreID       // VM i is in place i modulo their number
+	options     func(vm siskin.VM) []Option // nil for none
 }
 
 type node struct {
 	*Spread
-	f        *fabric
-	vm       siskin.VM
-	client   *plat.Client
-	cutOff   atomic.Bool // from the platform
-	stale    atomic.Bool // watches answer with the oldest head again
-	firstNow siskin.Object
-	lateHead atomic.Bool // the next update of the head is held back until the one after it
-	late     func()
-	headRead atomic.Pointer[func()] // called once after the next read of the head
+	f              *fakeFleet
+	vm             siskin.VM
+	client         *plat.Client
+	platformCutOff atomic.Bool // from the platform
+	staleWatches   atomic.Bool // watches answer with the oldest head again
+	firstHead      siskin.Object
+	delayHead      atomic.Bool // the next update of the head is held back until the one after it
+	delayedUpdate  func()
+	afterHeadRead  atomic.Pointer[func()] // called once after the next read of the head
 }
 
 // Self implements siskin.Members.
@@ -81,7 +81,7 @@
 func (n *node) Call(ctx context.Context, id siskin.VMID, method string, args, reply any) error {
 	n.f.mu.Lock()
 	to := n.f.nodes[id]
-	lost := to == nil || n.f.cut && to.vm.DataCentre != n.vm.DataCentre
+	lost := to == nil || n.f.partitioned && to.vm.DataCentre != n.vm.DataCentre
 	n.f.mu.Unlock()
 	if lost {
 		select {
@@ -92,7 +92,7 @@
 	}
 	b, _ := json.Marshal(args)
 	var answer []byte
-	err := n.f.messages.send(func() (err error) { answer, err = to.receive(method, b); return err })
+	err := n.f.messageFaults.send(func() (err error) { answer, err = to.receive(method, b); return err })
 	if err != nil {
 		return err
 	}
@@ -122,8 +122,8 @@
 	}
 }
 
-// gate is the platform as one VM reaches it.
-type gate struct {
+// nodePlatform is the platform as one VM reaches it.
+type nodePlatform struct {
 	*plat.Client
 	n *node
 }
@@ -131,62 +131,62 @@
 var errCutOff = siskin.NewError(siskin.Unavailable, "cut off from the platform")
 
 // Get implements siskin.Platform.
-func (g gate) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
-	if g.n.cutOff.Load() {
+func (g nodePlatform) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
+	if g.n.platformCutOff.Load() {
 		return siskin.Object{}, errCutOff
 	}
 	o, err := g.Client.Get(ctx, name)
-	if f := g.n.headRead.Load(); f != nil && name == headName && g.n.headRead.CompareAndSwap(f, nil) {
+	if f := g.n.afterHeadRead.Load(); f != nil && name == headName && g.n.afterHeadRead.CompareAndSwap(f, nil) {
 		(*f)()
 	}
 	return o, err
 }
 
 // Put implements siskin.Platform.
-func (g gate) Put(ctx context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
-	if g.n.cutOff.Load() {
+func (g nodePlatform) Put(ctx context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
+	if g.n.platformCutOff.Load() {
 		return 0, errCutOff
 	}
-	if name == headName && g.n.holdsBack(func() { _, _ = g.Client.Put(context.Background(), name, value, ifVersion, op) }) {
+	if name == headName && g.n.delaysHead(func() { _, _ = g.Client.Put(context.Background(), name, value, ifVersion, op) }) {
 		return 0, siskin.NewError(siskin.OutcomeUnknown, "the answer was lost")
 	}
 	return g.Client.Put(ctx, name, value, ifVersion, op)
 }
 
 // Watch implements siskin.Platform. It can answer late, with an old head.
-func (g gate) Watch(ctx context.Context, name siskin.ObjectName, after siskin.Version) (siskin.Object, error) {
-	if g.n.cutOff.Load() {
+func (g nodePlatform) Watch(ctx context.Context, name siskin.ObjectName, after siskin.Version) (siskin.Object, error) {
+	if g.n.platformCutOff.Load() {
 		return siskin.Object{}, errCutOff
 	}
 	o, err := g.Client.Watch(ctx, name, after)
-	if err == nil && g.n.firstNow.Version == 0 {
-		g.n.firstNow = o
+	if err == nil && g.n.firstHead.Version == 0 {
+		g.n.firstHead = o
 	}
-	if err == nil && g.n.stale.Load() {
-		return g.n.firstNow, nil
+	if err == nil && g.n.staleWatches.Load() {
+		return g.n.firstHead, nil
 	}
 	return o, err
 }
 
-func newFabric() *fabric {
-	return &fabric{nodes: make(map[siskin.VMID]*node), places: []siskin.DataCentreID{"a", "b"}}
+func newFakeFleet() *fakeFleet {
+	return &fakeFleet{nodes: make(map[siskin.VMID]*node), dataCentres: []siskin.DataCentreID{"a", "b"}}
 }
 
 // start starts VM i.
-func (f *fabric) start(t testing.TB, platform *objapi.Server, i int, cfg Config) *node {
+func (f *fakeFleet) start(t testing.TB, platform *objapi.Server, i int, cfg Config) *node {
 	t.Helper()
-	vm := siskin.VM{ID: siskin.VMID(fmt.Sprintf("vm-%d", i)), Incarnation: 1, DataCentre: f.places[i%len(f.places)], State: siskin.VMLive}
+	vm := siskin.VM{ID: siskin.VMID(fmt.Sprintf("vm-%d", i)), Incarnation: 1, DataCentre: f.dataCentres[i%len(f.dataCentres)], State: siskin.VMLive}
 	c, err := plat.New(plat.Config{Addresses: []string{platform.Address()}, CallsPerSecond: 1e4, Burst: 1000, MaxBackoff: 200 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
 	n := &node{f: f, vm: vm, client: c}
-	n.cutOff.Store(f.alone)
+	n.platformCutOff.Store(f.startCutOff)
 	var opts []Option
 	if f.options != nil {
 		opts = f.options(vm)
 	}
-	n.Spread = New(cfg, n, n, gate{c, n}, opts...)
+	n.Spread = New(cfg, n, n, nodePlatform{c, n}, opts...)
 	f.mu.Lock()
 	if f.nodes[vm.ID] == nil {
 		f.vms = append(append([]siskin.VM{}, f.vms...), vm)
@@ -197,7 +197,7 @@
 	return n
 }
 
-func (f *fabric) all() (all []*node) {
+func (f *fakeFleet) all() (all []*node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, vm := range f.vms {
@@ -206,13 +206,13 @@
 	return all
 }
 
-func (f *fabric) setCut(cut bool) {
+func (f *fakeFleet) setPartitioned(partitioned bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cut = cut
+	f.partitioned = partitioned
 }
 
-func (f *fabric) close() {
+func (f *fakeFleet) close() {
 	for _, n := range f.all() {
 		n.stop()
 	}
@@ -220,17 +220,17 @@
 		_ = n.Close()
 		_ = n.client.Close()
 	}
-	f.messages.wait()
+	f.messageFaults.wait()
 }
 
-// fleet starts a platform and n VMs with fast exchanges.
-func fleet(t testing.TB, n int) (*objapi.Server, *fabric, []*node) {
+// startFleet starts a platform and n VMs with fast exchanges.
+func startFleet(t testing.TB, n int) (*objapi.Server, *fakeFleet, []*node) {
 	t.Helper()
 	platform, err := objapi.Start(objapi.Config{Seed: *seed})
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := newFabric()
+	f := newFakeFleet()
 	t.Cleanup(func() { f.close(); platform.Close() })
 	for i := range n {
 		f.start(t, platform, i, fastConfig())
--- a/pkg/spread/head.go
+++ b/pkg/spread/head.go
@@ -49,7 +49,7 @@
 func (h *head) next(op siskin.OperationID, snapshot siskin.Revision) head {
 	n := head{Revision: h.Revision + 1}
 	for _, c := range h.Recent {
-		if c.Revision > snapshot || c.Revision+keepRecent > n.Revision {
+		if c.Revision > snapshot || c.Revision+minRecent > n.Revision {
 			n.Recent = append(n.Recent, c)
 		}
 	}
--- a/pkg/spread/helper_test.go
+++ b/pkg/spread/helper_test.go
@@ -10,13 +10,13 @@
 )
 
 func fastConfig() Config {
-	return Config{ExchangeInterval: 100 * time.Millisecond, CallTimeout: time.Second, SnapshotEvery: 8, Validate: noBadService}
+	return Config{ExchangeInterval: 100 * time.Millisecond, CallTimeout: time.Second, SnapshotEvery: 8, Validate: refuseBadService}
 }
 
-// noBadService refuses a service named "bad" and checks the base of a change
+// refuseBadService refuses a service named "bad" and checks the base of a change
 // that has one. It leaves out the checks of documents, which the tests do not
 // fill in.
-func noBadService(view config.View, c *config.Change) (found config.Findings) {
+func refuseBadService(view config.View, c *config.Change) (found config.Findings) {
 	for _, s := range c.Services {
 		if s.Name == "bad" {
 			found = append(found, config.Finding{Place: "Service/bad", Message: "the service is bad"})
@@ -41,12 +41,12 @@
 	return n.ApplyWithID(ctx, c.Operation, &c.Change)
 }
 
-// set returns a change that gives a service one target with the given address.
-func set(op, service, address string) change {
+// setTarget returns a change that gives a service one target with the given address.
+func setTarget(op, service, address string) change {
 	return change{siskin.OperationID(op), config.Change{Services: []*config.Service{{Name: siskin.ServiceName(service), Targets: []config.Target{{ID: "t", Address: address}}}}}}
 }
 
-func value(v config.View, service string) string {
+func targetAddress(v config.View, service string) string {
 	s, ok := v.Service(siskin.ServiceName(service))
 	if !ok {
 		return ""
@@ -54,14 +54,14 @@
 	return s.Targets[0].Address
 }
 
-func within(d time.Duration) context.Context {
+func withTimeout(d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	time.AfterFunc(d, cancel)
 	return ctx
 }
 
-// inForce waits until a revision is in force at all VMs.
-func inForce(t testing.TB, all []*node, rev siskin.Revision, limit time.Duration) time.Duration {
+// waitForRevision waits until a revision is in force at all VMs.
+func waitForRevision(t testing.TB, all []*node, rev siskin.Revision, limit time.Duration) time.Duration {
 	t.Helper()
 	begun := time.Now()
 	for _, n := range all {
@@ -75,12 +75,12 @@
 	return time.Since(begun)
 }
 
-// must applies a change. It retries as an operator would, with the same
+// mustApply applies a change. It retries as an operator would, with the same
 // operation id, while the platform is not back from an outage.
-func must(t testing.TB, n *node, c change) siskin.Revision {
+func mustApply(t testing.TB, n *node, c change) siskin.Revision {
 	t.Helper()
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
-		rev, err := n.Apply(within(5*time.Second), c)
+		rev, err := n.Apply(withTimeout(5*time.Second), c)
 		if err == nil {
 			return rev
 		}
--- a/pkg/spread/late_test.go
+++ b/pkg/spread/late_test.go
@@ -7,31 +7,31 @@
 	"siskintray.example/siskin"
 )
 
-// holdsBack reports whether an update of the head is held back. An update that
+// delaysHead reports whether an update of the head is held back. An update that
 // was held back before takes effect now.
-func (n *node) holdsBack(update func()) bool {
-	late := n.late
-	n.late = nil
-	held := n.lateHead.Swap(false)
-	if held {
-		n.late = update
+func (n *node) delaysHead(update func()) bool {
+	delayedUpdate := n.delayedUpdate
+	n.delayedUpdate = nil
+	delayed := n.delayHead.Swap(false)
+	if delayed {
+		n.delayedUpdate = update
 	}
-	if late != nil {
-		late()
+	if delayedUpdate != nil {
+		delayedUpdate()
 	}
-	return held
+	return delayed
 }
 
 // TestLateHead guards against a configuration that no VM can read anymore: the
 // answer to an update of the head is lost, the same VM writes its next change,
 // and only then the first update takes effect.
 func TestLateHead(t *testing.T) {
-	_, _, all := fleet(t, 3)
-	base := must(t, all[0], set("op-1", "s", "one"))
-	inForce(t, all, base, limit)
-	all[0].lateHead.Store(true)
+	_, _, all := startFleet(t, 3)
+	base := mustApply(t, all[0], setTarget("op-1", "s", "one"))
+	waitForRevision(t, all, base, maxSpreadTime)
+	all[0].delayHead.Store(true)
 	apply := func(service string) (siskin.Revision, error) {
-		c := set("", service, "v")
+		c := setTarget("", service, "v")
 		return all[0].Spread.Apply(context.Background(), &c.Change)
 	}
 	if _, err := apply("lost"); siskin.KindOf(err) != siskin.OutcomeUnknown {
@@ -41,9 +41,9 @@
 	if err != nil || rev != base+2 {
 		t.Fatalf("next change: got revision %d (%v), want %d", rev, err, base+2)
 	}
-	inForce(t, all, rev, limit)
+	waitForRevision(t, all, rev, maxSpreadTime)
 	for _, n := range all {
-		if value(n, "lost") != "v" {
+		if targetAddress(n, "lost") != "v" {
 			t.Errorf("%s: lacks the change that took effect late", n.vm.ID)
 		}
 	}
@@ -53,19 +53,19 @@
 // was refused although it is in force: its first attempt takes effect while the
 // second one has read the head from before.
 func TestLateHeadOfRepetition(t *testing.T) {
-	_, _, all := fleet(t, 3)
-	inForce(t, all, must(t, all[0], set("op-1", "s", "one")), limit)
-	all[0].lateHead.Store(true)
-	c := set("op-2", "s", "two")
-	if _, err := all[0].Apply(within(limit), c); siskin.KindOf(err) != siskin.OutcomeUnknown {
+	_, _, all := startFleet(t, 3)
+	waitForRevision(t, all, mustApply(t, all[0], setTarget("op-1", "s", "one")), maxSpreadTime)
+	all[0].delayHead.Store(true)
+	c := setTarget("op-2", "s", "two")
+	if _, err := all[0].Apply(withTimeout(maxSpreadTime), c); siskin.KindOf(err) != siskin.OutcomeUnknown {
 		t.Fatalf("first attempt: got %v, want OutcomeUnknown", err)
 	}
 	takeEffect := func() {
-		all[0].late()
-		inForce(t, all, 2, limit)
+		all[0].delayedUpdate()
+		waitForRevision(t, all, 2, maxSpreadTime)
 	}
-	all[1].headRead.Store(&takeEffect)
-	if rev, err := all[1].Apply(within(limit), c); err != nil || rev != 2 {
+	all[1].afterHeadRead.Store(&takeEffect)
+	if rev, err := all[1].Apply(withTimeout(maxSpreadTime), c); err != nil || rev != 2 {
 		t.Errorf("second attempt: got revision %d (%v), want 2", rev, err)
 	}
 }
--- a/pkg/spread/load.go
+++ b/pkg/spread/load.go
@@ -37,16 +37,16 @@
 	if err != nil {
 		return head{}, 0, err
 	}
-	if err := s.catchUp(ctx, h); err != nil {
+	if err := s.loadChanges(ctx, h); err != nil {
 		return head{}, 0, err
 	}
-	s.platformAnswered(sent)
+	s.recordPlatformAnswer(sent)
 	return h, o.Version, nil
 }
 
-// catchUp brings the changes up to a head into force. A head that is older
+// loadChanges brings the changes up to a head into force. A head that is older
 // than what is in force, as in a late answer, changes nothing.
-func (s *Spread) catchUp(ctx context.Context, h head) error {
+func (s *Spread) loadChanges(ctx context.Context, h head) error {
 	s.loadMu.Lock()
 	defer s.loadMu.Unlock()
 	if h.Revision <= s.Revision() {
@@ -66,7 +66,7 @@
 		if err != nil {
 			return err
 		}
-		s.accepted.note(c.Revision, c.Operation)
+		s.operationHistory.recordAccepted(c.Revision, c.Operation)
 		s.install(entries, c.Revision)
 	}
 	return nil
--- a/pkg/spread/measure_test.go
+++ b/pkg/spread/measure_test.go
@@ -24,11 +24,11 @@
 // loopbackVM is one VM with real connections and a fixed list of members.
 type loopbackVM struct {
 	*Spread
-	vm  siskin.VM
-	all *[]siskin.VM
-	s   *peer.Server
-	c   *peer.Client
-	p   *plat.Client
+	vm             siskin.VM
+	all            *[]siskin.VM
+	peerServer     *peer.Server
+	peerClient     *peer.Client
+	platformClient *plat.Client
 }
 
 // Self implements siskin.Members.
@@ -46,29 +46,29 @@
 // Changed implements siskin.Members.
 func (v *loopbackVM) Changed() <-chan struct{} { return nil }
 
-func loopbackFleet(t *testing.T, n int, platform string) []*loopbackVM {
+func startLoopbackFleet(t *testing.T, n int, platform string) []*loopbackVM {
 	t.Helper()
 	var vms []*loopbackVM
 	all := new([]siskin.VM)
 	for i := range n {
 		v := &loopbackVM{all: all, vm: siskin.VM{ID: siskin.VMID(fmt.Sprintf("vm-%d", i)), DataCentre: siskin.DataCentreID(fmt.Sprint(i % 4))}}
 		var err error
-		if v.s, err = peer.Listen(peer.Config{Self: v.vm.ID}, "127.0.0.1:0"); err != nil {
+		if v.peerServer, err = peer.Listen(peer.Config{Self: v.vm.ID}, "127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
-		v.vm.PeerAddress = v.s.Address()
-		v.c = peer.NewClient(peer.Config{Self: v.vm.ID}, func(id siskin.VMID) (string, bool) {
+		v.vm.PeerAddress = v.peerServer.Address()
+		v.peerClient = peer.NewClient(peer.Config{Self: v.vm.ID}, func(id siskin.VMID) (string, bool) {
 			vm, ok := v.Lookup(id)
 			return vm.PeerAddress, ok
 		})
-		if v.p, err = plat.New(plat.Config{Addresses: []string{platform}, CallsPerSecond: 100, Burst: 200}); err != nil {
+		if v.platformClient, err = plat.New(plat.Config{Addresses: []string{platform}, CallsPerSecond: 100, Burst: 200}); err != nil {
 			t.Fatal(err)
 		}
-		v.Spread = New(Config{}, v, v.c, v.p)
-		if err := v.s.Register("Spread", v.Receiver()); err != nil {
+		v.Spread = New(Config{}, v, v.peerClient, v.platformClient)
+		if err := v.peerServer.Register("Spread", v.Receiver()); err != nil {
 			t.Fatal(err)
 		}
-		v.s.Serve()
+		v.peerServer.Serve()
 		*all = append(*all, v.vm)
 		vms = append(vms, v)
 	}
@@ -81,14 +81,14 @@
 func closeLoopback(vms []*loopbackVM) {
 	var done sync.WaitGroup
 	for _, v := range vms {
-		done.Go(func() { _, _, _, _ = v.Close(), v.c.Close(), v.s.Close(), v.p.Close() })
+		done.Go(func() { _, _, _, _ = v.Close(), v.peerClient.Close(), v.peerServer.Close(), v.platformClient.Close() })
 	}
 	done.Wait()
 }
 
 func sentBytes(vms []*loopbackVM) (n int64) {
 	for _, v := range vms {
-		n += v.c.Stats().Total().SentBytes + v.s.Stats().Total().SentBytes
+		n += v.peerClient.Stats().Total().SentBytes + v.peerServer.Stats().Total().SentBytes
 	}
 	return n
 }
@@ -120,8 +120,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		vms := loopbackFleet(t, n, platform.Address())
-		spreadChanges(t, vms, 1)
+		vms := startLoopbackFleet(t, n, platform.Address())
+		applyAndWait(t, vms, 1)
 		time.Sleep(2 * time.Second) // connections and the first status
 		calls, begun := platform.Stats().Total(), time.Now()
 		idleBytes := sentBytes(vms)
@@ -130,7 +130,7 @@
 		waiting := platform.Stats().Waiting
 		idleRate := float64(sentBytes(vms)-idleBytes) / time.Since(begun).Seconds() / float64(n)
 		before, begun := sentBytes(vms), time.Now()
-		times := spreadChanges(t, vms, changes)
+		times := applyAndWait(t, vms, changes)
 		perChange := (float64(sentBytes(vms)-before)/float64(n) - idleRate*time.Since(begun).Seconds()) / float64(changes)
 		slices.Sort(times)
 		at := func(q float64) time.Duration {
@@ -138,8 +138,8 @@
 		}
 		t.Logf("%d VMs, %d changes: in force everywhere after p50 %v, p99 %v, max %v; %.0f bytes per VM and change; idle: %.0f bytes/s per VM, %.1f platform calls/s, %d watches wait",
 			n, changes, at(0.5), at(0.99), at(1), perChange, idleRate, idle, waiting)
-		if at(1) > limit {
-			t.Errorf("%d VMs: got %v, want at most %v", n, at(1), limit)
+		if at(1) > maxSpreadTime {
+			t.Errorf("%d VMs: got %v, want at most %v", n, at(1), maxSpreadTime)
 		}
 		if got := platform.Stats().MaxWaiting; got > 4*watcherCount {
 			t.Errorf("%d VMs: got %d waiting watches, want at most %d", n, got, 4*watcherCount)
@@ -149,18 +149,18 @@
 	}
 }
 
-func spreadChanges(t *testing.T, vms []*loopbackVM, changes int) (times []time.Duration) {
+func applyAndWait(t *testing.T, vms []*loopbackVM, changes int) (times []time.Duration) {
 	t.Helper()
 	for i := range changes {
 		begun := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		ctx, cancel := context.WithTimeout(context.Background(), maxSpreadTime)
 		rev, err := vms[i%len(vms)].Apply(ctx, &config.Change{Base: vms[0].Revision(), Services: []*config.Service{service(i, 0)}})
 		cancel()
 		if err != nil {
 			t.Fatal(err)
 		}
 		for _, v := range vms {
-			for v.Revision() < rev && time.Since(begun) < limit {
+			for v.Revision() < rev && time.Since(begun) < maxSpreadTime {
 				time.Sleep(200 * time.Microsecond)
 			}
 		}
--- a/pkg/spread/messages_test.go
+++ b/pkg/spread/messages_test.go
@@ -7,31 +7,31 @@
 	"time"
 )
 
-// messages decides what happens to each message between VMs. The zero value
+// messageFaults decides what happens to each message between VMs. The zero value
 // delivers all of them at once.
-type messages struct {
-	mu          sync.Mutex
-	rng         *rand.Rand
-	share       float64       // share of messages that are lost or late
-	longest     time.Duration // longest delay of a late message
-	delivery    sync.WaitGroup
-	lost, later int
+type messageFaults struct {
+	mu            sync.Mutex
+	rng           *rand.Rand
+	faultShare    float64       // share of messages that are lost or late
+	maxDelay      time.Duration // longest delay of a late message
+	delivery      sync.WaitGroup
+	lost, delayed int
 }
 
 var errNoAnswer = errors.New("no answer")
 
 // set changes the share of messages that are lost or late.
-func (m *messages) set(rng *rand.Rand, share float64, longest time.Duration) {
+func (m *messageFaults) set(rng *rand.Rand, faultShare float64, maxDelay time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.rng, m.share, m.longest = rng, share, longest
+	m.rng, m.faultShare, m.maxDelay = rng, faultShare, maxDelay
 }
 
 // send delivers a message, or loses it, or loses its answer, or delivers it
 // after the caller gave up.
-func (m *messages) send(deliver func() error) error {
+func (m *messageFaults) send(deliver func() error) error {
 	m.mu.Lock()
-	if m.share == 0 || m.rng.Float64() >= m.share {
+	if m.faultShare == 0 || m.rng.Float64() >= m.faultShare {
 		m.mu.Unlock()
 		return deliver()
 	}
@@ -41,8 +41,8 @@
 	case 0:
 		m.delivery.Go(func() { _ = deliver() })
 	case 1:
-		m.later++
-		delay := time.Duration(m.rng.Int64N(int64(m.longest)))
+		m.delayed++
+		delay := time.Duration(m.rng.Int64N(int64(m.maxDelay)))
 		m.delivery.Go(func() {
 			time.Sleep(delay)
 			_ = deliver()
@@ -52,4 +52,4 @@
 }
 
 // wait waits for the messages that are late.
-func (m *messages) wait() { m.delivery.Wait() }
+func (m *messageFaults) wait() { m.delivery.Wait() }
--- a/pkg/spread/names.go
+++ b/pkg/spread/names.go
@@ -6,27 +6,27 @@
 	"siskintray.example/siskin"
 )
 
-// allNames returns the names in order. They are collected again only after a
+// sortedNames returns the names in order. They are collected again only after a
 // document came or went.
-func (s *store) allNames() *names {
+func (s *store) sortedNames() *names {
 	if n := s.names.Load(); n != nil {
 		return n
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var parts [shardCount]map[key]*entry
-	for i := range parts {
-		parts[i] = s.all(i)
+	var shards [shardCount]map[key]*entry
+	for i := range shards {
+		shards[i] = s.shardEntries(i)
 	}
-	n := collectNames(&parts)
+	n := collectNames(&shards)
 	s.names.Store(n)
 	return n
 }
 
-func collectNames(parts *[shardCount]map[key]*entry) *names {
+func collectNames(shards *[shardCount]map[key]*entry) *names {
 	n := &names{}
-	for _, part := range parts {
-		for _, e := range part {
+	for _, shard := range shards {
+		for _, e := range shard {
 			switch {
 			case e.Deleted:
 			case e.Kind == ServiceKind:
--- a/pkg/spread/observer_test.go
+++ b/pkg/spread/observer_test.go
@@ -13,33 +13,33 @@
 // observer compares what operators were told with what VMs have in force.
 type observer struct {
 	t    *testing.T
-	f    *fabric
+	f    *fakeFleet
 	seed uint64
 
-	mu       sync.Mutex
-	refused  map[string]error
-	accepted []acceptance
-	last     map[string]siskin.Revision // latest accepted revision by service
-	seen     map[string]siskin.VMID     // operations that were in force anywhere
-	begun    map[*node]time.Time
-	up       time.Time // start of the time without an outage; zero in an outage
-	counts   soakCounts
+	mu              sync.Mutex
+	refused         map[string]error
+	accepted        []acceptedChange
+	last            map[string]siskin.Revision // latest accepted revision by service
+	seen            map[string]siskin.VMID     // operations that were in force anywhere
+	startedAt       map[*node]time.Time
+	platformUpSince time.Time // start of the time without an outage; zero in an outage
+	counts          soakCounts
 }
 
-// acceptance is an accepted change.
-type acceptance struct {
+// acceptedChange is an accepted change.
+type acceptedChange struct {
 	rev siskin.Revision
 	at  time.Time
 }
 
-func newObserver(t *testing.T, f *fabric, seed uint64) *observer {
+func newObserver(t *testing.T, f *fakeFleet, seed uint64) *observer {
 	o := &observer{
-		t: t, f: f, seed: seed, up: time.Now(),
+		t: t, f: f, seed: seed, platformUpSince: time.Now(),
 		refused: make(map[string]error), last: make(map[string]siskin.Revision),
-		seen: make(map[string]siskin.VMID), begun: make(map[*node]time.Time),
+		seen: make(map[string]siskin.VMID), startedAt: make(map[*node]time.Time),
 	}
 	for _, n := range f.all() {
-		o.begun[n] = time.Now()
+		o.startedAt[n] = time.Now()
 	}
 	return o
 }
@@ -51,27 +51,27 @@
 	defer o.mu.Unlock()
 	switch {
 	case faults.Refuse:
-		o.up = time.Time{}
-	case o.up.IsZero():
-		o.up = time.Now()
+		o.platformUpSince = time.Time{}
+	case o.platformUpSince.IsZero():
+		o.platformUpSince = time.Now()
 	}
 }
 
-// join starts VM i.
-func (o *observer) join(t *testing.T, platform *objapi.Server, i int) *node {
+// startVM starts VM i.
+func (o *observer) startVM(t *testing.T, platform *objapi.Server, i int) *node {
 	n := o.f.start(t, platform, i, fastConfig())
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.begun[n] = time.Now()
+	o.startedAt[n] = time.Now()
 	return n
 }
 
 // restart replaces VM i by one without state.
 func (o *observer) restart(t *testing.T, platform *objapi.Server, i int) {
 	old := o.f.all()[i]
-	o.join(t, platform, i)
+	o.startVM(t, platform, i)
 	o.counts.restarts++
-	o.f.messages.delivery.Go(func() { _ = old.Close(); _ = old.client.Close() })
+	o.f.messageFaults.delivery.Go(func() { _ = old.Close(); _ = old.client.Close() })
 }
 
 // note records the result of a change.
@@ -80,7 +80,7 @@
 	defer o.mu.Unlock()
 	switch {
 	case err == nil:
-		o.accepted = append(o.accepted, acceptance{rev, time.Now()})
+		o.accepted = append(o.accepted, acceptedChange{rev, time.Now()})
 		o.last[service] = max(o.last[service], rev)
 		o.counts.accepted++
 	case siskin.KindOf(err) == siskin.OutcomeUnknown:
@@ -106,41 +106,41 @@
 				o.t.Errorf("seed %d: %s has revision %d in force after %d", o.seed, n.vm.ID, rev, revisions[n])
 			}
 			revisions[n] = rev
-			o.look(n)
+			o.observeNode(n)
 		}
 	}
 }
 
-// look notes what one VM has in force and checks the bound of 9 s.
-func (o *observer) look(n *node) {
+// observeNode notes what one VM has in force and checks the bound of 9 s.
+func (o *observer) observeNode(n *node) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, name := range services() {
-		if op := value(n, name); op != "" {
+	for _, name := range serviceNames() {
+		if op := targetAddress(n, name); op != "" {
 			o.seen[op] = n.vm.ID
 		}
 	}
 	now := time.Now()
-	for len(o.accepted) > 0 && now.Sub(o.accepted[0].at) > limit {
-		o.counts.due = max(o.counts.due, o.accepted[0].rev)
+	for len(o.accepted) > 0 && now.Sub(o.accepted[0].at) > maxSpreadTime {
+		o.counts.checkedRevision = max(o.counts.checkedRevision, o.accepted[0].rev)
 		o.accepted = o.accepted[1:]
 	}
-	begun, ok := o.begun[n]
-	if ok && now.Sub(begun) > limit && !o.up.IsZero() && now.Sub(o.up) > limit && n.Revision() < o.counts.due {
-		o.t.Errorf("seed %d: %s has revision %d, want at least %d, accepted more than %v ago", o.seed, n.vm.ID, n.Revision(), o.counts.due, limit)
+	startedAt, ok := o.startedAt[n]
+	if ok && now.Sub(startedAt) > maxSpreadTime && !o.platformUpSince.IsZero() && now.Sub(o.platformUpSince) > maxSpreadTime && n.Revision() < o.counts.checkedRevision {
+		o.t.Errorf("seed %d: %s has revision %d, want at least %d, accepted more than %v ago", o.seed, n.vm.ID, n.Revision(), o.counts.checkedRevision, maxSpreadTime)
 	}
 }
 
 // check compares all VMs with the results of the changes.
 func (o *observer) check(t *testing.T) {
 	for _, n := range o.f.all() {
-		o.look(n)
-		for _, name := range services() {
+		o.observeNode(n)
+		for _, name := range serviceNames() {
 			e := n.get(key{ServiceKind, name})
 			if o.last[name] > 0 && (e == nil || e.Revision < o.last[name]) {
 				t.Errorf("seed %d: %s lacks revision %d of %s", o.seed, n.vm.ID, o.last[name], name)
 			}
-			if got, want := value(n, name), value(o.f.all()[0], name); got != want {
+			if got, want := targetAddress(n, name), targetAddress(o.f.all()[0], name); got != want {
 				t.Errorf("seed %d: %s has %q for %s, another VM %q", o.seed, n.vm.ID, got, name, want)
 			}
 		}
@@ -152,8 +152,8 @@
 	}
 }
 
-// services returns the names of the services that are changed at random.
-func services() (names []string) {
+// serviceNames returns the names of the serviceNames that are changed at random.
+func serviceNames() (names []string) {
 	for s := range soakServices {
 		names = append(names, fmt.Sprintf("s-%d", s))
 	}
--- a/pkg/spread/proof.go
+++ b/pkg/spread/proof.go
@@ -32,23 +32,23 @@
 	}
 }
 
-// noteProof passes on a proof that was asked for at the given time and came
+// recordProof passes on a proof that was asked for at the given time and came
 // with a revision of the peer. It proves nothing to a VM that lacks the revision.
-func (s *Spread) noteProof(p Proof, rev siskin.Revision, sent time.Time) {
+func (s *Spread) recordProof(p Proof, rev siskin.Revision, sent time.Time) {
 	if p.Watcher && p.DataCentre != s.members.Self().DataCentre {
 		s.proofTracker.PeerPlatform(p.DataCentre, sent, p.PlatformDown)
 	}
 	if p.Age >= 0 && s.Revision() >= rev {
 		s.proofTracker.PeerProof(sent, p.Age)
-		s.proved.Store(true)
+		s.hadProof.Store(true)
 	}
 }
 
-// platformAnswered notes an answer of the platform to a question that was sent
+// recordPlatformAnswer notes an answer of the platform to a question that was sent
 // at the given time. The revision that it named must be in force.
-func (s *Spread) platformAnswered(sent time.Time) {
+func (s *Spread) recordPlatformAnswer(sent time.Time) {
 	s.proofTracker.PlatformAnswered(sent)
-	s.proved.Store(true)
+	s.hadProof.Store(true)
 }
 
 // PlatformDown reports whether the platform did not answer this VM's last
@@ -66,21 +66,21 @@
 			return
 		}
 		if s.platformDown.Load() {
-			s.askWatchers()
+			s.probeWatchers()
 		}
 	}
 }
 
-// askWatchers exchanges revisions with one watcher of each other data centre:
+// probeWatchers exchanges revisions with one watcher of each other data centre:
 // 15 messages a second with 16 data centres.
-func (s *Spread) askWatchers() {
-	_, far := s.others()
-	byPlace := make(map[siskin.DataCentreID][]siskin.VM)
-	for _, vm := range far {
-		byPlace[vm.DataCentre] = append(byPlace[vm.DataCentre], vm)
+func (s *Spread) probeWatchers() {
+	_, remote := s.others()
+	byDataCentre := make(map[siskin.DataCentreID][]siskin.VM)
+	for _, vm := range remote {
+		byDataCentre[vm.DataCentre] = append(byDataCentre[vm.DataCentre], vm)
 	}
-	for _, vms := range byPlace {
+	for _, vms := range byDataCentre {
 		ranked := place.Rank(watcherResource, vms)
-		s.fetchSoon(ranked[rand.IntN(min(len(ranked), watcherCount))].ID)
+		s.fetchInBackground(ranked[rand.IntN(min(len(ranked), watcherCount))].ID)
 	}
 }
--- a/pkg/spread/proof_test.go
+++ b/pkg/spread/proof_test.go
@@ -9,15 +9,15 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// tracked is the evidence of a VM in a fleet of three data centres.
-type tracked struct{ *keys.Tracker }
+// testProofTracker is the evidence of a VM in a fleet of three data centres.
+type testProofTracker struct{ *keys.Tracker }
 
-func (e tracked) now() keys.Evidence {
+func (e testProofTracker) now() keys.Evidence {
 	return e.Evidence([]siskin.DataCentreID{"a", "b", "c"})
 }
 
 // Age implements ProofTracker.
-func (e tracked) Age(now time.Time) time.Duration {
+func (e testProofTracker) Age(now time.Time) time.Duration {
 	if last := e.now().Last(); !last.IsZero() {
 		return now.Sub(last)
 	}
@@ -30,8 +30,8 @@
 	begun := time.Now()
 	for _, n := range all {
 		for !ok(n) {
-			if time.Since(begun) > limit {
-				t.Fatalf("%s: not so at %s after %v", what, n.vm.ID, limit)
+			if time.Since(begun) > maxSpreadTime {
+				t.Fatalf("%s: not so at %s after %v", what, n.vm.ID, maxSpreadTime)
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
@@ -43,22 +43,22 @@
 // see as such, and one that it sees although a data centre has the platform.
 func TestProofs(t *testing.T) {
 	t.Parallel()
-	platform, f, _ := fleet(t, 0)
-	f.places = []siskin.DataCentreID{"a", "b", "c"}
-	evidence := make(map[siskin.VMID]tracked)
+	platform, f, _ := startFleet(t, 0)
+	f.dataCentres = []siskin.DataCentreID{"a", "b", "c"}
+	evidence := make(map[siskin.VMID]testProofTracker)
 	f.options = func(vm siskin.VM) []Option {
-		evidence[vm.ID] = tracked{keys.NewTracker(vm.DataCentre)}
+		evidence[vm.ID] = testProofTracker{keys.NewTracker(vm.DataCentre)}
 		return []Option{WithProofTracker(evidence[vm.ID])}
 	}
 	for i := range 9 {
 		f.start(t, platform, i, fastConfig())
 	}
 	all := f.all()
-	inForce(t, all, must(t, all[0], set("op-1", "s", "one")), limit)
+	waitForRevision(t, all, mustApply(t, all[0], setTarget("op-1", "s", "one")), maxSpreadTime)
 	var watchers, others, cutWatchers []*node
 	for _, n := range all {
 		if _, ok := n.watcherRank(); !ok {
-			n.cutOff.Store(true)
+			n.platformCutOff.Store(true)
 			others = append(others, n)
 			continue
 		}
@@ -75,7 +75,7 @@
 	eventually(t, "platform up", watchers, func(n *node) bool { return !n.PlatformDown() })
 
 	for _, n := range watchers {
-		n.cutOff.Store(true)
+		n.platformCutOff.Store(true)
 	}
 	since = time.Now()
 	eventually(t, "platform down for all", watchers, func(n *node) bool {
@@ -83,7 +83,7 @@
 	})
 
 	for _, n := range watchers {
-		n.cutOff.Store(n.vm.DataCentre != "c")
+		n.platformCutOff.Store(n.vm.DataCentre != "c")
 	}
 	eventually(t, "platform up in one data centre", cutWatchers, func(n *node) bool { return evidence[n.vm.ID].now().DownForAll.IsZero() })
 	for end := time.Now().Add(10 * fastConfig().ExchangeInterval); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -98,9 +98,9 @@
 // TestFirstProof guards against a VM that refuses all keys after its start,
 // because the peer of its first exchange has no proof yet.
 func TestFirstProof(t *testing.T) {
-	platform, f, _ := fleet(t, 0)
-	f.places = []siskin.DataCentreID{"a"}
-	tracker := tracked{keys.NewTracker("a")}
+	platform, f, _ := startFleet(t, 0)
+	f.dataCentres = []siskin.DataCentreID{"a"}
+	tracker := testProofTracker{keys.NewTracker("a")}
 	ranked := place.Rank(watcherResource, []siskin.VM{{ID: "vm-0"}, {ID: "vm-1"}, {ID: "vm-2"}})
 	for i, vm := range ranked {
 		if i == watcherCount { // the others are watchers without a proof to give
--- a/pkg/spread/push.go
+++ b/pkg/spread/push.go
@@ -32,52 +32,52 @@
 		if err != nil {
 			return err
 		}
-		s.accept(args, entries)
+		s.installPushed(args, entries)
 	}
-	s.status.note(args.From, args.Revision, s.clock.Now())
+	s.peerRevisions.record(args.From, args.Revision, s.clock.Now())
 	reply.Revision = s.Revision()
 	// The targets depend on this VM even when it knows the change already, as
 	// from an exchange.
-	s.push(*args, args.Targets)
+	s.pushTree(*args, args.Targets)
 	return nil
 }
 
-// accept installs pushed documents. When earlier changes are missing, they are
+// installPushed installs pushed documents. When earlier changes are missing, they are
 // fetched from the sender and only then the revision advances.
-func (s *Spread) accept(args *PushArgs, entries []*entry) {
-	s.accepted.note(args.Revision, args.Operation)
+func (s *Spread) installPushed(args *PushArgs, entries []*entry) {
+	s.operationHistory.recordAccepted(args.Revision, args.Operation)
 	if s.Revision() >= args.Base {
 		s.install(entries, args.Revision)
 		return
 	}
 	s.install(entries, 0)
-	s.fetchSoon(args.From)
+	s.fetchInBackground(args.From)
 }
 
-// push sends a change to the targets along a tree of width fanOut.
-func (s *Spread) push(args PushArgs, targets []siskin.VMID) {
+// pushTree sends a change to the targets along a tree of width fanOut.
+func (s *Spread) pushTree(args PushArgs, targets []siskin.VMID) {
 	args.From = s.members.Self().ID
 	for i := range fanOut {
 		from, to := i*len(targets)/fanOut, (i+1)*len(targets)/fanOut
 		if from < to {
-			part := targets[from:to]
-			s.submit(func() { s.pushPart(args, part) })
+			subtree := targets[from:to]
+			s.submit(func() { s.pushSubtree(args, subtree) })
 		}
 	}
 }
 
-// pushPart sends a change to the first VM of a part that answers, which passes
+// pushSubtree sends a change to the first VM of a part that answers, which passes
 // it on to the rest. VMs that do not answer catch up by their exchanges.
-func (s *Spread) pushPart(args PushArgs, part []siskin.VMID) {
+func (s *Spread) pushSubtree(args PushArgs, subtree []siskin.VMID) {
 	const attempts = 3
-	for i := range min(attempts, len(part)) {
-		args.Targets = part[i+1:]
+	for i := range min(attempts, len(subtree)) {
+		args.Targets = subtree[i+1:]
 		var reply PushReply
-		if s.call(part[i], "Spread.Push", &args, &reply) == nil {
-			s.status.note(part[i], reply.Revision, s.clock.Now())
+		if s.call(subtree[i], "Spread.Push", &args, &reply) == nil {
+			s.peerRevisions.record(subtree[i], reply.Revision, s.clock.Now())
 			return
 		}
-		s.logf("push of revision %d to %s failed", args.Revision, part[i])
+		s.logf("push of revision %d to %s failed", args.Revision, subtree[i])
 	}
 }
 
@@ -92,5 +92,5 @@
 	for _, vm := range vms {
 		targets = append(targets, vm.ID)
 	}
-	s.push(PushArgs{Base: base, Revision: rev, Operation: s.accepted.operation(rev), Documents: docs}, targets)
+	s.pushTree(PushArgs{Base: base, Revision: rev, Operation: s.operationHistory.acceptedOperation(rev), Documents: docs}, targets)
 }
--- a/pkg/spread/push_test.go
+++ b/pkg/spread/push_test.go
@@ -10,22 +10,22 @@
 // TestPushGap guards against a VM that takes a revision as in force although
 // an earlier change did not arrive, and that then never gets that change.
 func TestPushGap(t *testing.T) {
-	_, f, all := fleet(t, 2)
-	f.setCut(true)
-	all[1].cutOff.Store(true)
-	must(t, all[0], set("op-1", "s", "one"))
-	must(t, all[0], set("op-2", "u", "two"))
+	_, f, all := startFleet(t, 2)
+	f.setPartitioned(true)
+	all[1].platformCutOff.Store(true)
+	mustApply(t, all[0], setTarget("op-1", "s", "one"))
+	mustApply(t, all[0], setTarget("op-2", "u", "two"))
 	docs, _ := all[0].since(afterRevision(1))
 	args := &PushArgs{From: all[0].vm.ID, Base: 1, Revision: 2, Documents: docs}
 	if err := all[1].Receiver().Push(args, new(PushReply)); err != nil {
 		t.Fatal(err)
 	}
-	if got := all[1].Revision(); got != 0 || value(all[1], "u") != "two" {
-		t.Errorf("after a push with a gap: got revision %d and %q, want 0 and two", got, value(all[1], "u"))
+	if got := all[1].Revision(); got != 0 || targetAddress(all[1], "u") != "two" {
+		t.Errorf("after a push with a gap: got revision %d and %q, want 0 and two", got, targetAddress(all[1], "u"))
 	}
-	f.setCut(false)
-	inForce(t, all, 2, limit)
-	if got := value(all[1], "s"); got != "one" {
+	f.setPartitioned(false)
+	waitForRevision(t, all, 2, maxSpreadTime)
+	if got := targetAddress(all[1], "s"); got != "one" {
 		t.Errorf("after the gap is closed: got %q, want one", got)
 	}
 }
@@ -33,27 +33,27 @@
 // TestPushKnown guards against VMs that get a change late because the VM that
 // should have passed it on to them knew it already.
 func TestPushKnown(t *testing.T) {
-	platform, f, _ := fleet(t, 0)
+	platform, f, _ := startFleet(t, 0)
 	var all []*node
 	for _, i := range []int{0, 1, 3} { // vm-1 and vm-3 are in the same data centre
-		f.alone = i > 0
-		all = append(all, f.start(t, platform, i, Config{ExchangeInterval: time.Hour, Validate: noBadService}))
+		f.startCutOff = i > 0
+		all = append(all, f.start(t, platform, i, Config{ExchangeInterval: time.Hour, Validate: refuseBadService}))
 	}
 	time.Sleep(200 * time.Millisecond) // the first exchange of each VM
-	f.setCut(true)
-	must(t, all[0], set("op-1", "s", "one"))
+	f.setPartitioned(true)
+	mustApply(t, all[0], setTarget("op-1", "s", "one"))
 	docs, _ := all[0].since(afterRevision(0))
 	args := PushArgs{From: "vm-0", Revision: 1, Documents: docs}
 	_ = all[1].Receiver().Push(&args, new(PushReply))
 	args.Targets = []siskin.VMID{"vm-3"}
 	_ = all[1].Receiver().Push(&args, new(PushReply))
-	inForce(t, all, 1, time.Second)
+	waitForRevision(t, all, 1, time.Second)
 }
 
 // TestEmptyFleet guards against a fleet without a configuration that loads the
 // platform with a question per VM and exchange.
 func TestEmptyFleet(t *testing.T) {
-	platform, f, _ := fleet(t, 0)
+	platform, f, _ := startFleet(t, 0)
 	const vms = 7
 	for i := range vms {
 		f.start(t, platform, i, Config{ExchangeInterval: 10 * time.Millisecond})
--- a/pkg/spread/random_test.go
+++ b/pkg/spread/random_test.go
@@ -30,24 +30,24 @@
 	}
 	for round := range rounds {
 		rng := rand.New(rand.NewPCG(*seed, uint64(round)))
-		platform, f, _ := fleet(t, 7)
+		platform, f, _ := startFleet(t, 7)
 		o := &outcomes{results: make(map[string]error), last: make(map[string]siskin.Revision)}
 		var operators sync.WaitGroup
 		stop := make(chan struct{})
 		for i := range 3 {
-			operators.Go(func() { o.operate(f, i, round, stop) })
+			operators.Go(func() { o.applyRandomChanges(f, i, round, stop) })
 		}
 		for range 15 {
-			disturb(t, rng, platform, f)
+			changeRandomFault(t, rng, platform, f)
 			time.Sleep(100 * time.Millisecond)
 			o.checkVisible(t, f)
 		}
 		close(stop)
 		platform.SetFaults(objapi.Faults{})
-		f.setCut(false)
+		f.setPartitioned(false)
 		operators.Wait()
-		rev := must(t, f.all()[0], set(fmt.Sprintf("last-%d", round), "last", "last"))
-		took := inForce(t, f.all(), rev, limit)
+		rev := mustApply(t, f.all()[0], setTarget(fmt.Sprintf("last-%d", round), "last", "last"))
+		took := waitForRevision(t, f.all(), rev, maxSpreadTime)
 		o.checkVisible(t, f)
 		o.checkAccepted(t, f)
 		t.Logf("seed %d, round %d: %d changes, revision %d in force everywhere %v after the faults", *seed, round, len(o.results), rev, took)
@@ -56,8 +56,8 @@
 	}
 }
 
-// disturb changes one fault at random.
-func disturb(t *testing.T, rng *rand.Rand, platform *objapi.Server, f *fabric) {
+// changeRandomFault changes one fault at random.
+func changeRandomFault(t *testing.T, rng *rand.Rand, platform *objapi.Server, f *fakeFleet) {
 	switch rng.IntN(6) {
 	case 0:
 		platform.SetFaults(objapi.Faults{LoseShare: 0.3})
@@ -67,7 +67,7 @@
 		platform.SetFaults(objapi.Faults{DelayMs: 30})
 	case 3:
 		f.mu.Lock()
-		f.cut = !f.cut
+		f.partitioned = !f.partitioned
 		f.mu.Unlock()
 	case 4:
 		platform.SetFaults(objapi.Faults{})
@@ -79,7 +79,7 @@
 	}
 }
 
-func (o *outcomes) operate(f *fabric, i, round int, stop chan struct{}) {
+func (o *outcomes) applyRandomChanges(f *fakeFleet, i, round int, stop chan struct{}) {
 	rng := rand.New(rand.NewPCG(*seed, uint64(100*round+i)))
 	for n := 0; ; n++ {
 		select {
@@ -90,7 +90,7 @@
 		op := fmt.Sprintf("op-%d-%d-%d", round, i, n)
 		service := fmt.Sprintf("s-%d", rng.IntN(5))
 		all := f.all()
-		rev, err := all[rng.IntN(len(all))].Apply(within(500*time.Millisecond), set(op, service, op))
+		rev, err := all[rng.IntN(len(all))].Apply(withTimeout(500*time.Millisecond), setTarget(op, service, op))
 		o.mu.Lock()
 		o.results[op] = err
 		if err == nil {
@@ -102,13 +102,13 @@
 }
 
 // checkVisible fails when a refused change is in force anywhere.
-func (o *outcomes) checkVisible(t *testing.T, f *fabric) {
+func (o *outcomes) checkVisible(t *testing.T, f *fakeFleet) {
 	t.Helper()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, n := range f.all() {
 		for s := range 5 {
-			op := value(n, fmt.Sprintf("s-%d", s))
+			op := targetAddress(n, fmt.Sprintf("s-%d", s))
 			if err := o.results[op]; err != nil && siskin.KindOf(err) != siskin.OutcomeUnknown {
 				t.Fatalf("seed %d: %s has %s in force, which was refused: %v", *seed, n.vm.ID, op, err)
 			}
@@ -118,7 +118,7 @@
 
 // checkAccepted fails when a VM has an older document than the last accepted
 // change made, or when two VMs differ.
-func (o *outcomes) checkAccepted(t *testing.T, f *fabric) {
+func (o *outcomes) checkAccepted(t *testing.T, f *fakeFleet) {
 	t.Helper()
 	for s := range 5 {
 		name := fmt.Sprintf("s-%d", s)
@@ -127,7 +127,7 @@
 			if o.last[name] > 0 && (e == nil || e.Revision < o.last[name]) {
 				t.Fatalf("seed %d: %s lacks revision %d of %s", *seed, n.vm.ID, o.last[name], name)
 			}
-			if got, want := value(n, name), value(f.all()[0], name); got != want {
+			if got, want := targetAddress(n, name), targetAddress(f.all()[0], name); got != want {
 				t.Fatalf("seed %d: %s has %q for %s, another VM %q", *seed, n.vm.ID, got, name, want)
 			}
 		}
--- a/pkg/spread/snapshot.go
+++ b/pkg/spread/snapshot.go
@@ -12,27 +12,27 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// snapshotTurn is the time between two looks at the age of the snapshot.
-const snapshotTurn = 5 * time.Second
+// snapshotCheckInterval is the time between two looks at the age of the snapshot.
+const snapshotCheckInterval = 5 * time.Second
 
 // snapshotLoop rewrites the snapshot in the background.
 func (s *Spread) snapshotLoop() {
 	covered := siskin.Revision(0)
 	for {
 		select {
-		case <-s.clock.After(snapshotTurn):
+		case <-s.clock.After(snapshotCheckInterval):
 		case <-s.ctx.Done():
 			return
 		}
-		covered = s.snapshotOnce(covered)
+		covered = s.writeSnapshotIfDue(covered)
 	}
 }
 
-// snapshotOnce rewrites the snapshot if it is time to and returns the revision
+// writeSnapshotIfDue rewrites the snapshot if it is time to and returns the revision
 // that it covers as far as this VM knows.
-func (s *Spread) snapshotOnce(covered siskin.Revision) siskin.Revision {
-	after, ok := s.snapshotAfter()
-	if !ok || s.Revision() < covered+after {
+func (s *Spread) writeSnapshotIfDue(covered siskin.Revision) siskin.Revision {
+	threshold, ok := s.snapshotThreshold()
+	if !ok || s.Revision() < covered+threshold {
 		return covered
 	}
 	if rev, err := s.writeSnapshot(s.ctx); err == nil {
@@ -41,10 +41,10 @@
 	return covered
 }
 
-// snapshotAfter returns the number of changes after which this VM rewrites the
+// snapshotThreshold returns the number of changes after which this VM rewrites the
 // snapshot. The first in rank does so at once; the next two wait longer, in
 // case those before them do not reach the platform.
-func (s *Spread) snapshotAfter() (siskin.Revision, bool) {
+func (s *Spread) snapshotThreshold() (siskin.Revision, bool) {
 	const writers = 3
 	self := s.members.Self().ID
 	for i, vm := range place.Rank("Spread/Snapshot", s.members.Live()) {
@@ -100,12 +100,12 @@
 	if err != nil {
 		return 0, siskin.NewError(siskin.Internal, "cannot encode the snapshot").WithCause(err)
 	}
-	_, err = s.platform.Put(ctx, snapshotName, value, version, s.operation("Snapshot", rev))
+	_, err = s.platform.Put(ctx, snapshotName, value, version, s.newOperationID("Snapshot", rev))
 	return rev, err
 }
 
-func (s *Spread) changedSince(part int, rev siskin.Revision) bool {
-	for _, e := range s.all(part) {
+func (s *Spread) changedSince(shard int, rev siskin.Revision) bool {
+	for _, e := range s.shardEntries(shard) {
 		if e.Revision > rev {
 			return true
 		}
@@ -114,8 +114,8 @@
 }
 
 // writeShard merges the documents of one part into its object.
-func (s *Spread) writeShard(ctx context.Context, part int) error {
-	name := siskin.ObjectName(fmt.Sprintf("%s%02x", shardPrefix, part))
+func (s *Spread) writeShard(ctx context.Context, index int) error {
+	name := siskin.ObjectName(fmt.Sprintf("%s%02x", shardPrefix, index))
 	o, err := s.platform.Get(ctx, name)
 	if err != nil {
 		return err
@@ -130,7 +130,7 @@
 	for _, d := range shard.Documents {
 		merged[d.key()] = d
 	}
-	for k, e := range s.all(part) {
+	for k, e := range s.shardEntries(index) {
 		if e.Revision >= merged[k].Revision {
 			merged[k] = e.Document
 		}
@@ -146,12 +146,12 @@
 	if err != nil {
 		return siskin.NewError(siskin.Internal, "cannot encode object %s", name).WithCause(err)
 	}
-	_, err = s.platform.Put(ctx, name, value, o.Version, s.operation("Shard", s.Revision()))
+	_, err = s.platform.Put(ctx, name, value, o.Version, s.newOperationID("Shard", s.Revision()))
 	return err
 }
 
-// operation returns an id for an update that this VM makes by itself.
-func (s *Spread) operation(what string, rev siskin.Revision) siskin.OperationID {
+// newOperationID returns an id for an update that this VM makes by itself.
+func (s *Spread) newOperationID(purpose string, rev siskin.Revision) siskin.OperationID {
 	self := s.members.Self()
-	return siskin.OperationID(fmt.Sprintf("%s/%s/%d/%d/%d", what, self.ID, self.Incarnation, rev, s.clock.Now().UnixNano()))
+	return siskin.OperationID(fmt.Sprintf("%s/%s/%d/%d/%d", purpose, self.ID, self.Incarnation, rev, s.clock.Now().UnixNano()))
 }
--- a/pkg/spread/snapshot_test.go
+++ b/pkg/spread/snapshot_test.go
@@ -10,24 +10,24 @@
 // until no more are accepted, because the VM that should rewrite the snapshot
 // does not reach the platform.
 func TestSnapshotWriterCutOff(t *testing.T) {
-	_, _, all := fleet(t, 4)
+	_, _, all := startFleet(t, 4)
 	var rev siskin.Revision
 	var operator *node
 	for _, n := range all {
-		after, ok := n.snapshotAfter()
-		n.cutOff.Store(ok && after == n.cfg.SnapshotEvery)
-		if !n.cutOff.Load() {
+		after, ok := n.snapshotThreshold()
+		n.platformCutOff.Store(ok && after == n.cfg.SnapshotEvery)
+		if !n.platformCutOff.Load() {
 			operator = n
 		}
 	}
 	for i := range 40 {
-		rev = must(t, operator, set(string(rune('A'+i)), "s", "v"))
+		rev = mustApply(t, operator, setTarget(string(rune('A'+i)), "s", "v"))
 	}
-	inForce(t, all, rev, limit)
+	waitForRevision(t, all, rev, maxSpreadTime)
 	for _, n := range all {
-		n.snapshotOnce(0)
+		n.writeSnapshotIfDue(0)
 	}
-	if got, err := operator.snapshotRevision(within(limit)); err != nil || got != rev {
+	if got, err := operator.snapshotRevision(withTimeout(maxSpreadTime)); err != nil || got != rev {
 		t.Errorf("snapshot: got revision %d (%v), want %d", got, err, rev)
 	}
 }
--- a/pkg/spread/soak_test.go
+++ b/pkg/spread/soak_test.go
@@ -43,8 +43,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := newFabric()
-	f.places = []siskin.DataCentreID{"a", "b", "c"}
+	f := newFakeFleet()
+	f.dataCentres = []siskin.DataCentreID{"a", "b", "c"}
 	defer func() { f.close(); _ = platform.Close() }()
 	for i := range soakVMs {
 		f.start(t, platform, i, fastConfig())
@@ -54,35 +54,35 @@
 	var running sync.WaitGroup
 	running.Go(func() { o.observe(stop) })
 	for i := range 4 {
-		running.Go(func() { o.operate(rand.New(rand.NewPCG(seed, uint64(i+1))), i, stop) })
+		running.Go(func() { o.applyRandomChanges(rand.New(rand.NewPCG(seed, uint64(i+1))), i, stop) })
 	}
 
 	length, outages := 3*time.Second, seed%2 == 1
 	if !outages {
-		length = limit + 3*time.Second
+		length = maxSpreadTime + 3*time.Second
 	}
 	next := soakVMs
 	for end := time.Now().Add(length); time.Now().Before(end) && !t.Failed(); {
-		o.disturb(t, rng, platform, outages)
+		o.changeRandomFault(t, rng, platform, outages)
 		if outages && next < soakVMs+soakJoins && rng.IntN(6) == 0 {
-			o.join(t, platform, next)
+			o.startVM(t, platform, next)
 			next++
 		}
 		time.Sleep(time.Duration(20+rng.IntN(150)) * time.Millisecond)
 	}
-	o.heal(platform)
+	o.clearFaults(platform)
 	o.joinWithoutPlatform(t, platform, next)
 	close(stop)
 	running.Wait()
 
 	rev := o.applyLast(t)
-	o.counts.slowest = max(o.counts.slowest, inForce(t, f.all(), rev, limit))
+	o.counts.slowestSpread = max(o.counts.slowestSpread, waitForRevision(t, f.all(), rev, maxSpreadTime))
 	o.check(t)
 	return o.counts
 }
 
-// disturb changes one fault at random.
-func (o *observer) disturb(t *testing.T, rng *rand.Rand, platform *objapi.Server, outages bool) {
+// changeRandomFault changes one fault at random.
+func (o *observer) changeRandomFault(t *testing.T, rng *rand.Rand, platform *objapi.Server, outages bool) {
 	o.counts.faults++
 	f := o.f
 	all := f.all()
@@ -95,33 +95,33 @@
 	case 2:
 		o.setPlatform(platform, objapi.Faults{Refuse: outages})
 	case 3:
-		f.setCut(rng.IntN(2) == 0)
+		f.setPartitioned(rng.IntN(2) == 0)
 	case 4: // at most one VM at a time is cut off from the platform
 		for _, other := range all {
-			other.cutOff.Store(false)
+			other.platformCutOff.Store(false)
 		}
-		n.cutOff.Store(true)
+		n.platformCutOff.Store(true)
 	case 5:
-		f.messages.set(rand.New(rand.NewPCG(o.seed, rng.Uint64())), rng.Float64()/2, 2*time.Second)
+		f.messageFaults.set(rand.New(rand.NewPCG(o.seed, rng.Uint64())), rng.Float64()/2, 2*time.Second)
 	case 6:
-		n.lateHead.Store(true)
+		n.delayHead.Store(true)
 	case 7:
 		o.restart(t, platform, rng.IntN(soakVMs))
 	default:
 		o.setPlatform(platform, objapi.Faults{})
-		f.setCut(false)
-		f.messages.set(nil, 0, 0)
+		f.setPartitioned(false)
+		f.messageFaults.set(nil, 0, 0)
 	}
 }
 
-// heal ends all faults.
-func (o *observer) heal(platform *objapi.Server) {
+// clearFaults ends all faults.
+func (o *observer) clearFaults(platform *objapi.Server) {
 	o.setPlatform(platform, objapi.Faults{})
-	o.f.setCut(false)
-	o.f.messages.set(nil, 0, 0)
+	o.f.setPartitioned(false)
+	o.f.messageFaults.set(nil, 0, 0)
 	for _, n := range o.f.all() {
-		n.cutOff.Store(false)
-		n.lateHead.Store(false)
+		n.platformCutOff.Store(false)
+		n.delayHead.Store(false)
 	}
 }
 
@@ -130,32 +130,32 @@
 func (o *observer) joinWithoutPlatform(t *testing.T, platform *objapi.Server, i int) {
 	all := o.f.all()
 	rev := all[0].Revision()
-	inForce(t, all, rev, limit)
+	waitForRevision(t, all, rev, maxSpreadTime)
 	o.setPlatform(platform, objapi.Faults{Refuse: true})
-	n := o.join(t, platform, i)
-	o.counts.slowest = max(o.counts.slowest, inForce(t, []*node{n}, rev, limit))
+	n := o.startVM(t, platform, i)
+	o.counts.slowestSpread = max(o.counts.slowestSpread, waitForRevision(t, []*node{n}, rev, maxSpreadTime))
 	o.setPlatform(platform, objapi.Faults{})
 }
 
 // applyLast makes a change after all faults. It is repeated while the platform
 // is not back from an outage.
 func (o *observer) applyLast(t *testing.T) siskin.Revision {
-	c := set("", "last", "last")
+	c := setTarget("", "last", "last")
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
-		rev, err := o.f.all()[0].Spread.Apply(within(limit), &c.Change)
+		rev, err := o.f.all()[0].Spread.Apply(withTimeout(maxSpreadTime), &c.Change)
 		if err == nil {
 			return rev
 		}
-		if time.Since(begun) > limit {
+		if time.Since(begun) > maxSpreadTime {
 			t.Fatalf("seed %d: last change: %v", o.seed, err)
 		}
 	}
 }
 
-// operate makes changes at random VMs until stop is closed: most are accepted
+// applyRandomChanges makes changes at random VMs until stop is closed: most are accepted
 // or lose a race, some are invalid, some have an old base. An unknown outcome
 // is resolved under the same operation id at another VM.
-func (o *observer) operate(rng *rand.Rand, i int, stop chan struct{}) {
+func (o *observer) applyRandomChanges(rng *rand.Rand, i int, stop chan struct{}) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -164,16 +164,16 @@
 		}
 		op := fmt.Sprintf("op-%d-%d", i, n)
 		service := fmt.Sprintf("s-%d", rng.IntN(soakServices))
-		c := set(op, service, op)
+		c := setTarget(op, service, op)
 		all := o.f.all()
 		switch rng.IntN(8) {
 		case 0: // refused as a whole, with a valid part
-			c.Services = append(c.Services, set(op, "bad", op).Services...)
+			c.Services = append(c.Services, setTarget(op, "bad", op).Services...)
 		case 1:
 			c.Base = all[0].Revision()
 		}
 		apply := func() (siskin.Revision, error) {
-			return all[rng.IntN(len(all))].Apply(within(time.Duration(100+rng.IntN(700))*time.Millisecond), c)
+			return all[rng.IntN(len(all))].Apply(withTimeout(time.Duration(100+rng.IntN(700))*time.Millisecond), c)
 		}
 		rev, err := apply()
 		for tries := rng.IntN(3); tries > 0 && siskin.KindOf(err) == siskin.OutcomeUnknown; tries-- {
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -17,28 +17,28 @@
 // implements config.View.
 type Spread struct {
 	*store
-	cfg          Config
-	clock        siskin.Clock
-	members      siskin.Members
-	peers        siskin.Peers
-	platform     siskin.Platform
-	status       *status
-	accepted     *accepted
-	pool         pond.Pool
-	proofTracker ProofTracker
-	logf         func(format string, args ...any)
+	cfg              Config
+	clock            siskin.Clock
+	members          siskin.Members
+	peers            siskin.Peers
+	platform         siskin.Platform
+	peerRevisions    *peerRevisions
+	operationHistory *operationHistory
+	pool             pond.Pool
+	proofTracker     ProofTracker
+	logf             func(format string, args ...any)
 
 	platformDown atomic.Bool // the last question as a watcher failed
-	proved       atomic.Bool // there was a proof of knowing the newest revision
+	hadProof     atomic.Bool // there was a proof of knowing the newest revision
 
-	loadMu  sync.Mutex // one catch-up with the platform at a time
-	applyMu sync.Mutex // one change by this VM at a time
-	fetchMu sync.Mutex // guards busy, and orders submit before Close
-	busy    map[siskin.VMID]bool
+	loadMu   sync.Mutex // one catch-up with the platform at a time
+	applyMu  sync.Mutex // one change by this VM at a time
+	fetchMu  sync.Mutex // guards busy, and orders submit before Close
+	fetching map[siskin.VMID]bool
 
-	ctx  context.Context // ends at Close
-	stop context.CancelFunc
-	done sync.WaitGroup
+	ctx   context.Context // ends at Close
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
 }
 
 var _ config.View = (*Spread)(nil)
@@ -61,7 +61,7 @@
 	s := &Spread{
 		store: newStore(), cfg: cfg, clock: clockwork.NewRealClock(),
 		members: members, peers: peers, platform: platform,
-		status: newStatus(), accepted: newAccepted(), busy: make(map[siskin.VMID]bool),
+		peerRevisions: newPeerRevisions(), operationHistory: newOperationHistory(), fetching: make(map[siskin.VMID]bool),
 		pool:         pond.NewPool(16, pond.WithQueueSize(256), pond.WithNonBlocking(true)),
 		proofTracker: noProofTracker{}, logf: func(string, ...any) {},
 	}
@@ -75,10 +75,10 @@
 // Start loads the configuration, from peers or the platform, and begins to
 // exchange revisions.
 func (s *Spread) Start() {
-	s.done.Go(s.exchangeLoop)
-	s.done.Go(s.watchLoop)
-	s.done.Go(s.probeLoop)
-	s.done.Go(s.snapshotLoop)
+	s.tasks.Go(s.exchangeLoop)
+	s.tasks.Go(s.watchLoop)
+	s.tasks.Go(s.probeLoop)
+	s.tasks.Go(s.snapshotLoop)
 }
 
 // Close ends all exchanges and waits for them.
@@ -86,7 +86,7 @@
 	s.fetchMu.Lock()
 	s.stop()
 	s.fetchMu.Unlock()
-	s.done.Wait()
+	s.tasks.Wait()
 	return nil
 }
 
@@ -98,13 +98,13 @@
 	if s.ctx.Err() != nil {
 		return false
 	}
-	s.done.Add(1)
+	s.tasks.Add(1)
 	err := s.pool.Go(func() {
-		defer s.done.Done()
+		defer s.tasks.Done()
 		task()
 	})
 	if err != nil {
-		s.done.Done()
+		s.tasks.Done()
 	}
 	return err == nil
 }
@@ -117,18 +117,18 @@
 }
 
 // others returns the live VMs without this one, split by data centre.
-func (s *Spread) others() (near, far []siskin.VM) {
+func (s *Spread) others() (local, remote []siskin.VM) {
 	self := s.members.Self()
 	for _, vm := range s.members.Live() {
 		switch {
 		case vm.ID == self.ID:
 		case vm.DataCentre == self.DataCentre:
-			near = append(near, vm)
+			local = append(local, vm)
 		default:
-			far = append(far, vm)
+			remote = append(remote, vm)
 		}
 	}
-	return near, far
+	return local, remote
 }
 
-func pick(vms []siskin.VM) siskin.VMID { return vms[rand.IntN(len(vms))].ID }
+func randomVM(vms []siskin.VM) siskin.VMID { return vms[rand.IntN(len(vms))].ID }
--- a/pkg/spread/spread_test.go
+++ b/pkg/spread/spread_test.go
@@ -9,48 +9,48 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// limit is the time in which an accepted change is in force everywhere (P13).
-const limit = 9 * time.Second
+// maxSpreadTime is the time in which an accepted change is in force everywhere (P13).
+const maxSpreadTime = 9 * time.Second
 
 // TestApply guards against a refused change that is visible, a repeated
 // operation that makes a second revision, a deleted document that comes back,
 // and a change for an old revision that is accepted.
 func TestApply(t *testing.T) {
-	_, _, all := fleet(t, 4)
-	rev := must(t, all[0], set("op-1", "s", "one"))
-	inForce(t, all, rev, limit)
-	if again := must(t, all[1], set("op-1", "s", "one")); again != rev {
+	_, _, all := startFleet(t, 4)
+	rev := mustApply(t, all[0], setTarget("op-1", "s", "one"))
+	waitForRevision(t, all, rev, maxSpreadTime)
+	if again := mustApply(t, all[1], setTarget("op-1", "s", "one")); again != rev {
 		t.Errorf("repeated operation: got revision %d, want %d", again, rev)
 	}
-	bad := set("op-2", "s", "two")
+	bad := setTarget("op-2", "s", "two")
 	bad.Services = append(bad.Services, &config.Service{Name: "bad"})
-	if _, err := all[1].Apply(within(limit), bad); siskin.KindOf(err) != siskin.BadInput {
+	if _, err := all[1].Apply(withTimeout(maxSpreadTime), bad); siskin.KindOf(err) != siskin.BadInput {
 		t.Errorf("invalid change: got %v, want BadInput", err)
 	}
-	late := set("op-3", "s", "three")
+	late := setTarget("op-3", "s", "three")
 	late.Base = rev + 7
-	if _, err := all[1].Apply(within(limit), late); siskin.KindOf(err) != siskin.Conflict {
+	if _, err := all[1].Apply(withTimeout(maxSpreadTime), late); siskin.KindOf(err) != siskin.Conflict {
 		t.Errorf("change for another revision: got %v, want Conflict", err)
 	}
-	rev = must(t, all[2], change{"op-4", config.Change{Services: []*config.Service{{Name: "u", Targets: []config.Target{{}}}}, DeleteServices: []siskin.ServiceName{"s"}}})
-	inForce(t, all, rev, limit)
+	rev = mustApply(t, all[2], change{"op-4", config.Change{Services: []*config.Service{{Name: "u", Targets: []config.Target{{}}}}, DeleteServices: []siskin.ServiceName{"s"}}})
+	waitForRevision(t, all, rev, maxSpreadTime)
 	for _, n := range all {
 		if got := n.Services(); len(got) != 1 || got[0] != "u" {
 			t.Errorf("%s: got services %v, want [u]", n.vm.ID, got)
 		}
 		// A document older than its tombstone must not come back.
-		old, err := set("op-1", "s", "one").documentsForTest()
+		old, err := setTarget("op-1", "s", "one").entries()
 		if err != nil {
 			t.Fatal(err)
 		}
 		n.install(old, 0)
-		if got := value(n, "s"); got != "" {
+		if got := targetAddress(n, "s"); got != "" {
 			t.Errorf("%s: deleted service is back as %q", n.vm.ID, got)
 		}
 	}
 }
 
-func (c change) documentsForTest() ([]*entry, error) {
+func (c change) entries() ([]*entry, error) {
 	docs, err := documents(c.Operation, &c.Change, 1)
 	if err != nil {
 		return nil, err
@@ -60,29 +60,29 @@
 
 // TestRace guards against two racing operators who both win or both lose.
 func TestRace(t *testing.T) {
-	_, _, all := fleet(t, 4)
-	must(t, all[0], set("op-0", "s", "zero"))
+	_, _, all := startFleet(t, 4)
+	mustApply(t, all[0], setTarget("op-0", "s", "zero"))
 	for range 10 {
 		base := all[0].Revision()
-		inForce(t, all, base, limit)
+		waitForRevision(t, all, base, maxSpreadTime)
 		var errs [2]error
 		var done sync.WaitGroup
 		for i := range 2 {
-			c := set("op-"+string(rune('a'+i))+time.Now().String(), "s", string(rune('a'+i)))
+			c := setTarget("op-"+string(rune('a'+i))+time.Now().String(), "s", string(rune('a'+i)))
 			c.Base = base
-			done.Go(func() { _, errs[i] = all[i].Apply(within(limit), c) })
+			done.Go(func() { _, errs[i] = all[i].Apply(withTimeout(maxSpreadTime), c) })
 		}
 		done.Wait()
-		won, lost := errs[0], errs[1]
+		winnerErr, loserErr := errs[0], errs[1]
 		want := "a"
-		if won != nil {
-			won, lost, want = lost, won, "b"
+		if winnerErr != nil {
+			winnerErr, loserErr, want = loserErr, winnerErr, "b"
 		}
-		if won != nil || siskin.KindOf(lost) != siskin.Conflict {
+		if winnerErr != nil || siskin.KindOf(loserErr) != siskin.Conflict {
 			t.Fatalf("got %v and %v, want one success and one Conflict", errs[0], errs[1])
 		}
-		inForce(t, all, base+1, limit)
-		if got := value(all[2], "s"); got != want {
+		waitForRevision(t, all, base+1, maxSpreadTime)
+		if got := targetAddress(all[2], "s"); got != want {
 			t.Fatalf("in force: got %q, want %q", got, want)
 		}
 	}
@@ -91,47 +91,47 @@
 // TestLostAnswer guards against an accepted change that is reported as refused
 // when the platform's answers are lost.
 func TestLostAnswer(t *testing.T) {
-	platform, _, all := fleet(t, 3)
+	platform, _, all := startFleet(t, 3)
 	for i, op := range []string{"op-1", "op-2", "op-3"} {
 		platform.LoseNext(i + 1)
-		rev, err := all[i].Apply(within(limit), set(op, "s", op))
+		rev, err := all[i].Apply(withTimeout(maxSpreadTime), setTarget(op, "s", op))
 		if err != nil || rev != siskin.Revision(i+1) {
 			t.Fatalf("%s: got revision %d (%v), want %d", op, rev, err, i+1)
 		}
-		inForce(t, all, rev, limit)
+		waitForRevision(t, all, rev, maxSpreadTime)
 	}
 }
 
 // TestPlatformDown guards against a VM that loses its configuration in an
 // outage, one that cannot start in it, and a change that is accepted in it.
 func TestPlatformDown(t *testing.T) {
-	platform, f, all := fleet(t, 3)
+	platform, f, all := startFleet(t, 3)
 	for i := range 20 { // enough for a snapshot
-		must(t, all[0], set("op-"+string(rune('a'+i)), "s-"+string(rune('a'+i%7)), "v"+string(rune('a'+i))))
+		mustApply(t, all[0], setTarget("op-"+string(rune('a'+i)), "s-"+string(rune('a'+i%7)), "v"+string(rune('a'+i))))
 	}
 	platform.Refuse(true)
 	started := f.start(t, platform, 3, fastConfig())
-	inForce(t, []*node{started}, 20, limit)
-	if _, err := started.Apply(within(2*time.Second), set("op-x", "s", "x")); siskin.KindOf(err) != siskin.Unavailable {
+	waitForRevision(t, []*node{started}, 20, maxSpreadTime)
+	if _, err := started.Apply(withTimeout(2*time.Second), setTarget("op-x", "s", "x")); siskin.KindOf(err) != siskin.Unavailable {
 		t.Errorf("change in an outage: got %v, want Unavailable", err)
 	}
-	if got := value(started, "s-a"); got != "vo" {
+	if got := targetAddress(started, "s-a"); got != "vo" {
 		t.Errorf("loaded from peers: got %q, want vo", got)
 	}
 	platform.Refuse(false)
-	rev := must(t, started, set("op-y", "s", "y"))
-	inForce(t, f.all(), rev, limit)
+	rev := mustApply(t, started, setTarget("op-y", "s", "y"))
+	waitForRevision(t, f.all(), rev, maxSpreadTime)
 }
 
 // TestStartFromPlatform guards against a first VM that cannot load the
 // snapshot and the changes after it, and against old watch answers that
 // revert the configuration.
 func TestStartFromPlatform(t *testing.T) {
-	platform, f, all := fleet(t, 1)
+	platform, f, all := startFleet(t, 1)
 	for i := range 100 {
-		must(t, all[0], set("op-"+string(rune('0'+i)), "s-"+string(rune('a'+i%20)), "v"))
+		mustApply(t, all[0], setTarget("op-"+string(rune('0'+i)), "s-"+string(rune('a'+i%20)), "v"))
 		if i == 40 || i == 80 {
-			if _, err := all[0].writeSnapshot(within(limit)); err != nil {
+			if _, err := all[0].writeSnapshot(withTimeout(maxSpreadTime)); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -141,15 +141,15 @@
 	f.mu.Unlock()
 	defer func() { _ = all[0].Close(); _ = all[0].client.Close() }()
 	fresh := f.start(t, platform, 1, fastConfig())
-	inForce(t, []*node{fresh}, 100, limit)
+	waitForRevision(t, []*node{fresh}, 100, maxSpreadTime)
 	if got := len(fresh.Services()); got != 20 {
 		t.Errorf("services from the platform: got %d, want 20", got)
 	}
-	fresh.stale.Store(true) // each watch answers with an old head from now on
-	rev := must(t, fresh, set("op-late", "s-a", "late"))
+	fresh.staleWatches.Store(true) // each watch answers with an old head from now on
+	rev := mustApply(t, fresh, setTarget("op-late", "s-a", "late"))
 	time.Sleep(300 * time.Millisecond)
-	if got := fresh.Revision(); got != rev || value(fresh, "s-a") != "late" {
-		t.Errorf("after late watch answers: got revision %d and %q, want %d and late", got, value(fresh, "s-a"), rev)
+	if got := fresh.Revision(); got != rev || targetAddress(fresh, "s-a") != "late" {
+		t.Errorf("after late watch answers: got revision %d and %q, want %d and late", got, targetAddress(fresh, "s-a"), rev)
 	}
 }
 
@@ -158,26 +158,26 @@
 // does not catch up over peers while it is cut off from the platform, and VMs
 // that are confirmed although nothing was heard of them.
 func TestDataCentreCutOff(t *testing.T) {
-	_, f, all := fleet(t, 7)
-	rev := must(t, all[0], set("op-0", "s", "zero"))
-	if got := all[0].Confirm(within(limit), rev); len(got) != 0 {
+	_, f, all := startFleet(t, 7)
+	rev := mustApply(t, all[0], setTarget("op-0", "s", "zero"))
+	if got := all[0].Confirm(withTimeout(maxSpreadTime), rev); len(got) != 0 {
 		t.Errorf("not confirmed before the partition: got %v, want none", got)
 	}
-	f.setCut(true)
-	rev = must(t, all[0], set("op-1", "s", "one"))
-	inForce(t, all, rev, limit)
-	if got := all[0].Confirm(within(500*time.Millisecond), rev); len(got) != 3 {
+	f.setPartitioned(true)
+	rev = mustApply(t, all[0], setTarget("op-1", "s", "one"))
+	waitForRevision(t, all, rev, maxSpreadTime)
+	if got := all[0].Confirm(withTimeout(500*time.Millisecond), rev); len(got) != 3 {
 		t.Errorf("not confirmed during the partition: got %v, want the 3 VMs of the other data centre", got)
 	}
-	f.setCut(false)
-	if got := all[0].Confirm(within(limit), rev); len(got) != 0 {
+	f.setPartitioned(false)
+	if got := all[0].Confirm(withTimeout(maxSpreadTime), rev); len(got) != 0 {
 		t.Errorf("not confirmed after the partition: got %v, want none", got)
 	}
 	for _, n := range all {
-		n.cutOff.Store(n.vm.DataCentre == "b")
+		n.platformCutOff.Store(n.vm.DataCentre == "b")
 	}
-	rev = must(t, all[0], set("op-2", "s", "two"))
-	inForce(t, all, rev, limit)
+	rev = mustApply(t, all[0], setTarget("op-2", "s", "two"))
+	waitForRevision(t, all, rev, maxSpreadTime)
 	// The collector promises the revisions of its own data centre.
 	collector, _ := all[0].collector()
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
@@ -191,7 +191,7 @@
 		if confirmed == 4 {
 			break
 		}
-		if time.Since(begun) > limit {
+		if time.Since(begun) > maxSpreadTime {
 			t.Fatalf("status: got %d VMs of the data centre with revision %d, want 4", confirmed, rev)
 		}
 	}
--- a/pkg/spread/status.go
+++ b/pkg/spread/status.go
@@ -9,25 +9,25 @@
 	"siskintray.example/siskin"
 )
 
-// status is what this VM knows of the revisions at others.
-type status struct {
+// peerRevisions is what this VM knows of the revisions at others.
+type peerRevisions struct {
 	mu      sync.Mutex
-	vms     map[siskin.VMID]seen
+	vms     map[siskin.VMID]observation
 	written time.Time
 	version siskin.Version
 }
 
-type seen struct {
+type observation struct {
 	revision siskin.Revision
 	at       time.Time
 }
 
-func newStatus() *status { return &status{vms: make(map[siskin.VMID]seen)} }
+func newPeerRevisions() *peerRevisions { return &peerRevisions{vms: make(map[siskin.VMID]observation)} }
 
-func (t *status) note(vm siskin.VMID, rev siskin.Revision, now time.Time) {
+func (t *peerRevisions) record(vm siskin.VMID, rev siskin.Revision, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.vms[vm] = seen{max(rev, t.vms[vm].revision), now}
+	t.vms[vm] = observation{max(rev, t.vms[vm].revision), now}
 }
 
 // Status returns the revision in force per live VM as far as this VM heard of
@@ -37,18 +37,18 @@
 	now := s.clock.Now()
 	self := s.members.Self().ID
 	revisions := map[siskin.VMID]siskin.Revision{self: s.Revision()}
-	s.status.mu.Lock()
-	defer s.status.mu.Unlock()
+	s.peerRevisions.mu.Lock()
+	defer s.peerRevisions.mu.Unlock()
 	live := make(map[siskin.VMID]bool)
 	for _, vm := range s.members.Live() {
 		live[vm.ID] = true
-		if at, ok := s.status.vms[vm.ID]; ok && now.Sub(at.at) < staleAfter && vm.ID != self {
+		if at, ok := s.peerRevisions.vms[vm.ID]; ok && now.Sub(at.at) < staleAfter && vm.ID != self {
 			revisions[vm.ID] = at.revision
 		}
 	}
-	for id := range s.status.vms {
+	for id := range s.peerRevisions.vms {
 		if !live[id] {
-			delete(s.status.vms, id)
+			delete(s.peerRevisions.vms, id)
 		}
 	}
 	return revisions
@@ -65,10 +65,10 @@
 // this VM is their collector.
 func (s *Spread) writeStatus() {
 	vm, ok := s.collector()
-	if !ok || vm.ID != s.members.Self().ID || s.clock.Since(s.status.written) < s.cfg.StatusInterval {
+	if !ok || vm.ID != s.members.Self().ID || s.clock.Since(s.peerRevisions.written) < s.cfg.StatusInterval {
 		return
 	}
-	s.status.written = s.clock.Now()
+	s.peerRevisions.written = s.clock.Now()
 	value := StatusObject{Lowest: s.Revision(), VMs: make(map[siskin.VMID]siskin.Revision)}
 	for id, rev := range s.Status() {
 		if other, ok := s.members.Lookup(id); ok && other.DataCentre == vm.DataCentre {
@@ -88,7 +88,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.StatusInterval)
 	defer cancel()
-	t := s.status
+	t := s.peerRevisions
 	t.mu.Lock()
 	version := t.version
 	t.mu.Unlock()
@@ -99,7 +99,7 @@
 		}
 		version = o.Version
 	}
-	version, err = s.platform.Put(ctx, statusPrefix+dc, b, version, s.operation("Status", value.Lowest))
+	version, err = s.platform.Put(ctx, statusPrefix+dc, b, version, s.newOperationID("Status", value.Lowest))
 	if err != nil {
 		version = 0
 	}
--- a/pkg/spread/store.go
+++ b/pkg/spread/store.go
@@ -26,25 +26,25 @@
 // store holds the documents in force. Readers load a part that is never
 // modified; writers replace the part under the lock.
 type store struct {
-	parts    [shardCount]atomic.Pointer[map[key]*entry]
+	shards   [shardCount]atomic.Pointer[map[key]*entry]
 	revision atomic.Uint64
 	names    atomic.Pointer[names] // nil after a document came or went
 	changed  atomic.Pointer[chan struct{}]
 
-	mu  sync.Mutex
-	log []logged // documents by revision; an entry is void when the document has a later one
-	n   int      // number of documents, tombstones included
+	mu            sync.Mutex
+	log           []logEntry // documents by revision; an entry is void when the document has a later one
+	documentCount int        // number of documents, tombstones included
 }
 
-type logged struct {
+type logEntry struct {
 	revision siskin.Revision
 	key      key
 }
 
 // afterRevision is the place behind all documents of a revision.
-func afterRevision(rev siskin.Revision) logged { return logged{rev, key{kind: "~"}} }
+func afterRevision(rev siskin.Revision) logEntry { return logEntry{rev, key{kind: "~"}} }
 
-func (l logged) compare(o logged) int {
+func (l logEntry) compare(o logEntry) int {
 	return cmp.Or(cmp.Compare(l.revision, o.revision), cmp.Compare(l.key.kind, o.key.kind), cmp.Compare(l.key.name, o.key.name))
 }
 
@@ -55,84 +55,84 @@
 
 func newStore() *store {
 	s := &store{}
-	for i := range s.parts {
-		s.parts[i].Store(&map[key]*entry{})
+	for i := range s.shards {
+		s.shards[i].Store(&map[key]*entry{})
 	}
 	ch := make(chan struct{})
 	s.changed.Store(&ch)
 	return s
 }
 
-func partOf(k key) int { return int(xxhash.Sum64String(string(k.kind)+"/"+k.name) % shardCount) }
+func shardOf(k key) int { return int(xxhash.Sum64String(string(k.kind)+"/"+k.name) % shardCount) }
 
-func (s *store) get(k key) *entry { return (*s.parts[partOf(k)].Load())[k] }
+func (s *store) get(k key) *entry { return (*s.shards[shardOf(k)].Load())[k] }
 
 // install puts documents into force that are newer than those held, and then
 // the revision. Zero means that the documents do not complete a revision.
 func (s *store) install(entries []*entry, rev siskin.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	byPart := make(map[int][]*entry)
+	byShard := make(map[int][]*entry)
 	for _, e := range entries {
 		if old := s.get(e.key()); old == nil || old.Revision < e.Revision {
-			byPart[partOf(e.key())] = append(byPart[partOf(e.key())], e)
+			byShard[shardOf(e.key())] = append(byShard[shardOf(e.key())], e)
 		}
 	}
-	for i, changes := range byPart {
-		s.replacePart(i, changes)
+	for i, changes := range byShard {
+		s.replaceShard(i, changes)
 	}
 	old := siskin.Revision(s.revision.Load())
 	if rev > old {
 		s.revision.Store(uint64(rev))
 	}
 	revisionNeverReverts.Check(s.Revision() >= old, "revision %d after %d", s.Revision(), old)
-	if len(byPart) == 0 && rev <= old {
+	if len(byShard) == 0 && rev <= old {
 		return
 	}
-	s.orderLog()
+	s.compactAndSortLog()
 	ch := make(chan struct{})
 	close(*s.changed.Swap(&ch))
 }
 
-func (s *store) replacePart(i int, changes []*entry) {
-	held := *s.parts[i].Load()
-	part := make(map[key]*entry, len(held)+len(changes))
-	for k, e := range held {
-		part[k] = e
+func (s *store) replaceShard(i int, changes []*entry) {
+	current := *s.shards[i].Load()
+	shard := make(map[key]*entry, len(current)+len(changes))
+	for k, e := range current {
+		shard[k] = e
 	}
 	for _, e := range changes {
-		old := part[e.key()]
+		old := shard[e.key()]
 		documentNeverReverts.Check(old == nil || old.Revision < e.Revision, "%s %s: revision %d", e.Kind, e.Name, e.Revision)
 		if old == nil {
-			s.n++
+			s.documentCount++
 		}
 		if (old == nil || old.Deleted) != e.Deleted {
 			s.names.Store(nil)
 		}
-		part[e.key()] = e
-		s.log = append(s.log, logged{e.Revision, e.key()})
+		shard[e.key()] = e
+		s.log = append(s.log, logEntry{e.Revision, e.key()})
 	}
-	s.parts[i].Store(&part)
+	s.shards[i].Store(&shard)
 }
 
-// orderLog orders the log and drops void entries now and then. Changes arrive
+// compactAndSortLog orders the log and drops void entries now and then. Changes arrive
 // in order but for the start and for gaps.
-func (s *store) orderLog() {
-	if len(s.log) > 2*s.n+1000 {
-		s.log = slices.DeleteFunc(s.log, func(l logged) bool { return s.get(l.key).Revision != l.revision })
+func (s *store) compactAndSortLog() {
+	if len(s.log) > 2*s.documentCount+1000 {
+		s.log = slices.DeleteFunc(s.log, func(l logEntry) bool { return s.get(l.key).Revision != l.revision })
 	}
-	if !slices.IsSortedFunc(s.log, logged.compare) {
-		slices.SortFunc(s.log, logged.compare)
+	if !slices.IsSortedFunc(s.log, logEntry.compare) {
+		slices.SortFunc(s.log, logEntry.compare)
 	}
 }
 
 // since returns the documents after a place in the log, up to a size. A
 // document that changes meanwhile moves to the end, so a reader that goes on
 // from the last document it got misses none.
-func (s *store) since(after logged) (docs []Document, more bool) {
+func (s *store) since(after logEntry) (docs []Document, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	from, found := slices.BinarySearchFunc(s.log, after, logged.compare)
+	from, found := slices.BinarySearchFunc(s.log, after, logEntry.compare)
 	if found {
 		from++
 	}
@@ -142,7 +142,7 @@
 		if e.Revision != l.revision {
 			continue
 		}
-		if size > pageBytes {
+		if size > maxPageBytes {
 			return docs, true
 		}
 		docs = append(docs, e.Document)
@@ -151,8 +151,8 @@
 	return docs, false
 }
 
-// all returns the entries of one part.
-func (s *store) all(i int) map[key]*entry { return *s.parts[i].Load() }
+// shardEntries returns the entries of one part.
+func (s *store) shardEntries(i int) map[key]*entry { return *s.shards[i].Load() }
 
 // Revision implements config.View.
 func (s *store) Revision() siskin.Revision { return siskin.Revision(s.revision.Load()) }
@@ -168,10 +168,10 @@
 }
 
 // Services implements config.View.
-func (s *store) Services() []siskin.ServiceName { return s.allNames().services }
+func (s *store) Services() []siskin.ServiceName { return s.sortedNames().services }
 
 // Customers implements config.View.
-func (s *store) Customers() []siskin.CustomerID { return s.allNames().customers }
+func (s *store) Customers() []siskin.CustomerID { return s.sortedNames().customers }
 
 // Changed implements config.View.
 func (s *store) Changed() <-chan struct{} { return *s.changed.Load() }
--- a/pkg/spread/view.go
+++ b/pkg/spread/view.go
@@ -9,7 +9,7 @@
 
 // view is the configuration at one moment. It never changes.
 type view struct {
-	parts    [shardCount]map[key]*entry
+	shards   [shardCount]map[key]*entry
 	revision siskin.Revision
 	changed  <-chan struct{}
 	names    func() *names
@@ -24,17 +24,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := &view{revision: s.Revision(), changed: s.Changed()}
-	for i := range v.parts {
-		v.parts[i] = s.all(i)
+	for i := range v.shards {
+		v.shards[i] = s.shardEntries(i)
 	}
-	v.names = sync.OnceValue(func() *names { return collectNames(&v.parts) })
+	v.names = sync.OnceValue(func() *names { return collectNames(&v.shards) })
 	if n := s.names.Load(); n != nil {
 		v.names = func() *names { return n }
 	}
 	return v
 }
 
-func (v *view) get(k key) *entry { return v.parts[partOf(k)][k] }
+func (v *view) get(k key) *entry { return v.shards[shardOf(k)][k] }
 
 // Revision implements config.View.
 func (v *view) Revision() siskin.Revision { return v.revision }
--- a/pkg/spread/watch.go
+++ b/pkg/spread/watch.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// watchTurn bounds one watch, after which the VM reads the head and checks
+	// watchTimeout bounds one watch, after which the VM reads the head and checks
 	// whether it still is a watcher. The read proves that no change was missed,
 	// and the rule on keys needs such a proof every second. 32 watchers make 64
 	// calls a second of the platform's 2,000.
-	watchTurn = time.Second
+	watchTimeout = time.Second
 	// readTimeout bounds the read of the head after a watch.
 	readTimeout = 5 * time.Second
 	// catchUpTimeout bounds the reading of what the head names, with all shards
@@ -33,7 +33,7 @@
 			s.platformDown.Store(false) // only watchers ask
 			select {
 			case <-s.members.Changed():
-			case <-s.clock.After(watchTurn):
+			case <-s.clock.After(watchTimeout):
 			case <-s.ctx.Done():
 			}
 			continue
@@ -67,21 +67,21 @@
 	// take it as proof that no change can be accepted.
 	s.platformDown.Store(err != nil)
 	if err == nil {
-		err = s.follow(rank, o)
+		err = s.installHead(rank, o)
 	}
 	if err != nil {
 		s.logf("head of the configuration: %v", err)
-		s.pause()
+		s.waitAfterFailure()
 		return version
 	}
-	s.platformAnswered(sent)
+	s.recordPlatformAnswer(sent)
 	return o.Version
 }
 
 // nextHead waits for a head after version and reads the head when there was
 // none. It also returns the time at which the answer was asked for.
 func (s *Spread) nextHead(version siskin.Version) (siskin.Object, time.Time, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, watchTurn)
+	ctx, cancel := context.WithTimeout(s.ctx, watchTimeout)
 	defer cancel()
 	sent := s.clock.Now()
 	o, err := s.platform.Watch(ctx, headName, version)
@@ -95,8 +95,8 @@
 	return o, sent, err
 }
 
-// follow brings a head into force and pushes it unless others do.
-func (s *Spread) follow(rank int, o siskin.Object) error {
+// installHead brings a head into force and pushes it unless others do.
+func (s *Spread) installHead(rank int, o siskin.Object) error {
 	h, err := parseHead(o)
 	if err != nil {
 		return err
@@ -105,7 +105,7 @@
 		// The push of the VM that made the change, or of the first watcher,
 		// usually arrives in this time and makes another one unnecessary.
 		select {
-		case <-s.clock.After(backupDelay[rank]):
+		case <-s.clock.After(watcherPushDelay[rank]):
 		case <-s.ctx.Done():
 			return s.ctx.Err()
 		}
@@ -116,16 +116,16 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, catchUpTimeout)
 	defer cancel()
-	if err := s.catchUp(ctx, h); err != nil {
+	if err := s.loadChanges(ctx, h); err != nil {
 		return err
 	}
-	near, _ := s.others()
-	s.pushAll(base, near)
+	local, _ := s.others()
+	s.pushAll(base, local)
 	return nil
 }
 
-// pause waits a moment after a failure, so that it is not repeated at once.
-func (s *Spread) pause() {
+// waitAfterFailure waits a moment after a failure, so that it is not repeated at once.
+func (s *Spread) waitAfterFailure() {
 	select {
 	case <-s.clock.After(s.cfg.ExchangeInterval):
 	case <-s.ctx.Done():
