--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -17,7 +17,7 @@
 
 // attemptAll sends the first batch until it ran, may have run, or may not be
 // sent again.
-func (c *session) attemptAll(t *transaction, last byte) (relay.Leg, relay.Result, *relay.Failure) {
+func (c *session) attemptAll(t *transaction, last byte) (relay.Executor, relay.Result, *relay.Failure) {
 	for {
 		t.attempts++
 		c.answer.answered = false
@@ -88,7 +88,7 @@
 }
 
 // begin picks a target and a slot and leases a connection at its home.
-func (c *session) begin(t *transaction) (relay.Leg, *relay.Failure) {
+func (c *session) begin(t *transaction) (relay.Executor, *relay.Failure) {
 	cfg := &c.srv.cfg
 	view, changed, ok := cfg.Topology.View(c.service)
 	t.changed = changed
--- a/internal/front/canned_test.go
+++ b/internal/front/canned_test.go
@@ -22,19 +22,19 @@
 }
 
 // Dial implements pool.Dialer.
-func (d cannedTarget) Dial(context.Context, pool.Key, pool.SlotConfig, pool.Account) (pool.Opened, error) {
+func (d cannedTarget) Dial(context.Context, pool.Key, pool.SlotConfig, pool.Account) (pool.DialedConn, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return pool.Opened{}, err
+		return pool.DialedConn{}, err
 	}
 	defer l.Close()
 	client, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
-		return pool.Opened{}, err
+		return pool.DialedConn{}, err
 	}
 	server, err := l.Accept()
 	go d.serve(server)
-	return pool.Opened{Conn: client}, err
+	return pool.DialedConn{Conn: client}, err
 }
 
 // Cancel implements pool.Dialer.
--- a/internal/front/fault_test.go
+++ b/internal/front/fault_test.go
@@ -134,7 +134,7 @@
 
 func (f *fleet) faults() (n int64) {
 	for _, vm := range f.vms {
-		n += vm.front.Stats().Faults + vm.relay.Faults()
+		n += vm.front.Stats().Faults + vm.relay.Panics()
 	}
 	return n
 }
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -152,7 +152,7 @@
 }
 
 // Dial implements pool.Dialer.
-func (d *switchDialer) Dial(ctx context.Context, key pool.Key, cfg pool.SlotConfig, account pool.Account) (pool.Opened, error) {
+func (d *switchDialer) Dial(ctx context.Context, key pool.Key, cfg pool.SlotConfig, account pool.Account) (pool.DialedConn, error) {
 	if c := d.canned.Load(); c != nil {
 		return c.Dial(ctx, key, cfg, account)
 	}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -174,7 +174,7 @@
 	return c.conn.SetWriteDeadline(deadline.Add(finalWrite))
 }
 
-func (c *session) setLeg(leg relay.Leg) {
+func (c *session) setLeg(leg relay.Executor) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leg = leg
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -123,14 +123,14 @@
 	c.request = c.srv.requests.Add(1)
 	t.hdr = relay.Header{
 		Service: c.service, Route: route.Name, Customer: customer, Key: c.grant.Key, Floor: c.floor,
-		Sample:  route.Mode == config.ReadRoute && route.MaxAge == 0 && !c.sampled,
+		SampleFloor:  route.Mode == config.ReadRoute && route.MaxAge == 0 && !c.sampled,
 		Request: c.request,
 	}
 	return t, nil
 }
 
 // attempt sends the first batch once.
-func (c *session) attempt(t *transaction, last byte) (relay.Leg, relay.Result, *relay.Failure) {
+func (c *session) attempt(t *transaction, last byte) (relay.Executor, relay.Result, *relay.Failure) {
 	leg, f := c.begin(t)
 	if f != nil {
 		return nil, relay.Result{}, f
@@ -157,7 +157,7 @@
 }
 
 // nextBatch runs a later batch of the transaction.
-func (c *session) nextBatch(leg relay.Leg, last *byte) (relay.Result, *relay.Failure, error) {
+func (c *session) nextBatch(leg relay.Executor, last *byte) (relay.Result, *relay.Failure, error) {
 	c.batch.Reset()
 	var err error
 	if *last, err = relay.Collect(c, &c.batch); err != nil {
@@ -214,8 +214,8 @@
 func endsBatch(typ byte) bool { return typ == 'Q' || typ == 'F' || typ == 'S' }
 
 func (c *session) sendFailure(f *relay.Failure) error {
-	if f.Report != nil {
-		if err := c.Small('E', f.Report); err != nil {
+	if f.TargetError != nil {
+		if err := c.SendMessage('E', f.TargetError); err != nil {
 			return err
 		}
 		return c.w.Flush()
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -41,7 +41,7 @@
 	idle     bool
 	deadline time.Time // of the transaction, zero when idle
 	ending   *siskin.Error
-	leg      relay.Leg // in progress
+	leg      relay.Executor // in progress
 }
 
 func newSession(s *Server, conn net.Conn) *session {
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -44,7 +44,7 @@
 			c.saw(pos)
 		}
 	}
-	return c.Small(h.Type, body)
+	return c.SendMessage(h.Type, body)
 }
 
 // saw raises what the session has seen.
@@ -53,8 +53,8 @@
 	c.answer.term = pos.Term
 }
 
-// Small implements relay.Sink.
-func (c *session) Small(typ byte, body []byte) error {
+// SendMessage implements relay.Sink.
+func (c *session) SendMessage(typ byte, body []byte) error {
 	if typ == '1' && c.stmts.parsed() {
 		return nil
 	}
@@ -65,8 +65,8 @@
 	return c.w.Raw(body)
 }
 
-// Token implements relay.Sink.
-func (c *session) Token(pos siskin.Position) error {
+// SendToken implements relay.Sink.
+func (c *session) SendToken(pos siskin.Position) error {
 	c.saw(pos)
 	c.answer.answered = true
 	text := c.srv.cfg.Tokens.Encode(token.Token{Service: c.service, Position: pos})
--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -73,8 +73,8 @@
 	return err
 }
 
-// Continue implements relay.Source.
-func (c *session) Continue(w *frame.Writer) error { return c.r.CopyBody(w) }
+// SendRest implements relay.Source.
+func (c *session) SendRest(w *frame.Writer) error { return c.r.CopyBody(w) }
 
 func (c *session) consumed(typ byte) {
 	c.last = typ
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,10 +46,10 @@
 	n.homes = newHomes(cfg.Members)
 	n.queues = newQueues(cfg.Clock)
 	former := newFormerPrimaries()
-	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndOlder(s, t) },
+	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndWritesBefore(s, t) },
 		func(s siskin.ServiceName, v *siskin.GroupView) {
 			if former.returned(v) {
-				n.pool.Retire(v.Primary)
+				n.pool.RetireWriters(v.Primary)
 			}
 			n.home.Observe(s, v)
 			n.records.observe(s, v)
@@ -57,7 +57,7 @@
 	n.records = newRecords(cfg, n.rank)
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
 	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
-	n.groups.silent, n.groups.heard = n.pool.ProbeFailed, n.pool.Heard
+	n.groups.silent, n.groups.heard = n.pool.ProbeFailed, n.pool.Activity
 	n.groups.views, n.remote.learn = n.remote, n.groups.learn
 	n.groups.tell = func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error {
 		return cfg.Peers.Call(ctx, vm, "Group.Learn", LearnArgs{Service: service, View: *view}, &struct{}{})
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -76,7 +76,7 @@
 	lostAt time.Time
 }
 
-func newConn(s *slot, account Account, o Opened, now time.Time) *Conn {
+func newConn(s *slot, account Account, o DialedConn, now time.Time) *Conn {
 	c := &Conn{
 		Conn: o.Conn, W: frame.NewWriter(o.Conn),
 		slot: s, account: account, processID: o.ProcessID, secret: o.Secret,
--- a/internal/pool/dialer.go
+++ b/internal/pool/dialer.go
@@ -13,8 +13,8 @@
 	"siskintray.example/siskin"
 )
 
-// Opened is a new connection that is idle.
-type Opened struct {
+// DialedConn is a new connection that is idle.
+type DialedConn struct {
 	Conn      net.Conn
 	ProcessID uint32
 	Secret    []byte
@@ -22,7 +22,7 @@
 
 // Dialer opens connections to targets.
 type Dialer interface {
-	Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (Opened, error)
+	Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (DialedConn, error)
 	// Cancel asks the server at the address to end the statement in progress
 	// on a connection, and returns when the server has passed that on.
 	Cancel(ctx context.Context, address string, processID uint32, secret []byte) error
@@ -50,14 +50,14 @@
 }
 
 // Dial implements Dialer.
-func (d *PGDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (Opened, error) {
+func (d *PGDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (DialedConn, error) {
 	host, portText, err := net.SplitHostPort(cfg.Address)
 	if err != nil {
-		return Opened{}, err
+		return DialedConn{}, err
 	}
 	port, err := strconv.ParseUint(portText, 10, 16)
 	if err != nil {
-		return Opened{}, err
+		return DialedConn{}, err
 	}
 	c := d.base.Copy()
 	c.Host, c.Port, c.TLSConfig = host, uint16(port), d.TLS
@@ -76,13 +76,13 @@
 	}
 	conn, err := pgconn.ConnectConfig(ctx, c)
 	if err != nil {
-		return Opened{}, err
+		return DialedConn{}, err
 	}
 	h, err := conn.Hijack()
 	if err != nil {
-		return Opened{}, err
+		return DialedConn{}, err
 	}
-	return Opened{Conn: h.Conn, ProcessID: h.PID, Secret: h.SecretKey}, nil
+	return DialedConn{Conn: h.Conn, ProcessID: h.PID, Secret: h.SecretKey}, nil
 }
 
 // Cancel implements Dialer.
--- a/internal/pool/fault.go
+++ b/internal/pool/fault.go
@@ -17,7 +17,7 @@
 
 // dial opens a connection. A fault counts as a failed opening; otherwise it
 // would count as one in progress for good.
-func (s *slot) dial(cfg SlotConfig, account Account) (o Opened, err error) {
+func (s *slot) dial(cfg SlotConfig, account Account) (o DialedConn, err error) {
 	ctx, cancel := context.WithTimeout(s.pool.ctx, cfg.dialTimeout())
 	defer cancel()
 	defer func() {
--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -36,16 +36,16 @@
 	opens      atomic.Int64
 }
 
-func (d *faultyDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (Opened, error) {
+func (d *faultyDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (DialedConn, error) {
 	n := d.opens.Add(1)
 	if d.fault.Load() {
 		panic("a fault on purpose")
 	}
 	if d.full.Load() {
-		return Opened{}, &pgconn.PgError{Code: stateTooMany}
+		return DialedConn{}, &pgconn.PgError{Code: stateTooMany}
 	}
 	if d.fail.Load() {
-		return Opened{}, errors.New("refused")
+		return DialedConn{}, errors.New("refused")
 	}
 	o, err := d.PGDialer.Dial(ctx, key, cfg, account)
 	o.Conn = mutedConn{o.Conn, d, n}
--- a/internal/pool/heard.go
+++ b/internal/pool/heard.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// Heard returns since when the connection of the slot that is in use and quiet
+// Activity returns since when the connection of the slot that is in use and quiet
 // for longest is quiet, zero when none is in use, and when any connection was
 // opened or last heard. A fault may silence old connections only, so that what
 // was heard on others says nothing about the quiet one.
-func (p *Pool) Heard(key Key) (quiet, last time.Time) {
+func (p *Pool) Activity(key Key) (quiet, last time.Time) {
 	s, ok := p.slots.Get(key)
 	if !ok {
 		return time.Time{}, time.Time{}
--- a/internal/pool/retire.go
+++ b/internal/pool/retire.go
@@ -2,11 +2,11 @@
 
 import "siskintray.example/siskin"
 
-// Retire closes the connections of the full account to a target that were
+// RetireWriters closes the connections of the full account to a target that were
 // opened before: idle ones at once, those in use when they are returned. A
 // target that was demoted refuses writes on the connections that were open
 // then, also after it has become the primary again.
-func (p *Pool) Retire(target siskin.TargetID) {
+func (p *Pool) RetireWriters(target siskin.TargetID) {
 	p.slots.Range(func(key Key, s *slot) bool {
 		if key.Target == target {
 			s.retireWriters()
--- a/internal/pool/retire_test.go
+++ b/internal/pool/retire_test.go
@@ -9,7 +9,7 @@
 	busy, idle, reader := f.get(t, Full, 1), f.get(t, Full, 2), f.get(t, ReadOnly, 3)
 	idle.Recycle(2)
 	reader.Recycle(3)
-	f.Retire(key.Target)
+	f.RetireWriters(key.Target)
 	slot, _ := f.slots.Get(key)
 	slot.mu.Lock()
 	if idle.state != connClosed || busy.state != connBusy || reader.state == connClosed {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -18,8 +18,8 @@
 // sinkError marks an error of the caller's connection.
 type sinkError struct{ error }
 
-// Answer implements Leg.
-func (l *local) Answer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
+// RelayAnswer implements Leg.
+func (l *local) RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
 	l.quiesce = quiesce
 	for {
 		if l.conn.R.Buffered() == 0 {
@@ -113,7 +113,7 @@
 	l.passed = l.passed || len(l.held) > 0
 	for b := l.held; len(b) > 0; {
 		n := int(b[1])<<8 | int(b[2])
-		if err := sink.Small(b[0], b[3:3+n]); err != nil {
+		if err := sink.SendMessage(b[0], b[3:3+n]); err != nil {
 			return sinkError{err}
 		}
 		b = b[3+n:]
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -20,8 +20,8 @@
 	Append(h frame.Head, b *frame.Batch) (bool, error)
 	// Send consumes the next message and writes it to w.
 	Send(h frame.Head, w *frame.Writer) error
-	// Continue writes the rest of a message whose Send was interrupted.
-	Continue(w *frame.Writer) error
+	// SendRest writes the rest of a message whose Send was interrupted.
+	SendRest(w *frame.Writer) error
 	// Buffered returns the bytes that were read but not consumed.
 	Buffered() int
 	// Interrupt ends a waiting Peek or Send; Resume allows them again.
@@ -53,14 +53,14 @@
 // Exchange sends one batch, of which b holds the beginning, and relays its
 // answer. The argument last is the result of Collect. A source error means that
 // the caller is gone.
-func Exchange(src Source, leg Leg, sink Sink, b *frame.Batch, last byte) (Result, *Failure) {
+func Exchange(src Source, leg Executor, sink Sink, b *frame.Batch, last byte) (Result, *Failure) {
 	if err := leg.Send(b.Bytes(), last != 0); err != nil {
 		return Result{}, sendFailed(leg, err)
 	}
 	if last == 0 {
 		return duplex(src, leg, sink, false)
 	}
-	res, f := leg.Answer(sink, true, nil)
+	res, f := leg.RelayAnswer(sink, true, nil)
 	if f != nil || !res.CopyIn {
 		return res, f
 	}
@@ -70,7 +70,7 @@
 // sendFailed ends a batch that may have been sent in part. A target runs
 // nothing of a message before it has it whole, but an earlier message of the
 // batch may have arrived, so the outcome is unknown.
-func sendFailed(leg Leg, err error) *Failure {
+func sendFailed(leg Executor, err error) *Failure {
 	leg.Abort(err)
 	return unknown(err, "connection to the target failed while the request was sent")
 }
@@ -78,12 +78,12 @@
 type answer struct {
 	res   Result
 	f     *Failure
-	fault *Fault
+	fault *Panic
 }
 
 // duplex relays the rest of a batch in both directions at once. With copySimple
 // the batch ends with the copy data of a simple query.
-func duplex(src Source, leg Leg, sink Sink, copySimple bool) (Result, *Failure) {
+func duplex(src Source, leg Executor, sink Sink, copySimple bool) (Result, *Failure) {
 	w := leg.Writer()
 	answers := make(chan answer, 1)
 	pumped := make(chan struct{})
@@ -101,7 +101,7 @@
 			answers <- a
 			stop()
 		}()
-		a.res, a.f = leg.Answer(sink, false, func() {
+		a.res, a.f = leg.RelayAnswer(sink, false, func() {
 			stop()
 			<-pumped
 		})
@@ -128,7 +128,7 @@
 		// The answer ended first, such as by an error within COPY. The message
 		// in progress is completed, so that the connection stays in step.
 		src.Resume()
-		if err = src.Continue(w); err == nil {
+		if err = src.SendRest(w); err == nil {
 			err = w.Flush()
 		}
 	}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -26,8 +26,8 @@
 	// CallerGone says that the caller's connection failed, so that nobody is
 	// left to answer.
 	CallerGone bool
-	// Report is the body of the target's own error when it reported an abort.
-	Report []byte
+	// TargetError is the body of the target's own error when it reported an abort.
+	TargetError []byte
 }
 
 // unsent returns the failure of a transaction of which nothing was sent. An err
@@ -69,7 +69,7 @@
 	dst = binary.AppendUvarint(dst, uint64(max(f.Err.RetryAfter, 0)))
 	dst = appendString(dst, f.Err.Message)
 	dst = appendString(dst, f.Err.Remedy)
-	dst = appendString(dst, string(f.Report))
+	dst = appendString(dst, string(f.TargetError))
 	dst = appendBools(dst, f.Admitted, f.WithinRate)
 	binary.BigEndian.PutUint32(dst[start:], uint32(len(dst)-start))
 	return dst, nil
@@ -83,7 +83,7 @@
 	after := d.duration()
 	f.Err = siskin.NewError(siskin.ErrorKind(kind), "%s", d.string()).WithRemedy(d.string()).WithRetryAfter(after)
 	if report := d.string(); report != "" {
-		f.Report = []byte(report)
+		f.TargetError = []byte(report)
 	}
 	f.Admitted, f.WithinRate = d.bools()
 	if proof > uint64(retry.Refused) || kind > uint64(siskin.TargetRefused) {
--- a/internal/relay/fault.go
+++ b/internal/relay/fault.go
@@ -13,29 +13,29 @@
 // experiments fail although the process goes on.
 var noFault = invar.New("SessionsEndWithoutFault")
 
-// Fault is a panic in the work for a transaction. It ends one session and not
+// Panic is a panic in the work for a transaction. It ends one session and not
 // the process with the sessions of all callers.
-type Fault struct {
+type Panic struct {
 	Value any
 	Stack []byte
 }
 
 // Recovered returns the fault of a recovered value. One that was raised again
 // in another goroutine keeps the stack of its origin.
-func Recovered(v any) *Fault {
-	if f, ok := v.(*Fault); ok {
+func Recovered(v any) *Panic {
+	if f, ok := v.(*Panic); ok {
 		return f
 	}
-	return &Fault{v, debug.Stack()}
+	return &Panic{v, debug.Stack()}
 }
 
 // String returns the value and the stack, as the runtime prints them when the
 // fault ends the process.
-func (f *Fault) String() string { return fmt.Sprintf("%v\n%s", f.Value, f.Stack) }
+func (f *Panic) String() string { return fmt.Sprintf("%v\n%s", f.Value, f.Stack) }
 
 // Report logs the fault of a request, which may have no fields, and counts it
 // as a violation.
-func (f *Fault) Report(l *logs.Requests, q logs.Request, msg string) {
+func (f *Panic) Report(l *logs.Requests, q logs.Request, msg string) {
 	l.Fault(q, f.Value, f.Stack, msg)
 	noFault.Check(false, "%v", f)
 }
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -46,7 +46,7 @@
 
 // Begin leases a connection to the home and sends the header with the first
 // batch. Nothing of the transaction was sent when it fails.
-func (f *Forwarder) Begin(home siskin.VM, hdr *Header) (leg Leg, failure *Failure) {
+func (f *Forwarder) Begin(home siskin.VM, hdr *Header) (leg Executor, failure *Failure) {
 	key := pool.Key{Target: siskin.TargetID(home.ID)}
 	f.pool.Own(key, pool.SlotConfig{Address: home.ForwardAddress, Limit: peerLimit, OpenTime: peerOpenTime, Stateless: true})
 	deadline := f.clock.Now().Add(hdr.Remaining)
@@ -108,10 +108,10 @@
 }
 
 // Dial implements pool.Dialer.
-func (d peerDialer) Dial(ctx context.Context, _ pool.Key, cfg pool.SlotConfig, _ pool.Account) (pool.Opened, error) {
+func (d peerDialer) Dial(ctx context.Context, _ pool.Key, cfg pool.SlotConfig, _ pool.Account) (pool.DialedConn, error) {
 	conn, err := d.open(ctx, cfg.Address)
 	if err != nil {
-		return pool.Opened{}, err
+		return pool.DialedConn{}, err
 	}
 	o, err := peerStartup(ctx, conn)
 	if err != nil {
@@ -120,23 +120,23 @@
 	return o, err
 }
 
-func peerStartup(ctx context.Context, conn net.Conn) (pool.Opened, error) {
+func peerStartup(ctx context.Context, conn net.Conn) (pool.DialedConn, error) {
 	deadline, _ := ctx.Deadline()
 	if err := conn.SetDeadline(deadline); err != nil {
-		return pool.Opened{}, err
+		return pool.DialedConn{}, err
 	}
 	fe := pgproto3.NewFrontend(conn, conn)
 	fe.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": peerUser},
 	})
 	if err := fe.Flush(); err != nil {
-		return pool.Opened{}, err
+		return pool.DialedConn{}, err
 	}
-	o := pool.Opened{Conn: conn}
+	o := pool.DialedConn{Conn: conn}
 	for {
 		msg, err := fe.Receive()
 		if err != nil {
-			return pool.Opened{}, err
+			return pool.DialedConn{}, err
 		}
 		switch msg := msg.(type) {
 		case *pgproto3.BackendKeyData:
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -33,8 +33,8 @@
 // scriptedDialer opens connections that answer with its bytes.
 type scriptedDialer []byte
 
-func (d scriptedDialer) Dial(context.Context, pool.Key, pool.SlotConfig, pool.Account) (pool.Opened, error) {
-	return pool.Opened{Conn: scriptedConn{bytes.NewReader(d)}}, nil
+func (d scriptedDialer) Dial(context.Context, pool.Key, pool.SlotConfig, pool.Account) (pool.DialedConn, error) {
+	return pool.DialedConn{Conn: scriptedConn{bytes.NewReader(d)}}, nil
 }
 
 func (scriptedDialer) Cancel(context.Context, string, uint32, []byte) error { return nil }
@@ -95,9 +95,9 @@
 type discard struct{ *frame.Writer }
 
 func (d discard) Forward(h frame.Head, r *frame.Reader) error { return d.Copy(h, r) }
-func (d discard) Token(siskin.Position) error                 { return nil }
+func (d discard) SendToken(siskin.Position) error                 { return nil }
 
-func (d discard) Small(typ byte, body []byte) error {
+func (d discard) SendMessage(typ byte, body []byte) error {
 	if err := d.Head(frame.Head{Type: typ, Len: len(body)}); err != nil {
 		return err
 	}
@@ -148,9 +148,9 @@
 				leg.Abort(err)
 				break
 			}
-			res, failure := leg.Answer(sink, true, nil)
+			res, failure := leg.RelayAnswer(sink, true, nil)
 			for failure == nil && res.CopyIn {
-				res, failure = leg.Answer(sink, false, func() {})
+				res, failure = leg.RelayAnswer(sink, false, func() {})
 			}
 			if failure != nil {
 				failure.Check()
@@ -171,7 +171,7 @@
 
 // beginFuzz begins a write, a read, or a transaction at the home of another VM.
 // It returns nil when the answer fails the beginning.
-func beginFuzz(t *testing.T, h *Home, kind byte) Leg {
+func beginFuzz(t *testing.T, h *Home, kind byte) Executor {
 	hdr := &Header{Service: "s", Target: "s/1", Request: 1, Remaining: 5 * time.Second, Route: "write"}
 	switch kind {
 	case 1:
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -27,7 +27,7 @@
 	// Floor is the position that a read must have reached; with Sample the home
 	// samples it.
 	Floor  siskin.Position
-	Sample bool
+	SampleFloor bool
 	// Admitted says that the limiter admitted the request in an earlier attempt
 	// that did not run.
 	Admitted bool
@@ -50,7 +50,7 @@
 	dst = binary.AppendUvarint(dst, uint64(h.Floor.LSN))
 	dst = binary.AppendUvarint(dst, h.Request)
 	dst = binary.AppendUvarint(dst, uint64(max(h.Remaining, 0)))
-	dst = appendBools(dst, h.Sample, h.Admitted)
+	dst = appendBools(dst, h.SampleFloor, h.Admitted)
 	binary.BigEndian.PutUint32(dst[start:], uint32(len(dst)-start))
 	return dst, nil
 }
@@ -67,6 +67,6 @@
 	h.Floor = siskin.Position{Term: siskin.Term(d.uint()), LSN: siskin.LSN(d.uint())}
 	h.Request = d.uint()
 	h.Remaining = d.duration()
-	h.Sample, h.Admitted = d.bools()
+	h.SampleFloor, h.Admitted = d.bools()
 	return d.end("header")
 }
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -49,7 +49,7 @@
 
 // Begin admits one transaction and leases a connection for it. Nothing of the
 // transaction was sent when it fails.
-func (h *Home) Begin(hdr *Header) (leg Leg, f *Failure) {
+func (h *Home) Begin(hdr *Header) (leg Executor, f *Failure) {
 	l := &local{home: h, hdr: *hdr, status: 'I', taken: true, deadline: h.Clock.Now().Add(hdr.Remaining)}
 	l.held, l.row = l.heldSpace[:0], l.rowSpace[:0]
 	l.ctx = lazyContext{clock: h.Clock, deadline: l.deadline}
@@ -193,7 +193,7 @@
 		}
 		return nil
 	}
-	if !l.hdr.Sample {
+	if !l.hdr.SampleFloor {
 		return nil
 	}
 	floor, err := l.group.Floor(&l.ctx)
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -9,10 +9,10 @@
 type Sink interface {
 	// Forward copies the current message of r, whose head is h.
 	Forward(h frame.Head, r *frame.Reader) error
-	// Small sends a message that was held back.
-	Small(typ byte, body []byte) error
-	// Token sends the position that the session has now seen.
-	Token(pos siskin.Position) error
+	// SendMessage sends a message that was held back.
+	SendMessage(typ byte, body []byte) error
+	// SendToken sends the position that the session has now seen.
+	SendToken(pos siskin.Position) error
 	// Flush sends what is buffered.
 	Flush() error
 	// Err returns the first error of the caller's connection.
@@ -27,19 +27,19 @@
 	CopyIn bool
 }
 
-// Leg runs the batches of one transaction at its home, which is this VM or
+// Executor runs the batches of one transaction at its home, which is this VM or
 // another one. All methods but Abort are called by one goroutine at a time;
 // Answer may run while another goroutine writes to Writer.
-type Leg interface {
+type Executor interface {
 	// Send sends the collected messages of a batch. With last they end in a
 	// Query, FunctionCall or Sync.
 	Send(batch []byte, last bool) error
 	// Writer returns the stream to the home, for batches that are not collected.
 	Writer() *frame.Writer
-	// Answer relays the answer of the batch until the target is ready for the
+	// RelayAnswer relays the answer of the batch until the target is ready for the
 	// next one, or until it asks for copy data when stopAtCopy is set. When the
 	// batch is still being sent, quiesce stops that and waits for its end.
-	Answer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure)
+	RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure)
 	// Finish ends a transaction whose last answer reported idle.
 	Finish()
 	// Abort ends the transaction in any other case.
--- a/internal/relay/localend.go
+++ b/internal/relay/localend.go
@@ -66,7 +66,7 @@
 	l.endWork()
 	e := siskin.NewError(siskin.NotRun, "target %s refused the write and ran nothing", l.hdr.Target).
 		WithRemedy("repeat the request; it goes to the primary")
-	return &Failure{Proof: retry.Refused, Err: e, Report: report}
+	return &Failure{Proof: retry.Refused, Err: e, TargetError: report}
 }
 
 // passing ends a write that the target refused although it is the primary: a
@@ -78,5 +78,5 @@
 	l.endWork()
 	e := siskin.NewError(siskin.NotRun, "target %s refused the write for a moment and ran nothing", l.hdr.Target).
 		WithRemedy("repeat the request")
-	return &Failure{Proof: retry.ReportedAbort, Err: e, Report: report}
+	return &Failure{Proof: retry.ReportedAbort, Err: e, TargetError: report}
 }
--- a/internal/relay/peerconn.go
+++ b/internal/relay/peerconn.go
@@ -31,7 +31,7 @@
 	last   byte // type of the last message consumed
 
 	mu       sync.Mutex
-	leg      Leg // in progress
+	leg      Executor // in progress
 	deadline time.Time
 	header   Header
 }
@@ -74,7 +74,7 @@
 }
 
 // setTransaction marks the beginning (deadline set) or end of a transaction.
-func (c *peerConn) setTransaction(leg Leg, deadline time.Time) {
+func (c *peerConn) setTransaction(leg Executor, deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leg, c.deadline = leg, deadline
@@ -214,8 +214,8 @@
 	}
 }
 
-// Token implements Sink.
-func (c *peerConn) Token(pos siskin.Position) error {
+// SendToken implements Sink.
+func (c *peerConn) SendToken(pos siskin.Position) error {
 	text := c.srv.tokens.Encode(token.Token{Service: c.header.Service, Position: pos})
 	return c.w.Message(&pgproto3.ParameterStatus{Name: TokenParameter, Value: text})
 }
--- a/internal/relay/peerstream.go
+++ b/internal/relay/peerstream.go
@@ -43,8 +43,8 @@
 	return w.Copy(h, c.r)
 }
 
-// Continue implements Source.
-func (c *peerConn) Continue(w *frame.Writer) error { return c.r.CopyBody(w) }
+// SendRest implements Source.
+func (c *peerConn) SendRest(w *frame.Writer) error { return c.r.CopyBody(w) }
 
 // Interrupt implements Source.
 func (c *peerConn) Interrupt() {
@@ -63,8 +63,8 @@
 // Forward implements Sink.
 func (c *peerConn) Forward(h frame.Head, r *frame.Reader) error { return c.w.Copy(h, r) }
 
-// Small implements Sink.
-func (c *peerConn) Small(typ byte, body []byte) error {
+// SendMessage implements Sink.
+func (c *peerConn) SendMessage(typ byte, body []byte) error {
 	if err := c.w.Head(frame.Head{Type: typ, Len: len(body)}); err != nil {
 		return err
 	}
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -33,8 +33,8 @@
 	if f != nil {
 		return Result{}, f
 	}
-	if l.hdr.Sample {
-		if err := sink.Token(l.hdr.Floor); err != nil {
+	if l.hdr.SampleFloor {
+		if err := sink.SendToken(l.hdr.Floor); err != nil {
 			return Result{}, l.callerGone(err)
 		}
 	}
@@ -75,7 +75,7 @@
 	if err := l.releaseHeld(sink); err != nil {
 		return l.failEither(err)
 	}
-	if err := sink.Small('Z', statusBody(l.status)); err != nil {
+	if err := sink.SendMessage('Z', statusBody(l.status)); err != nil {
 		return l.callerGone(err)
 	}
 	if err := sink.Flush(); err != nil {
@@ -128,7 +128,7 @@
 		l.endWork()
 		return unknown(err, "replicas did not confirm the write before the deadline")
 	}
-	if err := sink.Token(pos); err != nil {
+	if err := sink.SendToken(pos); err != nil {
 		return l.callerGone(err)
 	}
 	return nil
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -52,7 +52,7 @@
 		return Result{}, l.refusedWrite(report)
 	}
 	l.status = status
-	if l.releaseHeld(sink) != nil || sink.Small('E', report) != nil || sink.Small('Z', statusBody(status)) != nil || sink.Flush() != nil {
+	if l.releaseHeld(sink) != nil || sink.SendMessage('E', report) != nil || sink.SendMessage('Z', statusBody(status)) != nil || sink.Flush() != nil {
 		return Result{}, l.callerGone(sink.Err())
 	}
 	return Result{Status: status}, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -25,7 +25,7 @@
 			Floor: siskin.Position{
 				Term: siskin.Term(rapid.Uint64().Draw(rt, "term")), LSN: siskin.LSN(rapid.Uint64().Draw(rt, "lsn")),
 			},
-			Sample: rapid.Bool().Draw(rt, "sample"), Admitted: rapid.Bool().Draw(rt, "admitted"),
+			SampleFloor: rapid.Bool().Draw(rt, "sample"), Admitted: rapid.Bool().Draw(rt, "admitted"),
 			Request:   rapid.Uint64().Draw(rt, "request"),
 			Remaining: time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(rt, "remaining")),
 		}
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -37,8 +37,8 @@
 	return l.conn.W
 }
 
-// Answer implements Leg.
-func (l *remote) Answer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
+// RelayAnswer implements Leg.
+func (l *remote) RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
 	r := l.conn.R
 	for {
 		if r.Buffered() == 0 {
@@ -78,7 +78,7 @@
 		return Result{}, l.fail(err)
 	}
 	status := body[0]
-	if sink.Small('Z', statusBody(status)) != nil || sink.Flush() != nil {
+	if sink.SendMessage('Z', statusBody(status)) != nil || sink.Flush() != nil {
 		return Result{}, l.callerGone(sink.Err())
 	}
 	return Result{Status: status}, nil
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -126,8 +126,8 @@
 	<-done
 }
 
-// Faults returns the number of connections that ended by a fault of the program.
-func (s *Server) Faults() int64 { return s.faults.Load() }
+// Panics returns the number of connections that ended by a fault of the program.
+func (s *Server) Panics() int64 { return s.faults.Load() }
 
 // survive ends one connection after a fault. The VM that forwards finds its end
 // and reports the outcome of its transaction as unknown. Without a peerConn, the
--- a/internal/relay/writes.go
+++ b/internal/relay/writes.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// EndOlder ends the writes of a service at primaries of terms before the given
+// EndWritesBefore ends the writes of a service at primaries of terms before the given
 // one: as not run when nothing was sent, else as outcome unknown.
-func (h *Home) EndOlder(service siskin.ServiceName, term siskin.Term) {
+func (h *Home) EndWritesBefore(service siskin.ServiceName, term siskin.Term) {
 	h.writes.terms.Update(service, func(old siskin.Term, _ bool) (siskin.Term, bool) { return max(old, term), true })
 	h.writes.running.Range(func(l *local, _ struct{}) bool {
 		if l.hdr.Service == service && l.term < term {
