entry, feed, sysd: more plain names

stopped reports whether the VM is stopping, and minTime returns the earlier of two times. They are isStopping and earlier now.

--- a/internal/entry/choose_test.go
+++ b/internal/entry/choose_test.go
@@ -43,7 +43,7 @@
 		{ID: "t1", DataCentre: "a", Slots: 2}, {ID: "t2", DataCentre: "b", Slots: 2}, {ID: "t3", DataCentre: "c", Slots: 2},
 	}
 	homes := map[siskin.TargetID]*lruConnections{}
-	runs := map[siskin.TargetID]int{}
+	readsAt := map[siskin.TargetID]int{}
 	for _, t := range targets {
 		homes[t.ID] = &lruConnections{limit: limit}
 	}
@@ -58,13 +58,13 @@
 		}
 		id := c.leastLoaded()
 		homes[id].use(c.Customer)
-		runs[id]++
+		readsAt[id]++
 	}
 	total := 0
 	for _, h := range homes {
 		total += h.opened
 	}
-	return float64(total) / reads, float64(max(runs["t2"], runs["t3"])) / reads
+	return float64(total) / reads, float64(max(readsAt["t2"], readsAt["t3"])) / reads
 }
 
 // TestScarceConnections guards against reads that often open a connection
@@ -89,7 +89,7 @@
 func TestEvenReplicas(t *testing.T) {
 	rng := rand.New(rand.NewSource(1))
 	const reads = 10000
-	runs := map[siskin.TargetID]int{}
+	readsAt := map[siskin.TargetID]int{}
 	for range reads {
 		c := targetSelector{
 			Targets: []siskin.TargetInfo{{ID: "p", DataCentre: "a", Slots: 3}, {ID: "r1", DataCentre: "b", Slots: 3}, {ID: "r2", DataCentre: "c", Slots: 3}},
@@ -97,9 +97,9 @@
 			View:    func(siskin.TargetID) views.Target { return views.Target{} },
 			Running: func(siskin.TargetID) int { return 0 }, Random: rng.Float64,
 		}
-		runs[c.leastLoaded()]++
+		readsAt[c.leastLoaded()]++
 	}
-	if busiest := float64(max(runs["r1"], runs["r2"])) / reads; busiest > 0.55 {
+	if busiest := float64(max(readsAt["r1"], readsAt["r2"])) / reads; busiest > 0.55 {
 		t.Errorf("fraction of reads at the busiest of two replicas: got %.2f, want at most 0.55", busiest)
 	}
 }
--- a/internal/feed/evacuations.go
+++ b/internal/feed/evacuations.go
@@ -14,7 +14,7 @@
 
 // readEvacuations reads the evacuated data centres, whose IDs are the names of
 // the objects.
-func (f *Feed) readEvacuations(ctx context.Context, asked time.Time) error {
+func (f *Feed) readEvacuations(ctx context.Context, startedAt time.Time) error {
 	l, err := f.cfg.Store.List(ctx, f.cfg.EvacuationKind)
 	if err != nil {
 		return err
@@ -23,6 +23,6 @@
 	for _, o := range l.Objects {
 		list = append(list, siskin.DataCentreID(o.Name))
 	}
-	f.cfg.Roster.ReplaceEvacuations(list, l.Version, asked)
+	f.cfg.Roster.ReplaceEvacuations(list, l.Version, startedAt)
 	return nil
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -132,7 +132,7 @@
 // earlier version or the store no longer has the changes. With many routes the
 // configuration is large, and a full read every second filled the link of a
 // VM.
-func (f *Feed) readConfig(ctx context.Context, asked time.Time) error {
+func (f *Feed) readConfig(ctx context.Context, startedAt time.Time) error {
 	if f.configVersion > 0 {
 		l, err := f.cfg.Store.Changes(ctx, f.cfg.ConfigKind, f.configVersion)
 		if err == nil {
@@ -142,7 +142,7 @@
 				}
 			}
 			f.configVersion = l.Version
-			f.cfg.Table.Confirm(asked)
+			f.cfg.Table.Confirm(startedAt)
 			return nil
 		}
 		if siskin.KindOf(err) != siskin.Conflict {
@@ -155,11 +155,11 @@
 	}
 	f.cfg.Apply(o.Value, "store")
 	f.configVersion = o.Version
-	f.cfg.Table.Confirm(asked)
+	f.cfg.Table.Confirm(startedAt)
 	return nil
 }
 
-func (f *Feed) readTargets(ctx context.Context, asked time.Time) error {
+func (f *Feed) readTargets(ctx context.Context, startedAt time.Time) error {
 	l, err := f.cfg.Store.List(ctx, f.cfg.TargetKind)
 	if err != nil {
 		return err
@@ -173,8 +173,8 @@
 		}
 		list = append(list, info)
 	}
-	f.cfg.Roster.Replace(list, l.Version, asked)
-	if f.cfg.EvacuationKind == "" || f.cfg.Roster.ConfirmEvacuations(l.Version, asked) {
+	f.cfg.Roster.Replace(list, l.Version, startedAt)
+	if f.cfg.EvacuationKind == "" || f.cfg.Roster.ConfirmEvacuations(l.Version, startedAt) {
 		return nil
 	}
 	// The store has changed since the list of evacuations was read.
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -41,11 +41,11 @@
 			sleep(ctx, interval)
 			continue
 		}
-		asked := f.cfg.Clock.Now()
-		err := read(ctx, asked)
+		startedAt := f.cfg.Clock.Now()
+		err := read(ctx, startedAt)
 		if err == nil {
 			f.recordSuccess()
-			backoff, last, jitter = minBackoff, asked, rand.N(maxJitter)
+			backoff, last, jitter = minBackoff, startedAt, rand.N(maxJitter)
 			continue
 		}
 		if ctx.Err() == nil {
--- a/internal/sysd/large_test.go
+++ b/internal/sysd/large_test.go
@@ -18,10 +18,10 @@
 	}
 	f := startFleet(t, n)
 	time.Sleep(2 * time.Second)
-	before := processorTime(t)
+	before := cpuTime(t)
 	const span = 10 * time.Second
 	time.Sleep(span)
-	got := (processorTime(t) - before).Seconds() / span.Seconds() / float64(len(f.nodes))
+	got := (cpuTime(t) - before).Seconds() / span.Seconds() / float64(len(f.nodes))
 	t.Logf("CPU share of a VM without callers: %.4f", got)
 	// The users allow 4.7% of a core for control.
 	if got > 0.047 {
@@ -29,7 +29,7 @@
 	}
 }
 
-func processorTime(t *testing.T) time.Duration {
+func cpuTime(t *testing.T) time.Duration {
 	t.Helper()
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
--- a/internal/sysd/stop.go
+++ b/internal/sysd/stop.go
@@ -27,19 +27,19 @@
 	n.stopping.Store(true)
 	n.crew.Leave()
 	n.log.Info().Int("Sessions", n.entry.Sessions()).Dur("Grace", n.cfg.Stop.Grace).Msg("stopping as planned")
-	sleepUntil(ctx, minTime(time.Now().Add(balancerDelay), deadline))
+	sleepUntil(ctx, earlier(time.Now().Add(balancerDelay), deadline))
 	group := n.entry.Sessions()/closeGroups + 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		c := n.homes.Counts()
 		if n.entry.EndSessions(group) == 0 && c.Transactions == 0 && c.Active == 0 {
 			break
 		}
-		sleepUntil(ctx, minTime(time.Now().Add(closeInterval), deadline))
+		sleepUntil(ctx, earlier(time.Now().Add(closeInterval), deadline))
 	}
 	n.log.Info().Int("Sessions", n.entry.Sessions()).Int("Transactions", n.homes.Counts().Transactions).Msg("stopped serving")
 }
 
-func minTime(a, b time.Time) time.Time {
+func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
 	}
@@ -53,7 +53,7 @@
 	}
 }
 
-func (n *node) stopped() bool { return n.stopping.Load() }
+func (n *node) isStopping() bool { return n.stopping.Load() }
 
 // close stops all components and waits for them.
 func (n *node) close() error {
--- a/internal/sysd/upkeep.go
+++ b/internal/sysd/upkeep.go
@@ -49,7 +49,7 @@
 // the configuration, and at least every maintainInterval.
 func (n *node) maintain() {
 	known := make(map[siskin.TargetID]siskin.TargetInfo)
-	for !n.stopped() {
+	for !n.isStopping() {
 		members, targets, deployment := n.crew.Changed(), n.roster.Changed(), n.table.Changed()
 		n.homes.Update()
 		n.connectHomeTargets()
