entry, feed: more precise comments

The windows of the target selector count back from now, and the hints of the write routes were described by a double negation. The comments say so plainly now; no code changed.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -16,8 +16,8 @@
 	// remoteBias is the same for targets in other data centres, since traffic
 	// between data centres is charged.
 	remoteBias = 0.4
-	// laggingBias is the same for a replica that had not reached a required
-	// minimum position (floor) within laggingWindow. Its last known position
+	// laggingBias is the same for a replica that lacked a required minimum
+	// position (floor) less than laggingWindow ago. Its last known position
 	// cannot be used instead: it is older than the floor, and the replica has
 	// received more since.
 	laggingBias   = 3.0
@@ -28,8 +28,8 @@
 	// one for the customer's connections. Opening a connection takes as long
 	// as a statement or two.
 	newConnectionBias = 0.7
-	// failedBias is the same for a target that failed within failedWindow.
-	// Such a target is used only when there is no other.
+	// failedBias is the same for a target that failed less than failedWindow
+	// ago. Such a target is used only when there is no other.
 	failedBias   = 100
 	failedWindow = time.Second
 	// loadMaxAge is the age from which a load report is ignored. Load is
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -68,7 +68,8 @@
 )
 
 // unresponsive reports whether the last attempts at a target have all failed
-// and the latest failure is recent.
+// and the latest failure is recent. It applies only to the first attempt of an
+// operation.
 func (o *operation) unresponsive(id siskin.TargetID) bool {
 	t := o.s.e.cfg.Views.Target(id)
 	return o.attempts == 0 && t.Failures >= unresponsiveFailures && o.s.e.cfg.Clock.Since(t.FailedAt) < unresponsivePause
--- a/internal/entry/writing.go
+++ b/internal/entry/writing.go
@@ -11,8 +11,7 @@
 // after one of them did.
 const writeHintPeriod = 5 * time.Minute
 
-// writeHints records the routes whose transactions write although they are not
-// declared as writing.
+// writeHints records the routes whose transactions are expected to write.
 //
 // On a route with bounded staleness a transaction is expected only to read, so
 // it is begun read-only at a replica. Otherwise transactions of several
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// TestConfigurationInForce guards against changes that take longer than the 3
-// s that the users allow, also right after an outage of the store.
+// TestConfigurationInForce guards against changes that take longer than the
+// users allow, which is 3 s, also right after an outage of the store.
 func TestConfigurationInForce(t *testing.T) {
 	t.Parallel()
 	f := startFeed(t)
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -15,7 +15,7 @@
 }
 
 // poll calls read whenever the data is older than age. known returns when the
-// data was last confirmed.
+// data was last confirmed, and read gets the time at which it was called.
 func (f *Feed) poll(ctx context.Context, what string, age time.Duration, known func() time.Time, read func(context.Context, time.Time) error) {
 	backoff := minBackoff
 	var last time.Time // start of this VM's last own read
