member: exported names say what they mean

Awake was figurative, and Seed beside Seeds and PauseAfter named something else than they hold. They are MayUseRoles, RandomSeed, PauseThreshold, SuspicionTimeout and DeadProbeInterval now.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -136,7 +136,7 @@
 		State:          siskin.VMLive,
 	}
 	d.members = member.New(
-		member.Config{Self: d.self, Seeds: d.seeds(), Seed: uint64(d.self.Incarnation)},
+		member.Config{Self: d.self, Seeds: d.seeds(), RandomSeed: uint64(d.self.Incarnation)},
 		d.client,
 		member.WithClock(d.options.clock),
 		member.WithPlatform(d.platform),
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -36,7 +36,7 @@
 		ProbeInterval: d.settings.Group.ProbeInterval,
 		Limits:        callerLimits(&d.settings.Caller),
 		Open:          d.options.open,
-		Awake:         d.members.Awake,
+		Awake:         d.members.MayUseRoles,
 	})
 	if err != nil {
 		return err
@@ -65,7 +65,7 @@
 	receivers := d.node.Receivers()
 	receivers["Member"] = d.members.Receiver()
 	receivers["Spread"] = d.spread.Receiver()
-	receivers["Limit"] = &limitReceiver{d.limiter.Receiver(), d.members.Awake}
+	receivers["Limit"] = &limitReceiver{d.limiter.Receiver(), d.members.MayUseRoles}
 	receivers["Keys"] = d.keys.Receiver()
 	receivers["Daemon"] = &receiver{d}
 	for name, r := range receivers {
--- a/internal/daemon/resume.go
+++ b/internal/daemon/resume.go
@@ -40,7 +40,7 @@
 // Live implements siskin.Members.
 func (m *awakeMembers) Live() []siskin.VM {
 	live := m.Members.Live()
-	if m.Awake() {
+	if m.MayUseRoles() {
 		return live
 	}
 	self := m.Self().ID
--- a/internal/daemon/roles_test.go
+++ b/internal/daemon/roles_test.go
@@ -24,7 +24,7 @@
 	if got := len(view.Live()); got != 0 {
 		t.Errorf("live VMs after the pause: got %d, want 0", got)
 	}
-	r := &limitReceiver{awake: m.Awake}
+	r := &limitReceiver{awake: m.MayUseRoles}
 	if err := r.Ask(&limit.AskArgs{}, &limit.AskReply{}); siskin.KindOf(err) != siskin.Unavailable {
 		t.Errorf("request for units after the pause: got %v, want kind Unavailable", err)
 	}
--- a/pkg/member/config.go
+++ b/pkg/member/config.go
@@ -19,23 +19,23 @@
 	// ProbeTimeout bounds a direct probe, and IndirectTimeout the probes by
 	// others after it; zero means 300 ms and 400 ms.
 	ProbeTimeout, IndirectTimeout time.Duration
-	// SuspicionTime is the time that a member has to refute; zero means 800 ms.
+	// SuspicionTimeout is the time that a member has to refute; zero means 800 ms.
 	// Together with the times above a silent VM is known as dead within 2.5 s
 	// by its observers, which leaves 0.5 s of the 3 s for the spread.
-	SuspicionTime time.Duration
+	SuspicionTimeout time.Duration
 	// PushInterval is the shortest time between two pushes of news; zero means
 	// 200 ms.
 	PushInterval time.Duration
-	// DeadInterval is the time between two probes of a dead member, which find
+	// DeadProbeInterval is the time between two probes of a dead member, which find
 	// out that a partition has ended; zero means 5 s.
-	DeadInterval time.Duration
-	// PauseAfter is the gap of the loop that counts as a pause; zero means 1 s.
-	PauseAfter time.Duration
+	DeadProbeInterval time.Duration
+	// PauseThreshold is the gap of the loop that counts as a pause; zero means 1 s.
+	PauseThreshold time.Duration
 	// ListInterval is the time between two reads of the platform's list by the
 	// two VMs per data centre that read it; zero means 10 s.
 	ListInterval time.Duration
-	// Seed seeds the choice of helpers.
-	Seed uint64
+	// RandomSeed seeds the choice of helpers.
+	RandomSeed uint64
 }
 
 const (
@@ -62,10 +62,10 @@
 	setDefault(&cfg.ProbeInterval, 330*time.Millisecond)
 	setDefault(&cfg.ProbeTimeout, 300*time.Millisecond)
 	setDefault(&cfg.IndirectTimeout, 400*time.Millisecond)
-	setDefault(&cfg.SuspicionTime, 800*time.Millisecond)
+	setDefault(&cfg.SuspicionTimeout, 800*time.Millisecond)
 	setDefault(&cfg.PushInterval, 200*time.Millisecond)
-	setDefault(&cfg.DeadInterval, 5*time.Second)
-	setDefault(&cfg.PauseAfter, time.Second)
+	setDefault(&cfg.DeadProbeInterval, 5*time.Second)
+	setDefault(&cfg.PauseThreshold, time.Second)
 	setDefault(&cfg.ListInterval, 10*time.Second)
 }
 
--- a/pkg/member/core.go
+++ b/pkg/member/core.go
@@ -51,13 +51,13 @@
 
 func newCore(cfg Config, now time.Time) *core {
 	c := &core{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.Incarnation))),
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.RandomSeed, uint64(cfg.Self.Incarnation))),
 		self:    Record{ID: cfg.Self.ID, Incarnation: cfg.Self.Incarnation, State: siskin.VMLive, DataCentre: cfg.Self.DataCentre, Address: cfg.Self.PeerAddress, Forward: cfg.Self.ForwardAddress},
 		members: make(map[siskin.VMID]*member), news: newNews(),
 	}
 	c.rings = newRings(c.self.ID)
 	c.nextProbe = now.Add(time.Duration(c.rng.Int64N(int64(cfg.ProbeInterval))))
-	c.nextDead = now.Add(time.Duration(c.rng.Int64N(int64(cfg.DeadInterval))))
+	c.nextDead = now.Add(time.Duration(c.rng.Int64N(int64(cfg.DeadProbeInterval))))
 	c.hash ^= recordHash(c.self)
 	c.touch(c.self.ID)
 	c.announce(c.self)
--- a/pkg/member/core_test.go
+++ b/pkg/member/core_test.go
@@ -54,7 +54,7 @@
 	}
 	for _, file := range ar.Files {
 		now, last := time.Unix(0, 0), plan{}
-		c := newCore(Config{Self: siskin.VM{ID: "self", Incarnation: 5}, SuspicionTime: time.Second, ProbeInterval: time.Second, DeadInterval: time.Hour}, now)
+		c := newCore(Config{Self: siskin.VM{ID: "self", Incarnation: 5}, SuspicionTimeout: time.Second, ProbeInterval: time.Second, DeadProbeInterval: time.Hour}, now)
 		for line := range strings.Lines(string(file.Data)) {
 			f := strings.Fields(line)
 			switch f[0] {
@@ -123,7 +123,7 @@
 	f.Add(seedMessage)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		now := time.Unix(0, 0)
-		c := newCore(Config{Self: siskin.VM{ID: "self", Incarnation: 5}, ProbeInterval: time.Second, DeadInterval: time.Second}, now)
+		c := newCore(Config{Self: siskin.VM{ID: "self", Incarnation: 5}, ProbeInterval: time.Second, DeadProbeInterval: time.Second}, now)
 		var args ProbeArgs
 		if json.Unmarshal(b, &args) != nil {
 			return
@@ -141,7 +141,7 @@
 // were half of the traffic of 40 VMs.
 func TestNoPageOnOneOldHash(t *testing.T) {
 	now := time.Unix(100, 0)
-	c := newCore(Config{Self: siskin.VM{ID: "a", Incarnation: 1, PeerAddress: "a"}, ProbeInterval: time.Second, DeadInterval: time.Second}, now)
+	c := newCore(Config{Self: siskin.VM{ID: "a", Incarnation: 1, PeerAddress: "a"}, ProbeInterval: time.Second, DeadProbeInterval: time.Second}, now)
 	b := Record{ID: "b", Incarnation: 1, State: siskin.VMLive, Address: "b"}
 	c.accept(now, b)
 	c.receive(now, Message{From: b, Hash: c.hash + 1})
--- a/pkg/member/fabric_test.go
+++ b/pkg/member/fabric_test.go
@@ -82,7 +82,7 @@
 func startVM(f *fabric, id siskin.VMID, inc siskin.Incarnation, opts ...Option) *Members {
 	cfg := Config{
 		Self:  siskin.VM{ID: id, Incarnation: inc, DataCentre: "a", PeerAddress: "127.0.0.1:" + string(id)},
-		Seeds: []siskin.VMID{"vm-0", "vm-1"}, Seed: uint64(inc),
+		Seeds: []siskin.VMID{"vm-0", "vm-1"}, RandomSeed: uint64(inc),
 	}
 	m := New(cfg, fabricPeers{f, id}, append([]Option{WithClock(clockwork.NewRealClock())}, opts...)...)
 	f.mu.Lock()
--- a/pkg/member/loop.go
+++ b/pkg/member/loop.go
@@ -15,7 +15,7 @@
 		if now.Sub(due) > lateAfter {
 			m.noteLate(now)
 		}
-		if gap := m.gap(now); gap >= maxWait+m.cfg.PauseAfter {
+		if gap := m.gap(now); gap >= maxWait+m.cfg.PauseThreshold {
 			m.resume(now, gap)
 			now = m.clock.Now()
 		}
--- a/pkg/member/loopback_test.go
+++ b/pkg/member/loopback_test.go
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	c := peer.NewClient(peer.Config{Self: id}, nil)
-	m := New(Config{Self: siskin.VM{ID: id, Incarnation: 1, DataCentre: "a", PeerAddress: s.Address()}, Seeds: seeds, Seed: uint64(i)}, c)
+	m := New(Config{Self: siskin.VM{ID: id, Incarnation: 1, DataCentre: "a", PeerAddress: s.Address()}, Seeds: seeds, RandomSeed: uint64(i)}, c)
 	c.SetLookup(m.Address)
 	if err := s.Register("Member", m.Receiver()); err != nil {
 		t.Fatal(err)
--- a/pkg/member/members.go
+++ b/pkg/member/members.go
@@ -57,8 +57,8 @@
 func WithPlatform(p siskin.Platform) Option { return func(m *Members) { m.platform = p } }
 
 // WithResumed sets a function that is called after a pause of this VM, once
-// the suspicions of it are refuted and peers were asked for news. Awake is
-// false until it returns, so that roles lost during the pause are not used.
+// the suspicions of it are refuted and peers were asked for news. MayUseRoles
+// is false until it returns, so that roles lost during the pause are not used.
 func WithResumed(f func(gap time.Duration)) Option { return func(m *Members) { m.onResumed = f } }
 
 // WithSuperseded sets a function that is called when this run of the VM is
@@ -116,12 +116,12 @@
 // Changed implements siskin.Members.
 func (m *Members) Changed() <-chan struct{} { return *m.changed.Load() }
 
-// Awake reports whether roles may be used: it is false from a pause of this VM
-// until it has asked its peers and the function of WithResumed returned, and
-// for good when this run is superseded. A VM that reaches no peer waits for
-// them at most 2 s.
-func (m *Members) Awake() bool {
-	return !m.resuming.Load() && !m.over.Load() && m.gap(m.clock.Now()) < maxWait+m.cfg.PauseAfter
+// MayUseRoles reports whether roles may be used: it is false from a pause of
+// this VM until it has asked its peers and the function of WithResumed
+// returned, and for good when this run is superseded. A VM that reaches no peer
+// waits for them at most 2 s.
+func (m *Members) MayUseRoles() bool {
+	return !m.resuming.Load() && !m.over.Load() && m.gap(m.clock.Now()) < maxWait+m.cfg.PauseThreshold
 }
 
 // gap returns the time on the wall clock since the last turn of the loop. The
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -59,7 +59,7 @@
 		return
 	}
 	now := m.clock.Now()
-	if m.gap(now) >= maxWait+m.cfg.PauseAfter {
+	if m.gap(now) >= maxWait+m.cfg.PauseThreshold {
 		return // this VM was paused; the silence is its own
 	}
 	m.mu.Lock()
--- a/pkg/member/resume_test.go
+++ b/pkg/member/resume_test.go
@@ -39,7 +39,7 @@
 		awakeInCallback := make(chan bool, 1)
 		var m *Members
 		m = startVM(f, "vm-7", 1, WithClock(clock), WithResumed(func(d time.Duration) {
-			awakeInCallback <- m.Awake()
+			awakeInCallback <- m.MayUseRoles()
 			resumed <- d
 		}))
 		settle(t, append(all, m), 8, 10*time.Second)
@@ -48,15 +48,15 @@
 		f.kill("vm-7", 1)
 		settle(t, all, 7, 10*time.Second)
 		time.Sleep(5 * time.Second)
-		if m.Awake() {
-			t.Error("Awake during the pause: got true, want false")
+		if m.MayUseRoles() {
+			t.Error("MayUseRoles during the pause: got true, want false")
 		}
 		f.kill("vm-7", 0)
 		clock.resume.Store(nil)
 		close(resume)
 		settle(t, append(all, m), 8, 2*time.Second)
-		if awake, inCallback, gap := m.Awake(), <-awakeInCallback, <-resumed; !awake || inCallback || gap < 5*time.Second {
-			t.Errorf("got Awake %v, in the callback %v, gap %v; want true, false, at least 5 s", awake, inCallback, gap)
+		if awake, inCallback, gap := m.MayUseRoles(), <-awakeInCallback, <-resumed; !awake || inCallback || gap < 5*time.Second {
+			t.Errorf("got MayUseRoles %v, in the callback %v, gap %v; want true, false, at least 5 s", awake, inCallback, gap)
 		}
 		_ = m.Close()
 		time.Sleep(maxWait + time.Second) // ends the waits of the paused clock
@@ -125,8 +125,8 @@
 		clock.resume.Store(nil)
 		close(ch)
 		time.Sleep(100 * time.Millisecond)
-		if m.Awake() || awake.Load() {
-			t.Errorf("earlier run: got Awake %v, not superseded in the callback %v; want false, false", m.Awake(), awake.Load())
+		if m.MayUseRoles() || awake.Load() {
+			t.Errorf("earlier run: got MayUseRoles %v, not superseded in the callback %v; want false, false", m.MayUseRoles(), awake.Load())
 		}
 		select {
 		case <-told:
@@ -152,7 +152,7 @@
 		resume()
 		f.kill("vm-7", 1) // no peer answers
 		took := waitFor(t, 10*time.Second, func() string {
-			if !m.Awake() {
+			if !m.MayUseRoles() {
 				return "not awake"
 			}
 			return ""
--- a/pkg/member/schedule.go
+++ b/pkg/member/schedule.go
@@ -22,7 +22,7 @@
 		p.probes, p.pushes = c.probeTargets(now)
 	}
 	if !now.Before(c.nextDead) {
-		c.nextDead = now.Add(c.cfg.DeadInterval)
+		c.nextDead = now.Add(c.cfg.DeadProbeInterval)
 		if id, ok := c.randomMember(func(m *member) bool { return m.State == siskin.VMDead }); ok {
 			p.pushes = append(p.pushes, id)
 		}
@@ -56,7 +56,7 @@
 			probes = append(probes, id)
 		}
 	}
-	overdue := now.Add(-overdueFactor * c.cfg.SuspicionTime)
+	overdue := now.Add(-overdueFactor * c.cfg.SuspicionTimeout)
 	if id, ok := c.randomMember(func(m *member) bool {
 		return m.State == siskin.VMSuspect && (m.silent || m.since.Before(overdue))
 	}); ok {
--- a/pkg/member/suspicion.go
+++ b/pkg/member/suspicion.go
@@ -30,7 +30,7 @@
 		if m.State != siskin.VMSuspect {
 			continue
 		}
-		limit := c.cfg.SuspicionTime
+		limit := c.cfg.SuspicionTimeout
 		if !m.silent {
 			limit *= fallbackFactor
 		}
