front: exported names say what they hold or count

The observer's method had the name of its subject, and the counts of faults and waits didn't say what was counted. They are now ObserveTransaction, Panics and FreeRetries; Config.Cancels is Canceler. The tests of internal/front pass.

--- a/internal/daemon/gaps_test.go
+++ b/internal/daemon/gaps_test.go
@@ -91,9 +91,9 @@
 			Service: "ledger", Customer: "shop", Mode: config.WriteRoute, Term: f.term, Latency: f.latency,
 			Failed: f.failed != 0, Kind: f.failed, WithinRate: f.within,
 		}
-		o.Transaction(seen)
+		o.ObserveTransaction(seen)
 		// A read ends between any two writes and changes nothing.
-		o.Transaction(front.Observation{Service: "ledger", Customer: "shop", Mode: config.ReadRoute, Latency: ms})
+		o.ObserveTransaction(front.Observation{Service: "ledger", Customer: "shop", Mode: config.ReadRoute, Latency: ms})
 		done++
 		switch {
 		case f.failed == 0:
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -96,8 +96,8 @@
 	stats    *transactionStats
 }
 
-// Transaction implements front.Observer.
-func (o *observer) Transaction(t front.Observation) {
+// ObserveTransaction implements front.Observer.
+func (o *observer) ObserveTransaction(t front.Observation) {
 	o.recorder.Transaction(t.Service, t.Customer, burn.Result{
 		Failed:     t.Failed,
 		Kind:       t.Kind,
--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -6,8 +6,8 @@
 // session of another VM.
 func (s *Server) cancelRequest(processID uint32, secret []byte) {
 	s.Cancel(processID, secret)
-	if s.cfg.Cancels != nil {
-		s.cfg.Cancels.Cancel(processID, secret)
+	if s.cfg.Canceler != nil {
+		s.cfg.Canceler.Cancel(processID, secret)
 	}
 }
 
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -24,8 +24,8 @@
 	Forwarder *relay.Forwarder
 	Tokens    *token.Codec
 	Budgets   *retry.Budgets
-	// Cancels is nil when there are no other VMs.
-	Cancels Canceler
+	// Canceler is nil when there are no other VMs.
+	Canceler Canceler
 	// TLS is nil when callers connect without TLS, which is allowed on loopback
 	// listeners only.
 	TLS *tls.Config
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -30,13 +30,13 @@
 	// Transactions counts the ones that were begun, and Retries the attempts
 	// that were sent again.
 	Transactions, Retries int64
-	// Waits counts the attempts that were put off before anything was sent.
-	Waits int64
+	// FreeRetries counts the attempts that were put off before anything was sent.
+	FreeRetries int64
 	// ReplicaReads and PrimaryReads count the transactions on read routes by
 	// the role of the target that served them.
 	ReplicaReads, PrimaryReads int64
-	// Faults counts the sessions that ended by a fault of the program.
-	Faults int64
+	// Panics counts the sessions that ended by a fault of the program.
+	Panics int64
 	// Refused counts failed transactions by error kind.
 	Refused map[siskin.ErrorKind]int64
 }
@@ -45,9 +45,9 @@
 func (s *Server) Stats() Stats {
 	c := &s.counts
 	st := Stats{
-		Sessions: s.sessions.Len(), Transactions: c.transactions.Load(), Retries: c.retries.Load(), Waits: c.waits.Load(),
+		Sessions: s.sessions.Len(), Transactions: c.transactions.Load(), Retries: c.retries.Load(), FreeRetries: c.waits.Load(),
 		ReplicaReads: c.replicaReads.Load(), PrimaryReads: c.primaryReads.Load(),
-		Faults: c.faults.Load(), Refused: make(map[siskin.ErrorKind]int64),
+		Panics: c.faults.Load(), Refused: make(map[siskin.ErrorKind]int64),
 	}
 	for kind := range c.refused {
 		if n := c.refused[kind].Load(); n > 0 {
--- a/internal/front/fault_test.go
+++ b/internal/front/fault_test.go
@@ -15,7 +15,7 @@
 // faultyObserver panics while it is set.
 type faultyObserver struct{ fault atomic.Bool }
 
-func (o *faultyObserver) Transaction(Observation) {
+func (o *faultyObserver) ObserveTransaction(Observation) {
 	if o.fault.Load() {
 		panic("a fault on purpose")
 	}
@@ -134,7 +134,7 @@
 
 func (f *fleet) faults() (n int64) {
 	for _, vm := range f.vms {
-		n += vm.front.Stats().Faults + vm.relay.Faults()
+		n += vm.front.Stats().Panics + vm.relay.Faults()
 	}
 	return n
 }
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -10,7 +10,7 @@
 
 // Observer is told of each transaction that ended. It must not block.
 type Observer interface {
-	Transaction(o Observation)
+	ObserveTransaction(o Observation)
 }
 
 // Observation is one transaction as its caller saw it.
@@ -52,5 +52,5 @@
 	if f != nil {
 		o.Failed, o.Kind, o.WithinRate = true, f.Err.Kind, f.WithinRate
 	}
-	cfg.Observer.Transaction(o)
+	cfg.Observer.ObserveTransaction(o)
 }
--- a/internal/front/observe_test.go
+++ b/internal/front/observe_test.go
@@ -14,8 +14,8 @@
 	seen []Observation
 }
 
-// Transaction implements Observer.
-func (s *seenBy) Transaction(o Observation) {
+// ObserveTransaction implements Observer.
+func (s *seenBy) ObserveTransaction(o Observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen = append(s.seen, o)
--- a/internal/front/vm_test.go
+++ b/internal/front/vm_test.go
@@ -51,7 +51,7 @@
 	vm.budgets = retry.NewBudgets()
 	cfg := Config{
 		VM: vm.id, Clock: clock, Config: f.view, Keys: f.keys, Topology: vm, Home: home, Forwarder: vm.fwd,
-		Tokens: f.tokens, Budgets: vm.budgets, Cancels: cancels{vm},
+		Tokens: f.tokens, Budgets: vm.budgets, Canceler: cancels{vm},
 	}
 	f.editFront(&cfg)
 	vm.relay = relay.NewServer(home, f.tokens, nil, relay.WithLog(cfg.Log))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,7 +93,7 @@
 		Forwarder: n.forwarder,
 		Tokens:    cfg.Tokens,
 		Budgets:   retry.NewBudgets(),
-		Cancels:   &cancels{members: cfg.Members, peers: cfg.Peers},
+		Canceler:  &cancels{members: cfg.Members, peers: cfg.Peers},
 		TLS:       cfg.CallerTLS,
 		Observer:  cfg.Observer,
 		Log:       cfg.Log,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -31,7 +31,7 @@
 		Uptime:     n.cfg.Clock.Since(n.started),
 		Revision:   n.cfg.Config.Revision(),
 		Front:      st,
-		Faults:     st.Faults + n.server.Faults(),
+		Faults:     st.Panics + n.server.Faults(),
 		Slots:      len(n.pool.Owned()),
 		Violations: invar.Violations(),
 	}
