--- a/pkg/spread/accepted.go
+++ b/pkg/spread/accepted.go
@@ -12,11 +12,12 @@
 	refusedNeverVisible     = invar.New("ConfigRefusedNeverVisible")
 )
 
-// historyRevisions is the number of revisions whose operations are remembered.
+// historyRevisions is the number of latest revisions whose operations are kept.
 const historyRevisions = 256
 
-// operationHistory remembers which operations made the latest revisions in force and
-// which were refused, to check that no other change becomes visible.
+// operationHistory records which operations made the latest revisions and which
+// were refused, to check the invariants that each revision has one operation
+// and that no refused change becomes visible.
 type operationHistory struct {
 	mu       sync.Mutex
 	accepted map[siskin.Revision]siskin.OperationID
@@ -27,10 +28,10 @@
 	return &operationHistory{accepted: make(map[siskin.Revision]siskin.OperationID), refused: make(map[siskin.Revision]siskin.OperationID)}
 }
 
-// recordAccepted records the operation that made a revision in force.
+// recordAccepted records the operation that made an accepted revision.
 func (a *operationHistory) recordAccepted(rev siskin.Revision, op siskin.OperationID) {
 	if op == "" {
-		return // documents of several changes, as from an exchange
+		return // the documents come from several changes, as in an exchange
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -41,7 +42,7 @@
 	delete(a.accepted, rev-min(rev, historyRevisions))
 }
 
-// recordRefused records that an operation did not make a revision.
+// recordRefused records that an operation was refused as the given revision.
 func (a *operationHistory) recordRefused(rev siskin.Revision, op siskin.OperationID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -10,23 +10,23 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// maxApplyAttempts bounds how often a change is validated again because another one
-// was accepted meanwhile.
+// maxApplyAttempts bounds how often Apply validates and submits a change when
+// other changes are accepted concurrently.
 const maxApplyAttempts = 8
 
-// errConcurrentChange says that another change became current first.
+// errConcurrentChange is the cause of the Conflict error that Apply retries.
 var errConcurrentChange = errors.New("another change became current first")
 
-// Apply makes an operator's change current and returns its revision. It is
-// accepted or refused as a whole, and validated again when another change was
-// accepted meanwhile. An error of kind BadInput lists findings, Conflict means
-// that another change of the same documents came first, and OutcomeUnknown that
-// the platform's answer was lost until the deadline. Every other error means
-// that the change was refused and is visible nowhere.
+// Apply commits an operator's change and returns its revision. The change is
+// atomic, and it is validated again if another change is accepted concurrently.
+// An error of kind BadInput lists findings. Conflict means that another change
+// of the same documents was committed first, and OutcomeUnknown that no response
+// of the platform arrived before the deadline. Every other error means that the
+// change was refused and is not visible at any VM.
 func (s *Spread) Apply(ctx context.Context, change *config.Change) (siskin.Revision, error) {
 	for i := 1; ; i++ {
-		// A refused operation must not be found as accepted later, so that each
-		// attempt has its own id.
+		// Each attempt has its own operation id, so that a refused attempt is
+		// never mistaken for one that was accepted.
 		op := siskin.OperationID(string(s.members.Self().ID) + "-" + rand.Text())
 		rev, err := s.ApplyWithID(ctx, op, change)
 		if !errors.Is(err, errConcurrentChange) || i == maxApplyAttempts {
@@ -35,12 +35,12 @@
 	}
 }
 
-// ApplyWithID makes a change current under an operation id and returns its
-// revision. Applying the same change again with the same id has no effect and
-// gives the result after an error of kind OutcomeUnknown. An error of kind
-// Conflict means that any other change came first. After an error of kind
-// OutcomeUnknown, one of another kind than Conflict or BadInput says nothing
-// about the earlier attempt.
+// ApplyWithID commits a change under an operation id and returns its revision.
+// It is idempotent: after an error of kind OutcomeUnknown, a retry of the same
+// change with the same id returns the outcome. An error of kind Conflict means
+// that any other change was committed first. If the retry fails with a kind
+// other than Conflict or BadInput, the outcome of the earlier attempt is still
+// unknown.
 func (s *Spread) ApplyWithID(ctx context.Context, op siskin.OperationID, change *config.Change) (siskin.Revision, error) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
@@ -52,7 +52,7 @@
 		return rev, nil
 	}
 	view := s.snapshot()
-	if view.revision != h.Revision { // the head is older than what was pushed meanwhile
+	if view.revision != h.Revision { // a newer revision was pushed after the head was read
 		return s.resolveStaleHead(ctx, op)
 	}
 	if err := s.cfg.Validate(view, change).Err(); err != nil {
@@ -68,7 +68,7 @@
 		return 0, err
 	}
 	if err := s.commitChange(ctx, h, version, op, docs); err != nil {
-		if siskin.KindOf(err) == siskin.Conflict { // others may be applied again
+		if siskin.KindOf(err) == siskin.Conflict { // after other errors the same id may be retried and accepted
 			s.operationHistory.recordRefused(rev, op)
 		}
 		return 0, err
@@ -80,8 +80,9 @@
 	return rev, nil
 }
 
-// resolveStaleHead ends an attempt that read a head from before another change. That
-// change may be an earlier attempt of the same operation, whose answer was lost.
+// resolveStaleHead returns the result of an attempt that read the head before
+// another change was committed. That change may be an earlier attempt of the
+// same operation whose response was lost.
 func (s *Spread) resolveStaleHead(ctx context.Context, op siskin.OperationID) (siskin.Revision, error) {
 	h, _, err := s.readHead(ctx)
 	if err != nil {
@@ -93,7 +94,8 @@
 	return 0, conflictError(h.Revision)
 }
 
-// commitChange writes the change object and then makes it current.
+// commitChange writes the change object and then commits it by a conditional
+// update of the head.
 func (s *Spread) commitChange(ctx context.Context, h head, version siskin.Version, op siskin.OperationID, docs []Document) error {
 	snapshot, err := s.snapshotRevision(ctx)
 	if err != nil {
@@ -108,8 +110,8 @@
 		return siskin.NewError(siskin.Internal, "cannot encode the change").WithCause(err)
 	}
 	name := changeName(headChange{next.Revision, op})
-	// The object is not current yet, so a lost answer does no harm, and a
-	// conflict means that an earlier attempt of this operation wrote it.
+	// The head does not refer to the object yet, so a lost response is harmless.
+	// A conflict means that an earlier attempt of this operation wrote the object.
 	if _, err := s.platform.Put(ctx, name, value, 0, op); err != nil && siskin.KindOf(err) != siskin.Conflict {
 		if siskin.KindOf(err) == siskin.OutcomeUnknown {
 			return siskin.NewError(siskin.Unavailable, "the change could not be stored").WithCause(err).WithRemedy("retry later")
@@ -130,7 +132,8 @@
 	return err
 }
 
-// resolveOutcome reads the head back to find out whether an operation took effect.
+// resolveOutcome reads the head to determine whether an operation was
+// committed. It returns nil if so.
 func (s *Spread) resolveOutcome(ctx context.Context, op siskin.OperationID, cause error) error {
 	o, err := s.platform.Get(ctx, headName)
 	if err != nil {
--- a/pkg/spread/catchup.go
+++ b/pkg/spread/catchup.go
@@ -7,13 +7,14 @@
 	"siskintray.example/siskin"
 )
 
-// catchUpPeers is the number of VMs that CatchUp asks in each of the own and
-// the other data centres. One that was paused too may not know the newest
-// revision.
+// catchUpPeers is the number of VMs that CatchUp queries in the VM's own data
+// centre, and again in the other data centres. A single peer could have been
+// paused as well and lack the newest revision.
 const catchUpPeers = 2
 
-// CatchUp fetches what changed since this VM's revision from several VMs, such
-// as after a pause. It reports whether any answered before the context ended.
+// CatchUp fetches the documents changed since this VM's revision from several
+// VMs, for instance after the process was paused. It reports whether a fetch
+// succeeded before the context ended.
 func (s *Spread) CatchUp(ctx context.Context) bool {
 	local, remote := s.others()
 	answers := make(chan bool, 2*catchUpPeers)
--- a/pkg/spread/change.go
+++ b/pkg/spread/change.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// documents returns the documents of a change at a revision.
+// documents encodes a change as documents of a revision.
 func documents(op siskin.OperationID, c *config.Change, rev siskin.Revision) ([]Document, error) {
 	var docs []Document
 	for _, s := range c.Services {
--- a/pkg/spread/config.go
+++ b/pkg/spread/config.go
@@ -9,45 +9,47 @@
 
 // Config holds the settings of a Spread.
 type Config struct {
-	// ExchangeInterval is the time between two exchanges with a random VM;
-	// zero means 1 s.
+	// ExchangeInterval is the time between two exchanges (anti-entropy) with a
+	// random VM; zero means 1 s.
 	ExchangeInterval time.Duration
-	// CallTimeout bounds one call of a peer; zero means 2 s.
+	// CallTimeout bounds one call to a peer; zero means 2 s.
 	CallTimeout time.Duration
 	// SnapshotEvery is the number of changes after which the snapshot is
 	// rewritten; zero means 32.
 	SnapshotEvery siskin.Revision
-	// StatusInterval is the shortest time between two writes of the revisions
+	// StatusInterval is the minimum time between two writes of the revisions
 	// of a data centre to the platform; zero means 5 s.
 	StatusInterval time.Duration
-	// Validate accepts or refuses a change as a whole. The view shows the
-	// configuration before the change. Nil means config.Validate.
+	// Validate returns the reasons to refuse a change; a change without findings
+	// is accepted. The view is the configuration before the change. Nil means
+	// config.Validate.
 	Validate func(view config.View, change *config.Change) config.Findings
 }
 
 const (
-	// fanOut is the number of VMs that one VM pushes a change to. A tree of
-	// that width reaches 2,800 VMs in 4 hops.
+	// fanOut is the number of VMs that one VM pushes a change to. A tree with
+	// this fan-out reaches 2,800 VMs in 4 hops.
 	fanOut = 8
 	// watcherCount is the number of VMs per data centre that watch the head.
 	watcherCount = 2
-	// maxPageBytes bounds the documents in one answer, well below the limit of a
-	// message between VMs.
+	// maxPageBytes bounds the documents in one response, well below the size
+	// limit of messages between VMs.
 	maxPageBytes = 512 << 10
-	// maxRecent bounds the changes that the head names, at about 120 bytes each.
+	// maxRecent bounds the changes listed in the head, at about 120 bytes each.
 	maxRecent = 1000
-	// minRecent is the number of changes that the head names even when the
-	// snapshot covers them, so that a lost answer can be resolved.
+	// minRecent is the number of latest changes that the head lists even when the
+	// snapshot covers them, so that a retry after a lost response finds its
+	// operation.
 	minRecent = 64
-	// remoteExchangeEvery is how often an exchange is with another data centre.
+	// remoteExchangeEvery makes every 8th exchange go to another data centre.
 	remoteExchangeEvery = 8
-	// collectorExchangeEvery is how often an exchange is with the VM that collects the
-	// revisions of the data centre.
+	// collectorExchangeEvery makes every 4th exchange go to the VM that collects
+	// the revisions of the data centre.
 	collectorExchangeEvery = 4
 )
 
-// watcherPushDelay is how long the first and the second watcher wait for a push
-// before they push a change themselves.
+// watcherPushDelay is the time that the first and the second watcher wait for a
+// push from another VM before they push a change themselves.
 var watcherPushDelay = [watcherCount]time.Duration{150 * time.Millisecond, 500 * time.Millisecond}
 
 func (cfg *Config) setDefaults() {
--- a/pkg/spread/confirm.go
+++ b/pkg/spread/confirm.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin"
 )
 
-// confirmInterval is the time between two questions to the collectors.
+// confirmInterval is the time between two queries of the collectors.
 const confirmInterval = 250 * time.Millisecond
 
 // StatusArgs are the arguments of Spread.Status.
@@ -15,19 +15,20 @@
 
 // StatusReply is the answer of Spread.Status.
 type StatusReply struct {
-	// Revisions are the revisions in force that the answering VM heard of.
+	// Revisions are the revisions in force per VM, as known to the responding VM.
 	Revisions map[siskin.VMID]siskin.Revision
 }
 
-// Status answers with the revisions that this VM heard of.
+// Status returns the revisions that this VM knows of.
 func (r *Receiver) Status(_ *StatusArgs, reply *StatusReply) error {
 	reply.Revisions = r.s.Status()
 	return nil
 }
 
-// Confirm waits until a revision is in force at all live VMs, at most until
-// the context ends, and returns the VMs where that is not confirmed. It asks
-// one VM per data centre, which hears of the others within some seconds.
+// Confirm waits until a revision is in force at all live VMs or the context
+// ends, and returns the VMs where the revision is not confirmed. It queries the
+// collector of each data centre, which learns the revisions of the other VMs
+// within a few seconds.
 func (s *Spread) Confirm(ctx context.Context, rev siskin.Revision) []siskin.VM {
 	for {
 		missing := s.unconfirmed(rev)
--- a/pkg/spread/counts_test.go
+++ b/pkg/spread/counts_test.go
@@ -7,12 +7,12 @@
 	"siskintray.example/siskin"
 )
 
-// soakCounts says what happened in a long run.
+// soakCounts holds the statistics of a soak run.
 type soakCounts struct {
 	accepted, refused, unknown int // changes
 	faults, restarts           int
-	checkedRevision            siskin.Revision // latest revision that was checked against the bound under faults
-	slowestSpread              time.Duration   // until a change was in force everywhere after the faults
+	checkedRevision            siskin.Revision // latest revision whose spread was checked against maxSpreadTime under faults
+	slowestSpread              time.Duration   // longest time to bring a change into force at all VMs after the faults ended
 }
 
 func (c *soakCounts) add(o soakCounts) {
@@ -25,7 +25,7 @@
 	c.slowestSpread = max(c.slowestSpread, o.slowestSpread)
 }
 
-// String returns the counts as text.
+// String formats the counts for the test log.
 func (c soakCounts) String() string {
 	return fmt.Sprintf("%d changes accepted, %d refused, %d unknown; %d faults, %d restarts; %d revisions checked against the bound under faults; slowest spread after them %v",
 		c.accepted, c.refused, c.unknown, c.faults, c.restarts, c.checkedRevision, c.slowestSpread.Round(time.Millisecond))
--- a/pkg/spread/document.go
+++ b/pkg/spread/document.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// Kind says what a document describes.
+// Kind is the type of object that a document describes.
 type Kind string
 
 // Kinds of documents.
@@ -21,7 +21,7 @@
 	name string
 }
 
-// Document is one document as it travels. A deleted one has no body.
+// Document is a document in its encoded form. A tombstone has no body.
 type Document struct {
 	Kind     Kind
 	Name     string
@@ -32,14 +32,15 @@
 
 func (d Document) key() key { return key{d.Kind, d.Name} }
 
-// entry is a document in force, decoded once.
+// entry is a document with its decoded body.
 type entry struct {
 	Document
 	service  *config.Service
 	customer *config.Customer
 }
 
-// asService returns the service unless there is none or it was deleted.
+// asService returns the service and reports whether it exists. A deleted
+// service does not exist.
 func (e *entry) asService() (*config.Service, bool) {
 	if e == nil || e.Deleted {
 		return nil, false
@@ -47,7 +48,8 @@
 	return e.service, true
 }
 
-// asCustomer returns the customer unless there is none or it was deleted.
+// asCustomer returns the customer and reports whether it exists. A deleted
+// customer does not exist.
 func (e *entry) asCustomer() (*config.Customer, bool) {
 	if e == nil || e.Deleted {
 		return nil, false
@@ -55,7 +57,7 @@
 	return e.customer, true
 }
 
-// decode checks a document and decodes its body.
+// decode validates a document and decodes its body.
 func decode(d Document) (*entry, error) {
 	e := &entry{Document: d}
 	var err error
--- a/pkg/spread/evidence.go
+++ b/pkg/spread/evidence.go
@@ -6,23 +6,23 @@
 	"siskintray.example/siskin"
 )
 
-// ProofTracker is told what proves that this VM knows the newest configuration. It
-// is called often and must not block.
+// ProofTracker records the proofs that this VM has the newest configuration.
+// Its methods are called often and must not block.
 type ProofTracker interface {
-	// PlatformAnswered says that the platform answered a question that was sent
-	// at the given time and that this VM has the revision which it named.
+	// PlatformAnswered records that the platform responded to a request sent at
+	// the given time and that this VM has the revision in the response.
 	PlatformAnswered(sent time.Time)
-	// PeerProof says that a VM whose revision this VM has gave its proof, which
-	// was age old when the question was sent.
+	// PeerProof records the proof of a peer whose revision this VM has. The proof
+	// had the given age when the request was sent.
 	PeerProof(sent time.Time, age time.Duration)
-	// PeerPlatform says whether a watcher of another data centre can reach the
-	// platform.
+	// PeerPlatform records whether the platform is down for a watcher of another
+	// data centre.
 	PeerPlatform(dc siskin.DataCentreID, sent time.Time, down bool)
-	// Age returns how old this VM's proof is, negative without one.
+	// Age returns the age of this VM's latest proof, negative without one.
 	Age(now time.Time) time.Duration
 }
 
-// WithProofTracker sets the receiver of proofs.
+// WithProofTracker sets the tracker that receives the proofs.
 func WithProofTracker(t ProofTracker) Option { return func(s *Spread) { s.proofTracker = t } }
 
 type noProofTracker struct{}
--- a/pkg/spread/exchange.go
+++ b/pkg/spread/exchange.go
@@ -12,24 +12,24 @@
 	From siskin.VMID
 	// Revision is the revision in force at the caller.
 	Revision siskin.Revision
-	// After is the last document of the page before, without its body.
+	// After is the last document of the previous page, without its body.
 	After *Document `json:",omitempty"`
 }
 
 // SinceReply is the answer of Spread.Since.
 type SinceReply struct {
-	// Revision is the revision in force at the answering VM when it collected
+	// Revision is the revision in force at the responding VM before it collected
 	// the documents.
 	Revision siskin.Revision
 	// Documents are those changed after the caller's revision.
 	Documents []Document `json:",omitempty"`
-	// More says that further pages follow.
+	// More reports whether further pages follow.
 	More bool `json:",omitempty"`
-	// Proof holds for Revision.
+	// Proof is the proof that Revision is the newest.
 	Proof Proof
 }
 
-// exchangeLoop compares revisions with a random VM at each interval.
+// exchangeLoop exchanges revisions with a random VM at each interval.
 func (s *Spread) exchangeLoop() {
 	for n := 1; ; n++ {
 		if vm, ok := s.exchangePeer(n); ok {
@@ -47,11 +47,12 @@
 	}
 }
 
-// shouldLoadFromPlatform reports whether the platform is asked after the n-th exchange, at
-// doubling intervals. Every VM asks from the start while no peer gave a proof,
-// since no key is accepted without one. Later only VMs that are no watchers ask,
-// while no peer has a configuration, so that a fleet without one does not load
-// the platform.
+// shouldLoadFromPlatform reports whether the VM reads the configuration from
+// the platform after the n-th exchange. The intervals double, so that a fleet
+// without a configuration does not load the platform. While a VM has no proof,
+// it reads from the first exchange on, since no key is accepted without a
+// proof. With a proof, only VMs that are not watchers read, from the 8th
+// exchange on and only while they have no configuration.
 func (s *Spread) shouldLoadFromPlatform(n int) bool {
 	if n&(n-1) != 0 {
 		return false
@@ -63,7 +64,7 @@
 	return !watcher && s.Revision() == 0 && n >= 8
 }
 
-// exchangePeer returns the VM for the n-th exchange.
+// exchangePeer selects the VM for the n-th exchange.
 func (s *Spread) exchangePeer(n int) (siskin.VMID, bool) {
 	local, remote := s.others()
 	switch {
@@ -89,7 +90,7 @@
 }
 
 // fetch gets the documents changed since this VM's revision from a peer, in
-// pages. The revision advances only when all of them arrived.
+// pages. The revision advances only after the last page.
 func (s *Spread) fetch(vm siskin.VMID) error {
 	args := &SinceArgs{From: s.members.Self().ID, Revision: s.Revision()}
 	rev, proof, sent := siskin.Revision(0), Proof{}, s.clock.Now()
@@ -117,7 +118,7 @@
 	}
 }
 
-// fetchInBackground fetches from a peer in the background, once at a time.
+// fetchInBackground fetches from a peer unless a fetch from it is running.
 func (s *Spread) fetchInBackground(vm siskin.VMID) {
 	s.fetchMu.Lock()
 	fetching := s.fetching[vm]
@@ -139,10 +140,11 @@
 // Receiver holds the methods that peers call. Register it as "Spread".
 type Receiver struct{ s *Spread }
 
-// Receiver returns the receiver of the methods Spread.Push and Spread.Since.
+// Receiver returns the receiver of the methods Spread.Push, Spread.Since and
+// Spread.Status.
 func (s *Spread) Receiver() *Receiver { return &Receiver{s} }
 
-// Since answers with the documents changed after the caller's revision.
+// Since returns the documents changed after the caller's revision.
 func (r *Receiver) Since(args *SinceArgs, reply *SinceReply) error {
 	s := r.s
 	s.peerRevisions.record(args.From, args.Revision, s.clock.Now())
@@ -161,5 +163,6 @@
 	return nil
 }
 
-// staleAfter is the age from which the revision of a VM is not known anymore.
+// staleAfter is the age from which the last reported revision of a VM is
+// ignored.
 const staleAfter = 30 * time.Second
--- a/pkg/spread/fleet_test.go
+++ b/pkg/spread/fleet_test.go
@@ -26,18 +26,19 @@
 	goleak.VerifyTestMain(m)
 }
 
-// fakeFleet is a fake of siskin.Members and siskin.Peers for VMs of one process.
-// Messages travel as JSON; those over cut links are lost.
+// fakeFleet is a set of VMs in one process with fakes of siskin.Members and
+// siskin.Peers. Messages are encoded as JSON; messages between partitioned data
+// centres are lost.
 type fakeFleet struct {
 	mu          sync.Mutex
-	partitioned bool // the data centres are cut off from each other
-	startCutOff bool // VMs start cut off from the platform
+	partitioned bool // no data centre reaches another one
+	startCutOff bool // new VMs cannot reach the platform
 	vms         []siskin.VM
 	nodes       map[siskin.VMID]*node
 
 	messageFaults messageFaults
 
-	dataCentres []siskin.DataCentreID       // VM i is in place i modulo their number
+	dataCentres []siskin.DataCentreID       // VM i is in data centre i modulo their number
 	options     func(vm siskin.VM) []Option // nil for none
 }
 
@@ -46,10 +47,10 @@
 	f              *fakeFleet
 	vm             siskin.VM
 	client         *plat.Client
-	platformCutOff atomic.Bool // from the platform
-	staleWatches   atomic.Bool // watches answer with the oldest head again
+	platformCutOff atomic.Bool // the VM cannot reach the platform
+	staleWatches   atomic.Bool // watches return the first head that was observed
 	firstHead      siskin.Object
-	delayHead      atomic.Bool // the next update of the head is held back until the one after it
+	delayHead      atomic.Bool // the next update of the head is delayed until the one after it
 	delayedUpdate  func()
 	afterHeadRead  atomic.Pointer[func()] // called once after the next read of the head
 }
@@ -122,7 +123,7 @@
 	}
 }
 
-// nodePlatform is the platform as one VM reaches it.
+// nodePlatform is the platform client of one VM, with injected faults.
 type nodePlatform struct {
 	*plat.Client
 	n *node
@@ -153,7 +154,7 @@
 	return g.Client.Put(ctx, name, value, ifVersion, op)
 }
 
-// Watch implements siskin.Platform. It can answer late, with an old head.
+// Watch implements siskin.Platform. It can return an old head.
 func (g nodePlatform) Watch(ctx context.Context, name siskin.ObjectName, after siskin.Version) (siskin.Object, error) {
 	if g.n.platformCutOff.Load() {
 		return siskin.Object{}, errCutOff
@@ -223,7 +224,7 @@
 	f.messageFaults.wait()
 }
 
-// startFleet starts a platform and n VMs with fast exchanges.
+// startFleet starts a platform and n VMs with short exchange intervals.
 func startFleet(t testing.TB, n int) (*objapi.Server, *fakeFleet, []*node) {
 	t.Helper()
 	platform, err := objapi.Start(objapi.Config{Seed: *seed})
--- a/pkg/spread/head.go
+++ b/pkg/spread/head.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin"
 )
 
-// Names of the platform's objects.
+// Names of the objects on the platform.
 const (
 	headName     siskin.ObjectName = "Config/Head"
 	snapshotName siskin.ObjectName = "Config/Snapshot"
@@ -18,8 +18,8 @@
 // head is the value of Config/Head.
 type head struct {
 	Revision siskin.Revision
-	// Recent names the latest changes, oldest first. It covers every revision
-	// that the snapshot does not.
+	// Recent lists the latest changes, oldest first, including every revision
+	// that the snapshot does not cover.
 	Recent []headChange
 }
 
@@ -28,13 +28,13 @@
 	Operation siskin.OperationID
 }
 
-// changeName names the object of a change. The operation id keeps racing
-// operators from writing the same object.
+// changeName returns the name of a change object. It contains the operation id,
+// so that concurrent operators never write the same object.
 func changeName(c headChange) siskin.ObjectName {
 	return siskin.ObjectName(fmt.Sprintf("Config/Change/%012d/%s", c.Revision, c.Operation))
 }
 
-// find returns the revision that an operation made.
+// find returns the revision that an operation committed, if it is listed.
 func (h *head) find(op siskin.OperationID) (siskin.Revision, bool) {
 	for _, c := range h.Recent {
 		if c.Operation == op {
--- a/pkg/spread/helper_test.go
+++ b/pkg/spread/helper_test.go
@@ -14,8 +14,8 @@
 }
 
 // refuseBadService refuses a service named "bad" and checks the base of a change
-// that has one. It leaves out the checks of documents, which the tests do not
-// fill in.
+// that has one. It skips the validation of documents, since the tests leave
+// most of their fields empty.
 func refuseBadService(view config.View, c *config.Change) (found config.Findings) {
 	for _, s := range c.Services {
 		if s.Name == "bad" {
@@ -41,7 +41,8 @@
 	return n.ApplyWithID(ctx, c.Operation, &c.Change)
 }
 
-// setTarget returns a change that gives a service one target with the given address.
+// setTarget returns a change that gives a service one target with the given
+// address.
 func setTarget(op, service, address string) change {
 	return change{siskin.OperationID(op), config.Change{Services: []*config.Service{{Name: siskin.ServiceName(service), Targets: []config.Target{{ID: "t", Address: address}}}}}}
 }
@@ -75,8 +76,8 @@
 	return time.Since(begun)
 }
 
-// mustApply applies a change. It retries as an operator would, with the same
-// operation id, while the platform is not back from an outage.
+// mustApply applies a change. Like an operator, it retries with the same
+// operation id while the platform is unavailable.
 func mustApply(t testing.TB, n *node, c change) siskin.Revision {
 	t.Helper()
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
--- a/pkg/spread/late_test.go
+++ b/pkg/spread/late_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// delaysHead reports whether an update of the head is held back. An update that
-// was held back before takes effect now.
+// delaysHead reports whether an update of the head is delayed. It executes an
+// update that was delayed before.
 func (n *node) delaysHead(update func()) bool {
 	delayedUpdate := n.delayedUpdate
 	n.delayedUpdate = nil
@@ -22,9 +22,9 @@
 	return delayed
 }
 
-// TestLateHead guards against a configuration that no VM can read anymore: the
-// answer to an update of the head is lost, the same VM writes its next change,
-// and only then the first update takes effect.
+// TestLateHead guards against a head that no VM can load anymore: the response
+// to an update of the head is lost, and the update takes effect only after the
+// same VM has written its next change.
 func TestLateHead(t *testing.T) {
 	_, _, all := startFleet(t, 3)
 	base := mustApply(t, all[0], setTarget("op-1", "s", "one"))
@@ -49,9 +49,9 @@
 	}
 }
 
-// TestLateHeadOfRepetition guards against an operator who is told that a change
-// was refused although it is in force: its first attempt takes effect while the
-// second one has read the head from before.
+// TestLateHeadOfRepetition guards against a change that is reported as refused
+// although it is in force: its first attempt takes effect after the second one
+// has read the head.
 func TestLateHeadOfRepetition(t *testing.T) {
 	_, _, all := startFleet(t, 3)
 	waitForRevision(t, all, mustApply(t, all[0], setTarget("op-1", "s", "one")), maxSpreadTime)
--- a/pkg/spread/load.go
+++ b/pkg/spread/load.go
@@ -20,13 +20,13 @@
 // snapshotObject is the value of Config/Snapshot.
 type snapshotObject struct{ Revision siskin.Revision }
 
-// loadFromPlatform reads the head and catches up with it.
+// loadFromPlatform reads the head and installs the missing changes.
 func (s *Spread) loadFromPlatform(ctx context.Context) error {
 	_, _, err := s.readHead(ctx)
 	return err
 }
 
-// readHead reads the head and brings it into force here.
+// readHead reads the head and installs the missing changes up to it.
 func (s *Spread) readHead(ctx context.Context) (head, siskin.Version, error) {
 	sent := s.clock.Now()
 	o, err := s.platform.Get(ctx, headName)
@@ -44,8 +44,8 @@
 	return h, o.Version, nil
 }
 
-// loadChanges brings the changes up to a head into force. A head that is older
-// than what is in force, as in a late answer, changes nothing.
+// loadChanges reads and installs the missing changes up to a head. A head older
+// than the revision in force, as from a delayed response, has no effect.
 func (s *Spread) loadChanges(ctx context.Context, h head) error {
 	s.loadMu.Lock()
 	defer s.loadMu.Unlock()
@@ -72,8 +72,8 @@
 	return nil
 }
 
-// loadSnapshot reads the snapshot objects. They may hold documents newer than
-// the revision they cover, all of accepted changes.
+// loadSnapshot reads and installs the snapshot objects. They may hold documents
+// newer than the revision that they cover, but only of accepted changes.
 func (s *Spread) loadSnapshot(ctx context.Context, first siskin.Revision) error {
 	o, err := s.platform.Get(ctx, snapshotName)
 	if err != nil {
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// readChange reads one change object that the head names.
+// readChange reads a change object that the head lists.
 func (s *Spread) readChange(ctx context.Context, c headChange) ([]*entry, error) {
 	o, err := s.platform.Get(ctx, changeName(c))
 	if err != nil {
--- a/pkg/spread/measure_test.go
+++ b/pkg/spread/measure_test.go
@@ -21,7 +21,8 @@
 
 var measure = flag.Bool("measure", false, "measure the spread up to 300 VMs over loopback and the memory at 23,000 services")
 
-// loopbackVM is one VM with real connections and a fixed list of members.
+// loopbackVM is a VM with TCP connections on the loopback interface and a fixed
+// list of members.
 type loopbackVM struct {
 	*Spread
 	vm             siskin.VM
@@ -94,7 +95,7 @@
 }
 
 func service(i int, rev siskin.Revision) *config.Service {
-	// Routes fill the document to about 2 KB.
+	// The routes pad the document to about 2 KB.
 	s := &config.Service{Name: siskin.ServiceName(fmt.Sprintf("service-%d", i)), Slots: 2, ConnectionsPerSlot: 16, AckReplicas: 1, Revision: rev, MaxUnconfirmed: config.Duration(time.Second)}
 	s.Credentials = config.Credentials{User: "u", Password: "p", ReadUser: "r", ReadPassword: "q", Database: "d"}
 	for k := range 3 {
@@ -106,8 +107,9 @@
 	return s
 }
 
-// TestLoopbackSpread guards against changes that take longer than 9 s to be in
-// force, and against platform calls that grow with the fleet.
+// TestLoopbackSpread guards against changes that are not in force at all VMs
+// within 9 s, and against watches on the platform that grow with the number of
+// VMs.
 func TestLoopbackSpread(t *testing.T) {
 	sizes, changes := []int{7}, 10
 	if !*measure {
@@ -122,7 +124,7 @@
 		}
 		vms := startLoopbackFleet(t, n, platform.Address())
 		applyAndWait(t, vms, 1)
-		time.Sleep(2 * time.Second) // connections and the first status
+		time.Sleep(2 * time.Second) // wait for connections and the first status write
 		calls, begun := platform.Stats().Total(), time.Now()
 		idleBytes := sentBytes(vms)
 		time.Sleep(3 * time.Second)
@@ -169,8 +171,8 @@
 	return times
 }
 
-// TestMemory guards against documents that do not fit into the 256 MB of
-// control at 23,000 services.
+// TestMemory guards against a store that exceeds the memory limit of 256 MB at
+// 23,000 services.
 func TestMemory(t *testing.T) {
 	if !*measure {
 		t.Skip("needs -measure")
@@ -203,7 +205,8 @@
 	runtime.KeepAlive(s)
 }
 
-// BenchmarkService measures a read of the view, which must not allocate.
+// BenchmarkService measures concurrent reads of a service, which must not
+// allocate.
 func BenchmarkService(b *testing.B) {
 	s := newStore()
 	for i := range 1000 {
--- a/pkg/spread/messages_test.go
+++ b/pkg/spread/messages_test.go
@@ -7,28 +7,28 @@
 	"time"
 )
 
-// messageFaults decides what happens to each message between VMs. The zero value
-// delivers all of them at once.
+// messageFaults injects faults into the messages between VMs. The zero value
+// delivers all messages without delay.
 type messageFaults struct {
 	mu            sync.Mutex
 	rng           *rand.Rand
-	faultShare    float64       // share of messages that are lost or late
-	maxDelay      time.Duration // longest delay of a late message
+	faultShare    float64       // share of messages that are lost, delayed or get no response
+	maxDelay      time.Duration // upper bound of the delay of a message
 	delivery      sync.WaitGroup
 	lost, delayed int
 }
 
 var errNoAnswer = errors.New("no answer")
 
-// set changes the share of messages that are lost or late.
+// set changes the share of faulty messages and the upper bound of the delays.
 func (m *messageFaults) set(rng *rand.Rand, faultShare float64, maxDelay time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rng, m.faultShare, m.maxDelay = rng, faultShare, maxDelay
 }
 
-// send delivers a message, or loses it, or loses its answer, or delivers it
-// after the caller gave up.
+// send delivers a message, drops it, drops its response, or delivers it after
+// the caller has received an error.
 func (m *messageFaults) send(deliver func() error) error {
 	m.mu.Lock()
 	if m.faultShare == 0 || m.rng.Float64() >= m.faultShare {
@@ -51,5 +51,5 @@
 	return errNoAnswer
 }
 
-// wait waits for the messages that are late.
+// wait waits for the delayed messages.
 func (m *messageFaults) wait() { m.delivery.Wait() }
--- a/pkg/spread/names.go
+++ b/pkg/spread/names.go
@@ -6,8 +6,8 @@
 	"siskintray.example/siskin"
 )
 
-// sortedNames returns the names in order. They are collected again only after a
-// document came or went.
+// sortedNames returns the names in ascending order. They are cached until a
+// document is added or deleted.
 func (s *store) sortedNames() *names {
 	if n := s.names.Load(); n != nil {
 		return n
--- a/pkg/spread/observer_test.go
+++ b/pkg/spread/observer_test.go
@@ -10,7 +10,8 @@
 	"siskintray.example/siskin/internal/stand/objapi"
 )
 
-// observer compares what operators were told with what VMs have in force.
+// observer compares the results that operators received with the documents in
+// force at the VMs.
 type observer struct {
 	t    *testing.T
 	f    *fakeFleet
@@ -20,13 +21,12 @@
 	refused         map[string]error
 	accepted        []acceptedChange
 	last            map[string]siskin.Revision // latest accepted revision by service
-	seen            map[string]siskin.VMID     // operations that were in force anywhere
+	seen            map[string]siskin.VMID     // a VM that had the operation's change in force
 	startedAt       map[*node]time.Time
-	platformUpSince time.Time // start of the time without an outage; zero in an outage
+	platformUpSince time.Time // when the last outage ended; zero during an outage
 	counts          soakCounts
 }
 
-// acceptedChange is an accepted change.
 type acceptedChange struct {
 	rev siskin.Revision
 	at  time.Time
@@ -44,7 +44,7 @@
 	return o
 }
 
-// setPlatform sets the faults of the platform and notes when an outage ends.
+// setPlatform sets the faults of the platform and records when an outage ends.
 func (o *observer) setPlatform(platform *objapi.Server, faults objapi.Faults) {
 	platform.SetFaults(faults)
 	o.mu.Lock()
@@ -66,7 +66,7 @@
 	return n
 }
 
-// restart replaces VM i by one without state.
+// restart replaces VM i with a new one without state.
 func (o *observer) restart(t *testing.T, platform *objapi.Server, i int) {
 	old := o.f.all()[i]
 	o.startVM(t, platform, i)
@@ -91,7 +91,7 @@
 	}
 }
 
-// observe looks at all VMs until stop is closed.
+// observe checks all VMs every 5 ms until stop is closed.
 func (o *observer) observe(stop chan struct{}) {
 	revisions := make(map[*node]siskin.Revision)
 	for {
@@ -111,7 +111,8 @@
 	}
 }
 
-// observeNode notes what one VM has in force and checks the bound of 9 s.
+// observeNode records the documents in force at a VM and checks that changes
+// accepted more than 9 s ago are in force there.
 func (o *observer) observeNode(n *node) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -131,7 +132,8 @@
 	}
 }
 
-// check compares all VMs with the results of the changes.
+// check compares the documents in force at all VMs with the results of the
+// changes.
 func (o *observer) check(t *testing.T) {
 	for _, n := range o.f.all() {
 		o.observeNode(n)
@@ -152,7 +154,7 @@
 	}
 }
 
-// serviceNames returns the names of the serviceNames that are changed at random.
+// serviceNames returns the names of the services that are changed at random.
 func serviceNames() (names []string) {
 	for s := range soakServices {
 		names = append(names, fmt.Sprintf("s-%d", s))
--- a/pkg/spread/parse_test.go
+++ b/pkg/spread/parse_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// FuzzParse guards against objects and messages that crash a VM or bring a
-// document into force under another name.
+// FuzzParse guards against objects and messages that crash a VM, and against
+// documents that are installed under another name.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"Revision":2,"Recent":[{"Revision":1,"Operation":"a"},{"Revision":2,"Operation":"b"}]}`))
 	f.Add([]byte(`{"Kind":"Service","Name":"s","Revision":1,"Body":{"Name":"s"}}`))
--- a/pkg/spread/proof.go
+++ b/pkg/spread/proof.go
@@ -8,20 +8,20 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// Proof is what a VM says about its knowledge in each answer to an exchange.
+// Proof is the proof that a VM's revision is the newest. It is part of each
+// response to an exchange.
 type Proof struct {
-	// Age is the age of the VM's proof that its revision is the newest,
-	// negative without one.
+	// Age is the age of the proof, negative without one.
 	Age time.Duration
-	// Watcher says that the VM asks the platform itself, and PlatformDown that
-	// the platform did not answer its last question.
+	// Watcher reports whether the VM queries the platform itself, and
+	// PlatformDown whether its last query failed.
 	Watcher      bool
 	PlatformDown bool
 	DataCentre   siskin.DataCentreID
 }
 
-// proof returns this VM's proof. The age must be read before the revision that
-// it is sent with, since the proof holds for later revisions as well.
+// proof returns this VM's proof. Call it before reading the revision that is
+// sent with it: the proof is valid for the current and later revisions only.
 func (s *Spread) proof() Proof {
 	_, watcher := s.watcherRank()
 	return Proof{
@@ -32,8 +32,9 @@
 	}
 }
 
-// recordProof passes on a proof that was asked for at the given time and came
-// with a revision of the peer. It proves nothing to a VM that lacks the revision.
+// recordProof passes a peer's proof to the tracker. The proof was requested at
+// the given time and applies to the peer's revision rev, so it is ignored while
+// this VM lacks that revision.
 func (s *Spread) recordProof(p Proof, rev siskin.Revision, sent time.Time) {
 	if p.Watcher && p.DataCentre != s.members.Self().DataCentre {
 		s.proofTracker.PeerPlatform(p.DataCentre, sent, p.PlatformDown)
@@ -44,20 +45,20 @@
 	}
 }
 
-// recordPlatformAnswer notes an answer of the platform to a question that was sent
-// at the given time. The revision that it named must be in force.
+// recordPlatformAnswer records a response of the platform to a request sent at
+// the given time. The revision in the response must be in force at this VM.
 func (s *Spread) recordPlatformAnswer(sent time.Time) {
 	s.proofTracker.PlatformAnswered(sent)
 	s.hadProof.Store(true)
 }
 
-// PlatformDown reports whether the platform did not answer this VM's last
-// question as a watcher. It is false at VMs that are no watchers.
+// PlatformDown reports whether this VM is a watcher whose last query of the
+// platform failed.
 func (s *Spread) PlatformDown() bool { return s.platformDown.Load() }
 
-// probeLoop asks the watchers of other data centres at each interval while
-// this VM is a watcher that cannot reach the platform. It does not wait for
-// exchanges, which take up to the call timeout when VMs are cut off.
+// probeLoop probes the watchers of other data centres at each interval while
+// this VM is a watcher that cannot reach the platform. It does not wait for the
+// exchanges, which take up to the call timeout when VMs are unreachable.
 func (s *Spread) probeLoop() {
 	for {
 		select {
@@ -71,8 +72,8 @@
 	}
 }
 
-// probeWatchers exchanges revisions with one watcher of each other data centre:
-// 15 messages a second with 16 data centres.
+// probeWatchers exchanges revisions with one watcher of each other data centre,
+// which is 15 messages per second with 16 data centres.
 func (s *Spread) probeWatchers() {
 	_, remote := s.others()
 	byDataCentre := make(map[siskin.DataCentreID][]siskin.VM)
--- a/pkg/spread/proof_test.go
+++ b/pkg/spread/proof_test.go
@@ -9,7 +9,7 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// testProofTracker is the evidence of a VM in a fleet of three data centres.
+// testProofTracker tracks the proofs of a VM in a fleet of three data centres.
 type testProofTracker struct{ *keys.Tracker }
 
 func (e testProofTracker) now() keys.Evidence {
@@ -24,7 +24,8 @@
 	return -1
 }
 
-// eventually fails unless ok holds for all VMs within the limit.
+// eventually fails the test unless ok becomes true for all VMs within
+// maxSpreadTime.
 func eventually(t *testing.T, what string, all []*node, ok func(n *node) bool) {
 	t.Helper()
 	begun := time.Now()
@@ -38,9 +39,10 @@
 	}
 }
 
-// TestProofs guards against a VM without access to the platform that gets no
-// proof through peers, an outage for all data centres that a watcher does not
-// see as such, and one that it sees although a data centre has the platform.
+// TestProofs guards against a VM that gets no proof from peers while it cannot
+// reach the platform, a watcher that does not detect that the platform is down
+// for all data centres, and one that reports this although a data centre
+// reaches the platform.
 func TestProofs(t *testing.T) {
 	t.Parallel()
 	platform, f, _ := startFleet(t, 0)
@@ -95,15 +97,15 @@
 	}
 }
 
-// TestFirstProof guards against a VM that refuses all keys after its start,
-// because the peer of its first exchange has no proof yet.
+// TestFirstProof guards against a new VM that refuses all keys because the peer
+// of its first exchange has no proof yet.
 func TestFirstProof(t *testing.T) {
 	platform, f, _ := startFleet(t, 0)
 	f.dataCentres = []siskin.DataCentreID{"a"}
 	tracker := testProofTracker{keys.NewTracker("a")}
 	ranked := place.Rank(watcherResource, []siskin.VM{{ID: "vm-0"}, {ID: "vm-1"}, {ID: "vm-2"}})
 	for i, vm := range ranked {
-		if i == watcherCount { // the others are watchers without a proof to give
+		if i == watcherCount { // the earlier VMs are watchers without a proof
 			f.options = func(siskin.VM) []Option { return []Option{WithProofTracker(tracker)} }
 		}
 		f.start(t, platform, int(vm.ID[3]-'0'), Config{ExchangeInterval: time.Hour})
--- a/pkg/spread/push.go
+++ b/pkg/spread/push.go
@@ -7,23 +7,23 @@
 // PushArgs are the arguments of Spread.Push.
 type PushArgs struct {
 	From siskin.VMID
-	// Base is the revision that the receiver needs to have in force, and
-	// Revision the one that the documents bring into force.
+	// Base is the revision that must be in force at the receiver, and Revision
+	// the one after installing the documents.
 	Base, Revision siskin.Revision
-	// Operation is the operation that made the revision, if it is known.
+	// Operation is the operation that made Revision, if known.
 	Operation siskin.OperationID `json:",omitempty"`
 	Documents []Document
-	// Targets are the VMs that the receiver pushes the change to.
+	// Targets are the VMs that the receiver forwards the change to.
 	Targets []siskin.VMID `json:",omitempty"`
 }
 
 // PushReply is the answer of Spread.Push.
 type PushReply struct {
-	// Revision is the revision in force at the answering VM.
+	// Revision is the revision in force at the responding VM.
 	Revision siskin.Revision
 }
 
-// Push puts a change into force and passes it on.
+// Push installs a change and forwards it to the targets.
 func (r *Receiver) Push(args *PushArgs, reply *PushReply) error {
 	s := r.s
 	known := args.Revision <= s.Revision()
@@ -36,14 +36,14 @@
 	}
 	s.peerRevisions.record(args.From, args.Revision, s.clock.Now())
 	reply.Revision = s.Revision()
-	// The targets depend on this VM even when it knows the change already, as
-	// from an exchange.
+	// Forward even a change that this VM already has, for instance from an
+	// exchange: the targets depend on this VM for the push.
 	s.pushTree(*args, args.Targets)
 	return nil
 }
 
-// installPushed installs pushed documents. When earlier changes are missing, they are
-// fetched from the sender and only then the revision advances.
+// installPushed installs pushed documents. If earlier changes are missing, it
+// fetches them from the sender, and only that advances the revision.
 func (s *Spread) installPushed(args *PushArgs, entries []*entry) {
 	s.operationHistory.recordAccepted(args.Revision, args.Operation)
 	if s.Revision() >= args.Base {
@@ -54,7 +54,7 @@
 	s.fetchInBackground(args.From)
 }
 
-// pushTree sends a change to the targets along a tree of width fanOut.
+// pushTree sends a change to the targets along a tree with fan-out fanOut.
 func (s *Spread) pushTree(args PushArgs, targets []siskin.VMID) {
 	args.From = s.members.Self().ID
 	for i := range fanOut {
@@ -66,8 +66,8 @@
 	}
 }
 
-// pushSubtree sends a change to the first VM of a part that answers, which passes
-// it on to the rest. VMs that do not answer catch up by their exchanges.
+// pushSubtree sends a change to the first VM of a subtree that responds, which
+// forwards it to the rest. VMs that do not respond catch up by exchanges.
 func (s *Spread) pushSubtree(args PushArgs, subtree []siskin.VMID) {
 	const attempts = 3
 	for i := range min(attempts, len(subtree)) {
@@ -86,7 +86,7 @@
 	rev := s.Revision()
 	docs, more := s.since(afterRevision(base))
 	if more || len(vms) == 0 || rev <= base {
-		return // too much for a push; the VMs fetch it
+		return // too many documents for a push; the VMs fetch them
 	}
 	targets := make([]siskin.VMID, 0, len(vms))
 	for _, vm := range vms {
--- a/pkg/spread/push_test.go
+++ b/pkg/spread/push_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestPushGap guards against a VM that takes a revision as in force although
-// an earlier change did not arrive, and that then never gets that change.
+// TestPushGap guards against a VM that advances its revision although an
+// earlier change is missing, and then never fetches that change.
 func TestPushGap(t *testing.T) {
 	_, f, all := startFleet(t, 2)
 	f.setPartitioned(true)
@@ -30,8 +30,8 @@
 	}
 }
 
-// TestPushKnown guards against VMs that get a change late because the VM that
-// should have passed it on to them knew it already.
+// TestPushKnown guards against a VM that does not forward a pushed change
+// because it already has the change.
 func TestPushKnown(t *testing.T) {
 	platform, f, _ := startFleet(t, 0)
 	var all []*node
@@ -39,7 +39,7 @@
 		f.startCutOff = i > 0
 		all = append(all, f.start(t, platform, i, Config{ExchangeInterval: time.Hour, Validate: refuseBadService}))
 	}
-	time.Sleep(200 * time.Millisecond) // the first exchange of each VM
+	time.Sleep(200 * time.Millisecond) // wait for the first exchange of each VM
 	f.setPartitioned(true)
 	mustApply(t, all[0], setTarget("op-1", "s", "one"))
 	docs, _ := all[0].since(afterRevision(0))
@@ -50,8 +50,8 @@
 	waitForRevision(t, all, 1, time.Second)
 }
 
-// TestEmptyFleet guards against a fleet without a configuration that loads the
-// platform with a question per VM and exchange.
+// TestEmptyFleet guards against one platform call per VM and exchange in a
+// fleet without a configuration.
 func TestEmptyFleet(t *testing.T) {
 	platform, f, _ := startFleet(t, 0)
 	const vms = 7
@@ -59,9 +59,9 @@
 		f.start(t, platform, i, Config{ExchangeInterval: 10 * time.Millisecond})
 	}
 	time.Sleep(time.Second)
-	// 100 exchanges give 5 doublings from the fourth on. Each VM may be a
-	// watcher and a collector before the others have started, with one watch
-	// and a read and a write of the status.
+	// Within 100 exchanges the interval doubles 5 times after the fourth. Each
+	// VM may be a watcher and a collector before the others have started, with
+	// one watch, and one read and one write of the status.
 	if got, want := platform.Stats().Total(), int64(vms*(5+1+2)); got > want {
 		t.Errorf("platform calls in 100 exchanges of %d VMs: got %d, want at most %d", vms, got, want)
 	}
--- a/pkg/spread/random_test.go
+++ b/pkg/spread/random_test.go
@@ -11,18 +11,18 @@
 	"siskintray.example/siskin/internal/stand/objapi"
 )
 
-// outcomes records the results of changes. Each change sets a service to its
-// own operation id.
+// outcomes records the results of changes. Each change sets the target address
+// of a service to its own operation id.
 type outcomes struct {
 	mu      sync.Mutex
 	results map[string]error
 	last    map[string]siskin.Revision // latest accepted revision by service
 }
 
-// TestRandomFaults guards against revisions that go back, accepted changes
-// that are not in force on a reachable VM within 9 s, and refused changes that
-// are visible, under racing operators, lost answers, outages, partitions and
-// restarts. The invariants of the package panic on a violation.
+// TestRandomFaults guards against revisions that decrease, accepted changes
+// that are not in force at a reachable VM within 9 s, and refused changes that
+// are visible. Operators are concurrent, and faults are lost responses, outages,
+// partitions and restarts. The invariants of the package panic on a violation.
 func TestRandomFaults(t *testing.T) {
 	rounds := 4
 	if testing.Short() {
@@ -56,7 +56,7 @@
 	}
 }
 
-// changeRandomFault changes one fault at random.
+// changeRandomFault injects or clears one fault at random.
 func changeRandomFault(t *testing.T, rng *rand.Rand, platform *objapi.Server, f *fakeFleet) {
 	switch rng.IntN(6) {
 	case 0:
@@ -101,7 +101,7 @@
 	}
 }
 
-// checkVisible fails when a refused change is in force anywhere.
+// checkVisible fails the test if a refused change is in force at any VM.
 func (o *outcomes) checkVisible(t *testing.T, f *fakeFleet) {
 	t.Helper()
 	o.mu.Lock()
@@ -116,8 +116,8 @@
 	}
 }
 
-// checkAccepted fails when a VM has an older document than the last accepted
-// change made, or when two VMs differ.
+// checkAccepted fails the test if a VM has an older document than the last
+// accepted change made, or if two VMs differ.
 func (o *outcomes) checkAccepted(t *testing.T, f *fakeFleet) {
 	t.Helper()
 	for s := range 5 {
--- a/pkg/spread/snapshot.go
+++ b/pkg/spread/snapshot.go
@@ -12,7 +12,8 @@
 	"siskintray.example/siskin/pkg/place"
 )
 
-// snapshotCheckInterval is the time between two looks at the age of the snapshot.
+// snapshotCheckInterval is the time between two checks whether the snapshot has
+// to be rewritten.
 const snapshotCheckInterval = 5 * time.Second
 
 // snapshotLoop rewrites the snapshot in the background.
@@ -28,8 +29,8 @@
 	}
 }
 
-// writeSnapshotIfDue rewrites the snapshot if it is time to and returns the revision
-// that it covers as far as this VM knows.
+// writeSnapshotIfDue rewrites the snapshot if enough changes have accumulated.
+// It returns the revision that the snapshot covers as far as this VM knows.
 func (s *Spread) writeSnapshotIfDue(covered siskin.Revision) siskin.Revision {
 	threshold, ok := s.snapshotThreshold()
 	if !ok || s.Revision() < covered+threshold {
@@ -41,9 +42,10 @@
 	return covered
 }
 
-// snapshotThreshold returns the number of changes after which this VM rewrites the
-// snapshot. The first in rank does so at once; the next two wait longer, in
-// case those before them do not reach the platform.
+// snapshotThreshold returns the number of changes after which this VM rewrites
+// the snapshot, and reports whether this VM may rewrite it. The first VM in rank
+// has the lowest threshold. The next two have higher ones, so that they rewrite
+// the snapshot only if the VMs ranked before them cannot reach the platform.
 func (s *Spread) snapshotThreshold() (siskin.Revision, bool) {
 	const writers = 3
 	self := s.members.Self().ID
@@ -76,9 +78,9 @@
 	return snapshot, o.Version, nil
 }
 
-// writeSnapshot rewrites the shards with documents that the snapshot does not
-// cover, and then the revision it covers. Two VMs that do so at the same time
-// do no harm: shards are merged, and the revision never goes back.
+// writeSnapshot rewrites the shards that have documents newer than the snapshot,
+// and then the revision that it covers. Concurrent writers are safe: shards are
+// merged, and the revision never decreases.
 func (s *Spread) writeSnapshot(ctx context.Context) (siskin.Revision, error) {
 	rev := s.Revision()
 	snapshot, version, err := s.readSnapshotObject(ctx)
@@ -113,7 +115,7 @@
 	return false
 }
 
-// writeShard merges the documents of one part into its object.
+// writeShard merges the documents of one shard into its object.
 func (s *Spread) writeShard(ctx context.Context, index int) error {
 	name := siskin.ObjectName(fmt.Sprintf("%s%02x", shardPrefix, index))
 	o, err := s.platform.Get(ctx, name)
@@ -150,7 +152,8 @@
 	return err
 }
 
-// newOperationID returns an id for an update that this VM makes by itself.
+// newOperationID returns an id for an internal update by this VM, as opposed to
+// an operator's change.
 func (s *Spread) newOperationID(purpose string, rev siskin.Revision) siskin.OperationID {
 	self := s.members.Self()
 	return siskin.OperationID(fmt.Sprintf("%s/%s/%d/%d/%d", purpose, self.ID, self.Incarnation, rev, s.clock.Now().UnixNano()))
--- a/pkg/spread/snapshot_test.go
+++ b/pkg/spread/snapshot_test.go
@@ -6,9 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// TestSnapshotWriterCutOff guards against changes that pile up in the head,
-// until no more are accepted, because the VM that should rewrite the snapshot
-// does not reach the platform.
+// TestSnapshotWriterCutOff guards against a head that grows until no change is
+// accepted anymore, because the VM that should rewrite the snapshot cannot
+// reach the platform.
 func TestSnapshotWriterCutOff(t *testing.T) {
 	_, _, all := startFleet(t, 4)
 	var rev siskin.Revision
--- a/pkg/spread/soak_test.go
+++ b/pkg/spread/soak_test.go
@@ -18,13 +18,13 @@
 	soakServices = 5
 )
 
-// TestSoak guards against a revision in force that goes back, an accepted
-// change that is not in force on a reachable VM within 9 s, and a refused one
-// that is in force anywhere, under partitions, restarts, late and lost answers
-// of VMs and of the platform, outages, racing operators, and VMs that join
-// while the platform is down. A VM counts as reachable while it runs and the
-// platform answers: each data centre has at least one watcher that the platform
-// can reach.
+// TestSoak guards against a revision in force that decreases, an accepted change
+// that is not in force at a reachable VM within 9 s, and a refused change that is
+// in force at any VM. The faults are partitions, restarts, delayed and lost
+// responses of VMs and of the platform, outages, concurrent operators, and VMs
+// that join during an outage of the platform. A VM counts as reachable while it
+// runs and the platform responds, since at least one watcher of each data
+// centre reaches the platform.
 func TestSoak(t *testing.T) {
 	var total soakCounts
 	soak.Each(t, func(t *testing.T, seed uint64) {
@@ -36,7 +36,7 @@
 }
 
 // runSoak runs one seed. Every second seed has no outage of the platform and
-// runs longer than the bound, so that the bound is checked under faults too.
+// runs longer than maxSpreadTime, so that this bound is checked under faults too.
 func runSoak(t *testing.T, seed uint64) soakCounts {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	platform, err := objapi.Start(objapi.Config{Seed: seed})
@@ -81,7 +81,7 @@
 	return o.counts
 }
 
-// changeRandomFault changes one fault at random.
+// changeRandomFault injects or clears one fault at random.
 func (o *observer) changeRandomFault(t *testing.T, rng *rand.Rand, platform *objapi.Server, outages bool) {
 	o.counts.faults++
 	f := o.f
@@ -96,7 +96,7 @@
 		o.setPlatform(platform, objapi.Faults{Refuse: outages})
 	case 3:
 		f.setPartitioned(rng.IntN(2) == 0)
-	case 4: // at most one VM at a time is cut off from the platform
+	case 4: // at most one VM at a time cannot reach the platform
 		for _, other := range all {
 			other.platformCutOff.Store(false)
 		}
@@ -125,8 +125,8 @@
 	}
 }
 
-// joinWithoutPlatform starts a VM in an outage of the platform and checks that
-// it gets everything that the others have within the bound.
+// joinWithoutPlatform starts a VM during an outage of the platform and checks
+// that it gets the revision of the others within maxSpreadTime.
 func (o *observer) joinWithoutPlatform(t *testing.T, platform *objapi.Server, i int) {
 	all := o.f.all()
 	rev := all[0].Revision()
@@ -137,8 +137,8 @@
 	o.setPlatform(platform, objapi.Faults{})
 }
 
-// applyLast makes a change after all faults. It is repeated while the platform
-// is not back from an outage.
+// applyLast applies a change after all faults have ended. It retries while the
+// platform is unavailable.
 func (o *observer) applyLast(t *testing.T) siskin.Revision {
 	c := setTarget("", "last", "last")
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
@@ -152,9 +152,10 @@
 	}
 }
 
-// applyRandomChanges makes changes at random VMs until stop is closed: most are accepted
-// or lose a race, some are invalid, some have an old base. An unknown outcome
-// is resolved under the same operation id at another VM.
+// applyRandomChanges applies changes at random VMs until stop is closed: most
+// are accepted or conflict with a concurrent change, some are invalid, some have
+// an old base. A change with an unknown outcome may be retried with the same
+// operation id at a random VM.
 func (o *observer) applyRandomChanges(rng *rand.Rand, i int, stop chan struct{}) {
 	for n := 0; ; n++ {
 		select {
@@ -167,7 +168,7 @@
 		c := setTarget(op, service, op)
 		all := o.f.all()
 		switch rng.IntN(8) {
-		case 0: // refused as a whole, with a valid part
+		case 0: // a valid and an invalid document; both are refused
 			c.Services = append(c.Services, setTarget(op, "bad", op).Services...)
 		case 1:
 			c.Base = all[0].Revision()
@@ -178,7 +179,8 @@
 		rev, err := apply()
 		for tries := rng.IntN(3); tries > 0 && siskin.KindOf(err) == siskin.OutcomeUnknown; tries-- {
 			unknown := err
-			// Only these results of a repetition say what became of the first attempt.
+			// Only success, Conflict and BadInput decide the outcome of the first
+			// attempt.
 			if rev, err = apply(); err != nil && siskin.KindOf(err) != siskin.Conflict && siskin.KindOf(err) != siskin.BadInput {
 				err = unknown
 			}
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -13,8 +13,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// Spread holds the configuration in force at this VM and spreads changes. It
-// implements config.View.
+// Spread holds the configuration in force at this VM and replicates changes to
+// other VMs. It implements config.View.
 type Spread struct {
 	*store
 	cfg              Config
@@ -28,34 +28,34 @@
 	proofTracker     ProofTracker
 	logf             func(format string, args ...any)
 
-	platformDown atomic.Bool // the last question as a watcher failed
-	hadProof     atomic.Bool // there was a proof of knowing the newest revision
+	platformDown atomic.Bool // this VM is a watcher and its last query failed
+	hadProof     atomic.Bool // this VM once had a proof that its revision is the newest
 
-	loadMu   sync.Mutex // one catch-up with the platform at a time
-	applyMu  sync.Mutex // one change by this VM at a time
-	fetchMu  sync.Mutex // guards busy, and orders submit before Close
+	loadMu   sync.Mutex // serializes loads from the platform
+	applyMu  sync.Mutex // serializes changes by this VM
+	fetchMu  sync.Mutex // guards fetching, and keeps submit from adding tasks after Close
 	fetching map[siskin.VMID]bool
 
-	ctx   context.Context // ends at Close
+	ctx   context.Context // canceled by Close
 	stop  context.CancelFunc
 	tasks sync.WaitGroup
 }
 
 var _ config.View = (*Spread)(nil)
 
-// Option changes a Spread.
+// Option configures a Spread.
 type Option func(*Spread)
 
 // WithClock sets the clock.
 func WithClock(clock siskin.Clock) Option { return func(s *Spread) { s.clock = clock } }
 
-// WithLogf sets the function that receives messages about failed calls.
+// WithLogf sets the function that logs failed calls.
 func WithLogf(logf func(format string, args ...any)) Option {
 	return func(s *Spread) { s.logf = logf }
 }
 
-// New returns a view without documents. Receiver must be registered as
-// "Spread" at the peer server before Start.
+// New returns a Spread without documents. Register its Receiver as "Spread" at
+// the peer server before Start.
 func New(cfg Config, members siskin.Members, peers siskin.Peers, platform siskin.Platform, opts ...Option) *Spread {
 	cfg.setDefaults()
 	s := &Spread{
@@ -72,7 +72,7 @@
 	return s
 }
 
-// Start loads the configuration, from peers or the platform, and begins to
+// Start begins to load the configuration from peers or the platform and to
 // exchange revisions.
 func (s *Spread) Start() {
 	s.tasks.Go(s.exchangeLoop)
@@ -81,7 +81,7 @@
 	s.tasks.Go(s.snapshotLoop)
 }
 
-// Close ends all exchanges and waits for them.
+// Close stops all background tasks and waits for them.
 func (s *Spread) Close() error {
 	s.fetchMu.Lock()
 	s.stop()
@@ -90,8 +90,9 @@
 	return nil
 }
 
-// submit runs a task in the background. A full pool drops it: exchanges make
-// up for a push or fetch that was left out.
+// submit runs a task in the background and reports whether it was accepted. A
+// full pool drops the task, since later exchanges compensate for a missing push
+// or fetch.
 func (s *Spread) submit(task func()) bool {
 	s.fetchMu.Lock()
 	defer s.fetchMu.Unlock()
@@ -109,14 +110,15 @@
 	return err == nil
 }
 
-// call invokes a method of a peer with the usual deadline.
+// call invokes a method of a peer with the call timeout.
 func (s *Spread) call(vm siskin.VMID, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.CallTimeout)
 	defer cancel()
 	return s.peers.Call(ctx, vm, method, args, reply)
 }
 
-// others returns the live VMs without this one, split by data centre.
+// others returns the other live VMs in this VM's data centre and those in other
+// data centres.
 func (s *Spread) others() (local, remote []siskin.VM) {
 	self := s.members.Self()
 	for _, vm := range s.members.Live() {
--- a/pkg/spread/spread_test.go
+++ b/pkg/spread/spread_test.go
@@ -9,12 +9,13 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// maxSpreadTime is the time in which an accepted change is in force everywhere (P13).
+// maxSpreadTime is the time within which an accepted change must be in force at
+// all reachable VMs (P13).
 const maxSpreadTime = 9 * time.Second
 
-// TestApply guards against a refused change that is visible, a repeated
-// operation that makes a second revision, a deleted document that comes back,
-// and a change for an old revision that is accepted.
+// TestApply guards against a refused change that is visible, a retried operation
+// that makes a second revision, a deleted document that reappears, and a change
+// for another base revision that is accepted.
 func TestApply(t *testing.T) {
 	_, _, all := startFleet(t, 4)
 	rev := mustApply(t, all[0], setTarget("op-1", "s", "one"))
@@ -38,7 +39,7 @@
 		if got := n.Services(); len(got) != 1 || got[0] != "u" {
 			t.Errorf("%s: got services %v, want [u]", n.vm.ID, got)
 		}
-		// A document older than its tombstone must not come back.
+		// A document older than its tombstone must not be installed.
 		old, err := setTarget("op-1", "s", "one").entries()
 		if err != nil {
 			t.Fatal(err)
@@ -58,7 +59,8 @@
 	return decodeAll(docs)
 }
 
-// TestRace guards against two racing operators who both win or both lose.
+// TestRace guards against two concurrent changes of the same base that are both
+// accepted or both refused.
 func TestRace(t *testing.T) {
 	_, _, all := startFleet(t, 4)
 	mustApply(t, all[0], setTarget("op-0", "s", "zero"))
@@ -89,7 +91,7 @@
 }
 
 // TestLostAnswer guards against an accepted change that is reported as refused
-// when the platform's answers are lost.
+// when responses of the platform are lost.
 func TestLostAnswer(t *testing.T) {
 	platform, _, all := startFleet(t, 3)
 	for i, op := range []string{"op-1", "op-2", "op-3"} {
@@ -102,8 +104,9 @@
 	}
 }
 
-// TestPlatformDown guards against a VM that loses its configuration in an
-// outage, one that cannot start in it, and a change that is accepted in it.
+// TestPlatformDown guards against a VM that loses its configuration during an
+// outage of the platform, a VM that cannot start during it, and a change that is
+// accepted during it.
 func TestPlatformDown(t *testing.T) {
 	platform, f, all := startFleet(t, 3)
 	for i := range 20 { // enough for a snapshot
@@ -123,8 +126,8 @@
 	waitForRevision(t, f.all(), rev, maxSpreadTime)
 }
 
-// TestStartFromPlatform guards against a first VM that cannot load the
-// snapshot and the changes after it, and against old watch answers that
+// TestStartFromPlatform guards against a VM without peers that cannot load the
+// snapshot and the changes after it, and against outdated watch responses that
 // revert the configuration.
 func TestStartFromPlatform(t *testing.T) {
 	platform, f, all := startFleet(t, 1)
@@ -145,7 +148,7 @@
 	if got := len(fresh.Services()); got != 20 {
 		t.Errorf("services from the platform: got %d, want 20", got)
 	}
-	fresh.staleWatches.Store(true) // each watch answers with an old head from now on
+	fresh.staleWatches.Store(true) // each watch returns an old head from now on
 	rev := mustApply(t, fresh, setTarget("op-late", "s-a", "late"))
 	time.Sleep(300 * time.Millisecond)
 	if got := fresh.Revision(); got != rev || targetAddress(fresh, "s-a") != "late" {
@@ -154,9 +157,9 @@
 }
 
 // TestDataCentreCutOff guards against a data centre that does not get changes
-// over the platform while it is cut off from the others, one that
-// does not catch up over peers while it is cut off from the platform, and VMs
-// that are confirmed although nothing was heard of them.
+// from the platform while it is partitioned from the others, one that does not
+// get them from peers while it cannot reach the platform, and VMs that are
+// reported as confirmed although their revision is unknown.
 func TestDataCentreCutOff(t *testing.T) {
 	_, f, all := startFleet(t, 7)
 	rev := mustApply(t, all[0], setTarget("op-0", "s", "zero"))
@@ -178,7 +181,7 @@
 	}
 	rev = mustApply(t, all[0], setTarget("op-2", "s", "two"))
 	waitForRevision(t, all, rev, maxSpreadTime)
-	// The collector promises the revisions of its own data centre.
+	// The collector must learn the revisions of its own data centre.
 	collector, _ := all[0].collector()
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		confirmed := 0
--- a/pkg/spread/status.go
+++ b/pkg/spread/status.go
@@ -9,7 +9,7 @@
 	"siskintray.example/siskin"
 )
 
-// peerRevisions is what this VM knows of the revisions at others.
+// peerRevisions holds the last revision reported by each other VM.
 type peerRevisions struct {
 	mu      sync.Mutex
 	vms     map[siskin.VMID]observation
@@ -30,9 +30,9 @@
 	t.vms[vm] = observation{max(rev, t.vms[vm].revision), now}
 }
 
-// Status returns the revision in force per live VM as far as this VM heard of
-// it in the last 30 s. VMs that are missing are not confirmed. The collector
-// of a data centre hears of all its VMs within some seconds.
+// Status returns the revision in force per live VM, as reported to this VM in
+// the last 30 s. VMs without a report are left out. The collector of a data
+// centre receives reports from all its VMs within a few seconds.
 func (s *Spread) Status() map[siskin.VMID]siskin.Revision {
 	now := s.clock.Now()
 	self := s.members.Self().ID
@@ -56,13 +56,13 @@
 
 // StatusObject is the value of Config/Status/<data centre>.
 type StatusObject struct {
-	// Lowest is the lowest revision in force among the VMs that were heard of.
+	// Lowest is the lowest revision in VMs.
 	Lowest siskin.Revision
 	VMs    map[siskin.VMID]siskin.Revision
 }
 
-// writeStatus writes the revisions of the data centre to the platform when
-// this VM is their collector.
+// writeStatus writes the revisions of the data centre to the platform if this
+// VM is its collector.
 func (s *Spread) writeStatus() {
 	vm, ok := s.collector()
 	if !ok || vm.ID != s.members.Self().ID || s.clock.Since(s.peerRevisions.written) < s.cfg.StatusInterval {
@@ -79,8 +79,8 @@
 	s.submit(func() { s.putStatus(siskin.ObjectName(vm.DataCentre), value) })
 }
 
-// putStatus replaces the status object. After a failure the version is read
-// again; a status that cannot be written is written again later.
+// putStatus replaces the status object. After a failed write, the next write
+// reads the version again; a later status replaces one that was not written.
 func (s *Spread) putStatus(dc siskin.ObjectName, value StatusObject) {
 	b, err := json.Marshal(value)
 	if err != nil {
--- a/pkg/spread/store.go
+++ b/pkg/spread/store.go
@@ -19,20 +19,20 @@
 	onlyAccepted         = invar.New("ConfigOnlyAcceptedVisible")
 )
 
-// shardCount is the number of parts of the documents, in memory and in the
-// platform. At 23,000 documents of 2 KB a part has about 180 KB.
+// shardCount is the number of shards of the documents, in memory and on the
+// platform. With 23,000 documents of 2 KB, a shard has about 180 KB.
 const shardCount = 256
 
-// store holds the documents in force. Readers load a part that is never
-// modified; writers replace the part under the lock.
+// store holds the documents in force. A shard is immutable: readers load it
+// without a lock, and writers replace it under the lock (copy on write).
 type store struct {
 	shards   [shardCount]atomic.Pointer[map[key]*entry]
 	revision atomic.Uint64
-	names    atomic.Pointer[names] // nil after a document came or went
+	names    atomic.Pointer[names] // cache; nil after a document was added or deleted
 	changed  atomic.Pointer[chan struct{}]
 
 	mu            sync.Mutex
-	log           []logEntry // documents by revision; an entry is void when the document has a later one
+	log           []logEntry // documents by revision; an entry is obsolete if its document has a later revision
 	documentCount int        // number of documents, tombstones included
 }
 
@@ -41,7 +41,7 @@
 	key      key
 }
 
-// afterRevision is the place behind all documents of a revision.
+// afterRevision returns the log position after all documents of a revision.
 func afterRevision(rev siskin.Revision) logEntry { return logEntry{rev, key{kind: "~"}} }
 
 func (l logEntry) compare(o logEntry) int {
@@ -67,8 +67,9 @@
 
 func (s *store) get(k key) *entry { return (*s.shards[shardOf(k)].Load())[k] }
 
-// install puts documents into force that are newer than those held, and then
-// the revision. Zero means that the documents do not complete a revision.
+// install stores the documents that are newer than the stored ones and then
+// advances the revision in force to rev. A zero rev means that the documents do
+// not complete a revision.
 func (s *store) install(entries []*entry, rev siskin.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,8 +116,9 @@
 	s.shards[i].Store(&shard)
 }
 
-// compactAndSortLog orders the log and drops void entries now and then. Changes arrive
-// in order but for the start and for gaps.
+// compactAndSortLog sorts the log and removes obsolete entries when it has far
+// more entries than there are documents. Changes arrive in order, except at the
+// start and after gaps.
 func (s *store) compactAndSortLog() {
 	if len(s.log) > 2*s.documentCount+1000 {
 		s.log = slices.DeleteFunc(s.log, func(l logEntry) bool { return s.get(l.key).Revision != l.revision })
@@ -126,9 +128,9 @@
 	}
 }
 
-// since returns the documents after a place in the log, up to a size. A
-// document that changes meanwhile moves to the end, so a reader that goes on
-// from the last document it got misses none.
+// since returns the documents after a log position, up to about maxPageBytes.
+// A document that changes between two pages moves to the end of the log, so a
+// reader that continues after the last document of a page misses none.
 func (s *store) since(after logEntry) (docs []Document, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,7 +153,7 @@
 	return docs, false
 }
 
-// shardEntries returns the entries of one part.
+// shardEntries returns the entries of a shard, which must not be modified.
 func (s *store) shardEntries(i int) map[key]*entry { return *s.shards[i].Load() }
 
 // Revision implements config.View.
--- a/pkg/spread/view.go
+++ b/pkg/spread/view.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// view is the configuration at one moment. It never changes.
+// view is an immutable snapshot of the configuration.
 type view struct {
 	shards   [shardCount]map[key]*entry
 	revision siskin.Revision
@@ -17,7 +17,7 @@
 
 var _ config.View = (*view)(nil)
 
-// Snapshot returns the configuration in force as a view that never changes.
+// Snapshot returns an immutable view of the configuration in force.
 func (s *store) Snapshot() config.View { return s.snapshot() }
 
 func (s *store) snapshot() *view {
--- a/pkg/spread/watch.go
+++ b/pkg/spread/watch.go
@@ -9,17 +9,18 @@
 )
 
 const (
-	// watchTimeout bounds one watch, after which the VM reads the head and checks
+	// watchTimeout bounds one watch. The VM then reads the head and checks
 	// whether it still is a watcher. The read proves that no change was missed,
-	// and the rule on keys needs such a proof every second. 32 watchers make 64
-	// calls a second of the platform's 2,000.
+	// and accepting keys requires such a proof every second. 32 watchers make 64
+	// calls per second; the platform's limit is 2,000.
 	watchTimeout = time.Second
 	// readTimeout bounds the read of the head after a watch.
 	readTimeout = 5 * time.Second
-	// catchUpTimeout bounds the reading of what the head names, with all shards
-	// of the snapshot 46 MB at 23,000 services.
+	// catchUpTimeout bounds loading the changes that the head lists and the
+	// snapshot, whose shards have 46 MB in total at 23,000 services.
 	catchUpTimeout = 15 * time.Second
-	// watcherResource ranks the VMs of a data centre as watchers.
+	// watcherResource is the resource name for ranking the VMs of a data centre
+	// as watchers.
 	watcherResource = "Spread/Watcher"
 )
 
@@ -30,7 +31,7 @@
 	for s.ctx.Err() == nil {
 		rank, ok := s.watcherRank()
 		if !ok {
-			s.platformDown.Store(false) // only watchers ask
+			s.platformDown.Store(false) // only watchers query the platform
 			select {
 			case <-s.members.Changed():
 			case <-s.clock.After(watchTimeout):
@@ -42,7 +43,8 @@
 	}
 }
 
-// watcherRank returns this VM's place among the watchers of its data centre.
+// watcherRank returns this VM's rank among the watchers of its data centre, and
+// reports whether it is one.
 func (s *Spread) watcherRank() (int, bool) {
 	self := s.members.Self()
 	for i, vm := range place.Rank(watcherResource, place.In(self.DataCentre, s.members.Live())) {
@@ -56,15 +58,15 @@
 	return 0, false
 }
 
-// watchOnce waits for a head after version, brings it into force and pushes it
-// to the data centre. It returns the version to wait for next.
+// watchOnce waits for a head newer than version, installs its changes and pushes
+// them to the data centre. It returns the version for the next watch.
 func (s *Spread) watchOnce(rank int, version siskin.Version) siskin.Version {
 	o, sent, err := s.nextHead(version)
 	if s.ctx.Err() != nil {
 		return version
 	}
-	// Only a read of the head that fails means that the platform is down: peers
-	// take it as proof that no change can be accepted.
+	// Only a failed read of the head means that the platform is down: peers take
+	// PlatformDown as proof that no change can be accepted.
 	s.platformDown.Store(err != nil)
 	if err == nil {
 		err = s.installHead(rank, o)
@@ -78,8 +80,8 @@
 	return o.Version
 }
 
-// nextHead waits for a head after version and reads the head when there was
-// none. It also returns the time at which the answer was asked for.
+// nextHead waits for a head newer than version and reads the head if none
+// appeared. It also returns the time at which the successful request was sent.
 func (s *Spread) nextHead(version siskin.Version) (siskin.Object, time.Time, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, watchTimeout)
 	defer cancel()
@@ -95,15 +97,16 @@
 	return o, sent, err
 }
 
-// installHead brings a head into force and pushes it unless others do.
+// installHead installs the changes up to a head and pushes them to the data
+// centre, unless a push of another VM delivers them first.
 func (s *Spread) installHead(rank int, o siskin.Object) error {
 	h, err := parseHead(o)
 	if err != nil {
 		return err
 	}
 	if h.Revision > s.Revision() {
-		// The push of the VM that made the change, or of the first watcher,
-		// usually arrives in this time and makes another one unnecessary.
+		// The push of the VM that committed the change, or of the first watcher,
+		// usually arrives during this delay.
 		select {
 		case <-s.clock.After(watcherPushDelay[rank]):
 		case <-s.ctx.Done():
@@ -124,7 +127,8 @@
 	return nil
 }
 
-// waitAfterFailure waits a moment after a failure, so that it is not repeated at once.
+// waitAfterFailure delays the next attempt after a failure by the exchange
+// interval.
 func (s *Spread) waitAfterFailure() {
 	select {
 	case <-s.clock.After(s.cfg.ExchangeInterval):
