--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -15,7 +15,7 @@
 const maxApplyAttempts = 8
 
 // errConcurrentChange is the cause of the Conflict error that Apply retries.
-var errConcurrentChange = errors.New("another change became current first")
+var errConcurrentChange = errors.New("another change was committed first")
 
 // Apply commits an operator's change and returns its revision. The change is
 // atomic, and it is validated again if another change is accepted concurrently.
@@ -68,7 +68,7 @@
 		return 0, err
 	}
 	if err := s.commitChange(ctx, h, version, op, docs); err != nil {
-		if siskin.KindOf(err) == siskin.Conflict { // after other errors the same id may be retried and accepted
+		if siskin.KindOf(err) == siskin.Conflict { // after other errors a retry may be accepted
 			s.operationHistory.recordRefused(rev, op)
 		}
 		return 0, err
@@ -103,7 +103,7 @@
 	}
 	next := h.next(op, snapshot)
 	if len(next.Recent) > maxRecent {
-		return siskin.NewError(siskin.Overloaded, "%d changes wait for the snapshot", len(next.Recent)).WithRemedy("retry in a minute")
+		return siskin.NewError(siskin.Overloaded, "%d changes are not in the snapshot yet", len(next.Recent)).WithRemedy("retry in a minute")
 	}
 	value, err := json.Marshal(changeObject{next.Revision, op, docs})
 	if err != nil {
@@ -153,6 +153,6 @@
 }
 
 func conflictError(rev siskin.Revision) error {
-	return siskin.NewError(siskin.Conflict, "another change came first; revision %d is current", rev).
-		WithRemedy("look at the current configuration, make the change for it and apply it again").WithCause(errConcurrentChange)
+	return siskin.NewError(siskin.Conflict, "another change was committed first; revision %d is current", rev).
+		WithRemedy("read the current configuration, base the change on it and apply it again").WithCause(errConcurrentChange)
 }
--- a/pkg/spread/change.go
+++ b/pkg/spread/change.go
@@ -37,12 +37,12 @@
 	seen := make(map[key]bool, len(docs))
 	for _, d := range docs {
 		if seen[d.key()] {
-			return nil, siskin.NewError(siskin.BadInput, "the change names %s %q twice", d.Kind, d.Name).WithRemedy("name each document once")
+			return nil, siskin.NewError(siskin.BadInput, "the change contains %s %q twice", d.Kind, d.Name).WithRemedy("name each document once")
 		}
 		seen[d.key()] = true
 	}
 	if len(docs) == 0 || op == "" {
-		return nil, siskin.NewError(siskin.BadInput, "the change has no documents or no operation id").WithRemedy("name at least one document and an operation id")
+		return nil, siskin.NewError(siskin.BadInput, "the change has no documents or no operation id").WithRemedy("add at least one document and an operation id")
 	}
 	return docs, nil
 }
--- a/pkg/spread/counts_test.go
+++ b/pkg/spread/counts_test.go
@@ -11,8 +11,8 @@
 type soakCounts struct {
 	accepted, refused, unknown int // changes
 	faults, restarts           int
-	checkedRevision            siskin.Revision // latest revision whose spread was checked against maxSpreadTime under faults
-	slowestSpread              time.Duration   // longest time to bring a change into force at all VMs after the faults ended
+	checkedRevision            siskin.Revision // latest revision checked against maxSpreadTime under faults
+	slowestSpread              time.Duration   // longest spread of a change to all VMs after the faults
 }
 
 func (c *soakCounts) add(o soakCounts) {
--- a/pkg/spread/document.go
+++ b/pkg/spread/document.go
@@ -69,12 +69,12 @@
 	case d.Kind == ServiceKind:
 		err = json.Unmarshal(d.Body, &e.service)
 		if err == nil && (e.service == nil || string(e.service.Name) != d.Name) {
-			err = siskin.NewError(siskin.BadInput, "the body has another name")
+			err = siskin.NewError(siskin.BadInput, "the name in the body differs from the name of the document")
 		}
 	default:
 		err = json.Unmarshal(d.Body, &e.customer)
 		if err == nil && (e.customer == nil || string(e.customer.ID) != d.Name) {
-			err = siskin.NewError(siskin.BadInput, "the body has another name")
+			err = siskin.NewError(siskin.BadInput, "the name in the body differs from the name of the document")
 		}
 	}
 	if err != nil {
--- a/pkg/spread/fleet_test.go
+++ b/pkg/spread/fleet_test.go
@@ -129,7 +129,7 @@
 	n *node
 }
 
-var errCutOff = siskin.NewError(siskin.Unavailable, "cut off from the platform")
+var errCutOff = siskin.NewError(siskin.Unavailable, "the platform is unreachable")
 
 // Get implements siskin.Platform.
 func (g nodePlatform) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
@@ -149,7 +149,7 @@
 		return 0, errCutOff
 	}
 	if name == headName && g.n.delaysHead(func() { _, _ = g.Client.Put(context.Background(), name, value, ifVersion, op) }) {
-		return 0, siskin.NewError(siskin.OutcomeUnknown, "the answer was lost")
+		return 0, siskin.NewError(siskin.OutcomeUnknown, "the response was lost")
 	}
 	return g.Client.Put(ctx, name, value, ifVersion, op)
 }
--- a/pkg/spread/head.go
+++ b/pkg/spread/head.go
@@ -67,7 +67,7 @@
 	}
 	for i, c := range h.Recent {
 		if want := h.Revision - siskin.Revision(len(h.Recent)-1-i); c.Revision != want {
-			return h, siskin.NewError(siskin.BadInput, "object %s names revision %d in place of %d", o.Name, c.Revision, want)
+			return h, siskin.NewError(siskin.BadInput, "object %s lists revision %d instead of %d", o.Name, c.Revision, want)
 		}
 	}
 	return h, nil
--- a/pkg/spread/load.go
+++ b/pkg/spread/load.go
@@ -86,7 +86,7 @@
 		}
 	}
 	if snapshot.Revision+1 < first {
-		return siskin.NewError(siskin.Unavailable, "the snapshot covers revision %d and the head starts at %d", snapshot.Revision, first).WithRemedy("retry; the head is read again")
+		return siskin.NewError(siskin.Unavailable, "the snapshot ends at revision %d, but the head lists changes from revision %d on", snapshot.Revision, first).WithRemedy("retry to read the head again")
 	}
 	objects, err := s.platform.List(ctx, shardPrefix)
 	if err != nil {
--- a/pkg/spread/measure_test.go
+++ b/pkg/spread/measure_test.go
@@ -138,7 +138,7 @@
 		at := func(q float64) time.Duration {
 			return times[int(q*float64(len(times)-1))].Round(100 * time.Microsecond)
 		}
-		t.Logf("%d VMs, %d changes: in force everywhere after p50 %v, p99 %v, max %v; %.0f bytes per VM and change; idle: %.0f bytes/s per VM, %.1f platform calls/s, %d watches wait",
+		t.Logf("%d VMs, %d changes: in force everywhere after p50 %v, p99 %v, max %v; %.0f bytes per VM and change; idle: %.0f bytes/s per VM, %.1f platform calls/s, %d waiting watches",
 			n, changes, at(0.5), at(0.99), at(1), perChange, idleRate, idle, waiting)
 		if at(1) > maxSpreadTime {
 			t.Errorf("%d VMs: got %v, want at most %v", n, at(1), maxSpreadTime)
--- a/pkg/spread/proof_test.go
+++ b/pkg/spread/proof_test.go
@@ -32,7 +32,7 @@
 	for _, n := range all {
 		for !ok(n) {
 			if time.Since(begun) > maxSpreadTime {
-				t.Fatalf("%s: not so at %s after %v", what, n.vm.ID, maxSpreadTime)
+				t.Fatalf("%s: not reached at %s after %v", what, n.vm.ID, maxSpreadTime)
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
--- a/pkg/spread/soak_test.go
+++ b/pkg/spread/soak_test.go
@@ -32,11 +32,11 @@
 		total.add(c)
 		t.Logf("%v", c)
 	})
-	t.Logf("in all: %v", total)
+	t.Logf("total: %v", total)
 }
 
 // runSoak runs one seed. Every second seed has no outage of the platform and
-// runs longer than maxSpreadTime, so that this bound is checked under faults too.
+// runs longer than maxSpreadTime, so that the bound is checked under faults too.
 func runSoak(t *testing.T, seed uint64) soakCounts {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	platform, err := objapi.Start(objapi.Config{Seed: seed})
--- a/pkg/spread/spread_test.go
+++ b/pkg/spread/spread_test.go
@@ -46,7 +46,7 @@
 		}
 		n.install(old, 0)
 		if got := targetAddress(n, "s"); got != "" {
-			t.Errorf("%s: deleted service is back as %q", n.vm.ID, got)
+			t.Errorf("%s: deleted service reappeared as %q", n.vm.ID, got)
 		}
 	}
 }
@@ -146,7 +146,7 @@
 	fresh := f.start(t, platform, 1, fastConfig())
 	waitForRevision(t, []*node{fresh}, 100, maxSpreadTime)
 	if got := len(fresh.Services()); got != 20 {
-		t.Errorf("services from the platform: got %d, want 20", got)
+		t.Errorf("services loaded from the platform: got %d, want 20", got)
 	}
 	fresh.staleWatches.Store(true) // each watch returns an old head from now on
 	rev := mustApply(t, fresh, setTarget("op-late", "s-a", "late"))
--- a/pkg/spread/store.go
+++ b/pkg/spread/store.go
@@ -32,7 +32,7 @@
 	changed  atomic.Pointer[chan struct{}]
 
 	mu            sync.Mutex
-	log           []logEntry // documents by revision; an entry is obsolete if its document has a later revision
+	log           []logEntry // by revision; an entry is obsolete if its document has a later revision
 	documentCount int        // number of documents, tombstones included
 }
 
@@ -86,7 +86,7 @@
 	if rev > old {
 		s.revision.Store(uint64(rev))
 	}
-	revisionNeverReverts.Check(s.Revision() >= old, "revision %d after %d", s.Revision(), old)
+	revisionNeverReverts.Check(s.Revision() >= old, "revision %d is in force after %d", s.Revision(), old)
 	if len(byShard) == 0 && rev <= old {
 		return
 	}
@@ -103,7 +103,7 @@
 	}
 	for _, e := range changes {
 		old := shard[e.key()]
-		documentNeverReverts.Check(old == nil || old.Revision < e.Revision, "%s %s: revision %d", e.Kind, e.Name, e.Revision)
+		documentNeverReverts.Check(old == nil || old.Revision < e.Revision, "%s %s: revision %d is not newer than the stored one", e.Kind, e.Name, e.Revision)
 		if old == nil {
 			s.documentCount++
 		}
--- a/pkg/spread/watch.go
+++ b/pkg/spread/watch.go
@@ -72,7 +72,7 @@
 		err = s.installHead(rank, o)
 	}
 	if err != nil {
-		s.logf("head of the configuration: %v", err)
+		s.logf("following the head of the configuration failed: %v", err)
 		s.waitAfterFailure()
 		return version
 	}
