--- a/pkg/spread/apply.go
+++ b/pkg/spread/apply.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if rev, ok := h.find(op); ok {
+	if rev, ok := h.findOperation(op); ok {
 		return rev, nil
 	}
 	view := s.snapshot()
@@ -88,7 +88,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if rev, ok := h.find(op); ok {
+	if rev, ok := h.findOperation(op); ok {
 		return rev, nil
 	}
 	return 0, conflictError(h.Revision)
@@ -143,7 +143,7 @@
 	if err != nil {
 		return cause
 	}
-	if _, ok := h.find(op); ok {
+	if _, ok := h.findOperation(op); ok {
 		return nil
 	}
 	if siskin.KindOf(cause) == siskin.Conflict {
--- a/pkg/spread/head.go
+++ b/pkg/spread/head.go
@@ -34,8 +34,8 @@
 	return siskin.ObjectName(fmt.Sprintf("Config/Change/%012d/%s", c.Revision, c.Operation))
 }
 
-// find returns the revision that an operation committed, if it is listed.
-func (h *head) find(op siskin.OperationID) (siskin.Revision, bool) {
+// findOperation returns the revision that an operation committed, if it is listed.
+func (h *head) findOperation(op siskin.OperationID) (siskin.Revision, bool) {
 	for _, c := range h.Recent {
 		if c.Operation == op {
 			return c.Revision, true
--- a/pkg/spread/observer_test.go
+++ b/pkg/spread/observer_test.go
@@ -20,8 +20,8 @@
 	mu              sync.Mutex
 	refused         map[string]error
 	accepted        []acceptedChange
-	last            map[string]siskin.Revision // latest accepted revision by service
-	seen            map[string]siskin.VMID     // a VM that had the operation's change in force
+	lastAccepted    map[string]siskin.Revision // latest accepted revision by service
+	visibleAt       map[string]siskin.VMID     // a VM that had the operation's change in force
 	startedAt       map[*node]time.Time
 	platformUpSince time.Time // when the last outage ended; zero during an outage
 	counts          soakCounts
@@ -35,8 +35,8 @@
 func newObserver(t *testing.T, f *fakeFleet, seed uint64) *observer {
 	o := &observer{
 		t: t, f: f, seed: seed, platformUpSince: time.Now(),
-		refused: make(map[string]error), last: make(map[string]siskin.Revision),
-		seen: make(map[string]siskin.VMID), startedAt: make(map[*node]time.Time),
+		refused: make(map[string]error), lastAccepted: make(map[string]siskin.Revision),
+		visibleAt: make(map[string]siskin.VMID), startedAt: make(map[*node]time.Time),
 	}
 	for _, n := range f.all() {
 		o.startedAt[n] = time.Now()
@@ -74,14 +74,14 @@
 	o.f.messageFaults.delivery.Go(func() { _ = old.Close(); _ = old.client.Close() })
 }
 
-// note records the result of a change.
-func (o *observer) note(op, service string, rev siskin.Revision, err error) {
+// recordResult records the result of a change.
+func (o *observer) recordResult(op, service string, rev siskin.Revision, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
 	case err == nil:
 		o.accepted = append(o.accepted, acceptedChange{rev, time.Now()})
-		o.last[service] = max(o.last[service], rev)
+		o.lastAccepted[service] = max(o.lastAccepted[service], rev)
 		o.counts.accepted++
 	case siskin.KindOf(err) == siskin.OutcomeUnknown:
 		o.counts.unknown++
@@ -118,7 +118,7 @@
 	defer o.mu.Unlock()
 	for _, name := range serviceNames() {
 		if op := targetAddress(n, name); op != "" {
-			o.seen[op] = n.vm.ID
+			o.visibleAt[op] = n.vm.ID
 		}
 	}
 	now := time.Now()
@@ -139,8 +139,8 @@
 		o.observeNode(n)
 		for _, name := range serviceNames() {
 			e := n.get(key{ServiceKind, name})
-			if o.last[name] > 0 && (e == nil || e.Revision < o.last[name]) {
-				t.Errorf("seed %d: %s lacks revision %d of %s", o.seed, n.vm.ID, o.last[name], name)
+			if o.lastAccepted[name] > 0 && (e == nil || e.Revision < o.lastAccepted[name]) {
+				t.Errorf("seed %d: %s lacks revision %d of %s", o.seed, n.vm.ID, o.lastAccepted[name], name)
 			}
 			if got, want := targetAddress(n, name), targetAddress(o.f.all()[0], name); got != want {
 				t.Errorf("seed %d: %s has %q for %s, another VM %q", o.seed, n.vm.ID, got, name, want)
@@ -148,7 +148,7 @@
 		}
 	}
 	for op, err := range o.refused {
-		if vm, ok := o.seen[op]; ok {
+		if vm, ok := o.visibleAt[op]; ok {
 			t.Errorf("seed %d: %s had %s in force, which was refused: %v", o.seed, vm, op, err)
 		}
 	}
--- a/pkg/spread/random_test.go
+++ b/pkg/spread/random_test.go
@@ -14,9 +14,9 @@
 // outcomes records the results of changes. Each change sets the target address
 // of a service to its own operation id.
 type outcomes struct {
-	mu      sync.Mutex
-	results map[string]error
-	last    map[string]siskin.Revision // latest accepted revision by service
+	mu           sync.Mutex
+	results      map[string]error
+	lastAccepted map[string]siskin.Revision // latest accepted revision by service
 }
 
 // TestRandomFaults guards against revisions that decrease, accepted changes
@@ -31,7 +31,7 @@
 	for round := range rounds {
 		rng := rand.New(rand.NewPCG(*seed, uint64(round)))
 		platform, f, _ := startFleet(t, 7)
-		o := &outcomes{results: make(map[string]error), last: make(map[string]siskin.Revision)}
+		o := &outcomes{results: make(map[string]error), lastAccepted: make(map[string]siskin.Revision)}
 		var operators sync.WaitGroup
 		stop := make(chan struct{})
 		for i := range 3 {
@@ -94,7 +94,7 @@
 		o.mu.Lock()
 		o.results[op] = err
 		if err == nil {
-			o.last[service] = max(o.last[service], rev)
+			o.lastAccepted[service] = max(o.lastAccepted[service], rev)
 		}
 		o.mu.Unlock()
 		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
@@ -124,8 +124,8 @@
 		name := fmt.Sprintf("s-%d", s)
 		for _, n := range f.all() {
 			e := n.get(key{ServiceKind, name})
-			if o.last[name] > 0 && (e == nil || e.Revision < o.last[name]) {
-				t.Fatalf("seed %d: %s lacks revision %d of %s", *seed, n.vm.ID, o.last[name], name)
+			if o.lastAccepted[name] > 0 && (e == nil || e.Revision < o.lastAccepted[name]) {
+				t.Fatalf("seed %d: %s lacks revision %d of %s", *seed, n.vm.ID, o.lastAccepted[name], name)
 			}
 			if got, want := targetAddress(n, name), targetAddress(f.all()[0], name); got != want {
 				t.Fatalf("seed %d: %s has %q for %s, another VM %q", *seed, n.vm.ID, got, name, want)
--- a/pkg/spread/soak_test.go
+++ b/pkg/spread/soak_test.go
@@ -185,7 +185,7 @@
 				err = unknown
 			}
 		}
-		o.note(op, service, rev, err)
+		o.recordResult(op, service, rev, err)
 		time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
 	}
 }
--- a/pkg/spread/status.go
+++ b/pkg/spread/status.go
@@ -11,10 +11,10 @@
 
 // peerRevisions holds the last revision reported by each other VM.
 type peerRevisions struct {
-	mu      sync.Mutex
-	vms     map[siskin.VMID]observation
-	written time.Time
-	version siskin.Version
+	mu              sync.Mutex
+	vms             map[siskin.VMID]observation
+	statusWrittenAt time.Time
+	version         siskin.Version
 }
 
 type observation struct {
@@ -65,10 +65,10 @@
 // VM is its collector.
 func (s *Spread) writeStatus() {
 	vm, ok := s.collector()
-	if !ok || vm.ID != s.members.Self().ID || s.clock.Since(s.peerRevisions.written) < s.cfg.StatusInterval {
+	if !ok || vm.ID != s.members.Self().ID || s.clock.Since(s.peerRevisions.statusWrittenAt) < s.cfg.StatusInterval {
 		return
 	}
-	s.peerRevisions.written = s.clock.Now()
+	s.peerRevisions.statusWrittenAt = s.clock.Now()
 	value := StatusObject{Lowest: s.Revision(), VMs: make(map[siskin.VMID]siskin.Revision)}
 	for id, rev := range s.Status() {
 		if other, ok := s.members.Lookup(id); ok && other.DataCentre == vm.DataCentre {
