fairq: unexported names in the usual terms

Names such as file, park, sighting, repay and pace needed the doc comment to be understood, and lastStart stood for two things.

--- a/pkg/fairq/bench_test.go
+++ b/pkg/fairq/bench_test.go
@@ -12,7 +12,7 @@
 	"siskintray.example/siskin"
 )
 
-func names(n int) []siskin.CustomerID {
+func customerIDs(n int) []siskin.CustomerID {
 	ids := make([]siskin.CustomerID, n)
 	for i := range ids {
 		ids[i] = siskin.CustomerID(fmt.Sprintf("customer-%06d", i))
@@ -25,10 +25,10 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, n := range []int{10, 1000, 100_000} {
 		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
-			set := defaults(16)
+			set := defaultSettings(16)
 			set.maxTotal, set.maxWait = 4*n+1000, 10_000*time.Hour
 			s := newSched(16, set)
-			ids, now := names(n), time.Second
+			ids, now := customerIDs(n), time.Second
 			ring := make([]*ticket, 0, n+17) // oldest first from index at
 			at := 0
 			enter := func(id siskin.CustomerID) *ticket {
@@ -73,7 +73,7 @@
 			for i := range all {
 				all[i] = New(clock, 64)
 			}
-			ids := names(100)
+			ids := customerIDs(100)
 			var worker atomic.Int64
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
--- a/pkg/fairq/dispatch.go
+++ b/pkg/fairq/dispatch.go
@@ -2,27 +2,27 @@
 
 import "time"
 
-// file puts a flow with waiting requests under the first round in which its
+// schedule puts a flow with waiting requests under the first round in which its
 // deficit is positive, and credits it for the rounds until then.
-func (s *sched) file(f *flow) {
+func (s *sched) schedule(f *flow) {
 	ahead := uint64(0)
-	if f.deficit <= 0 && f.earned < s.wheel.round {
-		f.deficit += f.earning()
-		f.earned = s.wheel.round
+	if f.deficit <= 0 && f.creditedRound < s.wheel.round {
+		f.deficit += f.roundQuantum()
+		f.creditedRound = s.wheel.round
 	}
 	if f.deficit <= 0 {
-		ahead = min(uint64(-f.deficit/f.earning())+1, wheelSize-1)
-		f.deficit += time.Duration(ahead) * f.earning()
-		f.earned = s.wheel.round + ahead
+		ahead = min(uint64(-f.deficit/f.roundQuantum())+1, wheelSize-1)
+		f.deficit += time.Duration(ahead) * f.roundQuantum()
+		f.creditedRound = s.wheel.round + ahead
 	}
-	s.wheel.file(f, ahead)
+	s.wheel.schedule(f, ahead)
 }
 
 // dispatch starts requests while places are free.
 func (s *sched) dispatch(now time.Duration) {
-	if f := s.held; f != nil && !s.mustReserve(f, now) {
-		s.held = nil
-		s.file(f)
+	if f := s.deferred; f != nil && !s.reserveApplies(f, now) {
+		s.deferred = nil
+		s.schedule(f)
 	}
 	for s.running < s.places {
 		f := s.wheel.next()
@@ -40,31 +40,31 @@
 	t := f.first
 	switch {
 	case f.deficit <= 0:
-		s.file(f)
-	case t.lastStart < now:
+		s.schedule(f)
+	case t.startDeadline < now:
 		s.expire(f, t)
-	case s.mustReserve(f, now):
-		s.held = f
+	case s.reserveApplies(f, now):
+		s.deferred = f
 	default:
 		s.start(f, t, now)
 	}
 }
 
 func (s *sched) start(f *flow, t *ticket, now time.Duration) {
-	if f.lastStart > 0 {
-		f.pace.add(now - f.lastStart)
+	if f.lastStarted > 0 {
+		f.startInterval.add(now - f.lastStarted)
 	}
-	f.lastStart = now
+	f.lastStarted = now
 	t.charged = s.costOf(f)
 	f.deficit -= t.charged
 	s.unqueue(f, t)
 	if f.waiting > 0 {
-		s.file(f)
+		s.schedule(f)
 	}
 	f.running++
 	s.running++
 	t.state, t.started = ticketRunning, now
-	if t != s.fresh {
+	if t != s.entering {
 		t.ready <- struct{}{}
 	}
 	if s.running > s.places { // the call allocates, so it is made on a violation only
@@ -77,20 +77,20 @@
 func (s *sched) expire(f *flow, t *ticket) {
 	s.unqueue(f, t)
 	if f.waiting > 0 {
-		s.file(f)
+		s.schedule(f)
 	}
 	t.state = ticketExpired
-	if t != s.fresh {
+	if t != s.entering {
 		t.ready <- struct{}{}
 	}
 }
 
-// mustReserve reports whether f must leave the remaining places to others.
-func (s *sched) mustReserve(f *flow, now time.Duration) bool {
+// reserveApplies reports whether f must leave the remaining places to others.
+func (s *sched) reserveApplies(f *flow, now time.Duration) bool {
 	if s.places-s.running > s.reserve || 2*f.running <= s.places {
 		return false
 	}
-	for _, o := range s.seen {
+	for _, o := range s.recent {
 		if o.flow != nil && o.flow != f && now-o.at < reserveWindow {
 			return true
 		}
--- a/pkg/fairq/estimate.go
+++ b/pkg/fairq/estimate.go
@@ -5,9 +5,9 @@
 // initialCost is the assumed service time before the first measurement.
 const initialCost = time.Millisecond
 
-// minPaceCount is the number of starts in one backlog after which the measured
+// minIntervalCount is the number of starts in one backlog after which the measured
 // pace replaces the computed one.
-const minPaceCount = 4
+const minIntervalCount = 4
 
 // refusal says why a request was refused and when to retry it. It is zero for
 // a request that was not refused.
@@ -16,21 +16,21 @@
 	retryAfter time.Duration
 }
 
-// refuse decides whether a request would have to wait too long.
-func (s *sched) refuse(f *flow, now, deadline time.Duration) refusal {
+// checkAdmission decides whether a request would have to wait too long.
+func (s *sched) checkAdmission(f *flow, now, deadline time.Duration) refusal {
 	if deadline <= now {
 		return refusal{"the deadline has passed", s.costOf(f)}
 	}
-	if f.waiting == 0 && s.running < s.places && !s.mustReserve(f, now) {
+	if f.waiting == 0 && s.running < s.places && !s.reserveApplies(f, now) {
 		return refusal{}
 	}
-	pace := s.paceOf(f)
+	interval := s.startIntervalOf(f)
 	// A customer may fill at most as much of the queue as is still free, so
 	// that a few customers cannot take all of it.
 	if f.waiting >= min(s.maxPerCustomer, s.maxTotal-s.waiting) {
-		return refusal{"the queue is full", max(pace, time.Millisecond)}
+		return refusal{"the queue is full", max(interval, time.Millisecond)}
 	}
-	wait := time.Duration(f.waiting+1) * pace
+	wait := time.Duration(f.waiting+1) * interval
 	if wait > s.maxWait {
 		return refusal{"the wait would exceed the bound", wait - s.maxWait}
 	}
@@ -52,12 +52,12 @@
 	}
 }
 
-// paceOf returns the expected time between two starts of f. The measured pace
+// startIntervalOf returns the expected time between two starts of f. The measured pace
 // of the present backlog includes what customers without a backlog use. Before
 // it is known, the pace follows from f's share of the places by weight.
-func (s *sched) paceOf(f *flow) time.Duration {
-	if f.pace.count >= minPaceCount {
-		return f.pace.mean
+func (s *sched) startIntervalOf(f *flow) time.Duration {
+	if f.startInterval.count >= minIntervalCount {
+		return f.startInterval.mean
 	}
 	weights := s.backlogWeight
 	if f.waiting == 0 {
--- a/pkg/fairq/fairness_test.go
+++ b/pkg/fairq/fairness_test.go
@@ -27,13 +27,13 @@
 	length           time.Duration
 }
 
-type served struct {
+type outcome struct {
 	offered   int
 	latencies []time.Duration
 }
 
 // p99 returns the 99th percentile of the latencies.
-func (s *served) p99() time.Duration {
+func (s *outcome) p99() time.Duration {
 	slices.Sort(s.latencies)
 	return s.latencies[len(s.latencies)*99/100]
 }
@@ -57,32 +57,32 @@
 			if testing.Short() {
 				l.length = 3 * time.Second
 			}
-			compare(t, file.Name+" "+strings.TrimSpace(line), l)
+			checkWorkload(t, file.Name+" "+strings.TrimSpace(line), l)
 		}
 	}
 }
 
-func compare(t *testing.T, name string, l load) {
-	usual := l
-	usual.rate, usual.slow = 1, 1
+func checkWorkload(t *testing.T, name string, l load) {
+	baseline := l
+	baseline.rate, baseline.slow = 1, 1
 	fifo := l
 	fifo.fifo = true
-	base := simulate(usual)
-	throughput, p99 := worst(base, simulate(l))
-	fifoThroughput, fifoP99 := worst(base, simulate(fifo))
+	base := simulate(baseline)
+	throughput, p99 := worstLoss(base, simulate(l))
+	fifoThroughput, fifoP99 := worstLoss(base, simulate(fifo))
 	t.Logf("%s: worst-served loses %.2f%% throughput, %.1f%% p99; FIFO %.1f%%, %.0f%%", name, throughput, p99, fifoThroughput, fifoP99)
 	if throughput > 5 || p99 > 20 {
 		t.Errorf("%s: got a loss of %.2f%% throughput and %.1f%% p99, want at most 5%% and 20%%", name, throughput, p99)
 	}
 }
 
-// worst returns the largest loss of throughput and growth of p99 in percent
+// worstLoss returns the largest loss of throughput and growth of p99 in percent
 // among all but the first customer.
-func worst(base, with []served) (throughput, p99 float64) {
+func worstLoss(base, measured []outcome) (throughput, p99 float64) {
 	for i := 1; i < len(base); i++ {
-		share := func(s *served) float64 { return float64(len(s.latencies)) / float64(s.offered) }
-		throughput = max(throughput, 100*(1-share(&with[i])/share(&base[i])))
-		p99 = max(p99, 100*(float64(with[i].p99())/float64(base[i].p99())-1))
+		share := func(s *outcome) float64 { return float64(len(s.latencies)) / float64(s.offered) }
+		throughput = max(throughput, 100*(1-share(&measured[i])/share(&base[i])))
+		p99 = max(p99, 100*(float64(measured[i].p99())/float64(base[i].p99())-1))
 	}
 	return throughput, p99
 }
@@ -105,13 +105,13 @@
 
 // simulate offers Poisson arrivals with exponential service times. In the
 // first-in first-out case all requests enter as one customer.
-func simulate(l load) []served {
+func simulate(l load) []outcome {
 	const deadline = time.Second
-	out := make([]served, len(shares))
+	out := make([]outcome, len(shares))
 	slots := make([]*sched, l.slots)
 	waiting := make([][][]event, l.slots) // by slot and customer
 	for i := range slots {
-		slots[i] = newSched(l.places, defaults(l.places))
+		slots[i] = newSched(l.places, defaultSettings(l.places))
 		slots[i].maxPerCustomer = slots[i].maxTotal
 		waiting[i] = make([][]event, len(shares))
 	}
@@ -149,7 +149,7 @@
 			}
 		}
 		for i, list := range waiting[e.slot] {
-			waiting[e.slot][i] = begin(list, func(w event) {
+			waiting[e.slot][i] = takeStarted(list, func(w event) {
 				took := time.Duration(rngs[w.customer].ExpFloat64() * float64(l.service))
 				if w.customer == 0 {
 					took = time.Duration(float64(took) * l.slow)
@@ -162,9 +162,9 @@
 	return out
 }
 
-// begin passes the requests at the head of a list that started to run and
+// takeStarted passes the requests at the head of a list that started to run and
 // returns the rest. A scheduler starts the requests of a customer in order.
-func begin(list []event, run func(event)) []event {
+func takeStarted(list []event, run func(event)) []event {
 	for len(list) > 0 && list[0].ticket.state != ticketWaiting {
 		w := list[0]
 		list = list[1:]
--- a/pkg/fairq/flow.go
+++ b/pkg/fairq/flow.go
@@ -21,26 +21,26 @@
 
 	// deficit is the service time that the flow may still use; a negative value
 	// is a debt. While the flow is not filed it is stated as of round asOf.
-	deficit time.Duration
-	asOf    uint64
-	// earned is the latest round whose quantum the flow got. Without it, a
+	deficit      time.Duration
+	deficitRound uint64
+	// creditedRound is the latest round whose quantum the flow got. Without it, a
 	// customer whose queue empties after each short request would get a quantum
 	// each time and the round would never end.
-	earned uint64
+	creditedRound uint64
 
-	filed      bool
+	inWheel    bool
 	round      uint64
 	prev, next *flow // neighbors in a wheel bucket, or in the idle list
 	idle       bool
 	idleSince  time.Duration
 
-	cost ewma // service time of one request
-	pace ewma // time between two starts while requests wait
-	// lastStart is the time of the latest start; zero at the start of a backlog.
-	lastStart time.Duration
+	cost          ewma // service time of one request
+	startInterval ewma // time between two starts while requests wait
+	// lastStarted is the time of the latest start; zero at the start of a backlog.
+	lastStarted time.Duration
 }
 
-func (f *flow) earning() time.Duration { return quantum * time.Duration(f.weight) }
+func (f *flow) roundQuantum() time.Duration { return quantum * time.Duration(f.weight) }
 
 func (f *flow) push(t *ticket) {
 	t.prev, t.next = f.last, nil
@@ -68,27 +68,27 @@
 	f.waiting--
 }
 
-// repay credits a flow that was not filed for the rounds between asOf and the
+// creditElapsedRounds credits a flow that was not filed for the rounds between asOf and the
 // present one, up to the end of its debt: an idle customer saves up no credit.
-func (f *flow) repay(round uint64) {
-	if round == f.asOf {
+func (f *flow) creditElapsedRounds(round uint64) {
+	if round == f.deficitRound {
 		return
 	}
-	passed := round - f.asOf - 1
-	f.asOf = round
+	passed := round - f.deficitRound - 1
+	f.deficitRound = round
 	switch {
-	case f.deficit >= 0 || passed >= uint64(-f.deficit/f.earning())+1:
+	case f.deficit >= 0 || passed >= uint64(-f.deficit/f.roundQuantum())+1:
 		f.deficit = 0
 	default:
-		f.deficit += time.Duration(passed) * f.earning()
+		f.deficit += time.Duration(passed) * f.roundQuantum()
 	}
 }
 
-// unearn takes back the quanta of rounds that lie ahead, for a flow that
+// revokeFutureRounds takes back the quanta of rounds that lie ahead, for a flow that
 // leaves the wheel before its round.
-func (f *flow) unearn(round uint64) {
+func (f *flow) revokeFutureRounds(round uint64) {
 	if f.round > round {
-		f.deficit -= time.Duration(f.round-round) * f.earning()
-		f.earned = round
+		f.deficit -= time.Duration(f.round-round) * f.roundQuantum()
+		f.creditedRound = round
 	}
 }
--- a/pkg/fairq/flowpart.go
+++ b/pkg/fairq/flowpart.go
@@ -9,7 +9,7 @@
 	n      int
 }
 
-func (p *flowPart) first(h uint32) uint32 { return h & uint32(len(p.hashes)-1) }
+func (p *flowPart) slotFor(h uint32) uint32 { return h & uint32(len(p.hashes)-1) }
 
 func (p *flowPart) next(i uint32) uint32 { return (i + 1) & uint32(len(p.hashes)-1) }
 
@@ -19,25 +19,25 @@
 	p.hashes, p.flows = make([]uint32, slots), make([]*flow, slots)
 	for i, h := range hashes {
 		if h != 0 {
-			p.place(h, flows[i])
+			p.insert(h, flows[i])
 		}
 	}
 }
 
-func (p *flowPart) place(h uint32, f *flow) {
-	i := p.first(h)
+func (p *flowPart) insert(h uint32, f *flow) {
+	i := p.slotFor(h)
 	for p.hashes[i] != 0 {
 		i = p.next(i)
 	}
 	p.hashes[i], p.flows[i] = h, f
 }
 
-// free frees a slot and moves later flows of its run into the gap, so that no
+// vacate frees a slot and moves later flows of its run into the gap, so that no
 // lookup ends too early.
-func (p *flowPart) free(gap uint32) {
+func (p *flowPart) vacate(gap uint32) {
 	for i := p.next(gap); p.hashes[i] != 0; i = p.next(i) {
 		// The flow may move when its first slot is not between the gap and i.
-		if p.first(i-p.first(p.hashes[i])) >= p.first(i-gap) {
+		if p.slotFor(i-p.slotFor(p.hashes[i])) >= p.slotFor(i-gap) {
 			p.hashes[gap], p.flows[gap] = p.hashes[i], p.flows[i]
 			gap = i
 		}
--- a/pkg/fairq/flowtable.go
+++ b/pkg/fairq/flowtable.go
@@ -37,7 +37,7 @@
 	if p.n == 0 {
 		return nil
 	}
-	for i := p.first(h); p.hashes[i] != 0; i = p.next(i) {
+	for i := p.slotFor(h); p.hashes[i] != 0; i = p.next(i) {
 		if p.hashes[i] == h && p.flows[i].id == id {
 			return p.flows[i]
 		}
@@ -51,7 +51,7 @@
 	if p.n >= len(p.hashes)/4*3 {
 		p.grow()
 	}
-	p.place(h, f)
+	p.insert(h, f)
 	p.n++
 	t.n++
 }
@@ -59,11 +59,11 @@
 // remove removes a flow.
 func (t *flowTable) remove(f *flow) {
 	h, p := t.find(f.id)
-	i := p.first(h)
+	i := p.slotFor(h)
 	for p.flows[i] != f {
 		i = p.next(i)
 	}
-	p.free(i)
+	p.vacate(i)
 	p.n--
 	t.n--
 }
--- a/pkg/fairq/flowtable_test.go
+++ b/pkg/fairq/flowtable_test.go
@@ -41,7 +41,7 @@
 // one of the 64 parts, with 100,000 customers in all.
 func BenchmarkFlowPartGrow(b *testing.B) {
 	table := newFlowTable()
-	for _, id := range names(100_000) {
+	for _, id := range customerIDs(100_000) {
 		table.put(&flow{id: id})
 	}
 	p := &table.parts[0]
--- a/pkg/fairq/idle.go
+++ b/pkg/fairq/idle.go
@@ -44,8 +44,8 @@
 	weight = max(weight, 1)
 	f := s.flows.get(id)
 	if f == nil {
-		f = s.dropIdle(now)
-		*f = flow{id: id, weight: weight, asOf: s.wheel.round}
+		f = s.evictIdle(now)
+		*f = flow{id: id, weight: weight, deficitRound: s.wheel.round}
 		s.flows.put(f)
 	} else if f.idle {
 		s.idle.remove(f)
@@ -59,10 +59,10 @@
 	return f
 }
 
-// dropIdle removes up to two accounts that were idle for too long, so that the
+// evictIdle removes up to two accounts that were idle for too long, so that the
 // number of accounts shrinks again, and returns a flow to use.
-func (s *sched) dropIdle(now time.Duration) *flow {
-	var dropped *flow
+func (s *sched) evictIdle(now time.Duration) *flow {
+	var evicted *flow
 	for range 2 {
 		f := s.idle.head
 		if f == nil || now-f.idleSince < idleTime {
@@ -70,21 +70,21 @@
 		}
 		s.idle.remove(f)
 		s.flows.remove(f)
-		for i := range s.seen {
-			if s.seen[i].flow == f {
-				s.seen[i] = sighting{}
+		for i := range s.recent {
+			if s.recent[i].flow == f {
+				s.recent[i] = arrival{}
 			}
 		}
-		dropped = f
+		evicted = f
 	}
-	if dropped == nil {
+	if evicted == nil {
 		return new(flow)
 	}
-	return dropped
+	return evicted
 }
 
-// park puts a flow without requests on the idle list.
-func (s *sched) park(f *flow, now time.Duration) {
+// markIdle puts a flow without requests on the idle list.
+func (s *sched) markIdle(f *flow, now time.Duration) {
 	if f.running == 0 && f.waiting == 0 && !f.idle {
 		f.idleSince = now
 		s.idle.push(f)
--- a/pkg/fairq/option.go
+++ b/pkg/fairq/option.go
@@ -16,7 +16,7 @@
 // holds. A customer that is alone for longer may use every place.
 const reserveWindow = time.Second
 
-func defaults(places int) settings {
+func defaultSettings(places int) settings {
 	return settings{
 		maxPerCustomer: 8 * places,
 		maxTotal:       32 * places,
--- a/pkg/fairq/queue.go
+++ b/pkg/fairq/queue.go
@@ -20,7 +20,7 @@
 
 // New returns a queue in front of the given number of places.
 func New(clock siskin.Clock, places int, options ...Option) *Queue {
-	s := defaults(places)
+	s := defaultSettings(places)
 	for _, o := range options {
 		o(&s)
 	}
@@ -40,7 +40,7 @@
 		q.mu.Unlock()
 		return Grant{}, overloaded(customer, r)
 	}
-	state, gen, wait := t.state, t.gen, t.lastStart-now.Sub(q.origin)
+	state, gen, wait := t.state, t.gen, t.startDeadline-now.Sub(q.origin)
 	q.mu.Unlock()
 	if state != ticketRunning {
 		if err := q.wait(ctx, t, wait, customer); err != nil {
@@ -51,13 +51,13 @@
 }
 
 // wait blocks until the ticket runs, expires, or its context ends.
-func (q *Queue) wait(ctx context.Context, t *ticket, longest time.Duration, customer siskin.CustomerID) error {
+func (q *Queue) wait(ctx context.Context, t *ticket, timeout time.Duration, customer siskin.CustomerID) error {
 	var cause error
 	select {
 	case <-t.ready:
 	case <-ctx.Done():
 		cause = ctx.Err()
-	case <-q.clock.After(longest):
+	case <-q.clock.After(timeout):
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -76,7 +76,7 @@
 	default:
 		f := t.flow
 		q.s.recycle(t)
-		q.s.park(f, now)
+		q.s.markIdle(f, now)
 	}
 	if cause != nil {
 		return siskin.NewError(siskin.NotRun, "customer %s gave up in the queue", customer).
--- a/pkg/fairq/queue_test.go
+++ b/pkg/fairq/queue_test.go
@@ -13,9 +13,9 @@
 	"siskintray.example/siskin"
 )
 
-// TestWaiterIsAnsweredAtItsBound guards against a refused request that is held
+// TestWaiterTimesOut guards against a refused request that is held
 // back: a waiter whose time is over gets its answer without any release.
-func TestWaiterIsAnsweredAtItsBound(t *testing.T) {
+func TestWaiterTimesOut(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	clock := clockwork.NewFakeClock()
 	q := New(clock, 1)
--- a/pkg/fairq/sched.go
+++ b/pkg/fairq/sched.go
@@ -23,18 +23,18 @@
 	backlogWeight int
 	flows         *flowTable
 	wheel         wheel
-	// held is the flow that waits because of the reserve. At most one flow can
+	// deferred is the flow that waits because of the reserve. At most one flow can
 	// hold more than half of the places.
-	held  *flow
-	cost  ewma // over all requests
-	free  *ticket
-	idle  idleList
-	seen  [2]sighting // the two customers that sent the latest requests
-	fresh *ticket     // the ticket that enter is deciding on
+	deferred    *flow
+	cost        ewma // over all requests
+	freeTickets *ticket
+	idle        idleList
+	recent      [2]arrival // the two customers that sent the latest requests
+	entering    *ticket    // the ticket that enter is deciding on
 }
 
-// sighting is the latest request of one customer.
-type sighting struct {
+// arrival is the latest request of one customer.
+type arrival struct {
 	flow *flow
 	at   time.Duration
 }
@@ -50,25 +50,25 @@
 // request is refused.
 func (s *sched) enter(now time.Duration, id siskin.CustomerID, weight int, deadline time.Duration) (*ticket, refusal) {
 	f := s.flow(now, id, weight)
-	s.see(f, now)
-	if r := s.refuse(f, now, deadline); r.reason != "" {
-		s.park(f, now)
+	s.noteArrival(f, now)
+	if r := s.checkAdmission(f, now, deadline); r.reason != "" {
+		s.markIdle(f, now)
 		return nil, r
 	}
 	t := s.newTicket()
 	t.flow, t.state = f, ticketWaiting
-	t.lastStart = min(deadline, now+s.maxWait)
+	t.startDeadline = min(deadline, now+s.maxWait)
 	f.push(t)
 	s.waiting++
 	if f.waiting == 1 {
 		s.backlogWeight += f.weight
-		f.lastStart, f.pace = 0, ewma{}
-		f.repay(s.wheel.round)
-		s.file(f)
+		f.lastStarted, f.startInterval = 0, ewma{}
+		f.creditElapsedRounds(s.wheel.round)
+		s.schedule(f)
 	}
-	s.fresh = t
+	s.entering = t
 	s.dispatch(now)
-	s.fresh = nil
+	s.entering = nil
 	if s.waiting > s.maxTotal { // the call allocates, so it is made on a violation only
 		invWaiting.Check(false, "%d waiting, bound %d", s.waiting, s.maxTotal)
 	}
@@ -84,7 +84,7 @@
 	s.cost.add(took)
 	f.deficit -= took - t.charged
 	s.recycle(t)
-	s.park(f, now)
+	s.markIdle(f, now)
 	s.dispatch(now)
 }
 
@@ -93,7 +93,7 @@
 	f := t.flow
 	s.unqueue(f, t)
 	s.recycle(t)
-	s.park(f, now)
+	s.markIdle(f, now)
 }
 
 // unqueue takes a waiting ticket out of its flow.
@@ -104,34 +104,34 @@
 		return
 	}
 	s.backlogWeight -= f.weight
-	f.asOf = s.wheel.round
-	if s.held == f {
-		s.held = nil
+	f.deficitRound = s.wheel.round
+	if s.deferred == f {
+		s.deferred = nil
 	}
-	if f.filed {
+	if f.inWheel {
 		s.wheel.remove(f)
-		f.unearn(s.wheel.round)
+		f.revokeFutureRounds(s.wheel.round)
 	}
 }
 
-func (s *sched) see(f *flow, now time.Duration) {
-	if s.seen[0].flow != f {
-		s.seen[1] = s.seen[0]
+func (s *sched) noteArrival(f *flow, now time.Duration) {
+	if s.recent[0].flow != f {
+		s.recent[1] = s.recent[0]
 	}
-	s.seen[0] = sighting{f, now}
+	s.recent[0] = arrival{f, now}
 }
 
 func (s *sched) newTicket() *ticket {
-	t := s.free
+	t := s.freeTickets
 	if t == nil {
 		return &ticket{ready: make(chan struct{}, 1)}
 	}
-	s.free, t.next = t.next, nil
+	s.freeTickets, t.next = t.next, nil
 	return t
 }
 
 func (s *sched) recycle(t *ticket) {
 	t.gen++
 	t.state, t.flow = ticketFree, nil
-	t.next, s.free = s.free, t
+	t.next, s.freeTickets = s.freeTickets, t
 }
--- a/pkg/fairq/sched_test.go
+++ b/pkg/fairq/sched_test.go
@@ -21,7 +21,7 @@
 // TestShortRequestsDoNotStarveOthers guards against a customer whose queue
 // empties after each short request and that gets a new quantum each time.
 func TestShortRequestsDoNotStarveOthers(t *testing.T) {
-	s := newSched(1, defaults(1))
+	s := newSched(1, defaultSettings(1))
 	now := time.Second
 	enter := func(id siskin.CustomerID) *ticket {
 		tk, _ := s.enter(now, id, 1, now+time.Minute)
@@ -54,7 +54,7 @@
 func randomCalls(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		places := rapid.IntRange(1, 8).Draw(r, "places")
-		s := newSched(places, defaults(places))
+		s := newSched(places, defaultSettings(places))
 		now := time.Second
 		var live []*ticket
 		for range rapid.IntRange(1, 300).Draw(r, "steps") {
@@ -110,19 +110,19 @@
 	if s.running != running || s.waiting != waiting {
 		r.Fatalf("got running %d, waiting %d, want %d, %d", s.running, s.waiting, running, waiting)
 	}
-	held := 0
-	if s.held != nil {
-		held = s.held.waiting
+	deferred := 0
+	if s.deferred != nil {
+		deferred = s.deferred.waiting
 	}
-	if running < s.places && waiting > held {
-		r.Fatalf("got %d waiting and %d held with %d of %d places used, want none waiting", waiting, held, running, s.places)
+	if running < s.places && waiting > deferred {
+		r.Fatalf("got %d waiting and %d held with %d of %d places used, want none waiting", waiting, deferred, running, s.places)
 	}
 }
 
 // TestIdleAccountsAreDropped guards against memory that grows with every
 // customer ever seen.
 func TestIdleAccountsAreDropped(t *testing.T) {
-	s := newSched(4, defaults(4))
+	s := newSched(4, defaultSettings(4))
 	now := time.Second
 	for i := range 20_000 {
 		now += 10 * time.Millisecond
--- a/pkg/fairq/script_test.go
+++ b/pkg/fairq/script_test.go
@@ -61,9 +61,9 @@
 		}
 		return "waiting"
 	case "leave":
-		r.s.leave(now, r.take(customer, ticketRunning))
+		r.s.leave(now, r.removeTicket(customer, ticketRunning))
 	case "cancel":
-		r.s.cancel(now, r.take(customer, ticketWaiting))
+		r.s.cancel(now, r.removeTicket(customer, ticketWaiting))
 	}
 	return r.changes()
 }
@@ -71,7 +71,7 @@
 func (r *script) places(args []string) string {
 	var n int
 	fmt.Sscan(args[0], &n)
-	set := defaults(n)
+	set := defaultSettings(n)
 	for _, arg := range args[1:] {
 		name, value, _ := strings.Cut(arg, "=")
 		fmt.Sscan(value, map[string]*int{"per": &set.maxPerCustomer, "total": &set.maxTotal, "reserve": &set.reserve}[name])
@@ -80,7 +80,7 @@
 	return "ok"
 }
 
-func (r *script) take(customer siskin.CustomerID, state ticketState) *ticket {
+func (r *script) removeTicket(customer siskin.CustomerID, state ticketState) *ticket {
 	for i, t := range r.tickets {
 		if t.flow.id == customer && t.state == state {
 			r.tickets = append(r.tickets[:i:i], r.tickets[i+1:]...)
--- a/pkg/fairq/ticket.go
+++ b/pkg/fairq/ticket.go
@@ -15,12 +15,12 @@
 // ticket is one request in the scheduler. Tickets are reused, so gen tells a
 // late release of an earlier use from one of the present use.
 type ticket struct {
-	flow       *flow
-	prev, next *ticket
-	state      ticketState
-	gen        uint64
-	lastStart  time.Duration // latest time to start
-	started    time.Duration
-	charged    time.Duration
-	ready      chan struct{} // capacity 1; signaled when the ticket stops waiting
+	flow          *flow
+	prev, next    *ticket
+	state         ticketState
+	gen           uint64
+	startDeadline time.Duration // latest time to start
+	started       time.Duration
+	charged       time.Duration
+	ready         chan struct{} // capacity 1; signaled when the ticket stops waiting
 }
--- a/pkg/fairq/wheel.go
+++ b/pkg/fairq/wheel.go
@@ -16,10 +16,10 @@
 	summary uint64
 }
 
-// file appends f to the bucket that is ahead rounds after the present one.
-func (w *wheel) file(f *flow, ahead uint64) {
+// schedule appends f to the bucket that is ahead rounds after the present one.
+func (w *wheel) schedule(f *flow, ahead uint64) {
 	f.round = w.round + ahead
-	f.filed = true
+	f.inWheel = true
 	i := f.round % wheelSize
 	b := &w.buckets[i]
 	f.prev, f.next = b.tail, nil
@@ -47,7 +47,7 @@
 		f.next.prev = f.prev
 	}
 	f.prev, f.next = nil, nil
-	f.filed = false
+	f.inWheel = false
 	if b.head != nil {
 		return
 	}
@@ -63,13 +63,13 @@
 		return nil
 	}
 	at := w.round % wheelSize
-	i := w.usedFrom(at)
+	i := w.nextUsed(at)
 	w.round += (i - at) % wheelSize
 	return w.buckets[i].head
 }
 
-// usedFrom returns the first used bucket at or after i, around the end.
-func (w *wheel) usedFrom(i uint64) uint64 {
+// nextUsed returns the first used bucket at or after i, around the end.
+func (w *wheel) nextUsed(i uint64) uint64 {
 	word, bit := i/64, i%64
 	if rest := w.words[word] >> bit; rest != 0 {
 		return i + uint64(bits.TrailingZeros64(rest))
