--- a/pkg/member/core.go
+++ b/pkg/member/core.go
@@ -15,61 +15,61 @@
 
 // core takes the decisions of one VM's membership.
 type core struct {
-	cfg     Config
-	rng     *rand.Rand
-	self    Record
-	members map[siskin.VMID]*member // without self
-	rings   *rings
-	news    *news
-	hash    uint32
-	cursor  siskin.VMID // last member sent in a page
-
-	ring      int       // ring of the next probe
-	nextProbe time.Time // time of the next probe
-	nextDead  time.Time // time of the next probe of a dead member
-	lastPush  time.Time
-	pushDue   bool
-	contested []siskin.VMID // dead members that others hold to be running
-	doubted   []siskin.VMID // running members that a peer did not list after a pause
-
-	touched    []siskin.VMID // members whose published state is out of date
-	suspended  time.Time     // until then this VM does not judge others
-	quiet      bool          // records that are accepted now are no news
-	superseded bool          // another run of this VM exists, or it is gone
+	cfg         Config
+	rng         *rand.Rand
+	self        Record
+	members     map[siskin.VMID]*member // without self
+	rings       *rings
+	updateQueue *updateQueue
+	hash        uint32
+	cursor      siskin.VMID // last member sent in a page
+
+	ring          int       // ring of the next probe
+	nextProbe     time.Time // time of the next probe
+	nextDeadProbe time.Time // time of the next probe of a dead member
+	lastPush      time.Time
+	pushDue       bool
+	disputed      []siskin.VMID // dead members that others hold to be running
+	unconfirmed   []siskin.VMID // running members that a peer did not list after a pause
+
+	unpublished     []siskin.VMID // members whose published state is out of date
+	suspendedUntil  time.Time     // until then this VM does not judge others
+	suppressUpdates bool          // records that are accepted now are no news
+	superseded      bool          // another run of this VM exists, or it is gone
 }
 
 // member is what the core knows of another VM.
 type member struct {
 	Record
-	since    time.Time // last change of the state
-	silent   bool      // this VM itself found the member silent
-	differed time.Time // when its hash began to differ; zero while it is the same
-	differs  time.Time // when it was last seen to differ
-	hash     uint32    // last one heard
-	listed   time.Time // last page that named the member as running
+	stateSince   time.Time // last change of the state
+	probeFailed  bool      // this VM itself found the member silent
+	differsSince time.Time // when its hash began to differ; zero while it is the same
+	lastDiffered time.Time // when it was last seen to differ
+	hash         uint32    // last one heard
+	lastListed   time.Time // last page that named the member as running
 }
 
 func newCore(cfg Config, now time.Time) *core {
 	c := &core{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.RandomSeed, uint64(cfg.Self.Incarnation))),
 		self:    Record{ID: cfg.Self.ID, Incarnation: cfg.Self.Incarnation, State: siskin.VMLive, DataCentre: cfg.Self.DataCentre, Address: cfg.Self.PeerAddress, Forward: cfg.Self.ForwardAddress},
-		members: make(map[siskin.VMID]*member), news: newNews(),
+		members: make(map[siskin.VMID]*member), updateQueue: newUpdateQueue(),
 	}
 	c.rings = newRings(c.self.ID)
 	c.nextProbe = now.Add(time.Duration(c.rng.Int64N(int64(cfg.ProbeInterval))))
-	c.nextDead = now.Add(time.Duration(c.rng.Int64N(int64(cfg.DeadProbeInterval))))
+	c.nextDeadProbe = now.Add(time.Duration(c.rng.Int64N(int64(cfg.DeadProbeInterval))))
 	c.hash ^= recordHash(c.self)
-	c.touch(c.self.ID)
+	c.markUnpublished(c.self.ID)
 	c.announce(c.self)
 	return c
 }
 
 // announce queues a record for the others and a push.
 func (c *core) announce(r Record) {
-	if c.quiet && r.ID != c.self.ID {
+	if c.suppressUpdates && r.ID != c.self.ID {
 		return
 	}
-	c.news.add(r)
+	c.updateQueue.add(r)
 	c.pushDue = true
 }
 
@@ -79,7 +79,7 @@
 		return
 	}
 	if r.ID == c.self.ID {
-		c.hearOfSelf(r)
+		c.acceptOwnRecord(r)
 		return
 	}
 	m, known := c.members[r.ID]
@@ -87,10 +87,10 @@
 		if r.Address == "" || !r.up() && r.State != siskin.VMGone {
 			return // nothing to reach it by, or dead before it was known
 		}
-		c.members[r.ID] = &member{Record: r, since: now}
+		c.members[r.ID] = &member{Record: r, stateSince: now}
 		c.hash ^= recordHash(r)
 		c.rings.set(r.ID, r.up())
-		c.touch(r.ID)
+		c.markUnpublished(r.ID)
 		c.announce(r)
 		return
 	}
@@ -104,30 +104,30 @@
 // replace sets the record of a known member and spreads the change.
 func (c *core) replace(now time.Time, m *member, r Record) {
 	old := m.Record
-	incarnationNeverReverts.Check(r.order(old) >= 0, "%s: %d.%d after %d.%d", r.ID, r.Incarnation, r.Refutations, old.Incarnation, old.Refutations)
+	incarnationNeverReverts.Check(r.compare(old) >= 0, "%s: %d.%d after %d.%d", r.ID, r.Incarnation, r.Refutations, old.Incarnation, old.Refutations)
 	goneIsFinal.Check(old.State != siskin.VMGone || r.State == siskin.VMGone || r.Incarnation > old.Incarnation, "%s is %v after it was gone", r.ID, r.State)
 	c.hash ^= recordHash(old) ^ recordHash(r)
-	if r.State != old.State || r.order(old) != 0 {
-		m.since, m.silent = now, false
+	if r.State != old.State || r.compare(old) != 0 {
+		m.stateSince, m.probeFailed = now, false
 	}
 	m.Record = r
 	if r.up() != old.up() {
 		c.rings.set(r.ID, r.up())
 	}
-	c.touch(r.ID)
+	c.markUnpublished(r.ID)
 	c.announce(r)
 }
 
-// touch marks a member whose published state is out of date.
-func (c *core) touch(id siskin.VMID) { c.touched = append(c.touched, id) }
+// markUnpublished marks a member whose published state is out of date.
+func (c *core) markUnpublished(id siskin.VMID) { c.unpublished = append(c.unpublished, id) }
 
-// hearOfSelf handles what others hold of this VM.
-func (c *core) hearOfSelf(r Record) {
+// acceptOwnRecord handles what others hold of this VM.
+func (c *core) acceptOwnRecord(r Record) {
 	switch {
 	case r.Incarnation > c.self.Incarnation || r.State == siskin.VMGone && r.Incarnation == c.self.Incarnation:
 		if !c.superseded {
 			c.superseded = true
-			c.touch(c.self.ID)
+			c.markUnpublished(c.self.ID)
 		}
 	case r.Incarnation == c.self.Incarnation && !c.superseded && c.self.State == siskin.VMLive:
 		if r.Leaving {
@@ -153,7 +153,7 @@
 	c.hash ^= recordHash(c.self)
 	c.self.Leaving = true
 	c.hash ^= recordHash(c.self)
-	c.touch(c.self.ID)
+	c.markUnpublished(c.self.ID)
 	c.announce(c.self)
 }
 
--- a/pkg/member/core_test.go
+++ b/pkg/member/core_test.go
@@ -30,7 +30,7 @@
 	return r
 }
 
-func format(c *core, id siskin.VMID) string {
+func describe(c *core, id siskin.VMID) string {
 	r := c.self
 	if id != r.ID {
 		if c.members[id] == nil {
@@ -66,9 +66,9 @@
 				r := parseRecord(f[1:])
 				c.acceptList(now, []siskin.VM{{ID: r.ID, Incarnation: r.Incarnation, State: r.State}})
 			case "silent":
-				c.silent(now, parseRecord(append(f[1:], "Live")))
+				c.noteFailedProbe(now, parseRecord(append(f[1:], "Live")))
 			case "late":
-				c.suspend(now, now.Add(lateFor))
+				c.suspend(now, now.Add(overloadSuspension))
 			case "wait":
 				d, _ := time.ParseDuration(f[1])
 				now = now.Add(d)
@@ -78,7 +78,7 @@
 					t.Errorf("%s: pushes: got %s, want %s", file.Name, got, want)
 				}
 			case "want":
-				if got, want := format(c, siskin.VMID(f[1])), strings.Join(f[2:], " "); got != want {
+				if got, want := describe(c, siskin.VMID(f[1])), strings.Join(f[2:], " "); got != want {
 					t.Errorf("%s: %s: got %s, want %s", file.Name, f[1], got, want)
 				}
 			case "superseded":
--- a/pkg/member/exchange.go
+++ b/pkg/member/exchange.go
@@ -39,7 +39,7 @@
 func (c *core) message(now time.Time, to siskin.VMID) Message {
 	from := c.self
 	from.DataCentre, from.Address, from.Forward = "", "", ""
-	msg := Message{From: from, Hash: c.hash, Updates: c.news.take(c.rings.size())}
+	msg := Message{From: from, Hash: c.hash, Updates: c.updateQueue.take(c.rings.size())}
 	m := c.members[to]
 	if m == nil {
 		return msg
@@ -60,7 +60,7 @@
 // both views may have become the same since, and their pages cost more than all
 // other traffic.
 func (c *core) disagrees(m *member) bool {
-	return !m.differed.IsZero() && m.hash != c.hash && m.differs.Sub(m.differed) >= hashGrace
+	return !m.differsSince.IsZero() && m.hash != c.hash && m.lastDiffered.Sub(m.differsSince) >= hashGrace
 }
 
 // receive merges a message of another VM.
@@ -83,12 +83,12 @@
 	switch {
 	case m == nil:
 	case msg.Hash == c.hash:
-		m.differed = time.Time{}
+		m.differsSince = time.Time{}
 	default:
-		if m.differed.IsZero() {
-			m.differed = now
+		if m.differsSince.IsZero() {
+			m.differsSince = now
 		}
-		m.differs, m.hash = now, msg.Hash
+		m.lastDiffered, m.hash = now, msg.Hash
 	}
 }
 
@@ -100,19 +100,19 @@
 		return
 	}
 	m := c.members[r.ID]
-	if m != nil && m.State == siskin.VMDead && r.order(m.Record) <= 0 {
-		if r.Incarnation == m.Incarnation && len(c.contested) < maxPage && !slices.Contains(c.contested, r.ID) {
-			c.contested = append(c.contested, r.ID)
+	if m != nil && m.State == siskin.VMDead && r.compare(m.Record) <= 0 {
+		if r.Incarnation == m.Incarnation && len(c.disputed) < maxPage && !slices.Contains(c.disputed, r.ID) {
+			c.disputed = append(c.disputed, r.ID)
 		}
 		return
 	}
 	r.State = siskin.VMLive // a suspicion travels as news only
 	// Paged records are no news: the hashes of others lead them to pages too.
-	c.quiet = true
+	c.suppressUpdates = true
 	c.accept(now, r)
-	c.quiet = false
+	c.suppressUpdates = false
 	if m := c.members[r.ID]; m != nil {
-		m.listed = now
+		m.lastListed = now
 	}
 }
 
--- a/pkg/member/fabric_test.go
+++ b/pkg/member/fabric_test.go
@@ -15,33 +15,33 @@
 	"siskintray.example/siskin"
 )
 
-// fabric is a fake of siskin.Peers for many VMs of one process. Lost messages
+// fakeNetwork is a fake of siskin.Peers for many VMs of one process. Lost messages
 // leave the caller waiting until its deadline.
-type fabric struct {
-	mu    sync.Mutex
-	rng   *rand.Rand
-	loss  float64
-	group map[siskin.VMID]int // VMs of different groups cannot reach each other
-	vms   map[siskin.VMID]*Members
+type fakeNetwork struct {
+	mu        sync.Mutex
+	rng       *rand.Rand
+	loss      float64
+	partition map[siskin.VMID]int // VMs of different groups cannot reach each other
+	vms       map[siskin.VMID]*Members
 }
 
-func newFabric(seed uint64) *fabric {
-	return &fabric{rng: rand.New(rand.NewPCG(seed, 0)), group: make(map[siskin.VMID]int), vms: make(map[siskin.VMID]*Members)}
+func newFakeNetwork(seed uint64) *fakeNetwork {
+	return &fakeNetwork{rng: rand.New(rand.NewPCG(seed, 0)), partition: make(map[siskin.VMID]int), vms: make(map[siskin.VMID]*Members)}
 }
 
-type fabricPeers struct {
-	f    *fabric
+type fakePeers struct {
+	f    *fakeNetwork
 	from siskin.VMID
 }
 
-func (f *fabric) lost(from, to siskin.VMID) bool {
+func (f *fakeNetwork) lost(from, to siskin.VMID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.group[from] != f.group[to] || f.rng.Float64() < f.loss
+	return f.partition[from] != f.partition[to] || f.rng.Float64() < f.loss
 }
 
 // Call implements siskin.Peers.
-func (p fabricPeers) Call(ctx context.Context, vm siskin.VMID, method string, args, reply any) error {
+func (p fakePeers) Call(ctx context.Context, vm siskin.VMID, method string, args, reply any) error {
 	p.f.mu.Lock()
 	to := p.f.vms[vm]
 	p.f.mu.Unlock()
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// fleet starts n VMs on a fabric that know each other.
-func fleet(t *testing.T, f *fabric, n int, opts ...Option) []*Members {
+// startFleet starts n VMs on a fabric that know each other.
+func startFleet(t *testing.T, f *fakeNetwork, n int, opts ...Option) []*Members {
 	t.Helper()
 	var all []*Members
 	for i := range n {
@@ -75,16 +75,16 @@
 		all = append(all, startVM(f, id, 1, opts...))
 	}
 	t.Cleanup(func() { closeAll(f, all) })
-	settle(t, all, n, time.Minute)
+	waitForLive(t, all, n, time.Minute)
 	return all
 }
 
-func startVM(f *fabric, id siskin.VMID, inc siskin.Incarnation, opts ...Option) *Members {
+func startVM(f *fakeNetwork, id siskin.VMID, inc siskin.Incarnation, opts ...Option) *Members {
 	cfg := Config{
 		Self:  siskin.VM{ID: id, Incarnation: inc, DataCentre: "a", PeerAddress: "127.0.0.1:" + string(id)},
 		Seeds: []siskin.VMID{"vm-0", "vm-1"}, RandomSeed: uint64(inc),
 	}
-	m := New(cfg, fabricPeers{f, id}, append([]Option{WithClock(clockwork.NewRealClock())}, opts...)...)
+	m := New(cfg, fakePeers{f, id}, append([]Option{WithClock(clockwork.NewRealClock())}, opts...)...)
 	f.mu.Lock()
 	f.vms[id] = m
 	f.mu.Unlock()
@@ -92,7 +92,7 @@
 	return m
 }
 
-func closeAll(f *fabric, all []*Members) {
+func closeAll(f *fakeNetwork, all []*Members) {
 	var done sync.WaitGroup
 	for _, m := range all {
 		done.Go(func() { _ = m.Close() })
@@ -100,8 +100,8 @@
 	done.Wait()
 }
 
-// settle waits until all VMs see n live ones.
-func settle(t *testing.T, all []*Members, n int, limit time.Duration) time.Duration {
+// waitForLive waits until all VMs see n live ones.
+func waitForLive(t *testing.T, all []*Members, n int, limit time.Duration) time.Duration {
 	t.Helper()
 	return waitFor(t, limit, func() string {
 		for _, m := range all {
@@ -130,24 +130,24 @@
 }
 
 // random returns a random duration below d.
-func (f *fabric) random(d time.Duration) time.Duration {
+func (f *fakeNetwork) random(d time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return time.Duration(f.rng.Int64N(int64(d)))
 }
 
-// lose sets the share of messages that are lost.
-func (f *fabric) lose(share float64) {
+// setLoss sets the share of messages that are lost.
+func (f *fakeNetwork) setLoss(share float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loss = share
 }
 
-// kill cuts a VM off from all others.
-func (f *fabric) kill(id siskin.VMID, group int) {
+// setPartition cuts a VM off from all others.
+func (f *fakeNetwork) setPartition(id siskin.VMID, partition int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.group[id] = group
+	f.partition[id] = partition
 }
 
 func size(v any) int {
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -54,18 +54,18 @@
 			tt.kills = 1
 		}
 		simulate(t, func(t *testing.T) {
-			f := newFabric(*seed)
-			all := fleet(t, f, tt.vms)
+			f := newFakeNetwork(*seed)
+			all := startFleet(t, f, tt.vms)
 			var total, worst time.Duration
 			for k := range tt.kills {
 				time.Sleep(f.random(5 * time.Second))
 				victim := k % tt.vms
-				f.kill(all[victim].cfg.Self.ID, 1)
+				f.setPartition(all[victim].cfg.Self.ID, 1)
 				others := append(append([]*Members{}, all[:victim]...), all[victim+1:]...)
-				took := settle(t, others, tt.vms-1, 30*time.Second)
+				took := waitForLive(t, others, tt.vms-1, 30*time.Second)
 				total, worst = total+took, max(worst, took)
-				f.kill(all[victim].cfg.Self.ID, 0)
-				settle(t, all, tt.vms, time.Minute)
+				f.setPartition(all[victim].cfg.Self.ID, 0)
+				waitForLive(t, all, tt.vms, time.Minute)
 			}
 			t.Logf("seed %d: %d VMs: known everywhere after %v on average, %v at most, over %d deaths", *seed, tt.vms, total/time.Duration(tt.kills), worst, tt.kills)
 			if worst > tt.limit {
@@ -94,9 +94,9 @@
 			tt.simulated = 3 * time.Second
 		}
 		simulate(t, func(t *testing.T) {
-			f := newFabric(*seed)
-			all := fleet(t, f, tt.vms)
-			f.lose(0.01)
+			f := newFakeNetwork(*seed)
+			all := startFleet(t, f, tt.vms)
+			f.setLoss(0.01)
 			for range tt.simulated / time.Second {
 				time.Sleep(time.Second)
 				for _, m := range all {
@@ -125,21 +125,21 @@
 			rounds = 1
 		}
 		simulate(t, func(t *testing.T) {
-			f := newFabric(seed)
+			f := newFakeNetwork(seed)
 			draws := rand.New(rand.NewPCG(seed, 1)) // the fabric's own is under its lock
-			all := fleet(t, f, 7)
+			all := startFleet(t, f, 7)
 			for range rounds {
-				f.lose(0.01)
+				f.setLoss(0.01)
 				time.Sleep(time.Duration(draws.Int64N(int64(5 * time.Second))))
-				f.lose(0)
+				f.setLoss(0)
 				victim := draws.IntN(len(all))
-				f.kill(all[victim].cfg.Self.ID, 1)
+				f.setPartition(all[victim].cfg.Self.ID, 1)
 				others := append(append([]*Members{}, all[:victim]...), all[victim+1:]...)
-				if got, want := settle(t, others, len(all)-1, 30*time.Second), 3*time.Second; got > want {
+				if got, want := waitForLive(t, others, len(all)-1, 30*time.Second), 3*time.Second; got > want {
 					t.Errorf("got the death known after %v, want at most %v", got, want)
 				}
-				f.kill(all[victim].cfg.Self.ID, 0)
-				settle(t, all, len(all), time.Minute)
+				f.setPartition(all[victim].cfg.Self.ID, 0)
+				waitForLive(t, all, len(all), time.Minute)
 			}
 		})
 	})
@@ -153,20 +153,20 @@
 			continue
 		}
 		simulate(t, func(t *testing.T) {
-			f := newFabric(*seed)
-			all := fleet(t, f, n)
+			f := newFakeNetwork(*seed)
+			all := startFleet(t, f, n)
 			cut, apart := n/3, 2*time.Minute
 			if raceEnabled {
 				apart = time.Second
 			}
 			for _, m := range all[:cut] {
-				f.kill(m.cfg.Self.ID, 1)
+				f.setPartition(m.cfg.Self.ID, 1)
 			}
-			settle(t, all[:cut], cut, time.Minute)
-			settle(t, all[cut:], n-cut, time.Minute)
+			waitForLive(t, all[:cut], cut, time.Minute)
+			waitForLive(t, all[cut:], n-cut, time.Minute)
 			time.Sleep(apart)
 			for _, m := range all[:cut] {
-				f.kill(m.cfg.Self.ID, 0)
+				f.setPartition(m.cfg.Self.ID, 0)
 			}
 			lost := ""
 			took := waitFor(t, 30*time.Second, func() string {
@@ -197,14 +197,14 @@
 // failure, and against an old run that hides the next one.
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFabric(*seed)
-		all := fleet(t, f, 7)
+		f := newFakeNetwork(*seed)
+		all := startFleet(t, f, 7)
 		leaving := startVM(f, "vm-7", 1)
-		settle(t, all, 8, 10*time.Second)
+		waitForLive(t, all, 8, 10*time.Second)
 		if err := leaving.Leave(context.Background()); err != nil {
 			t.Fatal(err)
 		}
-		if took := settle(t, all, 7, 3*time.Second); took > time.Second {
+		if took := waitForLive(t, all, 7, 3*time.Second); took > time.Second {
 			t.Errorf("leaving known everywhere: got %v, want at most 1 s", took)
 		}
 		if got, _ := all[0].Lookup("vm-7"); got.State != siskin.VMLeaving {
@@ -213,6 +213,6 @@
 		_ = leaving.Close()
 		again := startVM(f, "vm-7", 2)
 		defer again.Close()
-		settle(t, all, 8, 10*time.Second)
+		waitForLive(t, all, 8, 10*time.Second)
 	})
 }
--- a/pkg/member/loop.go
+++ b/pkg/member/loop.go
@@ -12,14 +12,14 @@
 	due := m.clock.Now()
 	for {
 		now := m.clock.Now()
-		if now.Sub(due) > lateAfter {
-			m.noteLate(now)
+		if now.Sub(due) > overloadThreshold {
+			m.suspendJudgement(now)
 		}
-		if gap := m.gap(now); gap >= maxWait+m.cfg.PauseThreshold {
+		if gap := m.gap(now); gap >= maxIterationInterval+m.cfg.PauseThreshold {
 			m.resume(now, gap)
 			now = m.clock.Now()
 		}
-		m.beat.Store(now.UnixNano())
+		m.lastIteration.Store(now.UnixNano())
 		m.mu.Lock()
 		p := m.core.step(now)
 		newlySuperseded := m.core.superseded && !superseded
@@ -27,16 +27,16 @@
 		m.publish()
 		m.mu.Unlock()
 		if newlySuperseded {
-			m.over.Store(true)
+			m.runEnded.Store(true)
 			m.onSuperseded()
 		}
-		m.perform(p)
-		due = now.Add(max(turnInterval, min(p.next.Sub(now), maxWait)))
+		m.startCalls(p)
+		due = now.Add(max(minIterationInterval, min(p.next.Sub(now), maxIterationInterval)))
 		select {
 		case <-m.clock.After(due.Sub(now)):
 		case <-m.wake:
 			woken := m.clock.Now()
-			wait := max(0, now.Add(turnInterval).Sub(woken))
+			wait := max(0, now.Add(minIterationInterval).Sub(woken))
 			due = woken.Add(wait)
 			select {
 			case <-m.clock.After(wait):
@@ -50,27 +50,27 @@
 }
 
 const (
-	// turnInterval is the shortest time between two turns of the loop, so that
+	// minIterationInterval is the shortest time between two turns of the loop, so that
 	// a burst of messages is made visible and pushed together.
-	turnInterval = 10 * time.Millisecond
-	// lateAfter is the delay of a turn from which this VM is overloaded. A
+	minIterationInterval = 10 * time.Millisecond
+	// overloadThreshold is the delay of a turn from which this VM is overloaded. A
 	// healthy VM is late by a few milliseconds at most.
-	lateAfter = 100 * time.Millisecond
-	// lateFor is how long an overloaded VM does not judge others: answers to
+	overloadThreshold = 100 * time.Millisecond
+	// overloadSuspension is how long an overloaded VM does not judge others: answers to
 	// its probes may wait in it unread. It is above the time of a whole probe.
-	lateFor = time.Second
+	overloadSuspension = time.Second
 )
 
-// noteLate suspends the judgement of others for a while.
-func (m *Members) noteLate(now time.Time) {
+// suspendJudgement suspends the judgement of others for a while.
+func (m *Members) suspendJudgement(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.core.suspend(now, now.Add(lateFor))
+	m.core.suspend(now, now.Add(overloadSuspension))
 }
 
-// perform starts the calls of a plan. When the pool is full, this VM is
+// startCalls starts the calls of a plan. When the pool is full, this VM is
 // overloaded and cannot judge others; the calls are left out.
-func (m *Members) perform(p plan) {
+func (m *Members) startCalls(p plan) {
 	for _, id := range p.probes {
 		m.submit(func() { m.probe(id) })
 	}
--- a/pkg/member/loopback_test.go
+++ b/pkg/member/loopback_test.go
@@ -77,11 +77,11 @@
 		}
 		done.Wait()
 	}()
-	settle(t, all, n, 30*time.Second)
+	waitForLive(t, all, n, 30*time.Second)
 	waitFor(t, 2*time.Minute, func() string { // lets the news of the start pass
 		for _, vm := range vms {
 			vm.m.mu.Lock()
-			left := len(vm.m.core.news.items)
+			left := len(vm.m.core.updateQueue.latest)
 			vm.m.mu.Unlock()
 			if left > 0 {
 				return fmt.Sprintf("%d records are still sent", left)
@@ -102,7 +102,7 @@
 	}
 	t.Logf("%d VMs: %.1f messages/s and %.0f bytes/s sent per VM, %.3f%% of a core per VM, %.1f connections per VM", n, messages, bytes, 100*used, float64(connections)/float64(n))
 	t.Logf("%d VMs: %d refuted suspicions", n, refutations(vms)-refuted)
-	settle(t, all, n, 0)
+	waitForLive(t, all, n, 0)
 	return bytes
 }
 
--- a/pkg/member/maintain.go
+++ b/pkg/member/maintain.go
@@ -15,8 +15,8 @@
 	// listReaders is the number of VMs per data centre that read the
 	// platform's list often; the others hear of tombstones from them.
 	listReaders = 2
-	// rareFactor times ListInterval is the time between two reads by others.
-	rareFactor = 60
+	// otherReaderFactor times ListInterval is the time between two reads by others.
+	otherReaderFactor = 60
 	// maxContacts bounds the VMs that are contacted after one read of the list.
 	maxContacts = 3
 )
@@ -65,7 +65,7 @@
 		if id == m.cfg.Self.ID {
 			continue
 		}
-		reply, err := m.ask(id, joinTimeout, &ProbeArgs{})
+		reply, err := m.callProbe(id, joinTimeout, &ProbeArgs{})
 		if err == nil {
 			if vm, ok := m.Lookup(reply.From.ID); !ok || vm.State == siskin.VMDead {
 				err = m.join(id)
@@ -107,5 +107,5 @@
 			return d/2 + time.Duration(rand.Int64N(int64(d)))
 		}
 	}
-	return rareFactor * (d/2 + time.Duration(rand.Int64N(int64(d))))
+	return otherReaderFactor * (d/2 + time.Duration(rand.Int64N(int64(d))))
 }
--- a/pkg/member/members.go
+++ b/pkg/member/members.go
@@ -24,16 +24,16 @@
 	onResumed    func(gap time.Duration)
 	onSuperseded func()
 
-	mu    sync.Mutex // guards core and changed
-	core  *core
-	pause uint64 // number of pauses so far
+	mu     sync.Mutex // guards core and changed
+	core   *core
+	pauses uint64 // number of pauses so far
 
-	live     atomic.Pointer[[]siskin.VM]
-	all      *shard.Map[siskin.VMID, siskin.VM]
-	changed  atomic.Pointer[chan struct{}]
-	beat     atomic.Int64 // wall clock of the last turn of the loop
-	resuming atomic.Bool
-	over     atomic.Bool // this run is superseded
+	live          atomic.Pointer[[]siskin.VM]
+	all           *shard.Map[siskin.VMID, siskin.VM]
+	changed       atomic.Pointer[chan struct{}]
+	lastIteration atomic.Int64 // wall clock of the last turn of the loop
+	resuming      atomic.Bool
+	runEnded      atomic.Bool // this run is superseded
 
 	wake chan struct{}
 	pool pond.Pool
@@ -44,8 +44,8 @@
 
 var _ siskin.Members = (*Members)(nil)
 
-// maxWait is the longest time between two turns of the loop.
-const maxWait = 500 * time.Millisecond
+// maxIterationInterval is the longest time between two turns of the loop.
+const maxIterationInterval = 500 * time.Millisecond
 
 // Option changes a Members.
 type Option func(*Members)
@@ -82,7 +82,7 @@
 	changed := make(chan struct{})
 	m.changed.Store(&changed)
 	now := m.clock.Now()
-	m.beat.Store(now.UnixNano())
+	m.lastIteration.Store(now.UnixNano())
 	m.core = newCore(cfg, now)
 	m.publish()
 	return m
@@ -90,7 +90,7 @@
 
 // Start begins to probe and to read the platform's list.
 func (m *Members) Start() {
-	m.beat.Store(m.clock.Now().UnixNano())
+	m.lastIteration.Store(m.clock.Now().UnixNano())
 	m.done.Go(m.run)
 	m.done.Go(m.maintain)
 }
@@ -121,21 +121,21 @@
 // returned, and for good when this run is superseded. A VM that reaches no peer
 // waits for them at most 2 s.
 func (m *Members) MayUseRoles() bool {
-	return !m.resuming.Load() && !m.over.Load() && m.gap(m.clock.Now()) < maxWait+m.cfg.PauseThreshold
+	return !m.resuming.Load() && !m.runEnded.Load() && m.gap(m.clock.Now()) < maxIterationInterval+m.cfg.PauseThreshold
 }
 
 // gap returns the time on the wall clock since the last turn of the loop. The
 // monotonic clock can stand still while a VM is suspended.
 func (m *Members) gap(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - m.beat.Load())
+	return time.Duration(now.UnixNano() - m.lastIteration.Load())
 }
 
 // publish makes the changes of the core visible. It is called under mu.
 func (m *Members) publish() {
-	if len(m.core.touched) == 0 {
+	if len(m.core.unpublished) == 0 {
 		return
 	}
-	for _, id := range m.core.touched {
+	for _, id := range m.core.unpublished {
 		r := m.core.self
 		if id != r.ID {
 			other, ok := m.core.members[id]
@@ -147,7 +147,7 @@
 		}
 		m.all.Put(id, r.vm())
 	}
-	m.core.touched = m.core.touched[:0]
+	m.core.unpublished = m.core.unpublished[:0]
 	live := make([]siskin.VM, 0, m.core.rings.size())
 	if !m.core.self.Leaving && !m.core.superseded {
 		live = append(live, m.core.self.vm())
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -10,11 +10,11 @@
 
 // exchange sends a probe and merges the answer.
 func (m *Members) exchange(id siskin.VMID, timeout time.Duration) error {
-	_, err := m.ask(id, timeout, &ProbeArgs{})
+	_, err := m.callProbe(id, timeout, &ProbeArgs{})
 	return err
 }
 
-func (m *Members) ask(id siskin.VMID, timeout time.Duration, args *ProbeArgs) (*ProbeReply, error) {
+func (m *Members) callProbe(id siskin.VMID, timeout time.Duration, args *ProbeArgs) (*ProbeReply, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, timeout)
 	defer cancel()
 	m.mu.Lock()
@@ -37,7 +37,7 @@
 	for _, r := range members {
 		m.core.acceptPaged(now, r)
 	}
-	due := m.core.pushDue || len(m.core.touched) > 0
+	due := m.core.pushDue || len(m.core.unpublished) > 0
 	m.mu.Unlock()
 	if due {
 		m.wakeLoop()
@@ -53,26 +53,26 @@
 		m.mu.Unlock()
 		return
 	}
-	probed, pause := target.Record, m.pause
+	probed, pauses := target.Record, m.pauses
 	m.mu.Unlock()
-	if m.exchange(id, m.cfg.ProbeTimeout) == nil || m.probeThroughOthers(id) || m.ctx.Err() != nil {
+	if m.exchange(id, m.cfg.ProbeTimeout) == nil || m.probeIndirectly(id) || m.ctx.Err() != nil {
 		return
 	}
 	now := m.clock.Now()
-	if m.gap(now) >= maxWait+m.cfg.PauseThreshold {
+	if m.gap(now) >= maxIterationInterval+m.cfg.PauseThreshold {
 		return // this VM was paused; the silence is its own
 	}
 	m.mu.Lock()
-	if m.pause == pause {
-		m.core.silent(now, probed)
+	if m.pauses == pauses {
+		m.core.noteFailedProbe(now, probed)
 	}
 	m.mu.Unlock()
 	m.wakeLoop()
 }
 
-// probeThroughOthers asks helpers to probe and reports whether the member
+// probeIndirectly asks helpers to probe and reports whether the member
 // answered one of them.
-func (m *Members) probeThroughOthers(id siskin.VMID) bool {
+func (m *Members) probeIndirectly(id siskin.VMID) bool {
 	m.mu.Lock()
 	helpers := m.core.helpers(id)
 	m.mu.Unlock()
@@ -103,7 +103,7 @@
 func (m *Members) join(id siskin.VMID) error {
 	after := siskin.VMID("")
 	for {
-		reply, err := m.ask(id, joinTimeout, &ProbeArgs{Join: true, After: after})
+		reply, err := m.callProbe(id, joinTimeout, &ProbeArgs{Join: true, After: after})
 		if err != nil {
 			return err
 		}
--- a/pkg/member/record.go
+++ b/pkg/member/record.go
@@ -22,9 +22,9 @@
 	Forward string `json:",omitempty"`
 }
 
-// order compares the points in a member's life that two records describe,
+// compare compares the points in a member's life that two records describe,
 // without their states.
-func (r Record) order(o Record) int {
+func (r Record) compare(o Record) int {
 	if c := cmp.Compare(r.Incarnation, o.Incarnation); c != 0 {
 		return c
 	}
@@ -35,17 +35,17 @@
 // apart from the address, and a gone incarnation stays gone.
 func (r Record) merge(o Record) Record {
 	if o.Incarnation < r.Incarnation {
-		return r.withPlace(o)
+		return r.withLocation(o)
 	}
 	if o.Incarnation > r.Incarnation {
-		return o.withPlace(r)
+		return o.withLocation(r)
 	}
 	winner := r
 	gone := r.State == siskin.VMGone || o.State == siskin.VMGone
-	if c := o.order(r); c > 0 || c == 0 && o.State > r.State {
-		winner = o.withPlace(r)
+	if c := o.compare(r); c > 0 || c == 0 && o.State > r.State {
+		winner = o.withLocation(r)
 	} else {
-		winner = r.withPlace(o)
+		winner = r.withLocation(o)
 	}
 	winner.Leaving = r.Leaving || o.Leaving
 	if gone {
@@ -54,8 +54,8 @@
 	return winner
 }
 
-// withPlace fills a missing data centre and address from o.
-func (r Record) withPlace(o Record) Record {
+// withLocation fills a missing data centre and address from o.
+func (r Record) withLocation(o Record) Record {
 	if r.Address == "" {
 		r.DataCentre, r.Address, r.Forward = o.DataCentre, o.Address, o.Forward
 	}
--- a/pkg/member/resume.go
+++ b/pkg/member/resume.go
@@ -11,11 +11,11 @@
 	// resumeTimeout bounds the search for a peer that answers after a pause, so
 	// that a VM without peers goes on serving.
 	resumeTimeout = 2 * time.Second
-	// resumePause is the time between two rounds of that search.
-	resumePause = 50 * time.Millisecond
-	// maxChecks bounds the members that are probed at once after a pause because
+	// resumeRetryInterval is the time between two rounds of that search.
+	resumeRetryInterval = 50 * time.Millisecond
+	// maxRechecks bounds the members that are probed at once after a pause because
 	// a peer does not list them.
-	maxChecks = 16
+	maxRechecks = 16
 )
 
 // resume handles a pause of this VM: it refutes suspicions and hears from its
@@ -24,7 +24,7 @@
 	m.resuming.Store(true)
 	defer m.resuming.Store(false)
 	m.mu.Lock()
-	m.pause++
+	m.pauses++
 	m.core.resume(now)
 	m.mu.Unlock()
 	for deadline := now.Add(resumeTimeout); ; {
@@ -35,13 +35,13 @@
 			break
 		}
 		select {
-		case <-m.clock.After(resumePause):
+		case <-m.clock.After(resumeRetryInterval):
 		case <-m.ctx.Done():
 			return
 		}
 	}
 	m.mu.Lock()
-	m.over.Store(m.core.superseded)
+	m.runEnded.Store(m.core.superseded)
 	m.publish()
 	m.mu.Unlock()
 	m.onResumed(gap)
@@ -64,12 +64,12 @@
 // only and is over after a long pause.
 func (m *Members) catchUp(answered []siskin.VMID) bool {
 	for _, id := range answered {
-		begun := m.clock.Now()
+		started := m.clock.Now()
 		if m.join(id) != nil {
 			continue
 		}
 		m.mu.Lock()
-		m.core.doubted = m.core.unlisted(begun, id)
+		m.core.unconfirmed = m.core.unlisted(started, id)
 		m.mu.Unlock()
 		return true
 	}
@@ -81,21 +81,21 @@
 func (c *core) unlisted(since time.Time, sender siskin.VMID) []siskin.VMID {
 	var ids []siskin.VMID
 	for id, other := range c.members {
-		if id != sender && other.State == siskin.VMLive && other.listed.Before(since) {
+		if id != sender && other.State == siskin.VMLive && other.lastListed.Before(since) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-// takeDoubted returns the members to probe because a peer did not list them. It
+// takeUnconfirmed returns the members to probe because a peer did not list them. It
 // waits until this VM judges others again, since probes before are void.
-func (c *core) takeDoubted(now time.Time) []siskin.VMID {
-	if now.Before(c.suspended) {
+func (c *core) takeUnconfirmed(now time.Time) []siskin.VMID {
+	if now.Before(c.suspendedUntil) {
 		return nil
 	}
-	n := min(len(c.doubted), maxChecks)
-	taken := c.doubted[:n]
-	c.doubted = c.doubted[n:]
+	n := min(len(c.unconfirmed), maxRechecks)
+	taken := c.unconfirmed[:n]
+	c.unconfirmed = c.unconfirmed[n:]
 	return taken
 }
--- a/pkg/member/rings.go
+++ b/pkg/member/rings.go
@@ -11,9 +11,9 @@
 
 // rings holds the running members in the order of several hash functions.
 type rings struct {
-	self  siskin.VMID
-	names [ringCount]string
-	at    [ringCount][]position // ordered by score
+	self      siskin.VMID
+	ringNames [ringCount]string
+	positions [ringCount][]position // ordered by score
 }
 
 type position struct {
@@ -30,8 +30,8 @@
 
 func newRings(self siskin.VMID) *rings {
 	r := &rings{self: self}
-	for k := range r.names {
-		r.names[k] = "Member/Ring/" + strconv.Itoa(k)
+	for k := range r.ringNames {
+		r.ringNames[k] = "Member/Ring/" + strconv.Itoa(k)
 	}
 	r.add(self)
 	return r
@@ -41,14 +41,14 @@
 
 // set adds or removes a member.
 func (r *rings) set(id siskin.VMID, present bool) {
-	for k, name := range r.names {
+	for k, name := range r.ringNames {
 		p := position{place.Score(name, id), id}
-		i, found := slices.BinarySearchFunc(r.at[k], p, position.compare)
+		i, found := slices.BinarySearchFunc(r.positions[k], p, position.compare)
 		switch {
 		case present && !found:
-			r.at[k] = slices.Insert(r.at[k], i, p)
+			r.positions[k] = slices.Insert(r.positions[k], i, p)
 		case !present && found:
-			r.at[k] = slices.Delete(r.at[k], i, i+1)
+			r.positions[k] = slices.Delete(r.positions[k], i, i+1)
 		}
 	}
 }
@@ -56,8 +56,8 @@
 // successor returns the first member after self in ring k that skip does not
 // reject.
 func (r *rings) successor(k int, skip func(siskin.VMID) bool) (siskin.VMID, bool) {
-	ring := r.at[k]
-	i, _ := slices.BinarySearchFunc(ring, position{place.Score(r.names[k], r.self), r.self}, position.compare)
+	ring := r.positions[k]
+	i, _ := slices.BinarySearchFunc(ring, position{place.Score(r.ringNames[k], r.self), r.self}, position.compare)
 	for n := 1; n < len(ring); n++ {
 		id := ring[(i+n)%len(ring)].id
 		if id != r.self && !skip(id) {
@@ -68,4 +68,4 @@
 }
 
 // size returns the number of running members, self included.
-func (r *rings) size() int { return len(r.at[0]) }
+func (r *rings) size() int { return len(r.positions[0]) }
--- a/pkg/member/schedule.go
+++ b/pkg/member/schedule.go
@@ -16,13 +16,13 @@
 // step returns what to do now.
 func (c *core) step(now time.Time) plan {
 	var p plan
-	verdict := c.expire(now)
+	nextExpiry := c.expireSuspicions(now)
 	if !now.Before(c.nextProbe) {
 		c.nextProbe = now.Add(c.cfg.ProbeInterval)
 		p.probes, p.pushes = c.probeTargets(now)
 	}
-	if !now.Before(c.nextDead) {
-		c.nextDead = now.Add(c.cfg.DeadProbeInterval)
+	if !now.Before(c.nextDeadProbe) {
+		c.nextDeadProbe = now.Add(c.cfg.DeadProbeInterval)
 		if id, ok := c.randomMember(func(m *member) bool { return m.State == siskin.VMDead }); ok {
 			p.pushes = append(p.pushes, id)
 		}
@@ -36,8 +36,8 @@
 	if due := c.lastPush.Add(c.cfg.PushInterval); c.pushDue && due.Before(p.next) {
 		p.next = due
 	}
-	if !verdict.IsZero() && verdict.Before(p.next) {
-		p.next = verdict
+	if !nextExpiry.IsZero() && nextExpiry.Before(p.next) {
+		p.next = nextExpiry
 	}
 	return p
 }
@@ -51,20 +51,20 @@
 	if id, ok := c.rings.successor(c.ring, c.suspected); ok {
 		probes = append(probes, id)
 	}
-	for _, id := range c.takeDoubted(now) {
+	for _, id := range c.takeUnconfirmed(now) {
 		if c.members[id] != nil {
 			probes = append(probes, id)
 		}
 	}
 	overdue := now.Add(-overdueFactor * c.cfg.SuspicionTimeout)
 	if id, ok := c.randomMember(func(m *member) bool {
-		return m.State == siskin.VMSuspect && (m.silent || m.since.Before(overdue))
+		return m.State == siskin.VMSuspect && (m.probeFailed || m.stateSince.Before(overdue))
 	}); ok {
 		pushes = append(pushes, id)
 	}
-	if len(c.contested) > 0 {
-		pushes = append(pushes, c.contested[0])
-		c.contested = c.contested[1:]
+	if len(c.disputed) > 0 {
+		pushes = append(pushes, c.disputed[0])
+		c.disputed = c.disputed[1:]
 	}
 	return probes, pushes
 }
--- a/pkg/member/suspicion.go
+++ b/pkg/member/suspicion.go
@@ -6,12 +6,12 @@
 	"siskintray.example/siskin"
 )
 
-// silent records that a member answered neither this VM nor its helpers. The
+// noteFailedProbe records that a member answered neither this VM nor its helpers. The
 // probe began with the given record; a record that is newer by now, such as a
 // refutation, makes the probe void.
-func (c *core) silent(now time.Time, probed Record) {
+func (c *core) noteFailedProbe(now time.Time, probed Record) {
 	m := c.members[probed.ID]
-	if m == nil || !m.up() || m.order(probed) != 0 || now.Before(c.suspended) {
+	if m == nil || !m.up() || m.compare(probed) != 0 || now.Before(c.suspendedUntil) {
 		return
 	}
 	if m.State == siskin.VMLive {
@@ -19,22 +19,22 @@
 		r.State = siskin.VMSuspect
 		c.replace(now, m, r)
 	}
-	m.silent = true
+	m.probeFailed = true
 }
 
-// expire declares suspects dead that did not refute in time. VMs that did not
+// expireSuspicions declares suspects dead that did not refute in time. VMs that did not
 // find the suspect silent themselves leave the verdict to its observers for a
 // longer time. It returns the time of the next verdict, zero if there is none.
-func (c *core) expire(now time.Time) (next time.Time) {
+func (c *core) expireSuspicions(now time.Time) (next time.Time) {
 	for _, m := range c.members {
 		if m.State != siskin.VMSuspect {
 			continue
 		}
 		limit := c.cfg.SuspicionTimeout
-		if !m.silent {
+		if !m.probeFailed {
 			limit *= fallbackFactor
 		}
-		due := m.since.Add(limit)
+		due := m.stateSince.Add(limit)
 		if !now.Before(due) {
 			r := m.Record
 			r.State = siskin.VMDead
@@ -50,15 +50,15 @@
 // overloaded, and gives suspects as much more time.
 func (c *core) suspend(now, until time.Time) {
 	extension := until.Sub(now)
-	if c.suspended.After(now) {
-		extension = until.Sub(c.suspended)
+	if c.suspendedUntil.After(now) {
+		extension = until.Sub(c.suspendedUntil)
 	}
 	for _, m := range c.members {
 		if m.State == siskin.VMSuspect {
-			m.since = m.since.Add(extension)
+			m.stateSince = m.stateSince.Add(extension)
 		}
 	}
-	c.suspended = until
+	c.suspendedUntil = until
 }
 
 // resume restarts the suspicions after a pause of this VM, during which no
@@ -66,7 +66,7 @@
 func (c *core) resume(now time.Time) {
 	for _, m := range c.members {
 		if m.State == siskin.VMSuspect {
-			m.since = now
+			m.stateSince = now
 		}
 	}
 	c.nextProbe = now
@@ -79,9 +79,9 @@
 // forget removes members that are dead or gone for a long time.
 func (c *core) forget(now time.Time) {
 	for id, m := range c.members {
-		if !m.up() && now.Sub(m.since) >= retention {
+		if !m.up() && now.Sub(m.stateSince) >= retention {
 			delete(c.members, id)
-			c.touch(id)
+			c.markUnpublished(id)
 		}
 	}
 }
