--- a/pkg/fairq/dispatch.go
+++ b/pkg/fairq/dispatch.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// schedule puts a flow with waiting requests under the first round in which its
-// deficit is positive, and credits it for the rounds until then.
+// schedule puts a flow with waiting requests on the wheel, in the first round in
+// which its deficit is positive, and credits it for the rounds until then.
 func (s *sched) schedule(f *flow) {
 	ahead := uint64(0)
 	if f.deficit <= 0 && f.creditedRound < s.wheel.round {
@@ -33,8 +33,9 @@
 	}
 }
 
-// serve visits the flow that is next in order: it files the flow again when it
-// is in debt, holds it when the reserve applies, else starts its first request.
+// serve handles the next flow on the wheel: it reschedules a flow in debt,
+// expires a request that is too late to start, defers a flow that the reserve
+// applies to, and otherwise starts the flow's first request.
 func (s *sched) serve(f *flow, now time.Duration) {
 	s.wheel.remove(f)
 	t := f.first
@@ -72,7 +73,7 @@
 	}
 }
 
-// expire ends the waiting of a request that can no longer start in time. The
+// expire removes a waiting request that can no longer start in time. The
 // waiter recycles the ticket.
 func (s *sched) expire(f *flow, t *ticket) {
 	s.unqueue(f, t)
--- a/pkg/fairq/doc.go
+++ b/pkg/fairq/doc.go
@@ -1,5 +1,6 @@
 // Package fairq queues requests per customer in front of a bounded number of
-// running requests, such as the connections of one slot of a target.
+// running requests, such as the connections of one slot of a target. A place
+// is the right to run one request at a time.
 //
 // Queues are served by weighted deficit round robin. The cost of a request is
 // its measured service time, so a customer with slow statements gets fewer of
--- a/pkg/fairq/estimate.go
+++ b/pkg/fairq/estimate.go
@@ -5,18 +5,19 @@
 // initialCost is the assumed service time before the first measurement.
 const initialCost = time.Millisecond
 
-// minIntervalCount is the number of starts in one backlog after which the measured
-// pace replaces the computed one.
+// minIntervalCount is the number of starts in one backlog after which the
+// measured interval between starts replaces the computed one.
 const minIntervalCount = 4
 
-// refusal says why a request was refused and when to retry it. It is zero for
-// a request that was not refused.
+// refusal is why a request was refused and how long to wait before a retry. It
+// is the zero value for a request that was admitted.
 type refusal struct {
 	reason     string
 	retryAfter time.Duration
 }
 
-// checkAdmission decides whether a request would have to wait too long.
+// checkAdmission refuses a request whose deadline has passed, that finds the
+// queue full or that would have to wait too long.
 func (s *sched) checkAdmission(f *flow, now, deadline time.Duration) refusal {
 	if deadline <= now {
 		return refusal{"the deadline has passed", s.costOf(f)}
@@ -52,9 +53,10 @@
 	}
 }
 
-// startIntervalOf returns the expected time between two starts of f. The measured pace
-// of the present backlog includes what customers without a backlog use. Before
-// it is known, the pace follows from f's share of the places by weight.
+// startIntervalOf returns the expected time between two starts of f. The
+// interval measured in the current backlog accounts for the places used by
+// customers without a backlog. Before it is known, the interval is computed
+// from f's share of the places by weight.
 func (s *sched) startIntervalOf(f *flow) time.Duration {
 	if f.startInterval.count >= minIntervalCount {
 		return f.startInterval.mean
--- a/pkg/fairq/fairness_test.go
+++ b/pkg/fairq/fairness_test.go
@@ -38,9 +38,9 @@
 	return s.latencies[len(s.latencies)*99/100]
 }
 
-// TestFairness guards against a customer above its usual load that takes
-// throughput or latency from the others; a first-in first-out queue in the
-// same run shows the difference.
+// TestFairness guards against a customer above its usual load that lowers the
+// throughput or raises the latency of the others. It logs the losses of a
+// first-in first-out queue for comparison.
 func TestFairness(t *testing.T) {
 	archive, err := txtar.ParseFile(filepath.Join("testdata", "fairness.txtar"))
 	if err != nil {
@@ -70,7 +70,7 @@
 	base := simulate(baseline)
 	throughput, p99 := worstLoss(base, simulate(l))
 	fifoThroughput, fifoP99 := worstLoss(base, simulate(fifo))
-	t.Logf("%s: worst-served loses %.2f%% throughput, %.1f%% p99; FIFO %.1f%%, %.0f%%", name, throughput, p99, fifoThroughput, fifoP99)
+	t.Logf("%s: worst-served customer loses %.2f%% throughput, %.1f%% p99; FIFO %.1f%%, %.0f%%", name, throughput, p99, fifoThroughput, fifoP99)
 	if throughput > 5 || p99 > 20 {
 		t.Errorf("%s: got a loss of %.2f%% throughput and %.1f%% p99, want at most 5%% and 20%%", name, throughput, p99)
 	}
@@ -162,8 +162,9 @@
 	return out
 }
 
-// takeStarted passes the requests at the head of a list that started to run and
-// returns the rest. A scheduler starts the requests of a customer in order.
+// takeStarted calls run for the requests at the head of the list that started
+// to run, drops the expired ones among them and returns the rest. A scheduler
+// starts the requests of a customer in order.
 func takeStarted(list []event, run func(event)) []event {
 	for len(list) > 0 && list[0].ticket.state != ticketWaiting {
 		w := list[0]
--- a/pkg/fairq/flow.go
+++ b/pkg/fairq/flow.go
@@ -6,11 +6,12 @@
 	"siskintray.example/siskin"
 )
 
-// quantum is the service time that a customer of weight 1 earns per round. It
-// is below the usual statement, so that customers interleave finely.
+// quantum is the service time that a customer of weight 1 is credited per
+// round. It is shorter than the usual statement, so that customers interleave
+// finely.
 const quantum = 250 * time.Microsecond
 
-// flow is the queue and the account of one customer.
+// flow is the queue of one customer and its account of service time.
 type flow struct {
 	id     siskin.CustomerID
 	weight int
@@ -20,23 +21,24 @@
 	running     int
 
 	// deficit is the service time that the flow may still use; a negative value
-	// is a debt. While the flow is not filed it is stated as of round asOf.
+	// is a debt. While the flow is not on the wheel, it is the value
+	// at round deficitRound.
 	deficit      time.Duration
 	deficitRound uint64
-	// creditedRound is the latest round whose quantum the flow got. Without it, a
-	// customer whose queue empties after each short request would get a quantum
-	// each time and the round would never end.
+	// creditedRound is the latest round whose quantum the flow was credited.
+	// Without it, a customer whose queue empties after each short request would
+	// be credited a quantum each time and the round would never end.
 	creditedRound uint64
 
 	inWheel    bool
 	round      uint64
-	prev, next *flow // neighbors in a wheel bucket, or in the idle list
+	prev, next *flow // neighbours in a wheel bucket or in the idle list
 	idle       bool
 	idleSince  time.Duration
 
 	cost          ewma // service time of one request
 	startInterval ewma // time between two starts while requests wait
-	// lastStarted is the time of the latest start; zero at the start of a backlog.
+	// lastStarted is the time of the latest start in this backlog; zero before it.
 	lastStarted time.Duration
 }
 
@@ -68,8 +70,9 @@
 	f.waiting--
 }
 
-// creditElapsedRounds credits a flow that was not filed for the rounds between asOf and the
-// present one, up to the end of its debt: an idle customer saves up no credit.
+// creditElapsedRounds credits a flow that was not on the wheel for the rounds
+// between deficitRound and the given one, at most up to a deficit of zero: an
+// idle customer accumulates no credit.
 func (f *flow) creditElapsedRounds(round uint64) {
 	if round == f.deficitRound {
 		return
@@ -84,8 +87,8 @@
 	}
 }
 
-// revokeFutureRounds takes back the quanta of rounds that lie ahead, for a flow that
-// leaves the wheel before its round.
+// revokeFutureRounds takes back the quanta credited for rounds after the given
+// one, for a flow that leaves the wheel before its round.
 func (f *flow) revokeFutureRounds(round uint64) {
 	if f.round > round {
 		f.deficit -= time.Duration(f.round-round) * f.roundQuantum()
--- a/pkg/fairq/flowpart.go
+++ b/pkg/fairq/flowpart.go
@@ -9,6 +9,8 @@
 	n      int
 }
 
+// slotFor returns the first slot to probe for a hash. It also reduces a
+// difference of slots modulo their number.
 func (p *flowPart) slotFor(h uint32) uint32 { return h & uint32(len(p.hashes)-1) }
 
 func (p *flowPart) next(i uint32) uint32 { return (i + 1) & uint32(len(p.hashes)-1) }
@@ -32,8 +34,8 @@
 	p.hashes[i], p.flows[i] = h, f
 }
 
-// vacate frees a slot and moves later flows of its run into the gap, so that no
-// lookup ends too early.
+// vacate frees a slot and moves later flows of its probe sequence into the gap,
+// so that no lookup ends too early.
 func (p *flowPart) vacate(gap uint32) {
 	for i := p.next(gap); p.hashes[i] != 0; i = p.next(i) {
 		// The flow may move when its first slot is not between the gap and i.
--- a/pkg/fairq/flowtable.go
+++ b/pkg/fairq/flowtable.go
@@ -25,7 +25,7 @@
 
 func newFlowTable() *flowTable { return &flowTable{seed: maphash.MakeSeed()} }
 
-// find returns the hash of an id and its part.
+// find returns the hash of an id and the part that holds it.
 func (t *flowTable) find(id siskin.CustomerID) (uint32, *flowPart) {
 	h := uint32(maphash.String(t.seed, string(id))) | usedSlot
 	return h, &t.parts[h>>partShift%tableParts]
--- a/pkg/fairq/flowtable_test.go
+++ b/pkg/fairq/flowtable_test.go
@@ -9,8 +9,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestFlowTable guards against customers that share an account, lose it or get
-// a second one, by comparing the table with a built-in map.
+// TestFlowTable guards against customers that share a flow, lose it or get a
+// second one, by comparing the table with a built-in map.
 func TestFlowTable(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		table, model := newFlowTable(), make(map[siskin.CustomerID]*flow)
@@ -31,7 +31,7 @@
 				}
 			}
 			if table.n != len(model) {
-				r.Fatalf("got %d accounts, want %d", table.n, len(model))
+				r.Fatalf("got %d flows, want %d", table.n, len(model))
 			}
 		}
 	})
--- a/pkg/fairq/grant.go
+++ b/pkg/fairq/grant.go
@@ -7,8 +7,8 @@
 	gen uint64
 }
 
-// Release frees the place and charges the time since the request started. A
-// second call has no effect.
+// Release frees the place and charges the customer for the time since the
+// request started. A second call has no effect.
 func (g Grant) Release() {
 	if g.q == nil {
 		return
--- a/pkg/fairq/idle.go
+++ b/pkg/fairq/idle.go
@@ -6,7 +6,7 @@
 	"siskintray.example/siskin"
 )
 
-// idleTime is how long the account of a customer without requests is kept. It
+// idleTime is how long the flow of a customer without requests is kept. It
 // bounds memory to the customers active within that time.
 const idleTime = 10 * time.Second
 
@@ -39,7 +39,7 @@
 	f.idle = false
 }
 
-// flow returns the account of a customer and creates it when it is missing.
+// flow returns the flow of a customer and creates it when it is missing.
 func (s *sched) flow(now time.Duration, id siskin.CustomerID, weight int) *flow {
 	weight = max(weight, 1)
 	f := s.flows.get(id)
@@ -59,8 +59,8 @@
 	return f
 }
 
-// evictIdle removes up to two accounts that were idle for too long, so that the
-// number of accounts shrinks again, and returns a flow to use.
+// evictIdle removes up to two flows that were idle for idleTime, so that the
+// number of flows shrinks again, and returns one of them, or a new flow, to use.
 func (s *sched) evictIdle(now time.Duration) *flow {
 	var evicted *flow
 	for range 2 {
--- a/pkg/fairq/option.go
+++ b/pkg/fairq/option.go
@@ -12,8 +12,8 @@
 	reserve        int
 }
 
-// reserveWindow is how long after a request of another customer the reserve
-// holds. A customer that is alone for longer may use every place.
+// reserveWindow is how long the reserve applies after a request of another
+// customer. A customer that is alone for longer may use every place.
 const reserveWindow = time.Second
 
 func defaultSettings(places int) settings {
@@ -25,19 +25,19 @@
 	}
 }
 
-// WithMaxPerCustomer sets the most waiting requests of one customer. The
+// WithMaxPerCustomer limits the number of waiting requests of one customer. The
 // default is 8 times the number of places.
 func WithMaxPerCustomer(n int) Option { return func(s *settings) { s.maxPerCustomer = n } }
 
-// WithMaxTotal sets the most waiting requests in all. The default is 32 times
-// the number of places.
+// WithMaxTotal limits the total number of waiting requests. The default is 32
+// times the number of places.
 func WithMaxTotal(n int) Option { return func(s *settings) { s.maxTotal = n } }
 
-// WithMaxWait sets the longest time that a request waits. The default is 5 s.
+// WithMaxWait limits the time that a request waits. The default is 5 s.
 func WithMaxWait(d time.Duration) Option { return func(s *settings) { s.maxWait = d } }
 
-// WithReserve sets the number of places that a customer which already holds
-// more than half of them leaves free while other customers are active. Running
+// WithReserve sets the number of places that a customer which already uses more
+// than half of them must leave free while other customers are active. Running
 // requests cannot be interrupted, so without a reserve one customer with slow
 // statements makes the others wait for the end of a slow statement. The
 // default is a quarter of the places: with an eighth of 16 places and statements
--- a/pkg/fairq/queue.go
+++ b/pkg/fairq/queue.go
@@ -24,14 +24,14 @@
 	for _, o := range options {
 		o(&s)
 	}
-	// The origin lies before the first request, so that no time is zero.
+	// The origin is before the first request, so that no time is zero.
 	return &Queue{clock: clock, origin: clock.Now().Add(-time.Second), s: newSched(places, s)}
 }
 
 // Acquire waits for a place. A request that cannot end by its deadline is
-// refused at once with an error of kind siskin.Overloaded; one whose context
-// ends while it waits gets an error of kind siskin.NotRun. In both cases
-// nothing ran. The caller must release the grant.
+// refused at once with an error of kind siskin.Overloaded; if the context ends
+// during the wait, the error is of kind siskin.NotRun. In both cases the request
+// did not run. The caller must release the grant.
 func (q *Queue) Acquire(ctx context.Context, customer siskin.CustomerID, weight int, deadline time.Time) (Grant, error) {
 	now := q.clock.Now()
 	q.mu.Lock()
@@ -50,7 +50,8 @@
 	return Grant{q: q, t: t, gen: gen}, nil
 }
 
-// wait blocks until the ticket runs, expires, or its context ends.
+// wait blocks until the ticket runs or expires, the timeout passes or the
+// context ends.
 func (q *Queue) wait(ctx context.Context, t *ticket, timeout time.Duration, customer siskin.CustomerID) error {
 	var cause error
 	select {
@@ -91,14 +92,14 @@
 		WithRemedy("retry after " + r.retryAfter.Round(time.Millisecond).String() + "; it did not run")
 }
 
-// Stats is the present load of a Queue.
+// Stats is the current load of a Queue.
 type Stats struct {
 	Running   int
 	Waiting   int
-	Customers int // customers with an account
+	Customers int // customers with running, waiting or recent requests
 }
 
-// Stats returns the present load.
+// Stats returns the current load.
 func (q *Queue) Stats() Stats {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/fairq/queue_test.go
+++ b/pkg/fairq/queue_test.go
@@ -13,8 +13,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestWaiterTimesOut guards against a refused request that is held
-// back: a waiter whose time is over gets its answer without any release.
+// TestWaiterTimesOut guards against a waiter that gets its refusal only at the
+// next release instead of when its waiting time is over.
 func TestWaiterTimesOut(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	clock := clockwork.NewFakeClock()
@@ -41,8 +41,8 @@
 	}
 }
 
-// TestConcurrentUse guards against lost or doubled places when starts race
-// with callers that give up, and against a double release.
+// TestConcurrentUse guards against lost or duplicated places when starts race
+// with callers whose context ends, and against a double release.
 func TestConcurrentUse(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	const places = 4
@@ -65,7 +65,7 @@
 					g.Release()
 					g.Release()
 				} else if !siskin.KindOf(err).IsNotRun() {
-					t.Errorf("got %v, want a kind that says not run", err)
+					t.Errorf("got %v, want a kind of requests that did not run", err)
 				}
 				cancel()
 			}
--- a/pkg/fairq/sched.go
+++ b/pkg/fairq/sched.go
@@ -12,8 +12,9 @@
 	invWaiting = invar.New("FairqWaitingWithinBound")
 )
 
-// sched decides which request runs next. Times are durations since an origin
-// that the caller picks. It is not safe for concurrent use.
+// sched is the scheduler: it decides which request runs next. Times are
+// durations since an origin that the caller chooses. It is not safe for
+// concurrent use.
 type sched struct {
 	settings
 	places  int
@@ -23,13 +24,14 @@
 	backlogWeight int
 	flows         *flowTable
 	wheel         wheel
-	// deferred is the flow that waits because of the reserve. At most one flow can
-	// hold more than half of the places.
+	// deferred is the flow that may not start requests because of the reserve.
+	// There is at most one, since only one flow can use more than half of the
+	// places.
 	deferred    *flow
 	cost        ewma // over all requests
 	freeTickets *ticket
 	idle        idleList
-	recent      [2]arrival // the two customers that sent the latest requests
+	recent      [2]arrival // the latest requests of the two latest customers
 	entering    *ticket    // the ticket that enter is deciding on
 }
 
@@ -42,7 +44,7 @@
 func newSched(places int, s settings) *sched {
 	return &sched{
 		settings: s, places: places, flows: newFlowTable(),
-		wheel: wheel{round: 1}, // round 0 is the earned value of a new flow
+		wheel: wheel{round: 1}, // 0 is the creditedRound of a new flow
 	}
 }
 
@@ -75,7 +77,8 @@
 	return t, refusal{}
 }
 
-// leave ends a running request and charges its measured service time.
+// leave ends a running request and replaces the estimated charge by its measured
+// service time.
 func (s *sched) leave(now time.Duration, t *ticket) {
 	f, took := t.flow, now-t.started
 	f.running--
@@ -88,7 +91,7 @@
 	s.dispatch(now)
 }
 
-// cancel removes a request that its caller gave up while it waited.
+// cancel removes a waiting request whose caller no longer waits.
 func (s *sched) cancel(now time.Duration, t *ticket) {
 	f := t.flow
 	s.unqueue(f, t)
--- a/pkg/fairq/sched_test.go
+++ b/pkg/fairq/sched_test.go
@@ -18,8 +18,9 @@
 	invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) })
 }
 
-// TestShortRequestsDoNotStarveOthers guards against a customer whose queue
-// empties after each short request and that gets a new quantum each time.
+// TestShortRequestsDoNotStarveOthers guards against a customer that starves
+// others because its queue empties after each short request and it is credited
+// a new quantum each time.
 func TestShortRequestsDoNotStarveOthers(t *testing.T) {
 	s := newSched(1, defaultSettings(1))
 	now := time.Second
@@ -32,7 +33,8 @@
 	s.leave(now, a)
 	short := enter("t")
 	a = enter("a")
-	// The debt of a is 9.75 ms; with 100 us a request, t may run about as long.
+	// The debt of a is 9.75 ms, so t may run for about that time, which is
+	// roughly 100 requests of 100 us.
 	for n := 0; a.state == ticketWaiting; n++ {
 		if n == 200 {
 			t.Fatalf("got no start of a in %d starts of t, want one", n)
@@ -95,8 +97,8 @@
 	}
 }
 
-// checkCounts compares the counters with the tickets, and requires that no
-// place is free while a request waits, except for the reserve.
+// checkCounts compares the counters with the tickets, and checks that no place
+// is free while a request waits, except because of the reserve.
 func checkCounts(r *rapid.T, s *sched, live []*ticket) {
 	running, waiting := 0, 0
 	for _, t := range live {
@@ -115,13 +117,13 @@
 		deferred = s.deferred.waiting
 	}
 	if running < s.places && waiting > deferred {
-		r.Fatalf("got %d waiting and %d held with %d of %d places used, want none waiting", waiting, deferred, running, s.places)
+		r.Fatalf("got %d waiting and %d deferred with %d of %d places used, want none waiting", waiting, deferred, running, s.places)
 	}
 }
 
-// TestIdleAccountsAreDropped guards against memory that grows with every
+// TestIdleFlowsAreEvicted guards against memory that grows with every
 // customer ever seen.
-func TestIdleAccountsAreDropped(t *testing.T) {
+func TestIdleFlowsAreEvicted(t *testing.T) {
 	s := newSched(4, defaultSettings(4))
 	now := time.Second
 	for i := range 20_000 {
@@ -130,6 +132,6 @@
 		s.leave(now, tk)
 	}
 	if got, want := s.flows.n, int(idleTime/(10*time.Millisecond))+1; got > want {
-		t.Errorf("got %d accounts, want at most %d", got, want)
+		t.Errorf("got %d flows, want at most %d", got, want)
 	}
 }
--- a/pkg/fairq/script_test.go
+++ b/pkg/fairq/script_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestDecisions guards against a scheduler that starts, refuses or charges
-// requests otherwise than the scripts under testdata say.
+// requests differently from the scripts in testdata.
 func TestDecisions(t *testing.T) {
 	archive, err := txtar.ParseFile(filepath.Join("testdata", "decisions.txtar"))
 	if err != nil {
--- a/pkg/fairq/ticket.go
+++ b/pkg/fairq/ticket.go
@@ -8,12 +8,12 @@
 	ticketFree ticketState = iota
 	ticketWaiting
 	ticketRunning
-	// ticketExpired is a request whose last start time passed in the queue.
+	// ticketExpired is a request whose startDeadline passed in the queue.
 	ticketExpired
 )
 
-// ticket is one request in the scheduler. Tickets are reused, so gen tells a
-// late release of an earlier use from one of the present use.
+// ticket is one request in the scheduler. Tickets are reused; gen distinguishes
+// a late release of an earlier use from a release of the current one.
 type ticket struct {
 	flow          *flow
 	prev, next    *ticket
--- a/pkg/fairq/wheel.go
+++ b/pkg/fairq/wheel.go
@@ -2,21 +2,21 @@
 
 import "math/bits"
 
-// wheelSize is the number of rounds that the wheel reaches ahead. A flow with a
-// larger debt is filed at the far end and filed again when it comes up.
+// wheelSize is the number of rounds that the wheel covers. A flow with a larger
+// debt is put into the last bucket and rescheduled when that round comes.
 const wheelSize = 64 * 64
 
-// wheel files flows under the round in which they may run next. Bitmaps over
-// the buckets find the next used round in constant time, however many rounds
-// are skipped and however many flows are filed.
+// wheel holds flows by the round in which they may run next. Bitmaps of the
+// non-empty buckets find the next used round in constant time, however many
+// rounds are skipped and however many flows the wheel holds.
 type wheel struct {
-	round   uint64 // present round
+	round   uint64 // current round
 	buckets [wheelSize]struct{ head, tail *flow }
 	words   [wheelSize / 64]uint64
 	summary uint64
 }
 
-// schedule appends f to the bucket that is ahead rounds after the present one.
+// schedule appends f to the bucket that is ahead rounds after the current one.
 func (w *wheel) schedule(f *flow, ahead uint64) {
 	f.round = w.round + ahead
 	f.inWheel = true
@@ -68,7 +68,8 @@
 	return w.buckets[i].head
 }
 
-// nextUsed returns the first used bucket at or after i, around the end.
+// nextUsed returns the first non-empty bucket at or after i, wrapping around at
+// the end.
 func (w *wheel) nextUsed(i uint64) uint64 {
 	word, bit := i/64, i%64
 	if rest := w.words[word] >> bit; rest != 0 {
