member: comments and test texts in the usual terms

Comments spoke of news, verdicts, judging and holding others to be dead. They name updates, suspicions, failed probes and views now; a stale note about what mu guards is corrected.

--- a/pkg/member/config.go
+++ b/pkg/member/config.go
@@ -11,7 +11,8 @@
 	// Self is this VM. Its incarnation must be larger than that of every
 	// earlier run, such as the start time in milliseconds.
 	Self siskin.VM
-	// Seeds are VMs to ask at the start and when this VM is alone.
+	// Seeds are VMs to ask for members at the start and while this VM knows no
+	// other running VM.
 	Seeds []siskin.VMID
 	// ProbeInterval is the time between two probes; zero means 330 ms. With
 	// 3 rings each member is probed at least once a second.
@@ -19,28 +20,30 @@
 	// ProbeTimeout bounds a direct probe, and IndirectTimeout the probes by
 	// others after it; zero means 300 ms and 400 ms.
 	ProbeTimeout, IndirectTimeout time.Duration
-	// SuspicionTimeout is the time that a member has to refute; zero means 800 ms.
-	// Together with the times above a silent VM is known as dead within 2.5 s
-	// by its observers, which leaves 0.5 s of the 3 s for the spread.
+	// SuspicionTimeout is the time that a member has to refute a suspicion; zero
+	// means 800 ms. Together with the times above, observers declare a VM that
+	// does not answer dead within 2.5 s, which leaves 0.5 s of the 3 s to
+	// propagate the update.
 	SuspicionTimeout time.Duration
-	// PushInterval is the shortest time between two pushes of news; zero means
+	// PushInterval is the shortest time between two pushes of updates; zero means
 	// 200 ms.
 	PushInterval time.Duration
-	// DeadProbeInterval is the time between two probes of a dead member, which find
-	// out that a partition has ended; zero means 5 s.
+	// DeadProbeInterval is the time between two probes of dead members, which
+	// detect the end of a partition; zero means 5 s.
 	DeadProbeInterval time.Duration
-	// PauseThreshold is the gap of the loop that counts as a pause; zero means 1 s.
+	// PauseThreshold is the delay of the loop beyond its longest interval that
+	// counts as a pause of this VM; zero means 1 s.
 	PauseThreshold time.Duration
 	// ListInterval is the time between two reads of the platform's list by the
 	// two VMs per data centre that read it; zero means 10 s.
 	ListInterval time.Duration
-	// RandomSeed seeds the choice of helpers.
+	// RandomSeed seeds the random choices, such as that of helpers.
 	RandomSeed uint64
 }
 
 const (
-	// ringCount is the number of observers of each member. A member is missed
-	// only if all of them fail at the same time.
+	// ringCount is the number of observers of each member. The death of a member
+	// goes undetected only if all of them fail at the same time.
 	ringCount = 3
 	// helperCount is the number of members that probe on behalf of another.
 	helperCount = 3
@@ -48,13 +51,14 @@
 	// message stays below 8 KB.
 	maxUpdates = 16
 	maxPage    = 32
-	// fallbackFactor times the suspicion time is how long a VM that did not
-	// itself find the suspect silent waits for the verdict of the observers.
+	// fallbackFactor times SuspicionTimeout is how long a VM whose own probes of
+	// the suspect did not fail waits for the observers to decide.
 	fallbackFactor = 4
-	// overdueFactor times the suspicion time is when such a VM begins to ask the
-	// suspect itself: the observers' verdict or the refutation is overdue.
+	// overdueFactor times SuspicionTimeout is when such a VM begins to contact the
+	// suspect itself, since neither the observers' decision nor a refutation has
+	// arrived in time.
 	overdueFactor = 2
-	// retention is how long dead and gone members are remembered.
+	// retention is how long records of dead and gone members are kept.
 	retention = 24 * time.Hour
 )
 
--- a/pkg/member/core.go
+++ b/pkg/member/core.go
@@ -13,7 +13,7 @@
 	goneIsFinal             = invar.New("MemberGoneIsFinal")
 )
 
-// core takes the decisions of one VM's membership.
+// core makes the membership decisions of one VM.
 type core struct {
 	cfg         Config
 	rng         *rand.Rand
@@ -29,24 +29,24 @@
 	nextDeadProbe time.Time // time of the next probe of a dead member
 	lastPush      time.Time
 	pushDue       bool
-	disputed      []siskin.VMID // dead members that others hold to be running
+	disputed      []siskin.VMID // dead members that other VMs list as running
 	unconfirmed   []siskin.VMID // running members that a peer did not list after a pause
 
 	unpublished     []siskin.VMID // members whose published state is out of date
-	suspendedUntil  time.Time     // until then this VM does not judge others
-	suppressUpdates bool          // records that are accepted now are no news
-	superseded      bool          // another run of this VM exists, or it is gone
+	suspendedUntil  time.Time     // until then failed probes are ignored
+	suppressUpdates bool          // accepted records are not queued as updates
+	superseded      bool          // a later run of this VM exists, or it is gone
 }
 
-// member is what the core knows of another VM.
+// member is what the core knows about another VM.
 type member struct {
 	Record
 	stateSince   time.Time // last change of the state
-	probeFailed  bool      // this VM itself found the member silent
-	differsSince time.Time // when its hash began to differ; zero while it is the same
-	lastDiffered time.Time // when it was last seen to differ
-	hash         uint32    // last one heard
-	lastListed   time.Time // last page that named the member as running
+	probeFailed  bool      // the member did not answer this VM's own probe
+	differsSince time.Time // when its hash began to differ; zero while it does not
+	lastDiffered time.Time // time of the latest message with a different hash
+	hash         uint32    // hash in that message
+	lastListed   time.Time // time of the latest page with the member
 }
 
 func newCore(cfg Config, now time.Time) *core {
@@ -64,7 +64,7 @@
 	return c
 }
 
-// announce queues a record for the others and a push.
+// announce queues a record as an update for the others and schedules a push.
 func (c *core) announce(r Record) {
 	if c.suppressUpdates && r.ID != c.self.ID {
 		return
@@ -85,7 +85,7 @@
 	m, known := c.members[r.ID]
 	if !known {
 		if r.Address == "" || !r.up() && r.State != siskin.VMGone {
-			return // nothing to reach it by, or dead before it was known
+			return // it has no address, or was dead before it became known
 		}
 		c.members[r.ID] = &member{Record: r, stateSince: now}
 		c.hash ^= recordHash(r)
@@ -101,7 +101,7 @@
 	c.replace(now, m, merged)
 }
 
-// replace sets the record of a known member and spreads the change.
+// replace sets the record of a known member and propagates the change.
 func (c *core) replace(now time.Time, m *member, r Record) {
 	old := m.Record
 	incarnationNeverReverts.Check(r.compare(old) >= 0, "%s: %d.%d after %d.%d", r.ID, r.Incarnation, r.Refutations, old.Incarnation, old.Refutations)
@@ -118,10 +118,10 @@
 	c.announce(r)
 }
 
-// markUnpublished marks a member whose published state is out of date.
+// markUnpublished records that a member's published state is out of date.
 func (c *core) markUnpublished(id siskin.VMID) { c.unpublished = append(c.unpublished, id) }
 
-// acceptOwnRecord handles what others hold of this VM.
+// acceptOwnRecord handles a record of this VM that another VM sent.
 func (c *core) acceptOwnRecord(r Record) {
 	switch {
 	case r.Incarnation > c.self.Incarnation || r.State == siskin.VMGone && r.Incarnation == c.self.Incarnation:
@@ -131,7 +131,7 @@
 		}
 	case r.Incarnation == c.self.Incarnation && !c.superseded && c.self.State == siskin.VMLive:
 		if r.Leaving {
-			c.leave() // the platform says so
+			c.leave() // the platform lists this VM as leaving
 		}
 		if r.Refutations > c.self.Refutations || r.Refutations == c.self.Refutations && r.State != siskin.VMLive {
 			c.refute(r.Refutations)
@@ -139,7 +139,7 @@
 	}
 }
 
-// refute answers a suspicion with a count above seen.
+// refute refutes a suspicion with a refutation count above seen.
 func (c *core) refute(seen uint64) {
 	c.self.Refutations = max(c.self.Refutations, seen) + 1
 	c.announce(c.self)
@@ -157,7 +157,7 @@
 	c.announce(c.self)
 }
 
-// stop marks this VM as dead, so that the others need not find out.
+// stop marks this VM as dead, so that the others need not detect it by probes.
 func (c *core) stop() {
 	c.self.State = siskin.VMDead
 	c.announce(c.self)
--- a/pkg/member/core_test.go
+++ b/pkg/member/core_test.go
@@ -45,8 +45,9 @@
 	return s
 }
 
-// TestRules guards against wrong precedence among records: late suspicions,
-// earlier runs, tombstones and refutations. The cases are in testdata.
+// TestRules guards against wrong precedence among records, such as late
+// suspicions, records of earlier runs, records of gone VMs and refutations. The
+// cases are in testdata.
 func TestRules(t *testing.T) {
 	ar, err := txtar.ParseFile("testdata/rules.txtar")
 	if err != nil {
@@ -113,8 +114,8 @@
 	})
 }
 
-// FuzzReceive guards against messages that crash a VM or make its view go
-// back; the invariants panic in tests.
+// FuzzReceive guards against messages that crash a VM or revert its view to an
+// earlier incarnation; the invariants panic in tests.
 func FuzzReceive(f *testing.F) {
 	seedMessage, _ := json.Marshal(ProbeArgs{Message: Message{
 		From: Record{ID: "b", Incarnation: 1, State: siskin.VMLive}, About: &Record{ID: "self", Incarnation: 5, State: siskin.VMDead},
@@ -136,9 +137,9 @@
 	})
 }
 
-// TestNoPageOnOneOldHash guards against pages for members whose view was seen to
-// differ once, such as at the start of a fleet: in 3 of 26 runs beside load they
-// were half of the traffic of 40 VMs.
+// TestNoPageOnOneOldHash guards against pages that are sent because one message
+// had a different hash, for instance at the start of a fleet: in 3 of 26 runs on
+// a busy machine such pages were half of the traffic of 40 VMs.
 func TestNoPageOnOneOldHash(t *testing.T) {
 	now := time.Unix(100, 0)
 	c := newCore(Config{Self: siskin.VM{ID: "a", Incarnation: 1, PeerAddress: "a"}, ProbeInterval: time.Second, DeadProbeInterval: time.Second}, now)
--- a/pkg/member/exchange.go
+++ b/pkg/member/exchange.go
@@ -10,11 +10,12 @@
 )
 
 // hashGrace is how long hashes may differ before pages are sent, since they
-// differ for a moment after every change.
+// differ briefly after every change.
 const hashGrace = 1500 * time.Millisecond
 
-// recordHash returns the part of a record in the hash of a view. Only running
-// members count; suspicion passes by itself.
+// recordHash returns the contribution of a record to the hash of a view. Only
+// running members contribute. Whether a member is suspected does not, since a
+// suspicion ends without an exchange of pages.
 func recordHash(r Record) uint32 {
 	if !r.up() {
 		return 0
@@ -55,10 +56,10 @@
 	return msg
 }
 
-// disagrees reports whether a member's view was seen to differ from this VM's
-// for hashGrace. One old message alone does not tell: after the start of a fleet
-// both views may have become the same since, and their pages cost more than all
-// other traffic.
+// disagrees reports whether messages of a member showed for at least hashGrace
+// that its view differs from this VM's. One old message is not enough: after the
+// start of a fleet both views may have become the same since, and the pages for
+// them cost more than all other traffic.
 func (c *core) disagrees(m *member) bool {
 	return !m.differsSince.IsZero() && m.hash != c.hash && m.lastDiffered.Sub(m.differsSince) >= hashGrace
 }
@@ -72,7 +73,7 @@
 		c.accept(now, *msg.About)
 	}
 	if m := c.members[msg.From.ID]; m == nil || msg.From.Incarnation <= m.Incarnation {
-		// The first record of a new incarnation must bring its address, which
+		// The first record of a new incarnation must contain its address, which
 		// From lacks.
 		c.accept(now, msg.From)
 	}
@@ -92,9 +93,9 @@
 	}
 }
 
-// acceptPaged merges a record that another VM holds to be running. When this
-// VM holds it to be dead, the member itself must decide: it is probed and
-// refutes.
+// acceptPaged merges a record of a member that is running in another VM's view.
+// If the member is dead in this VM's view, this VM probes it; if it runs, it
+// refutes its death.
 func (c *core) acceptPaged(now time.Time, r Record) {
 	if !r.up() {
 		return
@@ -106,8 +107,9 @@
 		}
 		return
 	}
-	r.State = siskin.VMLive // a suspicion travels as news only
-	// Paged records are no news: the hashes of others lead them to pages too.
+	r.State = siskin.VMLive // suspicions are sent only as updates
+	// Paged records are not sent on as updates: other VMs that lack them request
+	// pages too, because their hashes differ.
 	c.suppressUpdates = true
 	c.accept(now, r)
 	c.suppressUpdates = false
@@ -116,7 +118,7 @@
 	}
 }
 
-// page returns self and the next running members after the cursor.
+// page returns the next running members after the cursor, and self.
 func (c *core) page() []Record {
 	page := c.after(c.cursor, maxPage)
 	if len(page) < maxPage {
--- a/pkg/member/fabric_test.go
+++ b/pkg/member/fabric_test.go
@@ -15,13 +15,13 @@
 	"siskintray.example/siskin"
 )
 
-// fakeNetwork is a fake of siskin.Peers for many VMs of one process. Lost messages
-// leave the caller waiting until its deadline.
+// fakeNetwork connects many VMs of one process. The caller of a lost message
+// waits until its deadline.
 type fakeNetwork struct {
 	mu        sync.Mutex
 	rng       *rand.Rand
 	loss      float64
-	partition map[siskin.VMID]int // VMs of different groups cannot reach each other
+	partition map[siskin.VMID]int // VMs of different partitions cannot reach each other
 	vms       map[siskin.VMID]*Members
 }
 
@@ -66,7 +66,7 @@
 	return nil
 }
 
-// startFleet starts n VMs on a fabric that know each other.
+// startFleet starts n VMs on a network and waits until they know each other.
 func startFleet(t *testing.T, f *fakeNetwork, n int, opts ...Option) []*Members {
 	t.Helper()
 	var all []*Members
@@ -100,7 +100,8 @@
 	done.Wait()
 }
 
-// waitForLive waits until all VMs see n live ones.
+// waitForLive waits until all VMs see n live VMs, at most for limit, and returns
+// how long that took.
 func waitForLive(t *testing.T, all []*Members, n int, limit time.Duration) time.Duration {
 	t.Helper()
 	return waitFor(t, limit, func() string {
@@ -113,7 +114,8 @@
 	})
 }
 
-// waitFor waits until problem returns nothing, at most for limit.
+// waitFor waits until problem returns an empty string, at most for limit, and
+// returns how long that took.
 func waitFor(t *testing.T, limit time.Duration, problem func() string) time.Duration {
 	t.Helper()
 	begun := time.Now()
@@ -143,7 +145,8 @@
 	f.loss = share
 }
 
-// setPartition cuts a VM off from all others.
+// setPartition moves a VM to a partition. It can then reach only VMs of that
+// partition; all start in partition 0.
 func (f *fakeNetwork) setPartition(id siskin.VMID, partition int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -30,8 +30,8 @@
 }
 
 // simulate runs f with simulated time. The race detector crashes in long
-// bubbles of synctest (Go 1.26.8, a failed check in tsan_rtl.cpp:346), so with
-// it f runs in real time; fleets and times are then smaller.
+// synctest bubbles (Go 1.26.8, a failed check in tsan_rtl.cpp:346), so with it f
+// runs in real time; fleets and times are then smaller.
 func simulate(t *testing.T, f func(t *testing.T)) {
 	t.Helper()
 	if raceEnabled {
@@ -41,23 +41,23 @@
 	synctest.Test(t, f)
 }
 
-// TestDeadMember guards against a silent VM that is known too late: 3 s at 7
-// VMs and 6 s at 300.
+// TestDeadMember guards against a death that the other VMs detect too late. The
+// limit is 3 s for 7 VMs and 6 s for 300.
 func TestDeadMember(t *testing.T) {
 	for _, tt := range []struct {
-		vms, kills int
-		limit      time.Duration
+		vms, deaths int
+		limit       time.Duration
 	}{{7, 40, 3 * time.Second}, {300, 4, 6 * time.Second}} {
 		if raceEnabled && tt.vms > 7 {
 			continue
 		} else if raceEnabled {
-			tt.kills = 1
+			tt.deaths = 1
 		}
 		simulate(t, func(t *testing.T) {
 			f := newFakeNetwork(*seed)
 			all := startFleet(t, f, tt.vms)
 			var total, worst time.Duration
-			for k := range tt.kills {
+			for k := range tt.deaths {
 				time.Sleep(f.random(5 * time.Second))
 				victim := k % tt.vms
 				f.setPartition(all[victim].cfg.Self.ID, 1)
@@ -67,9 +67,9 @@
 				f.setPartition(all[victim].cfg.Self.ID, 0)
 				waitForLive(t, all, tt.vms, time.Minute)
 			}
-			t.Logf("seed %d: %d VMs: known everywhere after %v on average, %v at most, over %d deaths", *seed, tt.vms, total/time.Duration(tt.kills), worst, tt.kills)
+			t.Logf("seed %d: %d VMs: detected by all after %v on average, %v at most, over %d deaths", *seed, tt.vms, total/time.Duration(tt.deaths), worst, tt.deaths)
 			if worst > tt.limit {
-				t.Errorf("%d VMs: death known after %v, want at most %v", tt.vms, worst, tt.limit)
+				t.Errorf("%d VMs: death detected by all after %v, want at most %v", tt.vms, worst, tt.limit)
 			}
 		})
 	}
@@ -116,8 +116,8 @@
 	}
 }
 
-// TestSoak guards against a view that stays wrong under lost messages and
-// kills: a dead VM that is known late or a running VM that is missing.
+// TestSoak guards against views that stay wrong after lost messages and deaths: a
+// death that is detected late or a running VM that is missing.
 func TestSoak(t *testing.T) {
 	soak.Each(t, func(t *testing.T, seed uint64) {
 		rounds := 5
@@ -126,7 +126,7 @@
 		}
 		simulate(t, func(t *testing.T) {
 			f := newFakeNetwork(seed)
-			draws := rand.New(rand.NewPCG(seed, 1)) // the fabric's own is under its lock
+			draws := rand.New(rand.NewPCG(seed, 1)) // the network's generator is guarded by its mutex
 			all := startFleet(t, f, 7)
 			for range rounds {
 				f.setLoss(0.01)
@@ -136,7 +136,7 @@
 				f.setPartition(all[victim].cfg.Self.ID, 1)
 				others := append(append([]*Members{}, all[:victim]...), all[victim+1:]...)
 				if got, want := waitForLive(t, others, len(all)-1, 30*time.Second), 3*time.Second; got > want {
-					t.Errorf("got the death known after %v, want at most %v", got, want)
+					t.Errorf("death detected by all after: got %v, want at most %v", got, want)
 				}
 				f.setPartition(all[victim].cfg.Self.ID, 0)
 				waitForLive(t, all, len(all), time.Minute)
@@ -145,8 +145,9 @@
 	})
 }
 
-// TestPartition guards against views that stay apart after a partition, and
-// against VMs of the own part that are taken for dead when the parts merge.
+// TestPartition guards against views that stay different after a partition has
+// ended, and against VMs that are declared dead on their own side when the sides
+// merge.
 func TestPartition(t *testing.T) {
 	for _, n := range []int{7, 60} {
 		if raceEnabled && n > 7 {
@@ -177,7 +178,7 @@
 					}
 					got := len(m.Live())
 					if got < want {
-						lost = fmt.Sprintf("%s lost a VM of its own part", m.cfg.Self.ID)
+						lost = fmt.Sprintf("%s lost a VM of its own side of the partition", m.cfg.Self.ID)
 					}
 					if got != n {
 						return fmt.Sprintf("%s sees %d of %d VMs", m.cfg.Self.ID, got, n)
@@ -193,8 +194,8 @@
 	}
 }
 
-// TestLeave guards against a planned stop that others see late or take for a
-// failure, and against an old run that hides the next one.
+// TestLeave guards against a planned stop that others learn of late or treat as a
+// failure, and against records of an earlier run that hide the next run.
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeNetwork(*seed)
--- a/pkg/member/loop.go
+++ b/pkg/member/loop.go
@@ -6,7 +6,7 @@
 	"siskintray.example/siskin"
 )
 
-// run turns the decisions of the core into calls.
+// run is the loop that asks the core for decisions and starts the calls.
 func (m *Members) run() {
 	superseded := false
 	due := m.clock.Now()
@@ -50,26 +50,30 @@
 }
 
 const (
-	// minIterationInterval is the shortest time between two turns of the loop, so that
-	// a burst of messages is made visible and pushed together.
+	// minIterationInterval is the shortest time between two iterations of the
+	// loop, so that the changes of a burst of messages are published and pushed
+	// together.
 	minIterationInterval = 10 * time.Millisecond
-	// overloadThreshold is the delay of a turn from which this VM is overloaded. A
-	// healthy VM is late by a few milliseconds at most.
+	// overloadThreshold is the delay of an iteration above which this VM counts as
+	// overloaded. A healthy VM is late by a few milliseconds at most.
 	overloadThreshold = 100 * time.Millisecond
-	// overloadSuspension is how long an overloaded VM does not judge others: answers to
-	// its probes may wait in it unread. It is above the time of a whole probe.
+	// overloadSuspension is how long an overloaded VM suspects no others and
+	// declares none dead, since it may have received answers to its probes without
+	// reading them yet. It is longer than a direct and an indirect probe together.
 	overloadSuspension = time.Second
 )
 
-// suspendJudgement suspends the judgement of others for a while.
+// suspendJudgement stops suspecting others and declaring them dead for
+// overloadSuspension.
 func (m *Members) suspendJudgement(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.core.suspend(now, now.Add(overloadSuspension))
 }
 
-// startCalls starts the calls of a plan. When the pool is full, this VM is
-// overloaded and cannot judge others; the calls are left out.
+// startCalls starts the calls of a plan. Calls are dropped when the pool is
+// full: this VM is then overloaded, and its probes would say nothing about
+// others.
 func (m *Members) startCalls(p plan) {
 	for _, id := range p.probes {
 		m.submit(func() { m.probe(id) })
@@ -79,8 +83,8 @@
 	}
 }
 
-// submit runs a task in the pool. Close waits for the tasks themselves, since
-// a pool of pond without tasks holds no goroutine.
+// submit runs a task in the pool. Close waits for the tasks only, since a pond
+// pool without tasks has no goroutine.
 func (m *Members) submit(task func()) {
 	m.done.Add(1)
 	err := m.pool.Go(func() {
@@ -92,7 +96,7 @@
 	}
 }
 
-// pushAndWait sends news to the targets and returns those that answered.
+// pushAndWait sends updates to the targets and returns those that answered.
 func (m *Members) pushAndWait(targets []siskin.VMID) []siskin.VMID {
 	answers := make(chan siskin.VMID, len(targets))
 	for _, id := range targets {
@@ -112,7 +116,8 @@
 	return answered
 }
 
-// wakeLoop makes the loop take its next turn at once.
+// wakeLoop makes the loop run its next iteration as soon as
+// minIterationInterval allows.
 func (m *Members) wakeLoop() {
 	select {
 	case m.wake <- struct{}{}:
--- a/pkg/member/loopback_test.go
+++ b/pkg/member/loopback_test.go
@@ -14,8 +14,8 @@
 
 var measure = flag.Bool("measure", false, "measure the cost per VM up to 300 VMs over loopback")
 
-// TestLoopbackCost guards against a cost per VM that grows with the fleet,
-// over real connections.
+// TestLoopbackCost guards against network traffic per VM that grows with the
+// fleet. It uses real connections.
 func TestLoopbackCost(t *testing.T) {
 	sizes, d := []int{10, 40}, 2*time.Second
 	if *measure {
@@ -28,7 +28,7 @@
 			first = last
 		}
 	}
-	// Flat within what one exchange of pages or a push of news adds.
+	// The tolerance covers one exchange of pages or one push of updates.
 	if last > 1.5*first {
 		t.Errorf("bytes per second and VM: got %.0f at %d VMs, want at most 1.5 times the %.0f at %d", last, sizes[len(sizes)-1], first, sizes[0])
 	}
@@ -78,13 +78,13 @@
 		done.Wait()
 	}()
 	waitForLive(t, all, n, 30*time.Second)
-	waitFor(t, 2*time.Minute, func() string { // lets the news of the start pass
+	waitFor(t, 2*time.Minute, func() string { // until the updates of the start are sent
 		for _, vm := range vms {
 			vm.m.mu.Lock()
 			left := len(vm.m.core.updateQueue.latest)
 			vm.m.mu.Unlock()
 			if left > 0 {
-				return fmt.Sprintf("%d records are still sent", left)
+				return fmt.Sprintf("%d updates are still queued", left)
 			}
 		}
 		return ""
@@ -106,8 +106,8 @@
 	return bytes
 }
 
-// refutations counts the suspicions that the VMs have refuted. Each is news to
-// all VMs, so its cost must not be taken for that of a calm fleet.
+// refutations counts the suspicions that the VMs have refuted. Each is an update
+// to all VMs, whose traffic is not part of the cost of a stable fleet.
 func refutations(vms []loopbackVM) int {
 	total := 0
 	for _, vm := range vms {
--- a/pkg/member/maintain.go
+++ b/pkg/member/maintain.go
@@ -10,12 +10,14 @@
 )
 
 const (
-	// seedInterval is the time between two attempts to join while alone.
+	// seedInterval is the time between two attempts to join the fleet while this
+	// VM knows no other running VM.
 	seedInterval = time.Second
-	// listReaders is the number of VMs per data centre that read the
-	// platform's list often; the others hear of tombstones from them.
+	// listReaders is the number of VMs per data centre that read the platform's
+	// list every ListInterval; the others get updates about gone VMs from them.
 	listReaders = 2
-	// otherReaderFactor times ListInterval is the time between two reads by others.
+	// otherReaderFactor times ListInterval is the time between two reads by the
+	// other VMs.
 	otherReaderFactor = 60
 	// maxContacts bounds the VMs that are contacted after one read of the list.
 	maxContacts = 3
@@ -52,9 +54,10 @@
 	return m.core.rings.size() <= 1
 }
 
-// joinSeeds asks the seeds for members: all of them while this VM is alone,
-// later a random one, in case every member of another part was forgotten.
-// Members are listed only by a seed that this VM does not know to run.
+// joinSeeds contacts the seeds until one answers; unless this VM is alone it
+// tries only one, at random, in case all members on the other side of a
+// partition were forgotten. Only a seed that is unknown or dead in this VM's view
+// is asked to list its members.
 func (m *Members) joinSeeds(alone bool) {
 	if len(m.cfg.Seeds) == 0 {
 		return
--- a/pkg/member/members.go
+++ b/pkg/member/members.go
@@ -24,16 +24,16 @@
 	onResumed    func(gap time.Duration)
 	onSuperseded func()
 
-	mu     sync.Mutex // guards core and changed
+	mu     sync.Mutex // guards core and pauses
 	core   *core
 	pauses uint64 // number of pauses so far
 
 	live          atomic.Pointer[[]siskin.VM]
 	all           *shard.Map[siskin.VMID, siskin.VM]
 	changed       atomic.Pointer[chan struct{}]
-	lastIteration atomic.Int64 // wall clock of the last turn of the loop
+	lastIteration atomic.Int64 // wall clock time of the latest iteration of the loop
 	resuming      atomic.Bool
-	runEnded      atomic.Bool // this run is superseded
+	runEnded      atomic.Bool // the function of WithSuperseded was called or will be
 
 	wake chan struct{}
 	pool pond.Pool
@@ -44,7 +44,8 @@
 
 var _ siskin.Members = (*Members)(nil)
 
-// maxIterationInterval is the longest time between two turns of the loop.
+// maxIterationInterval is the longest time between two iterations of
+// the loop.
 const maxIterationInterval = 500 * time.Millisecond
 
 // Option changes a Members.
@@ -53,16 +54,17 @@
 // WithClock sets the clock.
 func WithClock(clock siskin.Clock) Option { return func(m *Members) { m.clock = clock } }
 
-// WithPlatform joins the view with the platform's list of VMs.
+// WithPlatform merges the platform's list of VMs into the view.
 func WithPlatform(p siskin.Platform) Option { return func(m *Members) { m.platform = p } }
 
-// WithResumed sets a function that is called after a pause of this VM, once
-// the suspicions of it are refuted and peers were asked for news. MayUseRoles
-// is false until it returns, so that roles lost during the pause are not used.
+// WithResumed sets a function that is called after a pause of this VM, once it
+// has refuted suspicions and has asked its peers for their members. MayUseRoles
+// returns false until f returns, so that roles lost during the pause are not
+// used.
 func WithResumed(f func(gap time.Duration)) Option { return func(m *Members) { m.onResumed = f } }
 
-// WithSuperseded sets a function that is called when this run of the VM is
-// over: the platform lists it as gone or a later run exists.
+// WithSuperseded sets a function that is called when this run of the VM has
+// ended for the others: the platform lists it as gone or a later run exists.
 func WithSuperseded(f func()) Option { return func(m *Members) { m.onSuperseded = f } }
 
 // New returns a view that knows only this VM. Receiver must be registered as
@@ -107,7 +109,8 @@
 // Lookup implements siskin.Members.
 func (m *Members) Lookup(id siskin.VMID) (siskin.VM, bool) { return m.all.Get(id) }
 
-// Address returns the peer address of a VM, as internal/peer needs it.
+// Address returns the peer address of a VM and whether it is known. It is the
+// lookup function that internal/peer needs.
 func (m *Members) Address(id siskin.VMID) (string, bool) {
 	vm, ok := m.all.Get(id)
 	return vm.PeerAddress, ok && vm.PeerAddress != ""
@@ -116,21 +119,21 @@
 // Changed implements siskin.Members.
 func (m *Members) Changed() <-chan struct{} { return *m.changed.Load() }
 
-// MayUseRoles reports whether roles may be used: it is false from a pause of
-// this VM until it has asked its peers and the function of WithResumed
-// returned, and for good when this run is superseded. A VM that reaches no peer
-// waits for them at most 2 s.
+// MayUseRoles reports whether this VM may use its roles. It is false from a
+// pause of this VM until it has asked its peers for their members and the
+// function of WithResumed has returned, and permanently once this run is
+// superseded. A VM that reaches no peer waits for them at most 2 s.
 func (m *Members) MayUseRoles() bool {
 	return !m.resuming.Load() && !m.runEnded.Load() && m.gap(m.clock.Now()) < maxIterationInterval+m.cfg.PauseThreshold
 }
 
-// gap returns the time on the wall clock since the last turn of the loop. The
-// monotonic clock can stand still while a VM is suspended.
+// gap returns the wall clock time since the latest iteration of the loop. The
+// monotonic clock can stop while a VM is suspended.
 func (m *Members) gap(now time.Time) time.Duration {
 	return time.Duration(now.UnixNano() - m.lastIteration.Load())
 }
 
-// publish makes the changes of the core visible. It is called under mu.
+// publish makes the changes of the core visible to readers. The caller holds mu.
 func (m *Members) publish() {
 	if len(m.core.unpublished) == 0 {
 		return
@@ -163,8 +166,9 @@
 	close(*m.changed.Swap(&changed))
 }
 
-// Leave announces that this VM takes no new work. It returns when a member
-// knows, or with the error of the context.
+// Leave announces that this VM takes no new work. It returns when a member has
+// acknowledged that or there is none to tell, or with an error when ctx ends
+// before that.
 func (m *Members) Leave(ctx context.Context) error {
 	m.mu.Lock()
 	m.core.leave()
@@ -177,15 +181,15 @@
 		}
 		select {
 		case <-ctx.Done():
-			return siskin.NewError(siskin.Unavailable, "no member answered the announcement of leaving").WithCause(ctx.Err()).WithRemedy("stop anyway; the others find out by their probes")
+			return siskin.NewError(siskin.Unavailable, "no member acknowledged that this VM is leaving").WithCause(ctx.Err()).WithRemedy("stop anyway; the other VMs detect the stop by their probes")
 		case <-m.clock.After(m.cfg.PushInterval):
 		}
 	}
 	return nil
 }
 
-// Close tells the successors that this VM has stopped, ends all probes and
-// waits for them.
+// Close announces to the successors that this VM has stopped, ends all probes
+// and waits for them.
 func (m *Members) Close() error {
 	m.mu.Lock()
 	m.core.stop()
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -6,8 +6,8 @@
 type Message struct {
 	// From is the sender, without data centre and address.
 	From Record
-	// About is what the sender holds of the receiver, unless it is live, so
-	// that the receiver can refute it.
+	// About is the sender's record of the receiver, unless it is live, so that
+	// the receiver can refute it.
 	About *Record `json:",omitempty"`
 	// Hash is the hash of the sender's view.
 	Hash uint32
@@ -20,7 +20,7 @@
 // ProbeArgs are the arguments of Member.Probe.
 type ProbeArgs struct {
 	Message
-	// Join asks for members after the given id in order.
+	// Join requests the members with ids after After, in order.
 	Join  bool        `json:",omitempty"`
 	After siskin.VMID `json:",omitempty"`
 }
@@ -38,7 +38,7 @@
 
 // ProbeForReply is the answer of Member.ProbeFor.
 type ProbeForReply struct {
-	// Answered says that the target answered a probe of the asked VM.
+	// Answered reports whether the target answered the probe.
 	Answered bool
 }
 
--- a/pkg/member/news.go
+++ b/pkg/member/news.go
@@ -6,14 +6,15 @@
 	"siskintray.example/siskin"
 )
 
-// updateQueue holds the latest records that others may not know, each until it was
-// sent often enough to reach everyone with high probability.
+// updateQueue holds the latest records that others may not know, each until it
+// was sent often enough to reach all VMs with high probability.
 type updateQueue struct {
 	latest map[siskin.VMID]*queuedUpdate
 	unsent []*queuedUpdate // never sent, latest last
 	sent   []*queuedUpdate // sent before, least recently sent first
 }
 
+// queuedUpdate is a record and the number of times it was sent.
 type queuedUpdate struct {
 	Record
 	sends int
@@ -27,15 +28,15 @@
 	n.unsent = append(n.unsent, it)
 }
 
-// take returns up to maxUpdates records, fresh ones first, and counts them as
+// take returns up to maxUpdates records, unsent ones first, and counts them as
 // sent.
 func (n *updateQueue) take(fleetSize int) []Record {
 	if len(n.latest) == 0 {
 		n.unsent, n.sent = nil, nil
 		return nil
 	}
-	// Twice to each observer and each observed member, and more in a larger
-	// fleet, where news has more hops to go.
+	// Enough to send twice to each observer and each observed member, and more in
+	// a larger fleet, where updates need more hops.
 	limit := 3 + bits.Len(uint(fleetSize))
 	records := make([]Record, 0, min(len(n.latest), maxUpdates))
 	var again []*queuedUpdate
--- a/pkg/member/norace_test.go
+++ b/pkg/member/norace_test.go
@@ -2,5 +2,5 @@
 
 package member
 
-// raceEnabled says that the race detector runs.
+// raceEnabled reports whether the race detector is on.
 const raceEnabled = false
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -28,8 +28,8 @@
 	return reply, nil
 }
 
-// receive merges a message. It wakes the loop when there is news to push or a
-// change to make visible.
+// receive merges a message. It wakes the loop when there are updates to push or
+// changes to publish.
 func (m *Members) receive(msg Message, members []Record) {
 	now := m.clock.Now()
 	m.mu.Lock()
@@ -44,8 +44,8 @@
 	}
 }
 
-// probe probes a member, directly first and then through others, and reports
-// its silence to the core.
+// probe probes a member, first directly and then through helpers, and reports a
+// failure of both to the core.
 func (m *Members) probe(id siskin.VMID) {
 	m.mu.Lock()
 	target := m.core.members[id]
@@ -60,7 +60,7 @@
 	}
 	now := m.clock.Now()
 	if m.gap(now) >= maxIterationInterval+m.cfg.PauseThreshold {
-		return // this VM was paused; the silence is its own
+		return // this VM was paused, which may be why the probe failed
 	}
 	m.mu.Lock()
 	if m.pauses == pauses {
@@ -99,7 +99,7 @@
 // joinTimeout bounds calls that may open a connection to a distant VM.
 const joinTimeout = 2 * time.Second
 
-// join asks a VM for all members it knows.
+// join asks a VM for all members that it knows and merges them.
 func (m *Members) join(id siskin.VMID) error {
 	after := siskin.VMID("")
 	for {
--- a/pkg/member/record.go
+++ b/pkg/member/record.go
@@ -6,7 +6,7 @@
 	"siskintray.example/siskin"
 )
 
-// Record is what VMs tell each other of one member.
+// Record is the state of one member as VMs exchange it.
 type Record struct {
 	ID          siskin.VMID
 	Incarnation siskin.Incarnation
@@ -18,7 +18,8 @@
 	Leaving    bool                `json:",omitempty"`
 	DataCentre siskin.DataCentreID `json:",omitempty"`
 	Address    string              `json:",omitempty"`
-	// Forward takes forwarded transactions. It travels with Address.
+	// Forward is the address for forwarded transactions. It is sent whenever
+	// Address is.
 	Forward string `json:",omitempty"`
 }
 
@@ -31,7 +32,7 @@
 	return cmp.Compare(r.Refutations, o.Refutations)
 }
 
-// merge returns the record that holds when both are known. It is commutative
+// merge returns the record that results from knowing both. It is commutative
 // apart from the address, and a gone incarnation stays gone.
 func (r Record) merge(o Record) Record {
 	if o.Incarnation < r.Incarnation {
@@ -62,7 +63,7 @@
 	return r
 }
 
-// up reports whether the member is taken to run.
+// up reports whether the member counts as running.
 func (r Record) up() bool { return r.State == siskin.VMLive || r.State == siskin.VMSuspect }
 
 // vm returns the record in the form of the siskin package.
@@ -81,7 +82,8 @@
 	}
 }
 
-// valid refuses records of a peer that would harm the view.
+// valid reports whether the record has an id and a state that State allows; other
+// records of a peer would corrupt the view.
 func (r Record) valid() bool {
 	switch r.State {
 	case siskin.VMLive, siskin.VMSuspect, siskin.VMDead, siskin.VMGone:
--- a/pkg/member/resume.go
+++ b/pkg/member/resume.go
@@ -9,17 +9,17 @@
 
 const (
 	// resumeTimeout bounds the search for a peer that answers after a pause, so
-	// that a VM without peers goes on serving.
+	// that a VM without reachable peers resumes serving.
 	resumeTimeout = 2 * time.Second
 	// resumeRetryInterval is the time between two rounds of that search.
 	resumeRetryInterval = 50 * time.Millisecond
 	// maxRechecks bounds the members that are probed at once after a pause because
-	// a peer does not list them.
+	// a peer did not list them.
 	maxRechecks = 16
 )
 
-// resume handles a pause of this VM: it refutes suspicions and hears from its
-// peers before roles are used again.
+// resume handles a pause of this VM: it refutes suspicions and asks its peers
+// for their members before roles are used again.
 func (m *Members) resume(now time.Time, gap time.Duration) {
 	m.resuming.Store(true)
 	defer m.resuming.Store(false)
@@ -59,9 +59,9 @@
 	return ids
 }
 
-// catchUp takes over the members of the first VM that lists them and probes
-// those that the list lacks. News of their death is sent a few times
-// only and is over after a long pause.
+// catchUp merges the members of the first VM that lists them and schedules
+// probes of the members that the list lacks. They may have died: an update about
+// a death is sent only a few times, so a VM misses it in a long pause.
 func (m *Members) catchUp(answered []siskin.VMID) bool {
 	for _, id := range answered {
 		started := m.clock.Now()
@@ -76,8 +76,8 @@
 	return false
 }
 
-// unlisted returns the running members that no page named since the given time,
-// without the one that sent the pages.
+// unlisted returns the live members that no page has contained since the given
+// time, except the sender of the pages.
 func (c *core) unlisted(since time.Time, sender siskin.VMID) []siskin.VMID {
 	var ids []siskin.VMID
 	for id, other := range c.members {
@@ -88,8 +88,9 @@
 	return ids
 }
 
-// takeUnconfirmed returns the members to probe because a peer did not list them. It
-// waits until this VM judges others again, since probes before are void.
+// takeUnconfirmed returns the next members to probe because a peer did not list
+// them. It returns none until suspendedUntil, since failed probes are ignored
+// before that.
 func (c *core) takeUnconfirmed(now time.Time) []siskin.VMID {
 	if now.Before(c.suspendedUntil) {
 		return nil
--- a/pkg/member/resume_test.go
+++ b/pkg/member/resume_test.go
@@ -9,7 +9,7 @@
 	"siskintray.example/siskin"
 )
 
-// pausableClock holds the loops of one VM while it is paused.
+// pausableClock blocks the loops of one VM while it is paused.
 type pausableClock struct {
 	siskin.Clock
 	resume atomic.Pointer[chan struct{}] // nil unless paused
@@ -27,19 +27,19 @@
 	return ch
 }
 
-// TestPause guards against a VM that uses its roles after a pause before it
-// has refuted the suspicions and heard from its peers, and against one that
-// takes the others for dead.
+// TestPause guards against a VM that uses its roles after a pause before it has
+// refuted the suspicions and heard from its peers, and against one that declares
+// the others dead.
 func TestPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeNetwork(*seed)
 		all := startFleet(t, f, 7)
 		clock := &pausableClock{Clock: all[0].clock}
 		resumed := make(chan time.Duration, 1)
-		awakeInCallback := make(chan bool, 1)
+		allowedInCallback := make(chan bool, 1)
 		var m *Members
 		m = startVM(f, "vm-7", 1, WithClock(clock), WithResumed(func(d time.Duration) {
-			awakeInCallback <- m.MayUseRoles()
+			allowedInCallback <- m.MayUseRoles()
 			resumed <- d
 		}))
 		waitForLive(t, append(all, m), 8, 10*time.Second)
@@ -55,15 +55,16 @@
 		clock.resume.Store(nil)
 		close(resume)
 		waitForLive(t, append(all, m), 8, 2*time.Second)
-		if awake, inCallback, gap := m.MayUseRoles(), <-awakeInCallback, <-resumed; !awake || inCallback || gap < 5*time.Second {
-			t.Errorf("got MayUseRoles %v, in the callback %v, gap %v; want true, false, at least 5 s", awake, inCallback, gap)
+		if allowed, inCallback, gap := m.MayUseRoles(), <-allowedInCallback, <-resumed; !allowed || inCallback || gap < 5*time.Second {
+			t.Errorf("got MayUseRoles %v, in the callback %v, gap %v; want true, false, at least 5 s", allowed, inCallback, gap)
 		}
 		_ = m.Close()
 		time.Sleep(maxIterationInterval + time.Second) // ends the waits of the paused clock
 	})
 }
 
-// pauseVM cuts a VM off and holds its loops; the function it returns ends both.
+// pauseVM partitions a VM off and blocks its loops; the function it returns ends
+// both.
 func pauseVM(f *fakeNetwork, id siskin.VMID, clock *pausableClock) (resume func()) {
 	ch := make(chan struct{})
 	clock.resume.Store(&ch)
@@ -75,8 +76,8 @@
 	}
 }
 
-// TestDeathDuringPause guards against a VM that goes on taking a VM for live
-// which died during its pause: the news of the death was over.
+// TestDeathDuringPause guards against a VM that after a pause still lists as live
+// a VM that died during it, because updates about the death are no longer sent.
 func TestDeathDuringPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeNetwork(*seed)
@@ -92,9 +93,9 @@
 		time.Sleep(2 * time.Minute)
 		resume()
 		took := waitForLive(t, append(all, m), 8, 10*time.Second)
-		t.Logf("death known %v after the pause", took)
+		t.Logf("death detected by all %v after the pause", took)
 		if limit := 3 * time.Second; took > limit {
-			t.Errorf("death known after: got %v, want at most %v", took, limit)
+			t.Errorf("death detected by all after the pause: got %v, want at most %v", took, limit)
 		}
 		_, _ = m.Close(), other.Close()
 		time.Sleep(maxIterationInterval + time.Second) // ends the waits of the paused clock
@@ -109,24 +110,24 @@
 		all := startFleet(t, f, 7)
 		clock := &pausableClock{Clock: all[0].clock}
 		notified := make(chan bool, 1)
-		var awake atomic.Bool
+		var allowed atomic.Bool
 		var m *Members
 		m = startVM(f, "vm-7", 1, WithClock(clock), WithSuperseded(func() { notified <- true }),
-			WithResumed(func(time.Duration) { awake.Store(!m.runEnded.Load()) }))
+			WithResumed(func(time.Duration) { allowed.Store(!m.runEnded.Load()) }))
 		waitForLive(t, append(all, m), 8, 10*time.Second)
 		ch := make(chan struct{})
 		clock.resume.Store(&ch)
 		waitForLive(t, all, 8, 10*time.Second)
-		// The later run takes the earlier one's place in the fabric, which goes
-		// on to carry the calls of both.
+		// The later run replaces the earlier one as receiver of calls to vm-7;
+		// both can still make calls.
 		later := startVM(f, "vm-7", 2)
 		waitForLive(t, all, 8, 10*time.Second)
 		time.Sleep(time.Minute)
 		clock.resume.Store(nil)
 		close(ch)
 		time.Sleep(100 * time.Millisecond)
-		if m.MayUseRoles() || awake.Load() {
-			t.Errorf("earlier run: got MayUseRoles %v, not superseded in the callback %v; want false, false", m.MayUseRoles(), awake.Load())
+		if m.MayUseRoles() || allowed.Load() {
+			t.Errorf("earlier run: got MayUseRoles %v, not superseded in the callback %v; want false, false", m.MayUseRoles(), allowed.Load())
 		}
 		select {
 		case <-notified:
@@ -153,12 +154,12 @@
 		f.setPartition("vm-7", 1) // no peer answers
 		took := waitFor(t, 10*time.Second, func() string {
 			if !m.MayUseRoles() {
-				return "not awake"
+				return "MayUseRoles: got false, want true"
 			}
 			return ""
 		})
 		if want := resumeTimeout + time.Second; took > want {
-			t.Errorf("awake after: got %v, want at most %v", took, want)
+			t.Errorf("MayUseRoles true after: got %v, want at most %v", took, want)
 		}
 		_ = m.Close()
 		time.Sleep(maxIterationInterval + time.Second) // ends the waits of the paused clock
--- a/pkg/member/rings.go
+++ b/pkg/member/rings.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// successor returns the first member after self in ring k that skip does not
-// reject.
+// successor returns the first member after self in ring k for which skip is
+// false.
 func (r *rings) successor(k int, skip func(siskin.VMID) bool) (siskin.VMID, bool) {
 	ring := r.positions[k]
 	i, _ := slices.BinarySearchFunc(ring, position{place.Score(r.ringNames[k], r.self), r.self}, position.compare)
--- a/pkg/member/schedule.go
+++ b/pkg/member/schedule.go
@@ -6,14 +6,14 @@
 	"siskintray.example/siskin"
 )
 
-// plan is what a VM does now.
+// plan is what a VM has to do now.
 type plan struct {
-	probes []siskin.VMID // with a judgement when there is no answer
-	pushes []siskin.VMID // to bring news or to hear from a dead member
-	next   time.Time     // when to ask again
+	probes []siskin.VMID // a member that does not answer becomes a suspect
+	pushes []siskin.VMID // sends updates or contacts a member that may refute
+	next   time.Time     // when to call step again
 }
 
-// step returns what to do now.
+// step applies the timeouts that have passed and returns what to do now.
 func (c *core) step(now time.Time) plan {
 	var p plan
 	nextExpiry := c.expireSuspicions(now)
@@ -42,10 +42,11 @@
 	return p
 }
 
-// probeTargets returns the successor in the next ring, and members that may
-// refute: a suspect that this VM found silent, or whose verdict by its observers
-// is overdue, and one that this VM holds dead while others do not. A refutation
-// that was lost on the way to this VM would else end in a false death.
+// probeTargets returns as probes the successor in the next ring and unconfirmed
+// members, and as pushes members that may refute: a suspect that did not answer
+// this VM or that its observers should have declared dead by now, and a disputed
+// member. Without them, this VM would declare a running member dead if its
+// refutation was lost on the way.
 func (c *core) probeTargets(now time.Time) (probes, pushes []siskin.VMID) {
 	c.ring = (c.ring + 1) % ringCount
 	if id, ok := c.rings.successor(c.ring, c.suspected); ok {
@@ -92,7 +93,7 @@
 	return ids
 }
 
-// randomMember returns a random member that fits.
+// randomMember returns a random member for which fits returns true.
 func (c *core) randomMember(fits func(*member) bool) (chosen siskin.VMID, ok bool) {
 	n := 0
 	for id, m := range c.members {
--- a/pkg/member/suspicion.go
+++ b/pkg/member/suspicion.go
@@ -6,9 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// noteFailedProbe records that a member answered neither this VM nor its helpers. The
-// probe began with the given record; a record that is newer by now, such as a
-// refutation, makes the probe void.
+// noteFailedProbe records that a member answered neither this VM nor its
+// helpers. probed is the record at the start of the probe; the result is ignored
+// if the record is newer by now, for instance after a refutation.
 func (c *core) noteFailedProbe(now time.Time, probed Record) {
 	m := c.members[probed.ID]
 	if m == nil || !m.up() || m.compare(probed) != 0 || now.Before(c.suspendedUntil) {
@@ -22,9 +22,10 @@
 	m.probeFailed = true
 }
 
-// expireSuspicions declares suspects dead that did not refute in time. VMs that did not
-// find the suspect silent themselves leave the verdict to its observers for a
-// longer time. It returns the time of the next verdict, zero if there is none.
+// expireSuspicions declares suspects dead that did not refute in time. If this
+// VM's own probes of a suspect did not fail, it waits longer, so that the
+// observers decide. It returns the time of the next expiry, zero if there is
+// none.
 func (c *core) expireSuspicions(now time.Time) (next time.Time) {
 	for _, m := range c.members {
 		if m.State != siskin.VMSuspect {
@@ -46,8 +47,8 @@
 	return next
 }
 
-// suspend stops judgements until the given time, because this VM itself is
-// overloaded, and gives suspects as much more time.
+// suspend ignores failed probes until the given time, because this VM itself is
+// overloaded, and extends the suspicions by as much.
 func (c *core) suspend(now, until time.Time) {
 	extension := until.Sub(now)
 	if c.suspendedUntil.After(now) {
@@ -61,8 +62,9 @@
 	c.suspendedUntil = until
 }
 
-// resume restarts the suspicions after a pause of this VM, during which no
-// refutation could arrive, and refutes what others may hold of it.
+// resume restarts the timeouts of suspicions after a pause of this VM, during
+// which no refutation could arrive, and refutes suspicions that others may have
+// of it.
 func (c *core) resume(now time.Time) {
 	for _, m := range c.members {
 		if m.State == siskin.VMSuspect {
@@ -76,7 +78,7 @@
 	}
 }
 
-// forget removes members that are dead or gone for a long time.
+// forget removes members that have been dead or gone for retention.
 func (c *core) forget(now time.Time) {
 	for id, m := range c.members {
 		if !m.up() && now.Sub(m.stateSince) >= retention {
@@ -86,8 +88,8 @@
 	}
 }
 
-// acceptList merges the platform's list. Listed VMs that this VM does not know
-// to run are returned, to be contacted.
+// acceptList merges the platform's list. It returns the live VMs of the list
+// that are unknown or dead in this VM's view, to be contacted.
 func (c *core) acceptList(now time.Time, vms []siskin.VM) (unknown []siskin.VM) {
 	for _, vm := range vms {
 		r := Record{ID: vm.ID, Incarnation: vm.Incarnation, DataCentre: vm.DataCentre, Address: vm.PeerAddress, Forward: vm.ForwardAddress}
