--- a/pkg/member/members.go
+++ b/pkg/member/members.go
@@ -33,7 +33,7 @@
 	changed       atomic.Pointer[chan struct{}]
 	lastIteration atomic.Int64 // wall clock time of the latest iteration of the loop
 	resuming      atomic.Bool
-	runEnded      atomic.Bool // the function of WithSuperseded was called or will be
+	runEnded      atomic.Bool // set by the loop when this run is superseded
 
 	wake chan struct{}
 	pool pond.Pool
