--- a/pkg/group/settings.go
+++ b/pkg/group/settings.go
@@ -38,7 +38,7 @@
 const (
 	DefaultInterval       = 200 * time.Millisecond
 	DefaultMaxUnconfirmed = 2 * time.Second
-	DefaultMaxAdmitWait        = 5 * time.Second
+	DefaultMaxAdmitWait   = 5 * time.Second
 )
 
 // prepared returns the settings with defaults and members ordered by id.
