--- a/pkg/fairq/estimate.go
+++ b/pkg/fairq/estimate.go
@@ -5,32 +5,33 @@
 // initialCost is the assumed service time before the first measurement.
 const initialCost = time.Millisecond
 
-// minPaceCount is the number of starts in one backlog after which the measured
-// pace replaces the computed one.
-const minPaceCount = 4
+// minIntervalCount is the number of starts in one backlog after which the
+// measured interval between starts replaces the computed one.
+const minIntervalCount = 4
 
-// refusal says why a request was refused and when to retry it. It is zero for
-// a request that was not refused.
+// refusal is why a request was refused and how long to wait before a retry. It
+// is the zero value for a request that was admitted.
 type refusal struct {
 	reason     string
 	retryAfter time.Duration
 }
 
-// refuse decides whether a request would have to wait too long.
-func (s *sched) refuse(f *flow, now, deadline time.Duration) refusal {
+// checkAdmission refuses a request whose deadline has passed, that finds the
+// queue full or that would have to wait too long.
+func (s *sched) checkAdmission(f *flow, now, deadline time.Duration) refusal {
 	if deadline <= now {
 		return refusal{"the deadline has passed", s.costOf(f)}
 	}
-	if f.waiting == 0 && s.running < s.places && !s.mustReserve(f, now) {
+	if f.waiting == 0 && s.running < s.places && !s.reserveApplies(f, now) {
 		return refusal{}
 	}
-	pace := s.paceOf(f)
+	interval := s.startIntervalOf(f)
 	// A customer may fill at most as much of the queue as is still free, so
 	// that a few customers cannot take all of it.
 	if f.waiting >= min(s.maxPerCustomer, s.maxTotal-s.waiting) {
-		return refusal{"the queue is full", max(pace, time.Millisecond)}
+		return refusal{"the queue is full", max(interval, time.Millisecond)}
 	}
-	wait := time.Duration(f.waiting+1) * pace
+	wait := time.Duration(f.waiting+1) * interval
 	if wait > s.maxWait {
 		return refusal{"the wait would exceed the bound", wait - s.maxWait}
 	}
@@ -52,12 +53,13 @@
 	}
 }
 
-// paceOf returns the expected time between two starts of f. The measured pace
-// of the present backlog includes what customers without a backlog use. Before
-// it is known, the pace follows from f's share of the places by weight.
-func (s *sched) paceOf(f *flow) time.Duration {
-	if f.pace.count >= minPaceCount {
-		return f.pace.mean
+// startIntervalOf returns the expected time between two starts of f. The
+// interval measured in the current backlog accounts for the places used by
+// customers without a backlog. Before it is known, the interval is computed
+// from f's share of the places by weight.
+func (s *sched) startIntervalOf(f *flow) time.Duration {
+	if f.startInterval.count >= minIntervalCount {
+		return f.startInterval.mean
 	}
 	weights := s.backlogWeight
 	if f.waiting == 0 {
--- a/pkg/member/core_test.go
+++ b/pkg/member/core_test.go
@@ -30,7 +30,7 @@
 	return r
 }
 
-func format(c *core, id siskin.VMID) string {
+func describe(c *core, id siskin.VMID) string {
 	r := c.self
 	if id != r.ID {
 		if c.members[id] == nil {
@@ -45,8 +45,9 @@
 	return s
 }
 
-// TestRules guards against wrong precedence among records: late suspicions,
-// earlier runs, tombstones and refutations. The cases are in testdata.
+// TestRules guards against wrong precedence among records, such as late
+// suspicions, records of earlier runs, records of gone VMs and refutations. The
+// cases are in testdata.
 func TestRules(t *testing.T) {
 	ar, err := txtar.ParseFile("testdata/rules.txtar")
 	if err != nil {
@@ -66,9 +67,9 @@
 				r := parseRecord(f[1:])
 				c.acceptList(now, []siskin.VM{{ID: r.ID, Incarnation: r.Incarnation, State: r.State}})
 			case "silent":
-				c.silent(now, parseRecord(append(f[1:], "Live")))
+				c.noteFailedProbe(now, parseRecord(append(f[1:], "Live")))
 			case "late":
-				c.suspend(now, now.Add(lateFor))
+				c.suspend(now, now.Add(overloadSuspension))
 			case "wait":
 				d, _ := time.ParseDuration(f[1])
 				now = now.Add(d)
@@ -78,7 +79,7 @@
 					t.Errorf("%s: pushes: got %s, want %s", file.Name, got, want)
 				}
 			case "want":
-				if got, want := format(c, siskin.VMID(f[1])), strings.Join(f[2:], " "); got != want {
+				if got, want := describe(c, siskin.VMID(f[1])), strings.Join(f[2:], " "); got != want {
 					t.Errorf("%s: %s: got %s, want %s", file.Name, f[1], got, want)
 				}
 			case "superseded":
@@ -113,8 +114,8 @@
 	})
 }
 
-// FuzzReceive guards against messages that crash a VM or make its view go
-// back; the invariants panic in tests.
+// FuzzReceive guards against messages that crash a VM or revert its view to an
+// earlier incarnation; the invariants panic in tests.
 func FuzzReceive(f *testing.F) {
 	seedMessage, _ := json.Marshal(ProbeArgs{Message: Message{
 		From: Record{ID: "b", Incarnation: 1, State: siskin.VMLive}, About: &Record{ID: "self", Incarnation: 5, State: siskin.VMDead},
@@ -136,9 +137,9 @@
 	})
 }
 
-// TestNoPageOnOneOldHash guards against pages for members whose view was seen to
-// differ once, such as at the start of a fleet: in 3 of 26 runs beside load they
-// were half of the traffic of 40 VMs.
+// TestNoPageOnOneOldHash guards against pages that are sent because one message
+// had a different hash, for instance at the start of a fleet: in 3 of 26 runs on
+// a busy machine such pages were half of the traffic of 40 VMs.
 func TestNoPageOnOneOldHash(t *testing.T) {
 	now := time.Unix(100, 0)
 	c := newCore(Config{Self: siskin.VM{ID: "a", Incarnation: 1, PeerAddress: "a"}, ProbeInterval: time.Second, DeadProbeInterval: time.Second}, now)
