--- a/pkg/spread/catchup.go
+++ b/pkg/spread/catchup.go
@@ -17,23 +17,23 @@
 // succeeded before the context ended.
 func (s *Spread) CatchUp(ctx context.Context) bool {
 	local, remote := s.others()
-	answers := make(chan bool, 2*catchUpPeers)
-	asked := 0
+	results := make(chan bool, 2*catchUpPeers)
+	started := 0
 	for _, vms := range [][]siskin.VM{local, remote} {
 		for _, i := range rand.Perm(len(vms))[:min(len(vms), catchUpPeers)] {
-			if s.submit(func() { answers <- s.fetch(vms[i].ID) == nil }) {
-				asked++
+			if s.submit(func() { results <- s.fetch(vms[i].ID) == nil }) {
+				started++
 			}
 		}
 	}
-	answered := false
-	for range asked {
+	succeeded := false
+	for range started {
 		select {
-		case ok := <-answers:
-			answered = answered || ok
+		case ok := <-results:
+			succeeded = succeeded || ok
 		case <-ctx.Done():
-			return answered
+			return succeeded
 		}
 	}
-	return answered
+	return succeeded
 }
--- a/pkg/spread/confirm.go
+++ b/pkg/spread/confirm.go
@@ -13,7 +13,7 @@
 // StatusArgs are the arguments of Spread.Status.
 type StatusArgs struct{ From siskin.VMID }
 
-// StatusReply is the answer of Spread.Status.
+// StatusReply is the reply of Spread.Status.
 type StatusReply struct {
 	// Revisions are the revisions in force per VM, as known to the responding VM.
 	Revisions map[siskin.VMID]siskin.Revision
--- a/pkg/spread/exchange.go
+++ b/pkg/spread/exchange.go
@@ -16,7 +16,7 @@
 	After *Document `json:",omitempty"`
 }
 
-// SinceReply is the answer of Spread.Since.
+// SinceReply is the reply of Spread.Since.
 type SinceReply struct {
 	// Revision is the revision in force at the responding VM before it collected
 	// the documents.
--- a/pkg/spread/fleet_test.go
+++ b/pkg/spread/fleet_test.go
@@ -89,7 +89,7 @@
 		case <-ctx.Done():
 		case <-time.After(20 * time.Millisecond):
 		}
-		return errNoAnswer
+		return errNoResponse
 	}
 	b, _ := json.Marshal(args)
 	var answer []byte
@@ -100,7 +100,7 @@
 	return json.Unmarshal(answer, reply)
 }
 
-// receive calls a method of this VM and returns its answer as JSON.
+// receive calls a method of this VM and returns its reply as JSON.
 func (n *node) receive(method string, args []byte) ([]byte, error) {
 	answer := func(reply any, err error) ([]byte, error) {
 		b, _ := json.Marshal(reply)
--- a/pkg/spread/head.go
+++ b/pkg/spread/head.go
@@ -34,7 +34,8 @@
 	return siskin.ObjectName(fmt.Sprintf("Config/Change/%012d/%s", c.Revision, c.Operation))
 }
 
-// findOperation returns the revision that an operation committed, if it is listed.
+// findOperation returns the revision that an operation committed, if the head
+// lists it.
 func (h *head) findOperation(op siskin.OperationID) (siskin.Revision, bool) {
 	for _, c := range h.Recent {
 		if c.Operation == op {
--- a/pkg/spread/late_test.go
+++ b/pkg/spread/late_test.go
@@ -35,7 +35,7 @@
 		return all[0].Spread.Apply(context.Background(), &c.Change)
 	}
 	if _, err := apply("lost"); siskin.KindOf(err) != siskin.OutcomeUnknown {
-		t.Fatalf("change with a lost answer: got %v, want OutcomeUnknown", err)
+		t.Fatalf("change with a lost response: got %v, want OutcomeUnknown", err)
 	}
 	rev, err := apply("next")
 	if err != nil || rev != base+2 {
--- a/pkg/spread/messages_test.go
+++ b/pkg/spread/messages_test.go
@@ -18,7 +18,7 @@
 	lost, delayed int
 }
 
-var errNoAnswer = errors.New("no response")
+var errNoResponse = errors.New("no response")
 
 // set changes the share of faulty messages and the upper bound of the delays.
 func (m *messageFaults) set(rng *rand.Rand, faultShare float64, maxDelay time.Duration) {
@@ -48,7 +48,7 @@
 			_ = deliver()
 		})
 	}
-	return errNoAnswer
+	return errNoResponse
 }
 
 // wait waits for the delayed messages.
--- a/pkg/spread/proof_test.go
+++ b/pkg/spread/proof_test.go
@@ -57,7 +57,7 @@
 	}
 	all := f.all()
 	waitForRevision(t, all, mustApply(t, all[0], setTarget("op-1", "s", "one")), maxSpreadTime)
-	var watchers, others, cutWatchers []*node
+	var watchers, others, cutOffWatchers []*node
 	for _, n := range all {
 		if _, ok := n.watcherRank(); !ok {
 			n.platformCutOff.Store(true)
@@ -66,7 +66,7 @@
 		}
 		watchers = append(watchers, n)
 		if n.vm.DataCentre != "c" {
-			cutWatchers = append(cutWatchers, n)
+			cutOffWatchers = append(cutOffWatchers, n)
 		}
 	}
 	if got, want := len(others), 3; got != want {
@@ -87,9 +87,9 @@
 	for _, n := range watchers {
 		n.platformCutOff.Store(n.vm.DataCentre != "c")
 	}
-	eventually(t, "platform up in one data centre", cutWatchers, func(n *node) bool { return evidence[n.vm.ID].now().DownForAll.IsZero() })
+	eventually(t, "platform up in one data centre", cutOffWatchers, func(n *node) bool { return evidence[n.vm.ID].now().DownForAll.IsZero() })
 	for end := time.Now().Add(10 * fastConfig().ExchangeInterval); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		for _, n := range cutWatchers {
+		for _, n := range cutOffWatchers {
 			if got := evidence[n.vm.ID].now().DownForAll; !n.PlatformDown() || !got.IsZero() {
 				t.Fatalf("%s: got platform down %v and down for all at %v, want true and never", n.vm.ID, n.PlatformDown(), got)
 			}
--- a/pkg/spread/push.go
+++ b/pkg/spread/push.go
@@ -17,7 +17,7 @@
 	Targets []siskin.VMID `json:",omitempty"`
 }
 
-// PushReply is the answer of Spread.Push.
+// PushReply is the reply of Spread.Push.
 type PushReply struct {
 	// Revision is the revision in force at the responding VM.
 	Revision siskin.Revision
--- a/pkg/spread/spread_test.go
+++ b/pkg/spread/spread_test.go
@@ -152,7 +152,7 @@
 	rev := mustApply(t, fresh, setTarget("op-late", "s-a", "late"))
 	time.Sleep(300 * time.Millisecond)
 	if got := fresh.Revision(); got != rev || targetAddress(fresh, "s-a") != "late" {
-		t.Errorf("after late watch answers: got revision %d and %q, want %d and late", got, targetAddress(fresh, "s-a"), rev)
+		t.Errorf("after outdated watch responses: got revision %d and %q, want %d and late", got, targetAddress(fresh, "s-a"), rev)
 	}
 }
 
--- a/pkg/spread/watch.go
+++ b/pkg/spread/watch.go
@@ -16,9 +16,9 @@
 	watchTimeout = time.Second
 	// readTimeout bounds the read of the head after a watch.
 	readTimeout = 5 * time.Second
-	// catchUpTimeout bounds loading the changes that the head lists and the
+	// loadChangesTimeout bounds loading the changes that the head lists and the
 	// snapshot, whose shards have 46 MB in total at 23,000 services.
-	catchUpTimeout = 15 * time.Second
+	loadChangesTimeout = 15 * time.Second
 	// watcherResource is the resource name for ranking the VMs of a data centre
 	// as watchers.
 	watcherResource = "Spread/Watcher"
@@ -117,7 +117,7 @@
 	if base >= h.Revision {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, catchUpTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, loadChangesTimeout)
 	defer cancel()
 	if err := s.loadChanges(ctx, h); err != nil {
 		return err
