member, fairq: more precise comments

Some comments of fields and records were vague about what is compared, sent or missing. No code changed; the tests of pkg/member and pkg/fairq pass.

--- a/pkg/fairq/flow.go
+++ b/pkg/fairq/flow.go
@@ -21,8 +21,8 @@
 	running     int
 
 	// deficit is the service time that the flow may still use; a negative value
-	// is a debt. While the flow is not on the wheel, it is the value
-	// at round deficitRound.
+	// is a debt. While the flow is not on the wheel, it is the value at round
+	// deficitRound.
 	deficit      time.Duration
 	deficitRound uint64
 	// creditedRound is the latest round whose quantum the flow was credited.
--- a/pkg/fairq/sched.go
+++ b/pkg/fairq/sched.go
@@ -31,7 +31,7 @@
 	cost        ewma // over all requests
 	freeTickets *ticket
 	idle        idleList
-	recent      [2]arrival // the latest requests of the two latest customers
+	recent      [2]arrival // the latest requests of the two most recent customers
 	entering    *ticket    // the ticket that enter is deciding on
 }
 
--- a/pkg/member/core.go
+++ b/pkg/member/core.go
@@ -42,7 +42,7 @@
 type member struct {
 	Record
 	stateSince   time.Time // last change of the state
-	probeFailed  bool      // the member did not answer this VM's own probe
+	probeFailed  bool      // a probe by this VM and its helpers failed
 	differsSince time.Time // when its hash began to differ; zero while it does not
 	lastDiffered time.Time // time of the latest message with a different hash
 	hash         uint32    // hash in that message
--- a/pkg/member/members.go
+++ b/pkg/member/members.go
@@ -44,8 +44,7 @@
 
 var _ siskin.Members = (*Members)(nil)
 
-// maxIterationInterval is the longest time between two iterations of
-// the loop.
+// maxIterationInterval is the longest time between two iterations of the loop.
 const maxIterationInterval = 500 * time.Millisecond
 
 // Option changes a Members.
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -13,7 +13,7 @@
 	Hash uint32
 	// Updates are the latest changes of the view.
 	Updates []Record `json:",omitempty"`
-	// Page is a part of the sender's running members, sent while hashes differ.
+	// Page is a page of the sender's running members, sent while hashes differ.
 	Page []Record `json:",omitempty"`
 }
 
@@ -28,8 +28,8 @@
 // ProbeReply is the answer of Member.Probe.
 type ProbeReply struct {
 	Message
-	// Members answers Join with up to joinPage records. More follow unless
-	// there are fewer.
+	// Members answers Join with up to joinPage records. Fewer than that are
+	// the last ones.
 	Members []Record `json:",omitempty"`
 }
 
--- a/pkg/member/record.go
+++ b/pkg/member/record.go
@@ -23,8 +23,8 @@
 	Forward string `json:",omitempty"`
 }
 
-// compare compares the points in a member's life that two records describe,
-// without their states.
+// compare orders two records of a member by incarnation and refutation count.
+// It ignores their states.
 func (r Record) compare(o Record) int {
 	if c := cmp.Compare(r.Incarnation, o.Incarnation); c != 0 {
 		return c
@@ -66,7 +66,7 @@
 // up reports whether the member counts as running.
 func (r Record) up() bool { return r.State == siskin.VMLive || r.State == siskin.VMSuspect }
 
-// vm returns the record in the form of the siskin package.
+// vm converts the record to a siskin.VM.
 func (r Record) vm() siskin.VM {
 	state := r.State
 	if r.Leaving && r.up() {
--- a/pkg/member/schedule.go
+++ b/pkg/member/schedule.go
@@ -45,8 +45,8 @@
 // probeTargets returns as probes the successor in the next ring and unconfirmed
 // members, and as pushes members that may refute: a suspect that did not answer
 // this VM or that its observers should have declared dead by now, and a disputed
-// member. Without them, this VM would declare a running member dead if its
-// refutation was lost on the way.
+// member. Without these pushes, this VM would declare a running member dead if
+// its refutation was lost on the way.
 func (c *core) probeTargets(now time.Time) (probes, pushes []siskin.VMID) {
 	c.ring = (c.ring + 1) % ringCount
 	if id, ok := c.rings.successor(c.ring, c.suspected); ok {
