--- a/pkg/group/action.go
+++ b/pkg/group/action.go
@@ -14,7 +14,7 @@
 	actPromote                   // promote target in the session of its claim
 	actFollow                    // make target follow primary in term
 	actDrain                     // hold new writes at target for hold
-	actReach                     // wait until target has received pos
+	actCatchUp                   // wait until target has received pos
 	actDone                      // the attempt has ended with err
 )
 
@@ -29,7 +29,7 @@
 	address string
 	pos     siskin.Position
 	hold    time.Duration
-	// silent is the primary that a claim is to replace because it fell silent.
-	silent siskin.TargetID
-	err    error
+	// unresponsive is the primary that a claim is to replace because it fell unresponsive.
+	unresponsive siskin.TargetID
+	err          error
 }
--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -10,8 +10,8 @@
 
 const (
 	phaseDrain   phase = iota // the primary refuses new writes, running ones end
-	phaseReach                // replicas receive the end of the primary's log
-	phaseSettle               // other homes read the confirmations they wait for
+	phaseCatchUp              // replicas receive the end of the primary's log
+	phaseGrace                // other homes read the confirmations they wait for
 	phaseClaim                // targets are claimed
 	phasePromote              // the chosen target is promoted
 )
@@ -23,34 +23,34 @@
 	phase    phase
 	term     siskin.Term
 	deadline time.Time
-	// wanted is preferred among targets with equal logs; empty for any.
-	wanted siskin.TargetID
+	// preferred is preferred among targets with equal logs; empty for any.
+	preferred siskin.TargetID
 	// planned says that the primary works and is drained first.
 	planned bool
-	// silent says that the primary gave no answer for too long.
-	silent bool
+	// unresponsive says that the primary gave no answer for too long.
+	unresponsive bool
 	// force says that too few claims are accepted at the deadline.
 	force bool
-	// avoid is claimed only when the others do not suffice, since a primary
+	// lastResort is claimed only when the others do not suffice, since a primary
 	// that is cut off from its replicas has the longest log and would win.
-	avoid   siskin.TargetID
-	asked   map[siskin.TargetID]bool
-	grants  map[siskin.TargetID]siskin.TargetStatus
-	failed  map[siskin.TargetID]bool
-	reached map[siskin.TargetID]bool
-	end     siskin.Position // end of the drained primary's log
-	next    time.Time       // next drain call, or end of the settling time
-	busy    bool            // a drain call is in progress
+	lastResort    siskin.TargetID
+	claimSent     map[siskin.TargetID]bool
+	grants        map[siskin.TargetID]siskin.TargetStatus
+	claimFailed   map[siskin.TargetID]bool
+	caughtUp      map[siskin.TargetID]bool
+	drainedEnd    siskin.Position // end of the drained primary's log
+	nextStep      time.Time       // next drain call, or end of the settling time
+	drainInFlight bool            // a drain call is in progress
 }
 
 func (m *machine) newAttempt(now time.Time) *attempt {
 	m.attempts++
-	m.electAt = time.Time{}
+	m.attemptAt = time.Time{}
 	m.attempt = &attempt{
-		number: m.attempts,
-		asked:  make(map[siskin.TargetID]bool),
-		grants: make(map[siskin.TargetID]siskin.TargetStatus),
-		failed: make(map[siskin.TargetID]bool), reached: make(map[siskin.TargetID]bool),
+		number:      m.attempts,
+		claimSent:   make(map[siskin.TargetID]bool),
+		grants:      make(map[siskin.TargetID]siskin.TargetStatus),
+		claimFailed: make(map[siskin.TargetID]bool), caughtUp: make(map[siskin.TargetID]bool),
 	}
 	return m.attempt
 }
@@ -63,30 +63,30 @@
 	}
 	c := m.detect(now)
 	if c == causeNone {
-		m.electAt = time.Time{}
+		m.attemptAt = time.Time{}
 		return
 	}
 	// A delay set for a planned change must not hold up a failover.
-	if m.electAt.IsZero() || (m.electFor.planned() && !c.planned()) {
-		m.electFor = c
-		m.electAt = now.Add(time.Duration(m.rank)*m.silence()/2 + m.jitter(m.silence()/8))
+	if m.attemptAt.IsZero() || (m.attemptCause.planned() && !c.planned()) {
+		m.attemptCause = c
+		m.attemptAt = now.Add(time.Duration(m.rank)*m.heartbeatTimeout()/2 + m.jitter(m.heartbeatTimeout()/8))
 	}
-	if now.Before(m.electAt) {
+	if now.Before(m.attemptAt) {
 		return
 	}
 	a := m.newAttempt(now)
 	switch {
-	case c == causeStuck:
-		a.wanted = m.primary
+	case c == causeReplicaFenced:
+		a.preferred = m.primary
 		m.beginDrain(now)
 	case c == causeLeaving:
-		a.wanted = m.successor(now).ID
+		a.preferred = m.successor(now).ID
 		m.beginDrain(now)
 	default:
-		if c != causeFenced {
-			a.avoid = m.primary
+		if c != causePrimaryFenced {
+			a.lastResort = m.primary
 		}
-		a.silent = c == causeDead || c == causeUnreached
+		a.unresponsive = c == causeDead || c == causeUnreachable
 		m.beginClaim(now)
 	}
 }
@@ -96,22 +96,22 @@
 	a := m.attempt
 	switch {
 	case !now.Before(a.deadline):
-		m.expire(now)
-	case a.phase == phaseDrain && !a.busy && !now.Before(a.next):
-		m.drain()
-	case a.phase == phaseSettle && !now.Before(a.next):
+		m.handleDeadline(now)
+	case a.phase == phaseDrain && !a.drainInFlight && !now.Before(a.nextStep):
+		m.sendDrain()
+	case a.phase == phaseGrace && !now.Before(a.nextStep):
 		m.beginClaim(now)
 	}
 }
 
-// expire ends an attempt at its deadline.
-func (m *machine) expire(now time.Time) {
+// handleDeadline ends an attempt at its deadline.
+func (m *machine) handleDeadline(now time.Time) {
 	a := m.attempt
 	if a.phase == phaseClaim && a.force && len(a.grants) > 0 {
 		m.promoteBest(now)
 		return
 	}
-	m.fail(now, errTooFew(m.Service, a.phase, len(a.grants), m.quorum()))
+	m.fail(now, errAttemptExpired(m.Service, a.phase, len(a.grants), m.quorum()))
 }
 
 // fail ends the attempt without a change and sets the time of the next.
@@ -119,24 +119,24 @@
 	a := m.attempt
 	m.failures++
 	if a.planned && a.phase <= phaseClaim {
-		m.do(action{kind: actDrain, target: m.primary, hold: 0})
+		m.emit(action{kind: actDrain, target: m.primary, hold: 0})
 	}
 	m.finish(err)
 	shift := min(m.failures, 4)
-	m.electAt = now.Add(m.jitter(m.silence() << shift / 2))
-	m.electFor = causeDead
+	m.attemptAt = now.Add(m.jitter(m.heartbeatTimeout() << shift / 2))
+	m.attemptCause = causeDead
 	if a.planned {
 		// Each try holds new writes back, so tries are far apart.
-		m.electAt = now.Add(m.cutOffAfter() << shift)
-		m.electFor = causeLeaving
+		m.attemptAt = now.Add(m.longDebounce() << shift)
+		m.attemptCause = causeLeaving
 	}
 }
 
 func (m *machine) finish(err error) {
 	a := m.attempt
-	if err == nil && a.request != 0 && m.primary != a.wanted {
-		err = errOther(a.wanted, m.primary)
+	if err == nil && a.request != 0 && m.primary != a.preferred {
+		err = errOtherTarget(a.preferred, m.primary)
 	}
-	m.do(action{kind: actDone, attempt: a.number, request: a.request, err: err})
+	m.emit(action{kind: actDone, attempt: a.number, request: a.request, err: err})
 	m.attempt = nil
 }
--- a/pkg/group/bench_test.go
+++ b/pkg/group/bench_test.go
@@ -12,7 +12,7 @@
 
 // BenchmarkConfirm measures a commit that one report of each replica releases.
 func BenchmarkConfirm(b *testing.B) {
-	set, _ := Settings{AckReplicas: 1, Members: []Member{{ID: "t/1"}, {ID: "t/2"}, {ID: "t/3"}}}.prepared()
+	set, _ := Settings{AckReplicas: 1, Members: []Member{{ID: "t/1"}, {ID: "t/2"}, {ID: "t/3"}}}.withDefaults()
 	t := newTracker(&set)
 	now := time.Now()
 	b.ReportAllocs()
@@ -28,10 +28,10 @@
 
 // BenchmarkAdmitWrite measures the admission of a write in a healthy group.
 func BenchmarkAdmitWrite(b *testing.B) {
-	set, _ := Settings{AckReplicas: 1, Members: []Member{{ID: "t/1"}, {ID: "t/2"}, {ID: "t/3"}}}.prepared()
+	set, _ := Settings{AckReplicas: 1, Members: []Member{{ID: "t/1"}, {ID: "t/2"}, {ID: "t/3"}}}.withDefaults()
 	g := &Group{settings: set, tracker: newTracker(&set), clock: clockwork.NewRealClock()}
-	g.done = func() { g.writes.Add(-1) }
-	g.gate.Store(&gate{primary: "t/1", term: 1})
+	g.writeDone = func() { g.writes.Add(-1) }
+	g.admission.Store(&admission{primary: "t/1", term: 1})
 	ctx := context.Background()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/pkg/group/claim.go
+++ b/pkg/group/claim.go
@@ -12,72 +12,72 @@
 	a.phase = phaseClaim
 	a.term = max(m.maxClaim, m.term) + 1
 	m.maxClaim = a.term // a claim whose answer is lost may hold
-	a.deadline = now.Add(m.suspectAfter())
+	a.deadline = now.Add(m.suspectTimeout())
 	for _, t := range m.targets {
-		if t.ID != a.avoid {
-			m.claim(t)
+		if t.ID != a.lastResort {
+			m.sendClaim(t)
 		}
 	}
-	m.claimAvoided(now)
+	m.claimLastResort(now)
 }
 
-func (m *machine) claim(t *targetState) {
-	m.attempt.asked[t.ID] = true
+func (m *machine) sendClaim(t *targetState) {
+	m.attempt.claimSent[t.ID] = true
 	c := action{kind: actClaim, target: t.ID, attempt: m.attempt.number, term: m.attempt.term}
-	if p := m.target(m.attempt.avoid); p != nil && !p.refused && m.attempt.silent {
-		c.silent = p.ID
+	if p := m.target(m.attempt.lastResort); p != nil && !p.refused && m.attempt.unresponsive {
+		c.unresponsive = p.ID
 	}
-	m.do(c)
+	m.emit(c)
 }
 
-// claimAvoided claims the avoided target when the others cannot suffice.
-func (m *machine) claimAvoided(now time.Time) {
+// claimLastResort claims the avoided target when the others cannot suffice.
+func (m *machine) claimLastResort(now time.Time) {
 	a := m.attempt
-	t := m.target(a.avoid)
-	if t == nil || a.asked[t.ID] {
+	t := m.target(a.lastResort)
+	if t == nil || a.claimSent[t.ID] {
 		return
 	}
 	possible := 0
 	for _, other := range m.targets {
-		if other != t && !a.failed[other.ID] && m.isReachable(now, other) {
+		if other != t && !a.claimFailed[other.ID] && m.isReachable(now, other) {
 			possible++
 		}
 	}
 	if possible < m.quorum() && m.isReachable(now, t) {
-		m.claim(t)
+		m.sendClaim(t)
 	}
 }
 
-// claimed handles the answer to a claim.
-func (m *machine) claimed(now time.Time, e event) {
+// handleClaimAnswer handles the answer to a claim.
+func (m *machine) handleClaimAnswer(now time.Time, e event) {
 	a := m.attempt
 	if a == nil || a.number != e.attempt || a.phase != phaseClaim {
 		return
 	}
 	if !e.ok {
-		a.failed[e.target] = true
-		m.claimAvoided(now)
-		m.claimLost(now)
+		a.claimFailed[e.target] = true
+		m.claimLastResort(now)
+		m.checkClaimsSuffice(now)
 		return
 	}
 	a.grants[e.target] = e.status
-	_, hasWanted := a.grants[a.wanted]
-	if len(a.grants) >= m.claimsNeeded() && (!a.planned || hasWanted) {
+	_, hasPreferred := a.grants[a.preferred]
+	if len(a.grants) >= m.claimsNeeded() && (!a.planned || hasPreferred) {
 		m.promoteBest(now)
 	}
 }
 
-// claimLost ends an attempt as soon as it can no longer gather enough claims.
-func (m *machine) claimLost(now time.Time) {
+// checkClaimsSuffice ends an attempt as soon as it can no longer gather enough claims.
+func (m *machine) checkClaimsSuffice(now time.Time) {
 	a := m.attempt
-	open := len(a.asked) - len(a.failed) - len(a.grants)
+	open := len(a.claimSent) - len(a.claimFailed) - len(a.grants)
 	if len(a.grants)+open >= m.claimsNeeded() {
 		return
 	}
 	if !a.force {
-		m.fail(now, errTooFew(m.Service, a.phase, len(a.grants), m.quorum()))
+		m.fail(now, errAttemptExpired(m.Service, a.phase, len(a.grants), m.quorum()))
 	} else if open == 0 {
-		m.expire(now)
+		m.handleDeadline(now)
 	}
 }
 
@@ -95,7 +95,7 @@
 	a := m.attempt
 	var best *targetState
 	for _, t := range m.targets {
-		if st, ok := a.grants[t.ID]; ok && (best == nil || m.better(st, a.grants[best.ID])) {
+		if st, ok := a.grants[t.ID]; ok && (best == nil || m.isBetterCandidate(st, a.grants[best.ID])) {
 			best = t
 		}
 	}
@@ -104,32 +104,32 @@
 		newestLog.Check(m.compareLogs(logEnd(a.grants[best.ID]), logEnd(st)) >= 0, "group %s: %s has a newer log than %s", m.Service, st.ID, best.ID)
 	}
 	a.phase = phasePromote
-	a.deadline = now.Add(m.suspectAfter())
-	m.do(action{kind: actPromote, target: best.ID, attempt: a.number, term: a.term})
+	a.deadline = now.Add(m.suspectTimeout())
+	m.emit(action{kind: actPromote, target: best.ID, attempt: a.number, term: a.term})
 }
 
-// better reports whether a is to be promoted rather than b. Among equal logs
+// isBetterCandidate reports whether a is to be promoted rather than b. Among equal logs
 // the wanted target comes first, then one that is not leaving.
-func (m *machine) better(a, b siskin.TargetStatus) bool {
+func (m *machine) isBetterCandidate(a, b siskin.TargetStatus) bool {
 	if c := m.compareLogs(logEnd(a), logEnd(b)); c != 0 {
 		return c > 0
 	}
-	if w := m.attempt.wanted; w != "" && (a.ID == w) != (b.ID == w) {
+	if w := m.attempt.preferred; w != "" && (a.ID == w) != (b.ID == w) {
 		return a.ID == w
 	}
 	return !a.Leaving && b.Leaving
 }
 
-// promoted handles the answer to a promotion. A promotion whose answer was lost
+// handlePromoteAnswer handles the answer to a promotion. A promotion whose answer was lost
 // may have happened; a probe shows it.
-func (m *machine) promoted(now time.Time, e event) {
+func (m *machine) handlePromoteAnswer(now time.Time, e event) {
 	a := m.attempt
 	if a == nil || a.number != e.attempt {
 		return // a success has been adopted from its status
 	}
-	m.do(action{kind: actProbe, target: e.target})
+	m.emit(action{kind: actProbe, target: e.target})
 	if e.conflict || a.phase != phasePromote {
-		m.fail(now, errRival(e.status.ClaimedTerm))
+		m.fail(now, errOtherVM(e.status.ClaimedTerm))
 		return
 	}
 	// Wait for the probe: a repeated claim would only cost time.
--- a/pkg/group/confirm.go
+++ b/pkg/group/confirm.go
@@ -16,7 +16,7 @@
 		if ok {
 			return nil
 		}
-		return errOutcomeUnknown(pos, errRival(pos.Term+1))
+		return errOutcomeUnknown(pos, errOtherVM(pos.Term+1))
 	case <-ctx.Done():
 		cause = ctx.Err()
 		g.Activate() // deadlines may be shorter than the time that shows a failure
--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -13,25 +13,25 @@
 	causeNone cause = iota
 	// causeDead: this VM does not reach the primary and no replica hears it.
 	causeDead
-	// causeUnreached: this VM does not reach the primary, but replicas hear it.
+	// causeUnreachable: this VM does not reach the primary, but replicas hear it.
 	// It is acted on late and only while the log does not grow, since a growing
 	// log shows that other VMs reach the primary.
-	causeUnreached
-	// causeCutOff: the primary answers, but so many replicas have lost their
+	causeUnreachable
+	// causeUnreplicated: the primary answers, but so many replicas have lost their
 	// stream that writes cannot be confirmed.
-	causeCutOff
-	// causeFenced: the primary is claimed for a later term that nobody uses.
-	causeFenced
-	// causeStuck: a replica is claimed for a later term that nobody uses, so it
+	causeUnreplicated
+	// causePrimaryFenced: the primary is claimed for a later term that nobody uses.
+	causePrimaryFenced
+	// causeReplicaFenced: a replica is claimed for a later term that nobody uses, so it
 	// cannot follow the primary until a new term begins.
-	causeStuck
+	causeReplicaFenced
 	// causeLeaving: the primary is leaving and a replica can take over.
 	causeLeaving
 	causeCount
 )
 
 // planned reports whether the primary works, so that it is drained first.
-func (c cause) planned() bool { return c == causeStuck || c == causeLeaving }
+func (c cause) planned() bool { return c == causeReplicaFenced || c == causeLeaving }
 
 // detect returns the most urgent cause that has held for its time.
 func (m *machine) detect(now time.Time) cause {
@@ -46,7 +46,7 @@
 		}
 	}
 	for c := causeDead; c < causeCount; c++ {
-		if holds[c] && now.Sub(m.since[c]) >= m.holdTime(c, now) {
+		if holds[c] && now.Sub(m.since[c]) >= m.debounce(c, now) {
 			return c
 		}
 	}
@@ -54,52 +54,52 @@
 }
 
 // conditions returns which causes hold at this moment.
-func (m *machine) conditions(now time.Time, p *targetState) (holds [causeCount]bool) {
+func (m *machine) conditions(now time.Time, p *targetState) (active [causeCount]bool) {
 	if !m.isReachable(now, p) || p.status.Role != siskin.RolePrimary {
-		heard := m.heard(now, p)
-		m.askReplicas(now)
-		holds[causeDead] = !heard && m.reachableCount(now) >= m.quorum()
-		holds[causeUnreached] = heard
-		return holds
+		seenByReplica := m.seenByReplica(now, p)
+		m.probeReplicas(now)
+		active[causeDead] = !seenByReplica && m.reachableCount(now) >= m.quorum()
+		active[causeUnreachable] = seenByReplica
+		return active
 	}
 	st := p.status
-	holds[causeFenced] = st.ClaimedTerm > st.StreamTerm
-	holds[causeCutOff] = m.stopped(now, time.Time{}) >= m.quorum()
-	holds[causeStuck] = m.stuck(now) && !st.Draining
-	holds[causeLeaving] = st.Leaving && m.successor(now) != nil && !st.Draining
-	return holds
+	active[causePrimaryFenced] = st.ClaimedTerm > st.StreamTerm
+	active[causeUnreplicated] = m.countNotReplicating(now, time.Time{}) >= m.quorum()
+	active[causeReplicaFenced] = m.hasFencedReplica(now) && !st.Draining
+	active[causeLeaving] = st.Leaving && m.successor(now) != nil && !st.Draining
+	return active
 }
 
-// holdTime returns how long a cause must hold before it is acted on.
-func (m *machine) holdTime(c cause, now time.Time) time.Duration {
+// debounce returns how long a cause must hold before it is acted on.
+func (m *machine) debounce(c cause, now time.Time) time.Duration {
 	switch c {
 	case causeDead:
 		if m.primary == "" {
-			return m.suspectAfter() // the primary may not have been asked yet
+			return m.suspectTimeout() // the primary may not have been asked yet
 		}
 		return 0
-	case causeCutOff:
+	case causeUnreplicated:
 		// Answers from before the pending write say nothing about it: a stream
 		// that was still may have begun since.
-		if m.isPending(now) && m.stopped(now, m.pendingSince) >= m.quorum() {
+		if m.confirmationOverdue(now) && m.countNotReplicating(now, m.pendingSince) >= m.quorum() {
 			return 0
 		}
-		if m.claimedAway() {
-			return m.suspectAfter() // writes are held; the claimer gets its time
+		if m.fencedByQuorum() {
+			return m.suspectTimeout() // writes are held; the claimer gets its time
 		}
-		return m.cutOffAfter()
-	case causeFenced:
-		return m.suspectAfter()
+		return m.longDebounce()
+	case causePrimaryFenced:
+		return m.suspectTimeout()
 	case causeLeaving:
 		return 0
-	case causeUnreached:
-		return m.unreachedPatience(now)
+	case causeUnreachable:
+		return m.unreachableDebounce(now)
 	}
-	return m.cutOffAfter()
+	return m.longDebounce()
 }
 
-// claimedAway reports whether a quorum is claimed for a later term.
-func (m *machine) claimedAway() bool {
+// fencedByQuorum reports whether a quorum is claimed for a later term.
+func (m *machine) fencedByQuorum() bool {
 	n := 0
 	for _, t := range m.targets {
 		if t.status.ClaimedTerm > m.term {
@@ -109,86 +109,86 @@
 	return n >= m.quorum()
 }
 
-// recentChange is the time for which a change of primary counts as recent.
-const recentChange = 30 * time.Second
+// recentChangePeriod is the time for which a change of primary counts as recent.
+const recentChangePeriod = 30 * time.Second
 
-// unreachedPatience returns how long the log must stand still before a primary
+// unreachableDebounce returns how long the log must stand still before a primary
 // that replicates is replaced. A refused connection is a clearer sign than
 // silence, which may be this VM's own. Soon after a change the time is longer,
 // so that two VMs that reach different targets do not take turns.
-func (m *machine) unreachedPatience(now time.Time) time.Duration {
-	if m.term > 0 && !m.changed.IsZero() && now.Sub(m.changed) < recentChange {
+func (m *machine) unreachableDebounce(now time.Time) time.Duration {
+	if m.term > 0 && !m.changedAt.IsZero() && now.Sub(m.changedAt) < recentChangePeriod {
 		return min(20*m.Interval, 3*time.Second)
 	}
 	if p := m.target(m.primary); p != nil && p.refused {
-		return m.suspectAfter()
+		return m.suspectTimeout()
 	}
 	return min(5*m.Interval, 2*time.Second)
 }
 
-// heard reports whether a reachable replica still hears the primary. After a
+// seenByReplica reports whether a reachable replica still hears the primary. After a
 // refused connection less silence is asked for than after lost answers.
-func (m *machine) heard(now time.Time, p *targetState) bool {
-	limit := 2 * m.silence()
+func (m *machine) seenByReplica(now time.Time, p *targetState) bool {
+	limit := 2 * m.heartbeatTimeout()
 	if p != nil && p.refused {
-		limit = m.silence()
+		limit = m.heartbeatTimeout()
 	}
-	heard := false
+	seenByReplica := false
 	for _, t := range m.targets {
-		if t != p && m.isReachable(now, t) && t.hears(limit) {
-			heard = true
+		if t != p && m.isReachable(now, t) && t.receivesHeartbeat(limit) {
+			seenByReplica = true
 		}
-		if m.isReachable(now, t) && m.compareLogs(t.log(), m.maxLog) > 0 {
-			m.maxLog = t.log()
-			m.since[causeUnreached] = now // the log grows, so some VM writes
+		if m.isReachable(now, t) && m.compareLogs(t.logPosition(), m.maxLog) > 0 {
+			m.maxLog = t.logPosition()
+			m.since[causeUnreachable] = now // the log grows, so some VM writes
 		}
 	}
-	return heard
+	return seenByReplica
 }
 
-// askReplicas orders probes while the primary is suspected, so that the
+// probeReplicas orders probes while the primary is suspected, so that the
 // replicas' answers are recent.
-func (m *machine) askReplicas(now time.Time) {
-	if m.attempt != nil || now.Sub(m.probed) < m.silence()/4 {
+func (m *machine) probeReplicas(now time.Time) {
+	if m.attempt != nil || now.Sub(m.suspectProbedAt) < m.heartbeatTimeout()/4 {
 		return
 	}
-	m.probed = now
+	m.suspectProbedAt = now
 	for _, t := range m.targets {
 		if t.ID != m.primary {
-			m.do(action{kind: actProbe, target: t.ID})
+			m.emit(action{kind: actProbe, target: t.ID})
 		}
 	}
 }
 
-// isPending reports whether a write has waited long for its confirmation.
-func (m *machine) isPending(now time.Time) bool {
+// confirmationOverdue reports whether a write has waited long for its confirmation.
+func (m *machine) confirmationOverdue(now time.Time) bool {
 	return !m.pendingSince.IsZero() && now.Sub(m.pendingSince) >= m.Interval
 }
 
-// stopped counts the reachable targets that take no log of the primary, by
+// countNotReplicating counts the reachable targets that take no log of the primary, by
 // answers that are not older than the given time.
-func (m *machine) stopped(now, since time.Time) int {
+func (m *machine) countNotReplicating(now, since time.Time) int {
 	n := 0
 	for _, t := range m.targets {
-		if t.ID != m.primary && !t.answered.Before(since) && m.isReachable(now, t) && (m.silent(t) || m.fenced(t)) {
+		if t.ID != m.primary && !t.answeredAt.Before(since) && m.isReachable(now, t) && (m.streamStalled(t) || m.fenced(t)) {
 			n++
 		}
 	}
 	return n
 }
 
-// silent reports whether the target's stream has been still for long enough.
-func (m *machine) silent(t *targetState) bool {
-	return t.status.HeardPrimary >= m.suspectAfter()
+// streamStalled reports whether the target's stream has been still for long enough.
+func (m *machine) streamStalled(t *targetState) bool {
+	return t.status.HeardPrimary >= m.suspectTimeout()
 }
 
 // fenced reports whether the target is claimed for a later term and follows
 // nobody, an earlier primary included.
 func (m *machine) fenced(t *targetState) bool {
-	return t.status.ClaimedTerm > m.term && (m.silent(t) || t.status.Role == siskin.RolePrimary)
+	return t.status.ClaimedTerm > m.term && (m.streamStalled(t) || t.status.Role == siskin.RolePrimary)
 }
 
-func (m *machine) stuck(now time.Time) bool {
+func (m *machine) hasFencedReplica(now time.Time) bool {
 	for _, t := range m.targets {
 		if t.ID != m.primary && m.isReachable(now, t) && m.fenced(t) {
 			return true
@@ -203,8 +203,8 @@
 	var best *targetState
 	for _, t := range m.targets {
 		ok := t.ID != m.primary && m.isReachable(now, t) && !t.status.Leaving &&
-			t.status.StreamTerm == m.term && t.hears(m.suspectAfter())
-		if ok && (best == nil || m.compareLogs(t.log(), best.log()) > 0) {
+			t.status.StreamTerm == m.term && t.receivesHeartbeat(m.suspectTimeout())
+		if ok && (best == nil || m.compareLogs(t.logPosition(), best.logPosition()) > 0) {
 			best = t
 		}
 	}
--- a/pkg/group/error.go
+++ b/pkg/group/error.go
@@ -7,27 +7,27 @@
 )
 
 var phaseNames = [...]string{
-	phaseDrain: "running writes ended", phaseReach: "the replicas caught up",
-	phaseSettle: "the replicas caught up", phaseClaim: "enough targets were claimed",
+	phaseDrain: "running writes ended", phaseCatchUp: "the replicas caught up",
+	phaseGrace: "the replicas caught up", phaseClaim: "enough targets were claimed",
 	phasePromote: "the promotion was confirmed",
 }
 
-func errTooFew(service siskin.ServiceName, p phase, claims, quorum int) error {
+func errAttemptExpired(service siskin.ServiceName, p phase, claims, quorum int) error {
 	return siskin.NewError(siskin.Unavailable, "change of primary of %s ended before %s (%d of %d claims)", service, phaseNames[p], claims, quorum).
 		WithRemedy("restore targets, or force the change and accept the loss of writes")
 }
 
-func errRival(term siskin.Term) error {
+func errOtherVM(term siskin.Term) error {
 	return siskin.NewError(siskin.Conflict, "another VM changes the primary with term %d", term).
 		WithRemedy("look at the group's view and repeat if it is still needed")
 }
 
-func errOther(wanted, got siskin.TargetID) error {
-	return siskin.NewError(siskin.Conflict, "target %s was promoted instead of %s, since its log is newer", got, wanted).
+func errOtherTarget(preferred, got siskin.TargetID) error {
+	return siskin.NewError(siskin.Conflict, "target %s was promoted instead of %s, since its log is newer", got, preferred).
 		WithRemedy("repeat the change when the wanted target has caught up")
 }
 
-func errBusy(service siskin.ServiceName) error {
+func errChangeInProgress(service siskin.ServiceName) error {
 	return siskin.NewError(siskin.Conflict, "a change of primary of %s is in progress", service).
 		WithRemedy("repeat when it has ended")
 }
@@ -47,7 +47,7 @@
 		WithRemedy("read back whether the write is there before repeating it").WithCause(cause)
 }
 
-func errHeld(service siskin.ServiceName, wait time.Duration) error {
+func errNoWritablePrimary(service siskin.ServiceName, wait time.Duration) error {
 	return siskin.NewError(siskin.NotRun, "group %s has no primary that takes writes; not run", service).
 		WithRemedy("repeat the request").WithRetryAfter(wait)
 }
@@ -72,6 +72,6 @@
 		WithRemedy("use another VM")
 }
 
-func errAnswers(service siskin.ServiceName) error {
+func errPrimaryResponds(service siskin.ServiceName) error {
 	return siskin.NewError(siskin.Unavailable, "the primary of %s answers on a new connection", service).WithRemedy("nothing; its connections are replaced")
 }
--- a/pkg/group/execute.go
+++ b/pkg/group/execute.go
@@ -11,7 +11,7 @@
 // execute runs an action in the pool and posts its result.
 func (g *Group) execute(a action) {
 	if a.kind == actDone {
-		g.finish(a)
+		g.finishRequest(a)
 		return
 	}
 	var p *peer
@@ -30,29 +30,29 @@
 func (p *peer) run(a action) {
 	switch a.kind {
 	case actProbe:
-		p.probe()
+		p.probeNow()
 	case actClaim:
 		p.claim(a)
 	case actPromote:
 		p.promote(a)
 	case actFollow:
-		_ = p.queryL.call(p.g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) error {
+		_ = p.immediateConn.call(p.g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) error {
 			return t.Follow(ctx, a.primary, a.address, a.term)
 		}) // repeated while the target's status asks for it
 	case actDrain:
 		p.drain(a)
-	case actReach:
-		p.reach(a)
+	case actCatchUp:
+		p.awaitCatchUp(a)
 	}
 }
 
-// answer posts the result of an action.
-func (p *peer) answer(kind eventKind, a action, asked time.Time, st siskin.TargetStatus, err error) {
+// postResult posts the result of an action.
+func (p *peer) postResult(kind eventKind, a action, askedAt time.Time, st siskin.TargetStatus, err error) {
 	p.g.post(event{
-		kind: kind, target: p.member.ID, attempt: a.attempt, status: st, asked: asked, ok: err == nil,
+		kind: kind, target: p.member.ID, attempt: a.attempt, status: st, askedAt: askedAt, ok: err == nil,
 		// A refused claim comes with the status that tells the higher claim.
-		known:    err == nil || st.ClaimedTerm > 0,
-		conflict: siskin.KindOf(err) == siskin.Conflict && err != nil,
+		hasStatus: err == nil || st.ClaimedTerm > 0,
+		conflict:  siskin.KindOf(err) == siskin.Conflict && err != nil,
 	})
 }
 
@@ -60,8 +60,8 @@
 // older one may be silent for good.
 func (p *peer) claim(a action) {
 	asked := p.g.clock.Now()
-	if a.silent != "" && p.g.answers(a.silent) {
-		p.answer(evClaimed, a, asked, siskin.TargetStatus{}, errAnswers(p.g.settings.Service))
+	if a.unresponsive != "" && p.g.respondsOnNewConn(a.unresponsive) {
+		p.postResult(evClaimed, a, asked, siskin.TargetStatus{}, errPrimaryResponds(p.g.settings.Service))
 		return
 	}
 	ctx, cancel := context.WithTimeout(p.g.ctx, p.g.settings.callTimeout())
@@ -72,19 +72,19 @@
 		p.setClaim(t)
 		st, err = t.Claim(ctx, a.term, p.g.settings.Self)
 	}
-	p.answer(evClaimed, a, asked, st, err)
+	p.postResult(evClaimed, a, asked, st, err)
 }
 
-// answers asks a primary that fell silent on a new connection, and posts its
+// respondsOnNewConn asks a primary that fell silent on a new connection, and posts its
 // answer. All connections to it may have gone silent while new ones work, and the
 // probe that finds this out may be late on a busy VM.
-func (g *Group) answers(id siskin.TargetID) bool {
+func (g *Group) respondsOnNewConn(id siskin.TargetID) bool {
 	for _, p := range g.peers {
 		if p.member.ID != id {
 			continue
 		}
 		asked := g.clock.Now()
-		l := &link{g: g, member: p.member}
+		l := &controlConn{g: g, member: p.member}
 		defer l.close()
 		var st siskin.TargetStatus
 		err := l.call(g.settings.Interval, func(ctx context.Context, t siskin.Target) (err error) {
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(p.g.ctx, p.g.settings.callTimeout())
 	defer cancel()
 	p.claimMu.Lock()
-	t := p.claimT
+	t := p.claimTarget
 	p.claimMu.Unlock()
 	if t == nil {
 		return // closed
@@ -113,7 +113,7 @@
 	if err != nil {
 		st = siskin.TargetStatus{}
 	}
-	p.answer(evPromoted, a, asked, st, err)
+	p.postResult(evPromoted, a, asked, st, err)
 }
 
 // drain holds new writes at the primary. A target without that function is
@@ -121,7 +121,7 @@
 func (p *peer) drain(a action) {
 	asked := p.g.clock.Now()
 	var st siskin.TargetStatus
-	err := p.queryL.call(p.g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) (err error) {
+	err := p.immediateConn.call(p.g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) (err error) {
 		if d, ok := t.(siskin.Drainer); ok {
 			st, err = d.Drain(ctx, a.hold)
 			return err
@@ -129,21 +129,21 @@
 		st, err = t.Status(ctx)
 		return err
 	})
-	p.answer(evDrained, a, asked, st, err)
+	p.postResult(evDrained, a, asked, st, err)
 }
 
-// reach waits on a connection of its own, since the wait may be long.
-func (p *peer) reach(a action) {
+// awaitCatchUp waits on a connection of its own, since the wait may be long.
+func (p *peer) awaitCatchUp(a action) {
 	asked := p.g.clock.Now()
 	limit := p.g.machine.drainLimit()
-	l := &link{g: p.g, member: p.member}
+	l := &controlConn{g: p.g, member: p.member}
 	defer l.close()
 	var st siskin.TargetStatus
 	err := l.call(limit, func(ctx context.Context, t siskin.Target) (err error) {
 		st, err = t.Wait(ctx, a.pos, limit)
 		return err
 	})
-	p.answer(evReached, a, asked, st, err)
+	p.postResult(evCaughtUp, a, asked, st, err)
 }
 
 // Promote changes the primary to target. A planned change drains the present
@@ -159,36 +159,36 @@
 		return errUnknownTarget(g.settings.Service, target)
 	}
 	result := make(chan error, 1)
-	g.waitsMu.Lock()
-	g.requests++
-	id := g.requests
-	g.waits[id] = result
-	g.waitsMu.Unlock()
+	g.requestsMu.Lock()
+	g.lastRequest++
+	id := g.lastRequest
+	g.requestResults[id] = result
+	g.requestsMu.Unlock()
 	defer func() {
-		g.waitsMu.Lock()
-		defer g.waitsMu.Unlock()
-		delete(g.waits, id)
+		g.requestsMu.Lock()
+		defer g.requestsMu.Unlock()
+		delete(g.requestResults, id)
 	}()
-	g.post(event{kind: evChange, request: id, wanted: target, force: force})
+	g.post(event{kind: evChange, request: id, preferred: target, force: force})
 	select {
 	case err := <-result:
 		return err
 	case <-ctx.Done():
-		return errors.Join(errBusy(g.settings.Service), ctx.Err())
+		return errors.Join(errChangeInProgress(g.settings.Service), ctx.Err())
 	case <-g.ctx.Done():
 		return errClosed()
 	}
 }
 
-// finish answers the operator whose request has ended.
-func (g *Group) finish(a action) {
+// finishRequest answers the operator whose request has ended.
+func (g *Group) finishRequest(a action) {
 	if a.err != nil {
 		g.log.Warn().Str("Service", string(g.settings.Service)).Err(a.err).Msg("change of primary ended")
 	}
-	g.waitsMu.Lock()
-	defer g.waitsMu.Unlock()
-	if result, ok := g.waits[a.request]; ok {
+	g.requestsMu.Lock()
+	defer g.requestsMu.Unlock()
+	if result, ok := g.requestResults[a.request]; ok {
 		result <- a.err
-		delete(g.waits, a.request)
+		delete(g.requestResults, a.request)
 	}
 }
--- a/pkg/group/floor.go
+++ b/pkg/group/floor.go
@@ -88,7 +88,7 @@
 	for _, p := range g.peers {
 		started := g.start(func() {
 			var st siskin.TargetStatus
-			err := p.floorL.tryCall(g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) (err error) {
+			err := p.floorConn.tryCall(g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) (err error) {
 				st, err = t.Status(ctx)
 				return err
 			})
--- a/pkg/group/gap_test.go
+++ b/pkg/group/gap_test.go
@@ -21,18 +21,18 @@
 
 // profile is the distance between data centres and the opening time.
 type profile struct {
-	name   string
-	oneWay time.Duration
-	open   time.Duration
+	name     string
+	oneWay   time.Duration
+	openTime time.Duration
 }
 
 var profiles = []profile{{"Syntyma", 1500 * time.Microsecond, 10 * time.Millisecond}, {"Hartwell", 500 * time.Microsecond, 30 * time.Millisecond}}
 
 // scenarios break the primary, which is servers[0], or the way to it.
 var scenarios = []struct {
-	name   string
-	rivals bool // all VMs have rank 0
-	fault  func(s []*target.Server)
+	name       string
+	equalRanks bool // all VMs have rank 0
+	fault      func(s []*target.Server)
 }{
 	{"PrimaryKilled", false, func(s []*target.Server) { s[0].Close() }},
 	{"PrimarySilent", false, func(s []*target.Server) { s[0].SetPaused(true) }},
@@ -53,15 +53,15 @@
 }
 
 // startWriters starts targets and two VMs with two writers each.
-func startWriters(t *testing.T, ctx context.Context, p profile, rivals bool) (*writers, []*group.Group) {
+func startWriters(t *testing.T, ctx context.Context, p profile, equalRanks bool) (*writers, []*group.Group) {
 	w := &writers{t: t, acked: make(map[string]time.Time), failed: make(map[siskin.ErrorKind]int)}
 	w.servers = startTargets(t, 3, func(c *target.Config) {
-		c.OpenTime, c.LinkDelay, c.AnswerDelay = config.Duration(p.open), config.Duration(p.oneWay), config.Duration(2*p.oneWay)
+		c.OpenTime, c.LinkDelay, c.AnswerDelay = config.Duration(p.openTime), config.Duration(p.oneWay), config.Duration(2*p.oneWay)
 	})
 	var groups []*group.Group
 	for vm := range 2 {
-		g := watch(t, w.servers, siskin.VMID(fmt.Sprintf("vm-%d", vm)), group.WithRank(func() int {
-			if rivals {
+		g := startGroup(t, w.servers, siskin.VMID(fmt.Sprintf("vm-%d", vm)), group.WithRank(func() int {
+			if equalRanks {
 				return 0
 			}
 			return vm
@@ -69,7 +69,7 @@
 		groups = append(groups, g)
 		for i := range 2 {
 			w.wg.Add(1)
-			go w.run(ctx, fmt.Sprintf("%d-%d", vm, i), g)
+			go w.writeUntilDone(ctx, fmt.Sprintf("%d-%d", vm, i), g)
 		}
 	}
 	return w, groups
@@ -90,11 +90,11 @@
 				var gaps []time.Duration
 				for range *gapRuns {
 					ctx, cancel := context.WithCancel(t.Context())
-					w, groups := startWriters(t, ctx, p, sc.rivals)
+					w, groups := startWriters(t, ctx, p, sc.equalRanks)
 					time.Sleep(500 * time.Millisecond)
 					fault := time.Now()
 					sc.fault(w.servers)
-					for w.gapOpen(fault) && time.Since(fault) < 2*maxGap {
+					for w.stillBlocked(fault) && time.Since(fault) < 2*maxGap {
 						time.Sleep(20 * time.Millisecond)
 					}
 					time.Sleep(300 * time.Millisecond)
@@ -102,10 +102,10 @@
 					w.wg.Wait()
 					gap := w.gap(fault)
 					gaps = append(gaps, gap)
-					if missing := w.lost(groups[0]); len(missing) > 0 {
+					if missing := w.lostWrites(groups[0]); len(missing) > 0 {
 						t.Errorf("lost %d of %d acknowledged writes: %v", len(missing), len(w.acked), missing)
 					}
-					if gap > maxGap || w.gapOpen(fault) {
+					if gap > maxGap || w.stillBlocked(fault) {
 						t.Errorf("got a gap of %v, want less than %v", gap, maxGap)
 					}
 					for _, g := range groups {
--- a/pkg/group/gate.go
+++ b/pkg/group/gate.go
@@ -7,41 +7,41 @@
 	"siskintray.example/siskin"
 )
 
-// gate says whether writes are admitted at present.
-type gate struct {
+// admission says whether writes are admitted at present.
+type admission struct {
 	primary siskin.TargetID
 	term    siskin.Term
-	hold    bool  // writes wait for the next gate
+	wait    bool  // writes wait for the next gate
 	refuse  error // writes are refused; wins over hold
 	changed chan struct{}
 }
 
-func (a *gate) same(b *gate) bool {
-	return a.primary == b.primary && a.term == b.term && a.hold == b.hold && (a.refuse == nil) == (b.refuse == nil)
+func (a *admission) equal(b *admission) bool {
+	return a.primary == b.primary && a.term == b.term && a.wait == b.wait && (a.refuse == nil) == (b.refuse == nil)
 }
 
-// setGate replaces the gate when it changed.
-func (g *Group) setGate(now time.Time, v *siskin.GroupView) {
-	next := &gate{primary: v.Primary, term: v.Term, changed: make(chan struct{})}
+// setAdmission replaces the gate when it changed.
+func (g *Group) setAdmission(now time.Time, v *siskin.GroupView) {
+	next := &admission{primary: v.Primary, term: v.Term, changed: make(chan struct{})}
 	p, _ := v.Target(v.Primary)
 	isUp := p.Reachable && p.Status.Role == siskin.RolePrimary
-	next.hold = !isUp || p.Status.Draining || !g.refusedAt.IsZero()
-	next.refuse = g.machine.refusal(now, isUp)
-	old := g.gate.Load()
-	if old != nil && old.same(next) {
+	next.wait = !isUp || p.Status.Draining || !g.refusedAt.IsZero()
+	next.refuse = g.machine.refusalReason(now, isUp)
+	old := g.admission.Load()
+	if old != nil && old.equal(next) {
 		return
 	}
-	g.gate.Store(next)
+	g.admission.Store(next)
 	if old != nil {
 		close(old.changed)
 	}
 }
 
-// refusal returns why writes cannot succeed before the group is repaired, so
+// refusalReason returns why writes cannot succeed before the group is repaired, so
 // that callers are answered at once. It waits for the time in which targets
 // are asked and follow a new primary.
-func (m *machine) refusal(now time.Time, isUp bool) error {
-	if m.started.IsZero() || now.Sub(m.started) < m.suspectAfter() {
+func (m *machine) refusalReason(now time.Time, isUp bool) error {
+	if m.startedAt.IsZero() || now.Sub(m.startedAt) < m.suspectTimeout() {
 		return nil
 	}
 	if m.passive {
@@ -49,7 +49,7 @@
 	}
 	if !isUp {
 		if m.reachableCount(now) < m.quorum() {
-			return errHeld(m.Service, m.suspectAfter())
+			return errNoWritablePrimary(m.Service, m.suspectTimeout())
 		}
 		return nil
 	}
@@ -59,8 +59,8 @@
 			followers++
 		}
 	}
-	if followers < m.AckReplicas && now.Sub(m.adopted) >= m.suspectAfter() {
-		return errLagging(m.Service, m.suspectAfter())
+	if followers < m.AckReplicas && now.Sub(m.adoptedAt) >= m.suspectTimeout() {
+		return errLagging(m.Service, m.suspectTimeout())
 	}
 	return nil
 }
@@ -69,15 +69,15 @@
 func (g *Group) AdmitWrite(ctx context.Context) (siskin.TargetID, siskin.Term, func(), error) {
 	var timeout <-chan time.Time
 	for {
-		now := g.gate.Load()
+		now := g.admission.Load()
 		switch {
 		case now.refuse != nil:
 			return "", 0, nil, now.refuse
-		case g.lagging():
+		case g.confirmationsLag():
 			return "", 0, nil, errLagging(g.settings.Service, g.settings.Interval)
-		case !now.hold && g.tracker.admits(now.term):
+		case !now.wait && g.tracker.canConfirm(now.term):
 			g.writes.Add(1)
-			return now.primary, now.term, g.done, nil
+			return now.primary, now.term, g.writeDone, nil
 		}
 		if timeout == nil {
 			timeout = g.clock.After(g.settings.MaxAdmitWait)
@@ -86,21 +86,21 @@
 		select {
 		case <-now.changed:
 		case <-timeout:
-			return "", 0, nil, errHeld(g.settings.Service, g.settings.Interval)
+			return "", 0, nil, errNoWritablePrimary(g.settings.Service, g.settings.Interval)
 		case <-ctx.Done():
-			return "", 0, nil, errHeld(g.settings.Service, g.settings.Interval).(*siskin.Error).WithCause(ctx.Err())
+			return "", 0, nil, errNoWritablePrimary(g.settings.Service, g.settings.Interval).(*siskin.Error).WithCause(ctx.Err())
 		case <-g.ctx.Done():
 			return "", 0, nil, errClosed()
 		}
 	}
 }
 
-// lagging reports whether a commit has waited too long for its confirmation.
+// confirmationsLag reports whether a commit has waited too long for its confirmation.
 // Further writes would wait as long or longer, so they are refused as not run.
 // When the waiting commits have been given up, the next write tries again.
-func (g *Group) lagging() bool {
-	oldest := g.tracker.oldest()
-	return !oldest.IsZero() && g.clock.Since(oldest) > g.settings.MaxUnconfirmed
+func (g *Group) confirmationsLag() bool {
+	oldestArrival := g.tracker.oldestArrival()
+	return !oldestArrival.IsZero() && g.clock.Since(oldestArrival) > g.settings.MaxUnconfirmed
 }
 
 // WritesInProgress returns the number of admitted transactions that have not ended.
@@ -118,5 +118,5 @@
 		}
 		g.mu.Unlock()
 	}
-	g.post(event{kind: evSuspect, target: target})
+	g.post(event{kind: evFailureReported, target: target})
 }
--- a/pkg/group/gate_test.go
+++ b/pkg/group/gate_test.go
@@ -23,10 +23,10 @@
 		{"a quorum of claims", []siskin.TargetStatus{{ID: "t/2", ClaimedTerm: 2, StreamTerm: 1}, {ID: "t/3", ClaimedTerm: 2, StreamTerm: 1}}, false},
 		{"a later stream", []siskin.TargetStatus{{ID: "t/2", ClaimedTerm: 2, StreamTerm: 2}}, false},
 	} {
-		set, _ := Settings{AckReplicas: 1, Members: []Member{{ID: "t/1"}, {ID: "t/2"}, {ID: "t/3"}}}.prepared()
-		g := &Group{settings: set, tracker: newTracker(&set), clock: clockwork.NewRealClock(), done: func() {}}
+		set, _ := Settings{AckReplicas: 1, Members: []Member{{ID: "t/1"}, {ID: "t/2"}, {ID: "t/3"}}}.withDefaults()
+		g := &Group{settings: set, tracker: newTracker(&set), clock: clockwork.NewRealClock(), writeDone: func() {}}
 		g.ctx = t.Context()
-		g.gate.Store(&gate{primary: "t/1", term: 1, changed: make(chan struct{})})
+		g.admission.Store(&admission{primary: "t/1", term: 1, changed: make(chan struct{})})
 		for _, st := range c.reports {
 			g.tracker.observe(st)
 		}
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -17,15 +17,15 @@
 // Group runs the decisions of one VM about one group. It implements
 // siskin.Group.
 type Group struct {
-	settings Settings
-	dialer   siskin.TargetDialer
-	clock    siskin.Clock
-	log      *log.Logger
-	rank     func() int
-	awake    func() bool
-	watcher  func() bool
-	heard    func(siskin.TargetID) (quiet, last time.Time)
-	rng      *rand.Rand
+	settings          Settings
+	dialer            siskin.TargetDialer
+	clock             siskin.Clock
+	log               *log.Logger
+	rank              func() int
+	awake             func() bool
+	watcher           func() bool
+	statementActivity func(siskin.TargetID) (quiet, last time.Time)
+	rng               *rand.Rand
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -36,12 +36,12 @@
 	events  chan event
 	peers   []*peer
 
-	tracker *tracker
-	floor   floor
-	gate    atomic.Pointer[gate]
-	writes  atomic.Int64 // admitted transactions that have not ended
-	done    func()
-	passive atomic.Bool // machine.passive, for readers without mu
+	tracker   *tracker
+	floor     floor
+	admission atomic.Pointer[admission]
+	writes    atomic.Int64 // admitted transactions that have not ended
+	writeDone func()
+	passive   atomic.Bool // machine.passive, for readers without mu
 
 	mu        sync.RWMutex // guards what follows
 	machine   *machine
@@ -54,34 +54,34 @@
 	activated   chan struct{}
 	// refusedAt is when a caller reported that the primary refused a write as
 	// not run; zero when the primary has answered a probe since.
-	refusedAt time.Time
-	waitsMu   sync.Mutex
-	waits     map[int]chan error // operators' requests in progress
-	requests  int
+	refusedAt      time.Time
+	requestsMu     sync.Mutex
+	requestResults map[int]chan error // operators' requests in progress
+	lastRequest    int
 }
 
 var _ siskin.Group = (*Group)(nil)
 
 // New starts to watch a group. Close ends it.
 func New(s Settings, dialer siskin.TargetDialer, opts ...Option) (*Group, error) {
-	s, err := s.prepared()
+	s, err := s.withDefaults()
 	if err != nil {
 		return nil, err
 	}
 	g := &Group{
 		settings: s, dialer: dialer, clock: clockwork.NewRealClock(), log: &log.Logger{Level: log.PanicLevel},
 		rank: func() int { return 0 }, awake: func() bool { return true },
-		watcher: func() bool { return true }, heard: func(siskin.TargetID) (quiet, last time.Time) { return time.Time{}, time.Time{} },
+		watcher: func() bool { return true }, statementActivity: func(siskin.TargetID) (quiet, last time.Time) { return time.Time{}, time.Time{} },
 		activated: make(chan struct{}), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		events: make(chan event, 64), tracker: newTracker(&s), changed: make(chan struct{}),
-		waits: make(map[int]chan error),
+		requestResults: make(map[int]chan error),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.done = func() { g.writes.Add(-1) }
+	g.writeDone = func() { g.writes.Add(-1) }
 	g.machine = newMachine(s, g.rng)
-	g.activeUntil = g.clock.Now().Add(s.suspectAfter())
+	g.activeUntil = g.clock.Now().Add(s.suspectTimeout())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	// Each target has at most a probe, a claim, a drain or wait and a floor
 	// sample in progress.
@@ -90,8 +90,8 @@
 	for i, m := range s.Members {
 		p := newPeer(g, i, m)
 		g.peers = append(g.peers, p)
-		g.start(p.watch)
-		g.start(p.confirm)
+		g.start(p.probeLoop)
+		g.start(p.confirmLoop)
 	}
 	g.start(g.run)
 	return g, nil
@@ -130,7 +130,7 @@
 	for {
 		g.mu.RLock()
 		now := g.clock.Now()
-		wait := g.machine.wake(now).Sub(now)
+		wait := g.machine.nextTick(now).Sub(now)
 		g.mu.RUnlock()
 		select {
 		case e := <-g.events:
@@ -145,7 +145,7 @@
 
 // post feeds an event to the machine.
 func (g *Group) post(e event) {
-	if e.known {
+	if e.hasStatus {
 		g.tracker.observe(e.status)
 	}
 	select {
@@ -160,17 +160,17 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	m := g.machine
-	m.pendingSince = g.tracker.oldest()
+	m.pendingSince = g.tracker.oldestArrival()
 	m.rank = g.rank()
-	m.held = !g.awake()
+	m.resuming = !g.awake()
 	g.setPassive(now, e)
 	term := m.term
 	actions := m.step(now, e)
-	if e.known && e.kind != evLearned && e.target == m.primary {
+	if e.hasStatus && e.kind != evRemoteStatus && e.target == m.primary {
 		if e.status.Role == siskin.RolePrimary && e.status.StreamTerm == m.term && e.kind == evStatus {
-			g.samples.add(siskin.Position{Term: m.term, LSN: e.status.Received}, e.asked)
+			g.samples.add(siskin.Position{Term: m.term, LSN: e.status.Received}, e.askedAt)
 		}
-		if !e.asked.Before(g.refusedAt) {
+		if !e.askedAt.Before(g.refusedAt) {
 			g.refusedAt = time.Time{}
 		}
 	}
@@ -178,7 +178,7 @@
 	if m.term != term {
 		g.refusedAt = time.Time{}
 		g.log.Info().Str("Service", string(g.settings.Service)).Str("Primary", string(m.primary)).
-			Uint64("Term", uint64(m.term)).Bool("Own", m.own).Msg("primary changed")
+			Uint64("Term", uint64(m.term)).Bool("Own", m.promotedHere).Msg("primary changed")
 	}
 	g.publish(now)
 	for _, a := range actions {
@@ -189,8 +189,8 @@
 // publish updates what callers see. The caller holds mu, except in New.
 func (g *Group) publish(now time.Time) {
 	v := g.machine.view(now, &g.samples)
-	g.setGate(now, &v)
-	if sameView(&g.published, &v) {
+	g.setAdmission(now, &v)
+	if sameForChanged(&g.published, &v) {
 		return
 	}
 	g.published = v
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -39,7 +39,7 @@
 	return servers
 }
 
-func watch(t *testing.T, servers []*target.Server, vm siskin.VMID, opts ...group.Option) *group.Group {
+func startGroup(t *testing.T, servers []*target.Server, vm siskin.VMID, opts ...group.Option) *group.Group {
 	t.Helper()
 	s := group.Settings{Service: "ledger", Self: vm, AckReplicas: (len(servers) - 1) / 2}
 	for _, srv := range servers {
@@ -79,7 +79,7 @@
 // floor sampled afterwards does not cover.
 func TestConfirmFloorAndStaleness(t *testing.T) {
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	check := func(key string) {
@@ -110,7 +110,7 @@
 // TestFailoverKeepsWrites guards against a killed primary that is not replaced.
 func TestFailoverKeepsWrites(t *testing.T) {
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "before"); err != nil {
--- a/pkg/group/link.go
+++ b/pkg/group/link.go
@@ -9,9 +9,9 @@
 	"siskintray.example/siskin"
 )
 
-// link is a control connection that is opened when it is needed and replaced
+// controlConn is a control connection that is opened when it is needed and replaced
 // after a failure. Calls on it are serialized.
-type link struct {
+type controlConn struct {
 	g      *Group
 	member Member
 	mu     sync.Mutex
@@ -23,24 +23,24 @@
 var errRefused = errors.New("connection refused")
 
 // call runs f on the connection within the time limit.
-func (l *link) call(limit time.Duration, f func(context.Context, siskin.Target) error) error {
+func (l *controlConn) call(limit time.Duration, f func(context.Context, siskin.Target) error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.callLocked(limit, f)
 }
 
 // tryCall is call, but fails when another call is in progress.
-func (l *link) tryCall(limit time.Duration, f func(context.Context, siskin.Target) error) error {
+func (l *controlConn) tryCall(limit time.Duration, f func(context.Context, siskin.Target) error) error {
 	if !l.mu.TryLock() {
-		return errBusyLink
+		return errCallInProgress
 	}
 	defer l.mu.Unlock()
 	return l.callLocked(limit, f)
 }
 
-var errBusyLink = errors.New("an earlier call has not been answered")
+var errCallInProgress = errors.New("an earlier call has not been answered")
 
-func (l *link) callLocked(limit time.Duration, f func(context.Context, siskin.Target) error) error {
+func (l *controlConn) callLocked(limit time.Duration, f func(context.Context, siskin.Target) error) error {
 	ctx, cancel := context.WithTimeout(l.g.ctx, limit)
 	defer cancel()
 	if l.target == nil {
@@ -55,20 +55,20 @@
 	}
 	err := f(ctx, l.target)
 	if err != nil && siskin.KindOf(err) == siskin.Unavailable {
-		l.dropLocked()
+		l.closeLocked()
 	}
 	return err
 }
 
-func (l *link) dropLocked() {
+func (l *controlConn) closeLocked() {
 	if l.target != nil {
 		_ = l.target.Close() // of no further use
 		l.target = nil
 	}
 }
 
-func (l *link) close() {
+func (l *controlConn) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.dropLocked()
+	l.closeLocked()
 }
--- a/pkg/group/look_test.go
+++ b/pkg/group/look_test.go
@@ -11,10 +11,10 @@
 	"siskintray.example/siskin/pkg/pgctl"
 )
 
-// TestLookBeforeClaim guards against a healthy primary that is replaced because
+// TestRecheckBeforeClaim guards against a healthy primary that is replaced because
 // its open connections went silent and the probe on a new one came too late, as
 // on a VM with more work than processors.
-func TestLookBeforeClaim(t *testing.T) {
+func TestRecheckBeforeClaim(t *testing.T) {
 	servers, err := target.StartGroup("ledger", 3, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -41,7 +41,7 @@
 		return st.ClaimedTerm
 	}
 	before := claimed()
-	c := action{kind: actClaim, target: servers[1].ID(), attempt: 1, term: before + 1, silent: g.View().Primary}
+	c := action{kind: actClaim, target: servers[1].ID(), attempt: 1, term: before + 1, unresponsive: g.View().Primary}
 	g.peers[1].claim(c)
 	if got := claimed(); got != before {
 		t.Errorf("claimed term of a replica while the primary answers: got %d, want %d", got, before)
@@ -52,7 +52,7 @@
 		t.Errorf("claimed term while only the primary's open connections are silent: got %d, want %d", got, before)
 	}
 	servers[0].Close()
-	c.silent = servers[0].ID()
+	c.unresponsive = servers[0].ID()
 	g.peers[1].claim(c)
 	if got := claimed(); got < c.term {
 		t.Errorf("claimed term after the end of the primary: got %d, want at least %d", got, c.term)
--- a/pkg/group/machine.go
+++ b/pkg/group/machine.go
@@ -23,11 +23,11 @@
 	targets []*targetState
 	rank    int // place of this VM among the VMs that watch the group
 
-	term    siskin.Term     // term of the newest primary known
-	primary siskin.TargetID // empty while none is known
-	adopted time.Time       // when it became known
-	own     bool            // this VM promoted it
-	changed time.Time       // when one primary last replaced another
+	term         siskin.Term     // term of the newest primary known
+	primary      siskin.TargetID // empty while none is known
+	adoptedAt    time.Time       // when it became known
+	promotedHere bool            // this VM promoted it
+	changedAt    time.Time       // when one primary last replaced another
 
 	// pendingSince is the arrival of the oldest unconfirmed write, set by the
 	// caller of step; zero when there is none.
@@ -36,15 +36,15 @@
 	attempt  *attempt
 	attempts int // number of the last attempt
 	failures int // attempts that failed since the last success
-	// started is the time of the first step, from which targets that never
+	// startedAt is the time of the first step, from which targets that never
 	// answered are suspected.
-	started  time.Time
-	electAt  time.Time // when to act on electFor; zero when there is no cause
-	electFor cause
-	since    [causeCount]time.Time
-	probed   time.Time // last probes ordered during a suspicion
-	maxClaim siskin.Term
-	maxLog   siskin.Position
+	startedAt       time.Time
+	attemptAt       time.Time // when to act on electFor; zero when there is no cause
+	attemptCause    cause
+	since           [causeCount]time.Time
+	suspectProbedAt time.Time // last probes ordered during a suspicion
+	maxClaim        siskin.Term
+	maxLog          siskin.Position
 
 	// quorumOverride replaces the number of claims needed, for tests of wrong
 	// rules; zero in use.
@@ -52,10 +52,10 @@
 	// compareLogs orders logs; tests of wrong rules replace it.
 	compareLogs func(a, b siskin.Position) int
 
-	// held says that this VM resumes from a pause and takes no decisions, and
+	// resuming says that this VM resumes from a pause and takes no decisions, and
 	// resumed is the end of its last pause.
-	held    bool
-	resumed time.Time
+	resuming  bool
+	resumedAt time.Time
 
 	// passive says that this VM does not probe all the time, so that it neither
 	// takes decisions nor holds a target for unreachable by the time since its
@@ -76,33 +76,33 @@
 // step handles one event and returns the actions to run. The slice is valid
 // until the next call.
 func (m *machine) step(now time.Time, e event) []action {
-	if m.started.IsZero() {
-		m.started = now
+	if m.startedAt.IsZero() {
+		m.startedAt = now
 	}
 	m.actions = m.actions[:0]
-	if e.known && e.asked.Before(m.resumed) {
+	if e.hasStatus && e.askedAt.Before(m.resumedAt) {
 		return m.actions // an answer from before the pause
 	}
 	m.record(now, e)
-	if m.held {
+	if m.resuming {
 		if e.kind == evChange {
-			m.do(action{kind: actDone, request: e.request, err: errPaused(m.Service)})
+			m.emit(action{kind: actDone, request: e.request, err: errPaused(m.Service)})
 		}
 		return m.actions
 	}
 	switch e.kind {
 	case evClaimed:
-		m.claimed(now, e)
+		m.handleClaimAnswer(now, e)
 	case evPromoted:
-		m.promoted(now, e)
+		m.handlePromoteAnswer(now, e)
 	case evDrained:
-		m.drained(now, e)
-	case evReached:
-		m.reached(now, e)
+		m.handleDrainAnswer(now, e)
+	case evCaughtUp:
+		m.handleCatchUpAnswer(now, e)
 	case evChange:
-		m.change(now, e)
-	case evSuspect, evLook:
-		m.do(action{kind: actProbe, target: e.target})
+		m.handleChangeRequest(now, e)
+	case evFailureReported, evRemotePrimary:
+		m.emit(action{kind: actProbe, target: e.target})
 	}
 	if !m.passive {
 		m.evaluate(now)
@@ -111,7 +111,7 @@
 	return m.actions
 }
 
-func (m *machine) do(a action) { m.actions = append(m.actions, a) }
+func (m *machine) emit(a action) { m.actions = append(m.actions, a) }
 
 func (m *machine) target(id siskin.TargetID) *targetState {
 	for _, t := range m.targets {
@@ -128,7 +128,7 @@
 	if t == nil {
 		return
 	}
-	if e.known {
+	if e.hasStatus {
 		m.observe(now, t, e.status)
 		return
 	}
@@ -138,7 +138,7 @@
 }
 
 func (m *machine) observe(now time.Time, t *targetState, st siskin.TargetStatus) {
-	t.known, t.answered, t.refused, t.lostAt = true, now, false, time.Time{}
+	t.hasStatus, t.answeredAt, t.refused, t.unreachableSince = true, now, false, time.Time{}
 	// Answers of different connections may arrive out of order. Claims only
 	// grow, and streams with them but for a demoted primary's, which is 0 until
 	// its stream begins. So an answer with a smaller one is older.
@@ -150,10 +150,10 @@
 	if st.ClaimedTerm > m.maxClaim {
 		m.maxClaim = st.ClaimedTerm
 		isRival := st.ClaimedTerm > m.term && st.ClaimedBy != m.Self
-		if m.attempt == nil && isRival && m.rank > 0 && !m.electAt.IsZero() {
+		if m.attempt == nil && isRival && m.rank > 0 && !m.attemptAt.IsZero() {
 			// Another VM is at work; it gets the time of one attempt. The first
 			// in rank does not wait, so that two VMs do not both stand back.
-			m.electAt = now.Add(m.suspectAfter() + m.jitter(m.Interval))
+			m.attemptAt = now.Add(m.suspectTimeout() + m.jitter(m.Interval))
 		}
 	}
 	if st.Role == siskin.RolePrimary && st.StreamTerm > m.term {
@@ -164,21 +164,21 @@
 // adopt takes target as the primary of term.
 func (m *machine) adopt(now time.Time, target siskin.TargetID, term siskin.Term) {
 	termsGrow.Check(term > m.term, "group %s: term %d after %d", m.Service, term, m.term)
-	m.own = m.attempt != nil && m.attempt.term == term
+	m.promotedHere = m.attempt != nil && m.attempt.term == term
 	if m.primary != "" && m.primary != target {
-		m.changed = now
+		m.changedAt = now
 	}
-	m.term, m.primary, m.adopted = term, target, now
-	m.electAt, m.failures = time.Time{}, 0
+	m.term, m.primary, m.adoptedAt = term, target, now
+	m.attemptAt, m.failures = time.Time{}, 0
 	clear(m.since[:])
 	for _, t := range m.targets {
-		t.followed = time.Time{}
+		t.followOrderedAt = time.Time{}
 	}
 	if a := m.attempt; a != nil {
-		if m.own {
+		if m.promotedHere {
 			m.finish(nil)
 		} else if a.term <= term {
-			m.fail(now, errRival(term))
+			m.fail(now, errOtherVM(term))
 		}
 	}
 }
@@ -190,9 +190,9 @@
 // isReachable reports whether a target answered in time.
 func (m *machine) isReachable(now time.Time, t *targetState) bool {
 	if m.passive {
-		return t != nil && t.known && !t.refused
+		return t != nil && t.hasStatus && !t.refused
 	}
-	return t != nil && t.reachable(now, m.suspectAfter())
+	return t != nil && t.reachable(now, m.suspectTimeout())
 }
 
 func (m *machine) reachableCount(now time.Time) int {
--- a/pkg/group/options.go
+++ b/pkg/group/options.go
@@ -36,8 +36,8 @@
 // WithStatementActivity sets the function that reports since when the longest wait of a
 // statement of this VM for a target lasts, zero when none waits, and when the
 // target last answered any. The default knows of no statements.
-func WithStatementActivity(heard func(siskin.TargetID) (quiet, last time.Time)) Option {
-	return func(g *Group) { g.heard = heard }
+func WithStatementActivity(statementActivity func(siskin.TargetID) (quiet, last time.Time)) Option {
+	return func(g *Group) { g.statementActivity = statementActivity }
 }
 
 // WithSeed sets the seed of the random delays.
--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -12,8 +12,8 @@
 	"siskintray.example/siskin/pkg/group"
 )
 
-// statements returns how many statements all targets have run.
-func statements(servers []*target.Server) (n int) {
+// countStatements returns how many countStatements all targets have run.
+func countStatements(servers []*target.Server) (n int) {
 	for _, s := range servers {
 		n += s.Stats().Statements
 	}
@@ -40,27 +40,27 @@
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	begun := time.Now()
-	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(siskin.TargetID) (quiet, last time.Time) {
+	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(siskin.TargetID) (quiet, last time.Time) {
 		if waiting.Load() {
 			return begun, time.Now() // other connections are heard
 		}
 		return time.Time{}, time.Now()
 	}))
-	watcher := watch(t, servers, "vm-0")
+	watcher := startGroup(t, servers, "vm-0")
 	awaitPassive(t, g)
 	if err := watcher.Close(); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(time.Second)
-	before := statements(servers)
+	before := countStatements(servers)
 	time.Sleep(2 * time.Second)
-	if got := statements(servers) - before; got > 0 {
+	if got := countStatements(servers) - before; got > 0 {
 		t.Errorf("statements in 2 s without anything wrong: got %d, want 0", got)
 	}
 	waiting.Store(true)
-	before = statements(servers)
+	before = countStatements(servers)
 	time.Sleep(2 * time.Second)
-	if got := statements(servers) - before; got < 10 {
+	if got := countStatements(servers) - before; got < 10 {
 		t.Errorf("statements in 2 s with requests that get no answer: got %d, want at least 10", got)
 	}
 	waiting.Store(false)
@@ -100,7 +100,7 @@
 			servers := startTargets(t, 3, nil)
 			var groups []*group.Group
 			for i := range 2 {
-				groups = append(groups, watch(t, servers, siskin.VMID(fmt.Sprint("vm-", i)), group.WithWatcher(notWatcher), group.WithRank(func() int { return 2 + i })))
+				groups = append(groups, startGroup(t, servers, siskin.VMID(fmt.Sprint("vm-", i)), group.WithWatcher(notWatcher), group.WithRank(func() int { return 2 + i })))
 			}
 			for _, g := range groups {
 				awaitPassive(t, g)
@@ -140,7 +140,7 @@
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	var last atomic.Int64
-	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(id siskin.TargetID) (quiet, heard time.Time) {
+	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(id siskin.TargetID) (quiet, heard time.Time) {
 		if waiting.Load() && id == servers[2].ID() {
 			return time.Unix(0, last.Load()), time.Unix(0, last.Load())
 		}
--- a/pkg/group/peer.go
+++ b/pkg/group/peer.go
@@ -13,28 +13,28 @@
 // peer holds the connections to one target. Each purpose has its own, so that a
 // long poll delays no other call.
 type peer struct {
-	g      *Group
-	index  int
-	member Member
-	watchL *link // probes
-	waitL  *link // waits for confirmations
-	floorL *link // floor samples
-	queryL *link // immediate probes, drains and follow orders
-
-	probing atomic.Int32 // one of the probe states
-	told    atomic.Int64 // time of the last status that came with a confirmation
-
-	claimMu sync.Mutex
-	claimT  siskin.Target // connection of the last claim
+	g             *Group
+	index         int
+	member        Member
+	probeConn     *controlConn // probes
+	confirmConn   *controlConn // waits for confirmations
+	floorConn     *controlConn // floor samples
+	immediateConn *controlConn // immediate probes, drains and follow orders
+
+	probeState         atomic.Int32 // one of the probe states
+	confirmStatusNanos atomic.Int64 // time of the last status that came with a confirmation
+
+	claimMu     sync.Mutex
+	claimTarget siskin.Target // connection of the last claim
 }
 
 func newPeer(g *Group, i int, m Member) *peer {
-	l := func() *link { return &link{g: g, member: m} }
-	return &peer{g: g, index: i, member: m, watchL: l(), waitL: l(), floorL: l(), queryL: l()}
+	l := func() *controlConn { return &controlConn{g: g, member: m} }
+	return &peer{g: g, index: i, member: m, probeConn: l(), confirmConn: l(), floorConn: l(), immediateConn: l()}
 }
 
 func (p *peer) close() {
-	for _, l := range []*link{p.watchL, p.waitL, p.floorL, p.queryL} {
+	for _, l := range []*controlConn{p.probeConn, p.confirmConn, p.floorConn, p.immediateConn} {
 		l.close()
 	}
 	p.setClaim(nil)
@@ -44,25 +44,25 @@
 func (p *peer) setClaim(t siskin.Target) {
 	p.claimMu.Lock()
 	defer p.claimMu.Unlock()
-	if p.claimT != nil {
-		_ = p.claimT.Close() // of no further use
+	if p.claimTarget != nil {
+		_ = p.claimTarget.Close() // of no further use
 	}
-	p.claimT = t
+	p.claimTarget = t
 }
 
-// watch probes the target once per interval. A replica is asked to answer
+// probeLoop probes the target once per interval. A replica is asked to answer
 // early when it joins a later term, so that a new primary is known at once.
-func (p *peer) watch() {
+func (p *peer) probeLoop() {
 	for p.g.ctx.Err() == nil {
 		interval := p.g.settings.Interval
-		if wait, activated := p.spared(); wait > 0 {
-			p.sleepUntil(wait, activated)
+		if wait, activated := p.probeDelay(); wait > 0 {
+			p.sleepOrSignal(wait, activated)
 			continue
 		}
 		asked := p.g.clock.Now()
 		var st siskin.TargetStatus
 		next, isReplica := p.nextTerm()
-		err := p.watchL.call(2*interval, func(ctx context.Context, t siskin.Target) (err error) {
+		err := p.probeConn.call(2*interval, func(ctx context.Context, t siskin.Target) (err error) {
 			if isReplica {
 				st, err = t.Wait(ctx, siskin.Position{Term: next}, interval)
 				return err
@@ -92,21 +92,21 @@
 	p.g.mu.RLock()
 	defer p.g.mu.RUnlock()
 	t := p.g.machine.targets[p.index]
-	isReplica := t.known && !t.refused && t.status.Role == siskin.RoleReplica
+	isReplica := t.hasStatus && !t.refused && t.status.Role == siskin.RoleReplica
 	return max(p.g.machine.term, t.status.StreamTerm) + 1, isReplica
 }
 
 // report posts the result of a probe.
-func (p *peer) report(kind eventKind, asked time.Time, st siskin.TargetStatus, err error) {
-	e := event{kind: kind, target: p.member.ID, status: st, asked: asked, known: err == nil}
+func (p *peer) report(kind eventKind, askedAt time.Time, st siskin.TargetStatus, err error) {
+	e := event{kind: kind, target: p.member.ID, status: st, askedAt: askedAt, hasStatus: err == nil}
 	switch {
 	case err == nil:
 	case errors.Is(err, errRefused):
 		e.kind = evRefused
 	default:
 		e.kind = evFailed
-		if quiet, last := p.g.heard(p.member.ID); !quiet.IsZero() {
-			e.heard = last
+		if quiet, last := p.g.statementActivity(p.member.ID); !quiet.IsZero() {
+			e.lastStatementAnswer = last
 		}
 	}
 	p.g.post(e)
@@ -126,32 +126,32 @@
 // starts after it, since the running one may show an earlier state.
 const (
 	probeIdle int32 = iota
-	probeRuns
-	probeRunsAgain
+	probeRunning
+	probeRepeat
 )
 
 // beginProbe reports whether the caller must run probe.
 func (p *peer) beginProbe() bool {
 	for {
-		switch state := p.probing.Load(); {
-		case state == probeIdle && p.probing.CompareAndSwap(probeIdle, probeRuns):
+		switch state := p.probeState.Load(); {
+		case state == probeIdle && p.probeState.CompareAndSwap(probeIdle, probeRunning):
 			return true
-		case state == probeRuns && p.probing.CompareAndSwap(probeRuns, probeRunsAgain):
+		case state == probeRunning && p.probeState.CompareAndSwap(probeRunning, probeRepeat):
 			return false
-		case state == probeRunsAgain:
+		case state == probeRepeat:
 			return false
 		}
 	}
 }
 
-// probe asks for the status at once.
-func (p *peer) probe() {
+// probeNow asks for the status at once.
+func (p *peer) probeNow() {
 	for {
 		p.probeOnce()
-		if p.probing.CompareAndSwap(probeRuns, probeIdle) || p.g.ctx.Err() != nil {
+		if p.probeState.CompareAndSwap(probeRunning, probeIdle) || p.g.ctx.Err() != nil {
 			return
 		}
-		p.probing.Store(probeRuns)
+		p.probeState.Store(probeRunning)
 	}
 }
 
@@ -162,29 +162,29 @@
 		st, err = t.Status(ctx)
 		return err
 	}
-	err := p.queryL.call(p.g.settings.Interval, status)
+	err := p.immediateConn.call(p.g.settings.Interval, status)
 	if err != nil && !errors.Is(err, errRefused) {
 		// The connection may be broken or silent for good; a new one tells.
-		err = p.queryL.call(p.g.settings.Interval, status)
+		err = p.immediateConn.call(p.g.settings.Interval, status)
 	}
 	p.report(evStatus, asked, st, err)
 }
 
-// confirm waits for the positions that commits need from this target.
-func (p *peer) confirm() {
+// confirmLoop waits for the positions that commits need from this target.
+func (p *peer) confirmLoop() {
 	g := p.g
 	for g.ctx.Err() == nil {
-		pos, ok := g.tracker.want(p.index)
+		pos, ok := g.tracker.lowestAwaited(p.index)
 		if !ok || p.isPrimary() {
 			select {
-			case <-g.tracker.wake[p.index]:
+			case <-g.tracker.notify[p.index]:
 			case <-g.ctx.Done():
 			}
 			continue
 		}
 		var st siskin.TargetStatus
 		asked := g.clock.Now()
-		err := p.waitL.call(2*g.settings.Interval, func(ctx context.Context, t siskin.Target) (err error) {
+		err := p.confirmConn.call(2*g.settings.Interval, func(ctx context.Context, t siskin.Target) (err error) {
 			st, err = t.Wait(ctx, pos, g.settings.Interval)
 			return err
 		})
@@ -195,11 +195,11 @@
 		case err != nil || st.StreamTerm != pos.Term || st.Received < pos.LSN:
 			p.report(evStatus, asked, st, err)
 			p.sleep(g.settings.Interval / 10)
-		case asked.Sub(p.toldAt()) >= g.settings.Interval/2:
-			p.told.Store(asked.UnixNano())
+		case asked.Sub(p.confirmStatusAt()) >= g.settings.Interval/2:
+			p.confirmStatusNanos.Store(asked.UnixNano())
 			p.report(evStatus, asked, st, nil)
 		}
 	}
 }
 
-func (p *peer) isPrimary() bool { return p.g.gate.Load().primary == p.member.ID }
+func (p *peer) isPrimary() bool { return p.g.admission.Load().primary == p.member.ID }
--- a/pkg/group/planned_test.go
+++ b/pkg/group/planned_test.go
@@ -38,7 +38,7 @@
 			if len(w.failed) > 0 {
 				t.Errorf("got failed requests %v, want none", w.failed)
 			}
-			if missing := w.lost(groups[0]); len(missing) > 0 {
+			if missing := w.lostWrites(groups[0]); len(missing) > 0 {
 				t.Errorf("lost %v", missing)
 			}
 			t.Logf("%d writes, hold of the ordered change %v, of the leaving primary %v", len(w.acked), gap.Round(time.Millisecond), w.gap(start.Add(time.Second)).Round(time.Millisecond))
@@ -51,7 +51,7 @@
 func TestTooFewTargets(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "a"); err != nil {
@@ -78,7 +78,7 @@
 func TestOldPrimaryRejoins(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "kept"); err != nil {
@@ -109,7 +109,7 @@
 func TestLaggingReplicasRefuseWrites(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "a"); err != nil {
@@ -135,7 +135,7 @@
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "a"); err != nil {
--- a/pkg/group/random_test.go
+++ b/pkg/group/random_test.go
@@ -39,20 +39,20 @@
 			if testing.Short() {
 				n = min(n, 1)
 			}
-			acked, changes := 0, 0
+			acked, promotions := 0, 0
 			seeds := slices.Clone(knownSeeds)
 			for i := range uint64(n) {
 				seeds = append(seeds, *firstSeed+i)
 			}
 			for _, seed := range seeds {
 				s := newSim(seed, size.targets, size.vms, rules{})
-				if err := s.faults(40 * time.Second); err != nil {
+				if err := s.runWithFaults(40 * time.Second); err != nil {
 					t.Fatalf("seed %d: %v", seed, err)
 				}
 				acked += len(s.acked)
-				changes += s.changes
+				promotions += s.promotions
 			}
-			t.Logf("seeds %v and %d to %d: %d acknowledged writes, %d promotions, none lost", knownSeeds, *firstSeed, *firstSeed+uint64(n)-1, acked, changes)
+			t.Logf("seeds %v and %d to %d: %d acknowledged writes, %d promotions, none lost", knownSeeds, *firstSeed, *firstSeed+uint64(n)-1, acked, promotions)
 		})
 	}
 }
@@ -60,18 +60,18 @@
 // TestSoakSimulated repeats the simulated run of each size with growing seeds,
 // against the failures that TestRandomFaultsLoseNoWrite names.
 func TestSoakSimulated(t *testing.T) {
-	acked, changes := 0, 0
+	acked, promotions := 0, 0
 	soak.Each(t, func(t *testing.T, seed uint64) {
 		for _, size := range sizes {
 			s := newSim(seed, size.targets, size.vms, rules{})
-			if err := s.faults(40 * time.Second); err != nil {
+			if err := s.runWithFaults(40 * time.Second); err != nil {
 				t.Fatalf("%d targets, seed %d: %v", size.targets, seed, err)
 			}
 			acked += len(s.acked)
-			changes += s.changes
+			promotions += s.promotions
 		}
 	})
-	t.Logf("%d acknowledged writes, %d promotions", acked, changes)
+	t.Logf("%d acknowledged writes, %d promotions", acked, promotions)
 }
 
 // TestWrongRulesAreCaught guards against a run that would not notice a lost
@@ -84,11 +84,11 @@
 		targets int
 		seed    uint64 // a seed that is caught; later ones are tried too
 	}{
-		{"ComparePositionsAlone", rules{byPosition: true}, 3, 1},
+		{"ComparePositionsAlone", rules{comparePositionOnly: true}, 3, 1},
 		{"RewindBehindDivergence", rules{store: store.Rules{RewindToStart: true}}, 3, 0},
-		{"OneClaimTooFew", rules{tooFew: true}, 3, 0},
-		{"OneClaimTooFewOfFive", rules{tooFew: true}, 5, 18},
-		{"ConfirmByOtherStreams", rules{anyStream: true}, 3, 1},
+		{"OneClaimTooFew", rules{tooFewClaims: true}, 3, 0},
+		{"OneClaimTooFewOfFive", rules{tooFewClaims: true}, 5, 18},
+		{"ConfirmByOtherStreams", rules{confirmAnyStream: true}, 3, 1},
 		{"DemotedPrimaryConfirms", rules{store: store.Rules{KeepStreamTerm: true}}, 3, 29},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -99,7 +99,7 @@
 			}
 			var first error
 			for seed := c.seed; seed < c.seed+uint64(n); seed++ {
-				err := newSim(seed, c.targets, 3, c.rules).faults(40 * time.Second)
+				err := newSim(seed, c.targets, 3, c.rules).runWithFaults(40 * time.Second)
 				if err == nil {
 					continue
 				}
@@ -127,7 +127,7 @@
 		targets := rapid.SampledFrom([]int{3, 4, 5, 7}).Draw(t, "targets")
 		vms := rapid.IntRange(1, 4).Draw(t, "vms")
 		seed := rapid.Uint64().Draw(t, "seed")
-		if err := newSim(seed, targets, vms, rules{}).faults(10 * time.Second); err != nil {
+		if err := newSim(seed, targets, vms, rules{}).runWithFaults(10 * time.Second); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/pkg/group/rejoin.go
+++ b/pkg/group/rejoin.go
@@ -12,24 +12,24 @@
 		return
 	}
 	grace := 2 * m.Interval
-	if m.own {
+	if m.promotedHere {
 		grace = 0
 	}
-	if now.Sub(m.adopted) < grace {
+	if now.Sub(m.adoptedAt) < grace {
 		return
 	}
 	p := m.target(m.primary)
 	for _, t := range m.targets {
-		if t != p && m.isReachable(now, t) && m.astray(t) && now.Sub(t.followed) >= 2*m.Interval {
-			t.followed = now
-			m.do(action{kind: actFollow, target: t.ID, primary: p.ID, address: p.Address, term: m.term})
+		if t != p && m.isReachable(now, t) && m.needsFollow(t) && now.Sub(t.followOrderedAt) >= 2*m.Interval {
+			t.followOrderedAt = now
+			m.emit(action{kind: actFollow, target: t.ID, primary: p.ID, address: p.Address, term: m.term})
 		}
 	}
 }
 
-// astray reports whether the target is not in the stream of the primary's term
+// needsFollow reports whether the target is not in the stream of the primary's term
 // and may join it.
-func (m *machine) astray(t *targetState) bool {
+func (m *machine) needsFollow(t *targetState) bool {
 	st := t.status
 	if st.ClaimedTerm > m.term {
 		return false // it would refuse
--- a/pkg/group/resume.go
+++ b/pkg/group/resume.go
@@ -12,7 +12,7 @@
 	// Staleness is measured on the monotonic clock, which stands still while a
 	// VM is suspended, so that older samples would make data look fresh.
 	g.samples = samples{}
-	g.activeUntil = now.Add(activeFor)
+	g.activeUntil = now.Add(activePeriod)
 	g.setPassive(now, event{kind: evTick})
 	actions := g.machine.resume(now)
 	g.publish(now)
@@ -28,12 +28,12 @@
 	if m.attempt != nil {
 		m.fail(now, errPaused(m.Service))
 	}
-	m.resumed, m.started = now, now
-	m.electAt, m.probed = time.Time{}, time.Time{}
+	m.resumedAt, m.startedAt = now, now
+	m.attemptAt, m.suspectProbedAt = time.Time{}, time.Time{}
 	clear(m.since[:])
 	for _, t := range m.targets {
-		t.answered = time.Time{}
-		m.do(action{kind: actProbe, target: t.ID})
+		t.answeredAt = time.Time{}
+		m.emit(action{kind: actProbe, target: t.ID})
 	}
 	return m.actions
 }
--- a/pkg/group/resume_test.go
+++ b/pkg/group/resume_test.go
@@ -16,7 +16,7 @@
 	servers := startTargets(t, 3, nil)
 	var awake atomic.Bool
 	awake.Store(true)
-	g := watch(t, servers, "vm-1", group.WithAwake(awake.Load))
+	g := startGroup(t, servers, "vm-1", group.WithAwake(awake.Load))
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "before"); err != nil {
--- a/pkg/group/script_test.go
+++ b/pkg/group/script_test.go
@@ -15,9 +15,9 @@
 
 // script runs the machine of one VM by the lines of a file.
 type script struct {
-	m    *machine
-	now  time.Time
-	last int // number of the last attempt seen
+	m           *machine
+	now         time.Time
+	lastAttempt int // number of the last attempt seen
 }
 
 // TestScripts guards against decisions that differ from those in testdata. A
@@ -41,7 +41,7 @@
 
 func runScript(t *testing.T, text string) {
 	set := Settings{Service: "ledger", Self: "vm-1", AckReplicas: 1, Members: []Member{{ID: "t/1"}, {ID: "t/2"}, {ID: "t/3"}}}
-	set, err := set.prepared()
+	set, err := set.withDefaults()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,12 +85,12 @@
 		s.now = s.now.Add(d)
 		return s.format(s.m.step(s.now, event{kind: evTick}))
 	}
-	kinds := map[string]eventKind{"status": evStatus, "refused": evRefused, "failed": evFailed, "claimed": evClaimed, "promoted": evPromoted, "drained": evDrained, "reached": evReached, "change": evChange}
+	kinds := map[string]eventKind{"status": evStatus, "refused": evRefused, "failed": evFailed, "claimed": evClaimed, "promoted": evPromoted, "drained": evDrained, "reached": evCaughtUp, "change": evChange}
 	kind, ok := kinds[f[0]]
 	if !ok {
 		t.Fatalf("unknown command %q", f[0])
 	}
-	e := event{kind: kind, target: siskin.TargetID(f[1]), attempt: s.last}
+	e := event{kind: kind, target: siskin.TargetID(f[1]), attempt: s.lastAttempt}
 	e.status.ID = e.target
 	for _, arg := range f[2:] {
 		key, value, _ := strings.Cut(arg, "=")
@@ -108,7 +108,7 @@
 		case "leaving":
 			e.status.Leaving = true
 		case "term":
-			e.known, e.status.StreamTerm, e.status.LastTerm = true, siskin.Term(n), siskin.Term(n)
+			e.hasStatus, e.status.StreamTerm, e.status.LastTerm = true, siskin.Term(n), siskin.Term(n)
 			e.status.ClaimedTerm = max(e.status.ClaimedTerm, siskin.Term(n))
 		case "last":
 			e.status.LastTerm = siskin.Term(n)
@@ -125,14 +125,14 @@
 		}
 	}
 	if kind == evChange {
-		e.wanted, e.target = e.target, ""
+		e.preferred, e.target = e.target, ""
 	}
 	return s.format(s.m.step(s.now, e))
 }
 
 func (s *script) format(actions []action) (lines []string) {
 	for _, a := range actions {
-		s.last = max(s.last, a.attempt)
+		s.lastAttempt = max(s.lastAttempt, a.attempt)
 		switch a.kind {
 		case actClaim:
 			lines = append(lines, fmt.Sprintf("claim %s %d", a.target, a.term))
@@ -142,7 +142,7 @@
 			lines = append(lines, fmt.Sprintf("follow %s %s %d", a.target, a.primary, a.term))
 		case actDrain:
 			lines = append(lines, fmt.Sprintf("drain %s %v", a.target, a.hold))
-		case actReach:
+		case actCatchUp:
 			lines = append(lines, fmt.Sprintf("reach %s %d", a.target, a.pos.LSN))
 		case actDone:
 			lines = append(lines, fmt.Sprintf("done %v", a.err == nil))
--- a/pkg/group/settings.go
+++ b/pkg/group/settings.go
@@ -38,11 +38,11 @@
 const (
 	DefaultInterval       = 200 * time.Millisecond
 	DefaultMaxUnconfirmed = 2 * time.Second
-	DefaultMaxAdmitWait        = 5 * time.Second
+	DefaultMaxAdmitWait   = 5 * time.Second
 )
 
-// prepared returns the settings with defaults and members ordered by id.
-func (s Settings) prepared() (Settings, error) {
+// withDefaults returns the settings with defaults and members ordered by id.
+func (s Settings) withDefaults() (Settings, error) {
 	n, k := len(s.Members), s.AckReplicas
 	// With 2k < n any two sets of n-k targets overlap, so that one VM at most
 	// wins a term. With k < 1 a write could be acknowledged on one target only.
@@ -75,18 +75,18 @@
 // read floor is sampled from.
 func (s *Settings) quorum() int { return len(s.Members) - s.AckReplicas }
 
-// suspectAfter is the silence after which a target is suspected.
-func (s *Settings) suspectAfter() time.Duration { return 3 * s.Interval }
+// suspectTimeout is the silence after which a target is suspected.
+func (s *Settings) suspectTimeout() time.Duration { return 3 * s.Interval }
 
-// cutOffAfter is the time after which a condition is acted on that may concern
+// longDebounce is the time after which a condition is acted on that may concern
 // this VM alone or that costs no confirmation yet. Like the other limits below,
 // it stops growing with the interval, so that a change of primary stays within
 // 7 s at the longest interval, 1 s.
-func (s *Settings) cutOffAfter() time.Duration { return min(10*s.Interval, 3*time.Second) }
+func (s *Settings) longDebounce() time.Duration { return min(10*s.Interval, 3*time.Second) }
 
-// silence is the time without a message of the primary after which a replica
+// heartbeatTimeout is the time without a message of the primary after which a replica
 // does not hear it. Targets send one at least every 50 ms.
-func (s *Settings) silence() time.Duration { return min(s.Interval, 200*time.Millisecond) }
+func (s *Settings) heartbeatTimeout() time.Duration { return min(s.Interval, 200*time.Millisecond) }
 
 // callTimeout bounds each call of a target.
 func (s *Settings) callTimeout() time.Duration { return 3 * s.Interval }
--- a/pkg/group/sim_test.go
+++ b/pkg/group/sim_test.go
@@ -13,53 +13,53 @@
 	"siskintray.example/siskin/internal/stand/store"
 )
 
-var errLost = errors.New("no answer")
+var errNoAnswer = errors.New("no answer")
 
 // rules are the variants that a run may break on purpose.
 type rules struct {
-	store      store.Rules
-	tooFew     bool // one claim too few
-	byPosition bool // logs compared by position alone
-	anyStream  bool // positions of other streams confirm
+	store               store.Rules
+	tooFewClaims        bool // one claim too few
+	comparePositionOnly bool // logs compared by position alone
+	confirmAnyStream    bool // positions of other streams confirm
 }
 
 // sim drives the machines and trackers of some VMs against stores, with its own
 // clock, through partitions, pauses, restarts and lost or late messages.
 type sim struct {
-	rng    *rand.Rand
-	now    time.Time
-	queue  taskQueue
-	stores []*store.Store
-	ids    []siskin.TargetID
-	k      int
-	rules  rules
-	vms    []*simVM
-	cut    map[[2]int]bool // pairs of places; VMs come after the targets
-	paused map[int]time.Time
-	loss   float64
-
-	session  uint64
-	acked    map[string]siskin.Position
-	promoted map[siskin.Term]int
-	failure  error
-	changes  int
+	rng         *rand.Rand
+	now         time.Time
+	queue       taskQueue
+	stores      []*store.Store
+	ids         []siskin.TargetID
+	ackReplicas int
+	rules       rules
+	vms         []*simVM
+	partitioned map[[2]int]bool // pairs of places; VMs come after the targets
+	pausedUntil map[int]time.Time
+	lossRate    float64
+
+	sequence   uint64
+	acked      map[string]siskin.Position
+	primaries  map[siskin.Term]int
+	failure    error
+	promotions int
 }
 
 func newSim(seed uint64, n, vms int, r rules) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), k: (n - 1) / 2, rules: r,
-		cut: make(map[[2]int]bool), paused: make(map[int]time.Time),
-		acked: make(map[string]siskin.Position), promoted: map[siskin.Term]int{1: 0},
+		rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), ackReplicas: (n - 1) / 2, rules: r,
+		partitioned: make(map[[2]int]bool), pausedUntil: make(map[int]time.Time),
+		acked: make(map[string]siskin.Position), primaries: map[siskin.Term]int{1: 0},
 	}
 	for i := range n {
 		id := siskin.TargetID(fmt.Sprintf("t/%d", i))
 		st := store.New(id, store.Leader{ID: "t/0", Term: 1})
 		st.SetRules(r.store)
 		s.ids, s.stores = append(s.ids, id), append(s.stores, st)
-		s.every(i, 4*time.Millisecond, 20*time.Millisecond, func() { s.pull(i) })
+		s.every(i, 4*time.Millisecond, 20*time.Millisecond, func() { s.replicate(i) })
 	}
 	for i := range vms {
-		v := &simVM{sim: s, place: n + i, id: siskin.VMID(fmt.Sprintf("vm-%d", i))}
+		v := &simVM{sim: s, node: n + i, id: siskin.VMID(fmt.Sprintf("vm-%d", i))}
 		s.vms = append(s.vms, v)
 		v.restart()
 		v.start()
@@ -86,44 +86,44 @@
 // delay is mostly short; some messages are late by more than a timeout.
 func (s *sim) delay() time.Duration {
 	if s.rng.Float64() < 0.02 {
-		return s.between(time.Millisecond, 2*time.Second)
+		return s.randomDuration(time.Millisecond, 2*time.Second)
 	}
-	return s.between(500*time.Microsecond, 4*time.Millisecond)
+	return s.randomDuration(500*time.Microsecond, 4*time.Millisecond)
 }
 
-func (s *sim) lost(a, b int) bool {
-	return s.cut[[2]int{min(a, b), max(a, b)}] || s.rng.Float64() < s.loss
+func (s *sim) dropsMessage(a, b int) bool {
+	return s.partitioned[[2]int{min(a, b), max(a, b)}] || s.rng.Float64() < s.lossRate
 }
 
 // call runs f at a target. The answer, or the call itself, may be lost or late.
 func (s *sim) call(v *simVM, target int, f func() (siskin.TargetStatus, error), done func(siskin.TargetStatus, error)) {
-	run, answered := v.run, false
+	incarnation, answered := v.incarnation, false
 	answer := func(st siskin.TargetStatus, err error) {
-		if !answered && v.run == run {
+		if !answered && v.incarnation == incarnation {
 			answered = true
 			done(st, err)
 		}
 	}
-	s.at(v.place, 600*time.Millisecond, func() { answer(siskin.TargetStatus{}, errLost) })
-	if s.lost(v.place, target) {
+	s.onNode(v.node, 600*time.Millisecond, func() { answer(siskin.TargetStatus{}, errNoAnswer) })
+	if s.dropsMessage(v.node, target) {
 		return
 	}
-	s.at(target, s.delay(), func() {
+	s.onNode(target, s.delay(), func() {
 		st, err := f()
-		if !s.lost(v.place, target) {
-			s.at(v.place, s.delay(), func() { answer(st, err) })
+		if !s.dropsMessage(v.node, target) {
+			s.onNode(v.node, s.delay(), func() { answer(st, err) })
 		}
 	})
 }
 
-// pull takes some records of the leader's log to a replica.
-func (s *sim) pull(i int) {
+// replicate takes some records of the leader's log to a replica.
+func (s *sim) replicate(i int) {
 	hello, ok := s.stores[i].Hello()
 	if !ok {
 		return
 	}
 	for j, id := range s.ids {
-		if id != hello.Leader.ID || s.lost(i, j) || s.paused[j].After(s.now) {
+		if id != hello.Leader.ID || s.dropsMessage(i, j) || s.pausedUntil[j].After(s.now) {
 			continue
 		}
 		from, err := s.stores[j].Serve(hello.Leader.Term, hello.Segments)
@@ -140,11 +140,11 @@
 // checkPromotion asserts that a term has one primary and that its log holds
 // every acknowledged write.
 func (s *sim) checkPromotion(term siskin.Term, target int) {
-	if other, ok := s.promoted[term]; ok && other != target {
+	if other, ok := s.primaries[term]; ok && other != target {
 		s.fail("term %d has primaries %d and %d", term, other, target)
 	}
-	s.promoted[term] = target
-	s.changes++
+	s.primaries[term] = target
+	s.promotions++
 	s.checkLog(term, target)
 }
 
@@ -167,71 +167,71 @@
 	}
 }
 
-// disturb makes one random fault.
-func (s *sim) disturb() {
-	places := len(s.ids) + len(s.vms)
-	a, b := s.rng.IntN(places), s.rng.IntN(places)
+// injectFault makes one random fault.
+func (s *sim) injectFault() {
+	nodes := len(s.ids) + len(s.vms)
+	a, b := s.rng.IntN(nodes), s.rng.IntN(nodes)
 	switch s.rng.IntN(16) {
 	case 0, 1, 2:
-		s.cut[[2]int{min(a, b), max(a, b)}] = true
+		s.partitioned[[2]int{min(a, b), max(a, b)}] = true
 	case 3: // cut one target or VM off from everything
-		for j := range places {
-			s.cut[[2]int{min(a, j), max(a, j)}] = true
+		for j := range nodes {
+			s.partitioned[[2]int{min(a, j), max(a, j)}] = true
 		}
 	case 4, 5:
-		s.paused[a] = s.now.Add(s.between(50*time.Millisecond, 5*time.Second))
+		s.pausedUntil[a] = s.now.Add(s.randomDuration(50*time.Millisecond, 5*time.Second))
 	case 6:
-		s.loss = s.rng.Float64() * 0.2
+		s.lossRate = s.rng.Float64() * 0.2
 	case 7:
 		s.vms[s.rng.IntN(len(s.vms))].restart()
 	case 8:
 		s.stores[s.rng.IntN(len(s.stores))].EndSessions()
 	case 9:
 		v := s.vms[s.rng.IntN(len(s.vms))]
-		v.step(event{kind: evChange, wanted: s.ids[s.rng.IntN(len(s.ids))]})
+		v.step(event{kind: evChange, preferred: s.ids[s.rng.IntN(len(s.ids))]})
 	case 10:
 		s.stores[s.rng.IntN(len(s.stores))].SetLeaving(s.rng.IntN(2) == 0)
 	case 11, 12: // split everything into two sides
 		side := s.rng.Uint64()
-		for i := range places {
+		for i := range nodes {
 			for j := range i {
 				if side>>i&1 != side>>j&1 {
-					s.cut[[2]int{j, i}] = true
+					s.partitioned[[2]int{j, i}] = true
 				}
 			}
 		}
 	case 13: // the newest primary stops while the others come back
-		s.heal()
-		_, primary := s.newest()
-		s.paused[primary] = s.now.Add(s.between(time.Second, 6*time.Second))
+		s.healNetwork()
+		_, primary := s.newestPrimary()
+		s.pausedUntil[primary] = s.now.Add(s.randomDuration(time.Second, 6*time.Second))
 	default:
-		s.heal()
+		s.healNetwork()
 	}
 }
 
-// newest returns the highest term with a primary, and that primary.
-func (s *sim) newest() (term siskin.Term, target int) {
-	for t := range s.promoted {
+// newestPrimary returns the highest term with a primary, and that primary.
+func (s *sim) newestPrimary() (term siskin.Term, target int) {
+	for t := range s.primaries {
 		term = max(term, t)
 	}
-	return term, s.promoted[term]
+	return term, s.primaries[term]
 }
 
-func (s *sim) heal() {
-	clear(s.cut)
-	s.loss = 0
+func (s *sim) healNetwork() {
+	clear(s.partitioned)
+	s.lossRate = 0
 }
 
-// faults runs the simulation with faults, then heals it and checks that every
+// runWithFaults runs the simulation with runWithFaults, then heals it and checks that every
 // acknowledged write is at the primary and that writes succeed again.
-func (s *sim) faults(d time.Duration) error {
+func (s *sim) runWithFaults(d time.Duration) error {
 	s.run(2 * time.Second)
 	for end := s.now.Add(d); s.now.Before(end) && s.failure == nil; {
-		s.disturb()
-		s.run(s.between(20*time.Millisecond, 1500*time.Millisecond))
+		s.injectFault()
+		s.run(s.randomDuration(20*time.Millisecond, 1500*time.Millisecond))
 	}
-	s.heal()
-	clear(s.paused)
+	s.healNetwork()
+	clear(s.pausedUntil)
 	for _, st := range s.stores {
 		st.SetLeaving(false)
 	}
@@ -241,7 +241,7 @@
 	if s.failure == nil && len(s.acked) == before {
 		s.fail("no write is acknowledged 15 s after the end of all faults")
 	}
-	term, primary := s.newest()
+	term, primary := s.newestPrimary()
 	s.checkLog(term+1, primary) // its own writes too
 	return s.failure
 }
--- a/pkg/group/simclock_test.go
+++ b/pkg/group/simclock_test.go
@@ -30,25 +30,25 @@
 }
 
 func (s *sim) after(d time.Duration, f func()) {
-	s.session++ // also numbers the tasks
-	heap.Push(&s.queue, task{s.now.Add(d), int(s.session), f})
+	s.sequence++ // also numbers the tasks
+	heap.Push(&s.queue, task{s.now.Add(d), int(s.sequence), f})
 }
 
-// at runs f at a place, after its pause.
-func (s *sim) at(place int, d time.Duration, f func()) {
+// onNode runs f onNode a place, after its pause.
+func (s *sim) onNode(node int, d time.Duration, f func()) {
 	s.after(d, func() {
-		if wait := s.paused[place].Sub(s.now); wait > 0 {
-			s.at(place, wait, f)
+		if wait := s.pausedUntil[node].Sub(s.now); wait > 0 {
+			s.onNode(node, wait, f)
 			return
 		}
 		f()
 	})
 }
 
-func (s *sim) between(low, high time.Duration) time.Duration {
+func (s *sim) randomDuration(low, high time.Duration) time.Duration {
 	return low + time.Duration(s.rng.Int64N(int64(high-low)))
 }
 
-func (s *sim) every(place int, low, high time.Duration, f func()) {
-	s.at(place, s.between(low, high), func() { f(); s.every(place, low, high, f) })
+func (s *sim) every(node int, low, high time.Duration, f func()) {
+	s.onNode(node, s.randomDuration(low, high), func() { f(); s.every(node, low, high, f) })
 }
--- a/pkg/group/simvm_test.go
+++ b/pkg/group/simvm_test.go
@@ -15,26 +15,26 @@
 
 // simVM is one VM: its machine, its tracker and a client that writes.
 type simVM struct {
-	sim      *sim
-	place    int
-	id       siskin.VMID
-	run      int
-	machine  *machine
-	tracker  *tracker
-	writes   int
-	pending  map[string]*waiter
-	sessions map[siskin.TargetID]uint64 // session of the last claim
+	sim         *sim
+	node        int
+	id          siskin.VMID
+	incarnation int
+	machine     *machine
+	tracker     *tracker
+	writes      int
+	pending     map[string]*waiter
+	sessions    map[siskin.TargetID]uint64 // session of the last claim
 }
 
 // restart forgets everything, as a VM without a disk does.
 func (v *simVM) restart() {
 	s := v.sim
-	v.run++
-	set := Settings{Service: "ledger", Self: v.id, AckReplicas: s.k}
+	v.incarnation++
+	set := Settings{Service: "ledger", Self: v.id, AckReplicas: s.ackReplicas}
 	for _, id := range s.ids {
 		set.Members = append(set.Members, Member{ID: id})
 	}
-	set, err := set.prepared()
+	set, err := set.withDefaults()
 	if err != nil {
 		panic(err)
 	}
@@ -43,22 +43,22 @@
 	v.pending = make(map[string]*waiter)
 	v.sessions = make(map[siskin.TargetID]uint64)
 	v.machine.rank = s.rng.IntN(len(s.ids)) % 2 // ranks clash at times
-	if s.rules.tooFew {
+	if s.rules.tooFewClaims {
 		v.machine.quorumOverride = set.quorum() - 1
 	}
-	if s.rules.byPosition {
+	if s.rules.comparePositionOnly {
 		v.machine.compareLogs = func(a, b siskin.Position) int { return cmp.Compare(a.LSN, b.LSN) }
 	}
-	v.tracker.anyTerm = s.rules.anyStream
+	v.tracker.countAnyTerm = s.rules.confirmAnyStream
 }
 
 func (v *simVM) start() {
 	s := v.sim
-	s.every(v.place, 15*time.Millisecond, 25*time.Millisecond, func() { v.step(event{kind: evTick}) })
-	s.every(v.place, 10*time.Millisecond, 60*time.Millisecond, v.write)
+	s.every(v.node, 15*time.Millisecond, 25*time.Millisecond, func() { v.step(event{kind: evTick}) })
+	s.every(v.node, 10*time.Millisecond, 60*time.Millisecond, v.write)
 	for i := range s.ids {
-		s.every(v.place, 190*time.Millisecond, 210*time.Millisecond, func() { v.probe(i) })
-		s.every(v.place, 20*time.Millisecond, 40*time.Millisecond, func() {
+		s.every(v.node, 190*time.Millisecond, 210*time.Millisecond, func() { v.probe(i) })
+		s.every(v.node, 20*time.Millisecond, 40*time.Millisecond, func() {
 			if len(v.pending) > 0 {
 				v.probe(i)
 			}
@@ -67,25 +67,25 @@
 }
 
 func (v *simVM) step(e event) {
-	if e.known {
+	if e.hasStatus {
 		v.tracker.observe(e.status)
-		v.settle()
+		v.collectResults()
 	}
-	v.machine.pendingSince = v.tracker.oldest()
+	v.machine.pendingSince = v.tracker.oldestArrival()
 	for _, a := range slices.Clone(v.machine.step(v.sim.now, e)) {
-		v.act(a)
+		v.execute(a)
 	}
 }
 
 func (v *simVM) probe(i int) {
 	st := v.sim.stores[i]
 	v.sim.call(v, i, func() (siskin.TargetStatus, error) { return st.Status(v.sim.now), nil }, func(r siskin.TargetStatus, err error) {
-		v.step(event{kind: evStatus, target: v.sim.ids[i], status: r, known: err == nil})
+		v.step(event{kind: evStatus, target: v.sim.ids[i], status: r, hasStatus: err == nil})
 	})
 }
 
-// act runs one action of the machine at the target's store.
-func (v *simVM) act(a action) {
+// execute runs one action of the machine at the target's store.
+func (v *simVM) execute(a action) {
 	s := v.sim
 	i := slices.Index(s.ids, a.target)
 	if i < 0 {
@@ -96,7 +96,7 @@
 		return func(r siskin.TargetStatus, err error) {
 			v.step(event{
 				kind: kind, target: a.target, attempt: a.attempt, status: r, ok: err == nil,
-				known: err == nil || r.ClaimedTerm > 0, conflict: siskin.KindOf(err) == siskin.Conflict,
+				hasStatus: err == nil || r.ClaimedTerm > 0, conflict: siskin.KindOf(err) == siskin.Conflict,
 			})
 		}
 	}
@@ -104,13 +104,13 @@
 	case actProbe:
 		v.probe(i)
 	case actClaim:
-		s.session++
-		session := s.session
+		s.sequence++
+		session := s.sequence
 		v.sessions[a.target] = session
 		s.call(v, i, func() (siskin.TargetStatus, error) {
 			r, granted := st.Claim(s.now, a.term, v.id, session)
 			if !granted {
-				return r, errRival(r.ClaimedTerm)
+				return r, errOtherVM(r.ClaimedTerm)
 			}
 			return r, nil
 		}, answer(evClaimed))
@@ -131,16 +131,16 @@
 		}, func(siskin.TargetStatus, error) {})
 	case actDrain:
 		s.call(v, i, func() (siskin.TargetStatus, error) { return st.Drain(s.now, s.now.Add(a.hold)), nil }, answer(evDrained))
-	case actReach:
-		v.reach(a, i, answer(evReached))
+	case actCatchUp:
+		v.awaitCatchUp(a, i, answer(evCaughtUp))
 	}
 }
 
-func (v *simVM) reach(a action, i int, answer func(siskin.TargetStatus, error)) {
+func (v *simVM) awaitCatchUp(a action, i int, answer func(siskin.TargetStatus, error)) {
 	st := v.sim.stores[i]
 	v.sim.call(v, i, func() (siskin.TargetStatus, error) { return st.Status(v.sim.now), nil }, func(r siskin.TargetStatus, err error) {
 		if err == nil && r.StreamTerm == a.pos.Term && r.Received < a.pos.LSN {
-			v.sim.at(v.place, 10*time.Millisecond, func() { v.reach(a, i, answer) })
+			v.sim.onNode(v.node, 10*time.Millisecond, func() { v.awaitCatchUp(a, i, answer) })
 			return
 		}
 		answer(r, err)
@@ -156,7 +156,7 @@
 		return
 	}
 	v.writes++
-	key := fmt.Sprintf("%s-%d-%d", v.id, v.run, v.writes)
+	key := fmt.Sprintf("%s-%d-%d", v.id, v.incarnation, v.writes)
 	var pos siskin.Position
 	s.call(v, i, func() (siskin.TargetStatus, error) {
 		if err := s.stores[i].Begin(s.now); err != nil {
@@ -169,15 +169,15 @@
 	}, func(_ siskin.TargetStatus, err error) {
 		if err == nil {
 			v.pending[key] = v.tracker.add(pos, s.now)
-			v.settle()
-		} else if !errors.Is(err, errLost) {
-			v.step(event{kind: evSuspect, target: s.ids[i]})
+			v.collectResults()
+		} else if !errors.Is(err, errNoAnswer) {
+			v.step(event{kind: evFailureReported, target: s.ids[i]})
 		}
 	})
 }
 
-// settle notes the commits that were confirmed or failed and gives up old ones.
-func (v *simVM) settle() {
+// collectResults notes the commits that were confirmed or failed and gives up old ones.
+func (v *simVM) collectResults() {
 	for _, key := range slices.Sorted(maps.Keys(v.pending)) {
 		w := v.pending[key]
 		select {
--- a/pkg/group/soak_test.go
+++ b/pkg/group/soak_test.go
@@ -33,31 +33,31 @@
 	}
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		s := w.servers[rnd.IntN(len(w.servers))]
-		breakTarget(s, rnd)
+		injectTargetFault(s, rnd)
 		time.Sleep(time.Duration(rnd.IntN(1200)) * time.Millisecond)
 		if rnd.IntN(3) > 0 {
-			heal(s)
+			clearFaults(s)
 		}
 	}
 	for _, s := range w.servers {
-		heal(s)
+		clearFaults(s)
 	}
 	healed := time.Now()
-	for w.gapOpen(healed) && time.Since(healed) < 2*maxGap {
+	for w.stillBlocked(healed) && time.Since(healed) < 2*maxGap {
 		time.Sleep(50 * time.Millisecond)
 	}
-	if w.gapOpen(healed) {
+	if w.stillBlocked(healed) {
 		t.Errorf("no write was acknowledged within %v after the last fault: %+v", 2*maxGap, groups[0].View())
 	}
 	cancel()
 	w.wg.Wait()
-	if missing := w.lost(groups[0]); len(missing) > 0 {
+	if missing := w.lostWrites(groups[0]); len(missing) > 0 {
 		t.Errorf("lost %d of %d acknowledged writes: %v", len(missing), len(w.acked), missing)
 	}
 	t.Logf("%d writes acknowledged, term %d, failed by kind %v", len(w.acked), groups[0].View().Term, w.failed)
 }
 
-func breakTarget(s *target.Server, rnd *rand.Rand) {
+func injectTargetFault(s *target.Server, rnd *rand.Rand) {
 	switch rnd.IntN(9) {
 	case 0:
 		s.SetPaused(true)
@@ -79,7 +79,7 @@
 	}
 }
 
-func heal(s *target.Server) {
+func clearFaults(s *target.Server) {
 	s.SetFaults(func(f *target.Faults) {
 		delay := config.Duration(profiles[0].oneWay)
 		*f = target.Faults{AnswerDelay: 2 * delay, LinkDelay: delay}
--- a/pkg/group/spare_test.go
+++ b/pkg/group/spare_test.go
@@ -13,26 +13,26 @@
 	"siskintray.example/siskin/pkg/pgctl"
 )
 
-// countingDialer counts the probes of replicas, which wait for a term and no
+// probeCountingDialer counts the probes of replicas, which wait for a term and no
 // position.
-type countingDialer struct {
+type probeCountingDialer struct {
 	siskin.TargetDialer
 	probes atomic.Int64
 }
 
-type countingTarget struct {
+type probeCountingTarget struct {
 	siskin.Target
-	dialer *countingDialer
+	dialer *probeCountingDialer
 }
 
 // DialTarget implements siskin.TargetDialer.
-func (d *countingDialer) DialTarget(ctx context.Context, id siskin.TargetID, address string) (siskin.Target, error) {
+func (d *probeCountingDialer) DialTarget(ctx context.Context, id siskin.TargetID, address string) (siskin.Target, error) {
 	t, err := d.TargetDialer.DialTarget(ctx, id, address)
-	return &countingTarget{t, d}, err
+	return &probeCountingTarget{t, d}, err
 }
 
 // Wait implements siskin.Target.
-func (t *countingTarget) Wait(ctx context.Context, pos siskin.Position, limit time.Duration) (siskin.TargetStatus, error) {
+func (t *probeCountingTarget) Wait(ctx context.Context, pos siskin.Position, limit time.Duration) (siskin.TargetStatus, error) {
 	if pos.LSN == 0 {
 		t.dialer.probes.Add(1)
 	}
@@ -49,7 +49,7 @@
 	for _, srv := range servers {
 		s.Members = append(s.Members, group.Member{ID: srv.ID(), Address: srv.Address()})
 	}
-	dialer := &countingDialer{TargetDialer: pgctl.NewDialer(config.Credentials{User: "siskin", Password: "full-secret", Database: "app"}, time.Second)}
+	dialer := &probeCountingDialer{TargetDialer: pgctl.NewDialer(config.Credentials{User: "siskin", Password: "full-secret", Database: "app"}, time.Second)}
 	g, err := group.New(s, dialer)
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/group/staleness.go
+++ b/pkg/group/staleness.go
@@ -12,42 +12,42 @@
 // sample is one reading of the primary's position, at or after the time when it
 // was asked for.
 type sample struct {
-	pos siskin.Position
-	at  time.Time
+	pos    siskin.Position
+	readAt time.Time
 }
 
 // samples measures staleness: the time since the newest confirmed position of
 // the primary that a replica has applied was read. Samples that are not
 // confirmed do not count, so a replaced primary makes no replica look fresh.
 type samples struct {
-	ring      []sample // ordered by time and position
+	list      []sample // ordered by time and position
 	confirmed int      // number of leading samples that are confirmed
 }
 
 // add notes a reading of the primary.
-func (s *samples) add(pos siskin.Position, at time.Time) {
-	if n := len(s.ring); n > 0 {
-		last := &s.ring[n-1]
+func (s *samples) add(pos siskin.Position, readAt time.Time) {
+	if n := len(s.list); n > 0 {
+		last := &s.list[n-1]
 		switch {
 		case pos.Term > last.pos.Term:
-			s.ring, s.confirmed = s.ring[:0], 0
-		case pos.Compare(last.pos) < 0 || !at.After(last.at):
+			s.list, s.confirmed = s.list[:0], 0
+		case pos.Compare(last.pos) < 0 || !readAt.After(last.readAt):
 			return // an answer that was overtaken
-		case pos == last.pos && n > 1 && s.ring[n-2].pos == pos:
-			last.at = at // an idle primary takes two places only
+		case pos == last.pos && n > 1 && s.list[n-2].pos == pos:
+			last.readAt = readAt // an idle primary takes two places only
 			return
 		}
 	}
-	if len(s.ring) == sampleCount {
-		s.ring = append(s.ring[:0], s.ring[1:]...)
+	if len(s.list) == sampleCount {
+		s.list = append(s.list[:0], s.list[1:]...)
 		s.confirmed = max(0, s.confirmed-1)
 	}
-	s.ring = append(s.ring, sample{pos, at})
+	s.list = append(s.list, sample{pos, readAt})
 }
 
 // confirm notes the position that enough replicas have received.
 func (s *samples) confirm(pos siskin.Position) {
-	for s.confirmed < len(s.ring) && s.ring[s.confirmed].pos.Term == pos.Term && s.ring[s.confirmed].pos.LSN <= pos.LSN {
+	for s.confirmed < len(s.list) && s.list[s.confirmed].pos.Term == pos.Term && s.list[s.confirmed].pos.LSN <= pos.LSN {
 		s.confirmed++
 	}
 }
@@ -55,8 +55,8 @@
 // staleness returns the age of the data at a target, or -1 when unknown.
 func (s *samples) staleness(now time.Time, st siskin.TargetStatus) time.Duration {
 	for i := s.confirmed - 1; i >= 0; i-- {
-		if p := s.ring[i]; st.StreamTerm == p.pos.Term && st.Applied >= p.pos.LSN {
-			return now.Sub(p.at)
+		if p := s.list[i]; st.StreamTerm == p.pos.Term && st.Applied >= p.pos.LSN {
+			return now.Sub(p.readAt)
 		}
 	}
 	return -1
--- a/pkg/group/tracker.go
+++ b/pkg/group/tracker.go
@@ -16,19 +16,19 @@
 // term: the replica has the record, and once it is claimed it takes no more of
 // that term. So reports made at different times add up.
 type tracker struct {
-	mu       sync.Mutex
-	k        int // confirmations that a commit needs
-	quorum   int // claims that fence a term
-	ids      []siskin.TargetID
-	term     siskin.Term
-	received []siskin.LSN  // by target, in the stream of term as a replica
-	claims   []siskin.Term // by target, the highest claim reported
-	waiting  waitHeap
-	wake     []chan struct{} // by target, signaled when a commit waits for it
-	scratch  []siskin.LSN
-	terms    []siskin.Term
-	// anyTerm counts positions of every stream, for tests of wrong rules.
-	anyTerm bool
+	mu          sync.Mutex
+	ackReplicas int // confirmations that a commit needs
+	quorum      int // claims that fence a term
+	targetIDs   []siskin.TargetID
+	term        siskin.Term
+	received    []siskin.LSN  // by target, in the stream of term as a replica
+	claims      []siskin.Term // by target, the highest claim reported
+	waiting     waitHeap
+	notify      []chan struct{} // by target, signaled when a commit waits for it
+	scratch     []siskin.LSN
+	terms       []siskin.Term
+	// countAnyTerm counts positions of every stream, for tests of wrong rules.
+	countAnyTerm bool
 }
 
 // waiter is one commit that waits for its confirmation.
@@ -42,33 +42,33 @@
 func newTracker(s *Settings) *tracker {
 	n := len(s.Members)
 	t := &tracker{
-		k: s.AckReplicas, quorum: s.quorum(), received: make([]siskin.LSN, n), claims: make([]siskin.Term, n),
+		ackReplicas: s.AckReplicas, quorum: s.quorum(), received: make([]siskin.LSN, n), claims: make([]siskin.Term, n),
 	}
 	for _, m := range s.Members {
-		t.ids = append(t.ids, m.ID)
-		t.wake = append(t.wake, make(chan struct{}, 1))
+		t.targetIDs = append(t.targetIDs, m.ID)
+		t.notify = append(t.notify, make(chan struct{}, 1))
 	}
 	return t
 }
 
 // observe notes a target's report.
 func (t *tracker) observe(st siskin.TargetStatus) {
-	i := slices.Index(t.ids, st.ID)
+	i := slices.Index(t.targetIDs, st.ID)
 	if i < 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.claims[i] = max(t.claims[i], st.ClaimedTerm)
-	t.beginLocked(st.StreamTerm)
-	if st.Role == siskin.RoleReplica && (st.StreamTerm == t.term || t.anyTerm) {
+	t.advanceTermLocked(st.StreamTerm)
+	if st.Role == siskin.RoleReplica && (st.StreamTerm == t.term || t.countAnyTerm) {
 		t.received[i] = max(t.received[i], st.Received)
 	}
 	t.releaseLocked()
 }
 
-// beginLocked moves on to a later term.
-func (t *tracker) beginLocked(term siskin.Term) {
+// advanceTermLocked moves on to a later term.
+func (t *tracker) advanceTermLocked(term siskin.Term) {
 	if term > t.term {
 		t.term = term
 		clear(t.received)
@@ -79,7 +79,7 @@
 func (t *tracker) confirmedLocked() siskin.Position {
 	t.scratch = append(t.scratch[:0], t.received...)
 	slices.Sort(t.scratch)
-	return siskin.Position{Term: t.term, LSN: t.scratch[len(t.scratch)-t.k]}
+	return siskin.Position{Term: t.term, LSN: t.scratch[len(t.scratch)-t.ackReplicas]}
 }
 
 // fencedLocked returns the highest term claimed at a quorum of targets, by
@@ -118,11 +118,11 @@
 	w := &waiter{pos: pos, arrived: now, result: make(chan bool, 1)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.beginLocked(pos.Term)
+	t.advanceTermLocked(pos.Term)
 	heap.Push(&t.waiting, w)
 	t.releaseLocked()
 	if w.index >= 0 {
-		for _, ch := range t.wake {
+		for _, ch := range t.notify {
 			signal(ch)
 		}
 	}
@@ -138,8 +138,8 @@
 	}
 }
 
-// want returns the lowest position that waits for a report of target i.
-func (t *tracker) want(i int) (siskin.Position, bool) {
+// lowestAwaited returns the lowest position that waits for a report of target i.
+func (t *tracker) lowestAwaited(i int) (siskin.Position, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.waiting) > 0 && t.waiting[0].pos.Term == t.term && t.waiting[0].pos.LSN > t.received[i] {
@@ -157,9 +157,9 @@
 	return best.pos, true
 }
 
-// oldest returns the arrival of the commit with the lowest position; zero when
+// oldestArrival returns the arrival of the commit with the lowest position; zero when
 // none waits.
-func (t *tracker) oldest() time.Time {
+func (t *tracker) oldestArrival() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.waiting) == 0 {
@@ -168,9 +168,9 @@
 	return t.waiting[0].arrived
 }
 
-// admits reports whether a write of term could be confirmed: its term has not
+// canConfirm reports whether a write of term could be confirmed: its term has not
 // been replaced or claimed away.
-func (t *tracker) admits(term siskin.Term) bool {
+func (t *tracker) canConfirm(term siskin.Term) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return term >= max(t.term, t.fencedLocked())
--- a/pkg/group/view.go
+++ b/pkg/group/view.go
@@ -13,15 +13,15 @@
 		st := t.status
 		st.ID = t.ID
 		v.Targets[i] = siskin.TargetView{Status: st, Reachable: m.isReachable(now, t), Staleness: -1}
-		if t.known {
+		if t.hasStatus {
 			v.Targets[i].Staleness = s.staleness(now, st)
 		}
 	}
 	return v
 }
 
-// sameView reports whether nothing changed that Changed announces.
-func sameView(a, b *siskin.GroupView) bool {
+// sameForChanged reports whether nothing changed that Changed announces.
+func sameForChanged(a, b *siskin.GroupView) bool {
 	if a.Term != b.Term || a.Primary != b.Primary || len(a.Targets) != len(b.Targets) {
 		return false
 	}
@@ -34,22 +34,22 @@
 	return true
 }
 
-// wake returns when the machine needs a tick.
-func (m *machine) wake(now time.Time) time.Time {
-	next := now.Add(m.silence() / 4)
+// nextTick returns when the machine needs a tick.
+func (m *machine) nextTick(now time.Time) time.Time {
+	next := now.Add(m.heartbeatTimeout() / 4)
 	if m.passive {
-		next = now.Add(m.silence())
+		next = now.Add(m.heartbeatTimeout())
 	}
 	earliest := func(t time.Time) {
 		if !t.IsZero() && t.Before(next) {
 			next = t
 		}
 	}
-	earliest(m.electAt)
+	earliest(m.attemptAt)
 	if a := m.attempt; a != nil {
 		earliest(a.deadline)
-		if !a.busy {
-			earliest(a.next)
+		if !a.drainInFlight {
+			earliest(a.nextStep)
 		}
 	}
 	return next
--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -26,7 +26,7 @@
 	failed  map[siskin.ErrorKind]int
 }
 
-func (w *writers) run(ctx context.Context, vm string, g *group.Group) {
+func (w *writers) writeUntilDone(ctx context.Context, vm string, g *group.Group) {
 	defer w.wg.Done()
 	var conn *pgconn.PgConn
 	var at siskin.TargetID
@@ -57,7 +57,7 @@
 			return err
 		}
 		tryCtx, cancel := whileTerm(ctx, g, term)
-		err = w.try(tryCtx, g, conn, at, primary, key)
+		err = w.tryOnce(tryCtx, g, conn, at, primary, key)
 		cancel()
 		done()
 		var pg *pgconn.PgError
@@ -70,7 +70,7 @@
 	}
 }
 
-func (w *writers) try(ctx context.Context, g *group.Group, conn **pgconn.PgConn, at *siskin.TargetID, primary siskin.TargetID, key string) (err error) {
+func (w *writers) tryOnce(ctx context.Context, g *group.Group, conn **pgconn.PgConn, at *siskin.TargetID, primary siskin.TargetID, key string) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	if *conn == nil || (*conn).IsClosed() || *at != primary {
@@ -92,7 +92,7 @@
 	}
 	var pos siskin.Position
 	if err == nil {
-		pos, err = position(ctx, *conn)
+		pos, err = commitPosition(ctx, *conn)
 	}
 	if err != nil {
 		var pg *pgconn.PgError
@@ -124,7 +124,7 @@
 	return ctx, cancel
 }
 
-func position(ctx context.Context, conn *pgconn.PgConn) (pos siskin.Position, err error) {
+func commitPosition(ctx context.Context, conn *pgconn.PgConn) (pos siskin.Position, err error) {
 	res, err := conn.Exec(ctx, "select * from siskin_commit_position()").ReadAll()
 	if err != nil {
 		return pos, err
@@ -137,8 +137,8 @@
 	return pos, err
 }
 
-// lost returns the acknowledged keys that the present primary does not have.
-func (w *writers) lost(g *group.Group) (missing []string) {
+// lostWrites returns the acknowledged keys that the present primary does not have.
+func (w *writers) lostWrites(g *group.Group) (missing []string) {
 	for _, s := range w.servers {
 		if s.ID() == g.View().Primary {
 			table := s.Store().Table()
@@ -173,9 +173,9 @@
 	return longest
 }
 
-// gapOpen reports whether no write that began after a change of term has been
+// stillBlocked reports whether no write that began after a change of term has been
 // acknowledged since the fault.
-func (w *writers) gapOpen(fault time.Time) bool {
+func (w *writers) stillBlocked(fault time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
