--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -20,7 +20,7 @@
 func (d *Daemon) startNode() (err error) {
 	clock := d.options.clock
 	proof := newEvidence(d.members)
-	d.spread = spread.New(spread.Config{}, &awakeMembers{d.members}, d.client, d.platform, spread.WithClock(clock), spread.WithEvidence(proof), spread.WithLogf(d.debugf))
+	d.spread = spread.New(spread.Config{}, &awakeMembers{d.members}, d.client, d.platform, spread.WithClock(clock), spread.WithProofTracker(proof), spread.WithLogf(d.debugf))
 	proof.setView(d.spread)
 	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proof.current))
 	d.limiter = limit.New(clock, d.spread, d.members, d.client, d.platform,
@@ -36,7 +36,7 @@
 		ProbeInterval: d.settings.Group.ProbeInterval,
 		Limits:        callerLimits(&d.settings.Caller),
 		Open:          d.options.open,
-		Awake:         d.members.Awake,
+		Awake:         d.members.MayUseRoles,
 	})
 	if err != nil {
 		return err
@@ -65,7 +65,7 @@
 	receivers := d.node.Receivers()
 	receivers["Member"] = d.members.Receiver()
 	receivers["Spread"] = d.spread.Receiver()
-	receivers["Limit"] = &limitReceiver{d.limiter.Receiver(), d.members.Awake}
+	receivers["Limit"] = &limitReceiver{d.limiter.Receiver(), d.members.MayUseRoles}
 	receivers["Keys"] = d.keys.Receiver()
 	receivers["Daemon"] = &receiver{d}
 	for name, r := range receivers {
@@ -96,8 +96,8 @@
 	stats    *transactionStats
 }
 
-// Transaction implements front.Observer.
-func (o *observer) Transaction(t front.Observation) {
+// ObserveTransaction implements front.Observer.
+func (o *observer) ObserveTransaction(t front.Observation) {
 	o.recorder.Transaction(t.Service, t.Customer, burn.Result{
 		Failed:     t.Failed,
 		Kind:       t.Kind,
