group: two names that state what they compare and hold

sameForChanged is sameView again and the time of a sample is named requestedAt, since the position is read at or after that time. Declarations are the same but for names.

--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -190,7 +190,7 @@
 func (g *Group) publish(now time.Time) {
 	v := g.machine.view(now, &g.samples)
 	g.setAdmission(now, &v)
-	if sameForChanged(&g.published, &v) {
+	if sameView(&g.published, &v) {
 		return
 	}
 	g.published = v
--- a/pkg/group/staleness.go
+++ b/pkg/group/staleness.go
@@ -12,8 +12,8 @@
 // sample is one reading of the primary's position, at or after the time when it
 // was asked for.
 type sample struct {
-	pos    siskin.Position
-	readAt time.Time
+	pos         siskin.Position
+	requestedAt time.Time
 }
 
 // samples measures staleness: the time since the newest confirmed position of
@@ -25,16 +25,16 @@
 }
 
 // add notes a reading of the primary.
-func (s *samples) add(pos siskin.Position, readAt time.Time) {
+func (s *samples) add(pos siskin.Position, requestedAt time.Time) {
 	if n := len(s.list); n > 0 {
 		last := &s.list[n-1]
 		switch {
 		case pos.Term > last.pos.Term:
 			s.list, s.confirmed = s.list[:0], 0
-		case pos.Compare(last.pos) < 0 || !readAt.After(last.readAt):
+		case pos.Compare(last.pos) < 0 || !requestedAt.After(last.requestedAt):
 			return // an answer that was overtaken
 		case pos == last.pos && n > 1 && s.list[n-2].pos == pos:
-			last.readAt = readAt // an idle primary takes two places only
+			last.requestedAt = requestedAt // an idle primary takes two places only
 			return
 		}
 	}
@@ -42,7 +42,7 @@
 		s.list = append(s.list[:0], s.list[1:]...)
 		s.confirmed = max(0, s.confirmed-1)
 	}
-	s.list = append(s.list, sample{pos, readAt})
+	s.list = append(s.list, sample{pos, requestedAt})
 }
 
 // confirm notes the position that enough replicas have received.
@@ -56,7 +56,7 @@
 func (s *samples) staleness(now time.Time, st siskin.TargetStatus) time.Duration {
 	for i := s.confirmed - 1; i >= 0; i-- {
 		if p := s.list[i]; st.StreamTerm == p.pos.Term && st.Applied >= p.pos.LSN {
-			return now.Sub(p.readAt)
+			return now.Sub(p.requestedAt)
 		}
 	}
 	return -1
--- a/pkg/group/view.go
+++ b/pkg/group/view.go
@@ -20,8 +20,8 @@
 	return v
 }
 
-// sameForChanged reports whether nothing changed that Changed announces.
-func sameForChanged(a, b *siskin.GroupView) bool {
+// sameView reports whether nothing changed that Changed announces.
+func sameView(a, b *siskin.GroupView) bool {
 	if a.Term != b.Term || a.Primary != b.Primary || len(a.Targets) != len(b.Targets) {
 		return false
 	}
