--- a/pkg/group/action.go
+++ b/pkg/group/action.go
@@ -9,16 +9,16 @@
 type actionKind int
 
 const (
-	actProbe   actionKind = iota // ask for the status now
+	actProbe   actionKind = iota // request the status immediately
 	actClaim                     // claim target for term
-	actPromote                   // promote target in the session of its claim
+	actPromote                   // promote target over the connection that claimed it
 	actFollow                    // make target follow primary in term
-	actDrain                     // hold new writes at target for hold
+	actDrain                     // make target block new writes for hold
 	actCatchUp                   // wait until target has received pos
 	actDone                      // the attempt has ended with err
 )
 
-// action is one output of the machine.
+// action is an operation that the machine orders.
 type action struct {
 	kind    actionKind
 	target  siskin.TargetID
@@ -29,7 +29,8 @@
 	address string
 	pos     siskin.Position
 	hold    time.Duration
-	// unresponsive is the primary that a claim is to replace because it fell unresponsive.
+	// unresponsive is the primary that a claim is to replace because it no
+	// longer answers; empty if there is none.
 	unresponsive siskin.TargetID
 	err          error
 }
--- a/pkg/group/attempt.go
+++ b/pkg/group/attempt.go
@@ -9,37 +9,39 @@
 type phase int
 
 const (
-	phaseDrain   phase = iota // the primary refuses new writes, running ones end
-	phaseCatchUp              // replicas receive the end of the primary's log
+	phaseDrain   phase = iota // the primary accepts no new writes; running ones complete
+	phaseCatchUp              // replicas receive the rest of the primary's log
 	phaseGrace                // other homes read the confirmations they wait for
 	phaseClaim                // targets are claimed
 	phasePromote              // the chosen target is promoted
 )
 
-// attempt is one try to change the primary.
+// attempt is the state of one attempt to change the primary.
 type attempt struct {
 	number   int
 	request  int // the operator's request, 0 for none
 	phase    phase
 	term     siskin.Term
 	deadline time.Time
-	// preferred is preferred among targets with equal logs; empty for any.
+	// preferred wins among targets with equal logs; empty for no preference.
 	preferred siskin.TargetID
-	// planned says that the primary works and is drained first.
+	// planned is set when the primary is healthy and is drained first.
 	planned bool
-	// unresponsive says that the primary gave no answer for too long.
+	// unresponsive is set when the primary does not answer.
 	unresponsive bool
-	// force says that too few claims are accepted at the deadline.
+	// force is set when the attempt promotes at its deadline even with fewer
+	// claims than a quorum.
 	force bool
-	// lastResort is claimed only when the others do not suffice, since a primary
-	// that is cut off from its replicas has the longest log and would win.
+	// lastResort is claimed only when the other targets cannot form a quorum: a
+	// primary that is cut off from its replicas has the longest log and would
+	// be promoted again.
 	lastResort    siskin.TargetID
 	claimSent     map[siskin.TargetID]bool
 	grants        map[siskin.TargetID]siskin.TargetStatus
 	claimFailed   map[siskin.TargetID]bool
 	caughtUp      map[siskin.TargetID]bool
 	drainedEnd    siskin.Position // end of the drained primary's log
-	nextStep      time.Time       // next drain call, or end of the settling time
+	nextStep      time.Time       // time of the next drain call, or end of the grace period
 	drainInFlight bool            // a drain call is in progress
 }
 
@@ -66,7 +68,7 @@
 		m.attemptAt = time.Time{}
 		return
 	}
-	// A delay set for a planned change must not hold up a failover.
+	// A delay set for a planned change must not postpone a failover.
 	if m.attemptAt.IsZero() || (m.attemptCause.planned() && !c.planned()) {
 		m.attemptCause = c
 		m.attemptAt = now.Add(time.Duration(m.rank)*m.heartbeatTimeout()/2 + m.jitter(m.heartbeatTimeout()/8))
@@ -91,7 +93,7 @@
 	}
 }
 
-// advance acts on the passing of time.
+// advance handles the deadlines of the attempt in progress.
 func (m *machine) advance(now time.Time) {
 	a := m.attempt
 	switch {
@@ -104,7 +106,8 @@
 	}
 }
 
-// handleDeadline ends an attempt at its deadline.
+// handleDeadline promotes with the claims obtained so far if the change is
+// forced; otherwise it fails the attempt.
 func (m *machine) handleDeadline(now time.Time) {
 	a := m.attempt
 	if a.phase == phaseClaim && a.force && len(a.grants) > 0 {
@@ -114,7 +117,8 @@
 	m.fail(now, errAttemptExpired(m.Service, a.phase, len(a.grants), m.quorum()))
 }
 
-// fail ends the attempt without a change and sets the time of the next.
+// fail ends the attempt without a change of primary and schedules the next one
+// with exponential backoff.
 func (m *machine) fail(now time.Time, err error) {
 	a := m.attempt
 	m.failures++
@@ -126,7 +130,7 @@
 	m.attemptAt = now.Add(m.jitter(m.heartbeatTimeout() << shift / 2))
 	m.attemptCause = causeDead
 	if a.planned {
-		// Each try holds new writes back, so tries are far apart.
+		// Each planned attempt blocks new writes, so its backoff is longer.
 		m.attemptAt = now.Add(m.longDebounce() << shift)
 		m.attemptCause = causeLeaving
 	}
--- a/pkg/group/claim.go
+++ b/pkg/group/claim.go
@@ -6,12 +6,12 @@
 	"siskintray.example/siskin"
 )
 
-// beginClaim claims the targets for a term above every claim seen.
+// beginClaim claims the targets for a term above the highest claim seen.
 func (m *machine) beginClaim(now time.Time) {
 	a := m.attempt
 	a.phase = phaseClaim
 	a.term = max(m.maxClaim, m.term) + 1
-	m.maxClaim = a.term // a claim whose answer is lost may hold
+	m.maxClaim = a.term // a claim may be in effect although its answer is lost
 	a.deadline = now.Add(m.suspectTimeout())
 	for _, t := range m.targets {
 		if t.ID != a.lastResort {
@@ -30,7 +30,8 @@
 	m.emit(c)
 }
 
-// claimLastResort claims the avoided target when the others cannot suffice.
+// claimLastResort claims the last-resort target if the others cannot form a
+// quorum.
 func (m *machine) claimLastResort(now time.Time) {
 	a := m.attempt
 	t := m.target(a.lastResort)
@@ -67,7 +68,8 @@
 	}
 }
 
-// checkClaimsSuffice ends an attempt as soon as it can no longer gather enough claims.
+// checkClaimsSuffice ends an attempt as soon as it can no longer obtain enough
+// claims.
 func (m *machine) checkClaimsSuffice(now time.Time) {
 	a := m.attempt
 	open := len(a.claimSent) - len(a.claimFailed) - len(a.grants)
@@ -88,9 +90,9 @@
 	return m.quorum()
 }
 
-// promoteBest promotes the claimed target with the newest log, compared by last
-// record term first, then by position, and never by claimed term: a claim says
-// nothing about the log.
+// promoteBest promotes the claimed target with the newest log. Logs are
+// compared by the term of the last record, then by position. The claimed term
+// does not count, since a claim adds nothing to the log.
 func (m *machine) promoteBest(now time.Time) {
 	a := m.attempt
 	var best *targetState
@@ -108,8 +110,8 @@
 	m.emit(action{kind: actPromote, target: best.ID, attempt: a.number, term: a.term})
 }
 
-// isBetterCandidate reports whether a is to be promoted rather than b. Among equal logs
-// the wanted target comes first, then one that is not leaving.
+// isBetterCandidate reports whether a is to be promoted rather than b. Among
+// equal logs the preferred target wins, then one that is not leaving.
 func (m *machine) isBetterCandidate(a, b siskin.TargetStatus) bool {
 	if c := m.compareLogs(logEnd(a), logEnd(b)); c != 0 {
 		return c > 0
@@ -120,18 +122,19 @@
 	return !a.Leaving && b.Leaving
 }
 
-// handlePromoteAnswer handles the answer to a promotion. A promotion whose answer was lost
-// may have happened; a probe shows it.
+// handlePromoteAnswer handles the answer to a promotion. A promotion may have
+// taken effect although its answer was lost; a probe shows whether it has.
 func (m *machine) handlePromoteAnswer(now time.Time, e event) {
 	a := m.attempt
 	if a == nil || a.number != e.attempt {
-		return // a success has been adopted from its status
+		return // a successful promotion has been adopted from its status
 	}
 	m.emit(action{kind: actProbe, target: e.target})
 	if e.conflict || a.phase != phasePromote {
 		m.fail(now, errOtherVM(e.status.ClaimedTerm))
 		return
 	}
-	// Wait for the probe: a repeated claim would only cost time.
+	// Wait for the result of the probe; claiming again would only delay the
+	// change.
 	a.deadline = now.Add(m.Interval)
 }
--- a/pkg/group/confirm.go
+++ b/pkg/group/confirm.go
@@ -6,8 +6,8 @@
 	"siskintray.example/siskin"
 )
 
-// Confirm implements siskin.Group. A commit of a term that has been replaced or
-// claimed away is answered at once.
+// Confirm implements siskin.Group. It returns immediately if the term of the
+// commit has been replaced, or fenced by claims of a quorum.
 func (g *Group) Confirm(ctx context.Context, pos siskin.Position) error {
 	w := g.tracker.add(pos, g.clock.Now())
 	var cause error
@@ -19,7 +19,7 @@
 		return errOutcomeUnknown(pos, errOtherVM(pos.Term+1))
 	case <-ctx.Done():
 		cause = ctx.Err()
-		g.Activate() // deadlines may be shorter than the time that shows a failure
+		g.Activate() // the deadline may be shorter than the time to detect a failure
 	case <-g.ctx.Done():
 		cause = errClosed()
 	}
--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -11,29 +11,32 @@
 
 const (
 	causeNone cause = iota
-	// causeDead: this VM does not reach the primary and no replica hears it.
+	// causeDead: this VM cannot reach the primary and no replica receives its
+	// heartbeat.
 	causeDead
-	// causeUnreachable: this VM does not reach the primary, but replicas hear it.
-	// It is acted on late and only while the log does not grow, since a growing
-	// log shows that other VMs reach the primary.
+	// causeUnreachable: this VM cannot reach the primary, but replicas receive
+	// its heartbeat. The machine acts on it late, and only while the log does
+	// not grow, since a growing log shows that other VMs reach the primary.
 	causeUnreachable
-	// causeUnreplicated: the primary answers, but so many replicas have lost their
-	// stream that writes cannot be confirmed.
+	// causeUnreplicated: the primary answers, but too few replicas receive its
+	// stream to confirm writes.
 	causeUnreplicated
-	// causePrimaryFenced: the primary is claimed for a later term that nobody uses.
+	// causePrimaryFenced: the primary is claimed for a later term that has no
+	// primary.
 	causePrimaryFenced
-	// causeReplicaFenced: a replica is claimed for a later term that nobody uses, so it
-	// cannot follow the primary until a new term begins.
+	// causeReplicaFenced: a replica is claimed for a later term that has no
+	// primary, so it cannot follow the primary until a new term begins.
 	causeReplicaFenced
-	// causeLeaving: the primary is leaving and a replica can take over.
+	// causeLeaving: the primary is leaving and a replica can be promoted.
 	causeLeaving
 	causeCount
 )
 
-// planned reports whether the primary works, so that it is drained first.
+// planned reports whether the primary is healthy, so that it is drained first.
 func (c cause) planned() bool { return c == causeReplicaFenced || c == causeLeaving }
 
-// detect returns the most urgent cause that has held for its time.
+// detect returns the most urgent cause that has persisted for its debounce
+// time.
 func (m *machine) detect(now time.Time) cause {
 	p := m.target(m.primary)
 	holds := m.conditions(now, p)
@@ -53,7 +56,7 @@
 	return causeNone
 }
 
-// conditions returns which causes hold at this moment.
+// conditions returns which causes apply at the moment.
 func (m *machine) conditions(now time.Time, p *targetState) (active [causeCount]bool) {
 	if !m.isReachable(now, p) || p.status.Role != siskin.RolePrimary {
 		seenByReplica := m.seenByReplica(now, p)
@@ -70,22 +73,22 @@
 	return active
 }
 
-// debounce returns how long a cause must hold before it is acted on.
+// debounce returns how long a cause must persist before the machine acts on it.
 func (m *machine) debounce(c cause, now time.Time) time.Duration {
 	switch c {
 	case causeDead:
 		if m.primary == "" {
-			return m.suspectTimeout() // the primary may not have been asked yet
+			return m.suspectTimeout() // the primary may not have been probed yet
 		}
 		return 0
 	case causeUnreplicated:
-		// Answers from before the pending write say nothing about it: a stream
-		// that was still may have begun since.
+		// Statuses from before the pending write do not show that it cannot be
+		// confirmed: an idle stream may have started since.
 		if m.confirmationOverdue(now) && m.countNotReplicating(now, m.pendingSince) >= m.quorum() {
 			return 0
 		}
 		if m.fencedByQuorum() {
-			return m.suspectTimeout() // writes are held; the claimer gets its time
+			return m.suspectTimeout() // writes are held; the VM that claimed needs time to promote
 		}
 		return m.longDebounce()
 	case causePrimaryFenced:
@@ -98,7 +101,8 @@
 	return m.longDebounce()
 }
 
-// fencedByQuorum reports whether a quorum is claimed for a later term.
+// fencedByQuorum reports whether a quorum of targets is claimed for a later
+// term.
 func (m *machine) fencedByQuorum() bool {
 	n := 0
 	for _, t := range m.targets {
@@ -112,10 +116,11 @@
 // recentChangePeriod is the time for which a change of primary counts as recent.
 const recentChangePeriod = 30 * time.Second
 
-// unreachableDebounce returns how long the log must stand still before a primary
-// that replicates is replaced. A refused connection is a clearer sign than
-// silence, which may be this VM's own. Soon after a change the time is longer,
-// so that two VMs that reach different targets do not take turns.
+// unreachableDebounce returns how long the log must not grow before a primary
+// that still replicates is replaced. A refused connection is stronger evidence
+// than unanswered probes, which a fault of this VM can cause. Soon after a
+// change the time is longer, so that two VMs that reach different targets do
+// not replace each other's primary in turn.
 func (m *machine) unreachableDebounce(now time.Time) time.Duration {
 	if m.term > 0 && !m.changedAt.IsZero() && now.Sub(m.changedAt) < recentChangePeriod {
 		return min(20*m.Interval, 3*time.Second)
@@ -126,8 +131,10 @@
 	return min(5*m.Interval, 2*time.Second)
 }
 
-// seenByReplica reports whether a reachable replica still hears the primary. After a
-// refused connection less silence is asked for than after lost answers.
+// seenByReplica reports whether a reachable replica still receives the
+// primary's heartbeat. The timeout is shorter after a refused connection than
+// after unanswered probes. A log that has grown restarts the debounce time of
+// causeUnreachable.
 func (m *machine) seenByReplica(now time.Time, p *targetState) bool {
 	limit := 2 * m.heartbeatTimeout()
 	if p != nil && p.refused {
@@ -140,14 +147,14 @@
 		}
 		if m.isReachable(now, t) && m.compareLogs(t.logPosition(), m.maxLog) > 0 {
 			m.maxLog = t.logPosition()
-			m.since[causeUnreachable] = now // the log grows, so some VM writes
+			m.since[causeUnreachable] = now // the log grows, so some VM can write
 		}
 	}
 	return seenByReplica
 }
 
-// probeReplicas orders probes while the primary is suspected, so that the
-// replicas' answers are recent.
+// probeReplicas probes the replicas while the primary is suspected, so that
+// their statuses are recent.
 func (m *machine) probeReplicas(now time.Time) {
 	if m.attempt != nil || now.Sub(m.suspectProbedAt) < m.heartbeatTimeout()/4 {
 		return
@@ -160,13 +167,14 @@
 	}
 }
 
-// confirmationOverdue reports whether a write has waited long for its confirmation.
+// confirmationOverdue reports whether a write has waited at least one probe
+// interval for its confirmation.
 func (m *machine) confirmationOverdue(now time.Time) bool {
 	return !m.pendingSince.IsZero() && now.Sub(m.pendingSince) >= m.Interval
 }
 
-// countNotReplicating counts the reachable targets that take no log of the primary, by
-// answers that are not older than the given time.
+// countNotReplicating returns the number of reachable targets that receive no
+// log from the primary, by statuses that are not older than since.
 func (m *machine) countNotReplicating(now, since time.Time) int {
 	n := 0
 	for _, t := range m.targets {
@@ -177,13 +185,14 @@
 	return n
 }
 
-// streamStalled reports whether the target's stream has been still for long enough.
+// streamStalled reports whether the target has received nothing from its
+// primary for suspectTimeout.
 func (m *machine) streamStalled(t *targetState) bool {
 	return t.status.HeardPrimary >= m.suspectTimeout()
 }
 
-// fenced reports whether the target is claimed for a later term and follows
-// nobody, an earlier primary included.
+// fenced reports whether the target is claimed for a later term and follows no
+// primary. It can be an earlier primary.
 func (m *machine) fenced(t *targetState) bool {
 	return t.status.ClaimedTerm > m.term && (m.streamStalled(t) || t.status.Role == siskin.RolePrimary)
 }
--- a/pkg/group/execute.go
+++ b/pkg/group/execute.go
@@ -23,7 +23,7 @@
 	if p == nil || (a.kind == actProbe && !p.beginProbe()) {
 		return
 	}
-	// A closed pool refuses the action, which is then of no use.
+	// A closed pool rejects the action, whose result is no longer needed.
 	_ = g.pool.Go(func() { p.run(a) })
 }
 
@@ -38,7 +38,7 @@
 	case actFollow:
 		_ = p.immediateConn.call(p.g.settings.callTimeout(), func(ctx context.Context, t siskin.Target) error {
 			return t.Follow(ctx, a.primary, a.address, a.term)
-		}) // repeated while the target's status asks for it
+		}) // repeated until the target's status shows that it follows
 	case actDrain:
 		p.drain(a)
 	case actCatchUp:
@@ -50,14 +50,15 @@
 func (p *peer) postResult(kind eventKind, a action, askedAt time.Time, st siskin.TargetStatus, err error) {
 	p.g.post(event{
 		kind: kind, target: p.member.ID, attempt: a.attempt, status: st, askedAt: askedAt, ok: err == nil,
-		// A refused claim comes with the status that tells the higher claim.
+		// The answer to a refused claim contains a status with the higher
+		// claim.
 		hasStatus: err == nil || st.ClaimedTerm > 0,
 		conflict:  siskin.KindOf(err) == siskin.Conflict && err != nil,
 	})
 }
 
-// claim claims the target on a new connection, which a promotion uses later. An
-// older one may be silent for good.
+// claim claims the target over a new connection, which a later promotion uses.
+// An older connection may have stopped responding without an error.
 func (p *peer) claim(a action) {
 	asked := p.g.clock.Now()
 	if a.unresponsive != "" && p.g.respondsOnNewConn(a.unresponsive) {
@@ -75,9 +76,9 @@
 	p.postResult(evClaimed, a, asked, st, err)
 }
 
-// respondsOnNewConn asks a primary that fell silent on a new connection, and posts its
-// answer. All connections to it may have gone silent while new ones work, and the
-// probe that finds this out may be late on a busy VM.
+// respondsOnNewConn probes an unresponsive primary over a new connection and
+// posts its status. The open connections may all be unresponsive while new ones
+// work, and on a busy VM the regular probe that would show this may be late.
 func (g *Group) respondsOnNewConn(id siskin.TargetID) bool {
 	for _, p := range g.peers {
 		if p.member.ID != id {
@@ -116,8 +117,9 @@
 	p.postResult(evPromoted, a, asked, st, err)
 }
 
-// drain holds new writes at the primary. A target without that function is
-// only asked for its status, so that running transactions are not waited for.
+// drain blocks new writes at the primary. A target that does not implement
+// siskin.Drainer is only asked for its status; its running transactions are not
+// waited for.
 func (p *peer) drain(a action) {
 	asked := p.g.clock.Now()
 	var st siskin.TargetStatus
@@ -132,7 +134,7 @@
 	p.postResult(evDrained, a, asked, st, err)
 }
 
-// awaitCatchUp waits on a connection of its own, since the wait may be long.
+// awaitCatchUp uses a connection of its own, since the wait may be long.
 func (p *peer) awaitCatchUp(a action) {
 	asked := p.g.clock.Now()
 	limit := p.g.machine.drainLimit()
@@ -146,9 +148,9 @@
 	p.postResult(evCaughtUp, a, asked, st, err)
 }
 
-// Promote changes the primary to target. A planned change drains the present
-// primary first and fails without effect when that takes too long. A forced one
-// claims at once and accepts the loss of acknowledged writes when fewer targets
+// Promote makes target the primary. A planned change drains the current primary
+// first and fails without effect if that takes too long. A forced change claims
+// immediately and accepts the loss of acknowledged writes if fewer targets
 // answer than a safe change needs.
 func (g *Group) Promote(ctx context.Context, target siskin.TargetID, force bool) error {
 	known := false
@@ -180,10 +182,11 @@
 	}
 }
 
-// finishRequest answers the operator whose request has ended.
+// finishRequest logs the error of an attempt and passes its result to the
+// operator's request, if there is one.
 func (g *Group) finishRequest(a action) {
 	if a.err != nil {
-		g.log.Warn().Str("Service", string(g.settings.Service)).Err(a.err).Msg("change of primary ended")
+		g.log.Warn().Str("Service", string(g.settings.Service)).Err(a.err).Msg("change of primary failed")
 	}
 	g.requestsMu.Lock()
 	defer g.requestsMu.Unlock()
--- a/pkg/group/floor.go
+++ b/pkg/group/floor.go
@@ -7,12 +7,12 @@
 	"siskintray.example/siskin"
 )
 
-// floor coalesces samples of the read floor. A caller joins the next sample
-// that starts after it arrived; one sample runs at a time.
+// floor coalesces requests for the read floor. A caller joins the next sample
+// that starts after its call; one sample runs at a time.
 type floor struct {
 	mu      sync.Mutex
 	running bool
-	next    *floorSample // not started; nil when nobody waits
+	next    *floorSample // not started; nil if no caller waits
 }
 
 // floorSample is one sample. pos and err are set before done is closed.
@@ -22,8 +22,8 @@
 	err  error
 }
 
-// Floor implements siskin.Group. It repeats a sample that too few targets
-// answered until the context ends.
+// Floor implements siskin.Group. While too few targets answer, it retries until
+// the context ends.
 func (g *Group) Floor(ctx context.Context) (siskin.Position, error) {
 	for {
 		s := g.joinFloor()
@@ -78,7 +78,7 @@
 }
 
 // sampleFloor returns the newest log end of the first N - k targets to answer.
-// An acknowledged write is on k + 1 targets, so one of them has it.
+// An acknowledged write is on k + 1 targets, so at least one of them has it.
 func (g *Group) sampleFloor() (siskin.Position, error) {
 	type answer struct {
 		pos siskin.Position
--- a/pkg/group/gate.go
+++ b/pkg/group/gate.go
@@ -7,12 +7,12 @@
 	"siskintray.example/siskin"
 )
 
-// admission says whether writes are admitted at present.
+// admission is the current decision on new writes: admit, wait or refuse.
 type admission struct {
 	primary siskin.TargetID
 	term    siskin.Term
-	wait    bool  // writes wait for the next gate
-	refuse  error // writes are refused; wins over hold
+	wait    bool  // writes wait for the next admission
+	refuse  error // writes are refused with this error; takes precedence over wait
 	changed chan struct{}
 }
 
@@ -20,7 +20,7 @@
 	return a.primary == b.primary && a.term == b.term && a.wait == b.wait && (a.refuse == nil) == (b.refuse == nil)
 }
 
-// setAdmission replaces the gate when it changed.
+// setAdmission replaces the admission if it has changed.
 func (g *Group) setAdmission(now time.Time, v *siskin.GroupView) {
 	next := &admission{primary: v.Primary, term: v.Term, changed: make(chan struct{})}
 	p, _ := v.Target(v.Primary)
@@ -37,15 +37,15 @@
 	}
 }
 
-// refusalReason returns why writes cannot succeed before the group is repaired, so
-// that callers are answered at once. It waits for the time in which targets
-// are asked and follow a new primary.
+// refusalReason returns an error if writes cannot succeed before the group is
+// repaired, so that callers need not wait. It returns nil while targets still
+// have time to answer a first probe or to follow a new primary.
 func (m *machine) refusalReason(now time.Time, isUp bool) error {
 	if m.startedAt.IsZero() || now.Sub(m.startedAt) < m.suspectTimeout() {
 		return nil
 	}
 	if m.passive {
-		return nil // a write that must wait makes this VM probe
+		return nil // a write that must wait makes this VM probe the targets
 	}
 	if !isUp {
 		if m.reachableCount(now) < m.quorum() {
@@ -95,9 +95,10 @@
 	}
 }
 
-// confirmationsLag reports whether a commit has waited too long for its confirmation.
-// Further writes would wait as long or longer, so they are refused as not run.
-// When the waiting commits have been given up, the next write tries again.
+// confirmationsLag reports whether a commit has waited too long for its
+// confirmation. Further writes would wait at least as long, so they are refused
+// as not run. Once the waiting commits have timed out, the next write is
+// admitted.
 func (g *Group) confirmationsLag() bool {
 	oldestArrival := g.tracker.oldestArrival()
 	return !oldestArrival.IsZero() && g.clock.Since(oldestArrival) > g.settings.MaxUnconfirmed
@@ -106,8 +107,8 @@
 // WritesInProgress returns the number of admitted transactions that have not ended.
 func (g *Group) WritesInProgress() int { return int(g.writes.Load()) }
 
-// ReportFailure implements siskin.Group. A cause of kind NotRun says that the primary
-// refuses writes; they are held until it has answered a probe.
+// ReportFailure implements siskin.Group. A cause of kind NotRun means that the
+// primary refuses writes; they are held until it has answered a probe.
 func (g *Group) ReportFailure(target siskin.TargetID, cause error) {
 	if cause != nil && siskin.KindOf(cause) == siskin.NotRun {
 		g.mu.Lock()
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -14,8 +14,8 @@
 	"siskintray.example/siskin"
 )
 
-// Group runs the decisions of one VM about one group. It implements
-// siskin.Group.
+// Group monitors one replication group for one VM and changes its primary after
+// a failure. It implements siskin.Group.
 type Group struct {
 	settings          Settings
 	dialer            siskin.TargetDialer
@@ -31,7 +31,7 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	startMu sync.Mutex // orders start and Close
+	startMu sync.Mutex // serializes start and Close
 	pool    pond.Pool  // runs actions and floor samples
 	events  chan event
 	peers   []*peer
@@ -41,19 +41,19 @@
 	admission atomic.Pointer[admission]
 	writes    atomic.Int64 // admitted transactions that have not ended
 	writeDone func()
-	passive   atomic.Bool // machine.passive, for readers without mu
+	passive   atomic.Bool // copy of machine.passive for readers that do not hold mu
 
-	mu        sync.RWMutex // guards what follows
+	mu        sync.RWMutex // guards the fields below
 	machine   *machine
 	samples   samples
 	published siskin.GroupView
 	changed   chan struct{}
-	// activeUntil is the end of the time for which a VM that is no watcher
-	// probes, and activated is closed when such a time begins.
+	// activeUntil is when a VM that is not a watcher stops probing, and
+	// activated is closed when it starts to probe.
 	activeUntil time.Time
 	activated   chan struct{}
 	// refusedAt is when a caller reported that the primary refused a write as
-	// not run; zero when the primary has answered a probe since.
+	// not run; zero if the primary has answered a probe since.
 	refusedAt      time.Time
 	requestsMu     sync.Mutex
 	requestResults map[int]chan error // operators' requests in progress
@@ -62,7 +62,7 @@
 
 var _ siskin.Group = (*Group)(nil)
 
-// New starts to watch a group. Close ends it.
+// New returns a Group that monitors the targets until it is closed.
 func New(s Settings, dialer siskin.TargetDialer, opts ...Option) (*Group, error) {
 	s, err := s.withDefaults()
 	if err != nil {
@@ -97,7 +97,8 @@
 	return g, nil
 }
 
-// start runs f until Close, which waits for it. It reports false after Close.
+// start runs f in a goroutine that Close waits for. It returns false after
+// Close.
 func (g *Group) start(f func()) bool {
 	g.startMu.Lock()
 	defer g.startMu.Unlock()
@@ -112,7 +113,7 @@
 	return true
 }
 
-// Close ends all calls and waits for them.
+// Close cancels all calls and waits for them to return.
 func (g *Group) Close() error {
 	g.startMu.Lock()
 	g.cancel()
@@ -125,7 +126,7 @@
 	return nil
 }
 
-// run feeds the machine until the group is closed.
+// run passes events and ticks to the machine until the group is closed.
 func (g *Group) run() {
 	for {
 		g.mu.RLock()
@@ -143,7 +144,7 @@
 	}
 }
 
-// post feeds an event to the machine.
+// post sends an event to the machine and its status, if any, to the tracker.
 func (g *Group) post(e event) {
 	if e.hasStatus {
 		g.tracker.observe(e.status)
@@ -186,7 +187,8 @@
 	}
 }
 
-// publish updates what callers see. The caller holds mu, except in New.
+// publish updates the admission of writes and, if the view has changed, closes
+// the channel of Changed. The caller holds mu, except in New.
 func (g *Group) publish(now time.Time) {
 	v := g.machine.view(now, &g.samples)
 	g.setAdmission(now, &v)
--- a/pkg/group/link.go
+++ b/pkg/group/link.go
@@ -9,8 +9,8 @@
 	"siskintray.example/siskin"
 )
 
-// controlConn is a control connection that is opened when it is needed and replaced
-// after a failure. Calls on it are serialized.
+// controlConn is a control connection to a target. It is opened on first use
+// and replaced after a failure. Calls on it are serialized.
 type controlConn struct {
 	g      *Group
 	member Member
@@ -18,18 +18,18 @@
 	target siskin.Target
 }
 
-// errRefused marks a failure to open a connection that did not time out: the
-// target's host answered that nothing listens.
+// errRefused marks a failure to open a connection that is not a timeout: the
+// target's host replied that no process listens on the port.
 var errRefused = errors.New("connection refused")
 
-// call runs f on the connection within the time limit.
+// call runs f on the connection with a time limit.
 func (l *controlConn) call(limit time.Duration, f func(context.Context, siskin.Target) error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.callLocked(limit, f)
 }
 
-// tryCall is call, but fails when another call is in progress.
+// tryCall is like call, but fails if another call is in progress.
 func (l *controlConn) tryCall(limit time.Duration, f func(context.Context, siskin.Target) error) error {
 	if !l.mu.TryLock() {
 		return errCallInProgress
@@ -62,7 +62,7 @@
 
 func (l *controlConn) closeLocked() {
 	if l.target != nil {
-		_ = l.target.Close() // of no further use
+		_ = l.target.Close() // the connection is discarded
 		l.target = nil
 	}
 }
--- a/pkg/group/machine.go
+++ b/pkg/group/machine.go
@@ -15,51 +15,51 @@
 	ackedInTerm = invar.New("GroupAckNotFenced")
 )
 
-// machine takes the decisions of one VM about one group. It has no input or
-// output: step takes an event and returns actions.
+// machine makes the decisions of one VM about one group. It does no I/O: step
+// takes an event and returns actions.
 type machine struct {
 	Settings
 	rng     *rand.Rand
 	targets []*targetState
-	rank    int // place of this VM among the VMs that watch the group
+	rank    int // rank of this VM among the watchers of the group; 0 acts first
 
 	term         siskin.Term     // term of the newest primary known
 	primary      siskin.TargetID // empty while none is known
-	adoptedAt    time.Time       // when it became known
-	promotedHere bool            // this VM promoted it
+	adoptedAt    time.Time       // when the primary became known
+	promotedHere bool            // this VM promoted the primary
 	changedAt    time.Time       // when one primary last replaced another
 
-	// pendingSince is the arrival of the oldest unconfirmed write, set by the
-	// caller of step; zero when there is none.
+	// pendingSince is the arrival time of the oldest unconfirmed write, set by
+	// the caller of step; zero if there is none.
 	pendingSince time.Time
 
 	attempt  *attempt
 	attempts int // number of the last attempt
 	failures int // attempts that failed since the last success
-	// startedAt is the time of the first step, from which targets that never
-	// answered are suspected.
+	// startedAt is the time of the first step or of the last resume, from which
+	// targets have suspectTimeout to answer.
 	startedAt       time.Time
-	attemptAt       time.Time // when to act on electFor; zero when there is no cause
+	attemptAt       time.Time // when to begin an attempt for attemptCause; zero for never
 	attemptCause    cause
 	since           [causeCount]time.Time
-	suspectProbedAt time.Time // last probes ordered during a suspicion
+	suspectProbedAt time.Time // when the replicas were last probed because of a suspicion
 	maxClaim        siskin.Term
 	maxLog          siskin.Position
 
-	// quorumOverride replaces the number of claims needed, for tests of wrong
-	// rules; zero in use.
+	// quorumOverride replaces the number of claims needed, for tests with
+	// broken rules; zero in production.
 	quorumOverride int
-	// compareLogs orders logs; tests of wrong rules replace it.
+	// compareLogs orders logs; tests with broken rules replace it.
 	compareLogs func(a, b siskin.Position) int
 
-	// resuming says that this VM resumes from a pause and takes no decisions, and
-	// resumed is the end of its last pause.
+	// resuming is set while this VM resumes from a pause and makes no
+	// decisions. resumedAt is the end of its last pause.
 	resuming  bool
 	resumedAt time.Time
 
-	// passive says that this VM does not probe all the time, so that it neither
-	// takes decisions nor holds a target for unreachable by the time since its
-	// last answer.
+	// passive is set while this VM leaves the probes to the watchers. It then
+	// makes no decisions, and no target becomes unreachable because of the time
+	// since its last answer.
 	passive bool
 
 	actions []action
@@ -81,7 +81,7 @@
 	}
 	m.actions = m.actions[:0]
 	if e.hasStatus && e.askedAt.Before(m.resumedAt) {
-		return m.actions // an answer from before the pause
+		return m.actions // the status was requested before the pause
 	}
 	m.record(now, e)
 	if m.resuming {
@@ -122,7 +122,7 @@
 	return nil
 }
 
-// record notes what the event says about its target.
+// record updates the state of the event's target.
 func (m *machine) record(now time.Time, e event) {
 	t := m.target(e.target)
 	if t == nil {
@@ -139,9 +139,10 @@
 
 func (m *machine) observe(now time.Time, t *targetState, st siskin.TargetStatus) {
 	t.hasStatus, t.answeredAt, t.refused, t.unreachableSince = true, now, false, time.Time{}
-	// Answers of different connections may arrive out of order. Claims only
-	// grow, and streams with them but for a demoted primary's, which is 0 until
-	// its stream begins. So an answer with a smaller one is older.
+	// Answers on different connections may arrive out of order. Claimed terms
+	// only increase, and so do stream terms, except that the stream term of a
+	// demoted primary is 0 until its stream begins. So an answer with a lower
+	// term is outdated.
 	older := st.StreamTerm < t.status.StreamTerm && st.StreamTerm > 0
 	if st.ClaimedTerm < t.status.ClaimedTerm || (st.ClaimedTerm == t.status.ClaimedTerm && older) {
 		return
@@ -151,8 +152,9 @@
 		m.maxClaim = st.ClaimedTerm
 		isRival := st.ClaimedTerm > m.term && st.ClaimedBy != m.Self
 		if m.attempt == nil && isRival && m.rank > 0 && !m.attemptAt.IsZero() {
-			// Another VM is at work; it gets the time of one attempt. The first
-			// in rank does not wait, so that two VMs do not both stand back.
+			// Another VM has started an attempt; leave it the time for one. The
+			// VM of rank 0 does not wait, so that two VMs do not both defer to
+			// each other.
 			m.attemptAt = now.Add(m.suspectTimeout() + m.jitter(m.Interval))
 		}
 	}
@@ -161,7 +163,7 @@
 	}
 }
 
-// adopt takes target as the primary of term.
+// adopt records target as the primary of term.
 func (m *machine) adopt(now time.Time, target siskin.TargetID, term siskin.Term) {
 	termsGrow.Check(term > m.term, "group %s: term %d after %d", m.Service, term, m.term)
 	m.promotedHere = m.attempt != nil && m.attempt.term == term
@@ -187,7 +189,8 @@
 	return time.Duration(m.rng.Int64N(int64(limit) + 1))
 }
 
-// isReachable reports whether a target answered in time.
+// isReachable reports whether the target has answered within suspectTimeout.
+// While this VM is passive, the time since the last answer does not count.
 func (m *machine) isReachable(now time.Time, t *targetState) bool {
 	if m.passive {
 		return t != nil && t.hasStatus && !t.refused
--- a/pkg/group/passive.go
+++ b/pkg/group/passive.go
@@ -6,25 +6,25 @@
 	"siskintray.example/siskin"
 )
 
-// activePeriod is how long a VM that is no watcher probes after it saw a failure or
-// could not ask a watcher. It is above the bound of 7 s of a change
-// of primary, so that the VM takes part in the whole of one.
+// activePeriod is how long a VM that is not a watcher probes after it detected
+// a failure or could not query a watcher. It exceeds the limit of 7 s for a
+// change of primary, so that the VM takes part in the whole change.
 const activePeriod = 10 * time.Second
 
-// Passive reports whether this VM leaves the probes to the watchers at present.
+// Passive reports whether this VM currently leaves the probes to the watchers.
 func (g *Group) Passive() bool { return g.passive.Load() }
 
-// Activate makes this VM probe the targets itself for a while, such as when the
-// watchers of the group do not answer.
+// Activate makes this VM probe the targets itself for activePeriod, for
+// instance if the watchers of the group do not answer.
 func (g *Group) Activate() {
 	if g.Passive() {
 		g.post(event{kind: evFailureReported})
 	}
 }
 
-// ApplyView takes over the view of a VM that probes, which was asked for at the
-// given time. A VM that probes itself trusts its own probes and only looks at
-// the primary of a later term.
+// ApplyView applies the view of a VM that probes, which was requested at
+// askedAt. A VM that probes itself relies on its own probes; it only probes the
+// primary of a later term at once.
 func (g *Group) ApplyView(v *siskin.GroupView, askedAt time.Time) {
 	g.mu.RLock()
 	term := g.machine.term
@@ -54,7 +54,7 @@
 	case evFailureReported, evFailed, evRefused, evChange:
 		g.activeUntil = now.Add(activePeriod)
 	case evRemoteUnreachable:
-		// The target may be lost to the other VM alone, so this one looks itself.
+		// Perhaps only the other VM cannot reach the target, so this VM probes.
 		if m.isReachable(now, m.target(e.target)) {
 			g.activeUntil = now.Add(activePeriod)
 		}
@@ -79,15 +79,15 @@
 	}
 }
 
-// setPassive begins or ends the time without own probes.
+// setPassive switches between relying on the watchers and probing.
 func (m *machine) setPassive(now time.Time, passive bool) {
 	for _, t := range m.targets {
 		if passive {
 			t.refused = !m.isReachable(now, t)
 			continue
 		}
-		// The targets get the usual time to answer before they are suspected, and
-		// what they said of the primary says nothing about this moment.
+		// Targets get the usual time to answer before they are suspected. What
+		// they last reported about the primary is outdated.
 		t.answeredAt, t.status.HeardPrimary = now, 0
 	}
 	m.passive = passive
@@ -95,8 +95,8 @@
 	clear(m.since[:])
 }
 
-// probeDelay returns how long no probe of the target is needed, and a channel that
-// is closed when one may be needed earlier.
+// probeDelay returns how long no probe of the target is needed, and a channel
+// that is closed if one may be needed earlier.
 func (p *peer) probeDelay() (time.Duration, <-chan struct{}) {
 	g := p.g
 	g.mu.RLock()
@@ -104,27 +104,27 @@
 	g.mu.RUnlock()
 	interval := g.settings.Interval
 	if !g.Passive() {
-		// While writes are held, a probe is to tell of a later term at once.
+		// While writes are held, probe without delay to detect a later term.
 		now := g.admission.Load()
 		if now.wait || now.refuse != nil {
 			return 0, nil
 		}
 		return interval - g.clock.Since(p.confirmStatusAt()), now.changed
 	}
-	// A statement in progress may wait on a connection that went silent. The
-	// pool needs the time of the first unanswered probe to within two intervals
-	// to tell connections from before the fault from later ones.
+	// A statement may be waiting on an unresponsive connection. The pool needs
+	// the time of the first unanswered probe with an accuracy of two intervals,
+	// to distinguish connections opened before the fault from later ones.
 	if quiet, _ := g.statementActivity(p.member.ID); !quiet.IsZero() {
 		return 0, nil
 	}
 	return interval, activated
 }
 
-// confirmStatusAt returns when the last status was asked for that came with the
-// confirmation of a write. It says as much as a probe does.
+// confirmStatusAt returns when the last status that came with the confirmation
+// of a write was requested. Such a status replaces a probe.
 func (p *peer) confirmStatusAt() time.Time { return time.Unix(0, p.confirmStatusNanos.Load()) }
 
-// sleepOrSignal sleeps for d or until ch is closed.
+// sleepOrSignal sleeps for d, or until ch or the group is closed.
 func (p *peer) sleepOrSignal(d time.Duration, ch <-chan struct{}) {
 	select {
 	case <-p.g.clock.After(d):
--- a/pkg/group/peer.go
+++ b/pkg/group/peer.go
@@ -11,7 +11,7 @@
 )
 
 // peer holds the connections to one target. Each purpose has its own, so that a
-// long poll delays no other call.
+// long poll does not delay other calls.
 type peer struct {
 	g             *Group
 	index         int
@@ -22,7 +22,7 @@
 	immediateConn *controlConn // immediate probes, drains and follow orders
 
 	probeState         atomic.Int32 // one of the probe states
-	confirmStatusNanos atomic.Int64 // time of the last status that came with a confirmation
+	confirmStatusNanos atomic.Int64 // time of the last status that came with a confirmation, in Unix ns
 
 	claimMu     sync.Mutex
 	claimTarget siskin.Target // connection of the last claim
@@ -45,13 +45,14 @@
 	p.claimMu.Lock()
 	defer p.claimMu.Unlock()
 	if p.claimTarget != nil {
-		_ = p.claimTarget.Close() // of no further use
+		_ = p.claimTarget.Close() // the connection is discarded
 	}
 	p.claimTarget = t
 }
 
-// probeLoop probes the target once per interval. A replica is asked to answer
-// early when it joins a later term, so that a new primary is known at once.
+// probeLoop probes the target once per interval. The probe of a replica is a
+// long poll, which returns early when the replica joins a later term, so that a
+// new primary is detected immediately.
 func (p *peer) probeLoop() {
 	for p.g.ctx.Err() == nil {
 		interval := p.g.settings.Interval
@@ -73,8 +74,8 @@
 			return err
 		})
 		p.report(evStatus, asked, st, err)
-		// A replica that joined a later term answers at once; the pause bounds
-		// the calls until that term's primary is known.
+		// A replica that has joined a later term answers immediately; the pause
+		// limits the rate of calls until the primary of that term is known.
 		pause := interval / 10
 		if !isReplica || errors.Is(err, errRefused) {
 			pause = interval - p.g.clock.Since(asked)
@@ -86,8 +87,8 @@
 	}
 }
 
-// nextTerm returns the term after the newest one that the group knows and
-// whether the target was a replica at its last answer.
+// nextTerm returns the term after the newest known one, and whether the target
+// was a replica at its last answer.
 func (p *peer) nextTerm() (siskin.Term, bool) {
 	p.g.mu.RLock()
 	defer p.g.mu.RUnlock()
@@ -122,15 +123,15 @@
 	}
 }
 
-// States of the immediate probe. A probe that is asked for while one runs
-// starts after it, since the running one may show an earlier state.
+// States of the immediate probe. A probe requested while another one runs
+// starts after it, since the running one may return an earlier state.
 const (
 	probeIdle int32 = iota
 	probeRunning
 	probeRepeat
 )
 
-// beginProbe reports whether the caller must run probe.
+// beginProbe reports whether the caller must run probeNow.
 func (p *peer) beginProbe() bool {
 	for {
 		switch state := p.probeState.Load(); {
@@ -144,7 +145,8 @@
 	}
 }
 
-// probeNow asks for the status at once.
+// probeNow probes the target immediately, and again if another probe was
+// requested meanwhile.
 func (p *peer) probeNow() {
 	for {
 		p.probeOnce()
@@ -164,13 +166,14 @@
 	}
 	err := p.immediateConn.call(p.g.settings.Interval, status)
 	if err != nil && !errors.Is(err, errRefused) {
-		// The connection may be broken or silent for good; a new one tells.
+		// The connection may be broken or unresponsive; retry on a new one.
 		err = p.immediateConn.call(p.g.settings.Interval, status)
 	}
 	p.report(evStatus, asked, st, err)
 }
 
-// confirmLoop waits for the positions that commits need from this target.
+// confirmLoop waits until the target has received the positions that commits
+// wait for, and passes its statuses to the tracker.
 func (p *peer) confirmLoop() {
 	g := p.g
 	for g.ctx.Err() == nil {
--- a/pkg/group/planned.go
+++ b/pkg/group/planned.go
@@ -6,9 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// Times of a planned change. The drain is renewed well before it ends; the
-// settling time lets other homes read the confirmations that they wait for
-// before they hear of a claim.
+// Times of a planned change. The drain is renewed well before it expires. The
+// grace period lets other homes read the confirmations that they wait for
+// before they learn of a claim.
 const (
 	drainPoll    = 10 * time.Millisecond
 	confirmGrace = 20 * time.Millisecond
@@ -16,10 +16,10 @@
 
 func (m *machine) drainHold() time.Duration { return min(5*m.Interval, time.Second) }
 
-// drainLimit bounds the time that new writes are held for a planned change.
+// drainLimit is the longest time that a planned change blocks new writes.
 func (m *machine) drainLimit() time.Duration { return min(15*m.Interval, 3*time.Second) }
 
-// handleChangeRequest begins the handleChangeRequest of primary that an operator asked for.
+// handleChangeRequest begins the change of primary that an operator requested.
 func (m *machine) handleChangeRequest(now time.Time, e event) {
 	if m.attempt != nil {
 		m.emit(action{kind: actDone, request: e.request, err: errChangeInProgress(m.Service)})
@@ -83,16 +83,17 @@
 	m.attempt.caughtUp[m.primary] = true
 }
 
-// handleCatchUpAnswer handles the answer of a replica that was asked to reach the end of
-// the log. The claim waits for the wanted target and for as many replicas as a
-// commit needs, so that every finished write can be confirmed first.
+// handleCatchUpAnswer handles the answer of a replica that waited for the end
+// of the log. Claims follow only when the preferred target and as many replicas
+// as a commit needs have caught up, so that every completed write can be
+// confirmed first.
 func (m *machine) handleCatchUpAnswer(now time.Time, e event) {
 	a := m.attempt
 	if a == nil || a.number != e.attempt || a.phase != phaseCatchUp {
 		return
 	}
 	if !e.ok || e.status.StreamTerm != a.drainedEnd.Term || e.status.Received < a.drainedEnd.LSN {
-		return // the deadline ends the attempt when too few reach it
+		return // the attempt fails at its deadline if too few catch up
 	}
 	a.caughtUp[e.target] = true
 	if a.caughtUp[a.preferred] && len(a.caughtUp) > m.AckReplicas {
--- a/pkg/group/rejoin.go
+++ b/pkg/group/rejoin.go
@@ -4,9 +4,9 @@
 	"time"
 )
 
-// rejoin orders targets that are not in the primary's stream to follow it, a
-// replaced primary included. The VM that promoted acts at once, the others
-// when an order seems to be missing.
+// rejoin orders targets that do not replicate in the primary's term to follow
+// it, including a replaced primary. The VM that promoted the primary acts
+// immediately; the others wait two intervals, in case that VM has failed.
 func (m *machine) rejoin(now time.Time) {
 	if m.primary == "" || m.attempt != nil {
 		return
@@ -27,12 +27,12 @@
 	}
 }
 
-// needsFollow reports whether the target is not in the stream of the primary's term
-// and may join it.
+// needsFollow reports whether the target does not replicate in the primary's
+// term yet and can do so.
 func (m *machine) needsFollow(t *targetState) bool {
 	st := t.status
 	if st.ClaimedTerm > m.term {
-		return false // it would refuse
+		return false // it would refuse the order
 	}
 	return st.StreamTerm < m.term
 }
--- a/pkg/group/resume.go
+++ b/pkg/group/resume.go
@@ -2,15 +2,16 @@
 
 import "time"
 
-// Resume forgets what a pause of this VM has made doubtful: the attempt in
-// progress, which targets answer and how fresh their data is. Writes wait and
-// targets count as unreachable until they have answered again.
+// Resume discards the state that a pause of this VM has made unreliable: the
+// attempt in progress, the reachability of targets and the samples for
+// staleness. Writes wait and targets count as unreachable until they have
+// answered again.
 func (g *Group) Resume() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	// Staleness is measured on the monotonic clock, which stands still while a
-	// VM is suspended, so that older samples would make data look fresh.
+	// Staleness is measured with the monotonic clock, which stops while a VM is
+	// suspended, so that older samples would understate it.
 	g.samples = samples{}
 	g.activeUntil = now.Add(activePeriod)
 	g.setPassive(now, event{kind: evTick})
@@ -21,8 +22,8 @@
 	}
 }
 
-// resume returns the actions after a pause. Claims and promotions that are
-// under way stay safe by their term.
+// resume resets the machine after a pause and returns the actions to run.
+// Claims and promotions in flight are safe because of their terms.
 func (m *machine) resume(now time.Time) []action {
 	m.actions = m.actions[:0]
 	if m.attempt != nil {
--- a/pkg/group/settings.go
+++ b/pkg/group/settings.go
@@ -12,7 +12,7 @@
 type Member struct {
 	ID         siskin.TargetID
 	DataCentre siskin.DataCentreID
-	// Address is the IP number and port of the target's PostgreSQL listener.
+	// Address is the IP address and port of the target's PostgreSQL listener.
 	Address string
 }
 
@@ -41,10 +41,11 @@
 	DefaultMaxAdmitWait   = 5 * time.Second
 )
 
-// withDefaults returns the settings with defaults and members ordered by id.
+// withDefaults validates the settings and returns them with defaults and with
+// the members sorted by ID.
 func (s Settings) withDefaults() (Settings, error) {
 	n, k := len(s.Members), s.AckReplicas
-	// With 2k < n any two sets of n-k targets overlap, so that one VM at most
+	// With 2k < n any two sets of n-k targets overlap, so that at most one VM
 	// wins a term. With k < 1 a write could be acknowledged on one target only.
 	if k < 1 || 2*k >= n {
 		return s, siskin.NewError(siskin.BadInput, "group %s has %d targets and AckReplicas %d", s.Service, n, k).
@@ -75,18 +76,19 @@
 // read floor is sampled from.
 func (s *Settings) quorum() int { return len(s.Members) - s.AckReplicas }
 
-// suspectTimeout is the silence after which a target is suspected.
+// suspectTimeout is the time without an answer after which a target is
+// suspected.
 func (s *Settings) suspectTimeout() time.Duration { return 3 * s.Interval }
 
-// longDebounce is the time after which a condition is acted on that may concern
-// this VM alone or that costs no confirmation yet. Like the other limits below,
-// it stops growing with the interval, so that a change of primary stays within
-// 7 s at the longest interval, 1 s.
+// longDebounce is how long a cause must persist that may concern this VM alone
+// or that does not prevent confirmations yet. Like the other limits below, it
+// is capped, so that a change of primary takes at most 7 s at the longest
+// interval, 1 s.
 func (s *Settings) longDebounce() time.Duration { return min(10*s.Interval, 3*time.Second) }
 
-// heartbeatTimeout is the time without a message of the primary after which a replica
-// does not hear it. Targets send one at least every 50 ms.
+// heartbeatTimeout is the time without a message from the primary after which a
+// replica has lost contact with it. Targets send one at least every 50 ms.
 func (s *Settings) heartbeatTimeout() time.Duration { return min(s.Interval, 200*time.Millisecond) }
 
-// callTimeout bounds each call of a target.
+// callTimeout is the time limit of each call to a target.
 func (s *Settings) callTimeout() time.Duration { return 3 * s.Interval }
--- a/pkg/group/staleness.go
+++ b/pkg/group/staleness.go
@@ -6,11 +6,12 @@
 	"siskintray.example/siskin"
 )
 
-// sampleCount bounds the samples kept, which covers 100 s at one per 200 ms.
+// sampleCount is the largest number of samples kept; it covers 100 s at one per
+// 200 ms.
 const sampleCount = 512
 
-// sample is one reading of the primary's position, at or after the time when it
-// was asked for.
+// sample is one reading of the primary's position, taken at or after
+// requestedAt.
 type sample struct {
 	pos         siskin.Position
 	requestedAt time.Time
@@ -18,13 +19,14 @@
 
 // samples measures staleness: the time since the newest confirmed position of
 // the primary that a replica has applied was read. Samples that are not
-// confirmed do not count, so a replaced primary makes no replica look fresh.
+// confirmed do not count, so that a replaced primary does not make a replica
+// appear up to date.
 type samples struct {
 	list      []sample // ordered by time and position
 	confirmed int      // number of leading samples that are confirmed
 }
 
-// add notes a reading of the primary.
+// add records a reading of the primary's position.
 func (s *samples) add(pos siskin.Position, requestedAt time.Time) {
 	if n := len(s.list); n > 0 {
 		last := &s.list[n-1]
@@ -32,9 +34,9 @@
 		case pos.Term > last.pos.Term:
 			s.list, s.confirmed = s.list[:0], 0
 		case pos.Compare(last.pos) < 0 || !requestedAt.After(last.requestedAt):
-			return // an answer that was overtaken
+			return // an outdated answer that arrived late
 		case pos == last.pos && n > 1 && s.list[n-2].pos == pos:
-			last.requestedAt = requestedAt // an idle primary takes two places only
+			last.requestedAt = requestedAt // an idle primary needs only two entries
 			return
 		}
 	}
@@ -45,7 +47,8 @@
 	s.list = append(s.list, sample{pos, requestedAt})
 }
 
-// confirm notes the position that enough replicas have received.
+// confirm marks the samples as confirmed up to pos, which enough replicas have
+// received.
 func (s *samples) confirm(pos siskin.Position) {
 	for s.confirmed < len(s.list) && s.list[s.confirmed].pos.Term == pos.Term && s.list[s.confirmed].pos.LSN <= pos.LSN {
 		s.confirmed++
--- a/pkg/group/targetstate.go
+++ b/pkg/group/targetstate.go
@@ -6,16 +6,16 @@
 	"siskintray.example/siskin"
 )
 
-// targetState is what the machine knows of one target.
+// targetState is what the machine knows about one target.
 type targetState struct {
 	Member
 	status     siskin.TargetStatus
 	hasStatus  bool // status holds an answer
 	answeredAt time.Time
-	// refused says that the last connection was refused or broke and that the
+	// refused is set when the last connection was refused or broke and the
 	// target has not answered since.
 	refused          bool
-	unreachableSince time.Time // start of the present unreachability; zero when reachable
+	unreachableSince time.Time // when the target became unreachable; zero if reachable
 	followOrderedAt  time.Time // time of the last follow order
 }
 
@@ -23,14 +23,15 @@
 	return t.hasStatus && !t.refused && now.Sub(t.answeredAt) < limit
 }
 
-// receivesHeartbeat reports whether the target is a replica that had a message of its
-// primary within the limit, by its last answer.
+// receivesHeartbeat reports whether the target is a replica that, by its last
+// status, received a message from its primary within the limit.
 func (t *targetState) receivesHeartbeat(limit time.Duration) bool {
 	return t.status.Role == siskin.RoleReplica && t.status.StreamTerm > 0 &&
 		t.status.ClaimedTerm <= t.status.StreamTerm && t.status.HeardPrimary < limit
 }
 
-// logPosition returns the end of the target's logPosition: the term of the last record first.
+// logPosition returns the end of the target's log: the term of the last record
+// and the position.
 func (t *targetState) logPosition() siskin.Position { return logEnd(t.status) }
 
 func logEnd(st siskin.TargetStatus) siskin.Position {
--- a/pkg/group/tracker.go
+++ b/pkg/group/tracker.go
@@ -12,22 +12,24 @@
 // tracker records which replicas have received the log of the newest term and
 // releases waiting commits.
 //
-// A replica's report of a position in the stream of a term holds for the whole
-// term: the replica has the record, and once it is claimed it takes no more of
-// that term. So reports made at different times add up.
+// A replica's report of a position in a term remains valid for the whole term:
+// the replica has the record, and once claimed for a later term it accepts no
+// more records of the earlier one. So reports made at different times can be
+// combined.
 type tracker struct {
 	mu          sync.Mutex
 	ackReplicas int // confirmations that a commit needs
 	quorum      int // claims that fence a term
 	targetIDs   []siskin.TargetID
 	term        siskin.Term
-	received    []siskin.LSN  // by target, in the stream of term as a replica
+	received    []siskin.LSN  // by target, the position received as a replica in term
 	claims      []siskin.Term // by target, the highest claim reported
 	waiting     waitHeap
 	notify      []chan struct{} // by target, signaled when a commit waits for it
 	scratch     []siskin.LSN
 	terms       []siskin.Term
-	// countAnyTerm counts positions of every stream, for tests of wrong rules.
+	// countAnyTerm counts positions received in any term, for tests with broken
+	// rules.
 	countAnyTerm bool
 }
 
@@ -36,7 +38,7 @@
 	pos     siskin.Position
 	arrived time.Time
 	result  chan bool // receives whether the commit is confirmed
-	index   int       // place in the heap; -1 when it has left
+	index   int       // index in the heap; -1 after removal
 }
 
 func newTracker(s *Settings) *tracker {
@@ -51,7 +53,7 @@
 	return t
 }
 
-// observe notes a target's report.
+// observe records a target's status.
 func (t *tracker) observe(st siskin.TargetStatus) {
 	i := slices.Index(t.targetIDs, st.ID)
 	if i < 0 {
@@ -67,7 +69,8 @@
 	t.releaseLocked()
 }
 
-// advanceTermLocked moves on to a later term.
+// advanceTermLocked starts a later term, in which no position has been
+// received.
 func (t *tracker) advanceTermLocked(term siskin.Term) {
 	if term > t.term {
 		t.term = term
@@ -90,7 +93,7 @@
 	return t.terms[len(t.terms)-t.quorum]
 }
 
-// releaseLocked answers the commits that are confirmed or can no longer be.
+// releaseLocked releases the commits that are confirmed or can no longer be.
 func (t *tracker) releaseLocked() {
 	if len(t.waiting) == 0 {
 		return
@@ -103,7 +106,7 @@
 			heap.Pop(&t.waiting)
 			w.result <- false
 		case w.pos.Term == confirmed.Term && w.pos.LSN <= confirmed.LSN && confirmed.LSN > 0:
-			// Position 0 is no report, so it confirms nothing.
+			// Position 0 means that there is no report, so it confirms nothing.
 			ackedInTerm.Check(w.pos.Term >= fenced, "ack in term %d, fenced by %d", w.pos.Term, fenced)
 			heap.Pop(&t.waiting)
 			w.result <- true
@@ -113,7 +116,7 @@
 	}
 }
 
-// add registers a commit. The result is buffered.
+// add registers a waiting commit. Its result channel is buffered.
 func (t *tracker) add(pos siskin.Position, now time.Time) *waiter {
 	w := &waiter{pos: pos, arrived: now, result: make(chan bool, 1)}
 	t.mu.Lock()
@@ -129,7 +132,7 @@
 	return w
 }
 
-// remove gives up a commit.
+// remove removes a commit that no longer waits.
 func (t *tracker) remove(w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -138,7 +141,8 @@
 	}
 }
 
-// lowestAwaited returns the lowest position that waits for a report of target i.
+// lowestAwaited returns the lowest position that commits need target i to
+// receive.
 func (t *tracker) lowestAwaited(i int) (siskin.Position, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -157,8 +161,8 @@
 	return best.pos, true
 }
 
-// oldestArrival returns the arrival of the commit with the lowest position; zero when
-// none waits.
+// oldestArrival returns the arrival time of the commit with the lowest
+// position; zero if none waits.
 func (t *tracker) oldestArrival() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -168,8 +172,8 @@
 	return t.waiting[0].arrived
 }
 
-// canConfirm reports whether a write of term could be confirmed: its term has not
-// been replaced or claimed away.
+// canConfirm reports whether a write of term could be confirmed: the term has
+// been neither replaced nor fenced by a quorum.
 func (t *tracker) canConfirm(term siskin.Term) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -186,6 +190,6 @@
 func signal(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
-	default: // a signal is waiting already
+	default: // a signal is already pending
 	}
 }
--- a/pkg/group/view.go
+++ b/pkg/group/view.go
@@ -6,7 +6,7 @@
 	"siskintray.example/siskin"
 )
 
-// view returns the snapshot of what the machine knows.
+// view returns a snapshot of the machine's state.
 func (m *machine) view(now time.Time, s *samples) siskin.GroupView {
 	v := siskin.GroupView{Term: m.term, Primary: m.primary, Targets: make([]siskin.TargetView, len(m.targets))}
 	for i, t := range m.targets {
@@ -20,7 +20,7 @@
 	return v
 }
 
-// sameView reports whether nothing changed that Changed announces.
+// sameView reports whether the views agree in everything that Changed reports.
 func sameView(a, b *siskin.GroupView) bool {
 	if a.Term != b.Term || a.Primary != b.Primary || len(a.Targets) != len(b.Targets) {
 		return false
@@ -34,7 +34,7 @@
 	return true
 }
 
-// nextTick returns when the machine needs a tick.
+// nextTick returns when the machine needs its next tick.
 func (m *machine) nextTick(now time.Time) time.Time {
 	next := now.Add(m.heartbeatTimeout() / 4)
 	if m.passive {
