group: test comments name the failure in the usual terms

Test comments used words such as looks, tells, cut off or given up for states that have terms. They now name the failure that each test guards against.

--- a/pkg/group/bench_test.go
+++ b/pkg/group/bench_test.go
@@ -10,7 +10,7 @@
 	"siskintray.example/siskin"
 )
 
-// BenchmarkConfirm measures a commit that one report of each replica releases.
+// BenchmarkConfirm measures a commit that one replica's report confirms.
 func BenchmarkConfirm(b *testing.B) {
 	set, _ := Settings{AckReplicas: 1, Members: []Member{{ID: "t/1"}, {ID: "t/2"}, {ID: "t/3"}}}.withDefaults()
 	t := newTracker(&set)
--- a/pkg/group/gap_test.go
+++ b/pkg/group/gap_test.go
@@ -16,10 +16,12 @@
 
 var gapRuns = flag.Int("gapruns", 1, "runs of each failover scenario and profile")
 
-// maxGap is the target value of the write gap.
+// maxGap is the limit of the write gap, the time without acknowledged writes
+// around a fault.
 const maxGap = 7 * time.Second
 
-// profile is the distance between data centres and the opening time.
+// profile is the network delay between data centres and the time to open a
+// connection.
 type profile struct {
 	name     string
 	oneWay   time.Duration
@@ -28,7 +30,8 @@
 
 var profiles = []profile{{"Syntyma", 1500 * time.Microsecond, 10 * time.Millisecond}, {"Hartwell", 500 * time.Microsecond, 30 * time.Millisecond}}
 
-// scenarios break the primary, which is servers[0], or the way to it.
+// scenarios make the primary, which is servers[0], or the connections to it
+// fail.
 var scenarios = []struct {
 	name       string
 	equalRanks bool // all VMs have rank 0
@@ -76,7 +79,7 @@
 }
 
 // TestWriteGap guards against a failover that loses an acknowledged write or
-// takes longer than the target value.
+// takes longer than maxGap.
 func TestWriteGap(t *testing.T) {
 	for _, p := range profiles {
 		for _, sc := range scenarios {
@@ -85,7 +88,7 @@
 					t.Skip("one profile is enough in short mode")
 				}
 				if *gapRuns == 1 {
-					t.Parallel() // measured runs do not disturb each other
+					t.Parallel() // runs for a measurement must not affect each other
 				}
 				var gaps []time.Duration
 				for range *gapRuns {
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -55,7 +55,8 @@
 	return g
 }
 
-// write runs one write through g directly at the primary's store.
+// write admits a write through g, commits it in the primary's store and waits
+// for its confirmation.
 func write(ctx context.Context, g *group.Group, servers []*target.Server, key string) (siskin.Position, error) {
 	primary, _, done, err := g.AdmitWrite(ctx)
 	if err != nil {
@@ -101,7 +102,7 @@
 			t.Errorf("%s: got staleness %v, want less than 700ms", tv.Status.ID, tv.Staleness)
 		}
 	}
-	servers[2].SetLag(time.Minute, 0) // its answer alone must not make a floor
+	servers[2].SetLag(time.Minute, 0) // its answer alone must not determine a floor
 	for i := range 50 {
 		check(fmt.Sprint("lag", i))
 	}
--- a/pkg/group/look_test.go
+++ b/pkg/group/look_test.go
@@ -11,9 +11,9 @@
 	"siskintray.example/siskin/pkg/pgctl"
 )
 
-// TestRecheckBeforeClaim guards against a healthy primary that is replaced because
-// its open connections went silent and the probe on a new one came too late, as
-// on a VM with more work than processors.
+// TestRecheckBeforeClaim guards against a healthy primary that is replaced
+// because its open connections stopped responding and the probe on a new one
+// was late, as on a VM with more work than processors.
 func TestRecheckBeforeClaim(t *testing.T) {
 	servers, err := target.StartGroup("ledger", 3, nil)
 	if err != nil {
--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -12,7 +12,7 @@
 	"siskintray.example/siskin/pkg/group"
 )
 
-// countStatements returns how many countStatements all targets have run.
+// countStatements returns the number of statements that all targets have run.
 func countStatements(servers []*target.Server) (n int) {
 	for _, s := range servers {
 		n += s.Stats().Statements
@@ -20,7 +20,7 @@
 	return n
 }
 
-// awaitPassive waits until a VM that is no watcher leaves the probes to others.
+// awaitPassive waits until a VM that is not a watcher stops probing.
 func awaitPassive(t *testing.T, g *group.Group) {
 	t.Helper()
 	for begun := time.Now(); !g.Passive(); time.Sleep(10 * time.Millisecond) {
@@ -32,9 +32,9 @@
 
 func notWatcher() bool { return false }
 
-// TestPassiveProbes guards against a VM that is no watcher and probes all the
-// time, one that does not probe a target whose statements get no answer, and
-// one that trusts its own last answers more than the watchers.
+// TestPassiveProbes guards against a VM that is not a watcher but probes all
+// the time, that does not probe a target whose statements get no answer, or
+// that prefers its own last statuses to the watchers' views.
 func TestPassiveProbes(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
@@ -42,7 +42,7 @@
 	begun := time.Now()
 	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(siskin.TargetID) (quiet, last time.Time) {
 		if waiting.Load() {
-			return begun, time.Now() // other connections are heard
+			return begun, time.Now() // statements on other connections are answered
 		}
 		return time.Time{}, time.Now()
 	}))
@@ -132,9 +132,9 @@
 	}
 }
 
-// TestPassiveSilentTarget guards against a silent target that a home which does
-// not probe finds later than one that does: statements that get no answer tell
-// since when the target is silent.
+// TestPassiveSilentTarget guards against a home that does not probe and detects
+// an unresponsive target later than a home that probes. The wait of statements
+// shows since when the target has not answered.
 func TestPassiveSilentTarget(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
--- a/pkg/group/planned_test.go
+++ b/pkg/group/planned_test.go
@@ -39,15 +39,15 @@
 				t.Errorf("got failed requests %v, want none", w.failed)
 			}
 			if missing := w.lostWrites(groups[0]); len(missing) > 0 {
-				t.Errorf("lost %v", missing)
+				t.Errorf("lost acknowledged writes: %v", missing)
 			}
-			t.Logf("%d writes, hold of the ordered change %v, of the leaving primary %v", len(w.acked), gap.Round(time.Millisecond), w.gap(start.Add(time.Second)).Round(time.Millisecond))
+			t.Logf("%d writes; longest gap %v in the requested change, %v when the primary left", len(w.acked), gap.Round(time.Millisecond), w.gap(start.Add(time.Second)).Round(time.Millisecond))
 		})
 	}
 }
 
 // TestTooFewTargets guards against writes that wait for a group that cannot
-// have a primary, and against a forced change that does not help.
+// have a primary, and against a forced change that does not restore one.
 func TestTooFewTargets(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
@@ -73,8 +73,8 @@
 	}
 }
 
-// TestOldPrimaryRejoins guards against a replaced primary that stays outside
-// the group or keeps a suffix that was acknowledged to nobody.
+// TestOldPrimaryRejoins guards against a replaced primary that does not rejoin
+// the group, or that keeps the end of its log that was never acknowledged.
 func TestOldPrimaryRejoins(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
@@ -104,8 +104,8 @@
 	}
 }
 
-// TestLaggingReplicasRefuseWrites guards against writes that pile up behind
-// confirmations that do not come.
+// TestLaggingReplicasRefuseWrites guards against writes that queue up because
+// no confirmations arrive.
 func TestLaggingReplicasRefuseWrites(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
@@ -130,8 +130,8 @@
 	}
 }
 
-// TestSilentConnectionsAreReplaced guards against a failover, or writes that
-// stop, because the open connections went silent while new ones work.
+// TestSilentConnectionsAreReplaced guards against a failover, or blocked
+// writes, because the open connections stopped responding while new ones work.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
--- a/pkg/group/random_test.go
+++ b/pkg/group/random_test.go
@@ -19,9 +19,10 @@
 	wrongRuns = flag.Int("wrongruns", 0, "runs of each wrong rule; 0 stops at the first one caught")
 )
 
-// knownSeeds have shown faults: a demoted primary that confirmed its own writes
-// (6 with 3 targets), a group that abandoned claims kept from confirming (1113
-// with 5 targets), and a late promotion (1127 with 3 targets).
+// knownSeeds have revealed faults: a demoted primary that confirmed its own
+// writes (6 with 3 targets), a group in which abandoned claims prevented
+// confirmations (1113 with 5 targets), and a late promotion (1127 with 3
+// targets).
 var knownSeeds = []uint64{6, 1113, 1127}
 
 // sizes are the groups and the number of rival VMs of the simulated runs.
@@ -57,8 +58,8 @@
 	}
 }
 
-// TestSoakSimulated repeats the simulated run of each size with growing seeds,
-// against the failures that TestRandomFaultsLoseNoWrite names.
+// TestSoakSimulated repeats the simulated run of each size with increasing
+// seeds, against the failures that TestRandomFaultsLoseNoWrite names.
 func TestSoakSimulated(t *testing.T) {
 	acked, promotions := 0, 0
 	soak.Each(t, func(t *testing.T, seed uint64) {
@@ -74,15 +75,15 @@
 	t.Logf("%d acknowledged writes, %d promotions", acked, promotions)
 }
 
-// TestWrongRulesAreCaught guards against a run that would not notice a lost
-// write: each rule that is broken must be detected by the same run.
+// TestWrongRulesAreCaught guards against a simulation that does not detect lost
+// writes: each rule that is broken on purpose must make a run fail.
 func TestWrongRulesAreCaught(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		rules   rules
 		targets int
-		seed    uint64 // a seed that is caught; later ones are tried too
+		seed    uint64 // a seed that fails; later ones are tried too
 	}{
 		{"ComparePositionsAlone", rules{comparePositionOnly: true}, 3, 1},
 		{"RewindBehindDivergence", rules{store: store.Rules{RewindToStart: true}}, 3, 0},
@@ -119,8 +120,8 @@
 	}
 }
 
-// TestRapidFaults lets rapid choose the size, the number of rival VMs and the
-// seed, so that a failing case is reduced.
+// TestRapidFaults runs the simulation with a size, a number of rival VMs and a
+// seed that rapid chooses, so that a failing case is minimized.
 func TestRapidFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/group/resume_test.go
+++ b/pkg/group/resume_test.go
@@ -11,7 +11,8 @@
 )
 
 // TestResume guards against a VM that, after a pause, claims targets before it
-// may use its roles, or takes writes or ages by answers from before the pause.
+// may use its roles, or admits writes or reports staleness because of answers
+// from before the pause.
 func TestResume(t *testing.T) {
 	servers := startTargets(t, 3, nil)
 	var awake atomic.Bool
--- a/pkg/group/script_test.go
+++ b/pkg/group/script_test.go
@@ -13,7 +13,7 @@
 	"siskintray.example/siskin"
 )
 
-// script runs the machine of one VM by the lines of a file.
+// script runs the machine of one VM with the commands of a file.
 type script struct {
 	m           *machine
 	now         time.Time
@@ -22,7 +22,7 @@
 
 // TestScripts guards against decisions that differ from those in testdata. A
 // line is a command; the lines after it that start with ">" are the actions,
-// probes left out, that it must lead to.
+// except probes, that it must return.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
 	if err != nil || len(files) == 0 {
--- a/pkg/group/sim_test.go
+++ b/pkg/group/sim_test.go
@@ -15,16 +15,16 @@
 
 var errNoAnswer = errors.New("no answer")
 
-// rules are the variants that a run may break on purpose.
+// rules selects the rules that a simulation breaks on purpose.
 type rules struct {
 	store               store.Rules
-	tooFewClaims        bool // one claim too few
+	tooFewClaims        bool // promote with one claim too few
 	comparePositionOnly bool // logs compared by position alone
-	confirmAnyStream    bool // positions of other streams confirm
+	confirmAnyStream    bool // positions received in other terms confirm
 }
 
-// sim drives the machines and trackers of some VMs against stores, with its own
-// clock, through partitions, pauses, restarts and lost or late messages.
+// sim simulates some VMs, with their machines and trackers, against stores on a
+// virtual clock, with partitions, pauses, restarts and lost or late messages.
 type sim struct {
 	rng         *rand.Rand
 	now         time.Time
@@ -34,7 +34,7 @@
 	ackReplicas int
 	rules       rules
 	vms         []*simVM
-	partitioned map[[2]int]bool // pairs of places; VMs come after the targets
+	partitioned map[[2]int]bool // pairs of nodes; VMs come after the targets
 	pausedUntil map[int]time.Time
 	lossRate    float64
 
@@ -83,7 +83,8 @@
 	}
 }
 
-// delay is mostly short; some messages are late by more than a timeout.
+// delay returns a message delay that is mostly short; some messages are late by
+// more than a timeout.
 func (s *sim) delay() time.Duration {
 	if s.rng.Float64() < 0.02 {
 		return s.randomDuration(time.Millisecond, 2*time.Second)
@@ -116,7 +117,7 @@
 	})
 }
 
-// replicate takes some records of the leader's log to a replica.
+// replicate copies some records of the leader's log to replica i.
 func (s *sim) replicate(i int) {
 	hello, ok := s.stores[i].Hello()
 	if !ok {
@@ -149,10 +150,10 @@
 }
 
 // checkLog asserts that a primary has the acknowledged writes of earlier terms.
-// A promotion whose message was late may make a primary of a term that has been
-// passed over: it lacks writes of later terms, and since enough targets are
-// claimed for those, it confirms nothing (seed 1127, 3 targets: term 5 began
-// after term 7).
+// A delayed promotion may take effect in a term that a later one has already
+// replaced. That primary lacks writes of later terms, but it cannot confirm
+// any, since enough targets are claimed for those terms (seed 1127, 3 targets:
+// term 5 began after term 7).
 func (s *sim) checkLog(term siskin.Term, target int) {
 	has := make(map[string]bool)
 	for _, r := range s.stores[target].Records() {
@@ -167,14 +168,14 @@
 	}
 }
 
-// injectFault makes one random fault.
+// injectFault injects one random fault.
 func (s *sim) injectFault() {
 	nodes := len(s.ids) + len(s.vms)
 	a, b := s.rng.IntN(nodes), s.rng.IntN(nodes)
 	switch s.rng.IntN(16) {
 	case 0, 1, 2:
 		s.partitioned[[2]int{min(a, b), max(a, b)}] = true
-	case 3: // cut one target or VM off from everything
+	case 3: // isolate one target or VM
 		for j := range nodes {
 			s.partitioned[[2]int{min(a, j), max(a, j)}] = true
 		}
@@ -191,7 +192,7 @@
 		v.step(event{kind: evChange, preferred: s.ids[s.rng.IntN(len(s.ids))]})
 	case 10:
 		s.stores[s.rng.IntN(len(s.stores))].SetLeaving(s.rng.IntN(2) == 0)
-	case 11, 12: // split everything into two sides
+	case 11, 12: // partition all nodes into two sides
 		side := s.rng.Uint64()
 		for i := range nodes {
 			for j := range i {
@@ -200,7 +201,7 @@
 				}
 			}
 		}
-	case 13: // the newest primary stops while the others come back
+	case 13: // pause the newest primary while the others recover
 		s.healNetwork()
 		_, primary := s.newestPrimary()
 		s.pausedUntil[primary] = s.now.Add(s.randomDuration(time.Second, 6*time.Second))
@@ -222,8 +223,9 @@
 	s.lossRate = 0
 }
 
-// runWithFaults runs the simulation with runWithFaults, then heals it and checks that every
-// acknowledged write is at the primary and that writes succeed again.
+// runWithFaults runs the simulation with faults, then ends all faults and
+// checks that every acknowledged write is at the primary and that writes
+// succeed again.
 func (s *sim) runWithFaults(d time.Duration) error {
 	s.run(2 * time.Second)
 	for end := s.now.Add(d); s.now.Before(end) && s.failure == nil; {
--- a/pkg/group/simclock_test.go
+++ b/pkg/group/simclock_test.go
@@ -30,11 +30,12 @@
 }
 
 func (s *sim) after(d time.Duration, f func()) {
-	s.sequence++ // also numbers the tasks
+	s.sequence++ // tasks and sessions share one counter
 	heap.Push(&s.queue, task{s.now.Add(d), int(s.sequence), f})
 }
 
-// onNode runs f onNode a place, after its pause.
+// onNode runs f on a node after d, or at the end of the node's pause if that is
+// later.
 func (s *sim) onNode(node int, d time.Duration, f func()) {
 	s.after(d, func() {
 		if wait := s.pausedUntil[node].Sub(s.now); wait > 0 {
--- a/pkg/group/simvm_test.go
+++ b/pkg/group/simvm_test.go
@@ -26,7 +26,7 @@
 	sessions    map[siskin.TargetID]uint64 // session of the last claim
 }
 
-// restart forgets everything, as a VM without a disk does.
+// restart discards all state, as a VM without persistent storage does.
 func (v *simVM) restart() {
 	s := v.sim
 	v.incarnation++
@@ -42,7 +42,7 @@
 	v.tracker = newTracker(&set)
 	v.pending = make(map[string]*waiter)
 	v.sessions = make(map[siskin.TargetID]uint64)
-	v.machine.rank = s.rng.IntN(len(s.ids)) % 2 // ranks clash at times
+	v.machine.rank = s.rng.IntN(len(s.ids)) % 2 // ranks are sometimes equal
 	if s.rules.tooFewClaims {
 		v.machine.quorumOverride = set.quorum() - 1
 	}
@@ -176,7 +176,8 @@
 	})
 }
 
-// collectResults notes the commits that were confirmed or failed and gives up old ones.
+// collectResults records the commits that were confirmed or failed and gives up
+// on old ones.
 func (v *simVM) collectResults() {
 	for _, key := range slices.Sorted(maps.Keys(v.pending)) {
 		w := v.pending[key]
--- a/pkg/group/soak_test.go
+++ b/pkg/group/soak_test.go
@@ -17,9 +17,9 @@
 	soakSeed = flag.Uint64("soakseed", soak.Seed(1), "seed of the faults of that run")
 )
 
-// TestSoak guards against faults of the calls and connections that the
-// simulated runs leave out: it loses no acknowledged write while the stand-ins
-// fail at random, and writes succeed again afterwards.
+// TestSoak guards against faults in the calls and connections, which the
+// simulated runs leave out: no acknowledged write may be lost while the test
+// targets fail at random, and writes must succeed again afterwards.
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	t.Logf("seed %d", *soakSeed)
--- a/pkg/group/spare_test.go
+++ b/pkg/group/spare_test.go
@@ -13,8 +13,8 @@
 	"siskintray.example/siskin/pkg/pgctl"
 )
 
-// probeCountingDialer counts the probes of replicas, which wait for a term and no
-// position.
+// probeCountingDialer counts the probes of replicas, which are calls of Wait
+// for a term without a position.
 type probeCountingDialer struct {
 	siskin.TargetDialer
 	probes atomic.Int64
@@ -39,9 +39,9 @@
 	return t.Target.Wait(ctx, pos, limit)
 }
 
-// TestConfirmationsSpareProbes guards against probes of replicas whose
-// confirmations have just brought their status, and against data that looks
-// older without these probes.
+// TestConfirmationsSpareProbes guards against needless probes of replicas whose
+// status has just arrived with a confirmation, and against a higher staleness
+// without these probes.
 func TestConfirmationsSpareProbes(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
--- a/pkg/group/staleness_test.go
+++ b/pkg/group/staleness_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestStalenessNeedsConfirmedSamples guards against a replica that looks fresh
-// by a sample of a replaced primary or by one that nobody confirmed.
+// TestStalenessNeedsConfirmedSamples guards against a replica that appears up
+// to date because of a sample of a replaced primary or of an unconfirmed one.
 func TestStalenessNeedsConfirmedSamples(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
--- a/pkg/group/tracker_test.go
+++ b/pkg/group/tracker_test.go
@@ -12,8 +12,9 @@
 )
 
 // TestTrackerAgainstModel guards against a commit that is released by reports
-// of another term, by the primary's own, by too few replicas or after its term
-// was claimed away, and against one that is not released in time.
+// of another term, by the primary's own report, by too few replicas or after
+// its term was fenced by a quorum, and against one that is not released in
+// time.
 func TestTrackerAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{3, 5}).Draw(t, "targets")
--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -16,7 +16,8 @@
 	"siskintray.example/siskin/pkg/group"
 )
 
-// writers run writes at some VMs and note what was acknowledged and when.
+// writers runs writes through some VMs and records which were acknowledged, and
+// when.
 type writers struct {
 	t       *testing.T
 	servers []*target.Server
@@ -49,7 +50,7 @@
 	}
 }
 
-// write runs one transaction as a home does: not run is tried again.
+// write runs one transaction and, like a home, retries it if it was not run.
 func (w *writers) write(ctx context.Context, g *group.Group, conn **pgconn.PgConn, at *siskin.TargetID, key string) error {
 	for {
 		primary, term, done, err := g.AdmitWrite(ctx)
@@ -106,7 +107,7 @@
 }
 
 // whileTerm returns a context that ends when the group has a later term, since
-// a transaction at the replaced primary cannot be acknowledged anymore.
+// a transaction at the replaced primary can no longer be acknowledged.
 func whileTerm(ctx context.Context, g *group.Group, term siskin.Term) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
@@ -137,7 +138,8 @@
 	return pos, err
 }
 
-// lostWrites returns the acknowledged keys that the present primary does not have.
+// lostWrites returns the acknowledged keys that the current primary does not
+// have.
 func (w *writers) lostWrites(g *group.Group) (missing []string) {
 	for _, s := range w.servers {
 		if s.ID() == g.View().Primary {
@@ -173,8 +175,9 @@
 	return longest
 }
 
-// stillBlocked reports whether no write that began after a change of term has been
-// acknowledged since the fault.
+// stillBlocked reports whether writes have not resumed after the fault. Fewer
+// than 4 acknowledgements later than 100 ms after it may belong to writes that
+// the writers, 4 in all, began before the change of term.
 func (w *writers) stillBlocked(fault time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
