group: file names follow the renamed types

gate.go, link.go, gate_test.go, look_test.go and spare_test.go were named after figurative terms that the code no longer uses.

--- a/pkg/group/gate.go
+++ b/pkg/group/admission.go
@@ -104,7 +104,8 @@
 	return !oldestArrival.IsZero() && g.clock.Since(oldestArrival) > g.settings.MaxUnconfirmed
 }
 
-// WritesInProgress returns the number of admitted transactions that have not ended.
+// WritesInProgress returns the number of admitted transactions that have not
+// ended.
 func (g *Group) WritesInProgress() int { return int(g.writes.Load()) }
 
 // ReportFailure implements siskin.Group. A cause of kind NotRun means that the
