--- a/pkg/fairq/flow.go
+++ b/pkg/fairq/flow.go
@@ -6,11 +6,12 @@
 	"siskintray.example/siskin"
 )
 
-// quantum is the service time that a customer of weight 1 earns per round. It
-// is below the usual statement, so that customers interleave finely.
+// quantum is the service time that a customer of weight 1 is credited per
+// round. It is shorter than the usual statement, so that customers interleave
+// finely.
 const quantum = 250 * time.Microsecond
 
-// flow is the queue and the account of one customer.
+// flow is the queue of one customer and its account of service time.
 type flow struct {
 	id     siskin.CustomerID
 	weight int
@@ -20,27 +21,28 @@
 	running     int
 
 	// deficit is the service time that the flow may still use; a negative value
-	// is a debt. While the flow is not filed it is stated as of round asOf.
-	deficit time.Duration
-	asOf    uint64
-	// earned is the latest round whose quantum the flow got. Without it, a
-	// customer whose queue empties after each short request would get a quantum
-	// each time and the round would never end.
-	earned uint64
+	// is a debt. While the flow is not on the wheel, it is the value
+	// at round deficitRound.
+	deficit      time.Duration
+	deficitRound uint64
+	// creditedRound is the latest round whose quantum the flow was credited.
+	// Without it, a customer whose queue empties after each short request would
+	// be credited a quantum each time and the round would never end.
+	creditedRound uint64
 
-	filed      bool
+	inWheel    bool
 	round      uint64
-	prev, next *flow // neighbors in a wheel bucket, or in the idle list
+	prev, next *flow // neighbours in a wheel bucket or in the idle list
 	idle       bool
 	idleSince  time.Duration
 
-	cost ewma // service time of one request
-	pace ewma // time between two starts while requests wait
-	// lastStart is the time of the latest start; zero at the start of a backlog.
-	lastStart time.Duration
+	cost          ewma // service time of one request
+	startInterval ewma // time between two starts while requests wait
+	// lastStarted is the time of the latest start in this backlog; zero before it.
+	lastStarted time.Duration
 }
 
-func (f *flow) earning() time.Duration { return quantum * time.Duration(f.weight) }
+func (f *flow) roundQuantum() time.Duration { return quantum * time.Duration(f.weight) }
 
 func (f *flow) push(t *ticket) {
 	t.prev, t.next = f.last, nil
@@ -68,27 +70,28 @@
 	f.waiting--
 }
 
-// repay credits a flow that was not filed for the rounds between asOf and the
-// present one, up to the end of its debt: an idle customer saves up no credit.
-func (f *flow) repay(round uint64) {
-	if round == f.asOf {
+// creditElapsedRounds credits a flow that was not on the wheel for the rounds
+// between deficitRound and the given one, at most up to a deficit of zero: an
+// idle customer accumulates no credit.
+func (f *flow) creditElapsedRounds(round uint64) {
+	if round == f.deficitRound {
 		return
 	}
-	passed := round - f.asOf - 1
-	f.asOf = round
+	passed := round - f.deficitRound - 1
+	f.deficitRound = round
 	switch {
-	case f.deficit >= 0 || passed >= uint64(-f.deficit/f.earning())+1:
+	case f.deficit >= 0 || passed >= uint64(-f.deficit/f.roundQuantum())+1:
 		f.deficit = 0
 	default:
-		f.deficit += time.Duration(passed) * f.earning()
+		f.deficit += time.Duration(passed) * f.roundQuantum()
 	}
 }
 
-// unearn takes back the quanta of rounds that lie ahead, for a flow that
-// leaves the wheel before its round.
-func (f *flow) unearn(round uint64) {
+// revokeFutureRounds takes back the quanta credited for rounds after the given
+// one, for a flow that leaves the wheel before its round.
+func (f *flow) revokeFutureRounds(round uint64) {
 	if f.round > round {
-		f.deficit -= time.Duration(f.round-round) * f.earning()
-		f.earned = round
+		f.deficit -= time.Duration(f.round-round) * f.roundQuantum()
+		f.creditedRound = round
 	}
 }
