--- a/pkg/group/detect.go
+++ b/pkg/group/detect.go
@@ -113,7 +113,8 @@
 	return n >= m.quorum()
 }
 
-// recentChangePeriod is the time for which a change of primary counts as recent.
+// recentChangePeriod is the time for which a change of primary counts as
+// recent.
 const recentChangePeriod = 30 * time.Second
 
 // unreachableDebounce returns how long the log must not grow before a primary
--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -55,7 +55,7 @@
 	before := countStatements(servers)
 	time.Sleep(2 * time.Second)
 	if got := countStatements(servers) - before; got > 0 {
-		t.Errorf("statements in 2 s without anything wrong: got %d, want 0", got)
+		t.Errorf("statements in 2 s without a fault: got %d, want 0", got)
 	}
 	waiting.Store(true)
 	before = countStatements(servers)
@@ -157,13 +157,13 @@
 			break
 		}
 		if time.Since(begun) > 15**interval {
-			t.Fatal("silent target: got it reachable after 15 intervals")
+			t.Fatal("unresponsive target: got it reachable after 15 intervals, want unreachable")
 		}
 		time.Sleep(time.Millisecond)
 	}
 	took := time.Since(begun)
 	t.Logf("unreachable %v after the last answer", took)
 	if limit := 5 * *interval; took > limit {
-		t.Errorf("silent target: got it unreachable after %v, want at most %v", took, limit)
+		t.Errorf("unresponsive target: got it unreachable after %v, want at most %v", took, limit)
 	}
 }
--- a/pkg/group/planned_test.go
+++ b/pkg/group/planned_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestPlannedChangeFailsNothing guards against a planned change of primary that
-// fails a request at any home, also when another home orders it, and against a
+// fails a request at any home, also when another home requests it, and against a
 // leaving primary that keeps its role.
 func TestPlannedChangeFailsNothing(t *testing.T) {
 	t.Parallel()
--- a/pkg/group/recheck_test.go
+++ b/pkg/group/recheck_test.go
@@ -49,7 +49,7 @@
 	servers[0].SilenceOpen()
 	g.peers[1].claim(c)
 	if got := claimed(); got != before {
-		t.Errorf("claimed term while only the primary's open connections are silent: got %d, want %d", got, before)
+		t.Errorf("claimed term while only the primary's open connections are unresponsive: got %d, want %d", got, before)
 	}
 	servers[0].Close()
 	c.unresponsive = servers[0].ID()
--- a/pkg/group/tracker.go
+++ b/pkg/group/tracker.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// confirmedLocked returns the position that k replicas have received.
+// confirmedLocked returns the newest position that ackReplicas replicas have
+// received.
 func (t *tracker) confirmedLocked() siskin.Position {
 	t.scratch = append(t.scratch[:0], t.received...)
 	slices.Sort(t.scratch)
@@ -132,7 +133,7 @@
 	return w
 }
 
-// remove removes a commit that no longer waits.
+// remove unregisters a commit whose caller no longer waits.
 func (t *tracker) remove(w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,7 +181,7 @@
 	return term >= max(t.term, t.fencedLocked())
 }
 
-// confirmed returns the position that k replicas have received.
+// confirmed returns the newest position that ackReplicas replicas have received.
 func (t *tracker) confirmed() siskin.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -175,9 +175,9 @@
 	return longest
 }
 
-// stillBlocked reports whether writes have not resumed after the fault. Fewer
-// than 4 acknowledgements later than 100 ms after it may belong to writes that
-// the writers, 4 in all, began before the change of term.
+// stillBlocked reports whether writes have not resumed since the fault: fewer
+// than 4 were acknowledged later than 100 ms after it, so possibly none that
+// began after the change of term.
 func (w *writers) stillBlocked(fault time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
