--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -14,74 +14,74 @@
 	"siskintray.example/siskin"
 )
 
-// Group runs the decisions of one VM about one group. It implements
-// siskin.Group.
+// Group monitors one replication group for one VM and changes its primary after
+// a failure. It implements siskin.Group.
 type Group struct {
-	settings Settings
-	dialer   siskin.TargetDialer
-	clock    siskin.Clock
-	log      *log.Logger
-	rank     func() int
-	awake    func() bool
-	watcher  func() bool
-	heard    func(siskin.TargetID) (quiet, last time.Time)
-	rng      *rand.Rand
+	settings          Settings
+	dialer            siskin.TargetDialer
+	clock             siskin.Clock
+	log               *log.Logger
+	rank              func() int
+	awake             func() bool
+	watcher           func() bool
+	statementActivity func(siskin.TargetID) (quiet, last time.Time)
+	rng               *rand.Rand
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	startMu sync.Mutex // orders start and Close
+	startMu sync.Mutex // serializes start and Close
 	pool    pond.Pool  // runs actions and floor samples
 	events  chan event
 	peers   []*peer
 
-	tracker *tracker
-	floor   floor
-	gate    atomic.Pointer[gate]
-	writes  atomic.Int64 // admitted transactions that have not ended
-	done    func()
-	passive atomic.Bool // machine.passive, for readers without mu
+	tracker   *tracker
+	floor     floor
+	admission atomic.Pointer[admission]
+	writes    atomic.Int64 // admitted transactions that have not ended
+	writeDone func()
+	passive   atomic.Bool // copy of machine.passive for readers that do not hold mu
 
-	mu        sync.RWMutex // guards what follows
+	mu        sync.RWMutex // guards the fields below
 	machine   *machine
 	samples   samples
 	published siskin.GroupView
 	changed   chan struct{}
-	// activeUntil is the end of the time for which a VM that is no watcher
-	// probes, and activated is closed when such a time begins.
+	// activeUntil is when a VM that is not a watcher stops probing, and
+	// activated is closed when it starts to probe.
 	activeUntil time.Time
 	activated   chan struct{}
 	// refusedAt is when a caller reported that the primary refused a write as
-	// not run; zero when the primary has answered a probe since.
-	refusedAt time.Time
-	waitsMu   sync.Mutex
-	waits     map[int]chan error // operators' requests in progress
-	requests  int
+	// not run; zero if the primary has answered a probe since.
+	refusedAt      time.Time
+	requestsMu     sync.Mutex
+	requestResults map[int]chan error // operators' requests in progress
+	lastRequest    int
 }
 
 var _ siskin.Group = (*Group)(nil)
 
-// New starts to watch a group. Close ends it.
+// New returns a Group that monitors the targets until it is closed.
 func New(s Settings, dialer siskin.TargetDialer, opts ...Option) (*Group, error) {
-	s, err := s.prepared()
+	s, err := s.withDefaults()
 	if err != nil {
 		return nil, err
 	}
 	g := &Group{
 		settings: s, dialer: dialer, clock: clockwork.NewRealClock(), log: &log.Logger{Level: log.PanicLevel},
 		rank: func() int { return 0 }, awake: func() bool { return true },
-		watcher: func() bool { return true }, heard: func(siskin.TargetID) (quiet, last time.Time) { return time.Time{}, time.Time{} },
+		watcher: func() bool { return true }, statementActivity: func(siskin.TargetID) (quiet, last time.Time) { return time.Time{}, time.Time{} },
 		activated: make(chan struct{}), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		events: make(chan event, 64), tracker: newTracker(&s), changed: make(chan struct{}),
-		waits: make(map[int]chan error),
+		requestResults: make(map[int]chan error),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.done = func() { g.writes.Add(-1) }
+	g.writeDone = func() { g.writes.Add(-1) }
 	g.machine = newMachine(s, g.rng)
-	g.activeUntil = g.clock.Now().Add(s.suspectAfter())
+	g.activeUntil = g.clock.Now().Add(s.suspectTimeout())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	// Each target has at most a probe, a claim, a drain or wait and a floor
 	// sample in progress.
@@ -90,14 +90,15 @@
 	for i, m := range s.Members {
 		p := newPeer(g, i, m)
 		g.peers = append(g.peers, p)
-		g.start(p.watch)
-		g.start(p.confirm)
+		g.start(p.probeLoop)
+		g.start(p.confirmLoop)
 	}
 	g.start(g.run)
 	return g, nil
 }
 
-// start runs f until Close, which waits for it. It reports false after Close.
+// start runs f in a goroutine that Close waits for. It returns false after
+// Close.
 func (g *Group) start(f func()) bool {
 	g.startMu.Lock()
 	defer g.startMu.Unlock()
@@ -112,7 +113,7 @@
 	return true
 }
 
-// Close ends all calls and waits for them.
+// Close cancels all calls and waits for them to return.
 func (g *Group) Close() error {
 	g.startMu.Lock()
 	g.cancel()
@@ -125,12 +126,12 @@
 	return nil
 }
 
-// run feeds the machine until the group is closed.
+// run passes events and ticks to the machine until the group is closed.
 func (g *Group) run() {
 	for {
 		g.mu.RLock()
 		now := g.clock.Now()
-		wait := g.machine.wake(now).Sub(now)
+		wait := g.machine.nextTick(now).Sub(now)
 		g.mu.RUnlock()
 		select {
 		case e := <-g.events:
@@ -143,9 +144,9 @@
 	}
 }
 
-// post feeds an event to the machine.
+// post sends an event to the machine and its status, if any, to the tracker.
 func (g *Group) post(e event) {
-	if e.known {
+	if e.hasStatus {
 		g.tracker.observe(e.status)
 	}
 	select {
@@ -160,17 +161,17 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	m := g.machine
-	m.pendingSince = g.tracker.oldest()
+	m.pendingSince = g.tracker.oldestArrival()
 	m.rank = g.rank()
-	m.held = !g.awake()
+	m.resuming = !g.awake()
 	g.setPassive(now, e)
 	term := m.term
 	actions := m.step(now, e)
-	if e.known && e.kind != evLearned && e.target == m.primary {
+	if e.hasStatus && e.kind != evRemoteStatus && e.target == m.primary {
 		if e.status.Role == siskin.RolePrimary && e.status.StreamTerm == m.term && e.kind == evStatus {
-			g.samples.add(siskin.Position{Term: m.term, LSN: e.status.Received}, e.asked)
+			g.samples.add(siskin.Position{Term: m.term, LSN: e.status.Received}, e.askedAt)
 		}
-		if !e.asked.Before(g.refusedAt) {
+		if !e.askedAt.Before(g.refusedAt) {
 			g.refusedAt = time.Time{}
 		}
 	}
@@ -178,7 +179,7 @@
 	if m.term != term {
 		g.refusedAt = time.Time{}
 		g.log.Info().Str("Service", string(g.settings.Service)).Str("Primary", string(m.primary)).
-			Uint64("Term", uint64(m.term)).Bool("Own", m.own).Msg("primary changed")
+			Uint64("Term", uint64(m.term)).Bool("Own", m.promotedHere).Msg("primary changed")
 	}
 	g.publish(now)
 	for _, a := range actions {
@@ -186,10 +187,11 @@
 	}
 }
 
-// publish updates what callers see. The caller holds mu, except in New.
+// publish updates the admission of writes and, if the view has changed, closes
+// the channel of Changed. The caller holds mu, except in New.
 func (g *Group) publish(now time.Time) {
 	v := g.machine.view(now, &g.samples)
-	g.setGate(now, &v)
+	g.setAdmission(now, &v)
 	if sameView(&g.published, &v) {
 		return
 	}
--- a/pkg/spread/exchange.go
+++ b/pkg/spread/exchange.go
@@ -12,30 +12,30 @@
 	From siskin.VMID
 	// Revision is the revision in force at the caller.
 	Revision siskin.Revision
-	// After is the last document of the page before, without its body.
+	// After is the last document of the previous page, without its body.
 	After *Document `json:",omitempty"`
 }
 
 // SinceReply is the answer of Spread.Since.
 type SinceReply struct {
-	// Revision is the revision in force at the answering VM when it collected
+	// Revision is the revision in force at the responding VM before it collected
 	// the documents.
 	Revision siskin.Revision
 	// Documents are those changed after the caller's revision.
 	Documents []Document `json:",omitempty"`
-	// More says that further pages follow.
+	// More reports whether further pages follow.
 	More bool `json:",omitempty"`
-	// Proof holds for Revision.
+	// Proof is the proof that Revision is the newest.
 	Proof Proof
 }
 
-// exchangeLoop compares revisions with a random VM at each interval.
+// exchangeLoop exchanges revisions with a random VM at each interval.
 func (s *Spread) exchangeLoop() {
 	for n := 1; ; n++ {
-		if vm, ok := s.partner(n); ok {
+		if vm, ok := s.exchangePeer(n); ok {
 			_ = s.fetch(vm)
 		}
-		if s.asksPlatform(n) {
+		if s.shouldLoadFromPlatform(n) {
 			s.submit(func() { _ = s.loadFromPlatform(s.ctx) })
 		}
 		s.writeStatus()
@@ -47,36 +47,37 @@
 	}
 }
 
-// asksPlatform reports whether the platform is asked after the n-th exchange, at
-// doubling intervals. Every VM asks from the start while no peer gave a proof,
-// since no key is accepted without one. Later only VMs that are no watchers ask,
-// while no peer has a configuration, so that a fleet without one does not load
-// the platform.
-func (s *Spread) asksPlatform(n int) bool {
+// shouldLoadFromPlatform reports whether the VM reads the configuration from
+// the platform after the n-th exchange. The intervals double, so that a fleet
+// without a configuration does not load the platform. While a VM has no proof,
+// it reads from the first exchange on, since no key is accepted without a
+// proof. With a proof, only VMs that are not watchers read, from the 8th
+// exchange on and only while they have no configuration.
+func (s *Spread) shouldLoadFromPlatform(n int) bool {
 	if n&(n-1) != 0 {
 		return false
 	}
-	if !s.proved.Load() {
+	if !s.hadProof.Load() {
 		return true
 	}
 	_, watcher := s.watcherRank()
 	return !watcher && s.Revision() == 0 && n >= 8
 }
 
-// partner returns the VM for the n-th exchange.
-func (s *Spread) partner(n int) (siskin.VMID, bool) {
-	near, far := s.others()
+// exchangePeer selects the VM for the n-th exchange.
+func (s *Spread) exchangePeer(n int) (siskin.VMID, bool) {
+	local, remote := s.others()
 	switch {
-	case len(near)+len(far) == 0:
+	case len(local)+len(remote) == 0:
 		return "", false
-	case len(near) == 0 || len(far) > 0 && n%farEvery == 0:
-		return pick(far), true
-	case n%statusEvery == 0:
+	case len(local) == 0 || len(remote) > 0 && n%remoteExchangeEvery == 0:
+		return randomVM(remote), true
+	case n%collectorExchangeEvery == 0:
 		if vm, ok := s.collector(); ok && vm.ID != s.members.Self().ID {
 			return vm.ID, true
 		}
 	}
-	return pick(near), true
+	return randomVM(local), true
 }
 
 // collector returns the VM that collects the revisions of this data centre.
@@ -89,26 +90,26 @@
 }
 
 // fetch gets the documents changed since this VM's revision from a peer, in
-// pages. The revision advances only when all of them arrived.
+// pages. The revision advances only after the last page.
 func (s *Spread) fetch(vm siskin.VMID) error {
 	args := &SinceArgs{From: s.members.Self().ID, Revision: s.Revision()}
-	target, first, sent := siskin.Revision(0), Proof{}, s.clock.Now()
+	rev, proof, sent := siskin.Revision(0), Proof{}, s.clock.Now()
 	for {
 		var reply SinceReply
 		if err := s.call(vm, "Spread.Since", args, &reply); err != nil {
 			return err
 		}
-		s.status.note(vm, reply.Revision, s.clock.Now())
+		s.peerRevisions.record(vm, reply.Revision, s.clock.Now())
 		entries, err := decodeAll(reply.Documents)
 		if err != nil {
 			return err
 		}
 		if args.After == nil {
-			target, first = reply.Revision, reply.Proof
+			rev, proof = reply.Revision, reply.Proof
 		}
 		if !reply.More || len(entries) == 0 {
-			s.install(entries, target)
-			s.noteProof(first, target, sent)
+			s.install(entries, rev)
+			s.recordProof(proof, rev, sent)
 			return nil
 		}
 		s.install(entries, 0)
@@ -117,49 +118,51 @@
 	}
 }
 
-// fetchSoon fetches from a peer in the background, once at a time.
-func (s *Spread) fetchSoon(vm siskin.VMID) {
+// fetchInBackground fetches from a peer unless a fetch from it is running.
+func (s *Spread) fetchInBackground(vm siskin.VMID) {
 	s.fetchMu.Lock()
-	busy := s.busy[vm]
-	s.busy[vm] = true
+	fetching := s.fetching[vm]
+	s.fetching[vm] = true
 	s.fetchMu.Unlock()
-	if busy {
+	if fetching {
 		return
 	}
-	free := func() {
+	release := func() {
 		s.fetchMu.Lock()
 		defer s.fetchMu.Unlock()
-		delete(s.busy, vm)
+		delete(s.fetching, vm)
 	}
-	if !s.submit(func() { defer free(); _ = s.fetch(vm) }) {
-		free()
+	if !s.submit(func() { defer release(); _ = s.fetch(vm) }) {
+		release()
 	}
 }
 
 // Receiver holds the methods that peers call. Register it as "Spread".
 type Receiver struct{ s *Spread }
 
-// Receiver returns the receiver of the methods Spread.Push and Spread.Since.
+// Receiver returns the receiver of the methods Spread.Push, Spread.Since and
+// Spread.Status.
 func (s *Spread) Receiver() *Receiver { return &Receiver{s} }
 
-// Since answers with the documents changed after the caller's revision.
+// Since returns the documents changed after the caller's revision.
 func (r *Receiver) Since(args *SinceArgs, reply *SinceReply) error {
 	s := r.s
-	s.status.note(args.From, args.Revision, s.clock.Now())
+	s.peerRevisions.record(args.From, args.Revision, s.clock.Now())
 	reply.Proof = s.proof()
 	reply.Revision = s.Revision()
 	switch {
 	case args.Revision < reply.Revision:
 		after := afterRevision(args.Revision)
 		if args.After != nil {
-			after = logged{args.After.Revision, args.After.key()}
+			after = logEntry{args.After.Revision, args.After.key()}
 		}
 		reply.Documents, reply.More = s.since(after)
 	case args.Revision > reply.Revision:
-		s.fetchSoon(args.From)
+		s.fetchInBackground(args.From)
 	}
 	return nil
 }
 
-// staleAfter is the age from which the revision of a VM is not known anymore.
+// staleAfter is the age from which the last reported revision of a VM is
+// ignored.
 const staleAfter = 30 * time.Second
--- a/pkg/spread/load.go
+++ b/pkg/spread/load.go
@@ -20,13 +20,13 @@
 // snapshotObject is the value of Config/Snapshot.
 type snapshotObject struct{ Revision siskin.Revision }
 
-// loadFromPlatform reads the head and catches up with it.
+// loadFromPlatform reads the head and installs the missing changes.
 func (s *Spread) loadFromPlatform(ctx context.Context) error {
 	_, _, err := s.readHead(ctx)
 	return err
 }
 
-// readHead reads the head and brings it into force here.
+// readHead reads the head and installs the missing changes up to it.
 func (s *Spread) readHead(ctx context.Context) (head, siskin.Version, error) {
 	sent := s.clock.Now()
 	o, err := s.platform.Get(ctx, headName)
@@ -37,16 +37,16 @@
 	if err != nil {
 		return head{}, 0, err
 	}
-	if err := s.catchUp(ctx, h); err != nil {
+	if err := s.loadChanges(ctx, h); err != nil {
 		return head{}, 0, err
 	}
-	s.platformAnswered(sent)
+	s.recordPlatformAnswer(sent)
 	return h, o.Version, nil
 }
 
-// catchUp brings the changes up to a head into force. A head that is older
-// than what is in force, as in a late answer, changes nothing.
-func (s *Spread) catchUp(ctx context.Context, h head) error {
+// loadChanges reads and installs the missing changes up to a head. A head older
+// than the revision in force, as from a delayed response, has no effect.
+func (s *Spread) loadChanges(ctx context.Context, h head) error {
 	s.loadMu.Lock()
 	defer s.loadMu.Unlock()
 	if h.Revision <= s.Revision() {
@@ -66,14 +66,14 @@
 		if err != nil {
 			return err
 		}
-		s.accepted.note(c.Revision, c.Operation)
+		s.operationHistory.recordAccepted(c.Revision, c.Operation)
 		s.install(entries, c.Revision)
 	}
 	return nil
 }
 
-// loadSnapshot reads the snapshot objects. They may hold documents newer than
-// the revision they cover, all of accepted changes.
+// loadSnapshot reads and installs the snapshot objects. They may hold documents
+// newer than the revision that they cover, but only of accepted changes.
 func (s *Spread) loadSnapshot(ctx context.Context, first siskin.Revision) error {
 	o, err := s.platform.Get(ctx, snapshotName)
 	if err != nil {
@@ -86,7 +86,7 @@
 		}
 	}
 	if snapshot.Revision+1 < first {
-		return siskin.NewError(siskin.Unavailable, "the snapshot covers revision %d and the head starts at %d", snapshot.Revision, first).WithRemedy("retry; the head is read again")
+		return siskin.NewError(siskin.Unavailable, "the snapshot ends at revision %d, but the head lists changes from revision %d on", snapshot.Revision, first).WithRemedy("retry to read the head again")
 	}
 	objects, err := s.platform.List(ctx, shardPrefix)
 	if err != nil {
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// readChange reads one change object that the head names.
+// readChange reads a change object that the head lists.
 func (s *Spread) readChange(ctx context.Context, c headChange) ([]*entry, error) {
 	o, err := s.platform.Get(ctx, changeName(c))
 	if err != nil {
--- a/pkg/spread/messages_test.go
+++ b/pkg/spread/messages_test.go
@@ -7,31 +7,31 @@
 	"time"
 )
 
-// messages decides what happens to each message between VMs. The zero value
-// delivers all of them at once.
-type messages struct {
-	mu          sync.Mutex
-	rng         *rand.Rand
-	share       float64       // share of messages that are lost or late
-	longest     time.Duration // longest delay of a late message
-	delivery    sync.WaitGroup
-	lost, later int
+// messageFaults injects faults into the messages between VMs. The zero value
+// delivers all messages without delay.
+type messageFaults struct {
+	mu            sync.Mutex
+	rng           *rand.Rand
+	faultShare    float64       // share of messages that are lost, delayed or get no response
+	maxDelay      time.Duration // upper bound of the delay of a message
+	delivery      sync.WaitGroup
+	lost, delayed int
 }
 
-var errNoAnswer = errors.New("no answer")
+var errNoAnswer = errors.New("no response")
 
-// set changes the share of messages that are lost or late.
-func (m *messages) set(rng *rand.Rand, share float64, longest time.Duration) {
+// set changes the share of faulty messages and the upper bound of the delays.
+func (m *messageFaults) set(rng *rand.Rand, faultShare float64, maxDelay time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.rng, m.share, m.longest = rng, share, longest
+	m.rng, m.faultShare, m.maxDelay = rng, faultShare, maxDelay
 }
 
-// send delivers a message, or loses it, or loses its answer, or delivers it
-// after the caller gave up.
-func (m *messages) send(deliver func() error) error {
+// send delivers a message, drops it, drops its response, or delivers it after
+// the caller has received an error.
+func (m *messageFaults) send(deliver func() error) error {
 	m.mu.Lock()
-	if m.share == 0 || m.rng.Float64() >= m.share {
+	if m.faultShare == 0 || m.rng.Float64() >= m.faultShare {
 		m.mu.Unlock()
 		return deliver()
 	}
@@ -41,8 +41,8 @@
 	case 0:
 		m.delivery.Go(func() { _ = deliver() })
 	case 1:
-		m.later++
-		delay := time.Duration(m.rng.Int64N(int64(m.longest)))
+		m.delayed++
+		delay := time.Duration(m.rng.Int64N(int64(m.maxDelay)))
 		m.delivery.Go(func() {
 			time.Sleep(delay)
 			_ = deliver()
@@ -51,5 +51,5 @@
 	return errNoAnswer
 }
 
-// wait waits for the messages that are late.
-func (m *messages) wait() { m.delivery.Wait() }
+// wait waits for the delayed messages.
+func (m *messageFaults) wait() { m.delivery.Wait() }
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -13,55 +13,55 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// Spread holds the configuration in force at this VM and spreads changes. It
-// implements config.View.
+// Spread holds the configuration in force at this VM and replicates changes to
+// other VMs. It implements config.View.
 type Spread struct {
 	*store
-	cfg          Config
-	clock        siskin.Clock
-	members      siskin.Members
-	peers        siskin.Peers
-	platform     siskin.Platform
-	status       *status
-	accepted     *accepted
-	pool         pond.Pool
-	proofTracker ProofTracker
-	logf         func(format string, args ...any)
-
-	platformDown atomic.Bool // the last question as a watcher failed
-	proved       atomic.Bool // there was a proof of knowing the newest revision
-
-	loadMu  sync.Mutex // one catch-up with the platform at a time
-	applyMu sync.Mutex // one change by this VM at a time
-	fetchMu sync.Mutex // guards busy, and orders submit before Close
-	busy    map[siskin.VMID]bool
-
-	ctx  context.Context // ends at Close
-	stop context.CancelFunc
-	done sync.WaitGroup
+	cfg              Config
+	clock            siskin.Clock
+	members          siskin.Members
+	peers            siskin.Peers
+	platform         siskin.Platform
+	peerRevisions    *peerRevisions
+	operationHistory *operationHistory
+	pool             pond.Pool
+	proofTracker     ProofTracker
+	logf             func(format string, args ...any)
+
+	platformDown atomic.Bool // this VM is a watcher and its last query failed
+	hadProof     atomic.Bool // this VM once had a proof that its revision is the newest
+
+	loadMu   sync.Mutex // serializes loads from the platform
+	applyMu  sync.Mutex // serializes changes by this VM
+	fetchMu  sync.Mutex // guards fetching, and keeps submit from adding tasks after Close
+	fetching map[siskin.VMID]bool
+
+	ctx   context.Context // canceled by Close
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
 }
 
 var _ config.View = (*Spread)(nil)
 
-// Option changes a Spread.
+// Option configures a Spread.
 type Option func(*Spread)
 
 // WithClock sets the clock.
 func WithClock(clock siskin.Clock) Option { return func(s *Spread) { s.clock = clock } }
 
-// WithLogf sets the function that receives messages about failed calls.
+// WithLogf sets the function that logs failed calls.
 func WithLogf(logf func(format string, args ...any)) Option {
 	return func(s *Spread) { s.logf = logf }
 }
 
-// New returns a view without documents. Receiver must be registered as
-// "Spread" at the peer server before Start.
+// New returns a Spread without documents. Register its Receiver as "Spread" at
+// the peer server before Start.
 func New(cfg Config, members siskin.Members, peers siskin.Peers, platform siskin.Platform, opts ...Option) *Spread {
 	cfg.setDefaults()
 	s := &Spread{
 		store: newStore(), cfg: cfg, clock: clockwork.NewRealClock(),
 		members: members, peers: peers, platform: platform,
-		status: newStatus(), accepted: newAccepted(), busy: make(map[siskin.VMID]bool),
+		peerRevisions: newPeerRevisions(), operationHistory: newOperationHistory(), fetching: make(map[siskin.VMID]bool),
 		pool:         pond.NewPool(16, pond.WithQueueSize(256), pond.WithNonBlocking(true)),
 		proofTracker: noProofTracker{}, logf: func(string, ...any) {},
 	}
@@ -72,63 +72,65 @@
 	return s
 }
 
-// Start loads the configuration, from peers or the platform, and begins to
+// Start begins to load the configuration from peers or the platform and to
 // exchange revisions.
 func (s *Spread) Start() {
-	s.done.Go(s.exchangeLoop)
-	s.done.Go(s.watchLoop)
-	s.done.Go(s.probeLoop)
-	s.done.Go(s.snapshotLoop)
+	s.tasks.Go(s.exchangeLoop)
+	s.tasks.Go(s.watchLoop)
+	s.tasks.Go(s.probeLoop)
+	s.tasks.Go(s.snapshotLoop)
 }
 
-// Close ends all exchanges and waits for them.
+// Close stops all background tasks and waits for them.
 func (s *Spread) Close() error {
 	s.fetchMu.Lock()
 	s.stop()
 	s.fetchMu.Unlock()
-	s.done.Wait()
+	s.tasks.Wait()
 	return nil
 }
 
-// submit runs a task in the background. A full pool drops it: exchanges make
-// up for a push or fetch that was left out.
+// submit runs a task in the background and reports whether it was accepted. A
+// full pool drops the task, since later exchanges compensate for a missing push
+// or fetch.
 func (s *Spread) submit(task func()) bool {
 	s.fetchMu.Lock()
 	defer s.fetchMu.Unlock()
 	if s.ctx.Err() != nil {
 		return false
 	}
-	s.done.Add(1)
+	s.tasks.Add(1)
 	err := s.pool.Go(func() {
-		defer s.done.Done()
+		defer s.tasks.Done()
 		task()
 	})
 	if err != nil {
-		s.done.Done()
+		s.tasks.Done()
 	}
 	return err == nil
 }
 
-// call invokes a method of a peer with the usual deadline.
+// call invokes a method of a peer with the call timeout.
 func (s *Spread) call(vm siskin.VMID, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.CallTimeout)
 	defer cancel()
 	return s.peers.Call(ctx, vm, method, args, reply)
 }
 
-// others returns the live VMs without this one, split by data centre.
-func (s *Spread) others() (near, far []siskin.VM) {
+// others returns the other live VMs in this VM's data centre and those in other
+// data centres.
+func (s *Spread) others() (local, remote []siskin.VM) {
 	self := s.members.Self()
 	for _, vm := range s.members.Live() {
 		switch {
 		case vm.ID == self.ID:
 		case vm.DataCentre == self.DataCentre:
-			near = append(near, vm)
+			local = append(local, vm)
 		default:
-			far = append(far, vm)
+			remote = append(remote, vm)
 		}
 	}
-	return near, far
+	return local, remote
 }
 
-func pick(vms []siskin.VM) siskin.VMID { return vms[rand.IntN(len(vms))].ID }
+func randomVM(vms []siskin.VM) siskin.VMID { return vms[rand.IntN(len(vms))].ID }
