--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -12,15 +12,15 @@
 	"siskintray.example/siskin/pkg/group"
 )
 
-// statements returns how many statements all targets have run.
-func statements(servers []*target.Server) (n int) {
+// countStatements returns the number of statements that all targets have run.
+func countStatements(servers []*target.Server) (n int) {
 	for _, s := range servers {
 		n += s.Stats().Statements
 	}
 	return n
 }
 
-// awaitPassive waits until a VM that is no watcher leaves the probes to others.
+// awaitPassive waits until a VM that is not a watcher stops probing.
 func awaitPassive(t *testing.T, g *group.Group) {
 	t.Helper()
 	for begun := time.Now(); !g.Passive(); time.Sleep(10 * time.Millisecond) {
@@ -32,35 +32,35 @@
 
 func notWatcher() bool { return false }
 
-// TestPassiveProbes guards against a VM that is no watcher and probes all the
-// time, one that does not probe a target whose statements get no answer, and
-// one that trusts its own last answers more than the watchers.
+// TestPassiveProbes guards against a VM that is not a watcher but probes all
+// the time, that does not probe a target whose statements get no answer, or
+// that prefers its own last statuses to the watchers' views.
 func TestPassiveProbes(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	begun := time.Now()
-	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(siskin.TargetID) (quiet, last time.Time) {
+	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(siskin.TargetID) (quiet, last time.Time) {
 		if waiting.Load() {
-			return begun, time.Now() // other connections are heard
+			return begun, time.Now() // statements on other connections are answered
 		}
 		return time.Time{}, time.Now()
 	}))
-	watcher := watch(t, servers, "vm-0")
+	watcher := startGroup(t, servers, "vm-0")
 	awaitPassive(t, g)
 	if err := watcher.Close(); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(time.Second)
-	before := statements(servers)
+	before := countStatements(servers)
 	time.Sleep(2 * time.Second)
-	if got := statements(servers) - before; got > 0 {
-		t.Errorf("statements in 2 s without anything wrong: got %d, want 0", got)
+	if got := countStatements(servers) - before; got > 0 {
+		t.Errorf("statements in 2 s without a fault: got %d, want 0", got)
 	}
 	waiting.Store(true)
-	before = statements(servers)
+	before = countStatements(servers)
 	time.Sleep(2 * time.Second)
-	if got := statements(servers) - before; got < 10 {
+	if got := countStatements(servers) - before; got < 10 {
 		t.Errorf("statements in 2 s with requests that get no answer: got %d, want at least 10", got)
 	}
 	waiting.Store(false)
@@ -100,7 +100,7 @@
 			servers := startTargets(t, 3, nil)
 			var groups []*group.Group
 			for i := range 2 {
-				groups = append(groups, watch(t, servers, siskin.VMID(fmt.Sprint("vm-", i)), group.WithWatcher(notWatcher), group.WithRank(func() int { return 2 + i })))
+				groups = append(groups, startGroup(t, servers, siskin.VMID(fmt.Sprint("vm-", i)), group.WithWatcher(notWatcher), group.WithRank(func() int { return 2 + i })))
 			}
 			for _, g := range groups {
 				awaitPassive(t, g)
@@ -132,15 +132,15 @@
 	}
 }
 
-// TestPassiveSilentTarget guards against a silent target that a home which does
-// not probe finds later than one that does: statements that get no answer tell
-// since when the target is silent.
+// TestPassiveSilentTarget guards against a home that does not probe and detects
+// an unresponsive target later than a home that probes. The wait of statements
+// shows since when the target has not answered.
 func TestPassiveSilentTarget(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	var last atomic.Int64
-	g := watch(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(id siskin.TargetID) (quiet, heard time.Time) {
+	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(id siskin.TargetID) (quiet, heard time.Time) {
 		if waiting.Load() && id == servers[2].ID() {
 			return time.Unix(0, last.Load()), time.Unix(0, last.Load())
 		}
@@ -157,13 +157,13 @@
 			break
 		}
 		if time.Since(begun) > 15**interval {
-			t.Fatal("silent target: got it reachable after 15 intervals")
+			t.Fatal("unresponsive target: got it reachable after 15 intervals, want unreachable")
 		}
 		time.Sleep(time.Millisecond)
 	}
 	took := time.Since(begun)
 	t.Logf("unreachable %v after the last answer", took)
 	if limit := 5 * *interval; took > limit {
-		t.Errorf("silent target: got it unreachable after %v, want at most %v", took, limit)
+		t.Errorf("unresponsive target: got it unreachable after %v, want at most %v", took, limit)
 	}
 }
--- a/pkg/group/rejoin.go
+++ b/pkg/group/rejoin.go
@@ -4,35 +4,35 @@
 	"time"
 )
 
-// rejoin orders targets that are not in the primary's stream to follow it, a
-// replaced primary included. The VM that promoted acts at once, the others
-// when an order seems to be missing.
+// rejoin orders targets that do not replicate in the primary's term to follow
+// it, including a replaced primary. The VM that promoted the primary acts
+// immediately; the others wait two intervals, in case that VM has failed.
 func (m *machine) rejoin(now time.Time) {
 	if m.primary == "" || m.attempt != nil {
 		return
 	}
 	grace := 2 * m.Interval
-	if m.own {
+	if m.promotedHere {
 		grace = 0
 	}
-	if now.Sub(m.adopted) < grace {
+	if now.Sub(m.adoptedAt) < grace {
 		return
 	}
 	p := m.target(m.primary)
 	for _, t := range m.targets {
-		if t != p && m.isReachable(now, t) && m.astray(t) && now.Sub(t.followed) >= 2*m.Interval {
-			t.followed = now
-			m.do(action{kind: actFollow, target: t.ID, primary: p.ID, address: p.Address, term: m.term})
+		if t != p && m.isReachable(now, t) && m.needsFollow(t) && now.Sub(t.followOrderedAt) >= 2*m.Interval {
+			t.followOrderedAt = now
+			m.emit(action{kind: actFollow, target: t.ID, primary: p.ID, address: p.Address, term: m.term})
 		}
 	}
 }
 
-// astray reports whether the target is not in the stream of the primary's term
-// and may join it.
-func (m *machine) astray(t *targetState) bool {
+// needsFollow reports whether the target does not replicate in the primary's
+// term yet and can do so.
+func (m *machine) needsFollow(t *targetState) bool {
 	st := t.status
 	if st.ClaimedTerm > m.term {
-		return false // it would refuse
+		return false // it would refuse the order
 	}
 	return st.StreamTerm < m.term
 }
