node, daemon: exported names say what they are

Open, Local and Leave did not tell a dial function, a local view and a stop request apart from others of their name. They are now Dial, WithDial, LocalView and StopRequested. Tests of node and daemon pass.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -104,7 +104,7 @@
 
 // Local implements admin.GroupControl.
 func (b *groupBackend) Local(service siskin.ServiceName) (siskin.GroupView, bool) {
-	return b.d.node.Local(service)
+	return b.d.node.LocalView(service)
 }
 
 // View implements admin.GroupControl.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,9 +166,9 @@
 	d.requestLeave()
 }
 
-// Leave returns a channel that is closed when the VM should stop: an operator
-// asked for it or the run is superseded.
-func (d *Daemon) Leave() <-chan struct{} { return d.leave }
+// StopRequested returns a channel that is closed when the VM should stop: an
+// operator requested it or the run is superseded.
+func (d *Daemon) StopRequested() <-chan struct{} { return d.leave }
 
 func (d *Daemon) requestLeave() { d.leaveOnce.Do(func() { close(d.leave) }) }
 
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -35,7 +35,7 @@
 		Observer:      &observer{recorder: d.recorder, gaps: newWriteGaps(clock, d.recorder), stats: newTransactionStats(d.stats)},
 		ProbeInterval: d.settings.Group.ProbeInterval,
 		Limits:        callerLimits(&d.settings.Caller),
-		Open:          d.options.open,
+		Dial:          d.options.open,
 		Awake:         d.members.MayUseRoles,
 	})
 	if err != nil {
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -22,9 +22,9 @@
 // WithLog sets the logger; the default follows the settings.
 func WithLog(l *log.Logger) Option { return func(o *options) { o.log = l } }
 
-// WithOpen replaces the function that opens connections to targets, to the
+// WithDial replaces the function that opens connections to targets, to the
 // platform and for forwarded transactions, such as one with delays and faults.
-func WithOpen(open siskin.DialFunc) Option { return func(o *options) { o.open = open } }
+func WithDial(open siskin.DialFunc) Option { return func(o *options) { o.open = open } }
 
 // WithDrop sets the fault hook of calls between VMs.
 func WithDrop(drop func(from, to siskin.VMID) bool) Option {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -21,7 +21,7 @@
 			r.Result <- d.reload(r.Settings)
 			continue
 		case <-ctx.Done():
-		case <-d.Leave():
+		case <-d.StopRequested():
 		}
 		d.Stop()
 		return nil
--- a/internal/fleet/vm.go
+++ b/internal/fleet/vm.go
@@ -51,7 +51,7 @@
 	dc := siskin.DataCentreID(s.VM.DataCentre)
 	opts := []daemon.Option{daemon.WithLog(f.log), daemon.WithDrop(f.Links.Drop)}
 	if f.remote == nil {
-		opts = append(opts, daemon.WithOpen(f.Net.Dialer(s.VM.ID, dc).DialContext))
+		opts = append(opts, daemon.WithDial(f.Net.Dialer(s.VM.ID, dc).DialContext))
 	}
 	d, err := daemon.Start(s, opts...)
 	if err != nil {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -46,7 +46,7 @@
 	Awake func() bool
 	// Observer is told of each transaction that ended; nil means nobody.
 	Observer front.Observer
-	// Open replaces net.Dialer.DialContext for connections to targets and
+	// Dial replaces net.Dialer.DialContext for connections to targets and
 	// forward addresses when it is set.
-	Open siskin.DialFunc
+	Dial siskin.DialFunc
 }
--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -54,7 +54,7 @@
 		homes:    homes,
 		config:   cfg.Config,
 		shortest: cfg.ProbeInterval,
-		open:     cfg.Open,
+		open:     cfg.Dial,
 		log:      cfg.Log,
 		endOlder: endOlder,
 		observe:  observe,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	dialer.Open = cfg.Open
+	dialer.Open = cfg.Dial
 	n := &Node{cfg: cfg, started: cfg.Clock.Now()}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.homes = newHomes(cfg.Members)
@@ -73,7 +73,7 @@
 		Pool:    n.pool,
 		Awake:   cfg.Awake,
 	}).Init()
-	n.forwarder = relay.NewForwarder(cfg.Clock, cfg.PeerTLS, cfg.Open)
+	n.forwarder = relay.NewForwarder(cfg.Clock, cfg.PeerTLS, cfg.Dial)
 	n.server = relay.NewServer(n.home, cfg.Tokens, cfg.PeerTLS, relay.WithLog(cfg.Log))
 	n.update()
 	n.front = n.newFront()
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -9,7 +9,7 @@
 
 // View returns the group of a service, from a home if this VM is none.
 func (n *Node) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
-	if view, ok := n.Local(service); ok {
+	if view, ok := n.LocalView(service); ok {
 		return view, nil
 	}
 	s, err := n.service(service)
@@ -24,8 +24,8 @@
 	return siskin.GroupView{}, notWatched(service)
 }
 
-// Local returns the group of a service that this VM is a home of.
-func (n *Node) Local(service siskin.ServiceName) (siskin.GroupView, bool) {
+// LocalView returns the group of a service that this VM is a home of.
+func (n *Node) LocalView(service siskin.ServiceName) (siskin.GroupView, bool) {
 	g, ok := n.groups.running.Get(service)
 	if !ok {
 		return siskin.GroupView{}, false
