front: outer names of the renamed counts

The fields Waits and Faults of Stats were renamed to FreeRetries and Panics, and Stats is sent between VMs as JSON under its field names.

--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -31,12 +31,12 @@
 	// that were sent again.
 	Transactions, Retries int64
 	// FreeRetries counts the attempts that were put off before anything was sent.
-	FreeRetries int64
+	FreeRetries int64 `json:"Waits"`
 	// ReplicaReads and PrimaryReads count the transactions on read routes by
 	// the role of the target that served them.
 	ReplicaReads, PrimaryReads int64
 	// Panics counts the sessions that ended by a fault of the program.
-	Panics int64
+	Panics int64 `json:"Faults"`
 	// Refused counts failed transactions by error kind.
 	Refused map[siskin.ErrorKind]int64
 }
