home: InDoubt is renamed to AnswerLost

The name stood for two things: siskin.InDoubt is an answer code. The value of home.Outcome is renamed with every use, so each name has one meaning; the number on the wire is the same and go vet passes.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -116,7 +116,7 @@
 	"readonly":    {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.ReadOnly}},
 	"lagging":     {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Lagging}},
 	"failed":      {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Failed}},
-	"lost":        {Outcome: home.InDoubt, Cause: home.Silent},
+	"lost":        {Outcome: home.AnswerLost, Cause: home.Silent},
 	"unreachable": {Cause: home.Unreachable},
 	"overload":    {Cause: home.Overload, RetryAfter: 70 * time.Millisecond},
 	"denied":      {Cause: home.Refused, Answer: siskin.Answer{Code: siskin.ReadOnly}},
--- a/internal/entry/primary.go
+++ b/internal/entry/primary.go
@@ -37,7 +37,7 @@
 			if a, retry := o.handleAnswer(&reply); !retry {
 				return a
 			}
-		case home.InDoubt:
+		case home.AnswerLost:
 			if o.s.tx == nil && o.st.MayWrite() {
 				o.reason = reply.Cause.String()
 				return o.s.refuse(siskin.InDoubt, "the answer to the write is missing; check whether it took effect")
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -84,7 +84,7 @@
 		}
 		a.State = o.s.state()
 		return &a
-	case commit && reply.Outcome == home.InDoubt && tx.wrote:
+	case commit && reply.Outcome == home.AnswerLost && tx.wrote:
 		return o.s.refuse(siskin.InDoubt, "the answer to the commit is missing; check whether it took effect")
 	}
 	// No commit was sent, or the transaction had no writes to commit.
--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -39,7 +39,7 @@
 	}()
 	time.Sleep(lease.PromotionDelay)
 	f.restart(restarted)
-	if got := <-waiting; got.Outcome != InDoubt {
+	if got := <-waiting; got.Outcome != AnswerLost {
 		f.t.Errorf("write that waited for the replica: got %+v, want it in doubt", got)
 	}
 	if got := f.run(request(primary, siskin.Write, "x 3")); got.Outcome != NotSent {
@@ -90,7 +90,7 @@
 			go func() { waiting <- commit(first.Tx) }()
 			time.Sleep(lease.PromotionDelay)
 			f.restart(restarted)
-			if got := <-waiting; got.Outcome != InDoubt {
+			if got := <-waiting; got.Outcome != AnswerLost {
 				t.Errorf("commit that waited for the replica: got %+v, want it in doubt", got)
 			}
 			if got := commit(second.Tx); got.Outcome != NotSent || got.Cause != Stalled {
--- a/internal/home/check.go
+++ b/internal/home/check.go
@@ -11,7 +11,7 @@
 
 // Valid reports whether a reply from a peer can be passed on to a caller.
 func (r *Reply) Valid() bool {
-	return r.Outcome >= NotSent && r.Outcome <= InDoubt && r.Cause >= NoCause && int(r.Cause) < len(causes) &&
+	return r.Outcome >= NotSent && r.Outcome <= AnswerLost && r.Cause >= NoCause && int(r.Cause) < len(causes) &&
 		r.Answer.Code >= siskin.Succeeded && r.Answer.Code <= siskin.NoAuth &&
 		r.Answer.State >= siskin.TxIdle && r.Answer.State <= siskin.TxFailed
 }
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -115,7 +115,7 @@
 	f := start(t, stand.ServiceOptions{})
 	primary := f.target(0)
 	primary.LoseAnswers(1)
-	if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != InDoubt {
+	if got := f.run(request(primary, siskin.Write, "x 1")); got.Outcome != AnswerLost {
 		t.Errorf("write: got %+v, want an unknown outcome", got)
 	}
 	if got := primary.Count("x", "1"); got != 1 {
@@ -315,7 +315,7 @@
 				reply := f.run(req)
 				mu.Lock()
 				switch {
-				case reply.Outcome == InDoubt:
+				case reply.Outcome == AnswerLost:
 					lost++
 				case reply.Outcome == NotSent && sent.Sub(begun) > timeout+atOnce && time.Since(sent) > atOnce:
 					late++
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -88,8 +88,8 @@
 	NotSent Outcome = iota
 	// Answered means that Reply.Answer is the target's complete answer.
 	Answered
-	// InDoubt means that the statement was sent and no answer was received.
-	InDoubt
+	// AnswerLost means that the statement was sent and no answer was received.
+	AnswerLost
 )
 
 // Cause is the reason why a statement was not answered.
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -190,7 +190,7 @@
 			// connection.
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
-		r.reply.Outcome = InDoubt
+		r.reply.Outcome = AnswerLost
 		return false
 	}
 	for i := range setup {
@@ -222,7 +222,7 @@
 	case a.Code == siskin.Succeeded && s.MayWrite():
 		switch got := r.h.confirmCommit(r.req.Service, r.l, a.Position, asked); {
 		case !got.durable:
-			r.reply.Outcome, r.reply.Cause, r.reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
+			r.reply.Outcome, r.reply.Cause, r.reply.Answer = AnswerLost, Unconfirmed, siskin.Answer{}
 		case got.provesLead:
 			r.recordProof(a.Position, asked)
 		}
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -98,7 +98,7 @@
 	ran := h.cfg.Clock.Since(asked)
 	if err != nil {
 		h.abandon(id, t)
-		reply := Reply{Outcome: InDoubt, Cause: Unreachable, Ran: ran}
+		reply := Reply{Outcome: AnswerLost, Cause: Unreachable, Ran: ran}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			reply.Cause = Silent
 		}
@@ -112,7 +112,7 @@
 	for i := range setup {
 		if answers[i].Code != siskin.Succeeded {
 			h.abandon(id, t)
-			return Reply{Outcome: InDoubt, Cause: Refused, Answer: answers[i], Ran: ran}
+			return Reply{Outcome: AnswerLost, Cause: Refused, Answer: answers[i], Ran: ran}
 		}
 	}
 	h.cfg.Views.RecordPosition(req.Target, a.Position, asked)
@@ -124,7 +124,7 @@
 		case s.MayWrite():
 			t.wrote = true
 		case commits && !h.confirmCommit(req.Service, t.l, a.Position, asked).durable:
-			reply.Outcome, reply.Cause, reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
+			reply.Outcome, reply.Cause, reply.Answer = AnswerLost, Unconfirmed, siskin.Answer{}
 		}
 	}
 	if s.Kind == siskin.Commit || s.Kind == siskin.Rollback {
--- a/internal/path/malformed_test.go
+++ b/internal/path/malformed_test.go
@@ -29,7 +29,7 @@
 		p, targets := newPath(t)
 		p.cfg.Log, p.cfg.Peers = logs.New("error", "json", io.Discard), replies(reply)
 		req := &home.Request{Target: targets[0].ID, Timeout: time.Second}
-		if got := p.Run(context.Background(), req); got.Outcome != home.InDoubt || !got.Valid() {
+		if got := p.Run(context.Background(), req); got.Outcome != home.AnswerLost || !got.Valid() {
 			t.Errorf("reply %s: got %+v, want an unknown outcome", reply, got)
 		}
 	}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -166,7 +166,7 @@
 		// The statement may have run, but its answer cannot be passed on.
 		p.cfg.Log.Error().Str("VM", string(vm)).Int("Outcome", int(reply.Outcome)).Int("Code", int(reply.Answer.Code)).
 			Msg("a home returned an invalid reply")
-		return home.Reply{Outcome: home.InDoubt, Cause: home.Silent, Home: vm}, true
+		return home.Reply{Outcome: home.AnswerLost, Cause: home.Silent, Home: vm}, true
 	}
 	if ctx.Err() != nil && !errors.Is(err, peer.ErrNotSent) {
 		p.cfg.Crew.PingNow(vm)
@@ -177,7 +177,7 @@
 	if errors.Is(err, peer.ErrNotSent) {
 		return home.Reply{Cause: home.Unreachable, Home: vm}, false
 	}
-	return home.Reply{Outcome: home.InDoubt, Cause: home.Silent, Home: vm}, true
+	return home.Reply{Outcome: home.AnswerLost, Cause: home.Silent, Home: vm}, true
 }
 
 // homeObserveTimeout limits a status request through the home of a target, so
