--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -21,19 +21,19 @@
 	for {
 		t.attempts++
 		c.answer.answered = false
-		leg, res, f := c.attempt(t, last)
+		executor, res, f := c.attempt(t, last)
 		if f == nil {
-			c.srv.counts.served(t)
+			c.srv.counts.countServed(t)
 		}
 		if f == nil || f.CallerGone {
-			return leg, res, f
+			return executor, res, f
 		}
 		t.maybeRan = t.maybeRan || !f.Proof.NotRun()
 		t.hdr.Admitted = t.hdr.Admitted || f.Admitted
 		if !c.mayRetry(t, f) {
 			return nil, res, f
 		}
-		c.srv.log.Trace(c.logged(), f.Err, "attempt failed; the next one follows")
+		c.srv.log.Trace(c.logRequest(), f.Err, "attempt failed; the next one follows")
 	}
 }
 
@@ -57,13 +57,13 @@
 		Answered: c.answer.answered, Replayable: !t.streamed,
 		Now: cfg.Clock.Now(), Deadline: t.deadline, Delay: delay,
 	})
-	if verdict != retry.Retry || c.endReason() != nil {
+	if verdict != retry.Retry || c.endError() != nil {
 		return false
 	}
 	if f.Proof.IsFree() {
 		// A paused primary refuses each request in progress once; a budget that
 		// is small for a customer with few requests would fail some of them.
-		c.srv.counts.waits.Add(1)
+		c.srv.counts.freeRetries.Add(1)
 		c.waitForChange(t, delay)
 		return true
 	}
@@ -82,7 +82,7 @@
 		return
 	}
 	select {
-	case <-t.changed:
+	case <-t.viewChanged:
 	case <-c.srv.cfg.Clock.After(delay):
 	}
 }
@@ -91,18 +91,18 @@
 func (c *session) begin(t *transaction) (relay.Executor, *relay.Failure) {
 	cfg := &c.srv.cfg
 	view, changed, ok := cfg.Topology.View(c.service)
-	t.changed = changed
+	t.viewChanged = changed
 	if !ok {
-		return nil, noTarget(t)
+		return nil, noTargetFailure(t)
 	}
-	n := need{route: t.route, floor: c.floor, dc: cfg.Topology.DataCentre(), tried: t.tried}
-	target, ok := pick(t.service, &view, n, rand.IntN)
+	n := requirements{route: t.route, floor: c.floor, dc: cfg.Topology.DataCentre(), tried: t.tried}
+	target, ok := pickTarget(t.service, &view, n, rand.IntN)
 	if !ok {
-		return nil, noTarget(t)
+		return nil, noTargetFailure(t)
 	}
 	slot, home, local, ok := pickSlot(cfg.Topology, t.service, target)
 	if !ok {
-		return nil, noTarget(t)
+		return nil, noTargetFailure(t)
 	}
 	t.tried = append(t.tried, target.ID)
 	t.hdr.Target, t.hdr.Slot = target.ID, slot
@@ -117,16 +117,16 @@
 
 // traceAttempt logs where an attempt goes, so that it is found there.
 func (c *session) traceAttempt(t *transaction, home siskin.VMID) {
-	q := c.logged()
+	q := c.logRequest()
 	q.Customer, q.Target, q.Home = t.customer, t.hdr.Target, home
 	c.srv.log.Trace(q, nil, "attempt begins")
 }
 
-func noTarget(t *transaction) *relay.Failure {
-	what := "no target of service %s can serve the read at present"
+func noTargetFailure(t *transaction) *relay.Failure {
+	format := "no target of service %s can serve the read at present"
 	if t.route.Mode == config.WriteRoute {
-		what = "service %s has no primary at present"
+		format = "service %s has no primary at present"
 	}
-	return &relay.Failure{Proof: retry.Unsent, Err: siskin.NewError(siskin.NotRun, what, t.service.Name).
+	return &relay.Failure{Proof: retry.Unsent, Err: siskin.NewError(siskin.NotRun, format, t.service.Name).
 		WithRemedy("repeat the request").WithRetryAfter(time.Second)}
 }
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -45,19 +45,19 @@
 func TestIdleConnectionMemory(t *testing.T) {
 	const n, want = 1000, 16 << 10
 	f := startFleet(t, 1, nil)
-	before := memory()
+	before := memoryInUse()
 	var conns []net.Conn
 	for range n {
 		conn, r := f.vms[0].benchClient(t, "write")
 		if _, err := conn.Write(benchQuery); err != nil {
 			t.Fatal(err)
 		}
-		if err := drain(r); err != nil {
+		if err := readAnswer(r); err != nil {
 			t.Fatal(err)
 		}
 		conns = append(conns, conn)
 	}
-	got := (memory() - before) / n
+	got := (memoryInUse() - before) / n
 	t.Logf("%d bytes of heap and stack per idle connection, the client's end included", got)
 	if got > want {
 		t.Errorf("got %d bytes per idle connection, want at most %d", got, want)
@@ -65,7 +65,7 @@
 	runtime.KeepAlive(conns)
 }
 
-func memory() int64 {
+func memoryInUse() int64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
@@ -78,34 +78,34 @@
 // same machine.
 func BenchmarkLatency(b *testing.B) {
 	f := startFleet(b, 2, nil)
-	f.allAtFirst.Store(true)
+	f.firstOwnsAll.Store(true)
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
-	direct := f.direct(b)
+	direct := f.dialTarget(b)
 	local, localR := f.vms[0].benchClient(b, "aged")
 	far, farR := f.vms[1].benchClient(b, "aged")
-	ends := []struct {
+	paths := []struct {
 		name string
 		conn net.Conn
 		r    *frame.Reader
 		took []time.Duration
 	}{{"direct", direct, frame.NewReader(direct), nil}, {"local", local, localR, nil}, {"forwarded", far, farR, nil}}
 	for b.Loop() {
-		for i := range ends {
-			e := &ends[i]
+		for i := range paths {
+			e := &paths[i]
 			start := time.Now()
 			if _, err := e.conn.Write(benchQuery); err != nil {
 				b.Fatal(err)
 			}
-			if err := drain(e.r); err != nil {
+			if err := readAnswer(e.r); err != nil {
 				b.Fatal(e.name, err)
 			}
 			e.took = append(e.took, time.Since(start))
 			time.Sleep(200 * time.Microsecond)
 		}
 	}
-	for _, e := range ends {
+	for _, e := range paths {
 		slices.Sort(e.took)
 		n := len(e.took)
 		b.ReportMetric(float64(e.took[n/2].Microseconds()), e.name+"-p50-us")
@@ -113,8 +113,8 @@
 	}
 }
 
-// direct logs in at the first replica.
-func (f *fleet) direct(tb testing.TB) net.Conn {
+// dialTarget logs in at the first replica.
+func (f *fleet) dialTarget(tb testing.TB) net.Conn {
 	d, err := pool.NewPGDialer(nil)
 	if err != nil {
 		tb.Fatal(err)
@@ -136,7 +136,7 @@
 	for _, forwarded := range []bool{false, true} {
 		b.Run(fmt.Sprintf("Forwarded=%v", forwarded), func(b *testing.B) {
 			f := startFleet(b, 2, nil)
-			f.allAtFirst.Store(true)
+			f.firstOwnsAll.Store(true)
 			f.dialCanned(cannedTarget{rows: 1})
 			vm := f.vms[0]
 			if forwarded {
@@ -151,7 +151,7 @@
 						b.Error(err)
 						return
 					}
-					if err := drain(r); err != nil {
+					if err := readAnswer(r); err != nil {
 						b.Error(err)
 						return
 					}
@@ -179,7 +179,7 @@
 				b.Error(err)
 				return
 			}
-			if err := drain(r); err != nil {
+			if err := readAnswer(r); err != nil {
 				b.Error(err)
 				return
 			}
--- a/internal/front/callers_test.go
+++ b/internal/front/callers_test.go
@@ -26,14 +26,14 @@
 	f := startFleet(t, 2, func(_ *target.Config, s *config.Service) { s.Slots, s.ConnectionsPerSlot = 1, 2 })
 	for _, vm := range f.vms {
 		for range 4 {
-			c := vm.raw(t, "badges/short")
+			c := vm.connectRaw(t, "badges/short")
 			_ = c.conn.(*net.TCPConn).SetReadBuffer(4 << 10)
 			c.fe.Send(&pgproto3.Query{String: "select generate_series(1, 2000000)"})
 			c.flush()
 		}
 	}
 	start := time.Now()
-	if a := f.vms[0].raw(t, "badges/write").query("select 1"); a.code() != "" {
+	if a := f.vms[0].connectRaw(t, "badges/write").query("select 1"); a.code() != "" {
 		t.Errorf("other caller: got %+v, want its answer", a.err)
 	}
 	// Eight callers hold two connections for 300 ms each, and 1 s of grace.
@@ -47,13 +47,13 @@
 func TestMalformedInput(t *testing.T) {
 	f := startFleet(t, 1, nil)
 	vm := f.vms[0]
-	good := vm.raw(t, "badges/write")
+	good := vm.connectRaw(t, "badges/write")
 	for name, b := range map[string]string{
 		"length":  "\x7f\xff\xff\xff\x00\x03\x00\x00",
 		"version": "\x00\x00\x00\x08\x00\x02\x00\x00",
 		"no end":  "\x00\x00\x00\x0b\x00\x03\x00\x00use",
 	} {
-		c := vm.rawConn(t)
+		c := vm.dialRaw(t)
 		_, _ = c.conn.Write([]byte(b))
 		if a := c.read(); a.code() != "08P01" {
 			t.Errorf("%s: got %+v, want 08P01", name, a)
@@ -66,7 +66,7 @@
 		"malformed":     {"B\x00\x00\x00\x05xS\x00\x00\x00\x04", "08P01"},
 		"oversize bind": {"B\x3f\xff\xff\xff", "54000"},
 	} {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		_, _ = c.conn.Write([]byte(test.bytes))
 		msg := c.receive()
 		if e, ok := msg.(*pgproto3.ErrorResponse); !ok || e.Code != test.code || e.Hint == "" {
@@ -79,12 +79,12 @@
 	}
 }
 
-// TestConnectionCap guards against callers that take all memory by connecting.
-func TestConnectionCap(t *testing.T) {
+// TestMaxConnections guards against callers that take all memory by connecting.
+func TestMaxConnections(t *testing.T) {
 	f := startFleetWith(t, 1, nil, func(c *Config) { c.MaxConnections = 2 })
-	f.vms[0].raw(t, "badges/write")
-	f.vms[0].raw(t, "badges/write")
-	if _, err := f.vms[0].tryConnect("write", testKey, ""); sqlState(err) != "53300" {
+	f.vms[0].connectRaw(t, "badges/write")
+	f.vms[0].connectRaw(t, "badges/write")
+	if _, err := f.vms[0].dialPGX("write", testKey, ""); sqlState(err) != "53300" {
 		t.Errorf("got %v, want 53300", err)
 	}
 }
@@ -104,7 +104,7 @@
 	cfg := &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}
 	f := startFleetWith(t, 1, nil, func(c *Config) { c.TLS = cfg })
 	vm := f.vms[0]
-	conn, err := vm.tryConnect("write", testKey, "sslmode=require")
+	conn, err := vm.dialPGX("write", testKey, "sslmode=require")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -6,8 +6,8 @@
 // session of another VM.
 func (s *Server) cancelRequest(processID uint32, secret []byte) {
 	s.Cancel(processID, secret)
-	if s.cfg.Canceler != nil {
-		s.cfg.Canceler.Cancel(processID, secret)
+	if s.cfg.PeerCanceler != nil {
+		s.cfg.PeerCanceler.Cancel(processID, secret)
 	}
 }
 
@@ -22,10 +22,10 @@
 		return false
 	}
 	c.mu.Lock()
-	leg := c.leg
+	executor := c.executor
 	c.mu.Unlock()
-	if leg != nil {
-		leg.Cancel()
+	if executor != nil {
+		executor.Cancel()
 	}
-	return leg != nil
+	return executor != nil
 }
--- a/internal/front/canned_test.go
+++ b/internal/front/canned_test.go
@@ -17,8 +17,8 @@
 // cannedTarget answers every query of a connection with prepared bytes and
 // without allocating, so that a benchmark shows the proxy alone.
 type cannedTarget struct {
-	rows int
-	torn bool // the connection ends in the middle of the last row
+	rows      int
+	truncated bool // the connection ends in the middle of the last row
 }
 
 // Dial implements pool.Dialer.
@@ -73,7 +73,7 @@
 			for range d.rows {
 				_ = w.Raw(row)
 			}
-			if d.torn {
+			if d.truncated {
 				_, _ = w.Raw(row[:len(row)/2]), w.Flush()
 				return
 			}
@@ -86,7 +86,7 @@
 // allocating.
 var benchQuery = encode(&pgproto3.Query{String: "select v from kv where k = 'a'"})
 
-func drain(r *frame.Reader) error {
+func readAnswer(r *frame.Reader) error {
 	for {
 		h, err := r.Next()
 		if err != nil {
@@ -103,7 +103,7 @@
 
 // benchClient logs in and returns the plain connection.
 func (vm *testVM) benchClient(tb testing.TB, route string) (net.Conn, *frame.Reader) {
-	c := vm.raw(tb, "badges/"+route)
+	c := vm.connectRaw(tb, "badges/"+route)
 	_ = c.conn.SetDeadline(time.Time{})
 	return c.conn, frame.NewReader(c.conn)
 }
@@ -117,14 +117,14 @@
 	}
 	f := startFleet(tb, vms, nil)
 	// With two VMs the second one owns nothing, so that it forwards all.
-	f.allAtFirst.Store(true)
+	f.firstOwnsAll.Store(true)
 	f.dialCanned(cannedTarget{rows: rows})
 	conn, r := f.vms[vms-1].benchClient(tb, route)
 	run := func() {
 		if _, err := conn.Write(benchQuery); err != nil {
 			tb.Fatal(err)
 		}
-		if err := drain(r); err != nil {
+		if err := readAnswer(r); err != nil {
 			tb.Fatal(err)
 		}
 	}
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -24,8 +24,8 @@
 	Forwarder *relay.Forwarder
 	Tokens    *token.Codec
 	Budgets   *retry.Budgets
-	// Canceler is nil when there are no other VMs.
-	Canceler Canceler
+	// PeerCanceler is nil when there are no other VMs.
+	PeerCanceler Canceler
 	// TLS is nil when callers connect without TLS, which is allowed on loopback
 	// listeners only.
 	TLS *tls.Config
@@ -46,10 +46,10 @@
 	// session keeps.
 	maxStatements     = 1000
 	maxStatementBytes = 256 << 10
-	// sweepInterval is the time between two checks of the keys of all sessions.
+	// keyCheckInterval is the time between two checks of the keys of all sessions.
 	// A withdrawn key must stop working within 3 s, of which the spread of the
 	// withdrawal takes a part.
-	sweepInterval = 500 * time.Millisecond
-	// finalWrite bounds the last message to a caller that may not read it.
-	finalWrite = time.Second
+	keyCheckInterval = 500 * time.Millisecond
+	// finalWriteTimeout bounds the last message to a caller that may not read it.
+	finalWriteTimeout = time.Second
 )
--- a/internal/front/connections_test.go
+++ b/internal/front/connections_test.go
@@ -22,7 +22,7 @@
 	for vms := 1; vms <= 2; vms++ {
 		b.Run(fmt.Sprintf("Forwarded=%v", vms == 2), func(b *testing.B) {
 			f := startFleet(b, vms, nil)
-			f.allAtFirst.Store(true)
+			f.firstOwnsAll.Store(true)
 			f.dialCanned(cannedTarget{rows: 1})
 			callers := make([]benchCaller, 7500)
 			for i := range callers {
@@ -59,7 +59,7 @@
 		if _, err := c.conn.Write(benchQuery); err != nil {
 			return err
 		}
-		if err := drain(c.r); err != nil {
+		if err := readAnswer(c.r); err != nil {
 			return err
 		}
 	}
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -8,13 +8,13 @@
 )
 
 type counts struct {
-	transactions, retries, waits, replicaReads, primaryReads, faults atomic.Int64
+	transactions, retries, freeRetries, replicaReads, primaryReads, panics atomic.Int64
 
 	refused [siskin.TargetRefused + 1]atomic.Int64
 }
 
-// served counts a transaction whose first batch was answered.
-func (c *counts) served(t *transaction) {
+// countServed counts a transaction whose first batch was answered.
+func (c *counts) countServed(t *transaction) {
 	switch {
 	case t.route.Mode != config.ReadRoute:
 	case t.atPrimary:
@@ -45,9 +45,9 @@
 func (s *Server) Stats() Stats {
 	c := &s.counts
 	st := Stats{
-		Sessions: s.sessions.Len(), Transactions: c.transactions.Load(), Retries: c.retries.Load(), FreeRetries: c.waits.Load(),
+		Sessions: s.sessions.Len(), Transactions: c.transactions.Load(), Retries: c.retries.Load(), FreeRetries: c.freeRetries.Load(),
 		ReplicaReads: c.replicaReads.Load(), PrimaryReads: c.primaryReads.Load(),
-		Panics: c.faults.Load(), Refused: make(map[siskin.ErrorKind]int64),
+		Panics: c.panics.Load(), Refused: make(map[siskin.ErrorKind]int64),
 	}
 	for kind := range c.refused {
 		if n := c.refused[kind].Load(); n > 0 {
--- a/internal/front/demoted_test.go
+++ b/internal/front/demoted_test.go
@@ -21,7 +21,7 @@
 	for _, file := range archive.Files {
 		t.Run(file.Name, func(t *testing.T) {
 			f := startFleet(t, 2, nil)
-			c := f.vms[0].raw(t, "badges/write")
+			c := f.vms[0].connectRaw(t, "badges/write")
 			for i := range 100 { // fill the retry budget
 				c.query(fmt.Sprintf("insert into kv values ('fill%d', 'x')", i))
 			}
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -17,13 +17,13 @@
 	stop    chan struct{}
 	stopped sync.WaitGroup
 
-	mu      sync.Mutex
-	view    siskin.GroupView
-	changed chan struct{}
-	hold    chan struct{} // closed when writes are admitted
-	noAck   atomic.Bool   // no replica confirms
-	fault   atomic.Bool   // Confirm panics
-	running atomic.Int64
+	mu            sync.Mutex
+	view          siskin.GroupView
+	changed       chan struct{}
+	hold          chan struct{} // closed when writes are admitted
+	noAck         atomic.Bool   // no replica confirms
+	panics        atomic.Bool   // Confirm panics
+	runningWrites atomic.Int64
 }
 
 func newFakeGroup(targets []*target.Server) *fakeGroup {
@@ -84,7 +84,7 @@
 }
 
 func (g *fakeGroup) Confirm(ctx context.Context, pos siskin.Position) error {
-	if g.fault.Load() {
+	if g.panics.Load() {
 		panic("a fault on purpose")
 	}
 	for {
@@ -126,9 +126,9 @@
 	case <-ctx.Done():
 		return "", 0, nil, siskin.NewError(siskin.NotRun, "writes are paused")
 	}
-	g.running.Add(1)
+	g.runningWrites.Add(1)
 	view := g.View()
-	return view.Primary, view.Term, func() { g.running.Add(-1) }, nil
+	return view.Primary, view.Term, func() { g.runningWrites.Add(-1) }, nil
 }
 
 func (g *fakeGroup) ReportFailure(siskin.TargetID, error) {}
@@ -136,13 +136,13 @@
 // fakeKeys grants one key, which can be withdrawn.
 type fakeKeys struct {
 	withdrawn atomic.Bool
-	fault     atomic.Bool // Authenticate panics
+	panics    atomic.Bool // Authenticate panics
 }
 
 func newFakeKeys() *fakeKeys { return &fakeKeys{} }
 
 func (k *fakeKeys) Authenticate(_ siskin.ServiceName, key string) (siskin.KeyGrant, error) {
-	if k.fault.Load() {
+	if k.panics.Load() {
 		panic("a fault on purpose")
 	}
 	if key != testKey {
--- a/internal/front/fault_test.go
+++ b/internal/front/fault_test.go
@@ -12,17 +12,17 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// faultyObserver panics while it is set.
-type faultyObserver struct{ fault atomic.Bool }
+// panickingObserver panics while it is set.
+type panickingObserver struct{ panics atomic.Bool }
 
-func (o *faultyObserver) ObserveTransaction(Observation) {
-	if o.fault.Load() {
+func (o *panickingObserver) ObserveTransaction(Observation) {
+	if o.panics.Load() {
 		panic("a fault on purpose")
 	}
 }
 
-// closed returns the number of target connections that a VM has closed.
-func (vm *testVM) closed() (n int64, busy int) {
+// connectionCounts returns the number of target connections that a VM has connectionCounts.
+func (vm *testVM) connectionCounts() (n int64, busy int) {
 	for _, st := range vm.pool.Stats() {
 		n += st.Opened - int64(st.Open)
 		busy += st.Busy
@@ -42,21 +42,21 @@
 		}
 		panic(detail)
 	})()
-	book, observer := &logBook{}, &faultyObserver{}
+	log, observer := &logBuffer{}, &panickingObserver{}
 	f := startFleetWith(t, 2, nil, func(c *Config) {
-		c.Log, c.Observer = logs.New("error", "json", book), observer
+		c.Log, c.Observer = logs.New("error", "json", log), observer
 	})
-	f.allAtFirst.Store(true) // so that the second VM forwards
-	var asleep atomic.Int64
+	f.firstOwnsAll.Store(true) // so that the second VM forwards
+	var awakeCalls atomic.Int64
 	home := f.vms[0]
 	home.home.Awake = func() bool {
-		if asleep.Add(-1) == 0 {
+		if awakeCalls.Add(-1) == 0 {
 			panic("a fault on purpose")
 		}
 		return true
 	}
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	const upsert = "insert into kv values ('k', 'v') on conflict (k) do update set v = excluded.v"
 	write := []pgproto3.FrontendMessage{&pgproto3.Query{String: upsert}}
@@ -71,23 +71,23 @@
 		// confirmation of a collected write it does not.
 		closes bool
 	}{
-		{"after the answer", "read", observer.fault.Store, []pgproto3.FrontendMessage{&pgproto3.Query{String: "select 'x'"}}, false, true},
-		{"while a write is confirmed", "write", f.group.fault.Store, write, true, false},
-		{"while a streamed write is confirmed", "write", f.group.fault.Store, []pgproto3.FrontendMessage{
+		{"after the answer", "read", observer.panics.Store, []pgproto3.FrontendMessage{&pgproto3.Query{String: "select 'x'"}}, false, true},
+		{"while a write is confirmed", "write", f.group.panics.Store, write, true, false},
+		{"while a streamed write is confirmed", "write", f.group.panics.Store, []pgproto3.FrontendMessage{
 			&pgproto3.Parse{Query: upsert}, &pgproto3.Flush{}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{},
 		}, true, true},
 		{"with a connection that is not used yet", "write", func(on bool) {
-			asleep.Store(0)
+			awakeCalls.Store(0)
 			if on {
-				asleep.Store(2)
+				awakeCalls.Store(2)
 			}
 		}, write, true, true},
 	} {
 		for _, vm := range f.vms {
 			name := tt.name + " at " + string(vm.id)
-			c, other := vm.raw(t, "badges/"+tt.route), vm.raw(t, "badges/write")
-			closed, _ := home.closed()
-			faults, before := f.faults(), violations.Load()
+			c, other := vm.connectRaw(t, "badges/"+tt.route), vm.connectRaw(t, "badges/write")
+			closed, _ := home.connectionCounts()
+			faults, before := f.panicCount(), violations.Load()
 			tt.set(true)
 			a := c.exchange(tt.send...)
 			if a.code() == "" && a.status == 'I' {
@@ -104,14 +104,14 @@
 			if a := other.query("select 'other'"); a.code() != "" || a.status != 'I' {
 				t.Errorf("%s, other session: got %+v, want its answer", name, a.err)
 			}
-			if got := f.faults() - faults; got != 1 {
+			if got := f.panicCount() - faults; got != 1 {
 				t.Errorf("%s: got %d faults counted, want 1", name, got)
 			}
 			if got := violations.Load() - before; got != 1 {
 				t.Errorf("%s: got %d violations, want 1", name, got)
 			}
-			now, busy := home.closed()
-			for start := time.Now(); busy > 0 && time.Since(start) < 3*time.Second; now, busy = home.closed() {
+			now, busy := home.connectionCounts()
+			for start := time.Now(); busy > 0 && time.Since(start) < 3*time.Second; now, busy = home.connectionCounts() {
 				time.Sleep(time.Millisecond)
 			}
 			// The home of a session elsewhere has ended its part by then.
@@ -120,19 +120,19 @@
 			}
 		}
 	}
-	f.keys.fault.Store(true)
-	if _, err := f.vms[0].tryConnect("write", testKey, ""); sqlState(err) != "XX000" {
+	f.keys.panics.Store(true)
+	if _, err := f.vms[0].dialPGX("write", testKey, ""); sqlState(err) != "XX000" {
 		t.Errorf("at start-up: got %v, want XX000", err)
 	}
-	f.keys.fault.Store(false)
-	total := f.faults()
-	lines := len(book.lines(t, "a session ended by a fault of this program")) + len(book.lines(t, "a connection of a VM ended by a fault of this program"))
+	f.keys.panics.Store(false)
+	total := f.panicCount()
+	lines := len(log.lines(t, "a session ended by a fault of this program")) + len(log.lines(t, "a connection of a VM ended by a fault of this program"))
 	if int64(lines) != total || total == 0 {
 		t.Errorf("log: got %d lines of %d faults, want one each", lines, total)
 	}
 }
 
-func (f *fleet) faults() (n int64) {
+func (f *fleet) panicCount() (n int64) {
 	for _, vm := range f.vms {
 		n += vm.front.Stats().Panics + vm.relay.Panics()
 	}
--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -14,7 +14,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-func (f *fleet) get(key string) string {
+func (f *fleet) valueAtPrimary(key string) string {
 	for _, s := range f.targets {
 		if s.Store().Status(time.Now()).Role == siskin.RolePrimary {
 			v, _ := s.Store().Get(key)
@@ -29,8 +29,8 @@
 func TestWithdrawnKey(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
-	idle := f.vms[0].raw(t, "badges/write")
-	inTx := f.vms[1].raw(t, "badges/write")
+	idle := f.vms[0].connectRaw(t, "badges/write")
+	inTx := f.vms[1].connectRaw(t, "badges/write")
 	if a := inTx.query("begin"); a.status != 'T' {
 		t.Fatalf("got %+v, want a transaction", a)
 	}
@@ -45,10 +45,10 @@
 	if got, want := time.Since(start), 3*time.Second; got > want {
 		t.Errorf("the key worked for %v, want at most %v", got, want)
 	}
-	if got := f.get("late"); got != "" {
+	if got := f.valueAtPrimary("late"); got != "" {
 		t.Errorf("a statement after the withdrawal ran: got %q", got)
 	}
-	if _, err := f.vms[0].tryConnect("write", testKey, ""); sqlState(err) != "28000" {
+	if _, err := f.vms[0].dialPGX("write", testKey, ""); sqlState(err) != "28000" {
 		t.Errorf("new connection: got %v, want 28000", err)
 	}
 }
@@ -57,15 +57,15 @@
 // is sent to a target after its key was withdrawn.
 func TestKeyWithdrawnInQueue(t *testing.T) {
 	f := startFleet(t, 2, nil)
-	f.allAtFirst.Store(true) // so that the second VM forwards
+	f.firstOwnsAll.Store(true) // so that the second VM forwards
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	hold := make(chan struct{})
 	f.queue.hold.Store(&hold)
 	answers := make(chan rawAnswer, len(f.vms))
 	for _, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		go func() { answers <- c.query("insert into kv values ('" + string(vm.id) + "', 'x')") }()
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -77,7 +77,7 @@
 		}
 	}
 	for _, vm := range f.vms {
-		if got := f.get(string(vm.id)); got != "" {
+		if got := f.valueAtPrimary(string(vm.id)); got != "" {
 			t.Errorf("%s: a write of a withdrawn key ran", vm.id)
 		}
 	}
@@ -90,7 +90,7 @@
 	f := startFleet(t, 2, nil)
 	f.group.noAck.Store(true)
 	for _, vm := range f.vms {
-		c := vm.raw(t, "badges/short")
+		c := vm.connectRaw(t, "badges/short")
 		start := time.Now()
 		a := c.query("insert into kv values ('" + string(vm.id) + "', 'x')")
 		if a.code() != "08007" || strings.Contains(a.types, "C") || a.status != 'I' {
@@ -125,7 +125,7 @@
 func TestGracefulStop(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
-	idle, running, inTx := f.vms[0].raw(t, "badges/write"), f.vms[0].raw(t, "badges/write"), f.vms[0].raw(t, "badges/write")
+	idle, running, inTx := f.vms[0].connectRaw(t, "badges/write"), f.vms[0].connectRaw(t, "badges/write"), f.vms[0].connectRaw(t, "badges/write")
 	running.fe.Send(&pgproto3.Query{String: "select pg_sleep(0.4)"})
 	running.flush()
 	if a := inTx.query("begin; insert into kv values ('stop', 'x')"); a.status != 'T' {
@@ -149,10 +149,10 @@
 		t.Errorf("in a transaction: got %+v, want its commit", a)
 	}
 	<-closed
-	if got := f.get("stop"); got != "x" {
+	if got := f.valueAtPrimary("stop"); got != "x" {
 		t.Errorf("committed write: got %q, want x", got)
 	}
-	if _, err := f.vms[0].tryConnect("write", testKey, ""); err == nil {
+	if _, err := f.vms[0].dialPGX("write", testKey, ""); err == nil {
 		t.Error("got a connection after the stop")
 	}
 }
@@ -162,7 +162,7 @@
 func TestLostCommitAnswer(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	for i, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		f.targets[0].LoseAnswers("COMMIT", 1)
 		before := len(f.targets[0].Store().Records())
 		a := c.query(fmt.Sprintf("insert into kv values ('lost%d', 'x')", i))
@@ -175,16 +175,16 @@
 	}
 }
 
-// TestHeldUntilPrimaryIsKnown guards against refused writes while the group
+// TestWriteWaitsForPrimary guards against refused writes while the group
 // changes its primary, although the deadline leaves time.
-func TestHeldUntilPrimaryIsKnown(t *testing.T) {
+func TestWriteWaitsForPrimary(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
 	primary := f.group.View().Primary
 	f.group.setPrimary("")
 	answers := make(chan rawAnswer, len(f.vms))
 	for _, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		go func() { answers <- c.query("insert into kv values ('" + string(vm.id) + "', 'held')") }()
 	}
 	time.Sleep(300 * time.Millisecond)
@@ -196,7 +196,7 @@
 	}
 	f.group.setPrimary("")
 	start := time.Now()
-	a := f.vms[0].raw(t, "badges/short").query("insert into kv values ('never', 'x')")
+	a := f.vms[0].connectRaw(t, "badges/short").query("insert into kv values ('never', 'x')")
 	if a.code() != "57P03" || time.Since(start) > time.Second {
 		t.Errorf("no primary: got %+v after %v, want 57P03 at the deadline of 300 ms", a, time.Since(start))
 	}
@@ -206,7 +206,7 @@
 // primaries: the old one reports that it ran nothing, so it is sent again.
 func TestWriteAtReplacedPrimary(t *testing.T) {
 	f := startFleet(t, 2, nil)
-	c := f.vms[0].raw(t, "badges/write")
+	c := f.vms[0].connectRaw(t, "badges/write")
 	for i := range 20 { // fill the retry budget
 		if a := c.query(fmt.Sprintf("insert into kv values ('fill%d', 'x')", i)); a.code() != "" {
 			t.Fatal(a)
@@ -217,7 +217,7 @@
 	if a := c.query("insert into kv values ('moved', 'x')"); a.code() != "" {
 		t.Errorf("got %+v, want success at the primary", a)
 	}
-	if got := f.get("moved"); got != "x" {
+	if got := f.valueAtPrimary("moved"); got != "x" {
 		t.Errorf("got %q, want x", got)
 	}
 }
@@ -232,7 +232,7 @@
 			s.SetFaults(func(x *target.Faults) { x.ApplyLag = config.Duration(lag) })
 		}
 		for i := range 5 {
-			c := f.vms[i%2].raw(t, "badges/write")
+			c := f.vms[i%2].connectRaw(t, "badges/write")
 			key := fmt.Sprintf("lag-%v-%d", lag, i)
 			if a := c.query("insert into kv values ('" + key + "', 'x')"); a.code() != "" {
 				t.Fatal(a)
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -39,8 +39,8 @@
 	tokens    *token.Codec
 	view      config.View
 	vms       []*testVM
-	// allAtFirst makes the first VM the owner of all slots.
-	allAtFirst atomic.Bool
+	// firstOwnsAll makes the first VM the owner of all slots.
+	firstOwnsAll atomic.Bool
 }
 
 func startFleet(tb testing.TB, vms int, edit func(*target.Config, *config.Service)) *fleet {
@@ -89,7 +89,7 @@
 		f.vms = append(f.vms, f.startVM(i))
 	}
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	tb.Cleanup(f.close)
 	return f
@@ -134,7 +134,7 @@
 
 // owner returns the index of the VM that owns a slot.
 func (f *fleet) owner(t config.Target, slot siskin.Slot) int {
-	if f.allAtFirst.Load() {
+	if f.firstOwnsAll.Load() {
 		return 0
 	}
 	for i := range f.service.Targets {
@@ -145,14 +145,14 @@
 	return 0
 }
 
-// switchDialer opens connections to the stand-ins or to canned targets.
-type switchDialer struct {
+// testDialer opens connections to the stand-ins or to canned targets.
+type testDialer struct {
 	*pool.PGDialer
 	canned atomic.Pointer[cannedTarget]
 }
 
 // Dial implements pool.Dialer.
-func (d *switchDialer) Dial(ctx context.Context, key pool.Key, cfg pool.SlotConfig, account pool.Account) (pool.DialedConn, error) {
+func (d *testDialer) Dial(ctx context.Context, key pool.Key, cfg pool.SlotConfig, account pool.Account) (pool.DialedConn, error) {
 	if c := d.canned.Load(); c != nil {
 		return c.Dial(ctx, key, cfg, account)
 	}
@@ -166,6 +166,6 @@
 		for _, key := range vm.pool.Owned() {
 			<-vm.pool.Drop(key)
 		}
-		vm.own()
+		vm.ownSlots()
 	}
 }
--- a/internal/front/idle_test.go
+++ b/internal/front/idle_test.go
@@ -12,7 +12,7 @@
 func TestIdleInsideMessage(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 1, nil)
-	c := f.vms[0].raw(t, "badges/write")
+	c := f.vms[0].connectRaw(t, "badges/write")
 	for i, split := range []int{0, 3, 7} { // before, inside and after the head
 		if a := c.query("select 'a'"); a.code() != "" {
 			t.Fatalf("before the pause: got %+v, want success", a)
@@ -22,7 +22,7 @@
 			t.Fatal(err)
 		}
 		for _, part := range [][]byte{b[:split], b[split:]} {
-			time.Sleep(settleAfter + 300*time.Millisecond)
+			time.Sleep(goroutineIdleLimit + 300*time.Millisecond)
 			if _, err := c.conn.Write(part); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -23,13 +23,13 @@
 	for i := 0; time.Since(start) < 3500*time.Millisecond; i++ {
 		vm := f.vms[i%len(f.vms)]
 		began := time.Since(start)
-		a := vm.raw(t, "badges/short").query(fmt.Sprintf("insert into kv values ('k%d', 'x')", i))
+		a := vm.connectRaw(t, "badges/short").query(fmt.Sprintf("insert into kv values ('k%d', 'x')", i))
 		if a.code() == "57P03" {
 			refused++
 		} else if began > 2500*time.Millisecond || a.code() != "" {
 			t.Fatalf("after %v: got code %q, want success until 2 s and 57P03 later", began, a.code())
 		}
-		if a := vm.raw(t, "badges/aged").query("select 1"); a.code() != "" {
+		if a := vm.connectRaw(t, "badges/aged").query("select 1"); a.code() != "" {
 			t.Fatalf("read: got %+v, want an answer of another target", a.err)
 		}
 	}
@@ -41,7 +41,7 @@
 	view = f.group.View()
 	for _, vm := range f.vms {
 		vm.home.Observe(f.service.Name, &view)
-		if a := vm.raw(t, "badges/write").query("insert into kv values ('back-" + string(vm.id) + "', 'x')"); a.code() != "" {
+		if a := vm.connectRaw(t, "badges/write").query("insert into kv values ('back-" + string(vm.id) + "', 'x')"); a.code() != "" {
 			t.Errorf("%s: got %+v after the target stays, want success", vm.id, a.err)
 		}
 	}
--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -20,7 +20,7 @@
 		return []pgproto3.FrontendMessage{&pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}}
 	}
 	for i, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		refused := func(name string, a rawAnswer) {
 			t.Helper()
 			if a.types != "EZ" || a.code() != "54000" || a.status != 'I' {
@@ -51,12 +51,12 @@
 		}
 	}
 	for _, key := range []string{"large", "late"} {
-		if got := f.get(key); got != "" {
+		if got := f.valueAtPrimary(key); got != "" {
 			t.Errorf("%s: got %d bytes written, want none", key, len(got))
 		}
 	}
 	vm := f.vms[0]
-	c := vm.raw(t, "badges/write")
+	c := vm.connectRaw(t, "badges/write")
 	vm.front.SetLimits(Limits{MaxMessage: 64 << 10})
 	if a := c.query(insert("large", large)); a.code() != "" {
 		t.Errorf("after the limit was raised: got %+v, want no error", a.err)
@@ -68,15 +68,15 @@
 func TestSetLimits(t *testing.T) {
 	f := startFleet(t, 1, nil)
 	vm := f.vms[0]
-	c := vm.raw(t, "badges/write")
+	c := vm.connectRaw(t, "badges/write")
 	vm.front.SetLimits(Limits{MaxConnections: 1, StartupTimeout: 100 * time.Millisecond})
-	if _, err := vm.tryConnect("write", testKey, ""); sqlState(err) != "53300" {
+	if _, err := vm.dialPGX("write", testKey, ""); sqlState(err) != "53300" {
 		t.Errorf("above the new limit: got %v, want 53300", err)
 	}
 	if a := c.query("select 'open'"); a.code() != "" {
 		t.Errorf("connection opened before: got %+v, want an answer", a.err)
 	}
-	silent, began := vm.rawConn(t), time.Now()
+	silent, began := vm.dialRaw(t), time.Now()
 	if a := silent.read(); a.status != 0 || time.Since(began) > 2*time.Second {
 		t.Errorf("silent connection: got %+v after %v, want its end at the new bound of 100ms", a, time.Since(began))
 	}
--- a/internal/front/log_test.go
+++ b/internal/front/log_test.go
@@ -11,21 +11,21 @@
 	"siskintray.example/siskin/internal/logs"
 )
 
-// logBook keeps the lines of one VM.
-type logBook struct {
+// logBuffer keeps the lines of one VM.
+type logBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
 }
 
 // Write implements io.Writer.
-func (l *logBook) Write(p []byte) (int, error) {
+func (l *logBuffer) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.b.Write(p)
 }
 
 // lines returns the lines with the message.
-func (l *logBook) lines(t *testing.T, message string) (found []map[string]any) {
+func (l *logBuffer) lines(t *testing.T, message string) (found []map[string]any) {
 	t.Helper()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -43,23 +43,23 @@
 
 // startLogged starts two VMs that log at the level; the second one forwards all
 // transactions to the first.
-func startLogged(t *testing.T, level string) (*fleet, *logBook, *logBook) {
+func startLogged(t *testing.T, level string) (*fleet, *logBuffer, *logBuffer) {
 	t.Helper()
-	home, entry := &logBook{}, &logBook{}
-	books := map[siskin.VMID]*logBook{"vm-0": home, "vm-1": entry}
-	f := startFleetWith(t, 2, nil, func(c *Config) { c.Log = logs.New(level, "json", books[c.VM]) })
-	f.allAtFirst.Store(true)
+	home, entry := &logBuffer{}, &logBuffer{}
+	buffers := map[siskin.VMID]*logBuffer{"vm-0": home, "vm-1": entry}
+	f := startFleetWith(t, 2, nil, func(c *Config) { c.Log = logs.New(level, "json", buffers[c.VM]) })
+	f.firstOwnsAll.Store(true)
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	return f, home, entry
 }
 
-// TestRequestIDFollowsStatement guards against a statement whose lines at the
+// TestRequestIDSpansVMs guards against a statement whose lines at the
 // entry VM and at the home of the slot cannot be put together.
-func TestRequestIDFollowsStatement(t *testing.T) {
+func TestRequestIDSpansVMs(t *testing.T) {
 	f, home, entry := startLogged(t, "debug")
-	c := f.vms[1].raw(t, "badges/write")
+	c := f.vms[1].connectRaw(t, "badges/write")
 	if a := c.query("select 'done'"); a.code() != "" {
 		t.Fatal(a.err)
 	}
@@ -67,9 +67,9 @@
 	if a := c.query("select 'refused'"); a.code() != "53400" {
 		t.Fatalf("got %+v, want a refusal", a)
 	}
-	ids := func(book *logBook, message string, want int) (all []any) {
+	ids := func(buf *logBuffer, message string, want int) (all []any) {
 		t.Helper()
-		for _, line := range book.lines(t, message) {
+		for _, line := range buf.lines(t, message) {
 			all = append(all, line[logs.RequestField])
 		}
 		if len(all) != want || all[0] == nil {
@@ -89,24 +89,24 @@
 	}
 }
 
-// TestFailuresAreLimitedInTheLog guards against a log that a customer over its
+// TestFailureLogRateLimit guards against a log that a customer over its
 // rate, or callers with a wrong key, fill.
-func TestFailuresAreLimitedInTheLog(t *testing.T) {
+func TestFailureLogRateLimit(t *testing.T) {
 	f, home, entry := startLogged(t, "info")
 	f.limiter.refuse.Store(true)
-	c := f.vms[1].raw(t, "badges/write")
+	c := f.vms[1].connectRaw(t, "badges/write")
 	const n = 200
 	for range n {
 		c.query("select 1")
 	}
 	for range n / 10 {
-		if _, err := f.vms[1].tryConnect("write", "wrong", ""); err == nil {
+		if _, err := f.vms[1].dialPGX("write", "wrong", ""); err == nil {
 			t.Fatal("got a connection with a wrong key, want none")
 		}
 	}
-	for message, book := range map[string]*logBook{"request failed": entry, "forwarded transaction failed": home, "caller refused at start-up": entry} {
+	for message, buf := range map[string]*logBuffer{"request failed": entry, "forwarded transaction failed": home, "caller refused at start-up": entry} {
 		// One line a second; the test takes less than two.
-		if got := len(book.lines(t, message)); got < 1 || got > 3 {
+		if got := len(buf.lines(t, message)); got < 1 || got > 3 {
 			t.Errorf("%s: got %d lines, want 1 to 3", message, got)
 		}
 	}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -10,35 +10,35 @@
 	"siskintray.example/siskin/internal/relay"
 )
 
-// maxIdleOut is the most that an idle session keeps for rewritten messages.
-const maxIdleOut = 1 << 10
+// maxIdleRewritten is the most that an idle session keeps for rewritten messages.
+const maxIdleRewritten = 1 << 10
 
-var longAgo = time.Unix(1, 0)
+var pastDeadline = time.Unix(1, 0)
 
-// settleAfter is the idle time after which a session goes on in a new
+// goroutineIdleLimit is the idle time after which a session goes on in a new
 // goroutine. Doing so after each transaction added 45 us to its latency.
-const settleAfter = time.Second
+const goroutineIdleLimit = time.Second
 
 // loop runs the session until it ends. Each transaction grows the stack to
 // 8 KB, and an idle read through TLS keeps it from shrinking. So a session that
 // is idle goes on in a new goroutine, whose stack is half of that while it
 // waits.
 func (c *session) loop() {
-	defer c.survive()
+	defer c.recoverPanic()
 	wait := time.Duration(0) // the first wait of a goroutine has no limit
 	for {
-		settled, ok := c.step(wait)
-		if settled {
+		idleTooLong, ok := c.step(wait)
+		if idleTooLong {
 			go c.loop()
 			return
 		}
 		if !ok {
 			break
 		}
-		wait = settleAfter
+		wait = goroutineIdleLimit
 	}
 	c.srv.sessions.Delete(c.id)
-	if c.endReason() != nil {
+	if c.endError() != nil {
 		linger(c.conn)
 	}
 	c.finish()
@@ -47,17 +47,17 @@
 // step handles the next message, or the transaction that it begins. It reports
 // whether none arrived in the given time (zero means no limit), and false for
 // ok when the session has ended.
-func (c *session) step(wait time.Duration) (settled, ok bool) {
+func (c *session) step(wait time.Duration) (idleTooLong, ok bool) {
 	if !c.setIdle(wait) {
-		c.fatal(c.endReason())
+		c.sendFatal(c.endError())
 		return false, false
 	}
 	h, err := c.r.Peek()
 	if err != nil {
-		if wait > 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endReason() == nil {
+		if wait > 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endError() == nil {
 			return true, true
 		}
-		c.readFailed(err)
+		c.endAfterError(err)
 		return false, false
 	}
 	if wait > 0 {
@@ -89,24 +89,24 @@
 			WithRemedy("check that the client speaks the PostgreSQL protocol 3.0")
 	}
 	if err != nil {
-		c.readFailed(err)
+		c.endAfterError(err)
 	}
 	return err == nil
 }
 
-// readFailed ends the session after an error, of which the caller is told when
+// endAfterError ends the session after an error, of which the caller is told when
 // it is one of this program.
-func (c *session) readFailed(err error) {
-	if e := c.endReason(); e != nil {
-		c.fatal(e)
+func (c *session) endAfterError(err error) {
+	if e := c.endError(); e != nil {
+		c.sendFatal(e)
 		return
 	}
 	var e *siskin.Error
 	switch {
 	case errors.As(err, &e):
-		c.fatal(e)
+		c.sendFatal(e)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.fatal(errTransactionTimeout)
+		c.sendFatal(errTransactionTimeout)
 	}
 }
 
@@ -119,8 +119,8 @@
 // than that of the kind.
 var sqlStates = map[*siskin.Error]string{errStopping: "57P01", errTransactionTimeout: "25P03"}
 
-// fatal sends the last message of a session.
-func (c *session) fatal(e *siskin.Error) {
+// sendFatal sends the last message of a session.
+func (c *session) sendFatal(e *siskin.Error) {
 	if e == nil {
 		return
 	}
@@ -132,7 +132,7 @@
 	if code, ok := sqlStates[e]; ok {
 		msg.Code = code
 	}
-	if c.conn.SetWriteDeadline(time.Now().Add(finalWrite)) != nil || c.w.Message(msg) != nil {
+	if c.conn.SetWriteDeadline(time.Now().Add(finalWriteTimeout)) != nil || c.w.Message(msg) != nil {
 		return
 	}
 	_ = c.w.Flush() // the connection ends in any case
@@ -142,17 +142,17 @@
 // zero means no limit. It reports false when the session is to end.
 func (c *session) setIdle(wait time.Duration) bool {
 	c.batch.Reset()
-	if cap(c.out) > maxIdleOut {
-		c.out = nil
+	if cap(c.rewritten) > maxIdleRewritten {
+		c.rewritten = nil
 	}
 	c.stmts.endTransaction()
 	c.r.Release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending != nil {
+	if c.endErr != nil {
 		return false
 	}
-	c.idle, c.leg, c.deadline = true, nil, time.Time{}
+	c.idle, c.executor, c.deadline = true, nil, time.Time{}
 	if c.conn.SetDeadline(time.Time{}) != nil {
 		return false
 	}
@@ -165,19 +165,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.deadline = false, deadline
-	if c.ending != nil {
-		return c.ending
+	if c.endErr != nil {
+		return c.endErr
 	}
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
 		return err
 	}
-	return c.conn.SetWriteDeadline(deadline.Add(finalWrite))
+	return c.conn.SetWriteDeadline(deadline.Add(finalWriteTimeout))
 }
 
-func (c *session) setLeg(leg relay.Executor) {
+func (c *session) setExecutor(executor relay.Executor) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leg = leg
+	c.executor = executor
 }
 
 // end asks the session to end. An idle session ends at once. Others end after
@@ -185,32 +185,32 @@
 func (c *session) end(reason *siskin.Error, now bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending == nil {
-		c.ending = reason
+	if c.endErr == nil {
+		c.endErr = reason
 	}
 	if c.idle || now {
-		_ = c.conn.SetReadDeadline(longAgo) // fails only when closed already
+		_ = c.conn.SetReadDeadline(pastDeadline) // fails only when closed already
 	}
 }
 
-func (c *session) endReason() *siskin.Error {
+func (c *session) endError() *siskin.Error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending
+	return c.endErr
 }
 
 // Interrupt implements relay.Source.
 func (c *session) Interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_ = c.conn.SetReadDeadline(longAgo) // fails only when closed already
+	_ = c.conn.SetReadDeadline(pastDeadline) // fails only when closed already
 }
 
 // Resume implements relay.Source.
 func (c *session) Resume() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending == nil || c.ending == errStopping {
+	if c.endErr == nil || c.endErr == errStopping {
 		_ = c.conn.SetReadDeadline(c.deadline) // fails only when closed already
 	}
 }
--- a/internal/front/observe_test.go
+++ b/internal/front/observe_test.go
@@ -8,44 +8,44 @@
 	"siskintray.example/siskin"
 )
 
-// seenBy keeps what an Observer is told.
-type seenBy struct {
-	mu   sync.Mutex
-	seen []Observation
+// recordingObserver keeps what an Observer is told.
+type recordingObserver struct {
+	mu           sync.Mutex
+	observations []Observation
 }
 
 // ObserveTransaction implements Observer.
-func (s *seenBy) ObserveTransaction(o Observation) {
+func (s *recordingObserver) ObserveTransaction(o Observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seen = append(s.seen, o)
+	s.observations = append(s.observations, o)
 }
 
 // take returns what was seen since the last call.
-func (s *seenBy) take() []Observation {
+func (s *recordingObserver) take() []Observation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := s.seen
-	s.seen = nil
+	all := s.observations
+	s.observations = nil
 	return all
 }
 
 // TestObserveWithinRate guards against a refusal within the customer's rate
 // that loses this mark, above all on the way from the home of another VM.
 func TestObserveWithinRate(t *testing.T) {
-	seen := &seenBy{}
-	f := startFleetWith(t, 2, nil, func(c *Config) { c.Observer = seen })
-	f.allAtFirst.Store(true) // the second VM forwards
+	observer := &recordingObserver{}
+	f := startFleetWith(t, 2, nil, func(c *Config) { c.Observer = observer })
+	f.firstOwnsAll.Store(true) // the second VM forwards
 	f.limiter.refuse.Store(true)
 	for i, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		var got []bool
 		for _, within := range []bool{true, false, true} {
 			f.limiter.within.Store(within)
 			if a := c.query("select 1"); a.code() != "53400" {
 				t.Fatalf("VM %d: got %+v, want a refusal by rate", i, a)
 			}
-			for _, o := range seen.take() {
+			for _, o := range observer.take() {
 				if !o.Failed || o.Kind != siskin.RateExceeded {
 					t.Errorf("VM %d: got %+v, want a failure by rate", i, o)
 				}
--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -74,7 +74,7 @@
 			}
 		}
 	}
-	eventually(t, "every write ended", func() bool { return f.group.running.Load() == 0 })
+	eventually(t, "every write ended", func() bool { return f.group.runningWrites.Load() == 0 })
 }
 
 // TestCopyAndLongAnswers guards against a stream that is cut or mixed up.
--- a/internal/front/pick.go
+++ b/internal/front/pick.go
@@ -8,8 +8,8 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// need is what a transaction asks of its target.
-type need struct {
+// requirements is what a transaction asks of its target.
+type requirements struct {
 	route *config.Route
 	floor siskin.Position
 	dc    siskin.DataCentreID
@@ -17,9 +17,9 @@
 	tried []siskin.TargetID
 }
 
-// pick chooses the target of the next attempt. It reports false when no known
+// pickTarget chooses the target of the next attempt. It reports false when no known
 // target may serve the transaction at present.
-func pick(service *config.Service, view *siskin.GroupView, n need, intN func(int) int) (config.Target, bool) {
+func pickTarget(service *config.Service, view *siskin.GroupView, n requirements, intN func(int) int) (config.Target, bool) {
 	best, bestCost, ties := -1, maxCost, 0
 	for i := range service.Targets {
 		cost := n.cost(&service.Targets[i], view)
@@ -45,14 +45,14 @@
 // again only when there is no other; the primary serves reads that no replica
 // can serve at once in a later attempt.
 const (
-	costFar     = 1
-	costBehind  = 2
-	costPrimary = 4
-	costTried   = 8
-	maxCost     = 16
+	costOtherDataCentre = 1
+	costBehind          = 2
+	costPrimary         = 4
+	costTried           = 8
+	maxCost             = 16
 )
 
-func (n *need) cost(t *config.Target, view *siskin.GroupView) int {
+func (n *requirements) cost(t *config.Target, view *siskin.GroupView) int {
 	state, known := view.Target(t.ID)
 	isPrimary := t.ID == view.Primary
 	if n.route.Mode == config.WriteRoute {
@@ -66,7 +66,7 @@
 	}
 	cost := 0
 	if t.DataCentre != n.dc {
-		cost += costFar
+		cost += costOtherDataCentre
 	}
 	for _, id := range n.tried {
 		if id == t.ID {
--- a/internal/front/pick_test.go
+++ b/internal/front/pick_test.go
@@ -35,7 +35,7 @@
 		}
 		for _, line := range lines {
 			f := strings.Fields(line)
-			n := need{route: routes[f[0]], dc: "dc-0"}
+			n := requirements{route: routes[f[0]], dc: "dc-0"}
 			if _, err := fmt.Sscanf(f[1], "%d:%d", &n.floor.Term, &n.floor.LSN); err != nil {
 				t.Fatal(err)
 			}
@@ -45,7 +45,7 @@
 				}
 			}
 			got := "none"
-			if target, ok := pick(service, &view, n, func(int) int { return 1 }); ok {
+			if target, ok := pickTarget(service, &view, n, func(int) int { return 1 }); ok {
 				got = string(target.ID)
 			}
 			if want := f[3]; got != want {
@@ -104,7 +104,7 @@
 				for pb.Next() {
 					service, _ := configured.Service("s0")
 					route, _ := service.Route("read")
-					if _, ok := pick(service, &view, need{route: route, dc: "dc-0"}, rand.IntN); !ok {
+					if _, ok := pickTarget(service, &view, requirements{route: route, dc: "dc-0"}, rand.IntN); !ok {
 						b.Error("no target")
 						return
 					}
--- a/internal/front/random_test.go
+++ b/internal/front/random_test.go
@@ -92,7 +92,7 @@
 				vm.pool.Drop(keys[rnd.IntN(len(keys))])
 			}
 			time.Sleep(time.Duration(rnd.IntN(20)) * time.Millisecond)
-			vm.own()
+			vm.ownSlots()
 		}
 	}
 }
@@ -120,7 +120,7 @@
 			return
 		}
 		if rnd.IntN(30) == 0 {
-			f.cancelSoon(rnd, c)
+			f.sendCancel(rnd, c)
 		}
 		var a rawAnswer
 		if rnd.IntN(2) == 0 || route == "read" {
@@ -162,7 +162,7 @@
 	}
 }
 
-func (f *fleet) cancelSoon(rnd *rand.Rand, c *rawClient) {
+func (f *fleet) sendCancel(rnd *rand.Rand, c *rawClient) {
 	address := f.vms[rnd.IntN(len(f.vms))].address
 	msg, _ := (&pgproto3.CancelRequest{ProcessID: c.key.ProcessID, SecretKey: c.key.SecretKey}).Encode(nil)
 	conn, err := net.Dial("tcp", address)
--- a/internal/front/raw_test.go
+++ b/internal/front/raw_test.go
@@ -16,9 +16,9 @@
 	key  pgproto3.BackendKeyData
 }
 
-func (vm *testVM) raw(tb testing.TB, database string) *rawClient {
+func (vm *testVM) connectRaw(tb testing.TB, database string) *rawClient {
 	tb.Helper()
-	c := vm.rawConn(tb)
+	c := vm.dialRaw(tb)
 	c.fe.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters:      map[string]string{"user": "any", "database": database},
@@ -39,7 +39,7 @@
 	}
 }
 
-func (vm *testVM) rawConn(tb testing.TB) *rawClient {
+func (vm *testVM) dialRaw(tb testing.TB) *rawClient {
 	tb.Helper()
 	conn, err := net.Dial("tcp", vm.address)
 	if err != nil {
--- a/internal/front/refusals_test.go
+++ b/internal/front/refusals_test.go
@@ -12,13 +12,13 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestRefusalsNameTheRemedy guards against refusals without SQLSTATE, remedy or
+// TestRefusalsCarryHint guards against refusals without SQLSTATE, remedy or
 // time to retry, and against refused work that reaches a target.
-func TestRefusalsNameTheRemedy(t *testing.T) {
+func TestRefusalsCarryHint(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	f.limiter.refuse.Store(true)
 	for _, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		a := c.query("insert into kv values ('refused', 'x')")
 		if a.code() != "53400" || a.err.Hint == "" || a.err.Detail != "RetryAfter=250ms" || a.status != 'I' {
 			t.Errorf("over the rate: got %+v, want 53400 with hint and detail", a.err)
@@ -34,7 +34,7 @@
 		}
 	}
 	f.limiter.refuse.Store(false)
-	if got := f.get("refused"); got != "" {
+	if got := f.valueAtPrimary("refused"); got != "" {
 		t.Errorf("a refused write ran: got %q", got)
 	}
 	for name, test := range map[string]struct{ database, key, options, want string }{
@@ -43,7 +43,7 @@
 		"malformed token": {"read", testKey, "siskintray.token=st1.xyz", "22023"},
 		"unknown option":  {"read", testKey, "options=-x", "08P01"},
 	} {
-		_, err := f.vms[0].tryConnect(test.database, test.key, test.options)
+		_, err := f.vms[0].dialPGX(test.database, test.key, test.options)
 		if got := sqlState(err); got != test.want {
 			t.Errorf("%s: got %q (%v), want %q", name, got, err, test.want)
 		}
@@ -57,7 +57,7 @@
 // change nothing.
 func TestSettings(t *testing.T) {
 	f := startFleet(t, 1, nil)
-	c := f.vms[0].raw(t, "badges/write")
+	c := f.vms[0].connectRaw(t, "badges/write")
 	if a := c.query("insert into kv values ('a', 'b')"); !strings.Contains(a.types, "S") {
 		t.Errorf("got %q, want a token", a.types)
 	}
@@ -80,7 +80,7 @@
 	if a := c.query("insert into kv values ('c', 'd')"); a.code() != "42501" && a.code() != "25006" {
 		t.Errorf("write on a read route: got %+v, want an error of the target", a)
 	}
-	open := f.vms[0].raw(t, "badges/open")
+	open := f.vms[0].connectRaw(t, "badges/open")
 	if a := open.query("select count(*) from kv"); a.code() != "" {
 		t.Errorf("open route: got %+v, want an answer", a)
 	}
@@ -94,7 +94,7 @@
 func TestExtendedErrors(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	for _, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		a := c.exchange(&pgproto3.Parse{Name: "s1", Query: "select v from kv where k = $1"}, &pgproto3.Sync{})
 		if a.types != "1Z" {
 			t.Errorf("parse: got %q, want 1Z", a.types)
@@ -126,7 +126,7 @@
 	t.Parallel()
 	f := startFleet(t, 2, func(_ *target.Config, s *config.Service) { s.ConnectionsPerSlot = 2 })
 	for i, vm := range f.vms {
-		c := vm.raw(t, "badges/short")
+		c := vm.connectRaw(t, "badges/short")
 		for j := range 3 {
 			if a := c.query("select pg_sleep(0.6)"); a.code() != "08007" {
 				t.Errorf("got %+v, want 08007", a)
@@ -145,14 +145,14 @@
 	t.Parallel()
 	f := startFleet(t, 3, nil)
 	for i, vm := range f.vms {
-		c, other := vm.raw(t, "badges/write"), vm.raw(t, "badges/write")
+		c, other := vm.connectRaw(t, "badges/write"), vm.connectRaw(t, "badges/write")
 		c.fe.Send(&pgproto3.Query{String: "select pg_sleep(4)"})
 		c.flush()
 		other.fe.Send(&pgproto3.Query{String: "select pg_sleep(0.5)"})
 		other.flush()
 		time.Sleep(100 * time.Millisecond)
 		for _, secret := range [][]byte{{1, 2, 3, 4}, c.key.SecretKey} {
-			at := f.vms[(i+1)%3].rawConn(t) // any VM takes the request
+			at := f.vms[(i+1)%3].dialRaw(t) // any VM takes the request
 			msg, _ := (&pgproto3.CancelRequest{ProcessID: c.key.ProcessID, SecretKey: secret}).Encode(nil)
 			if _, err := at.conn.Write(msg); err != nil {
 				t.Fatal(err)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -27,18 +27,18 @@
 	mu        sync.Mutex
 	stopping  bool
 	listeners []net.Listener
-	pending   map[net.Conn]struct{} // all connections, those in start-up included
+	conns     map[net.Conn]struct{} // all connections, those in start-up included
 	lastID    uint16
 }
 
 // New returns a Server and starts its sweep of withdrawn keys.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, log: logs.NewRequests(cfg.Clock, cfg.Log), sessions: shard.New[uint16, *session](), pending: make(map[net.Conn]struct{})}
+	s := &Server{cfg: cfg, log: logs.NewRequests(cfg.Clock, cfg.Log), sessions: shard.New[uint16, *session](), conns: make(map[net.Conn]struct{})}
 	s.SetLimits(cfg.Limits)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.requests.Store(requestBase(cfg.VM))
 	s.wg.Add(1)
-	go s.sweep()
+	go s.checkKeysLoop()
 	return s
 }
 
@@ -59,11 +59,11 @@
 			}
 			return err
 		}
-		if !s.enter(conn) {
+		if !s.track(conn) {
 			conn.Close()
 			continue
 		}
-		go s.serveConn(conn, func() { s.leave(conn) })
+		go s.serveConn(conn, func() { s.untrack(conn) })
 	}
 }
 
@@ -73,25 +73,25 @@
 	return s.stopping
 }
 
-func (s *Server) enter(conn net.Conn) bool {
+func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// An eighth more than the sessions may be in start-up, so that a full VM
 	// can still tell callers that it is full.
-	most := s.Limits().MaxConnections
-	if s.stopping || len(s.pending) > most+most/8+16 {
+	limit := s.Limits().MaxConnections
+	if s.stopping || len(s.conns) > limit+limit/8+16 {
 		return false
 	}
-	s.pending[conn] = struct{}{}
+	s.conns[conn] = struct{}{}
 	s.wg.Add(1)
 	return true
 }
 
-func (s *Server) leave(conn net.Conn) {
+func (s *Server) untrack(conn net.Conn) {
 	defer s.wg.Done()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.pending, conn)
+	delete(s.conns, conn)
 }
 
 // register gives the session an id that no other session of this VM has.
@@ -101,8 +101,8 @@
 	if s.stopping {
 		return errStopping
 	}
-	if most := s.Limits().MaxConnections; s.sessions.Len() >= most {
-		return siskin.NewError(siskin.Overloaded, "this VM has its maximum of %d connections", most).
+	if limit := s.Limits().MaxConnections; s.sessions.Len() >= limit {
+		return siskin.NewError(siskin.Overloaded, "this VM has its maximum of %d connections", limit).
 			WithRemedy("connect to another VM or close connections that are not used")
 	}
 	for {
@@ -145,21 +145,21 @@
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
-	for conn := range s.pending {
+	for conn := range s.conns {
 		_ = conn.Close() // the session reports it
 	}
 	s.mu.Unlock()
 	<-done
 }
 
-// sweep ends the sessions whose key was withdrawn, idle ones included.
-func (s *Server) sweep() {
+// checkKeysLoop ends the sessions whose key was withdrawn, idle ones included.
+func (s *Server) checkKeysLoop() {
 	defer s.wg.Done()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
-		case <-s.cfg.Clock.After(sweepInterval):
+		case <-s.cfg.Clock.After(keyCheckInterval):
 		}
 		s.CheckKeys()
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -24,24 +24,24 @@
 	id     uint16
 	secret [4]byte
 
-	service siskin.ServiceName
-	route   siskin.RouteName
-	grant   siskin.KeyGrant // zero when the caller showed no key
-	floor   siskin.Position // what the session has seen
-	sampled bool            // floor covers everything acknowledged before the session
-	stmts   statements
-	batch   frame.Batch
-	out     []byte // rewritten messages that are next to be sent
-	outHead frame.Head
-	last    byte // type of the last message consumed
-	answer  answerState
-	request uint64 // id of the transaction, zero before it has one
+	service       siskin.ServiceName
+	route         siskin.RouteName
+	grant         siskin.KeyGrant // zero when the caller showed no key
+	floor         siskin.Position // what the session has seen
+	floorKnown    bool            // floor covers everything acknowledged before the session
+	stmts         statements
+	batch         frame.Batch
+	rewritten     []byte // rewritten messages that are next to be sent
+	rewrittenHead frame.Head
+	last          byte // type of the last message consumed
+	answer        answerState
+	request       uint64 // id of the transaction, zero before it has one
 
 	mu       sync.Mutex
 	idle     bool
 	deadline time.Time // of the transaction, zero when idle
-	ending   *siskin.Error
-	leg      relay.Executor // in progress
+	endErr   *siskin.Error
+	executor relay.Executor // in progress
 }
 
 func newSession(s *Server, conn net.Conn) *session {
@@ -61,7 +61,7 @@
 			settings[name] = v
 		}
 	}
-	service, route, _ := cutLast(params["database"])
+	service, route, _ := splitDatabase(params["database"])
 	c.service, c.route = siskin.ServiceName(service), siskin.RouteName(route)
 	if v, ok := settings[routeSetting]; ok {
 		c.route = siskin.RouteName(v)
@@ -75,8 +75,8 @@
 	return nil
 }
 
-// cutLast splits a database name into service and route.
-func cutLast(database string) (service, route string, ok bool) {
+// splitDatabase splits a database name into service and route.
+func splitDatabase(database string) (service, route string, ok bool) {
 	for i := len(database) - 1; i >= 0; i-- {
 		if database[i] == '/' {
 			return database[:i], database[i+1:], true
@@ -102,17 +102,17 @@
 	if err != nil {
 		return err
 	}
-	c.floor, c.sampled = floor, true
+	c.floor, c.floorKnown = floor, true
 	return nil
 }
 
-// logged names the session's transaction in the log.
-func (c *session) logged() logs.Request {
+// logRequest names the session's transaction in the log.
+func (c *session) logRequest() logs.Request {
 	return logs.Request{ID: c.request, Service: c.service, Route: c.route, Customer: c.grant.Customer}
 }
 
-// greet ends the start-up.
-func (c *session) greet() error {
+// completeStartup ends the start-up.
+func (c *session) completeStartup() error {
 	for _, p := range [...][2]string{
 		{"server_version", "16.0 (siskintray)"},
 		{"server_encoding", "UTF8"},
--- a/internal/front/set.go
+++ b/internal/front/set.go
@@ -28,14 +28,14 @@
 	return len(sql) > 4 && sql[0]|0x20 == 's' && (sql[1]|0x20 == 'e' || sql[1]|0x20 == 'h')
 }
 
-// setting handles a query that reads or changes a setting of this program. It
+// handleSetting handles a query that reads or changes a handleSetting of this program. It
 // reports false for any other query.
-func (c *session) setting(sql []byte) (bool, error) {
+func (c *session) handleSetting(sql []byte) (bool, error) {
 	if !mayBeSetting(sql) {
 		return false, nil
 	}
 	if m := setPattern.FindSubmatch(sql); m != nil {
-		if err := c.set(m[1][0]|0x20 == 'r', string(m[2])); err != nil {
+		if err := c.changeSetting(m[1][0]|0x20 == 'r', string(m[2])); err != nil {
 			return true, c.refuseSetting(err)
 		}
 		return true, c.answerSetting("SET", nil)
@@ -44,7 +44,7 @@
 		value := string(c.route)
 		if m[1][0]|0x20 == 't' {
 			value = ""
-			if c.sampled {
+			if c.floorKnown {
 				value = c.srv.cfg.Tokens.Encode(token.Token{Service: c.service, Position: c.floor})
 			}
 		}
@@ -53,7 +53,7 @@
 	return false, nil
 }
 
-func (c *session) set(route bool, value string) error {
+func (c *session) changeSetting(route bool, value string) error {
 	if !route {
 		return c.setToken(value)
 	}
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -20,20 +20,20 @@
 func (c *session) Forward(h frame.Head, r *frame.Reader) error {
 	switch h.Type {
 	case '1':
-		if c.stmts.parsed() {
+		if c.stmts.parseCompleted() {
 			return r.Skip()
 		}
 	case 'S':
 		if h.Len < frame.BufferSize {
-			return c.parameter(h, r)
+			return c.forwardParameter(h, r)
 		}
 	}
 	c.answer.answered = true
 	return c.w.Copy(h, r)
 }
 
-// parameter forwards a ParameterStatus and keeps the token in it.
-func (c *session) parameter(h frame.Head, r *frame.Reader) error {
+// forwardParameter forwards a ParameterStatus and keeps the token in it.
+func (c *session) forwardParameter(h frame.Head, r *frame.Reader) error {
 	body, err := r.Body(frame.BufferSize)
 	if err != nil {
 		return err
@@ -41,21 +41,21 @@
 	if c.answer.status.Decode(body) == nil && c.answer.status.Name == relay.TokenParameter {
 		pos, err := c.srv.cfg.Tokens.Verify(c.service, []byte(c.answer.status.Value))
 		if err == nil {
-			c.saw(pos)
+			c.recordPosition(pos)
 		}
 	}
 	return c.SendMessage(h.Type, body)
 }
 
-// saw raises what the session has seen.
-func (c *session) saw(pos siskin.Position) {
-	c.floor, c.sampled = token.Max(c.floor, pos), true
+// recordPosition raises what the session has seen.
+func (c *session) recordPosition(pos siskin.Position) {
+	c.floor, c.floorKnown = token.Max(c.floor, pos), true
 	c.answer.term = pos.Term
 }
 
 // SendMessage implements relay.Sink.
 func (c *session) SendMessage(typ byte, body []byte) error {
-	if typ == '1' && c.stmts.parsed() {
+	if typ == '1' && c.stmts.parseCompleted() {
 		return nil
 	}
 	c.answer.answered = true
@@ -67,7 +67,7 @@
 
 // SendToken implements relay.Sink.
 func (c *session) SendToken(pos siskin.Position) error {
-	c.saw(pos)
+	c.recordPosition(pos)
 	c.answer.answered = true
 	text := c.srv.cfg.Tokens.Encode(token.Token{Service: c.service, Position: pos})
 	return c.w.Message(&pgproto3.ParameterStatus{Name: relay.TokenParameter, Value: text})
--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -11,8 +11,8 @@
 
 // Peek implements relay.Source.
 func (c *session) Peek() (frame.Head, error) {
-	if len(c.out) > 0 {
-		return c.outHead, nil
+	if len(c.rewritten) > 0 {
+		return c.rewrittenHead, nil
 	}
 	h, err := c.r.Peek()
 	if err == nil && h.Len > c.maxMessage() {
@@ -35,7 +35,7 @@
 }
 
 // Buffered implements relay.Source.
-func (c *session) Buffered() int { return c.r.Buffered() + len(c.out) }
+func (c *session) Buffered() int { return c.r.Buffered() + len(c.rewritten) }
 
 // Append implements relay.Source.
 func (c *session) Append(h frame.Head, b *frame.Batch) (bool, error) {
@@ -49,7 +49,7 @@
 	if err := c.rewrite(h); err != nil {
 		return false, err
 	}
-	if !b.Append(c.out) {
+	if !b.Append(c.rewritten) {
 		return false, nil
 	}
 	c.consumed(h.Type)
@@ -68,7 +68,7 @@
 	if err := c.rewrite(h); err != nil {
 		return err
 	}
-	err := w.Raw(c.out)
+	err := w.Raw(c.rewritten)
 	c.consumed(h.Type)
 	return err
 }
@@ -78,12 +78,12 @@
 
 func (c *session) consumed(typ byte) {
 	c.last = typ
-	c.out = c.out[:0]
-	if cap(c.out) > frame.BufferSize {
-		c.out = nil
+	c.rewritten = c.rewritten[:0]
+	if cap(c.rewritten) > frame.BufferSize {
+		c.rewritten = nil
 	}
 	if typ == 'Q' {
-		c.stmts.query()
+		c.stmts.simpleQuery()
 	}
 }
 
@@ -95,7 +95,7 @@
 // the same message about the unnamed statement, after a Parse when the target
 // has another one. It does nothing when out is filled already.
 func (c *session) rewrite(h frame.Head) error {
-	if len(c.out) > 0 {
+	if len(c.rewritten) > 0 {
 		return nil
 	}
 	if _, err := c.r.Next(); err != nil {
@@ -106,14 +106,14 @@
 	if err != nil {
 		return err
 	}
-	c.outHead = h
+	c.rewrittenHead = h
 	switch h.Type {
 	case 'P':
 		return c.rewriteParse(body)
 	case 'B':
 		return c.rewriteBind(body)
 	default:
-		return c.rewriteByName(h.Type, body)
+		return c.rewriteDescribeOrClose(h.Type, body)
 	}
 }
 
@@ -130,7 +130,7 @@
 	if err := c.stmts.parse(string(name), text); err != nil {
 		return err
 	}
-	c.out = appendMessage(c.out, 'P', []byte{0}, text)
+	c.rewritten = appendMessage(c.rewritten, 'P', []byte{0}, text)
 	return nil
 }
 
@@ -140,40 +140,40 @@
 	if !ok1 || !ok2 {
 		return malformed('B')
 	}
-	if !c.parseFirst(name) {
-		c.out = appendMessage(c.out, 'B', body)
+	if !c.injectParse(name) {
+		c.rewritten = appendMessage(c.rewritten, 'B', body)
 		return nil
 	}
-	c.out = appendMessage(c.out, 'B', portal, []byte{0, 0}, rest)
+	c.rewritten = appendMessage(c.rewritten, 'B', portal, []byte{0, 0}, rest)
 	return nil
 }
 
-// rewriteByName handles Describe and Close.
-func (c *session) rewriteByName(typ byte, body []byte) error {
+// rewriteDescribeOrClose handles Describe and Close.
+func (c *session) rewriteDescribeOrClose(typ byte, body []byte) error {
 	if len(body) < 2 || body[len(body)-1] != 0 {
 		return malformed(typ)
 	}
 	if body[0] != 'S' {
-		c.out = appendMessage(c.out, typ, body)
+		c.rewritten = appendMessage(c.rewritten, typ, body)
 		return nil
 	}
 	name := body[1 : len(body)-1]
 	if typ == 'C' {
 		c.stmts.close(string(name))
-	} else if !c.parseFirst(name) {
-		c.out = appendMessage(c.out, typ, body)
+	} else if !c.injectParse(name) {
+		c.rewritten = appendMessage(c.rewritten, typ, body)
 		return nil
 	}
-	c.out = appendMessage(c.out, typ, []byte{'S', 0})
+	c.rewritten = appendMessage(c.rewritten, typ, []byte{'S', 0})
 	return nil
 }
 
-// parseFirst adds a Parse of the named statement when the target needs one. It
+// injectParse adds a Parse of the named statement when the target needs one. It
 // reports false for an unknown name, which the target then refuses.
-func (c *session) parseFirst(name []byte) bool {
+func (c *session) injectParse(name []byte) bool {
 	text, ok := c.stmts.use(string(name))
 	if len(text) > 0 {
-		c.out = appendMessage(c.out, 'P', []byte{0}, text)
+		c.rewritten = appendMessage(c.rewritten, 'P', []byte{0}, text)
 	}
 	return ok
 }
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -20,7 +20,7 @@
 		_ = conn.Close() // the connection ends in any case
 		ended()
 	}
-	c := s.newcomer(conn)
+	c := s.startSession(conn)
 	if c == nil {
 		finish()
 		return
@@ -29,13 +29,13 @@
 	go c.loop()
 }
 
-// newcomer runs the start-up. It returns no session when the caller was refused
+// startSession runs the start-up. It returns no session when the caller was refused
 // or had sent a cancel request.
-func (s *Server) newcomer(conn net.Conn) *session {
+func (s *Server) startSession(conn net.Conn) *session {
 	if conn.SetDeadline(time.Now().Add(s.Limits().StartupTimeout)) != nil {
 		return nil
 	}
-	c, err := s.startUp(conn)
+	c, err := s.negotiate(conn)
 	if err != nil {
 		if e := new(siskin.Error); errors.As(err, &e) {
 			s.counts.refused[e.Kind].Add(1)
@@ -50,13 +50,13 @@
 // TLS, one for GSS and the start-up itself.
 const maxStartupMessages = 3
 
-// startUp reads messages up to the start-up message. It returns no session when
+// negotiate reads messages up to the start-up message. It returns no session when
 // the message was a cancel request.
-func (s *Server) startUp(conn net.Conn) (c *session, err error) {
+func (s *Server) negotiate(conn net.Conn) (c *session, err error) {
 	defer func() {
 		if v := recover(); v != nil {
-			s.fault(v, logs.Request{})
-			c, err = nil, refuse(conn, errFault)
+			s.reportPanic(v, logs.Request{})
+			c, err = nil, refuse(conn, errInternal)
 		}
 	}()
 	_, secure := conn.(*tls.Conn)
@@ -81,7 +81,7 @@
 			}
 			return nil, nil
 		default:
-			return s.open(conn, raw, secure)
+			return s.openSession(conn, raw, secure)
 		}
 	}
 	return nil, refuse(conn, siskin.NewError(siskin.BadInput, "too many requests before the start-up message").
@@ -118,8 +118,8 @@
 	return siskin.NewError(siskin.BadInput, "connection failed").WithRemedy("connect again").WithCause(err)
 }
 
-// open authenticates the caller and starts the session.
-func (s *Server) open(conn net.Conn, raw startupPacket, secure bool) (*session, error) {
+// openSession authenticates the caller and starts the session.
+func (s *Server) openSession(conn net.Conn, raw startupPacket, secure bool) (*session, error) {
 	params, err := raw.parameters()
 	if err != nil {
 		return nil, refuse(conn, err)
@@ -140,16 +140,16 @@
 	if err := s.register(c); err != nil {
 		return nil, refuse(conn, err)
 	}
-	greeted := false
+	started := false
 	defer func() {
-		if !greeted {
+		if !started {
 			s.sessions.Delete(c.id)
 		}
 	}()
-	if err := c.greet(); err != nil {
+	if err := c.completeStartup(); err != nil {
 		return nil, err
 	}
-	greeted = true
+	started = true
 	return c, nil
 }
 
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -13,23 +13,23 @@
 	text []byte // body of the Parse message behind the name
 }
 
-// parsing is a Parse message that was sent and not answered yet.
-type parsing struct {
-	name  string
-	stmt  *statement
-	added bool // the caller did not send it, so its answer is swallowed
+// pendingParse is a Parse message that was sent and not answered yet.
+type pendingParse struct {
+	name     string
+	stmt     *statement
+	injected bool // the caller did not send it, so its answer is swallowed
 }
 
 // statements keeps the prepared statements of a session. At a target only the
 // unnamed statement is used, so that nothing outlives the transaction there.
 type statements struct {
-	mu      sync.Mutex // the answer may be read while a batch is sent
-	named   map[string]*statement
-	unnamed *statement
-	current *statement // what the unnamed statement of the target is
-	size    int
-	pending []parsing
-	popped  int // answered entries of pending
+	mu            sync.Mutex // the answer may be read while a batch is sent
+	named         map[string]*statement
+	unnamed       *statement
+	targetUnnamed *statement // what the unnamed statement of the target is
+	size          int
+	pending       []pendingParse
+	answered      int // answered entries of pending
 }
 
 // parse records a Parse message of the caller.
@@ -54,8 +54,8 @@
 		}
 		s.named[name] = st
 	}
-	s.current = st
-	s.pending = append(s.pending, parsing{name: name, stmt: st})
+	s.targetUnnamed = st
+	s.pending = append(s.pending, pendingParse{name: name, stmt: st})
 	return nil
 }
 
@@ -76,11 +76,11 @@
 	if st == nil {
 		return nil, false
 	}
-	if s.current == st {
+	if s.targetUnnamed == st {
 		return nil, true
 	}
-	s.current = st
-	s.pending = append(s.pending, parsing{stmt: st, added: true})
+	s.targetUnnamed = st
+	s.pending = append(s.pending, pendingParse{stmt: st, injected: true})
 	return st.text, true
 }
 
@@ -89,7 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.remove(name)
-	s.current = nil
+	s.targetUnnamed = nil
 }
 
 func (s *statements) remove(name string) {
@@ -105,30 +105,30 @@
 	}
 }
 
-// query records a simple query, which ends the unnamed statement.
-func (s *statements) query() { s.close("") }
+// simpleQuery records a simple simpleQuery, which ends the unnamed statement.
+func (s *statements) simpleQuery() { s.close("") }
 
-// parsed handles a ParseComplete and reports whether it is to be swallowed.
-func (s *statements) parsed() bool {
+// parseCompleted handles a ParseComplete and reports whether it is to be swallowed.
+func (s *statements) parseCompleted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.popped >= len(s.pending) {
+	if s.answered >= len(s.pending) {
 		return false
 	}
-	s.popped++
-	return s.pending[s.popped-1].added
+	s.answered++
+	return s.pending[s.answered-1].injected
 }
 
-// repeat prepares for the answer of a batch that is sent once more.
-func (s *statements) repeat() {
+// prepareResend prepares for the answer of a batch that is sent once more.
+func (s *statements) prepareResend() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.popped = 0
+	s.answered = 0
 }
 
-// endBatchUnless ends a batch unless it failed, in which case it may be sent
+// endBatchUnlessFailed ends a batch unless it failed, in which case it may be sent
 // again.
-func (s *statements) endBatchUnless(f *relay.Failure) {
+func (s *statements) endBatchUnlessFailed(f *relay.Failure) {
 	if f == nil {
 		s.endBatch()
 	}
@@ -138,19 +138,19 @@
 func (s *statements) endBatch() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range s.pending[s.popped:] {
-		if !p.added && s.find(p.name) == p.stmt {
+	for _, p := range s.pending[s.answered:] {
+		if !p.injected && s.find(p.name) == p.stmt {
 			s.remove(p.name)
 		}
-		s.current = nil // an error may have left another statement there
+		s.targetUnnamed = nil // an error may have left another statement there
 	}
 	clear(s.pending)
-	s.pending, s.popped = s.pending[:0], 0
+	s.pending, s.answered = s.pending[:0], 0
 }
 
 // endTransaction forgets what the unnamed statement of the target was.
 func (s *statements) endTransaction() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.current = nil
+	s.targetUnnamed = nil
 }
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -11,9 +11,9 @@
 // eachPath runs a test at the VM that owns all slots and at one that forwards.
 func eachPath(t *testing.T, run func(t *testing.T, f *fleet, vm *testVM)) {
 	f := startFleet(t, 2, nil)
-	f.allAtFirst.Store(true)
+	f.firstOwnsAll.Store(true)
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	for i, name := range []string{"local", "forwarded"} {
 		t.Run(name, func(t *testing.T) { run(t, f, f.vms[i]) })
@@ -25,7 +25,7 @@
 func TestBatchesOfAnySize(t *testing.T) {
 	t.Parallel()
 	eachPath(t, func(t *testing.T, _ *fleet, vm *testVM) {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		for _, n := range []int{1, 300, 4000} { // below and above one buffer
 			c.fe.Send(&pgproto3.Parse{Query: "select generate_series(1, 300)"})
 			for range n {
@@ -47,7 +47,7 @@
 // caller asked for them.
 func TestFlush(t *testing.T) {
 	eachPath(t, func(t *testing.T, _ *fleet, vm *testVM) {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		c.fe.Send(&pgproto3.Parse{Name: "f", Query: "select 'x'"})
 		c.fe.Send(&pgproto3.Flush{})
 		c.flush()
@@ -70,7 +70,7 @@
 // error, and against a connection that is out of step afterwards.
 func TestFailedCopy(t *testing.T) {
 	eachPath(t, func(t *testing.T, f *fleet, vm *testVM) {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		copyIn := &pgproto3.Query{String: "copy kv from stdin"}
 		a := c.exchange(copyIn, &pgproto3.CopyData{Data: []byte("a\tb\n")}, &pgproto3.CopyFail{Message: "stop"})
 		if a.code() != "57014" || a.status != 'I' {
@@ -98,7 +98,7 @@
 		if a := c.query("rollback"); a.code() != "" || a.status != 'I' {
 			t.Errorf("rollback: got %+v %q, want success", a.err, a.status)
 		}
-		if got := f.get("k1") + f.get("a"); got != "" {
+		if got := f.valueAtPrimary("k1") + f.valueAtPrimary("a"); got != "" {
 			t.Errorf("a failed copy left %q", got)
 		}
 	})
--- a/internal/front/torn_test.go
+++ b/internal/front/torn_test.go
@@ -10,14 +10,14 @@
 // connection, and against one that waits for the rest.
 func TestTargetEndsInMiddleOfRow(t *testing.T) {
 	f := startFleet(t, 2, nil)
-	f.allAtFirst.Store(true) // so that the second VM forwards
+	f.firstOwnsAll.Store(true) // so that the second VM forwards
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
-	f.dialCanned(cannedTarget{rows: 3, torn: true})
+	f.dialCanned(cannedTarget{rows: 3, truncated: true})
 	for _, vm := range f.vms {
 		for _, route := range []string{"read", "write"} {
-			c := vm.raw(t, "badges/"+route)
+			c := vm.connectRaw(t, "badges/"+route)
 			start := time.Now()
 			a := c.query("select v from kv")
 			if got, want := time.Since(start), 3*time.Second; got > want || a.status != 0 || len(a.values) != 3 {
--- a/internal/front/vm_test.go
+++ b/internal/front/vm_test.go
@@ -26,7 +26,7 @@
 	address string
 	peer    string
 	pool    *pool.Pool
-	dialer  *switchDialer
+	dialer  *testDialer
 	fwd     *relay.Forwarder
 	home    *relay.Home
 	relay   *relay.Server
@@ -41,7 +41,7 @@
 	if err != nil {
 		f.tb.Fatal(err)
 	}
-	vm.dialer = &switchDialer{PGDialer: dialer}
+	vm.dialer = &testDialer{PGDialer: dialer}
 	vm.pool = pool.New(clock, vm.dialer, pool.WithFailure(f.group.ReportFailure))
 	home := (&relay.Home{
 		Clock: clock, Config: f.view, Groups: f, Limiter: f.limiter, Queues: f.queue, Pool: vm.pool, Keys: f.keys,
@@ -51,7 +51,7 @@
 	vm.budgets = retry.NewBudgets()
 	cfg := Config{
 		VM: vm.id, Clock: clock, Config: f.view, Keys: f.keys, Topology: vm, Home: home, Forwarder: vm.fwd,
-		Tokens: f.tokens, Budgets: vm.budgets, Canceler: cancels{vm},
+		Tokens: f.tokens, Budgets: vm.budgets, PeerCanceler: peerCanceler{vm},
 	}
 	f.editFront(&cfg)
 	vm.relay = relay.NewServer(home, f.tokens, nil, relay.WithLog(cfg.Log))
@@ -61,7 +61,7 @@
 	return vm
 }
 
-func (vm *testVM) own() {
+func (vm *testVM) ownSlots() {
 	f := vm.fleet
 	for _, t := range f.service.Targets {
 		for slot := range siskin.Slot(f.service.Slots) {
@@ -89,11 +89,11 @@
 // DataCentre implements Topology.
 func (vm *testVM) DataCentre() siskin.DataCentreID { return vm.dc }
 
-// cancels passes cancel requests to the other VMs.
-type cancels struct{ vm *testVM }
+// peerCanceler passes cancel requests to the other VMs.
+type peerCanceler struct{ vm *testVM }
 
 // Cancel implements Canceler.
-func (c cancels) Cancel(id uint32, secret []byte) {
+func (c peerCanceler) Cancel(id uint32, secret []byte) {
 	for _, vm := range c.vm.fleet.vms {
 		if vm != c.vm {
 			vm.front.Cancel(id, secret)
@@ -103,7 +103,7 @@
 
 func (vm *testVM) connect(tb testing.TB, route, options string) *pgx.Conn {
 	tb.Helper()
-	conn, err := vm.tryConnect(route, testKey, options)
+	conn, err := vm.dialPGX(route, testKey, options)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -111,7 +111,7 @@
 	return conn
 }
 
-func (vm *testVM) tryConnect(route, key, options string) (*pgx.Conn, error) {
+func (vm *testVM) dialPGX(route, key, options string) (*pgx.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	return pgx.Connect(ctx, fmt.Sprintf("postgres://any:%s@%s/badges/%s?%s", key, vm.address, route, options))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,20 +84,20 @@
 func (n *Node) newFront() *front.Server {
 	cfg := n.cfg
 	return front.New(front.Config{
-		VM:        cfg.Self.ID,
-		Clock:     cfg.Clock,
-		Config:    cfg.Config,
-		Keys:      cfg.Keys,
-		Topology:  &topology{self: cfg.Self, homes: n.homes, groups: n.groups, remote: n.remote},
-		Home:      n.home,
-		Forwarder: n.forwarder,
-		Tokens:    cfg.Tokens,
-		Budgets:   retry.NewBudgets(),
-		Canceler:  &cancels{members: cfg.Members, peers: cfg.Peers},
-		TLS:       cfg.CallerTLS,
-		Observer:  cfg.Observer,
-		Log:       cfg.Log,
-		Limits:    cfg.Limits,
+		VM:           cfg.Self.ID,
+		Clock:        cfg.Clock,
+		Config:       cfg.Config,
+		Keys:         cfg.Keys,
+		Topology:     &topology{self: cfg.Self, homes: n.homes, groups: n.groups, remote: n.remote},
+		Home:         n.home,
+		Forwarder:    n.forwarder,
+		Tokens:       cfg.Tokens,
+		Budgets:      retry.NewBudgets(),
+		PeerCanceler: &cancels{members: cfg.Members, peers: cfg.Peers},
+		TLS:          cfg.CallerTLS,
+		Observer:     cfg.Observer,
+		Log:          cfg.Log,
+		Limits:       cfg.Limits,
 	})
 }
 
