--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -10,13 +10,13 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-// backoff is the wait between attempts. The base is about the time that a group
-// needs to tell of a change, and the maximum keeps the wait after a failover
-// short against its bound of 7 s.
+// backoff is the delay between attempts. The base is about the time that a
+// group needs to announce a change, and the maximum is short compared with the
+// 7 s that a failover may take.
 var backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: 200 * time.Millisecond}
 
-// attemptAll sends the first batch until it ran, may have run, or may not be
-// sent again.
+// attemptAll sends the first batch until it succeeds, or fails in a way that
+// must not be retried.
 func (c *session) attemptAll(t *transaction, last byte) (relay.Executor, relay.Result, *relay.Failure) {
 	for {
 		t.attempts++
@@ -33,23 +33,23 @@
 		if !c.mayRetry(t, f) {
 			return nil, res, f
 		}
-		c.srv.log.Trace(c.logRequest(), f.Err, "attempt failed; the next one follows")
+		c.srv.log.Trace(c.logRequest(), f.Err, "attempt failed; retrying")
 	}
 }
 
-// mayRetry decides about another attempt and waits for its time.
+// mayRetry decides whether another attempt is made and waits until it is due.
 func (c *session) mayRetry(t *transaction, f *relay.Failure) bool {
 	if f.Proof.NotRun() && f.Err.Kind != siskin.NotRun {
-		return false // a refusal that a repetition would meet again
+		return false // a retry would be refused again
 	}
 	cfg := &c.srv.cfg
 	delay := backoff.Delay(t.attempts, rand.Int64N)
 	if t.route.Mode == config.ReadRoute && f.Proof == retry.Unsent && t.attempts < len(t.service.Targets) {
-		delay = 0 // another target is tried at once
+		delay = 0 // another target is tried without delay
 	}
 	if f.Proof == retry.ReportedAbort || f.Proof == retry.Refused {
-		// The target refuses writes; it will not do to ask it again before the
-		// group has changed.
+		// The target refuses writes, and will do so until the group has changed
+		// its primary.
 		delay += backoff.Max
 	}
 	verdict := retry.Decide(retry.Attempt{
@@ -61,8 +61,9 @@
 		return false
 	}
 	if f.Proof.IsFree() {
-		// A paused primary refuses each request in progress once; a budget that
-		// is small for a customer with few requests would fail some of them.
+		// A paused primary refuses each request in progress once. If these
+		// retries used the budget, a customer with few requests, whose budget
+		// is small, would see some of them fail.
 		c.srv.counts.freeRetries.Add(1)
 		c.waitForChange(t, delay)
 		return true
@@ -75,8 +76,8 @@
 	return true
 }
 
-// waitForChange waits until the view of the last attempt changes, at most for
-// the delay.
+// waitForChange waits until the view used by the last attempt changes, or the
+// delay is over.
 func (c *session) waitForChange(t *transaction, delay time.Duration) {
 	if delay <= 0 {
 		return
@@ -87,7 +88,8 @@
 	}
 }
 
-// begin picks a target and a slot and leases a connection at its home.
+// begin picks a target and a slot and begins the transaction at the slot's
+// home.
 func (c *session) begin(t *transaction) (relay.Executor, *relay.Failure) {
 	cfg := &c.srv.cfg
 	view, changed, ok := cfg.Topology.View(c.service)
@@ -115,11 +117,12 @@
 	return cfg.Forwarder.Begin(home, &t.hdr)
 }
 
-// traceAttempt logs where an attempt goes, so that it is found there.
+// traceAttempt logs the target and home of an attempt, so that its log lines at
+// the home can be found.
 func (c *session) traceAttempt(t *transaction, home siskin.VMID) {
 	q := c.logRequest()
 	q.Customer, q.Target, q.Home = t.customer, t.hdr.Target, home
-	c.srv.log.Trace(q, nil, "attempt begins")
+	c.srv.log.Trace(q, nil, "attempt started")
 }
 
 func noTargetFailure(t *transaction) *relay.Failure {
--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -7,11 +7,12 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// maxKeySize bounds the password message.
+// maxKeySize is the largest password message in bytes.
 const maxKeySize = 4096
 
-// authenticate asks for the key unless the route is open to all. The key is
-// compared and then forgotten.
+// authenticate requests the key unless the route is open. The key is compared
+// and not kept. Without mayAsk a keyed route is refused, since the key would be
+// sent in plain text.
 func (c *session) authenticate(mayAsk bool) error {
 	_, route, err := c.lookup()
 	if err != nil {
@@ -52,12 +53,13 @@
 		body = body[:n-1]
 	}
 	grant, err := c.srv.cfg.Keys.Authenticate(c.service, string(body))
-	clear(body) // the buffer is used again
+	clear(body) // the buffer is reused and must not keep the key
 	return grant, err
 }
 
-// checkKey reports whether the session's key is still valid. A session without
-// a key has nothing to check; customer refuses its requests on keyed routes.
+// checkKey returns an error when the session's key is no longer valid. A
+// session without a key has nothing to check; customer refuses its requests on
+// keyed routes.
 func (c *session) checkKey() error {
 	if c.grant == (siskin.KeyGrant{}) {
 		return nil
@@ -65,7 +67,8 @@
 	return c.srv.cfg.Keys.Check(c.service, c.grant)
 }
 
-// customer returns whose rate a request counts against.
+// customer returns the customer whose rate a request on the route counts
+// against.
 func (c *session) customer(route *config.Route) (siskin.CustomerID, error) {
 	switch {
 	case c.grant != (siskin.KeyGrant{}):
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -27,7 +27,8 @@
 func BenchmarkRead10kRows(b *testing.B)    { benchmarkStatements(b, "aged", false, 10_000) }
 func BenchmarkWriteForwarded(b *testing.B) { benchmarkStatements(b, "write", true, 1) }
 
-// TestAllocationsDoNotGrowWithAnswer guards against a buffer for each row.
+// TestAllocationsDoNotGrowWithAnswer guards against allocating a buffer per
+// row.
 func TestAllocationsDoNotGrowWithAnswer(t *testing.T) {
 	if raceEnabled {
 		t.Skip("sync.Pool drops buffers at random under the race detector")
@@ -40,8 +41,8 @@
 	}
 }
 
-// TestIdleConnectionMemory guards against an idle caller that holds more than
-// 16 KB.
+// TestIdleConnectionMemory guards against an idle connection that uses more
+// than 16 KB of memory.
 func TestIdleConnectionMemory(t *testing.T) {
 	const n, want = 1000, 16 << 10
 	f := startFleet(t, 1, nil)
@@ -73,9 +74,9 @@
 	return int64(m.HeapAlloc + m.StackInuse)
 }
 
-// BenchmarkLatency sends single statements at light load, in turn to a target
-// directly, through its home and through another VM, so that all three see the
-// same machine.
+// BenchmarkLatency sends single statements at light load, in turn directly to a
+// target, through the slot's home and through another VM, so that all three
+// paths run under the same load of the machine.
 func BenchmarkLatency(b *testing.B) {
 	f := startFleet(b, 2, nil)
 	f.firstOwnsAll.Store(true)
@@ -113,7 +114,7 @@
 	}
 }
 
-// dialTarget logs in at the first replica.
+// dialTarget opens a connection to the first replica without a VM in between.
 func (f *fleet) dialTarget(tb testing.TB) net.Conn {
 	d, err := pool.NewPGDialer(nil)
 	if err != nil {
@@ -129,10 +130,10 @@
 	return o.Conn
 }
 
-// BenchmarkThroughput runs many sessions at a canned target. Statements per
-// second divided by the cores in use gives statements per second and core.
+// BenchmarkThroughput runs many sessions against a canned target. Statements
+// per second divided by the cores in use gives statements per second and core.
 func BenchmarkThroughput(b *testing.B) {
-	b.Run("Direct", benchmarkDirect) // the share of the client and the target
+	b.Run("Direct", benchmarkDirect) // measures the share of the client and the target
 	for _, forwarded := range []bool{false, true} {
 		b.Run(fmt.Sprintf("Forwarded=%v", forwarded), func(b *testing.B) {
 			f := startFleet(b, 2, nil)
--- a/internal/front/callers_test.go
+++ b/internal/front/callers_test.go
@@ -19,8 +19,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestSlowReader guards against a caller that reads nothing and thereby keeps a
-// target connection for longer than its deadline.
+// TestSlowReader guards against a caller that does not read its answer and so
+// occupies a target connection past its deadline.
 func TestSlowReader(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, func(_ *target.Config, s *config.Service) { s.Slots, s.ConnectionsPerSlot = 1, 2 })
@@ -36,14 +36,15 @@
 	if a := f.vms[0].connectRaw(t, "badges/write").query("select 1"); a.code() != "" {
 		t.Errorf("other caller: got %+v, want its answer", a.err)
 	}
-	// Eight callers hold two connections for 300 ms each, and 1 s of grace.
+	// Eight callers occupy two connections for 300 ms each; 1 s is allowed on
+	// top.
 	if got, want := time.Since(start), 5*time.Second; got > want {
 		t.Errorf("other caller waited %v, want at most its deadline of %v", got, want)
 	}
 }
 
-// TestMalformedInput guards against malformed input that costs other callers
-// anything or gets no clear error.
+// TestMalformedInput guards against malformed input that affects other callers
+// or gets no clear error.
 func TestMalformedInput(t *testing.T) {
 	f := startFleet(t, 1, nil)
 	vm := f.vms[0]
@@ -75,11 +76,12 @@
 	}
 	big := strings.Repeat("x", 100_000)
 	if a := good.query("select '" + big + "'"); len(a.values) != 1 || a.values[0] != big {
-		t.Errorf("a long statement: got %v %+v, want it back", len(a.values), a.err)
+		t.Errorf("a long statement: got %v %+v, want it in the answer", len(a.values), a.err)
 	}
 }
 
-// TestMaxConnections guards against callers that take all memory by connecting.
+// TestMaxConnections guards against callers that exhaust the memory by opening
+// connections.
 func TestMaxConnections(t *testing.T) {
 	f := startFleetWith(t, 1, nil, func(c *Config) { c.MaxConnections = 2 })
 	f.vms[0].connectRaw(t, "badges/write")
@@ -89,8 +91,8 @@
 	}
 }
 
-// TestTLS guards against a start-up over TLS that fails, and against a key that
-// is asked for without TLS outside of loopback.
+// TestTLS guards against a failing start-up over TLS, and against a request for
+// the key on a connection that has no TLS and is not on loopback.
 func TestTLS(t *testing.T) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -12,7 +12,8 @@
 }
 
 // Cancel cancels the statement in progress of the session with the process id,
-// if it is one of this VM and the secret is right.
+// if the session is on this VM and the secret matches. It reports whether there
+// was a transaction in progress.
 func (s *Server) Cancel(processID uint32, secret []byte) bool {
 	if uint16(processID>>16) != VMHash(s.cfg.VM) {
 		return false
--- a/internal/front/canned_test.go
+++ b/internal/front/canned_test.go
@@ -14,8 +14,8 @@
 	"siskintray.example/siskin/internal/pool"
 )
 
-// cannedTarget answers every query of a connection with prepared bytes and
-// without allocating, so that a benchmark shows the proxy alone.
+// cannedTarget answers every query with prepared bytes and without allocating,
+// so that a benchmark measures the proxy alone.
 type cannedTarget struct {
 	rows      int
 	truncated bool // the connection ends in the middle of the last row
@@ -82,8 +82,7 @@
 	}
 }
 
-// query is the request of the benchmarks, and drain reads its answer without
-// allocating.
+// benchQuery is the request of the benchmarks.
 var benchQuery = encode(&pgproto3.Query{String: "select v from kv where k = 'a'"})
 
 func readAnswer(r *frame.Reader) error {
@@ -101,7 +100,7 @@
 	}
 }
 
-// benchClient logs in and returns the plain connection.
+// benchClient logs in and returns the connection with a frame reader.
 func (vm *testVM) benchClient(tb testing.TB, route string) (net.Conn, *frame.Reader) {
 	c := vm.connectRaw(tb, "badges/"+route)
 	_ = c.conn.SetDeadline(time.Time{})
@@ -116,7 +115,7 @@
 		vms = 2
 	}
 	f := startFleet(tb, vms, nil)
-	// With two VMs the second one owns nothing, so that it forwards all.
+	// With two VMs the second one owns no slot and forwards every transaction.
 	f.firstOwnsAll.Store(true)
 	f.dialCanned(cannedTarget{rows: rows})
 	conn, r := f.vms[vms-1].benchClient(tb, route)
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -29,7 +29,7 @@
 	// TLS is nil when callers connect without TLS, which is allowed on loopback
 	// listeners only.
 	TLS *tls.Config
-	// Observer is nil when nobody counts transactions.
+	// Observer is nil when no statistics of transactions are kept.
 	Observer Observer
 	// Log is nil when nothing is logged.
 	Log *log.Logger
@@ -40,16 +40,18 @@
 	// MaxDeadline is the longest deadline of a route.
 	MaxDeadline = 60 * time.Second
 
-	// maxSessions leaves free ids among those of 16 bits.
+	// maxSessions is below the 65,535 session ids of 16 bits, so that a free id
+	// is found quickly.
 	maxSessions = 60_000
-	// maxStatements and maxStatementBytes bound the prepared statements that a
+	// maxStatements and maxStatementBytes limit the prepared statements that a
 	// session keeps.
 	maxStatements     = 1000
 	maxStatementBytes = 256 << 10
 	// keyCheckInterval is the time between two checks of the keys of all sessions.
-	// A withdrawn key must stop working within 3 s, of which the spread of the
-	// withdrawal takes a part.
+	// A withdrawn key must stop working within 3 s, which includes the time to
+	// propagate the withdrawal to all VMs.
 	keyCheckInterval = 500 * time.Millisecond
-	// finalWriteTimeout bounds the last message to a caller that may not read it.
+	// finalWriteTimeout limits the write of the last message to a caller that
+	// may not read it.
 	finalWriteTimeout = time.Second
 )
--- a/internal/front/connections_test.go
+++ b/internal/front/connections_test.go
@@ -9,7 +9,7 @@
 	"siskintray.example/siskin/internal/frame"
 )
 
-// benchCaller is an open connection of a caller.
+// benchCaller is an open client connection.
 type benchCaller struct {
 	conn net.Conn
 	r    *frame.Reader
@@ -33,8 +33,8 @@
 	}
 }
 
-// benchmarkCallers keeps 40 statements in progress, each on the next connection
-// of its part of the callers.
+// benchmarkCallers keeps 40 statements in progress, one per worker. Each worker
+// uses its part of the connections in turn.
 func benchmarkCallers(b *testing.B, callers []benchCaller) {
 	const workers = 40
 	var left atomic.Int64
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -13,7 +13,8 @@
 	refused [siskin.TargetRefused + 1]atomic.Int64
 }
 
-// countServed counts a transaction whose first batch was answered.
+// countServed counts a transaction on a read route by the role of the target
+// that answered its first batch.
 func (c *counts) countServed(t *transaction) {
 	switch {
 	case t.route.Mode != config.ReadRoute:
@@ -24,24 +25,25 @@
 	}
 }
 
-// Stats counts the work of a Server.
+// Stats holds the counts of a Server.
 type Stats struct {
 	Sessions int
-	// Transactions counts the ones that were begun, and Retries the attempts
-	// that were sent again.
+	// Transactions counts the transactions that began, and Retries the repeated
+	// attempts that used the retry budget.
 	Transactions, Retries int64
-	// FreeRetries counts the attempts that were put off before anything was sent.
+	// FreeRetries counts the repeated attempts that used no retry budget,
+	// because nothing had been sent or the target had refused the work.
 	FreeRetries int64
 	// ReplicaReads and PrimaryReads count the transactions on read routes by
 	// the role of the target that served them.
 	ReplicaReads, PrimaryReads int64
-	// Panics counts the sessions that ended by a fault of the program.
+	// Panics counts the sessions that ended by a panic.
 	Panics int64
-	// Refused counts failed transactions by error kind.
+	// Refused counts failed transactions and refused connections by error kind.
 	Refused map[siskin.ErrorKind]int64
 }
 
-// Stats returns the counts so far.
+// Stats returns the current counts.
 func (s *Server) Stats() Stats {
 	c := &s.counts
 	st := Stats{
--- a/internal/front/demoted_test.go
+++ b/internal/front/demoted_test.go
@@ -10,9 +10,9 @@
 	"github.com/rogpeppe/go-internal/txtar"
 )
 
-// TestDemotedAndPromotedAgain guards against writes that fail for good after a
-// target was replaced and became the primary again: connections from before
-// refuse writes, although the target takes them.
+// TestDemotedAndPromotedAgain guards against writes that keep failing after a
+// target was demoted and promoted again: connections opened before the demotion
+// refuse writes, although the target accepts them.
 func TestDemotedAndPromotedAgain(t *testing.T) {
 	archive, err := txtar.ParseFile("testdata/demoted.txtar")
 	if err != nil {
@@ -57,7 +57,7 @@
 	}
 }
 
-// promote makes the target with the given number the primary of a term.
+// promote makes the target with the given number the primary of the next term.
 func (f *fleet) promote(t *testing.T, number string, term int) {
 	t.Helper()
 	for _, s := range f.targets {
--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -1,4 +1,4 @@
-// Package front accepts callers with the PostgreSQL protocol and runs their
-// sessions. It authenticates, checks keys, picks targets and repeats work that
-// did not run; package relay runs the transactions.
+// Package front accepts client connections with the PostgreSQL protocol and
+// runs their sessions. It authenticates callers, checks keys, picks targets and
+// retries batches that did not run; package relay runs the transactions.
 package front
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -11,7 +11,8 @@
 	"siskintray.example/siskin/internal/stand/target"
 )
 
-// fakeGroup reads the stand-ins' state directly. Its primary is set by tests.
+// fakeGroup is a group that reads the state of the stand-in targets directly.
+// Tests set its primary.
 type fakeGroup struct {
 	targets []*target.Server
 	stop    chan struct{}
@@ -20,8 +21,8 @@
 	mu            sync.Mutex
 	view          siskin.GroupView
 	changed       chan struct{}
-	hold          chan struct{} // closed when writes are admitted
-	noAck         atomic.Bool   // no replica confirms
+	hold          chan struct{} // closed while writes are admitted
+	noAck         atomic.Bool   // no replica confirms a write
 	panics        atomic.Bool   // Confirm panics
 	runningWrites atomic.Int64
 }
@@ -85,7 +86,7 @@
 
 func (g *fakeGroup) Confirm(ctx context.Context, pos siskin.Position) error {
 	if g.panics.Load() {
-		panic("a fault on purpose")
+		panic("a deliberate panic")
 	}
 	for {
 		acks := 0
@@ -143,7 +144,7 @@
 
 func (k *fakeKeys) Authenticate(_ siskin.ServiceName, key string) (siskin.KeyGrant, error) {
 	if k.panics.Load() {
-		panic("a fault on purpose")
+		panic("a deliberate panic")
 	}
 	if key != testKey {
 		return siskin.KeyGrant{}, siskin.NewError(siskin.KeyRefused, "key is not known").WithRemedy("ask for a key")
@@ -159,7 +160,7 @@
 	return nil
 }
 
-// fakeLimiter admits everything unless it is set to refuse.
+// fakeLimiter admits every request unless refuse is set.
 type fakeLimiter struct {
 	refuse   atomic.Bool
 	within   atomic.Bool // refusals are within the rate
@@ -178,7 +179,7 @@
 	return siskin.Admission{Admitted: true}
 }
 
-// fakeQueue gives every request a place, at once unless hold is set.
+// fakeQueue admits every request, at once unless hold is set.
 type fakeQueue struct{ hold atomic.Pointer[chan struct{}] }
 
 func (q *fakeQueue) Queue(siskin.TargetID, siskin.Slot) relay.Queue { return q }
--- a/internal/front/fault_test.go
+++ b/internal/front/fault_test.go
@@ -12,16 +12,17 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// panickingObserver panics while it is set.
+// panickingObserver panics while panics is set.
 type panickingObserver struct{ panics atomic.Bool }
 
 func (o *panickingObserver) ObserveTransaction(Observation) {
 	if o.panics.Load() {
-		panic("a fault on purpose")
+		panic("a deliberate panic")
 	}
 }
 
-// connectionCounts returns the number of target connections that a VM has connectionCounts.
+// connectionCounts returns the numbers of target connections that the VM has
+// closed and that are in use.
 func (vm *testVM) connectionCounts() (n int64, busy int) {
 	for _, st := range vm.pool.Stats() {
 		n += st.Opened - int64(st.Open)
@@ -30,13 +31,13 @@
 	return n, busy
 }
 
-// TestFaultEndsOneSession guards against a fault in the work for one caller that
-// ends the process with the sessions of all, that leaves its caller waiting or
-// its target connection in use, or that nobody hears of.
+// TestFaultEndsOneSession guards against a panic in the work for one caller
+// that ends the process with all sessions, leaves the caller waiting or its
+// target connection in use, or is not reported.
 func TestFaultEndsOneSession(t *testing.T) {
 	var violations atomic.Int64
 	defer invar.OnViolation(func(_, detail string) {
-		if strings.Contains(detail, "a fault on purpose") {
+		if strings.Contains(detail, "a deliberate panic") {
 			violations.Add(1)
 			return
 		}
@@ -51,7 +52,7 @@
 	home := f.vms[0]
 	home.home.Awake = func() bool {
 		if awakeCalls.Add(-1) == 0 {
-			panic("a fault on purpose")
+			panic("a deliberate panic")
 		}
 		return true
 	}
@@ -64,11 +65,11 @@
 		name, route string
 		set         func(on bool)
 		send        []pgproto3.FrontendMessage
-		// atHome says that the fault is at the home of the slot, so that the
-		// session of a caller of another VM goes on.
+		// atHome reports that the panic occurs at the home of the slot, so that
+		// the session of a caller on another VM continues.
 		atHome bool
-		// closes says that the home has the target connection in use; during the
-		// confirmation of a collected write it does not.
+		// closes reports that the home has a target connection in use, which is
+		// closed. During the confirmation of a collected write there is none.
 		closes bool
 	}{
 		{"after the answer", "read", observer.panics.Store, []pgproto3.FrontendMessage{&pgproto3.Query{String: "select 'x'"}}, false, true},
@@ -91,7 +92,7 @@
 			tt.set(true)
 			a := c.exchange(tt.send...)
 			if a.code() == "" && a.status == 'I' {
-				a = c.read() // the answer was complete before the fault
+				a = c.read() // the answer was complete before the panic
 			}
 			tt.set(false)
 			want, status := "XX000", byte(0)
@@ -105,7 +106,7 @@
 				t.Errorf("%s, other session: got %+v, want its answer", name, a.err)
 			}
 			if got := f.panicCount() - faults; got != 1 {
-				t.Errorf("%s: got %d faults counted, want 1", name, got)
+				t.Errorf("%s: got %d panics counted, want 1", name, got)
 			}
 			if got := violations.Load() - before; got != 1 {
 				t.Errorf("%s: got %d violations, want 1", name, got)
@@ -114,9 +115,9 @@
 			for start := time.Now(); busy > 0 && time.Since(start) < 3*time.Second; now, busy = home.connectionCounts() {
 				time.Sleep(time.Millisecond)
 			}
-			// The home of a session elsewhere has ended its part by then.
+			// For a session on another VM, the home has ended its part by now.
 			if wantClosed := tt.closes && (vm == home || tt.atHome); busy > 0 || (now == closed) == wantClosed {
-				t.Errorf("%s: got %d target connections closed and %d in use, want it closed: %v", name, now-closed, busy, wantClosed)
+				t.Errorf("%s: got %d target connections closed and %d in use, want one closed: %v", name, now-closed, busy, wantClosed)
 			}
 		}
 	}
@@ -128,7 +129,7 @@
 	total := f.panicCount()
 	lines := len(log.lines(t, "a session ended by a fault of this program")) + len(log.lines(t, "a connection of a VM ended by a fault of this program"))
 	if int64(lines) != total || total == 0 {
-		t.Errorf("log: got %d lines of %d faults, want one each", lines, total)
+		t.Errorf("log: got %d lines for %d panics, want one each", lines, total)
 	}
 }
 
--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -24,8 +24,8 @@
 	return ""
 }
 
-// TestWithdrawnKey guards against a key that works on after its withdrawal, on
-// idle connections or inside a transaction.
+// TestWithdrawnKey guards against a key that still works after its withdrawal,
+// on idle connections or inside a transaction.
 func TestWithdrawnKey(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
@@ -37,10 +37,10 @@
 	f.keys.withdrawn.Store(true)
 	start := time.Now()
 	if a := idle.read(); a.code() != "28000" || a.status != 0 {
-		t.Errorf("idle: got %+v, want 28000 and the end", a)
+		t.Errorf("idle: got %+v, want 28000 and the end of the connection", a)
 	}
 	if a := inTx.query("insert into kv values ('late', 'x'); commit"); a.code() != "28000" || a.status != 0 {
-		t.Errorf("in a transaction: got %+v, want 28000 and the end", a)
+		t.Errorf("in a transaction: got %+v, want 28000 and the end of the connection", a)
 	}
 	if got, want := time.Since(start), 3*time.Second; got > want {
 		t.Errorf("the key worked for %v, want at most %v", got, want)
@@ -53,8 +53,8 @@
 	}
 }
 
-// TestKeyWithdrawnInQueue guards against a request that waited at its home and
-// is sent to a target after its key was withdrawn.
+// TestKeyWithdrawnInQueue guards against a queued request that the home sends
+// to a target after its key was withdrawn.
 func TestKeyWithdrawnInQueue(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	f.firstOwnsAll.Store(true) // so that the second VM forwards
@@ -84,7 +84,7 @@
 }
 
 // TestMissingConfirmation guards against a write that is acknowledged although
-// no replica has it, and against a caller that is left waiting.
+// no replica has received it, and against a caller that gets no answer.
 func TestMissingConfirmation(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
@@ -109,7 +109,7 @@
 		} {
 			a := test.a
 			if a.code() != "08007" || strings.Count(a.types, "C") != test.tags || len(a.values) > 0 || a.status != 'I' {
-				t.Errorf("%s: got %q %q %d rows, want 08007 before the commit is told", name, a.types, a.code(), len(a.values))
+				t.Errorf("%s: got %q %q %d rows, want 08007 before CommandComplete of the commit", name, a.types, a.code(), len(a.values))
 			}
 		}
 		f.group.noAck.Store(false)
@@ -120,8 +120,8 @@
 	}
 }
 
-// TestGracefulStop guards against a planned stop that cuts a request or keeps
-// idle callers.
+// TestGracefulStop guards against a planned stop that aborts a request or
+// leaves idle connections open.
 func TestGracefulStop(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
@@ -157,8 +157,8 @@
 	}
 }
 
-// TestLostCommitAnswer guards against a write that is run again or called "not
-// run" when its answer was lost after it took effect.
+// TestLostCommitAnswer guards against a write that is retried or reported as
+// not run, although it took effect and only its answer was lost.
 func TestLostCommitAnswer(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	for i, vm := range f.vms {
@@ -176,7 +176,7 @@
 }
 
 // TestWriteWaitsForPrimary guards against refused writes while the group
-// changes its primary, although the deadline leaves time.
+// changes its primary, although their deadline is not over.
 func TestWriteWaitsForPrimary(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
@@ -202,8 +202,9 @@
 	}
 }
 
-// TestWriteAtReplacedPrimary guards against a write that is lost between two
-// primaries: the old one reports that it ran nothing, so it is sent again.
+// TestWriteAtReplacedPrimary guards against a lost write while the primary
+// changes: a target that is not the primary refuses it without effect, so it
+// must be sent again.
 func TestWriteAtReplacedPrimary(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	c := f.vms[0].connectRaw(t, "badges/write")
@@ -223,7 +224,7 @@
 }
 
 // TestLaggingReplica guards against a read that misses its session's write, or
-// that fails, while replicas are behind.
+// that fails, while replicas lag.
 func TestLaggingReplica(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -25,7 +25,7 @@
 
 const testKey = "key-of-the-badge-shop"
 
-// fleet is a group of stand-in targets and VMs in front of it.
+// fleet is a group of stand-in targets with VMs in front of it.
 type fleet struct {
 	tb      testing.TB
 	service *config.Service
@@ -145,7 +145,8 @@
 	return 0
 }
 
-// testDialer opens connections to the stand-ins or to canned targets.
+// testDialer opens connections to the stand-in targets, or to a canned target
+// when one is set.
 type testDialer struct {
 	*pool.PGDialer
 	canned atomic.Pointer[cannedTarget]
@@ -159,7 +160,7 @@
 	return d.PGDialer.Dial(ctx, key, cfg, account)
 }
 
-// dialCanned replaces all target connections by canned ones.
+// dialCanned replaces all target connections by connections to a canned target.
 func (f *fleet) dialCanned(c cannedTarget) {
 	for _, vm := range f.vms {
 		vm.dialer.canned.Store(&c)
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -39,8 +39,8 @@
 	})
 }
 
-// FuzzFrontendMessages guards against a panic, a hang or an unbounded buffer on
-// messages of a caller. No target is known, so each batch is refused.
+// FuzzFrontendMessages guards against a panic, a hang or unbounded buffering on
+// messages of a caller. There is no target, so each batch is refused.
 func FuzzFrontendMessages(f *testing.F) {
 	for _, m := range []pgproto3.FrontendMessage{
 		&pgproto3.Query{String: "SET siskintray.route = 'read'"}, &pgproto3.Parse{Name: "a", Query: "select 1"},
@@ -62,7 +62,7 @@
 			ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "a", "database": "badges/open"},
 		}).Encode(nil)
 		_, _ = client.Write(start)
-		_, _ = client.Write(messages) // ends when the server hangs up
+		_, _ = client.Write(messages) // returns when the server closes the connection
 		_ = client.Close()
 		select {
 		case <-done:
@@ -89,7 +89,7 @@
 	return s
 }
 
-// fuzzSession returns a session that reads the messages and has no caller.
+// fuzzSession returns a session without a connection that reads the messages.
 func fuzzSession(s *Server, messages []byte) *session {
 	c := newSession(s, nil)
 	c.r, c.w = frame.NewReader(bytes.NewReader(messages)), frame.NewWriter(io.Discard)
@@ -97,8 +97,8 @@
 	return c
 }
 
-// FuzzKeyMessage guards against a panic on a malformed answer to the request for
-// the key, and against one that is taken for a key.
+// FuzzKeyMessage guards against a panic on a malformed answer to the request
+// for the key, and against accepting such an answer as a key.
 func FuzzKeyMessage(f *testing.F) {
 	for _, key := range []string{testKey, "", strings.Repeat("x", maxKeySize)} {
 		b, _ := (&pgproto3.PasswordMessage{Password: key}).Encode(nil)
@@ -115,9 +115,9 @@
 	})
 }
 
-// FuzzForward guards against a panic on messages of a target or of the home on
-// another VM, and against a position that the session takes over although its
-// token was not signed.
+// FuzzForward guards against a panic on messages of a target or of a home on
+// another VM, and against a session that accepts a position without a signed
+// token.
 func FuzzForward(f *testing.F) {
 	s := newFuzzServer(f)
 	signed := s.cfg.Tokens.Encode(token.Token{Service: "badges", Position: siskin.Position{Term: 2, LSN: 7}})
@@ -148,7 +148,7 @@
 	})
 }
 
-// noTopology knows no group.
+// noTopology is a Topology without groups.
 type noTopology struct{}
 
 func (noTopology) View(siskin.ServiceName) (siskin.GroupView, <-chan struct{}, bool) {
--- a/internal/front/history_test.go
+++ b/internal/front/history_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// history is what callers were told of their writes.
+// history records the results of reads and writes as the callers received them.
 type history struct {
 	mu                       sync.Mutex
 	acked, notRun, unknown   map[string]bool
@@ -41,7 +41,7 @@
 	}
 }
 
-// check compares what callers were told with the primary's log.
+// check compares the results that callers received with the primary's log.
 func (h *history) check(t *testing.T, f *fleet) {
 	t.Helper()
 	time.Sleep(100 * time.Millisecond)
@@ -56,7 +56,7 @@
 			t.Errorf("%s: got %d runs, want at most 1", id, n)
 		}
 		if h.notRun[id] {
-			t.Errorf("%s: told not run, but it ran", id)
+			t.Errorf("%s: reported as not run, but it ran", id)
 		}
 	}
 	for id := range h.acked {
@@ -75,6 +75,6 @@
 	}
 	t.Logf("writes: %d acknowledged, %d not run, %d unknown; reads: %d of %d answered", len(h.acked), len(h.notRun), len(h.unknown), ok, len(h.reads))
 	if len(h.acked) == 0 || ok == 0 {
-		t.Error("got no successful work, want some")
+		t.Error("got no successful reads or writes, want some")
 	}
 }
--- a/internal/front/idle_test.go
+++ b/internal/front/idle_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestIdleInsideMessage guards against a session that ends or loses bytes when
-// it moves to another goroutine between two parts of a message.
+// it continues in another goroutine between two parts of a message.
 func TestIdleInsideMessage(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 1, nil)
--- a/internal/front/ids.go
+++ b/internal/front/ids.go
@@ -9,12 +9,12 @@
 	"siskintray.example/siskin"
 )
 
-// VMHash returns the upper 16 bits of the process ids that a VM gives to its
-// callers.
+// VMHash returns the upper 16 bits of the process ids that a VM assigns to its
+// sessions.
 func VMHash(vm siskin.VMID) uint16 { return uint16(xxhash.Sum64String(string(vm))) }
 
-// requestBase returns the start of a VM's request ids. A random part keeps the
-// ids of two runs apart.
+// requestBase returns the first of a VM's request ids. A random part separates
+// the ids of two runs.
 func requestBase(vm siskin.VMID) uint64 {
 	var b [4]byte
 	_, _ = rand.Read(b[:]) // never fails
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// TestLeavingPrimary guards against a leaving target that goes on receiving
-// writes while no replica takes over; reads go to other targets at once. The
-// invariant in the home ends the test when work begins after 3 s.
+// TestLeavingPrimary guards against a leaving primary that keeps receiving
+// writes while no replica is promoted; reads move to other targets at once. An
+// invariant in the home panics when a transaction begins later than 3 s after
+// the target started to leave.
 func TestLeavingPrimary(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
@@ -42,7 +43,7 @@
 	for _, vm := range f.vms {
 		vm.home.Observe(f.service.Name, &view)
 		if a := vm.connectRaw(t, "badges/write").query("insert into kv values ('back-" + string(vm.id) + "', 'x')"); a.code() != "" {
-			t.Errorf("%s: got %+v after the target stays, want success", vm.id, a.err)
+			t.Errorf("%s: got %+v after the target is no longer leaving, want success", vm.id, a.err)
 		}
 	}
 }
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -6,27 +6,28 @@
 	"siskintray.example/siskin"
 )
 
-// Limits bound what callers may do. They can change while the server runs.
+// Limits are the limits for callers. They can change while the server runs.
 type Limits struct {
-	// MaxConnections bounds the caller connections, DefaultMaxConnections when
-	// zero. A lower bound ends no open connection.
+	// MaxConnections limits the client connections; zero means
+	// DefaultMaxConnections. Lowering it closes no open connection.
 	MaxConnections int
-	// StartupTimeout bounds the time from accepting to the end of the
-	// authentication, DefaultStartupTimeout when zero.
+	// StartupTimeout limits the time from accepting a connection to the end of
+	// its authentication; zero means DefaultStartupTimeout.
 	StartupTimeout time.Duration
-	// MaxMessage bounds one message of a caller, DefaultMaxMessage when zero.
+	// MaxMessage limits the size of one message of a caller; zero means
+	// DefaultMaxMessage.
 	MaxMessage siskin.Bytes
 }
 
 const (
-	// DefaultMaxConnections leaves room above the 7,500 client connections that
-	// a node carries at the planned size.
+	// DefaultMaxConnections is above the 7,500 client connections that a node
+	// serves at the planned size.
 	DefaultMaxConnections = 10_000
-	// DefaultStartupTimeout is far above any handshake and ends callers that
-	// connect and send nothing.
+	// DefaultStartupTimeout is far above the duration of a handshake and closes
+	// connections whose caller sends nothing.
 	DefaultStartupTimeout = 10 * time.Second
-	// DefaultMaxMessage is far above usual statements. Larger data is sent with
-	// COPY, in messages of its own.
+	// DefaultMaxMessage is far above the size of usual statements. Larger data
+	// is sent with COPY, in several messages.
 	DefaultMaxMessage siskin.Bytes = 16 << 20
 )
 
@@ -44,9 +45,9 @@
 	return &l
 }
 
-// SetLimits replaces the limits. Those of a connection in start-up and of a
-// message that is being read stay as they were.
+// SetLimits replaces the limits. A connection in start-up keeps its timeout,
+// and a message that is being read keeps its size limit.
 func (s *Server) SetLimits(l Limits) { s.limits.Store(l.withDefaults()) }
 
-// Limits returns the limits in force.
+// Limits returns the current limits.
 func (s *Server) Limits() Limits { return *s.limits.Load() }
--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -9,9 +9,9 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// TestMaxMessage guards against a message above the limit that is sent on, that
-// ends the session or leaves it out of step, and against a limit that a change
-// does not put in force.
+// TestMaxMessage guards against a message above the limit that is forwarded,
+// ends the session or puts it out of sync, and against a changed limit that
+// does not take effect.
 func TestMaxMessage(t *testing.T) {
 	f := startFleetWith(t, 2, nil, func(c *Config) { c.MaxMessage = 32 << 10 })
 	small, large := strings.Repeat("x", 20<<10), strings.Repeat("x", 40<<10)
@@ -37,8 +37,8 @@
 		if a := c.query(insert(fmt.Sprintf("small-%d", i), small)); a.code() != "" {
 			t.Errorf("within the limit: got %+v, want no error", a.err)
 		}
-		// A message is refused after the batch began to be sent, so the session
-		// ends.
+		// The message is refused after part of its batch was sent, so the
+		// session ends.
 		c.fe.Send(&pgproto3.Parse{Query: "select 1"})
 		c.fe.Send(&pgproto3.Flush{})
 		c.flush()
@@ -47,7 +47,7 @@
 		}
 		c.flush()
 		if a := c.read(); a.code() == "" || a.status != 0 || !strings.Contains(a.err.Message, "limit") {
-			t.Errorf("after a Flush: got %+v, want an error that names the limit, and the end", a.err)
+			t.Errorf("after a Flush: got %+v, want an error that names the limit, and the end of the connection", a.err)
 		}
 	}
 	for _, key := range []string{"large", "late"} {
@@ -63,8 +63,8 @@
 	}
 }
 
-// TestSetLimits guards against limits that only connections of a VM started
-// later obey.
+// TestSetLimits guards against changed limits that take effect only after a
+// restart.
 func TestSetLimits(t *testing.T) {
 	f := startFleet(t, 1, nil)
 	vm := f.vms[0]
@@ -78,7 +78,7 @@
 	}
 	silent, began := vm.dialRaw(t), time.Now()
 	if a := silent.read(); a.status != 0 || time.Since(began) > 2*time.Second {
-		t.Errorf("silent connection: got %+v after %v, want its end at the new bound of 100ms", a, time.Since(began))
+		t.Errorf("silent connection: got %+v after %v, want its end at the new limit of 100ms", a, time.Since(began))
 	}
 	if got, want := vm.front.Limits().MaxMessage, DefaultMaxMessage; got != want {
 		t.Errorf("got a limit of %d bytes, want the default %d", got, want)
--- a/internal/front/linger.go
+++ b/internal/front/linger.go
@@ -6,13 +6,14 @@
 	"time"
 )
 
-// lingerTimeout is how long a connection that this side ends waits for the other
-// side to close.
+// lingerTimeout limits the wait for the caller to close a connection that this
+// side ends.
 const lingerTimeout = 500 * time.Millisecond
 
-// linger ends the sending side and reads until the caller closes. A request
-// that the caller sent just before would otherwise make the system reset the
-// connection, and the caller would lose the message that says why it ended.
+// linger closes the sending side and reads until the caller closes. Otherwise a
+// request that the caller sent just before would make the kernel reset the
+// connection, and the caller would lose the message that gives the reason for
+// the end.
 func linger(conn net.Conn) {
 	half, ok := conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
--- a/internal/front/log_test.go
+++ b/internal/front/log_test.go
@@ -11,7 +11,7 @@
 	"siskintray.example/siskin/internal/logs"
 )
 
-// logBuffer keeps the lines of one VM.
+// logBuffer collects the log lines of one VM.
 type logBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
@@ -24,7 +24,7 @@
 	return l.b.Write(p)
 }
 
-// lines returns the lines with the message.
+// lines returns the fields of the lines with the message.
 func (l *logBuffer) lines(t *testing.T, message string) (found []map[string]any) {
 	t.Helper()
 	l.mu.Lock()
@@ -41,8 +41,8 @@
 	return found
 }
 
-// startLogged starts two VMs that log at the level; the second one forwards all
-// transactions to the first.
+// startLogged starts two VMs that log at the given level; the second one
+// forwards all transactions to the first.
 func startLogged(t *testing.T, level string) (*fleet, *logBuffer, *logBuffer) {
 	t.Helper()
 	home, entry := &logBuffer{}, &logBuffer{}
@@ -55,8 +55,8 @@
 	return f, home, entry
 }
 
-// TestRequestIDSpansVMs guards against a statement whose lines at the
-// entry VM and at the home of the slot cannot be put together.
+// TestRequestIDSpansVMs guards against log lines of a statement at the entry VM
+// and at the slot's home that no common id connects.
 func TestRequestIDSpansVMs(t *testing.T) {
 	f, home, entry := startLogged(t, "debug")
 	c := f.vms[1].connectRaw(t, "badges/write")
@@ -77,7 +77,7 @@
 		}
 		return all
 	}
-	begun, arrived := ids(entry, "attempt begins", 2), ids(home, "forwarded transaction arrived", 2)
+	begun, arrived := ids(entry, "attempt started", 2), ids(home, "forwarded transaction arrived", 2)
 	for i := range begun {
 		if begun[i] != arrived[i] {
 			t.Errorf("statement %d: got id %v at the entry VM and %v at the home, want the same", i, begun[i], arrived[i])
@@ -89,8 +89,8 @@
 	}
 }
 
-// TestFailureLogRateLimit guards against a log that a customer over its
-// rate, or callers with a wrong key, fill.
+// TestFailureLogRateLimit guards against a log that is flooded by a customer
+// over its rate or by callers with a wrong key.
 func TestFailureLogRateLimit(t *testing.T) {
 	f, home, entry := startLogged(t, "info")
 	f.limiter.refuse.Store(true)
@@ -105,12 +105,12 @@
 		}
 	}
 	for message, buf := range map[string]*logBuffer{"request failed": entry, "forwarded transaction failed": home, "caller refused at start-up": entry} {
-		// One line a second; the test takes less than two.
+		// At most one line is logged per second; the test takes less than two.
 		if got := len(buf.lines(t, message)); got < 1 || got > 3 {
 			t.Errorf("%s: got %d lines, want 1 to 3", message, got)
 		}
 	}
-	if got := len(entry.lines(t, "attempt begins")); got != 0 {
+	if got := len(entry.lines(t, "attempt started")); got != 0 {
 		t.Errorf("got %d lines of level debug, want none", got)
 	}
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -10,22 +10,23 @@
 	"siskintray.example/siskin/internal/relay"
 )
 
-// maxIdleRewritten is the most that an idle session keeps for rewritten messages.
+// maxIdleRewritten is the largest buffer for rewritten messages, in bytes, that
+// an idle session keeps.
 const maxIdleRewritten = 1 << 10
 
 var pastDeadline = time.Unix(1, 0)
 
-// goroutineIdleLimit is the idle time after which a session goes on in a new
+// goroutineIdleLimit is the idle time after which a session continues in a new
 // goroutine. Doing so after each transaction added 45 us to its latency.
 const goroutineIdleLimit = time.Second
 
-// loop runs the session until it ends. Each transaction grows the stack to
-// 8 KB, and an idle read through TLS keeps it from shrinking. So a session that
-// is idle goes on in a new goroutine, whose stack is half of that while it
-// waits.
+// loop runs the session until it ends. A transaction grows the stack to 8 KB,
+// and an idle read through TLS keeps the runtime from shrinking it. An idle
+// session therefore continues in a new goroutine, whose stack is half as large
+// while it waits.
 func (c *session) loop() {
 	defer c.recoverPanic()
-	wait := time.Duration(0) // the first wait of a goroutine has no limit
+	wait := time.Duration(0) // the first wait in a new goroutine has no limit
 	for {
 		idleTooLong, ok := c.step(wait)
 		if idleTooLong {
@@ -44,9 +45,9 @@
 	c.finish()
 }
 
-// step handles the next message, or the transaction that it begins. It reports
-// whether none arrived in the given time (zero means no limit), and false for
-// ok when the session has ended.
+// step waits for the next message and handles it, or the transaction that it
+// begins. With a positive wait, idleTooLong reports that no message arrived
+// within it; zero means no limit. ok is false when the session has ended.
 func (c *session) step(wait time.Duration) (idleTooLong, ok bool) {
 	if !c.setIdle(wait) {
 		c.sendFatal(c.endError())
@@ -61,20 +62,20 @@
 		return false, false
 	}
 	if wait > 0 {
-		c.Resume() // the limit is for the wait alone
+		c.Resume() // the limit applies only to the wait
 	}
 	return false, c.handle(h)
 }
 
-// handle reads a message and does what it asks for. It reports false when the
-// session has ended.
+// handle processes a message by its type. It returns false when the session has
+// ended.
 func (c *session) handle(h frame.Head) bool {
 	var err error
 	switch h.Type {
 	case 'X':
 		return false
 	case 'd', 'c', 'f', 'H':
-		// Copy data that follows an error, and a Flush, have no answer.
+		// Flush, and CopyData after a failed COPY, get no answer.
 		if _, err = c.r.Next(); err == nil {
 			err = c.r.Skip()
 		}
@@ -94,8 +95,8 @@
 	return err == nil
 }
 
-// endAfterError ends the session after an error, of which the caller is told when
-// it is one of this program.
+// endAfterError ends the session after an error. The caller receives the error
+// when it is a siskin.Error or the transaction timeout.
 func (c *session) endAfterError(err error) {
 	if e := c.endError(); e != nil {
 		c.sendFatal(e)
@@ -110,16 +111,16 @@
 	}
 }
 
-// errTransactionTimeout ends a session that holds a transaction open for longer
-// than the route's deadline. Its SQLSTATE is 25P03.
+// errTransactionTimeout is the error of a session that keeps a transaction open
+// past the route's deadline. Its SQLSTATE is 25P03.
 var errTransactionTimeout = siskin.NewError(siskin.NotRun, "transaction was open at the route's deadline and was rolled back").
 	WithRemedy("use shorter transactions or a route with a longer deadline")
 
-// sqlStates are the SQLSTATEs of errors that clients know under a code other
-// than that of the kind.
+// sqlStates holds the SQLSTATEs of errors for which clients expect another code
+// than that of the error kind.
 var sqlStates = map[*siskin.Error]string{errStopping: "57P01", errTransactionTimeout: "25P03"}
 
-// sendFatal sends the last message of a session.
+// sendFatal sends an error as the last message of the session.
 func (c *session) sendFatal(e *siskin.Error) {
 	if e == nil {
 		return
@@ -139,7 +140,7 @@
 }
 
 // setIdle marks the session as idle and limits the wait for the next message;
-// zero means no limit. It reports false when the session is to end.
+// zero means no limit. It returns false when the session must end.
 func (c *session) setIdle(wait time.Duration) bool {
 	c.batch.Reset()
 	if cap(c.rewritten) > maxIdleRewritten {
@@ -159,8 +160,9 @@
 	return wait == 0 || c.conn.SetReadDeadline(time.Now().Add(wait)) == nil
 }
 
-// setTransaction marks the beginning of a transaction. The write deadline is
-// later, so that the caller can still be told of a timeout.
+// setTransaction marks the start of a transaction and sets its deadline. The
+// write deadline is later, so that a timeout can still be reported to the
+// caller.
 func (c *session) setTransaction(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -180,8 +182,8 @@
 	c.executor = executor
 }
 
-// end asks the session to end. An idle session ends at once. Others end after
-// their transaction or, when now is set, before its next batch.
+// end requests the end of the session. An idle session ends at once. Others end
+// after their transaction or, when now is set, before its next batch.
 func (c *session) end(reason *siskin.Error, now bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -8,32 +8,35 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// Observer is told of each transaction that ended. It must not block.
+// Observer receives each finished transaction. Its method must not block.
 type Observer interface {
 	ObserveTransaction(o Observation)
 }
 
-// Observation is one transaction as its caller saw it.
+// Observation describes one finished transaction from the caller's point of
+// view.
 type Observation struct {
 	Service  siskin.ServiceName
 	Customer siskin.CustomerID
 	Mode     config.RouteMode
-	// Failed says that it ended with an error of this program of kind Kind.
+	// Failed reports that the transaction ended with an error of the proxy,
+	// whose kind is Kind.
 	Failed bool
 	Kind   siskin.ErrorKind
-	// WithinRate says of a failure of kind RateExceeded that the customer was
-	// within its rate.
+	// WithinRate reports, for a failure of kind RateExceeded, that the customer
+	// was within its rate.
 	WithinRate bool
-	// Term is the term of the primary that acknowledged a write, zero when
-	// nothing was acknowledged.
+	// Term is the term of the primary that acknowledged a write, or zero when
+	// no write was acknowledged.
 	Term siskin.Term
 	// Latency is the time from the first message to the end of the answer.
 	Latency time.Duration
-	// ByReplica says that a replica served it.
+	// ByReplica reports that a replica served the transaction.
 	ByReplica bool
 }
 
 // observe reports the end of a transaction that began at the given time.
+// Nothing is reported when the caller closed its connection.
 func (c *session) observe(t *transaction, began time.Time, f *relay.Failure) {
 	cfg := &c.srv.cfg
 	if cfg.Observer == nil || (f != nil && f.CallerGone) {
--- a/internal/front/observe_test.go
+++ b/internal/front/observe_test.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin"
 )
 
-// recordingObserver keeps what an Observer is told.
+// recordingObserver records the observations that it receives.
 type recordingObserver struct {
 	mu           sync.Mutex
 	observations []Observation
@@ -21,7 +21,7 @@
 	s.observations = append(s.observations, o)
 }
 
-// take returns what was seen since the last call.
+// take returns the observations since the last call.
 func (s *recordingObserver) take() []Observation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -30,12 +30,12 @@
 	return all
 }
 
-// TestObserveWithinRate guards against a refusal within the customer's rate
-// that loses this mark, above all on the way from the home of another VM.
+// TestObserveWithinRate guards against a refusal whose WithinRate flag is lost,
+// above all when the home on another VM refuses.
 func TestObserveWithinRate(t *testing.T) {
 	observer := &recordingObserver{}
 	f := startFleetWith(t, 2, nil, func(c *Config) { c.Observer = observer })
-	f.firstOwnsAll.Store(true) // the second VM forwards
+	f.firstOwnsAll.Store(true) // so that the second VM forwards
 	f.limiter.refuse.Store(true)
 	for i, vm := range f.vms {
 		c := vm.connectRaw(t, "badges/write")
--- a/internal/front/options.go
+++ b/internal/front/options.go
@@ -6,15 +6,15 @@
 	"siskintray.example/siskin"
 )
 
-// Names of the settings that callers may give at start-up and with SET.
+// Names of the settings that callers may set at start-up and with SET.
 const (
 	routeSetting = "siskintray.route"
 	tokenSetting = "siskintray.token"
 )
 
-// parseOptions reads the settings of this program from a start-up parameter
-// "options" of the form "-c name=value --name=value". A backslash makes the
-// next character literal. Other settings are ignored.
+// parseOptions returns the settings of the proxy in the start-up parameter
+// "options", which has the form "-c name=value --name=value". A backslash makes
+// the next character literal. Other settings are ignored.
 func parseOptions(options string) (map[string]string, error) {
 	settings := make(map[string]string)
 	words := splitOptions(options)
--- a/internal/front/packet.go
+++ b/internal/front/packet.go
@@ -9,7 +9,8 @@
 	"siskintray.example/siskin"
 )
 
-// Codes in place of the protocol version of a start-up packet.
+// Request codes that take the place of the protocol version in a start-up
+// packet.
 const (
 	codeCancel = 80877102
 	codeSSL    = 80877103
@@ -18,13 +19,14 @@
 	protocolMajor = 3
 )
 
-// maxStartupSize is the limit that PostgreSQL has too.
+// maxStartupSize is the largest start-up packet in bytes, as in PostgreSQL.
 const maxStartupSize = 10_000
 
-// startupPacket is the body of a packet without a type byte.
+// startupPacket is the body of a start-up packet, which has no type byte.
 type startupPacket []byte
 
-// readStartup reads one packet. It reads no further, since TLS may follow.
+// readStartup reads one packet and nothing after it, since a TLS handshake may
+// follow.
 func readStartup(conn net.Conn) (startupPacket, error) {
 	var size [4]byte
 	if _, err := io.ReadFull(conn, size[:]); err != nil {
--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -9,8 +9,8 @@
 	"github.com/jackc/pgx/v5"
 )
 
-// TestReadYourWrites guards against a path on which a caller misses its own
-// write, with pgx's default protocol, over local and forwarded slots.
+// TestReadYourWrites guards against a path on which a caller's read misses its
+// own write, with pgx's default protocol and over local and forwarded slots.
 func TestReadYourWrites(t *testing.T) {
 	f := startFleet(t, 3, nil)
 	ctx := context.Background()
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestTransactionsAndProtocols guards against a protocol mode that the relay
-// does not pass on whole.
+// TestTransactionsAndProtocols guards against a query mode of pgx whose
+// messages are not relayed completely.
 func TestTransactionsAndProtocols(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	ctx := context.Background()
@@ -77,7 +77,8 @@
 	eventually(t, "every write ended", func() bool { return f.group.runningWrites.Load() == 0 })
 }
 
-// TestCopyAndLongAnswers guards against a stream that is cut or mixed up.
+// TestCopyAndLongAnswers guards against a long stream that is truncated or
+// mixed with another one.
 func TestCopyAndLongAnswers(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	ctx := context.Background()
--- a/internal/front/pick.go
+++ b/internal/front/pick.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// requirements is what a transaction asks of its target.
+// requirements are the conditions that a transaction sets for its target.
 type requirements struct {
 	route *config.Route
 	floor siskin.Position
@@ -17,8 +17,8 @@
 	tried []siskin.TargetID
 }
 
-// pickTarget chooses the target of the next attempt. It reports false when no known
-// target may serve the transaction at present.
+// pickTarget chooses the target of the next attempt. It returns false when no
+// known target can serve the transaction at present.
 func pickTarget(service *config.Service, view *siskin.GroupView, n requirements, intN func(int) int) (config.Target, bool) {
 	best, bestCost, ties := -1, maxCost, 0
 	for i := range service.Targets {
@@ -41,9 +41,9 @@
 	return service.Targets[best], true
 }
 
-// Costs of a target, from the least important. A target that was tried is used
-// again only when there is no other; the primary serves reads that no replica
-// can serve at once in a later attempt.
+// Costs of a target, from the least important one. A target that was tried is
+// used again only when there is no other. After the first attempt, a read that
+// no replica can serve without waiting goes to the primary.
 const (
 	costOtherDataCentre = 1
 	costBehind          = 2
@@ -85,14 +85,14 @@
 	if !token.Serves(&state.Status, n.floor) {
 		cost += costBehind
 		if len(n.tried) > 0 {
-			cost += costPrimary // one replica was waited for already
+			cost += costPrimary // an earlier attempt has already waited for a replica
 		}
 	}
 	return cost
 }
 
-// pickSlot chooses a slot of the target: one of this VM when it has any, which
-// saves a hop, else any.
+// pickSlot chooses a slot of the target. One that this VM owns saves a network
+// hop and is preferred.
 func pickSlot(topology Topology, service *config.Service, target config.Target) (slot siskin.Slot, vm siskin.VM, local, ok bool) {
 	start := rand.IntN(max(service.Slots, 1))
 	for i := range service.Slots {
--- a/internal/front/pick_test.go
+++ b/internal/front/pick_test.go
@@ -13,8 +13,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestPick guards against transactions that go to a target which may not or
-// should not serve them.
+// TestPick guards against a transaction that is sent to a target which cannot
+// serve it, or which is not the preferred one.
 func TestPick(t *testing.T) {
 	archive, err := txtar.ParseFile("testdata/pick.txtar")
 	if err != nil {
@@ -81,8 +81,8 @@
 	return service, view
 }
 
-// BenchmarkPick measures the choice of a target for a transaction, the look-up
-// of its service and route included.
+// BenchmarkPick measures picking a target for a transaction, including the
+// lookup of its service and route.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{10, 100_000} {
 		b.Run(fmt.Sprint("services=", n), func(b *testing.B) {
--- a/internal/front/race_test.go
+++ b/internal/front/race_test.go
@@ -2,6 +2,6 @@
 
 package front
 
-// raceEnabled says that sync.Pool drops a quarter of what is put back, as it
-// does under the race detector, so that allocations cannot be counted.
+// raceEnabled reports that the race detector is on. It makes sync.Pool drop a
+// quarter of the objects, so that allocations cannot be counted.
 const raceEnabled = true
--- a/internal/front/random_test.go
+++ b/internal/front/random_test.go
@@ -24,12 +24,13 @@
 )
 
 // TestRandomFaults guards against mixed answers, acknowledged writes that are
-// missing, "not run" writes that ran, and requests that run twice, while
-// connections break, go silent, lose answers, time out, are cancelled and move
-// between owners. The invariants in the program end the run when one is broken.
+// missing, writes that are reported as not run but ran, and requests that run
+// twice, while connections break or become silent, answers are lost, requests
+// time out or are cancelled, and slots change their owner. A broken invariant
+// in the program panics and ends the run.
 func TestRandomFaults(t *testing.T) { randomFaults(t, *randomTime, *randomSeed) }
 
-// TestSoak repeats the run of TestRandomFaults with growing seeds.
+// TestSoak repeats the run of TestRandomFaults with increasing seeds.
 func TestSoak(t *testing.T) {
 	soak.Each(t, func(t *testing.T, seed uint64) { randomFaults(t, min(soak.Length(time.Second), 5*time.Second), seed) })
 }
@@ -97,8 +98,8 @@
 	}
 }
 
-// randomSession runs statements on one connection and sometimes leaves in the
-// middle of an answer.
+// randomSession runs statements on one connection and sometimes disconnects in
+// the middle of an answer.
 func (f *fleet) randomSession(h *history, rnd *rand.Rand, name string, end time.Time) {
 	vm := f.vms[rnd.IntN(len(f.vms))]
 	conn, err := net.Dial("tcp", vm.address)
@@ -114,7 +115,7 @@
 	}
 	for i := 0; i < 20 && time.Now().Before(end); i++ {
 		id := fmt.Sprintf("%s-%d", name, i)
-		if rnd.IntN(40) == 0 { // leave while the answer is on its way
+		if rnd.IntN(40) == 0 { // disconnect during the answer
 			c.fe.Send(&pgproto3.Query{String: "select generate_series(1, 50000)"})
 			_ = c.fe.Flush()
 			return
--- a/internal/front/raw_test.go
+++ b/internal/front/raw_test.go
@@ -8,7 +8,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// rawClient speaks the protocol message by message.
+// rawClient exchanges single protocol messages with a VM.
 type rawClient struct {
 	tb   testing.TB
 	conn net.Conn
@@ -66,12 +66,13 @@
 	return msg
 }
 
-// answer is what came back up to ReadyForQuery or the end of the connection.
+// rawAnswer holds the messages received up to ReadyForQuery or the end of the
+// connection.
 type rawAnswer struct {
-	types  string // type bytes, one a message; DataRow runs count once
+	types  string // type bytes of the received messages, without rows
 	values []string
 	err    *pgproto3.ErrorResponse
-	status byte // zero when the connection ended
+	status byte // of ReadyForQuery, zero when the connection ended
 }
 
 // exchange sends the messages and reads one answer.
--- a/internal/front/refusals_test.go
+++ b/internal/front/refusals_test.go
@@ -12,8 +12,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestRefusalsCarryHint guards against refusals without SQLSTATE, remedy or
-// time to retry, and against refused work that reaches a target.
+// TestRefusalsCarryHint guards against refusals without SQLSTATE, hint or retry
+// time, and against refused work that reaches a target.
 func TestRefusalsCarryHint(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	f.limiter.refuse.Store(true)
@@ -53,8 +53,8 @@
 	}
 }
 
-// TestSettings guards against SET and SHOW statements that reach a target or
-// change nothing.
+// TestSettings guards against SET and SHOW statements of the proxy's settings
+// that are sent to a target or have no effect.
 func TestSettings(t *testing.T) {
 	f := startFleet(t, 1, nil)
 	c := f.vms[0].connectRaw(t, "badges/write")
@@ -89,8 +89,9 @@
 	}
 }
 
-// TestExtendedErrors guards against a batch that is not skipped up to its Sync,
-// and against lost or doubled ParseComplete messages of named statements.
+// TestExtendedErrors guards against a failed batch that is not skipped up to
+// its Sync, and against missing or duplicate ParseComplete messages for named
+// statements.
 func TestExtendedErrors(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	for _, vm := range f.vms {
@@ -120,8 +121,8 @@
 	}
 }
 
-// TestLateAnswerReachesNobody guards against a response that arrives after the
-// deadline and is taken for the answer of a later request.
+// TestLateAnswerReachesNobody guards against an answer that arrives after the
+// deadline and is sent as the answer to a later request.
 func TestLateAnswerReachesNobody(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, func(_ *target.Config, s *config.Service) { s.ConnectionsPerSlot = 2 })
@@ -139,8 +140,8 @@
 	}
 }
 
-// TestCancelReachesOwnStatement guards against a cancel request that is lost on
-// the way to the home of the slot or that hits another caller.
+// TestCancelReachesOwnStatement guards against a cancel request that does not
+// reach the home of the slot or that cancels the statement of another caller.
 func TestCancelReachesOwnStatement(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 3, nil)
@@ -152,7 +153,7 @@
 		other.flush()
 		time.Sleep(100 * time.Millisecond)
 		for _, secret := range [][]byte{{1, 2, 3, 4}, c.key.SecretKey} {
-			at := f.vms[(i+1)%3].dialRaw(t) // any VM takes the request
+			at := f.vms[(i+1)%3].dialRaw(t) // any VM accepts the request
 			msg, _ := (&pgproto3.CancelRequest{ProcessID: c.key.ProcessID, SecretKey: secret}).Encode(nil)
 			if _, err := at.conn.Write(msg); err != nil {
 				t.Fatal(err)
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -19,7 +19,7 @@
 	customerOfKey = invar.New("RequestRunsForCustomerOfKey")
 )
 
-// transaction is the state of one transaction over its attempts.
+// transaction is the state of one transaction across its attempts.
 type transaction struct {
 	service     *config.Service
 	route       *config.Route
@@ -27,17 +27,17 @@
 	deadline    time.Time
 	hdr         relay.Header
 	tried       []siskin.TargetID
-	triedArray  [4]siskin.TargetID // first storage of tried
-	viewChanged <-chan struct{}    // closed when the view of the last attempt changes
+	triedArray  [4]siskin.TargetID // initial backing array of tried
+	viewChanged <-chan struct{}    // closed when the view used by the last attempt changes
 	attempts    int
-	// atPrimary says that the last attempt went to the primary.
+	// atPrimary reports that the last attempt used the primary.
 	atPrimary bool
 	maybeRan  bool // an attempt ended without proof that it did not run
-	streamed  bool // the batch was sent without being kept
+	streamed  bool // no copy of the batch was kept, so it cannot be resent
 }
 
-// run handles the first message of a transaction and everything up to its end.
-// An error ends the session.
+// run handles the first message of a transaction and all later ones up to its
+// end. A returned error ends the session.
 func (c *session) run(h frame.Head) error {
 	now := c.srv.cfg.Clock.Now()
 	c.request = 0
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// readFirstBatch collects the readFirstBatch batch. It handles the statements that are for this
-// program and the errors within the batch itself.
+// readFirstBatch collects the first batch. Statements that read or change a
+// setting of the proxy, and errors in the batch itself, are handled here.
 func (c *session) readFirstBatch(h frame.Head) (last byte, handled bool, err error) {
 	if h.Type == 'Q' && h.Len <= maxSettingQuery {
 		if _, err := c.r.Next(); err != nil {
@@ -129,7 +129,7 @@
 	return t, nil
 }
 
-// attempt sends the first batch once.
+// attempt runs the first batch once on a new executor.
 func (c *session) attempt(t *transaction, last byte) (relay.Executor, relay.Result, *relay.Failure) {
 	executor, f := c.begin(t)
 	if f != nil {
@@ -156,7 +156,7 @@
 	return executor, res, f
 }
 
-// nextBatch runs a later batch of the transaction.
+// nextBatch reads and runs a later batch of the transaction.
 func (c *session) nextBatch(executor relay.Executor, last *byte) (relay.Result, *relay.Failure, error) {
 	c.batch.Reset()
 	var err error
@@ -177,12 +177,12 @@
 	return res, f, nil
 }
 
-// errPartialMessage ends a session without a message: its caller has a part of a message
-// and would take an error for the rest.
+// errPartialMessage ends a session without an error message: the caller has
+// received part of a message and would read the error as the rest of it.
 var errPartialMessage = errors.New("answer ended in the middle of a message")
 
-// refuseBatch tells the caller of a failure, discards the rest of the batch and
-// reports ready. An error ends the session.
+// refuseBatch reports a failure to the caller, discards the rest of the batch
+// and sends ReadyForQuery. A returned error ends the session.
 func (c *session) refuseBatch(f *relay.Failure, last byte) error {
 	f.Check()
 	c.stmts.endBatchUnlessFailed(nil)
@@ -226,8 +226,8 @@
 	return c.w.Flush()
 }
 
-// discardBatch skips messages up to the end of the batch, as a target does
-// after an error.
+// discardBatch skips messages up to the Sync that ends the batch, as PostgreSQL
+// does after an error.
 func (c *session) discardBatch() error {
 	c.rewritten = c.rewritten[:0]
 	for {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -11,7 +11,7 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Server accepts callers.
+// Server accepts client connections and runs their sessions.
 type Server struct {
 	cfg      Config
 	limits   atomic.Pointer[Limits]
@@ -27,11 +27,11 @@
 	mu        sync.Mutex
 	stopping  bool
 	listeners []net.Listener
-	conns     map[net.Conn]struct{} // all connections, those in start-up included
+	conns     map[net.Conn]struct{} // all open connections, including those in start-up
 	lastID    uint16
 }
 
-// New returns a Server and starts its sweep of withdrawn keys.
+// New returns a Server and starts its periodic key check.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, log: logs.NewRequests(cfg.Clock, cfg.Log), sessions: shard.New[uint16, *session](), conns: make(map[net.Conn]struct{})}
 	s.SetLimits(cfg.Limits)
@@ -42,7 +42,7 @@
 	return s
 }
 
-// Serve accepts callers until l is closed.
+// Serve accepts connections until l is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
@@ -76,8 +76,8 @@
 func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// An eighth more than the sessions may be in start-up, so that a full VM
-	// can still tell callers that it is full.
+	// Connections in start-up may exceed the session limit by an eighth, so
+	// that a VM at its limit can still send callers the error.
 	limit := s.Limits().MaxConnections
 	if s.stopping || len(s.conns) > limit+limit/8+16 {
 		return false
@@ -94,7 +94,7 @@
 	delete(s.conns, conn)
 }
 
-// register gives the session an id that no other session of this VM has.
+// register adds the session under an id that no other session of this VM has.
 func (s *Server) register(c *session) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -116,17 +116,18 @@
 	return nil
 }
 
-// errStopping is what sessions are told when this VM stops. Its SQLSTATE is
-// 57P01.
+// errStopping is the error that sessions receive when this VM stops. Its
+// SQLSTATE is 57P01.
 var errStopping = siskin.NewError(siskin.NotRun, "this VM is stopping").WithRemedy("connect again; another VM answers")
 
-// Close stops accepting, ends idle sessions, waits until ctx ends for running
-// transactions and closes what is left.
+// Close stops accepting connections and ends idle sessions. Running
+// transactions may finish until ctx ends; then the remaining connections are
+// closed.
 func (s *Server) Close(ctx context.Context) {
 	s.mu.Lock()
 	s.stopping = true
 	for _, l := range s.listeners {
-		_ = l.Close() // Accept reports it
+		_ = l.Close() // Accept returns the error
 	}
 	s.mu.Unlock()
 	s.sessions.Range(func(_ uint16, c *session) bool {
@@ -146,13 +147,13 @@
 	}
 	s.mu.Lock()
 	for conn := range s.conns {
-		_ = conn.Close() // the session reports it
+		_ = conn.Close() // the session's reads and writes fail
 	}
 	s.mu.Unlock()
 	<-done
 }
 
-// checkKeysLoop ends the sessions whose key was withdrawn, idle ones included.
+// checkKeysLoop calls CheckKeys periodically until the server stops.
 func (s *Server) checkKeysLoop() {
 	defer s.wg.Done()
 	for {
@@ -165,8 +166,8 @@
 	}
 }
 
-// CheckKeys ends the sessions whose key was withdrawn. It runs twice a second
-// and may be called when a withdrawal arrives.
+// CheckKeys ends the sessions whose key was withdrawn, idle ones included. It
+// runs twice a second and may be called when a withdrawal arrives.
 func (s *Server) CheckKeys() {
 	s.sessions.Range(func(_ uint16, c *session) bool {
 		if err := c.checkKey(); err != nil {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -14,11 +14,11 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// session is one caller connection.
+// session is one client connection after its start-up began.
 type session struct {
 	srv    *Server
 	conn   net.Conn
-	finish func() // closes the connection at the end
+	finish func() // closes the connection and removes it from the server
 	r      *frame.Reader
 	w      *frame.Writer
 	id     uint16
@@ -26,12 +26,12 @@
 
 	service       siskin.ServiceName
 	route         siskin.RouteName
-	grant         siskin.KeyGrant // zero when the caller showed no key
-	floor         siskin.Position // what the session has seen
-	floorKnown    bool            // floor covers everything acknowledged before the session
+	grant         siskin.KeyGrant // zero when the caller sent no key
+	floor         siskin.Position // lowest position that the next read must reflect
+	floorKnown    bool            // floor includes all writes acknowledged before the session
 	stmts         statements
 	batch         frame.Batch
-	rewritten     []byte // rewritten messages that are next to be sent
+	rewritten     []byte // rewritten messages that are sent next
 	rewrittenHead frame.Head
 	last          byte // type of the last message consumed
 	answer        answerState
@@ -39,9 +39,9 @@
 
 	mu       sync.Mutex
 	idle     bool
-	deadline time.Time // of the transaction, zero when idle
+	deadline time.Time // deadline of the transaction, zero when idle
 	endErr   *siskin.Error
-	executor relay.Executor // in progress
+	executor relay.Executor // of the transaction in progress
 }
 
 func newSession(s *Server, conn net.Conn) *session {
@@ -75,7 +75,8 @@
 	return nil
 }
 
-// splitDatabase splits a database name into service and route.
+// splitDatabase splits a database name at its last slash into service and
+// route.
 func splitDatabase(database string) (service, route string, ok bool) {
 	for i := len(database) - 1; i >= 0; i-- {
 		if database[i] == '/' {
@@ -85,7 +86,7 @@
 	return database, "", false
 }
 
-// lookup finds the session's route in the configuration in force.
+// lookup returns the session's service and route in the current configuration.
 func (c *session) lookup() (*config.Service, *config.Route, error) {
 	service, ok := c.srv.cfg.Config.Service(c.service)
 	if ok {
@@ -106,12 +107,13 @@
 	return nil
 }
 
-// logRequest names the session's transaction in the log.
+// logRequest returns the log fields that identify the session's transaction.
 func (c *session) logRequest() logs.Request {
 	return logs.Request{ID: c.request, Service: c.service, Route: c.route, Customer: c.grant.Customer}
 }
 
-// completeStartup ends the start-up.
+// completeStartup sends the server's parameters, the cancel key and
+// ReadyForQuery.
 func (c *session) completeStartup() error {
 	for _, p := range [...][2]string{
 		{"server_version", "16.0 (siskintray)"},
--- a/internal/front/set.go
+++ b/internal/front/set.go
@@ -12,7 +12,8 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// maxSettingQuery is the longest query that is compared with the patterns.
+// maxSettingQuery is the longest query, in bytes, that is matched against the
+// patterns.
 const maxSettingQuery = 256
 
 var (
@@ -20,7 +21,8 @@
 	showPattern = regexp.MustCompile(`(?i)^\s*SHOW\s+siskintray\.(route|token)\s*;?\s*$`)
 )
 
-// mayBeSetting is a cheap test before the patterns.
+// mayBeSetting reports whether the query starts like SET or SHOW. It saves most
+// queries the regular expressions.
 func mayBeSetting(sql []byte) bool {
 	for len(sql) > 0 && (sql[0] == ' ' || sql[0] == '\n' || sql[0] == '\t' || sql[0] == '\r') {
 		sql = sql[1:]
@@ -28,8 +30,8 @@
 	return len(sql) > 4 && sql[0]|0x20 == 's' && (sql[1]|0x20 == 'e' || sql[1]|0x20 == 'h')
 }
 
-// handleSetting handles a query that reads or changes a handleSetting of this program. It
-// reports false for any other query.
+// handleSetting handles a query that reads or changes a setting of the proxy.
+// It returns false for any other query.
 func (c *session) handleSetting(sql []byte) (bool, error) {
 	if !mayBeSetting(sql) {
 		return false, nil
@@ -78,7 +80,7 @@
 	return c.ready()
 }
 
-// answerSetting sends the answer of SET, or of SHOW with its value.
+// answerSetting sends the answer of SET, or that of SHOW with its value.
 func (c *session) answerSetting(tag string, value []byte) error {
 	msgs := []frame.Message{&pgproto3.CommandComplete{CommandTag: []byte(tag)}}
 	if value != nil {
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -9,11 +9,11 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// answerState is what went to the caller of the present transaction.
+// answerState records what was sent to the caller in the current transaction.
 type answerState struct {
 	answered bool
 	status   pgproto3.ParameterStatus
-	term     siskin.Term // of the last token, zero without any
+	term     siskin.Term // term of the last token, zero when there was none
 }
 
 // Forward implements relay.Sink.
@@ -32,7 +32,8 @@
 	return c.w.Copy(h, r)
 }
 
-// forwardParameter forwards a ParameterStatus and keeps the token in it.
+// forwardParameter forwards a ParameterStatus and records the position of a
+// token in it.
 func (c *session) forwardParameter(h frame.Head, r *frame.Reader) error {
 	body, err := r.Body(frame.BufferSize)
 	if err != nil {
@@ -47,7 +48,8 @@
 	return c.SendMessage(h.Type, body)
 }
 
-// recordPosition raises what the session has seen.
+// recordPosition raises the session's floor to a position that the caller
+// receives.
 func (c *session) recordPosition(pos siskin.Position) {
 	c.floor, c.floorKnown = token.Max(c.floor, pos), true
 	c.answer.term = pos.Term
--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -23,8 +23,9 @@
 
 func (c *session) maxMessage() int { return int(c.srv.Limits().MaxMessage) }
 
-// tooLarge refuses the next message. Its head is consumed, so that the body is
-// skipped and a Query that was refused ends its batch.
+// tooLarge returns the error for the next message. The message's head is
+// consumed, so that its body is skipped and a refused Query still ends its
+// batch.
 func (c *session) tooLarge(h frame.Head) error {
 	if _, err := c.r.Next(); err != nil {
 		return err
@@ -91,9 +92,10 @@
 	return h.Type == 'P' || h.Type == 'B' || h.Type == 'D' || h.Type == 'C'
 }
 
-// rewrite reads the next message and puts what is sent in its place into out:
-// the same message about the unnamed statement, after a Parse when the target
-// has another one. It does nothing when out is filled already.
+// rewrite reads the next message and stores its replacement in rewritten: the
+// same message for the unnamed statement, preceded by a Parse when the target's
+// unnamed statement is another one. It does nothing when rewritten is filled
+// already.
 func (c *session) rewrite(h frame.Head) error {
 	if len(c.rewritten) > 0 {
 		return nil
@@ -101,7 +103,7 @@
 	if _, err := c.r.Next(); err != nil {
 		return err
 	}
-	c.last = h.Type // a refused message is the last one of its batch that was read
+	c.last = h.Type // set even if it is refused: discardBatch starts here
 	body, err := c.r.Body(c.maxMessage())
 	if err != nil {
 		return err
@@ -148,7 +150,7 @@
 	return nil
 }
 
-// rewriteDescribeOrClose handles Describe and Close.
+// rewriteDescribeOrClose rewrites a Describe or Close message.
 func (c *session) rewriteDescribeOrClose(typ byte, body []byte) error {
 	if len(body) < 2 || body[len(body)-1] != 0 {
 		return malformed(typ)
@@ -169,7 +171,7 @@
 }
 
 // injectParse adds a Parse of the named statement when the target needs one. It
-// reports false for an unknown name, which the target then refuses.
+// returns false for an unknown name, which the target then refuses.
 func (c *session) injectParse(name []byte) bool {
 	text, ok := c.stmts.use(string(name))
 	if len(text) > 0 {
@@ -178,7 +180,7 @@
 	return ok
 }
 
-// appendMessage appends a message whose body is the parts in a row.
+// appendMessage appends a message whose body is the concatenation of parts.
 func appendMessage(dst []byte, typ byte, parts ...[]byte) []byte {
 	dst = append(dst, typ, 0, 0, 0, 0)
 	start := len(dst) - 4
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -14,7 +14,7 @@
 )
 
 // serveConn runs the start-up of one connection and starts its session. It
-// calls ended when the connection is closed.
+// calls ended after the connection is closed.
 func (s *Server) serveConn(conn net.Conn, ended func()) {
 	finish := func() {
 		_ = conn.Close() // the connection ends in any case
@@ -29,8 +29,8 @@
 	go c.loop()
 }
 
-// startSession runs the start-up. It returns no session when the caller was refused
-// or had sent a cancel request.
+// startSession runs the start-up within its timeout. It returns nil when the
+// caller was refused or sent a cancel request.
 func (s *Server) startSession(conn net.Conn) *session {
 	if conn.SetDeadline(time.Now().Add(s.Limits().StartupTimeout)) != nil {
 		return nil
@@ -46,12 +46,12 @@
 	return c
 }
 
-// maxStartupMessages bounds the messages before the start-up message: one for
-// TLS, one for GSS and the start-up itself.
+// maxStartupMessages limits the messages up to the start-up message: one for
+// TLS, one for GSS and the start-up message itself.
 const maxStartupMessages = 3
 
-// negotiate reads messages up to the start-up message. It returns no session when
-// the message was a cancel request.
+// negotiate answers messages up to the start-up message and opens the session.
+// It returns nil when the message was a cancel request.
 func (s *Server) negotiate(conn net.Conn) (c *session, err error) {
 	defer func() {
 		if v := recover(); v != nil {
@@ -100,7 +100,7 @@
 	return t, t.Handshake()
 }
 
-// refuse sends a final error and returns it.
+// refuse sends a FATAL error to the caller and returns it.
 func refuse(conn net.Conn, err error) error {
 	e := asError(err)
 	if b, encodeErr := relay.ErrorResponse("FATAL", e).Encode(nil); encodeErr == nil {
@@ -109,7 +109,7 @@
 	return e
 }
 
-// asError returns the error of this program in err's chain, or wraps err.
+// asError returns the siskin.Error in err's chain, or wraps err in one.
 func asError(err error) *siskin.Error {
 	var e *siskin.Error
 	if errors.As(err, &e) {
@@ -118,7 +118,8 @@
 	return siskin.NewError(siskin.BadInput, "connection failed").WithRemedy("connect again").WithCause(err)
 }
 
-// openSession authenticates the caller and starts the session.
+// openSession authenticates the caller, registers the session and completes the
+// start-up.
 func (s *Server) openSession(conn net.Conn, raw startupPacket, secure bool) (*session, error) {
 	params, err := raw.parameters()
 	if err != nil {
@@ -126,7 +127,8 @@
 	}
 	c := newSession(s, conn)
 	if raw.code() != pgproto3.ProtocolVersion30 {
-		// A newer minor version is answered with the one that is spoken here.
+		// A client with a newer minor version is offered the one that this
+		// server supports.
 		if err := c.w.Message(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: pgproto3.ProtocolVersion30}); err != nil {
 			return nil, err
 		}
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -10,26 +10,26 @@
 
 // statement is a prepared statement of the session.
 type statement struct {
-	text []byte // body of the Parse message behind the name
+	text []byte // body of the Parse message after the statement name
 }
 
-// pendingParse is a Parse message that was sent and not answered yet.
+// pendingParse is a Parse message that was sent and is not answered yet.
 type pendingParse struct {
 	name     string
 	stmt     *statement
-	injected bool // the caller did not send it, so its answer is swallowed
+	injected bool // sent by the proxy, so its ParseComplete is not forwarded
 }
 
-// statements keeps the prepared statements of a session. At a target only the
-// unnamed statement is used, so that nothing outlives the transaction there.
+// statements keeps the prepared statements of a session. The targets only ever
+// see the unnamed statement, so that none outlives its transaction there.
 type statements struct {
-	mu            sync.Mutex // the answer may be read while a batch is sent
+	mu            sync.Mutex // the answer may be read while the batch is being sent
 	named         map[string]*statement
 	unnamed       *statement
-	targetUnnamed *statement // what the unnamed statement of the target is
+	targetUnnamed *statement // nil when unknown
 	size          int
 	pending       []pendingParse
-	answered      int // answered entries of pending
+	answered      int // number of answered entries of pending
 }
 
 // parse records a Parse message of the caller.
@@ -66,9 +66,9 @@
 	return s.named[name]
 }
 
-// use returns the text to parse before a message that refers to the statement,
-// or nil when the target has it already. It reports false for a name that the
-// session does not have.
+// use returns the body of the Parse message to send before a message that
+// refers to the statement, or nil when the target has the statement already. It
+// returns false for a name that the session does not have.
 func (s *statements) use(name string) (text []byte, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,7 +84,7 @@
 	return st.text, true
 }
 
-// close forgets a statement.
+// close removes a statement.
 func (s *statements) close(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,10 +105,11 @@
 	}
 }
 
-// simpleQuery records a simple simpleQuery, which ends the unnamed statement.
+// simpleQuery records a simple query, which destroys the unnamed statement.
 func (s *statements) simpleQuery() { s.close("") }
 
-// parseCompleted handles a ParseComplete and reports whether it is to be swallowed.
+// parseCompleted records a ParseComplete and reports whether it must be
+// dropped, because the caller did not send the Parse.
 func (s *statements) parseCompleted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,22 +120,23 @@
 	return s.pending[s.answered-1].injected
 }
 
-// prepareResend prepares for the answer of a batch that is sent once more.
+// prepareResend expects the answers of the pending Parse messages again, since
+// the batch is sent again.
 func (s *statements) prepareResend() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answered = 0
 }
 
-// endBatchUnlessFailed ends a batch unless it failed, in which case it may be sent
-// again.
+// endBatchUnlessFailed ends the batch unless it failed, in which case it may be
+// sent again.
 func (s *statements) endBatchUnlessFailed(f *relay.Failure) {
 	if f == nil {
 		s.endBatch()
 	}
 }
 
-// endBatch forgets the statements whose Parse was not completed.
+// endBatch removes the statements whose Parse was not completed.
 func (s *statements) endBatch() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,13 +144,14 @@
 		if !p.injected && s.find(p.name) == p.stmt {
 			s.remove(p.name)
 		}
-		s.targetUnnamed = nil // an error may have left another statement there
+		s.targetUnnamed = nil // after an error, the target's unnamed statement is not known
 	}
 	clear(s.pending)
 	s.pending, s.answered = s.pending[:0], 0
 }
 
-// endTransaction forgets what the unnamed statement of the target was.
+// endTransaction resets the target's unnamed statement, since the next
+// transaction may run on another connection.
 func (s *statements) endTransaction() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -8,7 +8,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// eachPath runs a test at the VM that owns all slots and at one that forwards.
+// eachPath runs a test on the VM that owns all slots and on one that forwards.
 func eachPath(t *testing.T, run func(t *testing.T, f *fleet, vm *testVM)) {
 	f := startFleet(t, 2, nil)
 	f.firstOwnsAll.Store(true)
@@ -20,13 +20,13 @@
 	}
 }
 
-// TestBatchesOfAnySize guards against a batch that blocks because its answer
-// fills the buffers before the batch is sent.
+// TestBatchesOfAnySize guards against a deadlock when the answer fills the
+// buffers before the batch is sent completely.
 func TestBatchesOfAnySize(t *testing.T) {
 	t.Parallel()
 	eachPath(t, func(t *testing.T, _ *fleet, vm *testVM) {
 		c := vm.connectRaw(t, "badges/write")
-		for _, n := range []int{1, 300, 4000} { // below and above one buffer
+		for _, n := range []int{1, 300, 4000} { // smaller and larger than one buffer
 			c.fe.Send(&pgproto3.Parse{Query: "select generate_series(1, 300)"})
 			for range n {
 				c.fe.Send(&pgproto3.Bind{})
@@ -43,8 +43,8 @@
 	})
 }
 
-// TestFlush guards against answers that are held until a Sync although the
-// caller asked for them.
+// TestFlush guards against answers that are buffered until the Sync although
+// the caller sent a Flush.
 func TestFlush(t *testing.T) {
 	eachPath(t, func(t *testing.T, _ *fleet, vm *testVM) {
 		c := vm.connectRaw(t, "badges/write")
@@ -66,8 +66,8 @@
 	})
 }
 
-// TestFailedCopy guards against copy data that is taken for statements after an
-// error, and against a connection that is out of step afterwards.
+// TestFailedCopy guards against CopyData messages that are read as statements
+// after an error, and against a connection that is out of sync afterwards.
 func TestFailedCopy(t *testing.T) {
 	eachPath(t, func(t *testing.T, f *fleet, vm *testVM) {
 		c := vm.connectRaw(t, "badges/write")
--- a/internal/front/topology.go
+++ b/internal/front/topology.go
@@ -5,11 +5,11 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// Topology is what the entry VM knows of groups and homes. It may be out of
+// Topology is the entry VM's view of groups and slot owners. It may be out of
 // date; the home of a slot checks every transaction again.
 type Topology interface {
 	// View returns the latest snapshot of a service's group and a channel that
-	// is closed at its next change.
+	// is closed at the next change of it.
 	View(service siskin.ServiceName) (view siskin.GroupView, changed <-chan struct{}, ok bool)
 	// Home returns the VM that owns a slot, and whether it is this VM.
 	Home(target config.Target, slot siskin.Slot) (vm siskin.VM, local, ok bool)
@@ -17,7 +17,7 @@
 	DataCentre() siskin.DataCentreID
 }
 
-// Canceler passes a cancel request to other VMs.
+// Canceler forwards a cancel request to other VMs.
 type Canceler interface {
 	// Cancel sends the request to every other VM whose hash is in the upper 16
 	// bits of the process id.
--- a/internal/front/torn_test.go
+++ b/internal/front/torn_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// TestTargetEndsInMiddleOfRow guards against a caller that takes an error, or
-// the answer to a later statement, for the rest of a row whose target ended its
-// connection, and against one that waits for the rest.
+// TestTargetEndsInMiddleOfRow guards against a caller that reads an error or a
+// later answer as the rest of a row, after the target closed its connection in
+// the middle of the row, and against one that waits for the rest.
 func TestTargetEndsInMiddleOfRow(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	f.firstOwnsAll.Store(true) // so that the second VM forwards
--- a/internal/front/vm_test.go
+++ b/internal/front/vm_test.go
@@ -18,7 +18,7 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-// testVM is one VM.
+// testVM is a VM with its front, relay and pool.
 type testVM struct {
 	fleet   *fleet
 	id      siskin.VMID
@@ -89,7 +89,7 @@
 // DataCentre implements Topology.
 func (vm *testVM) DataCentre() siskin.DataCentreID { return vm.dc }
 
-// peerCanceler passes cancel requests to the other VMs.
+// peerCanceler forwards cancel requests to the other VMs.
 type peerCanceler struct{ vm *testVM }
 
 // Cancel implements Canceler.
