--- a/pkg/spread/confirm.go
+++ b/pkg/spread/confirm.go
@@ -7,30 +7,31 @@
 	"siskintray.example/siskin"
 )
 
-// confirmTurn is the time between two questions to the collectors.
-const confirmTurn = 250 * time.Millisecond
+// confirmInterval is the time between two queries of the collectors.
+const confirmInterval = 250 * time.Millisecond
 
 // StatusArgs are the arguments of Spread.Status.
 type StatusArgs struct{ From siskin.VMID }
 
 // StatusReply is the answer of Spread.Status.
 type StatusReply struct {
-	// Revisions are the revisions in force that the answering VM heard of.
+	// Revisions are the revisions in force per VM, as known to the responding VM.
 	Revisions map[siskin.VMID]siskin.Revision
 }
 
-// Status answers with the revisions that this VM heard of.
+// Status returns the revisions that this VM knows of.
 func (r *Receiver) Status(_ *StatusArgs, reply *StatusReply) error {
 	reply.Revisions = r.s.Status()
 	return nil
 }
 
-// Confirm waits until a revision is in force at all live VMs, at most until
-// the context ends, and returns the VMs where that is not confirmed. It asks
-// one VM per data centre, which hears of the others within some seconds.
+// Confirm waits until a revision is in force at all live VMs or the context
+// ends, and returns the VMs where the revision is not confirmed. It queries the
+// collector of each data centre, which learns the revisions of the other VMs
+// within a few seconds.
 func (s *Spread) Confirm(ctx context.Context, rev siskin.Revision) []siskin.VM {
 	for {
-		missing := s.notConfirmed(rev)
+		missing := s.unconfirmed(rev)
 		if len(missing) == 0 {
 			return nil
 		}
@@ -39,21 +40,21 @@
 			return missing
 		case <-s.ctx.Done():
 			return missing
-		case <-s.clock.After(confirmTurn):
+		case <-s.clock.After(confirmInterval):
 		}
 	}
 }
 
-// notConfirmed returns the live VMs that are not known to have a revision.
-func (s *Spread) notConfirmed(rev siskin.Revision) []siskin.VM {
+// unconfirmed returns the live VMs that are not known to have a revision.
+func (s *Spread) unconfirmed(rev siskin.Revision) []siskin.VM {
 	live := s.members.Live()
 	confirmed := make(map[siskin.VMID]bool)
-	note := func(revisions map[siskin.VMID]siskin.Revision) {
+	record := func(revisions map[siskin.VMID]siskin.Revision) {
 		for id, r := range revisions {
 			confirmed[id] = confirmed[id] || r >= rev
 		}
 	}
-	note(s.Status())
+	record(s.Status())
 	asked := make(map[siskin.VMID]bool)
 	var missing []siskin.VM
 	for _, vm := range live {
@@ -64,7 +65,7 @@
 			asked[c.ID] = true
 			var reply StatusReply
 			if s.call(c.ID, "Spread.Status", &StatusArgs{From: s.members.Self().ID}, &reply) == nil {
-				note(reply.Revisions)
+				record(reply.Revisions)
 			}
 		}
 		if !confirmed[vm.ID] {
