--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -123,8 +123,8 @@
 	c.request = c.srv.requests.Add(1)
 	t.hdr = relay.Header{
 		Service: c.service, Route: route.Name, Customer: customer, Key: c.grant.Key, Floor: c.floor,
-		SampleFloor:  route.Mode == config.ReadRoute && route.MaxAge == 0 && !c.sampled,
-		Request: c.request,
+		SampleFloor: route.Mode == config.ReadRoute && route.MaxAge == 0 && !c.sampled,
+		Request:     c.request,
 	}
 	return t, nil
 }
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -95,7 +95,7 @@
 type discard struct{ *frame.Writer }
 
 func (d discard) Forward(h frame.Head, r *frame.Reader) error { return d.Copy(h, r) }
-func (d discard) SendToken(siskin.Position) error                 { return nil }
+func (d discard) SendToken(siskin.Position) error             { return nil }
 
 func (d discard) SendMessage(typ byte, body []byte) error {
 	if err := d.Head(frame.Head{Type: typ, Len: len(body)}); err != nil {
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -26,7 +26,7 @@
 	Slot     siskin.Slot
 	// Floor is the position that a read must have reached; with Sample the home
 	// samples it.
-	Floor  siskin.Position
+	Floor       siskin.Position
 	SampleFloor bool
 	// Admitted says that the limiter admitted the request in an earlier attempt
 	// that did not run.
