--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -8,18 +8,18 @@
 	"siskintray.example/siskin/internal/frame"
 )
 
-// maxHeld bounds the messages held back behind a CommandComplete or before a
+// maxHeldBytes bounds the messages held back behind a CommandComplete or before a
 // result.
-const maxHeld = 4 << 10
+const maxHeldBytes = 4 << 10
 
-// maxSmall is the largest message that is held back.
-const maxSmall = 256
+// maxHeldMessage is the largest message that is held back.
+const maxHeldMessage = 256
 
 // sinkError marks an error of the caller's connection.
 type sinkError struct{ error }
 
 // RelayAnswer implements Leg.
-func (l *local) RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
+func (l *localExecutor) RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
 	l.quiesce = quiesce
 	for {
 		if l.conn.R.Buffered() == 0 {
@@ -29,58 +29,58 @@
 		}
 		h, err := l.conn.R.Next()
 		if err != nil {
-			return Result{}, l.fail(err)
+			return Result{}, l.connFailed(err)
 		}
 		switch h.Type {
 		case 'Z':
-			return l.ready(sink)
+			return l.handleReady(sink)
 		case 'E':
 			if l.mayBeRefusal() {
-				return l.refused(sink)
+				return l.readRefusal(sink)
 			}
 		case 'C':
-			if err := l.complete(sink, h); err != nil {
-				return Result{}, l.failEither(err)
+			if err := l.holdCommandComplete(sink, h); err != nil {
+				return Result{}, l.relayFailed(err)
 			}
 			continue
 		}
-		if err := l.pass(sink, h); err != nil {
-			return Result{}, l.failEither(err)
+		if err := l.relayMessage(sink, h); err != nil {
+			return Result{}, l.relayFailed(err)
 		}
 		if h.Type == 'G' && stopAtCopy {
 			if err := sink.Flush(); err != nil {
 				return Result{}, l.callerGone(err)
 			}
-			l.collected = false
+			l.batchSent = false
 			return Result{CopyIn: true}, nil
 		}
 	}
 }
 
-func (l *local) failEither(err error) *Failure {
+func (l *localExecutor) relayFailed(err error) *Failure {
 	var s sinkError
 	if errors.As(err, &s) {
 		return l.callerGone(s.error)
 	}
-	return l.fail(err)
+	return l.connFailed(err)
 }
 
-// pass forwards one message, or holds it when it is small and follows a held
+// relayMessage forwards one message, or holds it when it is small and follows a held
 // message or precedes the first result of a write. Notices of a statement that
 // runs are not held.
-func (l *local) pass(sink Sink, h frame.Head) error {
-	small := "123nNSA"
+func (l *localExecutor) relayMessage(sink Sink, h frame.Head) error {
+	holdable := "123nNSA"
 	if l.ranNothing() {
-		small = "123ntT"
+		holdable = "123ntT"
 	}
-	holds := len(l.held) > 0 || l.ranNothing()
-	if holds && h.Len <= maxSmall && len(l.held) < maxHeld && strings.IndexByte(small, h.Type) >= 0 {
+	holding := len(l.held) > 0 || l.ranNothing()
+	if holding && h.Len <= maxHeldMessage && len(l.held) < maxHeldBytes && strings.IndexByte(holdable, h.Type) >= 0 {
 		return l.hold(h)
 	}
 	if err := l.releaseHeld(sink); err != nil {
 		return err
 	}
-	l.passed = true
+	l.relayed = true
 	return forward(sink, h, l.conn.R)
 }
 
@@ -94,7 +94,7 @@
 	return err
 }
 
-func (l *local) hold(h frame.Head) error {
+func (l *localExecutor) hold(h frame.Head) error {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil {
 		return err
@@ -104,13 +104,13 @@
 	return nil
 }
 
-func (l *local) releaseHeld(sink Sink) error {
+func (l *localExecutor) releaseHeld(sink Sink) error {
 	if l.mayHaveCommitted() {
-		if err := l.confirmWithin(); err != nil {
+		if err := l.confirmMidBatch(); err != nil {
 			return err
 		}
 	}
-	l.passed = l.passed || len(l.held) > 0
+	l.relayed = l.relayed || len(l.held) > 0
 	for b := l.held; len(b) > 0; {
 		n := int(b[1])<<8 | int(b[2])
 		if err := sink.SendMessage(b[0], b[3:3+n]); err != nil {
@@ -122,17 +122,17 @@
 	return nil
 }
 
-// complete holds a CommandComplete until it is known whether it is the last of
+// holdCommandComplete holds a CommandComplete until it is known whether it is the last of
 // the transaction.
-func (l *local) complete(sink Sink, h frame.Head) error {
+func (l *localExecutor) holdCommandComplete(sink Sink, h frame.Head) error {
 	if err := l.releaseHeld(sink); err != nil {
 		return err
 	}
 	if err := l.hold(h); err != nil {
 		return err
 	}
-	l.completed++
-	l.batchTags++
-	l.rollback = bytes.HasPrefix(l.held[3:], []byte("ROLLBACK"))
+	l.commands++
+	l.batchCommands++
+	l.lastRolledBack = bytes.HasPrefix(l.held[3:], []byte("ROLLBACK"))
 	return nil
 }
--- a/internal/relay/decoder.go
+++ b/internal/relay/decoder.go
@@ -25,14 +25,14 @@
 
 // decoder reads the fields of a message between VMs. Its first error sticks.
 type decoder struct {
-	b   []byte
-	bad bool
+	b         []byte
+	malformed bool
 }
 
 func (d *decoder) uint() uint64 {
 	v, n := binary.Uvarint(d.b)
 	if n <= 0 {
-		d.bad, d.b = true, nil
+		d.malformed, d.b = true, nil
 		return 0
 	}
 	d.b = d.b[n:]
@@ -47,7 +47,7 @@
 func (d *decoder) string() string {
 	n := d.uint()
 	if n > uint64(len(d.b)) {
-		d.bad, d.b = true, nil
+		d.malformed, d.b = true, nil
 		return ""
 	}
 	s := string(d.b[:n])
@@ -57,7 +57,7 @@
 
 func (d *decoder) bools() (a, b bool) {
 	if len(d.b) == 0 || d.b[0] > 3 {
-		d.bad = true
+		d.malformed = true
 		return false, false
 	}
 	v := d.b[0]
@@ -65,9 +65,9 @@
 	return v&1 != 0, v&2 != 0
 }
 
-func (d *decoder) end(what string) error {
-	if d.bad || len(d.b) > 0 {
-		return siskin.NewError(siskin.BadInput, "%s message between VMs is malformed", what).
+func (d *decoder) finish(message string) error {
+	if d.malformed || len(d.b) > 0 {
+		return siskin.NewError(siskin.BadInput, "%s message between VMs is malformed", message).
 			WithRemedy("run the same version on all VMs")
 	}
 	return nil
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -29,8 +29,8 @@
 	Resume()
 }
 
-// ends reports whether a message ends a batch outside of COPY.
-func ends(typ byte) bool { return typ == 'Q' || typ == 'F' || typ == 'S' }
+// endsBatch reports whether a message endsBatch a batch outside of COPY.
+func endsBatch(typ byte) bool { return typ == 'Q' || typ == 'F' || typ == 'S' }
 
 // Collect gathers messages in b until the batch ends, a Flush comes or b is
 // full. It returns the type of the message that ended the batch, or zero.
@@ -44,7 +44,7 @@
 		if err != nil || !ok || h.Type == 'H' {
 			return 0, err
 		}
-		if ends(h.Type) {
+		if endsBatch(h.Type) {
 			return h.Type, nil
 		}
 	}
@@ -53,78 +53,78 @@
 // Exchange sends one batch, of which b holds the beginning, and relays its
 // answer. The argument last is the result of Collect. A source error means that
 // the caller is gone.
-func Exchange(src Source, leg Executor, sink Sink, b *frame.Batch, last byte) (Result, *Failure) {
-	if err := leg.Send(b.Bytes(), last != 0); err != nil {
-		return Result{}, sendFailed(leg, err)
+func Exchange(src Source, executor Executor, sink Sink, b *frame.Batch, last byte) (Result, *Failure) {
+	if err := executor.Send(b.Bytes(), last != 0); err != nil {
+		return Result{}, batchSendFailed(executor, err)
 	}
 	if last == 0 {
-		return duplex(src, leg, sink, false)
+		return duplex(src, executor, sink, false)
 	}
-	res, f := leg.RelayAnswer(sink, true, nil)
+	res, f := executor.RelayAnswer(sink, true, nil)
 	if f != nil || !res.CopyIn {
 		return res, f
 	}
-	return duplex(src, leg, sink, last == 'Q')
+	return duplex(src, executor, sink, last == 'Q')
 }
 
-// sendFailed ends a batch that may have been sent in part. A target runs
+// batchSendFailed ends a batch that may have been sent in part. A target runs
 // nothing of a message before it has it whole, but an earlier message of the
 // batch may have arrived, so the outcome is unknown.
-func sendFailed(leg Executor, err error) *Failure {
-	leg.Abort(err)
-	return unknown(err, "connection to the target failed while the request was sent")
+func batchSendFailed(executor Executor, err error) *Failure {
+	executor.Abort(err)
+	return unknownOutcome(err, "connection to the target failed while the request was sent")
 }
 
 type answer struct {
-	res   Result
-	f     *Failure
-	fault *Panic
+	result   Result
+	failure  *Failure
+	panicked *Panic
 }
 
 // duplex relays the rest of a batch in both directions at once. With copySimple
 // the batch ends with the copy data of a simple query.
-func duplex(src Source, leg Executor, sink Sink, copySimple bool) (Result, *Failure) {
-	w := leg.Writer()
+func duplex(src Source, executor Executor, sink Sink, simpleCopy bool) (Result, *Failure) {
+	w := executor.Writer()
 	answers := make(chan answer, 1)
-	pumped := make(chan struct{})
-	var ended atomic.Bool // the target's answer ended, so no more is sent
+	pumpDone := make(chan struct{})
+	var answerEnded atomic.Bool // the target's answer ended, so no more is sent
 	stop := func() {
-		ended.Store(true) // before Interrupt, so that an interrupted pump finds it
+		answerEnded.Store(true) // before Interrupt, so that an interrupted pump finds it
 		src.Interrupt()
 	}
 	go func() {
 		var a answer
 		defer func() {
 			if v := recover(); v != nil {
-				a.fault = Recovered(v)
+				a.panicked = Recovered(v)
 			}
 			answers <- a
 			stop()
 		}()
-		a.res, a.f = leg.RelayAnswer(sink, false, func() {
+		a.result, a.failure = executor.RelayAnswer(sink, false, func() {
 			stop()
-			<-pumped
+			<-pumpDone
 		})
 	}()
 	finished := false
 	finish := func() answer {
 		finished = true
-		close(pumped)
+		close(pumpDone)
 		a := <-answers
-		if a.fault != nil {
-			panic(a.fault) // in the goroutine of the session, which handles it
+		if a.panicked != nil {
+			panic(a.panicked) // in the goroutine of the session, which handles it
 		}
 		return a
 	}
 	defer func() {
 		if !finished { // a fault: nothing may use the session after its end
-			leg.Abort(nil)
-			close(pumped)
+			executor.Abort(nil)
+			close(pumpDone)
 			<-answers
 		}
 	}()
-	err := pump(src, w, copySimple)
-	if isInterrupt(err) && ended.Load() {
+	err := pump(src, w, simpleCopy)
+	if isInterrupt(err) && answerEnded.Load() {
 		// The answer ended first, such as by an error within COPY. The message
 		// in progress is completed, so that the connection stays in step.
 		src.Resume()
@@ -133,21 +133,21 @@
 		}
 	}
 	if err != nil && w.Err() == nil {
-		leg.Abort(nil)
+		executor.Abort(nil)
 		finish()
-		return Result{}, sourceFailed(err)
+		return Result{}, sourceFailure(err)
 	}
 	a := finish()
 	src.Resume()
-	return a.res, a.f
+	return a.result, a.failure
 }
 
-// sourceFailed returns the failure of a batch whose messages ended early. The
+// sourceFailure returns the failure of a batch whose messages ended early. The
 // session ends, since the answer is out of step with the batch.
-func sourceFailed(err error) *Failure {
-	f := unknown(err, "caller's connection ended in the middle of a batch")
+func sourceFailure(err error) *Failure {
+	f := unknownOutcome(err, "caller's connection ended in the middle of a batch")
 	if e := new(siskin.Error); errors.As(err, &e) {
-		f = unknown(err, "batch ended after a part of it was sent: %s", e.Message)
+		f = unknownOutcome(err, "batch ended after a part of it was sent: %s", e.Message)
 	}
 	f.CallerGone = true
 	return f
@@ -173,7 +173,7 @@
 		if err := src.Send(h, w); err != nil {
 			return err
 		}
-		done := ends(h.Type)
+		done := endsBatch(h.Type)
 		if copySimple {
 			done = h.Type == 'c' || h.Type == 'f'
 		}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -30,22 +30,22 @@
 	TargetError []byte
 }
 
-// unsent returns the failure of a transaction of which nothing was sent. An err
+// unsentFailure returns the failure of a transaction of which nothing was sent. An err
 // that does not say "not run" by its kind is turned into one that does.
-func unsent(err error) *Failure {
+func unsentFailure(err error) *Failure {
 	var e *siskin.Error
-	if !errors.As(err, &e) || !refusal(e.Kind) {
+	if !errors.As(err, &e) || !isRefusal(e.Kind) {
 		e = siskin.NewError(siskin.NotRun, "request did not run").WithRemedy("repeat the request").WithCause(err)
 	}
 	return &Failure{Proof: retry.Unsent, Err: e}
 }
 
-func refusal(k siskin.ErrorKind) bool {
+func isRefusal(k siskin.ErrorKind) bool {
 	return k.IsNotRun() || k == siskin.BadInput || k == siskin.TooLarge || k == siskin.Unsupported
 }
 
-// unknown returns the failure of a transaction that may have taken effect.
-func unknown(cause error, format string, args ...any) *Failure {
+// unknownOutcome returns the failure of a transaction that may have taken effect.
+func unknownOutcome(cause error, format string, args ...any) *Failure {
 	e := siskin.NewError(siskin.OutcomeUnknown, format, args...).
 		WithRemedy("check whether the request took effect before repeating it")
 	if cause != nil {
@@ -80,17 +80,17 @@
 func (f *Failure) Decode(body []byte) error {
 	d := decoder{b: body}
 	proof, kind := d.uint(), d.uint()
-	after := d.duration()
-	f.Err = siskin.NewError(siskin.ErrorKind(kind), "%s", d.string()).WithRemedy(d.string()).WithRetryAfter(after)
-	if report := d.string(); report != "" {
-		f.TargetError = []byte(report)
+	retryAfter := d.duration()
+	f.Err = siskin.NewError(siskin.ErrorKind(kind), "%s", d.string()).WithRemedy(d.string()).WithRetryAfter(retryAfter)
+	if targetError := d.string(); targetError != "" {
+		f.TargetError = []byte(targetError)
 	}
 	f.Admitted, f.WithinRate = d.bools()
 	if proof > uint64(retry.Refused) || kind > uint64(siskin.TargetRefused) {
-		d.bad = true
+		d.malformed = true
 	}
 	f.Proof = retry.Proof(proof)
-	return d.end("failure")
+	return d.finish("failure")
 }
 
 // ErrorResponse returns the message that tells a caller of err. The message of
--- a/internal/relay/fault.go
+++ b/internal/relay/fault.go
@@ -9,9 +9,9 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// noFault makes each fault a violation as well, so that tests, soaks and
+// noPanic makes each fault a violation as well, so that tests, soaks and
 // experiments fail although the process goes on.
-var noFault = invar.New("SessionsEndWithoutFault")
+var noPanic = invar.New("SessionsEndWithoutFault")
 
 // Panic is a panic in the work for a transaction. It ends one session and not
 // the process with the sessions of all callers.
@@ -37,15 +37,15 @@
 // as a violation.
 func (f *Panic) Report(l *logs.Requests, q logs.Request, msg string) {
 	l.Fault(q, f.Value, f.Stack, msg)
-	noFault.Check(false, "%v", f)
+	noPanic.Check(false, "%v", f)
 }
 
-// guarded runs work on a connection that no transaction uses anymore. After a
+// runGuarded runs work on a connection that no transaction uses anymore. After a
 // fault the connection is closed.
-func guarded(conn *pool.Conn, work func()) {
+func runGuarded(conn *pool.Conn, work func()) {
 	defer func() {
 		if v := recover(); v != nil {
-			noFault.Check(false, "%v", Recovered(v))
+			noPanic.Check(false, "%v", Recovered(v))
 			conn.Close(nil)
 		}
 	}()
--- a/internal/relay/floor.go
+++ b/internal/relay/floor.go
@@ -8,14 +8,14 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// floorPoll is the time between two status queries of a read that waits for a
+// floorPollInterval is the time between two status queries of a read that waits for a
 // replica.
-const floorPoll = 4 * time.Millisecond
+const floorPollInterval = 4 * time.Millisecond
 
-// reachFloor makes sure that the target has reached the read's floor. The
+// awaitFloor makes sure that the target has reached the read's floor. The
 // group's view is up to one probe interval old, so a target that seems behind
 // is asked on the leased connection.
-func (l *local) reachFloor() error {
+func (l *localExecutor) awaitFloor() error {
 	floor, id := l.hdr.Floor, l.hdr.Target
 	view := l.group.View()
 	if t, ok := view.Target(id); ok && token.Serves(&t.Status, floor) {
@@ -24,15 +24,15 @@
 	if p, ok := l.home.applied.Get(id); ok && p.Term >= floor.Term && p.LSN >= floor.LSN {
 		return nil
 	}
-	giveUp := l.home.Clock.Now().Add(l.home.ReplicaWait)
-	if giveUp.After(l.deadline) {
-		giveUp = l.deadline
+	waitUntil := l.home.Clock.Now().Add(l.home.ReplicaWait)
+	if waitUntil.After(l.deadline) {
+		waitUntil = l.deadline
 	}
 	for {
 		status, err := l.queryStatus()
 		if err != nil {
 			l.group.ReportFailure(id, err)
-			l.takeConn().Close(err)
+			l.releaseConn().Close(err)
 			return err
 		}
 		if status.Role == siskin.RoleReplica {
@@ -41,30 +41,30 @@
 		if token.Serves(&status, floor) {
 			return nil
 		}
-		if status.Role == siskin.RolePrimary || !l.home.Clock.Now().Add(floorPoll).Before(giveUp) {
-			return tooOld(id)
+		if status.Role == siskin.RolePrimary || !l.home.Clock.Now().Add(floorPollInterval).Before(waitUntil) {
+			return staleDataError(id)
 		}
-		l.home.Clock.Sleep(floorPoll)
+		l.home.Clock.Sleep(floorPollInterval)
 	}
 }
 
 // Columns of siskin_status that the relay reads.
 const (
-	columnRole       = 1
-	columnClaimed    = 2
-	columnStreamTerm = 4
-	columnApplied    = 7
-	columnDraining   = 10
-	statusColumns    = 11 // at least
+	columnRole        = 1
+	columnClaimedTerm = 2
+	columnStreamTerm  = 4
+	columnApplied     = 7
+	columnDraining    = 10
+	minStatusColumns  = 11 // at least
 )
 
-func (l *local) queryStatus() (siskin.TargetStatus, error) {
+func (l *localExecutor) queryStatus() (siskin.TargetStatus, error) {
 	var status siskin.TargetStatus
 	row, _, err := l.queryRow(statusQuery)
 	if err != nil {
 		return status, err
 	}
-	if len(row) < statusColumns {
+	if len(row) < minStatusColumns {
 		return status, siskin.NewError(siskin.Internal, "siskin_status returned %d columns", len(row)).
 			WithRemedy("install the functions of this version at the target")
 	}
@@ -72,7 +72,7 @@
 		status.Role = siskin.RolePrimary
 	}
 	status.Draining = string(row[columnDraining]) == "true"
-	claimed, ok1 := parseTerm(row[columnClaimed])
+	claimed, ok1 := parseTerm(row[columnClaimedTerm])
 	term, ok2 := parseTerm(row[columnStreamTerm])
 	lsn, err := siskin.ParseLSN(string(row[columnApplied]))
 	if !ok1 || !ok2 || err != nil {
@@ -84,7 +84,7 @@
 }
 
 // queryRow runs a query of the proxy's own between two batches of the caller.
-func (l *local) queryRow(query []byte) (row [][]byte, status byte, err error) {
+func (l *localExecutor) queryRow(query []byte) (row [][]byte, status byte, err error) {
 	if err := l.conn.W.Raw(query); err != nil {
 		return nil, 0, err
 	}
@@ -96,7 +96,7 @@
 
 // readRow reads the answer of a query that returns one row. The row is nil when
 // the target reported an error.
-func (l *local) readRow() (row [][]byte, status byte, err error) {
+func (l *localExecutor) readRow() (row [][]byte, status byte, err error) {
 	for {
 		h, err := l.conn.R.Next()
 		if err != nil {
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -15,8 +15,8 @@
 // peerUser is the user name of connections between VMs.
 const peerUser = "siskintray-peer"
 
-// peerLimit bounds the connections to one peer. Each carries one transaction.
-const peerLimit = 256
+// maxConnsPerPeer bounds the connections to one peer. Each carries one transaction.
+const maxConnsPerPeer = 256
 
 // peerOpenTime is an upper bound of a TLS handshake between two data centres.
 const peerOpenTime = 50 * time.Millisecond
@@ -46,18 +46,18 @@
 
 // Begin leases a connection to the home and sends the header with the first
 // batch. Nothing of the transaction was sent when it fails.
-func (f *Forwarder) Begin(home siskin.VM, hdr *Header) (leg Executor, failure *Failure) {
+func (f *Forwarder) Begin(home siskin.VM, hdr *Header) (executor Executor, failure *Failure) {
 	key := pool.Key{Target: siskin.TargetID(home.ID)}
-	f.pool.Own(key, pool.SlotConfig{Address: home.ForwardAddress, Limit: peerLimit, OpenTime: peerOpenTime, Stateless: true})
+	f.pool.Own(key, pool.SlotConfig{Address: home.ForwardAddress, Limit: maxConnsPerPeer, OpenTime: peerOpenTime, Stateless: true})
 	deadline := f.clock.Now().Add(hdr.Remaining)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	conn, err := f.pool.Get(ctx, key, pool.Full, hdr.Request)
 	if err != nil {
-		return nil, unsent(err)
+		return nil, unsentFailure(err)
 	}
 	defer func() {
-		if leg == nil && failure == nil { // a fault
+		if executor == nil && failure == nil { // a fault
 			conn.Close(nil)
 		}
 	}()
@@ -66,13 +66,13 @@
 	// longer to arrive.
 	if err := conn.SetDeadline(deadline.Add(time.Second)); err != nil {
 		conn.Close(err)
-		return nil, unsent(err)
+		return nil, unsentFailure(err)
 	}
 	if err := conn.W.Message(hdr); err != nil {
 		conn.Close(err)
-		return nil, unsent(err)
+		return nil, unsentFailure(err)
 	}
-	return &remote{conn: conn, home: home.ID, request: hdr.Request}, nil
+	return &remoteExecutor{conn: conn, home: home.ID, request: hdr.Request}, nil
 }
 
 // Drop closes the connections to a VM that left.
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -39,32 +39,32 @@
 
 func (scriptedDialer) Cancel(context.Context, string, uint32, []byte) error { return nil }
 
-// willing admits, queues and confirms everything at once.
-type willing struct{}
-
-func (willing) Group(siskin.ServiceName) (siskin.Group, bool)  { return willing{}, true }
-func (willing) Changed() <-chan struct{}                       { return nil }
-func (willing) Confirm(context.Context, siskin.Position) error { return nil }
-func (willing) Floor(context.Context) (siskin.Position, error) { return siskin.Position{}, nil }
-func (willing) ReportFailure(siskin.TargetID, error)           {}
-func (willing) Queue(siskin.TargetID, siskin.Slot) Queue       { return willing{} }
-func (willing) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
+// permissive admits, queues and confirms everything at once.
+type permissive struct{}
+
+func (permissive) Group(siskin.ServiceName) (siskin.Group, bool)  { return permissive{}, true }
+func (permissive) Changed() <-chan struct{}                       { return nil }
+func (permissive) Confirm(context.Context, siskin.Position) error { return nil }
+func (permissive) Floor(context.Context) (siskin.Position, error) { return siskin.Position{}, nil }
+func (permissive) ReportFailure(siskin.TargetID, error)           {}
+func (permissive) Queue(siskin.TargetID, siskin.Slot) Queue       { return permissive{} }
+func (permissive) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
 	return siskin.Admission{Admitted: true}
 }
 
-func (willing) AdmitWait(context.Context, siskin.CustomerID, siskin.Requests) siskin.Admission {
+func (permissive) AdmitWait(context.Context, siskin.CustomerID, siskin.Requests) siskin.Admission {
 	return siskin.Admission{Admitted: true}
 }
 
-func (willing) AdmitWrite(context.Context) (siskin.TargetID, siskin.Term, func(), error) {
+func (permissive) AdmitWrite(context.Context) (siskin.TargetID, siskin.Term, func(), error) {
 	return "s/1", 1, func() {}, nil
 }
 
-func (willing) Acquire(context.Context, siskin.CustomerID, int, time.Time) (func(), error) {
+func (permissive) Acquire(context.Context, siskin.CustomerID, int, time.Time) (func(), error) {
 	return func() {}, nil
 }
 
-func (willing) View() siskin.GroupView {
+func (permissive) View() siskin.GroupView {
 	status := siskin.TargetStatus{ID: "s/1", Role: siskin.RolePrimary, StreamTerm: 1, LastTerm: 1}
 	return siskin.GroupView{Term: 1, Primary: "s/1", Targets: []siskin.TargetView{{Status: status, Reachable: true}}}
 }
@@ -81,7 +81,7 @@
 	f.Cleanup(func() { closePool(p) })
 	p.Own(fuzzKey, pool.SlotConfig{Limit: 2})
 	return (&Home{
-		Clock: clock, Config: config.NewFixed([]*config.Service{service}, nil), Groups: willing{}, Limiter: willing{}, Queues: willing{}, Pool: p,
+		Clock: clock, Config: config.NewFixed([]*config.Service{service}, nil), Groups: permissive{}, Limiter: permissive{}, Queues: permissive{}, Pool: p,
 	}).Init()
 }
 
@@ -112,17 +112,17 @@
 	return b
 }
 
-func endAtViolation(f *testing.F) {
+func panicOnViolation(f *testing.F) {
 	f.Cleanup(invar.OnViolation(func(name, detail string) { panic(name + ": " + detail) }))
 }
 
 // FuzzAnswer guards against a panic, a hang or a connection that stays in use
 // after a malformed answer of a target, or of the home on another VM.
 func FuzzAnswer(f *testing.F) {
-	endAtViolation(f)
+	panicOnViolation(f)
 	row := &pgproto3.DataRow{Values: [][]byte{[]byte("1"), []byte("0/10")}}
 	done, ready := &pgproto3.CommandComplete{CommandTag: []byte("COMMIT")}, &pgproto3.ReadyForQuery{TxStatus: 'I'}
-	failure := unknown(nil, "lost")
+	failure := unknownOutcome(nil, "lost")
 	for _, answer := range [][]byte{
 		encodeAll(done, ready, row, done, ready),
 		encodeAll(&pgproto3.ParseComplete{}, row, done, row, done, &pgproto3.ReadyForQuery{TxStatus: 'T'}, row, done, ready),
@@ -138,26 +138,26 @@
 	}
 	f.Fuzz(func(t *testing.T, kind byte, answer []byte) {
 		h := scriptedHome(t, answer)
-		leg := beginFuzz(t, h, kind%3)
-		if leg == nil {
+		executor := beginFuzz(t, h, kind%3)
+		if executor == nil {
 			return
 		}
 		sink := discard{frame.NewWriter(io.Discard)}
 		for {
-			if err := leg.Send(encodeQuery("select 1"), true); err != nil {
-				leg.Abort(err)
+			if err := executor.Send(encodeQuery("select 1"), true); err != nil {
+				executor.Abort(err)
 				break
 			}
-			res, failure := leg.RelayAnswer(sink, true, nil)
+			res, failure := executor.RelayAnswer(sink, true, nil)
 			for failure == nil && res.CopyIn {
-				res, failure = leg.RelayAnswer(sink, false, func() {})
+				res, failure = executor.RelayAnswer(sink, false, func() {})
 			}
 			if failure != nil {
 				failure.Check()
 				break
 			}
 			if res.Status == 'I' {
-				leg.Finish()
+				executor.Finish()
 				break
 			}
 		}
@@ -181,20 +181,20 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return &remote{conn: conn, home: "vm", request: 1}
+		return &remoteExecutor{conn: conn, home: "vm", request: 1}
 	}
-	leg, failure := h.Begin(hdr)
+	executor, failure := h.Begin(hdr)
 	if failure != nil {
 		failure.Check()
 		return nil
 	}
-	return leg
+	return executor
 }
 
 // FuzzPeerConn guards against a panic, a hang or a fault on the messages of a VM
 // that forwards transactions.
 func FuzzPeerConn(f *testing.F) {
-	endAtViolation(f)
+	panicOnViolation(f)
 	header := &Header{Service: "s", Route: "write", Target: "s/1", Request: 1, Remaining: time.Second}
 	query := &pgproto3.Query{String: "select 1"}
 	f.Add(encodeAll(header, query, header, query))
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -68,5 +68,5 @@
 	h.Request = d.uint()
 	h.Remaining = d.duration()
 	h.SampleFloor, h.Admitted = d.bools()
-	return d.end("header")
+	return d.finish("header")
 }
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -27,9 +27,9 @@
 	// before it is sent elsewhere; zero means DefaultReplicaWait.
 	ReplicaWait time.Duration
 
-	applied *shard.Map[siskin.TargetID, siskin.Position]
-	writes  writes
-	leaving leaving
+	applied        *shard.Map[siskin.TargetID, siskin.Position]
+	activeWrites   activeWrites
+	leavingTargets leavingTargets
 }
 
 // DefaultReplicaWait is a little above the replication lag of 50 ms at which
@@ -42,36 +42,36 @@
 		h.ReplicaWait = DefaultReplicaWait
 	}
 	h.applied = shard.New[siskin.TargetID, siskin.Position]()
-	h.writes = newWrites()
-	h.leaving.since = shard.New[siskin.ServiceName, map[siskin.TargetID]time.Time]()
+	h.activeWrites = newWrites()
+	h.leavingTargets.since = shard.New[siskin.ServiceName, map[siskin.TargetID]time.Time]()
 	return h
 }
 
 // Begin admits one transaction and leases a connection for it. Nothing of the
 // transaction was sent when it fails.
-func (h *Home) Begin(hdr *Header) (leg Executor, f *Failure) {
-	l := &local{home: h, hdr: *hdr, status: 'I', taken: true, deadline: h.Clock.Now().Add(hdr.Remaining)}
-	l.held, l.row = l.heldSpace[:0], l.rowSpace[:0]
+func (h *Home) Begin(hdr *Header) (executor Executor, f *Failure) {
+	l := &localExecutor{home: h, hdr: *hdr, status: 'I', connReleased: true, deadline: h.Clock.Now().Add(hdr.Remaining)}
+	l.held, l.row = l.heldBuf[:0], l.rowBuf[:0]
 	l.ctx = lazyContext{clock: h.Clock, deadline: l.deadline}
 	defer func() {
-		if leg == nil && f == nil { // a fault: what begin took is given back
+		if executor == nil && f == nil { // a fault: what begin took is given back
 			l.Abort(nil)
 		}
 	}()
 	if err := l.begin(); err != nil {
 		if l.replaced.Load() {
-			err = replacedBefore(hdr)
+			err = notPrimaryError(hdr)
 		}
-		f = unsent(err)
+		f = unsentFailure(err)
 		f.Admitted, f.WithinRate = l.hdr.Admitted, l.withinRate
-		l.end()
+		l.releaseAll()
 		return nil, f
 	}
 	h.checkLeaving(hdr)
 	return l, nil
 }
 
-func (l *local) begin() error {
+func (l *localExecutor) begin() error {
 	h, hdr := l.home, &l.hdr
 	if err := l.awaitAwake(); err != nil {
 		return err
@@ -82,36 +82,36 @@
 			WithRemedy("repeat the request")
 	}
 	if !ok {
-		return unknownRoute(hdr)
+		return unknownRouteError(hdr)
 	}
 	if l.route, ok = service.Route(hdr.Route); !ok {
-		return unknownRoute(hdr)
+		return unknownRouteError(hdr)
 	}
 	if l.group, ok = h.Groups.Group(hdr.Service); !ok {
 		return siskin.NewError(siskin.NotRun, "this VM does not watch the targets of service %s", hdr.Service).
 			WithRemedy("repeat the request; it goes to the owner")
 	}
-	if err := l.admit(); err != nil {
+	if err := l.admitRate(); err != nil {
 		return err
 	}
-	if err := l.admitMode(); err != nil {
+	if err := l.admitTarget(); err != nil {
 		return err
 	}
-	release, err := h.Queues.Queue(hdr.Target, hdr.Slot).Acquire(&l.ctx, hdr.Customer, l.weight(), l.deadline)
+	releaseQueue, err := h.Queues.Queue(hdr.Target, hdr.Slot).Acquire(&l.ctx, hdr.Customer, l.customerWeight(), l.deadline)
 	if err != nil {
 		return err
 	}
-	l.release = release
+	l.releaseQueue = releaseQueue
 	key := pool.Key{Target: hdr.Target, Slot: hdr.Slot}
 	conn, err := h.Pool.Get(&l.ctx, key, pool.AccountFor(l.route.Mode), hdr.Request)
 	if err != nil {
 		return err
 	}
-	if err := l.take(conn); err != nil {
+	if err := l.useConn(conn); err != nil {
 		return err
 	}
 	if l.route.Mode == config.ReadRoute && l.route.MaxAge == 0 {
-		if err := l.reachFloor(); err != nil {
+		if err := l.awaitFloor(); err != nil {
 			return err
 		}
 	}
@@ -119,14 +119,14 @@
 		return err
 	}
 	if !h.isAwake() {
-		return paused() // what was looked up may be out of date
+		return pausedError() // what was looked up may be out of date
 	}
 	return l.checkKey()
 }
 
 // checkKey refuses a request whose key is known to be withdrawn. A key that
 // this VM does not know may be newer than its configuration.
-func (l *local) checkKey() error {
+func (l *localExecutor) checkKey() error {
 	if l.home.Keys == nil || l.hdr.Key == "" {
 		return nil
 	}
@@ -137,13 +137,13 @@
 	return nil
 }
 
-func unknownRoute(hdr *Header) error {
+func unknownRouteError(hdr *Header) error {
 	return siskin.NewError(siskin.UnknownRoute, "service %s has no route %s", hdr.Service, hdr.Route).
 		WithRemedy("connect to a database named service/route that the configuration has")
 }
 
-// admit takes the request from the customer's rate, once over all attempts.
-func (l *local) admit() error {
+// admitRate takes the request from the customer's rate, once over all attempts.
+func (l *localExecutor) admitRate() error {
 	if l.hdr.Admitted {
 		return nil
 	}
@@ -157,23 +157,23 @@
 	return nil
 }
 
-func (l *local) weight() int {
+func (l *localExecutor) customerWeight() int {
 	if c, ok := l.home.Config.Customer(l.hdr.Customer); ok {
 		return max(c.Weight, 1)
 	}
 	return 1
 }
 
-// admitMode checks that the target may serve the route at present.
-func (l *local) admitMode() error {
+// admitTarget checks that the target may serve the route at present.
+func (l *localExecutor) admitTarget() error {
 	if l.route.Mode == config.WriteRoute {
-		primary, term, done, err := l.group.AdmitWrite(&l.ctx)
+		primary, term, endWrite, err := l.group.AdmitWrite(&l.ctx)
 		if err != nil {
 			return err
 		}
-		l.done = done
-		if !l.home.writes.enter(l, term) {
-			return replacedBefore(&l.hdr)
+		l.endWrite = endWrite
+		if !l.home.activeWrites.add(l, term) {
+			return notPrimaryError(&l.hdr)
 		}
 		if primary != l.hdr.Target {
 			return siskin.NewError(siskin.NotRun, "target %s is not the primary", l.hdr.Target).
@@ -189,7 +189,7 @@
 	}
 	if age := l.route.MaxAge.Std(); age > 0 {
 		if l.hdr.Target != view.Primary && (t.Staleness < 0 || t.Staleness > age) {
-			return tooOld(l.hdr.Target)
+			return staleDataError(l.hdr.Target)
 		}
 		return nil
 	}
@@ -204,28 +204,28 @@
 	return nil
 }
 
-func tooOld(target siskin.TargetID) error {
+func staleDataError(target siskin.TargetID) error {
 	return siskin.NewError(siskin.NotRun, "data of target %s is too old for the read", target).
 		WithRemedy("repeat the request; it goes to another target")
 }
 
-// end gives back what begin took, except the connection.
-func (l *local) end() {
-	l.recycle()
-	l.endWork()
+// releaseAll gives back what begin took, except the connection.
+func (l *localExecutor) releaseAll() {
+	l.recycleConn()
+	l.releaseAdmission()
 }
 
-func (l *local) endWork() {
+func (l *localExecutor) releaseAdmission() {
 	l.mu.Lock()
-	release, done := l.release, l.done
-	l.release, l.done = nil, nil
+	releaseQueue, endWrite := l.releaseQueue, l.endWrite
+	l.releaseQueue, l.endWrite = nil, nil
 	l.mu.Unlock()
-	l.home.writes.leave(l)
-	if release != nil {
-		release()
+	l.home.activeWrites.remove(l)
+	if releaseQueue != nil {
+		releaseQueue()
 	}
-	if done != nil {
-		done()
+	if endWrite != nil {
+		endWrite()
 	}
 	l.ctx.end()
 }
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -14,7 +14,7 @@
 func TestObserve(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	h := (&Home{Clock: clock}).Init()
-	see := func(leaving, reachable bool) {
+	observe := func(leaving, reachable bool) {
 		h.Observe("s", &siskin.GroupView{Targets: []siskin.TargetView{
 			{Status: siskin.TargetStatus{ID: "s/1", Leaving: leaving}, Reachable: reachable}, {Status: siskin.TargetStatus{ID: "s/2"}, Reachable: true},
 		}})
@@ -31,7 +31,7 @@
 		{false, true, 0},
 		{true, true, time.Second},
 	} {
-		see(step.leaving, step.reachable)
+		observe(step.leaving, step.reachable)
 		if got := h.leavingFor("s", "s/1"); got != step.want {
 			t.Errorf("step %d: got %v, want %v", i, got, step.want)
 		}
@@ -40,7 +40,7 @@
 		}
 	}
 	h.Observe("s", &siskin.GroupView{})
-	if got := h.leaving.services.Load() + int64(h.leaving.since.Len()); got != 0 {
+	if got := h.leavingTargets.serviceCount.Load() + int64(h.leavingTargets.since.Len()); got != 0 {
 		t.Errorf("got %d entries when the service is watched no longer, want 0", got)
 	}
 }
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -39,7 +39,7 @@
 	// RelayAnswer relays the answer of the batch until the target is ready for the
 	// next one, or until it asks for copy data when stopAtCopy is set. When the
 	// batch is still being sent, quiesce stops that and waits for its end.
-	RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure)
+	RelayAnswer(sink Sink, stopAtCopyIn bool, quiesce func()) (Result, *Failure)
 	// Finish ends a transaction whose last answer reported idle.
 	Finish()
 	// Abort ends the transaction in any other case.
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -27,8 +27,8 @@
 	return b
 }
 
-// local runs a transaction at a target connection of this VM.
-type local struct {
+// localExecutor runs a transaction at a target connection of this VM.
+type localExecutor struct {
 	home     *Home
 	hdr      Header
 	route    *config.Route
@@ -42,47 +42,47 @@
 	// rate.
 	withinRate bool
 
-	mu      sync.Mutex // orders Cancel before the return of the connection
-	taken   bool       // conn was returned or closed
-	done    func()
-	release func()
-
-	status    byte // transaction status before the batch
-	sent      bool // something of the caller was sent
-	passed    bool // something of the answer was passed on
-	asked     bool // a position query follows the batch
-	copies    bool // a statement may start COPY
-	stale     bool // the connection refuses writes for good
-	collected bool // the whole batch was sent before its answer is read
-	quiesce   func()
-
-	completed int    // CommandComplete messages of the transaction
-	batchTags int    // CommandComplete messages of the batch
-	rollback  bool   // the last tag was ROLLBACK
-	confirmed bool   // what is held may be sent
-	held      []byte // messages held back from the last CommandComplete on
-	dataRow   pgproto3.DataRow
-	row       []byte
-
-	heldSpace [96]byte // first storage of held
-	rowSpace  [32]byte // first storage of row
+	mu           sync.Mutex // orders Cancel before the return of the connection
+	connReleased bool       // conn was returned or closed
+	endWrite     func()
+	releaseQueue func()
+
+	status          byte // transaction status before the batch
+	sent            bool // something of the caller was sent
+	relayed         bool // something of the answer was passed on
+	positionQueried bool // a position query follows the batch
+	copyPossible    bool // a statement may start COPY
+	refusesWrites   bool // the connection refuses writes for good
+	batchSent       bool // the whole batch was sent before its answer is read
+	quiesce         func()
+
+	commands       int    // CommandComplete messages of the transaction
+	batchCommands  int    // CommandComplete messages of the batch
+	lastRolledBack bool   // the last tag was ROLLBACK
+	confirmed      bool   // what is held may be sent
+	held           []byte // messages held back from the last CommandComplete on
+	dataRow        pgproto3.DataRow
+	row            []byte
+
+	heldBuf [96]byte // first storage of held
+	rowBuf  [32]byte // first storage of row
 }
 
 // Send implements Leg.
-func (l *local) Send(batch []byte, last bool) error {
+func (l *localExecutor) Send(batch []byte, last bool) error {
 	l.startBatch()
-	l.collected = last
+	l.batchSent = last
 	l.conn.SetStreaming(!last)
-	l.copies = l.copies || mayCopy(batch)
+	l.copyPossible = l.copyPossible || mayCopy(batch)
 	l.conn.CheckOwner(l.hdr.Request)
 	if err := l.conn.W.Raw(batch); err != nil {
 		return err
 	}
 	l.sent = true
-	if last && l.route.Mode == config.WriteRoute && !l.copies {
+	if last && l.route.Mode == config.WriteRoute && !l.copyPossible {
 		// A query behind a COPY FROM STDIN would end the copy with an error, so
 		// the position is asked for afterwards when the batch may contain one.
-		l.asked = true
+		l.positionQueried = true
 		if err := l.conn.W.Raw(positionQuery); err != nil {
 			return err
 		}
@@ -90,14 +90,14 @@
 	return l.conn.W.Flush()
 }
 
-func (l *local) startBatch() {
-	l.asked, l.collected, l.confirmed, l.batchTags = false, false, false, 0
+func (l *localExecutor) startBatch() {
+	l.positionQueried, l.batchSent, l.confirmed, l.batchCommands = false, false, false, 0
 	l.held = l.held[:0]
 }
 
 // Writer implements Leg. What is streamed is not searched for COPY.
-func (l *local) Writer() *frame.Writer {
-	l.copies, l.sent = true, true
+func (l *localExecutor) Writer() *frame.Writer {
+	l.copyPossible, l.sent = true, true
 	l.conn.SetStreaming(true)
 	return l.conn.W
 }
@@ -114,88 +114,88 @@
 }
 
 // Finish implements Leg.
-func (l *local) Finish() {
-	l.recycle()
-	l.endWork()
+func (l *localExecutor) Finish() {
+	l.recycleConn()
+	l.releaseAdmission()
 }
 
-// take starts the use of a connection.
-func (l *local) take(conn *pool.Conn) error {
+// useConn starts the use of a connection.
+func (l *localExecutor) useConn(conn *pool.Conn) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn, l.taken = conn, false
+	l.conn, l.connReleased = conn, false
 	if l.replaced.Load() {
-		return replacedBefore(&l.hdr)
+		return notPrimaryError(&l.hdr)
 	}
 	return conn.SetDeadline(l.deadline)
 }
 
-// giveUp ends a write whose primary was replaced: it cannot be confirmed
+// abortReplaced ends a write whose primary was replaced: it cannot be confirmed
 // anymore, so that waiting until the deadline serves nobody.
-func (l *local) giveUp() {
+func (l *localExecutor) abortReplaced() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.replaced.Store(true)
 	l.ctx.end()
-	if l.conn != nil && !l.taken {
+	if l.conn != nil && !l.connReleased {
 		_ = l.conn.SetReadDeadline(longAgo) // fails only when closed already
 	}
 }
 
-// takeConn ends the use of the connection and returns it. It waits for a cancel
+// releaseConn ends the use of the connection and returns it. It waits for a cancel
 // request in progress, which must not reach a later request.
-func (l *local) takeConn() *pool.Conn {
+func (l *localExecutor) releaseConn() *pool.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.taken {
+	if l.connReleased {
 		return nil
 	}
-	l.taken = true
+	l.connReleased = true
 	return l.conn
 }
 
-// recycle returns the connection and the place in the queue while the caller
+// recycleConn returns the connection and the place in the queue while the caller
 // goes on.
-func (l *local) recycle() {
-	conn := l.takeConn()
+func (l *localExecutor) recycleConn() {
+	conn := l.releaseConn()
 	if conn == nil {
 		return
 	}
 	l.mu.Lock()
-	release := l.release
-	l.release = nil
+	releaseQueue := l.releaseQueue
+	l.releaseQueue = nil
 	l.mu.Unlock()
-	if l.stale {
+	if l.refusesWrites {
 		conn.CloseOlder()
-		if release != nil {
-			release()
+		if releaseQueue != nil {
+			releaseQueue()
 		}
 		return
 	}
-	go guarded(conn, func() {
-		if release != nil {
-			defer release()
+	go runGuarded(conn, func() {
+		if releaseQueue != nil {
+			defer releaseQueue()
 		}
 		conn.Recycle(l.hdr.Request)
 	})
 }
 
 // Abort implements Leg.
-func (l *local) Abort(cause error) {
-	if conn := l.takeConn(); conn != nil {
+func (l *localExecutor) Abort(cause error) {
+	if conn := l.releaseConn(); conn != nil {
 		conn.Close(cause)
 	}
-	l.endWork()
+	l.releaseAdmission()
 }
 
 // cancelTimeout bounds the connection that carries a cancel request.
 const cancelTimeout = time.Second
 
 // Cancel implements Leg.
-func (l *local) Cancel() {
+func (l *localExecutor) Cancel() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.taken {
+	if !l.connReleased {
 		_ = l.conn.Cancel(cancelTimeout) // a cancel request has no answer
 	}
 }
--- a/internal/relay/localend.go
+++ b/internal/relay/localend.go
@@ -8,21 +8,21 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-// fail ends the transaction after the target connection failed.
-func (l *local) fail(err error) *Failure {
-	conn := l.takeConn()
+// connFailed ends the transaction after the target connection failed.
+func (l *localExecutor) connFailed(err error) *Failure {
+	conn := l.releaseConn()
 	if errors.Is(err, errUnconfirmed) {
 		if conn != nil {
 			conn.Close(nil)
 		}
-		l.endWork()
-		return unknown(err, "replicas did not confirm the write before the deadline")
+		l.releaseAdmission()
+		return unknownOutcome(err, "replicas did not confirm the write before the deadline")
 	}
-	silent := l.replaced.Load() || (conn != nil && conn.Silent())
-	timeout := errors.Is(err, os.ErrDeadlineExceeded) && !silent
+	aborted := l.replaced.Load() || (conn != nil && conn.Silent())
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded) && !aborted
 	if conn != nil {
-		if timeout {
-			go guarded(conn, func() {
+		if timedOut {
+			go runGuarded(conn, func() {
 				_ = conn.Cancel(cancelTimeout) // frees the target early
 				conn.Close(err)
 			})
@@ -31,52 +31,52 @@
 			l.group.ReportFailure(l.hdr.Target, err)
 		}
 	}
-	l.endWork()
+	l.releaseAdmission()
 	switch {
 	case !l.sent:
-		return unsent(err)
-	case silent:
-		return unknown(err, "connection to target %s went silent or its primary was replaced", l.hdr.Target)
-	case timeout:
-		return unknown(err, "target %s did not answer before the deadline", l.hdr.Target)
+		return unsentFailure(err)
+	case aborted:
+		return unknownOutcome(err, "connection to target %s went silent or its primary was replaced", l.hdr.Target)
+	case timedOut:
+		return unknownOutcome(err, "target %s did not answer before the deadline", l.hdr.Target)
 	}
-	return unknown(err, "connection to target %s failed before it answered", l.hdr.Target)
+	return unknownOutcome(err, "connection to target %s failed before it answered", l.hdr.Target)
 }
 
 // callerGone ends the transaction after the caller's connection failed. The
 // target's answer is never read by anyone.
-func (l *local) callerGone(err error) *Failure {
-	conn := l.takeConn()
+func (l *localExecutor) callerGone(err error) *Failure {
+	conn := l.releaseConn()
 	if conn != nil {
-		go guarded(conn, func() {
+		go runGuarded(conn, func() {
 			_ = conn.Cancel(cancelTimeout) // frees the target early
 			conn.Close(nil)
 		})
 	}
-	l.endWork()
-	f := unknown(err, "caller's connection failed")
+	l.releaseAdmission()
+	f := unknownOutcome(err, "caller's connection failed")
 	f.CallerGone = true
 	return f
 }
 
-// reported ends the transaction after the target reported that it refused it
+// refusalFailure ends the transaction after the target refusalFailure that it refused it
 // without running anything.
-func (l *local) reported(report []byte) *Failure {
-	l.recycle()
-	l.endWork()
+func (l *localExecutor) refusalFailure(targetError []byte) *Failure {
+	l.recycleConn()
+	l.releaseAdmission()
 	e := siskin.NewError(siskin.NotRun, "target %s refused the write and ran nothing", l.hdr.Target).
 		WithRemedy("repeat the request; it goes to the primary")
-	return &Failure{Proof: retry.Refused, Err: e, TargetError: report}
+	return &Failure{Proof: retry.Refused, Err: e, TargetError: targetError}
 }
 
-// passing ends a write that the target refused although it is the primary: a
+// transientRefusalFailure ends a write that the target refused although it is the primary: a
 // pause for a planned change ended in between. The group is not told, since a
 // statement of the caller can raise the same error again and again, and writes
 // of others would be held each time.
-func (l *local) passing(report []byte) *Failure {
-	l.recycle()
-	l.endWork()
+func (l *localExecutor) transientRefusalFailure(targetError []byte) *Failure {
+	l.recycleConn()
+	l.releaseAdmission()
 	e := siskin.NewError(siskin.NotRun, "target %s refused the write for a moment and ran nothing", l.hdr.Target).
 		WithRemedy("repeat the request")
-	return &Failure{Proof: retry.ReportedAbort, Err: e, TargetError: report}
+	return &Failure{Proof: retry.ReportedAbort, Err: e, TargetError: targetError}
 }
--- a/internal/relay/peerconn.go
+++ b/internal/relay/peerconn.go
@@ -21,17 +21,17 @@
 // peerConn is one connection from another VM. It is the source and the sink of
 // the transactions that run on it, one at a time.
 type peerConn struct {
-	srv    *Server
-	conn   net.Conn
-	id     uint32
-	secret []byte
-	r      *frame.Reader
-	w      *frame.Writer
-	batch  frame.Batch
-	last   byte // type of the last message consumed
+	srv      *Server
+	conn     net.Conn
+	id       uint32
+	secret   []byte
+	r        *frame.Reader
+	w        *frame.Writer
+	batch    frame.Batch
+	lastType byte // type of the last message consumed
 
 	mu       sync.Mutex
-	leg      Executor // in progress
+	executor Executor // in progress
 	deadline time.Time
 	header   Header
 }
@@ -45,8 +45,8 @@
 
 var longAgo = time.Unix(1, 0)
 
-// stopIdle ends the connection when no transaction runs on it.
-func (c *peerConn) stopIdle() {
+// closeIdle ends the connection when no transaction runs on it.
+func (c *peerConn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.deadline.IsZero() {
@@ -56,28 +56,28 @@
 
 func (c *peerConn) cancelStatement(secret []byte) {
 	c.mu.Lock()
-	leg := c.leg
+	executor := c.executor
 	c.mu.Unlock()
-	if leg != nil && subtle.ConstantTimeCompare(secret, c.secret) == 1 {
-		leg.Cancel()
+	if executor != nil && subtle.ConstantTimeCompare(secret, c.secret) == 1 {
+		executor.Cancel()
 	}
 }
 
 // abort ends the transaction in progress.
 func (c *peerConn) abort() {
 	c.mu.Lock()
-	leg := c.leg
+	executor := c.executor
 	c.mu.Unlock()
-	if leg != nil {
-		leg.Abort(nil)
+	if executor != nil {
+		executor.Abort(nil)
 	}
 }
 
 // setTransaction marks the beginning (deadline set) or end of a transaction.
-func (c *peerConn) setTransaction(leg Executor, deadline time.Time) {
+func (c *peerConn) setTransaction(executor Executor, deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leg, c.deadline = leg, deadline
+	c.executor, c.deadline = executor, deadline
 	_ = c.conn.SetDeadline(deadline) // fails only when closed already
 	if deadline.IsZero() && c.srv.ctx.Err() != nil {
 		_ = c.conn.SetReadDeadline(longAgo)
@@ -95,11 +95,11 @@
 		}
 		switch h.Type {
 		case headerType:
-			if c.transaction() != nil {
+			if c.runTransaction() != nil {
 				return
 			}
 		case 'Q': // a probe of the peer's pool
-			if c.r.Skip() != nil || c.w.Message(&pgproto3.EmptyQueryResponse{}) != nil || c.ready('I') != nil {
+			if c.r.Skip() != nil || c.w.Message(&pgproto3.EmptyQueryResponse{}) != nil || c.sendReady('I') != nil {
 				return
 			}
 		case 'd', 'c', 'f':
@@ -112,16 +112,16 @@
 	}
 }
 
-func (c *peerConn) ready(status byte) error {
+func (c *peerConn) sendReady(status byte) error {
 	if err := c.w.Message(&pgproto3.ReadyForQuery{TxStatus: status}); err != nil {
 		return err
 	}
 	return c.w.Flush()
 }
 
-// transaction reads the rest of a header and runs the transaction. An error
+// runTransaction reads the rest of a header and runs the runTransaction. An error
 // means that the connection cannot be used anymore.
-func (c *peerConn) transaction() error {
+func (c *peerConn) runTransaction() error {
 	body, err := c.r.Body(maxHeaderSize)
 	if err != nil {
 		return err
@@ -129,40 +129,40 @@
 	if err := c.header.Decode(body); err != nil {
 		return err
 	}
-	c.srv.log.Trace(c.request(), nil, "forwarded transaction arrived")
+	c.srv.log.Trace(c.logFields(), nil, "forwarded transaction arrived")
 	deadline := c.srv.home.Clock.Now().Add(c.header.Remaining)
 	c.setTransaction(nil, deadline.Add(time.Second)) // time for the failure to be sent
-	leg, f := c.srv.home.Begin(&c.header)
+	executor, f := c.srv.home.Begin(&c.header)
 	if f != nil {
-		return c.refuse(f)
+		return c.failAndDiscard(f)
 	}
-	c.setTransaction(leg, deadline.Add(time.Second))
+	c.setTransaction(executor, deadline.Add(time.Second))
 	for {
 		last, err := Collect(c, &c.batch)
 		if err != nil {
-			leg.Abort(nil)
+			executor.Abort(nil)
 			return err
 		}
-		res, f := Exchange(c, leg, c, &c.batch, last)
+		result, f := Exchange(c, executor, c, &c.batch, last)
 		c.batch.Reset()
 		switch {
 		case f != nil && f.CallerGone:
 			return f.Err
 		case f != nil:
 			f.Admitted = true
-			if last == 0 && !ends(c.last) {
-				return c.refuse(f)
+			if last == 0 && !endsBatch(c.lastType) {
+				return c.failAndDiscard(f)
 			}
-			return c.failed(f)
-		case res.Status == 'I':
-			leg.Finish()
+			return c.endWithFailure(f)
+		case result.Status == 'I':
+			executor.Finish()
 			return nil
 		}
 	}
 }
 
-// request names the transaction in the log.
-func (c *peerConn) request() logs.Request {
+// logFields names the transaction in the log.
+func (c *peerConn) logFields() logs.Request {
 	h := &c.header
 	return logs.Request{ID: h.Request, Service: h.Service, Route: h.Route, Customer: h.Customer, Target: h.Target}
 }
@@ -171,13 +171,13 @@
 // entry VM may send it again.
 const failedMessage = "forwarded transaction failed"
 
-func (c *peerConn) failed(f *Failure) error {
+func (c *peerConn) endWithFailure(f *Failure) error {
 	f.Check()
-	c.srv.log.Failed(c.request(), f.Err, failedMessage)
+	c.srv.log.Failed(c.logFields(), f.Err, failedMessage)
 	if err := c.sendFailure(f); err != nil {
 		return err
 	}
-	return c.ready('I')
+	return c.sendReady('I')
 }
 
 // sendFailure sends a failure, unless the peer has a part of a message and would
@@ -189,11 +189,11 @@
 	return c.w.Message(f)
 }
 
-// refuse sends a failure, discards the rest of the batch up to its first Query
+// failAndDiscard sends a failure, discards the rest of the batch up to its first Query
 // or Sync and reports ready.
-func (c *peerConn) refuse(f *Failure) error {
+func (c *peerConn) failAndDiscard(f *Failure) error {
 	f.Check()
-	c.srv.log.Failed(c.request(), f.Err, failedMessage)
+	c.srv.log.Failed(c.logFields(), f.Err, failedMessage)
 	if err := c.sendFailure(f); err != nil {
 		return err
 	}
@@ -208,14 +208,14 @@
 		if err := c.r.Skip(); err != nil {
 			return err
 		}
-		if ends(h.Type) {
-			return c.ready('I')
+		if endsBatch(h.Type) {
+			return c.sendReady('I')
 		}
 	}
 }
 
 // SendToken implements Sink.
 func (c *peerConn) SendToken(pos siskin.Position) error {
-	text := c.srv.tokens.Encode(token.Token{Service: c.header.Service, Position: pos})
-	return c.w.Message(&pgproto3.ParameterStatus{Name: TokenParameter, Value: text})
+	encoded := c.srv.tokens.Encode(token.Token{Service: c.header.Service, Position: pos})
+	return c.w.Message(&pgproto3.ParameterStatus{Name: TokenParameter, Value: encoded})
 }
--- a/internal/relay/peerstream.go
+++ b/internal/relay/peerstream.go
@@ -12,7 +12,7 @@
 
 // Append implements Source.
 func (c *peerConn) Append(h frame.Head, b *frame.Batch) (bool, error) {
-	c.last = h.Type
+	c.lastType = h.Type
 	return AppendRaw(c.r, h, b)
 }
 
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	c.last = h.Type
+	c.lastType = h.Type
 	return w.Copy(h, c.r)
 }
 
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -6,29 +6,29 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// ready handles ReadyForQuery, the end of a batch's answer.
-func (l *local) ready(sink Sink) (Result, *Failure) {
+// handleReady handles ReadyForQuery, the end of a batch's answer.
+func (l *localExecutor) handleReady(sink Sink) (Result, *Failure) {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil || len(body) != 1 {
-		return Result{}, l.fail(err)
+		return Result{}, l.connFailed(err)
 	}
 	before, status := l.status, body[0]
 	l.status = status
 	if status != 'I' {
-		return l.inTransaction(sink)
+		return l.readyInTransaction(sink)
 	}
 	var f *Failure
 	switch {
 	case l.mustConfirm(before):
 		f = l.confirm(sink)
-	case l.asked:
+	case l.positionQueried:
 		row, _, err := l.readRow()
 		if err != nil {
-			f = l.fail(err)
+			f = l.connFailed(err)
 		}
 		// A target that was a replica since the connection was opened refuses
 		// writes and the position on it for good, also as a primary again.
-		l.stale = row == nil
+		l.refusesWrites = row == nil
 	}
 	if f != nil {
 		return Result{}, f
@@ -44,24 +44,24 @@
 	return Result{Status: 'I'}, nil
 }
 
-// inTransaction ends a batch within a transaction. Nothing is acknowledged yet.
+// readyInTransaction ends a batch within a transaction. Nothing is acknowledged yet.
 // The answer to a first batch such as BEGIN waits for the position behind it:
 // without one the connection takes no writes, and nothing ran.
-func (l *local) inTransaction(sink Sink) (Result, *Failure) {
-	if l.asked && l.status == 'T' && !l.passed && l.completed == 1 {
-		l.asked = false
+func (l *localExecutor) readyInTransaction(sink Sink) (Result, *Failure) {
+	if l.positionQueried && l.status == 'T' && !l.relayed && l.commands == 1 {
+		l.positionQueried = false
 		row, _, err := l.readRow()
 		if err != nil {
-			return Result{}, l.fail(err)
+			return Result{}, l.connFailed(err)
 		}
-		if l.stale = row == nil; l.stale {
-			return Result{}, l.reported(nil)
+		if l.refusesWrites = row == nil; l.refusesWrites {
+			return Result{}, l.refusalFailure(nil)
 		}
 	}
 	if f := l.sendReady(sink); f != nil {
 		return Result{}, f
 	}
-	if l.asked {
+	if l.positionQueried {
 		if _, _, err := l.readRow(); err != nil {
 			// The caller has its answer; the next batch finds the failure.
 			_ = l.conn.Conn.Close()
@@ -70,10 +70,10 @@
 	return Result{Status: l.status}, nil
 }
 
-func (l *local) sendReady(sink Sink) *Failure {
+func (l *localExecutor) sendReady(sink Sink) *Failure {
 	l.confirmed = true // or there was nothing to confirm
 	if err := l.releaseHeld(sink); err != nil {
-		return l.failEither(err)
+		return l.relayFailed(err)
 	}
 	if err := sink.SendMessage('Z', statusBody(l.status)); err != nil {
 		return l.callerGone(err)
@@ -98,35 +98,35 @@
 
 // mustConfirm says that something may have been committed: a statement of the
 // transaction completed, and the transaction did not just end in a rollback.
-func (l *local) mustConfirm(before byte) bool {
-	if l.route.Mode != config.WriteRoute || l.completed == 0 {
+func (l *localExecutor) mustConfirm(before byte) bool {
+	if l.route.Mode != config.WriteRoute || l.commands == 0 {
 		return false
 	}
-	rolledBack := before != 'I' && l.batchTags == 1 && l.rollback
-	return !rolledBack
+	onlyRollback := before != 'I' && l.batchCommands == 1 && l.lastRolledBack
+	return !onlyRollback
 }
 
 // confirm waits until the commit is confirmed and sends its token. The final
 // CommandComplete is still held, so nothing was acknowledged before.
-func (l *local) confirm(sink Sink) *Failure {
-	row, _, err := l.position()
+func (l *localExecutor) confirm(sink Sink) *Failure {
+	row, _, err := l.commitPosition()
 	if err != nil {
-		return l.fail(err)
+		return l.connFailed(err)
 	}
 	pos, ok := parsePosition(row)
 	if !ok {
-		l.stale = true
-		l.recycle()
-		l.endWork()
-		return unknown(nil, "target %s did not report the position of the commit", l.hdr.Target)
+		l.refusesWrites = true
+		l.recycleConn()
+		l.releaseAdmission()
+		return unknownOutcome(nil, "target %s did not report the position of the commit", l.hdr.Target)
 	}
-	if l.collected {
-		l.recycle() // the connection is not needed while replicas confirm
+	if l.batchSent {
+		l.recycleConn() // the connection is not needed while replicas confirm
 	}
 	if err := l.group.Confirm(&l.ctx, pos); err != nil {
-		l.recycle()
-		l.endWork()
-		return unknown(err, "replicas did not confirm the write before the deadline")
+		l.recycleConn()
+		l.releaseAdmission()
+		return unknownOutcome(err, "replicas did not confirm the write before the deadline")
 	}
 	if err := sink.SendToken(pos); err != nil {
 		return l.callerGone(err)
@@ -134,8 +134,8 @@
 	return nil
 }
 
-func (l *local) position() (row [][]byte, status byte, err error) {
-	if l.asked {
+func (l *localExecutor) commitPosition() (row [][]byte, status byte, err error) {
+	if l.positionQueried {
 		return l.readRow()
 	}
 	if l.quiesce != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -86,7 +86,7 @@
 func FuzzPeerMessages(f *testing.F) {
 	h, _ := (&Header{Service: "badges", Route: "read", Slot: 1, Remaining: time.Second}).Encode(nil)
 	f.Add(h[5:])
-	u, _ := unsent(siskin.NewError(siskin.Overloaded, "full")).Encode(nil)
+	u, _ := unsentFailure(siskin.NewError(siskin.Overloaded, "full")).Encode(nil)
 	f.Add(u[5:])
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		var h Header
@@ -105,7 +105,7 @@
 		siskin.RateExceeded: siskin.RateExceeded, siskin.Overloaded: siskin.Overloaded, siskin.UnknownRoute: siskin.UnknownRoute,
 		siskin.OutcomeUnknown: siskin.NotRun, siskin.Unavailable: siskin.NotRun, siskin.Internal: siskin.NotRun,
 	} {
-		if got := unsent(siskin.NewError(kind, "x")).Err.Kind; got != want {
+		if got := unsentFailure(siskin.NewError(kind, "x")).Err.Kind; got != want {
 			t.Errorf("%v: got %v, want %v", kind, got, want)
 		}
 	}
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -10,19 +10,19 @@
 	"siskintray.example/siskin/internal/pool"
 )
 
-// remote runs a transaction at the home of another VM.
-type remote struct {
+// remoteExecutor runs a transaction at the home of another VM.
+type remoteExecutor struct {
 	conn    *pool.Conn
 	home    siskin.VMID
 	request uint64
 	sent    bool
 
-	mu    sync.Mutex // orders Cancel before the return of the connection
-	taken bool
+	mu           sync.Mutex // orders Cancel before the return of the connection
+	connReleased bool
 }
 
 // Send implements Leg.
-func (l *remote) Send(batch []byte, _ bool) error {
+func (l *remoteExecutor) Send(batch []byte, _ bool) error {
 	l.conn.CheckOwner(l.request)
 	if err := l.conn.W.Raw(batch); err != nil {
 		return err
@@ -32,13 +32,13 @@
 }
 
 // Writer implements Leg.
-func (l *remote) Writer() *frame.Writer {
+func (l *remoteExecutor) Writer() *frame.Writer {
 	l.sent = true
 	return l.conn.W
 }
 
 // RelayAnswer implements Leg.
-func (l *remote) RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
+func (l *remoteExecutor) RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
 	r := l.conn.R
 	for {
 		if r.Buffered() == 0 {
@@ -48,20 +48,20 @@
 		}
 		h, err := r.Next()
 		if err != nil {
-			return Result{}, l.fail(err)
+			return Result{}, l.connFailed(err)
 		}
 		switch h.Type {
 		case failureType:
-			return Result{}, l.failed(quiesce == nil)
+			return Result{}, l.readFailure(quiesce == nil)
 		case 'Z':
-			return l.ready(sink)
+			return l.handleReady(sink)
 		}
 		if err := forward(sink, h, r); err != nil {
 			var s sinkError
 			if errors.As(err, &s) {
 				return Result{}, l.callerGone(s.error)
 			}
-			return Result{}, l.fail(err)
+			return Result{}, l.connFailed(err)
 		}
 		if h.Type == 'G' && stopAtCopy {
 			if err := sink.Flush(); err != nil {
@@ -72,10 +72,10 @@
 	}
 }
 
-func (l *remote) ready(sink Sink) (Result, *Failure) {
+func (l *remoteExecutor) handleReady(sink Sink) (Result, *Failure) {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil || len(body) != 1 {
-		return Result{}, l.fail(err)
+		return Result{}, l.connFailed(err)
 	}
 	status := body[0]
 	if sink.SendMessage('Z', statusBody(status)) != nil || sink.Flush() != nil {
@@ -84,27 +84,27 @@
 	return Result{Status: status}, nil
 }
 
-// failed reads the home's failure. The home then discards the rest of the batch
+// readFailure reads the home's failure. The home then discards the rest of the batch
 // and reports ready, after which the connection can be used again, unless the
 // batch is still being sent.
-func (l *remote) failed(sentWhole bool) *Failure {
+func (l *remoteExecutor) readFailure(batchSent bool) *Failure {
 	f := &Failure{}
 	body, err := l.conn.R.Body(maxHeaderSize)
 	if err == nil {
 		err = f.Decode(body)
 	}
 	if err != nil {
-		return l.fail(err)
+		return l.connFailed(err)
 	}
-	conn := l.take()
+	conn := l.releaseConn()
 	if conn == nil {
 		return f
 	}
-	if !sentWhole {
+	if !batchSent {
 		conn.Close(nil)
 		return f
 	}
-	go guarded(conn, func() {
+	go runGuarded(conn, func() {
 		h, err := conn.R.Next()
 		if err != nil || h.Type != 'Z' || conn.R.Skip() != nil {
 			conn.Close(nil)
@@ -115,58 +115,58 @@
 	return f
 }
 
-func (l *remote) take() *pool.Conn {
+func (l *remoteExecutor) releaseConn() *pool.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.taken {
+	if l.connReleased {
 		return nil
 	}
-	l.taken = true
+	l.connReleased = true
 	return l.conn
 }
 
 // Finish implements Leg.
-func (l *remote) Finish() {
-	if conn := l.take(); conn != nil {
+func (l *remoteExecutor) Finish() {
+	if conn := l.releaseConn(); conn != nil {
 		conn.Recycle(l.request)
 	}
 }
 
 // Abort implements Leg.
-func (l *remote) Abort(cause error) {
-	if conn := l.take(); conn != nil {
+func (l *remoteExecutor) Abort(cause error) {
+	if conn := l.releaseConn(); conn != nil {
 		conn.Close(cause)
 	}
 }
 
 // Cancel implements Leg.
-func (l *remote) Cancel() {
+func (l *remoteExecutor) Cancel() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.taken {
+	if !l.connReleased {
 		_ = l.conn.Cancel(cancelTimeout) // a cancel request has no answer
 	}
 }
 
-func (l *remote) fail(err error) *Failure {
+func (l *remoteExecutor) connFailed(err error) *Failure {
 	l.Abort(err)
 	if !l.sent {
-		return unsent(err)
+		return unsentFailure(err)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return unknown(err, "VM %s did not answer before the deadline", l.home)
+		return unknownOutcome(err, "VM %s did not answer before the deadline", l.home)
 	}
-	return unknown(err, "connection to VM %s failed before it answered", l.home)
+	return unknownOutcome(err, "connection to VM %s failed before it answered", l.home)
 }
 
-func (l *remote) callerGone(err error) *Failure {
-	if conn := l.take(); conn != nil {
-		go guarded(conn, func() {
+func (l *remoteExecutor) callerGone(err error) *Failure {
+	if conn := l.releaseConn(); conn != nil {
+		go runGuarded(conn, func() {
 			_ = conn.Cancel(cancelTimeout) // frees the target early
 			conn.Close(nil)
 		})
 	}
-	f := unknown(err, "caller's connection failed")
+	f := unknownOutcome(err, "caller's connection failed")
 	f.CallerGone = true
 	return f
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -32,7 +32,7 @@
 	cancel context.CancelFunc
 	conns  *shard.Map[uint32, *peerConn]
 	wg     sync.WaitGroup
-	faults atomic.Int64
+	panics atomic.Int64
 	mu     sync.Mutex
 	closed bool
 }
@@ -67,7 +67,7 @@
 		if s.tls != nil {
 			conn = tls.Server(conn, s.tls)
 		}
-		if !s.enter() {
+		if !s.addConn() {
 			return conn.Close()
 		}
 		go func() {
@@ -80,7 +80,7 @@
 // ServeConn serves one connection whose TLS handshake, if any, was done by the
 // caller, until it ends.
 func (s *Server) ServeConn(conn net.Conn) {
-	if !s.enter() {
+	if !s.addConn() {
 		conn.Close()
 		return
 	}
@@ -88,7 +88,7 @@
 	s.serveConn(conn)
 }
 
-func (s *Server) enter() bool {
+func (s *Server) addConn() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -106,7 +106,7 @@
 	s.mu.Unlock()
 	s.cancel()
 	s.conns.Range(func(_ uint32, c *peerConn) bool {
-		c.stopIdle()
+		c.closeIdle()
 		return true
 	})
 	done := make(chan struct{})
@@ -127,21 +127,21 @@
 }
 
 // Panics returns the number of connections that ended by a fault of the program.
-func (s *Server) Panics() int64 { return s.faults.Load() }
+func (s *Server) Panics() int64 { return s.panics.Load() }
 
-// survive ends one connection after a fault. The VM that forwards finds its end
+// recoverPanic ends one connection after a fault. The VM that forwards finds its end
 // and reports the outcome of its transaction as unknown. Without a peerConn, the
 // connection was not accepted yet.
-func (s *Server) survive(accepted **peerConn) {
+func (s *Server) recoverPanic(conn **peerConn) {
 	v := recover()
 	if v == nil {
 		return
 	}
-	s.faults.Add(1)
-	c := *accepted
+	s.panics.Add(1)
+	c := *conn
 	var q logs.Request
 	if c != nil {
-		q = c.request()
+		q = c.logFields()
 	}
 	Recovered(v).Report(s.log, q, "a connection of a VM ended by a fault of this program")
 	if c != nil {
@@ -152,7 +152,7 @@
 func (s *Server) serveConn(conn net.Conn) {
 	defer conn.Close()
 	var c *peerConn
-	defer s.survive(&c)
+	defer s.recoverPanic(&c)
 	if conn.SetDeadline(time.Now().Add(startupTimeout)) != nil {
 		return
 	}
--- a/internal/relay/start_test.go
+++ b/internal/relay/start_test.go
@@ -9,11 +9,11 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// emptyView is the configuration of a VM that has just started.
-type emptyView struct{ config.View }
+// unconfiguredView is the configuration of a VM that has just started.
+type unconfiguredView struct{ config.View }
 
 // Revision implements config.View.
-func (emptyView) Revision() siskin.Revision { return 0 }
+func (unconfiguredView) Revision() siskin.Revision { return 0 }
 
 // TestForwardedBeforeConfiguration guards against a caller who is told that its
 // route does not exist because the home has just started: the entry VM, which
@@ -23,7 +23,7 @@
 	for _, tt := range []struct {
 		view config.View
 		want siskin.ErrorKind
-	}{{emptyView{none}, siskin.NotRun}, {none, siskin.UnknownRoute}} {
+	}{{unconfiguredView{none}, siskin.NotRun}, {none, siskin.UnknownRoute}} {
 		h := (&Home{Clock: clockwork.NewFakeClock(), Config: tt.view}).Init()
 		_, f := h.Begin(&Header{Service: "s", Route: "write", Target: "s/1"})
 		if f == nil || f.Err.Kind != tt.want {
--- a/internal/relay/within.go
+++ b/internal/relay/within.go
@@ -11,17 +11,17 @@
 // errUnconfirmed says that a commit in the middle of a batch was not confirmed.
 var errUnconfirmed = errors.New("commit was not confirmed")
 
-// committingTags start the tags of statements that may commit before the batch
+// midBatchCommitTags start the tags of statements that may commit before the batch
 // ends. The commit of any other statement comes with ReadyForQuery.
-var committingTags = [...][]byte{[]byte("COMMIT"), []byte("CALL"), []byte("DO")}
+var midBatchCommitTags = [...][]byte{[]byte("COMMIT"), []byte("CALL"), []byte("DO")}
 
 // mayHaveCommitted reports whether the held CommandComplete, which more output
 // follows, tells of a commit that is not confirmed.
-func (l *local) mayHaveCommitted() bool {
+func (l *localExecutor) mayHaveCommitted() bool {
 	if l.confirmed || len(l.held) == 0 || l.held[0] != 'C' || l.route.Mode != config.WriteRoute {
 		return false
 	}
-	for _, tag := range committingTags {
+	for _, tag := range midBatchCommitTags {
 		if bytes.HasPrefix(l.held[3:], tag) {
 			return true
 		}
@@ -29,28 +29,28 @@
 	return false
 }
 
-// confirmWithin waits for the confirmation of a commit in the middle of a
+// confirmMidBatch waits for the confirmation of a commit in the middle of a
 // batch. The target connection is busy with the rest of the answer, so the
 // position, which is at or after the commit, comes from another one.
-func (l *local) confirmWithin() error {
+func (l *localExecutor) confirmMidBatch() error {
 	key := pool.Key{Target: l.hdr.Target, Slot: l.hdr.Slot}
 	conn, err := l.home.Pool.Get(&l.ctx, key, pool.Full, l.hdr.Request)
 	if err != nil {
 		return errors.Join(errUnconfirmed, err)
 	}
-	settled := false
+	recycled := false
 	defer func() {
-		if !settled {
+		if !recycled {
 			conn.Close(err)
 		}
 	}()
-	other := local{conn: conn}
+	other := localExecutor{conn: conn}
 	err = conn.SetDeadline(l.deadline)
 	if err == nil {
 		var row [][]byte
 		if row, _, err = other.queryRow(positionQuery); err == nil {
 			conn.Recycle(l.hdr.Request)
-			settled = true
+			recycled = true
 			pos, ok := parsePosition(row)
 			if !ok {
 				return errUnconfirmed
