--- a/internal/pool/account.go
+++ b/internal/pool/account.go
@@ -12,7 +12,7 @@
 	// ReadOnly may not write, whatever the caller's statements say.
 	ReadOnly
 
-	accounts = 2
+	numAccounts = 2
 )
 
 // AccountFor returns the account that transactions of a route use.
--- a/internal/pool/ask.go
+++ b/internal/pool/ask.go
@@ -18,12 +18,12 @@
 // the statement or its answer was lost.
 
 const (
-	// askAfter is how long an answer is awaited before the target is asked, and
+	// sessionCheckAfter is how long an answer is awaited before the target is asked, and
 	// the time between two questions of a slot and account.
-	askAfter = time.Second
-	// underWay is the time for an answer on its way to arrive, from the target's
+	sessionCheckAfter = time.Second
+	// answerTransitTime is the time for an answer on its way to arrive, from the target's
 	// reply that it was sent.
-	underWay = 400 * time.Millisecond
+	answerTransitTime = 400 * time.Millisecond
 )
 
 // quietRead is a read that has returned nothing for some time.
@@ -32,28 +32,28 @@
 	since int64 // as in Conn.reading
 }
 
-// askQuiet asks the target about the connections in use that are quiet, over an
+// checkQuiet asks the target about the connections in use that are quiet, over an
 // idle connection of the same account, which sees the state of the others. The
 // caller holds mu.
-func (s *slot) askQuiet(now time.Time) {
+func (s *slot) checkQuiet(now time.Time) {
 	if s.cfg.Stateless {
 		return // another VM does not report the state of its sessions
 	}
-	for account := range Account(accounts) {
+	for account := range Account(numAccounts) {
 		idle := s.idle[account]
-		if s.busy[account] == 0 || len(idle) == 0 || now.Sub(s.asked[account]) < askAfter {
+		if s.busy[account] == 0 || len(idle) == 0 || now.Sub(s.lastCheck[account]) < sessionCheckAfter {
 			continue
 		}
 		quiet := s.quietReads(account, now)
 		if len(quiet) == 0 {
 			continue
 		}
-		s.asked[account] = now
+		s.lastCheck[account] = now
 		// The youngest is the most likely to be from after a fault.
-		c := slices.MaxFunc(idle, func(a, b *Conn) int { return a.opened.Compare(b.opened) })
+		c := slices.MaxFunc(idle, func(a, b *Conn) int { return a.openedAt.Compare(b.openedAt) })
 		s.idle[account] = slices.DeleteFunc(idle, func(other *Conn) bool { return other == c })
 		c.state = connProbing
-		s.pool.start(s.pool.probers, func() { s.ask(c, quiet) })
+		s.pool.start(s.pool.probers, func() { s.checkSessions(c, quiet) })
 	}
 }
 
@@ -62,60 +62,60 @@
 func (s *slot) quietReads(account Account, now time.Time) []quietRead {
 	var quiet []quietRead
 	for c := range s.conns {
-		since := c.reading.Load()
+		since := c.readingSince.Load()
 		if c.account == account && c.state == connBusy && since != 0 && !c.streaming.Load() && !c.silent.Load() &&
-			now.Sub(time.Unix(0, since)) >= askAfter {
+			now.Sub(time.Unix(0, since)) >= sessionCheckAfter {
 			quiet = append(quiet, quietRead{c, since})
 		}
 	}
 	return quiet
 }
 
-// ask finds out which of the connections the target has no statement of.
-func (s *slot) ask(c *Conn, quiet []quietRead) {
-	defer s.closeAfterFault(c)
+// checkSessions finds out which of the connections the target has no statement of.
+func (s *slot) checkSessions(c *Conn, quiet []quietRead) {
+	defer s.closeAfterPanic(c)
 	sent := s.pool.clock.Now()
-	heard, idleSince := c.lastRead(), c.idleSince
-	waiting, ok := c.waitingSessions(quiet)
+	heardAt, idleSince := c.lastRead(), c.idleSince
+	idle, ok := c.idleSessions(quiet)
 	if !ok {
-		s.silent(c, heard, sent)
+		s.closeSilent(c, heardAt, sent)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.asked[c.account] = time.Time{} // another connection may know
+		s.lastCheck[c.account] = time.Time{} // another connection may know
 		return
 	}
 	s.putProbed(c, idleSince)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, q := range quiet {
-		if slices.Contains(waiting, q.conn.processID) {
-			q.conn.lost, q.conn.lostAt = q.since, s.pool.clock.Now()
+		if slices.Contains(idle, q.conn.processID) {
+			q.conn.lostRead, q.conn.lostAt = q.since, s.pool.clock.Now()
 		}
 	}
 }
 
-// giveUpLost ends the wait on connections whose target has no statement of them,
+// abortLost ends the wait on connections whose target has no statement of them,
 // unless something has arrived since. The caller holds mu.
-func (s *slot) giveUpLost(now time.Time) {
+func (s *slot) abortLost(now time.Time) {
 	if s.busy[Full]+s.busy[ReadOnly] == 0 {
 		return
 	}
 	for c := range s.conns {
-		if c.lost == 0 || now.Sub(c.lostAt) < underWay {
+		if c.lostRead == 0 || now.Sub(c.lostAt) < answerTransitTime {
 			continue
 		}
-		if c.state == connBusy && c.reading.Load() == c.lost && !c.silent.Load() {
+		if c.state == connBusy && c.readingSince.Load() == c.lostRead && !c.silent.Load() {
 			s.stats.silent++
-			c.giveUp()
+			c.abortRead()
 		}
-		c.lost = 0
+		c.lostRead = 0
 	}
 }
 
-// waitingSessions asks which of the sessions wait for a statement. It reports
+// idleSessions asks which of the sessions wait for a statement. It reports
 // false when the connection cannot be used anymore. A target that refuses the
 // question says nothing about them.
-func (c *Conn) waitingSessions(quiet []quietRead) ([]uint32, bool) {
+func (c *Conn) idleSessions(quiet []quietRead) ([]uint32, bool) {
 	sql := []byte("SELECT pid FROM pg_stat_activity WHERE pid IN (")
 	for i, q := range quiet {
 		if i > 0 {
@@ -124,7 +124,7 @@
 		sql = strconv.AppendUint(sql, uint64(q.conn.processID), 10)
 	}
 	sql = append(sql, ") AND state LIKE 'idle%'"...) // in a transaction as well
-	var waiting []uint32
+	var idle []uint32
 	ok := c.simpleQuery(encodeQuery(string(sql)), probeTimeout, func(typ byte, body []byte) bool {
 		var row pgproto3.DataRow
 		if typ != 'D' {
@@ -134,16 +134,16 @@
 			return false
 		}
 		pid, err := strconv.ParseUint(string(row.Values[0]), 10, 32)
-		waiting = append(waiting, uint32(pid))
+		idle = append(idle, uint32(pid))
 		return err == nil
 	})
-	return waiting, ok
+	return idle, ok
 }
 
 // simpleQuery runs a statement, passes the messages of its answer to see and
 // reports whether the target then was idle outside a transaction. It fails when
 // see returns false.
-func (c *Conn) simpleQuery(query []byte, timeout time.Duration, see func(typ byte, body []byte) bool) bool {
+func (c *Conn) simpleQuery(query []byte, timeout time.Duration, handle func(typ byte, body []byte) bool) bool {
 	if c.SetDeadline(time.Now().Add(timeout)) != nil {
 		return false
 	}
@@ -157,7 +157,7 @@
 			return false
 		}
 		body, err := c.R.Body(frame.BufferSize)
-		if err != nil || !see(h.Type, body) {
+		if err != nil || !handle(h.Type, body) {
 			return false
 		}
 		if h.Type == 'Z' {
--- a/internal/pool/ask_test.go
+++ b/internal/pool/ask_test.go
@@ -12,14 +12,14 @@
 	f.locked(key, func() {
 		s, _ := f.slots.Get(key)
 		s.closeIdle()
-		s.ensure()
+		s.openMissing()
 	})
 }
 
-// TestSilentWithoutOldSibling guards against a request that waits until its
+// TestSilentWithoutOlderIdleConn guards against a request that waits until its
 // deadline on a silent connection because no idle one of its age is left to be
 // probed, or because one opened just after the fault passes for one of its age.
-func TestSilentWithoutOldSibling(t *testing.T) {
+func TestSilentWithoutOlderIdleConn(t *testing.T) {
 	if testing.Short() {
 		t.Skip("waits for the detection of silence")
 	}
@@ -42,7 +42,7 @@
 			second.Recycle(2)
 			f.awaitOpened(t)
 			start := time.Now()
-			f.dialer.muteBefore.Store(f.dialer.opens.Load())
+			f.dialer.muteUpTo.Store(f.dialer.opens.Load())
 			tt.after(f)
 			ok := busy.roundTrip(encodeQuery("select 1"), 6*time.Second)
 			if got, want := time.Since(start), 3*time.Second; ok || !busy.Silent() || got > want {
@@ -100,12 +100,12 @@
 	if !thinking.roundTrip(encodeQuery("select 1"), time.Second) {
 		t.Error("transaction without a statement: got the connection cut, want it to go on")
 	}
-	var asked []time.Time
+	var lastCheck []time.Time
 	f.locked(key, func() {
 		s, _ := f.slots.Get(key)
-		asked = s.asked[:]
+		lastCheck = s.lastCheck[:]
 	})
-	if !slices.ContainsFunc(asked, func(at time.Time) bool { return !at.IsZero() }) {
+	if !slices.ContainsFunc(lastCheck, func(at time.Time) bool { return !at.IsZero() }) {
 		t.Error("got no question to the target, want one about the slow statement")
 	}
 	for _, c := range []*Conn{slow, thinking, streaming} {
@@ -113,9 +113,9 @@
 	}
 }
 
-// TestUnknownQuestion guards against connections that are closed because the
+// TestRefusedSessionCheck guards against connections that are closed because the
 // target refuses the question about its sessions.
-func TestUnknownQuestion(t *testing.T) {
+func TestRefusedSessionCheck(t *testing.T) {
 	f := newFixture(t, 2)
 	c := f.get(t, Full, 1)
 	for _, sql := range []string{"select no_such_form", "select 'text'"} {
@@ -128,7 +128,7 @@
 			t.Errorf("%s: got %v and the messages %q, want an idle connection", sql, ok, types)
 		}
 	}
-	if waiting, ok := c.waitingSessions([]quietRead{{conn: c}}); !ok || len(waiting) != 0 {
+	if waiting, ok := c.idleSessions([]quietRead{{conn: c}}); !ok || len(waiting) != 0 {
 		t.Errorf("about itself: got %v, %v, want no session that waits", waiting, ok)
 	}
 	c.Recycle(1)
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -19,9 +19,9 @@
 	Stateless bool
 }
 
-// warmFloor is the number of connections that a slot keeps open per account, so
+// minIdle is the number of connections that a slot keeps open per account, so
 // that the first statement after a pause or a promotion does not wait for one.
-const warmFloor = 1
+const minIdle = 1
 
 const (
 	// maxOpening bounds the connections of a slot that open at the same time,
@@ -29,10 +29,10 @@
 	maxOpening = 4
 	// A silent connection must be found within 3 s. In the longest case, probeAfter,
 	// probeTimeout, probeAgain and three ticks pass.
-	probeAfter   = 800 * time.Millisecond
-	probeTimeout = 800 * time.Millisecond
-	probeAgain   = 400 * time.Millisecond
-	tick         = 200 * time.Millisecond
+	probeAfter          = 800 * time.Millisecond
+	probeTimeout        = 800 * time.Millisecond
+	reprobeTimeout      = 400 * time.Millisecond
+	maintenanceInterval = 200 * time.Millisecond
 	// resetTimeout bounds the wait for the answer to DISCARD ALL.
 	resetTimeout = time.Second
 	// idleTimeout is the age from which a connection above the floor is closed.
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -51,50 +51,50 @@
 	R *frame.Reader
 	W *frame.Writer
 
-	slot       *slot
-	account    Account
-	generation int
-	writers    int
-	processID  uint32
-	secret     []byte
-	opened     time.Time
-	read       atomic.Int64 // time of the last read that returned bytes
-	reading    atomic.Int64 // when the read in progress began, zero without one
-	streaming  atomic.Bool
-	silent     atomic.Bool
-	socket     *socket // nil when the connection is no plain socket
+	slot             *slot
+	account          Account
+	generation       int
+	writerGeneration int
+	processID        uint32
+	secret           []byte
+	openedAt         time.Time
+	lastReadAt       atomic.Int64 // time of the last read that returned bytes
+	readingSince     atomic.Int64 // when the read in progress began, zero without one
+	streaming        atomic.Bool
+	silent           atomic.Bool
+	socket           *socket // nil when the connection is no plain socket
 
 	// Guarded by slot.mu.
-	state     connState
-	owner     uint64
-	lastHeard time.Time
-	idleSince time.Time
-	taken     time.Time // when the present request got the connection
-	// lost is the read, as in reading, to which the target said at lostAt that
+	state       connState
+	owner       uint64
+	lastHeardAt time.Time
+	idleSince   time.Time
+	leasedAt    time.Time // when the present request got the connection
+	// lostRead is the read, as in reading, to which the target said at lostAt that
 	// it has no statement of the connection; zero when it did not.
-	lost   int64
-	lostAt time.Time
+	lostRead int64
+	lostAt   time.Time
 }
 
 func newConn(s *slot, account Account, o DialedConn, now time.Time) *Conn {
 	c := &Conn{
 		Conn: o.Conn, W: frame.NewWriter(o.Conn),
 		slot: s, account: account, processID: o.ProcessID, secret: o.Secret,
-		opened: now, lastHeard: now, idleSince: now,
+		openedAt: now, lastHeardAt: now, idleSince: now,
 	}
 	c.R = frame.NewReader(c)
 	c.socket = newSocket(o.Conn)
-	c.read.Store(now.UnixNano())
+	c.lastReadAt.Store(now.UnixNano())
 	return c
 }
 
 // Read implements net.Conn and keeps the time of the last byte.
 func (c *Conn) Read(b []byte) (int, error) {
-	c.reading.Store(c.slot.pool.clock.Now().UnixNano())
+	c.readingSince.Store(c.slot.pool.clock.Now().UnixNano())
 	n, err := c.Conn.Read(b)
-	c.reading.Store(0)
+	c.readingSince.Store(0)
 	if n > 0 {
-		c.read.Store(c.slot.pool.clock.Now().UnixNano())
+		c.lastReadAt.Store(c.slot.pool.clock.Now().UnixNano())
 	}
 	return n, err
 }
@@ -105,7 +105,7 @@
 	if err := c.Conn.SetDeadline(t); err != nil {
 		return err
 	}
-	return c.keepGivenUp()
+	return c.reapplyAbort()
 }
 
 // SetReadDeadline implements net.Conn like SetDeadline.
@@ -113,25 +113,25 @@
 	if err := c.Conn.SetReadDeadline(t); err != nil {
 		return err
 	}
-	return c.keepGivenUp()
+	return c.reapplyAbort()
 }
 
-// keepGivenUp runs after a deadline was set. giveUp sets silent first, so one of
+// reapplyAbort runs after a deadline was set. giveUp sets silent first, so one of
 // the two ends the wait.
-func (c *Conn) keepGivenUp() error {
+func (c *Conn) reapplyAbort() error {
 	if c.silent.Load() {
 		return c.Conn.SetReadDeadline(longAgo)
 	}
 	return nil
 }
 
-// giveUp ends the wait for an answer.
-func (c *Conn) giveUp() {
+// abortRead ends the wait for an answer.
+func (c *Conn) abortRead() {
 	c.silent.Store(true)
 	_ = c.Conn.SetReadDeadline(longAgo) // fails only when closed already
 }
 
-func (c *Conn) lastRead() time.Time { return time.Unix(0, c.read.Load()) }
+func (c *Conn) lastRead() time.Time { return time.Unix(0, c.lastReadAt.Load()) }
 
 // Silent reports whether the wait on the connection was ended because the
 // connection went silent.
@@ -161,11 +161,11 @@
 // connection that cannot be reset is closed.
 func (c *Conn) Recycle(owner uint64) {
 	s := c.slot
-	drop, reset, ok := c.endUse(owner)
+	mustClose, needsReset, ok := c.endUse(owner)
 	if !ok {
 		return
 	}
-	if drop || (reset && !c.roundTrip(resetQuery, resetTimeout)) {
+	if mustClose || (needsReset && !c.roundTrip(resetQuery, resetTimeout)) {
 		s.remove(c, nil)
 		return
 	}
@@ -175,7 +175,7 @@
 // endUse takes the connection from a request. It reports whether the connection
 // is to be closed, whether it needs a reset, and false for ok when the request
 // does not have it.
-func (c *Conn) endUse(owner uint64) (drop, reset, ok bool) {
+func (c *Conn) endUse(owner uint64) (mustClose, needsReset, ok bool) {
 	s := c.slot
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -183,12 +183,12 @@
 		oneOwner.Check(c.state == connClosed, "connection of request %d (state %d) returned by request %d", c.owner, c.state, owner)
 		return false, false, false
 	}
-	s.unlease(c, connResetting)
-	drop = s.draining || s.isStale(c) || c.R.Buffered() > 0 || c.R.Left() > 0 || c.W.Buffered() > 0
+	s.endLease(c, connResetting)
+	mustClose = s.draining || s.isStale(c) || c.R.Buffered() > 0 || c.R.Left() > 0 || c.W.Buffered() > 0
 	if !s.cfg.Stateless {
-		return drop, true, true
+		return mustClose, true, true
 	}
-	return drop || c.SetDeadline(time.Time{}) != nil, false, true
+	return mustClose || c.SetDeadline(time.Time{}) != nil, false, true
 }
 
 // Close closes the connection; cause is nil when it is not the target's fault.
@@ -203,11 +203,11 @@
 	defer s.mu.Unlock()
 	s.removeLocked(c)
 	for _, other := range slices.Clone(s.idle[c.account]) {
-		if !other.opened.After(c.opened) {
+		if !other.openedAt.After(c.openedAt) {
 			s.removeLocked(other)
 		}
 	}
-	s.ensure()
+	s.openMissing()
 }
 
 // roundTrip runs a statement without rows and reports whether the target then
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -11,6 +11,6 @@
 // connection works. The pool's own probes use idle connections; when a fault
 // on the path finds every connection in use, there is none left to probe.
 func (p *Pool) ProbeFailed(target siskin.TargetID, sent time.Time) {
-	began := p.silenceOf(target).probeFailed(sent.Add(-ambiguity), sent, p.clock.Now())
-	p.probeTarget(target, began)
+	detectedAt := p.detectorOf(target).probeFailed(sent.Add(-maxControlQuiet), sent, p.clock.Now())
+	p.probeIdle(target, detectedAt)
 }
--- a/internal/pool/fault.go
+++ b/internal/pool/fault.go
@@ -9,11 +9,11 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// noFault makes a fault of a worker a violation, which is logged and counted.
+// noPanic makes a fault of a worker a violation, which is logged and counted.
 // The worker pools would recover it without a line.
-var noFault = invar.New("PoolWorkersEndWithoutFault")
+var noPanic = invar.New("PoolWorkersEndWithoutFault")
 
-func reportFault(v any) { noFault.Check(false, "%v\n%s", v, debug.Stack()) }
+func reportPanic(v any) { noPanic.Check(false, "%v\n%s", v, debug.Stack()) }
 
 // dial opens a connection. A fault counts as a failed opening; otherwise it
 // would count as one in progress for good.
@@ -22,17 +22,17 @@
 	defer cancel()
 	defer func() {
 		if v := recover(); v != nil {
-			reportFault(v)
+			reportPanic(v)
 			err = siskin.NewError(siskin.Internal, "connection to target %s was not opened", s.key.Target).WithCause(fmt.Errorf("fault: %v", v))
 		}
 	}()
 	return s.pool.dialer.Dial(ctx, s.key, cfg, account)
 }
 
-// closeAfterFault closes a connection that a worker used when its fault ended it.
-func (s *slot) closeAfterFault(c *Conn) {
+// closeAfterPanic closes a connection that a worker used when its fault ended it.
+func (s *slot) closeAfterPanic(c *Conn) {
 	if v := recover(); v != nil {
-		reportFault(v)
+		reportPanic(v)
 		s.remove(c, nil)
 	}
 }
--- a/internal/pool/fault_test.go
+++ b/internal/pool/fault_test.go
@@ -24,7 +24,7 @@
 	f.get(t, Full, 1).Recycle(1)
 	f.awaitOpened(t)
 	idle := f.Stats()[key].Idle
-	f.dialer.fault.Store(true)
+	f.dialer.panics.Store(true)
 	// Probes end the idle connections, and more openings than may be in progress
 	// at a time fail.
 	for start := time.Now(); faults.Load() < int64(idle+2*maxOpening); time.Sleep(10 * time.Millisecond) {
@@ -32,7 +32,7 @@
 			t.Fatalf("got %d faults reported, want one for each probe and opening: %+v", faults.Load(), f.Stats()[key])
 		}
 	}
-	f.dialer.fault.Store(false)
+	f.dialer.panics.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	for {
--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -29,20 +29,20 @@
 // make openings fail.
 type faultyDialer struct {
 	*PGDialer
-	muteBefore atomic.Int64
-	fail       atomic.Bool
-	fault      atomic.Bool // Dial and reads panic
-	full       atomic.Bool
-	opens      atomic.Int64
+	muteUpTo atomic.Int64
+	fail     atomic.Bool
+	panics   atomic.Bool // Dial and reads panic
+	full     atomic.Bool
+	opens    atomic.Int64
 }
 
 func (d *faultyDialer) Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (DialedConn, error) {
 	n := d.opens.Add(1)
-	if d.fault.Load() {
+	if d.panics.Load() {
 		panic("a fault on purpose")
 	}
 	if d.full.Load() {
-		return DialedConn{}, &pgconn.PgError{Code: stateTooMany}
+		return DialedConn{}, &pgconn.PgError{Code: sqlstateTooMany}
 	}
 	if d.fail.Load() {
 		return DialedConn{}, errors.New("refused")
@@ -54,17 +54,17 @@
 
 type mutedConn struct {
 	net.Conn
-	d *faultyDialer
-	n int64
+	dialer  *faultyDialer
+	opening int64
 }
 
 func (c mutedConn) Read(b []byte) (int, error) {
-	if c.d.fault.Load() {
+	if c.dialer.panics.Load() {
 		panic("a fault on purpose")
 	}
 	for {
 		n, err := c.Conn.Read(b)
-		if n == 0 || c.n > c.d.muteBefore.Load() {
+		if n == 0 || c.opening > c.dialer.muteUpTo.Load() {
 			return n, err
 		}
 	}
@@ -72,10 +72,10 @@
 
 type fixture struct {
 	*Pool
-	target *target.Server
-	dialer *faultyDialer
-	cfg    SlotConfig
-	silent atomic.Int64
+	target         *target.Server
+	dialer         *faultyDialer
+	cfg            SlotConfig
+	failureReports atomic.Int64
 }
 
 func newFixture(t *testing.T, limit int) *fixture {
@@ -92,7 +92,7 @@
 	f.cfg = SlotConfig{Address: servers[0].Address(), Limit: limit, Credentials: config.Credentials{
 		User: "siskin", Password: "full-secret", ReadUser: "siskin_read", ReadPassword: "read-secret", Database: "app",
 	}}
-	f.Pool = New(clockwork.NewRealClock(), f.dialer, WithFailure(func(siskin.TargetID, error) { f.silent.Add(1) }))
+	f.Pool = New(clockwork.NewRealClock(), f.dialer, WithFailure(func(siskin.TargetID, error) { f.failureReports.Add(1) }))
 	f.Own(key, f.cfg)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -114,7 +114,7 @@
 	return c
 }
 
-func mustEventually(t *testing.T, f *fixture) *Conn {
+func getEventually(t *testing.T, f *fixture) *Conn {
 	t.Helper()
 	for range 200 {
 		if c, err := f.Get(context.Background(), key, Full, 99); err == nil {
--- a/internal/pool/heard.go
+++ b/internal/pool/heard.go
@@ -6,7 +6,7 @@
 // for longest is quiet, zero when none is in use, and when any connection was
 // opened or last heard. A fault may silence old connections only, so that what
 // was heard on others says nothing about the quiet one.
-func (p *Pool) Activity(key Key) (quiet, last time.Time) {
+func (p *Pool) Activity(key Key) (quietSince, lastHeardAt time.Time) {
 	s, ok := p.slots.Get(key)
 	if !ok {
 		return time.Time{}, time.Time{}
@@ -14,13 +14,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		heard := later(c.lastRead(), c.opened)
-		last = later(last, heard)
-		if since := later(heard, c.taken); c.state == connBusy && (quiet.IsZero() || since.Before(quiet)) {
-			quiet = since
+		heardAt := later(c.lastRead(), c.openedAt)
+		lastHeardAt = later(lastHeardAt, heardAt)
+		if since := later(heardAt, c.leasedAt); c.state == connBusy && (quietSince.IsZero() || since.Before(quietSince)) {
+			quietSince = since
 		}
 	}
-	return quiet, last
+	return quietSince, lastHeardAt
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/pool/heard_test.go
+++ b/internal/pool/heard_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// TestHeard guards against connections in use that do not count as waiting for
+// TestActivity guards against connections in use that do not count as waiting for
 // their target, and idle ones that do: the group's probes follow from both.
-func TestHeard(t *testing.T) {
+func TestActivity(t *testing.T) {
 	f := newFixture(t, 2)
 	if quiet, _ := f.Activity(key); !quiet.IsZero() {
 		t.Errorf("without a request: got it quiet since %v, want no time", quiet)
--- a/internal/pool/older_test.go
+++ b/internal/pool/older_test.go
@@ -11,9 +11,9 @@
 	busy, reader := f.get(t, Full, 3), f.get(t, ReadOnly, 4)
 	young := f.get(t, Full, 5)
 	f.locked(key, func() {
-		young.opened = stale.opened.Add(1)
+		young.openedAt = stale.openedAt.Add(1)
 		for _, c := range []*Conn{oldest, busy, reader} {
-			c.opened = stale.opened.Add(-1)
+			c.openedAt = stale.openedAt.Add(-1)
 		}
 	})
 	oldest.Recycle(1)
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -7,9 +7,9 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-// ensure opens connections for the waiters and ahead of demand. The caller
+// openMissing opens connections for the waiters and ahead of demand. The caller
 // holds mu.
-func (s *slot) ensure() {
+func (s *slot) openMissing() {
 	if s.draining || s.pool.ctx.Err() != nil {
 		return
 	}
@@ -18,18 +18,18 @@
 	}
 	// Waiters of both accounts come first: an opening ahead of demand for one
 	// account must not take the room that a waiter of the other needs.
-	for account := range Account(accounts) {
-		s.openWanted(account, s.waiting)
+	for account := range Account(numAccounts) {
+		s.openWanted(account, s.waiterCount)
 	}
-	for account := range Account(accounts) {
-		s.openWanted(account, s.wanted)
+	for account := range Account(numAccounts) {
+		s.openWanted(account, s.openingsWanted)
 	}
 }
 
 // openWanted starts openings until as many as wanted are under way.
 func (s *slot) openWanted(account Account, wanted func(Account) int) {
 	for wanted(account) > s.opening[account] && s.opening[Full]+s.opening[ReadOnly] < s.openingLimit() {
-		if s.open() >= s.cfg.Limit && !s.evict(account) {
+		if s.size() >= s.cfg.Limit && !s.evict(account) {
 			return
 		}
 		s.startOpening(account)
@@ -38,7 +38,7 @@
 
 func (s *slot) startOpening(account Account) {
 	s.opening[account]++
-	s.pool.start(s.pool.openers, func() { s.openOne(account) })
+	s.pool.start(s.pool.openers, func() { s.openConn(account) })
 }
 
 // openingLimit lets one opening test a target that failed before the others
@@ -50,8 +50,8 @@
 	return maxOpening
 }
 
-// waiting returns the number of waiters of an account.
-func (s *slot) waiting(account Account) int {
+// waiterCount returns the number of waiters of an account.
+func (s *slot) waiterCount(account Account) int {
 	n := 0
 	for _, w := range s.waiters {
 		if w.account == account {
@@ -61,17 +61,17 @@
 	return n
 }
 
-// wanted returns the number of openings that an account should have under way:
+// openingsWanted returns the number of openings that an account should have under way:
 // one for each waiter, and spare ones ahead of demand, a quarter of those in
 // use.
-func (s *slot) wanted(account Account) int {
+func (s *slot) openingsWanted(account Account) int {
 	open, busy := s.count[account], s.busy[account]
-	spare := max(s.spareFloor(account)-open, 0)
+	spare := max(s.minOpen(account)-open, 0)
 	if busy > 0 {
-		spare = max(spare, 1+busy/4-(open-busy-s.reserved(account)))
+		spare = max(spare, 1+busy/4-(open-busy-s.reservedCount(account)))
 	}
-	need := s.waiting(account)
-	if s.open() < s.cfg.Limit {
+	need := s.waiterCount(account)
+	if s.size() < s.cfg.Limit {
 		need += max(spare, 0)
 	}
 	return need
@@ -84,16 +84,16 @@
 	if len(other) == 0 {
 		return false
 	}
-	if s.waiting(account) == 0 {
+	if s.waiterCount(account) == 0 {
 		return false
 	}
 	s.removeLocked(other[0])
 	return true
 }
 
-func (s *slot) openOne(account Account) {
+func (s *slot) openConn(account Account) {
 	s.mu.Lock()
-	cfg, generation, writers := s.cfg, s.generation, s.writers
+	cfg, generation, writerGeneration := s.cfg, s.generation, s.writerGeneration
 	s.mu.Unlock()
 	o, err := s.dial(cfg, account)
 	if err != nil {
@@ -103,7 +103,7 @@
 	s.mu.Lock()
 	s.opening[account]--
 	c := newConn(s, account, o, s.pool.clock.Now())
-	c.generation, c.writers, c.state = generation, writers, connResetting
+	c.generation, c.writerGeneration, c.state = generation, writerGeneration, connResetting
 	s.conns[c] = struct{}{}
 	s.count[account]++
 	s.failures, s.lastErr, s.nextOpen = 0, nil, time.Time{}
@@ -116,11 +116,11 @@
 	s.mu.Lock()
 	s.opening[account]--
 	s.stats.failed++
-	full := isFull(err)
+	full := isSlotFull(err)
 	if full {
-		s.openingFull(account)
+		s.handleSlotFull(account)
 	} else {
-		s.openingBroken(account, err)
+		s.handleOpenError(account, err)
 	}
 	s.checkDrained()
 	s.mu.Unlock()
@@ -129,15 +129,15 @@
 	}
 }
 
-// openingBroken handles an opening that the target did not answer as expected.
+// handleOpenError handles an opening that the target did not answer as expected.
 // The caller holds mu.
-func (s *slot) openingBroken(account Account, err error) {
+func (s *slot) handleOpenError(account Account, err error) {
 	s.failures++
 	s.lastErr = err
 	now := s.pool.clock.Now()
 	s.nextOpen = now.Add(s.backoff().Delay(s.failures, rand.Int64N))
-	if s.has(account) == 0 {
-		s.failWaiters(account, now, s.unreachable())
+	if s.accountSize(account) == 0 {
+		s.failWaiters(account, now, s.unreachableError())
 	}
 }
 
--- a/internal/pool/own.go
+++ b/internal/pool/own.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// keeps reports whether the slot is owned with the same settings already.
-func (s *slot) keeps(cfg SlotConfig) bool {
+// isOwnedWith reports whether the slot is owned with the same settings already.
+func (s *slot) isOwnedWith(cfg SlotConfig) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.draining && s.cfg == cfg
@@ -24,12 +24,12 @@
 		s.closeIdle()
 		s.nextOpen = time.Time{}
 	}
-	s.ensure()
+	s.openMissing()
 }
 
-// isEmpty reports whether the slot was given up and all is closed.
-func (s *slot) isEmpty() bool {
+// isReleased reports whether the slot was given up and all is closed.
+func (s *slot) isReleased() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining && s.open() == 0 && len(s.waiters) == 0
+	return s.draining && s.size() == 0 && len(s.waiters) == 0
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,7 +18,7 @@
 	onFailure func(siskin.TargetID, error)
 	reachable func(siskin.TargetID) bool
 	slots     *shard.Map[Key, *slot]
-	silences  *shard.Map[siskin.TargetID, *silence]
+	detectors *shard.Map[siskin.TargetID, *silenceDetector]
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -42,24 +42,24 @@
 	return func(p *Pool) { p.reachable = f }
 }
 
-// workers bounds the openings and the probes that run at the same time.
-const workers = 256
+// maxWorkers bounds the openings and the probes that run at the same time.
+const maxWorkers = 256
 
 // New returns an empty Pool and starts its maintenance.
 func New(clock siskin.Clock, dialer Dialer, opts ...Option) *Pool {
-	p := &Pool{clock: clock, dialer: dialer, slots: shard.New[Key, *slot](), silences: shard.New[siskin.TargetID, *silence]()}
+	p := &Pool{clock: clock, dialer: dialer, slots: shard.New[Key, *slot](), detectors: shard.New[siskin.TargetID, *silenceDetector]()}
 	for _, o := range opts {
 		o(p)
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.openers, p.probers = pond.NewPool(workers), pond.NewPool(workers)
+	p.openers, p.probers = pond.NewPool(maxWorkers), pond.NewPool(maxWorkers)
 	p.wg.Add(1)
 	go p.maintain()
 	return p
 }
 
 // start runs f on a worker; after Close f does not run.
-func (p *Pool) start(workers pond.Pool, f func()) { _ = workers.Go(f) }
+func (p *Pool) start(workerPool pond.Pool, f func()) { _ = workerPool.Go(f) }
 
 func (p *Pool) maintain() {
 	defer p.wg.Done()
@@ -67,20 +67,20 @@
 		select {
 		case <-p.ctx.Done():
 			return
-		case <-p.clock.After(tick):
+		case <-p.clock.After(maintenanceInterval):
 		}
 		now := p.clock.Now()
 		p.slots.Range(func(key Key, s *slot) bool {
 			s.maintain(now)
-			if s.isEmpty() {
-				p.forget(key)
+			if s.isReleased() {
+				p.removeReleased(key)
 			}
 			return true
 		})
 	}
 }
 
-func (p *Pool) probeTarget(target siskin.TargetID, before time.Time) {
+func (p *Pool) probeIdle(target siskin.TargetID, before time.Time) {
 	p.slots.Range(func(key Key, s *slot) bool {
 		if key.Target == target {
 			s.probeOlder(before)
@@ -92,7 +92,7 @@
 // Own starts or updates the ownership of a slot. Connections opened with other
 // settings are closed when they are idle.
 func (p *Pool) Own(key Key, cfg SlotConfig) {
-	if s, ok := p.slots.Get(key); ok && s.keeps(cfg) {
+	if s, ok := p.slots.Get(key); ok && s.isOwnedWith(cfg) {
 		return
 	}
 	// Under the lock of the map, so that forget does not remove the slot.
@@ -105,9 +105,9 @@
 	})
 }
 
-// forget removes a slot that was given up and has no connections anymore.
-func (p *Pool) forget(key Key) {
-	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) { return s, ok && !s.isEmpty() })
+// removeReleased removes a slot that was given up and has no connections anymore.
+func (p *Pool) removeReleased(key Key) {
+	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) { return s, ok && !s.isReleased() })
 }
 
 // Drop ends the ownership of a slot. New requests are refused, idle connections
@@ -143,12 +143,12 @@
 func (p *Pool) Get(ctx context.Context, key Key, account Account, owner uint64) (*Conn, error) {
 	s, ok := p.slots.Get(key)
 	if !ok {
-		return nil, notOwned(key)
+		return nil, notOwnedError(key)
 	}
-	c, w, err := s.join(account, owner)
+	c, w, err := s.acquire(account, owner)
 	for c != nil && !c.socket.isOpen() {
 		c.Close(nil)
-		c, w, err = s.join(account, owner)
+		c, w, err = s.acquire(account, owner)
 	}
 	if err != nil || c != nil {
 		return c, err
@@ -158,10 +158,10 @@
 		return r.conn, r.err
 	case <-ctx.Done():
 	}
-	if !s.leave(w) {
+	if !s.removeWaiter(w) {
 		if r := <-w.ready; r.conn != nil {
 			s.mu.Lock()
-			s.unlease(r.conn, connResetting) // unused, so still reset
+			s.endLease(r.conn, connResetting) // unused, so still reset
 			s.mu.Unlock()
 			s.put(r.conn)
 		}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -144,7 +144,7 @@
 		t.Errorf("got %d openings in a second, want at most 40", got)
 	}
 	f.dialer.fail.Store(false)
-	c := mustEventually(t, f)
+	c := getEventually(t, f)
 	c.Recycle(99)
 }
 
@@ -162,7 +162,7 @@
 		}
 		t.Errorf("%s: got %+v after 1 s", what, f.Stats()[key])
 	}
-	within("the warm floor of both accounts", func(s Stats) bool { return s.Idle >= 2*warmFloor })
+	within("the warm floor of both accounts", func(s Stats) bool { return s.Idle >= 2*minIdle })
 	for i := range uint64(8) {
 		c := f.get(t, Full, i+1)
 		defer c.Recycle(i + 1)
@@ -170,9 +170,9 @@
 	within("a quarter of 8 in use is spare", func(s Stats) bool { return s.Busy == 8 && s.Idle >= 8/4 })
 }
 
-// TestHandoverOfSlot guards against requests that are refused by the new owner
+// TestSlotHandoff guards against requests that are refused by the new owner
 // of a slot while the old one finishes its own.
-func TestHandoverOfSlot(t *testing.T) {
+func TestSlotHandoff(t *testing.T) {
 	f := newFixture(t, 2)
 	first, second := f.get(t, Full, 1), f.get(t, Full, 2)
 	next := New(clockwork.NewRealClock(), f.dialer)
@@ -192,10 +192,10 @@
 	c.Recycle(3)
 }
 
-// TestFullLong guards against a request that ends without a wait because the
+// TestSlotStaysFull guards against a request that ends without a wait because the
 // slot was full before it arrived, and against a full target that is called
 // unreachable and suspected, which could change the primary.
-func TestFullLong(t *testing.T) {
+func TestSlotStaysFull(t *testing.T) {
 	f := newFixture(t, 2)
 	f.get(t, Full, 1)
 	for f.Stats()[key].Idle == 0 { // the spare connection of the other account
@@ -204,7 +204,7 @@
 	f.dialer.full.Store(true)
 	f.Drop(key) // closes the spare one, whose replacement is refused
 	f.Own(key, f.cfg)
-	time.Sleep(maxFull + maxBackoff)
+	time.Sleep(maxFullWait + maxBackoff)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	start := time.Now()
@@ -212,16 +212,16 @@
 	if got, want := siskin.KindOf(err), siskin.Overloaded; got != want {
 		t.Errorf("got %v, want kind %v", err, want)
 	}
-	if got := time.Since(start); got < maxFull || got > 4*maxFull {
-		t.Errorf("got an end after %v, want about %v", got, maxFull)
+	if got := time.Since(start); got < maxFullWait || got > 4*maxFullWait {
+		t.Errorf("got an end after %v, want about %v", got, maxFullWait)
 	}
-	time.AfterFunc(maxFull/2, func() { f.dialer.full.Store(false) })
+	time.AfterFunc(maxFullWait/2, func() { f.dialer.full.Store(false) })
 	c, err := f.Get(ctx, key, ReadOnly, 3)
 	if err != nil {
 		t.Fatalf("got %v, want a connection of a slot that has room again", err)
 	}
 	c.Recycle(3)
-	if got := f.silent.Load(); got != 0 {
+	if got := f.failureReports.Load(); got != 0 {
 		t.Errorf("got %d reports of failure, want 0", got)
 	}
 }
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -15,18 +15,18 @@
 	for account := range s.idle {
 		for _, c := range slices.Clone(s.idle[account]) {
 			switch {
-			case now.Sub(c.idleSince) > idleTimeout && len(s.idle[account]) > warmFloor:
+			case now.Sub(c.idleSince) > idleTimeout && len(s.idle[account]) > minIdle:
 				s.removeLocked(c)
-			case now.Sub(c.lastHeard) >= probeAfter:
+			case now.Sub(c.lastHeardAt) >= probeAfter:
 				s.probeLocked(c, probeTimeout)
 			}
 		}
 	}
-	s.probeWatch(now)
-	s.giveUpSilent(now)
-	s.giveUpLost(now)
-	s.askQuiet(now)
-	s.ensure()
+	s.probeReserved(now)
+	s.abortSilent(now)
+	s.abortLost(now)
+	s.checkQuiet(now)
+	s.openMissing()
 }
 
 // probeLocked takes an idle connection out of use and probes it.
@@ -41,11 +41,11 @@
 }
 
 func (s *slot) probe(c *Conn, timeout time.Duration) {
-	defer s.closeAfterFault(c)
+	defer s.closeAfterPanic(c)
 	sent := s.pool.clock.Now()
-	heard, idleSince := c.lastRead(), c.idleSince
+	heardAt, idleSince := c.lastRead(), c.idleSince
 	if !c.roundTrip(probeQuery, timeout) {
-		s.silent(c, heard, sent)
+		s.closeSilent(c, heardAt, sent)
 		return
 	}
 	s.putProbed(c, idleSince)
@@ -61,21 +61,21 @@
 	s.mu.Unlock()
 }
 
-// silent closes a connection that was last heard at the given time and did not
+// closeSilent closes a connection that was last heard at the given time and did not
 // answer a probe sent later. It probes the idle ones to the same target, since
 // a fault on the path hits connections of the same age together and their
 // answers decide about those in use.
-func (s *slot) silent(c *Conn, heard, sent time.Time) {
+func (s *slot) closeSilent(c *Conn, heardAt, sent time.Time) {
 	s.mu.Lock()
 	s.stats.silent++
 	s.mu.Unlock()
-	began := s.pool.silenceOf(s.key.Target).probeFailed(heard.Add(openTogether), sent, s.pool.clock.Now())
+	detectedAt := s.pool.detectorOf(s.key.Target).probeFailed(heardAt.Add(burstTolerance), sent, s.pool.clock.Now())
 	s.remove(c, nil)
 	err := siskin.NewError(siskin.Unavailable, "connection to target %s went silent", s.key.Target)
 	if s.pool.onFailure != nil && s.pool.ctx.Err() == nil {
 		s.pool.onFailure(s.key.Target, err)
 	}
-	s.pool.probeTarget(s.key.Target, began)
+	s.pool.probeIdle(s.key.Target, detectedAt)
 }
 
 // probeOlder probes the idle connections last heard before the given time.
@@ -84,8 +84,8 @@
 	defer s.mu.Unlock()
 	for account := range s.idle {
 		for _, c := range slices.Clone(s.idle[account]) {
-			if !c.lastHeard.After(before) {
-				s.probeLocked(c, probeAgain)
+			if !c.lastHeardAt.After(before) {
+				s.probeLocked(c, reprobeTimeout)
 			}
 		}
 	}
--- a/internal/pool/replace_test.go
+++ b/internal/pool/replace_test.go
@@ -16,7 +16,7 @@
 	second := f.get(t, Full, 2)
 	second.Recycle(2)
 	start := time.Now()
-	f.dialer.muteBefore.Store(f.dialer.opens.Load())
+	f.dialer.muteUpTo.Store(f.dialer.opens.Load())
 	_ = busy.W.Message(&pgproto3.Query{String: "select 1"})
 	if err := busy.W.Flush(); err != nil {
 		t.Fatal(err)
@@ -52,11 +52,11 @@
 	// The connection opened first goes silent, so it must not be the one with
 	// the slow statement.
 	owner := uint64(2)
-	if slow.Conn.(mutedConn).n == 1 {
+	if slow.Conn.(mutedConn).opening == 1 {
 		slow, other, owner = other, slow, 1
 	}
 	other.Recycle(owner)
-	f.dialer.muteBefore.Store(1) // one connection only
+	f.dialer.muteUpTo.Store(1) // one connection only
 	if !slow.roundTrip(encodeQuery("select pg_sleep(3.5)"), 6*time.Second) {
 		t.Errorf("got a slow statement cut (silent %v), want its answer", slow.Silent())
 	}
@@ -100,7 +100,7 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	start := time.Now()
-	f.dialer.muteBefore.Store(f.dialer.opens.Load())
+	f.dialer.muteUpTo.Store(f.dialer.opens.Load())
 	for { // requests take every connection that they can get
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		c, err := f.Get(ctx, key, Full, uint64(len(busy))+1)
--- a/internal/pool/retire.go
+++ b/internal/pool/retire.go
@@ -18,15 +18,15 @@
 func (s *slot) retireWriters() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.writers++ // openings in progress belong to the old ones
+	s.writerGeneration++ // openings in progress belong to the old ones
 	for len(s.idle[Full]) > 0 {
 		s.removeLocked(s.idle[Full][0])
 	}
-	s.ensure()
+	s.openMissing()
 }
 
 // isStale reports whether a connection is to be closed in place of another use.
 // The caller holds mu.
 func (s *slot) isStale(c *Conn) bool {
-	return c.generation != s.generation || (c.account == Full && c.writers != s.writers)
+	return c.generation != s.generation || (c.account == Full && c.writerGeneration != s.writerGeneration)
 }
--- a/internal/pool/silence_test.go
+++ b/internal/pool/silence_test.go
@@ -35,16 +35,16 @@
 		{"opened after the fault", 10_100, 10_150, nil, []int{10_000}, 0, false},
 	} {
 		at := func(ms int) time.Time { return time.Unix(1_800_000_000, 0).Add(time.Duration(ms) * time.Millisecond) }
-		var s silence
+		var s silenceDetector
 		for _, sent := range tt.probes {
-			since := sent - int(ambiguity/time.Millisecond)
+			since := sent - int(maxControlQuiet/time.Millisecond)
 			if tt.since != 0 {
 				since = tt.since
 			}
 			s.probeFailed(at(since), at(sent), at(sent).Add(probeTimeout))
 		}
 		for _, o := range tt.others {
-			s.heard(at(o.opened), at(o.at))
+			s.recordHeard(at(o.opened), at(o.at))
 		}
 		if got := s.isSilent(at(tt.opened), at(tt.heard), at(13_000)); got != tt.want {
 			t.Errorf("%s: got silent %v, want %v", tt.name, got, tt.want)
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -13,24 +13,24 @@
 	pool *Pool
 	key  Key
 
-	mu         sync.Mutex
-	cfg        SlotConfig
-	generation int // grows when the settings change; older connections are closed
-	writers    int // the same for the full account, when a primary is replaced
-	idle       [accounts][]*Conn
-	watch      *Conn // see watch.go
-	conns      map[*Conn]struct{}
-	count      [accounts]int // connections, without opening ones
-	busy       [accounts]int // connections that belong to a request
-	opening    [accounts]int
-	asked      [accounts]time.Time // see ask.go
-	waiters    []*waiter
-	draining   bool
-	failures   int // failed openings in a row
-	nextOpen   time.Time
-	lastErr    error
-	drained    chan struct{} // closed when draining and empty
-	stats      counters
+	mu               sync.Mutex
+	cfg              SlotConfig
+	generation       int // grows when the settings change; older connections are closed
+	writerGeneration int // the same for the full account, when a primary is replaced
+	idle             [numAccounts][]*Conn
+	reservedConn     *Conn // see watch.go
+	conns            map[*Conn]struct{}
+	count            [numAccounts]int // connections, without opening ones
+	busy             [numAccounts]int // connections that belong to a request
+	opening          [numAccounts]int
+	lastCheck        [numAccounts]time.Time // see ask.go
+	waiters          []*waiter
+	draining         bool
+	failures         int // failed openings in a row
+	nextOpen         time.Time
+	lastErr          error
+	drained          chan struct{} // closed when draining and empty
+	stats            counters
 }
 
 type counters struct{ opened, failed, silent int64 }
@@ -41,40 +41,40 @@
 	return s.cfg.Address
 }
 
-func (s *slot) open() int { return len(s.conns) + s.opening[Full] + s.opening[ReadOnly] }
+func (s *slot) size() int { return len(s.conns) + s.opening[Full] + s.opening[ReadOnly] }
 
-// has returns the number of connections of an account, including opening ones.
-func (s *slot) has(account Account) int { return s.opening[account] + s.count[account] }
+// accountSize returns the number of connections of an account, including opening ones.
+func (s *slot) accountSize(account Account) int { return s.opening[account] + s.count[account] }
 
-func notOwned(key Key) error {
+func notOwnedError(key Key) error {
 	return siskin.NewError(siskin.NotRun, "slot %d of target %s is not owned by this VM", key.Slot, key.Target).
 		WithRemedy("repeat the request; it goes to the owner")
 }
 
-// join returns an idle connection or a waiter.
-func (s *slot) join(account Account, owner uint64) (*Conn, *waiter, error) {
+// acquire returns an idle connection or a waiter.
+func (s *slot) acquire(account Account, owner uint64) (*Conn, *waiter, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
-		return nil, nil, notOwned(s.key)
+		return nil, nil, notOwnedError(s.key)
 	}
 	if idle := s.idle[account]; len(idle) > 0 {
 		c := idle[len(idle)-1]
 		s.idle[account] = idle[:len(idle)-1]
 		s.lease(c, owner)
-		s.ensure()
+		s.openMissing()
 		return c, nil, nil
 	}
-	if s.has(account) == 0 && s.failures > 0 && s.pool.clock.Now().Before(s.nextOpen) {
-		return nil, nil, s.unreachable()
+	if s.accountSize(account) == 0 && s.failures > 0 && s.pool.clock.Now().Before(s.nextOpen) {
+		return nil, nil, s.unreachableError()
 	}
-	w := &waiter{account: account, owner: owner, arrived: s.pool.clock.Now(), ready: make(chan result, 1)}
+	w := &waiter{account: account, owner: owner, arrivedAt: s.pool.clock.Now(), ready: make(chan result, 1)}
 	s.waiters = append(s.waiters, w)
-	s.ensure()
+	s.openMissing()
 	return nil, w, nil
 }
 
-func (s *slot) unreachable() error {
+func (s *slot) unreachableError() error {
 	return siskin.NewError(siskin.NotRun, "target %s cannot be reached", s.key.Target).
 		WithRemedy("repeat the request").WithRetryAfter(maxBackoff).WithCause(s.lastErr)
 }
@@ -83,21 +83,21 @@
 	if c.state != connIdle || c.owner != 0 || c.R.Buffered() > 0 || c.W.Buffered() > 0 {
 		idleAndReset.Check(false, "connection to %s handed out in state %d of request %d", s.key.Target, c.state, c.owner)
 	}
-	c.state, c.owner, c.taken = connBusy, owner, s.pool.clock.Now()
+	c.state, c.owner, c.leasedAt = connBusy, owner, s.pool.clock.Now()
 	c.SetStreaming(false)
 	s.busy[c.account]++
 }
 
-// unlease ends the use of a connection by a request.
-func (s *slot) unlease(c *Conn, state connState) {
+// endLease ends the use of a connection by a request.
+func (s *slot) endLease(c *Conn, state connState) {
 	if c.state == connBusy {
 		s.busy[c.account]--
 	}
 	c.state, c.owner = state, 0
 }
 
-// leave removes a waiter that gave up and reports whether it was still waiting.
-func (s *slot) leave(w *waiter) bool {
+// removeWaiter removes a waiter that gave up and reports whether it was still waiting.
+func (s *slot) removeWaiter(w *waiter) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i := slices.Index(s.waiters, w)
@@ -113,13 +113,13 @@
 	defer s.mu.Unlock()
 	if s.draining || s.isStale(c) || c.state == connClosed {
 		s.removeLocked(c)
-		s.ensure()
+		s.openMissing()
 		return
 	}
 	now := s.pool.clock.Now()
 	c.R.Release()
-	s.pool.silenceOf(s.key.Target).heard(c.opened, now)
-	c.state, c.lastHeard, c.idleSince = connIdle, now, now
+	s.pool.detectorOf(s.key.Target).recordHeard(c.openedAt, now)
+	c.state, c.lastHeardAt, c.idleSince = connIdle, now, now
 	i := slices.IndexFunc(s.waiters, func(w *waiter) bool { return w.account == c.account })
 	if i >= 0 {
 		w := s.waiters[i]
@@ -129,7 +129,7 @@
 	} else if !s.reserve(c) {
 		s.idle[c.account] = append(s.idle[c.account], c)
 	}
-	s.ensure()
+	s.openMissing()
 }
 
 // remove closes a connection and forgets it.
@@ -140,19 +140,19 @@
 	if cause != nil && len(s.conns) == 0 {
 		s.lastErr = cause
 	}
-	s.ensure()
+	s.openMissing()
 }
 
 func (s *slot) removeLocked(c *Conn) {
 	if c.state == connClosed {
 		return
 	}
-	s.unlease(c, connClosed)
+	s.endLease(c, connClosed)
 	_ = c.Conn.Close() // nothing is left to be sent
 	delete(s.conns, c)
 	s.count[c.account]--
-	if s.watch == c {
-		s.watch = nil
+	if s.reservedConn == c {
+		s.reservedConn = nil
 	}
 	if i := slices.Index(s.idle[c.account], c); i >= 0 {
 		s.idle[c.account] = slices.Delete(s.idle[c.account], i, i+1)
@@ -161,16 +161,16 @@
 }
 
 func (s *slot) checkDrained() {
-	if s.draining && s.open() == 0 && s.drained != nil {
+	if s.draining && s.size() == 0 && s.drained != nil {
 		close(s.drained)
 		s.drained = nil
 	}
 }
 
 // failWaiters ends the waits for an account that began at arrived or earlier.
-func (s *slot) failWaiters(account Account, arrived time.Time, err error) {
+func (s *slot) failWaiters(account Account, arrivedAt time.Time, err error) {
 	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
-		if w.account != account || w.arrived.After(arrived) {
+		if w.account != account || w.arrivedAt.After(arrivedAt) {
 			return false
 		}
 		w.ready <- result{err: err}
@@ -185,11 +185,11 @@
 	defer s.mu.Unlock()
 	s.draining = true
 	now := s.pool.clock.Now()
-	s.failWaiters(Full, now, notOwned(s.key))
-	s.failWaiters(ReadOnly, now, notOwned(s.key))
+	s.failWaiters(Full, now, notOwnedError(s.key))
+	s.failWaiters(ReadOnly, now, notOwnedError(s.key))
 	s.closeIdle()
 	done := make(chan struct{})
-	if s.open() == 0 {
+	if s.size() == 0 {
 		close(done)
 		return done
 	}
@@ -205,7 +205,7 @@
 			s.removeLocked(c)
 		}
 	}
-	if s.watch != nil && s.watch.state == connIdle {
-		s.removeLocked(s.watch)
+	if s.reservedConn != nil && s.reservedConn.state == connIdle {
+		s.removeLocked(s.reservedConn)
 	}
 }
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -11,39 +11,39 @@
 // reserve makes an idle connection the watch of the slot when it lacks one. The
 // caller holds mu.
 func (s *slot) reserve(c *Conn) bool {
-	if s.cfg.Stateless && s.watch == nil && c.account == Full && s.cfg.Limit > 1 {
-		s.watch = c
+	if s.cfg.Stateless && s.reservedConn == nil && c.account == Full && s.cfg.Limit > 1 {
+		s.reservedConn = c
 	}
-	return s.watch == c
+	return s.reservedConn == c
 }
 
-// probeWatch probes the watch when it was not heard for some time. The caller
+// probeReserved probes the watch when it was not heard for some time. The caller
 // holds mu.
-func (s *slot) probeWatch(now time.Time) {
-	c := s.watch
-	if c != nil && c.state == connIdle && now.Sub(c.lastHeard) >= probeAfter {
+func (s *slot) probeReserved(now time.Time) {
+	c := s.reservedConn
+	if c != nil && c.state == connIdle && now.Sub(c.lastHeardAt) >= probeAfter {
 		c.state = connProbing
 		s.pool.start(s.pool.probers, func() { s.probe(c, probeTimeout) })
 	}
 }
 
-// spareFloor returns the number of connections kept open without demand.
-func (s *slot) spareFloor(account Account) int {
+// minOpen returns the number of connections kept open without demand.
+func (s *slot) minOpen(account Account) int {
 	switch {
 	case !s.cfg.Stateless:
-		return warmFloor
+		return minIdle
 	case account == ReadOnly:
 		return 0 // connections between VMs have one account
 	case s.cfg.Limit > 1:
-		return warmFloor + 1
+		return minIdle + 1
 	default:
-		return warmFloor
+		return minIdle
 	}
 }
 
-// reserved returns the number of connections that no request gets.
-func (s *slot) reserved(account Account) int {
-	if s.watch != nil && account == s.watch.account {
+// reservedCount returns the number of connections that no request gets.
+func (s *slot) reservedCount(account Account) int {
+	if s.reservedConn != nil && account == s.reservedConn.account {
 		return 1
 	}
 	return 0
