--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -14,9 +14,7 @@
 const sqlstateReadOnly = "25006"
 
 // mayBeRefusal says that an error could show that a write ran nothing.
-func (l *localExecutor) mayBeRefusal() bool {
-	return l.ranNothing() && l.conn.R.Left() <= maxTargetError
-}
+func (l *localExecutor) mayBeRefusal() bool { return l.ranNothing() && l.conn.R.Left() <= maxError }
 
 // ranNothing says that no statement of a write completed so far and that the
 // caller got nothing of the answer. The messages before the first statement's
@@ -25,8 +23,8 @@
 	return !l.relayed && l.commands == 0 && l.status == 'I' && l.batchSent && l.route.Mode == config.WriteRoute
 }
 
-// maxTargetError bounds an error that travels in a failure message.
-const maxTargetError = 4 << 10
+// maxError bounds an error that travels in a failure message.
+const maxError = 4 << 10
 
 // readRefusal reads the target's error to the end of the answer. When the target is
 // no primary anymore, takes no writes on this connection or paused them for a
