--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -8,17 +8,17 @@
 	"siskintray.example/siskin/internal/frame"
 )
 
-// maxHeldBytes bounds the messages held back behind a CommandComplete or before a
-// result.
+// maxHeldBytes limits the messages held back after a CommandComplete or before
+// the first result.
 const maxHeldBytes = 4 << 10
 
-// maxHeldMessage is the largest message that is held back.
+// maxHeldMessage is the size of the largest message that is held back.
 const maxHeldMessage = 256
 
-// sinkError marks an error of the caller's connection.
+// sinkError is an error on the caller's connection.
 type sinkError struct{ error }
 
-// RelayAnswer implements Leg.
+// RelayAnswer implements Executor.
 func (l *localExecutor) RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
 	l.quiesce = quiesce
 	for {
@@ -65,9 +65,9 @@
 	return l.connFailed(err)
 }
 
-// relayMessage forwards one message, or holds it when it is small and follows a held
-// message or precedes the first result of a write. Notices of a statement that
-// runs are not held.
+// relayMessage forwards one message. It holds the message back if it is small
+// and follows a held message or precedes the first result of a write. Notices
+// of a running statement are not held back.
 func (l *localExecutor) relayMessage(sink Sink, h frame.Head) error {
 	holdable := "123nNSA"
 	if l.ranNothing() {
@@ -84,8 +84,8 @@
 	return forward(sink, h, l.conn.R)
 }
 
-// forward copies one message and tells an error of the caller's connection from
-// one of the target's.
+// forward copies one message. It wraps an error on the caller's connection in a
+// sinkError, to distinguish it from one on the target connection.
 func forward(sink Sink, h frame.Head, r *frame.Reader) error {
 	err := sink.Forward(h, r)
 	if err != nil && sink.Err() != nil {
@@ -122,8 +122,8 @@
 	return nil
 }
 
-// holdCommandComplete holds a CommandComplete until it is known whether it is the last of
-// the transaction.
+// holdCommandComplete holds back a CommandComplete until it is known whether it
+// is the last one of the transaction.
 func (l *localExecutor) holdCommandComplete(sink Sink, h frame.Head) error {
 	if err := l.releaseHeld(sink); err != nil {
 		return err
--- a/internal/relay/awake.go
+++ b/internal/relay/awake.go
@@ -7,19 +7,19 @@
 )
 
 const (
-	// maxResumeWait bounds the wait for the end of a pause. It is above the 2 s in
-	// which a VM looks for a peer that answers and the 1 s in which it fetches
-	// the configuration.
+	// maxResumeWait limits the wait for the end of a pause. It is above the sum
+	// of 2 s, in which a VM finds a peer that answers, and 1 s, in which it
+	// fetches the configuration.
 	maxResumeWait = 3500 * time.Millisecond
-	// resumePollInterval is the time between two looks. Only requests that arrive within
-	// some milliseconds after a pause look more than once.
+	// resumePollInterval is the time between two checks of Awake. Only requests
+	// that arrive within a few milliseconds after a pause check more than once.
 	resumePollInterval = 5 * time.Millisecond
 )
 
 func (h *Home) isAwake() bool { return h.Awake == nil || h.Awake() }
 
-// awaitAwake holds a request back while this VM resumes from a pause, since the
-// slot, the configuration and the primary may have changed meanwhile.
+// awaitAwake delays a request while this VM resumes from a pause, since the
+// slot, the configuration and the primary may have changed during the pause.
 func (l *localExecutor) awaitAwake() error {
 	h := l.home
 	if h.isAwake() {
--- a/internal/relay/decoder.go
+++ b/internal/relay/decoder.go
@@ -23,7 +23,8 @@
 	return append(dst, v)
 }
 
-// decoder reads the fields of a message between VMs. Its first error sticks.
+// decoder reads the fields of a message between VMs. After an error, malformed
+// stays set.
 type decoder struct {
 	b         []byte
 	malformed bool
@@ -39,7 +40,8 @@
 	return v
 }
 
-// duration reads a time of at most a day, so that sums cannot overflow.
+// duration reads a duration and limits it to a day, so that sums cannot
+// overflow.
 func (d *decoder) duration() time.Duration {
 	return time.Duration(min(d.uint(), uint64(24*time.Hour)))
 }
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -1,8 +1,8 @@
-// Package relay runs one transaction between a caller and a target connection.
+// Package relay runs transactions between callers and target connections.
 //
 // Home admits the transactions of the slots that this VM owns and runs them.
 // Forwarder runs a transaction at the home of another VM, and Server accepts
 // such transactions. Both sides speak the PostgreSQL protocol with two
-// messages of their own: a header before a transaction's first batch and a
-// failure in place of its answer.
+// additional messages: a header before the first batch of a transaction, and a
+// failure in place of an answer.
 package relay
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,30 +10,32 @@
 	"siskintray.example/siskin/internal/frame"
 )
 
-// Source yields the messages of a caller's batch.
+// Source reads the messages of a caller's batch.
 type Source interface {
-	// Peek waits for the next message. After Interrupt it returns an error that
-	// wraps os.ErrDeadlineExceeded and can be repeated after Resume.
+	// Peek waits for the next message without consuming it. After Interrupt it
+	// returns an error that wraps os.ErrDeadlineExceeded; it can be called
+	// again after Resume.
 	Peek() (frame.Head, error)
-	// Append consumes the next message and adds it to b. It reports false, and
-	// the message stays next, when it does not fit.
+	// Append consumes the next message and appends it to b. It reports false,
+	// and consumes nothing, if the message does not fit.
 	Append(h frame.Head, b *frame.Batch) (bool, error)
 	// Send consumes the next message and writes it to w.
 	Send(h frame.Head, w *frame.Writer) error
 	// SendRest writes the rest of a message whose Send was interrupted.
 	SendRest(w *frame.Writer) error
-	// Buffered returns the bytes that were read but not consumed.
+	// Buffered returns the number of bytes that were read but not consumed.
 	Buffered() int
-	// Interrupt ends a waiting Peek or Send; Resume allows them again.
+	// Interrupt ends a blocked Peek or Send. Resume allows them again.
 	Interrupt()
 	Resume()
 }
 
-// endsBatch reports whether a message endsBatch a batch outside of COPY.
+// endsBatch reports whether a message ends a batch outside of COPY.
 func endsBatch(typ byte) bool { return typ == 'Q' || typ == 'F' || typ == 'S' }
 
-// Collect gathers messages in b until the batch ends, a Flush comes or b is
-// full. It returns the type of the message that ended the batch, or zero.
+// Collect appends messages to b until the batch ends, a Flush message is read
+// or b is full. It returns the type of the message that ended the batch, or
+// zero.
 func Collect(src Source, b *frame.Batch) (byte, error) {
 	for {
 		h, err := src.Peek()
@@ -50,9 +52,9 @@
 	}
 }
 
-// Exchange sends one batch, of which b holds the beginning, and relays its
-// answer. The argument last is the result of Collect. A source error means that
-// the caller is gone.
+// Exchange sends a batch, whose beginning is in b, and relays the answer. The
+// argument last is the result of Collect. After an error of src, the Failure
+// has CallerGone set.
 func Exchange(src Source, executor Executor, sink Sink, b *frame.Batch, last byte) (Result, *Failure) {
 	if err := executor.Send(b.Bytes(), last != 0); err != nil {
 		return Result{}, batchSendFailed(executor, err)
@@ -67,9 +69,9 @@
 	return duplex(src, executor, sink, last == 'Q')
 }
 
-// batchSendFailed ends a batch that may have been sent in part. A target runs
-// nothing of a message before it has it whole, but an earlier message of the
-// batch may have arrived, so the outcome is unknown.
+// batchSendFailed ends a transaction after a batch was possibly sent in part. A
+// target runs a message only after it has received it completely, but an
+// earlier message of the batch may have arrived, so the outcome is unknown.
 func batchSendFailed(executor Executor, err error) *Failure {
 	executor.Abort(err)
 	return unknownOutcome(err, "connection to the target failed while the request was sent")
@@ -81,15 +83,15 @@
 	panicked *Panic
 }
 
-// duplex relays the rest of a batch in both directions at once. With copySimple
-// the batch ends with the copy data of a simple query.
+// duplex relays the rest of a batch in both directions concurrently. If
+// simpleCopy is set, the batch ends with the copy data of a simple query.
 func duplex(src Source, executor Executor, sink Sink, simpleCopy bool) (Result, *Failure) {
 	w := executor.Writer()
 	answers := make(chan answer, 1)
 	pumpDone := make(chan struct{})
-	var answerEnded atomic.Bool // the target's answer ended, so no more is sent
+	var answerEnded atomic.Bool // the target's answer has ended, so nothing more is sent
 	stop := func() {
-		answerEnded.Store(true) // before Interrupt, so that an interrupted pump finds it
+		answerEnded.Store(true) // set before Interrupt, so that the interrupted pump sees it
 		src.Interrupt()
 	}
 	go func() {
@@ -112,12 +114,12 @@
 		close(pumpDone)
 		a := <-answers
 		if a.panicked != nil {
-			panic(a.panicked) // in the goroutine of the session, which handles it
+			panic(a.panicked) // in the session's goroutine, which recovers it
 		}
 		return a
 	}
 	defer func() {
-		if !finished { // a fault: nothing may use the session after its end
+		if !finished { // a panic: nothing may use the session after it ended
 			executor.Abort(nil)
 			close(pumpDone)
 			<-answers
@@ -125,8 +127,9 @@
 	}()
 	err := pump(src, w, simpleCopy)
 	if isInterrupt(err) && answerEnded.Load() {
-		// The answer ended first, such as by an error within COPY. The message
-		// in progress is completed, so that the connection stays in step.
+		// The answer ended before the batch, for example by an error within
+		// COPY. Send the rest of the current message, to keep the connection in
+		// sync.
 		src.Resume()
 		if err = src.SendRest(w); err == nil {
 			err = w.Flush()
@@ -142,8 +145,8 @@
 	return a.result, a.failure
 }
 
-// sourceFailure returns the failure of a batch whose messages ended early. The
-// session ends, since the answer is out of step with the batch.
+// sourceFailure returns the failure of a batch that ended early. The session
+// ends, since the answer is out of sync with the batch.
 func sourceFailure(err error) *Failure {
 	f := unknownOutcome(err, "caller's connection ended in the middle of a batch")
 	if e := new(siskin.Error); errors.As(err, &e) {
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -14,24 +14,26 @@
 
 var notRunProven = invar.New("NotRunOnlyWithProof")
 
-// Failure is why a transaction ended without its answer.
+// Failure describes why a transaction ended without an answer from the target.
 type Failure struct {
 	Proof retry.Proof
 	Err   *siskin.Error
-	// Admitted says that the limiter had admitted the request.
+	// Admitted reports whether the limiter had admitted the request.
 	Admitted bool
-	// WithinRate says of a refusal of kind RateExceeded that the customer was
-	// within its rate as far as the limiter knows.
+	// WithinRate reports, for an error of kind RateExceeded, whether the
+	// customer was within its rate as far as the limiter knows.
 	WithinRate bool
-	// CallerGone says that the caller's connection failed, so that nobody is
-	// left to answer.
+	// CallerGone reports whether the caller's connection failed, so that no
+	// answer can be sent.
 	CallerGone bool
-	// TargetError is the body of the target's own error when it reported an abort.
+	// TargetError is the body of the target's ErrorResponse if the target
+	// reported an abort.
 	TargetError []byte
 }
 
-// unsentFailure returns the failure of a transaction of which nothing was sent. An err
-// that does not say "not run" by its kind is turned into one that does.
+// unsentFailure returns the failure of a transaction of which nothing was sent.
+// An err whose kind does not imply that the request did not run is replaced by
+// one of kind NotRun.
 func unsentFailure(err error) *Failure {
 	var e *siskin.Error
 	if !errors.As(err, &e) || !isRefusal(e.Kind) {
@@ -44,7 +46,8 @@
 	return k.IsNotRun() || k == siskin.BadInput || k == siskin.TooLarge || k == siskin.Unsupported
 }
 
-// unknownOutcome returns the failure of a transaction that may have taken effect.
+// unknownOutcome returns the failure of a transaction that may have taken
+// effect.
 func unknownOutcome(cause error, format string, args ...any) *Failure {
 	e := siskin.NewError(siskin.OutcomeUnknown, format, args...).
 		WithRemedy("check whether the request took effect before repeating it")
@@ -54,13 +57,14 @@
 	return &Failure{Proof: retry.Unknown, Err: e}
 }
 
-// Check asserts that the failure says "not run" only with proof.
+// Check asserts that the failure has a kind with IsNotRun only if Proof proves
+// it.
 func (f *Failure) Check() {
 	notRunProven.Check(f.Proof.NotRun() || !f.Err.Kind.IsNotRun(), "failure %s with proof %d", f.Err.Kind, f.Proof)
 }
 
-// Encode appends the failure as a message. Causes stay on the VM where they
-// arose.
+// Encode appends the failure as a message. The cause of the error is not sent
+// to the other VM.
 func (f *Failure) Encode(dst []byte) ([]byte, error) {
 	dst = append(dst, failureType, 0, 0, 0, 0)
 	start := len(dst) - 4
@@ -75,8 +79,9 @@
 	return dst, nil
 }
 
-// Decode sets the failure from the body of a message. One with a proof or a kind
-// that this version does not know is malformed: tables are indexed by kind.
+// Decode parses the body of a message into the failure. An unknown proof or
+// kind, such as of another version, is an error, since tables are indexed by
+// kind.
 func (f *Failure) Decode(body []byte) error {
 	d := decoder{b: body}
 	proof, kind := d.uint(), d.uint()
@@ -93,8 +98,8 @@
 	return d.finish("failure")
 }
 
-// ErrorResponse returns the message that tells a caller of err. The message of
-// the cause is left out: it may name addresses.
+// ErrorResponse returns the message that reports err to a caller. It omits the
+// cause, which may contain addresses.
 func ErrorResponse(severity string, err *siskin.Error) *pgproto3.ErrorResponse {
 	r := &pgproto3.ErrorResponse{
 		Severity: severity, SeverityUnlocalized: severity,
--- a/internal/relay/fault.go
+++ b/internal/relay/fault.go
@@ -9,19 +9,19 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// noPanic makes each fault a violation as well, so that tests, soaks and
-// experiments fail although the process goes on.
+// noPanic records each panic as an invariant violation, so that tests, soak
+// runs and experiments fail although the process continues.
 var noPanic = invar.New("SessionsEndWithoutFault")
 
-// Panic is a panic in the work for a transaction. It ends one session and not
-// the process with the sessions of all callers.
+// Panic is a recovered panic in the code that serves a transaction. It ends one
+// session instead of the process with the sessions of all callers.
 type Panic struct {
 	Value any
 	Stack []byte
 }
 
-// Recovered returns the fault of a recovered value. One that was raised again
-// in another goroutine keeps the stack of its origin.
+// Recovered returns the Panic for a recovered value. A Panic that was raised
+// again in another goroutine keeps its original stack.
 func Recovered(v any) *Panic {
 	if f, ok := v.(*Panic); ok {
 		return f
@@ -29,19 +29,19 @@
 	return &Panic{v, debug.Stack()}
 }
 
-// String returns the value and the stack, as the runtime prints them when the
-// fault ends the process.
+// String returns the value and the stack in the format that the runtime prints
+// for an unrecovered panic.
 func (f *Panic) String() string { return fmt.Sprintf("%v\n%s", f.Value, f.Stack) }
 
-// Report logs the fault of a request, which may have no fields, and counts it
-// as a violation.
+// Report logs the panic with the fields of the request, which may be empty, and
+// counts it as an invariant violation.
 func (f *Panic) Report(l *logs.Requests, q logs.Request, msg string) {
 	l.Fault(q, f.Value, f.Stack, msg)
 	noPanic.Check(false, "%v", f)
 }
 
-// runGuarded runs work on a connection that no transaction uses anymore. After a
-// fault the connection is closed.
+// runGuarded runs work on a connection that no transaction uses anymore. If
+// work panics, the connection is closed.
 func runGuarded(conn *pool.Conn, work func()) {
 	defer func() {
 		if v := recover(); v != nil {
--- a/internal/relay/floor.go
+++ b/internal/relay/floor.go
@@ -8,13 +8,13 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// floorPollInterval is the time between two status queries of a read that waits for a
-// replica.
+// floorPollInterval is the time between two status queries of a read that waits
+// for a replica.
 const floorPollInterval = 4 * time.Millisecond
 
-// awaitFloor makes sure that the target has reached the read's floor. The
-// group's view is up to one probe interval old, so a target that seems behind
-// is asked on the leased connection.
+// awaitFloor waits until the target has reached the read's floor. The group's
+// view is up to one probe interval old, so if the target is behind in the view,
+// its status is queried on the leased connection.
 func (l *localExecutor) awaitFloor() error {
 	floor, id := l.hdr.Floor, l.hdr.Target
 	view := l.group.View()
@@ -55,7 +55,7 @@
 	columnStreamTerm  = 4
 	columnApplied     = 7
 	columnDraining    = 10
-	minStatusColumns  = 11 // at least
+	minStatusColumns  = 11
 )
 
 func (l *localExecutor) queryStatus() (siskin.TargetStatus, error) {
@@ -83,7 +83,7 @@
 	return status, nil
 }
 
-// queryRow runs a query of the proxy's own between two batches of the caller.
+// queryRow runs a query of the proxy between two batches of the caller.
 func (l *localExecutor) queryRow(query []byte) (row [][]byte, status byte, err error) {
 	if err := l.conn.W.Raw(query); err != nil {
 		return nil, 0, err
@@ -94,7 +94,7 @@
 	return l.readRow()
 }
 
-// readRow reads the answer of a query that returns one row. The row is nil when
+// readRow reads the answer to a query that returns one row. The row is nil if
 // the target reported an error.
 func (l *localExecutor) readRow() (row [][]byte, status byte, err error) {
 	for {
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -15,10 +15,11 @@
 // peerUser is the user name of connections between VMs.
 const peerUser = "siskintray-peer"
 
-// maxConnsPerPeer bounds the connections to one peer. Each carries one transaction.
+// maxConnsPerPeer limits the connections to one peer. Each carries one
+// transaction at a time.
 const maxConnsPerPeer = 256
 
-// peerOpenTime is an upper bound of a TLS handshake between two data centres.
+// peerOpenTime is an upper bound for a TLS handshake between two data centres.
 const peerOpenTime = 50 * time.Millisecond
 
 // Forwarder runs transactions at the homes of other VMs over pooled
@@ -28,8 +29,8 @@
 	pool  *pool.Pool
 }
 
-// NewForwarder returns a Forwarder that uses the TLS settings for connections
-// to peers; nil means no TLS. With open set, it replaces
+// NewForwarder returns a Forwarder that uses cfg for TLS connections to peers,
+// or no TLS if it is nil. If open is not nil, it replaces
 // net.Dialer.DialContext.
 func NewForwarder(clock siskin.Clock, cfg *tls.Config, open siskin.DialFunc) *Forwarder {
 	if open == nil {
@@ -38,14 +39,15 @@
 	return &Forwarder{clock: clock, pool: pool.New(clock, peerDialer{cfg, open})}
 }
 
-// Close waits until ctx ends for transactions in progress.
+// Close waits for transactions in progress until ctx ends, and closes the
+// connections.
 func (f *Forwarder) Close(ctx context.Context) { f.pool.Close(ctx) }
 
 // Stats returns the connections per peer.
 func (f *Forwarder) Stats() map[pool.Key]pool.Stats { return f.pool.Stats() }
 
-// Begin leases a connection to the home and sends the header with the first
-// batch. Nothing of the transaction was sent when it fails.
+// Begin leases a connection to the home and buffers the header, which is sent
+// with the first batch. If it fails, nothing of the transaction was sent.
 func (f *Forwarder) Begin(home siskin.VM, hdr *Header) (executor Executor, failure *Failure) {
 	key := pool.Key{Target: siskin.TargetID(home.ID)}
 	f.pool.Own(key, pool.SlotConfig{Address: home.ForwardAddress, Limit: maxConnsPerPeer, OpenTime: peerOpenTime, Stateless: true})
@@ -57,12 +59,12 @@
 		return nil, unsentFailure(err)
 	}
 	defer func() {
-		if executor == nil && failure == nil { // a fault
+		if executor == nil && failure == nil { // a panic
 			conn.Close(nil)
 		}
 	}()
 	hdr.Remaining = deadline.Sub(f.clock.Now())
-	// The home ends the transaction at the deadline; its failure needs a little
+	// The home ends the transaction at the deadline. Its failure takes a little
 	// longer to arrive.
 	if err := conn.SetDeadline(deadline.Add(time.Second)); err != nil {
 		conn.Close(err)
@@ -75,10 +77,10 @@
 	return &remoteExecutor{conn: conn, home: home.ID, request: hdr.Request}, nil
 }
 
-// Drop closes the connections to a VM that left.
+// Drop closes the connections to a VM that has left the cluster.
 func (f *Forwarder) Drop(vm siskin.VMID) { f.pool.Drop(pool.Key{Target: siskin.TargetID(vm)}) }
 
-// peerDialer opens connections to the forward address of other VMs.
+// peerDialer opens connections to the forward addresses of other VMs.
 type peerDialer struct {
 	tls *tls.Config
 	net siskin.DialFunc
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -19,7 +19,7 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// scriptedConn answers with prepared bytes, whatever it is sent.
+// scriptedConn returns prepared bytes, whatever is written to it.
 type scriptedConn struct{ io.Reader }
 
 func (scriptedConn) Write(b []byte) (int, error)      { return len(b), nil }
@@ -30,7 +30,7 @@
 func (scriptedConn) SetReadDeadline(time.Time) error  { return nil }
 func (scriptedConn) SetWriteDeadline(time.Time) error { return nil }
 
-// scriptedDialer opens connections that answer with its bytes.
+// scriptedDialer opens connections that return its bytes.
 type scriptedDialer []byte
 
 func (d scriptedDialer) Dial(context.Context, pool.Key, pool.SlotConfig, pool.Account) (pool.DialedConn, error) {
@@ -39,7 +39,7 @@
 
 func (scriptedDialer) Cancel(context.Context, string, uint32, []byte) error { return nil }
 
-// permissive admits, queues and confirms everything at once.
+// permissive admits, queues and confirms every request immediately.
 type permissive struct{}
 
 func (permissive) Group(siskin.ServiceName) (siskin.Group, bool)  { return permissive{}, true }
@@ -91,7 +91,7 @@
 	p.Close(ctx)
 }
 
-// discard takes the answer for the caller.
+// discard is a Sink that discards the answer.
 type discard struct{ *frame.Writer }
 
 func (d discard) Forward(h frame.Head, r *frame.Reader) error { return d.Copy(h, r) }
@@ -117,7 +117,7 @@
 }
 
 // FuzzAnswer guards against a panic, a hang or a connection that stays in use
-// after a malformed answer of a target, or of the home on another VM.
+// after a malformed answer from a target, or from the home on another VM.
 func FuzzAnswer(f *testing.F) {
 	panicOnViolation(f)
 	row := &pgproto3.DataRow{Values: [][]byte{[]byte("1"), []byte("0/10")}}
@@ -163,14 +163,14 @@
 		}
 		for start := time.Now(); h.Pool.Stats()[fuzzKey].Busy > 0; time.Sleep(100 * time.Microsecond) {
 			if time.Since(start) > 5*time.Second {
-				t.Fatal("the connection is in use after the end of the transaction")
+				t.Fatal("connection still in use 5 s after the end of the transaction")
 			}
 		}
 	})
 }
 
 // beginFuzz begins a write, a read, or a transaction at the home of another VM.
-// It returns nil when the answer fails the beginning.
+// It returns nil if the transaction cannot begin with these bytes.
 func beginFuzz(t *testing.T, h *Home, kind byte) Executor {
 	hdr := &Header{Service: "s", Target: "s/1", Request: 1, Remaining: 5 * time.Second, Route: "write"}
 	switch kind {
@@ -191,8 +191,8 @@
 	return executor
 }
 
-// FuzzPeerConn guards against a panic, a hang or a fault on the messages of a VM
-// that forwards transactions.
+// FuzzPeerConn guards against a panic or a hang on messages from a VM that
+// forwards transactions.
 func FuzzPeerConn(f *testing.F) {
 	panicOnViolation(f)
 	header := &Header{Service: "s", Route: "write", Target: "s/1", Request: 1, Remaining: time.Second}
@@ -219,12 +219,12 @@
 		}()
 		go func() { _, _ = io.Copy(io.Discard, client) }()
 		_, _ = client.Write(start)
-		_, _ = client.Write(messages) // ends when the server hangs up
+		_, _ = client.Write(messages) // returns when the server closes the connection
 		_ = client.Close()
 		select {
 		case <-ended:
 		case <-time.After(10 * time.Second):
-			t.Fatal("the connection did not end with its peer")
+			t.Fatal("connection still served 10 s after the peer closed it")
 		}
 	})
 }
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -7,7 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// Types of the messages between VMs that the PostgreSQL protocol does not have.
+// Types of the messages between VMs that are not part of the PostgreSQL
+// protocol.
 const (
 	headerType  = 'h'
 	failureType = 'u'
@@ -16,24 +17,24 @@
 // maxHeaderSize bounds a header or failure message.
 const maxHeaderSize = 8 << 10
 
-// Header names one transaction and what it needs.
+// Header describes a transaction and its requirements.
 type Header struct {
 	Service  siskin.ServiceName
 	Route    siskin.RouteName
 	Customer siskin.CustomerID
-	Key      siskin.KeyID // empty when the caller showed no key
+	Key      siskin.KeyID // empty if the caller presented no key
 	Target   siskin.TargetID
 	Slot     siskin.Slot
-	// Floor is the position that a read must have reached; with Sample the home
-	// samples it.
+	// Floor is the position that the target of a read must have reached. If
+	// SampleFloor is set, the home samples it.
 	Floor       siskin.Position
 	SampleFloor bool
-	// Admitted says that the limiter admitted the request in an earlier attempt
-	// that did not run.
+	// Admitted reports whether the limiter admitted the request in an earlier
+	// attempt that did not run.
 	Admitted bool
 	// Request identifies the request at the entry VM.
 	Request uint64
-	// Remaining is the time to the deadline. It travels as a duration, since
+	// Remaining is the time until the deadline. It is sent as a duration, since
 	// the clocks of two VMs may differ.
 	Remaining time.Duration
 }
@@ -55,7 +56,7 @@
 	return dst, nil
 }
 
-// Decode sets the header from the body of a message.
+// Decode parses the body of a message into the header.
 func (h *Header) Decode(body []byte) error {
 	d := decoder{b: body}
 	h.Service = siskin.ServiceName(d.string())
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -15,16 +15,18 @@
 	Config  config.View
 	Groups  siskin.Groups
 	Limiter siskin.Limiter
-	// Keys is asked again after a request waited here, so that nothing is sent
-	// for a key that was withdrawn meanwhile. Nil leaves that to the entry VM.
+	// Keys checks the key again after a request was queued, so that nothing is
+	// sent for a key that was withdrawn in the meantime. If it is nil, only the
+	// entry VM checks keys.
 	Keys   siskin.Authenticator
 	Queues Queues
 	Pool   *pool.Pool
-	// Awake reports whether this VM may use its roles; it is false after a pause
-	// until the VM has heard from its peers. Nil means always.
+	// Awake reports whether this VM may use its roles. It is false after a
+	// pause until the VM has heard from its peers. Nil means always true.
 	Awake func() bool
-	// ReplicaWait is how long a read waits for a replica to reach its floor
-	// before it is sent elsewhere; zero means DefaultReplicaWait.
+	// ReplicaWait is the maximum wait of a read for a replica to reach its
+	// floor, after which the read is sent to another target. Zero means
+	// DefaultReplicaWait.
 	ReplicaWait time.Duration
 
 	applied        *shard.Map[siskin.TargetID, siskin.Position]
@@ -32,11 +34,11 @@
 	leavingTargets leavingTargets
 }
 
-// DefaultReplicaWait is a little above the replication lag of 50 ms at which
+// DefaultReplicaWait is slightly above 50 ms, the replication lag at which
 // replicas are to serve at least 90% of the reads.
 const DefaultReplicaWait = 60 * time.Millisecond
 
-// Init prepares a Home whose fields are set and returns it.
+// Init initializes the unexported fields of a Home and returns it.
 func (h *Home) Init() *Home {
 	if h.ReplicaWait == 0 {
 		h.ReplicaWait = DefaultReplicaWait
@@ -47,14 +49,14 @@
 	return h
 }
 
-// Begin admits one transaction and leases a connection for it. Nothing of the
-// transaction was sent when it fails.
+// Begin admits a transaction and leases a connection for it. If it fails,
+// nothing of the transaction was sent.
 func (h *Home) Begin(hdr *Header) (executor Executor, f *Failure) {
 	l := &localExecutor{home: h, hdr: *hdr, status: 'I', connReleased: true, deadline: h.Clock.Now().Add(hdr.Remaining)}
 	l.held, l.row = l.heldBuf[:0], l.rowBuf[:0]
 	l.ctx = lazyContext{clock: h.Clock, deadline: l.deadline}
 	defer func() {
-		if executor == nil && f == nil { // a fault: what begin took is given back
+		if executor == nil && f == nil { // a panic: release what begin acquired
 			l.Abort(nil)
 		}
 	}()
@@ -119,13 +121,13 @@
 		return err
 	}
 	if !h.isAwake() {
-		return pausedError() // what was looked up may be out of date
+		return pausedError() // the values read above may be outdated
 	}
 	return l.checkKey()
 }
 
-// checkKey refuses a request whose key is known to be withdrawn. A key that
-// this VM does not know may be newer than its configuration.
+// checkKey rejects a request whose key is known to be withdrawn. A key that
+// this VM does not know may be newer than its configuration and is accepted.
 func (l *localExecutor) checkKey() error {
 	if l.home.Keys == nil || l.hdr.Key == "" {
 		return nil
@@ -142,7 +144,7 @@
 		WithRemedy("connect to a database named service/route that the configuration has")
 }
 
-// admitRate takes the request from the customer's rate, once over all attempts.
+// admitRate charges the request to the customer's rate, once for all attempts.
 func (l *localExecutor) admitRate() error {
 	if l.hdr.Admitted {
 		return nil
@@ -164,7 +166,8 @@
 	return 1
 }
 
-// admitTarget checks that the target may serve the route at present.
+// admitTarget checks that the target may currently serve the route. It
+// registers a write, and samples the floor of a read with SampleFloor set.
 func (l *localExecutor) admitTarget() error {
 	if l.route.Mode == config.WriteRoute {
 		primary, term, endWrite, err := l.group.AdmitWrite(&l.ctx)
@@ -209,7 +212,7 @@
 		WithRemedy("repeat the request; it goes to another target")
 }
 
-// releaseAll gives back what begin took, except the connection.
+// releaseAll releases everything that begin acquired, including the connection.
 func (l *localExecutor) releaseAll() {
 	l.recycleConn()
 	l.releaseAdmission()
--- a/internal/relay/lazyctx.go
+++ b/internal/relay/lazyctx.go
@@ -8,8 +8,8 @@
 	"siskintray.example/siskin"
 )
 
-// lazyContext is a context with a deadline that starts its timer only when
-// something waits on it, since most transactions wait for nothing.
+// lazyContext is a context with a deadline that starts its timer only when Done
+// is called, since most transactions never wait.
 type lazyContext struct {
 	clock    siskin.Clock
 	deadline time.Time
--- a/internal/relay/leaving.go
+++ b/internal/relay/leaving.go
@@ -9,9 +9,9 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// maxLeavingTime is the time after which a leaving target may receive no new
-// work (P11). refuseLeavingAfter is shorter by a second, which covers the interval
-// of the probes that report the state.
+// maxLeavingTime is the time after which a leaving target must not receive new
+// work (P11). refuseLeavingAfter is a second shorter, to cover the interval of
+// the probes that report the state.
 const (
 	maxLeavingTime     = 3 * time.Second
 	refuseLeavingAfter = 2 * time.Second
@@ -19,17 +19,17 @@
 
 var leavingGetsNoWork = invar.New("LeavingTargetGetsNoNewWork")
 
-// leavingTargets holds since when the targets of the watched groups are leavingTargets.
+// leavingTargets records when the targets of the watched groups began to leave.
 type leavingTargets struct {
-	// serviceCount counts the entries of since, so that a transaction looks nothing
-	// up while no target is leaving.
+	// serviceCount is the number of entries in since. While it is zero,
+	// transactions skip the lookup.
 	serviceCount atomic.Int64
 	since        *shard.Map[siskin.ServiceName, map[siskin.TargetID]time.Time]
 }
 
-// Observe takes over which targets of a service are leaving. Call it with each
-// view that changed, and with an empty view when the service is watched no
-// longer.
+// Observe records which targets of a service are leaving. It must be called
+// with each changed view, and with an empty view when the service is no longer
+// watched.
 func (h *Home) Observe(service siskin.ServiceName, view *siskin.GroupView) {
 	now, l := h.Clock.Now(), &h.leavingTargets
 	l.since.Update(service, func(old map[siskin.TargetID]time.Time, had bool) (map[siskin.TargetID]time.Time, bool) {
@@ -38,7 +38,7 @@
 			t := &view.Targets[i]
 			leftAt, known := old[t.Status.ID]
 			switch {
-			case known && (t.Status.Leaving || !t.Reachable): // the state of a silent target is not news
+			case known && (t.Status.Leaving || !t.Reachable): // an unreachable target keeps its last known state
 				since[t.Status.ID] = leftAt
 			case t.Status.Leaving:
 				since[t.Status.ID] = now
@@ -55,20 +55,21 @@
 	})
 }
 
-// leavingFor returns how long a target is known to be leaving, or zero.
+// leavingFor returns how long ago a target was first seen leaving, or zero if
+// it is not leaving.
 func (h *Home) leavingFor(service siskin.ServiceName, target siskin.TargetID) time.Duration {
 	if h.leavingTargets.serviceCount.Load() == 0 {
 		return 0
 	}
-	targets, _ := h.leavingTargets.since.Get(service) // replaced as a whole, never changed
+	targets, _ := h.leavingTargets.since.Get(service) // copy-on-write
 	if leftAt, ok := targets[target]; ok {
 		return h.Clock.Now().Sub(leftAt)
 	}
 	return 0
 }
 
-// refuseLeaving refuses a transaction, which may have waited here, at a target
-// that should have handed over its role by now.
+// refuseLeaving refuses a transaction, which may have waited in the queue, on a
+// target that should have handed off its role by now.
 func (l *localExecutor) refuseLeaving() error {
 	if l.home.leavingFor(l.hdr.Service, l.hdr.Target) < refuseLeavingAfter {
 		return nil
@@ -77,8 +78,8 @@
 		WithRemedy("repeat the request; it goes to another target")
 }
 
-// checkLeaving asserts that a transaction does not begin at a target that has
-// been leaving for longer than the bound.
+// checkLeaving asserts that a transaction does not begin on a target that has
+// been leaving for longer than maxLeavingTime.
 func (h *Home) checkLeaving(hdr *Header) {
 	if d := h.leavingFor(hdr.Service, hdr.Target); d > maxLeavingTime {
 		leavingGetsNoWork.Check(false, "target %s received new work %v after it began to leave", hdr.Target, d)
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -9,8 +9,9 @@
 	"siskintray.example/siskin"
 )
 
-// TestObserve guards against a leaving target whose time starts anew when it is
-// silent for a while, and against entries that stay when nothing is leaving.
+// TestObserve guards against a leaving target whose leaving time restarts after
+// it was unreachable for a while, and against entries that remain after no
+// target is leaving.
 func TestObserve(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	h := (&Home{Clock: clock}).Init()
@@ -36,11 +37,11 @@
 			t.Errorf("step %d: got %v, want %v", i, got, step.want)
 		}
 		if got := h.leavingFor("s", "s/2"); got != 0 {
-			t.Errorf("step %d: got %v for a target that stays, want 0", i, got)
+			t.Errorf("step %d: got %v for a target that is not leaving, want 0", i, got)
 		}
 	}
 	h.Observe("s", &siskin.GroupView{})
 	if got := h.leavingTargets.serviceCount.Load() + int64(h.leavingTargets.since.Len()); got != 0 {
-		t.Errorf("got %d entries when the service is watched no longer, want 0", got)
+		t.Errorf("got %d entries after the service is no longer watched, want 0", got)
 	}
 }
--- a/internal/relay/local.go
+++ b/internal/relay/local.go
@@ -13,7 +13,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// positionQuery and statusQuery are the proxy's own statements, encoded once.
+// positionQuery and statusQuery are statements of the proxy itself, encoded
+// once.
 var (
 	positionQuery = encodeQuery("SELECT * FROM siskin_commit_position()")
 	statusQuery   = encodeQuery("SELECT * FROM siskin_status()")
@@ -27,7 +28,7 @@
 	return b
 }
 
-// localExecutor runs a transaction at a target connection of this VM.
+// localExecutor runs a transaction on a target connection of this VM.
 type localExecutor struct {
 	home     *Home
 	hdr      Header
@@ -37,38 +38,38 @@
 	ctx      lazyContext
 	deadline time.Time
 	term     siskin.Term // term of the primary that a write was admitted to
-	replaced atomic.Bool // that primary was replaced
-	// withinRate says that the limiter refused and the customer was within its
-	// rate.
+	replaced atomic.Bool // the primary of term was replaced
+	// withinRate reports whether the customer was within its rate when the
+	// limiter rejected the request.
 	withinRate bool
 
-	mu           sync.Mutex // orders Cancel before the return of the connection
-	connReleased bool       // conn was returned or closed
+	mu           sync.Mutex // a Cancel in progress ends before conn is released
+	connReleased bool       // conn was returned to the pool or closed
 	endWrite     func()
 	releaseQueue func()
 
 	status          byte // transaction status before the batch
-	sent            bool // something of the caller was sent
-	relayed         bool // something of the answer was passed on
-	positionQueried bool // a position query follows the batch
-	copyPossible    bool // a statement may start COPY
-	refusesWrites   bool // the connection refuses writes for good
-	batchSent       bool // the whole batch was sent before its answer is read
+	sent            bool // a part of the caller's batch was sent
+	relayed         bool // a part of the answer was sent to the caller
+	positionQueried bool // a position query was sent after the batch
+	copyPossible    bool // a statement of the transaction may start COPY
+	refusesWrites   bool // the connection refuses writes permanently
+	batchSent       bool // the whole batch was sent before reading its answer
 	quiesce         func()
 
 	commands       int    // CommandComplete messages of the transaction
 	batchCommands  int    // CommandComplete messages of the batch
-	lastRolledBack bool   // the last tag was ROLLBACK
-	confirmed      bool   // what is held may be sent
-	held           []byte // messages held back from the last CommandComplete on
+	lastRolledBack bool   // the last command tag was ROLLBACK
+	confirmed      bool   // the held messages may be sent
+	held           []byte // messages held back, see relayMessage
 	dataRow        pgproto3.DataRow
 	row            []byte
 
-	heldBuf [96]byte // first storage of held
-	rowBuf  [32]byte // first storage of row
+	heldBuf [96]byte // initial storage of held
+	rowBuf  [32]byte // initial storage of row
 }
 
-// Send implements Leg.
+// Send implements Executor.
 func (l *localExecutor) Send(batch []byte, last bool) error {
 	l.startBatch()
 	l.batchSent = last
@@ -80,8 +81,9 @@
 	}
 	l.sent = true
 	if last && l.route.Mode == config.WriteRoute && !l.copyPossible {
-		// A query behind a COPY FROM STDIN would end the copy with an error, so
-		// the position is asked for afterwards when the batch may contain one.
+		// A query sent after a COPY FROM STDIN would end the copy with an
+		// error. If the batch may contain one, the position is queried after
+		// the answer.
 		l.positionQueried = true
 		if err := l.conn.W.Raw(positionQuery); err != nil {
 			return err
@@ -95,15 +97,15 @@
 	l.held = l.held[:0]
 }
 
-// Writer implements Leg. What is streamed is not searched for COPY.
+// Writer implements Executor. Streamed messages are not searched for COPY.
 func (l *localExecutor) Writer() *frame.Writer {
 	l.copyPossible, l.sent = true, true
 	l.conn.SetStreaming(true)
 	return l.conn.W
 }
 
-// mayCopy reports whether the word COPY may be in b. It has false positives
-// but no false negatives, since keywords cannot be written in another way.
+// mayCopy reports whether b may contain the keyword COPY. It has false
+// positives but no false negatives, since keywords cannot be escaped.
 func mayCopy(b []byte) bool {
 	for i := 0; i+4 <= len(b); i++ {
 		if b[i]|0x20 == 'c' && b[i+1]|0x20 == 'o' && b[i+2]|0x20 == 'p' && b[i+3]|0x20 == 'y' {
@@ -113,13 +115,13 @@
 	return false
 }
 
-// Finish implements Leg.
+// Finish implements Executor.
 func (l *localExecutor) Finish() {
 	l.recycleConn()
 	l.releaseAdmission()
 }
 
-// useConn starts the use of a connection.
+// useConn starts to use a connection from the pool.
 func (l *localExecutor) useConn(conn *pool.Conn) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,8 +132,8 @@
 	return conn.SetDeadline(l.deadline)
 }
 
-// abortReplaced ends a write whose primary was replaced: it cannot be confirmed
-// anymore, so that waiting until the deadline serves nobody.
+// abortReplaced aborts a write whose primary was replaced. The write can no
+// longer be confirmed, so it does not wait until the deadline.
 func (l *localExecutor) abortReplaced() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -142,8 +144,9 @@
 	}
 }
 
-// releaseConn ends the use of the connection and returns it. It waits for a cancel
-// request in progress, which must not reach a later request.
+// releaseConn marks the connection as released and returns it, or nil if it was
+// released before. It waits for a cancel request in progress, which must not
+// reach a later request.
 func (l *localExecutor) releaseConn() *pool.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -154,8 +157,8 @@
 	return l.conn
 }
 
-// recycleConn returns the connection and the place in the queue while the caller
-// goes on.
+// recycleConn returns the connection to the pool and releases the queue, in the
+// background.
 func (l *localExecutor) recycleConn() {
 	conn := l.releaseConn()
 	if conn == nil {
@@ -180,7 +183,7 @@
 	})
 }
 
-// Abort implements Leg.
+// Abort implements Executor.
 func (l *localExecutor) Abort(cause error) {
 	if conn := l.releaseConn(); conn != nil {
 		conn.Close(cause)
@@ -188,10 +191,10 @@
 	l.releaseAdmission()
 }
 
-// cancelTimeout bounds the connection that carries a cancel request.
+// cancelTimeout limits the time to send a cancel request.
 const cancelTimeout = time.Second
 
-// Cancel implements Leg.
+// Cancel implements Executor.
 func (l *localExecutor) Cancel() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/localend.go
+++ b/internal/relay/localend.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-// connFailed ends the transaction after the target connection failed.
+// connFailed ends the transaction after an error on the target connection.
 func (l *localExecutor) connFailed(err error) *Failure {
 	conn := l.releaseConn()
 	if errors.Is(err, errUnconfirmed) {
@@ -43,8 +43,8 @@
 	return unknownOutcome(err, "connection to target %s failed before it answered", l.hdr.Target)
 }
 
-// callerGone ends the transaction after the caller's connection failed. The
-// target's answer is never read by anyone.
+// callerGone ends the transaction after an error on the caller's connection.
+// The target's answer is not read.
 func (l *localExecutor) callerGone(err error) *Failure {
 	conn := l.releaseConn()
 	if conn != nil {
@@ -59,8 +59,8 @@
 	return f
 }
 
-// refusalFailure ends the transaction after the target refusalFailure that it refused it
-// without running anything.
+// refusalFailure ends the transaction after the target reported that it refused
+// the transaction and ran nothing.
 func (l *localExecutor) refusalFailure(targetError []byte) *Failure {
 	l.recycleConn()
 	l.releaseAdmission()
@@ -69,10 +69,11 @@
 	return &Failure{Proof: retry.Refused, Err: e, TargetError: targetError}
 }
 
-// transientRefusalFailure ends a write that the target refused although it is the primary: a
-// pause for a planned change ended in between. The group is not told, since a
-// statement of the caller can raise the same error again and again, and writes
-// of others would be held each time.
+// transientRefusalFailure ends a write that the target refused although it is
+// the primary, because a pause for a planned change of primary ended in
+// between. The failure is not reported to the group: a statement of the caller
+// can cause the same error repeatedly, and each report would hold back the
+// writes of other callers.
 func (l *localExecutor) transientRefusalFailure(targetError []byte) *Failure {
 	l.recycleConn()
 	l.releaseAdmission()
--- a/internal/relay/peerconn.go
+++ b/internal/relay/peerconn.go
@@ -18,7 +18,7 @@
 // TokenParameter is the name of the parameter that carries a session's token.
 const TokenParameter = "siskintray.token"
 
-// peerConn is one connection from another VM. It is the source and the sink of
+// peerConn is a connection from another VM. It is the Source and the Sink of
 // the transactions that run on it, one at a time.
 type peerConn struct {
 	srv      *Server
@@ -45,7 +45,7 @@
 
 var longAgo = time.Unix(1, 0)
 
-// closeIdle ends the connection when no transaction runs on it.
+// closeIdle ends the connection if no transaction runs on it.
 func (c *peerConn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -73,7 +73,8 @@
 	}
 }
 
-// setTransaction marks the beginning (deadline set) or end of a transaction.
+// setTransaction records the beginning of a transaction, or its end if the
+// deadline is zero.
 func (c *peerConn) setTransaction(executor Executor, deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -98,12 +99,12 @@
 			if c.runTransaction() != nil {
 				return
 			}
-		case 'Q': // a probe of the peer's pool
+		case 'Q': // probe by the peer's pool
 			if c.r.Skip() != nil || c.w.Message(&pgproto3.EmptyQueryResponse{}) != nil || c.sendReady('I') != nil {
 				return
 			}
 		case 'd', 'c', 'f':
-			if c.r.Skip() != nil { // copy data behind an error
+			if c.r.Skip() != nil { // copy data that follows an error
 				return
 			}
 		default:
@@ -119,8 +120,8 @@
 	return c.w.Flush()
 }
 
-// runTransaction reads the rest of a header and runs the runTransaction. An error
-// means that the connection cannot be used anymore.
+// runTransaction reads the rest of a header and runs the transaction. After an
+// error, the connection cannot be used anymore.
 func (c *peerConn) runTransaction() error {
 	body, err := c.r.Body(maxHeaderSize)
 	if err != nil {
@@ -131,7 +132,7 @@
 	}
 	c.srv.log.Trace(c.logFields(), nil, "forwarded transaction arrived")
 	deadline := c.srv.home.Clock.Now().Add(c.header.Remaining)
-	c.setTransaction(nil, deadline.Add(time.Second)) // time for the failure to be sent
+	c.setTransaction(nil, deadline.Add(time.Second)) // leaves time to send the failure
 	executor, f := c.srv.home.Begin(&c.header)
 	if f != nil {
 		return c.failAndDiscard(f)
@@ -161,14 +162,14 @@
 	}
 }
 
-// logFields names the transaction in the log.
+// logFields returns the log fields of the transaction.
 func (c *peerConn) logFields() logs.Request {
 	h := &c.header
 	return logs.Request{ID: h.Request, Service: h.Service, Route: h.Route, Customer: h.Customer, Target: h.Target}
 }
 
-// failedMessage is the log line of a transaction that fails at its home. The
-// entry VM may send it again.
+// failedMessage is the log message for a transaction that fails at its home.
+// The entry VM may retry it.
 const failedMessage = "forwarded transaction failed"
 
 func (c *peerConn) endWithFailure(f *Failure) error {
@@ -180,8 +181,9 @@
 	return c.sendReady('I')
 }
 
-// sendFailure sends a failure, unless the peer has a part of a message and would
-// take the failure for the rest; then the connection ends.
+// sendFailure sends a failure. If only a part of the previous message was sent,
+// the peer would read the failure as the rest of it, so the connection ends
+// instead.
 func (c *peerConn) sendFailure(f *Failure) error {
 	if c.w.Torn() {
 		return errors.Join(c.w.Flush(), f.Err)
@@ -189,8 +191,8 @@
 	return c.w.Message(f)
 }
 
-// failAndDiscard sends a failure, discards the rest of the batch up to its first Query
-// or Sync and reports ready.
+// failAndDiscard sends a failure, discards the rest of the batch up to its
+// first Query, FunctionCall or Sync and reports ready.
 func (c *peerConn) failAndDiscard(f *Failure) error {
 	f.Check()
 	c.srv.log.Failed(c.logFields(), f.Err, failedMessage)
--- a/internal/relay/peerstream.go
+++ b/internal/relay/peerstream.go
@@ -16,8 +16,8 @@
 	return AppendRaw(c.r, h, b)
 }
 
-// AppendRaw consumes the next message of r unchanged and adds it to b when it
-// fits.
+// AppendRaw consumes the next message of r unchanged and appends it to b. It
+// reports false, and consumes nothing, if the message does not fit.
 func AppendRaw(r *frame.Reader, h frame.Head, b *frame.Batch) (bool, error) {
 	if !b.Fits(frame.HeadSize + h.Len) {
 		return false, nil
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -7,13 +7,15 @@
 	"siskintray.example/siskin"
 )
 
-// Queue bounds the running requests of a slot and shares it among customers.
+// Queue limits the concurrent requests of a slot and shares the slot among
+// customers.
 type Queue interface {
-	// Acquire waits for a place and returns the function that gives it back.
+	// Acquire waits until the request may run. The caller must call release
+	// when the request is done.
 	Acquire(ctx context.Context, customer siskin.CustomerID, weight int, deadline time.Time) (release func(), err error)
 }
 
-// Queues finds the queue of a slot.
+// Queues returns the queue of a slot.
 type Queues interface {
 	Queue(target siskin.TargetID, slot siskin.Slot) Queue
 }
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -6,7 +6,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// handleReady handles ReadyForQuery, the end of a batch's answer.
+// handleReady handles ReadyForQuery, which ends the answer to a batch.
 func (l *localExecutor) handleReady(sink Sink) (Result, *Failure) {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil || len(body) != 1 {
@@ -26,8 +26,9 @@
 		if err != nil {
 			f = l.connFailed(err)
 		}
-		// A target that was a replica since the connection was opened refuses
-		// writes and the position on it for good, also as a primary again.
+		// If the target was a replica at any time since the connection was
+		// opened, it refuses writes and the position query on this connection
+		// permanently, even after it has become the primary again.
 		l.refusesWrites = row == nil
 	}
 	if f != nil {
@@ -44,9 +45,10 @@
 	return Result{Status: 'I'}, nil
 }
 
-// readyInTransaction ends a batch within a transaction. Nothing is acknowledged yet.
-// The answer to a first batch such as BEGIN waits for the position behind it:
-// without one the connection takes no writes, and nothing ran.
+// readyInTransaction handles the end of a batch within a transaction, where
+// nothing is acknowledged yet. The answer to a first batch such as BEGIN is
+// held back until the position query after it is answered. If that returns no
+// position, the connection accepts no writes, and nothing ran.
 func (l *localExecutor) readyInTransaction(sink Sink) (Result, *Failure) {
 	if l.positionQueried && l.status == 'T' && !l.relayed && l.commands == 1 {
 		l.positionQueried = false
@@ -63,7 +65,7 @@
 	}
 	if l.positionQueried {
 		if _, _, err := l.readRow(); err != nil {
-			// The caller has its answer; the next batch finds the failure.
+			// The caller has the answer; the next batch reports the failure.
 			_ = l.conn.Conn.Close()
 		}
 	}
@@ -71,7 +73,7 @@
 }
 
 func (l *localExecutor) sendReady(sink Sink) *Failure {
-	l.confirmed = true // or there was nothing to confirm
+	l.confirmed = true // either confirmed or nothing to confirm
 	if err := l.releaseHeld(sink); err != nil {
 		return l.relayFailed(err)
 	}
@@ -96,8 +98,9 @@
 	return []byte{status}
 }
 
-// mustConfirm says that something may have been committed: a statement of the
-// transaction completed, and the transaction did not just end in a rollback.
+// mustConfirm reports whether something may have been committed: a statement of
+// the transaction completed, and the transaction did not just end with a
+// rollback.
 func (l *localExecutor) mustConfirm(before byte) bool {
 	if l.route.Mode != config.WriteRoute || l.commands == 0 {
 		return false
@@ -107,7 +110,7 @@
 }
 
 // confirm waits until the commit is confirmed and sends its token. The final
-// CommandComplete is still held, so nothing was acknowledged before.
+// CommandComplete is still held back, so nothing was acknowledged before.
 func (l *localExecutor) confirm(sink Sink) *Failure {
 	row, _, err := l.commitPosition()
 	if err != nil {
@@ -121,7 +124,7 @@
 		return unknownOutcome(nil, "target %s did not report the position of the commit", l.hdr.Target)
 	}
 	if l.batchSent {
-		l.recycleConn() // the connection is not needed while replicas confirm
+		l.recycleConn() // not needed while the replicas confirm
 	}
 	if err := l.group.Confirm(&l.ctx, pos); err != nil {
 		l.recycleConn()
@@ -139,7 +142,7 @@
 		return l.readRow()
 	}
 	if l.quiesce != nil {
-		l.quiesce() // one writer at a time
+		l.quiesce() // only one goroutine may write
 	}
 	return l.queryRow(positionQuery)
 }
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -10,26 +10,27 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// sqlstateReadOnly is the SQLSTATE of a write at a target that is no primary.
+// sqlstateReadOnly is the SQLSTATE of a write on a target that is not a
+// primary.
 const sqlstateReadOnly = "25006"
 
-// mayBeRefusal says that an error could show that a write ran nothing.
+// mayBeRefusal reports whether an error could prove that a write ran nothing.
 func (l *localExecutor) mayBeRefusal() bool { return l.ranNothing() && l.conn.R.Left() <= maxError }
 
-// ranNothing says that no statement of a write completed so far and that the
-// caller got nothing of the answer. The messages before the first statement's
-// end, such as ParseComplete, are held for that.
+// ranNothing reports whether no statement of a write has completed and no part
+// of the answer was sent to the caller. The messages before the end of the
+// first statement, such as ParseComplete, are held back for this check.
 func (l *localExecutor) ranNothing() bool {
 	return !l.relayed && l.commands == 0 && l.status == 'I' && l.batchSent && l.route.Mode == config.WriteRoute
 }
 
-// maxError bounds an error that travels in a failure message.
+// maxError limits the size of a target's error in a failure message.
 const maxError = 4 << 10
 
-// readRefusal reads the target's error to the end of the answer. When the target is
-// no primary anymore, takes no writes on this connection or paused them for a
-// moment, the error proves that the write ran nothing. Otherwise it is the
-// caller's.
+// readRefusal reads the target's error up to the end of the answer. If the
+// target is no longer a primary, accepts no writes on this connection or has
+// paused them briefly, the error proves that the write ran nothing. Any other
+// error is relayed to the caller.
 func (l *localExecutor) readRefusal(sink Sink) (Result, *Failure) {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil {
@@ -58,9 +59,10 @@
 	return Result{Status: status}, nil
 }
 
-// classifyRefusal finds out why the target refuses the write. A caller's own
-// read-only transaction is refused after its BEGIN was answered, so whatever
-// the reason is, the write ran nothing and may be sent again.
+// classifyRefusal determines why the target refuses the write. A write in a
+// read-only transaction of the caller is refused only after its BEGIN was
+// answered. So for any reason, the write ran nothing here and may be sent
+// again.
 func (l *localExecutor) classifyRefusal(targetError []byte) *Failure {
 	status, err := l.queryStatus()
 	if err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,8 +11,8 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-// TestHeaderRoundTrip guards against a transaction that arrives at its home
-// with other values than it was sent with.
+// TestHeaderRoundTrip guards against header fields that change between the
+// entry VM and the home.
 func TestHeaderRoundTrip(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		want := Header{
@@ -40,7 +40,7 @@
 	})
 }
 
-// TestFailureRoundTrip guards against a failure that changes its proof or kind
+// TestFailureRoundTrip guards against a failure whose proof or kind changes
 // between VMs, such as an unknown outcome that becomes "not run".
 func TestFailureRoundTrip(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -65,8 +65,8 @@
 	})
 }
 
-// TestMalformedFailure guards against a failure of a VM of another version whose
-// kind this one does not know: its counter does not exist.
+// TestMalformedFailure guards against accepting a failure from a VM of another
+// version with an unknown kind, for which no counter exists.
 func TestMalformedFailure(t *testing.T) {
 	for kind, ok := range map[siskin.ErrorKind]bool{
 		siskin.Internal: true, siskin.TargetRefused: true, siskin.TargetRefused + 1: false, 255: false, 256: false, 1 << 40: false,
@@ -93,13 +93,13 @@
 		_ = h.Decode(body)
 		var u Failure
 		if u.Decode(body) == nil && (u.Err.Kind < 0 || u.Err.Kind > siskin.TargetRefused) {
-			panic("failure of an unknown kind")
+			panic("failure of an unknown kind was accepted")
 		}
 	})
 }
 
 // TestUnsentKeepsRefusals guards against a refusal that loses its kind, and
-// against an error that says "outcome unknown" although nothing was sent.
+// against an error that reports an unknown outcome although nothing was sent.
 func TestUnsentKeepsRefusals(t *testing.T) {
 	for kind, want := range map[siskin.ErrorKind]siskin.ErrorKind{
 		siskin.RateExceeded: siskin.RateExceeded, siskin.Overloaded: siskin.Overloaded, siskin.UnknownRoute: siskin.UnknownRoute,
@@ -111,7 +111,7 @@
 	}
 }
 
-// TestMayCopy guards against a position query that is sent behind a COPY FROM
+// TestMayCopy guards against a position query that is sent after a COPY FROM
 // STDIN and ends it.
 func TestMayCopy(t *testing.T) {
 	for sql, want := range map[string]bool{
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -17,11 +17,11 @@
 	request uint64
 	sent    bool
 
-	mu           sync.Mutex // orders Cancel before the return of the connection
+	mu           sync.Mutex // a Cancel in progress ends before conn is released
 	connReleased bool
 }
 
-// Send implements Leg.
+// Send implements Executor.
 func (l *remoteExecutor) Send(batch []byte, _ bool) error {
 	l.conn.CheckOwner(l.request)
 	if err := l.conn.W.Raw(batch); err != nil {
@@ -31,13 +31,13 @@
 	return l.conn.W.Flush()
 }
 
-// Writer implements Leg.
+// Writer implements Executor.
 func (l *remoteExecutor) Writer() *frame.Writer {
 	l.sent = true
 	return l.conn.W
 }
 
-// RelayAnswer implements Leg.
+// RelayAnswer implements Executor.
 func (l *remoteExecutor) RelayAnswer(sink Sink, stopAtCopy bool, quiesce func()) (Result, *Failure) {
 	r := l.conn.R
 	for {
@@ -84,9 +84,9 @@
 	return Result{Status: status}, nil
 }
 
-// readFailure reads the home's failure. The home then discards the rest of the batch
-// and reports ready, after which the connection can be used again, unless the
-// batch is still being sent.
+// readFailure reads the failure that the home sent. The home then discards the
+// rest of the batch and reports ready. After that the connection can be reused,
+// unless the batch is still being sent.
 func (l *remoteExecutor) readFailure(batchSent bool) *Failure {
 	f := &Failure{}
 	body, err := l.conn.R.Body(maxHeaderSize)
@@ -125,21 +125,21 @@
 	return l.conn
 }
 
-// Finish implements Leg.
+// Finish implements Executor.
 func (l *remoteExecutor) Finish() {
 	if conn := l.releaseConn(); conn != nil {
 		conn.Recycle(l.request)
 	}
 }
 
-// Abort implements Leg.
+// Abort implements Executor.
 func (l *remoteExecutor) Abort(cause error) {
 	if conn := l.releaseConn(); conn != nil {
 		conn.Close(cause)
 	}
 }
 
-// Cancel implements Leg.
+// Cancel implements Executor.
 func (l *remoteExecutor) Cancel() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -18,7 +18,7 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// startupTimeout bounds the start-up of a connection from a peer.
+// startupTimeout limits the startup of a connection from a peer.
 const startupTimeout = 5 * time.Second
 
 // Server accepts the transactions that other VMs forward to this one.
@@ -37,17 +37,17 @@
 	closed bool
 }
 
-// ServerOption changes a Server.
+// ServerOption configures a Server.
 type ServerOption func(*Server)
 
-// WithLog sets the logger of requests that fail here, with the ids that they
-// have at the VMs that forward them.
+// WithLog sets the logger for requests that fail on this VM. They are logged
+// with their IDs at the VMs that forward them.
 func WithLog(l *log.Logger) ServerOption {
 	return func(s *Server) { s.log = logs.NewRequests(s.home.Clock, l) }
 }
 
-// NewServer returns a Server that runs transactions at home. With TLS settings,
-// peers must present a certificate as these demand.
+// NewServer returns a Server that runs transactions at home. If cfg is not nil,
+// peers must use TLS and present the certificates that it requires.
 func NewServer(home *Home, tokens *token.Codec, cfg *tls.Config, opts ...ServerOption) *Server {
 	s := &Server{home: home, tokens: tokens, tls: cfg, log: logs.NewRequests(home.Clock, nil), conns: shard.New[uint32, *peerConn]()}
 	for _, opt := range opts {
@@ -77,8 +77,8 @@
 	}
 }
 
-// ServeConn serves one connection whose TLS handshake, if any, was done by the
-// caller, until it ends.
+// ServeConn serves a connection until it ends. The caller has already done the
+// TLS handshake, if any.
 func (s *Server) ServeConn(conn net.Conn) {
 	if !s.addConn() {
 		conn.Close()
@@ -99,7 +99,7 @@
 }
 
 // Close ends idle connections, waits until ctx ends for transactions in
-// progress and closes what is left.
+// progress and closes the remaining connections.
 func (s *Server) Close(ctx context.Context) {
 	s.mu.Lock()
 	s.closed = true
@@ -126,12 +126,12 @@
 	<-done
 }
 
-// Panics returns the number of connections that ended by a fault of the program.
+// Panics returns the number of connections that ended by a panic.
 func (s *Server) Panics() int64 { return s.panics.Load() }
 
-// recoverPanic ends one connection after a fault. The VM that forwards finds its end
-// and reports the outcome of its transaction as unknown. Without a peerConn, the
-// connection was not accepted yet.
+// recoverPanic ends one connection after a panic. The forwarding VM sees the
+// connection end and reports the outcome of its transaction as unknown. If conn
+// points to nil, the panic came before the startup was complete.
 func (s *Server) recoverPanic(conn **peerConn) {
 	v := recover()
 	if v == nil {
--- a/internal/relay/start_test.go
+++ b/internal/relay/start_test.go
@@ -15,9 +15,9 @@
 // Revision implements config.View.
 func (unconfiguredView) Revision() siskin.Revision { return 0 }
 
-// TestForwardedBeforeConfiguration guards against a caller who is told that its
-// route does not exist because the home has just started: the entry VM, which
-// knows the route, must be able to try again.
+// TestForwardedBeforeConfiguration guards against an UnknownRoute error to the
+// caller if the home has just started and has no configuration. The entry VM,
+// which knows the route, must be able to retry.
 func TestForwardedBeforeConfiguration(t *testing.T) {
 	none := config.NewFixed(nil, nil)
 	for _, tt := range []struct {
--- a/internal/relay/within.go
+++ b/internal/relay/within.go
@@ -8,15 +8,17 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// errUnconfirmed says that a commit in the middle of a batch was not confirmed.
+// errUnconfirmed reports that a commit in the middle of a batch was not
+// confirmed.
 var errUnconfirmed = errors.New("commit was not confirmed")
 
-// midBatchCommitTags start the tags of statements that may commit before the batch
-// ends. The commit of any other statement comes with ReadyForQuery.
+// midBatchCommitTags are the prefixes of the command tags of statements that
+// may commit before the batch ends. The commit of any other statement is
+// reported by ReadyForQuery.
 var midBatchCommitTags = [...][]byte{[]byte("COMMIT"), []byte("CALL"), []byte("DO")}
 
-// mayHaveCommitted reports whether the held CommandComplete, which more output
-// follows, tells of a commit that is not confirmed.
+// mayHaveCommitted reports whether the held CommandComplete, which is followed
+// by more output, may belong to a commit that is not yet confirmed.
 func (l *localExecutor) mayHaveCommitted() bool {
 	if l.confirmed || len(l.held) == 0 || l.held[0] != 'C' || l.route.Mode != config.WriteRoute {
 		return false
@@ -31,7 +33,7 @@
 
 // confirmMidBatch waits for the confirmation of a commit in the middle of a
 // batch. The target connection is busy with the rest of the answer, so the
-// position, which is at or after the commit, comes from another one.
+// position is queried on another connection. It is at or after the commit.
 func (l *localExecutor) confirmMidBatch() error {
 	key := pool.Key{Target: l.hdr.Target, Slot: l.hdr.Slot}
 	conn, err := l.home.Pool.Get(&l.ctx, key, pool.Full, l.hdr.Request)
--- a/internal/relay/writes.go
+++ b/internal/relay/writes.go
@@ -5,11 +5,11 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// activeWrites holds the write transactions in progress, so that those at a replaced
-// primary can be ended.
+// activeWrites holds the write transactions in progress, so that those on a
+// replaced primary can be aborted.
 type activeWrites struct {
 	running *shard.Map[*localExecutor, struct{}]
-	// newestTerms holds the newest term of each service that EndOlder was called with.
+	// newestTerms holds, by service, the newest term passed to EndWritesBefore.
 	newestTerms *shard.Map[siskin.ServiceName, siskin.Term]
 }
 
@@ -20,13 +20,13 @@
 	}
 }
 
-// add records a write at the primary of a term. It reports false when that
-// primary was replaced already.
+// add records a write on the primary of a term. It reports false if that
+// primary was already replaced.
 func (w *activeWrites) add(l *localExecutor, term siskin.Term) bool {
 	l.term = term
 	w.running.Put(l, struct{}{})
-	// EndOlder sets the term before it looks for writes, so one of the two
-	// finds the other.
+	// EndWritesBefore stores the term before it iterates over the writes, so
+	// either this check or that iteration sees the other's update.
 	newest, _ := w.newestTerms.Get(l.hdr.Service)
 	return newest <= term
 }
@@ -37,8 +37,8 @@
 	}
 }
 
-// EndWritesBefore ends the writes of a service at primaries of terms before the given
-// one: as not run when nothing was sent, else as outcome unknown.
+// EndWritesBefore aborts the writes of a service on primaries of earlier terms:
+// with NotRun if nothing was sent, otherwise with OutcomeUnknown.
 func (h *Home) EndWritesBefore(service siskin.ServiceName, term siskin.Term) {
 	h.activeWrites.newestTerms.Update(service, func(old siskin.Term, _ bool) (siskin.Term, bool) { return max(old, term), true })
 	h.activeWrites.running.Range(func(l *localExecutor, _ struct{}) bool {
