--- a/internal/pool/alive.go
+++ b/internal/pool/alive.go
@@ -5,15 +5,15 @@
 	"syscall"
 )
 
-// socket looks at the state of a connection without waiting.
+// socket checks the state of a connection without blocking.
 type socket struct {
 	raw  syscall.RawConn
-	peek func(fd uintptr) bool // kept, since a new closure would be allocated
+	peek func(fd uintptr) bool // stored, to avoid allocating a closure per call
 	open bool
 	b    [1]byte
 }
 
-// newSocket returns nil when conn is no plain socket.
+// newSocket returns nil if conn is not a plain socket.
 func newSocket(conn net.Conn) *socket {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
@@ -32,9 +32,9 @@
 	return s
 }
 
-// isOpen reports whether an idle connection is still open and has nothing to
-// read. A connection which the target closed while it was idle must not be
-// given to a request, whose outcome would then be unknown.
+// isOpen reports whether an idle connection is open and has no data to read. A
+// connection that the target closed while it was idle must not be leased to a
+// request, whose outcome would then be unknown.
 func (s *socket) isOpen() bool {
 	if s == nil {
 		return true
--- a/internal/pool/ask.go
+++ b/internal/pool/ask.go
@@ -10,34 +10,35 @@
 	"siskintray.example/siskin/internal/frame"
 )
 
-// The probes of idle connections decide about one in use only when an idle one
-// from before the fault is left, and no connection that was opened just after
-// it passes for an old one that still answers. So the target itself is asked
-// whether it still works on the statements of connections that are quiet. When
-// it waits for the next statement of a connection and nothing arrives there,
-// the statement or its answer was lost.
+// Probes of idle connections are evidence for a connection in use only if an
+// idle one from before the fault is left, and if no connection opened just
+// after the fault is mistaken for an old one that still answers. Therefore the
+// pool also asks the target whether it still runs the statements of quiet
+// connections, which are those that have received nothing for some time. If the
+// target waits for the next statement on such a connection and nothing arrives
+// there, the statement or its answer was lost.
 
 const (
-	// sessionCheckAfter is how long an answer is awaited before the target is asked, and
-	// the time between two questions of a slot and account.
+	// sessionCheckAfter is the wait for an answer before a session check, and
+	// the time between two checks of a slot and account.
 	sessionCheckAfter = time.Second
-	// answerTransitTime is the time for an answer on its way to arrive, from the target's
-	// reply that it was sent.
+	// answerTransitTime is the time for an answer to arrive after the target
+	// reported that the session is idle.
 	answerTransitTime = 400 * time.Millisecond
 )
 
-// quietRead is a read that has returned nothing for some time.
+// quietRead is a read that has received nothing for some time.
 type quietRead struct {
 	conn  *Conn
-	since int64 // as in Conn.reading
+	since int64 // as in Conn.readingSince
 }
 
-// checkQuiet asks the target about the connections in use that are quiet, over an
-// idle connection of the same account, which sees the state of the others. The
-// caller holds mu.
+// checkQuiet asks the target about quiet connections in use, over an idle
+// connection of the same account, which can see the state of their sessions.
+// The caller holds mu.
 func (s *slot) checkQuiet(now time.Time) {
 	if s.cfg.Stateless {
-		return // another VM does not report the state of its sessions
+		return // another VM does not report the state of sessions
 	}
 	for account := range Account(numAccounts) {
 		idle := s.idle[account]
@@ -49,7 +50,8 @@
 			continue
 		}
 		s.lastCheck[account] = now
-		// The youngest is the most likely to be from after a fault.
+		// The newest connection is the most likely to have been opened after a
+		// fault.
 		c := slices.MaxFunc(idle, func(a, b *Conn) int { return a.openedAt.Compare(b.openedAt) })
 		s.idle[account] = slices.DeleteFunc(idle, func(other *Conn) bool { return other == c })
 		c.state = connProbing
@@ -57,8 +59,8 @@
 	}
 }
 
-// quietReads returns the reads of an account that have waited for askAfter. The
-// caller holds mu.
+// quietReads returns the reads of an account that have waited for at least
+// sessionCheckAfter. The caller holds mu.
 func (s *slot) quietReads(account Account, now time.Time) []quietRead {
 	var quiet []quietRead
 	for c := range s.conns {
@@ -71,7 +73,8 @@
 	return quiet
 }
 
-// checkSessions finds out which of the connections the target has no statement of.
+// checkSessions finds the connections for which the target has no statement in
+// progress.
 func (s *slot) checkSessions(c *Conn, quiet []quietRead) {
 	defer s.closeAfterPanic(c)
 	sent := s.pool.clock.Now()
@@ -81,7 +84,7 @@
 		s.closeSilent(c, heardAt, sent)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.lastCheck[c.account] = time.Time{} // another connection may know
+		s.lastCheck[c.account] = time.Time{} // allow an immediate check on another connection
 		return
 	}
 	s.putProbed(c, idleSince)
@@ -94,8 +97,9 @@
 	}
 }
 
-// abortLost ends the wait on connections whose target has no statement of them,
-// unless something has arrived since. The caller holds mu.
+// abortLost aborts the reads on connections for which the target has no
+// statement in progress, unless the read ended in the meantime. The caller
+// holds mu.
 func (s *slot) abortLost(now time.Time) {
 	if s.busy[Full]+s.busy[ReadOnly] == 0 {
 		return
@@ -112,9 +116,9 @@
 	}
 }
 
-// idleSessions asks which of the sessions wait for a statement. It reports
-// false when the connection cannot be used anymore. A target that refuses the
-// question says nothing about them.
+// idleSessions returns the process IDs of the sessions that wait for a
+// statement. It reports false if the connection cannot be used anymore. If the
+// target rejects the query, no session is returned.
 func (c *Conn) idleSessions(quiet []quietRead) ([]uint32, bool) {
 	sql := []byte("SELECT pid FROM pg_stat_activity WHERE pid IN (")
 	for i, q := range quiet {
@@ -123,7 +127,7 @@
 		}
 		sql = strconv.AppendUint(sql, uint64(q.conn.processID), 10)
 	}
-	sql = append(sql, ") AND state LIKE 'idle%'"...) // in a transaction as well
+	sql = append(sql, ") AND state LIKE 'idle%'"...) // includes "idle in transaction"
 	var idle []uint32
 	ok := c.simpleQuery(encodeQuery(string(sql)), probeTimeout, func(typ byte, body []byte) bool {
 		var row pgproto3.DataRow
@@ -140,14 +144,14 @@
 	return idle, ok
 }
 
-// simpleQuery runs a statement, passes the messages of its answer to see and
-// reports whether the target then was idle outside a transaction. It fails when
-// see returns false.
+// simpleQuery runs a statement and passes each message of the answer to handle.
+// It reports whether the target then reported the idle status, and fails if
+// handle returns false.
 func (c *Conn) simpleQuery(query []byte, timeout time.Duration, handle func(typ byte, body []byte) bool) bool {
 	if c.SetDeadline(time.Now().Add(timeout)) != nil {
 		return false
 	}
-	_ = c.W.Raw(query) // the error sticks to Flush
+	_ = c.W.Raw(query) // Flush returns the error again
 	if c.W.Flush() != nil {
 		return false
 	}
@@ -161,7 +165,7 @@
 			return false
 		}
 		if h.Type == 'Z' {
-			idle := len(body) == 1 && body[0] == 'I' // body ends with the release
+			idle := len(body) == 1 && body[0] == 'I' // body is invalid after Release
 			c.R.Release()
 			return idle && c.R.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
 		}
--- a/internal/pool/ask_test.go
+++ b/internal/pool/ask_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// closeIdle closes the idle connections of the fixture's slot, as a full slot
-// or the idle timeout does, and has new ones opened.
+// closeIdle closes the idle connections of the fixture's slot, as eviction or
+// the idle timeout does, and opens new ones.
 func (f *fixture) closeIdle() {
 	f.locked(key, func() {
 		s, _ := f.slots.Get(key)
@@ -16,9 +16,10 @@
 	})
 }
 
-// TestSilentWithoutOlderIdleConn guards against a request that waits until its
-// deadline on a silent connection because no idle one of its age is left to be
-// probed, or because one opened just after the fault passes for one of its age.
+// TestSilentWithoutOlderIdleConn guards against a request that waits on a
+// silent connection until its deadline because no idle connection of the same
+// age is left to be probed, or because one opened just after the fault is taken
+// for one of that age.
 func TestSilentWithoutOlderIdleConn(t *testing.T) {
 	if testing.Short() {
 		t.Skip("waits for the detection of silence")
@@ -46,7 +47,7 @@
 			tt.after(f)
 			ok := busy.roundTrip(encodeQuery("select 1"), 6*time.Second)
 			if got, want := time.Since(start), 3*time.Second; ok || !busy.Silent() || got > want {
-				t.Errorf("connection in use: got answer %v, silent %v after %v, want an end within %v", ok, busy.Silent(), got, want)
+				t.Errorf("connection in use: got answer %v, silent %v after %v, want the read aborted within %v", ok, busy.Silent(), got, want)
 			}
 			busy.Close(nil)
 		})
@@ -63,8 +64,9 @@
 	}
 }
 
-// TestQuietIsNotSilent guards against requests that are cut because their
-// connection is quiet while the target, or the caller, is at work.
+// TestQuietIsNotSilent guards against requests that are aborted because their
+// connection is quiet while the target is running a statement or the caller is
+// idle in a transaction or still sending a batch.
 func TestQuietIsNotSilent(t *testing.T) {
 	if testing.Short() {
 		t.Skip("waits for the detection of silence")
@@ -94,11 +96,11 @@
 	}
 	for range 2 {
 		if got := <-answers; got != "" {
-			t.Errorf("%s: got the connection cut, want its answer", got)
+			t.Errorf("%s: got the read aborted, want an answer", got)
 		}
 	}
 	if !thinking.roundTrip(encodeQuery("select 1"), time.Second) {
-		t.Error("transaction without a statement: got the connection cut, want it to go on")
+		t.Error("transaction without a statement: got the connection closed, want it open")
 	}
 	var lastCheck []time.Time
 	f.locked(key, func() {
@@ -106,15 +108,15 @@
 		lastCheck = s.lastCheck[:]
 	})
 	if !slices.ContainsFunc(lastCheck, func(at time.Time) bool { return !at.IsZero() }) {
-		t.Error("got no question to the target, want one about the slow statement")
+		t.Error("got no session check, want one for the slow statement")
 	}
 	for _, c := range []*Conn{slow, thinking, streaming} {
 		c.Close(nil)
 	}
 }
 
-// TestRefusedSessionCheck guards against connections that are closed because the
-// target refuses the question about its sessions.
+// TestRefusedSessionCheck guards against connections that are closed because
+// the target refuses the query for the state of its sessions.
 func TestRefusedSessionCheck(t *testing.T) {
 	f := newFixture(t, 2)
 	c := f.get(t, Full, 1)
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -10,35 +10,39 @@
 type SlotConfig struct {
 	Address     string
 	Credentials config.Credentials
-	// Limit is the most connections of the slot, over both accounts.
+	// Limit is the maximum number of connections of the slot, over both
+	// accounts.
 	Limit int
-	// OpenTime is how long the opening of a connection usually takes.
+	// OpenTime is the usual time to open a connection.
 	OpenTime time.Duration
-	// Stateless says that requests leave no session state behind, so that
+	// Stateless reports whether requests leave no session state, so that
 	// connections need no reset.
 	Stateless bool
 }
 
 // minIdle is the number of connections that a slot keeps open per account, so
-// that the first statement after a pause or a promotion does not wait for one.
+// that the first statement after a pause or a promotion does not wait for an
+// opening.
 const minIdle = 1
 
 const (
-	// maxOpening bounds the connections of a slot that open at the same time,
-	// so that a target that comes back is not met by all openings at once.
+	// maxOpening limits the concurrent openings of a slot, so that a recovered
+	// target does not receive all of them at once.
 	maxOpening = 4
-	// A silent connection must be found within 3 s. In the longest case, probeAfter,
-	// probeTimeout, probeAgain and three ticks pass.
+	// A silent connection must be detected within 3 s. In the worst case this
+	// takes probeAfter, probeTimeout, reprobeTimeout and three times
+	// maintenanceInterval.
 	probeAfter          = 800 * time.Millisecond
 	probeTimeout        = 800 * time.Millisecond
 	reprobeTimeout      = 400 * time.Millisecond
 	maintenanceInterval = 200 * time.Millisecond
-	// resetTimeout bounds the wait for the answer to DISCARD ALL.
+	// resetTimeout limits the wait for the answer to DISCARD ALL.
 	resetTimeout = time.Second
-	// idleTimeout is the age from which a connection above the floor is closed.
+	// idleTimeout is the idle time after which a connection is closed, if more
+	// than minIdle are idle.
 	idleTimeout = time.Minute
-	// maxBackoff bounds the wait between failed openings, so that a target that
-	// came back is used within a second.
+	// maxBackoff limits the delay between failed openings, so that a recovered
+	// target is used within a second.
 	maxBackoff = 500 * time.Millisecond
 )
 
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -19,7 +19,7 @@
 	oneOwner     = invar.New("ConnHasOneOwner")
 )
 
-// resetQuery and probeQuery are the pool's own statements, encoded once.
+// resetQuery and probeQuery are statements of the pool itself, encoded once.
 var (
 	resetQuery = encodeQuery("DISCARD ALL")
 	probeQuery = encodeQuery("")
@@ -33,7 +33,7 @@
 	return b
 }
 
-// connState is what a connection is used for.
+// connState is the current use of a connection.
 type connState int
 
 const (
@@ -44,8 +44,8 @@
 	connClosed
 )
 
-// Conn is a connection to a target. Between Get and Recycle or Close it belongs
-// to one request, which may use its fields.
+// Conn is a connection to a target. Between Get and Recycle or Close it is
+// leased to one request, which may use its exported fields.
 type Conn struct {
 	net.Conn
 	R *frame.Reader
@@ -58,20 +58,21 @@
 	processID        uint32
 	secret           []byte
 	openedAt         time.Time
-	lastReadAt       atomic.Int64 // time of the last read that returned bytes
-	readingSince     atomic.Int64 // when the read in progress began, zero without one
+	lastReadAt       atomic.Int64 // time of the last read that returned data, in Unix nanoseconds
+	readingSince     atomic.Int64 // start of the read in progress in Unix nanoseconds, or zero
 	streaming        atomic.Bool
 	silent           atomic.Bool
-	socket           *socket // nil when the connection is no plain socket
+	socket           *socket // nil if the connection is not a plain socket
 
 	// Guarded by slot.mu.
 	state       connState
 	owner       uint64
 	lastHeardAt time.Time
 	idleSince   time.Time
-	leasedAt    time.Time // when the present request got the connection
-	// lostRead is the read, as in reading, to which the target said at lostAt that
-	// it has no statement of the connection; zero when it did not.
+	leasedAt    time.Time // when the current request leased the connection
+	// lostRead is the value of readingSince for which the target reported at
+	// lostAt that it has no statement of the connection in progress; zero if it
+	// did not.
 	lostRead int64
 	lostAt   time.Time
 }
@@ -88,7 +89,7 @@
 	return c
 }
 
-// Read implements net.Conn and keeps the time of the last byte.
+// Read implements net.Conn and records the time of received data.
 func (c *Conn) Read(b []byte) (int, error) {
 	c.readingSince.Store(c.slot.pool.clock.Now().UnixNano())
 	n, err := c.Conn.Read(b)
@@ -99,8 +100,8 @@
 	return n, err
 }
 
-// SetDeadline implements net.Conn. It does not extend the wait on a connection
-// that was given up as silent.
+// SetDeadline implements net.Conn. It does not extend a read that was aborted
+// because the connection is silent.
 func (c *Conn) SetDeadline(t time.Time) error {
 	if err := c.Conn.SetDeadline(t); err != nil {
 		return err
@@ -116,8 +117,8 @@
 	return c.reapplyAbort()
 }
 
-// reapplyAbort runs after a deadline was set. giveUp sets silent first, so one of
-// the two ends the wait.
+// reapplyAbort must be called after a deadline was set. abortRead sets silent
+// before its own deadline, so one of the two aborts the read.
 func (c *Conn) reapplyAbort() error {
 	if c.silent.Load() {
 		return c.Conn.SetReadDeadline(longAgo)
@@ -125,7 +126,7 @@
 	return nil
 }
 
-// abortRead ends the wait for an answer.
+// abortRead aborts the read in progress and all later ones.
 func (c *Conn) abortRead() {
 	c.silent.Store(true)
 	_ = c.Conn.SetReadDeadline(longAgo) // fails only when closed already
@@ -133,32 +134,31 @@
 
 func (c *Conn) lastRead() time.Time { return time.Unix(0, c.lastReadAt.Load()) }
 
-// Silent reports whether the wait on the connection was ended because the
-// connection went silent.
+// Silent reports whether reads were aborted because the connection is silent.
 func (c *Conn) Silent() bool { return c.silent.Load() }
 
-// SetStreaming says whether the answer is read while the batch is still being
-// sent. The target may then wait for the rest of a message, which does not show
-// that the connection is silent.
+// SetStreaming sets whether the answer is read while the batch is still being
+// sent. The target may then wait for the rest of a message, so a quiet
+// connection is no sign of a silent one.
 func (c *Conn) SetStreaming(streaming bool) { c.streaming.Store(streaming) }
 
-// Target returns the target that the connection leads to.
+// Target returns the target of the connection.
 func (c *Conn) Target() siskin.TargetID { return c.slot.key.Target }
 
-// CheckOwner asserts that the connection belongs to the given request.
+// CheckOwner asserts that the connection is leased to the given request.
 func (c *Conn) CheckOwner(owner uint64) bool {
 	c.slot.mu.Lock()
 	defer c.slot.mu.Unlock()
 	ok := c.owner == owner && c.state == connBusy
-	if !ok { // the arguments of a check allocate
+	if !ok { // only here, since the arguments of Check are allocated
 		oneOwner.Check(false, "connection of request %d (state %d) used by request %d", c.owner, c.state, owner)
 	}
 	return ok
 }
 
 // Recycle resets the session state and returns the connection to the pool. The
-// target must have reported idle, and every response must have been read. A
-// connection that cannot be reset is closed.
+// target must have reported the idle status, and every response must have been
+// read. A connection that cannot be reset is closed.
 func (c *Conn) Recycle(owner uint64) {
 	s := c.slot
 	mustClose, needsReset, ok := c.endUse(owner)
@@ -172,9 +172,9 @@
 	s.put(c)
 }
 
-// endUse takes the connection from a request. It reports whether the connection
-// is to be closed, whether it needs a reset, and false for ok when the request
-// does not have it.
+// endUse ends the lease of a request. It reports whether the connection must be
+// closed and whether it needs a reset; ok is false if the connection is not
+// leased to the request.
 func (c *Conn) endUse(owner uint64) (mustClose, needsReset, ok bool) {
 	s := c.slot
 	s.mu.Lock()
@@ -191,12 +191,12 @@
 	return mustClose || c.SetDeadline(time.Time{}) != nil, false, true
 }
 
-// Close closes the connection; cause is nil when it is not the target's fault.
+// Close closes the connection. The cause is nil if the target is not at fault.
 func (c *Conn) Close(cause error) { c.slot.remove(c, cause) }
 
-// CloseOlder closes the connection and those idle ones of its account in its
-// slot that were not opened after it. It is for a fault of the target that lies
-// between the opening of the connection and now.
+// CloseOlder closes the connection and the idle connections of its account and
+// slot that were opened at the same time or earlier. It is used after a fault
+// of the target that occurred since the connection was opened.
 func (c *Conn) CloseOlder() {
 	s := c.slot
 	s.mu.Lock()
@@ -210,13 +210,13 @@
 	s.openMissing()
 }
 
-// roundTrip runs a statement without rows and reports whether the target then
-// was idle outside a transaction.
+// roundTrip runs a statement without rows and reports whether it succeeded and
+// the target then reported the idle status.
 func (c *Conn) roundTrip(query []byte, timeout time.Duration) bool {
 	return c.simpleQuery(query, timeout, func(typ byte, _ []byte) bool { return typ != 'E' })
 }
 
-// Cancel asks the target to end the statement that runs on the connection.
+// Cancel asks the target to cancel the statement in progress on the connection.
 func (c *Conn) Cancel(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(c.slot.pool.ctx, timeout)
 	defer cancel()
--- a/internal/pool/dialer.go
+++ b/internal/pool/dialer.go
@@ -13,7 +13,7 @@
 	"siskintray.example/siskin"
 )
 
-// DialedConn is a new connection that is idle.
+// DialedConn is a new connection after its startup. It is idle.
 type DialedConn struct {
 	Conn      net.Conn
 	ProcessID uint32
@@ -23,24 +23,25 @@
 // Dialer opens connections to targets.
 type Dialer interface {
 	Dial(ctx context.Context, key Key, cfg SlotConfig, account Account) (DialedConn, error)
-	// Cancel asks the server at the address to end the statement in progress
-	// on a connection, and returns when the server has passed that on.
+	// Cancel asks the server at the address to cancel the statement in progress
+	// on a connection, and returns when the server has forwarded the request.
 	Cancel(ctx context.Context, address string, processID uint32, secret []byte) error
 }
 
 // PGDialer opens connections with pgconn.
 type PGDialer struct {
-	// TLS is nil for connections without TLS.
+	// TLS holds the TLS settings; nil means no TLS.
 	TLS *tls.Config
-	// Open replaces net.Dialer.DialContext when it is set.
+	// Open replaces net.Dialer.DialContext if it is not nil.
 	Open siskin.DialFunc
 
 	base *pgconn.Config
 }
 
-// NewPGDialer returns a dialer that uses the TLS settings, or none when nil.
+// NewPGDialer returns a dialer that uses cfg for TLS, or no TLS if it is nil.
 func NewPGDialer(cfg *tls.Config) (*PGDialer, error) {
-	// A complete connection string keeps settings of the environment out.
+	// A complete connection string prevents pgconn from reading settings from
+	// the environment.
 	base, err := pgconn.ParseConfig("host=127.0.0.1 port=1 user=none password=none dbname=none sslmode=disable")
 	if err != nil {
 		return nil, err
@@ -113,8 +114,8 @@
 	if _, err = conn.Write(msg); err != nil {
 		return err
 	}
-	// The server closes the connection when it has passed the request on, so
-	// that it cannot reach a later statement.
+	// The server closes the connection after it has forwarded the request.
+	// After that, the request cannot reach a later statement.
 	_, err = io.Copy(io.Discard, conn)
 	return err
 }
--- a/internal/pool/fault.go
+++ b/internal/pool/fault.go
@@ -9,27 +9,28 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// noPanic makes a fault of a worker a violation, which is logged and counted.
-// The worker pools would recover it without a line.
+// noPanic records a panic of a worker as an invariant violation, which is
+// logged and counted. The worker pools would recover it silently.
 var noPanic = invar.New("PoolWorkersEndWithoutFault")
 
 func reportPanic(v any) { noPanic.Check(false, "%v\n%s", v, debug.Stack()) }
 
-// dial opens a connection. A fault counts as a failed opening; otherwise it
-// would count as one in progress for good.
+// dial opens a connection. A panic counts as a failed opening. Otherwise the
+// opening would count as in progress forever.
 func (s *slot) dial(cfg SlotConfig, account Account) (o DialedConn, err error) {
 	ctx, cancel := context.WithTimeout(s.pool.ctx, cfg.dialTimeout())
 	defer cancel()
 	defer func() {
 		if v := recover(); v != nil {
 			reportPanic(v)
-			err = siskin.NewError(siskin.Internal, "connection to target %s was not opened", s.key.Target).WithCause(fmt.Errorf("fault: %v", v))
+			err = siskin.NewError(siskin.Internal, "connection to target %s was not opened", s.key.Target).WithCause(fmt.Errorf("panic: %v", v))
 		}
 	}()
 	return s.pool.dialer.Dial(ctx, s.key, cfg, account)
 }
 
-// closeAfterPanic closes a connection that a worker used when its fault ended it.
+// closeAfterPanic recovers a panic of a worker and closes the connection that
+// it used.
 func (s *slot) closeAfterPanic(c *Conn) {
 	if v := recover(); v != nil {
 		reportPanic(v)
--- a/internal/pool/fault_test.go
+++ b/internal/pool/fault_test.go
@@ -10,8 +10,8 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// TestFaultOfWorker guards against a fault in an opening or a probe that nobody
-// hears of, and after which the slot opens no connections or keeps one that is
+// TestFaultOfWorker guards against a panic in an opening or a probe that is not
+// reported, and after which the slot opens no connections or keeps one that is
 // never used again.
 func TestFaultOfWorker(t *testing.T) {
 	var faults atomic.Int64
@@ -25,11 +25,11 @@
 	f.awaitOpened(t)
 	idle := f.Stats()[key].Idle
 	f.dialer.panics.Store(true)
-	// Probes end the idle connections, and more openings than may be in progress
-	// at a time fail.
+	// The probes panic and close the idle connections, and more openings fail
+	// than may be in progress at a time.
 	for start := time.Now(); faults.Load() < int64(idle+2*maxOpening); time.Sleep(10 * time.Millisecond) {
 		if time.Since(start) > 10*time.Second {
-			t.Fatalf("got %d faults reported, want one for each probe and opening: %+v", faults.Load(), f.Stats()[key])
+			t.Fatalf("got %d panics reported, want one for each probe and opening: %+v", faults.Load(), f.Stats()[key])
 		}
 	}
 	f.dialer.panics.Store(false)
--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -25,8 +25,8 @@
 
 var key = Key{Target: "badges/1", Slot: 0}
 
-// faultyDialer wraps connections so that tests can silence the older ones or
-// make openings fail.
+// faultyDialer wraps connections so that tests can discard all data received on
+// older ones, and can make openings fail.
 type faultyDialer struct {
 	*PGDialer
 	muteUpTo atomic.Int64
--- a/internal/pool/full.go
+++ b/internal/pool/full.go
@@ -13,10 +13,11 @@
 // sqlstateTooMany is the SQLSTATE of a target whose slot is full.
 const sqlstateTooMany = "53300"
 
-// maxFullWait is how long a request waits for a slot that the target calls full. A
-// target may count a connection for a moment after its end, and the previous
-// owner of the slot may still finish its requests. The time counts from the
-// arrival of the request: openings ahead of demand may have failed before.
+// maxFullWait is the maximum wait of a request for a slot that the target
+// reports as full. A target may count a connection for a moment after it ended,
+// and the previous owner of the slot may still finish its requests. The wait
+// counts from the arrival of the request, since openings ahead of demand may
+// have failed before.
 const maxFullWait = time.Second
 
 func isSlotFull(err error) bool {
@@ -25,8 +26,8 @@
 }
 
 // handleSlotFull handles an opening that the target refused because it counts
-// other connections in the slot. The target answers, so it is neither suspected
-// nor called unreachable. The caller holds mu.
+// other connections in the slot. The target answers, so no failure is reported
+// and it does not count as unreachable. The caller holds mu.
 func (s *slot) handleSlotFull(account Account) {
 	now := s.pool.clock.Now()
 	s.failures, s.lastErr = 0, nil
--- a/internal/pool/heard.go
+++ b/internal/pool/heard.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// Activity returns since when the connection of the slot that is in use and quiet
-// for longest is quiet, zero when none is in use, and when any connection was
-// opened or last heard. A fault may silence old connections only, so that what
-// was heard on others says nothing about the quiet one.
+// Activity returns quietSince, the earliest time since which a connection in
+// use has received nothing, or zero if none is in use. It also returns
+// lastHeardAt, when any connection of the slot was last opened or received
+// data. A fault may affect old connections only, so data received on other
+// connections is no evidence for a quiet one.
 func (p *Pool) Activity(key Key) (quietSince, lastHeardAt time.Time) {
 	s, ok := p.slots.Get(key)
 	if !ok {
--- a/internal/pool/heard_test.go
+++ b/internal/pool/heard_test.go
@@ -5,12 +5,13 @@
 	"time"
 )
 
-// TestActivity guards against connections in use that do not count as waiting for
-// their target, and idle ones that do: the group's probes follow from both.
+// TestActivity guards against connections in use that are not reported as
+// quiet, and idle ones that are: the group sends its probes on the basis of
+// both.
 func TestActivity(t *testing.T) {
 	f := newFixture(t, 2)
 	if quiet, _ := f.Activity(key); !quiet.IsZero() {
-		t.Errorf("without a request: got it quiet since %v, want no time", quiet)
+		t.Errorf("without a request: got quiet since %v, want the zero time", quiet)
 	}
 	begun := time.Now()
 	c := f.get(t, Full, 1)
@@ -21,7 +22,7 @@
 	time.Sleep(20 * time.Millisecond)
 	other := f.get(t, Full, 2)
 	if again, later := f.Activity(key); !again.Equal(quiet) || !later.After(last) {
-		t.Errorf("with a younger connection: got %v, %v, want still quiet since %v and heard after %v", again, later, quiet, last)
+		t.Errorf("with a younger connection: got %v, %v, want quiet since %v and last heard after %v", again, later, quiet, last)
 	}
 	other.Recycle(2)
 	c.Recycle(1)
@@ -32,6 +33,6 @@
 		time.Sleep(time.Millisecond)
 	}
 	if quiet, last := f.Activity(Key{Target: "badges/9"}); !quiet.IsZero() || !last.IsZero() {
-		t.Errorf("slot of another VM: got %v, %v, want no times", quiet, last)
+		t.Errorf("slot of another VM: got %v, %v, want zero times", quiet, last)
 	}
 }
--- a/internal/pool/older_test.go
+++ b/internal/pool/older_test.go
@@ -2,9 +2,9 @@
 
 import "testing"
 
-// TestCloseOlder guards against connections from before a fault of the target
-// that are handed out one after the other, and against younger ones, those in
-// use and those of the other account that are closed with them.
+// TestCloseOlder guards against leasing connections from before a fault of the
+// target one after the other, and against closing newer ones, those in use or
+// those of the other account with them.
 func TestCloseOlder(t *testing.T) {
 	f := newFixture(t, 8)
 	oldest, stale := f.get(t, Full, 1), f.get(t, Full, 2)
@@ -34,7 +34,7 @@
 	busy.Recycle(3)
 }
 
-// locked calls run under the lock of a slot.
+// locked calls run with the lock of a slot held.
 func (f *fixture) locked(key Key, run func()) {
 	s, _ := f.slots.Get(key)
 	s.mu.Lock()
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -16,8 +16,9 @@
 	if s.pool.clock.Now().Before(s.nextOpen) {
 		return
 	}
-	// Waiters of both accounts come first: an opening ahead of demand for one
-	// account must not take the room that a waiter of the other needs.
+	// Waiters of both accounts come first: a connection opened ahead of demand
+	// for one account must not use up the limit that a waiter of the other
+	// account needs.
 	for account := range Account(numAccounts) {
 		s.openWanted(account, s.waiterCount)
 	}
@@ -26,7 +27,7 @@
 	}
 }
 
-// openWanted starts openings until as many as wanted are under way.
+// openWanted starts openings until the wanted number is in progress.
 func (s *slot) openWanted(account Account, wanted func(Account) int) {
 	for wanted(account) > s.opening[account] && s.opening[Full]+s.opening[ReadOnly] < s.openingLimit() {
 		if s.size() >= s.cfg.Limit && !s.evict(account) {
@@ -41,8 +42,8 @@
 	s.pool.start(s.pool.openers, func() { s.openConn(account) })
 }
 
-// openingLimit lets one opening test a target that failed before the others
-// follow.
+// openingLimit returns the maximum number of concurrent openings. After a
+// failure, a single opening tests the target first.
 func (s *slot) openingLimit() int {
 	if s.failures > 0 {
 		return 1
@@ -61,9 +62,9 @@
 	return n
 }
 
-// openingsWanted returns the number of openings that an account should have under way:
-// one for each waiter, and spare ones ahead of demand, a quarter of those in
-// use.
+// openingsWanted returns the number of openings that an account should have in
+// progress: one for each waiter, plus spare connections ahead of demand, a
+// quarter of those in use.
 func (s *slot) openingsWanted(account Account) int {
 	open, busy := s.count[account], s.busy[account]
 	spare := max(s.minOpen(account)-open, 0)
@@ -77,8 +78,8 @@
 	return need
 }
 
-// evict closes an idle connection of the other account when the slot is full
-// and a request waits for this account.
+// evict closes an idle connection of the other account if the slot is at its
+// limit and a request waits for this account.
 func (s *slot) evict(account Account) bool {
 	other := s.idle[1-account]
 	if len(other) == 0 {
@@ -129,8 +130,8 @@
 	}
 }
 
-// handleOpenError handles an opening that the target did not answer as expected.
-// The caller holds mu.
+// handleOpenError handles an opening that failed for a reason other than a full
+// slot. The caller holds mu.
 func (s *slot) handleOpenError(account Account, err error) {
 	s.failures++
 	s.lastErr = err
--- a/internal/pool/own.go
+++ b/internal/pool/own.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// isOwnedWith reports whether the slot is owned with the same settings already.
+// isOwnedWith reports whether the slot is owned with the same settings.
 func (s *slot) isOwnedWith(cfg SlotConfig) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.draining && s.cfg == cfg
 }
 
-// own starts or updates the ownership.
+// own starts or updates the ownership of the slot.
 func (s *slot) own(cfg SlotConfig) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -27,7 +27,8 @@
 	s.openMissing()
 }
 
-// isReleased reports whether the slot was given up and all is closed.
+// isReleased reports whether the slot is no longer owned and has no connections
+// or waiters left.
 func (s *slot) isReleased() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,7 +11,7 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Pool holds the connections of all slots that this VM owns.
+// Pool manages the connections of all slots that this VM owns.
 type Pool struct {
 	clock     siskin.Clock
 	dialer    Dialer
@@ -27,22 +27,23 @@
 	wg      sync.WaitGroup
 }
 
-// Option changes a Pool.
+// Option configures a Pool.
 type Option func(*Pool)
 
-// WithFailure sets the function that hears of failed openings and silent
-// connections, such as one that calls Group.ReportFailure. It must not block.
+// WithFailure sets a function that is called after a failed opening or a silent
+// connection, such as one that calls Group.ReportFailure. It must not block.
 func WithFailure(f func(target siskin.TargetID, cause error)) Option {
 	return func(p *Pool) { p.onFailure = f }
 }
 
-// WithReachable sets the function that tells whether a target answers its other
-// connections. Requests that wait on an unreachable and quiet target are ended.
+// WithReachable sets a function that reports whether a target answers on other
+// connections, such as the control connections. Requests that wait on an
+// unreachable target from which nothing was received for some time are ended.
 func WithReachable(f func(target siskin.TargetID) bool) Option {
 	return func(p *Pool) { p.reachable = f }
 }
 
-// maxWorkers bounds the openings and the probes that run at the same time.
+// maxWorkers limits the concurrent openings, and the concurrent probes.
 const maxWorkers = 256
 
 // New returns an empty Pool and starts its maintenance.
@@ -58,7 +59,7 @@
 	return p
 }
 
-// start runs f on a worker; after Close f does not run.
+// start runs f on a worker. After Close, f does not run.
 func (p *Pool) start(workerPool pond.Pool, f func()) { _ = workerPool.Go(f) }
 
 func (p *Pool) maintain() {
@@ -89,13 +90,13 @@
 	})
 }
 
-// Own starts or updates the ownership of a slot. Connections opened with other
-// settings are closed when they are idle.
+// Own starts or updates the ownership of a slot. Connections that were opened
+// with other settings are closed when they are idle.
 func (p *Pool) Own(key Key, cfg SlotConfig) {
 	if s, ok := p.slots.Get(key); ok && s.isOwnedWith(cfg) {
 		return
 	}
-	// Under the lock of the map, so that forget does not remove the slot.
+	// Under the lock of the map, so that removeReleased does not remove the slot.
 	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) {
 		if !ok {
 			s = &slot{pool: p, key: key, cfg: cfg, conns: make(map[*Conn]struct{})}
@@ -105,7 +106,8 @@
 	})
 }
 
-// removeReleased removes a slot that was given up and has no connections anymore.
+// removeReleased removes a slot that is no longer owned and has no connections
+// left.
 func (p *Pool) removeReleased(key Key) {
 	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) { return s, ok && !s.isReleased() })
 }
@@ -137,9 +139,8 @@
 	return keys
 }
 
-// Get returns a connection of a slot, which belongs to the request owner until
-// Recycle or Close. It waits until ctx ends. An error is of a kind with
-// IsNotRun.
+// Get leases a connection of a slot to the request owner, until Recycle or
+// Close. It waits until ctx ends. The kind of an error has IsNotRun.
 func (p *Pool) Get(ctx context.Context, key Key, account Account, owner uint64) (*Conn, error) {
 	s, ok := p.slots.Get(key)
 	if !ok {
@@ -161,7 +162,7 @@
 	if !s.removeWaiter(w) {
 		if r := <-w.ready; r.conn != nil {
 			s.mu.Lock()
-			s.endLease(r.conn, connResetting) // unused, so still reset
+			s.endLease(r.conn, connResetting) // unused, so it needs no reset
 			s.mu.Unlock()
 			s.put(r.conn)
 		}
@@ -171,7 +172,7 @@
 }
 
 // Close drops every slot, waits until ctx ends for requests in progress and
-// closes what is left.
+// closes the remaining connections.
 func (p *Pool) Close(ctx context.Context) {
 	var drained []<-chan struct{}
 	p.slots.Range(func(_ Key, s *slot) bool {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -16,10 +16,11 @@
 )
 
 // TestLimitOverBothAccounts guards against a slot that opens more connections
-// than its number, and against a request that waits while it could be served.
+// than its limit, and against a request that waits although a connection is
+// available.
 func TestLimitOverBothAccounts(t *testing.T) { limitOverBothAccounts(t, 7) }
 
-// TestSoak repeats the run of TestLimitOverBothAccounts with growing seeds.
+// TestSoak repeats TestLimitOverBothAccounts with increasing seeds.
 func TestSoak(t *testing.T) { soak.Each(t, limitOverBothAccounts) }
 
 func limitOverBothAccounts(t *testing.T, seed uint64) {
@@ -52,8 +53,9 @@
 		}()
 	}
 	wg.Wait()
-	// A connection that the pool closed may still be counted at the target when
-	// its successor arrives; the target then refuses, which the pool repeats.
+	// The target may still count a connection that the pool closed when the
+	// next one arrives. It then refuses the new connection, and the pool
+	// retries.
 	if got := f.target.Stats().Slots[0].Max; got > limit {
 		t.Errorf("got %d connections at the target, want at most %d", got, limit)
 	}
@@ -62,8 +64,8 @@
 	}
 }
 
-// TestDropCutsNoRequest guards against a change of ownership that ends a
-// request in progress, and against new work on a slot that was given up.
+// TestDropCutsNoRequest guards against a change of ownership that aborts a
+// request in progress, and against new requests on a dropped slot.
 func TestDropCutsNoRequest(t *testing.T) {
 	f := newFixture(t, 4)
 	c := f.get(t, Full, 1)
@@ -77,7 +79,7 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 	if !c.roundTrip(encodeQuery("select 1"), time.Second) {
-		t.Error("the request in progress was cut")
+		t.Error("request in progress was aborted")
 	}
 	c.Recycle(1)
 	<-done
@@ -88,14 +90,14 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	if got := len(f.Stats()); got != 0 {
-		t.Errorf("got %d slots kept after they were given up, want 0", got)
+		t.Errorf("got %d slots left after they were dropped, want 0", got)
 	}
 	f.Own(key, f.cfg)
 	f.get(t, Full, 3).Recycle(3)
 }
 
-// TestClosedIdleConnectionIsNotHandedOut guards against an unknown outcome of
-// a request that was sent to a connection which the target had closed.
+// TestClosedIdleConnectionIsNotHandedOut guards against an unknown outcome of a
+// request that was sent on a connection which the target had closed.
 func TestClosedIdleConnectionIsNotHandedOut(t *testing.T) {
 	f := newFixture(t, 4)
 	for i := range 3 {
@@ -104,7 +106,7 @@
 	}
 	c := f.get(t, Full, 9)
 	addr := c.LocalAddr()
-	_ = c.Conn.(mutedConn).Conn.(*net.TCPConn).CloseWrite() // the target answers with its own end
+	_ = c.Conn.(mutedConn).Conn.(*net.TCPConn).CloseWrite() // the target then closes its side
 	time.Sleep(50 * time.Millisecond)
 	if newSocket(c.Conn.(mutedConn).Conn).isOpen() {
 		t.Errorf("%v: got open, want closed", addr)
@@ -112,8 +114,8 @@
 	c.Close(nil)
 }
 
-// TestFailedOpenings guards against waits without an end and against a storm
-// of openings while a target is down.
+// TestFailedOpenings guards against requests that wait forever and against
+// excessive openings while a target is down.
 func TestFailedOpenings(t *testing.T) {
 	f := newFixture(t, 4)
 	f.get(t, Full, 1).Close(nil)
@@ -149,7 +151,7 @@
 }
 
 // TestOpensAheadOfDemand guards against statements that wait for an opening
-// although there was time to open a connection before.
+// although there was time to open a connection in advance.
 func TestOpensAheadOfDemand(t *testing.T) {
 	f := newFixture(t, 16)
 	within := func(what string, ok func(Stats) bool) {
@@ -162,16 +164,16 @@
 		}
 		t.Errorf("%s: got %+v after 1 s", what, f.Stats()[key])
 	}
-	within("the warm floor of both accounts", func(s Stats) bool { return s.Idle >= 2*minIdle })
+	within("minIdle connections of both accounts", func(s Stats) bool { return s.Idle >= 2*minIdle })
 	for i := range uint64(8) {
 		c := f.get(t, Full, i+1)
 		defer c.Recycle(i + 1)
 	}
-	within("a quarter of 8 in use is spare", func(s Stats) bool { return s.Busy == 8 && s.Idle >= 8/4 })
+	within("a quarter as many spare connections as the 8 in use", func(s Stats) bool { return s.Busy == 8 && s.Idle >= 8/4 })
 }
 
-// TestSlotHandoff guards against requests that are refused by the new owner
-// of a slot while the old one finishes its own.
+// TestSlotHandoff guards against the new owner of a slot refusing requests
+// while the previous owner finishes its own.
 func TestSlotHandoff(t *testing.T) {
 	f := newFixture(t, 2)
 	first, second := f.get(t, Full, 1), f.get(t, Full, 2)
@@ -187,22 +189,22 @@
 	defer cancel()
 	c, err := next.Get(ctx, key, Full, 3)
 	if err != nil {
-		t.Fatalf("got %v, want a connection when the old owner is done", err)
+		t.Fatalf("got %v, want a connection after the previous owner is done", err)
 	}
 	c.Recycle(3)
 }
 
-// TestSlotStaysFull guards against a request that ends without a wait because the
-// slot was full before it arrived, and against a full target that is called
-// unreachable and suspected, which could change the primary.
+// TestSlotStaysFull guards against a request that fails without waiting because
+// the slot was full before it arrived, and against reporting a full target as
+// unreachable and suspect, which could change the primary.
 func TestSlotStaysFull(t *testing.T) {
 	f := newFixture(t, 2)
 	f.get(t, Full, 1)
-	for f.Stats()[key].Idle == 0 { // the spare connection of the other account
+	for f.Stats()[key].Idle == 0 { // the idle connection of the other account
 		time.Sleep(time.Millisecond)
 	}
 	f.dialer.full.Store(true)
-	f.Drop(key) // closes the spare one, whose replacement is refused
+	f.Drop(key) // closes the idle one, whose replacement is refused
 	f.Own(key, f.cfg)
 	time.Sleep(maxFullWait + maxBackoff)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -213,7 +215,7 @@
 		t.Errorf("got %v, want kind %v", err, want)
 	}
 	if got := time.Since(start); got < maxFullWait || got > 4*maxFullWait {
-		t.Errorf("got an end after %v, want about %v", got, maxFullWait)
+		t.Errorf("got the error after %v, want it after about %v", got, maxFullWait)
 	}
 	time.AfterFunc(maxFullWait/2, func() { f.dialer.full.Store(false) })
 	c, err := f.Get(ctx, key, ReadOnly, 3)
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// maintain probes idle connections, closes those that are not needed anymore
-// and opens missing ones.
+// maintain probes idle connections, closes unneeded ones, aborts reads on
+// silent ones and opens missing ones.
 func (s *slot) maintain(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -29,7 +29,7 @@
 	s.openMissing()
 }
 
-// probeLocked takes an idle connection out of use and probes it.
+// probeLocked probes an idle connection, which is not available meanwhile.
 func (s *slot) probeLocked(c *Conn, timeout time.Duration) {
 	i := slices.Index(s.idle[c.account], c)
 	if i < 0 {
@@ -51,20 +51,21 @@
 	s.putProbed(c, idleSince)
 }
 
-// putProbed returns a connection that the pool itself has used.
+// putProbed returns a connection to the slot after a statement of the pool
+// itself, which does not count as use.
 func (s *slot) putProbed(c *Conn, idleSince time.Time) {
 	s.put(c)
 	s.mu.Lock()
 	if c.state == connIdle {
-		c.idleSince = idleSince // a probe is no use
+		c.idleSince = idleSince // a probe does not count as use
 	}
 	s.mu.Unlock()
 }
 
-// closeSilent closes a connection that was last heard at the given time and did not
-// answer a probe sent later. It probes the idle ones to the same target, since
-// a fault on the path hits connections of the same age together and their
-// answers decide about those in use.
+// closeSilent closes a connection that last received data at heardAt and did
+// not answer a probe sent later. It then probes the idle connections to the
+// same target: a fault on the path affects connections of the same age
+// together, so their answers are evidence for those in use.
 func (s *slot) closeSilent(c *Conn, heardAt, sent time.Time) {
 	s.mu.Lock()
 	s.stats.silent++
@@ -78,7 +79,8 @@
 	s.pool.probeIdle(s.key.Target, detectedAt)
 }
 
-// probeOlder probes the idle connections last heard before the given time.
+// probeOlder probes the idle connections that received no data after the given
+// time.
 func (s *slot) probeOlder(before time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/pool/replace_test.go
+++ b/internal/pool/replace_test.go
@@ -8,8 +8,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// TestSilentConnectionsAreReplaced guards against requests that wait on old
-// connections which went silent while new ones work.
+// TestSilentConnectionsAreReplaced guards against requests that wait on silent
+// old connections while new ones work.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	f := newFixture(t, 6)
 	busy := f.get(t, Full, 1)
@@ -23,7 +23,7 @@
 	}
 	_, err := busy.R.Next()
 	if got, want := time.Since(start), 3*time.Second; err == nil || !busy.Silent() || got > want {
-		t.Fatalf("connection in use: got %v (silent %v) after %v, want an end within %v", err, busy.Silent(), got, want)
+		t.Fatalf("connection in use: got %v (silent %v) after %v, want the read aborted within %v", err, busy.Silent(), got, want)
 	}
 	busy.Close(err)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -38,8 +38,8 @@
 	c.Recycle(3)
 }
 
-// TestSlowStatementIsNotSilent guards against a request that is cut because it
-// takes long while another connection fails.
+// TestSlowStatementIsNotSilent guards against aborting a request that takes
+// long while another connection is silent.
 func TestSlowStatementIsNotSilent(t *testing.T) {
 	if testing.Short() {
 		t.Skip("waits for the detection of silence")
@@ -49,8 +49,8 @@
 	other := f.get(t, Full, 2)
 	third := f.get(t, Full, 3)
 	third.Recycle(3)
-	// The connection opened first goes silent, so it must not be the one with
-	// the slow statement.
+	// The connection opened first is made silent, so it must not be the one
+	// with the slow statement.
 	owner := uint64(2)
 	if slow.Conn.(mutedConn).opening == 1 {
 		slow, other, owner = other, slow, 1
@@ -58,14 +58,14 @@
 	other.Recycle(owner)
 	f.dialer.muteUpTo.Store(1) // one connection only
 	if !slow.roundTrip(encodeQuery("select pg_sleep(3.5)"), 6*time.Second) {
-		t.Errorf("got a slow statement cut (silent %v), want its answer", slow.Silent())
+		t.Errorf("got a slow statement aborted (silent %v), want its answer", slow.Silent())
 	}
 	slow.Close(nil)
 }
 
-// TestEvidenceFromBeforeTheIncident guards against a slow statement that is cut
-// because its sibling answered after the fault but before the unanswered probe
-// was given up, and is not probed again until the decision.
+// TestEvidenceFromBeforeTheIncident guards against aborting a slow statement
+// because another connection of its age answered after the fault but before the
+// unanswered probe timed out, and is not probed again before the decision.
 func TestEvidenceFromBeforeTheIncident(t *testing.T) {
 	if testing.Short() {
 		t.Skip("waits for the detection of silence")
@@ -80,7 +80,7 @@
 	other.Recycle(2)
 	f.ProbeFailed(key.Target, start.Add(700*time.Millisecond))
 	if !<-done {
-		t.Errorf("got a slow statement cut (silent %v) after %v, want its answer", slow.Silent(), time.Since(start))
+		t.Errorf("got a slow statement aborted (silent %v) after %v, want its answer", slow.Silent(), time.Since(start))
 	}
 	slow.Close(nil)
 }
@@ -101,7 +101,7 @@
 	time.Sleep(300 * time.Millisecond)
 	start := time.Now()
 	f.dialer.muteUpTo.Store(f.dialer.opens.Load())
-	for { // requests take every connection that they can get
+	for { // lease every available connection
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		c, err := f.Get(ctx, key, Full, uint64(len(busy))+1)
 		cancel()
@@ -113,7 +113,7 @@
 	for _, c := range busy[:3] {
 		ok := c.roundTrip(encodeQuery("select 1"), 6*time.Second)
 		if got, want := time.Since(start), 3*time.Second; ok || !c.Silent() || got > want {
-			t.Errorf("connection in use: got answer %v, silent %v after %v, want an end within %v", ok, c.Silent(), got, want)
+			t.Errorf("connection in use: got answer %v, silent %v after %v, want the read aborted within %v", ok, c.Silent(), got, want)
 		}
 	}
 	for _, c := range busy {
--- a/internal/pool/retire.go
+++ b/internal/pool/retire.go
@@ -2,10 +2,10 @@
 
 import "siskintray.example/siskin"
 
-// RetireWriters closes the connections of the full account to a target that were
-// opened before: idle ones at once, those in use when they are returned. A
-// target that was demoted refuses writes on the connections that were open
-// then, also after it has become the primary again.
+// RetireWriters closes the connections of the Full account to a target that
+// were opened before the call: idle ones immediately, those in use when they
+// are returned. A target that was demoted refuses writes on the connections
+// that were open at that time, even after it has become the primary again.
 func (p *Pool) RetireWriters(target siskin.TargetID) {
 	p.slots.Range(func(key Key, s *slot) bool {
 		if key.Target == target {
@@ -18,15 +18,15 @@
 func (s *slot) retireWriters() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.writerGeneration++ // openings in progress belong to the old ones
+	s.writerGeneration++ // openings in progress count as old connections
 	for len(s.idle[Full]) > 0 {
 		s.removeLocked(s.idle[Full][0])
 	}
 	s.openMissing()
 }
 
-// isStale reports whether a connection is to be closed in place of another use.
-// The caller holds mu.
+// isStale reports whether a connection must be closed instead of reused. The
+// caller holds mu.
 func (s *slot) isStale(c *Conn) bool {
 	return c.generation != s.generation || (c.account == Full && c.writerGeneration != s.writerGeneration)
 }
--- a/internal/pool/retire_test.go
+++ b/internal/pool/retire_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // TestRetireReplacesWriters guards against writes on connections that were open
-// when their target was demoted: it refuses them for good.
+// when their target was demoted, since it refuses them permanently.
 func TestRetireReplacesWriters(t *testing.T) {
 	f := newFixture(t, 6)
 	busy, idle, reader := f.get(t, Full, 1), f.get(t, Full, 2), f.get(t, ReadOnly, 3)
@@ -13,7 +13,7 @@
 	slot, _ := f.slots.Get(key)
 	slot.mu.Lock()
 	if idle.state != connClosed || busy.state != connBusy || reader.state == connClosed {
-		t.Errorf("got states %d (idle writer), %d (busy writer), %d (reader), want the idle writer alone closed", idle.state, busy.state, reader.state)
+		t.Errorf("got states %d (idle writer), %d (busy writer), %d (reader), want only the idle writer closed", idle.state, busy.state, reader.state)
 	}
 	slot.mu.Unlock()
 	busy.Recycle(1)
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -7,62 +7,69 @@
 	"siskintray.example/siskin"
 )
 
-// silenceDetector collects the evidence that old connections to a target went silent
-// while the target may still accept new ones.
+// silenceDetector collects evidence that old connections to a target are
+// silent, which means that nothing arrives on them anymore, while the target
+// may still accept new ones. Unanswered probes within a short time form one
+// incident.
 type silenceDetector struct {
 	mu sync.Mutex
-	// firstSent and lastSent are when the firstSent and the latest unanswered probe of
-	// one incident were sent. Connections that replace silent ones are opened
-	// after firstSent; they say nothing about the older ones.
+	// firstSent and lastSent are when the first and the latest unanswered probe
+	// of an incident were sent. Connections that replace silent ones are opened
+	// after firstSent, so they are no evidence about older ones.
 	firstSent, lastSent time.Time
-	// detectedAt is when the first probe of the incident was given up. What was
-	// heard earlier can be from before the fault: on a busy machine a probe may
-	// have waited for long when the fault cut off its answer.
+	// detectedAt is when the first probe of the incident timed out. Data that
+	// was received earlier may be from before the fault: on a busy machine, a
+	// probe may have waited for a long time before the fault cut off its
+	// answer.
 	detectedAt time.Time
-	// pathWorkedAt is the latest time at which the path of a connection that went
-	// silent still worked. The fault lies after it, up to probeAfter and a tick
-	// before first.
+	// pathWorkedAt is the latest time at which the path of a connection that
+	// became silent still worked. The fault came after it, and at most
+	// probeAfter and maintenanceInterval before firstSent.
 	pathWorkedAt time.Time
-	// oldestHeard is when the oldest connection that was heard since began was
-	// opened. Connections that are as old have proved that theirs is no fault
-	// of the path; a younger one may have been opened after it.
+	// oldestHeard is the opening time of the oldest connection on which data
+	// was received after detectedAt. Connections of the same age are not
+	// affected by a fault on the path. A younger one may have been opened after
+	// the fault.
 	oldestHeard time.Time
 }
 
-// reprobeWindow is how long the older siblings of a silent connection have to prove
-// that they are not, from the beginning of the incident.
+// reprobeWindow is the time, from detectedAt, in which other connections to the
+// target can answer a probe and so prove that they are not silent.
 const reprobeWindow = reprobeTimeout + maintenanceInterval
 
-// incidentTimeout is the time after the latest unanswered probe from which on another
-// one begins a new incidentTimeout.
+// incidentTimeout is the time after the latest unanswered probe from which
+// another one begins a new incident.
 const incidentTimeout = 3 * time.Second
 
-// maxControlQuiet is two intervals of the control connections. A control connection
-// that leaves a question unanswered was last heard at most that long before.
+// maxControlQuiet is two probe intervals of the control connections. A control
+// connection that does not answer a probe last received data at most that long
+// before it.
 const maxControlQuiet = 400 * time.Millisecond
 
-// sameAgeTolerance is the difference up to which connections count as equally old.
+// sameAgeTolerance is the maximum difference between the opening times of
+// connections that count as equally old.
 const sameAgeTolerance = 500 * time.Millisecond
 
-// burstTolerance is the difference up to which connections count as opened at the
-// same time, as those are that a slot opens for one burst of requests. A
-// connection opened that soon after a silent one was last heard counts as older
-// than the fault.
+// burstTolerance is the maximum difference between the opening times of
+// connections that count as opened together, as a slot opens several for one
+// burst of requests. A connection that was opened that soon after data was last
+// received on a silent one counts as older than the fault.
 const burstTolerance = 100 * time.Millisecond
 
-// probeFailed adds a probe that was sent at the given time and not answered, on
-// a connection whose path worked at since. It returns when the incident began.
+// probeFailed records an unanswered probe that was sent at the given time on a
+// connection whose path worked at pathWorkedAt. It returns the time at which
+// the incident was detected.
 func (s *silenceDetector) probeFailed(pathWorkedAt, sent, now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if sent.Sub(s.lastSent) > incidentTimeout {
 		s.firstSent, s.pathWorkedAt, s.detectedAt, s.oldestHeard = sent, pathWorkedAt, now, time.Time{}
 	}
-	if sent.Before(s.firstSent) { // an earlier question was given up later
+	if sent.Before(s.firstSent) { // an earlier probe timed out later
 		s.firstSent, s.pathWorkedAt = sent, pathWorkedAt
 	}
-	// A probe sent later can fail for another reason; it does not move the
-	// fault past the first one.
+	// A probe sent later may fail for another reason, so it does not move the
+	// time of the fault past firstSent.
 	if pathWorkedAt.After(s.pathWorkedAt) && pathWorkedAt.Before(s.firstSent) {
 		s.pathWorkedAt = pathWorkedAt
 	}
@@ -80,16 +87,17 @@
 	}
 }
 
-// inIncident reports whether a probe of the current incident can still decide.
+// inIncident reports whether an incident is in progress.
 func (s *silenceDetector) inIncident(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return now.Sub(s.lastSent) <= incidentTimeout
 }
 
-// isSilent reports whether a connection in use that was opened and last heard
-// at the given times is to be given up: a sibling of its age did not answer a
-// probe sent later, and no other that is as old was heard since.
+// isSilent reports whether a connection in use, with its opening time and the
+// time of the last received data, is silent: another connection of its age did
+// not answer a probe sent later, and no connection that is as old received data
+// since.
 func (s *silenceDetector) isSilent(openedAt, heardAt, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,20 +110,21 @@
 	return p.detectors.GetOrCreate(target, func() *silenceDetector { return new(silenceDetector) })
 }
 
-// maxQuietUnreachable is how long a connection in use may be quiet when its target is
-// reported as unreachable.
+// maxQuietUnreachable is the maximum time without received data on a connection
+// in use while its target is reported as unreachable.
 const maxQuietUnreachable = 2 * time.Second
 
-// abortSilent ends the wait on connections in use that went silent. The caller
-// holds mu.
+// abortSilent aborts the reads on connections in use that are silent. The
+// caller holds mu.
 func (s *slot) abortSilent(now time.Time) {
 	if s.busy[Full]+s.busy[ReadOnly] == 0 {
-		return // most slots of an idle VM; the question for the target costs more than all else
+		return // common on an idle VM, where looking up the target would dominate the cost
 	}
 	detector := s.pool.detectorOf(s.key.Target)
 	unreachable := s.pool.reachable != nil && !s.pool.reachable(s.key.Target)
 	if detector.inIncident(now) {
-		// A connection in use that receives data is heard without a probe.
+		// Data received on a connection in use counts like the answer to a
+		// probe.
 		for c := range s.conns {
 			detector.recordHeard(c.openedAt, c.lastRead())
 		}
--- a/internal/pool/silence_test.go
+++ b/internal/pool/silence_test.go
@@ -6,10 +6,10 @@
 )
 
 // TestSilenceEvidence guards against requests that wait on a silent connection
-// until their deadline because other connections seem to clear it, and against
-// slow statements that are cut although their connection is as old as one that
-// answers. Times are milliseconds; the first unanswered probe is sent at 10,000
-// and the decision is taken at 13,000.
+// until their deadline because other connections seem to prove it healthy, and
+// against aborting slow statements on a connection that is as old as one that
+// answers. Times are milliseconds. The first unanswered probe is sent at 10,000
+// and the decision is made at 13,000.
 func TestSilenceEvidence(t *testing.T) {
 	type heard struct{ opened, at int }
 	for _, tt := range []struct {
@@ -17,7 +17,7 @@
 		opened, heard int
 		others        []heard
 		probes        []int
-		since         int // 0: a control connection, heard within the ambiguity
+		since         int // 0: maxControlQuiet before the probe, as for a control connection
 		want          bool
 	}{
 		{"in use since before the fault", 1000, 9900, nil, []int{10_000}, 0, true},
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -15,21 +15,21 @@
 
 	mu               sync.Mutex
 	cfg              SlotConfig
-	generation       int // grows when the settings change; older connections are closed
-	writerGeneration int // the same for the full account, when a primary is replaced
+	generation       int // incremented when the settings change; older connections are closed
+	writerGeneration int // generation of the Full account, see RetireWriters
 	idle             [numAccounts][]*Conn
-	reservedConn     *Conn // see watch.go
+	reservedConn     *Conn // reserved for probes, see reserved.go
 	conns            map[*Conn]struct{}
-	count            [numAccounts]int // connections, without opening ones
-	busy             [numAccounts]int // connections that belong to a request
+	count            [numAccounts]int // open connections
+	busy             [numAccounts]int // connections leased to a request
 	opening          [numAccounts]int
-	lastCheck        [numAccounts]time.Time // see ask.go
+	lastCheck        [numAccounts]time.Time // time of the latest session check, see sessioncheck.go
 	waiters          []*waiter
 	draining         bool
-	failures         int // failed openings in a row
+	failures         int // consecutive failed openings
 	nextOpen         time.Time
 	lastErr          error
-	drained          chan struct{} // closed when draining and empty
+	drained          chan struct{} // closed when draining and without connections
 	stats            counters
 }
 
@@ -43,7 +43,8 @@
 
 func (s *slot) size() int { return len(s.conns) + s.opening[Full] + s.opening[ReadOnly] }
 
-// accountSize returns the number of connections of an account, including opening ones.
+// accountSize returns the number of connections of an account, including those
+// being opened.
 func (s *slot) accountSize(account Account) int { return s.opening[account] + s.count[account] }
 
 func notOwnedError(key Key) error {
@@ -51,7 +52,7 @@
 		WithRemedy("repeat the request; it goes to the owner")
 }
 
-// acquire returns an idle connection or a waiter.
+// acquire returns an idle connection, or a waiter if there is none.
 func (s *slot) acquire(account Account, owner uint64) (*Conn, *waiter, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,7 +89,7 @@
 	s.busy[c.account]++
 }
 
-// endLease ends the use of a connection by a request.
+// endLease ends the lease of a connection and sets its state.
 func (s *slot) endLease(c *Conn, state connState) {
 	if c.state == connBusy {
 		s.busy[c.account]--
@@ -96,7 +97,8 @@
 	c.state, c.owner = state, 0
 }
 
-// removeWaiter removes a waiter that gave up and reports whether it was still waiting.
+// removeWaiter removes a waiter whose context ended and reports whether it was
+// still waiting.
 func (s *slot) removeWaiter(w *waiter) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,7 +109,8 @@
 	return i >= 0
 }
 
-// put makes a connection idle and hands it to the first waiter of its account.
+// put leases a reset connection to the first waiter of its account, or makes it
+// idle. A stale connection is closed.
 func (s *slot) put(c *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -132,7 +135,7 @@
 	s.openMissing()
 }
 
-// remove closes a connection and forgets it.
+// remove closes a connection and removes it from the slot.
 func (s *slot) remove(c *Conn, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,7 +170,8 @@
 	}
 }
 
-// failWaiters ends the waits for an account that began at arrived or earlier.
+// failWaiters fails the waiters of an account that arrived at or before
+// arrivedAt.
 func (s *slot) failWaiters(account Account, arrivedAt time.Time, err error) {
 	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
 		if w.account != account || w.arrivedAt.After(arrivedAt) {
@@ -178,8 +182,9 @@
 	})
 }
 
-// drain stops new work, closes what is idle and returns a channel that is
-// closed when the last connection is gone. Requests in progress finish.
+// drain rejects new requests, closes idle connections and returns a channel
+// that is closed when the last connection is closed. Requests in progress
+// finish.
 func (s *slot) drain() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -2,14 +2,16 @@
 
 import "time"
 
-// A slot between VMs keeps one connection that no request gets, its watch. A
-// fault on the path can find every connection in use, or requests can take the
-// idle ones before their next probe; none is left to probe then, and requests
-// waited on silent connections until their deadline (11 s seen). Slots of
-// targets need none: the control connections report silence.
+// A slot for connections between VMs reserves one connection for probes, which
+// is never leased to a request. Without it, a fault on the path could occur
+// while every connection is in use, or requests could lease the idle ones
+// before their next probe. No connection would be left to probe then, and
+// requests waited on silent connections until their deadline (11 s observed).
+// Slots of targets need no such connection, since the control connections
+// detect silence.
 
-// reserve makes an idle connection the watch of the slot when it lacks one. The
-// caller holds mu.
+// reserve reserves an idle connection for probes if the slot has none. It
+// reports whether the connection is the reserved one. The caller holds mu.
 func (s *slot) reserve(c *Conn) bool {
 	if s.cfg.Stateless && s.reservedConn == nil && c.account == Full && s.cfg.Limit > 1 {
 		s.reservedConn = c
@@ -17,8 +19,8 @@
 	return s.reservedConn == c
 }
 
-// probeReserved probes the watch when it was not heard for some time. The caller
-// holds mu.
+// probeReserved probes the reserved connection if no data was received on it
+// for probeAfter. The caller holds mu.
 func (s *slot) probeReserved(now time.Time) {
 	c := s.reservedConn
 	if c != nil && c.state == connIdle && now.Sub(c.lastHeardAt) >= probeAfter {
@@ -27,7 +29,7 @@
 	}
 }
 
-// minOpen returns the number of connections kept open without demand.
+// minOpen returns the number of connections that are kept open without demand.
 func (s *slot) minOpen(account Account) int {
 	switch {
 	case !s.cfg.Stateless:
@@ -41,7 +43,8 @@
 	}
 }
 
-// reservedCount returns the number of connections that no request gets.
+// reservedCount returns the number of connections that are never leased to a
+// request.
 func (s *slot) reservedCount(account Account) int {
 	if s.reservedConn != nil && account == s.reservedConn.account {
 		return 1
