--- a/pkg/fairq/queue.go
+++ b/pkg/fairq/queue.go
@@ -20,18 +20,18 @@
 
 // New returns a queue in front of the given number of places.
 func New(clock siskin.Clock, places int, options ...Option) *Queue {
-	s := defaults(places)
+	s := defaultSettings(places)
 	for _, o := range options {
 		o(&s)
 	}
-	// The origin lies before the first request, so that no time is zero.
+	// The origin is before the first request, so that no time is zero.
 	return &Queue{clock: clock, origin: clock.Now().Add(-time.Second), s: newSched(places, s)}
 }
 
 // Acquire waits for a place. A request that cannot end by its deadline is
-// refused at once with an error of kind siskin.Overloaded; one whose context
-// ends while it waits gets an error of kind siskin.NotRun. In both cases
-// nothing ran. The caller must release the grant.
+// refused at once with an error of kind siskin.Overloaded; if the context ends
+// during the wait, the error is of kind siskin.NotRun. In both cases the request
+// did not run. The caller must release the grant.
 func (q *Queue) Acquire(ctx context.Context, customer siskin.CustomerID, weight int, deadline time.Time) (Grant, error) {
 	now := q.clock.Now()
 	q.mu.Lock()
@@ -40,7 +40,7 @@
 		q.mu.Unlock()
 		return Grant{}, overloaded(customer, r)
 	}
-	state, gen, wait := t.state, t.gen, t.lastStart-now.Sub(q.origin)
+	state, gen, wait := t.state, t.gen, t.startDeadline-now.Sub(q.origin)
 	q.mu.Unlock()
 	if state != ticketRunning {
 		if err := q.wait(ctx, t, wait, customer); err != nil {
@@ -50,14 +50,15 @@
 	return Grant{q: q, t: t, gen: gen}, nil
 }
 
-// wait blocks until the ticket runs, expires, or its context ends.
-func (q *Queue) wait(ctx context.Context, t *ticket, longest time.Duration, customer siskin.CustomerID) error {
+// wait blocks until the ticket runs or expires, the timeout passes or the
+// context ends.
+func (q *Queue) wait(ctx context.Context, t *ticket, timeout time.Duration, customer siskin.CustomerID) error {
 	var cause error
 	select {
 	case <-t.ready:
 	case <-ctx.Done():
 		cause = ctx.Err()
-	case <-q.clock.After(longest):
+	case <-q.clock.After(timeout):
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -76,7 +77,7 @@
 	default:
 		f := t.flow
 		q.s.recycle(t)
-		q.s.park(f, now)
+		q.s.markIdle(f, now)
 	}
 	if cause != nil {
 		return siskin.NewError(siskin.NotRun, "customer %s gave up in the queue", customer).
@@ -91,14 +92,14 @@
 		WithRemedy("retry after " + r.retryAfter.Round(time.Millisecond).String() + "; it did not run")
 }
 
-// Stats is the present load of a Queue.
+// Stats is the current load of a Queue.
 type Stats struct {
 	Running   int
 	Waiting   int
-	Customers int // customers with an account
+	Customers int // customers with running, waiting or recent requests
 }
 
-// Stats returns the present load.
+// Stats returns the current load.
 func (q *Queue) Stats() Stats {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/group/planned_test.go
+++ b/pkg/group/planned_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestPlannedChangeFailsNothing guards against a planned change of primary that
-// fails a request at any home, also when another home orders it, and against a
+// fails a request at any home, also when another home requests it, and against a
 // leaving primary that keeps its role.
 func TestPlannedChangeFailsNothing(t *testing.T) {
 	t.Parallel()
@@ -38,20 +38,20 @@
 			if len(w.failed) > 0 {
 				t.Errorf("got failed requests %v, want none", w.failed)
 			}
-			if missing := w.lost(groups[0]); len(missing) > 0 {
-				t.Errorf("lost %v", missing)
+			if missing := w.lostWrites(groups[0]); len(missing) > 0 {
+				t.Errorf("lost acknowledged writes: %v", missing)
 			}
-			t.Logf("%d writes, hold of the ordered change %v, of the leaving primary %v", len(w.acked), gap.Round(time.Millisecond), w.gap(start.Add(time.Second)).Round(time.Millisecond))
+			t.Logf("%d writes; longest gap %v in the requested change, %v when the primary left", len(w.acked), gap.Round(time.Millisecond), w.gap(start.Add(time.Second)).Round(time.Millisecond))
 		})
 	}
 }
 
 // TestTooFewTargets guards against writes that wait for a group that cannot
-// have a primary, and against a forced change that does not help.
+// have a primary, and against a forced change that does not restore one.
 func TestTooFewTargets(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "a"); err != nil {
@@ -73,12 +73,12 @@
 	}
 }
 
-// TestOldPrimaryRejoins guards against a replaced primary that stays outside
-// the group or keeps a suffix that was acknowledged to nobody.
+// TestOldPrimaryRejoins guards against a replaced primary that does not rejoin
+// the group, or that keeps the end of its log that was never acknowledged.
 func TestOldPrimaryRejoins(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "kept"); err != nil {
@@ -104,12 +104,12 @@
 	}
 }
 
-// TestLaggingReplicasRefuseWrites guards against writes that pile up behind
-// confirmations that do not come.
+// TestLaggingReplicasRefuseWrites guards against writes that queue up because
+// no confirmations arrive.
 func TestLaggingReplicasRefuseWrites(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "a"); err != nil {
@@ -130,12 +130,12 @@
 	}
 }
 
-// TestSilentConnectionsAreReplaced guards against a failover, or writes that
-// stop, because the open connections went silent while new ones work.
+// TestSilentConnectionsAreReplaced guards against a failover, or blocked
+// writes, because the open connections stopped responding while new ones work.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "a"); err != nil {
--- a/pkg/group/resume_test.go
+++ b/pkg/group/resume_test.go
@@ -11,12 +11,13 @@
 )
 
 // TestResume guards against a VM that, after a pause, claims targets before it
-// may use its roles, or takes writes or ages by answers from before the pause.
+// may use its roles, or admits writes or reports staleness because of answers
+// from before the pause.
 func TestResume(t *testing.T) {
 	servers := startTargets(t, 3, nil)
 	var awake atomic.Bool
 	awake.Store(true)
-	g := watch(t, servers, "vm-1", group.WithAwake(awake.Load))
+	g := startGroup(t, servers, "vm-1", group.WithAwake(awake.Load))
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "before"); err != nil {
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -30,8 +30,8 @@
 }
 
 // simulate runs f with simulated time. The race detector crashes in long
-// bubbles of synctest (Go 1.26.8, a failed check in tsan_rtl.cpp:346), so with
-// it f runs in real time; fleets and times are then smaller.
+// synctest bubbles (Go 1.26.8, a failed check in tsan_rtl.cpp:346), so with it f
+// runs in real time; fleets and times are then smaller.
 func simulate(t *testing.T, f func(t *testing.T)) {
 	t.Helper()
 	if raceEnabled {
@@ -41,35 +41,35 @@
 	synctest.Test(t, f)
 }
 
-// TestDeadMember guards against a silent VM that is known too late: 3 s at 7
-// VMs and 6 s at 300.
+// TestDeadMember guards against a death that the other VMs detect too late. The
+// limit is 3 s for 7 VMs and 6 s for 300.
 func TestDeadMember(t *testing.T) {
 	for _, tt := range []struct {
-		vms, kills int
-		limit      time.Duration
+		vms, deaths int
+		limit       time.Duration
 	}{{7, 40, 3 * time.Second}, {300, 4, 6 * time.Second}} {
 		if raceEnabled && tt.vms > 7 {
 			continue
 		} else if raceEnabled {
-			tt.kills = 1
+			tt.deaths = 1
 		}
 		simulate(t, func(t *testing.T) {
-			f := newFabric(*seed)
-			all := fleet(t, f, tt.vms)
+			f := newFakeNetwork(*seed)
+			all := startFleet(t, f, tt.vms)
 			var total, worst time.Duration
-			for k := range tt.kills {
+			for k := range tt.deaths {
 				time.Sleep(f.random(5 * time.Second))
 				victim := k % tt.vms
-				f.kill(all[victim].cfg.Self.ID, 1)
+				f.setPartition(all[victim].cfg.Self.ID, 1)
 				others := append(append([]*Members{}, all[:victim]...), all[victim+1:]...)
-				took := settle(t, others, tt.vms-1, 30*time.Second)
+				took := waitForLive(t, others, tt.vms-1, 30*time.Second)
 				total, worst = total+took, max(worst, took)
-				f.kill(all[victim].cfg.Self.ID, 0)
-				settle(t, all, tt.vms, time.Minute)
+				f.setPartition(all[victim].cfg.Self.ID, 0)
+				waitForLive(t, all, tt.vms, time.Minute)
 			}
-			t.Logf("seed %d: %d VMs: known everywhere after %v on average, %v at most, over %d deaths", *seed, tt.vms, total/time.Duration(tt.kills), worst, tt.kills)
+			t.Logf("seed %d: %d VMs: detected by all after %v on average, %v at most, over %d deaths", *seed, tt.vms, total/time.Duration(tt.deaths), worst, tt.deaths)
 			if worst > tt.limit {
-				t.Errorf("%d VMs: death known after %v, want at most %v", tt.vms, worst, tt.limit)
+				t.Errorf("%d VMs: death detected by all after %v, want at most %v", tt.vms, worst, tt.limit)
 			}
 		})
 	}
@@ -94,9 +94,9 @@
 			tt.simulated = 3 * time.Second
 		}
 		simulate(t, func(t *testing.T) {
-			f := newFabric(*seed)
-			all := fleet(t, f, tt.vms)
-			f.lose(0.01)
+			f := newFakeNetwork(*seed)
+			all := startFleet(t, f, tt.vms)
+			f.setLoss(0.01)
 			for range tt.simulated / time.Second {
 				time.Sleep(time.Second)
 				for _, m := range all {
@@ -116,8 +116,8 @@
 	}
 }
 
-// TestSoak guards against a view that stays wrong under lost messages and
-// kills: a dead VM that is known late or a running VM that is missing.
+// TestSoak guards against views that stay wrong after lost messages and deaths: a
+// death that is detected late or a running VM that is missing.
 func TestSoak(t *testing.T) {
 	soak.Each(t, func(t *testing.T, seed uint64) {
 		rounds := 5
@@ -125,48 +125,49 @@
 			rounds = 1
 		}
 		simulate(t, func(t *testing.T) {
-			f := newFabric(seed)
-			draws := rand.New(rand.NewPCG(seed, 1)) // the fabric's own is under its lock
-			all := fleet(t, f, 7)
+			f := newFakeNetwork(seed)
+			draws := rand.New(rand.NewPCG(seed, 1)) // the network's generator is guarded by its mutex
+			all := startFleet(t, f, 7)
 			for range rounds {
-				f.lose(0.01)
+				f.setLoss(0.01)
 				time.Sleep(time.Duration(draws.Int64N(int64(5 * time.Second))))
-				f.lose(0)
+				f.setLoss(0)
 				victim := draws.IntN(len(all))
-				f.kill(all[victim].cfg.Self.ID, 1)
+				f.setPartition(all[victim].cfg.Self.ID, 1)
 				others := append(append([]*Members{}, all[:victim]...), all[victim+1:]...)
-				if got, want := settle(t, others, len(all)-1, 30*time.Second), 3*time.Second; got > want {
-					t.Errorf("got the death known after %v, want at most %v", got, want)
+				if got, want := waitForLive(t, others, len(all)-1, 30*time.Second), 3*time.Second; got > want {
+					t.Errorf("death detected by all after: got %v, want at most %v", got, want)
 				}
-				f.kill(all[victim].cfg.Self.ID, 0)
-				settle(t, all, len(all), time.Minute)
+				f.setPartition(all[victim].cfg.Self.ID, 0)
+				waitForLive(t, all, len(all), time.Minute)
 			}
 		})
 	})
 }
 
-// TestPartition guards against views that stay apart after a partition, and
-// against VMs of the own part that are taken for dead when the parts merge.
+// TestPartition guards against views that stay different after a partition has
+// ended, and against VMs that are declared dead on their own side when the sides
+// merge.
 func TestPartition(t *testing.T) {
 	for _, n := range []int{7, 60} {
 		if raceEnabled && n > 7 {
 			continue
 		}
 		simulate(t, func(t *testing.T) {
-			f := newFabric(*seed)
-			all := fleet(t, f, n)
+			f := newFakeNetwork(*seed)
+			all := startFleet(t, f, n)
 			cut, apart := n/3, 2*time.Minute
 			if raceEnabled {
 				apart = time.Second
 			}
 			for _, m := range all[:cut] {
-				f.kill(m.cfg.Self.ID, 1)
+				f.setPartition(m.cfg.Self.ID, 1)
 			}
-			settle(t, all[:cut], cut, time.Minute)
-			settle(t, all[cut:], n-cut, time.Minute)
+			waitForLive(t, all[:cut], cut, time.Minute)
+			waitForLive(t, all[cut:], n-cut, time.Minute)
 			time.Sleep(apart)
 			for _, m := range all[:cut] {
-				f.kill(m.cfg.Self.ID, 0)
+				f.setPartition(m.cfg.Self.ID, 0)
 			}
 			lost := ""
 			took := waitFor(t, 30*time.Second, func() string {
@@ -177,7 +178,7 @@
 					}
 					got := len(m.Live())
 					if got < want {
-						lost = fmt.Sprintf("%s lost a VM of its own part", m.cfg.Self.ID)
+						lost = fmt.Sprintf("%s lost a VM of its own side of the partition", m.cfg.Self.ID)
 					}
 					if got != n {
 						return fmt.Sprintf("%s sees %d of %d VMs", m.cfg.Self.ID, got, n)
@@ -193,18 +194,18 @@
 	}
 }
 
-// TestLeave guards against a planned stop that others see late or take for a
-// failure, and against an old run that hides the next one.
+// TestLeave guards against a planned stop that others learn of late or treat as a
+// failure, and against records of an earlier run that hide the next run.
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFabric(*seed)
-		all := fleet(t, f, 7)
+		f := newFakeNetwork(*seed)
+		all := startFleet(t, f, 7)
 		leaving := startVM(f, "vm-7", 1)
-		settle(t, all, 8, 10*time.Second)
+		waitForLive(t, all, 8, 10*time.Second)
 		if err := leaving.Leave(context.Background()); err != nil {
 			t.Fatal(err)
 		}
-		if took := settle(t, all, 7, 3*time.Second); took > time.Second {
+		if took := waitForLive(t, all, 7, 3*time.Second); took > time.Second {
 			t.Errorf("leaving known everywhere: got %v, want at most 1 s", took)
 		}
 		if got, _ := all[0].Lookup("vm-7"); got.State != siskin.VMLeaving {
@@ -213,6 +214,6 @@
 		_ = leaving.Close()
 		again := startVM(f, "vm-7", 2)
 		defer again.Close()
-		settle(t, all, 8, 10*time.Second)
+		waitForLive(t, all, 8, 10*time.Second)
 	})
 }
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -6,21 +6,21 @@
 type Message struct {
 	// From is the sender, without data centre and address.
 	From Record
-	// About is what the sender holds of the receiver, unless it is live, so
-	// that the receiver can refute it.
+	// About is the sender's record of the receiver, unless it is live, so that
+	// the receiver can refute it.
 	About *Record `json:",omitempty"`
 	// Hash is the hash of the sender's view.
 	Hash uint32
 	// Updates are the latest changes of the view.
 	Updates []Record `json:",omitempty"`
-	// Page is a part of the sender's running members, sent while hashes differ.
+	// Page is a page of the sender's running members, sent while hashes differ.
 	Page []Record `json:",omitempty"`
 }
 
 // ProbeArgs are the arguments of Member.Probe.
 type ProbeArgs struct {
 	Message
-	// Join asks for members after the given id in order.
+	// Join requests the members with ids after After, in order.
 	Join  bool        `json:",omitempty"`
 	After siskin.VMID `json:",omitempty"`
 }
@@ -28,8 +28,8 @@
 // ProbeReply is the answer of Member.Probe.
 type ProbeReply struct {
 	Message
-	// Members answers Join with up to joinPage records. More follow unless
-	// there are fewer.
+	// Members answers Join with up to joinPage records. Fewer than that are
+	// the last ones.
 	Members []Record `json:",omitempty"`
 }
 
@@ -38,7 +38,7 @@
 
 // ProbeForReply is the answer of Member.ProbeFor.
 type ProbeForReply struct {
-	// Answered says that the target answered a probe of the asked VM.
+	// Answered reports whether the target answered the probe.
 	Answered bool
 }
 
--- a/pkg/spread/push.go
+++ b/pkg/spread/push.go
@@ -7,23 +7,23 @@
 // PushArgs are the arguments of Spread.Push.
 type PushArgs struct {
 	From siskin.VMID
-	// Base is the revision that the receiver needs to have in force, and
-	// Revision the one that the documents bring into force.
+	// Base is the revision that must be in force at the receiver, and Revision
+	// the one after installing the documents.
 	Base, Revision siskin.Revision
-	// Operation is the operation that made the revision, if it is known.
+	// Operation is the operation that made Revision, if known.
 	Operation siskin.OperationID `json:",omitempty"`
 	Documents []Document
-	// Targets are the VMs that the receiver pushes the change to.
+	// Targets are the VMs that the receiver forwards the change to.
 	Targets []siskin.VMID `json:",omitempty"`
 }
 
-// PushReply is the answer of Spread.Push.
+// PushReply is the reply of Spread.Push.
 type PushReply struct {
-	// Revision is the revision in force at the answering VM.
+	// Revision is the revision in force at the responding VM.
 	Revision siskin.Revision
 }
 
-// Push puts a change into force and passes it on.
+// Push installs a change and forwards it to the targets.
 func (r *Receiver) Push(args *PushArgs, reply *PushReply) error {
 	s := r.s
 	known := args.Revision <= s.Revision()
@@ -32,52 +32,52 @@
 		if err != nil {
 			return err
 		}
-		s.accept(args, entries)
+		s.installPushed(args, entries)
 	}
-	s.status.note(args.From, args.Revision, s.clock.Now())
+	s.peerRevisions.record(args.From, args.Revision, s.clock.Now())
 	reply.Revision = s.Revision()
-	// The targets depend on this VM even when it knows the change already, as
-	// from an exchange.
-	s.push(*args, args.Targets)
+	// Forward even a change that this VM already has, for instance from an
+	// exchange: the targets depend on this VM for the push.
+	s.pushTree(*args, args.Targets)
 	return nil
 }
 
-// accept installs pushed documents. When earlier changes are missing, they are
-// fetched from the sender and only then the revision advances.
-func (s *Spread) accept(args *PushArgs, entries []*entry) {
-	s.accepted.note(args.Revision, args.Operation)
+// installPushed installs pushed documents. If earlier changes are missing, it
+// fetches them from the sender, and only that advances the revision.
+func (s *Spread) installPushed(args *PushArgs, entries []*entry) {
+	s.operationHistory.recordAccepted(args.Revision, args.Operation)
 	if s.Revision() >= args.Base {
 		s.install(entries, args.Revision)
 		return
 	}
 	s.install(entries, 0)
-	s.fetchSoon(args.From)
+	s.fetchInBackground(args.From)
 }
 
-// push sends a change to the targets along a tree of width fanOut.
-func (s *Spread) push(args PushArgs, targets []siskin.VMID) {
+// pushTree sends a change to the targets along a tree with fan-out fanOut.
+func (s *Spread) pushTree(args PushArgs, targets []siskin.VMID) {
 	args.From = s.members.Self().ID
 	for i := range fanOut {
 		from, to := i*len(targets)/fanOut, (i+1)*len(targets)/fanOut
 		if from < to {
-			part := targets[from:to]
-			s.submit(func() { s.pushPart(args, part) })
+			subtree := targets[from:to]
+			s.submit(func() { s.pushSubtree(args, subtree) })
 		}
 	}
 }
 
-// pushPart sends a change to the first VM of a part that answers, which passes
-// it on to the rest. VMs that do not answer catch up by their exchanges.
-func (s *Spread) pushPart(args PushArgs, part []siskin.VMID) {
+// pushSubtree sends a change to the first VM of a subtree that responds, which
+// forwards it to the rest. VMs that do not respond catch up by exchanges.
+func (s *Spread) pushSubtree(args PushArgs, subtree []siskin.VMID) {
 	const attempts = 3
-	for i := range min(attempts, len(part)) {
-		args.Targets = part[i+1:]
+	for i := range min(attempts, len(subtree)) {
+		args.Targets = subtree[i+1:]
 		var reply PushReply
-		if s.call(part[i], "Spread.Push", &args, &reply) == nil {
-			s.status.note(part[i], reply.Revision, s.clock.Now())
+		if s.call(subtree[i], "Spread.Push", &args, &reply) == nil {
+			s.peerRevisions.record(subtree[i], reply.Revision, s.clock.Now())
 			return
 		}
-		s.logf("push of revision %d to %s failed", args.Revision, part[i])
+		s.logf("push of revision %d to %s failed", args.Revision, subtree[i])
 	}
 }
 
@@ -86,11 +86,11 @@
 	rev := s.Revision()
 	docs, more := s.since(afterRevision(base))
 	if more || len(vms) == 0 || rev <= base {
-		return // too much for a push; the VMs fetch it
+		return // too many documents for a push; the VMs fetch them
 	}
 	targets := make([]siskin.VMID, 0, len(vms))
 	for _, vm := range vms {
 		targets = append(targets, vm.ID)
 	}
-	s.push(PushArgs{Base: base, Revision: rev, Operation: s.accepted.operation(rev), Documents: docs}, targets)
+	s.pushTree(PushArgs{Base: base, Revision: rev, Operation: s.operationHistory.acceptedOperation(rev), Documents: docs}, targets)
 }
