--- a/internal/relay/peerstream.go
+++ b/internal/relay/peerstream.go
@@ -12,12 +12,12 @@
 
 // Append implements Source.
 func (c *peerConn) Append(h frame.Head, b *frame.Batch) (bool, error) {
-	c.last = h.Type
+	c.lastType = h.Type
 	return AppendRaw(c.r, h, b)
 }
 
-// AppendRaw consumes the next message of r unchanged and adds it to b when it
-// fits.
+// AppendRaw consumes the next message of r unchanged and appends it to b. It
+// reports false, and consumes nothing, if the message does not fit.
 func AppendRaw(r *frame.Reader, h frame.Head, b *frame.Batch) (bool, error) {
 	if !b.Fits(frame.HeadSize + h.Len) {
 		return false, nil
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	c.last = h.Type
+	c.lastType = h.Type
 	return w.Copy(h, c.r)
 }
 
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -39,7 +39,7 @@
 	return servers
 }
 
-func watch(t *testing.T, servers []*target.Server, vm siskin.VMID, opts ...group.Option) *group.Group {
+func startGroup(t *testing.T, servers []*target.Server, vm siskin.VMID, opts ...group.Option) *group.Group {
 	t.Helper()
 	s := group.Settings{Service: "ledger", Self: vm, AckReplicas: (len(servers) - 1) / 2}
 	for _, srv := range servers {
@@ -55,7 +55,8 @@
 	return g
 }
 
-// write runs one write through g directly at the primary's store.
+// write admits a write through g, commits it in the primary's store and waits
+// for its confirmation.
 func write(ctx context.Context, g *group.Group, servers []*target.Server, key string) (siskin.Position, error) {
 	primary, _, done, err := g.AdmitWrite(ctx)
 	if err != nil {
@@ -79,7 +80,7 @@
 // floor sampled afterwards does not cover.
 func TestConfirmFloorAndStaleness(t *testing.T) {
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	check := func(key string) {
@@ -101,7 +102,7 @@
 			t.Errorf("%s: got staleness %v, want less than 700ms", tv.Status.ID, tv.Staleness)
 		}
 	}
-	servers[2].SetLag(time.Minute, 0) // its answer alone must not make a floor
+	servers[2].SetLag(time.Minute, 0) // its answer alone must not determine a floor
 	for i := range 50 {
 		check(fmt.Sprint("lag", i))
 	}
@@ -110,7 +111,7 @@
 // TestFailoverKeepsWrites guards against a killed primary that is not replaced.
 func TestFailoverKeepsWrites(t *testing.T) {
 	servers := startTargets(t, 3, nil)
-	g := watch(t, servers, "vm-1")
+	g := startGroup(t, servers, "vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	if _, err := write(ctx, g, servers, "before"); err != nil {
--- a/pkg/group/tracker.go
+++ b/pkg/group/tracker.go
@@ -12,23 +12,25 @@
 // tracker records which replicas have received the log of the newest term and
 // releases waiting commits.
 //
-// A replica's report of a position in the stream of a term holds for the whole
-// term: the replica has the record, and once it is claimed it takes no more of
-// that term. So reports made at different times add up.
+// A replica's report of a position in a term remains valid for the whole term:
+// the replica has the record, and once claimed for a later term it accepts no
+// more records of the earlier one. So reports made at different times can be
+// combined.
 type tracker struct {
-	mu       sync.Mutex
-	k        int // confirmations that a commit needs
-	quorum   int // claims that fence a term
-	ids      []siskin.TargetID
-	term     siskin.Term
-	received []siskin.LSN  // by target, in the stream of term as a replica
-	claims   []siskin.Term // by target, the highest claim reported
-	waiting  waitHeap
-	wake     []chan struct{} // by target, signaled when a commit waits for it
-	scratch  []siskin.LSN
-	terms    []siskin.Term
-	// anyTerm counts positions of every stream, for tests of wrong rules.
-	anyTerm bool
+	mu          sync.Mutex
+	ackReplicas int // confirmations that a commit needs
+	quorum      int // claims that fence a term
+	targetIDs   []siskin.TargetID
+	term        siskin.Term
+	received    []siskin.LSN  // by target, the position received as a replica in term
+	claims      []siskin.Term // by target, the highest claim reported
+	waiting     waitHeap
+	notify      []chan struct{} // by target, signaled when a commit waits for it
+	scratch     []siskin.LSN
+	terms       []siskin.Term
+	// countAnyTerm counts positions received in any term, for tests with broken
+	// rules.
+	countAnyTerm bool
 }
 
 // waiter is one commit that waits for its confirmation.
@@ -36,50 +38,52 @@
 	pos     siskin.Position
 	arrived time.Time
 	result  chan bool // receives whether the commit is confirmed
-	index   int       // place in the heap; -1 when it has left
+	index   int       // index in the heap; -1 after removal
 }
 
 func newTracker(s *Settings) *tracker {
 	n := len(s.Members)
 	t := &tracker{
-		k: s.AckReplicas, quorum: s.quorum(), received: make([]siskin.LSN, n), claims: make([]siskin.Term, n),
+		ackReplicas: s.AckReplicas, quorum: s.quorum(), received: make([]siskin.LSN, n), claims: make([]siskin.Term, n),
 	}
 	for _, m := range s.Members {
-		t.ids = append(t.ids, m.ID)
-		t.wake = append(t.wake, make(chan struct{}, 1))
+		t.targetIDs = append(t.targetIDs, m.ID)
+		t.notify = append(t.notify, make(chan struct{}, 1))
 	}
 	return t
 }
 
-// observe notes a target's report.
+// observe records a target's status.
 func (t *tracker) observe(st siskin.TargetStatus) {
-	i := slices.Index(t.ids, st.ID)
+	i := slices.Index(t.targetIDs, st.ID)
 	if i < 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.claims[i] = max(t.claims[i], st.ClaimedTerm)
-	t.beginLocked(st.StreamTerm)
-	if st.Role == siskin.RoleReplica && (st.StreamTerm == t.term || t.anyTerm) {
+	t.advanceTermLocked(st.StreamTerm)
+	if st.Role == siskin.RoleReplica && (st.StreamTerm == t.term || t.countAnyTerm) {
 		t.received[i] = max(t.received[i], st.Received)
 	}
 	t.releaseLocked()
 }
 
-// beginLocked moves on to a later term.
-func (t *tracker) beginLocked(term siskin.Term) {
+// advanceTermLocked starts a later term, in which no position has been
+// received.
+func (t *tracker) advanceTermLocked(term siskin.Term) {
 	if term > t.term {
 		t.term = term
 		clear(t.received)
 	}
 }
 
-// confirmedLocked returns the position that k replicas have received.
+// confirmedLocked returns the newest position that ackReplicas replicas have
+// received.
 func (t *tracker) confirmedLocked() siskin.Position {
 	t.scratch = append(t.scratch[:0], t.received...)
 	slices.Sort(t.scratch)
-	return siskin.Position{Term: t.term, LSN: t.scratch[len(t.scratch)-t.k]}
+	return siskin.Position{Term: t.term, LSN: t.scratch[len(t.scratch)-t.ackReplicas]}
 }
 
 // fencedLocked returns the highest term claimed at a quorum of targets, by
@@ -90,7 +94,7 @@
 	return t.terms[len(t.terms)-t.quorum]
 }
 
-// releaseLocked answers the commits that are confirmed or can no longer be.
+// releaseLocked releases the commits that are confirmed or can no longer be.
 func (t *tracker) releaseLocked() {
 	if len(t.waiting) == 0 {
 		return
@@ -103,7 +107,7 @@
 			heap.Pop(&t.waiting)
 			w.result <- false
 		case w.pos.Term == confirmed.Term && w.pos.LSN <= confirmed.LSN && confirmed.LSN > 0:
-			// Position 0 is no report, so it confirms nothing.
+			// Position 0 means that there is no report, so it confirms nothing.
 			ackedInTerm.Check(w.pos.Term >= fenced, "ack in term %d, fenced by %d", w.pos.Term, fenced)
 			heap.Pop(&t.waiting)
 			w.result <- true
@@ -113,23 +117,23 @@
 	}
 }
 
-// add registers a commit. The result is buffered.
+// add registers a waiting commit. Its result channel is buffered.
 func (t *tracker) add(pos siskin.Position, now time.Time) *waiter {
 	w := &waiter{pos: pos, arrived: now, result: make(chan bool, 1)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.beginLocked(pos.Term)
+	t.advanceTermLocked(pos.Term)
 	heap.Push(&t.waiting, w)
 	t.releaseLocked()
 	if w.index >= 0 {
-		for _, ch := range t.wake {
+		for _, ch := range t.notify {
 			signal(ch)
 		}
 	}
 	return w
 }
 
-// remove gives up a commit.
+// remove unregisters a commit whose caller no longer waits.
 func (t *tracker) remove(w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -138,8 +142,9 @@
 	}
 }
 
-// want returns the lowest position that waits for a report of target i.
-func (t *tracker) want(i int) (siskin.Position, bool) {
+// lowestAwaited returns the lowest position that commits need target i to
+// receive.
+func (t *tracker) lowestAwaited(i int) (siskin.Position, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.waiting) > 0 && t.waiting[0].pos.Term == t.term && t.waiting[0].pos.LSN > t.received[i] {
@@ -157,9 +162,9 @@
 	return best.pos, true
 }
 
-// oldest returns the arrival of the commit with the lowest position; zero when
-// none waits.
-func (t *tracker) oldest() time.Time {
+// oldestArrival returns the arrival time of the commit with the lowest
+// position; zero if none waits.
+func (t *tracker) oldestArrival() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.waiting) == 0 {
@@ -168,15 +173,15 @@
 	return t.waiting[0].arrived
 }
 
-// admits reports whether a write of term could be confirmed: its term has not
-// been replaced or claimed away.
-func (t *tracker) admits(term siskin.Term) bool {
+// canConfirm reports whether a write of term could be confirmed: the term has
+// been neither replaced nor fenced by a quorum.
+func (t *tracker) canConfirm(term siskin.Term) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return term >= max(t.term, t.fencedLocked())
 }
 
-// confirmed returns the position that k replicas have received.
+// confirmed returns the newest position that ackReplicas replicas have received.
 func (t *tracker) confirmed() siskin.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -186,6 +191,6 @@
 func signal(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
-	default: // a signal is waiting already
+	default: // a signal is already pending
 	}
 }
--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -16,7 +16,8 @@
 	"siskintray.example/siskin/pkg/group"
 )
 
-// writers run writes at some VMs and note what was acknowledged and when.
+// writers runs writes through some VMs and records which were acknowledged, and
+// when.
 type writers struct {
 	t       *testing.T
 	servers []*target.Server
@@ -26,7 +27,7 @@
 	failed  map[siskin.ErrorKind]int
 }
 
-func (w *writers) run(ctx context.Context, vm string, g *group.Group) {
+func (w *writers) writeUntilDone(ctx context.Context, vm string, g *group.Group) {
 	defer w.wg.Done()
 	var conn *pgconn.PgConn
 	var at siskin.TargetID
@@ -49,7 +50,7 @@
 	}
 }
 
-// write runs one transaction as a home does: not run is tried again.
+// write runs one transaction and, like a home, retries it if it was not run.
 func (w *writers) write(ctx context.Context, g *group.Group, conn **pgconn.PgConn, at *siskin.TargetID, key string) error {
 	for {
 		primary, term, done, err := g.AdmitWrite(ctx)
@@ -57,7 +58,7 @@
 			return err
 		}
 		tryCtx, cancel := whileTerm(ctx, g, term)
-		err = w.try(tryCtx, g, conn, at, primary, key)
+		err = w.tryOnce(tryCtx, g, conn, at, primary, key)
 		cancel()
 		done()
 		var pg *pgconn.PgError
@@ -70,7 +71,7 @@
 	}
 }
 
-func (w *writers) try(ctx context.Context, g *group.Group, conn **pgconn.PgConn, at *siskin.TargetID, primary siskin.TargetID, key string) (err error) {
+func (w *writers) tryOnce(ctx context.Context, g *group.Group, conn **pgconn.PgConn, at *siskin.TargetID, primary siskin.TargetID, key string) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	if *conn == nil || (*conn).IsClosed() || *at != primary {
@@ -92,7 +93,7 @@
 	}
 	var pos siskin.Position
 	if err == nil {
-		pos, err = position(ctx, *conn)
+		pos, err = commitPosition(ctx, *conn)
 	}
 	if err != nil {
 		var pg *pgconn.PgError
@@ -106,7 +107,7 @@
 }
 
 // whileTerm returns a context that ends when the group has a later term, since
-// a transaction at the replaced primary cannot be acknowledged anymore.
+// a transaction at the replaced primary can no longer be acknowledged.
 func whileTerm(ctx context.Context, g *group.Group, term siskin.Term) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
@@ -124,7 +125,7 @@
 	return ctx, cancel
 }
 
-func position(ctx context.Context, conn *pgconn.PgConn) (pos siskin.Position, err error) {
+func commitPosition(ctx context.Context, conn *pgconn.PgConn) (pos siskin.Position, err error) {
 	res, err := conn.Exec(ctx, "select * from siskin_commit_position()").ReadAll()
 	if err != nil {
 		return pos, err
@@ -137,8 +138,9 @@
 	return pos, err
 }
 
-// lost returns the acknowledged keys that the present primary does not have.
-func (w *writers) lost(g *group.Group) (missing []string) {
+// lostWrites returns the acknowledged keys that the current primary does not
+// have.
+func (w *writers) lostWrites(g *group.Group) (missing []string) {
 	for _, s := range w.servers {
 		if s.ID() == g.View().Primary {
 			table := s.Store().Table()
@@ -173,9 +175,10 @@
 	return longest
 }
 
-// gapOpen reports whether no write that began after a change of term has been
-// acknowledged since the fault.
-func (w *writers) gapOpen(fault time.Time) bool {
+// stillBlocked reports whether writes have not resumed since the fault: fewer
+// than 4 were acknowledged later than 100 ms after it, so possibly none that
+// began after the change of term.
+func (w *writers) stillBlocked(fault time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
