--- a/internal/front/pick.go
+++ b/internal/front/pick.go
@@ -8,8 +8,8 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// need is what a transaction asks of its target.
-type need struct {
+// requirements are the conditions that a transaction sets for its target.
+type requirements struct {
 	route *config.Route
 	floor siskin.Position
 	dc    siskin.DataCentreID
@@ -17,9 +17,9 @@
 	tried []siskin.TargetID
 }
 
-// pick chooses the target of the next attempt. It reports false when no known
-// target may serve the transaction at present.
-func pick(service *config.Service, view *siskin.GroupView, n need, intN func(int) int) (config.Target, bool) {
+// pickTarget chooses the target of the next attempt. It returns false when no
+// known target can serve the transaction at present.
+func pickTarget(service *config.Service, view *siskin.GroupView, n requirements, intN func(int) int) (config.Target, bool) {
 	best, bestCost, ties := -1, maxCost, 0
 	for i := range service.Targets {
 		cost := n.cost(&service.Targets[i], view)
@@ -41,18 +41,18 @@
 	return service.Targets[best], true
 }
 
-// Costs of a target, from the least important. A target that was tried is used
-// again only when there is no other; the primary serves reads that no replica
-// can serve at once in a later attempt.
+// Costs of a target, from the least important one. A target that was tried is
+// used again only when there is no other. After the first attempt, a read that
+// no replica can serve without waiting goes to the primary.
 const (
-	costFar     = 1
-	costBehind  = 2
-	costPrimary = 4
-	costTried   = 8
-	maxCost     = 16
+	costOtherDataCentre = 1
+	costBehind          = 2
+	costPrimary         = 4
+	costTried           = 8
+	maxCost             = 16
 )
 
-func (n *need) cost(t *config.Target, view *siskin.GroupView) int {
+func (n *requirements) cost(t *config.Target, view *siskin.GroupView) int {
 	state, known := view.Target(t.ID)
 	isPrimary := t.ID == view.Primary
 	if n.route.Mode == config.WriteRoute {
@@ -66,7 +66,7 @@
 	}
 	cost := 0
 	if t.DataCentre != n.dc {
-		cost += costFar
+		cost += costOtherDataCentre
 	}
 	for _, id := range n.tried {
 		if id == t.ID {
@@ -85,14 +85,14 @@
 	if !token.Serves(&state.Status, n.floor) {
 		cost += costBehind
 		if len(n.tried) > 0 {
-			cost += costPrimary // one replica was waited for already
+			cost += costPrimary // an earlier attempt has already waited for a replica
 		}
 	}
 	return cost
 }
 
-// pickSlot chooses a slot of the target: one of this VM when it has any, which
-// saves a hop, else any.
+// pickSlot chooses a slot of the target. One that this VM owns saves a network
+// hop and is preferred.
 func pickSlot(topology Topology, service *config.Service, target config.Target) (slot siskin.Slot, vm siskin.VM, local, ok bool) {
 	start := rand.IntN(max(service.Slots, 1))
 	for i := range service.Slots {
--- a/internal/front/raw_test.go
+++ b/internal/front/raw_test.go
@@ -8,7 +8,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// rawClient speaks the protocol message by message.
+// rawClient exchanges single protocol messages with a VM.
 type rawClient struct {
 	tb   testing.TB
 	conn net.Conn
@@ -16,9 +16,9 @@
 	key  pgproto3.BackendKeyData
 }
 
-func (vm *testVM) raw(tb testing.TB, database string) *rawClient {
+func (vm *testVM) connectRaw(tb testing.TB, database string) *rawClient {
 	tb.Helper()
-	c := vm.rawConn(tb)
+	c := vm.dialRaw(tb)
 	c.fe.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters:      map[string]string{"user": "any", "database": database},
@@ -39,7 +39,7 @@
 	}
 }
 
-func (vm *testVM) rawConn(tb testing.TB) *rawClient {
+func (vm *testVM) dialRaw(tb testing.TB) *rawClient {
 	tb.Helper()
 	conn, err := net.Dial("tcp", vm.address)
 	if err != nil {
@@ -66,12 +66,13 @@
 	return msg
 }
 
-// answer is what came back up to ReadyForQuery or the end of the connection.
+// rawAnswer holds the messages received up to ReadyForQuery or the end of the
+// connection.
 type rawAnswer struct {
-	types  string // type bytes, one a message; DataRow runs count once
+	types  string // type bytes of the received messages, without rows
 	values []string
 	err    *pgproto3.ErrorResponse
-	status byte // zero when the connection ended
+	status byte // of ReadyForQuery, zero when the connection ended
 }
 
 // exchange sends the messages and reads one answer.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -11,7 +11,7 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Server accepts callers.
+// Server accepts client connections and runs their sessions.
 type Server struct {
 	cfg      Config
 	limits   atomic.Pointer[Limits]
@@ -27,22 +27,22 @@
 	mu        sync.Mutex
 	stopping  bool
 	listeners []net.Listener
-	pending   map[net.Conn]struct{} // all connections, those in start-up included
+	conns     map[net.Conn]struct{} // all open connections, including those in start-up
 	lastID    uint16
 }
 
-// New returns a Server and starts its sweep of withdrawn keys.
+// New returns a Server and starts its periodic key check.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, log: logs.NewRequests(cfg.Clock, cfg.Log), sessions: shard.New[uint16, *session](), pending: make(map[net.Conn]struct{})}
+	s := &Server{cfg: cfg, log: logs.NewRequests(cfg.Clock, cfg.Log), sessions: shard.New[uint16, *session](), conns: make(map[net.Conn]struct{})}
 	s.SetLimits(cfg.Limits)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.requests.Store(requestBase(cfg.VM))
 	s.wg.Add(1)
-	go s.sweep()
+	go s.checkKeysLoop()
 	return s
 }
 
-// Serve accepts callers until l is closed.
+// Serve accepts connections until l is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
@@ -59,11 +59,11 @@
 			}
 			return err
 		}
-		if !s.enter(conn) {
+		if !s.track(conn) {
 			conn.Close()
 			continue
 		}
-		go s.serveConn(conn, func() { s.leave(conn) })
+		go s.serveConn(conn, func() { s.untrack(conn) })
 	}
 }
 
@@ -73,36 +73,36 @@
 	return s.stopping
 }
 
-func (s *Server) enter(conn net.Conn) bool {
+func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// An eighth more than the sessions may be in start-up, so that a full VM
-	// can still tell callers that it is full.
-	most := s.Limits().MaxConnections
-	if s.stopping || len(s.pending) > most+most/8+16 {
+	// Connections in start-up may exceed the session limit by an eighth, so
+	// that a VM at its limit can still send callers the error.
+	limit := s.Limits().MaxConnections
+	if s.stopping || len(s.conns) > limit+limit/8+16 {
 		return false
 	}
-	s.pending[conn] = struct{}{}
+	s.conns[conn] = struct{}{}
 	s.wg.Add(1)
 	return true
 }
 
-func (s *Server) leave(conn net.Conn) {
+func (s *Server) untrack(conn net.Conn) {
 	defer s.wg.Done()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.pending, conn)
+	delete(s.conns, conn)
 }
 
-// register gives the session an id that no other session of this VM has.
+// register adds the session under an id that no other session of this VM has.
 func (s *Server) register(c *session) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping {
 		return errStopping
 	}
-	if most := s.Limits().MaxConnections; s.sessions.Len() >= most {
-		return siskin.NewError(siskin.Overloaded, "this VM has its maximum of %d connections", most).
+	if limit := s.Limits().MaxConnections; s.sessions.Len() >= limit {
+		return siskin.NewError(siskin.Overloaded, "this VM has its maximum of %d connections", limit).
 			WithRemedy("connect to another VM or close connections that are not used")
 	}
 	for {
@@ -116,17 +116,18 @@
 	return nil
 }
 
-// errStopping is what sessions are told when this VM stops. Its SQLSTATE is
-// 57P01.
+// errStopping is the error that sessions receive when this VM stops. Its
+// SQLSTATE is 57P01.
 var errStopping = siskin.NewError(siskin.NotRun, "this VM is stopping").WithRemedy("connect again; another VM answers")
 
-// Close stops accepting, ends idle sessions, waits until ctx ends for running
-// transactions and closes what is left.
+// Close stops accepting connections and ends idle sessions. Running
+// transactions may finish until ctx ends; then the remaining connections are
+// closed.
 func (s *Server) Close(ctx context.Context) {
 	s.mu.Lock()
 	s.stopping = true
 	for _, l := range s.listeners {
-		_ = l.Close() // Accept reports it
+		_ = l.Close() // Accept returns the error
 	}
 	s.mu.Unlock()
 	s.sessions.Range(func(_ uint16, c *session) bool {
@@ -145,28 +146,28 @@
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
-	for conn := range s.pending {
-		_ = conn.Close() // the session reports it
+	for conn := range s.conns {
+		_ = conn.Close() // the session's reads and writes fail
 	}
 	s.mu.Unlock()
 	<-done
 }
 
-// sweep ends the sessions whose key was withdrawn, idle ones included.
-func (s *Server) sweep() {
+// checkKeysLoop calls CheckKeys periodically until the server stops.
+func (s *Server) checkKeysLoop() {
 	defer s.wg.Done()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
-		case <-s.cfg.Clock.After(sweepInterval):
+		case <-s.cfg.Clock.After(keyCheckInterval):
 		}
 		s.CheckKeys()
 	}
 }
 
-// CheckKeys ends the sessions whose key was withdrawn. It runs twice a second
-// and may be called when a withdrawal arrives.
+// CheckKeys ends the sessions whose key was withdrawn, idle ones included. It
+// runs twice a second and may be called when a withdrawal arrives.
 func (s *Server) CheckKeys() {
 	s.sessions.Range(func(_ uint16, c *session) bool {
 		if err := c.checkKey(); err != nil {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -14,34 +14,34 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// session is one caller connection.
+// session is one client connection after its start-up began.
 type session struct {
 	srv    *Server
 	conn   net.Conn
-	finish func() // closes the connection at the end
+	finish func() // closes the connection and removes it from the server
 	r      *frame.Reader
 	w      *frame.Writer
 	id     uint16
 	secret [4]byte
 
-	service siskin.ServiceName
-	route   siskin.RouteName
-	grant   siskin.KeyGrant // zero when the caller showed no key
-	floor   siskin.Position // what the session has seen
-	sampled bool            // floor covers everything acknowledged before the session
-	stmts   statements
-	batch   frame.Batch
-	out     []byte // rewritten messages that are next to be sent
-	outHead frame.Head
-	last    byte // type of the last message consumed
-	answer  answerState
-	request uint64 // id of the transaction, zero before it has one
+	service       siskin.ServiceName
+	route         siskin.RouteName
+	grant         siskin.KeyGrant // zero when the caller sent no key
+	floor         siskin.Position // lowest position that the next read must reflect
+	floorKnown    bool            // floor includes all writes acknowledged before the session
+	stmts         statements
+	batch         frame.Batch
+	rewritten     []byte // rewritten messages that are sent next
+	rewrittenHead frame.Head
+	last          byte // type of the last message consumed
+	answer        answerState
+	request       uint64 // id of the transaction, zero before it has one
 
 	mu       sync.Mutex
 	idle     bool
-	deadline time.Time // of the transaction, zero when idle
-	ending   *siskin.Error
-	leg      relay.Executor // in progress
+	deadline time.Time // deadline of the transaction, zero when idle
+	endErr   *siskin.Error
+	executor relay.Executor // of the transaction in progress
 }
 
 func newSession(s *Server, conn net.Conn) *session {
@@ -61,7 +61,7 @@
 			settings[name] = v
 		}
 	}
-	service, route, _ := cutLast(params["database"])
+	service, route, _ := splitDatabase(params["database"])
 	c.service, c.route = siskin.ServiceName(service), siskin.RouteName(route)
 	if v, ok := settings[routeSetting]; ok {
 		c.route = siskin.RouteName(v)
@@ -75,8 +75,9 @@
 	return nil
 }
 
-// cutLast splits a database name into service and route.
-func cutLast(database string) (service, route string, ok bool) {
+// splitDatabase splits a database name at its last slash into service and
+// route.
+func splitDatabase(database string) (service, route string, ok bool) {
 	for i := len(database) - 1; i >= 0; i-- {
 		if database[i] == '/' {
 			return database[:i], database[i+1:], true
@@ -85,7 +86,7 @@
 	return database, "", false
 }
 
-// lookup finds the session's route in the configuration in force.
+// lookup returns the session's service and route in the current configuration.
 func (c *session) lookup() (*config.Service, *config.Route, error) {
 	service, ok := c.srv.cfg.Config.Service(c.service)
 	if ok {
@@ -102,17 +103,18 @@
 	if err != nil {
 		return err
 	}
-	c.floor, c.sampled = floor, true
+	c.floor, c.floorKnown = floor, true
 	return nil
 }
 
-// logged names the session's transaction in the log.
-func (c *session) logged() logs.Request {
+// logRequest returns the log fields that identify the session's transaction.
+func (c *session) logRequest() logs.Request {
 	return logs.Request{ID: c.request, Service: c.service, Route: c.route, Customer: c.grant.Customer}
 }
 
-// greet ends the start-up.
-func (c *session) greet() error {
+// completeStartup sends the server's parameters, the cancel key and
+// ReadyForQuery.
+func (c *session) completeStartup() error {
 	for _, p := range [...][2]string{
 		{"server_version", "16.0 (siskintray)"},
 		{"server_encoding", "UTF8"},
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -10,26 +10,26 @@
 
 // statement is a prepared statement of the session.
 type statement struct {
-	text []byte // body of the Parse message behind the name
+	text []byte // body of the Parse message after the statement name
 }
 
-// parsing is a Parse message that was sent and not answered yet.
-type parsing struct {
-	name  string
-	stmt  *statement
-	added bool // the caller did not send it, so its answer is swallowed
+// pendingParse is a Parse message that was sent and is not answered yet.
+type pendingParse struct {
+	name     string
+	stmt     *statement
+	injected bool // sent by the proxy, so its ParseComplete is not forwarded
 }
 
-// statements keeps the prepared statements of a session. At a target only the
-// unnamed statement is used, so that nothing outlives the transaction there.
+// statements keeps the prepared statements of a session. The targets only ever
+// see the unnamed statement, so that none outlives its transaction there.
 type statements struct {
-	mu      sync.Mutex // the answer may be read while a batch is sent
-	named   map[string]*statement
-	unnamed *statement
-	current *statement // what the unnamed statement of the target is
-	size    int
-	pending []parsing
-	popped  int // answered entries of pending
+	mu            sync.Mutex // the answer may be read while the batch is being sent
+	named         map[string]*statement
+	unnamed       *statement
+	targetUnnamed *statement // nil when unknown
+	size          int
+	pending       []pendingParse
+	answered      int // number of answered entries of pending
 }
 
 // parse records a Parse message of the caller.
@@ -54,8 +54,8 @@
 		}
 		s.named[name] = st
 	}
-	s.current = st
-	s.pending = append(s.pending, parsing{name: name, stmt: st})
+	s.targetUnnamed = st
+	s.pending = append(s.pending, pendingParse{name: name, stmt: st})
 	return nil
 }
 
@@ -66,9 +66,9 @@
 	return s.named[name]
 }
 
-// use returns the text to parse before a message that refers to the statement,
-// or nil when the target has it already. It reports false for a name that the
-// session does not have.
+// use returns the body of the Parse message to send before a message that
+// refers to the statement, or nil when the target has the statement already. It
+// returns false for a name that the session does not have.
 func (s *statements) use(name string) (text []byte, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,20 +76,20 @@
 	if st == nil {
 		return nil, false
 	}
-	if s.current == st {
+	if s.targetUnnamed == st {
 		return nil, true
 	}
-	s.current = st
-	s.pending = append(s.pending, parsing{stmt: st, added: true})
+	s.targetUnnamed = st
+	s.pending = append(s.pending, pendingParse{stmt: st, injected: true})
 	return st.text, true
 }
 
-// close forgets a statement.
+// close removes a statement.
 func (s *statements) close(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.remove(name)
-	s.current = nil
+	s.targetUnnamed = nil
 }
 
 func (s *statements) remove(name string) {
@@ -105,52 +105,55 @@
 	}
 }
 
-// query records a simple query, which ends the unnamed statement.
-func (s *statements) query() { s.close("") }
+// simpleQuery records a simple query, which destroys the unnamed statement.
+func (s *statements) simpleQuery() { s.close("") }
 
-// parsed handles a ParseComplete and reports whether it is to be swallowed.
-func (s *statements) parsed() bool {
+// parseCompleted records a ParseComplete and reports whether it must be
+// dropped, because the caller did not send the Parse.
+func (s *statements) parseCompleted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.popped >= len(s.pending) {
+	if s.answered >= len(s.pending) {
 		return false
 	}
-	s.popped++
-	return s.pending[s.popped-1].added
+	s.answered++
+	return s.pending[s.answered-1].injected
 }
 
-// repeat prepares for the answer of a batch that is sent once more.
-func (s *statements) repeat() {
+// prepareResend expects the answers of the pending Parse messages again, since
+// the batch is sent again.
+func (s *statements) prepareResend() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.popped = 0
+	s.answered = 0
 }
 
-// endBatchUnless ends a batch unless it failed, in which case it may be sent
-// again.
-func (s *statements) endBatchUnless(f *relay.Failure) {
+// endBatchUnlessFailed ends the batch unless it failed, in which case it may be
+// sent again.
+func (s *statements) endBatchUnlessFailed(f *relay.Failure) {
 	if f == nil {
 		s.endBatch()
 	}
 }
 
-// endBatch forgets the statements whose Parse was not completed.
+// endBatch removes the statements whose Parse was not completed.
 func (s *statements) endBatch() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range s.pending[s.popped:] {
-		if !p.added && s.find(p.name) == p.stmt {
+	for _, p := range s.pending[s.answered:] {
+		if !p.injected && s.find(p.name) == p.stmt {
 			s.remove(p.name)
 		}
-		s.current = nil // an error may have left another statement there
+		s.targetUnnamed = nil // after an error, the target's unnamed statement is not known
 	}
 	clear(s.pending)
-	s.pending, s.popped = s.pending[:0], 0
+	s.pending, s.answered = s.pending[:0], 0
 }
 
-// endTransaction forgets what the unnamed statement of the target was.
+// endTransaction resets the target's unnamed statement, since the next
+// transaction may run on another connection.
 func (s *statements) endTransaction() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.current = nil
+	s.targetUnnamed = nil
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,14 +11,14 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Pool holds the connections of all slots that this VM owns.
+// Pool manages the connections of all slots that this VM owns.
 type Pool struct {
 	clock     siskin.Clock
 	dialer    Dialer
 	onFailure func(siskin.TargetID, error)
 	reachable func(siskin.TargetID) bool
 	slots     *shard.Map[Key, *slot]
-	silences  *shard.Map[siskin.TargetID, *silence]
+	detectors *shard.Map[siskin.TargetID, *silenceDetector]
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -27,39 +27,40 @@
 	wg      sync.WaitGroup
 }
 
-// Option changes a Pool.
+// Option configures a Pool.
 type Option func(*Pool)
 
-// WithFailure sets the function that hears of failed openings and silent
-// connections, such as one that calls Group.ReportFailure. It must not block.
+// WithFailure sets a function that is called after a failed opening or a silent
+// connection, such as one that calls Group.ReportFailure. It must not block.
 func WithFailure(f func(target siskin.TargetID, cause error)) Option {
 	return func(p *Pool) { p.onFailure = f }
 }
 
-// WithReachable sets the function that tells whether a target answers its other
-// connections. Requests that wait on an unreachable and quiet target are ended.
+// WithReachable sets a function that reports whether a target answers on other
+// connections, such as the control connections. Requests that wait on an
+// unreachable target from which nothing was received for some time are ended.
 func WithReachable(f func(target siskin.TargetID) bool) Option {
 	return func(p *Pool) { p.reachable = f }
 }
 
-// workers bounds the openings and the probes that run at the same time.
-const workers = 256
+// maxWorkers limits the concurrent openings, and the concurrent probes.
+const maxWorkers = 256
 
 // New returns an empty Pool and starts its maintenance.
 func New(clock siskin.Clock, dialer Dialer, opts ...Option) *Pool {
-	p := &Pool{clock: clock, dialer: dialer, slots: shard.New[Key, *slot](), silences: shard.New[siskin.TargetID, *silence]()}
+	p := &Pool{clock: clock, dialer: dialer, slots: shard.New[Key, *slot](), detectors: shard.New[siskin.TargetID, *silenceDetector]()}
 	for _, o := range opts {
 		o(p)
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.openers, p.probers = pond.NewPool(workers), pond.NewPool(workers)
+	p.openers, p.probers = pond.NewPool(maxWorkers), pond.NewPool(maxWorkers)
 	p.wg.Add(1)
 	go p.maintain()
 	return p
 }
 
-// start runs f on a worker; after Close f does not run.
-func (p *Pool) start(workers pond.Pool, f func()) { _ = workers.Go(f) }
+// start runs f on a worker. After Close, f does not run.
+func (p *Pool) start(workerPool pond.Pool, f func()) { _ = workerPool.Go(f) }
 
 func (p *Pool) maintain() {
 	defer p.wg.Done()
@@ -67,20 +68,20 @@
 		select {
 		case <-p.ctx.Done():
 			return
-		case <-p.clock.After(tick):
+		case <-p.clock.After(maintenanceInterval):
 		}
 		now := p.clock.Now()
 		p.slots.Range(func(key Key, s *slot) bool {
 			s.maintain(now)
-			if s.isEmpty() {
-				p.forget(key)
+			if s.isReleased() {
+				p.removeReleased(key)
 			}
 			return true
 		})
 	}
 }
 
-func (p *Pool) probeTarget(target siskin.TargetID, before time.Time) {
+func (p *Pool) probeIdle(target siskin.TargetID, before time.Time) {
 	p.slots.Range(func(key Key, s *slot) bool {
 		if key.Target == target {
 			s.probeOlder(before)
@@ -89,13 +90,13 @@
 	})
 }
 
-// Own starts or updates the ownership of a slot. Connections opened with other
-// settings are closed when they are idle.
+// Own starts or updates the ownership of a slot. Connections that were opened
+// with other settings are closed when they are idle.
 func (p *Pool) Own(key Key, cfg SlotConfig) {
-	if s, ok := p.slots.Get(key); ok && s.keeps(cfg) {
+	if s, ok := p.slots.Get(key); ok && s.isOwnedWith(cfg) {
 		return
 	}
-	// Under the lock of the map, so that forget does not remove the slot.
+	// Under the lock of the map, so that removeReleased does not remove the slot.
 	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) {
 		if !ok {
 			s = &slot{pool: p, key: key, cfg: cfg, conns: make(map[*Conn]struct{})}
@@ -105,9 +106,10 @@
 	})
 }
 
-// forget removes a slot that was given up and has no connections anymore.
-func (p *Pool) forget(key Key) {
-	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) { return s, ok && !s.isEmpty() })
+// removeReleased removes a slot that is no longer owned and has no connections
+// left.
+func (p *Pool) removeReleased(key Key) {
+	p.slots.Update(key, func(s *slot, ok bool) (*slot, bool) { return s, ok && !s.isReleased() })
 }
 
 // Drop ends the ownership of a slot. New requests are refused, idle connections
@@ -137,18 +139,17 @@
 	return keys
 }
 
-// Get returns a connection of a slot, which belongs to the request owner until
-// Recycle or Close. It waits until ctx ends. An error is of a kind with
-// IsNotRun.
+// Get leases a connection of a slot to the request owner, until Recycle or
+// Close. It waits until ctx ends. The kind of an error has IsNotRun.
 func (p *Pool) Get(ctx context.Context, key Key, account Account, owner uint64) (*Conn, error) {
 	s, ok := p.slots.Get(key)
 	if !ok {
-		return nil, notOwned(key)
+		return nil, notOwnedError(key)
 	}
-	c, w, err := s.join(account, owner)
+	c, w, err := s.acquire(account, owner)
 	for c != nil && !c.socket.isOpen() {
 		c.Close(nil)
-		c, w, err = s.join(account, owner)
+		c, w, err = s.acquire(account, owner)
 	}
 	if err != nil || c != nil {
 		return c, err
@@ -158,10 +159,10 @@
 		return r.conn, r.err
 	case <-ctx.Done():
 	}
-	if !s.leave(w) {
+	if !s.removeWaiter(w) {
 		if r := <-w.ready; r.conn != nil {
 			s.mu.Lock()
-			s.unlease(r.conn, connResetting) // unused, so still reset
+			s.endLease(r.conn, connResetting) // unused, so it needs no reset
 			s.mu.Unlock()
 			s.put(r.conn)
 		}
@@ -171,7 +172,7 @@
 }
 
 // Close drops every slot, waits until ctx ends for requests in progress and
-// closes what is left.
+// closes the remaining connections.
 func (p *Pool) Close(ctx context.Context) {
 	var drained []<-chan struct{}
 	p.slots.Range(func(_ Key, s *slot) bool {
