--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -6,13 +6,14 @@
 // session of another VM.
 func (s *Server) cancelRequest(processID uint32, secret []byte) {
 	s.Cancel(processID, secret)
-	if s.cfg.Canceler != nil {
-		s.cfg.Canceler.Cancel(processID, secret)
+	if s.cfg.PeerCanceler != nil {
+		s.cfg.PeerCanceler.Cancel(processID, secret)
 	}
 }
 
 // Cancel cancels the statement in progress of the session with the process id,
-// if it is one of this VM and the secret is right.
+// if the session is on this VM and the secret matches. It reports whether there
+// was a transaction in progress.
 func (s *Server) Cancel(processID uint32, secret []byte) bool {
 	if uint16(processID>>16) != VMHash(s.cfg.VM) {
 		return false
@@ -22,10 +23,10 @@
 		return false
 	}
 	c.mu.Lock()
-	leg := c.leg
+	executor := c.executor
 	c.mu.Unlock()
-	if leg != nil {
-		leg.Cancel()
+	if executor != nil {
+		executor.Cancel()
 	}
-	return leg != nil
+	return executor != nil
 }
--- a/internal/front/canned_test.go
+++ b/internal/front/canned_test.go
@@ -14,11 +14,11 @@
 	"siskintray.example/siskin/internal/pool"
 )
 
-// cannedTarget answers every query of a connection with prepared bytes and
-// without allocating, so that a benchmark shows the proxy alone.
+// cannedTarget answers every query with prepared bytes and without allocating,
+// so that a benchmark measures the proxy alone.
 type cannedTarget struct {
-	rows int
-	torn bool // the connection ends in the middle of the last row
+	rows      int
+	truncated bool // the connection ends in the middle of the last row
 }
 
 // Dial implements pool.Dialer.
@@ -73,7 +73,7 @@
 			for range d.rows {
 				_ = w.Raw(row)
 			}
-			if d.torn {
+			if d.truncated {
 				_, _ = w.Raw(row[:len(row)/2]), w.Flush()
 				return
 			}
@@ -82,11 +82,10 @@
 	}
 }
 
-// query is the request of the benchmarks, and drain reads its answer without
-// allocating.
+// benchQuery is the request of the benchmarks.
 var benchQuery = encode(&pgproto3.Query{String: "select v from kv where k = 'a'"})
 
-func drain(r *frame.Reader) error {
+func readAnswer(r *frame.Reader) error {
 	for {
 		h, err := r.Next()
 		if err != nil {
@@ -101,9 +100,9 @@
 	}
 }
 
-// benchClient logs in and returns the plain connection.
+// benchClient logs in and returns the connection with a frame reader.
 func (vm *testVM) benchClient(tb testing.TB, route string) (net.Conn, *frame.Reader) {
-	c := vm.raw(tb, "badges/"+route)
+	c := vm.connectRaw(tb, "badges/"+route)
 	_ = c.conn.SetDeadline(time.Time{})
 	return c.conn, frame.NewReader(c.conn)
 }
@@ -116,15 +115,15 @@
 		vms = 2
 	}
 	f := startFleet(tb, vms, nil)
-	// With two VMs the second one owns nothing, so that it forwards all.
-	f.allAtFirst.Store(true)
+	// With two VMs the second one owns no slot and forwards every transaction.
+	f.firstOwnsAll.Store(true)
 	f.dialCanned(cannedTarget{rows: rows})
 	conn, r := f.vms[vms-1].benchClient(tb, route)
 	run := func() {
 		if _, err := conn.Write(benchQuery); err != nil {
 			tb.Fatal(err)
 		}
-		if err := drain(r); err != nil {
+		if err := readAnswer(r); err != nil {
 			tb.Fatal(err)
 		}
 	}
--- a/internal/front/log_test.go
+++ b/internal/front/log_test.go
@@ -11,21 +11,21 @@
 	"siskintray.example/siskin/internal/logs"
 )
 
-// logBook keeps the lines of one VM.
-type logBook struct {
+// logBuffer collects the log lines of one VM.
+type logBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
 }
 
 // Write implements io.Writer.
-func (l *logBook) Write(p []byte) (int, error) {
+func (l *logBuffer) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.b.Write(p)
 }
 
-// lines returns the lines with the message.
-func (l *logBook) lines(t *testing.T, message string) (found []map[string]any) {
+// lines returns the fields of the lines with the message.
+func (l *logBuffer) lines(t *testing.T, message string) (found []map[string]any) {
 	t.Helper()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -41,25 +41,25 @@
 	return found
 }
 
-// startLogged starts two VMs that log at the level; the second one forwards all
-// transactions to the first.
-func startLogged(t *testing.T, level string) (*fleet, *logBook, *logBook) {
+// startLogged starts two VMs that log at the given level; the second one
+// forwards all transactions to the first.
+func startLogged(t *testing.T, level string) (*fleet, *logBuffer, *logBuffer) {
 	t.Helper()
-	home, entry := &logBook{}, &logBook{}
-	books := map[siskin.VMID]*logBook{"vm-0": home, "vm-1": entry}
-	f := startFleetWith(t, 2, nil, func(c *Config) { c.Log = logs.New(level, "json", books[c.VM]) })
-	f.allAtFirst.Store(true)
+	home, entry := &logBuffer{}, &logBuffer{}
+	buffers := map[siskin.VMID]*logBuffer{"vm-0": home, "vm-1": entry}
+	f := startFleetWith(t, 2, nil, func(c *Config) { c.Log = logs.New(level, "json", buffers[c.VM]) })
+	f.firstOwnsAll.Store(true)
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	return f, home, entry
 }
 
-// TestRequestIDFollowsStatement guards against a statement whose lines at the
-// entry VM and at the home of the slot cannot be put together.
-func TestRequestIDFollowsStatement(t *testing.T) {
+// TestRequestIDSpansVMs guards against log lines of a statement at the entry VM
+// and at the slot's home that no common id connects.
+func TestRequestIDSpansVMs(t *testing.T) {
 	f, home, entry := startLogged(t, "debug")
-	c := f.vms[1].raw(t, "badges/write")
+	c := f.vms[1].connectRaw(t, "badges/write")
 	if a := c.query("select 'done'"); a.code() != "" {
 		t.Fatal(a.err)
 	}
@@ -67,9 +67,9 @@
 	if a := c.query("select 'refused'"); a.code() != "53400" {
 		t.Fatalf("got %+v, want a refusal", a)
 	}
-	ids := func(book *logBook, message string, want int) (all []any) {
+	ids := func(buf *logBuffer, message string, want int) (all []any) {
 		t.Helper()
-		for _, line := range book.lines(t, message) {
+		for _, line := range buf.lines(t, message) {
 			all = append(all, line[logs.RequestField])
 		}
 		if len(all) != want || all[0] == nil {
@@ -77,7 +77,7 @@
 		}
 		return all
 	}
-	begun, arrived := ids(entry, "attempt begins", 2), ids(home, "forwarded transaction arrived", 2)
+	begun, arrived := ids(entry, "attempt started", 2), ids(home, "forwarded transaction arrived", 2)
 	for i := range begun {
 		if begun[i] != arrived[i] {
 			t.Errorf("statement %d: got id %v at the entry VM and %v at the home, want the same", i, begun[i], arrived[i])
@@ -89,28 +89,28 @@
 	}
 }
 
-// TestFailuresAreLimitedInTheLog guards against a log that a customer over its
-// rate, or callers with a wrong key, fill.
-func TestFailuresAreLimitedInTheLog(t *testing.T) {
+// TestFailureLogRateLimit guards against a log that is flooded by a customer
+// over its rate or by callers with a wrong key.
+func TestFailureLogRateLimit(t *testing.T) {
 	f, home, entry := startLogged(t, "info")
 	f.limiter.refuse.Store(true)
-	c := f.vms[1].raw(t, "badges/write")
+	c := f.vms[1].connectRaw(t, "badges/write")
 	const n = 200
 	for range n {
 		c.query("select 1")
 	}
 	for range n / 10 {
-		if _, err := f.vms[1].tryConnect("write", "wrong", ""); err == nil {
+		if _, err := f.vms[1].dialPGX("write", "wrong", ""); err == nil {
 			t.Fatal("got a connection with a wrong key, want none")
 		}
 	}
-	for message, book := range map[string]*logBook{"request failed": entry, "forwarded transaction failed": home, "caller refused at start-up": entry} {
-		// One line a second; the test takes less than two.
-		if got := len(book.lines(t, message)); got < 1 || got > 3 {
+	for message, buf := range map[string]*logBuffer{"request failed": entry, "forwarded transaction failed": home, "caller refused at start-up": entry} {
+		// At most one line is logged per second; the test takes less than two.
+		if got := len(buf.lines(t, message)); got < 1 || got > 3 {
 			t.Errorf("%s: got %d lines, want 1 to 3", message, got)
 		}
 	}
-	if got := len(entry.lines(t, "attempt begins")); got != 0 {
+	if got := len(entry.lines(t, "attempt started")); got != 0 {
 		t.Errorf("got %d lines of level debug, want none", got)
 	}
 }
--- a/internal/pool/own.go
+++ b/internal/pool/own.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// keeps reports whether the slot is owned with the same settings already.
-func (s *slot) keeps(cfg SlotConfig) bool {
+// isOwnedWith reports whether the slot is owned with the same settings.
+func (s *slot) isOwnedWith(cfg SlotConfig) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.draining && s.cfg == cfg
 }
 
-// own starts or updates the ownership.
+// own starts or updates the ownership of the slot.
 func (s *slot) own(cfg SlotConfig) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -24,12 +24,13 @@
 		s.closeIdle()
 		s.nextOpen = time.Time{}
 	}
-	s.ensure()
+	s.openMissing()
 }
 
-// isEmpty reports whether the slot was given up and all is closed.
-func (s *slot) isEmpty() bool {
+// isReleased reports whether the slot is no longer owned and has no connections
+// or waiters left.
+func (s *slot) isReleased() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining && s.open() == 0 && len(s.waiters) == 0
+	return s.draining && s.size() == 0 && len(s.waiters) == 0
 }
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -7,29 +7,29 @@
 	"siskintray.example/siskin"
 )
 
-// maintain probes idle connections, closes those that are not needed anymore
-// and opens missing ones.
+// maintain probes idle connections, closes unneeded ones, aborts reads on
+// silent ones and opens missing ones.
 func (s *slot) maintain(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for account := range s.idle {
 		for _, c := range slices.Clone(s.idle[account]) {
 			switch {
-			case now.Sub(c.idleSince) > idleTimeout && len(s.idle[account]) > warmFloor:
+			case now.Sub(c.idleSince) > idleTimeout && len(s.idle[account]) > minIdle:
 				s.removeLocked(c)
-			case now.Sub(c.lastHeard) >= probeAfter:
+			case now.Sub(c.lastHeardAt) >= probeAfter:
 				s.probeLocked(c, probeTimeout)
 			}
 		}
 	}
-	s.probeWatch(now)
-	s.giveUpSilent(now)
-	s.giveUpLost(now)
-	s.askQuiet(now)
-	s.ensure()
+	s.probeReserved(now)
+	s.abortSilent(now)
+	s.abortLost(now)
+	s.checkQuiet(now)
+	s.openMissing()
 }
 
-// probeLocked takes an idle connection out of use and probes it.
+// probeLocked probes an idle connection, which is not available meanwhile.
 func (s *slot) probeLocked(c *Conn, timeout time.Duration) {
 	i := slices.Index(s.idle[c.account], c)
 	if i < 0 {
@@ -41,51 +41,53 @@
 }
 
 func (s *slot) probe(c *Conn, timeout time.Duration) {
-	defer s.closeAfterFault(c)
+	defer s.closeAfterPanic(c)
 	sent := s.pool.clock.Now()
-	heard, idleSince := c.lastRead(), c.idleSince
+	heardAt, idleSince := c.lastRead(), c.idleSince
 	if !c.roundTrip(probeQuery, timeout) {
-		s.silent(c, heard, sent)
+		s.closeSilent(c, heardAt, sent)
 		return
 	}
 	s.putProbed(c, idleSince)
 }
 
-// putProbed returns a connection that the pool itself has used.
+// putProbed returns a connection to the slot after a statement of the pool
+// itself, which does not count as use.
 func (s *slot) putProbed(c *Conn, idleSince time.Time) {
 	s.put(c)
 	s.mu.Lock()
 	if c.state == connIdle {
-		c.idleSince = idleSince // a probe is no use
+		c.idleSince = idleSince // a probe does not count as use
 	}
 	s.mu.Unlock()
 }
 
-// silent closes a connection that was last heard at the given time and did not
-// answer a probe sent later. It probes the idle ones to the same target, since
-// a fault on the path hits connections of the same age together and their
-// answers decide about those in use.
-func (s *slot) silent(c *Conn, heard, sent time.Time) {
+// closeSilent closes a connection that last received data at heardAt and did
+// not answer a probe sent later. It then probes the idle connections to the
+// same target: a fault on the path affects connections of the same age
+// together, so their answers are evidence for those in use.
+func (s *slot) closeSilent(c *Conn, heardAt, sent time.Time) {
 	s.mu.Lock()
 	s.stats.silent++
 	s.mu.Unlock()
-	began := s.pool.silenceOf(s.key.Target).probeFailed(heard.Add(openTogether), sent, s.pool.clock.Now())
+	detectedAt := s.pool.detectorOf(s.key.Target).probeFailed(heardAt.Add(burstTolerance), sent, s.pool.clock.Now())
 	s.remove(c, nil)
 	err := siskin.NewError(siskin.Unavailable, "connection to target %s went silent", s.key.Target)
 	if s.pool.onFailure != nil && s.pool.ctx.Err() == nil {
 		s.pool.onFailure(s.key.Target, err)
 	}
-	s.pool.probeTarget(s.key.Target, began)
+	s.pool.probeIdle(s.key.Target, detectedAt)
 }
 
-// probeOlder probes the idle connections last heard before the given time.
+// probeOlder probes the idle connections that received no data after the given
+// time.
 func (s *slot) probeOlder(before time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for account := range s.idle {
 		for _, c := range slices.Clone(s.idle[account]) {
-			if !c.lastHeard.After(before) {
-				s.probeLocked(c, probeAgain)
+			if !c.lastHeardAt.After(before) {
+				s.probeLocked(c, reprobeTimeout)
 			}
 		}
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -18,7 +18,7 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// startupTimeout bounds the start-up of a connection from a peer.
+// startupTimeout limits the startup of a connection from a peer.
 const startupTimeout = 5 * time.Second
 
 // Server accepts the transactions that other VMs forward to this one.
@@ -32,22 +32,22 @@
 	cancel context.CancelFunc
 	conns  *shard.Map[uint32, *peerConn]
 	wg     sync.WaitGroup
-	faults atomic.Int64
+	panics atomic.Int64
 	mu     sync.Mutex
 	closed bool
 }
 
-// ServerOption changes a Server.
+// ServerOption configures a Server.
 type ServerOption func(*Server)
 
-// WithLog sets the logger of requests that fail here, with the ids that they
-// have at the VMs that forward them.
+// WithLog sets the logger for requests that fail on this VM. They are logged
+// with their IDs at the VMs that forward them.
 func WithLog(l *log.Logger) ServerOption {
 	return func(s *Server) { s.log = logs.NewRequests(s.home.Clock, l) }
 }
 
-// NewServer returns a Server that runs transactions at home. With TLS settings,
-// peers must present a certificate as these demand.
+// NewServer returns a Server that runs transactions at home. If cfg is not nil,
+// peers must use TLS and present the certificates that it requires.
 func NewServer(home *Home, tokens *token.Codec, cfg *tls.Config, opts ...ServerOption) *Server {
 	s := &Server{home: home, tokens: tokens, tls: cfg, log: logs.NewRequests(home.Clock, nil), conns: shard.New[uint32, *peerConn]()}
 	for _, opt := range opts {
@@ -67,7 +67,7 @@
 		if s.tls != nil {
 			conn = tls.Server(conn, s.tls)
 		}
-		if !s.enter() {
+		if !s.addConn() {
 			return conn.Close()
 		}
 		go func() {
@@ -77,10 +77,10 @@
 	}
 }
 
-// ServeConn serves one connection whose TLS handshake, if any, was done by the
-// caller, until it ends.
+// ServeConn serves a connection until it ends. The caller has already done the
+// TLS handshake, if any.
 func (s *Server) ServeConn(conn net.Conn) {
-	if !s.enter() {
+	if !s.addConn() {
 		conn.Close()
 		return
 	}
@@ -88,7 +88,7 @@
 	s.serveConn(conn)
 }
 
-func (s *Server) enter() bool {
+func (s *Server) addConn() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -99,14 +99,14 @@
 }
 
 // Close ends idle connections, waits until ctx ends for transactions in
-// progress and closes what is left.
+// progress and closes the remaining connections.
 func (s *Server) Close(ctx context.Context) {
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
 	s.cancel()
 	s.conns.Range(func(_ uint32, c *peerConn) bool {
-		c.stopIdle()
+		c.closeIdle()
 		return true
 	})
 	done := make(chan struct{})
@@ -126,22 +126,22 @@
 	<-done
 }
 
-// Panics returns the number of connections that ended by a fault of the program.
-func (s *Server) Panics() int64 { return s.faults.Load() }
+// Panics returns the number of connections that ended by a panic.
+func (s *Server) Panics() int64 { return s.panics.Load() }
 
-// survive ends one connection after a fault. The VM that forwards finds its end
-// and reports the outcome of its transaction as unknown. Without a peerConn, the
-// connection was not accepted yet.
-func (s *Server) survive(accepted **peerConn) {
+// recoverPanic ends one connection after a panic. The forwarding VM sees the
+// connection end and reports the outcome of its transaction as unknown. If conn
+// points to nil, the panic came before the startup was complete.
+func (s *Server) recoverPanic(conn **peerConn) {
 	v := recover()
 	if v == nil {
 		return
 	}
-	s.faults.Add(1)
-	c := *accepted
+	s.panics.Add(1)
+	c := *conn
 	var q logs.Request
 	if c != nil {
-		q = c.request()
+		q = c.logFields()
 	}
 	Recovered(v).Report(s.log, q, "a connection of a VM ended by a fault of this program")
 	if c != nil {
@@ -152,7 +152,7 @@
 func (s *Server) serveConn(conn net.Conn) {
 	defer conn.Close()
 	var c *peerConn
-	defer s.survive(&c)
+	defer s.recoverPanic(&c)
 	if conn.SetDeadline(time.Now().Add(startupTimeout)) != nil {
 		return
 	}
