--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// askTimeout bounds the question to one VM on behalf of an operator.
-const askTimeout = 2 * time.Second
+// peerCallTimeout bounds the question to one VM on behalf of an operator.
+const peerCallTimeout = 2 * time.Second
 
 // Status implements admin.StatusSource.
 func (b *backend) Status(context.Context) (admin.Status, error) {
@@ -55,10 +55,10 @@
 // Leave implements admin.Fleet.
 func (b *backend) Leave(ctx context.Context, vm siskin.VMID) error {
 	if vm == b.d.self.ID {
-		b.d.requestLeave()
+		b.d.requestStop()
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	var started bool
 	return b.d.client.Call(ctx, vm, "Daemon.Leave", struct{}{}, &started)
@@ -73,19 +73,19 @@
 	// A VM that does not answer is missing from the report's list of VMs.
 	live := b.d.members.Live()
 	records := make([]burn.Record, len(live))
-	pool := pond.NewPool(maxAsking)
+	pool := pond.NewPool(maxParallelCalls)
 	for i, vm := range live {
 		if vm.ID != b.d.self.ID {
-			pool.Submit(func() { records[i] = b.d.askRecord(ctx, vm.ID) })
+			pool.Submit(func() { records[i] = b.d.fetchRecord(ctx, vm.ID) })
 		}
 	}
 	pool.StopAndWait()
 	return burn.Merge(append(records, own)...)
 }
 
-// askRecord returns the counts of another VM, none when it does not answer.
-func (d *Daemon) askRecord(ctx context.Context, vm siskin.VMID) burn.Record {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+// fetchRecord returns the counts of another VM, none when it does not answer.
+func (d *Daemon) fetchRecord(ctx context.Context, vm siskin.VMID) burn.Record {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	var record burn.Record
 	if err := d.client.Call(ctx, vm, "Daemon.Burn", struct{}{}, &record); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,23 +51,23 @@
 	stopDeadline atomic.Int64 // in nanoseconds
 	faults       int64        // session faults in the metrics so far; used by tick
 
-	stopping sync.Once
+	stopOnce sync.Once
 	stopped  chan struct{}
-	// leave is closed when an operator asks for the planned stop.
-	leave     chan struct{}
-	leaveOnce sync.Once
-	ctx       context.Context
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
+	// stopRequested is closed when an operator asks for the planned stop.
+	stopRequested chan struct{}
+	requestOnce   sync.Once
+	ctx           context.Context
+	cancel        context.CancelFunc
+	wg            sync.WaitGroup
 }
 
 // Start runs a VM with the given settings. Stop or Kill ends it.
 func Start(settings *cfgini.Daemon, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
-		settings: settings,
-		options:  options{clock: clockwork.NewRealClock()},
-		stopped:  make(chan struct{}),
-		leave:    make(chan struct{}),
+		settings:      settings,
+		options:       options{clock: clockwork.NewRealClock()},
+		stopped:       make(chan struct{}),
+		stopRequested: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(&d.options)
@@ -110,8 +110,8 @@
 func (d *Daemon) startFleet() (err error) {
 	s := d.settings
 	var platOpts []plat.Option
-	if d.options.open != nil {
-		platOpts = append(platOpts, plat.WithDialer(d.options.open))
+	if d.options.dial != nil {
+		platOpts = append(platOpts, plat.WithDialer(d.options.dial))
 	}
 	d.platform, err = plat.New(plat.Config{
 		Addresses:       s.Platform.Addresses,
@@ -163,14 +163,14 @@
 // platform lists the VM as gone: its rights are no longer its own.
 func (d *Daemon) superseded() {
 	d.log().Error().Msg("this run of the VM is over; a later run exists or the platform lists the VM as gone")
-	d.requestLeave()
+	d.requestStop()
 }
 
 // StopRequested returns a channel that is closed when the VM should stop: an
 // operator requested it or the run is superseded.
-func (d *Daemon) StopRequested() <-chan struct{} { return d.leave }
+func (d *Daemon) StopRequested() <-chan struct{} { return d.stopRequested }
 
-func (d *Daemon) requestLeave() { d.leaveOnce.Do(func() { close(d.leave) }) }
+func (d *Daemon) requestStop() { d.requestOnce.Do(func() { close(d.stopRequested) }) }
 
 func (d *Daemon) log() *log.Logger { return d.options.log }
 
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -10,73 +10,73 @@
 	"siskintray.example/siskin/pkg/keys"
 )
 
-// evidence connects the spread of the configuration with the rule on keys: what
+// proofTracker connects the spread of the configuration with the rule on keys: what
 // proves that the configuration is the newest proves that no withdrawal was
 // missed.
-type evidence struct {
+type proofTracker struct {
 	tracker *keys.Tracker
 	members siskin.Members
 
-	mu     sync.Mutex
-	view   config.View // set when the configuration exists
-	seen   <-chan struct{}
-	places []siskin.DataCentreID
+	mu          sync.Mutex
+	view        config.View // set when the configuration exists
+	viewChanged <-chan struct{}
+	known       []siskin.DataCentreID
 }
 
-func newEvidence(members siskin.Members) *evidence {
-	return &evidence{tracker: keys.NewTracker(members.Self().DataCentre), members: members}
+func newProofTracker(members siskin.Members) *proofTracker {
+	return &proofTracker{tracker: keys.NewTracker(members.Self().DataCentre), members: members}
 }
 
-func (e *evidence) setView(view config.View) {
+func (e *proofTracker) setView(view config.View) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.view = view
 }
 
 // PlatformAnswered implements spread.ProofTracker.
-func (e *evidence) PlatformAnswered(sent time.Time) { e.tracker.PlatformAnswered(sent) }
+func (e *proofTracker) PlatformAnswered(sent time.Time) { e.tracker.PlatformAnswered(sent) }
 
 // PeerProof implements spread.ProofTracker.
-func (e *evidence) PeerProof(sent time.Time, age time.Duration) { e.tracker.PeerProof(sent, age) }
+func (e *proofTracker) PeerProof(sent time.Time, age time.Duration) { e.tracker.PeerProof(sent, age) }
 
 // PeerPlatform implements spread.ProofTracker.
-func (e *evidence) PeerPlatform(dc siskin.DataCentreID, sent time.Time, down bool) {
+func (e *proofTracker) PeerPlatform(dc siskin.DataCentreID, sent time.Time, down bool) {
 	e.tracker.PeerPlatform(dc, sent, down)
 }
 
 // Age implements spread.ProofTracker.
-func (e *evidence) Age(now time.Time) time.Duration {
-	last := e.current().Last()
+func (e *proofTracker) Age(now time.Time) time.Duration {
+	last := e.evidence().Last()
 	if last.IsZero() {
 		return -1
 	}
 	return now.Sub(last)
 }
 
-// current returns the evidence for the rule on keys.
-func (e *evidence) current() keys.Evidence { return e.tracker.Evidence(e.dataCentres()) }
+// evidence returns the evidence for the rule on keys.
+func (e *proofTracker) evidence() keys.Evidence { return e.tracker.Evidence(e.dataCentres()) }
 
 // dataCentres returns the data centres of all targets and of all live VMs. The
 // targets' are needed because a data centre that is cut off has no live VM in
 // this VM's view and may still accept a withdrawal.
-func (e *evidence) dataCentres() []siskin.DataCentreID {
+func (e *proofTracker) dataCentres() []siskin.DataCentreID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.view == nil {
 		return nil
 	}
-	if e.seen != nil {
+	if e.viewChanged != nil {
 		select {
-		case <-e.seen:
+		case <-e.viewChanged:
 		default:
-			return e.places
+			return e.known
 		}
 	}
-	e.seen = e.view.Changed()
-	e.places = nil
+	e.viewChanged = e.view.Changed()
+	e.known = nil
 	add := func(dc siskin.DataCentreID) {
-		if !slices.Contains(e.places, dc) {
-			e.places = append(e.places, dc)
+		if !slices.Contains(e.known, dc) {
+			e.known = append(e.known, dc)
 		}
 	}
 	for _, name := range e.view.Services() {
@@ -89,5 +89,5 @@
 	for _, vm := range e.members.Live() {
 		add(vm.DataCentre)
 	}
-	return e.places
+	return e.known
 }
--- a/internal/daemon/gaps.go
+++ b/internal/daemon/gaps.go
@@ -39,12 +39,12 @@
 	now := g.clock.Now() // within the lock, so that times are in order
 	began := now.Add(-o.Latency)
 	if o.Failed {
-		s.failed(o.Kind, began)
+		s.noteFailure(o.Kind, began)
 		return
 	}
-	if gap, ok := s.acknowledged(now, began, o.Term); ok {
+	if gap, ok := s.noteAck(now, began, o.Term); ok {
 		g.recorder.WriteGap(o.Service, gap)
-	} else if gap, ok := s.extended(now, began); ok {
+	} else if gap, ok := s.extendGap(now, began); ok {
 		g.recorder.ExtendGap(o.Service, gap)
 	}
 }
--- a/internal/daemon/gaps_test.go
+++ b/internal/daemon/gaps_test.go
@@ -14,8 +14,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// injected is one transaction that ends after a pause.
-type injected struct {
+// injectedTransaction is one transaction that ends after a pause.
+type injectedTransaction struct {
 	pause   time.Duration
 	failed  siskin.ErrorKind // 0 (Internal) when it did not fail
 	term    siskin.Term
@@ -26,7 +26,7 @@
 
 const ms = time.Millisecond
 
-var failures = []injected{
+var transactions = []injectedTransaction{
 	// Failures before the first acknowledged write end no gap.
 	{pause: 0, failed: siskin.NotRun, latency: ms},
 	{pause: 10 * ms, term: 1, latency: ms},
@@ -85,13 +85,13 @@
 	o := &observer{recorder: recorder, gaps: newWriteGaps(clock, recorder), stats: newTransactionStats(st)}
 	var want []time.Duration
 	bad, done := int64(0), int64(0)
-	for _, f := range failures {
+	for _, f := range transactions {
 		clock.Advance(f.pause)
-		seen := front.Observation{
+		write := front.Observation{
 			Service: "ledger", Customer: "shop", Mode: config.WriteRoute, Term: f.term, Latency: f.latency,
 			Failed: f.failed != 0, Kind: f.failed, WithinRate: f.within,
 		}
-		o.ObserveTransaction(seen)
+		o.ObserveTransaction(write)
 		// A read ends between any two writes and changes nothing.
 		o.ObserveTransaction(front.Observation{Service: "ledger", Customer: "shop", Mode: config.ReadRoute, Latency: ms})
 		done++
@@ -126,17 +126,17 @@
 func TestGapWithLateConfirmation(t *testing.T) {
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	var s serviceWrites
-	s.acknowledged(at(0), at(-10), 1)
-	if gap, ok := s.acknowledged(at(800), at(5), 1); ok {
+	s.noteAck(at(0), at(-10), 1)
+	if gap, ok := s.noteAck(at(800), at(5), 1); ok {
 		t.Errorf("late confirmation in the same term: got a gap of %v, want none yet", gap)
 	}
-	if gap, ok := s.acknowledged(at(821), at(300), 2); !ok || gap != 821*time.Millisecond {
+	if gap, ok := s.noteAck(at(821), at(300), 2); !ok || gap != 821*time.Millisecond {
 		t.Errorf("first write of the next term: got %v, %v, want a gap of 821ms", gap, ok)
 	}
-	s.acknowledged(at(900), at(890), 2)
-	s.acknowledged(at(1200), at(910), 2) // a slow write
-	s.acknowledged(at(1210), at(1200), 2)
-	if gap, ok := s.acknowledged(at(1300), at(1290), 3); !ok || gap != 90*time.Millisecond {
+	s.noteAck(at(900), at(890), 2)
+	s.noteAck(at(1200), at(910), 2) // a slow write
+	s.noteAck(at(1210), at(1200), 2)
+	if gap, ok := s.noteAck(at(1300), at(1290), 3); !ok || gap != 90*time.Millisecond {
 		t.Errorf("next change after a slow write: got %v, %v, want a gap of 90ms", gap, ok)
 	}
 }
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -14,8 +14,8 @@
 // It is the stated time until a withdrawal is in force, with a margin.
 const confirmTimeout = 5 * time.Second
 
-// confirmPause is the time between two rounds of questions.
-const confirmPause = 100 * time.Millisecond
+// confirmInterval is the time between two rounds of questions.
+const confirmInterval = 100 * time.Millisecond
 
 // keyBackend implements admin.KeyStore.
 type keyBackend struct{ d *Daemon }
@@ -86,7 +86,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-d.options.clock.After(confirmPause):
+		case <-d.options.clock.After(confirmInterval):
 		}
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -58,9 +58,9 @@
 	scope.Gauge("owned_slots").Update(float64(st.Slots))
 	scope.Gauge("live_vms").Update(float64(len(d.members.Live())))
 	scope.Gauge("config_revision").Update(float64(st.Revision))
-	broken := int64(0)
+	violations := int64(0)
 	for _, n := range invar.Violations() {
-		broken += n
+		violations += n
 	}
-	scope.Gauge("invariant_violations").Update(float64(broken))
+	scope.Gauge("invariant_violations").Update(float64(violations))
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -19,10 +19,10 @@
 // startNode builds the request path and registers the receivers.
 func (d *Daemon) startNode() (err error) {
 	clock := d.options.clock
-	proof := newEvidence(d.members)
-	d.spread = spread.New(spread.Config{}, &awakeMembers{d.members}, d.client, d.platform, spread.WithClock(clock), spread.WithProofTracker(proof), spread.WithLogf(d.debugf))
-	proof.setView(d.spread)
-	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proof.current))
+	proofs := newProofTracker(d.members)
+	d.spread = spread.New(spread.Config{}, &awakeMembers{d.members}, d.client, d.platform, spread.WithClock(clock), spread.WithProofTracker(proofs), spread.WithLogf(d.debugf))
+	proofs.setView(d.spread)
+	d.keys = keys.New(clock, d.spread, keys.WithEvidence(proofs.evidence))
 	d.limiter = limit.New(clock, d.spread, d.members, d.client, d.platform,
 		limit.WithLogf(d.debugf), limit.WithHomes(d.customerHomes))
 	d.recorder = burn.New(clock, d.self, burn.WithObjectives(burn.FromConfig(d.spread)))
@@ -35,7 +35,7 @@
 		Observer:      &observer{recorder: d.recorder, gaps: newWriteGaps(clock, d.recorder), stats: newTransactionStats(d.stats)},
 		ProbeInterval: d.settings.Group.ProbeInterval,
 		Limits:        callerLimits(&d.settings.Caller),
-		Dial:          d.options.open,
+		Dial:          d.options.dial,
 		Awake:         d.members.MayUseRoles,
 	})
 	if err != nil {
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -12,7 +12,7 @@
 type options struct {
 	clock siskin.Clock
 	log   *log.Logger
-	open  siskin.DialFunc
+	dial  siskin.DialFunc
 	drop  func(from, to siskin.VMID) bool
 }
 
@@ -24,7 +24,7 @@
 
 // WithDial replaces the function that opens connections to targets, to the
 // platform and for forwarded transactions, such as one with delays and faults.
-func WithDial(open siskin.DialFunc) Option { return func(o *options) { o.open = open } }
+func WithDial(dial siskin.DialFunc) Option { return func(o *options) { o.dial = dial } }
 
 // WithDrop sets the fault hook of calls between VMs.
 func WithDrop(drop func(from, to siskin.VMID) bool) Option {
--- a/internal/daemon/prepare.go
+++ b/internal/daemon/prepare.go
@@ -10,23 +10,23 @@
 // had to wait for the platform was refused although it was within the rate.
 func (d *Daemon) prepareLimits() {
 	for {
-		changed, moved := d.spread.Changed(), d.members.Changed()
-		d.limiter.Prepare(d.homeCustomers()...)
+		changed, fleetChanged := d.spread.Changed(), d.members.Changed()
+		d.limiter.Prepare(d.localCustomers()...)
 		select {
 		case <-changed:
-		case <-moved:
+		case <-fleetChanged:
 		case <-d.ctx.Done():
 			return
 		}
 	}
 }
 
-// homeCustomers returns the customers of the services that this VM is a home of.
-func (d *Daemon) homeCustomers() []siskin.CustomerID {
-	mine := make(map[siskin.ServiceName]bool)
+// localCustomers returns the customers of the services that this VM is a home of.
+func (d *Daemon) localCustomers() []siskin.CustomerID {
+	watched := make(map[siskin.ServiceName]bool)
 	for _, name := range d.spread.Services() {
 		if d.node.Watches(name) {
-			mine[name] = true
+			watched[name] = true
 		}
 	}
 	var ids []siskin.CustomerID
@@ -36,7 +36,7 @@
 			continue
 		}
 		for _, name := range c.Services {
-			if mine[name] {
+			if watched[name] {
 				ids = append(ids, id)
 				break
 			}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -16,12 +16,12 @@
 	"siskintray.example/siskin/internal/cfgini"
 )
 
-// settingsVariable carries the settings of a VM to a process of its own.
-const settingsVariable = "SISKIN_TEST_VM"
+// settingsEnv carries the settings of a VM to a process of its own.
+const settingsEnv = "SISKIN_TEST_VM"
 
 // TestMain runs a VM in place of the tests when its settings are given.
 func TestMain(m *testing.M) {
-	text, ok := os.LookupEnv(settingsVariable)
+	text, ok := os.LookupEnv(settingsEnv)
 	if !ok {
 		os.Exit(m.Run())
 	}
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), settingsVariable+"="+string(text))
+	cmd.Env = append(os.Environ(), settingsEnv+"="+string(text))
 	cmd.Stderr = os.Stderr
 	stdin, err := cmd.StdinPipe()
 	if err != nil {
--- a/internal/daemon/receiver.go
+++ b/internal/daemon/receiver.go
@@ -7,7 +7,7 @@
 
 // Leave starts the planned stop of this VM.
 func (r *receiver) Leave(_ struct{}, started *bool) error {
-	r.d.requestLeave()
+	r.d.requestStop()
 	*started = true
 	return nil
 }
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -66,13 +66,15 @@
 		func(t *testing.T, s *cfgini.Daemon) {
 			s.Token.KeyFile = newKey(t, "a token key that signs from now on")
 		},
-		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool { return accepts(t, d, s.Token.KeyFile) },
+		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool { return acceptsTokensOf(t, d, s.Token.KeyFile) },
 	},
 	"Token.PreviousKeyFile": {
 		func(t *testing.T, s *cfgini.Daemon) {
 			s.Token.PreviousKeyFile = newKey(t, "a token key that signed before")
 		},
-		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool { return accepts(t, d, s.Token.PreviousKeyFile) },
+		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool {
+			return acceptsTokensOf(t, d, s.Token.PreviousKeyFile)
+		},
 	},
 	"Stop.Deadline": {
 		func(_ *testing.T, s *cfgini.Daemon) { s.Stop.Deadline = 9 * time.Second },
@@ -176,8 +178,8 @@
 	return path
 }
 
-// accepts reports whether the VM accepts tokens signed with the key.
-func accepts(t *testing.T, d *Daemon, path string) bool {
+// acceptsTokensOf reports whether the VM acceptsTokensOf tokens signed with the key.
+func acceptsTokensOf(t *testing.T, d *Daemon, path string) bool {
 	t.Helper()
 	key, err := readKey(path)
 	if err != nil {
--- a/internal/daemon/resume_test.go
+++ b/internal/daemon/resume_test.go
@@ -21,17 +21,17 @@
 	"siskintray.example/siskin/pkg/keys"
 )
 
-// pausable is a fleet whose VM vm-3, a process of its own, is the home of all
+// pausableFleet is a fleet whose VM vm-3, a process of its own, is the home of all
 // slots while it runs. Two VMs of another data centre take over from it.
-type pausable struct {
-	group  []*target.Server
-	others []*Daemon
-	vm     *vmProcess
-	key    string
-	lost   string // key that is withdrawn during a pause
+type pausableFleet struct {
+	group        []*target.Server
+	others       []*Daemon
+	vm           *vmProcess
+	key          string
+	withdrawnKey string // key that is withdrawn during a pause
 }
 
-func startPausable(t *testing.T, ctx context.Context) *pausable {
+func startPausable(t *testing.T, ctx context.Context) *pausableFleet {
 	t.Helper()
 	tokenKey := filepath.Join(t.TempDir(), "token.key")
 	if err := os.WriteFile(tokenKey, []byte("token key of a test of pauses"), 0o600); err != nil {
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = platform.Close() })
-	f := &pausable{key: keys.Generate(), lost: keys.Generate()}
+	f := &pausableFleet{key: keys.Generate(), withdrawnKey: keys.Generate()}
 	f.group, err = target.StartGroup("ledger", 3, func(c *target.Config) { c.Slots, c.ConnectionsPerSlot = 1, 4 })
 	if err != nil {
 		t.Fatal(err)
@@ -76,7 +76,7 @@
 	for i := range c.Services[0].Targets {
 		c.Services[0].Targets[i].DataCentre = "dc-2"
 	}
-	c.Customers[0].Keys = append(c.Customers[0].Keys, config.Key{ID: "k2", Digest: keys.Digest(f.lost)})
+	c.Customers[0].Keys = append(c.Customers[0].Keys, config.Key{ID: "k2", Digest: keys.Digest(f.withdrawnKey)})
 	if _, err := f.others[0].Apply(ctx, c); err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +84,7 @@
 	return f
 }
 
-func (f *pausable) await(t *testing.T, ctx context.Context, done func() bool) {
+func (f *pausableFleet) await(t *testing.T, ctx context.Context, done func() bool) {
 	t.Helper()
 	for !done() {
 		if ctx.Err() != nil {
@@ -94,7 +94,7 @@
 	}
 }
 
-func (f *pausable) connect(t *testing.T, ctx context.Context, address, key string) *pgx.Conn {
+func (f *pausableFleet) connect(t *testing.T, ctx context.Context, address, key string) *pgx.Conn {
 	t.Helper()
 	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://shop:%s@%s/ledger%%2Fwrite?sslmode=disable&default_query_exec_mode=simple_protocol", key, address))
 	if err != nil {
@@ -109,10 +109,10 @@
 	return err
 }
 
-// paused stops the process of vm-3, runs during once the others took over, and
+// writeDuringPause stops the process of vm-3, runs during once the others took over, and
 // writes on conn while the process is stopped. It returns the result of that
 // write and the time from the end of the pause to it.
-func (f *pausable) paused(t *testing.T, ctx context.Context, conn *pgx.Conn, key string, during func()) (took time.Duration, err error) {
+func (f *pausableFleet) writeDuringPause(t *testing.T, ctx context.Context, conn *pgx.Conn, key string, during func()) (took time.Duration, err error) {
 	t.Helper()
 	f.vm.signal(t, syscall.SIGSTOP)
 	f.await(t, ctx, func() bool {
@@ -143,13 +143,13 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Second)
 	defer cancel()
 	f := startPausable(t, ctx)
-	good, lost := f.connect(t, ctx, f.vm.Caller, f.key), f.connect(t, ctx, f.vm.Caller, f.lost)
-	for i, conn := range []*pgx.Conn{good, lost} {
+	good, withdrawn := f.connect(t, ctx, f.vm.Caller, f.key), f.connect(t, ctx, f.vm.Caller, f.withdrawnKey)
+	for i, conn := range []*pgx.Conn{good, withdrawn} {
 		if err := put(ctx, conn, fmt.Sprint("before-", i)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	took, err := f.paused(t, ctx, lost, "withdrawn", func() {
+	took, err := f.writeDuringPause(t, ctx, withdrawn, "withdrawn", func() {
 		outcome, err := f.others[0].Withdraw(ctx, "shop", "k2")
 		if err != nil || !slices.Contains(outcome.InForce, "dc-1") {
 			t.Fatalf("withdrawal: got %+v, %v, want it in force in dc-1", outcome, err)
@@ -163,7 +163,7 @@
 	if err := put(ctx, good, "between"); err != nil {
 		t.Errorf("write after the first pause: got %v, want nil", err)
 	}
-	took, err = f.paused(t, ctx, good, "moved", func() {
+	took, err = f.writeDuringPause(t, ctx, good, "moved", func() {
 		if err := f.others[0].node.Promote(ctx, "ledger", f.group[1].ID(), false); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/daemon/revisions.go
+++ b/internal/daemon/revisions.go
@@ -10,28 +10,28 @@
 	"siskintray.example/siskin/pkg/keys"
 )
 
-// maxAsking bounds the VMs that are asked at the same time for an operator.
-const maxAsking = 32
+// maxParallelCalls bounds the VMs that are asked at the same time for an operator.
+const maxParallelCalls = 32
 
 // revisions asks every live VM for the revision in force there.
 func (d *Daemon) revisions(ctx context.Context) []admin.VMRevision {
 	live := d.members.Live()
 	all := make([]admin.VMRevision, len(live))
-	pool := pond.NewPool(maxAsking)
+	pool := pond.NewPool(maxParallelCalls)
 	for i, vm := range live {
 		all[i] = admin.VMRevision{VM: vm.ID, DataCentre: vm.DataCentre}
-		pool.Submit(func() { d.askRevision(ctx, &all[i]) })
+		pool.Submit(func() { d.fetchRevision(ctx, &all[i]) })
 	}
 	pool.StopAndWait()
 	return all
 }
 
-func (d *Daemon) askRevision(ctx context.Context, r *admin.VMRevision) {
+func (d *Daemon) fetchRevision(ctx context.Context, r *admin.VMRevision) {
 	if r.VM == d.self.ID {
 		r.Revision, r.Confirmed = d.keys.Revision(), true
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	var reply keys.ConfirmReply
 	err := d.client.Call(ctx, r.VM, "Keys.Confirm", keys.ConfirmArgs{}, &reply)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -17,7 +17,7 @@
 // requests in progress until the deadline in the settings, hands its rights
 // over and closes everything.
 func (d *Daemon) Stop() {
-	d.stopping.Do(func() {
+	d.stopOnce.Do(func() {
 		d.log().Info().Msg("planned stop begins")
 		d.announce()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.stopDeadline.Load()))
@@ -46,7 +46,7 @@
 // Kill ends the VM at once, as a crash does: requests in progress are cut and
 // rights are not handed over.
 func (d *Daemon) Kill() {
-	d.stopping.Do(func() {
+	d.stopOnce.Do(func() {
 		// Calls to other VMs end first, so that they are told nothing.
 		if d.client != nil {
 			_ = d.client.Close()
--- a/internal/node/awake_test.go
+++ b/internal/node/awake_test.go
@@ -26,16 +26,16 @@
 		t.Fatal(err)
 	}
 	defer conn.Close(ctx)
-	put := func(key string) error {
+	insert := func(key string) error {
 		_, err := conn.Exec(ctx, "INSERT INTO kv (k, v) VALUES ($1, 'v')", key)
 		return err
 	}
-	if err := put("before"); err != nil {
+	if err := insert("before"); err != nil {
 		t.Fatal(err)
 	}
 	awake.Store(false)
 	done := make(chan error, 1)
-	go func() { done <- put("held") }()
+	go func() { done <- insert("held") }()
 	time.Sleep(500 * time.Millisecond)
 	if _, ok := target.PrimaryTable(targets)["held"]; ok {
 		t.Error("write while the VM is asleep: got it in the data, want it held back")
--- a/internal/node/fakeplatform_test.go
+++ b/internal/node/fakeplatform_test.go
@@ -11,13 +11,13 @@
 type fakePlatform struct {
 	siskin.Platform // calls that records do not make
 
-	mu      sync.Mutex
-	objects map[siskin.ObjectName]siskin.Object
-	down    bool
-	lose    int // answers of updates that are lost after they took effect
-	calls   int
-	writes  int
-	race    func() // runs between a read and the update that follows
+	mu          sync.Mutex
+	objects     map[siskin.ObjectName]siskin.Object
+	down        bool
+	loseAnswers int // answers of updates that are lost after they took effect
+	calls       int
+	writes      int
+	beforePut   func() // runs between a read and the update that follows
 }
 
 func (p *fakePlatform) Get(_ context.Context, name siskin.ObjectName) (siskin.Object, error) {
@@ -32,10 +32,10 @@
 
 func (p *fakePlatform) Put(_ context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
 	p.mu.Lock()
-	if race := p.race; race != nil {
-		p.race = nil
+	if beforePut := p.beforePut; beforePut != nil {
+		p.beforePut = nil
 		p.mu.Unlock()
-		race()
+		beforePut()
 		p.mu.Lock()
 	}
 	defer p.mu.Unlock()
@@ -49,8 +49,8 @@
 	}
 	p.writes++
 	p.objects[name] = siskin.Object{Name: name, Version: ifVersion + 1, Operation: op, Value: value}
-	if p.lose > 0 {
-		p.lose--
+	if p.loseAnswers > 0 {
+		p.loseAnswers--
 		return 0, siskin.NewError(siskin.OutcomeUnknown, "the answer was lost")
 	}
 	return ifVersion + 1, nil
--- a/internal/node/formerprimaries.go
+++ b/internal/node/formerprimaries.go
@@ -17,14 +17,14 @@
 	return formerPrimaries{shard.New[siskin.TargetID, siskin.Term]()}
 }
 
-// returned reports whether the primary of the view was one in an earlier term.
-func (f formerPrimaries) returned(view *siskin.GroupView) (again bool) {
+// isPromotedAgain reports whether the primary of the view was one in an earlier term.
+func (f formerPrimaries) isPromotedAgain(view *siskin.GroupView) (promotedAgain bool) {
 	if view.Primary == "" {
 		return false
 	}
 	f.terms.Update(view.Primary, func(old siskin.Term, known bool) (siskin.Term, bool) {
-		again = known && view.Term > old
+		promotedAgain = known && view.Term > old
 		return view.Term, true
 	})
-	return again
+	return promotedAgain
 }
--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -18,47 +18,47 @@
 // groups holds the groups that this VM watches, as a home of one of their
 // slots.
 type groups struct {
-	self     siskin.VMID
-	clock    siskin.Clock
-	homes    *homes
-	config   config.View
-	shortest time.Duration // interval between probes of the settings
-	interval time.Duration // interval of groups that start now
-	open     siskin.DialFunc
-	log      *log.Logger
-	awake    func() bool
-	// heard reports on the statements of this VM at a slot of a target.
-	heard func(key pool.Key) (quiet, last time.Time)
+	self        siskin.VMID
+	clock       siskin.Clock
+	homes       *homes
+	config      config.View
+	minInterval time.Duration // interval between probes of the settings
+	interval    time.Duration // interval of groups that start now
+	dial        siskin.DialFunc
+	log         *log.Logger
+	awake       func() bool
+	// activity reports on the statements of this VM at a slot of a target.
+	activity func(key pool.Key) (quiet, last time.Time)
 	// views are the views of the watchers, and tell passes this VM's view on.
-	views *remoteViews
-	tell  func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error
-	// endOlder ends the writes at primaries of terms before the given one.
-	endOlder func(service siskin.ServiceName, term siskin.Term)
-	// silent tells the pool that old connections to a target went silent.
-	silent func(target siskin.TargetID, sent time.Time)
+	views    *remoteViews
+	sendView func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error
+	// endWritesBefore ends the writes at primaries of terms before the given one.
+	endWritesBefore func(service siskin.ServiceName, term siskin.Term)
+	// onSilentConns tells the pool that old connections to a target went onSilentConns.
+	onSilentConns func(target siskin.TargetID, sent time.Time)
 	// observe receives each view of a watched group, and an empty one when the
 	// group is watched no longer.
 	observe func(service siskin.ServiceName, view *siskin.GroupView)
 	running *shard.Map[siskin.ServiceName, *watchedGroup]
 }
 
-func newGroups(cfg Config, homes *homes, endOlder func(siskin.ServiceName, siskin.Term), observe func(siskin.ServiceName, *siskin.GroupView)) *groups {
+func newGroups(cfg Config, homes *homes, endWritesBefore func(siskin.ServiceName, siskin.Term), observe func(siskin.ServiceName, *siskin.GroupView)) *groups {
 	awake := cfg.Awake
 	if awake == nil {
 		awake = func() bool { return true }
 	}
 	return &groups{
-		awake:    awake,
-		self:     cfg.Self.ID,
-		clock:    cfg.Clock,
-		homes:    homes,
-		config:   cfg.Config,
-		shortest: cfg.ProbeInterval,
-		open:     cfg.Dial,
-		log:      cfg.Log,
-		endOlder: endOlder,
-		observe:  observe,
-		running:  shard.New[siskin.ServiceName, *watchedGroup](),
+		awake:           awake,
+		self:            cfg.Self.ID,
+		clock:           cfg.Clock,
+		homes:           homes,
+		config:          cfg.Config,
+		minInterval:     cfg.ProbeInterval,
+		dial:            cfg.Dial,
+		log:             cfg.Log,
+		endWritesBefore: endWritesBefore,
+		observe:         observe,
+		running:         shard.New[siskin.ServiceName, *watchedGroup](),
 	}
 }
 
@@ -90,7 +90,7 @@
 	}
 	// A group that runs keeps its interval until it is started anew, since a
 	// new start costs the knowledge of its targets.
-	g.interval = pace(g.shortest, targets)
+	g.interval = probeInterval(g.minInterval, targets)
 	for _, service := range services {
 		name := service.Name
 		if err := g.ensure(service); err != nil {
@@ -117,16 +117,16 @@
 	if ok && old.credentials == service.Credentials && sameSettings(&old.settings, &settings) {
 		return nil
 	}
-	dialer := &watchDialer{
-		inner:  pgctl.NewDialer(service.Credentials, 0, pgctl.WithDial(g.open)),
-		clock:  g.clock,
-		silent: g.silent,
-		failed: make(map[siskin.TargetID]time.Time),
+	dialer := &probeDialer{
+		inner:         pgctl.NewDialer(service.Credentials, 0, pgctl.WithDial(g.dial)),
+		clock:         g.clock,
+		onSilentConns: g.onSilentConns,
+		timedOut:      make(map[siskin.TargetID]time.Time),
 	}
 	started, err := group.New(settings, dialer, group.WithClock(g.clock), group.WithLogger(g.log), group.WithAwake(g.awake),
 		group.WithRank(func() int { return g.rank(g.current(service)) }),
 		group.WithWatcher(func() bool { return g.isWatcher(g.current(service)) }),
-		group.WithStatementActivity(func(id siskin.TargetID) (quiet, last time.Time) { return g.heardFrom(g.current(service), id) }),
+		group.WithStatementActivity(func(id siskin.TargetID) (quiet, last time.Time) { return g.statementActivity(g.current(service), id) }),
 	)
 	if err != nil {
 		return err
@@ -135,8 +135,8 @@
 		Group: started, settings: settings, credentials: service.Credentials, views: g.views, clock: g.clock,
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
-	w.wg.Go(func() { w.follow(g.endOlder, g.observe) })
-	w.wg.Go(func() { w.pass(g, service) })
+	w.wg.Go(func() { w.follow(g.endWritesBefore, g.observe) })
+	w.wg.Go(func() { w.pushViews(g, service) })
 	g.running.Put(service.Name, w)
 	if ok {
 		return old.Close()
@@ -164,7 +164,7 @@
 
 // rank returns this VM's place among the VMs that watch the group.
 func (g *groups) rank(service *config.Service) int {
-	return max(0, slices.IndexFunc(g.homes.rankOf(service), g.isSelf))
+	return max(0, slices.IndexFunc(g.homes.rankedHomes(service), g.isSelf))
 }
 
 // current returns the document in force of a service. A group goes on running
@@ -194,21 +194,21 @@
 	return found
 }
 
-// learn passes the view of a watcher to the group. Without one the watchers are
+// applyView passes the view of a watcher to the group. Without one the watchers are
 // silent, and this VM probes itself.
-func (g *groups) learn(service siskin.ServiceName, view *siskin.GroupView, asked time.Time) {
+func (g *groups) applyView(service siskin.ServiceName, view *siskin.GroupView, askedAt time.Time) {
 	w, ok := g.running.Get(service)
 	switch {
 	case !ok:
 	case view == nil:
 		w.Activate()
 	default:
-		w.ApplyView(view, asked)
+		w.ApplyView(view, askedAt)
 	}
 }
 
-// suspect tells the group of a target about a failed connection.
-func (g *groups) suspect(target siskin.TargetID, cause error) {
+// reportFailure tells the group of a target about a failed connection.
+func (g *groups) reportFailure(target siskin.TargetID, cause error) {
 	if w := g.of(target); w != nil {
 		w.ReportFailure(target, cause)
 	}
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -8,11 +8,11 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// heardFrom returns since when a statement of this VM waits for a target, the
+// statementActivity returns since when a statement of this VM waits for a target, the
 // longest wait first, and when the target last answered one.
-func (g *groups) heardFrom(service *config.Service, target siskin.TargetID) (quiet, last time.Time) {
+func (g *groups) statementActivity(service *config.Service, target siskin.TargetID) (quiet, last time.Time) {
 	for slot := range service.Slots {
-		q, at := g.heard(pool.Key{Target: target, Slot: siskin.Slot(slot)})
+		q, at := g.activity(pool.Key{Target: target, Slot: siskin.Slot(slot)})
 		if !q.IsZero() && (quiet.IsZero() || q.Before(quiet)) {
 			quiet = q
 		}
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -21,7 +21,7 @@
 type homeTable struct {
 	changed <-chan struct{}
 	live    []siskin.VM
-	known   *shard.Map[pool.Key, siskin.VM]
+	owners  *shard.Map[pool.Key, siskin.VM]
 	// ranks holds the homes of services in order. A changed service has another
 	// document, and the outdated ones go with the table.
 	ranks *shard.Map[*config.Service, []siskin.VM]
@@ -29,17 +29,17 @@
 
 func newHomes(members siskin.Members) *homes {
 	h := &homes{members: members}
-	h.table.Store(h.read())
+	h.table.Store(h.newTable())
 	return h
 }
 
-// read takes the channel before the list, so that a change between the two is
+// newTable takes the channel before the list, so that a change between the two is
 // seen at the next call.
-func (h *homes) read() *homeTable {
+func (h *homes) newTable() *homeTable {
 	changed := h.members.Changed()
 	return &homeTable{
 		changed: changed, live: h.members.Live(),
-		known: shard.New[pool.Key, siskin.VM](), ranks: shard.New[*config.Service, []siskin.VM](),
+		owners: shard.New[pool.Key, siskin.VM](), ranks: shard.New[*config.Service, []siskin.VM](),
 	}
 }
 
@@ -47,7 +47,7 @@
 	t := h.table.Load()
 	select {
 	case <-t.changed:
-		t = h.read()
+		t = h.newTable()
 		h.table.Store(t)
 	default:
 	}
@@ -58,12 +58,12 @@
 func (h *homes) of(target config.Target, slot siskin.Slot) (siskin.VM, bool) {
 	t := h.current()
 	key := pool.Key{Target: target.ID, Slot: slot}
-	if vm, ok := t.known.Get(key); ok {
+	if vm, ok := t.owners.Get(key); ok {
 		return vm, true
 	}
 	vm, ok := place.Best(slotResource(key), place.In(target.DataCentre, t.live))
 	if ok {
-		t.known.Put(key, vm)
+		t.owners.Put(key, vm)
 	}
 	return vm, ok
 }
@@ -99,11 +99,11 @@
 // time. When one fails, the other still sees a primary fail.
 const watcherCount = 2
 
-// rankOf returns the VMs that own a slot of the service in the order in which
+// rankedHomes returns the VMs that own a slot of the service in the order in which
 // they act on its group. The first two are its watchers, in two data centres
 // when the homes are in several. The caller must not modify the slice, which is
 // kept because each event of a group asks for it.
-func (h *homes) rankOf(s *config.Service) []siskin.VM {
+func (h *homes) rankedHomes(s *config.Service) []siskin.VM {
 	t := h.current()
 	if ranked, ok := t.ranks.Get(s); ok {
 		return ranked
@@ -125,7 +125,7 @@
 
 // watchersOf returns the VMs that probe the targets of the service all the time.
 func (h *homes) watchersOf(s *config.Service) []siskin.VM {
-	ranked := h.rankOf(s)
+	ranked := h.rankedHomes(s)
 	return ranked[:min(len(ranked), watcherCount)]
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,7 @@
 	front     *front.Server
 	started   time.Time
 
-	updating sync.Mutex // one update at a time
+	updateMu sync.Mutex // one update at a time
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -48,7 +48,7 @@
 	former := newFormerPrimaries()
 	n.groups = newGroups(cfg, n.homes, func(s siskin.ServiceName, t siskin.Term) { n.home.EndWritesBefore(s, t) },
 		func(s siskin.ServiceName, v *siskin.GroupView) {
-			if former.returned(v) {
+			if former.isPromotedAgain(v) {
 				n.pool.RetireWriters(v.Primary)
 			}
 			n.home.Observe(s, v)
@@ -56,10 +56,10 @@
 		})
 	n.records = newRecords(cfg, n.rank)
 	n.remote = newRemoteViews(cfg.Self.ID, cfg.Clock, cfg.Peers, n.homes, cfg.Config)
-	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.suspect), pool.WithReachable(n.groups.reachable))
-	n.groups.silent, n.groups.heard = n.pool.ProbeFailed, n.pool.Activity
-	n.groups.views, n.remote.learn = n.remote, n.groups.learn
-	n.groups.tell = func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error {
+	n.pool = pool.New(cfg.Clock, dialer, pool.WithFailure(n.groups.reportFailure), pool.WithReachable(n.groups.reachable))
+	n.groups.onSilentConns, n.groups.activity = n.pool.ProbeFailed, n.pool.Activity
+	n.groups.views, n.remote.applyView = n.remote, n.groups.applyView
+	n.groups.sendView = func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error {
 		return cfg.Peers.Call(ctx, vm, "Group.Learn", LearnArgs{Service: service, View: *view}, &struct{}{})
 	}
 	n.slots = &slots{self: cfg.Self.ID, homes: n.homes, pool: n.pool, queues: n.queues}
@@ -129,8 +129,8 @@
 // update starts the groups before the slots, so that a slot has its group when
 // the first transaction arrives.
 func (n *Node) update() {
-	n.updating.Lock()
-	defer n.updating.Unlock()
+	n.updateMu.Lock()
+	defer n.updateMu.Unlock()
 	if n.ctx.Err() != nil {
 		return
 	}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -17,7 +17,7 @@
 		return siskin.GroupView{}, err
 	}
 	for _, vm := range n.homes.ofService(s) {
-		if view, ok := n.askView(ctx, vm.ID, service); ok {
+		if view, ok := n.fetchView(ctx, vm.ID, service); ok {
 			return view, nil
 		}
 	}
@@ -35,8 +35,8 @@
 	return view, true
 }
 
-// askView asks one home, which may be silent, so that the others are asked too.
-func (n *Node) askView(ctx context.Context, vm siskin.VMID, service siskin.ServiceName) (siskin.GroupView, bool) {
+// fetchView asks one home, which may be silent, so that the others are asked too.
+func (n *Node) fetchView(ctx context.Context, vm siskin.VMID, service siskin.ServiceName) (siskin.GroupView, bool) {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	var reply ViewReply
--- a/internal/node/operate_test.go
+++ b/internal/node/operate_test.go
@@ -10,11 +10,11 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// halfSilent is a fleet of which the first VM that is asked does not answer.
-type halfSilent struct{ silent siskin.VMID }
+// oneSilentVM is a fleet of which the first VM that is asked does not answer.
+type oneSilentVM struct{ silent siskin.VMID }
 
 // Call implements siskin.Peers.
-func (p *halfSilent) Call(ctx context.Context, vm siskin.VMID, _ string, _, reply any) error {
+func (p *oneSilentVM) Call(ctx context.Context, vm siskin.VMID, _ string, _, reply any) error {
 	if p.silent == "" {
 		p.silent = vm
 	}
@@ -34,7 +34,7 @@
 	doc := &config.Service{Name: "ledger", Slots: 8, Targets: []config.Target{{ID: "ledger/1", DataCentre: "dc-1"}}}
 	live := []siskin.VM{{ID: "vm-1", DataCentre: "dc-1"}, {ID: "vm-2", DataCentre: "dc-1"}}
 	n := &Node{
-		cfg:    Config{Config: config.NewFixed([]*config.Service{doc}, nil), Peers: new(halfSilent)},
+		cfg:    Config{Config: config.NewFixed([]*config.Service{doc}, nil), Peers: new(oneSilentVM)},
 		homes:  newHomes(&fakeMembers{live: live}),
 		groups: &groups{running: shard.New[siskin.ServiceName, *watchedGroup]()},
 	}
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -12,13 +12,13 @@
 	maxInterval = time.Second
 )
 
-// pace returns the interval between two probes of each of n targets, those of
+// probeInterval returns the interval between two probes of each of n targets, those of
 // the groups that this VM is a watcher of.
-func pace(shortest time.Duration, n int) time.Duration {
-	if shortest <= 0 {
-		shortest = defaultInterval
+func probeInterval(minInterval time.Duration, n int) time.Duration {
+	if minInterval <= 0 {
+		minInterval = defaultInterval
 	}
-	return min(max(shortest, time.Duration(n)*time.Second/probesPerSecond), max(shortest, maxInterval))
+	return min(max(minInterval, time.Duration(n)*time.Second/probesPerSecond), max(minInterval, maxInterval))
 }
 
 // defaultInterval is the interval at today's size.
--- a/internal/node/queues.go
+++ b/internal/node/queues.go
@@ -18,8 +18,8 @@
 }
 
 type slotQueue struct {
-	places int
-	queue  *fairq.Queue
+	capacity int
+	queue    *fairq.Queue
 }
 
 func newQueues(clock siskin.Clock) *queues {
@@ -28,12 +28,12 @@
 
 // set starts or keeps the queue of a slot. A changed number of places starts a
 // new queue; requests in the old one finish there, and the pool bounds both.
-func (q *queues) set(key pool.Key, places int) {
+func (q *queues) set(key pool.Key, capacity int) {
 	q.queues.Update(key, func(old *slotQueue, ok bool) (*slotQueue, bool) {
-		if ok && old.places == places {
+		if ok && old.capacity == capacity {
 			return old, true
 		}
-		return &slotQueue{places: places, queue: fairq.New(q.clock, places)}, true
+		return &slotQueue{capacity: capacity, queue: fairq.New(q.clock, capacity)}, true
 	})
 }
 
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -17,10 +17,10 @@
 	// recordDelay keeps the record off the path of a failover and lets several
 	// changes in a row make one update.
 	recordDelay = time.Second
-	// recordTurn times the rank of a VM among those that watch the group is how
+	// recordRankDelay times the rank of a VM among those that watch the group is how
 	// much later it acts, so that one VM usually writes and the next one does
 	// when the first cannot.
-	recordTurn = 5 * time.Second
+	recordRankDelay = 5 * time.Second
 	// recordTimeout bounds one attempt. It is above the wait for two calls of
 	// the budget in which the daemon makes them.
 	recordTimeout = 15 * time.Second
@@ -82,8 +82,8 @@
 		r.groups[service] = s
 	}
 	s.term, s.primary, s.failures = view.Term, view.Primary, 0
-	turn := time.Duration(r.rank(service)) * recordTurn
-	s.due = r.clock.Now().Add(recordDelay + turn + time.Duration(rand.Int64N(int64(recordDelay))))
+	rankDelay := time.Duration(r.rank(service)) * recordRankDelay
+	s.due = r.clock.Now().Add(recordDelay + rankDelay + time.Duration(rand.Int64N(int64(recordDelay))))
 	select {
 	case r.wake <- struct{}{}:
 	default: // the loop looks again anyway
@@ -113,9 +113,9 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-		recorded, err := r.store.raise(ctx, service, s.term, s.primary)
+		recorded, err := r.store.advance(ctx, service, s.term, s.primary)
 		cancel()
-		r.done(service, recorded, err)
+		r.finishAttempt(service, recorded, err)
 	}
 }
 
@@ -137,8 +137,8 @@
 	return first, state, state.due.Sub(r.clock.Now())
 }
 
-// done notes the result of an attempt.
-func (r *records) done(service siskin.ServiceName, recorded siskin.Term, err error) {
+// finishAttempt notes the result of an attempt.
+func (r *records) finishAttempt(service siskin.ServiceName, recorded siskin.Term, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.groups[service]
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -16,19 +16,19 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// recorders are the VMs that watch one group, with one platform.
-type recorders struct {
+// recordFleet are the VMs that watch one group, with one platform.
+type recordFleet struct {
 	platform *fakePlatform
-	all      []*records
+	vms      []*records
 }
 
-func startRecorders(t *testing.T, ctx context.Context, n int) *recorders {
+func startRecordFleet(t *testing.T, ctx context.Context, n int) *recordFleet {
 	t.Helper()
-	f := &recorders{platform: &fakePlatform{objects: make(map[siskin.ObjectName]siskin.Object)}}
+	f := &recordFleet{platform: &fakePlatform{objects: make(map[siskin.ObjectName]siskin.Object)}}
 	for i := range n {
 		cfg := Config{Self: siskin.VM{ID: siskin.VMID(fmt.Sprint("vm-", i))}, Clock: clockwork.NewRealClock(), Platform: f.platform}
 		r := newRecords(cfg, func(siskin.ServiceName) int { return i })
-		f.all = append(f.all, r)
+		f.vms = append(f.vms, r)
 		go r.run(ctx)
 	}
 	return f
@@ -39,7 +39,7 @@
 	return &siskin.GroupView{Term: term, Primary: siskin.TargetID(fmt.Sprint("ledger/", term)), Targets: make([]siskin.TargetView, 3)}
 }
 
-func (f *recorders) record(t *testing.T) primaryRecord {
+func (f *recordFleet) record(t *testing.T) primaryRecord {
 	t.Helper()
 	f.platform.mu.Lock()
 	defer f.platform.mu.Unlock()
@@ -58,16 +58,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		f := startRecorders(t, ctx, 6)
+		f := startRecordFleet(t, ctx, 6)
 		f.platform.set(func(p *fakePlatform) { p.down = true })
-		for _, r := range f.all {
+		for _, r := range f.vms {
 			r.observe("ledger", view(2))
 		}
 		time.Sleep(10 * time.Minute)
 		perMinute := 0.0
 		f.platform.set(func(p *fakePlatform) {
 			perMinute = float64(p.calls) / 10
-			p.down, p.lose = false, 1
+			p.down, p.loseAnswers = false, 1
 		})
 		begun := time.Now()
 		for f.record(t).Term != 2 {
@@ -82,7 +82,7 @@
 		}
 		t.Logf("%.1f calls a minute of 6 VMs during the outage, record %v after it", perMinute, took)
 		time.Sleep(2 * time.Minute)
-		for _, r := range f.all {
+		for _, r := range f.vms {
 			if got := r.recorded("ledger"); got != 2 {
 				t.Errorf("term of the record known to %s: got %d, want 2", r.self.ID, got)
 			}
@@ -101,21 +101,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		f := startRecorders(t, ctx, 1)
+		f := startRecordFleet(t, ctx, 1)
 		later := recordStore{platform: f.platform, self: siskin.VM{ID: "vm-9"}}
 		f.platform.set(func(p *fakePlatform) {
-			p.race = func() {
-				if _, err := later.raise(ctx, "ledger", 5, "ledger/5"); err != nil {
+			p.beforePut = func() {
+				if _, err := later.advance(ctx, "ledger", 5, "ledger/5"); err != nil {
 					t.Error(err)
 				}
 			}
 		})
-		f.all[0].observe("ledger", view(3))
+		f.vms[0].observe("ledger", view(3))
 		time.Sleep(time.Minute)
 		if got, want := f.record(t), (primaryRecord{Term: 5, Primary: "ledger/5", RecordedBy: "vm-9"}); got != want {
 			t.Errorf("record: got %+v, want %+v", got, want)
 		}
-		if got := f.all[0].recorded("ledger"); got != 5 {
+		if got := f.vms[0].recorded("ledger"); got != 5 {
 			t.Errorf("term known to the VM that lost: got %d, want 5", got)
 		}
 	})
@@ -132,7 +132,7 @@
 			rng := rand.New(rand.NewPCG(seed, 0))
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			f := startRecorders(t, ctx, 6)
+			f := startRecordFleet(t, ctx, 6)
 			term, last := siskin.Term(1), siskin.Term(0)
 			for range 300 {
 				switch rng.IntN(6) {
@@ -141,9 +141,9 @@
 				case 1:
 					f.platform.set(func(p *fakePlatform) { p.down = !p.down })
 				case 2:
-					f.platform.set(func(p *fakePlatform) { p.lose = rng.IntN(3) })
+					f.platform.set(func(p *fakePlatform) { p.loseAnswers = rng.IntN(3) })
 				default:
-					f.all[rng.IntN(len(f.all))].observe("ledger", view(term-siskin.Term(rng.IntN(int(min(term, 2))))))
+					f.vms[rng.IntN(len(f.vms))].observe("ledger", view(term-siskin.Term(rng.IntN(int(min(term, 2))))))
 				}
 				time.Sleep(time.Duration(rng.Int64N(int64(5 * time.Second))))
 				now := f.record(t).Term
@@ -152,8 +152,8 @@
 				}
 				last = now
 			}
-			f.platform.set(func(p *fakePlatform) { p.down, p.lose = false, 0 })
-			f.all[rng.IntN(len(f.all))].observe("ledger", view(term))
+			f.platform.set(func(p *fakePlatform) { p.down, p.loseAnswers = false, 0 })
+			f.vms[rng.IntN(len(f.vms))].observe("ledger", view(term))
 			time.Sleep(2 * time.Minute)
 			if got := f.record(t); got.Term != term {
 				t.Errorf("record at the end: got term %d, want %d", got.Term, term)
--- a/internal/node/recordstore.go
+++ b/internal/node/recordstore.go
@@ -31,10 +31,10 @@
 	return siskin.ObjectName("Group/" + string(service))
 }
 
-// raise makes the record name the primary of the term unless it names one of
+// advance makes the record name the primary of the term unless it names one of
 // the same or a later term. It returns the term of the record. An update that
 // races with another VM's fails with kind Conflict.
-func (s *recordStore) raise(ctx context.Context, service siskin.ServiceName, term siskin.Term, primary siskin.TargetID) (siskin.Term, error) {
+func (s *recordStore) advance(ctx context.Context, service siskin.ServiceName, term siskin.Term, primary siskin.TargetID) (siskin.Term, error) {
 	name := recordName(service)
 	o, err := s.platform.Get(ctx, name)
 	if err != nil {
--- a/internal/node/remote.go
+++ b/internal/node/remote.go
@@ -23,12 +23,12 @@
 	// than half of the 7 KB/s that a node has for control.
 	viewsPerSecond = 5
 	viewTimeout    = time.Second
-	// unsettledInterval replaces viewInterval while a group has no primary that
+	// noPrimaryInterval replaces viewInterval while a group has no primary that
 	// answers, since each interval adds to the gap in writes of a failover.
-	unsettledInterval = 50 * time.Millisecond
-	// viewIdle is the time without use after which a group is no longer asked
+	noPrimaryInterval = 50 * time.Millisecond
+	// viewIdleTimeout is the time without use after which a group is no longer asked
 	// about.
-	viewIdle = 30 * time.Second
+	viewIdleTimeout = 30 * time.Second
 )
 
 // remoteViews learns the views of groups that this VM does not watch from the
@@ -40,25 +40,25 @@
 	homes  *homes
 	config config.View
 	views  *shard.Map[siskin.ServiceName, *remoteView]
-	// learn receives the view that a watcher gave of a group when it was asked
+	// applyView receives the view that a watcher gave of a group when it was asked
 	// at the given time, and nil when no watcher answered.
-	learn  func(service siskin.ServiceName, view *siskin.GroupView, asked time.Time)
-	active atomic.Int64
+	applyView func(service siskin.ServiceName, view *siskin.GroupView, askedAt time.Time)
+	active    atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
-func newRemoteViews(self siskin.VMID, clock siskin.Clock, peers siskin.Peers, homes *homes, view config.View) *remoteViews {
+func newRemoteViews(self siskin.VMID, clock siskin.Clock, peers siskin.Peers, homes *homes, cfg config.View) *remoteViews {
 	r := &remoteViews{
-		self:   self,
-		clock:  clock,
-		peers:  peers,
-		homes:  homes,
-		config: view,
-		views:  shard.New[siskin.ServiceName, *remoteView](),
-		learn:  func(siskin.ServiceName, *siskin.GroupView, time.Time) {},
+		self:      self,
+		clock:     clock,
+		peers:     peers,
+		homes:     homes,
+		config:    cfg,
+		views:     shard.New[siskin.ServiceName, *remoteView](),
+		applyView: func(siskin.ServiceName, *siskin.GroupView, time.Time) {},
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
@@ -67,8 +67,8 @@
 // get returns the latest view of a service's group and when it was asked for.
 func (r *remoteViews) get(service siskin.ServiceName) (siskin.GroupView, time.Time, <-chan struct{}) {
 	v := r.views.GetOrCreate(service, func() *remoteView { return newRemoteView() })
-	v.used.Store(r.clock.Now().UnixNano())
-	if v.running.CompareAndSwap(false, true) {
+	v.lastUsed.Store(r.clock.Now().UnixNano())
+	if v.polling.CompareAndSwap(false, true) {
 		r.start(service, v)
 	}
 	return v.get()
@@ -89,10 +89,10 @@
 
 // follow asks for the view until the service is out of use.
 func (r *remoteViews) follow(service siskin.ServiceName, v *remoteView) {
-	defer v.running.Store(false)
+	defer v.polling.Store(false)
 	for r.ctx.Err() == nil {
-		r.ask(service, v)
-		if r.clock.Since(time.Unix(0, v.used.Load())) > viewIdle {
+		r.fetch(service, v)
+		if r.clock.Since(time.Unix(0, v.lastUsed.Load())) > viewIdleTimeout {
 			return
 		}
 		select {
@@ -103,48 +103,48 @@
 }
 
 func (r *remoteViews) interval(v *remoteView) time.Duration {
-	if !v.isSettled() {
-		return unsettledInterval
+	if !v.hasWritablePrimary() {
+		return noPrimaryInterval
 	}
 	slowest := time.Duration(r.active.Load()) * time.Second / viewsPerSecond
 	return max(viewInterval, slowest)
 }
 
-// ask asks one of the watchers of the group, a random one each time, so that a
+// fetch asks one of the watchers of the group, a random one each time, so that a
 // watcher with an outdated view is soon corrected. The other homes are asked
 // when no watcher answers.
-func (r *remoteViews) ask(service siskin.ServiceName, v *remoteView) {
+func (r *remoteViews) fetch(service siskin.ServiceName, v *remoteView) {
 	s, ok := r.config.Service(service)
 	if !ok {
 		return
 	}
-	vms := slices.Clone(r.homes.rankOf(s))
+	vms := slices.Clone(r.homes.rankedHomes(s))
 	n := min(len(vms), watcherCount)
 	rand.Shuffle(n, func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 	rand.Shuffle(len(vms)-n, func(i, j int) { vms[n+i], vms[n+j] = vms[n+j], vms[n+i] })
-	silent := func() { r.learn(service, nil, time.Time{}) }
+	reportNoAnswer := func() { r.applyView(service, nil, time.Time{}) }
 	for i, vm := range vms {
 		if i == n {
-			silent()
+			reportNoAnswer()
 		}
 		if vm.ID == r.self {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(r.ctx, viewTimeout)
 		var reply ViewReply
-		asked := r.clock.Now()
+		askedAt := r.clock.Now()
 		err := r.peers.Call(ctx, vm.ID, "Group.View", service, &reply)
 		cancel()
 		if err == nil && reply.Watched {
-			v.set(reply.View, asked)
+			v.set(reply.View, askedAt)
 			if i < n {
-				r.learn(service, &reply.View, asked)
+				r.applyView(service, &reply.View, askedAt)
 			}
 			return
 		}
 	}
 	if len(vms) == n {
-		silent()
+		reportNoAnswer()
 	}
 }
 
--- a/internal/node/remoteview.go
+++ b/internal/node/remoteview.go
@@ -10,12 +10,12 @@
 
 // remoteView is the latest view of one group that another VM gave.
 type remoteView struct {
-	used    atomic.Int64 // time of the last use in nanoseconds
-	running atomic.Bool
+	lastUsed atomic.Int64 // time of the last use in nanoseconds
+	polling  atomic.Bool
 
 	mu      sync.Mutex
 	view    siskin.GroupView
-	asked   time.Time // when the view was asked for
+	askedAt time.Time // when the view was asked for
 	changed chan struct{}
 }
 
@@ -26,35 +26,35 @@
 func (v *remoteView) get() (siskin.GroupView, time.Time, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.view, v.asked, v.changed
+	return v.view, v.askedAt, v.changed
 }
 
 // set keeps a view unless a later term is known. It announces each change of
 // term or primary.
-func (v *remoteView) set(view siskin.GroupView, asked time.Time) {
+func (v *remoteView) set(view siskin.GroupView, askedAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if view.Term < v.view.Term {
 		return
 	}
-	announce := view.Term != v.view.Term || view.Primary != v.view.Primary || reachable(&view) != reachable(&v.view)
-	v.view, v.asked = view, asked
+	announce := view.Term != v.view.Term || view.Primary != v.view.Primary || reachableTargets(&view) != reachableTargets(&v.view)
+	v.view, v.askedAt = view, askedAt
 	if announce {
 		close(v.changed)
 		v.changed = make(chan struct{})
 	}
 }
 
-// isSettled reports whether the group has a primary that takes writes.
-func (v *remoteView) isSettled() bool {
+// hasWritablePrimary reports whether the group has a primary that takes writes.
+func (v *remoteView) hasWritablePrimary() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	p, ok := v.view.Target(v.view.Primary)
 	return ok && p.Reachable && !p.Status.Draining
 }
 
-// reachable counts the targets that answer.
-func reachable(view *siskin.GroupView) int {
+// reachableTargets counts the targets that answer.
+func reachableTargets(view *siskin.GroupView) int {
 	n := 0
 	for i := range view.Targets {
 		if view.Targets[i].Reachable {
--- a/internal/node/watchedgroup.go
+++ b/internal/node/watchedgroup.go
@@ -23,7 +23,7 @@
 }
 
 // follow passes each view to observe and calls endOlder for each new term.
-func (w *watchedGroup) follow(endOlder func(siskin.ServiceName, siskin.Term), observe func(siskin.ServiceName, *siskin.GroupView)) {
+func (w *watchedGroup) follow(endWritesBefore func(siskin.ServiceName, siskin.Term), observe func(siskin.ServiceName, *siskin.GroupView)) {
 	var last siskin.Term
 	for {
 		changed := w.Changed()
@@ -31,7 +31,7 @@
 		observe(w.settings.Service, &view)
 		if term := view.Term; term > last {
 			last = term
-			endOlder(w.settings.Service, term)
+			endWritesBefore(w.settings.Service, term)
 		}
 		select {
 		case <-changed:
@@ -48,16 +48,16 @@
 	if !w.Passive() {
 		return view
 	}
-	told, asked, _ := w.views.get(w.settings.Service)
-	if told.Term != view.Term {
+	received, askedAt, _ := w.views.get(w.settings.Service)
+	if received.Term != view.Term {
 		return view
 	}
-	age := w.clock.Since(asked)
+	age := w.clock.Since(askedAt)
 	for i := range view.Targets {
 		t := &view.Targets[i]
-		if at, ok := told.Target(t.Status.ID); ok && at.Staleness >= 0 {
-			t.Staleness = at.Staleness + age
-			t.Status.Applied = max(t.Status.Applied, at.Status.Applied)
+		if measured, ok := received.Target(t.Status.ID); ok && measured.Staleness >= 0 {
+			t.Staleness = measured.Staleness + age
+			t.Status.Applied = max(t.Status.Applied, measured.Status.Applied)
 		}
 	}
 	return view
--- a/internal/node/watchers_test.go
+++ b/internal/node/watchers_test.go
@@ -30,7 +30,7 @@
 			s.Targets = append(s.Targets, config.Target{ID: siskin.TargetID(fmt.Sprint("ledger/", i)), DataCentre: siskin.DataCentreID(fmt.Sprint("dc-", i))})
 		}
 		homes := newHomes(&fakeMembers{live: live})
-		all, watchers := homes.rankOf(s), homes.watchersOf(s)
+		all, watchers := homes.rankedHomes(s), homes.watchersOf(s)
 		if want := min(2, len(homes.ofService(s))); len(watchers) != want {
 			rt.Fatalf("watchers: got %v, want %d", watchers, want)
 		}
@@ -41,7 +41,7 @@
 		if len(places) > 1 && watchers[0].DataCentre == watchers[1].DataCentre {
 			rt.Fatalf("watchers: got both in %s of %d data centres", watchers[0].DataCentre, len(places))
 		}
-		other := newHomes(&fakeMembers{live: live}).rankOf(s)
+		other := newHomes(&fakeMembers{live: live}).rankedHomes(s)
 		for i := range all {
 			if all[i].ID != other[i].ID {
 				rt.Fatalf("rank: got %v and %v", all, other)
