--- a/internal/admin/wire.go
+++ b/internal/admin/wire.go
@@ -12,7 +12,7 @@
 )
 
 // maxBody is the largest body of a request. Changes are the largest.
-const maxBody = int64(config.MaxChange) + 4096
+const maxBody = int64(config.MaxChangeSize) + 4096
 
 // wireError is the JSON form of an error.
 type wireError struct {
--- a/internal/cmds/terminal_test.go
+++ b/internal/cmds/terminal_test.go
@@ -114,7 +114,7 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		form, _, err := dialog(ctx, x.seen, x.seen, config.NewFixed(nil, nil))
+		form, _, err := dialog(ctx, x.seen, x.seen, config.NewStaticView(nil, nil))
 		done <- result{form, err}
 	}()
 	digest := strings.Repeat("7e57", 16)
@@ -188,7 +188,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() {
-		_, _, err := dialog(ctx, x.seen, x.seen, config.NewFixed(nil, nil))
+		_, _, err := dialog(ctx, x.seen, x.seen, config.NewStaticView(nil, nil))
 		done <- err
 	}()
 	for _, line := range [][2]string{{"1.1 ", "ledger-z"}, {"1.2 ", "2"}, {"1.3 ", "16"}, {"1.4 ", "10ms"}, {"1.5 ", ""}, {"1.6 ", ""}, {"1.7 ", "30s"}, {"2.1 ", "app"}, {"2.2 ", "rw"}} {
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -79,7 +79,7 @@
 		dc := siskin.DataCentreID(fmt.Sprintf("dc-%d", i%2))
 		f.service.Targets = append(f.service.Targets, config.Target{ID: t.ID(), DataCentre: dc, Address: t.Address()})
 	}
-	f.view = config.NewFixed([]*config.Service{f.service}, []*config.Customer{{ID: "shop", Weight: 1}, {ID: "walk-in", Weight: 1}})
+	f.view = config.NewStaticView([]*config.Service{f.service}, []*config.Customer{{ID: "shop", Weight: 1}, {ID: "walk-in", Weight: 1}})
 	f.tokens, err = token.NewCodec([]byte("a token key of 24 bytes."), nil)
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -82,7 +82,7 @@
 		f.Fatal(err)
 	}
 	s := New(Config{
-		VM: "vm", Clock: clockwork.NewRealClock(), Config: config.NewFixed([]*config.Service{service}, nil), Keys: newFakeKeys(),
+		VM: "vm", Clock: clockwork.NewRealClock(), Config: config.NewStaticView([]*config.Service{service}, nil), Keys: newFakeKeys(),
 		Topology: noTopology{}, Tokens: tokens, Budgets: retry.NewBudgets(), Limits: Limits{StartupTimeout: time.Second},
 	})
 	f.Cleanup(func() { s.Close(f.Context()) })
--- a/internal/front/pick_test.go
+++ b/internal/front/pick_test.go
@@ -93,7 +93,7 @@
 					services[i].Targets = append(services[i].Targets, config.Target{ID: siskin.TargetID(fmt.Sprintf("s%d/%d", i, t)), DataCentre: "dc-0"})
 				}
 			}
-			configured := config.NewFixed(services, nil)
+			configured := config.NewStaticView(services, nil)
 			b.ReportAllocs()
 			b.ResetTimer()
 			b.RunParallel(func(pb *testing.PB) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	view := config.NewFixed([]*config.Service{service(targets)}, []*config.Customer{{ID: "shop", Weight: 1}})
+	view := config.NewStaticView([]*config.Service{service(targets)}, []*config.Customer{{ID: "shop", Weight: 1}})
 	codec, err := token.NewCodec([]byte("0123456789abcdef"), nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/operate_test.go
+++ b/internal/node/operate_test.go
@@ -34,7 +34,7 @@
 	doc := &config.Service{Name: "ledger", Slots: 8, Targets: []config.Target{{ID: "ledger/1", DataCentre: "dc-1"}}}
 	live := []siskin.VM{{ID: "vm-1", DataCentre: "dc-1"}, {ID: "vm-2", DataCentre: "dc-1"}}
 	n := &Node{
-		cfg:    Config{Config: config.NewFixed([]*config.Service{doc}, nil), Peers: new(halfSilent)},
+		cfg:    Config{Config: config.NewStaticView([]*config.Service{doc}, nil), Peers: new(halfSilent)},
 		homes:  newHomes(&fakeMembers{live: live}),
 		groups: &groups{running: shard.New[siskin.ServiceName, *watchedGroup]()},
 	}
--- a/internal/node/slotchange_test.go
+++ b/internal/node/slotchange_test.go
@@ -28,7 +28,7 @@
 		after := *before
 		after.Slots = rapid.IntRange(1, 4).Draw(rt, "slots after")
 		homes := newHomes(&fakeMembers{live: live})
-		view := config.NewFixed([]*config.Service{&after}, nil)
+		view := config.NewStaticView([]*config.Service{&after}, nil)
 		watchers := 0
 		for _, vm := range homes.ofService(&after) {
 			g := &groups{self: vm.ID, homes: homes, config: view}
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return out + "error: " + err.Error() + "\n"
 	}
-	return out + "\n" + string(form.INI()) + config.Diff(config.NewFixed(nil, nil), config.NewOverlay(config.NewFixed(nil, nil), change)).Text()
+	return out + "\n" + string(form.INI()) + config.Diff(config.NewStaticView(nil, nil), config.NewOverlay(config.NewStaticView(nil, nil), change)).Text()
 }
 
 func read(file string, data []byte) string {
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -81,7 +81,7 @@
 	f.Cleanup(func() { closePool(p) })
 	p.Own(fuzzKey, pool.SlotConfig{Limit: 2})
 	return (&Home{
-		Clock: clock, Config: config.NewFixed([]*config.Service{service}, nil), Groups: permissive{}, Limiter: permissive{}, Queues: permissive{}, Pool: p,
+		Clock: clock, Config: config.NewStaticView([]*config.Service{service}, nil), Groups: permissive{}, Limiter: permissive{}, Queues: permissive{}, Pool: p,
 	}).Init()
 }
 
--- a/internal/relay/start_test.go
+++ b/internal/relay/start_test.go
@@ -19,7 +19,7 @@
 // caller if the home has just started and has no configuration. The entry VM,
 // which knows the route, must be able to retry.
 func TestForwardedBeforeConfiguration(t *testing.T) {
-	none := config.NewFixed(nil, nil)
+	none := config.NewStaticView(nil, nil)
 	for _, tt := range []struct {
 		view config.View
 		want siskin.ErrorKind
--- a/pkg/burn/objectives_test.go
+++ b/pkg/burn/objectives_test.go
@@ -16,7 +16,7 @@
 // merged.
 func TestObjectivesOfRecord(t *testing.T) {
 	stated := func(o *config.Objectives) func(siskin.ServiceName) Objectives {
-		return FromConfig(config.NewFixed([]*config.Service{{Name: "ledger", Objectives: o}}, nil))
+		return FromConfig(config.NewStaticView([]*config.Service{{Name: "ledger", Objectives: o}}, nil))
 	}
 	clock := clockwork.NewFakeClockAt(start)
 	record := func(vm siskin.VMID, of func(siskin.ServiceName) Objectives) Record {
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -61,7 +61,7 @@
 		if err != nil || !reflect.DeepEqual(read, change) {
 			t.Fatalf("got %v, %v, want the change that was written", read, err)
 		}
-		view := NewFixed(change.Services, change.Customers)
+		view := NewStaticView(change.Services, change.Customers)
 		if d := Diff(view, NewOverlay(view, read)); !d.IsEmpty() {
 			t.Fatalf("got %s, want no difference", d.Text())
 		}
@@ -113,7 +113,7 @@
 	a := &Service{Name: "a", Credentials: Credentials{Password: "hunter2", ReadPassword: "hunter3"}}
 	b := *a
 	b.Credentials.Password = "hunter4"
-	d := Diff(NewFixed([]*Service{a}, nil), NewFixed([]*Service{&b}, []*Customer{{ID: "c", Keys: []Key{{ID: "k", Digest: "hunter5"}}}}))
+	d := Diff(NewStaticView([]*Service{a}, nil), NewStaticView([]*Service{&b}, []*Customer{{ID: "c", Keys: []Key{{ID: "k", Digest: "hunter5"}}}}))
 	if got := d.Text(); strings.Contains(got, "hunter") || !strings.Contains(got, "Credentials.Password: (hidden) -> (hidden)") {
 		t.Errorf("got %s, want the change without the values", got)
 	}
@@ -141,7 +141,7 @@
 		if err != nil {
 			return
 		}
-		Diff(NewFixed(nil, nil), NewOverlay(NewFixed(nil, nil), c))
+		Diff(NewStaticView(nil, nil), NewOverlay(NewStaticView(nil, nil), c))
 		if found := Validate(nil, c); len(found) == 0 {
 			if _, err := EncodeChange(c); err != nil {
 				t.Errorf("valid change is not written: %v", err)
@@ -162,7 +162,7 @@
 		s.Credentials = Credentials{User: "a", Password: "a", ReadUser: "b", ReadPassword: "b", Database: "d"}
 		services = append(services, s)
 	}
-	view, put := NewFixed(services, nil), *services[7]
+	view, put := NewStaticView(services, nil), *services[7]
 	for b.Loop() {
 		if found := Validate(view, &Change{Base: 1, Services: []*Service{&put}}); len(found) > 0 {
 			b.Fatal(found.Err())
--- a/pkg/config/encode.go
+++ b/pkg/config/encode.go
@@ -11,26 +11,26 @@
 
 // Bounds of the JSON text.
 const (
-	// MaxDocument is the largest document. A service takes about 2 KB; the
+	// MaxDocumentSize is the largest document. A service takes about 2 KB; the
 	// snapshot objects hold about 90 documents within the platform's 1 MB.
-	MaxDocument siskin.Bytes = 64 << 10
-	// MaxChange is the largest change, since a change is one platform object.
-	MaxChange = siskin.MaxObjectSize
+	MaxDocumentSize siskin.Bytes = 64 << 10
+	// MaxChangeSize is the largest change, since a change is one platform object.
+	MaxChangeSize = siskin.MaxObjectSize
 )
 
 // EncodeChange returns the JSON text of a change.
 func EncodeChange(c *Change) ([]byte, error) {
-	return encode(c, MaxChange, "split it into several changes")
+	return encode(c, MaxChangeSize, "split it into several changes")
 }
 
 // EncodeService returns the JSON text of a service.
 func EncodeService(s *Service) ([]byte, error) {
-	return encode(s, MaxDocument, "remove targets or routes")
+	return encode(s, MaxDocumentSize, "remove targets or routes")
 }
 
 // EncodeCustomer returns the JSON text of a customer.
 func EncodeCustomer(c *Customer) ([]byte, error) {
-	return encode(c, MaxDocument, "name fewer services or keys")
+	return encode(c, MaxDocumentSize, "name fewer services or keys")
 }
 
 func encode(v any, limit siskin.Bytes, remedy string) ([]byte, error) {
@@ -49,7 +49,7 @@
 
 // DecodeChange reads a change. Unknown fields, text after the change and a
 // service without KeyGrace are refused.
-func DecodeChange(data []byte) (*Change, error) { return decodeChange(data, MaxChange) }
+func DecodeChange(data []byte) (*Change, error) { return decodeChange(data, MaxChangeSize) }
 
 // DecodeExport reads an export of all documents, which has the form of a change
 // but may be larger, and returns it as a view.
@@ -91,7 +91,7 @@
 // DecodeService reads a service document.
 func DecodeService(data []byte) (*Service, error) {
 	s := new(Service)
-	if err := decode(data, MaxDocument, s); err != nil {
+	if err := decode(data, MaxDocumentSize, s); err != nil {
 		return nil, err
 	}
 	var grace struct{ KeyGrace *Duration }
@@ -107,7 +107,7 @@
 // DecodeCustomer reads a customer document.
 func DecodeCustomer(data []byte) (*Customer, error) {
 	c := new(Customer)
-	if err := decode(data, MaxDocument, c); err != nil {
+	if err := decode(data, MaxDocumentSize, c); err != nil {
 		return nil, err
 	}
 	return c, nil
--- a/pkg/config/example_test.go
+++ b/pkg/config/example_test.go
@@ -10,7 +10,7 @@
 	before := &config.Customer{ID: "school-a", Rate: 10, Burst: 20, Weight: 1}
 	after := *before
 	after.Rate = 20
-	view := config.NewFixed(nil, []*config.Customer{before})
+	view := config.NewStaticView(nil, []*config.Customer{before})
 	change := &config.Change{Base: 1, Customers: []*config.Customer{&after}}
 	if err := config.Validate(view, change).Err(); err != nil {
 		fmt.Println(err)
--- a/pkg/config/fixed.go
+++ b/pkg/config/fixed.go
@@ -6,16 +6,16 @@
 	"siskintray.example/siskin"
 )
 
-// Fixed is a View that never changes.
-type Fixed struct {
+// StaticView is a View that never changes.
+type StaticView struct {
 	services  map[siskin.ServiceName]*Service
 	customers map[siskin.CustomerID]*Customer
 	changed   chan struct{}
 }
 
-// NewFixed returns a view of the given documents.
-func NewFixed(services []*Service, customers []*Customer) *Fixed {
-	f := &Fixed{
+// NewStaticView returns a view of the given documents.
+func NewStaticView(services []*Service, customers []*Customer) *StaticView {
+	f := &StaticView{
 		services:  make(map[siskin.ServiceName]*Service, len(services)),
 		customers: make(map[siskin.CustomerID]*Customer, len(customers)),
 		changed:   make(chan struct{}),
@@ -30,28 +30,28 @@
 }
 
 // Revision implements View.
-func (f *Fixed) Revision() siskin.Revision { return 1 }
+func (f *StaticView) Revision() siskin.Revision { return 1 }
 
 // Service implements View.
-func (f *Fixed) Service(name siskin.ServiceName) (*Service, bool) {
+func (f *StaticView) Service(name siskin.ServiceName) (*Service, bool) {
 	s, ok := f.services[name]
 	return s, ok
 }
 
 // Customer implements View.
-func (f *Fixed) Customer(id siskin.CustomerID) (*Customer, bool) {
+func (f *StaticView) Customer(id siskin.CustomerID) (*Customer, bool) {
 	c, ok := f.customers[id]
 	return c, ok
 }
 
 // Services implements View.
-func (f *Fixed) Services() []siskin.ServiceName { return sortedKeys(f.services) }
+func (f *StaticView) Services() []siskin.ServiceName { return sortedKeys(f.services) }
 
 // Customers implements View.
-func (f *Fixed) Customers() []siskin.CustomerID { return sortedKeys(f.customers) }
+func (f *StaticView) Customers() []siskin.CustomerID { return sortedKeys(f.customers) }
 
 // Changed implements View.
-func (f *Fixed) Changed() <-chan struct{} { return f.changed }
+func (f *StaticView) Changed() <-chan struct{} { return f.changed }
 
 func sortedKeys[K ~string, V any](m map[K]V) []K {
 	names := make([]K, 0, len(m))
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -4,14 +4,14 @@
 
 // Snapshot is a View of fixed documents at a given revision, such as an export.
 type Snapshot struct {
-	*Fixed
+	*StaticView
 	revision siskin.Revision
 }
 
 // NewSnapshot returns a view of the given documents. Revision 0 is the view
 // before the first change.
 func NewSnapshot(revision siskin.Revision, services []*Service, customers []*Customer) *Snapshot {
-	return &Snapshot{NewFixed(services, customers), revision}
+	return &Snapshot{NewStaticView(services, customers), revision}
 }
 
 // Revision implements View.
--- a/pkg/config/validate_test.go
+++ b/pkg/config/validate_test.go
@@ -58,7 +58,7 @@
 		t.Fatalf("inforce.json: %v", found)
 	}
 	base.SetRevision(1)
-	view := NewFixed(base.Services, base.Customers)
+	view := NewStaticView(base.Services, base.Customers)
 	change, err := DecodeChange(changed.Data)
 	if err != nil {
 		return err.Error() + "\n", ""
--- a/pkg/keys/example_test.go
+++ b/pkg/keys/example_test.go
@@ -14,7 +14,7 @@
 func Example() {
 	key := keys.Generate()
 	customer := &config.Customer{ID: "school-a", Services: []siskin.ServiceName{"ledger"}, Keys: []config.Key{{ID: "2026", Digest: keys.Digest(key)}}}
-	k := keys.New(clockwork.NewRealClock(), config.NewFixed(nil, []*config.Customer{customer}))
+	k := keys.New(clockwork.NewRealClock(), config.NewStaticView(nil, []*config.Customer{customer}))
 	defer k.Close()
 	grant, err := k.Authenticate("ledger", key)
 	fmt.Println(grant.Customer, grant.Key, err)
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -97,7 +97,7 @@
 			t.Fatalf("got no typing error at character %d, want one", i)
 		}
 	}
-	k := New(nil, config.NewFixed(nil, nil))
+	k := New(nil, config.NewStaticView(nil, nil))
 	defer k.Close()
 	_, err := k.Authenticate("s", key[:len(key)-1])
 	if got, want := fmt.Sprint(err), "checksum"; !strings.Contains(got, want) {
--- a/pkg/keys/script_test.go
+++ b/pkg/keys/script_test.go
@@ -68,7 +68,7 @@
 
 // changing is a view that tests change.
 type changing struct {
-	*config.Fixed
+	*config.StaticView
 	revision siskin.Revision
 	docs     map[siskin.CustomerID]*config.Customer
 	changed  chan struct{}
@@ -83,7 +83,7 @@
 	for _, doc := range c.docs {
 		list = append(list, doc)
 	}
-	c.Fixed = config.NewFixed([]*config.Service{{Name: "s", KeyGrace: config.Duration(time.Minute)}}, list)
+	c.StaticView = config.NewStaticView([]*config.Service{{Name: "s", KeyGrace: config.Duration(time.Minute)}}, list)
 	c.revision = max(c.revision, revision)
 }
 
--- a/pkg/limit/example_test.go
+++ b/pkg/limit/example_test.go
@@ -13,7 +13,7 @@
 
 func Example() {
 	clock := clockwork.NewRealClock()
-	view := config.NewFixed(nil, []*config.Customer{{ID: "school-a", Rate: 10, Burst: 20}})
+	view := config.NewStaticView(nil, []*config.Customer{{ID: "school-a", Rate: 10, Burst: 20}})
 	l := limit.New(clock, view, oneVM{}, noPeers{}, &memory{}, limit.WithPrepareAll())
 	l.Start()
 	defer l.Close()
--- a/pkg/limit/fleet_test.go
+++ b/pkg/limit/fleet_test.go
@@ -53,13 +53,13 @@
 
 // view is a configuration that tests can change.
 type view struct {
-	*config.Fixed
+	*config.StaticView
 	changed chan struct{}
 }
 
 func (v *view) Changed() <-chan struct{} { return v.changed }
 
-func (v *view) set(customers ...*config.Customer) { v.Fixed = config.NewFixed(nil, customers) }
+func (v *view) set(customers ...*config.Customer) { v.StaticView = config.NewStaticView(nil, customers) }
 
 func newFleet(seed uint64, customers ...*config.Customer) *fleet {
 	f := &fleet{
