--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -14,6 +14,7 @@
 // an idle session keeps.
 const maxIdleRewritten = 1 << 10
 
+// pastDeadline is a read deadline that ends a waiting read at once.
 var pastDeadline = time.Unix(1, 0)
 
 // goroutineIdleLimit is the idle time after which a session continues in a new
--- a/internal/front/recover_test.go
+++ b/internal/front/recover_test.go
@@ -88,7 +88,7 @@
 			name := tt.name + " at " + string(vm.id)
 			c, other := vm.connectRaw(t, "badges/"+tt.route), vm.connectRaw(t, "badges/write")
 			closed, _ := home.connectionCounts()
-			faults, before := f.panicCount(), violations.Load()
+			panicsBefore, violationsBefore := f.panicCount(), violations.Load()
 			tt.set(true)
 			a := c.exchange(tt.send...)
 			if a.code() == "" && a.status == 'I' {
@@ -105,10 +105,10 @@
 			if a := other.query("select 'other'"); a.code() != "" || a.status != 'I' {
 				t.Errorf("%s, other session: got %+v, want its answer", name, a.err)
 			}
-			if got := f.panicCount() - faults; got != 1 {
+			if got := f.panicCount() - panicsBefore; got != 1 {
 				t.Errorf("%s: got %d panics counted, want 1", name, got)
 			}
-			if got := violations.Load() - before; got != 1 {
+			if got := violations.Load() - violationsBefore; got != 1 {
 				t.Errorf("%s: got %d violations, want 1", name, got)
 			}
 			now, busy := home.connectionCounts()
