--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -120,7 +120,7 @@
 func (e *Elector) watches(name siskin.ServiceName, primary siskin.TargetID) bool {
 	key, choose := "lead/"+string(name), func(live []siskin.VM) []siskin.VM { return live }
 	if t, ok := e.cfg.Roster.Target(primary); ok {
-		key, choose = string(t.ID), func(live []siskin.VM) []siskin.VM { return place.In(t.DataCentre, live) }
+		key, choose = string(t.ID), func(live []siskin.VM) []siskin.VM { return place.PreferDataCentre(t.DataCentre, live) }
 	}
 	ranked := e.ranker.Rank(key, e.cfg.Members.Live(), choose)
 	return len(ranked) > 0 && ranked[0].ID == e.cfg.Members.Self().ID
--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -53,14 +53,14 @@
 		delay += backoff.Max
 	}
 	verdict := retry.Decide(retry.Attempt{
-		Proof: f.Proof, Mode: t.route.Mode, Repeatable: t.route.Repeatable,
+		Outcome: f.Proof, Mode: t.route.Mode, Repeatable: t.route.Repeatable,
 		Answered: c.answer.answered, Replayable: !t.streamed,
 		Now: cfg.Clock.Now(), Deadline: t.deadline, Delay: delay,
 	})
 	if verdict != retry.Retry || c.endError() != nil {
 		return false
 	}
-	if f.Proof.IsFree() {
+	if f.Proof.SkipsBudget() {
 		// A paused primary refuses each request in progress once. If these
 		// retries used the budget, a customer with few requests, whose budget
 		// is small, would see some of them fail.
--- a/internal/front/pick.go
+++ b/internal/front/pick.go
@@ -82,7 +82,7 @@
 		}
 		return cost
 	}
-	if !token.Serves(&state.Status, n.floor) {
+	if !token.CanServe(&state.Status, n.floor) {
 		cost += costBehind
 		if len(n.tried) > 0 {
 			cost += costPrimary // an earlier attempt has already waited for a replica
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -61,7 +61,7 @@
 	if vm, ok := t.known.Get(key); ok {
 		return vm, true
 	}
-	vm, ok := place.Best(slotResource(key), place.In(target.DataCentre, t.live))
+	vm, ok := place.Best(slotResource(key), place.PreferDataCentre(target.DataCentre, t.live))
 	if ok {
 		t.known.Put(key, vm)
 	}
@@ -76,7 +76,7 @@
 // of the service if no others were live.
 func HomesAmong(s *config.Service, vms []siskin.VM) []siskin.VM {
 	return ownersOfSlots(s, func(target config.Target, slot siskin.Slot) (siskin.VM, bool) {
-		return place.Best(slotResource(pool.Key{Target: target.ID, Slot: slot}), place.In(target.DataCentre, vms))
+		return place.Best(slotResource(pool.Key{Target: target.ID, Slot: slot}), place.PreferDataCentre(target.DataCentre, vms))
 	})
 }
 
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -51,7 +51,7 @@
 // VMs of its data centre, or all live VMs when that has none.
 func (p *Path) ranked(t siskin.TargetInfo) []siskin.VM {
 	return p.ranker.Rank(string(t.ID), p.cfg.Crew.Live(), func(live []siskin.VM) []siskin.VM {
-		return place.In(t.DataCentre, live)
+		return place.PreferDataCentre(t.DataCentre, live)
 	})
 }
 
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -16,7 +16,7 @@
 
 // Failure describes why a transaction ended without an answer from the target.
 type Failure struct {
-	Proof retry.Proof
+	Proof retry.Outcome
 	Err   *siskin.Error
 	// Admitted reports whether the limiter had admitted the request.
 	Admitted bool
@@ -94,7 +94,7 @@
 	if proof > uint64(retry.Refused) || kind > uint64(siskin.TargetRefused) {
 		d.malformed = true
 	}
-	f.Proof = retry.Proof(proof)
+	f.Proof = retry.Outcome(proof)
 	return d.finish("failure")
 }
 
--- a/internal/relay/floor.go
+++ b/internal/relay/floor.go
@@ -18,7 +18,7 @@
 func (l *localExecutor) awaitFloor() error {
 	floor, id := l.hdr.Floor, l.hdr.Target
 	view := l.group.View()
-	if t, ok := view.Target(id); ok && token.Serves(&t.Status, floor) {
+	if t, ok := view.Target(id); ok && token.CanServe(&t.Status, floor) {
 		return nil
 	}
 	if p, ok := l.home.applied.Get(id); ok && p.Term >= floor.Term && p.LSN >= floor.LSN {
@@ -38,7 +38,7 @@
 		if status.Role == siskin.RoleReplica {
 			l.home.applied.Put(id, siskin.Position{Term: status.StreamTerm, LSN: status.Applied})
 		}
-		if token.Serves(&status, floor) {
+		if token.CanServe(&status, floor) {
 			return nil
 		}
 		if status.Role == siskin.RolePrimary || !l.home.Clock.Now().Add(floorPollInterval).Before(waitUntil) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -45,7 +45,7 @@
 func TestFailureRoundTrip(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		want := Failure{
-			Proof: retry.Proof(rapid.IntRange(0, 3).Draw(rt, "proof")), Admitted: rapid.Bool().Draw(rt, "admitted"),
+			Proof: retry.Outcome(rapid.IntRange(0, 3).Draw(rt, "proof")), Admitted: rapid.Bool().Draw(rt, "admitted"),
 			WithinRate: rapid.Bool().Draw(rt, "within"),
 			Err: siskin.NewError(siskin.ErrorKind(rapid.IntRange(0, 14).Draw(rt, "kind")), "%s", rapid.String().Draw(rt, "message")).
 				WithRemedy(rapid.String().Draw(rt, "remedy")).
--- a/pkg/burn/coverage.go
+++ b/pkg/burn/coverage.go
@@ -32,7 +32,7 @@
 
 // covered returns the time of the window in which the VM ran, and the stretches
 // after since in which it did not.
-func (c *coverage) covered(now time.Time, window time.Duration, since time.Time) (sum time.Duration, down []Stretch) {
+func (c *coverage) covered(now time.Time, window time.Duration, since time.Time) (sum time.Duration, down []Interval) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	end := since
@@ -42,7 +42,7 @@
 	c.ring.each(now, window, func(start time.Time, _ *bool) {
 		sum += fineWidth
 		if start.After(end) {
-			down = append(down, Stretch{end.UTC(), start.UTC()})
+			down = append(down, Interval{end.UTC(), start.UTC()})
 		}
 		end = start.Add(fineWidth)
 	})
--- a/pkg/burn/plot.go
+++ b/pkg/burn/plot.go
@@ -89,29 +89,29 @@
 func seconds(t time.Time) float64 { return float64(t.Unix()) }
 
 // uncovered returns the stretches from from to to in which no VM ran.
-func uncovered(vms []VMRecord, from, to time.Time) []Stretch {
-	var up []Stretch
+func uncovered(vms []VMRecord, from, to time.Time) []Interval {
+	var up []Interval
 	for _, vm := range vms {
 		start := vm.Since
 		for _, d := range vm.Down {
-			up = append(up, Stretch{start, d.From})
+			up = append(up, Interval{start, d.From})
 			start = d.To
 		}
-		up = append(up, Stretch{start, vm.Until})
+		up = append(up, Interval{start, vm.Until})
 	}
-	slices.SortFunc(up, func(a, b Stretch) int { return a.From.Compare(b.From) })
-	var down []Stretch
+	slices.SortFunc(up, func(a, b Interval) int { return a.From.Compare(b.From) })
+	var down []Interval
 	end := from
 	for _, s := range up {
 		if s.From.After(end) {
-			down = append(down, Stretch{end, s.From})
+			down = append(down, Interval{end, s.From})
 		}
 		if s.To.After(end) {
 			end = s.To
 		}
 	}
 	if to.After(end) {
-		down = append(down, Stretch{end, to})
+		down = append(down, Interval{end, to})
 	}
 	return down
 }
--- a/pkg/burn/record.go
+++ b/pkg/burn/record.go
@@ -34,11 +34,11 @@
 	Covered []time.Duration
 	// Down are stretches of the longest window, after Since, in which the VM
 	// did not run, such as while it was paused.
-	Down []Stretch `json:",omitempty"`
+	Down []Interval `json:",omitempty"`
 }
 
-// Stretch is a stretch of time.
-type Stretch struct{ From, To time.Time }
+// Interval is a stretch of time.
+type Interval struct{ From, To time.Time }
 
 // SeriesRecord holds the counts of one service or customer.
 type SeriesRecord struct {
--- a/pkg/keys/bench_test.go
+++ b/pkg/keys/bench_test.go
@@ -18,7 +18,7 @@
 		c.docs[id] = document(id, 1, "services=s,t,u", fmt.Sprintf("keys=key-%d,spare-%d", i, i))
 	}
 	c.apply(1)
-	return c, New(clock, c, WithEvidence(func() Evidence { return Evidence{Current: clock.Now()} }))
+	return c, New(clock, c, WithEvidence(func() Evidence { return Evidence{CurrentAt: clock.Now()} }))
 }
 
 // BenchmarkCheck measures the check before each message batch.
--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -130,7 +130,7 @@
 		return notGranted(service)
 	}
 	now, evidence := k.clock.Now(), k.evidence()
-	if Decide(now, evidence, doc.KeyGrace.Std()) {
+	if MayAccept(now, evidence, doc.KeyGrace.Std()) {
 		return nil
 	}
 	return siskin.NewError(siskin.KeyRefused, "keys of service %s cannot be checked: this data centre is cut off since %s", service, now.Sub(evidence.Last()).Round(1e9)).
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -63,7 +63,7 @@
 // a data centre that is cut off.
 func TestCutOff(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	e := Evidence{Current: clock.Now()}
+	e := Evidence{CurrentAt: clock.Now()}
 	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
 	c.apply(1)
 	k := New(clock, c, WithEvidence(func() Evidence { return e }))
@@ -71,10 +71,10 @@
 	for _, step := range []struct {
 		after time.Duration
 		want  error
-	}{{time.Minute, nil}, {Freshness, nil}, {1, siskin.NewError(siskin.KeyRefused, "")}} {
+	}{{time.Minute, nil}, {FreshnessWindow, nil}, {1, siskin.NewError(siskin.KeyRefused, "")}} {
 		clock.Advance(step.after)
 		if _, got := k.Authenticate("s", "k1"); (got == nil) != (step.want == nil) || (got != nil && siskin.KindOf(got) != siskin.KindOf(step.want)) {
-			t.Errorf("got %v at %v, want %v", got, clock.Since(e.Current), step.want)
+			t.Errorf("got %v at %v, want %v", got, clock.Since(e.CurrentAt), step.want)
 		}
 	}
 }
--- a/pkg/keys/script_test.go
+++ b/pkg/keys/script_test.go
@@ -56,7 +56,7 @@
 				tracker.PeerProof(at(args[2]), at(args[3]).Sub(at("0")))
 				tracker.PeerPlatform(siskin.DataCentreID(args[1]), at(args[2]), args[4] == "down")
 			case "decide":
-				if Decide(at(args[1]), tracker.Evidence([]siskin.DataCentreID{"d1", "d2", "d3"}), at(args[2]).Sub(at("0"))) {
+				if MayAccept(at(args[1]), tracker.Evidence([]siskin.DataCentreID{"d1", "d2", "d3"}), at(args[2]).Sub(at("0"))) {
 					return "serve"
 				}
 				return "refuse"
--- a/pkg/keys/tracker.go
+++ b/pkg/keys/tracker.go
@@ -64,17 +64,17 @@
 func (t *Tracker) Evidence(all []siskin.DataCentreID) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := Evidence{Current: t.current}
+	e := Evidence{CurrentAt: t.current}
 	for _, dc := range all {
 		if dc == t.self {
 			continue
 		}
 		said, ok := t.down[dc]
 		if !ok {
-			return Evidence{Current: t.current}
+			return Evidence{CurrentAt: t.current}
 		}
-		if e.DownForAll.IsZero() || said.Before(e.DownForAll) {
-			e.DownForAll = said
+		if e.PlatformDownAt.IsZero() || said.Before(e.PlatformDownAt) {
+			e.PlatformDownAt = said
 		}
 	}
 	return e
--- a/pkg/limit/handover.go
+++ b/pkg/limit/handover.go
@@ -71,7 +71,7 @@
 			}
 		}
 	}
-	best, ok := place.Best(string(objectName(i)), place.In(l.members.Self().DataCentre, vms))
+	best, ok := place.Best(string(objectName(i)), place.PreferDataCentre(l.members.Self().DataCentre, vms))
 	return best.ID, ok
 }
 
--- a/pkg/member/maintain.go
+++ b/pkg/member/maintain.go
@@ -104,7 +104,7 @@
 func (m *Members) listInterval() time.Duration {
 	d := m.cfg.ListInterval
 	self := m.Self()
-	ranked := place.Rank("Member/ListReader", place.In(self.DataCentre, m.Live()))
+	ranked := place.Rank("Member/ListReader", place.PreferDataCentre(self.DataCentre, m.Live()))
 	for i, vm := range ranked {
 		if i < listReaders && vm.ID == self.ID {
 			return d/2 + time.Duration(rand.Int64N(int64(d)))
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -72,8 +72,8 @@
 // VMs of about the same size share resources evenly.
 func Tier(c siskin.Millicores) int { return bits.Len64(uint64(max(c, 0))) }
 
-// In returns the VMs in the given data centre, or all VMs when it has none.
-func In(dc siskin.DataCentreID, vms []siskin.VM) []siskin.VM {
+// PreferDataCentre returns the VMs in the given data centre, or all VMs when it has none.
+func PreferDataCentre(dc siskin.DataCentreID, vms []siskin.VM) []siskin.VM {
 	var local []siskin.VM
 	for _, vm := range vms {
 		if vm.DataCentre == dc {
--- a/pkg/retry/bench_test.go
+++ b/pkg/retry/bench_test.go
@@ -14,7 +14,7 @@
 // BenchmarkDecide measures the decision after a failed attempt with its wait.
 func BenchmarkDecide(b *testing.B) {
 	backoff := Backoff{Base: 5 * time.Millisecond, Max: time.Second}
-	a := Attempt{Proof: Unsent, Mode: config.WriteRoute, Replayable: true, Now: start, Deadline: start.Add(time.Minute)}
+	a := Attempt{Outcome: Unsent, Mode: config.WriteRoute, Replayable: true, Now: start, Deadline: start.Add(time.Minute)}
 	b.ReportAllocs()
 	for i := range b.N {
 		a.Delay = backoff.Delay(1+i%8, rand.Int64N)
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -7,9 +7,9 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Ratio is the number of first attempts that pay for one retry. It bounds the
+// AttemptsPerRetry is the number of first attempts that pay for one retry. It bounds the
 // added load to 10%.
-const Ratio = 10
+const AttemptsPerRetry = 10
 
 // burstRetries is the credit that a budget may save up. It covers the requests
 // in progress when one target fails without allowing a long storm later.
@@ -25,7 +25,7 @@
 func (b *Budget) Deposit() {
 	for {
 		c := b.credit.Load()
-		if c >= burstRetries*Ratio || b.credit.CompareAndSwap(c, c+1) {
+		if c >= burstRetries*AttemptsPerRetry || b.credit.CompareAndSwap(c, c+1) {
 			return
 		}
 	}
@@ -35,17 +35,17 @@
 func (b *Budget) Withdraw() bool {
 	for {
 		c := b.credit.Load()
-		if c < Ratio {
+		if c < AttemptsPerRetry {
 			return false
 		}
-		if b.credit.CompareAndSwap(c, c-Ratio) {
+		if b.credit.CompareAndSwap(c, c-AttemptsPerRetry) {
 			return true
 		}
 	}
 }
 
 // refund returns the cost of a retry that was not made.
-func (b *Budget) refund() { b.credit.Add(Ratio) }
+func (b *Budget) refund() { b.credit.Add(AttemptsPerRetry) }
 
 // Budgets holds the budgets of all customers and services.
 type Budgets struct {
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -6,13 +6,13 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// Proof is what is known about a failed attempt.
-type Proof int
+// Outcome is what is known about a failed attempt.
+type Outcome int
 
 // Proofs.
 const (
 	// Unknown means that the attempt may have taken effect.
-	Unknown Proof = iota
+	Unknown Outcome = iota
 	// ReportedAbort means that the target reported the abort of the attempt.
 	ReportedAbort
 	// Unsent means that nothing of the attempt was sent to a target.
@@ -23,15 +23,15 @@
 )
 
 // NotRun reports whether the proof shows that nothing took effect.
-func (p Proof) NotRun() bool { return p != Unknown }
+func (p Outcome) NotRun() bool { return p != Unknown }
 
-// IsFree reports whether another attempt waits rather than adds load, so that it
+// SkipsBudget reports whether another attempt waits rather than adds load, so that it
 // needs no budget.
-func (p Proof) IsFree() bool { return p == Unsent || p == Refused }
+func (p Outcome) SkipsBudget() bool { return p == Unsent || p == Refused }
 
 // Attempt describes one failed attempt.
 type Attempt struct {
-	Proof      Proof
+	Outcome    Outcome
 	Mode       config.RouteMode
 	Repeatable bool
 	// Answered says that at least one byte of a response went to the caller.
@@ -44,13 +44,13 @@
 	Delay time.Duration
 }
 
-// Verdict is the result of Decide.
-type Verdict int
+// Decision is the result of Decide.
+type Decision int
 
 // Verdicts.
 const (
 	// Retry sends the request again, if the budget allows it.
-	Retry Verdict = iota
+	Retry Decision = iota
 	// RefuseNotRun ends the request with a refusal that says "not run".
 	RefuseNotRun
 	// RefuseUnknown ends the request with "outcome unknown".
@@ -60,13 +60,13 @@
 // Decide returns what to do after a failed attempt. Only work that did not run,
 // or a repeatable request of a read route, is sent again, and only before the
 // first byte of a response went out.
-func Decide(a Attempt) Verdict {
-	mayRepeat := a.Proof.NotRun() || (a.Mode == config.ReadRoute && a.Repeatable)
+func Decide(a Attempt) Decision {
+	mayRepeat := a.Outcome.NotRun() || (a.Mode == config.ReadRoute && a.Repeatable)
 	inTime := a.Now.Add(a.Delay).Before(a.Deadline)
 	if mayRepeat && inTime && !a.Answered && a.Replayable {
 		return Retry
 	}
-	if a.Proof.NotRun() {
+	if a.Outcome.NotRun() {
 		return RefuseNotRun
 	}
 	return RefuseUnknown
--- a/pkg/retry/example_test.go
+++ b/pkg/retry/example_test.go
@@ -10,9 +10,9 @@
 
 func Example() {
 	now := time.Unix(0, 0)
-	a := retry.Attempt{Proof: retry.Unsent, Mode: config.WriteRoute, Replayable: true, Now: now, Deadline: now.Add(time.Second)}
+	a := retry.Attempt{Outcome: retry.Unsent, Mode: config.WriteRoute, Replayable: true, Now: now, Deadline: now.Add(time.Second)}
 	fmt.Println(retry.Decide(a) == retry.Retry)
-	a.Proof = retry.Unknown
+	a.Outcome = retry.Unknown
 	fmt.Println(retry.Decide(a) == retry.RefuseUnknown)
 	// Output:
 	// true
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -43,9 +43,9 @@
 			first++
 			runs := 0
 			for n := 1; ; n++ {
-				a.Proof = Proof(rnd.IntN(int(Refused) + 1))
+				a.Outcome = Outcome(rnd.IntN(int(Refused) + 1))
 				a.Answered = rnd.IntN(4) == 0
-				if !a.Proof.NotRun() {
+				if !a.Outcome.NotRun() {
 					runs++ // the worst case of an unknown outcome is that it ran
 				}
 				if runs > 1 && (a.Mode == config.WriteRoute || !a.Repeatable) {
@@ -53,7 +53,7 @@
 				}
 				a.Delay = backoff.Delay(n, rnd.Int64N)
 				verdict := Decide(a)
-				if verdict == RefuseNotRun && !a.Proof.NotRun() {
+				if verdict == RefuseNotRun && !a.Outcome.NotRun() {
 					rt.Fatalf("seed %d: got RefuseNotRun without proof", seed)
 				}
 				if verdict != Retry || !budgets.Withdraw(customer, "badges") {
@@ -75,7 +75,7 @@
 // TestAnsweredIsNeverRepeated guards against a caller that gets parts of two
 // answers.
 func TestAnsweredIsNeverRepeated(t *testing.T) {
-	a := Attempt{Proof: Unsent, Mode: config.ReadRoute, Repeatable: true, Replayable: true, Now: start, Deadline: start.Add(time.Second)}
+	a := Attempt{Outcome: Unsent, Mode: config.ReadRoute, Repeatable: true, Replayable: true, Now: start, Deadline: start.Add(time.Second)}
 	if got, want := Decide(a), Retry; got != want {
 		t.Fatalf("before the first byte: got %v, want %v", got, want)
 	}
--- a/pkg/spread/exchange.go
+++ b/pkg/spread/exchange.go
@@ -86,7 +86,7 @@
 }
 
 func collectorOf(dc siskin.DataCentreID, live []siskin.VM) (siskin.VM, bool) {
-	return place.Best("Spread/Collector", place.In(dc, live))
+	return place.Best("Spread/Collector", place.PreferDataCentre(dc, live))
 }
 
 // fetch gets the documents changed since this VM's revision from a peer, in
--- a/pkg/spread/proof_test.go
+++ b/pkg/spread/proof_test.go
@@ -73,7 +73,7 @@
 		t.Fatalf("VMs that are no watchers: got %d, want %d", got, want)
 	}
 	since := time.Now()
-	eventually(t, "proof through peers", others, func(n *node) bool { return evidence[n.vm.ID].now().Current.After(since) })
+	eventually(t, "proof through peers", others, func(n *node) bool { return evidence[n.vm.ID].now().CurrentAt.After(since) })
 	eventually(t, "platform up", watchers, func(n *node) bool { return !n.PlatformDown() })
 
 	for _, n := range watchers {
@@ -81,16 +81,16 @@
 	}
 	since = time.Now()
 	eventually(t, "platform down for all", watchers, func(n *node) bool {
-		return n.PlatformDown() && evidence[n.vm.ID].now().DownForAll.After(since)
+		return n.PlatformDown() && evidence[n.vm.ID].now().PlatformDownAt.After(since)
 	})
 
 	for _, n := range watchers {
 		n.platformCutOff.Store(n.vm.DataCentre != "c")
 	}
-	eventually(t, "platform up in one data centre", cutOffWatchers, func(n *node) bool { return evidence[n.vm.ID].now().DownForAll.IsZero() })
+	eventually(t, "platform up in one data centre", cutOffWatchers, func(n *node) bool { return evidence[n.vm.ID].now().PlatformDownAt.IsZero() })
 	for end := time.Now().Add(10 * fastConfig().ExchangeInterval); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		for _, n := range cutOffWatchers {
-			if got := evidence[n.vm.ID].now().DownForAll; !n.PlatformDown() || !got.IsZero() {
+			if got := evidence[n.vm.ID].now().PlatformDownAt; !n.PlatformDown() || !got.IsZero() {
 				t.Fatalf("%s: got platform down %v and down for all at %v, want true and never", n.vm.ID, n.PlatformDown(), got)
 			}
 		}
@@ -114,5 +114,5 @@
 	if _, ok := last[0].watcherRank(); ok {
 		t.Fatalf("%s is a watcher, want another VM", last[0].vm.ID)
 	}
-	eventually(t, "proof after the start", last, func(*node) bool { return !tracker.now().Current.IsZero() })
+	eventually(t, "proof after the start", last, func(*node) bool { return !tracker.now().CurrentAt.IsZero() })
 }
--- a/pkg/spread/watch.go
+++ b/pkg/spread/watch.go
@@ -47,7 +47,7 @@
 // reports whether it is one.
 func (s *Spread) watcherRank() (int, bool) {
 	self := s.members.Self()
-	for i, vm := range place.Rank(watcherResource, place.In(self.DataCentre, s.members.Live())) {
+	for i, vm := range place.Rank(watcherResource, place.PreferDataCentre(self.DataCentre, s.members.Live())) {
 		if i >= watcherCount {
 			break
 		}
--- a/pkg/token/example_test.go
+++ b/pkg/token/example_test.go
@@ -19,6 +19,6 @@
 	}
 	behind := &siskin.TargetStatus{StreamTerm: 2, Applied: 650}
 	current := &siskin.TargetStatus{StreamTerm: 2, Applied: 710}
-	fmt.Println(floor.Term, floor.LSN, token.Serves(behind, floor), token.Serves(current, floor))
+	fmt.Println(floor.Term, floor.LSN, token.CanServe(behind, floor), token.CanServe(current, floor))
 	// Output: 2 0/2BC false true
 }
--- a/pkg/token/token.go
+++ b/pkg/token/token.go
@@ -19,11 +19,11 @@
 	return p
 }
 
-// Serves reports whether a target with the given status may serve a read whose
+// CanServe reports whether a target with the given status may serve a read whose
 // floor is the given position. The primary of a term holds every acknowledged
 // write of the older ones. A replica must follow the stream of the floor's term
 // or a later one and must have applied the position.
-func Serves(status *siskin.TargetStatus, floor siskin.Position) bool {
+func CanServe(status *siskin.TargetStatus, floor siskin.Position) bool {
 	if floor.IsZero() {
 		return true
 	}
--- a/pkg/token/token_test.go
+++ b/pkg/token/token_test.go
@@ -71,7 +71,7 @@
 		{siskin.RolePrimary, 2, 500, false},
 	} {
 		status := &siskin.TargetStatus{Role: test.role, StreamTerm: test.stream, Applied: test.applied}
-		if got := Serves(status, floor); got != test.want {
+		if got := CanServe(status, floor); got != test.want {
 			t.Errorf("%v: got %v, want %v", test, got, test.want)
 		}
 	}
