--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -33,12 +33,12 @@
 	Transactions, Retries int64
 	// FreeRetries counts the repeated attempts that used no retry budget,
 	// because nothing had been sent or the target had refused the work.
-	FreeRetries int64
+	FreeRetries int64 `json:"Waits"`
 	// ReplicaReads and PrimaryReads count the transactions on read routes by
 	// the role of the target that served them.
 	ReplicaReads, PrimaryReads int64
 	// Panics counts the sessions that ended by a panic.
-	Panics int64
+	Panics int64 `json:"Faults"`
 	// Refused counts failed transactions and refused connections by error kind.
 	Refused map[siskin.ErrorKind]int64
 }
