--- a/pkg/limit/fleet_test.go
+++ b/pkg/limit/fleet_test.go
@@ -59,7 +59,9 @@
 
 func (v *view) Changed() <-chan struct{} { return v.changed }
 
-func (v *view) set(customers ...*config.Customer) { v.StaticView = config.NewStaticView(nil, customers) }
+func (v *view) set(customers ...*config.Customer) {
+	v.StaticView = config.NewStaticView(nil, customers)
+}
 
 func newFleet(seed uint64, customers ...*config.Customer) *fleet {
 	f := &fleet{
