config, cfgini: unexported names say what they are

Names such as users, taken, bad, ok and fail did not say what they hold or do; a newcomer had to read the bodies.

--- a/internal/cfgini/cfgini_test.go
+++ b/internal/cfgini/cfgini_test.go
@@ -53,11 +53,11 @@
 	}
 }
 
-const good = "[VM]\nID = vm-1\nDataCentre = turku-1\n[Caller]\nAddress = 127.0.0.1:6432\n" +
+const validSettings = "[VM]\nID = vm-1\nDataCentre = turku-1\n[Caller]\nAddress = 127.0.0.1:6432\n" +
 	"[Peer]\nAddress = 127.0.0.1:6433\nForwardAddress = 127.0.0.1:6436\nCertFile = f\nKeyFile = f\nCAFile = f\n" +
 	"[Platform]\nAddresses = 127.0.0.1:7000, [::1]:7000\n[Token]\nKeyFile = f\n"
 
-func write(t *testing.T, text string) string {
+func writeSettings(t *testing.T, text string) string {
 	t.Helper()
 	dir := t.TempDir()
 	for name, data := range map[string]string{"vm.ini": text, "f": "x"} {
@@ -71,7 +71,7 @@
 // TestReload guards against a reload that takes a setting which a running VM
 // cannot change, or that misses one which it can.
 func TestReload(t *testing.T) {
-	path := write(t, good)
+	path := writeSettings(t, validSettings)
 	cfg := new(Daemon)
 	if err := Load(path, cfg); err != nil {
 		t.Fatal(err)
@@ -84,12 +84,12 @@
 			t.Fatal(err)
 		}
 	}
-	replace(good + "[Log]\nLevel = debug\n")
+	replace(validSettings + "[Log]\nLevel = debug\n")
 	next, changed, err := Reload(path, cfg)
 	if err != nil || next.Log.Level != "debug" || !slices.Equal(changed, []string{"Log.Level"}) {
 		t.Errorf("got %v, %v, want Log.Level reloaded", changed, err)
 	}
-	replace(strings.Replace(good, "vm-1", "vm-2", 1) + "[Log]\nLevel = debug\n")
+	replace(strings.Replace(validSettings, "vm-1", "vm-2", 1) + "[Log]\nLevel = debug\n")
 	if _, _, err := Reload(path, cfg); err == nil || !strings.Contains(err.Error(), "VM.ID cannot change") {
 		t.Errorf("got %v, want a refusal that names VM.ID", err)
 	}
@@ -159,7 +159,7 @@
 // FuzzParse guards against a panic and against a value that differs from the
 // text of its line.
 func FuzzParse(f *testing.F) {
-	f.Add(good)
+	f.Add(validSettings)
 	f.Add("[A]\nb = \"c\\\n[A]\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		file, found := ParseFile("x.ini", []byte(text))
--- a/internal/cfgini/daemon.go
+++ b/internal/cfgini/daemon.go
@@ -85,51 +85,51 @@
 }
 
 func (d *Daemon) check(c *check) {
-	c.pair("Caller.CertFile", d.Caller.CertFile, "Caller.KeyFile", d.Caller.KeyFile)
-	c.pair("Peer.CertFile", d.Peer.CertFile, "Peer.KeyFile", d.Peer.KeyFile)
-	c.pair("Peer.CertFile", d.Peer.CertFile, "Peer.CAFile", d.Peer.CAFile)
-	c.pair("Admin.CertFile", d.Admin.CertFile, "Admin.KeyFile", d.Admin.KeyFile)
-	c.pair("Admin.CertFile", d.Admin.CertFile, "Admin.CAFile", d.Admin.CAFile)
-	c.protected("Caller.Address", d.Caller.Address, "Caller.CertFile", d.Caller.CertFile)
-	c.protected("Peer.Address", d.Peer.Address, "Peer.CertFile", d.Peer.CertFile)
-	c.protected("Peer.ForwardAddress", d.Peer.ForwardAddress, "Peer.CertFile", d.Peer.CertFile)
-	c.protected("Admin.Address", d.Admin.Address, "Admin.CertFile", d.Admin.CertFile)
-	c.distinct(
-		named{"Caller.Address", d.Caller.Address},
-		named{"Peer.Address", d.Peer.Address},
-		named{"Peer.ForwardAddress", d.Peer.ForwardAddress},
-		named{"Admin.Address", d.Admin.Address},
+	c.requireBoth("Caller.CertFile", d.Caller.CertFile, "Caller.KeyFile", d.Caller.KeyFile)
+	c.requireBoth("Peer.CertFile", d.Peer.CertFile, "Peer.KeyFile", d.Peer.KeyFile)
+	c.requireBoth("Peer.CertFile", d.Peer.CertFile, "Peer.CAFile", d.Peer.CAFile)
+	c.requireBoth("Admin.CertFile", d.Admin.CertFile, "Admin.KeyFile", d.Admin.KeyFile)
+	c.requireBoth("Admin.CertFile", d.Admin.CertFile, "Admin.CAFile", d.Admin.CAFile)
+	c.requireTLS("Caller.Address", d.Caller.Address, "Caller.CertFile", d.Caller.CertFile)
+	c.requireTLS("Peer.Address", d.Peer.Address, "Peer.CertFile", d.Peer.CertFile)
+	c.requireTLS("Peer.ForwardAddress", d.Peer.ForwardAddress, "Peer.CertFile", d.Peer.CertFile)
+	c.requireTLS("Admin.Address", d.Admin.Address, "Admin.CertFile", d.Admin.CertFile)
+	c.requireDistinctAddresses(
+		namedAddress{"Caller.Address", d.Caller.Address},
+		namedAddress{"Peer.Address", d.Peer.Address},
+		namedAddress{"Peer.ForwardAddress", d.Peer.ForwardAddress},
+		namedAddress{"Admin.Address", d.Admin.Address},
 	)
 	if d.Token.PreviousKeyFile != "" && d.Token.KeyFile == d.Token.PreviousKeyFile {
-		c.fail("Token.PreviousKeyFile", "name the earlier key or remove the setting", "Token.PreviousKeyFile is the same file as Token.KeyFile")
+		c.addFinding("Token.PreviousKeyFile", "name the earlier key or remove the setting", "Token.PreviousKeyFile is the same file as Token.KeyFile")
 	}
 }
 
-// pair requires that two settings are given together or not at all.
-func (c *check) pair(a, valueA, b, valueB string) {
-	if (valueA == "") == (valueB == "") || !c.ok(a, b) {
+// requireBoth requires that two settings are given together or not at all.
+func (c *check) requireBoth(a, valueA, b, valueB string) {
+	if (valueA == "") == (valueB == "") || !c.allValid(a, b) {
 		return
 	}
 	if valueA == "" {
 		a, b = b, a
 	}
-	c.fail(a, "set "+b+" as well or remove "+a, "%s is set without %s", a, b)
+	c.addFinding(a, "set "+b+" as well or remove "+a, "%s is set without %s", a, b)
 }
 
-// protected requires TLS outside loopback.
-func (c *check) protected(name, address, certName, cert string) {
+// requireTLS requires TLS outside loopback.
+func (c *check) requireTLS(name, address, certName, cert string) {
 	a, err := netip.ParseAddrPort(address)
-	if err != nil || a.Addr().IsLoopback() || cert != "" || !c.ok(name, certName) {
+	if err != nil || a.Addr().IsLoopback() || cert != "" || !c.allValid(name, certName) {
 		return
 	}
-	c.fail(name, "set "+certName+" or listen on a loopback address", "%s is not on loopback and has no TLS", name)
+	c.addFinding(name, "set "+certName+" or listen on a loopback address", "%s is not on loopback and has no TLS", name)
 }
 
-type named struct{ name, address string }
+type namedAddress struct{ name, address string }
 
-// distinct requires that listeners do not share an address. Listeners on the
+// requireDistinctAddresses requires that listeners do not share an address. Listeners on the
 // unspecified address take the port on every address.
-func (c *check) distinct(all ...named) {
+func (c *check) requireDistinctAddresses(all ...namedAddress) {
 	for i, a := range all {
 		for _, b := range all[:i] {
 			x, errX := netip.ParseAddrPort(a.address)
@@ -138,7 +138,7 @@
 				continue
 			}
 			if x.Addr() == y.Addr() || x.Addr().IsUnspecified() || y.Addr().IsUnspecified() {
-				c.fail(a.name, "give one of them another port", "%s and %s use the same port", a.name, b.name)
+				c.addFinding(a.name, "give one of them another port", "%s and %s use the same port", a.name, b.name)
 			}
 		}
 	}
--- a/internal/cfgini/file.go
+++ b/internal/cfgini/file.go
@@ -11,9 +11,9 @@
 // Bounds of a file. Settings and answers are a few kilobytes; the bounds keep a
 // wrong or hostile file from using much memory.
 const (
-	maxFile    = 1 << 20
-	maxLine    = 8 << 10
-	maxEntries = 10000
+	maxFileSize   = 1 << 20
+	maxLineLength = 8 << 10
+	maxLines      = 10000
 )
 
 // File is a parsed INI file that knows the line of each section and key.
@@ -64,8 +64,8 @@
 func ParseFile(name string, data []byte) (*File, Findings) {
 	f := &File{Name: name}
 	var found Findings
-	if len(data) > maxFile {
-		found.add(name, 0, "split the file or remove what is not a setting", "file has %d bytes, at most %d are read", len(data), maxFile)
+	if len(data) > maxFileSize {
+		found.add(name, 0, "split the file or remove what is not a setting", "file has %d bytes, at most %d are read", len(data), maxFileSize)
 		return f, found
 	}
 	if !utf8.Valid(data) {
@@ -83,14 +83,14 @@
 // not keep lines, and refuses every line that it would read in a special way.
 func (f *File) scan(text string) (found Findings) {
 	text = strings.TrimPrefix(text, "\ufeff")
-	entries := 0
+	lineCount := 0
 	seen := map[string]int{}
 	for i, line := range strings.Split(text, "\n") {
 		n := i + 1
 		line = strings.TrimSpace(line)
 		switch {
-		case len(line) > maxLine:
-			found.add(f.Name, n, "shorten the value", "line is longer than %d bytes", maxLine)
+		case len(line) > maxLineLength:
+			found.add(f.Name, n, "shorten the value", "line is longer than %d bytes", maxLineLength)
 		case strings.ContainsFunc(line, isControl):
 			found.add(f.Name, n, "remove the control character", "line contains a control character")
 		case line == "" || line[0] == '#' || line[0] == ';':
@@ -99,8 +99,8 @@
 		default:
 			f.scanEntry(line, n, seen, &found)
 		}
-		if entries++; entries > maxEntries {
-			found.add(f.Name, n, "remove what is not a setting", "file has more than %d lines", maxEntries)
+		if lineCount++; lineCount > maxLines {
+			found.add(f.Name, n, "remove what is not a setting", "file has more than %d lines", maxLines)
 			return found
 		}
 	}
--- a/internal/cfgini/load.go
+++ b/internal/cfgini/load.go
@@ -9,8 +9,8 @@
 	"siskintray.example/siskin"
 )
 
-// checker is implemented by settings types with rules across keys.
-type checker interface {
+// ruleChecker is implemented by settings types with rules across keys.
+type ruleChecker interface {
 	check(c *check)
 }
 
@@ -18,7 +18,7 @@
 // Relative file names in the settings are taken from the directory of path.
 func Load(path string, settings any) error {
 	info, err := os.Stat(path)
-	if err == nil && info.Size() > maxFile {
+	if err == nil && info.Size() > maxFileSize {
 		return Findings{{File: path, Message: "file is too large", Remedy: "name a settings file"}}.Err()
 	}
 	data, err := os.ReadFile(path)
@@ -34,13 +34,13 @@
 	if len(found) > 0 {
 		return found
 	}
-	c := &check{file: f, settings: Describe(settings), bad: map[string]bool{}}
-	c.unknown()
+	c := &check{file: f, settings: Describe(settings), invalid: map[string]bool{}}
+	c.checkUnknownNames()
 	v := reflect.ValueOf(settings).Elem()
 	for _, s := range c.settings {
-		c.value(s, v.FieldByIndex(s.index))
+		c.parseSetting(s, v.FieldByIndex(s.index))
 	}
-	if rules, ok := settings.(checker); ok {
+	if rules, ok := settings.(ruleChecker); ok {
 		rules.check(c)
 	}
 	return c.found
@@ -51,10 +51,10 @@
 	file     *File
 	settings []Setting
 	found    Findings
-	bad      map[string]bool // settings with a finding, so that rules skip them
+	invalid  map[string]bool // settings with a finding, so that rules skip them
 }
 
-func (c *check) unknown() {
+func (c *check) checkUnknownNames() {
 	var sections []string
 	keys := map[string][]string{}
 	for _, s := range c.settings {
@@ -83,13 +83,13 @@
 	return "remove it; docs/SETTINGS.md lists what is known"
 }
 
-func (c *check) value(s Setting, v reflect.Value) {
+func (c *check) parseSetting(s Setting, v reflect.Value) {
 	e, present := c.file.Section(s.Section).Entry(s.Key)
 	text := e.Value
 	if !present {
 		if s.Default == "" {
 			if !s.Optional {
-				c.fail(s.Name(), "add "+s.Key+" below ["+s.Section+"]: "+s.Doc, "%s is missing", s.Name())
+				c.addFinding(s.Name(), "add "+s.Key+" below ["+s.Section+"]: "+s.Doc, "%s is missing", s.Name())
 			}
 			return
 		}
@@ -97,20 +97,20 @@
 	}
 	if text == "" {
 		if !s.Optional {
-			c.fail(s.Name(), "give it a value: "+s.Doc, "%s is empty", s.Name())
+			c.addFinding(s.Name(), "give it a value: "+s.Doc, "%s is empty", s.Name())
 		}
 		return
 	}
 	if p := s.parse(text, v); p != nil {
-		c.fail(s.Name(), p.remedy, "%s: %s", s.Name(), p.message)
+		c.addFinding(s.Name(), p.remedy, "%s: %s", s.Name(), p.message)
 		return
 	}
 	if s.Unit == "file" {
-		c.readable(s, v)
+		c.resolveFile(s, v)
 	}
 }
 
-func (c *check) readable(s Setting, v reflect.Value) {
+func (c *check) resolveFile(s Setting, v reflect.Value) {
 	path := v.String()
 	if !filepath.IsAbs(path) {
 		path = filepath.Join(filepath.Dir(c.file.Name), path)
@@ -118,18 +118,18 @@
 	v.SetString(path)
 	file, err := os.Open(path)
 	if err != nil {
-		c.fail(s.Name(), "create the file or correct the path", "%s: file cannot be read: %v", s.Name(), err)
+		c.addFinding(s.Name(), "create the file or correct the path", "%s: file cannot be read: %v", s.Name(), err)
 		return
 	}
 	defer file.Close()
 	if info, err := file.Stat(); err != nil || !info.Mode().IsRegular() {
-		c.fail(s.Name(), "name a regular file", "%s: %s is not a regular file", s.Name(), path)
+		c.addFinding(s.Name(), "name a regular file", "%s: %s is not a regular file", s.Name(), path)
 	}
 }
 
-// fail records a finding at the line of the named setting.
-func (c *check) fail(name, remedy, format string, args ...any) {
-	c.bad[name] = true
+// addFinding records a finding at the line of the named setting.
+func (c *check) addFinding(name, remedy, format string, args ...any) {
+	c.invalid[name] = true
 	line := 0
 	for _, s := range c.settings {
 		if s.Name() != name {
@@ -145,7 +145,7 @@
 	c.found.add(c.file.Name, line, remedy, format, args...)
 }
 
-// ok reports whether none of the named settings has a finding.
-func (c *check) ok(names ...string) bool {
-	return !slices.ContainsFunc(names, func(n string) bool { return c.bad[n] })
+// allValid reports whether none of the named settings has a finding.
+func (c *check) allValid(names ...string) bool {
+	return !slices.ContainsFunc(names, func(n string) bool { return c.invalid[n] })
 }
--- a/internal/cfgini/reload.go
+++ b/internal/cfgini/reload.go
@@ -23,12 +23,12 @@
 // Reload reads the file at path and compares it with the settings in force. It
 // returns the new settings and the names of those that changed. When a setting
 // changed that a running VM cannot take, nothing is reloaded.
-func Reload(path string, inForce *Daemon) (*Daemon, []string, error) {
+func Reload(path string, current *Daemon) (*Daemon, []string, error) {
 	next := new(Daemon)
 	if err := Load(path, next); err != nil {
 		return nil, nil, err
 	}
-	changed := Changed(inForce, next)
+	changed := Changed(current, next)
 	for _, s := range Describe(next) {
 		if !s.Reload && slices.Contains(changed, s.Name()) {
 			return nil, nil, siskin.NewError(siskin.BadInput, "%s cannot change while the VM runs", s.Name()).
--- a/internal/cfgini/standin.go
+++ b/internal/cfgini/standin.go
@@ -18,7 +18,7 @@
 }
 
 func (s *StandinPlatform) check(c *check) {
-	c.distinct(named{"Platform.Address", s.Platform.Address}, named{"Platform.AdminAddress", s.Platform.AdminAddress})
+	c.requireDistinctAddresses(namedAddress{"Platform.Address", s.Platform.Address}, namedAddress{"Platform.AdminAddress", s.Platform.AdminAddress})
 }
 
 // StandinTarget holds the settings of a target's stand-in.
@@ -47,14 +47,14 @@
 
 func (s *StandinTarget) check(c *check) {
 	t := s.Target
-	c.distinct(named{"Target.Address", t.Address}, named{"Target.ReplicationAddress", t.ReplicationAddress}, named{"Target.AdminAddress", t.AdminAddress})
+	c.requireDistinctAddresses(namedAddress{"Target.Address", t.Address}, namedAddress{"Target.ReplicationAddress", t.ReplicationAddress}, namedAddress{"Target.AdminAddress", t.AdminAddress})
 	if len(t.Group) > 0 && t.Primary > len(t.Group) {
-		c.fail("Target.Primary", "use a number from 1 to the length of Target.Group", "Target.Primary is not in Target.Group")
+		c.addFinding("Target.Primary", "use a number from 1 to the length of Target.Group", "Target.Primary is not in Target.Group")
 	}
 	if len(t.Group) > 0 && t.ReplicationAddress != "" && !slices.Contains(t.Group, t.ReplicationAddress) {
-		c.fail("Target.Group", "add the ReplicationAddress at the place of the target's number", "Target.Group lacks the target's own ReplicationAddress")
+		c.addFinding("Target.Group", "add the ReplicationAddress at the place of the target's number", "Target.Group lacks the target's own ReplicationAddress")
 	}
 	if t.User != "" && t.User == t.ReadUser {
-		c.fail("Target.ReadUser", "use an account without write privileges", "Target.ReadUser is the same account as Target.User")
+		c.addFinding("Target.ReadUser", "use an account without write privileges", "Target.ReadUser is the same account as Target.User")
 	}
 }
--- a/internal/cfgini/system.go
+++ b/internal/cfgini/system.go
@@ -84,12 +84,12 @@
 	Grace time.Duration `default:"6s" min:"1s" max:"10m" doc:"Time from the signal to stop until the process is killed."`
 }
 
-// minEvacuation leaves half a second for the last statements of an evacuated data
+// minEvacuateWithin leaves half a second for the last statements of an evacuated data
 // centre after the reserve.
-const minEvacuation = time.Second
+const minEvacuateWithin = time.Second
 
 func (s *System) check(c *check) {
-	if d := s.Operator.EvacuateWithin; d > 0 && d < minEvacuation && c.ok("Operator.EvacuateWithin") {
-		c.fail("Operator.EvacuateWithin", "set it to 0s or to 1s or more", "Operator.EvacuateWithin is %v, which leaves no time for running statements", d)
+	if d := s.Operator.EvacuateWithin; d > 0 && d < minEvacuateWithin && c.allValid("Operator.EvacuateWithin") {
+		c.addFinding("Operator.EvacuateWithin", "set it to 0s or to 1s or more", "Operator.EvacuateWithin is %v, which leaves no time for running statements", d)
 	}
 }
--- a/internal/cfgini/value.go
+++ b/internal/cfgini/value.go
@@ -52,7 +52,7 @@
 	low, _ := time.ParseDuration(s.Min) // an empty bound is zero
 	high, err := time.ParseDuration(s.Max)
 	if d < low || err == nil && d > high {
-		return s.outside(text)
+		return s.outOfBounds(text)
 	}
 	return nil
 }
@@ -66,7 +66,7 @@
 	low, _ := ParseBytes(s.Min)
 	high, bounded := ParseBytes(s.Max)
 	if n < low || bounded && n > high {
-		return s.outside(text)
+		return s.outOfBounds(text)
 	}
 	return nil
 }
@@ -106,12 +106,12 @@
 	low, _ := strconv.ParseFloat(s.Min, 64)
 	high, err := strconv.ParseFloat(s.Max, 64)
 	if n < low || err == nil && n > high {
-		return s.outside(text)
+		return s.outOfBounds(text)
 	}
 	return nil
 }
 
-func (s Setting) outside(text string) *problem {
+func (s Setting) outOfBounds(text string) *problem {
 	low := s.Min
 	if low == "" {
 		low = "0"
--- a/pkg/config/diff.go
+++ b/pkg/config/diff.go
@@ -102,7 +102,7 @@
 	for _, path := range union(keysOf(old), keysOf(next)) {
 		o, inOld := old[path]
 		n, inNext := next[path]
-		f := FieldDifference{Field: path, Action: Changed, Old: o.shown, New: n.shown}
+		f := FieldDifference{Field: path, Action: Changed, Old: o.display, New: n.display}
 		switch {
 		case o.value == n.value, isEmpty(o.value) && isEmpty(n.value):
 			continue
@@ -119,7 +119,7 @@
 }
 
 // field is the text of one field for comparison and for showing.
-type field struct{ value, shown string }
+type field struct{ value, display string }
 
 // isEmpty reports whether a field need not be shown when its document or
 // element is new or gone.
@@ -138,11 +138,11 @@
 		return fields
 	}
 	delete(tree, "Revision")
-	walk(fields, "", tree)
+	flattenNode(fields, "", tree)
 	return fields
 }
 
-func walk(fields map[string]field, path string, node any) {
+func flattenNode(fields map[string]field, path string, node any) {
 	switch n := node.(type) {
 	case map[string]any:
 		for key, value := range n {
@@ -150,17 +150,17 @@
 			if path != "" {
 				sub = path + "." + key
 			}
-			walk(fields, sub, value)
+			flattenNode(fields, sub, value)
 		}
 	case []any:
 		for i, value := range n {
-			walk(fields, fmt.Sprintf("%s[%s]", path, elementName(value, i)), value)
+			flattenNode(fields, fmt.Sprintf("%s[%s]", path, elementName(value, i)), value)
 		}
 	case nil:
 	default:
-		f := field{value: fmt.Sprint(n), shown: fmt.Sprint(n)}
+		f := field{value: fmt.Sprint(n), display: fmt.Sprint(n)}
 		if strings.HasSuffix(path, "Password") || strings.HasSuffix(path, "Digest") {
-			f.shown = "(hidden)"
+			f.display = "(hidden)"
 		}
 		fields[path] = f
 	}
--- a/pkg/config/encode.go
+++ b/pkg/config/encode.go
@@ -44,8 +44,8 @@
 	return data, nil
 }
 
-// maxExport bounds an export of all documents, which is 46 MB at 23,000 services.
-const maxExport siskin.Bytes = 128 << 20
+// maxExportSize bounds an export of all documents, which is 46 MB at 23,000 services.
+const maxExportSize siskin.Bytes = 128 << 20
 
 // DecodeChange reads a change. Unknown fields, text after the change and a
 // service without KeyGrace are refused.
@@ -54,7 +54,7 @@
 // DecodeExport reads an export of all documents, which has the form of a change
 // but may be larger, and returns it as a view.
 func DecodeExport(data []byte) (*Snapshot, error) {
-	c, err := decodeChange(data, maxExport)
+	c, err := decodeChange(data, maxExportSize)
 	if err != nil {
 		return nil, err
 	}
@@ -70,14 +70,14 @@
 		Services []*struct{ KeyGrace *Duration }
 	}
 	if err := json.Unmarshal(data, &grace); err != nil {
-		return nil, malformed(err)
+		return nil, malformedJSON(err)
 	}
 	for i, s := range c.Services {
 		if s == nil || grace.Services[i] == nil {
 			return nil, siskin.NewError(siskin.BadInput, "service %d of the change is null", i+1).WithRemedy("remove it")
 		}
 		if grace.Services[i].KeyGrace == nil {
-			return nil, missingGrace(s.Name)
+			return nil, missingKeyGrace(s.Name)
 		}
 	}
 	for i, d := range c.Customers {
@@ -96,10 +96,10 @@
 	}
 	var grace struct{ KeyGrace *Duration }
 	if err := json.Unmarshal(data, &grace); err != nil {
-		return nil, malformed(err)
+		return nil, malformedJSON(err)
 	}
 	if grace.KeyGrace == nil {
-		return nil, missingGrace(s.Name)
+		return nil, missingKeyGrace(s.Name)
 	}
 	return s, nil
 }
@@ -113,8 +113,8 @@
 	return c, nil
 }
 
-func missingGrace(name siskin.ServiceName) error {
-	return siskin.NewError(siskin.BadInput, "service %s has no KeyGrace", text(name)).
+func missingKeyGrace(name siskin.ServiceName) error {
+	return siskin.NewError(siskin.BadInput, "service %s has no KeyGrace", quote(name)).
 		WithRemedy("decide how long keys go on working in a data centre that is cut off, such as \"30s\"; there is no default")
 }
 
@@ -125,7 +125,7 @@
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
-		return malformed(err)
+		return malformedJSON(err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return siskin.NewError(siskin.BadInput, "JSON text goes on after its end").WithRemedy("write one document")
@@ -133,7 +133,7 @@
 	return nil
 }
 
-func malformed(err error) error {
+func malformedJSON(err error) error {
 	return siskin.NewError(siskin.BadInput, "JSON text is not a document").WithCause(err).
 		WithRemedy("write names in Pascal case as docs/design.md section 9 and pkg/config give them")
 }
--- a/pkg/config/finding.go
+++ b/pkg/config/finding.go
@@ -81,8 +81,8 @@
 	r.found = append(r.found, Finding{Place: place, Message: fmt.Sprintf(format, args...), Remedy: remedy})
 }
 
-// text shortens hostile text for a message.
-func text[S ~string](s S) string {
+// quote shortens hostile text for a message.
+func quote[S ~string](s S) string {
 	if len(s) > 60 {
 		return fmt.Sprintf("%q", strings.ToValidUTF8(string(s[:60]), "")+"...")
 	}
--- a/pkg/config/generate.go
+++ b/pkg/config/generate.go
@@ -26,7 +26,7 @@
 			r.document = "Customer/" + string(c.ID)
 			old, ok := merged[c.ID]
 			if !ok {
-				old = startCustomer(view, c)
+				old = initialCustomer(view, c)
 				merged[c.ID] = old
 				change.Customers = append(change.Customers, old)
 			}
@@ -55,9 +55,9 @@
 	return &s
 }
 
-// startCustomer returns a copy of the customer in force, or a new one with the
+// initialCustomer returns a copy of the customer in force, or a new one with the
 // answered rate, burst and weight.
-func startCustomer(view View, answered *Customer) *Customer {
+func initialCustomer(view View, answered *Customer) *Customer {
 	c := &Customer{ID: answered.ID, Rate: answered.Rate, Burst: answered.Burst, Weight: answered.Weight}
 	if old, ok := view.Customer(answered.ID); ok {
 		*c = *old
@@ -88,7 +88,7 @@
 		if i < 0 {
 			c.Keys = append(c.Keys, k)
 		} else if c.Keys[i].Digest != k.Digest {
-			r.add("Keys", "choose another id for the new key", "key %s contradicts the digest that is already set", text(k.ID))
+			r.add("Keys", "choose another id for the new key", "key %s contradicts the digest that is already set", quote(k.ID))
 		}
 	}
 }
--- a/pkg/config/users.go
+++ b/pkg/config/users.go
@@ -1,30 +1,30 @@
 package config
 
-// user is the place in a change that uses a value.
-type user struct{ document, field, what string }
+// valueUse is the place in a change that uses a value.
+type valueUse struct{ document, field, description string }
 
-// users maps values that must be unique to the place in the change that uses
+// valueUses maps values that must be unique to the place in the change that uses
 // them. It holds the values of the change only, so that the scan over all other
 // documents allocates nothing.
-type users[K comparable] map[K]user
+type valueUses[K comparable] map[K]valueUse
 
 // add records a value of the change.
-func (u users[K]) add(r *report, key K, field, what string) {
+func (u valueUses[K]) add(r *report, key K, field, description string) {
 	if other, ok := u[key]; ok {
-		r.taken(field, what, other.document)
+		r.addDuplicate(field, description, other.document)
 		return
 	}
-	u[key] = user{r.document, field, what}
+	u[key] = valueUse{r.document, field, description}
 }
 
-// find reports a value of another document that the change uses.
-func (u users[K]) find(r *report, key K, kind, name string) {
-	if mine, ok := u[key]; ok {
-		r.document = mine.document
-		r.taken(mine.field, mine.what, kind+name)
+// check reports a value of another document that the change uses.
+func (u valueUses[K]) check(r *report, key K, kind, name string) {
+	if use, ok := u[key]; ok {
+		r.document = use.document
+		r.addDuplicate(use.field, use.description, kind+name)
 	}
 }
 
-func (r *report) taken(field, what, other string) {
-	r.add(field, "use another one here or remove it there", "%s is already used by %s", what, other)
+func (r *report) addDuplicate(field, description, other string) {
+	r.add(field, "use another one here or remove it there", "%s is already used by %s", description, other)
 }
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -36,9 +36,9 @@
 		r.document = "Customer/" + string(c.ID)
 		checkCustomer(r, c)
 		checkCustomerReferences(r, next, c)
-		checkWithdrawn(r, view, c)
+		checkWithdrawnKeys(r, view, c)
 	}
-	checkDeleted(r, next, change)
+	checkDeletedReferences(r, next, change)
 	checkUniqueTargets(r, next, change)
 	checkUniqueKeys(r, next, change)
 	return r.found
@@ -57,41 +57,41 @@
 	}
 	services := map[siskin.ServiceName]bool{}
 	for _, s := range change.Services {
-		checkTouched(r, services, s.Name, "Services")
+		checkDocumentName(r, services, s.Name, "Services")
 		if old, ok := view.Service(s.Name); ok {
 			checkBase(r, change.Base, old.Revision, "Service/"+string(s.Name))
 		}
 	}
 	for _, name := range change.DeleteServices {
-		checkTouched(r, services, name, "DeleteServices")
+		checkDocumentName(r, services, name, "DeleteServices")
 		old, ok := view.Service(name)
 		if !ok {
-			r.add("DeleteServices", "remove the name", "service %s does not exist", text(name))
+			r.add("DeleteServices", "remove the name", "service %s does not exist", quote(name))
 			continue
 		}
 		checkBase(r, change.Base, old.Revision, "Service/"+string(name))
 	}
 	customers := map[siskin.CustomerID]bool{}
 	for _, c := range change.Customers {
-		checkTouched(r, customers, c.ID, "Customers")
+		checkDocumentName(r, customers, c.ID, "Customers")
 		if old, ok := view.Customer(c.ID); ok {
 			checkBase(r, change.Base, old.Revision, "Customer/"+string(c.ID))
 		}
 	}
 	for _, id := range change.DeleteCustomers {
-		checkTouched(r, customers, id, "DeleteCustomers")
+		checkDocumentName(r, customers, id, "DeleteCustomers")
 		old, ok := view.Customer(id)
 		if !ok {
-			r.add("DeleteCustomers", "remove the name", "customer %s does not exist", text(id))
+			r.add("DeleteCustomers", "remove the name", "customer %s does not exist", quote(id))
 			continue
 		}
 		checkBase(r, change.Base, old.Revision, "Customer/"+string(id))
 	}
 }
 
-func checkTouched[K ~string](r *report, seen map[K]bool, name K, field string) {
+func checkDocumentName[K ~string](r *report, seen map[K]bool, name K, field string) {
 	if seen[name] {
-		r.add(field, "name each document once", "document %s appears twice in the change", text(name))
+		r.add(field, "name each document once", "document %s appears twice in the change", quote(name))
 	}
 	seen[name] = true
 	checkName(r, field, name)
@@ -107,7 +107,7 @@
 // checkName accepts names that fit database names, paths and metrics.
 func checkName[S ~string](r *report, field string, name S) {
 	if !ValidName(string(name)) {
-		r.add(field, "use 1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit", "%s is not a name", text(name))
+		r.add(field, "use 1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit", "%s is not a name", quote(name))
 	}
 }
 
--- a/pkg/config/validate_cross.go
+++ b/pkg/config/validate_cross.go
@@ -13,7 +13,7 @@
 			continue
 		}
 		if _, ok := next.Customer(route.OpenCustomer); !ok {
-			r.add(fmt.Sprintf("Routes/%d/OpenCustomer", i), "add the customer to the change", "customer %s does not exist", text(route.OpenCustomer))
+			r.add(fmt.Sprintf("Routes/%d/OpenCustomer", i), "add the customer to the change", "customer %s does not exist", quote(route.OpenCustomer))
 		}
 	}
 }
@@ -23,26 +23,26 @@
 	for i, name := range c.Services {
 		field := fmt.Sprintf("Services/%d", i)
 		if seen[name] {
-			r.add(field, "name each service once", "service %s appears twice", text(name))
+			r.add(field, "name each service once", "service %s appears twice", quote(name))
 		}
 		seen[name] = true
 		if _, ok := next.Service(name); !ok {
-			r.add(field, "add the service to the change or remove the name", "service %s does not exist", text(name))
+			r.add(field, "add the service to the change or remove the name", "service %s does not exist", quote(name))
 		}
 	}
 }
 
-// checkDeleted finds documents that still refer to a deleted one.
-func checkDeleted(r *report, next View, change *Change) {
-	deletedServices := set(change.DeleteServices)
-	deletedCustomers := set(change.DeleteCustomers)
+// checkDeletedReferences finds documents that still refer to a deleted one.
+func checkDeletedReferences(r *report, next View, change *Change) {
+	deletedServices := toSet(change.DeleteServices)
+	deletedCustomers := toSet(change.DeleteCustomers)
 	if len(deletedServices) > 0 {
 		for _, id := range next.Customers() {
 			c, _ := next.Customer(id)
 			for _, name := range c.Services {
 				if deletedServices[name] {
 					r.document = "Customer/" + string(id)
-					r.add("Services", "remove the service from the customer in the same change", "deleted service %s is still named", text(name))
+					r.add("Services", "remove the service from the customer in the same change", "deleted service %s is still named", quote(name))
 				}
 			}
 		}
@@ -55,13 +55,13 @@
 		for i, route := range s.Routes {
 			if deletedCustomers[route.OpenCustomer] {
 				r.document = "Service/" + string(name)
-				r.add(fmt.Sprintf("Routes/%d/OpenCustomer", i), "name another customer in the same change", "deleted customer %s is still named", text(route.OpenCustomer))
+				r.add(fmt.Sprintf("Routes/%d/OpenCustomer", i), "name another customer in the same change", "deleted customer %s is still named", quote(route.OpenCustomer))
 			}
 		}
 	}
 }
 
-func set[K comparable](list []K) map[K]bool {
+func toSet[K comparable](list []K) map[K]bool {
 	m := make(map[K]bool, len(list))
 	for _, k := range list {
 		m[k] = true
@@ -75,14 +75,14 @@
 	if len(change.Services) == 0 {
 		return
 	}
-	ids := users[siskin.TargetID]{}
-	addresses := users[netip.AddrPort]{}
+	ids := valueUses[siskin.TargetID]{}
+	addresses := valueUses[netip.AddrPort]{}
 	changed := make(map[siskin.ServiceName]bool, len(change.Services))
 	for _, s := range change.Services {
 		changed[s.Name] = true
 		r.document = "Service/" + string(s.Name)
 		for i, t := range s.Targets {
-			ids.add(r, t.ID, fmt.Sprintf("Targets/%d/ID", i), "target id "+text(t.ID))
+			ids.add(r, t.ID, fmt.Sprintf("Targets/%d/ID", i), "target id "+quote(t.ID))
 			if a, ok := parseAddress(t.Address); ok {
 				addresses.add(r, a, fmt.Sprintf("Targets/%d/Address", i), "address "+a.String())
 			}
@@ -95,9 +95,9 @@
 		s, _ := next.Service(name)
 		for i := range s.Targets {
 			t := &s.Targets[i]
-			ids.find(r, t.ID, "Service/", string(name))
+			ids.check(r, t.ID, "Service/", string(name))
 			if a, ok := parseAddress(t.Address); ok {
-				addresses.find(r, a, "Service/", string(name))
+				addresses.check(r, a, "Service/", string(name))
 			}
 		}
 	}
@@ -109,14 +109,14 @@
 	if len(change.Customers) == 0 {
 		return
 	}
-	digests := users[string]{}
+	digests := valueUses[string]{}
 	changed := make(map[siskin.CustomerID]bool, len(change.Customers))
 	for _, c := range change.Customers {
 		changed[c.ID] = true
 		r.document = "Customer/" + string(c.ID)
 		for i, k := range c.Keys {
 			if ValidDigest(k.Digest) {
-				digests.add(r, k.Digest, fmt.Sprintf("Keys/%d/Digest", i), "key "+text(k.ID))
+				digests.add(r, k.Digest, fmt.Sprintf("Keys/%d/Digest", i), "key "+quote(k.ID))
 			}
 		}
 	}
@@ -126,7 +126,7 @@
 		}
 		c, _ := next.Customer(id)
 		for i := range c.Keys {
-			digests.find(r, c.Keys[i].Digest, "Customer/", string(id))
+			digests.check(r, c.Keys[i].Digest, "Customer/", string(id))
 		}
 	}
 }
--- a/pkg/config/validate_customer.go
+++ b/pkg/config/validate_customer.go
@@ -30,7 +30,7 @@
 		field := fmt.Sprintf("Keys/%d/", i)
 		checkName(r, field+"ID", k.ID)
 		if seen[k.ID] {
-			r.add(field+"ID", "give each key of the customer its own id", "key %s appears twice", text(k.ID))
+			r.add(field+"ID", "give each key of the customer its own id", "key %s appears twice", quote(k.ID))
 		}
 		seen[k.ID] = true
 		if !ValidDigest(k.Digest) {
@@ -45,9 +45,9 @@
 	return err == nil && len(b) == 32 && s == strings.ToLower(s)
 }
 
-// checkWithdrawn keeps withdrawn keys in the document, since a withdrawn key is
+// checkWithdrawnKeys keeps withdrawn keys in the document, since a withdrawn key is
 // never granted again.
-func checkWithdrawn(r *report, view View, c *Customer) {
+func checkWithdrawnKeys(r *report, view View, c *Customer) {
 	old, ok := view.Customer(c.ID)
 	if !ok {
 		return
@@ -61,7 +61,7 @@
 			continue
 		}
 		if n, ok := next[k.ID]; !ok || !n.Withdrawn || n.Digest != k.Digest {
-			r.add("Keys", "keep the withdrawn key as it was and grant a new key under another id", "key %s is withdrawn and cannot be changed, removed or granted again", text(k.ID))
+			r.add("Keys", "keep the withdrawn key as it was and grant a new key under another id", "key %s is withdrawn and cannot be changed, removed or granted again", quote(k.ID))
 		}
 	}
 }
--- a/pkg/config/validate_service.go
+++ b/pkg/config/validate_service.go
@@ -13,10 +13,10 @@
 // Bounds of a service. They are well above today's sizes (section 1.6 of the
 // design) and keep one document from taking a large part of the fleet.
 const (
-	maxTargets     = 15
-	maxRoutes      = 64
-	maxSlots       = 256
-	maxConnections = 10000
+	maxTargets            = 15
+	maxRoutes             = 64
+	maxSlots              = 256
+	maxConnectionsPerSlot = 10000
 )
 
 func checkService(r *report, s *Service) {
@@ -39,16 +39,16 @@
 	for i, t := range s.Targets {
 		field := fmt.Sprintf("Targets/%d/", i)
 		if group, name, ok := strings.Cut(string(t.ID), "/"); !ok || !ValidName(group) || !ValidName(name) {
-			r.add(field+"ID", "write the group and the target with a slash, such as ledger-a/1", "%s is not the id of a target", text(t.ID))
+			r.add(field+"ID", "write the group and the target with a slash, such as ledger-a/1", "%s is not the id of a target", quote(t.ID))
 		}
 		checkName(r, field+"DataCentre", t.DataCentre)
 		if _, ok := parseAddress(t.Address); !ok {
-			r.add(field+"Address", "write an IP number and a port, such as 10.1.0.5:5432; names are not looked up", "%s is not an address", text(t.Address))
+			r.add(field+"Address", "write an IP number and a port, such as 10.1.0.5:5432; names are not looked up", "%s is not an address", quote(t.Address))
 		}
 	}
 	checkAckReplicas(r, s)
 	checkCount(r, "Slots", s.Slots, 1, maxSlots)
-	checkCount(r, "ConnectionsPerSlot", s.ConnectionsPerSlot, 1, maxConnections)
+	checkCount(r, "ConnectionsPerSlot", s.ConnectionsPerSlot, 1, maxConnectionsPerSlot)
 	checkDuration(r, "OpenTime", s.OpenTime, 0, MaxDeadline)
 	checkDuration(r, "MaxUnconfirmed", s.MaxUnconfirmed, time.Millisecond, MaxDeadline)
 }
@@ -73,7 +73,7 @@
 		field := fmt.Sprintf("Routes/%d/", i)
 		checkName(r, field+"Name", route.Name)
 		if seen[route.Name] {
-			r.add(field+"Name", "give each route its own name", "route %s appears twice", text(route.Name))
+			r.add(field+"Name", "give each route its own name", "route %s appears twice", quote(route.Name))
 		}
 		seen[route.Name] = true
 		checkRoute(r, field, route)
@@ -92,7 +92,7 @@
 			r.add(field+"Repeatable", "remove it; only read routes are repeated", "a write route is not repeated")
 		}
 	default:
-		r.add(field+"Mode", "use Read or Write", "%s is not a mode", text(route.Mode))
+		r.add(field+"Mode", "use Read or Write", "%s is not a mode", quote(route.Mode))
 	}
 	if route.Deadline.Std() < time.Millisecond || route.Deadline.Std() > MaxDeadline {
 		r.add(field+"Deadline", "use a duration from 1ms to 60s, so that no request waits longer", "%s is out of bounds", route.Deadline)
--- a/pkg/config/validate_test.go
+++ b/pkg/config/validate_test.go
@@ -26,10 +26,10 @@
 				t.Fatal(err)
 			}
 			got := map[string]string{}
-			got["findings"], got["diff"] = run(t, file(a, "inforce.json"), file(a, "change.json"))
+			got["findings"], got["diff"] = validateFiles(t, archiveFile(a, "inforce.json"), archiveFile(a, "change.json"))
 			changed := false
 			for name, text := range got {
-				f := file(a, name)
+				f := archiveFile(a, name)
 				if string(f.Data) == text {
 					continue
 				}
@@ -48,7 +48,7 @@
 	}
 }
 
-func run(t *testing.T, inForce, changed *txtar.File) (findings, diff string) {
+func validateFiles(t *testing.T, inForce, changed *txtar.File) (findings, diff string) {
 	t.Helper()
 	base, err := DecodeChange(inForce.Data)
 	if err != nil {
@@ -69,7 +69,7 @@
 	return "", Diff(view, NewOverlay(view, change)).Text()
 }
 
-func file(a *txtar.Archive, name string) *txtar.File {
+func archiveFile(a *txtar.Archive, name string) *txtar.File {
 	for i := range a.Files {
 		if a.Files[i].Name == name {
 			return &a.Files[i]
