--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -57,7 +57,7 @@
 		rec := r.Record()
 		for i, w := range Windows {
 			width := fineWidth
-			if w > fineLimit {
+			if w > maxFineWindow {
 				width = coarseWidth
 			}
 			from := newest.Truncate(width).Add(width - w)
--- a/pkg/burn/coverage.go
+++ b/pkg/burn/coverage.go
@@ -15,7 +15,7 @@
 }
 
 func newCoverage() *coverage {
-	return &coverage{ring: newRing[bool](fineWidth, int(longest/fineWidth))}
+	return &coverage{ring: newRing[bool](fineWidth, int(longestWindow/fineWidth))}
 }
 
 // mark records that the VM runs now.
--- a/pkg/burn/html.go
+++ b/pkg/burn/html.go
@@ -11,7 +11,7 @@
 var pageText string
 
 var page = template.Must(template.New("page").Funcs(template.FuncMap{
-	"percent": percent, "window": name, "round": round,
+	"percent": percent, "window": windowName, "round": round,
 	"time": func(t time.Time) string { return t.Format("2006-01-02 15:04:05 MST") },
 }).Parse(pageText))
 
@@ -30,21 +30,21 @@
 			to = vm.Until
 		}
 	}
-	drawn := make(map[int]plots)
+	plotsBySeries := make(map[int]plots)
 	for i := range r.Series {
 		s := &r.Series[i]
-		if s.Dimension != ServiceDimension || len(drawn) == maxPlots {
+		if s.Dimension != ServiceDimension || len(plotsBySeries) == maxPlots {
 			continue
 		}
-		hour, err := shareSVG(s.Hour, r.VMs, to.Add(-fineLimit), to, time.Minute, "15:04")
+		hour, err := shareSVG(s.Hour, r.VMs, to.Add(-maxFineWindow), to, time.Minute, "15:04")
 		if err != nil {
 			return err
 		}
-		days, err := shareSVG(s.Days, r.VMs, to.Add(-longest), to, time.Hour, "02 Jan 15h")
+		days, err := shareSVG(s.Days, r.VMs, to.Add(-longestWindow), to, time.Hour, "02 Jan 15h")
 		if err != nil {
 			return err
 		}
-		drawn[i] = plots{hour, days}
+		plotsBySeries[i] = plots{hour, days}
 	}
 	alerts := 0
 	for i := range r.Series {
@@ -55,5 +55,5 @@
 		Until  time.Time
 		Alerts int
 		Plots  map[int]plots
-	}{r, to, alerts, drawn})
+	}{r, to, alerts, plotsBySeries})
 }
--- a/pkg/burn/objective.go
+++ b/pkg/burn/objective.go
@@ -50,17 +50,17 @@
 	},
 }
 
-// rule is one pair of windows. Both must burn at the rate: the long window shows
+// alertRule is one pair of windows. Both must burn at the rate: the long window shows
 // that the loss is significant, the short one that it still goes on.
-type rule struct {
+type alertRule struct {
 	severity    Severity
 	short, long int // indexes in Windows
 	rate        float64
 }
 
-// rules use the customary rates: 14.4 spends 2% of a 30-day budget in an hour, 6
+// alertRules use the customary rates: 14.4 spends 2% of a 30-day budget in an hour, 6
 // spends 5% in six hours, 1 spends 10% in three days.
-var rules = []rule{
+var alertRules = []alertRule{
 	{Fast, 0, 2, 14.4},
 	{Medium, 1, 3, 6},
 	{Slow, 3, 4, 1},
--- a/pkg/burn/record.go
+++ b/pkg/burn/record.go
@@ -76,8 +76,8 @@
 	}
 	seen := map[run]bool{}
 	series := map[seriesKey]*SeriesRecord{}
-	stated := map[seriesKey]time.Time{} // times of the records with the objectives
-	var all Record
+	objectivesAt := map[seriesKey]time.Time{} // times of the records with the objectives
+	var merged Record
 	for _, rec := range records {
 		for _, vm := range rec.VMs {
 			if k := (run{vm.VM, vm.Incarnation}); seen[k] {
@@ -89,7 +89,7 @@
 			if len(vm.Covered) != len(Windows) {
 				return Record{}, malformed(string(vm.VM))
 			}
-			all.VMs = append(all.VMs, vm)
+			merged.VMs = append(merged.VMs, vm)
 		}
 		for i := range rec.Series {
 			s := &rec.Series[i]
@@ -100,17 +100,17 @@
 			if series[k] == nil {
 				series[k] = &SeriesRecord{Dimension: s.Dimension, Name: s.Name, Windows: make([]Counts, len(Windows))}
 			}
-			if at := rec.until(); s.Objectives != nil && !at.Before(stated[k]) {
-				series[k].Objectives, stated[k] = s.Objectives, at
+			if at := rec.until(); s.Objectives != nil && !at.Before(objectivesAt[k]) {
+				series[k].Objectives, objectivesAt[k] = s.Objectives, at
 			}
 			series[k].add(s)
 		}
 	}
 	for _, s := range series {
-		all.Series = append(all.Series, *s)
+		merged.Series = append(merged.Series, *s)
 	}
-	all.sort()
-	return all, nil
+	merged.sort()
+	return merged, nil
 }
 
 // until returns the time of the record.
--- a/pkg/burn/recorder.go
+++ b/pkg/burn/recorder.go
@@ -69,28 +69,28 @@
 	now := r.clock.Now()
 	r.coverage.mark(now)
 	slow := res.Latency > r.objectives(service).LatencyThreshold
-	r.get(ServiceDimension, string(service)).record(now, &res, slow)
+	r.seriesOf(ServiceDimension, string(service)).record(now, &res, slow)
 	if customer != "" {
-		r.get(CustomerDimension, string(customer)).record(now, &res, slow)
+		r.seriesOf(CustomerDimension, string(customer)).record(now, &res, slow)
 	}
 }
 
 // WriteGap records the gap of one failover that ended now.
 func (r *Recorder) WriteGap(service siskin.ServiceName, gap time.Duration) {
-	r.get(ServiceDimension, string(service)).addGap(Gap{VM: r.vm.ID, At: r.clock.Now().UTC(), Duration: gap})
+	r.seriesOf(ServiceDimension, string(service)).addGap(Gap{VM: r.vm.ID, At: r.clock.Now().UTC(), Duration: gap})
 }
 
 // ExtendGap records that the last write gap of a service was longer, which shows
 // when a write ends that had waited in it.
 func (r *Recorder) ExtendGap(service siskin.ServiceName, gap time.Duration) {
-	r.get(ServiceDimension, string(service)).extendGap(gap)
+	r.seriesOf(ServiceDimension, string(service)).extendGap(gap)
 }
 
 // Tick records that the VM runs. Call it about once a second; a stretch of 20 s
 // without a call or a transaction shows as time in which the VM did not run.
 func (r *Recorder) Tick() { r.coverage.mark(r.clock.Now()) }
 
-func (r *Recorder) get(d Dimension, name string) *series {
+func (r *Recorder) seriesOf(d Dimension, name string) *series {
 	key := seriesKey{d, name}
 	if s, ok := r.series.Get(key); ok {
 		return s
@@ -119,7 +119,7 @@
 	for _, w := range Windows {
 		covered, down := r.coverage.covered(now, w, r.since)
 		vm.Covered = append(vm.Covered, covered)
-		if w == longest {
+		if w == longestWindow {
 			vm.Down = down
 		}
 	}
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -8,10 +8,10 @@
 	"siskintray.example/siskin"
 )
 
-// enoughCoverage is the coverage from which a window counts as complete. With
+// minCoverage is the coverage from which a window counts as complete. With
 // fewer than ten VMs the restart of one makes a window incomplete, with more it
 // does not: the others then saw most of the traffic.
-const enoughCoverage = 0.9
+const minCoverage = 0.9
 
 // Severity says how soon an alert needs a person.
 type Severity string
@@ -87,8 +87,8 @@
 	for i, w := range Windows {
 		coverage := coverageOf(rec.VMs, i)
 		rep.Windows = append(rep.Windows, WindowReport{w, coverage})
-		if coverage < enoughCoverage {
-			incomplete = append(incomplete, percent(coverage)+" of "+name(i))
+		if coverage < minCoverage {
+			incomplete = append(incomplete, percent(coverage)+" of "+windowName(i))
 		}
 	}
 	if len(incomplete) > 0 {
@@ -158,23 +158,23 @@
 
 // alerts returns the alert of the most urgent rule that the objective breaks.
 func (r *Report) alerts(o *ObjectiveReport) []Alert {
-	for _, rule := range rules {
+	for _, rule := range alertRules {
 		short, long := o.Burns[rule.short], o.Burns[rule.long]
 		if short.Rate == nil || long.Rate == nil || *short.Rate < rule.rate || *long.Rate < rule.rate {
 			continue
 		}
 		reason := fmt.Sprintf("%s: burn rate %.1f over %s (%d of %d bad) and %.1f over %s (%d of %d bad); both are at least %.1f",
-			o.Name, *short.Rate, name(rule.short), short.Bad, short.Total, *long.Rate, name(rule.long), long.Bad, long.Total, rule.rate)
-		if c := r.Windows[rule.long].Coverage; c < enoughCoverage {
-			reason += fmt.Sprintf("; only %s of %s is covered", percent(c), name(rule.long))
+			o.Name, *short.Rate, windowName(rule.short), short.Bad, short.Total, *long.Rate, windowName(rule.long), long.Bad, long.Total, rule.rate)
+		if c := r.Windows[rule.long].Coverage; c < minCoverage {
+			reason += fmt.Sprintf("; only %s of %s is covered", percent(c), windowName(rule.long))
 		}
 		return []Alert{{rule.severity, reason}}
 	}
 	return nil
 }
 
-// name returns the short name of a window, such as "5m" or "3d".
-func name(window int) string {
+// windowName returns the short windowName of a window, such as "5m" or "3d".
+func windowName(window int) string {
 	switch d := Windows[window]; {
 	case d%(24*time.Hour) == 0:
 		return fmt.Sprintf("%dd", d/(24*time.Hour))
--- a/pkg/burn/script_test.go
+++ b/pkg/burn/script_test.go
@@ -44,13 +44,13 @@
 		fmt.Sscan(f[2], &inc)
 		s.runs[f[1]] = New(s.clock, siskin.VM{ID: siskin.VMID(f[1]), Incarnation: inc, DataCentre: "turku-1"})
 	case "step": // step duration: time between the transactions of a load
-		s.step = parse(t, f[1])
+		s.step = parseDuration(t, f[1])
 	case "pause": // pause duration: no VM runs
-		s.clock.Advance(parse(t, f[1]))
+		s.clock.Advance(parseDuration(t, f[1]))
 	case "gap": // gap vm service duration
-		s.runs[f[1]].WriteGap(siskin.ServiceName(f[2]), parse(t, f[3]))
+		s.runs[f[1]].WriteGap(siskin.ServiceName(f[2]), parseDuration(t, f[3]))
 	case "load": // load vm service customer duration count outcome [count outcome]..., counts for each step
-		for d := time.Duration(0); d < parse(t, f[4]); d += 10 * time.Second {
+		for d := time.Duration(0); d < parseDuration(t, f[4]); d += 10 * time.Second {
 			for _, r := range s.runs {
 				r.Tick()
 			}
@@ -62,7 +62,7 @@
 				n := 0
 				fmt.Sscan(f[i], &n)
 				for range n {
-					s.runs[f[1]].Transaction(siskin.ServiceName(f[2]), siskin.CustomerID(f[3]), outcome(t, f[i+1]))
+					s.runs[f[1]].Transaction(siskin.ServiceName(f[2]), siskin.CustomerID(f[3]), resultNamed(t, f[i+1]))
 				}
 			}
 			s.clock.Advance(10 * time.Second)
@@ -72,7 +72,7 @@
 	}
 }
 
-func parse(t *testing.T, s string) time.Duration {
+func parseDuration(t *testing.T, s string) time.Duration {
 	d, err := time.ParseDuration(s)
 	if err != nil {
 		t.Fatal(err)
@@ -80,7 +80,7 @@
 	return d
 }
 
-func outcome(t *testing.T, s string) Result {
+func resultNamed(t *testing.T, s string) Result {
 	switch s {
 	case "write":
 		return Result{Latency: time.Millisecond}
--- a/pkg/burn/series.go
+++ b/pkg/burn/series.go
@@ -8,14 +8,14 @@
 // Windows and buckets. Windows up to an hour use fine buckets, longer ones
 // coarse buckets, so that one series takes about 115 KB for 3 days.
 const (
-	fineWidth   = 10 * time.Second
-	coarseWidth = 5 * time.Minute
-	fineLimit   = time.Hour
-	longest     = 72 * time.Hour
+	fineWidth     = 10 * time.Second
+	coarseWidth   = 5 * time.Minute
+	maxFineWindow = time.Hour
+	longestWindow = 72 * time.Hour
 )
 
 // Windows are the windows of a record, in order.
-var Windows = []time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour, longest}
+var Windows = []time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour, longestWindow}
 
 // maxGaps bounds the failovers kept for one service.
 const maxGaps = 100
@@ -30,8 +30,8 @@
 
 func newSeries() *series {
 	return &series{
-		fine:   newRing[bucket](fineWidth, int(fineLimit/fineWidth)),
-		coarse: newRing[bucket](coarseWidth, int(longest/coarseWidth)),
+		fine:   newRing[bucket](fineWidth, int(maxFineWindow/fineWidth)),
+		coarse: newRing[bucket](coarseWidth, int(longestWindow/coarseWidth)),
 	}
 }
 
@@ -68,10 +68,10 @@
 	for i, w := range Windows {
 		r.Windows[i] = s.window(now, w)
 	}
-	r.Hour = points(&s.fine, now, fineLimit, time.Minute)
-	r.Days = points(&s.coarse, now, longest, time.Hour)
+	r.Hour = points(&s.fine, now, maxFineWindow, time.Minute)
+	r.Days = points(&s.coarse, now, longestWindow, time.Hour)
 	for _, g := range s.gaps {
-		if now.Sub(g.At) < longest {
+		if now.Sub(g.At) < longestWindow {
 			r.Gaps = append(r.Gaps, g)
 		}
 	}
@@ -81,7 +81,7 @@
 func (s *series) window(now time.Time, w time.Duration) Counts {
 	var c Counts
 	add := func(_ time.Time, b *bucket) { b.addTo(&c) }
-	if w <= fineLimit {
+	if w <= maxFineWindow {
 		s.fine.each(now, w, add)
 	} else {
 		s.coarse.each(now, w, add)
--- a/pkg/burn/text.go
+++ b/pkg/burn/text.go
@@ -20,7 +20,7 @@
 	}
 	b.WriteString("covered:")
 	for i, win := range r.Windows {
-		fmt.Fprintf(&b, "  %s %s", name(i), percent(win.Coverage))
+		fmt.Fprintf(&b, "  %s %s", windowName(i), percent(win.Coverage))
 	}
 	b.WriteString("\n")
 	if r.Incomplete != "" {
@@ -41,7 +41,7 @@
 	for _, o := range s.Objectives {
 		fmt.Fprintf(b, "  %-13s target %-6s budget left %-24s burn", o.Name, percent(o.Target), o.Left())
 		for i, burn := range o.Burns {
-			fmt.Fprintf(b, "  %s %s", name(i), burn.Text())
+			fmt.Fprintf(b, "  %s %s", windowName(i), burn.Text())
 		}
 		b.WriteString("\n")
 	}
@@ -71,7 +71,7 @@
 		return "no data"
 	}
 	left := percent(*o.BudgetLeft)
-	if o.Coverage < enoughCoverage {
+	if o.Coverage < minCoverage {
 		left += " (" + percent(o.Coverage) + " covered)"
 	}
 	return left
--- a/pkg/keys/account.go
+++ b/pkg/keys/account.go
@@ -47,23 +47,23 @@
 	return a
 }
 
-// outdates reports whether the account is newer than a document.
-func (a *account) outdates(doc *config.Customer) bool {
+// isNewerThan reports whether the account is newer than a document.
+func (a *account) isNewerThan(doc *config.Customer) bool {
 	return doc.Revision < a.revision || (a.removed && doc.Revision <= a.revision)
 }
 
-// serves reports whether the customer may use a service.
-func (a *account) serves(service siskin.ServiceName) bool {
+// mayUse reports whether the customer may use a service.
+func (a *account) mayUse(service siskin.ServiceName) bool {
 	_, ok := slices.BinarySearch(a.services, service)
 	return ok
 }
 
-// narrows reports whether something that old allowed is allowed no longer.
-func (a *account) narrows(old *account) bool {
+// revokes reports whether something that old allowed is allowed no longer.
+func (a *account) revokes(old *account) bool {
 	if old == nil || old.removed {
 		return false
 	}
-	if a.removed || slices.ContainsFunc(old.services, func(s siskin.ServiceName) bool { return !a.serves(s) }) {
+	if a.removed || slices.ContainsFunc(old.services, func(s siskin.ServiceName) bool { return !a.mayUse(s) }) {
 		return true
 	}
 	for id, k := range old.keys {
--- a/pkg/keys/bench_test.go
+++ b/pkg/keys/bench_test.go
@@ -10,9 +10,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-func benchKeys(n int) (*changing, *Keys) {
+func benchKeys(n int) (*mutableView, *Keys) {
 	clock := clockwork.NewRealClock()
-	c := &changing{docs: make(map[siskin.CustomerID]*config.Customer, n)}
+	c := &mutableView{docs: make(map[siskin.CustomerID]*config.Customer, n)}
 	for i := range n {
 		id := siskin.CustomerID(fmt.Sprintf("customer-%06d", i))
 		c.docs[id] = document(id, 1, "services=s,t,u", fmt.Sprintf("keys=key-%d,spare-%d", i, i))
--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -18,11 +18,11 @@
 	evidence func() Evidence
 
 	accounts *shard.Map[siskin.CustomerID, *account]
-	owners   *shard.Map[uint64, []owner] // by prefix of the digest
+	entries  *shard.Map[uint64, []indexEntry] // by prefix of the digest
 	// withdrawn holds the digests that were ever seen withdrawn.
 	withdrawn *shard.Map[digest, struct{}]
 	revision  atomic.Uint64 // revision that the accounts are at
-	narrowed  atomic.Pointer[chan struct{}]
+	revoked   atomic.Pointer[chan struct{}]
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -30,8 +30,8 @@
 
 var _ siskin.Authenticator = (*Keys)(nil)
 
-// owner names a key by its digest.
-type owner struct {
+// indexEntry names a key by its digest.
+type indexEntry struct {
 	digest   digest
 	customer siskin.CustomerID
 	key      siskin.KeyID
@@ -50,14 +50,14 @@
 	k := &Keys{
 		clock: clock, view: view,
 		accounts:  shard.New[siskin.CustomerID, *account](),
-		owners:    shard.New[uint64, []owner](),
+		entries:   shard.New[uint64, []indexEntry](),
 		withdrawn: shard.New[digest, struct{}](),
 	}
 	for _, o := range options {
 		o(k)
 	}
 	first := make(chan struct{})
-	k.narrowed.Store(&first)
+	k.revoked.Store(&first)
 	ctx, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
 	changed := view.Changed()
@@ -76,24 +76,24 @@
 // Authenticate implements siskin.Authenticator.
 func (k *Keys) Authenticate(service siskin.ServiceName, key string) (siskin.KeyGrant, error) {
 	d := digestOf(key)
-	owners, _ := k.owners.Get(d.prefix())
-	refused := error(nil)
-	for i := range owners {
-		if !owners[i].digest.equal(&d) {
+	entries, _ := k.entries.Get(d.prefix())
+	refusal := error(nil)
+	for i := range entries {
+		if !entries[i].digest.equal(&d) {
 			continue
 		}
-		grant := siskin.KeyGrant{Customer: owners[i].customer, Key: owners[i].key}
+		grant := siskin.KeyGrant{Customer: entries[i].customer, Key: entries[i].key}
 		err := k.Check(service, grant)
 		if err == nil {
 			return grant, nil
 		}
-		if refused == nil || siskin.KindOf(err) == siskin.KeyWithdrawn {
-			refused = err
+		if refusal == nil || siskin.KindOf(err) == siskin.KeyWithdrawn {
+			refusal = err
 		}
 	}
 	switch {
-	case refused != nil:
-		return siskin.KeyGrant{}, refused
+	case refusal != nil:
+		return siskin.KeyGrant{}, refusal
 	case Mistyped(key):
 		return siskin.KeyGrant{}, siskin.NewError(siskin.KeyRefused, "the checksum of the key is wrong").
 			WithRemedy("copy the key again; some characters are missing or changed")
@@ -113,7 +113,7 @@
 	case ok && state.withdrawn, !ok, a.removed:
 		return siskin.NewError(siskin.KeyWithdrawn, "key %s of customer %s is withdrawn", grant.Key, grant.Customer).
 			WithRemedy("ask the operators for a new key")
-	case !a.serves(service):
+	case !a.mayUse(service):
 		return notGranted(service)
 	case k.evidence == nil:
 		return nil
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -21,7 +21,7 @@
 func TestWithdrawalWakesSessions(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	key := Generate()
-	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys="+key)}, changed: make(chan struct{})}
+	c := &mutableView{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys="+key)}, changed: make(chan struct{})}
 	c.apply(1)
 	k := New(clockwork.NewRealClock(), c)
 	defer k.Close()
@@ -48,12 +48,12 @@
 // TestSamePrefix guards against a key that is accepted because the first bytes
 // of its digest equal those of another key.
 func TestSamePrefix(t *testing.T) {
-	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
+	c := &mutableView{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
 	c.apply(1)
 	k := New(nil, c)
 	defer k.Close()
 	wrong, right := digestOf("wrong"), digestOf("k1")
-	k.owners.Put(wrong.prefix(), []owner{{digest: right, customer: "a", key: "k1"}})
+	k.entries.Put(wrong.prefix(), []indexEntry{{digest: right, customer: "a", key: "k1"}})
 	if grant, err := k.Authenticate("s", "wrong"); err == nil {
 		t.Errorf("got %+v for a key with the same prefix only, want an error", grant)
 	}
@@ -64,7 +64,7 @@
 func TestCutOff(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	e := Evidence{CurrentAt: clock.Now()}
-	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
+	c := &mutableView{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
 	c.apply(1)
 	k := New(clock, c, WithEvidence(func() Evidence { return e }))
 	defer k.Close()
@@ -132,7 +132,7 @@
 // TestErrorsHideKeys guards against a key or digest in an error or its cause.
 func TestErrorsHideKeys(t *testing.T) {
 	key := Generate()
-	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys="+key+"!")}}
+	c := &mutableView{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys="+key+"!")}}
 	c.docs["a"].Keys[0].ID = "k1"
 	c.apply(1)
 	k := New(nil, c)
--- a/pkg/keys/random_test.go
+++ b/pkg/keys/random_test.go
@@ -24,7 +24,7 @@
 
 func randomDocuments(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		c := &changing{docs: make(map[siskin.CustomerID]*config.Customer)}
+		c := &mutableView{docs: make(map[siskin.CustomerID]*config.Customer)}
 		c.apply(0)
 		k := New(nil, c)
 		_ = k.Close() // the test refreshes by itself
@@ -71,7 +71,7 @@
 		for n := range 3 {
 			key := fmt.Sprintf("%s%d", id, n)
 			for _, service := range []siskin.ServiceName{"s", "t"} {
-				want := !withdrawn[key] && lists(newest[id], key, service)
+				want := !withdrawn[key] && grants(newest[id], key, service)
 				grant, err := k.Authenticate(service, key)
 				if got := err == nil; got != want || (got && grant.Customer != id) {
 					r.Fatalf("key %s at service %s: got %+v, %v, want accepted %v", key, service, grant, err, want)
@@ -85,7 +85,7 @@
 	}
 }
 
-func lists(doc *config.Customer, key string, service siskin.ServiceName) bool {
+func grants(doc *config.Customer, key string, service siskin.ServiceName) bool {
 	if doc == nil {
 		return false
 	}
--- a/pkg/keys/refresh.go
+++ b/pkg/keys/refresh.go
@@ -26,21 +26,21 @@
 func (k *Keys) refresh() {
 	revision := k.view.Revision()
 	ids := k.view.Customers()
-	narrowed := false
+	revoked := false
 	for _, id := range ids {
 		if doc, ok := k.view.Customer(id); ok {
-			narrowed = k.replace(doc) || narrowed
+			revoked = k.replace(doc) || revoked
 		}
 	}
 	if k.accounts.Len() > len(ids) {
-		narrowed = k.remove(ids, revision) || narrowed
+		revoked = k.remove(ids, revision) || revoked
 	}
 	if uint64(revision) > k.revision.Load() {
 		k.revision.Store(uint64(revision))
 	}
-	if narrowed {
+	if revoked {
 		next := make(chan struct{})
-		close(*k.narrowed.Swap(&next))
+		close(*k.revoked.Swap(&next))
 	}
 }
 
@@ -48,7 +48,7 @@
 // whether something is allowed no longer.
 func (k *Keys) replace(doc *config.Customer) bool {
 	old, _ := k.accounts.Get(doc.ID)
-	if old != nil && (old.doc == doc || old.outdates(doc)) {
+	if old != nil && (old.doc == doc || old.isNewerThan(doc)) {
 		return false
 	}
 	a := newAccount(doc, old, k.isWithdrawn)
@@ -56,13 +56,13 @@
 		if key.withdrawn {
 			k.withdrawn.Put(key.digest, struct{}{})
 		}
-		k.own(owner{key.digest, doc.ID, id})
+		k.addEntry(indexEntry{key.digest, doc.ID, id})
 	}
 	k.accounts.Put(doc.ID, a)
 	if old != nil {
-		k.disown(old, a)
+		k.removeEntries(old, a)
 	}
-	return a.narrows(old)
+	return a.revokes(old)
 }
 
 func (k *Keys) isWithdrawn(d digest) bool {
@@ -70,9 +70,9 @@
 	return ok
 }
 
-// own adds a key to the index.
-func (k *Keys) own(o owner) {
-	k.owners.Update(o.digest.prefix(), func(list []owner, _ bool) ([]owner, bool) {
+// addEntry adds a key to the index.
+func (k *Keys) addEntry(o indexEntry) {
+	k.entries.Update(o.digest.prefix(), func(list []indexEntry, _ bool) ([]indexEntry, bool) {
 		if slices.Contains(list, o) {
 			return list, true
 		}
@@ -80,39 +80,39 @@
 	})
 }
 
-// disown removes the keys from the index that a newer account has no longer.
-func (k *Keys) disown(old, a *account) {
+// removeEntries removes the keys from the index that a newer account has no longer.
+func (k *Keys) removeEntries(old, a *account) {
 	for id, key := range old.keys {
 		if now, ok := a.keys[id]; ok && now.digest == key.digest {
 			continue
 		}
-		o := owner{key.digest, old.doc.ID, id}
-		k.owners.Update(o.digest.prefix(), func(list []owner, _ bool) ([]owner, bool) {
-			list = slices.DeleteFunc(slices.Clone(list), func(x owner) bool { return x == o })
+		o := indexEntry{key.digest, old.doc.ID, id}
+		k.entries.Update(o.digest.prefix(), func(list []indexEntry, _ bool) ([]indexEntry, bool) {
+			list = slices.DeleteFunc(slices.Clone(list), func(x indexEntry) bool { return x == o })
 			return list, len(list) > 0
 		})
 	}
 }
 
 // remove marks the accounts that the configuration has no longer.
-func (k *Keys) remove(ids []siskin.CustomerID, revision siskin.Revision) (narrowed bool) {
+func (k *Keys) remove(ids []siskin.CustomerID, revision siskin.Revision) (revoked bool) {
 	k.accounts.Range(func(id siskin.CustomerID, a *account) bool {
 		if _, ok := slices.BinarySearch(ids, id); ok || a.removed {
 			return true
 		}
-		gone := *a
-		gone.removed, gone.doc, gone.revision = true, nil, max(a.revision, revision)
-		k.accounts.Put(id, &gone)
-		narrowed = true
+		tombstone := *a
+		tombstone.removed, tombstone.doc, tombstone.revision = true, nil, max(a.revision, revision)
+		k.accounts.Put(id, &tombstone)
+		revoked = true
 		return true
 	})
-	return narrowed
+	return revoked
 }
 
 // Withdrawn returns a channel that is closed when a key is withdrawn, or a
 // customer loses a key or a service. Owners of open sessions then call Check
 // and ask for the next channel first.
-func (k *Keys) Withdrawn() <-chan struct{} { return *k.narrowed.Load() }
+func (k *Keys) Withdrawn() <-chan struct{} { return *k.revoked.Load() }
 
 // Revision returns the revision of the configuration that is enforced here.
 func (k *Keys) Revision() siskin.Revision { return siskin.Revision(k.revision.Load()) }
--- a/pkg/keys/script_test.go
+++ b/pkg/keys/script_test.go
@@ -66,19 +66,19 @@
 	})
 }
 
-// changing is a view that tests change.
-type changing struct {
+// mutableView is a view that tests change.
+type mutableView struct {
 	*config.Fixed
 	revision siskin.Revision
 	docs     map[siskin.CustomerID]*config.Customer
 	changed  chan struct{}
 }
 
-func (c *changing) Revision() siskin.Revision { return c.revision }
+func (c *mutableView) Revision() siskin.Revision { return c.revision }
 
-func (c *changing) Changed() <-chan struct{} { return c.changed }
+func (c *mutableView) Changed() <-chan struct{} { return c.changed }
 
-func (c *changing) apply(revision siskin.Revision) {
+func (c *mutableView) apply(revision siskin.Revision) {
 	var list []*config.Customer
 	for _, doc := range c.docs {
 		list = append(list, doc)
@@ -91,7 +91,7 @@
 // their withdrawal, or again when an older document shows up.
 func TestKeys(t *testing.T) {
 	runScripts(t, "keys.txtar", func() func([]string) string {
-		c := &changing{docs: make(map[siskin.CustomerID]*config.Customer)}
+		c := &mutableView{docs: make(map[siskin.CustomerID]*config.Customer)}
 		c.apply(0)
 		k := New(nil, c)
 		_ = k.Close() // the script refreshes by itself
@@ -99,7 +99,7 @@
 	})
 }
 
-func command(c *changing, k *Keys, args []string) string {
+func command(c *mutableView, k *Keys, args []string) string {
 	switch args[0] {
 	case "customer", "remove":
 		var revision siskin.Revision
@@ -127,11 +127,11 @@
 		}
 		return string(grant.Customer)
 	case "confirm":
-		var ask ConfirmArgs
+		var request ConfirmArgs
 		var reply ConfirmReply
-		fmt.Sscan(args[1], &ask.Revision)
-		ask.Customer, ask.Key = siskin.CustomerID(args[2]), siskin.KeyID(args[3])
-		_ = k.Receiver().Confirm(&ask, &reply)
+		fmt.Sscan(args[1], &request.Revision)
+		request.Customer, request.Key = siskin.CustomerID(args[2]), siskin.KeyID(args[3])
+		_ = k.Receiver().Confirm(&request, &reply)
 		return fmt.Sprint(reply.InForce)
 	default:
 		err := k.Check(siskin.ServiceName(args[1]), siskin.KeyGrant{Customer: siskin.CustomerID(args[2]), Key: siskin.KeyID(args[3])})
--- a/pkg/keys/tracker.go
+++ b/pkg/keys/tracker.go
@@ -10,15 +10,15 @@
 // Tracker collects evidence from the platform and from peers in other data
 // centres. It is safe for concurrent use.
 type Tracker struct {
-	mu      sync.Mutex
-	self    siskin.DataCentreID
-	current time.Time
-	down    map[siskin.DataCentreID]time.Time // when its peers last said so
+	mu           sync.Mutex
+	self         siskin.DataCentreID
+	currentAt    time.Time
+	platformDown map[siskin.DataCentreID]time.Time // when its peers last said so
 }
 
 // NewTracker returns a tracker for a VM in the given data centre.
 func NewTracker(self siskin.DataCentreID) *Tracker {
-	return &Tracker{self: self, down: make(map[siskin.DataCentreID]time.Time)}
+	return &Tracker{self: self, platformDown: make(map[siskin.DataCentreID]time.Time)}
 }
 
 // PlatformAnswered records that the platform answered a request that was sent
@@ -26,8 +26,8 @@
 func (t *Tracker) PlatformAnswered(sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if sent.After(t.current) {
-		t.current = sent
+	if sent.After(t.currentAt) {
+		t.currentAt = sent
 	}
 }
 
@@ -37,23 +37,23 @@
 func (t *Tracker) PeerProof(sent time.Time, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if proof := sent.Add(-age); proof.After(t.current) {
-		t.current = proof
+	if proof := sent.Add(-age); proof.After(t.currentAt) {
+		t.currentAt = proof
 	}
 }
 
 // PeerPlatform records whether a peer that asks the platform itself can reach
 // it. The statement counts only from another data centre; a peer of the own is
 // cut off together with this VM.
-func (t *Tracker) PeerPlatform(dc siskin.DataCentreID, sent time.Time, down bool) {
+func (t *Tracker) PeerPlatform(dc siskin.DataCentreID, sent time.Time, platformDown bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case dc == t.self:
-	case down:
-		t.down[dc] = sent
+	case platformDown:
+		t.platformDown[dc] = sent
 	default:
-		delete(t.down, dc)
+		delete(t.platformDown, dc)
 	}
 }
 
@@ -64,17 +64,17 @@
 func (t *Tracker) Evidence(all []siskin.DataCentreID) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := Evidence{CurrentAt: t.current}
+	e := Evidence{CurrentAt: t.currentAt}
 	for _, dc := range all {
 		if dc == t.self {
 			continue
 		}
-		said, ok := t.down[dc]
+		reported, ok := t.platformDown[dc]
 		if !ok {
-			return Evidence{CurrentAt: t.current}
+			return Evidence{CurrentAt: t.currentAt}
 		}
-		if e.PlatformDownAt.IsZero() || said.Before(e.PlatformDownAt) {
-			e.PlatformDownAt = said
+		if e.PlatformDownAt.IsZero() || reported.Before(e.PlatformDownAt) {
+			e.PlatformDownAt = reported
 		}
 	}
 	return e
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -39,25 +39,25 @@
 // VMs of a higher Tier come before all others: a resource on a VM with a quarter
 // of another one's processor made each request there wait for it.
 func Rank(resource string, vms []siskin.VM) []siskin.VM {
-	keys := make([]key, len(vms))
+	keys := make([]sortKey, len(vms))
 	for i, vm := range vms {
-		keys[i] = key{Tier(vm.Capacity), Score(resource, vm.ID), i}
+		keys[i] = sortKey{Tier(vm.Capacity), Score(resource, vm.ID), i}
 	}
-	slices.SortFunc(keys, func(a, b key) int {
-		return cmp.Or(cmp.Compare(b.tier, a.tier), cmp.Compare(b.score, a.score), cmp.Compare(vms[a.at].ID, vms[b.at].ID))
+	slices.SortFunc(keys, func(a, b sortKey) int {
+		return cmp.Or(cmp.Compare(b.tier, a.tier), cmp.Compare(b.score, a.score), cmp.Compare(vms[a.index].ID, vms[b.index].ID))
 	})
 	ranked := make([]siskin.VM, len(vms))
 	for i, k := range keys {
-		ranked[i] = vms[k.at]
+		ranked[i] = vms[k.index]
 	}
 	return ranked
 }
 
-// key is what a VM is ranked by; at is its place in the list.
-type key struct {
+// sortKey is what a VM is ranked by; at is its place in the list.
+type sortKey struct {
 	tier  int
 	score uint64
-	at    int
+	index int
 }
 
 func compare(resource string, a, b siskin.VM) int {
--- a/pkg/place/ranker.go
+++ b/pkg/place/ranker.go
@@ -17,7 +17,7 @@
 // Rank returns the order of Rank over the VMs that choose picks of the list,
 // all when choose is nil. Lists are told apart by identity, so a caller must
 // not modify one. The result must not be modified either.
-func (r *Ranker) Rank(resource string, vms []siskin.VM, choose func([]siskin.VM) []siskin.VM) []siskin.VM {
+func (r *Ranker) Rank(resource string, vms []siskin.VM, filter func([]siskin.VM) []siskin.VM) []siskin.VM {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.vms) != len(vms) || len(vms) > 0 && &r.vms[0] != &vms[0] {
@@ -26,11 +26,11 @@
 	if ranked, ok := r.ranks[resource]; ok {
 		return ranked
 	}
-	chosen := vms
-	if choose != nil {
-		chosen = choose(vms)
+	candidates := vms
+	if filter != nil {
+		candidates = filter(vms)
 	}
-	ranked := Rank(resource, chosen)
+	ranked := Rank(resource, candidates)
 	if r.ranks != nil {
 		r.ranks[resource] = ranked
 	}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -11,9 +11,9 @@
 // added load to 10%.
 const AttemptsPerRetry = 10
 
-// burstRetries is the credit that a budget may save up. It covers the requests
+// maxSavedRetries is the credit that a budget may save up. It covers the requests
 // in progress when one target fails without allowing a long storm later.
-const burstRetries = 50
+const maxSavedRetries = 50
 
 // Budget is the retry credit of one customer or one service. It starts empty,
 // so retries never exceed a tenth of the first attempts.
@@ -25,7 +25,7 @@
 func (b *Budget) Deposit() {
 	for {
 		c := b.credit.Load()
-		if c >= burstRetries*AttemptsPerRetry || b.credit.CompareAndSwap(c, c+1) {
+		if c >= maxSavedRetries*AttemptsPerRetry || b.credit.CompareAndSwap(c, c+1) {
 			return
 		}
 	}
--- a/pkg/shard/map.go
+++ b/pkg/shard/map.go
@@ -14,10 +14,10 @@
 // Map is a map split into shards. The zero value is not usable; call New.
 type Map[K comparable, V any] struct {
 	seed   maphash.Seed
-	shards [shardCount]part[K, V]
+	shards [shardCount]shard[K, V]
 }
 
-type part[K comparable, V any] struct {
+type shard[K comparable, V any] struct {
 	mu sync.RWMutex
 	m  map[K]V
 	_  [64]byte // keeps the locks of neighboring shards on different cache lines
@@ -32,13 +32,13 @@
 	return m
 }
 
-func (m *Map[K, V]) part(key K) *part[K, V] {
+func (m *Map[K, V]) shard(key K) *shard[K, V] {
 	return &m.shards[maphash.Comparable(m.seed, key)%shardCount]
 }
 
 // Get returns the value of key.
 func (m *Map[K, V]) Get(key K) (V, bool) {
-	p := m.part(key)
+	p := m.shard(key)
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	v, ok := p.m[key]
@@ -47,7 +47,7 @@
 
 // Put sets the value of key.
 func (m *Map[K, V]) Put(key K, value V) {
-	p := m.part(key)
+	p := m.shard(key)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.m[key] = value
@@ -59,7 +59,7 @@
 	if v, ok := m.Get(key); ok {
 		return v
 	}
-	p := m.part(key)
+	p := m.shard(key)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if v, ok := p.m[key]; ok {
@@ -74,7 +74,7 @@
 // the entry. The function change runs under the shard's lock and must not use
 // the map.
 func (m *Map[K, V]) Update(key K, change func(old V, ok bool) (value V, keep bool)) {
-	p := m.part(key)
+	p := m.shard(key)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old, ok := p.m[key]
@@ -88,7 +88,7 @@
 
 // Delete removes key and returns the value it had.
 func (m *Map[K, V]) Delete(key K) (V, bool) {
-	p := m.part(key)
+	p := m.shard(key)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v, ok := p.m[key]
@@ -120,7 +120,7 @@
 	}
 }
 
-func (p *part[K, V]) copy() map[K]V {
+func (p *shard[K, V]) copy() map[K]V {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	c := make(map[K]V, len(p.m))
