elect, home: names in the usual terms

Names such as candidateLeads, ledTerm, demoted and witness needed the code around them to be understood. They now name the state or the check. No structure or literal differs; the tests of elect, home and views pass.

--- a/internal/elect/announcement.go
+++ b/internal/elect/announcement.go
@@ -26,9 +26,9 @@
 // LeadArgs are the arguments of Receiver.Lead.
 type LeadArgs struct{ Service siskin.ServiceName }
 
-// fetchLead asks the sender of an announcement which target is primary. If the
+// fetchProof asks the sender of an announcement which target is primary. If the
 // call fails, this VM learns of the change with the next ping.
-func (e *Elector) fetchLead(a *Announcement) {
+func (e *Elector) fetchProof(a *Announcement) {
 	ctx, cancel := context.WithTimeout(e.ctx, announceTimeout)
 	defer cancel()
 	asked := e.cfg.Clock.Now()
--- a/internal/elect/change.go
+++ b/internal/elect/change.go
@@ -18,8 +18,8 @@
 	// catchUpTimeout bounds the wait for a replica to receive the end of the
 	// log of a primary that stepped down.
 	catchUpTimeout = 700 * time.Millisecond
-	// leadTimeout bounds the wait for a promoted target to become primary.
-	leadTimeout = 2500 * time.Millisecond
+	// promotionTimeout bounds the wait for a promoted target to become primary.
+	promotionTimeout = 2500 * time.Millisecond
 	// maxPromotions bounds the promotion calls of one change.
 	maxPromotions = 4
 )
@@ -66,7 +66,7 @@
 	if err := c.inspect(ctx); err != nil {
 		return err
 	}
-	c.holdRequests()
+	c.announceStart()
 	defer c.unpause()
 	err := c.chooseTerm(ctx)
 	if err != nil {
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -436,7 +436,7 @@
 		return claim{status: siskin.ControlStatus{Term: 3, PauseTerm: 9}, answeredAt: at(ms)}
 	}
 	former := func(led siskin.Term, unfenced bool) claim {
-		c := claim{wasPrimary: true, ledTerm: led, demoted: unfenced, steppedDown: !unfenced, answeredAt: at(0)}
+		c := claim{wasPrimary: true, termAsPrimary: led, claimedAfterStepDown: unfenced, claimedByStepDown: !unfenced, answeredAt: at(0)}
 		c.status = siskin.ControlStatus{Term: led, PauseTerm: 9}
 		return c
 	}
@@ -463,7 +463,7 @@
 // primary that never reached its replicas must not be promoted again.
 func TestReplicasOfFormerPrimary(t *testing.T) {
 	primary := func(unfenced bool) claim {
-		c := claim{target: siskin.TargetInfo{ID: "a"}, wasPrimary: true, steppedDown: !unfenced, demoted: unfenced, ledTerm: 5, logEnd: siskin.Position{Term: 5, LSN: 9}}
+		c := claim{target: siskin.TargetInfo{ID: "a"}, wasPrimary: true, claimedByStepDown: !unfenced, claimedAfterStepDown: unfenced, termAsPrimary: 5, logEnd: siskin.Position{Term: 5, LSN: 9}}
 		c.status = siskin.ControlStatus{Term: 5, PauseTerm: 9, Received: c.logEnd}
 		return c
 	}
--- a/internal/elect/check.go
+++ b/internal/elect/check.go
@@ -22,25 +22,25 @@
 	}
 	c.addUnlisted() // discovery may have removed targets since the claims
 	var wg sync.WaitGroup
-	again := make([]claim, len(c.claims))
+	rechecked := make([]claim, len(c.claims))
 	for i := range c.claims {
-		again[i] = c.claims[i]
-		if !again[i].holds(c.term) {
+		rechecked[i] = c.claims[i]
+		if !rechecked[i].holds(c.term) {
 			continue
 		}
 		wg.Go(func() {
-			again[i].status, again[i].err = c.control(ctx, again[i].target.ID, siskin.Statement{Kind: siskin.Status})
+			rechecked[i].status, rechecked[i].err = c.control(ctx, rechecked[i].target.ID, siskin.Statement{Kind: siskin.Status})
 		})
 	}
 	wg.Wait()
-	return c.compare(again)
+	return c.compare(rechecked)
 }
 
 // compare compares the claims with the later state of the targets. It returns
 // an error if the candidate may lack acknowledged commits.
-func (c *change) compare(again []claim) error {
-	for i := range again {
-		cl := &again[i]
+func (c *change) compare(rechecked []claim) error {
+	for i := range rechecked {
+		cl := &rechecked[i]
 		switch {
 		case cl.err != nil:
 		case cl.status.Term > c.primaryTerm:
@@ -56,10 +56,10 @@
 		}
 	}
 	// Without the lost claims, another target may be the best candidate.
-	if best, ok := bestCandidate(again, c.term, c.spec.SyncReplicas); ok && best.status.Received.Compare(c.candidate.status.Received) > 0 {
+	if best, ok := bestCandidate(rechecked, c.term, c.spec.SyncReplicas); ok && best.status.Received.Compare(c.candidate.status.Received) > 0 {
 		return siskin.NewError(siskin.Conflict, "target %s has commits that target %s lacks", best.target.ID, c.candidate.target.ID).WithRemedy("claim again")
 	}
-	if !hasQuorum(again, c.term, c.spec.SyncReplicas) {
+	if !hasQuorum(rechecked, c.term, c.spec.SyncReplicas) {
 		return siskin.NewError(siskin.Conflict, "too few claims of term %d remain", c.term).WithRemedy("claim again")
 	}
 	return nil
--- a/internal/elect/claiming.go
+++ b/internal/elect/claiming.go
@@ -39,9 +39,9 @@
 // current primary, so its log alone is not sufficient and it counts as a
 // replica. The state before the claim shows claims of another change, which may
 // have chosen the same term.
-func (c *change) claimOne(ctx context.Context, cl *claim, ledBefore bool) {
+func (c *change) claimOne(ctx context.Context, cl *claim, answeredAsPrimary bool) {
 	list := []siskin.Statement{{Kind: siskin.Status}}
-	if ledBefore {
+	if answeredAsPrimary {
 		list = append(list, siskin.Statement{Kind: siskin.StepDown, Term: c.term})
 	}
 	list = append(list, siskin.Statement{Kind: siskin.Pause, Term: c.term})
@@ -58,7 +58,7 @@
 		return
 	}
 	cl.status, cl.err = c.e.cfg.Status(&answers[len(answers)-1])
-	cl.recordResult(before, c.term, c.primaryTerm, c.ownTerm, ledBefore, c.unfenced)
+	cl.recordResult(before, c.term, c.primaryTerm, c.ownTerm, answeredAsPrimary, c.unfenced)
 }
 
 // oldPrimaryGrace is the time to wait for the old primary once all other
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -16,14 +16,14 @@
 	// wasPrimary reports that the target was considered primary before the
 	// change.
 	wasPrimary bool
-	// steppedDown reports that the target was primary in ledTerm and was
+	// claimedByStepDown reports that the target was primary in ledTerm and was
 	// claimed by making it step down, with logEnd as the end of its log.
-	steppedDown bool
-	logEnd      siskin.Position
-	ledTerm     siskin.Term
-	// demoted reports that the target was primary in ledTerm and was claimed as
+	claimedByStepDown bool
+	logEnd            siskin.Position
+	termAsPrimary     siskin.Term
+	// claimedAfterStepDown reports that the target was primary in ledTerm and was claimed as
 	// a replica after it had stepped down.
-	demoted bool
+	claimedAfterStepDown bool
 	// logEmpty reports that the target has started for the first time or
 	// restarted, and has no log yet. It, or the target that it replaces, may
 	// have acknowledged commits before.
@@ -58,19 +58,19 @@
 // told to step down; primaryTerm is the newest term known then. A claim for
 // ownTerm belongs to an earlier change of this VM that ordered no promotion, so
 // it is not contested.
-func (c *claim) recordResult(before siskin.ControlStatus, term, primaryTerm, ownTerm siskin.Term, ledBefore, unfenced bool) {
+func (c *claim) recordResult(before siskin.ControlStatus, term, primaryTerm, ownTerm siskin.Term, answeredAsPrimary, unfenced bool) {
 	c.contested = before.PauseTerm > before.Term && before.PauseTerm != ownTerm
 	switch {
 	case c.err != nil:
 	case before.Term > primaryTerm:
 		c.err = errClaimed
-	case c.contested && before.PauseTerm >= term, ledBefore && !before.Primary && !unfenced:
+	case c.contested && before.PauseTerm >= term, answeredAsPrimary && !before.Primary && !unfenced:
 		// A replica also accepts StepDown, which proves nothing.
 		c.contested, c.err = true, errClaimed
 	case unfenced:
-		c.demoted, c.ledTerm = before.Primary, before.Term
-	case ledBefore:
-		c.steppedDown, c.logEnd, c.ledTerm = true, c.status.Received, before.Term
+		c.claimedAfterStepDown, c.termAsPrimary = before.Primary, before.Term
+	case answeredAsPrimary:
+		c.claimedByStepDown, c.logEnd, c.termAsPrimary = true, c.status.Received, before.Term
 	}
 }
 
@@ -82,10 +82,10 @@
 	switch {
 	case c.err != nil:
 		return false
-	case c.steppedDown:
+	case c.claimedByStepDown:
 		// Another term means that another target was promoted in the meantime.
-		return !c.status.Primary && c.status.Term == c.ledTerm && c.status.Received.Compare(c.logEnd) >= 0 &&
-			c.status.PauseTerm <= max(term, c.ledTerm)
+		return !c.status.Primary && c.status.Term == c.termAsPrimary && c.status.Received.Compare(c.logEnd) >= 0 &&
+			c.status.PauseTerm <= max(term, c.termAsPrimary)
 	default:
 		return c.status.PauseTerm == term
 	}
@@ -144,7 +144,7 @@
 		return last.Add(contestedDelay)
 	}
 	for i := range claims {
-		if c := &claims[i]; (c.demoted || c.steppedDown) && c.holds(term) && c.ledTerm >= newest {
+		if c := &claims[i]; (c.claimedAfterStepDown || c.claimedByStepDown) && c.holds(term) && c.termAsPrimary >= newest {
 			return time.Time{}
 		}
 	}
@@ -225,7 +225,7 @@
 // stepped down. Unfenced, the replicas may have restarted and followed a former
 // primary.
 func notFollowed(claimed []claim, primary *claim) bool {
-	return primary.demoted && !slices.ContainsFunc(claimed, func(c claim) bool { return !c.wasPrimary && c.status.Term >= primary.ledTerm })
+	return primary.claimedAfterStepDown && !slices.ContainsFunc(claimed, func(c claim) bool { return !c.wasPrimary && c.status.Term >= primary.termAsPrimary })
 }
 
 // avoidAsPrimary reports whether a target should be promoted only if no other
--- a/internal/elect/decide_test.go
+++ b/internal/elect/decide_test.go
@@ -100,7 +100,7 @@
 			case part == "primary":
 				c.wasPrimary = true
 			case part == "down":
-				c.steppedDown = true
+				c.claimedByStepDown = true
 			case part == "later":
 				c.status.Term = term + 1
 			case part == "leads":
--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -112,7 +112,7 @@
 	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), rules: rules, fenced: fenced, settledStarts: true, term: 1}
 	for i := range m.targets {
 		m.targets[i] = m.newTarget()
-		m.targets[i].term, m.targets[i].leads, m.targets[i].runsFrom = 1, i == 0, -modelTicks
+		m.targets[i].term, m.targets[i].isPrimary, m.targets[i].runsFrom = 1, i == 0, -modelTicks
 	}
 	m.discover()
 	for i := range m.vms {
@@ -221,7 +221,7 @@
 	from := m.targets[p]
 	received := false
 	for i, t := range m.targets {
-		if i != p && !t.leads && t.runsFrom <= m.tick && !m.cut[p][i] && t.pauseTerm <= from.term && t.term <= from.term {
+		if i != p && !t.isPrimary && t.runsFrom <= m.tick && !m.cut[p][i] && t.pauseTerm <= from.term && t.term <= from.term {
 			t.log, t.term, received = from.log, from.term, true
 		}
 	}
@@ -235,7 +235,7 @@
 			continue
 		}
 		if v := m.vms[c.vm]; m.reachable(c.vm, from.id) != nil {
-			c.end = from.log.last
+			c.end = from.log.endPos
 			v.pendingAcks = append(v.pendingAcks, c)
 		}
 	}
@@ -268,7 +268,7 @@
 func (m *model) write(vm int) {
 	v := m.vms[vm]
 	t := m.reachable(vm, v.primary)
-	if t == nil || !t.leads || m.commits == 8*64-1 {
+	if t == nil || !t.isPrimary || m.commits == 8*64-1 {
 		return
 	}
 	if !m.rules.ackWithoutLease && !v.leases.Valid(t.id, m.now(v)) {
@@ -279,7 +279,7 @@
 	}
 	m.commits++
 	t.log.add(m.commits)
-	t.log.last = siskin.Position{Term: t.term, LSN: t.log.last.LSN + 1}
+	t.log.endPos = siskin.Position{Term: t.term, LSN: t.log.endPos.LSN + 1}
 	m.unacked = append(m.unacked, modelCommit{vm: vm, id: m.commits, target: t.id, term: t.term, sent: m.tick})
 	m.replicate(m.index(t))
 }
@@ -289,7 +289,7 @@
 func (m *model) pollReplicas(vm int, primary siskin.TargetID) {
 	v, now := m.vms[vm], m.now(m.vms[vm])
 	p := m.reachable(vm, primary)
-	if p == nil || !p.leads || p.term < v.known.Term && !m.rules.olderTerm {
+	if p == nil || !p.isPrimary || p.term < v.known.Term && !m.rules.olderTerm {
 		return
 	}
 	listed := v.roster.Service(modelService)
@@ -313,7 +313,7 @@
 func (m *model) pollReplica(vm int, primary siskin.TargetID, slot int) {
 	v, now := m.vms[vm], m.now(m.vms[vm])
 	p, r := m.reachable(vm, primary), m.reachable(vm, m.targets[slot].id)
-	if r == nil || p == nil || r == p || !p.leads || !lease.Unclaimed(r.status(), p.term) {
+	if r == nil || p == nil || r == p || !p.isPrimary || !lease.Unclaimed(r.status(), p.term) {
 		return
 	}
 	if p.term < v.known.Term && !m.rules.olderTerm {
@@ -337,10 +337,10 @@
 func (m *model) read(vm int) {
 	v := m.vms[vm]
 	t := m.reachable(vm, v.primary)
-	if t == nil || !t.leads || !m.fenced && !m.rules.trustTarget && !v.leases.Valid(t.id, m.now(v)) {
+	if t == nil || !t.isPrimary || !m.fenced && !m.rules.trustTarget && !v.leases.Valid(t.id, m.now(v)) {
 		return
 	}
-	v.known = t.log.last
+	v.known = t.log.endPos
 	if id, ok := t.log.lacks(&m.acked); ok {
 		m.fault("tick %d: a read at %s in term %d misses commit %d", m.tick, t.id, t.term, id)
 	}
@@ -365,7 +365,7 @@
 // running.
 func (m *model) unsettled() bool {
 	for _, t := range m.targets {
-		if t.leads && t.term < m.term {
+		if t.isPrimary && t.term < m.term {
 			return true
 		}
 	}
@@ -385,9 +385,9 @@
 	switch {
 	case m.settledStarts && m.unsettled():
 		return
-	case t.leads || t.crashed:
-		if !replaced && t.leads {
-			t.crashed, t.leads, t.pauseTerm, t.runsFrom = true, false, 0, m.tick+m.rng.IntN(100)
+	case t.isPrimary || t.crashedAsPrimary:
+		if !replaced && t.isPrimary {
+			t.crashedAsPrimary, t.isPrimary, t.pauseTerm, t.runsFrom = true, false, 0, m.tick+m.rng.IntN(100)
 		}
 		return
 	case m.hasOnlyCopy(slot):
@@ -409,20 +409,20 @@
 // been connected to a newer one for long enough.
 func (m *model) resume() {
 	for i, t := range m.targets {
-		if t.crashed && t.runsFrom <= m.tick {
-			t.crashed, t.leads = false, true
+		if t.crashedAsPrimary && t.runsFrom <= m.tick {
+			t.crashedAsPrimary, t.isPrimary = false, true
 		}
 		meets := false
 		for j, other := range m.targets {
-			meets = meets || other.leads && other.term > t.term && !m.cut[i][j]
+			meets = meets || other.isPrimary && other.term > t.term && !m.cut[i][j]
 		}
-		if t.metTicks++; !t.leads || !meets {
-			t.metTicks = 0
+		if t.connectedTicks++; !t.isPrimary || !meets {
+			t.connectedTicks = 0
 		}
-		if t.metTicks > modelStepDownTicks {
-			t.leads = false
+		if t.connectedTicks > modelStepDownTicks {
+			t.isPrimary = false
 		}
-		if t.leads && m.rng.IntN(4) == 0 {
+		if t.isPrimary && m.rng.IntN(4) == 0 {
 			m.replicate(i)
 		}
 	}
--- a/internal/elect/modelchange_test.go
+++ b/internal/elect/modelchange_test.go
@@ -11,9 +11,9 @@
 var errModelSilent = errors.New("no answer")
 
 const (
-	// modelLeadTicks is the time for which a VM waits for a promoted target to
+	// modelPromotionTicks is the time for which a VM waits for a promoted target to
 	// become primary.
-	modelLeadTicks = int(leadTimeout / modelTick)
+	modelPromotionTicks = int(promotionTimeout / modelTick)
 	// modelMaxOrders bounds the promotions ordered by one change.
 	modelMaxOrders = maxPromotions
 )
@@ -62,8 +62,8 @@
 			cl.err = errModelSilent
 		} else {
 			cl.status = t.status()
-			c.primaryTerm, c.maxPauseTerm = max(c.primaryTerm, t.term, t.log.last.Term), max(c.maxPauseTerm, t.pauseTerm)
-			if t.leads {
+			c.primaryTerm, c.maxPauseTerm = max(c.primaryTerm, t.term, t.log.endPos.Term), max(c.maxPauseTerm, t.pauseTerm)
+			if t.isPrimary {
 				c.leading = append(c.leading, t.id)
 			}
 		}
@@ -144,10 +144,10 @@
 	}
 	led := slices.Contains(c.leading, t.id)
 	before := t.status()
-	if led && t.leads && c.term > t.term {
-		t.leads = false
+	if led && t.isPrimary && c.term > t.term {
+		t.isPrimary = false
 	}
-	if !t.leads && c.term > t.term && c.term > t.pauseTerm {
+	if !t.isPrimary && c.term > t.term && c.term > t.pauseTerm {
 		t.pauseTerm = c.term
 	}
 	cl.status = t.status()
@@ -183,7 +183,7 @@
 // quorum.
 func (m *model) stepDownSuffices(c *modelChange, claims []claim) bool {
 	return m.rules.soleStepDown && slices.ContainsFunc(claims, func(cl claim) bool {
-		return (cl.demoted || cl.steppedDown) && cl.holds(c.term)
+		return (cl.claimedAfterStepDown || cl.claimedByStepDown) && cl.holds(c.term)
 	})
 }
 
@@ -227,7 +227,7 @@
 	}
 	o := modelOrder{arrives: m.tick, target: c.candidate.target.ID, vm: v, change: c, checkTick: c.checkTick, token: c.token}
 	c.orders++
-	c.pending, c.deadline, c.checkedAt = true, m.tick+modelLeadTicks, time.Time{}
+	c.pending, c.deadline, c.checkedAt = true, m.tick+modelPromotionTicks, time.Time{}
 	if m.fenced && m.rng.IntN(8) == 0 { // its answer is lost, and it may arrive late
 		o.arrives += m.rng.IntN(300)
 		c.retryTick = m.tick + 5
@@ -290,20 +290,20 @@
 
 func (m *model) promote(o modelOrder) {
 	t := m.lookup(o.target)
-	if t == nil || t.leads || m.restartEndsOrder && t.restarted >= o.checkTick {
+	if t == nil || t.isPrimary || m.restartEndsOrder && t.restarted >= o.checkTick {
 		return // not running, or already the primary
 	}
 	if id, ok := t.log.lacks(&m.acked); ok {
 		m.fault("tick %d: the promotion of %s loses commit %d", m.tick, t.id, id)
 	}
 	for _, other := range m.targets {
-		other.crashed = false
+		other.crashedAsPrimary = false
 		if m.fenced {
-			other.leads = false
+			other.isPrimary = false
 		}
 	}
 	m.term++
-	t.term, t.pauseTerm, t.leads, t.metTicks = m.term, 0, true, 0
+	t.term, t.pauseTerm, t.isPrimary, t.connectedTicks = m.term, 0, true, 0
 	o.vm.primary = t.id
 	o.change.promoted, o.change.pending = true, false
 	for i, v := range m.vms {
@@ -325,21 +325,21 @@
 		p := m.lookup(f.change.candidate.target.ID)
 		former := false
 		for slot, t := range m.targets {
-			if t.leads && t.term < f.term {
+			if t.isPrimary && t.term < f.term {
 				// The VM makes the former primary step down when it reaches it.
 				if v := m.vms[f.vm]; m.reachable(f.vm, t.id) != nil && v.suspended == 0 && m.rng.IntN(modelMeanDemoteTicks) == 0 {
-					t.leads = false
+					t.isPrimary = false
 				}
-				former = former || t.leads && m.targets[slot] == t
+				former = former || t.isPrimary && m.targets[slot] == t
 			}
 		}
 		for slot, t := range m.targets {
-			follows := p != nil && p.leads && p.term == f.term && !m.cut[m.index(p)][slot]
+			follows := p != nil && p.isPrimary && p.term == f.term && !m.cut[m.index(p)][slot]
 			if t.pauseTerm == f.change.term && (follows || !former || m.fenced || m.rules.unpauseAtOnce) {
 				t.pauseTerm = 0
 			}
 		}
-		if p != nil && p.leads {
+		if p != nil && p.isPrimary {
 			m.replicate(m.index(p))
 		}
 	}
--- a/internal/elect/modeltarget_test.go
+++ b/internal/elect/modeltarget_test.go
@@ -4,8 +4,8 @@
 
 // modelLog is the log of a target: its end and the set of its commits.
 type modelLog struct {
-	last siskin.Position
-	ids  [8]uint64
+	endPos siskin.Position
+	ids    [8]uint64
 }
 
 func (l *modelLog) add(id int) { l.ids[id/64] |= 1 << (id % 64) }
@@ -25,23 +25,23 @@
 type modelTarget struct {
 	id              siskin.TargetID
 	term, pauseTerm siskin.Term
-	leads           bool
+	isPrimary       bool
 	log             modelLog
 	// runsFrom is the tick from which the target is running, and listedFrom the
 	// tick from which it has an entry in discovery.
 	runsFrom, listedFrom int
 	restarted            int // tick of the last restart
-	// crashed reports that the target was primary when it crashed, and no
+	// crashedAsPrimary reports that the target was primary when it crashedAsPrimary, and no
 	// target was promoted since.
-	crashed bool
-	// metTicks counts the ticks for which a former primary has been connected
+	crashedAsPrimary bool
+	// connectedTicks counts the ticks for which a former primary has been connected
 	// to a newer one.
-	metTicks int
+	connectedTicks int
 }
 
 // status returns the state that a target reports to a VM.
 func (t *modelTarget) status() siskin.ControlStatus {
-	return siskin.ControlStatus{Primary: t.leads, Term: t.term, PauseTerm: t.pauseTerm, Received: t.log.last}
+	return siskin.ControlStatus{Primary: t.isPrimary, Term: t.term, PauseTerm: t.pauseTerm, Received: t.log.endPos}
 }
 
 // modelEntry is the entry of a target in discovery.
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -56,7 +56,7 @@
 		c.e.tasks.Go(func() { c.e.tokens.fill(context.WithoutCancel(ctx)) })
 		if err == nil {
 			c.pending = true
-			return c.awaitLead(ctx)
+			return c.awaitPromotion(ctx)
 		}
 		// A promotion without an answer may take effect later. If the platform
 		// checks fencing tokens, the next promotion prevents this; otherwise
@@ -87,9 +87,9 @@
 	return age <= maxFencedCheckAge
 }
 
-// awaitLead waits until the candidate proves that it is primary.
-func (c *change) awaitLead(ctx context.Context) error {
-	deadline := c.e.cfg.Clock.Now().Add(leadTimeout)
+// awaitPromotion waits until the candidate proves that it is primary.
+func (c *change) awaitPromotion(ctx context.Context) error {
+	deadline := c.e.cfg.Clock.Now().Add(promotionTimeout)
 	for c.e.cfg.Clock.Now().Before(deadline) && ctx.Err() == nil {
 		if c.confirmPromotion(ctx) {
 			return nil
@@ -102,7 +102,7 @@
 // confirmPromotion asks the candidate to prove that it is primary and announces
 // the result to the peers.
 func (c *change) confirmPromotion(ctx context.Context) bool {
-	if !c.candidateLeads(ctx) {
+	if !c.candidateIsPrimary(ctx) {
 		return false
 	}
 	c.pending, c.promoted = false, true
@@ -111,10 +111,10 @@
 	return true
 }
 
-// candidateLeads asks the candidate whether it is primary. Unfenced, its answer
+// candidateIsPrimary asks the candidate whether it is primary. Unfenced, its answer
 // is sufficient because no other change could promote another target since the
 // claims were checked: its log has all commits that were acknowledged before.
-func (c *change) candidateLeads(ctx context.Context) bool {
+func (c *change) candidateIsPrimary(ctx context.Context) bool {
 	id := c.candidate.target.ID
 	if !c.unfenced {
 		return c.e.cfg.Homes.Ping(ctx, c.spec.Name, id) == nil
@@ -130,7 +130,7 @@
 	c.promotedTerm = s.Term
 	c.e.tokens.recordUse(c.spec.Name, c.token, c.promotedTerm)
 	c.e.cfg.Views.RecordProof(c.spec.Name, views.PrimaryProof{Target: id, Position: p, Term: c.promotedTerm, At: c.checkedAt})
-	if c.oldPrimary == "" || c.oldPrimary == id || slices.ContainsFunc(c.claims, func(cl claim) bool { return cl.wasPrimary && cl.demoted }) {
+	if c.oldPrimary == "" || c.oldPrimary == id || slices.ContainsFunc(c.claims, func(cl claim) bool { return cl.wasPrimary && cl.claimedAfterStepDown }) {
 		c.oldSteppedDown.Store(true)
 	} else {
 		c.e.tasks.Go(c.stepDownOld)
@@ -138,26 +138,26 @@
 	return true
 }
 
-// holdRequests makes the VMs refuse writes of the service for the duration of
+// announceStart makes the VMs refuse writes of the service for the duration of
 // the change.
-func (c *change) holdRequests() {
-	c.e.cfg.Views.BeginChange(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(maxHold))
-	c.announce(maxHold)
+func (c *change) announceStart() {
+	c.e.cfg.Views.BeginChange(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(maxWriteRefusal))
+	c.announce(maxWriteRefusal)
 }
 
-// maxHold bounds the time in which requests are refused during a change, in
+// maxWriteRefusal bounds the time in which requests are refused during a change, in
 // case its end is not announced.
-const maxHold = 1500 * time.Millisecond
+const maxWriteRefusal = 1500 * time.Millisecond
 
 // announceTimeout bounds one announcement.
 const announceTimeout = 300 * time.Millisecond
 
 // announce tells all VMs that a change is in progress or, if hold is zero, that
 // the candidate is primary.
-func (c *change) announce(hold time.Duration) {
+func (c *change) announce(refuseFor time.Duration) {
 	self := c.e.cfg.Members.Self().ID
-	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.ChangeNotice{Service: c.spec.Name, For: hold}}
-	if hold == 0 {
+	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.ChangeNotice{Service: c.spec.Name, For: refuseFor}}
+	if refuseFor == 0 {
 		args.Fence, args.Term = c.token, c.promotedTerm
 	}
 	for _, vm := range c.e.cfg.Members.Live() {
--- a/internal/elect/receiver.go
+++ b/internal/elect/receiver.go
@@ -11,13 +11,13 @@
 // Announce handles the announcement of a change of primary.
 func (r *Receiver) Announce(args *Announcement, _ *struct{}) error {
 	if args.Hold.For > 0 {
-		r.e.cfg.Views.BeginChange(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, maxHold)))
+		r.e.cfg.Views.BeginChange(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, maxWriteRefusal)))
 		return nil
 	}
 	if args.Fence != 0 {
 		r.e.tokens.recordUse(args.Hold.Service, args.Fence, args.Term)
 	}
-	r.e.tasks.Go(func() { r.e.fetchLead(args) })
+	r.e.tasks.Go(func() { r.e.fetchProof(args) })
 	r.e.tasks.Go(func() { r.e.refreshToken(maxRefreshDelay) })
 	return nil
 }
--- a/internal/home/acknowledge.go
+++ b/internal/home/acknowledge.go
@@ -41,8 +41,8 @@
 	// durable reports that no promotion can lose the commit. Otherwise its
 	// outcome is unknown to the caller.
 	durable bool
-	// provesLead reports that it proves that the target is the primary.
-	provesLead bool
+	// provesPrimary reports that it proves that the target is the primary.
+	provesPrimary bool
 }
 
 // confirmCommit checks whether a lease covers a commit that was sent after the
@@ -50,7 +50,7 @@
 // its lease, it requests another lease from the replicas.
 func (h *Homes) confirmCommit(service siskin.ServiceName, l *pool, p siskin.Position, asked time.Time) commitAck {
 	if !h.needsLease(service) {
-		return commitAck{durable: true, provesLead: h.answerProvesLead()}
+		return commitAck{durable: true, provesPrimary: h.answerSuffices()}
 	}
 	leases, id, now := h.cfg.LeaseConfig.Leases, l.target(), h.cfg.Clock.Now()
 	durable := leases.Extend(id, p.Term, asked, now)
@@ -67,5 +67,5 @@
 		return commitAck{}
 	}
 	l.refusals.clear()
-	return commitAck{durable: true, provesLead: true}
+	return commitAck{durable: true, provesPrimary: true}
 }
--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -136,7 +136,7 @@
 			if got := f.run(request(f.target(0), siskin.Write, "x 1")); got.Outcome != NotSent || got.Cause != Stalled {
 				t.Errorf("write: got %+v, want it refused", got)
 			}
-			if got := f.run(leadRead(f.target(0))); !f.homes.answerProvesLead() && got.Cause != Unconfirmed {
+			if got := f.run(leadRead(f.target(0))); !f.homes.answerSuffices() && got.Cause != Unconfirmed {
 				t.Errorf("read: got %+v, want %v", got, Unconfirmed)
 			}
 		})
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -43,15 +43,15 @@
 // could acknowledge commits. The caller must still check that the target
 // accepts a plain transaction.
 func (h *Homes) confirm(ctx context.Context, service siskin.ServiceName, l *pool) (at time.Time, ok bool) {
-	if h.answerProvesLead() {
+	if h.answerSuffices() {
 		return h.cfg.Clock.Now(), true
 	}
 	return h.awaitLease(ctx, service, l)
 }
 
-// answerProvesLead reports whether the answer of a target alone proves that it
+// answerSuffices reports whether the answer of a target alone proves that it
 // is the primary.
-func (h *Homes) answerProvesLead() bool { return h.cfg.LeaseConfig == nil || h.cfg.LeaseConfig.Fencing }
+func (h *Homes) answerSuffices() bool { return h.cfg.LeaseConfig == nil || h.cfg.LeaseConfig.Fencing }
 
 // awaitLease returns a time after the start of the call, and whether a lease of
 // the target covers that time. It renews the lease when it has expired, or in
@@ -76,10 +76,10 @@
 	return at, h.cfg.LeaseConfig.Leases.Valid(id, at)
 }
 
-// leadTerm returns the term in which a target is known to be the primary, if
+// primaryTerm returns the term in which a target is known to be the primary, if
 // proofs need a lease. It is zero otherwise, or when the term is not known.
-func (h *Homes) leadTerm(id siskin.TargetID) siskin.Term {
-	if h.answerProvesLead() {
+func (h *Homes) primaryTerm(id siskin.TargetID) siskin.Term {
+	if h.answerSuffices() {
 		return 0
 	}
 	return h.cfg.LeaseConfig.Leases.Term(id)
--- a/internal/home/connlimiter.go
+++ b/internal/home/connlimiter.go
@@ -23,14 +23,14 @@
 }
 
 // limit returns the maximum number of open connections, at most the given one.
-func (c *connLimiter) limit(now time.Time, most int) int {
+func (c *connLimiter) limit(now time.Time, maxOpen int) int {
 	switch {
 	case !c.active:
-		return most
+		return maxOpen
 	case now.Before(c.retryAt):
-		return min(most, c.ceiling)
+		return min(maxOpen, c.ceiling)
 	default:
-		return min(most, c.ceiling+1)
+		return min(maxOpen, c.ceiling+1)
 	}
 }
 
@@ -45,8 +45,8 @@
 }
 
 // accepted records that a connection was opened, and how many are open now.
-func (c *connLimiter) accepted(open, most int) {
+func (c *connLimiter) accepted(open, maxOpen int) {
 	c.backoff = 0
 	c.ceiling = max(c.ceiling, open)
-	c.active = c.active && c.ceiling < most
+	c.active = c.active && c.ceiling < maxOpen
 }
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -182,7 +182,7 @@
 			return siskin.NewError(siskin.NotRun, "the replicas of %s did not confirm that %s is the primary", service, id).WithRemedy("ask again, or another target")
 		}
 	}
-	h.cfg.Views.RecordProof(service, views.PrimaryProof{Target: id, Position: p, Term: h.leadTerm(id), At: asked})
+	h.cfg.Views.RecordProof(service, views.PrimaryProof{Target: id, Position: p, Term: h.primaryTerm(id), At: asked})
 	return nil
 }
 
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -168,16 +168,16 @@
 	if req.Mode == Continue {
 		return h.continueTx(ctx, req)
 	}
-	l, ok := h.pool(req.Target)
+	connPool, ok := h.pool(req.Target)
 	if !ok {
 		return Reply{Cause: Unknown}
 	}
 	if req.Unreachable {
-		l.recordReport()
+		connPool.recordReport()
 	}
-	r := &run{h: h, l: l, req: req, start: h.cfg.Clock.Now()}
+	r := &run{h: h, connPool: connPool, req: req, start: h.cfg.Clock.Now()}
 	r.deadline = time.Now().Add(req.Timeout)
 	reply := r.do(ctx)
-	reply.Load = l.load()
+	reply.Load = connPool.load()
 	return reply
 }
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -50,17 +50,17 @@
 // which accepts no more connections at the moment could still confirm the
 // primary.
 func (h *Homes) askOnce(ctx context.Context, service siskin.ServiceName, l *pool, term siskin.Term) (again bool, err error) {
-	leads, id := h.cfg.LeaseConfig, l.target()
-	spec, ok := leads.Service(service)
+	leaseCfg, id := h.cfg.LeaseConfig, l.target()
+	spec, ok := leaseCfg.Service(service)
 	if !ok {
 		return false, siskin.NewError(siskin.Unavailable, "service %s is not configured", service)
 	}
 	if term, err = h.pollTerm(ctx, service, id, term); err != nil {
 		return siskin.KindOf(err) == siskin.Overloaded, err
 	}
-	replicas := slices.DeleteFunc(slices.Clone(leads.Targets(service)), func(t siskin.TargetInfo) bool { return t.ID == id })
+	replicas := slices.DeleteFunc(slices.Clone(leaseCfg.Targets(service)), func(t siskin.TargetInfo) bool { return t.ID == id })
 	asked := h.cfg.Clock.Now()
-	poll := lease.Poll{Term: term, SyncReplicas: spec.SyncReplicas, Replicas: len(replicas), GroupSize: leads.GroupSize(service)}
+	poll := lease.Poll{Term: term, SyncReplicas: spec.SyncReplicas, Replicas: len(replicas), GroupSize: leaseCfg.GroupSize(service)}
 	var last error
 	for _, part := range l.renewal.order(len(replicas), lease.Quorum(spec.SyncReplicas)) {
 		for n, a := range h.statuses(ctx, replicas, part) {
@@ -77,7 +77,7 @@
 			case s.Term > term:
 				// Either this target is the primary again in a later term, or
 				// another target is.
-				if !leads.Fencing {
+				if !leaseCfg.Fencing {
 					if later, err := h.askTerm(ctx, id); err != nil || later < s.Term {
 						h.cfg.Views.RecordDenial(service, id, asked)
 						return false, siskin.NewError(siskin.Conflict, "replica %s follows term %d, but target %s is primary in term %d", replicas[n].ID, s.Term, id, later)
@@ -85,19 +85,19 @@
 				}
 				return h.askOnce(ctx, service, l, s.Term)
 			}
-			witness := leads.Leases.Trusted(id, term, h.runningSince(replicas[n].ID, a.o.ConnAge), asked, lease.MinTrustedUptime)
-			poll.Add(*s, witness)
+			trusted := leaseCfg.Leases.Trusted(id, term, h.runningSince(replicas[n].ID, a.o.ConnAge), asked, lease.MinTrustedUptime)
+			poll.Add(*s, trusted)
 			switch {
 			case !lease.Unclaimed(*s, term):
 				last = preferConflict(last, siskin.NewError(siskin.Conflict, "replica %s of term %d is claimed for term %d", replicas[n].ID, s.Term, s.PauseTerm))
-			case witness:
-				l.renewal.asked = n
+			case trusted:
+				l.renewal.lastConfirming = n
 			default:
 				last = preferConflict(last, siskin.NewError(siskin.Unavailable, "replica %s may have restarted and lost a claim", replicas[n].ID))
 			}
 		}
 		if poll.Confirmed() {
-			leads.Leases.Renew(id, term, asked)
+			leaseCfg.Leases.Renew(id, term, asked)
 			return false, nil
 		}
 	}
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -45,7 +45,7 @@
 		if a := &answers[i]; a.Code != siskin.Succeeded {
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, *a
 			r.recordDenial(a, asked)
-			r.l.drop(r.c)
+			r.connPool.drop(r.c)
 			return false, false
 		}
 	}
@@ -69,10 +69,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), r.req.Timeout)
 	defer cancel()
-	at, ok := r.h.confirm(ctx, r.req.Service, r.l)
+	at, ok := r.h.confirm(ctx, r.req.Service, r.connPool)
 	if !ok {
 		r.reply.Outcome, r.reply.Cause = NotSent, Unconfirmed
-		r.l.put(r.c)
+		r.connPool.put(r.c)
 		return false
 	}
 	r.confirmedAt = at
@@ -92,7 +92,7 @@
 func (r *run) recordProof(p siskin.Position, asked time.Time) {
 	r.reply.LeadProven, r.reply.Lead = true, p
 	r.reply.LeadAge = r.h.cfg.Clock.Since(asked)
-	r.h.cfg.Views.RecordProof(r.req.Service, views.PrimaryProof{Target: r.req.Target, Position: p, Term: r.h.leadTerm(r.req.Target), At: asked})
+	r.h.cfg.Views.RecordProof(r.req.Service, views.PrimaryProof{Target: r.req.Target, Position: p, Term: r.h.primaryTerm(r.req.Target), At: asked})
 	r.h.cfg.Views.RecordSuccess(r.req.Target)
 }
 
--- a/internal/home/renewal.go
+++ b/internal/home/renewal.go
@@ -10,12 +10,12 @@
 // renewal is the state of lease renewals for a target. All callers that wait
 // share the renewal in progress.
 type renewal struct {
-	mu       sync.Mutex
-	done     chan struct{} // closed when the renewal ends; nil when none is in progress
-	asked    int           // offset of the replica that confirmed the primary last
-	failedAt time.Time     // end of the last renewal that failed
-	failed   bool          // the last renewal failed, and was logged
-	claimed  bool          // it found a replica that is claimed or follows another primary
+	mu             sync.Mutex
+	done           chan struct{} // closed when the renewal ends; nil when none is in progress
+	lastConfirming int           // offset of the replica that confirmed the primary last
+	failedAt       time.Time     // end of the last renewal that failed
+	failed         bool          // the last renewal failed, and was logged
+	claimed        bool          // it found a replica that is claimed or follows another primary
 }
 
 func (r *renewal) failedSince(t time.Time) bool {
@@ -62,7 +62,7 @@
 // that confirmed the primary last, if one is enough, then all others in
 // parallel.
 func (r *renewal) order(replicas, needed int) [][]int {
-	first := r.asked % max(replicas, 1)
+	first := r.lastConfirming % max(replicas, 1)
 	var others []int
 	for n := range replicas {
 		if n != first || needed > 1 {
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -18,7 +18,7 @@
 // run is the execution of one statement outside of an open transaction.
 type run struct {
 	h        *Homes
-	l        *pool
+	connPool *pool
 	req      *Request
 	start    time.Time // according to the clock of h
 	deadline time.Time // network deadline, in wall-clock time
@@ -33,7 +33,7 @@
 
 // do queues the statement, takes a connection and runs the statement.
 func (r *run) do(ctx context.Context) Reply {
-	if r.req.Mode == Single && r.req.Statement.MayWrite() && (r.l.writes.wouldRefuse(r.start) || !r.h.leaseForCommit(r.deadline, r.req.Service, r.l)) {
+	if r.req.Mode == Single && r.req.Statement.MayWrite() && (r.connPool.writes.wouldRefuse(r.start) || !r.h.leaseForCommit(r.deadline, r.req.Service, r.connPool)) {
 		// The lease is checked before a write occupies a slot and a connection.
 		r.reply.Cause = Stalled
 		return r.reply
@@ -59,7 +59,7 @@
 	queueCtx, cancel := context.WithTimeout(ctx, r.req.QueueTimeout)
 	defer cancel()
 	var err error
-	r.grant, err = r.l.queue.Acquire(queueCtx, r.req.Customer, 1, r.start.Add(r.req.QueueTimeout))
+	r.grant, err = r.connPool.queue.Acquire(queueCtx, r.req.Customer, 1, r.start.Add(r.req.QueueTimeout))
 	r.reply.Waited = r.h.cfg.Clock.Since(r.start)
 	if err != nil {
 		r.setOverload(err)
@@ -81,7 +81,7 @@
 }
 
 func (r *run) connect(ctx context.Context) bool {
-	c, err := r.l.conn(ctx, r.req.Customer, r.req.waitFor())
+	c, err := r.connPool.conn(ctx, r.req.Customer, r.req.waitFor())
 	if err == nil {
 		r.c = c
 		return true
@@ -104,17 +104,17 @@
 func (r *run) attempt() (again bool) {
 	if r.floorExpired() {
 		r.reply.Cause = Stale
-		r.l.put(r.c)
+		r.connPool.put(r.c)
 		return false
 	}
 	if r.h.evacuated(r.req.Target) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
-		r.l.putUnused(r.c)
+		r.connPool.putUnused(r.c)
 		return false
 	}
-	if ok, after := r.h.awaitAdmission(r.l, r.c.openedAt, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
+	if ok, after := r.h.awaitAdmission(r.connPool, r.c.openedAt, r.h.cfg.Clock.Now().Add(r.req.waitFor())); !ok {
 		r.reply.Outcome, r.reply.Cause, r.reply.RetryAfter = NotSent, Overload, after
-		r.l.putUnused(r.c)
+		r.connPool.putUnused(r.c)
 		return false
 	}
 	reused := !r.c.unused
@@ -165,23 +165,23 @@
 	if r.h.evacuated(r.req.Target) {
 		// Closing the connection ends the transaction that proved leadership.
 		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
-		r.l.drop(r.c)
+		r.connPool.drop(r.c)
 		return false
 	}
-	if s.MayWrite() && !r.h.leaseForCommit(r.deadline, r.req.Service, r.l) {
+	if s.MayWrite() && !r.h.leaseForCommit(r.deadline, r.req.Service, r.connPool) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
-		r.l.put(r.c)
+		r.connPool.put(r.c)
 		return false
 	}
 	asked := r.h.cfg.Clock.Now()
-	if s.MayWrite() && !r.l.writes.start(asked) {
+	if s.MayWrite() && !r.connPool.writes.start(asked) {
 		r.reply.Outcome, r.reply.Cause = NotSent, Stalled
-		r.l.put(r.c)
+		r.connPool.put(r.c)
 		return false
 	}
 	answers, err := r.c.Exchange(r.deadline, list)
 	if s.MayWrite() {
-		r.l.writes.end(len(answers) > len(setup))
+		r.connPool.writes.end(len(answers) > len(setup))
 	}
 	r.reply.Ran = r.h.cfg.Clock.Since(asked)
 	if err != nil && len(answers) <= len(setup) {
@@ -198,7 +198,7 @@
 			// Only reads are pipelined after setup, and the answer is
 			// discarded.
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, answers[i]
-			r.l.drop(r.c)
+			r.connPool.drop(r.c)
 			return true
 		}
 	}
@@ -206,10 +206,10 @@
 	r.reply.Outcome, r.reply.Cause, r.reply.Answer = Answered, NoCause, a
 	r.recordAnswer(&s, &a, asked)
 	if err != nil || answers[len(answers)-1].State != siskin.TxIdle || a.Code == siskin.NoStatement {
-		r.l.drop(r.c)
+		r.connPool.drop(r.c)
 		return false
 	}
-	r.l.put(r.c)
+	r.connPool.put(r.c)
 	return false
 }
 
@@ -220,10 +220,10 @@
 	case a.Code == siskin.ReadOnly:
 		r.recordDenial(a, asked)
 	case a.Code == siskin.Succeeded && s.MayWrite():
-		switch got := r.h.confirmCommit(r.req.Service, r.l, a.Position, asked); {
+		switch got := r.h.confirmCommit(r.req.Service, r.connPool, a.Position, asked); {
 		case !got.durable:
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
-		case got.provesLead:
+		case got.provesPrimary:
 			r.recordProof(a.Position, asked)
 		}
 	case a.Code == siskin.Succeeded:
@@ -238,14 +238,14 @@
 		r.reply.Cause = Silent
 	}
 	r.h.cfg.Views.RecordFailure(r.req.Target, r.h.cfg.Clock.Now())
-	r.l.recordFailure()
-	r.l.drop(r.c)
-	r.l.dropIdle()
+	r.connPool.recordFailure()
+	r.connPool.drop(r.c)
+	r.connPool.dropIdle()
 }
 
 // startTx runs the first statement of a transaction that has just begun.
 func (r *run) startTx() (again bool) {
-	t := &tx{l: r.l, c: r.c, req: *r.req, usedAt: r.h.cfg.Clock.Now()}
+	t := &tx{connPool: r.connPool, c: r.c, req: *r.req, usedAt: r.h.cfg.Clock.Now()}
 	t.busy = true
 	id := TxID(r.h.nextTx.Add(1))
 	r.h.txs.Put(id, t)
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -15,9 +15,9 @@
 
 // tx is an open transaction. It owns its connection exclusively.
 type tx struct {
-	l   *pool
-	c   *conn
-	req Request // the request that opened it
+	connPool *pool
+	c        *conn
+	req      Request // the request that opened it
 
 	wrote bool // a write of it succeeded; used only by the holder of busy
 
@@ -53,13 +53,13 @@
 	}
 	start := h.cfg.Clock.Now()
 	if req.Statement.Kind != siskin.Rollback {
-		grant, err := t.l.queue.Acquire(ctx, req.Customer, 1, start.Add(req.QueueTimeout))
+		grant, err := t.connPool.queue.Acquire(ctx, req.Customer, 1, start.Add(req.QueueTimeout))
 		if err != nil {
 			h.abandon(req.Tx, t)
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start)}
 		}
 		defer grant.Release()
-		if ok, after := h.awaitAdmission(t.l, t.c.openedAt, start.Add(req.QueueTimeout)); !ok {
+		if ok, after := h.awaitAdmission(t.connPool, t.c.openedAt, start.Add(req.QueueTimeout)); !ok {
 			h.abandon(req.Tx, t)
 			return Reply{Cause: Overload, Waited: h.cfg.Clock.Since(start), RetryAfter: after}
 		}
@@ -76,24 +76,24 @@
 
 // exec sends a statement in a busy transaction.
 func (h *Homes) exec(id TxID, t *tx, req *Request, setup []siskin.Statement, deadline time.Time) Reply {
-	if h.evacuated(t.l.target()) {
+	if h.evacuated(t.connPool.target()) {
 		h.abandon(id, t)
 		return Reply{Outcome: NotSent, Cause: Evacuated}
 	}
 	s := targetStatement(req)
-	commits := s.Kind == siskin.Commit && t.wrote
-	if commits && !h.leaseForCommit(deadline, req.Service, t.l) {
+	commitsWrites := s.Kind == siskin.Commit && t.wrote
+	if commitsWrites && !h.leaseForCommit(deadline, req.Service, t.connPool) {
 		h.abandon(id, t)
 		return Reply{Cause: Stalled}
 	}
 	asked := h.cfg.Clock.Now()
-	if commits && !t.l.writes.start(asked) {
+	if commitsWrites && !t.connPool.writes.start(asked) {
 		h.abandon(id, t)
 		return Reply{Cause: Stalled}
 	}
 	answers, err := t.c.Exchange(deadline, append(setup, s))
-	if commits {
-		t.l.writes.end(err == nil)
+	if commitsWrites {
+		t.connPool.writes.end(err == nil)
 	}
 	ran := h.cfg.Clock.Since(asked)
 	if err != nil {
@@ -103,8 +103,8 @@
 			reply.Cause = Silent
 		}
 		h.cfg.Views.RecordFailure(req.Target, h.cfg.Clock.Now())
-		t.l.recordFailure()
-		t.l.dropIdle()
+		t.connPool.recordFailure()
+		t.connPool.dropIdle()
 		return reply
 	}
 	a := answers[len(setup)]
@@ -123,7 +123,7 @@
 		switch {
 		case s.MayWrite():
 			t.wrote = true
-		case commits && !h.confirmCommit(req.Service, t.l, a.Position, asked).durable:
+		case commitsWrites && !h.confirmCommit(req.Service, t.connPool, a.Position, asked).durable:
 			reply.Outcome, reply.Cause, reply.Answer = InDoubt, Unconfirmed, siskin.Answer{}
 		}
 	}
@@ -147,9 +147,9 @@
 	switch {
 	case done:
 	case reusable:
-		t.l.put(t.c)
+		t.connPool.put(t.c)
 	default:
-		t.l.drop(t.c)
+		t.connPool.drop(t.c)
 	}
 }
 
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -51,9 +51,9 @@
 	}
 }
 
-// TestFloors guards against a floor that counts as newer than its request, such
+// TestLatestProof guards against a floor that counts as newer than its request, such
 // as the old position combined with the time of a proof that had no position.
-func TestFloors(t *testing.T) {
+func TestLatestProof(t *testing.T) {
 	v := New()
 	v.RecordProof("s", proof("a", 7, 100))
 	v.RecordProof("s", PrimaryProof{Target: "a", At: at(200)})
