--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -10,60 +10,61 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-// backoff is the wait between attempts. The base is about the time that a group
-// needs to tell of a change, and the maximum keeps the wait after a failover
-// short against its bound of 7 s.
+// backoff is the delay between attempts. The base is about the time that a
+// group needs to announce a change, and the maximum is short compared with the
+// 7 s that a failover may take.
 var backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: 200 * time.Millisecond}
 
-// attemptAll sends the first batch until it ran, may have run, or may not be
-// sent again.
+// attemptAll sends the first batch until it succeeds, or fails in a way that
+// must not be retried.
 func (c *session) attemptAll(t *transaction, last byte) (relay.Executor, relay.Result, *relay.Failure) {
 	for {
 		t.attempts++
 		c.answer.answered = false
-		leg, res, f := c.attempt(t, last)
+		executor, res, f := c.attempt(t, last)
 		if f == nil {
-			c.srv.counts.served(t)
+			c.srv.counts.countServed(t)
 		}
 		if f == nil || f.CallerGone {
-			return leg, res, f
+			return executor, res, f
 		}
 		t.maybeRan = t.maybeRan || !f.Proof.NotRun()
 		t.hdr.Admitted = t.hdr.Admitted || f.Admitted
 		if !c.mayRetry(t, f) {
 			return nil, res, f
 		}
-		c.srv.log.Trace(c.logged(), f.Err, "attempt failed; the next one follows")
+		c.srv.log.Trace(c.logRequest(), f.Err, "attempt failed; retrying")
 	}
 }
 
-// mayRetry decides about another attempt and waits for its time.
+// mayRetry decides whether another attempt is made and waits until it is due.
 func (c *session) mayRetry(t *transaction, f *relay.Failure) bool {
 	if f.Proof.NotRun() && f.Err.Kind != siskin.NotRun {
-		return false // a refusal that a repetition would meet again
+		return false // a retry would be refused again
 	}
 	cfg := &c.srv.cfg
 	delay := backoff.Delay(t.attempts, rand.Int64N)
 	if t.route.Mode == config.ReadRoute && f.Proof == retry.Unsent && t.attempts < len(t.service.Targets) {
-		delay = 0 // another target is tried at once
+		delay = 0 // another target is tried without delay
 	}
 	if f.Proof == retry.ReportedAbort || f.Proof == retry.Refused {
-		// The target refuses writes; it will not do to ask it again before the
-		// group has changed.
+		// The target refuses writes, and will do so until the group has changed
+		// its primary.
 		delay += backoff.Max
 	}
 	verdict := retry.Decide(retry.Attempt{
-		Proof: f.Proof, Mode: t.route.Mode, Repeatable: t.route.Repeatable,
+		Outcome: f.Proof, Mode: t.route.Mode, Repeatable: t.route.Repeatable,
 		Answered: c.answer.answered, Replayable: !t.streamed,
 		Now: cfg.Clock.Now(), Deadline: t.deadline, Delay: delay,
 	})
-	if verdict != retry.Retry || c.endReason() != nil {
+	if verdict != retry.Retry || c.endError() != nil {
 		return false
 	}
-	if f.Proof.IsFree() {
-		// A paused primary refuses each request in progress once; a budget that
-		// is small for a customer with few requests would fail some of them.
-		c.srv.counts.waits.Add(1)
+	if f.Proof.SkipsBudget() {
+		// A paused primary refuses each request in progress once. If these
+		// retries used the budget, a customer with few requests, whose budget
+		// is small, would see some of them fail.
+		c.srv.counts.freeRetries.Add(1)
 		c.waitForChange(t, delay)
 		return true
 	}
@@ -75,34 +76,35 @@
 	return true
 }
 
-// waitForChange waits until the view of the last attempt changes, at most for
-// the delay.
+// waitForChange waits until the view used by the last attempt changes, or the
+// delay is over.
 func (c *session) waitForChange(t *transaction, delay time.Duration) {
 	if delay <= 0 {
 		return
 	}
 	select {
-	case <-t.changed:
+	case <-t.viewChanged:
 	case <-c.srv.cfg.Clock.After(delay):
 	}
 }
 
-// begin picks a target and a slot and leases a connection at its home.
+// begin picks a target and a slot and begins the transaction at the slot's
+// home.
 func (c *session) begin(t *transaction) (relay.Executor, *relay.Failure) {
 	cfg := &c.srv.cfg
 	view, changed, ok := cfg.Topology.View(c.service)
-	t.changed = changed
+	t.viewChanged = changed
 	if !ok {
-		return nil, noTarget(t)
+		return nil, noTargetFailure(t)
 	}
-	n := need{route: t.route, floor: c.floor, dc: cfg.Topology.DataCentre(), tried: t.tried}
-	target, ok := pick(t.service, &view, n, rand.IntN)
+	n := requirements{route: t.route, floor: c.floor, dc: cfg.Topology.DataCentre(), tried: t.tried}
+	target, ok := pickTarget(t.service, &view, n, rand.IntN)
 	if !ok {
-		return nil, noTarget(t)
+		return nil, noTargetFailure(t)
 	}
 	slot, home, local, ok := pickSlot(cfg.Topology, t.service, target)
 	if !ok {
-		return nil, noTarget(t)
+		return nil, noTargetFailure(t)
 	}
 	t.tried = append(t.tried, target.ID)
 	t.hdr.Target, t.hdr.Slot = target.ID, slot
@@ -115,18 +117,19 @@
 	return cfg.Forwarder.Begin(home, &t.hdr)
 }
 
-// traceAttempt logs where an attempt goes, so that it is found there.
+// traceAttempt logs the target and home of an attempt, so that its log lines at
+// the home can be found.
 func (c *session) traceAttempt(t *transaction, home siskin.VMID) {
-	q := c.logged()
+	q := c.logRequest()
 	q.Customer, q.Target, q.Home = t.customer, t.hdr.Target, home
-	c.srv.log.Trace(q, nil, "attempt begins")
+	c.srv.log.Trace(q, nil, "attempt started")
 }
 
-func noTarget(t *transaction) *relay.Failure {
-	what := "no target of service %s can serve the read at present"
+func noTargetFailure(t *transaction) *relay.Failure {
+	format := "no target of service %s can serve the read at present"
 	if t.route.Mode == config.WriteRoute {
-		what = "service %s has no primary at present"
+		format = "service %s has no primary at present"
 	}
-	return &relay.Failure{Proof: retry.Unsent, Err: siskin.NewError(siskin.NotRun, what, t.service.Name).
+	return &relay.Failure{Proof: retry.Unsent, Err: siskin.NewError(siskin.NotRun, format, t.service.Name).
 		WithRemedy("repeat the request").WithRetryAfter(time.Second)}
 }
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -27,7 +27,8 @@
 func BenchmarkRead10kRows(b *testing.B)    { benchmarkStatements(b, "aged", false, 10_000) }
 func BenchmarkWriteForwarded(b *testing.B) { benchmarkStatements(b, "write", true, 1) }
 
-// TestAllocationsDoNotGrowWithAnswer guards against a buffer for each row.
+// TestAllocationsDoNotGrowWithAnswer guards against allocating a buffer per
+// row.
 func TestAllocationsDoNotGrowWithAnswer(t *testing.T) {
 	if raceEnabled {
 		t.Skip("sync.Pool drops buffers at random under the race detector")
@@ -40,24 +41,24 @@
 	}
 }
 
-// TestIdleConnectionMemory guards against an idle caller that holds more than
-// 16 KB.
+// TestIdleConnectionMemory guards against an idle connection that uses more
+// than 16 KB of memory.
 func TestIdleConnectionMemory(t *testing.T) {
 	const n, want = 1000, 16 << 10
 	f := startFleet(t, 1, nil)
-	before := memory()
+	before := memoryInUse()
 	var conns []net.Conn
 	for range n {
 		conn, r := f.vms[0].benchClient(t, "write")
 		if _, err := conn.Write(benchQuery); err != nil {
 			t.Fatal(err)
 		}
-		if err := drain(r); err != nil {
+		if err := readAnswer(r); err != nil {
 			t.Fatal(err)
 		}
 		conns = append(conns, conn)
 	}
-	got := (memory() - before) / n
+	got := (memoryInUse() - before) / n
 	t.Logf("%d bytes of heap and stack per idle connection, the client's end included", got)
 	if got > want {
 		t.Errorf("got %d bytes per idle connection, want at most %d", got, want)
@@ -65,7 +66,7 @@
 	runtime.KeepAlive(conns)
 }
 
-func memory() int64 {
+func memoryInUse() int64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
@@ -73,39 +74,39 @@
 	return int64(m.HeapAlloc + m.StackInuse)
 }
 
-// BenchmarkLatency sends single statements at light load, in turn to a target
-// directly, through its home and through another VM, so that all three see the
-// same machine.
+// BenchmarkLatency sends single statements at light load, in turn directly to a
+// target, through the slot's home and through another VM, so that all three
+// paths run under the same load of the machine.
 func BenchmarkLatency(b *testing.B) {
 	f := startFleet(b, 2, nil)
-	f.allAtFirst.Store(true)
+	f.firstOwnsAll.Store(true)
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
-	direct := f.direct(b)
+	direct := f.dialTarget(b)
 	local, localR := f.vms[0].benchClient(b, "aged")
 	far, farR := f.vms[1].benchClient(b, "aged")
-	ends := []struct {
+	paths := []struct {
 		name string
 		conn net.Conn
 		r    *frame.Reader
 		took []time.Duration
 	}{{"direct", direct, frame.NewReader(direct), nil}, {"local", local, localR, nil}, {"forwarded", far, farR, nil}}
 	for b.Loop() {
-		for i := range ends {
-			e := &ends[i]
+		for i := range paths {
+			e := &paths[i]
 			start := time.Now()
 			if _, err := e.conn.Write(benchQuery); err != nil {
 				b.Fatal(err)
 			}
-			if err := drain(e.r); err != nil {
+			if err := readAnswer(e.r); err != nil {
 				b.Fatal(e.name, err)
 			}
 			e.took = append(e.took, time.Since(start))
 			time.Sleep(200 * time.Microsecond)
 		}
 	}
-	for _, e := range ends {
+	for _, e := range paths {
 		slices.Sort(e.took)
 		n := len(e.took)
 		b.ReportMetric(float64(e.took[n/2].Microseconds()), e.name+"-p50-us")
@@ -113,8 +114,8 @@
 	}
 }
 
-// direct logs in at the first replica.
-func (f *fleet) direct(tb testing.TB) net.Conn {
+// dialTarget opens a connection to the first replica without a VM in between.
+func (f *fleet) dialTarget(tb testing.TB) net.Conn {
 	d, err := pool.NewPGDialer(nil)
 	if err != nil {
 		tb.Fatal(err)
@@ -129,14 +130,14 @@
 	return o.Conn
 }
 
-// BenchmarkThroughput runs many sessions at a canned target. Statements per
-// second divided by the cores in use gives statements per second and core.
+// BenchmarkThroughput runs many sessions against a canned target. Statements
+// per second divided by the cores in use gives statements per second and core.
 func BenchmarkThroughput(b *testing.B) {
-	b.Run("Direct", benchmarkDirect) // the share of the client and the target
+	b.Run("Direct", benchmarkDirect) // measures the share of the client and the target
 	for _, forwarded := range []bool{false, true} {
 		b.Run(fmt.Sprintf("Forwarded=%v", forwarded), func(b *testing.B) {
 			f := startFleet(b, 2, nil)
-			f.allAtFirst.Store(true)
+			f.firstOwnsAll.Store(true)
 			f.dialCanned(cannedTarget{rows: 1})
 			vm := f.vms[0]
 			if forwarded {
@@ -151,7 +152,7 @@
 						b.Error(err)
 						return
 					}
-					if err := drain(r); err != nil {
+					if err := readAnswer(r); err != nil {
 						b.Error(err)
 						return
 					}
@@ -179,7 +180,7 @@
 				b.Error(err)
 				return
 			}
-			if err := drain(r); err != nil {
+			if err := readAnswer(r); err != nil {
 				b.Error(err)
 				return
 			}
--- a/internal/front/connections_test.go
+++ b/internal/front/connections_test.go
@@ -9,7 +9,7 @@
 	"siskintray.example/siskin/internal/frame"
 )
 
-// benchCaller is an open connection of a caller.
+// benchCaller is an open client connection.
 type benchCaller struct {
 	conn net.Conn
 	r    *frame.Reader
@@ -22,7 +22,7 @@
 	for vms := 1; vms <= 2; vms++ {
 		b.Run(fmt.Sprintf("Forwarded=%v", vms == 2), func(b *testing.B) {
 			f := startFleet(b, vms, nil)
-			f.allAtFirst.Store(true)
+			f.firstOwnsAll.Store(true)
 			f.dialCanned(cannedTarget{rows: 1})
 			callers := make([]benchCaller, 7500)
 			for i := range callers {
@@ -33,8 +33,8 @@
 	}
 }
 
-// benchmarkCallers keeps 40 statements in progress, each on the next connection
-// of its part of the callers.
+// benchmarkCallers keeps 40 statements in progress, one per worker. Each worker
+// uses its part of the connections in turn.
 func benchmarkCallers(b *testing.B, callers []benchCaller) {
 	const workers = 40
 	var left atomic.Int64
@@ -59,7 +59,7 @@
 		if _, err := c.conn.Write(benchQuery); err != nil {
 			return err
 		}
-		if err := drain(c.r); err != nil {
+		if err := readAnswer(c.r); err != nil {
 			return err
 		}
 	}
--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -14,7 +14,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-func (f *fleet) get(key string) string {
+func (f *fleet) valueAtPrimary(key string) string {
 	for _, s := range f.targets {
 		if s.Store().Status(time.Now()).Role == siskin.RolePrimary {
 			v, _ := s.Store().Get(key)
@@ -24,48 +24,48 @@
 	return ""
 }
 
-// TestWithdrawnKey guards against a key that works on after its withdrawal, on
-// idle connections or inside a transaction.
+// TestWithdrawnKey guards against a key that still works after its withdrawal,
+// on idle connections or inside a transaction.
 func TestWithdrawnKey(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
-	idle := f.vms[0].raw(t, "badges/write")
-	inTx := f.vms[1].raw(t, "badges/write")
+	idle := f.vms[0].connectRaw(t, "badges/write")
+	inTx := f.vms[1].connectRaw(t, "badges/write")
 	if a := inTx.query("begin"); a.status != 'T' {
 		t.Fatalf("got %+v, want a transaction", a)
 	}
 	f.keys.withdrawn.Store(true)
 	start := time.Now()
 	if a := idle.read(); a.code() != "28000" || a.status != 0 {
-		t.Errorf("idle: got %+v, want 28000 and the end", a)
+		t.Errorf("idle: got %+v, want 28000 and the end of the connection", a)
 	}
 	if a := inTx.query("insert into kv values ('late', 'x'); commit"); a.code() != "28000" || a.status != 0 {
-		t.Errorf("in a transaction: got %+v, want 28000 and the end", a)
+		t.Errorf("in a transaction: got %+v, want 28000 and the end of the connection", a)
 	}
 	if got, want := time.Since(start), 3*time.Second; got > want {
 		t.Errorf("the key worked for %v, want at most %v", got, want)
 	}
-	if got := f.get("late"); got != "" {
+	if got := f.valueAtPrimary("late"); got != "" {
 		t.Errorf("a statement after the withdrawal ran: got %q", got)
 	}
-	if _, err := f.vms[0].tryConnect("write", testKey, ""); sqlState(err) != "28000" {
+	if _, err := f.vms[0].dialPGX("write", testKey, ""); sqlState(err) != "28000" {
 		t.Errorf("new connection: got %v, want 28000", err)
 	}
 }
 
-// TestKeyWithdrawnInQueue guards against a request that waited at its home and
-// is sent to a target after its key was withdrawn.
+// TestKeyWithdrawnInQueue guards against a queued request that the home sends
+// to a target after its key was withdrawn.
 func TestKeyWithdrawnInQueue(t *testing.T) {
 	f := startFleet(t, 2, nil)
-	f.allAtFirst.Store(true) // so that the second VM forwards
+	f.firstOwnsAll.Store(true) // so that the second VM forwards
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	hold := make(chan struct{})
 	f.queue.hold.Store(&hold)
 	answers := make(chan rawAnswer, len(f.vms))
 	for _, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		go func() { answers <- c.query("insert into kv values ('" + string(vm.id) + "', 'x')") }()
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -77,20 +77,20 @@
 		}
 	}
 	for _, vm := range f.vms {
-		if got := f.get(string(vm.id)); got != "" {
+		if got := f.valueAtPrimary(string(vm.id)); got != "" {
 			t.Errorf("%s: a write of a withdrawn key ran", vm.id)
 		}
 	}
 }
 
 // TestMissingConfirmation guards against a write that is acknowledged although
-// no replica has it, and against a caller that is left waiting.
+// no replica has received it, and against a caller that gets no answer.
 func TestMissingConfirmation(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
 	f.group.noAck.Store(true)
 	for _, vm := range f.vms {
-		c := vm.raw(t, "badges/short")
+		c := vm.connectRaw(t, "badges/short")
 		start := time.Now()
 		a := c.query("insert into kv values ('" + string(vm.id) + "', 'x')")
 		if a.code() != "08007" || strings.Contains(a.types, "C") || a.status != 'I' {
@@ -109,7 +109,7 @@
 		} {
 			a := test.a
 			if a.code() != "08007" || strings.Count(a.types, "C") != test.tags || len(a.values) > 0 || a.status != 'I' {
-				t.Errorf("%s: got %q %q %d rows, want 08007 before the commit is told", name, a.types, a.code(), len(a.values))
+				t.Errorf("%s: got %q %q %d rows, want 08007 before CommandComplete of the commit", name, a.types, a.code(), len(a.values))
 			}
 		}
 		f.group.noAck.Store(false)
@@ -120,12 +120,12 @@
 	}
 }
 
-// TestGracefulStop guards against a planned stop that cuts a request or keeps
-// idle callers.
+// TestGracefulStop guards against a planned stop that aborts a request or
+// leaves idle connections open.
 func TestGracefulStop(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
-	idle, running, inTx := f.vms[0].raw(t, "badges/write"), f.vms[0].raw(t, "badges/write"), f.vms[0].raw(t, "badges/write")
+	idle, running, inTx := f.vms[0].connectRaw(t, "badges/write"), f.vms[0].connectRaw(t, "badges/write"), f.vms[0].connectRaw(t, "badges/write")
 	running.fe.Send(&pgproto3.Query{String: "select pg_sleep(0.4)"})
 	running.flush()
 	if a := inTx.query("begin; insert into kv values ('stop', 'x')"); a.status != 'T' {
@@ -149,20 +149,20 @@
 		t.Errorf("in a transaction: got %+v, want its commit", a)
 	}
 	<-closed
-	if got := f.get("stop"); got != "x" {
+	if got := f.valueAtPrimary("stop"); got != "x" {
 		t.Errorf("committed write: got %q, want x", got)
 	}
-	if _, err := f.vms[0].tryConnect("write", testKey, ""); err == nil {
+	if _, err := f.vms[0].dialPGX("write", testKey, ""); err == nil {
 		t.Error("got a connection after the stop")
 	}
 }
 
-// TestLostCommitAnswer guards against a write that is run again or called "not
-// run" when its answer was lost after it took effect.
+// TestLostCommitAnswer guards against a write that is retried or reported as
+// not run, although it took effect and only its answer was lost.
 func TestLostCommitAnswer(t *testing.T) {
 	f := startFleet(t, 2, nil)
 	for i, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		f.targets[0].LoseAnswers("COMMIT", 1)
 		before := len(f.targets[0].Store().Records())
 		a := c.query(fmt.Sprintf("insert into kv values ('lost%d', 'x')", i))
@@ -175,16 +175,16 @@
 	}
 }
 
-// TestHeldUntilPrimaryIsKnown guards against refused writes while the group
-// changes its primary, although the deadline leaves time.
-func TestHeldUntilPrimaryIsKnown(t *testing.T) {
+// TestWriteWaitsForPrimary guards against refused writes while the group
+// changes its primary, although their deadline is not over.
+func TestWriteWaitsForPrimary(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
 	primary := f.group.View().Primary
 	f.group.setPrimary("")
 	answers := make(chan rawAnswer, len(f.vms))
 	for _, vm := range f.vms {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		go func() { answers <- c.query("insert into kv values ('" + string(vm.id) + "', 'held')") }()
 	}
 	time.Sleep(300 * time.Millisecond)
@@ -196,17 +196,18 @@
 	}
 	f.group.setPrimary("")
 	start := time.Now()
-	a := f.vms[0].raw(t, "badges/short").query("insert into kv values ('never', 'x')")
+	a := f.vms[0].connectRaw(t, "badges/short").query("insert into kv values ('never', 'x')")
 	if a.code() != "57P03" || time.Since(start) > time.Second {
 		t.Errorf("no primary: got %+v after %v, want 57P03 at the deadline of 300 ms", a, time.Since(start))
 	}
 }
 
-// TestWriteAtReplacedPrimary guards against a write that is lost between two
-// primaries: the old one reports that it ran nothing, so it is sent again.
+// TestWriteAtReplacedPrimary guards against a lost write while the primary
+// changes: a target that is not the primary refuses it without effect, so it
+// must be sent again.
 func TestWriteAtReplacedPrimary(t *testing.T) {
 	f := startFleet(t, 2, nil)
-	c := f.vms[0].raw(t, "badges/write")
+	c := f.vms[0].connectRaw(t, "badges/write")
 	for i := range 20 { // fill the retry budget
 		if a := c.query(fmt.Sprintf("insert into kv values ('fill%d', 'x')", i)); a.code() != "" {
 			t.Fatal(a)
@@ -217,13 +218,13 @@
 	if a := c.query("insert into kv values ('moved', 'x')"); a.code() != "" {
 		t.Errorf("got %+v, want success at the primary", a)
 	}
-	if got := f.get("moved"); got != "x" {
+	if got := f.valueAtPrimary("moved"); got != "x" {
 		t.Errorf("got %q, want x", got)
 	}
 }
 
 // TestLaggingReplica guards against a read that misses its session's write, or
-// that fails, while replicas are behind.
+// that fails, while replicas lag.
 func TestLaggingReplica(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, nil)
@@ -232,7 +233,7 @@
 			s.SetFaults(func(x *target.Faults) { x.ApplyLag = config.Duration(lag) })
 		}
 		for i := range 5 {
-			c := f.vms[i%2].raw(t, "badges/write")
+			c := f.vms[i%2].connectRaw(t, "badges/write")
 			key := fmt.Sprintf("lag-%v-%d", lag, i)
 			if a := c.query("insert into kv values ('" + key + "', 'x')"); a.code() != "" {
 				t.Fatal(a)
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -25,7 +25,7 @@
 
 const testKey = "key-of-the-badge-shop"
 
-// fleet is a group of stand-in targets and VMs in front of it.
+// fleet is a group of stand-in targets with VMs in front of it.
 type fleet struct {
 	tb      testing.TB
 	service *config.Service
@@ -39,8 +39,8 @@
 	tokens    *token.Codec
 	view      config.View
 	vms       []*testVM
-	// allAtFirst makes the first VM the owner of all slots.
-	allAtFirst atomic.Bool
+	// firstOwnsAll makes the first VM the owner of all slots.
+	firstOwnsAll atomic.Bool
 }
 
 func startFleet(tb testing.TB, vms int, edit func(*target.Config, *config.Service)) *fleet {
@@ -79,7 +79,7 @@
 		dc := siskin.DataCentreID(fmt.Sprintf("dc-%d", i%2))
 		f.service.Targets = append(f.service.Targets, config.Target{ID: t.ID(), DataCentre: dc, Address: t.Address()})
 	}
-	f.view = config.NewFixed([]*config.Service{f.service}, []*config.Customer{{ID: "shop", Weight: 1}, {ID: "walk-in", Weight: 1}})
+	f.view = config.NewStaticView([]*config.Service{f.service}, []*config.Customer{{ID: "shop", Weight: 1}, {ID: "walk-in", Weight: 1}})
 	f.tokens, err = token.NewCodec([]byte("a token key of 24 bytes."), nil)
 	if err != nil {
 		tb.Fatal(err)
@@ -89,7 +89,7 @@
 		f.vms = append(f.vms, f.startVM(i))
 	}
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	tb.Cleanup(f.close)
 	return f
@@ -134,7 +134,7 @@
 
 // owner returns the index of the VM that owns a slot.
 func (f *fleet) owner(t config.Target, slot siskin.Slot) int {
-	if f.allAtFirst.Load() {
+	if f.firstOwnsAll.Load() {
 		return 0
 	}
 	for i := range f.service.Targets {
@@ -145,27 +145,28 @@
 	return 0
 }
 
-// switchDialer opens connections to the stand-ins or to canned targets.
-type switchDialer struct {
+// testDialer opens connections to the stand-in targets, or to a canned target
+// when one is set.
+type testDialer struct {
 	*pool.PGDialer
 	canned atomic.Pointer[cannedTarget]
 }
 
 // Dial implements pool.Dialer.
-func (d *switchDialer) Dial(ctx context.Context, key pool.Key, cfg pool.SlotConfig, account pool.Account) (pool.DialedConn, error) {
+func (d *testDialer) Dial(ctx context.Context, key pool.Key, cfg pool.SlotConfig, account pool.Account) (pool.DialedConn, error) {
 	if c := d.canned.Load(); c != nil {
 		return c.Dial(ctx, key, cfg, account)
 	}
 	return d.PGDialer.Dial(ctx, key, cfg, account)
 }
 
-// dialCanned replaces all target connections by canned ones.
+// dialCanned replaces all target connections by connections to a canned target.
 func (f *fleet) dialCanned(c cannedTarget) {
 	for _, vm := range f.vms {
 		vm.dialer.canned.Store(&c)
 		for _, key := range vm.pool.Owned() {
 			<-vm.pool.Drop(key)
 		}
-		vm.own()
+		vm.ownSlots()
 	}
 }
--- a/internal/front/pick_test.go
+++ b/internal/front/pick_test.go
@@ -13,8 +13,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestPick guards against transactions that go to a target which may not or
-// should not serve them.
+// TestPick guards against a transaction that is sent to a target which cannot
+// serve it, or which is not the preferred one.
 func TestPick(t *testing.T) {
 	archive, err := txtar.ParseFile("testdata/pick.txtar")
 	if err != nil {
@@ -35,7 +35,7 @@
 		}
 		for _, line := range lines {
 			f := strings.Fields(line)
-			n := need{route: routes[f[0]], dc: "dc-0"}
+			n := requirements{route: routes[f[0]], dc: "dc-0"}
 			if _, err := fmt.Sscanf(f[1], "%d:%d", &n.floor.Term, &n.floor.LSN); err != nil {
 				t.Fatal(err)
 			}
@@ -45,7 +45,7 @@
 				}
 			}
 			got := "none"
-			if target, ok := pick(service, &view, n, func(int) int { return 1 }); ok {
+			if target, ok := pickTarget(service, &view, n, func(int) int { return 1 }); ok {
 				got = string(target.ID)
 			}
 			if want := f[3]; got != want {
@@ -81,8 +81,8 @@
 	return service, view
 }
 
-// BenchmarkPick measures the choice of a target for a transaction, the look-up
-// of its service and route included.
+// BenchmarkPick measures picking a target for a transaction, including the
+// lookup of its service and route.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{10, 100_000} {
 		b.Run(fmt.Sprint("services=", n), func(b *testing.B) {
@@ -93,7 +93,7 @@
 					services[i].Targets = append(services[i].Targets, config.Target{ID: siskin.TargetID(fmt.Sprintf("s%d/%d", i, t)), DataCentre: "dc-0"})
 				}
 			}
-			configured := config.NewFixed(services, nil)
+			configured := config.NewStaticView(services, nil)
 			b.ReportAllocs()
 			b.ResetTimer()
 			b.RunParallel(func(pb *testing.PB) {
@@ -104,7 +104,7 @@
 				for pb.Next() {
 					service, _ := configured.Service("s0")
 					route, _ := service.Route("read")
-					if _, ok := pick(service, &view, need{route: route, dc: "dc-0"}, rand.IntN); !ok {
+					if _, ok := pickTarget(service, &view, requirements{route: route, dc: "dc-0"}, rand.IntN); !ok {
 						b.Error("no target")
 						return
 					}
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -14,13 +14,13 @@
 )
 
 // serveConn runs the start-up of one connection and starts its session. It
-// calls ended when the connection is closed.
+// calls ended after the connection is closed.
 func (s *Server) serveConn(conn net.Conn, ended func()) {
 	finish := func() {
 		_ = conn.Close() // the connection ends in any case
 		ended()
 	}
-	c := s.newcomer(conn)
+	c := s.startSession(conn)
 	if c == nil {
 		finish()
 		return
@@ -29,13 +29,13 @@
 	go c.loop()
 }
 
-// newcomer runs the start-up. It returns no session when the caller was refused
-// or had sent a cancel request.
-func (s *Server) newcomer(conn net.Conn) *session {
+// startSession runs the start-up within its timeout. It returns nil when the
+// caller was refused or sent a cancel request.
+func (s *Server) startSession(conn net.Conn) *session {
 	if conn.SetDeadline(time.Now().Add(s.Limits().StartupTimeout)) != nil {
 		return nil
 	}
-	c, err := s.startUp(conn)
+	c, err := s.negotiate(conn)
 	if err != nil {
 		if e := new(siskin.Error); errors.As(err, &e) {
 			s.counts.refused[e.Kind].Add(1)
@@ -46,17 +46,17 @@
 	return c
 }
 
-// maxStartupMessages bounds the messages before the start-up message: one for
-// TLS, one for GSS and the start-up itself.
+// maxStartupMessages limits the messages up to the start-up message: one for
+// TLS, one for GSS and the start-up message itself.
 const maxStartupMessages = 3
 
-// startUp reads messages up to the start-up message. It returns no session when
-// the message was a cancel request.
-func (s *Server) startUp(conn net.Conn) (c *session, err error) {
+// negotiate answers messages up to the start-up message and opens the session.
+// It returns nil when the message was a cancel request.
+func (s *Server) negotiate(conn net.Conn) (c *session, err error) {
 	defer func() {
 		if v := recover(); v != nil {
-			s.fault(v, logs.Request{})
-			c, err = nil, refuse(conn, errFault)
+			s.reportPanic(v, logs.Request{})
+			c, err = nil, refuse(conn, errInternal)
 		}
 	}()
 	_, secure := conn.(*tls.Conn)
@@ -81,7 +81,7 @@
 			}
 			return nil, nil
 		default:
-			return s.open(conn, raw, secure)
+			return s.openSession(conn, raw, secure)
 		}
 	}
 	return nil, refuse(conn, siskin.NewError(siskin.BadInput, "too many requests before the start-up message").
@@ -100,7 +100,7 @@
 	return t, t.Handshake()
 }
 
-// refuse sends a final error and returns it.
+// refuse sends a FATAL error to the caller and returns it.
 func refuse(conn net.Conn, err error) error {
 	e := asError(err)
 	if b, encodeErr := relay.ErrorResponse("FATAL", e).Encode(nil); encodeErr == nil {
@@ -109,7 +109,7 @@
 	return e
 }
 
-// asError returns the error of this program in err's chain, or wraps err.
+// asError returns the siskin.Error in err's chain, or wraps err in one.
 func asError(err error) *siskin.Error {
 	var e *siskin.Error
 	if errors.As(err, &e) {
@@ -118,15 +118,17 @@
 	return siskin.NewError(siskin.BadInput, "connection failed").WithRemedy("connect again").WithCause(err)
 }
 
-// open authenticates the caller and starts the session.
-func (s *Server) open(conn net.Conn, raw startupPacket, secure bool) (*session, error) {
+// openSession authenticates the caller, registers the session and completes the
+// start-up.
+func (s *Server) openSession(conn net.Conn, raw startupPacket, secure bool) (*session, error) {
 	params, err := raw.parameters()
 	if err != nil {
 		return nil, refuse(conn, err)
 	}
 	c := newSession(s, conn)
 	if raw.code() != pgproto3.ProtocolVersion30 {
-		// A newer minor version is answered with the one that is spoken here.
+		// A client with a newer minor version is offered the one that this
+		// server supports.
 		if err := c.w.Message(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: pgproto3.ProtocolVersion30}); err != nil {
 			return nil, err
 		}
@@ -140,16 +142,16 @@
 	if err := s.register(c); err != nil {
 		return nil, refuse(conn, err)
 	}
-	greeted := false
+	started := false
 	defer func() {
-		if !greeted {
+		if !started {
 			s.sessions.Delete(c.id)
 		}
 	}()
-	if err := c.greet(); err != nil {
+	if err := c.completeStartup(); err != nil {
 		return nil, err
 	}
-	greeted = true
+	started = true
 	return c, nil
 }
 
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -8,25 +8,25 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// eachPath runs a test at the VM that owns all slots and at one that forwards.
+// eachPath runs a test on the VM that owns all slots and on one that forwards.
 func eachPath(t *testing.T, run func(t *testing.T, f *fleet, vm *testVM)) {
 	f := startFleet(t, 2, nil)
-	f.allAtFirst.Store(true)
+	f.firstOwnsAll.Store(true)
 	for _, vm := range f.vms {
-		vm.own()
+		vm.ownSlots()
 	}
 	for i, name := range []string{"local", "forwarded"} {
 		t.Run(name, func(t *testing.T) { run(t, f, f.vms[i]) })
 	}
 }
 
-// TestBatchesOfAnySize guards against a batch that blocks because its answer
-// fills the buffers before the batch is sent.
+// TestBatchesOfAnySize guards against a deadlock when the answer fills the
+// buffers before the batch is sent completely.
 func TestBatchesOfAnySize(t *testing.T) {
 	t.Parallel()
 	eachPath(t, func(t *testing.T, _ *fleet, vm *testVM) {
-		c := vm.raw(t, "badges/write")
-		for _, n := range []int{1, 300, 4000} { // below and above one buffer
+		c := vm.connectRaw(t, "badges/write")
+		for _, n := range []int{1, 300, 4000} { // smaller and larger than one buffer
 			c.fe.Send(&pgproto3.Parse{Query: "select generate_series(1, 300)"})
 			for range n {
 				c.fe.Send(&pgproto3.Bind{})
@@ -43,11 +43,11 @@
 	})
 }
 
-// TestFlush guards against answers that are held until a Sync although the
-// caller asked for them.
+// TestFlush guards against answers that are buffered until the Sync although
+// the caller sent a Flush.
 func TestFlush(t *testing.T) {
 	eachPath(t, func(t *testing.T, _ *fleet, vm *testVM) {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		c.fe.Send(&pgproto3.Parse{Name: "f", Query: "select 'x'"})
 		c.fe.Send(&pgproto3.Flush{})
 		c.flush()
@@ -66,11 +66,11 @@
 	})
 }
 
-// TestFailedCopy guards against copy data that is taken for statements after an
-// error, and against a connection that is out of step afterwards.
+// TestFailedCopy guards against CopyData messages that are read as statements
+// after an error, and against a connection that is out of sync afterwards.
 func TestFailedCopy(t *testing.T) {
 	eachPath(t, func(t *testing.T, f *fleet, vm *testVM) {
-		c := vm.raw(t, "badges/write")
+		c := vm.connectRaw(t, "badges/write")
 		copyIn := &pgproto3.Query{String: "copy kv from stdin"}
 		a := c.exchange(copyIn, &pgproto3.CopyData{Data: []byte("a\tb\n")}, &pgproto3.CopyFail{Message: "stop"})
 		if a.code() != "57014" || a.status != 'I' {
@@ -98,7 +98,7 @@
 		if a := c.query("rollback"); a.code() != "" || a.status != 'I' {
 			t.Errorf("rollback: got %+v %q, want success", a.err, a.status)
 		}
-		if got := f.get("k1") + f.get("a"); got != "" {
+		if got := f.valueAtPrimary("k1") + f.valueAtPrimary("a"); got != "" {
 			t.Errorf("a failed copy left %q", got)
 		}
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	dialer.Open = cfg.Open
+	dialer.Open = cfg.Dial
 	n := &Node{cfg: cfg, started: cfg.Clock.Now()}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.homes = newHomes(cfg.Members)
@@ -73,7 +73,7 @@
 		Pool:    n.pool,
 		Awake:   cfg.Awake,
 	}).Init()
-	n.forwarder = relay.NewForwarder(cfg.Clock, cfg.PeerTLS, cfg.Open)
+	n.forwarder = relay.NewForwarder(cfg.Clock, cfg.PeerTLS, cfg.Dial)
 	n.server = relay.NewServer(n.home, cfg.Tokens, cfg.PeerTLS, relay.WithLog(cfg.Log))
 	n.update()
 	n.front = n.newFront()
@@ -84,20 +84,20 @@
 func (n *Node) newFront() *front.Server {
 	cfg := n.cfg
 	return front.New(front.Config{
-		VM:        cfg.Self.ID,
-		Clock:     cfg.Clock,
-		Config:    cfg.Config,
-		Keys:      cfg.Keys,
-		Topology:  &topology{self: cfg.Self, homes: n.homes, groups: n.groups, remote: n.remote},
-		Home:      n.home,
-		Forwarder: n.forwarder,
-		Tokens:    cfg.Tokens,
-		Budgets:   retry.NewBudgets(),
-		Canceler:  &cancels{members: cfg.Members, peers: cfg.Peers},
-		TLS:       cfg.CallerTLS,
-		Observer:  cfg.Observer,
-		Log:       cfg.Log,
-		Limits:    cfg.Limits,
+		VM:           cfg.Self.ID,
+		Clock:        cfg.Clock,
+		Config:       cfg.Config,
+		Keys:         cfg.Keys,
+		Topology:     &topology{self: cfg.Self, homes: n.homes, groups: n.groups, remote: n.remote},
+		Home:         n.home,
+		Forwarder:    n.forwarder,
+		Tokens:       cfg.Tokens,
+		Budgets:      retry.NewBudgets(),
+		PeerCanceler: &cancels{members: cfg.Members, peers: cfg.Peers},
+		TLS:          cfg.CallerTLS,
+		Observer:     cfg.Observer,
+		Log:          cfg.Log,
+		Limits:       cfg.Limits,
 	})
 }
 
--- a/internal/pool/older_test.go
+++ b/internal/pool/closeolder_test.go
@@ -2,18 +2,18 @@
 
 import "testing"
 
-// TestCloseOlder guards against connections from before a fault of the target
-// that are handed out one after the other, and against younger ones, those in
-// use and those of the other account that are closed with them.
+// TestCloseOlder guards against leasing connections from before a fault of the
+// target one after the other, and against closing newer ones, those in use or
+// those of the other account with them.
 func TestCloseOlder(t *testing.T) {
 	f := newFixture(t, 8)
 	oldest, stale := f.get(t, Full, 1), f.get(t, Full, 2)
 	busy, reader := f.get(t, Full, 3), f.get(t, ReadOnly, 4)
 	young := f.get(t, Full, 5)
 	f.locked(key, func() {
-		young.opened = stale.opened.Add(1)
+		young.openedAt = stale.openedAt.Add(1)
 		for _, c := range []*Conn{oldest, busy, reader} {
-			c.opened = stale.opened.Add(-1)
+			c.openedAt = stale.openedAt.Add(-1)
 		}
 	})
 	oldest.Recycle(1)
@@ -34,7 +34,7 @@
 	busy.Recycle(3)
 }
 
-// locked calls run under the lock of a slot.
+// locked calls run with the lock of a slot held.
 func (f *fixture) locked(key Key, run func()) {
 	s, _ := f.slots.Get(key)
 	s.mu.Lock()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,30 +10,32 @@
 	"siskintray.example/siskin/internal/frame"
 )
 
-// Source yields the messages of a caller's batch.
+// Source reads the messages of a caller's batch.
 type Source interface {
-	// Peek waits for the next message. After Interrupt it returns an error that
-	// wraps os.ErrDeadlineExceeded and can be repeated after Resume.
+	// Peek waits for the next message without consuming it. After Interrupt it
+	// returns an error that wraps os.ErrDeadlineExceeded; it can be called
+	// again after Resume.
 	Peek() (frame.Head, error)
-	// Append consumes the next message and adds it to b. It reports false, and
-	// the message stays next, when it does not fit.
+	// Append consumes the next message and appends it to b. It reports false,
+	// and consumes nothing, if the message does not fit.
 	Append(h frame.Head, b *frame.Batch) (bool, error)
 	// Send consumes the next message and writes it to w.
 	Send(h frame.Head, w *frame.Writer) error
 	// SendRest writes the rest of a message whose Send was interrupted.
 	SendRest(w *frame.Writer) error
-	// Buffered returns the bytes that were read but not consumed.
+	// Buffered returns the number of bytes that were read but not consumed.
 	Buffered() int
-	// Interrupt ends a waiting Peek or Send; Resume allows them again.
+	// Interrupt ends a blocked Peek or Send. Resume allows them again.
 	Interrupt()
 	Resume()
 }
 
-// ends reports whether a message ends a batch outside of COPY.
-func ends(typ byte) bool { return typ == 'Q' || typ == 'F' || typ == 'S' }
+// endsBatch reports whether a message ends a batch outside of COPY.
+func endsBatch(typ byte) bool { return typ == 'Q' || typ == 'F' || typ == 'S' }
 
-// Collect gathers messages in b until the batch ends, a Flush comes or b is
-// full. It returns the type of the message that ended the batch, or zero.
+// Collect appends messages to b until the batch ends, a Flush message is read
+// or b is full. It returns the type of the message that ended the batch, or
+// zero.
 func Collect(src Source, b *frame.Batch) (byte, error) {
 	for {
 		h, err := src.Peek()
@@ -44,110 +46,111 @@
 		if err != nil || !ok || h.Type == 'H' {
 			return 0, err
 		}
-		if ends(h.Type) {
+		if endsBatch(h.Type) {
 			return h.Type, nil
 		}
 	}
 }
 
-// Exchange sends one batch, of which b holds the beginning, and relays its
-// answer. The argument last is the result of Collect. A source error means that
-// the caller is gone.
-func Exchange(src Source, leg Executor, sink Sink, b *frame.Batch, last byte) (Result, *Failure) {
-	if err := leg.Send(b.Bytes(), last != 0); err != nil {
-		return Result{}, sendFailed(leg, err)
+// Exchange sends a batch, whose beginning is in b, and relays the answer. The
+// argument last is the result of Collect. After an error of src, the Failure
+// has CallerGone set.
+func Exchange(src Source, executor Executor, sink Sink, b *frame.Batch, last byte) (Result, *Failure) {
+	if err := executor.Send(b.Bytes(), last != 0); err != nil {
+		return Result{}, batchSendFailed(executor, err)
 	}
 	if last == 0 {
-		return duplex(src, leg, sink, false)
+		return duplex(src, executor, sink, false)
 	}
-	res, f := leg.RelayAnswer(sink, true, nil)
+	res, f := executor.RelayAnswer(sink, true, nil)
 	if f != nil || !res.CopyIn {
 		return res, f
 	}
-	return duplex(src, leg, sink, last == 'Q')
+	return duplex(src, executor, sink, last == 'Q')
 }
 
-// sendFailed ends a batch that may have been sent in part. A target runs
-// nothing of a message before it has it whole, but an earlier message of the
-// batch may have arrived, so the outcome is unknown.
-func sendFailed(leg Executor, err error) *Failure {
-	leg.Abort(err)
-	return unknown(err, "connection to the target failed while the request was sent")
+// batchSendFailed ends a transaction after a batch was possibly sent in part. A
+// target runs a message only after it has received it completely, but an
+// earlier message of the batch may have arrived, so the outcome is unknown.
+func batchSendFailed(executor Executor, err error) *Failure {
+	executor.Abort(err)
+	return unknownOutcome(err, "connection to the target failed while the request was sent")
 }
 
 type answer struct {
-	res   Result
-	f     *Failure
-	fault *Panic
+	result   Result
+	failure  *Failure
+	panicked *Panic
 }
 
-// duplex relays the rest of a batch in both directions at once. With copySimple
-// the batch ends with the copy data of a simple query.
-func duplex(src Source, leg Executor, sink Sink, copySimple bool) (Result, *Failure) {
-	w := leg.Writer()
+// duplex relays the rest of a batch in both directions concurrently. If
+// simpleCopy is set, the batch ends with the copy data of a simple query.
+func duplex(src Source, executor Executor, sink Sink, simpleCopy bool) (Result, *Failure) {
+	w := executor.Writer()
 	answers := make(chan answer, 1)
-	pumped := make(chan struct{})
-	var ended atomic.Bool // the target's answer ended, so no more is sent
+	pumpDone := make(chan struct{})
+	var answerEnded atomic.Bool // the target's answer has ended, so nothing more is sent
 	stop := func() {
-		ended.Store(true) // before Interrupt, so that an interrupted pump finds it
+		answerEnded.Store(true) // set before Interrupt, so that the interrupted pump sees it
 		src.Interrupt()
 	}
 	go func() {
 		var a answer
 		defer func() {
 			if v := recover(); v != nil {
-				a.fault = Recovered(v)
+				a.panicked = Recovered(v)
 			}
 			answers <- a
 			stop()
 		}()
-		a.res, a.f = leg.RelayAnswer(sink, false, func() {
+		a.result, a.failure = executor.RelayAnswer(sink, false, func() {
 			stop()
-			<-pumped
+			<-pumpDone
 		})
 	}()
 	finished := false
 	finish := func() answer {
 		finished = true
-		close(pumped)
+		close(pumpDone)
 		a := <-answers
-		if a.fault != nil {
-			panic(a.fault) // in the goroutine of the session, which handles it
+		if a.panicked != nil {
+			panic(a.panicked) // in the session's goroutine, which recovers it
 		}
 		return a
 	}
 	defer func() {
-		if !finished { // a fault: nothing may use the session after its end
-			leg.Abort(nil)
-			close(pumped)
+		if !finished { // a panic: nothing may use the session after it ended
+			executor.Abort(nil)
+			close(pumpDone)
 			<-answers
 		}
 	}()
-	err := pump(src, w, copySimple)
-	if isInterrupt(err) && ended.Load() {
-		// The answer ended first, such as by an error within COPY. The message
-		// in progress is completed, so that the connection stays in step.
+	err := pump(src, w, simpleCopy)
+	if isInterrupt(err) && answerEnded.Load() {
+		// The answer ended before the batch, for example by an error within
+		// COPY. Send the rest of the current message, to keep the connection in
+		// sync.
 		src.Resume()
 		if err = src.SendRest(w); err == nil {
 			err = w.Flush()
 		}
 	}
 	if err != nil && w.Err() == nil {
-		leg.Abort(nil)
+		executor.Abort(nil)
 		finish()
-		return Result{}, sourceFailed(err)
+		return Result{}, sourceFailure(err)
 	}
 	a := finish()
 	src.Resume()
-	return a.res, a.f
+	return a.result, a.failure
 }
 
-// sourceFailed returns the failure of a batch whose messages ended early. The
-// session ends, since the answer is out of step with the batch.
-func sourceFailed(err error) *Failure {
-	f := unknown(err, "caller's connection ended in the middle of a batch")
+// sourceFailure returns the failure of a batch that ended early. The session
+// ends, since the answer is out of sync with the batch.
+func sourceFailure(err error) *Failure {
+	f := unknownOutcome(err, "caller's connection ended in the middle of a batch")
 	if e := new(siskin.Error); errors.As(err, &e) {
-		f = unknown(err, "batch ended after a part of it was sent: %s", e.Message)
+		f = unknownOutcome(err, "batch ended after a part of it was sent: %s", e.Message)
 	}
 	f.CallerGone = true
 	return f
@@ -173,7 +176,7 @@
 		if err := src.Send(h, w); err != nil {
 			return err
 		}
-		done := ends(h.Type)
+		done := endsBatch(h.Type)
 		if copySimple {
 			done = h.Type == 'c' || h.Type == 'f'
 		}
