--- a/internal/cfgini/cfgini_test.go
+++ b/internal/cfgini/cfgini_test.go
@@ -13,9 +13,9 @@
 
 var update = flag.Bool("update", false, "rewrite golden files and docs/SETTINGS.md")
 
-// TestFindings guards against settings that start a VM with a fault, and
-// against a report that stops at the first fault. Each txtar file holds
-// settings and the findings that they must give.
+// TestFindings guards against a VM that starts with invalid settings, and
+// against a report that stops at the first error. Each txtar file holds settings
+// and the expected findings.
 func TestFindings(t *testing.T) {
 	files, _ := filepath.Glob("testdata/*.txtar")
 	if len(files) == 0 {
@@ -68,7 +68,7 @@
 	return filepath.Join(dir, "vm.ini")
 }
 
-// TestReload guards against a reload that takes a setting which a running VM
+// TestReload guards against a reload that applies a setting which a running VM
 // cannot change, or that misses one which it can.
 func TestReload(t *testing.T) {
 	path := writeSettings(t, validSettings)
@@ -91,7 +91,7 @@
 	}
 	replace(strings.Replace(validSettings, "vm-1", "vm-2", 1) + "[Log]\nLevel = debug\n")
 	if _, _, err := Reload(path, cfg); err == nil || !strings.Contains(err.Error(), "VM.ID cannot change") {
-		t.Errorf("got %v, want a refusal that names VM.ID", err)
+		t.Errorf("got %v, want an error that names VM.ID", err)
 	}
 }
 
@@ -121,7 +121,7 @@
 	}
 }
 
-// TestExamples guards against example settings that are refused.
+// TestExamples guards against example settings that are rejected.
 func TestExamples(t *testing.T) {
 	files, _ := filepath.Glob("../../examples/*/vms/*.ini")
 	if got, want := len(files), 2; got != want {
@@ -146,7 +146,7 @@
 	}
 }
 
-// TestDefaultsAreValid guards against a default that its own bounds refuse.
+// TestDefaultsAreValid guards against a default outside its own bounds.
 func TestDefaultsAreValid(t *testing.T) {
 	if found := Parse("vm.ini", []byte("[Target]\nID = a/1\nDataCentre = x\nAddress = 127.0.0.1:1\nReplicationAddress = 127.0.0.1:2\nAdminAddress = 127.0.0.1:3\nGroup = 127.0.0.1:2\nSlots = 2\nConnectionsPerSlot = 16\nUser = u\nPassword = #p=\nReadUser = r\nReadPassword = p\nDatabase = d\n"), new(StandinTarget)); found.Err() != nil {
 		t.Error(found.Err())
--- a/internal/cfgini/daemon.go
+++ b/internal/cfgini/daemon.go
@@ -20,13 +20,13 @@
 	Group    Group
 }
 
-// VM names the machine.
+// VM identifies the VM.
 type VM struct {
 	ID         string `unit:"name" doc:"Name of this VM, unique in the fleet. It survives a restart."`
 	DataCentre string `unit:"name" doc:"Data centre that the VM stands in."`
 }
 
-// Caller sets the listener for callers.
+// Caller configures the listener for callers.
 type Caller struct {
 	Address        string        `unit:"address" doc:"Address that callers connect to."`
 	CertFile       string        `unit:"file" optional:"yes" reload:"yes" doc:"TLS certificate in PEM. Needed unless Address is on loopback, since keys travel over TLS only."`
@@ -36,7 +36,7 @@
 	MaxMessage     siskin.Bytes  `default:"16MB" min:"32KB" max:"1GB" reload:"yes" doc:"Largest protocol message that a caller may send."`
 }
 
-// Peer sets the listeners for other VMs.
+// Peer configures the listeners for other VMs.
 type Peer struct {
 	Address        string   `unit:"address" doc:"Address that takes calls of other VMs (net/rpc)."`
 	ForwardAddress string   `unit:"address" doc:"Address that takes transactions forwarded by other VMs (PostgreSQL protocol)."`
@@ -46,7 +46,7 @@
 	Seeds          []string `unit:"addresses" optional:"yes" doc:"Peer addresses of some other VMs, for a start while the platform is down."`
 }
 
-// Admin sets the listener for operators.
+// Admin configures the listener for operators.
 type Admin struct {
 	Address   string `unit:"address" default:"127.0.0.1:6480" doc:"Address for operators and metrics."`
 	CertFile  string `unit:"file" optional:"yes" doc:"TLS certificate in PEM. Needed, with KeyFile and CAFile, unless Address is on loopback."`
@@ -55,31 +55,31 @@
 	Profiling bool   `default:"no" doc:"Serves profiles of the Go runtime below /debug/pprof/."`
 }
 
-// Platform sets the client of the platform's object API.
+// Platform configures the client of the platform's object API.
 type Platform struct {
 	Addresses       []string `unit:"addresses" doc:"Addresses of the platform's object API."`
 	ReadsPerSecond  float64  `default:"20" min:"0.1" max:"2000" reload:"yes" doc:"Most reads a second by this VM. The whole fleet shares about 2,000."`
 	WritesPerSecond float64  `default:"5" min:"0.1" max:"300" reload:"yes" doc:"Most writes a second by this VM. The whole fleet shares several hundred."`
 }
 
-// Token sets the keys that sign session tokens.
+// Token configures the keys that sign session tokens.
 type Token struct {
 	KeyFile         string `unit:"file" reload:"yes" doc:"Key that signs session tokens, the same on all VMs."`
 	PreviousKeyFile string `unit:"file" optional:"yes" reload:"yes" doc:"Key that signed tokens before the last change of KeyFile. Its tokens are still accepted."`
 }
 
-// Stop sets the planned stop.
+// Stop configures the planned stop.
 type Stop struct {
 	Deadline time.Duration `default:"60s" min:"1s" max:"10m" reload:"yes" doc:"Longest wait for running requests at a planned stop. Below the longest deadline of a route (at most 60 s), a stop can cut requests."`
 }
 
-// Log sets the log.
+// Log configures the log.
 type Log struct {
 	Level  string `unit:"debug|info|warn|error" default:"info" reload:"yes" doc:"Lowest level that is written."`
 	Format string `unit:"json|text" default:"json" doc:"Form of the lines on standard error."`
 }
 
-// Group sets the monitoring of targets.
+// Group configures the monitoring of targets.
 type Group struct {
 	ProbeInterval time.Duration `default:"200ms" min:"20ms" max:"1s" doc:"Time between two probes of a target. A target is suspected after 3 intervals without a response. A change needs a restart, VM by VM: all groups of a VM would start anew at once and lose what they know of their targets."`
 }
@@ -116,7 +116,7 @@
 	c.addFinding(a, "set "+b+" as well or remove "+a, "%s is set without %s", a, b)
 }
 
-// requireTLS requires TLS outside loopback.
+// requireTLS requires TLS for an address outside loopback.
 func (c *check) requireTLS(name, address, certName, cert string) {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil || a.Addr().IsLoopback() || cert != "" || !c.allValid(name, certName) {
@@ -127,8 +127,8 @@
 
 type namedAddress struct{ name, address string }
 
-// requireDistinctAddresses requires that listeners do not share an address. Listeners on the
-// unspecified address take the port on every address.
+// requireDistinctAddresses requires that listeners do not share an address. A
+// listener on the unspecified address uses its port on every address.
 func (c *check) requireDistinctAddresses(all ...namedAddress) {
 	for i, a := range all {
 		for _, b := range all[:i] {
--- a/internal/cfgini/doc.go
+++ b/internal/cfgini/doc.go
@@ -6,12 +6,12 @@
 //
 // Tags of a setting:
 //
-//	unit     how the text is read: name, text, address, addresses, file, or
+//	unit     how the text is parsed: name, text, address, addresses, file, or
 //	         the names of the allowed values separated by "|"; numbers,
 //	         durations and sizes follow from the Go type
 //	default  the value of a missing key
 //	optional "yes" when the key may be missing and has no default
 //	min, max inclusive bounds
-//	reload   "yes" when a running program takes the new value
+//	reload   "yes" when a running program can apply a new value
 //	doc      one sentence for the reference page
 package cfgini
--- a/internal/cfgini/file.go
+++ b/internal/cfgini/file.go
@@ -8,15 +8,15 @@
 	"gopkg.in/ini.v1"
 )
 
-// Bounds of a file. Settings and answers are a few kilobytes; the bounds keep a
-// wrong or hostile file from using much memory.
+// Limits of a file. Settings and answers are a few kilobytes; the limits keep a
+// wrong or malicious file from using much memory.
 const (
 	maxFileSize   = 1 << 20
 	maxLineLength = 8 << 10
 	maxLines      = 10000
 )
 
-// File is a parsed INI file that knows the line of each section and key.
+// File is a parsed INI file with the line number of each section and key.
 type File struct {
 	Name     string
 	Sections []*Section // in file order
@@ -58,9 +58,9 @@
 	return Entry{}, false
 }
 
-// ParseFile parses INI text. Values take the rest of their line, so that
-// passwords may contain comment signs. Line continuation, nested values and
-// repeated names are refused.
+// ParseFile parses INI text. A value extends to the end of its line, so that
+// passwords may contain comment characters. Line continuation, nested values and
+// repeated names are rejected.
 func ParseFile(name string, data []byte) (*File, Findings) {
 	f := &File{Name: name}
 	var found Findings
@@ -79,8 +79,8 @@
 	return f, f.readValues(data)
 }
 
-// scan records the line of each section and key, since the INI library does
-// not keep lines, and refuses every line that it would read in a special way.
+// scan records the line number of each section and key, which the INI library
+// does not keep, and rejects every line that the library would treat specially.
 func (f *File) scan(text string) (found Findings) {
 	text = strings.TrimPrefix(text, "\ufeff")
 	lineCount := 0
@@ -143,7 +143,7 @@
 	}
 }
 
-// readValues takes the values from the INI library.
+// readValues sets the values of the entries as parsed by the INI library.
 func (f *File) readValues(data []byte) (found Findings) {
 	lib, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreContinuation: true, IgnoreInlineComment: true, KeyValueDelimiters: "=",
@@ -182,7 +182,7 @@
 	return true
 }
 
-// quote shortens hostile text for a message.
+// quote quotes and truncates untrusted text for a message.
 func quote(s string) string {
 	if len(s) > 60 {
 		s = strings.ToValidUTF8(s[:60], "") + "..."
--- a/internal/cfgini/finding.go
+++ b/internal/cfgini/finding.go
@@ -9,10 +9,10 @@
 	"siskintray.example/siskin"
 )
 
-// Finding is one fault of a settings file.
+// Finding is one error in a settings file.
 type Finding struct {
 	File    string
-	Line    int // 0 when the fault has no line, such as a missing section
+	Line    int // 0 when the error has no line, such as a missing section
 	Message string
 	Remedy  string
 }
@@ -26,11 +26,11 @@
 	return fmt.Sprintf("%s: %s; %s", place, f.Message, f.Remedy)
 }
 
-// Findings are all faults of a settings file.
+// Findings are all errors in a settings file.
 type Findings []Finding
 
-// Err returns nil without findings, else an error of kind BadInput that lists
-// them all, one a line.
+// Err returns nil if there are no findings, otherwise an error of kind BadInput
+// that lists them, one per line.
 func (fs Findings) Err() error {
 	if len(fs) == 0 {
 		return nil
--- a/internal/cfgini/load.go
+++ b/internal/cfgini/load.go
@@ -9,13 +9,14 @@
 	"siskintray.example/siskin"
 )
 
-// ruleChecker is implemented by settings types with rules across keys.
+// ruleChecker is implemented by settings types with rules that involve several
+// keys.
 type ruleChecker interface {
 	check(c *check)
 }
 
 // Load reads the file at path into settings, a pointer to a settings type.
-// Relative file names in the settings are taken from the directory of path.
+// Relative file names in the settings are resolved against the directory of path.
 func Load(path string, settings any) error {
 	info, err := os.Stat(path)
 	if err == nil && info.Size() > maxFileSize {
@@ -46,7 +47,7 @@
 	return c.found
 }
 
-// check is the state of one check of a whole file.
+// check is the state of the check of one settings file.
 type check struct {
 	file     *File
 	settings []Setting
--- a/internal/cfgini/local_test.go
+++ b/internal/cfgini/local_test.go
@@ -7,7 +7,7 @@
 )
 
 // TestLocalExample guards against settings in examples/local that the programs
-// refuse, and against a file that no program reads.
+// reject, and against a file that no program reads.
 func TestLocalExample(t *testing.T) {
 	files, _ := filepath.Glob("../../examples/local/*.ini")
 	n := 0
--- a/internal/cfgini/nearest.go
+++ b/internal/cfgini/nearest.go
@@ -17,7 +17,7 @@
 	return best
 }
 
-// distance is the Levenshtein distance.
+// distance returns the Levenshtein distance of a and b.
 func distance(a, b string) int {
 	row := make([]int, len(b)+1)
 	for j := range row {
--- a/internal/cfgini/reference.go
+++ b/internal/cfgini/reference.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// Reference returns the reference of a settings type as Markdown tables, one a
+// Reference returns the reference of a settings type as Markdown tables, one per
 // section.
 func Reference(settings any) string {
 	var b strings.Builder
--- a/internal/cfgini/reload.go
+++ b/internal/cfgini/reload.go
@@ -20,9 +20,9 @@
 	return names
 }
 
-// Reload reads the file at path and compares it with the settings in force. It
-// returns the new settings and the names of those that changed. When a setting
-// changed that a running VM cannot take, nothing is reloaded.
+// Reload reads the file at path and compares it with the current settings. It
+// returns the new settings and the names of those that changed. If a changed
+// setting needs a restart, it returns an error and nothing is reloaded.
 func Reload(path string, current *Daemon) (*Daemon, []string, error) {
 	next := new(Daemon)
 	if err := Load(path, next); err != nil {
--- a/internal/cfgini/standin.go
+++ b/internal/cfgini/standin.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// StandinPlatform holds the settings of the platform's stand-in.
+// StandinPlatform holds the settings of the stand-in platform.
 type StandinPlatform struct {
 	Platform StandinPlatformSection
 }
 
-// StandinPlatformSection is the section Platform of a stand-in.
+// StandinPlatformSection is the section Platform of a stand-in platform.
 type StandinPlatformSection struct {
 	Address      string        `unit:"address" doc:"Address of the object API."`
 	AdminAddress string        `unit:"address" doc:"Address that accepts faults."`
@@ -21,12 +21,12 @@
 	c.requireDistinctAddresses(namedAddress{"Platform.Address", s.Platform.Address}, namedAddress{"Platform.AdminAddress", s.Platform.AdminAddress})
 }
 
-// StandinTarget holds the settings of a target's stand-in.
+// StandinTarget holds the settings of a stand-in target.
 type StandinTarget struct {
 	Target StandinTargetSection
 }
 
-// StandinTargetSection is the section Target of a stand-in.
+// StandinTargetSection is the section Target of a stand-in target.
 type StandinTargetSection struct {
 	ID                 string        `unit:"name" doc:"Name of the target, such as ledger-a/1."`
 	DataCentre         string        `unit:"name" doc:"Data centre that the target stands in."`
--- a/internal/cfgini/system.go
+++ b/internal/cfgini/system.go
@@ -21,7 +21,7 @@
 	Log      Log
 }
 
-// SystemVM names the machine.
+// SystemVM identifies the VM and sets the resources that it may use.
 type SystemVM struct {
 	ID             string       `unit:"name" doc:"Name of this VM, unique in the fleet. It survives a restart."`
 	DataCentre     string       `unit:"name" doc:"Data centre that the VM stands in."`
@@ -30,43 +30,44 @@
 	Memory         siskin.Bytes `default:"256MB" min:"32MB" max:"64GB" doc:"Memory that the process may use. The garbage collector works harder from two thirds of it on."`
 }
 
-// Capacity returns the VM's processor.
+// Capacity returns the processor capacity of the VM.
 func (v *SystemVM) Capacity() siskin.Millicores {
 	return siskin.Millicores(math.Round(v.ProcessorShare * v.Processors * 1000))
 }
 
-// SystemCaller sets the listener for callers.
+// SystemCaller configures the listener for callers.
 type SystemCaller struct {
 	Address     string `unit:"address" doc:"Address that callers connect to with the session protocol."`
 	MaxSessions int    `default:"3500" min:"1" max:"1000000" doc:"Most sessions open at once. Further connections are closed."`
 }
 
-// SystemReady sets the listener for the balancer.
+// SystemReady configures the listener for readiness probes of the load balancer.
 type SystemReady struct {
 	Address string `unit:"address" doc:"Address of the readiness probe."`
 }
 
-// SystemPeer sets the listener for other VMs.
+// SystemPeer configures the listener for other VMs.
 type SystemPeer struct {
 	Address    string   `unit:"address" doc:"Address that takes calls of other VMs (net/rpc, without TLS: the network must belong to the deployment alone)."`
 	Advertised string   `unit:"address" optional:"yes" doc:"Address under which other VMs reach this one, where it differs from Peer.Address, such as behind a forwarder."`
 	Seeds      []string `unit:"addresses" optional:"yes" doc:"Peer addresses of some other VMs, for a start while the store is down."`
 }
 
-// SystemStore sets the client of the metadata store.
+// SystemStore configures the client of the metadata store.
 type SystemStore struct {
 	Address string        `unit:"address" doc:"Address of the metadata store."`
 	Timeout time.Duration `default:"2s" min:"100ms" max:"30s" doc:"Longest time for one call, in addition to the wait of a watch."`
 }
 
-// SystemPromoter sets the client of the promotion duty.
+// SystemPromoter configures the client of the platform's promotion service.
 type SystemPromoter struct {
 	Address string        `unit:"address" doc:"Address of the platform's promotion duty."`
 	Timeout time.Duration `default:"700ms" min:"100ms" max:"10s" doc:"Longest wait for the answer to a promotion."`
 	Fencing bool          `default:"no" doc:"Whether the platform refuses fences that are lower than one it has seen, and takes the lead from the former primary at a promotion. Without it, reads at a primary and changes of primary rest on the replicas, and a change takes 0.4 s longer."`
 }
 
-// SystemOperator sets what the operator may ask for.
+// SystemOperator configures the bounds that the operator of the platform sets for
+// evacuations and cold targets.
 type SystemOperator struct {
 	EvacuateWithin time.Duration `default:"0s" min:"0s" max:"10m" doc:"Time from the store's acknowledgement of the evacuation of a data centre to the last statement sent to a target there, 1 s or more. The last 0.5 s are kept in reserve, and reading takes up to 4.5 s. 0s where the platform has no evacuations; the store is then not asked for them."`
 	// ColdExcess and ColdSlack bound the statements to a cold target.
@@ -74,18 +75,18 @@
 	ColdSlack  float64 `default:"0" min:"0" max:"1000000" doc:"Statements that a cold target may get in one second beyond that."`
 }
 
-// SystemMetrics sets the listener for metrics.
+// SystemMetrics configures the listener for metrics.
 type SystemMetrics struct {
 	Address string `unit:"address" doc:"Address that serves metrics in the Prometheus text format at /metrics."`
 }
 
-// SystemStop sets the planned stop.
+// SystemStop configures the planned stop.
 type SystemStop struct {
 	Grace time.Duration `default:"6s" min:"1s" max:"10m" doc:"Time from the signal to stop until the process is killed."`
 }
 
-// minEvacuateWithin leaves half a second for the last statements of an evacuated data
-// centre after the reserve.
+// minEvacuateWithin leaves half a second for the last statements to an evacuated
+// data centre, in addition to the reserve.
 const minEvacuateWithin = time.Second
 
 func (s *System) check(c *check) {
--- a/internal/cfgini/system_test.go
+++ b/internal/cfgini/system_test.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// TestDeployTemplate guards against a template of the users' platform that lacks
-// a setting or renders one that is refused.
+// TestDeployTemplate guards against a deployment template of the users' platform
+// that lacks a setting or renders an invalid one.
 func TestDeployTemplate(t *testing.T) {
-	// A platform that does not say whether it checks fences is taken as one that
-	// does not.
+	// A platform that does not state whether it checks fencing tokens is treated
+	// as one that does not.
 	for fencing, want := range map[string]bool{"true": true, "false": false, "": false} {
 		if got := renderDeployTemplate(t, fencing, "").Promoter.Fencing; got != want {
 			t.Errorf("Promoter.Fencing of %q: got %v, want %v", fencing, got, want)
@@ -47,7 +47,7 @@
 	text = regexp.MustCompile(`\{\{[^}]+\}\}`).ReplaceAllStringFunc(text, func(placeholder string) string {
 		value, ok := fields[strings.Trim(placeholder, "{}")]
 		if !ok {
-			t.Errorf("placeholder %s: got none of the platform's fields", placeholder)
+			t.Errorf("placeholder %s: not a field of the platform", placeholder)
 		}
 		return value
 	})
@@ -70,8 +70,8 @@
 	return &s
 }
 
-// TestEvacuationBound guards against a bound that leaves no time for the statements
-// that run at a target.
+// TestEvacuationBound guards against a bound that leaves no time for running
+// statements.
 func TestEvacuationBound(t *testing.T) {
 	for value, want := range map[string]bool{"0s": true, "400ms": false, "1s": true, "5000ms": true} {
 		found := Parse("vm.ini", []byte("[Operator]\nEvacuateWithin = "+value+"\n"), new(System))
@@ -81,8 +81,8 @@
 	}
 }
 
-// TestSystemFindings guards against a VM that starts with settings which are
-// wrong, unknown or missing.
+// TestSystemFindings guards against a VM that starts with invalid, unknown or
+// missing settings.
 func TestSystemFindings(t *testing.T) {
 	found := Parse("vm.ini", []byte("[VM]\nID = vm-1\nMemory = lots\n[Caller]\nAdress = 127.0.0.1:1\n"), new(System))
 	text := found.Err().Error()
--- a/internal/cfgini/value.go
+++ b/internal/cfgini/value.go
@@ -12,14 +12,14 @@
 	"siskintray.example/siskin"
 )
 
-// problem is a fault of one value with its remedy.
+// problem is an error in one value, with its remedy.
 type problem struct{ message, remedy string }
 
 func problemf(remedy, format string, args ...any) *problem {
 	return &problem{message: fmt.Sprintf(format, args...), remedy: remedy}
 }
 
-// parse reads the text of a setting into v and checks its bounds.
+// parse parses the text of a setting into v and checks its bounds.
 func (s Setting) parse(text string, v reflect.Value) *problem {
 	switch {
 	case s.typ == durationType:
@@ -71,7 +71,7 @@
 	return nil
 }
 
-// ParseBytes reads a size such as "512B", "64KB" or "16MB"; a KB is 1024 bytes.
+// ParseBytes parses a size such as "512B", "64KB" or "16MB"; a KB is 1024 bytes.
 func ParseBytes(text string) (siskin.Bytes, bool) {
 	for _, u := range []struct {
 		suffix string
--- a/pkg/config/change.go
+++ b/pkg/config/change.go
@@ -2,8 +2,8 @@
 
 import "siskintray.example/siskin"
 
-// Change is a set of documents to put and delete as a whole. It is written as
-// an immutable object and becomes current by one update of the head.
+// Change is a set of documents to put and delete atomically. It is stored as an
+// immutable object and takes effect by a single update of the head.
 type Change struct {
 	// Base is the revision of the configuration that the change was made from.
 	// A document that changed after Base is not overwritten.
@@ -19,8 +19,8 @@
 	return len(c.Services)+len(c.Customers)+len(c.DeleteServices)+len(c.DeleteCustomers) == 0
 }
 
-// SetRevision stamps the documents that the change puts with the revision that
-// the change becomes.
+// SetRevision sets the revision of the documents that the change puts to r, the
+// revision that the change creates.
 func (c *Change) SetRevision(r siskin.Revision) {
 	for _, s := range c.Services {
 		s.Revision = r
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -25,7 +25,7 @@
 	os.Exit(m.Run())
 }
 
-// drawAnswers draws valid answers, so that a refusal is a fault.
+// drawAnswers draws valid answers, which Generate must accept.
 func drawAnswers(t *rapid.T, service string) Answers {
 	n := rapid.SampledFrom([]int{3, 5, 7}).Draw(t, "targets")
 	a := Answers{Service: Service{
@@ -45,8 +45,8 @@
 	return a
 }
 
-// TestGenerateRoundTrip guards against valid answers that are refused, and
-// against JSON that loses a part of a change.
+// TestGenerateRoundTrip guards against valid answers that are rejected, and
+// against fields of a change that are lost in its JSON encoding.
 func TestGenerateRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		change, found := Generate(nil, drawAnswers(t, "a"), drawAnswers(t, "b"))
@@ -59,7 +59,7 @@
 		}
 		read, err := DecodeChange(data)
 		if err != nil || !reflect.DeepEqual(read, change) {
-			t.Fatalf("got %v, %v, want the change that was written", read, err)
+			t.Fatalf("got %v, %v, want the encoded change", read, err)
 		}
 		view := NewStaticView(change.Services, change.Customers)
 		if d := Diff(view, NewOverlay(view, read)); !d.IsEmpty() {
@@ -71,8 +71,8 @@
 	})
 }
 
-// TestGenerateContradiction guards against one team that silently changes the
-// rate of a customer that another team shares.
+// TestGenerateContradiction guards against answers of one team that silently
+// change the rate of a customer that it shares with another team.
 func TestGenerateContradiction(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := drawAnswers(t, "a"), drawAnswers(t, "b")
@@ -95,7 +95,8 @@
 	})
 }
 
-// TestConflict guards against a lost race that looks like a malformed change.
+// TestConflict guards against a concurrent change that is reported as a
+// malformed one, and against a malformed change that is reported as a conflict.
 func TestConflict(t *testing.T) {
 	conflict := Finding{Place: "Change/Base"}
 	for _, c := range []struct {
@@ -119,7 +120,8 @@
 	}
 }
 
-// TestDecodeRefuses guards against hostile or careless JSON.
+// TestDecodeRefuses guards against a decoder that accepts malformed, incomplete
+// or oversized JSON.
 func TestDecodeRefuses(t *testing.T) {
 	for _, text := range []string{
 		``, `null x`, `[]`, `{"Base":1}{}`, `{"Unknown":1}`, `{"Services":[null]}`, `{"Customers":[null]}`,
@@ -132,7 +134,8 @@
 	}
 }
 
-// FuzzDecodeChange guards against a panic in the decoder and the checks.
+// FuzzDecodeChange guards against a panic in the decoder and the checks, and
+// against a valid change that cannot be encoded.
 func FuzzDecodeChange(f *testing.F) {
 	f.Add([]byte(`{"Services":[{"Name":"a","KeyGrace":"1s","Targets":[{"ID":"a/1","Address":"10.0.0.1:1"}],"Routes":[{"Open":true}]}],"Customers":[{"ID":"c","Rate":1e308}]}`))
 	f.Add([]byte(`{"Services":[{"KeyGrace":"1s"}],"services":[{},{}]}`))
@@ -144,7 +147,7 @@
 		Diff(NewStaticView(nil, nil), NewOverlay(NewStaticView(nil, nil), c))
 		if found := Validate(nil, c); len(found) == 0 {
 			if _, err := EncodeChange(c); err != nil {
-				t.Errorf("valid change is not written: %v", err)
+				t.Errorf("valid change cannot be encoded: %v", err)
 			}
 		}
 	})
--- a/pkg/config/credentials.go
+++ b/pkg/config/credentials.go
@@ -12,5 +12,5 @@
 	Database     string
 }
 
-// String hides the password, so that it cannot reach a log.
+// String omits the passwords, so that they are never logged.
 func (c Credentials) String() string { return c.User + "@" + c.Database }
--- a/pkg/config/diff.go
+++ b/pkg/config/diff.go
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-// Action says what happens to a document or field.
+// Action is the kind of difference of a document or field.
 type Action string
 
 // Actions of a difference.
@@ -60,8 +60,8 @@
 // IsEmpty reports whether nothing differs.
 func (d *Difference) IsEmpty() bool { return len(d.Documents) == 0 }
 
-// Text returns the difference for reading: one line a document, then one an
-// indented field.
+// Text returns the difference in readable form: one line per document, followed
+// by one indented line per field.
 func (d *Difference) Text() string {
 	if d.IsEmpty() {
 		return "no difference\n"
@@ -118,18 +118,18 @@
 	}
 }
 
-// field is the text of one field for comparison and for showing.
+// field is the text of one field, for comparison and for display.
 type field struct{ value, display string }
 
-// isEmpty reports whether a field need not be shown when its document or
-// element is new or gone.
+// isEmpty reports whether a field is omitted when its document or element is
+// added or removed.
 func isEmpty(value string) bool { return value == "" || value == "false" }
 
 // flatten returns the fields of a document by path.
 func flatten(document any) map[string]field {
 	fields := map[string]field{}
 	data, err := json.Marshal(document)
-	if err != nil { // a document with a number that JSON does not hold
+	if err != nil { // a document with a number that JSON cannot represent
 		fields["Document"] = field{fmt.Sprint(document), "(not JSON)"}
 		return fields
 	}
@@ -166,8 +166,8 @@
 	}
 }
 
-// elementName identifies an element of a list by its own name, so that an
-// insertion does not show every later element as changed.
+// elementName identifies a list element by its ID, name or text, so that an
+// insertion does not show all later elements as changed.
 func elementName(value any, i int) string {
 	switch v := value.(type) {
 	case map[string]any:
@@ -190,7 +190,7 @@
 	return names
 }
 
-// union returns the names of both lists in order, each once.
+// union returns the sorted names of both lists without duplicates.
 func union[K ~string](a, b []K) []K {
 	all := slices.Concat(a, b)
 	slices.Sort(all)
--- a/pkg/config/duration.go
+++ b/pkg/config/duration.go
@@ -5,7 +5,7 @@
 // Duration is a time.Duration that is written as text, such as "250ms".
 type Duration time.Duration
 
-// Std returns d as the standard type.
+// Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
 // String formats d as time.Duration does.
--- a/pkg/config/encode.go
+++ b/pkg/config/encode.go
@@ -9,12 +9,13 @@
 	"siskintray.example/siskin"
 )
 
-// Bounds of the JSON text.
+// Size limits of JSON text.
 const (
-	// MaxDocumentSize is the largest document. A service takes about 2 KB; the
-	// snapshot objects hold about 90 documents within the platform's 1 MB.
+	// MaxDocumentSize limits one document. A service takes about 2 KB; the
+	// snapshot objects hold about 90 documents within the platform's limit of
+	// 1 MB.
 	MaxDocumentSize siskin.Bytes = 64 << 10
-	// MaxChangeSize is the largest change, since a change is one platform object.
+	// MaxChangeSize limits a change, which is stored as one platform object.
 	MaxChangeSize = siskin.MaxObjectSize
 )
 
@@ -44,15 +45,16 @@
 	return data, nil
 }
 
-// maxExportSize bounds an export of all documents, which is 46 MB at 23,000 services.
+// maxExportSize limits an export of all documents, which is 46 MB at 23,000
+// services.
 const maxExportSize siskin.Bytes = 128 << 20
 
-// DecodeChange reads a change. Unknown fields, text after the change and a
-// service without KeyGrace are refused.
+// DecodeChange decodes a change. It rejects unknown fields, trailing text and
+// services without KeyGrace.
 func DecodeChange(data []byte) (*Change, error) { return decodeChange(data, MaxChangeSize) }
 
-// DecodeExport reads an export of all documents, which has the form of a change
-// but may be larger, and returns it as a view.
+// DecodeExport decodes an export of all documents, which has the format of a
+// change but may be larger, and returns it as a view.
 func DecodeExport(data []byte) (*Snapshot, error) {
 	c, err := decodeChange(data, maxExportSize)
 	if err != nil {
@@ -88,7 +90,7 @@
 	return c, nil
 }
 
-// DecodeService reads a service document.
+// DecodeService decodes a service document. KeyGrace is required.
 func DecodeService(data []byte) (*Service, error) {
 	s := new(Service)
 	if err := decode(data, MaxDocumentSize, s); err != nil {
@@ -104,7 +106,7 @@
 	return s, nil
 }
 
-// DecodeCustomer reads a customer document.
+// DecodeCustomer decodes a customer document.
 func DecodeCustomer(data []byte) (*Customer, error) {
 	c := new(Customer)
 	if err := decode(data, MaxDocumentSize, c); err != nil {
--- a/pkg/config/finding.go
+++ b/pkg/config/finding.go
@@ -10,7 +10,7 @@
 // basePlace is the place of findings about the base of a change.
 const basePlace = "Change/Base"
 
-// Finding is one fault of a change.
+// Finding is one error in a change.
 type Finding struct {
 	// Place names the document and the field, such as
 	// "Service/ledger-a/Targets/0/Address".
@@ -24,11 +24,11 @@
 	return f.Place + ": " + f.Message + "; " + f.Remedy
 }
 
-// Findings are all faults of a change.
+// Findings are all errors in a change.
 type Findings []Finding
 
-// IsConflict reports whether the only fault of the change is that documents
-// changed after its base, so that another operator won a race.
+// IsConflict reports whether the only findings are documents that another
+// operator changed after the base of the change.
 func (fs Findings) IsConflict() bool {
 	for _, f := range fs {
 		if f.Place != basePlace {
@@ -38,8 +38,8 @@
 	return len(fs) > 0
 }
 
-// Err returns nil without findings, else an InvalidError that lists them all,
-// one a line. It is of kind Conflict when IsConflict, else BadInput.
+// Err returns nil if there are no findings, otherwise an InvalidError that lists
+// them, one per line. Its kind is Conflict if IsConflict, otherwise BadInput.
 func (fs Findings) Err() error {
 	if len(fs) == 0 {
 		return nil
@@ -61,13 +61,14 @@
 	err      *siskin.Error
 }
 
-// Error returns the findings, one a line.
+// Error returns the findings, one per line.
 func (e *InvalidError) Error() string { return e.err.Error() }
 
 // Unwrap returns the error with its kind.
 func (e *InvalidError) Unwrap() error { return e.err }
 
-// report collects the findings of one document.
+// report collects the findings of a change. Its document is the one that is
+// being checked.
 type report struct {
 	document string
 	found    Findings
@@ -81,7 +82,7 @@
 	r.found = append(r.found, Finding{Place: place, Message: fmt.Sprintf(format, args...), Remedy: remedy})
 }
 
-// quote shortens hostile text for a message.
+// quote quotes and truncates untrusted text for a message.
 func quote[S ~string](s S) string {
 	if len(s) > 60 {
 		return fmt.Sprintf("%q", strings.ToValidUTF8(string(s[:60]), "")+"...")
--- a/pkg/config/generate.go
+++ b/pkg/config/generate.go
@@ -7,9 +7,9 @@
 	"siskintray.example/siskin"
 )
 
-// Generate makes one change out of answers. Customers that several answers or
-// the view name are merged. The change is validated as a whole; with findings
-// there is no change. The view may be nil.
+// Generate creates one change from answers. Customers that occur in several
+// answers or in the view are merged. The change is validated as a whole; if there
+// are findings, the returned change is nil. The view may be nil.
 func Generate(view View, answers ...Answers) (*Change, Findings) {
 	if view == nil {
 		view = NewSnapshot(0, nil, nil)
@@ -39,8 +39,8 @@
 	return change, nil
 }
 
-// generateService returns the answered service. The questionnaire does not ask
-// for objectives, so those in force stay.
+// generateService returns the service of the answers with target ids filled in.
+// The questionnaire does not ask for objectives, so the current ones are kept.
 func generateService(view View, a *Answers) *Service {
 	s := a.Service
 	if old, ok := view.Service(s.Name); ok && s.Objectives == nil {
@@ -55,8 +55,8 @@
 	return &s
 }
 
-// initialCustomer returns a copy of the customer in force, or a new one with the
-// answered rate, burst and weight.
+// initialCustomer returns a copy of the current customer, or a new one with the
+// rate, burst and weight of the answers.
 func initialCustomer(view View, answered *Customer) *Customer {
 	c := &Customer{ID: answered.ID, Rate: answered.Rate, Burst: answered.Burst, Weight: answered.Weight}
 	if old, ok := view.Customer(answered.ID); ok {
@@ -67,8 +67,8 @@
 	return c
 }
 
-// mergeCustomer adds a service and keys to c. A rate counts across all
-// services, so two answers that differ are a contradiction.
+// mergeCustomer adds a service and keys to c. A customer has one rate, burst and
+// weight for all services, so answers that differ are reported.
 func mergeCustomer(r *report, c, answered *Customer, service siskin.ServiceName) {
 	const remedy = "give the value that is already set, or change the customer's document by itself"
 	if c.Rate != answered.Rate {
--- a/pkg/config/objectives.go
+++ b/pkg/config/objectives.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Objectives are the service-level objectives of a service. A field that is zero
-// means the default of package burn.
+// Objectives are the service-level objectives of a service. A zero field means
+// the default of package burn.
 type Objectives struct {
 	// Availability is the share of counted transactions that are answered.
 	Availability float64 `json:",omitempty"`
@@ -16,7 +16,7 @@
 	WriteGap Duration `json:",omitempty"`
 }
 
-// maxShare leaves an error budget, by which burn rates are divided.
+// maxShare keeps the error budget above zero, since burn rates are divided by it.
 const maxShare = 0.999999
 
 func checkObjectives(r *report, o *Objectives) {
--- a/pkg/config/objectives_test.go
+++ b/pkg/config/objectives_test.go
@@ -6,9 +6,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestGenerateKeepsObjectives guards against answers that are generated again
-// and drop the objectives of a service, which the questionnaire does not ask
-// for.
+// TestGenerateKeepsObjectives guards against a repeated Generate that drops the
+// objectives of a service, which the questionnaire does not ask for.
 func TestGenerateKeepsObjectives(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		answers := drawAnswers(t, "a")
--- a/pkg/config/overlay.go
+++ b/pkg/config/overlay.go
@@ -6,15 +6,15 @@
 	"siskintray.example/siskin"
 )
 
-// Overlay is the View that a change would lead to. It shares all documents
-// that the change does not touch with the view below it.
+// Overlay is the View that results from applying a change to a base view. It
+// shares all documents that the change does not modify with the base view.
 type Overlay struct {
 	base      View
 	services  map[siskin.ServiceName]*Service // nil value: deleted
 	customers map[siskin.CustomerID]*Customer // nil value: deleted
 }
 
-// NewOverlay returns the view that change leads to when applied to base.
+// NewOverlay returns the view that results from applying change to base.
 func NewOverlay(base View, change *Change) *Overlay {
 	o := &Overlay{
 		base:      base,
@@ -36,7 +36,7 @@
 	return o
 }
 
-// Revision implements View. It returns the revision of the view below.
+// Revision implements View. It returns the revision of the base view.
 func (o *Overlay) Revision() siskin.Revision { return o.base.Revision() }
 
 // Service implements View.
--- a/pkg/config/route.go
+++ b/pkg/config/route.go
@@ -2,7 +2,7 @@
 
 import "siskintray.example/siskin"
 
-// RouteMode says what a route's transactions may do.
+// RouteMode is the access mode of a route's transactions.
 type RouteMode string
 
 // Modes of a route.
@@ -11,20 +11,20 @@
 	WriteRoute RouteMode = "Write"
 )
 
-// Route is one way to use a service. Callers pick a route by its name, since
-// no SQL is parsed.
+// Route is a named way to access a service. Callers select a route by name,
+// since no SQL is parsed.
 type Route struct {
 	Name siskin.RouteName
 	Mode RouteMode
-	// MaxAge is the age of data that reads accept; zero asks for the session's
-	// own writes.
+	// MaxAge is the maximum staleness that reads accept; zero means that reads
+	// see the session's own writes.
 	MaxAge Duration
-	// Repeatable says that running a request twice does no harm.
+	// Repeatable means that a request may safely be executed twice.
 	Repeatable bool
-	// Open says that requests need no key.
+	// Open means that requests need no key.
 	Open bool
-	// OpenCustomer is the customer whose rate and burst count requests without
-	// a key. It is set exactly when Open is.
+	// OpenCustomer is the customer whose rate and burst apply to requests
+	// without a key. It is set if and only if Open is.
 	OpenCustomer siskin.CustomerID
 	// Deadline is the longest time from a transaction's first message to its
 	// answer.
--- a/pkg/config/service.go
+++ b/pkg/config/service.go
@@ -9,24 +9,24 @@
 	Targets  []Target
 	// Slots is the number of slots of each target.
 	Slots int
-	// ConnectionsPerSlot is the most connections open in one slot, counted
+	// ConnectionsPerSlot is the maximum number of connections open in one slot
 	// across the fleet.
 	ConnectionsPerSlot int
-	// OpenTime is how long a new target connection usually takes.
+	// OpenTime is the usual time to open a target connection.
 	OpenTime Duration
 	// AckReplicas is the number of replicas that must confirm a write before
 	// it is acknowledged.
 	AckReplicas int
-	// MaxUnconfirmed is the confirmation delay from which new writes are
-	// refused as not run.
+	// MaxUnconfirmed is the confirmation delay from which on new writes are
+	// rejected without being run.
 	MaxUnconfirmed Duration
 	Routes         []Route
 	Credentials    Credentials
-	// KeyGrace is how long keys go on working in a VM that has no evidence
-	// about withdrawals, such as in a data centre that is cut off.
+	// KeyGrace is how long a VM accepts keys without confirmation that they
+	// are not withdrawn, such as in an isolated data centre.
 	KeyGrace Duration
-	// Objectives are what the burn report measures the service by; nil means
-	// the defaults.
+	// Objectives are the service-level objectives for the burn report; nil
+	// means the defaults.
 	Objectives *Objectives `json:",omitempty"`
 }
 
--- a/pkg/config/users.go
+++ b/pkg/config/users.go
@@ -4,11 +4,11 @@
 type valueUse struct{ document, field, description string }
 
 // valueUses maps values that must be unique to the place in the change that uses
-// them. It holds the values of the change only, so that the scan over all other
-// documents allocates nothing.
+// them. It holds only the values of the change, so that the scan of all other
+// documents does not allocate.
 type valueUses[K comparable] map[K]valueUse
 
-// add records a value of the change.
+// add records a value of the change and reports a second use in the change.
 func (u valueUses[K]) add(r *report, key K, field, description string) {
 	if other, ok := u[key]; ok {
 		r.addDuplicate(field, description, other.document)
@@ -17,7 +17,7 @@
 	u[key] = valueUse{r.document, field, description}
 }
 
-// check reports a value of another document that the change uses.
+// check reports a value of the change that another document already uses.
 func (u valueUses[K]) check(r *report, key K, kind, name string) {
 	if use, ok := u[key]; ok {
 		r.document = use.document
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -11,12 +11,11 @@
 // MaxDeadline bounds the deadline of a route, so that no request waits longer.
 const MaxDeadline = 60 * time.Second
 
-// maxKeyGrace bounds KeyGrace. A longer cut-off is handled by operators.
+// maxKeyGrace bounds KeyGrace. A longer isolation is handled by operators.
 const maxKeyGrace = 7 * 24 * time.Hour
 
 // Validate checks a change as a whole against the documents of view, which may
-// be nil when there are none. The change is acceptable when there is no
-// finding.
+// be nil when there are none. The change is valid if there are no findings.
 func Validate(view View, change *Change) Findings {
 	if view == nil {
 		view = NewSnapshot(0, nil, nil)
@@ -44,7 +43,8 @@
 	return r.found
 }
 
-// checkChange checks the list of documents itself.
+// checkChange checks the base and the size of the change, and that each document
+// occurs once.
 func checkChange(r *report, view View, change *Change) {
 	if change.IsEmpty() {
 		r.add("", "put or delete a document", "change is empty")
@@ -97,14 +97,15 @@
 	checkName(r, field, name)
 }
 
-// checkBase refuses to overwrite a document that another operator changed.
+// checkBase reports a document that another operator changed after the base of
+// the change, so that it is not overwritten.
 func checkBase(r *report, base, revision siskin.Revision, document string) {
 	if revision > base {
 		r.add("Base", "read the configuration again and repeat the change", "%s changed at revision %d, after revision %d that the change is based on", document, revision, base)
 	}
 }
 
-// checkName accepts names that fit database names, paths and metrics.
+// checkName accepts names that are valid in database names, paths and metrics.
 func checkName[S ~string](r *report, field string, name S) {
 	if !ValidName(string(name)) {
 		r.add(field, "use 1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit", "%s is not a name", quote(name))
@@ -141,8 +142,8 @@
 	}
 }
 
-// parseAddress reads an IP number and a port. Names are refused, since a VM
-// does not depend on a name service.
+// parseAddress parses an IP address and a port. Host names are rejected, since a
+// VM does not depend on DNS.
 func parseAddress(s string) (netip.AddrPort, bool) {
 	a, err := netip.ParseAddrPort(s)
 	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
--- a/pkg/config/validate_cross.go
+++ b/pkg/config/validate_cross.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// checkDeletedReferences finds documents that still refer to a deleted one.
+// checkDeletedReferences reports documents that still refer to a deleted one.
 func checkDeletedReferences(r *report, next View, change *Change) {
 	deletedServices := toSet(change.DeleteServices)
 	deletedCustomers := toSet(change.DeleteCustomers)
@@ -69,8 +69,8 @@
 	return m
 }
 
-// checkUniqueTargets finds a target that two services use. Claims and terms
-// belong to one group, so a shared target would follow two masters.
+// checkUniqueTargets reports targets that two services use. Claims and terms
+// belong to one group, so a shared target would be controlled by two groups.
 func checkUniqueTargets(r *report, next View, change *Change) {
 	if len(change.Services) == 0 {
 		return
@@ -103,8 +103,8 @@
 	}
 }
 
-// checkUniqueKeys finds a key that two customers have. A caller's key must
-// name one customer.
+// checkUniqueKeys reports keys that two customers share. A caller's key must
+// identify one customer.
 func checkUniqueKeys(r *report, next View, change *Change) {
 	if len(change.Customers) == 0 {
 		return
--- a/pkg/config/validate_customer.go
+++ b/pkg/config/validate_customer.go
@@ -21,7 +21,7 @@
 		r.add("", "name fewer services or keys", "%v", err)
 	}
 	checkAmount(r, "Rate", float64(c.Rate), 0.001, maxRate)
-	// A burst below one request would refuse every request.
+	// A burst below one request would reject every request.
 	checkAmount(r, "Burst", float64(c.Burst), 1, maxRate)
 	checkCount(r, "Weight", c.Weight, 1, maxWeight)
 	checkCount(r, "Keys", len(c.Keys), 0, maxKeys)
@@ -45,8 +45,8 @@
 	return err == nil && len(b) == 32 && s == strings.ToLower(s)
 }
 
-// checkWithdrawnKeys keeps withdrawn keys in the document, since a withdrawn key is
-// never granted again.
+// checkWithdrawnKeys reports withdrawn keys that the change modifies or removes,
+// since a withdrawn key is never granted again.
 func checkWithdrawnKeys(r *report, view View, c *Customer) {
 	old, ok := view.Customer(c.ID)
 	if !ok {
--- a/pkg/config/validate_service.go
+++ b/pkg/config/validate_service.go
@@ -10,8 +10,8 @@
 	"siskintray.example/siskin"
 )
 
-// Bounds of a service. They are well above today's sizes (section 1.6 of the
-// design) and keep one document from taking a large part of the fleet.
+// Bounds of a service. They are well above the current sizes (section 1.6 of the
+// design) and keep one document from using a large part of the fleet.
 const (
 	maxTargets            = 15
 	maxRoutes             = 64
@@ -53,8 +53,8 @@
 	checkDuration(r, "MaxUnconfirmed", s.MaxUnconfirmed, time.Millisecond, MaxDeadline)
 }
 
-// checkAckReplicas keeps 1 <= k and 2k < N. Then any two sets of N - k targets
-// overlap, so that at most one VM wins a term.
+// checkAckReplicas requires 1 <= k and 2k < N. Then any two sets of N - k
+// targets overlap, so that at most one VM is elected per term.
 func checkAckReplicas(r *report, s *Service) {
 	k, n := s.AckReplicas, len(s.Targets)
 	switch {
--- a/pkg/config/validate_test.go
+++ b/pkg/config/validate_test.go
@@ -11,9 +11,9 @@
 
 var update = flag.Bool("update", false, "rewrite the expected findings")
 
-// TestValidate guards against an accepted change that breaks the configuration
-// in force. Each txtar file holds the change in force (revision 1), a change,
-// and its findings and difference.
+// TestValidate guards against an accepted change that breaks the current
+// configuration. Each txtar file holds the current configuration (revision 1, in
+// the format of a change), a change, and its expected findings and difference.
 func TestValidate(t *testing.T) {
 	files, _ := filepath.Glob("testdata/*.txtar")
 	if len(files) == 0 {
