elect, views, home: names of the change notice and of test values

maxWriteRefusal did not fit: VMs wait for a new primary while the notice is valid, so it is named changeNoticeTTL. The values of two tests are named by what they hold.

--- a/internal/elect/announce_test.go
+++ b/internal/elect/announce_test.go
@@ -192,7 +192,7 @@
 	}
 	to.cfg.Views.RecordProof("ledger", proofAt("a", 1))
 	first := &change{e: from, spec: siskin.ServiceSpec{Name: "ledger"}, oldPrimary: "a"}
-	first.announce(maxWriteRefusal)
+	first.announce(changeNoticeTTL)
 	waitFor(t, "an announcement in the network", func() bool { return w.delayedCalls() == 1 })
 	clock.Advance(7 * time.Second)
 	from.cfg.Views.RecordProof("ledger", proofAt("b", 2))
@@ -203,7 +203,7 @@
 	}
 	first.announce(0)
 	waitFor(t, "an announcement in the network", func() bool { return w.delayedCalls() == 1 })
-	to.cfg.Views.BeginChange("ledger", "b", clock.Now().Add(maxWriteRefusal))
+	to.cfg.Views.BeginChange("ledger", "b", clock.Now().Add(changeNoticeTTL))
 	w.deliver(t)
 	time.Sleep(20 * time.Millisecond) // for an answer that must not count
 	if !to.cfg.Views.ChangeInProgress("ledger", clock.Now()) {
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -141,23 +141,23 @@
 // announceStart makes the VMs refuse writes of the service for the duration of
 // the change.
 func (c *change) announceStart() {
-	c.e.cfg.Views.BeginChange(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(maxWriteRefusal))
-	c.announce(maxWriteRefusal)
+	c.e.cfg.Views.BeginChange(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(changeNoticeTTL))
+	c.announce(changeNoticeTTL)
 }
 
-// maxWriteRefusal bounds the time in which requests are refused during a change, in
+// changeNoticeTTL bounds the time in which requests are refused during a change, in
 // case its end is not announced.
-const maxWriteRefusal = 1500 * time.Millisecond
+const changeNoticeTTL = 1500 * time.Millisecond
 
 // announceTimeout bounds one announcement.
 const announceTimeout = 300 * time.Millisecond
 
 // announce tells all VMs that a change is in progress or, if hold is zero, that
 // the candidate is primary.
-func (c *change) announce(refuseFor time.Duration) {
+func (c *change) announce(noticeTTL time.Duration) {
 	self := c.e.cfg.Members.Self().ID
-	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.ChangeNotice{Service: c.spec.Name, For: refuseFor}}
-	if refuseFor == 0 {
+	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.ChangeNotice{Service: c.spec.Name, For: noticeTTL}}
+	if noticeTTL == 0 {
 		args.Fence, args.Term = c.token, c.promotedTerm
 	}
 	for _, vm := range c.e.cfg.Members.Live() {
--- a/internal/elect/receiver.go
+++ b/internal/elect/receiver.go
@@ -11,7 +11,7 @@
 // Announce handles the announcement of a change of primary.
 func (r *Receiver) Announce(args *Announcement, _ *struct{}) error {
 	if args.Hold.For > 0 {
-		r.e.cfg.Views.BeginChange(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, maxWriteRefusal)))
+		r.e.cfg.Views.BeginChange(args.Hold.Service, args.Old, r.e.cfg.Clock.Now().Add(min(args.Hold.For, changeNoticeTTL)))
 		return nil
 	}
 	if args.Fence != 0 {
--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -55,12 +55,12 @@
 		t.Fatal(err)
 	}
 	time.Sleep(50 * time.Millisecond)
-	over, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
+	expired, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
 	defer cancel()
-	if _, _, err := f.homes.Observe(over, id); err == nil {
+	if _, _, err := f.homes.Observe(expired, id); err == nil {
 		t.Error("status request after its deadline: got an answer, want an error")
 	}
-	if _, err := f.homes.Control(over, id, siskin.Statement{Kind: siskin.Status}); err == nil {
+	if _, err := f.homes.Control(expired, id, siskin.Statement{Kind: siskin.Status}); err == nil {
 		t.Error("control statement after its deadline: got an answer, want an error")
 	}
 	if got := f.target(1).Opened(); got != 2 {
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -11,8 +11,8 @@
 
 func at(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
 
-func proof(id siskin.TargetID, number siskin.LSN, ms int) PrimaryProof {
-	return PrimaryProof{Target: id, Position: siskin.Position{Term: 1, LSN: number}, At: at(ms)}
+func proof(id siskin.TargetID, lsn siskin.LSN, ms int) PrimaryProof {
+	return PrimaryProof{Target: id, Position: siskin.Position{Term: 1, LSN: lsn}, At: at(ms)}
 }
 
 // TestProofs guards against an older proof that replaces a newer one, and
