elect, home, lease: comments and test texts in the usual terms

Comments used terms that their files do not explain, such as plain transaction, slot, pause and suspicion age, and the cases of the lease tests were hard to parse.

--- a/internal/elect/check.go
+++ b/internal/elect/check.go
@@ -44,8 +44,9 @@
 		switch {
 		case cl.err != nil:
 		case cl.status.Term > c.primaryTerm:
-			// The promotion of the other change took effect. Unfenced, a former
-			// primary may still run, so the replicas stay paused.
+			// The promotion of the other change took effect. Without fencing
+			// tokens, a former primary may still run, so the replicas stay
+			// paused.
 			c.contested = c.contested && c.unfenced
 			return siskin.NewError(siskin.Conflict, "target %s follows term %d, but the claims of term %d supersede only term %d", cl.target.ID, cl.status.Term, c.term, c.primaryTerm)
 		case cl.status.Received.Compare(c.claims[i].status.Received) < 0:
@@ -55,7 +56,7 @@
 			return siskin.NewError(siskin.Conflict, "target %s lost its claim", cl.target.ID)
 		}
 	}
-	// Without the lost claims, another target may be the best candidate.
+	// Now that some claims are lost, another target may be the best candidate.
 	if best, ok := bestCandidate(rechecked, c.term, c.spec.SyncReplicas); ok && best.status.Received.Compare(c.candidate.status.Received) > 0 {
 		return siskin.NewError(siskin.Conflict, "target %s has commits that target %s lacks", best.target.ID, c.candidate.target.ID).WithRemedy("claim again")
 	}
--- a/internal/elect/claims.go
+++ b/internal/elect/claims.go
@@ -16,13 +16,15 @@
 	// wasPrimary reports that the target was considered primary before the
 	// change.
 	wasPrimary bool
-	// claimedByStepDown reports that the target was primary in ledTerm and was
-	// claimed by making it step down, with logEnd as the end of its log.
+	// claimedByStepDown reports that the target was primary in termAsPrimary
+	// and was claimed by making it step down, with logEnd as the end of its
+	// log.
 	claimedByStepDown bool
 	logEnd            siskin.Position
 	termAsPrimary     siskin.Term
-	// claimedAfterStepDown reports that the target was primary in ledTerm and was claimed as
-	// a replica after it had stepped down.
+	// claimedAfterStepDown reports that the target was primary in termAsPrimary
+	// and was claimed as a replica after it had stepped down. It replaces
+	// claimedByStepDown if the platform checks no fencing tokens.
 	claimedAfterStepDown bool
 	// logEmpty reports that the target has started for the first time or
 	// restarted, and has no log yet. It, or the target that it replaces, may
@@ -37,8 +39,8 @@
 
 const (
 	// termMargin raises the term of claims above that of a primary whose term
-	// is newer than the ones known to the targets that answer. A pause for its
-	// term or a lower one would not stop them from acknowledging its commits.
+	// is newer than the ones known to the targets that answer. A replica that is
+	// paused for its term or a lower one still acknowledges its commits.
 	termMargin siskin.Term = 1000
 	// termJitter bounds the random part of a term, which makes the terms of two
 	// simultaneous changes differ.
@@ -65,7 +67,8 @@
 	case before.Term > primaryTerm:
 		c.err = errClaimed
 	case c.contested && before.PauseTerm >= term, answeredAsPrimary && !before.Primary && !unfenced:
-		// A replica also accepts StepDown, which proves nothing.
+		// A replica also accepts StepDown, so its success does not prove that
+		// the target was primary.
 		c.contested, c.err = true, errClaimed
 	case unfenced:
 		c.claimedAfterStepDown, c.termAsPrimary = before.Primary, before.Term
@@ -74,10 +77,11 @@
 	}
 }
 
-// holds reports whether the target is claimed for a term. A replica shows this
-// by the term of its pause; a later one means that another change has claimed
-// it since. A primary that stepped down keeps no such term: it must still not
-// be primary, and its log must not have shrunk in a restart.
+// holds reports whether the target is claimed for a term. A claim pauses a
+// replica for that term, which it reports as PauseTerm; a later PauseTerm means
+// that another change has claimed it since. A primary that stepped down keeps
+// no such term: it must still not be primary, and its log must not have shrunk
+// in a restart.
 func (c *claim) holds(term siskin.Term) bool {
 	switch {
 	case c.err != nil:
@@ -169,10 +173,10 @@
 // hasQuorum reports whether every set of targets that could have acknowledged a
 // commit contains a claimed one. A commit is acknowledged by the primary and
 // sync replicas, so at most sync targets may be missing. A primary that stepped
-// down has every commit itself, but its claim alone has no target in common
-// with the claims of another change, which may have promoted since. Targets
-// without a log count as missing unless all targets are claimed, so that none
-// can have more.
+// down has every commit itself, but its claim alone may have no target in
+// common with the claims of another change, which may have promoted a target
+// since. Targets without a log count as missing unless all targets are claimed,
+// because then no unclaimed target can have more commits.
 func hasQuorum(claims []claim, term siskin.Term, sync int) bool {
 	missing, empty := 0, 0
 	for i := range claims {
@@ -222,8 +226,8 @@
 }
 
 // notFollowed reports whether no claimed replica followed a primary that
-// stepped down. Unfenced, the replicas may have restarted and followed a former
-// primary.
+// stepped down. Without fencing tokens, the replicas may have restarted and
+// followed a former primary.
 func notFollowed(claimed []claim, primary *claim) bool {
 	return primary.claimedAfterStepDown && !slices.ContainsFunc(claimed, func(c claim) bool { return !c.wasPrimary && c.status.Term >= primary.termAsPrimary })
 }
--- a/internal/elect/decide.go
+++ b/internal/elect/decide.go
@@ -13,15 +13,15 @@
 	// before it acts on a silent primary, so that it has probed the primary
 	// itself.
 	minWatchTime = 400 * time.Millisecond
-	// refusedAfter is the suspicion age for a primary whose address refuses
-	// connections, which shows that its process has ended.
+	// refusedAfter is the age of the last proof at which a primary is suspected
+	// whose address refuses connections, because its process has ended.
 	refusedAfter = 300 * time.Millisecond
-	// deniedAfter is the suspicion age for a target that answers that it is not
-	// primary.
+	// deniedAfter is the age of the last proof at which a primary is suspected
+	// that answers that it is not primary.
 	deniedAfter = 500 * time.Millisecond
 	// stalledAfter is the time for which writes may go unacknowledged at a
-	// primary that still proves that it is primary, before its replicas are
-	// considered cut off.
+	// primary that still proves that it is primary, before it is considered cut
+	// off from its replicas.
 	stalledAfter = 1200 * time.Millisecond
 	// primarySearchTimeout is the time to look for a primary before one is
 	// elected.
@@ -71,7 +71,7 @@
 func (a action) String() string { return actionNames[a] }
 
 // decide chooses the action. A slow primary is not replaced: it can prove that
-// it is primary even without a free slot.
+// it is primary even while all its statement slots are in use.
 func decide(o observation) action {
 	switch {
 	case !o.primaryKnown:
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -31,7 +31,7 @@
 	Homes    *home.Homes
 	Store    siskin.Store
 	Promoter siskin.Promoter
-	Run      siskin.Incarnation
+	Run      siskin.Incarnation // of this VM, stored with its fencing tokens
 	// Fencing reports that the platform refuses a fencing token lower than one
 	// it has seen, and that a promotion demotes the former primary. Otherwise
 	// this package orders the changes and makes the former primary step down.
--- a/internal/elect/modelchange_test.go
+++ b/internal/elect/modelchange_test.go
@@ -11,8 +11,8 @@
 var errModelSilent = errors.New("no answer")
 
 const (
-	// modelPromotionTicks is the time for which a VM waits for a promoted target to
-	// become primary.
+	// modelPromotionTicks is the time for which a VM waits for a promoted
+	// target to become primary.
 	modelPromotionTicks = int(promotionTimeout / modelTick)
 	// modelMaxOrders bounds the promotions ordered by one change.
 	modelMaxOrders = maxPromotions
--- a/internal/elect/modeltarget_test.go
+++ b/internal/elect/modeltarget_test.go
@@ -22,6 +22,7 @@
 	return 0, false
 }
 
+// modelTarget is a simulated target. The simulation advances in ticks.
 type modelTarget struct {
 	id              siskin.TargetID
 	term, pauseTerm siskin.Term
@@ -31,11 +32,11 @@
 	// tick from which it has an entry in discovery.
 	runsFrom, listedFrom int
 	restarted            int // tick of the last restart
-	// crashedAsPrimary reports that the target was primary when it crashedAsPrimary, and no
-	// target was promoted since.
+	// crashedAsPrimary reports that the target was primary when it crashed, and
+	// no target was promoted since.
 	crashedAsPrimary bool
-	// connectedTicks counts the ticks for which a former primary has been connected
-	// to a newer one.
+	// connectedTicks counts the ticks for which a former primary has been
+	// connected to a newer one.
 	connectedTicks int
 }
 
--- a/internal/elect/promote.go
+++ b/internal/elect/promote.go
@@ -111,9 +111,10 @@
 	return true
 }
 
-// candidateIsPrimary asks the candidate whether it is primary. Unfenced, its answer
-// is sufficient because no other change could promote another target since the
-// claims were checked: its log has all commits that were acknowledged before.
+// candidateIsPrimary asks the candidate whether it is primary. Without
+// fencing tokens, its answer is sufficient because no other change could promote
+// another target since the claims were checked: its log has all commits that
+// were acknowledged before.
 func (c *change) candidateIsPrimary(ctx context.Context) bool {
 	id := c.candidate.target.ID
 	if !c.unfenced {
@@ -138,22 +139,22 @@
 	return true
 }
 
-// announceStart makes the VMs refuse writes of the service for the duration of
+// announceStart makes all VMs use no primary of the service for the duration of
 // the change.
 func (c *change) announceStart() {
 	c.e.cfg.Views.BeginChange(c.spec.Name, c.oldPrimary, c.e.cfg.Clock.Now().Add(changeNoticeTTL))
 	c.announce(changeNoticeTTL)
 }
 
-// changeNoticeTTL bounds the time in which requests are refused during a change, in
-// case its end is not announced.
+// changeNoticeTTL bounds the time for which VMs consider a change to be in
+// progress, in case its end is not announced.
 const changeNoticeTTL = 1500 * time.Millisecond
 
 // announceTimeout bounds one announcement.
 const announceTimeout = 300 * time.Millisecond
 
-// announce tells all VMs that a change is in progress or, if hold is zero, that
-// the candidate is primary.
+// announce notifies all VMs that a change is in progress or, if noticeTTL is
+// zero, that the candidate is primary.
 func (c *change) announce(noticeTTL time.Duration) {
 	self := c.e.cfg.Members.Self().ID
 	args := &Announcement{From: self, Old: c.oldPrimary, Hold: crew.ChangeNotice{Service: c.spec.Name, For: noticeTTL}}
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -41,7 +41,7 @@
 
 // confirm returns a time after the start of the call at which only this target
 // could acknowledge commits. The caller must still check that the target
-// accepts a plain transaction.
+// accepts a read-write transaction.
 func (h *Homes) confirm(ctx context.Context, service siskin.ServiceName, l *pool) (at time.Time, ok bool) {
 	if h.answerSuffices() {
 		return h.cfg.Clock.Now(), true
@@ -101,7 +101,7 @@
 }
 
 // ReplicaClaimed reports whether the last renewal for a target found a replica
-// that is claimed by a change of primary.
+// that is claimed by a change of primary or follows another primary.
 func (h *Homes) ReplicaClaimed(id siskin.TargetID) bool {
 	l, ok := h.pools.Get(id)
 	if !ok {
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -25,8 +25,8 @@
 }
 
 // preparedName returns the name of a prepared statement at a target. It depends
-// only on the shape and on whether it writes, so that sessions share prepared
-// statements.
+// only on the statement's text (its shape) and on whether it writes, so that
+// sessions share prepared statements.
 func preparedName(p Prepared) string {
 	if p.Writes {
 		return "w_" + p.Shape
--- a/internal/home/connlimiter.go
+++ b/internal/home/connlimiter.go
@@ -5,8 +5,8 @@
 const (
 	// minConnBackoff and maxConnBackoff limit the time to the next attempt
 	// after a target refused a connection because of its connection limit. The
-	// connections of a VM that crashed count for 3 s, those of a former home
-	// for 1 s.
+	// connections of a VM that crashed count against that limit for 3 s, those
+	// of a former home for 1 s.
 	minConnBackoff = 15 * time.Millisecond
 	maxConnBackoff = 500 * time.Millisecond
 )
@@ -16,13 +16,13 @@
 // the home. Only one connection at a time is then attempted beyond those that
 // are open.
 type connLimiter struct {
-	active  bool
-	ceiling int
+	active  bool // a refusal limits the connections
+	ceiling int  // connections that the target is assumed to accept
 	retryAt time.Time
 	backoff time.Duration
 }
 
-// limit returns the maximum number of open connections, at most the given one.
+// limit returns the maximum number of open connections, at most maxOpen.
 func (c *connLimiter) limit(now time.Time, maxOpen int) int {
 	switch {
 	case !c.active:
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -10,8 +10,8 @@
 	"siskintray.example/siskin/internal/views"
 )
 
-// pingTimeout limits a proof of leadership. A proof needs no slot, so it takes
-// one round trip.
+// pingTimeout limits a request for a proof that a target is the primary. It
+// needs no statement slot, so it takes one round trip.
 const pingTimeout = 300 * time.Millisecond
 
 // control is the connection of a pool for the proxy's own statements. It is
@@ -39,7 +39,8 @@
 	ensureInterval = time.Second
 	// ensureDelay is the time from the first use of a target to the first
 	// attempt. The connections of an earlier home that crashed count against
-	// the limit for 3 s, and the few that remain are reserved for callers.
+	// the target's limit for 3 s, and the few that it still accepts in that
+	// time are reserved for callers.
 	ensureDelay = 4 * time.Second
 )
 
@@ -186,7 +187,7 @@
 	return nil
 }
 
-// ProbePrimary begins a plain transaction on a target, which only a target that
+// ProbePrimary begins a read-write transaction, which only a target that
 // considers itself the primary accepts, and returns the end of its log. Errors
 // are those of Ping.
 func (h *Homes) ProbePrimary(ctx context.Context, service siskin.ServiceName, id siskin.TargetID) (siskin.Position, error) {
--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -72,9 +72,9 @@
 	}
 }
 
-// TestStarted guards against a run of a replica that is assumed to be longer
-// than its connection or the lists of service discovery show: a list requested
-// just after the connection was opened may not include an earlier restart.
+// TestStarted guards against an assumed uptime of a replica that is longer than
+// its connection or the lists of service discovery prove: a list requested just
+// after the connection was opened may not include an earlier restart.
 func TestStarted(t *testing.T) {
 	f := fenced(t)
 	for _, c := range []struct {
@@ -95,7 +95,7 @@
 	}
 	f.homes.cfg.LeaseConfig.Listed = func(siskin.TargetID) (since, listed time.Time, ok bool) { return since, f.homes.cfg.Clock.Now(), false }
 	if got := f.homes.cfg.Clock.Since(f.homes.runningSince("t", 10*time.Second)); got > 11*time.Second {
-		t.Errorf("not listed: got a start %v ago, want what the connection shows", got)
+		t.Errorf("not listed: got a start %v ago, want at most the age of the connection", got)
 	}
 }
 
@@ -130,8 +130,8 @@
 
 // TestEnsureControlConn guards against an unused replica whose home has no
 // connection to it, so that it could not confirm a primary after a failover. It
-// also guards against control connections that take the place of those for
-// callers.
+// also guards against control connections that use up the target's connection
+// limit, which callers need.
 func TestEnsureControlConn(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
@@ -156,12 +156,12 @@
 	}
 	l.trim(f.homes.cfg.Clock.Now().Add(2*controlIdleTimeout), false)
 	if l.control.c != nil {
-		t.Error("control connection while one of callers is open: got one, want it closed")
+		t.Error("control connection while a connection for callers is open: got one, want it closed")
 	}
 	l.control.lastEnsure.Store(0)
 	f.homes.EnsureControlConn(id)
 	if got := opened(); got != 2 {
-		t.Errorf("connections while one of callers is open: got %d, want no further one", got)
+		t.Errorf("connections while a connection for callers is open: got %d, want no further one", got)
 	}
 }
 
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -124,7 +124,7 @@
 		}
 	}
 	if term < known {
-		// A restarted replica may follow a former primary.
+		// Restarted replicas may follow a former primary and would confirm it.
 		return 0, siskin.NewError(siskin.Conflict, "target %s is primary in term %d, but another one was primary in term %d", id, term, known)
 	}
 	return term, nil
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -55,8 +55,8 @@
 	return true, false
 }
 
-// confirm asks the replicas to confirm the primary if a plain transaction alone
-// does not prove it. When the result is false, nothing was sent.
+// confirm asks the replicas to confirm the primary if a read-write transaction
+// alone does not prove it. When the result is false, nothing was sent.
 func (r *run) confirm() bool {
 	r.confirmedAt = time.Time{}
 	if r.req.Proof == FloorProof {
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -19,7 +19,7 @@
 	c        *conn
 	req      Request // the request that opened it
 
-	wrote bool // a write of it succeeded; used only by the holder of busy
+	wrote bool // a write in it succeeded; accessed only by the caller that set busy
 
 	mu     sync.Mutex
 	busy   bool
@@ -74,7 +74,7 @@
 	return reply
 }
 
-// exec sends a statement in a busy transaction.
+// exec runs a statement in a transaction that the caller has acquired.
 func (h *Homes) exec(id TxID, t *tx, req *Request, setup []siskin.Statement, deadline time.Time) Reply {
 	if h.evacuated(t.connPool.target()) {
 		h.abandon(id, t)
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -4,12 +4,13 @@
 // If the platform does not check fencing tokens, a former primary continues to
 // act as primary after another target was promoted, until it is told to step
 // down or contacts the new one. Its own answers prove nothing in that time. A
-// lease is therefore based on the replicas: a change of primary claims so many
-// of them that a former primary gets no commit acknowledged, and waits for
-// PromotionDelay between its last claim and the promotion. A VM that knows of
-// enough unclaimed replicas at some moment may use the primary for TTL after
-// that moment. A primary that was made to step down refuses plain transactions
-// itself, so such a change need not wait.
+// lease is therefore based on the replicas: a claimed replica acknowledges no
+// commits of an earlier term. A change of primary claims so many of them that a
+// former primary gets no commit acknowledged, and waits for PromotionDelay
+// between its last claim and the promotion. A VM that knows of enough unclaimed
+// replicas at some moment may use the primary for TTL after that moment. A
+// primary that was made to step down refuses read-write transactions itself, so
+// such a change need not wait.
 //
 // Commits are confirmed to callers only under a lease, even if the platform
 // checks fencing tokens. A replica that restarts has lost its claim, and may
--- a/internal/lease/leases_test.go
+++ b/internal/lease/leases_test.go
@@ -37,15 +37,15 @@
 	}
 	l.Forget("a")
 	if l.Valid("a", at(ttl)) || l.Term("a") != 0 {
-		t.Error("a target that is gone: got a lease or a term, want none")
+		t.Error("after Forget: got a lease or a term, want none")
 	}
 }
 
 // TestPromotionDelay guards against a promotion delay that is shorter than a
-// lease on a clock that runs slow by a twentieth.
+// lease on a clock that is 5% slow.
 func TestPromotionDelay(t *testing.T) {
 	if got, want := PromotionDelay, TTL*21/20; got < want {
-		t.Errorf("wait: got %v, want at least %v", got, want)
+		t.Errorf("promotion delay: got %v, want at least %v", got, want)
 	}
 }
 
@@ -57,12 +57,12 @@
 		status siskin.ControlStatus
 		want   bool
 	}{
-		{"follows", siskin.ControlStatus{Term: 3}, true},
-		{"claimed for an earlier change", siskin.ControlStatus{Term: 3, PauseTerm: 2}, true},
+		{"follows the primary", siskin.ControlStatus{Term: 3}, true},
+		{"claimed for an earlier term", siskin.ControlStatus{Term: 3, PauseTerm: 2}, true},
 		{"claimed", siskin.ControlStatus{Term: 3, PauseTerm: 40}, false},
 		{"follows a later primary", siskin.ControlStatus{Term: 4}, false},
-		{"has not met the primary", siskin.ControlStatus{Term: 2}, false},
-		{"leads itself", siskin.ControlStatus{Term: 3, Primary: true}, false},
+		{"follows an earlier primary", siskin.ControlStatus{Term: 2}, false},
+		{"is primary itself", siskin.ControlStatus{Term: 3, Primary: true}, false},
 	} {
 		if got := Unclaimed(c.status, 3); got != c.want {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
@@ -93,7 +93,7 @@
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 		if got := l.Valid("a", at(ttl+1)); got != c.want {
-			t.Errorf("%s: lease beyond its first end: got %v, want %v", c.name, got, c.want)
+			t.Errorf("%s: lease after its original expiry: got %v, want %v", c.name, got, c.want)
 		}
 	}
 }
@@ -111,7 +111,7 @@
 		{"ran at the last evidence", 3, -10, 900, true},
 		{"started after the last evidence", 3, 10, 900, false},
 		{"ran at evidence of another term", 4, -10, 900, false},
-		{"has run for long", 4, 10, minUptime + 10, true},
+		{"has run for long enough", 4, 10, minUptime + 10, true},
 		{"has not run for long enough", 4, 10, minUptime + 9, false},
 	} {
 		l := New()
--- a/internal/lease/poll.go
+++ b/internal/lease/poll.go
@@ -13,6 +13,10 @@
 	// targets, including the primary, in a complete group.
 	Replicas, GroupSize int
 
+	// unclaimed counts the replicas that follow Term and are not claimed, and
+	// trustedUnclaimed the trusted ones of them. withoutClaim counts all
+	// replicas that have no claim: it includes those that follow an earlier
+	// term or are not running.
 	trustedUnclaimed, unclaimed, withoutClaim int
 }
 
@@ -36,10 +40,10 @@
 
 // Confirmed reports whether the replicas confirm the primary: either no change
 // had all its claims before the first query, or each such change will find one
-// of its claims lost before it orders the promotion. Untrusted replicas can
-// show the latter only together: the target of a promotion keeps its own claim
-// until it is promoted, so no promotion is in flight if no target of the group
-// is claimed.
+// of its claims lost before it orders the promotion. Untrusted replicas prove
+// the latter only if no target of the group is claimed: the target of a
+// promotion keeps its own claim until it is promoted, so no promotion is in
+// flight then.
 func (p *Poll) Confirmed() bool {
 	needed := Quorum(p.SyncReplicas)
 	return p.trustedUnclaimed >= needed || p.unclaimed >= needed && p.withoutClaim == p.Replicas && p.withoutClaim+1 >= p.GroupSize
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -42,9 +42,9 @@
 	return New(Config{Clock: boot.Clock{}, Crew: c, Roster: r, Views: views.New()}), targets
 }
 
-// TestHomesAtStart guards against relays that ask no home for a proof after a
-// start, because there is no proof yet. Their data centres then had no floor,
-// and all reads went to primaries.
+// TestHomesAtStart guards against relays that know no home to ask for the first
+// proof after a start. Without a proof, their data centres had no minimum
+// position (floor) for reads of replicas, and all reads went to primaries.
 func TestHomesAtStart(t *testing.T) {
 	p, targets := newPath(t)
 	want, ok := p.Home(targets[0])
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -51,8 +51,9 @@
 	}
 }
 
-// TestLatestProof guards against a floor that counts as newer than its request, such
-// as the old position combined with the time of a proof that had no position.
+// TestLatestProof guards against a position that is combined with the time of a
+// later proof, for instance of one that has no position. The position may then
+// lack commits that were acknowledged before that time.
 func TestLatestProof(t *testing.T) {
 	v := New()
 	v.RecordProof("s", proof("a", 7, 100))
