--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -29,8 +29,9 @@
 	os.Exit(m.Run())
 }
 
-// TestCountsExact guards against lost, doubled or misplaced counts: random
-// transactions at random times are compared with a list of them.
+// TestCountsExact guards against counts that are lost, doubled or in the wrong
+// window: the counts of random transactions at random times are compared with
+// those of a list of the transactions.
 func TestCountsExact(t *testing.T) {
 	type event struct {
 		at  time.Time
@@ -40,9 +41,9 @@
 		clock := clockwork.NewFakeClockAt(start)
 		r := New(clock, siskin.VM{ID: "vm-1"})
 		var events []event
-		newest := time.Time{} // a series knows the clock from its first transaction on
+		newest := time.Time{} // a series observes the clock from its first transaction on
 		for range rapid.IntRange(1, 150).Draw(t, "events") {
-			// A negative step is a clock that was set back.
+			// A negative step sets the clock back.
 			clock.Advance(time.Duration(rapid.SampledFrom([]int64{0, 1, 9, 10, 61, 299, 1800, 20000, 90000, -15}).Draw(t, "step")) * time.Second)
 			if clock.Now().After(newest) {
 				newest = clock.Now()
@@ -78,8 +79,8 @@
 	})
 }
 
-// TestConcurrentCountsExact guards against counts that are lost between
-// goroutines, and checks the sum over VMs.
+// TestConcurrentCountsExact guards against counts that are lost when goroutines
+// record concurrently, and against a wrong sum of the records of several VMs.
 func TestConcurrentCountsExact(t *testing.T) {
 	clock := clockwork.NewFakeClockAt(start)
 	var records []Record
@@ -96,7 +97,7 @@
 		wg.Wait()
 		rec := r.Record()
 		if got, want := len(rec.Series), 1+4+1; got != want {
-			t.Errorf("got %d series, want %d: one service, four customers and the others", got, want)
+			t.Errorf("got %d series, want %d: one service, four customers and Other", got, want)
 		}
 		if _, err := Merge(rec, rec); err == nil {
 			t.Error("got no error for two records of one run")
@@ -124,7 +125,8 @@
 	}
 }
 
-// BenchmarkTransaction shows that counting costs no allocation.
+// BenchmarkTransaction measures the allocations of counting a transaction, which
+// must be none.
 func BenchmarkTransaction(b *testing.B) {
 	r := New(clockwork.NewRealClock(), siskin.VM{ID: "vm-1"})
 	b.ReportAllocs()
--- a/pkg/burn/config.go
+++ b/pkg/burn/config.go
@@ -7,9 +7,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// FromConfig returns a function with the objectives of each service in a
-// configuration. A service that is not in it, or states none, has
-// DefaultObjectives.
+// FromConfig returns a function that returns the objectives of a service in a
+// configuration. An objective that is not set, or whose service is unknown, has
+// its value in DefaultObjectives.
 func FromConfig(view config.View) func(siskin.ServiceName) Objectives {
 	return func(name siskin.ServiceName) Objectives {
 		o := DefaultObjectives
--- a/pkg/burn/counts.go
+++ b/pkg/burn/counts.go
@@ -5,17 +5,17 @@
 // kindCount is the number of error kinds.
 const kindCount = int(siskin.TargetRefused) + 1
 
-// Counts are the transactions of one window.
+// Counts holds the numbers of transactions in one window.
 type Counts struct {
 	Done       int64            // ended without an error
 	ByKind     map[string]int64 `json:",omitempty"` // ended with an error, by kind
-	WithinRate int64            // of those of kind RateExceeded: within the customer's rate
+	WithinRate int64            // of kind RateExceeded: although within the customer's rate
 	Slow       int64            // of Done: above the latency threshold
 	Reads      int64            // of Done: on read routes
 	ByReplica  int64            // of Reads: served by a replica
 }
 
-// Bad returns the transactions that count against availability.
+// Bad returns the number of transactions that count against availability.
 func (c *Counts) Bad() int64 {
 	n := c.WithinRate
 	for k := range kindCount {
@@ -26,12 +26,12 @@
 	return n
 }
 
-// Total returns the transactions that availability counts.
+// Total returns the number of transactions that count for or against
+// availability.
 func (c *Counts) Total() int64 {
 	return c.Done + c.ByKind[siskin.TargetRefused.String()] + c.Bad()
 }
 
-// Add adds other to c.
 func (c *Counts) Add(other Counts) {
 	c.Done += other.Done
 	c.WithinRate += other.WithinRate
@@ -46,7 +46,7 @@
 	}
 }
 
-// bucket counts the transactions of one stretch of time.
+// bucket counts the transactions of one time bucket.
 type bucket struct {
 	done, slow, reads, byReplica, withinRate uint32
 	kinds                                    [kindCount]uint32
@@ -72,6 +72,7 @@
 	}
 }
 
+// knownKind returns k, or Internal if k is not a known kind.
 func knownKind(k siskin.ErrorKind) siskin.ErrorKind {
 	if k < 0 || int(k) >= kindCount {
 		return siskin.Internal
@@ -79,7 +80,7 @@
 	return k
 }
 
-// addTo adds the bucket to c.
+// addTo adds the counts of the bucket to c.
 func (b *bucket) addTo(c *Counts) {
 	c.Done += int64(b.done)
 	c.Slow += int64(b.slow)
--- a/pkg/burn/coverage.go
+++ b/pkg/burn/coverage.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// coverage knows in which fine buckets the VM ran. It survives neither a
-// restart nor a pause, so both show as missing coverage.
+// coverage records in which fine buckets the VM ran. It is lost by a restart and
+// not marked during a pause, so both are reported as missing coverage.
 type coverage struct {
-	latest atomic.Int64 // newest bucket marked, for a check without the lock
+	latest atomic.Int64 // number of the newest marked bucket, read without the lock
 	mu     sync.Mutex
 	ring   ring[bool]
 }
@@ -18,7 +18,7 @@
 	return &coverage{ring: newRing[bool](fineWidth, int(longestWindow/fineWidth))}
 }
 
-// mark records that the VM runs now.
+// mark records that the VM is running at the time now.
 func (c *coverage) mark(now time.Time) {
 	n := now.UnixNano() / int64(fineWidth)
 	if c.latest.Load() >= n {
@@ -30,8 +30,8 @@
 	c.latest.Store(n)
 }
 
-// covered returns the time of the window in which the VM ran, and the stretches
-// after since in which it did not.
+// covered returns how long the VM ran in the window, and the intervals after
+// since in which it did not run.
 func (c *coverage) covered(now time.Time, window time.Duration, since time.Time) (sum time.Duration, down []Interval) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/burn/fuzz_test.go
+++ b/pkg/burn/fuzz_test.go
@@ -10,7 +10,7 @@
 	"siskintray.example/siskin"
 )
 
-// FuzzMerge guards against a saved record that makes the report panic.
+// FuzzMerge guards against a panic of Merge or a report on a malformed record.
 func FuzzMerge(f *testing.F) {
 	r := New(clockwork.NewFakeClockAt(start), siskin.VM{ID: "vm-1"})
 	r.Transaction("a", "c", Result{Failed: true, Kind: siskin.NotRun})
--- a/pkg/burn/html.go
+++ b/pkg/burn/html.go
@@ -15,14 +15,15 @@
 	"time": func(t time.Time) string { return t.Format("2006-01-02 15:04:05 MST") },
 }).Parse(pageText))
 
-// maxPlots bounds the services that get plots, so that a page stays readable
-// and below a few megabytes.
+// maxPlots is the largest number of services with plots, so that a page remains
+// readable and is no larger than a few megabytes.
 const maxPlots = 24
 
-// plots are the plots of one series.
+// plots holds the SVG plots of one series.
 type plots struct{ Hour, Days template.HTML }
 
-// WriteHTML writes the report as a page without scripts or outside resources.
+// WriteHTML writes the report as an HTML page without scripts or external
+// resources.
 func (r *Report) WriteHTML(w io.Writer) error {
 	to := time.Time{}
 	for _, vm := range r.VMs {
--- a/pkg/burn/objectives_test.go
+++ b/pkg/burn/objectives_test.go
@@ -11,9 +11,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestObjectivesOfRecord guards against a record that is measured by other
-// objectives than its service had, above all after records were saved and
-// merged.
+// TestObjectivesOfRecord guards against a record that is compared with other
+// objectives than those of its service, in particular after records were saved
+// and merged.
 func TestObjectivesOfRecord(t *testing.T) {
 	stated := func(o *config.Objectives) func(siskin.ServiceName) Objectives {
 		return FromConfig(config.NewStaticView([]*config.Service{{Name: "ledger", Objectives: o}}, nil))
--- a/pkg/burn/plot.go
+++ b/pkg/burn/plot.go
@@ -19,26 +19,26 @@
 	bandColor = color.RGBA{R: 0xdd, G: 0xdd, B: 0xdd, A: 0xff}
 )
 
-// shareSVG draws sharePlot as an SVG element.
+// shareSVG renders sharePlot as an SVG element.
 func shareSVG(points []Point, vms []VMRecord, from, to time.Time, step time.Duration, format string) (template.HTML, error) {
 	p, err := sharePlot(points, vms, from, to, step, format)
 	if err != nil {
 		return "", err
 	}
 	canvas := vgsvg.New(16*vg.Centimeter, 4.5*vg.Centimeter)
-	// The label of a tick at the end of the axis needs room on the right.
+	// The label of a tick at the end of the axis needs space on the right.
 	p.Draw(draw.Crop(draw.New(canvas), 0, -vg.Centimeter, 0, 0))
 	var b bytes.Buffer
 	if _, err := canvas.WriteTo(&b); err != nil {
 		return "", err
 	}
-	// Without the XML header the element can stand inside HTML.
+	// An SVG element inside HTML has no XML header.
 	_, svg, _ := bytes.Cut(b.Bytes(), []byte("<svg"))
 	return template.HTML("<svg" + string(svg)), nil
 }
 
-// sharePlot plots the share of bad transactions by step. Grey bands mark time
-// in which no VM of the report ran, which is not the same as a share of zero.
+// sharePlot plots the share of bad transactions per step. Grey bands mark time
+// in which no VM of the report ran, to distinguish it from a share of zero.
 func sharePlot(points []Point, vms []VMRecord, from, to time.Time, step time.Duration, format string) (*plot.Plot, error) {
 	p := plot.New()
 	p.X.Min, p.X.Max = seconds(from), seconds(to)
@@ -67,8 +67,8 @@
 	return p, nil
 }
 
-// steps returns one line for each run of points without a hole, and the top of
-// the axis.
+// steps returns one line for each sequence of points without a gap, and the
+// maximum of the y axis.
 func steps(points []Point, step time.Duration, to time.Time) (lines []plotter.XYs, top float64) {
 	top = 1
 	for i, pt := range points {
@@ -88,7 +88,7 @@
 
 func seconds(t time.Time) float64 { return float64(t.Unix()) }
 
-// uncovered returns the stretches from from to to in which no VM ran.
+// uncovered returns the intervals between from and to in which no VM ran.
 func uncovered(vms []VMRecord, from, to time.Time) []Interval {
 	var up []Interval
 	for _, vm := range vms {
--- a/pkg/burn/record.go
+++ b/pkg/burn/record.go
@@ -8,44 +8,44 @@
 	"siskintray.example/siskin"
 )
 
-// Dimension says what a series is about.
+// Dimension is what the transactions of a series have in common.
 type Dimension string
 
-// Dimensions of series.
+// Values of Dimension.
 const (
 	ServiceDimension  Dimension = "Service"
 	CustomerDimension Dimension = "Customer"
 )
 
-// Record holds the counts of one VM, or of several after Merge.
+// Record holds the counts of one VM, or of several VMs after Merge.
 type Record struct {
 	VMs    []VMRecord
 	Series []SeriesRecord // ordered by dimension and name
 }
 
-// VMRecord says which time the counts of one run of a VM cover.
+// VMRecord describes the time that the counts of one run of a VM cover.
 type VMRecord struct {
 	VM          siskin.VMID
 	Incarnation siskin.Incarnation
 	DataCentre  siskin.DataCentreID
 	Since       time.Time // start of this run; nothing before it is counted
 	Until       time.Time // time of the record
-	// Covered is the time of each of Windows in which the VM ran.
+	// Covered is how long the VM ran in each of Windows.
 	Covered []time.Duration
-	// Down are stretches of the longest window, after Since, in which the VM
-	// did not run, such as while it was paused.
+	// Down lists the intervals of the longest window, after Since, in which the
+	// VM did not run, for instance because it was paused.
 	Down []Interval `json:",omitempty"`
 }
 
-// Interval is a stretch of time.
+// Interval is a time interval.
 type Interval struct{ From, To time.Time }
 
 // SeriesRecord holds the counts of one service or customer.
 type SeriesRecord struct {
 	Dimension Dimension
 	Name      string
-	// Objectives are those that the VM had for the service when the record was
-	// made; nil for a customer.
+	// Objectives are the objectives of the service when the record was made; nil
+	// for a customer.
 	Objectives *Objectives `json:",omitempty"`
 	Windows    []Counts    // one for each of Windows
 	Gaps       []Gap       `json:",omitempty"`
@@ -53,22 +53,22 @@
 	Days       []Point     `json:",omitempty"` // the longest window by hour
 }
 
-// Gap is the write gap of one failover, as one VM saw it.
+// Gap is the write gap of one failover as observed by one VM.
 type Gap struct {
 	VM       siskin.VMID
 	At       time.Time     // first write acknowledged after the failover
 	Duration time.Duration // since the last write acknowledged before it
 }
 
-// Point is one step of a plot.
+// Point holds the counts of one step of a plot.
 type Point struct {
 	At               time.Time
 	Total, Bad, Slow int64
 }
 
-// Merge adds the records of several VMs. The objectives of a service are those
-// of the latest record. Two records of the same run of a VM
-// are refused, since its transactions would count twice.
+// Merge returns the sum of the records of several VMs. The objectives of a
+// service are those of the latest record. Two records of the same run of a VM
+// are an error, since its transactions would be counted twice.
 func Merge(records ...Record) (Record, error) {
 	type run struct {
 		vm  siskin.VMID
@@ -76,7 +76,7 @@
 	}
 	seen := map[run]bool{}
 	series := map[seriesKey]*SeriesRecord{}
-	objectivesAt := map[seriesKey]time.Time{} // times of the records with the objectives
+	objectivesAt := map[seriesKey]time.Time{} // times of the records that the objectives are from
 	var merged Record
 	for _, rec := range records {
 		for _, vm := range rec.VMs {
@@ -113,7 +113,7 @@
 	return merged, nil
 }
 
-// until returns the time of the record.
+// until returns the time of the latest VM record.
 func (r *Record) until() (latest time.Time) {
 	for i := range r.VMs {
 		if r.VMs[i].Until.After(latest) {
@@ -124,7 +124,7 @@
 }
 
 func malformed(name string) error {
-	return siskin.NewError(siskin.BadInput, "record of %.64q has another number of windows", name).
+	return siskin.NewError(siskin.BadInput, "record of %.64q has a wrong number of windows", name).
 		WithRemedy("read the record from a VM of the same version")
 }
 
@@ -147,6 +147,8 @@
 	s.Days = addPoints(s.Days, other.Days)
 }
 
+// addPoints returns the points of a and b in order, with the sum of those of the
+// same time.
 func addPoints(a, b []Point) []Point {
 	sum := map[int64]Point{}
 	for _, p := range slices.Concat(a, b) {
--- a/pkg/burn/recorder.go
+++ b/pkg/burn/recorder.go
@@ -8,10 +8,11 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Other is the series that takes services or customers above the bound.
+// Other is the name of the series for the services or customers above the
+// limit.
 const Other = "other"
 
-// defaultMaxSeries bounds the series of each dimension to about 15 MB.
+// defaultMaxSeries limits the memory of each dimension to about 15 MB.
 const defaultMaxSeries = 128
 
 type seriesKey struct {
@@ -19,8 +20,7 @@
 	name      string
 }
 
-// Recorder counts the transactions of one VM. Its methods may be called from
-// many goroutines.
+// Recorder counts the transactions of one VM. It is safe for concurrent use.
 type Recorder struct {
 	clock      siskin.Clock
 	vm         siskin.VM
@@ -40,8 +40,8 @@
 	return func(r *Recorder) { r.objectives = of }
 }
 
-// WithMaxSeries sets the most services and the most customers that are counted
-// by name.
+// WithMaxSeries sets the largest number of services, and of customers, that are
+// counted by name.
 func WithMaxSeries(n int) Option {
 	return func(r *Recorder) { r.maxSeries = int64(n) }
 }
@@ -62,9 +62,9 @@
 	return r
 }
 
-// Transaction counts one transaction. It does not allocate for a service and a
-// customer that were seen before. An empty customer means that the caller was
-// not known.
+// Transaction counts one transaction. It does not allocate if the series of the
+// service and the customer exist. An empty customer means that the caller is
+// unknown.
 func (r *Recorder) Transaction(service siskin.ServiceName, customer siskin.CustomerID, res Result) {
 	now := r.clock.Now()
 	r.coverage.mark(now)
@@ -75,21 +75,23 @@
 	}
 }
 
-// WriteGap records the gap of one failover that ended now.
+// WriteGap records the write gap of a failover. The gap ends now.
 func (r *Recorder) WriteGap(service siskin.ServiceName, gap time.Duration) {
 	r.seriesOf(ServiceDimension, string(service)).addGap(Gap{VM: r.vm.ID, At: r.clock.Now().UTC(), Duration: gap})
 }
 
-// ExtendGap records that the last write gap of a service was longer, which shows
-// when a write ends that had waited in it.
+// ExtendGap increases the length of the last write gap of a service to gap. The
+// full length is known only when a write that waited during the gap has ended.
 func (r *Recorder) ExtendGap(service siskin.ServiceName, gap time.Duration) {
 	r.seriesOf(ServiceDimension, string(service)).extendGap(gap)
 }
 
-// Tick records that the VM runs. Call it about once a second; a stretch of 20 s
-// without a call or a transaction shows as time in which the VM did not run.
+// Tick records that the VM is running. Call it about once a second: 20 s without
+// a call or a transaction are reported as time in which the VM did not run.
 func (r *Recorder) Tick() { r.coverage.mark(r.clock.Now()) }
 
+// seriesOf returns the series of name, or that of Other when the limit of the
+// dimension is reached.
 func (r *Recorder) seriesOf(d Dimension, name string) *series {
 	key := seriesKey{d, name}
 	if s, ok := r.series.Get(key); ok {
@@ -111,7 +113,7 @@
 	return s
 }
 
-// Record returns the counts up to now.
+// Record returns the current counts.
 func (r *Recorder) Record() Record {
 	now := r.clock.Now()
 	r.coverage.mark(now)
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -9,40 +9,40 @@
 )
 
 // minCoverage is the coverage from which a window counts as complete. With
-// fewer than ten VMs the restart of one makes a window incomplete, with more it
-// does not: the others then saw most of the traffic.
+// fewer than ten VMs the restart of one makes a window incomplete. With more it
+// does not, since the other VMs then served most of the traffic.
 const minCoverage = 0.9
 
-// Severity says how soon an alert needs a person.
+// Severity is how soon an operator has to respond to an alert.
 type Severity string
 
-// Severities of alerts.
+// Values of Severity.
 const (
-	Fast   Severity = "Fast"   // now
+	Fast   Severity = "Fast"   // immediately
 	Medium Severity = "Medium" // today
 	Slow   Severity = "Slow"   // this week
 )
 
-// Alert is a burn rate or write gap above its bound.
+// Alert reports a burn rate or a write gap above its limit.
 type Alert struct {
 	Severity Severity
 	Reason   string
 }
 
-// Report is an evaluated record.
+// Report is the evaluation of a record.
 type Report struct {
 	VMs     []VMRecord
 	Windows []WindowReport
-	// Incomplete names the windows that are covered by less than 90%, such as
-	// after a restart. Rates and budgets say nothing about the rest of them.
+	// Incomplete lists the windows with a coverage below 90%, for instance after
+	// a restart. Burn rates and budgets describe only the covered part of them.
 	Incomplete string `json:",omitempty"`
 	Series     []SeriesReport
 }
 
-// WindowReport says how much of a window the VMs of the report covered.
+// WindowReport is the coverage of one window by the VMs of the report.
 type WindowReport struct {
 	Length time.Duration
-	// Coverage is the share of the window, 1 when every VM ran throughout.
+	// Coverage is the covered share of the window, 1 if every VM ran throughout.
 	Coverage float64
 }
 
@@ -51,8 +51,8 @@
 	Dimension  Dimension
 	Name       string
 	Objectives []ObjectiveReport
-	ByKind     map[string]int64 // refusals and errors of the longest window
-	WithinRate int64            // of those: refused by rate although within it
+	ByKind     map[string]int64 // failed transactions of the longest window, by error kind
+	WithinRate int64            // of kind RateExceeded: although within the customer's rate
 	Gaps       []Gap            `json:",omitempty"`
 	Alerts     []Alert          `json:",omitempty"`
 	Hour, Days []Point          `json:",omitempty"`
@@ -63,24 +63,24 @@
 	Name   string
 	Target float64
 	Burns  []Burn // one for each window
-	// BudgetLeft is the share of the error budget of the longest window that is
-	// left; it is negative when overspent and missing without data.
+	// BudgetLeft is the remaining share of the error budget of the longest
+	// window. It is negative if the budget is overspent, and nil without data.
 	BudgetLeft *float64 `json:",omitempty"`
-	// Coverage is the share of the longest window that BudgetLeft is about.
+	// Coverage is the covered share of the longest window.
 	Coverage float64
 }
 
 // Burn is the burn rate of one window.
 type Burn struct {
 	Total, Bad int64
-	// Rate is 1 when the budget is spent exactly by the end of its period. It is
-	// missing without data.
+	// Rate is 1 if the budget is spent exactly at the end of its period. It is nil
+	// without data.
 	Rate *float64 `json:",omitempty"`
 }
 
-// Evaluate compares a record with the objectives of each service, or with those
-// that the record states when of is nil. Customers are compared with
-// DefaultObjectives.
+// Evaluate compares a record with the objectives that of returns for each
+// service, or with the objectives in the record if of is nil. Customers are
+// compared with DefaultObjectives.
 func Evaluate(rec Record, of func(siskin.ServiceName) Objectives) Report {
 	rep := Report{VMs: rec.VMs}
 	var incomplete []string
@@ -156,7 +156,7 @@
 	return b
 }
 
-// alerts returns the alert of the most urgent rule that the objective breaks.
+// alerts returns the alert of the most urgent rule that matches the objective.
 func (r *Report) alerts(o *ObjectiveReport) []Alert {
 	for _, rule := range alertRules {
 		short, long := o.Burns[rule.short], o.Burns[rule.long]
--- a/pkg/burn/result.go
+++ b/pkg/burn/result.go
@@ -8,26 +8,26 @@
 
 // Result is the outcome of one transaction.
 type Result struct {
-	// Failed says that the transaction ended with an error of kind Kind.
+	// Failed reports whether the transaction ended with an error of kind Kind.
 	Failed bool
 	Kind   siskin.ErrorKind
-	// WithinRate says that a refusal of kind RateExceeded hit a customer that
-	// was within its rate across the fleet, so that it counts as bad.
+	// WithinRate reports whether an error of kind RateExceeded was returned to a
+	// customer within its rate across the fleet. Such an error counts as bad.
 	WithinRate bool
-	// Latency is the time from the first message to the end of the answer.
+	// Latency is the time from the first message to the end of the response.
 	Latency time.Duration
-	// Read and ByReplica say that the transaction ran on a read route, and
-	// that a replica served it.
+	// Read reports whether the transaction ran on a read route, and ByReplica
+	// whether a replica served it.
 	Read, ByReplica bool
 }
 
-// class says how a kind counts for availability.
+// class is how an error kind counts for availability.
 type class int
 
 const (
-	good     class = iota // answered, even if with an error of the target
+	good     class = iota // the target responded, possibly with an error
 	bad                   // siskintray failed to serve the caller
-	excluded              // the caller's own fault: not counted
+	excluded              // caused by the caller: not counted
 )
 
 // classOf returns the class of a kind. A new kind counts as bad until it is
--- a/pkg/burn/ring.go
+++ b/pkg/burn/ring.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// ring holds the buckets of the last stretch of time. A bucket is numbered by
-// the time since the Unix epoch divided by its width.
+// ring is a ring buffer of the most recent time buckets. The number of a bucket
+// is the time since the Unix epoch divided by the width.
 type ring[T any] struct {
 	width  time.Duration
 	newest int64
@@ -11,7 +11,7 @@
 }
 
 type slot[T any] struct {
-	number int64 // 0: never used
+	number int64 // 0 if the slot was never used
 	value  T
 }
 
@@ -19,8 +19,8 @@
 	return ring[T]{width: width, slots: make([]slot[T], buckets)}
 }
 
-// at returns the bucket of now. When the clock steps back, the newest bucket
-// takes what is recorded, so that nothing is lost.
+// at returns the bucket of now. If the clock was set back, it returns the newest
+// bucket, so that no count is lost.
 func (r *ring[T]) at(now time.Time) *T {
 	n := max(now.UnixNano()/int64(r.width), r.newest)
 	r.newest = n
@@ -31,7 +31,8 @@
 	return &s.value
 }
 
-// each visits the used buckets of the window that ends with the bucket of now.
+// each calls visit for the used buckets of the window that ends with the bucket
+// of now.
 func (r *ring[T]) each(now time.Time, window time.Duration, visit func(start time.Time, value *T)) {
 	last := max(now.UnixNano()/int64(r.width), r.newest)
 	for n := last - int64(window/r.width) + 1; n <= last; n++ {
--- a/pkg/burn/script_test.go
+++ b/pkg/burn/script_test.go
@@ -28,8 +28,8 @@
 	return 0, false
 }
 
-// script runs the commands of a txtar file. The recorders of all runs of VMs
-// share a clock; each run keeps its last record, as an operator would collect.
+// script runs the commands of a txtar file. The recorders of the VMs share a
+// clock; a VM that is started again gets a new recorder.
 type script struct {
 	clock *clockwork.FakeClock
 	runs  map[string]*Recorder
@@ -100,8 +100,8 @@
 	return Result{Failed: true, Kind: k}
 }
 
-// TestScripts guards against alerts that do not come, that come without cause,
-// and against a restart or pause that looks like a good record.
+// TestScripts guards against missing alerts, against false alerts, and against a
+// restart or pause that is reported as time without failures.
 func TestScripts(t *testing.T) {
 	files, _ := filepath.Glob("testdata/*.txtar")
 	if len(files) == 0 {
@@ -143,8 +143,7 @@
 	}
 }
 
-// checkPage guards against a page that a browser cannot show or that loads
-// something from outside.
+// checkPage checks that the page can be parsed and loads no other resource.
 func checkPage(t *testing.T, rep *Report) {
 	var b bytes.Buffer
 	if err := rep.WriteHTML(&b); err != nil {
--- a/pkg/burn/series.go
+++ b/pkg/burn/series.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Windows and buckets. Windows up to an hour use fine buckets, longer ones
-// coarse buckets, so that one series takes about 115 KB for 3 days.
+// Lengths of windows and buckets. Windows up to an hour use fine buckets, longer
+// windows use coarse buckets, so that one series of 3 days takes about 115 KB.
 const (
 	fineWidth     = 10 * time.Second
 	coarseWidth   = 5 * time.Minute
@@ -14,13 +14,13 @@
 	longestWindow = 72 * time.Hour
 )
 
-// Windows are the windows of a record, in order.
+// Windows are the lengths of the windows of a record, in ascending order.
 var Windows = []time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour, longestWindow}
 
-// maxGaps bounds the failovers kept for one service.
+// maxGaps is the largest number of write gaps stored for one service.
 const maxGaps = 100
 
-// series holds the counts of one service or customer under its own lock.
+// series holds the counts of one service or customer. Each has a lock of its own.
 type series struct {
 	mu     sync.Mutex
 	fine   ring[bucket]
@@ -51,7 +51,7 @@
 	s.mu.Unlock()
 }
 
-// extendGap makes the last gap longer, when it is shorter.
+// extendGap increases the duration of the last gap to at least d.
 func (s *series) extendGap(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,7 +89,7 @@
 	return c
 }
 
-// points sums buckets to steps that are aligned to the clock, so that the
+// points sums buckets into steps that are aligned to the clock, so that the
 // points of several VMs can be added.
 func points(r *ring[bucket], now time.Time, window, step time.Duration) []Point {
 	var all []Point
--- a/pkg/burn/text.go
+++ b/pkg/burn/text.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// WriteText writes the report for reading on a terminal.
+// WriteText writes the report as text for a terminal.
 func (r *Report) WriteText(w io.Writer) error {
 	var b strings.Builder
 	for _, vm := range r.VMs {
@@ -64,8 +64,8 @@
 	return fmt.Sprintf("%.2f", *b.Rate)
 }
 
-// Left returns the budget left in percent, with the covered share when it is
-// low, or "no data".
+// Left returns the remaining budget in percent, with the coverage if it is low,
+// or "no data".
 func (o ObjectiveReport) Left() string {
 	if o.BudgetLeft == nil {
 		return "no data"
@@ -77,8 +77,8 @@
 	return left
 }
 
-// percent formats a share without hiding a small loss by rounding: 99.996% is
-// not 100%, and 0.004% is not 0%.
+// percent formats a share in percent. Rounding does not hide a small loss:
+// 99.996% is not written as 100%, and 0.004% is not written as 0%.
 func percent(x float64) string {
 	s := fmt.Sprintf("%.2f", 100*x)
 	if s == "100.00" && x < 1 {
--- a/pkg/keys/account.go
+++ b/pkg/keys/account.go
@@ -7,14 +7,16 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// account is what is known of one customer. It is replaced, never changed.
+// account holds the keys and services of one customer. It is immutable: a new
+// document replaces it.
 type account struct {
 	doc      *config.Customer
 	revision siskin.Revision
-	services []siskin.ServiceName // ordered
+	services []siskin.ServiceName // sorted
 	keys     map[siskin.KeyID]keyState
-	// removed says that the configuration has the customer no longer. The
-	// account stays, so that an older document does not bring it back.
+	// removed reports whether the customer was removed from the configuration.
+	// The account is kept as a tombstone, so that an older document does not
+	// restore it.
 	removed bool
 }
 
@@ -23,14 +25,14 @@
 	withdrawn bool
 }
 
-// newAccount reads a document. A key that is withdrawn in old stays withdrawn,
-// and so does every key with a withdrawn digest.
+// newAccount returns the account of a document. A key that is withdrawn in old
+// remains withdrawn, and so does every key whose digest isWithdrawn reports.
 func newAccount(doc *config.Customer, old *account, isWithdrawn func(digest) bool) *account {
 	a := &account{doc: doc, revision: doc.Revision, services: slices.Sorted(slices.Values(doc.Services)), keys: make(map[siskin.KeyID]keyState, len(doc.Keys))}
 	for _, k := range doc.Keys {
 		d, ok := parseDigest(k.Digest)
 		if !ok {
-			continue // validation refuses such a document; the key cannot match
+			continue // validation rejects such a document; the key cannot match
 		}
 		a.keys[k.ID] = keyState{digest: d, withdrawn: k.Withdrawn || isWithdrawn(d)}
 	}
@@ -47,7 +49,8 @@
 	return a
 }
 
-// isNewerThan reports whether the account is newer than a document.
+// isNewerThan reports whether the account supersedes a document. A removal also
+// supersedes a document of the same revision.
 func (a *account) isNewerThan(doc *config.Customer) bool {
 	return doc.Revision < a.revision || (a.removed && doc.Revision <= a.revision)
 }
@@ -58,7 +61,7 @@
 	return ok
 }
 
-// revokes reports whether something that old allowed is allowed no longer.
+// revokes reports whether a key or a service that was valid in old no longer is.
 func (a *account) revokes(old *account) bool {
 	if old == nil || old.removed {
 		return false
--- a/pkg/keys/bench_test.go
+++ b/pkg/keys/bench_test.go
@@ -21,7 +21,7 @@
 	return c, New(clock, c, WithEvidence(func() Evidence { return Evidence{CurrentAt: clock.Now()} }))
 }
 
-// BenchmarkCheck measures the check before each message batch.
+// BenchmarkCheck measures the check that is made before each batch of messages.
 func BenchmarkCheck(b *testing.B) {
 	for _, n := range []int{8, 23_000} {
 		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
@@ -42,7 +42,8 @@
 	}
 }
 
-// BenchmarkAuthenticate measures a start-up among many keys.
+// BenchmarkAuthenticate measures the authentication of a caller by the number of
+// customers.
 func BenchmarkAuthenticate(b *testing.B) {
 	for _, n := range []int{8, 23_000} {
 		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
@@ -59,7 +60,7 @@
 	}
 }
 
-// BenchmarkChange measures a change of one document among many.
+// BenchmarkChange measures a refresh after one of 23,000 documents changed.
 func BenchmarkChange(b *testing.B) {
 	c, k := benchKeys(23_000)
 	defer k.Close()
--- a/pkg/keys/generate.go
+++ b/pkg/keys/generate.go
@@ -7,8 +7,8 @@
 	"strings"
 )
 
-// keyPrefix starts every generated key, so that people and scanners for
-// leaked secrets recognize one.
+// keyPrefix is the prefix of every generated key, so that people and secret
+// scanners recognize one.
 const keyPrefix = "siskey_"
 
 const (
@@ -16,7 +16,7 @@
 	checksumSize = 4
 )
 
-// alphabet leaves out i, l, o and u, which are mistaken for other characters.
+// alphabet omits i, l, o and u, which are easily mistaken for other characters.
 const alphabet = "0123456789abcdefghjkmnpqrstvwxyz"
 
 var encoding = base32.NewEncoding(alphabet).WithPadding(base32.NoPadding)
@@ -25,7 +25,7 @@
 // in base 32.
 func Generate() string {
 	var secret [secretSize]byte
-	_, _ = rand.Read(secret[:]) // crypto/rand never fails; it ends the program
+	_, _ = rand.Read(secret[:]) // crypto/rand never returns an error; it crashes the program
 	return format(secret[:])
 }
 
@@ -33,14 +33,14 @@
 	return keyPrefix + encoding.EncodeToString(append(secret[:len(secret):len(secret)], checksum(secret)...))
 }
 
-// checksum guards against typing errors only; it keeps nothing secret.
+// checksum detects typing errors only; it has no role in security.
 func checksum(secret []byte) []byte {
 	sum := crc32.ChecksumIEEE(secret)
 	return []byte{byte(sum >> 24), byte(sum >> 16), byte(sum >> 8), byte(sum)}
 }
 
-// Mistyped reports whether key starts like a generated key but is none, because
-// characters are missing or changed. Other keys are never mistyped.
+// Mistyped reports whether key has the prefix of a generated key but a wrong
+// length, encoding or checksum. Keys without the prefix are never mistyped.
 func Mistyped(key string) bool {
 	body, ok := strings.CutPrefix(key, keyPrefix)
 	if !ok {
--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -10,7 +10,7 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Keys authenticates callers against the configuration in force. It implements
+// Keys authenticates callers against the current configuration. It implements
 // siskin.Authenticator and is safe for concurrent use.
 type Keys struct {
 	clock    siskin.Clock
@@ -18,11 +18,12 @@
 	evidence func() Evidence
 
 	accounts *shard.Map[siskin.CustomerID, *account]
-	entries  *shard.Map[uint64, []indexEntry] // by prefix of the digest
-	// withdrawn holds the digests that were ever seen withdrawn.
+	entries  *shard.Map[uint64, []indexEntry] // by digest prefix
+	// withdrawn holds the digest of every key that was ever withdrawn.
 	withdrawn *shard.Map[digest, struct{}]
-	revision  atomic.Uint64 // revision that the accounts are at
-	revoked   atomic.Pointer[chan struct{}]
+	revision  atomic.Uint64 // configuration revision of the accounts
+	// revoked is closed and replaced when a key or a service is revoked.
+	revoked atomic.Pointer[chan struct{}]
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -30,22 +31,22 @@
 
 var _ siskin.Authenticator = (*Keys)(nil)
 
-// indexEntry names a key by its digest.
+// indexEntry maps the digest of a key to its customer and key ID.
 type indexEntry struct {
 	digest   digest
 	customer siskin.CustomerID
 	key      siskin.KeyID
 }
 
-// Option changes a setting of Keys.
+// Option configures Keys.
 type Option func(*Keys)
 
 // WithEvidence sets the source of evidence that this VM knows all withdrawals.
-// It is called at every check and must be fast. Without it the VM always
-// counts as current.
+// It is called at every check and must be fast. Without this option the VM is
+// always assumed to know them.
 func WithEvidence(evidence func() Evidence) Option { return func(k *Keys) { k.evidence = evidence } }
 
-// New returns the keys of a configuration and follows its changes until Close.
+// New returns the Keys of a configuration and applies its changes until Close.
 func New(clock siskin.Clock, view config.View, options ...Option) *Keys {
 	k := &Keys{
 		clock: clock, view: view,
@@ -66,7 +67,7 @@
 	return k
 }
 
-// Close stops following the configuration.
+// Close stops applying changes of the configuration.
 func (k *Keys) Close() error {
 	k.cancel()
 	k.done.Wait()
@@ -122,8 +123,8 @@
 	}
 }
 
-// checkEvidence refuses keys when this VM may have missed a withdrawal for
-// longer than the service allows.
+// checkEvidence returns an error if this VM may have missed a withdrawal for
+// longer than the grace period of the service.
 func (k *Keys) checkEvidence(service siskin.ServiceName) error {
 	doc, ok := k.view.Service(service)
 	if !ok {
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -16,8 +16,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestWithdrawalWakesSessions guards against an open session that goes on
-// after its key was withdrawn, and against a leaked goroutine.
+// TestWithdrawalWakesSessions guards against an open session that is not
+// notified when its key is withdrawn, and against a leaked goroutine.
 func TestWithdrawalWakesSessions(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	key := Generate()
@@ -59,8 +59,8 @@
 	}
 }
 
-// TestCutOff guards against keys that work longer than the service's grace in
-// a data centre that is cut off.
+// TestCutOff guards against keys that are accepted after the grace period of the
+// service in an isolated data centre.
 func TestCutOff(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	e := Evidence{CurrentAt: clock.Now()}
@@ -79,12 +79,12 @@
 	}
 }
 
-// TestMistyped guards against a typing error that is reported as a wrong key,
-// and a key of another form that is reported as a typing error.
+// TestMistyped guards against a typing error that is reported as an unknown key,
+// and against a key in another format that is reported as a typing error.
 func TestMistyped(t *testing.T) {
 	key := Generate()
 	if Mistyped(key) || Mistyped("other") || key == Generate() {
-		t.Errorf("got a sound key reported as mistyped, or a key twice")
+		t.Errorf("a valid key is reported as mistyped, or Generate returned the same key twice")
 	}
 	for i := len(keyPrefix); i < len(key); i++ {
 		changed := key[:i] + strings.Map(func(r rune) rune {
@@ -105,7 +105,7 @@
 	}
 }
 
-// TestScan guards against a leak that the scan does not see.
+// TestScan guards against a leaked key that Scan does not find.
 func TestScan(t *testing.T) {
 	key := Generate()
 	raw := digestOf(key)
@@ -145,20 +145,21 @@
 			}
 			text := fmt.Sprintf("%v %+v %#v %v", err, err, err, errors.Unwrap(err))
 			if got := Scan([]byte(text), attempt); got != NoLeak {
-				t.Errorf("got a leak of form %s in %q, want none", got, text)
+				t.Errorf("got a leak of the form %s in %q, want none", got, text)
 			}
 		}
 	}
 }
 
-// FuzzMistyped guards against a key typed by a caller that stops the program.
+// FuzzMistyped guards against a panic on a key that a caller sends, and against
+// a truncated key that is not reported as mistyped.
 func FuzzMistyped(f *testing.F) {
 	f.Add(Generate())
 	f.Add(keyPrefix)
 	f.Add("siskey_0O1l")
 	f.Fuzz(func(t *testing.T, key string) {
 		if !Mistyped(key) && strings.HasPrefix(key, keyPrefix) && len(key) != len(Generate()) {
-			t.Errorf("got %q accepted as sound, want a typing error", key)
+			t.Errorf("got %q accepted as valid, want a typing error", key)
 		}
 	})
 }
--- a/pkg/keys/random_test.go
+++ b/pkg/keys/random_test.go
@@ -11,12 +11,12 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestSoak compares the keys with a plain model while documents arrive in any
-// order. It guards against a key that works for another customer or service,
-// after its withdrawal, or again when an older document shows up.
+// TestSoak compares Keys with a simple model while documents arrive in any
+// order. It guards against a key that is accepted for another customer or
+// service, after its withdrawal, or again after an older document arrived.
 func TestSoak(t *testing.T) { soak.Rapid(t, randomDocuments) }
 
-// version names one version of a document.
+// version identifies one version of a document.
 type version struct {
 	id       siskin.CustomerID
 	revision siskin.Revision
@@ -27,7 +27,7 @@
 		c := &mutableView{docs: make(map[siskin.CustomerID]*config.Customer)}
 		c.apply(0)
 		k := New(nil, c)
-		_ = k.Close() // the test refreshes by itself
+		_ = k.Close() // the test calls refresh itself
 		all := map[version]*config.Customer{}
 		newest, withdrawn := map[siskin.CustomerID]*config.Customer{}, map[string]bool{}
 		for range rapid.IntRange(1, 40).Draw(r, "documents") {
--- a/pkg/keys/receiver.go
+++ b/pkg/keys/receiver.go
@@ -2,28 +2,30 @@
 
 import "siskintray.example/siskin"
 
-// ConfirmArgs asks whether a withdrawal is in force.
+// ConfirmArgs are the arguments of Receiver.Confirm.
 type ConfirmArgs struct {
 	Revision siskin.Revision // revision that withdrew the key
-	// Customer and Key name the key; when empty only the revision counts.
+	// Customer and Key identify the key. If Key is empty, only the revision is
+	// checked.
 	Customer siskin.CustomerID
 	Key      siskin.KeyID
 }
 
-// ConfirmReply answers ConfirmArgs.
+// ConfirmReply is the result of Receiver.Confirm.
 type ConfirmReply struct {
 	InForce  bool
-	Revision siskin.Revision // revision enforced at the answering VM
+	Revision siskin.Revision // revision enforced by the responding VM
 }
 
-// Receiver has the methods that other VMs call over net/rpc. Register it under
-// the name "Keys".
+// Receiver has the methods that other VMs call over net/rpc. It is registered
+// as "Keys".
 type Receiver struct{ k *Keys }
 
-// Receiver returns the receiver of these keys.
+// Receiver returns the RPC receiver of k.
 func (k *Keys) Receiver() *Receiver { return &Receiver{k} }
 
-// Confirm answers whether a withdrawal is in force here. It does not wait.
+// Confirm reports whether this VM enforces a withdrawal. It does not wait for
+// the revision.
 func (r *Receiver) Confirm(args *ConfirmArgs, reply *ConfirmReply) error {
 	reply.Revision = r.k.Revision()
 	reply.InForce = reply.Revision >= args.Revision
--- a/pkg/keys/refresh.go
+++ b/pkg/keys/refresh.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// follow applies changes of the configuration.
+// follow applies changes of the configuration until ctx is done.
 func (k *Keys) follow(ctx context.Context, changed <-chan struct{}) {
 	for {
 		select {
@@ -16,13 +16,13 @@
 			return
 		case <-changed:
 		}
-		changed = k.view.Changed() // before reading, so that no change is missed
+		changed = k.view.Changed() // before the read, so that no change is missed
 		k.refresh()
 	}
 }
 
-// refresh reads the documents that changed and wakes the receivers of
-// Withdrawn if something is allowed no longer.
+// refresh applies the documents that changed and closes the channel of
+// Withdrawn if a key or a service was revoked.
 func (k *Keys) refresh() {
 	revision := k.view.Revision()
 	ids := k.view.Customers()
@@ -44,8 +44,8 @@
 	}
 }
 
-// replace takes over one document unless a newer one was seen. It reports
-// whether something is allowed no longer.
+// replace applies one document unless a newer one was applied before. It
+// reports whether a key or a service was revoked.
 func (k *Keys) replace(doc *config.Customer) bool {
 	old, _ := k.accounts.Get(doc.ID)
 	if old != nil && (old.doc == doc || old.isNewerThan(doc)) {
@@ -80,7 +80,8 @@
 	})
 }
 
-// removeEntries removes the keys from the index that a newer account has no longer.
+// removeEntries removes the keys of old that the newer account a does not have
+// from the index.
 func (k *Keys) removeEntries(old, a *account) {
 	for id, key := range old.keys {
 		if now, ok := a.keys[id]; ok && now.digest == key.digest {
@@ -94,7 +95,8 @@
 	}
 }
 
-// remove marks the accounts that the configuration has no longer.
+// remove replaces the accounts of customers that are no longer in the
+// configuration by tombstones. It reports whether there were any.
 func (k *Keys) remove(ids []siskin.CustomerID, revision siskin.Revision) (revoked bool) {
 	k.accounts.Range(func(id siskin.CustomerID, a *account) bool {
 		if _, ok := slices.BinarySearch(ids, id); ok || a.removed {
@@ -109,10 +111,11 @@
 	return revoked
 }
 
-// Withdrawn returns a channel that is closed when a key is withdrawn, or a
-// customer loses a key or a service. Owners of open sessions then call Check
-// and ask for the next channel first.
+// Withdrawn returns a channel that is closed when a key is withdrawn, or a key
+// or service is removed from a customer. Whoever holds an open session then
+// gets the next channel and calls Check, in this order, so that no withdrawal
+// is missed.
 func (k *Keys) Withdrawn() <-chan struct{} { return *k.revoked.Load() }
 
-// Revision returns the revision of the configuration that is enforced here.
+// Revision returns the revision of the configuration that this VM enforces.
 func (k *Keys) Revision() siskin.Revision { return siskin.Revision(k.revision.Load()) }
--- a/pkg/keys/scan.go
+++ b/pkg/keys/scan.go
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-// Leak says in which form a key was found in recorded bytes.
+// Leak is the form in which a key was found in recorded bytes.
 type Leak string
 
 // Forms of a leaked key.
@@ -19,9 +19,9 @@
 	LeakDigest Leak = "Digest"
 )
 
-// Scan looks for a key in recorded bytes, such as log files, error messages
-// or the traffic of a target connection: as text in either case, in
-// hexadecimal, in base 64 at any offset, and as its digest. It is meant for
+// Scan searches recorded bytes, such as log files, error messages or the
+// traffic of a target connection, for a key: as text regardless of case, in
+// hexadecimal, in base 64 at any offset, and as its digest. It is intended for
 // tests and for operators who search their logs.
 func Scan(recorded []byte, key string) Leak {
 	lower := bytes.ToLower(recorded)
@@ -42,8 +42,8 @@
 	return NoLeak
 }
 
-// containsBase64 looks for the part of the encoded key that does not depend on
-// the bytes around it, when the key starts at the given offset modulo 3.
+// containsBase64 searches for the part of the encoded key that does not depend
+// on the surrounding bytes, for a key that starts at the given offset modulo 3.
 func containsBase64(recorded []byte, key string, offset int) bool {
 	padded := append(make([]byte, offset, offset+len(key)), key...)
 	padded = padded[:len(padded)-len(padded)%3]
--- a/pkg/keys/script_test.go
+++ b/pkg/keys/script_test.go
@@ -13,7 +13,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// runScripts runs each file of an archive through a new interpreter.
+// runScripts runs the commands of each file of an archive by a function that
+// start returns for the file, and compares the results.
 func runScripts(t *testing.T, name string, start func() func(args []string) string) {
 	t.Helper()
 	archive, err := txtar.ParseFile(filepath.Join("testdata", name))
@@ -36,8 +37,8 @@
 	}
 }
 
-// TestEvidence guards against a cut-off data centre that goes on accepting
-// keys, and against an outage for everyone that stops all callers.
+// TestEvidence guards against an isolated data centre that accepts keys for too
+// long, and against an outage of the platform in which no key is accepted.
 func TestEvidence(t *testing.T) {
 	at := func(text string) time.Time {
 		d, err := time.ParseDuration(text + "s")
@@ -87,14 +88,14 @@
 	c.revision = max(c.revision, revision)
 }
 
-// TestKeys guards against keys that work where they are not granted, after
-// their withdrawal, or again when an older document shows up.
+// TestKeys guards against keys that are accepted for a service without a grant,
+// after their withdrawal, or again after an older document arrived.
 func TestKeys(t *testing.T) {
 	runScripts(t, "keys.txtar", func() func([]string) string {
 		c := &mutableView{docs: make(map[siskin.CustomerID]*config.Customer)}
 		c.apply(0)
 		k := New(nil, c)
-		_ = k.Close() // the script refreshes by itself
+		_ = k.Close() // the script calls refresh itself
 		return func(args []string) string { return command(c, k, args) }
 	})
 }
--- a/pkg/keys/tracker.go
+++ b/pkg/keys/tracker.go
@@ -13,7 +13,7 @@
 	mu           sync.Mutex
 	self         siskin.DataCentreID
 	currentAt    time.Time
-	platformDown map[siskin.DataCentreID]time.Time // when its peers last said so
+	platformDown map[siskin.DataCentreID]time.Time // time of the last report by its peers
 }
 
 // NewTracker returns a tracker for a VM in the given data centre.
@@ -21,8 +21,8 @@
 	return &Tracker{self: self, platformDown: make(map[siskin.DataCentreID]time.Time)}
 }
 
-// PlatformAnswered records that the platform answered a request that was sent
-// at the given time, and that this VM has the revision which it named.
+// PlatformAnswered records that the platform responded to a request sent at the
+// given time and that this VM has the revision in the response.
 func (t *Tracker) PlatformAnswered(sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -31,9 +31,9 @@
 	}
 }
 
-// PeerProof records the proof of a peer, whose revision this VM has. It was age
-// old when the question to the peer was sent. The peer's proof may itself be
-// that the platform was down for all: no withdrawal was accepted then.
+// PeerProof records the proof of a peer whose revision this VM has. The proof
+// had the given age when the request to the peer was sent. It may itself be that
+// the platform was down for all data centres: no withdrawal was accepted then.
 func (t *Tracker) PeerProof(sent time.Time, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -42,9 +42,9 @@
 	}
 }
 
-// PeerPlatform records whether a peer that asks the platform itself can reach
-// it. The statement counts only from another data centre; a peer of the own is
-// cut off together with this VM.
+// PeerPlatform records whether the platform is down for a peer that sends
+// requests to it itself. The report of a peer in this VM's data centre is
+// ignored, since that peer is isolated together with this VM.
 func (t *Tracker) PeerPlatform(dc siskin.DataCentreID, sent time.Time, platformDown bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -57,10 +57,12 @@
 	}
 }
 
-// Evidence returns the evidence so far. The platform counts as down for all
-// since the oldest of the latest statements of all other data centres: one
-// that cannot be asked may reach the platform and accept a withdrawal. The own
-// data centre proves nothing, since its VMs are cut off together.
+// Evidence returns the current evidence, where all lists every data centre. The
+// platform counts as down at the time of the oldest of the latest reports of all
+// other data centres. Without a report from each there is no such evidence: a
+// data centre that does not respond may reach the platform and accept a
+// withdrawal. This VM's own data centre is left out, since its VMs are isolated
+// together.
 func (t *Tracker) Evidence(all []siskin.DataCentreID) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -1,6 +1,6 @@
 // Package place ranks VMs for a resource by rendezvous hashing, so that VMs
-// with the same member list agree without a message and a change of one member
-// moves only the resources of that member.
+// with the same member list agree without communication, and the removal of a
+// member moves only the resources of that member.
 package place
 
 import (
@@ -13,8 +13,8 @@
 	"siskintray.example/siskin"
 )
 
-// Score returns the rendezvous weight of a VM, or another member of a set, for
-// the named resource.
+// Score returns the rendezvous weight of a VM, or of a member of another set,
+// for the named resource.
 func Score[ID ~string](resource string, member ID) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -35,9 +35,10 @@
 	return best, len(vms) > 0
 }
 
-// Rank returns the VMs ordered by their weight for the resource, highest first.
-// VMs of a higher Tier come before all others: a resource on a VM with a quarter
-// of another one's processor made each request there wait for it.
+// Rank returns the VMs ordered by Tier and then by their weight for the
+// resource, highest first. VMs of a lower tier come last: when a resource was
+// placed on a VM with a quarter of the processor capacity of another, each
+// request for the resource had to wait for that VM.
 func Rank(resource string, vms []siskin.VM) []siskin.VM {
 	keys := make([]sortKey, len(vms))
 	for i, vm := range vms {
@@ -53,7 +54,7 @@
 	return ranked
 }
 
-// sortKey is what a VM is ranked by; at is its place in the list.
+// sortKey is the sort key of a VM; index is its position in the unsorted list.
 type sortKey struct {
 	tier  int
 	score uint64
@@ -69,10 +70,11 @@
 }
 
 // Tier returns the order of magnitude of a capacity, in powers of two, so that
-// VMs of about the same size share resources evenly.
+// resources are spread evenly over VMs of about the same size.
 func Tier(c siskin.Millicores) int { return bits.Len64(uint64(max(c, 0))) }
 
-// PreferDataCentre returns the VMs in the given data centre, or all VMs when it has none.
+// PreferDataCentre returns the VMs in the given data centre, or all VMs if there
+// are none in it.
 func PreferDataCentre(dc siskin.DataCentreID, vms []siskin.VM) []siskin.VM {
 	var local []siskin.VM
 	for _, vm := range vms {
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestRankMovesOnlyTheRemovedMember guards against a placement that moves
-// resources between VMs that both stay.
+// TestRankMovesOnlyTheRemovedMember guards against a removal that moves
+// resources between the remaining VMs.
 func TestRankMovesOnlyTheRemovedMember(t *testing.T) {
 	var vms []siskin.VM
 	for i := range 7 {
--- a/pkg/place/ranker.go
+++ b/pkg/place/ranker.go
@@ -6,17 +6,18 @@
 	"siskintray.example/siskin"
 )
 
-// Ranker keeps the ranks of resources until the list of VMs changes. It is safe
-// for concurrent use. The zero value is ready.
+// Ranker caches the ranks of resources until the list of VMs changes. It is safe
+// for concurrent use. The zero value is ready to use.
 type Ranker struct {
 	mu    sync.Mutex
 	vms   []siskin.VM
 	ranks map[string][]siskin.VM
 }
 
-// Rank returns the order of Rank over the VMs that choose picks of the list,
-// all when choose is nil. Lists are told apart by identity, so a caller must
-// not modify one. The result must not be modified either.
+// Rank returns the cached result of the function Rank for the VMs that filter
+// returns, or for all VMs if filter is nil. The cache key is the resource alone,
+// so a resource always needs the same filter. Lists are compared by identity, so
+// a caller must not modify one. The result must not be modified either.
 func (r *Ranker) Rank(resource string, vms []siskin.VM, filter func([]siskin.VM) []siskin.VM) []siskin.VM {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/place/ranker_test.go
+++ b/pkg/place/ranker_test.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin"
 )
 
-// TestRanker guards against ranks of an earlier list of VMs.
+// TestRanker guards against cached ranks of an earlier list of VMs.
 func TestRanker(t *testing.T) {
 	var r Ranker
 	lists := [][]siskin.VM{
--- a/pkg/place/tier_test.go
+++ b/pkg/place/tier_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestTiers guards against resources of a mixed fleet that land on its weak VMs,
-// and against strong VMs that do not share them evenly.
+// TestTiers guards against resources that are placed on the small VMs of a mixed
+// fleet, and against an uneven spread over its large VMs.
 func TestTiers(t *testing.T) {
 	var vms []siskin.VM
 	for i := range 50 {
--- a/pkg/retry/bench_test.go
+++ b/pkg/retry/bench_test.go
@@ -11,7 +11,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// BenchmarkDecide measures the decision after a failed attempt with its wait.
+// BenchmarkDecide measures the decision after a failed attempt, including the
+// calculation of the delay.
 func BenchmarkDecide(b *testing.B) {
 	backoff := Backoff{Base: 5 * time.Millisecond, Max: time.Second}
 	a := Attempt{Outcome: Unsent, Mode: config.WriteRoute, Replayable: true, Now: start, Deadline: start.Add(time.Minute)}
@@ -24,9 +25,9 @@
 	}
 }
 
-// BenchmarkBudget measures a first attempt that is counted and, for a tenth of
-// them, a retry that is paid, with n customers of one service and of 100
-// services. The customers of one service share its budget.
+// BenchmarkBudget measures a deposit for each first attempt and a withdrawal for
+// a tenth of them, with n customers of one service and of 100 services. The
+// customers of one service share its budget.
 func BenchmarkBudget(b *testing.B) {
 	for _, services := range []int{1, 100} {
 		for _, n := range []int{10, 1000, 100_000} {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -7,18 +7,19 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// AttemptsPerRetry is the number of first attempts that pay for one retry. It bounds the
-// added load to 10%.
+// AttemptsPerRetry is the number of first attempts that allow one retry. It
+// limits the added load to 10%.
 const AttemptsPerRetry = 10
 
-// maxSavedRetries is the credit that a budget may save up. It covers the requests
-// in progress when one target fails without allowing a long storm later.
+// maxSavedRetries is the largest number of retries that a budget accumulates. It
+// covers the requests in progress when one target fails without allowing a long
+// retry storm later.
 const maxSavedRetries = 50
 
 // Budget is the retry credit of one customer or one service. It starts empty,
 // so retries never exceed a tenth of the first attempts.
 type Budget struct {
-	credit atomic.Int64 // in first attempts
+	credit atomic.Int64 // in units of first attempts
 }
 
 // Deposit counts one first attempt.
@@ -31,7 +32,7 @@
 	}
 }
 
-// Withdraw takes the cost of one retry and reports whether the credit covered it.
+// Withdraw takes the cost of one retry and reports whether the credit sufficed.
 func (b *Budget) Withdraw() bool {
 	for {
 		c := b.credit.Load()
@@ -44,7 +45,7 @@
 	}
 }
 
-// refund returns the cost of a retry that was not made.
+// refund adds the cost of a retry that was not made.
 func (b *Budget) refund() { b.credit.Add(AttemptsPerRetry) }
 
 // Budgets holds the budgets of all customers and services.
@@ -63,13 +64,14 @@
 
 func newBudget() *Budget { return new(Budget) }
 
-// Deposit counts one first attempt of a customer at a service.
+// Deposit counts one first attempt of a customer on a service.
 func (b *Budgets) Deposit(customer siskin.CustomerID, service siskin.ServiceName) {
 	b.customers.GetOrCreate(customer, newBudget).Deposit()
 	b.services.GetOrCreate(service, newBudget).Deposit()
 }
 
-// Withdraw takes one retry from both budgets, or from none.
+// Withdraw takes the cost of one retry from both budgets, or from neither, and
+// reports whether both sufficed.
 func (b *Budgets) Withdraw(customer siskin.CustomerID, service siskin.ServiceName) bool {
 	c := b.customers.GetOrCreate(customer, newBudget)
 	if !c.Withdraw() {
--- a/pkg/retry/doc.go
+++ b/pkg/retry/doc.go
@@ -1,4 +1,3 @@
-// Package retry decides whether a failed request may be sent again, and bounds
-// the load that repetitions add. The decisions have no input or output of
-// their own.
+// Package retry decides whether a failed request may be retried, and limits the
+// load that retries add. It does no input or output.
 package retry
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -46,7 +46,7 @@
 				a.Outcome = Outcome(rnd.IntN(int(Refused) + 1))
 				a.Answered = rnd.IntN(4) == 0
 				if !a.Outcome.NotRun() {
-					runs++ // the worst case of an unknown outcome is that it ran
+					runs++ // an attempt with an unknown outcome may have run
 				}
 				if runs > 1 && (a.Mode == config.WriteRoute || !a.Repeatable) {
 					rt.Fatalf("seed %d: got %d runs of a request that may not be repeated, want at most 1", seed, runs)
@@ -54,7 +54,7 @@
 				a.Delay = backoff.Delay(n, rnd.Int64N)
 				verdict := Decide(a)
 				if verdict == RefuseNotRun && !a.Outcome.NotRun() {
-					rt.Fatalf("seed %d: got RefuseNotRun without proof", seed)
+					rt.Fatalf("seed %d: got RefuseNotRun for an attempt that may have run", seed)
 				}
 				if verdict != Retry || !budgets.Withdraw(customer, "badges") {
 					break
@@ -72,8 +72,8 @@
 	})
 }
 
-// TestAnsweredIsNeverRepeated guards against a caller that gets parts of two
-// answers.
+// TestAnsweredIsNeverRepeated guards against a caller that receives parts of two
+// responses.
 func TestAnsweredIsNeverRepeated(t *testing.T) {
 	a := Attempt{Outcome: Unsent, Mode: config.ReadRoute, Repeatable: true, Replayable: true, Now: start, Deadline: start.Add(time.Second)}
 	if got, want := Decide(a), Retry; got != want {
@@ -85,7 +85,7 @@
 	}
 }
 
-// TestBackoffBounds guards against waits that grow past the maximum.
+// TestBackoffBounds guards against delays above the maximum.
 func TestBackoffBounds(t *testing.T) {
 	b := Backoff{Base: 10 * time.Millisecond, Max: 80 * time.Millisecond}
 	top := func(n int64) int64 { return n - 1 }
--- a/pkg/shard/map.go
+++ b/pkg/shard/map.go
@@ -1,5 +1,5 @@
-// Package shard provides maps whose entries are split into shards, each under
-// its own lock, so that threads that use different keys rarely contend.
+// Package shard provides a map that is split into shards with a lock each, so
+// that goroutines that use different keys rarely contend.
 package shard
 
 import (
@@ -8,7 +8,7 @@
 )
 
 // shardCount is a power of two well above the core count of the VMs, so that
-// two running threads seldom need the same lock.
+// two running threads rarely need the same lock.
 const shardCount = 64
 
 // Map is a map split into shards. The zero value is not usable; call New.
@@ -36,7 +36,7 @@
 	return &m.shards[maphash.Comparable(m.seed, key)%shardCount]
 }
 
-// Get returns the value of key.
+// Get returns the value of key and whether there is one.
 func (m *Map[K, V]) Get(key K) (V, bool) {
 	p := m.shard(key)
 	p.mu.RLock()
@@ -53,8 +53,9 @@
 	p.m[key] = value
 }
 
-// GetOrCreate returns the value of key and creates it when it is missing. The
-// function create runs under the shard's lock and must not use the map.
+// GetOrCreate returns the value of key, or stores and returns the result of
+// create if there is none. The function create is called with the lock of the
+// shard held and must not use the map.
 func (m *Map[K, V]) GetOrCreate(key K, create func() V) V {
 	if v, ok := m.Get(key); ok {
 		return v
@@ -70,9 +71,9 @@
 	return v
 }
 
-// Update replaces the value of key by what change returns; keep false removes
-// the entry. The function change runs under the shard's lock and must not use
-// the map.
+// Update replaces the value of key by the result of change, or removes the entry
+// if keep is false. The function change is called with the lock of the shard
+// held and must not use the map.
 func (m *Map[K, V]) Update(key K, change func(old V, ok bool) (value V, keep bool)) {
 	p := m.shard(key)
 	p.mu.Lock()
@@ -86,7 +87,7 @@
 	p.m[key] = value
 }
 
-// Delete removes key and returns the value it had.
+// Delete removes key and returns its value and whether there was one.
 func (m *Map[K, V]) Delete(key K) (V, bool) {
 	p := m.shard(key)
 	p.mu.Lock()
--- a/pkg/shard/map_test.go
+++ b/pkg/shard/map_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// TestUpdateIsAtomic guards against lost updates when threads change the same
-// keys at once.
+// TestUpdateIsAtomic guards against lost updates when goroutines update the same
+// keys concurrently.
 func TestUpdateIsAtomic(t *testing.T) {
 	const workers, rounds, keys = 8, 1000, 10
 	m := New[int, int]()
@@ -32,7 +32,8 @@
 	}
 }
 
-// TestUpdateRemoves guards against entries that stay after keep was false.
+// TestUpdateRemoves guards against an entry that remains when change returns
+// false for keep.
 func TestUpdateRemoves(t *testing.T) {
 	m := New[string, int]()
 	m.Put("a", 1)
--- a/pkg/token/codec.go
+++ b/pkg/token/codec.go
@@ -16,11 +16,11 @@
 const (
 	prefix  = "st1." // version of the text form
 	posSize = 16     // term and log position, 8 bytes each
-	macSize = 16     // HMAC-SHA-256 cut to 128 bits
+	macSize = 16     // HMAC-SHA-256 truncated to 128 bits
 	rawSize = posSize + macSize
 )
 
-// MinKeySize is the shortest signing key that NewCodec accepts.
+// MinKeySize is the minimum size of a signing key in bytes.
 const MinKeySize = 16
 
 // TextSize is the length of a token's text form in bytes.
@@ -29,14 +29,14 @@
 var encoding = base64.RawURLEncoding.Strict()
 
 // Codec signs and verifies tokens. It signs with the current key and accepts
-// the previous one, so that keys can be replaced without ending sessions. It is
+// the previous one, so that keys can be rotated while sessions are open. It is
 // safe for concurrent use.
 type Codec struct {
 	signers atomic.Pointer[[]*sync.Pool] // current key first
 }
 
-// signer holds one keyed hash and the buffers of one computation, so that a
-// check does not allocate.
+// signer holds a keyed hash and the buffers of one computation. Signers are
+// pooled, so that a verification does not allocate.
 type signer struct {
 	hash hash.Hash
 	raw  [rawSize]byte
@@ -51,7 +51,7 @@
 }
 
 // SetKeys replaces the keys. Tokens that are signed with neither of the new
-// keys are refused from then on. On an error the earlier keys stay in use.
+// keys are rejected from then on. On an error the earlier keys remain in use.
 func (c *Codec) SetKeys(current, previous []byte) error {
 	var signers []*sync.Pool
 	for i, key := range [][]byte{current, previous} {
@@ -71,7 +71,7 @@
 	return nil
 }
 
-// mac computes the signature of s.raw's position for the service.
+// mac returns the signature of the position in s.raw for the service.
 func (s *signer) mac(service siskin.ServiceName) []byte {
 	s.hash.Reset()
 	s.name = append(s.name[:0], service...)
@@ -95,8 +95,8 @@
 // Encode returns the text form of t.
 func (c *Codec) Encode(t Token) string { return string(c.Append(nil, t)) }
 
-// Verify returns the position in the text form of a token of the service. It
-// does not allocate on success.
+// Verify checks the text form of a token of the service and returns its
+// position. It does not allocate on success.
 func (c *Codec) Verify(service siskin.ServiceName, text []byte) (siskin.Position, error) {
 	if len(text) != TextSize || string(text[:len(prefix)]) != prefix {
 		return siskin.Position{}, badToken("is malformed")
--- a/pkg/token/token_test.go
+++ b/pkg/token/token_test.go
@@ -23,8 +23,8 @@
 	return c
 }
 
-// TestRoundTripAndRotation guards against a token that is lost or accepted
-// wrongly while keys are replaced.
+// TestRoundTripAndRotation guards against tokens that are wrongly rejected or
+// accepted while keys are rotated.
 func TestRoundTripAndRotation(t *testing.T) {
 	before := mustCodec(t, oldKey, nil)
 	during := mustCodec(t, newKey, oldKey)
@@ -52,7 +52,8 @@
 	})
 }
 
-// TestServes guards against a read that misses a write which its session saw.
+// TestServes guards against a read that misses a write that its session has
+// observed.
 func TestServes(t *testing.T) {
 	floor := siskin.Position{Term: 3, LSN: 100}
 	for _, test := range []struct {
@@ -77,7 +78,7 @@
 	}
 }
 
-// FuzzVerify guards against a panic or an accepted forgery in the parser.
+// FuzzVerify guards against a panic in the parser and an accepted forgery.
 func FuzzVerify(f *testing.F) {
 	c := mustCodec(f, newKey, oldKey)
 	f.Add(c.Append(nil, Token{"badges", siskin.Position{Term: 1, LSN: 2}}))
@@ -86,7 +87,7 @@
 		p, err := c.Verify("badges", text)
 		if err == nil && !bytes.Equal(text, c.Append(nil, Token{"badges", p})) &&
 			!bytes.Equal(text, mustCodec(t, oldKey, nil).Append(nil, Token{"badges", p})) {
-			t.Fatalf("accepted %q, which no key signed", text)
+			t.Fatalf("accepted %q, which was not signed with a current or previous key", text)
 		}
 	})
 }
