--- a/internal/elect/model_test.go
+++ b/internal/elect/model_test.go
@@ -581,7 +581,7 @@
 // this package prevents this, so the test runs with SISKIN_SOAK only;
 // docs/platform.md, "Not covered", has its results.
 func TestModelStarts(t *testing.T) {
-	if soak.Length(0) == 0 {
+	if soak.RunDuration(0) == 0 {
 		t.Skip("needs SISKIN_SOAK: finds faults that no rule excludes")
 	}
 	first := uint64(soak.Seed(1))
--- a/internal/fleet/rights_test.go
+++ b/internal/fleet/rights_test.go
@@ -20,7 +20,7 @@
 	if testing.Short() {
 		t.Skip("starts a fleet and waits for reads of the platform's list")
 	}
-	length := soak.Length(0)
+	length := soak.RunDuration(0)
 	if length == 0 {
 		rightsOfDeadVM(t, 0)
 	}
--- a/internal/fleet/soak_test.go
+++ b/internal/fleet/soak_test.go
@@ -22,7 +22,7 @@
 // that takes effect after a newer one.
 func TestSoak(t *testing.T) {
 	soak.Each(t, func(t *testing.T, seed uint64) {
-		length := min(soak.Length(3*time.Second), 10*time.Second)
+		length := min(soak.RunDuration(3*time.Second), 10*time.Second)
 		if testing.Short() {
 			length = min(length, time.Second)
 		}
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -18,7 +18,7 @@
 		for range rapid.IntRange(1, 20).Draw(rt, "messages") {
 			n := rapid.OneOf(rapid.IntRange(0, 100), rapid.IntRange(smallSize-10, smallSize+10), rapid.IntRange(0, 3*BufferSize)).Draw(rt, "size")
 			body := bytes.Repeat([]byte{byte(n), byte(n >> 8), 7}, n/3+1)[:n]
-			_ = in.Head(Head{Type: 'D', Len: n})
+			_ = in.Header(Header{Type: 'D', Len: n})
 			_ = in.Raw(body)
 		}
 		_ = in.Flush()
@@ -42,7 +42,7 @@
 				if err != nil {
 					rt.Fatal(err)
 				}
-				_ = w.Head(h)
+				_ = w.Header(h)
 				_ = w.Raw(body)
 			} else if err := w.Copy(h, r); err != nil {
 				rt.Fatal(err)
--- a/internal/frame/reader.go
+++ b/internal/frame/reader.go
@@ -30,8 +30,8 @@
 // Buffered returns the number of bytes read from the stream but not consumed.
 func (r *Reader) Buffered() int { return r.w - r.r }
 
-// Left returns the unread body bytes of the current message.
-func (r *Reader) Left() int { return r.left }
+// Remaining returns the unread body bytes of the current message.
+func (r *Reader) Remaining() int { return r.left }
 
 // Release returns the pooled buffer when everything read was consumed.
 func (r *Reader) Release() {
@@ -85,30 +85,30 @@
 // Peek returns the head of the next message without consuming it. It first
 // discards what is left of the current message. An interrupted Peek can be
 // repeated.
-func (r *Reader) Peek() (Head, error) {
+func (r *Reader) Peek() (Header, error) {
 	if err := r.Skip(); err != nil {
-		return Head{}, err
+		return Header{}, err
 	}
-	if err := r.fill(HeadSize); err != nil {
-		return Head{}, err
+	if err := r.fill(HeaderSize); err != nil {
+		return Header{}, err
 	}
 	b := r.buf()[r.r:]
 	n := binary.BigEndian.Uint32(b[1:])
 	if n < 4 || n > 1<<30 {
-		return Head{}, siskin.NewError(siskin.BadInput, "message %q has the invalid length %d", b[0], n).
+		return Header{}, siskin.NewError(siskin.BadInput, "message %q has the invalid length %d", b[0], n).
 			WithRemedy("check that the client speaks the PostgreSQL protocol 3.0")
 	}
-	return Head{Type: b[0], Len: int(n) - 4}, nil
+	return Header{Type: b[0], Len: int(n) - 4}, nil
 }
 
 // Next consumes the head of the next message and returns it. The body is then
 // read with Body, CopyBody or Skip.
-func (r *Reader) Next() (Head, error) {
+func (r *Reader) Next() (Header, error) {
 	h, err := r.Peek()
 	if err != nil {
-		return Head{}, err
+		return Header{}, err
 	}
-	r.r += HeadSize
+	r.r += HeaderSize
 	r.left = h.Len
 	return h, nil
 }
--- a/internal/frame/writer.go
+++ b/internal/frame/writer.go
@@ -18,7 +18,7 @@
 	torn bool
 	// head is part of the Writer, since a local array would be allocated for
 	// each message.
-	head [HeadSize]byte
+	head [HeaderSize]byte
 }
 
 // NewWriter returns a Writer to dst.
@@ -50,8 +50,8 @@
 	return w.err
 }
 
-// Head appends the head of a message whose body follows with Raw.
-func (w *Writer) Head(h Head) error {
+// Header appends the head of a message whose body follows with Raw.
+func (w *Writer) Header(h Header) error {
 	w.head = h.Bytes()
 	return w.Raw(w.head[:])
 }
@@ -77,10 +77,10 @@
 }
 
 // Copy appends the current message of r, whose head is h. When r ends in the
-// middle of the body, nothing may follow; see Torn.
-func (w *Writer) Copy(h Head, r *Reader) error {
+// middle of the body, nothing may follow; see Truncated.
+func (w *Writer) Copy(h Header, r *Reader) error {
 	w.torn = true
-	err := w.Head(h)
+	err := w.Header(h)
 	if err == nil {
 		err = r.CopyBody(w)
 	}
@@ -88,9 +88,9 @@
 	return err
 }
 
-// Torn reports whether the last Copy ended within its message. The reader would
+// Truncated reports whether the last Copy ended within its message. The reader would
 // take whatever follows for the rest of that message.
-func (w *Writer) Torn() bool { return w.torn }
+func (w *Writer) Truncated() bool { return w.torn }
 
 func (w *Writer) write() {
 	if w.n > 0 && w.err == nil {
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -70,7 +70,7 @@
 
 // handle processes a message by its type. It returns false when the session has
 // ended.
-func (c *session) handle(h frame.Head) bool {
+func (c *session) handle(h frame.Header) bool {
 	var err error
 	switch h.Type {
 	case 'X':
@@ -127,7 +127,7 @@
 		return
 	}
 	c.srv.counts.refused[e.Kind].Add(1)
-	if c.w.Torn() {
+	if c.w.Truncated() {
 		return
 	}
 	msg := relay.ErrorResponse("FATAL", e)
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -38,7 +38,7 @@
 
 // run handles the first message of a transaction and all later ones up to its
 // end. A returned error ends the session.
-func (c *session) run(h frame.Head) error {
+func (c *session) run(h frame.Header) error {
 	now := c.srv.cfg.Clock.Now()
 	c.request = 0
 	if err := c.setTransaction(now.Add(MaxDeadline)); err != nil {
@@ -78,7 +78,7 @@
 
 // readFirstBatch collects the first batch. Statements that read or change a
 // setting of the proxy, and errors in the batch itself, are handled here.
-func (c *session) readFirstBatch(h frame.Head) (last byte, handled bool, err error) {
+func (c *session) readFirstBatch(h frame.Header) (last byte, handled bool, err error) {
 	if h.Type == 'Q' && h.Len <= maxSettingQuery {
 		if _, err := c.r.Next(); err != nil {
 			return 0, false, err
@@ -194,7 +194,7 @@
 	}
 	c.srv.counts.refused[f.Err.Kind].Add(1)
 	c.srv.log.Failed(c.logRequest(), f.Err, "request failed")
-	if c.w.Torn() {
+	if c.w.Truncated() {
 		return errors.Join(c.w.Flush(), errPartialMessage)
 	}
 	if err := c.sendFailure(f); err != nil {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -32,7 +32,7 @@
 	stmts         statements
 	batch         frame.Batch
 	rewritten     []byte // rewritten messages that are sent next
-	rewrittenHead frame.Head
+	rewrittenHead frame.Header
 	last          byte // type of the last message consumed
 	answer        answerState
 	request       uint64 // id of the transaction, zero before it has one
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -17,7 +17,7 @@
 }
 
 // Forward implements relay.Sink.
-func (c *session) Forward(h frame.Head, r *frame.Reader) error {
+func (c *session) Forward(h frame.Header, r *frame.Reader) error {
 	switch h.Type {
 	case '1':
 		if c.stmts.parseCompleted() {
@@ -34,7 +34,7 @@
 
 // forwardParameter forwards a ParameterStatus and records the position of a
 // token in it.
-func (c *session) forwardParameter(h frame.Head, r *frame.Reader) error {
+func (c *session) forwardParameter(h frame.Header, r *frame.Reader) error {
 	body, err := r.Body(frame.BufferSize)
 	if err != nil {
 		return err
@@ -61,7 +61,7 @@
 		return nil
 	}
 	c.answer.answered = true
-	if err := c.w.Head(frame.Head{Type: typ, Len: len(body)}); err != nil {
+	if err := c.w.Header(frame.Header{Type: typ, Len: len(body)}); err != nil {
 		return err
 	}
 	return c.w.Raw(body)
--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -10,7 +10,7 @@
 )
 
 // Peek implements relay.Source.
-func (c *session) Peek() (frame.Head, error) {
+func (c *session) Peek() (frame.Header, error) {
 	if len(c.rewritten) > 0 {
 		return c.rewrittenHead, nil
 	}
@@ -26,7 +26,7 @@
 // tooLarge returns the error for the next message. The message's head is
 // consumed, so that its body is skipped and a refused Query still ends its
 // batch.
-func (c *session) tooLarge(h frame.Head) error {
+func (c *session) tooLarge(h frame.Header) error {
 	if _, err := c.r.Next(); err != nil {
 		return err
 	}
@@ -39,7 +39,7 @@
 func (c *session) Buffered() int { return c.r.Buffered() + len(c.rewritten) }
 
 // Append implements relay.Source.
-func (c *session) Append(h frame.Head, b *frame.Batch) (bool, error) {
+func (c *session) Append(h frame.Header, b *frame.Batch) (bool, error) {
 	if !c.refersToStatement(h) {
 		ok, err := relay.AppendRaw(c.r, h, b)
 		if ok {
@@ -58,7 +58,7 @@
 }
 
 // Send implements relay.Source.
-func (c *session) Send(h frame.Head, w *frame.Writer) error {
+func (c *session) Send(h frame.Header, w *frame.Writer) error {
 	if !c.refersToStatement(h) {
 		c.consumed(h.Type)
 		if _, err := c.r.Next(); err != nil {
@@ -88,7 +88,7 @@
 	}
 }
 
-func (c *session) refersToStatement(h frame.Head) bool {
+func (c *session) refersToStatement(h frame.Header) bool {
 	return h.Type == 'P' || h.Type == 'B' || h.Type == 'D' || h.Type == 'C'
 }
 
@@ -96,7 +96,7 @@
 // same message for the unnamed statement, preceded by a Parse when the target's
 // unnamed statement is another one. It does nothing when rewritten is filled
 // already.
-func (c *session) rewrite(h frame.Head) error {
+func (c *session) rewrite(h frame.Header) error {
 	if len(c.rewritten) > 0 {
 		return nil
 	}
--- a/internal/peer/activity.go
+++ b/internal/peer/activity.go
@@ -21,7 +21,7 @@
 }
 
 func newActivity(cfg *Config, now func() time.Time) *activity {
-	return &activity{now: now, silentAfter: cfg.SilentAfter, idleAfter: cfg.IdleAfter, lastUse: now(), since: now()}
+	return &activity{now: now, silentAfter: cfg.KeepaliveTimeout, idleAfter: cfg.IdleTimeout, lastUse: now(), since: now()}
 }
 
 func (a *activity) sent() {
--- a/internal/peer/activity_test.go
+++ b/internal/peer/activity_test.go
@@ -9,7 +9,7 @@
 // ping because this VM was paused while a slow handler ran.
 func TestPausedVM(t *testing.T) {
 	now := time.Unix(1000, 0)
-	a := newActivity(&Config{SilentAfter: time.Second, IdleAfter: time.Minute}, func() time.Time { return now })
+	a := newActivity(&Config{KeepaliveTimeout: time.Second, IdleTimeout: time.Minute}, func() time.Time { return now })
 	a.sent()
 	for _, step := range []struct {
 		after time.Duration
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -22,13 +22,13 @@
 	Plaintext bool
 	// MaxMessage bounds one frame; zero means 4 MB.
 	MaxMessage siskin.Bytes
-	// SilentAfter is the time without an answer, pings included, after which a
+	// KeepaliveTimeout is the time without an answer, pings included, after which a
 	// connection is replaced; zero means 2.5 s. Silent connections must be
 	// found within 3 s.
-	SilentAfter time.Duration
-	// IdleAfter is the time without a call after which a connection is closed;
+	KeepaliveTimeout time.Duration
+	// IdleTimeout is the time without a call after which a connection is closed;
 	// zero means 30 s.
-	IdleAfter time.Duration
+	IdleTimeout time.Duration
 	// DialTimeout bounds the opening of a connection; zero means 2 s.
 	DialTimeout time.Duration
 	// MaxConcurrent bounds the handlers that run at once, and MaxQueued the
@@ -46,8 +46,8 @@
 		cfg.Log = &log.DefaultLogger
 	}
 	setDefault(&cfg.MaxMessage, 4<<20)
-	setDefault(&cfg.SilentAfter, 2500*time.Millisecond)
-	setDefault(&cfg.IdleAfter, 30*time.Second)
+	setDefault(&cfg.KeepaliveTimeout, 2500*time.Millisecond)
+	setDefault(&cfg.IdleTimeout, 30*time.Second)
 	setDefault(&cfg.DialTimeout, 2*time.Second)
 	setDefault(&cfg.MaxConcurrent, 64)
 	setDefault(&cfg.MaxQueued, 1024)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -61,7 +61,7 @@
 
 func (c *Client) startConn(conn net.Conn, r *bufio.Reader, id siskin.VMID, address string) *clientConn {
 	cc := &clientConn{
-		w:        newWriter(conn, c.cfg.SilentAfter),
+		w:        newWriter(conn, c.cfg.KeepaliveTimeout),
 		activity: newActivity(&c.cfg, time.Now),
 		address:  address,
 		closed:   make(chan struct{}),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -122,7 +122,7 @@
 
 // TestIdle guards against connections that stay open for good.
 func TestIdle(t *testing.T) {
-	cfg := Config{SilentAfter: 80 * time.Millisecond, IdleAfter: 100 * time.Millisecond}
+	cfg := Config{KeepaliveTimeout: 80 * time.Millisecond, IdleTimeout: 100 * time.Millisecond}
 	s, c := pair(t, cfg, cfg, &Echo{})
 	for range 2 {
 		if _, err := call(c, "b", "Echo.Do", &Args{}, time.Second); err != nil {
@@ -139,7 +139,7 @@
 // without bound, and against a busy VM that looks silent.
 func TestConcurrency(t *testing.T) {
 	echo := &Echo{running: make(chan struct{}, 100)}
-	s, c := pair(t, Config{MaxConcurrent: 2, MaxQueued: 3}, Config{SilentAfter: 100 * time.Millisecond}, echo)
+	s, c := pair(t, Config{MaxConcurrent: 2, MaxQueued: 3}, Config{KeepaliveTimeout: 100 * time.Millisecond}, echo)
 	const calls = 20
 	results := make(chan error, calls)
 	for range calls {
@@ -160,7 +160,7 @@
 	if got := s.Stats().Refused; got == 0 {
 		t.Error("refused requests: got 0, want more")
 	}
-	if got := c.Stats().Silent; got != 0 {
+	if got := c.Stats().Unresponsive; got != 0 {
 		t.Errorf("connections taken as silent: got %d, want 0", got)
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -98,7 +98,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	w := newWriter(conn, s.cfg.SilentAfter)
+	w := newWriter(conn, s.cfg.KeepaliveTimeout)
 	defer w.close()
 	if !s.track(w) {
 		return
@@ -118,7 +118,7 @@
 	s.done.Go(w.run)
 	for {
 		// The client closes idle connections; a client that vanished does not.
-		_ = conn.SetReadDeadline(time.Now().Add(s.cfg.IdleAfter + 2*s.cfg.SilentAfter))
+		_ = conn.SetReadDeadline(time.Now().Add(s.cfg.IdleTimeout + 2*s.cfg.KeepaliveTimeout))
 		f, size, err := readFrame(r, s.cfg.MaxMessage)
 		if err != nil || f.kind != requestFrame {
 			return
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -4,8 +4,8 @@
 type Stats struct {
 	// Methods holds the counts by method.
 	Methods map[string]MethodStats
-	// Silent is the number of connections replaced as silent.
-	Silent int64
+	// Unresponsive is the number of connections replaced as silent.
+	Unresponsive int64
 	// Refused is the number of requests refused because too many ran.
 	Refused int64
 	// Connections is the number of open connections.
@@ -28,7 +28,7 @@
 func (c *Client) Stats() Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Stats{Methods: c.counters.snapshot(), Silent: c.silent.Load(), Connections: len(c.slots)}
+	return Stats{Methods: c.counters.snapshot(), Unresponsive: c.silent.Load(), Connections: len(c.slots)}
 }
 
 // Stats returns the present counts.
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -184,7 +184,7 @@
 		return false, false, false
 	}
 	s.endLease(c, connResetting)
-	mustClose = s.draining || s.isStale(c) || c.R.Buffered() > 0 || c.R.Left() > 0 || c.W.Buffered() > 0
+	mustClose = s.draining || s.isStale(c) || c.R.Buffered() > 0 || c.R.Remaining() > 0 || c.W.Buffered() > 0
 	if !s.cfg.Stateless {
 		return mustClose, true, true
 	}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -68,7 +68,7 @@
 // relayMessage forwards one message. It holds the message back if it is small
 // and follows a held message or precedes the first result of a write. Notices
 // of a running statement are not held back.
-func (l *localExecutor) relayMessage(sink Sink, h frame.Head) error {
+func (l *localExecutor) relayMessage(sink Sink, h frame.Header) error {
 	holdable := "123nNSA"
 	if l.ranNothing() {
 		holdable = "123ntT"
@@ -86,7 +86,7 @@
 
 // forward copies one message. It wraps an error on the caller's connection in a
 // sinkError, to distinguish it from one on the target connection.
-func forward(sink Sink, h frame.Head, r *frame.Reader) error {
+func forward(sink Sink, h frame.Header, r *frame.Reader) error {
 	err := sink.Forward(h, r)
 	if err != nil && sink.Err() != nil {
 		return sinkError{err}
@@ -94,7 +94,7 @@
 	return err
 }
 
-func (l *localExecutor) hold(h frame.Head) error {
+func (l *localExecutor) hold(h frame.Header) error {
 	body, err := l.conn.R.Body(frame.BufferSize)
 	if err != nil {
 		return err
@@ -124,7 +124,7 @@
 
 // holdCommandComplete holds back a CommandComplete until it is known whether it
 // is the last one of the transaction.
-func (l *localExecutor) holdCommandComplete(sink Sink, h frame.Head) error {
+func (l *localExecutor) holdCommandComplete(sink Sink, h frame.Header) error {
 	if err := l.releaseHeld(sink); err != nil {
 		return err
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -15,12 +15,12 @@
 	// Peek waits for the next message without consuming it. After Interrupt it
 	// returns an error that wraps os.ErrDeadlineExceeded; it can be called
 	// again after Resume.
-	Peek() (frame.Head, error)
+	Peek() (frame.Header, error)
 	// Append consumes the next message and appends it to b. It reports false,
 	// and consumes nothing, if the message does not fit.
-	Append(h frame.Head, b *frame.Batch) (bool, error)
+	Append(h frame.Header, b *frame.Batch) (bool, error)
 	// Send consumes the next message and writes it to w.
-	Send(h frame.Head, w *frame.Writer) error
+	Send(h frame.Header, w *frame.Writer) error
 	// SendRest writes the rest of a message whose Send was interrupted.
 	SendRest(w *frame.Writer) error
 	// Buffered returns the number of bytes that were read but not consumed.
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -8,7 +8,7 @@
 // Sink receives the messages of an answer.
 type Sink interface {
 	// Forward copies the current message of r, which has the header h.
-	Forward(h frame.Head, r *frame.Reader) error
+	Forward(h frame.Header, r *frame.Reader) error
 	// SendMessage sends a message that was held back.
 	SendMessage(typ byte, body []byte) error
 	// SendToken sends the position that the session has observed.
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -94,11 +94,11 @@
 // discard is a Sink that discards the answer.
 type discard struct{ *frame.Writer }
 
-func (d discard) Forward(h frame.Head, r *frame.Reader) error { return d.Copy(h, r) }
-func (d discard) SendToken(siskin.Position) error             { return nil }
+func (d discard) Forward(h frame.Header, r *frame.Reader) error { return d.Copy(h, r) }
+func (d discard) SendToken(siskin.Position) error               { return nil }
 
 func (d discard) SendMessage(typ byte, body []byte) error {
-	if err := d.Head(frame.Head{Type: typ, Len: len(body)}); err != nil {
+	if err := d.Header(frame.Header{Type: typ, Len: len(body)}); err != nil {
 		return err
 	}
 	return d.Raw(body)
--- a/internal/relay/peerconn.go
+++ b/internal/relay/peerconn.go
@@ -185,7 +185,7 @@
 // the peer would read the failure as the rest of it, so the connection ends
 // instead.
 func (c *peerConn) sendFailure(f *Failure) error {
-	if c.w.Torn() {
+	if c.w.Truncated() {
 		return errors.Join(c.w.Flush(), f.Err)
 	}
 	return c.w.Message(f)
--- a/internal/relay/peerstream.go
+++ b/internal/relay/peerstream.go
@@ -5,21 +5,21 @@
 )
 
 // Peek implements Source.
-func (c *peerConn) Peek() (frame.Head, error) { return c.r.Peek() }
+func (c *peerConn) Peek() (frame.Header, error) { return c.r.Peek() }
 
 // Buffered implements Source.
 func (c *peerConn) Buffered() int { return c.r.Buffered() }
 
 // Append implements Source.
-func (c *peerConn) Append(h frame.Head, b *frame.Batch) (bool, error) {
+func (c *peerConn) Append(h frame.Header, b *frame.Batch) (bool, error) {
 	c.lastType = h.Type
 	return AppendRaw(c.r, h, b)
 }
 
 // AppendRaw consumes the next message of r unchanged and appends it to b. It
 // reports false, and consumes nothing, if the message does not fit.
-func AppendRaw(r *frame.Reader, h frame.Head, b *frame.Batch) (bool, error) {
-	if !b.Fits(frame.HeadSize + h.Len) {
+func AppendRaw(r *frame.Reader, h frame.Header, b *frame.Batch) (bool, error) {
+	if !b.Fits(frame.HeaderSize + h.Len) {
 		return false, nil
 	}
 	if _, err := r.Next(); err != nil {
@@ -34,7 +34,7 @@
 }
 
 // Send implements Source.
-func (c *peerConn) Send(_ frame.Head, w *frame.Writer) error {
+func (c *peerConn) Send(_ frame.Header, w *frame.Writer) error {
 	h, err := c.r.Next()
 	if err != nil {
 		return err
@@ -61,11 +61,11 @@
 }
 
 // Forward implements Sink.
-func (c *peerConn) Forward(h frame.Head, r *frame.Reader) error { return c.w.Copy(h, r) }
+func (c *peerConn) Forward(h frame.Header, r *frame.Reader) error { return c.w.Copy(h, r) }
 
 // SendMessage implements Sink.
 func (c *peerConn) SendMessage(typ byte, body []byte) error {
-	if err := c.w.Head(frame.Head{Type: typ, Len: len(body)}); err != nil {
+	if err := c.w.Header(frame.Header{Type: typ, Len: len(body)}); err != nil {
 		return err
 	}
 	return c.w.Raw(body)
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -15,7 +15,9 @@
 const sqlstateReadOnly = "25006"
 
 // mayBeRefusal reports whether an error could prove that a write ran nothing.
-func (l *localExecutor) mayBeRefusal() bool { return l.ranNothing() && l.conn.R.Left() <= maxError }
+func (l *localExecutor) mayBeRefusal() bool {
+	return l.ranNothing() && l.conn.R.Remaining() <= maxError
+}
 
 // ranNothing reports whether no statement of a write has completed and no part
 // of the answer was sent to the caller. The messages before the end of the
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,8 +22,8 @@
 	seedVariable   = "SISKIN_SEED"
 )
 
-// Length returns the length of a soak run, or short when none is set.
-func Length(short time.Duration) time.Duration {
+// RunDuration returns the length of a soak run, or short when none is set.
+func RunDuration(short time.Duration) time.Duration {
 	text, ok := os.LookupEnv(lengthVariable)
 	if !ok {
 		return short
@@ -54,7 +54,7 @@
 	t.Helper()
 	first, start := Seed(1), time.Now()
 	n := uint64(0)
-	for ok := true; ok && (n == 0 || time.Since(start) < Length(0)); n++ {
+	for ok := true; ok && (n == 0 || time.Since(start) < RunDuration(0)); n++ {
 		seed := first + n
 		ok = t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { run(t, seed) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,5 +33,5 @@
 			t.Error("got no panic for a length without a unit, want one")
 		}
 	}()
-	Length(time.Second)
+	RunDuration(time.Second)
 }
--- a/internal/stats/label.go
+++ b/internal/stats/label.go
@@ -9,24 +9,24 @@
 // Other is the label value that stands for all values above a bound.
 const Other = "other"
 
-// Label bounds the values of one label. The first values seen keep their name;
+// LabelLimiter bounds the values of one label. The first values seen keep their name;
 // later ones become Other, so that thousands of customers do not make thousands
 // of series.
-type Label struct {
+type LabelLimiter struct {
 	max    int64
 	known  *shard.Map[string, bool] // value: has its own name
 	count  atomic.Int64
 	capped atomic.Int64
 }
 
-// NewLabel returns a label with at most limit values besides Other.
-func NewLabel(limit int) *Label {
-	return &Label{max: int64(limit), known: shard.New[string, bool]()}
+// NewLabelLimiter returns a label with at most limit values besides Other.
+func NewLabelLimiter(limit int) *LabelLimiter {
+	return &LabelLimiter{max: int64(limit), known: shard.New[string, bool]()}
 }
 
 // Value returns the label value for name. It does not allocate for a name that
 // has its own value.
-func (l *Label) Value(name string) string {
+func (l *LabelLimiter) Value(name string) string {
 	if own, ok := l.known.Get(name); ok && own {
 		return name
 	}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -26,8 +26,8 @@
 	scope    tally.Scope
 	closer   io.Closer
 	reporter *reporter
-	customer *Label
-	service  *Label
+	customer *LabelLimiter
+	service  *LabelLimiter
 }
 
 // New returns empty metrics. Close them at the end.
@@ -36,7 +36,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "siskintray", Separator: "_", CachedReporter: r, OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Stats{scope: scope, closer: closer, reporter: r, customer: NewLabel(maxCustomers), service: NewLabel(maxServices)}
+	return &Stats{scope: scope, closer: closer, reporter: r, customer: NewLabelLimiter(maxCustomers), service: NewLabelLimiter(maxServices)}
 }
 
 // Scope returns the scope to create metrics in. Hot paths keep the metrics that
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -49,7 +49,7 @@
 // TestCardinality guards against a VM that customers or labels fill with
 // series, also when many new names arrive at once.
 func TestCardinality(t *testing.T) {
-	l := NewLabel(10)
+	l := NewLabelLimiter(10)
 	var wg sync.WaitGroup
 	for g := range 8 {
 		wg.Go(func() {
@@ -79,7 +79,7 @@
 
 // BenchmarkLabel shows that a known customer costs no allocation.
 func BenchmarkLabel(b *testing.B) {
-	l := NewLabel(10)
+	l := NewLabelLimiter(10)
 	l.Value("shop")
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -151,7 +151,7 @@
 // joinFleet creates the components that connect this VM to its peers.
 func (n *node) joinFleet() error {
 	cfg := peer.Config{
-		Self: siskin.VMID(n.cfg.VM.ID), Plaintext: true, SilentAfter: peerSilentAfter, DialTimeout: peerDialTimeout,
+		Self: siskin.VMID(n.cfg.VM.ID), Plaintext: true, KeepaliveTimeout: peerSilentAfter, DialTimeout: peerDialTimeout,
 		MaxConcurrent: maxPeerCalls, MaxQueued: maxPeerCalls, Log: n.log,
 	}
 	server, err := peer.Listen(cfg, n.cfg.Peer.Address)
--- a/internal/sysd/soak_test.go
+++ b/internal/sysd/soak_test.go
@@ -43,7 +43,7 @@
 		readers.Go(func() { f.readOwnWrites(vm, stop) })
 	}
 	readers.Go(func() { f.readNewest(stop) })
-	for deadline := time.Now().Add(soak.Length(soakLength)); time.Now().Before(deadline); {
+	for deadline := time.Now().Add(soak.RunDuration(soakLength)); time.Now().Before(deadline); {
 		s.changeFault()
 		time.Sleep(time.Duration(100+s.rng.Intn(900)) * time.Millisecond)
 	}
--- a/pkg/group/soak_test.go
+++ b/pkg/group/soak_test.go
@@ -13,7 +13,7 @@
 )
 
 var (
-	soakTime = flag.Duration("soak", soak.Length(4*time.Second), "duration of the run with random faults")
+	soakTime = flag.Duration("soak", soak.RunDuration(4*time.Second), "duration of the run with random faults")
 	soakSeed = flag.Uint64("soakseed", soak.Seed(1), "seed of the faults of that run")
 )
 
