--- a/internal/front/random_test.go
+++ b/internal/front/random_test.go
@@ -32,7 +32,9 @@
 
 // TestSoak repeats the run of TestRandomFaults with increasing seeds.
 func TestSoak(t *testing.T) {
-	soak.Each(t, func(t *testing.T, seed uint64) { randomFaults(t, min(soak.RunDuration(time.Second), 5*time.Second), seed) })
+	soak.Each(t, func(t *testing.T, seed uint64) {
+		randomFaults(t, min(soak.RunDuration(time.Second), 5*time.Second), seed)
+	})
 }
 
 func randomFaults(t *testing.T, length time.Duration, seed uint64) {
