--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -10,7 +10,7 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Keys authenticates callers against the configuration in force. It implements
+// Keys authenticates callers against the current configuration. It implements
 // siskin.Authenticator and is safe for concurrent use.
 type Keys struct {
 	clock    siskin.Clock
@@ -18,11 +18,12 @@
 	evidence func() Evidence
 
 	accounts *shard.Map[siskin.CustomerID, *account]
-	owners   *shard.Map[uint64, []owner] // by prefix of the digest
-	// withdrawn holds the digests that were ever seen withdrawn.
+	entries  *shard.Map[uint64, []indexEntry] // by digest prefix
+	// withdrawn holds the digest of every key that was ever withdrawn.
 	withdrawn *shard.Map[digest, struct{}]
-	revision  atomic.Uint64 // revision that the accounts are at
-	narrowed  atomic.Pointer[chan struct{}]
+	revision  atomic.Uint64 // configuration revision of the accounts
+	// revoked is closed and replaced when a key or a service is revoked.
+	revoked atomic.Pointer[chan struct{}]
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -30,34 +31,34 @@
 
 var _ siskin.Authenticator = (*Keys)(nil)
 
-// owner names a key by its digest.
-type owner struct {
+// indexEntry maps the digest of a key to its customer and key ID.
+type indexEntry struct {
 	digest   digest
 	customer siskin.CustomerID
 	key      siskin.KeyID
 }
 
-// Option changes a setting of Keys.
+// Option configures Keys.
 type Option func(*Keys)
 
 // WithEvidence sets the source of evidence that this VM knows all withdrawals.
-// It is called at every check and must be fast. Without it the VM always
-// counts as current.
+// It is called at every check and must be fast. Without this option the VM is
+// always assumed to know them.
 func WithEvidence(evidence func() Evidence) Option { return func(k *Keys) { k.evidence = evidence } }
 
-// New returns the keys of a configuration and follows its changes until Close.
+// New returns the Keys of a configuration and applies its changes until Close.
 func New(clock siskin.Clock, view config.View, options ...Option) *Keys {
 	k := &Keys{
 		clock: clock, view: view,
 		accounts:  shard.New[siskin.CustomerID, *account](),
-		owners:    shard.New[uint64, []owner](),
+		entries:   shard.New[uint64, []indexEntry](),
 		withdrawn: shard.New[digest, struct{}](),
 	}
 	for _, o := range options {
 		o(k)
 	}
 	first := make(chan struct{})
-	k.narrowed.Store(&first)
+	k.revoked.Store(&first)
 	ctx, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
 	changed := view.Changed()
@@ -66,7 +67,7 @@
 	return k
 }
 
-// Close stops following the configuration.
+// Close stops applying changes of the configuration.
 func (k *Keys) Close() error {
 	k.cancel()
 	k.done.Wait()
@@ -76,24 +77,24 @@
 // Authenticate implements siskin.Authenticator.
 func (k *Keys) Authenticate(service siskin.ServiceName, key string) (siskin.KeyGrant, error) {
 	d := digestOf(key)
-	owners, _ := k.owners.Get(d.prefix())
-	refused := error(nil)
-	for i := range owners {
-		if !owners[i].digest.equal(&d) {
+	entries, _ := k.entries.Get(d.prefix())
+	refusal := error(nil)
+	for i := range entries {
+		if !entries[i].digest.equal(&d) {
 			continue
 		}
-		grant := siskin.KeyGrant{Customer: owners[i].customer, Key: owners[i].key}
+		grant := siskin.KeyGrant{Customer: entries[i].customer, Key: entries[i].key}
 		err := k.Check(service, grant)
 		if err == nil {
 			return grant, nil
 		}
-		if refused == nil || siskin.KindOf(err) == siskin.KeyWithdrawn {
-			refused = err
+		if refusal == nil || siskin.KindOf(err) == siskin.KeyWithdrawn {
+			refusal = err
 		}
 	}
 	switch {
-	case refused != nil:
-		return siskin.KeyGrant{}, refused
+	case refusal != nil:
+		return siskin.KeyGrant{}, refusal
 	case Mistyped(key):
 		return siskin.KeyGrant{}, siskin.NewError(siskin.KeyRefused, "the checksum of the key is wrong").
 			WithRemedy("copy the key again; some characters are missing or changed")
@@ -113,7 +114,7 @@
 	case ok && state.withdrawn, !ok, a.removed:
 		return siskin.NewError(siskin.KeyWithdrawn, "key %s of customer %s is withdrawn", grant.Key, grant.Customer).
 			WithRemedy("ask the operators for a new key")
-	case !a.serves(service):
+	case !a.mayUse(service):
 		return notGranted(service)
 	case k.evidence == nil:
 		return nil
@@ -122,8 +123,8 @@
 	}
 }
 
-// checkEvidence refuses keys when this VM may have missed a withdrawal for
-// longer than the service allows.
+// checkEvidence returns an error if this VM may have missed a withdrawal for
+// longer than the grace period of the service.
 func (k *Keys) checkEvidence(service siskin.ServiceName) error {
 	doc, ok := k.view.Service(service)
 	if !ok {
--- a/pkg/keys/script_test.go
+++ b/pkg/keys/script_test.go
@@ -13,7 +13,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// runScripts runs each file of an archive through a new interpreter.
+// runScripts runs the commands of each file of an archive by a function that
+// start returns for the file, and compares the results.
 func runScripts(t *testing.T, name string, start func() func(args []string) string) {
 	t.Helper()
 	archive, err := txtar.ParseFile(filepath.Join("testdata", name))
@@ -36,8 +37,8 @@
 	}
 }
 
-// TestEvidence guards against a cut-off data centre that goes on accepting
-// keys, and against an outage for everyone that stops all callers.
+// TestEvidence guards against an isolated data centre that accepts keys for too
+// long, and against an outage of the platform in which no key is accepted.
 func TestEvidence(t *testing.T) {
 	at := func(text string) time.Time {
 		d, err := time.ParseDuration(text + "s")
@@ -66,19 +67,19 @@
 	})
 }
 
-// changing is a view that tests change.
-type changing struct {
+// mutableView is a config.View that tests change.
+type mutableView struct {
 	*config.StaticView
 	revision siskin.Revision
 	docs     map[siskin.CustomerID]*config.Customer
 	changed  chan struct{}
 }
 
-func (c *changing) Revision() siskin.Revision { return c.revision }
+func (c *mutableView) Revision() siskin.Revision { return c.revision }
 
-func (c *changing) Changed() <-chan struct{} { return c.changed }
+func (c *mutableView) Changed() <-chan struct{} { return c.changed }
 
-func (c *changing) apply(revision siskin.Revision) {
+func (c *mutableView) apply(revision siskin.Revision) {
 	var list []*config.Customer
 	for _, doc := range c.docs {
 		list = append(list, doc)
@@ -87,19 +88,19 @@
 	c.revision = max(c.revision, revision)
 }
 
-// TestKeys guards against keys that work where they are not granted, after
-// their withdrawal, or again when an older document shows up.
+// TestKeys guards against keys that are accepted for a service without a grant,
+// after their withdrawal, or again after an older document arrived.
 func TestKeys(t *testing.T) {
 	runScripts(t, "keys.txtar", func() func([]string) string {
-		c := &changing{docs: make(map[siskin.CustomerID]*config.Customer)}
+		c := &mutableView{docs: make(map[siskin.CustomerID]*config.Customer)}
 		c.apply(0)
 		k := New(nil, c)
-		_ = k.Close() // the script refreshes by itself
+		_ = k.Close() // the script calls refresh itself
 		return func(args []string) string { return command(c, k, args) }
 	})
 }
 
-func command(c *changing, k *Keys, args []string) string {
+func command(c *mutableView, k *Keys, args []string) string {
 	switch args[0] {
 	case "customer", "remove":
 		var revision siskin.Revision
@@ -127,11 +128,11 @@
 		}
 		return string(grant.Customer)
 	case "confirm":
-		var ask ConfirmArgs
+		var request ConfirmArgs
 		var reply ConfirmReply
-		fmt.Sscan(args[1], &ask.Revision)
-		ask.Customer, ask.Key = siskin.CustomerID(args[2]), siskin.KeyID(args[3])
-		_ = k.Receiver().Confirm(&ask, &reply)
+		fmt.Sscan(args[1], &request.Revision)
+		request.Customer, request.Key = siskin.CustomerID(args[2]), siskin.KeyID(args[3])
+		_ = k.Receiver().Confirm(&request, &reply)
 		return fmt.Sprint(reply.InForce)
 	default:
 		err := k.Check(siskin.ServiceName(args[1]), siskin.KeyGrant{Customer: siskin.CustomerID(args[2]), Key: siskin.KeyID(args[3])})
