--- a/internal/cfgini/file.go
+++ b/internal/cfgini/file.go
@@ -8,15 +8,15 @@
 	"gopkg.in/ini.v1"
 )
 
-// Bounds of a file. Settings and answers are a few kilobytes; the bounds keep a
-// wrong or hostile file from using much memory.
+// Limits of a file. Settings and answers are a few kilobytes; the limits keep a
+// wrong or malicious file from using much memory.
 const (
-	maxFile    = 1 << 20
-	maxLine    = 8 << 10
-	maxEntries = 10000
+	maxFileSize   = 1 << 20
+	maxLineLength = 8 << 10
+	maxLines      = 10000
 )
 
-// File is a parsed INI file that knows the line of each section and key.
+// File is a parsed INI file with the line number of each section and key.
 type File struct {
 	Name     string
 	Sections []*Section // in file order
@@ -58,14 +58,14 @@
 	return Entry{}, false
 }
 
-// ParseFile parses INI text. Values take the rest of their line, so that
-// passwords may contain comment signs. Line continuation, nested values and
-// repeated names are refused.
+// ParseFile parses INI text. A value extends to the end of its line, so that
+// passwords may contain comment characters. Line continuation, nested values and
+// repeated names are rejected.
 func ParseFile(name string, data []byte) (*File, Findings) {
 	f := &File{Name: name}
 	var found Findings
-	if len(data) > maxFile {
-		found.add(name, 0, "split the file or remove what is not a setting", "file has %d bytes, at most %d are read", len(data), maxFile)
+	if len(data) > maxFileSize {
+		found.add(name, 0, "split the file or remove what is not a setting", "file has %d bytes, at most %d are read", len(data), maxFileSize)
 		return f, found
 	}
 	if !utf8.Valid(data) {
@@ -79,18 +79,18 @@
 	return f, f.readValues(data)
 }
 
-// scan records the line of each section and key, since the INI library does
-// not keep lines, and refuses every line that it would read in a special way.
+// scan records the line number of each section and key, which the INI library
+// does not keep, and rejects every line that the library would treat specially.
 func (f *File) scan(text string) (found Findings) {
 	text = strings.TrimPrefix(text, "\ufeff")
-	entries := 0
+	lineCount := 0
 	seen := map[string]int{}
 	for i, line := range strings.Split(text, "\n") {
 		n := i + 1
 		line = strings.TrimSpace(line)
 		switch {
-		case len(line) > maxLine:
-			found.add(f.Name, n, "shorten the value", "line is longer than %d bytes", maxLine)
+		case len(line) > maxLineLength:
+			found.add(f.Name, n, "shorten the value", "line is longer than %d bytes", maxLineLength)
 		case strings.ContainsFunc(line, isControl):
 			found.add(f.Name, n, "remove the control character", "line contains a control character")
 		case line == "" || line[0] == '#' || line[0] == ';':
@@ -99,8 +99,8 @@
 		default:
 			f.scanEntry(line, n, seen, &found)
 		}
-		if entries++; entries > maxEntries {
-			found.add(f.Name, n, "remove what is not a setting", "file has more than %d lines", maxEntries)
+		if lineCount++; lineCount > maxLines {
+			found.add(f.Name, n, "remove what is not a setting", "file has more than %d lines", maxLines)
 			return found
 		}
 	}
@@ -143,7 +143,7 @@
 	}
 }
 
-// readValues takes the values from the INI library.
+// readValues sets the values of the entries as parsed by the INI library.
 func (f *File) readValues(data []byte) (found Findings) {
 	lib, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreContinuation: true, IgnoreInlineComment: true, KeyValueDelimiters: "=",
@@ -182,7 +182,7 @@
 	return true
 }
 
-// quote shortens hostile text for a message.
+// quote quotes and truncates untrusted text for a message.
 func quote(s string) string {
 	if len(s) > 60 {
 		s = strings.ToValidUTF8(s[:60], "") + "..."
--- a/internal/cfgini/standin.go
+++ b/internal/cfgini/standin.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// StandinPlatform holds the settings of the platform's stand-in.
+// StandinPlatform holds the settings of the stand-in platform.
 type StandinPlatform struct {
 	Platform StandinPlatformSection
 }
 
-// StandinPlatformSection is the section Platform of a stand-in.
+// StandinPlatformSection is the section Platform of a stand-in platform.
 type StandinPlatformSection struct {
 	Address      string        `unit:"address" doc:"Address of the object API."`
 	AdminAddress string        `unit:"address" doc:"Address that accepts faults."`
@@ -18,15 +18,15 @@
 }
 
 func (s *StandinPlatform) check(c *check) {
-	c.distinct(named{"Platform.Address", s.Platform.Address}, named{"Platform.AdminAddress", s.Platform.AdminAddress})
+	c.requireDistinctAddresses(namedAddress{"Platform.Address", s.Platform.Address}, namedAddress{"Platform.AdminAddress", s.Platform.AdminAddress})
 }
 
-// StandinTarget holds the settings of a target's stand-in.
+// StandinTarget holds the settings of a stand-in target.
 type StandinTarget struct {
 	Target StandinTargetSection
 }
 
-// StandinTargetSection is the section Target of a stand-in.
+// StandinTargetSection is the section Target of a stand-in target.
 type StandinTargetSection struct {
 	ID                 string        `unit:"name" doc:"Name of the target, such as ledger-a/1."`
 	DataCentre         string        `unit:"name" doc:"Data centre that the target stands in."`
@@ -47,14 +47,14 @@
 
 func (s *StandinTarget) check(c *check) {
 	t := s.Target
-	c.distinct(named{"Target.Address", t.Address}, named{"Target.ReplicationAddress", t.ReplicationAddress}, named{"Target.AdminAddress", t.AdminAddress})
+	c.requireDistinctAddresses(namedAddress{"Target.Address", t.Address}, namedAddress{"Target.ReplicationAddress", t.ReplicationAddress}, namedAddress{"Target.AdminAddress", t.AdminAddress})
 	if len(t.Group) > 0 && t.Primary > len(t.Group) {
-		c.fail("Target.Primary", "use a number from 1 to the length of Target.Group", "Target.Primary is not in Target.Group")
+		c.addFinding("Target.Primary", "use a number from 1 to the length of Target.Group", "Target.Primary is not in Target.Group")
 	}
 	if len(t.Group) > 0 && t.ReplicationAddress != "" && !slices.Contains(t.Group, t.ReplicationAddress) {
-		c.fail("Target.Group", "add the ReplicationAddress at the place of the target's number", "Target.Group lacks the target's own ReplicationAddress")
+		c.addFinding("Target.Group", "add the ReplicationAddress at the place of the target's number", "Target.Group lacks the target's own ReplicationAddress")
 	}
 	if t.User != "" && t.User == t.ReadUser {
-		c.fail("Target.ReadUser", "use an account without write privileges", "Target.ReadUser is the same account as Target.User")
+		c.addFinding("Target.ReadUser", "use an account without write privileges", "Target.ReadUser is the same account as Target.User")
 	}
 }
--- a/internal/cfgini/value.go
+++ b/internal/cfgini/value.go
@@ -12,14 +12,14 @@
 	"siskintray.example/siskin"
 )
 
-// problem is a fault of one value with its remedy.
+// problem is an error in one value, with its remedy.
 type problem struct{ message, remedy string }
 
 func problemf(remedy, format string, args ...any) *problem {
 	return &problem{message: fmt.Sprintf(format, args...), remedy: remedy}
 }
 
-// parse reads the text of a setting into v and checks its bounds.
+// parse parses the text of a setting into v and checks its bounds.
 func (s Setting) parse(text string, v reflect.Value) *problem {
 	switch {
 	case s.typ == durationType:
@@ -52,7 +52,7 @@
 	low, _ := time.ParseDuration(s.Min) // an empty bound is zero
 	high, err := time.ParseDuration(s.Max)
 	if d < low || err == nil && d > high {
-		return s.outside(text)
+		return s.outOfBounds(text)
 	}
 	return nil
 }
@@ -66,12 +66,12 @@
 	low, _ := ParseBytes(s.Min)
 	high, bounded := ParseBytes(s.Max)
 	if n < low || bounded && n > high {
-		return s.outside(text)
+		return s.outOfBounds(text)
 	}
 	return nil
 }
 
-// ParseBytes reads a size such as "512B", "64KB" or "16MB"; a KB is 1024 bytes.
+// ParseBytes parses a size such as "512B", "64KB" or "16MB"; a KB is 1024 bytes.
 func ParseBytes(text string) (siskin.Bytes, bool) {
 	for _, u := range []struct {
 		suffix string
@@ -106,12 +106,12 @@
 	low, _ := strconv.ParseFloat(s.Min, 64)
 	high, err := strconv.ParseFloat(s.Max, 64)
 	if n < low || err == nil && n > high {
-		return s.outside(text)
+		return s.outOfBounds(text)
 	}
 	return nil
 }
 
-func (s Setting) outside(text string) *problem {
+func (s Setting) outOfBounds(text string) *problem {
 	low := s.Min
 	if low == "" {
 		low = "0"
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -31,7 +31,7 @@
 	Homes    *home.Homes
 	Store    siskin.Store
 	Promoter siskin.Promoter
-	Run      siskin.Incarnation
+	Run      siskin.Incarnation // of this VM, stored with its fencing tokens
 	// Fencing reports that the platform refuses a fencing token lower than one
 	// it has seen, and that a promotion demotes the former primary. Otherwise
 	// this package orders the changes and makes the former primary step down.
@@ -120,7 +120,7 @@
 func (e *Elector) watches(name siskin.ServiceName, primary siskin.TargetID) bool {
 	key, choose := "lead/"+string(name), func(live []siskin.VM) []siskin.VM { return live }
 	if t, ok := e.cfg.Roster.Target(primary); ok {
-		key, choose = string(t.ID), func(live []siskin.VM) []siskin.VM { return place.In(t.DataCentre, live) }
+		key, choose = string(t.ID), func(live []siskin.VM) []siskin.VM { return place.PreferDataCentre(t.DataCentre, live) }
 	}
 	ranked := e.ranker.Rank(key, e.cfg.Members.Live(), choose)
 	return len(ranked) > 0 && ranked[0].ID == e.cfg.Members.Self().ID
--- a/internal/home/connlimiter.go
+++ b/internal/home/connlimiter.go
@@ -5,8 +5,8 @@
 const (
 	// minConnBackoff and maxConnBackoff limit the time to the next attempt
 	// after a target refused a connection because of its connection limit. The
-	// connections of a VM that crashed count for 3 s, those of a former home
-	// for 1 s.
+	// connections of a VM that crashed count against that limit for 3 s, those
+	// of a former home for 1 s.
 	minConnBackoff = 15 * time.Millisecond
 	maxConnBackoff = 500 * time.Millisecond
 )
@@ -16,21 +16,21 @@
 // the home. Only one connection at a time is then attempted beyond those that
 // are open.
 type connLimiter struct {
-	active  bool
-	ceiling int
+	active  bool // a refusal limits the connections
+	ceiling int  // connections that the target is assumed to accept
 	retryAt time.Time
 	backoff time.Duration
 }
 
-// limit returns the maximum number of open connections, at most the given one.
-func (c *connLimiter) limit(now time.Time, most int) int {
+// limit returns the maximum number of open connections, at most maxOpen.
+func (c *connLimiter) limit(now time.Time, maxOpen int) int {
 	switch {
 	case !c.active:
-		return most
+		return maxOpen
 	case now.Before(c.retryAt):
-		return min(most, c.ceiling)
+		return min(maxOpen, c.ceiling)
 	default:
-		return min(most, c.ceiling+1)
+		return min(maxOpen, c.ceiling+1)
 	}
 }
 
@@ -45,8 +45,8 @@
 }
 
 // accepted records that a connection was opened, and how many are open now.
-func (c *connLimiter) accepted(open, most int) {
+func (c *connLimiter) accepted(open, maxOpen int) {
 	c.backoff = 0
 	c.ceiling = max(c.ceiling, open)
-	c.active = c.active && c.ceiling < most
+	c.active = c.active && c.ceiling < maxOpen
 }
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -81,7 +81,7 @@
 	f.Cleanup(func() { closePool(p) })
 	p.Own(fuzzKey, pool.SlotConfig{Limit: 2})
 	return (&Home{
-		Clock: clock, Config: config.NewFixed([]*config.Service{service}, nil), Groups: permissive{}, Limiter: permissive{}, Queues: permissive{}, Pool: p,
+		Clock: clock, Config: config.NewStaticView([]*config.Service{service}, nil), Groups: permissive{}, Limiter: permissive{}, Queues: permissive{}, Pool: p,
 	}).Init()
 }
 
@@ -94,11 +94,11 @@
 // discard is a Sink that discards the answer.
 type discard struct{ *frame.Writer }
 
-func (d discard) Forward(h frame.Head, r *frame.Reader) error { return d.Copy(h, r) }
-func (d discard) SendToken(siskin.Position) error             { return nil }
+func (d discard) Forward(h frame.Header, r *frame.Reader) error { return d.Copy(h, r) }
+func (d discard) SendToken(siskin.Position) error               { return nil }
 
 func (d discard) SendMessage(typ byte, body []byte) error {
-	if err := d.Head(frame.Head{Type: typ, Len: len(body)}); err != nil {
+	if err := d.Header(frame.Header{Type: typ, Len: len(body)}); err != nil {
 		return err
 	}
 	return d.Raw(body)
--- a/pkg/burn/html.go
+++ b/pkg/burn/html.go
@@ -11,18 +11,19 @@
 var pageText string
 
 var page = template.Must(template.New("page").Funcs(template.FuncMap{
-	"percent": percent, "window": name, "round": round,
+	"percent": percent, "window": windowName, "round": round,
 	"time": func(t time.Time) string { return t.Format("2006-01-02 15:04:05 MST") },
 }).Parse(pageText))
 
-// maxPlots bounds the services that get plots, so that a page stays readable
-// and below a few megabytes.
+// maxPlots is the largest number of services with plots, so that a page remains
+// readable and is no larger than a few megabytes.
 const maxPlots = 24
 
-// plots are the plots of one series.
+// plots holds the SVG plots of one series.
 type plots struct{ Hour, Days template.HTML }
 
-// WriteHTML writes the report as a page without scripts or outside resources.
+// WriteHTML writes the report as an HTML page without scripts or external
+// resources.
 func (r *Report) WriteHTML(w io.Writer) error {
 	to := time.Time{}
 	for _, vm := range r.VMs {
@@ -30,21 +31,21 @@
 			to = vm.Until
 		}
 	}
-	drawn := make(map[int]plots)
+	plotsBySeries := make(map[int]plots)
 	for i := range r.Series {
 		s := &r.Series[i]
-		if s.Dimension != ServiceDimension || len(drawn) == maxPlots {
+		if s.Dimension != ServiceDimension || len(plotsBySeries) == maxPlots {
 			continue
 		}
-		hour, err := shareSVG(s.Hour, r.VMs, to.Add(-fineLimit), to, time.Minute, "15:04")
+		hour, err := shareSVG(s.Hour, r.VMs, to.Add(-maxFineWindow), to, time.Minute, "15:04")
 		if err != nil {
 			return err
 		}
-		days, err := shareSVG(s.Days, r.VMs, to.Add(-longest), to, time.Hour, "02 Jan 15h")
+		days, err := shareSVG(s.Days, r.VMs, to.Add(-longestWindow), to, time.Hour, "02 Jan 15h")
 		if err != nil {
 			return err
 		}
-		drawn[i] = plots{hour, days}
+		plotsBySeries[i] = plots{hour, days}
 	}
 	alerts := 0
 	for i := range r.Series {
@@ -55,5 +56,5 @@
 		Until  time.Time
 		Alerts int
 		Plots  map[int]plots
-	}{r, to, alerts, drawn})
+	}{r, to, alerts, plotsBySeries})
 }
--- a/pkg/burn/series.go
+++ b/pkg/burn/series.go
@@ -5,22 +5,22 @@
 	"time"
 )
 
-// Windows and buckets. Windows up to an hour use fine buckets, longer ones
-// coarse buckets, so that one series takes about 115 KB for 3 days.
+// Lengths of windows and buckets. Windows up to an hour use fine buckets, longer
+// windows use coarse buckets, so that one series of 3 days takes about 115 KB.
 const (
-	fineWidth   = 10 * time.Second
-	coarseWidth = 5 * time.Minute
-	fineLimit   = time.Hour
-	longest     = 72 * time.Hour
+	fineWidth     = 10 * time.Second
+	coarseWidth   = 5 * time.Minute
+	maxFineWindow = time.Hour
+	longestWindow = 72 * time.Hour
 )
 
-// Windows are the windows of a record, in order.
-var Windows = []time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour, longest}
+// Windows are the lengths of the windows of a record, in ascending order.
+var Windows = []time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour, longestWindow}
 
-// maxGaps bounds the failovers kept for one service.
+// maxGaps is the largest number of write gaps stored for one service.
 const maxGaps = 100
 
-// series holds the counts of one service or customer under its own lock.
+// series holds the counts of one service or customer. Each has a lock of its own.
 type series struct {
 	mu     sync.Mutex
 	fine   ring[bucket]
@@ -30,8 +30,8 @@
 
 func newSeries() *series {
 	return &series{
-		fine:   newRing[bucket](fineWidth, int(fineLimit/fineWidth)),
-		coarse: newRing[bucket](coarseWidth, int(longest/coarseWidth)),
+		fine:   newRing[bucket](fineWidth, int(maxFineWindow/fineWidth)),
+		coarse: newRing[bucket](coarseWidth, int(longestWindow/coarseWidth)),
 	}
 }
 
@@ -51,7 +51,7 @@
 	s.mu.Unlock()
 }
 
-// extendGap makes the last gap longer, when it is shorter.
+// extendGap increases the duration of the last gap to at least d.
 func (s *series) extendGap(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,10 +68,10 @@
 	for i, w := range Windows {
 		r.Windows[i] = s.window(now, w)
 	}
-	r.Hour = points(&s.fine, now, fineLimit, time.Minute)
-	r.Days = points(&s.coarse, now, longest, time.Hour)
+	r.Hour = points(&s.fine, now, maxFineWindow, time.Minute)
+	r.Days = points(&s.coarse, now, longestWindow, time.Hour)
 	for _, g := range s.gaps {
-		if now.Sub(g.At) < longest {
+		if now.Sub(g.At) < longestWindow {
 			r.Gaps = append(r.Gaps, g)
 		}
 	}
@@ -81,7 +81,7 @@
 func (s *series) window(now time.Time, w time.Duration) Counts {
 	var c Counts
 	add := func(_ time.Time, b *bucket) { b.addTo(&c) }
-	if w <= fineLimit {
+	if w <= maxFineWindow {
 		s.fine.each(now, w, add)
 	} else {
 		s.coarse.each(now, w, add)
@@ -89,7 +89,7 @@
 	return c
 }
 
-// points sums buckets to steps that are aligned to the clock, so that the
+// points sums buckets into steps that are aligned to the clock, so that the
 // points of several VMs can be added.
 func points(r *ring[bucket], now time.Time, window, step time.Duration) []Point {
 	var all []Point
--- a/pkg/burn/text.go
+++ b/pkg/burn/text.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// WriteText writes the report for reading on a terminal.
+// WriteText writes the report as text for a terminal.
 func (r *Report) WriteText(w io.Writer) error {
 	var b strings.Builder
 	for _, vm := range r.VMs {
@@ -20,7 +20,7 @@
 	}
 	b.WriteString("covered:")
 	for i, win := range r.Windows {
-		fmt.Fprintf(&b, "  %s %s", name(i), percent(win.Coverage))
+		fmt.Fprintf(&b, "  %s %s", windowName(i), percent(win.Coverage))
 	}
 	b.WriteString("\n")
 	if r.Incomplete != "" {
@@ -41,7 +41,7 @@
 	for _, o := range s.Objectives {
 		fmt.Fprintf(b, "  %-13s target %-6s budget left %-24s burn", o.Name, percent(o.Target), o.Left())
 		for i, burn := range o.Burns {
-			fmt.Fprintf(b, "  %s %s", name(i), burn.Text())
+			fmt.Fprintf(b, "  %s %s", windowName(i), burn.Text())
 		}
 		b.WriteString("\n")
 	}
@@ -64,21 +64,21 @@
 	return fmt.Sprintf("%.2f", *b.Rate)
 }
 
-// Left returns the budget left in percent, with the covered share when it is
-// low, or "no data".
+// Left returns the remaining budget in percent, with the coverage if it is low,
+// or "no data".
 func (o ObjectiveReport) Left() string {
 	if o.BudgetLeft == nil {
 		return "no data"
 	}
 	left := percent(*o.BudgetLeft)
-	if o.Coverage < enoughCoverage {
+	if o.Coverage < minCoverage {
 		left += " (" + percent(o.Coverage) + " covered)"
 	}
 	return left
 }
 
-// percent formats a share without hiding a small loss by rounding: 99.996% is
-// not 100%, and 0.004% is not 0%.
+// percent formats a share in percent. Rounding does not hide a small loss:
+// 99.996% is not written as 100%, and 0.004% is not written as 0%.
 func percent(x float64) string {
 	s := fmt.Sprintf("%.2f", 100*x)
 	if s == "100.00" && x < 1 {
--- a/pkg/config/encode.go
+++ b/pkg/config/encode.go
@@ -9,28 +9,29 @@
 	"siskintray.example/siskin"
 )
 
-// Bounds of the JSON text.
+// Size limits of JSON text.
 const (
-	// MaxDocument is the largest document. A service takes about 2 KB; the
-	// snapshot objects hold about 90 documents within the platform's 1 MB.
-	MaxDocument siskin.Bytes = 64 << 10
-	// MaxChange is the largest change, since a change is one platform object.
-	MaxChange = siskin.MaxObjectSize
+	// MaxDocumentSize limits one document. A service takes about 2 KB; the
+	// snapshot objects hold about 90 documents within the platform's limit of
+	// 1 MB.
+	MaxDocumentSize siskin.Bytes = 64 << 10
+	// MaxChangeSize limits a change, which is stored as one platform object.
+	MaxChangeSize = siskin.MaxObjectSize
 )
 
 // EncodeChange returns the JSON text of a change.
 func EncodeChange(c *Change) ([]byte, error) {
-	return encode(c, MaxChange, "split it into several changes")
+	return encode(c, MaxChangeSize, "split it into several changes")
 }
 
 // EncodeService returns the JSON text of a service.
 func EncodeService(s *Service) ([]byte, error) {
-	return encode(s, MaxDocument, "remove targets or routes")
+	return encode(s, MaxDocumentSize, "remove targets or routes")
 }
 
 // EncodeCustomer returns the JSON text of a customer.
 func EncodeCustomer(c *Customer) ([]byte, error) {
-	return encode(c, MaxDocument, "name fewer services or keys")
+	return encode(c, MaxDocumentSize, "name fewer services or keys")
 }
 
 func encode(v any, limit siskin.Bytes, remedy string) ([]byte, error) {
@@ -44,17 +45,18 @@
 	return data, nil
 }
 
-// maxExport bounds an export of all documents, which is 46 MB at 23,000 services.
-const maxExport siskin.Bytes = 128 << 20
+// maxExportSize limits an export of all documents, which is 46 MB at 23,000
+// services.
+const maxExportSize siskin.Bytes = 128 << 20
 
-// DecodeChange reads a change. Unknown fields, text after the change and a
-// service without KeyGrace are refused.
-func DecodeChange(data []byte) (*Change, error) { return decodeChange(data, MaxChange) }
+// DecodeChange decodes a change. It rejects unknown fields, trailing text and
+// services without KeyGrace.
+func DecodeChange(data []byte) (*Change, error) { return decodeChange(data, MaxChangeSize) }
 
-// DecodeExport reads an export of all documents, which has the form of a change
-// but may be larger, and returns it as a view.
+// DecodeExport decodes an export of all documents, which has the format of a
+// change but may be larger, and returns it as a view.
 func DecodeExport(data []byte) (*Snapshot, error) {
-	c, err := decodeChange(data, maxExport)
+	c, err := decodeChange(data, maxExportSize)
 	if err != nil {
 		return nil, err
 	}
@@ -70,14 +72,14 @@
 		Services []*struct{ KeyGrace *Duration }
 	}
 	if err := json.Unmarshal(data, &grace); err != nil {
-		return nil, malformed(err)
+		return nil, malformedJSON(err)
 	}
 	for i, s := range c.Services {
 		if s == nil || grace.Services[i] == nil {
 			return nil, siskin.NewError(siskin.BadInput, "service %d of the change is null", i+1).WithRemedy("remove it")
 		}
 		if grace.Services[i].KeyGrace == nil {
-			return nil, missingGrace(s.Name)
+			return nil, missingKeyGrace(s.Name)
 		}
 	}
 	for i, d := range c.Customers {
@@ -88,33 +90,33 @@
 	return c, nil
 }
 
-// DecodeService reads a service document.
+// DecodeService decodes a service document. KeyGrace is required.
 func DecodeService(data []byte) (*Service, error) {
 	s := new(Service)
-	if err := decode(data, MaxDocument, s); err != nil {
+	if err := decode(data, MaxDocumentSize, s); err != nil {
 		return nil, err
 	}
 	var grace struct{ KeyGrace *Duration }
 	if err := json.Unmarshal(data, &grace); err != nil {
-		return nil, malformed(err)
+		return nil, malformedJSON(err)
 	}
 	if grace.KeyGrace == nil {
-		return nil, missingGrace(s.Name)
+		return nil, missingKeyGrace(s.Name)
 	}
 	return s, nil
 }
 
-// DecodeCustomer reads a customer document.
+// DecodeCustomer decodes a customer document.
 func DecodeCustomer(data []byte) (*Customer, error) {
 	c := new(Customer)
-	if err := decode(data, MaxDocument, c); err != nil {
+	if err := decode(data, MaxDocumentSize, c); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-func missingGrace(name siskin.ServiceName) error {
-	return siskin.NewError(siskin.BadInput, "service %s has no KeyGrace", text(name)).
+func missingKeyGrace(name siskin.ServiceName) error {
+	return siskin.NewError(siskin.BadInput, "service %s has no KeyGrace", quote(name)).
 		WithRemedy("decide how long keys go on working in a data centre that is cut off, such as \"30s\"; there is no default")
 }
 
@@ -125,7 +127,7 @@
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
-		return malformed(err)
+		return malformedJSON(err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return siskin.NewError(siskin.BadInput, "JSON text goes on after its end").WithRemedy("write one document")
@@ -133,7 +135,7 @@
 	return nil
 }
 
-func malformed(err error) error {
+func malformedJSON(err error) error {
 	return siskin.NewError(siskin.BadInput, "JSON text is not a document").WithCause(err).
 		WithRemedy("write names in Pascal case as docs/design.md section 9 and pkg/config give them")
 }
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -11,12 +11,11 @@
 // MaxDeadline bounds the deadline of a route, so that no request waits longer.
 const MaxDeadline = 60 * time.Second
 
-// maxKeyGrace bounds KeyGrace. A longer cut-off is handled by operators.
+// maxKeyGrace bounds KeyGrace. A longer isolation is handled by operators.
 const maxKeyGrace = 7 * 24 * time.Hour
 
 // Validate checks a change as a whole against the documents of view, which may
-// be nil when there are none. The change is acceptable when there is no
-// finding.
+// be nil when there are none. The change is valid if there are no findings.
 func Validate(view View, change *Change) Findings {
 	if view == nil {
 		view = NewSnapshot(0, nil, nil)
@@ -36,15 +35,16 @@
 		r.document = "Customer/" + string(c.ID)
 		checkCustomer(r, c)
 		checkCustomerReferences(r, next, c)
-		checkWithdrawn(r, view, c)
+		checkWithdrawnKeys(r, view, c)
 	}
-	checkDeleted(r, next, change)
+	checkDeletedReferences(r, next, change)
 	checkUniqueTargets(r, next, change)
 	checkUniqueKeys(r, next, change)
 	return r.found
 }
 
-// checkChange checks the list of documents itself.
+// checkChange checks the base and the size of the change, and that each document
+// occurs once.
 func checkChange(r *report, view View, change *Change) {
 	if change.IsEmpty() {
 		r.add("", "put or delete a document", "change is empty")
@@ -57,57 +57,58 @@
 	}
 	services := map[siskin.ServiceName]bool{}
 	for _, s := range change.Services {
-		checkTouched(r, services, s.Name, "Services")
+		checkDocumentName(r, services, s.Name, "Services")
 		if old, ok := view.Service(s.Name); ok {
 			checkBase(r, change.Base, old.Revision, "Service/"+string(s.Name))
 		}
 	}
 	for _, name := range change.DeleteServices {
-		checkTouched(r, services, name, "DeleteServices")
+		checkDocumentName(r, services, name, "DeleteServices")
 		old, ok := view.Service(name)
 		if !ok {
-			r.add("DeleteServices", "remove the name", "service %s does not exist", text(name))
+			r.add("DeleteServices", "remove the name", "service %s does not exist", quote(name))
 			continue
 		}
 		checkBase(r, change.Base, old.Revision, "Service/"+string(name))
 	}
 	customers := map[siskin.CustomerID]bool{}
 	for _, c := range change.Customers {
-		checkTouched(r, customers, c.ID, "Customers")
+		checkDocumentName(r, customers, c.ID, "Customers")
 		if old, ok := view.Customer(c.ID); ok {
 			checkBase(r, change.Base, old.Revision, "Customer/"+string(c.ID))
 		}
 	}
 	for _, id := range change.DeleteCustomers {
-		checkTouched(r, customers, id, "DeleteCustomers")
+		checkDocumentName(r, customers, id, "DeleteCustomers")
 		old, ok := view.Customer(id)
 		if !ok {
-			r.add("DeleteCustomers", "remove the name", "customer %s does not exist", text(id))
+			r.add("DeleteCustomers", "remove the name", "customer %s does not exist", quote(id))
 			continue
 		}
 		checkBase(r, change.Base, old.Revision, "Customer/"+string(id))
 	}
 }
 
-func checkTouched[K ~string](r *report, seen map[K]bool, name K, field string) {
+func checkDocumentName[K ~string](r *report, seen map[K]bool, name K, field string) {
 	if seen[name] {
-		r.add(field, "name each document once", "document %s appears twice in the change", text(name))
+		r.add(field, "name each document once", "document %s appears twice in the change", quote(name))
 	}
 	seen[name] = true
 	checkName(r, field, name)
 }
 
-// checkBase refuses to overwrite a document that another operator changed.
+// checkBase reports a document that another operator changed after the base of
+// the change, so that it is not overwritten.
 func checkBase(r *report, base, revision siskin.Revision, document string) {
 	if revision > base {
 		r.add("Base", "read the configuration again and repeat the change", "%s changed at revision %d, after revision %d that the change is based on", document, revision, base)
 	}
 }
 
-// checkName accepts names that fit database names, paths and metrics.
+// checkName accepts names that are valid in database names, paths and metrics.
 func checkName[S ~string](r *report, field string, name S) {
 	if !ValidName(string(name)) {
-		r.add(field, "use 1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit", "%s is not a name", text(name))
+		r.add(field, "use 1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit", "%s is not a name", quote(name))
 	}
 }
 
@@ -141,8 +142,8 @@
 	}
 }
 
-// parseAddress reads an IP number and a port. Names are refused, since a VM
-// does not depend on a name service.
+// parseAddress parses an IP address and a port. Host names are rejected, since a
+// VM does not depend on DNS.
 func parseAddress(s string) (netip.AddrPort, bool) {
 	a, err := netip.ParseAddrPort(s)
 	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
--- a/pkg/config/validate_test.go
+++ b/pkg/config/validate_test.go
@@ -11,9 +11,9 @@
 
 var update = flag.Bool("update", false, "rewrite the expected findings")
 
-// TestValidate guards against an accepted change that breaks the configuration
-// in force. Each txtar file holds the change in force (revision 1), a change,
-// and its findings and difference.
+// TestValidate guards against an accepted change that breaks the current
+// configuration. Each txtar file holds the current configuration (revision 1, in
+// the format of a change), a change, and its expected findings and difference.
 func TestValidate(t *testing.T) {
 	files, _ := filepath.Glob("testdata/*.txtar")
 	if len(files) == 0 {
@@ -26,10 +26,10 @@
 				t.Fatal(err)
 			}
 			got := map[string]string{}
-			got["findings"], got["diff"] = run(t, file(a, "inforce.json"), file(a, "change.json"))
+			got["findings"], got["diff"] = validateFiles(t, archiveFile(a, "inforce.json"), archiveFile(a, "change.json"))
 			changed := false
 			for name, text := range got {
-				f := file(a, name)
+				f := archiveFile(a, name)
 				if string(f.Data) == text {
 					continue
 				}
@@ -48,7 +48,7 @@
 	}
 }
 
-func run(t *testing.T, inForce, changed *txtar.File) (findings, diff string) {
+func validateFiles(t *testing.T, inForce, changed *txtar.File) (findings, diff string) {
 	t.Helper()
 	base, err := DecodeChange(inForce.Data)
 	if err != nil {
@@ -58,7 +58,7 @@
 		t.Fatalf("inforce.json: %v", found)
 	}
 	base.SetRevision(1)
-	view := NewFixed(base.Services, base.Customers)
+	view := NewStaticView(base.Services, base.Customers)
 	change, err := DecodeChange(changed.Data)
 	if err != nil {
 		return err.Error() + "\n", ""
@@ -69,7 +69,7 @@
 	return "", Diff(view, NewOverlay(view, change)).Text()
 }
 
-func file(a *txtar.Archive, name string) *txtar.File {
+func archiveFile(a *txtar.Archive, name string) *txtar.File {
 	for i := range a.Files {
 		if a.Files[i].Name == name {
 			return &a.Files[i]
--- a/pkg/keys/bench_test.go
+++ b/pkg/keys/bench_test.go
@@ -10,18 +10,18 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-func benchKeys(n int) (*changing, *Keys) {
+func benchKeys(n int) (*mutableView, *Keys) {
 	clock := clockwork.NewRealClock()
-	c := &changing{docs: make(map[siskin.CustomerID]*config.Customer, n)}
+	c := &mutableView{docs: make(map[siskin.CustomerID]*config.Customer, n)}
 	for i := range n {
 		id := siskin.CustomerID(fmt.Sprintf("customer-%06d", i))
 		c.docs[id] = document(id, 1, "services=s,t,u", fmt.Sprintf("keys=key-%d,spare-%d", i, i))
 	}
 	c.apply(1)
-	return c, New(clock, c, WithEvidence(func() Evidence { return Evidence{Current: clock.Now()} }))
+	return c, New(clock, c, WithEvidence(func() Evidence { return Evidence{CurrentAt: clock.Now()} }))
 }
 
-// BenchmarkCheck measures the check before each message batch.
+// BenchmarkCheck measures the check that is made before each batch of messages.
 func BenchmarkCheck(b *testing.B) {
 	for _, n := range []int{8, 23_000} {
 		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
@@ -42,7 +42,8 @@
 	}
 }
 
-// BenchmarkAuthenticate measures a start-up among many keys.
+// BenchmarkAuthenticate measures the authentication of a caller by the number of
+// customers.
 func BenchmarkAuthenticate(b *testing.B) {
 	for _, n := range []int{8, 23_000} {
 		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
@@ -59,7 +60,7 @@
 	}
 }
 
-// BenchmarkChange measures a change of one document among many.
+// BenchmarkChange measures a refresh after one of 23,000 documents changed.
 func BenchmarkChange(b *testing.B) {
 	c, k := benchKeys(23_000)
 	defer k.Close()
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -16,12 +16,12 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestWithdrawalWakesSessions guards against an open session that goes on
-// after its key was withdrawn, and against a leaked goroutine.
+// TestWithdrawalWakesSessions guards against an open session that is not
+// notified when its key is withdrawn, and against a leaked goroutine.
 func TestWithdrawalWakesSessions(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	key := Generate()
-	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys="+key)}, changed: make(chan struct{})}
+	c := &mutableView{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys="+key)}, changed: make(chan struct{})}
 	c.apply(1)
 	k := New(clockwork.NewRealClock(), c)
 	defer k.Close()
@@ -48,43 +48,43 @@
 // TestSamePrefix guards against a key that is accepted because the first bytes
 // of its digest equal those of another key.
 func TestSamePrefix(t *testing.T) {
-	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
+	c := &mutableView{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
 	c.apply(1)
 	k := New(nil, c)
 	defer k.Close()
 	wrong, right := digestOf("wrong"), digestOf("k1")
-	k.owners.Put(wrong.prefix(), []owner{{digest: right, customer: "a", key: "k1"}})
+	k.entries.Put(wrong.prefix(), []indexEntry{{digest: right, customer: "a", key: "k1"}})
 	if grant, err := k.Authenticate("s", "wrong"); err == nil {
 		t.Errorf("got %+v for a key with the same prefix only, want an error", grant)
 	}
 }
 
-// TestCutOff guards against keys that work longer than the service's grace in
-// a data centre that is cut off.
+// TestCutOff guards against keys that are accepted after the grace period of the
+// service in an isolated data centre.
 func TestCutOff(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	e := Evidence{Current: clock.Now()}
-	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
+	e := Evidence{CurrentAt: clock.Now()}
+	c := &mutableView{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys=k1")}}
 	c.apply(1)
 	k := New(clock, c, WithEvidence(func() Evidence { return e }))
 	defer k.Close()
 	for _, step := range []struct {
 		after time.Duration
 		want  error
-	}{{time.Minute, nil}, {Freshness, nil}, {1, siskin.NewError(siskin.KeyRefused, "")}} {
+	}{{time.Minute, nil}, {FreshnessWindow, nil}, {1, siskin.NewError(siskin.KeyRefused, "")}} {
 		clock.Advance(step.after)
 		if _, got := k.Authenticate("s", "k1"); (got == nil) != (step.want == nil) || (got != nil && siskin.KindOf(got) != siskin.KindOf(step.want)) {
-			t.Errorf("got %v at %v, want %v", got, clock.Since(e.Current), step.want)
+			t.Errorf("got %v at %v, want %v", got, clock.Since(e.CurrentAt), step.want)
 		}
 	}
 }
 
-// TestMistyped guards against a typing error that is reported as a wrong key,
-// and a key of another form that is reported as a typing error.
+// TestMistyped guards against a typing error that is reported as an unknown key,
+// and against a key in another format that is reported as a typing error.
 func TestMistyped(t *testing.T) {
 	key := Generate()
 	if Mistyped(key) || Mistyped("other") || key == Generate() {
-		t.Errorf("got a sound key reported as mistyped, or a key twice")
+		t.Errorf("a valid key is reported as mistyped, or Generate returned the same key twice")
 	}
 	for i := len(keyPrefix); i < len(key); i++ {
 		changed := key[:i] + strings.Map(func(r rune) rune {
@@ -97,7 +97,7 @@
 			t.Fatalf("got no typing error at character %d, want one", i)
 		}
 	}
-	k := New(nil, config.NewFixed(nil, nil))
+	k := New(nil, config.NewStaticView(nil, nil))
 	defer k.Close()
 	_, err := k.Authenticate("s", key[:len(key)-1])
 	if got, want := fmt.Sprint(err), "checksum"; !strings.Contains(got, want) {
@@ -105,7 +105,7 @@
 	}
 }
 
-// TestScan guards against a leak that the scan does not see.
+// TestScan guards against a leaked key that Scan does not find.
 func TestScan(t *testing.T) {
 	key := Generate()
 	raw := digestOf(key)
@@ -132,7 +132,7 @@
 // TestErrorsHideKeys guards against a key or digest in an error or its cause.
 func TestErrorsHideKeys(t *testing.T) {
 	key := Generate()
-	c := &changing{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys="+key+"!")}}
+	c := &mutableView{docs: map[siskin.CustomerID]*config.Customer{"a": document("a", 1, "services=s", "keys="+key+"!")}}
 	c.docs["a"].Keys[0].ID = "k1"
 	c.apply(1)
 	k := New(nil, c)
@@ -145,20 +145,21 @@
 			}
 			text := fmt.Sprintf("%v %+v %#v %v", err, err, err, errors.Unwrap(err))
 			if got := Scan([]byte(text), attempt); got != NoLeak {
-				t.Errorf("got a leak of form %s in %q, want none", got, text)
+				t.Errorf("got a leak of the form %s in %q, want none", got, text)
 			}
 		}
 	}
 }
 
-// FuzzMistyped guards against a key typed by a caller that stops the program.
+// FuzzMistyped guards against a panic on a key that a caller sends, and against
+// a truncated key that is not reported as mistyped.
 func FuzzMistyped(f *testing.F) {
 	f.Add(Generate())
 	f.Add(keyPrefix)
 	f.Add("siskey_0O1l")
 	f.Fuzz(func(t *testing.T, key string) {
 		if !Mistyped(key) && strings.HasPrefix(key, keyPrefix) && len(key) != len(Generate()) {
-			t.Errorf("got %q accepted as sound, want a typing error", key)
+			t.Errorf("got %q accepted as valid, want a typing error", key)
 		}
 	})
 }
--- a/pkg/keys/random_test.go
+++ b/pkg/keys/random_test.go
@@ -11,12 +11,12 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestSoak compares the keys with a plain model while documents arrive in any
-// order. It guards against a key that works for another customer or service,
-// after its withdrawal, or again when an older document shows up.
+// TestSoak compares Keys with a simple model while documents arrive in any
+// order. It guards against a key that is accepted for another customer or
+// service, after its withdrawal, or again after an older document arrived.
 func TestSoak(t *testing.T) { soak.Rapid(t, randomDocuments) }
 
-// version names one version of a document.
+// version identifies one version of a document.
 type version struct {
 	id       siskin.CustomerID
 	revision siskin.Revision
@@ -24,10 +24,10 @@
 
 func randomDocuments(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		c := &changing{docs: make(map[siskin.CustomerID]*config.Customer)}
+		c := &mutableView{docs: make(map[siskin.CustomerID]*config.Customer)}
 		c.apply(0)
 		k := New(nil, c)
-		_ = k.Close() // the test refreshes by itself
+		_ = k.Close() // the test calls refresh itself
 		all := map[version]*config.Customer{}
 		newest, withdrawn := map[siskin.CustomerID]*config.Customer{}, map[string]bool{}
 		for range rapid.IntRange(1, 40).Draw(r, "documents") {
@@ -71,7 +71,7 @@
 		for n := range 3 {
 			key := fmt.Sprintf("%s%d", id, n)
 			for _, service := range []siskin.ServiceName{"s", "t"} {
-				want := !withdrawn[key] && lists(newest[id], key, service)
+				want := !withdrawn[key] && grants(newest[id], key, service)
 				grant, err := k.Authenticate(service, key)
 				if got := err == nil; got != want || (got && grant.Customer != id) {
 					r.Fatalf("key %s at service %s: got %+v, %v, want accepted %v", key, service, grant, err, want)
@@ -85,7 +85,7 @@
 	}
 }
 
-func lists(doc *config.Customer, key string, service siskin.ServiceName) bool {
+func grants(doc *config.Customer, key string, service siskin.ServiceName) bool {
 	if doc == nil {
 		return false
 	}
