--- a/pkg/burn/objectives_test.go
+++ b/pkg/burn/objectives_test.go
@@ -15,7 +15,7 @@
 // objectives than those of its service, in particular after records were saved
 // and merged.
 func TestObjectivesOfRecord(t *testing.T) {
-	stated := func(o *config.Objectives) func(siskin.ServiceName) Objectives {
+	configured := func(o *config.Objectives) func(siskin.ServiceName) Objectives {
 		return FromConfig(config.NewStaticView([]*config.Service{{Name: "ledger", Objectives: o}}, nil))
 	}
 	clock := clockwork.NewFakeClockAt(start)
@@ -34,8 +34,8 @@
 		clock.Advance(time.Minute)
 		return read
 	}
-	early := record("vm-1", stated(nil))
-	late := record("vm-2", stated(&config.Objectives{Availability: 0.95, LatencyThreshold: config.Duration(time.Second)}))
+	early := record("vm-1", configured(nil))
+	late := record("vm-2", configured(&config.Objectives{Availability: 0.95, LatencyThreshold: config.Duration(time.Second)}))
 	for _, records := range [][]Record{{early, late}, {late, early}} {
 		merged, err := Merge(records...)
 		if err != nil {
@@ -44,7 +44,7 @@
 		for of, want := range map[string]float64{"record": 0.95, "given": 0.5} {
 			var given func(siskin.ServiceName) Objectives
 			if of == "given" {
-				given = stated(&config.Objectives{Availability: 0.5})
+				given = configured(&config.Objectives{Availability: 0.5})
 			}
 			for _, s := range Evaluate(merged, given).Series {
 				want := want
--- a/pkg/burn/plot.go
+++ b/pkg/burn/plot.go
@@ -44,11 +44,11 @@
 	p.X.Min, p.X.Max = seconds(from), seconds(to)
 	p.X.Tick.Marker = plot.TimeTicks{Format: format}
 	p.Y.Label.Text = "bad, %"
-	lines, top := steps(points, step, to)
-	p.Y.Min, p.Y.Max = 0, top
+	lines, maxY := steps(points, step, to)
+	p.Y.Min, p.Y.Max = 0, maxY
 	for _, band := range uncovered(vms, from, to) {
 		x0, x1 := seconds(band.From), seconds(band.To)
-		poly, err := plotter.NewPolygon(plotter.XYs{{X: x0, Y: 0}, {X: x1, Y: 0}, {X: x1, Y: top}, {X: x0, Y: top}})
+		poly, err := plotter.NewPolygon(plotter.XYs{{X: x0, Y: 0}, {X: x1, Y: 0}, {X: x1, Y: maxY}, {X: x0, Y: maxY}})
 		if err != nil {
 			return nil, err
 		}
@@ -63,14 +63,14 @@
 		line.Color, line.Width = lineColor, vg.Points(1.2)
 		p.Add(line)
 	}
-	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = seconds(from), seconds(to), 0, top
+	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = seconds(from), seconds(to), 0, maxY
 	return p, nil
 }
 
 // steps returns one line for each sequence of points without a gap, and the
 // maximum of the y axis.
-func steps(points []Point, step time.Duration, to time.Time) (lines []plotter.XYs, top float64) {
-	top = 1
+func steps(points []Point, step time.Duration, to time.Time) (lines []plotter.XYs, maxY float64) {
+	maxY = 1
 	for i, pt := range points {
 		if i == 0 || pt.At.Sub(points[i-1].At) > step {
 			lines = append(lines, nil)
@@ -79,11 +79,11 @@
 		if pt.Total > 0 {
 			share = 100 * float64(pt.Bad) / float64(pt.Total)
 		}
-		top = max(top, share*1.05)
+		maxY = max(maxY, share*1.05)
 		last := &lines[len(lines)-1]
 		*last = append(*last, plotter.XY{X: seconds(pt.At), Y: share}, plotter.XY{X: min(seconds(pt.At.Add(step)), seconds(to)), Y: share})
 	}
-	return lines, top
+	return lines, maxY
 }
 
 func seconds(t time.Time) float64 { return float64(t.Unix()) }
--- a/pkg/keys/account.go
+++ b/pkg/keys/account.go
@@ -38,9 +38,9 @@
 	}
 	if old != nil {
 		for id, k := range old.keys {
-			if now, ok := a.keys[id]; ok && k.withdrawn {
-				now.withdrawn = true
-				a.keys[id] = now
+			if current, ok := a.keys[id]; ok && k.withdrawn {
+				current.withdrawn = true
+				a.keys[id] = current
 			} else if k.withdrawn {
 				a.keys[id] = k
 			}
@@ -70,7 +70,7 @@
 		return true
 	}
 	for id, k := range old.keys {
-		if now, ok := a.keys[id]; !k.withdrawn && (!ok || now.withdrawn || now.digest != k.digest) {
+		if current, ok := a.keys[id]; !k.withdrawn && (!ok || current.withdrawn || current.digest != k.digest) {
 			return true
 		}
 	}
--- a/pkg/keys/refresh.go
+++ b/pkg/keys/refresh.go
@@ -71,12 +71,12 @@
 }
 
 // addEntry adds a key to the index.
-func (k *Keys) addEntry(o indexEntry) {
-	k.entries.Update(o.digest.prefix(), func(list []indexEntry, _ bool) ([]indexEntry, bool) {
-		if slices.Contains(list, o) {
+func (k *Keys) addEntry(entry indexEntry) {
+	k.entries.Update(entry.digest.prefix(), func(list []indexEntry, _ bool) ([]indexEntry, bool) {
+		if slices.Contains(list, entry) {
 			return list, true
 		}
-		return append(slices.Clip(list), o), true
+		return append(slices.Clip(list), entry), true
 	})
 }
 
@@ -84,12 +84,12 @@
 // from the index.
 func (k *Keys) removeEntries(old, a *account) {
 	for id, key := range old.keys {
-		if now, ok := a.keys[id]; ok && now.digest == key.digest {
+		if current, ok := a.keys[id]; ok && current.digest == key.digest {
 			continue
 		}
-		o := indexEntry{key.digest, old.doc.ID, id}
-		k.entries.Update(o.digest.prefix(), func(list []indexEntry, _ bool) ([]indexEntry, bool) {
-			list = slices.DeleteFunc(slices.Clone(list), func(x indexEntry) bool { return x == o })
+		entry := indexEntry{key.digest, old.doc.ID, id}
+		k.entries.Update(entry.digest.prefix(), func(list []indexEntry, _ bool) ([]indexEntry, bool) {
+			list = slices.DeleteFunc(slices.Clone(list), func(x indexEntry) bool { return x == entry })
 			return list, len(list) > 0
 		})
 	}
--- a/pkg/keys/script_test.go
+++ b/pkg/keys/script_test.go
@@ -96,11 +96,11 @@
 		c.apply(0)
 		k := New(nil, c)
 		_ = k.Close() // the script calls refresh itself
-		return func(args []string) string { return command(c, k, args) }
+		return func(args []string) string { return runCommand(c, k, args) }
 	})
 }
 
-func command(c *mutableView, k *Keys, args []string) string {
+func runCommand(c *mutableView, k *Keys, args []string) string {
 	switch args[0] {
 	case "customer", "remove":
 		var revision siskin.Revision
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -40,15 +40,15 @@
 // placed on a VM with a quarter of the processor capacity of another, each
 // request for the resource had to wait for that VM.
 func Rank(resource string, vms []siskin.VM) []siskin.VM {
-	keys := make([]sortKey, len(vms))
+	sortKeys := make([]sortKey, len(vms))
 	for i, vm := range vms {
-		keys[i] = sortKey{Tier(vm.Capacity), Score(resource, vm.ID), i}
+		sortKeys[i] = sortKey{Tier(vm.Capacity), Score(resource, vm.ID), i}
 	}
-	slices.SortFunc(keys, func(a, b sortKey) int {
+	slices.SortFunc(sortKeys, func(a, b sortKey) int {
 		return cmp.Or(cmp.Compare(b.tier, a.tier), cmp.Compare(b.score, a.score), cmp.Compare(vms[a.index].ID, vms[b.index].ID))
 	})
 	ranked := make([]siskin.VM, len(vms))
-	for i, k := range keys {
+	for i, k := range sortKeys {
 		ranked[i] = vms[k.index]
 	}
 	return ranked
--- a/pkg/place/tier_test.go
+++ b/pkg/place/tier_test.go
@@ -29,7 +29,7 @@
 	}
 	for _, vm := range vms {
 		got := count[vm.ID]
-		if weak := vm.Capacity < 800; weak && got > 0 || !weak && (got < 800 || got > 1200) {
+		if small := vm.Capacity < 800; small && got > 0 || !small && (got < 800 || got > 1200) {
 			t.Errorf("resources of %s with capacity %d: got %d of 4000", vm.ID, vm.Capacity, got)
 		}
 	}
