--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -29,7 +29,7 @@
 	d.stats = stats.New()
 	d.node, err = node.Start(node.Config{
 		Self: d.self, Clock: clock, Log: d.log(),
-		Config: d.spread, Members: d.members, Peers: d.client, Platform: d.platform.For(recordsPerSecond, recordsBurst), Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
+		Config: d.spread, Members: d.members, Peers: d.client, Platform: d.platform.WithBudget(recordsPerSecond, recordsBurst), Limiter: d.limiter, Keys: d.keys, Tokens: d.tokens,
 		Caller: d.listeners.caller, Forward: d.listeners.forward,
 		CallerTLS: serverTLS(d.listeners.callerCert), PeerTLS: d.listeners.peerTLS,
 		Observer:      &observer{recorder: d.recorder, gaps: newWriteGaps(clock, d.recorder), stats: newTransactionStats(d.stats)},
--- a/pkg/pgctl/dialer.go
+++ b/pkg/pgctl/dialer.go
@@ -15,14 +15,14 @@
 type Dialer struct {
 	credentials config.Credentials
 	timeout     time.Duration
-	open        siskin.DialFunc
+	dial        siskin.DialFunc
 }
 
 // Option changes a Dialer.
 type Option func(*Dialer)
 
 // WithDial replaces the function that opens connections.
-func WithDial(open siskin.DialFunc) Option { return func(d *Dialer) { d.open = open } }
+func WithDial(dial siskin.DialFunc) Option { return func(d *Dialer) { d.dial = dial } }
 
 var _ siskin.TargetDialer = (*Dialer)(nil)
 
@@ -49,7 +49,7 @@
 	}
 	conn, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
-		return nil, toError("connect", id, err)
+		return nil, wrapError("connect", id, err)
 	}
 	return newTarget(id, conn), nil
 }
@@ -70,8 +70,8 @@
 	cfg.User, cfg.Password, cfg.Database = d.credentials.User, d.credentials.Password, d.credentials.Database
 	cfg.RuntimeParams = map[string]string{"application_name": "siskintray-control"}
 	cfg.Fallbacks = nil
-	if d.open != nil {
-		cfg.DialFunc = pgconn.DialFunc(d.open)
+	if d.dial != nil {
+		cfg.DialFunc = pgconn.DialFunc(d.dial)
 	}
 	return cfg, nil
 }
--- a/pkg/pgctl/error.go
+++ b/pkg/pgctl/error.go
@@ -10,10 +10,10 @@
 
 // SQLSTATEs that the control functions return.
 const (
-	stateNotInState = "55000"
-	stateReadOnly   = "25006"
-	statePrivilege  = "42501"
-	statePassword   = "28P01"
+	stateNotInPrerequisiteState = "55000"
+	stateReadOnly               = "25006"
+	statePrivilege              = "42501"
+	statePassword               = "28P01"
 )
 
 // isTargetError reports whether the target itself returned the error, so that
@@ -23,13 +23,13 @@
 	return errors.As(err, &e) && e.Severity != "FATAL"
 }
 
-// toError gives an error of pgconn a kind and a remedy.
-func toError(what string, id siskin.TargetID, err error) error {
+// wrapError gives an error of pgconn a kind and a remedy.
+func wrapError(operation string, id siskin.TargetID, err error) error {
 	kind, remedy := siskin.Unavailable, "check that the target runs and can be reached"
 	var e *pgconn.PgError
 	if errors.As(err, &e) {
 		switch e.Code {
-		case stateNotInState:
+		case stateNotInPrerequisiteState:
 			kind, remedy = siskin.Conflict, "read the target's status again"
 		case stateReadOnly:
 			kind, remedy = siskin.NotRun, "use the present primary"
@@ -37,5 +37,5 @@
 			kind, remedy = siskin.TargetRefused, "check the service's credentials"
 		}
 	}
-	return siskin.NewError(kind, "cannot %s target %s", what, id).WithRemedy(remedy).WithCause(err)
+	return siskin.NewError(kind, "cannot %s target %s", operation, id).WithRemedy(remedy).WithCause(err)
 }
--- a/pkg/pgctl/status.go
+++ b/pkg/pgctl/status.go
@@ -17,7 +17,7 @@
 // parseStatus parses the row of siskin_status. It accepts further columns.
 func parseStatus(row []string) (siskin.TargetStatus, error) {
 	if len(row) < statusFields {
-		return siskin.TargetStatus{}, errRow("has %d columns", len(row))
+		return siskin.TargetStatus{}, statusRowError("has %d columns", len(row))
 	}
 	p := rowParser{row: row}
 	st := siskin.TargetStatus{
@@ -25,12 +25,12 @@
 		ClaimedBy: siskin.VMID(row[3]), StreamTerm: siskin.Term(p.number(4)), LastTerm: siskin.Term(p.number(5)),
 		Received: p.lsn(6), Applied: p.lsn(7),
 		HeardPrimary: time.Duration(p.number(8)) * time.Millisecond,
-		Leaving:      p.truth(9), Draining: p.truth(10), Running: int(p.number(11)),
+		Leaving:      p.boolean(9), Draining: p.boolean(10), Running: int(p.number(11)),
 	}
 	return st, p.err
 }
 
-func errRow(format string, args ...any) error {
+func statusRowError(format string, args ...any) error {
 	return siskin.NewError(siskin.BadInput, "row of siskin_status "+format, args...).
 		WithRemedy("install the siskin functions of this version at the target")
 }
@@ -43,7 +43,7 @@
 
 func (p *rowParser) fail(i int) {
 	if p.err == nil {
-		p.err = errRow("has %q in column %d", p.row[i], i+1)
+		p.err = statusRowError("has %q in column %d", p.row[i], i+1)
 	}
 }
 
@@ -64,7 +64,7 @@
 	return l
 }
 
-func (p *rowParser) truth(i int) bool {
+func (p *rowParser) boolean(i int) bool {
 	if p.row[i] != "true" && p.row[i] != "false" {
 		p.fail(i)
 	}
--- a/pkg/pgctl/target.go
+++ b/pkg/pgctl/target.go
@@ -20,8 +20,8 @@
 	// prepared holds the statements that were used twice, and nil for those used
 	// once: a repeated probe then sends neither the statement's text nor the
 	// column names, which are most of its bytes.
-	prepared map[string]*pgconn.StatementDescription
-	names    int // names given so far
+	prepared      map[string]*pgconn.StatementDescription
+	preparedCount int // names given so far
 
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
@@ -126,7 +126,7 @@
 		if !isTargetError(res.Err) {
 			t.closeLocked()
 		}
-		return nil, toError("call", t.id, res.Err)
+		return nil, wrapError("call", t.id, res.Err)
 	}
 	if len(res.Rows) != 1 {
 		return nil, siskin.NewError(siskin.BadInput, "target %s returned %d rows", t.id, len(res.Rows)).
@@ -148,8 +148,8 @@
 	}
 	if statement == nil {
 		var err error
-		t.names++
-		name := "s" + strconv.Itoa(t.names)
+		t.preparedCount++
+		name := "s" + strconv.Itoa(t.preparedCount)
 		if statement, err = t.conn.Prepare(ctx, name, sql, nil); err != nil {
 			return &pgconn.Result{Err: err}
 		}
--- a/pkg/plat/attempt.go
+++ b/pkg/plat/attempt.go
@@ -11,14 +11,14 @@
 	"time"
 )
 
-// maxAnswer bounds an answer: a page of a list has up to 4 MB of values, which
+// maxResponseSize bounds an answer: a page of a list has up to 4 MB of values, which
 // base64 makes a third larger, and one more value.
-const maxAnswer = 8 << 20
+const maxResponseSize = 8 << 20
 
-var errSilent = errors.New("the connection is silent")
+var errReadIdle = errors.New("the connection is silent")
 
-// answer is the platform's answer to one request.
-type answer struct {
+// response is the platform's response to one request.
+type response struct {
 	status     int
 	body       []byte
 	retryAfter time.Duration
@@ -26,74 +26,74 @@
 
 // attempt makes one HTTP request. The error says that no whole answer arrived;
 // sent says whether the request may have reached the platform.
-func (c *Client) attempt(ctx context.Context, method, path string, body []byte) (a answer, sent bool, err error) {
+func (c *Client) attempt(ctx context.Context, method, path string, body []byte) (a response, sent bool, err error) {
 	c.counters.calls.Add(1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	idle := time.AfterFunc(c.cfg.SilentAfter, func() { cancel(errSilent) })
+	idle := time.AfterFunc(c.cfg.ReadIdleTimeout, func() { cancel(errReadIdle) })
 	defer idle.Stop()
 
 	index := c.address.Load()
 	address := c.cfg.Addresses[int(index)%len(c.cfg.Addresses)]
 	a, err = c.roundTrip(ctx, idle, method, "http://"+address+path, body)
 	if err == nil && a.status < http.StatusInternalServerError {
-		c.counters.lastAnswer.Store(c.clock.Now().UnixNano())
+		c.counters.lastResponse.Store(c.clock.Now().UnixNano())
 		return a, true, nil
 	}
 	c.counters.failures.Add(1)
 	c.address.CompareAndSwap(index, index+1)
-	if errors.Is(context.Cause(ctx), errSilent) {
+	if errors.Is(context.Cause(ctx), errReadIdle) {
 		// Connections of the same age are likely silent too.
-		c.counters.silent.Add(1)
+		c.counters.readIdleTimeouts.Add(1)
 		c.transport.CloseIdleConnections()
-		err = errSilent
+		err = errReadIdle
 	}
 	if err == nil {
 		err = errors.New("status " + strconv.Itoa(a.status))
 	}
 	var op *net.OpError
 	dialFailed := errors.As(err, &op) && op.Op == "dial"
-	return answer{}, !dialFailed, err
+	return response{}, !dialFailed, err
 }
 
-func (c *Client) roundTrip(ctx context.Context, idle *time.Timer, method, url string, body []byte) (answer, error) {
+func (c *Client) roundTrip(ctx context.Context, idle *time.Timer, method, url string, body []byte) (response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return answer{}, err
+		return response{}, err
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return answer{}, err
+		return response{}, err
 	}
 	defer resp.Body.Close()
-	r := &aliveReader{r: io.LimitReader(resp.Body, maxAnswer), alive: func() {
-		idle.Reset(c.cfg.SilentAfter)
+	r := &activityReader{r: io.LimitReader(resp.Body, maxResponseSize), onRead: func() {
+		idle.Reset(c.cfg.ReadIdleTimeout)
 		// The sign of life of a waiting watch ends an outage, so that other
 		// calls need not wait for the watch to end.
 		c.breaker.record(c.clock.Now(), succeeded)
 	}}
 	b, err := io.ReadAll(r)
 	if err != nil {
-		return answer{}, err
+		return response{}, err
 	}
-	a := answer{status: resp.StatusCode, body: b}
+	a := response{status: resp.StatusCode, body: b}
 	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
 		a.retryAfter = time.Duration(s) * time.Second
 	}
 	return a, nil
 }
 
-// aliveReader calls alive whenever bytes arrive.
-type aliveReader struct {
-	r     io.Reader
-	alive func()
+// activityReader calls alive whenever bytes arrive.
+type activityReader struct {
+	r      io.Reader
+	onRead func()
 }
 
 // Read implements io.Reader.
-func (r *aliveReader) Read(b []byte) (int, error) {
+func (r *activityReader) Read(b []byte) (int, error) {
 	n, err := r.r.Read(b)
 	if n > 0 {
-		r.alive()
+		r.onRead()
 	}
 	return n, err
 }
--- a/pkg/plat/breaker.go
+++ b/pkg/plat/breaker.go
@@ -17,7 +17,7 @@
 	min, max time.Duration
 	random   func() float64
 	failures int
-	testing  bool
+	probing  bool
 	retryAt  time.Time
 }
 
@@ -31,10 +31,10 @@
 	if now.Before(b.retryAt) {
 		return b.retryAt.Sub(now), false
 	}
-	if b.testing {
+	if b.probing {
 		return b.max, false
 	}
-	b.testing = true
+	b.probing = true
 	return 0, true
 }
 
@@ -44,14 +44,14 @@
 const (
 	succeeded result = iota
 	failed
-	abandoned // the caller gave up; says nothing about the platform
+	canceled // the caller gave up; says nothing about the platform
 )
 
 // record notes the outcome of a call that allow let through.
 func (b *breaker) record(now time.Time, r result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.testing = false
+	b.probing = false
 	switch r {
 	case succeeded:
 		b.failures = 0
--- a/pkg/plat/budget_test.go
+++ b/pkg/plat/budget_test.go
@@ -11,7 +11,7 @@
 // TestWriteBudget guards against updates that exceed their own budget or use up
 // that of reads, and against a budget that a change does not put in force.
 func TestWriteBudget(t *testing.T) {
-	s, c := start(t, Config{CallsPerSecond: 20, WritesPerSecond: 5, Burst: 3})
+	s, c := startClient(t, Config{CallsPerSecond: 20, WritesPerSecond: 5, Burst: 3})
 	for i, tt := range []struct{ reads, writes float64 }{{20, 5}, {60, 40}} {
 		c.SetBudget(tt.reads, tt.writes)
 		if reads, writes := c.Budget(); reads != tt.reads || writes != tt.writes {
@@ -19,15 +19,15 @@
 		}
 		count := func(call func(n int) error) int64 {
 			before := s.Stats().Total()
-			ctx := within(t, 500*time.Millisecond)
+			ctx := timeoutContext(t, 500*time.Millisecond)
 			for n := 0; ctx.Err() == nil; n++ {
 				_ = call(n) // a call above the budget fails at the deadline
 			}
 			return s.Stats().Total() - before
 		}
-		ctx := within(t, 5*time.Second)
+		ctx := timeoutContext(t, 5*time.Second)
 		puts := count(func(n int) error {
-			ctx := within(t, 500*time.Millisecond)
+			ctx := timeoutContext(t, 500*time.Millisecond)
 			_, err := c.Put(ctx, siskin.ObjectName(fmt.Sprintf("A%d-%d", i, n)), nil, 0, siskin.OperationID(fmt.Sprint("op-", i, n)))
 			return err
 		})
--- a/pkg/plat/client.go
+++ b/pkg/plat/client.go
@@ -18,7 +18,7 @@
 // Client calls the platform. It implements siskin.Platform under the budget of
 // the process; Purpose returns a siskin.Platform with a budget of its own.
 type Client struct {
-	*Purpose
+	*LimitedClient
 	cfg       Config
 	clock     siskin.Clock
 	random    func() float64
@@ -36,9 +36,9 @@
 	done sync.WaitGroup
 }
 
-// Purpose is a siskin.Platform whose calls count against a budget of their own
+// LimitedClient is a siskin.Platform whose calls count against a budget of their own
 // and against that of the process.
-type Purpose struct {
+type LimitedClient struct {
 	c      *Client
 	budget *rate.Limiter
 }
@@ -54,7 +54,7 @@
 	c := &Client{
 		cfg: cfg, clock: clockwork.NewRealClock(), random: rand.Float64,
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: cfg.SilentAfter}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: cfg.ReadIdleTimeout}).DialContext,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     60 * time.Second,
 			DisableCompression:  true,
@@ -69,16 +69,16 @@
 	if cfg.WritesPerSecond > 0 {
 		c.writes = rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), cfg.Burst)
 	}
-	c.Purpose = &Purpose{c: c, budget: rate.NewLimiter(rate.Inf, 1)}
+	c.LimitedClient = &LimitedClient{c: c, budget: rate.NewLimiter(rate.Inf, 1)}
 	c.breaker = &breaker{min: cfg.MinBackoff, max: cfg.MaxBackoff, random: c.random}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	return c, nil
 }
 
-// For returns a siskin.Platform for one purpose, with a budget in calls per
+// WithBudget returns a siskin.Platform for one purpose, with a budget in calls per
 // second and a burst.
-func (c *Client) For(perSecond float64, burst int) *Purpose {
-	return &Purpose{c: c, budget: rate.NewLimiter(rate.Limit(perSecond), burst)}
+func (c *Client) WithBudget(perSecond float64, burst int) *LimitedClient {
+	return &LimitedClient{c: c, budget: rate.NewLimiter(rate.Limit(perSecond), burst)}
 }
 
 // SetBudget replaces the calls and updates a second of the whole process. Bursts
@@ -109,8 +109,8 @@
 	return nil
 }
 
-// begin bounds a call in time and ties it to the life of the client.
-func (c *Client) begin(ctx context.Context, bounded bool) (context.Context, func(), error) {
+// startCall bounds a call in time and ties it to the life of the client.
+func (c *Client) startCall(ctx context.Context, bounded bool) (context.Context, func(), error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx.Err() != nil {
--- a/pkg/plat/client_test.go
+++ b/pkg/plat/client_test.go
@@ -22,7 +22,7 @@
 	goleak.VerifyTestMain(m)
 }
 
-func start(t *testing.T, cfg Config, opts ...Option) (*objapi.Server, *Client) {
+func startClient(t *testing.T, cfg Config, opts ...Option) (*objapi.Server, *Client) {
 	t.Helper()
 	s, err := objapi.Start(objapi.Config{})
 	if err != nil {
@@ -39,7 +39,7 @@
 	return s, c
 }
 
-func within(t *testing.T, d time.Duration) context.Context {
+func timeoutContext(t *testing.T, d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	t.Cleanup(cancel)
 	return ctx
@@ -69,8 +69,8 @@
 		{20, "OutcomeUnknown"}, // the operation id is no longer listed
 	} {
 		clock := &hookClock{Clock: clockwork.NewRealClock(), hook: func() {}}
-		s, c := start(t, Config{}, WithClock(clock))
-		ctx := within(t, 5*time.Second)
+		s, c := startClient(t, Config{}, WithClock(clock))
+		ctx := timeoutContext(t, 5*time.Second)
 		if _, err := c.Put(ctx, "A", []byte("x"), 0, "op-1"); err != nil {
 			t.Fatal(err)
 		}
@@ -98,8 +98,8 @@
 // connections that went silent for good while new ones work.
 func TestSilentConnections(t *testing.T) {
 	t.Parallel()
-	s, c := start(t, Config{})
-	ctx := within(t, 10*time.Second)
+	s, c := startClient(t, Config{})
+	ctx := timeoutContext(t, 10*time.Second)
 	if _, err := c.Put(ctx, "A", nil, 0, "op-1"); err != nil {
 		t.Fatal(err)
 	}
@@ -150,8 +150,8 @@
 // TestOutage guards against callers that wait during an outage and against a
 // client that does not recover after it or does not use its other address.
 func TestOutage(t *testing.T) {
-	s, c := start(t, Config{Addresses: []string{"127.0.0.1:1"}, MaxBackoff: 100 * time.Millisecond})
-	ctx := within(t, 10*time.Second)
+	s, c := startClient(t, Config{Addresses: []string{"127.0.0.1:1"}, MaxBackoff: 100 * time.Millisecond})
+	ctx := timeoutContext(t, 10*time.Second)
 	if _, err := c.Put(ctx, "A", nil, 0, "op-1"); err != nil {
 		t.Fatalf("first address down: got %v, want success at the second", err)
 	}
@@ -166,7 +166,7 @@
 			t.Fatalf("during the outage: a call took %v, want under 1 s", took)
 		}
 	}
-	if got := c.Snapshot().HeldBack; got < 50 {
+	if got := c.Snapshot().Rejected; got < 50 {
 		t.Errorf("calls held back: got %d of 100, want at least 50", got)
 	}
 	s.Refuse(false)
@@ -182,14 +182,14 @@
 // TestShortWatches guards against watches that end by their own deadline and
 // are taken for failures of the platform, and against a connection per watch.
 func TestShortWatches(t *testing.T) {
-	s, c := start(t, Config{})
+	s, c := startClient(t, Config{})
 	for range 4 {
-		if _, err := c.Watch(within(t, 400*time.Millisecond), "A", 0); siskin.KindOf(err) != siskin.Unavailable {
+		if _, err := c.Watch(timeoutContext(t, 400*time.Millisecond), "A", 0); siskin.KindOf(err) != siskin.Unavailable {
 			t.Errorf("watch without a change: got %v, want Unavailable", err)
 		}
 	}
-	if got := c.Snapshot(); got.Failures != 0 || got.Down {
-		t.Errorf("got %d failures, down %v; want none", got.Failures, got.Down)
+	if got := c.Snapshot(); got.Failures != 0 || got.CircuitOpen {
+		t.Errorf("got %d failures, down %v; want none", got.Failures, got.CircuitOpen)
 	}
 	if got := s.Stats().Total(); got != 4 {
 		t.Errorf("calls of 4 watches: got %d, want 4", got)
@@ -199,8 +199,8 @@
 // TestBudget guards against a process that exceeds its call budget, and
 // against watches that are not counted.
 func TestBudget(t *testing.T) {
-	s, c := start(t, Config{CallsPerSecond: 20, Burst: 5, MaxWatches: 1})
-	ctx := within(t, 500*time.Millisecond)
+	s, c := startClient(t, Config{CallsPerSecond: 20, Burst: 5, MaxWatches: 1})
+	ctx := timeoutContext(t, 500*time.Millisecond)
 	go func() { _, _ = c.Watch(ctx, "A", 0) }()
 	time.Sleep(20 * time.Millisecond)
 	if _, err := c.Watch(ctx, "B", 0); siskin.KindOf(err) != siskin.Overloaded {
--- a/pkg/plat/config.go
+++ b/pkg/plat/config.go
@@ -24,11 +24,11 @@
 	MaxWatches int
 	// CallTimeout bounds calls whose context has no deadline; zero means 10 s.
 	CallTimeout time.Duration
-	// SilentAfter is the time without a byte after which a connection counts
+	// ReadIdleTimeout is the time without a byte after which a connection counts
 	// as silent; zero means 2.5 s. Silent connections must be found within 3 s.
-	SilentAfter time.Duration
-	// WatchWait is how long one poll of a watch waits; zero means 20 s.
-	WatchWait time.Duration
+	ReadIdleTimeout time.Duration
+	// LongPollWait is how long one poll of a watch waits; zero means 20 s.
+	LongPollWait time.Duration
 	// MinBackoff and MaxBackoff bound the delay before a repetition; zero means
 	// 50 ms and 10 s.
 	MinBackoff, MaxBackoff time.Duration
@@ -39,8 +39,8 @@
 	setDefault(&cfg.Burst, 20)
 	setDefault(&cfg.MaxWatches, 8)
 	setDefault(&cfg.CallTimeout, 10*time.Second)
-	setDefault(&cfg.SilentAfter, 2500*time.Millisecond)
-	setDefault(&cfg.WatchWait, 20*time.Second)
+	setDefault(&cfg.ReadIdleTimeout, 2500*time.Millisecond)
+	setDefault(&cfg.LongPollWait, 20*time.Second)
 	setDefault(&cfg.MinBackoff, 50*time.Millisecond)
 	setDefault(&cfg.MaxBackoff, 10*time.Second)
 }
--- a/pkg/plat/put.go
+++ b/pkg/plat/put.go
@@ -9,7 +9,7 @@
 )
 
 // Put implements siskin.Platform. The package documentation lists its results.
-func (p *Purpose) Put(ctx context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
+func (p *LimitedClient) Put(ctx context.Context, name siskin.ObjectName, value []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
 	if siskin.Bytes(len(value)) > siskin.MaxObjectSize {
 		return 0, siskin.NewError(siskin.TooLarge, "object %s has %d bytes, above the platform's limit of %d", name, len(value), siskin.MaxObjectSize).WithRemedy("split the object")
 	}
@@ -21,7 +21,7 @@
 	if err != nil {
 		return 0, siskin.NewError(siskin.Internal, "cannot encode object %s", name).WithCause(err)
 	}
-	ctx, end, err := p.c.begin(ctx, true)
+	ctx, end, err := p.c.startCall(ctx, true)
 	if err != nil {
 		return 0, err
 	}
@@ -30,32 +30,32 @@
 }
 
 // put repeats the update until it has a definite result or the context ends.
-func (p *Purpose) put(ctx context.Context, name siskin.ObjectName, body []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
+func (p *LimitedClient) put(ctx context.Context, name siskin.ObjectName, body []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
 	const maxUnsentAttempts = 4
-	lost := false // an earlier request may have taken effect
+	maybeApplied := false // an earlier request may have taken effect
 	for n := 1; ; n++ {
 		a, sent, err := p.request(ctx, http.MethodPut, objectPath(name), body)
 		if err == nil {
-			version, err := p.putResult(a, name, ifVersion, op, lost)
-			if err == nil && lost {
+			version, err := p.putResult(a, name, ifVersion, op, maybeApplied)
+			if err == nil && maybeApplied {
 				p.c.counters.resolved.Add(1)
 			}
 			return version, err
 		}
-		lost = lost || sent
-		giveUp := !lost && (n >= maxUnsentAttempts || p.c.breaker.open())
+		maybeApplied = maybeApplied || sent
+		giveUp := !maybeApplied && (n >= maxUnsentAttempts || p.c.breaker.open())
 		if giveUp || !p.c.wait(ctx, p.c.delay(err, n)) {
-			if !lost {
+			if !maybeApplied {
 				return 0, err
 			}
-			return 0, p.unknown(name, op).WithCause(err)
+			return 0, p.outcomeUnknown(name, op).WithCause(err)
 		}
-		p.c.counters.repetitions.Add(1)
+		p.c.counters.retries.Add(1)
 	}
 }
 
 // putResult interprets the answer to an update.
-func (p *Purpose) putResult(a answer, name siskin.ObjectName, ifVersion siskin.Version, op siskin.OperationID, lost bool) (siskin.Version, error) {
+func (p *LimitedClient) putResult(a response, name siskin.ObjectName, ifVersion siskin.Version, op siskin.OperationID, maybeApplied bool) (siskin.Version, error) {
 	var body struct {
 		Version siskin.Version
 		Recent  []recentUpdate
@@ -74,19 +74,19 @@
 	default:
 		return 0, siskin.NewError(siskin.BadInput, "the platform refused object %s with status %d: %.200s", name, a.status, a.body).WithRemedy("check the address and version of the platform")
 	}
-	version, took, known := resolve(body.Recent, ifVersion, op)
+	version, applied, known := findUpdate(body.Recent, ifVersion, op)
 	switch {
-	case took:
+	case applied:
 		return version, nil
-	case lost && !known:
-		return 0, p.unknown(name, op)
+	case maybeApplied && !known:
+		return 0, p.outcomeUnknown(name, op)
 	default:
 		return 0, siskin.NewError(siskin.Conflict, "object %s has version %d, not %d", name, body.Version, ifVersion).WithRemedy("read the object again and repeat the change on top of it")
 	}
 }
 
-func (p *Purpose) unknown(name siskin.ObjectName, op siskin.OperationID) *siskin.Error {
-	p.c.counters.unknown.Add(1)
+func (p *LimitedClient) outcomeUnknown(name siskin.ObjectName, op siskin.OperationID) *siskin.Error {
+	p.c.counters.outcomeUnknown.Add(1)
 	return siskin.NewError(siskin.OutcomeUnknown, "the answer to operation %s on object %s was lost", op, name).WithRemedy("read the object and look for the operation before repeating it")
 }
 
@@ -95,10 +95,10 @@
 	Version   siskin.Version
 }
 
-// resolve looks for op among the recent updates of an object. The update took
+// findUpdate looks for op among the recent updates of an object. The update took
 // effect when it is listed. When it is not, its fate is known only if the list
 // reaches back to the version that the update would have made.
-func resolve(recent []recentUpdate, ifVersion siskin.Version, op siskin.OperationID) (version siskin.Version, took, known bool) {
+func findUpdate(recent []recentUpdate, ifVersion siskin.Version, op siskin.OperationID) (version siskin.Version, applied, known bool) {
 	for _, r := range recent {
 		if r.Operation == op {
 			return r.Version, true, true
--- a/pkg/plat/random_test.go
+++ b/pkg/plat/random_test.go
@@ -27,7 +27,7 @@
 	soak.Rapid(t, func(t *testing.T) { randomWriters(t, 10, 15*time.Millisecond) })
 }
 
-func randomWriters(t *testing.T, maxDelayMs int, patience time.Duration) {
+func randomWriters(t *testing.T, maxDelayMs int, callTimeout time.Duration) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, err := objapi.Start(objapi.Config{Seed: rapid.Uint64().Draw(t, "seed")})
 		if err != nil {
@@ -43,7 +43,7 @@
 		var done sync.WaitGroup
 		for w := range writers {
 			results[w] = make(map[string]error)
-			done.Go(func() { writeMany(s.Address(), w, patience, results[w]) })
+			done.Go(func() { writeMany(s.Address(), w, callTimeout, results[w]) })
 		}
 		done.Wait()
 		s.SetFaults(objapi.Faults{})
@@ -60,11 +60,11 @@
 	})
 }
 
-func writeMany(address string, w int, patience time.Duration, results map[string]error) {
+func writeMany(address string, w int, callTimeout time.Duration, results map[string]error) {
 	c, _ := New(Config{Addresses: []string{address}, CallsPerSecond: 1e4, Burst: 100, MinBackoff: time.Millisecond, MaxBackoff: 5 * time.Millisecond})
 	defer c.Close()
 	for i := range 10 {
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		if o, err := c.Get(ctx, "A"); err == nil {
 			var ops []string
 			_ = json.Unmarshal(o.Value, &ops)
@@ -102,7 +102,7 @@
 		f.Fatal(err)
 	}
 	f.Fuzz(func(t *testing.T, status int, body []byte) {
-		_, err := c.putResult(answer{status: status, body: body}, "A", 2, "op", true)
+		_, err := c.putResult(response{status: status, body: body}, "A", 2, "op", true)
 		if err == nil && status != 200 && status != 409 {
 			t.Errorf("status %d: got success, want an error", status)
 		}
--- a/pkg/plat/read.go
+++ b/pkg/plat/read.go
@@ -10,14 +10,14 @@
 )
 
 // Get implements siskin.Platform.
-func (p *Purpose) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
+func (p *LimitedClient) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
 	var o siskin.Object
 	err := p.readJSON(ctx, objectPath(name), &o)
 	return o, err
 }
 
 // List implements siskin.Platform.
-func (p *Purpose) List(ctx context.Context, prefix siskin.ObjectName) ([]siskin.Object, error) {
+func (p *LimitedClient) List(ctx context.Context, prefix siskin.ObjectName) ([]siskin.Object, error) {
 	var all []siskin.Object
 	from := siskin.ObjectName("")
 	for {
@@ -38,7 +38,7 @@
 }
 
 // VMs implements siskin.Platform.
-func (p *Purpose) VMs(ctx context.Context) ([]siskin.VM, error) {
+func (p *LimitedClient) VMs(ctx context.Context) ([]siskin.VM, error) {
 	var list struct {
 		VMs []struct {
 			ID          siskin.VMID
@@ -68,8 +68,8 @@
 	return siskin.VMUnknown
 }
 
-func (p *Purpose) readJSON(ctx context.Context, path string, into any) error {
-	ctx, end, err := p.c.begin(ctx, true)
+func (p *LimitedClient) readJSON(ctx context.Context, path string, into any) error {
+	ctx, end, err := p.c.startCall(ctx, true)
 	if err != nil {
 		return err
 	}
@@ -81,7 +81,7 @@
 	return decode(a, into)
 }
 
-func decode(a answer, into any) error {
+func decode(a response, into any) error {
 	if a.status != http.StatusOK {
 		return siskin.NewError(siskin.BadInput, "the platform answered with status %d: %.200s", a.status, a.body).WithRemedy("check the address and version of the platform")
 	}
--- a/pkg/plat/request.go
+++ b/pkg/plat/request.go
@@ -14,24 +14,24 @@
 // request makes one request within the budgets and the breaker. An error is of
 // kind Unavailable or Overloaded; sent says whether the request may have
 // reached the platform.
-func (p *Purpose) request(ctx context.Context, method, path string, body []byte) (a answer, sent bool, err error) {
+func (p *LimitedClient) request(ctx context.Context, method, path string, body []byte) (a response, sent bool, err error) {
 	c := p.c
 	if wait, ok := c.breaker.allow(c.clock.Now()); !ok {
-		c.counters.heldBack.Add(1)
-		return answer{}, false, siskin.NewError(siskin.Unavailable, "the platform does not answer").WithRetryAfter(wait).WithRemedy("retry later; cached state stays in force")
+		c.counters.rejected.Add(1)
+		return response{}, false, siskin.NewError(siskin.Unavailable, "the platform does not answer").WithRetryAfter(wait).WithRemedy("retry later; cached state stays in force")
 	}
 	if err := p.takeTokens(ctx, p.c.budgetFor(method)); err != nil {
-		c.breaker.record(c.clock.Now(), abandoned)
-		return answer{}, false, err
+		c.breaker.record(c.clock.Now(), canceled)
+		return response{}, false, err
 	}
 	a, sent, err = c.attempt(ctx, method, path, body)
 	c.breaker.record(c.clock.Now(), classify(ctx, err))
 	if err != nil {
-		return answer{}, sent, siskin.NewError(siskin.Unavailable, "the platform gave no answer").WithCause(err).WithRemedy("retry later; cached state stays in force")
+		return response{}, sent, siskin.NewError(siskin.Unavailable, "the platform gave no answer").WithCause(err).WithRemedy("retry later; cached state stays in force")
 	}
 	if a.status == http.StatusTooManyRequests {
 		c.counters.overBudget.Add(1)
-		return answer{}, false, siskin.NewError(siskin.Overloaded, "the platform's call budget is used up").WithRetryAfter(a.retryAfter).WithRemedy("retry after the stated time")
+		return response{}, false, siskin.NewError(siskin.Overloaded, "the platform's call budget is used up").WithRetryAfter(a.retryAfter).WithRemedy("retry after the stated time")
 	}
 	return a, sent, nil
 }
@@ -43,7 +43,7 @@
 	case err == nil:
 		return succeeded
 	case errors.Is(ctx.Err(), context.Canceled):
-		return abandoned
+		return canceled
 	default:
 		return failed
 	}
@@ -59,7 +59,7 @@
 
 // takeTokens waits for a token of both budgets. It fails at once when the
 // token comes after the deadline.
-func (p *Purpose) takeTokens(ctx context.Context, budget *rate.Limiter) error {
+func (p *LimitedClient) takeTokens(ctx context.Context, budget *rate.Limiter) error {
 	now := p.c.clock.Now()
 	own := p.budget.ReserveN(now, 1)
 	all := budget.ReserveN(now, 1)
@@ -80,7 +80,7 @@
 
 // read makes a request that changes nothing and repeats it on failure, at most
 // maxReadAttempts times.
-func (p *Purpose) read(ctx context.Context, path string) (answer, error) {
+func (p *LimitedClient) read(ctx context.Context, path string) (response, error) {
 	const maxReadAttempts = 4
 	for n := 1; ; n++ {
 		a, _, err := p.request(ctx, http.MethodGet, path, nil)
@@ -88,9 +88,9 @@
 			return a, err
 		}
 		if !p.c.wait(ctx, p.c.delay(err, n)) {
-			return answer{}, err
+			return response{}, err
 		}
-		p.c.counters.repetitions.Add(1)
+		p.c.counters.retries.Add(1)
 	}
 }
 
--- a/pkg/plat/watch.go
+++ b/pkg/plat/watch.go
@@ -13,8 +13,8 @@
 // Watch implements siskin.Platform. It waits through outages and ends only
 // with the context, with an error of kind Unavailable, or when too many
 // watches of this process wait already, with kind Overloaded.
-func (p *Purpose) Watch(ctx context.Context, name siskin.ObjectName, after siskin.Version) (siskin.Object, error) {
-	ctx, end, err := p.c.begin(ctx, false)
+func (p *LimitedClient) Watch(ctx context.Context, name siskin.ObjectName, after siskin.Version) (siskin.Object, error) {
+	ctx, end, err := p.c.startCall(ctx, false)
 	if err != nil {
 		return siskin.Object{}, err
 	}
@@ -56,9 +56,9 @@
 func (c *Client) pollWait(ctx context.Context) (time.Duration, bool) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		return c.cfg.WatchWait, true
+		return c.cfg.LongPollWait, true
 	}
-	wait := min(c.cfg.WatchWait, time.Until(deadline)-pollMargin)
+	wait := min(c.cfg.LongPollWait, time.Until(deadline)-pollMargin)
 	return wait, wait > time.Millisecond
 }
 
@@ -68,7 +68,7 @@
 
 // poll makes one long poll. An object with version 0 means that nothing
 // changed.
-func (p *Purpose) poll(ctx context.Context, path string) (siskin.Object, error) {
+func (p *LimitedClient) poll(ctx context.Context, path string) (siskin.Object, error) {
 	a, _, err := p.request(ctx, http.MethodGet, path, nil)
 	if err != nil || a.status == http.StatusNoContent {
 		return siskin.Object{}, err
@@ -79,7 +79,7 @@
 }
 
 // decodeVersion decodes the answer to an update that took effect.
-func decodeVersion(a answer, into any) error {
+func decodeVersion(a response, into any) error {
 	if err := json.Unmarshal(a.body, into); err != nil {
 		return siskin.NewError(siskin.OutcomeUnknown, "the platform's answer to an update is malformed").WithCause(err).WithRemedy("read the object back")
 	}
