peer, stats, frame, soak: unexported names in the terms of the field

Names such as verdict, slot, braces and torn said little about their use. They are now action, connEntry, bracedLabels and truncated, and the activity of a connection is its keepalive.

--- a/internal/frame/buffer.go
+++ b/internal/frame/buffer.go
@@ -6,9 +6,9 @@
 // relayed stream holds per direction.
 const BufferSize = 32 << 10
 
-// smallSize is the buffer that a connection keeps while it is idle. Most
+// smallBufferSize is the buffer that a connection keeps while it is idle. Most
 // statements fit into it.
-const smallSize = 512
+const smallBufferSize = 512
 
 var buffers = sync.Pool{New: func() any { return new([BufferSize]byte) }}
 
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -16,7 +16,7 @@
 		var src bytes.Buffer
 		in := NewWriter(&src)
 		for range rapid.IntRange(1, 20).Draw(rt, "messages") {
-			n := rapid.OneOf(rapid.IntRange(0, 100), rapid.IntRange(smallSize-10, smallSize+10), rapid.IntRange(0, 3*BufferSize)).Draw(rt, "size")
+			n := rapid.OneOf(rapid.IntRange(0, 100), rapid.IntRange(smallBufferSize-10, smallBufferSize+10), rapid.IntRange(0, 3*BufferSize)).Draw(rt, "size")
 			body := bytes.Repeat([]byte{byte(n), byte(n >> 8), 7}, n/3+1)[:n]
 			_ = in.Header(Header{Type: 'D', Len: n})
 			_ = in.Raw(body)
--- a/internal/frame/reader.go
+++ b/internal/frame/reader.go
@@ -10,19 +10,19 @@
 // Reader reads messages from a stream. While idle it holds a small buffer; it
 // takes a pooled one when a message or a burst needs more.
 type Reader struct {
-	src   io.Reader
-	small [smallSize]byte
-	big   *[BufferSize]byte
-	r, w  int
-	left  int // unread body bytes of the current message
+	src       io.Reader
+	small     [smallBufferSize]byte
+	pooled    *[BufferSize]byte
+	r, w      int
+	remaining int // unread body bytes of the current message
 }
 
 // NewReader returns a Reader of src.
 func NewReader(src io.Reader) *Reader { return &Reader{src: src} }
 
 func (r *Reader) buf() []byte {
-	if r.big != nil {
-		return r.big[:]
+	if r.pooled != nil {
+		return r.pooled[:]
 	}
 	return r.small[:]
 }
@@ -31,18 +31,18 @@
 func (r *Reader) Buffered() int { return r.w - r.r }
 
 // Remaining returns the unread body bytes of the current message.
-func (r *Reader) Remaining() int { return r.left }
+func (r *Reader) Remaining() int { return r.remaining }
 
 // Release returns the pooled buffer when everything read was consumed.
 func (r *Reader) Release() {
-	if r.big == nil {
+	if r.pooled == nil {
 		return
 	}
-	if n := r.Buffered(); n <= smallSize {
-		copy(r.small[:], r.big[r.r:r.w])
+	if n := r.Buffered(); n <= smallBufferSize {
+		copy(r.small[:], r.pooled[r.r:r.w])
 		r.r, r.w = 0, n
-		putBuffer(r.big)
-		r.big = nil
+		putBuffer(r.pooled)
+		r.pooled = nil
 	}
 }
 
@@ -54,8 +54,8 @@
 		}
 		buf := r.buf()
 		if r.r+n > len(buf) || r.w == len(buf) {
-			if r.big == nil && n > smallSize {
-				r.grow()
+			if r.pooled == nil && n > smallBufferSize {
+				r.usePooledBuffer()
 				continue
 			}
 			r.w = copy(buf, buf[r.r:r.w])
@@ -63,8 +63,8 @@
 		}
 		m, err := r.src.Read(buf[r.w:])
 		r.w += m
-		if m > 0 && r.big == nil && r.w == smallSize {
-			r.grow() // a full small buffer means that more is waiting
+		if m > 0 && r.pooled == nil && r.w == smallBufferSize {
+			r.usePooledBuffer() // a full small buffer means that more is waiting
 		}
 		if err != nil && r.Buffered() < n {
 			if err == io.EOF && r.Buffered() > 0 {
@@ -76,10 +76,10 @@
 	return nil
 }
 
-func (r *Reader) grow() {
-	big := getBuffer()
-	n := copy(big[:], r.small[r.r:r.w])
-	r.r, r.w, r.big = 0, n, big
+func (r *Reader) usePooledBuffer() {
+	pooled := getBuffer()
+	n := copy(pooled[:], r.small[r.r:r.w])
+	r.r, r.w, r.pooled = 0, n, pooled
 }
 
 // Peek returns the head of the next message without consuming it. It first
@@ -109,7 +109,7 @@
 		return Header{}, err
 	}
 	r.r += HeaderSize
-	r.left = h.Len
+	r.remaining = h.Len
 	return h, nil
 }
 
@@ -117,57 +117,57 @@
 // the next call. A body above BufferSize is read into a slice of its own, and
 // one above limit is an error of kind TooLarge, which leaves the body unread.
 func (r *Reader) Body(limit int) ([]byte, error) {
-	n := r.left
+	n := r.remaining
 	if n > limit {
 		return nil, siskin.NewError(siskin.TooLarge, "message of %d bytes is above the limit of %d", n, limit).
 			WithRemedy("send the data in smaller statements or with COPY")
 	}
 	if n > BufferSize {
-		return r.longBody()
+		return r.readLargeBody()
 	}
 	if err := r.fill(n); err != nil {
 		return nil, err
 	}
 	body := r.buf()[r.r : r.r+n : r.r+n]
 	r.r += n
-	r.left = 0
+	r.remaining = 0
 	return body, nil
 }
 
-// longBody reads a body into a slice that grows with what arrives, so that a
+// readLargeBody reads a body into a slice that grows with what arrives, so that a
 // head alone cannot make this program allocate.
-func (r *Reader) longBody() ([]byte, error) {
+func (r *Reader) readLargeBody() ([]byte, error) {
 	var body []byte
-	for r.left > 0 {
+	for r.remaining > 0 {
 		if r.Buffered() == 0 {
 			if err := r.fill(1); err != nil {
 				return nil, err
 			}
 		}
-		m := min(r.left, r.Buffered())
+		m := min(r.remaining, r.Buffered())
 		body = append(body, r.buf()[r.r:r.r+m]...)
 		r.r += m
-		r.left -= m
+		r.remaining -= m
 	}
 	return body, nil
 }
 
 // CopyBody copies the rest of the current message's body to w.
 func (r *Reader) CopyBody(w *Writer) error {
-	for r.left > 0 {
+	for r.remaining > 0 {
 		if r.Buffered() == 0 {
-			if r.left > smallSize && r.big == nil {
+			if r.remaining > smallBufferSize && r.pooled == nil {
 				r.r, r.w = 0, 0
-				r.grow()
+				r.usePooledBuffer()
 			}
 			if err := r.fill(1); err != nil {
 				return err
 			}
 		}
-		n := min(r.left, r.Buffered())
+		n := min(r.remaining, r.Buffered())
 		err := w.Raw(r.buf()[r.r : r.r+n])
 		r.r += n
-		r.left -= n
+		r.remaining -= n
 		if err != nil {
 			return err
 		}
@@ -177,15 +177,15 @@
 
 // Skip discards the rest of the current message's body.
 func (r *Reader) Skip() error {
-	for r.left > 0 {
+	for r.remaining > 0 {
 		if r.Buffered() == 0 {
 			if err := r.fill(1); err != nil {
 				return err
 			}
 		}
-		n := min(r.left, r.Buffered())
+		n := min(r.remaining, r.Buffered())
 		r.r += n
-		r.left -= n
+		r.remaining -= n
 	}
 	return nil
 }
--- a/internal/frame/writer.go
+++ b/internal/frame/writer.go
@@ -14,11 +14,11 @@
 	buf *[BufferSize]byte
 	n   int
 	err error
-	// torn says that the body of the last message is not complete.
-	torn bool
-	// head is part of the Writer, since a local array would be allocated for
+	// truncated says that the body of the last message is not complete.
+	truncated bool
+	// header is part of the Writer, since a local array would be allocated for
 	// each message.
-	head [HeaderSize]byte
+	header [HeaderSize]byte
 }
 
 // NewWriter returns a Writer to dst.
@@ -52,8 +52,8 @@
 
 // Header appends the head of a message whose body follows with Raw.
 func (w *Writer) Header(h Header) error {
-	w.head = h.Bytes()
-	return w.Raw(w.head[:])
+	w.header = h.Bytes()
+	return w.Raw(w.header[:])
 }
 
 // Message appends the encoded form of m.
@@ -79,18 +79,18 @@
 // Copy appends the current message of r, whose head is h. When r ends in the
 // middle of the body, nothing may follow; see Truncated.
 func (w *Writer) Copy(h Header, r *Reader) error {
-	w.torn = true
+	w.truncated = true
 	err := w.Header(h)
 	if err == nil {
 		err = r.CopyBody(w)
 	}
-	w.torn = err != nil
+	w.truncated = err != nil
 	return err
 }
 
 // Truncated reports whether the last Copy ended within its message. The reader would
 // take whatever follows for the rest of that message.
-func (w *Writer) Truncated() bool { return w.torn }
+func (w *Writer) Truncated() bool { return w.truncated }
 
 func (w *Writer) write() {
 	if w.n > 0 && w.err == nil {
--- a/internal/peer/activity.go
+++ b/internal/peer/activity.go
@@ -5,74 +5,74 @@
 	"time"
 )
 
-// activity decides when a connection is silent or idle. A connection is
+// keepalive decides when a connection is silent or idle. A connection is
 // silent when requests wait for an answer and nothing arrived for the silent
 // time; given-up requests count as waiting. Halfway a ping tells a slow
 // handler from a silent connection.
-type activity struct {
-	mu          sync.Mutex
-	now         func() time.Time
-	silentAfter time.Duration
-	idleAfter   time.Duration
-	waiting     int       // requests without an answer
-	since       time.Time // last answer, or the first request that waits
-	lastUse     time.Time
-	pinged      time.Time // last ping since the last answer; zero when there was none
+type keepalive struct {
+	mu              sync.Mutex
+	now             func() time.Time
+	timeout         time.Duration
+	idleTimeout     time.Duration
+	pending         int       // requests without an answer
+	unansweredSince time.Time // last answer, or the first request that waits
+	lastUsed        time.Time
+	pingedAt        time.Time // last ping since the last answer; zero when there was none
 }
 
-func newActivity(cfg *Config, now func() time.Time) *activity {
-	return &activity{now: now, silentAfter: cfg.KeepaliveTimeout, idleAfter: cfg.IdleTimeout, lastUse: now(), since: now()}
+func newKeepalive(cfg *Config, now func() time.Time) *keepalive {
+	return &keepalive{now: now, timeout: cfg.KeepaliveTimeout, idleTimeout: cfg.IdleTimeout, lastUsed: now(), unansweredSince: now()}
 }
 
-func (a *activity) sent() {
+func (a *keepalive) sent() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lastUse = a.now()
-	if a.waiting == 0 {
-		a.since = a.lastUse
+	a.lastUsed = a.now()
+	if a.pending == 0 {
+		a.unansweredSince = a.lastUsed
 	}
-	a.waiting++
+	a.pending++
 }
 
-func (a *activity) received() {
+func (a *keepalive) received() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.waiting--
-	a.since = a.now()
-	a.pinged = time.Time{}
+	a.pending--
+	a.unansweredSince = a.now()
+	a.pingedAt = time.Time{}
 }
 
-// verdict is what to do with a connection.
-type verdict int
+// action is what to do with a connection.
+type action int
 
 const (
-	keep verdict = iota
-	ping
+	keepOpen action = iota
+	sendPing
 	closeIdle
-	closeSilent
+	closeUnresponsive
 )
 
 // check returns what to do now, and when to check again.
-func (a *activity) check() (verdict, time.Duration) {
+func (a *keepalive) check() (action, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
-	if a.waiting <= 0 {
-		if idle := now.Sub(a.lastUse); idle >= a.idleAfter {
+	if a.pending <= 0 {
+		if idle := now.Sub(a.lastUsed); idle >= a.idleTimeout {
 			return closeIdle, 0
 		}
 		// Also short enough to notice a request soon that starts to wait. A VM has
 		// dozens of idle connections, and each look wakes it up.
-		return keep, a.silentAfter / 4
+		return keepOpen, a.timeout / 4
 	}
-	silent := now.Sub(a.since)
+	waited := now.Sub(a.unansweredSince)
 	switch {
-	case silent >= a.silentAfter/2 && a.pinged.IsZero():
-		a.pinged = now
-		return ping, a.silentAfter / 8
-	case silent >= a.silentAfter && now.Sub(a.pinged) >= a.silentAfter/2:
-		return closeSilent, 0
+	case waited >= a.timeout/2 && a.pingedAt.IsZero():
+		a.pingedAt = now
+		return sendPing, a.timeout / 8
+	case waited >= a.timeout && now.Sub(a.pingedAt) >= a.timeout/2:
+		return closeUnresponsive, 0
 	default:
-		return keep, a.silentAfter / 8
+		return keepOpen, a.timeout / 8
 	}
 }
--- a/internal/peer/activity_test.go
+++ b/internal/peer/activity_test.go
@@ -9,12 +9,12 @@
 // ping because this VM was paused while a slow handler ran.
 func TestPausedVM(t *testing.T) {
 	now := time.Unix(1000, 0)
-	a := newActivity(&Config{KeepaliveTimeout: time.Second, IdleTimeout: time.Minute}, func() time.Time { return now })
+	a := newKeepalive(&Config{KeepaliveTimeout: time.Second, IdleTimeout: time.Minute}, func() time.Time { return now })
 	a.sent()
 	for _, step := range []struct {
 		after time.Duration
-		want  verdict
-	}{{3 * time.Second, ping}, {400 * time.Millisecond, keep}, {100 * time.Millisecond, closeSilent}} {
+		want  action
+	}{{3 * time.Second, sendPing}, {400 * time.Millisecond, keepOpen}, {100 * time.Millisecond, closeUnresponsive}} {
 		now = now.Add(step.after)
 		if got, _ := a.check(); got != step.want {
 			t.Errorf("%v later: got verdict %d, want %d", step.after, got, step.want)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,25 +21,25 @@
 
 // Client implements siskin.Peers.
 type Client struct {
-	cfg      Config
-	counters counters
-	silent   atomic.Int64
-
-	mu     sync.Mutex
-	lookup func(siskin.VMID) (address string, ok bool)
-	slots  map[siskin.VMID]*slot
-	ctx    context.Context // ends at Close
-	stop   context.CancelFunc
-	done   sync.WaitGroup
+	cfg          Config
+	counters     counters
+	unresponsive atomic.Int64
+
+	mu      sync.Mutex
+	lookup  func(siskin.VMID) (address string, ok bool)
+	entries map[siskin.VMID]*connEntry
+	ctx     context.Context // ends at Close
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 }
 
-// slot holds the connection to one peer, or the attempt to open it.
-type slot struct {
-	conn *clientConn
-	dial *dial
+// connEntry holds the connection to one peer, or the attempt to open it.
+type connEntry struct {
+	conn        *clientConn
+	dialAttempt *dialAttempt
 }
 
-type dial struct {
+type dialAttempt struct {
 	ready chan struct{}
 	conn  *clientConn
 	err   error
@@ -51,7 +51,7 @@
 // which may be nil until SetLookup.
 func NewClient(cfg Config, lookup func(siskin.VMID) (string, bool)) *Client {
 	cfg.setDefaults()
-	c := &Client{cfg: cfg, lookup: lookup, slots: make(map[siskin.VMID]*slot)}
+	c := &Client{cfg: cfg, lookup: lookup, entries: make(map[siskin.VMID]*connEntry)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	return c
 }
@@ -92,7 +92,7 @@
 		if kind := siskin.KindOf(call.Error); kind != siskin.Internal {
 			return call.Error
 		}
-		if cc.silent.Load() {
+		if cc.unresponsive.Load() {
 			return c.unavailable(vm, method, errors.New("the connection is silent"))
 		}
 		return c.unavailable(vm, method, call.Error)
@@ -122,7 +122,7 @@
 	}
 }
 
-func (c *Client) connOrDial(vm siskin.VMID) (*dial, *clientConn, error) {
+func (c *Client) connOrDial(vm siskin.VMID) (*dialAttempt, *clientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx.Err() != nil {
@@ -135,40 +135,40 @@
 	if !ok {
 		return nil, nil, errors.New("the address of the VM is not known")
 	}
-	s := c.slots[vm]
-	if s == nil {
-		s = &slot{}
-		c.slots[vm] = s
+	e := c.entries[vm]
+	if e == nil {
+		e = &connEntry{}
+		c.entries[vm] = e
 	}
-	if s.conn != nil {
+	if e.conn != nil {
 		select {
-		case <-s.conn.w.stop:
-			s.conn = nil
+		case <-e.conn.w.stop:
+			e.conn = nil
 		default:
-			if s.conn.address == address {
-				return nil, s.conn, nil
+			if e.conn.address == address {
+				return nil, e.conn, nil
 			}
-			s.conn.w.close() // the VM has moved
-			s.conn = nil
+			e.conn.w.close() // the VM has moved
+			e.conn = nil
 		}
 	}
-	if s.dial == nil {
-		s.dial = &dial{ready: make(chan struct{})}
-		d := s.dial
-		c.done.Go(func() { c.open(vm, address, s, d) })
+	if e.dialAttempt == nil {
+		e.dialAttempt = &dialAttempt{ready: make(chan struct{})}
+		d := e.dialAttempt
+		c.wg.Go(func() { c.open(vm, address, e, d) })
 	}
-	return s.dial, nil, nil
+	return e.dialAttempt, nil, nil
 }
 
 // open opens a connection independently of the callers that wait for it.
-func (c *Client) open(vm siskin.VMID, address string, s *slot, d *dial) {
+func (c *Client) open(vm siskin.VMID, address string, e *connEntry, d *dialAttempt) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.cfg.DialTimeout)
 	defer cancel()
 	d.conn, d.err = c.dialConn(ctx, vm, address)
 	c.mu.Lock()
-	s.conn, s.dial = d.conn, nil
-	if s.conn == nil {
-		delete(c.slots, vm)
+	e.conn, e.dialAttempt = d.conn, nil
+	if e.conn == nil {
+		delete(c.entries, vm)
 	}
 	c.mu.Unlock()
 	close(d.ready)
@@ -177,14 +177,14 @@
 	}
 	<-d.conn.closed
 	c.mu.Lock()
-	if s.conn == d.conn && s.dial == nil {
-		delete(c.slots, vm)
+	if e.conn == d.conn && e.dialAttempt == nil {
+		delete(c.entries, vm)
 	}
 	c.mu.Unlock()
 }
 
-// tlsFor returns the TLS settings for one address.
-func (c *Client) tlsFor(address string) *tls.Config {
+// tlsConfig returns the TLS settings for one address.
+func (c *Client) tlsConfig(address string) *tls.Config {
 	cfg := c.cfg.TLS.Clone()
 	if cfg.ServerName == "" {
 		cfg.ServerName, _, _ = net.SplitHostPort(address)
@@ -197,6 +197,6 @@
 	c.mu.Lock()
 	c.stop()
 	c.mu.Unlock()
-	c.done.Wait()
+	c.wg.Wait()
 	return nil
 }
--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -11,13 +11,13 @@
 // clientCodec implements rpc.ClientCodec over frames. The client serializes
 // reads and, separately, writes.
 type clientCodec struct {
-	cfg      *Config
-	counters *counters
-	to       siskin.VMID
-	r        *bufio.Reader
-	w        *writer
-	activity *activity
-	answer   frame
+	cfg       *Config
+	counters  *counters
+	to        siskin.VMID
+	r         *bufio.Reader
+	w         *writer
+	keepalive *keepalive
+	response  frame
 }
 
 // WriteRequest implements rpc.ClientCodec.
@@ -32,21 +32,21 @@
 	}
 	c.counters.sent(r.ServiceMethod, len(f))
 	if c.cfg.dropped(c.cfg.Self, c.to) {
-		c.activity.sent()
+		c.keepalive.sent()
 		return nil
 	}
 	if err := c.w.send(f); err != nil {
 		return err
 	}
-	c.activity.sent()
+	c.keepalive.sent()
 	return nil
 }
 
 // ReadResponseHeader implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	f, size, err := readFrame(c.r, c.cfg.MaxMessage)
-	if err == nil && f.kind != answerFrame && f.kind != errorFrame {
-		err = errMalformed
+	if err == nil && f.kind != responseFrame && f.kind != errorFrame {
+		err = errMalformedFrame
 	}
 	if err != nil {
 		// net/rpc stops reading and keeps the codec open, so that every later
@@ -54,9 +54,9 @@
 		c.w.close()
 		return err
 	}
-	c.activity.received()
+	c.keepalive.received()
 	c.counters.received(f.method, size)
-	c.answer = f
+	c.response = f
 	r.ServiceMethod, r.Seq = f.method, f.seq
 	if f.kind == errorFrame {
 		r.Error = string(f.body)
@@ -68,7 +68,7 @@
 // caller, since a call may have been given up in the meantime.
 func (c *clientCodec) ReadResponseBody(body any) error {
 	if raw, ok := body.(*json.RawMessage); ok {
-		*raw = c.answer.body
+		*raw = c.response.body
 	}
 	return nil
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -18,12 +18,12 @@
 
 // clientConn is one connection to a peer.
 type clientConn struct {
-	client   *rpc.Client
-	w        *writer
-	activity *activity
-	address  string
-	silent   atomic.Bool
-	closed   chan struct{}
+	client       *rpc.Client
+	w            *writer
+	keepalive    *keepalive
+	address      string
+	unresponsive atomic.Bool
+	closed       chan struct{}
 }
 
 // dialConn opens a connection and exchanges the Hello frames. The peer must be
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	if c.cfg.TLS != nil {
-		conn = tls.Client(conn, c.tlsFor(address))
+		conn = tls.Client(conn, c.tlsConfig(address))
 	}
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetDeadline(deadline)
@@ -61,15 +61,15 @@
 
 func (c *Client) startConn(conn net.Conn, r *bufio.Reader, id siskin.VMID, address string) *clientConn {
 	cc := &clientConn{
-		w:        newWriter(conn, c.cfg.KeepaliveTimeout),
-		activity: newActivity(&c.cfg, time.Now),
-		address:  address,
-		closed:   make(chan struct{}),
+		w:         newWriter(conn, c.cfg.KeepaliveTimeout),
+		keepalive: newKeepalive(&c.cfg, time.Now),
+		address:   address,
+		closed:    make(chan struct{}),
 	}
-	codec := &clientCodec{cfg: &c.cfg, counters: &c.counters, to: id, r: r, w: cc.w, activity: cc.activity}
+	codec := &clientCodec{cfg: &c.cfg, counters: &c.counters, to: id, r: r, w: cc.w, keepalive: cc.keepalive}
 	cc.client = rpc.NewClientWithCodec(codec)
-	c.done.Go(cc.w.run)
-	c.done.Go(func() { c.watchConn(cc) })
+	c.wg.Go(cc.w.run)
+	c.wg.Go(func() { c.watchConn(cc) })
 	return cc
 }
 
@@ -77,7 +77,7 @@
 func (c *Client) watchConn(cc *clientConn) {
 	defer close(cc.closed)
 	defer cc.client.Close()
-	_, wait := cc.activity.check()
+	_, wait := cc.keepalive.check()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -88,15 +88,15 @@
 			return
 		case <-timer.C:
 		}
-		v, wait := cc.activity.check()
-		switch v {
-		case closeSilent:
-			cc.silent.Store(true)
-			c.silent.Add(1)
+		next, wait := cc.keepalive.check()
+		switch next {
+		case closeUnresponsive:
+			cc.unresponsive.Store(true)
+			c.unresponsive.Add(1)
 			return
 		case closeIdle:
 			return
-		case ping:
+		case sendPing:
 			cc.client.Go(pingMethod, struct{}{}, new(json.RawMessage), make(chan *rpc.Call, 1))
 		}
 		timer.Reset(wait)
@@ -107,15 +107,15 @@
 	if _, err := conn.Write(frame{kind: helloFrame, body: []byte(self)}.encode()); err != nil {
 		return "", err
 	}
-	f, _, err := readFrame(r, maxHello)
+	f, _, err := readFrame(r, maxHelloSize)
 	if err != nil {
 		return "", err
 	}
 	if f.kind != helloFrame {
-		return "", errMalformed
+		return "", errMalformedFrame
 	}
 	return siskin.VMID(f.body), nil
 }
 
-// maxHello bounds the first frame of a peer that is not known yet.
-const maxHello siskin.Bytes = 512
+// maxHelloSize bounds the first frame of a peer that is not known yet.
+const maxHelloSize siskin.Bytes = 512
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -23,7 +23,7 @@
 	byMethod sync.Map // string to *methodCounters
 }
 
-func (c *counters) of(method string) *methodCounters {
+func (c *counters) forMethod(method string) *methodCounters {
 	if m, ok := c.byMethod.Load(method); ok {
 		return m.(*methodCounters)
 	}
@@ -32,13 +32,13 @@
 }
 
 func (c *counters) sent(method string, bytes int) {
-	m := c.of(method)
+	m := c.forMethod(method)
 	m.sent.Add(1)
 	m.sentBytes.Add(int64(bytes))
 }
 
 func (c *counters) received(method string, bytes int) {
-	m := c.of(method)
+	m := c.forMethod(method)
 	m.received.Add(1)
 	m.receivedBytes.Add(int64(bytes))
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -13,7 +13,7 @@
 const (
 	helloFrame frameKind = iota + 1
 	requestFrame
-	answerFrame
+	responseFrame
 	errorFrame
 )
 
@@ -25,7 +25,7 @@
 	body   []byte
 }
 
-var errMalformed = errors.New("malformed frame")
+var errMalformedFrame = errors.New("malformed frame")
 
 // encode returns the frame with its length in front.
 func (f frame) encode() []byte {
@@ -42,20 +42,20 @@
 // parseFrame decodes a frame without its length. The body refers to b.
 func parseFrame(b []byte) (frame, error) {
 	if len(b) == 0 {
-		return frame{}, errMalformed
+		return frame{}, errMalformedFrame
 	}
 	f := frame{kind: frameKind(b[0])}
 	if f.kind < helloFrame || f.kind > errorFrame {
-		return frame{}, errMalformed
+		return frame{}, errMalformedFrame
 	}
 	b = b[1:]
 	seq, n := binary.Uvarint(b)
 	if n <= 0 {
-		return frame{}, errMalformed
+		return frame{}, errMalformedFrame
 	}
 	size, m := binary.Uvarint(b[n:])
 	if m <= 0 || size > uint64(len(b)-n-m) {
-		return frame{}, errMalformed
+		return frame{}, errMalformedFrame
 	}
 	b = b[n+m:]
 	f.seq, f.method, f.body = seq, string(b[:size]), b[size:]
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -9,9 +9,9 @@
 // Links is a fault hook for tests that share it among the VMs of one process:
 // it drops the frames of links that are cut. The zero value drops nothing.
 type Links struct {
-	mu    sync.RWMutex
-	group map[siskin.VMID]int
-	cut   map[link]bool
+	mu        sync.RWMutex
+	partition map[siskin.VMID]int
+	cut       map[link]bool
 }
 
 type link struct{ from, to siskin.VMID }
@@ -37,12 +37,12 @@
 func (l *Links) Isolate(vms ...siskin.VMID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.group == nil {
-		l.group = make(map[siskin.VMID]int)
+	if l.partition == nil {
+		l.partition = make(map[siskin.VMID]int)
 	}
-	group := len(l.group) + 1
+	partition := len(l.partition) + 1
 	for _, vm := range vms {
-		l.group[vm] = group
+		l.partition[vm] = partition
 	}
 }
 
@@ -50,12 +50,12 @@
 func (l *Links) Heal() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.group, l.cut = nil, nil
+	l.partition, l.cut = nil, nil
 }
 
 // Drop implements the hook Config.Drop.
 func (l *Links) Drop(from, to siskin.VMID) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return l.group[from] != l.group[to] || l.cut[link{from, to}]
+	return l.partition[from] != l.partition[to] || l.cut[link{from, to}]
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -42,8 +42,8 @@
 // Fail returns an error.
 func (e *Echo) Fail(*Args, *string) error { return errors.New("failed on purpose") }
 
-// pair starts a server "b" and a client "a" of it.
-func pair(t testing.TB, server, client Config, echo *Echo) (*Server, *Client) {
+// startPair starts a server "b" and a client "a" of it.
+func startPair(t testing.TB, server, client Config, echo *Echo) (*Server, *Client) {
 	t.Helper()
 	server.Self, client.Self = "b", "a"
 	s, err := Listen(server, "127.0.0.1:0")
@@ -60,8 +60,8 @@
 	return s, c
 }
 
-func call(c *Client, vm siskin.VMID, method string, args *Args, limit time.Duration) (string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+func call(c *Client, vm siskin.VMID, method string, args *Args, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var reply string
 	err := c.Call(ctx, vm, method, args, &reply)
@@ -73,7 +73,7 @@
 // another VM at an address that moved.
 func TestCalls(t *testing.T) {
 	limits := Config{MaxMessage: 1000}
-	_, c := pair(t, limits, limits, &Echo{})
+	_, c := startPair(t, limits, limits, &Echo{})
 	for _, tt := range []struct {
 		vm     siskin.VMID
 		method string
@@ -104,14 +104,14 @@
 	t.Parallel()
 	var links Links
 	cfg := Config{Drop: links.Drop}
-	_, c := pair(t, cfg, cfg, &Echo{})
+	_, c := startPair(t, cfg, cfg, &Echo{})
 	if _, err := call(c, "b", "Echo.Do", &Args{Wait: 4 * time.Second}, 5*time.Second); err != nil {
 		t.Errorf("slow handler: got %v, want success", err)
 	}
 	links.CutOneWay("b", "a")
-	begun := time.Now()
+	start := time.Now()
 	_, err := call(c, "b", "Echo.Do", &Args{}, 10*time.Second)
-	if took := time.Since(begun); siskin.KindOf(err) != siskin.Unavailable || took > 3*time.Second {
+	if took := time.Since(start); siskin.KindOf(err) != siskin.Unavailable || took > 3*time.Second {
 		t.Errorf("silent connection: got %v after %v, want Unavailable within 3 s", err, took)
 	}
 	links.Heal()
@@ -123,7 +123,7 @@
 // TestIdle guards against connections that stay open for good.
 func TestIdle(t *testing.T) {
 	cfg := Config{KeepaliveTimeout: 80 * time.Millisecond, IdleTimeout: 100 * time.Millisecond}
-	s, c := pair(t, cfg, cfg, &Echo{})
+	s, c := startPair(t, cfg, cfg, &Echo{})
 	for range 2 {
 		if _, err := call(c, "b", "Echo.Do", &Args{}, time.Second); err != nil {
 			t.Fatal(err)
@@ -139,7 +139,7 @@
 // without bound, and against a busy VM that looks silent.
 func TestConcurrency(t *testing.T) {
 	echo := &Echo{running: make(chan struct{}, 100)}
-	s, c := pair(t, Config{MaxConcurrent: 2, MaxQueued: 3}, Config{KeepaliveTimeout: 100 * time.Millisecond}, echo)
+	s, c := startPair(t, Config{MaxConcurrent: 2, MaxQueued: 3}, Config{KeepaliveTimeout: 100 * time.Millisecond}, echo)
 	const calls = 20
 	results := make(chan error, calls)
 	for range calls {
@@ -176,7 +176,7 @@
 		cfg  *tls.Config
 		ok   bool
 	}{{"fleet", fleet, true}, {"no certificate", withoutCertificate, false}, {"plain", nil, false}} {
-		_, c := pair(t, Config{TLS: fleet}, Config{TLS: tt.cfg, DialTimeout: 500 * time.Millisecond}, &Echo{})
+		_, c := startPair(t, Config{TLS: fleet}, Config{TLS: tt.cfg, DialTimeout: 500 * time.Millisecond}, &Echo{})
 		_, err := call(c, "b", "Echo.Do", &Args{}, time.Second)
 		if got := err == nil; got != tt.ok {
 			t.Errorf("%s: got %v, want success %v", tt.name, err, tt.ok)
@@ -192,19 +192,19 @@
 	f.Add([]byte{2, 1, 1, 'x', '{', '}'})
 	f.Add([]byte{2, 1, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		one, err := parseFrame(b)
+		decoded, err := parseFrame(b)
 		if err != nil {
 			return
 		}
-		two, err := parseFrame(one.encode()[4:])
-		if err != nil || two.seq != one.seq || two.method != one.method || string(two.body) != string(one.body) {
-			t.Errorf("got %v (%v), want %v", two, err, one)
+		reencoded, err := parseFrame(decoded.encode()[4:])
+		if err != nil || reencoded.seq != decoded.seq || reencoded.method != decoded.method || string(reencoded.body) != string(decoded.body) {
+			t.Errorf("got %v (%v), want %v", reencoded, err, decoded)
 		}
 	})
 }
 
 func BenchmarkCall(b *testing.B) {
-	_, c := pair(b, Config{}, Config{}, &Echo{})
+	_, c := startPair(b, Config{}, Config{}, &Echo{})
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := call(c, "b", "Echo.Do", &Args{Text: "x"}, time.Second); err != nil {
@@ -217,7 +217,7 @@
 // caller waits for its deadline without an answer.
 func TestPanicInHandler(t *testing.T) {
 	var lines bytes.Buffer
-	s, c := pair(t, Config{Log: &log.Logger{Writer: &log.IOWriter{Writer: &lines}}}, Config{}, &Echo{})
+	s, c := startPair(t, Config{Log: &log.Logger{Writer: &log.IOWriter{Writer: &lines}}}, Config{}, &Echo{})
 	start := time.Now()
 	if _, err := call(c, "b", "Echo.Panic", &Args{}, 5*time.Second); err == nil || time.Since(start) > time.Second {
 		t.Errorf("call of a handler that panics: got %v after %v, want an error at once", err, time.Since(start))
--- a/internal/peer/restart_test.go
+++ b/internal/peer/restart_test.go
@@ -8,7 +8,7 @@
 // TestRestartedPeer guards against a connection that its peer closed and that
 // is used until it is idle, so that a restarted VM cannot be called.
 func TestRestartedPeer(t *testing.T) {
-	s, c := pair(t, Config{}, Config{}, &Echo{})
+	s, c := startPair(t, Config{}, Config{}, &Echo{})
 	if _, err := call(c, "b", "Echo.Do", &Args{Text: "x"}, time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -16,22 +16,22 @@
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
-	again, err := Listen(Config{Self: "b"}, address)
+	restarted, err := Listen(Config{Self: "b"}, address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer again.Close()
-	if err := again.Register("Echo", &Echo{}); err != nil {
+	defer restarted.Close()
+	if err := restarted.Register("Echo", &Echo{}); err != nil {
 		t.Fatal(err)
 	}
-	again.Serve()
+	restarted.Serve()
 	const limit = 3 * time.Second // the stated time in which broken connections are replaced
-	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+	for start := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		got, err := call(c, "b", "Echo.Do", &Args{Text: "y"}, time.Second)
 		if err == nil && got == "y" {
 			return
 		}
-		if time.Since(began) > limit {
+		if time.Since(start) > limit {
 			t.Fatalf("call after the restart: got %q, %v after %v, want y", got, err, limit)
 		}
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,7 +25,7 @@
 	counters counters
 	refused  atomic.Int64
 	panics   atomic.Int64
-	done     sync.WaitGroup
+	wg       sync.WaitGroup
 
 	mu     sync.Mutex
 	closed bool
@@ -66,7 +66,7 @@
 
 // Serve accepts connections in the background until Close.
 func (s *Server) Serve() {
-	s.done.Go(func() {
+	s.wg.Go(func() {
 		for {
 			conn, err := s.listener.Accept()
 			if err != nil {
@@ -76,7 +76,7 @@
 				time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
 				continue
 			}
-			s.done.Go(func() { s.serveConn(conn) })
+			s.wg.Go(func() { s.serveConn(conn) })
 		}
 	})
 }
@@ -115,7 +115,7 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	s.done.Go(w.run)
+	s.wg.Go(w.run)
 	for {
 		// The client closes idle connections; a client that vanished does not.
 		_ = conn.SetReadDeadline(time.Now().Add(s.cfg.IdleTimeout + 2*s.cfg.KeepaliveTimeout))
@@ -131,7 +131,7 @@
 // busy VM does not look silent.
 func (s *Server) serve(codec *serverCodec) {
 	if codec.request.method == pingMethod {
-		codec.reply(answerFrame, []byte("{}"))
+		codec.reply(responseFrame, []byte("{}"))
 		return
 	}
 	if err := s.pool.Go(func() { s.handle(codec) }); err != nil {
@@ -168,7 +168,7 @@
 	}
 	s.mu.Unlock()
 	_ = s.listener.Close()
-	s.done.Wait()
+	s.wg.Wait()
 	s.pool.StopAndWait()
 	return nil
 }
--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -43,7 +43,7 @@
 		c.reply(errorFrame, []byte("cannot encode the answer: "+err.Error()))
 		return nil
 	}
-	c.reply(answerFrame, b)
+	c.reply(responseFrame, b)
 	return nil
 }
 
@@ -54,7 +54,7 @@
 	if siskin.Bytes(len(b)) > c.s.cfg.MaxMessage {
 		b = frame{errorFrame, c.request.seq, c.request.method, []byte("the answer exceeds the message size limit")}.encode()
 	}
-	if kind == answerFrame {
+	if kind == responseFrame {
 		c.s.counters.sent(c.request.method, len(b))
 	}
 	if !c.s.cfg.dropped(c.s.cfg.Self, c.peer) {
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -28,7 +28,7 @@
 func (c *Client) Stats() Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Stats{Methods: c.counters.snapshot(), Unresponsive: c.silent.Load(), Connections: len(c.slots)}
+	return Stats{Methods: c.counters.snapshot(), Unresponsive: c.unresponsive.Load(), Connections: len(c.entries)}
 }
 
 // Stats returns the present counts.
--- a/internal/peer/writer.go
+++ b/internal/peer/writer.go
@@ -8,9 +8,9 @@
 	"siskintray.example/siskin"
 )
 
-// writeQueue is the number of frames that wait for one connection. A silent
+// writeQueueSize is the number of frames that wait for one connection. A silent
 // peer fills it; further frames are then refused and not kept in memory.
-const writeQueue = 256
+const writeQueueSize = 256
 
 // writer sends frames in the background, so that a call never waits for a
 // blocked connection, and joins waiting frames into one write.
@@ -23,7 +23,7 @@
 }
 
 func newWriter(conn net.Conn, timeout time.Duration) *writer {
-	return &writer{conn: conn, timeout: timeout, frames: make(chan []byte, writeQueue), stop: make(chan struct{})}
+	return &writer{conn: conn, timeout: timeout, frames: make(chan []byte, writeQueueSize), stop: make(chan struct{})}
 }
 
 func (w *writer) send(b []byte) error {
@@ -36,7 +36,7 @@
 	case w.frames <- b:
 		return nil
 	default:
-		return siskin.NewError(siskin.Overloaded, "%d messages wait for the connection already", writeQueue).WithRemedy("retry later")
+		return siskin.NewError(siskin.Overloaded, "%d messages wait for the connection already", writeQueueSize).WithRemedy("retry later")
 	}
 }
 
@@ -47,7 +47,7 @@
 		case <-w.stop:
 			return
 		case b := <-w.frames:
-			b = w.join(b)
+			b = w.coalesce(b)
 			_ = w.conn.SetWriteDeadline(time.Now().Add(w.timeout))
 			if _, err := w.conn.Write(b); err != nil {
 				w.close()
@@ -57,8 +57,8 @@
 	}
 }
 
-// join appends waiting frames to b, up to the size of a TLS record.
-func (w *writer) join(b []byte) []byte {
+// coalesce appends waiting frames to b, up to the size of a TLS record.
+func (w *writer) coalesce(b []byte) []byte {
 	for len(b) < 16<<10 {
 		select {
 		case next := <-w.frames:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,32 +18,32 @@
 
 // Names of the environment variables.
 const (
-	lengthVariable = "SISKIN_SOAK"
-	seedVariable   = "SISKIN_SEED"
+	durationEnv = "SISKIN_SOAK"
+	seedEnv     = "SISKIN_SEED"
 )
 
 // RunDuration returns the length of a soak run, or short when none is set.
-func RunDuration(short time.Duration) time.Duration {
-	text, ok := os.LookupEnv(lengthVariable)
+func RunDuration(fallback time.Duration) time.Duration {
+	text, ok := os.LookupEnv(durationEnv)
 	if !ok {
-		return short
+		return fallback
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil || d <= 0 {
-		panic(lengthVariable + " must be a positive duration such as 10m, not " + strconv.Quote(text))
+		panic(durationEnv + " must be a positive duration such as 10m, not " + strconv.Quote(text))
 	}
 	return d
 }
 
 // Seed returns the first seed, or usual when none is set.
-func Seed(usual uint64) uint64 {
-	text, ok := os.LookupEnv(seedVariable)
+func Seed(fallback uint64) uint64 {
+	text, ok := os.LookupEnv(seedEnv)
 	if !ok {
-		return usual
+		return fallback
 	}
 	seed, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		panic(seedVariable + " must be a number of 64 bits, not " + strconv.Quote(text))
+		panic(seedEnv + " must be a number of 64 bits, not " + strconv.Quote(text))
 	}
 	return seed
 }
@@ -67,8 +67,8 @@
 func Rapid(t *testing.T, run func(t *testing.T)) {
 	t.Helper()
 	f := flag.Lookup("rapid.seed")
-	before := f.Value.String()
-	defer func() { _ = f.Value.Set(before) }()
+	previous := f.Value.String()
+	defer func() { _ = f.Value.Set(previous) }()
 	Each(t, func(t *testing.T, seed uint64) {
 		if err := f.Value.Set(strconv.FormatUint(max(seed, 1), 10)); err != nil {
 			t.Fatal(err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,8 +8,8 @@
 
 // TestEach guards against a soak run that ends early or repeats one seed.
 func TestEach(t *testing.T) {
-	t.Setenv(lengthVariable, "20ms")
-	t.Setenv(seedVariable, "7")
+	t.Setenv(durationEnv, "20ms")
+	t.Setenv(seedEnv, "7")
 	var seeds []uint64
 	start := time.Now()
 	Each(t, func(_ *testing.T, seed uint64) {
@@ -27,7 +27,7 @@
 // TestVariables guards against a mistyped length that gives a short run which
 // looks like a long one.
 func TestVariables(t *testing.T) {
-	t.Setenv(lengthVariable, "10")
+	t.Setenv(durationEnv, "10")
 	defer func() {
 		if recover() == nil {
 			t.Error("got no panic for a length without a unit, want one")
--- a/internal/stats/label.go
+++ b/internal/stats/label.go
@@ -13,10 +13,10 @@
 // later ones become Other, so that thousands of customers do not make thousands
 // of series.
 type LabelLimiter struct {
-	max    int64
-	known  *shard.Map[string, bool] // value: has its own name
-	count  atomic.Int64
-	capped atomic.Int64
+	max       int64
+	known     *shard.Map[string, bool] // value: has its own name
+	count     atomic.Int64
+	overLimit atomic.Int64
 }
 
 // NewLabelLimiter returns a label with at most limit values besides Other.
@@ -32,7 +32,7 @@
 	}
 	// Names above the bound are not recorded, so that memory stays bounded.
 	if l.count.Load() >= l.max {
-		l.capped.Add(1)
+		l.overLimit.Add(1)
 		return Other
 	}
 	own := l.known.GetOrCreate(name, func() bool { return l.count.Add(1) <= l.max })
--- a/internal/stats/reporter.go
+++ b/internal/stats/reporter.go
@@ -41,10 +41,10 @@
 	return &reporter{families: map[string]*family{}, limit: limit}
 }
 
-// get returns the series, or a series that is not shown above the limit or when
+// lookupOrCreate returns the series, or a series that is not shown above the limit or when
 // the name is in use for another kind.
-func (r *reporter) get(kind, name string, tags map[string]string) *series {
-	name, labels := cleanName(name), labelText(tags)
+func (r *reporter) lookupOrCreate(kind, name string, tags map[string]string) *series {
+	name, labels := sanitizeName(name), formatLabels(tags)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f, ok := r.families[name]
@@ -80,12 +80,12 @@
 
 // AllocateCounter implements tally.CachedStatsReporter.
 func (r *reporter) AllocateCounter(name string, tags map[string]string) tally.CachedCount {
-	return r.get("counter", name, tags)
+	return r.lookupOrCreate("counter", name, tags)
 }
 
 // AllocateGauge implements tally.CachedStatsReporter.
 func (r *reporter) AllocateGauge(name string, tags map[string]string) tally.CachedGauge {
-	return r.get("gauge", name, tags)
+	return r.lookupOrCreate("gauge", name, tags)
 }
 
 // timerBuckets are the upper bounds of timers in seconds, from below a local
@@ -94,12 +94,12 @@
 
 // AllocateTimer implements tally.CachedStatsReporter.
 func (r *reporter) AllocateTimer(name string, tags map[string]string) tally.CachedTimer {
-	return r.get("histogram", name, tags)
+	return r.lookupOrCreate("histogram", name, tags)
 }
 
 // AllocateHistogram implements tally.CachedStatsReporter.
 func (r *reporter) AllocateHistogram(name string, tags map[string]string, _ tally.Buckets) tally.CachedHistogram {
-	return r.get("histogram", name, tags)
+	return r.lookupOrCreate("histogram", name, tags)
 }
 
 // ReportCount implements tally.CachedCount; the value is the growth since the
@@ -154,8 +154,8 @@
 	b.s.mu.Unlock()
 }
 
-// cleanName replaces characters that Prometheus does not accept in names.
-func cleanName(s string) string {
+// sanitizeName replaces characters that Prometheus does not accept in names.
+func sanitizeName(s string) string {
 	return strings.Map(func(c rune) rune {
 		if c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '_' {
 			return c
@@ -166,11 +166,11 @@
 
 var escapeLabel = strings.NewReplacer(`\`, `\\`, "\n", `\n`, `"`, `\"`)
 
-// labelText returns labels in their text form, ordered by name.
-func labelText(tags map[string]string) string {
+// formatLabels returns labels in their text form, ordered by name.
+func formatLabels(tags map[string]string) string {
 	parts := make([]string, 0, len(tags))
 	for name, value := range tags {
-		parts = append(parts, cleanName(name)+`="`+escapeLabel.Replace(strings.ToValidUTF8(value, "?"))+`"`)
+		parts = append(parts, sanitizeName(name)+`="`+escapeLabel.Replace(strings.ToValidUTF8(value, "?"))+`"`)
 	}
 	slices.Sort(parts)
 	return strings.Join(parts, ",")
--- a/internal/stats/text.go
+++ b/internal/stats/text.go
@@ -33,7 +33,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if kind != "histogram" {
-		fmt.Fprintf(out, "%s%s %s\n", name, braces(s.labels), formatValue(s.value))
+		fmt.Fprintf(out, "%s%s %s\n", name, bracedLabels(s.labels), formatValue(s.value))
 		return
 	}
 	sep := ""
@@ -51,12 +51,12 @@
 	fmt.Fprintf(out, "%s_bucket{%s%sle=\"+Inf\"} %d\n", name, s.labels, sep, total)
 	// Histograms of tally keep no sum; timers do.
 	if s.value > 0 {
-		fmt.Fprintf(out, "%s_sum%s %s\n", name, braces(s.labels), formatValue(s.value))
+		fmt.Fprintf(out, "%s_sum%s %s\n", name, bracedLabels(s.labels), formatValue(s.value))
 	}
-	fmt.Fprintf(out, "%s_count%s %d\n", name, braces(s.labels), total)
+	fmt.Fprintf(out, "%s_count%s %d\n", name, bracedLabels(s.labels), total)
 }
 
-func braces(labels string) string {
+func bracedLabels(labels string) string {
 	if labels == "" {
 		return ""
 	}
