--- a/internal/home/observe_test.go
+++ b/internal/home/observe_test.go
@@ -55,12 +55,12 @@
 		t.Fatal(err)
 	}
 	time.Sleep(50 * time.Millisecond)
-	over, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
+	expired, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
 	defer cancel()
-	if _, _, err := f.homes.Observe(over, id); err == nil {
+	if _, _, err := f.homes.Observe(expired, id); err == nil {
 		t.Error("status request after its deadline: got an answer, want an error")
 	}
-	if _, err := f.homes.Control(over, id, siskin.Statement{Kind: siskin.Status}); err == nil {
+	if _, err := f.homes.Control(expired, id, siskin.Statement{Kind: siskin.Status}); err == nil {
 		t.Error("control statement after its deadline: got an answer, want an error")
 	}
 	if got := f.target(1).Opened(); got != 2 {
@@ -72,9 +72,9 @@
 	}
 }
 
-// TestStarted guards against a run of a replica that is assumed to be longer
-// than its connection or the lists of service discovery show: a list requested
-// just after the connection was opened may not include an earlier restart.
+// TestStarted guards against an assumed uptime of a replica that is longer than
+// its connection or the lists of service discovery prove: a list requested just
+// after the connection was opened may not include an earlier restart.
 func TestStarted(t *testing.T) {
 	f := fenced(t)
 	for _, c := range []struct {
@@ -95,7 +95,7 @@
 	}
 	f.homes.cfg.LeaseConfig.Listed = func(siskin.TargetID) (since, listed time.Time, ok bool) { return since, f.homes.cfg.Clock.Now(), false }
 	if got := f.homes.cfg.Clock.Since(f.homes.runningSince("t", 10*time.Second)); got > 11*time.Second {
-		t.Errorf("not listed: got a start %v ago, want what the connection shows", got)
+		t.Errorf("not listed: got a start %v ago, want at most the age of the connection", got)
 	}
 }
 
@@ -130,8 +130,8 @@
 
 // TestEnsureControlConn guards against an unused replica whose home has no
 // connection to it, so that it could not confirm a primary after a failover. It
-// also guards against control connections that take the place of those for
-// callers.
+// also guards against control connections that use up the target's connection
+// limit, which callers need.
 func TestEnsureControlConn(t *testing.T) {
 	f := fenced(t)
 	id := f.target(1).ID()
@@ -156,12 +156,12 @@
 	}
 	l.trim(f.homes.cfg.Clock.Now().Add(2*controlIdleTimeout), false)
 	if l.control.c != nil {
-		t.Error("control connection while one of callers is open: got one, want it closed")
+		t.Error("control connection while a connection for callers is open: got one, want it closed")
 	}
 	l.control.lastEnsure.Store(0)
 	f.homes.EnsureControlConn(id)
 	if got := opened(); got != 2 {
-		t.Errorf("connections while one of callers is open: got %d, want no further one", got)
+		t.Errorf("connections while a connection for callers is open: got %d, want no further one", got)
 	}
 }
 
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -11,8 +11,8 @@
 
 func at(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
 
-func proof(id siskin.TargetID, number siskin.LSN, ms int) PrimaryProof {
-	return PrimaryProof{Target: id, Position: siskin.Position{Term: 1, LSN: number}, At: at(ms)}
+func proof(id siskin.TargetID, lsn siskin.LSN, ms int) PrimaryProof {
+	return PrimaryProof{Target: id, Position: siskin.Position{Term: 1, LSN: lsn}, At: at(ms)}
 }
 
 // TestProofs guards against an older proof that replaces a newer one, and
@@ -51,8 +51,9 @@
 	}
 }
 
-// TestLatestProof guards against a floor that counts as newer than its request, such
-// as the old position combined with the time of a proof that had no position.
+// TestLatestProof guards against a position that is combined with the time of a
+// later proof, for instance of one that has no position. The position may then
+// lack commits that were acknowledged before that time.
 func TestLatestProof(t *testing.T) {
 	v := New()
 	v.RecordProof("s", proof("a", 7, 100))
--- a/pkg/place/tier_test.go
+++ b/pkg/place/tier_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// TestTiers guards against resources of a mixed fleet that land on its weak VMs,
-// and against strong VMs that do not share them evenly.
+// TestTiers guards against resources that are placed on the small VMs of a mixed
+// fleet, and against an uneven spread over its large VMs.
 func TestTiers(t *testing.T) {
 	var vms []siskin.VM
 	for i := range 50 {
@@ -29,7 +29,7 @@
 	}
 	for _, vm := range vms {
 		got := count[vm.ID]
-		if weak := vm.Capacity < 800; weak && got > 0 || !weak && (got < 800 || got > 1200) {
+		if small := vm.Capacity < 800; small && got > 0 || !small && (got < 800 || got > 1200) {
 			t.Errorf("resources of %s with capacity %d: got %d of 4000", vm.ID, vm.Capacity, got)
 		}
 	}
