peer, stats, boot, frame, soak: comments and messages reworded

Comments and messages described connections and clocks figuratively. They now use the terms of the field: unresponsive, keepalive, queue, response.

--- a/internal/boot/clock.go
+++ b/internal/boot/clock.go
@@ -1,6 +1,6 @@
 // Package boot provides a clock that also counts the time during which the VM
-// was suspended. Go's monotonic clock stands still in that time, so an age or a
-// lease measured with it would look younger than it is.
+// was suspended. Go's monotonic clock does not advance during a suspension, so
+// the age of data or of a lease measured with it would be too small.
 package boot
 
 import (
@@ -11,13 +11,13 @@
 	"siskintray.example/siskin"
 )
 
-// Clock is the clock of time since boot. Its times have no meaning outside of
+// Clock reads CLOCK_BOOTTIME. Its times are only comparable within one boot of
 // this VM.
 type Clock struct{}
 
 var _ siskin.Clock = Clock{}
 
-// Now returns the time since boot as a time after the epoch.
+// Now returns the time since boot, expressed as an offset from the Unix epoch.
 func (Clock) Now() time.Time {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
--- a/internal/frame/batch.go
+++ b/internal/frame/batch.go
@@ -1,7 +1,7 @@
 package frame
 
-// Batch collects the messages of one caller batch in a pooled buffer, so that
-// nothing of it is sent before it is complete and it can be sent again.
+// Batch collects the messages of one batch of a caller in a pooled buffer, so
+// that no part is sent before the batch is complete and the batch can be resent.
 type Batch struct {
 	buf *[BufferSize]byte
 	n   int
@@ -18,7 +18,7 @@
 // Fits reports whether n more bytes fit.
 func (b *Batch) Fits(n int) bool { return b.n+n <= BufferSize }
 
-// Append adds the parts when they fit together and reports whether they did.
+// Append adds the parts if all of them fit and reports whether they did.
 func (b *Batch) Append(parts ...[]byte) bool {
 	size := 0
 	for _, p := range parts {
@@ -36,7 +36,7 @@
 	return true
 }
 
-// Reset drops the messages and returns the buffer to the pool.
+// Reset discards the messages and returns the buffer to the pool.
 func (b *Batch) Reset() {
 	b.n = 0
 	if b.buf != nil {
--- a/internal/frame/buffer.go
+++ b/internal/frame/buffer.go
@@ -6,8 +6,8 @@
 // relayed stream holds per direction.
 const BufferSize = 32 << 10
 
-// smallBufferSize is the buffer that a connection keeps while it is idle. Most
-// statements fit into it.
+// smallBufferSize is the size of the buffer that a connection keeps while idle.
+// Most statements fit into it.
 const smallBufferSize = 512
 
 var buffers = sync.Pool{New: func() any { return new([BufferSize]byte) }}
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestCopyKeepsEveryByte guards against a relayed stream that loses, doubles or
-// reorders bytes at any size of messages and reads.
+// TestCopyKeepsEveryByte guards against a relayed stream that loses, duplicates
+// or reorders bytes, for all sizes of messages and reads.
 func TestCopyKeepsEveryByte(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var src bytes.Buffer
@@ -56,7 +56,8 @@
 	})
 }
 
-// FuzzReader guards against a panic or a read beyond the stream on any bytes.
+// FuzzReader guards against a panic or a read beyond the end of the stream on
+// arbitrary input.
 func FuzzReader(f *testing.F) {
 	f.Add([]byte{'Q', 0, 0, 0, 8, 'a', 'b', 'c', 0})
 	f.Add([]byte{'Q', 0, 0, 0, 3})
--- a/internal/frame/reader.go
+++ b/internal/frame/reader.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// Reader reads messages from a stream. While idle it holds a small buffer; it
-// takes a pooled one when a message or a burst needs more.
+// Reader reads messages from a stream. It holds a small buffer while idle and
+// takes a pooled one when a message or a burst of messages needs more.
 type Reader struct {
 	src       io.Reader
 	small     [smallBufferSize]byte
@@ -30,10 +30,11 @@
 // Buffered returns the number of bytes read from the stream but not consumed.
 func (r *Reader) Buffered() int { return r.w - r.r }
 
-// Remaining returns the unread body bytes of the current message.
+// Remaining returns the number of unread body bytes of the current message.
 func (r *Reader) Remaining() int { return r.remaining }
 
-// Release returns the pooled buffer when everything read was consumed.
+// Release returns the pooled buffer if the unconsumed bytes fit into the small
+// one.
 func (r *Reader) Release() {
 	if r.pooled == nil {
 		return
@@ -64,7 +65,7 @@
 		m, err := r.src.Read(buf[r.w:])
 		r.w += m
 		if m > 0 && r.pooled == nil && r.w == smallBufferSize {
-			r.usePooledBuffer() // a full small buffer means that more is waiting
+			r.usePooledBuffer() // a full small buffer suggests that more data is available
 		}
 		if err != nil && r.Buffered() < n {
 			if err == io.EOF && r.Buffered() > 0 {
@@ -82,9 +83,8 @@
 	r.r, r.w, r.pooled = 0, n, pooled
 }
 
-// Peek returns the head of the next message without consuming it. It first
-// discards what is left of the current message. An interrupted Peek can be
-// repeated.
+// Peek returns the header of the next message without consuming it. It first
+// discards the rest of the current message. An interrupted Peek can be repeated.
 func (r *Reader) Peek() (Header, error) {
 	if err := r.Skip(); err != nil {
 		return Header{}, err
@@ -101,7 +101,7 @@
 	return Header{Type: b[0], Len: int(n) - 4}, nil
 }
 
-// Next consumes the head of the next message and returns it. The body is then
+// Next consumes and returns the header of the next message. The body is then
 // read with Body, CopyBody or Skip.
 func (r *Reader) Next() (Header, error) {
 	h, err := r.Peek()
@@ -114,8 +114,8 @@
 }
 
 // Body returns the rest of the current message's body. The slice is valid until
-// the next call. A body above BufferSize is read into a slice of its own, and
-// one above limit is an error of kind TooLarge, which leaves the body unread.
+// the next call. A body above BufferSize is read into a newly allocated slice. A
+// body above limit is an error of kind TooLarge and is left unread.
 func (r *Reader) Body(limit int) ([]byte, error) {
 	n := r.remaining
 	if n > limit {
@@ -134,8 +134,8 @@
 	return body, nil
 }
 
-// readLargeBody reads a body into a slice that grows with what arrives, so that a
-// head alone cannot make this program allocate.
+// readLargeBody reads a body into a slice that grows with the data received, so
+// that a header alone cannot cause a large allocation.
 func (r *Reader) readLargeBody() ([]byte, error) {
 	var body []byte
 	for r.remaining > 0 {
--- a/internal/frame/writer.go
+++ b/internal/frame/writer.go
@@ -8,16 +8,16 @@
 }
 
 // Writer collects messages in a pooled buffer, which it holds only until the
-// next Flush. Its first error sticks.
+// next Flush. After the first error, all later writes return that error.
 type Writer struct {
 	dst io.Writer
 	buf *[BufferSize]byte
 	n   int
 	err error
-	// truncated says that the body of the last message is not complete.
+	// truncated is true if the body of the last message is incomplete.
 	truncated bool
-	// header is part of the Writer, since a local array would be allocated for
-	// each message.
+	// header is a field because a local array would be allocated for each
+	// message.
 	header [HeaderSize]byte
 }
 
@@ -27,7 +27,7 @@
 // Buffered returns the number of bytes not yet flushed.
 func (w *Writer) Buffered() int { return w.n }
 
-// Err returns the first write error.
+// Err returns the first error.
 func (w *Writer) Err() error { return w.err }
 
 // Raw appends b and flushes whenever the buffer is full.
@@ -50,7 +50,7 @@
 	return w.err
 }
 
-// Header appends the head of a message whose body follows with Raw.
+// Header appends the header of a message whose body is then written with Raw.
 func (w *Writer) Header(h Header) error {
 	w.header = h.Bytes()
 	return w.Raw(w.header[:])
@@ -70,14 +70,14 @@
 		return err
 	}
 	if w.n+len(b) < BufferSize {
-		w.n += len(b) // Encode wrote into the buffer in place
+		w.n += len(b) // Encode wrote directly into the buffer
 		return nil
 	}
 	return w.Raw(b)
 }
 
-// Copy appends the current message of r, whose head is h. When r ends in the
-// middle of the body, nothing may follow; see Truncated.
+// Copy appends the current message of r, whose header is h. If it fails within
+// the body, nothing may be written after it; see Truncated.
 func (w *Writer) Copy(h Header, r *Reader) error {
 	w.truncated = true
 	err := w.Header(h)
@@ -88,8 +88,8 @@
 	return err
 }
 
-// Truncated reports whether the last Copy ended within its message. The reader would
-// take whatever follows for the rest of that message.
+// Truncated reports whether the last Copy ended within its message. The receiver
+// would read any further bytes as the rest of that message.
 func (w *Writer) Truncated() bool { return w.truncated }
 
 func (w *Writer) write() {
@@ -99,7 +99,7 @@
 	w.n = 0
 }
 
-// Flush writes what is buffered and returns the buffer to the pool.
+// Flush writes the buffered bytes and returns the buffer to the pool.
 func (w *Writer) Flush() error {
 	if w.buf == nil {
 		return w.err
@@ -110,7 +110,7 @@
 	return w.err
 }
 
-// Discard drops what is buffered.
+// Discard drops the buffered bytes and returns the buffer to the pool.
 func (w *Writer) Discard() {
 	w.n = 0
 	if w.buf != nil {
--- a/internal/peer/activity.go
+++ b/internal/peer/activity.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// keepalive decides when a connection is silent or idle. A connection is
-// silent when requests wait for an answer and nothing arrived for the silent
-// time; given-up requests count as waiting. Halfway a ping tells a slow
-// handler from a silent connection.
+// keepalive decides when a connection is unresponsive or idle. A connection is
+// unresponsive when requests are pending and no response arrived within the
+// timeout; cancelled requests count as pending. A ping after half the timeout
+// distinguishes a slow handler from an unresponsive connection.
 type keepalive struct {
 	mu              sync.Mutex
 	now             func() time.Time
 	timeout         time.Duration
 	idleTimeout     time.Duration
-	pending         int       // requests without an answer
-	unansweredSince time.Time // last answer, or the first request that waits
+	pending         int       // requests without a response
+	unansweredSince time.Time // last response, or the first pending request
 	lastUsed        time.Time
-	pingedAt        time.Time // last ping since the last answer; zero when there was none
+	pingedAt        time.Time // last ping since the last response; zero if none
 }
 
 func newKeepalive(cfg *Config, now func() time.Time) *keepalive {
@@ -42,7 +42,7 @@
 	a.pingedAt = time.Time{}
 }
 
-// action is what to do with a connection.
+// action is the result of a keepalive check.
 type action int
 
 const (
@@ -52,7 +52,7 @@
 	closeUnresponsive
 )
 
-// check returns what to do now, and when to check again.
+// check returns the action to take and the time until the next check.
 func (a *keepalive) check() (action, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -61,8 +61,8 @@
 		if idle := now.Sub(a.lastUsed); idle >= a.idleTimeout {
 			return closeIdle, 0
 		}
-		// Also short enough to notice a request soon that starts to wait. A VM has
-		// dozens of idle connections, and each look wakes it up.
+		// Short enough to notice a newly pending request in time, but no shorter:
+		// a VM has dozens of idle connections, and each check wakes it up.
 		return keepOpen, a.timeout / 4
 	}
 	waited := now.Sub(a.unansweredSince)
--- a/internal/peer/activity_test.go
+++ b/internal/peer/activity_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// TestPausedVM guards against a connection that is taken as silent without a
-// ping because this VM was paused while a slow handler ran.
+// TestPausedVM guards against a connection that is closed as unresponsive
+// without a ping because this VM was paused while a slow handler ran.
 func TestPausedVM(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := newKeepalive(&Config{KeepaliveTimeout: time.Second, IdleTimeout: time.Minute}, func() time.Time { return now })
@@ -17,7 +17,7 @@
 	}{{3 * time.Second, sendPing}, {400 * time.Millisecond, keepOpen}, {100 * time.Millisecond, closeUnresponsive}} {
 		now = now.Add(step.after)
 		if got, _ := a.check(); got != step.want {
-			t.Errorf("%v later: got verdict %d, want %d", step.after, got, step.want)
+			t.Errorf("%v later: got action %d, want %d", step.after, got, step.want)
 		}
 	}
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,8 +15,8 @@
 	"siskintray.example/siskin"
 )
 
-// ErrNotSent is in the chain of an error of Call when the peer cannot have
-// received the call.
+// ErrNotSent is wrapped by the errors of Call that guarantee that the peer did
+// not receive the call.
 var ErrNotSent = errors.New("the call was not sent")
 
 // Client implements siskin.Peers.
@@ -28,7 +28,7 @@
 	mu      sync.Mutex
 	lookup  func(siskin.VMID) (address string, ok bool)
 	entries map[siskin.VMID]*connEntry
-	ctx     context.Context // ends at Close
+	ctx     context.Context // cancelled by Close
 	stop    context.CancelFunc
 	wg      sync.WaitGroup
 }
@@ -47,8 +47,8 @@
 
 var _ siskin.Peers = (*Client)(nil)
 
-// NewClient returns a client that finds the addresses of VMs with lookup,
-// which may be nil until SetLookup.
+// NewClient returns a client that resolves the addresses of VMs with lookup,
+// which may be nil until SetLookup is called.
 func NewClient(cfg Config, lookup func(siskin.VMID) (string, bool)) *Client {
 	cfg.setDefaults()
 	c := &Client{cfg: cfg, lookup: lookup, entries: make(map[siskin.VMID]*connEntry)}
@@ -56,19 +56,19 @@
 	return c
 }
 
-// SetLookup replaces the function that finds the addresses of VMs.
+// SetLookup replaces the function that resolves the addresses of VMs.
 func (c *Client) SetLookup(lookup func(siskin.VMID) (string, bool)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lookup = lookup
 }
 
-// isAddressID recognizes the ids that siskin.AddressID returns.
+// isAddressID reports whether vm is an id returned by siskin.AddressID.
 func isAddressID(vm siskin.VMID) bool { return strings.HasPrefix(string(vm), "@") }
 
-// Call implements siskin.Peers. An error of kind Unavailable says that no
-// answer arrived; the method may have run all the same. An error that the
-// method returned has kind Internal.
+// Call implements siskin.Peers. An error of kind Unavailable means that no
+// response arrived; unless it wraps ErrNotSent, the method may have run. An
+// error that the method returned has kind Internal.
 func (c *Client) Call(ctx context.Context, vm siskin.VMID, method string, args, reply any) error {
 	if _, ok := ctx.Deadline(); !ok {
 		return siskin.NewError(siskin.Internal, "call of %s without a deadline", method).WithRemedy("pass a context with a deadline")
@@ -93,22 +93,22 @@
 			return call.Error
 		}
 		if cc.unresponsive.Load() {
-			return c.unavailable(vm, method, errors.New("the connection is silent"))
+			return c.unavailable(vm, method, errors.New("the connection is unresponsive"))
 		}
 		return c.unavailable(vm, method, call.Error)
 	}
 	if err := json.Unmarshal(*raw, reply); err != nil {
-		return siskin.NewError(siskin.BadInput, "the answer of %s at %s is malformed", method, vm).WithCause(err)
+		return siskin.NewError(siskin.BadInput, "the response to %s from %s is malformed", method, vm).WithCause(err)
 	}
 	return nil
 }
 
 func (c *Client) unavailable(vm siskin.VMID, method string, err error) error {
-	return siskin.NewError(siskin.Unavailable, "%s at %s gave no answer", method, vm).WithCause(err).WithRemedy("retry at another VM")
+	return siskin.NewError(siskin.Unavailable, "%s at %s: no response", method, vm).WithCause(err).WithRemedy("retry at another VM")
 }
 
-// conn returns the connection to vm and opens it when there is none. Callers
-// that come while it is opened wait for the same attempt.
+// conn returns the connection to vm and opens it if there is none. Concurrent
+// callers share one dial attempt.
 func (c *Client) conn(ctx context.Context, vm siskin.VMID) (*clientConn, error) {
 	d, cc, err := c.connOrDial(vm)
 	if d == nil {
@@ -148,7 +148,7 @@
 			if e.conn.address == address {
 				return nil, e.conn, nil
 			}
-			e.conn.w.close() // the VM has moved
+			e.conn.w.close() // the address of the VM changed
 			e.conn = nil
 		}
 	}
@@ -160,7 +160,9 @@
 	return e.dialAttempt, nil, nil
 }
 
-// open opens a connection independently of the callers that wait for it.
+// open opens a connection and removes its entry when the connection closes. It
+// runs in the background, so that a caller that gives up does not cancel the
+// attempt for the others.
 func (c *Client) open(vm siskin.VMID, address string, e *connEntry, d *dialAttempt) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.cfg.DialTimeout)
 	defer cancel()
@@ -192,7 +194,7 @@
 	return cfg
 }
 
-// Close closes all connections and waits for them.
+// Close closes all connections and waits for their goroutines.
 func (c *Client) Close() error {
 	c.mu.Lock()
 	c.stop()
--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin"
 )
 
-// clientCodec implements rpc.ClientCodec over frames. The client serializes
+// clientCodec implements rpc.ClientCodec over frames. rpc.Client serializes
 // reads and, separately, writes.
 type clientCodec struct {
 	cfg       *Config
@@ -49,8 +49,8 @@
 		err = errMalformedFrame
 	}
 	if err != nil {
-		// net/rpc stops reading and keeps the codec open, so that every later
-		// call on the connection would fail.
+		// After a read error net/rpc leaves the codec open, and every later call
+		// on the connection would fail.
 		c.w.close()
 		return err
 	}
@@ -64,8 +64,8 @@
 	return nil
 }
 
-// ReadResponseBody implements rpc.ClientCodec. The body is decoded by the
-// caller, since a call may have been given up in the meantime.
+// ReadResponseBody implements rpc.ClientCodec. The caller decodes the body,
+// since it may have cancelled the call in the meantime.
 func (c *clientCodec) ReadResponseBody(body any) error {
 	if raw, ok := body.(*json.RawMessage); ok {
 		*raw = c.response.body
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -18,13 +18,13 @@
 	// with Plaintext.
 	TLS *tls.Config
 	// Plaintext allows connections without TLS outside of loopback. It is meant
-	// for a network that belongs to the deployment alone.
+	// for a network that only the deployment uses.
 	Plaintext bool
 	// MaxMessage bounds one frame; zero means 4 MB.
 	MaxMessage siskin.Bytes
-	// KeepaliveTimeout is the time without an answer, pings included, after which a
-	// connection is replaced; zero means 2.5 s. Silent connections must be
-	// found within 3 s.
+	// KeepaliveTimeout is the time without a response to calls and pings after
+	// which a connection is replaced; zero means 2.5 s, since unresponsive
+	// connections must be detected within 3 s.
 	KeepaliveTimeout time.Duration
 	// IdleTimeout is the time without a call after which a connection is closed;
 	// zero means 30 s.
@@ -34,10 +34,10 @@
 	// MaxConcurrent bounds the handlers that run at once, and MaxQueued the
 	// requests that wait for one; zero means 64 and 1024.
 	MaxConcurrent, MaxQueued int
-	// Log takes faults of handlers; nil means log.DefaultLogger.
+	// Log receives the panics of handlers; nil means log.DefaultLogger.
 	Log *log.Logger
-	// Drop is a fault hook for tests: a frame from one VM to another is
-	// dropped when it returns true. See Links.
+	// Drop is a fault injection hook for tests: a frame from one VM to another
+	// is dropped if it returns true. See Links.
 	Drop func(from, to siskin.VMID) bool
 }
 
@@ -60,20 +60,21 @@
 	}
 }
 
-// dropped reports whether the fault hook drops a frame.
+// dropped reports whether Drop drops a frame.
 func (cfg *Config) dropped(from, to siskin.VMID) bool {
 	return cfg.Drop != nil && cfg.Drop(from, to)
 }
 
-// checkAddress refuses plain connections outside of loopback.
+// checkAddress rejects addresses outside of loopback that would be used without
+// TLS, unless Plaintext is set.
 func (cfg *Config) checkAddress(address string) error {
 	host, _, err := net.SplitHostPort(address)
 	ip := net.ParseIP(host)
 	if err != nil || ip == nil {
-		return siskin.NewError(siskin.BadInput, "peer address %q is no IP number and port", address).WithRemedy("write it as in 10.0.0.1:7000")
+		return siskin.NewError(siskin.BadInput, "peer address %q is not an IP address and port", address).WithRemedy("use the form 10.0.0.1:7000")
 	}
 	if cfg.TLS == nil && !cfg.Plaintext && !ip.IsLoopback() {
-		return siskin.NewError(siskin.BadInput, "peer address %s needs TLS", address).WithRemedy("set the certificates of the peer connection")
+		return siskin.NewError(siskin.BadInput, "peer address %s requires TLS", address).WithRemedy("set the certificates of the peer connection")
 	}
 	return nil
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -13,7 +13,7 @@
 	"siskintray.example/siskin"
 )
 
-// pingMethod is answered by every Server.
+// pingMethod is the keepalive method, which every Server answers.
 const pingMethod = "Peer.Ping"
 
 // clientConn is one connection to a peer.
@@ -26,14 +26,14 @@
 	closed       chan struct{}
 }
 
-// dialConn opens a connection and exchanges the Hello frames. The peer must be
-// the expected VM, so that an address that moved to another VM is not used.
+// dialConn opens a connection and exchanges Hello frames. It fails if the peer
+// is not the expected VM, since the address may now belong to another VM.
 func (c *Client) dialConn(ctx context.Context, vm siskin.VMID, address string) (*clientConn, error) {
 	if err := c.cfg.checkAddress(address); err != nil {
 		return nil, err
 	}
 	if c.cfg.dropped(c.cfg.Self, vm) || c.cfg.dropped(vm, c.cfg.Self) {
-		<-ctx.Done() // a link that is cut loses the packets that open a connection
+		<-ctx.Done() // a cut link also loses the packets that open a connection
 		return nil, ctx.Err()
 	}
 	var d net.Dialer
@@ -73,7 +73,8 @@
 	return cc
 }
 
-// watchConn closes the connection when it is silent or idle.
+// watchConn sends keepalive pings and closes the connection when it is
+// unresponsive or idle.
 func (c *Client) watchConn(cc *clientConn) {
 	defer close(cc.closed)
 	defer cc.client.Close()
@@ -117,5 +118,5 @@
 	return siskin.VMID(f.body), nil
 }
 
-// maxHelloSize bounds the first frame of a peer that is not known yet.
+// maxHelloSize bounds the first frame, whose sender is not yet identified.
 const maxHelloSize siskin.Bytes = 512
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -5,11 +5,13 @@
 	"sync/atomic"
 )
 
-// MethodStats are the counts of one method at one end.
+// MethodStats are the message counts of one method, seen from a Client or a
+// Server.
 type MethodStats struct {
-	// Sent and Received count messages: requests and answers.
+	// Sent and Received count messages: requests and responses.
 	Sent, Received int64
-	// SentBytes and ReceivedBytes count frames without TLS and TCP.
+	// SentBytes and ReceivedBytes count the bytes of frames, without the
+	// overhead of TLS and TCP.
 	SentBytes, ReceivedBytes int64
 }
 
@@ -17,8 +19,8 @@
 	sent, received, sentBytes, receivedBytes atomic.Int64
 }
 
-// counters counts messages by method. Names come from the frames that this VM
-// sent or whose method is registered here, so their number is bounded.
+// counters counts messages by method. Only methods that this VM calls or has
+// registered are counted, so that the number of names is bounded.
 type counters struct {
 	byMethod sync.Map // string to *methodCounters
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -17,7 +17,7 @@
 	errorFrame
 )
 
-// frame is one message. The body of an errorFrame is its text.
+// frame is one message. The body of an errorFrame is the error text.
 type frame struct {
 	kind   frameKind
 	seq    uint64
@@ -27,7 +27,7 @@
 
 var errMalformedFrame = errors.New("malformed frame")
 
-// encode returns the frame with its length in front.
+// encode returns the encoded frame with its length prefix.
 func (f frame) encode() []byte {
 	b := make([]byte, 4, 4+1+2*binary.MaxVarintLen64+len(f.method)+len(f.body))
 	b = append(b, byte(f.kind))
@@ -39,7 +39,8 @@
 	return b
 }
 
-// parseFrame decodes a frame without its length. The body refers to b.
+// parseFrame decodes a frame without its length prefix. The body of the result
+// aliases b.
 func parseFrame(b []byte) (frame, error) {
 	if len(b) == 0 {
 		return frame{}, errMalformedFrame
@@ -62,8 +63,8 @@
 	return f, nil
 }
 
-// readFrame reads one frame of at most limit bytes and returns its size on the
-// connection.
+// readFrame reads one frame of at most limit bytes and returns it with its
+// encoded size, length prefix included.
 func readFrame(r io.Reader, limit siskin.Bytes) (frame, int, error) {
 	var length [4]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -6,8 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// Links is a fault hook for tests that share it among the VMs of one process:
-// it drops the frames of links that are cut. The zero value drops nothing.
+// Links injects network faults in tests that run several VMs in one process and
+// share it among them: it drops the frames of links that are cut. The zero value
+// drops nothing.
 type Links struct {
 	mu        sync.RWMutex
 	partition map[siskin.VMID]int
@@ -32,8 +33,8 @@
 	l.cut[link{from, to}] = true
 }
 
-// Isolate puts VMs into a partition of their own: frames between them and all
-// other VMs are dropped.
+// Isolate moves VMs into a separate network partition: frames between them and
+// all other VMs are dropped.
 func (l *Links) Isolate(vms ...siskin.VMID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -53,7 +54,7 @@
 	l.partition, l.cut = nil, nil
 }
 
-// Drop implements the hook Config.Drop.
+// Drop reports whether a frame is dropped. It is a value for Config.Drop.
 func (l *Links) Drop(from, to siskin.VMID) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -36,7 +36,7 @@
 	return nil
 }
 
-// Panic fails by a fault of the program.
+// Panic panics.
 func (e *Echo) Panic(*Args, *string) error { panic("a fault on purpose") }
 
 // Fail returns an error.
@@ -68,9 +68,9 @@
 	return reply, err
 }
 
-// TestCalls guards against answers that reach the wrong call, calls that
+// TestCalls guards against responses that reach the wrong call, calls that
 // outlive their deadline, messages above the size limit, and calls that reach
-// another VM at an address that moved.
+// another VM which took over the address.
 func TestCalls(t *testing.T) {
 	limits := Config{MaxMessage: 1000}
 	_, c := startPair(t, limits, limits, &Echo{})
@@ -98,8 +98,8 @@
 	}
 }
 
-// TestSilentConnection guards against a connection that is used on after it
-// went silent, and against one that is cut because a handler is slow.
+// TestSilentConnection guards against a connection that stays in use after it
+// became unresponsive, and against one that is closed because a handler is slow.
 func TestSilentConnection(t *testing.T) {
 	t.Parallel()
 	var links Links
@@ -112,15 +112,15 @@
 	start := time.Now()
 	_, err := call(c, "b", "Echo.Do", &Args{}, 10*time.Second)
 	if took := time.Since(start); siskin.KindOf(err) != siskin.Unavailable || took > 3*time.Second {
-		t.Errorf("silent connection: got %v after %v, want Unavailable within 3 s", err, took)
+		t.Errorf("unresponsive connection: got %v after %v, want Unavailable within 3 s", err, took)
 	}
 	links.Heal()
 	if got, err := call(c, "b", "Echo.Do", &Args{Text: "x"}, 3*time.Second); got != "x" {
-		t.Errorf("after the link is back: got %q (%v), want x", got, err)
+		t.Errorf("after the link is restored: got %q (%v), want x", got, err)
 	}
 }
 
-// TestIdle guards against connections that stay open for good.
+// TestIdle guards against idle connections that are never closed.
 func TestIdle(t *testing.T) {
 	cfg := Config{KeepaliveTimeout: 80 * time.Millisecond, IdleTimeout: 100 * time.Millisecond}
 	s, c := startPair(t, cfg, cfg, &Echo{})
@@ -135,8 +135,8 @@
 	}
 }
 
-// TestConcurrency guards against a peer that makes this VM run handlers
-// without bound, and against a busy VM that looks silent.
+// TestConcurrency guards against a peer that makes this VM run an unbounded
+// number of handlers, and against a busy VM that is treated as unresponsive.
 func TestConcurrency(t *testing.T) {
 	echo := &Echo{running: make(chan struct{}, 100)}
 	s, c := startPair(t, Config{MaxConcurrent: 2, MaxQueued: 3}, Config{KeepaliveTimeout: 100 * time.Millisecond}, echo)
@@ -161,12 +161,12 @@
 		t.Error("refused requests: got 0, want more")
 	}
 	if got := c.Stats().Unresponsive; got != 0 {
-		t.Errorf("connections taken as silent: got %d, want 0", got)
+		t.Errorf("connections closed as unresponsive: got %d, want 0", got)
 	}
 }
 
 // TestTLS guards against peers without a certificate of the fleet, and against
-// plain connections outside of loopback.
+// plaintext connections outside of loopback.
 func TestTLS(t *testing.T) {
 	fleet := testTLS(t)
 	withoutCertificate := fleet.Clone()
@@ -183,11 +183,12 @@
 		}
 	}
 	if _, err := Listen(Config{}, "0.0.0.0:0"); siskin.KindOf(err) != siskin.BadInput {
-		t.Errorf("plain listener on all addresses: got %v, want BadInput", err)
+		t.Errorf("plaintext listener on all addresses: got %v, want BadInput", err)
 	}
 }
 
-// FuzzFrame guards against frames that crash the parser or change on the way.
+// FuzzFrame guards against frames that crash the parser, and frames that change
+// when they are encoded and parsed again.
 func FuzzFrame(f *testing.F) {
 	f.Add([]byte{2, 1, 1, 'x', '{', '}'})
 	f.Add([]byte{2, 1, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
@@ -213,8 +214,8 @@
 	}
 }
 
-// TestPanicInHandler guards against one message that ends the process, or whose
-// caller waits for its deadline without an answer.
+// TestPanicInHandler guards against a handler panic that ends the process, or
+// that leaves the caller without a response until its deadline.
 func TestPanicInHandler(t *testing.T) {
 	var lines bytes.Buffer
 	s, c := startPair(t, Config{Log: &log.Logger{Writer: &log.IOWriter{Writer: &lines}}}, Config{}, &Echo{})
--- a/internal/peer/restart_test.go
+++ b/internal/peer/restart_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// TestRestartedPeer guards against a connection that its peer closed and that
-// is used until it is idle, so that a restarted VM cannot be called.
+// TestRestartedPeer guards against a client that keeps using a connection which
+// its peer closed, so that calls to a restarted VM fail until the idle timeout.
 func TestRestartedPeer(t *testing.T) {
 	s, c := startPair(t, Config{}, Config{}, &Echo{})
 	if _, err := call(c, "b", "Echo.Do", &Args{Text: "x"}, time.Second); err != nil {
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	restarted.Serve()
-	const limit = 3 * time.Second // the stated time in which broken connections are replaced
+	const limit = 3 * time.Second // broken connections must be replaced within this time
 	for start := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		got, err := call(c, "b", "Echo.Do", &Args{Text: "y"}, time.Second)
 		if err == nil && got == "y" {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,7 +16,7 @@
 	"siskintray.example/siskin"
 )
 
-// Server serves the receivers of this VM to its peers.
+// Server serves calls of peers to the receivers registered at this VM.
 type Server struct {
 	cfg      Config
 	rpc      *rpc.Server
@@ -32,8 +32,8 @@
 	conns  map[*writer]struct{}
 }
 
-// Listen binds the address. Serving starts with Serve, after the receivers are
-// registered.
+// Listen returns a Server that listens on address. Call Serve after registering
+// the receivers.
 func Listen(cfg Config, address string) (*Server, error) {
 	cfg.setDefaults()
 	if err := cfg.checkAddress(address); err != nil {
@@ -52,11 +52,11 @@
 	}, nil
 }
 
-// Address returns the address that peers call.
+// Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Register publishes the exported methods of receiver under the given name, as
-// net/rpc describes. Arguments and answers travel as JSON.
+// net/rpc describes. Arguments and replies are encoded as JSON.
 func (s *Server) Register(name string, receiver any) error {
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
 		return siskin.NewError(siskin.Internal, "cannot register %s", name).WithCause(err)
@@ -73,7 +73,7 @@
 				if s.isClosed() {
 					return
 				}
-				time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
+				time.Sleep(10 * time.Millisecond) // most likely out of file descriptors
 				continue
 			}
 			s.wg.Go(func() { s.serveConn(conn) })
@@ -87,7 +87,7 @@
 	return s.closed
 }
 
-// track adds a connection unless the server is closed.
+// track adds a connection and returns true unless the server is closed.
 func (s *Server) track(w *writer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,7 +117,8 @@
 	_ = conn.SetDeadline(time.Time{})
 	s.wg.Go(w.run)
 	for {
-		// The client closes idle connections; a client that vanished does not.
+		// Clients close idle connections; the deadline is for clients that
+		// disappeared without closing theirs.
 		_ = conn.SetReadDeadline(time.Now().Add(s.cfg.IdleTimeout + 2*s.cfg.KeepaliveTimeout))
 		f, size, err := readFrame(r, s.cfg.MaxMessage)
 		if err != nil || f.kind != requestFrame {
@@ -127,8 +128,8 @@
 	}
 }
 
-// serve runs one request in the pool. Pings are answered at once, so that a
-// busy VM does not look silent.
+// serve runs one request in the pool. Pings bypass the pool, so that a busy VM
+// is not treated as unresponsive.
 func (s *Server) serve(codec *serverCodec) {
 	if codec.request.method == pingMethod {
 		codec.reply(responseFrame, []byte("{}"))
@@ -140,8 +141,8 @@
 	}
 }
 
-// handle runs one request. A handler that panics fails its caller at once and
-// leaves the VM running: one message must not end the service of all.
+// handle runs one request. If the handler panics, the caller receives an error
+// at once and the process continues, so that one message cannot crash the VM.
 func (s *Server) handle(codec *serverCodec) {
 	defer func() {
 		v := recover()
@@ -150,16 +151,17 @@
 		}
 		s.panics.Add(1)
 		s.cfg.Log.Error().Str("Method", codec.request.method).Str("Peer", string(codec.peer)).
-			Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).Msg("a request of a peer failed by a fault of this program")
+			Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).Msg("handler of a peer request panicked")
 		codec.reply(errorFrame, []byte("the request failed by a fault of the VM; retry at another VM"))
 	}()
-	_ = s.rpc.ServeRequest(codec) // its errors went to the caller
+	_ = s.rpc.ServeRequest(codec) // errors were sent to the caller
 }
 
-// Panics returns the number of requests that ended by a fault of the program.
+// Panics returns the number of requests whose handler panicked.
 func (s *Server) Panics() int64 { return s.panics.Load() }
 
-// Close stops accepting, closes all connections and waits for handlers.
+// Close stops accepting connections, closes all open ones and waits for the
+// handlers.
 func (s *Server) Close() error {
 	s.mu.Lock()
 	s.closed = true
--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -23,7 +23,7 @@
 }
 
 // ReadRequestBody implements rpc.ServerCodec. A nil body means that the method
-// does not exist, so only known names reach the counters.
+// does not exist; it is not counted, so that the number of names is bounded.
 func (c *serverCodec) ReadRequestBody(body any) error {
 	if body == nil {
 		return nil
@@ -47,8 +47,8 @@
 	return nil
 }
 
-// reply sends the answer. A connection that cannot take it is lost or silent,
-// which the peer finds out by itself.
+// reply queues a response frame. Send errors are ignored: the connection is
+// then closed or unresponsive, which the peer detects itself.
 func (c *serverCodec) reply(kind frameKind, body []byte) {
 	b := frame{kind, c.request.seq, c.request.method, body}.encode()
 	if siskin.Bytes(len(b)) > c.s.cfg.MaxMessage {
@@ -62,5 +62,5 @@
 	}
 }
 
-// Close implements rpc.ServerCodec. The connection outlives the request.
+// Close implements rpc.ServerCodec. The connection stays open after the request.
 func (c *serverCodec) Close() error { return nil }
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -1,12 +1,12 @@
 package peer
 
-// Stats are the counts of a Client or Server since its start.
+// Stats are the counters of a Client or Server since its start.
 type Stats struct {
 	// Methods holds the counts by method.
 	Methods map[string]MethodStats
-	// Unresponsive is the number of connections replaced as silent.
+	// Unresponsive is the number of connections closed as unresponsive.
 	Unresponsive int64
-	// Refused is the number of requests refused because too many ran.
+	// Refused is the number of requests refused because the pool was full.
 	Refused int64
 	// Connections is the number of open connections.
 	Connections int
@@ -24,14 +24,14 @@
 	return t
 }
 
-// Stats returns the present counts.
+// Stats returns the current counters.
 func (c *Client) Stats() Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return Stats{Methods: c.counters.snapshot(), Unresponsive: c.unresponsive.Load(), Connections: len(c.entries)}
 }
 
-// Stats returns the present counts.
+// Stats returns the current counters.
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/peer/writer.go
+++ b/internal/peer/writer.go
@@ -8,12 +8,13 @@
 	"siskintray.example/siskin"
 )
 
-// writeQueueSize is the number of frames that wait for one connection. A silent
-// peer fills it; further frames are then refused and not kept in memory.
+// writeQueueSize is the capacity of a connection's send queue in frames. An
+// unresponsive peer fills it; further frames are then refused, which bounds the
+// memory.
 const writeQueueSize = 256
 
-// writer sends frames in the background, so that a call never waits for a
-// blocked connection, and joins waiting frames into one write.
+// writer sends queued frames in the background, so that a call never blocks on
+// the connection, and coalesces them into few writes.
 type writer struct {
 	conn    net.Conn
 	timeout time.Duration
@@ -36,11 +37,11 @@
 	case w.frames <- b:
 		return nil
 	default:
-		return siskin.NewError(siskin.Overloaded, "%d messages wait for the connection already", writeQueueSize).WithRemedy("retry later")
+		return siskin.NewError(siskin.Overloaded, "the send queue of the connection is full with %d messages", writeQueueSize).WithRemedy("retry later")
 	}
 }
 
-// run writes frames until close, or until a write fails.
+// run writes queued frames until close is called or a write fails.
 func (w *writer) run() {
 	for {
 		select {
@@ -57,7 +58,7 @@
 	}
 }
 
-// coalesce appends waiting frames to b, up to the size of a TLS record.
+// coalesce appends queued frames to b until it reaches the size of a TLS record.
 func (w *writer) coalesce(b []byte) []byte {
 	for len(b) < 16<<10 {
 		select {
@@ -70,7 +71,7 @@
 	return b
 }
 
-// close ends run and the connection, and thereby the reader.
+// close stops run and closes the connection, which also ends its reader.
 func (w *writer) close() {
 	w.once.Do(func() {
 		close(w.stop)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,6 +1,6 @@
-// Package soak repeats the randomised run of a test with growing seeds. Two
-// environment variables set the length and the first seed, because a flag that
-// only some packages define fails go test ./... in the others:
+// Package soak repeats the randomised run of a test with increasing seeds. Two
+// environment variables set the duration and the first seed, because a flag that
+// only some packages define makes go test ./... fail in the others:
 //
 //	SISKIN_SOAK=10m SISKIN_SEED=5 go test ./... -run Soak -timeout 0
 //
@@ -22,7 +22,7 @@
 	seedEnv     = "SISKIN_SEED"
 )
 
-// RunDuration returns the length of a soak run, or short when none is set.
+// RunDuration returns the duration of a soak run, or fallback if none is set.
 func RunDuration(fallback time.Duration) time.Duration {
 	text, ok := os.LookupEnv(durationEnv)
 	if !ok {
@@ -35,7 +35,7 @@
 	return d
 }
 
-// Seed returns the first seed, or usual when none is set.
+// Seed returns the first seed, or fallback if none is set.
 func Seed(fallback uint64) uint64 {
 	text, ok := os.LookupEnv(seedEnv)
 	if !ok {
@@ -43,13 +43,13 @@
 	}
 	seed, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		panic(seedEnv + " must be a number of 64 bits, not " + strconv.Quote(text))
+		panic(seedEnv + " must be an unsigned 64-bit number, not " + strconv.Quote(text))
 	}
 	return seed
 }
 
-// Each calls run as a subtest for one seed after the other until the length is
-// over or a run fails. It calls run once when no length is set.
+// Each calls run as a subtest with consecutive seeds until the run duration has
+// elapsed or a subtest fails. It calls run once if no duration is set.
 func Each(t *testing.T, run func(t *testing.T, seed uint64)) {
 	t.Helper()
 	first, start := Seed(1), time.Now()
@@ -63,7 +63,7 @@
 
 // Rapid is Each for a test that uses rapid.Check: it sets rapid's seed before
 // each run and restores it at the end. The test must not run in parallel with
-// others. Seeds start at 1, since rapid draws its own seed for 0.
+// others. Seeds start at 1, since rapid chooses a random seed for 0.
 func Rapid(t *testing.T, run func(t *testing.T)) {
 	t.Helper()
 	f := flag.Lookup("rapid.seed")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,13 +24,13 @@
 	}
 }
 
-// TestVariables guards against a mistyped length that gives a short run which
-// looks like a long one.
+// TestVariables guards against a malformed duration that is ignored, so that a
+// short run passes for a long one.
 func TestVariables(t *testing.T) {
 	t.Setenv(durationEnv, "10")
 	defer func() {
 		if recover() == nil {
-			t.Error("got no panic for a length without a unit, want one")
+			t.Error("got no panic for a duration without a unit, want one")
 		}
 	}()
 	RunDuration(time.Second)
--- a/internal/stats/reporter.go
+++ b/internal/stats/reporter.go
@@ -11,9 +11,9 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// reporter keeps the values of all series for one VM. The reporter of tally
-// registers with the Prometheus client library, whose default registry is
-// shared by all VMs of a process.
+// reporter keeps the values of all series for one VM. The Prometheus reporter of
+// tally is not used because the default registry of the Prometheus client
+// library would be shared by all VMs of a process.
 type reporter struct {
 	mu       sync.Mutex
 	families map[string]*family
@@ -41,8 +41,9 @@
 	return &reporter{families: map[string]*family{}, limit: limit}
 }
 
-// lookupOrCreate returns the series, or a series that is not shown above the limit or when
-// the name is in use for another kind.
+// lookupOrCreate returns the series with the given name and tags. Above the
+// limit, or if the name is in use for another kind, it returns a series that is
+// not exported.
 func (r *reporter) lookupOrCreate(kind, name string, tags map[string]string) *series {
 	name, labels := sanitizeName(name), formatLabels(tags)
 	r.mu.Lock()
@@ -88,8 +89,8 @@
 	return r.lookupOrCreate("gauge", name, tags)
 }
 
-// timerBuckets are the upper bounds of timers in seconds, from below a local
-// call to the longest deadline.
+// timerBuckets are the upper bounds of timer buckets in seconds. They range from
+// less than a local call takes to the longest deadline.
 var timerBuckets = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 60, math.Inf(1)}
 
 // AllocateTimer implements tally.CachedStatsReporter.
@@ -102,7 +103,7 @@
 	return r.lookupOrCreate("histogram", name, tags)
 }
 
-// ReportCount implements tally.CachedCount; the value is the growth since the
+// ReportCount implements tally.CachedCount; the value is the increase since the
 // last report.
 func (s *series) ReportCount(value int64) {
 	s.mu.Lock()
@@ -166,7 +167,7 @@
 
 var escapeLabel = strings.NewReplacer(`\`, `\\`, "\n", `\n`, `"`, `\"`)
 
-// formatLabels returns labels in their text form, ordered by name.
+// formatLabels returns the labels in the Prometheus text format, ordered by name.
 func formatLabels(tags map[string]string) string {
 	parts := make([]string, 0, len(tags))
 	for name, value := range tags {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -1,5 +1,5 @@
-// Package stats collects metrics with a bounded number of series and shows them
-// in the Prometheus text format. Each VM of a process has its own Stats.
+// Package stats collects metrics with a bounded number of series and exports
+// them in the Prometheus text format. Each VM of a process has its own Stats.
 package stats
 
 import (
@@ -10,15 +10,15 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Bounds of the series. One takes about 1.9 KB, so that all take at most 19 MB
-// of the 256 MB that control may use on a node.
+// Limits on the number of series. A series takes about 1.9 KB, so that all take
+// at most 19 MB of the 256 MB that the control plane may use on a node.
 const (
 	maxCustomers = 100
 	maxServices  = 200
 	maxSeries    = 10000
 )
 
-// reportInterval is how old metrics may be when they are read.
+// reportInterval bounds the age of metrics when they are read.
 const reportInterval = time.Second
 
 // Stats are the metrics of one VM.
@@ -30,7 +30,7 @@
 	service  *LabelLimiter
 }
 
-// New returns empty metrics. Close them at the end.
+// New returns an empty Stats. The caller must call Close.
 func New() *Stats {
 	r := newReporter(maxSeries)
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -39,8 +39,8 @@
 	return &Stats{scope: scope, closer: closer, reporter: r, customer: NewLabelLimiter(maxCustomers), service: NewLabelLimiter(maxServices)}
 }
 
-// Scope returns the scope to create metrics in. Hot paths keep the metrics that
-// they use instead of looking them up.
+// Scope returns the scope to create metrics in. Hot paths should keep the
+// metrics that they use instead of looking them up each time.
 func (s *Stats) Scope() tally.Scope { return s.scope }
 
 // Customer returns the label value of a customer.
@@ -55,7 +55,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Stats) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-	_ = s.reporter.write(w) // the reader went away
+	_ = s.reporter.write(w) // the client closed the connection
 }
 
 // Close reports the last values and waits for the reporting goroutine.
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/goleak"
 )
 
-// TestText guards against metrics that a scraper misreads: labels that break
-// out of their quotes, buckets that are not cumulative, or lost counts.
+// TestText guards against metrics that a scraper misreads: unescaped quotes in
+// labels, buckets that are not cumulative, or lost counts.
 func TestText(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	s := New()
@@ -46,8 +46,8 @@
 	}
 }
 
-// TestCardinality guards against a VM that customers or labels fill with
-// series, also when many new names arrive at once.
+// TestCardinality guards against an unbounded number of label values or series,
+// also when many new names arrive concurrently.
 func TestCardinality(t *testing.T) {
 	l := NewLabelLimiter(10)
 	var wg sync.WaitGroup
@@ -77,7 +77,7 @@
 	}
 }
 
-// BenchmarkLabel shows that a known customer costs no allocation.
+// BenchmarkLabel guards against allocations for a known customer.
 func BenchmarkLabel(b *testing.B) {
 	l := NewLabelLimiter(10)
 	l.Value("shop")
--- a/internal/stats/text.go
+++ b/internal/stats/text.go
@@ -49,7 +49,7 @@
 		}
 	}
 	fmt.Fprintf(out, "%s_bucket{%s%sle=\"+Inf\"} %d\n", name, s.labels, sep, total)
-	// Histograms of tally keep no sum; timers do.
+	// tally reports no sum for histograms; only timers have one.
 	if s.value > 0 {
 		fmt.Fprintf(out, "%s_sum%s %s\n", name, bracedLabels(s.labels), formatValue(s.value))
 	}
