--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -111,5 +111,5 @@
 // all others during a rolling restart kept the owners of pools from answering.
 // The caller holds mu.
 func (c *Crew) needsLeaveNotice(id siskin.VMID, m *member) bool {
-	return len(c.members) < fullMesh || c.relay || c.priority.ServesOthers || m.interval != 0 || m.watched || c.isRelay(id, m.node.DataCentre)
+	return len(c.members) < fullMeshSize || c.relay || c.priority.ServesOthers || m.interval != 0 || m.watched || c.isRelay(id, m.node.DataCentre)
 }
--- a/internal/crew/loop.go
+++ b/internal/crew/loop.go
@@ -66,7 +66,7 @@
 // choosePeers sets the ping interval of each peer. In a large fleet it also
 // selects the relay and the distant peer to ping next. The caller holds mu.
 func (c *Crew) choosePeers(now time.Time) {
-	large := len(c.members) >= fullMesh
+	large := len(c.members) >= fullMeshSize
 	c.relay = large && c.isRelay(c.cfg.Self.ID, c.cfg.Self.DataCentre)
 	if large {
 		c.chooseWatched()
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -19,8 +19,8 @@
 	// poolOwnerInterval is the time between two pings of a VM that owns pools
 	// of rates, in a larger fleet. A loan is valid for more than three of them.
 	poolOwnerInterval = 450 * time.Millisecond
-	// fullMesh is the fleet size up to which each VM pings all others.
-	fullMesh = 16
+	// fullMeshSize is the fleet size up to which each VM pings all others.
+	fullMeshSize = 16
 	// remoteEvery is the number of pings of distant peers of which one goes to
 	// another data centre. A VM of a larger fleet pings one distant peer per
 	// interval, in turn. An update reaches all VMs in a number of intervals
@@ -83,13 +83,13 @@
 
 // nextInterval returns the time from a ping that starts now to the next one.
 func (m *member) nextInterval(now time.Time) time.Duration {
-	quiet := m.pingFailed || m.suspect
+	unresponsive := m.pingFailed || m.suspect
 	switch {
-	case quiet && now.Sub(m.knownSince) > removedAfter && now.Sub(m.lastHeard) > removedAfter:
+	case unresponsive && now.Sub(m.knownSince) > removedAfter && now.Sub(m.lastHeard) > removedAfter:
 		return removedInterval
-	case quiet && now.Sub(m.knownSince) > deadAfter && now.Sub(m.lastHeard) > deadAfter:
+	case unresponsive && now.Sub(m.knownSince) > deadAfter && now.Sub(m.lastHeard) > deadAfter:
 		return deadInterval
-	case quiet || m.lastHeard.IsZero() && m.interval != 0:
+	case unresponsive || m.lastHeard.IsZero() && m.interval != 0:
 		return pingInterval
 	case m.interval == 0:
 		return unscheduled
--- a/internal/crew/members.go
+++ b/internal/crew/members.go
@@ -44,7 +44,7 @@
 func (c *Crew) UsesRelays() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.members) >= fullMesh && !c.relay
+	return len(c.members) >= fullMeshSize && !c.relay
 }
 
 // Isolated reports whether no VM of another data centre can be used although
@@ -114,7 +114,7 @@
 func (c *Crew) newMember(n Node) *member {
 	now := c.cfg.Clock.Now()
 	m := &member{node: n, knownSince: now, interval: pingInterval}
-	if len(c.members) >= fullMesh {
+	if len(c.members) >= fullMeshSize {
 		m.interval, m.nextPing = 0, now.Add(unscheduled)
 	}
 	c.chosenAt = time.Time{} // run choosePeers at the next tick
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -74,7 +74,7 @@
 func (c *Crew) pingPoolOwner(id siskin.VMID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if m := c.members[id]; m != nil && (c.priority.PoolOwners[id] || len(c.members) < fullMesh) {
+	if m := c.members[id]; m != nil && (c.priority.PoolOwners[id] || len(c.members) < fullMeshSize) {
 		m.nextPing = time.Time{}
 	}
 }
--- a/internal/crew/relay.go
+++ b/internal/crew/relay.go
@@ -120,8 +120,8 @@
 func (c *Crew) lostMembers(now time.Time) []siskin.VMID {
 	var list []siskin.VMID
 	for id, m := range c.members {
-		quiet := now.Sub(m.lastHeard)
-		if (m.suspect || m.pingFailed) && quiet < suspectAfter+lostReportTime && len(list) < maxLost {
+		sinceHeard := now.Sub(m.lastHeard)
+		if (m.suspect || m.pingFailed) && sinceHeard < suspectAfter+lostReportTime && len(list) < maxLost {
 			list = append(list, id)
 		}
 	}
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -24,7 +24,7 @@
 	}
 	c.mu.Lock()
 	s.Known = len(c.members) + 1
-	passAll := len(c.members) < fullMesh || c.relay
+	passAll := len(c.members) < fullMeshSize || c.relay
 	if c.relay {
 		s.Silent = c.silentDataCentres(now)
 		s.Lost = c.lostMembers(now)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -45,12 +45,12 @@
 
 // fakeLimiter admits unless closed and counts refunds.
 type fakeLimiter struct {
-	closed   bool
+	exhausted   bool
 	refunded int
 }
 
 func (l *fakeLimiter) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
-	return siskin.Admission{Admitted: !l.closed, RetryAfter: 100 * time.Millisecond}
+	return siskin.Admission{Admitted: !l.exhausted, RetryAfter: 100 * time.Millisecond}
 }
 
 func (l *fakeLimiter) AdmitWait(_ context.Context, c siskin.CustomerID, n siskin.Requests) siskin.Admission {
@@ -199,7 +199,7 @@
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || !strings.Contains(a.Message, "retry after 500 ms") || f.limiter.refunded != 2 {
 		t.Errorf("evacuated primary: got %v %q and %d refunds, want Busy with a retry delay and 2", a.Code, a.Message, f.limiter.refunded)
 	}
-	f.limiter.closed = true
+	f.limiter.exhausted = true
 	if a, _ := f.session("primary").answer(&st); a.Code != siskin.Busy || !strings.Contains(a.Message, "retry after 100 ms") {
 		t.Errorf("rate used up: got %v %q, want Busy with a retry delay", a.Code, a.Message)
 	}
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -16,26 +16,26 @@
 
 // poll calls read whenever the data is older than age. known returns when the
 // data was last confirmed, and read gets the time at which it was called.
-func (f *Feed) poll(ctx context.Context, what string, age time.Duration, known func() time.Time, read func(context.Context, time.Time) error) {
+func (f *Feed) poll(ctx context.Context, what string, maxAge time.Duration, confirmedAt func() time.Time, read func(context.Context, time.Time) error) {
 	backoff := minBackoff
 	var last time.Time // start of this VM's last own read
 	jitter := rand.N(maxJitter)
-	f.awaitPeers(ctx, known)
+	f.awaitPeers(ctx, confirmedAt)
 	for ctx.Err() == nil {
-		at, follows := known(), f.cfg.Crew.UsesRelays()
-		due := age
-		if !at.IsZero() && (follows || !at.Equal(last)) {
+		at, usesRelays := confirmedAt(), f.cfg.Crew.UsesRelays()
+		due := maxAge
+		if !at.IsZero() && (usesRelays || !at.Equal(last)) {
 			due += nonReaderDelay + jitter
 		}
 		backoffLimit := maxBackoff
-		if follows {
+		if usesRelays {
 			due, backoffLimit = due+followerDelay, followerMaxBackoff
 		}
 		if left := due - f.cfg.Clock.Since(at); left > 0 {
 			// A follower hardly ever reads, so it checks less often to avoid
 			// needless wake-ups.
 			interval := pollInterval
-			if follows {
+			if usesRelays {
 				interval = max(interval, min(left, maxFollowerPollInterval))
 			}
 			sleep(ctx, interval)
@@ -58,12 +58,12 @@
 
 // awaitPeers waits up to peerWait for the peers of a starting VM to send the
 // data that it polls. A seed does not wait.
-func (f *Feed) awaitPeers(ctx context.Context, known func() time.Time) {
+func (f *Feed) awaitPeers(ctx context.Context, confirmedAt func() time.Time) {
 	if f.cfg.Crew.IsSeed() {
 		return
 	}
 	start := f.cfg.Clock.Now()
-	for ctx.Err() == nil && known().IsZero() && f.cfg.Clock.Since(start) < peerWait {
+	for ctx.Err() == nil && confirmedAt().IsZero() && f.cfg.Clock.Since(start) < peerWait {
 		sleep(ctx, pollInterval)
 	}
 }
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -58,7 +58,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Now()
-	for id, p := range l.localBucket {
+	for id, p := range l.localBuckets {
 		if p.owner == from && now.Before(p.loanEnd) {
 			if rate, burst, ok := l.limits(id); ok {
 				l.accrue(p, now, rate, burst)
@@ -111,7 +111,7 @@
 			lent[keptFraction] = part
 		}
 		part.Customers = append(part.Customers, c.ID)
-		if tokens := l.part(c.ID).handOver(float64(c.Burst) * l.share * keptFraction); tokens > 0 {
+		if tokens := l.localBucketOf(c.ID).handOver(float64(c.Burst) * l.share * keptFraction); tokens > 0 {
 			part.Tokens[c.ID] = tokens
 		}
 	}
@@ -133,7 +133,7 @@
 	if owners := l.owners(c.ID, float64(c.Burst), keptFraction); len(owners) == 0 || owners[0] != to {
 		return false
 	}
-	p := l.part(c.ID)
+	p := l.localBucketOf(c.ID)
 	if now.Before(p.loanEnd) && (p.owner != to || keptFraction > p.keptFraction) {
 		return false
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -75,7 +75,7 @@
 	released    bool
 	share       float64   // of this VM; zero unless the stored record lists it
 	shareSince  time.Time // when the share became known
-	localBucket map[siskin.CustomerID]*localBucket
+	localBuckets map[siskin.CustomerID]*localBucket
 	pools       map[siskin.CustomerID]*pool
 	stamps      map[siskin.VMID]receivedStamp
 	// toReturn holds the tokens to send back to lenders after ReleasePools.
@@ -93,7 +93,7 @@
 // New returns a Limiter that has no share yet.
 func New(cfg Config) *Limiter {
 	return &Limiter{
-		cfg: cfg, choose: chooseOwners, localBucket: make(map[siskin.CustomerID]*localBucket),
+		cfg: cfg, choose: chooseOwners, localBuckets: make(map[siskin.CustomerID]*localBucket),
 		pools: make(map[siskin.CustomerID]*pool), stamps: make(map[siskin.VMID]receivedStamp), silentUntil: make(map[siskin.VMID]time.Time),
 		toReturn: make(map[siskin.VMID]Tokens),
 	}
@@ -140,14 +140,14 @@
 	return float64(c.Rate), float64(c.Burst), true
 }
 
-// part returns this VM's bucket for a customer. The caller holds mu.
-func (l *Limiter) part(id siskin.CustomerID) *localBucket {
-	p := l.localBucket[id]
+// localBucketOf returns this VM's bucket for a customer. The caller holds mu.
+func (l *Limiter) localBucketOf(id siskin.CustomerID) *localBucket {
+	p := l.localBuckets[id]
 	if p == nil {
 		// The share earns tokens from the time when it became known, whether or
 		// not the customer has sent a request.
 		p = &localBucket{bucket: bucket{at: l.shareSince}}
-		l.localBucket[id] = p
+		l.localBuckets[id] = p
 	}
 	return p
 }
@@ -160,7 +160,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.part(customer)
+	p := l.localBucketOf(customer)
 	p.countDemand(now, float64(n))
 	if now.After(p.expiry) {
 		p.granted = 0
@@ -182,7 +182,7 @@
 func (l *Limiter) Refund(customer siskin.CustomerID, n siskin.Requests) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p, now := l.part(customer), l.cfg.Clock.Now()
+	p, now := l.localBucketOf(customer), l.cfg.Clock.Now()
 	if now.After(p.expiry) {
 		p.granted = 0
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -33,7 +33,7 @@
 	cut   map[[2]int]bool
 	// delayed holds messages that are not delivered yet.
 	delayed []func()
-	sent    []time.Time // admitted requests
+	admitted    []time.Time // admitted requests
 	// requested counts all requests, and refused those that were not admitted.
 	requested, refused int
 	// rate and burst are the limits of the only customer.
@@ -223,7 +223,7 @@
 	}
 	s.requested++
 	if v.l.AdmitWait(context.Background(), "acme", 1).Admitted {
-		s.sent = append(s.sent, s.clock.Now())
+		s.admitted = append(s.admitted, s.clock.Now())
 	} else {
 		s.refused++
 	}
@@ -236,8 +236,8 @@
 	// The requirement tolerates a tenth and 20 requests above rate and burst.
 	most := int((s.rate*window.Seconds()+s.burst)*1.1) + 20
 	start := 0
-	for i, at := range s.sent {
-		for at.Sub(s.sent[start]) > window {
+	for i, at := range s.admitted {
+		for at.Sub(s.admitted[start]) > window {
 			start++
 		}
 		if got := i - start + 1; got > most {
@@ -396,7 +396,7 @@
 	set(2, 1000)
 	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	v.l.Loans(owner)
-	if got := v.l.part("acme").keptFraction; got != 0 {
+	if got := v.l.localBucketOf("acme").keptFraction; got != 0 {
 		t.Errorf("fraction kept while the larger loan is valid: got %v, want 0", got)
 	}
 	s.clock.Advance(loanDuration)
@@ -405,7 +405,7 @@
 	if v.l.Loans(owner) == nil && owner != v.id() {
 		t.Fatal("got no loan after the first one expired, want one")
 	}
-	if got := v.l.part("acme").keptFraction; got != localFraction {
+	if got := v.l.localBucketOf("acme").keptFraction; got != localFraction {
 		t.Errorf("fraction kept after the larger loan expired: got %v, want %v", got, localFraction)
 	}
 }
@@ -558,14 +558,14 @@
 	for _, o := range owners {
 		s.find(o).down = true
 	}
-	doubted := 0
-	v.l.cfg.PingNow = func(siskin.VMID) { doubted++ }
+	unanswered := 0
+	v.l.cfg.PingNow = func(siskin.VMID) { unanswered++ }
 	for range 50 {
 		v.l.AdmitWait(context.Background(), "acme", 1)
 		s.clock.Advance(time.Millisecond)
 	}
-	if doubted > len(owners) {
-		t.Errorf("requests to silent owners in 50 ms: got %d, want one to each of %d", doubted, len(owners))
+	if unanswered > len(owners) {
+		t.Errorf("requests to silent owners in 50 ms: got %d, want one to each of %d", unanswered, len(owners))
 	}
 }
 
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -24,7 +24,7 @@
 		return adm
 	}
 	owners, tokens := l.ownersToAsk(now, customer, float64(n))
-	empty := false
+	refused := false
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
 	for i, owner := range owners {
@@ -39,9 +39,9 @@
 		if adm = l.spendGrant(sentAt, customer, float64(n), &reply); adm.Admitted {
 			return adm
 		}
-		empty = true
+		refused = true
 	}
-	if empty {
+	if refused {
 		l.backOff(customer, adm.RetryAfter)
 	}
 	return adm
@@ -49,12 +49,12 @@
 
 // takeFrom asks one owner for tokens. While further owners remain, it uses at
 // most half of the time left, since an owner that is cut off never answers.
-func (l *Limiter) takeFrom(ctx context.Context, owner siskin.VMID, args *TakeArgs, owners int) (reply TakeReply, ok bool) {
+func (l *Limiter) takeFrom(ctx context.Context, owner siskin.VMID, args *TakeArgs, remaining int) (reply TakeReply, ok bool) {
 	if owner == l.cfg.Members.Self().ID {
 		return l.Take(args), true
 	}
 	deadline, _ := ctx.Deadline()
-	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/time.Duration(min(owners, 2)))
+	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/time.Duration(min(remaining, 2)))
 	defer cancel()
 	if err := l.cfg.Peers.Call(ctx, owner, "Quota.Take", args, &reply); err != nil {
 		l.noteNoAnswer(owner, args.Customer, err)
@@ -79,7 +79,7 @@
 	_, burst, _ := l.limits(customer)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.part(customer)
+	p := l.localBucketOf(customer)
 	if now.Before(p.refusedUntil) {
 		return nil, 0
 	}
@@ -115,14 +115,14 @@
 func (l *Limiter) backOff(customer siskin.CustomerID, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.part(customer).refusedUntil = l.cfg.Clock.Now().Add(min(refusalBackoff, wait))
+	l.localBucketOf(customer).refusedUntil = l.cfg.Clock.Now().Add(min(refusalBackoff, wait))
 }
 
 // spendGrant adds granted tokens and spends n of them if there are enough.
 func (l *Limiter) spendGrant(sentAt time.Time, customer siskin.CustomerID, n float64, reply *TakeReply) siskin.Admission {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.part(customer)
+	p := l.localBucketOf(customer)
 	now := l.cfg.Clock.Now()
 	if now.After(p.expiry) {
 		p.granted = 0
--- a/internal/roster/evacuations_test.go
+++ b/internal/roster/evacuations_test.go
@@ -12,13 +12,13 @@
 	"siskintray.example/siskin"
 )
 
-const testBound = 5 * time.Second
+const testEvacuationLimit = 5 * time.Second
 
 // newEvacuationRoster returns a roster that requires evacuations, with the
 // targets a, b and c in dc-a, dc-b and dc-c.
 func newEvacuationRoster() *Roster {
 	r := New()
-	r.RequireEvacuations(testBound)
+	r.RequireEvacuations(testEvacuationLimit)
 	r.Replace(threeTargets(), 1, time.Unix(1000, 0))
 	return r
 }
@@ -66,7 +66,7 @@
 				}
 				r.ReplaceEvacuations(list, siskin.Version(version), at)
 				r.Replace(threeTargets(), siskin.Version(version), at.Add(time.Nanosecond))
-				if got := marked(r, now); got != want {
+				if got := formatTargets(r, now); got != want {
 					t.Errorf("%s: got %s, want %s", input, got, want)
 				}
 			}
@@ -74,14 +74,14 @@
 	}
 }
 
-func marked(r *Roster, now time.Time) string {
+func formatTargets(r *Roster, now time.Time) string {
 	var list []string
 	for _, t := range r.Service("s") {
 		mark := ""
-		switch closed := r.Blocked(t.ID, now); {
-		case closed && t.Evacuated && r.Leaving(t.ID, now):
+		switch blocked := r.Blocked(t.ID, now); {
+		case blocked && t.Evacuated && r.Leaving(t.ID, now):
 			mark = "x"
-		case closed:
+		case blocked:
 			mark = "?" // a blocked target must also be evacuated and leaving
 		case t.Evacuated:
 			mark = "-"
@@ -145,20 +145,20 @@
 	r, at := newEvacuationRoster(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-a", "dc-b"}, 2, at(0))
 	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-b", "dc-c"}, 5, at(time.Second))
-	if got, want := marked(r, at(time.Second)), "xa xb -c"; got != want {
+	if got, want := formatTargets(r, at(time.Second)), "xa xb -c"; got != want {
 		t.Errorf("before a list of targets: got %s, want %s", got, want)
 	}
 	if list, _, _ := r.Evacuations(); len(list) != 2 || list[0] != "dc-b" {
 		t.Errorf("list for peers: got %v, want the list of the store", list)
 	}
 	r.Replace(threeTargets(), 4, at(2*time.Second))
-	if got, want := marked(r, at(2*time.Second)), "xa xb -c"; got != want {
+	if got, want := formatTargets(r, at(2*time.Second)), "xa xb -c"; got != want {
 		t.Errorf("with an older list of targets: got %s, want %s", got, want)
 	}
 	targets := threeTargets()
 	targets[0].ColdRemaining = 10 * time.Second
 	r.Replace(targets, 5, at(3*time.Second))
-	if got, want := marked(r, at(3*time.Second)), "a xb -c"; got != want {
+	if got, want := formatTargets(r, at(3*time.Second)), "a xb -c"; got != want {
 		t.Errorf("with a list of targets of that version: got %s, want %s", got, want)
 	}
 	if !r.MayBeCold("a", at(0), time.Time{}, at(3*time.Second)) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -113,8 +113,8 @@
 // lists show a new run, the entry of its successor or a gap.
 func TestSince(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
-	info := func(id string, born int, draining bool) siskin.TargetInfo {
-		return siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", Address: "a", StartedAt: at(born), Draining: draining}
+	info := func(id string, started int, draining bool) siskin.TargetInfo {
+		return siskin.TargetInfo{ID: siskin.TargetID(id), Service: "s", Address: "a", StartedAt: at(started), Draining: draining}
 	}
 	r := New()
 	if _, _, _, ok := r.ListedSince("a"); ok {
--- a/pkg/limit/load_test.go
+++ b/pkg/limit/load_test.go
@@ -153,8 +153,8 @@
 		t.static[n.vm.ID] = &tokenBucket{rate: float64(t.doc.Rate) / parts, burst: float64(t.doc.Burst) / parts}
 	}
 	static := t.static[n.vm.ID].admit(t.f.at)
-	counter := t.f.vms[0]
-	shared := counter.up() && !t.f.partitioned(n, counter) && t.shared.admit(t.f.at)
+	sharedVM := t.f.vms[0]
+	shared := sharedVM.up() && !t.f.partitioned(n, sharedVM) && t.shared.admit(t.f.at)
 	if ideal && !static {
 		t.refusedByStatic++
 	}
