--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -13,7 +13,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// backend answers operators. It implements the interfaces of admin.Backend.
+// backend serves operators' requests. It implements interfaces of admin.Backend.
 type backend struct{ d *Daemon }
 
 func (d *Daemon) backend() admin.Backend {
@@ -28,7 +28,7 @@
 	}
 }
 
-// peerCallTimeout bounds the question to one VM on behalf of an operator.
+// peerCallTimeout bounds a call to one VM on behalf of an operator.
 const peerCallTimeout = 2 * time.Second
 
 // Status implements admin.StatusSource.
@@ -83,7 +83,8 @@
 	return burn.Merge(append(records, own)...)
 }
 
-// fetchRecord returns the counts of another VM, none when it does not answer.
+// fetchRecord returns the burn record of another VM, which is empty when the VM
+// does not answer.
 func (d *Daemon) fetchRecord(ctx context.Context, vm siskin.VMID) burn.Record {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
@@ -133,7 +134,7 @@
 	return b.d.revisions(ctx), nil
 }
 
-// Apply makes a change of the configuration current.
+// Apply commits a change of the configuration.
 func (d *Daemon) Apply(ctx context.Context, change *config.Change) (siskin.Revision, error) {
 	return d.spread.Apply(ctx, change)
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,8 +6,8 @@
 	Bytes    int64 // frames without TLS and TCP
 }
 
-// ControlStats returns what this VM sent and received so far in calls to and
-// from other VMs.
+// ControlStats returns the totals that this VM sent and received so far in calls
+// to and from other VMs.
 func (d *Daemon) ControlStats() ControlStats {
 	out, in := d.client.Stats().Total(), d.server.Stats().Total()
 	return ControlStats{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,7 +53,7 @@
 
 	stopOnce sync.Once
 	stopped  chan struct{}
-	// stopRequested is closed when an operator asks for the planned stop.
+	// stopRequested is closed when the VM should stop as planned.
 	stopRequested chan struct{}
 	requestOnce   sync.Once
 	ctx           context.Context
@@ -61,7 +61,7 @@
 	wg            sync.WaitGroup
 }
 
-// Start runs a VM with the given settings. Stop or Kill ends it.
+// Start starts a VM with the given settings. Stop or Kill ends it.
 func Start(settings *cfgini.Daemon, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
 		settings:      settings,
@@ -147,8 +147,8 @@
 	return nil
 }
 
-// platformBurst lets a VM read the configuration and become a holder of rights
-// at its start without waiting for its budget.
+// platformBurst lets a VM read the configuration and become a holder of quota
+// units at its start without waiting for its call budget.
 const platformBurst = 100
 
 func (d *Daemon) seeds() []siskin.VMID {
@@ -159,10 +159,10 @@
 	return ids
 }
 
-// superseded ends this run when a later one of the same VM exists or the
-// platform lists the VM as gone: its rights are no longer its own.
+// superseded stops this run when a later run of the same VM exists or the
+// platform lists the VM as gone, since other VMs may reclaim its quota units.
 func (d *Daemon) superseded() {
-	d.log().Error().Msg("this run of the VM is over; a later run exists or the platform lists the VM as gone")
+	d.log().Error().Msg("this run of the VM is superseded: a later run exists or the platform lists the VM as gone; stopping")
 	d.requestStop()
 }
 
@@ -177,7 +177,7 @@
 // CallerAddress returns the address that callers connect to.
 func (d *Daemon) CallerAddress() string { return d.listeners.caller.Addr().String() }
 
-// AdminAddress returns the address for operators.
+// AdminAddress returns the address that serves operators.
 func (d *Daemon) AdminAddress() string { return d.listeners.admin.Addr().String() }
 
 // ForwardAddress returns the address that takes forwarded transactions.
@@ -205,10 +205,11 @@
 	d.wg.Go(d.tick)
 }
 
-// adminHeaderTimeout ends operators' connections that send nothing.
+// adminHeaderTimeout bounds the time in which an operator's connection must send
+// the header of a request.
 const adminHeaderTimeout = 5 * time.Second
 
-// tick tells the burn record that the VM runs.
+// tick updates the burn record and the metrics every second.
 func (d *Daemon) tick() {
 	for {
 		select {
--- a/internal/daemon/doc.go
+++ b/internal/daemon/doc.go
@@ -1,4 +1,4 @@
-// Package daemon runs one VM from its settings: the client of the platform,
-// membership, configuration, keys, limits, the request path and the operators'
-// address.
+// Package daemon runs one VM with its settings. It starts and stops the platform
+// client, membership, configuration, keys, rate limits, the request path and the
+// HTTP server for operators.
 package daemon
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -10,9 +10,9 @@
 	"siskintray.example/siskin/pkg/keys"
 )
 
-// proofTracker connects the spread of the configuration with the rule on keys: what
-// proves that the configuration is the newest proves that no withdrawal was
-// missed.
+// proofTracker passes the proofs of package spread to package keys: a proof that
+// this VM has the newest configuration also proves that it missed no withdrawal
+// of a key.
 type proofTracker struct {
 	tracker *keys.Tracker
 	members siskin.Members
@@ -53,12 +53,13 @@
 	return now.Sub(last)
 }
 
-// evidence returns the evidence for the rule on keys.
+// evidence returns the evidence that decides whether keys may be accepted.
 func (e *proofTracker) evidence() keys.Evidence { return e.tracker.Evidence(e.dataCentres()) }
 
-// dataCentres returns the data centres of all targets and of all live VMs. The
-// targets' are needed because a data centre that is cut off has no live VM in
-// this VM's view and may still accept a withdrawal.
+// dataCentres returns the data centres of all targets and of all live VMs. Those
+// of the targets are needed because a data centre that is partitioned off has no
+// live VM in this VM's view and may still accept a withdrawal. The result is
+// cached until the configuration changes.
 func (e *proofTracker) dataCentres() []siskin.DataCentreID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/daemon/gaps.go
+++ b/internal/daemon/gaps.go
@@ -9,16 +9,17 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// writeGaps finds the write gaps of services in the transactions of this VM's
-// callers: the time from the last acknowledged write to the first one after an
-// interruption, which is a failed write or a change of term.
+// writeGaps detects write gaps of services from the transactions of this VM's
+// callers. A write gap is the time from the last acknowledged write before an
+// interruption to the first one after it. A failed write or a change of term
+// indicates an interruption.
 type writeGaps struct {
 	clock    siskin.Clock
 	recorder gapRecorder
 	services *shard.Map[siskin.ServiceName, *serviceWrites]
 }
 
-// gapRecorder keeps the gaps. It is implemented by burn.Recorder.
+// gapRecorder records write gaps. It is implemented by burn.Recorder.
 type gapRecorder interface {
 	WriteGap(service siskin.ServiceName, gap time.Duration)
 	ExtendGap(service siskin.ServiceName, gap time.Duration)
@@ -28,7 +29,7 @@
 	return &writeGaps{clock: clock, recorder: recorder, services: shard.New[siskin.ServiceName, *serviceWrites]()}
 }
 
-// observe takes one transaction that ended now.
+// observe records a transaction that has just ended.
 func (g *writeGaps) observe(o *front.Observation) {
 	if o.Mode != config.WriteRoute || !o.Failed && o.Term == 0 {
 		return
@@ -36,7 +37,7 @@
 	s := g.services.GetOrCreate(o.Service, func() *serviceWrites { return new(serviceWrites) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := g.clock.Now() // within the lock, so that times are in order
+	now := g.clock.Now() // while mu is held, so that times are in order
 	began := now.Add(-o.Latency)
 	if o.Failed {
 		s.noteFailure(o.Kind, began)
--- a/internal/daemon/gaps_test.go
+++ b/internal/daemon/gaps_test.go
@@ -14,7 +14,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// injectedTransaction is one transaction that ends after a pause.
+// injectedTransaction is a write transaction that ends after a pause.
 type injectedTransaction struct {
 	pause   time.Duration
 	failed  siskin.ErrorKind // 0 (Internal) when it did not fail
@@ -30,13 +30,13 @@
 	// Failures before the first acknowledged write end no gap.
 	{pause: 0, failed: siskin.NotRun, latency: ms},
 	{pause: 10 * ms, term: 1, latency: ms},
-	// A failover under load: writes fail or wait and go on in a later term.
+	// A failover under load: writes fail, or wait and succeed in a later term.
 	{pause: 10 * ms, term: 1, latency: ms},
 	{pause: 300 * ms, failed: siskin.OutcomeUnknown, latency: 295 * ms},
 	{pause: 100 * ms, failed: siskin.NotRun, latency: 50 * ms},
 	{pause: 500 * ms, term: 2, latency: 800 * ms, gap: 900 * ms},
 	{pause: 10 * ms, term: 2, latency: 900 * ms},
-	// A write from before the failover fails at its deadline.
+	// A write that began before the failover fails at its deadline.
 	{pause: 4 * time.Second, failed: siskin.OutcomeUnknown, latency: 5 * time.Second},
 	{pause: 500 * ms, term: 2, latency: ms},
 	// A failover in which every write waited and none failed.
@@ -47,12 +47,12 @@
 	// The same primary takes no writes for 2.5 s.
 	{pause: time.Second, failed: siskin.NotRun, latency: 100 * ms},
 	{pause: 1500 * ms, term: 3, latency: 20 * ms, gap: 2500 * ms},
-	// Nobody writes for an hour; the first write then fails once.
+	// No writes for an hour; the first write after it fails.
 	{pause: time.Hour, failed: siskin.Unavailable, latency: 30 * ms},
 	{pause: 400 * ms, term: 3, latency: ms, gap: 430 * ms},
-	// Nobody writes while the primary is changed as planned.
+	// No writes during a planned change of the primary.
 	{pause: time.Hour, term: 4, latency: 5 * ms, gap: 5 * ms},
-	// Refusals for the customer's sake are no interruption.
+	// Refusals because of the customer's rate or a full queue: no interruption.
 	{pause: time.Second, failed: siskin.RateExceeded, latency: ms},
 	{pause: time.Second, failed: siskin.RateExceeded, latency: ms, within: true},
 	{pause: time.Second, failed: siskin.Overloaded, latency: ms},
@@ -62,21 +62,21 @@
 	{pause: 5 * ms, term: 4, latency: 780 * ms},
 	{pause: 10 * ms, term: 5, latency: 15 * ms, gap: 815 * ms},
 	{pause: 10 * ms, term: 5, latency: ms},
-	// After 1.2 s of a failover a write that has just begun ends first, and those that
-	// waited end with it.
+	// After 1.2 s of a failover a write that has just begun ends first, together
+	// with those that waited.
 	{pause: 1200 * ms, term: 6, latency: 10 * ms, gap: 1200 * ms},
 	{pause: 0, term: 6, latency: 700 * ms},
 	{pause: 0, term: 6, latency: 200 * ms},
 	{pause: ms, term: 6, latency: ms},
-	// A transaction that acknowledged nothing ends no gap.
+	// A transaction without an acknowledged write ends no gap.
 	{pause: time.Second, failed: siskin.NotRun, latency: ms},
 	{pause: time.Second, latency: ms},
 	{pause: time.Second, term: 6, latency: ms, gap: 3 * time.Second},
 }
 
-// TestBurnCountsInjectedFailures guards against write gaps and refusals within
-// the rate that are missing from the burn record, or that a failure without an
-// interruption adds.
+// TestBurnCountsInjectedFailures guards against a burn record that misses write
+// gaps or refusals within the rate, or that has a gap for a failure without an
+// interruption.
 func TestBurnCountsInjectedFailures(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	recorder := burn.New(clock, siskin.VM{ID: "vm-1"})
@@ -92,7 +92,7 @@
 			Failed: f.failed != 0, Kind: f.failed, WithinRate: f.within,
 		}
 		o.ObserveTransaction(write)
-		// A read ends between any two writes and changes nothing.
+		// A read ends between any two writes and must not affect gaps.
 		o.ObserveTransaction(front.Observation{Service: "ledger", Customer: "shop", Mode: config.ReadRoute, Latency: ms})
 		done++
 		switch {
@@ -120,9 +120,9 @@
 	}
 }
 
-// TestGapWithLateConfirmation guards against a failover that is recorded as a gap
-// of a few milliseconds, since a write of the former primary was confirmed at its
-// end and hid the time before.
+// TestGapWithLateConfirmation guards against recording a failover as a gap of a
+// few milliseconds because a write of the former primary was confirmed at the
+// end of the failover.
 func TestGapWithLateConfirmation(t *testing.T) {
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	var s serviceWrites
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -11,10 +11,10 @@
 )
 
 // confirmTimeout bounds the wait for all data centres after a change of a key.
-// It is the stated time until a withdrawal is in force, with a margin.
+// It is the documented time until a withdrawal is in force, plus a margin.
 const confirmTimeout = 5 * time.Second
 
-// confirmInterval is the time between two rounds of questions.
+// confirmInterval is the time between two rounds of calls to all VMs.
 const confirmInterval = 100 * time.Millisecond
 
 // keyBackend implements admin.KeyStore.
@@ -33,7 +33,8 @@
 	return b.d.Withdraw(ctx, customer, key)
 }
 
-// Withdraw ends a key for good and waits until all data centres confirmed.
+// Withdraw withdraws a key permanently and waits until all data centres have
+// confirmed, at most for confirmTimeout.
 func (d *Daemon) Withdraw(ctx context.Context, customer siskin.CustomerID, key siskin.KeyID) (admin.KeyOutcome, error) {
 	return d.changeKeys(ctx, customer, func(doc *config.Customer) error {
 		doc.Keys = slices.Clone(doc.Keys)
@@ -48,8 +49,8 @@
 	})
 }
 
-// changeKeys changes the keys of a customer. Another change of the same
-// customer that was accepted meanwhile makes it start again.
+// changeKeys changes the keys of a customer. After a conflict with a concurrent
+// change it retries with the new document.
 func (d *Daemon) changeKeys(ctx context.Context, customer siskin.CustomerID, change func(doc *config.Customer) error) (admin.KeyOutcome, error) {
 	var revision siskin.Revision
 	for {
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin/internal/cfgini"
 )
 
-// listeners are the bound addresses and the TLS settings of a VM.
+// listeners holds the network listeners and the TLS settings of a VM.
 type listeners struct {
 	caller, forward, admin net.Listener
 	callerCert             *certificate
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -11,8 +11,8 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// latencyBuckets are the bounds of the latency histogram: from a local read to
-// the longest deadline of a route.
+// latencyBuckets are the bounds of the latency histogram. They range from the
+// latency of a local read to the longest deadline of a route.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 18)
 
 // transactionStats counts transactions by service, customer and outcome.
@@ -22,7 +22,8 @@
 	series  *shard.Map[seriesKey, tally.Counter]
 }
 
-// seriesKey names one counter. Customer and service are bounded labels.
+// seriesKey identifies one counter. The number of customer and service labels is
+// bounded.
 type seriesKey struct{ service, customer, outcome string }
 
 func newTransactionStats(s *stats.Stats) *transactionStats {
@@ -48,7 +49,7 @@
 	t.latency.RecordDuration(o.Latency)
 }
 
-// updateStats sets the gauges that are read from other parts.
+// updateStats updates the metrics whose values come from other packages.
 func (d *Daemon) updateStats() {
 	scope := d.stats.Scope()
 	st := d.Status()
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,7 +16,7 @@
 	"siskintray.example/siskin/pkg/spread"
 )
 
-// startNode builds the request path and registers the receivers.
+// startNode starts the request path and registers the net/rpc receivers.
 func (d *Daemon) startNode() (err error) {
 	clock := d.options.clock
 	proofs := newProofTracker(d.members)
@@ -50,9 +50,9 @@
 	return front.Limits{MaxConnections: c.MaxConnections, StartupTimeout: c.StartTimeout, MaxMessage: c.MaxMessage}
 }
 
-// Budget of the records of primaries. When all 2,800 VMs of the planned size
-// have records to write, such as after an outage of the platform, they make 560
-// calls a second, half of them reads.
+// Call budget for the records of primaries. When all 2,800 VMs of the planned
+// size have records to write, for example after an outage of the platform, they
+// make 560 calls per second, half of them reads.
 const (
 	recordsPerSecond = 0.2
 	recordsBurst     = 4
@@ -60,7 +60,7 @@
 
 func (d *Daemon) debugf(format string, args ...any) { d.log().Debug().Msgf(format, args...) }
 
-// register publishes the receivers to other VMs.
+// register registers the receivers of calls from other VMs.
 func (d *Daemon) register() error {
 	receivers := d.node.Receivers()
 	receivers["Member"] = d.members.Receiver()
@@ -76,7 +76,7 @@
 	return nil
 }
 
-// followKeys ends sessions as soon as their key is withdrawn.
+// followKeys ends sessions when their key is withdrawn.
 func (d *Daemon) followKeys() {
 	for {
 		withdrawn := d.keys.Withdrawn()
@@ -89,7 +89,8 @@
 	}
 }
 
-// observer passes transactions to the burn record and the metrics.
+// observer records transactions in the burn record, the write gaps and the
+// metrics.
 type observer struct {
 	recorder *burn.Recorder
 	gaps     *writeGaps
@@ -110,8 +111,8 @@
 	o.stats.count(t)
 }
 
-// Ready reports whether the VM sees the given number of live VMs and knows a
-// primary of every service that it watches.
+// Ready reports whether the VM sees at least the given number of live VMs and
+// can get a view with a reachable primary for every service.
 func (d *Daemon) Ready(vms int) bool {
 	if len(d.members.Live()) < vms || len(d.spread.Services()) == 0 {
 		return false
@@ -134,7 +135,7 @@
 // OwnsSlot reports whether this VM is the home of a slot of the target.
 func (d *Daemon) OwnsSlot(target siskin.TargetID) bool { return d.node.OwnsSlot(target) }
 
-// Service returns the document of a service in force at this VM.
+// Service returns the document of a service that is in force at this VM.
 func (d *Daemon) Service(name siskin.ServiceName) (*config.Service, bool) {
 	return d.spread.Service(name)
 }
@@ -142,7 +143,8 @@
 // Group returns the group of a service that this VM watches.
 func (d *Daemon) Group(service siskin.ServiceName) (siskin.Group, bool) { return d.node.Group(service) }
 
-// View returns the group of a service, from a home if this VM is none.
+// View returns the view of a service's group. It asks a home of the service if
+// this VM is not one.
 func (d *Daemon) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
 	return d.node.View(ctx, service)
 }
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -6,7 +6,7 @@
 	"siskintray.example/siskin"
 )
 
-// Option changes how a Daemon is started.
+// Option configures a Daemon.
 type Option func(*options)
 
 type options struct {
@@ -19,14 +19,15 @@
 // WithClock sets the clock; the default is the real one.
 func WithClock(clock siskin.Clock) Option { return func(o *options) { o.clock = clock } }
 
-// WithLog sets the logger; the default follows the settings.
+// WithLog sets the logger; the default logger uses the settings.
 func WithLog(l *log.Logger) Option { return func(o *options) { o.log = l } }
 
-// WithDial replaces the function that opens connections to targets, to the
-// platform and for forwarded transactions, such as one with delays and faults.
+// WithDial sets the function that opens connections to targets, to the platform
+// and for forwarded transactions. Tests use one that injects delays and faults.
 func WithDial(dial siskin.DialFunc) Option { return func(o *options) { o.dial = dial } }
 
-// WithDrop sets the fault hook of calls between VMs.
+// WithDrop sets a function that selects calls between VMs to drop, for fault
+// injection.
 func WithDrop(drop func(from, to siskin.VMID) bool) Option {
 	return func(o *options) { o.drop = drop }
 }
--- a/internal/daemon/prepare.go
+++ b/internal/daemon/prepare.go
@@ -5,9 +5,10 @@
 	"siskintray.example/siskin/internal/node"
 )
 
-// prepareLimits makes this VM a holder of rights for the customers of the
-// services that it is a home of, before their first request: a request that
-// had to wait for the platform was refused although it was within the rate.
+// prepareLimits makes this VM a holder of quota units for the customers of the
+// services that it is a home of, before their first request. Otherwise the first
+// request waits for the platform and can be refused although it is within the
+// rate.
 func (d *Daemon) prepareLimits() {
 	for {
 		changed, fleetChanged := d.spread.Changed(), d.members.Changed()
@@ -21,7 +22,8 @@
 	}
 }
 
-// localCustomers returns the customers of the services that this VM is a home of.
+// localCustomers returns the customers of the services that this VM is a home
+// of.
 func (d *Daemon) localCustomers() []siskin.CustomerID {
 	watched := make(map[siskin.ServiceName]bool)
 	for _, name := range d.spread.Services() {
@@ -69,7 +71,7 @@
 	return homes
 }
 
-// Units returns the part of a customer's right that this VM holds.
+// Units returns the units of a customer's quota that this VM holds.
 func (d *Daemon) Units(customer siskin.CustomerID) siskin.QuotaUnits {
 	return d.limiter.Units(customer)
 }
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -16,10 +16,11 @@
 	"siskintray.example/siskin/internal/cfgini"
 )
 
-// settingsEnv carries the settings of a VM to a process of its own.
+// settingsEnv is the environment variable with the settings of a VM that runs in
+// a separate process.
 const settingsEnv = "SISKIN_TEST_VM"
 
-// TestMain runs a VM in place of the tests when its settings are given.
+// TestMain runs a VM instead of the tests if settingsEnv is set.
 func TestMain(m *testing.M) {
 	text, ok := os.LookupEnv(settingsEnv)
 	if !ok {
@@ -34,11 +35,11 @@
 		panic(err)
 	}
 	_ = json.NewEncoder(os.Stdout).Encode(vmProcess{VM: d.VM(), Caller: d.CallerAddress()})
-	_, _ = io.ReadAll(os.Stdin) // ends with the test
+	_, _ = io.ReadAll(os.Stdin) // returns when the test ends
 	d.Kill()
 }
 
-// vmProcess is a VM in a process of its own.
+// vmProcess is a VM in a separate process.
 type vmProcess struct {
 	VM     siskin.VM
 	Caller string
--- a/internal/daemon/receiver.go
+++ b/internal/daemon/receiver.go
@@ -12,7 +12,7 @@
 	return nil
 }
 
-// Burn returns the counts of this VM.
+// Burn returns the burn record of this VM.
 func (r *receiver) Burn(_ struct{}, record *burn.Record) error {
 	*record = r.d.recorder.Record()
 	return nil
--- a/internal/daemon/record_test.go
+++ b/internal/daemon/record_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestRecordOfPrimary guards against a failover that waits for the platform,
-// and against a record of the primary that does not catch up after an outage.
+// and against a record of the primary that stays outdated after an outage.
 func TestRecordOfPrimary(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 	defer cancel()
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -8,9 +8,9 @@
 	"siskintray.example/siskin/internal/logs"
 )
 
-// reload puts the settings that can change while the VM runs in force, and
-// reads the certificate and token keys again. Every step that can fail comes
-// before the first one with an effect, so that an error leaves all as it was.
+// reload applies the settings that can change while the VM runs, and reads the
+// certificate and token keys again. Every step that can fail precedes the first
+// one with an effect, so an error changes nothing.
 func (d *Daemon) reload(next *cfgini.Daemon) error {
 	cert := d.listeners.callerCert
 	if (cert == nil) != (next.Caller.CertFile == "") {
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -18,13 +18,13 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// reloadCase changes one setting, whose name is its key, and says whether the
-// change is in force.
+// reloadCase changes one setting and reports whether the change is in force.
 type reloadCase struct {
 	change  func(t *testing.T, s *cfgini.Daemon)
 	inForce func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool
 }
 
+// reloadCases holds one case per reloadable setting, by its name.
 var reloadCases = map[string]reloadCase{
 	"Caller.CertFile": {
 		func(t *testing.T, s *cfgini.Daemon) {
@@ -66,15 +66,13 @@
 		func(t *testing.T, s *cfgini.Daemon) {
 			s.Token.KeyFile = newKey(t, "a token key that signs from now on")
 		},
-		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool { return acceptsTokensOf(t, d, s.Token.KeyFile) },
+		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool { return accepts(t, d, s.Token.KeyFile) },
 	},
 	"Token.PreviousKeyFile": {
 		func(t *testing.T, s *cfgini.Daemon) {
 			s.Token.PreviousKeyFile = newKey(t, "a token key that signed before")
 		},
-		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool {
-			return acceptsTokensOf(t, d, s.Token.PreviousKeyFile)
-		},
+		func(t *testing.T, d *Daemon, s *cfgini.Daemon) bool { return accepts(t, d, s.Token.PreviousKeyFile) },
 	},
 	"Stop.Deadline": {
 		func(_ *testing.T, s *cfgini.Daemon) { s.Stop.Deadline = 9 * time.Second },
@@ -88,9 +86,8 @@
 	},
 }
 
-// TestReload guards against a setting that is marked as reloadable and whose
-// change is accepted without effect, and against a rejected reload that changes
-// a part of the settings.
+// TestReload guards against a reloadable setting whose change is accepted but
+// has no effect, and against a rejected reload that changes some settings.
 func TestReload(t *testing.T) {
 	d := startOne(t)
 	current := *d.settings
@@ -132,7 +129,7 @@
 	}
 }
 
-// startOne starts a VM without groups, with TLS towards callers.
+// startOne starts a VM without groups that uses TLS for callers.
 func startOne(t *testing.T) *Daemon {
 	t.Helper()
 	cert, private, key := writeCertificates(t, t.TempDir())
@@ -178,8 +175,8 @@
 	return path
 }
 
-// acceptsTokensOf reports whether the VM acceptsTokensOf tokens signed with the key.
-func acceptsTokensOf(t *testing.T, d *Daemon, path string) bool {
+// accepts reports whether the VM accepts tokens signed with the key in the file.
+func accepts(t *testing.T, d *Daemon, path string) bool {
 	t.Helper()
 	key, err := readKey(path)
 	if err != nil {
@@ -193,7 +190,8 @@
 	return err == nil
 }
 
-// servesCertificate reports whether callers get the certificate of the settings.
+// servesCertificate reports whether the VM presents the certificate of the
+// settings to callers.
 func servesCertificate(t *testing.T, d *Daemon, s *cfgini.Daemon) bool {
 	t.Helper()
 	pair, err := tls.LoadX509KeyPair(s.Caller.CertFile, s.Caller.KeyFile)
@@ -211,7 +209,7 @@
 		return nil
 	}
 	if conn, err := pgconn.ConnectConfig(t.Context(), cfg); err == nil {
-		_ = conn.Close(t.Context()) // no service exists, so this is not reached
+		_ = conn.Close(t.Context()) // not reached, since no service exists
 	}
 	return string(seen) == string(pair.Certificate[0])
 }
--- a/internal/daemon/resume.go
+++ b/internal/daemon/resume.go
@@ -9,12 +9,13 @@
 	"siskintray.example/siskin/pkg/member"
 )
 
-// resumeTimeout bounds the fetching of the configuration after a pause, so that
-// a VM whose peers do not answer goes on with what it has.
+// resumeTimeout bounds fetching the configuration after a pause. A VM whose
+// peers do not answer continues with the configuration that it has.
 const resumeTimeout = time.Second
 
-// resumed brings the roles of this VM up to date after a pause. Membership has
-// heard from peers before and uses no role until it returns.
+// resumed updates the roles of this VM after a pause of the process. Package
+// member calls it after it has heard from peers; MayUseRoles is false until it
+// returns.
 func (d *Daemon) resumed(gap time.Duration) {
 	begun := d.options.clock.Now()
 	ctx, cancel := context.WithTimeout(d.ctx, resumeTimeout)
@@ -23,18 +24,18 @@
 	d.awaitKeys(ctx)
 	d.node.Resume()
 	d.log().Warn().Dur("Gap", gap).Bool("PeersAnswered", answered).Dur("Took", d.options.clock.Since(begun)).
-		Msg("this VM was paused; its roles are up to date")
+		Msg("resumed after a pause of this VM; roles updated")
 }
 
-// awaitKeys waits until the keys follow the configuration in force.
+// awaitKeys waits until the keys of the configuration in force are in use.
 func (d *Daemon) awaitKeys(ctx context.Context) {
 	for d.keys.Revision() < d.spread.Revision() && ctx.Err() == nil {
 		d.options.clock.Sleep(time.Millisecond)
 	}
 }
 
-// awakeMembers is the view of a VM that may have been paused. While it resumes
-// it leaves itself out, so that it is no watcher of the configuration.
+// awakeMembers excludes this VM from the live VMs while it resumes from a pause,
+// so that it does not act as a watcher of the configuration.
 type awakeMembers struct{ *member.Members }
 
 // Live implements siskin.Members.
@@ -53,14 +54,14 @@
 	return others
 }
 
-// limitReceiver refuses to give units while this VM resumes from a pause. The
-// asking VM repeats the request.
+// limitReceiver refuses requests for quota units while this VM resumes from a
+// pause. The requesting VM retries.
 type limitReceiver struct {
 	*limit.Receiver
 	awake func() bool
 }
 
-// Ask answers a request for units.
+// Ask serves a request for quota units.
 func (r *limitReceiver) Ask(args *limit.AskArgs, reply *limit.AskReply) error {
 	if !r.awake() {
 		return siskin.NewError(siskin.Unavailable, "this VM was paused and has not heard from its peers yet").
--- a/internal/daemon/resume_test.go
+++ b/internal/daemon/resume_test.go
@@ -21,8 +21,9 @@
 	"siskintray.example/siskin/pkg/keys"
 )
 
-// pausableFleet is a fleet whose VM vm-3, a process of its own, is the home of all
-// slots while it runs. Two VMs of another data centre take over from it.
+// pausableFleet is a fleet in which vm-3, a VM in a separate process, owns all
+// slots while it runs. While it is paused, two VMs of another data centre own
+// them.
 type pausableFleet struct {
 	group        []*target.Server
 	others       []*Daemon
@@ -88,7 +89,7 @@
 	t.Helper()
 	for !done() {
 		if ctx.Err() != nil {
-			t.Fatal("fleet: got no state as awaited in time")
+			t.Fatal("fleet: expected state not reached in time")
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -109,9 +110,9 @@
 	return err
 }
 
-// writeDuringPause stops the process of vm-3, runs during once the others took over, and
-// writes on conn while the process is stopped. It returns the result of that
-// write and the time from the end of the pause to it.
+// writeDuringPause stops the process of vm-3, calls during once the other VMs
+// own its slots, and writes on conn while the process is stopped. It returns the
+// result of the write and the time from the end of the pause to that result.
 func (f *pausableFleet) writeDuringPause(t *testing.T, ctx context.Context, conn *pgx.Conn, key string, during func()) (took time.Duration, err error) {
 	t.Helper()
 	f.vm.signal(t, syscall.SIGSTOP)
@@ -129,16 +130,16 @@
 		err := put(ctx, conn, key)
 		done <- result{time.Now(), err}
 	}()
-	time.Sleep(100 * time.Millisecond) // the request waits in the connection
+	time.Sleep(100 * time.Millisecond) // lets the request reach the socket buffer
 	resumed := time.Now()
 	f.vm.signal(t, syscall.SIGCONT)
 	r := <-done
 	return r.at.Sub(resumed), r.err
 }
 
-// TestPausedProcess guards against a VM that, after a pause, serves the request
-// that waited for it with a key that was withdrawn meanwhile, with a primary
-// that was replaced, or late.
+// TestPausedProcess guards against a VM that, after a pause of its process,
+// serves a request that arrived during the pause with a withdrawn key, at a
+// replaced primary, or late.
 func TestPausedProcess(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Second)
 	defer cancel()
--- a/internal/daemon/revisions.go
+++ b/internal/daemon/revisions.go
@@ -10,10 +10,10 @@
 	"siskintray.example/siskin/pkg/keys"
 )
 
-// maxParallelCalls bounds the VMs that are asked at the same time for an operator.
+// maxParallelCalls bounds the concurrent calls to VMs on behalf of an operator.
 const maxParallelCalls = 32
 
-// revisions asks every live VM for the revision in force there.
+// revisions returns the revision in force at every live VM.
 func (d *Daemon) revisions(ctx context.Context) []admin.VMRevision {
 	live := d.members.Live()
 	all := make([]admin.VMRevision, len(live))
--- a/internal/daemon/roles_test.go
+++ b/internal/daemon/roles_test.go
@@ -11,8 +11,9 @@
 	"siskintray.example/siskin/pkg/member"
 )
 
-// TestRolesAfterPause guards against a VM that watches the configuration or
-// gives units of a limit after a pause before it has heard from its peers.
+// TestRolesAfterPause guards against a VM that acts as a watcher of the
+// configuration or transfers quota units after a pause before it has heard from
+// its peers.
 func TestRolesAfterPause(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	m := member.New(member.Config{Self: siskin.VM{ID: "vm-1", PeerAddress: "127.0.0.1:1"}}, nil, member.WithClock(clock))
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -6,8 +6,8 @@
 	"siskintray.example/siskin/internal/cmds"
 )
 
-// Run runs a VM until ctx ends, an operator asks for the planned stop or the
-// run is superseded. It then stops as planned.
+// Run runs a VM until ctx is done, an operator requests a planned stop or the
+// run is superseded. It then makes a planned stop.
 func Run(ctx context.Context, c cmds.Daemon) error {
 	restore := reportViolations(c.Log)
 	defer restore()
--- a/internal/daemon/servicewrites.go
+++ b/internal/daemon/servicewrites.go
@@ -8,36 +8,36 @@
 )
 
 const (
-	// idleTime is the time without a write after which nobody counts as kept
-	// waiting: the write gap of a service that is used rarely then begins with
-	// the first write that met the interruption.
+	// idleTime is the time without a write after which a service counts as
+	// idle. Its write gap then begins with the first write that an interruption
+	// affected, not with the last acknowledged write.
 	idleTime = time.Second
 	// minGap is the shortest gap that is recorded without a change of term. A
-	// single write can fail without an interruption, and then others are
-	// acknowledged soon before and after it.
+	// single write can fail without an interruption; others are then
+	// acknowledged shortly before and after it.
 	minGap = 200 * time.Millisecond
 )
 
-// serviceWrites is what is known of the writes of one service.
+// serviceWrites is the state of the write gap detection of one service.
 type serviceWrites struct {
 	mu      sync.Mutex
 	lastAck time.Time   // end of the last acknowledged write; zero before the first
 	term    siskin.Term // highest term of an acknowledged write
-	// first is the beginning of the first write since then that failed.
+	// first is the earliest beginning of a write that failed since lastAck.
 	first time.Time
-	// beforeStall is the end of the acknowledged write before the last ones, when these
-	// beforeStall together for minGap or longer. Writes of the former primary may be
-	// confirmed only at the end of a change of primary.
+	// beforeStall is the end of the last acknowledged write before the latest
+	// ones, if these waited together for minGap or longer; else zero. Writes of
+	// the former primary may be confirmed only at the end of a change of primary.
 	beforeStall time.Time
-	// lastGap is the last lastGap that was returned.
+	// lastGap is the gap that noteAck returned last.
 	lastGap writeGap
 }
 
-// writeGap is a gap whose length may be known better once the writes that waited in
-// it have ended.
+// writeGap is a gap whose length is corrected when writes that waited in it end
+// later.
 type writeGap struct {
 	lastAck time.Time // end of the last acknowledged write before it
-	first   time.Time // beginning of the first write that is known to have met it
+	first   time.Time // earliest beginning of a write known to be affected by it
 	end     time.Time
 }
 
@@ -49,8 +49,9 @@
 	return g.end.Sub(g.lastAck)
 }
 
-// noteFailure notes a write that an interruption may have ended. One that began
-// before the last acknowledged write says nothing about the time after it.
+// noteFailure records a write that may have failed because of an interruption.
+// It ignores a write that began before the last acknowledged one, which says
+// nothing about the time since then.
 func (s *serviceWrites) noteFailure(kind siskin.ErrorKind, began time.Time) {
 	if !interrupts(kind) || s.lastAck.IsZero() || began.Before(s.lastAck) {
 		return
@@ -60,7 +61,8 @@
 	}
 }
 
-// noteAck records an acknowledged write and returns the gap that it ends.
+// noteAck records an acknowledged write. It returns the gap that the write ends,
+// if any.
 func (s *serviceWrites) noteAck(now, began time.Time, term siskin.Term) (gap time.Duration, ok bool) {
 	replaced := s.term != 0 && term > s.term
 	if replaced || !s.first.IsZero() {
@@ -90,9 +92,9 @@
 	return gap, ok
 }
 
-// extendGap returns the length of the last gap when an acknowledged write that ends
-// now had waited in it for longer than those before. Of writes that end together,
-// the one that waited longest may come last.
+// extendGap returns the new length of the last gap if the acknowledged write
+// that ends now waited in it for longer than the writes before. Of several
+// writes that end together, the one that waited longest may be observed last.
 func (s *serviceWrites) extendGap(now, began time.Time) (gap time.Duration, ok bool) {
 	if s.lastGap.end.IsZero() || now.Sub(s.lastGap.end) >= minGap || !began.Before(s.lastGap.first) {
 		return 0, false
@@ -103,9 +105,9 @@
 	return gap, gap > before
 }
 
-// interrupts reports whether a failure of the kind can come from a service that
-// takes no writes. Refusals for the sake of a customer's rate, key or share of
-// a queue do not.
+// interrupts reports whether a failure of the kind can mean that the service
+// takes no writes. Refusals because of a customer's rate, key or queue share do
+// not.
 func interrupts(kind siskin.ErrorKind) bool {
 	return kind == siskin.NotRun || kind == siskin.OutcomeUnknown || kind == siskin.Unavailable
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,17 +5,17 @@
 	"time"
 )
 
-// leaveTimeout bounds the announcement of a planned stop, and settleTime is how
-// long others have to take it in, so that they send nothing more to this VM.
+// leaveTimeout bounds the announcement of a planned stop. settleTime lets other
+// VMs process it, so that they send no more requests to this VM.
 const (
 	leaveTimeout    = time.Second
 	settleTime      = 500 * time.Millisecond
 	handoverTimeout = 3 * time.Second
 )
 
-// Stop ends the VM as planned: it announces that it leaves, finishes the
-// requests in progress until the deadline in the settings, hands its rights
-// over and closes everything.
+// Stop makes a planned stop of the VM. It announces that the VM leaves, lets
+// requests in progress finish until the deadline in the settings, hands over the
+// VM's quota units and closes everything.
 func (d *Daemon) Stop() {
 	d.stopOnce.Do(func() {
 		d.log().Info().Msg("planned stop begins")
@@ -25,7 +25,7 @@
 		cancel()
 		ctx, cancel = context.WithTimeout(context.Background(), handoverTimeout)
 		if err := d.limiter.Handover(ctx); err != nil {
-			d.log().Warn().Err(err).Msg("rights not handed over; they return after the platform lists the VM as gone")
+			d.log().Warn().Err(err).Msg("quota units not handed over; other VMs reclaim them after the platform lists this VM as gone")
 		}
 		cancel()
 		d.close()
@@ -38,16 +38,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := d.members.Leave(ctx); err != nil {
-		d.log().Warn().Err(err).Msg("no other VM confirmed the announcement to leave")
+		d.log().Warn().Err(err).Msg("no other VM confirmed that this VM is leaving")
 	}
 	d.options.clock.Sleep(settleTime)
 }
 
-// Kill ends the VM at once, as a crash does: requests in progress are cut and
-// rights are not handed over.
+// Kill stops the VM immediately, like a crash: requests in progress are aborted
+// and quota units are not handed over.
 func (d *Daemon) Kill() {
 	d.stopOnce.Do(func() {
-		// Calls to other VMs end first, so that they are told nothing.
+		// Close the client first, so that other VMs are not notified.
 		if d.client != nil {
 			_ = d.client.Close()
 		}
@@ -61,13 +61,13 @@
 	<-d.stopped
 }
 
-// close ends what start started, in reverse order. Parts may be missing when
-// start failed.
+// close stops what start started, in reverse order. Fields are nil if start
+// failed before it set them.
 func (d *Daemon) close() {
 	defer close(d.stopped)
 	d.cancel()
 	if d.admin != nil {
-		_ = d.admin.Close() // operators' requests are cut
+		_ = d.admin.Close() // aborts operators' requests
 	}
 	if d.limiter != nil {
 		_ = d.limiter.Close()
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -9,7 +9,8 @@
 	"siskintray.example/siskin"
 )
 
-// certificate is a key pair that can be replaced without a restart.
+// certificate is a certificate with its private key that can be replaced without
+// a restart.
 type certificate struct {
 	pair atomic.Pointer[tls.Certificate]
 }
@@ -39,7 +40,7 @@
 	return c.pair.Load(), nil
 }
 
-// serverTLS returns the settings of a listener, or nil without a certificate.
+// serverTLS returns the TLS settings of a listener, nil without a certificate.
 func serverTLS(c *certificate) *tls.Config {
 	if c == nil {
 		return nil
@@ -47,8 +48,9 @@
 	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: c.get}
 }
 
-// mutualTLS returns the settings of both ends of connections that demand a
-// certificate signed by the given authorities, or nil without a certificate.
+// mutualTLS returns the TLS settings of both ends of connections whose peers
+// must present a certificate signed by the given authorities, or nil without a
+// certificate.
 func mutualTLS(c *certificate, caFile string) (*tls.Config, error) {
 	if c == nil {
 		return nil, nil
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -27,7 +27,7 @@
 	"siskintray.example/siskin/pkg/keys"
 )
 
-// writeCertificates writes a certificate for 127.0.0.1 that signs itself, its
+// writeCertificates writes a self-signed certificate for 127.0.0.1, its private
 // key and a token key.
 func writeCertificates(t *testing.T, dir string) (cert, key, token string) {
 	t.Helper()
@@ -128,8 +128,8 @@
 	}}}
 }
 
-// TestTLS guards against callers, forwarded transactions or calls between VMs
-// that work without TLS only.
+// TestTLS guards against connections of callers, forwarded transactions or calls
+// between VMs that fail with TLS.
 func TestTLS(t *testing.T) {
 	vms, cert, key := startSecureVMs(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -146,6 +146,6 @@
 				t.Fatalf("VM %d: %v", i+1, err)
 			}
 		}
-		_ = conn.Close(ctx) // the session ends either way
+		_ = conn.Close(ctx) // the session ends even if this fails
 	}
 }
--- a/internal/node/awake_test.go
+++ b/internal/node/awake_test.go
@@ -12,9 +12,9 @@
 	"siskintray.example/siskin/internal/stand/target"
 )
 
-// TestAsleepHomeServesNothing guards against a VM that serves a request of its
-// slots between a pause and the exchange with its peers, or that never serves
-// it afterwards.
+// TestAsleepHomeServesNothing guards against a VM that serves a request for its
+// slots after a pause before Config.Awake returns true, or that never serves the
+// request afterwards.
 func TestAsleepHomeServesNothing(t *testing.T) {
 	var awake atomic.Bool
 	awake.Store(true)
@@ -38,12 +38,12 @@
 	go func() { done <- insert("held") }()
 	time.Sleep(500 * time.Millisecond)
 	if _, ok := target.PrimaryTable(targets)["held"]; ok {
-		t.Error("write while the VM is asleep: got it in the data, want it held back")
+		t.Error("write while the VM may not use its roles: found in the data, want it delayed")
 	}
 	begun := time.Now()
 	awake.Store(true)
 	if err := <-done; err != nil {
-		t.Errorf("write that was held back: got %v, want nil", err)
+		t.Errorf("delayed write: got %v, want nil", err)
 	}
-	t.Logf("served %v after the VM was awake", time.Since(begun))
+	t.Logf("served %v after the VM could use its roles again", time.Since(begun))
 }
--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -11,7 +11,7 @@
 // cancelTimeout bounds the delivery of a cancel request to one VM.
 const cancelTimeout = 2 * time.Second
 
-// cancels passes cancel requests to the VM that the process id names.
+// cancels forwards cancel requests to the VM that the process id names.
 type cancels struct {
 	members siskin.Members
 	peers   siskin.Peers
@@ -23,8 +23,8 @@
 	Secret    []byte
 }
 
-// Cancel implements front.Canceler. Two VMs can share a hash of 16 bits; only
-// the one that knows the secret acts.
+// Cancel implements front.Canceler. The 16-bit hashes of two VMs can collide;
+// only the VM that knows the secret cancels a statement.
 func (c *cancels) Cancel(processID uint32, secret []byte) {
 	for _, vm := range c.members.Live() {
 		if vm.ID == c.members.Self().ID || uint32(front.VMHash(vm.ID)) != processID>>16 {
@@ -32,8 +32,8 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		var found bool
-		// A cancel request gets no answer in the protocol, so a failed delivery
-		// cannot be reported either.
+		// The protocol has no response to a cancel request, so a failed delivery
+		// cannot be reported.
 		_ = c.peers.Call(ctx, vm.ID, "Node.Cancel", CancelArgs{ProcessID: processID, Secret: secret}, &found)
 		cancel()
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -13,7 +13,8 @@
 	"siskintray.example/siskin/pkg/token"
 )
 
-// Config holds what a Node is made of. Fields without a default must be set.
+// Config holds the settings and dependencies of a Node. Fields without a
+// default must be set.
 type Config struct {
 	Self  siskin.VM
 	Clock siskin.Clock
@@ -24,7 +25,7 @@
 	Members siskin.Members
 	Peers   siskin.Peers
 	Limiter siskin.Limiter
-	// Platform takes the records of primaries; nil means that none are written.
+	// Platform stores the records of primaries; nil means that none are written.
 	Platform siskin.Platform
 	Keys     siskin.Authenticator
 	Tokens   *token.Codec
@@ -44,7 +45,7 @@
 	// until the VM has heard from its peers and Resume returned; nil means
 	// always.
 	Awake func() bool
-	// Observer is told of each transaction that ended; nil means nobody.
+	// Observer is notified of each transaction that ended; nil means nobody.
 	Observer front.Observer
 	// Dial replaces net.Dialer.DialContext for connections to targets and
 	// forward addresses when it is set.
--- a/internal/node/fake_test.go
+++ b/internal/node/fake_test.go
@@ -13,7 +13,7 @@
 	"siskintray.example/siskin"
 )
 
-// fakeMembers is a fixed fleet.
+// fakeMembers is a fleet that does not change.
 type fakeMembers struct {
 	self siskin.VM
 	live []siskin.VM
@@ -32,7 +32,7 @@
 	return siskin.VM{}, false
 }
 
-// fakePeers calls receivers in this process.
+// fakePeers calls net/rpc receivers in this process.
 type fakePeers struct {
 	mu        sync.Mutex
 	receivers map[siskin.VMID]map[string]any
@@ -70,7 +70,7 @@
 	return json.Unmarshal(b, to)
 }
 
-// fakeKeys knows one key per customer, which is the customer's id.
+// fakeKeys accepts a customer's id as the customer's key.
 type fakeKeys struct{}
 
 func (fakeKeys) Authenticate(_ siskin.ServiceName, key string) (siskin.KeyGrant, error) {
@@ -82,7 +82,7 @@
 
 func (fakeKeys) Check(siskin.ServiceName, siskin.KeyGrant) error { return nil }
 
-// openLimiter admits everything.
+// openLimiter admits every request.
 type openLimiter struct{}
 
 func (openLimiter) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
--- a/internal/node/fakeplatform_test.go
+++ b/internal/node/fakeplatform_test.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin"
 )
 
-// fakePlatform holds objects of conditional updates and counts the calls.
+// fakePlatform stores objects with conditional updates and counts the calls.
 type fakePlatform struct {
 	siskin.Platform // calls that records do not make
 
--- a/internal/node/formerprimaries.go
+++ b/internal/node/formerprimaries.go
@@ -5,9 +5,9 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// formerPrimaries finds targets that become primary again. Connections to them
-// that were open while they were demoted refuse writes for good, so the pools
-// must not use them in the new term.
+// formerPrimaries detects targets that become primary again. A connection that
+// was open while its target was demoted refuses writes permanently, so the pool
+// must not use it in the new term.
 type formerPrimaries struct {
 	// terms holds the latest term in which this VM saw a target as primary.
 	terms *shard.Map[siskin.TargetID, siskin.Term]
@@ -17,7 +17,8 @@
 	return formerPrimaries{shard.New[siskin.TargetID, siskin.Term]()}
 }
 
-// isPromotedAgain reports whether the primary of the view was one in an earlier term.
+// isPromotedAgain reports whether the primary of the view was also the primary
+// in an earlier term.
 func (f formerPrimaries) isPromotedAgain(view *siskin.GroupView) (promotedAgain bool) {
 	if view.Primary == "" {
 		return false
--- a/internal/node/groups.go
+++ b/internal/node/groups.go
@@ -15,8 +15,8 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// groups holds the groups that this VM watches, as a home of one of their
-// slots.
+// groups holds the groups that this VM watches because it is a home of one of
+// their slots.
 type groups struct {
 	self        siskin.VMID
 	clock       siskin.Clock
@@ -27,17 +27,20 @@
 	dial        siskin.DialFunc
 	log         *log.Logger
 	awake       func() bool
-	// activity reports on the statements of this VM at a slot of a target.
+	// activity returns since when a statement of this VM waits on a slot of a
+	// target, and when the target last answered one.
 	activity func(key pool.Key) (quiet, last time.Time)
-	// views are the views of the watchers, and tell passes this VM's view on.
+	// views are the views received from watchers. sendView sends this VM's view
+	// to another VM.
 	views    *remoteViews
 	sendView func(ctx context.Context, vm siskin.VMID, view *siskin.GroupView, service siskin.ServiceName) error
 	// endWritesBefore ends the writes at primaries of terms before the given one.
 	endWritesBefore func(service siskin.ServiceName, term siskin.Term)
-	// onSilentConns tells the pool that old connections to a target went onSilentConns.
+	// onSilentConns tells the pool that connections to a target which were opened
+	// before the given time no longer get answers.
 	onSilentConns func(target siskin.TargetID, sent time.Time)
 	// observe receives each view of a watched group, and an empty one when the
-	// group is watched no longer.
+	// group is no longer watched.
 	observe func(service siskin.ServiceName, view *siskin.GroupView)
 	running *shard.Map[siskin.ServiceName, *watchedGroup]
 }
@@ -71,8 +74,8 @@
 	return w, true
 }
 
-// update starts and ends groups as the configuration and the homes demand. A
-// group whose targets or credentials changed is started anew.
+// update starts and stops groups to match the configuration and the homes. A
+// group whose targets or credentials changed is restarted.
 func (g *groups) update(view config.View) {
 	wanted := make(map[siskin.ServiceName]bool)
 	var services []*config.Service
@@ -88,8 +91,8 @@
 			targets += len(service.Targets)
 		}
 	}
-	// A group that runs keeps its interval until it is started anew, since a
-	// new start costs the knowledge of its targets.
+	// A running group keeps its interval until it is restarted, since a restart
+	// loses what is known of its targets.
 	g.interval = probeInterval(g.minInterval, targets)
 	for _, service := range services {
 		name := service.Name
@@ -162,13 +165,13 @@
 	return a.AckReplicas == b.AckReplicas && a.MaxUnconfirmed == b.MaxUnconfirmed && slices.Equal(a.Members, b.Members)
 }
 
-// rank returns this VM's place among the VMs that watch the group.
+// rank returns this VM's index among the VMs that watch the group.
 func (g *groups) rank(service *config.Service) int {
 	return max(0, slices.IndexFunc(g.homes.rankedHomes(service), g.isSelf))
 }
 
-// current returns the document in force of a service. A group goes on running
-// when only its slots change, and with them its homes.
+// current returns the document of a service that is in force. A group keeps
+// running with its old document when only the slots, and so the homes, change.
 func (g *groups) current(s *config.Service) *config.Service {
 	if now, ok := g.config.Service(s.Name); ok {
 		return now
@@ -194,8 +197,8 @@
 	return found
 }
 
-// applyView passes the view of a watcher to the group. Without one the watchers are
-// silent, and this VM probes itself.
+// applyView passes the view of a watcher to the group. A nil view means that no
+// watcher answered; this VM then probes the targets itself.
 func (g *groups) applyView(service siskin.ServiceName, view *siskin.GroupView, askedAt time.Time) {
 	w, ok := g.running.Get(service)
 	switch {
@@ -207,7 +210,7 @@
 	}
 }
 
-// reportFailure tells the group of a target about a failed connection.
+// reportFailure reports a failed connection to the group of the target.
 func (g *groups) reportFailure(target siskin.TargetID, cause error) {
 	if w := g.of(target); w != nil {
 		w.ReportFailure(target, cause)
@@ -215,7 +218,7 @@
 }
 
 // reachable reports whether a target answers the probes of its group. A target
-// that no group watches counts as reachable, since nothing is known of it.
+// without a watched group counts as reachable, since its state is unknown.
 func (g *groups) reachable(target siskin.TargetID) bool {
 	w := g.of(target)
 	if w == nil {
@@ -226,7 +229,7 @@
 	return !ok || t.Reachable
 }
 
-// close ends all groups and waits for them.
+// close stops all groups and waits for them.
 func (g *groups) close() {
 	g.running.Range(func(name siskin.ServiceName, w *watchedGroup) bool {
 		g.running.Delete(name)
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -8,8 +8,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// statementActivity returns since when a statement of this VM waits for a target, the
-// longest wait first, and when the target last answered one.
+// statementActivity returns since when the longest waiting statement of this VM
+// waits for the target, zero if none waits, and when the target last answered a
+// statement.
 func (g *groups) statementActivity(service *config.Service, target siskin.TargetID) (quiet, last time.Time) {
 	for slot := range service.Slots {
 		q, at := g.activity(pool.Key{Target: target, Slot: siskin.Slot(slot)})
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -11,8 +11,8 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// homes maps slots to the VMs that own them. Answers are kept until the view of
-// the fleet changes, since every transaction asks.
+// homes maps slots to the VMs that own them. Results are cached until the view
+// of the fleet changes, since every transaction needs one.
 type homes struct {
 	members siskin.Members
 	table   atomic.Pointer[homeTable]
@@ -22,8 +22,8 @@
 	changed <-chan struct{}
 	live    []siskin.VM
 	owners  *shard.Map[pool.Key, siskin.VM]
-	// ranks holds the homes of services in order. A changed service has another
-	// document, and the outdated ones go with the table.
+	// ranks holds the homes of services by rank. The key is the document, so a
+	// changed service has a new entry; outdated entries are freed with the table.
 	ranks *shard.Map[*config.Service, []siskin.VM]
 }
 
@@ -33,8 +33,8 @@
 	return h
 }
 
-// newTable takes the channel before the list, so that a change between the two is
-// seen at the next call.
+// newTable takes the channel before the list, so that a change between the two
+// is noticed at the next call of current.
 func (h *homes) newTable() *homeTable {
 	changed := h.members.Changed()
 	return &homeTable{
@@ -68,8 +68,8 @@
 	return vm, ok
 }
 
-// ofService returns the VMs that own a slot of any target of the service. They
-// watch its group.
+// ofService returns the homes of the service: the VMs that own a slot of any of
+// its targets. They watch its group.
 func (h *homes) ofService(s *config.Service) []siskin.VM { return ownersOfSlots(s, h.of) }
 
 // HomesAmong returns those of the given VMs that would own a slot of any target
@@ -96,13 +96,13 @@
 }
 
 // watcherCount is the number of VMs that probe the targets of a group all the
-// time. When one fails, the other still sees a primary fail.
+// time. When one fails, the other still detects a failure of the primary.
 const watcherCount = 2
 
-// rankedHomes returns the VMs that own a slot of the service in the order in which
-// they act on its group. The first two are its watchers, in two data centres
-// when the homes are in several. The caller must not modify the slice, which is
-// kept because each event of a group asks for it.
+// rankedHomes returns the homes of the service in the order in which they act
+// on its group. The first two are its watchers, in two data centres when the
+// homes are in several. The caller must not modify the slice, which is cached
+// because each event of a group needs it.
 func (h *homes) rankedHomes(s *config.Service) []siskin.VM {
 	t := h.current()
 	if ranked, ok := t.ranks.Get(s); ok {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,7 +34,7 @@
 	wg       sync.WaitGroup
 }
 
-// Start starts a VM. Close ends it.
+// Start starts a VM. Close stops it.
 func Start(cfg Config) (*Node, error) {
 	dialer, err := pool.NewPGDialer(cfg.TargetTLS)
 	if err != nil {
@@ -126,8 +126,8 @@
 	}
 }
 
-// update starts the groups before the slots, so that a slot has its group when
-// the first transaction arrives.
+// update brings the groups and slots up to date. It starts groups before slots,
+// so that a slot has its group when the first transaction arrives.
 func (n *Node) update() {
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
@@ -138,8 +138,8 @@
 	n.slots.update(n.cfg.Config)
 }
 
-// Resume brings the slots and the groups up to date after a pause of this VM,
-// before its roles are used again.
+// Resume updates the slots and the groups after a pause of this VM. It must
+// return before the VM uses its roles again.
 func (n *Node) Resume() {
 	n.update()
 	n.groups.running.Range(func(_ siskin.ServiceName, w *watchedGroup) bool {
@@ -156,7 +156,7 @@
 	}
 }
 
-// rank returns this VM's place among the VMs that watch a group.
+// rank returns this VM's index among the VMs that watch a group.
 func (n *Node) rank(service siskin.ServiceName) int {
 	s, ok := n.cfg.Config.Service(service)
 	if !ok {
@@ -168,7 +168,7 @@
 // Group returns the group of a service that this VM watches.
 func (n *Node) Group(service siskin.ServiceName) (siskin.Group, bool) { return n.groups.Group(service) }
 
-// CheckKeys ends the sessions whose key was withdrawn.
+// CheckKeys ends the sessions whose key has been withdrawn.
 func (n *Node) CheckKeys() { n.front.CheckKeys() }
 
 // SetLimits replaces the limits on callers.
@@ -177,9 +177,9 @@
 // Limits returns the limits on callers in force.
 func (n *Node) Limits() front.Limits { return n.front.Limits() }
 
-// Close stops the VM: it stops accepting callers, ends idle sessions, waits
-// until ctx ends for transactions in progress, its own callers' first, and
-// closes what is left.
+// Close stops the VM. It stops accepting callers, ends idle sessions, waits for
+// transactions in progress until ctx is done, those of its own callers first,
+// and closes the remaining connections.
 func (n *Node) Close(ctx context.Context) {
 	_ = n.cfg.Caller.Close() // ends the accept loop
 	n.front.Close(ctx)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -29,7 +29,7 @@
 	return vms, targets
 }
 
-// startNodes is startFleet and returns the nodes too.
+// startNodes is like startFleet but also returns the nodes.
 func startNodes(t *testing.T, edits ...func(*Config)) (vms []string, targets []*target.Server, nodes []*Node) {
 	t.Helper()
 	restore := invar.OnViolation(func(name, detail string) { t.Errorf("invariant %s: %s", name, detail) })
@@ -116,8 +116,8 @@
 	return s
 }
 
-// TestFleetSurvivesPrimary guards against lost writes, stale reads of own
-// writes and callers without an answer when the primary fails under load.
+// TestFleetSurvivesPrimary guards against lost writes, sessions that do not read
+// their own writes, and unanswered requests when the primary fails under load.
 func TestFleetSurvivesPrimary(t *testing.T) {
 	vms, targets := startFleet(t)
 	run := load.NewRun(load.Config{
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -7,7 +7,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// View returns the group of a service, from a home if this VM is none.
+// View returns the view of a service's group. It asks a home of the service if
+// this VM is not one.
 func (n *Node) View(ctx context.Context, service siskin.ServiceName) (siskin.GroupView, error) {
 	if view, ok := n.LocalView(service); ok {
 		return view, nil
@@ -24,7 +25,8 @@
 	return siskin.GroupView{}, notWatched(service)
 }
 
-// LocalView returns the group of a service that this VM is a home of.
+// LocalView returns this VM's view of the group of a service. It reports false
+// if this VM is not a home of the service.
 func (n *Node) LocalView(service siskin.ServiceName) (siskin.GroupView, bool) {
 	g, ok := n.groups.running.Get(service)
 	if !ok {
@@ -35,7 +37,8 @@
 	return view, true
 }
 
-// fetchView asks one home, which may be silent, so that the others are asked too.
+// fetchView asks one home for its view. The timeout leaves time to ask another
+// home when this one does not answer.
 func (n *Node) fetchView(ctx context.Context, vm siskin.VMID, service siskin.ServiceName) (siskin.GroupView, bool) {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
@@ -44,8 +47,8 @@
 	return reply.View, err == nil && reply.Watched
 }
 
-// Promote makes the target the primary of its group. With force it does so with
-// too few reachable targets, which can lose acknowledged writes.
+// Promote makes the target the primary of its group. With force it does so even
+// if too few targets are reachable, which can lose acknowledged writes.
 func (n *Node) Promote(ctx context.Context, service siskin.ServiceName, target siskin.TargetID, force bool) error {
 	if g, ok := n.groups.running.Get(service); ok {
 		return g.Promote(ctx, target, force)
@@ -59,7 +62,7 @@
 		var reply PromoteReply
 		err := n.cfg.Peers.Call(ctx, vm.ID, "Group.Promote", args, &reply)
 		if err != nil && ctx.Err() != nil {
-			// The change may be in progress, so no other VM is asked.
+			// The change may be in progress, so do not ask another VM.
 			return siskin.NewError(siskin.OutcomeUnknown, "change of the primary of %s was not answered in time", service).
 				WithRemedy("look at siskintray group status before repeating it").WithCause(err)
 		}
--- a/internal/node/operate_test.go
+++ b/internal/node/operate_test.go
@@ -10,7 +10,7 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// oneSilentVM is a fleet of which the first VM that is asked does not answer.
+// oneSilentVM implements siskin.Peers. The first VM that is called never answers.
 type oneSilentVM struct{ silent siskin.VMID }
 
 // Call implements siskin.Peers.
@@ -28,8 +28,8 @@
 	return nil
 }
 
-// TestViewPastSilentHome guards against an operator's question that waits for
-// one silent home although another one answers.
+// TestViewPastSilentHome guards against an operator's request that waits for an
+// unresponsive home although another home answers.
 func TestViewPastSilentHome(t *testing.T) {
 	doc := &config.Service{Name: "ledger", Slots: 8, Targets: []config.Target{{ID: "ledger/1", DataCentre: "dc-1"}}}
 	live := []siskin.VM{{ID: "vm-1", DataCentre: "dc-1"}, {ID: "vm-2", DataCentre: "dc-1"}}
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -4,16 +4,16 @@
 
 const (
 	// probesPerSecond bounds the probes of targets by one VM. A probe with its
-	// answer takes 158 bytes, so 45 make 7 KB/s; 9 targets at 200 ms need them
-	// all, which is today's size.
+	// answer takes 158 bytes, so 45 make 7 KB/s. The present size of 9 targets
+	// at 200 ms uses all of them.
 	probesPerSecond = 45
-	// maxInterval is the longest interval at which a change of primary stays
-	// under its bound of 7 s: with 1 s the longest measured gap was 5.62 s.
+	// maxInterval keeps a change of primary below its bound of 7 s: the longest
+	// write gap measured with an interval of 1 s was 5.62 s.
 	maxInterval = time.Second
 )
 
-// probeInterval returns the interval between two probes of each of n targets, those of
-// the groups that this VM is a watcher of.
+// probeInterval returns the interval between two probes of a target when this
+// VM is a watcher of groups with n targets in total.
 func probeInterval(minInterval time.Duration, n int) time.Duration {
 	if minInterval <= 0 {
 		minInterval = defaultInterval
@@ -21,5 +21,5 @@
 	return min(max(minInterval, time.Duration(n)*time.Second/probesPerSecond), max(minInterval, maxInterval))
 }
 
-// defaultInterval is the interval at today's size.
+// defaultInterval is the interval for up to 9 targets.
 const defaultInterval = 200 * time.Millisecond
--- a/internal/node/pace_test.go
+++ b/internal/node/pace_test.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// TestProbeInterval guards against probes that outgrow the traffic a VM has for control,
-// and against an interval that breaks the bound of a change of primary.
+// TestProbeInterval guards against probes that exceed the bandwidth that a VM
+// may use for control traffic, and against an interval so long that a change of
+// primary exceeds its time bound.
 func TestProbeInterval(t *testing.T) {
 	for _, tt := range []struct {
 		targets int
--- a/internal/node/pass.go
+++ b/internal/node/pass.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// pushTimeout bounds the passing of a view to one VM.
+	// pushTimeout bounds sending a view to the other homes once.
 	pushTimeout = time.Second
-	// maxPushBackoff is the longest time between two attempts to reach a VM that
-	// is a home in this VM's view and does not answer it.
+	// maxPushBackoff is the longest delay before a view is sent again to homes
+	// that did not answer.
 	maxPushBackoff = 5 * time.Second
 )
 
-// pushViews tells the other homes of the group each change that this VM sees while
-// it probes the targets. A VM that does not answer is told again, so that a
-// lost call leaves no home with an outdated primary.
+// pushViews sends this VM's view to the other homes of the group after each
+// change, while this VM probes the targets. It repeats the call to a VM that
+// does not answer, so that a lost call leaves no home with an outdated primary.
 func (w *watchedGroup) pushViews(g *groups, service *config.Service) {
 	sent := make(map[siskin.VMID]uint64) // the change that each home knows
 	change, failures := uint64(0), 0
@@ -41,8 +41,8 @@
 	}
 }
 
-// pushView tells the homes that do not know the change with the given number and
-// reports whether any did not answer.
+// pushView sends the view to the homes that did not acknowledge the change with
+// the given number and reports whether any did not answer.
 func (w *watchedGroup) pushView(g *groups, service *config.Service, sent map[siskin.VMID]uint64, change uint64) (unreached bool) {
 	view := w.Group.View()
 	if view.Primary == "" {
--- a/internal/node/queues.go
+++ b/internal/node/queues.go
@@ -11,7 +11,8 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// queues holds one fair queue per owned slot, with a place per connection.
+// queues holds one fair queue per owned slot. Its capacity is the number of
+// connections of the slot.
 type queues struct {
 	clock  siskin.Clock
 	queues *shard.Map[pool.Key, *slotQueue]
@@ -26,8 +27,9 @@
 	return &queues{clock: clock, queues: shard.New[pool.Key, *slotQueue]()}
 }
 
-// set starts or keeps the queue of a slot. A changed number of places starts a
-// new queue; requests in the old one finish there, and the pool bounds both.
+// set creates the queue of a slot, or keeps it if its capacity is unchanged.
+// After a change of capacity, requests in the old queue finish there; the pool
+// bounds the connections of both.
 func (q *queues) set(key pool.Key, capacity int) {
 	q.queues.Update(key, func(old *slotQueue, ok bool) (*slotQueue, bool) {
 		if ok && old.capacity == capacity {
--- a/internal/node/rank_test.go
+++ b/internal/node/rank_test.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestRankFollowsFleet guards against a kept rank that outlives a change of the
-// fleet: two VMs that both take themselves for the first race in elections.
+// TestRankFollowsFleet guards against a cached rank that is used after a change
+// of the fleet: two VMs that both have rank 0 race in elections.
 func TestRankFollowsFleet(t *testing.T) {
 	vm := func(id siskin.VMID) siskin.VM { return siskin.VM{ID: id, DataCentre: "a", State: siskin.VMLive} }
 	service := &config.Service{Name: "ledger", Slots: 16, Targets: []config.Target{{ID: "ledger/1", DataCentre: "a"}}}
@@ -29,7 +29,7 @@
 	}
 }
 
-// changingMembers is a fleet whose change the test announces.
+// changingMembers is a fleet whose changes the test signals.
 type changingMembers struct {
 	fakeMembers
 	changed chan struct{}
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// maxConfigWait bounds the wait of callers for the first configuration. A VM that
-// finds neither the platform nor a peer then refuses them instead.
+// maxConfigWait bounds how long callers wait for the first configuration. After
+// it, a VM that reaches neither the platform nor a peer refuses them.
 const maxConfigWait = 3 * time.Second
 
 // awaitConfig waits until a configuration is in force, so that a VM that has
-// just started does not tell callers that their service is unknown.
+// just started does not refuse callers because their service is unknown.
 func (n *Node) awaitConfig() {
 	timeout := n.cfg.Clock.After(maxConfigWait)
 	for {
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -12,32 +12,32 @@
 	"siskintray.example/siskin/pkg/retry"
 )
 
-// Timing of the platform's records of primaries.
+// Timing of updates of the platform's records of primaries.
 const (
-	// recordDelay keeps the record off the path of a failover and lets several
-	// changes in a row make one update.
+	// recordDelay keeps record updates out of a failover and combines several
+	// consecutive changes into one update.
 	recordDelay = time.Second
-	// recordRankDelay times the rank of a VM among those that watch the group is how
-	// much later it acts, so that one VM usually writes and the next one does
-	// when the first cannot.
+	// recordRankDelay is the additional delay per rank of a VM among those that
+	// watch the group. One VM usually writes; the next one does so if the first
+	// cannot.
 	recordRankDelay = 5 * time.Second
-	// recordTimeout bounds one attempt. It is above the wait for two calls of
-	// the budget in which the daemon makes them.
+	// recordTimeout bounds one attempt. It exceeds the time that two calls wait
+	// for the daemon's call budget.
 	recordTimeout = 15 * time.Second
 )
 
-// recordBackoff spreads the attempts after a failure. Its maximum bounds how
-// long a record stays behind after an outage of the platform.
+// recordBackoff delays attempts after a failure. Its maximum bounds how long a
+// record stays outdated after an outage of the platform.
 var recordBackoff = retry.Backoff{Base: time.Second, Max: 30 * time.Second}
 
-// records brings the platform's record of each watched group's primary up to
-// date after a change. Nothing waits for it, and several VMs may race.
+// records updates the platform's record of each watched group's primary after a
+// change. No request or failover waits for it, and several VMs may race.
 type records struct {
 	self  siskin.VM
 	clock siskin.Clock
 	store *recordStore
 	log   *log.Logger
-	// rank returns this VM's place among the VMs that watch the group.
+	// rank returns this VM's index among the VMs that watch the group.
 	rank func(service siskin.ServiceName) int
 
 	mu     sync.Mutex
@@ -45,7 +45,7 @@
 	wake   chan struct{}
 }
 
-// recordState is what a VM knows of one group and its record.
+// recordState is what this VM knows about one group and its record.
 type recordState struct {
 	term     siskin.Term // newest term that this VM knows
 	primary  siskin.TargetID
@@ -62,8 +62,8 @@
 	}
 }
 
-// observe notes a view of a watched group. An empty one says that the group is
-// watched no longer. It does not block.
+// observe records a view of a watched group. An empty view means that the group
+// is no longer watched. It does not block.
 func (r *records) observe(service siskin.ServiceName, view *siskin.GroupView) {
 	if r.store.platform == nil {
 		return
@@ -86,11 +86,11 @@
 	s.due = r.clock.Now().Add(recordDelay + rankDelay + time.Duration(rand.Int64N(int64(recordDelay))))
 	select {
 	case r.wake <- struct{}{}:
-	default: // the loop looks again anyway
+	default: // a wake-up is already pending
 	}
 }
 
-// recorded returns the term of a group's record, zero when it is not known.
+// recorded returns the term of a group's record, zero if unknown.
 func (r *records) recorded(service siskin.ServiceName) siskin.Term {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -100,7 +100,7 @@
 	return 0
 }
 
-// run updates one record after the other until the context ends.
+// run updates due records one at a time until ctx is done.
 func (r *records) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		service, s, wait := r.next()
@@ -119,10 +119,10 @@
 	}
 }
 
-// idleWait is the time between two looks when no record is behind.
+// idleWait is the time between two checks when no record is outdated.
 const idleWait = time.Minute
 
-// next returns the group whose record is due first and how long to wait for it.
+// next returns the group whose record is due first and the time until then.
 func (r *records) next() (first siskin.ServiceName, state recordState, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,7 +137,7 @@
 	return first, state, state.due.Sub(r.clock.Now())
 }
 
-// finishAttempt notes the result of an attempt.
+// finishAttempt records the result of an attempt.
 func (r *records) finishAttempt(service siskin.ServiceName, recorded siskin.Term, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -149,7 +149,7 @@
 		s.failures++
 		s.due = r.clock.Now().Add(recordBackoff.Base/2 + recordBackoff.Delay(s.failures, rand.Int64N))
 		if r.log != nil {
-			r.log.Debug().Err(err).Str("Service", string(service)).Msg("record of the primary not updated; it is tried again")
+			r.log.Debug().Err(err).Str("Service", string(service)).Msg("record of the primary not updated; will retry")
 		}
 		return
 	}
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -16,7 +16,8 @@
 	"siskintray.example/siskin/pkg/invar"
 )
 
-// recordFleet are the VMs that watch one group, with one platform.
+// recordFleet holds the records of VMs that watch the same group and the platform
+// that they share.
 type recordFleet struct {
 	platform *fakePlatform
 	vms      []*records
@@ -34,7 +35,7 @@
 	return f
 }
 
-// view returns a view of a group whose primary has the number of its term.
+// view returns a view of a group whose primary is numbered like the term.
 func view(term siskin.Term) *siskin.GroupView {
 	return &siskin.GroupView{Term: term, Primary: siskin.TargetID(fmt.Sprint("ledger/", term)), Targets: make([]siskin.TargetView, 3)}
 }
@@ -52,8 +53,8 @@
 	return r
 }
 
-// TestRecordAfterOutage guards against a record that stays behind after an
-// outage of the platform, and against many calls during one.
+// TestRecordAfterOutage guards against a record that stays outdated after an
+// outage of the platform, and against too many calls during the outage.
 func TestRecordAfterOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -95,8 +96,8 @@
 	})
 }
 
-// TestRecordRace guards against a VM that replaces the record of a later term
-// which another VM wrote between its read and its update.
+// TestRecordRace guards against a VM that overwrites the record of a later term
+// that another VM wrote between its read and its update.
 func TestRecordRace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -121,9 +122,9 @@
 	})
 }
 
-// TestSoakRecords guards against a record that reverts, or that is not the last
-// change's at the end, with VMs that learn of changes late, outages and lost
-// answers.
+// TestSoakRecords guards against a record that reverts to an earlier term or does
+// not reach the latest one, when VMs see changes late, the platform has outages
+// and its responses get lost.
 func TestSoakRecords(t *testing.T) {
 	soak.Each(t, func(t *testing.T, seed uint64) {
 		restore := invar.OnViolation(func(name, detail string) { t.Errorf("invariant %s: %s", name, detail) })
--- a/internal/node/recordstore.go
+++ b/internal/node/recordstore.go
@@ -31,9 +31,9 @@
 	return siskin.ObjectName("Group/" + string(service))
 }
 
-// advance makes the record name the primary of the term unless it names one of
-// the same or a later term. It returns the term of the record. An update that
-// races with another VM's fails with kind Conflict.
+// advance sets the record to the primary of the term unless the record already
+// has the same or a later term. It returns the term of the record. An update
+// that loses a race with another VM's fails with kind Conflict.
 func (s *recordStore) advance(ctx context.Context, service siskin.ServiceName, term siskin.Term, primary siskin.TargetID) (siskin.Term, error) {
 	name := recordName(service)
 	o, err := s.platform.Get(ctx, name)
--- a/internal/node/remote.go
+++ b/internal/node/remote.go
@@ -13,26 +13,26 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// Timing of the views that come from other VMs.
+// Timing of requests to other VMs for their views.
 const (
-	// viewInterval is the time between two questions about one group. It grows
-	// with the number of groups in use, so that the questions of one VM stay
+	// viewInterval is the time between two requests about one group. It grows
+	// with the number of groups in use, so that the requests of one VM stay
 	// below viewsPerSecond.
 	viewInterval = 250 * time.Millisecond
-	// viewsPerSecond is about 3 KB/s at 600 bytes for question and answer, less
-	// than half of the 7 KB/s that a node has for control.
+	// viewsPerSecond is about 3 KB/s at 600 bytes for request and response, less
+	// than half of the 7 KB/s that a VM may use for control traffic.
 	viewsPerSecond = 5
 	viewTimeout    = time.Second
 	// noPrimaryInterval replaces viewInterval while a group has no primary that
-	// answers, since each interval adds to the gap in writes of a failover.
+	// takes writes, since each interval adds to the write gap of a failover.
 	noPrimaryInterval = 50 * time.Millisecond
-	// viewIdleTimeout is the time without use after which a group is no longer asked
-	// about.
+	// viewIdleTimeout is the time without use after which a group's view is no
+	// longer requested.
 	viewIdleTimeout = 30 * time.Second
 )
 
-// remoteViews learns the views of groups that this VM does not watch from the
-// VMs that do, while they are in use.
+// remoteViews polls other VMs for the views of groups that this VM does not
+// probe, while these are in use.
 type remoteViews struct {
 	self   siskin.VMID
 	clock  siskin.Clock
@@ -40,8 +40,8 @@
 	homes  *homes
 	config config.View
 	views  *shard.Map[siskin.ServiceName, *remoteView]
-	// applyView receives the view that a watcher gave of a group when it was asked
-	// at the given time, and nil when no watcher answered.
+	// applyView receives a watcher's view of a group and the time at which it was
+	// requested, or nil if no watcher answered.
 	applyView func(service siskin.ServiceName, view *siskin.GroupView, askedAt time.Time)
 	active    atomic.Int64
 
@@ -64,7 +64,8 @@
 	return r
 }
 
-// get returns the latest view of a service's group and when it was asked for.
+// get returns the latest view of a service's group, the time at which it was
+// requested, and a channel that is closed when it changes. It starts polling.
 func (r *remoteViews) get(service siskin.ServiceName) (siskin.GroupView, time.Time, <-chan struct{}) {
 	v := r.views.GetOrCreate(service, func() *remoteView { return newRemoteView() })
 	v.lastUsed.Store(r.clock.Now().UnixNano())
@@ -87,7 +88,7 @@
 	}()
 }
 
-// follow asks for the view until the service is out of use.
+// follow polls for the view until the service is no longer in use.
 func (r *remoteViews) follow(service siskin.ServiceName, v *remoteView) {
 	defer v.polling.Store(false)
 	for r.ctx.Err() == nil {
@@ -110,9 +111,9 @@
 	return max(viewInterval, slowest)
 }
 
-// fetch asks one of the watchers of the group, a random one each time, so that a
-// watcher with an outdated view is soon corrected. The other homes are asked
-// when no watcher answers.
+// fetch requests the view from a watcher of the group. It picks one at random
+// each time, so that the outdated view of one watcher is soon replaced. If no
+// watcher answers, it asks the other homes.
 func (r *remoteViews) fetch(service siskin.ServiceName, v *remoteView) {
 	s, ok := r.config.Service(service)
 	if !ok {
--- a/internal/node/remoteview.go
+++ b/internal/node/remoteview.go
@@ -8,7 +8,7 @@
 	"siskintray.example/siskin"
 )
 
-// remoteView is the latest view of one group that another VM gave.
+// remoteView is the latest view of one group received from another VM.
 type remoteView struct {
 	lastUsed atomic.Int64 // time of the last use in nanoseconds
 	polling  atomic.Bool
@@ -29,8 +29,8 @@
 	return v.view, v.askedAt, v.changed
 }
 
-// set keeps a view unless a later term is known. It announces each change of
-// term or primary.
+// set stores a view unless one of a later term is known. It closes the changed
+// channel when the term, the primary or the number of reachable targets changes.
 func (v *remoteView) set(view siskin.GroupView, askedAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/node/rpcgroup.go
+++ b/internal/node/rpcgroup.go
@@ -8,14 +8,13 @@
 	"siskintray.example/siskin"
 )
 
-// promoteTimeout bounds a change of primary that another VM asked for. A change
-// has to be over within 7 s.
+// promoteTimeout bounds a change of primary that another VM requested. Every
+// change must finish within 7 s.
 const promoteTimeout = 7 * time.Second
 
-// ViewReply is the answer of Group.View.
+// ViewReply is the reply of Group.View.
 type ViewReply struct {
-	// Watched says that the VM watches the group, without which it knows
-	// nothing of it.
+	// Watched is false if the VM does not watch the group; View is then empty.
 	Watched bool
 	View    siskin.GroupView
 }
@@ -27,8 +26,8 @@
 	Force   bool
 }
 
-// PromoteReply is the answer of Group.Promote. net/rpc passes errors as text
-// only, so the kind travels in the answer.
+// PromoteReply is the reply of Group.Promote. net/rpc passes errors as text
+// only, so the reply carries the kind.
 type PromoteReply struct {
 	Watched bool
 	Failed  bool
@@ -37,13 +36,13 @@
 	Remedy  string
 }
 
-// groupReceiver answers other VMs' questions about groups over net/rpc.
+// groupReceiver serves Group calls of other VMs over net/rpc.
 type groupReceiver struct {
 	groups  *groups
 	records *records
 }
 
-// View returns the present view of a group that this VM watches.
+// View returns the current view of a group that this VM watches.
 func (r *groupReceiver) View(service siskin.ServiceName, reply *ViewReply) error {
 	g, ok := r.groups.running.Get(service)
 	if ok {
@@ -59,7 +58,7 @@
 	View    siskin.GroupView
 }
 
-// Learn takes over the view of a VM that probes the targets of a group.
+// Learn applies the view of a VM that probes the targets of a group.
 func (r *groupReceiver) Learn(args LearnArgs, _ *struct{}) error {
 	if g, ok := r.groups.running.Get(args.Service); ok {
 		g.ApplyView(&args.View, r.groups.clock.Now())
--- a/internal/node/slotchange_test.go
+++ b/internal/node/slotchange_test.go
@@ -10,9 +10,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestWatchersFollowSlots guards against groups that go on with the watchers of
-// an earlier number of slots, which left some groups with none: a group keeps
-// running when only its slots change.
+// TestWatchersFollowSlots guards against groups that keep the watchers of an
+// earlier number of slots, which left some groups without a watcher. A group
+// keeps running with its old document when only its slots change.
 func TestWatchersFollowSlots(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var live []siskin.VM
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -6,7 +6,7 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// slots keeps the pool and the queues in line with the slots that this VM owns.
+// slots keeps the pool and the queues in sync with the slots that this VM owns.
 type slots struct {
 	self   siskin.VMID
 	homes  *homes
@@ -14,8 +14,8 @@
 	queues *queues
 }
 
-// update takes over new slots and gives up lost ones. Requests in progress on a
-// lost slot finish.
+// update adds slots that this VM now owns and drops those that it no longer
+// owns. Requests in progress on a dropped slot finish.
 func (s *slots) update(view config.View) {
 	owned := make(map[pool.Key]bool)
 	for _, name := range view.Services() {
--- a/internal/node/soak_test.go
+++ b/internal/node/soak_test.go
@@ -12,7 +12,8 @@
 	"siskintray.example/siskin/internal/stand/target"
 )
 
-// targetFaults begin (true) or end a fault of one target.
+// targetFaults are functions that start (true) or end (false) a fault of a
+// target.
 var targetFaults = []func(s *target.Server, on bool){
 	(*target.Server).SetPaused,
 	(*target.Server).SetSilent,
@@ -31,8 +32,8 @@
 }
 
 // TestSoakFleet guards against lost writes, stale reads and groups that do not
-// recover while single targets fail and calls between the watchers and the
-// other homes get lost.
+// recover when one target at a time fails and calls between the watchers and
+// the other homes get lost.
 func TestSoakFleet(t *testing.T) {
 	soak.Each(t, func(t *testing.T, seed uint64) {
 		const length = 8 * time.Second
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -23,7 +23,7 @@
 	Violations map[string]int64
 }
 
-// Status returns the present state.
+// Status returns the current state.
 func (n *Node) Status() Status {
 	st := n.front.Stats()
 	return Status{
--- a/internal/node/topology.go
+++ b/internal/node/topology.go
@@ -5,7 +5,8 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// topology is what this VM knows as an entry VM. It implements front.Topology.
+// topology gives the front the groups, and the homes to forward transactions
+// to. It implements front.Topology.
 type topology struct {
 	self   siskin.VM
 	homes  *homes
@@ -16,7 +17,7 @@
 // View implements front.Topology.
 func (t *topology) View(service siskin.ServiceName) (siskin.GroupView, <-chan struct{}, bool) {
 	if g, ok := t.groups.Group(service); ok {
-		// The channel is taken first, so that no change is missed.
+		// Take the channel before the view, so that no change is missed.
 		changed := g.Changed()
 		return g.View(), changed, true
 	}
--- a/internal/node/watchdial.go
+++ b/internal/node/watchdial.go
@@ -11,13 +11,14 @@
 	"siskintray.example/siskin/pkg/pgctl"
 )
 
-// probeDialer opens control connections and compares old with new ones: when
-// a question on an old connection to a target found no answer and a new one
-// answers, connections of the same age probably went silent for good.
+// probeDialer opens control connections and detects connections that silently
+// stopped working: when a request on an old connection to a target timed out
+// and a new connection works, other connections of the same age probably get no
+// answers any more either.
 type probeDialer struct {
 	inner *pgctl.Dialer
 	clock siskin.Clock
-	// onSilentConns is called with the time of the question that found no answer.
+	// onSilentConns is called with the time of the request that timed out.
 	onSilentConns func(target siskin.TargetID, sent time.Time)
 
 	mu       sync.Mutex
@@ -33,7 +34,7 @@
 	return &probedTarget{Target: t.(*pgctl.Target), id: id, dialer: d, opened: d.clock.Now()}, nil
 }
 
-// recordResult records the result of a question.
+// recordResult records the result of a request on a connection.
 func (d *probeDialer) recordResult(id siskin.TargetID, opened, sent time.Time, err error) {
 	d.mu.Lock()
 	timedOut, pending := d.timedOut[id]
@@ -43,7 +44,7 @@
 	case isTimeout && !pending:
 		d.timedOut[id] = sent
 	case err == nil && pending:
-		delete(d.timedOut, id) // an old connection that answers refutes it
+		delete(d.timedOut, id) // reported below, or an old connection still answers
 	}
 	d.mu.Unlock()
 	if silenced {
@@ -51,7 +52,8 @@
 	}
 }
 
-// probedTarget is a control connection whose answers a watchDialer compares.
+// probedTarget is a control connection that reports its results to a
+// probeDialer.
 type probedTarget struct {
 	*pgctl.Target
 	id     siskin.TargetID
--- a/internal/node/watchedgroup.go
+++ b/internal/node/watchedgroup.go
@@ -9,7 +9,7 @@
 	"siskintray.example/siskin/pkg/group"
 )
 
-// watchedGroup is a running group with the settings that it was started with.
+// watchedGroup is a running group and the settings that it was started with.
 type watchedGroup struct {
 	*group.Group
 	settings    group.Settings
@@ -41,8 +41,8 @@
 	}
 }
 
-// View implements siskin.Group. A VM that does not probe the targets measures no
-// staleness; a watcher's, with the time since it was asked, stands in for it.
+// View implements siskin.Group. A VM that does not probe the targets does not
+// measure staleness. It uses a watcher's value plus the time since the request.
 func (w *watchedGroup) View() siskin.GroupView {
 	view := w.Group.View()
 	if !w.Passive() {
@@ -73,7 +73,7 @@
 	return false
 }
 
-// Close ends the group and waits for it.
+// Close stops the group and waits for it.
 func (w *watchedGroup) Close() error {
 	w.cancel()
 	w.wg.Wait()
--- a/internal/node/watchers_test.go
+++ b/internal/node/watchers_test.go
@@ -13,9 +13,9 @@
 	"siskintray.example/siskin/pkg/config"
 )
 
-// TestWatchers guards against a group with other than two watchers, with both
-// in one data centre when its homes are in several, and against VMs that
-// disagree on the watchers of a group.
+// TestWatchers guards against a group that does not have two watchers although
+// it has two homes, against watchers in the same data centre when the homes are
+// in several, and against VMs that disagree on the watchers of a group.
 func TestWatchers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var live []siskin.VM
@@ -50,8 +50,8 @@
 	})
 }
 
-// TestHomesLearnFromWatchers guards against homes that are not told of a change
-// of primary by the watchers, and against more than two VMs that probe.
+// TestHomesLearnFromWatchers guards against homes that do not receive a change of
+// primary from the watchers, and against more than two VMs that probe.
 func TestHomesLearnFromWatchers(t *testing.T) {
 	vms, targets, nodes := startNodes(t)
 	await := func(what string, done func() bool) {
