--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -45,8 +45,8 @@
 
 // fakeLimiter admits unless closed and counts refunds.
 type fakeLimiter struct {
-	exhausted   bool
-	refunded int
+	exhausted bool
+	refunded  int
 }
 
 func (l *fakeLimiter) Admit(time.Time, siskin.CustomerID, siskin.Requests) siskin.Admission {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -72,12 +72,12 @@
 	mu      sync.Mutex
 	holders []siskin.VMID
 	// released is set once this VM has dropped its pools.
-	released    bool
-	share       float64   // of this VM; zero unless the stored record lists it
-	shareSince  time.Time // when the share became known
+	released     bool
+	share        float64   // of this VM; zero unless the stored record lists it
+	shareSince   time.Time // when the share became known
 	localBuckets map[siskin.CustomerID]*localBucket
-	pools       map[siskin.CustomerID]*pool
-	stamps      map[siskin.VMID]receivedStamp
+	pools        map[siskin.CustomerID]*pool
+	stamps       map[siskin.VMID]receivedStamp
 	// toReturn holds the tokens to send back to lenders after ReleasePools.
 	toReturn map[siskin.VMID]Tokens
 	// silentUntil is the time until which an owner that didn't answer is not
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -32,8 +32,8 @@
 	vms   []*simVM
 	cut   map[[2]int]bool
 	// delayed holds messages that are not delivered yet.
-	delayed []func()
-	admitted    []time.Time // admitted requests
+	delayed  []func()
+	admitted []time.Time // admitted requests
 	// requested counts all requests, and refused those that were not admitted.
 	requested, refused int
 	// rate and burst are the limits of the only customer.
