--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -55,8 +55,8 @@
 	return false, nil
 }
 
-func (c *session) changeSetting(route bool, value string) error {
-	if !route {
+func (c *session) changeSetting(isRoute bool, value string) error {
+	if !isRoute {
 		return c.setToken(value)
 	}
 	old := c.route
--- a/internal/pool/replace_test.go
+++ b/internal/pool/replace_test.go
@@ -63,10 +63,10 @@
 	slow.Close(nil)
 }
 
-// TestEvidenceFromBeforeTheIncident guards against aborting a slow statement
+// TestIdleConnectionsAreProbedAgain guards against aborting a slow statement
 // because another connection of its age answered after the fault but before the
 // unanswered probe timed out, and is not probed again before the decision.
-func TestEvidenceFromBeforeTheIncident(t *testing.T) {
+func TestIdleConnectionsAreProbedAgain(t *testing.T) {
 	if testing.Short() {
 		t.Skip("waits for the detection of silence")
 	}
--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -40,7 +40,7 @@
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	begun := time.Now()
-	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(siskin.TargetID) (quiet, last time.Time) {
+	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(siskin.TargetID) (waitingSince, lastAnswer time.Time) {
 		if waiting.Load() {
 			return begun, time.Now() // statements on other connections are answered
 		}
@@ -140,7 +140,7 @@
 	servers := startTargets(t, 3, nil)
 	var waiting atomic.Bool
 	var last atomic.Int64
-	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(id siskin.TargetID) (quiet, heard time.Time) {
+	g := startGroup(t, servers, "vm-1", group.WithWatcher(notWatcher), group.WithStatementActivity(func(id siskin.TargetID) (waitingSince, lastAnswer time.Time) {
 		if waiting.Load() && id == servers[2].ID() {
 			return time.Unix(0, last.Load()), time.Unix(0, last.Load())
 		}
--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -57,7 +57,7 @@
 		if err != nil {
 			return err
 		}
-		tryCtx, cancel := whileTerm(ctx, g, term)
+		tryCtx, cancel := contextOfTerm(ctx, g, term)
 		err = w.tryOnce(tryCtx, g, conn, at, primary, key)
 		cancel()
 		done()
@@ -106,9 +106,9 @@
 	return g.Confirm(ctx, pos)
 }
 
-// whileTerm returns a context that ends when the group has a later term, since
+// contextOfTerm returns a context that ends when the group has a later term, since
 // a transaction at the replaced primary can no longer be acknowledged.
-func whileTerm(ctx context.Context, g *group.Group, term siskin.Term) (context.Context, context.CancelFunc) {
+func contextOfTerm(ctx context.Context, g *group.Group, term siskin.Term) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		for ctx.Err() == nil {
