--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -9,14 +9,14 @@
 	"pgregory.net/rapid"
 )
 
-// TestCopyKeepsEveryByte guards against a relayed stream that loses, doubles or
-// reorders bytes at any size of messages and reads.
+// TestCopyKeepsEveryByte guards against a relayed stream that loses, duplicates
+// or reorders bytes, for all sizes of messages and reads.
 func TestCopyKeepsEveryByte(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var src bytes.Buffer
 		in := NewWriter(&src)
 		for range rapid.IntRange(1, 20).Draw(rt, "messages") {
-			n := rapid.OneOf(rapid.IntRange(0, 100), rapid.IntRange(smallSize-10, smallSize+10), rapid.IntRange(0, 3*BufferSize)).Draw(rt, "size")
+			n := rapid.OneOf(rapid.IntRange(0, 100), rapid.IntRange(smallBufferSize-10, smallBufferSize+10), rapid.IntRange(0, 3*BufferSize)).Draw(rt, "size")
 			body := bytes.Repeat([]byte{byte(n), byte(n >> 8), 7}, n/3+1)[:n]
 			_ = in.Header(Header{Type: 'D', Len: n})
 			_ = in.Raw(body)
@@ -56,7 +56,8 @@
 	})
 }
 
-// FuzzReader guards against a panic or a read beyond the stream on any bytes.
+// FuzzReader guards against a panic or a read beyond the end of the stream on
+// arbitrary input.
 func FuzzReader(f *testing.F) {
 	f.Add([]byte{'Q', 0, 0, 0, 8, 'a', 'b', 'c', 0})
 	f.Add([]byte{'Q', 0, 0, 0, 3})
--- a/internal/frame/writer.go
+++ b/internal/frame/writer.go
@@ -8,17 +8,17 @@
 }
 
 // Writer collects messages in a pooled buffer, which it holds only until the
-// next Flush. Its first error sticks.
+// next Flush. After the first error, all later writes return that error.
 type Writer struct {
 	dst io.Writer
 	buf *[BufferSize]byte
 	n   int
 	err error
-	// torn says that the body of the last message is not complete.
-	torn bool
-	// head is part of the Writer, since a local array would be allocated for
-	// each message.
-	head [HeaderSize]byte
+	// truncated is true if the body of the last message is incomplete.
+	truncated bool
+	// header is a field because a local array would be allocated for each
+	// message.
+	header [HeaderSize]byte
 }
 
 // NewWriter returns a Writer to dst.
@@ -27,7 +27,7 @@
 // Buffered returns the number of bytes not yet flushed.
 func (w *Writer) Buffered() int { return w.n }
 
-// Err returns the first write error.
+// Err returns the first error.
 func (w *Writer) Err() error { return w.err }
 
 // Raw appends b and flushes whenever the buffer is full.
@@ -50,10 +50,10 @@
 	return w.err
 }
 
-// Header appends the head of a message whose body follows with Raw.
+// Header appends the header of a message whose body is then written with Raw.
 func (w *Writer) Header(h Header) error {
-	w.head = h.Bytes()
-	return w.Raw(w.head[:])
+	w.header = h.Bytes()
+	return w.Raw(w.header[:])
 }
 
 // Message appends the encoded form of m.
@@ -70,27 +70,27 @@
 		return err
 	}
 	if w.n+len(b) < BufferSize {
-		w.n += len(b) // Encode wrote into the buffer in place
+		w.n += len(b) // Encode wrote directly into the buffer
 		return nil
 	}
 	return w.Raw(b)
 }
 
-// Copy appends the current message of r, whose head is h. When r ends in the
-// middle of the body, nothing may follow; see Truncated.
+// Copy appends the current message of r, whose header is h. If it fails within
+// the body, nothing may be written after it; see Truncated.
 func (w *Writer) Copy(h Header, r *Reader) error {
-	w.torn = true
+	w.truncated = true
 	err := w.Header(h)
 	if err == nil {
 		err = r.CopyBody(w)
 	}
-	w.torn = err != nil
+	w.truncated = err != nil
 	return err
 }
 
-// Truncated reports whether the last Copy ended within its message. The reader would
-// take whatever follows for the rest of that message.
-func (w *Writer) Truncated() bool { return w.torn }
+// Truncated reports whether the last Copy ended within its message. The receiver
+// would read any further bytes as the rest of that message.
+func (w *Writer) Truncated() bool { return w.truncated }
 
 func (w *Writer) write() {
 	if w.n > 0 && w.err == nil {
@@ -99,7 +99,7 @@
 	w.n = 0
 }
 
-// Flush writes what is buffered and returns the buffer to the pool.
+// Flush writes the buffered bytes and returns the buffer to the pool.
 func (w *Writer) Flush() error {
 	if w.buf == nil {
 		return w.err
@@ -110,7 +110,7 @@
 	return w.err
 }
 
-// Discard drops what is buffered.
+// Discard drops the buffered bytes and returns the buffer to the pool.
 func (w *Writer) Discard() {
 	w.n = 0
 	if w.buf != nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,31 +15,31 @@
 	"siskintray.example/siskin"
 )
 
-// ErrNotSent is in the chain of an error of Call when the peer cannot have
-// received the call.
+// ErrNotSent is wrapped by the errors of Call that guarantee that the peer did
+// not receive the call.
 var ErrNotSent = errors.New("the call was not sent")
 
 // Client implements siskin.Peers.
 type Client struct {
-	cfg      Config
-	counters counters
-	silent   atomic.Int64
-
-	mu     sync.Mutex
-	lookup func(siskin.VMID) (address string, ok bool)
-	slots  map[siskin.VMID]*slot
-	ctx    context.Context // ends at Close
-	stop   context.CancelFunc
-	done   sync.WaitGroup
+	cfg          Config
+	counters     counters
+	unresponsive atomic.Int64
+
+	mu      sync.Mutex
+	lookup  func(siskin.VMID) (address string, ok bool)
+	entries map[siskin.VMID]*connEntry
+	ctx     context.Context // cancelled by Close
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 }
 
-// slot holds the connection to one peer, or the attempt to open it.
-type slot struct {
-	conn *clientConn
-	dial *dial
+// connEntry holds the connection to one peer, or the attempt to open it.
+type connEntry struct {
+	conn        *clientConn
+	dialAttempt *dialAttempt
 }
 
-type dial struct {
+type dialAttempt struct {
 	ready chan struct{}
 	conn  *clientConn
 	err   error
@@ -47,28 +47,28 @@
 
 var _ siskin.Peers = (*Client)(nil)
 
-// NewClient returns a client that finds the addresses of VMs with lookup,
-// which may be nil until SetLookup.
+// NewClient returns a client that resolves the addresses of VMs with lookup,
+// which may be nil until SetLookup is called.
 func NewClient(cfg Config, lookup func(siskin.VMID) (string, bool)) *Client {
 	cfg.setDefaults()
-	c := &Client{cfg: cfg, lookup: lookup, slots: make(map[siskin.VMID]*slot)}
+	c := &Client{cfg: cfg, lookup: lookup, entries: make(map[siskin.VMID]*connEntry)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	return c
 }
 
-// SetLookup replaces the function that finds the addresses of VMs.
+// SetLookup replaces the function that resolves the addresses of VMs.
 func (c *Client) SetLookup(lookup func(siskin.VMID) (string, bool)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lookup = lookup
 }
 
-// isAddressID recognizes the ids that siskin.AddressID returns.
+// isAddressID reports whether vm is an id returned by siskin.AddressID.
 func isAddressID(vm siskin.VMID) bool { return strings.HasPrefix(string(vm), "@") }
 
-// Call implements siskin.Peers. An error of kind Unavailable says that no
-// answer arrived; the method may have run all the same. An error that the
-// method returned has kind Internal.
+// Call implements siskin.Peers. An error of kind Unavailable means that no
+// response arrived; unless it wraps ErrNotSent, the method may have run. An
+// error that the method returned has kind Internal.
 func (c *Client) Call(ctx context.Context, vm siskin.VMID, method string, args, reply any) error {
 	if _, ok := ctx.Deadline(); !ok {
 		return siskin.NewError(siskin.Internal, "call of %s without a deadline", method).WithRemedy("pass a context with a deadline")
@@ -92,23 +92,23 @@
 		if kind := siskin.KindOf(call.Error); kind != siskin.Internal {
 			return call.Error
 		}
-		if cc.silent.Load() {
-			return c.unavailable(vm, method, errors.New("the connection is silent"))
+		if cc.unresponsive.Load() {
+			return c.unavailable(vm, method, errors.New("the connection is unresponsive"))
 		}
 		return c.unavailable(vm, method, call.Error)
 	}
 	if err := json.Unmarshal(*raw, reply); err != nil {
-		return siskin.NewError(siskin.BadInput, "the answer of %s at %s is malformed", method, vm).WithCause(err)
+		return siskin.NewError(siskin.BadInput, "the response to %s from %s is malformed", method, vm).WithCause(err)
 	}
 	return nil
 }
 
 func (c *Client) unavailable(vm siskin.VMID, method string, err error) error {
-	return siskin.NewError(siskin.Unavailable, "%s at %s gave no answer", method, vm).WithCause(err).WithRemedy("retry at another VM")
+	return siskin.NewError(siskin.Unavailable, "%s at %s: no response", method, vm).WithCause(err).WithRemedy("retry at another VM")
 }
 
-// conn returns the connection to vm and opens it when there is none. Callers
-// that come while it is opened wait for the same attempt.
+// conn returns the connection to vm and opens it if there is none. Concurrent
+// callers share one dial attempt.
 func (c *Client) conn(ctx context.Context, vm siskin.VMID) (*clientConn, error) {
 	d, cc, err := c.connOrDial(vm)
 	if d == nil {
@@ -122,7 +122,7 @@
 	}
 }
 
-func (c *Client) connOrDial(vm siskin.VMID) (*dial, *clientConn, error) {
+func (c *Client) connOrDial(vm siskin.VMID) (*dialAttempt, *clientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx.Err() != nil {
@@ -135,40 +135,42 @@
 	if !ok {
 		return nil, nil, errors.New("the address of the VM is not known")
 	}
-	s := c.slots[vm]
-	if s == nil {
-		s = &slot{}
-		c.slots[vm] = s
+	e := c.entries[vm]
+	if e == nil {
+		e = &connEntry{}
+		c.entries[vm] = e
 	}
-	if s.conn != nil {
+	if e.conn != nil {
 		select {
-		case <-s.conn.w.stop:
-			s.conn = nil
+		case <-e.conn.w.stop:
+			e.conn = nil
 		default:
-			if s.conn.address == address {
-				return nil, s.conn, nil
+			if e.conn.address == address {
+				return nil, e.conn, nil
 			}
-			s.conn.w.close() // the VM has moved
-			s.conn = nil
+			e.conn.w.close() // the address of the VM changed
+			e.conn = nil
 		}
 	}
-	if s.dial == nil {
-		s.dial = &dial{ready: make(chan struct{})}
-		d := s.dial
-		c.done.Go(func() { c.open(vm, address, s, d) })
+	if e.dialAttempt == nil {
+		e.dialAttempt = &dialAttempt{ready: make(chan struct{})}
+		d := e.dialAttempt
+		c.wg.Go(func() { c.open(vm, address, e, d) })
 	}
-	return s.dial, nil, nil
+	return e.dialAttempt, nil, nil
 }
 
-// open opens a connection independently of the callers that wait for it.
-func (c *Client) open(vm siskin.VMID, address string, s *slot, d *dial) {
+// open opens a connection and removes its entry when the connection closes. It
+// runs in the background, so that a caller that gives up does not cancel the
+// attempt for the others.
+func (c *Client) open(vm siskin.VMID, address string, e *connEntry, d *dialAttempt) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.cfg.DialTimeout)
 	defer cancel()
 	d.conn, d.err = c.dialConn(ctx, vm, address)
 	c.mu.Lock()
-	s.conn, s.dial = d.conn, nil
-	if s.conn == nil {
-		delete(c.slots, vm)
+	e.conn, e.dialAttempt = d.conn, nil
+	if e.conn == nil {
+		delete(c.entries, vm)
 	}
 	c.mu.Unlock()
 	close(d.ready)
@@ -177,14 +179,14 @@
 	}
 	<-d.conn.closed
 	c.mu.Lock()
-	if s.conn == d.conn && s.dial == nil {
-		delete(c.slots, vm)
+	if e.conn == d.conn && e.dialAttempt == nil {
+		delete(c.entries, vm)
 	}
 	c.mu.Unlock()
 }
 
-// tlsFor returns the TLS settings for one address.
-func (c *Client) tlsFor(address string) *tls.Config {
+// tlsConfig returns the TLS settings for one address.
+func (c *Client) tlsConfig(address string) *tls.Config {
 	cfg := c.cfg.TLS.Clone()
 	if cfg.ServerName == "" {
 		cfg.ServerName, _, _ = net.SplitHostPort(address)
@@ -192,11 +194,11 @@
 	return cfg
 }
 
-// Close closes all connections and waits for them.
+// Close closes all connections and waits for their goroutines.
 func (c *Client) Close() error {
 	c.mu.Lock()
 	c.stop()
 	c.mu.Unlock()
-	c.done.Wait()
+	c.wg.Wait()
 	return nil
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -13,11 +13,11 @@
 const (
 	helloFrame frameKind = iota + 1
 	requestFrame
-	answerFrame
+	responseFrame
 	errorFrame
 )
 
-// frame is one message. The body of an errorFrame is its text.
+// frame is one message. The body of an errorFrame is the error text.
 type frame struct {
 	kind   frameKind
 	seq    uint64
@@ -25,9 +25,9 @@
 	body   []byte
 }
 
-var errMalformed = errors.New("malformed frame")
+var errMalformedFrame = errors.New("malformed frame")
 
-// encode returns the frame with its length in front.
+// encode returns the encoded frame with its length prefix.
 func (f frame) encode() []byte {
 	b := make([]byte, 4, 4+1+2*binary.MaxVarintLen64+len(f.method)+len(f.body))
 	b = append(b, byte(f.kind))
@@ -39,31 +39,32 @@
 	return b
 }
 
-// parseFrame decodes a frame without its length. The body refers to b.
+// parseFrame decodes a frame without its length prefix. The body of the result
+// aliases b.
 func parseFrame(b []byte) (frame, error) {
 	if len(b) == 0 {
-		return frame{}, errMalformed
+		return frame{}, errMalformedFrame
 	}
 	f := frame{kind: frameKind(b[0])}
 	if f.kind < helloFrame || f.kind > errorFrame {
-		return frame{}, errMalformed
+		return frame{}, errMalformedFrame
 	}
 	b = b[1:]
 	seq, n := binary.Uvarint(b)
 	if n <= 0 {
-		return frame{}, errMalformed
+		return frame{}, errMalformedFrame
 	}
 	size, m := binary.Uvarint(b[n:])
 	if m <= 0 || size > uint64(len(b)-n-m) {
-		return frame{}, errMalformed
+		return frame{}, errMalformedFrame
 	}
 	b = b[n+m:]
 	f.seq, f.method, f.body = seq, string(b[:size]), b[size:]
 	return f, nil
 }
 
-// readFrame reads one frame of at most limit bytes and returns its size on the
-// connection.
+// readFrame reads one frame of at most limit bytes and returns it with its
+// encoded size, length prefix included.
 func readFrame(r io.Reader, limit siskin.Bytes) (frame, int, error) {
 	var length [4]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
--- a/internal/peer/writer.go
+++ b/internal/peer/writer.go
@@ -8,12 +8,13 @@
 	"siskintray.example/siskin"
 )
 
-// writeQueue is the number of frames that wait for one connection. A silent
-// peer fills it; further frames are then refused and not kept in memory.
-const writeQueue = 256
+// writeQueueSize is the capacity of a connection's send queue in frames. An
+// unresponsive peer fills it; further frames are then refused, which bounds the
+// memory.
+const writeQueueSize = 256
 
-// writer sends frames in the background, so that a call never waits for a
-// blocked connection, and joins waiting frames into one write.
+// writer sends queued frames in the background, so that a call never blocks on
+// the connection, and coalesces them into few writes.
 type writer struct {
 	conn    net.Conn
 	timeout time.Duration
@@ -23,7 +24,7 @@
 }
 
 func newWriter(conn net.Conn, timeout time.Duration) *writer {
-	return &writer{conn: conn, timeout: timeout, frames: make(chan []byte, writeQueue), stop: make(chan struct{})}
+	return &writer{conn: conn, timeout: timeout, frames: make(chan []byte, writeQueueSize), stop: make(chan struct{})}
 }
 
 func (w *writer) send(b []byte) error {
@@ -36,18 +37,18 @@
 	case w.frames <- b:
 		return nil
 	default:
-		return siskin.NewError(siskin.Overloaded, "%d messages wait for the connection already", writeQueue).WithRemedy("retry later")
+		return siskin.NewError(siskin.Overloaded, "the send queue of the connection is full with %d messages", writeQueueSize).WithRemedy("retry later")
 	}
 }
 
-// run writes frames until close, or until a write fails.
+// run writes queued frames until close is called or a write fails.
 func (w *writer) run() {
 	for {
 		select {
 		case <-w.stop:
 			return
 		case b := <-w.frames:
-			b = w.join(b)
+			b = w.coalesce(b)
 			_ = w.conn.SetWriteDeadline(time.Now().Add(w.timeout))
 			if _, err := w.conn.Write(b); err != nil {
 				w.close()
@@ -57,8 +58,8 @@
 	}
 }
 
-// join appends waiting frames to b, up to the size of a TLS record.
-func (w *writer) join(b []byte) []byte {
+// coalesce appends queued frames to b until it reaches the size of a TLS record.
+func (w *writer) coalesce(b []byte) []byte {
 	for len(b) < 16<<10 {
 		select {
 		case next := <-w.frames:
@@ -70,7 +71,7 @@
 	return b
 }
 
-// close ends run and the connection, and thereby the reader.
+// close stops run and closes the connection, which also ends its reader.
 func (w *writer) close() {
 	w.once.Do(func() {
 		close(w.stop)
--- a/internal/stats/reporter.go
+++ b/internal/stats/reporter.go
@@ -11,9 +11,9 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// reporter keeps the values of all series for one VM. The reporter of tally
-// registers with the Prometheus client library, whose default registry is
-// shared by all VMs of a process.
+// reporter keeps the values of all series for one VM. The Prometheus reporter of
+// tally is not used because the default registry of the Prometheus client
+// library would be shared by all VMs of a process.
 type reporter struct {
 	mu       sync.Mutex
 	families map[string]*family
@@ -41,10 +41,11 @@
 	return &reporter{families: map[string]*family{}, limit: limit}
 }
 
-// get returns the series, or a series that is not shown above the limit or when
-// the name is in use for another kind.
-func (r *reporter) get(kind, name string, tags map[string]string) *series {
-	name, labels := cleanName(name), labelText(tags)
+// lookupOrCreate returns the series with the given name and tags. Above the
+// limit, or if the name is in use for another kind, it returns a series that is
+// not exported.
+func (r *reporter) lookupOrCreate(kind, name string, tags map[string]string) *series {
+	name, labels := sanitizeName(name), formatLabels(tags)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f, ok := r.families[name]
@@ -80,29 +81,29 @@
 
 // AllocateCounter implements tally.CachedStatsReporter.
 func (r *reporter) AllocateCounter(name string, tags map[string]string) tally.CachedCount {
-	return r.get("counter", name, tags)
+	return r.lookupOrCreate("counter", name, tags)
 }
 
 // AllocateGauge implements tally.CachedStatsReporter.
 func (r *reporter) AllocateGauge(name string, tags map[string]string) tally.CachedGauge {
-	return r.get("gauge", name, tags)
+	return r.lookupOrCreate("gauge", name, tags)
 }
 
-// timerBuckets are the upper bounds of timers in seconds, from below a local
-// call to the longest deadline.
+// timerBuckets are the upper bounds of timer buckets in seconds. They range from
+// less than a local call takes to the longest deadline.
 var timerBuckets = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 60, math.Inf(1)}
 
 // AllocateTimer implements tally.CachedStatsReporter.
 func (r *reporter) AllocateTimer(name string, tags map[string]string) tally.CachedTimer {
-	return r.get("histogram", name, tags)
+	return r.lookupOrCreate("histogram", name, tags)
 }
 
 // AllocateHistogram implements tally.CachedStatsReporter.
 func (r *reporter) AllocateHistogram(name string, tags map[string]string, _ tally.Buckets) tally.CachedHistogram {
-	return r.get("histogram", name, tags)
+	return r.lookupOrCreate("histogram", name, tags)
 }
 
-// ReportCount implements tally.CachedCount; the value is the growth since the
+// ReportCount implements tally.CachedCount; the value is the increase since the
 // last report.
 func (s *series) ReportCount(value int64) {
 	s.mu.Lock()
@@ -154,8 +155,8 @@
 	b.s.mu.Unlock()
 }
 
-// cleanName replaces characters that Prometheus does not accept in names.
-func cleanName(s string) string {
+// sanitizeName replaces characters that Prometheus does not accept in names.
+func sanitizeName(s string) string {
 	return strings.Map(func(c rune) rune {
 		if c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '_' {
 			return c
@@ -166,11 +167,11 @@
 
 var escapeLabel = strings.NewReplacer(`\`, `\\`, "\n", `\n`, `"`, `\"`)
 
-// labelText returns labels in their text form, ordered by name.
-func labelText(tags map[string]string) string {
+// formatLabels returns the labels in the Prometheus text format, ordered by name.
+func formatLabels(tags map[string]string) string {
 	parts := make([]string, 0, len(tags))
 	for name, value := range tags {
-		parts = append(parts, cleanName(name)+`="`+escapeLabel.Replace(strings.ToValidUTF8(value, "?"))+`"`)
+		parts = append(parts, sanitizeName(name)+`="`+escapeLabel.Replace(strings.ToValidUTF8(value, "?"))+`"`)
 	}
 	slices.Sort(parts)
 	return strings.Join(parts, ",")
