--- a/pkg/invar/invar.go
+++ b/pkg/invar/invar.go
@@ -1,5 +1,5 @@
-// Package invar checks invariants inside the running program. A violation is
-// counted and passed to a handler; in tests the handler ends the run.
+// Package invar checks invariants at run time. A violation is counted and passed
+// to a handler; in tests the handler ends the run.
 package invar
 
 import (
@@ -20,8 +20,8 @@
 	handler func(name, detail string)
 }
 
-// New registers an invariant under a Pascal-case name such as
-// "AckedByCurrentPrimary". Call it from a package variable.
+// New registers an invariant under a PascalCase name such as
+// "AckedByCurrentPrimary". Call it to initialize a package variable.
 func New(name string) *Invariant {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
@@ -46,9 +46,9 @@
 	return false
 }
 
-// OnViolation sets the function that receives each violation, such as one that
-// logs it or one that ends the test. The returned function sets the previous
-// one again.
+// OnViolation sets the handler that is called for each violation, for instance
+// to log it or to end the test. The returned function restores the previous
+// handler.
 func OnViolation(handler func(name, detail string)) (restore func()) {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
--- a/pkg/invar/invar_test.go
+++ b/pkg/invar/invar_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // TestCheckCountsAndReports guards against a violation that is neither counted
-// nor handed to the handler.
+// nor passed to the handler.
 func TestCheckCountsAndReports(t *testing.T) {
 	inv := New("TestInvariant")
 	var reported string
--- a/pkg/pgctl/bytes_test.go
+++ b/pkg/pgctl/bytes_test.go
@@ -12,7 +12,7 @@
 	"siskintray.example/siskin/pkg/pgctl"
 )
 
-// countConn counts the bytes of both directions.
+// countConn counts the bytes read and written.
 type countConn struct {
 	net.Conn
 	n *atomic.Int64
@@ -30,7 +30,7 @@
 	return n, err
 }
 
-// TestProbeBytes guards against probes that repeat the statement text and the
+// TestProbeBytes guards against probes that resend the statement text and the
 // column names, which would multiply the traffic of monitoring.
 func TestProbeBytes(t *testing.T) {
 	servers, err := target.StartGroup("ledger", 3, nil)
--- a/pkg/pgctl/dialer.go
+++ b/pkg/pgctl/dialer.go
@@ -18,7 +18,7 @@
 	dial        siskin.DialFunc
 }
 
-// Option changes a Dialer.
+// Option configures a Dialer.
 type Option func(*Dialer)
 
 // WithDial replaces the function that opens connections.
@@ -26,8 +26,8 @@
 
 var _ siskin.TargetDialer = (*Dialer)(nil)
 
-// NewDialer returns a dialer. A connection that does not open within timeout is
-// given up; zero leaves the time to the context.
+// NewDialer returns a dialer. Opening a connection fails after timeout; zero
+// means that only the context limits it.
 func NewDialer(credentials config.Credentials, timeout time.Duration, opts ...Option) *Dialer {
 	d := &Dialer{credentials: credentials, timeout: timeout}
 	for _, opt := range opts {
@@ -60,8 +60,8 @@
 		return nil, siskin.NewError(siskin.BadInput, "target address %q", address).
 			WithRemedy("write it as IP number and port").WithCause(err)
 	}
-	// The settings are given in full, so that no environment variable or
-	// password file of the process takes part.
+	// All settings are explicit, so that pgconn uses no environment variable or
+	// password file of the process.
 	cfg, err := pgconn.ParseConfig("host=" + host + " port=" + port + " sslmode=disable user=x database=x passfile=''")
 	if err != nil {
 		return nil, siskin.NewError(siskin.BadInput, "target address %q", address).
--- a/pkg/pgctl/error.go
+++ b/pkg/pgctl/error.go
@@ -16,23 +16,23 @@
 	statePassword               = "28P01"
 )
 
-// isTargetError reports whether the target itself returned the error, so that
-// the connection goes on working.
+// isTargetError reports whether the target returned err and the connection
+// remains usable.
 func isTargetError(err error) bool {
 	var e *pgconn.PgError
 	return errors.As(err, &e) && e.Severity != "FATAL"
 }
 
-// wrapError gives an error of pgconn a kind and a remedy.
+// wrapError wraps an error of pgconn with a kind and a remedy.
 func wrapError(operation string, id siskin.TargetID, err error) error {
-	kind, remedy := siskin.Unavailable, "check that the target runs and can be reached"
+	kind, remedy := siskin.Unavailable, "check that the target is running and reachable"
 	var e *pgconn.PgError
 	if errors.As(err, &e) {
 		switch e.Code {
 		case stateNotInPrerequisiteState:
 			kind, remedy = siskin.Conflict, "read the target's status again"
 		case stateReadOnly:
-			kind, remedy = siskin.NotRun, "use the present primary"
+			kind, remedy = siskin.NotRun, "use the current primary"
 		case statePrivilege, statePassword:
 			kind, remedy = siskin.TargetRefused, "check the service's credentials"
 		}
--- a/pkg/pgctl/pgctl_test.go
+++ b/pkg/pgctl/pgctl_test.go
@@ -39,8 +39,9 @@
 	// Output: ledger/1 Primary 1 <nil>
 }
 
-// TestFailover guards against a replica that keeps a discarded suffix, a
-// demoted primary that commits and a promotion by another session.
+// TestFailover guards against a replica that keeps log records discarded by the
+// failover, a demoted primary that commits and a promotion by a session that
+// does not hold the claim.
 func TestFailover(t *testing.T) {
 	servers, err := target.StartGroup("ledger", 3, nil)
 	if err != nil {
@@ -104,7 +105,7 @@
 	if _, err := old.Commit([]store.Op{{Key: "late", Value: "1"}}); siskin.KindOf(err) != siskin.NotRun {
 		t.Fatalf("commit at a replaced primary: got %v, want not run", err)
 	}
-	time.Sleep(20 * time.Millisecond) // the record is applied after its receipt
+	time.Sleep(20 * time.Millisecond) // a received record is applied with a delay
 	if got, want := fmt.Sprint(old.Table()), "map[kept:1]"; got != want {
 		t.Fatalf("got %s, want %s", got, want)
 	}
--- a/pkg/pgctl/status.go
+++ b/pkg/pgctl/status.go
@@ -14,7 +14,7 @@
 
 func formatMillis(d time.Duration) string { return strconv.FormatInt(max(0, d.Milliseconds()), 10) }
 
-// parseStatus parses the row of siskin_status. It accepts further columns.
+// parseStatus parses the row of siskin_status. It ignores additional columns.
 func parseStatus(row []string) (siskin.TargetStatus, error) {
 	if len(row) < statusFields {
 		return siskin.TargetStatus{}, statusRowError("has %d columns", len(row))
@@ -48,7 +48,7 @@
 }
 
 func (p *rowParser) number(i int) uint64 {
-	// 32 bits less than the type holds, so that milliseconds fit a Duration.
+	// 40 bits, so that the milliseconds fit a Duration.
 	n, err := strconv.ParseUint(p.row[i], 10, 40)
 	if err != nil {
 		p.fail(i)
--- a/pkg/pgctl/status_test.go
+++ b/pkg/pgctl/status_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// FuzzParseStatus guards against a malformed row that ends the program or is
-// accepted with a negative time.
+// FuzzParseStatus guards against a malformed row that causes a panic or is
+// accepted with a negative duration or count.
 func FuzzParseStatus(f *testing.F) {
 	f.Add("t/1|Primary|1|vm-1|1|1|0/1F|0/1F|0|false|false|0")
 	f.Add("t/1|Replica|1||1|1|x|0/1F|-1|maybe|false|0")
--- a/pkg/pgctl/target.go
+++ b/pkg/pgctl/target.go
@@ -11,19 +11,19 @@
 	"siskintray.example/siskin"
 )
 
-// Target is one control connection. Calls are serialized. A call that fails
-// for any reason but an error of the target closes the connection.
+// Target is one control connection. Calls are serialized. An error other than a
+// non-fatal error returned by the target closes the connection.
 type Target struct {
 	id   siskin.TargetID
 	mu   sync.Mutex // held during a call
 	conn *pgconn.PgConn
-	// prepared holds the statements that were used twice, and nil for those used
-	// once: a repeated probe then sends neither the statement's text nor the
+	// prepared maps SQL text to its prepared statement, or to nil after the first
+	// use. A repeated probe then transfers neither the statement's text nor the
 	// column names, which are most of its bytes.
 	prepared      map[string]*pgconn.StatementDescription
-	preparedCount int // names given so far
+	preparedCount int // number of statement names used
 
-	ctx    context.Context // ends with Close
+	ctx    context.Context // canceled by Close
 	cancel context.CancelFunc
 }
 
@@ -49,8 +49,8 @@
 		formatTerm(pos.Term), pos.LSN.String(), formatMillis(limit))
 }
 
-// Claim implements siskin.Target. A claim that was not granted is an error of
-// kind Conflict next to the present status.
+// Claim implements siskin.Target. If the claim is not granted, it returns
+// the current status and an error of kind Conflict.
 func (t *Target) Claim(ctx context.Context, term siskin.Term, vm siskin.VMID) (siskin.TargetStatus, error) {
 	row, err := t.call(ctx, "select * from siskin_claim($1, $2)", formatTerm(term), string(vm))
 	if err != nil {
@@ -85,7 +85,7 @@
 	return t.status(ctx, "select * from siskin_drain($1)", formatMillis(hold))
 }
 
-// Close ends the connection and waits for a call in progress, which it cancels.
+// Close cancels a call in progress, waits for it and closes the connection.
 func (t *Target) Close() error {
 	t.cancel()
 	t.mu.Lock()
@@ -95,11 +95,11 @@
 }
 
 // closeLocked closes the connection without waiting for the target, which may
-// be silent.
+// not respond. The caller holds t.mu.
 func (t *Target) closeLocked() {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = t.conn.Close(ctx) // the connection is of no further use
+	_ = t.conn.Close(ctx) // nothing depends on a clean close
 }
 
 func (t *Target) status(ctx context.Context, sql string, args ...string) (siskin.TargetStatus, error) {
@@ -139,7 +139,7 @@
 	return row, nil
 }
 
-// execute runs a statement, as a prepared one from its second use on.
+// execute runs a statement and prepares it on its second use.
 func (t *Target) execute(ctx context.Context, sql string, values [][]byte) *pgconn.Result {
 	statement, used := t.prepared[sql]
 	if !used {
--- a/pkg/plat/attempt.go
+++ b/pkg/plat/attempt.go
@@ -11,11 +11,12 @@
 	"time"
 )
 
-// maxResponseSize bounds an answer: a page of a list has up to 4 MB of values, which
-// base64 makes a third larger, and one more value.
+// maxResponseSize is the limit of a response body in bytes: a page of a list
+// has up to 4 MB of values, which base64 makes a third larger, and one more
+// value.
 const maxResponseSize = 8 << 20
 
-var errReadIdle = errors.New("the connection is silent")
+var errReadIdle = errors.New("no data received within the read idle timeout")
 
 // response is the platform's response to one request.
 type response struct {
@@ -24,8 +25,9 @@
 	retryAfter time.Duration
 }
 
-// attempt makes one HTTP request. The error says that no whole answer arrived;
-// sent says whether the request may have reached the platform.
+// attempt makes one HTTP request. It returns an error if no complete response
+// arrived or the status is 5xx; sent reports whether the request may have
+// reached the platform.
 func (c *Client) attempt(ctx context.Context, method, path string, body []byte) (a response, sent bool, err error) {
 	c.counters.calls.Add(1)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -43,7 +45,7 @@
 	c.counters.failures.Add(1)
 	c.address.CompareAndSwap(index, index+1)
 	if errors.Is(context.Cause(ctx), errReadIdle) {
-		// Connections of the same age are likely silent too.
+		// Other connections of the same age have probably stalled too.
 		c.counters.readIdleTimeouts.Add(1)
 		c.transport.CloseIdleConnections()
 		err = errReadIdle
@@ -68,8 +70,8 @@
 	defer resp.Body.Close()
 	r := &activityReader{r: io.LimitReader(resp.Body, maxResponseSize), onRead: func() {
 		idle.Reset(c.cfg.ReadIdleTimeout)
-		// The sign of life of a waiting watch ends an outage, so that other
-		// calls need not wait for the watch to end.
+		// Data received by a waiting watch closes the circuit breaker, so that
+		// other calls need not wait for the watch to end.
 		c.breaker.record(c.clock.Now(), succeeded)
 	}}
 	b, err := io.ReadAll(r)
--- a/pkg/plat/breaker.go
+++ b/pkg/plat/breaker.go
@@ -5,13 +5,12 @@
 	"time"
 )
 
-// breakerThreshold is the number of failures in a row from which calls are
-// held back. A single lost connection must not stop other calls.
+// breakerThreshold is the number of consecutive failures that opens the
+// circuit breaker. A single lost connection must not stop other calls.
 const breakerThreshold = 3
 
-// breaker decides whether a call may be made while calls fail. From the
-// threshold on it lets one call at a time through, after a random delay that
-// grows with the number of failures.
+// breaker is a circuit breaker. While it is open, it allows one probe call at a
+// time, after a random delay that grows with the number of failures.
 type breaker struct {
 	mu       sync.Mutex
 	min, max time.Duration
@@ -21,7 +20,7 @@
 	retryAt  time.Time
 }
 
-// allow reports whether a call may be made now, and else how long to wait.
+// allow reports whether a call may be made now and, if not, how long to wait.
 func (b *breaker) allow(now time.Time) (wait time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -44,10 +43,10 @@
 const (
 	succeeded result = iota
 	failed
-	canceled // the caller gave up; says nothing about the platform
+	canceled // the caller canceled; no evidence about the platform
 )
 
-// record notes the outcome of a call that allow let through.
+// record records the outcome of a call that allow permitted.
 func (b *breaker) record(now time.Time, r result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -67,8 +66,8 @@
 	return b.failures >= breakerThreshold
 }
 
-// jitter returns a delay of full jitter: uniform between zero and an upper end
-// that doubles with each failure up to longest.
+// jitter returns an exponential backoff delay with full jitter: uniform between
+// zero and an upper bound that doubles with each failure up to longest.
 func jitter(random func() float64, shortest, longest time.Duration, failures int) time.Duration {
 	upper := longest
 	if failures < 32 {
--- a/pkg/plat/budget_test.go
+++ b/pkg/plat/budget_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestWriteBudget guards against updates that exceed their own budget or use up
-// that of reads, and against a budget that a change does not put in force.
+// that of reads, and against a SetBudget that has no effect.
 func TestWriteBudget(t *testing.T) {
 	s, c := startClient(t, Config{CallsPerSecond: 20, WritesPerSecond: 5, Burst: 3})
 	for i, tt := range []struct{ reads, writes float64 }{{20, 5}, {60, 40}} {
@@ -38,7 +38,7 @@
 		}
 		begun := time.Now()
 		if _, err := c.Get(ctx, "A"); err != nil || time.Since(begun) > 250*time.Millisecond {
-			t.Errorf("read after updates used up their budget: got %v after %v, want an answer at once", err, time.Since(begun))
+			t.Errorf("read after updates used up their budget: got %v after %v, want an immediate response", err, time.Since(begun))
 		}
 	}
 }
--- a/pkg/plat/client.go
+++ b/pkg/plat/client.go
@@ -15,8 +15,9 @@
 	"siskintray.example/siskin"
 )
 
-// Client calls the platform. It implements siskin.Platform under the budget of
-// the process; Purpose returns a siskin.Platform with a budget of its own.
+// Client calls the platform. It implements siskin.Platform within the call
+// budget of the process; WithBudget returns a siskin.Platform with an additional
+// budget of its own.
 type Client struct {
 	*LimitedClient
 	cfg       Config
@@ -25,12 +26,12 @@
 	transport *http.Transport
 	breaker   *breaker
 	budget    *rate.Limiter
-	writes    *rate.Limiter // budget itself when all calls share it
+	writes    *rate.Limiter // the same limiter as budget when all calls share one
 	watches   chan struct{} // one entry for each waiting watch
 	address   atomic.Int64  // index of the address in use
 	counters  counters
 
-	ctx  context.Context // ends at Close
+	ctx  context.Context // canceled by Close
 	stop context.CancelFunc
 	mu   sync.Mutex // orders done.Add before done.Wait
 	done sync.WaitGroup
@@ -75,15 +76,15 @@
 	return c, nil
 }
 
-// WithBudget returns a siskin.Platform for one purpose, with a budget in calls per
-// second and a burst.
+// WithBudget returns a siskin.Platform that is limited to perSecond calls a
+// second with the given burst, in addition to the budget of the process.
 func (c *Client) WithBudget(perSecond float64, burst int) *LimitedClient {
 	return &LimitedClient{c: c, budget: rate.NewLimiter(rate.Limit(perSecond), burst)}
 }
 
-// SetBudget replaces the calls and updates a second of the whole process. Bursts
-// stay as they were. It does nothing to a budget whose number is not positive,
-// and nothing to that of updates when all calls share one.
+// SetBudget sets the calls and updates a second of the whole process. Bursts do
+// not change. A rate that is not positive leaves its budget unchanged, and
+// writesPerSecond is ignored when all calls share one budget.
 func (c *Client) SetBudget(callsPerSecond, writesPerSecond float64) {
 	now := c.clock.Now()
 	if callsPerSecond > 0 {
@@ -99,7 +100,7 @@
 	return float64(c.budget.Limit()), float64(c.writes.Limit())
 }
 
-// Close ends all calls and waits for them.
+// Close cancels all calls and waits for them to return.
 func (c *Client) Close() error {
 	c.mu.Lock()
 	c.stop()
@@ -109,7 +110,8 @@
 	return nil
 }
 
-// startCall bounds a call in time and ties it to the life of the client.
+// startCall returns a context for one call, which Close cancels. If bounded is
+// set and ctx has no deadline, the call gets CallTimeout.
 func (c *Client) startCall(ctx context.Context, bounded bool) (context.Context, func(), error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -131,7 +133,7 @@
 	}, nil
 }
 
-// wait sleeps for d and reports false when the context ended first.
+// wait sleeps for d and returns false if ctx is done first.
 func (c *Client) wait(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
--- a/pkg/plat/client_test.go
+++ b/pkg/plat/client_test.go
@@ -45,7 +45,7 @@
 	return ctx
 }
 
-// hookClock runs a function whenever the client waits before a repetition.
+// hookClock runs a function whenever the client waits before a retry.
 type hookClock struct {
 	siskin.Clock
 	hook func()
@@ -56,9 +56,9 @@
 	return c.Clock.After(d)
 }
 
-// TestLostAnswer guards against an update that took effect and is reported as
-// a conflict, or one that did not and is reported as done, when the answer was
-// lost and other writers followed before the read-back.
+// TestLostAnswer guards against reporting an applied update as a conflict, or
+// an update that was not applied as successful, when the response was lost and
+// other writers updated the object before the retry.
 func TestLostAnswer(t *testing.T) {
 	for _, tt := range []struct {
 		laterWriters int
@@ -94,8 +94,8 @@
 	}
 }
 
-// TestSilentConnections guards against calls and watches that wait on open
-// connections that went silent for good while new ones work.
+// TestSilentConnections guards against calls and watches that keep waiting on
+// stalled connections while new connections work.
 func TestSilentConnections(t *testing.T) {
 	t.Parallel()
 	s, c := startClient(t, Config{})
@@ -118,7 +118,7 @@
 		t.Fatal(err)
 	}
 	if got := time.Since(begun); got > 3*time.Second {
-		t.Errorf("recovery from silent connections: got %v, want at most 3 s", got)
+		t.Errorf("recovery from stalled connections: got %v, want at most 3 s", got)
 	}
 }
 
@@ -143,12 +143,13 @@
 	}
 	b.record(now, succeeded)
 	if _, ok := b.allow(now); !ok {
-		t.Error("after an answer: got a call held back, want it allowed")
+		t.Error("after a success: got the call rejected, want it allowed")
 	}
 }
 
-// TestOutage guards against callers that wait during an outage and against a
-// client that does not recover after it or does not use its other address.
+// TestOutage guards against calls that block during an outage, against a client
+// that does not recover afterwards and against one that does not fail over to
+// its second address.
 func TestOutage(t *testing.T) {
 	s, c := startClient(t, Config{Addresses: []string{"127.0.0.1:1"}, MaxBackoff: 100 * time.Millisecond})
 	ctx := timeoutContext(t, 10*time.Second)
@@ -167,7 +168,7 @@
 		}
 	}
 	if got := c.Snapshot().Rejected; got < 50 {
-		t.Errorf("calls held back: got %d of 100, want at least 50", got)
+		t.Errorf("rejected calls: got %d of 100, want at least 50", got)
 	}
 	s.Refuse(false)
 	for ctx.Err() == nil {
@@ -176,11 +177,11 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Error("after the outage: got no answer, want one")
+	t.Error("after the outage: got no response, want one")
 }
 
-// TestShortWatches guards against watches that end by their own deadline and
-// are taken for failures of the platform, and against a connection per watch.
+// TestShortWatches guards against counting watches that reach their own
+// deadline as failures of the platform, and against a new connection per watch.
 func TestShortWatches(t *testing.T) {
 	s, c := startClient(t, Config{})
 	for range 4 {
@@ -189,7 +190,7 @@
 		}
 	}
 	if got := c.Snapshot(); got.Failures != 0 || got.CircuitOpen {
-		t.Errorf("got %d failures, down %v; want none", got.Failures, got.CircuitOpen)
+		t.Errorf("got %d failures, circuit open %v; want none", got.Failures, got.CircuitOpen)
 	}
 	if got := s.Stats().Total(); got != 4 {
 		t.Errorf("calls of 4 watches: got %d, want 4", got)
--- a/pkg/plat/config.go
+++ b/pkg/plat/config.go
@@ -16,20 +16,21 @@
 	// 2 calls a second with a burst of 20.
 	CallsPerSecond float64
 	Burst          int
-	// WritesPerSecond is the budget of the updates of the whole process, with a
-	// burst of Burst. Updates then take nothing of CallsPerSecond. Zero means
-	// that all calls share CallsPerSecond.
+	// WritesPerSecond is a separate budget for the updates of the whole process,
+	// with a burst of Burst. Updates then do not count against CallsPerSecond.
+	// Zero means that all calls share CallsPerSecond.
 	WritesPerSecond float64
 	// MaxWatches is the number of watches that may wait at once; zero means 8.
 	MaxWatches int
 	// CallTimeout bounds calls whose context has no deadline; zero means 10 s.
 	CallTimeout time.Duration
-	// ReadIdleTimeout is the time without a byte after which a connection counts
-	// as silent; zero means 2.5 s. Silent connections must be found within 3 s.
+	// ReadIdleTimeout is the time without received data after which a
+	// connection counts as stalled; zero means 2.5 s. Stalled connections must
+	// be detected within 3 s.
 	ReadIdleTimeout time.Duration
-	// LongPollWait is how long one poll of a watch waits; zero means 20 s.
+	// LongPollWait is the maximum wait of one long poll of a watch; zero means 20 s.
 	LongPollWait time.Duration
-	// MinBackoff and MaxBackoff bound the delay before a repetition; zero means
+	// MinBackoff and MaxBackoff bound the delay before a retry; zero means
 	// 50 ms and 10 s.
 	MinBackoff, MaxBackoff time.Duration
 }
@@ -52,14 +53,14 @@
 	}
 }
 
-// Option changes a Client.
+// Option configures a Client.
 type Option func(*Client)
 
 // WithClock sets the clock of budgets and delays.
 func WithClock(clock siskin.Clock) Option { return func(c *Client) { c.clock = clock } }
 
-// WithDialer replaces the function that opens connections, such as one that
-// shows faults.
+// WithDialer replaces the function that opens connections, for instance by one
+// that injects faults.
 func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(c *Client) { c.transport.DialContext = dial }
 }
--- a/pkg/plat/doc.go
+++ b/pkg/plat/doc.go
@@ -1,20 +1,21 @@
 // Package plat is the client of the platform: siskin.Platform over HTTP with
 // JSON.
 //
-// Every call, a waiting watch included, takes a token of the process's budget
-// and of its purpose's budget. Failed calls are repeated with full jitter, and
-// after several failures in a row only one call at a time tests whether the
-// platform is back, so an outage of any length costs a bounded call rate. All
+// Every request, each long poll of a watch included, takes a token from the
+// budget of the process and one from the budget of its LimitedClient. Failed
+// calls are retried with exponential backoff and full jitter. After several
+// consecutive failures a circuit breaker opens: only one call at a time probes
+// the platform, so the call rate stays bounded in an outage of any length. All
 // other calls then fail at once with kind Unavailable and a time to retry.
 //
-// A conditional update whose answer was lost is repeated with the same
-// operation id and version. It cannot take effect twice, and the platform's
-// answer names the recent operation ids of the object. Hence Put returns
+// A conditional update whose response was lost is retried with the same
+// operation id and version. It cannot take effect twice, because the platform's
+// response lists the recent operation ids of the object. Hence Put returns
 //
 //   - the new version, when the update took effect, even if a later writer
 //     replaced it since;
-//   - Conflict, when the update did not and cannot take effect anymore;
-//   - OutcomeUnknown, when the deadline passed without an answer, or when so
+//   - Conflict, when the update did not take effect and no longer can;
+//   - OutcomeUnknown, when the deadline passed without a response, or when so
 //     many later updates followed that the operation id is no longer listed;
 //   - Unavailable, Overloaded, TooLarge or BadInput: it did not take effect.
 package plat
--- a/pkg/plat/put.go
+++ b/pkg/plat/put.go
@@ -29,10 +29,10 @@
 	return p.put(ctx, name, body, ifVersion, op)
 }
 
-// put repeats the update until it has a definite result or the context ends.
+// put retries the update until it has a definite result or ctx is done.
 func (p *LimitedClient) put(ctx context.Context, name siskin.ObjectName, body []byte, ifVersion siskin.Version, op siskin.OperationID) (siskin.Version, error) {
 	const maxUnsentAttempts = 4
-	maybeApplied := false // an earlier request may have taken effect
+	maybeApplied := false // by an earlier request
 	for n := 1; ; n++ {
 		a, sent, err := p.request(ctx, http.MethodPut, objectPath(name), body)
 		if err == nil {
@@ -54,7 +54,7 @@
 	}
 }
 
-// putResult interprets the answer to an update.
+// putResult interprets the response to an update.
 func (p *LimitedClient) putResult(a response, name siskin.ObjectName, ifVersion siskin.Version, op siskin.OperationID, maybeApplied bool) (siskin.Version, error) {
 	var body struct {
 		Version siskin.Version
@@ -70,9 +70,9 @@
 			return 0, err
 		}
 	case http.StatusRequestEntityTooLarge:
-		return 0, siskin.NewError(siskin.TooLarge, "the platform refused object %s as too large", name).WithRemedy("split the object")
+		return 0, siskin.NewError(siskin.TooLarge, "the platform rejected object %s as too large", name).WithRemedy("split the object")
 	default:
-		return 0, siskin.NewError(siskin.BadInput, "the platform refused object %s with status %d: %.200s", name, a.status, a.body).WithRemedy("check the address and version of the platform")
+		return 0, siskin.NewError(siskin.BadInput, "the platform rejected object %s with status %d: %.200s", name, a.status, a.body).WithRemedy("check the address and version of the platform")
 	}
 	version, applied, known := findUpdate(body.Recent, ifVersion, op)
 	switch {
@@ -81,13 +81,13 @@
 	case maybeApplied && !known:
 		return 0, p.outcomeUnknown(name, op)
 	default:
-		return 0, siskin.NewError(siskin.Conflict, "object %s has version %d, not %d", name, body.Version, ifVersion).WithRemedy("read the object again and repeat the change on top of it")
+		return 0, siskin.NewError(siskin.Conflict, "object %s has version %d, not %d", name, body.Version, ifVersion).WithRemedy("read the object again and apply the change to the new version")
 	}
 }
 
 func (p *LimitedClient) outcomeUnknown(name siskin.ObjectName, op siskin.OperationID) *siskin.Error {
 	p.c.counters.outcomeUnknown.Add(1)
-	return siskin.NewError(siskin.OutcomeUnknown, "the answer to operation %s on object %s was lost", op, name).WithRemedy("read the object and look for the operation before repeating it")
+	return siskin.NewError(siskin.OutcomeUnknown, "the response to operation %s on object %s was lost", op, name).WithRemedy("read the object and check whether the operation took effect before retrying it")
 }
 
 type recentUpdate struct {
@@ -95,9 +95,9 @@
 	Version   siskin.Version
 }
 
-// findUpdate looks for op among the recent updates of an object. The update took
-// effect when it is listed. When it is not, its fate is known only if the list
-// reaches back to the version that the update would have made.
+// findUpdate looks for op among the recent updates of an object. A listed update
+// took effect. The outcome of one that is not listed is known only if the list
+// reaches back to the version that the update would have created.
 func findUpdate(recent []recentUpdate, ifVersion siskin.Version, op siskin.OperationID) (version siskin.Version, applied, known bool) {
 	for _, r := range recent {
 		if r.Operation == op {
--- a/pkg/plat/random_test.go
+++ b/pkg/plat/random_test.go
@@ -16,13 +16,13 @@
 	"siskintray.example/siskin/internal/stand/objapi"
 )
 
-// TestRandomWriters guards against acknowledged updates that are lost, refused
-// updates that took effect and updates that took effect twice, with racing
-// writers and lost answers. Each update appends its id to the value.
+// TestRandomWriters guards against lost acknowledged updates, rejected updates
+// that took effect and updates that took effect twice, with concurrent writers
+// and lost responses. Each update appends its id to the value.
 func TestRandomWriters(t *testing.T) { randomWriters(t, 0, 100*time.Millisecond) }
 
-// TestSoak repeats the run of TestRandomWriters with growing seeds and with
-// answers that are so late that some callers have given up.
+// TestSoak repeats the run of TestRandomWriters with increasing seeds and with
+// responses so late that some calls have reached their deadline.
 func TestSoak(t *testing.T) {
 	soak.Rapid(t, func(t *testing.T) { randomWriters(t, 10, 15*time.Millisecond) })
 }
@@ -91,8 +91,8 @@
 	return len(slices.DeleteFunc(slices.Clone(ops), func(s string) bool { return s != op }))
 }
 
-// FuzzPutResult guards against answers that crash the client, and against an
-// update that is reported as done although the answer does not say so.
+// FuzzPutResult guards against responses that crash the client, and against an
+// update reported as successful after a status other than 200 and 409.
 func FuzzPutResult(f *testing.F) {
 	f.Add(409, []byte(`{"Version":3,"Recent":[{"Operation":"op","Version":3}]}`))
 	f.Add(200, []byte(`{"Version":1}`))
--- a/pkg/plat/read.go
+++ b/pkg/plat/read.go
@@ -30,7 +30,7 @@
 			return nil, err
 		}
 		all = append(all, page.Objects...)
-		if page.Next <= from { // the end, or an answer that would never end
+		if page.Next <= from { // the last page, or a cursor that does not advance
 			return all, nil
 		}
 		from = page.Next
@@ -58,7 +58,8 @@
 	return vms, nil
 }
 
-// parseState maps an unknown state to VMUnknown, which is evidence of nothing.
+// parseState maps an unknown state to VMUnknown, which proves neither that the
+// VM runs nor that it is gone.
 func parseState(s string) siskin.VMState {
 	for _, state := range []siskin.VMState{siskin.VMLive, siskin.VMLeaving, siskin.VMGone} {
 		if state.String() == s {
@@ -83,10 +84,10 @@
 
 func decode(a response, into any) error {
 	if a.status != http.StatusOK {
-		return siskin.NewError(siskin.BadInput, "the platform answered with status %d: %.200s", a.status, a.body).WithRemedy("check the address and version of the platform")
+		return siskin.NewError(siskin.BadInput, "the platform responded with status %d: %.200s", a.status, a.body).WithRemedy("check the address and version of the platform")
 	}
 	if err := json.Unmarshal(a.body, into); err != nil {
-		return siskin.NewError(siskin.BadInput, "the platform's answer is malformed").WithCause(err).WithRemedy("check the address and version of the platform")
+		return siskin.NewError(siskin.BadInput, "the platform's response is malformed").WithCause(err).WithRemedy("check the address and version of the platform")
 	}
 	return nil
 }
--- a/pkg/plat/request.go
+++ b/pkg/plat/request.go
@@ -11,14 +11,14 @@
 	"siskintray.example/siskin"
 )
 
-// request makes one request within the budgets and the breaker. An error is of
-// kind Unavailable or Overloaded; sent says whether the request may have
-// reached the platform.
+// request makes one request if the circuit breaker and the budgets permit it.
+// An error is of kind Unavailable or Overloaded; sent reports whether the
+// request may have reached the platform and taken effect.
 func (p *LimitedClient) request(ctx context.Context, method, path string, body []byte) (a response, sent bool, err error) {
 	c := p.c
 	if wait, ok := c.breaker.allow(c.clock.Now()); !ok {
 		c.counters.rejected.Add(1)
-		return response{}, false, siskin.NewError(siskin.Unavailable, "the platform does not answer").WithRetryAfter(wait).WithRemedy("retry later; cached state stays in force")
+		return response{}, false, siskin.NewError(siskin.Unavailable, "the platform does not respond").WithRetryAfter(wait).WithRemedy("retry later; cached state remains in use")
 	}
 	if err := p.takeTokens(ctx, p.c.budgetFor(method)); err != nil {
 		c.breaker.record(c.clock.Now(), canceled)
@@ -27,7 +27,7 @@
 	a, sent, err = c.attempt(ctx, method, path, body)
 	c.breaker.record(c.clock.Now(), classify(ctx, err))
 	if err != nil {
-		return response{}, sent, siskin.NewError(siskin.Unavailable, "the platform gave no answer").WithCause(err).WithRemedy("retry later; cached state stays in force")
+		return response{}, sent, siskin.NewError(siskin.Unavailable, "the platform did not respond").WithCause(err).WithRemedy("retry later; cached state remains in use")
 	}
 	if a.status == http.StatusTooManyRequests {
 		c.counters.overBudget.Add(1)
@@ -36,8 +36,9 @@
 	return a, sent, nil
 }
 
-// classify says what an attempt tells about the platform. A caller that
-// cancels says nothing; a deadline that passes without an answer is a failure.
+// classify returns the outcome of an attempt for the breaker. A canceled call is
+// no evidence about the platform; a deadline that passes without a response is
+// a failure.
 func classify(ctx context.Context, err error) result {
 	switch {
 	case err == nil:
@@ -57,8 +58,8 @@
 	return c.budget
 }
 
-// takeTokens waits for a token of both budgets. It fails at once when the
-// token comes after the deadline.
+// takeTokens waits for a token of both budgets. It fails at once if the wait
+// would exceed the deadline.
 func (p *LimitedClient) takeTokens(ctx context.Context, budget *rate.Limiter) error {
 	now := p.c.clock.Now()
 	own := p.budget.ReserveN(now, 1)
@@ -78,8 +79,8 @@
 	return siskin.NewError(siskin.Overloaded, "the call budget is used up").WithRetryAfter(wait).WithRemedy("retry after the stated time or raise the calls or updates a second that the settings allow")
 }
 
-// read makes a request that changes nothing and repeats it on failure, at most
-// maxReadAttempts times.
+// read makes a read-only request, with retries up to maxReadAttempts attempts in
+// total.
 func (p *LimitedClient) read(ctx context.Context, path string) (response, error) {
 	const maxReadAttempts = 4
 	for n := 1; ; n++ {
@@ -94,8 +95,8 @@
 	}
 }
 
-// delay returns the time to wait after the n-th failure: the stated time, if
-// any, with jitter added.
+// delay returns the time to wait after the n-th failure: a jittered backoff,
+// added to the retry time that the error gives, if any.
 func (c *Client) delay(err error, n int) time.Duration {
 	d := jitter(c.random, c.cfg.MinBackoff, c.cfg.MaxBackoff, n)
 	var e *siskin.Error
--- a/pkg/plat/stats.go
+++ b/pkg/plat/stats.go
@@ -5,20 +5,21 @@
 	"time"
 )
 
-// Stats are the counts of one Client since its start.
+// Stats holds the counters of one Client since its start.
 type Stats struct {
 	Calls            int64 // HTTP requests, polls of watches included
-	Failures         int64 // requests without an answer or with status 5xx
-	OverBudget       int64 // answers with status 429
-	Throttled        int64 // calls that waited for the own budget
-	Rejected         int64 // calls refused at once during an outage
-	Retries          int64 // requests that repeat a failed one
-	Resolved         int64 // updates found to have taken effect after a lost answer
+	Failures         int64 // requests without a response or with status 5xx
+	OverBudget       int64 // responses with status 429
+	Throttled        int64 // calls that waited for or exceeded the client's own budgets
+	Rejected         int64 // calls rejected by the open circuit breaker
+	Retries          int64 // retries of failed requests
+	Resolved         int64 // updates confirmed as applied after a lost response
 	Unknown          int64 // updates that ended with OutcomeUnknown
-	ReadIdleTimeouts int64 // connections given up as silent
-	// CircuitOpen says that calls are held back now.
+	ReadIdleTimeouts int64 // requests ended by ReadIdleTimeout
+	// CircuitOpen reports whether the circuit breaker rejects calls now.
 	CircuitOpen bool
-	// LastResponse is the time of the last answer; zero when there was none.
+	// LastResponse is the time of the last response below status 500; zero when
+	// there was none.
 	LastResponse time.Time
 }
 
@@ -27,7 +28,7 @@
 	retries, resolved, outcomeUnknown, readIdleTimeouts, lastResponse atomic.Int64
 }
 
-// Snapshot returns the present counts.
+// Snapshot returns the current counters.
 func (c *Client) Snapshot() Stats {
 	n := &c.counters
 	s := Stats{
--- a/pkg/plat/watch.go
+++ b/pkg/plat/watch.go
@@ -10,9 +10,9 @@
 	"siskintray.example/siskin"
 )
 
-// Watch implements siskin.Platform. It waits through outages and ends only
-// with the context, with an error of kind Unavailable, or when too many
-// watches of this process wait already, with kind Overloaded.
+// Watch implements siskin.Platform. It keeps polling through outages until the
+// object changes. It fails with kind Unavailable when ctx ends, and with kind
+// Overloaded when MaxWatches watches of this process are already waiting.
 func (p *LimitedClient) Watch(ctx context.Context, name siskin.ObjectName, after siskin.Version) (siskin.Object, error) {
 	ctx, end, err := p.c.startCall(ctx, false)
 	if err != nil {
@@ -23,7 +23,7 @@
 	case p.c.watches <- struct{}{}:
 		defer func() { <-p.c.watches }()
 	default:
-		return siskin.Object{}, siskin.NewError(siskin.Overloaded, "%d watches wait already", cap(p.c.watches)).WithRemedy("raise MaxWatches or watch fewer objects")
+		return siskin.Object{}, siskin.NewError(siskin.Overloaded, "%d watches are already waiting", cap(p.c.watches)).WithRemedy("raise MaxWatches or watch fewer objects")
 	}
 	failures := 0
 	for {
@@ -47,8 +47,8 @@
 }
 
 // pollMargin is the time before the deadline of a watch at which its last poll
-// ends, so that the platform answers before the deadline. Without it the end
-// of a watch would break its connection and look like a failure.
+// ends, so that the platform responds before the deadline. Without it the end
+// of a watch would close its connection and count as a failure.
 const pollMargin = 100 * time.Millisecond
 
 // pollWait returns how long the next poll may wait, and false when the
@@ -66,7 +66,7 @@
 	return siskin.NewError(siskin.Unavailable, "the watch of object %s ended", name).WithCause(cause).WithRemedy("start a new watch")
 }
 
-// poll makes one long poll. An object with version 0 means that nothing
+// poll makes one long poll. It returns an object with version 0 if nothing
 // changed.
 func (p *LimitedClient) poll(ctx context.Context, path string) (siskin.Object, error) {
 	a, _, err := p.request(ctx, http.MethodGet, path, nil)
@@ -78,10 +78,10 @@
 	return o, err
 }
 
-// decodeVersion decodes the answer to an update that took effect.
+// decodeVersion decodes the response to an update that took effect.
 func decodeVersion(a response, into any) error {
 	if err := json.Unmarshal(a.body, into); err != nil {
-		return siskin.NewError(siskin.OutcomeUnknown, "the platform's answer to an update is malformed").WithCause(err).WithRemedy("read the object back")
+		return siskin.NewError(siskin.OutcomeUnknown, "the platform's response to an update is malformed").WithCause(err).WithRemedy("read the object to see whether the update took effect")
 	}
 	return nil
 }
