peer, stats: receiver and label names follow their types

The receiver of keepalive still came from the former type name, and the label limiters of Stats were named like the labels. Only names change, as the comparison of the declarations shows; the tests of peer, stats, boot, frame and soak pass.

--- a/internal/peer/activity.go
+++ b/internal/peer/activity.go
@@ -24,22 +24,22 @@
 	return &keepalive{now: now, timeout: cfg.KeepaliveTimeout, idleTimeout: cfg.IdleTimeout, lastUsed: now(), unansweredSince: now()}
 }
 
-func (a *keepalive) sent() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.lastUsed = a.now()
-	if a.pending == 0 {
-		a.unansweredSince = a.lastUsed
+func (k *keepalive) sent() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lastUsed = k.now()
+	if k.pending == 0 {
+		k.unansweredSince = k.lastUsed
 	}
-	a.pending++
+	k.pending++
 }
 
-func (a *keepalive) received() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.pending--
-	a.unansweredSince = a.now()
-	a.pingedAt = time.Time{}
+func (k *keepalive) received() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pending--
+	k.unansweredSince = k.now()
+	k.pingedAt = time.Time{}
 }
 
 // action is the result of a keepalive check.
@@ -53,26 +53,26 @@
 )
 
 // check returns the action to take and the time until the next check.
-func (a *keepalive) check() (action, time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.now()
-	if a.pending <= 0 {
-		if idle := now.Sub(a.lastUsed); idle >= a.idleTimeout {
+func (k *keepalive) check() (action, time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	if k.pending <= 0 {
+		if idle := now.Sub(k.lastUsed); idle >= k.idleTimeout {
 			return closeIdle, 0
 		}
 		// Short enough to notice a newly pending request in time, but no shorter:
 		// a VM has dozens of idle connections, and each check wakes it up.
-		return keepOpen, a.timeout / 4
+		return keepOpen, k.timeout / 4
 	}
-	waited := now.Sub(a.unansweredSince)
+	waited := now.Sub(k.unansweredSince)
 	switch {
-	case waited >= a.timeout/2 && a.pingedAt.IsZero():
-		a.pingedAt = now
-		return sendPing, a.timeout / 8
-	case waited >= a.timeout && now.Sub(a.pingedAt) >= a.timeout/2:
+	case waited >= k.timeout/2 && k.pingedAt.IsZero():
+		k.pingedAt = now
+		return sendPing, k.timeout / 8
+	case waited >= k.timeout && now.Sub(k.pingedAt) >= k.timeout/2:
 		return closeUnresponsive, 0
 	default:
-		return keepOpen, a.timeout / 8
+		return keepOpen, k.timeout / 8
 	}
 }
--- a/internal/peer/activity_test.go
+++ b/internal/peer/activity_test.go
@@ -9,14 +9,14 @@
 // without a ping because this VM was paused while a slow handler ran.
 func TestPausedVM(t *testing.T) {
 	now := time.Unix(1000, 0)
-	a := newKeepalive(&Config{KeepaliveTimeout: time.Second, IdleTimeout: time.Minute}, func() time.Time { return now })
-	a.sent()
+	k := newKeepalive(&Config{KeepaliveTimeout: time.Second, IdleTimeout: time.Minute}, func() time.Time { return now })
+	k.sent()
 	for _, step := range []struct {
 		after time.Duration
 		want  action
 	}{{3 * time.Second, sendPing}, {400 * time.Millisecond, keepOpen}, {100 * time.Millisecond, closeUnresponsive}} {
 		now = now.Add(step.after)
-		if got, _ := a.check(); got != step.want {
+		if got, _ := k.check(); got != step.want {
 			t.Errorf("%v later: got action %d, want %d", step.after, got, step.want)
 		}
 	}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -23,11 +23,11 @@
 
 // Stats are the metrics of one VM.
 type Stats struct {
-	scope    tally.Scope
-	closer   io.Closer
-	reporter *reporter
-	customer *LabelLimiter
-	service  *LabelLimiter
+	scope          tally.Scope
+	closer         io.Closer
+	reporter       *reporter
+	customerLabels *LabelLimiter
+	serviceLabels  *LabelLimiter
 }
 
 // New returns an empty Stats. The caller must call Close.
@@ -36,7 +36,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "siskintray", Separator: "_", CachedReporter: r, OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Stats{scope: scope, closer: closer, reporter: r, customer: NewLabelLimiter(maxCustomers), service: NewLabelLimiter(maxServices)}
+	return &Stats{scope: scope, closer: closer, reporter: r, customerLabels: NewLabelLimiter(maxCustomers), serviceLabels: NewLabelLimiter(maxServices)}
 }
 
 // Scope returns the scope to create metrics in. Hot paths should keep the
@@ -44,10 +44,10 @@
 func (s *Stats) Scope() tally.Scope { return s.scope }
 
 // Customer returns the label value of a customer.
-func (s *Stats) Customer(id string) string { return s.customer.Value(id) }
+func (s *Stats) Customer(id string) string { return s.customerLabels.Value(id) }
 
 // Service returns the label value of a service.
-func (s *Stats) Service(name string) string { return s.service.Value(name) }
+func (s *Stats) Service(name string) string { return s.serviceLabels.Value(name) }
 
 // WriteText writes the metrics in the Prometheus text format.
 func (s *Stats) WriteText(w io.Writer) error { return s.reporter.write(w) }
