--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -1,8 +1,8 @@
 // Package peer provides remote calls between VMs with net/rpc over mutual TLS.
 //
 // A Client opens one connection per peer on demand, closes it when it is idle,
-// and replaces it when it is unresponsive. A Server registers receivers under names
-// such as "Member"; its handlers run in a bounded pool.
+// and replaces it when it is unresponsive. A Server registers receivers under
+// names such as "Member"; its handlers run in a bounded pool.
 //
 // Messages are frames: a length of 4 bytes in network order, then the kind of
 // the frame (one byte), the sequence number and the length of the method name
--- a/internal/peer/restart_test.go
+++ b/internal/peer/restart_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	restarted.Serve()
-	const limit = 3 * time.Second // broken connections must be replaced within this time
+	const limit = 3 * time.Second // bound on replacing a broken connection
 	for start := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		got, err := call(c, "b", "Echo.Do", &Args{Text: "y"}, time.Second)
 		if err == nil && got == "y" {
--- a/internal/stats/reporter.go
+++ b/internal/stats/reporter.go
@@ -167,7 +167,7 @@
 
 var escapeLabel = strings.NewReplacer(`\`, `\\`, "\n", `\n`, `"`, `\"`)
 
-// formatLabels returns the labels in the Prometheus text format, ordered by name.
+// formatLabels returns the labels in the Prometheus text format, sorted by name.
 func formatLabels(tags map[string]string) string {
 	parts := make([]string, 0, len(tags))
 	for name, value := range tags {
