quota, crew, feed, limit: clearer comments and test texts

A second reading found comments that could not be understood from their file, such as undefined terms and one that contradicted its code.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -59,7 +59,7 @@
 	// this VM asked for a list of VMs.
 	packedNodes      packedNodes
 	nodesRequestedAt time.Time
-	fetches          int           // number in progress
+	fetches          int           // number of fetches from peers in progress
 	priority         PriorityPeers // last result of Config.PriorityPeers
 	ranker           place.Ranker
 	relay            bool      // this VM is a relay of its data centre
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -16,23 +16,24 @@
 	// suspectAfter is the time without an answer after which a peer is no
 	// longer used as a home.
 	suspectAfter = 900 * time.Millisecond
-	// poolOwnerInterval is the time between two pings of a VM that owns pools
-	// of rates, in a larger fleet. A loan is valid for more than three of them.
+	// poolOwnerInterval is the time between two pings of a VM that owns token
+	// pools, in a larger fleet. A loan is valid for more than three intervals.
 	poolOwnerInterval = 450 * time.Millisecond
 	// fullMeshSize is the fleet size up to which each VM pings all others.
 	fullMeshSize = 16
-	// remoteEvery is the number of pings of distant peers of which one goes to
-	// another data centre. A VM of a larger fleet pings one distant peer per
-	// interval, in turn. An update reaches all VMs in a number of intervals
-	// that is logarithmic in the size of the fleet.
+	// One in remoteEvery pings of distant peers goes to another data centre.
+	// Distant peers are those without a regular interval: a VM of a larger
+	// fleet pings one of them per interval, in turn. An update reaches all VMs
+	// in a number of intervals that is logarithmic in the size of the fleet.
 	remoteEvery = 3
 	// deadInterval is the time between two pings of a peer that has not
-	// answered for long, for instance because it was removed.
+	// answered for deadAfter, for instance because it was removed.
 	deadInterval = 1500 * time.Millisecond
 	// deadAfter is the time without an answer after which deadInterval applies.
 	deadAfter = 5 * time.Second
-	// removedInterval and removedAfter are the same for a peer that was
-	// probably removed, because it has not answered for even longer.
+	// removedInterval and removedAfter correspond to deadInterval and deadAfter
+	// for a peer that was probably removed, because it has not answered for
+	// even longer.
 	removedInterval = 15 * time.Second
 	removedAfter    = time.Minute
 	// watchedLocal and watchedRemote are the numbers of distant peers of a
@@ -46,7 +47,7 @@
 type member struct {
 	node    Node
 	leaving bool
-	// knownSince is the time when this VM learned of the run.
+	// knownSince is the time when this VM learned of this run of the peer.
 	knownSince time.Time
 	// lastHeard is the time when the last answered ping was sent.
 	lastHeard time.Time
@@ -62,7 +63,9 @@
 	// watched is set for a distant peer that is pinged in turn.
 	watched bool
 	// pingFailed is set when the last ping was not answered.
-	pingFailed        bool
+	pingFailed bool
+	// pinging and fetching are set while a ping of the peer, or a fetch of its
+	// data, is in progress.
 	pinging, fetching bool
 }
 
--- a/internal/crew/prioritypeers.go
+++ b/internal/crew/prioritypeers.go
@@ -9,9 +9,10 @@
 	Homes map[siskin.VMID]bool
 	// StandbyFor are the homes that this VM may have to replace.
 	StandbyFor map[siskin.VMID]bool
-	// ServesOthers is set when others send work to this VM because it is a home
-	// or owns pools.
+	// ServesOthers is set when other VMs send work to this VM because it is a
+	// home or owns token pools.
 	ServesOthers bool
-	// PoolOwners are the VMs that own pools of rates.
+	// PoolOwners are the VMs that own token pools of customers, see package
+	// quota.
 	PoolOwners map[siskin.VMID]bool
 }
--- a/internal/crew/relay.go
+++ b/internal/crew/relay.go
@@ -72,7 +72,7 @@
 	}
 	pingFailed := make(map[siskin.DataCentreID]int)
 	for _, m := range c.members {
-		// VMs that stopped answering long before the others are not evidence.
+		// Ignores VMs that stopped answering long before the others.
 		if last := lastHeard[m.node.DataCentre]; (m.pingFailed || m.suspect) && last.Sub(m.lastHeard) < deadAfter {
 			pingFailed[m.node.DataCentre]++
 		}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -45,8 +45,8 @@
 	s.e.cfg.Homes.Run(ctx, req)
 }
 
-// abortReadOnlyTransaction rolls back a transaction that was begun read-only
-// when its caller sends a write.
+// abortReadOnlyTransaction rolls back a transaction with begunReadOnly set,
+// because its caller has sent a write.
 func (o *operation) abortReadOnlyTransaction() *siskin.Answer {
 	o.reason = "BeganAtReplica"
 	tx := *o.s.tx
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -7,18 +7,19 @@
 	"time"
 )
 
-// outageState makes many failed calls during one outage of the store count as
-// one event.
+// outageState tracks an outage of the store, so that only its first failed
+// call is logged.
 type outageState struct {
 	mu    sync.Mutex
 	since time.Time // zero while the store answers
 }
 
-// poll calls read whenever the data is older than age. known returns when the
+// poll calls read whenever the data is older than maxAge, or somewhat later if
+// this VM was not the last reader or uses relays. confirmedAt returns when the
 // data was last confirmed, and read gets the time at which it was called.
 func (f *Feed) poll(ctx context.Context, what string, maxAge time.Duration, confirmedAt func() time.Time, read func(context.Context, time.Time) error) {
 	backoff := minBackoff
-	var last time.Time // start of this VM's last own read
+	var last time.Time // start of the last successful read by this VM
 	jitter := rand.N(maxJitter)
 	f.awaitPeers(ctx, confirmedAt)
 	for ctx.Err() == nil {
@@ -32,8 +33,8 @@
 			due, backoffLimit = due+followerDelay, followerMaxBackoff
 		}
 		if left := due - f.cfg.Clock.Since(at); left > 0 {
-			// A follower hardly ever reads, so it checks less often to avoid
-			// needless wake-ups.
+			// A VM that gets the data from relays hardly ever reads, so it checks
+			// less often to avoid needless wake-ups.
 			interval := pollInterval
 			if usesRelays {
 				interval = max(interval, min(left, maxFollowerPollInterval))
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -11,16 +11,16 @@
 type pool struct {
 	loans  map[siskin.VMID]loan
 	tokens float64
-	at     time.Time
+	at     time.Time // time up to which tokens are added
 }
 
-// loan is the share that one VM lends, valid until its end.
+// loan is the share that one VM lends until the given time.
 type loan struct {
 	share float64
 	until time.Time
 }
 
-// setLoan adds or extends the loan of a VM.
+// setLoan adds the loan of a VM, or replaces it if the new one ends later.
 func (p *pool) setLoan(now time.Time, rate, burst float64, vm siskin.VMID, l loan) {
 	p.fill(now, rate, burst)
 	if old, ok := p.loans[vm]; !ok || l.until.After(old.until) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -33,7 +33,7 @@
 	cut   map[[2]int]bool
 	// delayed holds messages that are not delivered yet.
 	delayed  []func()
-	admitted []time.Time // admitted requests
+	admitted []time.Time // times of the admitted requests
 	// requested counts all requests, and refused those that were not admitted.
 	requested, refused int
 	// rate and burst are the limits of the only customer.
@@ -310,7 +310,7 @@
 	s.run(2*time.Second, 1, false)
 	s.requested, s.refused = 0, 0
 	s.run(60*time.Second, 0.62*testRate, false)
-	// The requirement is none on a day without faults; the measurement has a
+	// The requirement is no refusals on a day without faults, measured with a
 	// resolution of a thousandth.
 	if got := float64(s.refused) / float64(s.requested); got > 0.001 {
 		t.Errorf("refused within the rate: got %d of %d, want at most 0.1%%", s.refused, s.requested)
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -29,7 +29,7 @@
 	defer cancel()
 	for i, owner := range owners {
 		if ctx.Err() != nil {
-			break // out of time on this VM; don't mark the owner as silent
+			break // no time is left to ask this owner; don't mark it as silent
 		}
 		sentAt := l.cfg.Clock.Now()
 		reply, ok := l.takeFrom(ctx, owner, &TakeArgs{Customer: customer, Tokens: tokens}, len(owners)-i)
@@ -85,21 +85,21 @@
 	}
 	owners := l.owners(customer, burst, l.keptFraction(burst))
 	if l.share == 0 && len(owners) > 0 && owners[0] != p.lastAsked {
-		// A VM without a share learns of a new owner only from its own view of
-		// the fleet. Loans of the holders to the former owner are valid until
-		// they end.
+		// A VM without a share lends nothing, so it detects a new owner only from
+		// its own view of the fleet. The former owner may have tokens until the
+		// holders' loans to it expire.
 		if p.lastAsked != "" {
 			p.formerOwner, p.formerOwnerUntil = p.lastAsked, now.Add(loanDuration)
 		}
 		p.lastAsked = owners[0]
 	}
 	if now.Before(p.loanEnd) && !slices.Contains(owners, p.owner) {
-		// The pool has just moved, and the loans to its former owner are still
-		// valid.
+		// Another VM has just become the owner, but this VM's loan to the former
+		// owner is still valid.
 		owners = append([]siskin.VMID{p.owner}, owners...)
 	}
-	// Later the former owner may have tokens while the loans of other lenders
-	// are valid.
+	// After this VM's loan has expired, the VM that it lent to may still have
+	// tokens from loans of other lenders.
 	if now.Before(p.loanEnd.Add(loanDuration)) && !slices.Contains(owners, p.owner) {
 		owners = append(owners, p.owner)
 	}
--- a/internal/roster/evacuations_test.go
+++ b/internal/roster/evacuations_test.go
@@ -74,6 +74,8 @@
 	}
 }
 
+// formatTargets returns the ids of the targets with the marks that
+// TestEvacuations describes.
 func formatTargets(r *Roster, now time.Time) string {
 	var list []string
 	for _, t := range r.Service("s") {
@@ -117,8 +119,8 @@
 	}
 }
 
-// TestConfirmEvacuations guards against confirming a list at another version of
-// the store, so that an evacuation would not be read.
+// TestConfirmEvacuations guards against confirming a list whose version differs
+// from the one in the store, since a new evacuation would then not be read.
 func TestConfirmEvacuations(t *testing.T) {
 	r := newEvacuationRoster()
 	if r.ConfirmEvacuations(0, time.Unix(1000, 0)) {
@@ -138,9 +140,9 @@
 	}
 }
 
-// TestTakenBackBeforeTargets guards against flooding a target that became cold
-// during an evacuation. The end of the evacuation must not take effect before
-// the list of targets that shows that it is cold.
+// TestTakenBackBeforeTargets guards against overloading a target that became
+// cold during an evacuation. The revocation must not take effect before the
+// list of targets that shows that the target is cold.
 func TestTakenBackBeforeTargets(t *testing.T) {
 	r, at := newEvacuationRoster(), func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 	r.ReplaceEvacuations([]siskin.DataCentreID{"dc-a", "dc-b"}, 2, at(0))
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -15,14 +15,15 @@
 
 // TestScripts guards against removing targets too early or too late, and
 // against applying older lists. Each line has a time, a version and the listed
-// ids, or "same" for a confirmation. With "expect" instead of the version it
-// has a size from another VM.
+// ids, or "same" for a confirmation. With "expect" instead of the version, it
+// has the number of targets that another VM reports.
 func TestScripts(t *testing.T) {
 	runScripts(t, "lists.txtar", func(r *Roster) string { return ids(r.Service("s")) })
 }
 
-// TestSizes guards against a group that is taken as complete while a target is
-// missing from discovery: a change of primary would then need too few claims.
+// TestSizes guards against treating the targets of a service as complete while
+// discovery lacks one of them: a change of primary would then need too few
+// claims.
 func TestSizes(t *testing.T) {
 	runScripts(t, "sizes.txtar", func(r *Roster) string { return strconv.Itoa(r.Size("s")) })
 }
@@ -109,8 +110,8 @@
 	}
 }
 
-// TestSince guards against overestimating how long a target has run when its
-// lists show a new run, the entry of its successor or a gap.
+// TestSince guards against overestimating how long a target has run when the
+// lists show a restart, the entry of its successor or a gap.
 func TestSince(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
 	info := func(id string, started int, draining bool) siskin.TargetInfo {
--- a/internal/sysd/newest_test.go
+++ b/internal/sysd/newest_test.go
@@ -89,13 +89,13 @@
 	readers.Wait()
 }
 
-// TestUnfencedStoreDown guards against a failover with a fencing token from
-// before another failover of the same service, which only the store could
-// replace.
+// TestUnfencedStoreDown guards against a failover that, while the store is
+// down, uses a fencing token obtained before an earlier failover of the same
+// service. New tokens come only from the store.
 func TestUnfencedStoreDown(t *testing.T) {
 	f := startUnfencedFleet(t, 3)
 	f.mustQuery(f.mustDial(0, "orders"), "WRITE x 1")
-	f.await("a VM has a fencing token from after the term was known", 5*time.Second, func() bool {
+	f.await("all VMs have a fencing token requested after the term was known", 5*time.Second, func() bool {
 		for _, n := range f.nodes {
 			if term := n.views.LatestProof("ledger").Term; term == 0 || !n.elect.HasFencingToken("ledger", term) {
 				return false
--- a/internal/sysd/stop.go
+++ b/internal/sysd/stop.go
@@ -63,7 +63,7 @@
 	}
 	_ = n.entry.Close()
 	for _, s := range n.servers {
-		_ = s.Close() // open probes and metrics requests may fail
+		_ = s.Close() // probes and metrics requests in progress may fail
 	}
 	_ = n.feed.Close()
 	_ = n.elect.Close()
--- a/pkg/limit/core_test.go
+++ b/pkg/limit/core_test.go
@@ -213,8 +213,8 @@
 	}
 }
 
-// TestForgottenLink guards against requests that a donor takes for stale ones
-// after the requester forgot its earlier requests to that donor.
+// TestForgottenLink guards against a donor that rejects requests as stale after
+// the requester has deleted its state about that donor.
 func TestForgottenLink(t *testing.T) {
 	donor, requester, _ := pair(t)
 	first := ask(t, requester)
--- a/pkg/limit/load_test.go
+++ b/pkg/limit/load_test.go
@@ -21,8 +21,8 @@
 	return b.Len() - first + 24
 }
 
-// tokenBucket decides which requests are within the rate. The baselines use it
-// too.
+// tokenBucket is the ideal limiter, which decides which requests are within the
+// rate. The two baselines, a static division and a shared bucket, use it too.
 type tokenBucket struct {
 	rate, burst, tokens float64
 	at                  time.Time
@@ -67,8 +67,8 @@
 	waiting         []waiter
 	ideal           tokenBucket
 	checker         windowChecker
-	static          map[siskin.VMID]*tokenBucket
-	shared          tokenBucket // at the first VM; rejects requests while that VM is unreachable
+	static          map[siskin.VMID]*tokenBucket // equal parts of the rate, one per VM
+	shared          tokenBucket                  // at the first VM; rejects requests while that VM is unreachable
 	offered         int
 	late            int // requests that were rejected after more than 10 ms
 	waited          int // requests that were not answered at once
@@ -82,7 +82,7 @@
 	n         *node
 	until     time.Duration
 	ideal     bool // the ideal bucket admits the request
-	hasWaited bool // it has waited already
+	hasWaited bool // the request is already counted in traffic.waited
 }
 
 func newTraffic(f *fleet, doc *config.Customer, load float64, seed uint64) *traffic {
@@ -128,8 +128,8 @@
 }
 
 // route returns the VM that gets the requests to n: another one in its data
-// centre if n has been paused for a second, as the members would decide.
-// Before that the requests are lost, and route returns nil.
+// centre while n stays paused for another second or more. In the last second of
+// a pause the requests are lost, and route returns nil.
 func (t *traffic) route(n *node) *node {
 	if n.up() {
 		return n
--- a/pkg/limit/reports.go
+++ b/pkg/limit/reports.go
@@ -7,7 +7,7 @@
 	"siskintray.example/siskin"
 )
 
-// reportSet is the reports received for one epoch of a bucket.
+// reportSet holds the reports received for one epoch of a bucket.
 type reportSet struct {
 	epoch   uint64
 	reports map[holderID]ReportReply
@@ -41,9 +41,9 @@
 }
 
 // awaitsReports requests the missing reports of an epoch that this VM has
-// entered and reports whether some are still missing. It spares a blocked
-// reclaim calls to the platform. A holder in another epoch is no reason to
-// wait.
+// entered and reports whether some are still missing. While a reclaim is
+// blocked, this saves calls to the platform. A holder in another epoch does not
+// count as missing.
 func (l *Limiter) awaitsReports(ctx context.Context, i int, unresponsive map[siskin.VMID]bool) bool {
 	holders := l.core.holdersOf(i)
 	epoch, reporting := l.core.reporting(i)
--- a/pkg/limit/within.go
+++ b/pkg/limit/within.go
@@ -65,8 +65,9 @@
 	return true
 }
 
-// allUnitsInUse reports whether no units are known to be out of use: no
-// reclaim is in progress, and a VM without other holders has all units.
+// allUnitsInUse reports whether the holders may have all units. It is false
+// while no epoch is known, during a reclaim, and when the only holder has fewer
+// than all units.
 func (b *bucket) allUnitsInUse(self siskin.VMID, h *holding) bool {
 	others := false
 	for _, o := range b.holders {
--- a/pkg/limit/within_test.go
+++ b/pkg/limit/within_test.go
@@ -21,8 +21,8 @@
 }
 
 // TestRefusalsCountWhileHolderIsUnresponsive guards against rejected requests
-// within the rate that do not count as such while the VM with the units does
-// not answer, and against ones above the rate that do.
+// that are within the rate but do not count as such while the VM with the units
+// does not answer, and against requests above the rate that count as within it.
 func TestRefusalsCountWhileHolderIsUnresponsive(t *testing.T) {
 	donor, requester, i := pair(t)
 	now := time.Second
@@ -58,7 +58,7 @@
 	countRefusals(t, requester, now, 150) // uses up the burst
 	now += 500 * time.Millisecond
 	if got := countRefusals(t, requester, now, 80); got != 50 {
-		t.Errorf("silent again: got %d counted as within the rate, want 50", got)
+		t.Errorf("unresponsive again: got %d counted as within the rate, want 50", got)
 	}
 }
 
@@ -98,7 +98,7 @@
 	now := time.Second
 	for _, tt := range []struct {
 		others float64 // demand at the other holder before it becomes unresponsive
-		want   int     // of 2 s of rate and the burst of 100, for 200 requests a second here
+		want   int     // counted in 2 s of 200 requests a second here; at most 2 s of the rate plus the burst
 	}{{0, 300}, {100, 200}, {800, 60}} {
 		now += time.Hour
 		donor.bucket(i).holding(now, "a", donor.view).demand = meter{slow: tt.others, fast: tt.others, updatedAt: now}
