--- a/internal/front/observe_test.go
+++ b/internal/front/observe_test.go
@@ -31,7 +31,7 @@
 }
 
 // TestObserveWithinRate guards against a refusal whose WithinRate flag is lost,
-// above all when the home on another VM refuses.
+// in particular when another VM refuses the forwarded request.
 func TestObserveWithinRate(t *testing.T) {
 	observer := &recordingObserver{}
 	f := startFleetWith(t, 2, nil, func(c *Config) { c.Observer = observer })
@@ -43,11 +43,11 @@
 		for _, within := range []bool{true, false, true} {
 			f.limiter.within.Store(within)
 			if a := c.query("select 1"); a.code() != "53400" {
-				t.Fatalf("VM %d: got %+v, want a refusal by rate", i, a)
+				t.Fatalf("VM %d: got %+v, want a refusal by the rate limiter", i, a)
 			}
 			for _, o := range observer.take() {
 				if !o.Failed || o.Kind != siskin.RateExceeded {
-					t.Errorf("VM %d: got %+v, want a failure by rate", i, o)
+					t.Errorf("VM %d: got %+v, want a failure of kind RateExceeded", i, o)
 				}
 				got = append(got, o.WithinRate)
 			}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -21,8 +21,8 @@
 	showPattern = regexp.MustCompile(`(?i)^\s*SHOW\s+siskintray\.(route|token)\s*;?\s*$`)
 )
 
-// mayBeSetting reports whether the query starts like SET or SHOW. It saves most
-// queries the regular expressions.
+// mayBeSetting reports whether the query starts like SET or SHOW. Other queries
+// are not matched against the patterns, which is slower.
 func mayBeSetting(sql []byte) bool {
 	for len(sql) > 0 && (sql[0] == ' ' || sql[0] == '\n' || sql[0] == '\t' || sql[0] == '\r') {
 		sql = sql[1:]
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -10,7 +10,7 @@
 
 // statement is a prepared statement of the session.
 type statement struct {
-	text []byte // body of the Parse message after the statement name
+	text []byte // part of the Parse message after the statement name
 }
 
 // pendingParse is a Parse message that was sent and is not answered yet.
@@ -20,8 +20,9 @@
 	injected bool // sent by the proxy, so its ParseComplete is not forwarded
 }
 
-// statements keeps the prepared statements of a session. The targets only ever
-// see the unnamed statement, so that none outlives its transaction there.
+// statements keeps the prepared statements of a session. At a target, each is
+// prepared as the unnamed statement, so that no named statement remains on the
+// connection after the transaction.
 type statements struct {
 	mu            sync.Mutex // the answer may be read while the batch is being sent
 	named         map[string]*statement
@@ -66,8 +67,8 @@
 	return s.named[name]
 }
 
-// use returns the body of the Parse message to send before a message that
-// refers to the statement, or nil when the target has the statement already. It
+// use returns the text of the Parse message to send before a message that refers
+// to the statement, or nil when it is already the target's unnamed statement. It
 // returns false for a name that the session does not have.
 func (s *statements) use(name string) (text []byte, ok bool) {
 	s.mu.Lock()
@@ -109,7 +110,7 @@
 func (s *statements) simpleQuery() { s.close("") }
 
 // parseCompleted records a ParseComplete and reports whether it must be
-// dropped, because the caller did not send the Parse.
+// dropped because the proxy, not the caller, sent the Parse.
 func (s *statements) parseCompleted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,8 +121,8 @@
 	return s.pending[s.answered-1].injected
 }
 
-// prepareResend expects the answers of the pending Parse messages again, since
-// the batch is sent again.
+// prepareResend marks all pending Parse messages as unanswered, since the batch
+// is sent again.
 func (s *statements) prepareResend() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/pool/replace_test.go
+++ b/internal/pool/replace_test.go
@@ -49,8 +49,8 @@
 	other := f.get(t, Full, 2)
 	third := f.get(t, Full, 3)
 	third.Recycle(3)
-	// The connection opened first is made silent, so it must not be the one
-	// with the slow statement.
+	// The dialer mutes the connection that was opened first, so the slow
+	// statement must run on the other one.
 	owner := uint64(2)
 	if slow.Conn.(mutedConn).opening == 1 {
 		slow, other, owner = other, slow, 1
@@ -64,8 +64,9 @@
 }
 
 // TestIdleConnectionsAreProbedAgain guards against aborting a slow statement
-// because another connection of its age answered after the fault but before the
-// unanswered probe timed out, and is not probed again before the decision.
+// although another connection of the same age works. That connection answered
+// before the unanswered probe timed out, which is no evidence, so it must be
+// probed again before the decision.
 func TestIdleConnectionsAreProbedAgain(t *testing.T) {
 	if testing.Short() {
 		t.Skip("waits for the detection of silence")
--- a/internal/pool/retire.go
+++ b/internal/pool/retire.go
@@ -18,7 +18,7 @@
 func (s *slot) retireWriters() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.writerGeneration++ // openings in progress count as old connections
+	s.writerGeneration++ // connections that are being opened count as old
 	for len(s.idle[Full]) > 0 {
 		s.removeLocked(s.idle[Full][0])
 	}
--- a/pkg/fairq/ticket.go
+++ b/pkg/fairq/ticket.go
@@ -8,7 +8,7 @@
 	ticketFree ticketState = iota
 	ticketWaiting
 	ticketRunning
-	// ticketExpired is a request whose startDeadline passed in the queue.
+	// ticketExpired is a request whose startDeadline passed while it waited.
 	ticketExpired
 )
 
@@ -19,8 +19,8 @@
 	prev, next    *ticket
 	state         ticketState
 	gen           uint64
-	startDeadline time.Duration // latest time to start
+	startDeadline time.Duration // latest time to start; times count from the queue's origin
 	started       time.Duration
-	charged       time.Duration
+	charged       time.Duration // estimated cost, deducted from the flow at the start
 	ready         chan struct{} // capacity 1; signaled when the ticket stops waiting
 }
--- a/pkg/group/confirm.go
+++ b/pkg/group/confirm.go
@@ -6,8 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// Confirm implements siskin.Group. It returns immediately if the term of the
-// commit has been replaced, or fenced by claims of a quorum.
+// Confirm implements siskin.Group. It returns OutcomeUnknown immediately if a
+// later term has begun since the commit or a quorum of targets has been claimed
+// for one.
 func (g *Group) Confirm(ctx context.Context, pos siskin.Position) error {
 	w := g.tracker.add(pos, g.clock.Now())
 	var cause error
@@ -19,7 +20,9 @@
 		return errOutcomeUnknown(pos, errOtherVM(pos.Term+1))
 	case <-ctx.Done():
 		cause = ctx.Err()
-		g.Activate() // the deadline may be shorter than the time to detect a failure
+		// Probe the targets, as the deadline may be shorter than the time to
+		// detect a failure.
+		g.Activate()
 	case <-g.ctx.Done():
 		cause = errClosed()
 	}
--- a/pkg/group/floor.go
+++ b/pkg/group/floor.go
@@ -7,8 +7,8 @@
 	"siskintray.example/siskin"
 )
 
-// floor coalesces requests for the read floor. A caller joins the next sample
-// that starts after its call; one sample runs at a time.
+// floor coalesces concurrent calls of Floor. A call waits for the first sample
+// that starts after it; one sample runs at a time.
 type floor struct {
 	mu      sync.Mutex
 	running bool
@@ -77,8 +77,9 @@
 	}
 }
 
-// sampleFloor returns the newest log end of the first N - k targets to answer.
-// An acknowledged write is on k + 1 targets, so at least one of them has it.
+// sampleFloor returns the newest log end of the first N - k targets to answer,
+// where N is the number of targets and k is AckReplicas. An acknowledged write
+// is on k + 1 targets, so at least one of those that answered has it.
 func (g *Group) sampleFloor() (siskin.Position, error) {
 	type answer struct {
 		pos siskin.Position
--- a/pkg/group/passive_test.go
+++ b/pkg/group/passive_test.go
@@ -32,9 +32,9 @@
 
 func notWatcher() bool { return false }
 
-// TestPassiveProbes guards against a VM that is not a watcher but probes all
-// the time, that does not probe a target whose statements get no answer, or
-// that prefers its own last statuses to the watchers' views.
+// TestPassiveProbes guards against a VM that is not a watcher and that probes
+// all the time, does not probe a target whose statements get no answer, or
+// prefers the statuses of its last own probes to the watchers' views.
 func TestPassiveProbes(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
@@ -133,8 +133,8 @@
 }
 
 // TestPassiveSilentTarget guards against a home that does not probe and detects
-// an unresponsive target later than a home that probes. The wait of statements
-// shows since when the target has not answered.
+// an unresponsive target later than a home that probes. It knows from its
+// waiting statements since when the target has not answered.
 func TestPassiveSilentTarget(t *testing.T) {
 	t.Parallel()
 	servers := startTargets(t, 3, nil)
--- a/pkg/group/writers_test.go
+++ b/pkg/group/writers_test.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// write runs one transaction and, like a home, retries it if it was not run.
+// write runs one transaction. It retries it when the target refused it as read
+// only (SQLSTATE 25006) and so did not run it, as the VM that owns a slot does.
 func (w *writers) write(ctx context.Context, g *group.Group, conn **pgconn.PgConn, at *siskin.TargetID, key string) error {
 	for {
 		primary, term, done, err := g.AdmitWrite(ctx)
@@ -106,8 +107,8 @@
 	return g.Confirm(ctx, pos)
 }
 
-// contextOfTerm returns a context that ends when the group has a later term, since
-// a transaction at the replaced primary can no longer be acknowledged.
+// contextOfTerm returns a context that ends when the group has a later term,
+// since a transaction at the replaced primary can no longer be acknowledged.
 func contextOfTerm(ctx context.Context, g *group.Group, term siskin.Term) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
--- a/pkg/member/exchange.go
+++ b/pkg/member/exchange.go
@@ -57,9 +57,9 @@
 }
 
 // disagrees reports whether messages of a member showed for at least hashGrace
-// that its view differs from this VM's. One old message is not enough: after the
-// start of a fleet both views may have become the same since, and the pages for
-// them cost more than all other traffic.
+// that its view differs from this VM's. One message is not enough: while a fleet
+// starts, the views may have become equal since it was sent, and sending pages
+// for each such message cost more than all other traffic.
 func (c *core) disagrees(m *member) bool {
 	return !m.differsSince.IsZero() && m.hash != c.hash && m.lastDiffered.Sub(m.differsSince) >= hashGrace
 }
@@ -73,8 +73,8 @@
 		c.accept(now, *msg.About)
 	}
 	if m := c.members[msg.From.ID]; m == nil || msg.From.Incarnation <= m.Incarnation {
-		// The first record of a new incarnation must contain its address, which
-		// From lacks.
+		// From has no address, so it cannot be the first record of a new
+		// incarnation.
 		c.accept(now, msg.From)
 	}
 	for _, r := range msg.Page {
--- a/pkg/member/members.go
+++ b/pkg/member/members.go
@@ -32,8 +32,8 @@
 	all           *shard.Map[siskin.VMID, siskin.VM]
 	changed       atomic.Pointer[chan struct{}]
 	lastIteration atomic.Int64 // wall clock time of the latest iteration of the loop
-	resuming      atomic.Bool
-	runEnded      atomic.Bool // set by the loop when this run is superseded
+	resuming      atomic.Bool  // this VM handles a pause of itself
+	runEnded      atomic.Bool  // set by the loop when this run is superseded
 
 	wake chan struct{}
 	pool pond.Pool
@@ -62,8 +62,9 @@
 // used.
 func WithResumed(f func(gap time.Duration)) Option { return func(m *Members) { m.onResumed = f } }
 
-// WithSuperseded sets a function that is called when this run of the VM has
-// ended for the others: the platform lists it as gone or a later run exists.
+// WithSuperseded sets a function that is called when the other VMs regard this
+// run of the VM as ended: the platform lists the VM as gone or a later run
+// exists.
 func WithSuperseded(f func()) Option { return func(m *Members) { m.onSuperseded = f } }
 
 // New returns a view that knows only this VM. Receiver must be registered as
@@ -118,10 +119,10 @@
 // Changed implements siskin.Members.
 func (m *Members) Changed() <-chan struct{} { return *m.changed.Load() }
 
-// MayUseRoles reports whether this VM may use its roles. It is false from a
-// pause of this VM until it has asked its peers for their members and the
-// function of WithResumed has returned, and permanently once this run is
-// superseded. A VM that reaches no peer waits for them at most 2 s.
+// MayUseRoles reports whether this VM may use its roles. After a pause of this
+// VM it is false until the VM has asked its peers for their members and the
+// function of WithResumed has returned; once this run is superseded, it is
+// permanently false. A VM that reaches no peer waits for them at most 2 s.
 func (m *Members) MayUseRoles() bool {
 	return !m.resuming.Load() && !m.runEnded.Load() && m.gap(m.clock.Now()) < maxIterationInterval+m.cfg.PauseThreshold
 }
@@ -166,7 +167,7 @@
 }
 
 // Leave announces that this VM takes no new work. It returns when a member has
-// acknowledged that or there is none to tell, or with an error when ctx ends
+// acknowledged that or there is no other member, or with an error when ctx ends
 // before that.
 func (m *Members) Leave(ctx context.Context) error {
 	m.mu.Lock()
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -28,8 +28,8 @@
 // ProbeReply is the answer of Member.Probe.
 type ProbeReply struct {
 	Message
-	// Members answers Join with up to joinPage records. Fewer than that are
-	// the last ones.
+	// Members answers Join with up to joinPage records. If there are fewer,
+	// none follow.
 	Members []Record `json:",omitempty"`
 }
 
