--- a/internal/daemon/resume.go
+++ b/internal/daemon/resume.go
@@ -17,13 +17,13 @@
 // member calls it after it has heard from peers; MayUseRoles is false until it
 // returns.
 func (d *Daemon) resumed(gap time.Duration) {
-	begun := d.options.clock.Now()
+	start := d.options.clock.Now()
 	ctx, cancel := context.WithTimeout(d.ctx, resumeTimeout)
 	defer cancel()
 	answered := d.spread.CatchUp(ctx)
 	d.awaitKeys(ctx)
 	d.node.Resume()
-	d.log().Warn().Dur("Gap", gap).Bool("PeersAnswered", answered).Dur("Took", d.options.clock.Since(begun)).
+	d.log().Warn().Dur("Gap", gap).Bool("PeersAnswered", answered).Dur("Took", d.options.clock.Since(start)).
 		Msg("resumed after a pause of this VM; roles updated")
 }
 
--- a/internal/node/pass.go
+++ b/internal/node/pushviews.go
@@ -20,12 +20,12 @@
 // change, while this VM probes the targets. It repeats the call to a VM that
 // does not answer, so that a lost call leaves no home with an outdated primary.
 func (w *watchedGroup) pushViews(g *groups, service *config.Service) {
-	sent := make(map[siskin.VMID]uint64) // the change that each home knows
+	acked := make(map[siskin.VMID]uint64) // last change that each home acknowledged
 	change, failures := uint64(0), 0
 	changed := w.Changed()
 	for {
 		var retry <-chan time.Time
-		if !w.Passive() && w.pushView(g, service, sent, change) {
+		if !w.Passive() && w.pushView(g, service, acked, change) {
 			retry = w.clock.After(min(w.settings.Interval<<min(failures, 8), maxPushBackoff))
 			failures++
 		}
@@ -43,7 +43,7 @@
 
 // pushView sends the view to the homes that did not acknowledge the change with
 // the given number and reports whether any did not answer.
-func (w *watchedGroup) pushView(g *groups, service *config.Service, sent map[siskin.VMID]uint64, change uint64) (unreached bool) {
+func (w *watchedGroup) pushView(g *groups, service *config.Service, acked map[siskin.VMID]uint64, change uint64) (unreached bool) {
 	view := w.Group.View()
 	if view.Primary == "" {
 		return false
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(w.ctx, pushTimeout)
 	defer cancel()
 	for _, vm := range g.homes.rankedHomes(g.current(service)) {
-		if last, ok := sent[vm.ID]; g.isSelf(vm) || ok && last == change {
+		if last, ok := acked[vm.ID]; g.isSelf(vm) || ok && last == change {
 			continue
 		}
 		calls++
@@ -65,7 +65,7 @@
 	}
 	for range calls {
 		if r := <-results; r.err == nil {
-			sent[r.vm] = change
+			acked[r.vm] = change
 		} else {
 			unreached = true
 		}
--- a/internal/node/remoteview.go
+++ b/internal/node/remoteview.go
@@ -15,7 +15,7 @@
 
 	mu      sync.Mutex
 	view    siskin.GroupView
-	askedAt time.Time // when the view was asked for
+	askedAt time.Time // when the view was requested
 	changed chan struct{}
 }
 
@@ -53,7 +53,7 @@
 	return ok && p.Reachable && !p.Status.Draining
 }
 
-// reachableTargets counts the targets that answer.
+// reachableTargets returns the number of reachable targets.
 func reachableTargets(view *siskin.GroupView) int {
 	n := 0
 	for i := range view.Targets {
