logs, trail: exported names in the usual terms

Requests, Fault, RequestField and Story did not tell a reader what they are. The tests of internal/logs and internal/trail pass.

--- a/internal/cmds/trail.go
+++ b/internal/cmds/trail.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return Output{}, err
 	}
-	story := trail.Story(lines, l.Args.ID)
+	story := trail.Timeline(lines, l.Args.ID)
 	if len(story) == 0 {
 		return Output{}, siskin.NewError(siskin.BadInput, "no line has the request id %s", l.Args.ID).
 			WithRemedy("name the logs of all VMs, or look at Suppressed: not every request has a line")
--- a/internal/front/log_test.go
+++ b/internal/front/log_test.go
@@ -70,7 +70,7 @@
 	ids := func(buf *logBuffer, message string, want int) (all []any) {
 		t.Helper()
 		for _, line := range buf.lines(t, message) {
-			all = append(all, line[logs.RequestField])
+			all = append(all, line[logs.RequestIDField])
 		}
 		if len(all) != want || all[0] == nil {
 			t.Fatalf("%s: got ids %v, want %d", message, all, want)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,7 +15,7 @@
 type Server struct {
 	cfg      Config
 	limits   atomic.Pointer[Limits]
-	log      *logs.Requests
+	log      *logs.RequestLogger
 	sessions *shard.Map[uint16, *session]
 	requests atomic.Uint64
 	counts   counts
@@ -33,7 +33,7 @@
 
 // New returns a Server and starts its periodic key check.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, log: logs.NewRequests(cfg.Clock, cfg.Log), sessions: shard.New[uint16, *session](), conns: make(map[net.Conn]struct{})}
+	s := &Server{cfg: cfg, log: logs.NewRequestLogger(cfg.Clock, cfg.Log), sessions: shard.New[uint16, *session](), conns: make(map[net.Conn]struct{})}
 	s.SetLimits(cfg.Limits)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.requests.Store(requestBase(cfg.VM))
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -8,8 +8,8 @@
 	"github.com/phuslu/log"
 )
 
-// RequestField is the field that ties the lines of one request together.
-const RequestField = "RequestID"
+// RequestIDField is the field that ties the lines of one request together.
+const RequestIDField = "RequestID"
 
 // New returns a logger that writes lines at or above level ("debug", "info",
 // "warn", "error") to w, as JSON or, with format "text", for reading.
@@ -43,7 +43,7 @@
 // ForRequest returns a logger whose lines carry the request id.
 func ForRequest(l *log.Logger, id string) *log.Logger {
 	c := &log.Logger{Level: l.Level, TimeField: l.TimeField, Writer: l.Writer}
-	c.Context = append(append(log.Context{}, l.Context...), log.NewContext(nil).Str(RequestField, id).Value()...)
+	c.Context = append(append(log.Context{}, l.Context...), log.NewContext(nil).Str(RequestIDField, id).Value()...)
 	return c
 }
 
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -24,7 +24,7 @@
 	if err := json.Unmarshal(b.Bytes(), &line); err != nil {
 		t.Fatalf("%v: %s", err, b.String())
 	}
-	if got, want := line[RequestField], "r-1"; got != want {
+	if got, want := line[RequestIDField], "r-1"; got != want {
 		t.Errorf("got request id %v, want %v", got, want)
 	}
 	if got, want := line["error"], "a\n\"b\""; got != want {
--- a/internal/logs/requests.go
+++ b/internal/logs/requests.go
@@ -13,22 +13,22 @@
 // same sort. An outage of a second fails thousands of requests.
 const repeatInterval = time.Second
 
-// Requests writes the lines of requests. Its methods do nothing without a
+// RequestLogger writes the lines of requests. Its methods do nothing without a
 // logger.
-type Requests struct {
+type RequestLogger struct {
 	log     *log.Logger
 	repeats *Repeats
 }
 
-// NewRequests returns a writer of lines to l, which may be nil.
-func NewRequests(clock siskin.Clock, l *log.Logger) *Requests {
-	return &Requests{log: l, repeats: NewRepeats(clock, repeatInterval)}
+// NewRequestLogger returns a writer of lines to l, which may be nil.
+func NewRequestLogger(clock siskin.Clock, l *log.Logger) *RequestLogger {
+	return &RequestLogger{log: l, repeats: NewRepeats(clock, repeatInterval)}
 }
 
 // Failed writes that a request failed for good: one line a second for each
 // message, kind of error, service and route. A failure that the caller caused
 // has the level info, any other one the level warn.
-func (r *Requests) Failed(q Request, err *siskin.Error, msg string) {
+func (r *RequestLogger) Failed(q Request, err *siskin.Error, msg string) {
 	level := log.WarnLevel
 	if callersOwn(err.Kind) {
 		level = log.InfoLevel
@@ -47,9 +47,9 @@
 	e.Msg(msg)
 }
 
-// Fault writes that a fault of the program ended the work for a request. It is
+// Panicked writes that a fault of the program ended the work for a request. It is
 // not limited, since each one is to be looked into.
-func (r *Requests) Fault(q Request, value any, stack []byte, msg string) {
+func (r *RequestLogger) Panicked(q Request, value any, stack []byte, msg string) {
 	if r.log == nil {
 		return
 	}
@@ -58,7 +58,7 @@
 
 // Trace writes a step of a request at the level debug. It is meant for finding a
 // fault and is not limited; err may be nil.
-func (r *Requests) Trace(q Request, err error, msg string) {
+func (r *RequestLogger) Trace(q Request, err error, msg string) {
 	if !r.writes(log.DebugLevel) {
 		return
 	}
@@ -71,9 +71,9 @@
 
 // writes reports whether lines of a level are written, so that no line is
 // formatted in vain.
-func (r *Requests) writes(level log.Level) bool { return r.log != nil && Level(r.log) <= level }
+func (r *RequestLogger) writes(level log.Level) bool { return r.log != nil && Level(r.log) <= level }
 
-func (r *Requests) entry(q Request, level log.Level) *log.Entry {
+func (r *RequestLogger) entry(q Request, level log.Level) *log.Entry {
 	l := r.log
 	if q.ID != 0 {
 		l = ForRequest(l, RequestID(q.ID))
--- a/internal/logs/requests_test.go
+++ b/internal/logs/requests_test.go
@@ -17,7 +17,7 @@
 func TestRequests(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	var b bytes.Buffer
-	r := NewRequests(clock, New("info", "json", &b))
+	r := NewRequestLogger(clock, New("info", "json", &b))
 	fail := func(id uint64, kind siskin.ErrorKind) string {
 		b.Reset()
 		r.Failed(Request{ID: id, Service: "ledger", Route: "write"}, siskin.NewError(kind, "it failed"), "request failed")
@@ -40,7 +40,7 @@
 	}
 	b.Reset()
 	r.Trace(Request{ID: 15}, nil, "attempt begins")
-	NewRequests(clock, nil).Failed(Request{}, siskin.NewError(siskin.NotRun, "it failed"), "request failed")
+	NewRequestLogger(clock, nil).Failed(Request{}, siskin.NewError(siskin.NotRun, "it failed"), "request failed")
 	if got := b.String(); got != "" {
 		t.Errorf("below the level and without a logger: got %q, want nothing", got)
 	}
--- a/internal/relay/panic.go
+++ b/internal/relay/panic.go
@@ -35,8 +35,8 @@
 
 // Report logs the panic with the fields of the request, which may be empty, and
 // counts it as an invariant violation.
-func (f *Panic) Report(l *logs.Requests, q logs.Request, msg string) {
-	l.Fault(q, f.Value, f.Stack, msg)
+func (f *Panic) Report(l *logs.RequestLogger, q logs.Request, msg string) {
+	l.Panicked(q, f.Value, f.Stack, msg)
 	noPanic.Check(false, "%v", f)
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -26,7 +26,7 @@
 	home   *Home
 	tokens *token.Codec
 	tls    *tls.Config
-	log    *logs.Requests
+	log    *logs.RequestLogger
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -43,13 +43,13 @@
 // WithLog sets the logger for requests that fail on this VM. They are logged
 // with their IDs at the VMs that forward them.
 func WithLog(l *log.Logger) ServerOption {
-	return func(s *Server) { s.log = logs.NewRequests(s.home.Clock, l) }
+	return func(s *Server) { s.log = logs.NewRequestLogger(s.home.Clock, l) }
 }
 
 // NewServer returns a Server that runs transactions at home. If cfg is not nil,
 // peers must use TLS and present the certificates that it requires.
 func NewServer(home *Home, tokens *token.Codec, cfg *tls.Config, opts ...ServerOption) *Server {
-	s := &Server{home: home, tokens: tokens, tls: cfg, log: logs.NewRequests(home.Clock, nil), conns: shard.New[uint32, *peerConn]()}
+	s := &Server{home: home, tokens: tokens, tls: cfg, log: logs.NewRequestLogger(home.Clock, nil), conns: shard.New[uint32, *peerConn]()}
 	for _, opt := range opts {
 		opt(s)
 	}
--- a/internal/trail/story.go
+++ b/internal/trail/story.go
@@ -18,10 +18,10 @@
 	maxContext = 200
 )
 
-// Story returns the lines about a request in the order of time, and what its VMs
+// Timeline returns the lines about a request in the order of time, and what its VMs
 // logged around it about the targets, the service and the customer that it names.
 // It is empty when no line has the id.
-func Story(lines []Line, id string) []Line {
+func Timeline(lines []Line, id string) []Line {
 	var own []Line
 	for _, l := range lines {
 		if l.RequestID == id {
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -40,7 +40,7 @@
 				lines = append(lines, more...)
 				continue
 			case isStory:
-				for _, l := range Story(lines, id) {
+				for _, l := range Timeline(lines, id) {
 					got += fmt.Sprintln(l.VM, l.Message)
 				}
 			default:
@@ -72,7 +72,7 @@
 	f.Add(`{`)
 	f.Fuzz(func(_ *testing.T, text string) {
 		if l, ok := parse(text, "vm"); ok {
-			Story([]Line{l}, l.RequestID)
+			Timeline([]Line{l}, l.RequestID)
 			Causes([]Line{l}, time.Millisecond)
 		}
 	})
