--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -15,7 +15,7 @@
 // "warn", "error") to w, as JSON or, with format "text", for reading.
 func New(level, format string, w io.Writer) *log.Logger {
 	out := &lockedWriter{w: w}
-	filter := &leveled{next: log.IOWriter{Writer: out}}
+	filter := &levelFilter{next: log.IOWriter{Writer: out}}
 	if format == "text" {
 		filter.next = &log.ConsoleWriter{Writer: out, QuoteString: true, EndWithMessage: false}
 	}
@@ -27,14 +27,14 @@
 // SetLevel changes the level of a logger that New returned, which may be in use,
 // and of those that ForRequest made of it. It does nothing to other loggers.
 func SetLevel(l *log.Logger, level string) {
-	if w, ok := l.Writer.(*leveled); ok {
+	if w, ok := l.Writer.(*levelFilter); ok {
 		w.level.Store(uint32(log.ParseLevel(level)))
 	}
 }
 
 // Level returns the lowest level that the logger writes.
 func Level(l *log.Logger) log.Level {
-	if w, ok := l.Writer.(*leveled); ok {
+	if w, ok := l.Writer.(*levelFilter); ok {
 		return log.Level(w.level.Load())
 	}
 	return l.Level
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -72,7 +72,7 @@
 // a limit that hides how often a line was left out.
 func TestRepeats(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	r := NewRepeats(clock, time.Second)
+	r := NewRepeatLimiter(clock, time.Second)
 	var b bytes.Buffer
 	l := New("info", "json", &b)
 	for range 100 {
--- a/internal/logs/nonblocking.go
+++ b/internal/logs/nonblocking.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 )
 
-// queuedLines bounds the lines that wait for a slow reader of the log.
-const queuedLines = 1024
+// maxQueuedLines bounds the lines that wait for a slow reader of the log.
+const maxQueuedLines = 1024
 
 // nonBlocking hands lines to a goroutine that writes them. Lines beyond its
 // queue are dropped and counted, since a request must never wait for the log.
@@ -19,7 +19,7 @@
 // NonBlocking returns a writer that never blocks. The number of lines dropped
 // is written as soon as there is room again.
 func NonBlocking(w io.Writer) io.Writer {
-	n := &nonBlocking{lines: make(chan []byte, queuedLines)}
+	n := &nonBlocking{lines: make(chan []byte, maxQueuedLines)}
 	go n.run(w)
 	return n
 }
--- a/internal/logs/nonblocking_test.go
+++ b/internal/logs/nonblocking_test.go
@@ -33,7 +33,7 @@
 	slow := &slowWriter{release: make(chan struct{})}
 	w := NonBlocking(slow)
 	began := time.Now()
-	for range 3 * queuedLines {
+	for range 3 * maxQueuedLines {
 		if _, err := w.Write([]byte("line\n")); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/logs/repeats.go
+++ b/internal/logs/repeats.go
@@ -13,13 +13,13 @@
 // maxRepeatKeys bounds the memory of Repeats. Further keys share one entry.
 const maxRepeatKeys = 1024
 
-// otherKey is the entry of keys above the bound.
-const otherKey = "other"
+// overflowKey is the entry of keys above the bound.
+const overflowKey = "other"
 
-// Repeats limits lines that repeat: of the lines with one key, one an interval
+// RepeatLimiter limits lines that repeat: of the lines with one key, one an interval
 // is written, and it carries the number of those left out. A target that is
 // down would otherwise write a line for every failed statement.
-type Repeats struct {
+type RepeatLimiter struct {
 	clock    siskin.Clock
 	interval time.Duration
 	keys     *shard.Map[string, repeat]
@@ -31,17 +31,17 @@
 	suppressed int64
 }
 
-// NewRepeats returns a limit of one line a key and interval.
-func NewRepeats(clock siskin.Clock, interval time.Duration) *Repeats {
-	return &Repeats{clock: clock, interval: interval, keys: shard.New[string, repeat]()}
+// NewRepeatLimiter returns a limit of one line a key and interval.
+func NewRepeatLimiter(clock siskin.Clock, interval time.Duration) *RepeatLimiter {
+	return &RepeatLimiter{clock: clock, interval: interval, keys: shard.New[string, repeat]()}
 }
 
 // Allow reports whether a line with the given key is written now, and how many
 // were left out since the last one.
-func (r *Repeats) Allow(key string) (suppressed int64, ok bool) {
+func (r *RepeatLimiter) Allow(key string) (suppressed int64, ok bool) {
 	if _, known := r.keys.Get(key); !known && r.count.Add(1) > maxRepeatKeys {
 		r.count.Add(-1)
-		key = otherKey
+		key = overflowKey
 	}
 	now := r.clock.Now()
 	r.keys.Update(key, func(old repeat, seen bool) (repeat, bool) {
@@ -57,7 +57,7 @@
 
 // Msg writes the entry unless a line with the same key was written within the
 // interval. The entry is used up in either case.
-func (r *Repeats) Msg(e *log.Entry, key, msg string) {
+func (r *RepeatLimiter) Msg(e *log.Entry, key, msg string) {
 	if e == nil { // level not enabled
 		return
 	}
--- a/internal/logs/requests.go
+++ b/internal/logs/requests.go
@@ -17,12 +17,12 @@
 // logger.
 type RequestLogger struct {
 	log     *log.Logger
-	repeats *Repeats
+	repeats *RepeatLimiter
 }
 
 // NewRequestLogger returns a writer of lines to l, which may be nil.
 func NewRequestLogger(clock siskin.Clock, l *log.Logger) *RequestLogger {
-	return &RequestLogger{log: l, repeats: NewRepeats(clock, repeatInterval)}
+	return &RequestLogger{log: l, repeats: NewRepeatLimiter(clock, repeatInterval)}
 }
 
 // Failed writes that a request failed for good: one line a second for each
@@ -30,10 +30,10 @@
 // has the level info, any other one the level warn.
 func (r *RequestLogger) Failed(q Request, err *siskin.Error, msg string) {
 	level := log.WarnLevel
-	if callersOwn(err.Kind) {
+	if causedByCaller(err.Kind) {
 		level = log.InfoLevel
 	}
-	if !r.writes(level) {
+	if !r.enabled(level) {
 		return
 	}
 	suppressed, ok := r.repeats.Allow(msg + "/" + err.Kind.String() + "/" + string(q.Service) + "/" + string(q.Route))
@@ -59,7 +59,7 @@
 // Trace writes a step of a request at the level debug. It is meant for finding a
 // fault and is not limited; err may be nil.
 func (r *RequestLogger) Trace(q Request, err error, msg string) {
-	if !r.writes(log.DebugLevel) {
+	if !r.enabled(log.DebugLevel) {
 		return
 	}
 	e := r.entry(q, log.DebugLevel)
@@ -69,9 +69,9 @@
 	e.Msg(msg)
 }
 
-// writes reports whether lines of a level are written, so that no line is
+// enabled reports whether lines of a level are written, so that no line is
 // formatted in vain.
-func (r *RequestLogger) writes(level log.Level) bool { return r.log != nil && Level(r.log) <= level }
+func (r *RequestLogger) enabled(level log.Level) bool { return r.log != nil && Level(r.log) <= level }
 
 func (r *RequestLogger) entry(q Request, level log.Level) *log.Entry {
 	l := r.log
@@ -93,8 +93,8 @@
 	return e
 }
 
-// callersOwn reports whether the caller can cause errors of the kind at will.
-func callersOwn(kind siskin.ErrorKind) bool {
+// causedByCaller reports whether the caller can cause errors of the kind at will.
+func causedByCaller(kind siskin.ErrorKind) bool {
 	switch kind {
 	case siskin.RateExceeded, siskin.KeyRefused, siskin.KeyWithdrawn, siskin.UnknownRoute, siskin.BadToken,
 		siskin.BadInput, siskin.TooLarge, siskin.Unsupported, siskin.TargetRefused:
--- a/internal/trail/causes.go
+++ b/internal/trail/causes.go
@@ -8,8 +8,8 @@
 	"siskintray.example/siskin"
 )
 
-// finished is the message of the line that ends each request.
-const finished = "request finished"
+// finishedMessage is the message of the line that ends each request.
+const finishedMessage = "request finished"
 
 // Cause sums up the requests that ended in one way.
 type Cause struct {
@@ -52,7 +52,7 @@
 	sums := make(map[key]*sum)
 	for i := range lines {
 		l := &lines[i]
-		if l.Message != finished {
+		if l.Message != finishedMessage {
 			continue
 		}
 		r.Requests++
@@ -62,7 +62,7 @@
 			if late == 0 || l.Took <= late {
 				continue
 			}
-			k.late, k.reason = true, l.largestPart()
+			k.late, k.reason = true, l.longestPhase()
 		}
 		s := sums[k]
 		if s == nil {
@@ -92,13 +92,13 @@
 	return r
 }
 
-// largestPart says where most of the time of a request went.
-func (l *Line) largestPart() string {
-	way := l.Took - l.Waited - l.Ran
+// longestPhase says where most of the time of a request went.
+func (l *Line) longestPhase() string {
+	transit := l.Took - l.Waited - l.Ran
 	switch {
-	case l.Waited >= l.Ran && l.Waited >= way:
+	case l.Waited >= l.Ran && l.Waited >= transit:
 		return "Queue"
-	case l.Ran >= way:
+	case l.Ran >= transit:
 		return "Target"
 	default:
 		return "Way"
--- a/internal/trail/line.go
+++ b/internal/trail/line.go
@@ -90,13 +90,13 @@
 	return Line{
 		VM: vm, Time: v.Time, Level: v.Level, Message: v.Message, Text: "{" + object,
 		RequestID: v.RequestID, Kind: v.Kind, Code: v.Code, Reason: v.Reason, Database: v.Database, Service: v.Service, Customer: v.Customer,
-		Target: v.Target, Primary: target(v.Primary), From: target(v.From), To: target(v.To), Home: v.Home,
+		Target: v.Target, Primary: parseTargetID(v.Primary), From: parseTargetID(v.From), To: parseTargetID(v.To), Home: v.Home,
 		Took: milliseconds(v.Took), Waited: milliseconds(v.Waited), Ran: milliseconds(v.Ran), Suppressed: v.Suppressed,
 	}, true
 }
 
-// target reads the id of a target. Other messages use the same names for a flag.
-func target(raw json.RawMessage) siskin.TargetID {
+// parseTargetID reads the id of a parseTargetID. Other messages use the same names for a flag.
+func parseTargetID(raw json.RawMessage) siskin.TargetID {
 	var id siskin.TargetID
 	_ = json.Unmarshal(raw, &id) // empty when it is something else
 	return id
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -44,7 +44,7 @@
 					got += fmt.Sprintln(l.VM, l.Message)
 				}
 			default:
-				got = causes(Causes(lines, 200*time.Millisecond))
+				got = formatReport(Causes(lines, 200*time.Millisecond))
 			}
 			if want := string(f.Data); got != want {
 				t.Errorf("%s, %s: got\n%s\nwant\n%s", name, f.Name, got, want)
@@ -53,7 +53,7 @@
 	}
 }
 
-func causes(r Report) string {
+func formatReport(r Report) string {
 	text := fmt.Sprintf("requests=%d not logged=%d\n", r.Requests, r.NotLogged)
 	for _, c := range r.Causes {
 		late := ""
