logs, trail: comments in the usual terms

Some comments and test failure texts were hard to follow for a new reader. They now state what the code does; reasons and numbers are kept.

--- a/internal/logs/leveled.go
+++ b/internal/logs/leveled.go
@@ -6,9 +6,9 @@
 	"github.com/phuslu/log"
 )
 
-// levelFilter drops lines below a level that can change while the logger is in use.
-// Logger.SetLevel cannot do this: on amd64 the library reads the level without
-// synchronization, which is a data race.
+// levelFilter discards lines below a level that can be changed while the logger
+// is in use. Logger.SetLevel is not safe for this: on amd64 the library reads the
+// level without synchronization, which is a data race.
 type levelFilter struct {
 	level atomic.Uint32
 	next  log.Writer
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,4 +1,4 @@
-// Package logs sets up the structured log of a program.
+// Package logs provides the structured loggers of the program.
 package logs
 
 import (
@@ -8,11 +8,12 @@
 	"github.com/phuslu/log"
 )
 
-// RequestIDField is the field that ties the lines of one request together.
+// RequestIDField is the log field that holds the request id.
 const RequestIDField = "RequestID"
 
 // New returns a logger that writes lines at or above level ("debug", "info",
-// "warn", "error") to w, as JSON or, with format "text", for reading.
+// "warn", "error") to w: as human-readable text if format is "text", else as
+// JSON.
 func New(level, format string, w io.Writer) *log.Logger {
 	out := &lockedWriter{w: w}
 	filter := &levelFilter{next: log.IOWriter{Writer: out}}
@@ -24,15 +25,15 @@
 	return l
 }
 
-// SetLevel changes the level of a logger that New returned, which may be in use,
-// and of those that ForRequest made of it. It does nothing to other loggers.
+// SetLevel changes the level of a logger returned by New and of the loggers that
+// ForRequest derived from it. They may be in use. Other loggers are unchanged.
 func SetLevel(l *log.Logger, level string) {
 	if w, ok := l.Writer.(*levelFilter); ok {
 		w.level.Store(uint32(log.ParseLevel(level)))
 	}
 }
 
-// Level returns the lowest level that the logger writes.
+// Level returns the minimum level at which the logger writes lines.
 func Level(l *log.Logger) log.Level {
 	if w, ok := l.Writer.(*levelFilter); ok {
 		return log.Level(w.level.Load())
@@ -40,15 +41,15 @@
 	return l.Level
 }
 
-// ForRequest returns a logger whose lines carry the request id.
+// ForRequest returns a copy of l that adds the request id to each line.
 func ForRequest(l *log.Logger, id string) *log.Logger {
 	c := &log.Logger{Level: l.Level, TimeField: l.TimeField, Writer: l.Writer}
 	c.Context = append(append(log.Context{}, l.Context...), log.NewContext(nil).Str(RequestIDField, id).Value()...)
 	return c
 }
 
-// lockedWriter keeps lines whole, since writers such as pipes and buffers do
-// not.
+// lockedWriter serializes writes, so that concurrent lines are not interleaved
+// on writers such as pipes and buffers.
 type lockedWriter struct {
 	mu sync.Mutex
 	w  io.Writer
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -13,8 +13,8 @@
 	"github.com/phuslu/log"
 )
 
-// TestRequestField guards against lines of a request that cannot be found by
-// its id, and against text that breaks out of its line.
+// TestRequestField guards against request log lines without the request id,
+// and against unescaped text that breaks the JSON line.
 func TestRequestField(t *testing.T) {
 	var b bytes.Buffer
 	l := ForRequest(New("info", "json", &b), "r-1")
@@ -32,7 +32,7 @@
 	}
 }
 
-// TestText guards against a text format that drops fields.
+// TestText guards against a text format that omits fields.
 func TestText(t *testing.T) {
 	var b bytes.Buffer
 	ForRequest(New("debug", "text", &b), "r-2").Info().Str("Target", "ledger-a/1").Msg("probe failed")
@@ -41,8 +41,9 @@
 	}
 }
 
-// TestSetLevel guards against a level that changes for some loggers only, and,
-// under the race detector, against a change that races with lines.
+// TestSetLevel guards against a level change that does not reach derived
+// loggers, and, under the race detector, against a data race between a level
+// change and log writes.
 func TestSetLevel(t *testing.T) {
 	var b bytes.Buffer
 	l := New("info", "json", &b)
@@ -68,8 +69,9 @@
 	}
 }
 
-// TestRepeats guards against a log that one failing target fills, and against
-// a limit that hides how often a line was left out.
+// TestRepeats guards against one failing target flooding the log, against a
+// limiter that does not count suppressed lines, and against an unbounded number
+// of keys.
 func TestRepeats(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	r := NewRepeatLimiter(clock, time.Second)
--- a/internal/logs/nonblocking.go
+++ b/internal/logs/nonblocking.go
@@ -6,18 +6,19 @@
 	"sync/atomic"
 )
 
-// maxQueuedLines bounds the lines that wait for a slow reader of the log.
+// maxQueuedLines bounds the queue of lines for a slow log reader.
 const maxQueuedLines = 1024
 
-// nonBlocking hands lines to a goroutine that writes them. Lines beyond its
-// queue are dropped and counted, since a request must never wait for the log.
+// nonBlocking queues lines for a goroutine that writes them. When the queue is
+// full, lines are dropped and counted, so that a request never waits for the
+// log.
 type nonBlocking struct {
 	lines   chan []byte
 	dropped atomic.Int64
 }
 
-// NonBlocking returns a writer that never blocks. The number of lines dropped
-// is written as soon as there is room again.
+// NonBlocking returns a writer to w that never blocks. After the next write to
+// w, it logs the number of lines dropped.
 func NonBlocking(w io.Writer) io.Writer {
 	n := &nonBlocking{lines: make(chan []byte, maxQueuedLines)}
 	go n.run(w)
--- a/internal/logs/nonblocking_test.go
+++ b/internal/logs/nonblocking_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// slowWriter blocks until it is released.
+// slowWriter blocks each write until release is closed.
 type slowWriter struct {
 	release chan struct{}
 	mu      sync.Mutex
@@ -27,8 +27,8 @@
 	return w.text.String()
 }
 
-// TestNonBlocking guards against requests that wait for a slow reader of the
-// log, and against lines that are lost without a word.
+// TestNonBlocking guards against requests that block on a slow log reader,
+// and against dropped lines that are not reported.
 func TestNonBlocking(t *testing.T) {
 	slow := &slowWriter{release: make(chan struct{})}
 	w := NonBlocking(slow)
@@ -44,7 +44,7 @@
 	close(slow.release)
 	for deadline := time.Now().Add(5 * time.Second); !strings.Contains(slow.String(), "log lines were dropped"); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("got no word of the lines that were dropped")
+			t.Fatal("dropped lines were not reported within 5 s")
 		}
 	}
 }
--- a/internal/logs/repeats.go
+++ b/internal/logs/repeats.go
@@ -10,15 +10,16 @@
 	"siskintray.example/siskin/pkg/shard"
 )
 
-// maxRepeatKeys bounds the memory of Repeats. Further keys share one entry.
+// maxRepeatKeys bounds the memory of RepeatLimiter. Keys beyond it share the
+// entry overflowKey.
 const maxRepeatKeys = 1024
 
-// overflowKey is the entry of keys above the bound.
+// overflowKey is the shared entry of the keys beyond maxRepeatKeys.
 const overflowKey = "other"
 
-// RepeatLimiter limits lines that repeat: of the lines with one key, one an interval
-// is written, and it carries the number of those left out. A target that is
-// down would otherwise write a line for every failed statement.
+// RepeatLimiter limits repeated log lines to one per key and interval, and counts
+// the suppressed ones. Without it, a target that is down would cause a line for
+// every failed statement.
 type RepeatLimiter struct {
 	clock    siskin.Clock
 	interval time.Duration
@@ -31,13 +32,14 @@
 	suppressed int64
 }
 
-// NewRepeatLimiter returns a limit of one line a key and interval.
+// NewRepeatLimiter returns a limiter that allows one line per key and
+// interval.
 func NewRepeatLimiter(clock siskin.Clock, interval time.Duration) *RepeatLimiter {
 	return &RepeatLimiter{clock: clock, interval: interval, keys: shard.New[string, repeat]()}
 }
 
-// Allow reports whether a line with the given key is written now, and how many
-// were left out since the last one.
+// Allow reports whether a line with the given key may be written now, and how
+// many were suppressed since the last one.
 func (r *RepeatLimiter) Allow(key string) (suppressed int64, ok bool) {
 	if _, known := r.keys.Get(key); !known && r.count.Add(1) > maxRepeatKeys {
 		r.count.Add(-1)
@@ -56,7 +58,7 @@
 }
 
 // Msg writes the entry unless a line with the same key was written within the
-// interval. The entry is used up in either case.
+// interval. The entry must not be used afterwards in either case.
 func (r *RepeatLimiter) Msg(e *log.Entry, key, msg string) {
 	if e == nil { // level not enabled
 		return
--- a/internal/logs/request.go
+++ b/internal/logs/request.go
@@ -6,10 +6,10 @@
 	"siskintray.example/siskin"
 )
 
-// Request says which request a line is about. Empty fields are left out.
+// Request identifies the request that a line is about. Empty fields are omitted.
 type Request struct {
-	// ID is the id that the entry VM gave to the request; it is the same on all
-	// VMs. Zero means that the request failed before it had one.
+	// ID is assigned by the entry VM and is the same on all VMs. Zero means that
+	// the request failed before an id was assigned.
 	ID       uint64
 	Service  siskin.ServiceName
 	Route    siskin.RouteName
@@ -18,5 +18,5 @@
 	Home     siskin.VMID
 }
 
-// RequestID returns the text of a request's id in the field RequestField.
+// RequestID formats a request id for the field RequestIDField.
 func RequestID(id uint64) string { return fmt.Sprintf("%016x", id) }
--- a/internal/logs/requests.go
+++ b/internal/logs/requests.go
@@ -9,25 +9,25 @@
 	"siskintray.example/siskin"
 )
 
-// repeatInterval is the time in which one line is written of failures of the
-// same sort. An outage of a second fails thousands of requests.
+// repeatInterval is the minimum time between two lines about failures with the
+// same key. An outage of one second fails thousands of requests.
 const repeatInterval = time.Second
 
-// RequestLogger writes the lines of requests. Its methods do nothing without a
-// logger.
+// RequestLogger writes log lines about requests. Its methods do nothing if the
+// logger is nil.
 type RequestLogger struct {
 	log     *log.Logger
 	repeats *RepeatLimiter
 }
 
-// NewRequestLogger returns a writer of lines to l, which may be nil.
+// NewRequestLogger returns a RequestLogger that writes to l, which may be nil.
 func NewRequestLogger(clock siskin.Clock, l *log.Logger) *RequestLogger {
 	return &RequestLogger{log: l, repeats: NewRepeatLimiter(clock, repeatInterval)}
 }
 
-// Failed writes that a request failed for good: one line a second for each
-// message, kind of error, service and route. A failure that the caller caused
-// has the level info, any other one the level warn.
+// Failed logs that a request failed and is not retried: at most one line per
+// second for each message, error kind, service and route. The level is info for
+// a failure that the caller can cause, and warn for any other.
 func (r *RequestLogger) Failed(q Request, err *siskin.Error, msg string) {
 	level := log.WarnLevel
 	if causedByCaller(err.Kind) {
@@ -47,8 +47,8 @@
 	e.Msg(msg)
 }
 
-// Panicked writes that a fault of the program ended the work for a request. It is
-// not limited, since each one is to be looked into.
+// Panicked logs that a panic ended the processing of a request. It is not
+// rate limited, since each panic is a bug to investigate.
 func (r *RequestLogger) Panicked(q Request, value any, stack []byte, msg string) {
 	if r.log == nil {
 		return
@@ -56,8 +56,8 @@
 	r.entry(q, log.ErrorLevel).Str("Panic", fmt.Sprint(value)).Bytes("Stack", stack).Msg(msg)
 }
 
-// Trace writes a step of a request at the level debug. It is meant for finding a
-// fault and is not limited; err may be nil.
+// Trace logs a step of a request at level debug. It is meant for debugging and is
+// not rate limited; err may be nil.
 func (r *RequestLogger) Trace(q Request, err error, msg string) {
 	if !r.enabled(log.DebugLevel) {
 		return
@@ -69,8 +69,8 @@
 	e.Msg(msg)
 }
 
-// enabled reports whether lines of a level are written, so that no line is
-// formatted in vain.
+// enabled reports whether lines of a level are written. It avoids formatting
+// lines that would be discarded.
 func (r *RequestLogger) enabled(level log.Level) bool { return r.log != nil && Level(r.log) <= level }
 
 func (r *RequestLogger) entry(q Request, level log.Level) *log.Entry {
--- a/internal/logs/requests_test.go
+++ b/internal/logs/requests_test.go
@@ -11,9 +11,9 @@
 	"siskintray.example/siskin"
 )
 
-// TestRequests guards against failures that are left out without being counted,
-// against one sort of failure that hides another one, and against levels at
-// which an operator does not see a fault.
+// TestRequests guards against suppressed failures that are not counted, against
+// one kind of failure that suppresses another, and against failures logged at the
+// wrong level.
 func TestRequests(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	var b bytes.Buffer
--- a/internal/trail/causes.go
+++ b/internal/trail/causes.go
@@ -8,36 +8,36 @@
 	"siskintray.example/siskin"
 )
 
-// finishedMessage is the message of the line that ends each request.
+// finishedMessage is the message of the line logged at the end of each request.
 const finishedMessage = "request finished"
 
-// Cause sums up the requests that ended in one way.
+// Cause summarizes the requests with the same result and reason.
 type Cause struct {
-	// Code is the answer, and Late that it was a success that took too long.
+	// Code is the result code. Late reports whether the requests succeeded but
+	// exceeded the latency threshold.
 	Code string
 	Late bool
-	// Reason is what ended the last attempt of a request that failed, and the
-	// largest part of the time of a late one: Queue, Target or Way.
+	// Reason is, for a failed request, why its last attempt ended, and, for a
+	// late one, the phase that took longest: Queue, Target or Way (transit).
 	Reason string
 	Count  int
-	// VMs and Customers are the numbers of entry VMs and customers concerned.
+	// VMs and Customers count the distinct entry VMs and customers.
 	VMs, Customers int
 	First, Last    time.Time
-	// Longest is the longest time that one took.
+	// Longest is the maximum duration of these requests.
 	Longest time.Duration
 }
 
-// Report is the breakdown of a time by causes.
+// Report counts failed and late requests by cause.
 type Report struct {
-	// Requests is the number of lines about the end of a request, and NotLogged
-	// that of lines left out to bound the log.
+	// Requests is the number of finished requests in the logs. NotLogged is the
+	// number whose lines were suppressed to limit the log volume.
 	Requests, NotLogged int
 	Causes              []Cause
 }
 
-// Causes returns the causes of requests that were not served, and of successes
-// that took longer than late, most frequent first. A late of zero leaves these
-// out.
+// Causes returns the causes of failed requests, and of successes that took longer
+// than late, most frequent first. If late is zero, successes are not included.
 func Causes(lines []Line, late time.Duration) Report {
 	type key struct {
 		code, reason string
@@ -92,7 +92,7 @@
 	return r
 }
 
-// longestPhase says where most of the time of a request went.
+// longestPhase returns the phase that took most of the request's time.
 func (l *Line) longestPhase() string {
 	transit := l.Took - l.Waited - l.Ran
 	switch {
--- a/internal/trail/doc.go
+++ b/internal/trail/doc.go
@@ -1,3 +1,3 @@
-// Package trail reads the logs of many VMs and finds what led to the result of
-// one request, and the causes of refusals and late answers.
+// Package trail reads the logs of many VMs. It finds the log lines that explain
+// the result of one request, and counts failed and late requests by cause.
 package trail
--- a/internal/trail/line.go
+++ b/internal/trail/line.go
@@ -16,7 +16,7 @@
 	Time    time.Time
 	Level   string
 	Message string
-	// Text is the line as it was written.
+	// Text is the JSON object of the line, unparsed, without the prefix.
 	Text string
 
 	RequestID string
@@ -30,18 +30,19 @@
 	Primary   siskin.TargetID
 	From, To  siskin.TargetID
 	Home      siskin.VMID
-	// Took is the whole time, Waited that in the queue and Ran that at the target.
+	// Took is the total duration, Waited the time in the queue and Ran the time
+	// at the target.
 	Took, Waited, Ran time.Duration
-	// Suppressed is the number of lines that were left out before this one.
+	// Suppressed is the number of similar lines suppressed before this one.
 	Suppressed int
 }
 
-// maxLine bounds one line, in bytes.
+// maxLine is the maximum length of a line in bytes.
 const maxLine = 1 << 20
 
-// Read reads the log of a VM. A line may have the name of a VM, or a time and the
-// name, before its JSON object; it goes before vm. Lines without an object are
-// left out.
+// Read reads the log of a VM. The JSON object of a line may be preceded by the
+// name of a VM, or by a time and the name; this name overrides vm. Lines without
+// a valid JSON object are skipped.
 func Read(r io.Reader, vm siskin.VMID) ([]Line, error) {
 	var lines []Line
 	s := bufio.NewScanner(r)
@@ -95,10 +96,11 @@
 	}, true
 }
 
-// parseTargetID reads the id of a parseTargetID. Other messages use the same names for a flag.
+// parseTargetID returns the target id in raw, or "" if raw is not a string. Some
+// messages use the same field names for a boolean.
 func parseTargetID(raw json.RawMessage) siskin.TargetID {
 	var id siskin.TargetID
-	_ = json.Unmarshal(raw, &id) // empty when it is something else
+	_ = json.Unmarshal(raw, &id) // id stays empty if raw is not a string
 	return id
 }
 
--- a/internal/trail/story.go
+++ b/internal/trail/story.go
@@ -8,19 +8,19 @@
 )
 
 const (
-	// contextBefore and after bound the time around a request in which lines about its
-	// target, service, customer and VMs may explain its result. A primary is
-	// suspected after 0.7 s and changed in one to two seconds.
+	// contextBefore and after extend the time range of a request in which
+	// lines about its targets, services, customer and VMs are included. A primary
+	// is suspected after 0.7 s and replaced within one to two seconds.
 	contextBefore = 3 * time.Second
 	contextAfter  = time.Second
-	// maxContext bounds the lines of a story that are not about the request
-	// itself; those nearest to its end are kept.
+	// maxContext is the maximum number of lines of a timeline that do not carry
+	// the request id. The latest ones are kept.
 	maxContext = 200
 )
 
-// Timeline returns the lines about a request in the order of time, and what its VMs
-// logged around it about the targets, the service and the customer that it names.
-// It is empty when no line has the id.
+// Timeline returns the lines with the given request id together with the lines
+// logged around that time about its targets, services, customer and VMs, sorted by
+// time. It is empty if no line has the id.
 func Timeline(lines []Line, id string) []Line {
 	var own []Line
 	for _, l := range lines {
@@ -50,7 +50,8 @@
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
 
-// requestScope is what a request was about.
+// requestScope holds the time range, targets, services, customers and VMs of a
+// request.
 type requestScope struct {
 	from, to  time.Time
 	targets   map[siskin.TargetID]bool
@@ -72,7 +73,7 @@
 		}
 		s.customers[l.Customer], s.services[l.Service] = true, true
 		s.vms[l.VM], s.vms[l.Home] = true, true
-		// The line is written at the end of the request.
+		// The line is logged at the end of the request, so it started Took earlier.
 		if start := l.Time.Add(-l.Took - contextBefore); start.Before(s.from) {
 			s.from = start
 		}
@@ -87,7 +88,7 @@
 	return s
 }
 
-// targets returns the targets that a line names.
+// targets returns the ids of the targets in the fields of a line.
 func (l *Line) targets() []siskin.TargetID {
 	return slices.DeleteFunc([]siskin.TargetID{l.Target, l.Primary, l.From, l.To}, func(id siskin.TargetID) bool { return id == "" })
 }
@@ -102,7 +103,7 @@
 		return false
 	}
 	if l.Service == "" && l.Customer == "" && l.Database == "" && len(l.targets()) == 0 {
-		return s.vms[l.VM] // about the VM itself, such as a lost contact
+		return s.vms[l.VM] // about the VM itself, such as lost contact with another VM
 	}
 	return s.namesTarget(l) || s.services[l.Service] || s.customers[l.Customer]
 }
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -13,13 +13,12 @@
 	"siskintray.example/siskin"
 )
 
-// TestScripts guards against lines that explain a request and are missing from
-// its story, against those of other services in it, and against causes that are
-// counted wrongly.
+// TestScripts guards against a timeline that lacks related lines or includes
+// lines of other services, and against wrong counts of causes.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
 	if err != nil || len(files) == 0 {
-		t.Fatalf("got %d scripts and %v, want some", len(files), err)
+		t.Fatalf("got %d scripts and error %v, want at least one", len(files), err)
 	}
 	for _, name := range files {
 		archive, err := txtar.ParseFile(name)
@@ -65,7 +64,7 @@
 	return text
 }
 
-// FuzzParse guards against a line that ends the program.
+// FuzzParse guards against malformed lines that cause a panic.
 func FuzzParse(f *testing.F) {
 	f.Add(`vm-a {"time":"2026-01-01T10:00:00Z","Took":1.5,"Primary":false}`)
 	f.Add(`{"Primary":{"a":1},"Took":"x"}`)
