trail: story.go is now timeline.go

The file is named after its function Timeline, which was Story before; one local variable follows. No code changes; the tests of internal/trail pass.

--- a/internal/trail/story.go
+++ b/internal/trail/timeline.go
@@ -41,9 +41,9 @@
 	}
 	sortByTime(context)
 	context = context[max(0, len(context)-maxContext):]
-	story := append(own, context...)
-	sortByTime(story)
-	return story
+	timeline := append(own, context...)
+	sortByTime(timeline)
+	return timeline
 }
 
 func sortByTime(lines []Line) {
