--- a/pkg/plat/attempt.go
+++ b/pkg/plat/attempt.go
@@ -18,7 +18,7 @@
 
 var errReadIdle = errors.New("no data received within the read idle timeout")
 
-// response is the platform's response to one request.
+// response holds the status, body and Retry-After time of an HTTP response.
 type response struct {
 	status     int
 	body       []byte
@@ -85,7 +85,7 @@
 	return a, nil
 }
 
-// activityReader calls alive whenever bytes arrive.
+// activityReader calls onRead after each read that returns data.
 type activityReader struct {
 	r      io.Reader
 	onRead func()
--- a/pkg/plat/client_test.go
+++ b/pkg/plat/client_test.go
@@ -56,10 +56,10 @@
 	return c.Clock.After(d)
 }
 
-// TestLostAnswer guards against reporting an applied update as a conflict, or
+// TestLostResponse guards against reporting an applied update as a conflict, or
 // an update that was not applied as successful, when the response was lost and
 // other writers updated the object before the retry.
-func TestLostAnswer(t *testing.T) {
+func TestLostResponse(t *testing.T) {
 	for _, tt := range []struct {
 		laterWriters int
 		want         string
@@ -94,9 +94,9 @@
 	}
 }
 
-// TestSilentConnections guards against calls and watches that keep waiting on
+// TestStalledConnections guards against calls and watches that keep waiting on
 // stalled connections while new connections work.
-func TestSilentConnections(t *testing.T) {
+func TestStalledConnections(t *testing.T) {
 	t.Parallel()
 	s, c := startClient(t, Config{})
 	ctx := timeoutContext(t, 10*time.Second)
--- a/pkg/plat/request.go
+++ b/pkg/plat/request.go
@@ -62,9 +62,9 @@
 // would exceed the deadline.
 func (p *LimitedClient) takeTokens(ctx context.Context, budget *rate.Limiter) error {
 	now := p.c.clock.Now()
-	own := p.budget.ReserveN(now, 1)
-	all := budget.ReserveN(now, 1)
-	wait := max(own.DelayFrom(now), all.DelayFrom(now))
+	ownToken := p.budget.ReserveN(now, 1)
+	processToken := budget.ReserveN(now, 1)
+	wait := max(ownToken.DelayFrom(now), processToken.DelayFrom(now))
 	if wait == 0 {
 		return nil
 	}
@@ -74,8 +74,8 @@
 		return nil
 	}
 	now = p.c.clock.Now()
-	own.CancelAt(now)
-	all.CancelAt(now)
+	ownToken.CancelAt(now)
+	processToken.CancelAt(now)
 	return siskin.NewError(siskin.Overloaded, "the call budget is used up").WithRetryAfter(wait).WithRemedy("retry after the stated time or raise the calls or updates a second that the settings allow")
 }
 
