--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -65,24 +65,71 @@
 	}
 	g.cond = sync.NewCond(&g.mu)
 	for i, to := range o.targets {
-		t := &target{
-			g: g, id: fmt.Sprintf("i-%s-%d", o.service, i+1), zone: to.zone, lag: to.lag, primary: i == 0, term: 1,
-			slots: make(chan struct{}, o.slots), born: time.Now().Add(-uptime),
-		}
-		if err := t.listen(); err != nil {
+		t, err := g.add(to, time.Now().Add(-uptime))
+		if err != nil {
 			return nil, err
 		}
-		g.targets = append(g.targets, t)
+		t.primary, t.term = i == 0, 1
 	}
 	g.publish()
 	return g, nil
 }
 
+// add starts a target. It is a replica with an empty log.
+func (g *group) add(o targetOptions, born time.Time) (*target, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := &target{
+		g: g, id: fmt.Sprintf("i-%s-%d", g.service, len(g.targets)+1), zone: o.zone, lag: o.lag, slots: make(chan struct{}, g.slots), born: born,
+	}
+	if err := t.listen(""); err != nil {
+		return nil, err
+	}
+	g.targets = append(g.targets, t)
+	g.replicate()
+	return t, nil
+}
+
+// leave ends a target for good.
+func (g *group) leave(t *target) {
+	g.rec.logf("target %s has left", t.id)
+	g.mu.Lock()
+	t.left = true
+	g.mu.Unlock()
+	t.close()
+	g.store.Delete("servers", t.id)
+}
+
+// crash ends a target's process. Its log is kept.
+func (g *group) crash(t *target) {
+	g.rec.logf("target %s crashes", t.id)
+	g.mu.Lock()
+	t.left = true
+	g.cond.Broadcast()
+	g.mu.Unlock()
+	t.close()
+}
+
+// restart starts a crashed target again, with its log.
+func (g *group) restart(t *target) error {
+	g.rec.logf("target %s starts again", t.id)
+	g.mu.Lock()
+	t.left, t.held, t.born = false, 0, time.Now()
+	err := t.listen(t.address)
+	g.replicate()
+	g.mu.Unlock()
+	g.publish()
+	return err
+}
+
 // publish writes the targets' entries of service discovery.
 func (g *group) publish() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, t := range g.targets {
+		if t.left {
+			continue
+		}
 		role, state := "replica", "ready"
 		if t.primary {
 			role = "primary"
@@ -135,11 +182,11 @@
 func (g *group) replicate() {
 	p := g.leader()
 	defer g.cond.Broadcast()
-	if p == nil {
+	if p == nil || p.left {
 		return
 	}
 	for _, t := range g.targets {
-		if t.primary || t.deaf || t.held > p.term || t.term > p.term {
+		if t.primary || t.deaf || t.left || t.held > p.term || t.term > p.term {
 			continue
 		}
 		n := 0
@@ -160,16 +207,16 @@
 func (g *group) commit(t *target, changes []change) (siskin.Position, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !t.primary {
+	if !t.primary || t.left {
 		return siskin.Position{}, false
 	}
 	pos := siskin.Position{Term: t.term, LSN: t.position().LSN + 1}
 	t.log = append(t.log, commit{pos: pos, changes: changes, receivedAt: time.Now()})
 	g.replicate()
-	for t.primary && t.term == pos.Term && !t.closed {
+	for t.primary && t.term == pos.Term && !t.closed && !t.left {
 		n := 0
 		for _, o := range g.targets {
-			if o != t && o.has(pos) {
+			if o != t && !o.left && o.has(pos) {
 				n++
 			}
 		}
@@ -193,9 +240,9 @@
 		}
 		newest = max(newest, t.term)
 	}
-	if next == nil || next.primary {
+	if next == nil || next.left || next.primary {
 		g.mu.Unlock()
-		return next != nil
+		return next != nil && !next.left
 	}
 	for _, t := range g.targets {
 		t.primary = false
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"strconv"
 	"strings"
@@ -22,21 +23,28 @@
 	l        net.Listener
 
 	// Guarded by g.mu.
-	primary, deaf, draining, closed bool
-	term, held                      siskin.Term
-	log                             []commit
-	conns                           map[net.Conn]struct{}
-	runs                            []statement
+	primary, deaf, draining bool
+	left                    bool // the process has ended
+	closed                  bool // the run has ended
+	term, held              siskin.Term
+	log                     []commit
+	conns                   map[net.Conn]struct{}
+	runs                    []statement
 }
 
 // statement is a statement of a client that ran.
 type statement struct {
 	at       time.Duration
 	id, text string
+	values   map[string]string // of the session, when it ran
 }
 
-func (t *target) listen() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// listen listens on an address, or on a new one. The caller holds g.mu.
+func (t *target) listen(address string) error {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -50,12 +58,12 @@
 			t.g.mu.Lock()
 			full := len(t.conns) >= t.g.maxConns
 			t.conns[conn] = struct{}{}
-			if t.closed {
-				_ = conn.Close() // the run has ended
+			if t.closed || t.l != l {
+				_ = conn.Close() // the process has ended
 			}
 			t.g.mu.Unlock()
 			t.g.wg.Go(func() {
-				s := &session{t: t, conn: conn, prepared: make(map[string]string)}
+				s := &session{t: t, conn: conn, prepared: make(map[string]string), values: make(map[string]string)}
 				s.serve(full)
 				_ = conn.Close() // ended by either side
 				t.g.mu.Lock()
@@ -68,9 +76,9 @@
 }
 
 func (t *target) close() {
-	_ = t.l.Close() // the run has ended
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
+	_ = t.l.Close() // the process has ended
 	for c := range t.conns {
 		_ = c.Close() // the run has ended
 	}
@@ -130,6 +138,7 @@
 	t        *target
 	conn     net.Conn
 	prepared map[string]string
+	values   map[string]string
 	inTx     bool
 	readOnly bool
 	failed   bool
@@ -233,10 +242,13 @@
 	case "ROLLBACK":
 		s.inTx, s.failed, s.changes = false, false, nil
 	case "SET":
+		name, value, _ := strings.Cut(rest, " ")
+		s.values[name] = value
 	case "DEALLOC":
 		delete(s.prepared, rest)
 	case "DISCARD":
 		clear(s.prepared)
+		clear(s.values)
 	case "PREPARE":
 		name, definition, _ := strings.Cut(rest, " ")
 		s.prepared[name] = definition
@@ -280,10 +292,10 @@
 // ran records that a statement of a client ran.
 func (s *session) ran(id, text string) {
 	g := s.t.g
-	g.rec.logf("target %s runs %s %q", s.t.id, id, text)
+	g.rec.logf("target %s runs %s %q with values %v", s.t.id, id, text, s.values)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.t.runs = append(s.t.runs, statement{g.rec.now(), id, text})
+	s.t.runs = append(s.t.runs, statement{g.rec.now(), id, text, maps.Clone(s.values)})
 }
 
 // occupy holds a slot for the time of a statement.
