--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -36,6 +36,7 @@
 type statement struct {
 	at       time.Duration
 	id, text string
+	customer string
 	values   map[string]string // of the session, when it ran
 }
 
@@ -137,6 +138,7 @@
 type session struct {
 	t        *target
 	conn     net.Conn
+	customer string
 	prepared map[string]string
 	values   map[string]string
 	inTx     bool
@@ -159,6 +161,7 @@
 		fmt.Fprintf(s.conn, "ERROR TOOMANY %s\r\n", s.t.id)
 		return
 	}
+	s.customer = f[2]
 	fmt.Fprintf(s.conn, "READY I %s\r\n", s.positionText())
 	for {
 		line, err := readLine(r)
@@ -292,10 +295,10 @@
 // ran records that a statement of a client ran.
 func (s *session) ran(id, text string) {
 	g := s.t.g
-	g.rec.logf("target %s runs %s %q with values %v", s.t.id, id, text, s.values)
+	g.rec.logf("target %s runs %s %q for %s with values %v", s.t.id, id, text, s.customer, s.values)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.t.runs = append(s.t.runs, statement{g.rec.now(), id, text, maps.Clone(s.values)})
+	s.t.runs = append(s.t.runs, statement{g.rec.now(), id, text, s.customer, maps.Clone(s.values)})
 }
 
 // occupy holds a slot for the time of a statement.
