--- a/review/rig/promoter.go
+++ b/review/rig/promoter.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -35,7 +34,7 @@
 	for _, g := range groups {
 		p.groups[g.service] = g
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listenFree()
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,9 +51,36 @@
 	exited chan struct{}
 }
 
+const (
+	// firstPort and lastPort lie below the ports of outgoing connections, which
+	// could take an address between two uses of it.
+	firstPort = 12000
+	lastPort  = 32000
+	// portBlock is the distance of the first ports of two runs.
+	portBlock = 64
+)
+
+// nextPort starts at a block of this process.
+var nextPort = func() *atomic.Int32 {
+	var n atomic.Int32
+	n.Store(int32(os.Getpid() * portBlock % (lastPort - firstPort)))
+	return &n
+}()
+
+// listenFree listens on a free loopback address.
+func listenFree() (l net.Listener, err error) {
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // freeAddress returns a free loopback address.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listenFree()
 	if err != nil {
 		return "", err
 	}
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -42,10 +42,13 @@
 
 // listen listens on an address, or on a new one. The caller holds g.mu.
 func (t *target) listen(address string) error {
+	var l net.Listener
+	var err error
 	if address == "" {
-		address = "127.0.0.1:0"
+		l, err = listenFree()
+	} else {
+		l, err = net.Listen("tcp", address)
 	}
-	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
--- a/review/rig/text.go
+++ b/review/rig/text.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
 
 	"siskintray.example/siskin"
 )
@@ -85,8 +84,9 @@
 	return nil
 }
 
-// smuggle sends one write whose data contains a line feed and the text of
-// another request. Only CR LF ends a message.
+// smuggle sends two writes whose data contains a line feed: a text of two
+// lines, and one with the text of another request in its second line. Only CR LF
+// ends a message.
 func smuggle(r *rig) error {
 	g, err := r.smallFleet()
 	if err != nil {
@@ -96,39 +96,50 @@
 	if !r.trouble {
 		separator = " "
 	}
-	c, err := dial(r.rec, "rude", r.vms[0].caller, database(g.service, siskin.PrimaryReads), key)
-	if err != nil {
-		return err
-	}
-	defer c.close()
 	const inner = "inner0001"
-	text := "WRITE note first" + separator + "QUERY " + inner + " WRITE account emptied"
-	a, err := c.query(text)
-	if err == nil && strings.Contains(text, "\n") {
-		_, _ = c.query("READ note") // the answer does not matter
+	sent := make(map[string]string) // text by id
+	answered := 0
+	for _, text := range []string{
+		"WRITE note wound the clock" + separator + "left the key with the verger",
+		"WRITE note first" + separator + "QUERY " + inner + " WRITE account emptied",
+	} {
+		c, err := dial(r.rec, "c", r.vms[0].caller, database(g.service, siskin.PrimaryReads), key)
+		if err != nil {
+			return err
+		}
+		defer c.close()
+		a, err := c.query(text)
+		sent[a.id] = text
+		if err == nil && a.code == "" {
+			answered++
+		}
+		if r.trouble {
+			_, _ = c.query("READ note") // the answer does not matter
+		}
 	}
 	broken := 0
 	for _, t := range g.targets {
 		for _, s := range t.statements() {
+			want, ok := sent[s.id]
 			switch {
 			case s.id == inner:
 				broken++
-				r.rec.logf("UNASKED: target %s ran %s %q, which was inside the request %s", t.id, s.id, s.text, a.id)
-			case s.id == a.id && s.text != text:
+				r.rec.logf("UNASKED: target %s ran %s %q, which was inside another request", t.id, s.id, s.text)
+			case ok && s.text != want:
 				broken++
-				r.rec.logf("UNASKED: target %s ran %s as %q, the client sent %q", t.id, s.id, s.text, text)
+				r.rec.logf("UNASKED: target %s ran %s as %q, the client sent %q", t.id, s.id, s.text, want)
 			}
 		}
 		if t.holds("account", "emptied") {
 			r.rec.logf("the log of %s has the smuggled write", t.id)
 		}
 	}
-	fmt.Printf("%d statements ran that no client sent, or with changed text\n", broken)
+	fmt.Printf("%d writes acknowledged; %d statements ran that no client sent, or with changed text\n", answered, broken)
 	if broken > 0 {
 		return errBroken
 	}
-	if err != nil || a.code != "" {
-		return fmt.Errorf("the write failed: %v %s", err, a.code)
+	if answered != len(sent) {
+		return errors.New("the writes were refused")
 	}
 	return nil
 }
