home, entry: logs and counters of answers that do not fit

Change: connections have numbers and count their exchanges; the line of a request names both, the signature and a digest of the shape. What is sent and answered is unchanged.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/home"
 	"siskintray.example/siskin/pkg/shard"
@@ -137,6 +140,12 @@
 		Str("Target", string(o.target)).Str("Home", string(o.reply.Home)).Int("Attempts", o.attempts).Str("Reason", o.reason).
 		Dur("Took", took).Dur("Waited", o.reply.Waited).Dur("Ran", o.reply.Ran).
 		Uint64("Revision", uint64(e.cfg.Table.Snapshot().Version))
+	if o.reply.Conn > 0 {
+		entry = entry.Uint64("Conn", uint64(o.reply.Conn)).Int("Exchange", o.reply.Exchange).Str("Signature", a.Signature)
+	}
+	if o.st.Kind == siskin.Execute {
+		entry = entry.Str("Shape", shapeDigest(o.s.prepared[o.st.Name]))
+	}
 	if suppressed > 0 {
 		entry = entry.Int64("Suppressed", suppressed)
 	}
@@ -146,3 +155,13 @@
 	}
 	entry.Msg("request finished")
 }
+
+// shapeDigest identifies a prepared statement in logs, which hold no text of
+// callers.
+func shapeDigest(p home.Prepared) string {
+	mode := "Read"
+	if p.Writes {
+		mode = "Write"
+	}
+	return mode + "/" + strconv.FormatUint(xxhash.Sum64String(p.Shape), 16)
+}
--- a/internal/home/acquire.go
+++ b/internal/home/acquire.go
@@ -68,7 +68,7 @@
 	switch {
 	case l.open < l.connLimiter.limit(l.clock.Now(), l.limit):
 	case len(l.idle) > 0:
-		_ = l.idle[0].Close() // nothing runs on an idle connection
+		l.idle[0].closeFor(replaced)
 		l.idle = l.idle[1:]
 		l.open--
 	default:
@@ -91,7 +91,7 @@
 		l.mu.Lock()
 		l.connLimiter.accepted(l.open, l.limit)
 		l.mu.Unlock()
-		return newConn(tc, customer, l.clock.Now()), nil
+		return l.newConn(tc, info, customer), nil
 	}
 	l.mu.Lock()
 	if siskin.KindOf(err) != siskin.Overloaded {
@@ -109,3 +109,10 @@
 	l.connClosed()
 	return nil, err
 }
+
+// newConn returns a connection whose events are reported.
+func (l *pool) newConn(tc siskin.TargetConn, info siskin.TargetInfo, customer siskin.CustomerID) *conn {
+	c := newConn(tc, customer, l.clock.Now())
+	c.id, c.target, c.report = l.report.nextID(), info.ID, l.report
+	return c
+}
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -6,10 +6,21 @@
 	"siskintray.example/siskin"
 )
 
+// ConnID numbers the connections that a VM has opened to targets, from 1.
+type ConnID uint64
+
 // conn is a connection to a target and its session state.
 type conn struct {
 	siskin.TargetConn
-	customer siskin.CustomerID
+	id        ConnID
+	exchanges int // number of exchanges so far
+	target    siskin.TargetID
+	customer  siskin.CustomerID
+	// state is the transaction state after the last answer.
+	state      siskin.TxState
+	signatures signatures
+	report     *connReport
+
 	values   map[string]string
 	prepared map[string]Prepared
 	openedAt time.Time // when it was established
@@ -24,6 +35,12 @@
 	}
 }
 
+// closeFor closes the connection. The target rolls an open transaction back.
+func (c *conn) closeFor(reason closeReason) {
+	_ = c.Close() // the target rolls back whether or not it sees the close
+	c.report.closed(c, reason)
+}
+
 // preparedName returns the name of a prepared statement at a target. It depends
 // only on the statement's text (its shape) and on whether it writes, so that
 // sessions share prepared statements.
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -19,11 +19,10 @@
 // callers' statements.
 type control struct {
 	mu sync.Mutex // held during an exchange
-	c  siskin.TargetConn
+	c  *conn
 	// openedTo is the target as listed when the connection was opened.
-	openedTo    siskin.TargetInfo
-	connectedAt time.Time // when it was established
-	usedAt      time.Time
+	openedTo siskin.TargetInfo
+	usedAt   time.Time
 
 	lastEnsure atomic.Int64 // last attempt of EnsureControlConn, in Unix nanoseconds
 }
@@ -109,7 +108,7 @@
 	}
 	ctl := &l.control
 	if ctl.c != nil && (ctl.openedTo.Address != info.Address || !ctl.openedTo.StartedAt.Equal(info.StartedAt)) {
-		l.dropControl()
+		l.dropControl(suspect)
 	}
 	if ctl.c == nil {
 		c, err := l.connector.Connect(ctx, info, "")
@@ -119,11 +118,11 @@
 		if err != nil {
 			return nil, err
 		}
-		ctl.c, ctl.openedTo, ctl.connectedAt = c, info, l.clock.Now()
+		ctl.c, ctl.openedTo = l.newConn(c, info, ""), info
 	}
-	answers, err := ctl.c.Exchange(exchangeDeadline(ctx), list)
+	answers, err := ctl.c.exchange(exchangeDeadline(ctx), list)
 	if err != nil {
-		l.dropControl()
+		l.dropControl(broken)
 	}
 	return answers, err
 }
@@ -141,9 +140,9 @@
 	c := l.idle[n-1]
 	l.idle = l.idle[:n-1]
 	l.mu.Unlock()
-	answers, err := c.Exchange(exchangeDeadline(ctx), list)
+	answers, err := c.exchange(exchangeDeadline(ctx), list)
 	if err != nil || answers[len(answers)-1].State != siskin.TxIdle {
-		l.drop(c)
+		l.drop(c, broken)
 		return answers, err
 	}
 	l.put(c)
@@ -159,8 +158,8 @@
 	return time.Now().Add(pingTimeout)
 }
 
-func (l *pool) dropControl() {
-	_ = l.control.c.Close() // control statements leave no transaction open
+func (l *pool) dropControl(reason closeReason) {
+	l.control.c.closeFor(reason)
 	l.control.c = nil
 }
 
@@ -220,7 +219,7 @@
 func (l *pool) trim(now time.Time, notHome bool) {
 	if (notHome || l.inUse()) && l.control.mu.TryLock() {
 		if l.control.c != nil && now.Sub(l.control.usedAt) > controlIdleTimeout {
-			l.dropControl()
+			l.dropControl(surplus)
 		}
 		l.control.mu.Unlock()
 	}
@@ -235,7 +234,7 @@
 		l.open--
 	}
 	l.mu.Unlock()
-	closeAll(stale)
+	closeAll(stale, surplus)
 }
 
 // WriteStall returns the time for which all writes at a target have failed, or
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/views"
 	"siskintray.example/siskin/pkg/shard"
@@ -32,6 +35,9 @@
 	// targets of a service share. Both may be nil.
 	MayBeCold func(t siskin.TargetInfo, opened, failed time.Time) bool
 	AdmitCold func(context.Context, siskin.ServiceName) siskin.Admission
+	// Log and Metrics may be nil.
+	Log     *log.Logger
+	Metrics *Metrics
 	// LeaseConfig is nil if a replaced target is known to refuse plain
 	// transactions.
 	LeaseConfig *LeaseConfig
@@ -43,6 +49,7 @@
 	pools  *shard.Map[siskin.TargetID, *pool]
 	txs    *shard.Map[TxID, *tx]
 	nextTx atomic.Uint64
+	report *connReport
 	active atomic.Int32 // calls of Run in progress
 	stop   chan struct{}
 	done   sync.WaitGroup
@@ -55,9 +62,12 @@
 
 // New returns Homes and starts the goroutine that rolls back idle transactions.
 func New(cfg Config) *Homes {
+	if cfg.Metrics == nil {
+		cfg.Metrics = NewMetrics(tally.NoopScope)
+	}
 	h := &Homes{
 		cfg: cfg, pools: shard.New[siskin.TargetID, *pool](), txs: shard.New[TxID, *tx](),
-		stop: make(chan struct{}),
+		stop: make(chan struct{}), report: newConnReport(&cfg),
 	}
 	// A restarted VM must not reuse the ids of its earlier run.
 	h.nextTx.Store(uint64(cfg.Clock.Now().UnixNano()))
@@ -168,7 +178,7 @@
 		return nil, false
 	}
 	return h.pools.GetOrCreate(id, func() *pool {
-		return newPool(h.cfg.Clock, h.cfg.Connector, info, h.cfg.Limit(info))
+		return newPool(h.cfg.Clock, h.cfg.Connector, h.report, info, h.cfg.Limit(info))
 	}), true
 }
 
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -31,13 +31,13 @@
 	}
 	status := siskin.Statement{Kind: siskin.Status}
 	if c := l.awaitOldest(ctx); c != nil {
-		answers, err := c.Exchange(exchangeDeadline(ctx), []siskin.Statement{status})
+		answers, err := c.exchange(exchangeDeadline(ctx), []siskin.Statement{status})
 		switch {
 		case err != nil:
 			l.handleBreak(err)
-			l.drop(c)
+			l.drop(c, broken)
 		case answers[0].State != siskin.TxIdle:
-			l.drop(c)
+			l.drop(c, broken)
 		default:
 			openedAt := c.openedAt
 			l.put(c)
@@ -56,7 +56,7 @@
 	if l.control.c == nil {
 		return answers[0], 0, nil // it answered on a connection of the pool
 	}
-	return answers[0], h.cfg.Clock.Since(l.control.connectedAt), nil
+	return answers[0], h.cfg.Clock.Since(l.control.c.openedAt), nil
 }
 
 // idleConnWait is the time for which a status request waits while all
@@ -102,7 +102,7 @@
 	var control time.Time
 	if l.control.mu.TryLock() {
 		if l.control.c != nil {
-			control = l.control.connectedAt
+			control = l.control.c.openedAt
 		}
 		l.control.mu.Unlock()
 	}
@@ -130,5 +130,5 @@
 		return
 	}
 	l.recordFailure()
-	l.dropIdle()
+	l.dropIdle(suspect)
 }
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -32,6 +32,7 @@
 	clock     siskin.Clock
 	created   time.Time
 	connector siskin.TargetConnector
+	report    *connReport
 	queue     *fairq.Queue
 	control   control
 	writes    writes
@@ -55,9 +56,9 @@
 	reportedAt time.Time
 }
 
-func newPool(clock siskin.Clock, connector siskin.TargetConnector, info siskin.TargetInfo, limit int) *pool {
+func newPool(clock siskin.Clock, connector siskin.TargetConnector, report *connReport, info siskin.TargetInfo, limit int) *pool {
 	return &pool{
-		clock: clock, created: clock.Now(), connector: connector, info: info, limit: limit, wake: make(chan struct{}),
+		clock: clock, created: clock.Now(), connector: connector, report: report, info: info, limit: limit, wake: make(chan struct{}),
 		queue: fairq.New(clock, info.Slots+spareRunning, fairq.WithReserve(0)),
 	}
 }
@@ -66,18 +67,19 @@
 // or address of the target are closed.
 func (l *pool) update(info siskin.TargetInfo, limit int) {
 	l.mu.Lock()
-	var stale []*conn
+	var stale, extra []*conn
 	if info.Address != l.info.Address || !info.StartedAt.Equal(l.info.StartedAt) {
 		stale = l.takeIdle()
 	}
 	l.info, l.limit = info, limit
 	for len(l.idle) > 0 && l.open > l.limit {
-		stale = append(stale, l.idle[0])
+		extra = append(extra, l.idle[0])
 		l.idle = l.idle[1:]
 		l.open--
 	}
 	l.mu.Unlock()
-	closeAll(stale)
+	closeAll(stale, suspect)
+	closeAll(extra, surplus)
 }
 
 func (l *pool) takeIdle() []*conn {
@@ -87,9 +89,9 @@
 	return taken
 }
 
-func closeAll(list []*conn) {
+func closeAll(list []*conn, reason closeReason) {
 	for _, c := range list {
-		_ = c.Close() // nothing runs on an idle connection
+		c.closeFor(reason)
 	}
 }
 
@@ -134,7 +136,7 @@
 	l.mu.Lock()
 	if l.closing || l.open > l.limit {
 		l.mu.Unlock()
-		l.drop(c)
+		l.drop(c, surplus)
 		return
 	}
 	l.idle = append(l.idle, c)
@@ -143,30 +145,30 @@
 }
 
 // drop closes a connection.
-func (l *pool) drop(c *conn) {
-	_ = c.Close() // the target rolls back an open transaction
+func (l *pool) drop(c *conn, reason closeReason) {
+	c.closeFor(reason)
 	l.connClosed()
 }
 
 // dropIdle closes the idle connections after another one failed: they may be
 // broken too, or belong to an earlier run of the target.
-func (l *pool) dropIdle() {
+func (l *pool) dropIdle(reason closeReason) {
 	l.mu.Lock()
 	stale := l.takeIdle()
 	l.signal()
 	l.mu.Unlock()
-	closeAll(stale)
+	closeAll(stale, reason)
 }
 
 func (l *pool) close() {
 	l.mu.Lock()
 	l.closing = true
 	l.mu.Unlock()
-	l.dropIdle()
+	l.dropIdle(stopped)
 	l.control.mu.Lock()
 	defer l.control.mu.Unlock()
 	if l.control.c != nil {
-		l.dropControl()
+		l.dropControl(stopped)
 	}
 }
 
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -36,7 +36,8 @@
 // broke.
 func (r *run) prove(setup, begin []siskin.Statement) (ok, broken bool) {
 	asked := r.h.cfg.Clock.Now()
-	answers, err := r.c.Exchange(r.proofDeadline(), append(setup, begin...))
+	answers, err := r.c.exchange(r.proofDeadline(), append(setup, begin...))
+	r.reply.Exchange = r.c.exchanges
 	if err != nil {
 		r.connFailed(err)
 		return false, !errors.Is(err, os.ErrDeadlineExceeded)
@@ -45,7 +46,7 @@
 		if a := &answers[i]; a.Code != siskin.Succeeded {
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, *a
 			r.recordDenial(a, asked)
-			r.connPool.drop(r.c)
+			r.connPool.drop(r.c, refused)
 			return false, false
 		}
 	}
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -141,6 +141,10 @@
 	Tx      TxID          `json:",omitempty"`
 	// Home is the VM that ran the statement.
 	Home siskin.VMID `json:",omitempty"`
+	// Conn is the connection on which the home ran the statement, and Exchange
+	// the number of exchanges on it up to then.
+	Conn     ConnID `json:",omitempty"`
+	Exchange int    `json:",omitempty"`
 	// RetryAfter is the time after which a refused statement may be served.
 	RetryAfter time.Duration `json:",omitempty"`
 	// Lead is the target's position when it proved that it is the primary, and
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -83,7 +83,7 @@
 func (r *run) connect(ctx context.Context) bool {
 	c, err := r.connPool.conn(ctx, r.req.Customer, r.req.waitFor())
 	if err == nil {
-		r.c = c
+		r.c, r.reply.Conn = c, c.id
 		return true
 	}
 	switch siskin.KindOf(err) {
@@ -165,7 +165,7 @@
 	if r.h.evacuated(r.req.Target) {
 		// Closing the connection ends the transaction that proved leadership.
 		r.reply.Outcome, r.reply.Cause = NotSent, Evacuated
-		r.connPool.drop(r.c)
+		r.connPool.drop(r.c, abandoned)
 		return false
 	}
 	if s.MayWrite() && !r.h.leaseForCommit(r.deadline, r.req.Service, r.connPool) {
@@ -179,11 +179,11 @@
 		r.connPool.put(r.c)
 		return false
 	}
-	answers, err := r.c.Exchange(r.deadline, list)
+	answers, err := r.c.exchange(r.deadline, list)
 	if s.MayWrite() {
 		r.connPool.writes.end(len(answers) > len(setup))
 	}
-	r.reply.Ran = r.h.cfg.Clock.Since(asked)
+	r.reply.Ran, r.reply.Exchange = r.h.cfg.Clock.Since(asked), r.c.exchanges
 	if err != nil && len(answers) <= len(setup) {
 		if r.connFailed(err); !s.MayWrite() {
 			// Reads have no side effects, so they are retried once on another
@@ -198,7 +198,7 @@
 			// Only reads are pipelined after setup, and the answer is
 			// discarded.
 			r.reply.Outcome, r.reply.Cause, r.reply.Answer = NotSent, Refused, answers[i]
-			r.connPool.drop(r.c)
+			r.connPool.drop(r.c, refused)
 			return true
 		}
 	}
@@ -206,7 +206,7 @@
 	r.reply.Outcome, r.reply.Cause, r.reply.Answer = Answered, NoCause, a
 	r.recordAnswer(&s, &a, asked)
 	if err != nil || answers[len(answers)-1].State != siskin.TxIdle || a.Code == siskin.NoStatement {
-		r.connPool.drop(r.c)
+		r.connPool.drop(r.c, broken)
 		return false
 	}
 	r.connPool.put(r.c)
@@ -239,8 +239,8 @@
 	}
 	r.h.cfg.Views.RecordFailure(r.req.Target, r.h.cfg.Clock.Now())
 	r.connPool.recordFailure()
-	r.connPool.drop(r.c)
-	r.connPool.dropIdle()
+	r.connPool.drop(r.c, broken)
+	r.connPool.dropIdle(suspect)
 }
 
 // startTx runs the first statement of a transaction that has just begun.
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -91,24 +91,24 @@
 		h.abandon(id, t)
 		return Reply{Cause: Stalled}
 	}
-	answers, err := t.c.Exchange(deadline, append(setup, s))
+	answers, err := t.c.exchange(deadline, append(setup, s))
 	if commitsWrites {
 		t.connPool.writes.end(err == nil)
 	}
 	ran := h.cfg.Clock.Since(asked)
 	if err != nil {
 		h.abandon(id, t)
-		reply := Reply{Outcome: AnswerLost, Cause: Unreachable, Ran: ran}
+		reply := Reply{Outcome: AnswerLost, Cause: Unreachable, Ran: ran, Conn: t.c.id, Exchange: t.c.exchanges}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			reply.Cause = Silent
 		}
 		h.cfg.Views.RecordFailure(req.Target, h.cfg.Clock.Now())
 		t.connPool.recordFailure()
-		t.connPool.dropIdle()
+		t.connPool.dropIdle(suspect)
 		return reply
 	}
 	a := answers[len(setup)]
-	reply := Reply{Outcome: Answered, Answer: a, Ran: ran, Tx: id}
+	reply := Reply{Outcome: Answered, Answer: a, Ran: ran, Tx: id, Conn: t.c.id, Exchange: t.c.exchanges}
 	for i := range setup {
 		if answers[i].Code != siskin.Succeeded {
 			h.abandon(id, t)
@@ -149,7 +149,7 @@
 	case reusable:
 		t.connPool.put(t.c)
 	default:
-		t.connPool.drop(t.c)
+		t.connPool.drop(t.c, abandoned)
 	}
 }
 
