--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -111,18 +111,20 @@
 
 // replies maps the words of testdata to replies of a home.
 var replies = map[string]home.Reply{
-	"ok":          {Outcome: home.Answered, Answer: siskin.Answer{Signature: "sig"}},
-	"begun":       {Outcome: home.Answered, Answer: siskin.Answer{Signature: "sig", State: siskin.TxOpen}, Tx: 7, Home: "vm-2"},
-	"readonly":    {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.ReadOnly}},
-	"lagging":     {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Lagging}},
-	"failed":      {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Failed}},
-	"lost":        {Outcome: home.AnswerLost, Cause: home.Silent},
-	"unreachable": {Cause: home.Unreachable},
-	"overload":    {Cause: home.Overload, RetryAfter: 70 * time.Millisecond},
-	"denied":      {Cause: home.Refused, Answer: siskin.Answer{Code: siskin.ReadOnly}},
-	"behind":      {Cause: home.Refused, Answer: siskin.Answer{Code: siskin.Lagging}},
-	"stale":       {Cause: home.Stale},
-	"evacuated":   {Cause: home.Evacuated},
+	"ok":            {Outcome: home.Answered, Answer: siskin.Answer{Signature: "sig"}},
+	"begun":         {Outcome: home.Answered, Answer: siskin.Answer{Signature: "sig", State: siskin.TxOpen}, Tx: 7, Home: "vm-2"},
+	"unsigned":      {Outcome: home.Answered},
+	"begunUnsigned": {Outcome: home.Answered, Answer: siskin.Answer{State: siskin.TxOpen}, Tx: 7, Home: "vm-2"},
+	"readonly":      {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.ReadOnly}},
+	"lagging":       {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Lagging}},
+	"failed":        {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Failed}},
+	"lost":          {Outcome: home.AnswerLost, Cause: home.Silent},
+	"unreachable":   {Cause: home.Unreachable},
+	"overload":      {Cause: home.Overload, RetryAfter: 70 * time.Millisecond},
+	"denied":        {Cause: home.Refused, Answer: siskin.Answer{Code: siskin.ReadOnly}},
+	"behind":        {Cause: home.Refused, Answer: siskin.Answer{Code: siskin.Lagging}},
+	"stale":         {Cause: home.Stale},
+	"evacuated":     {Cause: home.Evacuated},
 }
 
 var statements = map[string]siskin.Statement{
