home: answers are matched to their statements

Cause: answers carry no id, and the next answer on the connection was taken for that of the statement sent last. The same held for the control connection, where an old status makes a claim look ended, and for the proof of lead, where an old position with a new time sets a floor too low.

Change: an answer that cannot belong to its statement (by signature, state or rows) is skipped, and the real one follows; a new signature can only be that of the one signed statement in progress. A refusal may be a repetition of an earlier one, so it is passed on only after a witness: statements without effect whose answers tell a counter by the transaction state. If the real answer comes in between, it replaces the refusal; if the connection stays unclear, the outcome is unknown and the connection is closed. Reads need no promise, so their connection is settled in the background. Control statements are followed by a witness too, and are sent again when an answer too many came in. The position of a BEGIN counts as proof of lead only after the signed answer to the statement behind it.

--- a/internal/home/closereason.go
+++ b/internal/home/closereason.go
@@ -17,11 +17,14 @@
 	refused
 	// abandoned is for connections closed to roll a transaction back.
 	abandoned
+	// outOfStep is for connections whose answers could not be matched to their
+	// statements.
+	outOfStep
 	// stopped is for connections of a VM that stops or has left the target.
 	stopped
 )
 
-var closeReasons = [...]string{"Surplus", "Replaced", "Suspect", "Broken", "Refused", "Abandoned", "Stopped"}
+var closeReasons = [...]string{"Surplus", "Replaced", "Suspect", "Broken", "Refused", "Abandoned", "OutOfStep", "Stopped"}
 
 // String returns the name used in logs and metrics.
 func (r closeReason) String() string {
@@ -32,4 +35,4 @@
 }
 
 // isUnplanned reports whether the reason shows trouble at the target.
-func (r closeReason) isUnplanned() bool { return r == broken || r == refused }
+func (r closeReason) isUnplanned() bool { return r == broken || r == refused || r == outOfStep }
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -19,7 +19,14 @@
 	// state is the transaction state after the last answer.
 	state      siskin.TxState
 	signatures signatures
-	report     *connReport
+	// unsettled is the refusal of a signed statement that may be a repetition of
+	// an earlier answer, or nil; see settle.
+	unsettled *siskin.Answer
+	// strays is the number of skipped answers.
+	strays int
+	// witness is the counter of appendWitness.
+	witness int
+	report  *connReport
 
 	values   map[string]string
 	prepared map[string]Prepared
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -120,7 +120,7 @@
 		}
 		ctl.c, ctl.openedTo = l.newConn(c, info, ""), info
 	}
-	answers, err := ctl.c.exchange(exchangeDeadline(ctx), list)
+	answers, err := ctl.c.control(exchangeDeadline(ctx), list)
 	if err != nil {
 		l.dropControl(broken)
 	}
@@ -140,8 +140,8 @@
 	c := l.idle[n-1]
 	l.idle = l.idle[:n-1]
 	l.mu.Unlock()
-	answers, err := c.exchange(exchangeDeadline(ctx), list)
-	if err != nil || answers[len(answers)-1].State != siskin.TxIdle {
+	answers, err := c.control(exchangeDeadline(ctx), list)
+	if err != nil {
 		l.drop(c, broken)
 		return answers, err
 	}
--- a/internal/home/homes.go
+++ b/internal/home/homes.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/uber-go/tally/v4"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/views"
@@ -63,7 +62,7 @@
 // New returns Homes and starts the goroutine that rolls back idle transactions.
 func New(cfg Config) *Homes {
 	if cfg.Metrics == nil {
-		cfg.Metrics = NewMetrics(tally.NoopScope)
+		cfg.Metrics = noMetrics
 	}
 	h := &Homes{
 		cfg: cfg, pools: shard.New[siskin.TargetID, *pool](), txs: shard.New[TxID, *tx](),
@@ -178,7 +177,9 @@
 		return nil, false
 	}
 	return h.pools.GetOrCreate(id, func() *pool {
-		return newPool(h.cfg.Clock, h.cfg.Connector, h.report, info, h.cfg.Limit(info))
+		l := newPool(h.cfg.Clock, h.cfg.Connector, h.report, info, h.cfg.Limit(info))
+		l.spawn = h.spawn
+		return l
 	}), true
 }
 
--- a/internal/home/metrics.go
+++ b/internal/home/metrics.go
@@ -8,6 +8,9 @@
 	closed  [len(closeReasons)]tally.Counter
 }
 
+// noMetrics drops what it counts.
+var noMetrics = NewMetrics(tally.NoopScope)
+
 // NewMetrics returns metrics in the given scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	m := new(Metrics)
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -31,13 +31,11 @@
 	}
 	status := siskin.Statement{Kind: siskin.Status}
 	if c := l.awaitOldest(ctx); c != nil {
-		answers, err := c.exchange(exchangeDeadline(ctx), []siskin.Statement{status})
+		answers, err := c.control(exchangeDeadline(ctx), []siskin.Statement{status})
 		switch {
 		case err != nil:
 			l.handleBreak(err)
 			l.drop(c, broken)
-		case answers[0].State != siskin.TxIdle:
-			l.drop(c, broken)
 		default:
 			openedAt := c.openedAt
 			l.put(c)
@@ -123,10 +121,10 @@
 }
 
 // handleBreak records that an established connection broke, so that the target
-// may have restarted and be cold, and closes the idle connections. A timeout
-// alone is no evidence of a restart.
+// may have restarted and be cold, and closes the idle connections. A timeout or
+// a repeated answer is no evidence of a restart.
 func (l *pool) handleBreak(err error) {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errOutOfStep) {
 		return
 	}
 	l.recordFailure()
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -33,12 +33,14 @@
 	created   time.Time
 	connector siskin.TargetConnector
 	report    *connReport
-	queue     *fairq.Queue
-	control   control
-	writes    writes
-	refusals  refusals
-	renewal   renewal
-	staying   staying
+	// spawn runs a function in the background unless this VM stops.
+	spawn    func(func()) bool
+	queue    *fairq.Queue
+	control  control
+	writes   writes
+	refusals refusals
+	renewal  renewal
+	staying  staying
 
 	mu          sync.Mutex
 	info        siskin.TargetInfo
@@ -124,10 +126,24 @@
 }
 
 // put returns a connection to the pool after its last answer was read
-// completely.
+// completely. If that may be a repetition of an earlier one, the connection
+// returns once it is settled.
 func (l *pool) put(c *conn) {
 	c.usedAt = l.clock.Now()
-	l.putUnused(c)
+	if c.unsettled == nil {
+		l.putUnused(c)
+		return
+	}
+	settle := func() {
+		if err := c.settle(time.Now().Add(pingTimeout)); err != nil {
+			l.drop(c, outOfStep)
+			return
+		}
+		l.putUnused(c)
+	}
+	if !l.spawn(settle) {
+		l.drop(c, stopped)
+	}
 }
 
 // putUnused returns a connection to the pool when nothing was sent on it since
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -35,7 +35,7 @@
 // statement of the caller has not been sent; broken reports that the connection
 // broke.
 func (r *run) prove(setup, begin []siskin.Statement) (ok, broken bool) {
-	asked := r.h.cfg.Clock.Now()
+	asked, strays := r.h.cfg.Clock.Now(), r.c.strays
 	answers, err := r.c.exchange(r.proofDeadline(), append(setup, begin...))
 	r.reply.Exchange = r.c.exchanges
 	if err != nil {
@@ -50,16 +50,39 @@
 			return false, false
 		}
 	}
+	if len(setup) > 0 && r.c.strays != strays {
+		// A repeated answer may stand for the refusal of a value.
+		r.reply.Outcome, r.reply.Cause = NotSent, OutOfStep
+		r.connPool.drop(r.c, outOfStep)
+		return false, true
+	}
 	if len(begin) > 0 && begin[0].Kind == siskin.Begin && !r.confirmedAt.IsZero() {
-		r.recordProof(answers[len(setup)].Position, r.confirmedAt)
+		r.proof = leadProof{position: answers[len(setup)].Position, at: r.confirmedAt, strays: r.c.strays}
 	}
 	return true, false
 }
 
+// leadProof is the success of a plain BEGIN. It counts once the statement in the
+// transaction has succeeded with no stray answer since, because a repeated
+// answer to an earlier BEGIN tells an earlier position.
+type leadProof struct {
+	position siskin.Position
+	at       time.Time // of the question to the replicas; zero if there is none
+	strays   int
+}
+
+// recordLeadProof records the proof after the success of the statement in the
+// transaction.
+func (r *run) recordLeadProof() {
+	if p := r.proof; !p.at.IsZero() && p.strays == r.c.strays {
+		r.recordProof(p.position, p.at)
+	}
+}
+
 // confirm asks the replicas to confirm the primary if a read-write transaction
 // alone does not prove it. When the result is false, nothing was sent.
 func (r *run) confirm() bool {
-	r.confirmedAt = time.Time{}
+	r.confirmedAt, r.proof = time.Time{}, leadProof{}
 	if r.req.Proof == FloorProof {
 		return true
 	}
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -121,9 +121,12 @@
 	// Evacuated means that statements must not be sent to the target's data
 	// centre.
 	Evacuated
+	// OutOfStep means that the answers on the connection could not be matched
+	// to the statements.
+	OutOfStep
 )
 
-var causes = [...]string{"None", "Overload", "NoConnection", "Unreachable", "Unknown", "Stale", "Silent", "Refused", "Unconfirmed", "Stalled", "Evacuated"}
+var causes = [...]string{"None", "Overload", "NoConnection", "Unreachable", "Unknown", "Stale", "Silent", "Refused", "Unconfirmed", "Stalled", "Evacuated", "OutOfStep"}
 
 // String returns the cause's name as it appears in logs and metrics.
 func (c Cause) String() string {
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -29,6 +29,7 @@
 	// confirmedAt is the time of the confirmation that the target is the
 	// primary, or zero when none was needed.
 	confirmedAt time.Time
+	proof       leadProof
 }
 
 // do queues the statement, takes a connection and runs the statement.
@@ -142,8 +143,8 @@
 	}
 	if len(setup) > 0 && r.req.Statement.MayWrite() {
 		// A write pipelined after a value that the target refuses would run
-		// without it.
-		if ok, broken := r.prove(setup, nil); !ok {
+		// without it. The empty transaction shows an answer too many.
+		if ok, broken := r.prove(setup, []siskin.Statement{{Kind: siskin.BeginRead}, {Kind: siskin.Rollback}}); !ok {
 			return broken && reused
 		}
 		setup = nil
@@ -202,8 +203,18 @@
 			return true
 		}
 	}
+	if answers[len(setup)].Code != siskin.Succeeded && s.MayWrite() {
+		if serr := r.c.settle(r.proofDeadline()); serr != nil {
+			r.reply.Outcome, r.reply.Cause = AnswerLost, OutOfStep
+			r.connPool.drop(r.c, outOfStep)
+			return false
+		}
+	}
 	a := answers[len(setup)]
 	r.reply.Outcome, r.reply.Cause, r.reply.Answer = Answered, NoCause, a
+	if inTx && a.Code == siskin.Succeeded {
+		r.recordLeadProof()
+	}
 	r.recordAnswer(&s, &a, asked)
 	if err != nil || answers[len(answers)-1].State != siskin.TxIdle || a.Code == siskin.NoStatement {
 		r.connPool.drop(r.c, broken)
@@ -212,47 +223,3 @@
 	r.connPool.put(r.c)
 	return false
 }
-
-// recordAnswer records what an answer reveals about the target.
-func (r *run) recordAnswer(s *siskin.Statement, a *siskin.Answer, asked time.Time) {
-	r.h.cfg.Views.RecordPosition(r.req.Target, a.Position, asked)
-	switch {
-	case a.Code == siskin.ReadOnly:
-		r.recordDenial(a, asked)
-	case a.Code == siskin.Succeeded && s.MayWrite():
-		switch got := r.h.confirmCommit(r.req.Service, r.connPool, a.Position, asked, r.deadline); {
-		case !got.durable:
-			r.reply.Outcome, r.reply.Cause, r.reply.Answer = AnswerLost, Unconfirmed, siskin.Answer{}
-		case got.provesPrimary:
-			r.recordProof(a.Position, asked)
-		}
-	case a.Code == siskin.Succeeded:
-		r.h.cfg.Views.RecordSuccess(r.req.Target)
-	}
-}
-
-// connFailed records that the connection broke or timed out.
-func (r *run) connFailed(err error) {
-	r.reply.Outcome, r.reply.Cause = NotSent, Unreachable
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		r.reply.Cause = Silent
-	}
-	r.h.cfg.Views.RecordFailure(r.req.Target, r.h.cfg.Clock.Now())
-	r.connPool.recordFailure()
-	r.connPool.drop(r.c, broken)
-	r.connPool.dropIdle(suspect)
-}
-
-// startTx runs the first statement of a transaction that has just begun.
-func (r *run) startTx() (again bool) {
-	t := &tx{connPool: r.connPool, c: r.c, req: *r.req, usedAt: r.h.cfg.Clock.Now()}
-	t.busy = true
-	id := TxID(r.h.nextTx.Add(1))
-	r.h.txs.Put(id, t)
-	lead, age, proven := r.reply.Lead, r.reply.LeadAge, r.reply.LeadProven
-	reply := r.h.exec(id, t, r.req, nil, r.deadline)
-	reply.Waited = r.reply.Waited
-	reply.Lead, reply.LeadAge, reply.LeadProven = lead, age, proven
-	r.reply = reply
-	return false
-}
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -96,6 +96,10 @@
 		t.connPool.writes.end(err == nil)
 	}
 	ran := h.cfg.Clock.Since(asked)
+	if errors.Is(err, errOutOfStep) {
+		h.discard(id, t, outOfStep)
+		return Reply{Outcome: AnswerLost, Cause: OutOfStep, Ran: ran, Conn: t.c.id, Exchange: t.c.exchanges}
+	}
 	if err != nil {
 		h.abandon(id, t)
 		reply := Reply{Outcome: AnswerLost, Cause: Unreachable, Ran: ran, Conn: t.c.id, Exchange: t.c.exchanges}
@@ -107,6 +111,12 @@
 		t.connPool.dropIdle(suspect)
 		return reply
 	}
+	if commitsWrites && answers[len(setup)].Code != siskin.Succeeded {
+		if err := t.c.settle(time.Now().Add(pingTimeout)); err != nil {
+			h.discard(id, t, outOfStep)
+			return Reply{Outcome: AnswerLost, Cause: OutOfStep, Ran: ran, Conn: t.c.id, Exchange: t.c.exchanges}
+		}
+	}
 	a := answers[len(setup)]
 	reply := Reply{Outcome: Answered, Answer: a, Ran: ran, Tx: id, Conn: t.c.id, Exchange: t.c.exchanges}
 	for i := range setup {
@@ -139,22 +149,32 @@
 // end removes a transaction and returns its connection to the pool, or closes
 // it if it is not reusable.
 func (h *Homes) end(id TxID, t *tx, reusable bool) {
+	if !reusable {
+		h.discard(id, t, abandoned)
+	} else if h.remove(id, t) {
+		t.connPool.put(t.c)
+	}
+}
+
+// discard removes a transaction and closes its connection.
+func (h *Homes) discard(id TxID, t *tx, reason closeReason) {
+	if h.remove(id, t) {
+		t.connPool.drop(t.c, reason)
+	}
+}
+
+// remove removes a transaction. The result is false if it had ended already.
+func (h *Homes) remove(id TxID, t *tx) bool {
 	t.mu.Lock()
 	done := t.done
 	t.done = true
 	t.mu.Unlock()
 	h.txs.Delete(id)
-	switch {
-	case done:
-	case reusable:
-		t.connPool.put(t.c)
-	default:
-		t.connPool.drop(t.c, abandoned)
-	}
+	return !done
 }
 
 // abandon rolls a transaction back by closing its connection.
-func (h *Homes) abandon(id TxID, t *tx) { h.end(id, t, false) }
+func (h *Homes) abandon(id TxID, t *tx) { h.discard(id, t, abandoned) }
 
 // reap rolls back transactions that were idle for too long, such as those of an
 // entry VM that crashed.
--- a/targetconn.go
+++ b/targetconn.go
@@ -11,6 +11,12 @@
 	// error it returns the answers read so far, and the connection must be
 	// closed: the statements without an answer may have run.
 	Exchange(deadline time.Time, statements []Statement) ([]Answer, error)
+	// Receive reads one further answer, for callers that found an answer of
+	// Exchange to belong to an earlier statement.
+	Receive(deadline time.Time) (Answer, error)
+	// Unread reports whether bytes have arrived that were not read. On a
+	// connection without a statement in progress they belong to an earlier one.
+	Unread() bool
 	// Position returns the target's position when the connection was opened.
 	Position() Position
 	Close() error
