platform: one connection for each call of the store and the promoter

What callers saw: on a reused HTTP connection, a second answer to an earlier call that came just after the next request was written counted as the answer to that request. A promotion that the platform had refused counted as accepted, and the reverse. A conditional write returned the version of the write before it, so the same fencing token was used twice. A read returned an object of another kind with the same name, an earlier state of a list, or "does not exist".

Cause: net/http closes a connection on which bytes arrive while it is idle, but takes those that arrive after the next request for its response. A response of the store or of the promotion API does not name the request, the kind or the service, so it cannot be checked either.

Change: each request closes its connection (Connection: close). This holds without a check of the response.

Evidence: a server that sends each answer again before the answer to the next request of the connection. Before: TestRepeatedPromotionAnswer "promotion with fence 4: got <nil>, refused must be true" and "promotion with fence 6: got ... was refused"; TestRepeatedStoreAnswer 6 of 6 cases, such as "got \"rights\", want \"config\"", "got 8, want refused" and "got 8, want 12". After: both pass, and the tests of ./platform and those of ./internal/sysd with Store, Era, Restor, Evac or Follow in their names.

--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -205,7 +205,7 @@
 
 // useStore starts the components that use the platform's store and promoter.
 func (n *node) useStore(dialer *net.Dialer) {
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true}}
 	store := &platform.Store{BaseURL: "http://" + n.cfg.Store.Address, HTTP: client, Timeout: n.cfg.Store.Timeout, OnEra: n.logEra}
 	changed := n.stats.Scope().Timer("primary_change")
 	n.elect = elect.Start(elect.Config{
