home: an empty reply of a home is no promise that nothing was sent

What callers saw: a home's reply without fields, such as the response body of another method, counted as "not sent" without a cause. The entry VM then ran the write again, or refused it as BUSY ("not run"), although it may have run.

Cause: NotSent is the zero value of Outcome, and Reply.Valid accepted it without a cause. Homes always give one.

Evidence: TestMalformedReply with the replies {}, null and {"Outcome":0}. Before: "got {Outcome:0 Cause:None ...}, want an unknown outcome" for each of the three.

--- a/internal/path/malformed_test.go
+++ b/internal/path/malformed_test.go
@@ -21,10 +21,12 @@
 }
 
 // TestMalformedReply guards against a reply from a VM of another version that
-// crashes the entry VM or is passed on as a success.
+// crashes the entry VM, is passed on as a success, or counts as the promise that
+// a statement was not sent: the body of most other methods' responses is empty.
 func TestMalformedReply(t *testing.T) {
 	for _, reply := range []string{
 		`{"Outcome":1,"Answer":{"Code":99}}`, `{"Outcome":1,"Answer":{"State":7}}`, `{"Outcome":-1}`, `{"Cause":99}`,
+		`{}`, `null`, `{"Outcome":0}`,
 	} {
 		p, targets := newPath(t)
 		p.cfg.Log, p.cfg.Peers = logs.New("error", "json", io.Discard), replies(reply)
