pool: a late second answer is not taken for that of the pool's statement

What callers saw (PostgreSQL): if a target answered twice, a caller could get the answer of another statement. (1) The second answer arrived after DISCARD ALL or a probe was sent and counted as its answer. The connection went back to the pool, and the next request got the answer of DISCARD ALL or of the probe. (2) A connection with an unread second answer was leased to a request that waited for a connection: only connections that were idle were checked for unread bytes.

Cause: the pool accepted any answer without an error that ended with ReadyForQuery, and Get checked the socket on one of two ways. PostgreSQL answers once; a pooler or a faulty target may not.

Change: the answer to the pool's own statements must be their own: the tag DISCARD ALL, one EmptyQueryResponse, or the rows and the tag of the session check, and notices and parameters at most. Otherwise the connection is closed. Get checks each connection before it leases it. Connections with TLS have no such check of the socket, before and after.

Evidence: a target that answers twice. Before: TestRepeatedAnswerBeforeOwnStatement "got the answer of "DISCARD ALL", want SECOND" and "got the answer of "", want SECOND", TestRepeatedAnswerBeforeWaiter "got the answer of "FIRST", want SECOND". After: both pass, as do the tests of ./internal/pool, ./internal/relay and ./internal/front. The canned target of the benchmarks of ./internal/front answered DISCARD ALL with the tag SELECT 1, and answers it as PostgreSQL does now.

--- a/internal/front/canned_test.go
+++ b/internal/front/canned_test.go
@@ -51,6 +51,8 @@
 func (d cannedTarget) serve(conn net.Conn) {
 	defer conn.Close()
 	done := encode(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	reset := encode(&pgproto3.CommandComplete{CommandTag: []byte("DISCARD ALL")}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	probed := encode(&pgproto3.EmptyQueryResponse{}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
 	row := encode(&pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte("x"), 100)}})
 	position := append(encode(&pgproto3.DataRow{Values: [][]byte{[]byte("1"), []byte("0/1")}}), done...)
 	r, w := frame.NewReader(conn), frame.NewWriter(conn)
@@ -69,6 +71,12 @@
 		case bytes.Contains(body, []byte("siskin_commit_position")):
 			_ = w.Raw(position)
 			continue
+		case bytes.HasPrefix(body, []byte("DISCARD ALL")):
+			_ = w.Raw(reset)
+			continue
+		case len(body) == 1:
+			_ = w.Raw(probed)
+			continue
 		case bytes.HasPrefix(body, []byte("select")):
 			for range d.rows {
 				_ = w.Raw(row)
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/frame"
 	"siskintray.example/siskin/pkg/invar"
@@ -19,20 +17,6 @@
 	oneOwner     = invar.New("ConnHasOneOwner")
 )
 
-// resetQuery and probeQuery are statements of the pool itself, encoded once.
-var (
-	resetQuery = encodeQuery("DISCARD ALL")
-	probeQuery = encodeQuery("")
-)
-
-func encodeQuery(sql string) []byte {
-	b, err := (&pgproto3.Query{String: sql}).Encode(nil)
-	if err != nil {
-		panic(err) // constant input
-	}
-	return b
-}
-
 // connState is the current use of a connection.
 type connState int
 
@@ -165,7 +149,7 @@
 	if !ok {
 		return
 	}
-	if mustClose || (needsReset && !c.roundTrip(resetQuery, resetTimeout)) {
+	if mustClose || (needsReset && !c.reset()) {
 		s.remove(c, nil)
 		return
 	}
@@ -210,12 +194,6 @@
 	s.openMissing()
 }
 
-// roundTrip runs a statement without rows and reports whether it succeeded and
-// the target then reported the idle status.
-func (c *Conn) roundTrip(query []byte, timeout time.Duration) bool {
-	return c.simpleQuery(query, timeout, func(typ byte, _ []byte) bool { return typ != 'E' })
-}
-
 // Cancel asks the target to cancel the statement in progress on the connection.
 func (c *Conn) Cancel(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(c.slot.pool.ctx, timeout)
--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -125,3 +125,9 @@
 	t.Fatalf("no connection within 2 s after the fault: %+v", f.Stats()[key])
 	return nil
 }
+
+// roundTrip runs a statement and reports whether it succeeded and the target then
+// reported the idle status.
+func (c *Conn) roundTrip(query []byte, timeout time.Duration) bool {
+	return c.simpleQuery(query, timeout, func(typ byte, _ []byte) bool { return typ != 'E' })
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -146,29 +146,13 @@
 	if !ok {
 		return nil, notOwnedError(key)
 	}
-	c, w, err := s.acquire(account, owner)
-	for c != nil && !c.socket.isOpen() {
-		c.Close(nil)
-		c, w, err = s.acquire(account, owner)
-	}
-	if err != nil || c != nil {
-		return c, err
-	}
-	select {
-	case r := <-w.ready:
-		return r.conn, r.err
-	case <-ctx.Done():
-	}
-	if !s.removeWaiter(w) {
-		if r := <-w.ready; r.conn != nil {
-			s.mu.Lock()
-			s.endLease(r.conn, connResetting) // unused, so it needs no reset
-			s.mu.Unlock()
-			s.put(r.conn)
+	for {
+		c, err := s.get(ctx, account, owner)
+		if c == nil || c.socket.isOpen() {
+			return c, err
 		}
+		c.Close(nil)
 	}
-	return nil, siskin.NewError(siskin.Overloaded, "no connection of target %s became free before the deadline", key.Target).
-		WithRemedy("repeat the request later or with a longer deadline").WithRetryAfter(time.Second)
 }
 
 // Close drops every slot, waits until ctx ends for requests in progress and
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -44,7 +44,7 @@
 	defer s.closeAfterPanic(c)
 	sent := s.pool.clock.Now()
 	heardAt, idleSince := c.lastRead(), c.idleSince
-	if !c.roundTrip(probeQuery, timeout) {
+	if !c.answersProbe(timeout) {
 		s.closeSilent(c, heardAt, sent)
 		return
 	}
--- a/internal/pool/sessioncheck.go
+++ b/internal/pool/sessioncheck.go
@@ -1,13 +1,12 @@
 package pool
 
 import (
+	"bytes"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-
-	"siskintray.example/siskin/internal/frame"
 )
 
 // Probes of idle connections are evidence for a connection in use only if an
@@ -117,8 +116,9 @@
 }
 
 // idleSessions returns the process IDs of the sessions that wait for a
-// statement. It reports false if the connection cannot be used anymore. If the
-// target rejects the query, no session is returned.
+// statement. It reports false if the connection cannot be used anymore, also
+// after the answer to another statement. If the target rejects the query, no
+// session is returned.
 func (c *Conn) idleSessions(quiet []quietRead) ([]uint32, bool) {
 	sql := []byte("SELECT pid FROM pg_stat_activity WHERE pid IN (")
 	for i, q := range quiet {
@@ -129,10 +129,21 @@
 	}
 	sql = append(sql, ") AND state LIKE 'idle%'"...) // includes "idle in transaction"
 	var idle []uint32
+	answered := 0
 	ok := c.simpleQuery(encodeQuery(string(sql)), probeTimeout, func(typ byte, body []byte) bool {
 		var row pgproto3.DataRow
-		if typ != 'D' {
+		switch typ {
+		case 'C':
+			answered++
+			return bytes.HasPrefix(body, []byte("SELECT "))
+		case 'E':
+			answered++
+			return true
+		case 'T', 'Z':
 			return true
+		case 'D':
+		default:
+			return isAsync(typ)
 		}
 		if row.Decode(body) != nil || len(row.Values) != 1 {
 			return false
@@ -141,33 +152,5 @@
 		idle = append(idle, uint32(pid))
 		return err == nil
 	})
-	return idle, ok
-}
-
-// simpleQuery runs a statement and passes each message of the answer to handle.
-// It reports whether the target then reported the idle status, and fails if
-// handle returns false.
-func (c *Conn) simpleQuery(query []byte, timeout time.Duration, handle func(typ byte, body []byte) bool) bool {
-	if c.SetDeadline(time.Now().Add(timeout)) != nil {
-		return false
-	}
-	_ = c.W.Raw(query) // Flush returns the error again
-	if c.W.Flush() != nil {
-		return false
-	}
-	for {
-		h, err := c.R.Next()
-		if err != nil {
-			return false
-		}
-		body, err := c.R.Body(frame.BufferSize)
-		if err != nil || !handle(h.Type, body) {
-			return false
-		}
-		if h.Type == 'Z' {
-			idle := len(body) == 1 && body[0] == 'I' // body is invalid after Release
-			c.R.Release()
-			return idle && c.R.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
-		}
-	}
+	return idle, ok && answered == 1
 }
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -75,6 +76,29 @@
 	return nil, w, nil
 }
 
+// get leases a connection, and waits for one until ctx ends if none is idle.
+func (s *slot) get(ctx context.Context, account Account, owner uint64) (*Conn, error) {
+	c, w, err := s.acquire(account, owner)
+	if err != nil || c != nil {
+		return c, err
+	}
+	select {
+	case r := <-w.ready:
+		return r.conn, r.err
+	case <-ctx.Done():
+	}
+	if !s.removeWaiter(w) {
+		if r := <-w.ready; r.conn != nil {
+			s.mu.Lock()
+			s.endLease(r.conn, connResetting) // unused, so it needs no reset
+			s.mu.Unlock()
+			s.put(r.conn)
+		}
+	}
+	return nil, siskin.NewError(siskin.Overloaded, "no connection of target %s became free before the deadline", s.key.Target).
+		WithRemedy("repeat the request later or with a longer deadline").WithRetryAfter(time.Second)
+}
+
 func (s *slot) unreachableError() error {
 	return siskin.NewError(siskin.NotRun, "target %s cannot be reached", s.key.Target).
 		WithRemedy("repeat the request").WithRetryAfter(maxBackoff).WithCause(s.lastErr)
