relay: an answer with neither a row nor an error is no refusal

What callers saw (PostgreSQL): a write that had run could be reported as not run, and was then sent again, if the target's answer to an earlier BEGIN came a second time: it counted as the answer to the write, and the answer to the write as that to the position query behind it. The position query returned no row, which was taken for "this connection refuses writes, and nothing ran".

Cause: readRow did not tell an error of the target from an answer without a row.

Change: an answer to the proxy's own query with neither a row nor an error is an error of the connection, so the outcome is unknown.

Evidence: TestRepeatedBeginAnswer. Before: "got target s/1 refused the write and ran nothing; ... with proof 3, want an unknown outcome". After: passes, as do the tests of ./internal/relay and ./internal/front and 15 s of FuzzAnswer.

--- a/internal/relay/floor.go
+++ b/internal/relay/floor.go
@@ -95,33 +95,46 @@
 }
 
 // readRow reads the answer to a query that returns one row. The row is nil if
-// the target reported an error.
+// the target reported an error. An answer with neither belongs to another
+// statement.
 func (l *localExecutor) readRow() (row [][]byte, status byte, err error) {
+	row, refused, status, err := l.readToReady()
+	if err == nil && row == nil && !refused {
+		err = siskin.NewError(siskin.Internal, "target answered a query of the proxy with neither a row nor an error").
+			WithRemedy("check that nothing between this VM and the target repeats answers")
+	}
+	return row, status, err
+}
+
+// readToReady reads up to the next ReadyForQuery. It returns the last row, and
+// whether there was an error.
+func (l *localExecutor) readToReady() (row [][]byte, refused bool, status byte, err error) {
 	for {
 		h, err := l.conn.R.Next()
 		if err != nil {
-			return nil, 0, err
+			return nil, false, 0, err
 		}
 		switch h.Type {
 		case 'D':
 			body, err := l.conn.R.Body(frame.BufferSize)
 			if err != nil {
-				return nil, 0, err
+				return nil, false, 0, err
 			}
 			l.row = append(l.row[:0], body...)
 			if err := l.dataRow.Decode(l.row); err != nil {
-				return nil, 0, err
+				return nil, false, 0, err
 			}
 			row = l.dataRow.Values
 		case 'Z':
 			body, err := l.conn.R.Body(frame.BufferSize)
 			if err != nil || len(body) != 1 {
-				return nil, 0, siskin.NewError(siskin.Internal, "target sent a malformed ReadyForQuery").WithCause(err)
+				return nil, false, 0, siskin.NewError(siskin.Internal, "target sent a malformed ReadyForQuery").WithCause(err)
 			}
-			return row, body[0], nil
+			return row, refused, body[0], nil
 		default:
+			refused = refused || h.Type == 'E'
 			if err := l.conn.R.Skip(); err != nil {
-				return nil, 0, err
+				return nil, false, 0, err
 			}
 		}
 	}
--- a/internal/relay/refused.go
+++ b/internal/relay/refused.go
@@ -39,7 +39,7 @@
 		return Result{}, l.connFailed(err)
 	}
 	targetError := bytes.Clone(body)
-	_, status, err := l.readRow()
+	_, _, status, err := l.readToReady()
 	if err != nil {
 		return Result{}, l.connFailed(err)
 	}
