peer, path: a call that cannot be encoded or queued counts as not sent

Callers saw INDOUBT for a write that no target had received, and Busy or Aborted for other statements: the statement with its session values was larger than a message between VMs (4 MiB), or the send queue of the connection was full.

Cause: the client refused such calls before sending, but with an error that does not wrap ErrNotSent, so path treated the answer as lost. It also stopped using the VM until its next ping, so that one caller could have an entry VM leave out all homes of a target.

--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"net/rpc"
 
@@ -27,11 +28,12 @@
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	b, err := json.Marshal(body)
 	if err != nil {
-		return siskin.NewError(siskin.BadInput, "cannot encode the arguments of %s", r.ServiceMethod).WithCause(err)
+		return siskin.NewError(siskin.BadInput, "cannot encode the arguments of %s", r.ServiceMethod).WithCause(fmt.Errorf("%w: %w", ErrNotSent, err))
 	}
 	f := frame{requestFrame, r.Seq, r.ServiceMethod, b}.encode()
 	if siskin.Bytes(len(f)) > c.cfg.MaxMessage {
-		return siskin.NewError(siskin.TooLarge, "a message of %d bytes exceeds the limit of %d", len(f), c.cfg.MaxMessage).WithRemedy("split the message")
+		return siskin.NewError(siskin.TooLarge, "a message of %d bytes exceeds the limit of %d", len(f), c.cfg.MaxMessage).
+			WithCause(ErrNotSent).WithRemedy("split the message")
 	}
 	c.counters.sent(r.ServiceMethod, len(f))
 	if c.cfg.dropped(c.cfg.Self, c.to) {
@@ -42,7 +44,7 @@
 	c.requests.add(r.Seq, r.ServiceMethod)
 	if err := c.w.send(f); err != nil {
 		c.requests.remove(r.Seq, r.ServiceMethod)
-		return err
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	c.keepalive.sent()
 	return nil
