peer, home: statements and answers arrive byte for byte between VMs

Callers saw rows, signatures and messages in which bytes that are not UTF-8 were U+FFFD (MIXED), and targets ran statements, values and shapes changed in the same way (UNASKED), whenever the entry VM was not the home of the target. A statement of 1 MiB of control bytes, or of "<", was refused between VMs, since each of its bytes takes six in JSON.

Cause: the bodies of calls between VMs are JSON, which replaces bytes that are not UTF-8.

Change: home.Request and home.Reply have a binary encoding (package fields): keys with varints and byte strings, zero values left out, fields of a newer version ignored. A client sends it to peers that announce it in the sequence number of their Hello frame, which older versions ignore; a server answers in the encoding of the request. There is no further round trip. Other bodies stay JSON.

Evidence, before: path TestBytesBetweenVMs "Latin-1 at the home: got "h\uFFFDmeenlinna", want "h\xe4meenlinna"" and the same in the answer, and three other cases; TestLongestMessageBetweenVMs "got outcome 2 (Silent)" for NUL, 0xFF and "<".

--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -17,7 +17,7 @@
 // newPath returns the Path of the first of 30 VMs in two data centres. Three
 // VMs have a higher capacity. One service has targets in the second data
 // centre.
-func newPath(t *testing.T) (*Path, []siskin.TargetInfo) {
+func newPath(t testing.TB) (*Path, []siskin.TargetInfo) {
 	t.Helper()
 	node := func(i int) crew.Node {
 		n := crew.Node{ID: siskin.VMID(fmt.Sprintf("vm-%02d", i)), Run: 1, Address: "127.0.0.1:1", DataCentre: "a", Capacity: 200}
--- a/internal/path/peer_test.go
+++ b/internal/path/peer_test.go
@@ -39,7 +39,7 @@
 }
 
 // newPeerPath returns a Path whose calls of other VMs go to address.
-func newPeerPath(t *testing.T, address string, log io.Writer) *Path {
+func newPeerPath(t testing.TB, address string, log io.Writer) *Path {
 	t.Helper()
 	p, _ := newPath(t)
 	c := peer.NewClient(peer.Config{Self: "vm-00"}, func(siskin.VMID) (string, bool) { return address, true })
@@ -49,7 +49,7 @@
 }
 
 // startHome starts the VM otherVM with receiver as its service Home.
-func startHome(t *testing.T, receiver any) *peer.Server {
+func startHome(t testing.TB, receiver any) *peer.Server {
 	t.Helper()
 	s, err := peer.Listen(peer.Config{Self: otherVM}, "127.0.0.1:0")
 	if err != nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -97,7 +97,7 @@
 		}
 		return c.unavailable(vm, method, call.Error)
 	}
-	if err := json.Unmarshal(*raw, reply); err != nil {
+	if err := decodeBody(*raw, reply); err != nil {
 		return siskin.NewError(siskin.BadInput, "the response to %s from %s is malformed", method, vm).WithCause(err)
 	}
 	return nil
--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -17,6 +17,7 @@
 	cfg       *Config
 	counters  *counters
 	to        siskin.VMID
+	binary    bool // whether the peer understands binary bodies
 	r         *bufio.Reader
 	w         *writer
 	keepalive *keepalive
@@ -26,7 +27,7 @@
 
 // WriteRequest implements rpc.ClientCodec.
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	b, err := json.Marshal(body)
+	b, err := encodeBody(body, c.binary)
 	if err != nil {
 		return siskin.NewError(siskin.BadInput, "cannot encode the arguments of %s", r.ServiceMethod).WithCause(fmt.Errorf("%w: %w", ErrNotSent, err))
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -47,26 +47,26 @@
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetDeadline(deadline)
 	r := bufio.NewReader(conn)
-	id, err := exchangeHello(conn, r, c.cfg.Self)
-	if err == nil && id != vm && !isAddressID(vm) {
-		err = siskin.NewError(siskin.Unavailable, "%s is the address of %s, not of %s", address, id, vm).WithRemedy("wait until the member list is up to date")
+	h, err := exchangeHello(conn, r, c.cfg.Self)
+	if err == nil && h.vm != vm && !isAddressID(vm) {
+		err = siskin.NewError(siskin.Unavailable, "%s is the address of %s, not of %s", address, h.vm, vm).WithRemedy("wait until the member list is up to date")
 	}
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return c.startConn(conn, r, id, address), nil
+	return c.startConn(conn, r, h, address), nil
 }
 
-func (c *Client) startConn(conn net.Conn, r *bufio.Reader, id siskin.VMID, address string) *clientConn {
+func (c *Client) startConn(conn net.Conn, r *bufio.Reader, h hello, address string) *clientConn {
 	cc := &clientConn{
 		w:         newWriter(conn, c.cfg.KeepaliveTimeout),
 		keepalive: newKeepalive(&c.cfg, time.Now),
 		address:   address,
 		closed:    make(chan struct{}),
 	}
-	codec := &clientCodec{cfg: &c.cfg, counters: &c.counters, to: id, r: r, w: cc.w, keepalive: cc.keepalive, requests: newOutstanding()}
+	codec := &clientCodec{cfg: &c.cfg, counters: &c.counters, to: h.vm, binary: h.binary, r: r, w: cc.w, keepalive: cc.keepalive, requests: newOutstanding()}
 	cc.client = rpc.NewClientWithCodec(codec)
 	c.wg.Go(cc.w.run)
 	c.wg.Go(func() { c.watchConn(cc) })
@@ -103,20 +103,3 @@
 		timer.Reset(wait)
 	}
 }
-
-func exchangeHello(conn net.Conn, r *bufio.Reader, self siskin.VMID) (siskin.VMID, error) {
-	if _, err := conn.Write(frame{kind: helloFrame, body: []byte(self)}.encode()); err != nil {
-		return "", err
-	}
-	f, _, err := readFrame(r, maxHelloSize)
-	if err != nil {
-		return "", err
-	}
-	if f.kind != helloFrame {
-		return "", errMalformedFrame
-	}
-	return siskin.VMID(f.body), nil
-}
-
-// maxHelloSize bounds the first frame, whose sender is not yet identified.
-const maxHelloSize siskin.Bytes = 512
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -56,7 +56,9 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Register publishes the exported methods of receiver under the given name, as
-// net/rpc describes. Arguments and replies are encoded as JSON.
+// net/rpc describes. Arguments and replies that implement
+// encoding.BinaryAppender and encoding.BinaryUnmarshaler are encoded with them if
+// the peer supports it, all others as JSON.
 func (s *Server) Register(name string, receiver any) error {
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
 		return siskin.NewError(siskin.Internal, "cannot register %s", name).WithCause(err)
@@ -110,7 +112,7 @@
 	}()
 	_ = conn.SetDeadline(time.Now().Add(s.cfg.DialTimeout))
 	r := bufio.NewReader(conn)
-	peer, err := exchangeHello(conn, r, s.cfg.Self)
+	h, err := exchangeHello(conn, r, s.cfg.Self)
 	if err != nil {
 		return
 	}
@@ -124,7 +126,7 @@
 		if err != nil || f.kind != requestFrame {
 			return
 		}
-		s.serve(&serverCodec{s: s, w: w, peer: peer, request: f, size: size})
+		s.serve(&serverCodec{s: s, w: w, peer: h.vm, request: f, size: size})
 	}
 }
 
--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"encoding/json"
 	"net/rpc"
 
 	"siskintray.example/siskin"
@@ -29,16 +28,17 @@
 		return nil
 	}
 	c.s.counters.received(c.request.method, c.size)
-	return json.Unmarshal(c.request.body, body)
+	return decodeBody(c.request.body, body)
 }
 
-// WriteResponse implements rpc.ServerCodec.
+// WriteResponse implements rpc.ServerCodec. The response has the encoding of the
+// request, which its sender understands.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	if r.Error != "" {
 		c.reply(errorFrame, []byte(r.Error))
 		return nil
 	}
-	b, err := json.Marshal(body)
+	b, err := encodeBody(body, isBinary(c.request.body))
 	if err != nil {
 		c.reply(errorFrame, []byte("cannot encode the answer: "+err.Error()))
 		return nil
