relay: a target's message is not read as a failure of its home

A caller of the PostgreSQL interface at another VM than the home would be told that a write has not run, and the entry VM would repeat it, if its target sent a message of the type with which homes report failures.

Cause: the home forwards messages of all types that it does not treat itself, and the entry VM reads the type "u" as the home's own. The PostgreSQL protocol has no such type, so only a broken or foreign server sends it.

Change: the home closes the connection and reports an unknown outcome.

Evidence, before: TestFailureFromTarget "bytes sent to the entry VM: got "u\x00\x00\x00\x0f\x02\x04\x00\x04full\x00\x00\x00", want none". It passes now; tests of internal/relay and internal/front pass.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 
+	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/frame"
 )
 
@@ -15,6 +16,9 @@
 // maxHeldMessage is the size of the largest message that is held back.
 const maxHeldMessage = 256
 
+var errFailureFromTarget = siskin.NewError(siskin.BadInput, "the target sent a message that only VMs send").
+	WithRemedy("check that the address is that of a PostgreSQL server")
+
 // sinkError is an error on the caller's connection.
 type sinkError struct{ error }
 
@@ -34,6 +38,9 @@
 		switch h.Type {
 		case 'Z':
 			return l.handleReady(sink)
+		case failureType:
+			// The entry VM would read it as a failure that the home reports.
+			return Result{}, l.connFailed(errFailureFromTarget)
 		case 'E':
 			if l.mayBeRefusal() {
 				return l.readRefusal(sink)
