--- a/internal/peer/notsent_test.go
+++ b/internal/peer/notsent_test.go
@@ -35,7 +35,7 @@
 	} {
 		cfg := Config{MaxMessage: 1000}
 		cfg.setDefaults()
-		c := &clientCodec{cfg: &cfg, counters: &counters{}, w: tt.w, keepalive: newKeepalive(&cfg, time.Now)}
+		c := &clientCodec{requests: newOutstanding(), cfg: &cfg, counters: &counters{}, w: tt.w, keepalive: newKeepalive(&cfg, time.Now)}
 		if err := c.WriteRequest(&rpc.Request{ServiceMethod: "Echo.Do"}, tt.body); !errors.Is(err, ErrNotSent) {
 			t.Errorf("%s: got %v, want ErrNotSent", tt.name, err)
 		}
