home: names of prepared statements do not depend on the shape

A caller prepared `PREPARE s1 WRITE q2 READ psvocxu` and ran `EXEC s1 1f0 wyxz0`; the target ran `EXEC w_q2 READ psvocxu 1f0 wyxz0`. Another session of the customer that ran its own `q2` got the shape that was left under `w_q2`.

Cause: the name at the target was made from the shape, and a name ends at a blank, so that the rest of the shape was read as arguments or, in PREPARE, as another shape.

Change: the connection numbers its prepared statements (p1, p2, ...) and finds the name by the whole of Prepared, shape and mode. Sessions that prepare the same shape share its name as before.

--- /dev/null
+++ b/internal/home/prepared_test.go
@@ -0,0 +1,70 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/platform/stand"
+)
+
+// execution returns a request that runs a prepared statement.
+func execution(target *stand.Target, p Prepared, arguments string) *Request {
+	req := request(target, siskin.Execute, arguments)
+	req.Statement.Name, req.Statement.Writes, req.Prepared = "mine", p.Writes, p
+	return req
+}
+
+// definition returns what a target runs for a prepared statement.
+func definition(p Prepared) string {
+	if p.Writes {
+		return "WRITE " + p.Shape
+	}
+	return "READ " + p.Shape
+}
+
+// TestShapeIsNoName guards against a shape that decides which statement runs,
+// its own or that of another session.
+func TestShapeIsNoName(t *testing.T) {
+	f := start(t, stand.ServiceOptions{})
+	f.limit = 1
+	primary := f.target(0)
+	primary.RecordExecutions()
+	for _, step := range []struct {
+		prepared  Prepared
+		arguments string
+	}{
+		{Prepared{Shape: "q2 READ psvocxu", Writes: true}, "1f0 wyxz0"},
+		{Prepared{Shape: "q2", Writes: true}, "1f1 wyxz1"},
+		{Prepared{Shape: "q2 READ psvocxu", Writes: true}, "1f0 wyxz2"},
+		{Prepared{Shape: "q2"}, "1f1"},
+		{Prepared{Shape: " q2"}, "1f1"},
+	} {
+		reply := f.run(execution(primary, step.prepared, step.arguments))
+		if reply.Outcome != Answered || reply.Answer.Code != siskin.Succeeded {
+			t.Errorf("execution of %q: got outcome %d with %v, want success", step.prepared.Shape, reply.Outcome, reply.Answer.Code)
+		}
+		for _, got := range primary.TakeExecutions() {
+			if want := definition(step.prepared); got.Shape != want || got.Arguments != step.arguments {
+				t.Errorf("execution at the target: got %q with %q, want %q with %q", got.Shape, got.Arguments, want, step.arguments)
+			}
+		}
+	}
+}
+
+// TestSharedStatement guards against preparing a shape again for each session of
+// a customer.
+func TestSharedStatement(t *testing.T) {
+	c := newConn(nil, "acme", time.Time{})
+	first := &Request{Statement: siskin.Statement{Kind: siskin.Execute, Name: "mine"}, Prepared: Prepared{Shape: "q1"}}
+	if got, want := len(c.syncSession(first)), 1; got != want {
+		t.Errorf("statements before the first execution: got %d, want %d", got, want)
+	}
+	second := &Request{Statement: siskin.Statement{Kind: siskin.Execute, Name: "other"}, Prepared: first.Prepared}
+	if got := c.syncSession(second); len(got) > 0 {
+		t.Errorf("statements before the execution of another session: got %v, want none", got)
+	}
+	if got, want := c.targetStatement(second).Name, c.targetStatement(first).Name; got != want || got == "" {
+		t.Errorf("name of the other session: got %q, want %q", got, want)
+	}
+}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -155,7 +155,7 @@
 // send sends the caller's statement after setup, and ends the transaction that
 // proved leadership.
 func (r *run) send(setup []siskin.Statement, inTx bool) (again bool) {
-	s := targetStatement(r.req)
+	s := r.c.targetStatement(r.req)
 	if r.req.Proof == FloorProof {
 		s.Floor = r.req.Floor
 	}
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -80,7 +80,7 @@
 		h.abandon(id, t)
 		return Reply{Outcome: NotSent, Cause: Evacuated}
 	}
-	s := targetStatement(req)
+	s := t.c.targetStatement(req)
 	commitsWrites := s.Kind == siskin.Commit && t.wrote
 	if commitsWrites && !h.leaseForCommit(deadline, req.Service, t.connPool) {
 		h.abandon(id, t)
