home: session state counts as set once the target has accepted it

A session in a transaction got NOSTMT for a statement that the target no longer had, and rolled back. The connection returned to the pool with the name on record, so that the next execution of the shape, by any session of the customer, got NOSTMT as well.

Cause: values and names were recorded when their statements were built, before an answer, and NOSTMT in a transaction did not change the record.

Change: syncSession only builds the statements; conn.applied records those that come before the first refusal or lost answer. After either the connection is closed, as before. NOSTMT in a transaction drops the names on record, so that the next execution prepares again; outside of one the connection is closed, as before.

Evidence: TestForgottenStatement on the code before: the execution after the transaction got NoStatement, want success. TestUnacceptedState: got 0 statements after the first of four was accepted, want 3. Both pass now; TestSessionState calls applied and checks the same steps.

--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -255,9 +255,11 @@
 func TestSessionState(t *testing.T) {
 	c := newConn(nil, "acme", time.Time{})
 	kinds := func(req *Request) (list []siskin.StatementKind) {
-		for _, s := range c.syncSession(req) {
+		setup := c.syncSession(req)
+		for _, s := range setup {
 			list = append(list, s.Kind)
 		}
+		c.applied(setup, len(setup))
 		return list
 	}
 	exec := &Request{
--- a/internal/home/prepared_test.go
+++ b/internal/home/prepared_test.go
@@ -57,14 +57,62 @@
 func TestSharedStatement(t *testing.T) {
 	c := newConn(nil, "acme", time.Time{})
 	first := &Request{Statement: siskin.Statement{Kind: siskin.Execute, Name: "mine"}, Prepared: Prepared{Shape: "q1"}}
-	if got, want := len(c.syncSession(first)), 1; got != want {
+	setup := c.syncSession(first)
+	if got, want := len(setup), 1; got != want {
 		t.Errorf("statements before the first execution: got %d, want %d", got, want)
 	}
+	c.applied(setup, len(setup))
 	second := &Request{Statement: siskin.Statement{Kind: siskin.Execute, Name: "other"}, Prepared: first.Prepared}
 	if got := c.syncSession(second); len(got) > 0 {
 		t.Errorf("statements before the execution of another session: got %v, want none", got)
 	}
-	if got, want := c.targetStatement(second).Name, c.targetStatement(first).Name; got != want || got == "" {
+	if got, want := c.targetStatement(second, nil).Name, c.targetStatement(first, setup).Name; got != want || got == "" {
 		t.Errorf("name of the other session: got %q, want %q", got, want)
 	}
 }
+
+// TestUnacceptedState guards against values and names that count as set although
+// the target has not accepted them.
+func TestUnacceptedState(t *testing.T) {
+	c := newConn(nil, "acme", time.Time{})
+	other := &Request{Values: []Value{{"old", "1"}}}
+	setup := c.syncSession(other)
+	c.applied(setup, len(setup))
+	req := &Request{
+		Statement: siskin.Statement{Kind: siskin.Execute, Name: "mine"}, Prepared: Prepared{Shape: "q1"}, Values: []Value{{"a", "1"}, {"b", "2"}},
+	}
+	for accepted, want := range []int{4, 3, 2, 1, 0} {
+		setup := c.syncSession(req)
+		if got := len(setup); got != want {
+			t.Errorf("statements after %d were accepted: got %d, want %d", accepted, got, want)
+		}
+		c.applied(setup, min(1, len(setup)))
+	}
+}
+
+// TestForgottenStatement guards against a connection that returns from a
+// transaction with names that the target does not have.
+func TestForgottenStatement(t *testing.T) {
+	f := start(t, stand.ServiceOptions{})
+	f.limit = 1
+	primary := f.target(0)
+	read := execution(primary, Prepared{Shape: "q2"}, "x")
+	if got := f.run(read); got.Answer.Code != siskin.Succeeded || got.Outcome != Answered {
+		t.Fatalf("first execution: got %+v, want success", got)
+	}
+	open := request(primary, siskin.Write, "x 1")
+	open.Mode, open.Proof = Open, LeadProof
+	begun := f.run(open)
+	primary.ForgetPrepared()
+	read.Mode, read.Tx = Continue, begun.Tx
+	if got := f.run(read); got.Answer.Code != siskin.NoStatement {
+		t.Fatalf("execution in the transaction: got %+v, want NoStatement", got)
+	}
+	rollback := request(primary, siskin.Rollback, "")
+	rollback.Mode, rollback.Tx = Continue, begun.Tx
+	f.run(rollback)
+	read.Mode, read.Tx = Single, 0
+	if got := f.run(read); got.Answer.Code != siskin.Succeeded || got.Outcome != Answered {
+		t.Errorf("execution after the transaction: got %+v, want success", got)
+	}
+}
--- a/internal/home/preparednames.go
+++ b/internal/home/preparednames.go
@@ -17,3 +17,6 @@
 	n.last++
 	return "p" + strconv.FormatUint(n.last, 36)
 }
+
+// forget drops the record of all names, for a target that no longer has them.
+func (n *preparedNames) forget() { clear(n.names) }
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -37,6 +37,7 @@
 func (r *run) prove(setup, begin []siskin.Statement) (ok, broken bool) {
 	asked, strays := r.h.cfg.Clock.Now(), r.c.strays
 	answers, err := r.c.exchange(r.proofDeadline(), append(setup, begin...))
+	r.c.applied(setup, countAccepted(answers, len(setup)))
 	r.reply.Exchange = r.c.exchanges
 	if err != nil {
 		r.connFailed(err)
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -155,7 +155,7 @@
 // send sends the caller's statement after setup, and ends the transaction that
 // proved leadership.
 func (r *run) send(setup []siskin.Statement, inTx bool) (again bool) {
-	s := r.c.targetStatement(r.req)
+	s := r.c.targetStatement(r.req, setup)
 	if r.req.Proof == FloorProof {
 		s.Floor = r.req.Floor
 	}
@@ -181,6 +181,7 @@
 		return false
 	}
 	answers, err := r.c.exchange(r.deadline, list)
+	r.c.applied(setup, countAccepted(answers, len(setup)))
 	if s.MayWrite() {
 		r.connPool.writes.end(len(answers) > len(setup))
 	}
--- a/internal/home/sessionstate.go
+++ b/internal/home/sessionstate.go
@@ -3,31 +3,55 @@
 import "siskintray.example/siskin"
 
 // syncSession returns the statements that set up the session's state on the
-// connection, and records that state as set. The connection must be closed when
-// one of them fails.
+// connection. The connection must be closed when one of them is refused or its
+// answer is lost, and applied must be called for those that were accepted.
 func (c *conn) syncSession(req *Request) []siskin.Statement {
 	var list []siskin.Statement
-	if c.hasExtraValue(req.Values) {
+	discard := c.hasExtraValue(req.Values)
+	if discard {
 		list = append(list, siskin.Statement{Kind: siskin.Discard})
-		clear(c.values)
-		clear(c.prepared.names)
 	}
 	if req.Statement.Kind == siskin.Execute {
-		if _, ok := c.prepared.names[req.Prepared]; !ok {
-			name := c.prepared.next()
-			list = append(list, siskin.Statement{Kind: siskin.Prepare, Name: name, Text: req.Prepared.Shape, Writes: req.Prepared.Writes})
-			c.prepared.names[req.Prepared] = name
+		if _, ok := c.prepared.names[req.Prepared]; !ok || discard {
+			list = append(list, siskin.Statement{Kind: siskin.Prepare, Name: c.prepared.next(), Text: req.Prepared.Shape, Writes: req.Prepared.Writes})
 		}
 	}
 	for _, v := range req.Values {
-		if have, ok := c.values[v.Name]; !ok || have != v.Text {
+		if have, ok := c.values[v.Name]; !ok || have != v.Text || discard {
 			list = append(list, siskin.Statement{Kind: siskin.SetValue, Name: v.Name, Text: v.Text})
-			c.values[v.Name] = v.Text
 		}
 	}
 	return list
 }
 
+// applied records that the target has accepted the first n statements of a
+// setup.
+func (c *conn) applied(setup []siskin.Statement, n int) {
+	for i := range setup[:n] {
+		switch s := &setup[i]; s.Kind {
+		case siskin.Discard:
+			clear(c.values)
+			c.prepared.forget()
+		case siskin.Prepare:
+			c.prepared.names[Prepared{Shape: s.Text, Writes: s.Writes}] = s.Name
+		case siskin.SetValue:
+			c.values[s.Name] = s.Text
+		}
+	}
+}
+
+// countAccepted returns the number of answers of a setup of n statements that
+// come before the first refusal or lost answer.
+func countAccepted(answers []siskin.Answer, n int) int {
+	n = min(n, len(answers))
+	for i := range answers[:n] {
+		if answers[i].Code != siskin.Succeeded {
+			return i
+		}
+	}
+	return n
+}
+
 // hasExtraValue reports whether the connection holds a value that the session
 // does not have.
 func (c *conn) hasExtraValue(values []Value) bool {
@@ -44,11 +68,17 @@
 }
 
 // targetStatement returns the caller's statement with the prepared name used at
-// the target. syncSession must have been called for the request.
-func (c *conn) targetStatement(req *Request) siskin.Statement {
+// the target. setup is what is sent before it and not yet applied.
+func (c *conn) targetStatement(req *Request, setup []siskin.Statement) siskin.Statement {
 	s := req.Statement
-	if s.Kind == siskin.Execute {
-		s.Name, s.Writes = c.prepared.names[req.Prepared], req.Prepared.Writes
+	if s.Kind != siskin.Execute {
+		return s
+	}
+	s.Name, s.Writes = c.prepared.names[req.Prepared], req.Prepared.Writes
+	for i := range setup {
+		if setup[i].Kind == siskin.Prepare {
+			s.Name = setup[i].Name
+		}
 	}
 	return s
 }
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -80,7 +80,7 @@
 		h.abandon(id, t)
 		return Reply{Outcome: NotSent, Cause: Evacuated}
 	}
-	s := t.c.targetStatement(req)
+	s := t.c.targetStatement(req, setup)
 	commitsWrites := s.Kind == siskin.Commit && t.wrote
 	if commitsWrites && !h.leaseForCommit(deadline, req.Service, t.connPool) {
 		h.abandon(id, t)
@@ -92,6 +92,7 @@
 		return Reply{Cause: Stalled}
 	}
 	answers, err := t.c.exchange(deadline, append(setup, s))
+	t.c.applied(setup, countAccepted(answers, len(setup)))
 	if commitsWrites {
 		t.connPool.writes.end(err == nil)
 	}
@@ -126,8 +127,11 @@
 		}
 	}
 	h.cfg.Views.RecordPosition(req.Target, a.Position, asked)
-	if a.Code == siskin.ReadOnly {
+	switch a.Code {
+	case siskin.ReadOnly:
 		h.cfg.Views.RecordDenial(req.Service, req.Target, asked)
+	case siskin.NoStatement:
+		t.c.prepared.forget()
 	}
 	if a.Code == siskin.Succeeded {
 		switch {
