home: bound the prepared statements of a connection

The home kept the texts.

Change: a connection keeps 128 prepared statements (maxPreparedCount) and 64 KiB of shapes (maxPreparedSize). Before another one is prepared, DEALLOC drops the least recently used, on the same connection and so inside of an open transaction as well; the shape of the running statement is not among them, since it is the one that is not prepared yet. A shape longer than the limit is prepared alone. A refused DEALLOC closes the connection, as any other statement that sets up a session.

Evidence: TestManyShapes on the code before: got 513 prepared statements on a connection, want at most 128, in both modes. TestLongShapes: got up to 360,459 bytes, want at most 65,536. Both pass now, and each execution of TestManyShapes runs its own shape.

--- a/internal/home/prepared_test.go
+++ b/internal/home/prepared_test.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,3 +118,62 @@
 		t.Errorf("execution after the transaction: got %+v, want success", got)
 	}
 }
+
+// TestManyShapes guards against connections that collect prepared statements,
+// and against dropping one that is in use.
+func TestManyShapes(t *testing.T) {
+	for _, mode := range []TxMode{Single, Continue} {
+		f := start(t, stand.ServiceOptions{})
+		f.limit = 1
+		primary := f.target(0)
+		open := request(primary, siskin.Write, "x 1")
+		open.Mode, open.Proof = Open, LeadProof
+		var tx TxID
+		if mode == Continue {
+			tx = f.run(open).Tx
+		}
+		primary.RecordExecutions()
+		usual := Prepared{Shape: "usual"}
+		for i := range 4 * maxPreparedCount {
+			for _, p := range []Prepared{usual, {Shape: "q" + strconv.Itoa(i)}} {
+				req := execution(primary, p, "x")
+				req.Mode, req.Tx = mode, tx
+				if got := f.run(req); got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
+					t.Fatalf("mode %d, execution of %q: got outcome %d with %v, want success", mode, p.Shape, got.Outcome, got.Answer.Code)
+				}
+				for _, got := range primary.TakeExecutions() {
+					if want := definition(p); got.Shape != want {
+						t.Errorf("mode %d: got %q, want %q", mode, got.Shape, want)
+					}
+				}
+			}
+		}
+		if got, want := primary.MostPrepared(), maxPreparedCount; got > want {
+			t.Errorf("mode %d, prepared statements on a connection: got %d, want at most %d", mode, got, want)
+		}
+	}
+}
+
+// TestLongShapes guards against connections that hold the texts of many long
+// shapes, and against shapes that are too long to be prepared.
+func TestLongShapes(t *testing.T) {
+	c := newConn(nil, "acme", time.Time{})
+	for i := range 8 {
+		req := &Request{Statement: siskin.Statement{Kind: siskin.Execute}, Prepared: Prepared{Shape: strconv.Itoa(i) + strings.Repeat("q", int(maxPreparedSize)/2)}}
+		if i == 7 {
+			req.Prepared.Shape = strings.Repeat(req.Prepared.Shape, 4)
+		}
+		setup := c.syncSession(req)
+		c.applied(setup, len(setup))
+		if _, ok := c.prepared.names[req.Prepared]; !ok {
+			t.Errorf("shape of %d bytes: got no name", len(req.Prepared.Shape))
+		}
+		var size siskin.Bytes
+		for p := range c.prepared.names {
+			size += siskin.Bytes(len(p.Shape))
+		}
+		if size > maxPreparedSize && len(c.prepared.names) > 1 {
+			t.Errorf("shapes on the connection: got %d bytes, want at most %d", size, maxPreparedSize)
+		}
+	}
+}
--- a/internal/home/sessionstate.go
+++ b/internal/home/sessionstate.go
@@ -12,9 +12,7 @@
 		list = append(list, siskin.Statement{Kind: siskin.Discard})
 	}
 	if req.Statement.Kind == siskin.Execute {
-		if _, ok := c.prepared.names[req.Prepared]; !ok || discard {
-			list = append(list, siskin.Statement{Kind: siskin.Prepare, Name: c.prepared.next(), Text: req.Prepared.Shape, Writes: req.Prepared.Writes})
-		}
+		list = append(list, c.prepare(req.Prepared, discard)...)
 	}
 	for _, v := range req.Values {
 		if have, ok := c.values[v.Name]; !ok || have != v.Text || discard {
@@ -24,6 +22,21 @@
 	return list
 }
 
+// prepare returns the statements that prepare p, unless it is prepared already
+// and not discarded before.
+func (c *conn) prepare(p Prepared, discarded bool) []siskin.Statement {
+	var list []siskin.Statement
+	if !discarded {
+		if c.prepared.use(p) {
+			return nil
+		}
+		for _, name := range c.prepared.surplus(p) {
+			list = append(list, siskin.Statement{Kind: siskin.Deallocate, Name: name})
+		}
+	}
+	return append(list, siskin.Statement{Kind: siskin.Prepare, Name: c.prepared.next(), Text: p.Shape, Writes: p.Writes})
+}
+
 // applied records that the target has accepted the first n statements of a
 // setup.
 func (c *conn) applied(setup []siskin.Statement, n int) {
@@ -33,7 +46,9 @@
 			clear(c.values)
 			c.prepared.forget()
 		case siskin.Prepare:
-			c.prepared.names[Prepared{Shape: s.Text, Writes: s.Writes}] = s.Name
+			c.prepared.add(Prepared{Shape: s.Text, Writes: s.Writes}, s.Name)
+		case siskin.Deallocate:
+			c.prepared.remove(s.Name)
 		case siskin.SetValue:
 			c.values[s.Name] = s.Text
 		}
@@ -74,7 +89,7 @@
 	if s.Kind != siskin.Execute {
 		return s
 	}
-	s.Name, s.Writes = c.prepared.names[req.Prepared], req.Prepared.Writes
+	s.Name, s.Writes = c.prepared.names[req.Prepared].name, req.Prepared.Writes
 	for i := range setup {
 		if setup[i].Kind == siskin.Prepare {
 			s.Name = setup[i].Name
