entry: bound the values and prepared statements of a session

A session could hold any number of values and prepared statements, each of up to 1 MiB, at its entry VM, and its values travel with each of its statements. A VM has 284 MB and thousands of sessions.

Change: a session holds at most 128 values and prepared statements together, with 16 KiB of names and texts. Names and texts are copied, so that a short one does not keep its whole message in memory. 4,000 sessions at the limit hold 62 MiB of texts.

A SET or PREPARE beyond the limit gets BUSY. A client closes its session after any error to SET or PREPARE, and repeats the operation in a new one after a promise that nothing is kept. The promise holds: the statement is not run, and an open transaction is marked as failed. A name and text that exceed 16 KiB by themselves get MALFORMED, which is no promise, since a new session has no room for them either.

Evidence: TestSessionBounds on the code before: got Succeeded in all 7 cases beyond the limits, want Busy (4) and Malformed (3). The 12 cases pass now.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -1,14 +1,12 @@
 package entry
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"runtime/debug"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +23,8 @@
 	digest   [sha256.Size]byte
 	values   []home.Value // ordered by name
 	prepared map[string]home.Prepared
+	// stateSize is the total length of the names and texts of both.
+	stateSize siskin.Bytes
 	// floor is the position of the newest acknowledged commit of the session.
 	floor siskin.Position
 	tx    *transaction
@@ -184,20 +184,11 @@
 	}
 	switch st.Kind {
 	case siskin.SetValue:
-		s.setValue(st.Name, st.Text)
-		return s.emptyAnswer(), nil
+		return s.setValue(st), nil
 	case siskin.Prepare:
-		if s.prepared == nil {
-			s.prepared = make(map[string]home.Prepared)
-		}
-		s.prepared[st.Name] = home.Prepared{Shape: st.Text, Writes: st.Writes}
-		return s.emptyAnswer(), nil
+		return s.prepare(st), nil
 	case siskin.Deallocate:
-		if _, ok := s.prepared[st.Name]; !ok {
-			return s.fail(siskin.NoStatement, "no prepared statement has this name"), nil
-		}
-		delete(s.prepared, st.Name)
-		return s.emptyAnswer(), nil
+		return s.deallocate(st), nil
 	case siskin.Begin, siskin.BeginRead:
 		if s.tx != nil {
 			return s.fail(siskin.Malformed, "a transaction is open already; end it first"), nil
@@ -244,15 +235,6 @@
 	return s.refuse(code, message)
 }
 
-func (s *Session) setValue(name, text string) {
-	i, found := slices.BinarySearchFunc(s.values, name, func(v home.Value, name string) int { return cmp.Compare(v.Name, name) })
-	if found {
-		s.values[i].Text = text
-		return
-	}
-	s.values = slices.Insert(s.values, i, home.Value{Name: name, Text: text})
-}
-
 // isNormalClose reports whether err means that the caller or this VM closed
 // the connection.
 func isNormalClose(err error) bool {
