entry: a prepared statement that a target lost is not reported as unknown

A session whose PREPARE was acknowledged got NOSTMT for its EXEC when the target did not have the statement, in a transaction at once and outside of one after three attempts (PINNED). NOSTMT is no promise, so that clients don't repeat the operation.

Change: NOSTMT of a target for an EXEC is answered with BUSY outside of a transaction. Inside of one the transaction is rolled back at the target and answered with ABORTED. Both are promises, and hold since NOSTMT means that nothing has run. An EXEC that the session never prepared still gets NOSTMT from the entry VM.

Evidence: four lines of outcomes.txtar on the code before, for example "primary PREPARE BEGIN WRITE EXEC: begun nostmt ok": got NoStatement, want Aborted with a rollback at the target. All pass now.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -118,6 +118,7 @@
 	"readonly":      {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.ReadOnly}},
 	"lagging":       {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Lagging}},
 	"failed":        {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.Failed}},
+	"nostmt":        {Outcome: home.Answered, Answer: siskin.Answer{Code: siskin.NoStatement, State: siskin.TxFailed}, Tx: 7, Home: "vm-2"},
 	"lost":          {Outcome: home.AnswerLost, Cause: home.Silent},
 	"unreachable":   {Cause: home.Unreachable},
 	"overload":      {Cause: home.Overload, RetryAfter: 70 * time.Millisecond},
@@ -130,6 +131,7 @@
 var statements = map[string]siskin.Statement{
 	"BEGIN": {Kind: siskin.Begin}, "BEGINREAD": {Kind: siskin.BeginRead}, "READ": {ID: "1", Kind: siskin.Read, Text: "x"},
 	"WRITE": {ID: "2", Kind: siskin.Write, Text: "x 1"}, "COMMIT": {ID: "3", Kind: siskin.Commit}, "ROLLBACK": {Kind: siskin.Rollback},
+	"PREPARE": {Kind: siskin.Prepare, Name: "p", Text: "q"}, "EXEC": {ID: "4", Kind: siskin.Execute, Name: "p", Text: "x"},
 }
 
 // TestOutcomes guards against answers that claim more than is known. A write
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -222,7 +222,11 @@
 func (o *operation) finishAttempt(reply *home.Reply, withFloor bool) *siskin.Answer {
 	a := reply.Answer
 	s := o.s
+	forgotten := a.Code == siskin.NoStatement && o.st.Kind == siskin.Execute
 	if s.tx == nil {
+		if forgotten {
+			return o.refuseForgotten()
+		}
 		a.State = siskin.TxIdle
 		return &a
 	}
@@ -234,6 +238,9 @@
 	s.tx.begun, s.tx.target, s.tx.home, s.tx.id = true, o.target, reply.Home, reply.Tx
 	s.tx.wrote = o.st.MayWrite()
 	s.tx.begunReadOnly = withFloor && !s.tx.readOnly
+	if forgotten {
+		return o.refuseForgotten()
+	}
 	s.tx.failed = a.Code != siskin.Succeeded
 	a.State = s.state()
 	return &a
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -49,11 +49,27 @@
 // because its caller has sent a write.
 func (o *operation) abortReadOnlyTransaction() *siskin.Answer {
 	o.reason = "BeganAtReplica"
+	return o.abortTransaction("the transaction was begun read-only at a replica and was rolled back; run it again")
+}
+
+// abortTransaction rolls back a transaction that a target has begun, and marks
+// it as failed.
+func (o *operation) abortTransaction(message string) *siskin.Answer {
 	tx := *o.s.tx
 	o.s.rollback()
 	tx.failed, tx.begun = true, false
 	o.s.tx = &tx
-	return o.s.refuse(siskin.Aborted, "the transaction was begun read-only at a replica and was rolled back; run it again")
+	return o.s.refuse(siskin.Aborted, message)
+}
+
+// refuseForgotten replaces a target's answer that it does not have a prepared
+// statement. The caller's PREPARE was acknowledged, and nothing has run.
+func (o *operation) refuseForgotten() *siskin.Answer {
+	o.reason = siskin.NoStatement.String()
+	if o.s.tx != nil {
+		return o.abortTransaction("the target lost the prepared statement, and the transaction was rolled back; run it again")
+	}
+	return o.refuseNotRun(siskin.Busy, "the target lost the prepared statement", minOverloadRetryAfter)
 }
 
 // continueTransaction runs a statement of a transaction that a target has
@@ -73,6 +89,9 @@
 	switch {
 	case reply.Outcome == home.Answered:
 		a := reply.Answer
+		if a.Code == siskin.NoStatement && o.st.Kind == siskin.Execute {
+			return o.refuseForgotten()
+		}
 		if commit {
 			a.State = siskin.TxIdle
 			if a.Code == siskin.Succeeded && tx.wrote {
