front: a prepared statement survives the batches of a transaction

On a write route of the PostgreSQL interface, a caller that prepared a statement in a transaction got 26000 (no such statement) when it ran it in a later batch of that transaction, which failed the transaction.

Cause: the home appends its query for the position to each batch of a write route. It is a simple query, which destroys the unnamed statement, and the session's statements are prepared as that one. The session still took it as prepared. The stand-in kept the unnamed statement, so that no test saw it.

Change: the session prepares its statement again in each batch that uses it. The stand-in drops the unnamed statement at a simple query, as PostgreSQL does.

All pass now; without the change to the stand-in the fault does not show.

--- a/internal/front/refusals_test.go
+++ b/internal/front/refusals_test.go
@@ -121,6 +121,31 @@
 	}
 }
 
+// TestStatementInTransaction guards against a transaction that loses its
+// prepared statements between two batches, to the proxy's own query.
+func TestStatementInTransaction(t *testing.T) {
+	f := startFleet(t, 2, nil)
+	for _, vm := range f.vms {
+		c := vm.connectRaw(t, "badges/write")
+		c.query("begin")
+		for _, name := range []string{"s1", ""} {
+			a := c.exchange(&pgproto3.Parse{Name: name, Query: "select v from kv where k = $1"}, &pgproto3.Sync{})
+			if a.types != "1Z" {
+				t.Errorf("parse of %q: got %q, want 1Z", name, a.types)
+			}
+			bind := &pgproto3.Bind{PreparedStatement: name, Parameters: [][]byte{[]byte("none")}}
+			for i := range 3 {
+				if a = c.exchange(bind, &pgproto3.Execute{}, &pgproto3.Sync{}); a.types != "2CZ" {
+					t.Errorf("execution %d of %q: got %q %q, want 2CZ", i, name, a.types, a.code())
+				}
+			}
+		}
+		if a := c.query("rollback"); a.code() != "" {
+			t.Errorf("rollback: got %q, want no error", a.code())
+		}
+	}
+}
+
 // TestLateAnswerReachesNobody guards against an answer that arrives after the
 // deadline and is sent as the answer to a later request.
 func TestLateAnswerReachesNobody(t *testing.T) {
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -137,7 +137,9 @@
 	}
 }
 
-// endBatch removes the statements whose Parse was not completed.
+// endBatch removes the statements whose Parse was not completed. The target's
+// unnamed statement is not known afterwards: the home may have sent a simple
+// query of its own, which destroys it.
 func (s *statements) endBatch() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,8 +147,8 @@
 		if !p.injected && s.find(p.name) == p.stmt {
 			s.remove(p.name)
 		}
-		s.targetUnnamed = nil // after an error, the target's unnamed statement is not known
 	}
+	s.targetUnnamed = nil
 	clear(s.pending)
 	s.pending, s.answered = s.pending[:0], 0
 }
--- a/internal/stand/target/session.go
+++ b/internal/stand/target/session.go
@@ -124,6 +124,7 @@
 	switch msg := msg.(type) {
 	case *pgproto3.Query:
 		c.active.Store(true)
+		delete(c.statements, "") // a simple query destroys the unnamed statement
 		c.simpleQuery(msg.String)
 		return c.ready()
 	case *pgproto3.Sync:
