home: values of a rolled back transaction are set again

A session set a value in a transaction and rolled back. Where a target reverts values together with their transaction, as PostgreSQL does, the session's next statement on that connection ran with the old value, and so could one of another session of the customer (PINNED).

Cause: values set inside of a transaction counted as set after its rollback.

Change: after a rollback or a failed commit of a transaction in which values were set, the connection drops its state with DISCARD before its next statement. Prepared statements need no such care, since a lost one is answered with NOSTMT, which runs nothing.

Evidence: TestRolledBackValues on the code before, at a stand-in that reverts values: got "a" "b" "a", want "a" "b" "b". It passes now, with and without the revert.

--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -30,9 +30,11 @@
 
 	values   map[string]string
 	prepared preparedNames
-	openedAt time.Time // when it was established
-	usedAt   time.Time // end of the last use
-	unused   bool      // no statement has been sent yet
+	// uncertain is set when values may not be what the target has.
+	uncertain bool
+	openedAt  time.Time // when it was established
+	usedAt    time.Time // end of the last use
+	unused    bool      // no statement has been sent yet
 }
 
 func newConn(tc siskin.TargetConn, customer siskin.CustomerID, now time.Time) *conn {
--- a/internal/home/prepared_test.go
+++ b/internal/home/prepared_test.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -177,3 +178,32 @@
 		}
 	}
 }
+
+// TestRolledBackValues guards against a connection that counts values as set
+// which a target has rolled back with their transaction.
+func TestRolledBackValues(t *testing.T) {
+	for _, reverts := range []bool{false, true} {
+		f := start(t, stand.ServiceOptions{})
+		f.limit = 1
+		primary := f.target(0)
+		primary.RecordExecutions()
+		primary.RevertSettings(reverts)
+		open := request(primary, siskin.Write, "x 1")
+		open.Mode, open.Proof, open.Values = Open, LeadProof, []Value{{"mode", "a"}}
+		read := request(primary, siskin.Read, "x")
+		read.Mode, read.Tx, read.Values = Continue, f.run(open).Tx, []Value{{"mode", "b"}}
+		f.run(read)
+		rollback := request(primary, siskin.Rollback, "")
+		rollback.Mode, rollback.Tx = Continue, read.Tx
+		f.run(rollback)
+		read.Mode, read.Tx = Single, 0
+		f.run(read)
+		var got []string
+		for _, x := range primary.TakeExecutions() {
+			got = append(got, x.Values["mode"])
+		}
+		if want := []string{"a", "b", "b"}; !slices.Equal(got, want) {
+			t.Errorf("values at a target that reverts them (%t): got %q, want %q", reverts, got, want)
+		}
+	}
+}
--- a/internal/home/sessionstate.go
+++ b/internal/home/sessionstate.go
@@ -7,7 +7,7 @@
 // answer is lost, and applied must be called for those that were accepted.
 func (c *conn) syncSession(req *Request) []siskin.Statement {
 	var list []siskin.Statement
-	discard := c.hasExtraValue(req.Values)
+	discard := c.uncertain || c.hasExtraValue(req.Values)
 	if discard {
 		list = append(list, siskin.Statement{Kind: siskin.Discard})
 	}
@@ -43,6 +43,7 @@
 	for i := range setup[:n] {
 		switch s := &setup[i]; s.Kind {
 		case siskin.Discard:
+			c.uncertain = false
 			clear(c.values)
 			c.prepared.forget()
 		case siskin.Prepare:
--- a/internal/home/tx.go
+++ b/internal/home/tx.go
@@ -19,7 +19,9 @@
 	c        *conn
 	req      Request // the request that opened it
 
-	wrote bool // a write in it succeeded; accessed only by the caller that set busy
+	// wrote and changedValues are accessed only by the caller that set busy.
+	wrote         bool // a write in it succeeded
+	changedValues bool // values were set in it
 
 	mu     sync.Mutex
 	busy   bool
@@ -93,6 +95,7 @@
 	}
 	answers, err := t.c.exchange(deadline, append(setup, s))
 	t.c.applied(setup, countAccepted(answers, len(setup)))
+	t.changedValues = t.changedValues || changesValues(setup)
 	if commitsWrites {
 		t.connPool.writes.end(err == nil)
 	}
@@ -142,6 +145,8 @@
 		}
 	}
 	if s.Kind == siskin.Commit || s.Kind == siskin.Rollback {
+		// A target may revert values together with their transaction.
+		t.c.uncertain = t.changedValues && (s.Kind == siskin.Rollback || a.Code != siskin.Succeeded)
 		h.end(id, t, a.State == siskin.TxIdle)
 		reply.Tx = 0
 		return reply
