home: the first statement of a transaction waits for a proven BEGIN

What a target saw: the first read of a transaction ran outside of it, because its BEGIN had been refused (LAGGING) and a repeated answer to an earlier BEGIN was taken for its success. The caller got the refusal; the rule on statements outside of their transaction was broken all the same.

Cause: the success of a BEGIN has no signature, and what follows it shows the repetition only after the statement has been sent.

Change: a name is prepared and dropped behind the BEGIN, whose answers show a refusal that comes late, and before every second BEGIN, so that the answers to one do not fit the next one. An exchange with stray answers is repeated. A probe of the primary needs the success of its ROLLBACK too.

--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -24,9 +24,9 @@
 	unsettled *siskin.Answer
 	// strays is the number of skipped answers.
 	strays int
-	// witness is the counter of appendWitness.
-	witness int
-	report  *connReport
+	// witness and begins are the counters of appendWitness and encloseBegin.
+	witness, begins int
+	report          *connReport
 
 	values   map[string]string
 	prepared preparedNames
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -200,10 +200,13 @@
 		}
 		return siskin.Position{}, err
 	}
-	switch a := &answers[0]; a.Code {
-	case siskin.Succeeded:
+	switch a := &answers[0]; {
+	case a.Code == siskin.Succeeded && answers[1].Code == siskin.Succeeded:
 		return a.Position, nil
-	case siskin.ReadOnly:
+	case a.Code == siskin.Succeeded:
+		// The success is a repeated answer, and this one is that of BEGIN.
+		return siskin.Position{}, siskin.NewError(siskin.Unavailable, "the answers of target %s to a transaction do not fit: %s", id, answers[1].Code)
+	case a.Code == siskin.ReadOnly:
 		h.cfg.Views.RecordDenial(service, id, asked)
 		h.cfg.Views.RecordPosition(id, a.Position, asked)
 		return siskin.Position{}, siskin.NewError(siskin.Conflict, "target %s is not the primary", id).WithRemedy("ask another target")
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -35,9 +35,42 @@
 // statement of the caller has not been sent; broken reports that the connection
 // broke.
 func (r *run) prove(setup, begin []siskin.Statement) (ok, broken bool) {
-	asked, strays := r.h.cfg.Clock.Now(), r.c.strays
-	answers, err := r.c.exchange(r.proofDeadline(), append(setup, begin...))
-	r.c.applied(setup, countAccepted(answers, len(setup)))
+	for range witnessAttempts {
+		strays := r.c.strays
+		if ok, broken := r.proveOnce(setup, begin); !ok {
+			return false, broken
+		}
+		// A repeated answer may stand for the refusal of a value, or of the
+		// transaction, outside of which the statement would run.
+		if r.c.strays == strays || len(setup) == 0 && r.req.Mode != Open {
+			return true, false
+		}
+		if len(setup) > 0 {
+			break // it is recorded as applied
+		}
+	}
+	r.reply.Outcome, r.reply.Cause = NotSent, OutOfStep
+	r.connPool.drop(r.c, outOfStep)
+	return false, true
+}
+
+// proveOnce sends the session state and the opening statements once.
+func (r *run) proveOnce(setup, begin []siskin.Statement) (ok, broken bool) {
+	asked := r.h.cfg.Clock.Now()
+	var list []siskin.Statement
+	if r.c.state != siskin.TxIdle {
+		list = append(list, siskin.Statement{Kind: siskin.Rollback})
+	}
+	before := len(list)
+	list = append(list, setup...)
+	if r.req.Mode == Open {
+		list, begin = r.c.encloseBegin(list, begin)
+	}
+	first := len(list)
+	answers, err := r.c.exchange(r.proofDeadline(), append(list, begin...))
+	if len(answers) > before {
+		r.c.applied(setup, countAccepted(answers[before:], len(setup)))
+	}
 	r.reply.Exchange = r.c.exchanges
 	if err != nil {
 		r.connFailed(err)
@@ -51,14 +84,8 @@
 			return false, false
 		}
 	}
-	if len(setup) > 0 && r.c.strays != strays {
-		// A repeated answer may stand for the refusal of a value.
-		r.reply.Outcome, r.reply.Cause = NotSent, OutOfStep
-		r.connPool.drop(r.c, outOfStep)
-		return false, true
-	}
 	if len(begin) > 0 && begin[0].Kind == siskin.Begin && !r.confirmedAt.IsZero() {
-		r.proof = leadProof{position: answers[len(setup)].Position, at: r.confirmedAt, strays: r.c.strays}
+		r.proof = leadProof{position: answers[first].Position, at: r.confirmedAt, strays: r.c.strays}
 	}
 	return true, false
 }
--- a/internal/home/witness.go
+++ b/internal/home/witness.go
@@ -65,9 +65,25 @@
 		if c.witness>>i&1 == 0 {
 			list = append(list, siskin.Statement{Kind: siskin.BeginRead}, siskin.Statement{Kind: siskin.Rollback})
 		} else {
-			list = append(list, siskin.Statement{Kind: siskin.Prepare, Name: witnessName, Text: witnessName},
-				siskin.Statement{Kind: siskin.Deallocate, Name: witnessName})
+			list = appendPreparation(list)
 		}
 	}
 	return list
 }
+
+// appendPreparation appends the preparation of a name and its removal.
+func appendPreparation(list []siskin.Statement) []siskin.Statement {
+	return append(list, siskin.Statement{Kind: siskin.Prepare, Name: witnessName, Text: witnessName},
+		siskin.Statement{Kind: siskin.Deallocate, Name: witnessName})
+}
+
+// encloseBegin appends a preparation to begin, since its answers show the refusal
+// of a BEGIN that a repeated answer hides, and every second time one to the list
+// before begin, so that the answers differ from those to the BEGIN before.
+func (c *conn) encloseBegin(list, begin []siskin.Statement) (before, enclosed []siskin.Statement) {
+	c.begins++
+	if c.begins%2 == 0 {
+		list = appendPreparation(list)
+	}
+	return list, appendPreparation(begin)
+}
