--- a/internal/procs/restored_test.go
+++ b/internal/procs/restored_test.go
@@ -14,7 +14,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	for _, seed := range seedsToPlay() {
+	for _, seed := range seedsToPlay(seeds) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { playSeed(t, seed, true) })
 	}
 }
--- a/internal/procs/soak_test.go
+++ b/internal/procs/soak_test.go
@@ -62,16 +62,16 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	for _, seed := range seedsToPlay() {
+	for _, seed := range seedsToPlay(seeds) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { playSeed(t, seed, false) })
 	}
 }
 
 // seedsToPlay returns the seeds that the environment names, or those of CI.
-func seedsToPlay() []int64 {
+func seedsToPlay(ci []int64) []int64 {
 	n, err := strconv.Atoi(os.Getenv("SISKIN_SEEDS"))
 	if err != nil {
-		return seeds
+		return ci
 	}
 	var list []int64
 	for i := range n {
