--- a/internal/home/anytext_test.go
+++ b/internal/home/anytext_test.go
@@ -46,7 +46,7 @@
 	f := start(t, stand.ServiceOptions{})
 	f.limit = 1
 	primary := f.target(0)
-	primary.RecordExecutions()
+	f.platform.RecordStatements("ledger")
 	const steps = 30
 	executed := 0
 	// The words look like names and statements of the connection.
@@ -80,7 +80,7 @@
 				}
 				req := s.request(primary, name, word.Draw(t, "arguments"))
 				reply := f.run(req)
-				ran := primary.TakeExecutions()
+				ran := f.takeRecords()
 				if succeeded := reply.Outcome == Answered && reply.Answer.Code == siskin.Succeeded; !faults && (!succeeded || len(ran) != 1) || succeeded && len(ran) == 0 {
 					t.Fatalf("execution: got outcome %d with %v and %d executions, want success with 1", reply.Outcome, reply.Answer.Code, len(ran))
 				}
@@ -98,10 +98,10 @@
 }
 
 // checkExecution compares what a target ran with the session's request.
-func checkExecution(t *rapid.T, got *stand.Execution, req *Request, values map[string]string) {
+func checkExecution(t *rapid.T, got *stand.Record, req *Request, values map[string]string) {
 	t.Helper()
-	if want := definition(req.Prepared); got.Shape != want || got.Arguments != req.Statement.Text {
-		t.Errorf("execution at the target: got %q with %q, want %q with %q", got.Shape, got.Arguments, want, req.Statement.Text)
+	if want := definition(req.Prepared); got.Shape != want || got.Args != req.Statement.Text {
+		t.Errorf("execution at the target: got %q with %q, want %q with %q", got.Shape, got.Args, want, req.Statement.Text)
 	}
 	if !maps.Equal(got.Values, values) {
 		t.Errorf("values at the target: got %q, want %q", got.Values, values)
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -16,14 +16,15 @@
 )
 
 type fixture struct {
-	t           *testing.T
-	platform    *stand.Platform
-	homes       *Homes
-	views       *views.Views
-	limit       int
-	since       time.Time    // since when service discovery lists the targets
-	listed      time.Time    // time of the last list
-	statusCalls atomic.Int64 // status requests to targets
+	t            *testing.T
+	platform     *stand.Platform
+	homes        *Homes
+	views        *views.Views
+	limit        int
+	since        time.Time    // since when service discovery lists the targets
+	listed       time.Time    // time of the last list
+	recordsTaken int          // records of statements that takeRecords has returned
+	statusCalls  atomic.Int64 // status requests to targets
 }
 
 func start(t *testing.T, o stand.ServiceOptions) *fixture {
--- a/internal/home/prepared_test.go
+++ b/internal/home/prepared_test.go
@@ -18,6 +18,14 @@
 	return req
 }
 
+// takeRecords returns what the targets ran since the last call.
+func (f *fixture) takeRecords() []stand.Record {
+	list := f.platform.Records("ledger")
+	fresh := list[f.recordsTaken:]
+	f.recordsTaken = len(list)
+	return fresh
+}
+
 // definition returns what a target runs for a prepared statement.
 func definition(p Prepared) string {
 	if p.Writes {
@@ -32,7 +40,7 @@
 	f := start(t, stand.ServiceOptions{})
 	f.limit = 1
 	primary := f.target(0)
-	primary.RecordExecutions()
+	f.platform.RecordStatements("ledger")
 	for _, step := range []struct {
 		prepared  Prepared
 		arguments string
@@ -47,9 +55,9 @@
 		if reply.Outcome != Answered || reply.Answer.Code != siskin.Succeeded {
 			t.Errorf("execution of %q: got outcome %d with %v, want success", step.prepared.Shape, reply.Outcome, reply.Answer.Code)
 		}
-		for _, got := range primary.TakeExecutions() {
-			if want := definition(step.prepared); got.Shape != want || got.Arguments != step.arguments {
-				t.Errorf("execution at the target: got %q with %q, want %q with %q", got.Shape, got.Arguments, want, step.arguments)
+		for _, got := range f.takeRecords() {
+			if want := definition(step.prepared); got.Shape != want || got.Args != step.arguments {
+				t.Errorf("execution at the target: got %q with %q, want %q with %q", got.Shape, got.Args, want, step.arguments)
 			}
 		}
 	}
@@ -133,7 +141,7 @@
 		if mode == Continue {
 			tx = f.run(open).Tx
 		}
-		primary.RecordExecutions()
+		f.platform.RecordStatements("ledger")
 		usual := Prepared{Shape: "usual"}
 		for i := range 4 * maxPreparedCount {
 			for _, p := range []Prepared{usual, {Shape: "q" + strconv.Itoa(i)}} {
@@ -142,7 +150,7 @@
 				if got := f.run(req); got.Outcome != Answered || got.Answer.Code != siskin.Succeeded {
 					t.Fatalf("mode %d, execution of %q: got outcome %d with %v, want success", mode, p.Shape, got.Outcome, got.Answer.Code)
 				}
-				for _, got := range primary.TakeExecutions() {
+				for _, got := range f.takeRecords() {
 					if want := definition(p); got.Shape != want {
 						t.Errorf("mode %d: got %q, want %q", mode, got.Shape, want)
 					}
@@ -186,7 +194,7 @@
 		f := start(t, stand.ServiceOptions{})
 		f.limit = 1
 		primary := f.target(0)
-		primary.RecordExecutions()
+		f.platform.RecordStatements("ledger")
 		primary.RevertSettings(reverts)
 		open := request(primary, siskin.Write, "x 1")
 		open.Mode, open.Proof, open.Values = Open, LeadProof, []Value{{"mode", "a"}}
@@ -199,7 +207,7 @@
 		read.Mode, read.Tx = Single, 0
 		f.run(read)
 		var got []string
-		for _, x := range primary.TakeExecutions() {
+		for _, x := range f.takeRecords() {
 			got = append(got, x.Values["mode"])
 		}
 		if want := []string{"a", "b", "b"}; !slices.Equal(got, want) {
