platform: a message of a caller that does not end is given up

What callers saw: a session whose message never ended, or that never sent START, stayed open for ever. It counted against Caller.MaxSessions, held up to 1 MiB each, and one that was asked to end by a planned stop stayed until its last moment. A START that is not understood, and a message over 1 MiB, ended in a close without an answer.

Cause: reads of callers had no deadline. Of an interrupt in the middle of a message only the first was passed over, with no limit after it; a second one cut the message. The memory of long messages was limited for each caller alone.

Change: a message has 10 s from its first byte to its end, and START from the accept; after an interrupt the rest has 1 s, however many interrupts follow. An interrupt is remembered, so that no new deadline hides it. Messages over 4 KiB that have arrived in part share 32 MiB on a VM; callers beyond it are refused as BUSY, the others as MALFORMED, and closed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -111,12 +111,22 @@
 // running returns the number of statements of this VM in flight at a target.
 func (e *Entry) running(id siskin.TargetID) int { return int(e.inFlightCounter(id).Load()) }
 
+// handleReadError tells the caller why its message was not read, unless the
+// connection has ended.
 func (e *Entry) handleReadError(s *Session, err error) {
-	if !isNormalClose(err) && siskin.KindOf(err) == siskin.BadInput {
-		a := siskin.Answer{Code: siskin.Malformed, Message: err.Error()}
-		_ = s.c.Refuse(a.Code, a.Message) // the session ends in either case
-		e.recordRefusedSession(s, &a)
+	a := siskin.Answer{Message: err.Error()}
+	switch kind := siskin.KindOf(err); {
+	case isNormalClose(err):
+		return
+	case kind == siskin.BadInput || kind == siskin.TooLarge:
+		a.Code = siskin.Malformed
+	case kind == siskin.Overloaded:
+		a.Code = siskin.Busy
+	default:
+		return
 	}
+	_ = s.c.Refuse(a.Code, a.Message) // the session ends in either case
+	e.recordRefusedSession(s, &a)
 }
 
 // recordRefusedSession logs and counts a session that was refused or broke the
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -91,6 +91,7 @@
 func (s *Session) start() error {
 	database, key, err := s.c.Start()
 	if err != nil {
+		s.e.handleReadError(s, err)
 		return err
 	}
 	s.database, s.digest = database, table.Digest(key)
--- a/internal/sysd/listen.go
+++ b/internal/sysd/listen.go
@@ -52,6 +52,7 @@
 
 // accept serves callers until the listener is closed.
 func (n *node) accept() {
+	memory := platform.NewMessageMemory(messageMemory)
 	for {
 		conn, err := n.callers.Accept()
 		switch {
@@ -66,7 +67,7 @@
 			_ = conn.Close() // nothing was read from it
 			continue
 		}
-		n.entry.Serve(platform.NewCaller(conn))
+		n.entry.Serve(platform.NewCaller(conn, platform.WithMessageMemory(memory)))
 	}
 }
 
@@ -74,6 +75,10 @@
 // while there are no free file descriptors.
 const acceptBackoff = 20 * time.Millisecond
 
+// messageMemory limits the memory of messages of callers that have arrived in
+// part. It is about a ninth of the memory of the smallest VM.
+const messageMemory siskin.Bytes = 32 << 20
+
 // ready reports whether this VM can serve callers. A VM stays ready while it
 // cannot reach the store, but not while it is isolated.
 func (n *node) ready() bool {
