procs: TestHostileInput shows all statements of a transaction in two places

The report of a transaction that ran on two connections named one statement alone, so that a first statement that had run twice could not be told from one that left its transaction. The check is the same.

--- a/internal/procs/evidence_test.go
+++ b/internal/procs/evidence_test.go
@@ -128,18 +128,22 @@
 
 // checkPlace checks that all statements of a transaction ran in one at a target.
 func (e *evidence) checkPlace(tx *callTx) {
-	var first *stand.Record
+	places := make(map[targetTx]bool)
+	var list []string
 	for _, c := range tx.calls {
+		list = append(list, c.String())
 		for _, r := range e.ran[c.result.Request] {
-			if first == nil {
-				first = r
-			}
-			if r.Tx == 0 || r.Target != first.Target || r.Conn != first.Conn || r.Tx != first.Tx {
-				e.v.add("PINNED", "%v ran at %s, connection %d, transaction %d, want %s, %d, %d",
-					c, r.Target, r.Conn, r.Tx, first.Target, first.Conn, first.Tx)
+			place := targetTx{string(r.Target), r.Conn, r.Tx}
+			places[place] = true
+			list = append(list, fmt.Sprintf("ran %s in %v, %s", clip(r.Text()), place, r.Code+r.Signature))
+			if r.Tx == 0 {
+				e.v.add("PINNED", "%v ran in %v, want it in a transaction", c, place)
 			}
 		}
 	}
+	if len(places) > 1 {
+		e.v.add("PINNED", "got a transaction in %d places, want 1:\n%s", len(places), strings.Join(list, "\n"))
+	}
 }
 
 // checkAnswer checks that a success is that of just this statement.
