entry: a panic in the rollback at the end of a session ends this session alone

What callers saw: none of them, so far. A fault of the program in the rollback of a transaction that is open when its session ends, also after another panic in the same transaction, ended the process and with it the sessions of all callers.

Cause: the deferred recover ran before the deferred end of the session, which rolls back.

Change: the rollback is deferred on its own and runs before the recover. The connection is closed and the session removed after it in any case. The end of a session is in a file of its own.

Evidence: TestFaultInRollbackEndsOneSession. Before: the test process ended with "panic: panic of the test" in Session.end. After: passes, as do the tests of ./internal/entry with the race detector.

--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -150,3 +150,33 @@
 		t.Errorf("open sessions: got %d, want 1", got)
 	}
 }
+
+// panickingRollback answers each statement, and panics on a rollback.
+type panickingRollback struct{}
+
+func (panickingRollback) Run(_ context.Context, req *home.Request) home.Reply {
+	if req.Statement.Kind == siskin.Rollback {
+		panic("panic of the test")
+	}
+	return home.Reply{Outcome: home.Answered, Answer: siskin.Answer{Signature: "1"}, Tx: 1, Home: "vm"}
+}
+
+// TestFaultInRollbackEndsOneSession guards against a panic in the rollback at the
+// end of a session, after its statements, that ends the process.
+func TestFaultInRollbackEndsOneSession(t *testing.T) {
+	f := newFixture(t)
+	f.e.cfg.Homes = panickingRollback{}
+	send, receive := openSession(t, f)
+	for _, statement := range []string{"BEGIN", "READ x"} {
+		send(statement)
+		if answer, closed := receive(); closed {
+			t.Fatalf("%s: got %q and a close, want an answer", statement, answer)
+		}
+	}
+	if err := f.e.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := f.e.Sessions(); got != 0 {
+		t.Errorf("open sessions: got %d, want 0", got)
+	}
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -3,10 +3,8 @@
 import (
 	"crypto/sha256"
 	"errors"
-	"fmt"
 	"io"
 	"net"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -42,8 +40,9 @@
 
 // serve runs the session until the caller or the VM ends it.
 func (s *Session) serve() {
-	defer s.end()
+	defer s.close()
 	defer s.recoverPanic()
+	defer s.rollbackOpen() // a panic in it is recovered as well
 	if err := s.start(); err != nil {
 		return
 	}
@@ -74,19 +73,6 @@
 	}
 }
 
-// recoverPanic limits a panic to this session, so that one statement cannot
-// end the sessions of all callers. The caller gets no answer, so the outcome
-// of its statement is left open.
-func (s *Session) recoverPanic() {
-	v := recover()
-	if v == nil {
-		return
-	}
-	s.e.cfg.Metrics.Panics.Inc(1)
-	s.e.cfg.Log.Error().Str("Database", s.database).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
-		Msg("a session ended by a fault of this program")
-}
-
 // start reads the opening message and accepts or refuses the session.
 func (s *Session) start() error {
 	database, key, err := s.c.Start()
@@ -148,15 +134,6 @@
 	return route, customer, nil
 }
 
-// end rolls back an open transaction and closes the connection.
-func (s *Session) end() {
-	if s.tx != nil {
-		s.rollback()
-	}
-	_ = s.c.Close()
-	s.e.remove(s)
-}
-
 // state returns the transaction state as reported to the caller.
 func (s *Session) state() siskin.TxState {
 	switch {
--- /dev/null
+++ b/internal/entry/sessionend.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+// recoverPanic limits a panic to this session, so that one statement cannot
+// end the sessions of all callers. The caller gets no answer, so the outcome
+// of its statement is left open.
+func (s *Session) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	s.e.cfg.Metrics.Panics.Inc(1)
+	s.e.cfg.Log.Error().Str("Database", s.database).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
+		Msg("a session ended by a fault of this program")
+}
+
+// rollbackOpen rolls back the transaction if one is open.
+func (s *Session) rollbackOpen() {
+	if s.tx != nil {
+		s.rollback()
+	}
+}
+
+// close closes the connection.
+func (s *Session) close() {
+	_ = s.c.Close()
+	s.e.remove(s)
+}
