plat: an update has its own connection, and answers must fit the request

What callers saw (PostgreSQL interface): on a reused HTTP connection, a late second response to an earlier request counted as that to the next one. An update that the platform refused was reported as done with the version of another object, and the reverse; a read returned another object.

Only the name of a read object was in the response, and was not compared. The response to an update has no name.

Change: each update opens a connection, which costs a round trip; updates are rare. The version after an update must follow the one that it replaced, a refusal must name another version, and a read object must have the name asked for. Otherwise the outcome is unknown, or the read fails. A second response with an earlier state of the same object, or to a list, is still not noticed on the connections of reads and watches.

--- a/pkg/plat/attempt.go
+++ b/pkg/plat/attempt.go
@@ -63,7 +63,11 @@
 	if err != nil {
 		return response{}, err
 	}
-	resp, err := c.transport.RoundTrip(req)
+	transport := c.transport
+	if method == http.MethodPut {
+		transport = c.updates
+	}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return response{}, err
 	}
--- a/pkg/plat/client.go
+++ b/pkg/plat/client.go
@@ -24,12 +24,15 @@
 	clock     siskin.Clock
 	random    func() float64
 	transport *http.Transport
-	breaker   *breaker
-	budget    *rate.Limiter
-	writes    *rate.Limiter // the same limiter as budget when all calls share one
-	watches   chan struct{} // one entry for each waiting watch
-	address   atomic.Int64  // index of the address in use
-	counters  counters
+	// updates opens a connection for each update, since a late second response
+	// to an earlier request could not be told from the one that is due.
+	updates  *http.Transport
+	breaker  *breaker
+	budget   *rate.Limiter
+	writes   *rate.Limiter // the same limiter as budget when all calls share one
+	watches  chan struct{} // one entry for each waiting watch
+	address  atomic.Int64  // index of the address in use
+	counters counters
 
 	ctx  context.Context // canceled by Close
 	stop context.CancelFunc
@@ -60,6 +63,11 @@
 			IdleConnTimeout:     60 * time.Second,
 			DisableCompression:  true,
 		},
+		updates: &http.Transport{
+			DialContext:        (&net.Dialer{Timeout: cfg.ReadIdleTimeout}).DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
 		budget:  rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst),
 		watches: make(chan struct{}, cfg.MaxWatches),
 	}
--- a/pkg/plat/config.go
+++ b/pkg/plat/config.go
@@ -62,7 +62,7 @@
 // WithDialer replaces the function that opens connections, for instance by one
 // that injects faults.
 func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
-	return func(c *Client) { c.transport.DialContext = dial }
+	return func(c *Client) { c.transport.DialContext, c.updates.DialContext = dial, dial }
 }
 
 // WithRandom sets the source of jitter, which returns numbers in [0, 1).
--- a/pkg/plat/put.go
+++ b/pkg/plat/put.go
@@ -62,13 +62,21 @@
 	}
 	switch a.status {
 	case http.StatusOK:
-		err := decodeVersion(a, &body)
-		return body.Version, err
+		if err := decodeVersion(a, &body); err != nil {
+			return 0, err
+		}
+		if body.Version != ifVersion+1 {
+			return 0, p.outcomeUnknown(name, op)
+		}
+		return body.Version, nil
 	case http.StatusConflict:
 		a.status = http.StatusOK
 		if err := decode(a, &body); err != nil {
 			return 0, err
 		}
+		if body.Version == ifVersion {
+			return 0, p.outcomeUnknown(name, op) // no reason for a refusal
+		}
 	case http.StatusRequestEntityTooLarge:
 		return 0, siskin.NewError(siskin.TooLarge, "the platform rejected object %s as too large", name).WithRemedy("split the object")
 	default:
--- a/pkg/plat/read.go
+++ b/pkg/plat/read.go
@@ -13,7 +13,22 @@
 func (p *LimitedClient) Get(ctx context.Context, name siskin.ObjectName) (siskin.Object, error) {
 	var o siskin.Object
 	err := p.readJSON(ctx, objectPath(name), &o)
-	return o, err
+	if err == nil {
+		err = checkName(&o, name)
+	}
+	if err != nil {
+		return siskin.Object{}, err
+	}
+	return o, nil
+}
+
+// checkName returns an error if the platform responded with another object. One
+// that does not exist may have no name.
+func checkName(o *siskin.Object, name siskin.ObjectName) error {
+	if o.Name == name || o.Name == "" && o.Version == 0 {
+		return nil
+	}
+	return siskin.NewError(siskin.BadInput, "the platform responded with object %.64q instead of %.64q", o.Name, name).WithRemedy("repeat the call")
 }
 
 // List implements siskin.Platform.
--- a/pkg/plat/watch.go
+++ b/pkg/plat/watch.go
@@ -31,7 +31,7 @@
 		if !ok {
 			return siskin.Object{}, watchEnded(name, context.DeadlineExceeded)
 		}
-		o, err := p.poll(ctx, fmt.Sprintf("%s?After=%d&WaitMs=%d", objectPath(name), after, wait.Milliseconds()))
+		o, err := p.poll(ctx, name, fmt.Sprintf("%s?After=%d&WaitMs=%d", objectPath(name), after, wait.Milliseconds()))
 		if err == nil && o.Version > after {
 			return o, nil
 		}
@@ -68,13 +68,15 @@
 
 // poll makes one long poll. It returns an object with version 0 if nothing
 // changed.
-func (p *LimitedClient) poll(ctx context.Context, path string) (siskin.Object, error) {
+func (p *LimitedClient) poll(ctx context.Context, name siskin.ObjectName, path string) (siskin.Object, error) {
 	a, _, err := p.request(ctx, http.MethodGet, path, nil)
 	if err != nil || a.status == http.StatusNoContent {
 		return siskin.Object{}, err
 	}
 	var o siskin.Object
-	err = decode(a, &o)
+	if err = decode(a, &o); err == nil {
+		err = checkName(&o, name)
+	}
 	return o, err
 }
 
