path: a home that answers with an error is not lost

What operators saw on similar systems, and what this code did: the targets of a VM got other homes although it was only busy. A VM whose queue of calls was full answered "too many requests run at this VM", and one of another version that a request was not understood. Each VM that had such an answer took the VM for lost until its next ping was answered, so that for a moment two homes sent statements to the same target.

Cause: runOn suspected the VM after any error that came before the deadline.

Change: it does so only if there was no response (kind Unavailable). The outcome of the statement is unknown in both cases, as before.

Evidence: TestAnsweringHomeIsNotLost. Before: "home after an error of kind Internal: got live false, want true", and the same for BadInput, Overloaded and TooLarge. After: passes, as do the tests of ./internal/path and those of ./internal/sysd with Crash, Stop, Leav, Isolat or Serve in their names.

--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -175,7 +175,8 @@
 	if ctx.Err() != nil && !errors.Is(err, peer.ErrNotSent) {
 		p.cfg.Crew.PingNow(vm)
 	}
-	if ctx.Err() == nil || errors.Is(err, peer.ErrNotSent) {
+	// A VM that answered with an error is not lost.
+	if siskin.KindOf(err) == siskin.Unavailable && (ctx.Err() == nil || errors.Is(err, peer.ErrNotSent)) {
 		p.cfg.Crew.Suspect(vm, err)
 	}
 	if errors.Is(err, peer.ErrNotSent) {
