platform, sysd: an unsendable name leaves out its part of a configuration

What callers would see: one service, route or customer with a name that no line can carry kept the whole configuration from coming into force, also the keys that it withdraws from others.

Cause: since names are checked, the decoder refused the whole configuration.

Change: the part with the name is left out, the rest is in force, and the VM logs which names cannot be sent.

--- a/deployment.go
+++ b/deployment.go
@@ -69,4 +69,7 @@
 	TxIdleTimeout time.Duration
 	// SessionIdleTimeout is the time after which an idle session may be closed.
 	SessionIdleTimeout time.Duration
+	// LeftOut holds an error for each route, service or customer that cannot be
+	// used. The others are in force.
+	LeftOut []error `json:"-"`
 }
--- a/internal/sysd/maintain.go
+++ b/internal/sysd/maintain.go
@@ -1,6 +1,7 @@
 package sysd
 
 import (
+	"errors"
 	"time"
 
 	"siskintray.example/siskin"
@@ -23,7 +24,10 @@
 	before := earlier.Version
 	if n.table.Apply(d, encoded) {
 		n.log.Info().Uint64("Before", uint64(before)).Uint64("Revision", uint64(d.Version)).Str("Source", source).
-			Int("Routes", len(d.Routes)).Int("Customers", len(d.Customers)).Msg("configuration in force")
+			Int("Routes", len(d.Routes)).Int("Customers", len(d.Customers)).Int("LeftOut", len(d.LeftOut)).Msg("configuration in force")
+		if len(d.LeftOut) > 0 {
+			n.log.Error().Err(errors.Join(d.LeftOut...)).Uint64("Revision", uint64(d.Version)).Msg("parts of the configuration cannot be used")
+		}
 		if before == 0 {
 			return // all customers are new; their limits are in the configuration
 		}
