logs, entry, home: texts of others cannot break or fill a log line

What callers saw: nothing. Log readers got lines that are no JSON: a control character such as ESC, or a byte that is not UTF-8, stood unchanged in a string. An id, database name or signature of 64 KiB made a line of 64 to 131 KB. A result code that only another version of the program knows ended the session by a panic in the metrics, without an answer.

Cause: the log library escapes six control characters and no other bytes; ids, database names and signatures were logged at full length; the metrics have counters for the known codes and were used without a look whether there is one.

Change: lines that are no valid JSON string data are escaped as they are written, so for all fields at one place. Request ids, database names and signatures are cut to 64 bytes in log lines. An unknown code counts as Failed, as which it is sent. Labels of metrics come from fixed sets already.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/home"
+	"siskintray.example/siskin/internal/logs"
 	"siskintray.example/siskin/pkg/shard"
 )
 
@@ -133,7 +134,7 @@
 // protocol.
 func (e *Entry) recordRefusedSession(s *Session, a *siskin.Answer) {
 	e.cfg.Metrics.countRefusal(a.Code)
-	e.cfg.Log.Info().Str("Database", s.database).Stringer("Code", a.Code).
+	e.cfg.Log.Info().Str("Database", logs.Clip(s.database)).Stringer("Code", a.Code).
 		Uint64("Revision", uint64(e.cfg.Table.Snapshot().Version)).Msg("session refused")
 }
 
@@ -145,13 +146,13 @@
 	if !ok {
 		return
 	}
-	entry = entry.Str("RequestID", string(o.st.ID)).Stringer("Kind", o.st.Kind).Stringer("Code", a.Code).
-		Str("Database", o.s.database).Str("Customer", string(o.customer)).
+	entry = entry.Str("RequestID", logs.Clip(string(o.st.ID))).Stringer("Kind", o.st.Kind).Stringer("Code", a.Code).
+		Str("Database", logs.Clip(o.s.database)).Str("Customer", string(o.customer)).
 		Str("Target", string(o.target)).Str("Home", string(o.reply.Home)).Int("Attempts", o.attempts).Str("Reason", o.reason).
 		Dur("Took", took).Dur("Waited", o.reply.Waited).Dur("Ran", o.reply.Ran).
 		Uint64("Revision", uint64(e.cfg.Table.Snapshot().Version))
 	if o.reply.Conn > 0 {
-		entry = entry.Uint64("Conn", uint64(o.reply.Conn)).Int("Exchange", o.reply.Exchange).Str("Signature", a.Signature)
+		entry = entry.Uint64("Conn", uint64(o.reply.Conn)).Int("Exchange", o.reply.Exchange).Str("Signature", logs.Clip(a.Signature))
 	}
 	if o.st.Kind == siskin.Execute {
 		entry = entry.Str("Shape", shapeDigest(o.s.prepared[o.st.Name]))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -53,7 +53,11 @@
 func (m *Metrics) countRefusal(c siskin.AnswerCode) { m.refusals[c].Inc(1) }
 
 func (m *Metrics) recordOperation(o *operation, a *siskin.Answer, took time.Duration) {
-	m.answers[a.Code].Inc(1)
+	answers, ok := m.answers[a.Code]
+	if !ok { // a code of another version of the program, sent to the caller as Failed
+		answers = m.answers[siskin.Failed]
+	}
+	answers.Inc(1)
 	if o.route != nil {
 		m.latency[o.route.Kind].RecordDuration(took)
 	}
--- a/internal/entry/sessionend.go
+++ b/internal/entry/sessionend.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"runtime/debug"
+
+	"siskintray.example/siskin/internal/logs"
 )
 
 // recoverPanic limits a panic to this session, so that one statement cannot
@@ -14,7 +16,7 @@
 		return
 	}
 	s.e.cfg.Metrics.Panics.Inc(1)
-	s.e.cfg.Log.Error().Str("Database", s.database).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
+	s.e.cfg.Log.Error().Str("Database", logs.Clip(s.database)).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
 		Msg("a session ended by a fault of this program")
 }
 
--- a/internal/home/connreport.go
+++ b/internal/home/connreport.go
@@ -33,8 +33,8 @@
 func (r *connReport) misfit(c *conn, s *siskin.Statement, a *siskin.Answer, m misfit) {
 	r.metrics.misfits[m].Inc(1)
 	if e := r.line(c, "misfit/"+m.String()); e != nil {
-		e.Str("RequestID", string(s.ID)).Stringer("Kind", s.Kind).Stringer("Misfit", m).Stringer("Code", a.Code).Stringer("State", a.State).
-			Str("Signature", a.Signature).Int("Rows", len(a.Rows)).Msg("an answer does not fit its statement")
+		e.Str("RequestID", logs.Clip(string(s.ID))).Stringer("Kind", s.Kind).Stringer("Misfit", m).Stringer("Code", a.Code).Stringer("State", a.State).
+			Str("Signature", logs.Clip(a.Signature)).Int("Rows", len(a.Rows)).Msg("an answer does not fit its statement")
 	}
 }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -16,7 +16,7 @@
 // JSON.
 func New(level, format string, w io.Writer) *log.Logger {
 	out := &lockedWriter{w: w}
-	filter := &levelFilter{next: log.IOWriter{Writer: out}}
+	filter := &levelFilter{next: log.IOWriter{Writer: &validWriter{out}}}
 	if format == "text" {
 		filter.next = &log.ConsoleWriter{Writer: out, QuoteString: true, EndWithMessage: false}
 	}
