entry: a test waits for the end of the session

Cause: TestFaultEndsOneSession counts open sessions as soon as the caller has seen the close, but the session leaves the list after it has closed its connection.

Change: the test waits for at most a second before the same check.

--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -146,6 +146,10 @@
 	if got, closed := answer(); closed || !strings.Contains(got, "DONE") {
 		t.Errorf("other session: got %q, closed %v, want its answer", got, closed)
 	}
+	// The caller sees the close before the session has ended.
+	for limit := time.Now().Add(time.Second); f.e.Sessions() > 1 && time.Now().Before(limit); {
+		time.Sleep(time.Millisecond)
+	}
 	if got := f.e.Sessions(); got != 1 {
 		t.Errorf("open sessions: got %d, want 1", got)
 	}
