--- a/internal/home/encoding_test.go
+++ b/internal/home/encoding_test.go
@@ -20,13 +20,13 @@
 }{
 	{"read", &Request{
 		Statement: siskin.Statement{ID: "5c0e7a21d94b36f8", Kind: siskin.Read, Text: "1a4"},
-		Service:   "orders-main", Target: "i-7f3a91c2", Customer: "tenant-12",
+		Service:   "orders-main", Target: "i-7f3a91c2", Customer: "client-12",
 		Proof: FloorProof, Floor: siskin.Position{Term: 3, LSN: 120745}, FloorTTL: 1500 * time.Millisecond,
 		Timeout: 1997123456 * time.Nanosecond, QueueTimeout: 187 * time.Millisecond, AcquireTimeout: 50 * time.Millisecond, TxIdleTimeout: 5500 * time.Millisecond,
 	}},
 	{"write", &Request{
 		Statement: siskin.Statement{ID: "9d0e7a21d94b36f8", Kind: siskin.Execute, Name: "s1", Text: "1a4 xkqpwnzd", Writes: true},
-		Service:   "orders-main", Target: "i-7f3a91c2", Customer: "tenant-12",
+		Service:   "orders-main", Target: "i-7f3a91c2", Customer: "client-12",
 		Values: []Value{{"mode", "strict"}, {"tz", "utc"}}, Prepared: Prepared{Shape: "q2c", Writes: true},
 		Timeout: 1997123456 * time.Nanosecond, QueueTimeout: 187 * time.Millisecond, AcquireTimeout: 50 * time.Millisecond, TxIdleTimeout: 5500 * time.Millisecond,
 	}},
--- a/internal/path/bytes_test.go
+++ b/internal/path/bytes_test.go
@@ -80,7 +80,7 @@
 	p := newPeerPath(b, startHome(b, &fixedHome{}).Address(), io.Discard)
 	req := &home.Request{
 		Statement: siskin.Statement{ID: "5c0e7a21d94b36f8", Kind: siskin.Read, Text: "1a4"},
-		Service:   "orders-main", Target: "i-7f3a91c2", Customer: "tenant-12",
+		Service:   "orders-main", Target: "i-7f3a91c2", Customer: "client-12",
 		Proof: home.FloorProof, Floor: siskin.Position{Term: 3, LSN: 120745}, FloorTTL: 1500 * time.Millisecond,
 		Timeout: 2 * time.Second, QueueTimeout: 187 * time.Millisecond, AcquireTimeout: 50 * time.Millisecond, TxIdleTimeout: 5500 * time.Millisecond,
 	}
