home: a repeated answer does not hide the refusal of a system statement

What callers saw: a single read at a target that had lost the lead was passed on as a read of the primary (STALE): the repeated answer to an earlier BEGIN stood for the refusal of the new one, the refusal for that of the read, and the signed answer of the read, which ran outside of the transaction, replaced it. In the same way an old status or proof of lead counted as new when the target refused the STATUS or BEGIN, a write ran with other values after a refused SET, and a stray refusal in a transaction made its statement wait until the deadline, after which the target counted as silent.

Cause: a refusal fits any statement, and the matching took each refusal for that of the latest statement or a repetition. It can be that of an earlier statement of this VM.

Change: - a late answer replaces a refusal only if it fits the refused statement; otherwise the connection is closed and a read runs elsewhere; - control statements count only if the whole witness behind them succeeded, and no witness consists of equal bits; - a witness follows each setup and precedes the BEGIN of a transaction, and the preparation behind the BEGIN stays; - a refusal that ends an open transaction, and a timeout after stray answers, are out of step instead of a silent target; - the state E after an error outside of a transaction is accepted.

--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -19,14 +19,14 @@
 	// state is the transaction state after the last answer.
 	state      siskin.TxState
 	signatures signatures
-	// unsettled is the refusal of a signed statement that may be a repetition of
-	// an earlier answer, or nil; see settle.
-	unsettled *siskin.Answer
+	// unsettled is the latest refusal that is not settled yet, or nil; see
+	// settle.
+	unsettled *refusal
 	// strays is the number of skipped answers.
 	strays int
-	// witness and begins are the counters of appendWitness and encloseBegin.
-	witness, begins int
-	report          *connReport
+	// witness is the counter of appendWitness.
+	witness int
+	report  *connReport
 
 	values   map[string]string
 	prepared preparedNames
--- a/internal/home/controlexchange.go
+++ b/internal/home/controlexchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"siskintray.example/siskin"
@@ -26,13 +27,19 @@
 		if err != nil {
 			return nil, err
 		}
-		if c.strays == before && c.state == siskin.TxIdle {
+		if c.strays == before && allSucceeded(answers[n:]) {
 			return answers[:n], nil
 		}
 	}
 	return nil, errOutOfStep
 }
 
+// allSucceeded reports whether no statement was refused. A refusal fits any
+// statement, so among the answers to a witness it may be that of an earlier one.
+func allSucceeded(answers []siskin.Answer) bool {
+	return !slices.ContainsFunc(answers, func(a siskin.Answer) bool { return a.Code != siskin.Succeeded })
+}
+
 // discardUnread reads the answers that came after the one to the last statement.
 func (c *conn) discardUnread() error {
 	for range maxStrays {
@@ -41,7 +48,7 @@
 		}
 		_, err := c.Receive(time.Now().Add(unreadTimeout))
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil // the rest of an answer that comes later does not fit
+			return errOutOfStep // a part of an answer may have been read
 		}
 		if err != nil {
 			return err
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"errors"
+	"os"
 	"time"
 
 	"siskintray.example/siskin"
@@ -31,30 +33,53 @@
 		case len(received) > 0:
 			a, received = received[0], received[1:]
 		case err != nil:
-			return answers, err
+			return answers, waitError(err, strays)
 		default:
 			if a, err = c.Receive(deadline); err != nil {
-				return answers, err
+				return answers, waitError(err, strays)
 			}
 		}
 		s := &statements[len(answers)]
 		if m := c.misfit(s, &a); m != noMisfit {
 			c.report.misfit(c, s, &a, m)
-			c.skip(&a, m)
-			if strays++; strays > maxStrays {
+			if strays++; strays > maxStrays || !c.skip(&a, m) {
 				return answers, errOutOfStep
 			}
 			continue
 		}
+		before := c.state
 		c.state = a.State
 		answers = append(answers, a)
-		if isSigned(s.Kind) && a.Code != siskin.Succeeded {
-			c.unsettled = &answers[len(answers)-1]
+		switch {
+		case a.Code == siskin.Succeeded:
+		case before == siskin.TxOpen && a.State == siskin.TxIdle && s.Kind != siskin.Commit && s.Kind != siskin.Rollback:
+			// The refusal of a statement fails its transaction and does not
+			// end it, so this one is from outside of it.
+			return answers[:len(answers)-1], errOutOfStep
+		case isSigned(s.Kind):
+			c.unsettled = &refusal{answer: &answers[len(answers)-1], kind: s.Kind, before: before}
 		}
 	}
 	return answers, err
 }
 
+// waitError returns the error of an exchange whose next answer did not come. After
+// stray answers a timeout does not show that the target is silent.
+func waitError(err error, strays int) error {
+	if strays > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return errOutOfStep
+	}
+	return err
+}
+
+// refusal is the refusal of a signed statement that may be a repetition of an
+// earlier answer.
+type refusal struct {
+	answer *siskin.Answer
+	kind   siskin.StatementKind
+	before siskin.TxState
+}
+
 // misfit reports why an answer cannot be that of the statement s, and remembers
 // its signature.
 func (c *conn) misfit(s *siskin.Statement, a *siskin.Answer) misfit {
@@ -65,11 +90,16 @@
 }
 
 // skip drops an answer of an earlier statement. A new signature can only belong
-// to the signed statement before it, so its refusal was a repetition.
-func (c *conn) skip(a *siskin.Answer, m misfit) {
+// to the signed statement before it, so its refusal was a repetition. The result
+// is false if that statement ran in another state than it was sent in, such as
+// outside of a transaction whose BEGIN was refused.
+func (c *conn) skip(a *siskin.Answer, m misfit) bool {
 	c.strays++
-	if m == unexpectedSignature && c.unsettled != nil {
-		*c.unsettled = *a
-		c.unsettled = nil
+	r := c.unsettled
+	if m != unexpectedSignature || r == nil {
+		return true
 	}
+	c.unsettled = nil
+	*r.answer = *a
+	return findMisfit(r.kind, r.before, a) == noMisfit
 }
--- a/internal/home/misfit.go
+++ b/internal/home/misfit.go
@@ -68,14 +68,9 @@
 // findMisfit compares an answer with what the statement can lead to in the
 // given transaction state. It does not see whether a signature is repeated.
 func findMisfit(k siskin.StatementKind, before siskin.TxState, a *siskin.Answer) misfit {
-	if a.Code != siskin.Succeeded {
-		// Outside of a transaction an error leaves no transaction behind.
-		if before == siskin.TxIdle && isSigned(k) && a.State != siskin.TxIdle {
-			return wrongState
-		}
-		return noMisfit
-	}
 	switch {
+	case a.Code != siskin.Succeeded:
+		return noMisfit
 	case isSigned(k) && a.Signature == "":
 		return unsigned
 	case !isSigned(k) && a.Signature != "":
--- a/internal/home/prove.go
+++ b/internal/home/prove.go
@@ -62,11 +62,15 @@
 		list = append(list, siskin.Statement{Kind: siskin.Rollback})
 	}
 	before := len(list)
-	list = append(list, setup...)
-	if r.req.Mode == Open {
-		list, begin = r.c.encloseBegin(list, begin)
+	if list = append(list, setup...); len(setup) > 0 || r.req.Mode == Open {
+		// The answers to an earlier opening, sent again, do not fit this one.
+		list = r.c.appendWitness(list, setupBits)
 	}
 	first := len(list)
+	if r.req.Mode == Open {
+		// Its answers show the refusal of a BEGIN that a repeated answer hides.
+		begin = appendPreparation(begin)
+	}
 	answers, err := r.c.exchange(r.proofDeadline(), append(list, begin...))
 	if len(answers) > before {
 		r.c.applied(setup, countAccepted(answers[before:], len(setup)))
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -143,8 +143,8 @@
 	}
 	if len(setup) > 0 && (r.req.Statement.MayWrite() || changesValues(setup)) {
 		// A statement pipelined after a value that the target refuses would run
-		// without it. The empty transaction shows an answer too many.
-		if ok, broken := r.prove(setup, []siskin.Statement{{Kind: siskin.BeginRead}, {Kind: siskin.Rollback}}); !ok {
+		// without it.
+		if ok, broken := r.prove(setup, nil); !ok {
 			return broken && reused || r.reply.Cause == Refused && !r.req.Statement.MayWrite()
 		}
 		setup = nil
--- a/internal/home/witness.go
+++ b/internal/home/witness.go
@@ -14,6 +14,7 @@
 const (
 	settleBits  = 4
 	controlBits = 3
+	setupBits   = 3
 )
 
 // witnessName is the name of the prepared statement in a witness. It exists only
@@ -38,10 +39,8 @@
 		if err != nil {
 			return err
 		}
-		for i := range answers {
-			if answers[i].Code != siskin.Succeeded {
-				return errOutOfStep // a refusal fits any statement and shows nothing
-			}
+		if !allSucceeded(answers) {
+			return errOutOfStep
 		}
 		if c.strays == before {
 			c.unsettled = nil
@@ -59,8 +58,9 @@
 // that is prepared and dropped for 1, whose answers differ in the transaction
 // state. So repeated answers to an earlier witness do not fit a later one.
 func (c *conn) appendWitness(list []siskin.Statement, bits int) []siskin.Statement {
-	// Zero is left out: its answers fit again after two of them.
-	c.witness = c.witness%(1<<bits-1) + 1
+	// Equal bits alone are left out: their answers fit again after one or two
+	// of them.
+	c.witness = c.witness%(1<<bits-2) + 1
 	for i := range bits {
 		if c.witness>>i&1 == 0 {
 			list = append(list, siskin.Statement{Kind: siskin.BeginRead}, siskin.Statement{Kind: siskin.Rollback})
@@ -76,14 +76,3 @@
 	return append(list, siskin.Statement{Kind: siskin.Prepare, Name: witnessName, Text: witnessName},
 		siskin.Statement{Kind: siskin.Deallocate, Name: witnessName})
 }
-
-// encloseBegin appends a preparation to begin, since its answers show the refusal
-// of a BEGIN that a repeated answer hides, and every second time one to the list
-// before begin, so that the answers differ from those to the BEGIN before.
-func (c *conn) encloseBegin(list, begin []siskin.Statement) (before, enclosed []siskin.Statement) {
-	c.begins++
-	if c.begins%2 == 0 {
-		list = appendPreparation(list)
-	}
-	return list, appendPreparation(begin)
-}
