home: TestAnyText has CR and LF alone in its texts

Cause: the test was written while a line feed ended a message.

Change: its texts may hold CR and LF, as long as they do not stand together.

--- a/internal/home/anytext_test.go
+++ b/internal/home/anytext_test.go
@@ -27,10 +27,16 @@
 	return req
 }
 
-// oneLine draws any bytes that do not end a message.
+// oneLine draws any bytes without the CR LF that ends a message.
 func oneLine() *rapid.Generator[string] {
-	clean := strings.NewReplacer("\r", "", "\n", "")
-	return rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 40), func(b []byte) string { return clean.Replace(string(b)) })
+	b := rapid.OneOf(rapid.Byte(), rapid.SampledFrom([]byte("\r\n ")))
+	return rapid.Map(rapid.SliceOfN(b, 0, 40), func(b []byte) string {
+		text := string(b)
+		for strings.Contains(text, "\r\n") {
+			text = strings.ReplaceAll(text, "\r\n", "")
+		}
+		return text
+	})
 }
 
 // TestAnyText guards against texts of a session that change what runs, its own
