entry: a session closes its connection before it rolls back

What callers saw: a request that was sent while a session had ended in a planned stop, and still rolled back its open transaction, got no answer, up to half a second after it was sent.

Cause: the rollback, a round trip to the home, came before the close.

Change: the connection is closed first. The caller's next request fails at once, and nothing of it has been read.

Evidence: entry TestCloseBeforeRollback.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -40,9 +40,10 @@
 
 // serve runs the session until the caller or the VM ends it.
 func (s *Session) serve() {
-	defer s.close()
+	defer s.e.remove(s)
 	defer s.recoverPanic()
 	defer s.rollbackOpen() // a panic in it is recovered as well
+	defer s.close()
 	if err := s.start(); err != nil {
 		return
 	}
--- a/internal/entry/sessionend.go
+++ b/internal/entry/sessionend.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// close closes the connection.
+// close closes the connection. It comes before the rollback of an open
+// transaction, whose round trip would leave a further request without an answer.
 func (s *Session) close() {
-	_ = s.c.Close()
-	s.e.remove(s)
+	_ = s.c.Close() // the caller may have closed it
 }
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
 
+	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/home"
 )
 
@@ -120,3 +122,40 @@
 		t.Errorf("idle transaction: got %q, want a close", answer)
 	}
 }
+
+// slowRollback answers each statement, and a rollback only after it is released.
+type slowRollback struct{ release chan struct{} }
+
+func (h slowRollback) Run(_ context.Context, req *home.Request) home.Reply {
+	if req.Statement.Kind == siskin.Rollback {
+		<-h.release
+	}
+	return home.Reply{Outcome: home.Answered, Answer: siskin.Answer{Signature: "1"}, Tx: 1, Home: "vm"}
+}
+
+// TestCloseBeforeRollback guards against a request that is sent while a session,
+// which has ended in a planned stop, still rolls its transaction back, and then
+// gets no answer.
+func TestCloseBeforeRollback(t *testing.T) {
+	f := newFixture(t)
+	homes := slowRollback{make(chan struct{})}
+	f.e.cfg.Homes = homes
+	_, receive := f.openTx(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.e.FinishSessions(5 * time.Second)
+	}()
+	began := time.Now()
+	time.AfterFunc(500*time.Millisecond, func() { close(homes.release) })
+	if got, closed := receive(); !closed {
+		t.Errorf("got %q, want a close", got)
+	}
+	if took := time.Since(began); took > 250*time.Millisecond {
+		t.Errorf("close: got it after %v, want it before the rollback has ended", took)
+	}
+	<-done
+	if got := f.e.Sessions(); got != 0 {
+		t.Errorf("open sessions: got %d, want 0", got)
+	}
+}
