review/6: commits lost with a replica that no list shows

Cause: an acknowledged commit may be on the primary and on a replica that is not listed yet only; a change of primary counts neither.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,7 +4,7 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
 folder="$(mktemp -d)" || exit 2
-timeout 110 "$root/target/review-2/isolated" "$root/target/siskintrayd" "$folder" "$here/record.txt"
+timeout 110 "$root/target/review-2/isolated" join "$root/target/siskintrayd" "$folder" "$here/record.txt"
 code=$?
 [ "$code" -le 1 ] || { cat "$folder"/*.log >&2; code=2; }
 [ -z "$KEEP_LOGS" ] || cp "$folder"/*.log "$KEEP_LOGS"/
--- a/review/isolated/main.go
+++ b/review/isolated/main.go
@@ -53,10 +53,10 @@
 // play returns the exit code: 0 if the rule held, 1 if it was broken, and 2 if the
 // case could not run.
 func play() (int, error) {
-	if len(os.Args) != 4 {
-		return 2, fmt.Errorf("usage: isolated PROGRAM FOLDER RECORD")
+	if len(os.Args) != 5 {
+		return 2, fmt.Errorf("usage: isolated leave|join PROGRAM FOLDER RECORD")
 	}
-	record, err := os.Create(os.Args[3])
+	record, err := os.Create(os.Args[4])
 	if err != nil {
 		return 2, err
 	}
@@ -74,12 +74,19 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go r.heartbeats(stop)
-	f, err := startFleet(os.Args[1], os.Args[2], p.Address(), []string{"coventry", "lichfield", "worcester", "derby"})
+	f, err := startFleet(os.Args[2], os.Args[3], p.Address(), []string{"coventry", "lichfield", "worcester", "derby"})
 	if err != nil {
 		return 2, err
 	}
 	defer f.end()
-	return r.disturb(f)
+	if err := f.awaitServing(30 * time.Second); err != nil {
+		return 2, err
+	}
+	time.Sleep(startTime)
+	if os.Args[1] == "join" {
+		return r.join(f)
+	}
+	return r.leave(f)
 }
 
 // deployment is that of a small site: a route of each kind of the first service.
@@ -113,12 +120,8 @@
 	fmt.Fprintf(r.record, "%8.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// disturb plays the events and judges the result.
-func (r *run) disturb(f *fleet) (int, error) {
-	if err := f.awaitServing(30 * time.Second); err != nil {
-		return 2, err
-	}
-	time.Sleep(startTime)
+// leave plays a replica that leaves while a machine is cut off.
+func (r *run) leave(f *fleet) (int, error) {
 	targets := r.platform.Targets(service)
 	primary, leaving, staying := targets[0], targets[1], targets[2]
 	if !primary.IsPrimary() {
@@ -174,6 +177,61 @@
 	return r.judge(promoted), nil
 }
 
+// join plays a replica that starts while the store is down.
+func (r *run) join(f *fleet) (int, error) {
+	targets := r.platform.Targets(service)
+	primary := targets[0]
+	if !primary.IsPrimary() {
+		return 2, fmt.Errorf("target %s is not the primary", primary.ID())
+	}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for _, v := range f.vms {
+		clients.Go(func() { r.client(v, stop) })
+	}
+	time.Sleep(2 * time.Second)
+	if r.trouble {
+		r.log("the store is down, and primary %s is partitioned from its replicas", primary.ID())
+		for _, v := range f.vms {
+			v.store.cut("", true)
+		}
+		for _, t := range targets[1:] {
+			t.SetReceiveBlocked(true)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	successor, err := r.platform.AddTarget(service)
+	if err != nil {
+		return 2, err
+	}
+	r.log("target %s starts", successor.ID())
+	time.Sleep(1500 * time.Millisecond)
+	if r.trouble {
+		r.log("primary %s crashes", primary.ID())
+		primary.Crash()
+	}
+	promoted := r.awaitPromotion(primary, 4*time.Second)
+	if r.trouble {
+		r.log("the store and the replicas are back")
+	}
+	for _, t := range targets[1:] {
+		t.SetReceiveBlocked(false)
+	}
+	for _, v := range f.vms {
+		v.store.cut("", false)
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	clients.Wait()
+	if promoted == nil {
+		r.log("no other target was promoted")
+		promoted = primary
+	} else {
+		r.log("target %s was promoted", promoted.ID())
+	}
+	return r.judge(promoted), nil
+}
+
 // awaitPromotion returns the primary in place of the given one, or nil if there is
 // none within the time.
 func (r *run) awaitPromotion(old *stand.Target, limit time.Duration) *stand.Target {
