--- a/review/isolated/fleet.go
+++ b/review/isolated/fleet.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"siskintray.example/siskin/platform/stand"
@@ -15,16 +16,21 @@
 
 // vm is one process of the system with the links before it.
 type vm struct {
-	id, caller, ready string
-	cmd               *exec.Cmd
-	log               *os.File
+	id, caller, ready, settings string
+
+	cmd *exec.Cmd
+	log *os.File
 	// peers takes the calls of other machines; store and promoter lead to the
 	// platform.
 	peers, store, promoter *link
 }
 
-// fleet is the machines of a site.
-type fleet struct{ vms []*vm }
+// fleet is the machines of a site. All addresses come from one list.
+type fleet struct {
+	program, folder, platform string
+	free                      []string
+	vms                       []*vm
+}
 
 // settings are those of deploy/siskintrayd.ini for a machine of the small sites.
 const settings = `[VM]
@@ -59,67 +65,104 @@
 Level = info
 `
 
+const (
+	// firstPort and lastPort lie below the ports of outgoing connections, one of
+	// which could otherwise take an address before its process listens.
+	firstPort = 15000
+	lastPort  = 32000
+	portBlock = 100
+)
+
+// freeAddresses returns n free loopback addresses from a block of this process.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for i := range lastPort - firstPort {
+		port := firstPort + (os.Getpid()*portBlock+i)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue // in use
 		}
-		defer l.Close()
 		list = append(list, l.Addr().String())
+		l.Close()
+		if len(list) == n {
+			return list, nil
+		}
 	}
-	return list, nil
+	return nil, fmt.Errorf("no %d free ports", n)
 }
 
 // startFleet starts a machine in each zone.
 func startFleet(program, folder, platform string, zones []string) (*fleet, error) {
-	f := &fleet{}
-	free, err := freeAddresses(4 * len(zones))
-	if err != nil {
+	f := &fleet{program: program, folder: folder, platform: platform}
+	var err error
+	if f.free, err = freeAddresses(8 * len(zones)); err != nil {
 		return f, err
 	}
-	var seeds []string
-	for i, zone := range zones {
-		a := free[4*i:]
-		v := &vm{id: "front-" + zone + "-1", caller: a[0], ready: a[1]}
-		if v.peers, err = newLink(a[2]); err != nil {
-			return f, err
-		}
-		if v.store, err = newLink(platform); err != nil {
-			return f, err
-		}
-		if v.promoter, err = newLink(platform); err != nil {
-			return f, err
+	for _, zone := range zones {
+		v, err := f.add("front-"+zone+"-1", zone)
+		if err == nil {
+			err = v.start(f)
 		}
-		if len(seeds) < 3 {
-			seeds = append(seeds, v.peers.address())
-		}
-		text := fmt.Sprintf(settings, v.id, zone, v.caller, v.ready, a[2], v.peers.address(), strings.Join(seeds, ","), v.store.address(), v.promoter.address(), a[3])
-		path := filepath.Join(folder, v.id+".ini")
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			return f, err
-		}
-		if v.log, err = logFile(folder, v.id); err != nil {
-			return f, err
-		}
-		v.cmd = exec.Command(program, "--protocol", "session", "--config", path)
-		v.cmd.Stdout, v.cmd.Stderr = v.log, v.log
-		if err := v.cmd.Start(); err != nil {
+		if err != nil {
 			f.end()
 			return f, err
 		}
-		f.vms = append(f.vms, v)
 	}
 	return f, nil
 }
 
+// add adds a machine at addresses of its own.
+func (f *fleet) add(id, zone string) (*vm, error) {
+	a := f.free[:4]
+	f.free = f.free[4:]
+	v := &vm{id: id, caller: a[0], ready: a[1]}
+	var err error
+	if v.peers, err = newLink(a[2]); err != nil {
+		return nil, err
+	}
+	if v.store, err = newLink(f.platform); err != nil {
+		return nil, err
+	}
+	if v.promoter, err = newLink(f.platform); err != nil {
+		return nil, err
+	}
+	f.vms = append(f.vms, v)
+	var seeds []string
+	for _, other := range f.vms[:min(3, len(f.vms))] {
+		seeds = append(seeds, other.peers.address())
+	}
+	text := fmt.Sprintf(settings, v.id, zone, v.caller, v.ready, a[2], v.peers.address(), strings.Join(seeds, ","), v.store.address(), v.promoter.address(), a[3])
+	v.settings = filepath.Join(f.folder, v.id+".ini")
+	return v, os.WriteFile(v.settings, []byte(text), 0o600)
+}
+
+// start starts the process of a machine.
+func (v *vm) start(f *fleet) error {
+	var err error
+	if v.log, err = logFile(f.folder, v.id); err != nil {
+		return err
+	}
+	v.cmd = exec.Command(f.program, "--protocol", "session", "--config", v.settings)
+	v.cmd.Stdout, v.cmd.Stderr = v.log, v.log
+	return v.cmd.Start()
+}
+
+// stop ends the process of a machine with a signal, and with a kill after the
+// grace.
+func (v *vm) stop(sig syscall.Signal) {
+	_ = v.cmd.Process.Signal(sig) // it may have ended
+	kill := time.AfterFunc(6*time.Second, func() { _ = v.cmd.Process.Kill() })
+	_ = v.cmd.Wait()
+	kill.Stop()
+	v.log.Close()
+}
+
 // end kills the processes.
 func (f *fleet) end() {
 	for _, v := range f.vms {
-		_ = v.cmd.Process.Kill() // it may have ended
-		_ = v.cmd.Wait()
-		v.log.Close()
+		if v.cmd != nil && v.cmd.Process != nil {
+			v.stop(syscall.SIGKILL)
+		}
 	}
 }
 
@@ -150,14 +193,19 @@
 	return nil
 }
 
-func (v *vm) serves() bool {
+// isReady asks the readiness probe.
+func (v *vm) isReady() bool {
 	client := &http.Client{Timeout: time.Second}
 	res, err := client.Get("http://" + v.ready + "/ready")
 	if err != nil {
 		return false
 	}
 	res.Body.Close()
-	if res.StatusCode != http.StatusOK {
+	return res.StatusCode == http.StatusOK
+}
+
+func (v *vm) serves() bool {
+	if !v.isReady() {
 		return false
 	}
 	c, err := stand.Dial(v.caller, "entry", key)
--- a/review/isolated/main.go
+++ b/review/isolated/main.go
@@ -54,7 +54,7 @@
 // case could not run.
 func play() (int, error) {
 	if len(os.Args) != 5 {
-		return 2, fmt.Errorf("usage: isolated leave|join PROGRAM FOLDER RECORD")
+		return 2, fmt.Errorf("usage: isolated leave|join|replace PROGRAM FOLDER RECORD")
 	}
 	record, err := os.Create(os.Args[4])
 	if err != nil {
@@ -83,8 +83,11 @@
 		return 2, err
 	}
 	time.Sleep(startTime)
-	if os.Args[1] == "join" {
+	switch os.Args[1] {
+	case "join":
 		return r.join(f)
+	case "replace":
+		return r.replace(f)
 	}
 	return r.leave(f)
 }
@@ -303,5 +306,5 @@
 }
 
 func logFile(folder, id string) (*os.File, error) {
-	return os.Create(filepath.Join(folder, id+".log"))
+	return os.OpenFile(filepath.Join(folder, id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 }
