home, lease: commits wait for listed replicas to have them

Callers saw: acknowledged writes that were gone after a failover. With the store down and the primary partitioned from its replicas, a replica that no list showed yet received the commits alone; the change of primary claimed the two listed ones and promoted one of them.

Cause: the acknowledgement of a primary does not say which replica has the commit, and homes passed it on while listed replicas were unclaimed, whether they had received it or not. Evidence: the VMs' logs show two claims that held, both at the position from before the partition.

Change: a commit is passed on once sync_replicas listed replicas that do not drain are known to have received it. So far that was asked only while a replica drained. One poll serves all commits that wait and asks one replica first. A commit extends a lease only after that. Any set of targets that a change may claim now contains one with the commit.

--- a/internal/home/acknowledge.go
+++ b/internal/home/acknowledge.go
@@ -23,7 +23,7 @@
 	if !ok && h.ReplicaClaimed(l.target()) {
 		l.refusals.add(now)
 	}
-	return ok && h.stayingReplicasReceive(ctx, service, l)
+	return ok && h.replicasKeepUp(ctx, service, l)
 }
 
 // needsLease reports whether commits of a service depend on replicas. It is
@@ -47,20 +47,19 @@
 
 // confirmCommit checks whether a lease covers a commit that was sent after the
 // time asked and acknowledged at position p. When the commit took longer than
-// its lease, it requests another lease from the replicas. While a replica
-// drains, it waits until the deadline for the replicas that stay to receive the
-// commit.
+// its lease, it requests another lease from the replicas. It waits until the
+// deadline for replicas that a change of primary counts to receive the commit.
 func (h *Homes) confirmCommit(service siskin.ServiceName, l *pool, p siskin.Position, asked, deadline time.Time) commitAck {
 	if !h.needsLease(service) {
 		return commitAck{durable: true, provesPrimary: h.answerSuffices()}
 	}
 	leases, id, now := h.cfg.LeaseConfig.Leases, l.target(), h.cfg.Clock.Now()
-	durable := leases.Extend(id, p.Term, asked, now)
+	durable := leases.Covers(id, p.Term, now)
 	// A renewal in progress may have started before the acknowledgement and
 	// fail for a reason that no longer exists.
 	for i := 0; i < 2 && !durable; i++ {
 		<-h.renew(service, l, p.Term)
-		durable = leases.Extend(id, p.Term, asked, now)
+		durable = leases.Covers(id, p.Term, now)
 	}
 	if !durable {
 		h.cfg.LeaseConfig.Log.Warn().Str("Service", string(service)).Str("Target", string(id)).
@@ -68,12 +67,13 @@
 			Msg("commit was acknowledged but the replicas did not confirm the primary; its outcome is unknown")
 		return commitAck{}
 	}
-	if !h.awaitStayingReplicas(service, l, p, asked, deadline) {
+	if !h.awaitReceipt(service, l, p, asked, deadline) {
 		h.cfg.LeaseConfig.Log.Warn().Str("Service", string(service)).Str("Target", string(id)).
 			Uint64("Term", uint64(p.Term)).Uint64("LSN", uint64(p.LSN)).
-			Msg("commit was acknowledged but no replica that stays has received it; its outcome is unknown")
+			Msg("commit was acknowledged but the listed replicas that stay have not received it; its outcome is unknown")
 		return commitAck{}
 	}
+	leases.Extend(id, p.Term, asked, now)
 	l.refusals.clear()
 	return commitAck{durable: true, provesPrimary: true}
 }
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -29,12 +29,10 @@
 	// Listed returns the time since which service discovery has listed the
 	// present run of a target, and the time of the request for its latest list.
 	Listed func(siskin.TargetID) (since, listed time.Time, ok bool)
-	// Departing reports whether a target of a service other than the given one
-	// drains or may still run after it has left. Covered records that the
-	// staying replicas have every commit that the given primary acknowledged
-	// before asked. Both are nil where targets never leave.
-	Departing func(siskin.ServiceName, siskin.TargetID) bool
-	Covered   func(name siskin.ServiceName, primary siskin.TargetID, asked time.Time)
+	// Covered records that the staying replicas have every commit that the
+	// given primary acknowledged before asked. It is nil where targets never
+	// leave.
+	Covered func(name siskin.ServiceName, primary siskin.TargetID, asked time.Time)
 	// Status queries the state of a target, through its home or directly.
 	Status func(context.Context, siskin.TargetID) (Observation, error)
 	Log    *log.Logger
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,11 +57,11 @@
 	if term, err = h.pollTerm(ctx, service, id, term); err != nil {
 		return siskin.KindOf(err) == siskin.Overloaded, err
 	}
-	replicas := slices.DeleteFunc(slices.Clone(leaseCfg.Targets(service)), func(t siskin.TargetInfo) bool { return t.ID == id })
+	replicas := h.listedReplicas(service, l)
 	asked := h.cfg.Clock.Now()
 	// A change of primary needs no claim of a draining replica once the others
 	// have its commits, so it confirms the primary only if there are no others.
-	stay := len(h.stayingReplicas(service, l)) >= lease.Quorum(spec.SyncReplicas)
+	stay := h.enoughStay(service, l)
 	poll := lease.Poll{Term: term, SyncReplicas: spec.SyncReplicas, Replicas: len(replicas), GroupSize: leaseCfg.GroupSize(service)}
 	var last error
 	for _, part := range l.renewal.order(len(replicas), lease.Quorum(spec.SyncReplicas)) {
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -44,7 +44,7 @@
 	writes   writes
 	refusals refusals
 	renewal  renewal
-	staying  staying
+	receipts receipts
 	speed    *speed.Target
 
 	mu          sync.Mutex
--- a/internal/lease/leases.go
+++ b/internal/lease/leases.go
@@ -62,12 +62,21 @@
 	l.entries[id] = e
 }
 
+// Covers reports whether a lease covers a commit of the given term that was
+// acknowledged before now.
+func (l *Leases) Covers(id siskin.TargetID, term siskin.Term, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.entries[id]
+	return ok && e.covers(term, now)
+}
+
 // Extend renews a lease with a commit of the given term that was sent at asked
-// and acknowledged before now. It reports whether a lease covers the commit at
-// now. A claimed replica that restarted may have acknowledged the commit, so a
-// commit alone is no evidence: the change that had claimed the replica detects
-// the lost claim before it orders the promotion, which happens no earlier than
-// the end of the lease.
+// and acknowledged before now, and that enough replicas have received. It
+// reports whether a lease covers the commit at now. A claimed replica that
+// restarted may have acknowledged the commit, so a commit alone is no evidence:
+// the change that had claimed the replica detects the lost claim before it orders
+// the promotion, which happens no earlier than the end of the lease.
 func (l *Leases) Extend(id siskin.TargetID, term siskin.Term, asked, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/roster/departure.go
+++ b/internal/roster/departure.go
@@ -88,19 +88,6 @@
 	}
 }
 
-// Departing reports whether a target of a service other than the given one
-// drains, or has left and may still acknowledge commits.
-func (r *Roster) Departing(name siskin.ServiceName, except siskin.TargetID) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	for id, d := range r.departures {
-		if d.service == name && id != except && (d.goneAt.IsZero() || r.listed.Sub(d.goneAt) <= departureLinger) {
-			return true
-		}
-	}
-	return false
-}
-
 // Uncovered reports whether a service has departures that CoverDepartures would
 // cover at the given time.
 func (r *Roster) Uncovered(name siskin.ServiceName, at time.Time) bool {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -125,7 +125,7 @@
 	n.leases = lease.New()
 	return &home.LeaseConfig{
 		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, GroupSize: n.roster.Size, Listed: n.runStart, Log: n.log,
-		Departing: n.roster.Departing, Covered: n.coverDepartures,
+		Covered: n.coverDepartures,
 		Status: func(ctx context.Context, id siskin.TargetID) (home.Observation, error) {
 			return n.path.Observe(ctx, id)
 		},
