home, roster, elect: a VM relies on its list of targets by its age

Callers saw: acknowledged writes of one VM that were gone after a failover. The VM was cut off from the store and the other VMs while a replica left; it passed on commits that only the leaving replica had received, and the others promoted a target without them.

Cause: a departure counted as covered 2 s after it was known, when all VMs that reach the store or a peer know of it. A VM that reaches neither used its list, and a lease that rested on the leaving replica, whatever their age.

Change: a list is current (2.75 s old, or the VM is in contact with all others and none has a newer one), outdated or expired (14 s). With an outdated list all listed replicas of a complete group must have a commit; with an expired one writes are refused as not run. A change of a failed primary needs a current list: it may not know a successor otherwise. A replica that has just joined is no evidence by itself. A departure is covered after 3 s, and only so many that enough replicas of an old list remain.

--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -51,6 +51,8 @@
 	knownSince time.Time
 	// lastHeard is the time when the last answered ping was sent.
 	lastHeard time.Time
+	// targets is the version of the peer's list of targets in that answer.
+	targets siskin.Version
 	// suspect is set by a failed call and cleared by the next answered ping.
 	suspect      bool
 	nextPing     time.Time // when the next ping is due
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -52,7 +52,7 @@
 		if m.suspect || m.lastHeard.IsZero() {
 			c.cfg.Log.Info().Str("VM", string(reply.From.ID)).Uint64("Run", uint64(reply.From.Run)).Msg("contact to a VM")
 		}
-		m.lastHeard, m.suspect, m.leaving = sentAt, false, reply.Leaving
+		m.lastHeard, m.suspect, m.leaving, m.targets = sentAt, false, reply.Leaving, reply.Targets
 		if c.isLocal(m) {
 			for _, dc := range reply.Silent {
 				c.markSilent(dc, sentAt.Add(silentReportTTL))
@@ -125,7 +125,7 @@
 	}
 	c.applyVersions(s, sentAt)
 	c.cfg.Roster.LearnSizes(s.Sizes, sentAt)
-	c.cfg.Roster.LearnCovered(s.Covered)
+	c.cfg.Roster.LearnCovered(s.Covered, c.syncReplicas, sentAt)
 	if len(s.SizesOfAll) > 0 {
 		c.cfg.Roster.LearnSizesOfAll(s.SizesOfAll, sentAt)
 	}
--- a/internal/elect/change_test.go
+++ b/internal/elect/change_test.go
@@ -47,7 +47,7 @@
 	})
 	e := &Elector{
 		cfg: Config{
-			Clock: boot.Clock{}, Fencing: true, Members: oneVM{}, Roster: targets, Views: v, Homes: homes,
+			Clock: boot.Clock{}, Fencing: true, ListState: func() siskin.ListState { return siskin.ListCurrent }, Members: oneVM{}, Roster: targets, Views: v, Homes: homes,
 			Status: platform.ParseStatus, Log: logs.New("error", "json", io.Discard),
 			Store: &platform.Store{BaseURL: "http://" + p.Address(), HTTP: &http.Client{}, Timeout: time.Second},
 		},
@@ -504,3 +504,17 @@
 		t.Errorf("after a proof that it is primary: got a stall of %v, want none", got)
 	}
 }
+
+// TestOutdatedListOrdersNothing guards against a promotion of a target that
+// lacks commits of a replica which other VMs know and this one does not.
+func TestOutdatedListOrdersNothing(t *testing.T) {
+	c, _ := newChange(t)
+	c.claimTargets(t)
+	if err := c.recheckClaims(t.Context()); err != nil {
+		t.Fatalf("check with a current list: got %v, want none", err)
+	}
+	c.e.cfg.ListState = func() siskin.ListState { return siskin.ListOutdated }
+	if got, want := siskin.KindOf(c.recheckClaims(t.Context())), siskin.Unavailable; got != want {
+		t.Errorf("check with an outdated list: got %v, want %v", got, want)
+	}
+}
--- a/internal/elect/check.go
+++ b/internal/elect/check.go
@@ -11,6 +11,10 @@
 // has lost its claim and its log.
 func (c *change) recheckClaims(ctx context.Context) error {
 	c.checkedAt = c.e.cfg.Clock.Now()
+	// The candidate of a planned change has the whole log of the primary.
+	if s := c.e.cfg.ListState(); s != siskin.ListCurrent && !c.planned {
+		return siskin.NewError(siskin.Unavailable, "the list of the targets of %s is no longer current: %s", c.spec.Name, s).WithRemedy("restore the store or the network between the VMs")
+	}
 	if id, ok := joinedTarget(c.claims, c.e.cfg.Roster.Service(c.spec.Name)); ok {
 		return siskin.NewError(siskin.Conflict, "target %s joined after the claims of term %d", id, c.term).WithRemedy("claim again")
 	}
--- a/internal/elect/elector.go
+++ b/internal/elect/elector.go
@@ -32,6 +32,8 @@
 	Store    siskin.Store
 	Promoter siskin.Promoter
 	Run      siskin.Incarnation // of this VM, stored with its fencing tokens
+	// ListState says how far the list of targets can be relied on.
+	ListState func() siskin.ListState
 	// Fencing reports that the platform refuses a fencing token lower than one
 	// it has seen, and that a promotion demotes the former primary. Otherwise
 	// this package orders the changes and makes the former primary step down.
@@ -178,8 +180,8 @@
 		return
 	}
 	a := decide(obs)
-	if a != handoff && !e.cfg.Roster.SizesKnown() {
-		return // missing targets would not be counted
+	if a != handoff && (!e.cfg.Roster.SizesKnown() || e.cfg.ListState() != siskin.ListCurrent) {
+		return // missing or new targets would not be counted
 	}
 	if a != wait {
 		w.changing = true
--- a/internal/home/acknowledge.go
+++ b/internal/home/acknowledge.go
@@ -17,6 +17,9 @@
 	if !h.needsLease(service) {
 		return true
 	}
+	if h.listState() == siskin.ListExpired {
+		return false
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	now, ok := h.awaitLease(ctx, service, l)
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -29,6 +29,11 @@
 	// Listed returns the time since which service discovery has listed the
 	// present run of a target, and the time of the request for its latest list.
 	Listed func(siskin.TargetID) (since, listed time.Time, ok bool)
+	// ListState says how far the list of targets can be relied on, and Settled
+	// whether every VM that may order a change of primary knows a target. Lists
+	// are current and targets settled if they are nil.
+	ListState func() siskin.ListState
+	Settled   func(siskin.TargetID) bool
 	// Covered records that the staying replicas have every commit that the
 	// given primary acknowledged before asked. It is nil where targets never
 	// leave.
--- a/internal/home/poll.go
+++ b/internal/home/poll.go
@@ -54,6 +54,9 @@
 	if !ok {
 		return false, siskin.NewError(siskin.Unavailable, "service %s is not configured", service)
 	}
+	if h.listState() == siskin.ListExpired {
+		return false, siskin.NewError(siskin.Unavailable, "the list of the targets of %s has expired", service)
+	}
 	if term, err = h.pollTerm(ctx, service, id, term); err != nil {
 		return siskin.KindOf(err) == siskin.Overloaded, err
 	}
@@ -62,6 +65,7 @@
 	// A change of primary needs no claim of a draining replica once the others
 	// have its commits, so it confirms the primary only if there are no others.
 	stay := h.enoughStay(service, l)
+	current := h.listState() == siskin.ListCurrent
 	poll := lease.Poll{Term: term, SyncReplicas: spec.SyncReplicas, Replicas: len(replicas), GroupSize: leaseCfg.GroupSize(service)}
 	var last error
 	for _, part := range l.renewal.order(len(replicas), lease.Quorum(spec.SyncReplicas)) {
@@ -92,7 +96,7 @@
 				last = preferConflict(last, siskin.NewError(siskin.Unavailable, "replica %s drains", replicas[n].ID))
 				continue
 			}
-			trusted := leaseCfg.Leases.Trusted(id, term, h.runningSince(replicas[n].ID, a.o.ConnAge), asked, lease.MinTrustedUptime)
+			trusted := current && h.settled(replicas[n].ID) && leaseCfg.Leases.Trusted(id, term, h.runningSince(replicas[n].ID, a.o.ConnAge), asked, lease.MinTrustedUptime)
 			poll.Add(*s, trusted)
 			switch {
 			case !lease.Unclaimed(*s, term):
--- a/internal/home/receiptpoll.go
+++ b/internal/home/receiptpoll.go
@@ -1,7 +1,9 @@
 package home
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/lease"
@@ -19,14 +21,18 @@
 // for.
 func (h *Homes) askReceipts(service siskin.ServiceName, l *pool) (received siskin.Position, first siskin.TargetID) {
 	spec, ok := h.cfg.LeaseConfig.Service(service)
-	if !ok {
+	state := h.listState()
+	if !ok || state == siskin.ListExpired {
 		return siskin.Position{}, ""
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
 	result := lease.Receipts{Needed: lease.Quorum(spec.SyncReplicas)}
 	replicas := h.countedReplicas(service, l, result.Needed)
-	wanted := l.receipts.order(replicas)
+	result.Replicas = len(replicas)
+	if state == siskin.ListOutdated {
+		result.Replicas = max(result.Replicas, h.cfg.LeaseConfig.GroupSize(service)-1)
+	}
 	answers := make(chan receiptAnswer, len(replicas))
 	asked := 0
 	askUpTo := func(n int) {
@@ -41,7 +47,16 @@
 			}
 		}
 	}
-	askUpTo(min(result.Needed, len(replicas)))
+	settled := make(map[siskin.TargetID]bool)
+	for _, t := range replicas {
+		settled[t.ID] = state == siskin.ListCurrent && h.settled(t.ID)
+	}
+	wanted := l.receipts.order(replicas, settled)
+	initial := len(replicas)
+	if n := result.Needed; n < len(replicas) && settled[replicas[n-1].ID] {
+		initial = n
+	}
+	askUpTo(initial)
 	grace := h.cfg.Clock.After(receiptGrace)
 	for answered := 0; answered < len(replicas); {
 		if answered == asked {
@@ -56,14 +71,14 @@
 			if first == "" {
 				first = a.id
 			}
-			if result.Add(a.o.Status.Received); result.Received().Compare(wanted) >= 0 {
+			if result.Add(a.o.Status.Received, settled[a.id]); result.Received().Compare(wanted) >= 0 {
 				return result.Received(), first
 			}
-			if asked == len(replicas) && grace == nil && result.Len() >= result.Needed {
+			if asked == len(replicas) && grace == nil && result.Enough() {
 				grace = h.cfg.Clock.After(receiptGrace)
 			}
 		case <-grace:
-			if grace = nil; asked == len(replicas) && result.Len() >= result.Needed {
+			if grace = nil; asked == len(replicas) && result.Enough() {
 				return result.Received(), first
 			}
 			askUpTo(len(replicas))
@@ -75,15 +90,35 @@
 // errClosed is the error of a request that begins after Close.
 var errClosed = siskin.NewError(siskin.Unavailable, "this VM has stopped")
 
-// order puts the replica to ask first at the start of the list, and returns the
-// position that commits wait for.
-func (r *receipts) order(replicas []siskin.TargetInfo) (wanted siskin.Position) {
+// order puts the settled replicas at the start of the list, and of these the one
+// to ask first, and returns the position that commits wait for.
+func (r *receipts) order(replicas []siskin.TargetInfo, settled map[siskin.TargetID]bool) (wanted siskin.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i := range replicas {
-		if replicas[i].ID == r.first {
-			replicas[0], replicas[i] = replicas[i], replicas[0]
+	rank := func(t siskin.TargetInfo) int {
+		switch {
+		case !settled[t.ID]:
+			return 2
+		case t.ID != r.first:
+			return 1
+		default:
+			return 0
 		}
 	}
+	slices.SortStableFunc(replicas, func(a, b siskin.TargetInfo) int { return cmp.Compare(rank(a), rank(b)) })
 	return r.wanted
 }
+
+// listState says how far the list of targets can be relied on.
+func (h *Homes) listState() siskin.ListState {
+	if h.cfg.LeaseConfig.ListState == nil {
+		return siskin.ListCurrent
+	}
+	return h.cfg.LeaseConfig.ListState()
+}
+
+// settled reports whether every VM that may order a change of primary knows a
+// target.
+func (h *Homes) settled(id siskin.TargetID) bool {
+	return h.cfg.LeaseConfig.Settled == nil || h.cfg.LeaseConfig.Settled(id)
+}
--- a/internal/home/receipts.go
+++ b/internal/home/receipts.go
@@ -140,7 +140,7 @@
 		<-h.pollReceipts(service, l)
 		switch left := time.Until(deadline); {
 		case l.receipts.hasReceived(p):
-		case left <= 0:
+		case left <= 0 || h.listState() == siskin.ListExpired:
 			l.receipts.setBehind(p)
 			return false
 		case attempt == 0:
--- a/internal/home/receipts_test.go
+++ b/internal/home/receipts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/lease"
 	"siskintray.example/siskin/platform/stand"
 )
 
@@ -125,3 +126,51 @@
 		t.Errorf("departures covered without a staying replica: got %d, want none", got)
 	}
 }
+
+// TestOutdatedList guards against commits that are reported as successful
+// although this VM may not know the targets that a change of primary counts.
+func TestOutdatedList(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		state          siskin.ListState
+		unsettled      bool
+		blocked        bool // the last replica receives nothing
+		unlisted       bool // the last replica is missing from the list
+		want           Outcome
+		wantCause      Cause
+		wantNextIsSent bool
+	}{
+		{"current", siskin.ListCurrent, false, true, false, Answered, 0, true},
+		{"outdated, all replicas have it", siskin.ListOutdated, false, false, false, Answered, 0, true},
+		{"outdated, one lacks it", siskin.ListOutdated, false, true, false, AnswerLost, Unconfirmed, false},
+		{"outdated, one is not listed", siskin.ListOutdated, false, false, true, NotSent, Stalled, false},
+		{"expired", siskin.ListExpired, false, false, false, NotSent, Stalled, false},
+		{"all replicas have just joined and have it", siskin.ListCurrent, true, false, false, Answered, 0, true},
+		{"all replicas have just joined, one lacks it", siskin.ListCurrent, true, true, false, AnswerLost, Unconfirmed, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := fenced(t)
+			cfg := f.homes.cfg.LeaseConfig
+			f.expectWriteSuccess(f.target(0))
+			cfg.ListState = func() siskin.ListState { return c.state }
+			cfg.Settled = func(siskin.TargetID) bool { return !c.unsettled }
+			if listed := cfg.Targets; c.unlisted {
+				cfg.Targets = func(name siskin.ServiceName) []siskin.TargetInfo { return listed(name)[:2] }
+			}
+			f.target(2).SetReceiveBlocked(c.blocked)
+			time.Sleep(lease.TTL) // the lease is from before
+			req := request(f.target(0), siskin.Write, "x 1")
+			if got := f.run(req); got.Outcome != c.want || got.Cause != c.wantCause {
+				t.Errorf("write: got %v and %v, want %v and %v", got.Outcome, got.Cause, c.want, c.wantCause)
+			}
+			begun := time.Now()
+			got := f.run(request(f.target(0), siskin.Write, "x 2"))
+			if sent := got.Outcome != NotSent; sent != c.wantNextIsSent {
+				t.Errorf("next write: got %v and %v, want sent %t", got.Outcome, got.Cause, c.wantNextIsSent)
+			}
+			if took := time.Since(begun); !c.wantNextIsSent && took > renewTimeout {
+				t.Errorf("refusal: got it after %v, want at most %v", took, renewTimeout)
+			}
+		})
+	}
+}
--- a/internal/roster/departure.go
+++ b/internal/roster/departure.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,10 +9,12 @@
 )
 
 const (
-	// departureNoticeDelay is the time in which all VMs that reach the store or
-	// a peer learn that a target drains: lists are read every 1.5 s and passed
-	// on with pings every 0.3 s.
-	departureNoticeDelay = 2 * time.Second
+	// departureNoticeDelay is the time after which no VM whose list is current
+	// counts a draining target any more. It exceeds currentListAge because the
+	// rates of two clocks may differ.
+	departureNoticeDelay = currentListAge + currentListAge/11
+	// outdatedNoticeDelay is the same for VMs whose list is outdated.
+	outdatedNoticeDelay = usableListAge + usableListAge/11
 	// departureLinger is the time for which a target that has left service
 	// discovery may still be running and acknowledge commits.
 	departureLinger = 30 * time.Second
@@ -104,20 +107,42 @@
 // CoverDepartures records that the staying replicas have every commit that the
 // given primary had acknowledged at a moment after asked. It returns the
 // targets that this covers: those known to drain for long enough that all VMs
-// require the staying replicas for later commits. A primary that drains itself
-// covers none, since it is one of the targets that have the commits.
-func (r *Roster) CoverDepartures(name siskin.ServiceName, primary siskin.TargetID, asked time.Time) []siskin.TargetID {
+// whose list is current require the staying replicas for later commits. A
+// primary that drains itself covers none, since it is one of the targets that
+// have the commits.
+func (r *Roster) CoverDepartures(name siskin.ServiceName, primary siskin.TargetID, syncReplicas int, asked time.Time) []siskin.TargetID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, ok := r.departures[primary]; ok || r.targets[primary] == nil {
 		return nil
 	}
-	var covered []siskin.TargetID
+	var ids []siskin.TargetID
 	for id, d := range r.departures {
-		if d.service == name && !d.covered && asked.Sub(d.since) >= departureNoticeDelay {
-			d.covered = true
-			covered = append(covered, id)
+		if d.service == name && asked.Sub(d.since) >= departureNoticeDelay {
+			ids = append(ids, id)
+		}
+	}
+	return r.cover(ids, asked, func(siskin.ServiceName) int { return syncReplicas })
+}
+
+// cover marks departures as covered, the earliest first, and returns them. VMs
+// whose list is outdated may not know of those that are younger than
+// outdatedNoticeDelay, and pass on commits that all replicas of their list have.
+// Only so many of these may be covered that enough replicas remain. The caller
+// holds mu.
+func (r *Roster) cover(ids []siskin.TargetID, at time.Time, syncReplicas func(siskin.ServiceName) int) []siskin.TargetID {
+	slices.SortFunc(ids, func(a, b siskin.TargetID) int {
+		return cmp.Or(r.departures[a].since.Compare(r.departures[b].since), cmp.Compare(a, b))
+	})
+	var covered []siskin.TargetID
+	for _, id := range ids {
+		d := r.departures[id]
+		young := at.Sub(d.since) < outdatedNoticeDelay
+		if d.covered || young && r.youngCovered(d.service, at) >= r.spareReplicas(d.service, syncReplicas(d.service)) {
+			continue
 		}
+		d.covered = true
+		covered = append(covered, id)
 	}
 	if len(covered) > 0 {
 		r.updatePeaks()
@@ -125,6 +150,28 @@
 	return covered
 }
 
+// youngCovered returns the number of covered departures of a service that are
+// younger than outdatedNoticeDelay. The caller holds mu.
+func (r *Roster) youngCovered(name siskin.ServiceName, at time.Time) int {
+	n := 0
+	for _, d := range r.departures {
+		if d.service == name && d.covered && at.Sub(d.since) < outdatedNoticeDelay {
+			n++
+		}
+	}
+	return n
+}
+
+// spareReplicas returns the number of replicas of a complete group that commits
+// do not need. The caller holds mu.
+func (r *Roster) spareReplicas(name siskin.ServiceName, syncReplicas int) int {
+	s := r.sizes[name]
+	if s == nil {
+		return 0
+	}
+	return s.n - 1 - max(syncReplicas, 1)
+}
+
 // Covered returns the covered departures, ordered by id.
 func (r *Roster) Covered() []siskin.TargetID {
 	r.mu.RLock()
@@ -139,19 +186,12 @@
 	return list
 }
 
-// LearnCovered applies the covered departures of another VM.
-func (r *Roster) LearnCovered(list []siskin.TargetID) {
+// LearnCovered applies the covered departures of another VM, which are as many
+// as this VM may cover itself at the given time.
+func (r *Roster) LearnCovered(list []siskin.TargetID, syncReplicas func(siskin.ServiceName) int, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := false
-	for _, id := range list {
-		if d := r.departures[id]; d != nil && !d.covered {
-			d.covered, changed = true, true
-		}
-	}
-	if changed {
-		r.updatePeaks()
-	}
+	r.cover(slices.DeleteFunc(slices.Clone(list), func(id siskin.TargetID) bool { return r.departures[id] == nil }), at, syncReplicas)
 }
 
 // IsCovered reports whether a target drains and the staying targets have every
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -32,7 +32,9 @@
 
 // TestDepartures guards against a replica that leaves and is forgotten while it
 // alone has acknowledged commits: a change of primary that counts the remaining
-// targets as the whole group then loses them.
+// targets as the whole group then loses them. It also guards against so many
+// covered departures that all replicas in the list of a VM which is cut off have
+// left.
 func TestDepartures(t *testing.T) {
 	runScripts(t, "departures.txtar", func(r *Roster) string { return strconv.Itoa(r.Size("s")) })
 }
@@ -44,13 +46,16 @@
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
 	list := []siskin.TargetInfo{{ID: "a", Service: "s", Draining: true}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}
 	r.Replace(list, 1, at(0))
-	if got := r.CoverDepartures("s", "a", at(5)); len(got) > 0 {
+	if got := r.CoverDepartures("s", "a", 1, at(5)); len(got) > 0 {
 		t.Errorf("covered by the draining primary itself: got %v, want none", got)
 	}
 	if got := r.Size("s"); got != 3 {
 		t.Errorf("size with an uncovered primary that drains: got %d, want 3", got)
 	}
-	if got := r.CoverDepartures("s", "b", at(5)); len(got) != 1 || !r.IsCovered("a") {
+	if got := r.CoverDepartures("s", "b", 1, at(15)); len(got) > 0 {
+		t.Errorf("covered while it leaves one replica of two: got %v, want none", got)
+	}
+	if got := r.CoverDepartures("s", "b", 1, at(16)); len(got) != 1 || !r.IsCovered("a") {
 		t.Errorf("covered by the next primary: got %v, want a", got)
 	}
 	if got := r.Size("s"); got != 2 {
@@ -101,7 +106,15 @@
 		return
 	}
 	if words[1] == "covered" {
-		r.CoverDepartures("s", siskin.TargetID(words[2]), time.Unix(1000, 0).Add(after))
+		r.CoverDepartures("s", siskin.TargetID(words[2]), 1, time.Unix(1000, 0).Add(after))
+		return
+	}
+	if words[1] == "learned" {
+		var list []siskin.TargetID
+		for _, id := range words[2:] {
+			list = append(list, siskin.TargetID(id))
+		}
+		r.LearnCovered(list, func(siskin.ServiceName) int { return 1 }, time.Unix(1000, 0).Add(after))
 		return
 	}
 	version, err2 := strconv.ParseUint(words[1], 10, 64)
--- a/internal/sysd/leaving_test.go
+++ b/internal/sysd/leaving_test.go
@@ -1,8 +1,11 @@
 package sysd
 
 import (
+	"errors"
 	"testing"
 	"time"
+
+	"siskintray.example/siskin"
 )
 
 const (
@@ -44,6 +47,67 @@
 	})
 }
 
+// cutOff separates a VM from the platform and the other VMs for good. Callers and
+// targets reach it. The result ends the separation from the VMs.
+func (f *testFleet) cutOff(i int) (rejoin func()) {
+	id := siskin.VMID(f.node(i).cfg.VM.ID)
+	if err := errors.Join(f.node(i).feed.Close(), f.node(i).elect.Close()); err != nil {
+		f.t.Fatal(err)
+	}
+	for _, n := range f.nodes {
+		n.peers.SetLookup(func(peer siskin.VMID) (string, bool) {
+			if n == f.node(i) || peer == id {
+				return "", false
+			}
+			return n.crew.Address(peer)
+		})
+	}
+	return func() {
+		for _, n := range f.nodes {
+			n.peers.SetLookup(n.crew.Address)
+		}
+	}
+}
+
+// TestCutOffWhileReplicaLeaves guards against acknowledged commits that are lost
+// because a VM that is cut off does not know that the only replica which has
+// them leaves.
+func TestCutOffWhileReplicaLeaves(t *testing.T) {
+	f := startFleet(t, 3)
+	f.writeDuring(func() {
+		primary := f.platform.Primary("ledger")
+		targets := f.platform.Targets("ledger")
+		leaving, staying := targets[1], targets[2]
+		successor, err := f.platform.AddTarget("ledger")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.await("all VMs know the successor", 5*time.Second, func() bool {
+			for _, n := range f.nodes {
+				if len(n.roster.Service("ledger")) != 4 {
+					return false
+				}
+			}
+			return true
+		})
+		rejoin := f.cutOff(0)
+		f.platform.SetDraining(leaving)
+		time.Sleep(noticeTime)
+		staying.SetReceiveBlocked(true)
+		successor.SetReceiveBlocked(true)
+		time.Sleep(drainTime - noticeTime)
+		primary.Crash()
+		f.awaitNewPrimary(string(primary.ID()))
+		staying.SetReceiveBlocked(false)
+		successor.SetReceiveBlocked(false)
+		rejoin()
+		if err := primary.Restart(); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // TestReplicaLeavesUncovered guards against the same loss when the staying
 // replicas receive nothing from the start of the drain on: the primary must not
 // be replaced, since it alone has the commits.
--- a/internal/sysd/maintain.go
+++ b/internal/sysd/maintain.go
@@ -118,7 +118,11 @@
 // coverDepartures records that the staying replicas have the commits of a
 // primary, and logs the targets that are no longer needed for that reason.
 func (n *node) coverDepartures(service siskin.ServiceName, primary siskin.TargetID, asked time.Time) {
-	for _, id := range n.roster.CoverDepartures(service, primary, asked) {
+	spec, ok := n.table.Snapshot().Service(service)
+	if !ok {
+		return
+	}
+	for _, id := range n.roster.CoverDepartures(service, primary, spec.SyncReplicas, asked) {
 		n.log.Info().Str("Service", string(service)).Str("Target", string(id)).Str("Primary", string(primary)).
 			Msg("the staying replicas have the commits of a leaving target")
 	}
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -125,7 +125,7 @@
 	n.leases = lease.New()
 	return &home.LeaseConfig{
 		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Targets: n.roster.Service, GroupSize: n.roster.Size, Listed: n.runStart, Log: n.log,
-		Covered: n.coverDepartures,
+		Covered: n.coverDepartures, ListState: n.listState, Settled: n.settled,
 		Status: func(ctx context.Context, id siskin.TargetID) (home.Observation, error) {
 			return n.path.Observe(ctx, id)
 		},
@@ -138,6 +138,38 @@
 	}
 }
 
+// listState judges the list of targets. It is current also while the store is
+// down and this VM is in contact with all others, since none of them knows a
+// newer one.
+func (n *node) listState() siskin.ListState {
+	s := n.roster.ListState(n.clock.Now())
+	if s != siskin.ListCurrent && n.crew.HasLatestTargets() {
+		return siskin.ListCurrent
+	}
+	return s
+}
+
+const (
+	// spreadDelay is the time after which every VM whose list is current knows a
+	// listed target.
+	spreadDelay = 3 * time.Second
+	// settleDelay is the time after which every change of primary counts a target
+	// that has joined: a promotion that was ordered without it has also taken
+	// effect.
+	settleDelay = spreadDelay + lease.MinTrustedUptime
+)
+
+// settled reports whether every VM that may order a change of primary knows a
+// target. Those in the first list of this VM are taken to have joined long ago.
+func (n *node) settled(id siskin.TargetID) bool {
+	since, _, first, ok := n.roster.ListedSince(id)
+	delay := settleDelay
+	if first {
+		delay = spreadDelay
+	}
+	return ok && n.clock.Since(since) >= delay
+}
+
 // clockMargin is subtracted from the age of a run if it is computed from the
 // start time in the target's entry, since the clock of the target may differ
 // from that of this VM.
@@ -220,7 +252,7 @@
 	store := &platform.Store{BaseURL: "http://" + n.cfg.Store.Address, HTTP: client, Timeout: n.cfg.Store.Timeout, OnEra: n.logEra}
 	changed := n.stats.Scope().Timer("primary_change")
 	n.elect = elect.Start(elect.Config{
-		Clock: n.clock, Members: n.crew, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views, Homes: n.homes,
+		Clock: n.clock, Members: n.crew, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views, Homes: n.homes, ListState: n.listState,
 		Leases: n.leases, Fencing: n.cfg.Promoter.Fencing, Store: store, Run: n.crew.Node().Run, Status: platform.ParseStatus, Log: n.log, Changed: changed.Record,
 		Promoter: &platform.Promoter{BaseURL: "http://" + n.cfg.Promoter.Address, HTTP: client, Timeout: n.cfg.Promoter.Timeout},
 	})
