quota, feed: shares of rates change hands

Callers saw: every request refused as above the rate once all first VMs were replaced; with some replaced, that part of all rates was missing.

Cause: rights/main named the holders of the shares once and for good, since a holder that is cut off may spend its share at any time, and a VM that is not named has none. Evidence: the VMs that came later log "shares of rates are known" with share 0, and refusals follow without a loan to any pool.

Change: a VM spends its share for 2 minutes after it last knew that the record names it, by a read of the store or in contact with all VMs, and after a restart only once it has read the record itself. A VM that stops as planned gives its share to one that has none, after it has stopped to spend it; the share of a VM that is gone goes to another after 30 s. The new holder waits until the former one knows that, or 132 s. A record of an older copy of the store is ignored until the known one is written again.

TestOwnObjectsAfterRestore compared the record byte for byte; it names its era now, so the test compares all else and asks for the era of the store. The check for TestRefusedRecordIsRetriedWithPauses is the same with Get in place of List. The test fleet takes any running VM as a seed.

--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -19,11 +19,11 @@
 )
 
 // fetchIfNewer starts a fetch if the peer has a newer configuration, newer
-// targets or the record of shares that this VM lacks.
+// targets or a newer record of shares.
 func (c *Crew) fetchIfNewer(s *State) {
 	version, _ := c.cfg.Roster.Version()
-	lacksHolders := s.HasHolders && c.limiter.Holders() == nil
-	if s.Revision <= c.cfg.Table.Snapshot().Version && s.Targets <= version && !lacksHolders {
+	rights, _ := c.limiter.RightsVersion()
+	if s.Revision <= c.cfg.Table.Snapshot().Version && s.Targets <= version && s.Rights <= rights {
 		return
 	}
 	c.mu.Lock()
@@ -44,6 +44,7 @@
 		c.cfg.Table.Confirm(sentAt.Add(-s.RevisionAge))
 	}
 	c.cfg.Roster.Confirm(s.Targets, sentAt.Add(-s.TargetsAge))
+	c.limiter.ConfirmRights(s.Rights, sentAt.Add(-s.RightsAge))
 	if e := s.Evacuations; e != nil {
 		c.cfg.Roster.ReplaceEvacuations(e.DataCentres, e.Version, sentAt.Add(-e.Age))
 	}
@@ -55,8 +56,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	sentAt := c.cfg.Clock.Now()
-	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version, WantHolders: c.limiter.Holders() == nil}
+	args := FetchArgs{Revision: c.cfg.Table.Snapshot().Version}
 	args.Targets, _ = c.cfg.Roster.Version()
+	args.Rights, _ = c.limiter.RightsVersion()
 	var reply FetchReply
 	err := c.cfg.Peers.Call(ctx, id, "Crew.Fetch", args, &reply)
 	defer func() {
@@ -79,8 +81,8 @@
 		}
 		c.cfg.Apply(encoded, string(id))
 	}
-	if args.WantHolders && len(reply.Holders) > 0 {
-		c.limiter.SetHolders(reply.Holders)
+	if reply.Rights != nil {
+		c.limiter.SetRights(*reply.Rights, sentAt.Add(-reply.RightsAge))
 	}
 	if reply.TargetVersion > 0 {
 		c.cfg.Roster.Replace(reply.Targets, reply.TargetVersion, sentAt.Add(-reply.TargetAge))
--- a/internal/crew/latest_test.go
+++ b/internal/crew/latest_test.go
@@ -28,9 +28,7 @@
 	f.setCut("vm-01", true)
 	read(2)
 	waitFor(t, "a VM that is cut off may have a newer list", 2*latestContactAge, func() bool { return !crews[0].HasLatestTargets() })
-	if crews[1].HasLatestTargets() {
-		t.Error("a VM that is cut off itself: got the newest list, want none")
-	}
+	waitFor(t, "a VM that is cut off itself cannot know", latestContactAge, func() bool { return !crews[1].HasLatestTargets() })
 	f.setCut("vm-01", false)
 	waitFor(t, "the newer list arrives", 3*time.Second, func() bool {
 		version, _ := crews[0].roster.Version()
--- a/internal/crew/loop.go
+++ b/internal/crew/loop.go
@@ -33,6 +33,9 @@
 		c.updateOverload(fired, fired.Sub(armed)-tick)
 		if now := c.cfg.Clock.Now(); now.Sub(refreshedAt) >= pingInterval {
 			refreshedAt = now
+			if version, read := c.limiter.RightsVersion(); version != 0 && c.HasLatestRights(version, read) {
+				c.limiter.RecordContact(version, c.cfg.Clock.Now().Add(-latestContactAge))
+			}
 			c.limiter.LendToSelf()
 			priority := c.cfg.PriorityPeers()
 			c.mu.Lock()
--- a/internal/crew/member.go
+++ b/internal/crew/member.go
@@ -53,6 +53,10 @@
 	lastHeard time.Time
 	// targets is the version of the peer's list of targets in that answer.
 	targets siskin.Version
+	// rights is the last version of the record of shares that the peer was known
+	// to know, and boundsRights tells whether it bounds the use of its share.
+	rights       siskin.Version
+	boundsRights bool
 	// suspect is set by a failed call and cleared by the next answered ping.
 	suspect      bool
 	nextPing     time.Time // when the next ping is due
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -86,8 +86,16 @@
 	Known int `json:",omitempty"`
 	// Covered are the leaving targets whose commits the staying ones have.
 	Covered []siskin.TargetID `json:",omitempty"`
-	// HasHolders is set when the sender knows the record of shares.
+	// HasHolders is set when the sender knows the record of shares. VMs of
+	// earlier versions learn it once and for good.
 	HasHolders bool `json:",omitempty"`
+	// Rights is the version of the record of shares that the sender knows, and
+	// RightsAge the time since a read of the store showed that it is the latest
+	// one. BoundsRights is set by VMs that spend no share for long without such
+	// knowledge.
+	Rights       siskin.Version `json:",omitempty"`
+	RightsAge    time.Duration  `json:",omitempty"`
+	BoundsRights bool           `json:",omitempty"`
 	// RevisionAge is the time since the revision was known to be the latest.
 	RevisionAge time.Duration `json:",omitempty"`
 	// Targets is the version of the sender's list of targets, and TargetsAge
@@ -119,7 +127,8 @@
 type FetchArgs struct {
 	Revision    siskin.Revision
 	Targets     siskin.Version
-	WantHolders bool `json:",omitempty"`
+	Rights      siskin.Version `json:",omitempty"`
+	WantHolders bool           `json:",omitempty"`
 }
 
 // FetchReply has the configuration and the targets if they are newer.
@@ -130,4 +139,6 @@
 	TargetVersion siskin.Version      `json:",omitempty"`
 	TargetAge     time.Duration       `json:",omitempty"`
 	Holders       []siskin.VMID       `json:",omitempty"`
+	Rights        *quota.Rights       `json:",omitempty"`
+	RightsAge     time.Duration       `json:",omitempty"`
 }
--- a/internal/crew/ping.go
+++ b/internal/crew/ping.go
@@ -64,6 +64,7 @@
 	}
 	c.updateLive()
 	c.mu.Unlock()
+	c.recordRights(&reply)
 	if nodesErr != nil {
 		c.cfg.Log.Error().Err(nodesErr).Str("VM", string(id)).Msg("could not decode a list of VMs from a peer")
 	}
--- a/internal/crew/receiver.go
+++ b/internal/crew/receiver.go
@@ -16,6 +16,7 @@
 	r.c.LearnNotices(args.Overloads)
 	r.c.fetchIfNewer(args)
 	r.c.recordLeaving(args)
+	r.c.recordRights(args)
 	r.c.pingRecovered(args.From)
 	if args.Loans != nil {
 		r.c.limiter.AcceptLoans(args.Loans)
@@ -68,6 +69,9 @@
 	if args.WantHolders {
 		reply.Holders = c.limiter.Holders()
 	}
+	if r, read := c.limiter.Rights(); r.Version > args.Rights {
+		reply.Rights, reply.RightsAge = &r, c.cfg.Clock.Since(read)
+	}
 	if list, version, at := c.cfg.Roster.Listed(); version > args.Targets {
 		reply.Targets, reply.TargetVersion, reply.TargetAge = list, version, c.cfg.Clock.Since(at)
 	}
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -5,8 +5,10 @@
 func (c *Crew) pingState() State {
 	s := State{
 		From: c.cfg.Self, Leaving: c.leaving.Load(), Revision: c.cfg.Table.Snapshot().Version,
-		HasHolders: c.limiter.Holders() != nil, Overloads: c.overloadNotices(),
+		BoundsRights: true, Overloads: c.overloadNotices(),
 	}
+	s.Rights, _ = c.limiter.RightsVersion()
+	s.HasHolders = s.Rights != 0
 	s.Targets, _ = c.cfg.Roster.Version()
 	s.WantSizes = !c.cfg.Roster.SizesKnown()
 	return s
@@ -17,6 +19,8 @@
 	now := c.cfg.Clock.Now()
 	s := c.pingState()
 	s.RevisionAge = now.Sub(c.cfg.Table.Confirmed())
+	_, read := c.limiter.RightsVersion()
+	s.RightsAge = now.Sub(read)
 	s.Speeds = c.cfg.Homes.ReadSpeeds()
 	s.Loads, s.Stamp, s.Released = c.cfg.Homes.Loads(), c.limiter.Stamp(), c.limiter.Released()
 	_, listed := c.cfg.Roster.Version()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,6 +17,7 @@
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/crew"
+	"siskintray.example/siskin/internal/quota"
 	"siskintray.example/siskin/internal/roster"
 	"siskintray.example/siskin/internal/table"
 )
@@ -88,11 +89,8 @@
 	Table  *table.Table
 	Roster *roster.Roster
 	Crew   *crew.Crew
-	// OnHolders is called once with the VMs that share the customers' rates.
-	OnHolders func([]siskin.VMID)
-	// KnownHolders returns these VMs, or nil until they are known from the
-	// store or a peer.
-	KnownHolders func() []siskin.VMID
+	// Rights knows which VMs share the customers' rates.
+	Rights *quota.Limiter
 }
 
 // Feed polls the store until Close is called.
@@ -122,7 +120,7 @@
 		f.done.Go(func() { f.poll(ctx, "evacuations", evacuationMaxAge, f.evacuationsConfirmedAt, f.readEvacuations) })
 	}
 	f.done.Go(func() { f.register(ctx) })
-	f.done.Go(func() { f.loadHolders(ctx) })
+	f.done.Go(func() { f.keepRights(ctx) })
 	f.done.Go(func() { f.keepSizes(ctx) })
 	return f
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -14,6 +14,7 @@
 	"siskintray.example/siskin/internal/boot"
 	"siskintray.example/siskin/internal/crew"
 	"siskintray.example/siskin/internal/logs"
+	"siskintray.example/siskin/internal/quota"
 	"siskintray.example/siskin/internal/roster"
 	"siskintray.example/siskin/internal/table"
 )
@@ -38,9 +39,12 @@
 	evacuationsErr  error
 }
 
-func (s *fakeStore) Get(context.Context, siskin.ObjectKind, string) (siskin.StoreObject, error) {
+func (s *fakeStore) Get(_ context.Context, kind siskin.ObjectKind, _ string) (siskin.StoreObject, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if kind == rightsKind {
+		return siskin.StoreObject{}, siskin.NewError(siskin.Conflict, "there is no record")
+	}
 	s.reads++
 	s.bytes += len(s.value)
 	return siskin.StoreObject{Name: "main", Version: s.rev + 1, Value: json.RawMessage(s.value)}, s.err
@@ -118,11 +122,13 @@
 	if evacuations != "" {
 		targets.RequireEvacuations(5 * time.Second)
 	}
+	members := crew.New(crew.Config{Clock: boot.Clock{}, Self: crew.Node{ID: "vm"}, Table: f.table, Roster: targets, Log: l})
+	rights := quota.New(quota.Config{Clock: boot.Clock{}, Table: f.table, Members: members, Log: l})
+	rights.SetRights(quota.Rights{Version: 1, Era: siskin.FirstEra, Slots: []quota.Slot{{Holder: "vm", Bounded: true}}}, boot.Clock{}.Now())
 	feed := Start(Config{
 		EvacuationKind: evacuations,
 		Clock:          boot.Clock{}, Store: f.store, Log: l, Table: f.table, Roster: targets, ConfigName: "main",
-		Crew:      crew.New(crew.Config{Clock: boot.Clock{}, Self: crew.Node{ID: "vm"}, Table: f.table, Roster: targets, Log: l}),
-		OnHolders: func([]siskin.VMID) {}, KnownHolders: func() []siskin.VMID { return []siskin.VMID{"vm"} },
+		Crew: members, Rights: rights,
 		Apply: func(encoded []byte, _ string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/feed/sizes.go
+++ b/internal/feed/sizes.go
@@ -23,7 +23,7 @@
 	// sizesPeerWait is how long a VM that is no seed waits for its peers to
 	// send the sizes before it reads the record. In a large fleet they come by
 	// way of relays.
-	sizesPeerWait = holdersPeerWait
+	sizesPeerWait = rightsPeerWait
 	// sizesInterval is the time between two checks whether the record has to
 	// be written.
 	sizesInterval = time.Second
--- a/internal/feed/targets_test.go
+++ b/internal/feed/targets_test.go
@@ -14,7 +14,7 @@
 // with every list, which costs processor time on all readers.
 func TestSkippedEntryIsLoggedOnce(t *testing.T) {
 	s := &fakeStore{targets: []siskin.StoreObject{{Name: "odd", Version: 3}}}
-	f := newHoldersFeed(t, s, nil)
+	f := newRightsFeed(t, s)
 	var out bytes.Buffer
 	f.cfg.Log = logs.New("warn", "json", &out)
 	f.cfg.ParseTarget = func(siskin.StoreObject) (siskin.TargetInfo, error) {
--- a/internal/quota/classes_test.go
+++ b/internal/quota/classes_test.go
@@ -25,7 +25,7 @@
 	v := &simVM{s: &sim{t: t}}
 	v.view = []siskin.VM{v.vm()}
 	l := New(Config{Clock: clock, Run: 1, Table: tab, Members: v, Log: logs.New("error", "json", io.Discard), PingNow: func(siskin.VMID) {}})
-	l.SetHolders([]siskin.VMID{v.id()})
+	setHolders(l, v.id())
 	return l
 }
 
@@ -149,7 +149,7 @@
 	l := New(Config{Clock: clock, Run: 1, Table: tab, Members: v, Log: logs.New("error", "json", io.Discard), PingNow: func(siskin.VMID) {}})
 	l.Admit(clock.Now(), "acme", 1)
 	clock.Advance(500 * time.Millisecond)
-	l.SetHolders([]siskin.VMID{v.id()})
+	setHolders(l, v.id())
 	for _, id := range []siskin.CustomerID{"acme", "other"} {
 		got := 0
 		for l.Admit(clock.Now(), id, 1).Admitted {
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -84,7 +84,7 @@
 	now := l.cfg.Clock.Now()
 	old, ok := l.stamps[from]
 	l.stamps[from] = receivedStamp{s, now}
-	return !ok || old.stamp.Run != s.Run || now.Sub(old.at) > loanDuration/2
+	return !ok || old.stamp.Run != s.Run || now.Sub(old.at) > LoanDuration/2
 }
 
 // Loans returns the loans to send to a VM with the next ping, or nil when that
@@ -94,15 +94,16 @@
 	now := l.cfg.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refreshShare(now)
 	r, ok := l.stamps[to]
-	if !ok || l.share == 0 || now.Sub(r.at) > loanDuration/2 {
+	if !ok || l.share == 0 || now.Sub(r.at) > LoanDuration/2 {
 		return nil
 	}
 	lent := make(map[float64]*LoanPart) // by the fraction kept
 	for i := range snap.Customers {
 		c := &snap.Customers[i]
 		keptFraction := l.keptFraction(float64(c.Burst))
-		if !l.recordLoan(c, keptFraction, to, now, r.at.Add(loanDuration)) {
+		if !l.recordLoan(c, keptFraction, to, now, r.at.Add(LoanDuration)) {
 			continue
 		}
 		part := lent[keptFraction]
@@ -139,7 +140,7 @@
 	}
 	l.accrue(p, now, float64(c.Rate), float64(c.Burst))
 	if p.owner != to && p.owner != "" {
-		p.formerOwner, p.formerOwnerUntil = p.owner, now.Add(loanDuration)
+		p.formerOwner, p.formerOwnerUntil = p.owner, now.Add(LoanDuration)
 	}
 	p.owner, p.loanEnd, p.keptFraction = to, until, keptFraction
 	return true
@@ -149,7 +150,7 @@
 func (l *Limiter) AcceptLoans(loans *Loans) {
 	issued := time.Unix(0, loans.Stamp.At)
 	now := l.cfg.Clock.Now()
-	if loans.Stamp.Run != l.cfg.Run || now.Sub(issued) > loanDuration {
+	if loans.Stamp.Run != l.cfg.Run || now.Sub(issued) > LoanDuration {
 		return // for an earlier run of this VM, or expired
 	}
 	l.mu.Lock()
@@ -162,7 +163,7 @@
 			continue
 		}
 		for _, id := range part.Customers {
-			l.addToPool(now, id, loans.From, loan{part.Share, issued.Add(loanDuration)}, part.Tokens[id])
+			l.addToPool(now, id, loans.From, loan{part.Share, issued.Add(LoanDuration)}, part.Tokens[id])
 		}
 	}
 }
--- a/internal/quota/localbucket.go
+++ b/internal/quota/localbucket.go
@@ -56,7 +56,8 @@
 // lends the rest. VMs without a share compute it too, so that they ask the same
 // owners that the holders lend to.
 func (l *Limiter) keptFraction(burst float64) float64 {
-	if len(l.holders) == 0 || burst/float64(len(l.holders))*localFraction < minLocalTokens {
+	slots := len(l.rights.known.Slots)
+	if slots == 0 || burst/float64(slots)*localFraction < minLocalTokens {
 		return 0
 	}
 	return localFraction
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	// loanDuration is the time that a loan is valid, from the stamp that it
+	// LoanDuration is the time for which a loan is valid, from the stamp that it
 	// refers to. It spans several pings, so that one lost ping ends no loan.
 	// With a longer duration, lenders would go without their shares for longer
 	// when an owner is cut off.
-	loanDuration = 1500 * time.Millisecond
+	LoanDuration = 1500 * time.Millisecond
 	// localFraction is the fraction of its share that a VM keeps while the rest
-	// is lent. It serves customers for loanDuration when the owner of their
+	// is lent. It serves customers for LoanDuration when the owner of their
 	// pool crashes. A larger fraction would be unused on VMs where the customer
 	// sends no requests.
 	localFraction = 0.5
@@ -70,12 +70,12 @@
 	// choose selects the VMs that own pools.
 	choose func(live []siskin.VM) []siskin.VM
 
-	mu      sync.Mutex
-	holders []siskin.VMID
+	mu     sync.Mutex
+	rights rightsState
 	// released is set once this VM has dropped its pools.
 	released     bool
-	share        float64   // of this VM; zero unless the stored record lists it
-	shareSince   time.Time // time from which the share earns tokens
+	share        float64   // that this VM may spend
+	shareSince   time.Time // time from which it earns tokens
 	localBuckets map[siskin.CustomerID]*localBucket
 	pools        map[siskin.CustomerID]*pool
 	stamps       map[siskin.VMID]receivedStamp
@@ -97,45 +97,15 @@
 	return &Limiter{
 		cfg: cfg, started: cfg.Clock.Now(), choose: chooseOwners, localBuckets: make(map[siskin.CustomerID]*localBucket),
 		pools: make(map[siskin.CustomerID]*pool), stamps: make(map[siskin.VMID]receivedStamp), silentUntil: make(map[siskin.VMID]time.Time),
-		toReturn: make(map[siskin.VMID]Tokens),
+		toReturn: make(map[siskin.VMID]Tokens), rights: rightsState{aware: make(map[siskin.VMID]awareness)},
 	}
 }
 
-// SetHolders sets the VMs that hold a share of the customers' rates. The record
-// in the store never changes while one of them could still run, so the shares
-// never add up to more than one.
-func (l *Limiter) SetHolders(holders []siskin.VMID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.holders != nil {
-		return // the record never changes
-	}
-	l.holders = holders
-	// The share has been this VM's since its start. It spent none of it while it
-	// did not know the holders.
-	l.shareSince = l.started
-	for _, p := range l.localBuckets {
-		p.at = l.started
-	}
-	for _, id := range holders {
-		if id == l.cfg.Members.Self().ID {
-			l.share = 1 / float64(len(holders))
-		}
-	}
-	l.cfg.Log.Info().Int("Holders", len(holders)).Float64("Share", l.share).Msg("shares of rates are known")
-}
-
-// Holders returns the VMs that hold a share, or nil while they are not known.
-func (l *Limiter) Holders() []siskin.VMID {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.holders
-}
-
 // Share returns this VM's share of each customer's rate.
 func (l *Limiter) Share() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refreshShare(l.cfg.Clock.Now())
 	return l.share
 }
 
@@ -171,6 +141,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refreshShare(now)
 	p := l.localBucketOf(customer)
 	p.countDemand(now, class, n)
 	p.dropExpired(now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -128,7 +128,16 @@
 	for _, o := range s.vms {
 		holders = append(holders, o.id())
 	}
-	v.l.SetHolders(holders)
+	setHolders(v.l, holders...)
+}
+
+// setHolders gives each of the VMs one slot.
+func setHolders(l *Limiter, ids ...siskin.VMID) {
+	r := Rights{Version: 1, Era: siskin.FirstEra}
+	for _, id := range ids {
+		r.Slots = append(r.Slots, Slot{Holder: id, Bounded: true})
+	}
+	l.SetRights(r, l.cfg.Clock.Now())
 }
 
 const simVMs = 5
@@ -399,7 +408,7 @@
 	if got := v.l.localBucketOf("acme").keptFraction; got != 0 {
 		t.Errorf("fraction kept while the larger loan is valid: got %v, want 0", got)
 	}
-	s.clock.Advance(loanDuration)
+	s.clock.Advance(LoanDuration)
 	owner = v.l.owners("acme", 0, localFraction)[0]
 	v.l.HandleStamp(owner, Stamp{Run: 1, At: s.clock.Now().UnixNano()})
 	if v.l.Loans(owner) == nil && owner != v.id() {
@@ -601,14 +610,14 @@
 		t.Fatal("got no loan, want one")
 	}
 	const after = 300 * time.Millisecond
-	s.clock.Advance(loanDuration + after)
+	s.clock.Advance(LoanDuration + after)
 	got := 0
 	for v.l.Admit(s.clock.Now(), "acme", 1).Admitted {
 		got++
 	}
 	// One of five shares earns its kept fraction while the loan is valid, and
 	// then its whole rate.
-	want := int(testRate / float64(simVMs) * (loanDuration.Seconds()*localFraction + after.Seconds()))
+	want := int(testRate / float64(simVMs) * (LoanDuration.Seconds()*localFraction + after.Seconds()))
 	if got > want {
 		t.Errorf("tokens after an expired loan: got %d, want at most %d", got, want)
 	}
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -173,7 +173,7 @@
 		// its own view of the fleet. The former owner may have tokens until the
 		// holders' loans to it expire.
 		if p.lastAsked != "" {
-			p.formerOwner, p.formerOwnerUntil = p.lastAsked, now.Add(loanDuration)
+			p.formerOwner, p.formerOwnerUntil = p.lastAsked, now.Add(LoanDuration)
 		}
 		p.lastAsked = owners[0]
 	}
@@ -184,7 +184,7 @@
 	}
 	// After this VM's loan has expired, the VM that it lent to may still have
 	// tokens from loans of other lenders.
-	if now.Before(p.loanEnd.Add(loanDuration)) && !slices.Contains(owners, p.owner) {
+	if now.Before(p.loanEnd.Add(LoanDuration)) && !slices.Contains(owners, p.owner) {
 		owners = append(owners, p.owner)
 	}
 	if now.Before(p.formerOwnerUntil) && !slices.Contains(owners, p.formerOwner) {
--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -236,8 +236,11 @@
 	if f.withoutStore[i] {
 		cfg.Store.Address = free[4]
 	}
-	if i > 0 {
-		cfg.Peer.Seeds = []string{f.node(0).cfg.Peer.Address}
+	for n := range f.nodes[:min(i, len(f.nodes))] {
+		if seed := f.node(n); seed != nil {
+			cfg.Peer.Seeds = []string{seed.cfg.Peer.Address}
+			break
+		}
 	}
 	return cfg
 }
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -261,7 +261,7 @@
 		evacuations = platform.KindEvacuations
 	}
 	n.feed = feed.Start(feed.Config{
-		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, OnHolders: n.rates.SetHolders, KnownHolders: n.rates.Holders,
+		Clock: n.clock, Store: store, Log: n.log, Table: n.table, Roster: n.roster, Crew: n.crew, Apply: n.apply, Rights: n.rates,
 		ConfigKind: platform.KindConfig, ConfigName: platform.ConfigName, TargetKind: platform.KindTargets, ParseTarget: platform.DecodeTarget, EvacuationKind: evacuations,
 	})
 }
--- a/internal/sysd/restored_test.go
+++ b/internal/sysd/restored_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -87,27 +89,49 @@
 func TestOwnObjectsAfterRestore(t *testing.T) {
 	f := startFleet(t, 3)
 	s := &platform.Store{BaseURL: "http://" + f.platform.Address(), HTTP: &http.Client{}, Timeout: time.Second}
-	values := func() map[string]string {
-		m := make(map[string]string)
+	values := func() (m map[string]string, era siskin.Era) {
+		m = make(map[string]string)
 		for _, kind := range []siskin.ObjectKind{"vms", "rights"} {
 			l, err := s.List(context.Background(), kind)
 			if err != nil {
 				t.Fatal(err)
 			}
 			for _, o := range l.Objects {
+				if kind == "rights" {
+					o.Value, era = withoutEra(t, o.Value)
+				}
 				m[string(kind)+"/"+o.Name] = string(o.Value)
 			}
 		}
-		return m
+		return m, era
 	}
-	want := values()
-	for range 2 {
+	want, first := values()
+	for n := range 2 {
 		f.platform.RestoreStore()
 		f.platform.Republish()
-		f.await("the objects are back", 6*time.Second, func() bool { return maps.Equal(values(), want) })
+		f.await("the objects are back, the share holders as those of the new era", 6*time.Second, func() bool {
+			got, era := values()
+			return maps.Equal(got, want) && era == first+siskin.Era(n+1)
+		})
 	}
 }
 
+// withoutEra returns a record of share holders without its era, and the era.
+func withoutEra(t *testing.T, value json.RawMessage) (json.RawMessage, siskin.Era) {
+	t.Helper()
+	var fields map[string]json.RawMessage
+	var era siskin.Era
+	if err := errors.Join(json.Unmarshal(value, &fields), json.Unmarshal(fields["Era"], &era)); err != nil {
+		t.Fatal(err)
+	}
+	delete(fields, "Era")
+	rest, err := json.Marshal(fields)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rest, era
+}
+
 // TestChangeAfterRestore guards against missing a change of the configuration
 // whose version is lower than the last one read before the restore.
 func TestChangeAfterRestore(t *testing.T) {
--- a/internal/sysd/stop.go
+++ b/internal/sysd/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"siskintray.example/siskin/internal/home"
@@ -37,6 +38,11 @@
 	n.homes.Shutdown(schedule)
 	n.stopping.Store(true)
 	n.crew.Leave()
+	var giveUp sync.WaitGroup
+	giveUpCtx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	giveUp.Go(func() { n.feed.GiveUpRights(giveUpCtx) })
+	defer giveUp.Wait()
 	n.log.Info().Int("Sessions", n.entry.Sessions()).Dur("Grace", n.cfg.Stop.Grace).Msg("stopping as planned")
 	sleepUntil(ctx, earlier(time.Now().Add(balancerDelay), deadline))
 	group := n.entry.Sessions()/closeGroups + 1
