home: draining replicas count while the others have just joined

When all replicas that stay have just joined, they alone had to have a commit; a VM whose list is 1.7 s old does not know them, claims the two that drain and promotes one.

Cause: draining replicas were left out before every VM knows the joiners. Change: as long as no settled replica has a commit, all listed ones must have it, the draining ones included unless they refuse connections.

--- a/internal/home/receiptpoll.go
+++ b/internal/home/receiptpoll.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
+	"syscall"
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/lease"
@@ -11,7 +13,8 @@
 
 // receiptAnswer is the state of one replica.
 type receiptAnswer struct {
-	id siskin.TargetID
+	id       siskin.TargetID
+	draining bool
 	statusResult
 }
 
@@ -27,9 +30,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
-	result := lease.Receipts{Needed: lease.Quorum(spec.SyncReplicas)}
-	replicas := h.countedReplicas(service, l, result.Needed)
-	result.Replicas = len(replicas)
+	replicas, stay := h.listedReplicas(service, l), h.enoughStay(service, l)
+	result := lease.Receipts{Needed: lease.Quorum(spec.SyncReplicas), Replicas: len(replicas)}
 	if state == siskin.ListOutdated {
 		result.Replicas = max(result.Replicas, h.cfg.LeaseConfig.GroupSize(service)-1)
 	}
@@ -39,17 +41,19 @@
 		for ; asked < n; asked++ {
 			t := replicas[asked]
 			if !h.spawn(func() {
-				a := receiptAnswer{id: t.ID}
+				a := receiptAnswer{id: t.ID, draining: t.Draining}
 				a.o, a.err = h.status(ctx, t.ID, replicaTimeout)
 				answers <- a
 			}) {
-				answers <- receiptAnswer{t.ID, statusResult{err: errClosed}}
+				answers <- receiptAnswer{id: t.ID, statusResult: statusResult{err: errClosed}}
 			}
 		}
 	}
 	settled := make(map[siskin.TargetID]bool)
 	for _, t := range replicas {
-		settled[t.ID] = state == siskin.ListCurrent && h.settled(t.ID)
+		// Without enough others no departure is covered, so that a change counts
+		// the draining replicas as well.
+		settled[t.ID] = state == siskin.ListCurrent && h.settled(t.ID) && !(t.Draining && stay)
 	}
 	wanted := l.receipts.order(replicas, settled)
 	initial := len(replicas)
@@ -65,6 +69,9 @@
 		select {
 		case a := <-answers:
 			answered++
+			if a.draining && stay && errors.Is(a.err, syscall.ECONNREFUSED) {
+				result.Replicas-- // it has left, and no promotion of it finds its log
+			}
 			if a.err != nil || a.o.Status.Primary {
 				continue
 			}
@@ -90,13 +97,15 @@
 // errClosed is the error of a request that begins after Close.
 var errClosed = siskin.NewError(siskin.Unavailable, "this VM has stopped")
 
-// order puts the settled replicas at the start of the list, and of these the one
-// to ask first, and returns the position that commits wait for.
+// order puts the settled replicas at the start of the list, with the one to ask
+// first, and the draining ones at its end. It returns the position that commits wait for.
 func (r *receipts) order(replicas []siskin.TargetInfo, settled map[siskin.TargetID]bool) (wanted siskin.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rank := func(t siskin.TargetInfo) int {
 		switch {
+		case t.Draining && !settled[t.ID]:
+			return 3
 		case !settled[t.ID]:
 			return 2
 		case t.ID != r.first:
--- a/internal/home/receipts.go
+++ b/internal/home/receipts.go
@@ -91,18 +91,6 @@
 	return slices.DeleteFunc(slices.Clone(h.cfg.LeaseConfig.Targets(service)), func(t siskin.TargetInfo) bool { return t.ID == l.target() })
 }
 
-// countedReplicas returns the replicas of a primary that count as having a
-// commit: those that are listed and do not drain. If too few of them are left,
-// no departure is covered, so that a change counts the draining ones as well.
-func (h *Homes) countedReplicas(service siskin.ServiceName, l *pool, needed int) []siskin.TargetInfo {
-	replicas := h.listedReplicas(service, l)
-	staying := slices.DeleteFunc(slices.Clone(replicas), isDraining)
-	if len(staying) < needed {
-		return replicas
-	}
-	return staying
-}
-
 // enoughStay reports whether commits can wait for replicas that do not drain.
 func (h *Homes) enoughStay(service siskin.ServiceName, l *pool) bool {
 	spec, ok := h.cfg.LeaseConfig.Service(service)
--- a/internal/home/receipts_test.go
+++ b/internal/home/receipts_test.go
@@ -136,17 +136,20 @@
 		unsettled      bool
 		blocked        bool // the last replica receives nothing
 		unlisted       bool // the last replica is missing from the list
+		drains         bool // the last replica drains
 		want           Outcome
 		wantCause      Cause
 		wantNextIsSent bool
 	}{
-		{"current", siskin.ListCurrent, false, true, false, Answered, 0, true},
-		{"outdated, all replicas have it", siskin.ListOutdated, false, false, false, Answered, 0, true},
-		{"outdated, one lacks it", siskin.ListOutdated, false, true, false, AnswerLost, Unconfirmed, false},
-		{"outdated, one is not listed", siskin.ListOutdated, false, false, true, NotSent, Stalled, false},
-		{"expired", siskin.ListExpired, false, false, false, NotSent, Stalled, false},
-		{"all replicas have just joined and have it", siskin.ListCurrent, true, false, false, Answered, 0, true},
-		{"all replicas have just joined, one lacks it", siskin.ListCurrent, true, true, false, AnswerLost, Unconfirmed, false},
+		{"current", siskin.ListCurrent, false, true, false, false, Answered, 0, true},
+		{"outdated, all replicas have it", siskin.ListOutdated, false, false, false, false, Answered, 0, true},
+		{"outdated, one lacks it", siskin.ListOutdated, false, true, false, false, AnswerLost, Unconfirmed, false},
+		{"outdated, one is not listed", siskin.ListOutdated, false, false, true, false, NotSent, Stalled, false},
+		{"expired", siskin.ListExpired, false, false, false, false, NotSent, Stalled, false},
+		{"all replicas have just joined and have it", siskin.ListCurrent, true, false, false, false, Answered, 0, true},
+		{"all replicas have just joined, one lacks it", siskin.ListCurrent, true, true, false, false, AnswerLost, Unconfirmed, false},
+		{"one that drains lacks it", siskin.ListCurrent, false, true, false, true, Answered, 0, true},
+		{"one that drains lacks it, the other has just joined", siskin.ListCurrent, true, true, false, true, AnswerLost, Unconfirmed, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := fenced(t)
@@ -157,6 +160,9 @@
 			if listed := cfg.Targets; c.unlisted {
 				cfg.Targets = func(name siskin.ServiceName) []siskin.TargetInfo { return listed(name)[:2] }
 			}
+			if c.drains {
+				f.drainReplica(f.target(2))
+			}
 			f.target(2).SetReceiveBlocked(c.blocked)
 			time.Sleep(lease.TTL) // the lease is from before
 			req := request(f.target(0), siskin.Write, "x 1")
--- a/internal/lease/receipts.go
+++ b/internal/lease/receipts.go
@@ -9,13 +9,13 @@
 // Receipts evaluates which part of a primary's log its replicas have received.
 // Every set of targets that a change of primary may claim contains one with the
 // commits that are received: Needed of the settled replicas have them, which
-// every VM counts as part of the group, or all replicas have them, of which at
-// most as many may have left unnoticed as are not needed.
+// every VM counts as part of the group, or all listed replicas have them, of
+// which at most as many may have left unnoticed as are not needed.
 type Receipts struct {
 	// Needed is the number of replicas that must have a commit.
 	Needed int
-	// Replicas is the number of replicas of a complete group, or of the listed
-	// ones if there are more.
+	// Replicas is the number of listed replicas, or of those of a complete group
+	// if it is larger.
 	Replicas int
 
 	settled, all []siskin.Position
