roster: a replica that vanished counts until its commits are covered

A replica drained, alone received commits and ended during an outage of the store, and another one that had started took its place in the count of the group.

Cause: departures that no list shows as draining were counted by number only, so that a successor stood for a target whose commits it lacks.

--- a/internal/roster/departure.go
+++ b/internal/roster/departure.go
@@ -20,12 +20,12 @@
 	departureLinger = 30 * time.Second
 )
 
-// departure is a target that drains or has drained. Until the staying replicas
-// are known to have its commits, it may be the only replica that has some of
-// them.
+// departure is a target that drains or has drained, or has vanished from service
+// discovery. Until the staying replicas are known to have its commits, it may be
+// the only replica that has some of them.
 type departure struct {
 	service siskin.ServiceName
-	since   time.Time // first list in which it drains
+	since   time.Time // first list in which it drains, or without it
 	goneAt  time.Time // first list without it; zero while it is listed
 	// covered reports that the staying targets have every commit that this one
 	// has acknowledged alone.
@@ -56,6 +56,15 @@
 	r.updatePeaks()
 }
 
+// trackVanished makes a replica that service discovery has dropped a departure. It
+// may have drained during an outage of the store, and its successor is listed in
+// its place. The caller holds mu.
+func (r *Roster) trackVanished(id siskin.TargetID, e *entry, at time.Time) {
+	if r.departures[id] == nil && !e.info.Primary && at.Sub(e.missingSince) < shrinkDelay {
+		r.departures[id] = &departure{service: e.info.Service, since: e.missingSince, goneAt: e.missingSince}
+	}
+}
+
 // expireDepartures removes the departures of targets that left long ago. One
 // that is not covered expires as a missing target does, so that a group whose
 // primary has left as well is not blocked for good. The caller holds mu.
@@ -65,7 +74,7 @@
 		if d.covered {
 			limit = departureLinger
 		}
-		if !d.goneAt.IsZero() && at.Sub(d.goneAt) > limit {
+		if !d.goneAt.IsZero() && at.Sub(d.goneAt) >= limit {
 			delete(r.departures, id)
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -208,15 +208,19 @@
 }
 
 // removeMissing removes the targets whose entries have been missing for longer
-// than renewalGrace, and reports whether there were any.
+// than renewalGrace, and reports whether there were any. The caller holds mu.
 func (r *Roster) removeMissing(at time.Time) bool {
 	removed := false
 	for id, e := range r.targets {
 		if !e.missingSince.IsZero() && at.Sub(e.missingSince) > renewalGrace {
 			delete(r.targets, id)
 			removed = true
+			r.trackVanished(id, e, at)
 		}
 	}
+	if removed {
+		r.updatePeaks()
+	}
 	return removed
 }
 
