--- a/internal/crew/latest.go
+++ b/internal/crew/latest.go
@@ -6,6 +6,10 @@
 	"siskintray.example/siskin"
 )
 
+// leftAfter is the time without an answer after which a VM that was leaving has
+// ended.
+const leftAfter = 10 * time.Second
+
 // latestContactAge is the age of the last contact to a VM up to which this VM
 // would know of later data that the other one had before. A call of the store may
 // have begun a second before that.
@@ -25,8 +29,8 @@
 }
 
 // hasLatest reports whether this VM is in contact with all others and none has
-// later data than this VM has read at the given time. A VM that had been gone for
-// removedAfter by then is not asked.
+// later data than this VM has read at the given time. A VM that has left, or had
+// been gone for removedAfter by then, is not asked.
 func (c *Crew) hasLatest(read time.Time, isLater func(*member) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -39,7 +43,7 @@
 		if contact.IsZero() {
 			contact = m.knownSince
 		}
-		if read.Sub(contact) > removedAfter {
+		if read.Sub(contact) > removedAfter || m.leaving && now.Sub(contact) > leftAfter {
 			continue
 		}
 		if m.lastHeard.IsZero() || now.Sub(m.lastHeard) > latestContactAge || isLater(m) {
