--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -29,6 +29,8 @@
 	// Apply puts an encoded configuration into effect.
 	Apply func(encoded []byte, source string)
 	Log   *log.Logger
+	// StopGrace is the time after which a VM that stops as planned is killed.
+	StopGrace time.Duration
 	// IsHome reports whether this VM is the home of a target.
 	IsHome func(siskin.TargetID) bool
 	// PriorityPeers returns the VMs that are pinged more often than others in a
--- a/internal/crew/latest.go
+++ b/internal/crew/latest.go
@@ -6,9 +6,9 @@
 	"siskintray.example/siskin"
 )
 
-// leftAfter is the time without an answer after which a VM that was leaving has
-// ended.
-const leftAfter = 10 * time.Second
+// leaveMargin is the time beyond the grace of a planned stop after which a VM that
+// was leaving and does not answer has ended.
+const leaveMargin = 4 * time.Second
 
 // latestContactAge is the age of the last contact to a VM up to which this VM
 // would know of later data that the other one had before. A call of the store may
@@ -43,7 +43,7 @@
 		if contact.IsZero() {
 			contact = m.knownSince
 		}
-		if read.Sub(contact) > removedAfter || m.leaving && now.Sub(contact) > leftAfter {
+		if read.Sub(contact) > removedAfter || m.leaving && now.Sub(contact) > c.cfg.StopGrace+leaveMargin {
 			continue
 		}
 		if m.lastHeard.IsZero() || now.Sub(m.lastHeard) > latestContactAge || isLater(m) {
--- a/internal/sysd/node.go
+++ b/internal/sysd/node.go
@@ -173,7 +173,7 @@
 	run := siskin.Incarnation(time.Now().UnixNano())
 	n.crew = crew.New(crew.Config{
 		Clock: n.clock, Seeds: n.cfg.Peer.Seeds, Peers: n.peers, Table: n.table, Roster: n.roster, Views: n.views,
-		Homes: n.homes, Apply: n.apply, Log: n.log, PriorityPeers: n.priorityPeers, IsHome: n.isHome,
+		Homes: n.homes, Apply: n.apply, Log: n.log, StopGrace: n.cfg.Stop.Grace, PriorityPeers: n.priorityPeers, IsHome: n.isHome,
 		Self: crew.Node{
 			ID: siskin.VMID(n.cfg.VM.ID), Run: run, DataCentre: siskin.DataCentreID(n.cfg.VM.DataCentre),
 			Address: cmp.Or(n.cfg.Peer.Advertised, n.cfg.Peer.Address), Capacity: n.cfg.VM.Capacity(),
