feed: fewer reads of the record of shares while the store is down

Cause: a VM whose read is over 30 s old tried again each second, and each call has its price. Change: each 5 s, unless it waits for its own read. Measured: none; the tests of the record pass.

--- a/internal/feed/rights.go
+++ b/internal/feed/rights.go
@@ -115,9 +115,13 @@
 			clear(k.missing)
 		}
 		interval := rightsCheckInterval
-		if err != nil && ctx.Err() == nil {
+		switch needed := f.cfg.Rights.NeedsRead(); {
+		case err != nil && ctx.Err() == nil:
 			f.recordFailure(string(rightsKind), err)
-		} else if f.cfg.Rights.NeedsRead() {
+			if !needed {
+				interval = rightsWriteInterval
+			}
+		case needed:
 			interval = pollInterval
 		}
 		sleep(ctx, interval+rand.N(interval/4))
