home: a poll for receipts as a type of its own

Cause: one function did all, and judged the list at its start alone; a list may cease to be current while it waits for replicas.

Change: receiptPoll, and a poll counts nothing if the list is in a worse state at its end than at its start.

--- a/internal/home/receiptpoll.go
+++ b/internal/home/receiptpoll.go
@@ -11,17 +11,27 @@
 	"siskintray.example/siskin/internal/lease"
 )
 
+// receiptPoll asks the replicas of a primary for the ends of their logs.
+type receiptPoll struct {
+	h        *Homes
+	replicas []siskin.TargetInfo // in the order in which they are asked
+	// settled are the replicas that every VM counts as part of the group.
+	settled map[siskin.TargetID]bool
+	// stay is set if enough replicas do not drain.
+	stay    bool
+	result  lease.Receipts
+	answers chan receiptAnswer
+	asked   int
+}
+
 // receiptAnswer is the state of one replica.
 type receiptAnswer struct {
-	id       siskin.TargetID
-	draining bool
+	target siskin.TargetInfo
 	statusResult
 }
 
 // askReceipts returns the position up to which enough replicas of a primary have
-// its log, or zero if too few answer, and the replica that answered first. It
-// asks only as many as necessary while these have the position that commits wait
-// for.
+// its log, or zero if too few answer, and the replica that answered first.
 func (h *Homes) askReceipts(service siskin.ServiceName, l *pool) (received siskin.Position, first siskin.TargetID) {
 	spec, ok := h.cfg.LeaseConfig.Service(service)
 	state := h.listState()
@@ -30,75 +40,98 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
-	replicas, stay := h.listedReplicas(service, l), h.enoughStay(service, l)
-	result := lease.Receipts{Needed: lease.Quorum(spec.SyncReplicas), Replicas: len(replicas)}
-	if state == siskin.ListOutdated {
-		result.Replicas = max(result.Replicas, h.cfg.LeaseConfig.GroupSize(service)-1)
+	p := h.newReceiptPoll(service, l, state, lease.Quorum(spec.SyncReplicas))
+	first = p.run(ctx, l.receipts.order(p.replicas, p.settled))
+	if h.listState() > state {
+		return siskin.Position{}, first // the replicas counted may have been too few
 	}
-	answers := make(chan receiptAnswer, len(replicas))
-	asked := 0
-	askUpTo := func(n int) {
-		for ; asked < n; asked++ {
-			t := replicas[asked]
-			if !h.spawn(func() {
-				a := receiptAnswer{id: t.ID, draining: t.Draining}
-				a.o, a.err = h.status(ctx, t.ID, replicaTimeout)
-				answers <- a
-			}) {
-				answers <- receiptAnswer{id: t.ID, statusResult: statusResult{err: errClosed}}
-			}
-		}
+	return p.result.Received(), first
+}
+
+func (h *Homes) newReceiptPoll(service siskin.ServiceName, l *pool, state siskin.ListState, needed int) *receiptPoll {
+	p := &receiptPoll{h: h, replicas: h.listedReplicas(service, l), stay: h.enoughStay(service, l), settled: make(map[siskin.TargetID]bool)}
+	p.answers = make(chan receiptAnswer, len(p.replicas))
+	p.result = lease.Receipts{Needed: needed, Replicas: len(p.replicas)}
+	if state == siskin.ListOutdated {
+		p.result.Replicas = max(p.result.Replicas, h.cfg.LeaseConfig.GroupSize(service)-1)
 	}
-	settled := make(map[siskin.TargetID]bool)
-	for _, t := range replicas {
+	for _, t := range p.replicas {
 		// Without enough others no departure is covered, so that a change counts
 		// the draining replicas as well.
-		settled[t.ID] = state == siskin.ListCurrent && h.settled(t.ID) && !(t.Draining && stay)
+		p.settled[t.ID] = state == siskin.ListCurrent && h.settled(t.ID) && !(t.Draining && p.stay)
 	}
-	wanted := l.receipts.order(replicas, settled)
-	initial := len(replicas)
-	if n := result.Needed; n < len(replicas) && settled[replicas[n-1].ID] {
-		initial = n
+	return p
+}
+
+// run asks as many replicas as are necessary while these have the wanted
+// position, and all of them otherwise. It returns the first one that answers.
+func (p *receiptPoll) run(ctx context.Context, wanted siskin.Position) (first siskin.TargetID) {
+	all := len(p.replicas)
+	if n := p.result.Needed; n < all && p.settled[p.replicas[n-1].ID] {
+		p.askUpTo(ctx, n)
+	} else {
+		p.askUpTo(ctx, all)
 	}
-	askUpTo(initial)
-	grace := h.cfg.Clock.After(receiptGrace)
-	for answered := 0; answered < len(replicas); {
-		if answered == asked {
-			askUpTo(len(replicas))
+	grace := p.h.cfg.Clock.After(receiptGrace)
+	for answered := 0; answered < all; {
+		if answered == p.asked {
+			p.askUpTo(ctx, all)
 		}
 		select {
-		case a := <-answers:
+		case a := <-p.answers:
 			answered++
-			if a.draining && stay && errors.Is(a.err, syscall.ECONNREFUSED) {
-				result.Replicas-- // it has left, and no promotion of it finds its log
+			if p.add(&a) && first == "" {
+				first = a.target.ID
 			}
-			if a.err != nil || a.o.Status.Primary {
-				continue
+			if p.result.Received().Compare(wanted) >= 0 {
+				return first
 			}
-			if first == "" {
-				first = a.id
-			}
-			if result.Add(a.o.Status.Received, settled[a.id]); result.Received().Compare(wanted) >= 0 {
-				return result.Received(), first
-			}
-			if asked == len(replicas) && grace == nil && result.Enough() {
-				grace = h.cfg.Clock.After(receiptGrace)
+			if grace == nil && p.result.Enough() {
+				grace = p.h.cfg.Clock.After(receiptGrace)
 			}
 		case <-grace:
-			if grace = nil; asked == len(replicas) && result.Enough() {
-				return result.Received(), first
+			if p.asked == all && p.result.Enough() {
+				return first
 			}
-			askUpTo(len(replicas))
+			p.askUpTo(ctx, all)
+			grace = nil
+		}
+	}
+	return first
+}
+
+// askUpTo asks the first n replicas that have not been asked.
+func (p *receiptPoll) askUpTo(ctx context.Context, n int) {
+	for ; p.asked < n; p.asked++ {
+		a := receiptAnswer{target: p.replicas[p.asked]}
+		if !p.h.spawn(func() {
+			a.o, a.err = p.h.status(ctx, a.target.ID, replicaTimeout)
+			p.answers <- a
+		}) {
+			a.err = errClosed
+			p.answers <- a
 		}
 	}
-	return result.Received(), first
+}
+
+// add counts the answer of a replica, and reports whether it is a replica.
+func (p *receiptPoll) add(a *receiptAnswer) bool {
+	if a.target.Draining && p.stay && errors.Is(a.err, syscall.ECONNREFUSED) {
+		p.result.Replicas-- // it has left, and no promotion of it finds its log
+	}
+	if a.err != nil || a.o.Status.Primary {
+		return false
+	}
+	p.result.Add(a.o.Status.Received, p.settled[a.target.ID])
+	return true
 }
 
 // errClosed is the error of a request that begins after Close.
 var errClosed = siskin.NewError(siskin.Unavailable, "this VM has stopped")
 
 // order puts the settled replicas at the start of the list, with the one to ask
-// first, and the draining ones at its end. It returns the position that commits wait for.
+// first, and the draining ones at its end. It returns the position that commits
+// wait for.
 func (r *receipts) order(replicas []siskin.TargetInfo, settled map[siskin.TargetID]bool) (wanted siskin.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
