feed: shares of a fleet that starts after the store was restored

Callers saw, in a soak of processes: all requests refused as above the rate for two minutes after the store returned from an older copy and all VMs were killed within the next second. A fault of the change of shares.

Cause: a record of an older copy is used only once a VM that knows what was lost has written it again, or all rights have ended; with all VMs started anew nobody knows it.

Change: the keeper writes the record at once if it is in contact with all VMs, of the store's list as well, and none knows another record.

--- a/internal/feed/rightskeeper.go
+++ b/internal/feed/rightskeeper.go
@@ -35,6 +35,9 @@
 	version    siskin.Version
 	knownSince time.Time
 	writtenAt  time.Time
+	// listedFor is the record of an older copy of the store for which this VM has
+	// read the list of all VMs.
+	listedFor siskin.Version
 }
 
 func (f *Feed) newRightsKeeper() *rightsKeeper {
@@ -80,12 +83,22 @@
 }
 
 // confirm writes the record in a new era of the store, which may have lost its
-// latest version. The known record is the latest one if no other VM knows a later
-// one; otherwise all rights have to end first.
+// latest version. The known record is the latest one if this VM is in contact with
+// all others and none knows a later one; otherwise all rights have to end first.
 func (k *rightsKeeper) confirm(ctx context.Context, r *quota.Rights, read, now time.Time) error {
-	f := k.f
-	known := !r.Restored() && f.cfg.Crew.HasLatestRights(r.Version, read)
-	if !known && now.Sub(k.knownSince) < quota.TakeoverDelay {
+	f, version := k.f, r.Version
+	if r.Restored() {
+		version = 0 // every VM that knows another record knows a later one
+		if k.listedFor != r.Version {
+			// A VM that has just started may not know all others.
+			if _, err := f.readVMs(ctx); err != nil {
+				return err
+			}
+			k.listedFor = r.Version
+			return nil
+		}
+	}
+	if !f.cfg.Crew.HasLatestRights(version, read) && now.Sub(k.knownSince) < quota.TakeoverDelay {
 		return nil
 	}
 	o, err := f.cfg.Store.Get(ctx, rightsKind, rightsName)
--- a/internal/sysd/replaced_test.go
+++ b/internal/sysd/replaced_test.go
@@ -59,3 +59,22 @@
 		return f.node(vms).rates.AdmitWait(ctx, "acme", 1).Admitted
 	})
 }
+
+// TestStartAfterRestore guards against a fleet without rates that starts as a
+// whole just after the store has returned from an older copy.
+func TestStartAfterRestore(t *testing.T) {
+	const vms = 3
+	f := startFleet(t, vms)
+	f.platform.CopyStore()
+	for i := range vms {
+		if err := f.set(i, nil).close(); err != nil {
+			t.Error(err)
+		}
+	}
+	f.platform.RestoreStore()
+	f.platform.Republish()
+	for i := range vms {
+		f.set(i, f.start(i))
+	}
+	f.await("the VMs have the shares again", 10*time.Second, func() bool { return math.Abs(f.shares()-1) < 1e-9 })
+}
