entry: random numbers of the choice of targets can be given

Change: Config.Random; TestExplain plays a read that is no trial, and TestTrialOfFailingTarget keeps the case that failed, as the trial that it is.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -46,4 +46,6 @@
 	Metrics *Metrics
 	// Memory bounds the values and prepared statements of sessions. It may be nil.
 	Memory *memory.Account
+	// Random returns a number from 0 to 1. It is rand.Float64 if nil.
+	Random func() float64
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,9 +42,12 @@
 
 // New returns an Entry without sessions.
 func New(cfg Config) *Entry {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	return &Entry{
 		cfg: cfg, logLimiter: newLogLimiter(), writeHints: newWriteHints(), inFlight: shard.New[siskin.TargetID, *atomic.Int32](),
-		reach: newReachability(), times: newTargetTimes(), returns: newReturnTimes(cfg.Clock.Now(), rand.Float64),
+		reach: newReachability(), times: newTargetTimes(), returns: newReturnTimes(cfg.Clock.Now(), cfg.Random),
 		rankings: shard.New[rankingKey, *ranking](), sessions: make(map[*Session]struct{}),
 	}
 }
--- a/internal/entry/explain_test.go
+++ b/internal/entry/explain_test.go
@@ -22,6 +22,11 @@
 			f.e.cfg.Views.RecordFailure("p", f.e.cfg.Clock.Now())
 		}
 	}
+	failing := func(f *fixture) {
+		for range 3 {
+			f.e.cfg.Views.RecordOutcome("r", true, f.e.cfg.Clock.Now())
+		}
+	}
 	for _, tt := range []struct {
 		database string
 		kind     explain.Kind
@@ -37,13 +42,10 @@
 		{"primary", explain.Read, nil, "p", "reads at the primary"},
 		{"primary", explain.Read, noProof, "", "no primary is known"},
 		{"own", explain.Write, unresponsive, "", "did not answer"},
-		{"own", explain.Read, func(f *fixture) {
-			for range 3 {
-				f.e.cfg.Views.RecordOutcome("r", true, f.e.cfg.Clock.Now())
-			}
-		}, "p", "least cost"},
+		{"own", explain.Read, failing, "p", "least cost"},
 	} {
 		f := newFixture(t)
+		f.e.cfg.Random = func() float64 { return 2 * trialShare }
 		if tt.prepare != nil {
 			tt.prepare(f)
 		}
@@ -68,6 +70,26 @@
 	}
 }
 
+// TestTrialOfFailingTarget guards against a failing target that gets no reads as
+// trials, and so never counts as recovered.
+func TestTrialOfFailingTarget(t *testing.T) {
+	for _, c := range []struct {
+		random float64
+		want   string
+	}{{trialShare / 2, "Read@r/floor"}, {trialShare * 2, "Read@p/"}} {
+		f := newFixture(t)
+		f.e.cfg.Random = func() float64 { return c.random }
+		for range 3 {
+			f.e.cfg.Views.RecordOutcome("r", true, f.e.cfg.Clock.Now())
+		}
+		f.homes.replies = []home.Reply{replies["ok"]}
+		st := siskin.Statement{ID: "1", Kind: siskin.Read, Text: "x"}
+		if _, err := f.session("own").answer(&st); err != nil || !strings.HasPrefix(f.homes.requests[0], c.want) {
+			t.Errorf("read with the number %v: got %v (%v), want %s", c.random, f.homes.requests, err, c.want)
+		}
+	}
+}
+
 // TestExplainFigures guards against figures and notes that an explanation leaves
 // out.
 func TestExplainFigures(t *testing.T) {
--- a/internal/entry/replica.go
+++ b/internal/entry/replica.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"siskintray.example/siskin"
@@ -63,7 +62,7 @@
 func (o *operation) selectTarget() siskin.TargetID {
 	e := o.s.e
 	c := o.selector()
-	c.Ranking, c.Running, c.Random = e.ranking(o.route), e.running, rand.Float64
+	c.Ranking, c.Running, c.Random = e.ranking(o.route), e.running, e.cfg.Random
 	return c.best()
 }
 
