path, entry: reads that a crashed primary ran are not called not run

What callers saw: a read was refused with "the primary did not answer (Unreachable); not run" although the primary ran it before it crashed, and the customer's rate was not charged for it.

Cause: a home that loses its connection during a read reports it as not sent, with the time at the target. path Run then asks the next home, which cannot connect either, and returned its reply alone.

Change: a reply says whether an attempt got no answer, and path keeps that over all homes. Older homes tell it by the time at the target.

--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -173,9 +173,8 @@
 	e.statementEnded(req.Target)
 	// A home that sent a read and got no answer reports it as not sent, so that
 	// it is tried again.
-	ran := o.reply.Outcome != home.NotSent || o.reply.Ran > 0
-	o.sent = o.sent || ran
-	o.lost = o.lost || ran && o.reply.Outcome != home.Answered
+	o.lost = o.lost || o.reply.AnswerMissing()
+	o.sent = o.sent || o.lost || o.reply.Outcome == home.Answered
 	o.observe(req, sentAt)
 	if o.timed {
 		o.recordReply(req.Target)
--- a/internal/home/replyfields.go
+++ b/internal/home/replyfields.go
@@ -31,6 +31,7 @@
 	replySamples
 	replyLimit
 	replyRowsDropped
+	replyMayHaveRun
 )
 
 // Texts of an encoded Reply. New ones are added at the end. There is a replyRow
@@ -72,7 +73,8 @@
 	b = fields.AppendInt(b, replySpread, r.Speed.Spread)
 	b = fields.AppendInt(b, replySamples, r.Speed.Samples)
 	b = fields.AppendInt(b, replyLimit, r.Speed.Limit)
-	return fields.AppendBool(b, replyRowsDropped, a.RowsDropped), nil
+	b = fields.AppendBool(b, replyRowsDropped, a.RowsDropped)
+	return fields.AppendBool(b, replyMayHaveRun, r.MayHaveRun), nil
 }
 
 // UnmarshalBinary implements encoding.BinaryUnmarshaler.
@@ -131,6 +133,8 @@
 		r.Speed.Limit = int(v)
 	case replyRowsDropped:
 		a.RowsDropped = v != 0
+	case replyMayHaveRun:
+		r.MayHaveRun = v != 0
 	}
 }
 
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -166,9 +166,19 @@
 	LeadProven bool            `json:",omitempty"`
 	// Waited is the time in the queue, and Ran the time at the target.
 	Waited, Ran time.Duration `json:",omitempty"`
+	// MayHaveRun is set if an attempt at the statement ended without an answer. Only
+	// reads are tried again.
+	MayHaveRun bool `json:",omitempty"`
 	// Load is the number of queued and running statements at the target.
 	Load int `json:",omitempty"`
 	// Speed is what the home has measured of the target for statements of the
 	// kind of the request. Older VMs send none.
 	Speed speed.Report `json:",omitzero"`
 }
+
+// AnswerMissing reports whether an attempt at the statement got no answer from a
+// target that may have run it. VMs of earlier versions tell it of a read by Ran
+// alone.
+func (r *Reply) AnswerMissing() bool {
+	return r.MayHaveRun || r.Outcome == AnswerLost || r.Outcome == NotSent && r.Ran > 0
+}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -192,6 +192,7 @@
 	}
 	if err != nil && len(answers) <= len(setup) {
 		if r.connFailed(err); !s.MayWrite() {
+			r.reply.MayHaveRun = true
 			// Reads have no side effects, so they are retried once on another
 			// connection.
 			return !errors.Is(err, os.ErrDeadlineExceeded)
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -123,6 +123,7 @@
 	req.Unreachable = false // the caller may have sent it for another target
 	var reply home.Reply
 	var refused *home.Reply // by an overloaded home
+	mayHaveRun := false     // at one of the homes
 	for i, vm := range p.candidates(t) {
 		if i > 0 {
 			req.Timeout = timeout - p.cfg.Clock.Since(start)
@@ -132,6 +133,8 @@
 		}
 		var reached bool
 		reply, reached = p.runOn(ctx, vm.ID, req)
+		mayHaveRun = mayHaveRun || reply.AnswerMissing()
+		reply.MayHaveRun = mayHaveRun
 		if refusedByDemoted(vm, &reply) {
 			last := reply
 			refused = &last
@@ -145,6 +148,7 @@
 		req.Unreachable = req.Unreachable || reached && reply.Cause == home.Unreachable
 	}
 	if refused != nil {
+		refused.MayHaveRun = mayHaveRun
 		return *refused
 	}
 	return reply
