entry: Close waits for sessions that are just beginning

What was seen: a data race between Serve and Close in one of four race runs of sysd with two and three processors, on TestStopWithTransactions. A session could run on closed components.

Cause: Serve registered a session under the lock and started it after that.

Change: it starts the session under the lock.

--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -184,3 +184,25 @@
 		t.Errorf("open sessions: got %d, want 0", got)
 	}
 }
+
+// TestCloseDuringServe guards against a session that begins after Close has
+// returned, and against a data race between the two.
+func TestCloseDuringServe(t *testing.T) {
+	for range 200 {
+		f := newFixture(t)
+		caller, server := net.Pipe()
+		defer caller.Close()
+		served := make(chan struct{})
+		go func() {
+			f.e.Serve(platform.NewCaller(server))
+			close(served)
+		}()
+		if err := f.e.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if got := f.e.Sessions(); got != 0 {
+			t.Fatalf("sessions after Close: got %d, want 0", got)
+		}
+		<-served
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,10 +61,10 @@
 		_ = c.Close() // the VM is stopping; the caller reconnects to another one
 		return
 	}
+	defer e.mu.Unlock()
 	e.sessions[s] = struct{}{}
-	e.mu.Unlock()
 	e.cfg.Metrics.Sessions.Inc(1)
-	e.done.Go(s.serve)
+	e.done.Go(s.serve) // before Close waits
 }
 
 func (e *Entry) remove(s *Session) {
