--- a/internal/sysd/serve_test.go
+++ b/internal/sysd/serve_test.go
@@ -164,7 +164,11 @@
 		t.Errorf("store calls at the start of %d VMs: got %d, want at most %d", vms, got, most)
 	}
 	time.Sleep(3 * time.Second)
-	before := f.platform.StoreCalls()
+	before, beforeOf := f.platform.StoreCalls(), make(map[string]int64)
+	kinds := []string{"config", "servers", "evacuations", "rights", "groups", "vms"}
+	for _, kind := range kinds {
+		beforeOf[kind] = f.platform.StoreCallsOf(kind)
+	}
 	const span = 5 * time.Second
 	time.Sleep(span)
 	// The configuration is read every second and the targets every 1.5 s, and
@@ -172,6 +176,9 @@
 	most := int64(1.5 * span.Seconds() * (1 + 1/1.5))
 	if got := f.platform.StoreCalls() - before; got > most {
 		t.Errorf("store calls by %d VMs in %v: got %d, want at most %d", vms, span, got, most)
+		for _, kind := range kinds {
+			t.Logf("store calls for objects of kind %s: %d", kind, f.platform.StoreCallsOf(kind)-beforeOf[kind])
+		}
 	}
 }
 
