crew: pings tell less of the shares of rates

Cause: each ping had three fields on the record of shares, in JSON.

Change: the age of the record is told for 3 s after it was read, which is enough for a few hops; a VM that did not hear of that read reads the record itself. A VM that knows a record need not say that it bounds its share.

Test: TestRightsWithoutAge (fails if an age that is not told counts as zero).

--- a/internal/crew/fetch.go
+++ b/internal/crew/fetch.go
@@ -44,7 +44,9 @@
 		c.cfg.Table.Confirm(sentAt.Add(-s.RevisionAge))
 	}
 	c.cfg.Roster.Confirm(s.Targets, sentAt.Add(-s.TargetsAge))
-	c.limiter.ConfirmRights(s.Rights, sentAt.Add(-s.RightsAge))
+	if s.RightsAge > 0 {
+		c.limiter.ConfirmRights(s.Rights, sentAt.Add(-s.RightsAge))
+	}
 	if e := s.Evacuations; e != nil {
 		c.cfg.Roster.ReplaceEvacuations(e.DataCentres, e.Version, sentAt.Add(-e.Age))
 	}
--- a/internal/crew/latest.go
+++ b/internal/crew/latest.go
@@ -82,7 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if m := c.members[s.From.ID]; m != nil && s.From.Run == m.node.Run {
-		m.rights, m.boundsRights = s.Rights, s.BoundsRights
+		m.rights, m.boundsRights = s.Rights, s.BoundsRights || s.Rights != 0
 	}
 }
 
--- a/internal/crew/latest_test.go
+++ b/internal/crew/latest_test.go
@@ -6,6 +6,7 @@
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/boot"
+	"siskintray.example/siskin/internal/quota"
 )
 
 // TestLatestTargets guards against a VM that takes its list of targets for the
@@ -35,3 +36,23 @@
 		return version == 2 && crews[0].HasLatestTargets()
 	})
 }
+
+// TestRightsWithoutAge guards against a record of shares that counts as just read
+// because a ping does not tell its age.
+func TestRightsWithoutAge(t *testing.T) {
+	t.Parallel()
+	c := newFabric(t).add(0)
+	begun := boot.Clock{}.Now()
+	c.limiter.SetRights(quota.Rights{Version: 1, Era: siskin.FirstEra, Slots: []quota.Slot{{Holder: "vm-00"}}}, begun)
+	for _, age := range []time.Duration{0, time.Second} {
+		now := begun.Add(10 * time.Second)
+		c.applyVersions(&State{Rights: 1, RightsAge: age}, now)
+		want := begun
+		if age > 0 {
+			want = now.Add(-age)
+		}
+		if _, got := c.limiter.RightsVersion(); !got.Equal(want) {
+			t.Errorf("read of the record after a ping with age %v: got %v after the first, want %v", age, got.Sub(begun), want.Sub(begun))
+		}
+	}
+}
--- a/internal/crew/message.go
+++ b/internal/crew/message.go
@@ -91,8 +91,8 @@
 	HasHolders bool `json:",omitempty"`
 	// Rights is the version of the record of shares that the sender knows, and
 	// RightsAge the time since a read of the store showed that it is the latest
-	// one. BoundsRights is set by VMs that spend no share for long without such
-	// knowledge.
+	// one, or zero if that is long ago. A VM that knows no record sets BoundsRights
+	// if it spends no share for long without one; those that send Rights do.
 	Rights       siskin.Version `json:",omitempty"`
 	RightsAge    time.Duration  `json:",omitempty"`
 	BoundsRights bool           `json:",omitempty"`
--- a/internal/crew/state.go
+++ b/internal/crew/state.go
@@ -1,14 +1,20 @@
 package crew
 
+import "time"
+
+// maxRightsAge is the age of a read of the record of shares up to which it is told
+// to other VMs, for a few pings.
+const maxRightsAge = 3 * time.Second
+
 // pingState returns the state that this VM sends with a ping. It has no proofs,
 // since they age in transit for an unknown time and are sent in replies only.
 func (c *Crew) pingState() State {
 	s := State{
 		From: c.cfg.Self, Leaving: c.leaving.Load(), Revision: c.cfg.Table.Snapshot().Version,
-		BoundsRights: true, Overloads: c.overloadNotices(),
+		Overloads: c.overloadNotices(),
 	}
 	s.Rights, _ = c.limiter.RightsVersion()
-	s.HasHolders = s.Rights != 0
+	s.HasHolders, s.BoundsRights = s.Rights != 0, s.Rights == 0
 	s.Targets, _ = c.cfg.Roster.Version()
 	s.WantSizes = !c.cfg.Roster.SizesKnown()
 	return s
@@ -20,7 +26,9 @@
 	s := c.pingState()
 	s.RevisionAge = now.Sub(c.cfg.Table.Confirmed())
 	_, read := c.limiter.RightsVersion()
-	s.RightsAge = now.Sub(read)
+	if age := now.Sub(read); age < maxRightsAge {
+		s.RightsAge = age
+	}
 	s.Speeds = c.cfg.Homes.ReadSpeeds()
 	s.Loads, s.Stamp, s.Released = c.cfg.Homes.Loads(), c.limiter.Stamp(), c.limiter.Released()
 	_, listed := c.cfg.Roster.Version()
