peer: TestQueueRefusalIsNotSent tells answers of calls that ran from refusals

The test is wrong: a call that the test lets run may answer before the others are refused, and its success was taken for a refusal.

--- a/internal/peer/memory_test.go
+++ b/internal/peer/memory_test.go
@@ -93,25 +93,33 @@
 func TestQueueRefusalIsNotSent(t *testing.T) {
 	echo := &Echo{running: make(chan struct{})}
 	_, c := startPair(t, Config{MaxConcurrent: 1, MaxQueued: 1}, Config{}, echo)
-	refused := make(chan error, 4)
+	ended := make(chan error, 4)
 	for range 4 {
 		go func() {
 			_, err := call(c, "b", "Echo.Do", &Args{Text: "x"}, 5*time.Second)
-			refused <- err
+			ended <- err
 		}()
 	}
-	if err := <-refused; !errors.Is(err, ErrNotSent) || siskin.KindOf(err) != siskin.Overloaded {
+	if err := <-ended; !errors.Is(err, ErrNotSent) || siskin.KindOf(err) != siskin.Overloaded {
 		t.Errorf("got %v, want ErrNotSent", err)
 	}
-	for range 3 {
+	ran, succeeded := 0, 0
+	for left := 3; left > 0; {
 		select {
 		case <-echo.running:
-		case err := <-refused:
-			if !errors.Is(err, ErrNotSent) {
+			ran++
+		case err := <-ended:
+			left--
+			if err == nil {
+				succeeded++
+			} else if !errors.Is(err, ErrNotSent) {
 				t.Errorf("got %v, want ErrNotSent", err)
 			}
 		}
 	}
+	if ran != succeeded || ran == 0 {
+		t.Errorf("calls that ran: got %d, of which %d succeeded, want all of one or more", ran, succeeded)
+	}
 }
 
 // awaitEmpty waits until the last frames were handled.
