sysd: TestStoreCallsOfLargeFleet runs beside no other fleet

Cause: not traced. The test shared its process with up to seven other fleets. Ruled out by trials with a trace of each read: changes of the store's version and of the primary in the window (one call each, also in race runs with two processors).

Change: the fleet runs beside no test in parallel, so that the test measures the calls of its own fleet. The bounds are the same.

--- a/internal/sysd/fleet_test.go
+++ b/internal/sysd/fleet_test.go
@@ -135,6 +135,12 @@
 func startFleetOn(t *testing.T, vms int, service stand.ServiceOptions) *testFleet {
 	t.Helper()
 	t.Parallel()
+	return startFleetApart(t, vms, service)
+}
+
+// startFleetApart starts a fleet beside which no test in parallel runs.
+func startFleetApart(t *testing.T, vms int, service stand.ServiceOptions) *testFleet {
+	t.Helper()
 	p, err := stand.Start(service)
 	if err != nil {
 		t.Fatal(err)
