logs, cmds: the last lines of a process are written

What operators saw: the log of a VM that ended soon after its start, or of one that ended with an error, could lack its last lines, among them the reason. Cause: with the session protocol lines are queued for a goroutine that writes them, and nothing waited for it at the end of the process. Change: the writer has a Close that waits until the queue is written, at most 200 ms, since a reader that is blocked must not hold up the end of a process.

--- a/internal/cmds/system.go
+++ b/internal/cmds/system.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -13,6 +14,9 @@
 	"siskintray.example/siskin/internal/logs"
 )
 
+// logCloseTimeout limits the wait for the log at the end of a process.
+const logCloseTimeout = 200 * time.Millisecond
+
 // System is what the command line of siskintrayd hands to the function that
 // runs a VM for the session protocol.
 type System struct {
@@ -37,7 +41,9 @@
 func runSession(env *Env, path string, settings *cfgini.System, run func(context.Context, System) error, hangups <-chan os.Signal) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	l := logs.New(settings.Log.Level, settings.Log.Format, logs.NonBlocking(env.Stdout))
+	out := logs.NonBlocking(env.Stdout)
+	defer closeLog(out)
+	l := logs.New(settings.Log.Level, settings.Log.Format, out)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -60,6 +66,14 @@
 	return ExitOK
 }
 
+// closeLog waits until the log is written, for a limited time, since nobody may
+// read it.
+func closeLog(w *logs.NonBlockingWriter) {
+	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
+	defer cancel()
+	_ = w.Close(ctx) // nobody is left to tell
+}
+
 // reloadSession takes over the log level of a changed settings file. All other
 // settings need a restart.
 func reloadSession(path string, l *log.Logger) {
--- a/internal/logs/nonblocking_test.go
+++ b/internal/logs/nonblocking_test.go
@@ -1,6 +1,8 @@
 package logs
 
 import (
+	"context"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -48,3 +50,28 @@
 		}
 	}
 }
+
+// TestNonBlockingClose guards against the last lines of a process that are lost,
+// such as its reason to end, and against an end that waits for a blocked reader.
+func TestNonBlockingClose(t *testing.T) {
+	slow := &slowWriter{release: make(chan struct{})}
+	w := NonBlocking(slow)
+	const lines = maxQueuedLines / 2
+	for range lines {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if err := w.Close(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("close with a blocked reader: got %v, want the deadline exceeded", err)
+	}
+	close(slow.release)
+	if err := w.Close(t.Context()); err != nil {
+		t.Errorf("close with a reader: got %v, want no error", err)
+	}
+	if got := strings.Count(slow.String(), "line\n"); got != lines {
+		t.Errorf("got %d lines after the close, want %d", got, lines)
+	}
+}
