--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -35,7 +35,9 @@
 		"siskintrayd": func() {
 			os.Exit(DaemonMain(os.Args[1:], os.Stdout, os.Stderr, func(context.Context, Daemon) error {
 				return siskin.NewError(siskin.Unavailable, "platform did not answer")
-			}))
+			}, WithSession(func(context.Context, System) error {
+				return siskin.NewError(siskin.Unavailable, "store did not answer")
+			})))
 		},
 	})
 }
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -59,7 +59,7 @@
 	case len(rest) > 0:
 		return fail(env, usageError("unexpected argument %.64q", rest[0]))
 	case o.Version:
-		_ = Output{Value: struct{ Version string }{Version()}, Text: "siskintrayd " + Version() + "\n"}.write(env)
+		_ = daemonVersion().write(env)
 		return ExitOK
 	case o.Config == "":
 		return fail(env, usageError("no settings; name them with --config FILE"))
@@ -70,14 +70,14 @@
 		load = system
 	}
 	if err := cfgini.Load(o.Config, load); err != nil {
-		return fail(env, err)
+		return fail(env, identified(err, load))
 	}
 	if o.Check {
 		_ = Output{Value: struct{ Accepted bool }{true}, Text: o.Config + ": no findings\n"}.write(env)
 		return ExitOK
 	}
 	if o.Protocol == "session" && modes.session != nil {
-		return runSession(env, o.Config, system, modes.session, hangups)
+		return runSession(env, o.Config, System{Settings: system}, modes.session, hangups)
 	}
 	if run == nil {
 		return fail(env, siskin.NewError(siskin.Unsupported, "this build runs no VM").WithRemedy("use --check, or build with the node"))
--- a/internal/cmds/system.go
+++ b/internal/cmds/system.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"siskintray.example/siskin/internal/build"
 	"siskintray.example/siskin/internal/cfgini"
 	"siskintray.example/siskin/internal/logs"
 )
@@ -38,12 +39,15 @@
 
 // runSession runs a VM for the session protocol. Its log goes to standard
 // output.
-func runSession(env *Env, path string, settings *cfgini.System, run func(context.Context, System) error, hangups <-chan os.Signal) int {
+func runSession(env *Env, path string, s System, run func(context.Context, System) error, hangups <-chan os.Signal) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	out := logs.NonBlocking(env.Stdout)
 	defer closeLog(out)
-	l := logs.New(settings.Log.Level, settings.Log.Format, out)
+	l := logs.New(s.Settings.Log.Level, s.Settings.Log.Format, out)
+	s.Log = l
+	b := build.Read()
+	l.Info().Str("Version", b.Version).Str("Build", b.ID).Str("Go", b.Go).Str("Settings", cfgini.Digest(s.Settings)).Msg("starting")
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -56,7 +60,7 @@
 			}
 		}
 	}()
-	err := run(ctx, System{settings, l})
+	err := run(ctx, s)
 	stop()
 	<-done
 	if err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/cmds/version.go
+++ b/internal/cmds/version.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
-	"runtime/debug"
+
+	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/build"
+	"siskintray.example/siskin/internal/cfgini"
 )
 
 // version shows the version.
@@ -12,14 +14,22 @@
 
 // Run implements Runner.
 func (*version) Run(context.Context, *Env) (Output, error) {
-	v := struct{ Version, Go string }{Version(), runtime.Version()}
-	return Output{Value: v, Text: fmt.Sprintf("siskintray %s (%s)\n", v.Version, v.Go)}, nil
+	b := build.Read()
+	v := struct{ Version, Build, Go string }{b.Version, b.ID, b.Go}
+	return Output{Value: v, Text: fmt.Sprintf("siskintray %s\n", b)}, nil
+}
+
+// daemonVersion returns what siskintrayd --version shows: the build, and which
+// settings it reads with each protocol.
+func daemonVersion() Output {
+	b := build.Read()
+	postgres, session := cfgini.Digest(cfgini.Daemon{}), cfgini.Digest(cfgini.System{})
+	v := struct{ Version, Build, Go, PostgresSettings, SessionSettings string }{b.Version, b.ID, b.Go, postgres, session}
+	return Output{Value: v, Text: fmt.Sprintf("siskintrayd %s\nsettings: postgres %s, session %s\n", b, postgres, session)}
 }
 
-// Version returns the version that the program was built from.
-func Version() string {
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" && info.Main.Version != "(devel)" {
-		return info.Main.Version
-	}
-	return "devel"
+// identified adds to an error about settings which program read them, since files
+// and programs of two versions may meet.
+func identified(err error, settings any) error {
+	return siskin.NewError(siskin.KindOf(err), "%v\nread by siskintrayd %s with settings %s", err, build.Read(), cfgini.Digest(settings))
 }
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -8,7 +8,7 @@
 
 	"siskintray.example/siskin"
 	"siskintray.example/siskin/internal/admin"
-	"siskintray.example/siskin/internal/cmds"
+	"siskintray.example/siskin/internal/build"
 	"siskintray.example/siskin/pkg/burn"
 	"siskintray.example/siskin/pkg/config"
 )
@@ -39,7 +39,7 @@
 		Incarnation:       d.self.Incarnation,
 		DataCentre:        d.self.DataCentre,
 		State:             st.VM.State.String(),
-		Version:           cmds.Version(),
+		Version:           build.Read().Version,
 		Started:           time.UnixMilli(int64(d.self.Incarnation)),
 		Revision:          st.Revision,
 		Callers:           st.Front.Sessions,
--- a/internal/sysd/run.go
+++ b/internal/sysd/run.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"siskintray.example/siskin"
+	"siskintray.example/siskin/internal/build"
 	"siskintray.example/siskin/internal/cmds"
 )
 
@@ -29,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	d.Log.Info().Str("VM", d.Settings.VM.ID).Str("DataCentre", d.Settings.VM.DataCentre).Str("Version", cmds.Version()).
+	d.Log.Info().Str("VM", d.Settings.VM.ID).Str("DataCentre", d.Settings.VM.DataCentre).Str("Version", build.Read().Version).
 		Str("Callers", d.Settings.Caller.Address).Str("Peers", d.Settings.Peer.Address).Msg("started")
 	<-ctx.Done()
 	n.drain(context.Background())
