cfgini, cmds, sysd: a VM starts on settings of a later version

What callers saw: none of them was served, since every VM of the fleet ended at its start with "unknown key Link in section VM", and the platform started it again for ever. Settings and program of two versions side by side are normal: the template is rendered at each start, and a rolling replacement or a way back starts an earlier program on them. Cause: a key that the program does not know ended the start, although a key that it does not know can only have its default. A misspelt key must not get a default that breaks a promise, so that a file which lacks one of the keys with the tag guard (Promoter.Fencing, the bounds of Operator, Stop.Grace, VM.Memory) ends the start as before. The check, and the PostgreSQL protocol, stay as strict. Why it works: the template gives all of these keys, so an unknown one beside them can't be one of them.

--- a/internal/cfgini/digest.go
+++ b/internal/cfgini/digest.go
@@ -11,7 +11,7 @@
 func Digest(settings any) string {
 	h := xxhash.New()
 	for _, s := range Describe(settings) {
-		fmt.Fprintf(h, "%q %q %q %q %q %t\n", s.Name(), s.Unit, s.Default, s.Min, s.Max, s.Optional)
+		fmt.Fprintf(h, "%q %q %q %q %q %t %t\n", s.Name(), s.Unit, s.Default, s.Min, s.Max, s.Optional, s.Guard)
 	}
 	return fmt.Sprintf("%016x", h.Sum64())
 }
--- a/internal/cfgini/doc.go
+++ b/internal/cfgini/doc.go
@@ -13,5 +13,7 @@
 //	optional "yes" when the key may be missing and has no default
 //	min, max inclusive bounds
 //	reload   "yes" when a running program can apply a new value
+//	guard    "yes" when the default of a misspelt key could break a promise: a
+//	         file without this key must not have unknown names
 //	doc      one sentence for the reference page
 package cfgini
--- a/internal/cfgini/load.go
+++ b/internal/cfgini/load.go
@@ -15,9 +15,22 @@
 	check(c *check)
 }
 
+// Option changes how settings are read.
+type Option func(*options)
+
+type options struct{ skipped *Findings }
+
+// SkipUnknown skips keys and sections that the settings type does not know, and
+// stores them in skipped. A program can then start on the settings of a later
+// version. Names are skipped only if the file gives all settings with the tag
+// guard, so that a misspelt one does not get its default.
+func SkipUnknown(skipped *Findings) Option {
+	return func(o *options) { o.skipped = skipped }
+}
+
 // Load reads the file at path into settings, a pointer to a settings type.
 // Relative file names in the settings are resolved against the directory of path.
-func Load(path string, settings any) error {
+func Load(path string, settings any, opts ...Option) error {
 	info, err := os.Stat(path)
 	if err == nil && info.Size() > maxFileSize {
 		return Findings{{File: path, Message: "file is too large", Remedy: "name a settings file"}}.Err()
@@ -26,17 +39,25 @@
 	if err != nil {
 		return siskin.NewError(siskin.BadInput, "settings file cannot be read").WithCause(err).WithRemedy("check the path after --config")
 	}
-	return Parse(path, data, settings).Err()
+	return Parse(path, data, settings, opts...).Err()
 }
 
 // Parse reads INI text into settings and returns all findings.
-func Parse(name string, data []byte, settings any) Findings {
+func Parse(name string, data []byte, settings any, opts ...Option) Findings {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	f, found := ParseFile(name, data)
 	if len(found) > 0 {
 		return found
 	}
 	c := &check{file: f, settings: Describe(settings), invalid: map[string]bool{}}
-	c.checkUnknownNames()
+	if unknown := c.unknownNames(); o.skipped != nil && c.checkGuards(unknown) {
+		*o.skipped = unknown
+	} else {
+		c.found = append(c.found, unknown...)
+	}
 	v := reflect.ValueOf(settings).Elem()
 	for _, s := range c.settings {
 		c.parseSetting(s, v.FieldByIndex(s.index))
@@ -55,7 +76,23 @@
 	invalid  map[string]bool // settings with a finding, so that rules skip them
 }
 
-func (c *check) checkUnknownNames() {
+// checkGuards reports whether unknown names can be skipped. If not, it records the
+// settings that one of them may be meant for.
+func (c *check) checkGuards(unknown Findings) bool {
+	all := true
+	for _, s := range c.settings {
+		if _, present := c.file.Section(s.Section).Entry(s.Key); present || !s.Guard || len(unknown) == 0 {
+			continue
+		}
+		all = false
+		c.addFinding(s.Name(), "correct the unknown name or set "+s.Name(), "%s is not set, so that unknown names cannot be skipped", s.Name())
+	}
+	return all
+}
+
+// unknownNames returns the sections and keys that the settings type lacks.
+func (c *check) unknownNames() Findings {
+	var unknown Findings
 	var sections []string
 	keys := map[string][]string{}
 	for _, s := range c.settings {
@@ -66,15 +103,16 @@
 	}
 	for _, s := range c.file.Sections {
 		if !slices.Contains(sections, s.Name) {
-			c.found.add(c.file.Name, s.Line, suggest(s.Name, sections), "unknown section %s", s.Name)
+			unknown.add(c.file.Name, s.Line, suggest(s.Name, sections), "unknown section %s", s.Name)
 			continue
 		}
 		for _, e := range s.Entries {
 			if !slices.Contains(keys[s.Name], e.Key) {
-				c.found.add(c.file.Name, e.Line, suggest(e.Key, keys[s.Name]), "unknown key %s in section %s", e.Key, s.Name)
+				unknown.add(c.file.Name, e.Line, suggest(e.Key, keys[s.Name]), "unknown key %s in section %s", e.Key, s.Name)
 			}
 		}
 	}
+	return unknown
 }
 
 func suggest(name string, known []string) string {
--- a/internal/cfgini/reference.go
+++ b/internal/cfgini/reference.go
@@ -20,6 +20,17 @@
 	return b.String()
 }
 
+// Guards returns the names of the settings with the tag guard.
+func Guards(settings any) []string {
+	var names []string
+	for _, s := range Describe(settings) {
+		if s.Guard {
+			names = append(names, s.Name())
+		}
+	}
+	return names
+}
+
 func (s Setting) defaultText() string {
 	switch {
 	case s.Default != "":
--- a/internal/cfgini/setting.go
+++ b/internal/cfgini/setting.go
@@ -15,6 +15,7 @@
 	Min, Max     string
 	Optional     bool
 	Reload       bool
+	Guard        bool
 	Doc          string
 
 	index []int
@@ -47,7 +48,7 @@
 				Section: section.Name, Key: f.Name,
 				Unit: unitOf(f), Default: f.Tag.Get("default"), Doc: f.Tag.Get("doc"),
 				Min: f.Tag.Get("min"), Max: f.Tag.Get("max"),
-				Optional: f.Tag.Get("optional") == "yes", Reload: f.Tag.Get("reload") == "yes",
+				Optional: f.Tag.Get("optional") == "yes", Reload: f.Tag.Get("reload") == "yes", Guard: f.Tag.Get("guard") == "yes",
 				index: []int{i, j}, typ: f.Type,
 			})
 		}
--- a/internal/cfgini/system.go
+++ b/internal/cfgini/system.go
@@ -28,7 +28,7 @@
 	ProcessorShare float64      `default:"1" min:"0.01" max:"1024" doc:"Part of the processor that the VM may use. VMs with more take the homes of targets, the relays and the pools of rates."`
 	Processors     float64      `default:"1" min:"0.1" max:"1024" doc:"Speed of the processor, as a multiple of one core."`
 	Link           float64      `default:"0" min:"0" max:"1000000" doc:"Speed of the VM's network link in Mbit/s. Where it allows less load than the processor, the VM is ranked by it. 0 where the platform does not state it: the processor alone counts."`
-	Memory         siskin.Bytes `default:"256MB" min:"32MB" max:"64GB" doc:"Memory that the process may use. The garbage collector works harder from two thirds of it on."`
+	Memory         siskin.Bytes `guard:"yes" default:"256MB" min:"32MB" max:"64GB" doc:"Memory that the process may use. The garbage collector works harder from two thirds of it on."`
 	MessageMemory  siskin.Bytes `default:"0B" min:"0B" max:"16GB" doc:"Memory for messages and answers of callers and other VMs over 4 KiB, and for values and prepared statements of sessions. Beyond it the newest are refused. 0B for an eighth of VM.Memory; at least 8MB."`
 }
 
@@ -78,16 +78,16 @@
 type SystemPromoter struct {
 	Address string        `unit:"address" doc:"Address of the platform's promotion duty."`
 	Timeout time.Duration `default:"700ms" min:"100ms" max:"10s" doc:"Longest wait for the answer to a promotion."`
-	Fencing bool          `default:"no" doc:"Whether the platform refuses fences that are lower than one it has seen, and takes the lead from the former primary at a promotion. Without it, reads at a primary and changes of primary rest on the replicas, and a change takes 0.4 s longer."`
+	Fencing bool          `guard:"yes" default:"no" doc:"Whether the platform refuses fences that are lower than one it has seen, and takes the lead from the former primary at a promotion. Without it, reads at a primary and changes of primary rest on the replicas, and a change takes 0.4 s longer."`
 }
 
 // SystemOperator configures the bounds that the operator of the platform sets for
 // evacuations and cold targets.
 type SystemOperator struct {
-	EvacuateWithin time.Duration `default:"0s" min:"0s" max:"10m" doc:"Time from the store's acknowledgement of the evacuation of a data centre to the last statement sent to a target there, 1 s or more. The last 0.5 s are kept in reserve, and reading takes up to 4.5 s. 0s where the platform has no evacuations; the store is then not asked for them."`
+	EvacuateWithin time.Duration `guard:"yes" default:"0s" min:"0s" max:"10m" doc:"Time from the store's acknowledgement of the evacuation of a data centre to the last statement sent to a target there, 1 s or more. The last 0.5 s are kept in reserve, and reading takes up to 4.5 s. 0s where the platform has no evacuations; the store is then not asked for them."`
 	// ColdExcess and ColdSlack bound the statements to a cold target.
-	ColdExcess float64 `default:"0" min:"0" max:"1000" doc:"Multiple of a service's rate for cold targets that one may get, from all VMs together. 0 where the platform bounds no cold targets."`
-	ColdSlack  float64 `default:"0" min:"0" max:"1000000" doc:"Statements that a cold target may get in one second beyond that."`
+	ColdExcess float64 `guard:"yes" default:"0" min:"0" max:"1000" doc:"Multiple of a service's rate for cold targets that one may get, from all VMs together. 0 where the platform bounds no cold targets."`
+	ColdSlack  float64 `guard:"yes" default:"0" min:"0" max:"1000000" doc:"Statements that a cold target may get in one second beyond that."`
 }
 
 // SystemMetrics configures the listener for metrics.
@@ -97,7 +97,7 @@
 
 // SystemStop configures the planned stop.
 type SystemStop struct {
-	Grace time.Duration `default:"6s" min:"1s" max:"10m" doc:"Time from the signal to stop until the process is killed."`
+	Grace time.Duration `guard:"yes" default:"6s" min:"1s" max:"10m" doc:"Time from the signal to stop until the process is killed."`
 }
 
 // minEvacuateWithin leaves half a second for the last statements to an evacuated
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -66,10 +66,15 @@
 	}
 	settings, system := new(cfgini.Daemon), new(cfgini.System)
 	var load any = settings
+	var skipped cfgini.Findings
+	var opts []cfgini.Option
 	if o.Protocol == "session" {
 		load = system
+		if !o.Check {
+			opts = append(opts, cfgini.SkipUnknown(&skipped))
+		}
 	}
-	if err := cfgini.Load(o.Config, load); err != nil {
+	if err := cfgini.Load(o.Config, load, opts...); err != nil {
 		return fail(env, identified(err, load))
 	}
 	if o.Check {
@@ -77,7 +82,7 @@
 		return ExitOK
 	}
 	if o.Protocol == "session" && modes.session != nil {
-		return runSession(env, o.Config, System{Settings: system}, modes.session, hangups)
+		return runSession(env, o.Config, System{Settings: system, Skipped: skipped}, modes.session, hangups)
 	}
 	if run == nil {
 		return fail(env, siskin.NewError(siskin.Unsupported, "this build runs no VM").WithRemedy("use --check, or build with the node"))
--- a/internal/cmds/system.go
+++ b/internal/cmds/system.go
@@ -22,7 +22,9 @@
 // runs a VM for the session protocol.
 type System struct {
 	Settings *cfgini.System
-	Log      *log.Logger
+	// Skipped are the names in the settings file that this version does not know.
+	Skipped cfgini.Findings
+	Log     *log.Logger
 }
 
 // DaemonOption adds to what siskintrayd can run.
@@ -48,6 +50,7 @@
 	s.Log = l
 	b := build.Read()
 	l.Info().Str("Version", b.Version).Str("Build", b.ID).Str("Go", b.Go).Str("Settings", cfgini.Digest(s.Settings)).Msg("starting")
+	logSkipped(l, s.Skipped)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -70,6 +73,13 @@
 	return ExitOK
 }
 
+// logSkipped logs the names in a settings file that this version does not know.
+func logSkipped(l *log.Logger, skipped cfgini.Findings) {
+	for _, f := range skipped {
+		l.Warn().Str("File", f.File).Int("Line", f.Line).Str("Remedy", f.Remedy).Msg(f.Message + " is skipped")
+	}
+}
+
 // closeLog waits until the log is written, for a limited time, since nobody may
 // read it.
 func closeLog(w *logs.NonBlockingWriter) {
@@ -82,10 +92,12 @@
 // settings need a restart.
 func reloadSession(path string, l *log.Logger) {
 	next := new(cfgini.System)
-	if err := cfgini.Load(path, next); err != nil {
+	var skipped cfgini.Findings
+	if err := cfgini.Load(path, next, cfgini.SkipUnknown(&skipped)); err != nil {
 		l.Error().Err(err).Msg("settings were not reloaded")
 		return
 	}
+	logSkipped(l, skipped)
 	logs.SetLevel(l, next.Log.Level)
 	l.Info().Str("Level", next.Log.Level).Msg("settings reloaded")
 }
--- a/internal/sysd/run.go
+++ b/internal/sysd/run.go
@@ -32,6 +32,7 @@
 	}
 	d.Log.Info().Str("VM", d.Settings.VM.ID).Str("DataCentre", d.Settings.VM.DataCentre).Str("Version", build.Read().Version).
 		Str("Callers", d.Settings.Caller.Address).Str("Peers", d.Settings.Peer.Address).Msg("started")
+	n.stats.Scope().Gauge("settings_skipped").Update(float64(len(d.Skipped)))
 	<-ctx.Done()
 	n.drain(context.Background())
 	err = n.close()
