cmds, cfgini: errors of reading the settings file stay as they are

Cause: the build was added to every error about settings, and took the remedy of a file that cannot be read into its message, where scripts that read JSON don't look. Change: only findings in a file that was read name the build.

--- a/internal/cfgini/load.go
+++ b/internal/cfgini/load.go
@@ -79,15 +79,17 @@
 // checkGuards reports whether unknown names can be skipped. If not, it records the
 // settings that one of them may be meant for.
 func (c *check) checkGuards(unknown Findings) bool {
-	all := true
+	if len(unknown) == 0 {
+		return true
+	}
+	complete := true
 	for _, s := range c.settings {
-		if _, present := c.file.Section(s.Section).Entry(s.Key); present || !s.Guard || len(unknown) == 0 {
-			continue
+		if _, present := c.file.Section(s.Section).Entry(s.Key); s.Guard && !present {
+			complete = false
+			c.addFinding(s.Name(), "correct the unknown name or set "+s.Name(), "%s is not set, so that unknown names cannot be skipped", s.Name())
 		}
-		all = false
-		c.addFinding(s.Name(), "correct the unknown name or set "+s.Name(), "%s is not set, so that unknown names cannot be skipped", s.Name())
 	}
-	return all
+	return complete
 }
 
 // unknownNames returns the sections and keys that the settings type lacks.
--- a/internal/cmds/version.go
+++ b/internal/cmds/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"siskintray.example/siskin"
@@ -28,8 +29,14 @@
 	return Output{Value: v, Text: fmt.Sprintf("siskintrayd %s\nsettings: postgres %s, session %s\n", b, postgres, session)}
 }
 
-// identified adds to an error about settings which program read them, since files
-// and programs of two versions may meet.
+// identified adds to the findings in settings which program read them, since files
+// and programs of two versions may meet. Other errors are returned as they are.
 func identified(err error, settings any) error {
-	return siskin.NewError(siskin.KindOf(err), "%v\nread by siskintrayd %s with settings %s", err, build.Read(), cfgini.Digest(settings))
+	var findings *siskin.Error
+	if !errors.As(err, &findings) || findings.Unwrap() != nil {
+		return err // the file could not be read
+	}
+	named := *findings
+	named.Message += fmt.Sprintf("\nread by siskintrayd %s with settings %s", build.Read(), cfgini.Digest(settings))
+	return &named
 }
