--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -212,6 +213,27 @@
 	}
 }
 
+// TestGroupsMeet guards against a fleet that stays in two parts, each with homes of
+// its own, after a cut during which all VMs started.
+func TestGroupsMeet(t *testing.T) {
+	t.Parallel()
+	f := newFabric(t)
+	f.isolate("dc-0")
+	var crews []*testCrew
+	for i := range 4 {
+		crews = append(crews, f.add(i))
+	}
+	crews[1].Learn(crews[2].Node()) // as from the store
+	allHave := func(n int) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(crews, func(c *testCrew) bool { return len(c.Live()) != n })
+		}
+	}
+	waitFor(t, "two VMs know each other on either side of the cut", 5*time.Second, allHave(2))
+	f.isolate("")
+	waitFor(t, "all VMs know each other after the cut", 12*time.Second, allHave(4))
+}
+
 // TestEndedProcess guards against a VM that is used for another 0.9 s after its
 // process has ended, as if it were only silent. One that is silent must not be
 // given up as quickly.
