--- a/internal/cfgini/compat_test.go
+++ b/internal/cfgini/compat_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/txtar"
 )
@@ -44,6 +45,28 @@
 	}
 }
 
+// TestValuesOfTemplate guards against a key that an earlier template wrote and that
+// is read without an effect.
+func TestValuesOfTemplate(t *testing.T) {
+	a, err := txtar.ParseFile("testdata/compat/template-6.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cfg System
+	if found := Parse("vm.ini", a.Files[0].Data, &cfg, SkipUnknown(new(Findings))); len(found) > 0 {
+		t.Fatal(found.Err())
+	}
+	if got := cfg.VM; got.ID != "front-a-1" || got.Memory != 284<<20 || got.Link != 1000 {
+		t.Errorf("VM: got %+v, want front-a-1 with 284 MB and 1000 Mbit/s", got)
+	}
+	if !cfg.Promoter.Fencing {
+		t.Error("Promoter.Fencing: got false, want true")
+	}
+	if got, want := cfg.Operator, (SystemOperator{EvacuateWithin: 5 * time.Second, ColdExcess: 1.5, ColdSlack: 20}); got != want {
+		t.Errorf("Operator: got %+v, want %+v", got, want)
+	}
+}
+
 // TestTemplateIsKept guards against a key of the deployment template that a later
 // version could drop, since the newest settings of the test data lack it.
 func TestTemplateIsKept(t *testing.T) {
